--- /dev/null
+++ b/packages/bench/src/apricotpath_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, local deployment, load and reports."""
--- /dev/null
+++ b/packages/cli/src/apricotpath_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command."""
--- /dev/null
+++ b/packages/core/src/apricotpath/__init__.py
@@ -0,0 +1,1 @@
+"""Library of the apricotpath scheduler."""
--- /dev/null
+++ b/packages/core/src/apricotpath/errors.py
@@ -0,0 +1,89 @@
+"""The exception tree; every error that a user can see is one plain sentence."""
+
+
+class ApricotpathError(Exception):
+    """Root of all errors raised on purpose by apricotpath."""
+
+
+class InputError(ApricotpathError):
+    """A setting, bundle, command line or submission is wrong; nothing was changed."""
+
+
+class SettingsError(InputError):
+    """A settings file is missing, unreadable or invalid."""
+
+
+class BundleError(InputError):
+    """A bundle breaks a rule of its format."""
+
+
+class SignatureError(InputError):
+    """A signature is missing, wrong, or made by a key that is not trusted."""
+
+
+class ConflictError(ApricotpathError):
+    """Another writer changed the same record first."""
+
+
+class CodecError(ApricotpathError):
+    """A frame or message is malformed, oversized or of an unknown kind."""
+
+
+class LinkError(ApricotpathError):
+    """A connection to another process is closed, silent or was refused."""
+
+
+class PeerError(LinkError):
+    """The peer answered a call with a Failure message."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class StoreError(ApricotpathError):
+    """The key-value store did not do what was asked."""
+
+
+class StoreUnavailable(StoreError):
+    """The store could not be reached; the call had no effect."""
+
+
+class StoreOutcomeUnknown(StoreError):
+    """The answer to a write was lost; it may or may not have taken effect."""
+
+
+class StoreLimited(StoreError):
+    """The store refused a call because its rate limit was reached."""
+
+
+class FencedError(StoreError):
+    """A write was refused because a newer owner holds the record."""
+
+
+class WorkerError(ApricotpathError):
+    """The worker refused a call or could not be reached."""
+
+
+class WorkerUnavailable(WorkerError):
+    """The worker could not be reached; the effect of the call is not known."""
+
+
+class WorkerRefused(WorkerError):
+    """The worker refused a call; it had no effect."""
+
+
+class CapacityError(ApricotpathError):
+    """A commitment would exceed the host's size."""
+
+
+class RequestError(ApricotpathError):
+    """A caller's request has no whole answer."""
+
+
+class NotRun(RequestError):
+    """The request did not run and never will."""
+
+
+class OutcomeUnknown(RequestError):
+    """Whether the request ran cannot be determined."""
--- /dev/null
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -0,0 +1,327 @@
+# Messages between apricotpath processes; messages.py holds the typed form.
+@0xc3a9d7f14b62e805;
+
+struct Size {
+  cpuMilli @0 :Int64;
+  memoryMb @1 :Int64;
+  accelerators @2 :Int64;
+}
+
+struct Hello {
+  protocol @0 :Int64;
+  role @1 :Text;
+  processId @2 :Text;
+  incarnation @3 :Text;
+  dataCentre @4 :Text;
+}
+
+struct DataCentreStatus {
+  dataCentre @0 :Text;
+  seq @1 :Int64;
+  state @2 :Text;
+}
+
+struct Heartbeat {
+  seq @0 :Int64;
+  workerClockMs @1 :Int64;
+  bundleVersion @2 :Int64;
+  statuses @3 :List(DataCentreStatus);
+}
+
+struct Announce {
+  host @0 :Text;
+  rack @1 :Text;
+  dataCentre @2 :Text;
+  size @3 :Size;
+  backend @4 :Text;
+  service @5 :Text;
+  slots @6 :Int64;
+  connections @7 :Int64;
+  leaving @8 :Bool;
+  ready @9 :Bool;
+  maturity @10 :Text;
+}
+
+struct Leaving {
+  reason @0 :Text;
+}
+
+struct TaskReport {
+  task @0 :Text;
+  shard @1 :Int64;
+  epoch @2 :Int64;
+  attempt @3 :Int64;
+  state @4 :Text;
+  size @5 :Size;
+  usage @6 :Size;
+  checkpoint @7 :Text;
+  progress @8 :Float64;
+}
+
+struct TaskOutcome {
+  task @0 :Text;
+  shard @1 :Int64;
+  attempt @2 :Int64;
+  outcome @3 :Text;
+  checkpoint @4 :Text;
+  reason @5 :Text;
+}
+
+struct HostReport {
+  host @0 :Text;
+  workerClockMs @1 :Int64;
+  ready @2 :Bool;
+  committed @3 :Size;
+  usage @4 :Size;
+  pressure @5 :Float64;
+  busySlots @6 :Int64;
+  queued @7 :Int64;
+  tasks @8 :List(TaskReport);
+  outcomes @9 :List(TaskOutcome);
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct RequestStart {
+  request @0 :Text;
+  service @1 :Text;
+  requestClass @2 :Text;
+  team @3 :Text;
+  key @4 :Text;
+  idempotent @5 :Bool;
+  deadlineMs @6 :Int64;
+  method @7 :Text;
+  path @8 :Text;
+  headers @9 :List(Header);
+}
+
+struct RequestBody {
+  request @0 :Text;
+  offset @1 :Int64;
+  data @2 :Data;
+  final @3 :Bool;
+  total @4 :Int64;
+}
+
+struct ResponseStart {
+  request @0 :Text;
+  status @1 :Int64;
+  headers @2 :List(Header);
+}
+
+struct ResponseBody {
+  request @0 :Text;
+  offset @1 :Int64;
+  data @2 :Data;
+  final @3 :Bool;
+  total @4 :Int64;
+}
+
+struct RequestRefused {
+  request @0 :Text;
+  reason @1 :Text;
+  retryAfterMs @2 :Int64;
+}
+
+struct RequestFailed {
+  request @0 :Text;
+  reason @1 :Text;
+}
+
+struct RequestCancel {
+  request @0 :Text;
+}
+
+struct Settle {
+  request @0 :Text;
+  incarnation @1 :Text;
+}
+
+struct Settled {
+  request @0 :Text;
+  settlement @1 :Text;
+  reason @2 :Text;
+}
+
+struct ReserveKey {
+  key @0 :Text;
+  service @1 :Text;
+  request @2 :Text;
+  home @3 :Text;
+  homeIncarnation @4 :Text;
+}
+
+struct KeyReserved {
+  key @0 :Text;
+  state @1 :Text;
+  maturity @2 :Text;
+  request @3 :Text;
+  home @4 :Text;
+  homeIncarnation @5 :Text;
+}
+
+struct ReleaseKey {
+  key @0 :Text;
+  request @1 :Text;
+}
+
+struct ControlUpdate {
+  bundleVersion @0 :Int64;
+  bundle @1 :Data;
+  statuses @2 :List(DataCentreStatus);
+  founders @3 :List(Text);
+  freshAgeMs @4 :Int64;
+}
+
+struct ControlAck {
+  bundleVersion @0 :Int64;
+  statuses @1 :List(DataCentreStatus);
+}
+
+struct ClaimShard {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+}
+
+struct ShardClaimed {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  ready @2 :Bool;
+  tasks @3 :List(TaskReport);
+  outcomes @4 :List(TaskOutcome);
+}
+
+struct StartTask {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  task @2 :Text;
+  attempt @3 :Int64;
+  team @4 :Text;
+  activity @5 :Text;
+  taskClass @6 :Text;
+  size @7 :Size;
+  command @8 :Text;
+  runTimeS @9 :Float64;
+  checkpoint @10 :Text;
+  checkpointS @11 :Float64;
+  anchorIncarnation @12 :Text;
+  anchorClockMs @13 :Int64;
+  bundleVersion @14 :Int64;
+}
+
+struct StopTask {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  task @2 :Text;
+  attempt @3 :Int64;
+  reason @4 :Text;
+}
+
+struct EvictTask {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  task @2 :Text;
+  attempt @3 :Int64;
+  reason @4 :Text;
+}
+
+struct ThrottleTask {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  task @2 :Text;
+  attempt @3 :Int64;
+  share @4 :Float64;
+}
+
+struct RenewTasks {
+  shard @0 :Int64;
+  epoch @1 :Int64;
+  tasks @2 :List(Text);
+  anchorIncarnation @3 :Text;
+  anchorClockMs @4 :Int64;
+}
+
+struct TaskReply {
+  task @0 :Text;
+  attempt @1 :Int64;
+  accepted @2 :Bool;
+  code @3 :Text;
+  reason @4 :Text;
+}
+
+struct OutcomeAck {
+  shard @0 :Int64;
+  tasks @1 :List(Text);
+  attempts @2 :List(Int64);
+}
+
+struct JobCall {
+  method @0 :Text;
+  path @1 :Text;
+  body @2 :Data;
+}
+
+struct JobReply {
+  status @0 :Int64;
+  body @1 :Data;
+}
+
+struct ShareRequest {
+  team @0 :Text;
+  amount @1 :Float64;
+}
+
+struct ShareGrant {
+  team @0 :Text;
+  amount @1 :Float64;
+  ttlMs @2 :Int64;
+}
+
+struct Failure {
+  code @0 :Text;
+  text @1 :Text;
+}
+
+struct Envelope {
+  version @0 :UInt16;
+  id @1 :UInt64;
+  replyTo @2 :UInt64;
+  union {
+    hello @3 :Hello;
+    heartbeat @4 :Heartbeat;
+    announce @5 :Announce;
+    leaving @6 :Leaving;
+    hostReport @7 :HostReport;
+    requestStart @8 :RequestStart;
+    requestBody @9 :RequestBody;
+    responseStart @10 :ResponseStart;
+    responseBody @11 :ResponseBody;
+    requestRefused @12 :RequestRefused;
+    requestFailed @13 :RequestFailed;
+    requestCancel @14 :RequestCancel;
+    settle @15 :Settle;
+    settled @16 :Settled;
+    reserveKey @17 :ReserveKey;
+    keyReserved @18 :KeyReserved;
+    releaseKey @19 :ReleaseKey;
+    controlUpdate @20 :ControlUpdate;
+    controlAck @21 :ControlAck;
+    claimShard @22 :ClaimShard;
+    shardClaimed @23 :ShardClaimed;
+    startTask @24 :StartTask;
+    stopTask @25 :StopTask;
+    evictTask @26 :EvictTask;
+    throttleTask @27 :ThrottleTask;
+    renewTasks @28 :RenewTasks;
+    taskReply @29 :TaskReply;
+    outcomeAck @30 :OutcomeAck;
+    jobCall @31 :JobCall;
+    jobReply @32 :JobReply;
+    shareRequest @33 :ShareRequest;
+    shareGrant @34 :ShareGrant;
+    failure @35 :Failure;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry and agent processes."""
