--- a/packages/core/src/apricotpath/codec.py
+++ b/packages/core/src/apricotpath/codec.py
@@ -78,7 +78,7 @@
 
 
 @cache
-def _plan(cls: type) -> tuple[tuple[str, str, Any, Any], ...]:
+def _plan(cls: Any) -> tuple[tuple[str, str, Any, Any], ...]:
     """Return (attribute, capnp name, encoder, decoder) of each field of a message."""
     hints = get_type_hints(cls)
     return tuple(
@@ -90,7 +90,7 @@
 def _to_dict(value: Any) -> dict[str, Any]:
     return {
         wire_name: encode(getattr(value, name)) if encode else getattr(value, name)
-        for name, wire_name, encode, _ in _plan(type(value))
+        for name, wire_name, encode, _ in _plan(value.__class__)
     }
 
 
--- /dev/null
+++ b/packages/core/src/apricotpath/link.py
@@ -0,0 +1,369 @@
+"""One TCP connection between two processes: frames, heartbeats, calls and redialling."""
+
+import logging
+import random
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.tls import TLSStream
+
+from apricotpath.codec import (
+    LENGTH_BYTES,
+    PROTOCOL_VERSION,
+    Envelope,
+    decode,
+    encode,
+    frame_length,
+)
+from apricotpath.config import Address, LinkSettings, TlsSettings
+from apricotpath.errors import CodecError, LinkError, PeerError
+from apricotpath.messages import Failure, Heartbeat, Hello, Message
+
+log = logging.getLogger(__name__)
+
+# Frames waiting to be sent are joined up to this size, which saves system calls.
+WRITE_BATCH_BYTES = 64 << 10
+
+
+class Handler(Protocol):
+    """What a process does with its links.
+
+    `received` runs in the link's reading task, in order; anything that waits
+    must be started as a task of its own, or heartbeats would stop counting.
+    """
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the next heartbeat to send."""
+
+    async def opened(self, link: "Link") -> None:
+        """Handle a link whose Hello messages have been exchanged."""
+
+    async def received(self, link: "Link", envelope: Envelope) -> None:
+        """Handle a message that is not the reply to a call."""
+
+    async def closed(self, link: "Link") -> None:
+        """Handle the end of an opened link."""
+
+
+class Link:
+    """A connection that has a peer, heartbeats both ways and calls by id.
+
+    `run` returns or raises LinkError when the connection ends; afterwards
+    every pending and later call raises LinkError.
+    """
+
+    def __init__(
+        self, stream: ByteStream, hello: Hello, cfg: LinkSettings, handler: Handler
+    ) -> None:
+        self.cfg = cfg
+        self.hello = hello
+        self.handler = handler
+        self.peer: Hello | None = None
+        self.last_heartbeat: Heartbeat | None = None
+        self.last_heartbeat_at = 0.0
+        self.last_received_at = 0.0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.is_open = False
+        self._stream = stream
+        self._next_id = 1
+        self._calls: dict[int, _Call] = {}
+        self._outgoing, self._queued = anyio.create_memory_object_stream[bytes](cfg.send_queue)
+        self._close_reason = ""
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def peer_id(self) -> str:
+        """Process id of the peer, for logs."""
+        return self.peer.process_id if self.peer else "?"
+
+    def idle_s(self) -> float:
+        """Return the seconds since the last frame from the peer."""
+        return anyio.current_time() - self.last_received_at
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        opened = False
+        try:
+            with anyio.CancelScope() as self._scope:
+                reader = BufferedByteReceiveStream(self._stream)
+                with anyio.move_on_after(self.cfg.silence_s) as greeting:
+                    await self._write(Envelope(self._take_id(), 0, self.hello))
+                    self.peer = self._check_hello(await self._read(reader))
+                if greeting.cancelled_caught:
+                    raise LinkError("the peer sent no Hello")
+                self.is_open = opened = True
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._send_frames)
+                    group.start_soon(self._send_heartbeats)
+                    group.start_soon(self._watch_silence)
+                    await self.handler.opened(self)
+                    await self._receive(reader)
+        except* (anyio.EndOfStream, anyio.IncompleteRead):
+            self._close_reason = self._close_reason or "the peer closed the connection"
+        except* (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError) as group_exc:
+            self._close_reason = self._close_reason or f"connection lost: {group_exc.exceptions[0]}"
+        except* (CodecError, LinkError) as group_exc:
+            self._close_reason = self._close_reason or str(_leaf(group_exc))
+        finally:
+            self.is_open = False
+            self._fail_calls()
+            with anyio.CancelScope(shield=True):
+                with anyio.move_on_after(1):
+                    await anyio.aclose_forcefully(self._stream)
+                if opened:
+                    await self.handler.closed(self)
+        if self._close_reason:
+            raise LinkError(self._close_reason)
+
+    def close(self, reason: str) -> None:
+        """End the connection at once."""
+        self._close_reason = self._close_reason or reason
+        self.is_open = False
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def send(self, body: Message, reply_to: int = 0) -> int:
+        """Queue a message and return its id; waits while the queue is full."""
+        if not self.is_open:
+            raise LinkError(self._close_reason or "the link is closed")
+        number = self._take_id()
+        frame = encode(Envelope(number, reply_to, body))
+        try:
+            await self._outgoing.send(frame)
+        except (anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
+            raise LinkError(self._close_reason or "the link is closed") from exc
+        return number
+
+    def send_nowait(self, body: Message, reply_to: int = 0) -> None:
+        """Queue a message, or raise LinkError if the queue is full."""
+        if not self.is_open:
+            raise LinkError(self._close_reason or "the link is closed")
+        frame = encode(Envelope(self._take_id(), reply_to, body))
+        try:
+            self._outgoing.send_nowait(frame)
+        except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
+            raise LinkError("the link's send queue is full or closed") from exc
+
+    async def call(self, body: Message, timeout_s: float | None = None) -> Message:
+        """Send a message and return the reply.
+
+        Raises PeerError if the reply is a Failure, and LinkError if the link
+        ends or no reply comes in time; then the effect is not known.
+        """
+        if not self.is_open:
+            raise LinkError(self._close_reason or "the link is closed")
+        number = self._take_id()
+        call = self._calls[number] = _Call()
+        limit = self.cfg.call_timeout_s if timeout_s is None else timeout_s
+        try:
+            with anyio.move_on_after(limit) as scope:
+                await self._outgoing.send(encode(Envelope(number, 0, body)))
+                await call.done.wait()
+        except (anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
+            raise LinkError(self._close_reason or "the link is closed") from exc
+        finally:
+            self._calls.pop(number, None)
+        if call.reply is None:
+            if scope.cancelled_caught:
+                raise LinkError(f"no reply to {type(body).__name__} within {limit} s")
+            raise LinkError(self._close_reason or "the link is closed")
+        if isinstance(call.reply, Failure):
+            raise PeerError(call.reply.code, call.reply.text)
+        return call.reply
+
+    def _take_id(self) -> int:
+        number = self._next_id
+        self._next_id += 1
+        return number
+
+    def _check_hello(self, envelope: Envelope) -> Hello:
+        if not isinstance(envelope.body, Hello):
+            raise LinkError("the first message was not Hello")
+        if envelope.body.protocol != PROTOCOL_VERSION:
+            raise LinkError(f"the peer speaks protocol {envelope.body.protocol}")
+        return envelope.body
+
+    async def _write(self, envelope: Envelope) -> None:
+        frame = encode(envelope)
+        self.bytes_sent += len(frame)
+        await self._stream.send(frame)
+
+    async def _read(self, reader: BufferedByteReceiveStream) -> Envelope:
+        prefix = await reader.receive_exactly(LENGTH_BYTES)
+        payload = await reader.receive_exactly(frame_length(prefix))
+        self.bytes_received += LENGTH_BYTES + len(payload)
+        self.last_received_at = anyio.current_time()
+        return decode(payload)
+
+    async def _receive(self, reader: BufferedByteReceiveStream) -> None:
+        while True:
+            try:
+                envelope = await self._read(reader)
+            except CodecError as exc:
+                await self._report_failure(exc)
+                raise
+            if isinstance(envelope.body, Heartbeat):
+                self.last_heartbeat = envelope.body
+                self.last_heartbeat_at = self.last_received_at
+            call = self._calls.get(envelope.reply_to) if envelope.reply_to else None
+            if call is not None:
+                call.reply = envelope.body
+                call.done.set()
+            else:
+                await self.handler.received(self, envelope)
+
+    async def _report_failure(self, exc: CodecError) -> None:
+        """Tell the peer why the connection is about to close, if it still listens."""
+        with anyio.move_on_after(0.2):
+            await self._write(Envelope(self._take_id(), 0, Failure("codec", str(exc))))
+
+    async def _send_frames(self) -> None:
+        async for frame in self._queued:
+            batch = [frame]
+            size = len(frame)
+            while size < WRITE_BATCH_BYTES:
+                try:
+                    batch.append(self._queued.receive_nowait())
+                except anyio.WouldBlock:
+                    break
+                size += len(batch[-1])
+            self.bytes_sent += size
+            await self._stream.send(b"".join(batch))
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await self.send(self.handler.heartbeat())
+            await anyio.sleep(self.cfg.heartbeat_s)
+
+    async def _watch_silence(self) -> None:
+        while True:
+            left = self.cfg.silence_s - self.idle_s()
+            if left <= 0:
+                raise LinkError(f"the peer was silent for {self.cfg.silence_s} s")
+            await anyio.sleep(left)
+
+    def _fail_calls(self) -> None:
+        for call in self._calls.values():
+            call.done.set()
+        self._outgoing.close()
+        self._queued.close()
+
+
+class _Call:
+    """A call that waits for its reply."""
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.reply: Message | None = None
+
+
+def _leaf(exc: BaseException) -> BaseException:
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
+
+
+def client_context(tls: TlsSettings) -> ssl.SSLContext:
+    """Return a context that proves our certificate and checks the peer's."""
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=str(tls.authority))
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    # Processes are addressed by IP number; the authority signs only our own processes.
+    context.check_hostname = False
+    return context
+
+
+def server_context(tls: TlsSettings) -> ssl.SSLContext:
+    """Return a context that demands a certificate of the same authority."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=str(tls.authority))
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+async def connect(address: Address, cfg: LinkSettings) -> ByteStream:
+    """Return a connection to a process, under TLS if the settings say so.
+
+    Certificates are read for each connection, so a rotation needs no restart.
+    """
+    try:
+        with anyio.fail_after(cfg.dial_timeout_s):
+            stream = await anyio.connect_tcp(address.host, address.port)
+            if cfg.tls is None:
+                return stream
+            return await TLSStream.wrap(
+                stream, server_side=False, ssl_context=client_context(cfg.tls)
+            )
+    except (OSError, TimeoutError, ssl.SSLError, anyio.BrokenResourceError) as exc:
+        raise LinkError(f"cannot reach {address.host}:{address.port}: {exc}") from exc
+
+
+async def dial_forever(
+    address: Address,
+    hello: Hello,
+    cfg: LinkSettings,
+    handler: Handler,
+    rng: random.Random,
+) -> None:
+    """Keep a link to an address; redial after an exponential delay with jitter.
+
+    The jitter spreads the dials of many processes after a common failure.
+    """
+    delay = cfg.redial_min_s
+    while True:
+        started = anyio.current_time()
+        try:
+            link = Link(await connect(address, cfg), hello, cfg, handler)
+            await link.run()
+        except LinkError as exc:
+            log.info(
+                "link to %s:%d ended: %s",
+                address.host,
+                address.port,
+                exc,
+                extra={"role": "dialler"},
+            )
+        if anyio.current_time() - started > cfg.redial_max_s:
+            delay = cfg.redial_min_s
+        await anyio.sleep(delay * (0.5 + rng.random()))
+        delay = min(2 * delay, cfg.redial_max_s)
+
+
+async def listen(
+    address: Address,
+    hello: Hello,
+    cfg: LinkSettings,
+    handler: Handler,
+    group: TaskGroup,
+    started: Callable[[Address], Awaitable[None]] | None = None,
+) -> None:
+    """Accept links on an address until cancelled; raises LinkError if it is in use."""
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port, reuse_port=False
+        )
+    except OSError as exc:
+        raise LinkError(f"cannot listen on {address.host}:{address.port}: {exc}") from exc
+
+    async def serve(stream: ByteStream) -> None:
+        try:
+            if cfg.tls is not None:
+                with anyio.fail_after(cfg.dial_timeout_s):
+                    stream = await TLSStream.wrap(
+                        stream, server_side=True, ssl_context=server_context(cfg.tls)
+                    )
+            await Link(stream, hello, cfg, handler).run()
+        except (LinkError, OSError, TimeoutError, anyio.BrokenResourceError) as exc:
+            log.info("incoming link ended: %s", exc)
+        except anyio.EndOfStream:
+            log.info("incoming link ended before it was open")
+
+    async with listener:
+        if started is not None:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            await started(Address(address.host, port))
+        await listener.serve(serve, group)
