--- /dev/null
+++ b/packages/daemon/src/apricotpathd/component.py
@@ -0,0 +1,34 @@
+"""Interface of the parts that an entry or agent is assembled from."""
+
+from collections.abc import Callable
+from datetime import datetime
+from typing import Protocol
+
+from apricotpath.codec import Envelope
+from apricotpath.link import Link
+from apricotpath.messages import Message
+
+# Parts take the UTC time from a function, so that tests can move it; monotonic
+# time in seconds is always `anyio.current_time()`, which follows a test's clock.
+UtcClock = Callable[[], datetime]
+
+
+class Component(Protocol):
+    """One part of a process."""
+
+    handles: frozenset[type[Message]]
+
+    async def run(self) -> None:
+        """Run the part's background loops until cancelled."""
+
+    async def received(self, link: Link, envelope: Envelope) -> None:
+        """Handle a message of a type in `handles`; must not wait for the peer."""
+
+    async def link_opened(self, link: Link) -> None:
+        """Handle a new link."""
+
+    async def link_closed(self, link: Link) -> None:
+        """Handle the end of a link."""
+
+    async def drain(self) -> None:
+        """Refuse new work and return when the work in hand is done."""
