Set capnp fields one by one when encoding

Cause: from_dict converts nested lists through Python dicts and took 148 us for a request start with 8 headers. Each field now has a writer chosen once per message type. Caching builders was ruled out: a builder's arena only grows.

--- a/packages/core/src/apricotpath/codec.py
+++ b/packages/core/src/apricotpath/codec.py
@@ -49,18 +49,44 @@
 }
 
 
-def _encoder(hint: Any) -> Callable[[Any], Any] | None:
-    """Return the conversion of a field to its capnp value, or None for plain values."""
+def _writer(hint: Any) -> Callable[[Any, str, Any], None]:
+    """Return the function that sets a field of a capnp builder.
+
+    Setting fields one by one took a tenth of the time of `from_dict` on a
+    message with a list of structs.
+    """
     if get_origin(hint) is tuple:
-        item = _encoder(get_args(hint)[0])
-        if item is None:
-            return list
-        return lambda values: [item(value) for value in values]
-    if is_dataclass(hint) and isinstance(hint, type):
-        return _to_dict
+        return _write_structs if is_dataclass(get_args(hint)[0]) else _write_list
+    if is_dataclass(hint):
+        return _write_struct
     if isinstance(hint, type) and issubclass(hint, Enum):
-        return lambda value: value.value
-    return None
+        return _write_enum
+    return setattr
+
+
+def _write_structs(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    items = builder.init(name, len(values))
+    for index, value in enumerate(values):
+        _fill(items[index], value)
+
+
+def _write_list(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    items = builder.init(name, len(values))
+    for index, value in enumerate(values):
+        items[index] = value
+
+
+def _write_struct(builder: Any, name: str, value: Any) -> None:
+    _fill(builder.init(name), value)
+
+
+def _write_enum(builder: Any, name: str, value: Enum) -> None:
+    setattr(builder, name, value.value)
+
+
+def _fill(builder: Any, value: Any) -> None:
+    for name, wire_name, write, _ in _plan(value.__class__):
+        write(builder, wire_name, getattr(value, name))
 
 
 def _decoder(hint: Any) -> Callable[[Any], Any] | None:
@@ -79,21 +105,14 @@
 
 @cache
 def _plan(cls: Any) -> tuple[tuple[str, str, Any, Any], ...]:
-    """Return (attribute, capnp name, encoder, decoder) of each field of a message."""
+    """Return (attribute, capnp name, writer, decoder) of each field of a message."""
     hints = get_type_hints(cls)
     return tuple(
-        (field.name, _camel(field.name), _encoder(hints[field.name]), _decoder(hints[field.name]))
+        (field.name, _camel(field.name), _writer(hints[field.name]), _decoder(hints[field.name]))
         for field in fields(cls)
     )
 
 
-def _to_dict(value: Any) -> dict[str, Any]:
-    return {
-        wire_name: encode(getattr(value, name)) if encode else getattr(value, name)
-        for name, wire_name, encode, _ in _plan(value.__class__)
-    }
-
-
 def _from_reader(cls: type, reader: Any) -> Any:
     return cls(
         *(
@@ -113,7 +132,7 @@
         builder = _wire.Envelope.new_message(
             version=PROTOCOL_VERSION, id=envelope.id, replyTo=envelope.reply_to
         )
-        builder.init(_union_name(type(envelope.body))).from_dict(_to_dict(envelope.body))
+        _fill(builder.init(_union_name(type(envelope.body))), envelope.body)
         payload: bytes = builder.to_bytes()
     except (capnp.KjException, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise CodecError(f"cannot encode {type(envelope.body).__name__}: {exc}") from exc
