Serialize writes on a link and test links through a relay

Cause: the report of a malformed frame wrote to the socket while the sending task was in the middle of a batch; anyio raised BusyResourceError, which left the link's task group and ended the whole listener. Found by the new scenario 'Hello then garbage'. Change: one lock around writes. Queueing the report was ruled out, since the queue may be full when a peer misbehaves.

--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -70,6 +70,7 @@
         self.bytes_received = 0
         self.is_open = False
         self._stream = stream
+        self._write_lock = anyio.Lock()
         self._next_id = 1
         self._calls: dict[int, _Call] = {}
         self._outgoing, self._queued = anyio.create_memory_object_stream[bytes](cfg.send_queue)
@@ -189,9 +190,13 @@
         return envelope.body
 
     async def _write(self, envelope: Envelope) -> None:
-        frame = encode(envelope)
-        self.bytes_sent += len(frame)
-        await self._stream.send(frame)
+        await self._write_bytes(encode(envelope))
+
+    async def _write_bytes(self, data: bytes) -> None:
+        # A failure report may be written while the sending task is in the middle of a batch.
+        async with self._write_lock:
+            self.bytes_sent += len(data)
+            await self._stream.send(data)
 
     async def _read(self, reader: BufferedByteReceiveStream) -> Envelope:
         prefix = await reader.receive_exactly(LENGTH_BYTES)
@@ -232,8 +237,7 @@
                 except anyio.WouldBlock:
                     break
                 size += len(batch[-1])
-            self.bytes_sent += size
-            await self._stream.send(b"".join(batch))
+            await self._write_bytes(b"".join(batch))
 
     async def _send_heartbeats(self) -> None:
         while True:
--- /dev/null
+++ b/tests/features/link.feature
@@ -0,0 +1,36 @@
+Feature: link
+
+  Guards against connections that stay open but silent, against malformed
+  frames that end more than their own connection, and against calls that wait
+  forever or get another call's reply.
+
+  Scenario: link calls get their own replies when these come in reverse order
+    Given two linked processes with a silence limit of 3 s
+    When 20 link calls are answered in reverse order
+    Then each link call has its own reply
+
+  Scenario: a link that a relay holds silent is replaced by a new one
+    Given two linked processes with a silence limit of 0.4 s
+    When the relay holds the link silent
+    Then both ends close the silent link within 2 s
+    And a new link answers calls
+
+  Scenario: a pending link call fails when the link goes silent
+    Given two linked processes with a silence limit of 0.4 s
+    When the relay holds the link silent during a call
+    Then the link call ends with a link error
+
+  Scenario Outline: a bad byte stream ends only its own link
+    Given two linked processes with a silence limit of 3 s
+    When a stranger connects to the link port and sends <bytes>
+    Then the stranger is disconnected
+    And the first link still answers calls
+
+    Examples:
+      | bytes                |
+      | random bytes         |
+      | an oversized length  |
+      | a message before Hello |
+      | a wrong protocol     |
+      | Hello then garbage   |
+      | nothing              |
--- a/tests/run.py
+++ b/tests/run.py
@@ -8,6 +8,7 @@
 from behave.__main__ import main as behave_main
 
 ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the step files."""
