Read many frames per receive and queue writes without a memory stream

Cause: two receives per frame and a memory object stream between callers and the writer cost 13 event loop passes per call. Change: one receive fills a buffer that frames are cut from; a deque with an event replaces the stream. Ruled out: writing directly in send(), which would interleave with the batch.

--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -3,12 +3,12 @@
 import logging
 import random
 import ssl
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.tls import TLSStream
 
 from apricotpath.codec import (
@@ -27,6 +27,7 @@
 
 # Frames waiting to be sent are joined up to this size, which saves system calls.
 WRITE_BATCH_BYTES = 64 << 10
+READ_BYTES = 64 << 10
 
 
 class Handler(Protocol):
@@ -73,7 +74,10 @@
         self._write_lock = anyio.Lock()
         self._next_id = 1
         self._calls: dict[int, _Call] = {}
-        self._outgoing, self._queued = anyio.create_memory_object_stream[bytes](cfg.send_queue)
+        self._buffer = bytearray()
+        self._outbox: deque[bytes] = deque()
+        self._outbox_filled = anyio.Event()
+        self._outbox_drained = anyio.Event()
         self._close_reason = ""
         self._scope: anyio.CancelScope | None = None
 
@@ -91,10 +95,9 @@
         opened = False
         try:
             with anyio.CancelScope() as self._scope:
-                reader = BufferedByteReceiveStream(self._stream)
                 with anyio.move_on_after(self.cfg.silence_s) as greeting:
                     await self._write(Envelope(self._take_id(), 0, self.hello))
-                    self.peer = self._check_hello(await self._read(reader))
+                    self.peer = self._check_hello(await self._read())
                 if greeting.cancelled_caught:
                     raise LinkError("the peer sent no Hello")
                 self.is_open = opened = True
@@ -103,8 +106,8 @@
                     group.start_soon(self._send_heartbeats)
                     group.start_soon(self._watch_silence)
                     await self.handler.opened(self)
-                    await self._receive(reader)
-        except* (anyio.EndOfStream, anyio.IncompleteRead):
+                    await self._receive()
+        except* anyio.EndOfStream:
             self._close_reason = self._close_reason or "the peer closed the connection"
         except* (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError) as group_exc:
             self._close_reason = self._close_reason or f"connection lost: {group_exc.exceptions[0]}"
@@ -130,25 +133,20 @@
 
     async def send(self, body: Message, reply_to: int = 0) -> int:
         """Queue a message and return its id; waits while the queue is full."""
-        if not self.is_open:
-            raise LinkError(self._close_reason or "the link is closed")
+        self._require_open()
+        while len(self._outbox) >= self.cfg.send_queue:
+            await self._outbox_drained.wait()
+            self._require_open()
         number = self._take_id()
-        frame = encode(Envelope(number, reply_to, body))
-        try:
-            await self._outgoing.send(frame)
-        except (anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
-            raise LinkError(self._close_reason or "the link is closed") from exc
+        self._queue(encode(Envelope(number, reply_to, body)))
         return number
 
     def send_nowait(self, body: Message, reply_to: int = 0) -> None:
         """Queue a message, or raise LinkError if the queue is full."""
-        if not self.is_open:
-            raise LinkError(self._close_reason or "the link is closed")
-        frame = encode(Envelope(self._take_id(), reply_to, body))
-        try:
-            self._outgoing.send_nowait(frame)
-        except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
-            raise LinkError("the link's send queue is full or closed") from exc
+        self._require_open()
+        if len(self._outbox) >= self.cfg.send_queue:
+            raise LinkError("the link's send queue is full")
+        self._queue(encode(Envelope(self._take_id(), reply_to, body)))
 
     async def call(self, body: Message, timeout_s: float | None = None) -> Message:
         """Send a message and return the reply.
@@ -156,17 +154,20 @@
         Raises PeerError if the reply is a Failure, and LinkError if the link
         ends or no reply comes in time; then the effect is not known.
         """
-        if not self.is_open:
-            raise LinkError(self._close_reason or "the link is closed")
-        number = self._take_id()
-        call = self._calls[number] = _Call()
+        self._require_open()
+        call = _Call()
+        number = 0
         limit = self.cfg.call_timeout_s if timeout_s is None else timeout_s
         try:
             with anyio.move_on_after(limit) as scope:
-                await self._outgoing.send(encode(Envelope(number, 0, body)))
+                # Registered before anything is awaited, since the reply may come at once.
+                while len(self._outbox) >= self.cfg.send_queue:
+                    await self._outbox_drained.wait()
+                    self._require_open()
+                number = self._take_id()
+                self._calls[number] = call
+                self._queue(encode(Envelope(number, 0, body)))
                 await call.done.wait()
-        except (anyio.ClosedResourceError, anyio.BrokenResourceError) as exc:
-            raise LinkError(self._close_reason or "the link is closed") from exc
         finally:
             self._calls.pop(number, None)
         if call.reply is None:
@@ -177,6 +178,14 @@
             raise PeerError(call.reply.code, call.reply.text)
         return call.reply
 
+    def _require_open(self) -> None:
+        if not self.is_open:
+            raise LinkError(self._close_reason or "the link is closed")
+
+    def _queue(self, frame: bytes) -> None:
+        self._outbox.append(frame)
+        self._outbox_filled.set()
+
     def _take_id(self) -> int:
         number = self._next_id
         self._next_id += 1
@@ -198,17 +207,25 @@
             self.bytes_sent += len(data)
             await self._stream.send(data)
 
-    async def _read(self, reader: BufferedByteReceiveStream) -> Envelope:
-        prefix = await reader.receive_exactly(LENGTH_BYTES)
-        payload = await reader.receive_exactly(frame_length(prefix))
-        self.bytes_received += LENGTH_BYTES + len(payload)
-        self.last_received_at = anyio.current_time()
-        return decode(payload)
-
-    async def _receive(self, reader: BufferedByteReceiveStream) -> None:
+    async def _read(self) -> Envelope:
+        length = frame_length(await self._read_exactly(LENGTH_BYTES))
+        return decode(await self._read_exactly(length))
+
+    async def _read_exactly(self, count: int) -> bytes:
+        """Return bytes from the buffer, which one read fills with many small frames."""
+        while len(self._buffer) < count:
+            data = await self._stream.receive(READ_BYTES)
+            self.last_received_at = anyio.current_time()
+            self.bytes_received += len(data)
+            self._buffer += data
+        result = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return result
+
+    async def _receive(self) -> None:
         while True:
             try:
-                envelope = await self._read(reader)
+                envelope = await self._read()
             except CodecError as exc:
                 await self._report_failure(exc)
                 raise
@@ -228,15 +245,17 @@
             await self._write(Envelope(self._take_id(), 0, Failure("codec", str(exc))))
 
     async def _send_frames(self) -> None:
-        async for frame in self._queued:
-            batch = [frame]
-            size = len(frame)
-            while size < WRITE_BATCH_BYTES:
-                try:
-                    batch.append(self._queued.receive_nowait())
-                except anyio.WouldBlock:
-                    break
+        while True:
+            await self._outbox_filled.wait()
+            batch = []
+            size = 0
+            while self._outbox and size < WRITE_BATCH_BYTES:
+                batch.append(self._outbox.popleft())
                 size += len(batch[-1])
+            if not self._outbox:
+                self._outbox_filled = anyio.Event()
+            self._outbox_drained.set()
+            self._outbox_drained = anyio.Event()
             await self._write_bytes(b"".join(batch))
 
     async def _send_heartbeats(self) -> None:
@@ -254,8 +273,8 @@
     def _fail_calls(self) -> None:
         for call in self._calls.values():
             call.done.set()
-        self._outgoing.close()
-        self._queued.close()
+        self._outbox.clear()
+        self._outbox_drained.set()
 
 
 class _Call:
