--- /dev/null
+++ b/packages/daemon/src/apricotpathd/process.py
@@ -0,0 +1,99 @@
+"""What both roles share: identity, dispatch of messages, signals and graceful shutdown."""
+
+import logging
+import secrets
+import signal
+from collections.abc import Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.codec import PROTOCOL_VERSION, Envelope
+from apricotpath.errors import LinkError
+from apricotpath.ids import DataCentreId, IncarnationId, ProcessId
+from apricotpath.link import Link
+from apricotpath.messages import DataCentreStatus, Heartbeat, Hello, Message
+from apricotpath.model import Role
+from apricotpathd.component import Component
+
+log = logging.getLogger(__name__)
+
+INCARNATION_BYTES = 8
+
+
+class Process:
+    """An entry or agent: its components and the links that they share.
+
+    A subclass sets `components` and may override the heartbeat's fields.
+    """
+
+    def __init__(self, role: Role, process: ProcessId, data_centre: DataCentreId) -> None:
+        self.incarnation = IncarnationId(secrets.token_hex(INCARNATION_BYTES))
+        self.hello = Hello(PROTOCOL_VERSION, role, process, self.incarnation, data_centre)
+        self.components: Sequence[Component] = ()
+        self.links: list[Link] = []
+        self.draining = False
+        self._heartbeats = 0
+        self._routes: dict[type[Message], list[Component]] = {}
+
+    def use(self, components: Sequence[Component]) -> None:
+        """Set the components; a message goes to each that handles its type, in order."""
+        self.components = components
+        for component in components:
+            for kind in component.handles:
+                self._routes.setdefault(kind, []).append(component)
+
+    def worker_clock_ms(self) -> int:
+        """Return the worker's clock for heartbeats; an entry has none."""
+        return 0
+
+    def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
+        """Return the bundle version and data-centre statuses for heartbeats."""
+        return 0, ()
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the next heartbeat (see `apricotpath.link.Handler`)."""
+        self._heartbeats += 1
+        version, statuses = self.control_digest()
+        return Heartbeat(self._heartbeats, self.worker_clock_ms(), version, statuses)
+
+    async def opened(self, link: Link) -> None:
+        """Tell every component of a new link."""
+        self.links.append(link)
+        for component in self.components:
+            await component.link_opened(link)
+
+    async def received(self, link: Link, envelope: Envelope) -> None:
+        """Give a message to the components that handle its type."""
+        for component in self._routes.get(type(envelope.body), ()):
+            try:
+                await component.received(link, envelope)
+            except LinkError as exc:
+                # The link broke while the message was handled; its reader will notice.
+                log.info("message from %s not handled: %s", link.peer_id, exc)
+
+    async def closed(self, link: Link) -> None:
+        """Tell every component of the end of a link."""
+        self.links.remove(link)
+        for component in self.components:
+            await component.link_closed(link)
+
+    async def serve(self, group: TaskGroup) -> None:
+        """Start the background loops of all components in a task group."""
+        for component in self.components:
+            group.start_soon(component.run)
+
+    async def drain(self) -> None:
+        """Let all components finish the work in hand."""
+        self.draining = True
+        async with anyio.create_task_group() as group:
+            for component in self.components:
+                group.start_soon(component.drain)
+
+
+async def wait_for_stop() -> None:
+    """Return at the first SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            log.info("received %s; shutting down", number.name)
+            return
