--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -210,7 +210,7 @@
 
     def _command(self, name: str) -> tuple[list[str], str]:
         """Return the command line of a process and the name of its HTTP port."""
-        kind, _, number = name.partition("-")
+        kind = name.partition("-")[0]
         python = [sys.executable, "-m"]
         if kind in ("entry", "agent"):
             port_name = f"{name}-operators" if kind == "entry" else name
