--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -57,6 +57,10 @@
     """The store refused a call because its rate limit was reached."""
 
 
+class StoreLeaseEnded(StoreError):
+    """The lease of a write has ended; the write had no effect."""
+
+
 class FencedError(StoreError):
     """A write was refused because a newer owner holds the record."""
 
--- a/packages/core/src/apricotpath/store.py
+++ b/packages/core/src/apricotpath/store.py
@@ -1,11 +1,47 @@
 """Adapter to the platform's key-value service, the etcd v3 JSON gateway."""
 
-from collections.abc import AsyncIterator, Sequence
+import json
+import math
+from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import AsyncIterator, Iterator, Sequence
 from dataclasses import dataclass
-from typing import NewType, Protocol
+from enum import Enum
+from types import TracebackType
+from typing import Any, NewType, Protocol, Self
+from uuid import uuid4
+
+import anyio
+import httpx
+
+from apricotpath.config import StoreSettings
+from apricotpath.errors import (
+    StoreError,
+    StoreLeaseEnded,
+    StoreLimited,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
 
 LeaseId = NewType("LeaseId", int)
 
+# A range is read in pages, so that one response stays well below the memory limit of an entry.
+RANGE_PAGE_KEYS = 200
+# A watch without any event or progress line for this long is taken for a dead connection.
+WATCH_IDLE_S = 60.0
+# Delays between attempts to settle a write whose answer was lost.
+SETTLE_FIRST_S = 0.05
+SETTLE_MAX_S = 1.0
+SETTLE_TOTAL_S = 10.0
+# Older values of a key that are looked through for a writer token.
+SETTLE_HISTORY = 8
+# gRPC status codes that the gateway reports in the body of an error.
+GRPC_NOT_FOUND = 5
+GRPC_RESOURCE_EXHAUSTED = 8
+# With these codes the server may have applied the write: unknown, deadline exceeded, aborted,
+# internal, unavailable.
+GRPC_UNCERTAIN = frozenset({2, 4, 10, 13, 14})
+
 
 @dataclass(frozen=True, slots=True)
 class KeyValue:
@@ -44,10 +80,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Delete:
-    """Deletes a key, or every key with this prefix."""
+    """Deletes a key, or every key with this prefix, or every key from `key` to before `end`."""
 
     key: str
     prefix: bool = False
+    end: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,11 +111,14 @@
     and, for writes, StoreOutcomeUnknown (the answer was lost).
     """
 
-    async def get(self, key: str) -> KeyValue | None:
-        """Return one key, or None."""
+    async def get(self, key: str, revision: int = 0) -> KeyValue | None:
+        """Return one key, or None; at a past revision of the store if one is given."""
+
+    async def range(self, prefix: str, end: str = "") -> RangeResult:
+        """Return all keys with a prefix, or from `prefix` to before `end`, in key order.
 
-    async def range(self, prefix: str) -> RangeResult:
-        """Return all keys with a prefix, in key order."""
+        All of them are read at one revision of the store.
+        """
 
     async def txn(
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
@@ -96,3 +136,319 @@
 
     def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
         """Yield changes from a revision on; raises StoreUnavailable when cut."""
+
+
+def new_token() -> str:
+    """Return a writer token; each write attempt of a value has its own."""
+    return uuid4().hex
+
+
+def has_token(value: bytes, token: str) -> bool:
+    """Tell whether a JSON value carries a writer token."""
+    try:
+        content = json.loads(value)
+    except ValueError:
+        return False
+    return isinstance(content, dict) and content.get("token") == token
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all keys with a prefix; prefixes are ASCII."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def settle_delays() -> Iterator[float]:
+    """Yield delays in seconds that double up to SETTLE_MAX_S, without end."""
+    delay = SETTLE_FIRST_S
+    while True:
+        yield delay
+        delay = min(2 * delay, SETTLE_MAX_S)
+
+
+class TokenState(Enum):
+    """What reading a key back tells about a write to it."""
+
+    APPLIED = "applied"
+    UNCHANGED = "unchanged"
+    OVERTAKEN = "overtaken"
+    UNCERTAIN = "uncertain"
+
+
+async def find_token(store: Store, key: str, token: str, expected: int) -> TokenState:
+    """Tell whether a write with a token, which compared `expected`, took effect on a key.
+
+    UNCHANGED means not yet: a delayed copy of the write can still arrive.
+    OVERTAKEN means that another writer was first, so the write never takes
+    effect. UNCERTAIN means that the history needed to decide is gone.
+    Raises StoreUnavailable or StoreLimited.
+    """
+    revision = 0
+    for _ in range(SETTLE_HISTORY):
+        try:
+            item = await store.get(key, revision)
+        except (StoreUnavailable, StoreLimited):
+            raise
+        except StoreError:
+            return TokenState.UNCERTAIN
+        if item is not None and has_token(item.value, token):
+            return TokenState.APPLIED
+        found = item.mod_revision if item is not None else 0
+        if found == expected:
+            return TokenState.OVERTAKEN if revision else TokenState.UNCHANGED
+        if found == 0:
+            return TokenState.UNCERTAIN
+        revision = found - 1
+    return TokenState.UNCERTAIN
+
+
+async def settled_txn(
+    store: Store,
+    compares: Sequence[Compare],
+    operations: Sequence[Put | Delete],
+    token_key: str,
+    token: str,
+) -> TxnResult:
+    """Run a transaction that puts a value with `token` at `token_key`, and know its outcome.
+
+    The compares must contain `token_key`, a key that nobody deletes. After a lost answer the key is read
+    back; only if it is unchanged is the same transaction sent again, which the
+    compare keeps from taking effect twice. Raises StoreUnavailable or
+    StoreLimited (no effect), or StoreOutcomeUnknown if the outcome could not
+    be determined within SETTLE_TOTAL_S or from the history of the key.
+    """
+    expected = next(item.mod_revision for item in compares if item.key == token_key)
+    try:
+        return await store.txn(compares, operations)
+    except StoreOutcomeUnknown:
+        started = anyio.current_time()
+    refused = False
+    for delay in settle_delays():
+        if anyio.current_time() - started > SETTLE_TOTAL_S:
+            break
+        await anyio.sleep(delay)
+        try:
+            state = await find_token(store, token_key, token, expected)
+            if state is TokenState.APPLIED:
+                return TxnResult(True, 0)
+            # A key that still has a non-zero expected revision was never written in between;
+            # the compare that failed was another one, and revisions never return.
+            if state is TokenState.OVERTAKEN or (refused and expected):
+                return TxnResult(False, 0)
+            if state is TokenState.UNCERTAIN or refused:
+                break
+            result = await store.txn(compares, operations)
+            if result.succeeded:
+                return result
+            refused = True
+        except (StoreUnavailable, StoreLimited, StoreOutcomeUnknown):
+            continue
+    raise StoreOutcomeUnknown(f"the outcome of a write to {token_key} could not be determined")
+
+
+class EtcdStore:
+    """Store over the etcd v3 JSON gateway; counts its calls by kind in `calls`."""
+
+    def __init__(
+        self, cfg: StoreSettings, transport: httpx.AsyncBaseTransport | None = None
+    ) -> None:
+        self.cfg = cfg
+        self.calls: Counter[str] = Counter()
+        # The connect timeout is shorter than the total, so that a host that drops packets
+        # gives "unavailable" and not "unknown".
+        timeout = httpx.Timeout(cfg.timeout_s, connect=cfg.timeout_s / 2, pool=cfg.timeout_s / 2)
+        self._client = httpx.AsyncClient(base_url=cfg.url, transport=transport, timeout=timeout)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def get(self, key: str, revision: int = 0) -> KeyValue | None:
+        """Return one key, or None; see Store."""
+        body = {"key": _encode(key)} | ({"revision": str(revision)} if revision else {})
+        answer = await self._read("/v3/kv/range", body)
+        items = [_key_value(item) for item in answer.get("kvs", [])]
+        return items[0] if items else None
+
+    async def range(self, prefix: str, end: str = "") -> RangeResult:
+        """Return a range of keys at one revision, read in pages; see Store."""
+        start, stop = prefix, end or prefix_end(prefix)
+        items: list[KeyValue] = []
+        revision = 0
+        while True:
+            body = {
+                "key": _encode(start),
+                "range_end": _encode(stop),
+                "limit": str(RANGE_PAGE_KEYS),
+            }
+            if revision:
+                body["revision"] = str(revision)
+            answer = await self._read("/v3/kv/range", body)
+            page = [_key_value(item) for item in answer.get("kvs", [])]
+            items += page
+            revision = revision or _revision(answer)
+            if not answer.get("more") or not page:
+                return RangeResult(tuple(items), revision)
+            start = page[-1].key + "\0"
+
+    async def txn(
+        self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Run a transaction; see Store."""
+        body = {
+            "compare": [_compare(item) for item in compares],
+            "success": [_operation(item) for item in operations],
+        }
+        answer = await self._write("/v3/kv/txn", body)
+        return TxnResult(bool(answer.get("succeeded", False)), _revision(answer))
+
+    async def lease_grant(self, ttl_s: float) -> LeaseId:
+        """Return a new lease; the time to live is rounded up to whole seconds."""
+        answer = await self._write("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s)), "ID": "0"})
+        return LeaseId(int(answer["ID"]))
+
+    async def lease_keepalive(self, lease: LeaseId) -> bool:
+        """Renew a lease; False means that it has ended."""
+        answer = await self._write("/v3/lease/keepalive", {"ID": str(lease)})
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def lease_revoke(self, lease: LeaseId) -> None:
+        """End a lease and delete its keys; a lease that has ended is no error."""
+        try:
+            await self._write("/v3/lease/revoke", {"ID": str(lease)})
+        except StoreLeaseEnded:
+            return
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yield changes from a revision on; see Store."""
+        self.calls["watch"] += 1
+        request = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "start_revision": str(from_revision),
+        }
+        timeout = httpx.Timeout(self.cfg.timeout_s, read=WATCH_IDLE_S)
+        try:
+            async with self._client.stream(
+                "POST", "/v3/watch", json={"create_request": request}, timeout=timeout
+            ) as response:
+                if response.status_code != 200:
+                    await response.aread()
+                    _raise_for(response, "watch")
+                async for line in response.aiter_lines():
+                    for event in _watch_events(line):
+                        yield event
+        except (httpx.TransportError, OSError) as exc:
+            raise StoreUnavailable(f"the watch of {prefix} was cut: {exc}") from exc
+        except (ValueError, KeyError, TypeError) as exc:
+            raise StoreUnavailable(f"the watch of {prefix} sent a malformed line: {exc}") from exc
+        raise StoreUnavailable(f"the watch of {prefix} was cut")
+
+    async def _read(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            return await self._call(path, body)
+        except StoreOutcomeUnknown as exc:
+            # A read has no outcome that could be in doubt.
+            raise StoreUnavailable(str(exc)) from exc
+
+    async def _write(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        return await self._call(path, body)
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        kind = path.rsplit("/", 1)[-1]
+        self.calls[kind] += 1
+        try:
+            # httpx limits each step of a call; this limits all of them together.
+            with anyio.fail_after(self.cfg.timeout_s):
+                response = await self._client.post(path, json=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+            raise StoreUnavailable(f"the store cannot be reached for {kind}: {exc!r}") from exc
+        except (httpx.TransportError, OSError, TimeoutError) as exc:
+            raise StoreOutcomeUnknown(f"the store's answer to {kind} was lost: {exc!r}") from exc
+        if response.status_code != 200:
+            _raise_for(response, kind)
+        try:
+            answer = response.json()
+            if not isinstance(answer, dict):
+                raise ValueError("not an object")
+        except ValueError as exc:
+            raise StoreOutcomeUnknown(f"the store's answer to {kind} is malformed") from exc
+        return answer
+
+
+def _raise_for(response: httpx.Response, kind: str) -> None:
+    try:
+        answer = response.json()
+        code, text = int(answer.get("code", 0)), str(answer.get("message", ""))
+    except (ValueError, AttributeError, TypeError):
+        code, text = 0, ""
+    reason = f"the store answered {response.status_code} to {kind}: {text}"
+    if response.status_code == 429 or code == GRPC_RESOURCE_EXHAUSTED:
+        raise StoreLimited(reason)
+    if code == GRPC_NOT_FOUND and "lease" in text:
+        raise StoreLeaseEnded(reason)
+    if response.status_code >= 500 or code in GRPC_UNCERTAIN:
+        raise StoreOutcomeUnknown(reason)
+    raise StoreError(reason)
+
+
+def _encode(key: str) -> str:
+    return b64encode(key.encode()).decode()
+
+
+def _key_value(item: dict[str, Any]) -> KeyValue:
+    return KeyValue(
+        b64decode(item["key"]).decode(),
+        b64decode(item.get("value", "")),
+        int(item.get("mod_revision", 0)),
+        LeaseId(int(item.get("lease", 0))),
+    )
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    return int(answer.get("header", {}).get("revision", 0))
+
+
+def _compare(item: Compare) -> dict[str, str]:
+    return {
+        "key": _encode(item.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(item.mod_revision),
+    }
+
+
+def _operation(item: Put | Delete) -> dict[str, dict[str, str]]:
+    if isinstance(item, Put):
+        put = {"key": _encode(item.key), "value": b64encode(item.value).decode()}
+        if item.lease is not None:
+            put["lease"] = str(item.lease)
+        return {"request_put": put}
+    delete = {"key": _encode(item.key)}
+    end = item.end or (prefix_end(item.key) if item.prefix else "")
+    if end:
+        delete["range_end"] = _encode(end)
+    return {"request_delete_range": delete}
+
+
+def _watch_events(line: str) -> Iterator[WatchEvent]:
+    if not line.strip():
+        return
+    content = json.loads(line)
+    result = content.get("result")
+    if result is None or result.get("canceled"):
+        raise StoreUnavailable(f"the store ended a watch: {line[:200]}")
+    for event in result.get("events", []):
+        item = _key_value(event["kv"])
+        deleted = event.get("type", "PUT") == "DELETE"
+        yield WatchEvent(item.key, None if deleted else item.value, item.mod_revision)
