--- a/packages/bench/src/apricotpath_bench/storestandin.py
+++ b/packages/bench/src/apricotpath_bench/storestandin.py
@@ -582,12 +582,12 @@
 
 
 async def _read_body(receive: Receive) -> bytes:
-    raw = b""
+    raw = bytearray()
     while True:
         message = await receive()
         raw += message.get("body", b"")
         if len(raw) > MAX_REQUEST_BYTES or not message.get("more_body", False):
-            return raw
+            return bytes(raw)
 
 
 async def _lifespan(receive: Receive, send: Send) -> None:
--- a/packages/core/src/apricotpath/store.py
+++ b/packages/core/src/apricotpath/store.py
@@ -174,7 +174,15 @@
     UNCERTAIN = "uncertain"
 
 
-async def find_token(store: Store, key: str, token: str, expected: int) -> TokenState:
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Result of reading a write back; `revision` is its mod revision if it was applied."""
+
+    state: TokenState
+    revision: int = 0
+
+
+async def find_token(store: Store, key: str, token: str, expected: int) -> Finding:
     """Tell whether a write with a token, which compared `expected`, took effect on a key.
 
     UNCHANGED means not yet: a delayed copy of the write can still arrive.
@@ -189,16 +197,16 @@
         except (StoreUnavailable, StoreLimited):
             raise
         except StoreError:
-            return TokenState.UNCERTAIN
+            return Finding(TokenState.UNCERTAIN)
         if item is not None and has_token(item.value, token):
-            return TokenState.APPLIED
+            return Finding(TokenState.APPLIED, item.mod_revision)
         found = item.mod_revision if item is not None else 0
         if found == expected:
-            return TokenState.OVERTAKEN if revision else TokenState.UNCHANGED
+            return Finding(TokenState.OVERTAKEN if revision else TokenState.UNCHANGED)
         if found == 0:
-            return TokenState.UNCERTAIN
+            return Finding(TokenState.UNCERTAIN)
         revision = found - 1
-    return TokenState.UNCERTAIN
+    return Finding(TokenState.UNCERTAIN)
 
 
 async def settled_txn(
@@ -210,11 +218,13 @@
 ) -> TxnResult:
     """Run a transaction that puts a value with `token` at `token_key`, and know its outcome.
 
-    The compares must contain `token_key`, a key that nobody deletes. After a lost answer the key is read
-    back; only if it is unchanged is the same transaction sent again, which the
-    compare keeps from taking effect twice. Raises StoreUnavailable or
-    StoreLimited (no effect), or StoreOutcomeUnknown if the outcome could not
-    be determined within SETTLE_TOTAL_S or from the history of the key.
+    The compares must contain `token_key`, a key that nobody deletes. After a
+    lost answer the key is read back; only if it is unchanged is the same
+    transaction sent again, which the compare keeps from taking effect twice.
+    The revision of a success is the mod revision of `token_key`.
+    Raises StoreUnavailable or StoreLimited (no effect), or StoreOutcomeUnknown
+    if the outcome could not be determined within SETTLE_TOTAL_S or from the
+    history of the key.
     """
     expected = next(item.mod_revision for item in compares if item.key == token_key)
     try:
@@ -227,9 +237,10 @@
             break
         await anyio.sleep(delay)
         try:
-            state = await find_token(store, token_key, token, expected)
+            finding = await find_token(store, token_key, token, expected)
+            state = finding.state
             if state is TokenState.APPLIED:
-                return TxnResult(True, 0)
+                return TxnResult(True, finding.revision)
             # A key that still has a non-zero expected revision was never written in between;
             # the compare that failed was another one, and revisions never return.
             if state is TokenState.OVERTAKEN or (refused and expected):
