--- /dev/null
+++ b/packages/core/src/apricotpath/ledger.py
@@ -0,0 +1,111 @@
+"""A host's commitments: tasks and the claim of its backend server."""
+
+from typing import NewType
+
+from apricotpath.errors import CapacityError
+from apricotpath.model import Size
+
+LedgerKey = NewType("LedgerKey", str)
+
+
+class Ledger:
+    """Commitments by key; their total never exceeds `size` in any dimension.
+
+    The claim of the backend server comes first: a claim that does not fit yet
+    stays wanted, and no task is reserved in the space that it waits for.
+    """
+
+    def __init__(self, size: Size) -> None:
+        self.size = size
+        self.claim = Size()
+        self.wanted_claim = Size()
+        self._tasks: dict[LedgerKey, Size] = {}
+        self._committed = Size()
+
+    @property
+    def total(self) -> Size:
+        """Sum of all commitments, the claim included."""
+        return self._committed + self.claim
+
+    @property
+    def free(self) -> Size:
+        """What tasks may still reserve; a dimension is 0 when a wanted claim exceeds it."""
+        rest = self.size - self._committed - _larger(self.claim, self.wanted_claim)
+        return _larger(rest, Size())
+
+    def __contains__(self, key: LedgerKey) -> bool:
+        return key in self._tasks
+
+    def keys(self) -> frozenset[LedgerKey]:
+        """Return the keys of all tasks."""
+        return frozenset(self._tasks)
+
+    def reserve(self, key: LedgerKey, size: Size) -> None:
+        """Commit a task's size; a repeat with the same size changes nothing.
+
+        Raises CapacityError if the size does not fit or differs from the first.
+        """
+        _check(size)
+        if key in self._tasks:
+            if self._tasks[key] != size:
+                raise CapacityError(f"{key} is committed with another size")
+            return
+        if not size.fits_in(self.free):
+            raise CapacityError(f"{key} does not fit: {size} is more than {self.free}")
+        self._add(key, size)
+
+    def adopt(self, key: LedgerKey, size: Size) -> None:
+        """Commit a task that the worker runs already, even in space that a claim waits for.
+
+        Raises CapacityError if the total would exceed the host's size.
+        """
+        _check(size)
+        if key in self._tasks:
+            return
+        if not (self.total + size).fits_in(self.size):
+            raise CapacityError(f"{key} runs already but exceeds the host's size")
+        self._add(key, size)
+
+    def release(self, key: LedgerKey) -> None:
+        """Drop a commitment, if there is one; a wanted claim grows into the space."""
+        size = self._tasks.pop(key, None)
+        if size is not None:
+            self._committed -= size
+            self._settle_claim()
+
+    def set_claim(self, size: Size) -> bool:
+        """Want this claim for the backend server; tell whether all of it is committed."""
+        _check(size)
+        self.wanted_claim = size
+        self._settle_claim()
+        return self.claim == size
+
+    def _add(self, key: LedgerKey, size: Size) -> None:
+        self._tasks[key] = size
+        self._committed += size
+
+    def _settle_claim(self) -> None:
+        rest = self.size - self._committed
+        self.claim = _smaller(self.wanted_claim, rest)
+
+
+def _check(size: Size) -> None:
+    # A negative size would add capacity to the host.
+    if not Size().fits_in(size):
+        raise CapacityError(f"{size} has a negative dimension")
+
+
+def _larger(a: Size, b: Size) -> Size:
+    return Size(
+        max(a.cpu_milli, b.cpu_milli),
+        max(a.memory_mb, b.memory_mb),
+        max(a.accelerators, b.accelerators),
+    )
+
+
+def _smaller(a: Size, b: Size) -> Size:
+    return Size(
+        min(a.cpu_milli, b.cpu_milli),
+        min(a.memory_mb, b.memory_mb),
+        min(a.accelerators, b.accelerators),
+    )
