--- a/packages/bench/src/apricotpath_bench/workerstandin.py
+++ b/packages/bench/src/apricotpath_bench/workerstandin.py
@@ -528,7 +528,7 @@
     body = b""
     while True:
         event = await receive()
-        body += event.get("body", b"")
+        body += bytes(event.get("body", b""))
         if not event.get("more_body"):
             return body
 
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/heldtasks.py
@@ -0,0 +1,268 @@
+"""An agent's tables of task attempts, filled from the worker's status."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+
+from apricotpath.errors import CapacityError
+from apricotpath.ids import Epoch, ShardId, TaskId, TeamId
+from apricotpath.ledger import Ledger, LedgerKey
+from apricotpath.messages import StartTask, TaskOutcome, TaskReport
+from apricotpath.model import Outcome, RunState, Size, TaskClass
+from apricotpath.worker import WorkerStatus, WorkerTask
+
+Key = tuple[TaskId, int]
+
+# A status reading that began this long before it is applied does not occur, since
+# calls to the worker time out earlier; older records of forgotten attempts can go.
+FORGOTTEN_KEEP_S = 60.0
+
+
+class Phase(Enum):
+    """What the agent is doing with an attempt."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+
+
+def ledger_key(key: Key) -> LedgerKey:
+    """Return the key of an attempt in the ledger."""
+    return LedgerKey(f"{key[0]}#{key[1]}")
+
+
+@dataclass(slots=True)
+class Held:
+    """One attempt that has not ended as far as the agent knows.
+
+    A worker status that began before `known_at` (monotonic seconds) may lack
+    the attempt. `fits` is False when a running task was found that exceeds the
+    host's size. `owner_share` and `guard_share` limit its processors.
+    """
+
+    task: TaskId
+    attempt: int
+    shard: ShardId
+    epoch: Epoch
+    team: TeamId
+    activity: str
+    task_class: TaskClass
+    size: Size
+    checkpoint_s: float
+    phase: Phase = Phase.RUNNING
+    row: WorkerTask | None = None
+    checkpoint: str = ""
+    known_at: float = 0.0
+    fits: bool = True
+    owner_share: float = 1.0
+    guard_share: float = 1.0
+    skip_checkpoint: bool = False
+    reason: str = ""
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def key(self) -> Key:
+        """Task and attempt."""
+        return self.task, self.attempt
+
+    @property
+    def ending(self) -> bool:
+        """Whether the agent has begun to end the attempt."""
+        return self.phase in (Phase.CHECKPOINTING, Phase.STOPPING)
+
+    def report(self) -> TaskReport:
+        """Return the attempt as a host report shows it."""
+        row = self.row
+        # A start that is not settled yet may run, so it is reported as running.
+        state = row.state if row else RunState.RUNNING
+        return TaskReport(
+            self.task,
+            self.shard,
+            self.epoch,
+            self.attempt,
+            RunState.STOPPING if self.phase is Phase.STOPPING else state,
+            self.size,
+            row.usage if row else Size(),
+            row.checkpoint if row else self.checkpoint,
+            row.progress if row else 0.0,
+        )
+
+
+def held_from_start(msg: StartTask) -> Held:
+    """Return the row of an attempt whose start has been admitted."""
+    return Held(
+        msg.task,
+        msg.attempt,
+        msg.shard,
+        msg.epoch,
+        msg.team,
+        msg.activity,
+        msg.task_class,
+        msg.size,
+        msg.checkpoint_s,
+        phase=Phase.STARTING,
+        checkpoint=msg.checkpoint,
+    )
+
+
+def held_from_worker(row: WorkerTask) -> Held:
+    """Return the row of an attempt that was found on the worker."""
+    stopping = row.state is RunState.STOPPING
+    return Held(
+        row.task,
+        row.attempt,
+        row.shard,
+        row.epoch,
+        row.team,
+        row.activity,
+        row.task_class,
+        row.size,
+        row.checkpoint_s,
+        phase=Phase.STOPPING if stopping else Phase.RUNNING,
+        row=row,
+        # Which limit set the share is not known. As the guard's it is released
+        # when the host has room, and the owner sends its own again.
+        guard_share=row.share,
+    )
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """The worker's clock as owners see it, in ms; it does not restart with the worker.
+
+    A worker that restarts begins its clock anew, so an anchor of its former
+    boot could look current. Each boot is therefore moved `gap_ms` past the last
+    reading, which is longer than any right that an anchor gives.
+    """
+
+    gap_ms: int
+    boot: str = ""
+    base_ms: int = 0
+    reading_ms: int = 0
+
+    def read(self, status: WorkerStatus) -> bool:
+        """Take a status reading; tell whether the worker has restarted."""
+        restarted = bool(self.boot) and self.boot != status.boot
+        if restarted:
+            self.base_ms = self.reading_ms + self.gap_ms
+        self.boot = status.boot
+        self.reading_ms = max(self.reading_ms, self.base_ms + status.clock_ms)
+        return restarted
+
+    def to_worker(self, visible_ms: int) -> int:
+        """Return a time on the clock of the worker's present boot."""
+        return visible_ms - self.base_ms
+
+
+@dataclass(slots=True)
+class Changes:
+    """What a status reading changed."""
+
+    adopted: list[Held] = field(default_factory=list)
+    ended: list[WorkerTask] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class HeldTable:
+    """Attempts held, attempts ended but not acknowledged, and the ledger."""
+
+    ledger: Ledger
+    held: dict[Key, Held] = field(default_factory=dict)
+    ended: dict[Key, WorkerTask] = field(default_factory=dict)
+    forgotten: dict[Key, float] = field(default_factory=dict)
+
+    def of_task(self, task: TaskId) -> Held | None:
+        """Return the held attempt of a task, or None."""
+        return next((held for held in self.held.values() if held.task == task), None)
+
+    def of_shard(self, shard: ShardId) -> list[Held]:
+        """Return the held attempts of a shard."""
+        return [held for held in self.held.values() if held.shard == shard]
+
+    @property
+    def overfull(self) -> bool:
+        """Whether a task runs that exceeds the host's size."""
+        return any(not held.fits for held in self.held.values())
+
+    def add(self, held: Held) -> None:
+        """Commit and hold an attempt about to start; raises CapacityError."""
+        if self.overfull:
+            raise CapacityError("a task that runs already exceeds the host's size")
+        self.ledger.reserve(ledger_key(held.key), held.size)
+        self.held[held.key] = held
+
+    def drop(self, held: Held) -> None:
+        """Release an attempt that the worker does not run and will not run."""
+        self.held.pop(held.key, None)
+        self.ledger.release(ledger_key(held.key))
+        held.ended.set()
+
+    def apply(self, status: WorkerStatus, began: float) -> Changes:
+        """Take a status whose call began at `began` (monotonic seconds)."""
+        changes = Changes()
+        seen = {(row.task, row.attempt) for row in status.tasks}
+        for row in status.tasks:
+            self.apply_row(row, began, changes)
+        for key, held in list(self.held.items()):
+            # A start in progress may still reach the worker after this reading.
+            absent = key not in seen and held.phase is not Phase.STARTING
+            if absent and held.known_at < began:
+                self.drop(held)
+        self._adopt_unfit()
+        self._expire(seen, began)
+        return changes
+
+    def apply_row(self, row: WorkerTask, began: float, changes: Changes) -> None:
+        """Take one attempt as the worker showed it."""
+        key = (row.task, row.attempt)
+        held = self.held.get(key)
+        if row.outcome is not None:
+            if held is not None:
+                self.drop(held)
+            if key not in self.ended and self.forgotten.get(key, -1.0) < began:
+                self.ended[key] = row
+                changes.ended.append(row)
+        elif held is not None:
+            held.row = row
+        elif key not in self.ended and key not in self.forgotten:
+            self._adopt(row, changes)
+
+    def outcomes(self, rows: Iterable[WorkerTask] | None = None) -> tuple[TaskOutcome, ...]:
+        """Return ended attempts that were not acknowledged, as reports show them."""
+        return tuple(
+            TaskOutcome(
+                row.task,
+                row.shard,
+                row.attempt,
+                row.outcome or Outcome.FAILED,
+                row.checkpoint,
+                row.reason,
+            )
+            for row in (self.ended.values() if rows is None else rows)
+        )
+
+    def _adopt(self, row: WorkerTask, changes: Changes) -> None:
+        held = held_from_worker(row)
+        held.fits = False
+        self.held[held.key] = held
+        changes.adopted.append(held)
+
+    def _adopt_unfit(self) -> None:
+        for held in self.held.values():
+            if held.fits:
+                continue
+            try:
+                self.ledger.adopt(ledger_key(held.key), held.size)
+            except CapacityError:
+                continue
+            held.fits = True
+
+    def _expire(self, seen: set[Key], began: float) -> None:
+        for key in [key for key in self.ended if key not in seen]:
+            del self.ended[key]
+        for key, at in list(self.forgotten.items()):
+            if began - at > FORGOTTEN_KEEP_S:
+                del self.forgotten[key]
