--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -2,11 +2,12 @@
 
 import logging
 from collections import Counter, deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from functools import partial
 from math import isfinite
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -15,6 +16,7 @@
 from apricotpath.config import AgentSettings
 from apricotpath.errors import (
     CapacityError,
+    CodecError,
     LinkError,
     WorkerError,
     WorkerRefused,
@@ -27,6 +29,7 @@
 from apricotpath.messages import (
     ClaimShard,
     EvictTask,
+    Failure,
     HostReport,
     Message,
     OutcomeAck,
@@ -74,6 +77,8 @@
 # Deadlines closer than this to their limit are left alone: readings of the clock vary.
 DEADLINE_TOLERANCE_MS = 100
 DRAIN_S = 10.0
+# Longer declared times are mistakes, and would overflow a date.
+MAX_TASK_S = 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,13 +120,14 @@
 def malformed(msg: StartTask) -> str:
     """Return what is wrong with the values of a start, or an empty text."""
     times = (msg.run_time_s, msg.checkpoint_s)
-    if not all(isfinite(value) and value >= 0 for value in times):
-        return "a time is negative or not finite"
+    if not all(isfinite(value) and 0 <= value <= MAX_TASK_S for value in times):
+        return f"a time is outside 0 to {MAX_TASK_S:.0f} s"
     if not Size().fits_in(msg.size):
         return "the size has a negative dimension"
     return "" if msg.attempt >= 0 and msg.task else "the task or attempt is not valid"
 
 
+Job = Callable[[], Coroutine[Any, Any, None]]
 TaskCommand = StartTask | StopTask | EvictTask | ThrottleTask
 
 
@@ -163,13 +169,14 @@
         self._status_done = 0.0
         self._links: list[Link] = []
         self._group: TaskGroup | None = None
-        self._lanes: dict[TaskId, deque[Callable[[], Awaitable[None]]]] = {}
+        self._lanes: dict[TaskId, deque[Job]] = {}
         self._starting: Counter[tuple[ShardId, Epoch]] = Counter()
         # Refused starts by attempt, with the clock up to which anchors are refused again.
         self._refused: dict[Key, tuple[int, TaskReply]] = {}
         self._refresh_lock = anyio.Lock()
         self._renew_lock = anyio.Lock()
         self._report_now = anyio.Event()
+        self._progress = anyio.Event()
         self._reachable = True
 
     # State that other parts use.
@@ -216,6 +223,7 @@
                 self._group = group
                 group.start_soon(self._refresh_forever)
                 group.start_soon(self._enforce_forever)
+                group.start_soon(self._cap_forever)
                 group.start_soon(self._guard_forever)
                 group.start_soon(self._report_forever)
         finally:
@@ -253,14 +261,24 @@
         """
         self.draining = True
         with anyio.move_on_after(DRAIN_S):
-            while self._lanes or any(held.ending for held in self.table.held.values()):
-                await anyio.sleep(self.cfg.policy.tick_s)
+            await self._wait_until(self._is_settled)
             async with anyio.create_task_group() as group:
                 for held in list(self.table.held.values()):
                     group.start_soon(self._write_checkpoint, held)
             await self.refresh()
         self._send_reports()
 
+    def _is_settled(self) -> bool:
+        return not self._lanes and not any(held.ending for held in self.table.held.values())
+
+    async def _wait_until(self, done: Callable[[], bool]) -> None:
+        while not done():
+            await self._progress.wait()
+
+    def _note_progress(self) -> None:
+        self._progress.set()
+        self._progress = anyio.Event()
+
     # Reading the worker.
 
     async def refresh(self) -> bool:
@@ -322,14 +340,15 @@
     async def _claim(self, link: Link, reply_to: int, msg: ClaimShard) -> None:
         # A start of a former owner may be on its way to the worker. It must show in
         # the answer, or the new owner could start the task elsewhere.
-        while any(
-            count and shard == msg.shard and epoch < msg.epoch
-            for (shard, epoch), count in self._starting.items()
-        ):
-            await anyio.sleep(self.cfg.policy.tick_s)
+        await self._wait_until(lambda: not self._has_starts_before(msg))
         fresh = await self.refresh()
         self._send(link, self._shard_state(msg.shard, fresh), reply_to)
 
+    def _has_starts_before(self, msg: ClaimShard) -> bool:
+        return any(
+            shard == msg.shard and epoch < msg.epoch for shard, epoch in self._starting.elements()
+        )
+
     def _shard_state(self, shard: ShardId, fresh: bool) -> ShardClaimed:
         ended = [row for row in self.table.ended.values() if row.shard == shard]
         return ShardClaimed(
@@ -347,6 +366,10 @@
             self._send(link, self._epoch_refusal(msg), reply_to)
             return
         self._raise_epoch(msg.shard, msg.epoch)
+        if self.status is None or self._group is None:
+            # This is no refusal: the attempt may run on the worker already.
+            self._send(link, Failure("not-ready", "the worker's tasks are not known yet"), reply_to)
+            return
         owner = (msg.shard, msg.epoch)
         if isinstance(msg, StartTask):
             self._starting[owner] += 1
@@ -357,14 +380,13 @@
             finally:
                 if isinstance(msg, StartTask):
                     self._starting[owner] -= 1
-                    if not self._starting[owner]:
-                        del self._starting[owner]
+                    self._note_progress()
             self._send(link, reply, reply_to)
 
         lane = self._lanes.get(msg.task)
         if lane is not None:
             lane.append(job)
-        elif self._group is not None:
+        else:
             self._lanes[msg.task] = deque([job])
             self._group.start_soon(self._run_lane, msg.task)
 
@@ -374,12 +396,11 @@
             await lane[0]()
             lane.popleft()
         del self._lanes[task]
+        self._note_progress()
 
     async def _execute(self, msg: TaskCommand) -> TaskReply:
         if msg.epoch < self.epochs.get(msg.shard, -1):
             return self._epoch_refusal(msg)
-        if self.status is None:
-            return _reply(msg, False, "not-ready", "the worker's tasks are not adopted yet")
         if isinstance(msg, StartTask):
             return await self._start(msg)
         held = self.table.held.get((msg.task, msg.attempt))
@@ -466,7 +487,7 @@
             self.table.add(held)
         except CapacityError as exc:
             return _reply(msg, False, "capacity", str(exc))
-        order = self._order(msg, held)
+        order = self._order(msg)
         try:
             row: WorkerTask | None = await self.worker.start(order)
         except WorkerRefused as exc:
@@ -486,11 +507,12 @@
         self._take(changes)
         return _reply(msg, True, "ok", "")
 
-    def _order(self, msg: StartTask, held: Held) -> StartOrder:
+    def _order(self, msg: StartTask) -> StartOrder:
         policy = self.cfg.policy
         anchor_ms = self.clock.to_worker(msg.anchor_clock_ms)
         deadline_ms = anchor_ms + int(policy.task_lease_s * 1000)
-        limit_ms = self._limit_ms(held)
+        may = allowance(self.rules, self.cfg, msg.team, msg.activity, self.utc())
+        limit_ms = self._limit_ms(may)
         return StartOrder(
             msg.task,
             msg.attempt,
@@ -527,9 +549,8 @@
 
     # Leases.
 
-    def _limit_ms(self, held: Held) -> int | None:
+    def _limit_ms(self, may: Allowance) -> int | None:
         """Return the latest deadline that the rules allow, on the worker's clock."""
-        may = allowance(self.rules, self.cfg, held.team, held.activity, self.utc())
         if may.until is None or self.status is None:
             return None
         left_s = (may.until - self._status_utc).total_seconds()
@@ -560,7 +581,10 @@
             row = held.row
             if row is None or held.ended.is_set() or held.phase is Phase.STOPPING:
                 return
-            limit_ms = self._limit_ms(held)
+            may = allowance(self.rules, self.cfg, held.team, held.activity, self.utc())
+            if may.code == "hours":
+                return
+            limit_ms = self._limit_ms(may)
             target_ms = max(row.deadline_ms, wanted_ms or 0)
             if limit_ms is not None and target_ms > limit_ms + DEADLINE_TOLERANCE_MS:
                 target_ms = limit_ms
@@ -579,7 +603,7 @@
     # Ends.
 
     def _begin_end(self, held: Held, reason: str, outcome: Outcome) -> None:
-        """Begin to end an attempt; a second call only can make it skip the checkpoint."""
+        """Begin to end an attempt; a second call can only make it skip the checkpoint."""
         if outcome is Outcome.STOPPED:
             held.skip_checkpoint = True
         if held.ending:
@@ -595,21 +619,19 @@
         held.phase = Phase.STOPPING
         if held.skip_checkpoint:
             outcome = Outcome.STOPPED
-        capped = False
+        kill_ms = (self.status.clock_ms if self.status else 0) + int(STOP_PATIENCE_S * 1000)
         while not held.ended.is_set():
             try:
                 await self.worker.stop(held.task, held.attempt, outcome)
             except WorkerError as exc:
                 log.info("stop of %s has no effect yet: %s", held.task, exc)
-            if not capped and self.status is not None:
-                # The worker kills a task that ignores the stop when its lease ends.
-                capped = True
-                kill_ms = self.status.clock_ms + int(STOP_PATIENCE_S * 1000)
+            # The worker kills a task that ignores the stop when its lease ends.
+            async with self._renew_lock:
                 if held.row is not None and held.row.deadline_ms > kill_ms:
-                    async with self._renew_lock:
-                        await self._set_deadline(held, kill_ms)
+                    await self._set_deadline(held, kill_ms)
             with anyio.move_on_after(STOP_REPEAT_S):
                 await held.ended.wait()
+        self._note_progress()
 
     async def _write_checkpoint(self, held: Held) -> None:
         """Try to write a checkpoint; the newest one before stays if that fails."""
@@ -649,21 +671,26 @@
             if self.status is not None:
                 self._set_claim()
                 for held in list(self.table.held.values()):
-                    await self._enforce(held)
+                    self._enforce(held)
             await anyio.sleep(self.cfg.policy.tick_s)
 
-    async def _enforce(self, held: Held) -> None:
-        if held.phase is Phase.STARTING:
+    def _enforce(self, held: Held) -> None:
+        if held.phase is not Phase.RUNNING:
             return
         utc = self.utc()
         may = allowance(self.rules, self.cfg, held.team, held.activity, utc)
+        lead = timedelta(seconds=min(held.checkpoint_s, MAX_TASK_S) + EVICT_SLACK_S)
         if may.code:
             self._begin_end(held, may.reason, Outcome.EVICTED)
-        elif may.until is not None:
-            lead = timedelta(seconds=held.checkpoint_s + EVICT_SLACK_S)
-            if utc + lead >= may.until:
-                self._begin_end(held, f"{may.reason} begins soon", Outcome.EVICTED)
-            await self._move_deadline(held, None)
+        elif may.until is not None and utc + lead >= may.until:
+            self._begin_end(held, f"{may.reason} begins soon", Outcome.EVICTED)
+
+    async def _cap_forever(self) -> None:
+        """Pull leases in that a new bundle made too long; apart, since the worker may hang."""
+        while True:
+            for held in list(self.table.held.values()):
+                await self._move_deadline(held, None)
+            await anyio.sleep(self.cfg.policy.tick_s)
 
     async def _throttle(self, msg: ThrottleTask, held: Held) -> TaskReply:
         if not 0.0 <= msg.share <= 1.0:
@@ -721,11 +748,11 @@
     def _send(self, link: Link, msg: Message, reply_to: int) -> None:
         try:
             link.send_nowait(msg, reply_to)
-        except LinkError as exc:
+        except (LinkError, CodecError) as exc:
             # The owner asks again or reads the next report.
             log.info("%s was not sent: %s", type(msg).__name__, exc)
 
-    def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
+    def _spawn(self, job: Job) -> None:
         if self._group is not None:
             self._group.start_soon(job)
 
