--- /dev/null
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -0,0 +1,242 @@
+"""Stand-in for a backend server: answers after a service time and records every run."""
+
+import argparse
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, fields, replace
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qsl
+
+import anyio
+import sniffio
+from hypercorn.config import Config
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+REQUEST_ID_HEADER = "apricotpath-request-id"
+CHUNK_BYTES = 64 << 10
+MAX_SIZE = 1 << 30
+# A hanging request ends after this time, so that a test cannot block for ever.
+HANG_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """Faults in force; `slow` multiplies the service time.
+
+    `cut_body` ends answers at half their length, and `hang` never answers.
+    """
+
+    slow: float = 1.0
+    fail_all: bool = False
+    cut_body: bool = False
+    hang: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """One run; times are seconds of the process's clock, `end` is None while it runs."""
+
+    request: str
+    key: str
+    path: str
+    start: float
+    body_bytes: int = 0
+    end: float | None = None
+    status: int = 0
+
+
+def expected_body(request: str, size: int) -> bytes:
+    """Return the body of `size` bytes that belongs to a request id."""
+    seed = blake2b(request.encode(), digest_size=32).hexdigest().encode()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+class BackendApp:
+    """ASGI app; `slots` requests are served at a time and the others wait.
+
+    A request beyond `connections` is answered with 503 and counted in
+    `overrun`: the agent beside it must never send one.
+    """
+
+    def __init__(
+        self, service: str, slots: int = 8, connections: int = 64, record: Path | None = None
+    ) -> None:
+        self.service = service
+        self.slots = slots
+        self.connections = connections
+        self.record = record
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.present = 0
+        self.most_present = 0
+        self.most_running = 0
+        self.overrun = 0
+        self._running = 0
+        self._slots: anyio.Semaphore | None = None
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            body = await _read_body(receive)
+            if scope["path"] == "/faults" and scope["method"] == "POST":
+                await self._set_faults(body, send)
+            elif scope["path"] == "/record" and scope["method"] == "GET":
+                await _send_json(send, 200, self.summary())
+            else:
+                await self._serve(scope, len(body), send)
+
+    def summary(self) -> dict[str, Any]:
+        """Return all runs and the highest loads seen."""
+        return {
+            "service": self.service,
+            "runs": [asdict(run) for run in self.runs],
+            "most_present": self.most_present,
+            "most_running": self.most_running,
+            "overrun": self.overrun,
+        }
+
+    async def _set_faults(self, body: bytes, send: Send) -> None:
+        known = {item.name for item in fields(Faults)}
+        try:
+            wanted = json.loads(body)
+            if not isinstance(wanted, dict) or set(wanted) - known:
+                raise ValueError("unknown fault")
+        except ValueError as exc:
+            await _send_json(send, 400, {"error": f"The faults are not valid: {exc}."})
+            return
+        self.faults = replace(self.faults, **wanted)
+        await _send_json(send, 200, asdict(self.faults))
+
+    async def _serve(self, scope: dict[str, Any], body_bytes: int, send: Send) -> None:
+        headers = {name.decode(): value.decode("latin-1") for name, value in scope["headers"]}
+        query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        request = headers.get(REQUEST_ID_HEADER, "")
+        key = headers.get("idempotency-key", "")
+        if self.present >= self.connections:
+            self.overrun += 1
+            await _send_json(send, 503, {"error": "All connections are in use."})
+            return
+        self.present += 1
+        self.most_present = max(self.most_present, self.present)
+        if self._slots is None:
+            self._slots = anyio.Semaphore(self.slots)
+        try:
+            async with self._slots:
+                run = Run(request, key, scope["path"], anyio.current_time(), body_bytes)
+                self.runs.append(run)
+                self._running += 1
+                self.most_running = max(self.most_running, self._running)
+                try:
+                    await self._work(run, headers, query, send)
+                finally:
+                    self._running -= 1
+                    run.end = anyio.current_time()
+                    self._write(run)
+        finally:
+            self.present -= 1
+
+    async def _work(
+        self, run: Run, headers: dict[str, str], query: dict[str, str], send: Send
+    ) -> None:
+        work_ms = float(query.get("work_ms") or headers.get("work-ms") or 0)
+        size = min(int(query.get("size") or headers.get("size") or 0), MAX_SIZE)
+        faults = self.faults
+        if faults.hang:
+            await anyio.sleep(HANG_S)
+        if work_ms:
+            await anyio.sleep(work_ms / 1000 * faults.slow)
+        if faults.fail_all:
+            run.status = 500
+            await _send_json(send, 500, {"error": "The backend server fails everything."})
+            return
+        run.status = 200
+        body = expected_body(run.request, size)
+        shown = body[: size // 2] if faults.cut_body else body
+        length = [(b"content-length", str(size).encode()), (b"run-id", run.request.encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": length})
+        for offset in range(0, len(shown), CHUNK_BYTES):
+            part = shown[offset : offset + CHUNK_BYTES]
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+        if not faults.cut_body:
+            await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def _write(self, run: Run) -> None:
+        if self.record is not None:
+            with self.record.open("a", encoding="utf-8") as file:
+                file.write(json.dumps(asdict(run)) + "\n")
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def _send_json(send: Send, status: int, value: Any) -> None:
+    body = json.dumps(value).encode()
+    headers = [(b"content-type", b"application/json"), (b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def serve_app(app: Any, bind: str, shutdown: Callable[[], Awaitable[Any]]) -> None:
+    """Serve an ASGI app on `host:port`, or `fd://N`, until `shutdown` returns."""
+    if sniffio.current_async_library() == "trio":
+        from hypercorn.trio import serve
+    else:
+        from hypercorn.asyncio import serve  # type: ignore[assignment]
+    cfg = Config()
+    cfg.bind = [bind]
+    cfg.accesslog = None
+    cfg.errorlog = None
+    cfg.keep_alive_timeout = 60.0
+    await serve(app, cfg, shutdown_trigger=shutdown)
+
+
+async def _main(args: argparse.Namespace) -> None:
+    app = BackendApp(args.service, args.slots, args.connections, args.record)
+    ended = anyio.Event()
+
+    async def watch_signals() -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _number in signals:
+                ended.set()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch_signals)
+        await serve_app(app, f"{args.host}:{args.port}", ended.wait)
+        group.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the stand-in from the command line until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--connections", type=int, default=64)
+    parser.add_argument("--record", type=Path, help="append each run to this file as a JSON line")
+    anyio.run(_main, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/apricotpath/config.py
+++ b/packages/core/src/apricotpath/config.py
@@ -101,6 +101,23 @@
     kept_answers_total: int = 16 << 20
 
 
+@dataclass(frozen=True, slots=True)
+class RequestSettings:
+    """Policy of an entry for callers' requests; the second value of a switch is the baseline.
+
+    `choices` backend servers are drawn and the least loaded is used; 1 is
+    random routing. `window` bounds the requests outstanding from one entry at
+    one backend server, as a multiple of its slots.
+    """
+
+    choices: int = 2
+    window: float = 2.0
+    ejection: bool = True
+    priority_queues: bool = True
+    retry_budget: bool = True
+    max_tries: int = 3
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of `apricotpathd --role entry`."""
@@ -119,6 +136,7 @@
     limits: LimitSettings = field(default_factory=LimitSettings)
     log_level: str = "INFO"
     trace: Path | None = None
+    requests: RequestSettings = field(default_factory=RequestSettings)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -78,7 +78,15 @@
 
 
 class RequestError(ApricotpathError):
-    """A caller's request has no whole answer."""
+    """A caller's request has no whole answer.
+
+    `reason` is a short code and `retry_after_s` is 0 when no time is advised.
+    """
+
+    def __init__(self, text: str, reason: str = "", retry_after_s: float = 0.0) -> None:
+        super().__init__(text)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 class NotRun(RequestError):
--- /dev/null
+++ b/packages/core/src/apricotpath/keyplaces.py
@@ -0,0 +1,156 @@
+"""Reservation of an idempotency key over three agents, as steps without I/O."""
+
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId
+from apricotpath.messages import KeyReserved, Message, ReleaseKey, ReserveKey, Settle
+from apricotpath.model import KeyState, Maturity, Settlement
+
+PLACES = 3
+# A key that changes hands more often than this is left to the caller's retry.
+MAX_ROUNDS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """An agent that may hold keys; `usable` means that a request may run there."""
+
+    process: ProcessId
+    incarnation: IncarnationId
+    present: bool
+    usable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlaces:
+    """Step: send each reservation and return the replies, None where there was none."""
+
+    asks: tuple[tuple[ProcessId, ReserveKey], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TellPlaces:
+    """Step: send messages in order without waiting for a reply."""
+
+    messages: tuple[tuple[ProcessId, Message], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SettleAt:
+    """Step: settle a request at its home and return the Settlement."""
+
+    process: ProcessId
+    settle: Settle
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """Result: the request may be sent to `home`, and only there."""
+
+    home: Place
+
+
+@dataclass(frozen=True, slots=True)
+class Existing:
+    """Result: an earlier request has the key; `settlement` is not NEVER."""
+
+    request: RequestId
+    settlement: Settlement
+
+
+@dataclass(frozen=True, slots=True)
+class Blocked:
+    """Result: the request must not run now."""
+
+    reason: str
+
+
+Step = AskPlaces | TellPlaces | SettleAt
+Reply = Sequence[KeyReserved | None] | Settlement | None
+Result = Granted | Existing | Blocked
+
+
+def key_order(key: KeyId, process: ProcessId) -> bytes:
+    """Return the rendezvous weight of an agent for a key."""
+    return blake2b(f"{key}\0{process}".encode(), digest_size=8).digest()
+
+
+def key_places(key: KeyId, agents: Sequence[Place]) -> list[Place]:
+    """Return the key's places among the agents that are not young, best first."""
+    return sorted(agents, key=lambda place: key_order(key, place.process))[:PLACES]
+
+
+def majority(count: int) -> int:
+    """Return the smallest number that is more than half of `count`."""
+    return count // 2 + 1
+
+
+def reserve_key(
+    key: KeyId,
+    service: ServiceId,
+    request: RequestId,
+    places: list[Place],
+) -> Generator[Step, Reply, Result]:
+    """Reserve a key for a request that has not been sent.
+
+    The home is asked first, so that of two entries with the same view one
+    stops early. A reservation is released only for a request that never runs:
+    our own before it is sent, or another one that its home has settled as
+    NEVER, which also keeps a late copy of it from running. The home is the
+    same in all rounds, since a place keeps the one it was first told.
+    """
+    home = next((place for place in places if place.present and place.usable), None)
+    if home is None:
+        return Blocked("no agent that holds idempotency keys can take the request")
+    ask = ReserveKey(key, service, request, home.process, home.incarnation)
+    present = [place.process for place in places if place.present]
+    release = TellPlaces(tuple((process, ReleaseKey(key, request)) for process in present))
+    for _round in range(MAX_ROUNDS):
+        replies: dict[ProcessId, KeyReserved] = {}
+        for group in ([home], [p for p in places if p.present and p is not home]):
+            answers = yield AskPlaces(tuple((place.process, ask) for place in group))
+            assert isinstance(answers, Sequence)
+            for place, reply in zip(group, answers, strict=True):
+                if reply is not None:
+                    replies[place.process] = reply
+            if any(reply.state is KeyState.KNOWN for reply in replies.values()):
+                break
+        known = next((r for r in replies.values() if r.state is KeyState.KNOWN), None)
+        if known is None:
+            if enough(replies, len(places)):
+                return Granted(home)
+            yield release
+            return Blocked("too few agents can vouch for the idempotency key")
+        settlement = yield SettleAt(known.home, Settle(known.request, known.home_incarnation))
+        assert isinstance(settlement, Settlement)
+        if settlement is not Settlement.NEVER:
+            yield release
+            yield TellPlaces(_refresh(key, service, known, places))
+            return Existing(known.request, settlement)
+        stale = ReleaseKey(key, known.request)
+        yield TellPlaces(tuple((process, stale) for process in present))
+    yield release
+    return Blocked("other requests with the same idempotency key are in progress")
+
+
+def enough(replies: dict[ProcessId, KeyReserved], places: int) -> bool:
+    """Tell whether a majority of the places answered `new` and a majority vouches.
+
+    Only an agent that answered `new` vouches, and only if its memory is full.
+    """
+    new = [reply for reply in replies.values() if reply.state is KeyState.NEW]
+    full = [reply for reply in new if reply.maturity is Maturity.FULL]
+    return min(len(new), len(full)) >= majority(places)
+
+
+def _refresh(
+    key: KeyId, service: ServiceId, known: KeyReserved, places: list[Place]
+) -> tuple[tuple[ProcessId, Message], ...]:
+    """Return messages that record the reservation in force at every place.
+
+    The key then outlives the loss of the agents that held it first.
+    """
+    ask = ReserveKey(key, service, known.request, known.home, known.home_incarnation)
+    return tuple((place.process, ask) for place in places if place.present)
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -147,7 +147,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestStart(Message):
-    """Start of a request; `deadline_ms` is the time left when it was sent."""
+    """Start of a request; `deadline_ms` is the time left when it was sent.
+
+    `body` is the beginning of the body. RequestBody follows from there unless
+    `body_complete`, so a small request needs one frame.
+    """
 
     request: RequestId
     service: ServiceId
@@ -159,6 +163,8 @@
     method: str
     path: str
     headers: tuple[Header, ...]
+    body: bytes = b""
+    body_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,11 +180,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseStart(Message):
-    """Status and headers of the backend server's answer."""
+    """Status and headers of the backend server's answer.
+
+    `body` is the beginning of its body. ResponseBody follows from there
+    unless `body_complete`, so a small answer needs one frame.
+    """
 
     request: RequestId
     status: int
     headers: tuple[Header, ...]
+    body: bytes = b""
+    body_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +204,14 @@
     total: int
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseAck(Message):
+    """The caller has taken the answer's body up to `offset`; the agent may send more."""
+
+    request: RequestId
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRefused(Message):
     """The request did not run and never will at this agent."""
--- /dev/null
+++ b/packages/core/src/apricotpath/metrics.py
@@ -0,0 +1,65 @@
+"""Counters and histograms of the request path in the Prometheus text format."""
+
+from aioprometheus import Counter, Histogram, Registry, render
+
+from apricotpath.ids import ClassId, ServiceId, TeamId
+from apricotpath.model import ResultClass
+
+# Upper bounds in seconds; fine enough for a p99.9 between 5 ms and 1 s.
+LATENCY_BUCKETS_S = [
+    *(0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1),
+    *(0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0, 120.0),
+]
+# Callers choose the team's name, so only this many get a label of their own.
+MAX_TEAMS = 512
+OTHER_TEAMS = TeamId("other")
+
+
+class Metrics:
+    """Metrics of one process; each has its own registry."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._teams: set[TeamId] = set()
+        self._latency = Histogram(
+            "apricotpath_request_seconds",
+            "Time from the caller's request to the end of its answer",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._outcomes = self._counter("apricotpath_requests_total", "Requests by outcome")
+        self._retries = self._counter("apricotpath_retries_total", "Further tries of requests")
+        self._refusals = self._counter("apricotpath_refusals_total", "Requests refused by reason")
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(name, text, registry=self.registry)
+
+    def finished(
+        self,
+        service: ServiceId,
+        request_class: ClassId,
+        team: TeamId,
+        result: ResultClass,
+        seconds: float,
+    ) -> None:
+        """Count a request that has ended; only whole answers enter the histogram."""
+        if len(self._teams) < MAX_TEAMS:
+            self._teams.add(team)
+        label = team if team in self._teams else OTHER_TEAMS
+        labels = {"service": service, "class": request_class, "team": label}
+        if result is ResultClass.ANSWERED:
+            self._latency.add(labels, seconds)
+        self._outcomes.inc({**labels, "outcome": result.value})
+
+    def retried(self, service: ServiceId) -> None:
+        """Count one more try of a request."""
+        self._retries.inc({"service": service})
+
+    def refused(self, service: ServiceId, reason: str) -> None:
+        """Count a request or a try that was refused."""
+        self._refusals.inc({"service": service, "reason": reason})
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        content, _headers = render(self.registry, ["text/plain"])
+        return bytes(content)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -96,6 +96,8 @@
   method @7 :Text;
   path @8 :Text;
   headers @9 :List(Header);
+  body @10 :Data;
+  bodyComplete @11 :Bool;
 }
 
 struct RequestBody {
@@ -110,6 +112,8 @@
   request @0 :Text;
   status @1 :Int64;
   headers @2 :List(Header);
+  body @3 :Data;
+  bodyComplete @4 :Bool;
 }
 
 struct ResponseBody {
@@ -120,6 +124,11 @@
   total @4 :Int64;
 }
 
+struct ResponseAck {
+  request @0 :Text;
+  offset @1 :Int64;
+}
+
 struct RequestRefused {
   request @0 :Text;
   reason @1 :Text;
@@ -323,5 +332,6 @@
     shareRequest @33 :ShareRequest;
     shareGrant @34 :ShareGrant;
     failure @35 :Failure;
+    responseAck @36 :ResponseAck;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -0,0 +1,383 @@
+"""HTTP for callers: `/s/<service>/<path>` as an ASGI app for hypercorn."""
+
+import json
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import sniffio
+from anyio.abc import TaskGroup
+from hypercorn.config import Config, Sockets
+
+from apricotpath.config import EntrySettings, LimitSettings
+from apricotpath.errors import NotRun, OutcomeUnknown
+from apricotpath.ids import ClassId, ServiceId, TeamId
+from apricotpath.messages import Header
+from apricotpath.metrics import Metrics
+from apricotpath.model import ResultClass
+from apricotpath.servicerules import ClassRules, Rules
+from apricotpathd.exchange import AnswerStream, CallerRequest, Exchange
+
+log = logging.getLogger(__name__)
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+PREFIX = "/s/"
+MAX_NAME = 128
+# All request bodies held at one time, as a multiple of the limit for one.
+HELD_BODIES = 8
+DEFAULT_TEAM = TeamId("none")
+# Headers that belong to one connection, or that the entry sets itself.
+DROPPED_REQUEST_HEADERS = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade host "
+    b"content-length expect apricotpath-class apricotpath-team apricotpath-deadline-ms "
+    b"apricotpath-request-id".split()
+)
+
+
+class BadCall(NotRun):
+    """The caller's request breaks a rule; `status` is the HTTP status to answer with."""
+
+    def __init__(self, status: int, reason: str, text: str) -> None:
+        super().__init__(text, reason)
+        self.status = status
+
+
+class CallerApp:
+    """ASGI app of one entry; `run` must be running while it serves."""
+
+    def __init__(
+        self, cfg: EntrySettings, rules: Rules, exchange: Exchange, metrics: Metrics
+    ) -> None:
+        self.cfg = cfg
+        self.rules = rules
+        self.exchange = exchange
+        self.metrics = metrics
+        self.open = 0
+        self.draining = False
+        self._held = 0
+        self._group: TaskGroup | None = None
+        self._idle = anyio.Event()
+
+    async def run(self) -> None:
+        """Watch for callers that hang up, until cancelled."""
+        async with anyio.create_task_group() as self._group:
+            await anyio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Return when no request is open."""
+        self.draining = True
+        while self.open:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            self.open += 1
+            try:
+                await _Call(self, scope, receive, send).serve()
+            finally:
+                self.open -= 1
+                if not self.open:
+                    self._idle.set()
+
+    def watch(self, call: "_Call") -> None:
+        """Cancel a call when its caller hangs up."""
+        if self._group is not None:
+            self._group.start_soon(call.watch)
+
+    def hold(self, size: int) -> bool:
+        """Count bytes of request bodies; false if they would be too many."""
+        if self._held + size > HELD_BODIES * self.cfg.limits.request_body:
+            return False
+        self._held += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Give back bytes counted by `hold`."""
+        self._held -= size
+
+
+class _Call:
+    """One caller's request."""
+
+    def __init__(self, app: CallerApp, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        self.app = app
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.headers: dict[bytes, bytes] = {}
+        self.service = ServiceId("")
+        self.request_class = ClassId("")
+        self.team = DEFAULT_TEAM
+        self.request = ""
+        self.held = 0
+        self.started = False
+        self.ended = False
+        self.cancel_scope = anyio.CancelScope()
+
+    async def serve(self) -> None:
+        """Answer the request; every path sets Apricotpath-Outcome."""
+        begun = anyio.current_time()
+        result = ResultClass.UNKNOWN
+        try:
+            with self.cancel_scope:
+                result = await self._answer(begun)
+        finally:
+            self.ended = True
+            self.app.release(self.held)
+            seconds = anyio.current_time() - begun
+            metrics = self.app.metrics
+            metrics.finished(self.service, self.request_class, self.team, result, seconds)
+
+    async def watch(self) -> None:
+        """Cancel the call once the connection has ended before the answer has."""
+        while not self.ended:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                if not self.ended:
+                    self.cancel_scope.cancel()
+                return
+
+    async def _answer(self, begun: float) -> ResultClass:
+        try:
+            req = await self._read_request(begun)
+            self.app.watch(self)
+            answer = await self.app.exchange.request(req)
+        except BadCall as exc:
+            await self._send_error(exc.status, ResultClass.NOT_RUN, exc, exc.reason, 0)
+            return ResultClass.NOT_RUN
+        except NotRun as exc:
+            self.app.metrics.refused(self.service, exc.reason)
+            wait_s = max(1, round(exc.retry_after_s))
+            await self._send_error(503, ResultClass.NOT_RUN, exc, exc.reason, wait_s)
+            return ResultClass.NOT_RUN
+        except OutcomeUnknown as exc:
+            status = 504 if exc.reason == "deadline" else 502
+            await self._send_error(status, ResultClass.UNKNOWN, exc, exc.reason, 0)
+            return ResultClass.UNKNOWN
+        try:
+            await self._send_answer(answer)
+        except OutcomeUnknown as exc:
+            # The status has been sent; ending the connection shows that the body is short.
+            log.info("an answer was cut short: %s", exc, extra={"request": answer.request})
+            raise
+        finally:
+            answer.close()
+        return ResultClass.ANSWERED
+
+    async def _read_request(self, begun: float) -> CallerRequest:
+        app, limits = self.app, self.app.cfg.limits
+        if app.open > limits.connections:
+            raise BadCall(503, "too-many-requests", "Too many requests are open at this entry.")
+        raw = self.scope["headers"]
+        if sum(len(name) + len(value) for name, value in raw) > limits.header_bytes:
+            raise BadCall(431, "headers-too-large", "The request headers are too large.")
+        self.headers = dict(raw)
+        rules = self._find_class()
+        deadline = begun + self._deadline_s(rules, limits)
+        key = self._text(b"idempotency-key", "")
+        if not rules.idempotent and not key:
+            text = "This request class needs an Idempotency-Key header."
+            raise BadCall(400, "key-missing", text)
+        body = await self._read_body(min(deadline, begun + limits.max_deadline_s))
+        query = self.scope["query_string"].decode("latin-1")
+        rest = self.scope["raw_path"].decode("latin-1")[len(PREFIX) + len(self.service) :] or "/"
+        forwarded = tuple(
+            Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in raw
+            if name not in DROPPED_REQUEST_HEADERS
+        )
+        return CallerRequest(
+            self.service,
+            rules,
+            self.team,
+            key if not rules.idempotent else "",
+            deadline,
+            self.scope["method"],
+            f"{rest}?{query}" if query else rest,
+            forwarded,
+            body,
+        )
+
+    def _find_class(self) -> ClassRules:
+        path: str = self.scope["raw_path"].decode("latin-1")
+        if not path.startswith(PREFIX):
+            raise BadCall(404, "not-found", "Requests go to /s/<service>/<path>.")
+        name = ServiceId(path[len(PREFIX) :].partition("/")[0])
+        service = self.app.rules.service_rules(name)
+        if service is None:
+            raise BadCall(404, "no-service", "There is no service of this name.")
+        self.service = name
+        self.team = TeamId(self._text(b"apricotpath-team", DEFAULT_TEAM))
+        wanted = ClassId(self._text(b"apricotpath-class", ""))
+        if not wanted and len(service.classes) == 1:
+            wanted = next(iter(service.classes))
+        rules = service.classes.get(wanted)
+        if rules is None:
+            text = "The Apricotpath-Class header must name a request class of the service."
+            raise BadCall(400, "no-class", text)
+        self.request_class = wanted
+        return rules
+
+    def _text(self, header: bytes, default: str) -> str:
+        value = self.headers.get(header, b"").decode("latin-1").strip()
+        if len(value) > MAX_NAME:
+            raise BadCall(400, "header-too-long", f"The header {header.decode()} is too long.")
+        return value or default
+
+    def _deadline_s(self, rules: ClassRules, limits: LimitSettings) -> float:
+        text = self._text(b"apricotpath-deadline-ms", "")
+        if not text:
+            return min(rules.deadline_s or limits.default_deadline_s, limits.max_deadline_s)
+        if not text.isascii() or not text.isdecimal() or int(text) == 0:
+            raise BadCall(400, "bad-deadline", "Apricotpath-Deadline-Ms must be a whole number.")
+        return min(int(text) / 1000, limits.max_deadline_s)
+
+    async def _read_body(self, deadline: float) -> bytes:
+        """Return the whole body; it is needed again if the request is retried."""
+        limits = self.app.cfg.limits
+        parts: list[bytes] = []
+        while True:
+            end = min(deadline, anyio.current_time() + limits.read_timeout_s)
+            message = None
+            with anyio.CancelScope(deadline=end):
+                message = await self.receive()
+            if message is None:
+                raise BadCall(408, "body-too-slow", "The request body did not arrive in time.")
+            if message["type"] == "http.disconnect":
+                raise BadCall(400, "hung-up", "The caller hung up before the body was whole.")
+            data = message.get("body", b"")
+            if data:
+                if self.held + len(data) > limits.request_body:
+                    raise BadCall(413, "body-too-large", "The request body is too large.")
+                if not self.app.hold(len(data)):
+                    raise BadCall(503, "entry-full", "The entry holds too many request bodies.")
+                self.held += len(data)
+                parts.append(data)
+            if not message.get("more_body", False):
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    async def _send_answer(self, answer: AnswerStream) -> None:
+        """Send the answer on; a whole one in two messages."""
+        self.request = answer.request
+        headers = [(h.name.encode("latin-1"), h.value.encode("latin-1")) for h in answer.headers]
+        headers = [pair for pair in headers if not pair[0].startswith(b"apricotpath-")]
+        headers.append((b"apricotpath-outcome", ResultClass.ANSWERED.value.encode()))
+        headers.append((b"apricotpath-request-id", answer.request.encode()))
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        await self.send(start)
+        self.started = True
+        if answer.whole:
+            await self.send({"type": "http.response.body", "body": answer.body()})
+            return
+        async for data in answer.chunks():
+            await self.send({"type": "http.response.body", "body": data, "more_body": True})
+        await self.send({"type": "http.response.body", "body": b""})
+
+    async def _send_error(
+        self, status: int, result: ResultClass, exc: Exception, reason: str, retry_after_s: int
+    ) -> None:
+        value = {"error": str(exc), "reason": reason, "outcome": result.value}
+        request = getattr(exc, "request", "") or self.request
+        if request:
+            value["request"] = request
+        body = json.dumps(value).encode()
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"apricotpath-outcome", result.value.encode()),
+            (b"apricotpath-reason", reason.encode()),
+        ]
+        if retry_after_s:
+            headers.append((b"retry-after", str(retry_after_s).encode()))
+        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+        await self.send({"type": "http.response.body", "body": body})
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+class _BoundedListener(socket.socket):
+    """Listening socket that closes connections beyond a limit as they come."""
+
+    limit = 0
+    open_count = 0
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        fd, address = self._accept()  # type: ignore[attr-defined]
+        conn = _CountedSocket(self.family, self.type, self.proto, fileno=fd)
+        conn.settimeout(0)
+        if self.open_count >= self.limit:
+            conn.close()
+            raise BlockingIOError("too many connections")
+        conn.listener = self
+        self.open_count += 1
+        return conn, address
+
+
+class _CountedSocket(socket.socket):
+    """Connection that its listener counts until it is closed."""
+
+    listener: _BoundedListener | None = None
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.open_count -= 1
+            self.listener = None
+        super().close()
+
+
+class _CallerConfig(Config):
+    """Hypercorn settings with a bound on connections."""
+
+    limit = 0
+
+    def create_sockets(self) -> Sockets:
+        sockets = super().create_sockets()
+        sockets.insecure_sockets = [self._bounded(sock) for sock in sockets.insecure_sockets]
+        return sockets
+
+    def _bounded(self, sock: socket.socket) -> socket.socket:
+        bounded = _BoundedListener(sock.family, sock.type, sock.proto, fileno=sock.detach())
+        bounded.setblocking(False)
+        bounded.limit = self.limit
+        return bounded
+
+
+def hypercorn_config(cfg: EntrySettings, bind: str) -> Config:
+    """Return hypercorn's settings for the callers' port; `bind` is `host:port` or `fd://N`."""
+    limits = cfg.limits
+    result = _CallerConfig()
+    result.bind = [bind]
+    result.limit = limits.connections
+    result.backlog = 1024
+    result.accesslog = None
+    result.errorlog = logging.getLogger("apricotpathd.hypercorn")
+    result.h11_max_incomplete_size = limits.header_bytes
+    result.h2_max_header_list_size = limits.header_bytes
+    result.keep_alive_timeout = 60.0
+    result.include_server_header = False
+    # Requests in flight may take until their deadline.
+    result.graceful_timeout = limits.max_deadline_s
+    return result
+
+
+async def serve_callers(app: CallerApp, bind: str, shutdown: Callable[[], Awaitable[Any]]) -> None:
+    """Serve callers until `shutdown` returns, then finish the requests in flight."""
+    if sniffio.current_async_library() == "trio":
+        from hypercorn.trio import serve
+    else:
+        from hypercorn.asyncio import serve  # type: ignore[assignment]
+    await serve(app, hypercorn_config(app.cfg, bind), shutdown_trigger=shutdown)  # type: ignore[arg-type]
