--- a/packages/core/src/apricotpath/config.py
+++ b/packages/core/src/apricotpath/config.py
@@ -1,5 +1,6 @@
 """Settings of both roles: JSON with comments, validated, passed whole."""
 
+import json
 import types
 from dataclasses import MISSING, dataclass, field, fields, is_dataclass
 from enum import Enum
@@ -160,10 +161,31 @@
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError(f"{path}: cannot be read: {exc}") from exc
+    return parse_json(text, str(path))
+
+
+def parse_json(text: str, where: str) -> Any:
+    """Return the value of a text in JSON with comments, or raise SettingsError.
+
+    Plain JSON takes the fast parser of the standard library.
+    """
+    try:
+        return json.loads(text, object_pairs_hook=_unique_pairs)
+    except (ValueError, RecursionError):
+        pass
     try:
         return json5.loads(text, allow_duplicate_keys=False)
     except ValueError as exc:
-        raise SettingsError(f"{path}: is not valid JSON with comments: {exc}") from exc
+        raise SettingsError(f"{where}: is not valid JSON with comments: {exc}") from exc
+    except RecursionError as exc:
+        raise SettingsError(f"{where}: is nested too deeply") from exc
+
+
+def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found = dict(pairs)
+    if len(found) != len(pairs):
+        raise ValueError("a key is repeated")
+    return found
 
 
 def load_settings(path: Path, cls: type[T]) -> T:
@@ -179,14 +201,15 @@
     if not isinstance(value, dict):
         raise SettingsError(f"{where}: must be an object")
     hints = get_type_hints(cls)
-    known = {item.name: item for item in fields(cls)}  # type: ignore[arg-type]
+    # A name that Python reserves, such as `from`, is given in the field's metadata.
+    known = {item.metadata.get("name", item.name): item for item in fields(cls)}  # type: ignore[arg-type]
     for name in value:
         if name not in known:
             raise SettingsError(f"{where}: unknown setting {name!r}")
     arguments = {}
     for name, item in known.items():
         if name in value:
-            arguments[name] = _convert(hints[name], value[name], _join(where, name))
+            arguments[item.name] = _convert(hints[item.name], value[name], _join(where, name))
         elif item.default is MISSING and item.default_factory is MISSING:
             raise SettingsError(f"{where}: setting {name!r} is missing")
     return cls(**arguments)
--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -6,7 +6,15 @@
 
 
 class InputError(ApricotpathError):
-    """A setting, bundle, command line or submission is wrong; nothing was changed."""
+    """A setting, bundle, command line or submission is wrong; nothing was changed.
+
+    `path` is the place in the input and `rule` the broken rule, where they are known.
+    """
+
+    def __init__(self, text: str, path: str = "", rule: str = "") -> None:
+        super().__init__(text)
+        self.path = path
+        self.rule = rule
 
 
 class SettingsError(InputError):
@@ -25,6 +33,10 @@
     """Another writer changed the same record first."""
 
 
+class NotFoundError(ApricotpathError):
+    """There is no job, data centre or other record of the given name."""
+
+
 class CodecError(ApricotpathError):
     """A frame or message is malformed, oversized or of an unknown kind."""
 
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -264,6 +264,14 @@
     request: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceFounders:
+    """The agent incarnations that a service was first started with."""
+
+    service: ServiceId
+    incarnations: tuple[IncarnationId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ControlUpdate(Message):
     """The sender's control state; `bundle` is a signed envelope or empty.
@@ -275,7 +283,7 @@
     bundle_version: int
     bundle: bytes
     statuses: tuple[DataCentreStatus, ...]
-    founders: tuple[IncarnationId, ...]
+    founders: tuple[ServiceFounders, ...]
     fresh_age_ms: int
 
 
--- /dev/null
+++ b/packages/core/src/apricotpath/signing.py
@@ -0,0 +1,371 @@
+"""Ed25519 keys, signed envelopes with delegated keys, and signed operator requests."""
+
+import base64
+import binascii
+import hashlib
+import json
+import os
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+
+from apricotpath.errors import InputError, SignatureError
+from apricotpath.ids import KeyId
+
+PUBLIC_KEY_BYTES = 32
+KEY_ID_BYTES = 16
+# An envelope is stored as one value (1 MB) and sent in one frame (1 MiB).
+MAX_ENVELOPE_BYTES = 768 << 10
+MAX_CHAIN = 16
+# An operator's clock may differ from an entry's by this much.
+CLOCK_SKEW_S = 30.0
+# Signed requests that one entry remembers; more in the window are refused.
+MAX_NONCES = 20_000
+MAX_NONCE_CHARACTERS = 64
+SCHEME = "Apricotpath"
+
+# A prefix per use keeps a signature made for one use from being valid for another.
+_ENVELOPE = b"apricotpath envelope 1\0"
+_DELEGATION = b"apricotpath delegation 1\0"
+_REQUEST = b"apricotpath request 1\0"
+
+
+@dataclass(frozen=True, slots=True)
+class Delegation:
+    """Statement of an older key (`by`) that a new public key is to be trusted."""
+
+    public_key: str
+    by: KeyId
+    signature: str
+
+
+@dataclass(frozen=True, slots=True)
+class SigningKey:
+    """A private key and the delegations that lead to it from a key in the settings."""
+
+    private: Ed25519PrivateKey
+    chain: tuple[Delegation, ...] = ()
+
+    @property
+    def public_text(self) -> str:
+        """Public key as it is written in `trusted_keys`: base64 of 32 bytes."""
+        return _encode(
+            self.private.public_key().public_bytes(
+                serialization.Encoding.Raw, serialization.PublicFormat.Raw
+            )
+        )
+
+    @property
+    def key_id(self) -> KeyId:
+        """Id of the public key."""
+        return key_id(self.public_text)
+
+    def sign(self, prefix: bytes, data: bytes) -> str:
+        """Return the base64 signature of data for one use."""
+        return _encode(self.private.sign(prefix + data))
+
+
+@dataclass(frozen=True, slots=True)
+class SignedEnvelope:
+    """Exact payload bytes with a signature."""
+
+    payload: bytes
+    key: KeyId
+    signature: str
+    chain: tuple[Delegation, ...] = ()
+
+    def to_bytes(self) -> bytes:
+        """Return the envelope as JSON."""
+        value = {
+            "payload": _encode(self.payload),
+            "key": self.key,
+            "signature": self.signature,
+            "chain": chain_to_json(self.chain),
+        }
+        return json.dumps(value, separators=(",", ":")).encode()
+
+
+@dataclass(frozen=True, slots=True)
+class Trust:
+    """Public keys by id that are trusted now, and the ids that are revoked."""
+
+    keys: Mapping[KeyId, str]
+    revoked: frozenset[KeyId] = frozenset()
+
+    @classmethod
+    def of(cls, texts: Sequence[str], revoked: Sequence[KeyId] = ()) -> "Trust":
+        """Return the trust in public keys given as text; raises SignatureError."""
+        return cls({key_id(text): text for text in texts}, frozenset(revoked))
+
+    def extended(self, chain: Sequence[Delegation]) -> dict[KeyId, str]:
+        """Return the trusted keys with those that a chain adds, without revoked ones.
+
+        A delegation by a key that is unknown or revoked adds nothing.
+        """
+        if len(chain) > MAX_CHAIN:
+            raise SignatureError(f"the delegation chain is longer than {MAX_CHAIN} keys")
+        known = {key: text for key, text in self.keys.items() if key not in self.revoked}
+        for item in chain:
+            issuer = known.get(item.by)
+            new = key_id(item.public_key)
+            if issuer is None or new in self.revoked:
+                continue
+            _verify(issuer, _DELEGATION + _decode(item.public_key), item.signature)
+            known[new] = item.public_key
+        return known
+
+
+@dataclass(frozen=True, slots=True)
+class RequestProof:
+    """Credentials of one operator request; `time_ms` is UTC since 1970."""
+
+    key: KeyId
+    time_ms: int
+    nonce: str
+    signature: str
+    chain: tuple[Delegation, ...] = ()
+
+
+def generate_key() -> SigningKey:
+    """Return a new key."""
+    return SigningKey(Ed25519PrivateKey.generate())
+
+
+def rotate_key(old: SigningKey) -> SigningKey:
+    """Return a new key that the old one vouches for."""
+    new = generate_key()
+    signature = old.sign(_DELEGATION, _decode(new.public_text))
+    return SigningKey(new.private, (*old.chain, Delegation(new.public_text, old.key_id, signature)))
+
+
+def key_id(public_text: str) -> KeyId:
+    """Return the id of a public key given as text, or raise SignatureError."""
+    raw = _decode(public_text)
+    if len(raw) != PUBLIC_KEY_BYTES:
+        raise SignatureError("a public key must be the base64 form of 32 bytes")
+    return KeyId(hashlib.sha256(raw).hexdigest()[: 2 * KEY_ID_BYTES])
+
+
+def save_key(key: SigningKey, path: Path) -> None:
+    """Write a key (PEM, mode 600) and its chain beside it; never overwrites a file."""
+    pem = key.private.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    write_private(path, pem)
+    if key.chain:
+        write_private(chain_path(path), json.dumps(chain_to_json(key.chain), indent=2).encode())
+
+
+def write_private(path: Path, data: bytes) -> None:
+    """Create a file that only its owner can read; raises InputError if it exists."""
+    try:
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+        with os.fdopen(descriptor, "wb") as file:
+            file.write(data)
+    except OSError as exc:
+        raise InputError(f"{path}: cannot be written: {exc.strerror}") from exc
+
+
+def load_key(path: Path) -> SigningKey:
+    """Read a key file and its chain; refuses a file that others can read."""
+    try:
+        mode = path.stat().st_mode & 0o777
+        if mode & 0o077:
+            raise SignatureError(f"{path}: mode {mode:o} lets others read the key; use 600")
+        private = serialization.load_pem_private_key(path.read_bytes(), password=None)
+    except OSError as exc:
+        raise SignatureError(f"{path}: cannot be read: {exc.strerror}") from exc
+    except (ValueError, TypeError) as exc:
+        raise SignatureError(f"{path}: is not a private key in PEM form") from exc
+    if not isinstance(private, Ed25519PrivateKey):
+        raise SignatureError(f"{path}: is not an Ed25519 key")
+    chain = chain_path(path)
+    if not chain.exists():
+        return SigningKey(private)
+    return SigningKey(private, chain_from_json(_load_json(chain.read_bytes())))
+
+
+def chain_path(path: Path) -> Path:
+    """Return the file that holds the delegation chain of a key file."""
+    return path.with_name(path.name + ".chain")
+
+
+def chain_to_json(chain: Sequence[Delegation]) -> list[dict[str, str]]:
+    """Return a chain as JSON values."""
+    return [
+        {"public_key": item.public_key, "by": item.by, "signature": item.signature}
+        for item in chain
+    ]
+
+
+def chain_from_json(value: Any) -> tuple[Delegation, ...]:
+    """Return a chain from JSON values, or raise SignatureError."""
+    if not isinstance(value, list) or len(value) > MAX_CHAIN:
+        raise SignatureError(f"a delegation chain must be a list of at most {MAX_CHAIN} items")
+    return tuple(
+        Delegation(_text(item, "public_key"), KeyId(_text(item, "by")), _text(item, "signature"))
+        for item in value
+    )
+
+
+def seal(payload: bytes, key: SigningKey) -> SignedEnvelope:
+    """Return a signed envelope of the payload."""
+    return SignedEnvelope(payload, key.key_id, key.sign(_ENVELOPE, payload), key.chain)
+
+
+def parse_envelope(data: bytes) -> SignedEnvelope:
+    """Return an envelope from its JSON form without checking the signature."""
+    if len(data) > MAX_ENVELOPE_BYTES:
+        raise SignatureError(f"an envelope may have at most {MAX_ENVELOPE_BYTES} bytes")
+    value = _load_json(data)
+    return SignedEnvelope(
+        _decode(_text(value, "payload")),
+        KeyId(_text(value, "key")),
+        _text(value, "signature"),
+        chain_from_json(value.get("chain", [])),
+    )
+
+
+def check_envelope(envelope: SignedEnvelope, trust: Trust) -> bytes:
+    """Return the payload if a trusted key signed it, or raise SignatureError."""
+    public = _trusted(envelope.key, trust, envelope.chain)
+    _verify(public, _ENVELOPE + envelope.payload, envelope.signature)
+    return envelope.payload
+
+
+def sign_request(
+    key: SigningKey, method: str, target: str, body: bytes, time_ms: int, nonce: str
+) -> dict[str, str]:
+    """Return the headers that sign a request; `target` is path and query as sent."""
+    signature = key.sign(_REQUEST, _request_text(method, target, body, time_ms, nonce))
+    fields = f'key="{key.key_id}", time="{time_ms}", nonce="{nonce}", signature="{signature}"'
+    headers = {"Authorization": f"{SCHEME} {fields}"}
+    if key.chain:
+        chain = json.dumps(chain_to_json(key.chain), separators=(",", ":")).encode()
+        headers["Apricotpath-Chain"] = _encode(chain)
+    return headers
+
+
+def parse_proof(authorization: str, chain: str = "") -> RequestProof:
+    """Return the credentials in the headers of a request, or raise SignatureError."""
+    scheme, _, rest = authorization.partition(" ")
+    if scheme != SCHEME:
+        raise SignatureError("the request carries no Apricotpath credentials")
+    values = {}
+    for part in rest.split(","):
+        name, _, value = part.strip().partition("=")
+        values[name] = value.strip('"')
+    time_text, nonce = values.get("time", ""), values.get("nonce", "")
+    if not time_text.isascii() or not time_text.isdecimal() or len(time_text) > 16:
+        raise SignatureError("the time in the credentials is not a number of milliseconds")
+    if not 1 <= len(nonce) <= MAX_NONCE_CHARACTERS:
+        raise SignatureError("the nonce in the credentials is missing or too long")
+    delegations = chain_from_json(_load_json(_decode(chain))) if chain else ()
+    return RequestProof(
+        KeyId(_text(values, "key")),
+        int(time_text),
+        nonce,
+        _text(values, "signature"),
+        delegations,
+    )
+
+
+@dataclass(slots=True)
+class NonceCache:
+    """Nonces of signed requests that could still be replayed."""
+
+    seen: dict[tuple[KeyId, str], int] = field(default_factory=dict)
+
+    def add(self, key: KeyId, nonce: str, time_ms: int, now_ms: int) -> None:
+        """Remember a nonce, or raise SignatureError if it is known or there are too many."""
+        oldest = now_ms - int(2 * CLOCK_SKEW_S * 1000)
+        if len(self.seen) >= MAX_NONCES:
+            self.seen = {item: at for item, at in self.seen.items() if at >= oldest}
+        if (key, nonce) in self.seen:
+            raise SignatureError("the request was received before", rule="replay")
+        if len(self.seen) >= MAX_NONCES:
+            raise SignatureError("too many signed requests within the clock skew", rule="replay")
+        self.seen[(key, nonce)] = time_ms
+
+
+def check_request(
+    proof: RequestProof,
+    method: str,
+    target: str,
+    body: bytes,
+    trust: Trust,
+    now_ms: int,
+    nonces: NonceCache,
+) -> KeyId:
+    """Return the key that signed a request, or raise SignatureError.
+
+    The nonce is remembered only after the signature proved right, so that
+    nobody without a key can fill the cache.
+    """
+    if abs(now_ms - proof.time_ms) > CLOCK_SKEW_S * 1000:
+        raise SignatureError(
+            f"the request's time differs from the entry's by more than {CLOCK_SKEW_S:g} s",
+            rule="clock skew",
+        )
+    public = _trusted(proof.key, trust, proof.chain)
+    text = _request_text(method, target, body, proof.time_ms, proof.nonce)
+    _verify(public, _REQUEST + text, proof.signature)
+    nonces.add(proof.key, proof.nonce, proof.time_ms, now_ms)
+    return proof.key
+
+
+def _request_text(method: str, target: str, body: bytes, time_ms: int, nonce: str) -> bytes:
+    digest = hashlib.sha256(body).hexdigest()
+    # JSON keeps the fields apart whatever characters they hold.
+    return json.dumps([method.upper(), target, digest, time_ms, nonce]).encode()
+
+
+def _trusted(key: KeyId, trust: Trust, chain: Sequence[Delegation]) -> str:
+    if key in trust.revoked:
+        raise SignatureError(f"key {key} is revoked", rule="revoked_keys")
+    public = trust.extended(chain).get(key)
+    if public is None:
+        raise SignatureError(f"key {key} is not trusted", rule="trusted_keys")
+    return public
+
+
+def _verify(public_text: str, data: bytes, signature: str) -> None:
+    try:
+        Ed25519PublicKey.from_public_bytes(_decode(public_text)).verify(_decode(signature), data)
+    except (InvalidSignature, ValueError) as exc:
+        raise SignatureError("a signature does not match", rule="signature") from exc
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode("ascii")
+
+
+def _decode(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError) as exc:
+        raise SignatureError("a key, signature or payload is not valid base64") from exc
+
+
+def _load_json(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as exc:
+        raise SignatureError("the signed data is not valid JSON") from exc
+
+
+def _text(value: Any, name: str) -> str:
+    found = value.get(name) if isinstance(value, dict) else None
+    if not isinstance(found, str) or not found:
+        raise SignatureError(f"the signed data has no field {name!r}")
+    return found
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -168,11 +168,16 @@
   request @1 :Text;
 }
 
+struct ServiceFounders {
+  service @0 :Text;
+  incarnations @1 :List(Text);
+}
+
 struct ControlUpdate {
   bundleVersion @0 :Int64;
   bundle @1 :Data;
   statuses @2 :List(DataCentreStatus);
-  founders @3 :List(Text);
+  founders @3 :List(ServiceFounders);
   freshAgeMs @4 :Int64;
 }
 
