--- a/packages/daemon/src/apricotpathd/controlflow.py
+++ b/packages/daemon/src/apricotpathd/controlflow.py
@@ -208,10 +208,10 @@
         status = self.control.status(dc)
         if status.state is not ServiceState.OUT:
             return False
-        stored = self._stored.get(dc)
-        if stored is not None and not supersedes(status, stored[0]):
-            if now - stored[1] >= cfg.fresh_s + cfg.start_window_s:
-                return True
+        stored, stored_at = self._stored.get(dc, (None, now))
+        is_stored = stored is not None and not supersedes(status, stored)
+        if is_stored and now - stored_at >= cfg.fresh_s + cfg.start_window_s:
+            return True
         times = [self._status_time(entry, status) for entry in entries]
         if any(at is None for at in times):
             return False
