--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -22,6 +22,7 @@
     signing_key,
 )
 from apricotpath_cli.output import print_fields, print_json
+from apricotpath_cli.views import status_rows
 
 PUT_TRIES = 3
 RETRY_S = 0.5
@@ -175,6 +176,4 @@
 
 
 def _status(args: argparse.Namespace) -> int:
-    from apricotpath_cli.views import status_rows
-
     return status_rows(args, lambda value: [value.get("bundle", {})])
--- a/packages/cli/src/apricotpath_cli/client.py
+++ b/packages/cli/src/apricotpath_cli/client.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, TypeVar
 
 import anyio
@@ -113,7 +114,7 @@
             except ApricotpathError as exc:
                 return Answer(entry, {}, exc)
 
-        return await gather([lambda entry=entry: one(entry) for entry in self.entries])
+        return await gather([partial(one, entry) for entry in self.entries])
 
 
 async def gather(calls: Sequence[Callable[[], Awaitable[T]]]) -> list[T]:
--- a/packages/cli/src/apricotpath_cli/cmdline.py
+++ b/packages/cli/src/apricotpath_cli/cmdline.py
@@ -33,9 +33,9 @@
         raise InputError(f"{message} (see '{self.prog} --help')")
 
 
-def build_parser() -> Parser:
+def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command."""
-    parser = Parser(
+    parser: argparse.ArgumentParser = Parser(
         prog="apricotpath",
         description="Operators' command of apricotpath.",
         epilog="exit codes: 0 done, 1 failed, 2 bad input (nothing changed), "
--- a/packages/cli/src/apricotpath_cli/confirm.py
+++ b/packages/cli/src/apricotpath_cli/confirm.py
@@ -1,6 +1,6 @@
 """Waiting until a change is in force."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -14,9 +14,13 @@
 
 # Tells from an entry's status whether the change is in force as far as it knows.
 InForce = Callable[[dict[str, Any]], bool]
+# Looks at each poll's answers, for example to send a change to an entry that lacks it.
+Review = Callable[[list[Answer]], Awaitable[None]]
 
 
-async def wait_in_force(client: Client, what: str, in_force: InForce, wait_s: float) -> int:
+async def wait_in_force(
+    client: Client, what: str, in_force: InForce, wait_s: float, review: Review | None = None
+) -> int:
     """Poll the entries until every one that answers, and at least one, reports it.
 
     An entry judges this for the whole deployment, so one that cannot be
@@ -33,6 +37,8 @@
                 progress.done()
                 print(f"{what}: in force")
                 return EXIT_DONE
+            if review is not None:
+                await review(answers)
             await anyio.sleep(POLL_S)
     progress.done()
     print(f"{what}: accepted, not yet in force")
--- a/packages/cli/src/apricotpath_cli/datacentres.py
+++ b/packages/cli/src/apricotpath_cli/datacentres.py
@@ -6,10 +6,12 @@
 
 import anyio
 
-from apricotpath.errors import ApricotpathError, ConflictError, InputError
+from apricotpath.errors import ApricotpathError, ConflictError, InputError, NotFoundError
+from apricotpath.ids import DataCentreId
+from apricotpath.messages import DataCentreStatus
 from apricotpath.model import ServiceState
-from apricotpath_cli.client import Answer, Client, EntryFailed, EntryUnavailable
-from apricotpath_cli.confirm import EXIT_NOT_YET, wait_in_force
+from apricotpath_cli.client import Answer, Client
+from apricotpath_cli.confirm import wait_in_force
 from apricotpath_cli.options import (
     Groups,
     add_entries,
@@ -64,30 +66,28 @@
 
     Entries that do not answer get it from the others, or from a later try.
     """
-    what = f"data centre {dc} {state.value}"
     seq, known = await _next_seq(client, dc)
     if not known:
         raise InputError(f"no entry knows a data centre {dc!r}")
     for attempt in range(TRIES):
-        answers = await _send(client, dc, seq, state)
-        if any(answer.error is None for answer in answers):
-            break
-        failed = [answer.error for answer in answers if answer.error is not None]
-        decisive = [e for e in failed if not isinstance(e, EntryUnavailable | EntryFailed)]
-        if decisive and not any(isinstance(exc, ConflictError) for exc in decisive):
-            raise decisive[0]
-        if attempt == TRIES - 1:
-            raise failed[0]
+        wanted = DataCentreStatus(DataCentreId(dc), seq, state)
+        errors = [answer.error for answer in await _send(client, wanted)]
+        if None in errors:
+            return await _confirm(client, wanted, wait_s)
+        failed = [exc for exc in errors if exc is not None]
+        refused = [exc for exc in failed if isinstance(exc, InputError | NotFoundError)]
+        if refused or attempt == TRIES - 1:
+            raise (refused or failed)[0]
         await anyio.sleep(RETRY_S)
-        # Another operator's change came first, so this one needs a higher number.
+        # Another operator's change may have come first; then this one needs a higher number.
         seq = max(seq, (await _next_seq(client, dc))[0])
-    return await _confirm(client, dc, seq, state, what, wait_s)
+    raise AssertionError("unreachable")
 
 
-async def _send(client: Client, dc: str, seq: int, state: ServiceState) -> list[Answer]:
-    target = f"/v1/datacentres/{quote(dc, safe='')}"
-    body = {"seq": seq, "state": state.value}
-    if state is ServiceState.OUT:
+async def _send(client: Client, wanted: DataCentreStatus) -> list[Answer]:
+    target = f"/v1/datacentres/{quote(wanted.data_centre, safe='')}"
+    body = {"seq": wanted.seq, "state": wanted.state.value}
+    if wanted.state is ServiceState.OUT:
         return await client.all("PUT", target, body)
     # A bring-back is one compare-and-swap in the store; any entry can do it.
     try:
@@ -99,38 +99,53 @@
 async def _next_seq(client: Client, dc: str) -> tuple[int, bool]:
     """Return a number above every known one, and whether any entry knows the data centre."""
     answers = await client.all("GET", "/v1/status")
-    rows = [row for answer in answers for row in _rows(answer.value) if _row_is(row, dc)]
-    if all(answer.error is not None for answer in answers):
-        error = answers[0].error
-        assert error is not None
-        raise error
-    return 1 + max((int(row.get("seq", 0)) for row in rows), default=0), bool(rows)
+    failed = [answer.error for answer in answers if answer.error is not None]
+    if len(failed) == len(answers):
+        raise failed[0]
+    rows = [row for answer in answers if (row := _row(answer.value, dc))]
+    return 1 + max((_seq(row) for row in rows), default=0), bool(rows)
 
 
-def _rows(status: dict[str, Any]) -> list[Any]:
-    rows = status.get("data_centres", [])
-    return rows if isinstance(rows, list) else []
+async def _confirm(client: Client, wanted: DataCentreStatus, wait_s: float) -> int:
+    def in_force(status: dict[str, Any]) -> bool:
+        row = _row(status, wanted.data_centre)
+        return _has(row, wanted) and row["in_force"] is True
 
+    async def review(answers: list[Answer]) -> None:
+        for answer in answers:
+            if answer.error is None:
+                row = _row(answer.value, wanted.data_centre)
+                if _is_superseded(row, wanted):
+                    raise ConflictError(
+                        f"another operator has since changed data centre {wanted.data_centre} "
+                        f"to {row['state']!r}; check 'dc status' and try again"
+                    )
+                # The entry could not be reached when the change was sent.
+                if wanted.state is ServiceState.OUT and not _has(row, wanted):
+                    await _send(client, wanted)
 
-def _row_is(row: Any, dc: str) -> bool:
-    return isinstance(row, dict) and row.get("data_centre") == dc
+    what = f"data centre {wanted.data_centre} {wanted.state.value}"
+    return await wait_in_force(client, what, in_force, wait_s, review)
 
 
-async def _confirm(
-    client: Client, dc: str, seq: int, state: ServiceState, what: str, wait_s: float
-) -> int:
-    def in_force(status: dict[str, Any]) -> bool:
-        row = next(row for row in _rows(status) if _row_is(row, dc))
-        return bool(row["seq"] >= seq and row["state"] == state.value and row["in_force"] is True)
-
-    def reached(status: dict[str, Any]) -> bool:
-        try:
-            return in_force(status)
-        except StopIteration:
-            return False
-
-    code = await wait_in_force(client, what, reached, wait_s)
-    if code == EXIT_NOT_YET and state is ServiceState.OUT:
-        # An entry that was unreachable at first may be reachable now.
-        await _send(client, dc, seq, state)
-    return code
+def _row(status: dict[str, Any], dc: str) -> dict[str, Any]:
+    rows = status.get("data_centres")
+    found = [
+        row
+        for row in (rows if isinstance(rows, list) else [])
+        if isinstance(row, dict) and row.get("data_centre") == dc
+    ]
+    return found[0] if found else {}
+
+
+def _seq(row: dict[str, Any]) -> int:
+    seq = row.get("seq", 0)
+    return seq if isinstance(seq, int) else 0
+
+
+def _has(row: dict[str, Any], wanted: DataCentreStatus) -> bool:
+    return _seq(row) >= wanted.seq and row.get("state") == wanted.state.value
+
+
+def _is_superseded(row: dict[str, Any], wanted: DataCentreStatus) -> bool:
+    return _seq(row) >= wanted.seq and row.get("state") != wanted.state.value
--- a/packages/cli/src/apricotpath_cli/options.py
+++ b/packages/cli/src/apricotpath_cli/options.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TypeAlias
 from urllib.parse import urlsplit
 
 from apricotpath.config import load_settings
@@ -11,7 +12,7 @@
 from apricotpath.signing import SigningKey, load_key
 
 Handler = Callable[[argparse.Namespace], int]
-Groups = "argparse._SubParsersAction[argparse.ArgumentParser]"
+Groups: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 
 # A bundle or take-out is in force within 5 s today and 19 s at target size.
 DEFAULT_WAIT_S = 20.0
--- a/packages/daemon/src/apricotpathd/operators.py
+++ b/packages/daemon/src/apricotpathd/operators.py
@@ -269,9 +269,9 @@
 def _target(scope: Scope) -> str:
     """Return path and query as the client sent and signed them."""
     raw = scope.get("raw_path") or scope["path"].encode()
-    target = raw.partition(b"?")[0].decode("latin-1")
+    target: str = raw.partition(b"?")[0].decode("latin-1")
     if scope["query_string"]:
-        target += "?" + scope["query_string"].decode("latin-1")
+        target = target + "?" + scope["query_string"].decode("latin-1")
     if len(target) > MAX_TARGET_BYTES:
         raise HttpError(414, f"the path has more than {MAX_TARGET_BYTES} bytes", "size")
     return target
