--- a/packages/core/src/apricotpath/rules.py
+++ b/packages/core/src/apricotpath/rules.py
@@ -1,4 +1,4 @@
-"""What the control state tells a host about tasks."""
+"""What the control state in force says about a piece of work."""
 
 from dataclasses import dataclass
 from datetime import datetime
@@ -10,10 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """Whether an activity may run at one moment.
+    """Whether work may run at one moment, by which rule and bundle.
 
-    `rule` names the rule that decided. `until` is the start of the next
-    forbidden period in UTC, or None when no end is in sight.
+    `until` is the UTC start of the next forbidden period, or None if there is
+    none or the work is forbidden now.
     """
 
     allowed: bool
@@ -33,7 +33,7 @@
         """Tell whether operators have a data centre in service."""
 
     def claim_of(self, service: ServiceId) -> Size:
-        """Return what one backend server of a service occupies on its host."""
+        """Return what one backend server of a service reserves on its host."""
 
     def verdict(self, team: TeamId, activity: str, dc: DataCentreId, utc: datetime) -> Verdict:
         """Decide whether a team's activity may run in a data centre at a UTC time."""
--- a/packages/core/src/apricotpath/servicerules.py
+++ b/packages/core/src/apricotpath/servicerules.py
@@ -1,15 +1,16 @@
-"""What the request path needs to know of the bundle and the data centres' status."""
+"""Rules of a service and its request classes, as the bundle gives them."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from apricotpath.ids import ClassId, DataCentreId, IncarnationId, ServiceId
+from apricotpath.model import Size
 
 
 @dataclass(frozen=True, slots=True)
 class ClassRules:
-    """Rules of one request class; a higher `priority` is shed later.
+    """Rules of one request class; priority 0 is the highest and is shed last.
 
     `deadline_s` applies when the caller names none, and `queue` is the most
     requests of the class that may wait at one entry.
@@ -24,19 +25,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceRules:
-    """Rules of one service, with its request classes by name."""
+    """A service: what each backend server reserves on its host, and its classes."""
 
     service: ServiceId
+    claim: Size
     classes: Mapping[ClassId, ClassRules]
 
 
-class Rules(Protocol):
+class RequestRules(Protocol):
     """The control state as the request path sees it; all calls are immediate."""
 
     def service_rules(self, service: ServiceId) -> ServiceRules | None:
         """Return the rules of a service, or None if the bundle does not name it."""
 
-    def in_service(self, data_centre: DataCentreId) -> bool:
+    def in_service(self, dc: DataCentreId) -> bool:
         """Tell whether a data centre is in service."""
 
     def founders(self, service: ServiceId) -> frozenset[IncarnationId]:
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -35,7 +35,7 @@
     Settled,
 )
 from apricotpath.model import Maturity, Settlement
-from apricotpath.servicerules import Rules
+from apricotpath.servicerules import RequestRules
 from apricotpath.settle import Answer, KeyTable, RequestTable, StartVerdict, maturity
 
 log = logging.getLogger(__name__)
@@ -133,7 +133,7 @@
         self,
         cfg: AgentSettings,
         incarnation: IncarnationId,
-        rules: Rules,
+        rules: RequestRules,
         client: Callable[[BackendSettings], AsyncClient] | None = None,
     ) -> None:
         assert cfg.backend is not None
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -17,7 +17,7 @@
 from apricotpath.messages import Header
 from apricotpath.metrics import Metrics
 from apricotpath.model import ResultClass
-from apricotpath.servicerules import ClassRules, Rules
+from apricotpath.servicerules import ClassRules, RequestRules
 from apricotpathd.exchange import AnswerStream, CallerRequest, Exchange
 
 log = logging.getLogger(__name__)
@@ -50,7 +50,7 @@
     """ASGI app of one entry; `run` must be running while it serves."""
 
     def __init__(
-        self, cfg: EntrySettings, rules: Rules, exchange: Exchange, metrics: Metrics
+        self, cfg: EntrySettings, rules: RequestRules, exchange: Exchange, metrics: Metrics
     ) -> None:
         self.cfg = cfg
         self.rules = rules
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -50,7 +50,7 @@
 from apricotpath.model import Maturity, Settlement
 from apricotpath.retry import RetryBudget, may_retry
 from apricotpath.routing import Candidate, RoutingTable, choose
-from apricotpath.servicerules import ClassRules, Rules
+from apricotpath.servicerules import ClassRules, RequestRules
 from apricotpath.settle import request_id
 from apricotpathd.hosts import HostRow, HostTable
 
@@ -223,7 +223,7 @@
         self,
         cfg: EntrySettings,
         incarnation: IncarnationId,
-        rules: Rules,
+        rules: RequestRules,
         hosts: HostTable,
         metrics: Metrics,
         rng: Random,
