--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -77,6 +77,22 @@
     """A commitment would exceed the host's size."""
 
 
+class RecordError(ApricotpathError):
+    """A journal record is malformed or of an unknown kind."""
+
+
+class JobError(ApricotpathError):
+    """An operators' call on a job cannot be carried out."""
+
+
+class JobUnknown(JobError):
+    """No such job or task is known to its shard's owner."""
+
+
+class NoOwner(JobError):
+    """No reachable entry owns the shard of the job; nothing was changed."""
+
+
 class RequestError(ApricotpathError):
     """A caller's request has no whole answer."""
 
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -103,6 +103,8 @@
     usage: Size
     checkpoint: str
     progress: float
+    team: TeamId = TeamId("")
+    activity: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -388,11 +390,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAck(Message):
-    """The outcomes of these attempts are journaled and may be forgotten."""
+    """The outcomes of these attempts are journaled and may be forgotten.
+
+    A host ignores it if it knows a higher epoch of the shard: the journal of a
+    former owner is not the one that counts.
+    """
 
     shard: ShardId
     tasks: tuple[TaskId, ...]
     attempts: tuple[int, ...]
+    epoch: Epoch = Epoch(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -56,6 +56,8 @@
   usage @6 :Size;
   checkpoint @7 :Text;
   progress @8 :Float64;
+  team @9 :Text;
+  activity @10 :Text;
 }
 
 struct TaskOutcome {
@@ -256,6 +258,7 @@
   shard @0 :Int64;
   tasks @1 :List(Text);
   attempts @2 :List(Int64);
+  epoch @3 :Int64;
 }
 
 struct JobCall {
