--- a/packages/core/src/apricotpath/jobs.py
+++ b/packages/core/src/apricotpath/jobs.py
@@ -25,6 +25,9 @@
     TasksFinished,
 )
 
+NO_HOST = HostId("")
+NO_PROCESS = ProcessId("")
+
 
 def shard_of(job: JobId, shards: int) -> ShardId:
     """Return a job's shard, the same in every process."""
@@ -50,8 +53,8 @@
 
     state: TaskState = TaskState.WAITING
     attempt: int = 0
-    host: HostId = HostId("")
-    process: ProcessId = ProcessId("")
+    host: HostId = NO_HOST
+    process: ProcessId = NO_PROCESS
     checkpoint: str = ""
     failures: int = 0
     evictions: int = 0
@@ -206,7 +209,7 @@
         task.reason = record.reason
         if task.failures >= row.spec.max_attempts and not row.cancelled:
             row.assigned -= 1
-            task.state, task.host, task.process = TaskState.FAILED, HostId(""), ProcessId("")
+            task.state, task.host, task.process = TaskState.FAILED, NO_HOST, NO_PROCESS
         else:
             _release(row, number, task)
         return True
@@ -317,7 +320,7 @@
 def _release(job: JobRow, number: int, task: TaskRow) -> None:
     """End an attempt whose task may be placed again."""
     job.assigned -= 1
-    task.host, task.process = HostId(""), ProcessId("")
+    task.host, task.process = NO_HOST, NO_PROCESS
     task.state = TaskState.CANCELLED if job.cancelled else TaskState.WAITING
     if not job.cancelled:
         insort(job.returned, number)
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -30,6 +30,9 @@
     TaskClass,
 )
 
+NO_TEAM = TeamId("")
+NO_EPOCH = Epoch(0)
+
 
 @dataclass(frozen=True, slots=True)
 class Message:
@@ -103,7 +106,7 @@
     usage: Size
     checkpoint: str
     progress: float
-    team: TeamId = TeamId("")
+    team: TeamId = NO_TEAM
     activity: str = ""
 
 
@@ -399,7 +402,7 @@
     shard: ShardId
     tasks: tuple[TaskId, ...]
     attempts: tuple[int, ...]
-    epoch: Epoch = Epoch(0)
+    epoch: Epoch = NO_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
@@ -421,10 +424,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareRequest(Message):
-    """Asks the entry that owns a team's limit for part of it."""
+    """Asks the entry that lends a team's limit for part of it.
+
+    `kind` is "size" (a fraction of the quota) or "rate" (starts per second).
+    """
 
     team: TeamId
     amount: float
+    kind: str = "size"
 
 
 @dataclass(frozen=True, slots=True)
@@ -434,6 +441,7 @@
     team: TeamId
     amount: float
     ttl_ms: int
+    kind: str = "size"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/records.py
+++ b/packages/core/src/apricotpath/records.py
@@ -177,12 +177,12 @@
 
 
 @cache
-def _hints(cls: type[Record]) -> dict[str, Any]:
-    return get_type_hints(cls)
+def _hints(kind: str) -> dict[str, Any]:
+    return get_type_hints(KINDS[kind])
 
 
 def _field(cls: type[Record], name: str, value: Any) -> Any:
-    hint = _hints(cls)[name]
+    hint = _hints(cls.__name__)[name]
     while hasattr(hint, "__supertype__"):
         hint = hint.__supertype__
     if hint is JobSpec:
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -275,12 +275,14 @@
 struct ShareRequest {
   team @0 :Text;
   amount @1 :Float64;
+  kind @2 :Text;
 }
 
 struct ShareGrant {
   team @0 :Text;
   amount @1 :Float64;
   ttlMs @2 :Int64;
+  kind @3 :Text;
 }
 
 struct Failure {
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -0,0 +1,182 @@
+"""Commands of a shard's owner to the agents, each under the shard's epoch."""
+
+import logging
+
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.errors import LinkError
+from apricotpath.ids import ProcessId, TaskId
+from apricotpath.link import Link
+from apricotpath.messages import (
+    ClaimShard,
+    EvictTask,
+    Message,
+    OutcomeAck,
+    RenewTasks,
+    StartTask,
+    StopTask,
+    TaskReply,
+    ThrottleTask,
+)
+from apricotpathd.hosts import HostRow
+from apricotpathd.runs import OwnerState, Phase, Run, Shard
+
+log = logging.getLogger(__name__)
+
+# Codes in `TaskReply` that the owner acts on; any other refusal means only "not here, not now".
+CODE_FENCED = "fenced"
+CODE_WORKER = "worker"
+
+RENEW_CHUNK = 500
+
+
+
+class Commands:
+    """Sends commands; a send that fails is repeated by the systems of a later tick."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self.state = state
+        self.group: TaskGroup | None = None
+
+    def send(self, row: HostRow | None, message: Message) -> bool:
+        """Queue a message to a host; False if its link is closed or full."""
+        if row is None or row.link is None:
+            return False
+        try:
+            row.link.send_nowait(message)
+        except LinkError as exc:
+            log.info("command not sent: %s", exc, extra={"host": row.host})
+            return False
+        return True
+
+    def row(self, process: ProcessId) -> HostRow | None:
+        """Return the row of a host that is present, or None."""
+        row = self.state.hosts.rows.get(process)
+        return row if row is not None and row.present else None
+
+    def claim(self, shard: Shard, row: HostRow, now: float) -> None:
+        """Send the shard's epoch to a host."""
+        shard.claim_sent[row.process] = now
+        self.send(row, ClaimShard(shard.shard, shard.epoch))
+
+    def start(self, shard: Shard, run: Run) -> None:
+        """Send a start, if the control state is fresh and the host reachable.
+
+        The time by which the lease has ended counts from the receipt of the
+        heartbeat that the start answers, which is later than the worker's reading.
+        """
+        state, row = self.state, self.row(run.process)
+        if row is None or row.leaving or not state.is_fresh() or self.group is None:
+            return
+        link = row.link
+        if link is None or link.last_heartbeat is None or link.last_heartbeat.worker_clock_ms <= 0:
+            return
+        if shard.claims.get(run.process) != row.incarnation:
+            return
+        if not state.rules.in_service(row.announce.data_centre):
+            return
+        heartbeat, received_at = link.last_heartbeat, link.last_heartbeat_at
+        run.expires_at = max(
+            run.expires_at if run.sends else 0.0, received_at + state.lease_total_s
+        )
+        run.anchor_clock_ms = heartbeat.worker_clock_ms
+        run.anchor_incarnation = row.incarnation
+        run.sends += 1
+        run.sent_at = anyio.current_time()
+        run.phase = Phase.STARTING
+        self.group.start_soon(self._start, shard, run, link, self._start_message(shard, run))
+
+    def _start_message(self, shard: Shard, run: Run) -> StartTask:
+        spec = run.spec
+        return StartTask(
+            shard=shard.shard,
+            epoch=shard.epoch,
+            task=run.task,
+            attempt=run.attempt,
+            team=spec.team,
+            activity=spec.activity,
+            task_class=spec.task_class,
+            size=spec.size,
+            command=spec.command,
+            run_time_s=spec.run_time_s,
+            checkpoint=run.checkpoint,
+            checkpoint_s=spec.checkpoint_s,
+            anchor_incarnation=run.anchor_incarnation,
+            anchor_clock_ms=run.anchor_clock_ms,
+            bundle_version=self.state.rules.bundle_version,
+        )
+
+    async def _start(self, shard: Shard, run: Run, link: Link, message: StartTask) -> None:
+        try:
+            reply = await link.call(message)
+        except LinkError as exc:
+            log.info("start unanswered: %s", exc, extra={"task": run.task, "attempt": run.attempt})
+            return
+        if not isinstance(reply, TaskReply) or shard.dropped:
+            return
+        if reply.accepted:
+            if run.phase is Phase.STARTING:
+                run.accepted, run.phase = True, Phase.RUNNING
+            return
+        self._refused(shard, run, reply)
+
+    def _refused(self, shard: Shard, run: Run, reply: TaskReply) -> None:
+        log.info("start refused: %s", reply.reason, extra={"task": run.task, "code": reply.code})
+        if reply.code == CODE_FENCED:
+            self.state.drop(shard, f"host {run.host} knows a newer owner of shard {shard.shard}")
+            return
+        if reply.code == CODE_WORKER:
+            self.state.health.record(run.process, run.job, False, anyio.current_time())
+        # The host is taken as full until its next report, as other owners may have used it.
+        self.state.index.remove(run.process)
+        # A refusal of the only copy proves that the attempt never runs. After a repeated
+        # start the refusal may concern one copy while the other runs.
+        if run.sends == 1 and run.phase is Phase.STARTING:
+            run.expires_at = 0.0
+
+    def stop(self, shard: Shard, row: HostRow, task: TaskId, attempt: int, reason: str) -> None:
+        """Stop an attempt without a checkpoint."""
+        self.send(row, StopTask(shard.shard, shard.epoch, task, attempt, reason))
+
+    def evict(self, shard: Shard, run: Run, reason: str, now: float) -> bool:
+        """Ask for a checkpoint and stop of an attempt."""
+        message = EvictTask(shard.shard, shard.epoch, run.task, run.attempt, reason)
+        if not self.send(self.row(run.process), message):
+            return False
+        if run.phase is not Phase.EVICTING:
+            self.state.limits.record(run.job, now)
+        run.phase, run.told_at = Phase.EVICTING, now
+        return True
+
+    def throttle(self, shard: Shard, run: Run, share: float, now: float) -> None:
+        """Limit an attempt to a share of its processors."""
+        message = ThrottleTask(shard.shard, shard.epoch, run.task, run.attempt, share)
+        if self.send(self.row(run.process), message):
+            run.share, run.told_at = share, now
+
+    def acknowledge(self, shard: Shard, row: HostRow, ended: list[tuple[TaskId, int]]) -> None:
+        """Tell a host that outcomes are journaled."""
+        tasks, attempts = tuple(t for t, _ in ended), tuple(a for _, a in ended)
+        self.send(row, OutcomeAck(shard.shard, tasks, attempts, shard.epoch))
+
+    def renew(self, shard: Shard, row: HostRow, runs: list[Run], now: float) -> None:
+        """Renew the leases of attempts on one host."""
+        link = row.link
+        if link is None or link.last_heartbeat is None or link.last_heartbeat.worker_clock_ms <= 0:
+            return
+        clock_ms, received_at = link.last_heartbeat.worker_clock_ms, link.last_heartbeat_at
+        for at in range(0, len(runs), RENEW_CHUNK):
+            chunk = runs[at : at + RENEW_CHUNK]
+            # The end of the lease moves before the message leaves: a message whose
+            # sending seems to fail may still arrive.
+            for run in chunk:
+                run.expires_at = max(run.expires_at, received_at + self.state.lease_total_s)
+                run.renewed_at = now
+            tasks = tuple(run.task for run in chunk)
+            message = RenewTasks(shard.shard, shard.epoch, tasks, row.incarnation, clock_ms)
+            if not self.send(row, message):
+                return
+
+
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -0,0 +1,340 @@
+"""Systems that compare a shard's journal with what the hosts report."""
+
+import logging
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from functools import partial
+
+from apricotpath.errors import JobUnknown
+from apricotpath.ids import JobId, TaskId
+from apricotpath.jobs import shard_of, split_task
+from apricotpath.link import Link
+from apricotpath.messages import HostReport, ShardClaimed, TaskOutcome, TaskReport
+from apricotpath.model import Outcome, RunState, TaskState
+from apricotpath.records import Record, TaskEvicted, TaskFailed, TaskFinished, TaskLost
+from apricotpathd.commands import Commands
+from apricotpathd.hosts import HostRow
+from apricotpathd.runs import OwnerState, Phase, Proposal, Run, Shard
+
+log = logging.getLogger(__name__)
+
+# A start without an answer is sent again after this time, a few times.
+RESEND_S = 1.5
+MAX_SENDS = 3
+# A report proves absence only when its worker clock is past the start window by
+# this margin; heartbeats, and so anchors, are up to the silence limit old.
+ABSENCE_MARGIN_MS = 3000
+# Reports may overtake each other by at most this; a larger step back of the
+# worker's clock is a restart of the worker.
+REORDER_MS = 30_000
+TELL_AGAIN_S = 1.0
+EVICT_AGAIN_S = 3.0
+CLAIM_AGAIN_S = 1.0
+# Claims of one tick are bounded, so that a take-over does not flood the links.
+CLAIMS_PER_TICK = 2000
+
+
+class Reconciler:
+    """Handles claims, reports, outcomes, absences and ends of leases."""
+
+    def __init__(self, state: OwnerState, commands: Commands) -> None:
+        self.state = state
+        self.commands = commands
+
+    def send_claims(self, now: float) -> None:
+        """Claim every linked host for every shard; hosts with assigned tasks first."""
+        budget = CLAIMS_PER_TICK
+        for shard in self.state.shards.values():
+            if not shard.loaded:
+                continue
+            rows = self.state.hosts.rows.values()
+            open_rows = [
+                row
+                for row in rows
+                if row.present and shard.claims.get(row.process) != row.incarnation
+            ]
+            open_rows.sort(key=lambda row: row.process not in shard.by_process)
+            for row in open_rows[:budget]:
+                if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_AGAIN_S:
+                    self.commands.claim(shard, row, now)
+                    budget -= 1
+
+    def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
+        """Take a host's answer to a claim."""
+        shard, row = self.state.shards.get(reply.shard), self.state.row_of(link)
+        if shard is None or row is None or not shard.loaded:
+            return
+        if reply.epoch > shard.epoch:
+            self.state.drop(shard, f"host {row.host} knows epoch {reply.epoch}")
+            return
+        if reply.epoch < shard.epoch or not reply.ready:
+            return
+        if shard.claims.get(row.process) == row.incarnation:
+            return
+        shard.claims[row.process] = row.incarnation
+        present = {(task.task, task.attempt): task for task in reply.tasks}
+        for task in list(shard.by_process.get(row.process, ())):
+            run = shard.runs[task]
+            if run.phase is Phase.HELD:
+                self._account(run, row, present.get((task, run.attempt)), now)
+        self._outcomes(shard, row, reply.outcomes, now)
+        self.state.refresh_host(row.process)
+
+    def _account(self, run: Run, row: HostRow, report: TaskReport | None, now: float) -> None:
+        """Settle a task held since the take-over, now that its host is fenced.
+
+        If the host does not list it, a start by the former owner may still be
+        on its way to the worker, until the start window has passed.
+        """
+        run.expires_at = now + self.state.lease_total_s
+        if report is not None:
+            self._seen(run, report, now)
+            return
+        heartbeat = row.link.last_heartbeat if row.link is not None else None
+        run.anchor_clock_ms = heartbeat.worker_clock_ms if heartbeat is not None else 0
+        run.anchor_incarnation = row.incarnation
+        run.sends = MAX_SENDS
+        run.phase = Phase.STARTING
+
+    def take_reports(self, now: float) -> None:
+        """Handle the newest report of every host that sent one since the last tick."""
+        inbox, self.state.inbox = self.state.inbox, {}
+        for process, (link, report) in inbox.items():
+            row = self.state.row_of(link)
+            if row is None or self._is_older(row, report):
+                continue
+            self.state.reports[process] = (row.incarnation, report)
+            if report.ready:
+                self._report(row, report, now)
+            self.state.refresh_host(process)
+            self._learn(row, report, now)
+
+    def _is_older(self, row: HostRow, report: HostReport) -> bool:
+        known = self.state.reports.get(row.process)
+        if known is None or known[0] != row.incarnation:
+            return False
+        return 0 < known[1].worker_clock_ms - report.worker_clock_ms < REORDER_MS
+
+    def _report(self, row: HostRow, report: HostReport, now: float) -> None:
+        listed: set[tuple[TaskId, int]] = set()
+        for task in report.tasks:
+            listed.add((task.task, task.attempt))
+            shard = self.state.shards.get(task.shard)
+            if shard is not None and shard.loaded:
+                self._task(shard, row, task, now)
+        outcomes: dict[int, list[TaskOutcome]] = defaultdict(list)
+        for outcome in report.outcomes:
+            listed.add((outcome.task, outcome.attempt))
+            outcomes[outcome.shard].append(outcome)
+        for shard in list(self.state.shards.values()):
+            if shard.claims.get(row.process) != row.incarnation:
+                continue
+            self._outcomes(shard, row, outcomes.get(shard.shard, ()), now)
+            for name in list(shard.by_process.get(row.process, ())):
+                run = shard.runs[name]
+                if (name, run.attempt) not in listed and name not in shard.busy:
+                    self._absent(shard, run, row, report, now)
+
+    def _task(self, shard: Shard, row: HostRow, task: TaskReport, now: float) -> None:
+        if task.epoch > shard.epoch:
+            self.state.drop(shard, f"host {row.host} runs a task under epoch {task.epoch}")
+            return
+        if task.state in (RunState.ENDED, RunState.STOPPING):
+            self._update(shard.runs.get(task.task), task, row)
+            return
+        if shard.claims.get(row.process) != row.incarnation:
+            return
+        run = shard.runs.get(task.task)
+        if run is not None and run.attempt == task.attempt and run.process == row.process:
+            self._seen(run, task, now)
+            return
+        self.commands.stop(shard, row, task.task, task.attempt, "not assigned to this host")
+
+    @staticmethod
+    def _update(run: Run | None, task: TaskReport, row: HostRow) -> bool:
+        if run is None or run.attempt != task.attempt or run.process != row.process:
+            return False
+        run.absent = 0
+        return True
+
+    def _seen(self, run: Run, task: TaskReport, now: float) -> None:
+        """Note that an attempt runs. A held one is renewed from now on."""
+        if run.phase in (Phase.HELD, Phase.STARTING, Phase.UNSENT):
+            run.expires_at = max(
+                run.expires_at if run.phase is Phase.STARTING else 0.0,
+                now + self.state.lease_total_s,
+            )
+            run.phase = Phase.RUNNING
+        run.seen_at, run.absent, run.progress = now, 0, task.progress
+        if task.checkpoint != run.checkpoint:
+            run.checkpoint, run.kept = task.checkpoint, task.progress
+
+    def _absent(
+        self, shard: Shard, run: Run, row: HostRow, report: HostReport, now: float
+    ) -> None:
+        """Judge an assigned attempt that its host lists neither as running nor as ended."""
+        if run.phase in (Phase.PROPOSED, Phase.UNSENT, Phase.HELD):
+            return
+        policy = self.state.policy
+        settled_ms = run.anchor_clock_ms + 1000 * policy.start_window_s + ABSENCE_MARGIN_MS
+        known_clock = run.anchor_incarnation == row.incarnation
+        if run.accepted or run.seen_at is not None:
+            # The worker has lost it, perhaps by a restart. Its lease is not renewed any more.
+            run.absent += known_clock and report.worker_clock_ms > settled_ms or not known_clock
+            return
+        if run.sends < MAX_SENDS and not run.cancelled and now - run.sent_at >= RESEND_S:
+            self.commands.start(shard, run)
+        elif known_clock and report.worker_clock_ms > settled_ms:
+            run.expires_at = 0.0
+
+    def _outcomes(
+        self, shard: Shard, row: HostRow, outcomes: Iterable[TaskOutcome], now: float
+    ) -> None:
+        """Journal outcomes, then acknowledge them; known ones are acknowledged at once."""
+        if not shard.usable:
+            return
+        records: list[Record] = []
+        journaled, known = [], []
+        for outcome in outcomes:
+            run = shard.runs.get(outcome.task)
+            if outcome.task in shard.busy:
+                continue
+            if run is not None and run.attempt == outcome.attempt and run.process == row.process:
+                records.append(record_of(outcome))
+                journaled.append((outcome.task, outcome.attempt))
+                self._health(run, outcome, now)
+            elif self._is_past(shard, outcome):
+                known.append((outcome.task, outcome.attempt))
+        if known:
+            self.commands.acknowledge(shard, row, known)
+        if records:
+            done = partial(self.commands.acknowledge, shard, row, journaled)
+            self.end(shard, records, done)
+
+    def _is_past(self, shard: Shard, outcome: TaskOutcome) -> bool:
+        """Tell whether the journal already knows how an attempt ended."""
+        try:
+            job, number = split_task(outcome.task)
+        except JobUnknown:
+            return True
+        if shard_of(job, self.state.policy.shards) != shard.shard:
+            return False
+        row = shard.table.jobs.get(job)
+        if row is None or row.is_finished(number):
+            return True
+        task = row.rows.get(number)
+        if task is None:
+            return False
+        if task.state is TaskState.ASSIGNED:
+            return task.attempt > outcome.attempt
+        return task.attempt >= outcome.attempt
+
+    def _health(self, run: Run, outcome: TaskOutcome, now: float) -> None:
+        health, state = self.state.health, outcome.outcome
+        if state is Outcome.FAILED:
+            health.record(run.process, run.job, False, now)
+        elif state in (Outcome.FINISHED, Outcome.EVICTED):
+            health.record(run.process, run.job, True, now)
+
+    def end(self, shard: Shard, records: list[Record], done: object = None) -> None:
+        """Journal records that end attempts, then remove these from memory."""
+        tasks = [record.task for record in records]  # type: ignore[attr-defined]
+        shard.busy.update(tasks)
+
+        def applied(_: list[bool]) -> None:
+            shard.busy.difference_update(tasks)
+            for task in tasks:
+                run = self.state.remove_run(shard, task)
+                if run is not None:
+                    self.state.refresh_host(run.process)
+            if callable(done):
+                done()
+
+        def failed(_: Exception) -> None:
+            shard.busy.difference_update(tasks)
+
+        shard.propose(Proposal(records, applied, failed))
+
+    def _learn(self, row: HostRow, report: HostReport, now: float) -> None:
+        activities = Counter(task.activity for task in report.tasks if task.activity)
+        self.state.estimates.observe(
+            row.process, row.announce.service, activities, report.pressure, now
+        )
+
+    def expire(self, now: float) -> None:
+        """Declare attempts lost whose lease has surely ended."""
+        for shard in self.state.shards.values():
+            if not shard.usable:
+                continue
+            lost: list[Record] = [
+                TaskLost(run.task, run.attempt)
+                for run in shard.runs.values()
+                if now >= run.expires_at
+                and run.phase is not Phase.PROPOSED
+                and run.task not in shard.busy
+            ]
+            if lost:
+                log.info("%d attempts lost", len(lost), extra={"shard": shard.shard})
+                self.end(shard, lost)
+
+    def renew(self, now: float, last_store_contact: float) -> None:
+        """Renew the leases of running attempts, unless the store is out for too long.
+
+        A new owner waits `run_hold_s` for tasks on hosts that it cannot reach,
+        so an owner without the store must stop renewing by then.
+        """
+        policy = self.state.policy
+        if now - last_store_contact >= policy.run_hold_s:
+            return
+        due_s = policy.task_lease_s / 3.0
+        for shard in list(self.state.shards.values()):
+            by_process: dict[str, list[Run]] = defaultdict(list)
+            for run in shard.runs.values():
+                if (
+                    now - run.renewed_at >= due_s
+                    and run.phase in (Phase.RUNNING, Phase.EVICTING)
+                    and not run.absent
+                    and not run.cancelled
+                    and now < run.expires_at
+                    and run.task not in shard.busy
+                ):
+                    by_process[run.process].append(run)
+            for process, runs in by_process.items():
+                row = self.state.hosts.rows.get(runs[0].process)
+                if row is not None and row.present:
+                    assert process == row.process
+                    self.commands.renew(shard, row, runs, now)
+
+    def stop_cancelled(self, now: float) -> None:
+        """Stop attempts of cancelled jobs, and repeat evictions without an effect."""
+        for shard in self.state.shards.values():
+            for run in shard.runs.values():
+                if run.cancelled and now - run.told_at >= TELL_AGAIN_S:
+                    row = self.commands.row(run.process)
+                    if row is not None and run.phase is not Phase.PROPOSED:
+                        run.told_at = now
+                        self.commands.stop(shard, row, run.task, run.attempt, "job cancelled")
+                elif run.phase is Phase.EVICTING and now - run.told_at >= EVICT_AGAIN_S:
+                    self.commands.evict(shard, run, "repeated", now)
+
+    def mark_cancelled(self, shard: Shard, job: JobId) -> None:
+        """Note on a job's attempts that it is cancelled."""
+        row = shard.table.jobs.get(job)
+        if row is None:
+            return
+        for number in row.rows:
+            run = shard.runs.get(TaskId(f"{job}/{number}"))
+            if run is not None:
+                run.cancelled = True
+
+
+def record_of(outcome: TaskOutcome) -> Record:
+    """Return the journal record of an attempt's outcome."""
+    task, attempt = outcome.task, outcome.attempt
+    if outcome.outcome is Outcome.FINISHED:
+        return TaskFinished(task, attempt)
+    if outcome.outcome is Outcome.FAILED:
+        return TaskFailed(task, attempt, outcome.reason)
+    if outcome.outcome is Outcome.EVICTED:
+        return TaskEvicted(task, attempt, outcome.checkpoint)
+    return TaskLost(task, attempt, outcome.checkpoint)
