--- a/packages/core/src/apricotpath/admission.py
+++ b/packages/core/src/apricotpath/admission.py
@@ -68,7 +68,7 @@
         ahead = sum(
             len(queue)
             for queue in self.queues.values()
-            if queue and queue[0].rules.priority >= item.rules.priority
+            if queue and queue[0].rules.priority <= item.rules.priority
         )
         return ahead * self.pace_s
 
@@ -78,7 +78,7 @@
         if not heads:
             return None
         priority = 1 if self.by_priority else 0
-        head = min(heads, key=lambda item: (-item.rules.priority * priority, item.since))
+        head = min(heads, key=lambda item: (item.rules.priority * priority, item.since))
         self.remove(head)
         if self.moved_at is not None:
             self.pace_s += PACE_WEIGHT * (now - self.moved_at - self.pace_s)
@@ -104,5 +104,5 @@
     def _lowest(self, below: int) -> Waiting | None:
         """Return the newest request of the lowest priority below `below`, or None."""
         tails = [queue[-1] for queue in self.queues.values() if queue]
-        tails = [item for item in tails if item.rules.priority < below]
-        return min(tails, key=lambda item: (item.rules.priority, -item.since), default=None)
+        tails = [item for item in tails if item.rules.priority > below]
+        return max(tails, key=lambda item: (item.rules.priority, item.since), default=None)
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -30,6 +30,9 @@
     TaskClass,
 )
 
+NO_TEAM = TeamId("")
+NO_EPOCH = Epoch(0)
+
 
 @dataclass(frozen=True, slots=True)
 class Message:
@@ -103,6 +106,8 @@
     usage: Size
     checkpoint: str
     progress: float
+    team: TeamId = NO_TEAM
+    activity: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -416,11 +421,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAck(Message):
-    """The outcomes of these attempts are journaled and may be forgotten."""
+    """The outcomes of these attempts are journaled and may be forgotten.
+
+    A host ignores it if it knows a higher epoch of the shard: the journal of a
+    former owner is not the one that counts.
+    """
 
     shard: ShardId
     tasks: tuple[TaskId, ...]
     attempts: tuple[int, ...]
+    epoch: Epoch = NO_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
@@ -442,10 +452,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareRequest(Message):
-    """Asks the entry that owns a team's limit for part of it."""
+    """Asks the entry that lends a team's limit for part of it.
+
+    `kind` is "size" (a fraction of the quota) or "rate" (starts per second).
+    """
 
     team: TeamId
     amount: float
+    kind: str = "size"
 
 
 @dataclass(frozen=True, slots=True)
@@ -455,6 +469,7 @@
     team: TeamId
     amount: float
     ttl_ms: int
+    kind: str = "size"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -56,6 +56,8 @@
   usage @6 :Size;
   checkpoint @7 :Text;
   progress @8 :Float64;
+  team @9 :Text;
+  activity @10 :Text;
 }
 
 struct TaskOutcome {
@@ -270,6 +272,7 @@
   shard @0 :Int64;
   tasks @1 :List(Text);
   attempts @2 :List(Int64);
+  epoch @3 :Int64;
 }
 
 struct JobCall {
@@ -286,12 +289,14 @@
 struct ShareRequest {
   team @0 :Text;
   amount @1 :Float64;
+  kind @2 :Text;
 }
 
 struct ShareGrant {
   team @0 :Text;
   amount @1 :Float64;
   ttlMs @2 :Int64;
+  kind @3 :Text;
 }
 
 struct Failure {
