Add the owner of job shards

The owner journals every assignment before its start, counts leases from the receipt of the heartbeat that a start or renewal answers, holds unaccounted tasks after a take-over, and drops a shard at once when it is fenced. Not yet tested under faults.

--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -142,10 +142,14 @@
     asked_at: float = -1e9
     needed_at: float = -1e9
 
-    def granted(self, amount: float, ttl_s: float, sent_at: float) -> None:
-        """Take a grant; the time of the request counts, since the answer may be late."""
+    def granted(self, amount: float, ttl_s: float, sent_at: float, quiet_s: float = 0.0) -> None:
+        """Take a grant; the time of the request counts, since the answer may be late.
+
+        The share is not used in its last `quiet_s` seconds. With `WINDOW_S` for a rate, a
+        share that goes on to another entry is never used by both within one window.
+        """
         self.amount = amount
-        self.until = sent_at + ttl_s * (1.0 - CLOCK_DRIFT)
+        self.until = sent_at + ttl_s * (1.0 - CLOCK_DRIFT) - quiet_s
 
     def available(self, now: float) -> float:
         """Return the share that may be used now."""
--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -2,7 +2,6 @@
 
 import logging
 
-
 import anyio
 from anyio.abc import TaskGroup
 
@@ -32,7 +31,6 @@
 RENEW_CHUNK = 500
 
 
-
 class Commands:
     """Sends commands; a send that fails is repeated by the systems of a later tick."""
 
@@ -178,5 +176,3 @@
             message = RenewTasks(shard.shard, shard.epoch, tasks, row.incarnation, clock_ms)
             if not self.send(row, message):
                 return
-
-
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -0,0 +1,411 @@
+"""Ownership of shards: the journal, the scheduling tick and the operators' calls on jobs."""
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.codec import Envelope
+from apricotpath.config import PolicySettings
+from apricotpath.errors import (
+    ApricotpathError,
+    FencedError,
+    LinkError,
+    StoreError,
+    StoreLimited,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from apricotpath.ids import EntryId, Epoch, JobId, ShardId
+from apricotpath.jobs import JobTable
+from apricotpath.link import Link
+from apricotpath.messages import (
+    HostReport,
+    JobCall,
+    Leaving,
+    Message,
+    ShardClaimed,
+    ShareRequest,
+)
+from apricotpath.model import JobSpec
+from apricotpath.placement import Mode
+from apricotpath.quota import rendezvous
+from apricotpath.records import Record, from_json, to_json
+from apricotpath.rules import Rules
+from apricotpathd.commands import Commands
+from apricotpathd.component import UtcClock
+from apricotpathd.hosts import HostTable
+from apricotpathd.jobcalls import JobCalls
+from apricotpathd.reconcile import Reconciler
+from apricotpathd.runs import Journal, Members, OwnerState, Phase, Proposal, Run, Shard
+from apricotpathd.scheduling import Scheduler
+from apricotpathd.shares import Limits, TeamShares, no_limits
+
+log = logging.getLogger(__name__)
+
+ACQUIRE_S = 1.0
+# An entry that is not the first choice for a shard without an owner waits this
+# long per place, so that usually only one entry tries.
+PLACE_WAIT_S = 3.0
+# A shard goes to the entry of first choice when that one has been alive this long.
+HAND_OVER_S = 10.0
+STORE_RETRY_S = 0.5
+SNAPSHOT_RECORDS = 5000
+# Systems over all attempts run at this interval, the decisions every tick.
+SCAN_S = 0.5
+JUDGE_S = 5.0
+
+OpenJournal = Callable[[ShardId, Epoch], Journal]
+
+
+class Owner:
+    """Owns shards for as long as the store and the hosts know no newer owner."""
+
+    handles: frozenset[type[Message]] = frozenset(
+        {HostReport, ShardClaimed, JobCall, ShareRequest, Leaving}
+    )
+
+    def __init__(
+        self,
+        entry: EntryId,
+        policy: PolicySettings,
+        hosts: HostTable,
+        members: Members,
+        open_journal: OpenJournal,
+        rules: Rules,
+        is_fresh: Callable[[], bool],
+        utc: UtcClock,
+        limits: Limits = no_limits,
+        mode: Mode = Mode.POLICY,
+    ) -> None:
+        self.state = OwnerState(entry, policy, hosts, rules, is_fresh, utc, mode)
+        self.members = members
+        self.open_journal = open_journal
+        self.commands = Commands(self.state)
+        self.shares = TeamShares(entry, members, limits)
+        self.reconciler = Reconciler(self.state, self.commands)
+        self.scheduler = Scheduler(self.state, self.commands, self.shares)
+        self.calls = JobCalls(self.state, members, self.scheduler, self.reconciler)
+        self.draining = False
+        self._group: TaskGroup | None = None
+        self._unowned_since: dict[ShardId, float] = {}
+        self._misplaced_since: dict[ShardId, float] = {}
+        self._acquiring: set[ShardId] = set()
+        self._scan_at = 0.0
+        self._judge_at = 0.0
+
+    async def submit(self, spec: JobSpec) -> dict[str, Any]:
+        """Accept a job, durably, and return its summary. Idempotent by job id.
+
+        Raises InputError, ConflictError, NoOwner, StoreUnavailable (nothing was
+        changed) and StoreOutcomeUnknown (submit again).
+        """
+        return await self.calls.submit(spec)
+
+    async def cancel(self, job: JobId) -> dict[str, Any]:
+        """Cancel a job, durably, and return its summary. Errors as for `submit`."""
+        return await self.calls.cancel(job)
+
+    async def list(self) -> dict[str, Any]:
+        """Return the jobs of all reachable owners and the shards that are missing."""
+        return await self.calls.list()
+
+    async def show(self, job: JobId) -> dict[str, Any]:
+        """Return a job with its tasks, or raise JobUnknown or NoOwner."""
+        return await self.calls.show(job)
+
+    async def explain(self, name: str) -> dict[str, Any]:
+        """Return why a job or task waits, or raise JobUnknown or NoOwner."""
+        return await self.calls.explain(name)
+
+    def debug(self) -> dict[str, Any]:
+        """Return the owner's state for operators, as plain JSON values."""
+        state = self.state
+        return {
+            "shards": [
+                {
+                    "shard": shard.shard,
+                    "epoch": shard.epoch,
+                    "loaded": shard.loaded,
+                    "jobs": len(shard.table.jobs),
+                    "attempts": len(shard.runs),
+                    "held": sum(run.phase is Phase.HELD for run in shard.runs.values()),
+                    "claims": len(shard.claims),
+                }
+                for shard in state.shards.values()
+            ],
+            "hosts_usable": len(state.index.hosts),
+            "set_aside": [name for name in state.health.rows if state.health.set_aside(name)],
+            "slowdowns": {
+                f"{service}/{activity}": round(value, 3)
+                for (service, activity), value in state.estimates.single.items()
+            },
+        }
+
+    async def run(self) -> None:
+        """Acquire shards and run the scheduling tick until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = self.commands.group = self.shares.group = group
+            group.start_soon(self._acquire_loop)
+            while True:
+                self.tick(anyio.current_time())
+                await anyio.sleep(self.state.policy.tick_s)
+
+    def tick(self, now: float) -> None:
+        """Run the systems once, in the order in which each needs the others' results."""
+        self.reconciler.take_reports(now)
+        self.reconciler.send_claims(now)
+        if now >= self._scan_at:
+            self._scan_at = now + SCAN_S
+            self.reconciler.expire(now)
+            self.reconciler.renew(now, self.members.last_contact_at())
+            self.reconciler.stop_cancelled(now)
+            self.scheduler.evict_forbidden(now)
+            self.scheduler.guard_hosts(now)
+            self.scheduler.restore_throttles(now)
+            self.shares.keep(now)
+        if now >= self._judge_at:
+            self._judge_at = now + JUDGE_S
+            self.scheduler.judge_possible(now)
+            self.scheduler.forget_ended(now)
+        if not self.draining:
+            self.scheduler.place(now)
+
+    async def received(self, link: Link, envelope: Envelope) -> None:
+        """Take a message; replies that need the store are sent by a task of their own."""
+        body = envelope.body
+        if isinstance(body, HostReport):
+            if link.peer is not None:
+                self.state.inbox[link.peer.process_id] = (link, body)
+        elif isinstance(body, ShardClaimed):
+            self.reconciler.claimed(link, body, anyio.current_time())
+        elif isinstance(body, JobCall) and self._group is not None:
+            self._group.start_soon(self._answer, link, envelope.id, body)
+        elif isinstance(body, ShareRequest) and link.peer is not None:
+            entry = EntryId(link.peer.process_id)
+            grant = self.shares.lend(entry, body, anyio.current_time())
+            self._reply(link, grant, envelope.id)
+        elif isinstance(body, Leaving) and link.peer is not None:
+            self.state.index.remove(link.peer.process_id)
+
+    async def _answer(self, link: Link, number: int, call: JobCall) -> None:
+        self._reply(link, await self.calls.answer(call), number)
+
+    @staticmethod
+    def _reply(link: Link, message: Message, reply_to: int) -> None:
+        try:
+            link.send_nowait(message, reply_to)
+        except LinkError as exc:
+            log.info("reply not sent: %s", exc)
+
+    async def link_opened(self, link: Link) -> None:
+        """Do nothing: hosts are known from their announcements."""
+
+    async def link_closed(self, link: Link) -> None:
+        """Stop placing on the host; its tasks go on under their leases."""
+        if link.peer is not None:
+            row = self.state.hosts.rows.get(link.peer.process_id)
+            if row is None or row.link is link or row.link is None:
+                self.state.index.remove(link.peer.process_id)
+
+    async def drain(self) -> None:
+        """Take no decisions any more and release all shards once their writes are done."""
+        self.draining = True
+        for shard in list(self.state.shards.values()):
+            while shard.loaded and not shard.dropped and (shard.outbox or shard.busy):
+                if shard.store_failed_at is not None:
+                    break
+                await anyio.sleep(self.state.policy.tick_s)
+            await self._release(shard, "the entry is shutting down")
+
+    async def _release(self, shard: Shard, why: str) -> None:
+        self.state.drop(shard, why)
+        try:
+            await self.members.release_shard(shard.shard, shard.epoch)
+        except StoreError as exc:
+            log.warning("shard not released: %s", exc, extra={"shard": shard.shard})
+
+    async def _acquire_loop(self) -> None:
+        while True:
+            if not self.draining:
+                self._review_shards(anyio.current_time())
+            await anyio.sleep(ACQUIRE_S)
+
+    def _review_shards(self, now: float) -> None:
+        """Drop shards that the store gives to others, and go for those without an owner."""
+        view, entry = self.members.view(), self.state.entry
+        for number in map(ShardId, range(self.state.policy.shards)):
+            owner, shard = view.owners.get(number), self.state.shards.get(number)
+            if shard is not None:
+                if owner is not None and owner[1] > shard.epoch:
+                    self.state.drop(shard, f"{owner[0]} owns it under epoch {owner[1]}")
+                else:
+                    self._hand_over(shard, view.entries, now)
+                continue
+            if owner is not None and owner[0] in view.entries and owner[0] != entry:
+                self._unowned_since.pop(number, None)
+                continue
+            if entry not in view.entries or number in self._acquiring:
+                continue
+            since = self._unowned_since.setdefault(number, now)
+            place = rendezvous(f"shard/{number}", list(view.entries)).index(entry)
+            if now - since >= place * PLACE_WAIT_S and self._group is not None:
+                self._acquiring.add(number)
+                self._group.start_soon(self._acquire, number)
+
+    def _hand_over(self, shard: Shard, entries: Sequence[EntryId], now: float) -> None:
+        """Release a shard to the entry of first choice, so that the load is spread."""
+        first = rendezvous(f"shard/{shard.shard}", list(entries))[0] if entries else None
+        if first in (None, self.state.entry) or not shard.usable:
+            self._misplaced_since.pop(shard.shard, None)
+            return
+        since = self._misplaced_since.setdefault(shard.shard, now)
+        if now - since >= HAND_OVER_S and not shard.outbox and not shard.busy:
+            self._misplaced_since.pop(shard.shard)
+            if self._group is not None:
+                self._group.start_soon(self._release, shard, f"handed over to {first}")
+
+    async def _acquire(self, number: ShardId) -> None:
+        try:
+            epoch = await self.members.acquire_shard(number)
+        except ApricotpathError as exc:
+            log.info("shard not acquired: %s", exc, extra={"shard": number})
+            return
+        finally:
+            self._acquiring.discard(number)
+        self._unowned_since.pop(number, None)
+        if epoch is None or number in self.state.shards:
+            return
+        shard = Shard(number, epoch, self.open_journal(number, epoch), anyio.current_time())
+        self.state.shards[number] = shard
+        # Hosts may take tasks again when they have accepted this claim too.
+        for process in list(self.state.index.hosts):
+            self.state.index.remove(process)
+        log.info("shard acquired", extra={"shard": number, "epoch": epoch})
+        if self._group is not None:
+            self._group.start_soon(self._serve, shard)
+
+    async def _serve(self, shard: Shard) -> None:
+        """Load a shard's journal, then write what is proposed until the shard is dropped."""
+        with shard.scope:
+            if shard.dropped:
+                return
+            try:
+                await self._load(shard, first=True)
+                while True:
+                    await shard.wake.wait()
+                    await self._write(shard)
+            except FencedError as exc:
+                self.state.drop(shard, str(exc))
+            except ApricotpathError as exc:
+                log.exception("shard cannot be served")
+                self.state.drop(shard, str(exc))
+
+    async def _load(self, shard: Shard, *, first: bool) -> None:
+        """Fill the table from the journal and match it with the attempts in memory."""
+        while True:
+            try:
+                stored = await shard.journal.load()
+                break
+            except FencedError:
+                raise
+            except StoreError as exc:
+                log.info("journal not loaded: %s", exc, extra={"shard": shard.shard})
+                await anyio.sleep(STORE_RETRY_S)
+        table = JobTable()
+        for value in stored:
+            table.apply(from_json(value))
+        shard.table = table
+        self._match_runs(shard, first=first)
+        shard.loaded, shard.store_failed_at = True, None
+
+    def _match_runs(self, shard: Shard, *, first: bool) -> None:
+        """Keep the attempts that the journal confirms, hold those that it adds.
+
+        After a reload an added assignment is one of this owner's own whose write
+        had no answer. It was never sent, so it can be given back at once.
+        """
+        policy, state = self.state.policy, self.state
+        hold_s = policy.run_hold_s * 1.01 + state.lease_total_s
+        assigned = {}
+        for task, job, row in shard.table.assigned():
+            assigned[task] = row.attempt
+            run = shard.runs.get(task)
+            if run is not None and run.attempt == row.attempt:
+                run.cancelled = job.cancelled
+                continue
+            if run is not None:
+                state.remove_run(shard, task)
+            held = Run(
+                task,
+                job.spec,
+                row.attempt,
+                row.host,
+                row.process,
+                Phase.HELD if first else Phase.UNSENT,
+                shard.acquired_at + hold_s if first else 0.0,
+                checkpoint=row.checkpoint,
+                evictions=row.evictions,
+                cancelled=job.cancelled,
+            )
+            state.add_run(shard, held)
+        for task in list(shard.runs):
+            if assigned.get(task) != shard.runs[task].attempt:
+                state.remove_run(shard, task)
+
+    async def _write(self, shard: Shard) -> None:
+        """Write all proposals in one append, then apply and follow up on each."""
+        shard.wake = anyio.Event()
+        batch, shard.outbox = shard.outbox, []
+        records = [record for proposal in batch for record in proposal.records]
+        if not records:
+            return
+        try:
+            await shard.journal.append([to_json(record) for record in records])
+        except FencedError as exc:
+            self._fail(batch, exc)
+            raise
+        except (StoreUnavailable, StoreLimited) as exc:
+            shard.store_failed_at = anyio.current_time()
+            self._fail(batch, exc)
+            log.warning("journal not written: %s", exc, extra={"shard": shard.shard})
+            await anyio.sleep(STORE_RETRY_S)
+            shard.store_failed_at = None
+        except StoreError as exc:
+            log.warning("journal reloaded: %s", exc, extra={"shard": shard.shard})
+            shard.loaded = False
+            self._fail(batch, exc)
+            await self._load(shard, first=False)
+        except BaseException as exc:
+            # A cancelled write may still take effect.
+            self._fail(batch, StoreOutcomeUnknown(f"the shard was given up: {exc!r}"))
+            raise
+        else:
+            self._apply(shard, batch)
+            shard.appended += len(records)
+            if shard.appended >= SNAPSHOT_RECORDS:
+                await self._snapshot(shard)
+
+    @staticmethod
+    def _fail(batch: Sequence[Proposal], exc: Exception) -> None:
+        for proposal in batch:
+            proposal.failed(exc)
+
+    @staticmethod
+    def _apply(shard: Shard, batch: Sequence[Proposal]) -> None:
+        for proposal in batch:
+            changed = [shard.table.apply(record) for record in proposal.records]
+            proposal.done(changed)
+
+    async def _snapshot(self, shard: Shard) -> None:
+        try:
+            records: list[Record] = list(shard.table.snapshot_records())
+            await shard.journal.snapshot([to_json(record) for record in records])
+        except FencedError:
+            raise
+        except StoreError as exc:
+            log.info("snapshot not written: %s", exc, extra={"shard": shard.shard})
+            return
+        shard.appended = 0
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -169,9 +169,7 @@
         if task.checkpoint != run.checkpoint:
             run.checkpoint, run.kept = task.checkpoint, task.progress
 
-    def _absent(
-        self, shard: Shard, run: Run, row: HostRow, report: HostReport, now: float
-    ) -> None:
+    def _absent(self, shard: Shard, run: Run, row: HostRow, report: HostReport, now: float) -> None:
         """Judge an assigned attempt that its host lists neither as running nor as ended."""
         if run.phase in (Phase.PROPOSED, Phase.UNSENT, Phase.HELD):
             return
@@ -180,7 +178,7 @@
         known_clock = run.anchor_incarnation == row.incarnation
         if run.accepted or run.seen_at is not None:
             # The worker has lost it, perhaps by a restart. Its lease is not renewed any more.
-            run.absent += known_clock and report.worker_clock_ms > settled_ms or not known_clock
+            run.absent += (known_clock and report.worker_clock_ms > settled_ms) or not known_clock
             return
         if run.sends < MAX_SENDS and not run.cancelled and now - run.sent_at >= RESEND_S:
             self.commands.start(shard, run)
@@ -311,7 +309,8 @@
             for run in shard.runs.values():
                 if run.cancelled and now - run.told_at >= TELL_AGAIN_S:
                     row = self.commands.row(run.process)
-                    if row is not None and run.phase is not Phase.PROPOSED:
+                    claimed = row is not None and (shard.claims.get(run.process) == row.incarnation)
+                    if row is not None and claimed and run.phase is not Phase.PROPOSED:
                         run.told_at = now
                         self.commands.stop(shard, row, run.task, run.attempt, "job cancelled")
                 elif run.phase is Phase.EVICTING and now - run.told_at >= EVICT_AGAIN_S:
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -201,7 +201,10 @@
         return run
 
     def propose(self, proposal: Proposal) -> None:
-        """Queue records for the journal."""
+        """Queue records for the journal; they fail at once if the shard is dropped."""
+        if self.dropped:
+            proposal.failed(FencedError(f"shard {self.shard} is not owned any more"))
+            return
         self.outbox.append(proposal)
         self.wake.set()
 
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -0,0 +1,422 @@
+"""Systems that decide: placement, eviction for urgent work, guards, impossible jobs."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import partial
+from itertools import islice
+
+from apricotpath.eviction import Victim, choose_victims, lost_work
+from apricotpath.ids import DataCentreId, JobId, ProcessId, TaskId, TeamId
+from apricotpath.interference import (
+    HIGH_PRESSURE,
+    MOVE_PAUSE_S,
+    Guarded,
+    GuardRow,
+    Step,
+    guard,
+)
+from apricotpath.jobs import JobRow, task_id
+from apricotpath.model import JobSpec, Priority, Size, TaskClass
+from apricotpath.placement import (
+    NO_HOSTS,
+    NO_ROOM,
+    Demand,
+    Mode,
+    Placement,
+    Placer,
+    Reason,
+    rule_refusal,
+)
+from apricotpath.records import JobForgotten, JobImpossible, TaskAssigned
+from apricotpathd.commands import Commands
+from apricotpathd.runs import OwnerState, Phase, Proposal, Run, Shard
+from apricotpathd.shares import TeamShares, no_limits
+
+log = logging.getLogger(__name__)
+
+STARTS_PER_TICK = 200
+# A job that found no room is tried again after this time, by priority, so that
+# many waiting jobs do not scan all hosts in every tick.
+RETRY_S = {Priority.URGENT: 0.0, Priority.NORMAL: 0.4, Priority.LOW: 0.9}
+# Room made for an urgent task is expected within this time.
+RESERVED_S = 3.0
+URGENT_PER_TICK = 64
+FORBIDDEN_PER_SCAN = 50
+IMPOSSIBLE_AFTER_S = 30.0
+FORGET_S = 6 * 3600.0
+THROTTLE_AGAIN_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Room on a host that evictions make for one urgent task."""
+
+    process: ProcessId
+    size: Size
+    until: float
+
+
+class Scheduler:
+    """Takes the owner's decisions; every start is journaled before it is sent."""
+
+    def __init__(self, state: OwnerState, commands: Commands, shares: TeamShares) -> None:
+        self.state = state
+        self.commands = commands
+        self.shares = shares
+        self.retry_at: dict[JobId, float] = {}
+        self.reserved: dict[TaskId, Reservation] = {}
+        self.blocked_since: dict[JobId, float] = {}
+
+    def place(self, now: float) -> None:
+        """Assign waiting tasks, if the control state is fresh; evict for urgent ones."""
+        if not self.state.is_fresh():
+            return
+        waiting = [(shard, row) for shard, row in self._waiting() if self._is_due(row, now)]
+        if not waiting:
+            return
+        per_job = max(8, STARTS_PER_TICK // len(waiting))
+        demands = [Demand(row, self._numbers(shard, row, per_job)) for shard, row in waiting]
+        self.shares.begin_round(self.committed())
+        placer = self._placer(now)
+        placed = placer.run(demands, self.state.used, self.shares.weight, STARTS_PER_TICK)
+        by_shard: dict[int, list[Placement]] = defaultdict(list)
+        shards = {row.spec.job_id: shard for shard, row in waiting}
+        for placement in placed:
+            by_shard[shards[placement.job].shard].append(placement)
+            self.state.reasons.pop(placement.job, None)
+        for number in by_shard:
+            shard = shards[by_shard[number][0].job]
+            self._assign(shard, by_shard[number], now)
+        self._note_reasons(placer, now)
+        if self.state.mode is Mode.POLICY:
+            self._make_room(placer, shards, demands, now)
+
+    def _waiting(self) -> Iterator[tuple[Shard, JobRow]]:
+        for shard in self.state.shards.values():
+            if shard.usable:
+                for job, row in shard.table.jobs.items():
+                    if row.waiting and not row.impossible and job not in shard.cancelling:
+                        yield shard, row
+
+    def _is_due(self, row: JobRow, now: float) -> bool:
+        return self.retry_at.get(row.spec.job_id, now) <= now
+
+    @staticmethod
+    def _numbers(shard: Shard, row: JobRow, limit: int) -> list[int]:
+        job = row.spec.job_id
+        free = (
+            number for number in row.waiting_numbers() if task_id(job, number) not in shard.busy
+        )
+        return list(islice(free, limit))
+
+    def committed(self) -> dict[TeamId, list[Size]]:
+        """Return the sizes of all attempts in progress here by team, if teams have limits."""
+        if self.shares.limits is no_limits:
+            return {}
+        sizes: dict[TeamId, list[Size]] = defaultdict(list)
+        for shard in self.state.shards.values():
+            for run in shard.runs.values():
+                sizes[run.spec.team].append(run.spec.size)
+        return sizes
+
+    def _placer(self, now: float) -> Placer:
+        state = self.state
+        return Placer(
+            index=state.index,
+            rules=state.rules,
+            estimates=state.estimates,
+            usable=partial(self._usable, now),
+            taken=partial(state.health.placed, now=now),
+            admit=partial(self.shares.admit, now=now),
+            now_utc=state.utc(),
+            hours_margin_s=state.policy.hours_margin_s,
+            mode=state.mode,
+        )
+
+    def _usable(self, now: float, process: ProcessId) -> bool:
+        """Tell whether a host is healthy and its requests are not under pressure."""
+        if not self.state.health.usable(process, now):
+            return False
+        row = self.state.guards.get(process)
+        if row is None:
+            return True
+        return row.high_since is None and now - row.moved_at >= MOVE_PAUSE_S
+
+    def _assign(self, shard: Shard, placements: list[Placement], now: float) -> None:
+        records, runs = [], []
+        for placement in placements:
+            row = shard.table.jobs[placement.job]
+            task = task_id(placement.job, placement.number)
+            known = row.rows.get(placement.number)
+            attempt = 1 + (known.attempt if known is not None else 0)
+            run = Run(
+                task,
+                row.spec,
+                attempt,
+                placement.host,
+                placement.process,
+                Phase.PROPOSED,
+                expires_at=0.0,
+                checkpoint=known.checkpoint if known is not None else "",
+                evictions=known.evictions if known is not None else 0,
+            )
+            runs.append(run)
+            records.append(TaskAssigned(task, attempt, placement.host, placement.process))
+            shard.busy.add(task)
+            self.state.add_run(shard, run)
+            self.reserved.pop(task, None)
+        shard.propose(
+            Proposal(
+                list(records),
+                partial(self._assigned, shard, runs),
+                partial(self._not_assigned, shard, runs),
+            )
+        )
+
+    def _assigned(self, shard: Shard, runs: list[Run], changed: list[bool]) -> None:
+        """Send the starts of journaled assignments; one that is not sent is given back."""
+        for run, applied in zip(runs, changed, strict=True):
+            shard.busy.discard(run.task)
+            if not applied:
+                self.state.remove_run(shard, run.task)
+                continue
+            run.phase = Phase.UNSENT
+            self.commands.start(shard, run)
+
+    def _not_assigned(self, shard: Shard, runs: list[Run], _: Exception) -> None:
+        for run in runs:
+            shard.busy.discard(run.task)
+            self.state.remove_run(shard, run.task)
+            self.state.refresh_host(run.process)
+
+    def _note_reasons(self, placer: Placer, now: float) -> None:
+        for job, reason in placer.reasons.items():
+            self.state.reasons[job] = reason
+            shard = self.state.shard_of(job)
+            if shard is not None and reason.code in (NO_ROOM.code, NO_HOSTS.code):
+                priority = shard.table.jobs[job].spec.priority
+                self.retry_at[job] = now + RETRY_S[priority]
+        if len(self.retry_at) > 4096:
+            self.retry_at = {job: at for job, at in self.retry_at.items() if at > now}
+
+    def _make_room(
+        self, placer: Placer, shards: dict[JobId, Shard], demands: list[Demand], now: float
+    ) -> None:
+        """Evict batch tasks for urgent tasks that found no room."""
+        self.reserved = {task: r for task, r in self.reserved.items() if r.until > now}
+        budget = URGENT_PER_TICK
+        for demand in demands:
+            spec = demand.row.spec
+            reason = placer.reasons.get(spec.job_id)
+            if spec.priority is not Priority.URGENT or reason is not NO_ROOM:
+                continue
+            for number in demand.numbers:
+                task = task_id(spec.job_id, number)
+                if budget == 0 or task in self.reserved:
+                    continue
+                if not self._evict_for(placer, spec, task, now):
+                    break
+                budget -= 1
+
+    def _evict_for(self, placer: Placer, spec: JobSpec, task: TaskId, now: float) -> bool:
+        allowed = set(placer.allowed(spec)[0])
+        free = self._free_after_evictions(allowed)
+        victims = choose_victims(spec.size, self._victims(), free, self.state.limits, now)
+        if not victims:
+            return False
+        process = victims[0].process
+        self.reserved[task] = Reservation(process, spec.size, now + RESERVED_S)
+        for victim in victims:
+            shard = self.state.shard_of(victim.job)
+            if shard is not None:
+                run = shard.runs[victim.task]
+                self.commands.evict(shard, run, f"room for urgent task {task}", now)
+        return True
+
+    def _free_after_evictions(self, allowed: set[DataCentreId]) -> dict[ProcessId, Size]:
+        """Return what will be free on each host once the evictions under way are done."""
+        free = {
+            process: host.free
+            for process, host in self.state.index.hosts.items()
+            if host.data_centre in allowed
+        }
+        for shard in self.state.shards.values():
+            for run in shard.runs.values():
+                if run.phase is Phase.EVICTING and run.process in free:
+                    free[run.process] = free[run.process] + run.spec.size
+        for reservation in self.reserved.values():
+            if reservation.process in free:
+                free[reservation.process] = free[reservation.process] - reservation.size
+        return free
+
+    def _victims(self) -> Iterator[Victim]:
+        for shard in self.state.shards.values():
+            if not shard.usable:
+                continue
+            for run in shard.runs.values():
+                if self._may_evict(shard, run):
+                    yield victim_of(run)
+
+    @staticmethod
+    def _may_evict(shard: Shard, run: Run) -> bool:
+        return (
+            run.phase is Phase.RUNNING
+            and run.spec.task_class is TaskClass.BATCH
+            and not run.cancelled
+            and not run.absent
+            and run.task not in shard.busy
+        )
+
+    def guard_hosts(self, now: float) -> None:
+        """Throttle or move batch tasks where they slow the requests of a backend server."""
+        state = self.state
+        state.estimates.decay(now)
+        if not state.policy.guards or state.mode is Mode.BASELINE:
+            return
+        for process, (incarnation, report) in list(state.reports.items()):
+            host = state.hosts.rows.get(process)
+            if host is None:
+                self._forget_host(process)
+                continue
+            if not host.present or host.incarnation != incarnation or not host.announce.service:
+                continue
+            row = state.guards.get(process)
+            if row is None:
+                if report.pressure < HIGH_PRESSURE:
+                    continue
+                row = state.guards[process] = GuardRow()
+            self._guard_host(process, row, report.pressure, now)
+
+    def _guard_host(self, process: ProcessId, row: GuardRow, pressure: float, now: float) -> None:
+        host = self.state.hosts.rows[process]
+        runs = {
+            run.task: (shard, run)
+            for shard, run in self.state.runs_on(process)
+            if self._may_evict(shard, run)
+        }
+        tasks = [
+            Guarded(run.task, run.spec.activity, run.share, lost_work(victim_of(run)))
+            for _, run in runs.values()
+            if self.state.limits.allows(victim_of(run), now)
+        ]
+        service = host.announce.service
+        action = guard(row, service, pressure, tasks, self.state.estimates, now)
+        if action is None:
+            return
+        shard, run = runs[action.task]
+        log.info("guard: %s", action.reason, extra={"task": run.task, "step": action.step.value})
+        if action.step is Step.MOVE:
+            self.commands.evict(shard, run, action.reason, now)
+        else:
+            self.commands.throttle(shard, run, action.share, now)
+
+    def _forget_host(self, process: ProcessId) -> None:
+        self.state.reports.pop(process, None)
+        self.state.guards.pop(process, None)
+        self.state.estimates.forget_host(process)
+        self.state.index.remove(process)
+
+    def evict_forbidden(self, now: float) -> None:
+        """Checkpoint and stop what the bundle or a take-out does not allow any more."""
+        state = self.state
+        found: dict[tuple[TeamId, str, DataCentreId], Reason | None] = {}
+        budget = FORBIDDEN_PER_SCAN
+        for shard in state.shards.values():
+            for run in shard.runs.values():
+                row = state.hosts.rows.get(run.process)
+                if row is None or not self._may_evict(shard, run):
+                    continue
+                key = (run.spec.team, run.spec.activity, row.announce.data_centre)
+                if key not in found:
+                    found[key] = rule_refusal(
+                        state.rules, run.spec, key[2], state.utc(), state.policy.hours_margin_s
+                    )
+                reason = found[key]
+                if reason is not None and budget > 0:
+                    budget -= 1
+                    self.commands.evict(shard, run, reason.text, now)
+
+    def judge_possible(self, now: float) -> None:
+        """Mark jobs that no known host could hold, and withdraw the mark later."""
+        fits: dict[tuple[Size, tuple[DataCentreId, ...]], bool] = {}
+        for shard in self.state.shards.values():
+            if not shard.usable:
+                continue
+            for job, row in shard.table.jobs.items():
+                if not row.waiting:
+                    continue
+                key = (row.spec.size, row.spec.data_centres)
+                if key not in fits:
+                    fits[key] = self.could_hold(row.spec)
+                self._judge(shard, job, row, fits[key], now)
+
+    def _judge(self, shard: Shard, job: JobId, row: JobRow, fits: bool, now: float) -> None:
+        if fits:
+            self.blocked_since.pop(job, None)
+            if row.impossible:
+                self._propose(shard, JobImpossible(job, ""))
+            return
+        since = self.blocked_since.setdefault(job, now)
+        if not row.impossible and now - since >= IMPOSSIBLE_AFTER_S:
+            self._propose(shard, JobImpossible(job, impossible_text(row.spec)))
+
+    @staticmethod
+    def _propose(shard: Shard, record: JobImpossible | JobForgotten) -> None:
+        shard.propose(Proposal([record], lambda _: None, lambda _: None))
+
+    def could_hold(self, spec: JobSpec) -> bool:
+        """Tell whether any known host in the job's data centres could ever hold a task."""
+        for row in self.state.hosts.rows.values():
+            announce = row.announce
+            if spec.data_centres and announce.data_centre not in spec.data_centres:
+                continue
+            room = announce.size
+            if announce.service:
+                room = room - self.state.rules.claim_of(announce.service)
+            if spec.size.fits_in(room):
+                return True
+        return False
+
+    def forget_ended(self, now: float) -> None:
+        """Remove jobs that ended long ago; until then a repeated submission is recognised."""
+        for shard in self.state.shards.values():
+            if not shard.usable:
+                continue
+            for job, row in shard.table.jobs.items():
+                if not row.ended:
+                    shard.ended_at.pop(job, None)
+                elif now - shard.ended_at.setdefault(job, now) >= FORGET_S:
+                    self._propose(shard, JobForgotten(job))
+
+    def restore_throttles(self, now: float) -> None:
+        """Repeat throttles that a host does not show; the message may have been lost."""
+        for shard in self.state.shards.values():
+            for run in shard.runs.values():
+                due = run.share < 1.0 and now - run.told_at >= THROTTLE_AGAIN_S
+                if due and self._may_evict(shard, run):
+                    self.commands.throttle(shard, run, run.share, now)
+
+
+def victim_of(run: Run) -> Victim:
+    """Return an attempt as the eviction rules see it."""
+    spec = run.spec
+    return Victim(
+        run.task,
+        run.job,
+        run.process,
+        spec.size,
+        spec.priority,
+        run.progress,
+        run.kept,
+        spec.run_time_s,
+        run.evictions,
+    )
+
+
+def impossible_text(spec: JobSpec) -> str:
+    """Return the sentence for a job that no known host could hold."""
+    size = f"{spec.size.cpu_milli / 1000:g} cores, {spec.size.memory_mb} MB"
+    where = ", ".join(spec.data_centres) if spec.data_centres else "any data centre"
+    return f"no known host in {where} could hold {size} and {spec.size.accelerators} accelerators"
