--- a/packages/daemon/src/apricotpathd/controlflow.py
+++ b/packages/daemon/src/apricotpathd/controlflow.py
@@ -163,8 +163,11 @@
         if self._on_change is not None:
             self._on_change()
         for peer in self.peers.values():
-            if self.role is Role.ENTRY or self._lacks_status(peer):
+            if self.role is Role.ENTRY:
                 self._send(peer)
+            elif self._lacks_status(peer):
+                # Entries send the bundle to each other, so agents pass on only statuses.
+                self._send(peer, may_send_bundle=False)
 
     def bundle_progress(self, version: int) -> Progress:
         """Return which linked peers have a bundle version, or a later one, in force."""
@@ -278,11 +281,11 @@
             # The next heartbeat tells the peer the same.
             log.info("control acknowledgement not sent to %s: %s", link.peer_id, exc)
 
-    def _send(self, peer: PeerState) -> None:
+    def _send(self, peer: PeerState, may_send_bundle: bool = True) -> None:
         now = anyio.current_time()
         version = self.control.bundle_version
         in_flight = peer.sent_version >= version and now - peer.sent_at < RESEND_S
-        with_bundle = peer.version < version and not in_flight
+        with_bundle = may_send_bundle and peer.version < version and not in_flight
         try:
             peer.link.send_nowait(self.control.update(now, with_bundle))
         except LinkError as exc:
--- /dev/null
+++ b/tests/features/steps/controlflow_steps.py
@@ -0,0 +1,319 @@
+"""Steps for controlflow.feature."""
+
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from behave import given, then, when
+from control_steps import signed, status
+from trio.testing import MockClock
+
+from apricotpath.codec import Envelope
+from apricotpath.config import PolicySettings
+from apricotpath.control import Control
+from apricotpath.errors import LinkError, StoreUnavailable
+from apricotpath.messages import ControlUpdate, DataCentreStatus, Heartbeat, Hello, Message
+from apricotpath.model import Role
+from apricotpath.signing import generate_key
+from apricotpathd.controlflow import ControlFlow
+
+TAKE_OUT = status("suva-depot", 5, "out")
+
+
+class MemoryLink:
+    """One end of a link whose messages wait in the network's queue."""
+
+    def __init__(self, network: "ControlNetwork", sender: str, receiver: str, boot: int) -> None:
+        self.network, self.sender, self.receiver = network, sender, receiver
+        role = Role.ENTRY if receiver.startswith("entry") else Role.AGENT
+        self.peer = Hello(1, role, receiver, f"{receiver}#{boot}", "suva-depot")  # type: ignore[arg-type]
+        self.peer_id = receiver
+        self.lost = False
+
+    def send_nowait(self, body: Message, reply_to: int = 0) -> None:
+        if self.lost:
+            raise LinkError("the link's send queue is full or closed")
+        if isinstance(body, ControlUpdate) and body.bundle:
+            self.network.bundles_sent[(self.sender, self.receiver)] += 1
+        self.network.queue.append((self.receiver, self.sender, Envelope(1, reply_to, body)))
+
+
+class ControlNetwork:
+    """Processes with a ControlFlow each, linked in memory, in virtual time."""
+
+    def __init__(self, entries: int, agents: int) -> None:
+        self.key = generate_key()
+        self.queue: deque[tuple[str, str, Envelope]] = deque()
+        self.flows: dict[str, ControlFlow] = {}
+        self.links: dict[tuple[str, str], MemoryLink] = {}
+        self.bundles_sent: Counter[tuple[str, str]] = Counter()
+        self.written: list[DataCentreStatus] = []
+        self.store_fails = 0
+        self.script: list[Callable[[], Awaitable[None]]] = []
+        self.entries = [f"entry-{number + 1}" for number in range(entries)]
+        self.agents = [f"agent-{number + 1}" for number in range(agents)]
+        self.script.append(self._build)
+
+    def check(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run the script so far and a last step, in virtual time."""
+
+        async def main() -> None:
+            for action in (*self.script, step):
+                await action()
+                await self.pump()
+
+        anyio.run(main, backend="trio", backend_options={"clock": MockClock(autojump_threshold=0)})
+
+    async def _build(self) -> None:
+        for name in (*self.entries, *self.agents):
+            self.add(name)
+        for first in self.entries:
+            for second in (*self.entries, *self.agents):
+                if first < second or second in self.agents:
+                    await self.connect(first, second)
+        await self.flows["entry-1"].apply_store(signed(self.key, 1), (), {}, 0.0)
+
+    def add(self, name: str) -> None:
+        role = Role.ENTRY if name.startswith("entry") else Role.AGENT
+        write = self._write_back if role is Role.ENTRY else None
+        self.flows[name] = ControlFlow(Control([self.key.public_text]), role, write)
+
+    async def connect(self, first: str, second: str, boot: int = 1) -> None:
+        for sender, receiver in ((first, second), (second, first)):
+            link = self.links[(sender, receiver)] = MemoryLink(self, sender, receiver, boot)
+            await self.flows[sender].link_opened(link)  # type: ignore[arg-type]
+
+    async def cut(self, first: str, second: str) -> None:
+        for sender, receiver in ((first, second), (second, first)):
+            await self.flows[sender].link_closed(self.links.pop((sender, receiver)))  # type: ignore[arg-type]
+
+    async def pump(self) -> None:
+        while self.queue:
+            receiver, sender, envelope = self.queue.popleft()
+            link = self.links.get((receiver, sender))
+            if link is not None:
+                await self.flows[receiver].received(link, envelope)  # type: ignore[arg-type]
+
+    async def _write_back(self, item: DataCentreStatus) -> None:
+        if self.store_fails:
+            self.store_fails -= 1
+            raise StoreUnavailable("the store is out")
+        self.written.append(item)
+
+    async def read(self, name: str, version: int, *statuses: DataCentreStatus) -> None:
+        data = signed(self.key, version)
+        await self.flows[name].apply_store(data, statuses, {}, anyio.current_time())
+
+    async def take_out(self, name: str) -> None:
+        flow = self.flows[name]
+        assert flow.control.offer_statuses([TAKE_OUT])
+        flow.publish()
+
+    async def heartbeats(self, sender: str, receiver: str, seconds: int) -> None:
+        for number in range(seconds):
+            control = self.flows[sender].control
+            beat = Heartbeat(number, 0, control.bundle_version, control.statuses())
+            self.queue.append((receiver, sender, Envelope(1, 0, beat)))
+            await self.pump()
+            await anyio.sleep(1)
+
+    async def lose(self, sender: str, peer: str) -> None:
+        """Bring bundle 2 to every process but one, which no process reaches."""
+        blocked = [link for ends, link in self.links.items() if ends[1] == peer]
+        for link in blocked:
+            link.lost = True
+        await self.read("entry-1", 2)
+        await self.pump()
+        assert self.flows[peer].control.bundle_version == 1
+        for link in blocked:
+            link.lost = False
+        self.bundles_sent.clear()
+
+    async def disturb(self, event: str) -> None:
+        """Take the data centre out at entry-1 under the named circumstances."""
+        if event == "the store":
+            for name in self.entries[1:]:
+                await self.cut("entry-1", name)
+            await self.read("entry-1", 1, TAKE_OUT)
+            return
+        if event == "entry-2 cut off":
+            await self.cut("entry-1", "entry-2")
+        if event == "agent-1 silent":
+            self.links[("entry-1", "agent-1")].lost = True
+        await self.take_out("entry-1")
+        await self.pump()
+        if event == "entry-2 restarted":
+            await self.cut("entry-1", "entry-2")
+            self.add("entry-2")
+            await self.connect("entry-1", "entry-2", boot=2)
+            self.queue.clear()
+
+
+def has_all(network: ControlNetwork) -> Callable[[], Awaitable[None]]:
+    async def step() -> None:
+        for name, flow in network.flows.items():
+            assert flow.control.bundle_version == 2, name
+            assert flow.control.statuses() == (TAKE_OUT,), name
+
+    return step
+
+
+@given("a control network of {entries:d} entries and {agents:d} agents linked to both")
+def _(context: Any, entries: int, agents: int) -> None:
+    context.network = ControlNetwork(entries, agents)
+
+
+@when("entry-1 reads bundle 2 and a take-out from the store")
+def _(context: Any) -> None:
+    network = context.network
+
+    async def step() -> None:
+        network.bundles_sent.clear()
+        await network.read("entry-1", 2, TAKE_OUT)
+
+    network.script.append(step)
+
+
+@when("entry-1 reads bundle 1 and an older bring-back from the store")
+def _(context: Any) -> None:
+    network = context.network
+    network.script.append(lambda: network.read("entry-1", 1, status("suva-depot", 4, "in")))
+
+
+@when("{agent} links to entry-1 of the control network")
+def _(context: Any, agent: str) -> None:
+    network = context.network
+
+    async def step() -> None:
+        network.add(agent)
+        await network.connect("entry-1", agent)
+
+    network.script.append(step)
+
+
+@then("the whole control network has bundle 2 and the take-out")
+def _(context: Any) -> None:
+    context.network.check(has_all(context.network))
+
+
+@then("entry-1 sees both acknowledged by all its peers")
+def _(context: Any) -> None:
+    network = context.network
+
+    async def step() -> None:
+        flow = network.flows["entry-1"]
+        everyone = tuple(sorted(name for name in network.flows if name != "entry-1"))
+        for progress in (flow.bundle_progress(2), flow.status_progress(TAKE_OUT)):
+            assert progress.confirmed == everyone
+            assert progress.waiting == ()
+
+    network.check(step)
+
+
+@then("each process of the control network was sent bundle 2 at most {times:d} times")
+def _(context: Any, times: int) -> None:
+    network = context.network
+
+    async def step() -> None:
+        received = Counter(receiver for _, receiver in network.bundles_sent.elements())
+        assert received["entry-1"] == 0
+        assert max(received.values()) <= times, received
+
+    network.check(step)
+
+
+@when("the updates from {sender} to {peer} are lost while it gets bundle 2")
+def _(context: Any, sender: str, peer: str) -> None:
+    network = context.network
+    network.script.append(lambda: network.lose(sender, peer))
+
+
+@when("{peer} sends heartbeats to {sender} for {seconds:d} s")
+def _(context: Any, peer: str, sender: str, seconds: int) -> None:
+    network = context.network
+    network.script.append(lambda: network.heartbeats(peer, sender, seconds))
+
+
+@then("{peer} has bundle 2 in the control network")
+def _(context: Any, peer: str) -> None:
+    network = context.network
+
+    async def step() -> None:
+        assert network.flows[peer].control.bundle_version == 2
+
+    network.check(step)
+
+
+@then("{sender} sent bundle 2 to {peer} {times:d} times after the loss")
+def _(context: Any, sender: str, peer: str, times: int) -> None:
+    network = context.network
+
+    async def step() -> None:
+        assert network.bundles_sent[(sender, peer)] == times, network.bundles_sent
+
+    network.check(step)
+
+
+@when("entry-2 takes suva-depot out while the store is out")
+def _(context: Any) -> None:
+    network = context.network
+    network.script.append(lambda: network.take_out("entry-2"))
+
+
+@then("entry-1 has written the take-out back after a store read that failed to write once")
+def _(context: Any) -> None:
+    network = context.network
+
+    async def step() -> None:
+        network.store_fails = 1
+        await network.read("entry-1", 1)
+        assert network.written == []
+        await network.read("entry-1", 1)
+        assert network.written == [TAKE_OUT]
+        await network.read("entry-1", 1, TAKE_OUT)
+        assert network.written == [TAKE_OUT]
+
+    network.check(step)
+
+
+@when("entry-1 takes suva-depot out with {event}")
+def _(context: Any, event: str) -> None:
+    network = context.network
+    network.script.append(lambda: network.disturb(event))
+
+
+@then("after {seconds:g} s entry-1 reports the take-out {report}")
+def _(context: Any, seconds: float, report: str) -> None:
+    network = context.network
+
+    async def step() -> None:
+        await anyio.sleep(seconds)
+        flow = network.flows["entry-1"]
+        others = frozenset(network.entries[1:])
+        now = anyio.current_time()
+        found = flow.take_out_in_force("suva-depot", others, now, PolicySettings())
+        assert found is (report == "in force")
+
+    network.check(step)
+
+
+@then("entry-1 reports bundle 2 as not in force")
+def _(context: Any) -> None:
+    network = context.network
+
+    async def step() -> None:
+        assert not network.flows["entry-1"].bundle_in_force(2, frozenset(["entry-2"]))
+
+    network.check(step)
+
+
+@then("after agent-1 has sent heartbeats for {seconds:d} s entry-1 reports bundle 2 as in force")
+def _(context: Any, seconds: int) -> None:
+    network = context.network
+
+    async def step() -> None:
+        await network.heartbeats("agent-1", "entry-1", seconds)
+        assert network.flows["entry-1"].bundle_in_force(2, frozenset(["entry-2"]))
+
+    network.check(step)
