--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -82,7 +82,7 @@
         """Write settings, start all processes and put the first bundle in force."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self._choose_ports()
-        self.cli("keys", "init", "--key", str(self.key_path))
+        self.cli("keys", "init", str(self.key_path))
         self._write_settings()
         self.start_process("store")
         for host in self.host_names():
@@ -228,7 +228,7 @@
         return [*python, "apricotpath_bench.backendstandin", *address, *slots], name
 
     def _write_settings(self) -> None:
-        public_key = json.loads(self.cli("keys", "show", "--key", str(self.key_path), "--json"))
+        public_key = json.loads(self.cli("keys", "show", str(self.key_path), "--json"))
         common = {"trusted_keys": [public_key["public_key"]], "policy": self.policy}
         for number in range(1, self.shape.entries + 1):
             self._write(f"entry-{number}", common | self._entry_settings(number))
--- a/packages/core/src/apricotpath/journal.py
+++ b/packages/core/src/apricotpath/journal.py
@@ -1,14 +1,12 @@
-"""Journal of one shard in the store: typed records, group commit, snapshots, replay."""
+"""Journal of one shard in the store: group commit, snapshots, replay."""
 
 import json
 import logging
 import random
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import asdict, dataclass, field, fields, is_dataclass
-from enum import Enum
-from functools import cache
-from typing import Any, NewType, get_args, get_origin, get_type_hints
+from dataclasses import dataclass, field
+from typing import Any, NewType
 
 import anyio
 
@@ -21,8 +19,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from apricotpath.ids import Epoch, HostId, JobId, ProcessId, ShardId, TaskId
-from apricotpath.model import JobSpec
+from apricotpath.ids import Epoch, ShardId
 from apricotpath.store import (
     Compare,
     Delete,
@@ -55,156 +52,15 @@
 Seq = NewType("Seq", int)
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
-    """Base of every journal record."""
-
-
-@dataclass(frozen=True, slots=True)
-class JobAccepted(Record):
-    """A job was accepted; `accepted_s` is UTC in seconds since the epoch."""
-
-    job: JobSpec
-    accepted_s: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class TaskAssigned(Record):
-    """An attempt may run on a host from now on; written before the start is sent."""
-
-    task: TaskId
-    attempt: int
-    host: HostId
-    process: ProcessId
-
-
-@dataclass(frozen=True, slots=True)
-class TaskEvicted(Record):
-    """An attempt was checkpointed and stopped."""
-
-    task: TaskId
-    attempt: int
-    checkpoint: str
-
-
-@dataclass(frozen=True, slots=True)
-class TaskCheckpointed(Record):
-    """A running attempt wrote a checkpoint and goes on."""
-
-    task: TaskId
-    attempt: int
-    checkpoint: str
-
-
-@dataclass(frozen=True, slots=True)
-class TaskFinished(Record):
-    """An attempt completed the task."""
-
-    task: TaskId
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class TaskFailed(Record):
-    """An attempt failed or was stopped."""
-
-    task: TaskId
-    attempt: int
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class TaskLost(Record):
-    """An attempt's host is gone and its lease has ended."""
-
-    task: TaskId
-    attempt: int
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class JobCancelled(Record):
-    """A job was cancelled; none of its tasks starts again."""
-
-    job: JobId
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class JobImpossible(Record):
-    """No host in the allowed data centres can hold the job any more."""
-
-    job: JobId
-    reason: str
-
-
-RECORD_TYPES: dict[str, type[Record]] = {
-    "job-accepted": JobAccepted,
-    "task-assigned": TaskAssigned,
-    "task-evicted": TaskEvicted,
-    "task-checkpointed": TaskCheckpointed,
-    "task-finished": TaskFinished,
-    "task-failed": TaskFailed,
-    "task-lost": TaskLost,
-    "job-cancelled": JobCancelled,
-    "job-impossible": JobImpossible,
-}
-_KINDS = {cls: kind for kind, cls in RECORD_TYPES.items()}
-
-
-def encode_record(record: Record) -> str:
-    """Return the JSON text of a record, with its `kind`."""
-    content = {"kind": _KINDS[type(record)]} | asdict(record)  # type: ignore[call-overload]
-    return json.dumps(content, default=_plain, separators=(",", ":"))
-
-
-def decode_record(content: dict[str, Any]) -> Record:
-    """Return the record of a JSON object; raises StoreError if it is malformed.
-
-    Fields that are missing take their default, so that records of an older
-    version can be read; unknown kinds and fields are errors.
-    """
-    try:
-        values = dict(content)
-        record = _build(RECORD_TYPES[values.pop("kind")], values)
-    except (KeyError, TypeError, ValueError) as exc:
-        raise StoreError(f"a journal record is malformed: {exc!r}") from exc
-    assert isinstance(record, Record)
-    return record
-
-
-def _plain(value: Any) -> Any:
-    if isinstance(value, Enum):
-        return value.value
-    raise TypeError(f"{type(value).__name__} has no JSON form")
-
-
-@cache
-def _hints(cls: type) -> dict[str, Any]:
-    hints = get_type_hints(cls)
-    return {item.name: hints[item.name] for item in fields(cls)}  # type: ignore[arg-type]
-
-
-def _build(cls: Any, values: dict[str, Any]) -> Any:
-    hints = _hints(cls)
-    return cls(**{name: _convert(hints[name], value) for name, value in values.items()})
-
-
-def _convert(hint: Any, value: Any) -> Any:
-    if get_origin(hint) is tuple:
-        return tuple(_convert(get_args(hint)[0], item) for item in value)
-    if is_dataclass(hint):
-        return _build(hint, value)
-    if isinstance(hint, type) and issubclass(hint, Enum):
-        return hint(value)
-    return value
+# One record: a JSON object. What it means is up to the caller (see `apricotpath.records`).
+JsonRecord = dict[str, Any]
 
 
 @dataclass(slots=True, eq=False)
 class _Pending:
     """Records of one `append` call until their outcome is known."""
 
-    records: tuple[Record, ...]
+    records: tuple[JsonRecord, ...]
     texts: tuple[str, ...]
     size: int
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -237,7 +93,7 @@
         shard_revision: int,
         cfg: PolicySettings,
         prefix: str = "/apricotpath/",
-        on_late: Callable[[Sequence[Record]], None] | None = None,
+        on_late: Callable[[Sequence[JsonRecord]], None] | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.store = store
@@ -261,13 +117,14 @@
         self._unreturned: deque[tuple[Seq, list[_Pending]]] = deque()
         self._snapshot_lock = anyio.Lock()
         self._closed = False
+        self._closing = False
 
     @property
     def last_seq(self) -> int:
         """Number of the newest durable log entry, for `debug`."""
         return self._last
 
-    async def append(self, records: Sequence[Record]) -> None:
+    async def append(self, records: Sequence[JsonRecord]) -> None:
         """Return when the records are durable; they become so together or not at all.
 
         Raises StoreUnavailable (not written and never will be), FencedError
@@ -291,12 +148,12 @@
         if pending.error is not None:
             raise type(pending.error)(*pending.error.args) from pending.error
 
-    def _enqueue(self, records: Sequence[Record]) -> _Pending:
+    def _enqueue(self, records: Sequence[JsonRecord]) -> _Pending:
         if self.fenced:
             raise FencedError(f"a newer owner has shard {self.shard}; nothing was written")
         if self._closed or not self._loaded:
             raise StoreUnavailable(f"the journal of shard {self.shard} is not open")
-        texts = tuple(encode_record(record) for record in records)
+        texts = tuple(_text(record) for record in records)
         size = sum(len(text) + 1 for text in texts)
         if size > MAX_VALUE_BYTES:
             raise InputError(f"{size} bytes of records exceed the limit of {MAX_VALUE_BYTES}")
@@ -314,8 +171,13 @@
             self._queue.remove(pending)
             self._queued_bytes -= pending.size
 
+    def close(self) -> None:
+        """End `run` after the write in progress; records still queued are not written."""
+        self._closing = True
+        self._wake.set()
+
     async def run(self) -> None:
-        """Write queued records until cancelled or fenced; then every caller gets an error.
+        """Write queued records until cancelled, closed or fenced; then every caller gets an error.
 
         The first group after a pause is written at once, later ones
         `journal_interval_s` after the one before.
@@ -323,7 +185,7 @@
         next_at = anyio.current_time()
         batch: list[_Pending] = []
         try:
-            while not self.fenced:
+            while not self.fenced and not self._closing:
                 await self._wake.wait()
                 await anyio.sleep(max(0.0, next_at - anyio.current_time()))
                 batch = self._take_batch()
@@ -439,7 +301,7 @@
         self._queued_bytes = 0
         self._wake = anyio.Event()
 
-    async def load(self) -> list[Record]:
+    async def load(self) -> list[JsonRecord]:
         """Return the newest complete snapshot and the log entries after it, in order.
 
         Must be called once before `append`. Raises FencedError if the shard
@@ -471,9 +333,9 @@
                 records += self._content(item)["records"]
                 self._last = seq
         self._loaded = True
-        return [decode_record(record) for record in records]
+        return records
 
-    async def snapshot(self, state_records: Sequence[Record]) -> None:
+    async def snapshot(self, state_records: Sequence[JsonRecord]) -> None:
         """Write the records that rebuild the caller's state, then delete what they cover.
 
         The state must contain every record whose `append` has returned and
@@ -483,7 +345,7 @@
         stays usable and a later snapshot cleans up.
         """
         # Taken before the first await, while the state and the covered entries agree.
-        covers, texts = self._returned_seq(), [encode_record(record) for record in state_records]
+        covers, texts = self._returned_seq(), [_text(record) for record in state_records]
         async with self._snapshot_lock:
             if not self._loaded:
                 raise StoreUnavailable(f"the journal of shard {self.shard} is not open")
@@ -548,6 +410,10 @@
         return content
 
 
+def _text(record: JsonRecord) -> str:
+    return json.dumps(record, separators=(",", ":"))
+
+
 def _settle(batch: Sequence[_Pending] | deque[_Pending], error: StoreError) -> None:
     for pending in batch:
         pending.settle(error)
--- a/packages/core/src/apricotpath/model.py
+++ b/packages/core/src/apricotpath/model.py
@@ -49,6 +49,16 @@
     IMPOSSIBLE = "impossible"
 
 
+class JobState(Enum):
+    """State of a job as operators see it."""
+
+    OPEN = "open"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    IMPOSSIBLE = "impossible"
+
+
 class RunState(Enum):
     """State of a task as its worker reports it."""
 
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the daemon with `python -m apricotpathd`."""
+
+import sys
+
+from apricotpathd.cmdline import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -0,0 +1,142 @@
+"""The agent role: one host's tasks and the requests of its backend server."""
+
+import logging
+import random
+from typing import Any
+
+import anyio
+
+from apricotpath.config import AgentSettings
+from apricotpath.control import Control
+from apricotpath.ids import BackendId, ServiceId
+from apricotpath.link import Link, dial_forever
+from apricotpath.messages import Announce, DataCentreStatus, Leaving
+from apricotpath.metrics import Metrics
+from apricotpath.model import Maturity, Role
+from apricotpath.worker import HttpWorker
+from apricotpathd.agentrequests import AgentRequests
+from apricotpathd.agenttasks import AgentTasks, ServiceLoad
+from apricotpathd.component import Component, UtcClock
+from apricotpathd.controlflow import ControlFlow
+from apricotpathd.entryparts import utc_now
+from apricotpathd.httpserver import require_free, serve_http
+from apricotpathd.process import Process, wait_for_stop
+from apricotpathd.statusapp import StatusApp
+
+log = logging.getLogger(__name__)
+
+WORKER_TIMEOUT_S = 2.0
+# Announcements are repeated, since the maturity of the key memory changes with time.
+ANNOUNCE_INTERVAL_S = 1.0
+
+
+class Agent(Process):
+    """An agent without its ports: all components, joined to each other."""
+
+    def __init__(self, cfg: AgentSettings, utc: UtcClock = utc_now) -> None:
+        super().__init__(Role.AGENT, cfg.process, cfg.data_centre)
+        self.cfg = cfg
+        self.metrics = Metrics()
+        self.control = Control(cfg.trusted_keys)
+        self.flow = ControlFlow(self.control, Role.AGENT)
+        self.worker = HttpWorker(cfg.worker_url, WORKER_TIMEOUT_S)
+        self.requests: AgentRequests | None = None
+        if cfg.backend is not None:
+            self.requests = AgentRequests(cfg, self.incarnation, self.control)
+        self.tasks = AgentTasks(cfg, self.worker, self.control, utc, self.incarnation, self._load)
+        parts: list[Component] = [self.flow, self.tasks]
+        self.use([*parts, self.requests] if self.requests is not None else parts)
+
+    def worker_clock_ms(self) -> int:
+        """Return the newest reading of the worker's clock."""
+        return self.tasks.worker_clock_ms
+
+    def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
+        """Return what heartbeats tell of the control state."""
+        return self.control.bundle_version, self.control.statuses()
+
+    async def opened(self, link: Link) -> None:
+        """Announce this host on a new link before anything else is sent."""
+        await link.send(self.announcement())
+        await super().opened(link)
+
+    def announcement(self) -> Announce:
+        """Return what this agent offers now."""
+        cfg, backend = self.cfg, self.cfg.backend
+        return Announce(
+            cfg.host,
+            cfg.rack,
+            cfg.data_centre,
+            cfg.size,
+            backend.backend if backend else BackendId(""),
+            backend.service if backend else ServiceId(""),
+            backend.slots if backend else 0,
+            backend.connections if backend else 0,
+            self.draining,
+            self.ready(),
+            self.requests.maturity() if self.requests else Maturity.YOUNG,
+        )
+
+    def ready(self) -> bool:
+        """Tell whether a bundle is in force and the worker's tasks are adopted."""
+        return self.control.bundle is not None and self.tasks.ready and not self.draining
+
+    async def announce_forever(self) -> None:
+        """Repeat the announcement on all links until cancelled."""
+        while True:
+            await anyio.sleep(ANNOUNCE_INTERVAL_S)
+            for link in list(self.links):
+                if link.is_open:
+                    await link.send(self.announcement())
+
+    async def leave(self) -> None:
+        """Tell all entries that this host takes no new work."""
+        self.draining = True
+        for link in list(self.links):
+            if link.is_open:
+                await link.send(Leaving("the agent is shutting down"))
+
+    def debug(self) -> dict[str, Any]:
+        """Return the agent's state for operators, as plain JSON values."""
+        report = self.tasks.report()
+        return {
+            "incarnation": self.incarnation,
+            "bundle_version": self.control.bundle_version,
+            "ready": self.ready(),
+            "links": [link.peer_id for link in self.links],
+            "tasks": [f"{task.task}#{task.attempt} {task.state.value}" for task in report.tasks],
+            "outcomes": len(report.outcomes),
+            "busy_slots": report.busy_slots,
+            "queued": report.queued,
+        }
+
+    def _load(self) -> ServiceLoad:
+        if self.requests is None:
+            return ServiceLoad()
+        requests = self.requests
+        return ServiceLoad(requests.pressure, requests.busy_slots, requests.queued)
+
+
+async def run_agent(cfg: AgentSettings) -> None:
+    """Run an agent until it is asked to stop and has finished the work in hand.
+
+    Raises SettingsError before anything is started if its port cannot be used.
+    """
+    require_free(cfg.metrics)
+    agent = Agent(cfg)
+    stopped = anyio.Event()
+    app = StatusApp(agent.ready, agent.metrics.render, agent.debug)
+    async with anyio.create_task_group() as group:
+        await agent.serve(group)
+        group.start_soon(agent.announce_forever)
+        for address in cfg.entries:
+            rng = random.Random()
+            group.start_soon(dial_forever, address, agent.hello, cfg.link, agent, rng)
+        group.start_soon(serve_http, app, cfg.metrics, cfg.limits, stopped.wait)
+        log.info("agent started", extra={"incarnation": agent.incarnation})
+        await wait_for_stop()
+        await agent.leave()
+        await agent.drain()
+        stopped.set()
+        log.info("agent stopped")
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/entry.py
@@ -0,0 +1,51 @@
+"""The entry role: ports, background loops and graceful shutdown."""
+
+import logging
+
+import anyio
+
+from apricotpath.config import EntrySettings
+from apricotpath.link import listen
+from apricotpathd.callers import serve_callers
+from apricotpathd.entryparts import EntryParts, utc_now
+from apricotpathd.httpserver import require_free, serve_http
+from apricotpathd.operators import OperatorApp
+from apricotpathd.process import wait_for_stop
+from apricotpathd.services import EntryServices
+
+log = logging.getLogger(__name__)
+
+
+async def run_entry(cfg: EntrySettings) -> None:
+    """Run an entry until it is asked to stop and has finished the work in hand.
+
+    Raises SettingsError before anything is started if a port cannot be used.
+    """
+    for address in (cfg.links, cfg.callers, cfg.operators):
+        require_free(address)
+    parts = EntryParts(cfg)
+    operators = OperatorApp(EntryServices(parts, utc_now), parts.control.trust, utc_now)
+    stopping, drained = anyio.Event(), anyio.Event()
+    async with parts.store, anyio.create_task_group() as group:
+        group.start_soon(listen, cfg.links, parts.hello, cfg.link, parts, group)
+        await parts.serve(group)
+        group.start_soon(parts.callers.run)
+        group.start_soon(parts.members.run)
+        group.start_soon(parts.apply_views)
+        group.start_soon(
+            serve_callers, parts.callers, f"{cfg.callers.host}:{cfg.callers.port}", stopping.wait
+        )
+        group.start_soon(serve_http, operators, cfg.operators, cfg.limits, drained.wait)
+        log.info("entry started", extra={"incarnation": parts.incarnation})
+        await wait_for_stop()
+        # Not ready from here on, while the load balancer may still send for a while.
+        parts.draining = True
+        parts.members.leaving = True
+        await anyio.sleep(cfg.drain_s)
+        stopping.set()
+        await parts.callers.drain()
+        await parts.drain()
+        await parts.members.drain()
+        drained.set()
+        log.info("entry stopped")
+        group.cancel_scope.cancel()
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -22,7 +22,7 @@
 from apricotpath.ids import JobId, TaskId
 from apricotpath.jobs import JobRow, shard_of, split_task, task_id
 from apricotpath.messages import JobCall, JobReply
-from apricotpath.model import JobSpec, TaskState
+from apricotpath.model import JobSpec, JobState, TaskState
 from apricotpath.placement import Reason
 from apricotpath.records import JobAccepted, JobCancelled, Record, spec_from_json, spec_to_json
 from apricotpathd.reconcile import Reconciler
@@ -277,17 +277,23 @@
     return split_task(TaskId(name))[0] if "/" in name else JobId(name)
 
 
+def job_state(row: JobRow) -> JobState:
+    """Return a job's state as operators see it."""
+    if row.cancelled:
+        return JobState.CANCELLED
+    if not row.ended:
+        return JobState.IMPOSSIBLE if row.impossible else JobState.OPEN
+    return JobState.FAILED if row.counts().get(TaskState.FAILED) else JobState.FINISHED
+
+
 def summary(row: JobRow) -> dict[str, Any]:
     """Return a job's summary as plain JSON values."""
     spec = row.spec
-    state = "cancelled" if row.cancelled else "ended" if row.ended else "open"
-    if row.impossible and state == "open":
-        state = "impossible"
     counts = {state.value: number for state, number in row.counts().items()}
     return {
         "job": spec.job_id,
         "team": spec.team,
-        "state": state,
+        "state": job_state(row).value,
         "priority": spec.priority.value,
         "accepted_at": row.accepted_at,
         "tasks": spec.tasks,
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -285,6 +285,7 @@
             self.state.index.remove(process)
         log.info("shard acquired", extra={"shard": number, "epoch": epoch})
         if self._group is not None:
+            self._group.start_soon(shard.journal.run)
             self._group.start_soon(self._serve, shard)
 
     async def _serve(self, shard: Shard) -> None:
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -46,6 +46,12 @@
     or StoreLimited (no effect) and StoreOutcomeUnknown (reload before going on).
     """
 
+    async def run(self) -> None:
+        """Write queued records until closed."""
+
+    def close(self) -> None:
+        """End `run` after the write in progress."""
+
     async def append(self, records: Sequence[dict[str, Any]]) -> None:
         """Write records; they are durable when this returns."""
 
@@ -271,6 +277,7 @@
         for run in list(shard.runs.values()):
             self.remove_run(shard, run.task)
         shard.scope.cancel()
+        shard.journal.close()
         error = FencedError(why)
         for proposal in shard.outbox:
             proposal.failed(error)
--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -622,7 +622,7 @@
     async def until(self, condition: Callable[[], bool], limit: float) -> None:
         """Wait for a condition, at most `limit` virtual seconds."""
         with anyio.fail_after(limit):
-            while not condition():  # noqa: ASYNC110 -- the clock is virtual.
+            while not condition():
                 await anyio.sleep(0.05)
 
     def finished(self) -> set[str]:
