--- /dev/null
+++ b/tests/features/cli.feature
@@ -0,0 +1,116 @@
+Feature: cli
+
+  Guards against an operators' command that changes something on bad input,
+  reports a change as done that is not in force, gives up on a lost answer, or
+  repeats a change.
+
+  Scenario Outline: bad input ends with exit code 2, one sentence, and no change
+    Given an operators' command with 2 entries
+    When the command runs with <arguments>
+    Then the command exits with 2 and one sentence like <sentence>
+    And the command changed nothing
+
+    Examples:
+      | arguments                               | sentence                  |
+      | nothing                                 | required                  |
+      | unknown                                 | invalid choice            |
+      | dc                                      | required                  |
+      | dc out                                  | required                  |
+      | dc out suva-depot --wait -1 {to}        | outside 0 to              |
+      | dc out suva-depot --wait soon {to}      | invalid seconds value     |
+      | dc out lautoka {to}                     | no entry knows            |
+      | dc out a/b {to}                         | not the name              |
+      | dc out suva-depot --key {key}           | no entry is given         |
+      | dc out suva-depot --entry http://one    | no key is given           |
+      | dc out suva-depot --entry one --key {key} | not the URL             |
+      | dc out suva-depot --entry http://one/x --key {key} | not the URL    |
+      | dc out suva-depot --entry http://one --key {stranger} | not trusted |
+      | dc out suva-depot --entry http://one --key nowhere.pem | cannot be read |
+      | dc out suva-depot --settings {bad_settings} | unknown setting       |
+      | bundle apply {bad_bundle} {to}          | version: must be at least 1 |
+      | bundle apply nowhere.json {to}          | cannot be read            |
+      | bundle sign {bad_bundle} --out {new} --key {key} | at least 1       |
+      | bundle validate {key}                   | not valid JSON            |
+      | bundle diff {bundle} nowhere.json       | cannot be read            |
+      | jobs submit {bad_job} {to}              | tasks: must be from 1     |
+      | jobs list --limit many {to}             | invalid int value         |
+      | keys init {key}                         | File exists               |
+      | keys show {bundle}                      | lets others read          |
+      | tls issue p --address host --folder {tls} | not an IP number        |
+      | check-config entry {bad_settings}       | unknown setting           |
+
+  Scenario Outline: a bundle is applied
+    Given an operators' command with 2 entries
+    And the entries have the fault <fault>
+    When the command runs with bundle apply {bundle} --wait 0.3 {to}
+    Then the command exits with <code> and says <words>
+    And the entries saw the change "bundle 2" <times> times
+
+    Examples:
+      | fault                  | code | words                          | times |
+      | none                   | 0    | bundle version 2: in force     | 1     |
+      | an answer that is lost | 0    | bundle version 2: in force     | 1     |
+      | an entry that is down  | 0    | bundle version 2: in force     | 1     |
+      | lagging agents         | 3    | accepted, not yet in force     | 1     |
+      | another bundle 2       | 1    | only 3 may follow              | 0     |
+      | the store out          | 1    | store cannot be reached        | 0     |
+      | all entries down       | 1    | cannot be reached              | 0     |
+
+  Scenario Outline: a data centre is taken out
+    Given an operators' command with 2 entries
+    And the entries have the fault <fault>
+    When the command runs with dc out suva-depot --wait 0.6 {to}
+    Then the command exits with <code> and says <words>
+    And the entries saw the change "suva-depot out" <times> times
+
+    Examples:
+      | fault                       | code | words                       | times |
+      | none                        | 0    | suva-depot out: in force    | 2     |
+      | the store out               | 0    | suva-depot out: in force    | 2     |
+      | an answer that is lost      | 0    | suva-depot out: in force    | 2     |
+      | an entry that is down       | 0    | suva-depot out: in force    | 1     |
+      | an entry that is down twice | 0    | suva-depot out: in force    | 2     |
+      | lagging agents              | 3    | accepted, not yet in force  | 2     |
+      | another operator's bring-back | 1  | another operator            | 2     |
+      | all entries down            | 1    | cannot be reached           | 0     |
+
+  Scenario Outline: a data centre is brought back only through the store
+    Given an operators' command with 2 entries
+    And the entries have the fault <fault>
+    When the command runs with dc in suva-depot --wait 0.3 {to}
+    Then the command exits with <code> and says <words>
+
+    Examples:
+      | fault         | code | words                    |
+      | the store out | 1    | store cannot be reached  |
+
+  Scenario: a rotated key signs and applies without new settings
+    Given an operators' command with 2 entries
+    When the command runs with keys rotate {key} {new}
+    And the command runs with bundle sign {bundle} --out {signed} --key {new}
+    And the command runs with bundle apply {signed} --entry http://one --entry http://two --wait 1 --key {new}
+    Then the command exits with 0 and says bundle version 2: in force
+
+  Scenario Outline: a command prints what was asked for
+    Given an operators' command with 2 entries
+    When the command runs with <arguments>
+    Then the command exits with 0 and says <words>
+
+    Examples:
+      | arguments                      | words                     |
+      | status {to}                    | version 1                 |
+      | status --json {to}             | "entry": "one"            |
+      | dc status {to}                 | suva-depot    0    in     |
+      | bundle status {to}             | http://two  1        yes  |
+      | bundle validate {bundle}       | valid                     |
+      | bundle diff {bundle} {bundle}  | no differences            |
+      | hosts {to}                     | suva-01  16     yes    a?[2Jb |
+      | hosts --json {to}              | "cores": 16.0             |
+      | backends {to}                  | none                      |
+      | explain --job j1 {to}          | job j1                    |
+      | debug {to}                     | "name": "two"             |
+      | jobs submit {job} {to}         | j1                        |
+      | jobs list {to}                 | none                      |
+      | keys show {key}                | key id                    |
+      | tls init --folder {tls}2       | wrote                     |
+      | check-config entry examples/suva/entry-1.json | valid      |
--- /dev/null
+++ b/tests/features/steps/cli_steps.py
@@ -0,0 +1,146 @@
+"""Steps for cli.feature."""
+
+import contextlib
+import io
+import json
+import shlex
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from control_steps import RULES, signed, status
+from operator_standin import MemoryEntries
+
+from apricotpath.bundle import plain
+from apricotpath.signing import generate_key, save_key
+from apricotpath_cli import client
+from apricotpath_cli.cmdline import main
+
+JOB = {
+    "job_id": "j1",
+    "team": "collection",
+    "activity": "report",
+    "size": {"cpu_milli": 100},
+    "tasks": 1,
+    "run_time_s": 1,
+}
+
+
+class OperatorsCommand:
+    """Holds entries in memory, files in a folder, and the last run of the command."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.key = generate_key()
+        self.entries = MemoryEntries(["one", "two"], [self.key.public_text])
+        for services in self.entries.services.values():
+            services.control.offer_bundle(signed(self.key, 1))
+        self.code, self.out, self.err = -1, "", ""
+        save_key(self.key, folder / "key")
+        save_key(generate_key(), folder / "stranger")
+        (folder / "tls").mkdir()
+        (folder / "tls2").mkdir()
+        with contextlib.redirect_stdout(io.StringIO()):
+            assert main(["tls", "init", "--folder", str(folder / "tls")]) == 0
+        rules = plain(RULES)
+        self._write("bundle", {**rules, "version": 2})
+        self._write("bad_bundle", {**rules, "version": 0})
+        self._write("job", JOB)
+        self._write("bad_job", {**JOB, "tasks": 0})
+        self._write("bad_settings", {"entrys": []})
+        self.before = self._files()
+
+    def _write(self, name: str, value: Any) -> None:
+        (self.folder / name).write_text(json.dumps(value))
+
+    def _files(self) -> dict[str, bytes]:
+        return {str(path): path.read_bytes() for path in self.folder.rglob("*") if path.is_file()}
+
+    def run(self, arguments: str) -> None:
+        names = ("key", "stranger", "bundle", "bad_bundle", "job", "bad_job", "bad_settings")
+        places = {name: str(self.folder / name) for name in (*names, "new", "signed", "tls")}
+        to = f"--entry http://one --entry http://two --timeout 1 --key {places['key']}"
+        argv = shlex.split(arguments.format(to=to, **places))
+        out, err = io.StringIO(), io.StringIO()
+        client.transport = self.entries
+        try:
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+                self.code = main(argv)
+        finally:
+            client.transport = None
+        self.out, self.err = out.getvalue(), err.getvalue()
+
+    def add_fault(self, fault: str) -> None:
+        one, two = self.entries.services.values()
+        if fault == "an answer that is lost":
+            self.entries.lose_answers = 1
+        elif fault == "an entry that is down":
+            self.entries.down = {"two": 1000}
+        elif fault == "an entry that is down twice":
+            self.entries.down = {"two": 2}
+        elif fault == "all entries down":
+            self.entries.down = {"one": 1000, "two": 1000}
+        elif fault == "lagging agents":
+            one.in_force = two.in_force = False
+        elif fault == "the store out":
+            one.store_out = two.store_out = True
+        elif fault == "another bundle 2":
+            for services in (one, two):
+                services.control.offer_bundle(signed(self.key, 2, region="elsewhere"))
+        elif fault == "another operator's bring-back":
+            one.in_force = two.in_force = False
+            self.entries.on_write = self._bring_back
+        else:
+            assert fault == "none"
+
+    def _bring_back(self) -> None:
+        for services in self.entries.services.values():
+            services.control.offer_statuses([status("suva-depot", 9, "in")])
+
+    def unchanged(self) -> bool:
+        return self._files() == self.before and not self.entries.changes
+
+
+@given("an operators' command with 2 entries")
+def _(context: Any) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.command = OperatorsCommand(Path(folder.name))
+
+
+@given("the entries have the fault {fault}")
+def _(context: Any, fault: str) -> None:
+    context.command.add_fault(fault)
+
+
+@when("the command runs with {arguments}")
+def _(context: Any, arguments: str) -> None:
+    context.command.run("" if arguments == "nothing" else arguments)
+
+
+@then("the command exits with {code:d} and one sentence like {sentence}")
+def _(context: Any, code: int, sentence: str) -> None:
+    command = context.command
+    assert command.code == code, (command.code, command.err)
+    assert command.err.startswith("apricotpath: "), command.err
+    assert command.err.count("\n") == 1, command.err
+    assert sentence in command.err, command.err
+    assert command.out == ""
+
+
+@then("the command exits with {code:d} and says {words}")
+def _(context: Any, code: int, words: str) -> None:
+    command = context.command
+    assert command.code == code, (command.code, command.out, command.err)
+    assert words in command.out + command.err, (command.out, command.err)
+
+
+@then("the command changed nothing")
+def _(context: Any) -> None:
+    assert context.command.unchanged()
+
+
+@then('the entries saw the change "{change}" {times:d} times')
+def _(context: Any, change: str, times: int) -> None:
+    assert context.command.entries.changes.count(change) == times, context.command.entries.changes
