--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -163,9 +163,16 @@
 
 
 async def _is_accepted(client: Client, version: int, envelope: bytes) -> bool:
-    """Tell whether an earlier try has put exactly this bundle in force."""
-    held = await client.any("GET", "/v1/bundle")
-    return held.get("version") == version and held.get("envelope") == json.loads(envelope)
+    """Tell whether an earlier try, whose answer was lost, has put this bundle in force.
+
+    The entry asked may learn of it only with its next read of the store.
+    """
+    for _attempt in range(PUT_TRIES):
+        held = await client.any("GET", "/v1/bundle")
+        if held.get("version") != version - 1:
+            return held.get("version") == version and held.get("envelope") == json.loads(envelope)
+        await anyio.sleep(RETRY_S)
+    return False
 
 
 def _has_bundle(status: dict[str, Any], version: int) -> bool:
