--- a/packages/daemon/src/apricotpathd/controlflow.py
+++ b/packages/daemon/src/apricotpathd/controlflow.py
@@ -26,6 +26,9 @@
 # An update sent to a peer is repeated only after this long, so that heartbeats
 # sent before the peer had read it do not cause a second copy.
 RESEND_S = 2.0
+# The delay doubles up to this for a peer that stays behind, such as one that
+# refuses the bundle, so that it does not receive a large bundle every 2 s.
+MAX_RESEND_S = 60.0
 # An agent waits this long before it brings an entry up to date, since the other
 # entries do so at once and every agent would send the same bundle.
 AGENT_PATIENCE_S = 1.5
@@ -45,6 +48,7 @@
     sent_at: float = 0.0
     sent_status_at: float = 0.0
     behind_since: float | None = None
+    resend_s: float = RESEND_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,13 +309,14 @@
         """Send the state again to a peer whose heartbeat shows an older one."""
         now = anyio.current_time()
         if peer.version >= self.control.bundle_version and not self._lacks_status(peer):
-            peer.behind_since = None
+            peer.behind_since, peer.resend_s = None, RESEND_S
             return
         if peer.behind_since is None:
             peer.behind_since = now
         patience = AGENT_PATIENCE_S if self.role is Role.AGENT else 0.0
-        if now - peer.behind_since >= patience and now - peer.sent_status_at >= RESEND_S:
+        if now - peer.behind_since >= patience and now - peer.sent_status_at >= peer.resend_s:
             self._send(peer)
+            peer.resend_s = min(2 * peer.resend_s, MAX_RESEND_S)
 
     def _progress(self, have: set[ProcessId]) -> Progress:
         return Progress(tuple(sorted(have)), tuple(sorted(self.peers.keys() - have)))
--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -33,6 +33,7 @@
       | bundle 2 that revokes its signing key |
       | bundle 2 with an invalid rule         |
       | bundle 2 announced as 0               |
+      | bundle 1 announced as 9               |
       | bytes that are no envelope            |
 
   Scenario: a rotated key stays trusted when its predecessor is revoked
--- a/tests/features/controlflow.feature
+++ b/tests/features/controlflow.feature
@@ -29,6 +29,19 @@
       | entry-1 | entry-2 |
       | agent-1 | entry-2 |
 
+  Scenario: an agent leaves an entry that is briefly behind to the other entries
+    Given a control network of 2 entries and 1 agents linked to both
+    When the updates from agent-1 to entry-2 are lost while it gets bundle 2
+    And entry-2 sends heartbeats to agent-1 for 2 s
+    Then agent-1 sent bundle 2 to entry-2 0 times after the loss
+
+  Scenario: a peer that refuses the bundle is not sent it with every heartbeat
+    Given a control network of 1 entries and 1 agents linked to both
+    When agent-1 of the control network trusts no key
+    And entry-1 reads bundle 2 and a take-out from the store
+    And agent-1 sends heartbeats to entry-1 for 62 s
+    Then entry-1 sent bundle 2 to the refusing agent-1 from 2 to 6 times
+
   Scenario: a take-out without the store is written back once the store answers
     Given a control network of 2 entries and 1 agents linked to both
     When entry-2 takes suva-depot out while the store is out
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -96,6 +96,7 @@
                 signed(self.key, 2, revoked_keys=(self.key.key_id,)),
             ),
             "bundle 2 with an invalid rule": (2, signed(self.key, 2, datacentres={})),
+            "bundle 1 announced as 9": (9, other),
             "bundle 2 announced as 0": (0, signed(self.key, 2)),
             "bytes that are no envelope": (9, b"\x00\xff"),
         }
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -255,6 +255,26 @@
     network.check(step)
 
 
+@when("agent-1 of the control network trusts no key")
+def _(context: Any) -> None:
+    network = context.network
+
+    async def step() -> None:
+        network.flows["agent-1"].control = Control([])
+
+    network.script.append(step)
+
+
+@then("entry-1 sent bundle 2 to the refusing agent-1 from {least:d} to {most:d} times")
+def _(context: Any, least: int, most: int) -> None:
+    network = context.network
+
+    async def step() -> None:
+        assert least <= network.bundles_sent[("entry-1", "agent-1")] <= most, network.bundles_sent
+
+    network.check(step)
+
+
 @when("entry-2 takes suva-depot out while the store is out")
 def _(context: Any) -> None:
     network = context.network
--- a/tests/features/steps/operator_standin.py
+++ b/tests/features/steps/operator_standin.py
@@ -17,10 +17,21 @@
 Json = dict[str, Any]
 
 
+class MemoryStore:
+    """What the entries share: the bundle, and bring-backs.
+
+    Take-outs stay out of it, as while the store cannot be written.
+    """
+
+    def __init__(self) -> None:
+        self.bundle = b""
+        self.statuses: list[DataCentreStatus] = []
+
+
 class MemoryServices:
     """Implements OperatorServices; `changes` lists what operators changed."""
 
-    def __init__(self, name: str, public_keys: list[str], store: dict[str, bytes]) -> None:
+    def __init__(self, name: str, public_keys: list[str], store: "MemoryStore") -> None:
         self.name = name
         self.store = store
         self.control = Control(public_keys)
@@ -33,10 +44,9 @@
 
     async def put_bundle(self, envelope: bytes) -> Json:
         self._needs_store()
-        if "bundle" in self.store:
-            self.control.offer_bundle(self.store["bundle"])
+        self._read_store()
         bundle = self.control.check_bundle(envelope)
-        self.store["bundle"] = envelope
+        self.store.bundle = envelope
         self.control.offer_bundle(envelope)
         self.changes.append(f"bundle {bundle.version}")
         return {"version": bundle.version, "in_force": self.in_force}
@@ -54,6 +64,8 @@
             if known.seq >= seq:
                 raise ConflictError(f"the status of {dc} has seq {known.seq} already")
             self.control.offer_statuses([wanted])
+            if state is ServiceState.IN:
+                self.store.statuses.append(wanted)
             self.changes.append(f"{dc} {state.value}")
         return {"data_centre": dc, "seq": seq, "state": state.value, "in_force": self.in_force}
 
@@ -91,8 +103,7 @@
     async def status(self) -> Json:
         if self.broken:
             raise RuntimeError("secret detail")
-        if "bundle" in self.store:
-            self.control.offer_bundle(self.store["bundle"])
+        self._read_store()
         centres = self.control.bundle.datacentres if self.control.bundle else {}
         rows = [self._centre(dc) for dc in centres]
         bundle = {"version": self.control.bundle_version, "in_force": self.in_force}
@@ -117,6 +128,11 @@
     def metrics(self) -> bytes:
         return b"up 1\n"
 
+    def _read_store(self) -> None:
+        if self.store.bundle:
+            self.control.offer_bundle(self.store.bundle)
+        self.control.offer_statuses(self.store.statuses)
+
     def _needs_store(self) -> None:
         if self.store_out:
             raise StoreUnavailable("the store cannot be reached")
@@ -130,7 +146,7 @@
     """
 
     def __init__(self, names: list[str], public_keys: list[str]) -> None:
-        self.store: dict[str, bytes] = {}
+        self.store = MemoryStore()
         self.services = {name: MemoryServices(name, public_keys, self.store) for name in names}
         self.apps = {
             name: OperatorApp(services, services.control.trust, lambda: datetime.now(UTC))
