Let a bundle name trusted keys, and let agents wait before they send it

Cause: once the key in the settings is revoked, keys that it vouched for are trusted only while they sign the bundle in force, so other operators were locked out. Change: the bundle has an optional list `trusted_keys`; the test of late peers lets the resend delay pass first. Ruled out: keeping the keys of all earlier bundles. A restarted process knows only the newest one and would then trust fewer keys than others.

--- a/packages/core/src/apricotpath/bundle.py
+++ b/packages/core/src/apricotpath/bundle.py
@@ -10,10 +10,11 @@
 from zoneinfo import ZoneInfo
 
 from apricotpath.config import build, parse_json
-from apricotpath.errors import BundleError, SettingsError
+from apricotpath.errors import BundleError, SettingsError, SignatureError
 from apricotpath.hours import MINUTES_PER_DAY, WeeklyPeriod
 from apricotpath.ids import ClassId, DataCentreId, KeyId, ServiceId, TeamId
 from apricotpath.model import Size
+from apricotpath.signing import key_id
 
 # The signed envelope with its base64 payload must fit one store value and one frame.
 MAX_BUNDLE_BYTES = 512 << 10
@@ -130,6 +131,7 @@
     quiet_hours: tuple[QuietHours, ...] = ()
     placement: tuple[PlacementRule, ...] = ()
     revoked_keys: tuple[KeyId, ...] = ()
+    trusted_keys: tuple[str, ...] = ()
 
 
 def load_bundle(path: Path) -> Bundle:
@@ -205,6 +207,11 @@
             yield f"teams.{team}.share", "must be above 0"
     for number, rule in enumerate(bundle.placement):
         yield from _placement_problems(f"placement[{number}]", rule, bundle)
+    for number, text in enumerate(bundle.trusted_keys):
+        try:
+            key_id(text)
+        except SignatureError as exc:
+            yield f"trusted_keys[{number}]", str(exc)
 
 
 def _quiet_problems(path: str, quiet: QuietHours, bundle: Bundle) -> Iterator[tuple[str, str]]:
--- a/packages/core/src/apricotpath/control.py
+++ b/packages/core/src/apricotpath/control.py
@@ -18,7 +18,7 @@
 from apricotpath.model import ServiceState, Size
 from apricotpath.rules import Verdict
 from apricotpath.servicerules import ClassRules, ServiceRules
-from apricotpath.signing import SignedEnvelope, Trust, check_envelope, parse_envelope
+from apricotpath.signing import SignedEnvelope, Trust, check_envelope, key_id, parse_envelope
 
 log = logging.getLogger(__name__)
 
@@ -61,9 +61,10 @@
     def trust(self) -> Trust:
         """Return the keys trusted now.
 
-        These are the keys of the settings and those that the bundle in force
-        was signed through, without the keys it revokes. A key in the settings
-        can therefore be revoked after a rotation.
+        These are the keys of the settings, those that the bundle in force was
+        signed through, and those that it names, without the keys it revokes.
+        A key in the settings can therefore be revoked after a rotation. Earlier
+        bundles do not count, so that a restarted process trusts the same keys.
         """
         revoked = self.bundle.revoked_keys if self.bundle is not None else ()
         return Trust({**self._settings_trust.keys, **self._bundle_keys}, frozenset(revoked))
@@ -148,6 +149,7 @@
         self._bundle_keys = {
             key: text for key, text in keys.items() if text in in_chain or key == envelope.key
         }
+        self._bundle_keys |= {key_id(text): text for text in bundle.trusted_keys}
         self.envelope, self.bundle, self.refusal = data, bundle, ""
         self._quiet = {}
         self._services = {
--- a/tests/features/bundle.feature
+++ b/tests/features/bundle.feature
@@ -44,6 +44,7 @@
       | teams.composting.rate_per_s              | "fast"                   | teams.composting.rate_per_s              | number                  |
       | placement.0.teams                        | ["nobody"]               | placement[0].teams                       | not in 'teams'          |
       | placement.0.datacentres                  | ["*"]                    | placement[0].datacentres                 | not in 'datacentres'    |
+      | trusted_keys                             | ["AAAA"]                 | trusted_keys[0]                          | 32 bytes                |
       | placement.0.activities                   | []                       | placement[0]                             | teams or activities     |
 
   Scenario Outline: a text that is no bundle is refused
--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -43,6 +43,17 @@
     And a bundle 4 by a key that the revoked one vouches for is refused
     And a bundle 4 by the rotated key is accepted
 
+  Scenario Outline: one bundle hands over from a key in the settings to others
+    Given a control state with bundle 1 in force
+    When bundle 2 by a rotated key revokes the old one and names the key of a colleague
+    Then a bundle 3 by <signer> is <result> by a running and by a restarted process
+
+    Examples:
+      | signer          | result   |
+      | the rotated key | accepted |
+      | the colleague   | accepted |
+      | the revoked key | refused  |
+
   Scenario Outline: only the next version may be submitted
     Given a control state with bundle 1 in force
     Then submitting bundle <version> gives <result>
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -191,6 +191,31 @@
     assert subject.control.offer_bundle(data) is (result == "accepted")
 
 
+@when("bundle 2 by a rotated key revokes the old one and names the key of a colleague")
+def _(context: Any) -> None:
+    subject = context.control
+    subject.signers = {
+        "the revoked key": subject.key,
+        "the rotated key": rotate_key(subject.key),
+        "the colleague": generate_key(),
+    }
+    subject.handover = signed(
+        subject.signers["the rotated key"],
+        2,
+        revoked_keys=(subject.key.key_id,),
+        trusted_keys=(subject.signers["the colleague"].public_text,),
+    )
+
+
+@then("a bundle 3 by {signer} is {result} by a running and by a restarted process")
+def _(context: Any, signer: str, result: str) -> None:
+    subject = context.control
+    for control in (subject.control, subject.fresh()):
+        assert control.offer_bundle(subject.handover)
+        bundle = signed(subject.signers[signer], 3)
+        assert control.offer_bundle(bundle) is (result == "accepted")
+
+
 @then("submitting bundle {version:d} gives {result}")
 def _(context: Any, version: int, result: str) -> None:
     subject = context.control
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -120,6 +120,8 @@
 
     async def lose(self, sender: str, peer: str) -> None:
         """Bring bundle 2 to every process but one, which no process reaches."""
+        # No update was sent for a while, so only the delays for late peers apply.
+        await anyio.sleep(10)
         blocked = [link for ends, link in self.links.items() if ends[1] == peer]
         for link in blocked:
             link.lost = True
