--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -10,6 +10,7 @@
 from apricotpath.errors import (
     ApricotpathError,
     ConflictError,
+    FencedError,
     InputError,
     JobError,
     JobUnknown,
@@ -125,6 +126,8 @@
 
         shard.propose(Proposal([record], lambda _: written.set(), failed))
         await written.wait()
+        if errors and isinstance(errors[0], FencedError):
+            raise NoOwner("the job's shard went to another entry; try again") from errors[0]
         if errors:
             raise errors[0]
 
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -377,6 +377,9 @@
             log.warning("journal reloaded: %s", exc, extra={"shard": shard.shard})
             shard.loaded = False
             self._fail(batch, exc)
+            # What was queued meanwhile rests on a table that is about to be replaced.
+            queued, shard.outbox = shard.outbox, []
+            self._fail(queued, StoreUnavailable("the journal is being read again"))
             await self._load(shard, first=False)
         except BaseException as exc:
             # A cancelled write may still take effect.
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -30,6 +30,8 @@
 TELL_AGAIN_S = 1.0
 EVICT_AGAIN_S = 3.0
 CLAIM_AGAIN_S = 1.0
+# A present host whose worker gives no list is waited for this long after a lease has ended.
+HEAR_S = 30.0
 # Claims of one tick are bounded, so that a take-over does not flood the links.
 CLAIMS_PER_TICK = 2000
 
@@ -105,6 +107,7 @@
                 continue
             self.state.reports[process] = (row.incarnation, report)
             if report.ready:
+                self.state.heard_at[process] = now
                 self._report(row, report, now)
             self.state.refresh_host(process)
             self._learn(row, report, now)
@@ -260,7 +263,11 @@
         )
 
     def expire(self, now: float) -> None:
-        """Declare attempts lost whose lease has surely ended."""
+        """Declare attempts lost whose lease has surely ended.
+
+        A host that is present is heard first: its next report may bring the
+        attempt's outcome, which must not be thrown away.
+        """
         for shard in self.state.shards.values():
             if not shard.usable:
                 continue
@@ -268,6 +275,7 @@
                 TaskLost(run.task, run.attempt)
                 for run in shard.runs.values()
                 if now >= run.expires_at
+                and self._heard(run, now)
                 and run.phase is not Phase.PROPOSED
                 and run.task not in shard.busy
             ]
@@ -275,6 +283,14 @@
                 log.info("%d attempts lost", len(lost), extra={"shard": shard.shard})
                 self.end(shard, lost)
 
+    def _heard(self, run: Run, now: float) -> bool:
+        row = self.state.hosts.rows.get(run.process)
+        if row is None or not row.present:
+            return True
+        if run.expires_at > 0.0 and now - run.expires_at >= HEAR_S:
+            return True
+        return self.state.heard_at.get(run.process, -1.0) >= run.expires_at
+
     def renew(self, now: float, last_store_contact: float) -> None:
         """Renew the leases of running attempts, unless the store is out for too long.
 
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -166,7 +166,9 @@
     acquired_at: float
     table: JobTable = field(default_factory=JobTable)
     runs: dict[TaskId, Run] = field(default_factory=dict)
-    by_process: dict[ProcessId, set[TaskId]] = field(default_factory=lambda: defaultdict(set))
+    by_process: dict[ProcessId, dict[TaskId, None]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
     outbox: list[Proposal] = field(default_factory=list)
@@ -188,14 +190,14 @@
     def add_run(self, run: Run) -> None:
         """Insert an attempt."""
         self.runs[run.task] = run
-        self.by_process[run.process].add(run.task)
+        self.by_process[run.process][run.task] = None
 
     def remove_run(self, task: TaskId) -> Run | None:
         """Remove an attempt and return it."""
         run = self.runs.pop(task, None)
         if run is not None:
             tasks = self.by_process[run.process]
-            tasks.discard(task)
+            tasks.pop(task, None)
             if not tasks:
                 del self.by_process[run.process]
         return run
@@ -213,7 +215,8 @@
 class OwnerState:
     """Everything that the owner's systems work on.
 
-    `inbox` holds the newest report of each agent until the next tick.
+    `inbox` holds the newest report of each agent until the next tick, `reports`
+    the last one handled and `heard_at` when that was, if the agent was ready.
     `used` is the committed cores of each team in the shards held here.
     `reasons` says why a job's next task waits, as the last round found.
     """
@@ -228,6 +231,7 @@
     shards: dict[ShardId, Shard] = field(default_factory=dict)
     inbox: dict[ProcessId, tuple[Link, HostReport]] = field(default_factory=dict)
     reports: dict[ProcessId, tuple[IncarnationId, HostReport]] = field(default_factory=dict)
+    heard_at: dict[ProcessId, float] = field(default_factory=dict)
     index: HostIndex = field(default_factory=HostIndex)
     health: WorkerHealth = field(default_factory=WorkerHealth)
     estimates: Estimates = field(default_factory=Estimates)
