--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -76,9 +76,7 @@
         if not state.rules.in_service(row.announce.data_centre):
             return
         heartbeat, received_at = link.last_heartbeat, link.last_heartbeat_at
-        run.expires_at = max(
-            run.expires_at if run.sends else 0.0, received_at + state.lease_total_s
-        )
+        state.lease(run, heartbeat.worker_clock_ms, received_at)
         run.anchor_clock_ms = heartbeat.worker_clock_ms
         run.anchor_incarnation = row.incarnation
         run.sends += 1
@@ -170,7 +168,7 @@
             # The end of the lease moves before the message leaves: a message whose
             # sending seems to fail may still arrive.
             for run in chunk:
-                run.expires_at = max(run.expires_at, received_at + self.state.lease_total_s)
+                self.state.lease(run, clock_ms, received_at)
                 run.renewed_at = now
             tasks = tuple(run.task for run in chunk)
             message = RenewTasks(shard.shard, shard.epoch, tasks, row.incarnation, clock_ms)
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -30,6 +30,8 @@
 TELL_AGAIN_S = 1.0
 EVICT_AGAIN_S = 3.0
 CLAIM_AGAIN_S = 1.0
+# An agent whose link has just ended usually redials within this time.
+REDIAL_S = 5.0
 # A present host whose worker gives no list is waited for this long after a lease has ended.
 HEAR_S = 30.0
 # Claims of one tick are bounded, so that a take-over does not flood the links.
@@ -107,7 +109,6 @@
                 continue
             self.state.reports[process] = (row.incarnation, report)
             if report.ready:
-                self.state.heard_at[process] = now
                 self._report(row, report, now)
             self.state.refresh_host(process)
             self._learn(row, report, now)
@@ -284,12 +285,21 @@
                 self.end(shard, lost)
 
     def _heard(self, run: Run, now: float) -> bool:
-        row = self.state.hosts.rows.get(run.process)
-        if row is None or not row.present:
-            return True
-        if run.expires_at > 0.0 and now - run.expires_at >= HEAR_S:
+        """Tell whether no news of an attempt can be expected any more.
+
+        The worker's clock in a report decides, since reports that were queued
+        while this process was paused are older than they seem.
+        """
+        row, known = self.state.hosts.rows.get(run.process), self.state.reports.get(run.process)
+        if row is None or run.expires_at == 0.0 or now - run.expires_at >= HEAR_S:
             return True
-        return self.state.heard_at.get(run.process, -1.0) >= run.expires_at
+        if not row.present:
+            return row.gone_at is None or now - row.gone_at >= REDIAL_S
+        if known is None or not known[1].ready or known[1].worker_clock_ms < run.ended_ms:
+            return False
+        # An outcome in it was passed over while the journal could not be written.
+        outcomes = known[1].outcomes
+        return not any(o.task == run.task and o.attempt == run.attempt for o in outcomes)
 
     def renew(self, now: float, last_store_contact: float) -> None:
         """Renew the leases of running attempts, unless the store is out for too long.
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -106,7 +106,8 @@
     """One assigned attempt; times are monotonic seconds of this process.
 
     `expires_at` is when the attempt has surely ended unless its lease is
-    renewed. `anchor_clock_ms` belongs to the newest start that was sent.
+    renewed; `ended_ms` is the same on the worker's clock, without drift.
+    `anchor_clock_ms` belongs to the newest start that was sent.
     """
 
     task: TaskId
@@ -116,6 +117,7 @@
     process: ProcessId
     phase: Phase
     expires_at: float
+    ended_ms: float = 0.0
     anchor_clock_ms: int = 0
     anchor_incarnation: IncarnationId = NO_INCARNATION
     sends: int = 0
@@ -216,7 +218,7 @@
     """Everything that the owner's systems work on.
 
     `inbox` holds the newest report of each agent until the next tick, `reports`
-    the last one handled and `heard_at` when that was, if the agent was ready.
+    the last one handled.
     `used` is the committed cores of each team in the shards held here.
     `reasons` says why a job's next task waits, as the last round found.
     """
@@ -231,7 +233,6 @@
     shards: dict[ShardId, Shard] = field(default_factory=dict)
     inbox: dict[ProcessId, tuple[Link, HostReport]] = field(default_factory=dict)
     reports: dict[ProcessId, tuple[IncarnationId, HostReport]] = field(default_factory=dict)
-    heard_at: dict[ProcessId, float] = field(default_factory=dict)
     index: HostIndex = field(default_factory=HostIndex)
     health: WorkerHealth = field(default_factory=WorkerHealth)
     estimates: Estimates = field(default_factory=Estimates)
@@ -254,6 +255,12 @@
         row = self.hosts.rows.get(link.peer.process_id) if link.peer else None
         return row if row is not None and row.link is link else None
 
+    def lease(self, run: Run, anchor_ms: int, received_at: float) -> None:
+        """Note that an attempt's lease may now last as an anchor allows."""
+        run.expires_at = max(run.expires_at, received_at + self.lease_total_s)
+        length_s = self.policy.task_lease_s + self.policy.kill_grace_s
+        run.ended_ms = max(run.ended_ms, anchor_ms + 1000.0 * length_s)
+
     def add_run(self, shard: Shard, run: Run) -> None:
         """Insert an attempt and count it for its team."""
         shard.add_run(run)
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -314,7 +314,6 @@
 
     def _forget_host(self, process: ProcessId) -> None:
         self.state.reports.pop(process, None)
-        self.state.heard_at.pop(process, None)
         self.state.guards.pop(process, None)
         self.state.estimates.forget_host(process)
         self.state.index.remove(process)
