--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -17,8 +17,10 @@
 # drift that two clocks can have, so a share is never in use at two entries.
 SHARE_TTL_S = 10.0
 CLOCK_DRIFT = 0.01
-# A borrower asks for more than it needs now, to save messages in a burst.
-HEADROOM = 1.5
+# A borrower asks for more than it needs now: in a burst its share doubles with
+# each request. Shares of events are whole numbers, so a smaller factor leaves a
+# share of 1 at 1.
+HEADROOM = 2.0
 IDLE_RETURN_S = 5.0
 
 
@@ -176,6 +178,11 @@
 
     window: RollingWindow = field(default_factory=lambda: RollingWindow(0))
 
+    def need(self, now: float) -> float:
+        """Return the rate that one more start needs."""
+        del self.window.times[: bisect_right(self.window.times, now - WINDOW_S)]
+        return len(self.window.times) + 1.0
+
     def take(self, share: float, now: float) -> bool:
         """Count a start, or return False if the lent rate is used up."""
         self.window.limit = int(share)
--- a/packages/daemon/src/apricotpathd/shares.py
+++ b/packages/daemon/src/apricotpathd/shares.py
@@ -88,8 +88,9 @@
             if used + part > self._available(spec.team, SIZE, used + part, now) + 1e-9:
                 return Reason("quota", f"team {spec.team} has used its quota", "teams")
         if limit.rate > 0:
-            rate = self._available(spec.team, RATE, 1.0, now)
-            if not self.rates.setdefault(spec.team, RateShare()).take(rate, now):
+            window = self.rates.setdefault(spec.team, RateShare())
+            rate = self._available(spec.team, RATE, window.need(now), now)
+            if not window.take(rate, now):
                 return Reason("rate", f"team {spec.team} starts {limit.rate:g} tasks/s", "teams")
         if limit.quota is not None:
             self.used[spec.team] = used + part
@@ -98,8 +99,6 @@
     def _available(self, team: TeamId, kind: str, need: float, now: float) -> float:
         """Return the share held; asks for more if it is short or about to end."""
         borrower = self.borrowers.setdefault((team, kind), Borrower())
-        if kind == RATE:
-            need = max(need, len(self.rates[team].window.times) if team in self.rates else 0.0)
         amount = borrower.ask(need, now)
         if amount is not None:
             self._request(team, kind, amount, borrower, now)
