--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -30,6 +30,10 @@
 TELL_AGAIN_S = 1.0
 EVICT_AGAIN_S = 3.0
 CLAIM_AGAIN_S = 1.0
+# An agent whose link has just ended usually redials within this time.
+REDIAL_S = 5.0
+# A present host whose worker gives no list is waited for this long after a lease has ended.
+HEAR_S = 30.0
 # Claims of one tick are bounded, so that a take-over does not flood the links.
 CLAIMS_PER_TICK = 2000
 
@@ -166,6 +170,7 @@
             )
             run.phase = Phase.RUNNING
         run.seen_at, run.absent, run.progress = now, 0, task.progress
+        run.throttled = task.state is RunState.THROTTLED
         if task.checkpoint != run.checkpoint:
             run.checkpoint, run.kept = task.checkpoint, task.progress
 
@@ -260,7 +265,11 @@
         )
 
     def expire(self, now: float) -> None:
-        """Declare attempts lost whose lease has surely ended."""
+        """Declare attempts lost whose lease has surely ended.
+
+        A host that is present is heard first: its next report may bring the
+        attempt's outcome, which must not be thrown away.
+        """
         for shard in self.state.shards.values():
             if not shard.usable:
                 continue
@@ -268,6 +277,7 @@
                 TaskLost(run.task, run.attempt)
                 for run in shard.runs.values()
                 if now >= run.expires_at
+                and self._heard(run, now)
                 and run.phase is not Phase.PROPOSED
                 and run.task not in shard.busy
             ]
@@ -275,6 +285,23 @@
                 log.info("%d attempts lost", len(lost), extra={"shard": shard.shard})
                 self.end(shard, lost)
 
+    def _heard(self, run: Run, now: float) -> bool:
+        """Tell whether no news of an attempt can be expected any more.
+
+        The worker's clock in a report decides, since reports that were queued
+        while this process was paused are older than they seem.
+        """
+        row, known = self.state.hosts.rows.get(run.process), self.state.reports.get(run.process)
+        if row is None or run.expires_at == 0.0 or now - run.expires_at >= HEAR_S:
+            return True
+        if not row.present:
+            return row.gone_at is None or now - row.gone_at >= REDIAL_S
+        if known is None or not known[1].ready or known[1].worker_clock_ms < run.ended_ms:
+            return False
+        # An outcome in it was passed over while the journal could not be written.
+        outcomes = known[1].outcomes
+        return not any(o.task == run.task and o.attempt == run.attempt for o in outcomes)
+
     def renew(self, now: float, last_store_contact: float) -> None:
         """Renew the leases of running attempts, unless the store is out for too long.
 
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -112,7 +112,8 @@
     """One assigned attempt; times are monotonic seconds of this process.
 
     `expires_at` is when the attempt has surely ended unless its lease is
-    renewed. `anchor_clock_ms` belongs to the newest start that was sent.
+    renewed; `ended_ms` is the same on the worker's clock, without drift.
+    `anchor_clock_ms` belongs to the newest start that was sent.
     """
 
     task: TaskId
@@ -122,6 +123,7 @@
     process: ProcessId
     phase: Phase
     expires_at: float
+    ended_ms: float = 0.0
     anchor_clock_ms: int = 0
     anchor_incarnation: IncarnationId = NO_INCARNATION
     sends: int = 0
@@ -131,6 +133,7 @@
     renewed_at: float = -1e9
     told_at: float = -1e9
     share: float = 1.0
+    throttled: bool = False
     progress: float = 0.0
     kept: float = 0.0
     checkpoint: str = ""
@@ -172,7 +175,9 @@
     acquired_at: float
     table: JobTable = field(default_factory=JobTable)
     runs: dict[TaskId, Run] = field(default_factory=dict)
-    by_process: dict[ProcessId, set[TaskId]] = field(default_factory=lambda: defaultdict(set))
+    by_process: dict[ProcessId, dict[TaskId, None]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
     outbox: list[Proposal] = field(default_factory=list)
@@ -194,14 +199,14 @@
     def add_run(self, run: Run) -> None:
         """Insert an attempt."""
         self.runs[run.task] = run
-        self.by_process[run.process].add(run.task)
+        self.by_process[run.process][run.task] = None
 
     def remove_run(self, task: TaskId) -> Run | None:
         """Remove an attempt and return it."""
         run = self.runs.pop(task, None)
         if run is not None:
             tasks = self.by_process[run.process]
-            tasks.discard(task)
+            tasks.pop(task, None)
             if not tasks:
                 del self.by_process[run.process]
         return run
@@ -219,7 +224,8 @@
 class OwnerState:
     """Everything that the owner's systems work on.
 
-    `inbox` holds the newest report of each agent until the next tick.
+    `inbox` holds the newest report of each agent until the next tick, `reports`
+    the last one handled.
     `used` is the committed cores of each team in the shards held here.
     `reasons` says why a job's next task waits, as the last round found.
     """
@@ -256,6 +262,12 @@
         row = self.hosts.rows.get(link.peer.process_id) if link.peer else None
         return row if row is not None and row.link is link else None
 
+    def lease(self, run: Run, anchor_ms: int, received_at: float) -> None:
+        """Note that an attempt's lease may now last as an anchor allows."""
+        run.expires_at = max(run.expires_at, received_at + self.lease_total_s)
+        length_s = self.policy.task_lease_s + self.policy.kill_grace_s
+        run.ended_ms = max(run.ended_ms, anchor_ms + 1000.0 * length_s)
+
     def add_run(self, shard: Shard, run: Run) -> None:
         """Insert an attempt and count it for its team."""
         shard.add_run(run)
