--- /dev/null
+++ b/tests/features/journal.feature
@@ -0,0 +1,68 @@
+Feature: journal
+
+  Guards against a record that was acknowledged and is gone after a crash, a
+  record that was reported as not written and appears later, a former owner
+  that still writes, a snapshot that loses or repeats records when it is cut
+  short, and a store budget exceeded by many small writes.
+
+  Scenario: every journal record kind survives encoding
+    When one journal record of every kind is encoded and decoded
+    Then the decoded journal records equal the originals
+
+  Scenario Outline: a malformed journal record is refused: <text>
+    When the journal record text <text> is decoded
+    Then decoding the journal record raises a store error
+
+    Examples:
+      | text                                                      |
+      | {"kind": "no-such-kind"}                                  |
+      | {"kind": "task-finished", "task": "t"}                    |
+      | {"kind": "task-finished", "task": "t", "attempt": 1, "x": 2} |
+      | {}                                                        |
+
+  Scenario: journal records are committed in groups
+    When 100 journal records are appended within a second by 10 callers
+    Then the journal used at most 6 writes and the first was done at once
+
+  Scenario Outline: a journal crash at store call <first> to <last> keeps what was acknowledged
+    When the journal script is crashed at each store call from <first> to <last>, <moment> its effect
+    Then after each journal crash the new owner loaded exactly what the outcomes allow
+    And the journal script made at least <first> store calls in every run
+
+    Examples:
+      | first | last | moment |
+      | 1     | 8    | before |
+      | 1     | 8    | after  |
+      | 9     | 16   | before |
+      | 9     | 16   | after  |
+
+  Scenario Outline: journal outcomes are true under random faults, crashes and two owners, seeds <first> to <last>
+    When journal owners follow each other under random faults for seeds <first> to <last>
+    Then every journal outcome of every seed was true
+    And the journal runs of these seeds met acknowledged, refused and fenced appends
+
+    Examples:
+      | first | last |
+      | 1     | 20   |
+      | 21    | 40   |
+      | 41    | 60   |
+
+  Scenario Outline: a journal caller during <fault> hears <outcome>
+    When a journal record is appended during <fault>
+    Then the journal caller hears <outcome> and the record is durable: <durable>
+
+    Examples:
+      | fault             | outcome             | durable |
+      | refuse            | StoreUnavailable    | no      |
+      | limits            | StoreUnavailable    | no      |
+      | lost answer       | done                | yes     |
+      | late write        | done                | yes     |
+      | long outage       | StoreOutcomeUnknown | late    |
+      | newer owner       | FencedError         | no      |
+      | a record too big  | InputError          | no      |
+      | a full queue      | StoreUnavailable    | no      |
+      | cancelled caller  | cancelled           | late    |
+
+  Scenario: the journal of 1,400 records a second over 16 shards stays within the store's budget
+    When 1400 journal records a second are appended over 16 shards for 20 seconds
+    Then the journals used at most 80 writes in any second and each record was durable within 0.5 s
