--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import httpx
 import trio.testing
 from behave import then, when
@@ -440,7 +441,7 @@
                 async with anyio.create_task_group() as both:
                     both.start_soon(owner.append, range(3))
                     for _ in range(step):
-                        await anyio.sleep(0)
+                        await anyio.lowlevel.checkpoint()
                     self.before.append(outcomes.by_number.get(0) == "done")
                     await owner.snapshot()
                 group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/features/steps/members_steps.py
@@ -0,0 +1,529 @@
+"""Steps for members.feature."""
+
+import logging
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import httpx
+import trio.testing
+from behave import given, then, when
+
+from apricotpath.config import Address, EntrySettings, StoreSettings
+from apricotpath.errors import (
+    ApricotpathError,
+    ConflictError,
+    FencedError,
+    StoreError,
+)
+from apricotpath.ids import DataCentreId, EntryId, IncarnationId, ServiceId, ShardId
+from apricotpath.journal import JobCancelled, Journal
+from apricotpath.model import ServiceState
+from apricotpath.store import EtcdStore, KeyValue, LeaseId
+from apricotpath_bench.storestandin import DirectTransport, StandinStore
+from apricotpathd.members import ControlView, Members, ShardOwner, build_view, fair_shares
+
+logging.getLogger("httpx").setLevel(logging.WARNING)
+
+PREFIX = "/apricotpath/"
+SHARD = ShardId(3)
+DC = DataCentreId("ejisu")
+NO_FAULTS = {"down": False, "refuse": False, "slow_ms": 0, "lose_answers": 0, "late_writes": 0}
+OUTAGES: dict[str, dict[str, Any]] = {
+    "refuse": {"refuse": True},
+    "down": {"down": True},
+    "slow": {"slow_ms": 10_000},
+}
+RACE_FAULTS: dict[str, dict[str, Any]] = {
+    "nothing fails": {},
+    "answers are lost": {"lose_answers": 2},
+    "writes come late": {"late_writes": 2, "late_s": 0.03},
+}
+
+
+def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
+    """Run a coroutine function in virtual time; a seed fixes the order of ready tasks too."""
+    # trio shuffles ready tasks; these are the switches that its own test plugins use.
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
+class PausableTransport(DirectTransport):
+    """Holds back all calls of one process while it is paused."""
+
+    def __init__(self, store: StandinStore) -> None:
+        super().__init__(store)
+        self.running = anyio.Event()
+        self.running.set()
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        await self.running.wait()
+        return await super().handle_async_request(request)
+
+
+class Fleet:
+    """Several members over one stand-in, and every acquisition that they made."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.standin = StandinStore()
+        self.transports: list[PausableTransport] = []
+        self.members: list[Members] = []
+        self.owners: dict[tuple[ShardId, int], set[IncarnationId]] = defaultdict(set)
+        self.facts: dict[str, Any] = {}
+
+    def run(self, script: Callable[["Fleet"], Awaitable[None]], owning: bool = True) -> None:
+        """Start the members, let them settle for 10 s, and run a script."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as self.group:
+                for number in range(self.count):
+                    self.add(number, f"i{number}", owning)
+                await anyio.sleep(10)
+                await script(self)
+                self.group.cancel_scope.cancel()
+
+        run_virtual(main)
+
+    def add(self, number: int, incarnation: str, owning: bool = True) -> Members:
+        transport = PausableTransport(self.standin)
+        cfg = EntrySettings(
+            EntryId(f"entry-{number}"),
+            DC,
+            Address("127.0.0.1", 4000 + number),
+            Address("127.0.0.1", 5000),
+            Address("127.0.0.1", 6000),
+            StoreSettings("http://127.0.0.1:1"),
+            (),
+        )
+        rng = random.Random(f"{number} {incarnation}")
+        members = Members(cfg, IncarnationId(incarnation), EtcdStore(cfg.store, transport), rng)
+        self.transports.append(transport)
+        self.members.append(members)
+        self.group.start_soon(members.run)
+        if owning:
+            self.group.start_soon(self._own, members)
+        return members
+
+    async def _own(self, members: Members) -> None:
+        """Take the member's fair share, as the owner of the shards will."""
+        while True:
+            for shard in members.target_shards():
+                if not members.view.live_owner(shard):
+                    await self.acquire(members, shard)
+            await anyio.sleep(0.2)
+
+    async def acquire(self, members: Members, shard: ShardId) -> ShardOwner | None:
+        try:
+            owner = await members.acquire_shard(shard)
+        except (StoreError, ConflictError):
+            return None
+        self.owners[shard, owner.epoch].add(members.incarnation)
+        return owner
+
+    def fail(self, **faults: Any) -> None:
+        self.standin.apply_faults(NO_FAULTS | faults)
+
+
+def only_view(fleet: Fleet) -> ControlView:
+    return fleet.members[-1].view
+
+
+async def pause_first(fleet: Fleet) -> None:
+    first, second = fleet.members
+    shards = first.owned()
+    journals = []
+    for shard in shards:
+        owner = first.view.shards[shard]
+        policy, store = first.cfg.policy, first.store
+        journal = Journal(store, shard, owner.epoch, owner.mod_revision, policy)
+        await journal.load()
+        journals.append(journal)
+        fleet.group.start_soon(journal.run)
+    fleet.transports[0].running = anyio.Event()
+    await anyio.sleep(15)
+    fleet.facts["taken"] = len(second.owned())
+    fleet.transports[0].running.set()
+    await anyio.sleep(3)
+    fleet.facts["registered"] = first.registered()
+    fleet.facts["fenced"] = 0
+    for journal in journals:
+        try:
+            await journal.append([JobCancelled("j", "test")])  # type: ignore[arg-type]
+        except FencedError:
+            fleet.facts["fenced"] += 1
+    fleet.facts["shards"] = len(shards)
+
+
+def outage(fault: str, seconds: int) -> Callable[[Fleet], Awaitable[None]]:
+    async def script(fleet: Fleet) -> None:
+        seen: list[bool] = []
+        fleet.members[0].add_listener(lambda view: seen.append(view.store_up))
+        fleet.fail(**OUTAGES[fault])
+        await anyio.sleep(seconds)
+        now = anyio.current_time()
+        fleet.facts["stale"] = all(not m.view.fresh(now, 2.0) for m in fleet.members)
+        fleet.fail()
+        await anyio.sleep(5)
+        now = anyio.current_time()
+        fleet.facts["seen"] = False in seen and seen[-1]
+        fleet.facts["fresh"] = all(m.view.fresh(now, 2.0) for m in fleet.members)
+        fleet.facts["registered"] = all(m.registered() for m in fleet.members)
+
+    return script
+
+
+class ShardRace:
+    """Members that acquire and release one shard under random faults."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+        self.acquired = 0
+
+    def run(self, members: int, seed: int) -> None:
+        rng = random.Random(seed)
+        fleet = Fleet(members)
+        fleet.run(lambda each: self._script(each, rng, seed), owning=False)
+
+    async def _script(self, fleet: Fleet, rng: random.Random, seed: int) -> None:
+        async with anyio.create_task_group() as group:
+            for each in fleet.members:
+                group.start_soon(self._contend, fleet, each, rng, seed)
+            for _ in range(15):
+                fault = rng.choice(
+                    ("lose_answers", "late_writes", "down", "lapse_lease", "slow_ms")
+                )
+                value = {"down": True, "lapse_lease": 0, "slow_ms": 40}.get(fault, 1)
+                fleet.fail(**{fault: value}, late_s=rng.choice((0.05, 0.5, 3.0)))
+                await anyio.sleep(rng.uniform(0.2, 3.0))
+                fleet.fail()
+                await anyio.sleep(rng.uniform(0.0, 1.0))
+            group.cancel_scope.cancel()
+        self.faults += [
+            f"seed {seed}: epoch {epoch} of shard {shard} had {owners}"
+            for (shard, epoch), owners in fleet.owners.items()
+            if len(owners) > 1
+        ]
+        self.acquired += len(fleet.owners)
+
+    async def _contend(self, fleet: Fleet, each: Members, rng: random.Random, seed: int) -> None:
+        while True:
+            await anyio.sleep(rng.uniform(0.0, 0.6))
+            owner = await fleet.acquire(each, SHARD)
+            if owner is None:
+                continue
+            self._check_revision(fleet, owner, seed)
+            await anyio.sleep(rng.uniform(0.0, 1.0))
+            if rng.random() < 0.7:
+                try:
+                    await each.release_shard(SHARD)
+                except (StoreError, ConflictError):
+                    continue
+
+    def _check_revision(self, fleet: Fleet, owner: ShardOwner, seed: int) -> None:
+        """Compare with the history: the write at this revision must be this acquisition."""
+        key = f"{PREFIX}shard/{SHARD}".encode()
+        rows = [change.after for change in fleet.standin.history if change.key == key]
+        row = next((row for row in rows if row and row.mod_revision == owner.mod_revision), None)
+        if row is None or owner.incarnation.encode() not in row.value:
+            self.faults.append(f"seed {seed}: {owner} is not in the store's history")
+
+
+def race_change(what: str, fault: str) -> Callable[[Fleet], Awaitable[None]]:
+    async def script(fleet: Fleet) -> None:
+        await fleet.members[0].put_status(DC, ServiceState.IN, 1)
+        await fleet.members[0].put_bundle(b"first", 1)
+        # The fault is for these two changes; renewals of leases come at other times.
+        await anyio.sleep(2)
+        fleet.fail(**RACE_FAULTS[fault])
+        results: list[tuple[str, Any]] = []
+
+        async def change(number: int) -> None:
+            member = fleet.members[number]
+            try:
+                if what == "a bundle":
+                    await member.put_bundle(f"bundle {number}".encode(), 2)
+                    results.append(("accepted", f"bundle {number}".encode()))
+                else:
+                    state = (ServiceState.IN, ServiceState.OUT)[number]
+                    await member.put_status(DC, state, 2)
+                    results.append(("accepted", state))
+            except ApricotpathError as exc:
+                results.append((type(exc).__name__, None))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(change, 0)
+            group.start_soon(change, 1)
+        await anyio.sleep(3)
+        view = only_view(fleet)
+        found = view.bundle if what == "a bundle" else view.statuses[DC].state
+        fleet.facts = {"results": results, "found": found}
+
+    return script
+
+
+async def put_changes(fleet: Fleet) -> None:
+    member = fleet.members[0]
+    calls: list[tuple[str, Callable[[], Awaitable[Any]]]] = [
+        ("bundle 2 first", lambda: member.put_bundle(b"b", 2)),
+        ("bundle 1", lambda: member.put_bundle(b"a", 1)),
+        ("bundle 1 again", lambda: member.put_bundle(b"a", 1)),
+        ("bundle 1 other", lambda: member.put_bundle(b"x", 1)),
+        ("bundle 2", lambda: member.put_bundle(b"b", 2)),
+        ("status 5", lambda: member.put_status(DC, ServiceState.OUT, 5)),
+        ("status 5 again", lambda: member.put_status(DC, ServiceState.OUT, 5)),
+        ("status 5 other", lambda: member.put_status(DC, ServiceState.IN, 5)),
+        ("status 4", lambda: member.put_status(DC, ServiceState.IN, 4)),
+    ]
+    fleet.facts["refused"] = []
+    for name, call in calls:
+        try:
+            await call()
+        except ConflictError:
+            fleet.facts["refused"].append(name)
+
+
+async def found_twice(fleet: Fleet) -> None:
+    fleet.fail(lose_answers=2)
+    founders: list[tuple[IncarnationId, ...]] = []
+
+    async def found(number: int) -> None:
+        incarnations = [IncarnationId(f"agent-{number}")]
+        founders.append(await fleet.members[number].found_service(ServiceId("s"), incarnations))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(found, 0)
+        group.start_soon(found, 1)
+    await anyio.sleep(2)
+    founders += [member.view.founders[ServiceId("s")] for member in fleet.members]
+    fleet.facts["founders"] = founders
+
+
+async def restart_first(fleet: Fleet) -> None:
+    former = fleet.members[0]
+    shards = former.owned()
+    newer = fleet.add(0, "restarted")
+    await anyio.sleep(8)
+    fleet.facts = {
+        "newer": newer.registered(),
+        "former": former.registered(),
+        "record": newer.view.entries[EntryId("entry-0")].incarnation,
+        "kept": newer.owned() == shards,
+    }
+
+
+async def drain_first(fleet: Fleet) -> None:
+    first, second = fleet.members
+    await first.drain()
+    await anyio.sleep(1.1)
+    fleet.facts["records"] = list(second.view.entries)
+    owners = second.view.shards.values()
+    fleet.facts["left"] = [o for o in owners if o.entry == first.cfg.entry]
+    await anyio.sleep(2)
+    fleet.facts["taken"] = len(second.owned())
+
+
+async def idle(fleet: Fleet) -> None:
+    before = [sum(member.store.calls.values()) for member in fleet.members]  # type: ignore[attr-defined]
+    await anyio.sleep(60)
+    after = [sum(member.store.calls.values()) for member in fleet.members]  # type: ignore[attr-defined]
+    fleet.facts["per_s"] = [(b - a) / 60 for a, b in zip(before, after, strict=True)]
+
+
+async def herd(fleet: Fleet) -> None:
+    for bins in fleet.standin.per_second.values():
+        bins.clear()
+    fleet.fail(down=True)
+    await anyio.sleep(60)
+    fleet.fail()
+    await anyio.sleep(10)
+    fleet.standin.lapse_lease()
+    await anyio.sleep(10)
+    fleet.facts = fleet.standin.count_report()
+    fleet.facts["registered"] = all(member.registered() for member in fleet.members)
+
+
+@when("{shards:d} shards are shared over {entries:d} members")
+def _(context: Any, shards: int, entries: int) -> None:
+    names = [EntryId(f"entry-{number}") for number in range(entries)]
+    numbers = [ShardId(number) for number in range(shards)]
+    context.share = -(-shards // entries)
+    context.shares = fair_shares(names, numbers)
+    rng = random.Random(shards)
+    context.others = []
+    for _ in range(5):
+        rng.shuffle(names)
+        rng.shuffle(numbers)
+        context.others.append(fair_shares(names, numbers))
+
+
+@then("each member has at most its share and every member order gives the same result")
+def _(context: Any) -> None:
+    owned = list(context.shares.values())
+    assert max(owned.count(entry) for entry in owned) <= context.share
+    assert all(other == context.shares for other in context.others)
+
+
+@when("a members view is built with malformed values of every kind")
+def _(context: Any) -> None:
+    values = [b"", b"[]", b"{}", b"null", b"\xff", b'{"epoch": "x"}']
+    names = ["bundle", "dc/a", "entry/a", "service/a", "shard/1", "shard/x", "unknown"]
+    items = [KeyValue(PREFIX + n, v, 1, LeaseId(0)) for n in names for v in values]
+    good = b'{"seq": 3, "state": "out", "token": "t"}'
+    items.append(KeyValue(PREFIX + "dc/ejisu", good, 2, LeaseId(0)))
+    logging.disable(logging.ERROR)
+    try:
+        context.view = build_view(items, PREFIX, 9, 1.0)
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@then("the members view has only the well-formed ones")
+def _(context: Any) -> None:
+    view = context.view
+    assert list(view.statuses) == [DC] and view.statuses[DC].state is ServiceState.OUT
+    assert not (view.entries or view.shards or view.founders or view.bundle)
+
+
+@given("{count:d} members that own their fair shares")
+def _(context: Any, count: int) -> None:
+    context.fleet = Fleet(count)
+
+
+@when("the first member is paused for 15 seconds while the second takes its shards")
+def _(context: Any) -> None:
+    context.fleet.run(pause_first)
+
+
+@then("the paused member is registered again and its former journals are fenced")
+def _(context: Any) -> None:
+    facts = context.fleet.facts
+    assert facts["registered"] and facts["taken"] == 16, facts
+    assert facts["fenced"] == facts["shards"] == 8, facts
+
+
+@then("no shard epoch had two member owners")
+def _(context: Any) -> None:
+    owners = context.fleet.owners
+    assert len(owners) >= 16
+    assert all(len(incarnations) == 1 for incarnations in owners.values()), owners
+
+
+@when("the store of the members fails by {fault} for {seconds:d} seconds")
+def _(context: Any, fault: str, seconds: int) -> None:
+    context.fleet.run(outage(fault, seconds))
+
+
+@then("the members saw the outage and were fresh and registered within 5 seconds after it")
+def _(context: Any) -> None:
+    facts = context.fleet.facts
+    assert all(facts[name] for name in ("stale", "seen", "fresh", "registered")), facts
+
+
+@when("{count:d} members race for one shard under random faults for seeds {first:d} to {last:d}")
+def _(context: Any, count: int, first: int, last: int) -> None:
+    context.shard_race = ShardRace()
+    for seed in range(first, last + 1):
+        context.shard_race.run(count, seed)
+
+
+@then("every epoch of the raced shard had one member owner and its revision was true")
+def _(context: Any) -> None:
+    assert not context.shard_race.faults, context.shard_race.faults
+    assert context.shard_race.acquired > 50, context.shard_race.acquired
+
+
+@when("both members change {what} at once while {fault}")
+def _(context: Any, what: str, fault: str) -> None:
+    context.fleet.run(race_change(what, fault))
+
+
+@then(
+    "one members change was accepted, the other was a conflict, and the store has the accepted one"
+)
+def _(context: Any) -> None:
+    facts = context.fleet.facts
+    accepted = [value for name, value in facts["results"] if name == "accepted"]
+    conflicts = [name for name, _value in facts["results"] if name == "ConflictError"]
+    assert accepted == [facts["found"]] and len(conflicts) == 1, facts
+
+
+@when("old, equal and new changes are put through the member")
+def _(context: Any) -> None:
+    context.fleet.run(put_changes)
+
+
+@then("only the new members changes were accepted and the equal ones repeated")
+def _(context: Any) -> None:
+    expected = ["bundle 2 first", "bundle 1 other", "status 5 other", "status 4"]
+    assert context.fleet.facts["refused"] == expected, context.fleet.facts
+
+
+@when("both members found a service with different incarnations while answers are lost")
+def _(context: Any) -> None:
+    context.fleet.run(found_twice)
+
+
+@then("both members have the same founders")
+def _(context: Any) -> None:
+    founders = context.fleet.facts["founders"]
+    assert len(founders) == 4 and len(set(founders)) == 1, founders
+
+
+@when("a new incarnation of the first member starts")
+def _(context: Any) -> None:
+    context.fleet.run(restart_first)
+
+
+@then("the new incarnation is registered, owns the former shards, and the former one is not")
+def _(context: Any) -> None:
+    facts = context.fleet.facts
+    expected = {"newer": True, "former": False, "record": "restarted", "kept": True}
+    assert facts == expected, facts
+
+
+@when("the first member is drained")
+def _(context: Any) -> None:
+    context.fleet.run(drain_first)
+
+
+@then("the store has no record of the drained member and its shards are free within 1 second")
+def _(context: Any) -> None:
+    facts = context.fleet.facts
+    assert facts["records"] == ["entry-1"] and not facts["left"], facts
+    assert facts["taken"] == 16, facts
+
+
+@when("{count:d} members run idle for 60 seconds")
+def _(context: Any, count: int) -> None:
+    context.fleet = Fleet(count)
+    context.fleet.run(idle)
+
+
+@then("each idle member made at most {limit:f} store calls a second")
+def _(context: Any, limit: float) -> None:
+    rates = context.fleet.facts["per_s"]
+    print(f"store calls a second of an idle entry: {min(rates):.2f} to {max(rates):.2f}")
+    assert max(rates) <= limit, rates
+
+
+@when("{count:d} members run through an outage of 60 seconds and a restart of the leases")
+def _(context: Any, count: int) -> None:
+    context.fleet = Fleet(count)
+    context.fleet.run(herd)
+
+
+@then(
+    "the members made at most {writes:d} writes and {reads:d} reads in any second"
+    " and none was limited"
+)
+def _(context: Any, writes: int, reads: int) -> None:
+    facts = context.fleet.facts
+    print(f"calls a second at most: {facts['max_per_s']}")
+    assert facts["max_per_s"]["write"] <= writes, facts
+    assert facts["max_per_s"]["read"] <= reads, facts
+    assert "limited" not in facts["calls"] and facts["registered"], facts
