--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -169,6 +169,8 @@
         self._status_done = 0.0
         self._links: list[Link] = []
         self._group: TaskGroup | None = None
+        # Jobs that came in before `run`.
+        self._backlog: list[Job] = []
         self._lanes: dict[TaskId, deque[Job]] = {}
         self._starting: Counter[tuple[ShardId, Epoch]] = Counter()
         # Refused starts by attempt, with the clock up to which anchors are refused again.
@@ -221,6 +223,8 @@
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
+                while self._backlog:
+                    group.start_soon(self._backlog.pop(0))
                 group.start_soon(self._refresh_forever)
                 group.start_soon(self._enforce_forever)
                 group.start_soon(self._cap_forever)
@@ -753,7 +757,9 @@
             log.info("%s was not sent: %s", type(msg).__name__, exc)
 
     def _spawn(self, job: Job) -> None:
-        if self._group is not None:
+        if self._group is None:
+            self._backlog.append(job)
+        else:
             self._group.start_soon(job)
 
 
