--- /dev/null
+++ b/tests/features/exchange.feature
@@ -0,0 +1,147 @@
+Feature: exchange
+
+  Guards against a caller who gets a short, foreign or repeated answer; against
+  "not run" for work that ran or runs later; against a second run of a request
+  with the same idempotency key; and against work sent to agents that leave.
+  What ran is read from the backend servers' records.
+
+  Scenario Outline: answers are whole and run once whatever happens to their messages
+    Given a deployment with agents: 3, entries: 1, seed: <seed>
+    When 12 exchange requests of <size> bytes are made while answers are <fault>
+    Then every exchange answer is whole and its own
+    And no exchange request ran twice
+
+    Examples:
+      | fault     | size   | seed |
+      | lost      | 100    | 1    |
+      | lost      | 200000 | 2    |
+      | late      | 100    | 3    |
+      | late      | 200000 | 4    |
+      | doubled   | 100    | 5    |
+      | doubled   | 200000 | 6    |
+      | reordered | 200000 | 7    |
+
+  Scenario Outline: a link that fails while a request runs is settled by id
+    Given a deployment with agents: 2, entries: 1, seed: 1
+    When the link of a running exchange request <failure> after <after> s and it needs 1 s
+    Then every exchange answer is whole and its own
+    And exchange requests that ran: 1
+
+    Examples:
+      | failure     | after |
+      | breaks      | 0.5   |
+      | goes silent | 0.5   |
+      | goes silent | 0.0   |
+
+  Scenario: a request settled as never run does not run when a late copy of it comes
+    Given a deployment with agents: 2, entries: 1, seed: 1
+    When an exchange request is held up on its way for 6 s and its link breaks
+    Then every exchange answer is whole and its own
+    And exchange requests that ran: 1
+
+  Scenario Outline: an agent's restart leaves the outcome unknown unless the class is idempotent
+    Given a deployment with agents: 3, entries: 1, seed: 1
+    When the agent of a running <class> exchange request restarts
+    Then the exchange outcome is <outcome>
+
+    Examples:
+      | class   | outcome  |
+      | intake  | answered |
+      | booking | unknown  |
+
+  Scenario Outline: a caller's retry with the same key through another entry does not run again
+    Given a deployment with agents: 3, entries: 2, seed: 1
+    When a booking of 1 s is made, its entry is killed after <killed> s and the caller retries after <retry> s
+    Then the exchange outcome is <outcome>
+    And exchange requests that ran: 1
+
+    Examples:
+      | killed | retry | outcome  |
+      | 0.5    | 0.1   | answered |
+      | 0.5    | 2.0   | answered |
+      | 0.5    | 110.0 | answered |
+
+  Scenario Outline: a retry after a failure of the key's home is never a second run
+    Given a deployment with agents: 4, entries: 1, seed: 1
+    When a booking has run, its home <failure> and the caller retries with the same key
+    Then the exchange outcome is <outcome>
+    And exchange requests that ran: 1
+
+    Examples:
+      | failure         | outcome |
+      | restarts        | unknown |
+      | is unreachable  | unknown |
+
+  Scenario Outline: bookings need agents that can vouch for the key
+    Given a deployment with agents: 3, entries: 1, seed: 1
+    When <missing> of the agents have no full memory of keys and a booking is made
+    Then the exchange outcome is <outcome>
+
+    Examples:
+      | missing | outcome  |
+      | 1       | answered |
+      | 2       | not-run  |
+
+  Scenario: a backend server never gets more than its slots and connections
+    Given a deployment with agents: 1, entries: 3, seed: 1
+    When 200 exchange requests of 50 ms come at once
+    Then the backend server saw at most 8 running and 64 present
+    And every exchange answer is whole or it did not run
+
+  Scenario: a leaving agent finishes its requests and gets no new ones
+    Given a deployment with agents: 2, entries: 1, seed: 1
+    When an agent leaves while 8 exchange requests of 3 s run
+    Then the drain ended after the last answer
+    And every exchange answer is whole and its own
+    And nothing started at the leaving agent after it left
+
+  Scenario: an agent that left or whose data centre is out refuses what still comes
+    Given a deployment with agents: 1, entries: 1, seed: 1
+    When exchange requests are sent past routing after leaving and with the data centre out
+    Then both were refused and nothing ran
+
+  Scenario: a caller that hangs up while its request is queued leaves nothing to run
+    Given a deployment with agents: 1, entries: 1, seed: 1
+    When 8 exchange requests of 1 s run and 8 queued ones are cancelled
+    Then exchange requests that ran: 8
+
+  Scenario: a backend server that hangs ends in an unknown outcome at the deadline
+    Given a deployment with agents: 1, entries: 1, seed: 1
+    When the backend server hangs during an exchange request with a deadline of 2 s
+    Then the exchange outcome is unknown
+    And the exchange answer took at most 3.1 s
+
+  Scenario: a backend server that fails everything gets little work
+    Given a deployment with agents: 4, entries: 1, seed: 1
+    When 1 backend server fails all of 400 exchange requests it gets
+    Then fewer than 40 exchange requests were answered with status 500
+
+  Scenario Outline: one key runs at most once over all interleavings of racing entries
+    Given racing entries where <views>
+    When every interleaving of their messages is explored
+    Then no interleaving runs the key twice or runs what was answered as not run
+    And some interleaving runs the key once
+
+    Examples:
+      | views                                   |
+      | both see all places                     |
+      | the second does not see the home        |
+      | the second gets no answer from place 2  |
+      | the second gets no answer from place 3  |
+      | each misses another place               |
+      | a joining agent moves the places        |
+
+  Scenario: entries that reach no common place of a key both refuse
+    Given racing entries where each reaches only one place
+    When every interleaving of their messages is explored
+    Then no interleaving runs the key twice or runs what was answered as not run
+
+  Scenario Outline: the exploration finds a second run when a protection is off
+    Given racing entries where <views>
+    When every interleaving is explored without <protection>
+    Then some interleaving runs the key twice
+
+    Examples:
+      | views                                  | protection    |
+      | each reaches only one place            | the majority  |
+      | the second does not see the home       | the tombstone |
--- /dev/null
+++ b/tests/features/steps/exchange_steps.py
@@ -0,0 +1,417 @@
+"""Steps for exchange.feature."""
+
+from typing import Any
+from unittest.mock import patch
+
+import anyio
+from behave import given, then, when
+from key_explorer import VIEWS, KeyExplorer
+from request_harness import Net, Reply
+
+from apricotpath.messages import RequestRefused, RequestStart, ResponseBody, ResponseStart
+from apricotpath.model import Maturity
+
+
+class ExchangeSubject:
+    """Holds one deployment, the callers' replies and what a scenario measured."""
+
+    def __init__(self, agents: int, entries: int, seed: int) -> None:
+        self.net = Net(seed)
+        self.agents, self.entries = agents, entries
+        self.replies: list[Reply] = []
+        self.sizes: list[int] = []
+        self.notes: dict[str, Any] = {}
+
+    def play(self, act: Any) -> None:
+        async def scenario(net: Net) -> None:
+            await net.start(self.agents, self.entries)
+            await act(net)
+
+        self.net.run(scenario)
+
+    def launch(self, group: Any, entry: str = "entry1", **want: Any) -> Reply:
+        reply = Reply()
+        self.replies.append(reply)
+        self.sizes.append(want.get("size", 100))
+
+        async def call() -> None:
+            await self.net.call(reply, entry, **want)
+
+        group.start_soon(call)
+        return reply
+
+    def running_agent(self) -> Any:
+        return next(agent for agent in self.net.agents.values() if agent.component.busy_slots)
+
+
+FAULTS = {
+    "lost": lambda rng: [] if rng.random() < 0.3 else [0.0],
+    "late": lambda rng: [rng.uniform(0.1, 4.0)],
+    "doubled": lambda rng: [0.0, rng.uniform(0.0, 2.0)],
+    "reordered": lambda rng: [rng.choice([0.0, 0.001, 0.002])],
+}
+
+
+@given("a deployment with agents: {agents:d}, entries: {entries:d}, seed: {seed:d}")
+def _(context: Any, agents: int, entries: int, seed: int) -> None:
+    context.exchange = ExchangeSubject(agents, entries, seed)
+
+
+@when("{count:d} exchange requests of {size:d} bytes are made while answers are {fault}")
+def _(context: Any, count: int, size: int, fault: str) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        entry = net.entries["entry1"]
+        answers = (ResponseStart, ResponseBody, RequestRefused)
+
+        def decide(body: Any) -> list[float]:
+            return FAULTS[fault](entry.component.rng) if isinstance(body, answers) else [0.0]
+
+        entry.fault = decide
+        async with anyio.create_task_group() as group:
+            for _number in range(count):
+                subject.launch(group, size=size, work_ms=20)
+
+    subject.play(act)
+
+
+@then("every exchange answer is whole and its own")
+def _(context: Any) -> None:
+    subject = context.exchange
+    assert subject.replies
+    for reply, size in zip(subject.replies, subject.sizes, strict=True):
+        subject.net.check_body(reply, size)
+
+
+@then("no exchange request ran twice")
+def _(context: Any) -> None:
+    ids = [run.request for run in context.exchange.net.runs]
+    assert len(ids) == len(set(ids)) == len(context.exchange.replies), ids
+
+
+@when("the link of a running exchange request {failure} after {after:f} s and it needs 1 s")
+def _(context: Any, failure: str, after: float) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        def fail() -> None:
+            for name in net.agents if not after else [subject.running_agent().name]:
+                (net.break_link if failure == "breaks" else net.silence)(name)
+
+        async with anyio.create_task_group() as group:
+            if after:
+                subject.launch(group, work_ms=1000)
+                await anyio.sleep(after)
+                fail()
+            else:
+                fail()
+                subject.launch(group, work_ms=1000)
+
+    subject.play(act)
+
+
+@then("exchange requests that ran: {count:d}")
+def _(context: Any, count: int) -> None:
+    runs = context.exchange.net.runs
+    assert len(runs) == count, runs
+
+
+@when("an exchange request is held up on its way for 6 s and its link breaks")
+def _(context: Any) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        held = []
+
+        def hold(body: Any) -> list[float]:
+            if isinstance(body, RequestStart) and not held:
+                held.append(body.request)
+                return [6.0]
+            return [0.0]
+
+        for agent in net.agents.values():
+            agent.fault = hold
+        async with anyio.create_task_group() as group:
+            subject.launch(group, work_ms=10)
+            await anyio.sleep(0.5)
+            for name in net.agents:
+                net.break_link(name)
+        await anyio.sleep(10)
+
+    subject.play(act)
+
+
+@when("the agent of a running {name} exchange request restarts")
+def _(context: Any, name: str) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        async with anyio.create_task_group() as group:
+            subject.launch(group, request_class=name, key="k" * (name == "booking"), work_ms=1000)
+            await anyio.sleep(0.5)
+            agent = subject.running_agent()
+            agent.kill()
+            net.start_agent(agent.name, 2)
+
+    subject.play(act)
+
+
+@then("the exchange outcome is {outcome}")
+def _(context: Any, outcome: str) -> None:
+    reply = context.exchange.replies[-1]
+    assert reply.outcome == outcome, (reply.outcome, reply.reason)
+
+
+@when(
+    "a booking of 1 s is made, its entry is killed after {killed:f} s and the caller retries "
+    "after {retry:f} s"
+)
+def _(context: Any, killed: float, retry: float) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        async with anyio.create_task_group() as group:
+            subject.launch(group, request_class="booking", key="k", work_ms=1000)
+            await anyio.sleep(killed)
+            net.entries["entry1"].kill()
+            group.cancel_scope.cancel()
+        await anyio.sleep(retry)
+        async with anyio.create_task_group() as group:
+            subject.launch(group, "entry2", request_class="booking", key="k", work_ms=1000)
+
+    subject.play(act)
+
+
+@when("a booking has run, its home {failure} and the caller retries with the same key")
+def _(context: Any, failure: str) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        for _try in range(2):
+            async with anyio.create_task_group() as group:
+                subject.launch(group, request_class="booking", key="k")
+            home = next(agent for agent in net.agents.values() if agent.backend.runs)
+            if failure == "restarts":
+                home.kill()
+                net.start_agent(home.name, 2)
+            else:
+                net.cut.add((home.name, "entry1"))
+                net.break_link(home.name)
+            await anyio.sleep(1)
+
+    subject.play(act)
+
+
+@when("{missing:d} of the agents have no full memory of keys and a booking is made")
+def _(context: Any, missing: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        # Their incarnations are no founders, and as old as the deployment.
+        net.rules.founding = frozenset(sorted(net.rules.founding)[missing:])
+        for row in net.entries["entry1"].hosts.rows.values():
+            joining = row.incarnation not in net.rules.founding
+            changed = {"maturity": Maturity.JOINING if joining else Maturity.FULL}
+            row.announce = type(row.announce)(
+                **{name: getattr(row.announce, name) for name in row.announce.__slots__} | changed
+            )
+        async with anyio.create_task_group() as group:
+            subject.launch(group, request_class="booking", key="k")
+
+    subject.play(act)
+
+
+@when("{count:d} exchange requests of {work:d} ms come at once")
+def _(context: Any, count: int, work: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        async with anyio.create_task_group() as group:
+            for number in range(count):
+                name = list(net.entries)[number % len(net.entries)]
+                kind = {} if number % 2 else {"request_class": "booking", "key": f"k{number}"}
+                subject.launch(group, name, work_ms=work, **kind)
+
+    subject.play(act)
+
+
+@then("the backend server saw at most {slots:d} running and {connections:d} present")
+def _(context: Any, slots: int, connections: int) -> None:
+    backend = context.exchange.net.agents["agent1"].backend
+    assert (backend.most_running, backend.overrun) == (slots, 0)
+    assert backend.most_present <= connections
+
+
+@then("every exchange answer is whole or it did not run")
+def _(context: Any) -> None:
+    subject = context.exchange
+    answered = [reply for reply in subject.replies if reply.outcome == "answered"]
+    for reply in answered:
+        subject.net.check_body(reply, 100)
+    refused = [reply for reply in subject.replies if reply.outcome == "not-run"]
+    assert answered
+    assert refused
+    assert len(answered) + len(refused) == len(subject.replies)
+    assert {run.request for run in subject.net.runs} == {reply.request for reply in answered}
+
+
+@when("an agent leaves while {count:d} exchange requests of 3 s run")
+def _(context: Any, count: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        agent = net.agents["agent1"]
+        async with anyio.create_task_group() as group:
+            for _number in range(count):
+                subject.launch(group, work_ms=3000)
+            await anyio.sleep(0.1)
+            subject.notes["busy"] = agent.component.busy_slots
+            await agent.leave()
+            subject.notes["left"] = anyio.current_time()
+            group.start_soon(drain, agent.component)
+            await anyio.sleep(0.5)
+            for _number in range(20):
+                subject.launch(group, work_ms=10)
+
+    async def drain(component: Any) -> None:
+        await component.drain()
+        subject.notes["drained"] = anyio.current_time()
+
+    subject.play(act)
+
+
+@then("the drain ended after the last answer")
+def _(context: Any) -> None:
+    notes, backend = context.exchange.notes, context.exchange.net.agents["agent1"].backend
+    assert notes["busy"] > 0
+    assert notes["drained"] >= max(run.end for run in backend.runs)
+
+
+@then("nothing started at the leaving agent after it left")
+def _(context: Any) -> None:
+    subject = context.exchange
+    starts = [run.start for run in subject.net.agents["agent1"].backend.runs]
+    assert max(starts) <= subject.notes["left"]
+
+
+@when("exchange requests are sent past routing after leaving and with the data centre out")
+def _(context: Any) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        agent = net.agents["agent1"]
+        entry = net.entries["entry1"].component
+        entry._usable = lambda row: True
+        net.rules.out.add("dc-agent1")
+        subject.replies.append(await net.answer())
+        net.rules.out.clear()
+        agent.component.leave()
+        await anyio.sleep(2.0)
+        subject.replies.append(await net.answer())
+
+    subject.play(act)
+
+
+@then("both were refused and nothing ran")
+def _(context: Any) -> None:
+    subject = context.exchange
+    assert [reply.outcome for reply in subject.replies] == ["not-run", "not-run"]
+    assert subject.net.runs == []
+
+
+@when("{count:d} exchange requests of 1 s run and {queued:d} queued ones are cancelled")
+def _(context: Any, count: int, queued: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        async with anyio.create_task_group() as group:
+            for _number in range(count):
+                subject.launch(group, work_ms=1000)
+            await anyio.sleep(0.1)
+            async with anyio.create_task_group() as late:
+                for _number in range(queued):
+                    subject.launch(late, work_ms=1000)
+                await anyio.sleep(0.1)
+                late.cancel_scope.cancel()
+        await anyio.sleep(3)
+
+    subject.play(act)
+
+
+@when("the backend server hangs during an exchange request with a deadline of {deadline:d} s")
+def _(context: Any, deadline: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        backend = net.agents["agent1"].backend
+        backend.faults = type(backend.faults)(hang=True)
+        subject.replies.append(await net.answer(deadline_s=deadline))
+
+    subject.play(act)
+
+
+@then("the exchange answer took at most {seconds:f} s")
+def _(context: Any, seconds: float) -> None:
+    assert context.exchange.replies[-1].seconds <= seconds
+
+
+@when("1 backend server fails all of {count:d} exchange requests it gets")
+def _(context: Any, count: int) -> None:
+    subject = context.exchange
+
+    async def act(net: Net) -> None:
+        backend = net.agents["agent1"].backend
+        backend.faults = type(backend.faults)(fail_all=True)
+        for _number in range(count):
+            async with anyio.create_task_group() as group:
+                subject.launch(group, work_ms=5)
+                await anyio.sleep(0.01)
+
+    subject.play(act)
+
+
+@then("fewer than {count:d} exchange requests were answered with status 500")
+def _(context: Any, count: int) -> None:
+    statuses = [reply.status for reply in context.exchange.replies]
+    assert 0 < statuses.count(500) < count, statuses.count(500)
+
+
+@given("racing entries where {views}")
+def _(context: Any, views: str) -> None:
+    context.explorer = KeyExplorer(VIEWS[views])
+
+
+@when("every interleaving of their messages is explored")
+def _(context: Any) -> None:
+    context.explorer.explore()
+
+
+PROTECTIONS = {
+    "the majority": ("apricotpath.keyplaces.majority", lambda count: 1),
+    "the tombstone": ("apricotpath.settle.RequestTable.never", lambda *args: True),
+}
+
+
+@when("every interleaving is explored without {protection}")
+def _(context: Any, protection: str) -> None:
+    target, replacement = PROTECTIONS[protection]
+    with patch(target, replacement):
+        context.explorer.explore()
+
+
+@then("no interleaving runs the key twice or runs what was answered as not run")
+def _(context: Any) -> None:
+    explorer = context.explorer
+    assert explorer.count > 3, explorer.count
+    assert not explorer.broken, explorer.broken[0]
+
+
+@then("some interleaving runs the key once")
+def _(context: Any) -> None:
+    assert context.explorer.ran
+
+
+@then("some interleaving runs the key twice")
+def _(context: Any) -> None:
+    assert any("ran twice" in text for text in context.explorer.broken)
--- /dev/null
+++ b/tests/features/steps/request_harness.py
@@ -0,0 +1,332 @@
+"""Entries, agents and backend servers in one process, joined by links over memory streams."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from logging import getLogger
+from random import Random
+from typing import Any
+
+import anyio
+import trio.testing
+from anyio.abc import ByteStream
+from httpx import ASGITransport, AsyncClient
+
+from apricotpath.config import (
+    Address,
+    AgentSettings,
+    BackendSettings,
+    EntrySettings,
+    LimitSettings,
+    LinkSettings,
+    RequestSettings,
+    StoreSettings,
+)
+from apricotpath.errors import LinkError, NotRun, OutcomeUnknown
+from apricotpath.link import Link
+from apricotpath.messages import Announce, Heartbeat, Hello, Leaving
+from apricotpath.metrics import Metrics
+from apricotpath.model import Maturity, Role, Size
+from apricotpath.servicerules import ClassRules, ServiceRules
+from apricotpath_bench.backendstandin import BackendApp, expected_body
+from apricotpathd.agentrequests import AgentRequests
+from apricotpathd.exchange import CallerRequest, Exchange
+from apricotpathd.hosts import HostTable
+
+# One line per request would bury what a failed scenario prints.
+getLogger("httpx").setLevel("WARNING")
+
+ADDRESS = Address("127.0.0.1", 0)
+SERVICE = "scraps"
+CLASSES = {
+    "intake": ClassRules("intake", 2, True, 10.0, 20),
+    "booking": ClassRules("booking", 3, False, 10.0, 20),
+    "round-plan": ClassRules("round-plan", 1, True, 10.0, 20),
+}
+
+
+class FixedRules:
+    """Control state that tests set directly."""
+
+    def __init__(self) -> None:
+        self.out: set[str] = set()
+        self.founding: frozenset[str] = frozenset()
+        self.founded = True
+
+    def service_rules(self, service: str) -> ServiceRules | None:
+        return ServiceRules(SERVICE, CLASSES) if service == SERVICE else None
+
+    def in_service(self, data_centre: str) -> bool:
+        return data_centre not in self.out
+
+    def founders(self, service: str) -> frozenset[str]:
+        return self.founding
+
+    def has_founders(self, service: str) -> bool:
+        return self.founded
+
+
+class MemoryStream(ByteStream):
+    """One end of a byte stream; with `hole` set, what is sent disappears."""
+
+    def __init__(self, tx: Any, rx: Any) -> None:
+        self.tx, self.rx, self.hole = tx, rx, False
+
+    async def send(self, item: bytes) -> None:
+        if not self.hole:
+            await self.tx.send(item)
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        return await self.rx.receive()
+
+    async def send_eof(self) -> None:
+        await self.tx.aclose()
+
+    async def aclose(self) -> None:
+        await self.tx.aclose()
+        await self.rx.aclose()
+
+
+def stream_pair() -> tuple[MemoryStream, MemoryStream]:
+    tx1, rx1 = anyio.create_memory_object_stream(1000)
+    tx2, rx2 = anyio.create_memory_object_stream(1000)
+    return MemoryStream(tx1, rx2), MemoryStream(tx2, rx1)
+
+
+class Node:
+    """Handler of a process's links; `fault` decides on each received message.
+
+    It returns the delays in seconds after which the message is handled: none
+    loses it, two double it, and a longer one lets later messages pass.
+    """
+
+    def __init__(self, net: "Net", hello: Hello, component: Any) -> None:
+        self.net, self.hello, self.component = net, hello, component
+        self.links: set[Link] = set()
+        self.alive = True
+        self.scope = anyio.CancelScope()
+        self.fault: Callable[[Any], list[float]] | None = None
+
+    def heartbeat(self) -> Heartbeat:
+        return Heartbeat(1, 0, 0, ())
+
+    async def run(self) -> None:
+        with self.scope:
+            await self.component.run()
+
+    async def opened(self, link: Link) -> None:
+        self.links.add(link)
+        await self.component.link_opened(link)
+
+    async def closed(self, link: Link) -> None:
+        self.links.discard(link)
+        if self.alive:
+            await self.component.link_closed(link)
+
+    async def received(self, link: Link, envelope: Any) -> None:
+        if not self.alive or type(envelope.body) not in self.component.handles:
+            return
+        for delay in self.fault(envelope.body) if self.fault else [0.0]:
+            if delay:
+                self.net.group.start_soon(self._later, delay, link, envelope)
+            else:
+                await self.component.received(link, envelope)
+
+    async def _later(self, delay: float, link: Link, envelope: Any) -> None:
+        await anyio.sleep(delay)
+        if self.alive:
+            await self.component.received(link, envelope)
+
+    def kill(self) -> None:
+        self.alive = False
+        self.scope.cancel()
+        for link in list(self.links):
+            link.close("the process was killed")
+
+
+class AgentNode(Node):
+    """An agent with its backend server, which outlives the agent's incarnations."""
+
+    def __init__(self, net: "Net", name: str, number: int, backend: BackendApp) -> None:
+        self.name, self.number, self.backend = name, number, backend
+        cfg = AgentSettings(
+            *(name, f"host-{name}", "rack", f"dc-{name}", Size(16000, 60000), "", (), ADDRESS, ()),
+            backend=BackendSettings(f"backend-{name}", SERVICE, "http://backend"),
+        )
+        incarnation = f"{name}-{number}"
+        requests = AgentRequests(cfg, incarnation, net.rules, self._client)
+        super().__init__(net, Hello(1, Role.AGENT, name, incarnation, cfg.data_centre), requests)
+
+    def _client(self, cfg: BackendSettings) -> AsyncClient:
+        return AsyncClient(transport=ASGITransport(self.backend))
+
+    async def opened(self, link: Link) -> None:
+        await super().opened(link)
+        maturity = self.net.maturity.get(self.name, self.component.maturity())
+        await link.send(
+            Announce(
+                *(f"host-{self.name}", "rack", f"dc-{self.name}", Size(), f"backend-{self.name}"),
+                *(SERVICE, 8, 64, False, True, maturity),
+            )
+        )
+
+    async def leave(self) -> None:
+        self.component.leave()
+        for link in list(self.links):
+            await link.send(Leaving("shutdown"))
+
+
+class EntryNode(Node):
+    """An entry's exchange with its host table."""
+
+    def __init__(self, net: "Net", name: str, cfg: RequestSettings) -> None:
+        settings = EntrySettings(
+            *(name, "dc-entry", ADDRESS, ADDRESS, ADDRESS, StoreSettings("http://x"), ()),
+            requests=cfg,
+            limits=net.limits,
+        )
+        self.hosts = HostTable()
+        self.metrics = Metrics()
+        exchange = Exchange(
+            settings, f"{name}-1", net.rules, self.hosts, self.metrics, Random(net.seed)
+        )
+        super().__init__(net, Hello(1, Role.ENTRY, name, f"{name}-1", "dc-entry"), exchange)
+
+    async def received(self, link: Link, envelope: Any) -> None:
+        now = anyio.current_time()
+        if isinstance(envelope.body, Announce):
+            self.hosts.announced(link, envelope.body, now)
+        elif isinstance(envelope.body, Leaving):
+            for row in self.hosts.rows.values():
+                row.leaving = row.leaving or row.link is link
+        await super().received(link, envelope)
+
+    async def closed(self, link: Link) -> None:
+        self.hosts.closed(link, anyio.current_time())
+        await super().closed(link)
+
+
+class Reply:
+    """What one caller was told."""
+
+    def __init__(self) -> None:
+        self.outcome = "pending"
+        self.reason = ""
+        self.request = ""
+        self.status = 0
+        self.body = b""
+        self.seconds = 0.0
+
+
+class Net:
+    """A deployment in virtual time."""
+
+    def __init__(self, seed: int = 1, limits: LimitSettings | None = None) -> None:
+        self.seed = seed
+        self.limits = limits or LimitSettings()
+        self.rules = FixedRules()
+        self.maturity: dict[str, Maturity] = {}
+        self.agents: dict[str, AgentNode] = {}
+        self.entries: dict[str, EntryNode] = {}
+        self.streams: dict[tuple[str, str], tuple[MemoryStream, MemoryStream]] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.group: Any = None
+
+    def run(self, scenario: Callable[["Net"], Awaitable[None]]) -> None:
+        """Run a scenario on a trio clock that jumps over waiting times."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as self.group:
+                await scenario(self)
+                self.group.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+    async def start(
+        self, agents: int, entries: int = 1, cfg: RequestSettings | None = None
+    ) -> None:
+        """Start processes and wait until every entry serves keys."""
+        names = [f"agent{number}" for number in range(1, agents + 1)]
+        self.rules.founding = frozenset(f"{name}-1" for name in names)
+        for number in range(1, entries + 1):
+            entry = EntryNode(self, f"entry{number}", cfg or RequestSettings())
+            self.entries[f"entry{number}"] = entry
+            self.group.start_soon(entry.run)
+        for name in names:
+            self.start_agent(name, 1)
+        await anyio.sleep(5.5)
+
+    def start_agent(self, name: str, number: int) -> None:
+        old = self.agents.get(name)
+        backend = old.backend if old else BackendApp(SERVICE)
+        agent = self.agents[name] = AgentNode(self, name, number, backend)
+        self.group.start_soon(agent.run)
+        for entry in self.entries.values():
+            self.group.start_soon(self._dial, agent, entry)
+
+    async def _dial(self, agent: AgentNode, entry: EntryNode) -> None:
+        while agent.alive and entry.alive:
+            pair = (agent.name, entry.hello.process_id)
+            if pair not in self.cut:
+                ours, theirs = self.streams[pair] = stream_pair()
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._serve, Link(ours, agent.hello, LinkSettings(), agent))
+                    group.start_soon(self._serve, Link(theirs, entry.hello, LinkSettings(), entry))
+            await anyio.sleep(0.1)
+
+    async def _serve(self, link: Link) -> None:
+        with suppress(LinkError):
+            await link.run()
+
+    def silence(self, agent: str, entry: str = "entry1") -> None:
+        """Make the present connection lose everything from now on."""
+        for stream in self.streams[agent, entry]:
+            stream.hole = True
+
+    def break_link(self, agent: str, entry: str = "entry1") -> None:
+        for link in list(self.agents[agent].links):
+            if link.peer is not None and link.peer.process_id == entry:
+                link.close("broken by the test")
+
+    async def call(self, reply: Reply, entry: str = "entry1", **want: Any) -> None:
+        """Make one caller's request and note what the caller is told."""
+        rules = CLASSES[want.get("request_class", "intake")]
+        path = f"/x?work_ms={want.get('work_ms', 0)}&size={want.get('size', 100)}"
+        begun = anyio.current_time()
+        req = CallerRequest(
+            SERVICE,
+            rules,
+            "team",
+            want.get("key", ""),
+            begun + want.get("deadline_s", 10.0),
+            *("POST", path, (), want.get("body", b"")),
+        )
+        exchange = self.entries[entry].component
+        try:
+            answer = await exchange.request(req)
+            try:
+                body = b"".join([part async for part in answer.chunks()])
+            finally:
+                answer.close()
+            reply.outcome, reply.status, reply.body = "answered", answer.status, body
+            reply.request = answer.request
+        except NotRun as exc:
+            reply.outcome, reply.reason = "not-run", exc.reason
+        except OutcomeUnknown as exc:
+            reply.outcome, reply.reason = "unknown", exc.reason
+        reply.seconds = anyio.current_time() - begun
+
+    async def answer(self, entry: str = "entry1", **want: Any) -> Reply:
+        reply = Reply()
+        await self.call(reply, entry, **want)
+        return reply
+
+    @property
+    def runs(self) -> list[Any]:
+        """Every run in the records of the backend servers."""
+        return [run for agent in self.agents.values() for run in agent.backend.runs]
+
+    def check_body(self, reply: Reply, size: int) -> None:
+        """Check that an answer is whole and belongs to its own request."""
+        assert reply.outcome == "answered", (reply.outcome, reply.reason)
+        assert reply.body == expected_body(reply.request, size)
--- /dev/null
+++ b/tests/features/steps/routing_steps.py
@@ -0,0 +1,114 @@
+"""Steps for routing.feature."""
+
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+
+from apricotpath.config import RequestSettings
+from apricotpath.routing import Candidate, RoutingTable, choose
+
+
+class RoutingSubject:
+    """Holds the measurements of one entry over equal backend servers."""
+
+    def __init__(self, count: int, choices: int, seed: int) -> None:
+        self.candidates = [Candidate(f"b{number}", 8, 64) for number in range(1, count + 1)]
+        self.table = RoutingTable()
+        self.cfg = RequestSettings(choices=choices)
+        self.rng = Random(seed)
+        self.sent: dict[str, int] = {}
+
+    def route(self, now: float) -> str | None:
+        name = choose(self.candidates, self.table, self.cfg, self.rng, now)
+        if name is not None:
+            self.table.sent(name, now)
+            self.sent[name] = self.sent.get(name, 0) + 1
+        return name
+
+    def fail(self, name: str) -> None:
+        for _number in range(5):
+            self.table.sent(name, 0.0)
+            self.table.finished(name, 0.001, False, 0.0)
+
+    def used(self, now: float) -> set[str | None]:
+        """Return the backend servers that 50 requests one after another would use."""
+        names = set()
+        for _number in range(50):
+            name = self.route(now)
+            names.add(name)
+            if name not in (None, "b1"):
+                self.table.finished(name, 0.001, True, now)
+        return names
+
+
+@given("a routing table of {count:d} backend servers with {choices:d} choices and seed {seed:d}")
+def _(context: Any, count: int, choices: int, seed: int) -> None:
+    context.routing = RoutingSubject(count, choices, seed)
+
+
+@when("{count:d} requests are routed without any ending")
+def _(context: Any, count: int) -> None:
+    for _number in range(count):
+        context.routing.route(0.0)
+
+
+@then("the highest routing load is at most {load:d}")
+def _(context: Any, load: int) -> None:
+    assert max(context.routing.sent.values()) <= load, context.routing.sent
+
+
+@then("the highest routing load is at least {load:d}")
+def _(context: Any, load: int) -> None:
+    assert max(context.routing.sent.values()) >= load, context.routing.sent
+
+
+@when("{count:d} requests are routed and backend server 1 takes 5 times as long")
+def _(context: Any, count: int) -> None:
+    subject = context.routing
+    ends: list[tuple[float, str, float]] = []
+    for number in range(count):
+        now = number * 0.002
+        for end in sorted(item for item in ends if item[0] <= now):
+            ends.remove(end)
+            subject.table.finished(end[1], end[2], True, now)
+        name = subject.route(now)
+        latency = 0.05 if name == "b1" else 0.01
+        ends.append((now + latency, name, latency))
+
+
+@then("routing sent backend server 1 fewer than {count:d} requests")
+def _(context: Any, count: int) -> None:
+    assert 0 < context.routing.sent["b1"] < count, context.routing.sent
+
+
+@when("routing sees backend server 1 fail 5 times in a row")
+def _(context: Any) -> None:
+    context.routing.fail("b1")
+
+
+@when("routing sees every backend server fail 5 times in a row")
+def _(context: Any) -> None:
+    for candidate in context.routing.candidates:
+        context.routing.fail(candidate.process)
+
+
+@then("routing does not use it for 5 s and then sends one probe")
+def _(context: Any) -> None:
+    subject = context.routing
+    assert "b1" not in subject.used(4.9)
+    assert "b1" in subject.used(5.0)
+    assert subject.sent["b1"] == 1
+
+
+@then("after a probe that {probe} routing uses it {again}")
+def _(context: Any, probe: str, again: str) -> None:
+    subject = context.routing
+    subject.table.finished("b1", 0.001, probe == "succeeds", 5.0)
+    assert ("b1" in subject.used(14.9)) == (again == "at once")
+    assert "b1" in subject.used(15.1)
+
+
+@then("routing still finds a backend server")
+def _(context: Any) -> None:
+    assert context.routing.route(0.1) is not None
