Hold early parts of an answer until the missing one comes

Change: early parts are held, and the answer is asked for again only if the gap stays, with twice the wait each time.

--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -64,8 +64,9 @@
 SETTLE_TIMEOUT_S = 2.0
 # At the deadline the agent is asked once more, so that the caller learns the truth.
 LAST_SETTLE_S = 1.0
-# Answers asked for again because a part was missing; more than this is a fault.
-MAX_RESENDS = 3
+# Parts that came before an earlier one are held up to this size and for this time.
+EARLY_BYTES = 2 << 20
+GAP_WAIT_S = 0.5
 TICK_S = 0.05
 RETRY_AFTER_S = 1.0
 # A new entry must not count the places of a key before every agent had time to
@@ -109,7 +110,9 @@
     whole: bool = False
     refused: RequestRefused | None = None
     failed: str = ""
-    gap: bool = False
+    total: int = -1
+    early: dict[int, bytes] = field(default_factory=dict)
+    early_bytes: int = 0
     following: bool = False
     timed_out: bool = False
     resends: int = 0
@@ -135,24 +138,31 @@
         self.event = anyio.Event()
 
     def add(self, offset: int, data: bytes, final: bool, total: int) -> None:
-        """Add part of the body; parts seen before are ignored and gaps are noted.
-
-        While `following`, the whole answer comes from its beginning once the
-        run has ended, so parts beyond a gap are dropped until then.
-        """
-        skip = self.received - offset
-        if self.whole or (skip < 0 and self.following):
+        """Add part of the body; parts seen before are ignored and early ones wait."""
+        if self.whole:
             return
-        if skip < 0:
-            self.gap = True
-        elif skip < len(data):
+        if final:
+            if total != offset + len(data):
+                self.failed = "the length of the answer does not match its parts"
+                return
+            self.total = total
+        if offset > self.received:
+            if self.early_bytes + len(data) <= EARLY_BYTES:
+                self.early[offset] = data
+                self.early_bytes += len(data)
+            return
+        self._append(offset, data)
+        while self.early and (first := min(self.early)) <= self.received:
+            early = self.early.pop(first)
+            self.early_bytes -= len(early)
+            self._append(first, early)
+        self.whole = self.total == self.received
+
+    def _append(self, offset: int, data: bytes) -> None:
+        skip = self.received - offset
+        if skip < len(data):
             self.parts.append(data[skip:] if skip else data)
             self.received = offset + len(data)
-        if final and not self.gap:
-            if total == self.received:
-                self.whole = True
-            else:
-                self.gap = True
 
 
 class AnswerStream:
@@ -450,21 +460,32 @@
             now = anyio.current_time()
             if now >= deadline:
                 await self._settle_at_deadline(attempt, deadline + LAST_SETTLE_S)
-            elif attempt.lost or attempt.gap:
+            elif attempt.lost:
                 await self._settle(attempt, deadline)
+            elif attempt.early and not attempt.following:
+                await self._wait_for_gap(attempt, deadline)
             else:
                 with anyio.CancelScope(deadline=deadline):
                     await attempt.wait()
 
+    async def _wait_for_gap(self, attempt: Attempt, deadline: float) -> None:
+        """Wait a little for a part that is missing, then ask for the answer again."""
+        # Each time the answer is asked for again, twice as long is left for it to come.
+        wait_s = GAP_WAIT_S * 2**attempt.resends
+        attempt.resends += 1
+        received, until = attempt.received, anyio.current_time() + wait_s
+        with anyio.CancelScope(deadline=min(until, deadline)):
+            while attempt.received == received and not attempt.failed and not attempt.lost:
+                await attempt.wait()
+            return
+        if anyio.current_time() < deadline:
+            await self._settle(attempt, deadline)
+
     async def _settle(self, attempt: Attempt, deadline: float) -> None:
         """Ask for a request again over the present link to the same agent.
 
         Returns when the answer follows, or when the deadline has passed.
         """
-        attempt.resends += 1
-        if attempt.resends > MAX_RESENDS and not attempt.lost:
-            attempt.failed = "parts of the answer were missing repeatedly"
-            return
         while anyio.current_time() < deadline:
             link = self._links.get(attempt.process)
             if link is None or not link.is_open:
@@ -474,8 +495,6 @@
             if link.peer.incarnation != attempt.incarnation:
                 attempt.failed = "the agent has restarted since"
                 return
-            # Parts that follow the settlement count again from here.
-            attempt.gap = False
             attempt.link = link
             settlement, reason = await self._ask(link, attempt, deadline)
             if settlement is not None:
