--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -108,6 +108,12 @@
         self.world, self.entry, self.shard, self.epoch = world, entry, shard, epoch
         self.last = -1.0
 
+    async def run(self) -> None:
+        """Do nothing: `append` writes at once."""
+
+    def close(self) -> None:
+        """Do nothing: there is no writing task to end."""
+
     def _check(self) -> None:
         if self.world.store.down:
             raise StoreUnavailable("the store is down")
