--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -29,6 +29,9 @@
 MAX_NAME = 128
 # All request bodies held at one time, as a multiple of the limit for one.
 HELD_BODIES = 8
+# Hypercorn keeps a connection that its caller has closed until this time has passed
+# as well, so a longer one would let closed connections use up the limit.
+KEEP_ALIVE_S = 15.0
 DEFAULT_TEAM = TeamId("none")
 # Headers that belong to one connection, or that the entry sets itself.
 DROPPED_REQUEST_HEADERS = frozenset(
@@ -118,8 +121,8 @@
         self.team = DEFAULT_TEAM
         self.request = ""
         self.held = 0
-        self.started = False
         self.ended = False
+        self.body_done = False
         self.cancel_scope = anyio.CancelScope()
 
     async def serve(self) -> None:
@@ -165,9 +168,9 @@
         try:
             await self._send_answer(answer)
         except OutcomeUnknown as exc:
-            # The status has been sent; ending the connection shows that the body is short.
             log.info("an answer was cut short: %s", exc, extra={"request": answer.request})
-            raise
+            await self._cut_answer(answer)
+            return ResultClass.UNKNOWN
         finally:
             answer.close()
         return ResultClass.ANSWERED
@@ -252,6 +255,7 @@
             if message is None:
                 raise BadCall(408, "body-too-slow", "The request body did not arrive in time.")
             if message["type"] == "http.disconnect":
+                self.body_done = True
                 raise BadCall(400, "hung-up", "The caller hung up before the body was whole.")
             data = message.get("body", b"")
             if data:
@@ -262,8 +266,20 @@
                 self.held += len(data)
                 parts.append(data)
             if not message.get("more_body", False):
+                self.body_done = True
                 return parts[0] if len(parts) == 1 else b"".join(parts)
 
+    async def _discard_body(self) -> None:
+        """Read the rest of a refused body over HTTP/2, for a limited time.
+
+        Hypercorn ends the whole connection, with the caller's other requests,
+        when an answer is complete before its request is.
+        """
+        with anyio.move_on_after(self.app.cfg.limits.read_timeout_s):
+            while (await self.receive()).get("more_body", False):
+                pass
+        self.body_done = True
+
     async def _send_answer(self, answer: AnswerStream) -> None:
         """Send the answer on; a whole one in two messages."""
         self.request = answer.request
@@ -273,7 +289,6 @@
         headers.append((b"apricotpath-request-id", answer.request.encode()))
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         await self.send(start)
-        self.started = True
         if answer.whole:
             await self.send({"type": "http.response.body", "body": answer.body()})
             return
@@ -281,9 +296,24 @@
             await self.send({"type": "http.response.body", "body": data, "more_body": True})
         await self.send({"type": "http.response.body", "body": b""})
 
+    async def _cut_answer(self, answer: AnswerStream) -> None:
+        """Show the caller that a body whose status has been sent is short.
+
+        Over HTTP/1.1 hypercorn closes the connection when the app returns
+        without the end of the body. Over HTTP/2 it would leave the stream
+        open for ever; a stream that ends before its content-length is an
+        error to every client (RFC 9113, section 8.1.1). Without that header
+        the stream is left open, since an end would make the body look whole.
+        """
+        sized = any(header.name == "content-length" for header in answer.headers)
+        if self.scope["http_version"] == "2" and sized:
+            await self.send({"type": "http.response.body", "body": b""})
+
     async def _send_error(
         self, status: int, result: ResultClass, exc: Exception, reason: str, retry_after_s: int
     ) -> None:
+        if not self.body_done and self.scope["http_version"] == "2":
+            await self._discard_body()
         value = {"error": str(exc), "reason": reason, "outcome": result.value}
         request = getattr(exc, "request", "") or self.request
         if request:
@@ -367,7 +397,7 @@
     result.errorlog = logging.getLogger("apricotpathd.hypercorn")
     result.h11_max_incomplete_size = limits.header_bytes
     result.h2_max_header_list_size = limits.header_bytes
-    result.keep_alive_timeout = 60.0
+    result.keep_alive_timeout = KEEP_ALIVE_S
     result.include_server_header = False
     # Requests in flight may take until their deadline.
     result.graceful_timeout = limits.max_deadline_s
--- /dev/null
+++ b/tests/features/callers.feature
@@ -0,0 +1,69 @@
+Feature: callers
+
+  Guards against a caller who takes a short body for a whole one, against
+  "not run" for work that ran, against callers that use up the entry, and
+  against requests cut off by a shutdown. Everything runs over TCP on
+  loopback; what ran is read from the backend servers' records.
+
+  Scenario Outline: every caller gets the whole answer to its own request
+    Given a callers deployment with 3 agents
+    When 120 callers ask over HTTP/<version> for bodies of 0 to 3000000 bytes
+    Then each caller got its own whole body once
+
+    Examples:
+      | version |
+      | 1       |
+      | 2       |
+
+  Scenario Outline: a cut body is never taken for a whole one
+    Given a callers deployment with 1 agents
+    When the backend server cuts a body of <size> bytes asked for over HTTP/<version>
+    Then the caller of the cut body sees <what>
+
+    Examples:
+      | size    | version | what        |
+      | 1000    | 1       | 502 unknown |
+      | 1000    | 2       | 502 unknown |
+      | 3000000 | 1       | an error    |
+      | 3000000 | 2       | an error    |
+
+  Scenario Outline: a call that breaks a rule is refused and does not run
+    Given a callers deployment with 1 agents
+    When a caller sends <what>
+    Then the caller gets status <status> and reason <reason>, and nothing ran
+
+    Examples:
+      | what                    | status | reason            |
+      | another path            | 404    | not-found         |
+      | an unknown service      | 404    | no-service        |
+      | an unknown class        | 400    | no-class          |
+      | a booking without a key | 400    | key-missing       |
+      | a deadline that is text | 400    | bad-deadline      |
+      | a body over the limit   | 413    | body-too-large    |
+      | headers over the limit  | 431    | headers-too-large |
+      | a body that stalls      | 408    | body-too-slow     |
+
+  Scenario: a large request body reaches the backend server whole
+    Given a callers deployment with 1 agents
+    When a caller uploads 900000 bytes
+    Then the backend server got 900000 bytes from the caller
+
+  Scenario: a flood is answered or refused as not run, and nothing else
+    Given a callers deployment with 1 agents
+    When 150 callers come at once with 30 ms of work each
+    Then each caller of the flood was answered or told to retry, and only answered ones ran
+
+  Scenario: connections beyond the limit are closed and the others served
+    Given a callers deployment with 1 agents
+    When 60 connections are opened by callers where 40 are allowed
+    Then 20 connections were closed and a caller is served once the others have gone
+
+  Scenario: a shutdown ends no request in flight
+    Given a callers deployment with 2 agents
+    When the entry shuts down while 12 callers wait for 400 ms of work
+    Then all 12 callers got their answers and the port is closed
+
+  Scenario: the work of a caller who hangs up is cancelled
+    Given a callers deployment with 1 agents
+    When a caller hangs up during 1500 ms of work
+    Then the agent's slot for that caller was free before the work had ended
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -28,7 +28,7 @@
 from apricotpath.model import Maturity, Role, Size
 from apricotpath.servicerules import ClassRules, ServiceRules
 from apricotpath_bench.backendstandin import BackendApp, expected_body
-from apricotpathd.agentrequests import AgentRequests
+from apricotpathd.agentrequests import AgentRequests, http_client
 from apricotpathd.exchange import CallerRequest, Exchange
 from apricotpathd.hosts import HostTable
 
@@ -147,16 +147,18 @@
     """An agent with its backend server, which outlives the agent's incarnations."""
 
     def __init__(self, net: "Net", name: str, number: int, backend: BackendApp) -> None:
-        self.name, self.number, self.backend = name, number, backend
+        self.net, self.name, self.backend = net, name, backend
         cfg = AgentSettings(
             *(name, f"host-{name}", "rack", f"dc-{name}", Size(16000, 60000), "", (), ADDRESS, ()),
-            backend=BackendSettings(f"backend-{name}", SERVICE, "http://backend"),
+            backend=BackendSettings(f"backend-{name}", SERVICE, net.urls.get(name, "http://x")),
         )
         incarnation = f"{name}-{number}"
         requests = AgentRequests(cfg, incarnation, net.rules, self._client)
         super().__init__(net, Hello(1, Role.AGENT, name, incarnation, cfg.data_centre), requests)
 
     def _client(self, cfg: BackendSettings) -> AsyncClient:
+        if self.name in self.net.urls:
+            return http_client(cfg)
         return AsyncClient(transport=ASGITransport(self.backend))
 
     async def opened(self, link: Link) -> None:
@@ -225,6 +227,8 @@
         self.limits = limits or LimitSettings()
         self.rules = FixedRules()
         self.maturity: dict[str, Maturity] = {}
+        # Backend servers that are reached over TCP; the others are called in memory.
+        self.urls: dict[str, str] = {}
         self.agents: dict[str, AgentNode] = {}
         self.entries: dict[str, EntryNode] = {}
         self.streams: dict[tuple[str, str], tuple[MemoryStream, MemoryStream]] = {}
