Keep the newest shard record in the control view

A lost answer of an acquisition can be settled after the next owner's change was read; the settled record then replaced the newer one. The view now keeps the higher revision for both sources.

--- a/packages/daemon/src/apricotpathd/members.py
+++ b/packages/daemon/src/apricotpathd/members.py
@@ -270,7 +270,9 @@
         if not result.succeeded:
             raise ConflictError(f"shard {owner.shard} was changed by another entry first")
         owner = replace(owner, mod_revision=result.revision)
-        self._publish(replace(self.view, shards={**self.view.shards, owner.shard: owner}))
+        # A lost answer may be settled after the next owner's change has been read.
+        shards = {**self.view.shards, owner.shard: owner}
+        self._publish(_keep_newer(replace(self.view, shards=shards), self.view))
         return owner
 
     # Operators' changes.
