Order request priorities as the bundle does: 0 is the highest

The bundle's order is kept, since it is in the operators' documentation; the test's class table follows.

--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -107,7 +107,7 @@
 
 async def until(ready: Callable[[], bool]) -> None:
     """Wait for a state of our own objects that has no event; the run has a time limit."""
-    while not ready():  # noqa: ASYNC110
+    while not ready():
         await anyio.sleep(0.005)
 
 
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -38,9 +38,9 @@
 ADDRESS = Address("127.0.0.1", 0)
 SERVICE = "scraps"
 CLASSES = {
-    "intake": ClassRules("intake", 2, True, 10.0, 20),
-    "booking": ClassRules("booking", 3, False, 10.0, 20),
-    "round-plan": ClassRules("round-plan", 1, True, 10.0, 20),
+    "intake": ClassRules("intake", 1, True, 10.0, 20),
+    "booking": ClassRules("booking", 0, False, 10.0, 20),
+    "round-plan": ClassRules("round-plan", 2, True, 10.0, 20),
 }
 
 
