--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -53,7 +53,7 @@
         self.founded = True
 
     def service_rules(self, service: str) -> ServiceRules | None:
-        return ServiceRules(SERVICE, CLASSES) if service == SERVICE else None
+        return ServiceRules(SERVICE, Size(), CLASSES) if service == SERVICE else None
 
     def in_service(self, data_centre: str) -> bool:
         return data_centre not in self.out
