--- a/tests/run.py
+++ b/tests/run.py
@@ -1,15 +1,31 @@
-"""Runs behave, prints every failed scenario and a closing line with the counts."""
+"""Runs behave, a process per feature, and prints a closing line with the counts."""
 
 import json
+import os
+import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
-from behave.__main__ import main as behave_main
-
 ROOT = Path(__file__).parent.parent
-sys.path.insert(0, str(ROOT / "tests"))
+FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Features that start many processes run one after another, after the rest.
+ALONE = frozenset({"processes"})
+AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))
+FEATURE_TIMEOUT_S = 900
+NOT_RUN = ("skipped", "untested")
+
+
+@dataclass(frozen=True, slots=True)
+class FeatureResult:
+    """Results of one feature as (scenario, status), and what behave printed."""
+
+    scenarios: tuple[tuple[str, str], ...]
+    output: str
+    crashed: bool
 
 
 def known_red() -> set[str]:
@@ -20,37 +36,75 @@
     return {line.removeprefix("test:").strip() for line in lines if line.startswith("test:")}
 
 
+def run_feature(target: str, options: list[str]) -> FeatureResult:
+    """Run behave on one feature file or on a scenario of it (`file:line`)."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        outputs = ["--format", "json", "--outfile", str(report), "--format", "progress"]
+        selection = ["--no-color", "--no-skipped"]
+        if not any(option.startswith("--tags") for option in options):
+            selection += ["--tags", "not @long"]
+        command = [sys.executable, "-m", "behave", *outputs, *selection, *options, target]
+        path = os.pathsep.join([str(ROOT / "tests"), os.environ.get("PYTHONPATH", "")])
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                env=os.environ | {"PYTHONPATH": path},
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                timeout=FEATURE_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as exc:
+            return FeatureResult((), f"{target} timed out\n{exc.stdout or ''}", True)
+        scenarios = tuple(scenario_results(report))
+        crashed = done.returncode != 0 and all(status == "passed" for _, status in scenarios)
+        return FeatureResult(scenarios, done.stdout, crashed)
+
+
 def scenario_results(path: Path) -> list[tuple[str, str]]:
     """Return (name, status) of every scenario in behave's JSON report."""
+    try:
+        features = json.loads(path.read_text() or "[]")
+    except (OSError, ValueError):
+        return []
     results = []
-    for feature in json.loads(path.read_text() or "[]"):
+    for feature in features:
         for element in feature.get("elements", []):
             if element.get("type") != "background":
-                results.append((f"{feature['name']}: {element['name']}", element["status"]))
+                results.append((f"{feature['name']}: {element['name'].strip()}", element["status"]))
     return results
 
 
+def run_all(targets: list[str], options: list[str]) -> list[FeatureResult]:
+    """Run features, several at once but for those that must run alone."""
+    alone = [target for target in targets if Path(target).stem in ALONE]
+    others = [target for target in targets if target not in alone]
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        results = list(pool.map(lambda target: run_feature(target, options), others))
+    return results + [run_feature(target, options) for target in alone]
+
+
 def main(argv: list[str]) -> int:
-    """Run behave with `argv` and return the exit code."""
+    """Run the features named in `argv`, or all, with its options; return the exit code."""
     targets = [arg for arg in argv if not arg.startswith("-")]
     options = [arg for arg in argv if arg.startswith("-")]
-    if not targets:
-        targets = [str(ROOT / "tests" / "features")]
-    with tempfile.TemporaryDirectory() as folder:
-        report = Path(folder) / "report.json"
-        outputs = ["--format", "json", "--outfile", str(report), "--format", "progress"]
-        selection = ["--no-color", "--no-skipped", "--tags", "not @long"]
-        behave_main([*outputs, *selection, *options, *targets])
-        results = scenario_results(report)
-    expected = known_red()
-    ran = [result for result in results if result[1] not in ("skipped", "untested")]
+    targets = targets or [str(path) for path in sorted(FEATURES.glob("*.feature"))]
+    results = run_all(targets, options)
+    ran = [item for result in results for item in result.scenarios if item[1] not in NOT_RUN]
     failed = [name for name, status in ran if status != "passed"]
+    crashed = sum(result.crashed for result in results)
+    expected = known_red()
     unexpected = [name for name in failed if name not in expected]
+    for result in results:
+        if result.crashed or any(name in failed for name, _ in result.scenarios):
+            print(result.output)
     for name in failed:
         print(f"{'known red' if name in expected else 'FAILED'}: {name}")
-    passed = len(ran) - len(failed)
-    print(f"{passed} passed, {len(unexpected)} failed")
-    return 1 if unexpected or not ran else 0
+    print(f"{len(ran) - len(failed)} passed, {len(unexpected) + crashed} failed")
+    return 1 if unexpected or crashed or not ran else 0
 
 
 if __name__ == "__main__":
