Bind a certificate to a process id and check TLS files at the start

Cause: any process with a certificate of our authority could say Hello under another process's id, and missing files came up only at the first connection. Change: the common name must equal the id in Hello; run_entry and run_agent check the files first. Addresses in certificates were ruled out as identity, since hosts are replaced at any time. With the check switched off on a scratch copy, 'the certificate of another process' fails (1 of 5); with it all 5 pass.

--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -5,11 +5,11 @@
 import ssl
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from anyio.streams.tls import TLSStream
+from anyio.streams.tls import TLSAttribute, TLSStream
 
 from apricotpath.codec import (
     LENGTH_BYTES,
@@ -20,7 +20,7 @@
     frame_length,
 )
 from apricotpath.config import Address, LinkSettings, TlsSettings
-from apricotpath.errors import CodecError, LinkError, PeerError
+from apricotpath.errors import CodecError, LinkError, PeerError, SettingsError
 from apricotpath.messages import Failure, Heartbeat, Hello, Message
 
 log = logging.getLogger(__name__)
@@ -196,6 +196,10 @@
             raise LinkError("the first message was not Hello")
         if envelope.body.protocol != PROTOCOL_VERSION:
             raise LinkError(f"the peer speaks protocol {envelope.body.protocol}")
+        if self.cfg.tls is not None:
+            name = certified_name(self._stream)
+            if name != envelope.body.process_id:
+                raise LinkError(f"the certificate of {name!r} is not {envelope.body.process_id!r}")
         return envelope.body
 
     async def _write(self, envelope: Envelope) -> None:
@@ -291,6 +295,30 @@
     return exc
 
 
+def certified_name(stream: ByteStream) -> str:
+    """Return the common name in the certificate of a TLS stream's peer, or an empty text."""
+    certificate: Any = stream.extra_attributes.get(TLSAttribute.peer_certificate, dict)()
+    # The ssl module gives a subject as a tuple of tuples of (field, value) pairs.
+    fields: dict[str, str] = dict(
+        pair for part in (certificate or {}).get("subject", ()) for pair in part
+    )
+    return fields.get("commonName", "")
+
+
+def check_tls(tls: TlsSettings | None) -> None:
+    """Raise SettingsError unless the files of the settings can be used."""
+    if tls is None:
+        return
+    for path in (tls.certificate, tls.private_key, tls.authority):
+        if not path.is_file():
+            raise SettingsError(f"{path}: there is no such file, and TLS needs it")
+    try:
+        server_context(tls)
+    except (OSError, ValueError) as exc:
+        text = exc.strerror if isinstance(exc, OSError) else str(exc)
+        raise SettingsError(f"{tls.certificate}: cannot be used for TLS: {text}") from exc
+
+
 def client_context(tls: TlsSettings) -> ssl.SSLContext:
     """Return a context that proves our certificate and checks the peer's."""
     context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=str(tls.authority))
--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -9,7 +9,7 @@
 from apricotpath.config import AgentSettings
 from apricotpath.control import Control
 from apricotpath.ids import BackendId, ServiceId
-from apricotpath.link import Link, dial_forever
+from apricotpath.link import Link, check_tls, dial_forever
 from apricotpath.messages import Announce, DataCentreStatus, Leaving
 from apricotpath.metrics import Metrics
 from apricotpath.model import Maturity, Role
@@ -120,8 +120,9 @@
 async def run_agent(cfg: AgentSettings) -> None:
     """Run an agent until it is asked to stop and has finished the work in hand.
 
-    Raises SettingsError before anything is started if its port cannot be used.
+    Raises SettingsError before anything is started if its port or certificate cannot be used.
     """
+    check_tls(cfg.link.tls)
     require_free(cfg.metrics)
     agent = Agent(cfg)
     stopped = anyio.Event()
--- a/packages/daemon/src/apricotpathd/entry.py
+++ b/packages/daemon/src/apricotpathd/entry.py
@@ -5,7 +5,7 @@
 import anyio
 
 from apricotpath.config import EntrySettings
-from apricotpath.link import listen
+from apricotpath.link import check_tls, listen
 from apricotpathd.callers import serve_callers
 from apricotpathd.entryparts import EntryParts, utc_now
 from apricotpathd.httpserver import require_free, serve_http
@@ -19,8 +19,9 @@
 async def run_entry(cfg: EntrySettings) -> None:
     """Run an entry until it is asked to stop and has finished the work in hand.
 
-    Raises SettingsError before anything is started if a port cannot be used.
+    Raises SettingsError before anything is started if a port or certificate cannot be used.
     """
+    check_tls(cfg.link.tls)
     for address in (cfg.links, cfg.callers, cfg.operators):
         require_free(address)
     parts = EntryParts(cfg)
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -58,6 +58,7 @@
 
     def __init__(self, silence_s: float) -> None:
         self.cfg = LinkSettings(heartbeat_s=silence_s / 4, silence_s=silence_s)
+        self.client_cfg = self.cfg
         self.server = RecordingHandler()
         self.client = RecordingHandler()
         self.relay = Relay(0)
@@ -88,7 +89,7 @@
         await group.start(self.relay.run)
         target = Address("127.0.0.1", self.relay.port)
         rng = random.Random(1)
-        group.start_soon(dial_forever, target, hello("client"), self.cfg, self.client, rng)
+        group.start_soon(dial_forever, target, hello("client"), self.client_cfg, self.client, rng)
         await until(lambda: bool(self.client.links and self.server.links))
 
     async def call(self, body: bytes) -> None:
--- /dev/null
+++ b/tests/features/tls.feature
@@ -0,0 +1,25 @@
+Feature: tls
+
+  Guards against a process that gets in without a certificate of our authority,
+  under the name of another process, or only until certificates are replaced.
+
+  Scenario: two TLS processes with certificates of one authority are linked
+    Given a TLS authority with certificates for server and client
+    When the TLS client dials the server
+    Then the TLS link answers calls
+
+  Scenario Outline: a TLS client with <certificate> gets nowhere
+    Given a TLS authority with certificates for server and client
+    When a TLS client with <certificate> dials the server
+    Then the TLS server opened no link
+
+    Examples:
+      | certificate                        |
+      | no TLS at all                      |
+      | a certificate of another authority |
+      | the certificate of another process |
+
+  Scenario: TLS certificates are replaced without a restart
+    Given a TLS authority with certificates for server and client
+    When the TLS authority and all certificates are replaced while linked
+    Then the TLS link that was open goes on and a new one opens with the new certificates
