--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -297,11 +297,12 @@
 
 def certified_name(stream: ByteStream) -> str:
     """Return the common name in the certificate of a TLS stream's peer, or an empty text."""
-    certificate: Any = stream.extra_attributes.get(TLSAttribute.peer_certificate, dict)()
+    certificate: Any = None
+    if TLSAttribute.peer_certificate in stream.extra_attributes:
+        certificate = stream.extra(TLSAttribute.peer_certificate)
     # The ssl module gives a subject as a tuple of tuples of (field, value) pairs.
-    fields: dict[str, str] = dict(
-        pair for part in (certificate or {}).get("subject", ()) for pair in part
-    )
+    subject = certificate["subject"] if certificate else ()
+    fields: dict[str, str] = dict(pair for part in subject for pair in part)
     return fields.get("commonName", "")
 
 
