--- a/packages/core/src/apricotpath/metrics.py
+++ b/packages/core/src/apricotpath/metrics.py
@@ -1,6 +1,8 @@
-"""Counters and histograms of the request path in the Prometheus text format."""
+"""Counters, histograms and gauges of a process in the Prometheus text format."""
 
-from aioprometheus import Counter, Histogram, Registry, render
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from apricotpath.ids import ClassId, ServiceId, TeamId
 from apricotpath.model import ResultClass
@@ -21,6 +23,7 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self._teams: set[TeamId] = set()
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
         self._latency = Histogram(
             "apricotpath_request_seconds",
             "Time from the caller's request to the end of its answer",
@@ -59,7 +62,13 @@
         """Count a request or a try that was refused."""
         self._refusals.inc({"service": service, "reason": reason})
 
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge whose value is read whenever the metrics are rendered."""
+        self._gauges.append((Gauge(name, text, registry=self.registry), read))
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
+        for gauge, read in self._gauges:
+            gauge.set({}, float(read()))
         content, _headers = render(self.registry, ["text/plain"])
         return bytes(content)
--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -46,6 +46,38 @@
         self.tasks = AgentTasks(cfg, self.worker, self.control, utc, self.incarnation, self._load)
         parts: list[Component] = [self.flow, self.tasks]
         self.use([*parts, self.requests] if self.requests is not None else parts)
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        watch, tasks = self.metrics.watch, self.tasks
+        watch("apricotpath_ready", "1 if the host takes work", self.ready)
+        watch("apricotpath_links", "Open links to entries", lambda: len(self.links))
+        watch(
+            "apricotpath_bundle_version",
+            "Version of the bundle in force",
+            lambda: self.control.bundle_version,
+        )
+        watch(
+            "apricotpath_committed_cpu_milli",
+            "Committed processors in thousandths",
+            lambda: tasks.committed.cpu_milli,
+        )
+        watch(
+            "apricotpath_committed_memory_mb",
+            "Committed memory in MB",
+            lambda: tasks.committed.memory_mb,
+        )
+        watch(
+            "apricotpath_busy_slots",
+            "Requests at the backend server",
+            lambda: self._load().busy_slots,
+        )
+        watch("apricotpath_queued", "Requests that wait for a slot", lambda: self._load().queued)
+        watch(
+            "apricotpath_slowdown",
+            "Slowdown of requests against their quiet baseline",
+            lambda: self._load().pressure,
+        )
 
     def worker_clock_ms(self) -> int:
         """Return the newest reading of the worker's clock."""
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -73,6 +73,37 @@
         self.members.add_listener(self._on_view)
         # The registry comes first, so that the others find the row of a new agent.
         self.use([self.registry, self.flow, self.peers, self.exchange, self.owner])
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        watch, hosts = self.metrics.watch, self.hosts
+        watch(
+            "apricotpath_store_up",
+            "1 if the newest control read succeeded",
+            lambda: self.members.view.store_up,
+        )
+        watch(
+            "apricotpath_bundle_version",
+            "Version of the bundle in force",
+            lambda: self.control.bundle_version,
+        )
+        watch(
+            "apricotpath_hosts_present",
+            "Hosts whose agent is linked",
+            lambda: sum(row.present for row in hosts.rows.values()),
+        )
+        watch("apricotpath_entries", "Registered entries", lambda: len(self.members.view.entries))
+        watch(
+            "apricotpath_shards_owned",
+            "Job shards owned by this entry",
+            lambda: len(self.owner.state.shards),
+        )
+        watch(
+            "apricotpath_attempts",
+            "Task attempts that this entry has assigned",
+            lambda: sum(len(shard.runs) for shard in self.owner.state.shards.values()),
+        )
+        watch("apricotpath_open_requests", "Requests being served", lambda: self.callers.open)
 
     def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
         """Return what heartbeats tell of the control state."""
