Use one set of reply codes for task commands at agent and owner

Cause: the owner looked for the codes 'fenced' and 'worker', the agent sends 'epoch' and 'refused'. Found when the reports of both parts were compared. Change: ReplyCode in model.py, typed in TaskReply.

--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -22,6 +22,7 @@
     KeyState,
     Maturity,
     Outcome,
+    ReplyCode,
     Role,
     RunState,
     ServiceState,
@@ -415,7 +416,7 @@
     task: TaskId
     attempt: int
     accepted: bool
-    code: str
+    code: ReplyCode
     reason: str
 
 
--- a/packages/core/src/apricotpath/model.py
+++ b/packages/core/src/apricotpath/model.py
@@ -1,7 +1,7 @@
 """Enums and value types shared by all modules."""
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, StrEnum
 
 from apricotpath.ids import DataCentreId, JobId, ServiceId, TeamId
 
@@ -78,6 +78,32 @@
     LEASE_EXPIRED = "lease-expired"
 
 
+class ReplyCode(StrEnum):
+    """Why an agent accepted or refused a task command.
+
+    UNKNOWN: the attempt does not run here. EPOCH: a newer owner is known.
+    ANCHOR: the start answers no heartbeat of this agent. REFUSED: the worker
+    refused. LATE: the start window had passed.
+    """
+
+    OK = "ok"
+    KNOWN = "known"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+    EPOCH = "epoch"
+    MALFORMED = "malformed"
+    DRAINING = "draining"
+    NOT_READY = "not-ready"
+    ANCHOR = "anchor"
+    BUNDLE_BEHIND = "bundle-behind"
+    BUSY = "busy"
+    OUT = "out"
+    HOURS = "hours"
+    CAPACITY = "capacity"
+    REFUSED = "refused"
+    LATE = "late"
+
+
 class Settlement(Enum):
     """What an agent knows of a request id."""
 
--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -40,7 +40,7 @@
     TaskReply,
     ThrottleTask,
 )
-from apricotpath.model import Outcome, Size
+from apricotpath.model import Outcome, ReplyCode, Size
 from apricotpath.rules import Rules
 from apricotpath.worker import StartOrder, Worker, WorkerStatus, WorkerTask
 from apricotpathd.component import UtcClock
@@ -94,10 +94,10 @@
 class Allowance:
     """Whether work may run here now, and until which UTC time (None: no end in sight).
 
-    `code` is empty if it may run. `until` is early enough for a kill and a clock offset.
+    `code` is None if it may run. `until` is early enough for a kill and a clock offset.
     """
 
-    code: str
+    code: ReplyCode | None
     reason: str
     until: datetime | None = None
 
@@ -107,14 +107,14 @@
 ) -> Allowance:
     """Decide whether an activity may run on this host at a UTC time."""
     if not rules.in_service(cfg.data_centre):
-        return Allowance("out", f"data centre {cfg.data_centre} is out of service")
+        return Allowance(ReplyCode.OUT, f"data centre {cfg.data_centre} is out of service")
     verdict = rules.verdict(team, activity, cfg.data_centre, utc)
     if not verdict.allowed:
-        return Allowance("hours", f"{activity} is forbidden now by {verdict.rule}")
+        return Allowance(ReplyCode.HOURS, f"{activity} is forbidden now by {verdict.rule}")
     if verdict.until is None:
-        return Allowance("", "")
+        return Allowance(None, "")
     margin_s = max(cfg.policy.hours_margin_s, cfg.policy.kill_grace_s)
-    return Allowance("", verdict.rule, verdict.until - timedelta(seconds=margin_s))
+    return Allowance(None, verdict.rule, verdict.until - timedelta(seconds=margin_s))
 
 
 def malformed(msg: StartTask) -> str:
@@ -421,27 +421,27 @@
             self._begin_end(held, msg.reason, Outcome.EVICTED)
         else:
             self._begin_end(held, msg.reason, Outcome.STOPPED)
-        return _reply(msg, True, "ok", "")
+        return _reply(msg, True, ReplyCode.OK, "")
 
     def _answer_absent(self, msg: TaskCommand) -> TaskReply:
         key = (msg.task, msg.attempt)
         if key in self.table.ended:
-            return _reply(msg, True, "ended", "the attempt has ended")
-        reply = _reply(msg, False, "unknown", "the attempt does not run here")
+            return _reply(msg, True, ReplyCode.ENDED, "the attempt has ended")
+        reply = _reply(msg, False, ReplyCode.UNKNOWN, "the attempt does not run here")
         # Once the owner has been told so, a delayed start of it must not run.
         self._refused[key] = (self.worker_clock_ms, reply)
         return reply
 
     def _epoch_refusal(self, msg: TaskCommand) -> TaskReply:
         known = self.epochs.get(msg.shard, Epoch(0))
-        return _reply(msg, False, "epoch", f"shard {msg.shard} is at epoch {known}")
+        return _reply(msg, False, ReplyCode.EPOCH, f"shard {msg.shard} is at epoch {known}")
 
     # Starts.
 
     async def _start(self, msg: StartTask) -> TaskReply:
         key = (msg.task, msg.attempt)
         if key in self.table.held or key in self.table.ended:
-            return _reply(msg, True, "known", "")
+            return _reply(msg, True, ReplyCode.KNOWN, "")
         reply = self._refusal(msg)
         if reply is None:
             reply = await self._admit(msg)
@@ -463,21 +463,25 @@
     def _refusal(self, msg: StartTask) -> TaskReply | None:
         """Return why a start is refused before it costs anything, or None."""
         if reason := malformed(msg):
-            return _reply(msg, False, "malformed", reason)
+            return _reply(msg, False, ReplyCode.MALFORMED, reason)
         if self.draining:
-            return _reply(msg, False, "draining", "the agent takes no new work")
+            return _reply(msg, False, ReplyCode.DRAINING, "the agent takes no new work")
         if not self.ready:
-            return _reply(msg, False, "not-ready", "the worker does not answer")
+            return _reply(msg, False, ReplyCode.NOT_READY, "the worker does not answer")
         if msg.anchor_incarnation != self.incarnation:
-            return _reply(msg, False, "anchor", "the anchor is of another incarnation")
+            return _reply(msg, False, ReplyCode.ANCHOR, "the anchor is of another incarnation")
         if msg.anchor_clock_ms > self.worker_clock_ms:
-            return _reply(msg, False, "anchor", "the anchor is ahead of the worker's clock")
+            return _reply(msg, False, ReplyCode.ANCHOR, "the anchor is ahead of the worker's clock")
         if msg.anchor_clock_ms <= self._refused_up_to((msg.task, msg.attempt)):
             return self._refused[msg.task, msg.attempt][1]
         if msg.bundle_version > self.rules.bundle_version:
-            return _reply(msg, False, "bundle-behind", "this host does not have that bundle yet")
+            return _reply(
+                msg, False, ReplyCode.BUNDLE_BEHIND, "this host does not have that bundle yet"
+            )
         if self.table.of_task(msg.task) is not None:
-            return _reply(msg, False, "busy", "another attempt of the task has not ended here")
+            return _reply(
+                msg, False, ReplyCode.BUSY, "another attempt of the task has not ended here"
+            )
         return self._hours_refusal(msg)
 
     def _hours_refusal(self, msg: StartTask) -> TaskReply | None:
@@ -487,7 +491,7 @@
             return _reply(msg, False, may.code, may.reason)
         lead = timedelta(seconds=msg.checkpoint_s + EVICT_SLACK_S)
         if may.until is not None and utc + lead >= may.until:
-            return _reply(msg, False, "hours", f"{may.reason} begins too soon")
+            return _reply(msg, False, ReplyCode.HOURS, f"{may.reason} begins too soon")
         return None
 
     async def _admit(self, msg: StartTask) -> TaskReply:
@@ -495,26 +499,26 @@
         try:
             self.table.add(held)
         except CapacityError as exc:
-            return _reply(msg, False, "capacity", str(exc))
+            return _reply(msg, False, ReplyCode.CAPACITY, str(exc))
         order = self._order(msg)
         try:
             row: WorkerTask | None = await self.worker.start(order)
         except WorkerRefused as exc:
             self.table.drop(held)
-            return _reply(msg, False, "refused", str(exc))
+            return _reply(msg, False, ReplyCode.REFUSED, str(exc))
         except WorkerUnavailable as exc:
             log.info("start of %s has no answer: %s", msg.task, exc)
             row = await self._settle_start(order)
         if row is None:
             self.table.drop(held)
-            return _reply(msg, False, "late", "the start did not reach the worker in time")
+            return _reply(msg, False, ReplyCode.LATE, "the start did not reach the worker in time")
         held.known_at = anyio.current_time()
         if held.phase is Phase.STARTING:
             held.phase = Phase.RUNNING
         changes = Changes()
         self.table.apply_row(row, held.known_at, changes)
         self._take(changes)
-        return _reply(msg, True, "ok", "")
+        return _reply(msg, True, ReplyCode.OK, "")
 
     def _order(self, msg: StartTask) -> StartOrder:
         policy = self.cfg.policy
@@ -591,7 +595,7 @@
             if row is None or held.ended.is_set() or held.phase is Phase.STOPPING:
                 return
             may = allowance(self.rules, self.cfg, held.team, held.activity, self.utc())
-            if may.code == "hours":
+            if may.code is ReplyCode.HOURS:
                 return
             limit_ms = self._limit_ms(may)
             target_ms = max(row.deadline_ms, wanted_ms or 0)
@@ -703,13 +707,13 @@
 
     async def _throttle(self, msg: ThrottleTask, held: Held) -> TaskReply:
         if not 0.0 <= msg.share <= 1.0:
-            return _reply(msg, False, "malformed", "the share is outside 0 to 1")
+            return _reply(msg, False, ReplyCode.MALFORMED, "the share is outside 0 to 1")
         held.owner_share = msg.share
         try:
             await self._apply_share(held)
         except WorkerError as exc:
-            return _reply(msg, False, "refused", str(exc))
-        return _reply(msg, True, "ok", "")
+            return _reply(msg, False, ReplyCode.REFUSED, str(exc))
+        return _reply(msg, True, ReplyCode.OK, "")
 
     async def _apply_share(self, held: Held) -> None:
         share = min(held.owner_share, held.guard_share)
@@ -768,7 +772,7 @@
             self._group.start_soon(job)
 
 
-def _reply(msg: TaskCommand, accepted: bool, code: str, reason: str) -> TaskReply:
+def _reply(msg: TaskCommand, accepted: bool, code: ReplyCode, reason: str) -> TaskReply:
     return TaskReply(msg.task, msg.attempt, accepted, code, reason)
 
 
--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -19,15 +19,12 @@
     TaskReply,
     ThrottleTask,
 )
+from apricotpath.model import ReplyCode
 from apricotpathd.hosts import HostRow
 from apricotpathd.runs import OwnerState, Phase, Run, Shard
 
 log = logging.getLogger(__name__)
 
-# Codes in `TaskReply` that the owner acts on; any other refusal means only "not here, not now".
-CODE_FENCED = "fenced"
-CODE_WORKER = "worker"
-
 RENEW_CHUNK = 500
 
 
@@ -120,10 +117,10 @@
 
     def _refused(self, shard: Shard, run: Run, reply: TaskReply) -> None:
         log.info("start refused: %s", reply.reason, extra={"task": run.task, "code": reply.code})
-        if reply.code == CODE_FENCED:
+        if reply.code is ReplyCode.EPOCH:
             self.state.drop(shard, f"host {run.host} knows a newer owner of shard {shard.shard}")
             return
-        if reply.code == CODE_WORKER:
+        if reply.code is ReplyCode.REFUSED:
             self.state.health.record(run.process, run.job, False, anyio.current_time())
         # The host is taken as full until its next report, as other owners may have used it.
         self.state.index.remove(run.process)
--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -36,7 +36,16 @@
     TaskReport,
     ThrottleTask,
 )
-from apricotpath.model import JobSpec, Maturity, Outcome, Priority, Role, RunState, Size
+from apricotpath.model import (
+    JobSpec,
+    Maturity,
+    Outcome,
+    Priority,
+    ReplyCode,
+    Role,
+    RunState,
+    Size,
+)
 from apricotpath.rules import Verdict
 from apricotpathd.hosts import HostTable
 from apricotpathd.owner import Owner
@@ -411,7 +420,7 @@
             return
         if body.epoch < self.epochs[body.shard] and self.world.fencing:
             if answer is not None:
-                answer(TaskReply(body.task, body.attempt, False, "fenced", "a newer owner"))
+                answer(TaskReply(body.task, body.attempt, False, ReplyCode.EPOCH, "a newer owner"))
             return
         self.epochs[body.shard] = max(self.epochs[body.shard], body.epoch)
         if isinstance(body, StartTask):
@@ -424,21 +433,21 @@
     def start(self, order: StartTask) -> TaskReply:
         key = (order.task, order.attempt)
 
-        def refuse(code: str) -> TaskReply:
+        def refuse(code: ReplyCode) -> TaskReply:
             self.refused.add(key)
             return TaskReply(order.task, order.attempt, False, code, code)
 
         known = self.tasks.get(order.task)
         if key in self.ended or (known is not None and known.order.attempt == order.attempt):
-            return TaskReply(order.task, order.attempt, True, "", "")
+            return TaskReply(order.task, order.attempt, True, ReplyCode.OK, "")
         late = self.clock_ms() > order.anchor_clock_ms + WINDOW_MS and self.world.windows
         if key in self.refused or late or order.anchor_incarnation != self.incarnation:
-            return refuse("late")
+            return refuse(ReplyCode.LATE)
         if order.attempt < self.highest[order.task] or known is not None:
-            return refuse("attempt")
+            return refuse(ReplyCode.BUSY)
         if not (self.committed() + order.size).fits_in(self.size):
             self.capacity_refusals += 1
-            return refuse("capacity")
+            return refuse(ReplyCode.CAPACITY)
         self.highest[order.task] = order.attempt
         progress = self.world.checkpoints.get(order.checkpoint, 0.0)
         interval = Interval(
@@ -450,7 +459,7 @@
         self.tasks[order.task] = FakeTask(
             order, deadline, interval, progress, grace, order.checkpoint
         )
-        return TaskReply(order.task, order.attempt, True, "", "")
+        return TaskReply(order.task, order.attempt, True, ReplyCode.OK, "")
 
     def command(self, body: Any) -> None:
         now = anyio.current_time()
