Start work at once after a fresh start; move fewer shards; shorten the hold

Cause: (a) A team's home waited 10 s before it lent anything unless it was the only entry, for the size first and then again for the rate, and a share then grew by doubling. (b) The entry that registered first took all shards and handed most of them over 10 s later; calls in between failed. (c) A new owner held tasks on dead hosts for 6 h even if the former owner had released the shard.

Change: (a) A new home asks the registered entries what they hold, lends the rest at once, and adds half of what nobody wants. An entry that is not registered uses no share, so one that left is waited for only fresh_s. A lender is dropped when its team's home changes, so a home that returns does not use an outdated table. (b) members.fair_shares keeps what entries hold up to their share and is the only rule; the owner's own rendezvous choice and Members.target_shards are removed. Entries take free shards 1.5 s after their first view. Shards are reviewed when the view changes, and calls wait up to 3 s for an owner. (c) A release tells whether tasks are held for a yet earlier owner; if not, the next owner waits only for one lease. After a crash run_hold_s is 2 h.

Ruled out: renewing without the store only while linked to all peers (loses running work when an entry crashes in a store outage); a share of a fixed size per entry without a home (cannot be exact while views differ).

--- a/packages/core/src/apricotpath/config.py
+++ b/packages/core/src/apricotpath/config.py
@@ -72,7 +72,7 @@
     start_window_s: float = 2.5
     task_lease_s: float = 30.0
     kill_grace_s: float = 2.0
-    run_hold_s: float = 6 * 3600.0
+    run_hold_s: float = 2 * 3600.0
     hours_margin_s: float = 5.0
     key_memory_s: float = 120.0
     founding_s: float = 3.0
--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -5,6 +5,7 @@
 """
 
 from bisect import bisect_right
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import ceil
@@ -70,8 +71,9 @@
     """The lending side of one team's limit, at the team's home entry.
 
     A new home lends nothing until `opens_at`, when every share that a former
-    home lent has run out. With `whole`, shares are whole numbers, for limits
-    on events; then entries take turns, since a small limit has no part for each.
+    home lent has run out or `take_over` has counted it. With `whole`, shares
+    are whole numbers, for limits on events; then entries take turns, since a
+    small limit has no part for each.
     """
 
     limit: float
@@ -102,7 +104,8 @@
         others = sum(loan.amount for name, loan in self.loans.items() if name != entry)
         turn = int(now / SHARE_TTL_S) if self.whole else None
         fair = _fair_part(self.limit, self.wants, entry, turn)
-        granted = max(0.0, min(amount, fair, self.limit - others))
+        wanted = min(amount, fair) + self._spare()
+        granted = max(0.0, min(wanted, self.limit - others))
         granted = float(int(granted)) if self.whole else granted
         # The entry may have used its former, larger share up to this moment, and a
         # lost answer leaves it in use; so the larger one counts until it has run out.
@@ -115,6 +118,22 @@
             self.loans[entry] = Loan(counted, until)
         return granted, max(0.0, until - now)
 
+    def _spare(self) -> float:
+        """Return what an entry gets beyond its wish, from what no entry wants.
+
+        A burst then starts at once instead of waiting for its share to grow. Half
+        is kept back, so that the next entry with a burst finds some too.
+        """
+        return max(0.0, self.limit - sum(self.wants.values())) / 2
+
+    def take_over(self, held: Mapping[EntryId, Loan], now: float, opens_at: float) -> None:
+        """Count what all entries hold of a former home's loans, and open at `opens_at`."""
+        for entry, loan in held.items():
+            if loan.amount > 0 and loan.until > now:
+                self.loans[entry] = loan
+                self.wants.setdefault(entry, loan.amount)
+        self.opens_at = min(self.opens_at, opens_at)
+
 
 def _fair_part(
     limit: float, wants: dict[EntryId, float], entry: EntryId, turn: int | None
@@ -137,10 +156,16 @@
 
 @dataclass(slots=True)
 class Borrower:
-    """The borrowing side of one team's limit, at an owner of shards."""
+    """The borrowing side of one team's limit, at an owner of shards.
+
+    Once a home has asked what is held, grants of other homes are not taken
+    until `home_until`: the new home has not counted them.
+    """
 
     amount: float = 0.0
     until: float = 0.0
+    home: EntryId | None = None
+    home_until: float = -1e9
     asked_at: float = -1e9
     needed_at: float = -1e9
 
@@ -148,11 +173,23 @@
         """Take a grant; the time of the request counts, since the answer may be late.
 
         The share is not used in its last `quiet_s` seconds. With `WINDOW_S` for a rate, a
-        share that goes on to another entry is never used by both within one window.
+        share that goes on to another entry is never used by both within one window. A
+        home that lends nothing yet leaves an older share in force until it ends.
         """
+        if amount == 0.0 and self.available(sent_at) > 0.0:
+            return
         self.amount = amount
         self.until = sent_at + ttl_s * (1.0 - CLOCK_DRIFT) - quiet_s
 
+    def trusts(self, home: EntryId, now: float) -> bool:
+        """Tell whether a grant of this home may be taken."""
+        return self.home in (None, home) or now >= self.home_until
+
+    def declare(self, home: EntryId, now: float) -> float:
+        """Return the share held, for a new home that counts it, and trust only that home."""
+        self.home, self.home_until = home, now + SHARE_TTL_S
+        return self.available(now)
+
     def available(self, now: float) -> float:
         """Return the share that may be used now."""
         return self.amount if now < self.until else 0.0
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -27,7 +27,7 @@
 from apricotpathd.owner import Owner
 from apricotpathd.peers import Peers
 from apricotpathd.process import Process
-from apricotpathd.runs import View
+from apricotpathd.runs import Acquired, View
 
 
 def utc_now() -> datetime:
@@ -100,6 +100,7 @@
     def _on_view(self, view: ControlView) -> None:
         self.peers.on_view(view)
         self._view_ready.set()
+        self.owner.view_changed()
 
     async def apply_views(self) -> None:
         """Merge each successful control read into the control state until cancelled."""
@@ -141,12 +142,15 @@
         """Return an open link to another entry, or None."""
         return self.peers.links.get(entry)
 
-    async def acquire_shard(self, shard: ShardId) -> Epoch | None:
+    async def acquire_shard(self, shard: ShardId) -> Acquired | None:
         """Take a shard; raises ConflictError if another entry has it."""
-        return (await self.members.acquire_shard(shard)).epoch
+        # The record compared by the store is that of the view at this moment.
+        former = self.members.view.shards.get(shard)
+        owner = await self.members.acquire_shard(shard)
+        return Acquired(owner.epoch, released=former is not None and former.settled)
 
-    async def release_shard(self, shard: ShardId, epoch: Epoch) -> None:
+    async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
         """Give a shard up if it is still ours under this epoch."""
         owner = self.members.view.shards.get(shard)
         if owner is not None and owner.epoch == epoch:
-            await self.members.release_shard(shard)
+            await self.members.release_shard(shard, settled)
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import asdict
 from typing import Any, NoReturn
 
@@ -36,6 +36,10 @@
 # Tasks listed one by one by `show`; the counts cover all.
 SHOWN_TASKS = 200
 
+# A call waits this long for the owner of a shard that moves or has just lost its owner.
+OWNER_WAIT_S = 3.0
+OWNER_POLL_S = 0.1
+
 JOBS, EXPLAIN = "/v1/jobs", "/v1/explain"
 # Only between entries: asks another owner to make room for urgent tasks.
 ROOM = "/v1/room"
@@ -83,10 +87,36 @@
     async def submit(self, spec: JobSpec) -> dict[str, Any]:
         """Accept a job, durably, and return its summary; a repeated call changes nothing."""
         check_spec(spec)
-        shard = self._owned(spec.job_id)
-        if shard is None:
-            return await self._forward(spec.job_id, "POST", JOBS, spec_to_json(spec))
-        return await self._submit(shard, spec)
+
+        async def local(shard: Shard) -> dict[str, Any]:
+            return await self._submit(shard, spec)
+
+        return await self._routed(spec.job_id, local, "POST", JOBS, spec_to_json(spec))
+
+    async def _routed(
+        self,
+        job: JobId,
+        local: Callable[[Shard], Awaitable[dict[str, Any]]],
+        method: str,
+        path: str,
+        body: Any = None,
+    ) -> dict[str, Any]:
+        """Carry out a call at the owner of a job's shard, here or at another entry.
+
+        A shard that moves has no owner for a moment, so the call is tried again for a while.
+        All calls may be repeated: submission and cancellation are idempotent by job id.
+        """
+        deadline = anyio.current_time() + OWNER_WAIT_S
+        while True:
+            shard = self._owned(job)
+            try:
+                if shard is not None:
+                    return await local(shard)
+                return await self._forward(job, method, path, body)
+            except NoOwner:
+                if anyio.current_time() >= deadline:
+                    raise
+            await anyio.sleep(OWNER_POLL_S)
 
     async def _submit(self, shard: Shard, spec: JobSpec) -> dict[str, Any]:
         check_spec(spec)
@@ -102,10 +132,11 @@
 
     async def cancel(self, job: JobId) -> dict[str, Any]:
         """Cancel a job, durably, and return its summary; running tasks stop afterwards."""
-        shard = self._owned(job)
-        if shard is None:
-            return await self._forward(job, "DELETE", f"{JOBS}/{job}", None)
-        return await self._cancel(shard, job)
+
+        async def local(shard: Shard) -> dict[str, Any]:
+            return await self._cancel(shard, job)
+
+        return await self._routed(job, local, "DELETE", f"{JOBS}/{job}")
 
     async def _cancel(self, shard: Shard, job: JobId) -> dict[str, Any]:
         row = shard.table.job(job)
@@ -136,10 +167,11 @@
 
     async def show(self, job: JobId) -> dict[str, Any]:
         """Return a job with its first tasks."""
-        shard = self._owned(job)
-        if shard is None:
-            return await self._forward(job, "GET", f"{JOBS}/{job}", None)
-        return self._show(shard, job)
+
+        async def local(shard: Shard) -> dict[str, Any]:
+            return self._show(shard, job)
+
+        return await self._routed(job, local, "GET", f"{JOBS}/{job}")
 
     def _show(self, shard: Shard, job: JobId) -> dict[str, Any]:
         row = shard.table.job(job)
@@ -185,10 +217,11 @@
     async def explain(self, name: str) -> dict[str, Any]:
         """Return the state of a job or task and why it waits: the rule or limit that decided."""
         job = job_of(name)
-        shard = self._owned(job)
-        if shard is None:
-            return await self._forward(job, "GET", f"{EXPLAIN}/{name}", None)
-        return self._explain(shard, name)
+
+        async def local(shard: Shard) -> dict[str, Any]:
+            return self._explain(shard, name)
+
+        return await self._routed(job, local, "GET", f"{EXPLAIN}/{name}")
 
     def _explain(self, shard: Shard, name: str) -> dict[str, Any]:
         job = job_of(name)
--- a/packages/daemon/src/apricotpathd/members.py
+++ b/packages/daemon/src/apricotpathd/members.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from math import ceil, inf
+from types import MappingProxyType
 from typing import Any, TypeVar
 
 import anyio
@@ -64,13 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardOwner:
-    """Owner of a shard; `entry` is empty after a release. The epoch never falls."""
+    """Owner of a shard; `entry` is empty after a release. The epoch never falls.
+
+    `settled` tells that at the release no task was held for an earlier owner.
+    """
 
     shard: ShardId
     entry: EntryId
     incarnation: IncarnationId
     epoch: Epoch
     mod_revision: int
+    settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +114,16 @@
 EMPTY_VIEW = ControlView({}, {}, {}, {})
 
 
-def fair_shares(entries: Collection[EntryId], shards: Iterable[ShardId]) -> dict[ShardId, EntryId]:
-    """Return the entry that should own each shard; the same for everyone with these entries.
+def fair_shares(
+    entries: Collection[EntryId],
+    shards: Iterable[ShardId],
+    held: Mapping[ShardId, EntryId] = MappingProxyType({}),
+) -> dict[ShardId, EntryId]:
+    """Return the entry that should own each shard; the same for everyone with this view.
 
-    Each shard goes to the entry that ranks highest in its rendezvous order
-    and has fewer than its share, the number of shards per entry rounded up.
+    An entry keeps the shards that it holds up to its share, the number of shards
+    per entry rounded up. Each other shard goes to the entry that ranks highest in
+    its rendezvous order and has fewer than its share.
     """
     wanted = sorted(shards)
     if not entries:
@@ -122,6 +132,13 @@
     counts = dict.fromkeys(entries, 0)
     result: dict[ShardId, EntryId] = {}
     for shard in wanted:
+        holder = held.get(shard)
+        if holder is not None and counts.get(holder, share) < share:
+            result[shard] = holder
+            counts[holder] += 1
+    for shard in wanted:
+        if shard in result:
+            continue
         open_entries = [entry for entry, count in counts.items() if count < share]
         result[shard] = max(open_entries, key=lambda entry, shard=shard: _rank(entry, shard))  # type: ignore[misc]
         counts[result[shard]] += 1
@@ -215,14 +232,6 @@
         """Return the shards whose record names this incarnation."""
         return sorted(shard for shard, owner in self.view.shards.items() if self._is_own(owner))
 
-    def target_shards(self) -> list[ShardId]:
-        """Return this entry's fair share of the shards over the registered entries."""
-        if self.leaving:
-            return []
-        shards = (ShardId(number) for number in range(self.cfg.policy.shards))
-        shares = fair_shares(self.view.entries.keys(), shards)
-        return [shard for shard, entry in shares.items() if entry == self.cfg.entry]
-
     def _is_own(self, owner: ShardOwner) -> bool:
         return (owner.entry, owner.incarnation) == (self.cfg.entry, self.incarnation)
 
@@ -252,12 +261,12 @@
         owner = ShardOwner(shard, self.cfg.entry, self.incarnation, epoch, 0)
         return await self._put_shard(owner, former, compares)
 
-    async def release_shard(self, shard: ShardId) -> None:
+    async def release_shard(self, shard: ShardId, settled: bool = False) -> None:
         """Give up a shard of this incarnation; raises like `acquire_shard`."""
         former = self.view.shards.get(shard)
         if former is None or not self._is_own(former):
             raise ConflictError(f"shard {shard} does not belong to this entry")
-        owner = replace(former, entry=EntryId(""), incarnation=IncarnationId(""))
+        owner = replace(former, entry=EntryId(""), incarnation=IncarnationId(""), settled=settled)
         await self._put_shard(owner, former, [])
 
     async def _put_shard(
@@ -265,7 +274,12 @@
     ) -> ShardOwner:
         key = f"{self._prefix}shard/{owner.shard}"
         expected = former.mod_revision if former else 0
-        content = {"owner": owner.entry, "incarnation": owner.incarnation, "epoch": owner.epoch}
+        content = {
+            "owner": owner.entry,
+            "incarnation": owner.incarnation,
+            "epoch": owner.epoch,
+            "settled": owner.settled,
+        }
         result = await self._swap(key, expected, content, compares)
         if not result.succeeded:
             raise ConflictError(f"shard {owner.shard} was changed by another entry first")
@@ -558,6 +572,7 @@
         IncarnationId(str(content["incarnation"])),
         Epoch(int(content["epoch"])),
         revision,
+        bool(content.get("settled", False)),
     )
 
 
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -38,6 +38,7 @@
 from apricotpathd.component import UtcClock
 from apricotpathd.hosts import HostTable
 from apricotpathd.jobcalls import JobCalls
+from apricotpathd.members import fair_shares
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Journal, Members, OwnerState, Phase, Proposal, Run, Shard
 from apricotpathd.scheduling import Scheduler
@@ -46,10 +47,13 @@
 log = logging.getLogger(__name__)
 
 ACQUIRE_S = 1.0
+# Entries that start together find each other within this time after their first view; only
+# then do they share out the shards, so that no shard has to move soon afterwards.
+GATHER_S = 1.5
 # An entry that is not the first choice for a shard without an owner waits this
 # long per place, so that usually only one entry tries.
 PLACE_WAIT_S = 3.0
-# A shard goes to the entry of first choice when that one has been alive this long.
+# What an entry holds beyond its fair share moves when that has lasted this long.
 HAND_OVER_S = 10.0
 STORE_RETRY_S = 0.5
 SNAPSHOT_RECORDS = 5000
@@ -84,7 +88,7 @@
         self.members = members
         self.open_journal = open_journal
         self.commands = Commands(self.state)
-        self.shares = TeamShares(entry, members, limits)
+        self.shares = TeamShares(entry, members, limits, policy.fresh_s)
         self.reconciler = Reconciler(self.state, self.commands)
         self.scheduler = Scheduler(self.state, self.commands, self.shares)
         self.calls = JobCalls(self.state, members, self.scheduler, self.reconciler)
@@ -92,6 +96,8 @@
         self._group: TaskGroup | None = None
         self._unowned_since: dict[ShardId, float] = {}
         self._misplaced_since: dict[ShardId, float] = {}
+        self._first_view_at: float | None = None
+        self._view_changed = anyio.Event()
         self._acquiring: set[ShardId] = set()
         self._scan_at = 0.0
         self._judge_at = 0.0
@@ -186,7 +192,7 @@
             self._group.start_soon(self._answer, link, envelope.id, body)
         elif isinstance(body, ShareRequest) and link.peer is not None:
             entry = EntryId(link.peer.process_id)
-            grant = self.shares.lend(entry, body, anyio.current_time())
+            grant = self.shares.answer(entry, body, anyio.current_time())
             self._reply(link, grant, envelope.id)
         elif isinstance(body, Leaving) and link.peer is not None:
             self.state.index.remove(link.peer.process_id)
@@ -228,43 +234,58 @@
             await self._release(shard, "the entry is shutting down")
 
     async def _release(self, shard: Shard, why: str) -> None:
+        # An earlier owner may still renew tasks that are held, so the next owner must wait too.
+        held = any(run.phase is Phase.HELD for run in shard.runs.values())
+        settled = shard.loaded and not held
         self.state.drop(shard, why)
         try:
-            await self.members.release_shard(shard.shard, shard.epoch)
+            await self.members.release_shard(shard.shard, shard.epoch, settled)
         except StoreError as exc:
             log.warning("shard not released: %s", exc, extra={"shard": shard.shard})
 
     async def _acquire_loop(self) -> None:
         while True:
+            self._view_changed = anyio.Event()
             if not self.draining:
                 self._review_shards(anyio.current_time())
-            await anyio.sleep(ACQUIRE_S)
+            with anyio.move_on_after(ACQUIRE_S):
+                await self._view_changed.wait()
+
+    def view_changed(self) -> None:
+        """Review the shards now: another entry may have released one."""
+        self._view_changed.set()
 
     def _review_shards(self, now: float) -> None:
         """Drop shards that the store gives to others, and go for those without an owner."""
         view, entry = self.members.view(), self.state.entry
-        for number in map(ShardId, range(self.state.policy.shards)):
+        numbers = [ShardId(number) for number in range(self.state.policy.shards)]
+        held = {number: owner[0] for number, owner in view.owners.items()}
+        fair = fair_shares(view.entries, numbers, held)
+        if entry in view.entries and self._first_view_at is None:
+            self._first_view_at = now
+        gathered = self._first_view_at is not None and now - self._first_view_at >= GATHER_S
+        for number in numbers:
             owner, shard = view.owners.get(number), self.state.shards.get(number)
             if shard is not None:
                 if owner is not None and owner[1] > shard.epoch:
                     self.state.drop(shard, f"{owner[0]} owns it under epoch {owner[1]}")
                 else:
-                    self._hand_over(shard, view.entries, now)
+                    self._hand_over(shard, fair.get(number), now)
                 continue
             if owner is not None and owner[0] in view.entries and owner[0] != entry:
                 self._unowned_since.pop(number, None)
                 continue
-            if entry not in view.entries or number in self._acquiring:
+            if entry not in view.entries or number in self._acquiring or not gathered:
                 continue
             since = self._unowned_since.setdefault(number, now)
-            place = rendezvous(f"shard/{number}", list(view.entries)).index(entry)
+            places = rendezvous(f"shard/{number}", list(view.entries))
+            place = 0 if fair[number] == entry else 1 + places.index(entry)
             if now - since >= place * PLACE_WAIT_S and self._group is not None:
                 self._acquiring.add(number)
                 self._group.start_soon(self._acquire, number)
 
-    def _hand_over(self, shard: Shard, entries: Sequence[EntryId], now: float) -> None:
-        """Release a shard to the entry of first choice, so that the load is spread."""
-        first = rendezvous(f"shard/{shard.shard}", list(entries))[0] if entries else None
+    def _hand_over(self, shard: Shard, first: EntryId | None, now: float) -> None:
+        """Release a shard beyond this entry's fair share, so that the load is spread."""
         if first in (None, self.state.entry) or not shard.usable:
             self._misplaced_since.pop(shard.shard, None)
             return
@@ -276,16 +297,18 @@
 
     async def _acquire(self, number: ShardId) -> None:
         try:
-            epoch = await self.members.acquire_shard(number)
+            acquired = await self.members.acquire_shard(number)
         except ApricotpathError as exc:
             log.info("shard not acquired: %s", exc, extra={"shard": number})
             return
         finally:
             self._acquiring.discard(number)
         self._unowned_since.pop(number, None)
-        if epoch is None or number in self.state.shards:
+        if acquired is None or number in self.state.shards:
             return
+        epoch = acquired.epoch
         shard = Shard(number, epoch, self.open_journal(number, epoch), anyio.current_time())
+        shard.released = acquired.released
         self.state.shards[number] = shard
         # Hosts may take tasks again when they have accepted this claim too.
         for process in list(self.state.index.hosts):
@@ -336,7 +359,8 @@
         had no answer. It was never sent, so it can be given back at once.
         """
         policy, state = self.state.policy, self.state
-        hold_s = policy.run_hold_s * 1.01 + state.lease_total_s
+        # An owner stops renewing before it releases a shard, so only its last renewals count.
+        hold_s = state.lease_total_s + (0.0 if shard.released else policy.run_hold_s * 1.01)
         assigned = {}
         for task, job, row in shard.table.assigned():
             assigned[task] = row.attempt
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -62,6 +62,17 @@
         """Replace everything written so far by records that rebuild the same table."""
 
 
+@dataclass(frozen=True, slots=True)
+class Acquired:
+    """A shard's new epoch, and whether the former owner released it knowing all its tasks.
+
+    Then no earlier owner can renew the lease of any task of the shard.
+    """
+
+    epoch: Epoch
+    released: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class View:
     """Membership as last read from the store.
@@ -86,11 +97,14 @@
     def link_to(self, entry: EntryId) -> Link | None:
         """Return an open link to another entry, or None."""
 
-    async def acquire_shard(self, shard: ShardId) -> Epoch | None:
+    async def acquire_shard(self, shard: ShardId) -> Acquired | None:
         """Take a shard whose owner is gone; None if another entry has it."""
 
-    async def release_shard(self, shard: ShardId, epoch: Epoch) -> None:
-        """Give a shard up, so that another entry may take it at once."""
+    async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
+        """Give a shard up, so that another entry may take it at once.
+
+        `settled` tells that no task of it is held for the sake of an earlier owner.
+        """
 
 
 NO_INCARNATION = IncarnationId("")
@@ -166,7 +180,7 @@
 
     `busy` are tasks with a record under way; no other decision is taken about
     them meanwhile. `claims` holds the incarnation of each host that has
-    accepted the epoch.
+    accepted the epoch. `released` is as in `Acquired`.
     """
 
     shard: ShardId
@@ -179,6 +193,7 @@
         default_factory=lambda: defaultdict(dict)
     )
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
+    released: bool = False
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
     outbox: list[Proposal] = field(default_factory=list)
     busy: set[TaskId] = field(default_factory=set)
--- a/tests/features/owner.feature
+++ b/tests/features/owner.feature
@@ -133,3 +133,17 @@
     Given an owner world of 2 hosts and 1 entries from seed 97
     When batch work of the owner doubles the response times of a service
     Then the owner throttled the work first and then moved it to the quiet host
+
+  Scenario Outline: work starts at once on an idle deployment that has just started
+    Given an owner world of 4 hosts and <entries> entries from seed <seed>
+    And the team of the owner may start 1000 tasks per second
+    When a job of 6 tasks and an urgent one reach the owner at <second> s through <via>
+    Then the first tasks of the owner start within 1.0 s and its urgent ones within 1.8 s
+
+    Examples:
+      | entries | second | via | seed |
+      | 1       | 0.1    | e0  | 61   |
+      | 2       | 0.1    | e0  | 62   |
+      | 3       | 0.1    | e2  | 63   |
+      | 3       | 5.0    | e1  | 64   |
+      | 3       | 14.0   | e1  | 65   |
