Test moves of shards and the hold after a change of owner

Cause: the new rules of ownership had no tests of their own. Change: three scenarios of moves with calls under way (no move when entries start at once, two of four shards when one joins late, no call refused), and two of a host cut off at a hand-over and at a crash followed by a release.

--- a/tests/features/owner.feature
+++ b/tests/features/owner.feature
@@ -147,3 +147,25 @@
       | 3       | 0.1    | e2  | 63   |
       | 3       | 5.0    | e1  | 64   |
       | 3       | 14.0   | e1  | 65   |
+
+  Scenario Outline: shards move only when entries join, and calls wait for a shard that moves
+    Given an owner world of 2 hosts and <entries> entries from seed <seed>
+    When the owner world runs for <seconds> s and <late>
+    Then the owners have <shares> shards after <moves> moves and answered every call
+
+    Examples:
+      | entries | seconds | late                      | shares | moves | seed |
+      | 2       | 20      | all entries start at once | 2,2    | 0     | 71   |
+      | 3       | 20      | all entries start at once | 1,1,2  | 0     | 72   |
+      | 2       | 25      | one entry joins after 5 s | 2,2    | 2     | 73   |
+
+  Scenario Outline: tasks on a host cut off at a change of owner wait as long as they may be renewed
+    Given an owner world of 4 hosts and <entries> entries from seed <seed>
+    And an owner runs a job of 8 tasks of 200 s
+    When a host is cut off and the shards of the owner go to another entry <how>
+    Then its owner tasks start elsewhere after <low> to <high> s and none runs twice at once
+
+    Examples:
+      | entries | how                                    | low | high | seed |
+      | 2       | in good order                          | 28  | 50   | 74   |
+      | 3       | by a crash, and on while tasks are held | 60  | 150  | 75   |
--- a/tests/features/steps/owner_steps.py
+++ b/tests/features/steps/owner_steps.py
@@ -607,3 +607,78 @@
     # A start message is on its way for up to 0.3 s, so starts may bunch by that.
     most = max(sum(at <= other < at + 0.7 for other in starts) for at in starts)
     assert most <= rate, starts
+
+
+@when("the owner world runs for {seconds:d} s and {late}")
+def _(context: Any, seconds: int, late: str) -> None:
+    subject = context.owner
+
+    async def act(world: World) -> None:
+        joining = world.entries["e1"]
+        joining.paused = late == "one entry joins after 5 s"
+        errors = subject.notes["errors"] = []
+        await anyio.sleep(3.0)
+        specs = [job(f"ask{n}", 1, 1, run_time_s=100.0) for n in range(8)]
+        for spec in specs:
+            await world.submit(spec)
+        await anyio.sleep(2.0)
+        joining.resume()
+        while anyio.current_time() < seconds:
+            for spec in specs:
+                world.group.start_soon(ask, world, spec, errors)
+            await anyio.sleep(0.25)
+        await anyio.sleep(5.0)
+
+    async def ask(world: World, spec: JobSpec, errors: list[Exception]) -> None:
+        try:
+            await world.entries["e0"].owner.show(spec.job_id)
+        except Exception as exc:
+            errors.append(exc)
+
+    subject.acts.append(act)
+
+
+@then("the owners have {shares} shards after {moves:d} moves and answered every call")
+def _(context: Any, shares: str, moves: int) -> None:
+    world = context.owner.run()
+    owners = world.store.owners.values()
+    counts = sorted(sum(owner[0] == name for owner in owners) for name in world.entries)
+    moved = sum(epoch - 1 for _, epoch in owners)
+    assert counts == [int(share) for share in shares.split(",")], owners
+    assert moved == moves and not context.owner.notes["errors"], (owners, context.owner.notes)
+
+
+@when("a host is cut off and the shards of the owner go to another entry {how}")
+def _(context: Any, how: str) -> None:
+    subject = context.owner
+
+    async def act(world: World) -> None:
+        owner, host = world.owner_of("work"), world.hosts[world.intervals[0].host]
+        subject.notes |= {"host": host.name, "since": anyio.current_time()}
+        if how == "in good order":
+            world.cut(host)
+            await owner.owner.drain()
+            return
+        # The owner loses its store lease but goes on renewing; the others do not reach the host.
+        for other in world.entries.values():
+            if other is not owner:
+                world.disconnect(other, host)
+        owner.beat = lambda now: None  # type: ignore[method-assign]
+        await world.until(lambda: world.owner_of("work") is not owner, 40)
+        await anyio.sleep(5.0)
+        second = world.owner_of("work")
+        await second.owner.drain()
+        second.beat = lambda now: None  # type: ignore[method-assign]
+
+    subject.acts.append(act)
+
+
+@then("its owner tasks start elsewhere after {low:d} to {high:d} s and none runs twice at once")
+def _(context: Any, low: int, high: int) -> None:
+    subject = context.owner
+    world = subject.run(subject.finish)
+    host, since = subject.notes["host"], subject.notes["since"]
+    mine = {i.task for i in world.intervals if i.host == host}
+    moved = [i.start - since for i in world.intervals if i.task in mine and i.host != host]
+    print(f"seed {world.seed}: tasks of the host started again after {sorted(moved)} s")
+    assert len(moved) >= len(mine) and low <= min(moved) and max(moved) <= high, moved
