Record a versioned trace at the entry

Cause: policy could only be compared on made-up worlds. Change: trace.py with typed events, one JSON line each, a strict reader (file and line in every error, newer versions refused) and a Recorder that only appends to a bounded queue; a thread writes once a second, and what exceeds the bounds is dropped and counted in the trace. The entry records hosts, reports, jobs, requests, ends of tries, statuses and bundles if the trace setting names a file. Ruled out: recording inside the decision functions, which must stay pure.

--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -21,6 +21,10 @@
     """A settings file is missing, unreadable or invalid."""
 
 
+class TraceError(InputError):
+    """A trace is unreadable, malformed or of a newer version."""
+
+
 class BundleError(InputError):
     """A bundle breaks a rule of its format."""
 
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -18,7 +18,7 @@
 from apricotpath.quota import TeamLimit
 from apricotpath.store import EtcdStore
 from apricotpathd.callers import CallerApp
-from apricotpathd.component import UtcClock
+from apricotpathd.component import Component, UtcClock
 from apricotpathd.controlflow import ControlFlow
 from apricotpathd.exchange import Exchange
 from apricotpathd.hostregistry import HostRegistry
@@ -28,6 +28,7 @@
 from apricotpathd.peers import Peers
 from apricotpathd.process import Process
 from apricotpathd.runs import Acquired, View
+from apricotpathd.tracing import Tracing
 
 
 def utc_now() -> datetime:
@@ -72,7 +73,18 @@
         self._view_ready = anyio.Event()
         self.members.add_listener(self._on_view)
         # The registry comes first, so that the others find the row of a new agent.
-        self.use([self.registry, self.flow, self.peers, self.exchange, self.owner])
+        components: list[Component] = [
+            self.registry,
+            self.flow,
+            self.peers,
+            self.exchange,
+            self.owner,
+        ]
+        if cfg.trace is not None:
+            tracing = Tracing(cfg, self.control)
+            self.exchange.record = self.owner.calls.record = tracing.record
+            components.append(tracing)
+        self.use(components)
 
     def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
         """Return what heartbeats tell of the control state."""
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -52,7 +52,9 @@
 from apricotpath.routing import Candidate, RoutingTable, choose
 from apricotpath.servicerules import ClassRules, RequestRules
 from apricotpath.settle import request_id
+from apricotpath.trace import Answer, Request
 from apricotpathd.hosts import HostRow, HostTable
+from apricotpathd.tracing import RecordEvent, no_trace
 
 log = logging.getLogger(__name__)
 
@@ -245,6 +247,7 @@
         self.metrics = metrics
         self.rng = rng
         self.routing = RoutingTable()
+        self.record: RecordEvent = no_trace
         self.open = 0
         self._links: dict[ProcessId, Link] = {}
         self._attempts: dict[RequestId, list[Attempt]] = {}
@@ -337,6 +340,8 @@
             budget = RetryBudget(cfg.policy.retry_share, cfg.requests.retry_budget)
             self._budgets[req.service] = budget
         budget.arrived()
+        left_s = max(0.0, req.deadline - anyio.current_time())
+        self.record(Request(req.service, req.rules.name, req.team, deadline_s=left_s))
         self.open += 1
         try:
             return await self._tries(req, budget)
@@ -392,8 +397,10 @@
         now = anyio.current_time()
         if attempt is not None and attempt.started and not attempt.failed:
             self.routing.finished(process, now - started, attempt.status < 500, now)
+            self.record(Answer(process, now - started, attempt.status))
         elif attempt is not None and (attempt.failed or attempt.timed_out):
             self.routing.finished(process, None, False, now)
+            self.record(Answer(process, now - started, 0))
         else:
             self.routing.released(process)
         queues = self._queues.get(service)
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -27,9 +27,11 @@
 from apricotpath.model import JobSpec, JobState, Size, TaskState
 from apricotpath.placement import Reason
 from apricotpath.records import JobAccepted, JobCancelled, Record, spec_from_json, spec_to_json
+from apricotpath.trace import Cancel, Job
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Members, OwnerState, Phase, Proposal, Run, Shard
 from apricotpathd.scheduling import Scheduler, impossible_text
+from apricotpathd.tracing import RecordEvent, no_trace
 
 JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 MAX_TASKS = 100_000
@@ -83,6 +85,7 @@
         self.members = members
         self.scheduler = scheduler
         self.reconciler = reconciler
+        self.record: RecordEvent = no_trace
 
     async def submit(self, spec: JobSpec) -> dict[str, Any]:
         """Accept a job, durably, and return its summary; a repeated call changes nothing."""
@@ -125,6 +128,7 @@
                 raise InputError(f"job {spec.job_id}: {impossible_text(spec)}")
             accepted_at = self.state.utc().timestamp()
             await self._journal(shard, JobAccepted(spec, accepted_at))
+            self.record(Job(spec))
         row = shard.table.job(spec.job_id)
         if row.spec != spec:
             raise ConflictError(f"job {spec.job_id} exists with another specification")
@@ -147,6 +151,7 @@
             finally:
                 shard.cancelling.discard(job)
             self.reconciler.mark_cancelled(shard, job)
+            self.record(Cancel(job))
         return summary(row)
 
     async def _journal(self, shard: Shard, record: Record) -> None:
