--- /dev/null
+++ b/packages/bench/src/apricotpath_bench/quotareplay.py
@@ -0,0 +1,103 @@
+"""A trace's job starts through the lent shares of several entries, beside an exact window."""
+
+from collections import Counter, defaultdict
+from zlib import crc32
+
+from apricotpath.bundle import Bundle, parse_bundle
+from apricotpath.ids import EntryId, TeamId
+from apricotpath.quota import WINDOW_S, Borrower, Lender, RateShare, RollingWindow
+from apricotpath.trace import BundleInForce, Job, Trace
+
+ENTRIES = tuple(EntryId(f"entry-{number}") for number in range(1, 7))
+STEP_S = 0.1
+# A start that is not allowed this long after the last job is counted as it is.
+LONGEST_S = 120.0
+
+
+def replay_limits(trace: Trace) -> dict[str, float]:
+    """Return how near lent rates come to the exact limit, and at how many messages.
+
+    Every task of a job is one start, at the entry of its job or the next one. It waits
+    until the limit allows it, once with lent shares and once with an exact window
+    that is asked by a message for every start.
+    """
+    bundle = _bundle(trace)
+    if bundle is None:
+        return {}
+    limits = {team: row.rate_per_s for team, row in bundle.teams.items() if row.rate_per_s > 0}
+    arrivals: list[tuple[float, TeamId, EntryId, int]] = []
+    for timed in trace.events:
+        if isinstance(timed.event, Job) and timed.event.spec.team in limits:
+            spec = timed.event.spec
+            first = crc32(spec.job_id.encode()) % len(ENTRIES)
+            for number in (0, 1):
+                entry = ENTRIES[(first + number) % len(ENTRIES)]
+                arrivals.append((timed.at, spec.team, entry, (spec.tasks + 1 - number) // 2))
+    if not arrivals:
+        return {}
+    return _run(limits, arrivals)
+
+
+def _bundle(trace: Trace) -> Bundle | None:
+    for timed in trace.events:
+        if isinstance(timed.event, BundleInForce):
+            return parse_bundle(timed.event.text.encode())
+    return None
+
+
+def _run(
+    limits: dict[TeamId, float], arrivals: list[tuple[float, TeamId, EntryId, int]]
+) -> dict[str, float]:
+    lenders = {team: Lender(limit, 0.0, whole=True) for team, limit in limits.items()}
+    exact = {team: RollingWindow(int(limit)) for team, limit in limits.items()}
+    borrowers: dict[tuple[TeamId, EntryId], Borrower] = defaultdict(Borrower)
+    rates: dict[tuple[TeamId, EntryId], RateShare] = defaultdict(RateShare)
+    waiting: Counter[tuple[TeamId, EntryId]] = Counter()
+    exact_waiting: Counter[TeamId] = Counter()
+    times: dict[TeamId, list[float]] = defaultdict(list)
+    delay = exact_delay = 0.0
+    messages = starts = at = step = 0
+    end = arrivals[-1][0] + LONGEST_S
+    while step * STEP_S < end and (
+        at < len(arrivals) or sum(waiting.values()) or sum(exact_waiting.values())
+    ):
+        now = step * STEP_S
+        step += 1
+        while at < len(arrivals) and arrivals[at][0] <= now:
+            _, team, entry, count = arrivals[at]
+            waiting[team, entry] += count
+            exact_waiting[team] += count
+            starts += count
+            at += 1
+        for key in [key for key, count in waiting.items() if count]:
+            team, entry = key
+            borrower, rate = borrowers[key], rates[key]
+            while waiting[key]:
+                amount = borrower.ask(rate.need(now), now)
+                if amount is not None:
+                    messages += 2
+                    granted, ttl_s = lenders[team].request(entry, amount, now)
+                    borrower.granted(granted, ttl_s, now, WINDOW_S)
+                if not rate.take(borrower.available(now), now):
+                    break
+                waiting[key] -= 1
+                times[team].append(now)
+        for team in list(exact_waiting):
+            while exact_waiting[team] and exact[team].take(now):
+                exact_waiting[team] -= 1
+        delay += STEP_S * sum(waiting.values())
+        exact_delay += STEP_S * sum(exact_waiting.values())
+    return {
+        "limits.delay_s": delay / starts,
+        "limits.exact_delay_s": exact_delay / starts,
+        "limits.added_delay_s": (delay - exact_delay) / starts,
+        "limits.messages_per_start": messages / starts,
+        "limits.exact_messages_per_start": 2.0,
+        "limits.exceeded": float(sum(_exceeds(times[t], int(limits[t])) for t in times)),
+    }
+
+
+def _exceeds(times: list[float], limit: int) -> int:
+    """Count the starts that break the limit in some window."""
+    pairs = zip(times, times[limit:], strict=False)
+    return sum(last - first < WINDOW_S - 1e-6 for first, last in pairs)
--- /dev/null
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -0,0 +1,460 @@
+"""Replay of a trace through the real decision code, compared with the baselines."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+from hashlib import sha256
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import anyio
+
+from apricotpath.config import PolicySettings, RequestSettings, build, load_json
+from apricotpath.control import Control
+from apricotpath.errors import TraceError
+from apricotpath.eviction import EvictionLimits, Victim, choose_victims
+from apricotpath.ids import EntryId, Epoch, IncarnationId, JobId, ProcessId, ShardId, TeamId
+from apricotpath.messages import Announce, DataCentreStatus, Message
+from apricotpath.model import Maturity, Priority, Size
+from apricotpath.placement import Mode
+from apricotpath.quota import TeamLimit
+from apricotpath.records import JobAccepted, JobCancelled
+from apricotpath.signing import generate_key, seal
+from apricotpath.trace import (
+    Activity,
+    Answer,
+    BundleInForce,
+    Cancel,
+    Event,
+    HostGone,
+    HostUp,
+    Job,
+    Report,
+    Request,
+    Status,
+    Trace,
+)
+from apricotpath_bench.hostmodel import START_DELAY_S, HostModel
+from apricotpath_bench.quotareplay import replay_limits
+from apricotpath_bench.requestreplay import RequestReplay
+from apricotpathd.commands import Commands
+from apricotpathd.hosts import HostRow, HostTable
+from apricotpathd.reconcile import Reconciler
+from apricotpathd.runs import OwnerState, Phase, Run, Shard, View
+from apricotpathd.scheduling import Scheduler
+from apricotpathd.shares import TeamShares
+
+REPORT_S = 1.0
+SCAN_S = 0.5
+JUDGE_S = 5.0
+# The replay goes on after the last event, so that what it caused can be seen.
+TAIL_S = 5.0
+ENTRY = EntryId("entry-1")
+FIRST = IncarnationId("1")
+
+POLICY_REQUESTS = RequestSettings()
+
+Choose = Callable[..., list[Victim]]
+
+
+@dataclass(frozen=True, slots=True)
+class Modes:
+    """Which decisions are the real ones; each field names one baseline otherwise."""
+
+    placement: Mode = Mode.POLICY
+    victims: Choose = choose_victims
+    requests: RequestSettings = POLICY_REQUESTS
+    statuses: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Figures of one run; times in seconds, work in core seconds."""
+
+    digest: str
+    decisions: int
+    work: float
+    wasted: float
+    evictions: int
+    urgent_start_s: float
+    arrivals: tuple[float, ...]
+    sends: tuple[float, ...]
+    samples: tuple[tuple[float, float], ...]
+    ended: Mapping[str, int]
+
+    def latency_s(self, share: float, begin: float, end: float) -> float:
+        """Return the latency that a share of the requests arrived in a window stays below."""
+        found = sorted(latency for at, latency in self.samples if begin <= at < end)
+        return found[min(len(found) - 1, int(share * len(found)))] if found else 0.0
+
+
+def first_victims(
+    need: Size,
+    victims: Iterable[Victim],
+    free: Mapping[ProcessId, Size],
+    limits: EvictionLimits,
+    now: float,
+) -> list[Victim]:
+    """Return the first low tasks found that make room on one host: the eviction baseline."""
+    found: dict[ProcessId, list[Victim]] = {}
+    for victim in victims:
+        if victim.priority is not Priority.LOW or victim.process not in free:
+            continue
+        chosen = found.setdefault(victim.process, [])
+        chosen.append(victim)
+        room = free[victim.process]
+        for item in chosen:
+            room = room + item.size
+        if need.fits_in(room):
+            return chosen
+    return []
+
+
+class ModelLink:
+    """The entry's end of a link to a modelled host."""
+
+    def __init__(self, model: HostModel, up: HostUp, note: Callable[[str], None]) -> None:
+        self.model = model
+        self.note = note
+        self.process_id = up.process
+        self.peer = self
+        self.is_open = True
+        self.last_heartbeat = None
+
+    def send_nowait(self, message: Message, reply_to: int = 0) -> None:
+        """Carry out a command at once."""
+        self.note(f"{type(message).__name__} {self.process_id} {message}")
+        self.model.command(message, self.process_id)
+
+
+class ModelCommands(Commands):
+    """Commands whose starts take effect in the model."""
+
+    def __init__(self, state: OwnerState, replay: "Replay") -> None:
+        super().__init__(state)
+        self.replay = replay
+
+    def start(self, shard: Shard, run: Run) -> None:
+        """Start an attempt; it is accepted, since placement knows what is free."""
+        row = self.row(run.process)
+        if row is None:
+            run.expires_at = 0.0
+            return
+        replay = self.replay
+        replay.note(f"start {run.task} {run.attempt} {run.process}")
+        replay.started(run)
+        replay.model.start(run.process, run.task, run.attempt, run.spec, replay.ratios[run.job])
+        run.anchor_clock_ms, run.anchor_incarnation = int(replay.now * 1000), row.incarnation
+        run.expires_at = replay.now + self.state.lease_total_s
+        run.sent_at, run.sends = replay.now, 1
+        run.phase, run.accepted = Phase.RUNNING, True
+
+
+class OneMember:
+    """Membership of the only entry of a replay."""
+
+    def view(self) -> View:
+        """Return a view with this entry alone."""
+        return View((ENTRY,), {})
+
+
+class Replay:
+    """One run of a trace with given modes; deterministic for a trace and a seed."""
+
+    def __init__(self, trace: Trace, modes: Modes, seed: int) -> None:
+        self.trace = trace
+        self.modes = modes
+        self.now = 0.0
+        self.model = HostModel()
+        self.ratios: dict[JobId, float] = {}
+        self._digest = sha256()
+        self._decisions = 0
+        self._urgent: list[float] = []
+        self._key = generate_key()
+        self.control = Control((self._key.public_text,))
+        self.hosts = HostTable()
+        policy = replace(PolicySettings(), shards=1)
+        self._began = datetime.fromisoformat(trace.header.utc)
+        self.state = OwnerState(
+            ENTRY, policy, self.hosts, self.control, lambda: True, self.utc, modes.placement
+        )
+        self.commands = ModelCommands(self.state, self)
+        self.shares = TeamShares(ENTRY, cast(Any, OneMember()), self._limit, 0.0)
+        self.scheduler = Scheduler(self.state, self.commands, self.shares)
+        self.scheduler.choose_victims = modes.victims
+        self.reconciler = Reconciler(self.state, self.commands)
+        self.shard = Shard(ShardId(0), Epoch(1), cast(Any, None), 0.0, loaded=True)
+        self.state.shards[ShardId(0)] = self.shard
+        rng = Random(seed)
+        self.requests = RequestReplay(modes.requests, self.control, self.model, rng, self.note)
+
+    def utc(self) -> datetime:
+        """Return the UTC time of the present step."""
+        return self._began + timedelta(seconds=self.now)
+
+    def _limit(self, team: TeamId) -> TeamLimit | None:
+        rules = self.control.team(team)
+        return TeamLimit(rules.share, rules.quota, rules.rate_per_s) if rules else None
+
+    def note(self, decision: str) -> None:
+        """Add a decision to the digest."""
+        self._decisions += 1
+        self._digest.update(f"{self.now:.3f} {decision}\n".encode())
+
+    def started(self, run: Run) -> None:
+        """Note how long an urgent task waited for its first start."""
+        if run.spec.priority is Priority.URGENT and run.attempt == 1:
+            accepted = self.shard.table.jobs[run.job].accepted_at
+            self._urgent.append(self.utc().timestamp() - accepted + START_DELAY_S)
+
+    def run(self) -> Result:
+        """Replay the whole trace."""
+        tick, events = self.state.policy.tick_s, self.trace.events
+        last = events[-1].at if events else 0.0
+        at, step = 0, 0
+        while self.now < last + TAIL_S:
+            while at < len(events) and events[at].at <= self.now:
+                self._take(events[at].event)
+                at += 1
+            self._tick(step)
+            step += 1
+            self.now = step * tick
+        return self._result()
+
+    def _result(self) -> Result:
+        totals, requests = self.model.totals, self.requests
+        return Result(
+            self._digest.hexdigest()[:16],
+            self._decisions,
+            self.model.useful_work(),
+            totals.wasted,
+            totals.evictions,
+            max(self._urgent, default=0.0),
+            tuple(requests.arrivals),
+            tuple(requests.sends),
+            tuple((sample.arrived, sample.latency_s) for sample in requests.samples),
+            dict(requests.ended),
+        )
+
+    def _tick(self, step: int) -> None:
+        """Do what the owner does in a tick, in the same order."""
+        now, tick = self.now, self.state.policy.tick_s
+        self.model.step(now)
+        self.requests.run(now)
+        self._reports(step)
+        if step % round(SCAN_S / tick) == 0:
+            self.reconciler.expire(now)
+            self.scheduler.evict_forbidden(now)
+            self.scheduler.guard_hosts(now)
+            self.scheduler.restore_throttles(now)
+            self.shares.keep(now)
+        if step % round(JUDGE_S / tick) == 0:
+            self.scheduler.judge_possible(now)
+        self._journal()
+        self.scheduler.place(now)
+        self._journal()
+
+    def _reports(self, step: int) -> None:
+        every = round(REPORT_S / self.state.policy.tick_s)
+        for number, (process, row) in enumerate(self.hosts.rows.items()):
+            host = self.model.hosts[process]
+            due = (step + number) % every == 0 or host.outcomes
+            if row.link is None or not due:
+                continue
+            self.state.inbox[process] = (row.link, self.model.report(process))
+            for _, run in self.state.runs_on(process):
+                run.expires_at = self.now + self.state.lease_total_s
+        self.reconciler.take_reports(self.now)
+
+    def _journal(self) -> None:
+        """Apply what was proposed at once, as a journal does that is never late."""
+        while self.shard.outbox:
+            batch, self.shard.outbox = self.shard.outbox, []
+            for proposal in batch:
+                proposal.done([self.shard.table.apply(record) for record in proposal.records])
+
+    @singledispatchmethod
+    def _take(self, event: Event) -> None:
+        """Take an event; reports and dropped lines of a recording need nothing."""
+
+    @_take.register
+    def _(self, event: Job) -> None:
+        self.ratios[event.spec.job_id] = event.run_ratio
+        self.shard.table.apply(JobAccepted(event.spec, self.utc().timestamp()))
+
+    @_take.register
+    def _(self, event: Cancel) -> None:
+        self.shard.table.apply(JobCancelled(event.job))
+        self.reconciler.mark_cancelled(self.shard, event.job)
+        self.reconciler.stop_cancelled(self.now)
+
+    @_take.register
+    def _(self, event: HostUp) -> None:
+        known = self.model.hosts.get(event.process)
+        if known is not None and not known.gone:
+            return
+        service = event.service
+        claim = self.control.claim_of(service) if service is not None else Size()
+        self.model.up(event, claim)
+        if service is not None and event.process not in self.requests.by_service[service]:
+            self.requests.by_service[service].append(event.process)
+        link = cast(Any, ModelLink(self.model, event, self.note))
+        announce = Announce(
+            event.host,
+            event.rack,
+            event.data_centre,
+            event.size,
+            cast(Any, event.process),
+            cast(Any, service or ""),
+            event.slots,
+            event.connections,
+            False,
+            True,
+            Maturity.FULL,
+        )
+        former = self.hosts.rows.get(event.process)
+        incarnation = FIRST if former is None else IncarnationId(f"{former.incarnation}+")
+        self.hosts.rows[event.process] = HostRow(event.process, incarnation, announce, link)
+        self.shard.claims[event.process] = incarnation
+        self.state.reports.pop(event.process, None)
+
+    @_take.register
+    def _(self, event: HostGone) -> None:
+        row = self.hosts.rows.get(event.process)
+        if row is not None and row.link is not None:
+            row.link, row.gone_at = None, self.now
+            self.model.lose(event.process)
+            self.state.index.remove(event.process)
+
+    @_take.register
+    def _(self, event: Activity) -> None:
+        self.model.activities[event.activity] = event
+
+    @_take.register
+    def _(self, event: Request) -> None:
+        self.requests.add(event, self.now)
+
+    @_take.register
+    def _(self, event: Answer) -> None:
+        host = self.model.hosts.get(event.process)
+        if host is not None:
+            failed = event.status == 0 or event.status >= 500
+            host.fault = (event.status, event.latency_s) if failed else None
+
+    @_take.register
+    def _(self, event: Report) -> None:
+        """Do nothing: the model reports what the replayed decisions lead to."""
+
+    @_take.register
+    def _(self, event: Status) -> None:
+        if self.modes.statuses:
+            self.control.offer_statuses(
+                (DataCentreStatus(event.data_centre, event.seq, event.state),)
+            )
+
+    @_take.register
+    def _(self, event: BundleInForce) -> None:
+        if not self.control.offer_bundle(seal(event.text.encode(), self._key).to_bytes()):
+            raise TraceError(f"the trace has a bundle that is not valid: {self.control.refusal}")
+
+
+def run_once(trace: Trace, modes: Modes | None = None, seed: int | None = None) -> Result:
+    """Return the result of one run; events of anyio need a running loop."""
+    chosen = trace.header.seed if seed is None else seed
+
+    async def main() -> Result:
+        return Replay(trace, modes or Modes(), chosen).run()
+
+    return anyio.run(main)
+
+
+BASELINES: dict[str, Modes] = {
+    "placement": Modes(placement=Mode.BASELINE),
+    "eviction": Modes(victims=first_victims),
+    "routing": Modes(requests=RequestSettings(choices=1, ejection=False)),
+    "retry": Modes(requests=RequestSettings(retry_budget=False)),
+    "stay": Modes(statuses=False),
+}
+
+
+def compare(trace: Trace, seed: int | None = None) -> tuple[Result, dict[str, float]]:
+    """Return the result with the real decisions, and all metrics against the baselines."""
+    policy = run_once(trace, None, seed)
+    others = {name: run_once(trace, modes, seed) for name, modes in BASELINES.items()}
+    settings = trace.header.settings
+    metrics = {"urgent.start_s": policy.urgent_start_s}
+    metrics |= _placement(policy, others["placement"], settings)
+    metrics |= _sends(policy, others, settings)
+    metrics["eviction.wasted"] = policy.wasted
+    metrics["eviction.baseline_wasted"] = others["eviction"].wasted
+    metrics["eviction.wasted_ratio"] = _ratio(policy.wasted, others["eviction"].wasted)
+    if settings.get("out_share"):
+        lost = _ratio(others["stay"].work - policy.work, others["stay"].work)
+        metrics["data_centre.lost_share"] = lost
+        metrics["data_centre.lost_beyond"] = lost - settings["out_share"]
+    metrics |= replay_limits(trace)
+    return policy, metrics
+
+
+def _ratio(value: float, base: float) -> float:
+    return value / base if base else float(value > 0)
+
+
+def _placement(policy: Result, base: Result, settings: Mapping[str, float]) -> dict[str, float]:
+    window = settings.get("wave_from", 0.0), settings.get("wave_to", 1e9)
+    found = {}
+    for name, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+        mine, other = policy.latency_s(share, *window), base.latency_s(share, *window)
+        found[f"wave.{name}_s"], found[f"wave.baseline_{name}_s"] = mine, other
+        found[f"wave.{name}_ratio"] = _ratio(mine, other)
+    found["batch.work_ratio"] = _ratio(policy.work, base.work)
+    return found
+
+
+def _sends(
+    policy: Result, others: Mapping[str, Result], settings: Mapping[str, float]
+) -> dict[str, float]:
+    begin, end = settings.get("fail_from", 0.0), settings.get("fail_to", 1e9)
+    found = {}
+    for name, result in (("", policy), ("random_", others["routing"]), ("free_", others["retry"])):
+        arrived = sum(begin <= at < end for at in result.arrivals)
+        sent = sum(begin <= at < end for at in result.sends)
+        found[f"failed.{name}sent_ratio"] = _ratio(sent, arrived)
+        total = sum(result.ended.values())
+        found[f"requests.{name}answered_share"] = _ratio(result.ended.get("answered", 0), total)
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """A stated outcome: a metric and the bounds that it must keep."""
+
+    metric: str
+    why: str
+    least: float | None = None
+    most: float | None = None
+
+    def missed(self, metrics: Mapping[str, float]) -> str:
+        """Return what is wrong, or an empty text."""
+        value = metrics.get(self.metric)
+        if value is None:
+            return f"{self.metric}: the replay has no such metric"
+        if self.most is not None and value > self.most:
+            return f"{self.metric}: {value:.4g} is above {self.most:g} ({self.why})"
+        if self.least is not None and value < self.least:
+            return f"{self.metric}: {value:.4g} is below {self.least:g} ({self.why})"
+        return ""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """A file of stated outcomes."""
+
+    outcomes: tuple[Outcome, ...]
+
+
+def load_outcomes(path: Path) -> tuple[Outcome, ...]:
+    """Return the stated outcomes in a file, or raise SettingsError."""
+    return build(Outcomes, load_json(path), str(path)).outcomes
--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -104,7 +104,7 @@
         others = sum(loan.amount for name, loan in self.loans.items() if name != entry)
         turn = int(now / SHARE_TTL_S) if self.whole else None
         fair = _fair_part(self.limit, self.wants, entry, turn)
-        wanted = min(amount, fair) + self._spare()
+        wanted = min(amount, fair) + self._spare(others)
         granted = max(0.0, min(wanted, self.limit - others))
         granted = float(int(granted)) if self.whole else granted
         # The entry may have used its former, larger share up to this moment, and a
@@ -118,13 +118,14 @@
             self.loans[entry] = Loan(counted, until)
         return granted, max(0.0, until - now)
 
-    def _spare(self) -> float:
+    def _spare(self, lent: float) -> float:
         """Return what an entry gets beyond its wish, from what no entry wants.
 
         A burst then starts at once instead of waiting for its share to grow. Half
-        is kept back, so that the next entry with a burst finds some too.
+        of what is not lent is kept back, so that the next entry with a burst finds some too.
         """
-        return max(0.0, self.limit - sum(self.wants.values())) / 2
+        wanted = sum(self.wants.values())
+        return max(0.0, self.limit - max(lent, wanted)) / 2
 
     def take_over(self, held: Mapping[EntryId, Loan], now: float, opens_at: float) -> None:
         """Count what all entries hold of a former home's loans, and open at `opens_at`."""
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -67,6 +67,8 @@
         self.shares = shares
         self.retry_at: dict[JobId, float] = {}
         self.reserved: dict[TaskId, Reservation] = {}
+        # A replay puts a baseline in its place.
+        self.choose_victims: Callable[..., list[Victim]] = choose_victims
         self.ask_others: Callable[[JobSpec, list[TaskId], list[DataCentreId]], None] | None = None
         self._cleared: set[ProcessId] = set()
         self.blocked_since: dict[JobId, float] = {}
@@ -236,7 +238,7 @@
         """
         for made, task in enumerate(tasks):
             free = self._free_after_evictions(set(data_centres))
-            victims = choose_victims(size, self._victims(), free, self.state.limits, now)
+            victims = self.choose_victims(size, self._victims(), free, self.state.limits, now)
             if not victims:
                 return made
             self.reserved[task] = Reservation(victims[0].process, size, now + RESERVED_S)
