--- a/packages/bench/src/apricotpath_bench/backendstandin.py
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -135,6 +135,7 @@
             async with self._slots:
                 run = Run(request, key, scope["path"], anyio.current_time(), body_bytes)
                 self.runs.append(run)
+                self._write("start", run)
                 self._running += 1
                 self.most_running = max(self.most_running, self._running)
                 try:
@@ -142,7 +143,7 @@
                 finally:
                     self._running -= 1
                     run.end = anyio.current_time()
-                    self._write(run)
+                    self._write("end", run)
         finally:
             self.present -= 1
 
@@ -171,10 +172,10 @@
         if not faults.cut_body:
             await send({"type": "http.response.body", "body": b"", "more_body": False})
 
-    def _write(self, run: Run) -> None:
+    def _write(self, event: str, run: Run) -> None:
         if self.record is not None:
             with self.record.open("a", encoding="utf-8") as file:
-                file.write(json.dumps(asdict(run)) + "\n")
+                file.write(json.dumps({"event": event, **asdict(run)}) + "\n")
 
 
 async def _lifespan(receive: Receive, send: Send) -> None:
@@ -238,7 +239,9 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--connections", type=int, default=64)
-    parser.add_argument("--record", type=Path, help="append each run to this file as a JSON line")
+    parser.add_argument(
+        "--record", type=Path, help="append the start and end of each run as JSON lines"
+    )
     anyio.run(_main, parser.parse_args())
 
 
--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -14,6 +14,7 @@
 import httpx
 
 from apricotpath.errors import ApricotpathError
+from apricotpath_bench.relay import SilentRelay
 from apricotpath_bench.shapes import MB_PER_GB, Shape, bundle_of
 
 LOOPBACK = "127.0.0.1"
@@ -52,7 +53,10 @@
 class Deployment:
     """Store, workers, backend servers, entries and agents of one shape in a folder.
 
-    `policy` overrides settings of `PolicySettings` in all processes.
+    `policy` overrides settings of `PolicySettings` in all processes. With
+    `relayed`, agents reach entry N through `relays["entry-N"]`. Workers and
+    backend servers write their records to `record_path(name)` as well, which
+    outlasts a kill.
     """
 
     shape: Shape
@@ -60,6 +64,8 @@
     policy: dict[str, Any] = field(default_factory=dict)
     processes: dict[str, Launched] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
+    relayed: bool = False
+    relays: dict[str, SilentRelay] = field(default_factory=dict)
 
     @property
     def key_path(self) -> Path:
@@ -78,10 +84,18 @@
         """Return the numbers of the hosts as used in process names."""
         return [str(n) for n in range(1, self.shape.hosts + 1)]
 
-    def start(self) -> None:
+    def record_path(self, name: str) -> Path:
+        """File with the record of a worker or backend server over all its restarts."""
+        return self.folder / f"{name}.record"
+
+    def start(self, bundle: dict[str, Any] | None = None) -> None:
         """Write settings, start all processes and put the first bundle in force."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self._choose_ports()
+        if self.relayed:
+            for number in range(1, self.shape.entries + 1):
+                target = self.ports[f"entry-{number}-links"]
+                self.relays[f"entry-{number}"] = SilentRelay(target)
         self.cli("keys", "init", str(self.key_path))
         self._write_settings()
         self.start_process("store")
@@ -94,7 +108,7 @@
             self.start_process(f"agent-{host}")
         for name in self.processes:
             self.wait_listening(name)
-        self.apply_bundle(bundle_of(self.shape))
+        self.apply_bundle(bundle or bundle_of(self.shape))
         for name in self.processes:
             if name.startswith(("entry", "agent")):
                 self.wait_ready(name)
@@ -170,6 +184,8 @@
             item.process.kill()
         for item in running:
             item.process.wait()
+        for relay in self.relays.values():
+            relay.close()
 
     def log_of(self, name: str) -> str:
         """Return what a process wrote to its log."""
@@ -222,9 +238,11 @@
         if kind == "worker":
             size = ["--cpu-milli", str(self.shape.cores * 1000)]
             size += ["--memory-mb", str(self.shape.memory_gb * MB_PER_GB), "--accelerators", "0"]
+            size += ["--record", str(self.record_path(name))]
             return [*python, "apricotpath_bench.workerstandin", *address, *size], name
         slots = ["--service", self.shape.service, "--slots", str(self.shape.slots)]
         slots += ["--connections", str(self.shape.connections)]
+        slots += ["--record", str(self.record_path(name))]
         return [*python, "apricotpath_bench.backendstandin", *address, *slots], name
 
     def _write_settings(self) -> None:
@@ -242,6 +260,12 @@
     def _address(self, name: str) -> dict[str, Any]:
         return {"host": LOOPBACK, "port": self.ports[name]}
 
+    def _link_address(self, number: int) -> dict[str, Any]:
+        relay = self.relays.get(f"entry-{number}")
+        if relay is None:
+            return self._address(f"entry-{number}-links")
+        return {"host": LOOPBACK, "port": relay.port}
+
     def _entry_settings(self, number: int) -> dict[str, Any]:
         data_centres = self.shape.data_centres
         return {
@@ -267,7 +291,7 @@
                 "accelerators": 0,
             },
             "worker_url": self.url(f"worker-{host}"),
-            "entries": [self._address(f"entry-{n}-links") for n in numbers],
+            "entries": [self._link_address(n) for n in numbers],
             "metrics": self._address(f"agent-{host}"),
             "backend": {
                 "backend": f"backend-{host}",
--- /dev/null
+++ b/packages/bench/src/apricotpath_bench/drive.py
@@ -0,0 +1,282 @@
+"""Drives a deployment as callers and operators do, and collects what the stand-ins recorded."""
+
+import json
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from threading import Event, Lock, Thread
+from typing import Any, TypeVar
+
+import anyio
+import httpx
+
+from apricotpath.errors import ApricotpathError
+from apricotpath.model import ServiceState
+from apricotpath.signing import load_key
+from apricotpath_bench.backendstandin import expected_body
+from apricotpath_bench.deploy import Deployment, DeploymentError
+from apricotpath_bench.judge import Call, Observed, Period, Sample, read_backend, read_worker
+from apricotpath_bench.shapes import MB_PER_GB, bundle_of
+from apricotpath_cli.client import Answer, Client
+from apricotpath_cli.datacentres import change
+
+T = TypeVar("T")
+
+CALLER_THREADS = 32
+CALL_TIMEOUT_S = 60.0
+OPERATOR_TIMEOUT_S = 5.0
+POLL_S = 0.05
+SAMPLE_S = 0.25
+ENDED_STATES = ("finished", "failed", "cancelled", "impossible")
+
+
+def wait_until(what: str, holds: Callable[[], T], timeout_s: float = 30.0) -> T:
+    """Return the first true value of `holds`; raises DeploymentError after the timeout."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = holds()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise DeploymentError(f"this did not come true in {timeout_s:g} s: {what}")
+
+
+@dataclass(slots=True)
+class Drive:
+    """Callers, operators and records of one deployment that has started."""
+
+    deployment: Deployment
+    seen: Observed = field(default_factory=Observed)
+    jobs: list[str] = field(default_factory=list)
+    _lock: Lock = field(default_factory=Lock)
+    _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(CALLER_THREADS))
+    _sampling: Event = field(default_factory=Event)
+    _number: int = 0
+
+    # Callers.
+
+    def call(
+        self,
+        entry: int,
+        request_class: str,
+        key: str = "",
+        work_ms: float = 5,
+        size: int = 100,
+        deadline_ms: int = 0,
+    ) -> Call:
+        """Send one request on a new connection and record what came back."""
+        with self._lock:
+            self._number += 1
+            path = f"/call-{self._number}"
+        headers = {
+            "Apricotpath-Class": request_class,
+            "Apricotpath-Team": self.deployment.shape.teams[0],
+            "Connection": "close",
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_ms:
+            headers["Apricotpath-Deadline-Ms"] = str(deadline_ms)
+        callers = self.deployment.url(f"entry-{entry}-callers")
+        url = f"{callers}/s/{self.deployment.shape.service}{path}"
+        params = {"work_ms": work_ms, "size": size}
+        begun = time.time()
+        try:
+            response = httpx.post(
+                url, params=params, headers=headers, content=b"{}", timeout=CALL_TIMEOUT_S
+            )
+        except httpx.HTTPError as exc:
+            reason = f"{type(exc).__name__}: {exc}"
+            got = Call(path, entry, request_class, key, begun, time.time(), "cut", 0, reason=reason)
+        else:
+            got = self._read(path, entry, request_class, key, begun, size, response)
+        with self._lock:
+            self.seen.calls.append(got)
+        return got
+
+    def call_later(self, *args: Any, **kwargs: Any) -> "Future[Call]":
+        """Send a request from another thread."""
+        return self._pool.submit(self.call, *args, **kwargs)
+
+    def _read(
+        self,
+        path: str,
+        entry: int,
+        request_class: str,
+        key: str,
+        begun: float,
+        size: int,
+        response: httpx.Response,
+    ) -> Call:
+        headers = response.headers
+        run = headers.get("run-id", "")
+        problem = ""
+        if response.status_code == 200 and response.content != expected_body(run, size):
+            problem = f"{len(response.content)} of {size} bytes, or bytes of another answer"
+        return Call(
+            *(path, entry, request_class, key, begun, time.time()),
+            *(headers.get("apricotpath-outcome", "none"), response.status_code),
+            *(run, problem, headers.get("apricotpath-reason", "")),
+        )
+
+    def keyed_class(self) -> str:
+        """Return a request class that is not idempotent."""
+        return next(cls.name for cls in self.deployment.shape.classes if not cls.idempotent)
+
+    def idempotent_class(self) -> str:
+        """Return the idempotent request class with the longest deadline."""
+        classes = [cls for cls in self.deployment.shape.classes if cls.idempotent]
+        return max(classes, key=lambda cls: cls.deadline_ms).name
+
+    def wait_bookable(self, entry: int = 1) -> None:
+        """Wait until requests that are not idempotent are taken."""
+        name = self.keyed_class()
+        wait_until(
+            "a keyed request is answered",
+            lambda: self.call(entry, name, f"try-{time.monotonic()}").outcome == "answered",
+        )
+
+    # Operators.
+
+    def operate(self, work: Callable[[Client], Any], entries: list[int] | None = None) -> Any:
+        """Run an operators' call; `work` gets a client for some or all entries."""
+        urls = self.deployment.operator_urls()
+        chosen = urls if entries is None else [urls[number - 1] for number in entries]
+        key = load_key(self.deployment.key_path)
+
+        async def run() -> Any:
+            async with Client(chosen, key, OPERATOR_TIMEOUT_S) as client:
+                return await work(client)
+
+        return anyio.run(run)
+
+    def submit(self, job: dict[str, Any]) -> None:
+        """Submit a job; raises an ApricotpathError if no entry accepts it."""
+        self.operate(lambda client: client.any("POST", "/v1/jobs", job))
+        self.jobs.append(job["job_id"])
+
+    def cancel(self, name: str) -> None:
+        """Cancel a job; raises an ApricotpathError if no entry accepts it."""
+        self.operate(lambda client: client.any("DELETE", f"/v1/jobs/{name}"))
+
+    def job(self, name: str) -> dict[str, Any]:
+        """Return what an entry shows of a job; empty while none answers."""
+        try:
+            shown = self.operate(lambda client: client.any("GET", f"/v1/jobs/{name}"))
+        except ApricotpathError:
+            return {}
+        return dict(shown)
+
+    def wait_job(self, name: str, timeout_s: float = 60.0) -> str:
+        """Wait until a job has ended and return its state."""
+        return wait_until(
+            f"job {name} ends",
+            lambda: state if (state := self.job(name).get("state")) in ENDED_STATES else "",
+            timeout_s,
+        )
+
+    def change(
+        self, data_centre: str, state: str, wait_s: float = 10.0, entries: list[int] | None = None
+    ) -> int:
+        """Take a data centre out or bring it back; returns the command's exit code."""
+        code = self.operate(
+            lambda client: change(client, data_centre, ServiceState(state), wait_s), entries
+        )
+        return int(code)
+
+    def bundle(self, version: int, **changes: Any) -> dict[str, Any]:
+        """Return a bundle of the shape with some parts replaced."""
+        return bundle_of(self.deployment.shape, version) | changes
+
+    def entry_answers(self, path: str) -> list[Answer]:
+        """Return what each entry answers to a signed GET."""
+        found: list[Answer] = self.operate(lambda client: client.all("GET", path))
+        return found
+
+    def versions(self) -> dict[str, int]:
+        """Return the bundle version of every process that answers."""
+        found = {}
+        for number, answer in enumerate(self.entry_answers("/v1/status"), 1):
+            if answer.error is None:
+                found[f"entry-{number}"] = int(answer.value["bundle"]["version"])
+        for host in self.deployment.host_names():
+            name = f"agent-{host}"
+            try:
+                shown = httpx.get(f"{self.deployment.url(name)}/debug", timeout=0.5).json()
+            except (httpx.HTTPError, ValueError):
+                continue
+            found[name] = int(shown["bundle_version"])
+        return found
+
+    def sample_forever(self) -> None:
+        """Record versions in a thread until `finish`."""
+
+        def run() -> None:
+            while not self._sampling.wait(SAMPLE_S):
+                at, before = time.time(), self.pids()
+                versions = self.versions()
+                after = self.pids()
+                for name, version in versions.items():
+                    # A process that was replaced meanwhile may have given either answer.
+                    if before[name] == after[name]:
+                        self.seen.samples.append(Sample(name, after[name], at, version))
+
+        Thread(target=run, daemon=True).start()
+
+    def pids(self) -> dict[str, int]:
+        """Return the process id of every process by name."""
+        return {name: item.process.pid for name, item in self.deployment.processes.items()}
+
+    # Faults.
+
+    def kill(self, name: str) -> None:
+        """Kill a process; a worker's record gets a line that its tasks have ended."""
+        self.deployment.kill(name)
+        if name.startswith("worker"):
+            declared = {"cpu_milli": 0, "memory_mb": 0, "accelerators": 0}
+            line = {"event": "killed", "at": time.time(), "declared": declared}
+            with self.deployment.record_path(name).open("a", encoding="utf-8") as file:
+                file.write(json.dumps(line) + "\n")
+
+    def disturb(self, name: str, since: float) -> None:
+        """Note that a process was disturbed from a unix time until now."""
+        self.seen.disturbed.append(Period(name, since, time.time()))
+
+    def runs_of(self, path: str) -> bool:
+        """Tell whether a backend server has recorded the start of a request."""
+        return any(run.path == path for run in self.read_requests())
+
+    # Records.
+
+    def read_requests(self) -> list[Any]:
+        """Return the runs at all backend servers so far."""
+        offset = time.time() - time.monotonic()
+        found = []
+        for host in self.deployment.host_names():
+            name = f"backend-{host}"
+            found += read_backend(self.deployment.record_path(name), name, offset)
+        return found
+
+    def collect(self) -> Observed:
+        """Read all records into `seen` and return it."""
+        shape, seen = self.deployment.shape, self.seen
+        memory = shape.memory_gb * MB_PER_GB
+        seen.tasks, seen.commitments = [], []
+        for host in self.deployment.host_names():
+            runs, sums = read_worker(
+                self.deployment.record_path(f"worker-{host}"),
+                f"worker-{host}",
+                shape.data_centre_of(int(host) - 1),
+                (shape.cores * 1000, memory),
+                (shape.cores * 250, memory // 4),
+            )
+            seen.tasks += runs
+            seen.commitments += sums
+        seen.requests = self.read_requests()
+        return seen
+
+    def finish(self) -> None:
+        """Stop sampling and wait for the callers."""
+        self._sampling.set()
+        self._pool.shutdown()
