--- a/packages/bench/src/apricotpath_bench/chaos.py
+++ b/packages/bench/src/apricotpath_bench/chaos.py
@@ -145,7 +145,7 @@
             try:
                 self.drive.submit(job)
                 if rng.random() < 0.1:
-                    self.drive.cancel(job["job_id"])
+                    self.drive.cancel(f"chaos-{number}")
             except ApricotpathError as exc:
                 self._note(f"job {number} not accepted or not cancelled: {exc}")
 
--- /dev/null
+++ b/tests/features/processes.feature
@@ -0,0 +1,104 @@
+Feature: processes
+
+  Real processes on loopback under kills, pauses, silent connections and store
+  faults. The verdicts come from what the worker and backend server stand-ins
+  recorded, never from what the system says of itself. Guards against a host
+  beyond its size, a task in two places, work that resumes from an old
+  checkpoint, starts after a take-out, mixed-up or cut answers, a false "not
+  run", a booking that runs twice, and a bundle that reverts.
+
+  Scenario Outline: processes run each task in one place after <fault>
+    Given running processes with a job of 6 tasks that run for 4 seconds
+    When the processes suffer <fault>
+    Then the processes' job finishes
+    And the processes' records show no violation
+
+    Examples:
+      | fault                                   |
+      | kill of an entry and an agent           |
+      | pause of an agent past the task leases  |
+
+    @long
+    Examples: longer
+      | fault                                   |
+      | kill of an entry                        |
+      | kill of an agent                        |
+      | kill of a host                          |
+      | pause of an entry past its lease        |
+      | silent connections                      |
+      | a store that is down                    |
+      | a store that is slow                    |
+      | a store that loses answers              |
+      | a store that limits writes              |
+      | a restart of everything without store   |
+
+  Scenario Outline: processes run a booking once that is sent again after <fault>
+    Given running processes
+    When a booking is in flight at the processes and <fault> comes
+    And the booking is sent again to the processes through another entry
+    Then the processes answered it as <outcome>
+    And the processes' backend servers recorded the booking once
+    And the processes' records show no violation
+
+    Examples:
+      | fault                          | outcome  |
+      | a kill of its entry            | answered |
+      | a kill and restart of its agent | unknown |
+      | silence on all connections     | answered |
+
+  Scenario Outline: processes start nothing in a data centre taken out with <fault>
+    Given running processes with a stream of jobs
+    When a data centre of the processes is taken out with <fault>
+    Then nothing starts there at the processes' workers after 5 seconds
+    And the processes' records show no violation
+
+    Examples:
+      | fault          |
+      | no fault       |
+
+    @long
+    Examples: longer
+      | fault                             |
+      | the store out                     |
+      | an entry paused                   |
+      | the store out and an entry paused |
+      | bring-backs racing                |
+
+  Scenario Outline: processes cut off nothing when <process> shuts down
+    Given running processes
+    When <process> of the processes shuts down with 12 long answers in flight
+    Then the processes answered all of them
+    And the processes' records show no violation
+
+    Examples:
+      | process  |
+      | an entry |
+      | an agent |
+
+  Scenario: processes take one of two bundles that operators race with
+    Given running processes
+    When two operators apply different bundles of one version to the processes
+    Then one of them is told that it was accepted and all processes show it within 5 seconds
+    And the processes' records show no violation
+
+  @long
+  Scenario: processes stop forbidden work before quiet hours begin
+    Given running processes
+    When quiet hours begin at the processes while a long job runs in two data centres
+    Then the processes' workers have none of it in the quiet data centre when they begin
+    And the processes' records show no violation
+
+  Scenario: processes hold every row in a mixed run of 12 seconds with seed 7
+    When processes go through a mixed run of 12 seconds with seed 7
+    Then every row of the processes' mixed run holds
+
+  @long
+  Scenario Outline: processes hold every row in a mixed run with seed <seed>
+    When processes go through a mixed run of 90 seconds with seed <seed>
+    Then every row of the processes' mixed run holds
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
--- /dev/null
+++ b/tests/features/steps/processes_steps.py
@@ -0,0 +1,467 @@
+"""Steps for a deployment of real processes under faults."""
+
+import atexit
+import tempfile
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import suppress
+from datetime import timedelta
+from pathlib import Path
+from threading import Event, Thread
+from typing import Any, ClassVar
+
+from behave import given, then, when
+
+from apricotpath.errors import ApricotpathError
+from apricotpath_bench.chaos import HEALED_STORE, POLICY, apply_bundle, next_minute, quiet_rule, run
+from apricotpath_bench.deploy import Deployment
+from apricotpath_bench.drive import Drive, wait_until
+from apricotpath_bench.judge import OUT_BOUND_S, Ban, Call, Period, judge
+from apricotpath_bench.shapes import SMALL, bundle_of
+
+QUIET_AHEAD_S = 15.0
+STREAM_INTERVAL_S = 0.15
+
+
+class RunningProcesses:
+    """One deployment for all scenarios of the feature; each scenario heals it first."""
+
+    shared: ClassVar["RunningProcesses | None"] = None
+
+    def __init__(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        policy = POLICY | {"task_lease_s": 4.0, "entry_lease_s": 3.0, "key_memory_s": 4.0}
+        self.deployment = Deployment(SMALL, Path(self.folder.name), policy=policy, relayed=True)
+        atexit.register(self.close)
+        self.deployment.start()
+        self.drive = Drive(self.deployment)
+        self.drive.sample_forever()
+        self.version = 1
+        self.number = 0
+        self.calls: list[Future[Call]] = []
+        self.codes: list[int] = []
+        self.booking: Call | None = None
+        self.key = ""
+        self.streaming = Event()
+
+    @classmethod
+    def get(cls) -> "RunningProcesses":
+        if cls.shared is None:
+            cls.shared = cls()
+        cls.shared.heal()
+        return cls.shared
+
+    def close(self) -> None:
+        self.deployment.stop()
+        self.folder.cleanup()
+
+    def heal(self) -> None:
+        self.streaming.clear()
+        self.deployment.faults("store", **HEALED_STORE)
+        for name, item in list(self.deployment.processes.items()):
+            if item.process.poll() is None:
+                self.deployment.resume(name)
+            else:
+                self.deployment.start_process(name)
+        for name in self.deployment.processes:
+            if name.startswith(("entry", "agent")):
+                self.deployment.wait_ready(name)
+        for entry in (1, 2):
+            self.drive.wait_bookable(entry)
+
+    def job(self, tasks: int, run_time_s: float, **changes: Any) -> str:
+        self.number += 1
+        name = f"job-{self.number}"
+        size = {"cpu_milli": 1000, "memory_mb": 512, "accelerators": 0}
+        job = {
+            "job_id": name,
+            "team": SMALL.teams[0],
+            "activity": SMALL.activities[0],
+            "size": size,
+            "tasks": tasks,
+            "run_time_s": run_time_s,
+            "checkpoint_s": 0.1,
+            "max_attempts": 50,
+        }
+        self.drive.submit(job | changes)
+        return name
+
+    def runs(self, job: str) -> list[Any]:
+        return [run for run in self.drive.collect().tasks if run.task.startswith(f"{job}/")]
+
+    def start_job(self, tasks: int, run_time_s: float) -> None:
+        self.current = self.job(tasks, run_time_s)
+        wait_until("all tasks run", lambda: len(self.runs(self.current)) == tasks)
+
+    def disturbed(self, names: list[str], act: Callable[[], Any]) -> None:
+        """Note when processes are disturbed, so that their versions may lag meanwhile."""
+        since = time.time()
+        try:
+            act()
+        finally:
+            for name in names:
+                self.drive.disturb(name, since)
+
+    # Faults.
+
+    def suffer(self, fault: str) -> None:
+        kills = {
+            "kill of an entry": ["entry-1"],
+            "kill of an agent": ["agent-1"],
+            "kill of an entry and an agent": ["entry-1", "agent-1"],
+            "kill of a host": ["agent-1", "worker-1", "backend-1"],
+        }
+        store: dict[str, dict[str, Any]] = {
+            "a store that is down": {"down": True},
+            "a store that is slow": {"slow_ms": 700},
+            "a store that loses answers": {"lose_answers": 20},
+            "a store that limits writes": {"limits": {"writes_per_s": 6.0}},
+        }
+        if fault in kills:
+            self.disturbed(kills[fault], lambda: self.kill_and_start(kills[fault]))
+        elif fault in store:
+            self.deployment.faults("store", **store[fault])
+            self.disturbed([], lambda: self.wait_ended(3))
+        elif fault == "silent connections":
+            self.silence()
+        elif fault == "a restart of everything without store":
+            self.restart_everything()
+        elif fault == "pause of an agent past the task leases":
+            self.disturbed(["agent-1"], lambda: self.pause("agent-1", self.leases_ended))
+        else:
+            self.disturbed(["entry-1"], lambda: self.pause("entry-1", self.entry_gone))
+
+    def kill_and_start(self, names: list[str]) -> None:
+        for name in names:
+            self.drive.kill(name)
+        for name in names:
+            self.deployment.start_process(name)
+        for name in names:
+            self.deployment.wait_listening(name)
+
+    def wait_ended(self, count: int) -> None:
+        wait_until(
+            "some tasks end",
+            lambda: sum(run.ended is not None for run in self.runs(self.current)) >= count,
+        )
+
+    def leases_ended(self) -> bool:
+        runs = [run for run in self.runs(self.current) if run.worker == "worker-1"]
+        return all(run.ended is not None for run in runs)
+
+    def entry_gone(self) -> bool:
+        answers = self.drive.entry_answers("/v1/status")
+        return any(answer.error is None and answer.value["shards"] == 16 for answer in answers)
+
+    def pause(self, name: str, until: Callable[[], bool]) -> None:
+        self.deployment.pause(name)
+        try:
+            wait_until(f"{name} has been paused for long enough", until)
+        finally:
+            self.deployment.resume(name)
+
+    def silence(self) -> None:
+        names = [f"agent-{host}" for host in self.deployment.host_names()]
+
+        def act() -> None:
+            held = [relay.hold() for relay in self.deployment.relays.values()]
+            assert sum(held) >= SMALL.hosts * SMALL.entries, held
+
+        self.disturbed(names, act)
+
+    def restart_everything(self) -> None:
+        names = [name for name in self.deployment.processes if name.startswith(("entry", "agent"))]
+
+        def act() -> None:
+            self.deployment.faults("store", down=True)
+            self.kill_and_start(names)
+            wait_until("tasks lose their leases or end", lambda: self.all_ended())
+            self.deployment.faults("store", down=False)
+            for name in names:
+                self.deployment.wait_ready(name)
+
+        self.disturbed(names, act)
+
+    def all_ended(self) -> bool:
+        return all(run.ended is not None for run in self.runs(self.current))
+
+    # Bookings.
+
+    def book(self, fault: str) -> None:
+        self.number += 1
+        self.key = f"booking-{self.number}-{time.time()}"
+        first = self.drive.call_later(1, self.drive.keyed_class(), self.key, 1500)
+        path = wait_until("the booking runs", self.booking_run).path
+        host = next(run.backend for run in self.drive.read_requests() if run.path == path)
+        agent = host.replace("backend", "agent")
+        if fault == "a kill of its entry":
+            self.disturbed(["entry-1"], lambda: self.drive.kill("entry-1"))
+        elif fault == "silence on all connections":
+            self.silence()
+        else:
+            self.disturbed([agent], lambda: self.kill_and_start([agent]))
+        self.calls = [first]
+
+    def booking_run(self) -> Any:
+        return next((run for run in self.drive.read_requests() if run.key == self.key), None)
+
+    def book_again(self) -> None:
+        self.booking = self.drive.call(2, self.drive.keyed_class(), self.key, 1500)
+
+    # Take-outs.
+
+    def stream(self) -> None:
+        """Submit short one-task jobs for a data centre until healed."""
+        self.streaming.set()
+
+        def submit() -> None:
+            while self.streaming.is_set():
+                with suppress(ApricotpathError):
+                    self.job(1, 0.2, data_centres=[SMALL.data_centres[0]])
+                time.sleep(STREAM_INTERVAL_S)
+
+        Thread(target=submit, daemon=True).start()
+        wait_until("tasks start", lambda: len(self.starts(time.time() - 60)) >= 3)
+
+    def starts(self, since: float) -> list[float]:
+        centre = SMALL.data_centres[0]
+        tasks = self.drive.collect().tasks
+        return [run.started for run in tasks if run.data_centre == centre and run.started > since]
+
+    def take_out(self, fault: str) -> None:
+        centre = SMALL.data_centres[0]
+        store_out, paused = "store out" in fault, "entry paused" in fault
+        since = time.time()
+        if store_out:
+            self.deployment.faults("store", down=True)
+        if paused:
+            self.deployment.pause("entry-2")
+        taken = time.time()
+        if "racing" in fault:
+            self.race_bring_back(centre)
+            taken = time.time()
+        self.code = self.drive.change(centre, "out", 0.0)
+        self.accepted = time.time()
+        # Waits beyond the bound, so that a late start would be seen.
+        time.sleep(OUT_BOUND_S + 2.0)
+        self.taken, self.watched_until = taken, time.time()
+        self.deployment.faults("store", down=False)
+        self.deployment.resume("entry-2")
+        self.drive.disturb("entry-2", since)
+        self.drive.seen.outs.append(Period(centre, self.accepted + OUT_BOUND_S, self.watched_until))
+        self.before = [at for at in self.starts(since - 5) if at < self.accepted]
+        wait_until("the data centre is back", lambda: self.bring_back(centre))
+
+    def race_bring_back(self, centre: str) -> None:
+        def attempt(state: str) -> None:
+            with suppress(ApricotpathError):
+                self.drive.change(centre, state, 0.0)
+
+        with ThreadPoolExecutor(4) as pool:
+            list(pool.map(attempt, ["out", "in", "out", "in"]))
+
+    def bring_back(self, centre: str) -> bool:
+        with suppress(ApricotpathError):
+            return self.drive.change(centre, "in", 2.0) in (0, 3)
+        return False
+
+    # Shutdown.
+
+    def shut_down(self, process: str) -> None:
+        name = "entry-1" if process == "an entry" else "agent-1"
+        cls = self.drive.idempotent_class()
+        before = {run.path for run in self.drive.read_requests()}
+        self.calls = [self.drive.call_later(1, cls, "", 2500, 300_000) for _ in range(12)]
+        wait_until(
+            "all requests run",
+            lambda: len({run.path for run in self.drive.read_requests()} - before) == 12,
+        )
+        since = time.time()
+        served = Event()
+
+        def keep_calling() -> None:
+            while not served.wait(0.1):
+                self.drive.call(2, cls)
+
+        caller = Thread(target=keep_calling)
+        caller.start()
+        try:
+            assert self.deployment.terminate(name) == 0
+        finally:
+            served.set()
+            caller.join()
+        if name == "agent-1":
+            self.drive.seen.leaves.append(Period("backend-1", since, time.time()))
+        self.drive.disturb(name, since)
+
+    # Bundles.
+
+    def race_bundles(self) -> None:
+        self.version += 1
+        with ThreadPoolExecutor(2) as pool:
+            self.codes = list(pool.map(self.apply, ("a", "b")))
+        self.applied = time.time()
+
+    def apply(self, who: str, **changes: Any) -> int:
+        rules = bundle_of(SMALL, self.version) | changes
+        rules["teams"][SMALL.teams[0]]["rate_per_s"] = 900.0 + (who == "a")
+        path = self.deployment.folder / f"bundle-{self.version}-{who}"
+        return apply_bundle(self.drive, rules, path)
+
+    def check_race(self) -> None:
+        assert sorted(self.codes) == [0, 1], self.codes
+        self.drive.seen.in_force.append((self.version, self.applied))
+        left = self.applied + 5.0 - time.time()
+        count = SMALL.entries + SMALL.hosts
+        wait_until(
+            "all processes show the version",
+            lambda: [*self.drive.versions().values()] == [self.version] * count,
+            left,
+        )
+        envelopes = {str(answer.value) for answer in self.drive.entry_answers("/v1/bundle")}
+        assert len(envelopes) == 1, envelopes
+
+    def quiet(self) -> None:
+        begin = next_minute(QUIET_AHEAD_S)
+        self.version += 1
+        assert self.apply("a", quiet_hours=[quiet_rule(begin, SMALL)]) == 0
+        self.ban = Ban(
+            SMALL.data_centres[0],
+            SMALL.activities[0],
+            begin.timestamp(),
+            (begin + timedelta(minutes=30)).timestamp(),
+        )
+        self.drive.seen.bans.append(self.ban)
+        self.start_job(6, 120.0)
+        time.sleep(max(0.0, begin.timestamp() + 5.0 - time.time()))
+
+    def check_quiet(self) -> None:
+        runs = [run for run in self.runs(self.current) if run.data_centre == SMALL.data_centres[0]]
+        assert runs, "no task ran in the data centre before the quiet hours"
+        assert {run.outcome for run in runs} <= {"evicted"}, runs
+        self.drive.cancel(self.current)
+        self.version += 1
+        assert self.apply("a") == 0
+        self.drive.seen.bans.remove(self.ban)
+
+    def violations(self) -> dict[str, Any]:
+        return {row: found for row, found in judge(self.drive.collect()).items() if found}
+
+
+@given("running processes")
+def step_running(context):
+    context.processes = RunningProcesses.get()
+    context.add_cleanup(context.processes.streaming.clear)
+
+
+@given("running processes with a job of {tasks:d} tasks that run for {seconds:g} seconds")
+def step_running_job(context, tasks, seconds):
+    context.processes = RunningProcesses.get()
+    context.processes.start_job(tasks, seconds)
+
+
+@given("running processes with a stream of jobs")
+def step_running_stream(context):
+    context.processes = RunningProcesses.get()
+    context.add_cleanup(context.processes.streaming.clear)
+    context.processes.stream()
+
+
+@when("the processes suffer {fault}")
+def step_suffer(context, fault):
+    context.processes.suffer(fault)
+
+
+@then("the processes' job finishes")
+def step_job_finishes(context):
+    context.processes.deployment.faults("store", **HEALED_STORE)
+    assert context.processes.drive.wait_job(context.processes.current) == "finished"
+
+
+@then("the processes' records show no violation")
+def step_no_violation(context):
+    found = context.processes.violations()
+    assert not found, found
+
+
+@when("a booking is in flight at the processes and {fault} comes")
+def step_book(context, fault):
+    context.processes.book(fault)
+
+
+@when("the booking is sent again to the processes through another entry")
+def step_book_again(context):
+    context.processes.book_again()
+
+
+@then("the processes answered it as {outcome}")
+def step_booking_outcome(context, outcome):
+    assert context.processes.booking.outcome == outcome, context.processes.booking
+
+
+@then("the processes' backend servers recorded the booking once")
+def step_booked_once(context):
+    processes = context.processes
+    runs = [run for run in processes.drive.read_requests() if run.key == processes.key]
+    assert len(runs) == 1, runs
+
+
+@when("a data centre of the processes is taken out with {fault}")
+def step_take_out(context, fault):
+    context.processes.take_out(fault)
+
+
+@then("nothing starts there at the processes' workers after 5 seconds")
+def step_no_starts(context):
+    processes = context.processes
+    assert processes.before, "nothing had started there before the take-out"
+    late = [
+        at
+        for at in processes.starts(processes.accepted + OUT_BOUND_S)
+        if at < processes.watched_until
+    ]
+    assert not late, [at - processes.accepted for at in late]
+
+
+@when("{process} of the processes shuts down with 12 long answers in flight")
+def step_shut_down(context, process):
+    context.processes.shut_down(process)
+
+
+@then("the processes answered all of them")
+def step_all_answered(context):
+    calls = [future.result() for future in context.processes.calls]
+    assert all(call.outcome == "answered" and call.status == 200 for call in calls), calls
+
+
+@when("two operators apply different bundles of one version to the processes")
+def step_race_bundles(context):
+    context.processes.race_bundles()
+
+
+@then("one of them is told that it was accepted and all processes show it within 5 seconds")
+def step_check_race(context):
+    context.processes.check_race()
+
+
+@when("quiet hours begin at the processes while a long job runs in two data centres")
+def step_quiet(context):
+    context.processes.quiet()
+
+
+@then("the processes' workers have none of it in the quiet data centre when they begin")
+def step_check_quiet(context):
+    context.processes.check_quiet()
+
+
+@when("processes go through a mixed run of {seconds:g} seconds with seed {seed:d}")
+def step_mixed_run(context, seconds, seed):
+    with tempfile.TemporaryDirectory() as folder:
+        context.processes_run = run("small", seed, seconds, Path(folder))
+
+
+@then("every row of the processes' mixed run holds")
+def step_mixed_rows(context):
+    chaos = context.processes_run
+    assert not chaos.problems, (chaos.problems, chaos.log)
