Let batch tasks slow the requests of their host in the stand-ins

The worker stand-in posts its running activities to the backend server stand-in beside it, which multiplies its service times by them.

--- a/packages/bench/src/apricotpath_bench/backendstandin.py
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -64,7 +64,9 @@
     """ASGI app; `slots` requests are served at a time and the others wait.
 
     A request beyond `connections` is answered with 503 and counted in
-    `overrun`: the agent beside it must never send one.
+    `overrun`: the agent beside it must never send one. `noise` is the
+    slowdown that one task of an activity on the same host adds, and
+    `delay_s` the round trip between data centres, spent outside the slots.
     """
 
     def __init__(
@@ -74,6 +76,9 @@
         self.slots = slots
         self.connections = connections
         self.record = record
+        self.noise: dict[str, float] = {}
+        self.delay_s = 0.0
+        self.neighbours: dict[str, float] = {}
         self.faults = Faults()
         self.runs: list[Run] = []
         self.present = 0
@@ -93,6 +98,8 @@
                 await self._set_faults(body, send)
             elif scope["path"] == "/record" and scope["method"] == "GET":
                 await _send_json(send, 200, self.summary())
+            elif scope["path"] == "/neighbours" and scope["method"] == "POST":
+                await self._set_neighbours(body, send)
             else:
                 await self._serve(scope, len(body), send)
 
@@ -106,6 +113,20 @@
             "overrun": self.overrun,
         }
 
+    def slowdown(self) -> float:
+        """Return the factor on service times from faults and the tasks on this host."""
+        added = sum(self.noise.get(name, 0.0) * n for name, n in self.neighbours.items())
+        return self.faults.slow * (1.0 + added)
+
+    async def _set_neighbours(self, body: bytes, send: Send) -> None:
+        """Take the tasks that run on this host: activity to number, weighted by throttle."""
+        try:
+            self.neighbours = {str(name): float(n) for name, n in json.loads(body).items()}
+        except (ValueError, TypeError, AttributeError) as exc:
+            await _send_json(send, 400, {"error": f"The neighbours are not valid: {exc}."})
+            return
+        await _send_json(send, 200, self.neighbours)
+
     async def _set_faults(self, body: bytes, send: Send) -> None:
         known = {item.name for item in fields(Faults)}
         try:
@@ -132,6 +153,8 @@
         if self._slots is None:
             self._slots = anyio.Semaphore(self.slots)
         try:
+            if self.delay_s:
+                await anyio.sleep(self.delay_s)
             async with self._slots:
                 run = Run(request, key, scope["path"], anyio.current_time(), body_bytes)
                 self.runs.append(run)
@@ -155,7 +178,7 @@
         if faults.hang:
             await anyio.sleep(HANG_S)
         if work_ms:
-            await anyio.sleep(work_ms / 1000 * faults.slow)
+            await anyio.sleep(work_ms / 1000 * self.slowdown())
         if faults.fail_all:
             run.status = 500
             await _send_json(send, 500, {"error": "The backend server fails everything."})
@@ -217,6 +240,7 @@
 
 async def _main(args: argparse.Namespace) -> None:
     app = BackendApp(args.service, args.slots, args.connections, args.record)
+    app.noise, app.delay_s = args.noise, args.delay_ms / 1000.0
     ended = anyio.Event()
 
     async def watch_signals() -> None:
@@ -239,6 +263,8 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--connections", type=int, default=64)
     parser.add_argument("--record", type=Path, help="append each run to this file as a JSON line")
+    parser.add_argument("--noise", type=json.loads, default={}, help="JSON: activity -> slowdown")
+    parser.add_argument("--delay-ms", type=float, default=0.0, help="round trip to the entry")
     anyio.run(_main, parser.parse_args())
 
 
--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -52,12 +52,17 @@
 class Deployment:
     """Store, workers, backend servers, entries and agents of one shape in a folder.
 
-    `policy` overrides settings of `PolicySettings` in all processes.
+    `policy` overrides settings of `PolicySettings` in all processes, and
+    `overrides` whole settings by kind of process, `entry` or `agent`. `noise`
+    is the slowdown that one batch task of an activity adds to the requests of
+    the backend server on its host.
     """
 
     shape: Shape
     folder: Path
     policy: dict[str, Any] = field(default_factory=dict)
+    overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
+    noise: dict[str, float] = field(default_factory=dict)
     processes: dict[str, Launched] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
 
@@ -222,9 +227,13 @@
         if kind == "worker":
             size = ["--cpu-milli", str(self.shape.cores * 1000)]
             size += ["--memory-mb", str(self.shape.memory_gb * MB_PER_GB), "--accelerators", "0"]
+            size += ["--neighbour", self.url(name.replace("worker", "backend"))]
             return [*python, "apricotpath_bench.workerstandin", *address, *size], name
         slots = ["--service", self.shape.service, "--slots", str(self.shape.slots)]
         slots += ["--connections", str(self.shape.connections)]
+        slots += ["--noise", json.dumps(self.noise)]
+        # Entry and backend server are taken to be in different data centres.
+        slots += ["--delay-ms", str(2 * self.shape.dc_delay_ms)]
         return [*python, "apricotpath_bench.backendstandin", *address, *slots], name
 
     def _write_settings(self) -> None:
@@ -237,6 +246,7 @@
 
     def _write(self, name: str, settings: dict[str, Any]) -> None:
         path = self.folder / f"{name}.json"
+        settings = settings | self.overrides.get(name.partition("-")[0], {})
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
 
     def _address(self, name: str) -> dict[str, Any]:
--- a/packages/bench/src/apricotpath_bench/workerstandin.py
+++ b/packages/bench/src/apricotpath_bench/workerstandin.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+import httpx
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
@@ -396,6 +397,13 @@
         seen = [rows for at, rows in self._usage if at <= limit]
         return seen[-1] if seen else {}
 
+    def activities(self) -> dict[str, float]:
+        """Return the running tasks by activity, each weighted by its throttle share."""
+        found: dict[str, float] = {}
+        for run in self._live():
+            found[run.order.activity] = found.get(run.order.activity, 0.0) + run.share
+        return found
+
     def describe(self, run: Run) -> dict[str, Any]:
         """Return one attempt as the record shows it; unix times in seconds."""
         ended = None if run.live else run.ended_ms
@@ -404,6 +412,8 @@
             "attempt": run.order.attempt,
             "team": run.order.team,
             "activity": run.order.activity,
+            "run_time_s": run.order.run_time_s,
+            "cpu_milli": run.order.size.cpu_milli,
             "start_ms": run.started_ms,
             "end_ms": ended,
             "started_at": self._unix_origin + run.started_ms / 1000.0,
@@ -541,7 +551,22 @@
             return
 
 
-async def run(host: str, port: int, cfg: StandInSettings) -> None:
+async def tell_neighbour(model: WorkerModel, url: str) -> None:
+    """Post the running activities to the host's backend server stand-in when they change."""
+    told: dict[str, float] | None = None
+    async with httpx.AsyncClient(timeout=1.0, trust_env=False) as client:
+        while True:
+            current = model.activities()
+            if current != told:
+                try:
+                    await client.post(f"{url}/neighbours", json=current)
+                    told = current
+                except httpx.HTTPError:
+                    told = None
+            await anyio.sleep(SYNC_S)
+
+
+async def run(host: str, port: int, cfg: StandInSettings, neighbour: str = "") -> None:
     """Serve a stand-in worker until SIGTERM or SIGINT."""
     model = WorkerModel(cfg, time.monotonic)
     config = Config()
@@ -563,6 +588,8 @@
     async with anyio.create_task_group() as group:
         group.start_soon(watch_signals)
         group.start_soon(keep_current)
+        if neighbour:
+            group.start_soon(tell_neighbour, model, neighbour)
         app: Any = WorkerApp(model)
         await serve(app, config, shutdown_trigger=stop.wait)
         group.cancel_scope.cancel()
@@ -579,10 +606,11 @@
     parser.add_argument("--slowdown", type=json.loads, default={}, help="JSON: a -> b -> factor")
     parser.add_argument("--usage-lag-s", type=float, default=1.0)
     parser.add_argument("--record", type=Path, help="file that gets one JSON line per start or end")
+    parser.add_argument("--neighbour", default="", help="URL of the host's backend server")
     args = parser.parse_args(argv)
     size = Size(args.cpu_milli, args.memory_mb, args.accelerators)
     cfg = StandInSettings(size, args.slowdown, args.usage_lag_s, record=args.record)
-    anyio.run(partial(run, args.host, args.port, cfg), backend="asyncio")
+    anyio.run(partial(run, args.host, args.port, cfg, args.neighbour), backend="asyncio")
 
 
 if __name__ == "__main__":
