--- a/packages/bench/src/apricotpath_bench/measure.py
+++ b/packages/bench/src/apricotpath_bench/measure.py
@@ -137,7 +137,9 @@
     return total
 
 
-def change_cost(before: float, out: float, after: float, times: tuple[float, ...], share: float) -> float:
+def change_cost(
+    before: float, out: float, after: float, times: tuple[float, ...], share: float
+) -> float:
     """Return the part of the work lost while a data centre left and returned, beyond its share.
 
     `before`, `out` and `after` are core seconds done in the three spans of
