Count a refused connection of a backend server as its failure

Cause: a refusal by an agent left the routing measurements untouched. A backend server that is down refuses at once, so it had the least load and latency, drew most requests and used up the retry budget. Other refusals say nothing about the backend server and are left alone. Remains: requests with a key go to the home of the key, which is not re-chosen while its backend server is down.

The load tool gives each phase its own idempotency keys; with the same keys a phase received the kept answers of an earlier one.

--- a/packages/bench/src/apricotpath_bench/arrivals.py
+++ b/packages/bench/src/apricotpath_bench/arrivals.py
@@ -20,12 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """How many requests arrive: `rate` per second on average outside bursts."""
+    """How many requests arrive: `rate` per second on average outside bursts.
+
+    `label` is part of the idempotency keys. Without it two phases of a run would
+    send the same keys, and the second would get the kept answers of the first.
+    """
 
     seed: int
     seconds: float
     rate: float
     bursts: tuple[Burst, ...] = ()
+    label: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +101,7 @@
         if rng.random() * highest >= _factor(plan, at):
             continue
         number += 1
-        key = "" if cls.idempotent else f"{plan.seed}-{cls.name}-{team}-{number}"
+        key = "" if cls.idempotent else f"{plan.label}-{plan.seed}-{cls.name}-{team}-{number}"
         yield Arrival(at, cls.name, team, key, cls.work_ms, cls.deadline_ms)
 
 
--- a/packages/bench/src/apricotpath_bench/load.py
+++ b/packages/bench/src/apricotpath_bench/load.py
@@ -219,7 +219,7 @@
         # The stand-ins have no event to wait for.
         while len(await driver.runs("warm")) < len(shape.teams):  # noqa: ASYNC110
             await anyio.sleep(POLL_S)
-    plan = LoadPlan(driver.cfg.seed, WARM_REQUESTS_S, driver.cfg.rate)
+    plan = LoadPlan(driver.cfg.seed, WARM_REQUESTS_S, driver.cfg.rate, label=phase.name)
     await driver.requests(phase, request_arrivals(shape, plan))
 
 
@@ -242,7 +242,7 @@
         ),
     ]
     burst = Burst(seconds * 0.5, seconds * 0.6, 1.5)
-    plan = LoadPlan(cfg.seed, seconds, cfg.rate, (burst,))
+    plan = LoadPlan(cfg.seed, seconds, cfg.rate, (burst,), phase.name)
     async with anyio.create_task_group() as group:
         group.start_soon(driver.jobs, phase, job_arrivals(shape, mixes, cfg.seed))
         await driver.requests(phase, request_arrivals(shape, plan))
@@ -289,7 +289,7 @@
             *(0.0, seconds * 0.1),
         )
     ]
-    plan = LoadPlan(cfg.seed, seconds, cfg.rate)
+    plan = LoadPlan(cfg.seed, seconds, cfg.rate, label=phase.name)
     # Times are set before the run, so that both sides are measured over the same spans.
     marks = [seconds * share for share in (0.2, 0.45, 0.7, 1.0)]
     origin, unix = anyio.current_time(), time.time()
@@ -334,7 +334,7 @@
         else:
             fail = partial(driver.deployment.faults, name, fail_all=True)
             await anyio.to_thread.run_sync(fail)
-    arrivals = request_arrivals(shape, LoadPlan(cfg.seed, seconds, cfg.rate))
+    arrivals = request_arrivals(shape, LoadPlan(cfg.seed, seconds, cfg.rate, label=phase.name))
     await driver.requests(phase, arrivals)
     records = await driver.records("backend")
     phase.values = {"sends": sends_per_arrival(records, "/half-failed", len(arrivals))}
--- a/packages/core/src/apricotpath/routing.py
+++ b/packages/core/src/apricotpath/routing.py
@@ -7,6 +7,8 @@
 from apricotpath.config import RequestSettings
 from apricotpath.ids import ProcessId
 
+# Reason of an agent's refusal when its backend server is down.
+BACKEND_DOWN = "the backend server does not accept connections"
 LATENCY_WEIGHT = 0.1
 # Ratios of latency beyond this say more about outliers than about load.
 MAX_SLOWNESS = 8.0
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -35,6 +35,7 @@
     Settled,
 )
 from apricotpath.model import Maturity, Settlement
+from apricotpath.routing import BACKEND_DOWN
 from apricotpath.servicerules import RequestRules
 from apricotpath.settle import Answer, KeyTable, RequestTable, StartVerdict, maturity
 
@@ -400,7 +401,7 @@
                 self._pressure.add(job.start.request_class, now - started, now)
         except (HttpConnectError, HttpConnectTimeout):
             self.table.unsent(request)
-            self._refuse(request, job.link, "the backend server does not accept connections")
+            self._refuse(request, job.link, BACKEND_DOWN)
             return
         except HTTPError as exc:
             reason = f"the backend server's answer is not whole: {exc or type(exc).__name__}"
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -49,7 +49,7 @@
 from apricotpath.metrics import Metrics
 from apricotpath.model import Maturity, Settlement
 from apricotpath.retry import RetryBudget, may_retry
-from apricotpath.routing import Candidate, RoutingTable, choose
+from apricotpath.routing import BACKEND_DOWN, Candidate, RoutingTable, choose
 from apricotpath.servicerules import ClassRules, RequestRules
 from apricotpath.settle import request_id
 from apricotpathd.hosts import HostRow, HostTable
@@ -222,6 +222,10 @@
     refusal: Refusal | None = None
 
 
+def _is_down(attempt: Attempt) -> bool:
+    return attempt.refused is not None and attempt.refused.reason == BACKEND_DOWN
+
+
 class Exchange:
     """Component that carries callers' requests to agents and the answers back."""
 
@@ -392,7 +396,9 @@
         now = anyio.current_time()
         if attempt is not None and attempt.started and not attempt.failed:
             self.routing.finished(process, now - started, attempt.status < 500, now)
-        elif attempt is not None and (attempt.failed or attempt.timed_out):
+        elif attempt is not None and (attempt.failed or attempt.timed_out or _is_down(attempt)):
+            # A backend server that is down refuses faster than others answer. If this did
+            # not count as a failure, it would have the least load and get most requests.
             self.routing.finished(process, None, False, now)
         else:
             self.routing.released(process)
--- a/tests/features/exchange.feature
+++ b/tests/features/exchange.feature
@@ -150,3 +150,9 @@
       | views                                  | protection    |
       | each reaches only one place            | the majority  |
       | the second does not see the home       | the tombstone |
+
+  Scenario: a backend server that is down does not attract requests by refusing fast
+    Given a deployment with agents: 4, entries: 1, seed: 3
+    And the backend server of an exchange agent is down
+    When 200 idempotent exchange requests of 20 ms come one after the other
+    Then the exchange sent at most 8 requests to the backend server that is down
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -422,3 +422,39 @@
 @then("some interleaving runs the key twice")
 def _(context: Any) -> None:
     assert any("ran twice" in text for text in context.explorer.broken)
+
+
+@given("the backend server of an exchange agent is down")
+def _(context: Any) -> None:
+    context.exchange.net.down.add("agent2")
+
+
+@when("{count:d} idempotent exchange requests of {work:d} ms come one after the other")
+def _(context: Any, count: int, work: int) -> None:
+    subject = context.exchange
+    subject.refused = 0
+
+    async def act(net: Net) -> None:
+        entry = net.entries["entry1"]
+        received = entry.component.received
+
+        async def count_refusals(link: Any, envelope: Any) -> None:
+            subject.refused += isinstance(envelope.body, RequestRefused)
+            await received(link, envelope)
+
+        entry.component.received = count_refusals
+        for _number in range(count):
+            subject.replies.append(await net.answer(work_ms=work))
+
+    subject.play(act)
+
+
+@then("the exchange sent at most {count:d} requests to the backend server that is down")
+def _(context: Any, count: int) -> None:
+    subject = context.exchange
+    assert 0 < subject.refused <= count, subject.refused
+    # Until the ejection the retry budget may be spent; each such request was refused.
+    not_run = [reply for reply in subject.replies if reply.outcome == "not-run"]
+    answered = [reply for reply in subject.replies if reply.outcome == "answered"]
+    assert len(not_run) <= subject.refused
+    assert len(answered) + len(not_run) == len(subject.replies)
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -9,7 +9,7 @@
 import anyio
 import trio.testing
 from anyio.abc import ByteStream
-from httpx import ASGITransport, AsyncClient
+from httpx import ASGITransport, AsyncClient, ConnectError, MockTransport, Request, Response
 
 from apricotpath.config import (
     Address,
@@ -143,6 +143,10 @@
             link.close("the process was killed")
 
 
+def refuse_connection(_: Request) -> Response:
+    raise ConnectError("connection refused")
+
+
 class AgentNode(Node):
     """An agent with its backend server, which outlives the agent's incarnations."""
 
@@ -159,6 +163,8 @@
     def _client(self, cfg: BackendSettings) -> AsyncClient:
         if self.name in self.net.urls:
             return http_client(cfg)
+        if self.name in self.net.down:
+            return AsyncClient(transport=MockTransport(refuse_connection))
         return AsyncClient(transport=ASGITransport(self.backend))
 
     async def opened(self, link: Link) -> None:
@@ -229,6 +235,8 @@
         self.maturity: dict[str, Maturity] = {}
         # Backend servers that are reached over TCP; the others are called in memory.
         self.urls: dict[str, str] = {}
+        # Agents whose backend server accepts no connection.
+        self.down: set[str] = set()
         self.agents: dict[str, AgentNode] = {}
         self.entries: dict[str, EntryNode] = {}
         self.streams: dict[tuple[str, str], tuple[MemoryStream, MemoryStream]] = {}
