--- a/packages/bench/src/apricotpath_bench/report.py
+++ b/packages/bench/src/apricotpath_bench/report.py
@@ -197,7 +197,8 @@
         axes = fig.add_subplot(1, len(names) + 1, at)
         for side, style in (("system", "-o"), ("baseline", "--x")):
             curve = result[side].get(name, {}).get("curve", [])
-            axes.plot([f"{p:g}" for p, _ in curve], [ms for _, ms in curve], style, label=side)
+            axes.plot(range(len(curve)), [ms for _, ms in curve], style, label=side)
+            axes.set_xticks(range(len(curve)), [f"{p:g}" for p, _ in curve])
         axes.set(title=name, xlabel="percentile", ylabel="latency, ms", yscale="log")
         axes.legend()
     axes = fig.add_subplot(1, len(names) + 1, len(names) + 1)
