Throttle and avoid only what is noisy; measure eviction losses in their window

Change: only tasks that add at least 0.05 and a quarter of the worst one are throttled or moved (all while nothing is learned); known harmless work may start on a host under pressure.

--- a/packages/bench/src/apricotpath_bench/quotareplay.py
+++ b/packages/bench/src/apricotpath_bench/quotareplay.py
@@ -59,7 +59,7 @@
     messages = starts = at = step = 0
     end = arrivals[-1][0] + LONGEST_S
     while step * STEP_S < end and (
-        at < len(arrivals) or sum(waiting.values()) or sum(exact_waiting.values())
+        at < len(arrivals) or any(waiting.values()) or any(exact_waiting.values())
     ):
         now = step * STEP_S
         step += 1
--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -76,7 +76,7 @@
     digest: str
     decisions: int
     work: float
-    wasted: float
+    wasted: tuple[tuple[float, float], ...]
     evictions: int
     urgent_start_s: float
     arrivals: tuple[float, ...]
@@ -84,6 +84,10 @@
     samples: tuple[tuple[float, float], ...]
     ended: Mapping[str, int]
 
+    def lost(self, begin: float, end: float) -> float:
+        """Return the core seconds wasted in a window."""
+        return sum(work for at, work in self.wasted if begin <= at < end)
+
     def latency_s(self, share: float, begin: float, end: float) -> float:
         """Return the latency that a share of the requests arrived in a window stays below."""
         found = sorted(latency for at, latency in self.samples if begin <= at < end)
@@ -229,7 +233,7 @@
             self._digest.hexdigest()[:16],
             self._decisions,
             self.model.useful_work(),
-            totals.wasted,
+            tuple(totals.wasted),
             totals.evictions,
             max(self._urgent, default=0.0),
             tuple(requests.arrivals),
@@ -387,9 +391,10 @@
     metrics = {"urgent.start_s": policy.urgent_start_s}
     metrics |= _placement(policy, others["placement"], settings)
     metrics |= _sends(policy, others, settings)
-    metrics["eviction.wasted"] = policy.wasted
-    metrics["eviction.baseline_wasted"] = others["eviction"].wasted
-    metrics["eviction.wasted_ratio"] = _ratio(policy.wasted, others["eviction"].wasted)
+    window = settings.get("urgent_from", 0.0), settings.get("urgent_to", 1e9)
+    mine, other = policy.lost(*window), others["eviction"].lost(*window)
+    metrics["eviction.wasted"], metrics["eviction.baseline_wasted"] = mine, other
+    metrics["eviction.wasted_ratio"] = _ratio(mine, other)
     if settings.get("out_share"):
         lost = _ratio(others["stay"].work - policy.work, others["stay"].work)
         metrics["data_centre.lost_share"] = lost
--- a/packages/core/src/apricotpath/interference.py
+++ b/packages/core/src/apricotpath/interference.py
@@ -25,6 +25,10 @@
 STEP_S = 5.0
 MOVE_PAUSE_S = 30.0
 THROTTLE_STEPS = (0.5, 0.25)
+# A task that adds less to the slowdown is not worth throttling, nor is one that adds
+# less than this part of what the worst task on the host adds.
+HARMLESS = 0.05
+NOISY_PART = 0.25
 
 
 @dataclass(slots=True)
@@ -186,8 +190,9 @@
     now: float,
 ) -> Action | None:
     reason = f"requests of {service} take {pressure:.2f} times their usual time"
+    noisy = _noisy(service, tasks, estimates)
     for share in THROTTLE_STEPS:
-        open_tasks = [task for task in tasks if task.share > share]
+        open_tasks = [task for task in noisy if task.share > share]
         if open_tasks:
             row.acted_at = now
             worst = max(open_tasks, key=lambda t: estimates.added(service, {}, t.activity))
@@ -195,5 +200,11 @@
     if now - row.moved_at < MOVE_PAUSE_S:
         return None
     row.acted_at = row.moved_at = now
-    noisy = [t for t in tasks if estimates.added(service, {}, t.activity) > 0.0] or tasks
     return Action(Step.MOVE, min(noisy, key=lambda t: t.lost_work).task, 0.0, reason)
+
+
+def _noisy(service: ServiceId, tasks: list[Guarded], estimates: Estimates) -> list[Guarded]:
+    """Return the tasks whose throttling would help; all of them while nothing is learned."""
+    added = {task.task: estimates.added(service, {}, task.activity) for task in tasks}
+    least = max(HARMLESS, NOISY_PART * max(added.values()))
+    return [task for task in tasks if added[task.task] >= least] or tasks
--- a/packages/core/src/apricotpath/placement.py
+++ b/packages/core/src/apricotpath/placement.py
@@ -140,7 +140,7 @@
     index: HostIndex
     rules: Rules
     estimates: Estimates
-    usable: Callable[[ProcessId, Priority], bool]
+    usable: Callable[[ProcessId, JobSpec], bool]
     taken: Callable[[ProcessId], None]
     admit: Admit
     now_utc: datetime
@@ -293,7 +293,7 @@
             free = host.free
             if free.memory_mb < size.memory_mb or free.accelerators < size.accelerators:
                 continue
-            if not self.usable(host.process, spec.priority):
+            if not self.usable(host.process, spec):
                 continue
             slowdown = self._slowdown(spec, host)
             if slowdown > HARD_SLOWDOWN and spec.priority is not Priority.URGENT:
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -10,6 +10,7 @@
 from apricotpath.eviction import Victim, choose_victims, lost_work
 from apricotpath.ids import DataCentreId, JobId, ProcessId, TaskId, TeamId
 from apricotpath.interference import (
+    HARMLESS,
     HIGH_PRESSURE,
     MOVE_PAUSE_S,
     Guarded,
@@ -141,16 +142,23 @@
             mode=state.mode,
         )
 
-    def _usable(self, now: float, process: ProcessId, priority: Priority) -> bool:
-        """Tell whether a host is healthy, not under pressure and not being cleared."""
+    def _usable(self, now: float, process: ProcessId, spec: JobSpec) -> bool:
+        """Tell whether a host is healthy, not being cleared and not under pressure.
+
+        Work that is known to be harmless may start on a host under pressure.
+        """
         if not self.state.health.usable(process, now):
             return False
-        if priority is not Priority.URGENT and process in self._cleared:
+        if spec.priority is not Priority.URGENT and process in self._cleared:
             return False
         row = self.state.guards.get(process)
         if row is None:
             return True
-        return row.high_since is None and now - row.moved_at >= MOVE_PAUSE_S
+        if row.high_since is None and now - row.moved_at >= MOVE_PAUSE_S:
+            return True
+        service = self.state.hosts.rows[process].announce.service
+        added = self.state.estimates.single.get((service, spec.activity))
+        return added is not None and added < HARMLESS
 
     def _assign(self, shard: Shard, placements: list[Placement], now: float) -> None:
         records, runs = [], []
