Prefer eviction of tasks whose checkpoints are known to be written; trace commands

Change: the owner counts per activity whether evictions wrote a checkpoint and weighs the loss by it.

--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -76,6 +76,7 @@
     digest: str
     decisions: int
     work: float
+    work_at: tuple[float, ...]
     wasted: tuple[tuple[float, float], ...]
     evictions: int
     urgent_start_s: float
@@ -84,6 +85,11 @@
     samples: tuple[tuple[float, float], ...]
     ended: Mapping[str, int]
 
+    def work_in(self, begin: float, end: float) -> float:
+        """Return the core seconds of work done in a window, less what was lost in it."""
+        last = len(self.work_at) - 1
+        return self.work_at[min(int(end), last)] - self.work_at[min(int(begin), last)]
+
     def lost(self, begin: float, end: float) -> float:
         """Return the core seconds wasted in a window."""
         return sum(work for at, work in self.wasted if begin <= at < end)
@@ -176,6 +182,7 @@
         self._digest = sha256()
         self._decisions = 0
         self._urgent: list[float] = []
+        self._work_at: list[float] = []
         self._key = generate_key()
         self.control = Control((self._key.public_text,))
         self.hosts = HostTable()
@@ -233,6 +240,7 @@
             self._digest.hexdigest()[:16],
             self._decisions,
             self.model.useful_work(),
+            tuple(self._work_at),
             tuple(totals.wasted),
             totals.evictions,
             max(self._urgent, default=0.0),
@@ -246,6 +254,8 @@
         """Do what the owner does in a tick, in the same order."""
         now, tick = self.now, self.state.policy.tick_s
         self.model.step(now)
+        if step % round(1.0 / tick) == 0:
+            self._work_at.append(self.model.useful_work())
         self.requests.run(now)
         self._reports(step)
         if step % round(SCAN_S / tick) == 0:
@@ -414,6 +424,7 @@
         mine, other = policy.latency_s(share, *window), base.latency_s(share, *window)
         found[f"wave.{name}_s"], found[f"wave.baseline_{name}_s"] = mine, other
         found[f"wave.{name}_ratio"] = _ratio(mine, other)
+    found["wave.work_ratio"] = _ratio(policy.work_in(*window), base.work_in(*window))
     found["batch.work_ratio"] = _ratio(policy.work, base.work)
     return found
 
@@ -460,6 +471,16 @@
     outcomes: tuple[Outcome, ...]
 
 
+def report(trace: Trace, outcomes: Iterable[Outcome], seed: int | None = None) -> tuple[str, bool]:
+    """Return the text that compares the decisions, and whether all stated outcomes hold."""
+    result, metrics = compare(trace, seed)
+    lines = [f"digest {result.digest} of {result.decisions} decisions"]
+    lines += [f"{name:34} {value:.4f}" for name, value in metrics.items()]
+    missed = [text for outcome in outcomes if (text := outcome.missed(metrics))]
+    lines += [f"missed: {text}" for text in missed]
+    return "\n".join(lines), not missed
+
+
 def load_outcomes(path: Path) -> tuple[Outcome, ...]:
     """Return the stated outcomes in a file, or raise SettingsError."""
     return build(Outcomes, load_json(path), str(path)).outcomes
--- a/packages/bench/src/apricotpath_bench/tracemaker.py
+++ b/packages/bench/src/apricotpath_bench/tracemaker.py
@@ -39,13 +39,15 @@
 UTC = "2026-06-01T02:00:00+00:00"
 # Phases in seconds: a wave of noisy tasks, urgent work, half of the backend servers
 # without answers, and a data centre that leaves and returns.
-WAVE = (10.0, 50.0)
+WAVE = (20.0, 44.0)
 URGENT = (55.0, 62.0)
 FAILED = (68.0, 78.0)
 OUT = (80.0, 100.0)
 END = 130.0
 REQUESTS_S = 2.0
-REQUESTS_EACH = 160
+REQUESTS_EACH = 120
+# In the wave requests are as many more, so that routing cannot avoid all noisy hosts.
+WAVE_LOAD = 10
 FAIL_S = 0.2
 # Noisy tasks come in this many jobs; a task takes an eighth of a host's processors.
 NOISY_JOBS = 10
@@ -74,7 +76,7 @@
         "fail_to": FAILED[1],
         "out_share": round(away / shape.hosts * (OUT[1] - OUT[0]) / END, 4),
     }
-    source = f"python -m apricotpath_bench.tracemaker --shape {shape.name} --seed {seed}"
+    source = f"python -m apricotpath_bench.tracemaker --shape {shape.name} --seed {seed} OUT"
     header = Header(TRACE_VERSION, shape.name, seed, UTC, source, settings)
     return Trace(header, tuple(events))
 
@@ -137,19 +139,20 @@
         return Timed(round(at, 3), Job(spec, round(rng.uniform(0.6, 2.0), 3)))
 
     for _ in range(NOISY_JOBS):
-        at = rng.uniform(WAVE[0], WAVE[0] + 15.0)
-        yield job(at, noisy, 3, 12.0, Priority.NORMAL)
+        at = rng.uniform(WAVE[0] - 6.0, WAVE[0] + 8.0)
+        yield job(at, noisy, 4, 12.0, Priority.LOW)
     # Enough low work to keep all hosts busy until the end.
     for at in range(1, int(END), 4):
         activity = stiff if at % 8 == 1 else calm
-        yield job(at, activity, 12, rng.uniform(15.0, 30.0), Priority.LOW)
-    for _ in range(4):
+        yield job(at, activity, 10, rng.uniform(15.0, 30.0), Priority.LOW)
+    for _ in range(8):
         at = rng.uniform(*URGENT)
-        yield job(at, calm, 3, 6.0, Priority.URGENT)
+        yield job(at, calm, 4, 6.0, Priority.URGENT)
 
 
 def _requests(shape: Shape) -> Iterator[Timed]:
     for step in range(int(END / REQUESTS_S)):
+        load = WAVE_LOAD if WAVE[0] <= step * REQUESTS_S < WAVE[1] else 1
         for cls in shape.classes:
             yield Timed(
                 step * REQUESTS_S,
@@ -159,7 +162,7 @@
                     TeamId(shape.teams[0]),
                     cls.work_ms / 1000,
                     cls.deadline_ms / 1000,
-                    round(REQUESTS_EACH * cls.share),
+                    round(REQUESTS_EACH * cls.share * load),
                     REQUESTS_S,
                 ),
             )
@@ -199,12 +202,17 @@
         )
         events.append((round(rng.uniform(0.0, 60.0), 3), Job(spec)))
     events.sort(key=lambda item: item[0])
-    source = f"python -m apricotpath_bench.tracemaker --shape teams --seed {seed}"
+    source = f"python -m apricotpath_bench.tracemaker --shape teams --seed {seed} OUT"
     header = Header(TRACE_VERSION, "teams", seed, UTC, source)
     timed = (Timed(0.0, BundleInForce(text)), *(Timed(at, event) for at, event in events))
     return Trace(header, timed)
 
 
+def trace_of(name: str, seed: int) -> Trace:
+    """Return the trace of a shape, or of many teams for `teams`."""
+    return make_teams(seed) if name == "teams" else make_trace(SHAPES[name], seed)
+
+
 def main(argv: list[str] | None = None) -> int:
     """Write a trace and return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m apricotpath_bench.tracemaker")
@@ -212,9 +220,8 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("out", type=Path)
     args = parser.parse_args(argv)
-    trace = make_teams(args.seed) if args.shape == "teams" else None
     try:
-        write_trace(args.out, trace or make_trace(SHAPES[args.shape], args.seed))
+        write_trace(args.out, trace_of(args.shape, args.seed))
     except ApricotpathError as exc:
         print(f"tracemaker: {exc}", file=sys.stderr)
         return 1
--- a/packages/cli/src/apricotpath_cli/cmdline.py
+++ b/packages/cli/src/apricotpath_cli/cmdline.py
@@ -6,7 +6,7 @@
 from typing import NoReturn
 
 from apricotpath.errors import ApricotpathError, InputError
-from apricotpath_cli import bundles, checks, datacentres, jobs, keys, tls, views
+from apricotpath_cli import bundles, checks, datacentres, jobs, keys, tls, traces, views
 from apricotpath_cli.options import Groups
 
 EXIT_FAILED = 1
@@ -22,6 +22,7 @@
     jobs.add_group,
     views.add_group,
     checks.add_group,
+    traces.add_group,
 )
 
 
--- a/packages/core/src/apricotpath/eviction.py
+++ b/packages/core/src/apricotpath/eviction.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Victim:
-    """A running batch task; `kept` is its progress at the newest checkpoint."""
+    """A running batch task; `kept` is its progress at the newest checkpoint.
+
+    `loses` is the chance that its eviction writes no checkpoint.
+    """
 
     task: TaskId
     job: JobId
@@ -29,12 +32,30 @@
     kept: float
     run_time_s: float
     evictions: int
+    loses: float = 1.0
 
 
 def lost_work(victim: Victim) -> float:
-    """Return the core seconds since the newest checkpoint."""
+    """Return the core seconds since the newest checkpoint that an eviction is expected to lose."""
     share = max(0.0, victim.progress - victim.kept)
-    return share * victim.run_time_s * max(1, victim.size.cpu_milli) / 1000.0
+    return victim.loses * share * victim.run_time_s * max(1, victim.size.cpu_milli) / 1000.0
+
+
+@dataclass(slots=True)
+class CheckpointHistory:
+    """How many evictions of each activity wrote a checkpoint, and how many did not."""
+
+    written: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    missed: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+
+    def record(self, activity: str, written: bool) -> None:
+        """Note the end of an eviction."""
+        (self.written if written else self.missed)[activity] += 1
+
+    def loses(self, activity: str) -> float:
+        """Return the chance that the next eviction writes none; 0.5 while nothing is known."""
+        missed, written = self.missed.get(activity, 0), self.written.get(activity, 0)
+        return (missed + 1.0) / (missed + written + 2.0)
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -206,6 +206,9 @@
                 records.append(record_of(outcome))
                 journaled.append((outcome.task, outcome.attempt))
                 self._health(run, outcome, now)
+                if outcome.outcome is Outcome.EVICTED:
+                    written = outcome.checkpoint not in ("", run.checkpoint)
+                    self.state.checkpoints.record(run.spec.activity, written)
             elif self._is_past(shard, outcome):
                 known.append((outcome.task, outcome.attempt))
         if known:
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -11,7 +11,7 @@
 
 from apricotpath.config import PolicySettings
 from apricotpath.errors import FencedError
-from apricotpath.eviction import EvictionLimits
+from apricotpath.eviction import CheckpointHistory, EvictionLimits
 from apricotpath.ids import (
     EntryId,
     Epoch,
@@ -260,6 +260,7 @@
     estimates: Estimates = field(default_factory=Estimates)
     guards: dict[ProcessId, GuardRow] = field(default_factory=dict)
     limits: EvictionLimits = field(default_factory=EvictionLimits)
+    checkpoints: CheckpointHistory = field(default_factory=CheckpointHistory)
     used: dict[TeamId, float] = field(default_factory=lambda: defaultdict(float))
     reasons: dict[JobId, Reason] = field(default_factory=dict)
 
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -279,7 +279,10 @@
                 continue
             for run in shard.runs.values():
                 if self._may_evict(shard, run):
-                    yield victim_of(run)
+                    yield self._victim(run)
+
+    def _victim(self, run: Run) -> Victim:
+        return victim_of(run, self.state.checkpoints.loses(run.spec.activity))
 
     @staticmethod
     def _may_evict(shard: Shard, run: Run) -> bool:
@@ -319,9 +322,9 @@
             if self._may_evict(shard, run)
         }
         tasks = [
-            Guarded(run.task, run.spec.activity, run.share, lost_work(victim_of(run)))
+            Guarded(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
             for _, run in runs.values()
-            if self.state.limits.allows(victim_of(run), now)
+            if self.state.limits.allows(self._victim(run), now)
         ]
         service = host.announce.service
         action = guard(row, service, pressure, tasks, self.state.estimates, now)
@@ -422,7 +425,7 @@
                     self.commands.throttle(shard, run, run.share, now)
 
 
-def victim_of(run: Run) -> Victim:
+def victim_of(run: Run, loses: float) -> Victim:
     """Return an attempt as the eviction rules see it."""
     spec = run.spec
     return Victim(
@@ -435,6 +438,7 @@
         run.kept,
         spec.run_time_s,
         run.evictions,
+        loses,
     )
 
 
