--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -10,6 +10,7 @@
 from apricotpath.eviction import Victim, choose_victims, lost_work
 from apricotpath.ids import DataCentreId, JobId, ProcessId, TaskId, TeamId
 from apricotpath.interference import (
+    HARMLESS,
     HIGH_PRESSURE,
     MOVE_PAUSE_S,
     Guarded,
@@ -141,16 +142,23 @@
             mode=state.mode,
         )
 
-    def _usable(self, now: float, process: ProcessId, priority: Priority) -> bool:
-        """Tell whether a host is healthy, not under pressure and not being cleared."""
+    def _usable(self, now: float, process: ProcessId, spec: JobSpec) -> bool:
+        """Tell whether a host is healthy, not being cleared and not under pressure.
+
+        Work that is known to be harmless may start on a host under pressure.
+        """
         if not self.state.health.usable(process, now):
             return False
-        if priority is not Priority.URGENT and process in self._cleared:
+        if spec.priority is not Priority.URGENT and process in self._cleared:
             return False
         row = self.state.guards.get(process)
         if row is None:
             return True
-        return row.high_since is None and now - row.moved_at >= MOVE_PAUSE_S
+        if row.high_since is None and now - row.moved_at >= MOVE_PAUSE_S:
+            return True
+        service = self.state.hosts.rows[process].announce.service
+        added = self.state.estimates.single.get((service, spec.activity))
+        return added is not None and added < HARMLESS
 
     def _assign(self, shard: Shard, placements: list[Placement], now: float) -> None:
         records, runs = [], []
@@ -271,7 +279,10 @@
                 continue
             for run in shard.runs.values():
                 if self._may_evict(shard, run):
-                    yield victim_of(run)
+                    yield self._victim(run)
+
+    def _victim(self, run: Run) -> Victim:
+        return victim_of(run, self.state.checkpoints.loses(run.spec.activity))
 
     @staticmethod
     def _may_evict(shard: Shard, run: Run) -> bool:
@@ -311,9 +322,9 @@
             if self._may_evict(shard, run)
         }
         tasks = [
-            Guarded(run.task, run.spec.activity, run.share, lost_work(victim_of(run)))
+            Guarded(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
             for _, run in runs.values()
-            if self.state.limits.allows(victim_of(run), now)
+            if self.state.limits.allows(self._victim(run), now)
         ]
         service = host.announce.service
         action = guard(row, service, pressure, tasks, self.state.estimates, now)
@@ -414,7 +425,7 @@
                     self.commands.throttle(shard, run, run.share, now)
 
 
-def victim_of(run: Run) -> Victim:
+def victim_of(run: Run, loses: float) -> Victim:
     """Return an attempt as the eviction rules see it."""
     spec = run.spec
     return Victim(
@@ -427,6 +438,7 @@
         run.kept,
         spec.run_time_s,
         run.evictions,
+        loses,
     )
 
 
