Split the agent's task component by job

HostView now holds the shared state of the host; Starts, Leases, Endings and TaskGuard act on it. AgentTasks keeps its constructor and public attributes, the epochs, the command order and the reports. Code was moved, not rewritten; `status` and `draining` are now read-only properties. The Job type moved to component.py.

Mixins were ruled out: they would hide which state each part uses.

--- a/packages/daemon/src/apricotpathd/component.py
+++ b/packages/daemon/src/apricotpathd/component.py
@@ -1,8 +1,8 @@
 """Interface of the parts that an entry or agent is assembled from."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import datetime
-from typing import Protocol
+from typing import Any, Protocol
 
 from apricotpath.codec import Envelope
 from apricotpath.link import Link
@@ -12,6 +12,9 @@
 # time in seconds is always `anyio.current_time()`, which follows a test's clock.
 UtcClock = Callable[[], datetime]
 
+# Work that a part starts in its task group.
+Job = Callable[[], Coroutine[Any, Any, None]]
+
 
 class Component(Protocol):
     """One part of a process."""
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/taskstarts.py
@@ -0,0 +1,165 @@
+"""Starts of task attempts: checks, commitment and the order to the worker."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+import anyio
+
+from apricotpath.errors import CapacityError, WorkerRefused, WorkerUnavailable
+from apricotpath.messages import StartTask, TaskReply
+from apricotpath.model import ReplyCode
+from apricotpath.worker import StartOrder, WorkerTask
+from apricotpathd.heldtasks import Changes, Key, Phase, held_from_start
+from apricotpathd.hostview import RETRY_S, HostView
+from apricotpathd.taskchecks import EVICT_SLACK_S, TaskCommand, malformed, task_reply
+
+log = logging.getLogger(__name__)
+
+
+class Starts:
+    """Starts attempts and remembers refusals; `take` gets changes that a start showed."""
+
+    def __init__(self, view: HostView, take: Callable[[Changes], None]) -> None:
+        self.view = view
+        self._take = take
+        # Refused starts by attempt, with the clock up to which anchors are refused again.
+        self._refused: dict[Key, tuple[int, TaskReply]] = {}
+
+    async def start(self, msg: StartTask) -> TaskReply:
+        """Start an attempt unless a check fails; a repeated start gets the same reply."""
+        key = (msg.task, msg.attempt)
+        if key in self.view.table.held or key in self.view.table.ended:
+            return task_reply(msg, True, ReplyCode.KNOWN, "")
+        reply = self._refusal(msg)
+        if reply is None:
+            reply = await self._admit(msg)
+        if not reply.accepted:
+            self._expire_refused()
+            # A second copy of a refused start must not run either.
+            self._refused[key] = (max(msg.anchor_clock_ms, self._refused_up_to(key)), reply)
+        return reply
+
+    def answer_absent(self, msg: TaskCommand) -> TaskReply:
+        """Return the reply to a command for an attempt that is not held."""
+        key = (msg.task, msg.attempt)
+        if key in self.view.table.ended:
+            return task_reply(msg, True, ReplyCode.ENDED, "the attempt has ended")
+        reply = task_reply(msg, False, ReplyCode.UNKNOWN, "the attempt does not run here")
+        # Once the owner has been told so, a delayed start of it must not run.
+        self._refused[key] = (self.view.clock.reading_ms, reply)
+        return reply
+
+    def _refused_up_to(self, key: Key) -> int:
+        return self._refused[key][0] if key in self._refused else -1
+
+    def _expire_refused(self) -> None:
+        window_ms = int(self.view.cfg.policy.start_window_s * 1000)
+        for key, (anchor_ms, _) in list(self._refused.items()):
+            if anchor_ms + window_ms < self.view.clock.reading_ms:
+                del self._refused[key]
+
+    def _refusal(self, msg: StartTask) -> TaskReply | None:
+        """Return why a start is refused before it costs anything, or None."""
+        if reason := malformed(msg):
+            return task_reply(msg, False, ReplyCode.MALFORMED, reason)
+        if self.view.draining:
+            return task_reply(msg, False, ReplyCode.DRAINING, "the agent takes no new work")
+        if not self.view.ready:
+            return task_reply(msg, False, ReplyCode.NOT_READY, "the worker does not answer")
+        if msg.anchor_incarnation != self.view.incarnation:
+            return task_reply(msg, False, ReplyCode.ANCHOR, "the anchor is of another incarnation")
+        if msg.anchor_clock_ms > self.view.clock.reading_ms:
+            return task_reply(
+                msg, False, ReplyCode.ANCHOR, "the anchor is ahead of the worker's clock"
+            )
+        if msg.anchor_clock_ms <= self._refused_up_to((msg.task, msg.attempt)):
+            return self._refused[msg.task, msg.attempt][1]
+        if msg.bundle_version > self.view.rules.bundle_version:
+            return task_reply(
+                msg, False, ReplyCode.BUNDLE_BEHIND, "this host does not have that bundle yet"
+            )
+        if self.view.table.of_task(msg.task) is not None:
+            return task_reply(
+                msg, False, ReplyCode.BUSY, "another attempt of the task has not ended here"
+            )
+        return self._hours_refusal(msg)
+
+    def _hours_refusal(self, msg: StartTask) -> TaskReply | None:
+        utc = self.view.utc()
+        may = self.view.allowance(msg.team, msg.activity, utc)
+        if may.code:
+            return task_reply(msg, False, may.code, may.reason)
+        lead = timedelta(seconds=msg.checkpoint_s + EVICT_SLACK_S)
+        if may.until is not None and utc + lead >= may.until:
+            return task_reply(msg, False, ReplyCode.HOURS, f"{may.reason} begins too soon")
+        return None
+
+    async def _admit(self, msg: StartTask) -> TaskReply:
+        held = held_from_start(msg)
+        try:
+            self.view.table.add(held)
+        except CapacityError as exc:
+            return task_reply(msg, False, ReplyCode.CAPACITY, str(exc))
+        order = self._order(msg)
+        try:
+            row: WorkerTask | None = await self.view.worker.start(order)
+        except WorkerRefused as exc:
+            self.view.table.drop(held)
+            return task_reply(msg, False, ReplyCode.REFUSED, str(exc))
+        except WorkerUnavailable as exc:
+            log.info("start of %s has no answer: %s", msg.task, exc)
+            row = await self._settle_start(order)
+        if row is None:
+            self.view.table.drop(held)
+            return task_reply(
+                msg, False, ReplyCode.LATE, "the start did not reach the worker in time"
+            )
+        held.known_at = anyio.current_time()
+        if held.phase is Phase.STARTING:
+            held.phase = Phase.RUNNING
+        changes = Changes()
+        self.view.table.apply_row(row, held.known_at, changes)
+        self._take(changes)
+        return task_reply(msg, True, ReplyCode.OK, "")
+
+    def _order(self, msg: StartTask) -> StartOrder:
+        policy = self.view.cfg.policy
+        anchor_ms = self.view.clock.to_worker(msg.anchor_clock_ms)
+        deadline_ms = anchor_ms + int(policy.task_lease_s * 1000)
+        may = self.view.allowance(msg.team, msg.activity, self.view.utc())
+        limit_ms = self.view.limit_ms(may)
+        return StartOrder(
+            msg.task,
+            msg.attempt,
+            msg.shard,
+            msg.epoch,
+            msg.team,
+            msg.activity,
+            msg.task_class,
+            msg.size,
+            msg.command,
+            msg.run_time_s,
+            msg.checkpoint,
+            msg.checkpoint_s,
+            start_by_ms=anchor_ms + int(policy.start_window_s * 1000),
+            deadline_ms=deadline_ms if limit_ms is None else min(deadline_ms, limit_ms),
+            boot=self.view.clock.boot,
+        )
+
+    async def _settle_start(self, order: StartOrder) -> WorkerTask | None:
+        """Return the attempt once the worker shows it, or None once it cannot start.
+
+        The order may still be on its way, so only a reading past `start_by_ms`
+        or of another boot proves that it never starts.
+        """
+        lost_at = anyio.current_time()
+        while True:
+            if await self.view.refresh() and self.view.status and self.view.began >= lost_at:
+                status = self.view.status
+                for row in status.tasks:
+                    if (row.task, row.attempt) == (order.task, order.attempt):
+                        return row
+                if status.boot != order.boot or status.clock_ms > order.start_by_ms:
+                    return None
+            await anyio.sleep(RETRY_S)
