--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -26,7 +26,6 @@
     new_token,
     settled_txn,
 )
-from apricotpath_bench import storestandin
 from apricotpath_bench.storestandin import DirectTransport, Limits, StandinApp, StandinStore
 
 # httpx logs a line per call, which would hide the results.
@@ -255,15 +254,10 @@
         self.value = self.sure = self.unknown = 0
 
     def run(self, writers: int, rounds: int) -> None:
-        limit = storestandin.HISTORY_EVENTS
-        storestandin.HISTORY_EVENTS = self.history
-        try:
-            run_virtual(lambda: self._run(writers, rounds))
-        finally:
-            storestandin.HISTORY_EVENTS = limit
+        run_virtual(lambda: self._run(writers, rounds))
 
     async def _run(self, writers: int, rounds: int) -> None:
-        standin = StandinStore()
+        standin = StandinStore(history_events=self.history)
         store = EtcdStore(CFG, DirectTransport(standin))
         async with anyio.create_task_group() as faults:
             faults.start_soon(self._inject, standin)
