Share the ASGI lifespan, body and answer code in apricotpathd.asgi

Six ASGI apps each had their own lifespan handler, and most their own reading of request bodies and sending of whole answers. apricotpathd.asgi now has serve_lifespan, read_body, body_headers, send_body and send_json, with one set of ASGI types. The order of error headers in callers is unchanged.

--- a/packages/bench/src/apricotpath_bench/backendstandin.py
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -14,8 +14,7 @@
 import sniffio
 from hypercorn.config import Config
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
+from apricotpathd.asgi import Receive, Scope, Send, read_body, send_json, serve_lifespan
 
 REQUEST_ID_HEADER = "apricotpath-request-id"
 CHUNK_BYTES = 64 << 10
@@ -88,16 +87,16 @@
         self._running = 0
         self._slots: anyio.Semaphore | None = None
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            body = await _read_body(receive)
+            body = await read_body(receive)
             if scope["path"] == "/faults" and scope["method"] == "POST":
                 await self._set_faults(body, send)
             elif scope["path"] == "/record" and scope["method"] == "GET":
-                await _send_json(send, 200, self.summary())
+                await send_json(send, 200, self.summary())
             elif scope["path"] == "/neighbours" and scope["method"] == "POST":
                 await self._set_neighbours(body, send)
             else:
@@ -123,9 +122,9 @@
         try:
             self.neighbours = {str(name): float(n) for name, n in json.loads(body).items()}
         except (ValueError, TypeError, AttributeError) as exc:
-            await _send_json(send, 400, {"error": f"The neighbours are not valid: {exc}."})
+            await send_json(send, 400, {"error": f"The neighbours are not valid: {exc}."})
             return
-        await _send_json(send, 200, self.neighbours)
+        await send_json(send, 200, self.neighbours)
 
     async def _set_faults(self, body: bytes, send: Send) -> None:
         known = {item.name for item in fields(Faults)}
@@ -134,19 +133,19 @@
             if not isinstance(wanted, dict) or set(wanted) - known:
                 raise ValueError("unknown fault")
         except ValueError as exc:
-            await _send_json(send, 400, {"error": f"The faults are not valid: {exc}."})
+            await send_json(send, 400, {"error": f"The faults are not valid: {exc}."})
             return
         self.faults = replace(self.faults, **wanted)
-        await _send_json(send, 200, asdict(self.faults))
+        await send_json(send, 200, asdict(self.faults))
 
-    async def _serve(self, scope: dict[str, Any], body_bytes: int, send: Send) -> None:
+    async def _serve(self, scope: Scope, body_bytes: int, send: Send) -> None:
         headers = {name.decode(): value.decode("latin-1") for name, value in scope["headers"]}
         query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
         request = headers.get(REQUEST_ID_HEADER, "")
         key = headers.get("idempotency-key", "")
         if self.present >= self.connections:
             self.overrun += 1
-            await _send_json(send, 503, {"error": "All connections are in use."})
+            await send_json(send, 503, {"error": "All connections are in use."})
             return
         self.present += 1
         self.most_present = max(self.most_present, self.present)
@@ -182,7 +181,7 @@
             await anyio.sleep(work_ms / 1000 * self.slowdown())
         if faults.fail_all:
             run.status = 500
-            await _send_json(send, 500, {"error": "The backend server fails everything."})
+            await send_json(send, 500, {"error": "The backend server fails everything."})
             return
         run.status = 200
         body = expected_body(run.request, size)
@@ -201,30 +200,6 @@
                 file.write(json.dumps({"event": event, **asdict(run)}) + "\n")
 
 
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def _read_body(receive: Receive) -> bytes:
-    parts = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
-async def _send_json(send: Send, status: int, value: Any) -> None:
-    body = json.dumps(value).encode()
-    headers = [(b"content-type", b"application/json"), (b"content-length", str(len(body)).encode())]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
-
-
 async def serve_app(app: Any, bind: str, shutdown: Callable[[], Awaitable[Any]]) -> None:
     """Serve an ASGI app on `host:port`, or `fd://N`, until `shutdown` returns."""
     if sniffio.current_async_library() == "trio":
--- a/packages/bench/src/apricotpath_bench/storestandin.py
+++ b/packages/bench/src/apricotpath_bench/storestandin.py
@@ -2,7 +2,7 @@
 
 import argparse
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -19,6 +19,16 @@
     RESOURCE_EXHAUSTED,
     GatewayError,
 )
+from apricotpathd.asgi import (
+    JSON,
+    Receive,
+    Scope,
+    Send,
+    body_headers,
+    read_body,
+    send_json,
+    serve_lifespan,
+)
 
 __all__ = ["DirectTransport", "Limits", "StandinApp", "StandinStore"]
 
@@ -26,10 +36,6 @@
 # HTTP status of the gRPC status codes in the gateway's error bodies.
 HTTP_STATUS = {INVALID_ARGUMENT: 400, NOT_FOUND: 404, RESOURCE_EXHAUSTED: 429, OUT_OF_RANGE: 400}
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
 
 class StandinApp:
     """ASGI application of the gateway, with `POST /faults` and `GET /counts`."""
@@ -40,28 +46,30 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
-        path, raw = scope["path"], await _read_body(receive)
+        path, raw = scope["path"], await read_body(receive, MAX_REQUEST_BYTES)
         try:
             body = json.loads(raw or b"{}")
             if path == "/v3/watch":
                 await self._serve_watch(body, receive, send)
             elif path == "/counts":
-                await _answer(send, 200, self.store.count_report())
+                await send_json(send, 200, self.store.count_report())
             elif path == "/faults":
                 self.store.apply_faults(body)
-                await _answer(send, 200, {})
+                await send_json(send, 200, {})
             else:
-                await _answer(send, 200, await self.store.handle(path, body))
+                await send_json(send, 200, await self.store.handle(path, body))
         except GatewayError as exc:
-            await _answer(send, HTTP_STATUS[exc.code], _error_body(exc))
+            await send_json(send, HTTP_STATUS[exc.code], _error_body(exc))
         except ValueError as exc:
-            await _answer(send, 400, {"code": INVALID_ARGUMENT, "message": str(exc)})
+            await send_json(send, 400, {"code": INVALID_ARGUMENT, "message": str(exc)})
         except ConnectionDropped:
             # hypercorn closes the connection when an app ends in the middle of a response;
             # it would answer 500 if no response had been started.
-            await send({"type": "http.response.start", "status": 200, "headers": _headers(1)})
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": body_headers(JSON, 1)}
+            )
             raise
 
     async def _serve_watch(self, body: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -154,34 +162,6 @@
     return f"{json.dumps(message)}\n".encode()
 
 
-def _headers(length: int) -> list[tuple[bytes, bytes]]:
-    return [(b"content-type", b"application/json"), (b"content-length", str(length).encode())]
-
-
-async def _answer(send: Send, status: int, content: dict[str, Any]) -> None:
-    raw = json.dumps(content).encode()
-    headers = _headers(len(raw))
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": raw})
-
-
-async def _read_body(receive: Receive) -> bytes:
-    raw = bytearray()
-    while True:
-        message = await receive()
-        raw += message.get("body", b"")
-        if len(raw) > MAX_REQUEST_BYTES or not message.get("more_body", False):
-            return bytes(raw)
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        kind = (await receive())["type"]
-        await send({"type": f"{kind}.complete"})
-        if kind == "lifespan.shutdown":
-            return
-
-
 def main() -> None:
     """Serve the stand-in until it is ended by a signal."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/packages/bench/src/apricotpath_bench/workerstandin.py
+++ b/packages/bench/src/apricotpath_bench/workerstandin.py
@@ -5,7 +5,7 @@
 import signal
 import time
 import uuid
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field, fields
 from functools import partial
 from pathlib import Path
@@ -26,10 +26,8 @@
     from_plain,
     to_plain,
 )
+from apricotpathd.asgi import JSON, Receive, Scope, Send, body_headers, read_body, serve_lifespan
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 Key = tuple[TaskId, int]
 
 # Simulated time is advanced this often in a process, so that its record is current.
@@ -451,11 +449,11 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
-        body = await _read(receive)
+        body = await read_body(receive)
         try:
             status, answer = 200, await self._answer(scope["method"], scope["path"], body)
         except Refusal as exc:
@@ -463,10 +461,7 @@
         except (ValueError, KeyError, TypeError) as exc:
             status, answer = 400, {"error": f"malformed call: {exc}"}
         content = json.dumps({"clock_ms": int(self.model.clock_ms()), **answer}).encode()
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(content)).encode()),
-        ]
+        headers = body_headers(JSON, len(content))
         await send({"type": "http.response.start", "status": status, "headers": headers})
         # A body that ends before its declared length makes the server close the connection.
         lost = self._loses(scope["path"])
@@ -534,23 +529,6 @@
         return self.model.task(task, attempt)
 
 
-async def _read(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        event = await receive()
-        body += bytes(event.get("body", b""))
-        if not event.get("more_body"):
-            return body
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        event = await receive()
-        await send({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
 async def tell_neighbour(model: WorkerModel, url: str) -> None:
     """Post the running activities to the host's backend server stand-in when they change."""
     told: dict[str, float] | None = None
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/asgi.py
@@ -0,0 +1,55 @@
+"""Parts of an ASGI app that the HTTP ports share: start and end, request bodies, answers."""
+
+import json
+from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from typing import Any
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+JSON = "application/json"
+TEXT = "text/plain"
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Confirm the start and the end of the server, which need no work here."""
+    while True:
+        kind = (await receive())["type"]
+        await send({"type": f"{kind}.complete"})
+        if kind == "lifespan.shutdown":
+            return
+
+
+async def read_body(receive: Receive, limit: int | None = None) -> bytes:
+    """Return the body of a request, cut off soon after `limit` bytes if it is longer."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        body += message.get("body", b"")
+        too_long = limit is not None and len(body) > limit
+        if too_long or not message.get("more_body", False):
+            return bytes(body)
+
+
+def body_headers(content_type: str, length: int) -> list[tuple[bytes, bytes]]:
+    """Return the headers that describe a body of `length` bytes."""
+    return [
+        (b"content-type", content_type.encode()),
+        (b"content-length", str(length).encode()),
+    ]
+
+
+async def send_body(
+    send: Send, status: int, content_type: str, body: bytes, extra: RawHeaders = ()
+) -> None:
+    """Send a whole answer, with `extra` headers after those of its body."""
+    headers = [*body_headers(content_type, len(body)), *extra]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(send: Send, status: int, value: Any) -> None:
+    """Send a whole JSON answer."""
+    await send_body(send, status, JSON, json.dumps(value).encode())
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -18,13 +18,11 @@
 from apricotpath.metrics import Metrics
 from apricotpath.model import ResultClass
 from apricotpath.servicerules import ClassRules, RequestRules
+from apricotpathd.asgi import JSON, Receive, Scope, Send, send_body, serve_lifespan
 from apricotpathd.exchange import AnswerStream, CallerRequest, Exchange
 
 log = logging.getLogger(__name__)
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 PREFIX = "/s/"
 MAX_NAME = 128
 # All request bodies held at one time, as a multiple of the limit for one.
@@ -77,10 +75,10 @@
             self._idle = anyio.Event()
             await self._idle.wait()
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
             self.open += 1
             try:
@@ -110,7 +108,7 @@
 class _Call:
     """One caller's request."""
 
-    def __init__(self, app: CallerApp, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    def __init__(self, app: CallerApp, scope: Scope, receive: Receive, send: Send) -> None:
         self.app = app
         self.scope = scope
         self.receive = receive
@@ -321,23 +319,12 @@
             value["request"] = request
         body = json.dumps(value).encode()
         headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
             (b"apricotpath-outcome", result.value.encode()),
             (b"apricotpath-reason", reason.encode()),
         ]
         if retry_after_s:
             headers.append((b"retry-after", str(retry_after_s).encode()))
-        await self.send({"type": "http.response.start", "status": status, "headers": headers})
-        await self.send({"type": "http.response.body", "body": body})
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
+        await send_body(self.send, status, JSON, body, headers)
 
 
 class _BoundedListener(socket.socket):
--- a/packages/daemon/src/apricotpathd/operators.py
+++ b/packages/daemon/src/apricotpathd/operators.py
@@ -27,6 +27,7 @@
     parse_proof,
 )
 from apricotpath.submission import job_from_json
+from apricotpathd.asgi import JSON, TEXT, Receive, Scope, Send, send_body, serve_lifespan
 from apricotpathd.component import UtcClock
 
 log = logging.getLogger(__name__)
@@ -38,9 +39,6 @@
 MAX_SEQ = 1 << 48
 
 Json = dict[str, Any]
-Scope = Mapping[str, Any]
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
 class OperatorServices(Protocol):
@@ -190,15 +188,9 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            status, content_type, body = await self._respond(scope, receive)
-            headers = [
-                (b"content-type", content_type.encode()),
-                (b"content-length", str(len(body)).encode()),
-            ]
-            await send({"type": "http.response.start", "status": status, "headers": headers})
-            await send({"type": "http.response.body", "body": body})
+            await send_body(send, *await self._respond(scope, receive))
 
     async def _respond(self, scope: Scope, receive: Receive) -> tuple[int, str, bytes]:
         if scope["method"] in ("GET", "HEAD"):
@@ -213,18 +205,14 @@
         except Exception:
             log.exception("an operator request failed", extra={"path": scope["path"]})
             status, answer = 500, {"error": "the entry failed; its log has details"}
-        return status, "application/json", json.dumps(answer).encode()
+        return status, JSON, json.dumps(answer).encode()
 
     def _open_answer(self, path: str) -> tuple[int, str, bytes] | None:
         """Return the answer of a path that needs no credentials, or None."""
         if path == "/healthz":
-            return 200, "text/plain", b"ok\n"
+            return 200, TEXT, b"ok\n"
         if path == "/readyz":
-            return (
-                (200, "text/plain", b"ready\n")
-                if self.services.ready()
-                else (503, "text/plain", b"not ready\n")
-            )
+            return (200, TEXT, b"ready\n") if self.services.ready() else (503, TEXT, b"not ready\n")
         if path == "/metrics":
             return 200, "text/plain; version=0.0.4; charset=utf-8", self.services.metrics()
         return None
@@ -311,11 +299,3 @@
     else:
         raise HttpError(404, f"there is nothing at {path}", "path")
     raise HttpError(405, f"{method} is not possible at {path}", "method")
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/packages/daemon/src/apricotpathd/statusapp.py
+++ b/packages/daemon/src/apricotpathd/statusapp.py
@@ -1,10 +1,10 @@
 """The agent's HTTP port: health, readiness, metrics and state, without credentials."""
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
-Send = Callable[[dict[str, Any]], Awaitable[None]]
+from apricotpathd.asgi import JSON, TEXT, Receive, Scope, Send, send_body, serve_lifespan
 
 
 class StatusApp:
@@ -20,32 +20,21 @@
         self.metrics = metrics
         self.debug = debug
 
-    async def __call__(self, scope: Any, receive: Any, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            status, kind, body = self._answer(scope["path"])
-            headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
-            await send({"type": "http.response.start", "status": status, "headers": headers})
-            await send({"type": "http.response.body", "body": body})
+            await send_body(send, *self._answer(scope["path"]))
 
-    def _answer(self, path: str) -> tuple[int, bytes, bytes]:
+    def _answer(self, path: str) -> tuple[int, str, bytes]:
         if path == "/healthz":
-            return 200, b"text/plain", b"ok\n"
+            return 200, TEXT, b"ok\n"
         if path == "/readyz":
             ready = self.ready()
-            return (200, b"text/plain", b"ready\n") if ready else (503, b"text/plain", b"wait\n")
+            return (200, TEXT, b"ready\n") if ready else (503, TEXT, b"wait\n")
         if path == "/metrics":
-            return 200, b"text/plain; version=0.0.4; charset=utf-8", self.metrics()
+            return 200, "text/plain; version=0.0.4; charset=utf-8", self.metrics()
         if path == "/debug":
-            return 200, b"application/json", json.dumps(self.debug()).encode()
-        return 404, b"text/plain", b"not found\n"
-
-
-async def _lifespan(receive: Any, send: Send) -> None:
-    while True:
-        kind = (await receive())["type"]
-        await send({"type": f"{kind}.complete"})
-        if kind == "lifespan.shutdown":
-            return
+            return 200, JSON, json.dumps(self.debug()).encode()
+        return 404, TEXT, b"not found\n"
