Leave out scans over all hosts where nothing changed

Cause: in an entry with 300 idle hosts half of the owner's tick looked for unclaimed hosts, of_service and closed scanned all rows per request and per closed link, and a third of the agents' messages repeated an unchanged announcement.

Change: HostTable counts new links and lists rows by service; agents announce a change within a second and repeat otherwise every 10 s.

--- a/packages/bench/src/apricotpath_bench/hostgroup.py
+++ b/packages/bench/src/apricotpath_bench/hostgroup.py
@@ -29,9 +29,7 @@
 
     async def status(self) -> WorkerStatus:
         """Return an empty host."""
-        return WorkerStatus(
-            "boot", int(anyio.current_time() * MS_PER_S) + 1, self.size, Size(), ()
-        )
+        return WorkerStatus("boot", int(anyio.current_time() * MS_PER_S) + 1, self.size, Size(), ())
 
     async def start(self, order: StartOrder) -> WorkerTask:
         """Refuse."""
--- a/packages/bench/src/apricotpath_bench/idlecost.py
+++ b/packages/bench/src/apricotpath_bench/idlecost.py
@@ -22,9 +22,7 @@
 READY_S = 60.0
 # What control may cost a node.
 NODE_CORE_PERCENT, NODE_MB, NODE_KB_PER_S = 3.6, 128, 22.0
-SHAPE = replace(
-    SUVA, name="idle", hosts=1, entries=3, data_centres=("suva-depot",), quiet_hours=()
-)
+SHAPE = replace(SUVA, name="idle", hosts=1, entries=3, data_centres=("suva-depot",), quiet_hours=())
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -26,8 +26,10 @@
 log = logging.getLogger(__name__)
 
 WORKER_TIMEOUT_S = 2.0
-# Announcements are repeated, since the maturity of the key memory changes with time.
+# The maturity of the key memory and readiness change with time, so they are compared this
+# often. An unchanged announcement is repeated rarely: links lose nothing while they are open.
 ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_REPEAT_S = 10.0
 
 
 class Agent(Process):
@@ -82,12 +84,17 @@
         return self.control.bundle is not None and self.tasks.ready and not self.draining
 
     async def announce_forever(self) -> None:
-        """Repeat the announcement on all links until cancelled."""
+        """Send the announcement on all links when it changes, until cancelled."""
+        sent, sent_at = self.announcement(), anyio.current_time()
         while True:
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
+            now, offer = anyio.current_time(), self.announcement()
+            if offer == sent and now - sent_at < ANNOUNCE_REPEAT_S:
+                continue
+            sent, sent_at = offer, now
             for link in list(self.links):
                 if link.is_open:
-                    await link.send(self.announcement())
+                    await link.send(offer)
 
     async def leave(self) -> None:
         """Tell all entries that this host takes no new work."""
--- a/packages/daemon/src/apricotpathd/hosts.py
+++ b/packages/daemon/src/apricotpathd/hosts.py
@@ -45,11 +45,14 @@
     """Hosts by agent process id; the newest link and incarnation of an agent win.
 
     Former incarnations of an agent stay in `former` for as long as their
-    places in the key order matter (`key_memory_s`).
+    places in the key order matter (`key_memory_s`). `openings` counts new links
+    and incarnations, so that a scan for these can be left out while it stands.
     """
 
     rows: dict[ProcessId, HostRow] = field(default_factory=dict)
     former: list[HostRow] = field(default_factory=list)
+    openings: int = 0
+    _services: dict[ServiceId, dict[ProcessId, HostRow]] = field(default_factory=dict)
 
     def by_host(self, host: HostId) -> HostRow | None:
         """Return the row of a host, or None."""
@@ -57,7 +60,7 @@
 
     def of_service(self, service: ServiceId) -> list[HostRow]:
         """Return the rows whose backend server runs a service."""
-        return [row for row in self.rows.values() if row.announce.service == service]
+        return list(self._services.get(service, {}).values())
 
     def announced(self, link: Link, announce: Announce, now: float) -> HostRow:
         """Insert or update the row of the agent at the other end of a link."""
@@ -68,9 +71,15 @@
             row.link = None
             row.gone_at = row.gone_at if row.gone_at is not None else now
             self.former.append(row)
+            self._unlist(row)
             row = None
         if row is None:
-            row = self.rows[process] = HostRow(process, incarnation, announce, link)
+            row = self.rows[process] = HostRow(process, incarnation, announce, None)
+        if row.link is not link:
+            self.openings += 1
+        if row.announce.service != announce.service:
+            self._unlist(row)
+        self._services.setdefault(announce.service, {})[process] = row
         row.announce, row.link, row.gone_at = announce, link, None
         row.leaving = row.leaving or announce.leaving
         row.seen_at = now
@@ -78,9 +87,10 @@
 
     def closed(self, link: Link, now: float) -> HostRow | None:
         """Mark the agent gone if this was its current link; return its row then."""
-        row = next((row for row in self.rows.values() if row.link is link), None)
-        if row is not None:
-            row.link, row.gone_at = None, now
+        row = self.rows.get(link.peer.process_id) if link.peer is not None else None
+        if row is None or row.link is not link:
+            return None
+        row.link, row.gone_at = None, now
         return row
 
     def expire(self, now: float, keep_s: float) -> None:
@@ -89,3 +99,12 @@
         for process, row in list(self.rows.items()):
             if row.gone_at is not None and now - row.gone_at > keep_s:
                 del self.rows[process]
+                self._unlist(row)
+
+    def _unlist(self, row: HostRow) -> None:
+        """Remove a row from the list of its service."""
+        rows = self._services.get(row.announce.service, {})
+        if rows.get(row.process) is row:
+            del rows[row.process]
+            if not rows:
+                del self._services[row.announce.service]
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -47,9 +47,10 @@
 
     def send_claims(self, now: float) -> None:
         """Claim every linked host for every shard; hosts with assigned tasks first."""
-        budget = CLAIMS_PER_TICK
+        budget, openings = CLAIMS_PER_TICK, self.state.hosts.openings
         for shard in self.state.shards.values():
-            if not shard.loaded:
+            # Only a new link or incarnation brings a host that has not accepted the claim.
+            if not shard.loaded or shard.claimed_openings == openings:
                 continue
             rows = self.state.hosts.rows.values()
             open_rows = [
@@ -57,6 +58,8 @@
                 for row in rows
                 if row.present and shard.claims.get(row.process) != row.incarnation
             ]
+            if not open_rows:
+                shard.claimed_openings = openings
             open_rows.sort(key=lambda row: row.process not in shard.by_process)
             for row in open_rows[:budget]:
                 if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_AGAIN_S:
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -166,7 +166,8 @@
 
     `busy` are tasks with a record under way; no other decision is taken about
     them meanwhile. `claims` holds the incarnation of each host that has
-    accepted the epoch.
+    accepted the epoch; all hosts present had, when `HostTable.openings` was
+    `claimed_openings`.
     """
 
     shard: ShardId
@@ -180,6 +181,7 @@
     )
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
+    claimed_openings: int = -1
     outbox: list[Proposal] = field(default_factory=list)
     busy: set[TaskId] = field(default_factory=set)
     cancelling: set[JobId] = field(default_factory=set)
