--- a/packages/bench/src/apricotpath_bench/idlecost.py
+++ b/packages/bench/src/apricotpath_bench/idlecost.py
@@ -83,7 +83,7 @@
 def store_calls(deployment: Deployment) -> float:
     """Return the calls that the store stand-in has counted so far."""
     counts: dict[str, Any] = httpx.get(f"{deployment.url('store')}/counts", timeout=5).json()
-    return float(sum(value for value in counts.values() if isinstance(value, int)))
+    return float(sum(counts["calls"].values()))
 
 
 def snapshot(deployment: Deployment, groups: list[Group]) -> dict[str, float]:
