--- a/packages/bench/src/apricotpath_bench/slopes.py
+++ b/packages/bench/src/apricotpath_bench/slopes.py
@@ -143,8 +143,18 @@
         ),
         "RenewTasks, 8 tasks": RenewTasks(ShardId(1), Epoch(1), (task,) * 8, incarnation, 1),
         "RequestStart, 200 B": RequestStart(
-            *(RequestId(f"{incarnation}.1"), ServiceId("scraps"), ClassId("intake"), team),
-            *(KeyId(""), True, 900, "POST", "/work", headers, b"x" * 200, True),
+            RequestId(f"{incarnation}.1"),
+            ServiceId("scraps"),
+            ClassId("intake"),
+            team,
+            KeyId(""),
+            True,
+            900,
+            "POST",
+            "/work",
+            headers,
+            b"x" * 200,
+            True,
         ),
     }
 
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -171,6 +171,7 @@
             self._judge_at = now + JUDGE_S
             self.scheduler.judge_possible(now)
             self.scheduler.forget_ended(now)
+            self.reconciler.forget_hosts()
         if not self.draining:
             self.scheduler.place(now)
 
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -66,6 +66,15 @@
                     self.commands.claim(shard, row, now)
                     budget -= 1
 
+    def forget_hosts(self) -> None:
+        """Drop the claims of agents that are gone for good, as replaced hosts have new names."""
+        rows = self.state.hosts.rows
+        for shard in self.state.shards.values():
+            for process in [name for name in shard.claims if name not in rows]:
+                del shard.claims[process]
+            for process in [name for name in shard.claim_sent if name not in rows]:
+                del shard.claim_sent[process]
+
     def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
         """Take a host's answer to a claim."""
         shard, row = self.state.shards.get(reply.shard), self.state.row_of(link)
