--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -47,9 +47,10 @@
 
     def send_claims(self, now: float) -> None:
         """Claim every linked host for every shard; hosts with assigned tasks first."""
-        budget = CLAIMS_PER_TICK
+        budget, openings = CLAIMS_PER_TICK, self.state.hosts.openings
         for shard in self.state.shards.values():
-            if not shard.loaded:
+            # Only a new link or incarnation brings a host that has not accepted the claim.
+            if not shard.loaded or shard.claimed_openings == openings:
                 continue
             rows = self.state.hosts.rows.values()
             open_rows = [
@@ -57,12 +58,23 @@
                 for row in rows
                 if row.present and shard.claims.get(row.process) != row.incarnation
             ]
+            if not open_rows:
+                shard.claimed_openings = openings
             open_rows.sort(key=lambda row: row.process not in shard.by_process)
             for row in open_rows[:budget]:
                 if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_AGAIN_S:
                     self.commands.claim(shard, row, now)
                     budget -= 1
 
+    def forget_hosts(self) -> None:
+        """Drop the claims of agents that are gone for good, as replaced hosts have new names."""
+        rows = self.state.hosts.rows
+        for shard in self.state.shards.values():
+            for process in [name for name in shard.claims if name not in rows]:
+                del shard.claims[process]
+            for process in [name for name in shard.claim_sent if name not in rows]:
+                del shard.claim_sent[process]
+
     def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
         """Take a host's answer to a claim."""
         shard, row = self.state.shards.get(reply.shard), self.state.row_of(link)
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -180,7 +180,8 @@
 
     `busy` are tasks with a record under way; no other decision is taken about
     them meanwhile. `claims` holds the incarnation of each host that has
-    accepted the epoch. `released` is as in `Acquired`.
+    accepted the epoch; all hosts present had, when `HostTable.openings` was
+    `claimed_openings`. `released` is as in `Acquired`.
     """
 
     shard: ShardId
@@ -195,6 +196,7 @@
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     released: bool = False
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
+    claimed_openings: int = -1
     outbox: list[Proposal] = field(default_factory=list)
     busy: set[TaskId] = field(default_factory=set)
     cancelling: set[JobId] = field(default_factory=set)
