Choose hypercorn's event loop in one place

Three modules chose between hypercorn's asyncio and trio servers; serve_asgi in apricotpathd.asgi does it now. Each server module is imported only where it is used. MAX_TASKS is taken from apricotpath.submission instead of being defined again in jobcalls.

--- a/packages/bench/src/apricotpath_bench/backendstandin.py
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -11,10 +11,9 @@
 from urllib.parse import parse_qsl
 
 import anyio
-import sniffio
 from hypercorn.config import Config
 
-from apricotpathd.asgi import Receive, Scope, Send, read_body, send_json, serve_lifespan
+from apricotpathd.asgi import Receive, Scope, Send, read_body, send_json, serve_asgi, serve_lifespan
 
 REQUEST_ID_HEADER = "apricotpath-request-id"
 CHUNK_BYTES = 64 << 10
@@ -202,16 +201,12 @@
 
 async def serve_app(app: Any, bind: str, shutdown: Callable[[], Awaitable[Any]]) -> None:
     """Serve an ASGI app on `host:port`, or `fd://N`, until `shutdown` returns."""
-    if sniffio.current_async_library() == "trio":
-        from hypercorn.trio import serve
-    else:
-        from hypercorn.asyncio import serve  # type: ignore[assignment]
     cfg = Config()
     cfg.bind = [bind]
     cfg.accesslog = None
     cfg.errorlog = None
     cfg.keep_alive_timeout = 60.0
-    await serve(app, cfg, shutdown_trigger=shutdown)
+    await serve_asgi(app, cfg, shutdown)
 
 
 async def _main(args: argparse.Namespace) -> None:
--- a/packages/daemon/src/apricotpathd/asgi.py
+++ b/packages/daemon/src/apricotpathd/asgi.py
@@ -1,9 +1,12 @@
-"""Parts of an ASGI app that the HTTP ports share: start and end, request bodies, answers."""
+"""Parts of ASGI apps that the HTTP ports share: serving, request bodies, answers."""
 
 import json
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from typing import Any
 
+import sniffio
+from hypercorn.config import Config
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -53,3 +56,13 @@
 async def send_json(send: Send, status: int, value: Any) -> None:
     """Send a whole JSON answer."""
     await send_body(send, status, JSON, json.dumps(value).encode())
+
+
+async def serve_asgi(app: Any, config: Config, stop: Callable[[], Awaitable[Any]]) -> None:
+    """Serve an ASGI app with hypercorn on the running event loop until `stop` returns."""
+    # Each is imported only where it is used, so that asyncio processes do not load trio.
+    if sniffio.current_async_library() == "trio":
+        from hypercorn.trio import serve
+    else:
+        from hypercorn.asyncio import serve  # type: ignore[assignment]
+    await serve(app, config, shutdown_trigger=stop)
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import anyio
-import sniffio
 from anyio.abc import TaskGroup
 from hypercorn.config import Config, Sockets
 
@@ -18,7 +17,7 @@
 from apricotpath.metrics import Metrics
 from apricotpath.model import ResultClass
 from apricotpath.servicerules import ClassRules, RequestRules
-from apricotpathd.asgi import JSON, Receive, Scope, Send, send_body, serve_lifespan
+from apricotpathd.asgi import JSON, Receive, Scope, Send, send_body, serve_asgi, serve_lifespan
 from apricotpathd.exchange import AnswerStream, CallerRequest, Exchange
 
 log = logging.getLogger(__name__)
@@ -394,8 +393,4 @@
 
 async def serve_callers(app: CallerApp, bind: str, shutdown: Callable[[], Awaitable[Any]]) -> None:
     """Serve callers until `shutdown` returns, then finish the requests in flight."""
-    if sniffio.current_async_library() == "trio":
-        from hypercorn.trio import serve
-    else:
-        from hypercorn.asyncio import serve  # type: ignore[assignment]
-    await serve(app, hypercorn_config(app.cfg, bind), shutdown_trigger=shutdown)  # type: ignore[arg-type]
+    await serve_asgi(app, hypercorn_config(app.cfg, bind), shutdown)
--- a/packages/daemon/src/apricotpathd/httpserver.py
+++ b/packages/daemon/src/apricotpathd/httpserver.py
@@ -8,14 +8,12 @@
 
 import anyio
 import anyio.lowlevel
-import hypercorn.asyncio
-import hypercorn.trio
-import sniffio
 from anyio.abc import TaskGroup
 from hypercorn.config import Config
 
 from apricotpath.config import Address, LimitSettings
 from apricotpath.errors import SettingsError
+from apricotpathd.asgi import serve_asgi
 
 # Long enough for the longest deadline; the process decides when to stop waiting.
 GRACEFUL_TIMEOUT_S = 150.0
@@ -98,7 +96,4 @@
 ) -> None:
     """Serve an ASGI app until `stop` returns and all open requests are answered."""
     config = http_config(address, limits)
-    if sniffio.current_async_library() == "trio":
-        await hypercorn.trio.serve(app, config, shutdown_trigger=stop)
-    else:
-        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop)
+    await serve_asgi(app, config, stop)
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -27,6 +27,7 @@
 from apricotpath.model import JobSpec, JobState, Size, TaskState
 from apricotpath.placement import Reason
 from apricotpath.records import JobAccepted, JobCancelled, Record, spec_from_json, spec_to_json
+from apricotpath.submission import MAX_TASKS
 from apricotpath.trace import Cancel, Job
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Members, OwnerState, Phase, Proposal, Run, Shard
@@ -34,7 +35,6 @@
 from apricotpathd.tracing import RecordEvent, no_trace
 
 JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
-MAX_TASKS = 100_000
 # Tasks listed one by one by `show`; the counts cover all.
 SHOWN_TASKS = 200
 
