Use plainer names and comments in tasks, reconcile, control and logs

Figurative or unclear names: the command queues per task were "lanes", a variable of type Allowance was "may", the limit on waiting for a report was HEAR_S and its check "_heard". A few comments and docstrings said things in figurative words, and the docstring of Starts.start was wrong on repeated starts. No behaviour changes.

--- a/packages/core/src/apricotpath/control.py
+++ b/packages/core/src/apricotpath/control.py
@@ -35,7 +35,7 @@
 
 
 class Control:
-    """The control state; it only ever moves forward, whatever order updates come in.
+    """The control state; an update older than what is known never replaces it.
 
     `trusted_keys` are the public keys in the settings. A process without a
     bundle refuses everything.
--- a/packages/core/src/apricotpath/journal.py
+++ b/packages/core/src/apricotpath/journal.py
@@ -41,8 +41,9 @@
 MAX_VALUE_BYTES = 900_000
 # Encoded records that may wait to be written; more are refused as not written.
 MAX_QUEUED_BYTES = 8 << 20
-# Callers wait this long for a lost answer to be settled, then hear that the outcome is
-# unknown. The journal itself goes on settling, since nothing may be written after a gap.
+# Callers wait this long for a lost answer to be settled, then get the error that the
+# outcome is unknown. The journal itself goes on settling, since nothing may be written
+# after a gap.
 SETTLE_WAIT_S = 10.0
 # A write that the store refuses because of its rate limit is repeated for this long.
 LIMITED_WAIT_S = 5.0
--- a/packages/core/src/apricotpath/logs.py
+++ b/packages/core/src/apricotpath/logs.py
@@ -36,7 +36,7 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
-    # These log a line per request, which would drown ours and cost processor time.
+    # These log a line per request, which would hide the other lines and cost processor time.
     for name in ("httpx", "httpcore", "hypercorn.access", "hpack"):
         logging.getLogger(name).setLevel(logging.WARNING)
 
--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -93,7 +93,8 @@
         self._group: TaskGroup | None = None
         # Jobs that came in before `run`.
         self._backlog: list[Job] = []
-        self._lanes: dict[TaskId, deque[Job]] = {}
+        # Commands by task that are in progress or wait, in order of arrival.
+        self._queues: dict[TaskId, deque[Job]] = {}
         self._starting: Counter[tuple[ShardId, Epoch]] = Counter()
         self._report_now = anyio.Event()
         self._progress = anyio.Event()
@@ -203,7 +204,7 @@
         self._send_reports()
 
     def _is_settled(self) -> bool:
-        return not self._lanes and not any(held.ending for held in self.table.held.values())
+        return not self._queues and not any(held.ending for held in self.table.held.values())
 
     async def _wait_until(self, done: Callable[[], bool]) -> None:
         while not done():
@@ -285,19 +286,19 @@
                     self._note_progress()
             self._send(link, reply, reply_to)
 
-        lane = self._lanes.get(msg.task)
-        if lane is not None:
-            lane.append(job)
+        queue = self._queues.get(msg.task)
+        if queue is not None:
+            queue.append(job)
         else:
-            self._lanes[msg.task] = deque([job])
-            self._group.start_soon(self._run_lane, msg.task)
-
-    async def _run_lane(self, task: TaskId) -> None:
-        lane = self._lanes[task]
-        while lane:
-            await lane[0]()
-            lane.popleft()
-        del self._lanes[task]
+            self._queues[msg.task] = deque([job])
+            self._group.start_soon(self._run_queue, msg.task)
+
+    async def _run_queue(self, task: TaskId) -> None:
+        queue = self._queues[task]
+        while queue:
+            await queue[0]()
+            queue.popleft()
+        del self._queues[task]
         self._note_progress()
 
     async def _execute(self, msg: TaskCommand) -> TaskReply:
@@ -320,8 +321,6 @@
         known = self.epochs.get(msg.shard, Epoch(0))
         return task_reply(msg, False, ReplyCode.EPOCH, f"shard {msg.shard} is at epoch {known}")
 
-    # Leases.
-
     def _receive_renewal(self, link: Link, reply_to: int, msg: RenewTasks) -> None:
         if msg.epoch < self.epochs.get(msg.shard, -1):
             # This tells a former owner of the higher epoch.
--- a/packages/daemon/src/apricotpathd/hostview.py
+++ b/packages/daemon/src/apricotpathd/hostview.py
@@ -74,11 +74,11 @@
         """Decide whether an activity may run on this host at a UTC time."""
         return allowance(self.rules, self.cfg, team, activity, utc)
 
-    def limit_ms(self, may: Allowance) -> int | None:
+    def limit_ms(self, allowed: Allowance) -> int | None:
         """Return the latest deadline that the rules allow, on the worker's clock."""
-        if may.until is None or self.status is None:
+        if allowed.until is None or self.status is None:
             return None
-        left_s = (may.until - self._utc_read).total_seconds()
+        left_s = (allowed.until - self._utc_read).total_seconds()
         return self.status.clock_ms + int(left_s * 1000)
 
     def set_claim(self) -> None:
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -33,8 +33,8 @@
 # An agent whose link has just ended usually redials within this time.
 REDIAL_S = 5.0
 # A present host whose worker gives no list is waited for this long after a lease has ended.
-HEAR_S = 30.0
-# Claims of one tick are bounded, so that a take-over does not flood the links.
+REPORT_WAIT_S = 30.0
+# Claims of one tick are bounded, so that a take-over does not overload the links.
 CLAIMS_PER_TICK = 2000
 
 
@@ -277,7 +277,7 @@
                 TaskLost(run.task, run.attempt)
                 for run in shard.runs.values()
                 if now >= run.expires_at
-                and self._heard(run, now)
+                and self._expects_no_report(run, now)
                 and run.phase is not Phase.PROPOSED
                 and run.task not in shard.busy
             ]
@@ -285,20 +285,20 @@
                 log.info("%d attempts lost", len(lost), extra={"shard": shard.shard})
                 self.end(shard, lost)
 
-    def _heard(self, run: Run, now: float) -> bool:
+    def _expects_no_report(self, run: Run, now: float) -> bool:
         """Tell whether no news of an attempt can be expected any more.
 
         The worker's clock in a report decides, since reports that were queued
         while this process was paused are older than they seem.
         """
         row, known = self.state.hosts.rows.get(run.process), self.state.reports.get(run.process)
-        if row is None or run.expires_at == 0.0 or now - run.expires_at >= HEAR_S:
+        if row is None or run.expires_at == 0.0 or now - run.expires_at >= REPORT_WAIT_S:
             return True
         if not row.present:
             return row.gone_at is None or now - row.gone_at >= REDIAL_S
         if known is None or not known[1].ready or known[1].worker_clock_ms < run.ended_ms:
             return False
-        # An outcome in it was passed over while the journal could not be written.
+        # An outcome in the report was not taken while the journal could not be written.
         outcomes = known[1].outcomes
         return not any(o.task == run.task and o.attempt == run.attempt for o in outcomes)
 
--- a/packages/daemon/src/apricotpathd/taskguard.py
+++ b/packages/daemon/src/apricotpathd/taskguard.py
@@ -40,12 +40,12 @@
         if held.phase is not Phase.RUNNING:
             return
         utc = self.view.utc()
-        may = self.view.allowance(held.team, held.activity, utc)
+        allowed = self.view.allowance(held.team, held.activity, utc)
         lead = timedelta(seconds=min(held.checkpoint_s, MAX_TASK_S) + EVICT_SLACK_S)
-        if may.code:
-            self.endings.begin(held, may.reason, Outcome.EVICTED)
-        elif may.until is not None and utc + lead >= may.until:
-            self.endings.begin(held, f"{may.reason} begins soon", Outcome.EVICTED)
+        if allowed.code:
+            self.endings.begin(held, allowed.reason, Outcome.EVICTED)
+        elif allowed.until is not None and utc + lead >= allowed.until:
+            self.endings.begin(held, f"{allowed.reason} begins soon", Outcome.EVICTED)
 
     async def throttle(self, msg: ThrottleTask, held: Held) -> TaskReply:
         """Limit a task to the owner's share, or to the guard's if that is smaller."""
--- a/packages/daemon/src/apricotpathd/taskleases.py
+++ b/packages/daemon/src/apricotpathd/taskleases.py
@@ -35,7 +35,10 @@
                 await self._move_deadline(held, deadline_ms)
 
     async def cap_forever(self) -> None:
-        """Pull leases in that a new bundle made too long; apart, since the worker may hang."""
+        """Shorten leases that go past the limits of a new bundle, until cancelled.
+
+        This is a loop of its own, since a call to the worker may hang.
+        """
         while True:
             for held in list(self.view.table.held.values()):
                 await self._move_deadline(held, None)
@@ -53,10 +56,10 @@
             row = held.row
             if row is None or held.ended.is_set() or held.phase is Phase.STOPPING:
                 return
-            may = self.view.allowance(held.team, held.activity, self.view.utc())
-            if may.code is ReplyCode.HOURS:
+            allowed = self.view.allowance(held.team, held.activity, self.view.utc())
+            if allowed.code is ReplyCode.HOURS:
                 return
-            limit_ms = self.view.limit_ms(may)
+            limit_ms = self.view.limit_ms(allowed)
             target_ms = max(row.deadline_ms, wanted_ms or 0)
             if limit_ms is not None and target_ms > limit_ms + DEADLINE_TOLERANCE_MS:
                 target_ms = limit_ms
--- a/packages/daemon/src/apricotpathd/taskstarts.py
+++ b/packages/daemon/src/apricotpathd/taskstarts.py
@@ -27,7 +27,7 @@
         self._refused: dict[Key, tuple[int, TaskReply]] = {}
 
     async def start(self, msg: StartTask) -> TaskReply:
-        """Start an attempt unless a check fails; a repeated start gets the same reply."""
+        """Start an attempt unless a check fails; a start of a known attempt changes nothing."""
         key = (msg.task, msg.attempt)
         if key in self.view.table.held or key in self.view.table.ended:
             return task_reply(msg, True, ReplyCode.KNOWN, "")
@@ -87,12 +87,12 @@
 
     def _hours_refusal(self, msg: StartTask) -> TaskReply | None:
         utc = self.view.utc()
-        may = self.view.allowance(msg.team, msg.activity, utc)
-        if may.code:
-            return task_reply(msg, False, may.code, may.reason)
+        allowed = self.view.allowance(msg.team, msg.activity, utc)
+        if allowed.code:
+            return task_reply(msg, False, allowed.code, allowed.reason)
         lead = timedelta(seconds=msg.checkpoint_s + EVICT_SLACK_S)
-        if may.until is not None and utc + lead >= may.until:
-            return task_reply(msg, False, ReplyCode.HOURS, f"{may.reason} begins too soon")
+        if allowed.until is not None and utc + lead >= allowed.until:
+            return task_reply(msg, False, ReplyCode.HOURS, f"{allowed.reason} begins too soon")
         return None
 
     async def _admit(self, msg: StartTask) -> TaskReply:
@@ -127,8 +127,8 @@
         policy = self.view.cfg.policy
         anchor_ms = self.view.clock.to_worker(msg.anchor_clock_ms)
         deadline_ms = anchor_ms + int(policy.task_lease_s * 1000)
-        may = self.view.allowance(msg.team, msg.activity, self.view.utc())
-        limit_ms = self.view.limit_ms(may)
+        allowed = self.view.allowance(msg.team, msg.activity, self.view.utc())
+        limit_ms = self.view.limit_ms(allowed)
         return StartOrder(
             msg.task,
             msg.attempt,
