--- a/packages/bench/src/apricotpath_bench/ownertables.py
+++ b/packages/bench/src/apricotpath_bench/ownertables.py
@@ -113,7 +113,7 @@
         """Refuse."""
         return None
 
-    async def release_shard(self, shard: ShardId, epoch: Epoch) -> None:
+    async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
         """Do nothing."""
 
 
