Say unknown for a booking whose key was not reserved; avoid failed homes

Cause 1: a retry through an entry that could not reach the key's agents was answered 'not run' while the first call with that key was running (seen in the process tests with silent links). The statement held for the call but not for the work, and a caller who then took a new key would book twice. The home is now a healthy place if there is one; the majority rule does not depend on which. Ruled out: moving a key that is already reserved. An entry is ready only after its settling time, since bookings before it would be unknown.

--- a/packages/bench/src/apricotpath_bench/ownertables.py
+++ b/packages/bench/src/apricotpath_bench/ownertables.py
@@ -29,7 +29,7 @@
 from apricotpath.rules import Verdict
 from apricotpathd.hosts import HostTable
 from apricotpathd.owner import Owner
-from apricotpathd.runs import Phase, Run, Shard, View
+from apricotpathd.runs import Acquired, Phase, Run, Shard, View
 
 HOST = Size(64_000, 250 << 10, 0)
 TASK = Size(4_000, 4 << 10, 0)
@@ -109,7 +109,7 @@
     def link_to(self, entry: EntryId) -> None:
         """Return no link."""
 
-    async def acquire_shard(self, shard: ShardId) -> Epoch | None:
+    async def acquire_shard(self, shard: ShardId) -> Acquired | None:
         """Refuse."""
         return None
 
--- a/packages/core/src/apricotpath/keyplaces.py
+++ b/packages/core/src/apricotpath/keyplaces.py
@@ -15,12 +15,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """An agent that may hold keys; `usable` means that a request may run there."""
+    """An agent that may hold keys; `usable` means that a request may run there.
+
+    `healthy` is false while routing has ejected its backend server.
+    """
 
     process: ProcessId
     incarnation: IncarnationId
     present: bool
     usable: bool
+    healthy: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +86,16 @@
     return sorted(agents, key=lambda place: key_order(key, place.process))[:PLACES]
 
 
+def choose_home(places: Sequence[Place]) -> Place | None:
+    """Return the first place where a request may run, a healthy one if there is any.
+
+    Entries may choose different homes for one key; the majority of the places
+    still lets only one of them run.
+    """
+    usable = [place for place in places if place.present and place.usable]
+    return next((place for place in usable if place.healthy), usable[0] if usable else None)
+
+
 def majority(count: int) -> int:
     """Return the smallest number that is more than half of `count`."""
     return count // 2 + 1
@@ -101,7 +115,7 @@
     NEVER, which also keeps a late copy of it from running. The home is the
     same in all rounds, since a place keeps the one it was first told.
     """
-    home = next((place for place in places if place.present and place.usable), None)
+    home = choose_home(places)
     if home is None:
         return Blocked("no agent that holds idempotency keys can take the request")
     ask = ReserveKey(key, service, request, home.process, home.incarnation)
--- a/packages/core/src/apricotpath/routing.py
+++ b/packages/core/src/apricotpath/routing.py
@@ -96,6 +96,11 @@
         stats.outstanding -= 1
         stats.probing = False
 
+    def healthy(self, process: ProcessId, now: float) -> bool:
+        """Tell whether a backend server is not ejected, or may get its probe."""
+        stats = self.stats.get(process)
+        return stats is None or _usable(stats, now)
+
     def forget(self, process: ProcessId) -> None:
         """Drop a backend server that has gone for good."""
         self.stats.pop(process, None)
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -160,7 +160,8 @@
             return ResultClass.NOT_RUN
         except OutcomeUnknown as exc:
             status = 504 if exc.reason == "deadline" else 502
-            await self._send_error(status, ResultClass.UNKNOWN, exc, exc.reason, 0)
+            wait_s = round(exc.retry_after_s)
+            await self._send_error(status, ResultClass.UNKNOWN, exc, exc.reason, wait_s)
             return ResultClass.UNKNOWN
         try:
             await self._send_answer(answer)
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -276,6 +276,11 @@
                 if queues.size:
                     self._dispatch(service, queues)
 
+    def settled(self) -> bool:
+        """Tell whether agents that remember keys have had the time to announce themselves."""
+        started_at = self._started_at
+        return started_at is not None and anyio.current_time() - started_at >= KEY_SETTLE_S
+
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message of an agent."""
         self._handle(envelope.body, link)
@@ -665,12 +670,11 @@
         """Reserve the key, then send the request to its home or follow an earlier run."""
         if not self.rules.has_founders(req.service):
             raise NotRun("The service is still starting.", "no-founders", RETRY_AFTER_S)
-        started_at = self._started_at
         now = anyio.current_time()
-        if started_at is None or now - started_at < KEY_SETTLE_S:
-            raise NotRun("The entry is still starting.", "entry-starting", RETRY_AFTER_S)
+        if not self.settled():
+            raise _not_vouched("the entry is still starting", "entry-starting")
         if now >= req.deadline:
-            raise NotRun("The deadline has passed.", Refusal.EXPIRED.value)
+            raise _not_vouched("the deadline has passed", Refusal.EXPIRED.value)
         key, request = scoped_key(req), self._next_id()
         places = key_places(key, self._key_agents(req.service))
         steps = reserve_key(key, req.service, request, places)
@@ -698,8 +702,7 @@
         assert isinstance(result, Blocked)
         if followed is not None:
             self.close_attempt(followed)
-        text = f"The request did not run: {result.reason}."
-        raise NotRun(text, "key-not-reserved", RETRY_AFTER_S)
+        raise _not_vouched(result.reason, "key-not-reserved")
 
     async def _await_existing(self, attempt: Attempt, deadline: float) -> AnswerStream:
         """Wait for the answer of an earlier request with the same key."""
@@ -751,7 +754,9 @@
                 continue
             # A former incarnation counts as a place that is not present.
             name = row.process if row.present else ProcessId(f"{row.process}/{row.incarnation}")
-            places[name] = Place(row.process, row.incarnation, row.present, self._usable(row))
+            healthy = self.routing.healthy(row.process, now)
+            usable = self._usable(row)
+            places[name] = Place(row.process, row.incarnation, row.present, usable, healthy)
         return list(places.values())
 
     async def _step(self, step: Step) -> Reply:
@@ -828,6 +833,15 @@
     return NotRun(_REFUSAL_TEXTS[refusal], refusal.value, RETRY_AFTER_S)
 
 
+def _not_vouched(why: str, reason: str) -> OutcomeUnknown:
+    """Return the error for a call that was not sent, when its key may have run before.
+
+    "Not run" would let the caller take a new key and run the same work twice.
+    """
+    text = f"This call was not sent, but an earlier one with its key may have run: {why}."
+    return OutcomeUnknown(text, reason, RETRY_AFTER_S)
+
+
 def _settlement(attempt: Attempt) -> Settlement:
     """Return what settling has found; without an answer the outcome is unknown."""
     if attempt.refused is not None:
--- a/packages/daemon/src/apricotpathd/services.py
+++ b/packages/daemon/src/apricotpathd/services.py
@@ -246,8 +246,9 @@
         }
 
     def ready(self) -> bool:
-        """Tell whether requests can be served: a bundle is in force and we do not drain."""
-        return self.parts.control.bundle is not None and not self.parts.draining
+        """Tell whether requests of all classes can be served."""
+        parts = self.parts
+        return parts.control.bundle is not None and parts.exchange.settled() and not parts.draining
 
     def metrics(self) -> bytes:
         """Return all metrics of the entry."""
