--- a/packages/bench/src/apricotpath_bench/judge.py
+++ b/packages/bench/src/apricotpath_bench/judge.py
@@ -230,11 +230,15 @@
 
 
 def not_run_problems(seen: Observed) -> Iterator[str]:
-    """R6: a request answered as not run is in no record."""
+    """R6: a request answered as not run is in no record, nor is an earlier run with its key."""
     paths = {run.path: run for run in seen.requests}
+    keys = {run.key: run for run in seen.requests if run.key}
     for call in seen.calls:
         if call.outcome == "not-run" and call.path in paths:
             yield f"{call.path} was answered as not run ({call.reason}): {paths[call.path]}"
+        run = keys.get(call.key) if call.key else None
+        if call.outcome == "not-run" and run is not None and run.started < call.ended:
+            yield f"{call.path}: not run was said ({call.reason}), but its key ran: {run}"
 
 
 def key_problems(seen: Observed) -> Iterator[str]:
--- a/packages/core/src/apricotpath/interference.py
+++ b/packages/core/src/apricotpath/interference.py
@@ -10,7 +10,7 @@
 # Reports lag behind the host: after a change of the tasks, pressure is not
 # attributed to the new set for this long.
 SETTLE_S = 2.0
-# An error is clipped to this slowdown, so that a single wild report moves little.
+# An error is clipped to this slowdown, so that a single outlier moves little.
 MAX_ERROR = 0.5
 LEARNING_RATE = 0.2
 PAIR_RATE = 0.05
@@ -175,7 +175,7 @@
         slowed = [task for task in tasks if task.share < 1.0]
         if slowed:
             row.acted_at = now
-            # The mildest task is released first; its return is the easiest to bear.
+            # The task that slows requests least is released first.
             task = min(slowed, key=lambda t: estimates.added(service, {}, t.activity))
             return Action(Step.RELEASE, task.task, 1.0, f"pressure is back to {pressure:.2f}")
     return None
--- a/packages/core/src/apricotpath/placement.py
+++ b/packages/core/src/apricotpath/placement.py
@@ -12,7 +12,7 @@
 from apricotpath.interference import Estimates
 from apricotpath.jobs import JobRow
 from apricotpath.model import JobSpec, Priority, Size
-from apricotpath.rules import Rules, Verdict
+from apricotpath.rules import EVICT_SLACK_S, Rules, Verdict
 
 # A host where the predicted slowdown of requests is above SOFT is a last
 # resort, and above HARD it is not used for batch work.
@@ -340,7 +340,7 @@
     if not verdict.allowed:
         text = f"{verdict.rule} forbids {spec.activity} of {spec.team} in {data_centre} now"
         return Reason("rule", text, verdict.rule, verdict.bundle_version)
-    needed = timedelta(seconds=spec.checkpoint_s + margin_s)
+    needed = timedelta(seconds=spec.checkpoint_s + margin_s + EVICT_SLACK_S)
     if verdict.until is not None and verdict.until - now_utc < needed:
         text = f"{verdict.rule} forbids {spec.activity} in {data_centre} from {verdict.until}"
         return Reason("rule", text, verdict.rule, verdict.bundle_version)
--- a/packages/core/src/apricotpath/rules.py
+++ b/packages/core/src/apricotpath/rules.py
@@ -7,6 +7,11 @@
 from apricotpath.ids import DataCentreId, ServiceId, TeamId
 from apricotpath.model import Size
 
+# An eviction before a boundary begins this much earlier than the checkpoint needs: the slack
+# of a checkpoint and a second to stop. Owners and agents must use the same lead, or an agent
+# refuses what an owner places.
+EVICT_SLACK_S = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
--- a/packages/daemon/src/apricotpathd/taskchecks.py
+++ b/packages/daemon/src/apricotpathd/taskchecks.py
@@ -12,9 +12,6 @@
 
 TaskCommand = StartTask | StopTask | EvictTask | ThrottleTask
 
-# An eviction before a boundary begins this much earlier than the checkpoint needs:
-# the slack of a checkpoint and a second to stop.
-EVICT_SLACK_S = 3.0
 # Longer declared times are mistakes, and would overflow a date.
 MAX_TASK_S = 1e9
 
--- a/packages/daemon/src/apricotpathd/taskguard.py
+++ b/packages/daemon/src/apricotpathd/taskguard.py
@@ -9,9 +9,10 @@
 from apricotpath.guard import GuardRow, Shed, Throttle, decide
 from apricotpath.messages import TaskReply, ThrottleTask
 from apricotpath.model import Outcome, ReplyCode, Size
+from apricotpath.rules import EVICT_SLACK_S
 from apricotpathd.heldtasks import Held, Phase
 from apricotpathd.hostview import HostView
-from apricotpathd.taskchecks import EVICT_SLACK_S, MAX_TASK_S, task_reply
+from apricotpathd.taskchecks import MAX_TASK_S, task_reply
 from apricotpathd.taskends import Endings
 
 log = logging.getLogger(__name__)
--- a/packages/daemon/src/apricotpathd/taskstarts.py
+++ b/packages/daemon/src/apricotpathd/taskstarts.py
@@ -9,10 +9,11 @@
 from apricotpath.errors import CapacityError, WorkerRefused, WorkerUnavailable
 from apricotpath.messages import StartTask, TaskReply
 from apricotpath.model import ReplyCode
+from apricotpath.rules import EVICT_SLACK_S
 from apricotpath.worker import StartOrder, WorkerTask
 from apricotpathd.heldtasks import Changes, Key, Phase, held_from_start
 from apricotpathd.hostview import RETRY_S, HostView
-from apricotpathd.taskchecks import EVICT_SLACK_S, TaskCommand, malformed, task_reply
+from apricotpathd.taskchecks import TaskCommand, malformed, task_reply
 
 log = logging.getLogger(__name__)
 
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -245,13 +245,17 @@
         return next((run for run in self.drive.read_requests() if run.key == self.key), None)
 
     def book_again(self) -> None:
-        """Send the booking again; while the entry cannot reach the key's agents it runs nothing."""
+        """Send the booking again until the entry reaches the key's agents.
+
+        The booking runs, so "not run" would be false whatever the entry reaches.
+        """
 
         def again() -> Call | None:
             call = self.drive.call(2, self.drive.keyed_class(), self.key, 1500)
-            return call if call.outcome != "not-run" else None
+            assert call.outcome != "not-run", call
+            return call if call.reason != "key-not-reserved" else None
 
-        self.booking = wait_until("the booking is not refused", again)
+        self.booking = wait_until("the key's agents are reached", again)
 
     # Take-outs.
 
