--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -18,7 +18,8 @@
 from apricotpath.model import ResultClass
 from apricotpath.servicerules import ClassRules, RequestRules
 from apricotpathd.asgi import JSON, Receive, Scope, Send, send_body, serve_asgi, serve_lifespan
-from apricotpathd.exchange import AnswerStream, CallerRequest, Exchange
+from apricotpathd.attempt import AnswerStream, CallerRequest
+from apricotpathd.exchange import Exchange
 
 log = logging.getLogger(__name__)
 
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -1,8 +1,7 @@
 """The entry's part in requests: tries over links, settling, retries and keys."""
 
 import logging
-from collections import deque
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from hashlib import blake2b
@@ -14,7 +13,7 @@
 from apricotpath.codec import Envelope
 from apricotpath.config import EntrySettings
 from apricotpath.errors import LinkError, NotRun, OutcomeUnknown, RequestError
-from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId, TeamId
+from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId
 from apricotpath.keyplaces import (
     AskPlaces,
     Blocked,
@@ -30,7 +29,6 @@
 )
 from apricotpath.link import Link
 from apricotpath.messages import (
-    Header,
     KeyReserved,
     Message,
     ReleaseKey,
@@ -40,7 +38,6 @@
     RequestRefused,
     RequestStart,
     ReserveKey,
-    ResponseAck,
     ResponseBody,
     ResponseStart,
     Settle,
@@ -50,24 +47,22 @@
 from apricotpath.model import Maturity, Settlement
 from apricotpath.retry import RetryBudget, may_retry
 from apricotpath.routing import BACKEND_DOWN, Candidate, RoutingTable, choose
-from apricotpath.servicerules import ClassRules, RequestRules
+from apricotpath.servicerules import RequestRules
 from apricotpath.settle import request_id
 from apricotpath.trace import Answer, Request
+from apricotpathd.attempt import AnswerStream, Attempt, CallerRequest
 from apricotpathd.hosts import HostRow, HostTable
 from apricotpathd.tracing import RecordEvent, no_trace
 
 log = logging.getLogger(__name__)
 
 CHUNK_BYTES = 64 << 10
-# Acknowledged this often, a large answer never waits for the agent's window of 1 MiB.
-ACK_BYTES = 256 << 10
 # An agent that has not answered a reservation by then is treated as silent.
 RESERVE_TIMEOUT_S = 1.0
 SETTLE_TIMEOUT_S = 2.0
 # At the deadline the agent is asked once more, so that the caller learns the truth.
 LAST_SETTLE_S = 1.0
-# Parts that came before an earlier one are held up to this size and for this time.
-EARLY_BYTES = 2 << 20
+# Parts that came before an earlier one are held for this time.
 GAP_WAIT_S = 0.5
 TICK_S = 0.05
 RETRY_AFTER_S = 1.0
@@ -78,142 +73,6 @@
 RETRY_PAUSE_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """One caller's request with its whole body; `deadline` is monotonic seconds.
-
-    `key` is the caller's own text, or empty for an idempotent class.
-    """
-
-    service: ServiceId
-    rules: ClassRules
-    team: TeamId
-    key: str
-    deadline: float
-    method: str
-    path: str
-    headers: tuple[Header, ...]
-    body: bytes
-
-
-@dataclass(eq=False, slots=True)
-class Attempt:
-    """One request id at one agent, and what has come back of its answer."""
-
-    request: RequestId
-    process: ProcessId
-    incarnation: IncarnationId
-    link: Link
-    status: int = 0
-    headers: tuple[Header, ...] = ()
-    parts: deque[bytes] = field(default_factory=deque)
-    received: int = 0
-    acked: int = 0
-    whole: bool = False
-    refused: RequestRefused | None = None
-    failed: str = ""
-    total: int = -1
-    early: dict[int, bytes] = field(default_factory=dict)
-    early_bytes: int = 0
-    following: bool = False
-    timed_out: bool = False
-    resends: int = 0
-    event: anyio.Event = field(default_factory=anyio.Event)
-
-    @property
-    def started(self) -> bool:
-        """Whether status and headers have come."""
-        return self.status != 0
-
-    @property
-    def lost(self) -> bool:
-        """Whether the link it was sent on has ended."""
-        return not self.link.is_open
-
-    def wake(self) -> None:
-        """Wake the caller's task."""
-        self.event.set()
-
-    async def wait(self) -> None:
-        """Wait until something has changed since the last call."""
-        await self.event.wait()
-        self.event = anyio.Event()
-
-    def add(self, offset: int, data: bytes, final: bool, total: int) -> None:
-        """Add part of the body; parts seen before are ignored and early ones wait."""
-        if self.whole:
-            return
-        if final:
-            if total != offset + len(data):
-                self.failed = "the length of the answer does not match its parts"
-                return
-            self.total = total
-        if offset > self.received:
-            if self.early_bytes + len(data) <= EARLY_BYTES:
-                self.early[offset] = data
-                self.early_bytes += len(data)
-            return
-        self._append(offset, data)
-        while self.early and (first := min(self.early)) <= self.received:
-            early = self.early.pop(first)
-            self.early_bytes -= len(early)
-            self._append(first, early)
-        self.whole = self.total == self.received
-
-    def _append(self, offset: int, data: bytes) -> None:
-        skip = self.received - offset
-        if skip < len(data):
-            self.parts.append(data[skip:] if skip else data)
-            self.received = offset + len(data)
-
-
-class AnswerStream:
-    """An answer whose start has come; `chunks` yields the rest of it.
-
-    `whole` means that the complete body is at hand. `chunks` raises
-    OutcomeUnknown if the rest does not come.
-    """
-
-    def __init__(self, exchange: "Exchange", attempt: Attempt, deadline: float) -> None:
-        self._exchange = exchange
-        self._attempt = attempt
-        self._deadline = deadline
-        self.request = attempt.request
-        self.status = attempt.status
-        self.headers = attempt.headers
-
-    @property
-    def whole(self) -> bool:
-        """Whether the complete body is at hand."""
-        return self._attempt.whole
-
-    def body(self) -> bytes:
-        """Return the complete body of a whole answer."""
-        assert self._attempt.whole
-        parts = self._attempt.parts
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in order, acknowledging what the caller has taken."""
-        attempt = self._attempt
-        taken = 0
-        while True:
-            while attempt.parts:
-                data = attempt.parts.popleft()
-                yield data
-                taken += len(data)
-                if taken - attempt.acked >= ACK_BYTES:
-                    attempt.acked = taken
-                    self._exchange.post(attempt.link, ResponseAck(attempt.request, taken))
-            if attempt.whole:
-                return
-            await self._exchange.progress(attempt, self._deadline)
-
-    def close(self) -> None:
-        """Drop the answer; an agent that still runs the request is told to stop."""
-        self._exchange.close_attempt(self._attempt)
-
-
 @dataclass(eq=False, slots=True)
 class _Turn:
     """A request in the queue and the event that ends its wait."""
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -29,7 +29,8 @@
 from apricotpath.servicerules import ClassRules, ServiceRules
 from apricotpath_bench.backendstandin import BackendApp, expected_body
 from apricotpathd.agentrequests import AgentRequests, http_client
-from apricotpathd.exchange import CallerRequest, Exchange
+from apricotpathd.attempt import CallerRequest
+from apricotpathd.exchange import Exchange
 from apricotpathd.hosts import HostTable
 
 # One line per request would bury what a failed scenario prints.
