Remove the fanout setting, which nothing read

An operator who set it would have seen no effect; had it worked, keys of requests that are not idempotent would have lost their guarantee, since every entry must see all agents of a service. docs/CAPACITY.md keeps it as the step that the target size needs.

--- a/packages/core/src/apricotpath/config.py
+++ b/packages/core/src/apricotpath/config.py
@@ -165,7 +165,6 @@
     metrics: Address
     trusted_keys: tuple[str, ...]
     backend: BackendSettings | None = None
-    fanout: int = 0
     link: LinkSettings = field(default_factory=LinkSettings)
     policy: PolicySettings = field(default_factory=PolicySettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
--- a/packages/daemon/src/apricotpathd/services.py
+++ b/packages/daemon/src/apricotpathd/services.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Mapping
-from typing import Any, NoReturn
+from typing import Any
 
 import anyio
 
@@ -269,9 +269,5 @@
 def _limit(query: Mapping[str, str]) -> int:
     text = query.get("limit", "100")
     if not text.isdigit() or not 1 <= int(text) <= MAX_LISTED:
-        _bad_limit(text)
+        raise InputError(f"limit must be from 1 to {MAX_LISTED}, not {text!r}")
     return int(text)
-
-
-def _bad_limit(text: str) -> NoReturn:
-    raise InputError(f"limit must be from 1 to {MAX_LISTED}, not {text!r}")
