--- /dev/null
+++ b/packages/core/src/apricotpath/fleet.py
@@ -0,0 +1,105 @@
+"""Table of the hosts that a scheduler knows, and how long their runs may go on."""
+
+from dataclasses import dataclass, field
+
+from apricotpath.ids import FenceToken, HostId
+from apricotpath.workload import HostFacts
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """Times in seconds, and limits, of the scheduling of runs.
+
+    `run_lease_s`: how long runs go on after the agent's last granted report.
+    `authority_s`: how long a scheduler goes on granting leases without the
+    store. `clock_drift`: how much slower an executor's clock may be.
+    `start_window_s`: an order is void this long after the report it answers.
+    `stop_grace_s`: how long an executor may take to stop a run. `log_interval_s`:
+    least time between two appends. `retention_s`: how long ended jobs are
+    kept for readers. `silent_s`: a host without a report for this long gets no
+    starts. `far_factor`: how much longer a task takes away from its data.
+    """
+
+    run_lease_s: float = 6.0
+    authority_s: float = 6.0
+    clock_drift: float = 0.02
+    margin_s: float = 0.3
+    start_window_s: float = 2.0
+    stop_grace_s: float = 0.9
+    gang_wait_s: float = 3.0
+    log_interval_s: float = 0.02
+    retention_s: float = 150.0
+    silent_s: float = 1.6
+    far_factor: float = 1.5
+
+    @property
+    def run_hold_s(self) -> float:
+        """Longest time that runs go on after the last grant."""
+        return self.run_lease_s * (1 + self.clock_drift) + self.margin_s
+
+
+# An executor that failed this many runs of different jobs, one after another, is set aside.
+FAILURES_IN_A_ROW = 2
+SET_ASIDE_FIRST_S = 4.0
+SET_ASIDE_MAX_S = 30.0
+
+
+NOT_ATTACHED = FenceToken(0)
+
+
+@dataclass(slots=True)
+class Host:
+    """One host as the scheduler sees it; times are boot-clock seconds.
+
+    `runs_until` is when everything that it runs has surely ended, unless it
+    is granted more. `renewal` numbers
+    its newest report.
+    """
+
+    host: HostId
+    facts: HostFacts | None = None
+    fence: FenceToken = NOT_ATTACHED
+    reported: bool = False
+    reported_at: float = float("-inf")
+    renewal: int = 0
+    runs_until: float = 0.0
+    draining: bool = False
+    leaves_at: float = float("inf")
+    noted: int = 0
+    failures_in_a_row: int = 0
+    failed_jobs: set[str] = field(default_factory=set)
+    set_aside_until: float = float("-inf")
+    set_aside_s: float = SET_ASIDE_FIRST_S
+
+    def life(self) -> tuple[str, int]:
+        """Return the id and birth of the executor, or an empty pair."""
+        return (self.facts.instance, self.facts.born_ms) if self.facts else ("", 0)
+
+    def takes_starts(self, now: float, silent_s: float) -> bool:
+        """Tell whether new runs may be given to the host."""
+        return (
+            self.reported
+            and not self.draining
+            and now - self.reported_at < silent_s
+            and now >= self.set_aside_until
+        )
+
+    def note_success(self) -> None:
+        """Count a run that ended well."""
+        self.failures_in_a_row = 0
+        self.failed_jobs.clear()
+        self.set_aside_s = SET_ASIDE_FIRST_S
+
+    def note_failure(self, job: str, now: float) -> bool:
+        """Count a run that failed here; True if the host is set aside because of it.
+
+        Failures of one job alone may be the job's own fault.
+        """
+        self.failed_jobs.add(job)
+        self.failures_in_a_row += 1
+        if len(self.failed_jobs) < FAILURES_IN_A_ROW:
+            return False
+        self.set_aside_until = now + self.set_aside_s
+        self.set_aside_s = min(2 * self.set_aside_s, SET_ASIDE_MAX_S)
+        self.failed_jobs.clear()
+        return True
--- /dev/null
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -0,0 +1,327 @@
+"""Tables of jobs, tasks and runs of a scheduler; changed only by records."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import singledispatchmethod
+
+from apricotpath.ids import HostId, JobId, QueueId
+from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord, TaskSummary
+from apricotpath.workload import Job, Progress, RunResult, Step, TaskKey
+
+
+class RunPhase(Enum):
+    """What is known of a run that has not ended."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Run:
+    """One start of a task. `since` and `advanced_at` are boot-clock seconds.
+
+    `percent` is the progress that the executor reports; `advanced_at` is when
+    it last changed. `load` is the tail latency in ms of a long-running task,
+    else processors in use in thousandths.
+    """
+
+    task: TaskKey
+    run: int
+    host: HostId
+    instance: str
+    born_ms: int
+    phase: RunPhase = RunPhase.ORDERED
+    since: float = 0.0
+    saved: str = ""
+    percent: int = 0
+    advanced_at: float = 0.0
+    load: float = 0.0
+    stop_sent_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Task:
+    """One task of a step; `saved` names its newest checkpoint."""
+
+    key: TaskKey
+    done: bool = False
+    failures: int = 0
+    last_run: int = 0
+    saved: str = ""
+    runs: dict[int, Run] = field(default_factory=dict)
+    failed_on: list[HostId] = field(default_factory=list)
+    waiting_since: float = 0.0
+
+
+@dataclass(slots=True)
+class StepState:
+    """Progress of one step of one occurrence."""
+
+    left: int
+    failed_runs: set[int] = field(default_factory=set)
+
+
+class JobRow:
+    """A job with its tasks; tasks exist until the job has ended."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.progress = Progress.QUEUED
+        self.cancelling = False
+        self.failing = False
+        self.ended_at = 0.0
+        self.tasks: dict[TaskKey, Task] = {}
+        self.steps: dict[tuple[int, int], StepState] = {}
+        for occurrence in range(job.occurrences):
+            for number, step in enumerate(job.steps):
+                self.steps[occurrence, number] = StepState(step.count)
+                for index in range(step.count):
+                    key = TaskKey(job.job_id, occurrence, number, index)
+                    self.tasks[key] = Task(key)
+
+    @property
+    def unwanted(self) -> bool:
+        """Whether what still runs of the job is to be stopped."""
+        return self.cancelling or self.failing or self.progress.final
+
+    def step(self, task: TaskKey) -> Step:
+        """Return the step of a task."""
+        return self.job.steps[task.step]
+
+    def members(self, task: TaskKey) -> Iterator[Task]:
+        """Yield the tasks of the same step and occurrence."""
+        for index in range(self.step(task).count):
+            yield self.tasks[TaskKey(task.job, task.occurrence, task.step, index)]
+
+    def step_ready(self, occurrence: int, number: int) -> bool:
+        """Tell whether all tasks that a step waits for are done."""
+        return all(
+            self.steps[occurrence, earlier].left == 0 for earlier in self.job.steps[number].after
+        )
+
+    def runs(self) -> Iterator[Run]:
+        """Yield all runs that have not ended."""
+        for task in self.tasks.values():
+            yield from task.runs.values()
+
+
+class JobTable:
+    """All jobs that are known, and the runs on each host.
+
+    `waiting` holds the tasks that want a run now, but for the due times of
+    scheduled jobs. `changed` collects jobs whose progress changed.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[JobId, JobRow] = {}
+        self.waiting: dict[TaskKey, Task] = {}
+        self.by_host: dict[HostId, dict[tuple[TaskKey, int], Run]] = {}
+        self.changed: set[JobId] = set()
+        self.to_end: dict[JobId, Progress] = {}
+
+    def add(self, job: Job, now: float) -> JobRow | None:
+        """Add an accepted job; None if it is known already."""
+        if job.job_id in self.rows:
+            return None
+        row = JobRow(job)
+        self.rows[job.job_id] = row
+        self.changed.add(job.job_id)
+        for occurrence in range(job.occurrences):
+            for number, step in enumerate(job.steps):
+                if not step.after:
+                    self._want_step(row, occurrence, number, now)
+        return row
+
+    def add_ended(self, job: Job, progress: Progress, now: float) -> None:
+        """Add a job that has ended already; it is kept for readers only."""
+        row = JobRow(Job(job.job_id, job.queue, "", ()))
+        row.progress = progress
+        row.ended_at = now
+        self.rows[job.job_id] = row
+
+    def cancel(self, job: JobId) -> None:
+        """Note that a job's cancelling was accepted."""
+        row = self.rows.get(job)
+        if row is None or row.progress.final or row.cancelling:
+            return
+        row.cancelling = True
+        self._drop_waiting(row)
+        self._check_end(row)
+
+    def remove(self, job: JobId) -> None:
+        """Forget a job that has ended."""
+        self.rows.pop(job, None)
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task, or None if its job is unknown or has ended."""
+        row = self.rows.get(key.job)
+        return row.tasks.get(key) if row else None
+
+    def step_of(self, key: TaskKey) -> Step:
+        """Return the step of a known task."""
+        return self.rows[key.job].step(key)
+
+    def runs_on(self, host: HostId) -> list[Run]:
+        """Return the runs that a host is thought to hold."""
+        return list(self.by_host.get(host, {}).values())
+
+    def apply_all(self, records: Iterable[RunRecord], now: float) -> None:
+        """Apply records in order."""
+        for record in records:
+            self.apply(record, now)
+
+    @singledispatchmethod
+    def apply(self, record: RunRecord, now: float) -> None:
+        """Change the tables by one record; one about an unknown job changes nothing."""
+        raise TypeError(f"no rule for {type(record).__name__}")
+
+    @apply.register
+    def _(self, record: Assigned, now: float) -> None:
+        task = self.task(record.task)
+        if task is None:
+            return
+        run = Run(record.task, record.run, record.host, record.instance, record.born_ms, since=now)
+        run.advanced_at = now
+        task.runs[record.run] = run
+        task.last_run = max(task.last_run, record.run)
+        self.waiting.pop(record.task, None)
+        self.by_host.setdefault(record.host, {})[record.task, record.run] = run
+        row = self.rows[record.task.job]
+        if row.progress is Progress.QUEUED:
+            row.progress = Progress.RUNNING
+            self.changed.add(record.task.job)
+
+    @apply.register
+    def _(self, record: Ended, now: float) -> None:
+        task = self.task(record.task)
+        if task is None:
+            return
+        row = self.rows[record.task.job]
+        step = row.step(record.task)
+        run = task.runs.pop(record.run, None)
+        if run is not None:
+            self.by_host.get(run.host, {}).pop((record.task, record.run), None)
+        task.last_run = max(task.last_run, record.run)
+        # A run that is noted for the second time must not count twice.
+        fresh = run is not None
+        if record.saved:
+            for member in row.members(record.task) if step.gang else (task,):
+                member.saved = record.saved
+        if record.result is RunResult.DONE and not step.long_running:
+            self._finish(row, task, now)
+        elif record.result is RunResult.FAILED and fresh:
+            task.failures += 1
+            if run is not None:
+                task.failed_on.append(run.host)
+            row.steps[record.task.occurrence, record.task.step].failed_runs.add(record.run)
+        if not task.done and not task.runs:
+            self._want(row, task, now)
+        self._check_end(row)
+
+    @apply.register
+    def _(self, record: JobEnded, now: float) -> None:
+        row = self.rows.get(record.job)
+        if row is None:
+            return
+        self._drop_waiting(row)
+        row.progress = record.progress
+        row.ended_at = now
+        self.changed.add(record.job)
+        self.to_end.pop(record.job, None)
+        # Runs that are still being stopped keep their tasks until they have ended.
+        self._drop_tasks(row)
+
+    @apply.register
+    def _(self, record: TaskSummary, now: float) -> None:
+        task = self.task(record.task)
+        if task is None:
+            return
+        row = self.rows[record.task.job]
+        task.failures, task.last_run = record.failures, record.last_run
+        task.saved = record.saved
+        if record.last_run and row.progress is Progress.QUEUED:
+            row.progress = Progress.RUNNING
+        if record.done:
+            self._finish(row, task, now)
+
+    def summaries(self) -> Iterator[RunRecord]:
+        """Yield records from which the tables of all unfinished jobs can be rebuilt."""
+        for row in self.rows.values():
+            for task in row.tasks.values():
+                if task.last_run:
+                    yield TaskSummary(task.key, task.done, task.failures, task.last_run, task.saved)
+                for run in task.runs.values():
+                    yield Assigned(task.key, run.run, run.host, run.instance, run.born_ms)
+
+    def _finish(self, row: JobRow, task: Task, now: float) -> None:
+        """Mark a task as done; one end of a gang stands for all its members."""
+        members = list(row.members(task.key)) if row.step(task.key).gang else [task]
+        state = row.steps[task.key.occurrence, task.key.step]
+        for member in members:
+            if not member.done:
+                member.done = True
+                state.left -= 1
+                self.waiting.pop(member.key, None)
+        if state.left == 0 and not row.unwanted:
+            for number, step in enumerate(row.job.steps):
+                if task.key.step in step.after and row.step_ready(task.key.occurrence, number):
+                    self._want_step(row, task.key.occurrence, number, now)
+
+    def _want_step(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
+        for index in range(row.job.steps[number].count):
+            task = row.tasks[TaskKey(row.job.job_id, occurrence, number, index)]
+            if not task.done and not task.runs:
+                self._want(row, task, now)
+
+    def _want(self, row: JobRow, task: Task, now: float) -> None:
+        ready = row.step_ready(task.key.occurrence, task.key.step)
+        if not row.unwanted and ready and task.key not in self.waiting:
+            task.waiting_since = now
+            self.waiting[task.key] = task
+
+    def _drop_waiting(self, row: JobRow) -> None:
+        for key in row.tasks:
+            self.waiting.pop(key, None)
+
+    def _drop_tasks(self, row: JobRow) -> None:
+        if row.progress.final and not any(task.runs for task in row.tasks.values()):
+            row.tasks.clear()
+            row.steps.clear()
+            row.job = Job(row.job.job_id, row.job.queue, "", ())
+
+    def fail(self, job: JobId) -> None:
+        """Note that a job cannot succeed any more."""
+        row = self.rows[job]
+        row.failing = True
+        self._drop_waiting(row)
+        self._check_end(row)
+
+    def _check_end(self, row: JobRow) -> None:
+        """Note the final state of a job in `to_end` once it is decided."""
+        job = row.job.job_id
+        if row.progress.final:
+            self._drop_tasks(row)
+        elif row.cancelling:
+            self.to_end[job] = Progress.CANCELLED
+        elif row.failing:
+            self.to_end[job] = Progress.FAILED
+        elif all(state.left == 0 for state in row.steps.values()):
+            self.to_end[job] = Progress.COMPLETED
+
+    def out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
+        """Tell whether a task or its gang has failed as often as its queue allows."""
+        row = self.rows[key.job]
+        step = row.step(key)
+        if step.long_running:
+            return False
+        if step.gang:
+            return len(row.steps[key.occurrence, key.step].failed_runs) >= attempts
+        return row.tasks[key].failures >= attempts
+
+    def pending(self, queue: QueueId) -> int:
+        """Return how many unfinished jobs of a queue have not begun."""
+        return sum(
+            row.job.queue == queue and row.progress is Progress.QUEUED for row in self.rows.values()
+        )
--- a/packages/core/src/apricotpath/logs.py
+++ b/packages/core/src/apricotpath/logs.py
@@ -1,10 +1,10 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 import json
 import logging
 import sys
 import time
-from typing import Any
+from typing import Any, TextIO
 
 # Attributes of a plain LogRecord; everything else came in through `extra`.
 _STANDARD = set(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
@@ -28,9 +28,12 @@
         return json.dumps(line, default=str)
 
 
-def configure(level: str, process: str) -> None:
-    """Send all logs of this process to standard error, each line naming the process."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure(level: str, process: str, stream: TextIO | None = None) -> None:
+    """Send all logs of this process to a stream, by default standard error.
+
+    Each line names the process.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter())
     handler.addFilter(_ProcessName(process))
     root = logging.getLogger()
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -7,10 +7,14 @@
     ClassId,
     DataCentreId,
     Epoch,
+    FenceToken,
     HostId,
     IncarnationId,
+    InstanceId,
+    JobId,
     KeyId,
     ProcessId,
+    QueueId,
     RackId,
     RequestId,
     ServiceId,
@@ -28,8 +32,10 @@
     ServiceState,
     Settlement,
     Size,
+    StartAnswer,
     TaskClass,
 )
+from apricotpath.workload import Progress, RunResult
 
 NO_TEAM = TeamId("")
 NO_EPOCH = Epoch(0)
@@ -479,3 +485,195 @@
 
     code: str
     text: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderNotice(Message):
+    """The entry that schedules jobs, and its epoch; a higher epoch replaces a lower one."""
+
+    epoch: Epoch
+    entry: ProcessId
+
+
+@dataclass(frozen=True, slots=True)
+class HostAttach(Message):
+    """Call of an agent that puts one life of its executor under a scheduler's orders.
+
+    `epoch` is the highest epoch that the agent has heard of.
+    """
+
+    host: HostId
+    instance: InstanceId
+    born_ms: int
+    service: ServiceId
+    data_centre: DataCentreId
+    rack: RackId
+    labels: tuple[str, ...]
+    capacity: Size
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class HostAttached(Message):
+    """Reply to HostAttach: the token under which the agent may act from now on."""
+
+    epoch: Epoch
+    fence: FenceToken
+
+
+@dataclass(frozen=True, slots=True)
+class RunStatus:
+    """One run that works on a host; see `apricotpath.jobtable.Run`."""
+
+    task: TaskId
+    run: int
+    saved: str
+    percent: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnding:
+    """The end of a run; numbers rise by one within a life of the executor."""
+
+    number: int
+    task: TaskId
+    run: int
+    result: RunResult
+    saved: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostRuns(Message):
+    """All runs of a host and the ends that are not noted yet.
+
+    `renewal` numbers the reports of one attachment. In the `first` report
+    the lists are exact: no other run of an earlier token can still begin.
+    `remaining_ms` is how long a draining executor stays at least.
+    """
+
+    fence: FenceToken
+    renewal: int
+    first: bool
+    draining: bool
+    remaining_ms: int
+    runs: tuple[RunStatus, ...]
+    endings: tuple[RunEnding, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HostGrant(Message):
+    """Lets the runs of a host go on for one lease after report `renewal` was sent.
+
+    `noted` is the number of the newest end that is durably noted.
+    """
+
+    fence: FenceToken
+    renewal: int
+    noted: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunOrder:
+    """Order to start one run of a task, from the checkpoint `saved` if there is one."""
+
+    task: TaskId
+    run: int
+    command: str
+    saved: str
+    ticket: str
+    filler: bool
+    target_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class StartRuns(Message):
+    """Starts for a host; valid for a short time after its report `renewal` was sent."""
+
+    fence: FenceToken
+    renewal: int
+    orders: tuple[RunOrder, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunName:
+    """A run of a task."""
+
+    task: TaskId
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRuns(Message):
+    """Runs that a host must stop, or never start if it does not know them."""
+
+    fence: FenceToken
+    runs: tuple[RunName, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunTrait:
+    """What an agent needs to know of a run that it did not start itself."""
+
+    task: TaskId
+    run: int
+    filler: bool
+    target_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunTraits(Message):
+    """Traits of the runs that a newly attached host holds."""
+
+    fence: FenceToken
+    traits: tuple[RunTrait, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """What became of an order to start a run."""
+
+    task: TaskId
+    run: int
+    answer: StartAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswers(Message):
+    """Answers of a host to StartRuns."""
+
+    fence: FenceToken
+    answers: tuple[OrderAnswer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted(Message):
+    """A job that an entry has just stored; `content` is its stored form."""
+
+    job: JobId
+    content: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobCancelling(Message):
+    """A job whose cancelling an entry has just stored."""
+
+    job: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """State of a job as callers see it."""
+
+    job: JobId
+    queue: QueueId
+    progress: Progress
+
+
+@dataclass(frozen=True, slots=True)
+class JobStatuses(Message):
+    """Durable states of jobs; a `whole` message begins the list of all jobs anew."""
+
+    epoch: Epoch
+    whole: bool
+    jobs: tuple[JobStatus, ...]
--- a/packages/core/src/apricotpath/model.py
+++ b/packages/core/src/apricotpath/model.py
@@ -104,6 +104,20 @@
     LATE = "late"
 
 
+class StartAnswer(Enum):
+    """What became of an order to start a run.
+
+    REFUSED and all that follow it: the run did not begin and never will.
+    UNFIT: the executor had no room. BROKEN: the executor failed the order itself.
+    """
+
+    STARTED = "started"
+    REFUSED = "refused"
+    UNFIT = "unfit"
+    BROKEN = "broken"
+    TICKET = "ticket"
+
+
 class Settlement(Enum):
     """What an agent knows of a request id."""
 
--- /dev/null
+++ b/packages/core/src/apricotpath/runlog.py
@@ -0,0 +1,156 @@
+"""The run log of a scheduler in the store: fenced appends, snapshots and loading."""
+
+import json
+import logging
+from collections import deque
+from collections.abc import Iterable, Sequence
+
+import anyio
+
+from apricotpath.errors import (
+    FencedError,
+    StoreLimited,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from apricotpath.runrecords import RunRecord, from_row, to_row
+from apricotpath.store import Compare, Delete, Put, Store, new_token, settle_delays
+
+log = logging.getLogger(__name__)
+
+# A transaction of the store takes this many entries, compares included.
+MAX_TXN_ENTRIES = 32
+# Compares and puts that every append needs itself.
+OWN_ENTRIES = 3
+# Further operations that a caller may add to one append.
+MAX_EXTRA = 20
+MAX_PART_BYTES = 512 << 10
+# Log entries after which a snapshot is due.
+SNAPSHOT_EVERY = 1500
+
+
+class RunLog:
+    """Log of one scheduler epoch; every append compares the epoch's key.
+
+    A scheduler of an earlier epoch can therefore not write. Appends are made
+    one after another by one task.
+    """
+
+    def __init__(self, store: Store, prefix: str, epoch_key: str, epoch_revision: int) -> None:
+        self.store = store
+        self.entries = 0
+        self._prefix = prefix
+        self._epoch = Compare(epoch_key, epoch_revision)
+        self._seq = 0
+        self._obsolete: deque[str] = deque()
+
+    async def load(self) -> list[RunRecord]:
+        """Return all records, oldest first; the snapshot's come before the log's."""
+        records: list[RunRecord] = []
+        head = await self.store.get(f"{self._prefix}snapshot")
+        after = 0
+        if head is not None:
+            after = int(json.loads(head.value)["seq"])
+        parts = await self.store.range(f"{self._prefix}parts/")
+        for item in parts.items:
+            if item.key.startswith(self._part_prefix(after)):
+                records += self._decode(item.value)
+            else:
+                self._obsolete.append(item.key)
+        entries = await self.store.range(f"{self._prefix}log/")
+        self._seq = after
+        for item in entries.items:
+            seq = int(item.key.rsplit("/", 1)[1])
+            if seq <= after:
+                self._obsolete.append(item.key)
+                continue
+            records += self._decode(item.value)
+            self._seq = seq
+            self.entries += 1
+        return records
+
+    async def append(
+        self, records: Sequence[RunRecord], extra: Sequence[Put | Delete] = ()
+    ) -> None:
+        """Return when the records and extra operations are durable, all together.
+
+        Goes on trying while the store is away. Raises FencedError when a newer
+        scheduler has taken over; then nothing of this call is written.
+        """
+        self._seq += 1
+        key = f"{self._prefix}log/{self._seq:012d}"
+        value = {"token": new_token(), "records": [to_row(record) for record in records]}
+        operations: list[Put | Delete] = [Put(key, _json(value)), *extra]
+        room = MAX_TXN_ENTRIES - OWN_ENTRIES - len(extra)
+        removed = [self._obsolete.popleft() for _ in range(min(room, len(self._obsolete)))]
+        operations += [Delete(obsolete) for obsolete in removed]
+        await self._write(key, [Compare(key, 0)], operations)
+        self.entries += 1
+
+    async def snapshot(self, records: Iterable[RunRecord]) -> None:
+        """Replace the log by records that say the same; raises as `append`."""
+        seq = self._seq
+        parts: list[list[object]] = [[]]
+        size = 0
+        for record in records:
+            row = to_row(record)
+            size += len(_json(row)) + 1
+            if size > MAX_PART_BYTES:
+                parts.append([])
+                size = 0
+            parts[-1].append(row)
+        for number, rows in enumerate(parts):
+            key = f"{self._part_prefix(seq)}{number:06d}"
+            part = {"token": new_token(), "records": rows}
+            await self._write(key, [], [Put(key, _json(part))])
+        head = f"{self._prefix}snapshot"
+        old_parts = await self._old_parts(seq)
+        await self._write(head, [], [Put(head, _json({"token": new_token(), "seq": seq}))])
+        first = seq - self.entries + 1
+        self._obsolete += [f"{self._prefix}log/{old:012d}" for old in range(first, seq + 1)]
+        self._obsolete += old_parts
+        self.entries = 0
+
+    async def _old_parts(self, seq: int) -> list[str]:
+        while True:
+            try:
+                result = await self.store.range(f"{self._prefix}parts/")
+            except (StoreUnavailable, StoreLimited):
+                await anyio.sleep(0.1)
+                continue
+            new = self._part_prefix(seq)
+            return [item.key for item in result.items if not item.key.startswith(new)]
+
+    def _part_prefix(self, seq: int) -> str:
+        return f"{self._prefix}parts/{seq:012d}/"
+
+    async def _write(
+        self, key: str, compares: Sequence[Compare], operations: Sequence[Put | Delete]
+    ) -> None:
+        """Write one transaction that puts `key`, whose outcome is known in the end."""
+        wanted = next(op.value for op in operations if isinstance(op, Put) and op.key == key)
+        unknown = False
+        delays = settle_delays()
+        while True:
+            try:
+                result = await self.store.txn([self._epoch, *compares], operations)
+                if result.succeeded:
+                    return
+                if unknown or compares:
+                    item = await self.store.get(key)
+                    # An earlier attempt, whose answer was lost, took effect.
+                    if item is not None and item.value == wanted:
+                        return
+                raise FencedError("a newer scheduler has taken over; nothing was written")
+            except StoreOutcomeUnknown:
+                unknown = True
+            except (StoreUnavailable, StoreLimited):
+                pass
+            await anyio.sleep(next(delays))
+
+    def _decode(self, value: bytes) -> list[RunRecord]:
+        return [from_row(row) for row in json.loads(value)["records"]]
+
+
+def _json(value: object) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
--- /dev/null
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -0,0 +1,269 @@
+"""Choice of hosts for the tasks that wait: pure functions over the tables."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from apricotpath.fleet import FleetSettings, Host
+from apricotpath.ids import DataCentreId, HostId, QueueId
+from apricotpath.jobtable import JobRow, JobTable, Run, Task
+from apricotpath.model import Size
+from apricotpath.workload import NO_SIZE, Queue, Step, TaskKey
+
+# A group of tasks that has waited this long keeps smaller ones of later groups off one host.
+RESERVE_AFTER_S = 2.0
+# Share of its claim that a long-running task is taken to use when filler tasks are placed.
+SERVING_USE = 0.6
+# Starts that one pass gives to one host; the next pass follows at once.
+MAX_STARTS_PER_PASS = 64
+
+
+class Placement(NamedTuple):
+    """A decision to start a task on a host as the given run."""
+
+    task: TaskKey
+    run: int
+    host: HostId
+
+
+@dataclass(slots=True)
+class Room:
+    """What is committed on one host while a pass goes on.
+
+    `claimed` counts all but filler tasks; `used` estimates the processors in
+    use, filler tasks included, in thousandths of a core.
+    """
+
+    host: Host
+    capacity: Size
+    claimed: Size = NO_SIZE
+    used: float = 0.0
+    fillers: int = 0
+    serving: int = 0
+    steps: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    blocked: bool = False
+
+    def add(self, task: TaskKey, step: Step) -> None:
+        """Commit one more task."""
+        size = step.size
+        if step.filler:
+            self.fillers += 1
+            size = Size(0, size.memory_mb, size.accelerators)
+        self.claimed = self.claimed + size
+        if step.long_running and not step.filler:
+            self.serving += 1
+            self.used += step.size.cpu_milli * SERVING_USE
+        else:
+            self.used += step.size.cpu_milli
+        where = (task.job, task.occurrence, task.step)
+        self.steps[where] = self.steps.get(where, 0) + 1
+
+    def fits(self, step: Step) -> bool:
+        """Tell whether one more task of a step has room."""
+        size = step.size
+        if step.filler:
+            if self.used + size.cpu_milli > self.capacity.cpu_milli:
+                return False
+            size = Size(0, size.memory_mb, size.accelerators)
+        return (self.claimed + size).fits_in(self.capacity)
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementInput:
+    """What a pass is decided from, beside the tables."""
+
+    hosts: Mapping[HostId, Host]
+    queues: Mapping[QueueId, Queue]
+    out: frozenset[DataCentreId]
+    now: float
+    utc_s: float
+    cfg: FleetSettings
+    # Hosts that an advisory service allows for a step, or None if it must be asked first.
+    advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
+
+
+@dataclass(slots=True)
+class _Group:
+    """Waiting tasks of one step and occurrence."""
+
+    row: JobRow
+    step: Step
+    queue: Queue
+    tasks: list[Task]
+
+
+def make_rooms(table: JobTable, given: PlacementInput) -> dict[HostId, Room]:
+    """Return the room of every host whose executor is known."""
+    rooms = {}
+    for host in given.hosts.values():
+        if host.facts is None:
+            continue
+        room = Room(host, host.facts.capacity)
+        for run in table.by_host.get(host.host, {}).values():
+            row = table.rows.get(run.task.job)
+            if row is not None and row.tasks:
+                room.add(run.task, row.step(run.task))
+        rooms[host.host] = room
+    return rooms
+
+
+def place(table: JobTable, given: PlacementInput) -> list[Placement]:
+    """Return the starts to make now, in order."""
+    if not table.waiting:
+        return []
+    rooms = make_rooms(table, given)
+    placements: list[Placement] = []
+    for group in _groups(table, given):
+        candidates = [room for room in rooms.values() if _allowed(room, group, given)]
+        if group.step.gang:
+            placements += _place_gang(group, candidates, given)
+        else:
+            placements += _place_each(group, candidates, given)
+    return placements
+
+
+def _groups(table: JobTable, given: PlacementInput) -> list[_Group]:
+    found: dict[tuple[str, int, int], _Group] = {}
+    for key, task in table.waiting.items():
+        row = table.rows[key.job]
+        queue = given.queues.get(row.job.queue)
+        if queue is None or row.job.due_s(key.occurrence) > given.utc_s:
+            continue
+        where = (key.job, key.occurrence, key.step)
+        if where not in found:
+            found[where] = _Group(row, row.step(key), queue, [])
+        found[where].tasks.append(task)
+    return sorted(
+        found.values(),
+        key=lambda group: (group.queue.priority, group.step.filler, group.row.job.accepted_s),
+    )
+
+
+def _allowed(room: Room, group: _Group, given: PlacementInput) -> bool:
+    facts = room.host.facts
+    if facts is None or facts.service != group.queue.service:
+        return False
+    if facts.data_centre in given.out or room.blocked:
+        return False
+    if group.step.label and group.step.label not in facts.labels:
+        return False
+    return room.host.takes_starts(given.now, given.cfg.silent_s)
+
+
+def _place_each(
+    group: _Group, candidates: list[Room], given: PlacementInput
+) -> Iterable[Placement]:
+    for task in group.tasks:
+        allowed = candidates
+        if group.queue.advised:
+            good = given.advised(task.key)
+            if good is None:
+                return
+            allowed = [room for room in candidates if room.host.life()[0] in good]
+        room = _choose(group, task, allowed)
+        if room is None:
+            _reserve(group, task, allowed, given)
+            return
+        room.add(task.key, group.step)
+        yield Placement(task.key, task.last_run + 1, room.host.host)
+
+
+def _choose(group: _Group, task: Task, candidates: Iterable[Room]) -> Room | None:
+    step = group.step
+    where = (task.key.job, task.key.occurrence, task.key.step)
+    fitting = [
+        room
+        for room in candidates
+        if room.fits(step)
+        and (not step.max_per_host or room.steps.get(where, 0) < step.max_per_host)
+    ]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda room: _cost(room, task, step, where))
+
+
+def _cost(
+    room: Room, task: Task, step: Step, where: tuple[str, int, int]
+) -> tuple[bool, bool, float]:
+    """Return the order of preference of a host for a task; the least is taken."""
+    facts = room.host.facts
+    far = bool(step.near) and facts is not None and facts.rack != step.near
+    share = (room.used + step.size.cpu_milli) / max(1, room.capacity.cpu_milli)
+    if step.filler:
+        share += 0.5 * room.serving
+    elif step.long_running:
+        share += 0.25 * room.fillers + room.steps.get(where, 0)
+    return (room.host.host in task.failed_on, far, share)
+
+
+def _reserve(group: _Group, task: Task, candidates: Iterable[Room], given: PlacementInput) -> None:
+    """Keep later groups off the host that comes closest to having room for a task."""
+    if given.now - task.waiting_since < RESERVE_AFTER_S:
+        return
+    able = [room for room in candidates if group.step.size.fits_in(room.capacity)]
+    if able:
+        min(able, key=lambda room: room.claimed.cpu_milli - room.capacity.cpu_milli).blocked = True
+
+
+def _place_gang(group: _Group, candidates: list[Room], given: PlacementInput) -> list[Placement]:
+    """Place all members of a gang at once, or none; on one rack if that matters."""
+    members = [task for task in group.row.members(group.tasks[0].key) if not task.done]
+    if len(group.tasks) < len(members) or any(task.runs for task in members):
+        return []
+    run = max(task.last_run for task in members) + 1
+    pools = [candidates]
+    if group.step.same_rack:
+        racks = {room.host.facts.rack for room in candidates if room.host.facts}
+        pools = [
+            [room for room in candidates if room.host.facts and room.host.facts.rack == rack]
+            for rack in sorted(racks)
+        ] + pools
+    for pool in pools:
+        chosen = _fit_all(group, members, pool)
+        if chosen is not None:
+            return [
+                Placement(task.key, run, room.host.host)
+                for task, room in zip(members, chosen, strict=True)
+            ]
+    _reserve(group, members[0], candidates, given)
+    return []
+
+
+def _fit_all(group: _Group, members: list[Task], pool: list[Room]) -> list[Room] | None:
+    """Return a room for each member and commit them, or change nothing and return None."""
+    chosen: list[Room] = []
+    before = [(room, room.claimed, room.used, room.fillers, room.serving) for room in pool]
+    counts = [dict(room.steps) for room in pool]
+    for task in members:
+        room = _choose(group, task, pool)
+        if room is None:
+            for (kept, claimed, used, fillers, serving), steps in zip(before, counts, strict=True):
+                kept.claimed, kept.used, kept.steps = claimed, used, steps
+                kept.fillers, kept.serving = fillers, serving
+            return None
+        room.add(task.key, group.step)
+        chosen.append(room)
+    return chosen
+
+
+def hopeless(step: Step, queue: Queue, hosts: Iterable[Host]) -> bool:
+    """Tell whether no known host could ever run a task of a step."""
+    facts = [host.facts for host in hosts if host.facts and host.facts.service == queue.service]
+    return bool(facts) and not any(
+        step.size.fits_in(fact.capacity) and (not step.label or step.label in fact.labels)
+        for fact in facts
+    )
+
+
+def stalled(run: Run, step: Step, now: float) -> bool:
+    """Tell whether a run makes no progress although its executor reports it."""
+    if step.gang or step.long_running or step.filler:
+        return False
+    expected = max(STALL_LEAST_S, STALL_FACTOR * step.estimate_s / 100)
+    return now - run.advanced_at > expected
+
+
+# A run whose progress stands still for this long is stopped; the factor is in hundredths of
+# the estimated run time, which is what one percent of progress takes.
+STALL_LEAST_S = 2.5
+STALL_FACTOR = 20.0
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -304,6 +304,130 @@
   text @1 :Text;
 }
 
+struct LeaderNotice {
+  epoch @0 :Int64;
+  entry @1 :Text;
+}
+
+struct HostAttach {
+  host @0 :Text;
+  instance @1 :Text;
+  bornMs @2 :Int64;
+  service @3 :Text;
+  dataCentre @4 :Text;
+  rack @5 :Text;
+  labels @6 :List(Text);
+  capacity @7 :Size;
+  epoch @8 :Int64;
+}
+
+struct HostAttached {
+  epoch @0 :Int64;
+  fence @1 :Int64;
+}
+
+struct RunStatus {
+  task @0 :Text;
+  run @1 :Int64;
+  saved @2 :Text;
+  percent @3 :Int64;
+  load @4 :Float64;
+}
+
+struct RunEnding {
+  number @0 :Int64;
+  task @1 :Text;
+  run @2 :Int64;
+  result @3 :Text;
+  saved @4 :Text;
+}
+
+struct HostRuns {
+  fence @0 :Int64;
+  renewal @1 :Int64;
+  first @2 :Bool;
+  draining @3 :Bool;
+  remainingMs @4 :Int64;
+  runs @5 :List(RunStatus);
+  endings @6 :List(RunEnding);
+}
+
+struct HostGrant {
+  fence @0 :Int64;
+  renewal @1 :Int64;
+  noted @2 :Int64;
+}
+
+struct RunOrder {
+  task @0 :Text;
+  run @1 :Int64;
+  command @2 :Text;
+  saved @3 :Text;
+  ticket @4 :Text;
+  filler @5 :Bool;
+  targetMs @6 :Float64;
+}
+
+struct StartRuns {
+  fence @0 :Int64;
+  renewal @1 :Int64;
+  orders @2 :List(RunOrder);
+}
+
+struct RunName {
+  task @0 :Text;
+  run @1 :Int64;
+}
+
+struct StopRuns {
+  fence @0 :Int64;
+  runs @1 :List(RunName);
+}
+
+struct RunTrait {
+  task @0 :Text;
+  run @1 :Int64;
+  filler @2 :Bool;
+  targetMs @3 :Float64;
+}
+
+struct RunTraits {
+  fence @0 :Int64;
+  traits @1 :List(RunTrait);
+}
+
+struct OrderAnswer {
+  task @0 :Text;
+  run @1 :Int64;
+  answer @2 :Text;
+}
+
+struct OrderAnswers {
+  fence @0 :Int64;
+  answers @1 :List(OrderAnswer);
+}
+
+struct JobAccepted {
+  job @0 :Text;
+  content @1 :Text;
+}
+
+struct JobCancelling {
+  job @0 :Text;
+}
+
+struct JobStatus {
+  job @0 :Text;
+  queue @1 :Text;
+  progress @2 :Text;
+}
+
+struct JobStatuses {
+  epoch @0 :Int64;
+  whole @1 :Bool;
+  jobs @2 :List(JobStatus);
+}
+
 struct Envelope {
   version @0 :UInt16;
   id @1 :UInt64;
@@ -343,5 +467,17 @@
     shareGrant @34 :ShareGrant;
     failure @35 :Failure;
     responseAck @36 :ResponseAck;
+    leaderNotice @37 :LeaderNotice;
+    hostAttach @38 :HostAttach;
+    hostAttached @39 :HostAttached;
+    hostRuns @40 :HostRuns;
+    hostGrant @41 :HostGrant;
+    startRuns @42 :StartRuns;
+    stopRuns @43 :StopRuns;
+    runTraits @44 :RunTraits;
+    orderAnswers @45 :OrderAnswers;
+    jobAccepted @46 :JobAccepted;
+    jobCancelling @47 :JobCancelling;
+    jobStatuses @48 :JobStatuses;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -0,0 +1,462 @@
+"""The part of an agent that runs tasks on its executor for the scheduler."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.boottime import boot_s
+from apricotpath.codec import Envelope
+from apricotpath.errors import LinkError
+from apricotpath.executor import (
+    Executor,
+    ExecutorError,
+    ExecutorFenced,
+    ExecutorReplaced,
+    ExecutorSilent,
+    Holding,
+    StartCall,
+)
+from apricotpath.fleet import FleetSettings
+from apricotpath.ids import Epoch, FenceToken, HostId, InstanceId, ProcessId, TaskId
+from apricotpath.link import Link
+from apricotpath.messages import (
+    HostAttach,
+    HostAttached,
+    HostGrant,
+    HostRuns,
+    LeaderNotice,
+    Message,
+    OrderAnswer,
+    OrderAnswers,
+    RunEnding,
+    RunOrder,
+    RunStatus,
+    RunTraits,
+    StartRuns,
+    StopRuns,
+)
+from apricotpath.model import StartAnswer
+from apricotpath.pacing import Pacer
+from apricotpath.workload import HostFacts
+
+log = logging.getLogger(__name__)
+
+# A hold waits this long for an end; reports and renewals follow at least as often.
+HOLD_WAIT_S = 0.4
+HOLD_RETRY_S = 0.1
+ATTACH_RETRY_S = 0.1
+# Between two attempts of an order that the executor did not answer.
+ORDER_RETRY_S = 0.05
+# Readings of load are averages over half a second, so pacing follows no faster.
+PACE_INTERVAL_S = 0.5
+# A share that has not changed is sent again, since an older order may be carried out late.
+PACE_REPEAT_S = 2.0
+# Grants and sent reports that are remembered; reports are 0.4 s apart.
+MAX_RENEWALS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorState:
+    """What the executor said of itself last."""
+
+    facts: HostFacts
+    draining: bool = False
+    leaves_at: float = float("inf")
+
+
+@dataclass(slots=True)
+class _View:
+    """What the agent knows of a run beside the executor's list."""
+
+    filler: bool = False
+    target_ms: float = 0.0
+    started_at: float = float("inf")
+    paced: int = 100
+    paced_at: float = float("-inf")
+
+
+@dataclass(slots=True)
+class _Attachment:
+    """One attachment to a scheduler, with its fencing token."""
+
+    link: Link
+    epoch: Epoch
+    fence: FenceToken
+    facts: HostFacts
+    renewal: int = 0
+    sent_at: dict[int, float] = field(default_factory=dict)
+    granted_until: float = 0.0
+    noted: int = 0
+    reported: bool = False
+    views: dict[tuple[TaskId, int], _View] = field(default_factory=dict)
+    ended: set[tuple[TaskId, int]] = field(default_factory=set)
+
+
+class HostAgent:
+    """Component that follows the scheduler of the highest epoch.
+
+    Runs go on only as long as the scheduler has granted. All calls to the
+    executor carry the attachment's fencing token, so that a call of an
+    earlier attachment, carried out late, has no effect.
+    """
+
+    handles: frozenset[type[Message]] = frozenset(
+        {LeaderNotice, HostGrant, StartRuns, StopRuns, RunTraits}
+    )
+
+    def __init__(
+        self,
+        host: HostId,
+        cfg: FleetSettings,
+        connect: Callable[[HostFacts], Executor],
+    ) -> None:
+        self.host, self.cfg = host, cfg
+        self.state: ExecutorState | None = None
+        self.epoch = Epoch(0)
+        self.leader: ProcessId | None = None
+        self.attachment: _Attachment | None = None
+        self.executor: Executor | None = None
+        self.runs: tuple[RunStatus, ...] = ()
+        self._connect = connect
+        self._clock_ms, self._clock_at = 0, 0.0
+        self._links: list[Link] = []
+        self._changed = anyio.Event()
+        self._group: TaskGroup | None = None
+        self._pacer = Pacer()
+        self._paced_at = float("-inf")
+
+    # What the executor says of itself.
+
+    def executor_said(self, state: ExecutorState) -> None:
+        """Take over the executor's own report; a new life ends the attachment."""
+        known = self.state
+        self.state = state
+        if known is None or (known.facts.instance, known.facts.born_ms) != (
+            state.facts.instance,
+            state.facts.born_ms,
+        ):
+            log.info("executor seen", extra={"instance": state.facts.instance})
+            self.executor = self._connect(state.facts)
+            self._detach("a new life of the executor")
+        if known is None or state.draining != known.draining:
+            log.info("executor state", extra={"draining": state.draining})
+        self._signal()
+
+    def executor_left(self, instance: str) -> None:
+        """Note that the executor has said goodbye."""
+        if self.state is not None and self.state.facts.instance == instance:
+            log.info("executor left", extra={"instance": instance})
+            self.state = None
+            self.executor = None
+            self._detach("the executor left")
+
+    def _detach(self, reason: str) -> None:
+        if self.attachment is not None:
+            log.info("detached: %s", reason)
+            self.attachment = None
+        self._signal()
+
+    def _signal(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    # Loops.
+
+    async def run(self) -> None:
+        """Attach, hold and report until cancelled."""
+        async with anyio.create_task_group() as self._group:
+            self._group.start_soon(self._attach_forever)
+            while True:
+                await self._hold_once()
+
+    async def _attach_forever(self) -> None:
+        while True:
+            changed = self._changed
+            link, state = self._leader_link(), self.state
+            if link is None or state is None or self.attachment is not None:
+                await changed.wait()
+                continue
+            if not await self._attach(link, state.facts):
+                await anyio.sleep(ATTACH_RETRY_S)
+
+    async def _attach(self, link: Link, facts: HostFacts) -> bool:
+        call = HostAttach(
+            self.host,
+            InstanceId(facts.instance),
+            facts.born_ms,
+            facts.service,
+            facts.data_centre,
+            facts.rack,
+            tuple(sorted(facts.labels)),
+            facts.capacity,
+            self.epoch,
+        )
+        try:
+            reply = await link.call(call, timeout_s=1.0)
+        except LinkError as exc:
+            log.info("not attached: %s", exc, extra={"leader": link.peer_id})
+            return False
+        if not isinstance(reply, HostAttached) or reply.epoch < self.epoch:
+            return False
+        if self.state is None or self.state.facts != facts or link is not self._leader_link():
+            return False
+        self.attachment = _Attachment(link, reply.epoch, reply.fence, facts)
+        log.info("attached", extra={"leader": link.peer_id, "fence": reply.fence})
+        self._signal()
+        return True
+
+    async def _hold_once(self) -> None:
+        attached, executor = self.attachment, self.executor
+        if attached is None or executor is None:
+            changed = self._changed
+            if self.attachment is None or self.executor is None:
+                await changed.wait()
+            return
+        sent = boot_s()
+        wait_s = HOLD_WAIT_S if attached.reported else 0.0
+        try:
+            holding = await executor.hold(
+                attached.fence, attached.noted, self._deadline(attached), wait_s
+            )
+        except ExecutorFenced as exc:
+            log.warning("hold refused: %s", exc)
+            self._end_attachment(attached, "a higher fencing token was used")
+        except ExecutorReplaced as exc:
+            log.warning("hold refused: %s", exc)
+            await anyio.sleep(HOLD_RETRY_S)
+        except ExecutorError as exc:
+            log.info("hold failed: %s", exc)
+            await anyio.sleep(HOLD_RETRY_S)
+        else:
+            if attached is self.attachment:
+                await self._held(attached, holding, sent)
+
+    def _end_attachment(self, attached: _Attachment, reason: str) -> None:
+        if attached is self.attachment:
+            self._detach(reason)
+
+    async def _held(self, attached: _Attachment, holding: Holding, sent: float) -> None:
+        """Report what the executor runs, and steer filler tasks."""
+        if holding.born_ms and attached.facts.born_ms and holding.born_ms != attached.facts.born_ms:
+            # Its next heartbeat names the new life.
+            await anyio.sleep(HOLD_RETRY_S)
+            return
+        self._clock_ms, self._clock_at = holding.clock_ms, boot_s()
+        self.runs = holding.runs
+        listed = {(status.task, status.run) for status in holding.runs}
+        for ending in holding.endings:
+            attached.views.pop((ending.task, ending.run), None)
+        self._report(attached, holding.runs, holding.endings)
+        gone = [
+            name
+            for name, view in attached.views.items()
+            if view.started_at < sent and name not in listed
+        ]
+        for task, run in gone:
+            del attached.views[task, run]
+            self._answer(attached, task, run, StartAnswer.REFUSED)
+        await self._pace(attached, holding.runs)
+
+    def _report(
+        self,
+        attached: _Attachment,
+        runs: tuple[RunStatus, ...],
+        endings: tuple[RunEnding, ...],
+    ) -> None:
+        state = self.state
+        draining = state is not None and state.draining
+        left_s = max(0.0, state.leaves_at - boot_s()) if state and draining else 0.0
+        attached.renewal += 1
+        attached.sent_at[attached.renewal] = boot_s()
+        attached.sent_at.pop(attached.renewal - MAX_RENEWALS, None)
+        first = not attached.reported
+        report = HostRuns(
+            attached.fence,
+            attached.renewal,
+            first,
+            draining,
+            int(min(left_s, 3600.0) * 1000),
+            runs,
+            endings,
+        )
+        if self._send(attached, report):
+            attached.reported = True
+
+    def _send(self, attached: _Attachment, message: HostRuns | OrderAnswers) -> bool:
+        try:
+            attached.link.send_nowait(message)
+        except LinkError as exc:
+            log.info("report not sent: %s", exc)
+            self._end_attachment(attached, "the link to the scheduler ended")
+            return False
+        return True
+
+    def _deadline(self, attached: _Attachment) -> int | None:
+        """Return the granted end of runs on the executor's clock; None if there is none."""
+        left = attached.granted_until - boot_s()
+        if left <= 0 or not self._clock_at:
+            return None
+        since = boot_s() - self._clock_at
+        return self._clock_ms + round((since + left) * 1000)
+
+    # Pacing of filler tasks.
+
+    async def _pace(self, attached: _Attachment, runs: tuple[RunStatus, ...]) -> None:
+        now = boot_s()
+        if now - self._paced_at < PACE_INTERVAL_S:
+            return
+        self._paced_at = now
+        views = [(status, attached.views.get((status.task, status.run))) for status in runs]
+        ratios = [
+            status.load / view.target_ms
+            for status, view in views
+            if view is not None and view.target_ms > 0
+        ]
+        percent = self._pacer.update(max(ratios, default=None))
+        for status, view in views:
+            if view is None or not view.filler:
+                continue
+            changed = view.paced != percent
+            repeat = percent < 100 and now - view.paced_at > PACE_REPEAT_S
+            if changed or repeat:
+                view.paced, view.paced_at = percent, now
+                await self._send_pace(attached, status, percent)
+
+    async def _send_pace(self, attached: _Attachment, status: RunStatus, percent: int) -> None:
+        if self.executor is None:
+            return
+        try:
+            await self.executor.pace(status.task, status.run, percent, attached.fence)
+        except ExecutorError as exc:
+            log.info("pace not set: %s", exc, extra={"task": status.task, "percent": percent})
+
+    # Orders.
+
+    async def _start(self, attached: _Attachment, order: RunOrder, valid_until: float) -> None:
+        """Start a run; the answer says whether it began, or never will."""
+        name = (order.task, order.run)
+        attached.views[name] = _View(order.filler, order.target_ms)
+        answer = await self._try_start(attached, order, valid_until)
+        if attached is not self.attachment:
+            return
+        if answer is StartAnswer.STARTED:
+            view = attached.views.get(name)
+            if view is not None:
+                view.started_at = boot_s()
+        else:
+            attached.views.pop(name, None)
+        log.info(
+            "run started", extra={"task": order.task, "run": order.run, "answer": answer.value}
+        )
+        self._answer(attached, order.task, order.run, answer)
+
+    async def _try_start(
+        self, attached: _Attachment, order: RunOrder, valid_until: float
+    ) -> StartAnswer:
+        sent = False
+        while attached is self.attachment and self.executor is not None:
+            deadline = self._deadline(attached)
+            draining = self.state is None or self.state.draining
+            if deadline is None or draining or boot_s() > valid_until:
+                if not sent:
+                    return StartAnswer.REFUSED
+                return await self._withdraw(attached, order.task, order.run)
+            call = StartCall(
+                order.task, order.run, order.command, order.saved, order.ticket, deadline
+            )
+            try:
+                sent = True
+                return await self.executor.start(call, attached.fence)
+            except ExecutorSilent as exc:
+                log.info("start not answered: %s", exc, extra={"task": order.task})
+            except ExecutorFenced:
+                self._end_attachment(attached, "a higher fencing token was used")
+            except ExecutorError as exc:
+                log.info("start failed: %s", exc, extra={"task": order.task})
+                return StartAnswer.BROKEN
+            await anyio.sleep(ORDER_RETRY_S)
+        return StartAnswer.REFUSED
+
+    async def _withdraw(self, attached: _Attachment, task: TaskId, run: int) -> StartAnswer:
+        """Make sure that a run whose start was not answered never begins."""
+        await self._stop(attached, task, run)
+        return StartAnswer.REFUSED
+
+    async def _stop(self, attached: _Attachment, task: TaskId, run: int) -> None:
+        """Stop a run; goes on until the executor has answered."""
+        while attached is self.attachment and self.executor is not None:
+            try:
+                await self.executor.stop(task, run, attached.fence)
+                return
+            except ExecutorFenced:
+                self._end_attachment(attached, "a higher fencing token was used")
+            except ExecutorError as exc:
+                log.info("stop failed: %s", exc, extra={"task": task, "run": run})
+            await anyio.sleep(ORDER_RETRY_S)
+
+    def _answer(self, attached: _Attachment, task: TaskId, run: int, answer: StartAnswer) -> None:
+        if attached is self.attachment:
+            self._send(attached, OrderAnswers(attached.fence, (OrderAnswer(task, run, answer),)))
+
+    # Messages.
+
+    async def received(self, link: Link, envelope: Envelope) -> None:
+        """Handle a message of the scheduler."""
+        body = envelope.body
+        if isinstance(body, LeaderNotice):
+            self._follow(body)
+            return
+        attached = self.attachment
+        if attached is None or attached.link is not link or self._group is None:
+            return
+        if isinstance(body, HostGrant) and body.fence == attached.fence:
+            sent = attached.sent_at.get(body.renewal)
+            if sent is not None:
+                until = sent + self.cfg.run_lease_s
+                attached.granted_until = max(attached.granted_until, until)
+            attached.noted = max(attached.noted, body.noted)
+        elif isinstance(body, StartRuns) and body.fence == attached.fence:
+            sent = attached.sent_at.get(body.renewal, float("-inf"))
+            for order in body.orders:
+                valid = sent + self.cfg.start_window_s
+                self._group.start_soon(self._start, attached, order, valid)
+        elif isinstance(body, StopRuns) and body.fence == attached.fence:
+            for name in body.runs:
+                self._group.start_soon(self._stop, attached, name.task, name.run)
+        elif isinstance(body, RunTraits) and body.fence == attached.fence:
+            for trait in body.traits:
+                view = _View(trait.filler, trait.target_ms, started_at=boot_s())
+                attached.views.setdefault((trait.task, trait.run), view)
+
+    def _follow(self, notice: LeaderNotice) -> None:
+        if notice.epoch < self.epoch:
+            return
+        if notice.epoch > self.epoch or notice.entry != self.leader:
+            log.info("following scheduler", extra={"leader": notice.entry, "epoch": notice.epoch})
+            self.epoch, self.leader = notice.epoch, notice.entry
+            self._detach("a new scheduler")
+        self._signal()
+
+    def _leader_link(self) -> Link | None:
+        for link in reversed(self._links):
+            if link.peer_id == self.leader and link.is_open:
+                return link
+        return None
+
+    async def link_opened(self, link: Link) -> None:
+        """Note a link to an entry."""
+        self._links.append(link)
+        self._signal()
+
+    async def link_closed(self, link: Link) -> None:
+        """Forget a link, and the attachment that used it."""
+        if link in self._links:
+            self._links.remove(link)
+        if self.attachment is not None and self.attachment.link is link:
+            self._detach("the link to the scheduler closed")
+
+    async def drain(self) -> None:
+        """Leave the runs to the next life of this agent."""
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -0,0 +1,193 @@
+"""The part of an entry that schedules jobs: election, the scheduler's term, and its links."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import anyio
+
+from apricotpath.codec import Envelope
+from apricotpath.config import Address
+from apricotpath.election import Election, ElectionSettings, Term
+from apricotpath.errors import LinkError
+from apricotpath.fleet import FleetSettings
+from apricotpath.ids import Epoch
+from apricotpath.link import Link
+from apricotpath.messages import (
+    Failure,
+    HostAttach,
+    HostRuns,
+    JobAccepted,
+    JobCancelling,
+    JobStatuses,
+    LeaderNotice,
+    Message,
+    OrderAnswers,
+)
+from apricotpath.mirror import FeedStore
+from apricotpath.model import Role
+from apricotpathd.dialler import Dialler
+from apricotpathd.jobdesk import JobDesk
+from apricotpathd.process import Process
+from apricotpathd.scheduler import Rules, Scheduler
+
+log = logging.getLogger(__name__)
+
+DIAL_INTERVAL_S = 0.3
+
+
+class JobEntry:
+    """Component that runs a scheduler whenever this entry is elected."""
+
+    handles: frozenset[type[Message]] = frozenset(
+        {HostAttach, HostRuns, OrderAnswers, JobAccepted, JobCancelling}
+    )
+
+    def __init__(
+        self,
+        process: Process,
+        store: FeedStore,
+        cfg: FleetSettings,
+        election: ElectionSettings,
+        address: Address,
+        desk: JobDesk,
+        rules: Callable[[], Rules],
+        dialler: Dialler,
+        utc: Callable[[], float] = time.time,
+    ) -> None:
+        self.process, self.store, self.cfg = process, store, cfg
+        self.prefix = election.prefix
+        self.desk = desk
+        self.scheduler: Scheduler | None = None
+        self._rules, self._utc = rules, utc
+        self._dialler = dialler
+        hello = process.hello
+        self.election = Election(
+            store,
+            election,
+            hello.process_id,
+            hello.incarnation,
+            address,
+            self._serve_term,
+            lambda: None,
+        )
+        desk.on_epoch = self._epoch_seen
+
+    def rules_changed(self) -> None:
+        """Look at waiting work again under new rules."""
+        if self.scheduler is not None:
+            self.scheduler.wake()
+
+    async def run(self) -> None:
+        """Take part in elections until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._dialler.run)
+            group.start_soon(self.election.run)
+            group.start_soon(self._dial_peers)
+
+    async def _dial_peers(self) -> None:
+        """Keep one link to each other entry: of two, the one that sorts first dials."""
+        own = self.process.hello.process_id
+        await self.election.mirror.loaded.wait()
+        while True:
+            # A registration that lapses while the store is away does not end a link.
+            if self.election.mirror.age_s() < 2 * self.election.cfg.lease_s:
+                peers = self.election.peers()
+                self._dialler.want({name: peers[name] for name in peers if name > own})
+            await anyio.sleep(DIAL_INTERVAL_S)
+
+    async def _serve_term(self, term: Term) -> None:
+        scheduler = Scheduler(
+            term,
+            self.store,
+            self.prefix,
+            self.cfg,
+            self._rules,
+            lambda: max(self.election.contact_at, self.election.mirror.read_at or 0.0),
+            self._publish,
+            self._utc,
+        )
+        self.scheduler = scheduler
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._announce, scheduler)
+                await scheduler.serve()
+                group.cancel_scope.cancel()
+        finally:
+            self.scheduler = None
+            self.desk.local = None
+
+    async def _announce(self, scheduler: Scheduler) -> None:
+        """Tell every process of the term as soon as its tables are loaded."""
+        await scheduler.loaded.wait()
+        self.desk.local = self._local
+        self.desk.follow(scheduler.term.epoch, self.process.hello.process_id)
+        for link in list(self.process.links):
+            self._introduce(link, scheduler)
+        for message in scheduler.whole_statuses():
+            self.desk.take_statuses(message)
+
+    def _introduce(self, link: Link, scheduler: Scheduler) -> None:
+        try:
+            link.send_nowait(LeaderNotice(scheduler.term.epoch, self.process.hello.process_id))
+            if link.peer is not None and link.peer.role is Role.ENTRY:
+                for message in scheduler.whole_statuses():
+                    link.send_nowait(message)
+        except LinkError as exc:
+            log.info("%s not told of the scheduler: %s", link.peer_id, exc)
+
+    def _publish(self, message: JobStatuses) -> None:
+        self.desk.take_statuses(message)
+        for link in self.process.links:
+            if link.peer is not None and link.peer.role is Role.ENTRY:
+                try:
+                    link.send_nowait(message)
+                except LinkError as exc:
+                    # The entry would miss a change; its next link begins with all states.
+                    log.info("states of jobs not sent to %s: %s", link.peer_id, exc)
+                    link.close("its queue is full")
+
+    def _local(self, message: Message) -> None:
+        """Handle a message of this process's own desk."""
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        if isinstance(message, JobAccepted):
+            scheduler.add_job(message.content)
+        elif isinstance(message, JobCancelling):
+            scheduler.cancel(message.job)
+
+    def _epoch_seen(self, epoch: Epoch) -> None:
+        self.election.outranked(epoch)
+
+    async def received(self, link: Link, envelope: Envelope) -> None:
+        """Handle a message of an agent or of another entry's desk."""
+        body = envelope.body
+        scheduler = self.scheduler
+        if scheduler is None or not scheduler.loaded.is_set():
+            if isinstance(body, HostAttach):
+                await link.send(Failure("not-leader", "this entry schedules no jobs"), envelope.id)
+            return
+        if isinstance(body, HostAttach):
+            self._epoch_seen(body.epoch)
+            await link.send(scheduler.attach(link, body), envelope.id)
+        elif isinstance(body, HostRuns):
+            scheduler.report(link, body)
+        elif isinstance(body, OrderAnswers):
+            scheduler.answers(link, body)
+        else:
+            self._local(body)
+
+    async def link_opened(self, link: Link) -> None:
+        """Introduce the scheduler, if it is here, to a new peer."""
+        if self.scheduler is not None and self.scheduler.loaded.is_set():
+            self._introduce(link, self.scheduler)
+
+    async def link_closed(self, link: Link) -> None:
+        """Detach the hosts of a link."""
+        if self.scheduler is not None:
+            self.scheduler.link_closed(link)
+
+    async def drain(self) -> None:
+        """Leave the place of the scheduler to another entry."""
+        await self.election.resign()
--- a/packages/daemon/src/apricotpathd/peers.py
+++ b/packages/daemon/src/apricotpathd/peers.py
@@ -1,17 +1,14 @@
 """Links between entries: each dials the registered entries that sort after it."""
 
 import logging
-import random
-
-import anyio
-from anyio.abc import TaskGroup
 
 from apricotpath.codec import Envelope
-from apricotpath.config import Address, LinkSettings
+from apricotpath.config import LinkSettings
 from apricotpath.ids import EntryId
-from apricotpath.link import Handler, Link, dial_forever
+from apricotpath.link import Handler, Link
 from apricotpath.messages import Hello, Message
 from apricotpath.model import Role
+from apricotpathd.dialler import Dialler
 from apricotpathd.members import ControlView
 
 log = logging.getLogger(__name__)
@@ -28,18 +25,12 @@
 
     def __init__(self, entry: EntryId, hello: Hello, cfg: LinkSettings, handler: Handler) -> None:
         self.entry = entry
-        self.hello = hello
-        self.cfg = cfg
-        self.handler = handler
         self.links: dict[EntryId, Link] = {}
-        self._dials: dict[EntryId, tuple[Address, anyio.CancelScope]] = {}
-        self._group: TaskGroup | None = None
-        self._rng = random.Random()
+        self._dialler = Dialler(hello, cfg, handler)
 
     async def run(self) -> None:
         """Hold the task group of the dialling loops until cancelled."""
-        async with anyio.create_task_group() as self._group:
-            await anyio.sleep_forever()
+        await self._dialler.run()
 
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Do nothing; no message is for this part."""
@@ -61,23 +52,12 @@
 
     def on_view(self, view: ControlView) -> None:
         """Dial the entries of a new view; a failed read changes nothing."""
-        if not view.store_up or self._group is None:
+        if not view.store_up or not self._dialler.running:
             return
-        wanted = {
-            record.entry: record.address
-            for record in view.entries.values()
-            if record.entry > self.entry
-        }
-        for entry, (address, scope) in list(self._dials.items()):
-            if wanted.get(entry) != address:
-                scope.cancel()
-                del self._dials[entry]
-        for entry, address in wanted.items():
-            if entry not in self._dials:
-                scope = anyio.CancelScope()
-                self._dials[entry] = (address, scope)
-                self._group.start_soon(self._dial, address, scope)
-
-    async def _dial(self, address: Address, scope: anyio.CancelScope) -> None:
-        with scope:
-            await dial_forever(address, self.hello, self.cfg, self.handler, self._rng)
+        self._dialler.want(
+            {
+                record.entry: record.address
+                for record in view.entries.values()
+                if record.entry > self.entry
+            }
+        )
