--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -47,7 +47,7 @@
 
     key: TaskKey
     done: bool = False
-    failures: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     last_run: int = 0
     saved: str = ""
     runs: dict[int, Run] = field(default_factory=dict)
@@ -60,7 +60,6 @@
     """Progress of one step of one occurrence."""
 
     left: int
-    failed_runs: set[int] = field(default_factory=set)
 
 
 class JobRow:
@@ -212,10 +211,9 @@
         if record.result is RunResult.DONE and not step.long_running:
             self._finish(row, task, now)
         elif record.result is RunResult.FAILED and fresh:
-            task.failures += 1
+            task.failed_runs.add(record.run)
             if run is not None:
                 task.failed_on.append(run.host)
-            row.steps[record.task.occurrence, record.task.step].failed_runs.add(record.run)
         if not task.done and not task.runs:
             self._want(row, task, now)
         self._check_end(row)
@@ -239,19 +237,21 @@
         if task is None:
             return
         row = self.rows[record.task.job]
-        task.failures, task.last_run = record.failures, record.last_run
+        task.failed_runs, task.last_run = set(record.failed_runs), record.last_run
         task.saved = record.saved
         if record.last_run and row.progress is Progress.QUEUED:
             row.progress = Progress.RUNNING
         if record.done:
             self._finish(row, task, now)
+            self._check_end(row)
 
     def summaries(self) -> Iterator[RunRecord]:
         """Yield records from which the tables of all unfinished jobs can be rebuilt."""
         for row in self.rows.values():
             for task in row.tasks.values():
-                if task.last_run:
-                    yield TaskSummary(task.key, task.done, task.failures, task.last_run, task.saved)
+                if task.last_run or task.done or task.saved:
+                    failed = tuple(sorted(task.failed_runs))
+                    yield TaskSummary(task.key, task.done, failed, task.last_run, task.saved)
                 for run in task.runs.values():
                     yield Assigned(task.key, run.run, run.host, run.instance, run.born_ms)
 
@@ -316,9 +316,8 @@
         step = row.step(key)
         if step.long_running:
             return False
-        if step.gang:
-            return len(row.steps[key.occurrence, key.step].failed_runs) >= attempts
-        return row.tasks[key].failures >= attempts
+        members = row.members(key) if step.gang else (row.tasks[key],)
+        return len(set().union(*(task.failed_runs for task in members))) >= attempts
 
     def pending(self, queue: QueueId) -> int:
         """Return how many unfinished jobs of a queue have not begun."""
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -49,7 +49,7 @@
 
     task: TaskKey
     done: bool
-    failures: int
+    failed_runs: tuple[int, ...]
     last_run: int
     saved: str
 
@@ -77,7 +77,7 @@
 
 @to_row.register
 def _(record: TaskSummary) -> list[Any]:
-    summary = [record.done, record.failures, record.last_run, record.saved]
+    summary = [record.done, list(record.failed_runs), record.last_run, record.saved]
     return ["t", str(record.task), *summary]
 
 
@@ -94,8 +94,8 @@
         if tag == "j":
             return JobEnded(JobId(values[0]), Progress(values[1]))
         if tag == "t":
-            task, done, failures, last_run, saved = values
-            return TaskSummary(TaskKey.parse(task), done, failures, last_run, saved)
+            task, done, failed, last_run, saved = values
+            return TaskSummary(TaskKey.parse(task), done, tuple(failed), last_run, saved)
     except (ValueError, IndexError, TypeError) as exc:
         raise InputError(f"a record of the run log is malformed: {row!r}") from exc
     raise InputError(f"a record of the run log has the unknown tag {tag!r}")
--- /dev/null
+++ b/tests/features/runplacement.feature
@@ -0,0 +1,55 @@
+Feature: runplacement
+
+  Guards against a host that is given more than it holds, a task on a host that
+  its step, its queue or the operators forbid, half a gang, filler tasks beside
+  tasks that serve users, and large tasks that small ones keep waiting.
+
+  Scenario: runplacement never gives a host more than it holds, seeds 1 to 80
+    When jobs are placed at random over hosts by runplacement, seeds 1 to 80
+    Then no host of runplacement was given more than it holds, stops in progress included
+
+  Scenario Outline: runplacement leaves out a host that <reason>
+    Given runplacement hosts a and b of 4 cores
+    And runplacement host a <reason>
+    When a step of 2 tasks of 1 core is placed by runplacement
+    Then runplacement puts 2 on b and 0 on a
+
+    Examples:
+      | reason                    |
+      | is in a zone taken out    |
+      | leaves                    |
+      | is silent                 |
+      | is set aside              |
+      | is of another service     |
+      | lacks the label           |
+      | has not reported its runs |
+
+  Scenario: runplacement puts at most so many tasks of a step on a host
+    Given runplacement hosts a and b of 8 cores
+    When a step of 6 tasks of 1 core, at most 2 a host, is placed by runplacement
+    Then runplacement puts 2 on a and 2 on b
+
+  Scenario: runplacement starts a gang whole or not at all
+    Given runplacement hosts a and b of 4 cores
+    When a gang of 9 tasks of 1 core is placed by runplacement
+    Then runplacement puts 0 on a and 0 on b
+    When a gang of 8 tasks of 1 core is placed by runplacement
+    Then runplacement puts 4 on a and 4 on b
+
+  Scenario: runplacement keeps a gang on one rack where it fits
+    Given runplacement hosts a and b of 4 cores
+    When a gang of 3 tasks of 1 core on one rack is placed by runplacement
+    Then runplacement puts all 3 on one host
+
+  Scenario: runplacement keeps filler tasks off the hosts of serving tasks
+    Given runplacement hosts a and b of 8 cores
+    And a serving task of 2 cores runs on runplacement host a
+    When a step of 3 filler tasks of 1 core is placed by runplacement
+    Then runplacement puts 3 on b and 0 on a
+
+  Scenario: runplacement keeps small tasks off a host that a large one waits for
+    Given runplacement hosts a and b of 4 cores
+    And 2 tasks of 1 core run on each runplacement host
+    And a task of 4 cores has waited 3 seconds for runplacement
+    When a step of 4 tasks of 1 core is placed by runplacement
+    Then runplacement puts all 2 on one host
--- /dev/null
+++ b/tests/features/steps/runplacement_steps.py
@@ -0,0 +1,209 @@
+"""Steps for runplacement.feature."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from behave import given, then, when
+
+from apricotpath.fleet import FleetSettings, Host
+from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
+from apricotpath.jobtable import JobTable
+from apricotpath.model import Size
+from apricotpath.runplacement import Placement, PlacementInput, place
+from apricotpath.runrecords import Assigned, Ended
+from apricotpath.workload import HostFacts, Job, Queue, RunResult, Step, TaskKey
+
+CORE = 1000
+NOW = 100.0
+SERVICE = ServiceId("bakery")
+QUEUE = Queue(QueueId("bread"), SERVICE)
+
+
+class PlacementCase:
+    """Hosts and a table on which passes of placement are made."""
+
+    def __init__(self) -> None:
+        self.table = JobTable()
+        self.hosts: dict[HostId, Host] = {}
+        self.out: set[DataCentreId] = set()
+        self.placed: list[Placement] = []
+        self.jobs = 0
+
+    def host(self, name: str, cores: int, rack: str = "") -> Host:
+        host = Host(HostId(name), fence=FenceToken(1), reported=True, reported_at=NOW)
+        zone, labels = DataCentreId(f"zone-{name}"), frozenset({"stone"})
+        capacity = Size(cores * CORE, cores * 1000, 0)
+        host.facts = HostFacts(name, 1, SERVICE, zone, RackId(rack or name), labels, capacity)
+        self.hosts[host.host] = host
+        return host
+
+    def add(self, step: Step, waited_s: float = 0.0) -> JobId:
+        self.jobs += 1
+        job = Job(JobId(f"{self.jobs:016x}"), QUEUE.queue, "", (step,), accepted_s=self.jobs)
+        self.table.add(job, NOW - waited_s)
+        return job.job_id
+
+    def run(self, host: str, step: Step) -> None:
+        """Let one task of a new job run on a host."""
+        key = TaskKey(self.add(step), 0, 0, 0)
+        self.table.apply(Assigned(key, 1, HostId(host), host, 1), NOW)
+
+    def place(self, given_now: float = NOW) -> list[Placement]:
+        given = PlacementInput(
+            self.hosts,
+            {QUEUE.queue: QUEUE},
+            frozenset(self.out),
+            given_now,
+            0.0,
+            FleetSettings(),
+        )
+        self.placed = place(self.table, given)
+        return self.placed
+
+    def counts(self) -> Counter[str]:
+        return Counter(str(placement.host) for placement in self.placed)
+
+
+def step(count: int, cores: float, **flags: Any) -> Step:
+    return Step(count, Size(int(cores * CORE), int(cores * 100), 0), **flags)
+
+
+@given("runplacement hosts a and b of {cores:d} cores")
+def two_hosts(context: Any, cores: int) -> None:
+    context.case = PlacementCase()
+    for name in "ab":
+        context.case.host(name, cores)
+
+
+@given("runplacement host a {reason}")
+def host_state(context: Any, reason: str) -> None:
+    case: PlacementCase = context.case
+    host = case.hosts[HostId("a")]
+    facts = host.facts
+    assert facts is not None
+    if reason == "is in a zone taken out":
+        case.out.add(facts.data_centre)
+    elif reason == "leaves":
+        host.draining = True
+    elif reason == "is silent":
+        host.reported_at = NOW - 10
+    elif reason == "is set aside":
+        host.set_aside_until = NOW + 1
+    elif reason == "is of another service":
+        host.facts = HostFacts("a", 1, ServiceId("mill"), facts.data_centre, facts.rack)
+    elif reason == "lacks the label":
+        host.facts = HostFacts(
+            "a", 1, SERVICE, facts.data_centre, facts.rack, frozenset(), facts.capacity
+        )
+    elif reason == "has not reported its runs":
+        host.reported = False
+    else:
+        raise AssertionError(reason)
+
+
+@given("a serving task of {cores:d} cores runs on runplacement host {host:w}")
+def serving(context: Any, cores: int, host: str) -> None:
+    context.case.run(host, step(1, cores, long_running=True, target_ms=10.0))
+
+
+@given("{count:d} tasks of {cores:d} core run on each runplacement host")
+def running(context: Any, count: int, cores: int) -> None:
+    for host in "ab":
+        for _ in range(count):
+            context.case.run(host, step(1, cores))
+
+
+@given("a task of {cores:d} cores has waited {seconds:d} seconds for runplacement")
+def waiting(context: Any, cores: int, seconds: int) -> None:
+    context.case.add(step(1, cores), seconds)
+
+
+@when("a step of {count:d} tasks of {cores:d} core is placed by runplacement")
+def place_plain(context: Any, count: int, cores: int) -> None:
+    context.case.add(step(count, cores, label="stone"))
+    context.case.place()
+
+
+@when("a step of {count:d} tasks of {cores:d} core, at most {most:d} a host, is placed by runplacement")
+def place_spread(context: Any, count: int, cores: int, most: int) -> None:
+    context.case.add(step(count, cores, max_per_host=most))
+    context.case.place()
+
+
+@when("a step of {count:d} filler tasks of {cores:d} core is placed by runplacement")
+def place_filler(context: Any, count: int, cores: int) -> None:
+    context.case.add(step(count, cores, filler=True))
+    context.case.place()
+
+
+@when("a gang of {count:d} tasks of {cores:d} core is placed by runplacement")
+def place_gang(context: Any, count: int, cores: int) -> None:
+    context.case.add(step(count, cores, gang=True))
+    context.case.place()
+
+
+@when("a gang of {count:d} tasks of {cores:d} core on one rack is placed by runplacement")
+def place_tight(context: Any, count: int, cores: int) -> None:
+    context.case.add(step(count, cores, gang=True, same_rack=True))
+    context.case.place()
+
+
+@then("runplacement puts {one:d} on {a:w} and {two:d} on {b:w}")
+def puts(context: Any, one: int, a: str, two: int, b: str) -> None:
+    counts = context.case.counts()
+    assert (counts[a], counts[b]) == (one, two), counts
+
+
+@then("runplacement puts all {count:d} on one host")
+def puts_all(context: Any, count: int) -> None:
+    assert list(context.case.counts().values()) == [count], context.case.counts()
+
+
+def random_pass(seed: int) -> list[str]:
+    """Place and end random work; return where a host was given more than it holds."""
+    rng = random.Random(seed)
+    case = PlacementCase()
+    for name in "abcd":
+        case.host(name, rng.randint(2, 16), rack=rng.choice(["r1", "r2"]))
+    found = []
+    for turn in range(30):
+        flags: dict[str, Any] = {}
+        kind = rng.choice(["plain", "gang", "filler", "long_running", "near"])
+        if kind == "near":
+            flags["near"] = RackId("r1")
+        elif kind != "plain":
+            flags[kind] = True
+        case.add(step(rng.randint(1, 6), rng.uniform(0.1, 4.0), **flags))
+        for placement in case.place(NOW):
+            record = Assigned(placement.task, placement.run, placement.host, placement.host, 1)
+            case.table.apply(record, NOW)
+        found += [f"turn {turn}: {text}" for text in overcommitted(case)]
+        runs = [run for row in case.table.rows.values() for run in row.runs()]
+        for run in rng.sample(runs, len(runs) // 3):
+            case.table.apply(Ended(run.task, run.run, RunResult.DONE), NOW)
+    return found
+
+
+def overcommitted(case: PlacementCase) -> list[str]:
+    found = []
+    for host in case.hosts.values():
+        total = Size()
+        for run in case.table.runs_on(host.host):
+            size = case.table.step_of(run.task).size
+            filler = case.table.step_of(run.task).filler
+            total = total + (Size(0, size.memory_mb, size.accelerators) if filler else size)
+        assert host.facts is not None
+        if not total.fits_in(host.facts.capacity):
+            found.append(f"{host.host} holds {total} of {host.facts.capacity}")
+    return found
+
+
+@when("jobs are placed at random over hosts by runplacement, seeds {a:d} to {b:d}")
+def place_random(context: Any, a: int, b: int) -> None:
+    context.found = {seed: random_pass(seed) for seed in range(a, b + 1)}
+
+
+@then("no host of runplacement was given more than it holds, stops in progress included")
+def none_over(context: Any) -> None:
+    assert not any(context.found.values()), context.found
--- /dev/null
+++ b/tests/support/executormodel.py
@@ -0,0 +1,212 @@
+"""An executor in memory that keeps the promises of a real one, for tests in virtual time."""
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+
+from apricotpath.boottime import boot_s
+from apricotpath.executor import ExecutorFenced, ExecutorReplaced, ExecutorSilent, Holding, StartCall
+from apricotpath.ids import FenceToken, TaskId
+from apricotpath.messages import RunEnding, RunStatus
+from apricotpath.model import Size, StartAnswer
+from apricotpath.workload import RunResult
+
+ANSWER_S = 0.002
+STOP_S = 0.3
+
+
+@dataclass
+class ModelRun:
+    """One run at the executor."""
+
+    task: TaskId
+    run: int
+    ends_at: float
+    result: RunResult
+    size: Size
+    percent: int = 0
+    pace: int = 100
+    load: float = 0.0
+    saved: str = ""
+
+
+@dataclass
+class Behaviour:
+    """What becomes of runs: seconds of work by task, and tasks that fail."""
+
+    seconds: float = 1.0
+    failing: set[TaskId] = field(default_factory=set)
+    sizes: dict[str, Size] = field(default_factory=dict)
+
+
+class ExecutorModel:
+    """One executor; `crash` begins a new life. `history` holds (task, run, from, to)."""
+
+    def __init__(self, name: str, capacity: Size, behaviour: Behaviour) -> None:
+        self.name = name
+        self.capacity = capacity
+        self.behaviour = behaviour
+        self.born_ms = 1
+        self.history: list[tuple[TaskId, int, float, float]] = []
+        self.overcommitted = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self.started_at = boot_s()
+        self.fence = FenceToken(0)
+        self.deadline = 0.0
+        self.runs: dict[tuple[TaskId, int], ModelRun] = {}
+        self.began: dict[tuple[TaskId, int], float] = {}
+        self.ends: list[RunEnding] = []
+        self.blocked: dict[TaskId, int] = {}
+        self.numbers = 0
+        self.changed = anyio.Event()
+
+    def crash(self) -> None:
+        """End everything without a report, and begin a new life under the same id."""
+        for run in list(self.runs.values()):
+            self._note(run)
+        self.born_ms += 1
+        self._reset()
+
+    def clock_ms(self) -> int:
+        return round((boot_s() - self.started_at) * 1000)
+
+    def work(self) -> None:
+        """Carry out what is due: ends of runs, and the lease."""
+        now = boot_s()
+        for run in list(self.runs.values()):
+            if now >= run.ends_at:
+                self.end(run, run.result)
+        if self.runs and now >= self.deadline:
+            for run in list(self.runs.values()):
+                self.end(run, RunResult.LAPSED)
+
+    def end(self, run: ModelRun, result: RunResult) -> None:
+        del self.runs[run.task, run.run]
+        self._note(run)
+        self.numbers += 1
+        self.ends.append(RunEnding(self.numbers, run.task, run.run, result, run.saved))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _note(self, run: ModelRun) -> None:
+        self.history.append((run.task, run.run, self.began[run.task, run.run], boot_s()))
+
+    def check_fence(self, fence: FenceToken) -> None:
+        self.work()
+        if fence < self.fence:
+            raise ExecutorFenced("a higher fencing token was used")
+        self.fence = fence
+
+    def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
+        self.check_fence(fence)
+        name = (call.task, call.run)
+        if name in self.runs:
+            return StartAnswer.STARTED
+        deadline = self.started_at + call.deadline_ms / 1000
+        if call.run <= self.blocked.get(call.task, 0) or deadline <= boot_s():
+            return StartAnswer.REFUSED
+        self.deadline = max(self.deadline, deadline)
+        size = self.behaviour.sizes.get(str(call.task).rsplit(".", 1)[0], Size(1000, 100, 0))
+        used = sum((run.size for run in self.runs.values()), Size())
+        if not (used + size).fits_in(self.capacity):
+            self.overcommitted = True
+            return StartAnswer.UNFIT
+        fails = call.task in self.behaviour.failing
+        result = RunResult.FAILED if fails else RunResult.DONE
+        ends_at = boot_s() + self.behaviour.seconds
+        self.runs[name] = ModelRun(call.task, call.run, ends_at, result, size, saved=call.saved)
+        self.began[name] = boot_s()
+        self.blocked[call.task] = max(call.run, self.blocked.get(call.task, 0))
+        return StartAnswer.STARTED
+
+    def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
+        self.check_fence(fence)
+        self.blocked[task] = max(run, self.blocked.get(task, 0))
+        found = self.runs.get((task, run))
+        if found is not None and found.result is not RunResult.STOPPED:
+            found.result = RunResult.STOPPED
+            found.ends_at = boot_s() + STOP_S
+            found.saved = f"saved-{run}"
+
+
+class ModelExecutor:
+    """Calls to one life of a model; implements `apricotpath.executor.Executor`.
+
+    `unanswered` is the share of orders that get no answer and are carried out
+    up to `late_s` later; `dark` answers nothing at all.
+    """
+
+    def __init__(self, model: ExecutorModel, group: anyio.abc.TaskGroup, seed: int = 0) -> None:
+        self.model = model
+        self.born_ms = model.born_ms
+        self.unanswered = 0.0
+        self.late_s = 12.0
+        self.dark = False
+        self._group = group
+        self._rng = random.Random(seed)
+
+    async def _pass(self) -> None:
+        await anyio.sleep(ANSWER_S)
+        if self.dark:
+            await anyio.sleep(0.5)
+            raise ExecutorSilent("no answer")
+        if self.model.born_ms != self.born_ms:
+            raise ExecutorReplaced("another life")
+
+    async def hold(
+        self, fence: FenceToken, noted: int, deadline_ms: int | None, wait_s: float
+    ) -> Holding:
+        await self._pass()
+        model = self.model
+        model.check_fence(fence)
+        if deadline_ms is not None:
+            model.deadline = max(model.deadline, model.started_at + deadline_ms / 1000)
+        model.ends = [ending for ending in model.ends if ending.number > noted]
+        ends_at, known = boot_s() + wait_s, model.numbers
+        while boot_s() < ends_at and model.numbers == known:
+            model.work()
+            soonest = min([run.ends_at for run in model.runs.values()], default=ends_at)
+            changed = model.changed
+            with anyio.move_on_after(max(0.001, min(soonest, ends_at) - boot_s())):
+                await changed.wait()
+            model.work()
+        return Holding(
+            model.clock_ms(),
+            model.born_ms,
+            tuple(
+                RunStatus(run.task, run.run, run.saved, run.percent, run.load)
+                for run in model.runs.values()
+            ),
+            tuple(model.ends),
+        )
+
+    async def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
+        await self._pass()
+        if self._rng.random() < self.unanswered:
+            self._group.start_soon(self._late, self.model.start, call, fence)
+            raise ExecutorSilent("no answer")
+        return self.model.start(call, fence)
+
+    async def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
+        await self._pass()
+        if self._rng.random() < self.unanswered:
+            self._group.start_soon(self._late, self.model.stop, task, run, fence)
+            raise ExecutorSilent("no answer")
+        self.model.stop(task, run, fence)
+
+    async def _late(self, carry_out: object, *args: object) -> None:
+        await anyio.sleep(self._rng.uniform(2.0, self.late_s))
+        try:
+            carry_out(*args)  # type: ignore[operator]
+        except ExecutorFenced:
+            return
+
+    async def pace(self, task: TaskId, run: int, percent: int, fence: FenceToken) -> None:
+        await self._pass()
+        self.model.check_fence(fence)
+        found = self.model.runs.get((task, run))
+        if found is not None:
+            found.pace = percent
--- /dev/null
+++ b/tests/support/jobworld.py
@@ -0,0 +1,351 @@
+"""Entries, agents, executors and a store in virtual time, joined by links in memory."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import trio
+import trio.testing
+from anyio.abc import TaskGroup
+
+from apricotpath.boottime import boot_s, use_source
+from apricotpath.codec import Envelope
+from apricotpath.config import Address, LinkSettings
+from apricotpath.election import ElectionSettings
+from apricotpath.errors import LinkError, PeerError
+from apricotpath.executor import Executor
+from apricotpath.fleet import FleetSettings
+from apricotpath.ids import DataCentreId, HostId, JobId, ProcessId, QueueId, RackId, ServiceId
+from apricotpath.messages import Failure, Hello, Message
+from apricotpath.model import Role, Size
+from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
+from apricotpathd.dialler import Dialler
+from apricotpathd.hostagent import ExecutorState, HostAgent
+from apricotpathd.jobdesk import JobDesk
+from apricotpathd.jobentry import JobEntry
+from apricotpathd.process import Process
+from apricotpathd.scheduler import Rules
+from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
+from support.memorystore import MemoryStore, SharedStore
+
+SERVICE = ServiceId("bakery")
+QUEUE = QueueId("bread")
+PREFIX = "test/"
+HOP_S = 0.001
+PORT = 1
+
+
+def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
+    """Run a coroutine function in virtual time, which the boot clock follows too."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    use_source(trio.current_time)
+    try:
+        return anyio.run(main, backend="trio", backend_options={"clock": clock})
+    finally:
+        use_source(None)
+
+
+class MemoryLink:
+    """One end of a link between two processes of the world."""
+
+    def __init__(self, world: "JobWorld", near: Process, far: Process) -> None:
+        self.world, self.near, self.far = world, near, far
+        self.peer: Hello | None = far.hello
+        self.other: MemoryLink | None = None
+        self.is_open = True
+        self._number = 0
+        self._calls: dict[int, Any] = {}
+        self._sent: list[Envelope] = []
+
+    @property
+    def peer_id(self) -> str:
+        return self.far.hello.process_id
+
+    def send_nowait(self, body: Message, reply_to: int = 0) -> None:
+        if not self.is_open:
+            raise LinkError("the link is closed")
+        self._number += 1
+        self.world.group.start_soon(self._deliver, Envelope(self._number, reply_to, body))
+
+    async def send(self, body: Message, reply_to: int = 0) -> int:
+        self.send_nowait(body, reply_to)
+        return self._number
+
+    async def _deliver(self, envelope: Envelope) -> None:
+        self._sent.append(envelope)
+        await anyio.sleep(HOP_S)
+        while self._sent and self._sent[0] is not envelope:
+            await anyio.sleep(0)
+        if self._sent:
+            self._sent.pop(0)
+        other = self.other
+        # A cut swallows messages without an error; a paused process handles them later.
+        if other is None or not other.is_open or self.world.is_cut(self.near, self.far):
+            return
+        await self.world.resumed(self.far)
+        call = other._calls.pop(envelope.reply_to, None) if envelope.reply_to else None
+        if call is not None:
+            call[1].append(envelope.body)
+            call[0].set()
+        else:
+            await self.far.received(other, envelope)
+
+    async def call(self, body: Message, timeout_s: float | None = None) -> Message:
+        self.send_nowait(body)
+        done, replies = anyio.Event(), []
+        self._calls[self._number] = (done, replies)
+        with anyio.move_on_after(timeout_s):
+            await done.wait()
+        if not replies:
+            raise LinkError("no reply")
+        if isinstance(replies[0], Failure):
+            raise PeerError(replies[0].code, replies[0].text)
+        return replies[0]
+
+    def close(self, reason: str) -> None:
+        self.world.group.start_soon(self.world.close, self)
+
+
+@dataclass
+class EntryNode:
+    """An entry of the world and the scope that kills it."""
+
+    process: Process
+    store: MemoryStore
+    desk: JobDesk
+    jobs: JobEntry
+    scope: anyio.CancelScope
+
+
+@dataclass
+class AgentNode:
+    """An agent of the world with its executor."""
+
+    process: Process
+    agent: HostAgent
+    model: ExecutorModel
+    scope: anyio.CancelScope
+    beats: bool = True
+
+
+class JobWorld:
+    """A small deployment; use it inside `run_virtual`."""
+
+    def __init__(self, group: TaskGroup, cfg: FleetSettings | None = None) -> None:
+        self.group = group
+        self.cfg = cfg or FleetSettings()
+        self.election = ElectionSettings(prefix=PREFIX)
+        self.shared = SharedStore()
+        self.behaviour = Behaviour()
+        self.entries: dict[str, EntryNode] = {}
+        self.agents: dict[str, AgentNode] = {}
+        self.queues = {QUEUE: Queue(QUEUE, SERVICE, attempts=2)}
+        self.out: set[DataCentreId] = set()
+        self.cut: set[str] = set()
+        self.links: list[MemoryLink] = []
+        self.unanswered = 0.0
+        self._paused: dict[str, anyio.Event] = {}
+        self._numbers = 0
+
+    # Processes.
+
+    def add_entry(self, name: str) -> EntryNode:
+        process = Process(Role.ENTRY, ProcessId(name), DataCentreId("z1"))
+        store = MemoryStore(self.shared)
+        desk = JobDesk(store, PREFIX, boot_s)
+        dialler = Dialler(process.hello, LinkSettings(), process)
+        jobs = JobEntry(
+            process,
+            store,
+            self.cfg,
+            self.election,
+            Address(name, PORT),
+            desk,
+            lambda: Rules(dict(self.queues), frozenset(self.out)),
+            dialler,
+            boot_s,
+        )
+        dialler.want = lambda wanted: None  # type: ignore[method-assign]
+        process.use([desk, jobs])
+        node = EntryNode(process, store, desk, jobs, anyio.CancelScope())
+        self.entries[name] = node
+        self.group.start_soon(self._run, node.scope, process)
+        for other in [*self.entries.values(), *self.agents.values()]:
+            if other is not node and not other.scope.cancel_called:
+                self.group.start_soon(self.join, other.process, process)
+        return node
+
+    def add_agent(self, name: str, capacity: Size, zone: str = "z1", rack: str = "r1") -> AgentNode:
+        known = self.agents.get(name)
+        model = known.model if known else ExecutorModel(name, capacity, self.behaviour)
+        process = Process(Role.AGENT, ProcessId(name), DataCentreId(zone))
+
+        def connect(facts: HostFacts) -> Executor:
+            executor = ModelExecutor(model, self.group, hash(name) % 1000)
+            executor.unanswered = self.unanswered
+            return executor
+
+        agent = HostAgent(HostId(name), self.cfg, connect)
+        process.use([agent])
+        node = AgentNode(process, agent, model, anyio.CancelScope())
+        self.agents[name] = node
+        self.group.start_soon(self._run, node.scope, process)
+        self.group.start_soon(self._beat, node, zone, rack)
+        for entry in self.entries.values():
+            if not entry.scope.cancel_called:
+                self.group.start_soon(self.join, process, entry.process)
+        return node
+
+    async def _run(self, scope: anyio.CancelScope, process: Process) -> None:
+        with scope:
+            async with anyio.create_task_group() as group:
+                await process.serve(group)
+
+    async def _beat(self, node: AgentNode, zone: str, rack: str) -> None:
+        while not node.scope.cancel_called:
+            model = node.model
+            if node.beats:
+                facts = HostFacts(
+                    model.name,
+                    model.born_ms,
+                    SERVICE,
+                    DataCentreId(zone),
+                    RackId(rack),
+                    frozenset({rack}),
+                    model.capacity,
+                )
+                node.agent.executor_said(ExecutorState(facts))
+            model.work()
+            await anyio.sleep(0.5)
+
+    async def kill(self, node: EntryNode | AgentNode) -> None:
+        """End a process without a word."""
+        node.scope.cancel()
+        for link in [link for link in self.links if link.near is node.process]:
+            await self.close(link)
+
+    # Links.
+
+    async def join(self, near: Process, far: Process) -> None:
+        """Open a link between two processes."""
+        one, two = MemoryLink(self, near, far), MemoryLink(self, far, near)
+        one.other, two.other = two, one
+        self.links += [one, two]
+        await near.opened(one)
+        await far.opened(two)
+
+    async def close(self, link: MemoryLink) -> None:
+        """Close both ends of a link."""
+        for end in (link, link.other):
+            if end is not None and end.is_open:
+                end.is_open = False
+                self.links.remove(end)
+                await end.near.closed(end)
+                for done, _ in end._calls.values():
+                    done.set()
+
+    def is_cut(self, near: Process, far: Process) -> bool:
+        """Tell whether messages between two processes get lost."""
+        return near.hello.process_id in self.cut or far.hello.process_id in self.cut
+
+    async def cut_off(self, name: str, for_s: float) -> None:
+        """Cut a process off from all others: messages vanish, and links close after a silence."""
+        self.cut.add(name)
+        await anyio.sleep(1.6)
+        process = (self.entries.get(name) or self.agents[name]).process
+        for link in [link for link in self.links if link.near is process]:
+            await self.close(link)
+        await anyio.sleep(max(0.0, for_s - 1.6))
+        self.cut.discard(name)
+        others = [*self.entries.values(), *self.agents.values()]
+        for other in others:
+            entry_between = name in self.entries or other in self.entries.values()
+            if other.process is not process and entry_between and not other.scope.cancel_called:
+                await self.join(process, other.process)
+
+    async def resumed(self, process: Process) -> None:
+        """Wait while a process is paused."""
+        event = self._paused.get(process.hello.process_id)
+        if event is not None:
+            await event.wait()
+
+    def pause(self, name: str) -> Callable[[], None]:
+        """Keep messages to a process waiting; returns what lets it go on."""
+        event = self._paused[name] = anyio.Event()
+
+        def resume() -> None:
+            del self._paused[name]
+            event.set()
+
+        return resume
+
+    # Work.
+
+    async def submit(self, *steps: Step, at: str = "") -> JobId:
+        """Hand in a job at an entry and return its id."""
+        self._numbers += 1
+        job = JobId(f"{self._numbers:016x}")
+        desk = self.entries[at or next(iter(self.entries))].desk
+        outcome = await desk.submit(Job(job, QUEUE, "bake", steps))
+        assert outcome.value == "accepted", outcome
+        return job
+
+    def leader(self) -> EntryNode | None:
+        """Return the entry whose scheduler is loaded."""
+        for node in self.entries.values():
+            scheduler = node.jobs.scheduler
+            if scheduler is not None and scheduler.loaded.is_set() and not node.scope.cancel_called:
+                return node
+        return None
+
+    async def settle(self) -> None:
+        """Wait until a scheduler is loaded and every living agent is attached."""
+        with anyio.fail_after(30):
+            while self.leader() is None or not all(
+                node.agent.attachment is not None and node.agent.attachment.reported
+                for node in self.agents.values()
+                if not node.scope.cancel_called
+            ):
+                await anyio.sleep(0.05)
+
+    async def ended(self, job: JobId, within_s: float, at: str = "") -> str:
+        """Return the final state of a job as an entry shows it; fails if it comes too late."""
+        node = self.entries[at] if at else next(
+            item for item in self.entries.values() if not item.scope.cancel_called
+        )
+        with anyio.fail_after(within_s):
+            while True:
+                progress = await node.desk.progress(job)
+                if progress is not None and progress.final:
+                    return progress.value
+                await anyio.sleep(0.05)
+
+    def check(self) -> list[str]:
+        """Return what breaks a rule: overlapping runs of a task, or a start after its end."""
+        found = []
+        runs: dict[str, list[tuple[float, float]]] = {}
+        for node in self.agents.values():
+            model = node.model
+            model.work()
+            if model.overcommitted:
+                found.append(f"{model.name} was given more than it holds")
+            active = [
+                (run.task, run.run, model.began[run.task, run.run], boot_s())
+                for run in model.runs.values()
+            ]
+            for task, _run, began, ended in [*model.history, *active]:
+                runs.setdefault(task, []).append((began, ended))
+        for task, spans in runs.items():
+            spans.sort()
+            for (_, ended), (began, _) in zip(spans, spans[1:], strict=False):
+                if began < ended:
+                    found.append(f"{task} ran twice at once")
+        return found
+
+
+def tasks_of(job: JobId, step: int, count: int) -> list[str]:
+    """Return the names of a step's tasks."""
+    return [str(TaskKey(job, 0, step, number)) for number in range(count)]
--- /dev/null
+++ b/tests/support/memorystore.py
@@ -0,0 +1,188 @@
+"""A store in memory with the faults that the platform's store has, for tests in virtual time."""
+
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+
+from apricotpath.boottime import boot_s
+from apricotpath.errors import StoreLeaseEnded, StoreOutcomeUnknown, StoreUnavailable
+from apricotpath.mirror import Changes, HistoryGone
+from apricotpath.store import (
+    Compare,
+    Delete,
+    KeyValue,
+    LeaseId,
+    Put,
+    RangeResult,
+    TxnResult,
+    WatchEvent,
+)
+
+ANSWER_S = 0.004
+
+
+@dataclass
+class Faults:
+    """Faults in force. `lose` and `late` count writes still to be affected.
+
+    A lost write takes effect and is not answered; a late one takes effect
+    `late_s` later if its condition still holds.
+    """
+
+    down: bool = False
+    lose: int = 0
+    late: int = 0
+    late_s: float = 2.0
+    silent: bool = False
+
+
+@dataclass
+class SharedStore:
+    """The data, seen by all clients."""
+
+    items: dict[str, KeyValue] = field(default_factory=dict)
+    history: list[WatchEvent] = field(default_factory=list)
+    revision: int = 1
+    forgotten: int = 0
+    leases: dict[LeaseId, tuple[float, float]] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    writes: int = 0
+
+    def expire(self) -> None:
+        for lease, (ends_at, _) in list(self.leases.items()):
+            if boot_s() >= ends_at:
+                self.end_lease(lease)
+
+    def end_lease(self, lease: LeaseId) -> None:
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item.lease == lease]:
+            self.remove(key)
+
+    def remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.note(WatchEvent(key, None, self.revision))
+
+    def note(self, event: WatchEvent) -> None:
+        self.history.append(event)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def forget_history(self) -> None:
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def apply(self, compares: Sequence[Compare], operations: Sequence[Put | Delete]) -> TxnResult:
+        self.expire()
+        for compare in compares:
+            item = self.items.get(compare.key)
+            if (item.mod_revision if item else 0) != compare.mod_revision:
+                return TxnResult(False, 0)
+        for operation in operations:
+            lease = operation.lease if isinstance(operation, Put) else None
+            if lease is not None and lease not in self.leases:
+                raise StoreLeaseEnded("no such lease")
+        if len(compares) + len(operations) > 32:
+            raise AssertionError("a transaction has more than 32 entries")
+        self.revision += 1
+        self.writes += 1
+        for operation in operations:
+            if isinstance(operation, Put):
+                lease = operation.lease or LeaseId(0)
+                self.items[operation.key] = KeyValue(
+                    operation.key, operation.value, self.revision, lease
+                )
+                self.note(WatchEvent(operation.key, operation.value, self.revision))
+            elif operation.key in self.items:
+                del self.items[operation.key]
+                self.note(WatchEvent(operation.key, None, self.revision))
+        return TxnResult(True, self.revision)
+
+
+class MemoryStore:
+    """One client's access; implements `apricotpath.mirror.FeedStore`."""
+
+    def __init__(self, shared: SharedStore) -> None:
+        self.shared = shared
+        self.faults = Faults()
+        self._late: list[tuple[float, Sequence[Compare], Sequence[Put | Delete]]] = []
+
+    async def _pass(self) -> None:
+        await anyio.sleep(ANSWER_S)
+        self.carry_out_late()
+        if self.faults.silent:
+            await anyio.sleep(1.0)
+            raise StoreUnavailable("no answer")
+        if self.faults.down:
+            raise StoreUnavailable("down")
+        self.shared.expire()
+
+    def carry_out_late(self) -> None:
+        """Apply the late writes whose time has come."""
+        for entry in [entry for entry in self._late if entry[0] <= boot_s()]:
+            self._late.remove(entry)
+            self.shared.apply(entry[1], entry[2])
+
+    async def get(self, key: str, revision: int = 0) -> KeyValue | None:
+        await self._pass()
+        return self.shared.items.get(key)
+
+    async def range(self, prefix: str, end: str = "") -> RangeResult:
+        await self._pass()
+        items = sorted(self.shared.items.items())
+        found = tuple(item for key, item in items if key.startswith(prefix))
+        return RangeResult(found, self.shared.revision)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        ends_at = boot_s() + wait_s
+        while True:
+            await self._pass()
+            if after < self.shared.forgotten:
+                raise HistoryGone("forgotten")
+            found = tuple(
+                event
+                for event in self.shared.history
+                if event.mod_revision > after and event.key.startswith(prefix)
+            )
+            if found or boot_s() >= ends_at:
+                return Changes(found, self.shared.revision)
+            changed = self.shared.changed
+            with anyio.move_on_after(max(0.0, ends_at - boot_s())):
+                await changed.wait()
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        for event in (await self.changes(prefix, from_revision - 1, 1.0)).events:
+            yield event
+
+    async def txn(
+        self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
+    ) -> TxnResult:
+        await self._pass()
+        if self.faults.late > 0:
+            self.faults.late -= 1
+            self._late.append((boot_s() + self.faults.late_s, compares, operations))
+            raise StoreOutcomeUnknown("the answer was lost")
+        result = self.shared.apply(compares, operations)
+        if self.faults.lose > 0:
+            self.faults.lose -= 1
+            raise StoreOutcomeUnknown("the answer was lost")
+        return result
+
+    async def lease_grant(self, ttl_s: float) -> LeaseId:
+        await self._pass()
+        lease = LeaseId(len(self.shared.leases) + self.shared.revision * 1000 + 1)
+        self.shared.leases[lease] = (boot_s() + ttl_s, ttl_s)
+        return lease
+
+    async def lease_keepalive(self, lease: LeaseId) -> bool:
+        await self._pass()
+        if lease not in self.shared.leases:
+            return False
+        ttl_s = self.shared.leases[lease][1]
+        self.shared.leases[lease] = (boot_s() + ttl_s, ttl_s)
+        return True
+
+    async def lease_revoke(self, lease: LeaseId) -> None:
+        await self._pass()
+        self.shared.end_lease(lease)
