--- /dev/null
+++ b/tests/features/jobworld.feature
@@ -0,0 +1,113 @@
+Feature: jobworld
+
+  Entries, agents, executors and the store together, in virtual time. Guards
+  against a task that runs twice at once, an accepted job that is forgotten or
+  stands still, a lease that outlives its grant, an order that takes effect
+  long after it was void, and a scheduler that acts after its term.
+
+  Scenario: jobworld finishes a job of two steps and shows it at every entry
+    Given a jobworld of 2 entries and 3 agents
+    When a job of steps 4 and 2 is submitted to the jobworld
+    Then the jobworld's job is completed within 5 seconds at every entry
+    And no rule of the jobworld was broken
+
+  Scenario Outline: jobworld goes on when <fault>
+    Given a jobworld of 3 entries and 4 agents
+    And tasks of the jobworld take 4 seconds
+    When a job of steps 6 and 2 is submitted to the jobworld
+    And the jobworld meets a fault: <fault>
+    Then the jobworld's job is completed within <limit> seconds
+    And no rule of the jobworld was broken
+    And tasks of the jobworld began at most <starts> times
+
+    Examples:
+      | fault                                        | limit | starts |
+      | the scheduler is killed                      | 16    | 8      |
+      | the scheduler is killed and the store lost   | 30    | 8      |
+      | an agent is killed and started again         | 16    | 8      |
+      | an executor crashes                          | 20    | 10     |
+      | an executor crashes and its agent is killed  | 20    | 10     |
+      | an agent is cut off for 20 seconds           | 30    | 10     |
+      | the scheduler is paused for 5 seconds        | 22    | 14     |
+      | the scheduler is cut off for 6 seconds       | 22    | 14     |
+      | the store is away for 5 seconds              | 18    | 8      |
+      | answers of the store are lost                | 16    | 8      |
+      | every entry is killed and started again      | 18    | 14     |
+
+  Scenario: jobworld runs a task again within seconds of its host's loss, and not before its lease ended
+    Given a jobworld of 2 entries and 2 agents
+    And tasks of the jobworld take 4 seconds
+    When a job of steps 2 and 1 is submitted to the jobworld
+    And the jobworld meets a fault: an agent is cut off for 60 seconds
+    Then the jobworld's job is completed within 24 seconds
+    And no rule of the jobworld was broken
+
+  Scenario Outline: jobworld runs each task once at a time while orders are carried out late, seed <seed>
+    Given a jobworld of 2 entries and 4 agents
+    And the jobworld's executors leave 30 of 100 orders unanswered and carry them out late
+    When 12 jobs of steps 4 and 2 are submitted to the jobworld
+    Then the jobworld's jobs are completed within 60 seconds
+    And no rule of the jobworld was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: jobworld stops what runs of a cancelled job and starts no more of it
+    Given a jobworld of 2 entries and 2 agents
+    And tasks of the jobworld take 30 seconds
+    When a job of steps 4 and 2 is submitted to the jobworld
+    And the jobworld's job is cancelled at an entry that does not schedule
+    Then the jobworld's job is cancelled within 2 seconds
+    And nothing runs in the jobworld 3 seconds later
+
+  Scenario: jobworld fails a job whose task fails as often as its queue allows
+    Given a jobworld of 2 entries and 2 agents
+    And the first task of the jobworld's next job always fails
+    When a job of steps 2 and 1 is submitted to the jobworld
+    Then the jobworld's job is failed within 6 seconds
+    And tasks of the jobworld began at most 3 times
+
+  Scenario: jobworld accepts a job once, however often and wherever it is submitted
+    Given a jobworld of 3 entries and 2 agents
+    When one job is submitted three times at each entry of the jobworld while answers are lost
+    Then the jobworld's job is completed within 10 seconds
+    And tasks of the jobworld began at most 2 times
+
+  Scenario: jobworld answers for a job at an entry that has lost the scheduler
+    Given a jobworld of 3 entries and 2 agents
+    When a job of steps 2 and 1 is submitted to the jobworld
+    And the jobworld's job ends while an entry is cut off from all but the store
+    Then that entry of the jobworld shows it as completed
+
+  Scenario Outline: jobworld keeps its promises under random faults, seed <seed>
+    Given a jobworld of 3 entries and 5 agents
+    And tasks of the jobworld take 2 seconds
+    When 25 jobs are submitted to the jobworld under random faults with seed <seed>
+    Then the jobworld's jobs are completed within 60 seconds
+    And no rule of the jobworld was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+
+    @long
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
+      | 14   |
+      | 15   |
+      | 16   |
+      | 17   |
+      | 18   |
+      | 19   |
+      | 20   |
--- /dev/null
+++ b/tests/features/steps/jobworld_steps.py
@@ -0,0 +1,398 @@
+"""Steps for jobworld.feature; the world runs in virtual time when its first check is made."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from behave import given, then, when
+from support.jobworld import QUEUE, JobWorld, run_virtual
+
+from apricotpath.boottime import boot_s
+from apricotpath.ids import JobId, TaskId
+from apricotpath.model import Size
+from apricotpath.workload import Job, Step
+
+CORE = Size(1000, 100, 0)
+HOST = Size(8000, 8000, 0)
+Action = Callable[["Script"], Awaitable[None]]
+
+
+class Script:
+    """What a scenario does with a world; the actions run in order inside the event loop."""
+
+    def __init__(self, entries: int, agents: int) -> None:
+        self.entries, self.agents = entries, agents
+        self.seed = 1
+        self.seconds = 1.0
+        self.unanswered = 0.0
+        self.failing_first = False
+        self.actions: list[Action] = []
+        self.jobs: list[JobId] = []
+        self.world: JobWorld | None = None
+
+    def run(self) -> None:
+        run_virtual(self._main, self.seed)
+
+    async def _main(self) -> None:
+        async with anyio.create_task_group() as group:
+            world = self.world = JobWorld(group)
+            world.behaviour.seconds = self.seconds
+            world.unanswered = self.unanswered
+            if self.failing_first:
+                world.behaviour.failing.add(TaskId("0000000000000001.0.0.0"))
+            for number in range(self.entries):
+                world.add_entry(f"entry{number}")
+            for number in range(self.agents):
+                world.add_agent(f"host{number}", HOST)
+            await world.settle()
+            for action in self.actions:
+                await action(self)
+            group.cancel_scope.cancel()
+
+    @property
+    def now(self) -> JobWorld:
+        assert self.world is not None
+        return self.world
+
+    def began(self) -> int:
+        """Return how many runs have begun."""
+        models = [node.model for node in self.now.agents.values()]
+        return sum(len(model.history) + len(model.runs) for model in models)
+
+
+def script(context: Any) -> Script:
+    found: Script = context.script
+    return found
+
+
+@given("a jobworld of {entries:d} entries and {agents:d} agents")
+def make(context: Any, entries: int, agents: int) -> None:
+    context.script = Script(entries, agents)
+
+
+@given("tasks of the jobworld take {seconds:d} seconds")
+def take(context: Any, seconds: int) -> None:
+    script(context).seconds = seconds
+
+
+@given("the jobworld's executors leave {share:d} of 100 orders unanswered and carry them out late")
+def unanswered(context: Any, share: int) -> None:
+    script(context).unanswered = share / 100
+
+
+@given("the first task of the jobworld's next job always fails")
+def failing(context: Any) -> None:
+    script(context).failing_first = True
+
+
+@when("a job of steps {first:d} and {second:d} is submitted to the jobworld")
+def submit(context: Any, first: int, second: int) -> None:
+    submit_many(context, 1, first, second)
+
+
+@when("{count:d} jobs of steps {first:d} and {second:d} are submitted to the jobworld")
+def submit_many(context: Any, count: int, first: int, second: int) -> None:
+    async def act(run: Script) -> None:
+        run.seed = count
+        for _ in range(count):
+            steps = (Step(first, CORE, 1.0), Step(second, CORE, 1.0, after=(0,)))
+            run.jobs.append(await run.now.submit(*steps))
+        await anyio.sleep(0.5)
+
+    script(context).actions.append(act)
+
+
+FAULTS: dict[str, Action] = {}
+
+
+def fault(name: str) -> Callable[[Action], Action]:
+    def register(action: Action) -> Action:
+        FAULTS[name] = action
+        return action
+
+    return register
+
+
+@fault("the scheduler is killed")
+async def kill_scheduler(run: Script) -> None:
+    leader = run.now.leader()
+    assert leader is not None
+    await run.now.kill(leader)
+
+
+@fault("the scheduler is killed and the store lost")
+async def kill_scheduler_without_store(run: Script) -> None:
+    await kill_scheduler(run)
+    await store_away(run)
+
+
+@fault("an agent is killed and started again")
+async def restart_agent(run: Script) -> None:
+    await run.now.kill(run.now.agents["host0"])
+    await anyio.sleep(1.0)
+    run.now.add_agent("host0", HOST)
+
+
+@fault("an executor crashes")
+async def crash_executor(run: Script) -> None:
+    run.now.agents["host0"].model.crash()
+
+
+@fault("an executor crashes and its agent is killed")
+async def crash_both(run: Script) -> None:
+    await crash_executor(run)
+    await restart_agent(run)
+
+
+@fault("an agent is cut off for 20 seconds")
+async def cut_agent(run: Script) -> None:
+    run.now.group.start_soon(run.now.cut_off, "host0", 20.0)
+
+
+@fault("an agent is cut off for 60 seconds")
+async def cut_agent_long(run: Script) -> None:
+    run.now.group.start_soon(run.now.cut_off, "host0", 60.0)
+
+
+@fault("the scheduler is paused for 5 seconds")
+async def pause_scheduler(run: Script) -> None:
+    leader = run.now.leader()
+    assert leader is not None
+    name = leader.process.hello.process_id
+    resume = run.now.pause(name)
+    leader.store.faults.silent = True
+    await anyio.sleep(5.0)
+    leader.store.faults.silent = False
+    resume()
+
+
+@fault("the scheduler is cut off for 6 seconds")
+async def cut_scheduler(run: Script) -> None:
+    leader = run.now.leader()
+    assert leader is not None
+    leader.store.faults.silent = True
+    run.now.group.start_soon(run.now.cut_off, leader.process.hello.process_id, 6.0)
+    await anyio.sleep(6.0)
+    leader.store.faults.silent = False
+
+
+@fault("the store is away for 5 seconds")
+async def store_away(run: Script) -> None:
+    for node in run.now.entries.values():
+        node.store.faults.silent = True
+    await anyio.sleep(5.0)
+    for node in run.now.entries.values():
+        node.store.faults.silent = False
+
+
+@fault("answers of the store are lost")
+async def lose_answers(run: Script) -> None:
+    for node in run.now.entries.values():
+        node.store.faults.lose = 3
+        node.store.faults.late = 2
+
+
+@fault("every entry is killed and started again")
+async def restart_entries(run: Script) -> None:
+    names = list(run.now.entries)
+    for name in names:
+        await run.now.kill(run.now.entries[name])
+    await anyio.sleep(1.0)
+    for name in names:
+        run.now.add_entry(name)
+
+
+@when("the jobworld meets a fault: {name}")
+def make_fault(context: Any, name: str) -> None:
+    script(context).actions.append(FAULTS[name])
+
+
+@when("the jobworld's job is cancelled at an entry that does not schedule")
+def cancel(context: Any) -> None:
+    async def act(run: Script) -> None:
+        leader = run.now.leader()
+        others = [node for node in run.now.entries.values() if node is not leader]
+        assert await others[0].desk.cancel(run.jobs[0])
+
+    script(context).actions.append(act)
+
+
+@when("one job is submitted three times at each entry of the jobworld while answers are lost")
+def submit_again(context: Any) -> None:
+    async def act(run: Script) -> None:
+        job = Job(JobId("00000000000000ab"), QUEUE, "bake", (Step(2, CORE, 1.0),))
+        run.jobs.append(job.job_id)
+        await lose_answers(run)
+
+        async def hand_in(name: str) -> None:
+            await run.now.entries[name].desk.submit(job)
+
+        async with anyio.create_task_group() as group:
+            for name in list(run.now.entries) * 3:
+                group.start_soon(hand_in, name)
+
+    script(context).actions.append(act)
+
+
+@when("the jobworld's job ends while an entry is cut off from all but the store")
+def end_while_cut(context: Any) -> None:
+    async def act(run: Script) -> None:
+        leader = run.now.leader()
+        names = [name for name, node in run.now.entries.items() if node is not leader]
+        run.cut = names[0]  # type: ignore[attr-defined]
+        run.now.group.start_soon(run.now.cut_off, names[0], 60.0)
+        await run.now.ended(run.jobs[0], 10.0, at=names[1])
+
+    script(context).actions.append(act)
+
+
+@then("that entry of the jobworld shows it as completed")
+def shown_at_cut(context: Any) -> None:
+    async def act(run: Script) -> None:
+        name = run.cut  # type: ignore[attr-defined]
+        assert await run.now.ended(run.jobs[0], 1.0, at=name) == "completed"
+
+    script(context).actions.append(act)
+    script(context).run()
+
+
+@then("the jobworld's job is completed within {limit:d} seconds at every entry")
+def completed_everywhere(context: Any, limit: int) -> None:
+    async def act(run: Script) -> None:
+        for name in run.now.entries:
+            assert await run.now.ended(run.jobs[0], limit, at=name) == "completed"
+
+    finish(context, act)
+
+
+@then("the jobworld's job is {state:w} within {limit:d} seconds")
+def job_ends(context: Any, state: str, limit: int) -> None:
+    async def act(run: Script) -> None:
+        found = await run.now.ended(run.jobs[0], limit)
+        assert found == state, found
+
+    finish(context, act)
+
+
+@then("the jobworld's jobs are completed within {limit:d} seconds")
+def jobs_end(context: Any, limit: int) -> None:
+    async def act(run: Script) -> None:
+        ends_at = boot_s() + limit
+        for job in run.jobs:
+            found = await run.now.ended(job, max(0.1, ends_at - boot_s()))
+            assert found == "completed", (job, found)
+
+    finish(context, act)
+
+
+def finish(context: Any, act: Action) -> None:
+    """Run the script up to this check; later checks look at what the world has recorded."""
+    run = script(context)
+    run.actions.append(act)
+
+    async def record(run: Script) -> None:
+        await anyio.sleep(3.0)
+        run.found = run.now.check()  # type: ignore[attr-defined]
+        run.runs = run.began()  # type: ignore[attr-defined]
+        active = [node.model.runs for node in run.now.agents.values()]
+        run.active = sum(map(len, active))  # type: ignore[attr-defined]
+
+    run.actions.append(record)
+    run.run()
+
+
+@then("no rule of the jobworld was broken")
+def no_rule_broken(context: Any) -> None:
+    assert context.script.found == [], context.script.found
+
+
+@then("tasks of the jobworld began at most {times:d} times")
+def began(context: Any, times: int) -> None:
+    assert context.script.runs <= times, context.script.runs
+
+
+@then("nothing runs in the jobworld 3 seconds later")
+def nothing_runs(context: Any) -> None:
+    assert context.script.active == 0, context.script.active
+
+
+class Troubles:
+    """Random faults, a few at a time, that all pass in the end."""
+
+    def __init__(self, run: Script, seed: int) -> None:
+        self.run, self.rng = run, random.Random(seed)
+
+    async def one(self) -> None:
+        """Let one random fault come and go."""
+        world, rng = self.run.now, self.rng
+        kind = rng.choice(["entry", "agent", "crash", "cut", "store", "lost", "late", "lease"])
+        if kind == "entry":
+            name = rng.choice(list(world.entries))
+            await world.kill(world.entries[name])
+            await anyio.sleep(rng.uniform(0.2, 3.0))
+            world.add_entry(name)
+        elif kind == "agent":
+            name = rng.choice(list(world.agents))
+            await world.kill(world.agents[name])
+            await anyio.sleep(rng.uniform(0.2, 4.0))
+            world.add_agent(name, HOST)
+        elif kind == "crash":
+            rng.choice(list(world.agents.values())).model.crash()
+        elif kind == "cut":
+            await world.cut_off(rng.choice([*world.entries, *world.agents]), rng.uniform(2, 9))
+        elif kind == "store":
+            nodes = rng.sample(list(world.entries.values()), rng.randint(1, len(world.entries)))
+            for node in nodes:
+                node.store.faults.silent = True
+            await anyio.sleep(rng.uniform(1, 6))
+            for node in nodes:
+                node.store.faults.silent = False
+        elif kind == "lost":
+            rng.choice(list(world.entries.values())).store.faults.lose = 3
+        elif kind == "late":
+            rng.choice(list(world.entries.values())).store.faults.late = 3
+        elif world.shared.leases:
+            world.shared.end_lease(rng.choice(list(world.shared.leases)))
+
+    async def loop(self, until: float) -> None:
+        while boot_s() < until:
+            await self.one()
+            await anyio.sleep(self.rng.uniform(0.2, 2.0))
+
+
+@when("{count:d} jobs are submitted to the jobworld under random faults with seed {seed:d}")
+def random_faults(context: Any, count: int, seed: int) -> None:
+    script(context).seed = seed
+
+    async def act(run: Script) -> None:
+        rng = random.Random(seed)
+        until = boot_s() + count * 1.0
+        run.now.unanswered = 0.05
+        async with anyio.create_task_group() as group:
+            for number in range(2):
+                group.start_soon(Troubles(run, seed * 10 + number).loop, until)
+            for number in range(count):
+                steps = (
+                    Step(rng.randint(1, 5), CORE, 2.0, checkpoints=rng.random() < 0.5),
+                    Step(rng.randint(1, 3), CORE, 2.0, after=(0,), gang=rng.random() < 0.3),
+                )
+                job = Job(JobId(f"{seed:08x}{number:08x}"), QUEUE, "bake", steps)
+                group.start_soon(hand_in_until_accepted, run, job, rng.random())
+                run.jobs.append(job.job_id)
+                await anyio.sleep(rng.uniform(0.2, 1.6))
+
+    script(context).actions.append(act)
+
+
+async def hand_in_until_accepted(run: Script, job: Job, choice: float) -> None:
+    """Submit a job at one entry after another, as a client does."""
+    while True:
+        names = sorted(run.now.entries)
+        node = run.now.entries[names[int(choice * 97) % len(names)]]
+        choice += 0.37
+        if not node.scope.cancel_called and (await node.desk.submit(job)).value == "accepted":
+            return
+        await anyio.sleep(0.3)
+
+
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -25,7 +25,6 @@
     ends_at: float
     result: RunResult
     size: Size
-    percent: int = 0
     pace: int = 100
     load: float = 0.0
     saved: str = ""
@@ -73,6 +72,11 @@
     def clock_ms(self) -> int:
         return round((boot_s() - self.started_at) * 1000)
 
+    def percent(self, run: ModelRun) -> int:
+        """Return how much of a run's work is done."""
+        began = self.began[run.task, run.run]
+        return round(min(1.0, (boot_s() - began) / max(0.01, run.ends_at - began)) * 100)
+
     def work(self) -> None:
         """Carry out what is due: ends of runs, and the lease."""
         now = boot_s()
@@ -177,7 +181,7 @@
             model.clock_ms(),
             model.born_ms,
             tuple(
-                RunStatus(run.task, run.run, run.saved, run.percent, run.load)
+                RunStatus(run.task, run.run, run.saved, model.percent(run), run.load)
                 for run in model.runs.values()
             ),
             tuple(model.ends),
