Pace new filler tasks from their start, move slow ones, refuse jobs while the store is away

Cause: a filler task began at full speed beside serving tasks whose others were paced down (tail 7 times its target in one reading), the pacing reacted to single readings, and paced tasks kept their place for up to a minute. A submission during an outage was answered 504 although it need not have been tried. A run counted as stalled while its host sent no reports. Change: the first pace of a filler task follows its start at once; smoothed readings; slow filler tasks are moved; no write is tried while the newest call to the store failed; only reported time counts as stalled.

--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -22,9 +22,11 @@
 class Run:
     """One start of a task. `since` and `advanced_at` are boot-clock seconds.
 
-    `percent` is the progress that the executor reports; `advanced_at` is when
-    it last changed. `load` is the tail latency in ms of a long-running task,
-    else processors in use in thousandths.
+    `percent` is the progress that the executor reports, `first_percent` the
+    one of its first report; `stalled_s` counts the reported time without
+    progress. `load` is
+    the tail latency in ms of a long-running task, else processors in use in
+    thousandths.
     """
 
     task: TaskKey
@@ -36,7 +38,8 @@
     since: float = 0.0
     saved: str = ""
     percent: int = 0
-    advanced_at: float = 0.0
+    first_percent: int = 0
+    stalled_s: float = 0.0
     load: float = 0.0
     stop_sent_at: float = 0.0
 
@@ -182,7 +185,6 @@
         if task is None:
             return
         run = Run(record.task, record.run, record.host, record.instance, record.born_ms, since=now)
-        run.advanced_at = now
         task.runs[record.run] = run
         task.last_run = max(task.last_run, record.run)
         self.waiting.pop(record.task, None)
--- a/packages/core/src/apricotpath/pacing.py
+++ b/packages/core/src/apricotpath/pacing.py
@@ -1,33 +1,49 @@
 """Share of its speed at which a host's filler tasks may work beside tasks that serve users."""
 
-# Above this share of its target, a serving task's latency makes filler tasks slow down.
-SLOW_DOWN_ABOVE = 0.85
-# Below this share they may work faster again.
-SPEED_UP_BELOW = 0.6
-SLOW_DOWN_FACTOR = 0.4
-SPEED_UP_STEP = 15.0
-# Below this a filler task is stopped altogether, since it only keeps its memory.
-LEAST_PERCENT = 8.0
+# Ratios of a serving task's tail latency to its target: above the first, filler tasks slow
+# down hard, above the second gently; below the third they may speed up.
+TOO_SLOW = 1.0
+NEAR_TARGET = 0.82
+COMFORTABLE = 0.7
+HARD_FACTOR = 0.35
+GENTLE_FACTOR = 0.75
+SPEED_UP_STEP = 10.0
+# Filler tasks that come to a host with serving tasks begin at this percentage.
+FIRST_PERCENT = 30.0
+LEAST_PERCENT = 4.0
+# Weight of the newest reading; single readings scatter by a third.
+SMOOTHING = 0.6
 
 
 class Pacer:
     """Additive increase, multiplicative decrease of one percentage for a host."""
 
     def __init__(self) -> None:
-        self.percent = 100.0
+        self.percent = FIRST_PERCENT
+        self._smooth: float | None = None
 
-    def update(self, worst: float | None) -> int:
+    def update(self, worst: float | None, fillers: int) -> int:
         """Return the percentage after a reading.
 
         `worst` is the highest ratio of tail latency to target among the
-        serving tasks, or None if there are none.
+        serving tasks, or None if there are none. Without filler tasks the
+        readings say nothing of their effect, so the percentage returns to
+        where new ones begin.
         """
         if worst is None:
+            self._smooth = None
             self.percent = 100.0
-        elif worst > SLOW_DOWN_ABOVE:
-            self.percent *= SLOW_DOWN_FACTOR
-            if self.percent < LEAST_PERCENT:
-                self.percent = 0.0
-        elif worst < SPEED_UP_BELOW:
-            self.percent = min(100.0, self.percent + SPEED_UP_STEP)
+            return 100
+        known = worst if self._smooth is None else self._smooth
+        self._smooth = SMOOTHING * worst + (1 - SMOOTHING) * known
+        if not fillers:
+            self.percent = FIRST_PERCENT
+        elif worst > TOO_SLOW:
+            self.percent *= HARD_FACTOR
+        elif self._smooth > NEAR_TARGET:
+            self.percent *= GENTLE_FACTOR
+        elif self._smooth < COMFORTABLE:
+            self.percent = min(100.0, max(self.percent, LEAST_PERCENT) + SPEED_UP_STEP)
+        if self.percent < LEAST_PERCENT:
+            self.percent = 0.0
         return round(self.percent)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -6,7 +6,7 @@
 
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import DataCentreId, HostId, QueueId
-from apricotpath.jobtable import JobRow, JobTable, Run, Task
+from apricotpath.jobtable import JobRow, JobTable, Run, RunPhase, Task
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, Queue, Step, TaskKey
 
@@ -14,8 +14,15 @@
 RESERVE_AFTER_S = 2.0
 # Share of its claim that a long-running task is taken to use when filler tasks are placed.
 SERVING_USE = 0.6
-# Starts that one pass gives to one host; the next pass follows at once.
-MAX_STARTS_PER_PASS = 64
+# Filler tasks are placed while the processors in use stay below this share of a host. Above
+# 1 they only slow each other down, which is better than disturbing a serving task.
+FILLER_SHARE_ALONE = 1.25
+FILLER_SHARE_BESIDE_SERVING = 0.8
+# A filler task is moved to a host without serving tasks if it has made less than this share of
+# its expected progress, once it has run for a while.
+SLOW_SHARE = 0.4
+SLOW_AFTER_S = 2.5
+MAX_MOVES_PER_PASS = 2
 
 
 class Placement(NamedTuple):
@@ -62,7 +69,8 @@
         """Tell whether one more task of a step has room."""
         size = step.size
         if step.filler:
-            if self.used + size.cpu_milli > self.capacity.cpu_milli:
+            share = FILLER_SHARE_BESIDE_SERVING if self.serving else FILLER_SHARE_ALONE
+            if self.used + size.cpu_milli > share * self.capacity.cpu_milli:
                 return False
             size = Size(0, size.memory_mb, size.accelerators)
         return (self.claimed + size).fits_in(self.capacity)
@@ -114,7 +122,9 @@
     rooms = make_rooms(table, given)
     placements: list[Placement] = []
     for group in _groups(table, given):
-        candidates = [room for room in rooms.values() if _allowed(room, group, given)]
+        candidates = [
+            room for room in rooms.values() if _may_use(room, group.step, group.queue, given)
+        ]
         if group.step.gang:
             placements += _place_gang(group, candidates, given)
         else:
@@ -139,13 +149,14 @@
     )
 
 
-def _allowed(room: Room, group: _Group, given: PlacementInput) -> bool:
+def _may_use(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
+    """Tell whether a step's tasks may start on a host, room aside."""
     facts = room.host.facts
-    if facts is None or facts.service != group.queue.service:
+    if facts is None or facts.service != queue.service:
         return False
     if facts.data_centre in given.out or room.blocked:
         return False
-    if group.step.label and group.step.label not in facts.labels:
+    if step.label and step.label not in facts.labels:
         return False
     return room.host.takes_starts(given.now, given.cfg.silent_s)
 
@@ -254,6 +265,48 @@
     return chosen
 
 
+def slow_fillers(table: JobTable, given: PlacementInput) -> list[Run]:
+    """Return filler runs to stop, since they would go on faster on another host."""
+    rooms = make_rooms(table, given)
+    found: list[Run] = []
+    for room in rooms.values():
+        if not room.serving or not room.fillers:
+            continue
+        for run in table.by_host.get(room.host.host, {}).values():
+            step = table.step_of(run.task) if table.task(run.task) else None
+            if step is None or not _is_slow(run, step, given.now):
+                continue
+            queue = given.queues.get(table.rows[run.task.job].job.queue)
+            better = next(
+                (
+                    other
+                    for other in rooms.values()
+                    if not other.serving and queue and _can_take(other, step, queue, given)
+                ),
+                None,
+            )
+            if better is None:
+                continue
+            better.add(run.task, step)
+            found.append(run)
+            if len(found) == MAX_MOVES_PER_PASS:
+                return found
+    return found
+
+
+def _is_slow(run: Run, step: Step, now: float) -> bool:
+    if not (step.filler and step.checkpoints) or run.phase is not RunPhase.RUNNING:
+        return False
+    ran_s = now - run.since
+    if ran_s < SLOW_AFTER_S or step.estimate_s <= 0:
+        return False
+    return run.percent < SLOW_SHARE * 100 * min(1.0, ran_s / step.estimate_s) + run.first_percent
+
+
+def _can_take(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
+    return _may_use(room, step, queue, given) and room.fits(step)
+
+
 def hopeless(step: Step, queue: Queue, hosts: Iterable[Host]) -> bool:
     """Tell whether no known host could ever run a task of a step."""
     facts = [host.facts for host in hosts if host.facts and host.facts.service == queue.service]
@@ -263,12 +316,12 @@
     )
 
 
-def stalled(run: Run, step: Step, now: float) -> bool:
+def stalled(run: Run, step: Step) -> bool:
     """Tell whether a run makes no progress although its executor reports it."""
     if step.gang or step.long_running or step.filler:
         return False
     expected = max(STALL_LEAST_S, STALL_FACTOR * step.estimate_s / 100)
-    return now - run.advanced_at > expected
+    return run.stalled_s > expected
 
 
 # A run whose progress stands still for this long is stopped; the factor is in hundredths of
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -315,7 +315,8 @@
             for status, view in views
             if view is not None and view.target_ms > 0
         ]
-        percent = self._pacer.update(max(ratios, default=None))
+        fillers = sum(view is not None and view.filler for _, view in views)
+        percent = self._pacer.update(max(ratios, default=None), fillers)
         for status, view in views:
             if view is None or not view.filler:
                 continue
@@ -323,15 +324,22 @@
             repeat = percent < 100 and now - view.paced_at > PACE_REPEAT_S
             if changed or repeat:
                 view.paced, view.paced_at = percent, now
-                await self._send_pace(attached, status, percent)
+                await self._send_pace(attached, status.task, status.run, percent)
 
-    async def _send_pace(self, attached: _Attachment, status: RunStatus, percent: int) -> None:
+    async def _pace_first(self, attached: _Attachment, task: TaskId, run: int) -> None:
+        """Slow a filler task down from its start on a host where others serve users."""
+        view = attached.views.get((task, run))
+        if view is not None and any(other.target_ms > 0 for other in attached.views.values()):
+            view.paced, view.paced_at = round(self._pacer.percent), boot_s()
+            await self._send_pace(attached, task, run, view.paced)
+
+    async def _send_pace(self, attached: _Attachment, task: TaskId, run: int, percent: int) -> None:
         if self.executor is None:
             return
         try:
-            await self.executor.pace(status.task, status.run, percent, attached.fence)
+            await self.executor.pace(task, run, percent, attached.fence)
         except ExecutorError as exc:
-            log.info("pace not set: %s", exc, extra={"task": status.task, "percent": percent})
+            log.info("pace not set: %s", exc, extra={"task": task, "percent": percent})
 
     # Orders.
 
@@ -346,6 +354,8 @@
             view = attached.views.get(name)
             if view is not None:
                 view.started_at = boot_s()
+            if order.filler:
+                await self._pace_first(attached, order.task, order.run)
         else:
             attached.views.pop(name, None)
         log.info(
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobdesk.py
@@ -83,8 +83,15 @@
 
     handles: frozenset[type[Message]] = frozenset({LeaderNotice, JobStatuses})
 
-    def __init__(self, store: Store, prefix: str, utc: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        store_answers: Callable[[], bool] = lambda: True,
+        utc: Callable[[], float] = time.time,
+    ) -> None:
         self.store = store
+        self._store_answers = store_answers
         self.keys = JobKeys(prefix)
         self.statuses: dict[JobId, JobStatus] = {}
         self.epoch = Epoch(0)
@@ -103,6 +110,10 @@
         job = replace(job, accepted_s=self._utc())
         if job.job_id in self.statuses:
             return Submission.ACCEPTED
+        if not self._store_answers():
+            # A write that is not even tried leaves no doubt that the job will not run.
+            log.info("job not accepted: the store does not answer", extra={"job": job.job_id})
+            return Submission.NOT_ACCEPTED
         text = job_text(job)
         outcome = await self._store_job(job, text)
         if outcome is Submission.ACCEPTED:
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -34,7 +34,14 @@
 from apricotpath.mirror import FeedStore, Mirror
 from apricotpath.model import StartAnswer
 from apricotpath.runlog import MAX_EXTRA, SNAPSHOT_EVERY, RunLog
-from apricotpath.runplacement import Placement, PlacementInput, hopeless, place, stalled
+from apricotpath.runplacement import (
+    Placement,
+    PlacementInput,
+    hopeless,
+    place,
+    slow_fillers,
+    stalled,
+)
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
 from apricotpath.workload import HostFacts, Queue, RunResult, TaskKey
@@ -53,6 +60,8 @@
 # A host whose executor had no room gets no starts for this long.
 UNFIT_PAUSE_S = 0.15
 LOAD_RETRY_S = 0.1
+MOVE_INTERVAL_S = 1.0
+MAX_REPORT_GAP_S = 0.6
 STATUSES_PER_MESSAGE = 4000
 
 
@@ -111,7 +120,7 @@
         self._lost: deque[tuple[TaskKey, int, str]] = deque()
         self._unknown: dict[HostId, dict[RunName, float]] = {}
         self._cancel_keys: set[JobId] = set()
-        self._stored_ends: set[JobId] = set()
+        self._moved_at = self._started
 
     # Life of the term.
 
@@ -182,7 +191,6 @@
             return
         if stored.ended is not None:
             self.table.add_ended(job, stored.ended, now)
-            self._stored_ends.add(job.job_id)
         else:
             self.table.add(job, now)
             if job.job_id in self._cancel_keys:
@@ -249,7 +257,7 @@
             return
         now = boot_s()
         self._grant(host, link, message.renewal, now)
-        host.reported_at, host.renewal = now, message.renewal
+        host.renewal = message.renewal
         if message.draining and not host.draining:
             log.info("host leaves", extra={"host": host.host, "left_ms": message.remaining_ms})
             self.wake()
@@ -276,6 +284,9 @@
     def _match_runs(self, host: Host, message: HostRuns, now: float) -> None:
         """Compare what a host runs with the tables."""
         known = self.table.by_host.get(host.host, {})
+        # Time without reports says nothing of progress.
+        since = min(now - host.reported_at, MAX_REPORT_GAP_S)
+        host.reported_at = now
         listed = set()
         for status in message.runs:
             try:
@@ -290,8 +301,11 @@
                 continue
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
+                run.first_percent = status.percent
             if status.percent != run.percent or status.saved != run.saved:
-                run.advanced_at = now
+                run.stalled_s = 0.0
+            else:
+                run.stalled_s += since
             run.percent, run.saved, run.load = status.percent, status.saved, status.load
         if message.first:
             ended = {(ending.task, ending.run) for ending in message.endings}
@@ -329,7 +343,6 @@
             if run is None:
                 continue
             if answer.answer is StartAnswer.STARTED:
-                run.phase = RunPhase.RUNNING if run.phase is RunPhase.ORDERED else run.phase
                 continue
             if answer.answer is StartAnswer.UNFIT:
                 host.set_aside_until = max(host.set_aside_until, now + UNFIT_PAUSE_S)
@@ -544,11 +557,12 @@
     def _send_stops(self) -> None:
         """Send stops for runs that are not to go on, each again until it has ended."""
         now = boot_s()
+        moved = self._runs_to_move(now)
         for name, runs in self.table.by_host.items():
             host = self.hosts.get(name)
             if host is None or not host.reported:
                 continue
-            stops = [run for run in runs.values() if self._unwanted(run, host, now)]
+            stops = [run for run in runs.values() if run in moved or self._unwanted(run, host, now)]
             due = [run for run in stops if now - run.stop_sent_at > STOP_AGAIN_S]
             if not due:
                 continue
@@ -559,6 +573,13 @@
             log.info("runs stopped", extra={"host": name, "tasks": [item.task for item in names]})
             self._send_host(host, StopRuns(host.fence, names))
 
+    def _runs_to_move(self, now: float) -> list[Run]:
+        """Return filler runs that another host would bring on faster, looked for once a second."""
+        if now - self._moved_at < MOVE_INTERVAL_S:
+            return []
+        self._moved_at = now
+        return slow_fillers(self.table, self._placement_input(now))
+
     def _unwanted(self, run: Run, host: Host, now: float) -> bool:
         row = self.table.rows.get(run.task.job)
         if row is None or row.unwanted or run.task not in row.tasks:
@@ -568,7 +589,7 @@
         step = row.step(run.task)
         if host.draining:
             return step.long_running or now > host.leaves_at - LEAVE_LEAD_S
-        if run.phase is RunPhase.RUNNING and stalled(run, step, now):
+        if run.phase is RunPhase.RUNNING and stalled(run, step):
             log.warning("run makes no progress", extra={"task": str(run.task), "host": host.host})
             return True
         return False
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -26,7 +26,7 @@
 
   Scenario: runplacement puts at most so many tasks of a step on a host
     Given runplacement hosts a and b of 8 cores
-    When a step of 6 tasks of 1 core, at most 2 a host, is placed by runplacement
+    When a step of 6 tasks of 1 core, at most 2 a host, is placed
     Then runplacement puts 2 on a and 2 on b
 
   Scenario: runplacement starts a gang whole or not at all
--- a/tests/features/steps/jobtable_steps.py
+++ b/tests/features/steps/jobtable_steps.py
@@ -159,7 +159,13 @@
 def content(table: JobTable) -> Any:
     """Return what of a table must survive."""
     tasks = {
-        task.key: (task.done, sorted(task.failed_runs), task.last_run, task.saved, sorted(task.runs))
+        task.key: (
+            task.done,
+            sorted(task.failed_runs),
+            task.last_run,
+            task.saved,
+            sorted(task.runs),
+        )
         for row in table.rows.values()
         for task in row.tasks.values()
     }
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -6,12 +6,12 @@
 
 import anyio
 from behave import given, then, when
-from support.jobworld import QUEUE, JobWorld, run_virtual
 
 from apricotpath.boottime import boot_s
 from apricotpath.ids import JobId, TaskId
 from apricotpath.model import Size
 from apricotpath.workload import Job, Step
+from support.jobworld import QUEUE, JobWorld, run_virtual
 
 CORE = Size(1000, 100, 0)
 HOST = Size(8000, 8000, 0)
@@ -394,5 +394,3 @@
         if not node.scope.cancel_called and (await node.desk.submit(job)).value == "accepted":
             return
         await anyio.sleep(0.3)
-
-
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -125,7 +125,7 @@
     context.case.place()
 
 
-@when("a step of {count:d} tasks of {cores:d} core, at most {most:d} a host, is placed by runplacement")
+@when("a step of {count:d} tasks of {cores:d} core, at most {most:d} a host, is placed")
 def place_spread(context: Any, count: int, cores: int, most: int) -> None:
     context.case.add(step(count, cores, max_per_host=most))
     context.case.place()
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -6,7 +6,13 @@
 import anyio
 
 from apricotpath.boottime import boot_s
-from apricotpath.executor import ExecutorFenced, ExecutorReplaced, ExecutorSilent, Holding, StartCall
+from apricotpath.executor import (
+    ExecutorFenced,
+    ExecutorReplaced,
+    ExecutorSilent,
+    Holding,
+    StartCall,
+)
 from apricotpath.ids import FenceToken, TaskId
 from apricotpath.messages import RunEnding, RunStatus
 from apricotpath.model import Size, StartAnswer
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from itertools import pairwise
 from typing import Any
+from zlib import crc32
 
 import anyio
+import anyio.lowlevel
 import trio
 import trio.testing
 from anyio.abc import TaskGroup
@@ -78,7 +81,7 @@
         self._sent.append(envelope)
         await anyio.sleep(HOP_S)
         while self._sent and self._sent[0] is not envelope:
-            await anyio.sleep(0)
+            await anyio.lowlevel.checkpoint()
         if self._sent:
             self._sent.pop(0)
         other = self.other
@@ -155,7 +158,7 @@
     def add_entry(self, name: str) -> EntryNode:
         process = Process(Role.ENTRY, ProcessId(name), DataCentreId("z1"))
         store = MemoryStore(self.shared)
-        desk = JobDesk(store, PREFIX, boot_s)
+        desk = JobDesk(store, PREFIX, utc=boot_s)
         dialler = Dialler(process.hello, LinkSettings(), process)
         jobs = JobEntry(
             process,
@@ -184,7 +187,7 @@
         process = Process(Role.AGENT, ProcessId(name), DataCentreId(zone))
 
         def connect(facts: HostFacts) -> Executor:
-            executor = ModelExecutor(model, self.group, hash(name) % 1000)
+            executor = ModelExecutor(model, self.group, crc32(name.encode()))
             executor.unanswered = self.unanswered
             return executor
 
@@ -313,8 +316,10 @@
 
     async def ended(self, job: JobId, within_s: float, at: str = "") -> str:
         """Return the final state of a job as an entry shows it; fails if it comes too late."""
-        node = self.entries[at] if at else next(
-            item for item in self.entries.values() if not item.scope.cancel_called
+        node = (
+            self.entries[at]
+            if at
+            else next(item for item in self.entries.values() if not item.scope.cancel_called)
         )
         with anyio.fail_after(within_s):
             while True:
@@ -340,7 +345,7 @@
                 runs.setdefault(task, []).append((began, ended))
         for task, spans in runs.items():
             spans.sort()
-            for (_, ended), (began, _) in zip(spans, spans[1:], strict=False):
+            for (_, ended), (began, _) in pairwise(spans):
                 if began < ended:
                     found.append(f"{task} ran twice at once")
         return found
