--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -16,13 +16,15 @@
 SERVING_USE = 0.6
 # Filler tasks are placed while the processors in use stay below this share of a host. Above
 # 1 they only slow each other down, which is better than disturbing a serving task.
-FILLER_SHARE_ALONE = 1.25
+FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_BESIDE_SERVING = 0.8
-# A filler task is moved to a host without serving tasks if it has made less than this share of
-# its expected progress, once it has run for a while.
-SLOW_SHARE = 0.4
-SLOW_AFTER_S = 2.5
-MAX_MOVES_PER_PASS = 2
+# A filler task is moved to a host without serving tasks if, going on as it does, it needs this
+# many times as long as there. It is looked at once it has run for a while.
+MOVE_FACTOR = 1.5
+MOVE_AFTER_S = 2.0
+# Time that stopping and starting again takes, with the work since the newest checkpoint.
+MOVE_COST_S = 1.0
+MAX_MOVES_PER_PASS = 3
 
 
 class Placement(NamedTuple):
@@ -295,12 +297,14 @@
 
 
 def _is_slow(run: Run, step: Step, now: float) -> bool:
-    if not (step.filler and step.checkpoints) or run.phase is not RunPhase.RUNNING:
-        return False
+    """Tell whether a filler run would end much sooner on a host without serving tasks."""
     ran_s = now - run.since
-    if ran_s < SLOW_AFTER_S or step.estimate_s <= 0:
+    if not step.filler or run.phase is not RunPhase.RUNNING or ran_s < MOVE_AFTER_S:
         return False
-    return run.percent < SLOW_SHARE * 100 * min(1.0, ran_s / step.estimate_s) + run.first_percent
+    rate = max(0.1, run.percent - run.first_percent) / ran_s
+    kept = run.percent if step.checkpoints else 0
+    elsewhere_s = MOVE_COST_S + step.estimate_s * (100 - kept) / 100
+    return (100 - run.percent) / rate > MOVE_FACTOR * elsewhere_s
 
 
 def _can_take(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobdesk.py
@@ -118,7 +118,9 @@
         outcome = await self._store_job(job, text)
         if outcome is Submission.ACCEPTED:
             self._tell(JobAccepted(job.job_id, text))
-        log.info("job submitted", extra={"job": job.job_id, "outcome": outcome.value})
+        log.info(
+            "job submitted", extra={"job": job.job_id, "queue": job.queue, "outcome": outcome.value}
+        )
         return outcome
 
     async def _store_job(self, job: Job, text: str) -> Submission:
