--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -1,7 +1,7 @@
 """One scheduler's term: jobs in, starts and stops out, every decision in the run log first."""
 
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -38,6 +38,7 @@
     Placement,
     PlacementInput,
     hopeless,
+    make_rooms,
     place,
     slow_fillers,
     stalled,
@@ -62,6 +63,7 @@
 LOAD_RETRY_S = 0.1
 MOVE_INTERVAL_S = 1.0
 MAX_REPORT_GAP_S = 0.6
+FLEET_LOG_INTERVAL_S = 2.0
 STATUSES_PER_MESSAGE = 4000
 
 
@@ -121,6 +123,7 @@
         self._unknown: dict[HostId, dict[RunName, float]] = {}
         self._cancel_keys: set[JobId] = set()
         self._moved_at = self._started
+        self._fleet_logged_at = float("-inf")
 
     # Life of the term.
 
@@ -374,9 +377,35 @@
             self._send_stops()
             if self._log.entries > SNAPSHOT_EVERY:
                 await self._log.snapshot(list(self.table.summaries()))
+            self._log_fleet()
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
 
+    def _log_fleet(self) -> None:
+        """Log how full the hosts are, now and then."""
+        now = boot_s()
+        if now - self._fleet_logged_at < FLEET_LOG_INTERVAL_S:
+            return
+        self._fleet_logged_at = now
+        rooms = make_rooms(self.table, self._placement_input(now))
+        waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
+        log.info(
+            "fleet",
+            extra={
+                "attached": len(self.links),
+                "waiting": dict(waiting),
+                "hosts": {
+                    name: [
+                        round(room.used / max(1, room.capacity.cpu_milli), 2),
+                        room.serving,
+                        room.fillers,
+                        room.host.takes_starts(now, self.cfg.silent_s),
+                    ]
+                    for name, room in rooms.items()
+                },
+            },
+        )
+
     def _decide(self) -> _Batch:
         """Apply what happened and choose starts; returns what must become durable."""
         batch = _Batch()
