--- /dev/null
+++ b/tests/features/platformpath.feature
@@ -0,0 +1,83 @@
+Feature: platformpath
+
+  The programs of platform/ as processes against stand-ins of the platform.
+  Guards against a job that is lost or run twice on the way from client to
+  executor, an answer that is not the protocol's, a configuration that is not
+  in force or goes back, and a process that ends at a signal or at malformed
+  input.
+
+  Background:
+    Given the platformpath's processes are running
+
+  Scenario: platformpath serves a job of two steps from client to executor
+    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    Then platformpath answers 200
+    And platformpath's front-2 shows the job as completed within 8 seconds
+    And platformpath's executors ran 3 tasks once each
+
+  Scenario Outline: platformpath answers <status> to <call>
+    When a client makes the call <call> at platformpath's front-1
+    Then platformpath answers <status>
+
+    Examples:
+      | call                                        | status |
+      | POST of a body that is not JSON             | 400    |
+      | POST of a step that waits for a later one   | 400    |
+      | POST of a count that is a text              | 400    |
+      | POST of a body beyond the limit             | 413    |
+      | POST to a queue that is not configured      | 404    |
+      | GET of a job that nobody submitted          | 410    |
+      | DELETE of a job that nobody submitted       | 410    |
+      | GET of the queue                            | 200    |
+
+  Scenario: platformpath cancels a job and stops its tasks
+    Given tasks of platformpath take 30 seconds
+    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    And tasks of the job run at platformpath's executors
+    And a client cancels the job at platformpath's front-2
+    Then platformpath's front-1 shows the job as cancelled within 3 seconds
+    And nothing runs at platformpath's executors within 3 seconds
+
+  Scenario: platformpath brings a new configuration into force and never goes back
+    When platformpath's operator adds a queue in version 9
+    Then a job is taken in the new queue at both entries of platformpath within 2 seconds
+    When platformpath's operator writes version 5 without the new queue
+    Then a job is still taken in the new queue at both entries of platformpath a second later
+
+  Scenario: platformpath starts nothing in a zone that is taken out, and goes on when it is back
+    When platformpath's operator takes the zone out
+    And a client hands in a job of steps 1 and 1 at platformpath's front-1
+    Then nothing has begun at platformpath's executors 2 seconds later
+    When platformpath's operator takes the zone back
+    Then platformpath's front-1 shows the job as completed within 8 seconds
+
+  Scenario Outline: platformpath finishes a job although <fault>
+    Given tasks of platformpath take 3 seconds
+    When a client hands in a job of steps 4 and 1 at platformpath's front-1
+    And <fault> at platformpath
+    Then platformpath shows the job as completed within 25 seconds
+    And no task of platformpath ran twice at once
+
+    Examples:
+      | fault                                     |
+      | the scheduler is killed                   |
+      | the scheduler is told to stop             |
+      | an agent is killed and started again      |
+      | an executor crashes                       |
+      | the store is silent for 3 seconds         |
+      | the store refuses calls for 3 seconds     |
+      | the store loses its history               |
+      | answers of the store are lost             |
+
+  Scenario: platformpath refuses a job while the store is away, and it never runs
+    When the store of platformpath refuses all calls
+    And a client hands in a job of steps 1 and 1 at platformpath's front-1
+    Then platformpath answers 503
+    When the store of platformpath serves again
+    Then the job is not known at platformpath's front-2 2 seconds later
+
+  Scenario: platformpath stays up at SIGHUP and at malformed heartbeats, and ends cleanly at SIGTERM
+    When platformpath's processes get SIGHUP and malformed heartbeats
+    Then all processes of platformpath still run and say that the settings were read again
+    When platformpath's agent side-1 is told to stop
+    Then it has ended with code 0
--- /dev/null
+++ b/tests/features/steps/platformpath_steps.py
@@ -0,0 +1,342 @@
+"""Steps for platformpath.feature."""
+
+import atexit
+import signal
+import time
+from collections.abc import Callable
+from itertools import pairwise
+from typing import Any, ClassVar
+
+import httpx
+from behave import given, then, when
+
+from support.platformworld import PREFIX, PlatformWorld, configuration
+
+CPU = {"cpu": 500, "memMb": 64, "estRuntimeMs": 500}
+NEW_QUEUE = "/second/"
+
+
+class RunningPlatform:
+    """One world for all scenarios of the feature; each begins with all processes up."""
+
+    shared: ClassVar["RunningPlatform | None"] = None
+
+    def __init__(self) -> None:
+        self.world = PlatformWorld()
+        atexit.register(self.world.close)
+        self.world.start()
+        self.number = 0
+        self.job = ""
+        self.answer: httpx.Response | None = None
+        self.version = 3
+
+    @classmethod
+    def get(cls) -> "RunningPlatform":
+        if cls.shared is None:
+            cls.shared = cls()
+        cls.shared.heal()
+        return cls.shared
+
+    def heal(self) -> None:
+        world = self.world
+        world.behaviour.seconds = 0.5
+        world.store.mode, world.store.lose_answers = "", 0
+        for name, process in world.processes.items():
+            if process.poll() is not None:
+                world.run(name)
+        world.wait(lambda: all(world.ready(name) for name in world.settings if "front" in name))
+        # A short job shows that a scheduler and its hosts are there.
+        self.submit("front-1", 1)
+        world.wait(lambda: world.state("front-1", self.job) == "completed")
+
+    def submit(self, entry: str, *counts: int) -> None:
+        self.number += 1
+        self.job = f"{self.number:016x}"
+        steps = [CPU | {"count": count} for count in counts]
+        for number in range(1, len(steps)):
+            steps[number]["after"] = [number - 1]  # type: ignore[assignment]
+        body = {"spec": "bake", "steps": steps}
+        self.answer = self.world.call(entry, "POST", PREFIX + self.job, body)
+
+    def runs_of(self, job: str) -> list[tuple[str, float, float]]:
+        """Return (task, from, to) of all runs of a job that have begun."""
+        found = []
+        for executor in self.world.executors.values():
+            model = executor.model
+            self.world.portal.call(model.work)
+            found += [(task, a, b) for task, _, a, b in model.history if task.startswith(job)]
+            active = model.runs.values()
+            began = model.began
+            found += [
+                (run.task, began[run.task, run.run], float("inf"))
+                for run in active
+                if run.task.startswith(job)
+            ]
+        return found
+
+    def scheduler(self) -> str:
+        """Return the entry that was elected last."""
+        item = self.world.shared.items["apricotpath/ctl/leader"]
+        return next(name for name in self.world.settings if name in item.value.decode())
+
+
+def running(context: Any) -> RunningPlatform:
+    found: RunningPlatform = context.platform
+    return found
+
+
+@given("the platformpath's processes are running")
+def processes(context: Any) -> None:
+    context.platform = RunningPlatform.get()
+
+
+@given("tasks of platformpath take {seconds:d} seconds")
+def take(context: Any, seconds: int) -> None:
+    running(context).world.behaviour.seconds = seconds
+
+
+@when("a client hands in a job of steps {first:d} and {second:d} at platformpath's {entry}")
+def hand_in(context: Any, first: int, second: int, entry: str) -> None:
+    running(context).submit(entry, first, second)
+
+
+def bad_call(name: str) -> tuple[str, str, object]:
+    """Return method, path and body of a call by its description."""
+    job = PREFIX + "f" * 16
+    step = CPU | {"count": 1}
+    calls: dict[str, tuple[str, str, object]] = {
+        "POST of a body that is not JSON": ("POST", job, b"{"),
+        "POST of a step that waits for a later one": (
+            "POST",
+            job,
+            {"spec": "", "steps": [step | {"after": [1]}, step]},
+        ),
+        "POST of a count that is a text": ("POST", job, {"steps": [step | {"count": "x"}]}),
+        "POST of a body beyond the limit": ("POST", job, b"x" * 300_000),
+        "POST to a queue that is not configured": ("POST", "/none/" + "f" * 16, {}),
+        "GET of a job that nobody submitted": ("GET", job, None),
+        "DELETE of a job that nobody submitted": ("DELETE", job, None),
+        "GET of the queue": ("GET", PREFIX, None),
+    }
+    return calls[name]
+
+
+@when("a client makes the call {name} at platformpath's front-1")
+def make_call(context: Any, name: str) -> None:
+    run = running(context)
+    method, path, body = bad_call(name)
+    run.answer = run.world.call("front-1", method, path, body)
+
+
+@then("platformpath answers {status:d}")
+def answers(context: Any, status: int) -> None:
+    answer = running(context).answer
+    assert answer is not None
+    assert answer.status_code == status, (answer.status_code, answer.text)
+    if status == 503:
+        assert "retry-after" in answer.headers
+
+
+@then("platformpath's {entry} shows the job as {state} within {seconds:d} seconds")
+def shows(context: Any, entry: str, state: str, seconds: int) -> None:
+    run = running(context)
+    run.world.wait(lambda: run.world.state(entry, run.job) == state, seconds)
+
+
+@then("platformpath shows the job as completed within {seconds:d} seconds")
+def shown_anywhere(context: Any, seconds: int) -> None:
+    run = running(context)
+
+    def shown() -> bool:
+        for name in ("front-1", "front-2"):
+            try:
+                if run.world.state(name, run.job) == "completed":
+                    return True
+            except httpx.HTTPError:
+                continue
+        return False
+
+    run.world.wait(shown, seconds)
+
+
+@then("platformpath's executors ran {count:d} tasks once each")
+def ran_once(context: Any, count: int) -> None:
+    run = running(context)
+    tasks = [task for task, _, _ in run.runs_of(run.job)]
+    assert len(tasks) == len(set(tasks)) == count, tasks
+
+
+@when("tasks of the job run at platformpath's executors")
+def tasks_run(context: Any) -> None:
+    run = running(context)
+    run.world.wait(lambda: bool(run.runs_of(run.job)), 5)
+
+
+@when("a client cancels the job at platformpath's {entry}")
+def cancels(context: Any, entry: str) -> None:
+    run = running(context)
+    run.answer = run.world.call(entry, "DELETE", PREFIX + run.job)
+    assert run.answer.status_code == 200
+
+
+@then("nothing runs at platformpath's executors within {seconds:d} seconds")
+def nothing_runs(context: Any, seconds: int) -> None:
+    run = running(context)
+    run.world.wait(lambda: all(end < float("inf") for _, _, end in run.runs_of(run.job)), seconds)
+
+
+@then("nothing has begun at platformpath's executors {seconds:d} seconds later")
+def nothing_began(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    run = running(context)
+    assert run.runs_of(run.job) == []
+
+
+@when("platformpath's operator adds a queue in version {version:d}")
+def add_queue(context: Any, version: int) -> None:
+    queues = (PREFIX, NEW_QUEUE)
+    running(context).world.operate("op/config", configuration(version, queues))
+
+
+@when("platformpath's operator writes version {version:d} without the new queue")
+def older_version(context: Any, version: int) -> None:
+    running(context).world.operate("op/config", configuration(version))
+
+
+def taken(run: RunningPlatform) -> bool:
+    """Tell whether both entries take a job in the new queue."""
+    body = {"spec": "bake", "steps": [CPU | {"count": 1}]}
+    codes = []
+    for entry in ("front-1", "front-2"):
+        run.number += 1
+        path = f"{NEW_QUEUE}{run.number:016x}"
+        codes.append(run.world.call(entry, "POST", path, body).status_code)
+    return codes == [200, 200]
+
+
+@then("a job is taken in the new queue at both entries of platformpath within 2 seconds")
+def new_queue(context: Any) -> None:
+    run = running(context)
+    run.world.wait(lambda: taken(run), 2)
+
+
+@then("a job is still taken in the new queue at both entries of platformpath a second later")
+def still_taken(context: Any) -> None:
+    time.sleep(1)
+    assert taken(running(context))
+
+
+@when("platformpath's operator takes the zone {way:w}")
+def zone(context: Any, way: str) -> None:
+    running(context).world.operate("op/evacuate/z1", {} if way == "out" else None)
+    time.sleep(0.5)
+
+
+def kill_scheduler(run: RunningPlatform) -> None:
+    run.world.end(run.scheduler())
+
+
+def stop_scheduler(run: RunningPlatform) -> None:
+    assert run.world.end(run.scheduler(), signal.SIGTERM) == 0
+
+
+def restart_agent(run: RunningPlatform) -> None:
+    run.world.end("side-1")
+    time.sleep(0.5)
+    run.world.run("side-1")
+
+
+def crash_executor(run: RunningPlatform) -> None:
+    run.world.portal.call(run.world.executors["side-1"].model.crash)
+
+
+def store_mode(mode: str) -> Callable[[RunningPlatform], None]:
+    def act(run: RunningPlatform) -> None:
+        run.world.store.mode = mode
+        time.sleep(3)
+        run.world.store.mode = ""
+
+    return act
+
+
+def forget_history(run: RunningPlatform) -> None:
+    run.world.portal.call(run.world.shared.forget_history)
+
+
+def lose_answers(run: RunningPlatform) -> None:
+    run.world.store.lose_answers = 3
+
+
+FAULTS: dict[str, Callable[[RunningPlatform], None]] = {
+    "the scheduler is killed": kill_scheduler,
+    "the scheduler is told to stop": stop_scheduler,
+    "an agent is killed and started again": restart_agent,
+    "an executor crashes": crash_executor,
+    "the store is silent for 3 seconds": store_mode("silent"),
+    "the store refuses calls for 3 seconds": store_mode("busy"),
+    "the store loses its history": forget_history,
+    "answers of the store are lost": lose_answers,
+}
+
+
+@when("{fault} at platformpath")
+def make_fault(context: Any, fault: str) -> None:
+    run = running(context)
+    run.world.wait(lambda: bool(run.runs_of(run.job)), 5)
+    FAULTS[fault](run)
+
+
+@then("no task of platformpath ran twice at once")
+def once_at_a_time(context: Any) -> None:
+    run = running(context)
+    spans: dict[str, list[tuple[float, float]]] = {}
+    for task, began, ended in run.runs_of(run.job):
+        spans.setdefault(task, []).append((began, ended))
+    for task, found in spans.items():
+        found.sort()
+        for (_, ended), (began, _) in pairwise(found):
+            assert ended <= began, (task, found)
+
+
+@when("the store of platformpath {way}")
+def store_way(context: Any, way: str) -> None:
+    run = running(context)
+    run.world.store.mode = "busy" if way == "refuses all calls" else ""
+    # Entries notice at their next call, which is at most a lease renewal away.
+    time.sleep(1.2)
+
+
+@then("the job is not known at platformpath's front-2 {seconds:d} seconds later")
+def not_known(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    run = running(context)
+    assert run.world.state("front-2", run.job) == "410"
+    assert run.runs_of(run.job) == []
+
+
+@when("platformpath's processes get SIGHUP and malformed heartbeats")
+def hup(context: Any) -> None:
+    run = running(context)
+    control = run.world.settings["side-1"]["listen"]["control"]
+    for body in (b"\xff", b"[]", b'{"service":7}', b'{"service":"other","state":"ready"}'):
+        url = f"http://{control}/instances/i-x"
+        assert httpx.put(url, content=body, timeout=2, trust_env=False).status_code == 400
+    for process in run.world.processes.values():
+        process.send_signal(signal.SIGHUP)
+
+
+@then("all processes of platformpath still run and say that the settings were read again")
+def still_run(context: Any) -> None:
+    world = running(context).world
+    world.wait(lambda: all("settings read again" in world.log(name) for name in world.processes), 5)
+    assert all(process.poll() is None for process in world.processes.values())
+
+
+@when("platformpath's agent {name} is told to stop")
+def stop_agent(context: Any, name: str) -> None:
+    context.code = running(context).world.end(name, signal.SIGTERM)
+
+
+@then("it has ended with code 0")
+def ended(context: Any) -> None:
+    assert context.code == 0, context.code
--- a/tests/run.py
+++ b/tests/run.py
@@ -13,7 +13,7 @@
 FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 # Features that start many processes run one after another, after the rest.
-ALONE = frozenset({"processes"})
+ALONE = frozenset({"processes", "platformpath"})
 AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))
 FEATURE_TIMEOUT_S = 900
 NOT_RUN = ("skipped", "untested")
--- /dev/null
+++ b/tests/support/platformstandin.py
@@ -0,0 +1,266 @@
+"""The users' platform on loopback: its store and executors, by their published protocol."""
+
+import json
+from base64 import b64decode, b64encode
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import httpx
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from apricotpath.boottime import boot_s
+from apricotpath.errors import StoreLeaseEnded
+from apricotpath.executor import ExecutorFenced, StartCall
+from apricotpath.ids import FenceToken, TaskId
+from apricotpath.model import StartAnswer
+from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put, WatchEvent
+from apricotpathd.asgi import Receive, Scope, Send, read_body, send_json, serve_lifespan
+from support.executormodel import ExecutorModel
+from support.memorystore import SharedStore
+
+# Small, so that ranges have several pages.
+PAGE_ITEMS = 3
+MAX_TXN_ENTRIES = 32
+MAX_WAIT_MS = 30_000
+BEAT_S = 0.3
+REASONS = {StartAnswer.REFUSED: "old", StartAnswer.UNFIT: "room", StartAnswer.TICKET: "ticket"}
+
+
+class StoreApp:
+    """ASGI app of the store; `mode` is "", "busy", "many" or "silent"."""
+
+    def __init__(self, shared: SharedStore) -> None:
+        self.shared = shared
+        self.mode = ""
+        self.lose_answers = 0
+        self.calls: dict[str, int] = {}
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        raw = await read_body(receive)
+        path = scope["path"]
+        self.calls[path.split("/")[1]] = self.calls.get(path.split("/")[1], 0) + 1
+        if self.mode == "silent":
+            await anyio.sleep(60)
+        if self.mode in ("busy", "many"):
+            await send_json(send, 503 if self.mode == "busy" else 429, {"error": "refused"})
+            return
+        query = {key: rows[0] for key, rows in parse_qs(scope["query_string"].decode()).items()}
+        status, answer = await self._answer(scope["method"], path, query, raw)
+        if self.lose_answers and path == "/kv-txn":
+            self.lose_answers -= 1
+            await anyio.sleep(60)
+        await send_json(send, status, answer)
+
+    async def _answer(
+        self, method: str, path: str, query: dict[str, str], raw: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        shared = self.shared
+        shared.expire()
+        if path == "/kv-key":
+            item = shared.items.get(query["key"])
+            if item is None:
+                return 404, {"currentRev": shared.revision}
+            return 200, _row(item) | {"currentRev": shared.revision}
+        if path == "/kv-range":
+            return 200, self._range(query)
+        if path == "/kv-watch":
+            return await self._watch(query)
+        body = json.loads(raw) if raw else {}
+        if path == "/kv-txn":
+            return self._txn(body)
+        if path == "/kv-lease":
+            lease = LeaseId(77000 + len(shared.leases) + shared.revision)
+            shared.leases[lease] = (boot_s() + body["ttlMs"] / 1000, body["ttlMs"] / 1000)
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        lease = LeaseId(int(path.rsplit("/", 1)[1]))
+        if lease not in shared.leases:
+            return 404, {"error": "no such lease"}
+        if method == "DELETE":
+            shared.end_lease(lease)
+            return 200, {}
+        ttl_s = shared.leases[lease][1]
+        shared.leases[lease] = (boot_s() + ttl_s, ttl_s)
+        return 200, {"ttlMs": int(ttl_s * 1000)}
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        after = query.get("after", "")
+        keys = sorted(
+            key for key in self.shared.items if key.startswith(query["prefix"]) and key > after
+        )
+        return {
+            "items": [_row(self.shared.items[key]) for key in keys[:PAGE_ITEMS]],
+            "hasMore": len(keys) > PAGE_ITEMS,
+            "currentRev": self.shared.revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after, wait_ms = int(query["after"]), int(query["waitMs"])
+        assert wait_ms <= MAX_WAIT_MS
+        ends_at = boot_s() + wait_ms / 1000
+        while True:
+            if after < self.shared.forgotten:
+                return 410, {"error": "history is gone"}
+            found = [
+                event
+                for event in self.shared.history
+                if event.mod_revision > after and event.key.startswith(query["prefix"])
+            ]
+            if found or boot_s() >= ends_at:
+                events = [_event_row(event) for event in found]
+                return 200, {"events": events, "currentRev": self.shared.revision}
+            changed = self.shared.changed
+            # Leases end without a call too.
+            with anyio.move_on_after(min(0.1, max(0.001, ends_at - boot_s()))):
+                await changed.wait()
+            self.shared.expire()
+
+    def _txn(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        compares = [Compare(row["key"], row["rev"]) for row in body["expectRev"]]
+        puts: list[Put | Delete] = [
+            Put(row["key"], b64decode(row["value"], validate=True), row.get("lease"))
+            for row in body["puts"]
+        ]
+        removes = [Delete(key) for key in body["remove"]]
+        assert len(compares) + len(puts) + len(removes) <= MAX_TXN_ENTRIES
+        if any(item.key.startswith(("op/", "servers/")) for item in [*puts, *removes]):
+            return 403, {"error": "not yours"}
+        try:
+            result = self.shared.apply(compares, [*puts, *removes])
+        except StoreLeaseEnded:
+            return 404, {"error": "no such lease"}
+        if not result.succeeded:
+            items = [self.shared.items.get(compare.key) for compare in compares]
+            return 412, {"items": [_row(item) for item in items if item is not None]}
+        return 200, {"rev": result.revision}
+
+    def operate(self, key: str, value: object | None) -> None:
+        """Write as the operator does; None removes the key."""
+        change: Put | Delete = (
+            Delete(key) if value is None else Put(key, json.dumps(value).encode())
+        )
+        self.shared.apply([], [change])
+
+
+def _row(item: KeyValue) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": b64encode(item.value).decode(),
+        "rev": item.mod_revision,
+        "createdRev": item.mod_revision,
+        "lease": item.lease,
+    }
+
+
+def _event_row(event: WatchEvent) -> dict[str, Any]:
+    if event.value is None:
+        return {"key": event.key, "rev": event.mod_revision, "deleted": True}
+    return _row(KeyValue(event.key, event.value, event.mod_revision, LeaseId(0)))
+
+
+class ExecutorApp:
+    """ASGI app of one executor around a model; `beat` reports it to its agent."""
+
+    def __init__(self, model: ExecutorModel, service: str, zone: str, address: str) -> None:
+        self.model = model
+        self.service, self.zone, self.address = service, zone, address
+        self.state = "ready"
+        self.seq = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        body = json.loads(await read_body(receive))
+        headers = {name.decode().lower(): value.decode() for name, value in scope["headers"]}
+        if headers.get("target-instance", self.model.name) != self.model.name:
+            await send_json(send, 421, {})
+            return
+        try:
+            status, answer = await self._answer(scope["path"], body)
+        except ExecutorFenced:
+            status, answer = 409, {"reason": "fence"}
+        await send_json(send, status, answer | {"clockMs": self.model.clock_ms()})
+
+    async def _answer(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        model, fence = self.model, FenceToken(body["fence"])
+        if path == "/hold":
+            return 200, await self._hold(body, fence)
+        task, run = TaskId(body["task"]), body["run"]
+        if path == "/run-start":
+            saved, ticket = body.get("saved", ""), body.get("ticket", "")
+            call = StartCall(task, run, body["spec"], saved, ticket, body["deadlineMs"])
+            answer = model.start(call, fence)
+            if answer is StartAnswer.STARTED:
+                return 200, {}
+            return 409, {"reason": REASONS[answer]}
+        if path == "/run-stop":
+            model.stop(task, run, fence)
+        else:
+            model.check_fence(fence)
+        return 200, {}
+
+    async def _hold(self, body: dict[str, Any], fence: FenceToken) -> dict[str, Any]:
+        model = self.model
+        model.check_fence(fence)
+        if "deadlineMs" in body:
+            until = model.started_at + body["deadlineMs"] / 1000
+            model.deadline = max(model.deadline, until)
+        model.ends = [ending for ending in model.ends if ending.number > body["lastSeen"]]
+        ends_at, known = boot_s() + body["waitMs"] / 1000, model.numbers
+        while boot_s() < ends_at and model.numbers == known:
+            await anyio.sleep(0.02)
+            model.work()
+        running = [
+            [run.task, run.run, run.saved, model.percent(run), run.load]
+            for run in model.runs.values()
+        ]
+        ended = [
+            [ending.number, ending.task, ending.run, ending.result.value, ending.saved]
+            for ending in model.ends
+        ]
+        return {"running": running, "ended": ended, "born": model.born_ms}
+
+    async def beat(self, control: str) -> None:
+        """Report to the agent until cancelled."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            while True:
+                self.seq += 1
+                size = self.model.capacity
+                report = {
+                    "service": self.service,
+                    "addr": self.address,
+                    "zone": self.zone,
+                    "version": "v1",
+                    "slots": 8,
+                    "state": self.state,
+                    "coldLeftMs": 0,
+                    "capacity": {"cpu": size.cpu_milli, "memMb": size.memory_mb, "gpu": 0},
+                    "labels": ["a", "r1-1"],
+                    "clockMs": self.model.clock_ms(),
+                    "seq": self.seq,
+                    "born": self.model.born_ms,
+                }
+                try:
+                    url = f"http://{control}/instances/{self.model.name}"
+                    await client.put(url, json=report, timeout=1.0)
+                except httpx.HTTPError:
+                    pass
+                await anyio.sleep(BEAT_S)
+
+
+async def serve_app(app: Any, port: int) -> None:
+    """Serve an app on loopback until cancelled."""
+    config = Config()
+    config.bind = [f"127.0.0.1:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    await serve(app, config, shutdown_trigger=anyio.sleep_forever)
--- /dev/null
+++ b/tests/support/platformworld.py
@@ -0,0 +1,198 @@
+"""Processes of apricotpath on the platform's stand-ins, all on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import httpx
+from anyio.from_thread import start_blocking_portal
+
+from apricotpath.model import Size
+from support.executormodel import Behaviour, ExecutorModel
+from support.memorystore import SharedStore
+from support.platformstandin import ExecutorApp, StoreApp, serve_app
+
+ROOT = Path(__file__).parents[2]
+SERVICE, HOST, PREFIX = "huvo11a", "nony24.example", "/lohu930/"
+LOG_TAIL_BYTES = 4000
+
+
+def free_port() -> int:
+    """Return a port of loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def configuration(version: int, queues: tuple[str, ...] = (PREFIX,)) -> dict[str, Any]:
+    """Return an operator's configuration with one route a prefix."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{prefix.strip('/')}",
+                "host": HOST,
+                "prefix": prefix,
+                "kind": "non_idempotent",
+                "timeoutMs": 3000,
+                "targetLatencyMs": 250,
+                "priority": 0,
+                "service": SERVICE,
+                "attempts": 2,
+                "stretch": 1.5,
+            }
+            for prefix in queues
+        ],
+        "services": [{"name": SERVICE, "healthPath": "/healthz", "enforcesCapacity": True}],
+        "limits": {"maxBodyBytes": 262144},
+    }
+
+
+class PlatformWorld:
+    """Two entries and two agents as processes, a store and executors in a thread."""
+
+    def __init__(self) -> None:
+        self.stack = ExitStack()
+        self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        self.portal = self.stack.enter_context(start_blocking_portal())
+        self.shared = self.portal.call(SharedStore)
+        self.store = StoreApp(self.shared)
+        self.store_port = free_port()
+        self.serving: list[Any] = []
+        self._serve(self.store, self.store_port)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.behaviour = Behaviour(seconds=0.5)
+        self.executors: dict[str, ExecutorApp] = {}
+
+    def _serve(self, app: Any, port: int) -> None:
+        self.serving.append(self.portal.start_task_soon(serve_app, app, port))
+
+    def start(self) -> None:
+        """Start everything and wait until jobs are taken."""
+        self.operate("op/config", configuration(3))
+        for number in (1, 2):
+            self.add_entry(f"front-{number}")
+            self.add_agent(f"side-{number}")
+        self.wait(lambda: all(self.ready(name) for name in self.settings if "front" in name))
+
+    def _base(self, name: str) -> dict[str, Any]:
+        return {
+            "nodeName": name,
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "listen": {},
+            "portRange": [free_port(), 0],
+            "bounds": {"holdMaxMs": 6000, "killGraceMs": 900, "graceS": 3, "status_s": 120},
+            "platform": {"addr": f"127.0.0.1:{self.store_port}", "ttlMinMs": 1000},
+            "unknownField": {"ignored": True},
+        }
+
+    def add_entry(self, name: str) -> None:
+        settings = self._base(name)
+        settings["listen"] = {kind: f"127.0.0.1:{free_port()}" for kind in ("front", "ready")}
+        self.settings[name] = settings
+        self.run(name)
+
+    def add_agent(self, name: str) -> None:
+        settings = self._base(name)
+        app_port = free_port()
+        settings["listen"] = {"control": f"127.0.0.1:{free_port()}"}
+        settings |= {"app": f"127.0.0.1:{app_port}", "service": SERVICE}
+        self.settings[name] = settings
+        model = self.portal.call(ExecutorModel, f"i-{name}", Size(8000, 8000, 0), self.behaviour)
+        executor = ExecutorApp(model, SERVICE, "z1", settings["app"])
+        self.executors[name] = executor
+        self._serve(executor, app_port)
+        self.serving.append(
+            self.portal.start_task_soon(executor.beat, settings["listen"]["control"])
+        )
+        self.run(name)
+
+    def run(self, name: str) -> None:
+        """Start the process of a node, again if it ran before."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings[name]))
+        role = "entry" if "front" in self.settings[name]["listen"] else "agent"
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "apricotpath_platform", role],
+                env=os.environ | {"APRICOTPATH_CONFIG": str(path)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def log(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def end(self, name: str, number: int = signal.SIGKILL, timeout_s: float = 10.0) -> int:
+        """Signal a process that this world started, and return its exit code."""
+        process = self.processes[name]
+        process.send_signal(number)
+        return process.wait(timeout_s)
+
+    def close(self) -> None:
+        """End all that this world started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait(10)
+        for fut in self.serving:
+            fut.cancel()
+        self.stack.close()
+
+    def operate(self, key: str, value: object | None) -> None:
+        """Write to the store as the operator does."""
+        self.portal.call(self.store.operate, key, value)
+
+    def wait(self, check: Callable[[], bool], limit_s: float = 20.0) -> float:
+        """Wait until a check holds and return how long it took."""
+        started = time.monotonic()
+        while not check():
+            if time.monotonic() - started > limit_s:
+                tails = {name: self.log(name)[-LOG_TAIL_BYTES:] for name in self.processes}
+                raise AssertionError(f"not in {limit_s} s; logs end with {tails}")
+            time.sleep(0.05)
+        return time.monotonic() - started
+
+    # Clients' calls.
+
+    def call(
+        self, entry: str, method: str, path: str, body: object = None, host: str = HOST
+    ) -> httpx.Response:
+        """Make a client's call at an entry."""
+        url = f"http://{self.settings[entry]['listen']['front']}{path}"
+        content = body if isinstance(body, bytes) else None
+        json_body = None if content is not None else body
+        return httpx.request(
+            method,
+            url,
+            headers={"Host": host},
+            content=content,
+            json=json_body,
+            timeout=5,
+            trust_env=False,
+        )
+
+    def ready(self, entry: str) -> bool:
+        """Tell whether an entry says that it is ready."""
+        url = f"http://{self.settings[entry]['listen']['ready']}/readyz"
+        try:
+            return httpx.get(url, timeout=1, trust_env=False).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def state(self, entry: str, job: str) -> str:
+        """Return a job's state as an entry shows it."""
+        response = self.call(entry, "GET", PREFIX + job)
+        return str(response.json().get("state", response.status_code))
