Start copies of speculative tasks, and move tasks off slow hosts

Cause: tasks on executors that work 5 to 6.5 times slower held their jobs back, and steps that allow copies had none. Change: hosts' speed is learned from progress against estimates; slow hosts get new tasks last, and a run that would end much sooner elsewhere is moved; a speculative task that takes 1.6 times its estimate gets a second run. The store lease of an entry is 1.5 s, for an earlier takeover.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -26,8 +26,8 @@
 class ElectionSettings:
     """Times in seconds of the lease that an entry holds in the store."""
 
-    lease_s: float = 2.0
-    renew_s: float = 0.5
+    lease_s: float = 1.5
+    renew_s: float = 0.4
     prefix: str = "apricotpath/"
 
 
--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -42,6 +42,10 @@
 FAILURES_IN_A_ROW = 2
 SET_ASIDE_FIRST_S = 4.0
 SET_ASIDE_MAX_S = 30.0
+# Readings of speed come with each report; estimates of single tasks are far off.
+SPEED_WEIGHT = 0.08
+SPEED_CAP = 1.5
+SPEED_RECOVERY = 0.05
 
 
 NOT_ATTACHED = FenceToken(0)
@@ -52,7 +56,8 @@
     """One host as the scheduler sees it; times are boot-clock seconds.
 
     `runs_until` is when everything that it runs has surely ended, unless it
-    is granted more. `renewal` numbers
+    is granted more. `speed` is how fast tasks run here, 1 being as estimated.
+    `renewal` numbers
     its newest report.
     """
 
@@ -70,6 +75,7 @@
     failed_jobs: set[str] = field(default_factory=set)
     set_aside_until: float = float("-inf")
     set_aside_s: float = SET_ASIDE_FIRST_S
+    speed: float = 1.0
 
     def life(self) -> tuple[str, int]:
         """Return the id and birth of the executor, or an empty pair."""
@@ -84,6 +90,14 @@
             and now >= self.set_aside_until
         )
 
+    def note_speed(self, speed: float) -> None:
+        """Take a reading of how fast a task runs here, as a share of its estimated speed."""
+        self.speed += SPEED_WEIGHT * (min(speed, SPEED_CAP) - self.speed)
+
+    def recover_speed(self) -> None:
+        """Forget old readings step by step, so that a host that was slow is tried again."""
+        self.speed += SPEED_RECOVERY * (1.0 - self.speed)
+
     def note_success(self) -> None:
         """Count a run that ended well."""
         self.failures_in_a_row = 0
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -18,13 +18,18 @@
 # 1 they only slow each other down, which is better than disturbing a serving task.
 FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_BESIDE_SERVING = 0.8
-# A filler task is moved to a host without serving tasks if, going on as it does, it needs this
+# A task is moved to a host that does not hold it back if, going on as it does, it needs this
 # many times as long as there. It is looked at once it has run for a while.
 MOVE_FACTOR = 1.5
 MOVE_AFTER_S = 2.0
 # Time that stopping and starting again takes, with the work since the newest checkpoint.
 MOVE_COST_S = 1.0
 MAX_MOVES_PER_PASS = 3
+# Hosts whose tasks run at less than this share of their estimated speed get new ones last.
+SLOW_HOST_SPEED = 0.55
+# A speculative task gets a second run after this long.
+COPY_FACTOR = 1.6
+COPY_LEAST_S = 0.4
 
 
 class Placement(NamedTuple):
@@ -134,6 +139,42 @@
     return placements
 
 
+def place_copies(table: JobTable, given: PlacementInput) -> list[Placement]:
+    """Return second starts of speculative tasks that take much longer than estimated."""
+    rooms: dict[HostId, Room] = {}
+    copies = []
+    for row in table.rows.values():
+        queue = given.queues.get(row.job.queue)
+        if queue is None or row.unwanted or not any(step.speculative for step in row.job.steps):
+            continue
+        for task in row.tasks.values():
+            step = row.step(task.key)
+            if not _wants_copy(task, step, queue, given.now):
+                continue
+            rooms = rooms or make_rooms(table, given)
+            used = next(iter(task.runs.values())).host
+            group = _Group(row, step, queue, [task])
+            allowed = [
+                room
+                for room in rooms.values()
+                if room.host.host != used and _may_use(room, step, queue, given)
+            ]
+            room = _choose(group, task, allowed)
+            if room is not None:
+                room.add(task.key, step)
+                copies.append(Placement(task.key, task.last_run + 1, room.host.host))
+    return copies
+
+
+def _wants_copy(task: Task, step: Step, queue: Queue, now: float) -> bool:
+    if not step.speculative or step.gang or task.done or len(task.runs) != 1 or queue.advised:
+        return False
+    if len(task.failed_runs) >= queue.attempts:
+        return False
+    (run,) = task.runs.values()
+    return now - run.since > COPY_LEAST_S + COPY_FACTOR * step.estimate_s
+
+
 def _groups(table: JobTable, given: PlacementInput) -> list[_Group]:
     found: dict[tuple[str, int, int], _Group] = {}
     for key, task in table.waiting.items():
@@ -214,7 +255,8 @@
     else:
         apart = 0.0 if room.serving else 0.2
         apart += max(0.0, share - 1)
-    return (room.host.host in task.failed_on, far, apart, share)
+    doubtful = room.host.host in task.failed_on or room.host.speed < SLOW_HOST_SPEED
+    return (doubtful, far, apart, share)
 
 
 def _reserve(group: _Group, task: Task, candidates: Iterable[Room], given: PlacementInput) -> None:
@@ -267,26 +309,23 @@
     return chosen
 
 
-def slow_fillers(table: JobTable, given: PlacementInput) -> list[Run]:
-    """Return filler runs to stop, since they would go on faster on another host."""
+def slow_runs(table: JobTable, given: PlacementInput) -> list[Run]:
+    """Return runs to stop, since they would end much sooner on another host."""
     rooms = make_rooms(table, given)
     found: list[Run] = []
     for room in rooms.values():
-        if not room.serving or not room.fillers:
+        held_back = room.serving > 0 and room.fillers > 0
+        if not held_back and room.host.speed >= SLOW_HOST_SPEED:
             continue
         for run in table.by_host.get(room.host.host, {}).values():
-            step = table.step_of(run.task) if table.task(run.task) else None
-            if step is None or not _is_slow(run, step, given.now):
+            row = table.rows.get(run.task.job)
+            queue = given.queues.get(row.job.queue) if row else None
+            if row is None or queue is None or not row.tasks or row.unwanted:
+                continue
+            step = row.step(run.task)
+            if not _is_slow(run, step, room.host, given.now):
                 continue
-            queue = given.queues.get(table.rows[run.task.job].job.queue)
-            better = next(
-                (
-                    other
-                    for other in rooms.values()
-                    if not other.serving and queue and _can_take(other, step, queue, given)
-                ),
-                None,
-            )
+            better = _better_room(room, step, queue, rooms.values(), given)
             if better is None:
                 continue
             better.add(run.task, step)
@@ -296,10 +335,26 @@
     return found
 
 
-def _is_slow(run: Run, step: Step, now: float) -> bool:
-    """Tell whether a filler run would end much sooner on a host without serving tasks."""
+def _better_room(
+    here: Room, step: Step, queue: Queue, rooms: Iterable[Room], given: PlacementInput
+) -> Room | None:
+    """Return a host that takes a task and does not hold it back as this one does."""
+    for room in rooms:
+        if room is here or room.host.speed < SLOW_HOST_SPEED:
+            continue
+        if step.filler and room.serving:
+            continue
+        if _may_use(room, step, queue, given) and room.fits(step):
+            return room
+    return None
+
+
+def _is_slow(run: Run, step: Step, host: Host, now: float) -> bool:
+    """Tell whether a run would end much sooner on a host that does not hold it back."""
+    if step.long_running or step.gang or run.phase is not RunPhase.RUNNING:
+        return False
     ran_s = now - run.since
-    if not step.filler or run.phase is not RunPhase.RUNNING or ran_s < MOVE_AFTER_S:
+    if ran_s < MOVE_AFTER_S or not (step.filler or host.speed < SLOW_HOST_SPEED):
         return False
     rate = max(0.1, run.percent - run.first_percent) / ran_s
     kept = run.percent if step.checkpoints else 0
@@ -307,10 +362,6 @@
     return (100 - run.percent) / rate > MOVE_FACTOR * elsewhere_s
 
 
-def _can_take(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
-    return _may_use(room, step, queue, given) and room.fits(step)
-
-
 def hopeless(step: Step, queue: Queue, hosts: Iterable[Host]) -> bool:
     """Tell whether no known host could ever run a task of a step."""
     facts = [host.facts for host in hosts if host.facts and host.facts.service == queue.service]
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -40,7 +40,8 @@
     hopeless,
     make_rooms,
     place,
-    slow_fillers,
+    place_copies,
+    slow_runs,
     stalled,
 )
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
@@ -62,6 +63,9 @@
 UNFIT_PAUSE_S = 0.15
 LOAD_RETRY_S = 0.1
 MOVE_INTERVAL_S = 1.0
+COPY_INTERVAL_S = 0.3
+# Progress of a run is taken as a reading of its host's speed after this long.
+SPEED_AFTER_S = 0.8
 MAX_REPORT_GAP_S = 0.6
 FLEET_LOG_INTERVAL_S = 2.0
 STATUSES_PER_MESSAGE = 4000
@@ -122,7 +126,7 @@
         self._lost: deque[tuple[TaskKey, int, str]] = deque()
         self._unknown: dict[HostId, dict[RunName, float]] = {}
         self._cancel_keys: set[JobId] = set()
-        self._moved_at = self._started
+        self._moved_at = self._copied_at = self._started
         self._fleet_logged_at = float("-inf")
 
     # Life of the term.
@@ -307,12 +311,23 @@
             else:
                 run.stalled_s += since
             run.percent, run.saved, run.load = status.percent, status.saved, status.load
+            self._note_speed(host, run, now)
         if message.first:
             ended = {(ending.task, ending.run) for ending in message.endings}
             for (key, number), run in known.items():
                 if (key, number) not in listed and (str(key), number) not in ended:
                     self._lose(run, "its host does not know it")
 
+    def _note_speed(self, host: Host, run: Run, now: float) -> None:
+        """Learn from a run's progress how fast its host is."""
+        row = self.table.rows.get(run.task.job)
+        if row is None or not row.tasks or now - run.since < SPEED_AFTER_S:
+            return
+        step = row.step(run.task)
+        if step.estimate_s > 0 and not (step.long_running or step.filler or step.gang):
+            rate = (run.percent - run.first_percent) / (now - run.since)
+            host.note_speed(rate * step.estimate_s / 100)
+
     def _stop_unknown(self, host: Host, name: RunName, now: float) -> None:
         """Stop a run that belongs to no unfinished task."""
         sent = self._unknown.setdefault(host.host, {})
@@ -411,7 +426,7 @@
         self._take_endings(batch, now)
         self._take_lost(batch, now)
         given = self._placement_input(now)
-        for placement in place(self.table, given):
+        for placement in [*place(self.table, given), *self._copies(given)]:
             host = self.hosts[placement.host]
             instance, born_ms = host.life()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
@@ -420,6 +435,13 @@
         self._end_jobs(batch, now)
         return batch
 
+    def _copies(self, given: PlacementInput) -> list[Placement]:
+        """Return starts of copies, looked for less often since they depend on time only."""
+        if given.now - self._copied_at < COPY_INTERVAL_S:
+            return []
+        self._copied_at = given.now
+        return place_copies(self.table, given)
+
     def _placement_input(self, now: float) -> PlacementInput:
         rules = self._rules()
         return PlacementInput(self.hosts, rules.queues, rules.out, now, self._utc(), self.cfg)
@@ -604,7 +626,9 @@
         if now - self._moved_at < MOVE_INTERVAL_S:
             return []
         self._moved_at = now
-        return slow_fillers(self.table, self._placement_input(now))
+        for host in self.hosts.values():
+            host.recover_speed()
+        return slow_runs(self.table, self._placement_input(now))
 
     def _unwanted(self, run: Run, host: Host, now: float) -> bool:
         row = self.table.rows.get(run.task.job)
@@ -617,6 +641,8 @@
             return step.long_running or now > host.leaves_at - LEAVE_LEAD_S
         if run.phase is RunPhase.RUNNING and stalled(run, step):
             log.warning("run makes no progress", extra={"task": str(run.task), "host": host.host})
+            if host.note_failure(run.task.job, now):
+                log.warning("host set aside", extra={"host": host.host, "reason": "runs stall"})
             return True
         return False
 
