Place jobs that can still meet their objective before those that cannot

Change: waiting tasks are ordered by priority, then by whether their job can still be on time, late, or far too late, then by age; a job that has waited 12 times its objective goes first.

--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -8,7 +8,7 @@
 from apricotpath.ids import DataCentreId, HostId, QueueId
 from apricotpath.jobtable import JobRow, JobTable, Run, RunPhase, Task
 from apricotpath.model import Size
-from apricotpath.workload import NO_SIZE, Queue, Step, TaskKey
+from apricotpath.workload import NO_SIZE, Job, Queue, Step, TaskKey
 
 # A group of tasks that has waited this long keeps smaller ones of later groups off one host.
 RESERVE_AFTER_S = 2.0
@@ -30,6 +30,10 @@
 # A speculative task gets a second run after this long.
 COPY_FACTOR = 1.6
 COPY_LEAST_S = 0.4
+# Beyond this many times its objective a job is of little use; beyond the second it has waited
+# so long that it goes before all others.
+LATE_FACTOR = 3.0
+STARVING_FACTOR = 12.0
 
 
 class Placement(NamedTuple):
@@ -188,10 +192,46 @@
         found[where].tasks.append(task)
     return sorted(
         found.values(),
-        key=lambda group: (group.queue.priority, group.step.filler, group.row.job.accepted_s),
+        key=lambda group: (
+            group.queue.priority,
+            lateness(group.row.job, group.queue, group.tasks[0].key, given.utc_s),
+            group.row.job.accepted_s,
+        ),
     )
 
 
+def lateness(job: Job, queue: Queue, task: TaskKey, utc_s: float) -> int:
+    """Return 0 if a job can still meet its objective, else 1, or 2 if it is far too late.
+
+    With more work than room, jobs that can still be on time go first. A job
+    that has waited very long goes first too, so that none waits for ever.
+    """
+    if job.steps[task.step].long_running:
+        return 0
+    began_s = job.due_s(task.occurrence) or job.accepted_s
+    waited_s = max(0.0, utc_s - began_s)
+    objective_s = queue.stretch * longest_chain_s(job, 0) + queue.target_s
+    if waited_s > STARVING_FACTOR * objective_s:
+        return 0
+    total_s = waited_s + longest_chain_s(job, task.step)
+    if total_s <= objective_s:
+        return 0
+    return 1 if total_s <= LATE_FACTOR * objective_s else 2
+
+
+def longest_chain_s(job: Job, first: int) -> float:
+    """Return the estimated time of the longest chain of steps that starts at a step.
+
+    From step 0 it is the longest chain of the whole job.
+    """
+    ends: dict[int, float] = {}
+    for number, step in enumerate(job.steps):
+        before = [ends[earlier] for earlier in step.after if earlier in ends]
+        if number == first or before or (first == 0 and not step.after):
+            ends[number] = max(before, default=0.0) + step.estimate_s
+    return max(ends.values(), default=0.0)
+
+
 def _may_use(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
     """Tell whether a step's tasks may start on a host, room aside."""
     facts = room.host.facts
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -53,3 +53,26 @@
     And a task of 4 cores has waited 3 seconds for runplacement
     When a step of 4 tasks of 1 core is placed by runplacement
     Then runplacement puts all 2 on one host
+
+  Scenario Outline: runplacement puts a job that can still be on time before one that cannot
+    Given runplacement hosts a and b of 1 cores
+    And the queue of runplacement gives a job twice its run time
+    When a job of 1 second that has waited <waited> seconds and a new one of 1 second want both hosts
+    Then runplacement starts the <first> one first
+
+    Examples:
+      | waited | first   |
+      | 0.5    | waiting |
+      | 2.0    | new     |
+      | 9.0    | new     |
+      | 60.0   | waiting |
+
+  Scenario: runplacement starts a copy of a slow speculative task on another host
+    Given runplacement hosts a and b of 4 cores
+    When a speculative task of 1 second has run for 3 seconds on runplacement host a
+    Then runplacement starts a copy of it on b as run 2
+
+  Scenario: runplacement moves a task off a slow host when another has room
+    Given runplacement hosts a and b of 4 cores
+    When a task of 1 second is at 20 percent after 3 seconds on a, which runplacement knows as slow
+    Then runplacement moves it
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -8,9 +8,9 @@
 
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
-from apricotpath.jobtable import JobTable
+from apricotpath.jobtable import JobTable, RunPhase
 from apricotpath.model import Size
-from apricotpath.runplacement import Placement, PlacementInput, place
+from apricotpath.runplacement import Placement, PlacementInput, place, place_copies, slow_runs
 from apricotpath.runrecords import Assigned, Ended
 from apricotpath.workload import HostFacts, Job, Queue, RunResult, Step, TaskKey
 
@@ -207,3 +207,68 @@
 @then("no host of runplacement was given more than it holds, stops in progress included")
 def none_over(context: Any) -> None:
     assert not any(context.found.values()), context.found
+
+
+@given("the queue of runplacement gives a job twice its run time")
+def queue_objective(context: Any) -> None:
+    context.case.queue = Queue(QUEUE.queue, SERVICE, stretch=2.0)
+
+
+@when(
+    "a job of 1 second that has waited {waited:g} seconds and a new one of 1 second want both hosts"
+)
+def old_and_new(context: Any, waited: float) -> None:
+    case: PlacementCase = context.case
+    context.ids = []
+    for age in (waited, 0.0):
+        case.jobs += 1
+        steps = (step(2, 1, estimate_s=1.0),)
+        job = Job(JobId(f"{case.jobs:016x}"), QUEUE.queue, "", steps, accepted_s=1000.0 - age)
+        case.table.add(job, NOW)
+        context.ids.append(job.job_id)
+    given_now = PlacementInput(
+        case.hosts, {QUEUE.queue: case.queue}, frozenset(), NOW, 1000.0, FleetSettings()
+    )
+    case.placed = place(case.table, given_now)
+
+
+@then("runplacement starts the {which:w} one first")
+def starts_first(context: Any, which: str) -> None:
+    wanted = context.ids[0 if which == "waiting" else 1]
+    assert {placement.task.job for placement in context.case.placed} == {wanted}
+
+
+def running_task(case: PlacementCase, percent: int, **flags: Any) -> None:
+    """Let a task of one second have run for three on host a."""
+    job = case.add(step(1, 1, estimate_s=1.0, **flags))
+    key = TaskKey(job, 0, 0, 0)
+    case.table.apply(Assigned(key, 1, HostId("a"), "a", 1), NOW - 3)
+    run = case.table.task(key).runs[1]
+    run.phase, run.percent = RunPhase.RUNNING, percent
+
+
+def placement_input(case: PlacementCase) -> PlacementInput:
+    queues = {QUEUE.queue: QUEUE}
+    return PlacementInput(case.hosts, queues, frozenset(), NOW, 0.0, FleetSettings())
+
+
+@when("a speculative task of 1 second has run for 3 seconds on runplacement host a")
+def slow_speculative(context: Any) -> None:
+    running_task(context.case, 50, speculative=True)
+
+
+@then("runplacement starts a copy of it on {host:w} as run {run:d}")
+def copy_started(context: Any, host: str, run: int) -> None:
+    copies = place_copies(context.case.table, placement_input(context.case))
+    assert [(copy.host, copy.run) for copy in copies] == [(host, run)], copies
+
+
+@when("a task of 1 second is at 20 percent after 3 seconds on a, which runplacement knows as slow")
+def slow_host(context: Any) -> None:
+    running_task(context.case, 20)
+    context.case.hosts[HostId("a")].speed = 0.2
+
+
+@then("runplacement moves it")
+def moves(context: Any) -> None:
+    assert len(slow_runs(context.case.table, placement_input(context.case))) == 1
