Test the run log by itself; print the errors of failed steps

behave's progress format leaves out the error of a failed step, so the cause of the listed intermittent failure could not be seen.

--- /dev/null
+++ b/tests/features/runlog.feature
@@ -0,0 +1,35 @@
+Feature: runlog
+
+  Guards against a record that is acknowledged and gone after a take-over, a
+  record that a former scheduler still writes, a lost answer that writes twice,
+  and a snapshot that loses or repeats records.
+
+  Scenario Outline: runlog appends a record exactly once when <fault>
+    Given a runlog of the first scheduler
+    When a record is appended to the runlog while <fault>
+    Then the next scheduler loads the runlog's records once and in order
+
+    Examples:
+      | fault                                     |
+      | nothing fails                             |
+      | the answer is lost                        |
+      | the write is carried out 2 seconds later  |
+      | three answers in a row are lost           |
+      | the store is down for 4 seconds           |
+
+  Scenario Outline: runlog refuses a scheduler that was replaced <when>
+    Given a runlog of the first scheduler
+    When another scheduler takes over <when> the first one appends to the runlog
+    Then the first scheduler is told by the runlog that it was replaced
+    And the next scheduler does not load the first one's last record
+
+    Examples:
+      | when                                   |
+      | before                                 |
+      | before a late write is carried out and |
+
+  Scenario: runlog keeps all records over snapshots, and removes what they replace
+    Given a runlog of the first scheduler
+    When 40 records are appended to the runlog with a snapshot after every 15
+    Then the next scheduler loads the runlog's records once and in order
+    And the store holds at most 12 keys of the runlog
--- /dev/null
+++ b/tests/features/steps/runlog_steps.py
@@ -0,0 +1,156 @@
+"""Steps for runlog.feature."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from behave import given, then, when
+
+from apricotpath.errors import FencedError
+from apricotpath.ids import JobId
+from apricotpath.runlog import RunLog
+from apricotpath.runrecords import Ended, RunRecord
+from apricotpath.store import Put
+from apricotpath.workload import RunResult, TaskKey
+from support.jobworld import run_virtual
+from support.memorystore import MemoryStore, SharedStore
+
+PREFIX = "test/runs/"
+EPOCH_KEY = "test/epoch"
+
+
+def record(number: int) -> Ended:
+    return Ended(TaskKey(JobId("a"), 0, 0, number), 1, RunResult.DONE)
+
+
+class LogCase:
+    """One store and the logs of schedulers that follow each other."""
+
+    def __init__(self) -> None:
+        self.actions: list[Callable[[], Awaitable[None]]] = []
+        self.appended: list[RunRecord] = []
+        self.fenced = False
+
+    def run(self) -> None:
+        run_virtual(self._main)
+
+    async def _main(self) -> None:
+        self.shared = SharedStore()
+        self.store = MemoryStore(self.shared)
+        self.log = await self.take_over(self.store)
+        await self.append(0)
+        for action in self.actions:
+            await action()
+
+    async def take_over(self, store: MemoryStore) -> RunLog:
+        result = await store.txn([], [Put(EPOCH_KEY, b"{}")])
+        log = RunLog(store, PREFIX, EPOCH_KEY, result.revision)
+        self.loaded = await log.load()
+        return log
+
+    async def append(self, number: int) -> None:
+        await self.log.append([record(number)])
+        self.appended.append(record(number))
+
+
+@given("a runlog of the first scheduler")
+def first(context: Any) -> None:
+    context.log = LogCase()
+
+
+@when("a record is appended to the runlog while {fault}")
+def append_while(context: Any, fault: str) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        faults = case.store.faults
+        if fault == "the answer is lost":
+            faults.lose = 1
+        elif fault.startswith("the write"):
+            faults.late = 1
+        elif fault.startswith("three"):
+            faults.lose = 3
+        elif fault.startswith("the store"):
+            faults.down = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(case.append, 1)
+            await anyio.sleep(4)
+            faults.down = False
+        await case.append(2)
+        await anyio.sleep(5)
+        case.store.carry_out_late()
+
+    case.actions.append(act)
+
+
+@when("another scheduler takes over {when_} the first one appends to the runlog")
+def take_over(context: Any, when_: str) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        if "late" in when_:
+            case.store.faults.late = 1
+        async with anyio.create_task_group() as group:
+
+            async def append() -> None:
+                if "late" not in when_:
+                    await anyio.sleep(0.1)
+                try:
+                    await case.append(1)
+                except FencedError:
+                    case.fenced = True
+
+            group.start_soon(append)
+            await anyio.sleep(0.02)
+            await case.take_over(MemoryStore(case.shared))
+        await anyio.sleep(5)
+        case.store.carry_out_late()
+
+    case.actions.append(act)
+
+
+@when("{count:d} records are appended to the runlog with a snapshot after every {every:d}")
+def snapshots(context: Any, count: int, every: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        for number in range(1, count + 1):
+            await case.append(number)
+            if number % every == 0:
+                await case.log.snapshot(case.appended)
+
+    case.actions.append(act)
+
+
+@then("the next scheduler loads the runlog's records once and in order")
+def loads(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        await case.take_over(MemoryStore(case.shared))
+        assert case.loaded == case.appended, case.loaded
+
+    case.actions.append(act)
+    case.run()
+
+
+@then("the first scheduler is told by the runlog that it was replaced")
+def told(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        assert case.fenced
+
+    case.actions.append(act)
+
+
+@then("the next scheduler does not load the first one's last record")
+def not_loaded(context: Any) -> None:
+    loads(context)
+
+
+@then("the store holds at most {count:d} keys of the runlog")
+def keys(context: Any, count: int) -> None:
+    case: LogCase = context.log
+    found = [key for key in case.shared.items if key.startswith(PREFIX)]
+    assert len(found) <= count, len(found)
--- a/tests/run.py
+++ b/tests/run.py
@@ -16,16 +16,18 @@
 ALONE = frozenset({"processes", "platformpath"})
 AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))
 FEATURE_TIMEOUT_S = 900
+MAX_ERROR_CHARACTERS = 4000
 NOT_RUN = ("skipped", "untested")
 
 
 @dataclass(frozen=True, slots=True)
 class FeatureResult:
-    """Results of one feature as (scenario, status), and what behave printed."""
+    """Results of one feature as (scenario, status), what behave printed, and failed steps."""
 
     scenarios: tuple[tuple[str, str], ...]
     output: str
     crashed: bool
+    errors: tuple[str, ...] = ()
 
 
 def known_red() -> set[str]:
@@ -61,7 +63,7 @@
             return FeatureResult((), f"{target} timed out\n{exc.stdout or ''}", True)
         scenarios = tuple(scenario_results(report))
         crashed = done.returncode != 0 and all(status == "passed" for _, status in scenarios)
-        return FeatureResult(scenarios, done.stdout, crashed)
+        return FeatureResult(scenarios, done.stdout, crashed, tuple(failed_steps(report)))
 
 
 def scenario_results(path: Path) -> list[tuple[str, str]]:
@@ -78,6 +80,20 @@
     return results
 
 
+def failed_steps(path: Path) -> list[str]:
+    """Return the text of each failed step and its error; the progress format leaves errors out."""
+    found = []
+    for feature in json.loads(path.read_text() or "[]") if path.exists() else []:
+        for element in feature.get("elements", []):
+            for step in element.get("steps", []):
+                result = step.get("result", {})
+                if result.get("status") in ("failed", "error"):
+                    lines = result.get("error_message", [])
+                    text = lines if isinstance(lines, str) else "\n".join(lines)
+                    found.append(f"{step['name']}\n{text[:MAX_ERROR_CHARACTERS]}")
+    return found
+
+
 def run_all(targets: list[str], options: list[str]) -> list[FeatureResult]:
     """Run features, several at once but for those that must run alone."""
     alone = [target for target in targets if Path(target).stem in ALONE]
@@ -100,7 +116,7 @@
     unexpected = [name for name in failed if name not in expected]
     for result in results:
         if result.crashed or any(name in failed for name, _ in result.scenarios):
-            print(result.output)
+            print(result.output, *result.errors, sep="\n")
     for name in failed:
         print(f"{'known red' if name in expected else 'FAILED'}: {name}")
     print(f"{len(ran) - len(failed)} passed, {len(unexpected) + crashed} failed")
