--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -14,10 +14,9 @@
     `authority_s`: how long a scheduler goes on granting leases without the
     store. `clock_drift`: how much slower an executor's clock may be.
     `start_window_s`: an order is void this long after the report it answers.
-    `stop_grace_s`: how long an executor may take to stop a run. `log_interval_s`:
-    least time between two appends. `retention_s`: how long ended jobs are
-    kept for readers. `silent_s`: a host without a report for this long gets no
-    starts. `far_factor`: how much longer a task takes away from its data.
+    `log_interval_s`: least time between two appends. `retention_s`: how long
+    ended jobs are kept for readers. `silent_s`: a host without a report for
+    this long gets no starts.
     """
 
     run_lease_s: float = 6.0
@@ -25,12 +24,9 @@
     clock_drift: float = 0.02
     margin_s: float = 0.3
     start_window_s: float = 2.0
-    stop_grace_s: float = 0.9
-    gang_wait_s: float = 3.0
     log_interval_s: float = 0.02
     retention_s: float = 150.0
     silent_s: float = 1.6
-    far_factor: float = 1.5
 
     @property
     def run_hold_s(self) -> float:
@@ -38,8 +34,8 @@
         return self.run_lease_s * (1 + self.clock_drift) + self.margin_s
 
 
-# An executor that failed this many runs of different jobs, one after another, is set aside.
-FAILURES_IN_A_ROW = 2
+# An executor that failed runs of this many jobs, with no good end between, is set aside.
+FAILED_JOBS = 2
 SET_ASIDE_FIRST_S = 4.0
 SET_ASIDE_MAX_S = 30.0
 # Readings of speed come with each report; estimates of single tasks are far off.
@@ -71,7 +67,6 @@
     draining: bool = False
     leaves_at: float = float("inf")
     noted: int = 0
-    failures_in_a_row: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     set_aside_until: float = float("-inf")
     set_aside_s: float = SET_ASIDE_FIRST_S
@@ -100,7 +95,6 @@
 
     def note_success(self) -> None:
         """Count a run that ended well."""
-        self.failures_in_a_row = 0
         self.failed_jobs.clear()
         self.set_aside_s = SET_ASIDE_FIRST_S
 
@@ -110,8 +104,7 @@
         Failures of one job alone may be the job's own fault.
         """
         self.failed_jobs.add(job)
-        self.failures_in_a_row += 1
-        if len(self.failed_jobs) < FAILURES_IN_A_ROW:
+        if len(self.failed_jobs) < FAILED_JOBS:
             return False
         self.set_aside_until = now + self.set_aside_s
         self.set_aside_s = min(2 * self.set_aside_s, SET_ASIDE_MAX_S)
--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -9,6 +9,7 @@
 
 from apricotpath.errors import (
     FencedError,
+    StoreError,
     StoreLimited,
     StoreOutcomeUnknown,
     StoreUnavailable,
@@ -145,8 +146,12 @@
                 raise FencedError("a newer scheduler has taken over; nothing was written")
             except StoreOutcomeUnknown:
                 unknown = True
+            except FencedError:
+                raise
             except (StoreUnavailable, StoreLimited):
                 pass
+            except StoreError as exc:
+                log.error("append refused; trying again: %s", exc)
             await anyio.sleep(next(delays))
 
     def _decode(self, value: bytes) -> list[RunRecord]:
--- a/packages/daemon/src/apricotpathd/cmdline.py
+++ b/packages/daemon/src/apricotpathd/cmdline.py
@@ -1,20 +1,17 @@
 """Command line of the daemon `apricotpathd`."""
 
 import argparse
-import sys
 from pathlib import Path
 
 import anyio
 
 from apricotpath.config import AgentSettings, EntrySettings, load_settings
-from apricotpath.errors import ApricotpathError, InputError, LinkError
+from apricotpath.errors import ApricotpathError
 from apricotpath.logs import configure
 from apricotpath.model import Role
 from apricotpathd.agent import run_agent
 from apricotpathd.entry import run_entry
-
-EXIT_FAILED = 1
-EXIT_BAD_INPUT = 2
+from apricotpathd.exits import report_error
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -31,7 +28,7 @@
     try:
         run(Role(args.role), args.config)
     except (ApricotpathError, BaseExceptionGroup) as exc:
-        return _report(exc)
+        return report_error("apricotpathd", exc)
     return 0
 
 
@@ -45,12 +42,3 @@
         agent = load_settings(config, AgentSettings)
         configure(agent.log_level, agent.process)
         anyio.run(run_agent, agent)
-
-
-def _report(exc: BaseException) -> int:
-    while isinstance(exc, BaseExceptionGroup):
-        exc = exc.exceptions[0]
-    if not isinstance(exc, ApricotpathError):
-        raise exc
-    print(f"apricotpathd: {exc}", file=sys.stderr)
-    return EXIT_BAD_INPUT if isinstance(exc, InputError | LinkError) else EXIT_FAILED
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -92,7 +92,6 @@
     noted: int = 0
     reported: bool = False
     views: dict[tuple[TaskId, int], _View] = field(default_factory=dict)
-    ended: set[tuple[TaskId, int]] = field(default_factory=set)
 
 
 class HostAgent:
@@ -119,7 +118,6 @@
         self.leader: ProcessId | None = None
         self.attachment: _Attachment | None = None
         self.executor: Executor | None = None
-        self.runs: tuple[RunStatus, ...] = ()
         self._connect = connect
         self._clock_ms, self._clock_at = 0, 0.0
         self._links: list[Link] = []
@@ -245,7 +243,6 @@
             await anyio.sleep(HOLD_RETRY_S)
             return
         self._clock_ms, self._clock_at = holding.clock_ms, boot_s()
-        self.runs = holding.runs
         listed = {(status.task, status.run) for status in holding.runs}
         for ending in holding.endings:
             attached.views.pop((ending.task, ending.run), None)
--- /dev/null
+++ b/tests/features/steps/platforminput_steps.py
@@ -0,0 +1,138 @@
+"""Steps for platforminput.feature."""
+
+import contextlib
+import io
+import json
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import httpx
+from behave import then, when
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from apricotpath.errors import InputError, SettingsError, StoreError
+from apricotpath.executor import ExecutorError
+from apricotpath.ids import JobId, QueueId
+from apricotpath_platform import orders, store
+from apricotpath_platform.cmdline import main
+from apricotpath_platform.heartbeats import parse_beat
+from apricotpath_platform.jobforms import parse_submission
+from apricotpath_platform.operatorview import parse_configuration
+from apricotpath_platform.settings import load_node_settings
+
+# Names that the readers know, so that random objects get past the first look.
+NAMES = st.sampled_from(
+    [
+        *("steps", "count", "cpu", "after", "spec", "times", "startAtMs", "routes", "name", "host"),
+        *("prefix", "service", "version", "limits", "state", "capacity", "labels", "born", "seq"),
+        *("zone", "running", "ended", "clockMs", "ip", "listen", "portRange", "bounds", "platform"),
+        *("addr", "nodeName", "key", "value", "rev", "items", "events", "deleted", "currentRev"),
+        *("hasMore", "priority", "daemon"),
+    ]
+)
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["ready", "1.2.3.4:5", "AA==", "x" * 5000])
+)
+VALUES = st.recursive(
+    LEAVES,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(NAMES, inner, max_size=8),
+    max_leaves=25,
+)
+OBJECTS = st.dictionaries(NAMES, VALUES, max_size=14)
+
+
+def read_settings(data: bytes) -> None:
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(data)
+        file.flush()
+        load_node_settings(file.name)
+
+
+def read_store(data: bytes) -> None:
+    for read in (store._read_item, store._read_page, store._read_changes):
+        with contextlib.suppress(StoreError):
+            read(data)
+
+
+READERS: dict[str, tuple[Callable[[bytes], Any], type[Exception]]] = {
+    "submission": (lambda data: parse_submission(JobId("a"), QueueId("q"), data), InputError),
+    "configuration": (parse_configuration, InputError),
+    "heartbeat": (lambda data: parse_beat("i-1", data, 0.0), InputError),
+    "holding": (lambda data: orders.read_holding(httpx.Response(200, content=data)), ExecutorError),
+    "settings": (read_settings, SettingsError),
+    "store answer": (read_store, StoreError),
+}
+
+
+@when("random input of {count:d} kinds is read by the platforminput reader {name}")
+def read_random(context: Any, count: int, name: str) -> None:
+    read, own_error = READERS[name]
+    context.failures = []
+
+    @settings(
+        max_examples=count,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.binary(max_size=40) | OBJECTS.map(lambda value: json.dumps(value).encode()))
+    def check(data: bytes) -> None:
+        try:
+            read(data)
+        except own_error:
+            pass
+        except Exception as exc:
+            context.failures.append((data[:300], repr(exc)))
+
+    check()
+
+
+@then("the platforminput reader answered each with a value or with its own error")
+def own_errors(context: Any) -> None:
+    assert not context.failures, context.failures[:3]
+
+
+GOOD: dict[str, Any] = {
+    "nodeName": "front-1",
+    "ip": "127.0.0.1",
+    "zone": "z1",
+    "listen": {"front": "127.0.0.1:8161", "ready": "127.0.0.1:8167"},
+    "portRange": [7720, 7735],
+    "bounds": {},
+    "platform": {"addr": "127.0.0.1:8169"},
+}
+
+
+@when("the platform's command starts with a settings file that {fault}")
+def start_with(context: Any, fault: str) -> None:
+    body = dict(GOOD)
+    if fault == "has no ip":
+        del body["ip"]
+    elif fault == "has a bad address":
+        body["platform"] = {"addr": "nowhere"}
+    elif fault == "has no port range":
+        body["portRange"] = []
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        if fault != "does not exist":
+            path.write_text("{" if fault == "is not JSON" else json.dumps(body))
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            context.code = main(["entry", "--settings", str(path)])
+        context.said = errors.getvalue()
+
+
+@then("the platform's command says one sentence with {words} and exits with 2")
+def says(context: Any, words: str) -> None:
+    assert context.code == 2, context.code
+    assert words in context.said, context.said
+    assert context.said.count("\n") == 1, context.said
