--- a/packages/cli/src/apricotpath_cli/views.py
+++ b/packages/cli/src/apricotpath_cli/views.py
@@ -8,6 +8,7 @@
 import anyio
 
 from apricotpath_cli.client import Answer, Client
+from apricotpath_cli.logstory import explain_from_logs
 from apricotpath_cli.options import Groups, add_entries, operator_settings, signing_key
 from apricotpath_cli.output import print_fields, print_json, print_table, text
 
@@ -28,6 +29,8 @@
     explain.add_argument("--team")
     explain.add_argument("--activity")
     explain.add_argument("--dc", dest="data_centre", help="data centre")
+    explain.add_argument("--id", dest="subject", help="id of a job or task to look for in --logs")
+    explain.add_argument("--logs", nargs="+", metavar="FILE", help="logs of processes to read")
     add_entries(explain)
     explain.set_defaults(run=_explain)
 
@@ -113,6 +116,8 @@
 
 
 def _explain(args: argparse.Namespace) -> int:
+    if args.logs or args.subject:
+        return explain_from_logs(args)
     names = ("job", "team", "activity", "data_centre")
     query = {name: getattr(args, name) for name in names if getattr(args, name)}
     value = ask_one(args, "GET", f"/v1/explain?{urlencode(query)}")
--- /dev/null
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -0,0 +1,64 @@
+"""Counters and histograms of jobs, their runs, and the calls that serve them."""
+
+from apricotpath.ids import QueueId
+from apricotpath.metrics import MetricSet
+from apricotpath.workload import Progress, RunResult
+
+# Operators choose the names of queues, so only this many get a label of their own.
+MAX_QUEUES = 256
+OTHER_QUEUES = QueueId("other")
+
+
+class JobMetrics(MetricSet):
+    """Metrics of one process that serves, schedules or runs jobs; times are in seconds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._queues: set[QueueId] = set()
+        self._call_s = self._histogram(
+            "apricotpath_job_call_seconds", "Time to answer a caller's call on jobs"
+        )
+        self._calls = self._counter(
+            "apricotpath_job_calls_total", "Callers' calls on jobs by status"
+        )
+        self._wait_s = self._histogram(
+            "apricotpath_task_wait_seconds", "Time from a task's turn to the order of its run"
+        )
+        self._job_s = self._histogram(
+            "apricotpath_job_seconds", "Time from the acceptance of a job to its final state"
+        )
+        self._runs = self._counter("apricotpath_runs_ended_total", "Ends of runs by result")
+        self._out_s = self._histogram(
+            "apricotpath_outward_call_seconds", "Time of calls to the store and the executor"
+        )
+        self._out = self._counter(
+            "apricotpath_outward_calls_total", "Calls to the store and the executor by outcome"
+        )
+
+    def _queue(self, queue: QueueId) -> QueueId:
+        if len(self._queues) < MAX_QUEUES:
+            self._queues.add(queue)
+        return queue if queue in self._queues else OTHER_QUEUES
+
+    def answered(self, call: str, queue: QueueId, status: int, seconds: float) -> None:
+        """Count a caller's call that was answered."""
+        labels = {"call": call, "queue": self._queue(queue)}
+        self._call_s.add(labels, seconds)
+        self._calls.inc({**labels, "status": str(status)})
+
+    def task_ordered(self, queue: QueueId, waited_s: float) -> None:
+        """Count a run that was ordered."""
+        self._wait_s.add({"queue": self._queue(queue)}, waited_s)
+
+    def run_ended(self, queue: QueueId, result: RunResult) -> None:
+        """Count a run that ended or was given up."""
+        self._runs.inc({"queue": self._queue(queue), "result": result.value})
+
+    def job_ended(self, queue: QueueId, progress: Progress, seconds: float) -> None:
+        """Count a job that has reached its final state."""
+        self._job_s.add({"queue": self._queue(queue), "progress": progress.value}, seconds)
+
+    def called(self, call: str, outcome: str, seconds: float) -> None:
+        """Count a call to the store or an executor."""
+        self._out_s.add({"call": call}, seconds)
+        self._out.inc({"call": call, "outcome": outcome})
--- a/packages/core/src/apricotpath/metrics.py
+++ b/packages/core/src/apricotpath/metrics.py
@@ -17,26 +17,44 @@
 OTHER_TEAMS = TeamId("other")
 
 
-class Metrics:
-    """Metrics of one process; each has its own registry."""
+class MetricSet:
+    """Metrics of one process with a registry of their own, and how they are rendered."""
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self._teams: set[TeamId] = set()
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
-        self._latency = Histogram(
-            "apricotpath_request_seconds",
-            "Time from the caller's request to the end of its answer",
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(name, text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(name, text, buckets=LATENCY_BUCKETS_S, registry=self.registry)
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge whose value is read whenever the metrics are rendered."""
+        self._gauges.append((Gauge(name, text, registry=self.registry), read))
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        for gauge, read in self._gauges:
+            gauge.set({}, float(read()))
+        content, _headers = render(self.registry, ["text/plain"])
+        return bytes(content)
+
+
+class Metrics(MetricSet):
+    """Metrics of requests to services."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._teams: set[TeamId] = set()
+        self._latency = self._histogram(
+            "apricotpath_request_seconds", "Time from the caller's request to the end of its answer"
         )
         self._outcomes = self._counter("apricotpath_requests_total", "Requests by outcome")
         self._retries = self._counter("apricotpath_retries_total", "Further tries of requests")
         self._refusals = self._counter("apricotpath_refusals_total", "Requests refused by reason")
 
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(name, text, registry=self.registry)
-
     def finished(
         self,
         service: ServiceId,
@@ -61,14 +79,3 @@
     def refused(self, service: ServiceId, reason: str) -> None:
         """Count a request or a try that was refused."""
         self._refusals.inc({"service": service, "reason": reason})
-
-    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
-        """Add a gauge whose value is read whenever the metrics are rendered."""
-        self._gauges.append((Gauge(name, text, registry=self.registry), read))
-
-    def render(self) -> bytes:
-        """Return all metrics in the text format."""
-        for gauge, read in self._gauges:
-            gauge.set({}, float(read()))
-        content, _headers = render(self.registry, ["text/plain"])
-        return bytes(content)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -129,7 +129,7 @@
         return []
     rooms = make_rooms(table, given)
     placements: list[Placement] = []
-    for group in _groups(table, given):
+    for group in waiting_groups(table, given):
         candidates = [
             room for room in rooms.values() if may_use(room, group.step, group.queue, given)
         ]
@@ -140,7 +140,8 @@
     return placements
 
 
-def _groups(table: JobTable, given: PlacementInput) -> list[WaitingGroup]:
+def waiting_groups(table: JobTable, given: PlacementInput) -> list[WaitingGroup]:
+    """Return the tasks whose turn has come by step and occurrence, in the order to place them."""
     found: dict[tuple[str, int, int], WaitingGroup] = {}
     for key, task in table.waiting.items():
         row = table.rows[key.job]
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -123,7 +123,7 @@
         self._links: list[Link] = []
         self._changed = anyio.Event()
         self._group: TaskGroup | None = None
-        self._pacer = Pacer()
+        self.pacer = Pacer()
         self._paced_at = float("-inf")
 
     # What the executor says of itself.
@@ -161,6 +161,10 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def runs(self) -> list[tuple[TaskId, int]]:
+        """Return the runs that are known to be at the executor or on their way to it."""
+        return list(self.attachment.views) if self.attachment is not None else []
+
     # Loops.
 
     async def run(self) -> None:
@@ -313,7 +317,7 @@
             if view is not None and view.target_ms > 0
         ]
         fillers = sum(view is not None and view.filler for _, view in views)
-        percent = self._pacer.update(max(ratios, default=None), fillers)
+        percent = self.pacer.update(max(ratios, default=None), fillers)
         for status, view in views:
             if view is None or not view.filler:
                 continue
@@ -327,7 +331,7 @@
         """Slow a filler task down from its start on a host where others serve users."""
         view = attached.views.get((task, run))
         if view is not None and any(other.target_ms > 0 for other in attached.views.values()):
-            view.paced, view.paced_at = round(self._pacer.percent), boot_s()
+            view.paced, view.paced_at = round(self.pacer.percent), boot_s()
             await self._send_pace(attached, task, run, view.paced)
 
     async def _send_pace(self, attached: _Attachment, task: TaskId, run: int, percent: int) -> None:
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -11,7 +11,7 @@
 from apricotpath.election import Election, ElectionSettings, Term
 from apricotpath.errors import LinkError
 from apricotpath.fleet import FleetSettings
-from apricotpath.ids import Epoch
+from apricotpath.jobmetrics import JobMetrics
 from apricotpath.link import Link
 from apricotpath.messages import (
     Failure,
@@ -53,6 +53,7 @@
         desk: JobDesk,
         rules: Callable[[], Rules],
         dialler: Dialler,
+        metrics: JobMetrics,
         utc: Callable[[], float] = time.time,
     ) -> None:
         self.process, self.store, self.cfg = process, store, cfg
@@ -61,6 +62,7 @@
         self.scheduler: Scheduler | None = None
         self._rules, self._utc = rules, utc
         self._dialler = dialler
+        self._metrics = metrics
         hello = process.hello
         self.election = Election(
             store,
@@ -71,7 +73,7 @@
             self._serve_term,
             lambda: None,
         )
-        desk.on_epoch = self._epoch_seen
+        desk.on_epoch = self.election.outranked
 
     def rules_changed(self) -> None:
         """Look at waiting work again under new rules."""
@@ -105,6 +107,7 @@
             self._rules,
             lambda: max(self.election.contact_at, self.election.mirror.read_at or 0.0),
             self._publish,
+            self._metrics,
             self._utc,
         )
         self.scheduler = scheduler
@@ -157,9 +160,6 @@
         elif isinstance(message, JobCancelling):
             scheduler.cancel(message.job)
 
-    def _epoch_seen(self, epoch: Epoch) -> None:
-        self.election.outranked(epoch)
-
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message of an agent or of another entry's desk."""
         body = envelope.body
@@ -169,7 +169,7 @@
                 await link.send(Failure("not-leader", "this entry schedules no jobs"), envelope.id)
             return
         if isinstance(body, HostAttach):
-            self._epoch_seen(body.epoch)
+            self.election.outranked(body.epoch)
             await link.send(scheduler.board.attach(link, body), envelope.id)
         elif isinstance(body, HostRuns):
             scheduler.board.report(link, body)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -13,6 +13,7 @@
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId, TaskId
 from apricotpath.jobcodec import ended_text, parse_job
+from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import (
     JobStatus,
@@ -32,6 +33,7 @@
 )
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
+from apricotpath.waitreasons import long_waits
 from apricotpath.workload import Queue, RunResult, TaskKey
 from apricotpathd.hostboard import HostBoard
 from apricotpathd.jobdesk import JobKeys
@@ -81,6 +83,7 @@
         rules: Callable[[], Rules],
         contact_at: Callable[[], float],
         publish: Callable[[JobStatuses], None],
+        metrics: JobMetrics,
         utc: Callable[[], float],
     ) -> None:
         self.term = term
@@ -89,6 +92,7 @@
         self.loaded = anyio.Event()
         self.statuses: dict[JobId, JobStatus] = {}
         self._rules, self._publish, self._utc = rules, publish, utc
+        self._metrics = metrics
         self._keys = JobKeys(prefix)
         self._log = RunLog(store, f"{prefix}runs/", term.epoch_key, term.epoch_revision)
         self._mirror = Mirror(store, self._keys.root, self._job_noted)
@@ -203,12 +207,15 @@
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
 
     def _log_fleet(self) -> None:
-        """Log how full the hosts are, now and then."""
+        """Log how full the hosts are and what waits, now and then."""
         now = boot_s()
         if now - self._fleet_logged_at < FLEET_LOG_INTERVAL_S:
             return
         self._fleet_logged_at = now
-        rooms = make_rooms(self.table, self._placement_input(now))
+        given = self._placement_input(now)
+        rooms = make_rooms(self.table, given)
+        for wait in long_waits(self.table, given, rooms):
+            log.info("tasks wait", extra=wait)
         waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
         log.info(
             "fleet",
@@ -287,7 +294,11 @@
             known = task.runs.get(run) if task is not None else None
             if known is None:
                 continue
-            log.info("run lost: %s", reason, extra={"task": str(key), "run": run})
+            log.info(
+                "run lost: %s",
+                reason,
+                extra={"task": str(key), "run": run, "host": known.host},
+            )
             self._end_run(batch, key, run, RunResult.LOST, known.saved, now)
 
     def _end_run(
@@ -296,16 +307,20 @@
         task = self.table.task(key)
         if task is None or (run not in task.runs and (task.done or result is not RunResult.DONE)):
             return
+        row = self.table.rows[key.job]
+        self._metrics.run_ended(row.job.queue, result)
         self._apply(batch, Ended(key, run, result, saved), now)
         log.info("run ended", extra={"task": str(key), "run": run, "result": result.value})
-        row = self.table.rows.get(key.job)
-        if result is not RunResult.FAILED or row is None or row.unwanted:
+        if result is not RunResult.FAILED or row.unwanted:
             return
         queue = self._rules().queues.get(row.job.queue)
         if queue is None or task.runs:
             return
         if self.table.out_of_attempts(key, queue.attempts):
-            log.info("job fails", extra={"job": key.job, "task": str(key)})
+            log.info(
+                "job fails",
+                extra={"job": key.job, "task": str(key), "attempts": queue.attempts},
+            )
             self.table.fail(key.job)
 
     def _end_jobs(self, batch: _Batch, now: float) -> None:
@@ -314,11 +329,16 @@
             if len(batch.extra) + 2 > MAX_EXTRA:
                 self.wake()
                 return
-            queue = self.table.rows[job].job.queue
+            accepted = self.table.rows[job].job
+            queue, took_s = accepted.queue, max(0.0, self._utc() - accepted.accepted_s)
             self._apply(batch, JobEnded(job, progress), now)
             text = ended_text(job, queue, progress)
             batch.extra.append(Put(self._keys.job(job), text.encode()))
-            log.info("job ended", extra={"job": job, "progress": progress.value})
+            self._metrics.job_ended(queue, progress, took_s)
+            log.info(
+                "job ended",
+                extra={"job": job, "progress": progress.value, "took_s": round(took_s, 3)},
+            )
         for job, row in list(self.table.rows.items()):
             if not row.progress.final or len(batch.extra) + 2 > MAX_EXTRA:
                 continue
@@ -365,13 +385,17 @@
                     name, run.run, row.job.command, task.saved, "", step.filler, step.target_ms
                 )
             )
+            waited_s = run.since - task.waiting_since
+            self._metrics.task_ordered(row.job.queue, waited_s)
             log.info(
                 "run ordered",
                 extra={
                     "task": name,
                     "run": run.run,
                     "host": host.host,
-                    "waited_s": round(boot_s() - task.waiting_since, 3),
+                    "epoch": self.epoch,
+                    "waited_s": round(waited_s, 3),
+                    "report_age_s": round(run.since - host.reported_at, 3),
                 },
             )
         if orders:
--- a/tests/features/platformpath.feature
+++ b/tests/features/platformpath.feature
@@ -73,6 +73,7 @@
     When the store of platformpath refuses all calls
     And a client hands in a job of steps 1 and 1 at platformpath's front-1
     Then platformpath answers 503
+    And the answer of platformpath names the job, and the log of the entry says why
     When the store of platformpath serves again
     Then the job is not known at platformpath's front-2 2 seconds later
 
@@ -81,3 +82,21 @@
     Then all processes of platformpath still run and say that the settings were read again
     When platformpath's agent side-1 is told to stop
     Then it has ended with code 0
+
+  Scenario: platformpath serves metrics and state of each process
+    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    Then platformpath's front-2 shows the job as completed within 8 seconds
+    And the metrics of platformpath count the job and its 3 runs
+    And each process of platformpath shows its state and that it is ready
+
+  Scenario: platformpath leads from a job's id to its story although its scheduler died
+    Given tasks of platformpath take 3 seconds
+    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    And tasks of the job run at platformpath's executors
+    And the scheduler is killed at platformpath
+    Then platformpath shows the job as completed within 25 seconds
+    And the logs of platformpath tell of the job's submission, runs, new scheduler and end
+
+  Scenario: platformpath stops in one sentence at a status port that is not one
+    When a process of platformpath is started with the status port 99999
+    Then it has ended with the sentence "--status-port 99999 is not a port"
--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -2,6 +2,8 @@
 
 import atexit
 import signal
+import subprocess
+import sys
 import time
 from collections.abc import Callable
 from itertools import pairwise
@@ -10,6 +12,7 @@
 import httpx
 from behave import given, then, when
 
+from apricotpath_cli.logstory import read_logs, story
 from support.platformworld import PREFIX, PlatformWorld, configuration
 
 CPU = {"cpu": 500, "memMb": 64, "estRuntimeMs": 500}
@@ -340,3 +343,71 @@
 @then("it has ended with code 0")
 def ended(context: Any) -> None:
     assert context.code == 0, context.code
+
+
+@then("the answer of platformpath names the job, and the log of the entry says why")
+def names_job(context: Any) -> None:
+    case = running(context)
+    assert case.answer is not None
+    body = case.answer.json()
+    assert body["job"] == case.job and body["error"], body
+    lines = [line for line in case.world.log(body["entry"]).splitlines() if case.job in line]
+    assert any("call not served" in line and body["error"] in line for line in lines), lines
+
+
+@then("the metrics of platformpath count the job and its 3 runs")
+def counted(context: Any) -> None:
+    case = running(context)
+    texts = {name: case.world.status(name, "/metrics").text for name in case.world.settings}
+    scheduler = texts[case.scheduler()]
+    assert 'apricotpath_job_seconds_count{progress="completed"' in scheduler, scheduler
+    ended = next(
+        line
+        for line in scheduler.splitlines()
+        if line.startswith("apricotpath_runs_ended_total") and 'result="done"' in line
+    )
+    assert float(ended.split()[-1]) >= 3, ended
+    assert "apricotpath_job_calls_total" in texts["front-1"]
+    assert 'call="run-start"' in "".join(texts[name] for name in texts if "side" in name)
+
+
+@then("each process of platformpath shows its state and that it is ready")
+def shows_state(context: Any) -> None:
+    world = running(context).world
+    for name in world.settings:
+        assert world.status(name, "/readyz").status_code == 200, name
+        state = world.status(name, "/debug").json()
+        assert state["incarnation"] and state["epoch"] > 0, state
+
+
+@then("the logs of platformpath tell of the job's submission, runs, new scheduler and end")
+def tells_story(context: Any) -> None:
+    case = running(context)
+    files = [str(case.world.folder / f"{name}.log") for name in case.world.settings]
+    lines = sorted(read_logs(files), key=lambda line: str(line["time"]))
+    texts = [line["text"] for line in story(lines, case.job)]
+    wanted = ["job submitted", "run ordered", "scheduler elected", "run ended", "job ended"]
+    places = [texts.index(text) for text in wanted]
+    assert places == sorted(places), texts
+
+
+@when("a process of platformpath is started with the status port {port:d}")
+def started_with(context: Any, port: int) -> None:
+    world = running(context).world
+    path = world.folder / "front-1.json"
+    context.ended_process = subprocess.run(
+        [
+            *(sys.executable, "-m", "apricotpath_platform", "entry"),
+            *("--settings", str(path), "--status-port", str(port)),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=10,
+    )
+
+
+@then('it has ended with the sentence "{sentence}"')
+def ended_with(context: Any, sentence: str) -> None:
+    done = context.ended_process
+    assert done.returncode != 0 and sentence in done.stderr, done
+    assert "Traceback" not in done.stderr, done.stderr
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -21,6 +21,7 @@
 from apricotpath.executor import Executor
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import DataCentreId, HostId, JobId, ProcessId, QueueId, RackId, ServiceId
+from apricotpath.jobmetrics import JobMetrics
 from apricotpath.messages import Failure, Hello, Message
 from apricotpath.model import Role, Size
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
@@ -172,6 +173,7 @@
             desk,
             lambda: Rules(dict(self.queues), frozenset(self.out)),
             dialler,
+            JobMetrics(),
             boot_s,
         )
         dialler.want = lambda wanted: None  # type: ignore[method-assign]
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -71,6 +71,7 @@
         self._serve(self.store, self.store_port)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
+        self.status_ports: dict[str, int] = {}
         self.behaviour = Behaviour(seconds=0.5)
         self.executors: dict[str, ExecutorApp] = {}
 
@@ -123,9 +124,10 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings[name]))
         role = "entry" if "front" in self.settings[name]["listen"] else "agent"
+        port = self.status_ports.setdefault(name, free_port())
         with (self.folder / f"{name}.log").open("ab") as output:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "apricotpath_platform", role],
+                [sys.executable, "-m", "apricotpath_platform", role, "--status-port", str(port)],
                 env=os.environ | {"APRICOTPATH_CONFIG": str(path)},
                 stdout=output,
                 stderr=output,
@@ -192,6 +194,11 @@
         except httpx.HTTPError:
             return False
 
+    def status(self, name: str, path: str) -> httpx.Response:
+        """Read the status port of a process."""
+        url = f"http://127.0.0.1:{self.status_ports[name]}{path}"
+        return httpx.get(url, timeout=5, trust_env=False)
+
     def state(self, entry: str, job: str) -> str:
         """Return a job's state as an entry shows it."""
         response = self.call(entry, "GET", PREFIX + job)
