--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -54,6 +54,7 @@
 PACE_INTERVAL_S = 0.35
 # A share that has not changed is sent again, since an older order may be carried out late.
 PACE_REPEAT_S = 2.0
+PACE_LOG_INTERVAL_S = 2.0
 # Grants and sent reports that are remembered; reports are 0.4 s apart.
 MAX_RENEWALS = 64
 
@@ -125,6 +126,7 @@
         self._group: TaskGroup | None = None
         self.pacer = Pacer()
         self._paced_at = float("-inf")
+        self._pace_logged_at = float("-inf")
 
     # What the executor says of itself.
 
@@ -317,7 +319,10 @@
             if view is not None and view.target_ms > 0
         ]
         fillers = sum(view is not None and view.filler for _, view in views)
-        percent = self.pacer.update(max(ratios, default=None), fillers)
+        worst = max(ratios, default=None)
+        percent = self.pacer.update(worst, fillers)
+        if fillers and worst is not None:
+            self._log_pace(now, percent, worst, len(ratios), fillers)
         for status, view in views:
             if view is None or not view.filler:
                 continue
@@ -327,6 +332,21 @@
                 view.paced, view.paced_at = percent, now
                 await self._send_pace(attached, status.task, status.run, percent)
 
+    def _log_pace(self, now: float, percent: int, worst: float, serving: int, fillers: int) -> None:
+        """Log the share of their speed that filler tasks are given, now and then."""
+        if now - self._pace_logged_at < PACE_LOG_INTERVAL_S:
+            return
+        self._pace_logged_at = now
+        log.info(
+            "filler tasks paced",
+            extra={
+                "percent": percent,
+                "worst_tail_share": round(worst, 2),
+                "serving": serving,
+                "fillers": fillers,
+            },
+        )
+
     async def _pace_first(self, attached: _Attachment, task: TaskId, run: int) -> None:
         """Slow a filler task down from its start on a host where others serve users."""
         view = attached.views.get((task, run))
