Start one task of a filler job that waits, and reserve few hosts

Change: of a filler job of which nothing runs, one task starts after 1.5 s wherever memory allows; at most one host in five is reserved, and none for a step that may not use more of its tasks.

Tests: two scenarios of runplacement.feature, which failed before.

--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -1,6 +1,6 @@
 """Choice of hosts for the tasks that wait: pure functions over the tables."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from statistics import median
 from typing import NamedTuple
@@ -13,6 +13,11 @@
 
 # A group of tasks that has waited this long keeps smaller ones of later groups off one host.
 RESERVE_AFTER_S = 2.0
+# At most one in this many hosts is kept free for such groups, so that the others go on.
+HOSTS_PER_RESERVE = 5
+# A filler job of which nothing runs gets a first task after this long, however busy the hosts
+# are: slow progress is better than none.
+FILLER_PATIENCE_S = 1.5
 # Share of its claim that a long-running task is taken to use when filler tasks are placed.
 SERVING_USE = 0.6
 # Filler tasks are placed while the processors in use stay below this share of a host. Above
@@ -51,7 +56,7 @@
     fillers: int = 0
     serving: int = 0
     steps: dict[tuple[str, int, int], int] = field(default_factory=dict)
-    blocked: bool = False
+    reserved: bool = False
     slow: bool = False
 
     def add(self, task: TaskKey, step: Step) -> None:
@@ -70,12 +75,17 @@
         self.steps[where] = self.steps.get(where, 0) + 1
 
     def fits(self, step: Step) -> bool:
-        """Tell whether one more task of a step has room."""
-        size = step.size
+        """Tell whether one more task of a step has room and leaves the others their speed."""
         if step.filler:
             share = FILLER_SHARE_BESIDE_SERVING if self.serving else FILLER_SHARE_ALONE
-            if self.used + size.cpu_milli > share * self.capacity.cpu_milli:
+            if self.used + step.size.cpu_milli > share * self.capacity.cpu_milli:
                 return False
+        return self.holds(step)
+
+    def holds(self, step: Step) -> bool:
+        """Tell whether one more task of a step can run; a filler task claims no processors."""
+        size = step.size
+        if step.filler:
             size = Size(0, size.memory_mb, size.accelerators)
         return (self.claimed + size).fits_in(self.capacity)
 
@@ -130,13 +140,15 @@
     rooms = make_rooms(table, given)
     placements: list[Placement] = []
     for group in waiting_groups(table, given):
-        candidates = [
-            room for room in rooms.values() if may_use(room, group.step, group.queue, given)
-        ]
+        allowed = [room for room in rooms.values() if may_use(room, group.step, group.queue, given)]
+        candidates = [room for room in allowed if not room.reserved]
         if group.step.gang:
-            placements += _place_gang(group, candidates, given)
+            placed = _place_gang(group, candidates)
         else:
-            placements += _place_each(group, candidates, given)
+            placed = list(_place_each(group, candidates, given))
+        if len(placed) < len(group.tasks):
+            _reserve(group, group.tasks[len(placed)], candidates, rooms.values(), given)
+        placements += placed or _place_starving(group, allowed, given)
     return placements
 
 
@@ -199,7 +211,7 @@
     facts = room.host.facts
     if facts is None or facts.service != queue.service:
         return False
-    if facts.data_centre in given.out or room.blocked:
+    if facts.data_centre in given.out:
         return False
     if step.label and step.label not in facts.labels:
         return False
@@ -218,7 +230,6 @@
             allowed = [room for room in candidates if room.host.life()[0] in good]
         room = choose_room(group, task, allowed)
         if room is None:
-            _reserve(group, task, allowed, given)
             return
         room.add(task.key, group.step)
         yield Placement(task.key, task.last_run + 1, room.host.host)
@@ -262,20 +273,48 @@
     return (doubtful, far, apart, share)
 
 
+def _place_starving(
+    group: WaitingGroup, allowed: list[Room], given: PlacementInput
+) -> list[Placement]:
+    """Start one task of a filler job of which nothing runs, on the least busy host."""
+    task = group.tasks[0]
+    waited_s = given.now - task.waiting_since
+    if not group.step.filler or waited_s < FILLER_PATIENCE_S or any(group.row.runs()):
+        return []
+    able = [room for room in allowed if room.holds(group.step)]
+    if group.step.gang or group.queue.advised or not able:
+        return []
+    room = min(able, key=lambda room: room.used / max(1, room.capacity.cpu_milli))
+    room.add(task.key, group.step)
+    return [Placement(task.key, task.last_run + 1, room.host.host)]
+
+
 def _reserve(
-    group: WaitingGroup, task: Task, candidates: Iterable[Room], given: PlacementInput
+    group: WaitingGroup,
+    task: Task,
+    candidates: Iterable[Room],
+    rooms: Collection[Room],
+    given: PlacementInput,
 ) -> None:
     """Keep later groups off the host that comes closest to having room for a task."""
+    reserved = sum(room.reserved for room in rooms)
+    if reserved >= max(1, len(rooms) // HOSTS_PER_RESERVE):
+        return
     if given.now - task.waiting_since < RESERVE_AFTER_S:
         return
-    able = [room for room in candidates if group.step.size.fits_in(room.capacity)]
+    where = (task.key.job, task.key.occurrence, task.key.step)
+    most = group.step.max_per_host
+    able = [
+        room
+        for room in candidates
+        if group.step.size.fits_in(room.capacity) and (not most or room.steps.get(where, 0) < most)
+    ]
     if able:
-        min(able, key=lambda room: room.claimed.cpu_milli - room.capacity.cpu_milli).blocked = True
+        closest = min(able, key=lambda room: room.claimed.cpu_milli - room.capacity.cpu_milli)
+        closest.reserved = True
 
 
-def _place_gang(
-    group: WaitingGroup, candidates: list[Room], given: PlacementInput
-) -> list[Placement]:
+def _place_gang(group: WaitingGroup, candidates: list[Room]) -> list[Placement]:
     """Place all members of a gang at once, or none; on one rack if that matters."""
     members = [task for task in group.row.members(group.tasks[0].key) if not task.done]
     if len(group.tasks) < len(members) or any(task.runs for task in members):
@@ -295,7 +334,6 @@
                 Placement(task.key, run, room.host.host)
                 for task, room in zip(members, chosen, strict=True)
             ]
-    _reserve(group, members[0], candidates, given)
     return []
 
 
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -54,6 +54,21 @@
     When a step of 4 tasks of 1 core is placed by runplacement
     Then runplacement puts all 2 on one host
 
+  Scenario: runplacement lets a filler job begin that has waited long beside full hosts
+    Given runplacement hosts a and b of 4 cores
+    And 4 filler tasks of 1 core run on each runplacement host
+    And 1 filler tasks of 1 core run on each runplacement host
+    When a step of 3 filler tasks of 1 core after 1 seconds is placed
+    Then runplacement puts 0 on a and 0 on b
+    When a step of 3 filler tasks of 1 core after 3 seconds is placed
+    Then runplacement starts 1 task of the newest job
+
+  Scenario: runplacement keeps most hosts open although many tasks wait for room
+    Given 10 runplacement hosts of 4 cores with 2 cores in use
+    And 12 tasks of 3 cores have waited 5 seconds for runplacement
+    When a step of 20 tasks of 1 core is placed by runplacement
+    Then runplacement starts at least 14 tasks of the newest job
+
   Scenario Outline: runplacement puts a job that can still be on time before one that cannot
     Given runplacement hosts a and b of 1 cores
     And the queue of runplacement gives a job twice its run time
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -276,3 +276,46 @@
 @then("runplacement moves {count:d} runs")
 def moves(context: Any, count: int) -> None:
     assert len(slow_runs(context.case.table, placement_input(context.case))) == count
+
+
+@given("{count:d} filler tasks of {cores:d} core run on each runplacement host")
+def running_fillers(context: Any, count: int, cores: int) -> None:
+    for host in "ab":
+        for _ in range(count):
+            context.case.run(host, step(1, cores, filler=True))
+
+
+@when("a step of {count:d} filler tasks of {cores:d} core after {seconds:d} seconds is placed")
+def place_waiting_filler(context: Any, count: int, cores: int, seconds: int) -> None:
+    context.newest = context.case.add(step(count, cores, filler=True), seconds)
+    context.case.place()
+
+
+@then("runplacement starts {count:d} task of the newest job")
+def starts_of_newest(context: Any, count: int) -> None:
+    assert started_of_newest(context) == count, context.case.placed
+
+
+@then("runplacement starts at least {count:d} tasks of the newest job")
+def least_starts_of_newest(context: Any, count: int) -> None:
+    assert started_of_newest(context) >= count, context.case.placed
+
+
+def started_of_newest(context: Any) -> int:
+    """Return how many tasks of the newest job were placed."""
+    newest = f"{context.case.jobs:016x}"
+    return sum(placement.task.job == newest for placement in context.case.placed)
+
+
+@given("{count:d} runplacement hosts of {cores:d} cores with {used:d} cores in use")
+def many_hosts(context: Any, count: int, cores: int, used: int) -> None:
+    context.case = PlacementCase()
+    for number in range(count):
+        context.case.host(f"h{number}", cores)
+        context.case.run(f"h{number}", step(1, used))
+
+
+@given("{count:d} tasks of {cores:d} cores have waited {seconds:d} seconds for runplacement")
+def many_waiting(context: Any, count: int, cores: int, seconds: int) -> None:
+    for _ in range(count):
+        context.case.add(step(1, cores), seconds)
