Send no start of an earlier attachment, and give up runs of a lost executor

Cause 1: a start was sent under the token of the attachment that held when its assignment had been written, not when it was decided. If the agent attached again in between, its first report gave the run up while the start was on its way: six tasks of six ran twice at once in the new scenario.

Cause 2: the runs of a host whose executor is lost for good, while its agent stays attached, were never given up, since only hosts without an attachment were looked at. A grant that has run out ends the runs in both cases.

Ruled out for 2: the agent could detach after silent holds; the scheduler would still have to wait for the lease, and a slow executor would lose its place.

--- a/packages/daemon/src/apricotpathd/hostboard.py
+++ b/packages/daemon/src/apricotpathd/hostboard.py
@@ -241,13 +241,16 @@
         return link is not None and send_nowait(link, message)
 
     def sweep(self, now: float) -> None:
-        """Give up the runs of hosts whose leases have surely ended."""
+        """Give up the runs of hosts whose leases have surely ended.
+
+        An agent may stay attached although its executor is lost for good.
+        """
         for name, host in list(self.hosts.items()):
-            if host.fence or now < host.runs_until:
+            if now < host.runs_until:
                 continue
             for run in self._table.runs_on(name):
                 self.lose(run, "its host is gone and its lease has ended")
-            if now > host.runs_until + self._cfg.retention_s:
+            if not host.fence and now > host.runs_until + self._cfg.retention_s:
                 del self.hosts[name]
 
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -11,7 +11,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError, StoreError
 from apricotpath.fleet import FleetSettings, Host
-from apricotpath.ids import DataCentreId, HostId, JobId, QueueId, TaskId
+from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, TaskId
 from apricotpath.jobcodec import ended_text, parse_job
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
@@ -59,11 +59,14 @@
 
 @dataclass(slots=True)
 class _Batch:
-    """Records of one append, and what to do once they are durable."""
+    """Records of one append, and what to do once they are durable.
+
+    `starts` holds the attachments that the starts were decided for.
+    """
 
     records: list[RunRecord] = field(default_factory=list)
     extra: list[Put | Delete] = field(default_factory=list)
-    starts: list[Placement] = field(default_factory=list)
+    starts: list[tuple[FenceToken, Placement]] = field(default_factory=list)
     noted: dict[HostId, int] = field(default_factory=dict)
 
 
@@ -247,7 +250,7 @@
             instance, born_ms = host.life()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
             self._apply(batch, record, now)
-            batch.starts.append(placement)
+            batch.starts.append((host.fence, placement))
         self._end_jobs(batch, now)
         return batch
 
@@ -357,8 +360,11 @@
             if host is not None:
                 host.noted = max(host.noted, number)
         by_host: dict[HostId, list[Placement]] = {}
-        for placement in batch.starts:
-            by_host.setdefault(placement.host, []).append(placement)
+        for fence, placement in batch.starts:
+            # A host that has attached again meanwhile shows in its first report that the run is
+            # not there, and the task is given out anew.
+            if self.board.hosts[placement.host].fence == fence:
+                by_host.setdefault(placement.host, []).append(placement)
         for name, placements in by_host.items():
             self._send_starts(self.board.hosts[name], placements)
 
--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -27,6 +27,7 @@
       | an agent is killed and started again         | 16    | 8      |
       | an executor crashes                          | 20    | 10     |
       | an executor crashes and its agent is killed  | 20    | 10     |
+      | an executor is lost for good                 | 20    | 10     |
       | an agent is cut off for 20 seconds           | 30    | 10     |
       | the scheduler is paused for 5 seconds        | 22    | 14     |
       | the scheduler is cut off for 6 seconds       | 22    | 14     |
@@ -64,6 +65,14 @@
       | 2    |
       | 3    |
 
+  Scenario: jobworld sends no start that was decided for an earlier attachment of a host
+    Given a jobworld of 2 entries and 4 agents
+    And tasks of the jobworld take 4 seconds
+    When every agent attaches again while the starts of a job of 6 tasks are written
+    Then the jobworld's job is completed within 16 seconds
+    And no rule of the jobworld was broken
+    And tasks of the jobworld began at most 6 times
+
   Scenario: jobworld stops what runs of a cancelled job and starts no more of it
     Given a jobworld of 2 entries and 2 agents
     And tasks of the jobworld take 30 seconds
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -139,6 +139,14 @@
     run.now.agents["host0"].model.crash()
 
 
+@fault("an executor is lost for good")
+async def lose_executor(run: Script) -> None:
+    node = run.now.agents["host0"]
+    node.beats = False
+    node.model.crash()
+    node.agent.executor.dark = True  # type: ignore[union-attr]
+
+
 @fault("an executor crashes and its agent is killed")
 async def crash_both(run: Script) -> None:
     await crash_executor(run)
@@ -419,3 +427,24 @@
         if not node.scope.cancel_called and (await node.desk.submit(job)).value == "accepted":
             return
         await anyio.sleep(0.3)
+
+
+@when("every agent attaches again while the starts of a job of {count:d} tasks are written")
+def attach_during_write(context: Any, count: int) -> None:
+    async def act(run: Script) -> None:
+        world = run.now
+        leader = world.leader()
+        assert leader is not None
+        other = next(name for name, node in world.entries.items() if node is not leader)
+        leader.store.faults.silent = True
+        run.jobs.append(await world.submit(Step(count, CORE, 1.0), at=other))
+        await anyio.sleep(0.1)
+        for node in world.agents.values():
+            for link in [link for link in world.links if link.near is node.process]:
+                if link.far is leader.process:
+                    await world.close(link)
+                    await world.join(node.process, leader.process)
+        await anyio.sleep(0.5)
+        leader.store.faults.silent = False
+
+    script(context).actions.append(act)
