Place filler tasks beside serving ones by how far they are paced there

Change: agents report how far they paced filler tasks lately; filler tasks are placed up to 0.55 of the processors where they stand still and up to 1.15 where they run at full speed; serving tasks count with 0.45 of their claim.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -53,8 +53,8 @@
 
     `runs_until` is when everything that it runs has surely ended, unless it
     is granted more. `speed` is how fast tasks run here, 1 being as estimated.
-    `renewal` numbers
-    its newest report.
+    `filler_percent` is the share of their speed that filler tasks were given
+    lately. `renewal` numbers its newest report.
     """
 
     host: HostId
@@ -71,6 +71,7 @@
     set_aside_until: float = float("-inf")
     set_aside_s: float = SET_ASIDE_FIRST_S
     speed: float = 1.0
+    filler_percent: float = 100.0
 
     def life(self) -> tuple[str, int]:
         """Return the id and birth of the executor, or an empty pair."""
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -550,6 +550,7 @@
     `renewal` numbers the reports of one attachment. In the `first` report
     the lists are exact: no other run of an earlier token can still begin.
     `remaining_ms` is how long a draining executor stays at least.
+    `filler_percent` is the share of their speed that filler tasks were given lately.
     """
 
     fence: FenceToken
@@ -557,6 +558,7 @@
     first: bool
     draining: bool
     remaining_ms: int
+    filler_percent: float
     runs: tuple[RunStatus, ...]
     endings: tuple[RunEnding, ...]
 
--- a/packages/core/src/apricotpath/pacing.py
+++ b/packages/core/src/apricotpath/pacing.py
@@ -13,6 +13,8 @@
 LEAST_PERCENT = 4.0
 # Weight of the newest reading; single readings scatter by a third.
 SMOOTHING = 0.6
+# Weight of the newest percentage in what is reported as lately given.
+LATELY_WEIGHT = 0.15
 
 
 class Pacer:
@@ -20,6 +22,7 @@
 
     def __init__(self) -> None:
         self.percent = FIRST_PERCENT
+        self.lately = 100.0
         self._smooth: float | None = None
 
     def update(self, worst: float | None, fillers: int) -> int:
@@ -32,7 +35,7 @@
         """
         if worst is None:
             self._smooth = None
-            self.percent = 100.0
+            self.percent = self.lately = 100.0
             return 100
         known = worst if self._smooth is None else self._smooth
         self._smooth = SMOOTHING * worst + (1 - SMOOTHING) * known
@@ -46,4 +49,6 @@
             self.percent = min(100.0, max(self.percent, LEAST_PERCENT) + SPEED_UP_STEP)
         if self.percent < LEAST_PERCENT:
             self.percent = 0.0
+        if fillers:
+            self.lately += LATELY_WEIGHT * (self.percent - self.lately)
         return round(self.percent)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -19,11 +19,13 @@
 # are: slow progress is better than none.
 FILLER_PATIENCE_S = 1.5
 # Share of its claim that a long-running task is taken to use when filler tasks are placed.
-SERVING_USE = 0.6
+SERVING_USE = 0.45
 # Filler tasks are placed while the processors in use stay below this share of a host. Above
-# 1 they only slow each other down, which is better than disturbing a serving task.
+# 1 they only slow each other down, which is better than disturbing a serving task. Beside
+# serving tasks the share lies between the other two, by how far filler tasks are paced there.
 FILLER_SHARE_ALONE = 1.4
-FILLER_SHARE_BESIDE_SERVING = 0.8
+FILLER_SHARE_PACED = 0.55
+FILLER_SHARE_UNPACED = 1.15
 # Hosts on which tasks run at less than this share of the usual speed get new ones last. Speeds
 # are compared with each other, since estimates of run times are off for all hosts alike.
 SLOW_HOST_SHARE = 0.55
@@ -76,12 +78,18 @@
 
     def fits(self, step: Step) -> bool:
         """Tell whether one more task of a step has room and leaves the others their speed."""
-        if step.filler:
-            share = FILLER_SHARE_BESIDE_SERVING if self.serving else FILLER_SHARE_ALONE
-            if self.used + step.size.cpu_milli > share * self.capacity.cpu_milli:
-                return False
+        limit = self.filler_share() * self.capacity.cpu_milli
+        if step.filler and self.used + step.size.cpu_milli > limit:
+            return False
         return self.holds(step)
 
+    def filler_share(self) -> float:
+        """Return up to which share of the processors in use filler tasks are placed."""
+        if not self.serving:
+            return FILLER_SHARE_ALONE
+        unpaced = self.host.filler_percent / 100
+        return FILLER_SHARE_PACED + unpaced * (FILLER_SHARE_UNPACED - FILLER_SHARE_PACED)
+
     def holds(self, step: Step) -> bool:
         """Tell whether one more task of a step can run; a filler task claims no processors."""
         size = step.size
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -350,6 +350,7 @@
   remainingMs @4 :Int64;
   runs @5 :List(RunStatus);
   endings @6 :List(RunEnding);
+  fillerPercent @7 :Float64;
 }
 
 struct HostGrant {
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -282,6 +282,7 @@
             first,
             draining,
             int(min(left_s, 3600.0) * 1000),
+            self.pacer.lately,
             runs,
             endings,
         )
--- a/packages/daemon/src/apricotpathd/hostboard.py
+++ b/packages/daemon/src/apricotpathd/hostboard.py
@@ -127,6 +127,7 @@
         now = boot_s()
         self._grant(host, link, message.renewal, now)
         host.renewal = message.renewal
+        host.filler_percent = message.filler_percent
         if message.draining and not host.draining:
             log.info("host leaves", extra={"host": host.host, "left_ms": message.remaining_ms})
             self._wake()
--- a/tests/features/hostagent.feature
+++ b/tests/features/hostagent.feature
@@ -51,5 +51,6 @@
     Then the hostagent's filler task is paced below 40 within 1 second
     When the hostagent's serving task has a tail of 150 of 100 ms for 3 seconds
     Then the hostagent's filler task is paced below 5 within 1 second
+    And the hostagent reports that filler tasks were given below 40 percent lately
     When the hostagent's serving task has a tail of 40 of 100 ms for 8 seconds
     Then the hostagent's filler task is paced above 80 within 1 second
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -54,6 +54,20 @@
     When a step of 4 tasks of 1 core is placed by runplacement
     Then runplacement puts all 2 on one host
 
+  Scenario Outline: runplacement puts fewer filler tasks beside serving ones where these are paced
+    Given runplacement hosts a and b of 20 cores
+    And a serving task of 10 cores runs on runplacement host a
+    And a serving task of 10 cores runs on runplacement host b
+    And filler tasks on runplacement host a were given <percent> percent of their speed
+    When a step of 30 filler tasks of 1 core is placed by runplacement
+    Then runplacement puts between <least> and <most> on a
+
+    Examples:
+      | percent | least | most |
+      | 100     | 15    | 20   |
+      | 50      | 10    | 14   |
+      | 0       | 3     | 8    |
+
   Scenario: runplacement lets a filler job begin that has waited long beside full hosts
     Given runplacement hosts a and b of 4 cores
     And 4 filler tasks of 1 core run on each runplacement host
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -84,6 +84,7 @@
         case = self.case
         if isinstance(body, HostRuns):
             case.renewals.append((body.renewal, boot_s()))
+            case.filler_percent = body.filler_percent
             if case.granting:
                 case.give(HostGrant(body.fence, body.renewal, 0))
         elif isinstance(body, OrderAnswers):
@@ -98,6 +99,7 @@
         self.fences = 0
         self.renewals: list[tuple[int, float]] = []
         self.answers: list[StartAnswer] = []
+        self.filler_percent = 100.0
         self.stubborn: bool | None = None
         self.actions: list[Callable[[], Awaitable[None]]] = []
 
@@ -364,3 +366,13 @@
     check(context, act)
     if side == "above":
         case.run()
+
+
+@then("the hostagent reports that filler tasks were given below {most:d} percent lately")
+def reports_pace(context: Any, most: int) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        assert case.filler_percent < most, case.filler_percent
+
+    check(context, act)
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -319,3 +319,13 @@
 def many_waiting(context: Any, count: int, cores: int, seconds: int) -> None:
     for _ in range(count):
         context.case.add(step(1, cores), seconds)
+
+
+@given("filler tasks on runplacement host a were given {percent:d} percent of their speed")
+def paced(context: Any, percent: int) -> None:
+    context.case.hosts[HostId("a")].filler_percent = float(percent)
+
+
+@then("runplacement puts between {least:d} and {most:d} on a")
+def between(context: Any, least: int, most: int) -> None:
+    assert least <= context.case.counts()["a"] <= most, context.case.counts()
