Call no job refused while an earlier write of it may still happen

Change: an entry remembers up to 10,000 jobs whose writes were not answered and answers unknown for them until one is stored. explain tells repeated lines of a process once.

--- a/packages/cli/src/apricotpath_cli/logstory.py
+++ b/packages/cli/src/apricotpath_cli/logstory.py
@@ -13,7 +13,7 @@
 SUBJECT_FIELDS = ("job", "task", "tasks")
 COMMON_FIELDS = ("time", "level", "logger", "text", "process_id")
 # Periodic lines say nothing of one job.
-PERIODIC = frozenset({"fleet"})
+PERIODIC = frozenset({"fleet", "filler tasks paced"})
 
 Line = dict[str, Any]
 
@@ -56,11 +56,28 @@
     about = [place for place, line in enumerate(lines) if names_subject(line, subject)]
     if not about:
         return []
-    return [
+    return without_repeats(
         line
-        for place, line in enumerate(lines[about[0] : about[-1] + 1], about[0])
+        for line in lines[about[0] : about[-1] + 1]
         if names_subject(line, subject) or concerns_all(line)
-    ]
+    )
+
+
+def without_repeats(lines: Iterable[Line]) -> list[Line]:
+    """Return lines without those that a process has said before in the same words.
+
+    The first of them counts the others in `repeated`. Lines about a subject are all kept.
+    """
+    kept: list[Line] = []
+    first: dict[tuple[str, str], Line] = {}
+    for line in lines:
+        said = (str(line.get("process_id")), str(line["text"]))
+        if concerns_all(line) and said in first:
+            first[said]["repeated"] = first[said].get("repeated", 0) + 1
+            continue
+        kept.append(dict(line))
+        first[said] = kept[-1]
+    return kept
 
 
 def names_subject(line: Line, subject: str) -> bool:
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobdesk.py
@@ -40,6 +40,8 @@
 SETTLE_PATIENCE_S = 2.5
 # States that an entry keeps in memory.
 MAX_STATUSES = 50_000
+# Jobs that an entry remembers because it could not tell whether they were stored.
+MAX_DOUBTFUL = 10_000
 
 
 class Submission(Enum):
@@ -99,6 +101,7 @@
         self.local: Callable[[Message], None] | None = None
         self.on_epoch: Callable[[Epoch], None] = lambda _epoch: None
         self._whole_from: Epoch | None = None
+        self._doubtful: dict[JobId, None] = {}
         self._links: list[Link] = []
         self._utc = utc
 
@@ -112,10 +115,14 @@
             return Submission.ACCEPTED
         if not self._store_answers():
             # A write that is not even tried leaves no doubt that the job will not run.
-            log.info("job not accepted: the store does not answer", extra={"job": job.job_id})
-            return Submission.NOT_ACCEPTED
+            outcome = self._weigh(job.job_id, Submission.NOT_ACCEPTED)
+            log.info(
+                "job not accepted: the store does not answer",
+                extra={"job": job.job_id, "outcome": outcome.value},
+            )
+            return outcome
         text = job_text(job)
-        outcome = await self._store_job(job, text)
+        outcome = self._weigh(job.job_id, await self._store_job(job, text))
         if outcome is Submission.ACCEPTED:
             self._tell(JobAccepted(job.job_id, text))
         log.info(
@@ -123,6 +130,22 @@
         )
         return outcome
 
+    def _weigh(self, job: JobId, outcome: Submission) -> Submission:
+        """Return what can be said of a job after all its submissions here.
+
+        An earlier write that was not answered may still be carried out, so a later refusal
+        does not mean that the job never runs.
+        """
+        if outcome is Submission.UNKNOWN:
+            self._doubtful[job] = None
+            if len(self._doubtful) > MAX_DOUBTFUL:
+                del self._doubtful[next(iter(self._doubtful))]
+        elif outcome is Submission.ACCEPTED:
+            self._doubtful.pop(job, None)
+        elif job in self._doubtful:
+            return Submission.UNKNOWN
+        return outcome
+
     async def _store_job(self, job: Job, text: str) -> Submission:
         key = self.keys.job(job.job_id)
         unknown = False
--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -65,6 +65,12 @@
       | 2    |
       | 3    |
 
+  Scenario: jobworld does not call a job refused while an earlier write of it may still happen
+    Given a jobworld of 2 entries and 2 agents
+    When a job is submitted to the jobworld while writes are late, and again while all are refused
+    Then both submissions to the jobworld are answered unknown
+    And another job that the refusing store does not take is answered not-accepted
+
   Scenario: jobworld sends no start that was decided for an earlier attachment of a host
     Given a jobworld of 2 entries and 4 agents
     And tasks of the jobworld take 4 seconds
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -50,6 +50,12 @@
       | 00000000000000a1       | job submitted, run ordered, run started, scheduler elected, run ended, job ended |
       | 00000000000000a1.0.0.1 | run ordered, run started, scheduler elected, run ended                           |
 
+  Scenario: logs tell once what a process repeats meanwhile
+    Given logs of an entry, an agent and a scheduler that was replaced
+    And the agent logs 5 times that it does not reach the store
+    When the operators' command explains 00000000000000a1 from the logs
+    Then it prints one line "entries not looked up" that was repeated 4 times
+
   Scenario: logs without a line about an id say so in one sentence
     Given logs of an entry, an agent and a scheduler that was replaced
     When the operators' command explains 00000000000000ff from the logs
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -448,3 +448,31 @@
         leader.store.faults.silent = False
 
     script(context).actions.append(act)
+
+
+@when("a job is submitted to the jobworld while writes are late, and again while all are refused")
+def submit_in_doubt(context: Any) -> None:
+    async def act(run: Script) -> None:
+        node = run.now.entries["entry0"]
+        context.outcomes = []
+        first, second = (
+            Job(JobId(f"{number:016x}"), QUEUE, "bake", (Step(1, CORE, 1.0),)) for number in (7, 8)
+        )
+        node.store.faults.late, node.store.faults.late_s = 100, 30.0
+        context.outcomes.append((await node.desk.submit(first)).value)
+        node.store.faults.late, node.store.faults.down = 0, True
+        for job in (first, second):
+            context.outcomes.append((await node.desk.submit(job)).value)
+
+    script(context).actions.append(act)
+
+
+@then("both submissions to the jobworld are answered unknown")
+def both_unknown(context: Any) -> None:
+    script(context).run()
+    assert context.outcomes[:2] == ["unknown", "unknown"], context.outcomes
+
+
+@then("another job that the refusing store does not take is answered not-accepted")
+def other_refused(context: Any) -> None:
+    assert context.outcomes[2] == "not-accepted", context.outcomes
--- a/tests/features/steps/logs_steps.py
+++ b/tests/features/steps/logs_steps.py
@@ -201,3 +201,17 @@
 @then('it fails with the sentence "{sentence}"')
 def step_sentence(context: Any, sentence: str) -> None:
     assert sentence in context.explain_error, context.explain_error
+
+
+@given("the agent logs {count:d} times that it does not reach the store")
+def step_repeats(context: Any, count: int) -> None:
+    path = next(Path(name) for name in context.log_files if "side-1" in name)
+    with path.open("a") as file:
+        for _ in range(count):
+            file.write(_line(5, "side-1", "entries not looked up") + "\n")
+
+
+@then('it prints one line "{text}" that was repeated {count:d} times')
+def step_repeated(context: Any, text: str, count: int) -> None:
+    found = [line for line in json.loads(context.explained) if line["text"] == text]
+    assert len(found) == 1 and found[0]["repeated"] == count, found
