--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -208,14 +208,13 @@
         epoch_item = self.mirror.items.get(self._epoch_key)
         former = _leader_record(epoch_item.value if epoch_item else None)
         epoch = Epoch(former.epoch + 1 if former else 1)
-        record = {"epoch": epoch, "entry": self._entry, "incarnation": self._incarnation}
         compares = [
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
         ]
         puts = [
-            Put(self._leader_key, json_bytes(record | {"token": new_token()}), lease),
-            Put(self._epoch_key, json_bytes(record | {"token": new_token()})),
+            Put(self._leader_key, self._own_record(epoch), lease),
+            Put(self._epoch_key, self._own_record(epoch)),
         ]
         try:
             result = await self.store.txn(compares, puts)
@@ -235,6 +234,11 @@
         self.leader = LeaderRecord(epoch, self._entry, self._incarnation)
         return Term(epoch, self._epoch_key, revision, itself)
 
+    def _own_record(self, epoch: Epoch) -> bytes:
+        """Return this entry's record for an epoch, told apart from others by its token."""
+        record = {"epoch": epoch, "entry": self._entry, "incarnation": self._incarnation}
+        return json_bytes(record | {"token": new_token()})
+
     async def _read_back(self, put: Put) -> int:
         """Return the revision at which a write took effect whose answer was lost, or 0."""
         try:
@@ -266,17 +270,10 @@
                 continue
             if self.mirror.age_s() > self.cfg.lease_s:
                 continue
-            record = {
-                "epoch": term.epoch,
-                "entry": self._entry,
-                "incarnation": self._incarnation,
-                "token": new_token(),
-            }
             compares = [Compare(self._leader_key, 0), Compare(self._epoch_key, term.epoch_revision)]
             try:
-                await self.store.txn(
-                    compares, [Put(self._leader_key, json_bytes(record), self._lease)]
-                )
+                record = self._own_record(term.epoch)
+                await self.store.txn(compares, [Put(self._leader_key, record, self._lease)])
                 log.info("leader's key written again", extra={"epoch": term.epoch})
             except StoreLeaseEnded:
                 self._lease = None
