--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -24,8 +24,8 @@
 # 1 they only slow each other down, which is better than disturbing a serving task. Beside
 # serving tasks the share lies between the other two, by how far filler tasks are paced there.
 FILLER_SHARE_ALONE = 1.4
-FILLER_SHARE_PACED = 0.55
-FILLER_SHARE_UNPACED = 1.15
+FILLER_SHARE_PACED = 0.6
+FILLER_SHARE_UNPACED = 1.0
 # Hosts on which tasks run at less than this share of the usual speed get new ones last. Speeds
 # are compared with each other, since estimates of run times are off for all hosts alike.
 SLOW_HOST_SHARE = 0.55
