State each rule of placement once, and remove what nothing calls

Why a host takes no start was written twice, as a test in placement and as reasons for the log; both now come from one function each of Room and Host. The claim of a filler task, the limit of a step a host, the share of processors in use and the key of a step stood in two to four places each.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -60,8 +60,7 @@
     """Keeps this entry registered and takes the place of the scheduler when it is free.
 
     `serve_term(term)` runs while this entry holds the place; it ends by itself
-    when the term is over. `leader` is the newest known holder, and
-    `on_leader()` is called when it changes.
+    when the term is over. `leader` is the newest known holder.
     """
 
     def __init__(
@@ -72,7 +71,6 @@
         incarnation: IncarnationId,
         address: Address,
         serve_term: Callable[[Term], Awaitable[None]],
-        on_leader: Callable[[], None],
     ) -> None:
         self.cfg = cfg
         self.store = store
@@ -82,7 +80,6 @@
         self.leaving = False
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
-        self._on_leader = on_leader
         self._lease: LeaseId | None = None
         self._changed = anyio.Event()
         self._term_scope: anyio.CancelScope | None = None
@@ -138,7 +135,6 @@
             if record is not None and (self.leader is None or record.epoch >= self.leader.epoch):
                 self.leader = record
                 log.info("leader seen", extra={"entry": record.entry, "epoch": record.epoch})
-                self._on_leader()
                 if record.incarnation != self._incarnation:
                     self.outranked(record.epoch)
         self._changed.set()
@@ -250,7 +246,6 @@
 
     async def _serve(self, term: Term) -> None:
         self.term = term
-        self._on_leader()
         try:
             with anyio.CancelScope() as self._term_scope:
                 async with anyio.create_task_group() as group:
--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -79,12 +79,15 @@
 
     def takes_starts(self, now: float, silent_s: float) -> bool:
         """Tell whether new runs may be given to the host."""
-        return (
-            self.reported
-            and not self.draining
-            and now - self.reported_at < silent_s
-            and now >= self.set_aside_until
-        )
+        return not self.bar(now, silent_s)
+
+    def bar(self, now: float, silent_s: float) -> str:
+        """Return why no new runs may be given to the host; empty if they may."""
+        if self.draining:
+            return "leaving"
+        if not self.reported or now - self.reported_at >= silent_s:
+            return "not heard of"
+        return "set aside" if now < self.set_aside_until else ""
 
     def note_speed(self, speed: float) -> None:
         """Take a reading of how fast a task runs here, as a share of its estimated speed."""
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from functools import singledispatchmethod
 
-from apricotpath.ids import HostId, JobId, QueueId
+from apricotpath.ids import HostId, JobId
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord, TaskSummary
 from apricotpath.workload import Job, Progress, RunResult, Step, TaskKey
 
@@ -320,9 +320,3 @@
             return False
         members = row.members(key) if step.gang else (row.tasks[key],)
         return len(set().union(*(task.failed_runs for task in members))) >= attempts
-
-    def pending(self, queue: QueueId) -> int:
-        """Return how many unfinished jobs of a queue have not begun."""
-        return sum(
-            row.job.queue == queue and row.progress is Progress.QUEUED for row in self.rows.values()
-        )
--- a/packages/core/src/apricotpath/journal.py
+++ b/packages/core/src/apricotpath/journal.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
 )
 from apricotpath.ids import Epoch, ShardId
+from apricotpath.jsontext import compact_json
 from apricotpath.store import (
     Compare,
     Delete,
@@ -154,7 +155,7 @@
             raise FencedError(f"a newer owner has shard {self.shard}; nothing was written")
         if self._closed or not self._loaded:
             raise StoreUnavailable(f"the journal of shard {self.shard} is not open")
-        texts = tuple(_text(record) for record in records)
+        texts = tuple(compact_json(record) for record in records)
         size = sum(len(text) + 1 for text in texts)
         if size > MAX_VALUE_BYTES:
             raise InputError(f"{size} bytes of records exceed the limit of {MAX_VALUE_BYTES}")
@@ -346,7 +347,7 @@
         stays usable and a later snapshot cleans up.
         """
         # Taken before the first await, while the state and the covered entries agree.
-        covers, texts = self._returned_seq(), [_text(record) for record in state_records]
+        covers, texts = self._returned_seq(), [compact_json(record) for record in state_records]
         async with self._snapshot_lock:
             if not self._loaded:
                 raise StoreUnavailable(f"the journal of shard {self.shard} is not open")
@@ -395,7 +396,7 @@
         self, token: str, texts: Sequence[str], header: dict[str, int] | None = None
     ) -> bytes:
         content = {"version": JOURNAL_VERSION, "token": token, "epoch": self.epoch}
-        head = json.dumps(content | (header or {}), separators=(",", ":"))
+        head = compact_json(content | (header or {}))
         # The records are already JSON texts; they are joined instead of being encoded again.
         return f'{head[:-1]},"records":[{",".join(texts)}]}}'.encode()
 
@@ -411,10 +412,6 @@
         return content
 
 
-def _text(record: JsonRecord) -> str:
-    return json.dumps(record, separators=(",", ":"))
-
-
 def _settle(batch: Sequence[_Pending] | deque[_Pending], error: StoreError) -> None:
     for pending in batch:
         pending.settle(error)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from apricotpath.fleet import FleetSettings, Host
-from apricotpath.ids import DataCentreId, HostId, QueueId
+from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
 from apricotpath.jobtable import JobRow, JobTable, Task
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, Job, Queue, Step, TaskKey
@@ -34,6 +34,8 @@
 LATE_FACTOR = 3.0
 STARVING_FACTOR = 12.0
 
+OTHER_SERVICE = "of another service"
+
 
 class Placement(NamedTuple):
     """A decision to start a task on a host as the given run."""
@@ -57,24 +59,20 @@
     used: float = 0.0
     fillers: int = 0
     serving: int = 0
-    steps: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    steps: dict[tuple[JobId, int, int], int] = field(default_factory=dict)
     reserved: bool = False
     slow: bool = False
 
     def add(self, task: TaskKey, step: Step) -> None:
         """Commit one more task."""
-        size = step.size
-        if step.filler:
-            self.fillers += 1
-            size = Size(0, size.memory_mb, size.accelerators)
-        self.claimed = self.claimed + size
+        self.fillers += step.filler
+        self.claimed = self.claimed + _claim(step)
         if step.long_running and not step.filler:
             self.serving += 1
             self.used += step.size.cpu_milli * SERVING_USE
         else:
             self.used += step.size.cpu_milli
-        where = (task.job, task.occurrence, task.step)
-        self.steps[where] = self.steps.get(where, 0) + 1
+        self.steps[task.step_key] = self.steps.get(task.step_key, 0) + 1
 
     def fits(self, step: Step) -> bool:
         """Tell whether one more task of a step has room and leaves the others their speed."""
@@ -92,10 +90,22 @@
 
     def holds(self, step: Step) -> bool:
         """Tell whether one more task of a step can run; a filler task claims no processors."""
-        size = step.size
-        if step.filler:
-            size = Size(0, size.memory_mb, size.accelerators)
-        return (self.claimed + size).fits_in(self.capacity)
+        return (self.claimed + _claim(step)).fits_in(self.capacity)
+
+    def takes_more_of(self, task: TaskKey, step: Step) -> bool:
+        """Tell whether one more task of a step stays within the step's limit a host."""
+        return not step.max_per_host or self.steps.get(task.step_key, 0) < step.max_per_host
+
+    def share_used(self, more_milli: int = 0) -> float:
+        """Return the share of the processors in use if `more_milli` are added."""
+        return (self.used + more_milli) / max(1, self.capacity.cpu_milli)
+
+
+def _claim(step: Step) -> Size:
+    """Return what a task of a step keeps for itself; a filler task claims no processors."""
+    if not step.filler:
+        return step.size
+    return Size(0, step.size.memory_mb, step.size.accelerators)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,16 +172,15 @@
 
 def waiting_groups(table: JobTable, given: PlacementInput) -> list[WaitingGroup]:
     """Return the tasks whose turn has come by step and occurrence, in the order to place them."""
-    found: dict[tuple[str, int, int], WaitingGroup] = {}
+    found: dict[tuple[JobId, int, int], WaitingGroup] = {}
     for key, task in table.waiting.items():
         row = table.rows[key.job]
         queue = given.queues.get(row.job.queue)
         if queue is None or row.job.due_s(key.occurrence) > given.utc_s:
             continue
-        where = (key.job, key.occurrence, key.step)
-        if where not in found:
-            found[where] = WaitingGroup(row, row.step(key), queue, [])
-        found[where].tasks.append(task)
+        if key.step_key not in found:
+            found[key.step_key] = WaitingGroup(row, row.step(key), queue, [])
+        found[key.step_key].tasks.append(task)
     return sorted(
         found.values(),
         key=lambda group: (
@@ -216,14 +225,19 @@
 
 def may_use(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
     """Tell whether a step's tasks may start on a host, room aside."""
+    return not bar(room, step, queue, given)
+
+
+def bar(room: Room, step: Step, queue: Queue, given: PlacementInput) -> str:
+    """Return why a step's tasks may not start on a host, room aside; empty if they may."""
     facts = room.host.facts
     if facts is None or facts.service != queue.service:
-        return False
+        return OTHER_SERVICE
     if facts.data_centre in given.out:
-        return False
+        return "data centre taken out"
     if step.label and step.label not in facts.labels:
-        return False
-    return room.host.takes_starts(given.now, given.cfg.silent_s)
+        return "without the label"
+    return room.host.bar(given.now, given.cfg.silent_s)
 
 
 def _place_each(
@@ -246,21 +260,13 @@
 def choose_room(group: WaitingGroup, task: Task, candidates: Iterable[Room]) -> Room | None:
     """Return the most preferred host with room for a task, or None."""
     step = group.step
-    where = (task.key.job, task.key.occurrence, task.key.step)
     fitting = [
-        room
-        for room in candidates
-        if room.fits(step)
-        and (not step.max_per_host or room.steps.get(where, 0) < step.max_per_host)
+        room for room in candidates if room.fits(step) and room.takes_more_of(task.key, step)
     ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda room: _cost(room, task, step, where))
+    return min(fitting, key=lambda room: _cost(room, task, step), default=None)
 
 
-def _cost(
-    room: Room, task: Task, step: Step, where: tuple[str, int, int]
-) -> tuple[bool, bool, float, float]:
+def _cost(room: Room, task: Task, step: Step) -> tuple[bool, bool, float, float]:
     """Return the order of preference of a host for a task; the least is taken.
 
     Filler tasks disturb tasks that serve users, so these two are kept on
@@ -269,7 +275,7 @@
     """
     facts = room.host.facts
     far = bool(step.near) and facts is not None and facts.rack != step.near
-    share = (room.used + step.size.cpu_milli) / max(1, room.capacity.cpu_milli)
+    share = room.share_used(step.size.cpu_milli)
     if step.filler:
         apart = float(room.serving)
     elif step.long_running:
@@ -292,7 +298,7 @@
     able = [room for room in allowed if room.holds(group.step)]
     if group.step.gang or group.queue.advised or not able:
         return []
-    room = min(able, key=lambda room: room.used / max(1, room.capacity.cpu_milli))
+    room = min(able, key=Room.share_used)
     room.add(task.key, group.step)
     return [Placement(task.key, task.last_run + 1, room.host.host)]
 
@@ -310,12 +316,10 @@
         return
     if given.now - task.waiting_since < RESERVE_AFTER_S:
         return
-    where = (task.key.job, task.key.occurrence, task.key.step)
-    most = group.step.max_per_host
     able = [
         room
         for room in candidates
-        if group.step.size.fits_in(room.capacity) and (not most or room.steps.get(where, 0) < most)
+        if group.step.size.fits_in(room.capacity) and room.takes_more_of(task.key, group.step)
     ]
     if able:
         closest = min(able, key=lambda room: room.claimed.cpu_milli - room.capacity.cpu_milli)
--- a/packages/core/src/apricotpath/signing.py
+++ b/packages/core/src/apricotpath/signing.py
@@ -19,6 +19,7 @@
 
 from apricotpath.errors import InputError, SignatureError
 from apricotpath.ids import KeyId
+from apricotpath.jsontext import json_bytes
 
 PUBLIC_KEY_BYTES = 32
 KEY_ID_BYTES = 16
@@ -90,7 +91,7 @@
             "signature": self.signature,
             "chain": chain_to_json(self.chain),
         }
-        return json.dumps(value, separators=(",", ":")).encode()
+        return json_bytes(value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,7 +252,7 @@
     fields = f'key="{key.key_id}", time="{time_ms}", nonce="{nonce}", signature="{signature}"'
     headers = {"Authorization": f"{SCHEME} {fields}"}
     if key.chain:
-        chain = json.dumps(chain_to_json(key.chain), separators=(",", ":")).encode()
+        chain = json_bytes(chain_to_json(key.chain))
         headers["Apricotpath-Chain"] = _encode(chain)
     return headers
 
--- a/packages/core/src/apricotpath/waitreasons.py
+++ b/packages/core/src/apricotpath/waitreasons.py
@@ -6,7 +6,7 @@
 
 from apricotpath.ids import HostId
 from apricotpath.jobtable import JobTable
-from apricotpath.runplacement import PlacementInput, Room, waiting_groups
+from apricotpath.runplacement import OTHER_SERVICE, PlacementInput, Room, bar, waiting_groups
 from apricotpath.workload import Queue, Step
 
 # Tasks that have waited for less are not worth a line.
@@ -43,19 +43,9 @@
 
 def wait_reason(room: Room, step: Step, queue: Queue, given: PlacementInput) -> str:
     """Return why a host takes no task of a step now; empty if it serves another service."""
-    host, facts = room.host, room.host.facts
-    if facts is None or facts.service != queue.service:
-        return ""
-    if facts.data_centre in given.out:
-        return "data centre taken out"
-    if step.label and step.label not in facts.labels:
-        return "without the label"
-    if host.draining:
-        return "leaving"
-    if not host.reported or given.now - host.reported_at >= given.cfg.silent_s:
-        return "not heard of"
-    if given.now < host.set_aside_until:
-        return "set aside"
+    reason = bar(room, step, queue, given)
+    if reason:
+        return "" if reason == OTHER_SERVICE else reason
     if not step.size.fits_in(room.capacity):
         return "too small"
     return "has room" if room.fits(step) else "full"
--- a/packages/core/src/apricotpath/workload.py
+++ b/packages/core/src/apricotpath/workload.py
@@ -54,6 +54,11 @@
     step: int
     position: int
 
+    @property
+    def step_key(self) -> tuple[JobId, int, int]:
+        """Job, occurrence and step, which the tasks of a step share."""
+        return self.job, self.occurrence, self.step
+
     def __str__(self) -> str:
         return f"{self.job}.{self.occurrence}.{self.step}.{self.position}"
 
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -71,7 +71,6 @@
             hello.incarnation,
             address,
             self._serve_term,
-            lambda: None,
         )
         desk.on_epoch = self.election.outranked
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -227,7 +227,7 @@
                 "waiting": dict(waiting),
                 "hosts": {
                     name: [
-                        round(room.used / max(1, room.capacity.cpu_milli), 2),
+                        round(room.share_used(), 2),
                         room.serving,
                         room.fillers,
                         room.host.takes_starts(now, self.cfg.silent_s),
