--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -1,4 +1,4 @@
-"""Table of the hosts that a scheduler knows, and how long their runs may go on."""
+"""Hosts as the scheduler tracks them: leases of their runs, health and measured speed."""
 
 from dataclasses import dataclass, field
 
@@ -8,15 +8,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
-    """Times in seconds, and limits, of the scheduling of runs.
-
-    `run_lease_s`: how long runs go on after the agent's last granted report.
-    `authority_s`: how long a scheduler goes on granting leases without the
-    store. `clock_drift`: how much slower an executor's clock may be.
-    `start_window_s`: an order is void this long after the report it answers.
-    `log_interval_s`: least time between two appends. `retention_s`: how long
-    ended jobs are kept for readers. `silent_s`: a host without a report for
-    this long gets no starts.
+    """Settings of run scheduling; times in seconds.
+
+    `run_lease_s`: lease of runs, counted from the agent's last granted report.
+    `authority_s`: how long a scheduler keeps granting leases while it cannot
+    reach the store. `clock_drift`: largest share by which an executor's clock
+    may be slow. `margin_s`: safety margin added to the lease. `start_window_s`:
+    a start order expires this long after the report it answers.
+    `log_interval_s`: minimum time between two appends to the run log.
+    `retention_s`: how long ended jobs remain readable. `silent_s`: a host
+    without a report for this long gets no new runs.
     """
 
     run_lease_s: float = 6.0
@@ -30,17 +31,19 @@
 
     @property
     def run_hold_s(self) -> float:
-        """Longest time that runs go on after the last grant."""
+        """Longest time that runs can continue after the last grant, in seconds."""
         return self.run_lease_s * (1 + self.clock_drift) + self.margin_s
 
 
-# An executor that failed runs of this many jobs, with no good end between, is set aside.
-FAILED_JOBS = 2
-SET_ASIDE_FIRST_S = 4.0
-SET_ASIDE_MAX_S = 30.0
-# Readings of speed come with each report; estimates of single tasks are far off.
+# A host is set aside (gets no new runs) after it failed runs of this many jobs without a success
+# in between.
+SET_ASIDE_AFTER_JOBS = 2
+INITIAL_SET_ASIDE_S = 4.0
+MAX_SET_ASIDE_S = 30.0
+# Smoothing of the speed that each report yields; the estimated run times of single tasks are
+# far off.
 SPEED_WEIGHT = 0.08
-SPEED_CAP = 1.5
+MAX_SPEED = 1.5
 SPEED_RECOVERY = 0.05
 
 
@@ -51,10 +54,11 @@
 class Host:
     """One host as the scheduler sees it; times are boot-clock seconds.
 
-    `runs_until` is when everything that it runs has surely ended, unless it
-    is granted more. `speed` is how fast tasks run here, 1 being as estimated.
-    `filler_percent` is the share of their speed that filler tasks were given
-    lately. `renewal` numbers its newest report.
+    `runs_until`: time by which all its runs have ended unless a new lease is
+    granted. `speed`: how fast tasks run here relative to their estimates.
+    `filler_percent`: recent speed limit of its filler tasks in percent.
+    `renewal`: number of its newest report. `noted`: number of the newest run
+    end that is in the run log.
     """
 
     host: HostId
@@ -69,20 +73,20 @@
     noted: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     set_aside_until: float = float("-inf")
-    set_aside_s: float = SET_ASIDE_FIRST_S
+    set_aside_s: float = INITIAL_SET_ASIDE_S
     speed: float = 1.0
     filler_percent: float = 100.0
 
     def life(self) -> tuple[str, int]:
-        """Return the id and birth of the executor, or an empty pair."""
+        """Return the instance id and birth time (ms) of the executor, or an empty pair."""
         return (self.facts.instance, self.facts.born_ms) if self.facts else ("", 0)
 
-    def takes_starts(self, now: float, silent_s: float) -> bool:
-        """Tell whether new runs may be given to the host."""
-        return not self.bar(now, silent_s)
+    def accepts_starts(self, now: float, silent_s: float) -> bool:
+        """Return whether the host accepts new runs."""
+        return not self.exclusion_reason(now, silent_s)
 
-    def bar(self, now: float, silent_s: float) -> str:
-        """Return why no new runs may be given to the host; empty if they may."""
+    def exclusion_reason(self, now: float, silent_s: float) -> str:
+        """Return why the host accepts no new runs; empty if it does."""
         if self.draining:
             return "leaving"
         if not self.reported or now - self.reported_at >= silent_s:
@@ -90,27 +94,27 @@
         return "set aside" if now < self.set_aside_until else ""
 
     def note_speed(self, speed: float) -> None:
-        """Take a reading of how fast a task runs here, as a share of its estimated speed."""
-        self.speed += SPEED_WEIGHT * (min(speed, SPEED_CAP) - self.speed)
+        """Update the speed with a measurement relative to the estimated speed."""
+        self.speed += SPEED_WEIGHT * (min(speed, MAX_SPEED) - self.speed)
 
     def recover_speed(self) -> None:
-        """Forget old readings step by step, so that a host that was slow is tried again."""
+        """Move the speed back towards 1.0, so that a formerly slow host is tried again."""
         self.speed += SPEED_RECOVERY * (1.0 - self.speed)
 
     def note_success(self) -> None:
-        """Count a run that ended well."""
+        """Reset the failure count after a successful run."""
         self.failed_jobs.clear()
-        self.set_aside_s = SET_ASIDE_FIRST_S
+        self.set_aside_s = INITIAL_SET_ASIDE_S
 
     def note_failure(self, job: str, now: float) -> bool:
-        """Count a run that failed here; True if the host is set aside because of it.
+        """Count a failed run; return True if the host is set aside because of it.
 
-        Failures of one job alone may be the job's own fault.
+        Failures of a single job do not count, since the job itself may be faulty.
         """
         self.failed_jobs.add(job)
-        if len(self.failed_jobs) < FAILED_JOBS:
+        if len(self.failed_jobs) < SET_ASIDE_AFTER_JOBS:
             return False
         self.set_aside_until = now + self.set_aside_s
-        self.set_aside_s = min(2 * self.set_aside_s, SET_ASIDE_MAX_S)
+        self.set_aside_s = min(2 * self.set_aside_s, MAX_SET_ASIDE_S)
         self.failed_jobs.clear()
         return True
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -1,4 +1,4 @@
-"""Tables of jobs, tasks and runs of a scheduler; changed only by records."""
+"""The scheduler's tables of jobs, tasks and runs; runs change only by log records."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -9,12 +9,12 @@
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord, Saved, TaskSummary
 from apricotpath.workload import Job, Progress, RunResult, Step, TaskKey
 
-# A long-running task is at work at this percentage.
+# Progress in percent at which a long-running task is ready to serve.
 AT_WORK = 100
 
 
 class RunPhase(Enum):
-    """What is known of a run that has not ended."""
+    """Phase of a run that has not ended."""
 
     ORDERED = "ordered"
     RUNNING = "running"
@@ -23,13 +23,13 @@
 
 @dataclass(slots=True)
 class Run:
-    """One start of a task. `since` and `advanced_at` are boot-clock seconds.
+    """One run of a task on a host; `since` is in boot-clock seconds.
 
-    `percent` is the progress that the executor reports, `first_percent` the
-    one of its first report; `stalled_s` counts the reported time without
-    progress. `load` is
-    the tail latency in ms of a long-running task, else processors in use in
-    thousandths. `pace` is the percentage of its speed that a filler task has.
+    `percent` is the progress that the executor reports, `first_percent` that
+    of its first report; `stalled_s` is the reported time without progress.
+    `load` is the tail latency in ms of a long-running task, else the
+    processors in use in thousandths of a core. `pace` is the speed limit of a
+    filler task in percent. `saved` names its newest checkpoint.
     """
 
     task: TaskKey
@@ -58,19 +58,19 @@
     last_run: int = 0
     saved: str = ""
     runs: dict[int, Run] = field(default_factory=dict)
-    failed_on: list[HostId] = field(default_factory=list)
+    failed_hosts: list[HostId] = field(default_factory=list)
     waiting_since: float = 0.0
 
 
 @dataclass(slots=True)
 class StepState:
-    """Progress of one step of one occurrence."""
+    """Progress of one step of one occurrence: the number of tasks not done."""
 
-    left: int
+    remaining: int
 
 
 class JobRow:
-    """A job with its tasks; tasks exist until the job has ended."""
+    """A job with its tasks; the tasks are dropped once the job and its runs have ended."""
 
     def __init__(self, job: Job) -> None:
         self.job = job
@@ -89,7 +89,7 @@
 
     @property
     def unwanted(self) -> bool:
-        """Whether what still runs of the job is to be stopped."""
+        """Whether the remaining runs of the job are to be stopped."""
         return self.cancelling or self.failing or self.progress.final
 
     def step(self, task: TaskKey) -> Step:
@@ -102,9 +102,10 @@
             yield self.tasks[TaskKey(task.job, task.occurrence, task.step, index)]
 
     def step_ready(self, occurrence: int, number: int) -> bool:
-        """Tell whether all tasks that a step waits for are done."""
+        """Return whether all steps that a step depends on are done."""
         return all(
-            self.steps[occurrence, earlier].left == 0 for earlier in self.job.steps[number].after
+            self.steps[occurrence, earlier].remaining == 0
+            for earlier in self.job.steps[number].after
         )
 
     def runs(self) -> Iterator[Run]:
@@ -114,10 +115,11 @@
 
 
 class JobTable:
-    """All jobs that are known, and the runs on each host.
+    """All jobs and the runs on each host.
 
-    `waiting` holds the tasks that want a run now, but for the due times of
-    scheduled jobs. `changed` collects jobs whose progress changed.
+    `waiting` holds the tasks to be placed; tasks of scheduled jobs may not be
+    due yet. `changed` collects jobs whose progress changed. `to_end` maps jobs
+    whose final state is decided, but not in the log yet, to that state.
     """
 
     def __init__(self) -> None:
@@ -128,7 +130,7 @@
         self.to_end: dict[JobId, Progress] = {}
 
     def add(self, job: Job, now: float) -> JobRow | None:
-        """Add an accepted job; None if it is known already."""
+        """Add an accepted job; None if it is in the table already."""
         if job.job_id in self.rows:
             return None
         row = JobRow(job)
@@ -137,37 +139,37 @@
         for occurrence in range(job.occurrences):
             for number, step in enumerate(job.steps):
                 if not step.after:
-                    self._want_step(row, occurrence, number, now)
+                    self._enqueue_step(row, occurrence, number, now)
         return row
 
     def add_ended(self, job: Job, progress: Progress, now: float) -> None:
-        """Add a job that has ended already; it is kept for readers only."""
+        """Add a job that has ended already; only its state can be read."""
         row = JobRow(Job(job.job_id, job.queue, "", ()))
         row.progress = progress
         row.ended_at = now
         self.rows[job.job_id] = row
 
     def cancel(self, job: JobId) -> None:
-        """Note that a job's cancelling was accepted."""
+        """Mark a job as being cancelled, unless it has ended."""
         row = self.rows.get(job)
         if row is None or row.progress.final or row.cancelling:
             return
         row.cancelling = True
-        self._drop_waiting(row)
+        self._remove_waiting(row)
         self._check_end(row)
 
     def remove(self, job: JobId) -> None:
-        """Forget a job that has ended."""
+        """Remove a job that has ended."""
         self.rows.pop(job, None)
 
     def unsaved(self) -> Iterator[Saved]:
-        """Yield records of the checkpoints that runs at work have made since the last ones."""
+        """Yield records of the checkpoints of current runs that are not recorded yet."""
         for runs in self.by_host.values():
             for run in runs.values():
                 task = self.task(run.task)
                 if task is None or not run.saved or run.saved == task.saved:
                     continue
-                # Of two runs of a task only the newer one counts.
+                # With two runs of a task, only checkpoints of the newer one count.
                 if run.run == task.last_run:
                     yield Saved(run.task, run.saved)
 
@@ -177,11 +179,11 @@
         return row.tasks.get(key) if row else None
 
     def step_of(self, key: TaskKey) -> Step:
-        """Return the step of a known task."""
+        """Return the step of a task whose job is in the table."""
         return self.rows[key.job].step(key)
 
     def runs_on(self, host: HostId) -> list[Run]:
-        """Return the runs that a host is thought to hold."""
+        """Return the runs assigned to a host that have not ended by the records."""
         return list(self.by_host.get(host, {}).values())
 
     def apply_all(self, records: Iterable[RunRecord], now: float) -> None:
@@ -191,8 +193,8 @@
 
     @singledispatchmethod
     def apply(self, record: RunRecord, now: float) -> None:
-        """Change the tables by one record; one about an unknown job changes nothing."""
-        raise TypeError(f"no rule for {type(record).__name__}")
+        """Apply one record; one about an unknown job changes nothing."""
+        raise TypeError(f"unknown record type {type(record).__name__}")
 
     @apply.register
     def _(self, record: Assigned, now: float) -> None:
@@ -220,18 +222,18 @@
         if run is not None:
             self.by_host.get(run.host, {}).pop((record.task, record.run), None)
         task.last_run = max(task.last_run, record.run)
-        # A run that is noted for the second time must not count twice.
-        fresh = run is not None
+        # A second record of the same end must not count as another failure.
+        first_record = run is not None
         if record.saved:
             self._save(row, task, record.saved)
         if record.result is RunResult.DONE and not step.long_running:
             self._finish(row, task, now)
-        elif record.result is RunResult.FAILED and fresh:
+        elif record.result is RunResult.FAILED and first_record:
             task.failed_runs.add(record.run)
             if run is not None:
-                task.failed_on.append(run.host)
+                task.failed_hosts.append(run.host)
         if not task.done and not task.runs:
-            self._want(row, task, now)
+            self._enqueue(row, task, now)
         self._check_end(row)
 
     @apply.register
@@ -242,7 +244,7 @@
 
     @staticmethod
     def _save(row: JobRow, task: Task, saved: str) -> None:
-        """Take a checkpoint, which is that of all members in a gang."""
+        """Set the newest checkpoint of a task; in a gang, that of all members."""
         for member in row.members(task.key) if row.step(task.key).gang else (task,):
             member.saved = saved
 
@@ -251,13 +253,13 @@
         row = self.rows.get(record.job)
         if row is None:
             return
-        self._drop_waiting(row)
+        self._remove_waiting(row)
         row.progress = record.progress
         row.ended_at = now
         self.changed.add(record.job)
         self.to_end.pop(record.job, None)
-        # Runs that are still being stopped keep their tasks until they have ended.
-        self._drop_tasks(row)
+        # Tasks with runs that are still being stopped remain until these have ended.
+        self._release_tasks(row)
 
     @apply.register
     def _(self, record: TaskSummary, now: float) -> None:
@@ -274,7 +276,7 @@
             self._check_end(row)
 
     def summaries(self) -> Iterator[RunRecord]:
-        """Yield records from which the tables of all unfinished jobs can be rebuilt."""
+        """Yield records that rebuild the tasks and runs of all unfinished jobs."""
         for row in self.rows.values():
             for task in row.tasks.values():
                 if task.last_run or task.done or task.saved:
@@ -284,62 +286,62 @@
                     yield Assigned(task.key, run.run, run.host, run.instance, run.born_ms)
 
     def _finish(self, row: JobRow, task: Task, now: float) -> None:
-        """Mark a task as done; one end of a gang stands for all its members."""
+        """Mark a task as done; one finished member of a gang finishes all members."""
         members = list(row.members(task.key)) if row.step(task.key).gang else [task]
         state = row.steps[task.key.occurrence, task.key.step]
         for member in members:
             if not member.done:
                 member.done = True
-                state.left -= 1
+                state.remaining -= 1
                 self.waiting.pop(member.key, None)
-        if state.left == 0 and not row.unwanted:
+        if state.remaining == 0 and not row.unwanted:
             for number, step in enumerate(row.job.steps):
                 if task.key.step in step.after and row.step_ready(task.key.occurrence, number):
-                    self._want_step(row, task.key.occurrence, number, now)
+                    self._enqueue_step(row, task.key.occurrence, number, now)
 
-    def _want_step(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
+    def _enqueue_step(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
         for index in range(row.job.steps[number].count):
             task = row.tasks[TaskKey(row.job.job_id, occurrence, number, index)]
             if not task.done and not task.runs:
-                self._want(row, task, now)
+                self._enqueue(row, task, now)
 
-    def _want(self, row: JobRow, task: Task, now: float) -> None:
+    def _enqueue(self, row: JobRow, task: Task, now: float) -> None:
         ready = row.step_ready(task.key.occurrence, task.key.step)
         if not row.unwanted and ready and task.key not in self.waiting:
             task.waiting_since = now
             self.waiting[task.key] = task
 
-    def _drop_waiting(self, row: JobRow) -> None:
+    def _remove_waiting(self, row: JobRow) -> None:
         for key in row.tasks:
             self.waiting.pop(key, None)
 
-    def _drop_tasks(self, row: JobRow) -> None:
+    def _release_tasks(self, row: JobRow) -> None:
         if row.progress.final and not any(task.runs for task in row.tasks.values()):
             row.tasks.clear()
             row.steps.clear()
             row.job = Job(row.job.job_id, row.job.queue, "", ())
 
     def fail(self, job: JobId) -> None:
-        """Note that a job cannot succeed any more."""
+        """Mark a job as failing: it can no longer succeed."""
         row = self.rows[job]
         row.failing = True
-        self._drop_waiting(row)
+        self._remove_waiting(row)
         self._check_end(row)
 
     def _check_end(self, row: JobRow) -> None:
-        """Note the final state of a job in `to_end` once it is decided."""
+        """Put the final state of a job into `to_end` once it is decided."""
         job = row.job.job_id
         if row.progress.final:
-            self._drop_tasks(row)
+            self._release_tasks(row)
         elif row.cancelling:
             self.to_end[job] = Progress.CANCELLED
         elif row.failing:
             self.to_end[job] = Progress.FAILED
-        elif all(state.left == 0 for state in row.steps.values()):
+        elif all(state.remaining == 0 for state in row.steps.values()):
             self.to_end[job] = Progress.COMPLETED
 
     def out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
-        """Tell whether a task or its gang has failed as often as its queue allows."""
+        """Return whether a task, or its gang, has used up its queue's attempts."""
         row = self.rows[key.job]
         step = row.step(key)
         if step.long_running:
--- a/packages/core/src/apricotpath/pacing.py
+++ b/packages/core/src/apricotpath/pacing.py
@@ -1,75 +1,79 @@
-"""Share of its speed at which a host's filler tasks may work beside tasks that serve users."""
+"""Throttling of a host's filler tasks so that serving tasks keep their latency target."""
 
 from collections.abc import Sequence
 
-# Ratios of a serving task's tail latency to its target: above the first, filler tasks slow
-# down hard, above the second gently; below the third they may speed up.
-TOO_SLOW = 1.0
+# Thresholds for the ratio of a serving task's tail latency to its target. Above ABOVE_TARGET the
+# speed of filler tasks is multiplied by FAST_DECREASE, above NEAR_TARGET by SLOW_DECREASE; below
+# WELL_BELOW_TARGET it rises by INCREASE_PERCENT.
+ABOVE_TARGET = 1.0
 NEAR_TARGET = 0.82
-COMFORTABLE = 0.7
-HARD_FACTOR = 0.35
-GENTLE_FACTOR = 0.75
-SPEED_UP_STEP = 10.0
-# Filler tasks that come to a host with serving tasks begin at this percentage.
-FIRST_PERCENT = 30.0
-LEAST_PERCENT = 4.0
-# Weight of the newest reading; single readings scatter by a third.
-SMOOTHING = 0.6
-# Differences below this are within the error of what is known of a task's pressure.
-LEAST_PRESSURE = 0.02
-# Weight of the newest percentage in what is reported as lately given.
+WELL_BELOW_TARGET = 0.7
+FAST_DECREASE = 0.35
+SLOW_DECREASE = 0.75
+INCREASE_PERCENT = 10.0
+# Speed in percent at which filler tasks start on a host with serving tasks.
+INITIAL_PERCENT = 30.0
+MIN_PERCENT = 4.0
+# Weight of the newest measurement; single measurements scatter by a third.
+RATIO_WEIGHT = 0.6
+# Smaller pressures are within the estimation error.
+MIN_PRESSURE = 0.02
+# Weight of the newest percentage in the moving average that is reported.
 LATELY_WEIGHT = 0.15
 
 
 def paces(percent: float, pressures: Sequence[float]) -> list[int]:
-    """Return the percentage of each of some filler tasks that may exert a share of their pressure.
+    """Return the speed limit of each filler task in percent.
 
-    Those that disturb least come first, and the first of equal ones. The first
-    ones work at full speed and the last ones stand still: so the tasks end one
-    after another, which is sooner on average than all at the end, and a change
-    of the share changes few of them.
+    `percent` of the total pressure is distributed in order of increasing
+    pressure (ties in input order): the first tasks run at full speed, the last
+    ones stand still. Tasks then finish one after another, which is sooner on
+    average than all at the end, and a change of `percent` affects few tasks.
     """
-    weights = [max(LEAST_PRESSURE, pressure) for pressure in pressures]
-    left = percent / 100 * sum(weights)
-    found = [0] * len(weights)
+    weights = [max(MIN_PRESSURE, pressure) for pressure in pressures]
+    remaining = percent / 100 * sum(weights)
+    limits = [0] * len(weights)
     for index in sorted(range(len(weights)), key=lambda index: weights[index]):
-        share = min(1.0, left / weights[index])
-        left -= share * weights[index]
-        found[index] = round(100 * share)
-    return found
+        share = min(1.0, remaining / weights[index])
+        remaining -= share * weights[index]
+        limits[index] = round(100 * share)
+    return limits
 
 
 class Pacer:
-    """Additive increase, multiplicative decrease of one percentage for a host."""
+    """Additive increase, multiplicative decrease of the speed limit of one host's filler tasks.
+
+    `percent` is the current limit, `lately` its moving average.
+    """
 
     def __init__(self) -> None:
-        self.percent = FIRST_PERCENT
+        self.percent = INITIAL_PERCENT
         self.lately = 100.0
-        self._smooth: float | None = None
+        self._smoothed: float | None = None
 
-    def update(self, worst: float | None, fillers: int) -> int:
-        """Return the percentage after a reading.
+    def update(self, worst_ratio: float | None, fillers: int) -> int:
+        """Return the limit in percent after a measurement with `fillers` filler tasks running.
 
-        `worst` is the highest ratio of tail latency to target among the
+        `worst_ratio` is the highest ratio of tail latency to target among the
         serving tasks, or None if there are none. Without filler tasks the
-        readings say nothing of their effect, so the percentage returns to
-        where new ones begin.
+        latency does not show their effect, so the limit returns to its start
+        value.
         """
-        if worst is None:
-            self._smooth = None
+        if worst_ratio is None:
+            self._smoothed = None
             self.percent = self.lately = 100.0
             return 100
-        known = worst if self._smooth is None else self._smooth
-        self._smooth = SMOOTHING * worst + (1 - SMOOTHING) * known
+        previous = worst_ratio if self._smoothed is None else self._smoothed
+        self._smoothed = RATIO_WEIGHT * worst_ratio + (1 - RATIO_WEIGHT) * previous
         if not fillers:
-            self.percent = FIRST_PERCENT
-        elif worst > TOO_SLOW:
-            self.percent *= HARD_FACTOR
-        elif self._smooth > NEAR_TARGET:
-            self.percent *= GENTLE_FACTOR
-        elif self._smooth < COMFORTABLE:
-            self.percent = min(100.0, max(self.percent, LEAST_PERCENT) + SPEED_UP_STEP)
-        if self.percent < LEAST_PERCENT:
+            self.percent = INITIAL_PERCENT
+        elif worst_ratio > ABOVE_TARGET:
+            self.percent *= FAST_DECREASE
+        elif self._smoothed > NEAR_TARGET:
+            self.percent *= SLOW_DECREASE
+        elif self._smoothed < WELL_BELOW_TARGET:
+            self.percent = min(100.0, max(self.percent, MIN_PERCENT) + INCREASE_PERCENT)
+        if self.percent < MIN_PERCENT:
             self.percent = 0.0
         if fillers:
             self.lately += LATELY_WEIGHT * (self.percent - self.lately)
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -1,165 +1,165 @@
-"""Second runs, moves and stops of runs that make too little progress: pure functions."""
+"""Speculative copies, migrations and stall detection of runs: pure functions over the tables."""
 
 from collections.abc import Iterable
 
 from apricotpath.ids import HostId
 from apricotpath.jobtable import AT_WORK, JobTable, Run, RunPhase, Task
 from apricotpath.runplacement import (
+    HostLoad,
     Placement,
     PlacementInput,
-    Room,
     WaitingGroup,
-    choose_room,
+    choose_host,
     make_rooms,
     may_use,
 )
 from apricotpath.workload import Queue, Step
 
-# A task is moved to a host that does not hold it back if, going on as it does, it needs this
-# many times as long as there. It is looked at once it has run for a while.
+# A task is migrated if, at its present rate, it needs this many times as long as on a host that
+# does not slow it down. Runs younger than MOVE_AFTER_S are not considered.
 MOVE_FACTOR = 1.5
 MOVE_AFTER_S = 2.0
-# Time that stopping and starting again takes, with the work since the newest checkpoint.
+# Cost of a migration: stop, restart and the work repeated since the newest checkpoint.
 MOVE_COST_S = 1.0
 MAX_MOVES_PER_PASS = 3
-# A host with so many serving tasks at the most is left to filler tasks if they have room
-# elsewhere. A serving task moves once it has been at work for a while.
-MAX_GATHERED = 2
-GATHER_AFTER_S = 3.0
-# A speculative task gets a second run after this long.
+# A host with at most this many serving tasks is cleared for filler tasks if the serving tasks fit
+# elsewhere. Runs younger than CONSOLIDATE_AFTER_S are not moved.
+MAX_CONSOLIDATED = 2
+CONSOLIDATE_AFTER_S = 3.0
+# A speculative task gets a second run after COPY_MIN_S plus COPY_FACTOR times its estimate.
 COPY_FACTOR = 1.6
-COPY_LEAST_S = 0.4
-# A run whose progress stands still for this long is stopped; the factor is in hundredths of
-# the estimated run time, which is what one percent of progress takes.
-STALL_LEAST_S = 2.5
+COPY_MIN_S = 0.4
+# A run without progress for this long is stopped. The factor applies to one hundredth of the
+# estimated run time, which is the time of one percent of progress.
+STALL_MIN_S = 2.5
 STALL_FACTOR = 20.0
 
 
-def place_copies(table: JobTable, given: PlacementInput) -> list[Placement]:
-    """Return second starts of speculative tasks that take much longer than estimated."""
-    rooms: dict[HostId, Room] = {}
+def place_copies(table: JobTable, inputs: PlacementInput) -> list[Placement]:
+    """Return second runs to start for speculative tasks that take much longer than estimated."""
+    loads: dict[HostId, HostLoad] = {}
     copies = []
     for row in table.rows.values():
-        queue = given.queues.get(row.job.queue)
+        queue = inputs.queues.get(row.job.queue)
         if queue is None or row.unwanted or not any(step.speculative for step in row.job.steps):
             continue
         for task in row.tasks.values():
             step = row.step(task.key)
-            if not _wants_copy(task, step, queue, given.now):
+            if not _needs_copy(task, step, queue, inputs.now):
                 continue
-            rooms = rooms or make_rooms(table, given)
-            used = next(iter(task.runs.values())).host
+            loads = loads or make_rooms(table, inputs)
+            current_host = next(iter(task.runs.values())).host
             group = WaitingGroup(row, step, queue, [task])
             allowed = [
-                room
-                for room in rooms.values()
-                if room.host.host != used and may_use(room, step, queue, given)
+                load
+                for load in loads.values()
+                if load.host.host != current_host and may_use(load, step, queue, inputs)
             ]
-            room = choose_room(group, task, allowed)
-            if room is not None:
-                room.add(task.key, step)
-                copies.append(Placement(task.key, task.last_run + 1, room.host.host))
+            load = choose_host(group, task, allowed)
+            if load is not None:
+                load.add(task.key, step)
+                copies.append(Placement(task.key, task.last_run + 1, load.host.host))
     return copies
 
 
-def _wants_copy(task: Task, step: Step, queue: Queue, now: float) -> bool:
+def _needs_copy(task: Task, step: Step, queue: Queue, now: float) -> bool:
     if not step.speculative or step.gang or task.done or len(task.runs) != 1 or queue.advised:
         return False
     if len(task.failed_runs) >= queue.attempts:
         return False
     (run,) = task.runs.values()
-    return now - run.since > COPY_LEAST_S + COPY_FACTOR * step.estimate_s
+    return now - run.since > COPY_MIN_S + COPY_FACTOR * step.estimate_s
 
 
-def slow_runs(table: JobTable, given: PlacementInput) -> list[Run]:
-    """Return runs to stop, since they would end much sooner on another host."""
-    rooms = make_rooms(table, given)
-    found: list[Run] = []
-    for room in rooms.values():
-        held_back = room.serving > 0 and room.fillers > 0
-        if not held_back and not room.slow:
+def slow_runs(table: JobTable, inputs: PlacementInput) -> list[Run]:
+    """Return runs to stop because they would finish much sooner on another host."""
+    loads = make_rooms(table, inputs)
+    selected: list[Run] = []
+    for load in loads.values():
+        slowed_by_serving = load.serving > 0 and load.fillers > 0
+        if not slowed_by_serving and not load.slow:
             continue
-        for run in table.by_host.get(room.host.host, {}).values():
+        for run in table.by_host.get(load.host.host, {}).values():
             row = table.rows.get(run.task.job)
-            queue = given.queues.get(row.job.queue) if row else None
+            queue = inputs.queues.get(row.job.queue) if row else None
             if row is None or queue is None or not row.tasks or row.unwanted:
                 continue
             step = row.step(run.task)
-            if not _is_slow(run, step, room, given.now):
+            if not _is_slow(run, step, load, inputs.now):
                 continue
-            better = _better_room(room, step, queue, rooms.values(), given)
+            better = _better_host(load, step, queue, loads.values(), inputs)
             if better is None:
                 continue
             better.add(run.task, step)
-            found.append(run)
-            if len(found) == MAX_MOVES_PER_PASS:
-                return found
-    return found
-
-
-def _better_room(
-    here: Room, step: Step, queue: Queue, rooms: Iterable[Room], given: PlacementInput
-) -> Room | None:
-    """Return a host that takes a task and does not hold it back as this one does."""
-    for room in rooms:
-        if room is here or room.slow:
+            selected.append(run)
+            if len(selected) == MAX_MOVES_PER_PASS:
+                return selected
+    return selected
+
+
+def _better_host(
+    current: HostLoad, step: Step, queue: Queue, loads: Iterable[HostLoad], inputs: PlacementInput
+) -> HostLoad | None:
+    """Return a host on which a task fits and that does not slow it down, or None."""
+    for load in loads:
+        if load is current or load.slow:
             continue
-        if step.filler and room.serving and step.image not in given.light:
+        if step.filler and load.serving and step.image not in inputs.light:
             continue
-        if may_use(room, step, queue, given) and room.fits(step):
-            return room
+        if may_use(load, step, queue, inputs) and load.fits(step):
+            return load
     return None
 
 
-def serving_to_gather(table: JobTable, given: PlacementInput) -> list[Run]:
-    """Return a serving run to stop, since its host can be left to filler tasks; or nothing.
+def serving_to_gather(table: JobTable, inputs: PlacementInput) -> list[Run]:
+    """Return at most one serving run to stop so that its host can be cleared for filler tasks.
 
-    That is the case on a host with few serving tasks that all have room beside
-    others. Nothing moves while there are no filler tasks to gain from it.
+    A host qualifies if it has few serving tasks and all of them fit on hosts
+    with more serving tasks. Nothing moves while no filler task would benefit.
     """
-    rooms = make_rooms(table, given)
-    if not any(room.fillers for room in rooms.values()):
+    loads = make_rooms(table, inputs)
+    if not any(load.fillers for load in loads.values()):
         return []
-    few = [room for room in rooms.values() if 0 < room.serving <= MAX_GATHERED]
-    for room in sorted(few, key=Room.share_claimed):
-        others = [other for other in rooms.values() if other.serving > room.serving]
+    lightly_loaded = [load for load in loads.values() if 0 < load.serving <= MAX_CONSOLIDATED]
+    for load in sorted(lightly_loaded, key=HostLoad.share_claimed):
+        others = [other for other in loads.values() if other.serving > load.serving]
         runs = [
             run
-            for run in table.by_host.get(room.host.host, {}).values()
+            for run in table.by_host.get(load.host.host, {}).values()
             if table.step_of(run.task).long_running and not table.step_of(run.task).filler
         ]
-        # A host that is left later must not be counted on by one that is left first.
-        if all(_may_gather(table, run, given) for run in runs) and _fit_beside(
-            table, runs, others, given
+        # A host that is itself to be cleared later must not be the target of one cleared earlier.
+        if all(_may_move_serving(table, run, inputs) for run in runs) and _fit_on(
+            table, runs, others, inputs
         ):
             return runs[:1]
     return []
 
 
-def _fit_beside(
-    table: JobTable, runs: list[Run], others: list[Room], given: PlacementInput
+def _fit_on(
+    table: JobTable, runs: list[Run], others: list[HostLoad], inputs: PlacementInput
 ) -> bool:
-    """Tell whether runs have room on some of the other hosts, and commit it."""
+    """Return whether all runs fit on the other hosts; runs that fit are added to their loads."""
     for run in runs:
         row = table.rows[run.task.job]
-        queue, task = given.queues[row.job.queue], row.tasks[run.task]
+        queue, task = inputs.queues[row.job.queue], row.tasks[run.task]
         step = row.step(run.task)
         group = WaitingGroup(row, step, queue, [task])
-        able = [room for room in others if may_use(room, step, queue, given)]
-        found = choose_room(group, task, able)
-        if found is None:
+        eligible = [load for load in others if may_use(load, step, queue, inputs)]
+        selected = choose_host(group, task, eligible)
+        if selected is None:
             return False
-        found.add(run.task, step)
+        selected.add(run.task, step)
     return True
 
 
-def _may_gather(table: JobTable, run: Run, given: PlacementInput) -> bool:
-    """Tell whether a serving run may be stopped: all others of its step must be at work."""
+def _may_move_serving(table: JobTable, run: Run, inputs: PlacementInput) -> bool:
+    """Return whether a serving run may be stopped: all tasks of its step must be ready."""
     row = table.rows[run.task.job]
     step = row.step(run.task)
-    if row.unwanted or row.job.queue not in given.queues or given.queues[row.job.queue].advised:
+    if row.unwanted or row.job.queue not in inputs.queues or inputs.queues[row.job.queue].advised:
         return False
-    if step.gang or step.max_unavailable == 0 or given.now - run.since < GATHER_AFTER_S:
+    if step.gang or step.max_unavailable == 0 or inputs.now - run.since < CONSOLIDATE_AFTER_S:
         return False
     return all(
         any(
@@ -170,12 +170,12 @@
     )
 
 
-def _is_slow(run: Run, step: Step, room: Room, now: float) -> bool:
-    """Tell whether a run would end much sooner on a host that does not hold it back."""
+def _is_slow(run: Run, step: Step, load: HostLoad, now: float) -> bool:
+    """Return whether a run would finish much sooner on a host that does not slow it down."""
     if step.long_running or step.gang or run.phase is not RunPhase.RUNNING:
         return False
     ran_s = now - run.since
-    if ran_s < MOVE_AFTER_S or not (step.filler or room.slow):
+    if ran_s < MOVE_AFTER_S or not (step.filler or load.slow):
         return False
     rate = max(0.1, run.percent - run.first_percent) / ran_s
     kept = run.percent if step.checkpoints else 0
@@ -184,8 +184,8 @@
 
 
 def stalled(run: Run, step: Step) -> bool:
-    """Tell whether a run makes no progress although its executor reports it."""
+    """Return whether a run makes no progress although its executor still reports it."""
     if step.gang or step.long_running or step.filler:
         return False
-    expected = max(STALL_LEAST_S, STALL_FACTOR * step.estimate_s / 100)
+    expected = max(STALL_MIN_S, STALL_FACTOR * step.estimate_s / 100)
     return run.stalled_s > expected
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -1,4 +1,4 @@
-"""Choice of hosts for the tasks that wait: pure functions over the tables."""
+"""Placement of waiting tasks on hosts: pure functions over the job and host tables."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -11,26 +11,28 @@
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, Job, Queue, Step, TaskKey
 
-# A group of tasks that has waited this long keeps smaller ones of later groups off one host.
+# A group of tasks that has waited this long reserves one host, which smaller tasks of later
+# groups then do not get.
 RESERVE_AFTER_S = 2.0
-# At most one in this many hosts is kept free for such groups, so that the others go on.
-HOSTS_PER_RESERVE = 5
-# A filler job of which nothing runs gets a first task after this long, however busy the hosts
-# are: slow progress is better than none.
-FILLER_PATIENCE_S = 1.5
-# Share of its claim that a long-running task is taken to use when filler tasks are placed.
-SERVING_USE = 0.45
-# Filler tasks are placed while the processors in use stay below this share of a host. Above
-# 1 they only slow each other down, which is better than disturbing a serving task. Beside
-# serving tasks the share lies between the other two, by how far filler tasks are paced there.
+# At most one in this many hosts is reserved, so that placement continues on the others.
+HOSTS_PER_RESERVATION = 5
+# A filler job without a running task gets one after this long, however busy the hosts are: slow
+# progress is better than none.
+FILLER_MAX_WAIT_S = 1.5
+# Share of its reserved processors that a long-running task is assumed to use when filler tasks
+# are placed.
+SERVING_CPU_SHARE = 0.45
+# Filler tasks are placed while the processors in use stay below this share of a host. Above 1
+# they only slow each other down, which is better than slowing a serving task. On a host with
+# serving tasks the share lies between PACED (filler tasks fully throttled) and UNPACED.
 FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_PACED = 0.6
 FILLER_SHARE_UNPACED = 1.0
-# Hosts on which tasks run at less than this share of the usual speed get new ones last. Speeds
-# are compared with each other, since estimates of run times are off for all hosts alike.
+# Hosts that run tasks below this share of the median speed get new tasks last. Speeds are
+# compared between hosts, since errors in the estimated run times affect all hosts alike.
 SLOW_HOST_SHARE = 0.55
-# Beyond this many times its objective a job is of little use; beyond the second it has waited
-# so long that it goes before all others.
+# A job that ends later than LATE_FACTOR times its objective is of little use and placed last; one
+# that has waited longer than STARVING_FACTOR times its objective ranks as on time again.
 LATE_FACTOR = 3.0
 STARVING_FACTOR = 12.0
 
@@ -38,7 +40,7 @@
 
 
 class Placement(NamedTuple):
-    """A decision to start a task on a host as the given run."""
+    """A decision to start a task on a host under a run number."""
 
     task: TaskKey
     run: int
@@ -46,11 +48,12 @@
 
 
 @dataclass(slots=True)
-class Room:
-    """What is committed on one host while a pass goes on.
+class HostLoad:
+    """Resources committed on one host during a placement pass.
 
-    `claimed` counts all but filler tasks; `used` estimates the processors in
-    use, filler tasks included, in thousandths of a core.
+    `claimed` is what tasks reserve; filler tasks reserve no processors. `used`
+    estimates the processors in use, filler tasks included, in thousandths of
+    a core. `fillers` and `serving` count tasks, `steps` counts tasks by step.
     """
 
     host: Host
@@ -67,48 +70,48 @@
     def add(self, task: TaskKey, step: Step) -> None:
         """Commit one more task."""
         self.fillers += step.filler
-        self.claimed = self.claimed + _claim(step)
+        self.claimed = self.claimed + _reserved_size(step)
         if step.long_running and not step.filler:
             self.serving += 1
-            self.used += step.size.cpu_milli * SERVING_USE
+            self.used += step.size.cpu_milli * SERVING_CPU_SHARE
         else:
             self.used += step.size.cpu_milli
         self.steps[task.step_key] = self.steps.get(task.step_key, 0) + 1
 
     def fits(self, step: Step) -> bool:
-        """Tell whether one more task of a step has room and leaves the others their speed."""
+        """Return whether one more task of a step fits without slowing the tasks already there."""
         limit = self.filler_share(step) * self.capacity.cpu_milli
         if step.filler and self.used + step.size.cpu_milli > limit:
             return False
-        return self.holds(step)
+        return self.has_resources_for(step)
 
     def filler_share(self, step: Step) -> float:
-        """Return up to which share of the processors in use a step's filler tasks are placed."""
+        """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
             return FILLER_SHARE_ALONE
-        # What disturbs little is paced last.
+        # Images with a low impact on serving tasks are throttled last.
         unpaced = 1.0 if step.image in self.light else self.host.filler_percent / 100
         return FILLER_SHARE_PACED + unpaced * (FILLER_SHARE_UNPACED - FILLER_SHARE_PACED)
 
-    def holds(self, step: Step) -> bool:
-        """Tell whether one more task of a step can run; a filler task claims no processors."""
-        return (self.claimed + _claim(step)).fits_in(self.capacity)
+    def has_resources_for(self, step: Step) -> bool:
+        """Return whether the host has the resources that one more task of a step reserves."""
+        return (self.claimed + _reserved_size(step)).fits_in(self.capacity)
 
-    def takes_more_of(self, task: TaskKey, step: Step) -> bool:
-        """Tell whether one more task of a step stays within the step's limit a host."""
+    def within_max_per_host(self, task: TaskKey, step: Step) -> bool:
+        """Return whether one more task of a step stays within the step's limit per host."""
         return not step.max_per_host or self.steps.get(task.step_key, 0) < step.max_per_host
 
     def share_used(self, more_milli: int = 0) -> float:
-        """Return the share of the processors in use if `more_milli` are added."""
+        """Return the share of processors in use after adding `more_milli` (1000 = one core)."""
         return (self.used + more_milli) / max(1, self.capacity.cpu_milli)
 
     def share_claimed(self) -> float:
-        """Return the share of the processors that tasks keep for themselves."""
+        """Return the share of the processors that tasks reserve."""
         return self.claimed.cpu_milli / max(1, self.capacity.cpu_milli)
 
 
-def _claim(step: Step) -> Size:
-    """Return what a task of a step keeps for itself; a filler task claims no processors."""
+def _reserved_size(step: Step) -> Size:
+    """Return the resources that a task reserves; a filler task reserves no processors."""
     if not step.filler:
         return step.size
     return Size(0, step.size.memory_mb, step.size.accelerators)
@@ -116,23 +119,27 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementInput:
-    """What a pass is decided from, beside the tables."""
+    """Inputs of a placement pass besides the job table.
+
+    `now` is in boot-clock seconds, `utc_s` in UTC seconds.
+    """
 
     hosts: Mapping[HostId, Host]
     queues: Mapping[QueueId, Queue]
-    out: frozenset[DataCentreId]
+    out_of_service: frozenset[DataCentreId]
     now: float
     utc_s: float
     cfg: FleetSettings
-    # Images whose filler tasks hardly disturb serving ones.
+    # Images whose filler tasks have little effect on serving tasks.
     light: frozenset[str] = frozenset()
-    # Hosts that an advisory service allows for a step, or None if it must be asked first.
+    # Executors (instance id) that an advisory service allows for a task, or None if it has not
+    # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
 
 
 @dataclass(slots=True)
 class WaitingGroup:
-    """Waiting tasks of one step and occurrence."""
+    """The waiting tasks of one step and occurrence."""
 
     row: JobRow
     step: Step
@@ -140,77 +147,80 @@
     tasks: list[Task]
 
 
-def make_rooms(table: JobTable, given: PlacementInput) -> dict[HostId, Room]:
-    """Return the room of every host whose executor is known."""
-    rooms = {}
-    for host in given.hosts.values():
+def make_rooms(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
+    """Return the load of every host whose executor has attached."""
+    loads = {}
+    for host in inputs.hosts.values():
         if host.facts is None:
             continue
-        room = Room(host, host.facts.capacity, light=given.light)
+        load = HostLoad(host, host.facts.capacity, light=inputs.light)
         for run in table.by_host.get(host.host, {}).values():
             row = table.rows.get(run.task.job)
             if row is not None and row.tasks:
-                room.add(run.task, row.step(run.task))
-        rooms[host.host] = room
-    if rooms:
-        usual = median(room.host.speed for room in rooms.values())
-        for room in rooms.values():
-            room.slow = room.host.speed < SLOW_HOST_SHARE * usual
-    return rooms
+                load.add(run.task, row.step(run.task))
+        loads[host.host] = load
+    if loads:
+        median_speed = median(load.host.speed for load in loads.values())
+        for load in loads.values():
+            load.slow = load.host.speed < SLOW_HOST_SHARE * median_speed
+    return loads
 
 
-def place(table: JobTable, given: PlacementInput) -> list[Placement]:
-    """Return the starts to make now, in order."""
+def place(table: JobTable, inputs: PlacementInput) -> list[Placement]:
+    """Return the tasks to start now, in order."""
     if not table.waiting:
         return []
-    rooms = make_rooms(table, given)
+    loads = make_rooms(table, inputs)
     placements: list[Placement] = []
-    for group in waiting_groups(table, given):
-        allowed = [room for room in rooms.values() if may_use(room, group.step, group.queue, given)]
-        candidates = [room for room in allowed if not room.reserved]
+    for group in waiting_groups(table, inputs):
+        allowed = [
+            load for load in loads.values() if may_use(load, group.step, group.queue, inputs)
+        ]
+        candidates = [load for load in allowed if not load.reserved]
         if group.step.gang:
             placed = _place_gang(group, candidates)
         else:
-            placed = list(_place_each(group, candidates, given))
+            placed = list(_place_each(group, candidates, inputs))
         if len(placed) < len(group.tasks):
-            _reserve(group, group.tasks[len(placed)], candidates, rooms.values(), given)
-        placements += placed or _place_starving(group, allowed, given)
+            _reserve(group, group.tasks[len(placed)], candidates, loads.values(), inputs)
+        placements += placed or _place_starving(group, allowed, inputs)
     return placements
 
 
-def waiting_groups(table: JobTable, given: PlacementInput) -> list[WaitingGroup]:
-    """Return the tasks whose turn has come by step and occurrence, in the order to place them."""
-    found: dict[tuple[JobId, int, int], WaitingGroup] = {}
+def waiting_groups(table: JobTable, inputs: PlacementInput) -> list[WaitingGroup]:
+    """Return the due waiting tasks grouped by step and occurrence, in placement order."""
+    groups: dict[tuple[JobId, int, int], WaitingGroup] = {}
     for key, task in table.waiting.items():
         row = table.rows[key.job]
-        queue = given.queues.get(row.job.queue)
-        if queue is None or row.job.due_s(key.occurrence) > given.utc_s:
+        queue = inputs.queues.get(row.job.queue)
+        if queue is None or row.job.due_s(key.occurrence) > inputs.utc_s:
             continue
-        if key.step_key not in found:
-            found[key.step_key] = WaitingGroup(row, row.step(key), queue, [])
-        found[key.step_key].tasks.append(task)
+        if key.step_key not in groups:
+            groups[key.step_key] = WaitingGroup(row, row.step(key), queue, [])
+        groups[key.step_key].tasks.append(task)
     return sorted(
-        found.values(),
+        groups.values(),
         key=lambda group: (
             group.queue.priority,
-            # Short tasks that come first would take the room that keeps serving tasks together.
+            # Long-running tasks go first: short ones would take the space needed to keep them
+            # on few hosts.
             not group.step.long_running,
-            lateness(group.row.job, group.queue, group.tasks[0].key, given.utc_s),
+            lateness_rank(group.row.job, group.queue, group.tasks[0].key, inputs.utc_s),
             group.row.job.accepted_s,
         ),
     )
 
 
-def lateness(job: Job, queue: Queue, task: TaskKey, utc_s: float) -> int:
-    """Return 0 if a job can still meet its objective, else 1, or 2 if it is far too late.
+def lateness_rank(job: Job, queue: Queue, task: TaskKey, utc_s: float) -> int:
+    """Return 0 if a job can still meet its objective, 1 if it is late, 2 if it is very late.
 
-    With more work than room, jobs that can still be on time go first. A job
-    that has waited very long goes first too, so that none waits for ever.
+    Under overload, jobs that can still meet their objective go first. A job
+    beyond STARVING_FACTOR also ranks 0, which prevents starvation.
     """
     if job.steps[task.step].long_running:
         return 0
-    began_s = job.due_s(task.occurrence) or job.accepted_s
-    waited_s = max(0.0, utc_s - began_s)
+    start_s = job.due_s(task.occurrence) or job.accepted_s
+    waited_s = max(0.0, utc_s - start_s)
     limit_s = objective_s(job, queue)
     if waited_s > STARVING_FACTOR * limit_s:
         return 0
@@ -221,14 +231,14 @@
 
 
 def objective_s(job: Job, queue: Queue) -> float:
-    """Return within which time of its acceptance or due time a job is to end."""
+    """Return the seconds after its acceptance or due time within which a job should end."""
     return queue.stretch * longest_chain_s(job, 0) + queue.target_s
 
 
 def longest_chain_s(job: Job, first: int) -> float:
-    """Return the estimated time of the longest chain of steps that starts at a step.
+    """Return the estimated seconds of the longest chain of dependent steps from step `first`.
 
-    From step 0 it is the longest chain of the whole job.
+    For step 0 this is the longest chain of the whole job.
     """
     ends: dict[int, float] = {}
     for number, step in enumerate(job.steps):
@@ -238,146 +248,153 @@
     return max(ends.values(), default=0.0)
 
 
-def may_use(room: Room, step: Step, queue: Queue, given: PlacementInput) -> bool:
-    """Tell whether a step's tasks may start on a host, room aside."""
-    return not bar(room, step, queue, given)
+def may_use(load: HostLoad, step: Step, queue: Queue, inputs: PlacementInput) -> bool:
+    """Return whether a step's tasks may start on a host, regardless of free resources."""
+    return not exclusion_reason(load, step, queue, inputs)
 
 
-def bar(room: Room, step: Step, queue: Queue, given: PlacementInput) -> str:
-    """Return why a step's tasks may not start on a host, room aside; empty if they may."""
-    facts = room.host.facts
+def exclusion_reason(load: HostLoad, step: Step, queue: Queue, inputs: PlacementInput) -> str:
+    """Return why a step's tasks may not start on a host; empty if they may.
+
+    Free resources are not checked.
+    """
+    facts = load.host.facts
     if facts is None or facts.service != queue.service:
         return OTHER_SERVICE
-    if facts.data_centre in given.out:
+    if facts.data_centre in inputs.out_of_service:
         return "data centre taken out"
     if step.label and step.label not in facts.labels:
         return "without the label"
-    return room.host.bar(given.now, given.cfg.silent_s)
+    return load.host.exclusion_reason(inputs.now, inputs.cfg.silent_s)
 
 
 def _place_each(
-    group: WaitingGroup, candidates: list[Room], given: PlacementInput
+    group: WaitingGroup, candidates: list[HostLoad], inputs: PlacementInput
 ) -> Iterable[Placement]:
     for task in group.tasks:
         allowed = candidates
         if group.queue.advised:
-            good = given.advised(task.key)
-            if good is None:
+            advised_hosts = inputs.advised(task.key)
+            if advised_hosts is None:
                 return
-            allowed = [room for room in candidates if room.host.life()[0] in good]
-        room = choose_room(group, task, allowed)
-        if room is None:
+            allowed = [load for load in candidates if load.host.life()[0] in advised_hosts]
+        load = choose_host(group, task, allowed)
+        if load is None:
             return
-        room.add(task.key, group.step)
-        yield Placement(task.key, task.last_run + 1, room.host.host)
+        load.add(task.key, group.step)
+        yield Placement(task.key, task.last_run + 1, load.host.host)
 
 
-def choose_room(group: WaitingGroup, task: Task, candidates: Iterable[Room]) -> Room | None:
-    """Return the most preferred host with room for a task, or None."""
+def choose_host(group: WaitingGroup, task: Task, candidates: Iterable[HostLoad]) -> HostLoad | None:
+    """Return the preferred host on which a task fits, or None."""
     step = group.step
     fitting = [
-        room for room in candidates if room.fits(step) and room.takes_more_of(task.key, step)
+        load for load in candidates if load.fits(step) and load.within_max_per_host(task.key, step)
     ]
-    return min(fitting, key=lambda room: _cost(room, task, step), default=None)
+    return min(fitting, key=lambda load: _preference(load, task, step), default=None)
 
 
-def _cost(room: Room, task: Task, step: Step) -> tuple[bool, bool, float, float]:
-    """Return the order of preference of a host for a task; the least is taken.
+def _preference(load: HostLoad, task: Task, step: Step) -> tuple[bool, bool, float, float]:
+    """Return the sort key of a host for a task; the lowest is preferred.
 
-    Filler tasks disturb tasks that serve users, so these two are kept on
-    different hosts: serving tasks fill one host after another, whatever filler
-    tasks are there, since these can be paced or end soon. Other tasks go there
-    too, which leaves the rest to filler tasks.
+    Filler tasks slow serving tasks down, so the two are kept on different
+    hosts. Serving tasks fill one host after another regardless of filler
+    tasks, which can be throttled or end soon. Other tasks prefer hosts with
+    serving tasks, which leaves the remaining hosts to filler tasks.
     """
-    facts = room.host.facts
-    far = bool(step.near) and facts is not None and facts.rack != step.near
-    share = room.share_used(step.size.cpu_milli)
+    facts = load.host.facts
+    other_rack = bool(step.near) and facts is not None and facts.rack != step.near
+    share = load.share_used(step.size.cpu_milli)
     if step.filler:
-        apart = 0.0 if step.image in room.light else float(room.serving)
+        separation = 0.0 if step.image in load.light else float(load.serving)
     elif step.long_running:
-        apart = 0.0 if room.serving else 1.0 + room.fillers
-        share = -room.share_claimed()
+        separation = 0.0 if load.serving else 1.0 + load.fillers
+        share = -load.share_claimed()
     else:
-        apart = 0.0 if room.serving else 0.2
-        apart += max(0.0, share - 1)
-    doubtful = room.host.host in task.failed_on or room.slow
-    return (doubtful, far, apart, share)
+        separation = 0.0 if load.serving else 0.2
+        separation += max(0.0, share - 1)
+    unreliable = load.host.host in task.failed_hosts or load.slow
+    return (unreliable, other_rack, separation, share)
 
 
 def _place_starving(
-    group: WaitingGroup, allowed: list[Room], given: PlacementInput
+    group: WaitingGroup, allowed: list[HostLoad], inputs: PlacementInput
 ) -> list[Placement]:
-    """Start one task of a filler job of which nothing runs, on the least busy host."""
+    """Start one task of a filler job that has no running task, on the least busy host."""
     task = group.tasks[0]
-    waited_s = given.now - task.waiting_since
-    if not group.step.filler or waited_s < FILLER_PATIENCE_S or any(group.row.runs()):
+    waited_s = inputs.now - task.waiting_since
+    if not group.step.filler or waited_s < FILLER_MAX_WAIT_S or any(group.row.runs()):
         return []
-    able = [room for room in allowed if room.holds(group.step)]
-    if group.step.gang or group.queue.advised or not able:
+    eligible = [load for load in allowed if load.has_resources_for(group.step)]
+    if group.step.gang or group.queue.advised or not eligible:
         return []
-    room = min(able, key=Room.share_used)
-    room.add(task.key, group.step)
-    return [Placement(task.key, task.last_run + 1, room.host.host)]
+    load = min(eligible, key=HostLoad.share_used)
+    load.add(task.key, group.step)
+    return [Placement(task.key, task.last_run + 1, load.host.host)]
 
 
 def _reserve(
     group: WaitingGroup,
     task: Task,
-    candidates: Iterable[Room],
-    rooms: Collection[Room],
-    given: PlacementInput,
+    candidates: Iterable[HostLoad],
+    loads: Collection[HostLoad],
+    inputs: PlacementInput,
 ) -> None:
-    """Keep later groups off the host that comes closest to having room for a task."""
-    reserved = sum(room.reserved for room in rooms)
-    if reserved >= max(1, len(rooms) // HOSTS_PER_RESERVE):
+    """Reserve the host with the most unreserved processors for a task that fits nowhere yet."""
+    reserved = sum(load.reserved for load in loads)
+    if reserved >= max(1, len(loads) // HOSTS_PER_RESERVATION):
         return
-    if given.now - task.waiting_since < RESERVE_AFTER_S:
+    if inputs.now - task.waiting_since < RESERVE_AFTER_S:
         return
-    able = [
-        room
-        for room in candidates
-        if group.step.size.fits_in(room.capacity) and room.takes_more_of(task.key, group.step)
+    eligible = [
+        load
+        for load in candidates
+        if group.step.size.fits_in(load.capacity) and load.within_max_per_host(task.key, group.step)
     ]
-    if able:
-        closest = min(able, key=lambda room: room.claimed.cpu_milli - room.capacity.cpu_milli)
+    if eligible:
+        closest = min(eligible, key=lambda load: load.claimed.cpu_milli - load.capacity.cpu_milli)
         closest.reserved = True
 
 
-def _place_gang(group: WaitingGroup, candidates: list[Room]) -> list[Placement]:
-    """Place all members of a gang at once, or none; on one rack if that matters."""
+def _place_gang(group: WaitingGroup, candidates: list[HostLoad]) -> list[Placement]:
+    """Place all members of a gang at once, or none; preferably on one rack if it asks for that."""
     members = [task for task in group.row.members(group.tasks[0].key) if not task.done]
     if len(group.tasks) < len(members) or any(task.runs for task in members):
         return []
     run = max(task.last_run for task in members) + 1
     pools = [candidates]
     if group.step.same_rack:
-        racks = {room.host.facts.rack for room in candidates if room.host.facts}
+        racks = {load.host.facts.rack for load in candidates if load.host.facts}
         pools = [
-            [room for room in candidates if room.host.facts and room.host.facts.rack == rack]
+            [load for load in candidates if load.host.facts and load.host.facts.rack == rack]
             for rack in sorted(racks)
         ] + pools
     for pool in pools:
-        chosen = _fit_all(group, members, pool)
+        chosen = _assign_all(group, members, pool)
         if chosen is not None:
             return [
-                Placement(task.key, run, room.host.host)
-                for task, room in zip(members, chosen, strict=True)
+                Placement(task.key, run, load.host.host)
+                for task, load in zip(members, chosen, strict=True)
             ]
     return []
 
 
-def _fit_all(group: WaitingGroup, members: list[Task], pool: list[Room]) -> list[Room] | None:
-    """Return a room for each member and commit them, or change nothing and return None."""
-    chosen: list[Room] = []
-    before = [(room, room.claimed, room.used, room.fillers, room.serving) for room in pool]
-    counts = [dict(room.steps) for room in pool]
+def _assign_all(
+    group: WaitingGroup, members: list[Task], pool: list[HostLoad]
+) -> list[HostLoad] | None:
+    """Return a host for each member and commit them, or change nothing and return None."""
+    chosen: list[HostLoad] = []
+    before = [(load, load.claimed, load.used, load.fillers, load.serving) for load in pool]
+    counts = [dict(load.steps) for load in pool]
     for task in members:
-        room = choose_room(group, task, pool)
-        if room is None:
-            for (kept, claimed, used, fillers, serving), steps in zip(before, counts, strict=True):
-                kept.claimed, kept.used, kept.steps = claimed, used, steps
-                kept.fillers, kept.serving = fillers, serving
+        load = choose_host(group, task, pool)
+        if load is None:
+            for (restored, claimed, used, fillers, serving), steps in zip(
+                before, counts, strict=True
+            ):
+                restored.claimed, restored.used, restored.steps = claimed, used, steps
+                restored.fillers, restored.serving = fillers, serving
             return None
-        room.add(task.key, group.step)
-        chosen.append(room)
+        load.add(task.key, group.step)
+        chosen.append(load)
     return chosen
--- a/packages/core/src/apricotpath/waitreasons.py
+++ b/packages/core/src/apricotpath/waitreasons.py
@@ -1,4 +1,4 @@
-"""What the log says of hosts, and of why tasks wait: what keeps them from starting there."""
+"""Log fields about host load and about why waiting tasks cannot start."""
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
@@ -6,29 +6,38 @@
 
 from apricotpath.ids import HostId
 from apricotpath.jobtable import JobTable
-from apricotpath.runplacement import OTHER_SERVICE, PlacementInput, Room, bar, waiting_groups
+from apricotpath.runplacement import (
+    OTHER_SERVICE,
+    HostLoad,
+    PlacementInput,
+    exclusion_reason,
+    waiting_groups,
+)
 from apricotpath.workload import Queue, Step
 
-# Tasks that have waited for less are not worth a line.
+# Shorter waits are not logged.
 LONG_WAIT_S = 2.0
-# Steps told of at once, the longest waits first.
-MAX_STEPS_TOLD = 5
+# Steps logged per call, longest waits first.
+MAX_STEPS_LOGGED = 5
 
 
 def long_waits(
-    table: JobTable, given: PlacementInput, rooms: Mapping[HostId, Room]
+    table: JobTable, inputs: PlacementInput, loads: Mapping[HostId, HostLoad]
 ) -> Iterator[dict[str, Any]]:
-    """Yield what to log of the steps that have waited longest; `hosts` counts reasons."""
-    groups = sorted(waiting_groups(table, given), key=lambda group: group.tasks[0].waiting_since)
-    for group in groups[:MAX_STEPS_TOLD]:
-        waited_s = given.now - group.tasks[0].waiting_since
+    """Yield log fields of the steps that have waited longest.
+
+    `hosts` maps each reason to the number of hosts it applies to.
+    """
+    groups = sorted(waiting_groups(table, inputs), key=lambda group: group.tasks[0].waiting_since)
+    for group in groups[:MAX_STEPS_LOGGED]:
+        waited_s = inputs.now - group.tasks[0].waiting_since
         if waited_s < LONG_WAIT_S:
             return
         key = group.tasks[0].key
         reasons = Counter(
             reason
-            for room in rooms.values()
-            if (reason := wait_reason(room, group.step, group.queue, given))
+            for load in loads.values()
+            if (reason := wait_reason(load, group.step, group.queue, inputs))
         )
         yield {
             "job": key.job,
@@ -37,32 +46,32 @@
             "tasks": len(group.tasks),
             "waited_s": round(waited_s, 3),
             "gang": group.step.gang,
-            "hosts": dict(reasons) or {"none of the service": len(rooms)},
+            "hosts": dict(reasons) or {"none of the service": len(loads)},
         }
 
 
-def wait_reason(room: Room, step: Step, queue: Queue, given: PlacementInput) -> str:
-    """Return why a host takes no task of a step now; empty if it serves another service."""
-    reason = bar(room, step, queue, given)
+def wait_reason(load: HostLoad, step: Step, queue: Queue, inputs: PlacementInput) -> str:
+    """Return why no task of a step starts on a host now; empty if it is of another service."""
+    reason = exclusion_reason(load, step, queue, inputs)
     if reason:
         return "" if reason == OTHER_SERVICE else reason
-    if not step.size.fits_in(room.capacity):
+    if not step.size.fits_in(load.capacity):
         return "too small"
-    return "has room" if room.fits(step) else "full"
+    return "has room" if load.fits(step) else "full"
 
 
-def room_row(room: Room, now: float, silent_s: float) -> list[float]:
-    """Return what the `fleet` line says of a host.
+def room_row(load: HostLoad, now: float, silent_s: float) -> list[float]:
+    """Return the values of one host in the `fleet` log line, in this order.
 
-    Shares of its processors in use and claimed, serving and filler tasks, the
-    percentage of their speed that filler tasks have, and whether it takes
-    starts.
+    Share of processors in use, share reserved, number of serving tasks, number
+    of filler tasks, speed limit of filler tasks in percent, and 1 if the host
+    accepts new runs, else 0.
     """
     return [
-        round(room.share_used(), 2),
-        round(room.share_claimed(), 2),
-        room.serving,
-        room.fillers,
-        round(room.host.filler_percent),
-        int(room.host.takes_starts(now, silent_s)),
+        round(load.share_used(), 2),
+        round(load.share_claimed(), 2),
+        load.serving,
+        load.fillers,
+        round(load.host.filler_percent),
+        int(load.host.accepts_starts(now, silent_s)),
     ]
--- a/packages/core/src/apricotpath/workload.py
+++ b/packages/core/src/apricotpath/workload.py
@@ -1,4 +1,4 @@
-"""Model of batch and long-running work: jobs of steps, their tasks, queues and hosts."""
+"""Data model of batch and long-running work: jobs, steps, tasks, queues and host facts."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -15,7 +15,7 @@
 
 
 class Progress(Enum):
-    """State of a whole job as callers see it."""
+    """State of a whole job as shown to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -32,9 +32,9 @@
 class RunResult(Enum):
     """How one run of a task ended.
 
-    BROKEN: another member of its gang ended. ALONE: the other members did not
-    come in time. LAPSED: its lease ran out. LOST: its executor is gone, or
-    the run never began and never will.
+    BROKEN: another member of its gang ended. ALONE: the other members of its
+    gang did not start in time. LAPSED: its lease expired. LOST: its executor is
+    gone, or the run never started and never will.
     """
 
     DONE = "done"
@@ -47,7 +47,7 @@
 
 
 class TaskKey(NamedTuple):
-    """Name of a task: its job, occurrence, step and position in the step."""
+    """Identity of a task: its job, occurrence, step and position in the step."""
 
     job: JobId
     occurrence: int
@@ -64,7 +64,7 @@
 
     @classmethod
     def parse(cls, text: str) -> "TaskKey":
-        """Return the key of a name, or raise InputError."""
+        """Parse the text form `job.occurrence.step.position`, or raise InputError."""
         parts = text.rsplit(".", 3)
         try:
             return cls(JobId(parts[0]), int(parts[1]), int(parts[2]), int(parts[3]))
@@ -74,17 +74,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Equal tasks of a job.
+    """A group of identical tasks of a job.
 
-    `after` names earlier steps that must be done first. `max_per_host` 0
-    means no limit. `label` is a label that the host must have, `near` the
-    rack of the data. `gang`: the tasks work only together. `same_rack`: they
-    are much slower on more than one rack. `speculative`: copies may run and
+    `estimate_s`: estimated run time. `after`: earlier steps that must be done
+    first. `checkpoints`: the tasks write checkpoints. `max_per_host`: 0 means
+    no limit. `label`: a label that the host must have. `near`: preferred rack,
+    which holds the data. `gang`: the tasks only run all together. `same_rack`:
+    they are much slower across racks. `speculative`: a second copy may run and
     the first to finish counts. `long_running`: the tasks run until the job is
-    cancelled; `max_unavailable` of them may be stopped on purpose at the same
-    time, where that is set. `filler`: the tasks use only capacity that other
-    tasks leave unused. `target_ms`: bound on the tail latency of the users of
-    a long-running task.
+    cancelled; `max_unavailable`, if set, limits how many of them may be stopped
+    deliberately at the same time. `filler`: the tasks use only capacity that
+    other tasks leave unused. `target_ms`: target for the tail latency of a
+    long-running task.
     """
 
     count: int
@@ -107,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Schedule:
-    """Repeated runs of a job's steps: occurrence k is due at first + k x interval (UTC seconds)."""
+    """Repetition of a job's steps: occurrence k is due at first_s + k * interval_s in UTC."""
 
     times: int = 1
     first_s: float = 0.0
@@ -116,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """An accepted job; `accepted_s` is UTC seconds by the clock of the entry that took it."""
+    """An accepted job; `accepted_s` is UTC seconds by the clock of the entry that accepted it."""
 
     job_id: JobId
     queue: QueueId
@@ -131,7 +132,7 @@
         return self.schedule.times if self.schedule else 1
 
     def due_s(self, occurrence: int) -> float:
-        """Return the UTC second before which an occurrence must not start; 0 without a schedule."""
+        """Return the earliest start of an occurrence in UTC seconds; 0 without a schedule."""
         if self.schedule is None:
             return 0.0
         return self.schedule.first_s + occurrence * self.schedule.interval_s
@@ -141,10 +142,10 @@
 class Queue:
     """Rules for the jobs of one queue.
 
-    Priority 0 comes first. A task that has failed `attempts` times fails its
-    job. `stretch` times the shortest possible run time plus `target_s` is the
-    objective for the whole job. `advised`: an advisory service says which
-    hosts may run a step.
+    Priority 0 is the highest. A job fails when one of its tasks has failed
+    `attempts` times. A job should end within `stretch` times its shortest
+    possible run time plus `target_s` seconds. `advised`: an advisory service
+    decides which hosts may run a step.
     """
 
     queue: QueueId
@@ -158,7 +159,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostFacts:
-    """What an executor says of itself; `born_ms` tells its lives under one id apart."""
+    """What an executor reports about itself.
+
+    `born_ms` is its start time; it distinguishes restarts under the same instance id.
+    """
 
     instance: str
     born_ms: int
@@ -170,16 +174,16 @@
 
 
 def check_job(job: Job) -> None:
-    """Raise InputError unless the steps of a job are consistent."""
+    """Raise InputError unless the steps and the schedule of a job are valid."""
     if not 0 < len(job.steps) <= MAX_STEPS:
         raise InputError(f"a job has 1 to {MAX_STEPS} steps", path="steps")
     for number, step in enumerate(job.steps):
-        where = f"steps[{number}]"
+        step_path = f"steps[{number}]"
         if not 0 < step.count <= MAX_TASKS_PER_STEP:
-            raise InputError(f"a step has 1 to {MAX_TASKS_PER_STEP} tasks", path=where)
+            raise InputError(f"a step has 1 to {MAX_TASKS_PER_STEP} tasks", path=step_path)
         if min(step.size.cpu_milli, step.size.memory_mb, step.size.accelerators) < 0:
-            raise InputError("a size is never negative", path=where)
+            raise InputError("a size is never negative", path=step_path)
         if any(not 0 <= earlier < number for earlier in step.after):
-            raise InputError("a step waits only for earlier steps", path=where)
+            raise InputError("a step waits only for earlier steps", path=step_path)
     if job.schedule is not None and job.schedule.times < 1:
         raise InputError("a schedule has at least one occurrence", path="schedule")
--- a/tests/features/pacing.feature
+++ b/tests/features/pacing.feature
@@ -1,11 +1,12 @@
 Feature: pacing
 
-  Guards against filler tasks that all crawl beside tasks that serve users, so that
-  none of their jobs ends in time, and against an order for each of them at every reading.
+  Guards against throttling all filler tasks on a host with serving tasks evenly, so
+  that none of their jobs ends in time, and against a new speed limit for each of them
+  after every measurement.
 
   Scenario Outline: pacing gives the first filler tasks full speed and lets the others wait
-    When pacing shares <percent> percent of their speed among filler tasks of pressure <pressures>
-    Then pacing gives them <paces>
+    When pacing distributes <percent> percent of the pressures <pressures> of filler tasks
+    Then the speed limits of pacing in percent are <paces>
 
     Examples:
       | percent | pressures               | paces            |
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -1,13 +1,13 @@
 Feature: runplacement
 
-  Guards against a host that is given more than it holds, a task on a host that
-  its step, its queue or the operators forbid, half a gang, filler tasks beside
-  tasks that serve users, serving tasks that spread over all hosts and leave none
-  to filler tasks, and large tasks that small ones keep waiting.
+  Guards against overcommitted hosts, tasks on hosts that their step, their queue
+  or the operators exclude, partially started gangs, filler tasks on the hosts of
+  serving tasks, serving tasks spread over all hosts so that none is left to
+  filler tasks, and large tasks starved by small ones.
 
   Scenario: runplacement never gives a host more than it holds, seeds 1 to 80
-    When jobs are placed at random over hosts by runplacement, seeds 1 to 80
-    Then no host of runplacement was given more than it holds, stops in progress included
+    When random jobs are placed on random hosts by runplacement, seeds 1 to 80
+    Then no host of runplacement was overcommitted
 
   Scenario Outline: runplacement leaves out a host that <reason>
     Given runplacement hosts a and b of 4 cores
@@ -27,7 +27,7 @@
 
   Scenario: runplacement puts at most so many tasks of a step on a host
     Given runplacement hosts a and b of 8 cores
-    When a step of 6 tasks of 1 core, at most 2 a host, is placed
+    When a step of 6 tasks of 1 core, at most 2 per host, is placed
     Then runplacement puts 2 on a and 2 on b
 
   Scenario: runplacement starts a gang whole or not at all
@@ -65,7 +65,7 @@
 
   Scenario: runplacement leaves hosts to filler tasks when all come back one after another
     Given 8 runplacement hosts of 20 cores that are lost
-    When 20 serving tasks of 4 cores wait behind 30 short ones of 1 core, and the hosts come back
+    When 20 serving tasks of 4 cores wait behind 30 short ones of 1 core, and the hosts return one by one
     Then runplacement has put all serving tasks on 4 hosts
 
   Scenario: runplacement keeps small tasks off a host that a large one waits for
@@ -79,7 +79,7 @@
     Given runplacement hosts a and b of 20 cores
     And a serving task of 10 cores runs on runplacement host a
     And a serving task of 10 cores runs on runplacement host b
-    And filler tasks on runplacement host a were given <percent> percent of their speed
+    And filler tasks on runplacement host a were limited to <percent> percent of their speed
     When a step of 30 filler tasks of 1 core is placed by runplacement
     Then runplacement puts between <least> and <most> on a
 
@@ -93,8 +93,8 @@
     Given runplacement hosts a and b of 20 cores
     And a serving task of 10 cores runs on runplacement host a
     And a serving task of 10 cores runs on runplacement host b
-    And filler tasks on runplacement host a were given 0 percent of their speed
-    And filler tasks of image oven hardly disturb others on runplacement's hosts
+    And filler tasks on runplacement host a were limited to 0 percent of their speed
+    And filler tasks of image oven have a low impact on other runplacement tasks
     When a step of 30 filler tasks of 1 core of image oven is placed by runplacement
     Then runplacement puts between 15 and 20 on a
 
@@ -115,8 +115,8 @@
 
   Scenario Outline: runplacement puts a job that can still be on time before one that cannot
     Given runplacement hosts a and b of 1 cores
-    And the queue of runplacement gives a job twice its run time
-    When a job of 1 second that has waited <waited> seconds and a new one of 1 second want both hosts
+    And the objective of the runplacement queue is twice the run time of a job
+    When a job of 1 second that has waited <waited> seconds and a new one of 1 second compete for both hosts
     Then runplacement starts the <first> one first
 
     Examples:
@@ -146,7 +146,7 @@
     And 3 filler tasks of 1 core run on runplacement host a
     And a job of serving tasks of 5 cores at work, 1 on runplacement host a and 3 on b
     When the case of runplacement is: <case>
-    Then runplacement gathers <count> serving runs from a
+    Then runplacement stops <count> serving runs on a
 
     Examples:
       | case                              | count |
--- a/tests/features/steps/disturbance_steps.py
+++ b/tests/features/steps/disturbance_steps.py
@@ -9,15 +9,15 @@
 from apricotpath.disturbance import Disturbance
 
 IMAGES = ("light", "medium", "heavy")
-READINGS_PER_S = 2.5
-# Standard deviation of the logarithm of one reading.
+MEASUREMENTS_PER_S = 2.5
+# Standard deviation of the logarithm of one measurement.
 NOISE = 0.5
 
 
 @given(
     "images of disturbance with pressures light {light:g}, medium {medium:g} and heavy {heavy:g}"
 )
-def make(context: Any, light: float, medium: float, heavy: float) -> None:
+def create(context: Any, light: float, medium: float, heavy: float) -> None:
     context.disturbance = Disturbance()
     change(context, light, medium, heavy)
 
@@ -30,10 +30,10 @@
     context.pressures = dict(zip(IMAGES, (light, medium, heavy), strict=True))
 
 
-@when("disturbance takes {seconds:d} seconds of readings of {hosts:d} hosts with seed {seed:d}")
-def take(context: Any, seconds: int, hosts: int, seed: int) -> None:
+@when("disturbance gets {seconds:d} seconds of measurements of {hosts:d} hosts with seed {seed:d}")
+def measure(context: Any, seconds: int, hosts: int, seed: int) -> None:
     rng = random.Random(seed)
-    for _ in range(int(seconds * READINGS_PER_S)):
+    for _ in range(int(seconds * MEASUREMENTS_PER_S)):
         for _ in range(hosts):
             shares = {image: rng.uniform(0.05, 0.3) for image in IMAGES if rng.random() < 0.5}
             raised = sum(context.pressures[image] * share for image, share in shares.items())
@@ -41,7 +41,7 @@
             context.disturbance.note([("serving", ratio) for ratio in ratios], shares)
 
 
-@when("disturbance takes readings of 0, of 1000000 and without filler tasks")
+@when("disturbance gets measurements of 0, of 1000000 and without filler tasks")
 def extreme(context: Any) -> None:
     for ratio in (0.0, 1e6) * 200:
         context.disturbance.note([("serving", ratio)], dict.fromkeys(IMAGES, 1.0))
@@ -49,7 +49,7 @@
         context.disturbance.note([], {"light": 0.5})
 
 
-@when("disturbance takes readings of {count:d} images")
+@when("disturbance gets measurements of {count:d} images")
 def many(context: Any, count: int) -> None:
     context.disturbance = Disturbance()
     for number in range(count):
@@ -63,25 +63,27 @@
 
 @then("the only light image of disturbance is {image:w}")
 def only_light(context: Any, image: str) -> None:
-    assert context.disturbance.light() == {image}, found(context)
+    assert context.disturbance.light() == {image}, estimated(context)
 
 
-@then("disturbance puts the images in the order {order}")
+@then("disturbance ranks the images in the order {order}")
 def ordered(context: Any, order: str) -> None:
-    pressures = found(context)
+    pressures = estimated(context)
     assert sorted(pressures, key=lambda image: pressures[image]) == order.split(", "), pressures
 
 
-@then("the images of disturbance are all taken for the same and none for light")
-def unknown(context: Any) -> None:
-    assert len(set(found(context).values())) == 1 and not context.disturbance.light()
+@then("the images of disturbance have equal pressures and none is light")
+def equal_pressures(context: Any) -> None:
+    assert len(set(estimated(context).values())) == 1 and not context.disturbance.light()
 
 
 @then("all pressures of disturbance are between {least:d} and {most:d}")
 def bounded(context: Any, least: int, most: int) -> None:
-    assert all(least <= pressure <= most for pressure in found(context).values()), found(context)
+    assert all(least <= pressure <= most for pressure in estimated(context).values()), estimated(
+        context
+    )
 
 
-def found(context: Any) -> dict[str, float]:
-    """Return the estimates of all images."""
+def estimated(context: Any) -> dict[str, float]:
+    """Return the estimated pressures of all images."""
     return {image: context.disturbance.pressure(image) for image in IMAGES}
--- a/tests/features/steps/jobtable_steps.py
+++ b/tests/features/steps/jobtable_steps.py
@@ -18,7 +18,7 @@
 
 
 class TableCase:
-    """A table with one job, driven by records."""
+    """A table with one job, changed by records."""
 
     def __init__(self, *steps: Step) -> None:
         self.table = JobTable()
@@ -31,12 +31,12 @@
 
     def end(self, place: str, run: int, result: str, saved: str = "") -> None:
         self.table.apply(Assigned(self.key(place), run, HOST, "i-1", 1), 1.0)
-        self.note(place, run, result, saved)
+        self.record_end(place, run, result, saved)
 
-    def note(self, place: str, run: int, result: str, saved: str = "") -> None:
+    def record_end(self, place: str, run: int, result: str, saved: str = "") -> None:
         self.table.apply(Ended(self.key(place), run, RunResult(result), saved), 2.0)
 
-    def wanted(self) -> list[str]:
+    def waiting_names(self) -> list[str]:
         return sorted(f"{key.step}.{key.position}" for key in self.table.waiting)
 
 
@@ -68,7 +68,7 @@
 
 @when("the end {result:w} of run {run:d} of {place} reaches the jobtable again")
 def end_again(context: Any, result: str, run: int, place: str) -> None:
-    context.case.note(place, run, result)
+    context.case.record_end(place, run, result)
 
 
 @when("the jobtable's job is cancelled")
@@ -76,14 +76,14 @@
     context.case.table.cancel(JOB)
 
 
-@then("the jobtable wants nothing")
-def wants_nothing(context: Any) -> None:
-    assert context.case.wanted() == [], context.case.wanted()
+@then("the jobtable has no waiting tasks")
+def no_waiting(context: Any) -> None:
+    assert context.case.waiting_names() == [], context.case.waiting_names()
 
 
-@then("the jobtable wants {places}")
-def wants(context: Any, places: str) -> None:
-    assert context.case.wanted() == places.split(), context.case.wanted()
+@then("the jobtable has waiting tasks {places}")
+def waiting_tasks(context: Any, places: str) -> None:
+    assert context.case.waiting_names() == places.split(), context.case.waiting_names()
 
 
 @then("the jobtable's job is to end {progress:w}")
@@ -108,7 +108,7 @@
 
 
 class RandomHistory:
-    """A random history of one table, as the records that a log would hold."""
+    """A random history of one table, with the log records that produced it."""
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -148,16 +148,16 @@
         self.records.append(from_row(json.loads(json.dumps(to_row(record)))))
         table.apply(record, 1.0)
 
-    def fresh(self) -> JobTable:
-        """Return a table with the same jobs, read back from their stored form."""
+    def new_table(self) -> JobTable:
+        """Return a new table with the same jobs, parsed from their stored form."""
         table = JobTable()
         for job in self.jobs:
             table.add(parse_job(job_text(job)).job, 0.0)
         return table
 
 
-def content(table: JobTable) -> Any:
-    """Return what of a table must survive."""
+def table_state(table: JobTable) -> Any:
+    """Return the state of a table that a replay must reproduce."""
     tasks = {
         task.key: (
             task.done,
@@ -177,14 +177,14 @@
     context.tables = []
     for seed in range(a, b + 1):
         history = RandomHistory(seed)
-        replayed, rebuilt = history.fresh(), history.fresh()
+        replayed, rebuilt = history.new_table(), history.new_table()
         replayed.apply_all(history.records, 1.0)
         rebuilt.apply_all(list(history.table.summaries()), 1.0)
         context.tables.append((seed, history.table, replayed, rebuilt))
 
 
-@then("the rebuilt jobtables want and hold the same")
-def same(context: Any) -> None:
+@then("the rebuilt jobtables equal the original ones")
+def tables_equal(context: Any) -> None:
     for seed, table, replayed, rebuilt in context.tables:
-        assert content(replayed) == content(table), f"seed {seed}: replay differs"
-        assert content(rebuilt) == content(table), f"seed {seed}: snapshot differs"
+        assert table_state(replayed) == table_state(table), f"seed {seed}: replay differs"
+        assert table_state(rebuilt) == table_state(table), f"seed {seed}: snapshot differs"
--- a/tests/features/steps/pacing_steps.py
+++ b/tests/features/steps/pacing_steps.py
@@ -7,11 +7,11 @@
 from apricotpath.pacing import paces
 
 
-@when("pacing shares {percent:d} percent of their speed among filler tasks of pressure {pressures}")
-def share(context: Any, percent: int, pressures: str) -> None:
+@when("pacing distributes {percent:d} percent of the pressures {pressures} of filler tasks")
+def distribute(context: Any, percent: int, pressures: str) -> None:
     context.paces = paces(percent, [float(text) for text in pressures.split(",")])
 
 
-@then("pacing gives them {expected}")
-def given_paces(context: Any, expected: str) -> None:
+@then("the speed limits of pacing in percent are {expected}")
+def speed_limits(context: Any, expected: str) -> None:
     assert context.paces == [int(text) for text in expected.split(",")], context.paces
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -23,7 +23,7 @@
 
 
 class PlacementCase:
-    """Hosts and a table on which passes of placement are made."""
+    """Hosts and a job table for placement passes."""
 
     def __init__(self) -> None:
         self.table = JobTable()
@@ -48,7 +48,7 @@
         return job.job_id
 
     def run(self, host: str, step: Step) -> None:
-        """Let one task of a new job run on a host."""
+        """Add a job with one task that runs on a host."""
         key = TaskKey(self.add(step), 0, 0, 0)
         self.table.apply(Assigned(key, 1, HostId(host), host, 1), NOW)
 
@@ -132,9 +132,9 @@
 
 @when(
     "{serving:d} serving tasks of {cores:d} cores wait behind {short:d} short ones of 1 core, "
-    "and the hosts come back"
+    "and the hosts return one by one"
 )
-def come_back(context: Any, serving: int, cores: int, short: int) -> None:
+def hosts_return(context: Any, serving: int, cores: int, short: int) -> None:
     case: PlacementCase = context.case
     case.add(step(short, 1))
     case.add(step(serving, cores, long_running=True, target_ms=10.0))
@@ -170,12 +170,12 @@
 
 
 @when("a step of {count:d} tasks of {cores:d} core is placed by runplacement")
-def place_plain(context: Any, count: int, cores: int) -> None:
+def place_tasks(context: Any, count: int, cores: int) -> None:
     context.case.add(step(count, cores, label="stone"))
     context.case.place()
 
 
-@when("a step of {count:d} tasks of {cores:d} core, at most {most:d} a host, is placed")
+@when("a step of {count:d} tasks of {cores:d} core, at most {most:d} per host, is placed")
 def place_spread(context: Any, count: int, cores: int, most: int) -> None:
     context.case.add(step(count, cores, max_per_host=most))
     context.case.place()
@@ -194,7 +194,7 @@
 
 
 @when("a gang of {count:d} tasks of {cores:d} core on one rack is placed by runplacement")
-def place_tight(context: Any, count: int, cores: int) -> None:
+def place_gang_on_rack(context: Any, count: int, cores: int) -> None:
     context.case.add(step(count, cores, gang=True, same_rack=True))
     context.case.place()
 
@@ -211,7 +211,7 @@
 
 
 def random_pass(seed: int) -> list[str]:
-    """Place and end random work; return where a host was given more than it holds."""
+    """Place and end random work; return a description of each overcommitted host."""
     rng = random.Random(seed)
     case = PlacementCase()
     for name in "abcd":
@@ -249,23 +249,24 @@
     return found
 
 
-@when("jobs are placed at random over hosts by runplacement, seeds {a:d} to {b:d}")
+@when("random jobs are placed on random hosts by runplacement, seeds {a:d} to {b:d}")
 def place_random(context: Any, a: int, b: int) -> None:
     context.found = {seed: random_pass(seed) for seed in range(a, b + 1)}
 
 
-@then("no host of runplacement was given more than it holds, stops in progress included")
-def none_over(context: Any) -> None:
+@then("no host of runplacement was overcommitted")
+def none_overcommitted(context: Any) -> None:
     assert not any(context.found.values()), context.found
 
 
-@given("the queue of runplacement gives a job twice its run time")
+@given("the objective of the runplacement queue is twice the run time of a job")
 def queue_objective(context: Any) -> None:
     context.case.queue = Queue(QUEUE.queue, SERVICE, stretch=2.0)
 
 
 @when(
-    "a job of 1 second that has waited {waited:g} seconds and a new one of 1 second want both hosts"
+    "a job of 1 second that has waited {waited:g} seconds and a new one of 1 second "
+    "compete for both hosts"
 )
 def old_and_new(context: Any, waited: float) -> None:
     case: PlacementCase = context.case
@@ -284,12 +285,12 @@
 
 @then("runplacement starts the {which:w} one first")
 def starts_first(context: Any, which: str) -> None:
-    wanted = context.ids[0 if which == "waiting" else 1]
-    assert {placement.task.job for placement in context.case.placed} == {wanted}
+    expected = context.ids[0 if which == "waiting" else 1]
+    assert {placement.task.job for placement in context.case.placed} == {expected}
 
 
 def running_task(case: PlacementCase, percent: int, **flags: Any) -> None:
-    """Let a task of one second have run for three on host a."""
+    """Add a task estimated at 1 s that has run on host a for 3 s."""
     job = case.add(step(1, 1, estimate_s=1.0, **flags))
     key = TaskKey(job, 0, 0, 0)
     case.table.apply(Assigned(key, 1, HostId("a"), "a", 1), NOW - 3)
@@ -323,7 +324,7 @@
 
 
 @then("runplacement moves {count:d} runs")
-def moves(context: Any, count: int) -> None:
+def moves_runs(context: Any, count: int) -> None:
     assert len(slow_runs(context.case.table, placement_input(context.case))) == count
 
 
@@ -370,7 +371,7 @@
         context.case.add(step(1, cores), seconds)
 
 
-@given("filler tasks on runplacement host a were given {percent:d} percent of their speed")
+@given("filler tasks on runplacement host a were limited to {percent:d} percent of their speed")
 def paced(context: Any, percent: int) -> None:
     context.case.hosts[HostId("a")].filler_percent = float(percent)
 
@@ -393,7 +394,7 @@
 
 
 @when("the case of runplacement is: {text}")
-def gather_case(context: Any, text: str) -> None:
+def consolidation_case(context: Any, text: str) -> None:
     case: PlacementCase = context.case
     row = case.table.rows[context.serving_job]
     runs = list(row.runs())
@@ -413,13 +414,13 @@
                 case.table.apply(Ended(run.task, run.run, RunResult.DONE), NOW)
 
 
-@then("runplacement gathers {count:d} serving runs from a")
-def gathers(context: Any, count: int) -> None:
+@then("runplacement stops {count:d} serving runs on a")
+def stops_serving(context: Any, count: int) -> None:
     found = serving_to_gather(context.case.table, placement_input(context.case))
     assert [run.host for run in found] == ["a"] * count, found
 
 
-@given("filler tasks of image {image:w} hardly disturb others on runplacement's hosts")
+@given("filler tasks of image {image:w} have a low impact on other runplacement tasks")
 def light_image(context: Any, image: str) -> None:
     context.case.light = frozenset({image})
 
