--- a/packages/core/src/apricotpath/eviction.py
+++ b/packages/core/src/apricotpath/eviction.py
@@ -1,4 +1,4 @@
-"""Which batch tasks make room for urgent work, at the least loss of work done."""
+"""Selection of batch tasks to evict for urgent work with the least lost work."""
 
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
@@ -9,8 +9,8 @@
 
 PRIORITY_RANK = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.LOW: 2}
 
-# A job is evicted at most this often per minute and a task this often in all;
-# without the limit, two jobs can evict each other for ever.
+# At most JOB_EVICTIONS tasks of a job are evicted per JOB_WINDOW_S, and a task at most
+# TASK_EVICTIONS times in all. Without limits, two jobs could evict each other endlessly.
 JOB_EVICTIONS = 20
 JOB_WINDOW_S = 60.0
 TASK_EVICTIONS = 6
@@ -18,9 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Victim:
-    """A running batch task; `kept` is its progress at the newest checkpoint.
+    """A running batch task that may be evicted.
 
-    `loses` is the chance that its eviction writes no checkpoint.
+    `progress` and `kept`, the progress at the newest checkpoint, are shares
+    from 0.0 to 1.0. `loses` is the probability that its eviction writes no
+    checkpoint.
     """
 
     task: TaskId
@@ -36,36 +38,36 @@
 
 
 def lost_work(victim: Victim) -> float:
-    """Return the core seconds since the newest checkpoint that an eviction is expected to lose."""
+    """Return the core seconds of work that an eviction is expected to lose."""
     share = max(0.0, victim.progress - victim.kept)
     return victim.loses * share * victim.run_time_s * max(1, victim.size.cpu_milli) / 1000.0
 
 
 @dataclass(slots=True)
 class CheckpointHistory:
-    """How many evictions of each activity wrote a checkpoint, and how many did not."""
+    """Numbers of evictions per activity that wrote a checkpoint and that did not."""
 
     written: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     missed: dict[str, int] = field(default_factory=lambda: defaultdict(int))
 
     def record(self, activity: str, written: bool) -> None:
-        """Note the end of an eviction."""
+        """Count a finished eviction."""
         (self.written if written else self.missed)[activity] += 1
 
     def loses(self, activity: str) -> float:
-        """Return the chance that the next eviction writes none; 0.5 while nothing is known."""
+        """Return the probability that an eviction writes no checkpoint; 0.5 without any data."""
         missed, written = self.missed.get(activity, 0), self.written.get(activity, 0)
         return (missed + 1.0) / (missed + written + 2.0)
 
 
 @dataclass(slots=True)
 class EvictionLimits:
-    """Times of recent evictions by job."""
+    """Rate limit of evictions: times of recent evictions by job."""
 
     times: dict[JobId, deque[float]] = field(default_factory=lambda: defaultdict(deque))
 
     def allows(self, victim: Victim, now: float) -> bool:
-        """Tell whether a task may be evicted once more."""
+        """Return whether a task may be evicted once more."""
         times = self.times.get(victim.job)
         if victim.evictions >= TASK_EVICTIONS:
             return False
@@ -74,7 +76,7 @@
         return not times or len(times) < JOB_EVICTIONS
 
     def record(self, job: JobId, now: float) -> None:
-        """Note an eviction."""
+        """Count an eviction of a task of a job."""
         self.times[job].append(now)
 
 
@@ -87,27 +89,27 @@
 ) -> list[Victim]:
     """Return the tasks of one host to evict so that `need` fits, or an empty list.
 
-    Only tasks of low priority are taken. Of all hosts, the one that loses the
-    least work is chosen. `free` names the hosts that are allowed.
+    Only tasks of low priority are chosen, on the host that loses the least
+    work. `free` has the free resources of the hosts that may be used.
     """
     by_host: dict[ProcessId, list[Victim]] = defaultdict(list)
     for victim in victims:
         if victim.priority is Priority.LOW and victim.process in free:
             by_host[victim.process].append(victim)
     best: list[Victim] = []
-    best_loss = float("inf")
+    least_loss = float("inf")
     for process, tasks in by_host.items():
-        chosen = _enough(need, free[process], tasks, limits, now)
+        chosen = _cheapest_sufficient(need, free[process], tasks, limits, now)
         loss = sum(lost_work(victim) for victim in chosen)
-        if chosen and (loss, len(chosen)) < (best_loss, len(best)):
-            best, best_loss = chosen, loss
+        if chosen and (loss, len(chosen)) < (least_loss, len(best)):
+            best, least_loss = chosen, loss
     return best
 
 
-def _enough(
+def _cheapest_sufficient(
     need: Size, free: Size, tasks: list[Victim], limits: EvictionLimits, now: float
 ) -> list[Victim]:
-    """Return the cheapest tasks that free enough on a host, or an empty list."""
+    """Return the tasks with the least lost work that free enough of a host, or an empty list."""
     chosen: list[Victim] = []
     for victim in sorted(tasks, key=lost_work):
         if not limits.allows(victim, now):
@@ -120,7 +122,7 @@
 
 
 def _without_surplus(need: Size, free: Size, chosen: list[Victim]) -> list[Victim]:
-    """Keep tasks running whose room is not needed, the most costly first."""
+    """Remove tasks that need not be evicted, those with the most lost work first."""
     kept = list(chosen)
     for victim in reversed(chosen):
         if need.fits_in(free - victim.size):
--- a/packages/core/src/apricotpath/hours.py
+++ b/packages/core/src/apricotpath/hours.py
@@ -1,4 +1,4 @@
-"""Quiet hours: when an activity is forbidden in a data centre, across clock changes."""
+"""Quiet hours: weekly periods in local time, converted to UTC across clock changes."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -7,9 +7,9 @@
 from zoneinfo import ZoneInfo
 
 MINUTES_PER_DAY = 24 * 60
-# A period can begin a day before the local date of its end, and a zone can skip a day.
+# Days to search back: a period can begin the day before it ends, and a zone can skip a day.
 LOOK_BACK_DAYS = 3
-# A weekly period begins again within 7 days; a zone can skip a day.
+# Days to search ahead: a weekly period begins again within 7 days, and a zone can skip a day.
 LOOK_AHEAD_DAYS = 10
 
 
@@ -40,32 +40,32 @@
     return ZoneInfo(name)
 
 
-def _utc_readings(zone: ZoneInfo, day: date, minute: int) -> tuple[datetime, datetime]:
-    """Return the earliest and latest UTC time that a local time can stand for.
+def _utc_candidates(zone: ZoneInfo, day: date, minute: int) -> tuple[datetime, datetime]:
+    """Return the earliest and latest UTC time that a local time can denote.
 
     They differ when the clock is set back (the time occurs twice) or forward
     (the time does not occur).
     """
     local = datetime.combine(day, time()) + timedelta(minutes=minute)
-    readings = [local.replace(tzinfo=zone, fold=fold).astimezone(UTC) for fold in (0, 1)]
-    return min(readings), max(readings)
+    candidates = [local.replace(tzinfo=zone, fold=fold).astimezone(UTC) for fold in (0, 1)]
+    return min(candidates), max(candidates)
 
 
 def _spans(period: WeeklyPeriod, utc: datetime, ahead_days: int) -> Iterator[Span]:
     zone = _zone(period.zone)
     today = utc.astimezone(zone).date()
-    crosses = period.end_minute <= period.start_minute
-    end_minute = period.end_minute + (MINUTES_PER_DAY if crosses else 0)
+    crosses_midnight = period.end_minute <= period.start_minute
+    end_minute = period.end_minute + (MINUTES_PER_DAY if crosses_midnight else 0)
     for offset in range(-LOOK_BACK_DAYS, ahead_days + 1):
         day = today + timedelta(days=offset)
         if day.weekday() in period.days:
-            # The wider reading on both sides: a doubtful hour is forbidden.
-            start = _utc_readings(zone, day, period.start_minute)[0]
-            yield Span(start, _utc_readings(zone, day, end_minute)[1])
+            # The earliest start and the latest end: an ambiguous hour is forbidden.
+            start = _utc_candidates(zone, day, period.start_minute)[0]
+            yield Span(start, _utc_candidates(zone, day, end_minute)[1])
 
 
 def forbidden_span(periods: Iterable[WeeklyPeriod], utc: datetime) -> Span | None:
-    """Return a span that forbids a UTC time now, or None."""
+    """Return a span that contains a UTC time, or None."""
     for period in periods:
         for span in _spans(period, utc, 1):
             if span.start <= utc < span.end:
--- a/packages/core/src/apricotpath/interference.py
+++ b/packages/core/src/apricotpath/interference.py
@@ -1,4 +1,4 @@
-"""How much each kind of batch work slows a service's requests, and what to do about it."""
+"""Estimates of how much batch work slows a service's requests, and the guard against it."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -7,35 +7,38 @@
 
 from apricotpath.ids import ProcessId, ServiceId, TaskId
 
-# Reports lag behind the host: after a change of the tasks, pressure is not
-# attributed to the new set for this long.
+# Reports lag behind the host: for this long after a change of the running tasks, pressure is not
+# attributed to the new set.
 SETTLE_S = 2.0
-# An error is clipped to this slowdown, so that a single outlier moves little.
+# Errors are clipped to this slowdown, so that a single outlier has little effect.
 MAX_ERROR = 0.5
 LEARNING_RATE = 0.2
 PAIR_RATE = 0.05
-# Estimates fade with this time constant, since programs change.
+# Time constant of the exponential decay of estimates, since programs change.
 DECAY_S = 1800.0
 
-# Hysteresis: action above HIGH, release below LOW.
+# Hysteresis: the guard acts after HIGH_FOR_S at HIGH_PRESSURE or above, and releases after
+# LOW_FOR_S at LOW_PRESSURE or below.
 HIGH_PRESSURE = 1.5
 LOW_PRESSURE = 1.15
 HIGH_FOR_S = 3.0
 LOW_FOR_S = 10.0
-STEP_S = 5.0
+ACTION_INTERVAL_S = 5.0
 MOVE_PAUSE_S = 30.0
 THROTTLE_STEPS = (0.5, 0.25)
-# A task that adds less to the slowdown is not worth throttling, nor is one that adds
-# less than this part of what the worst task on the host adds.
+# Tasks that add less than HARMLESS to the slowdown are not throttled, nor are those that add less
+# than NOISY_FRACTION of what the worst task on the host adds.
 HARMLESS = 0.05
-NOISY_PART = 0.25
+NOISY_FRACTION = 0.25
 
 
 @dataclass(slots=True)
 class Estimates:
-    """Learned slowdown that one task of an activity, or a pair, adds to a service.
+    """Estimated slowdown that a task of an activity, or a pair of activities, adds to a service.
 
-    A value of 0.3 means that requests take 1.3 times as long.
+    A value of 0.3 means that requests take 1.3 times as long. `sets` has the
+    tasks per activity in the newest report of each host, and `changed_at` the
+    time when they last changed.
     """
 
     single: dict[tuple[ServiceId, str], float] = field(default_factory=dict)
@@ -52,9 +55,9 @@
         pressure: float,
         now: float,
     ) -> None:
-        """Learn from one report: tasks running per activity, and the request pressure.
+        """Update the estimates from one report: running tasks per activity and request pressure.
 
-        `pressure` is the slowdown against the service's quiet baseline, 1.0 = none.
+        `pressure` is the slowdown relative to the service's unloaded baseline, 1.0 = none.
         """
         current = {name: number for name, number in activities.items() if name and number}
         if self.sets.get(process) != current:
@@ -77,7 +80,7 @@
         table[key] = max(0.0, table.get(key, 0.0) + change)
 
     def predict(self, service: ServiceId, activities: Mapping[str, int]) -> float:
-        """Return the expected slowdown of a service beside these tasks, 1.0 = none."""
+        """Return the expected slowdown of a service on a host with these tasks, 1.0 = none."""
         total = 1.0
         for name, number in activities.items():
             total += number * self.single.get((service, name), 0.0)
@@ -96,7 +99,7 @@
         return total
 
     def decay(self, now: float) -> None:
-        """Let all estimates fade for the time since the last call."""
+        """Decay all estimates by the time since the last call."""
         factor = exp(-max(0.0, now - self.decayed_at) / DECAY_S)
         self.decayed_at = now
         for key in self.single:
@@ -105,7 +108,7 @@
             self.pairs[pair] *= factor
 
     def forget_host(self, process: ProcessId) -> None:
-        """Drop what is kept per host."""
+        """Remove the state kept for a host."""
         self.sets.pop(process, None)
         self.changed_at.pop(process, None)
 
@@ -116,7 +119,7 @@
 
 
 class Step(Enum):
-    """What to do with a batch task that slows requests."""
+    """Action on a batch task that slows requests."""
 
     THROTTLE = "throttle"
     RELEASE = "release"
@@ -145,7 +148,7 @@
 
 @dataclass(slots=True)
 class GuardRow:
-    """Hysteresis of one host; times are monotonic seconds."""
+    """Hysteresis state of one host; times are monotonic seconds."""
 
     high_since: float | None = None
     low_since: float | None = None
@@ -161,22 +164,22 @@
     estimates: Estimates,
     now: float,
 ) -> Action | None:
-    """Return at most one step for a host: throttle first, then checkpoint and move.
+    """Return at most one action for a host: throttle first, then checkpoint and move.
 
-    Between the two thresholds nothing changes, so a host does not swing.
+    Between the two thresholds nothing changes, so the guard does not oscillate.
     """
     row.high_since = (row.high_since or now) if pressure >= HIGH_PRESSURE else None
     row.low_since = (row.low_since or now) if pressure <= LOW_PRESSURE else None
-    if now - row.acted_at < STEP_S or not tasks:
+    if now - row.acted_at < ACTION_INTERVAL_S or not tasks:
         return None
     if row.high_since is not None and now - row.high_since >= HIGH_FOR_S:
         return _relieve(row, service, pressure, tasks, estimates, now)
     if row.low_since is not None and now - row.low_since >= LOW_FOR_S:
-        slowed = [task for task in tasks if task.share < 1.0]
-        if slowed:
+        throttled = [task for task in tasks if task.share < 1.0]
+        if throttled:
             row.acted_at = now
             # The task that slows requests least is released first.
-            task = min(slowed, key=lambda t: estimates.added(service, {}, t.activity))
+            task = min(throttled, key=lambda t: estimates.added(service, {}, t.activity))
             return Action(Step.RELEASE, task.task, 1.0, f"pressure is back to {pressure:.2f}")
     return None
 
@@ -190,12 +193,12 @@
     now: float,
 ) -> Action | None:
     reason = f"requests of {service} take {pressure:.2f} times their usual time"
-    noisy = _noisy(service, tasks, estimates)
+    noisy = _noisy_tasks(service, tasks, estimates)
     for share in THROTTLE_STEPS:
-        open_tasks = [task for task in noisy if task.share > share]
-        if open_tasks:
+        throttleable = [task for task in noisy if task.share > share]
+        if throttleable:
             row.acted_at = now
-            worst = max(open_tasks, key=lambda t: estimates.added(service, {}, t.activity))
+            worst = max(throttleable, key=lambda t: estimates.added(service, {}, t.activity))
             return Action(Step.THROTTLE, worst.task, share, reason)
     if now - row.moved_at < MOVE_PAUSE_S:
         return None
@@ -203,8 +206,8 @@
     return Action(Step.MOVE, min(noisy, key=lambda t: t.lost_work).task, 0.0, reason)
 
 
-def _noisy(service: ServiceId, tasks: list[Guarded], estimates: Estimates) -> list[Guarded]:
-    """Return the tasks whose throttling would help; all of them while nothing is learned."""
+def _noisy_tasks(service: ServiceId, tasks: list[Guarded], estimates: Estimates) -> list[Guarded]:
+    """Return the tasks whose throttling would help; all of them without usable estimates."""
     added = {task.task: estimates.added(service, {}, task.activity) for task in tasks}
-    least = max(HARMLESS, NOISY_PART * max(added.values()))
+    least = max(HARMLESS, NOISY_FRACTION * max(added.values()))
     return [task for task in tasks if added[task.task] >= least] or tasks
--- a/packages/core/src/apricotpath/jobs.py
+++ b/packages/core/src/apricotpath/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs and tasks of a shard; records are the only way to change them."""
+"""Jobs and tasks of a shard; only journal records change them."""
 
 from bisect import insort
 from collections import Counter
@@ -63,11 +63,11 @@
 
 @dataclass(slots=True)
 class JobRow:
-    """One job. Tasks from `fresh` on were never assigned and have no row.
+    """One job. Tasks from number `fresh` on were never assigned and have no row.
 
-    Finished tasks are bits of `finished` (bit number = task number); both keep
-    a job of many thousands of tasks small. `returned` holds, in order, the
-    numbers of tasks that wait again.
+    Finished tasks are bits of `finished` (bit number = task number). Both keep
+    a job of many thousands of tasks small. `requeued` holds, in order, the
+    numbers of waiting tasks below `fresh`. `assigned` counts tasks.
     """
 
     spec: JobSpec
@@ -77,27 +77,27 @@
     fresh: int = 0
     finished: int = 0
     rows: dict[int, TaskRow] = field(default_factory=dict)
-    returned: list[int] = field(default_factory=list)
+    requeued: list[int] = field(default_factory=list)
     assigned: int = 0
 
     @property
     def waiting(self) -> int:
-        """Number of tasks that wait to be placed."""
-        return 0 if self.cancelled else len(self.returned) + self.spec.tasks - self.fresh
+        """Number of tasks waiting to be placed."""
+        return 0 if self.cancelled else len(self.requeued) + self.spec.tasks - self.fresh
 
     @property
     def ended(self) -> bool:
-        """Whether no task waits or may run."""
+        """Whether no task is waiting or assigned."""
         return self.waiting == 0 and self.assigned == 0
 
     def waiting_numbers(self) -> Iterator[int]:
-        """Yield the tasks to place next; tasks with work done come first."""
+        """Yield the tasks to place next; those that were assigned before come first."""
         if not self.cancelled:
-            yield from self.returned
+            yield from self.requeued
             yield from range(self.fresh, self.spec.tasks)
 
     def is_finished(self, number: int) -> bool:
-        """Tell whether a task has finished."""
+        """Return whether a task has finished."""
         return bool(self.finished >> number & 1)
 
     def state_of(self, number: int) -> TaskState:
@@ -140,7 +140,7 @@
         return None if row is None else row.rows.get(number)
 
     def assigned(self) -> Iterator[tuple[TaskId, JobRow, TaskRow]]:
-        """Yield every task that may run somewhere."""
+        """Yield every assigned task, which may be running on its host."""
         for job, row in self.jobs.items():
             if row.assigned:
                 for number, task in row.rows.items():
@@ -149,7 +149,7 @@
 
     @singledispatchmethod
     def apply(self, record: Record) -> bool:
-        """Apply a record and tell whether it changed anything.
+        """Apply a record and return whether it changed anything.
 
         A record that does not match the table (another attempt, an ended
         task, an unknown job) changes nothing, so replay is deterministic.
@@ -171,10 +171,10 @@
             return False
         if row.is_finished(number):
             return False
-        task = _row(row, number)
+        task = _ensure_row(row, number)
         if task.state is not TaskState.WAITING or record.attempt != task.attempt + 1:
             return False
-        row.returned.remove(number)
+        row.requeued.remove(number)
         row.assigned += 1
         task.state, task.attempt = TaskState.ASSIGNED, record.attempt
         task.host, task.process = record.host, record.process
@@ -220,9 +220,9 @@
         if row is None or row.cancelled:
             return False
         row.cancelled = True
-        for number in row.returned:
+        for number in row.requeued:
             row.rows[number].state = TaskState.CANCELLED
-        row.returned.clear()
+        row.requeued.clear()
         return True
 
     @apply.register
@@ -261,7 +261,7 @@
         )
         row.assigned += record.state is TaskState.ASSIGNED
         if record.state is TaskState.WAITING:
-            insort(row.returned, number)
+            insort(row.requeued, number)
         return True
 
     def snapshot_records(self) -> Iterator[Record]:
@@ -270,7 +270,7 @@
             yield JobAccepted(row.spec, row.accepted_at)
             if row.impossible:
                 yield JobImpossible(job, row.impossible)
-            for first, end in _ranges(row.finished):
+            for first, end in _set_bit_ranges(row.finished):
                 yield TasksFinished(job, first, end)
             for number, task in row.rows.items():
                 yield TaskRestored(
@@ -308,11 +308,11 @@
         return True
 
 
-def _row(job: JobRow, number: int) -> TaskRow:
-    """Return the row of a task, made together with those of all lower fresh tasks."""
+def _ensure_row(job: JobRow, number: int) -> TaskRow:
+    """Return the row of a task; creates the missing rows up to its number."""
     while job.fresh <= number:
         job.rows[job.fresh] = TaskRow()
-        insort(job.returned, job.fresh)
+        insort(job.requeued, job.fresh)
         job.fresh += 1
     return job.rows[number]
 
@@ -323,11 +323,11 @@
     task.host, task.process = NO_HOST, NO_PROCESS
     task.state = TaskState.CANCELLED if job.cancelled else TaskState.WAITING
     if not job.cancelled:
-        insort(job.returned, number)
+        insort(job.requeued, number)
 
 
-def _ranges(bits: int) -> Iterator[tuple[int, int]]:
-    """Yield the runs of set bits as (first, end)."""
+def _set_bit_ranges(bits: int) -> Iterator[tuple[int, int]]:
+    """Yield the ranges of set bits as (first, end), with the end excluded."""
     first = 0
     while bits:
         gap = (bits & -bits).bit_length() - 1
--- a/packages/core/src/apricotpath/ledger.py
+++ b/packages/core/src/apricotpath/ledger.py
@@ -1,4 +1,4 @@
-"""A host's commitments: tasks and the claim of its backend server."""
+"""A host's committed resources: its tasks and the claim of its backend server."""
 
 from typing import NewType
 
@@ -11,14 +11,14 @@
 class Ledger:
     """Commitments by key; their total never exceeds `size` in any dimension.
 
-    The claim of the backend server comes first: a claim that does not fit yet
-    stays wanted, and no task is reserved in the space that it waits for.
+    The claim of the backend server has precedence: if it does not fit yet, the
+    part that fits is committed, and freed resources go to it before any task.
     """
 
     def __init__(self, size: Size) -> None:
         self.size = size
         self.claim = Size()
-        self.wanted_claim = Size()
+        self.requested_claim = Size()
         self._tasks: dict[LedgerKey, Size] = {}
         self._committed = Size()
 
@@ -29,7 +29,7 @@
 
     @property
     def free(self) -> Size:
-        """What tasks may still reserve; a claim that waits has taken all there is."""
+        """Resources that tasks may still reserve; none in a dimension where the claim is short."""
         return self.size - self.total
 
     def __contains__(self, key: LedgerKey) -> bool:
@@ -54,7 +54,7 @@
         self._add(key, size)
 
     def adopt(self, key: LedgerKey, size: Size) -> None:
-        """Commit a task that the worker runs already, even in space that a claim waits for.
+        """Commit a task that the worker is already running; a committed task keeps its size.
 
         Raises CapacityError if the total would exceed the host's size.
         """
@@ -66,35 +66,35 @@
         self._add(key, size)
 
     def release(self, key: LedgerKey) -> None:
-        """Drop a commitment, if there is one; a wanted claim grows into the space."""
+        """Remove a task's commitment, if there is one; an unmet claim gets the resources first."""
         size = self._tasks.pop(key, None)
         if size is not None:
             self._committed -= size
-            self._settle_claim()
+            self._update_claim()
 
     def set_claim(self, size: Size) -> bool:
-        """Want this claim for the backend server; tell whether all of it is committed."""
+        """Set the claim of the backend server; return whether all of it is committed."""
         _check(size)
-        self.wanted_claim = size
-        self._settle_claim()
+        self.requested_claim = size
+        self._update_claim()
         return self.claim == size
 
     def _add(self, key: LedgerKey, size: Size) -> None:
         self._tasks[key] = size
         self._committed += size
 
-    def _settle_claim(self) -> None:
-        rest = self.size - self._committed
-        self.claim = _smaller(self.wanted_claim, rest)
+    def _update_claim(self) -> None:
+        uncommitted = self.size - self._committed
+        self.claim = _minimum(self.requested_claim, uncommitted)
 
 
 def _check(size: Size) -> None:
-    # A negative size would add capacity to the host.
+    # A negative size would increase the free capacity of the host.
     if not Size().fits_in(size):
         raise CapacityError(f"{size} has a negative dimension")
 
 
-def _smaller(a: Size, b: Size) -> Size:
+def _minimum(a: Size, b: Size) -> Size:
     return Size(
         min(a.cpu_milli, b.cpu_milli),
         min(a.memory_mb, b.memory_mb),
--- a/packages/core/src/apricotpath/placement.py
+++ b/packages/core/src/apricotpath/placement.py
@@ -1,4 +1,4 @@
-"""Choice of hosts for waiting tasks: priority, team share and age; best fit within rules."""
+"""Placement of waiting tasks: ordered by priority, team share and age; best fit within rules."""
 
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Mapping
@@ -14,16 +14,16 @@
 from apricotpath.model import JobSpec, Priority, Size
 from apricotpath.rules import EVICT_SLACK_S, Rules, Verdict
 
-# A host where the predicted slowdown of requests is above SOFT is a last
-# resort, and above HARD it is not used for batch work.
+# A host where the predicted slowdown of requests is above SOFT_SLOWDOWN is used last; above
+# HARD_SLOWDOWN it is used only for urgent work.
 SOFT_SLOWDOWN = 1.2
 HARD_SLOWDOWN = 2.0
-# Best fit compares this many fitting hosts; more brings no better choice.
-COMPARED = 12
+# Fitting hosts that best fit compares; more do not improve the choice.
+MAX_COMPARED = 12
 
 
 class Mode(Enum):
-    """POLICY is the real policy; BASELINE is first fit without feedback, for comparison."""
+    """POLICY is the production policy; BASELINE is first fit without feedback, for comparison."""
 
     POLICY = "policy"
     BASELINE = "baseline"
@@ -31,7 +31,10 @@
 
 @dataclass(slots=True)
 class Host:
-    """A host as placement sees it; `free` is what the next task may use."""
+    """A host as placement sees it; `free` is what further tasks may use.
+
+    `activities` counts its tasks by activity.
+    """
 
     process: ProcessId
     host: HostId
@@ -44,10 +47,10 @@
 
 @dataclass(slots=True)
 class HostIndex:
-    """Hosts ordered by free processors, per data centre and kind of host.
+    """Hosts ordered by free processors, per data centre and by whether they have accelerators.
 
-    Hosts with accelerators are kept apart, so that other work does not use
-    them up while there is room elsewhere.
+    Hosts with accelerators are listed separately, so that work that needs none
+    uses them only when no other host fits.
     """
 
     hosts: dict[ProcessId, Host] = field(default_factory=dict)
@@ -56,30 +59,30 @@
     )
 
     def put(self, host: Host) -> None:
-        """Insert a host or replace what is known of it."""
+        """Insert or replace a host."""
         self.remove(host.process)
         self.hosts[host.process] = host
-        insort(self._list(host), (host.free.cpu_milli, host.process))
+        insort(self._rows(host), (host.free.cpu_milli, host.process))
 
     def remove(self, process: ProcessId) -> None:
-        """Remove a host if it is known."""
+        """Remove a host if it is in the index."""
         host = self.hosts.pop(process, None)
         if host is not None:
-            self._drop(host)
+            self._remove_row(host)
 
     def resize(self, process: ProcessId, free: Size) -> None:
-        """Change what is free on a host."""
+        """Set the free resources of a host."""
         host = self.hosts[process]
         if free.cpu_milli != host.free.cpu_milli:
-            self._drop(host)
-            insort(self._list(host), (free.cpu_milli, process))
+            self._remove_row(host)
+            insort(self._rows(host), (free.cpu_milli, process))
         host.free = free
 
-    def _list(self, host: Host) -> list[tuple[int, ProcessId]]:
+    def _rows(self, host: Host) -> list[tuple[int, ProcessId]]:
         return self.order.setdefault((host.data_centre, host.total.accelerators > 0), [])
 
-    def _drop(self, host: Host) -> None:
-        rows = self._list(host)
+    def _remove_row(self, host: Host) -> None:
+        rows = self._rows(host)
         del rows[bisect_left(rows, (host.free.cpu_milli, host.process))]
 
     def data_centres(self) -> list[DataCentreId]:
@@ -89,9 +92,10 @@
     def could_hold(
         self, size: Size, data_centres: Iterable[DataCentreId], claim: Callable[[ServiceId], Size]
     ) -> bool:
-        """Tell whether an otherwise empty host in these data centres could hold a size.
+        """Return whether an otherwise empty host in these data centres could hold a size.
 
-        What the claim of the host's own backend server takes is never free.
+        No data centres means all. `claim` returns what the backend server of a
+        service reserves on its host, which is never free.
         """
         allowed = set(data_centres)
         return any(
@@ -103,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reason:
-    """Why a job waits: a short code, a sentence, and the rule and bundle that decided, if any."""
+    """Why a job waits: a short code, a sentence, and the deciding rule and bundle, if any."""
 
     code: str
     text: str
@@ -113,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """One task to be assigned."""
+    """A decision to assign task `number` of a job to a host."""
 
     job: JobId
     number: int
@@ -123,19 +127,24 @@
 
 @dataclass(slots=True)
 class Demand:
-    """A job with tasks waiting; `numbers` are the tasks that may be placed now."""
+    """A job with waiting tasks; `numbers` are those that may be placed now."""
 
     row: JobRow
     numbers: list[int]
 
 
-# Returns why a team may not start one more task of a size, or None and counts the start.
+# Counts one more start against the limits of the job's team and returns None, or returns why the
+# team may not start it.
 Admit = Callable[[JobSpec], Reason | None]
 
 
 @dataclass(slots=True)
 class Placer:
-    """One round of placement; nothing in it outlives the round but the index and estimates."""
+    """One placement round; only the index and the estimates are kept between rounds.
+
+    `usable` tells whether a host may get a task of a job, `taken` is called for
+    each host that gets one.
+    """
 
     index: HostIndex
     rules: Rules
@@ -151,7 +160,7 @@
     _verdicts: dict[tuple[TeamId, str, DataCentreId, float], Reason | None] = field(
         default_factory=dict
     )
-    _misfits: set[tuple[Size, str, tuple[DataCentreId, ...], bool]] = field(default_factory=set)
+    _unplaceable: set[tuple[Size, str, tuple[DataCentreId, ...], bool]] = field(default_factory=set)
 
     def run(
         self,
@@ -162,8 +171,9 @@
     ) -> list[Placement]:
         """Place up to `limit` tasks in order of priority, team share and age.
 
-        `used` is the committed cores of each team. A job that cannot go on now
-        gets a reason and leaves the round; it never holds up the others.
+        `used` has the committed cores and `shares` the weight of each team. A
+        job that cannot be placed now gets an entry in `reasons` and leaves the
+        round; it never blocks the others.
         """
         used_now = dict(used)
         queue = [self._entry(demand, used_now, shares) for demand in demands if demand.numbers]
@@ -199,28 +209,28 @@
         return (*self._key(demand, used, shares), demand)
 
     def _place_next(self, demand: Demand) -> bool:
-        """Place a job's next task, or note why the job waits and return False."""
+        """Place a job's next task, or record why the job waits and return False."""
         spec = demand.row.spec
         allowed, reason = self.allowed(spec)
         if not allowed:
             self.reasons[spec.job_id] = reason or NO_HOSTS
             return False
         shape = (spec.size, spec.activity, tuple(allowed), spec.priority is Priority.URGENT)
-        host = None if shape in self._misfits else self.find(spec, allowed)
+        host = None if shape in self._unplaceable else self.find(spec, allowed)
         if host is None:
-            self._misfits.add(shape)
+            self._unplaceable.add(shape)
             self.reasons[spec.job_id] = NO_ROOM
             return False
         refused = self.admit(spec)
         if refused is not None:
             self.reasons[spec.job_id] = refused
             return False
-        self._take(host, spec)
+        self._commit(host, spec)
         number = demand.numbers.pop(0)
         self.placed.append(Placement(spec.job_id, number, host.process, host.host))
         return True
 
-    def _take(self, host: Host, spec: JobSpec) -> None:
+    def _commit(self, host: Host, spec: JobSpec) -> None:
         self.index.resize(host.process, host.free - spec.size)
         self.taken(host.process)
         host.activities[spec.activity] = host.activities.get(spec.activity, 0) + 1
@@ -285,11 +295,14 @@
     def _best_fit(
         self, spec: JobSpec, rows: list[tuple[int, ProcessId]], best_rank: tuple[float, int, int]
     ) -> tuple[Host | None, tuple[float, int, int]]:
-        """Return the host with the lowest rank below `best_rank`: slowdown, then room left."""
+        """Return the host of the lowest rank below `best_rank`, or None, with the best rank.
+
+        A rank is (slowdown, processors left, memory left).
+        """
         size, hosts, best, compared = spec.size, self.index.hosts, None, 0
         start = bisect_left(rows, (size.cpu_milli, ""))
-        for at in range(start, len(rows)):
-            host = hosts[rows[at][1]]
+        for position in range(start, len(rows)):
+            host = hosts[rows[position][1]]
             free = host.free
             if free.memory_mb < size.memory_mb or free.accelerators < size.accelerators:
                 continue
@@ -298,26 +311,30 @@
             slowdown = self._slowdown(spec, host)
             if slowdown > HARD_SLOWDOWN and spec.priority is not Priority.URGENT:
                 continue
-            # Rows are in order of free processors, so the first clean host is the best fit.
+            # Rows are in order of free processors, so the first host without slowdown fits best.
             rank = (slowdown, free.cpu_milli - size.cpu_milli, free.memory_mb - size.memory_mb)
             if rank < best_rank:
                 best, best_rank = host, rank
             compared += 1
-            if compared >= COMPARED and best_rank[0] <= SOFT_SLOWDOWN:
+            if compared >= MAX_COMPARED and best_rank[0] <= SOFT_SLOWDOWN:
                 break
-            if best_rank[0] == 0.0 and at + 1 < len(rows) and rows[at + 1][0] > free.cpu_milli:
+            if (
+                best_rank[0] == 0.0
+                and position + 1 < len(rows)
+                and rows[position + 1][0] > free.cpu_milli
+            ):
                 break
         return best, best_rank
 
     def _slowdown(self, spec: JobSpec, host: Host) -> float:
-        """Return the predicted slowdown with the task added, or 0.0 when it is harmless."""
+        """Return the predicted slowdown with the task added; 0.0 up to SOFT_SLOWDOWN."""
         if not host.service:
             return 0.0
-        known = self.estimates
-        added = known.added(host.service, host.activities, spec.activity)
+        estimator = self.estimates
+        added = estimator.added(host.service, host.activities, spec.activity)
         if added == 0.0:
             return 0.0
-        total = known.predict(host.service, host.activities) + added
+        total = estimator.predict(host.service, host.activities) + added
         return 0.0 if total <= SOFT_SLOWDOWN else total
 
 
@@ -330,8 +347,8 @@
 ) -> Reason | None:
     """Return why a job's task may not start in a data centre now, or None.
 
-    A start is refused when the boundary of an hour is so near that the task
-    could not be checkpointed and stopped before it.
+    A start is also refused if a forbidden period begins too soon to checkpoint
+    and stop the task before it.
     """
     if not rules.in_service(data_centre):
         text = f"data centre {data_centre} is out of service"
--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -1,7 +1,7 @@
-"""Limits of teams over all entries: shares lent by one entry, or an exact rolling window.
+"""Team limits across all entries: leased shares of a limit, and an exact rolling window.
 
-The rolling window keeps a sorted list of start times of the last second at
-one place, as the CALLR 2018 rate-limiting article does.
+The rolling window keeps a sorted list of the start times within the last second
+in one place, as in the CALLR 2018 article on rate limiting.
 """
 
 from bisect import bisect_right
@@ -14,20 +14,19 @@
 from apricotpath.model import Size
 
 WINDOW_S = 1.0
-# A share is lent for this long. The borrower stops using it earlier, by the
-# drift that two clocks can have, so a share is never in use at two entries.
+# Lease time of a share. The borrower stops using it earlier by the possible drift between two
+# clocks, so a share is never in use at two entries.
 SHARE_TTL_S = 10.0
 CLOCK_DRIFT = 0.01
-# A borrower asks for more than it needs now: in a burst its share doubles with
-# each request. Shares of events are whole numbers, so a smaller factor leaves a
-# share of 1 at 1.
-HEADROOM = 2.0
+# A borrower requests this many times what it needs now, so that in a burst its share doubles with
+# each request. Shares of events are whole numbers; a factor below 2 would leave a share of 1 at 1.
+REQUEST_FACTOR = 2.0
 IDLE_RETURN_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class TeamLimit:
-    """A team's limits: weight in the order of placement, committed size, starts per second.
+    """A team's limits: `share`, its weight in placement, committed size and starts per second.
 
     `quota` of None and `rate` of 0 mean no limit.
     """
@@ -39,7 +38,7 @@
 
 @dataclass(slots=True)
 class RollingWindow:
-    """Exact limit on events in any window of `WINDOW_S` seconds, at one place."""
+    """Exact limit on events in any window of `WINDOW_S` seconds, counted in one place."""
 
     limit: int
     times: list[float] = field(default_factory=list)
@@ -52,7 +51,7 @@
         self.times.insert(bisect_right(self.times, now), now)
         return True
 
-    def room(self, now: float) -> int:
+    def available_events(self, now: float) -> int:
         """Return how many events are allowed now."""
         del self.times[: bisect_right(self.times, now - WINDOW_S)]
         return max(0, self.limit - len(self.times))
@@ -60,7 +59,7 @@
 
 @dataclass(slots=True)
 class Loan:
-    """What one entry holds of a team's limit until a monotonic time."""
+    """A share of a team's limit leased to one entry until a monotonic time."""
 
     amount: float
     until: float
@@ -68,47 +67,47 @@
 
 @dataclass(slots=True)
 class Lender:
-    """The lending side of one team's limit, at the team's home entry.
+    """Lender of one team's limit, at the team's home entry.
 
-    A new home lends nothing until `opens_at`, when every share that a former
-    home lent has run out or `take_over` has counted it. With `whole`, shares
-    are whole numbers, for limits on events; then entries take turns, since a
-    small limit has no part for each.
+    A new home lends nothing until `opens_at`, when every share lent by a former
+    home has expired or has been counted by `take_over`. With `whole`, used for
+    limits on events, shares are whole numbers; entries then take turns, since
+    a small limit cannot be divided among all of them.
     """
 
     limit: float
     opens_at: float
     whole: bool = False
     loans: dict[EntryId, Loan] = field(default_factory=dict)
-    wants: dict[EntryId, float] = field(default_factory=dict)
+    requested: dict[EntryId, float] = field(default_factory=dict)
 
     def lent(self, now: float) -> float:
-        """Return the sum of the shares in force."""
+        """Return the sum of the unexpired shares."""
         for entry, loan in list(self.loans.items()):
             if loan.until <= now:
                 del self.loans[entry]
-                self.wants.pop(entry, None)
+                self.requested.pop(entry, None)
         return sum(loan.amount for loan in self.loans.values())
 
     def request(self, entry: EntryId, amount: float, now: float) -> tuple[float, float]:
-        """Set what an entry wants in all; return its share and the seconds it may use it.
+        """Set the total amount an entry requests; return its share and lease time in seconds.
 
-        When the wants exceed the limit, each entry gets an equal part and what
-        others leave. A share that is cut counts as lent until it has run out.
+        If the requested amounts exceed the limit, it is divided by max-min
+        fairness. A share that is reduced counts as lent until it has expired.
         """
         if now < self.opens_at:
             return 0.0, self.opens_at - now
         self.lent(now)
         held = self.loans.get(entry)
-        self.wants[entry] = max(0.0, amount)
+        self.requested[entry] = max(0.0, amount)
         others = sum(loan.amount for name, loan in self.loans.items() if name != entry)
         turn = int(now / SHARE_TTL_S) if self.whole else None
-        fair = _fair_part(self.limit, self.wants, entry, turn)
-        wanted = min(amount, fair) + self._spare(others)
-        granted = max(0.0, min(wanted, self.limit - others))
+        fair = _fair_share(self.limit, self.requested, entry, turn)
+        desired = min(amount, fair) + self._surplus(others)
+        granted = max(0.0, min(desired, self.limit - others))
         granted = float(int(granted)) if self.whole else granted
-        # The entry may have used its former, larger share up to this moment, and a
-        # lost answer leaves it in use; so the larger one counts until it has run out.
+        # The entry may still use its former, larger share, for example if this answer is
+        # lost. The larger one therefore counts until it has expired.
         counted = max(granted, held.amount) if held is not None else granted
         until = now + SHARE_TTL_S
         if held is not None and held.amount > granted:
@@ -118,64 +117,68 @@
             self.loans[entry] = Loan(counted, until)
         return granted, max(0.0, until - now)
 
-    def _spare(self, lent: float) -> float:
-        """Return what an entry gets beyond its wish, from what no entry wants.
+    def _surplus(self, lent: float) -> float:
+        """Return how much an entry gets beyond its request, from what no entry requests.
 
-        A burst then starts at once instead of waiting for its share to grow. Half
-        of what is not lent is kept back, so that the next entry with a burst finds some too.
+        A burst then starts at once instead of waiting for its share to grow. Half of
+        the remainder is retained for the next entry with a burst.
         """
-        wanted = sum(self.wants.values())
-        return max(0.0, self.limit - max(lent, wanted)) / 2
+        desired = sum(self.requested.values())
+        return max(0.0, self.limit - max(lent, desired)) / 2
 
     def take_over(self, held: Mapping[EntryId, Loan], now: float, opens_at: float) -> None:
-        """Count what all entries hold of a former home's loans, and open at `opens_at`."""
+        """Count the unexpired loans of a former home, and lend from `opens_at` on."""
         for entry, loan in held.items():
             if loan.amount > 0 and loan.until > now:
                 self.loans[entry] = loan
-                self.wants.setdefault(entry, loan.amount)
+                self.requested.setdefault(entry, loan.amount)
         self.opens_at = min(self.opens_at, opens_at)
 
 
-def _fair_part(
-    limit: float, wants: dict[EntryId, float], entry: EntryId, turn: int | None
+def _fair_share(
+    limit: float, requested: dict[EntryId, float], entry: EntryId, turn: int | None
 ) -> float:
-    """Return an entry's part of a limit by max-min fairness; `turn` asks for whole parts."""
-    left = limit
-    order = dict.fromkeys(wants, 0)
+    """Return an entry's share of a limit by max-min fairness.
+
+    With `turn`, shares are whole numbers and the entry served first rotates.
+    """
+    remaining = limit
+    order = dict.fromkeys(requested, 0)
     if turn is not None:
-        names = sorted(wants)
-        order = {name: (place + turn) % len(names) for place, name in enumerate(names)}
-    waiting = sorted(wants.items(), key=lambda item: (item[1], order[item[0]], item[0]))
-    for index, (name, want) in enumerate(waiting):
-        even = left / (len(waiting) - index)
-        part = min(want, even if turn is None else ceil(even), left)
+        names = sorted(requested)
+        order = {name: (position + turn) % len(names) for position, name in enumerate(names)}
+    waiting = sorted(requested.items(), key=lambda item: (item[1], order[item[0]], item[0]))
+    for index, (name, demand) in enumerate(waiting):
+        equal_part = remaining / (len(waiting) - index)
+        part = min(demand, equal_part if turn is None else ceil(equal_part), remaining)
         if name == entry:
             return part
-        left -= part
-    return left
+        remaining -= part
+    return remaining
 
 
 @dataclass(slots=True)
 class Borrower:
-    """The borrowing side of one team's limit, at an owner of shards.
+    """Borrower of one team's limit, at an owner of shards.
 
-    Once a home has asked what is held, grants of other homes are not taken
-    until `home_until`: the new home has not counted them.
+    Once a new home has asked for the share held here, grants of other homes are
+    rejected until `exclusive_until`, since the new home has not counted them.
     """
 
     amount: float = 0.0
     until: float = 0.0
     home: EntryId | None = None
-    home_until: float = -1e9
-    asked_at: float = -1e9
-    needed_at: float = -1e9
+    exclusive_until: float = -1e9
+    requested_at: float = -1e9
+    last_needed_at: float = -1e9
 
     def granted(self, amount: float, ttl_s: float, sent_at: float, quiet_s: float = 0.0) -> None:
-        """Take a grant; the time of the request counts, since the answer may be late.
+        """Accept a grant of `ttl_s` seconds from `sent_at`, the time of the request.
 
-        The share is not used in its last `quiet_s` seconds. With `WINDOW_S` for a rate, a
-        share that goes on to another entry is never used by both within one window. A
-        home that lends nothing yet leaves an older share in force until it ends.
+        The time of the answer does not count, since it may be late. The share is not used in
+        its last `quiet_s` seconds: with `WINDOW_S` for a rate, two successive holders of a
+        share never use it within one window. A grant of 0 from a home that lends nothing yet
+        leaves an older share valid until it expires.
         """
         if amount == 0.0 and self.available(sent_at) > 0.0:
             return
@@ -183,12 +186,12 @@
         self.until = sent_at + ttl_s * (1.0 - CLOCK_DRIFT) - quiet_s
 
     def trusts(self, home: EntryId, now: float) -> bool:
-        """Tell whether a grant of this home may be taken."""
-        return self.home in (None, home) or now >= self.home_until
+        """Return whether a grant of this home may be accepted."""
+        return self.home in (None, home) or now >= self.exclusive_until
 
     def declare(self, home: EntryId, now: float) -> float:
-        """Return the share held, for a new home that counts it, and trust only that home."""
-        self.home, self.home_until = home, now + SHARE_TTL_S
+        """Return the share held for a new home to count, and accept only that home's grants."""
+        self.home, self.exclusive_until = home, now + SHARE_TTL_S
         return self.available(now)
 
     def available(self, now: float) -> float:
@@ -196,33 +199,33 @@
         return self.amount if now < self.until else 0.0
 
     def ask(self, need: float, now: float, retry_s: float = 0.2) -> float | None:
-        """Return the amount to request now, or None if no message is needed."""
+        """Return the amount to request now, or None if no request is needed."""
         if need > 0:
-            self.needed_at = now
-        elif now - self.needed_at > IDLE_RETURN_S:
+            self.last_needed_at = now
+        elif now - self.last_needed_at > IDLE_RETURN_S:
             return None
-        if now - self.asked_at < retry_s:
+        if now - self.requested_at < retry_s:
             return None
         short = need > self.available(now)
         if not short and self.until - now > SHARE_TTL_S / 2:
             return None
-        self.asked_at = now
-        return need * HEADROOM
+        self.requested_at = now
+        return need * REQUEST_FACTOR
 
 
 @dataclass(slots=True)
 class RateShare:
-    """Starts per second within a lent rate: a rolling window of whole starts."""
+    """Starts per second within a borrowed rate, counted in a rolling window."""
 
     window: RollingWindow = field(default_factory=lambda: RollingWindow(0))
 
     def need(self, now: float) -> float:
-        """Return the rate that one more start needs."""
+        """Return the rate (starts per second) that one more start needs."""
         del self.window.times[: bisect_right(self.window.times, now - WINDOW_S)]
         return len(self.window.times) + 1.0
 
     def take(self, share: float, now: float) -> bool:
-        """Count a start, or return False if the lent rate is used up."""
+        """Count a start and return True, or return False if the rate `share` is used up."""
         self.window.limit = int(share)
         return self.window.take(now)
 
--- a/packages/core/src/apricotpath/rules.py
+++ b/packages/core/src/apricotpath/rules.py
@@ -1,4 +1,4 @@
-"""What the control state in force says about a piece of work."""
+"""Interface to the rules in force: whether and where work may run."""
 
 from dataclasses import dataclass
 from datetime import datetime
@@ -7,15 +7,15 @@
 from apricotpath.ids import DataCentreId, ServiceId, TeamId
 from apricotpath.model import Size
 
-# An eviction before a boundary begins this much earlier than the checkpoint needs: the slack
-# of a checkpoint and a second to stop. Owners and agents must use the same lead, or an agent
+# An eviction before a forbidden period begins this much earlier than the checkpoint time: slack for
+# the checkpoint and a second to stop. Owners and agents must use the same value, or an agent
 # refuses what an owner places.
 EVICT_SLACK_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """Whether work may run at one moment, by which rule and bundle.
+    """Whether work may run at one time, and the deciding rule and bundle.
 
     `until` is the UTC start of the next forbidden period, or None if there is
     none or the work is forbidden now.
@@ -28,14 +28,14 @@
 
 
 class Rules(Protocol):
-    """Control state in force in this process."""
+    """The control state in force in this process."""
 
     @property
     def bundle_version(self) -> int:
         """Version of the bundle in force; 0 before the first."""
 
     def in_service(self, dc: DataCentreId) -> bool:
-        """Tell whether operators have a data centre in service."""
+        """Return whether a data centre is in service."""
 
     def claim_of(self, service: ServiceId) -> Size:
         """Return what one backend server of a service reserves on its host."""
--- a/packages/core/src/apricotpath/servicerules.py
+++ b/packages/core/src/apricotpath/servicerules.py
@@ -1,4 +1,4 @@
-"""Rules of a service and its request classes, as the bundle gives them."""
+"""Rules of a service and its request classes, as defined by the bundle."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,8 +12,8 @@
 class ClassRules:
     """Rules of one request class; priority 0 is the highest and is shed last.
 
-    `deadline_s` applies when the caller names none, and `queue` is the most
-    requests of the class that may wait at one entry.
+    `deadline_s` applies when the caller sets none, and `queue` is the maximum
+    number of requests of the class that may wait at one entry.
     """
 
     name: ClassId
@@ -33,16 +33,16 @@
 
 
 class RequestRules(Protocol):
-    """The control state as the request path sees it; all calls are immediate."""
+    """The control state as the request path sees it; no call blocks."""
 
     def service_rules(self, service: ServiceId) -> ServiceRules | None:
-        """Return the rules of a service, or None if the bundle does not name it."""
+        """Return the rules of a service, or None if it is not in the bundle."""
 
     def in_service(self, dc: DataCentreId) -> bool:
-        """Tell whether a data centre is in service."""
+        """Return whether a data centre is in service."""
 
     def founders(self, service: ServiceId) -> frozenset[IncarnationId]:
-        """Return the agents that were there when the service first started."""
+        """Return the agents that were present when the service first started."""
 
     def has_founders(self, service: ServiceId) -> bool:
-        """Tell whether the record of the service's founders exists."""
+        """Return whether the record of these agents exists for the service."""
--- a/packages/core/src/apricotpath/submission.py
+++ b/packages/core/src/apricotpath/submission.py
@@ -1,4 +1,4 @@
-"""Job submissions as JSON: one check for the operators' command and the entry."""
+"""Validation of job submissions in JSON, shared by the operators' command and the entry."""
 
 from typing import Any
 
@@ -13,7 +13,7 @@
 
 
 def job_from_json(value: Any, where: str = "job") -> JobSpec:
-    """Return a job from JSON values; raises InputError with the path and the rule."""
+    """Return a job from JSON values; raises InputError with the path and the violated rule."""
     try:
         spec = build(JobSpec, value, where)
     except SettingsError as exc:
@@ -26,7 +26,7 @@
 
 
 def _rules(spec: JobSpec) -> tuple[tuple[str, bool, str], ...]:
-    """Return (path, whether it holds, rule) of every rule for a job."""
+    """Return (path, whether the rule holds, rule) for every rule."""
     return (
         (
             "job_id",
--- a/packages/core/src/apricotpath/workerhealth.py
+++ b/packages/core/src/apricotpath/workerhealth.py
@@ -1,17 +1,17 @@
-"""Which hosts are set aside because their workers fail everything."""
+"""Circuit breaker per host: a host whose worker fails all tasks is set aside."""
 
 from collections import deque
 from dataclasses import dataclass, field
 
 from apricotpath.ids import JobId, ProcessId
 
-# A host is set aside after this many failures in a row, of at least MIN_JOBS jobs:
-# a single broken job must not take hosts away from others.
+# A host is set aside after this many failures in a row, of tasks of at least MIN_JOBS jobs, so
+# that a single broken job does not take hosts from others.
 FAILURES = 5
 MIN_JOBS = 2
 FIRST_PAUSE_S = 30.0
 MAX_PAUSE_S = 600.0
-# A probe that gives no result within this time no longer blocks the next probe.
+# A probe without a result after this time no longer blocks the next probe.
 PROBE_WAIT_S = 120.0
 
 
@@ -26,7 +26,7 @@
 
     @property
     def set_aside(self) -> bool:
-        """Whether the host takes probes only."""
+        """Whether the host gets only probes, one at a time."""
         return self.pause_s > 0.0
 
 
@@ -37,7 +37,7 @@
     rows: dict[ProcessId, HealthRow] = field(default_factory=dict)
 
     def record(self, process: ProcessId, job: JobId, succeeded: bool, now: float) -> None:
-        """Take the result of one attempt into account."""
+        """Update the health of a host with the result of one attempt."""
         row = self.rows.setdefault(process, HealthRow())
         if succeeded:
             row.recent.clear()
@@ -52,20 +52,20 @@
             self._pause(row, FIRST_PAUSE_S, now)
 
     def usable(self, process: ProcessId, now: float) -> bool:
-        """Tell whether a task may be placed on a host, as a probe or normally."""
+        """Return whether a task may be placed on a host, as a probe or normally."""
         row = self.rows.get(process)
         if row is None or not row.set_aside:
             return True
         return now >= row.until and now >= row.probing_until
 
     def placed(self, process: ProcessId, now: float) -> None:
-        """Note a placement; on a host that is set aside it is the one probe."""
+        """Record a placement; on a host that is set aside it is the probe."""
         row = self.rows.get(process)
         if row is not None and row.set_aside:
             row.probing_until = now + PROBE_WAIT_S
 
     def set_aside(self, process: ProcessId) -> bool:
-        """Tell whether a host is set aside."""
+        """Return whether a host is set aside."""
         row = self.rows.get(process)
         return row is not None and row.set_aside
 
--- a/tests/features/eviction.feature
+++ b/tests/features/eviction.feature
@@ -1,13 +1,13 @@
 Feature: eviction
 
-  Guards against evictions that throw away more work than needed, that take work
-  other than low-priority batch tasks, and that chase the same job for ever.
+  Guards against evictions that lose more work than needed, that choose other than
+  low-priority batch tasks, and that evict tasks of the same job endlessly.
 
   Scenario Outline: room for urgent work costs the least lost work
     Given eviction candidates <candidates>
     And free cores per host for the eviction <free>
     When an eviction must free <need> cores
-    Then the eviction takes <victims>
+    Then the evicted tasks are <victims>
 
     Examples: each candidate is name:host:cores:priority:core seconds lost
       | candidates                                | free      | need | victims |
--- a/tests/features/hours.feature
+++ b/tests/features/hours.feature
@@ -1,12 +1,12 @@
 Feature: hours
 
-  Guards against forbidden work in quiet hours: at the edges, past midnight,
-  when clocks are set forward or back, in zones with odd offsets, and on a
-  weekday that differs between UTC and the zone.
+  Guards against allowing work in quiet hours: at their boundaries, across
+  midnight, at clock changes, in zones with fractional offsets, and where the
+  weekday differs between UTC and the zone.
 
   Scenario Outline: a time is forbidden or allowed
     Given quiet hours <from> to <to> on <days> in <zone>
-    Then at <utc> UTC the quiet hours say <answer>
+    Then at <utc> UTC the quiet hours return <answer>
 
     Examples: edges and midnight
       | zone             | days    | from  | to    | utc                 | answer    |
--- a/tests/features/interference.feature
+++ b/tests/features/interference.feature
@@ -1,12 +1,13 @@
 Feature: interference
 
-  Guards against feedback that blames quiet work, that a single wild report
-  misleads, that swings between two states, or that moves before it throttles.
+  Guards against estimates that attribute slowdown to harmless tasks or follow a
+  single outlier, and against a guard that oscillates or moves a task before it
+  has throttled it.
 
   Scenario Outline: estimates approach the planted slowdown from late, noisy reports
-    Given interference planted as <planted> with <noise> of wild reports and 2 s of lag
+    Given true interference <planted> with <noise> of outlier reports and 2 s of lag
     When interference is learned from 40 hosts for 300 s from seed <seed>
-    Then each interference estimate is within 0.1 of what was planted
+    Then each interference estimate is within 0.1 of the true value
 
     Examples:
       | planted                       | noise | seed |
@@ -15,7 +16,7 @@
       | grinding=0.3 sorting=0.1      | 5 %   | 3    |
 
   Scenario: a pair that is noisy only together is told from quiet singles
-    Given interference planted as grinding=0.0 sorting=0.0 with 0 % of wild reports and 2 s of lag
+    Given true interference grinding=0.0 sorting=0.0 with 0 % of outlier reports and 2 s of lag
     And interference of 0.8 when grinding and sorting run together
     When interference is learned from 40 hosts for 300 s from seed 4
     Then the pair is predicted at least 0.5 slower than its singles
@@ -28,7 +29,7 @@
   Scenario Outline: steps of the guard under interference
     Given a guarded host with a noisy and a quiet batch task
     When the interference pressure is <pressures>
-    Then the guard takes the steps <steps>
+    Then the actions of the guard are <steps>
 
     Examples: pressure for a number of seconds
       | pressures              | steps |
--- a/tests/features/jobs.feature
+++ b/tests/features/jobs.feature
@@ -1,8 +1,8 @@
 Feature: jobs
 
-  Guards against a snapshot that rebuilds another table than the journal it
-  replaces, against records of past attempts that change a task, and against a
-  large job that fills the memory of its owner.
+  Guards against a snapshot that rebuilds a different table than the journal it
+  replaces, against records of former attempts that change a task, and against
+  large jobs that exhaust the memory of their owner.
 
   Scenario Outline: a snapshot of the job table rebuilds an equal table
     Given a job table changed by 2000 random records from seed <seed>
@@ -40,5 +40,5 @@
     Then no task of the job table waits or is assigned
 
   Scenario: a job of 29000 waiting tasks stays small in the job table
-    When a job table takes 29000 tasks of which 100 are assigned
+    When a job table gets a job of 29000 tasks of which 100 are assigned
     Then the job table holds at most 200 kB
--- a/tests/features/ledger.feature
+++ b/tests/features/ledger.feature
@@ -1,7 +1,7 @@
 Feature: ledger
 
-  Guards against a host committed beyond its size, and against tasks that take the space
-  of the backend server.
+  Guards against a host committed beyond its size, and against tasks that take the
+  resources claimed by the backend server.
 
   Scenario Outline: random commitments never exceed the ledger's size
     When <steps> random ledger operations run from seed <seed>
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -1,7 +1,8 @@
 Feature: placement
 
-  Guards against a job that blocks others, against placement beyond what a host
-  reported free, and against starts that a rule, a take-out or feedback forbids.
+  Guards against a job that blocks others, against placement beyond the free
+  resources of a host, and against starts that a rule, a data centre out of
+  service or the interference estimates forbid.
 
   Scenario Outline: jobs are served by priority, then team share, then age
     Given placement hosts with 4 free cores in total
--- a/tests/features/quota.feature
+++ b/tests/features/quota.feature
@@ -1,12 +1,12 @@
 Feature: quota
 
-  Guards against a team that exceeds its limit by spreading over entries, against
+  Guards against a team that exceeds its limit by using several entries, against
   a share in use at two entries after a lost answer or a change of the lender,
-  and against a small team that never gets a share.
+  and against starvation of a team with a small limit.
 
   Scenario Outline: the exact rolling window of a quota never exceeds its limit
     Given a quota window of <limit> starts per second
-    When 5000 starts at random times from seed <seed> ask the quota window
+    When 5000 starts at random times from seed <seed> are checked against the quota window
     Then no quota window of one second holds more than <limit> starts and none was refused needlessly
 
     Examples:
@@ -28,7 +28,7 @@
       | a change of the lender  | 3    | 40     |
 
   Scenario: a quota with less than one start per entry still serves every entry in turn
-    Given a quota of one team with 2 starts per second over 6 entries that all want it
+    Given a quota of one team with 2 starts per second over 6 entries that all request it
     When the quota runs for 120 s
     Then every entry got a part of the quota
     And no team exceeded its quota rate in any second
--- a/tests/features/steps/eviction_steps.py
+++ b/tests/features/steps/eviction_steps.py
@@ -13,7 +13,7 @@
 
 
 class EvictionSubject:
-    """Holds candidates and the tasks chosen."""
+    """Eviction candidates and the tasks chosen."""
 
     def __init__(self) -> None:
         self.victims: list[Victim] = []
@@ -54,7 +54,7 @@
     context.eviction.choose(need, 0.0)
 
 
-@then("the eviction takes {victims}")
+@then("the evicted tasks are {victims}")
 def _(context: Any, victims: str) -> None:
     expected = [] if victims == "none" else victims.split(",")
     assert sorted(context.eviction.chosen) == expected, context.eviction.chosen
--- a/tests/features/steps/hours_steps.py
+++ b/tests/features/steps/hours_steps.py
@@ -30,7 +30,7 @@
 
 
 class QuietHoursCase:
-    """Holds the period under test and what a comparison found."""
+    """The weekly period under test."""
 
     def __init__(self, zone: str, days: str, start: str, end: str) -> None:
         numbers = frozenset(WEEKDAYS.index(day) for day in days.split(","))
@@ -74,7 +74,7 @@
     context.hours = QuietHoursCase(zone, days, start, end)
 
 
-@then("at {time} UTC the quiet hours say {answer}")
+@then("at {time} UTC the quiet hours return {answer}")
 def _(context: Any, time: str, answer: str) -> None:
     span = forbidden_span([context.hours.period], utc(time))
     assert (span is not None) is (answer == "forbidden"), span
--- a/tests/features/steps/interference_steps.py
+++ b/tests/features/steps/interference_steps.py
@@ -11,18 +11,20 @@
 
 
 class InterferenceSubject:
-    """Holds planted slowdowns, what is learned, and the steps of a guard."""
+    """True slowdowns per activity, learned estimates and the actions of a guard."""
 
     def __init__(self) -> None:
-        self.planted: dict[str, float] = {}
-        self.together = self.noise = self.lag = 0.0
+        self.true_slowdowns: dict[str, float] = {}
+        self.pair_slowdown = self.noise = self.lag = 0.0
         self.estimates = Estimates()
         self.shares = {"noisy": 1.0, "quiet": 1.0}
         self.steps: list[str] = []
 
     def true_pressure(self, tasks: dict[str, int]) -> float:
-        both = self.together if all(tasks.get(name) for name in NAMES) else 0.0
-        return 1.0 + both + sum(self.planted[name] * number for name, number in tasks.items())
+        both = self.pair_slowdown if all(tasks.get(name) for name in NAMES) else 0.0
+        return (
+            1.0 + both + sum(self.true_slowdowns[name] * number for name, number in tasks.items())
+        )
 
     def learn(self, hosts: int, seconds: int, seed: int) -> None:
         rng = random.Random(seed)
@@ -38,7 +40,7 @@
                     pressure = rng.uniform(1.0, 20.0)
                 self.estimates.observe(f"h{host}", "desk", sets[host], pressure, float(now))
 
-    def drive(self, pressures: str) -> None:
+    def run_guard(self, pressures: str) -> None:
         self.estimates.single["desk", "loud"] = 0.6
         row, now = GuardRow(), 100.0
         running = set(self.shares)
@@ -59,16 +61,20 @@
                 running -= {action.task} if action.step is Step.MOVE else set()
 
 
-@given("interference planted as {planted} with {noise:d} % of wild reports and {lag:d} s of lag")
-def _(context: Any, planted: str, noise: int, lag: int) -> None:
+@given(
+    "true interference {true_slowdowns} with {noise:d} % of outlier reports and {lag:d} s of lag"
+)
+def _(context: Any, true_slowdowns: str, noise: int, lag: int) -> None:
     subject = context.interference = InterferenceSubject()
-    subject.planted = {n: float(v) for n, v in (item.split("=") for item in planted.split())}
+    subject.true_slowdowns = {
+        n: float(v) for n, v in (item.split("=") for item in true_slowdowns.split())
+    }
     subject.noise, subject.lag = noise / 100, lag
 
 
 @given("interference of {slowdown:f} when grinding and sorting run together")
 def _(context: Any, slowdown: float) -> None:
-    context.interference.together = slowdown
+    context.interference.pair_slowdown = slowdown
 
 
 @when("interference is learned from {hosts:d} hosts for {seconds:d} s from seed {seed:d}")
@@ -76,10 +82,10 @@
     context.interference.learn(hosts, seconds, seed)
 
 
-@then("each interference estimate is within {limit:f} of what was planted")
+@then("each interference estimate is within {limit:f} of the true value")
 def _(context: Any, limit: float) -> None:
     subject = context.interference
-    for name, value in subject.planted.items():
+    for name, value in subject.true_slowdowns.items():
         found = subject.estimates.predict("desk", {name: 1}) - 1.0
         assert abs(found - value) <= limit, (name, found, value)
 
@@ -116,10 +122,10 @@
 
 @when("the interference pressure is {pressures}")
 def _(context: Any, pressures: str) -> None:
-    context.interference.drive(pressures)
+    context.interference.run_guard(pressures)
 
 
-@then("the guard takes the steps {steps}")
+@then("the actions of the guard are {steps}")
 def _(context: Any, steps: str) -> None:
     expected = [] if steps == "none" else steps.split(", ")
     assert context.interference.steps == expected, context.interference.steps
--- a/tests/features/steps/jobs_steps.py
+++ b/tests/features/steps/jobs_steps.py
@@ -28,7 +28,7 @@
 
 
 def random_record(rng: random.Random) -> Record:
-    """Return a record that fits the table often, but not always."""
+    """Return a random record that often, but not always, matches the table."""
     name = f"j{rng.randrange(6)}"
     task, attempt = task_id(name, rng.randrange(9)), rng.randint(1, 4)
     return rng.choice(
@@ -50,7 +50,7 @@
 
 
 class JobsSubject:
-    """Holds a table, its copy and what was measured."""
+    """A table, its copy and a measured memory size in bytes."""
 
     def __init__(self) -> None:
         self.rng = random.Random(0)
@@ -73,7 +73,7 @@
             self.copy.apply(from_json(json.loads(json.dumps(to_json(record)))))
 
 
-MISFITS: dict[str, Record] = {
+MISMATCHED_RECORDS: dict[str, Record] = {
     "the end of attempt 1": TaskFinished("j/0", 1),
     "the end of attempt 3": TaskFailed("j/0", 3, ""),
     "an assignment of attempt 2": TaskAssigned("j/0", 2, "h2", "p2"),
@@ -113,7 +113,7 @@
 
 @when("the job table gets {record}")
 def _(context: Any, record: str) -> None:
-    assert not context.jobs.table.apply(MISFITS[record])
+    assert not context.jobs.table.apply(MISMATCHED_RECORDS[record])
 
 
 @then("the job table is as before")
@@ -153,7 +153,7 @@
     assert row.ended and row.counts() == {TaskState.CANCELLED: 2}
 
 
-@when("a job table takes {count:d} tasks of which {assigned:d} are assigned")
+@when("a job table gets a job of {count:d} tasks of which {assigned:d} are assigned")
 def _(context: Any, count: int, assigned: int) -> None:
     subject = context.jobs = JobsSubject()
     tracemalloc.start()
--- a/tests/features/steps/ledger_steps.py
+++ b/tests/features/steps/ledger_steps.py
@@ -15,18 +15,18 @@
 
 
 class LedgerSubject:
-    """A ledger and what it answered."""
+    """A ledger and its last answer."""
 
     def __init__(self) -> None:
         self.ledger = Ledger(cores(16))
         self.answer = ""
 
-    def ask(self, operation: str) -> None:
+    def perform(self, operation: str) -> None:
         ledger = self.ledger
         if operation.endswith("after the claim grew"):
             ledger.set_claim(cores(12))
             operation = operation.removesuffix(" after the claim grew")
-        acts = {
+        operations = {
             "reserve 4 cores": lambda: ledger.reserve("n", cores(4)),
             "reserve 5 cores": lambda: ledger.reserve("n", cores(5)),
             "reserve 1 core": lambda: ledger.reserve("n", cores(1)),
@@ -39,12 +39,12 @@
             "release an unknown task": lambda: ledger.release("n"),
         }
         try:
-            self.answer = "wait" if acts[operation]() is False else "ok"
+            self.answer = "wait" if operations[operation]() is False else "ok"
         except CapacityError:
             self.answer = "error"
 
-    def storm(self, steps: int, rng: random.Random) -> None:
-        held: dict[str, Size] = {}
+    def run_random(self, steps: int, rng: random.Random) -> None:
+        expected: dict[str, Size] = {}
         for _ in range(steps):
             key = f"k{rng.randrange(12)}"
             size = Size(rng.randrange(9000), rng.randrange(9), rng.randrange(2))
@@ -54,15 +54,15 @@
                     self.ledger.set_claim(size)
                 elif act == "release":
                     self.ledger.release(key)
-                    held.pop(key, None)
+                    expected.pop(key, None)
                 else:
                     getattr(self.ledger, act)(key, size)
-                    held.setdefault(key, size)
+                    expected.setdefault(key, size)
             except CapacityError:
                 pass
             assert self.ledger.total.fits_in(self.ledger.size)
-            assert self.ledger.total == sum(held.values(), Size()) + self.ledger.claim
-            assert self.ledger.keys() == set(held)
+            assert self.ledger.total == sum(expected.values(), Size()) + self.ledger.claim
+            assert self.ledger.keys() == set(expected)
 
 
 @given("a ledger of 16 cores with a claim of 4 and a task of 8")
@@ -74,7 +74,7 @@
 
 @when("the ledger is asked to {operation}")
 def _(context: Any, operation: str) -> None:
-    context.ledger.ask(operation)
+    context.ledger.perform(operation)
 
 
 @then('the ledger answers "{answer}" and has {total:d} cores committed')
@@ -86,7 +86,7 @@
 @when("{steps:d} random ledger operations run from seed {seed:d}")
 def _(context: Any, steps: int, seed: int) -> None:
     context.ledger = LedgerSubject()
-    context.ledger.storm(steps, random.Random(seed))
+    context.ledger.run_random(steps, random.Random(seed))
 
 
 @then("the ledger total never exceeded its size and matched its keys")
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -19,7 +19,7 @@
 
 
 class PlacementRules:
-    """Out of service: `out`. Grinding is forbidden in `quiet` now and in `soon` shortly."""
+    """`out` is out of service; grinding is forbidden in `quiet` now and in `soon` in 5.5 s."""
 
     bundle_version = 3
 
@@ -37,7 +37,7 @@
 
 
 class PlacementSubject:
-    """Holds hosts, jobs and the result of one round."""
+    """Hosts, jobs and the result of one placement round."""
 
     def __init__(self) -> None:
         self.index, self.rules, self.estimates = HostIndex(), PlacementRules(), Estimates()
@@ -104,7 +104,7 @@
         return not (host.data_centre == "out" or grinding or noisy or sick)
 
     def measure(self, hosts: int, starts: int) -> float:
-        """Return the microseconds of one placement, and fill hosts as the target describes."""
+        """Return the microseconds per placement on hosts filled as in the capacity target."""
         subject = PlacementSubject()
         rng = subject.rng = random.Random(hosts)
         for number in range(hosts):
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -12,7 +12,7 @@
 
 
 class QuotaSubject:
-    """Runs the shares of many teams over entries beside an exact window."""
+    """Simulates the shares of many teams across entries, compared with an exact window."""
 
     def __init__(self) -> None:
         self.limits: dict[str, int] = {}
@@ -25,8 +25,8 @@
         self.exact: dict[str, RollingWindow] = {}
         self.served = self.served_exact = self.messages = 0
 
-    def wanting(self, now: float) -> list[tuple[str, str]]:
-        """Return the starts asked for in a step: a fifth of the teams burst at two entries."""
+    def start_requests(self, now: float) -> list[tuple[str, str]]:
+        """Return (team, entry) of each requested start: a fifth of the teams burst at 2 entries."""
         if not self.bursts:
             return [("t0", entry) for entry in self.entries]
         period = random.Random(int(now) // 5)
@@ -46,7 +46,7 @@
                 lenders = {
                     t: Lender(float(n), opens_at, whole=True) for t, n in self.limits.items()
                 }
-            for team, entry in self.wanting(now):
+            for team, entry in self.start_requests(now):
                 self.served_exact += self.exact[team].take(now)
                 rate, borrower = rates[team, entry], borrowers[team, entry]
                 amount = borrower.ask(rate.need(now), now)
@@ -67,15 +67,15 @@
     context.quota.window.limit = limit
 
 
-@when("{count:d} starts at random times from seed {seed:d} ask the quota window")
+@when("{count:d} starts at random times from seed {seed:d} are checked against the quota window")
 def _(context: Any, count: int, seed: int) -> None:
     subject, now = context.quota, 0.0
     rng, limit = random.Random(seed), subject.window.limit
     for _number in range(count):
         now += rng.expovariate(3 * limit)
-        room = sum(now - time < WINDOW_S for time in subject.times["t"]) < limit
+        allowed = sum(now - time < WINDOW_S for time in subject.times["t"]) < limit
         taken = subject.window.take(now)
-        assert taken == room, now
+        assert taken == allowed, now
         if taken:
             subject.times["t"].append(now)
 
@@ -99,7 +99,7 @@
     subject.limits = {f"t{n}": subject.rng.choice([3, 6, 20, 60]) for n in range(teams)}
 
 
-@given("a quota of one team with {limit:d} starts per second over 6 entries that all want it")
+@given("a quota of one team with {limit:d} starts per second over 6 entries that all request it")
 def _(context: Any, limit: int) -> None:
     context.quota = QuotaSubject()
     context.quota.limits, context.quota.bursts = {"t0": limit}, False
@@ -146,6 +146,6 @@
     assert lender.request("e0", 8.0, 9.9)[0] == 0.0
     assert lender.request("e0", 9.0, 10.0)[0] == 8.0
     assert lender.request("e1", 4.0, 11.0)[0] == 0.0
-    # Half of the 4.0 that nobody wants is lent on top, and never more than the limit in all.
+    # Half of the 4.0 that no entry requests is lent in addition, within the limit.
     assert lender.request("e1", 4.0, 20.0)[0] == 6.0
     assert lender.request("e2", 8.0, 20.0)[0] == 2.0
--- a/tests/features/steps/workerhealth_steps.py
+++ b/tests/features/steps/workerhealth_steps.py
@@ -9,7 +9,7 @@
 
 
 class WorkerhealthSubject:
-    """Holds the health of one worker `w` and the times of its probes."""
+    """Health of one worker `w` and the times of its probes in seconds."""
 
     def __init__(self, results: str) -> None:
         self.health = WorkerHealth()
@@ -56,7 +56,7 @@
     health.record("w", "c", True, 31.0)
 
 
-@then("the worker takes several tasks again")
+@then("the worker gets several tasks at once again")
 def _(context: Any) -> None:
     health = context.health.health
     health.placed("w", 31.0)
--- a/tests/features/workerhealth.feature
+++ b/tests/features/workerhealth.feature
@@ -1,7 +1,7 @@
 Feature: workerhealth
 
-  Guards against a worker that fails everything and so draws all waiting tasks to
-  itself, and against one broken job that takes healthy hosts away from others.
+  Guards against a worker that fails all tasks at once and thereby attracts all
+  waiting ones, and against one broken job that takes healthy hosts from others.
 
   Scenario Outline: a host is set aside after failures of several jobs only
     Given a worker whose results are <results>
@@ -23,4 +23,4 @@
   Scenario: a worker returns with its first success
     Given a worker whose results are a- b- a- b- a-
     When the worker completes a probe
-    Then the worker takes several tasks again
+    Then the worker gets several tasks at once again
