--- a/packages/core/src/apricotpath/admission.py
+++ b/packages/core/src/apricotpath/admission.py
@@ -7,12 +7,12 @@
 from apricotpath.ids import ClassId
 from apricotpath.servicerules import ClassRules
 
-# Weight of the newest sample in the estimate of how fast the queue moves.
-PACE_WEIGHT = 0.1
+# Weight of the newest sample in the moving average of the time per dequeued request.
+INTERVAL_WEIGHT = 0.1
 
 
 class Refusal(Enum):
-    """Why a waiting request is refused; the value is the reason given to the caller."""
+    """Why a request is refused; the value is the reason sent to the caller."""
 
     QUEUE_FULL = "queue-full"
     SHED = "shed"
@@ -22,7 +22,7 @@
 
 @dataclass(eq=False, slots=True)
 class Waiting:
-    """One request that waits for a backend server."""
+    """A request waiting for a backend server; `deadline` and `since` are times in seconds."""
 
     rules: ClassRules
     deadline: float
@@ -33,34 +33,34 @@
 class ClassQueues:
     """Queues of one service; `total` bounds all classes together.
 
-    With `by_priority` false it is one queue in order of arrival that refuses
-    the newest, as a baseline.
+    With `by_priority` false it behaves as one FIFO queue that refuses the
+    newest request when full, as a baseline for comparison.
     """
 
     total: int
     by_priority: bool = True
     queues: dict[ClassId, deque[Waiting]] = field(default_factory=dict)
     size: int = 0
-    pace_s: float = 0.0
-    moved_at: float | None = None
+    service_interval_s: float = 0.0
+    last_taken_at: float | None = None
 
     def offer(self, item: Waiting, now: float) -> tuple[Refusal | None, Waiting | None]:
-        """Queue a request; return why it was refused, or another one shed in its place."""
-        own = self.queues.setdefault(item.rules.name, deque())
-        if self.by_priority and len(own) >= item.rules.queue:
+        """Queue a request; return (refusal, shed): why it was refused, or one shed in its place."""
+        class_queue = self.queues.setdefault(item.rules.name, deque())
+        if self.by_priority and len(class_queue) >= item.rules.queue:
             return Refusal.QUEUE_FULL, None
         if self.by_priority and now + self.wait_s(item) >= item.deadline:
             return Refusal.WOULD_EXPIRE, None
         shed = None
         if self.size >= self.total:
-            shed = self._lowest(item.rules.priority) if self.by_priority else None
+            shed = self._newest_of_lowest(item.rules.priority) if self.by_priority else None
             if shed is None:
                 return Refusal.QUEUE_FULL, None
             self.remove(shed)
-        own.append(item)
+        class_queue.append(item)
         self.size += 1
         if self.size == 1:
-            self.moved_at = now
+            self.last_taken_at = now
         return None, shed
 
     def wait_s(self, item: Waiting) -> float:
@@ -70,23 +70,25 @@
             for queue in self.queues.values()
             if queue and queue[0].rules.priority <= item.rules.priority
         )
-        return ahead * self.pace_s
+        return ahead * self.service_interval_s
 
     def take(self, now: float) -> Waiting | None:
-        """Return the next request to send: highest priority, then longest wait."""
+        """Remove and return the next request: highest priority, then longest wait, or None."""
         heads = [queue[0] for queue in self.queues.values() if queue]
         if not heads:
             return None
         priority = 1 if self.by_priority else 0
         head = min(heads, key=lambda item: (item.rules.priority * priority, item.since))
         self.remove(head)
-        if self.moved_at is not None:
-            self.pace_s += PACE_WEIGHT * (now - self.moved_at - self.pace_s)
-        self.moved_at = now
+        if self.last_taken_at is not None:
+            self.service_interval_s += INTERVAL_WEIGHT * (
+                now - self.last_taken_at - self.service_interval_s
+            )
+        self.last_taken_at = now
         return head
 
     def remove(self, item: Waiting) -> bool:
-        """Remove a request that no longer waits; false if it was not queued."""
+        """Remove a request from its queue; false if it was not queued."""
         queue = self.queues.get(item.rules.name)
         if queue is None or item not in queue:
             return False
@@ -101,8 +103,11 @@
             self.remove(item)
         return late
 
-    def _lowest(self, below: int) -> Waiting | None:
-        """Return the newest request of the lowest priority below `below`, or None."""
+    def _newest_of_lowest(self, below: int) -> Waiting | None:
+        """Return the newest request of the lowest priority, if that is below `below`, or None.
+
+        A greater number is a lower priority.
+        """
         tails = [queue[-1] for queue in self.queues.values() if queue]
         tails = [item for item in tails if item.rules.priority > below]
         return max(tails, key=lambda item: (item.rules.priority, item.since), default=None)
--- a/packages/core/src/apricotpath/executor.py
+++ b/packages/core/src/apricotpath/executor.py
@@ -1,4 +1,4 @@
-"""Interface to the executor that runs tasks on a host, as its agent needs it."""
+"""Interface to the executor that runs tasks on a host, as used by the host's agent."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,26 +10,26 @@
 
 
 class ExecutorError(ApricotpathError):
-    """The executor did not do what was asked."""
+    """The executor did not carry out a call."""
 
 
 class ExecutorSilent(ExecutorError):
-    """No answer came; the call may have been executed or may be later."""
+    """No answer arrived; the call may have been executed or may still be."""
 
 
 class ExecutorFenced(ExecutorError):
-    """The executor has seen a higher fencing token; nothing was done."""
+    """The executor has seen a higher fencing token; the call had no effect."""
 
 
 class ExecutorReplaced(ExecutorError):
-    """Another life of the executor answered; nothing was done."""
+    """The executor has restarted since; the call had no effect."""
 
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """All runs and unnoted ends of an executor at `clock_ms` of its clock.
+    """All runs and unacknowledged run ends of an executor at `clock_ms` of its clock.
 
-    `born_ms` is 0 if the executor did not name its life.
+    `born_ms` is its start time, or 0 if the executor did not report it.
     """
 
     clock_ms: int
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartCall:
-    """A start as the executor gets it; `deadline_ms` is a time on the executor's clock."""
+    """A start order; it expires at `deadline_ms` on the executor's clock."""
 
     task: TaskId
     run: int
@@ -51,21 +51,25 @@
 
 
 class Executor(Protocol):
-    """Calls to one life of an executor; each raises ExecutorError if it was not done."""
+    """Calls to an executor; each raises ExecutorError if it failed.
+
+    A restarted executor raises ExecutorReplaced.
+    """
 
     async def hold(
         self, fence: FenceToken, noted: int, deadline_ms: int | None, wait_s: float
     ) -> Holding:
-        """Extend all runs to a deadline, forget ends up to `noted`, and return the lists.
+        """Extend the leases of all runs to a deadline and return the runs and run ends.
 
-        Waits up to `wait_s` for an end that is not listed yet.
+        Ends up to number `noted` are acknowledged, so the executor drops them.
+        Waits up to `wait_s` for an end that was not returned before.
         """
 
     async def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
-        """Start a run; doing so again is harmless."""
+        """Start a run; idempotent."""
 
     async def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
-        """Stop a run, or keep it from ever starting."""
+        """Stop a run, or prevent it from starting."""
 
     async def pace(self, task: TaskId, run: int, percent: int, fence: FenceToken) -> None:
-        """Let a run work at a share of its speed."""
+        """Limit a run to `percent` of its speed."""
--- a/packages/core/src/apricotpath/jobcodec.py
+++ b/packages/core/src/apricotpath/jobcodec.py
@@ -1,4 +1,4 @@
-"""Stored form of jobs: JSON that leaves out what has its default."""
+"""Stored form of jobs: JSON without fields that have their default value."""
 
 import json
 from dataclasses import MISSING, dataclass, fields
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredJob:
-    """What the store holds of a job: the job itself, or only its final state."""
+    """A job read from the store: the job itself or, once ended, its id, queue and final state."""
 
     job: Job
     ended: Progress | None = None
@@ -40,7 +40,7 @@
 
 
 def parse_job(text: str | bytes) -> StoredJob:
-    """Return a job of its stored form, or raise InputError."""
+    """Parse the stored form of a job, or raise InputError."""
     try:
         content = json.loads(text)
         job_id, queue = JobId(content["job"]), QueueId(content["queue"])
--- a/packages/core/src/apricotpath/keyplaces.py
+++ b/packages/core/src/apricotpath/keyplaces.py
@@ -1,4 +1,7 @@
-"""Reservation of an idempotency key over three agents, as steps without I/O."""
+"""Majority reservation of an idempotency key at three agents, as a protocol without I/O.
+
+The generator `reserve_key` yields steps, which the caller carries out, and receives the replies.
+"""
 
 from collections.abc import Generator, Sequence
 from dataclasses import dataclass
@@ -9,7 +12,8 @@
 from apricotpath.model import KeyState, Maturity, Settlement
 
 PLACES = 3
-# A key that changes hands more often than this is left to the caller's retry.
+# After this many rounds in which another request held the key, the reservation is given up; the
+# caller may retry.
 MAX_ROUNDS = 4
 
 
@@ -29,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AskPlaces:
-    """Step: send each reservation and return the replies, None where there was none."""
+    """Step: send each reservation and return the replies, None for a missing one."""
 
     asks: tuple[tuple[ProcessId, ReserveKey], ...]
 
@@ -43,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SettleAt:
-    """Step: settle a request at its home and return the Settlement."""
+    """Step: ask a request's home for its outcome and return the Settlement."""
 
     process: ProcessId
     settle: Settle
@@ -58,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Existing:
-    """Result: an earlier request has the key; `settlement` is not NEVER."""
+    """Result: an earlier request holds the key; `settlement` is not NEVER."""
 
     request: RequestId
     settlement: Settlement
@@ -82,15 +86,18 @@
 
 
 def key_places(key: KeyId, agents: Sequence[Place]) -> list[Place]:
-    """Return the key's places among the agents that are not young, best first."""
+    """Return the PLACES agents that hold a key, by rendezvous weight.
+
+    The caller passes only agents that are not young.
+    """
     return sorted(agents, key=lambda place: key_order(key, place.process))[:PLACES]
 
 
 def choose_home(places: Sequence[Place]) -> Place | None:
-    """Return the first place where a request may run, a healthy one if there is any.
+    """Return the first place where a request may run, a healthy one if possible, or None.
 
-    Entries may choose different homes for one key; the majority of the places
-    still lets only one of them run.
+    Entries may choose different homes for one key; a majority of the places is
+    still granted to only one of the requests.
     """
     usable = [place for place in places if place.present and place.usable]
     return next((place for place in usable if place.healthy), usable[0] if usable else None)
@@ -111,60 +118,64 @@
 
     The home is asked first, so that of two entries with the same view one
     stops early. A reservation is released only for a request that never runs:
-    our own before it is sent, or another one that its home has settled as
+    the own one before it is sent, or another one that its home has settled as
     NEVER, which also keeps a late copy of it from running. The home is the
-    same in all rounds, since a place keeps the one it was first told.
+    same in all rounds, since a place keeps the first home it received.
     """
     home = choose_home(places)
     if home is None:
         return Blocked("no agent that holds idempotency keys can take the request")
-    ask = ReserveKey(key, service, request, home.process, home.incarnation)
+    reservation = ReserveKey(key, service, request, home.process, home.incarnation)
     present = [place.process for place in places if place.present]
     release = TellPlaces(tuple((process, ReleaseKey(key, request)) for process in present))
     for _round in range(MAX_ROUNDS):
         replies: dict[ProcessId, KeyReserved] = {}
         for group in ([home], [p for p in places if p.present and p is not home]):
-            answers = yield AskPlaces(tuple((place.process, ask) for place in group))
+            answers = yield AskPlaces(tuple((place.process, reservation) for place in group))
             assert isinstance(answers, Sequence)
             for place, reply in zip(group, answers, strict=True):
                 if reply is not None:
                     replies[place.process] = reply
             if any(reply.state is KeyState.KNOWN for reply in replies.values()):
                 break
-        known = next((r for r in replies.values() if r.state is KeyState.KNOWN), None)
-        if known is None:
-            if enough(replies, len(places)):
+        existing = next((r for r in replies.values() if r.state is KeyState.KNOWN), None)
+        if existing is None:
+            if has_majority(replies, len(places)):
                 return Granted(home)
             yield release
             return Blocked("too few agents can vouch for the idempotency key")
-        settlement = yield SettleAt(known.home, Settle(known.request, known.home_incarnation))
+        settlement = yield SettleAt(
+            existing.home, Settle(existing.request, existing.home_incarnation)
+        )
         assert isinstance(settlement, Settlement)
         if settlement is not Settlement.NEVER:
             yield release
-            yield TellPlaces(_refresh(key, service, known, places))
-            return Existing(known.request, settlement)
-        stale = ReleaseKey(key, known.request)
+            yield TellPlaces(_replicate(key, service, existing, places))
+            return Existing(existing.request, settlement)
+        stale = ReleaseKey(key, existing.request)
         yield TellPlaces(tuple((process, stale) for process in present))
     yield release
     return Blocked("other requests with the same idempotency key are in progress")
 
 
-def enough(replies: dict[ProcessId, KeyReserved], places: int) -> bool:
-    """Tell whether a majority of the places answered `new` and a majority vouches.
+def has_majority(replies: dict[ProcessId, KeyReserved], places: int) -> bool:
+    """Return whether a majority of the places answered NEW with maturity FULL.
 
-    Only an agent that answered `new` vouches, and only if its memory is full.
+    An agent of lower maturity may have missed an earlier reservation of the key.
     """
     new = [reply for reply in replies.values() if reply.state is KeyState.NEW]
     full = [reply for reply in new if reply.maturity is Maturity.FULL]
     return min(len(new), len(full)) >= majority(places)
 
 
-def _refresh(
-    key: KeyId, service: ServiceId, known: KeyReserved, places: list[Place]
+def _replicate(
+    key: KeyId, service: ServiceId, existing: KeyReserved, places: list[Place]
 ) -> tuple[tuple[ProcessId, Message], ...]:
-    """Return messages that record the reservation in force at every place.
+    """Return messages that record the existing reservation at every present place.
 
-    The key then outlives the loss of the agents that held it first.
+    The key then survives the loss of the agents that held it first.
     """
-    ask = ReserveKey(key, service, known.request, known.home, known.home_incarnation)
-    return tuple((place.process, ask) for place in places if place.present)
+    reservation = ReserveKey(
+        key, service, existing.request, existing.home, existing.home_incarnation
+    )
+    return tuple((place.process, reservation) for place in places if place.present)
--- a/packages/core/src/apricotpath/retry.py
+++ b/packages/core/src/apricotpath/retry.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-# A service with little traffic may still retry a few times after a failure.
+# Tokens at the start, so that a service with little traffic can still retry a few times.
 INITIAL_TOKENS = 3.0
-# Bounds the retries that a long quiet time could save up for one failure.
+# Bounds the burst of retries after a long time without failures.
 MAX_TOKENS = 20.0
 
 
@@ -12,7 +12,7 @@
 class RetryBudget:
     """Token bucket of one service: each arrival adds `share`, each retry takes 1.
 
-    With `limited` false every retry is allowed, as a baseline.
+    With `limited` false every retry is allowed, as a baseline for comparison.
     """
 
     share: float
@@ -24,7 +24,7 @@
         self.tokens = min(MAX_TOKENS, self.tokens + self.share)
 
     def take(self) -> bool:
-        """Take the right to one retry; false if the budget is spent."""
+        """Consume the token for one retry; false if the budget is exhausted."""
         if not self.limited:
             return True
         if self.tokens < 1:
@@ -36,7 +36,7 @@
 def may_retry(
     budget: RetryBudget, tries: int, max_tries: int, deadline: float, need_s: float, now: float
 ) -> bool:
-    """Decide on one more try that needs about `need_s` seconds, and pay for it."""
+    """Return whether one more try of about `need_s` seconds is allowed; consumes a token if so."""
     if tries >= max_tries or now + need_s >= deadline:
         return False
     return budget.take()
--- a/packages/core/src/apricotpath/routing.py
+++ b/packages/core/src/apricotpath/routing.py
@@ -8,21 +8,25 @@
 from apricotpath.config import RequestSettings
 from apricotpath.ids import ProcessId
 
-# Reason of an agent's refusal when its backend server is down.
+# Reason that an agent refuses with when its backend server is down.
 BACKEND_DOWN = "the backend server does not accept connections"
+# Weight of the newest sample in the moving average of latencies.
 LATENCY_WEIGHT = 0.1
-# Ratios of latency beyond this say more about outliers than about load.
-MAX_SLOWNESS = 8.0
+# Latency ratios are capped here; higher ones reflect outliers rather than load.
+MAX_LATENCY_RATIO = 8.0
 MIN_LATENCY_S = 0.0005
-# A backend server this much slower than the median is avoided while at least half of
-# the others have free slots. Its measurement fades with FADE_S, so that it is tried again.
+# A backend server this much slower than the median is avoided while at least half of the
+# candidates are faster and have free slots. Its latency decays with the time constant FADE_S, so
+# that it is tried again.
 SLOW_FACTOR = 1.5
 FADE_S = 10.0
-# Failures in a row after which a backend server is ejected, and for how long.
+# Consecutive failures after which a backend server is ejected, and for how long; the time doubles
+# with each further ejection up to MAX_EJECT_S.
 EJECT_FAILURES = 5
 EJECT_S = 5.0
 MAX_EJECT_S = 60.0
-# With more than this share ejected, the failures are probably not theirs.
+# If more than this share is ejected, the cause is probably not the backend servers, so ejected ones
+# are used when no other is left.
 MAX_EJECTED_SHARE = 0.5
 
 
@@ -37,7 +41,7 @@
 
 @dataclass(slots=True)
 class BackendStats:
-    """What an entry has measured of one backend server."""
+    """Measurements of one backend server by an entry."""
 
     outstanding: int = 0
     latency_s: float = 0.0
@@ -55,7 +59,7 @@
     stats: dict[ProcessId, BackendStats] = field(default_factory=dict)
 
     def of(self, process: ProcessId) -> BackendStats:
-        """Return the measurements of a backend server, new ones if there are none."""
+        """Return the measurements of a backend server; creates them on first use."""
         found = self.stats.get(process)
         if found is None:
             found = self.stats[process] = BackendStats()
@@ -69,7 +73,7 @@
             stats.probing = True
 
     def finished(self, process: ProcessId, latency_s: float | None, ok: bool, now: float) -> None:
-        """Count the end of a request; `latency_s` is None if there was no answer."""
+        """Record the end of a request; `latency_s` is None if there was no answer."""
         stats = self.of(process)
         stats.outstanding -= 1
         if latency_s is not None:
@@ -88,21 +92,21 @@
             stats.failures = 0
 
     def released(self, process: ProcessId) -> None:
-        """Count the end of a request that says nothing about the backend server.
+        """Record the end of a request without a result for the backend server.
 
-        It was refused, or its caller hung up.
+        It was refused, or its caller disconnected.
         """
         stats = self.of(process)
         stats.outstanding -= 1
         stats.probing = False
 
     def healthy(self, process: ProcessId, now: float) -> bool:
-        """Tell whether a backend server is not ejected, or may get its probe."""
+        """Return whether a backend server is not ejected, or may get a probe."""
         stats = self.stats.get(process)
-        return stats is None or _usable(stats, now)
+        return stats is None or _accepts_requests(stats, now)
 
     def forget(self, process: ProcessId) -> None:
-        """Drop a backend server that has gone for good."""
+        """Remove the measurements of a backend server that is gone."""
         self.stats.pop(process, None)
 
 
@@ -113,63 +117,62 @@
     rng: Random,
     now: float,
 ) -> ProcessId | None:
-    """Return the backend server for a request, or None if none has room.
+    """Return the backend server for a request, or None if all are at their window.
 
-    Of `cfg.choices` random ones the one with the least load wins, weighted by
-    its latency against the fastest of them. An ejected one gets one probe at
-    a time after its pause.
+    Of `cfg.choices` random candidates the one with the lowest `score` is
+    chosen. An ejected one gets one probe at a time after its pause.
     """
-    room = [c for c in candidates if table.of(c.process).outstanding < window(c, cfg)]
+    available = [c for c in candidates if table.of(c.process).outstanding < window(c, cfg)]
     if cfg.ejection:
-        healthy = [c for c in room if _usable(table.of(c.process), now)]
+        healthy = [c for c in available if _accepts_requests(table.of(c.process), now)]
         ejected = sum(table.of(c.process).ejected_until > now for c in candidates)
-        trusted = ejected <= MAX_EJECTED_SHARE * len(candidates)
-        room = healthy if trusted else healthy or room
-    if not room:
+        ejection_applies = ejected <= MAX_EJECTED_SHARE * len(candidates)
+        available = healthy if ejection_applies else healthy or available
+    if not available:
         return None
     if cfg.choices <= 1:
-        return rng.choice(room).process
-    room = _without_slow(room, table, now)
-    drawn = room if len(room) <= cfg.choices else rng.sample(room, cfg.choices)
-    fastest = min(_latency(table.of(c.process)) for c in drawn)
-    start = rng.randrange(len(drawn))
-    turned = [*drawn[start:], *drawn[:start]]
-    return min(turned, key=lambda c: score(c, table.of(c.process), fastest)).process
+        return rng.choice(available).process
+    available = _without_slow(available, table, now)
+    sampled = available if len(available) <= cfg.choices else rng.sample(available, cfg.choices)
+    fastest = min(_latency(table.of(c.process)) for c in sampled)
+    start = rng.randrange(len(sampled))
+    rotated = [*sampled[start:], *sampled[:start]]
+    return min(rotated, key=lambda c: score(c, table.of(c.process), fastest)).process
 
 
-def _without_slow(room: list[Candidate], table: RoutingTable, now: float) -> list[Candidate]:
-    """Leave out what is much slower than the median, if enough others have free slots.
+def _without_slow(available: list[Candidate], table: RoutingTable, now: float) -> list[Candidate]:
+    """Leave out candidates much slower than the median, if enough others have free slots.
 
-    With a share `s` of slow ones, two random choices are both slow with a chance
-    of `s` squared, which alone would set the p99 for any `s` above a tenth.
+    With a share `s` of slow candidates, two random choices are both slow with
+    probability `s` squared, which dominates the p99 for any `s` above a tenth.
     """
-    latencies = sorted(_latency(table.of(c.process)) for c in room)
+    latencies = sorted(_latency(table.of(c.process)) for c in available)
     limit = SLOW_FACTOR * latencies[len(latencies) // 2]
     fast = [
         c
-        for c in room
+        for c in available
         if (stats := table.of(c.process)).outstanding < c.slots
         and _latency(stats) * exp((stats.measured_at - now) / FADE_S) <= limit
     ]
-    return fast if 2 * len(fast) >= len(room) else room
+    return fast if 2 * len(fast) >= len(available) else available
 
 
 def score(candidate: Candidate, stats: BackendStats, fastest_s: float) -> float:
-    """Return the cost of one more request: share of slots in use times slowness."""
-    slowness = min(_latency(stats) / fastest_s, MAX_SLOWNESS)
-    return (stats.outstanding + 1) / max(candidate.slots, 1) * slowness
+    """Return the cost of one more request: share of slots in use times relative latency."""
+    latency_ratio = min(_latency(stats) / fastest_s, MAX_LATENCY_RATIO)
+    return (stats.outstanding + 1) / max(candidate.slots, 1) * latency_ratio
 
 
 def window(candidate: Candidate, cfg: RequestSettings) -> int:
     """Return how many requests one entry may have outstanding at a backend server.
 
-    More would only wait there, where a later one of a higher priority could
-    not pass them.
+    Further requests would only queue there, where a later one of a higher
+    priority cannot overtake them.
     """
     return max(1, min(candidate.connections, int(candidate.slots * cfg.window)))
 
 
-def _usable(stats: BackendStats, now: float) -> bool:
+def _accepts_requests(stats: BackendStats, now: float) -> bool:
     return stats.ejections == 0 or (stats.ejected_until <= now and not stats.probing)
 
 
--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -1,4 +1,4 @@
-"""The run log of a scheduler in the store: fenced appends, snapshots and loading."""
+"""The scheduler's run log in the store: fenced appends, snapshots and loading."""
 
 import json
 import logging
@@ -20,11 +20,11 @@
 
 log = logging.getLogger(__name__)
 
-# A transaction of the store takes this many entries, compares included.
+# Entries that a store transaction may have, compares included.
 MAX_TXN_ENTRIES = 32
-# Compares and puts that every append needs itself.
-OWN_ENTRIES = 3
-# Further operations that a caller may add to one append.
+# Entries that every append needs: two compares and one put.
+APPEND_ENTRIES = 3
+# Operations that a caller may add to one append.
 MAX_EXTRA = 20
 MAX_PART_BYTES = 512 << 10
 # Log entries after which a snapshot is due.
@@ -34,8 +34,8 @@
 class RunLog:
     """Log of one scheduler epoch; every append compares the epoch's key.
 
-    A scheduler of an earlier epoch can therefore not write. Appends are made
-    one after another by one task.
+    A scheduler of an earlier epoch therefore cannot write. Appends must not run
+    concurrently.
     """
 
     def __init__(self, store: Store, prefix: str, epoch_key: str, epoch_revision: int) -> None:
@@ -47,7 +47,7 @@
         self._obsolete: deque[str] = deque()
 
     async def load(self) -> list[RunRecord]:
-        """Return all records, oldest first; the snapshot's come before the log's."""
+        """Return all records, oldest first: those of the snapshot, then those of the log."""
         records: list[RunRecord] = []
         head = await self.store.get(f"{self._prefix}snapshot")
         after = 0
@@ -74,23 +74,23 @@
     async def append(
         self, records: Sequence[RunRecord], extra: Sequence[Put | Delete] = ()
     ) -> None:
-        """Return when the records and extra operations are durable, all together.
+        """Write the records and extra operations in one transaction; return once durable.
 
-        Goes on trying while the store is away. Raises FencedError when a newer
-        scheduler has taken over; then nothing of this call is written.
+        Retries while the store is unavailable. Raises FencedError if a newer
+        scheduler has taken over; nothing of this call is written then.
         """
         self._seq += 1
         key = f"{self._prefix}log/{self._seq:012d}"
         value = {"token": new_token(), "records": [to_row(record) for record in records]}
         operations: list[Put | Delete] = [Put(key, json_bytes(value)), *extra]
-        room = MAX_TXN_ENTRIES - OWN_ENTRIES - len(extra)
-        removed = [self._obsolete.popleft() for _ in range(min(room, len(self._obsolete)))]
+        free_entries = MAX_TXN_ENTRIES - APPEND_ENTRIES - len(extra)
+        removed = [self._obsolete.popleft() for _ in range(min(free_entries, len(self._obsolete)))]
         operations += [Delete(obsolete) for obsolete in removed]
         await self._write(key, [Compare(key, 0)], operations)
         self.entries += 1
 
     async def snapshot(self, records: Iterable[RunRecord]) -> None:
-        """Replace the log by records that say the same; raises as `append`."""
+        """Replace the log by records that rebuild the same state; raises like `append`."""
         seq = self._seq
         parts: list[list[object]] = [[]]
         size = 0
@@ -129,8 +129,8 @@
     async def _write(
         self, key: str, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> None:
-        """Write one transaction that puts `key`, whose outcome is known in the end."""
-        wanted = next(op.value for op in operations if isinstance(op, Put) and op.key == key)
+        """Write one transaction that puts `key`; retries until the outcome is certain."""
+        expected = next(op.value for op in operations if isinstance(op, Put) and op.key == key)
         unknown = False
         delays = settle_delays()
         while True:
@@ -140,8 +140,8 @@
                     return
                 if unknown or compares:
                     item = await self.store.get(key)
-                    # An earlier attempt, whose answer was lost, took effect.
-                    if item is not None and item.value == wanted:
+                    # An earlier attempt whose answer was lost has taken effect.
+                    if item is not None and item.value == expected:
                         return
                 raise FencedError("a newer scheduler has taken over; nothing was written")
             except StoreOutcomeUnknown:
@@ -151,7 +151,7 @@
             except (StoreUnavailable, StoreLimited):
                 pass
             except StoreError as exc:
-                log.error("append refused; trying again: %s", exc)
+                log.error("store rejected the write, retrying: %s", exc)
             await anyio.sleep(next(delays))
 
     def _decode(self, value: bytes) -> list[RunRecord]:
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -1,4 +1,4 @@
-"""Records of the run log: what a scheduler must remember beyond its own life."""
+"""Records of the run log: the scheduler state that survives restarts and failover."""
 
 from dataclasses import dataclass
 from functools import singledispatch
@@ -16,7 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Assigned(RunRecord):
-    """A run was given to one life of a host's executor; written before the order is sent."""
+    """A run was assigned to a host's executor; written before the start order is sent.
+
+    `instance` and `born_ms` identify the executor process.
+    """
 
     task: TaskKey
     run: int
@@ -27,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended(RunRecord):
-    """A run is over; written before the executor is told that its end has been noted."""
+    """A run has ended; written before the end is acknowledged to the executor."""
 
     task: TaskKey
     run: int
@@ -37,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Saved(RunRecord):
-    """A run that goes on has made a checkpoint, which its task's next run can start from."""
+    """A run that continues has written a checkpoint, from which its task can resume."""
 
     task: TaskKey
     saved: str
@@ -53,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskSummary(RunRecord):
-    """All that earlier records say of one task; part of a snapshot."""
+    """The state of one task after all earlier records; part of a snapshot."""
 
     task: TaskKey
     done: bool
@@ -95,7 +98,7 @@
 
 
 def from_row(row: list[Any]) -> RunRecord:
-    """Return the record of a JSON form, or raise InputError."""
+    """Parse the JSON form of a record, or raise InputError."""
     try:
         tag, *values = row
         if tag == "a":
--- a/packages/core/src/apricotpath/settle.py
+++ b/packages/core/src/apricotpath/settle.py
@@ -8,11 +8,11 @@
 from apricotpath.messages import Header, KeyReserved, ReserveKey
 from apricotpath.model import KeyState, Maturity, Settlement
 
-# An entry asks for a request until its deadline and a little longer, so a
-# record without a key is of no use after that.
+# An entry asks for the outcome of a request until shortly after its deadline, so a record without
+# an idempotency key is not needed any longer.
 MIN_KEEP_S = 30.0
 SETTLE_MARGIN_S = 5.0
-# Former entry incarnations whose forgotten ids are remembered.
+# Entry incarnations for which the highest dropped request counter is kept.
 MAX_INCARNATIONS = 4096
 # A table of this size takes about 30 MB; further keys are refused.
 MAX_KEYS = 100_000
@@ -28,7 +28,7 @@
 
 
 class StartVerdict(Enum):
-    """What an agent does with a RequestStart."""
+    """An agent's decision on a RequestStart."""
 
     NEW = "new"
     DUPLICATE = "duplicate"
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A whole answer of a backend server."""
+    """A complete answer of a backend server."""
 
     status: int
     headers: tuple[Header, ...]
@@ -47,7 +47,10 @@
 
 @dataclass(slots=True)
 class RequestRecord:
-    """One request id; `reason` says why there is no answer."""
+    """State of one request id; `reason` says why there is no answer.
+
+    `keyed` tells whether the request has an idempotency key.
+    """
 
     state: RequestState
     keep_until: float
@@ -58,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SettleView:
-    """Answer to Settle; `answer` is set when the settlement is DONE."""
+    """Result of `RequestTable.settle`; `answer` is set if the settlement is DONE."""
 
     settlement: Settlement
     reason: str = ""
@@ -66,7 +69,7 @@
 
 
 def request_id(entry: IncarnationId, counter: int) -> RequestId:
-    """Return the id of an entry's request; counters of an incarnation only increase."""
+    """Return the id of an entry's request; counters increase within an incarnation."""
     return RequestId(f"{entry}.{counter}")
 
 
@@ -78,11 +81,11 @@
 
 @dataclass(slots=True)
 class RequestTable:
-    """Request ids by state, with kept answers bounded in size and in total.
+    """Request ids by state; kept answers are bounded per answer and in total (bytes).
 
-    A record that is dropped raises its entry's mark, the highest counter
-    forgotten: an unknown id at or below the mark may have run, so it is
-    settled as unknown and never as "not run".
+    `dropped_up_to` has the highest counter of a dropped record per entry
+    incarnation. An id without a record at or below it may have run, so it is
+    settled as UNKNOWN and never as NEVER.
     """
 
     kept_answer: int
@@ -91,15 +94,15 @@
     records: dict[RequestId, RequestRecord] = field(default_factory=dict)
     kept: OrderedDict[RequestId, int] = field(default_factory=OrderedDict)
     kept_bytes: int = 0
-    marks: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    dropped_up_to: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     def start(self, request: RequestId, keyed: bool, deadline: float, now: float) -> StartVerdict:
-        """Record a request as queued, unless the id is known or may have been."""
+        """Record a request as queued, unless its id has a record or may have had one."""
         record = self.records.get(request)
         if record is not None:
             never = record.state is RequestState.NEVER
             return StartVerdict.NEVER if never else StartVerdict.DUPLICATE
-        if self._forgotten(request):
+        if self._may_have_been_dropped(request):
             return StartVerdict.FORGOTTEN
         keep_until = max(deadline, now + MIN_KEEP_S) + SETTLE_MARGIN_S
         if keyed:
@@ -116,14 +119,14 @@
         return True
 
     def never(self, request: RequestId, now: float) -> bool:
-        """Record that a request must not run; false if it has already started.
+        """Record that a request must not run; false if it may have started already.
 
-        Whoever calls this for a running request must know that the backend
-        server was not reached, and uses `unsent` first.
+        For a request in state RUNNING that did not reach the backend server,
+        call `unsent` first.
         """
         record = self.records.get(request)
         if record is None:
-            if self._forgotten(request):
+            if self._may_have_been_dropped(request):
                 return False
             self.records[request] = RequestRecord(RequestState.NEVER, now + self.keyed_keep_s)
             return True
@@ -133,13 +136,13 @@
         return record.state is RequestState.NEVER
 
     def unsent(self, request: RequestId) -> None:
-        """Take back `run` for a request that did not reach the backend server."""
+        """Revert `run` for a request that did not reach the backend server."""
         record = self.records[request]
         if record.state is RequestState.RUNNING:
             record.state = RequestState.QUEUED
 
     def done(self, request: RequestId, answer: Answer | None, reason: str, now: float) -> None:
-        """Record the end of a run; without an answer it settles as unknown."""
+        """Record the end of a request; without an answer it settles as UNKNOWN."""
         record = self.records[request]
         record.state, record.reason = RequestState.DONE, reason
         keep = self.keyed_keep_s if record.keyed else SETTLE_MARGIN_S
@@ -159,10 +162,10 @@
             self.records[oldest].reason = "the answer is no longer kept"
 
     def settle(self, request: RequestId, now: float) -> SettleView:
-        """Return what became of a request; an id never seen becomes a tombstone."""
+        """Return the outcome of a request; an id never seen is recorded as NEVER."""
         record = self.records.get(request)
         if record is None:
-            if self._forgotten(request):
+            if self._may_have_been_dropped(request):
                 return SettleView(Settlement.UNKNOWN, "the request is no longer remembered")
             self.never(request, now)
             return SettleView(Settlement.NEVER)
@@ -177,24 +180,24 @@
         return SettleView(Settlement.DONE, "", record.answer)
 
     def expire(self, now: float) -> None:
-        """Drop records that nobody can ask for any more."""
+        """Drop records of ended requests whose keep time has passed."""
         for request, record in list(self.records.items()):
             ended = record.state in (RequestState.DONE, RequestState.NEVER)
             if ended and record.keep_until < now:
                 self._drop_answer(request)
                 del self.records[request]
-                self._raise_mark(request)
+                self._record_dropped(request)
 
-    def _forgotten(self, request: RequestId) -> bool:
+    def _may_have_been_dropped(self, request: RequestId) -> bool:
         entry, counter = split_request_id(request)
-        return counter <= self.marks.get(entry, -1)
+        return counter <= self.dropped_up_to.get(entry, -1)
 
-    def _raise_mark(self, request: RequestId) -> None:
+    def _record_dropped(self, request: RequestId) -> None:
         entry, counter = split_request_id(request)
-        self.marks[entry] = max(counter, self.marks.get(entry, -1))
-        self.marks.move_to_end(entry)
-        if len(self.marks) > MAX_INCARNATIONS:
-            self.marks.popitem(last=False)
+        self.dropped_up_to[entry] = max(counter, self.dropped_up_to.get(entry, -1))
+        self.dropped_up_to.move_to_end(entry)
+        if len(self.dropped_up_to) > MAX_INCARNATIONS:
+            self.dropped_up_to.popitem(last=False)
 
     def _drop_answer(self, request: RequestId) -> None:
         self.kept_bytes -= self.kept.pop(request, 0)
@@ -219,7 +222,7 @@
     records: dict[KeyId, KeyRecord] = field(default_factory=dict)
 
     def reserve(self, ask: ReserveKey, maturity: Maturity, now: float) -> KeyReserved | None:
-        """Reserve a key or return the reservation in force; None if the table is full.
+        """Reserve a key or return the existing reservation; None if the table is full.
 
         A repeated reservation of the same request answers `new` again.
         """
@@ -238,7 +241,7 @@
         )
 
     def release(self, key: KeyId, request: RequestId) -> None:
-        """Drop the reservation of a request that never runs, if it is still in force."""
+        """Remove the reservation of a request that never runs, if it still holds the key."""
         record = self.records.get(key)
         if record is not None and record.request == request:
             del self.records[key]
@@ -251,7 +254,11 @@
 
 
 def maturity(age_s: float, founder: bool, key_memory_s: float) -> Maturity:
-    """Return how far back an agent's memory of keys reaches, from its age in seconds."""
+    """Return the maturity of an agent: how far back its key table reaches.
+
+    `age_s` is the time since its start; a founder was present when the service first started,
+    so it has missed no reservation.
+    """
     if founder or age_s >= 2 * key_memory_s:
         return Maturity.FULL
     return Maturity.JOINING if age_s >= key_memory_s else Maturity.YOUNG
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -1,7 +1,7 @@
 Feature: admission
 
-  Guards against queues that grow without bound, against work of low priority
-  that crowds out the rest, and against requests that wait past their deadline.
+  Guards against unbounded queues, against low-priority requests that displace
+  others, and against requests that wait beyond their deadline.
 
   Scenario: a class has no more waiting requests than its rules allow
     Given admission queues for 100 requests
@@ -12,7 +12,7 @@
     Given admission queues for 20 requests
     When 20 requests are offered to admission: round-plan
     And 3 requests are offered to admission: <newcomer>
-    Then admission shed <shed> and refused <refused> newcomers
+    Then admission shed <shed> and refused <refused> new requests
 
     Examples:
       | newcomer   | shed | refused |
@@ -23,7 +23,7 @@
   Scenario Outline: the next request is the one of the highest priority, then the oldest
     Given admission queues for 100 requests in <mode> mode
     When requests are offered to admission in the order round-plan, intake, booking, intake
-    Then admission lets them go in the order <order>
+    Then admission dequeues them in the order <order>
 
     Examples:
       | mode     | order                               |
@@ -32,9 +32,9 @@
 
   Scenario: a request that would pass its deadline in the queue is refused at once
     Given admission queues for 100 requests
-    When admission moves one request each 1 s with 10 waiting
+    When admission dequeues one request per second with 10 waiting
     Then admission refuses a request with a deadline in 0.3 s as deadline-too-near
-    And admission takes a request with a deadline in 60 s
+    And admission accepts a request with a deadline in 60 s
 
   Scenario: requests whose deadline passes in the queue are taken out
     Given admission queues for 100 requests
--- a/tests/features/retry.feature
+++ b/tests/features/retry.feature
@@ -1,11 +1,11 @@
 Feature: retry
 
-  Guards against retries that multiply the load when everything fails, and
-  against tries that cannot end before the caller's deadline.
+  Guards against retries that multiply the load during an outage, and against
+  tries that cannot finish before the caller's deadline.
 
   Scenario Outline: retries stay within their share of arrivals
     Given a retry budget whose limit is <limit>
-    When 1000 arrivals each want 2 retries
+    When 1000 arrivals each request 2 retries
     Then between <least> and <most> retries were allowed
 
     Examples:
@@ -15,12 +15,12 @@
 
   Scenario: a quiet time saves up no storm
     Given a retry budget whose limit is on
-    When 1000 arrivals want no retry and then 100 retries are wanted at once
+    When 1000 arrivals request no retry and then 100 retries are requested at once
     Then between 20 and 20 retries were allowed
 
   Scenario Outline: a retry needs time and a try left, and costs nothing if refused
     Given a retry budget whose limit is on
-    When a retry is wanted at <now> s for a deadline at 10 s after <tries> tries
+    When a retry is requested at <now> s for a deadline at 10 s after <tries> tries
     Then the retry answer is <answer>
 
     Examples:
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -1,7 +1,7 @@
 Feature: routing
 
-  Guards against requests that pile up at a slow, full or failing backend
-  server, and against a healthy fleet being ejected for a common failure.
+  Guards against requests that accumulate at a slow, full or failing backend
+  server, and against ejecting healthy backend servers because of a common cause.
 
   Scenario Outline: two choices keep the longest queue short, against the random baseline
     Given a routing table of 11 backend servers with <choices> choices and seed 5
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -1,7 +1,7 @@
 Feature: runlog
 
-  Guards against a record that is acknowledged and gone after a take-over, a
-  record that a former scheduler still writes, a lost answer that writes twice,
+  Guards against an acknowledged record that is lost after a failover, a record
+  written by a replaced scheduler, a record written twice after a lost answer,
   and a snapshot that loses or repeats records.
 
   Scenario Outline: runlog appends a record exactly once when <fault>
@@ -20,7 +20,7 @@
   Scenario Outline: runlog refuses a scheduler that was replaced <when>
     Given a runlog of the first scheduler
     When another scheduler takes over <when> the first one appends to the runlog
-    Then the first scheduler is told by the runlog that it was replaced
+    Then the runlog rejects the append of the first scheduler as fenced
     And the next scheduler does not load the first one's last record
 
     Examples:
--- a/tests/features/settle.feature
+++ b/tests/features/settle.feature
@@ -1,13 +1,13 @@
 Feature: settle
 
-  Guards against "never" for a request that ran, against a run after "never",
-  against kept answers that fill the memory, and against keys that are
-  forgotten too early.
+  Guards against settling a request as "never" although it ran, against running
+  it after that, against kept answers that exhaust the memory, and against keys
+  that are dropped too early.
 
   Scenario Outline: what an agent says of a request id
     Given an agent's settle tables
     When the settled request has <history>
-    Then settling it says <settlement>
+    Then settling it returns <settlement>
     And a later start of the settled request is <verdict>
 
     Examples:
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -9,7 +9,7 @@
 
 
 class AdmissionSubject:
-    """Holds the queues of one service and what they refused and shed."""
+    """Queues of one service, with the refused and shed requests."""
 
     def __init__(self, total: int, by_priority: bool = True) -> None:
         self.queues = ClassQueues(total, by_priority)
@@ -49,7 +49,7 @@
     assert (subject.queues.size, subject.refused) == (held, [reason] * refused)
 
 
-@then("admission shed {shed:d} and refused {refused:d} newcomers")
+@then("admission shed {shed:d} and refused {refused:d} new requests")
 def _(context: Any, shed: int, refused: int) -> None:
     subject = context.admission
     assert (len(subject.shed), len(subject.refused)) == (shed, refused)
@@ -65,13 +65,13 @@
         context.admission.offer(name)
 
 
-@then("admission lets them go in the order {order}")
+@then("admission dequeues them in the order {order}")
 def _(context: Any, order: str) -> None:
     taken = [context.admission.queues.take(1.0) for _name in order.split(", ")]
     assert ", ".join(item.rules.name for item in taken) == order
 
 
-@when("admission moves one request each 1 s with {waiting:d} waiting")
+@when("admission dequeues one request per second with {waiting:d} waiting")
 def _(context: Any, waiting: int) -> None:
     subject = context.admission
     for _number in range(waiting + 5):
@@ -87,7 +87,7 @@
     assert context.admission.refused == [reason]
 
 
-@then("admission takes a request with a deadline in {deadline:g} s")
+@then("admission accepts a request with a deadline in {deadline:g} s")
 def _(context: Any, deadline: float) -> None:
     context.admission.offer("intake", deadline)
     assert len(context.admission.refused) == 1
--- a/tests/features/steps/retry_steps.py
+++ b/tests/features/steps/retry_steps.py
@@ -8,14 +8,14 @@
 
 
 class RetrySubject:
-    """Holds one budget and counts what it allowed."""
+    """A retry budget and the number of retries it allowed."""
 
     def __init__(self, limited: bool) -> None:
         self.budget = RetryBudget(0.1, limited)
         self.allowed = 0
         self.answer = False
 
-    def want(self, count: int) -> None:
+    def request_retries(self, count: int) -> None:
         self.allowed += sum(self.budget.take() for _number in range(count))
 
 
@@ -24,18 +24,18 @@
     context.retry = RetrySubject(limit == "on")
 
 
-@when("{count:d} arrivals each want 2 retries")
+@when("{count:d} arrivals each request 2 retries")
 def _(context: Any, count: int) -> None:
     for _number in range(count):
         context.retry.budget.arrived()
-        context.retry.want(2)
+        context.retry.request_retries(2)
 
 
-@when("{count:d} arrivals want no retry and then {wanted:d} retries are wanted at once")
-def _(context: Any, count: int, wanted: int) -> None:
+@when("{count:d} arrivals request no retry and then {requested:d} retries are requested at once")
+def _(context: Any, count: int, requested: int) -> None:
     for _number in range(count):
         context.retry.budget.arrived()
-    context.retry.want(wanted)
+    context.retry.request_retries(requested)
 
 
 @then("between {least:d} and {most:d} retries were allowed")
@@ -43,7 +43,7 @@
     assert least <= context.retry.allowed <= most, context.retry.allowed
 
 
-@when("a retry is wanted at {now:g} s for a deadline at 10 s after {tries:d} tries")
+@when("a retry is requested at {now:g} s for a deadline at 10 s after {tries:d} tries")
 def _(context: Any, now: float, tries: int) -> None:
     subject = context.retry
     subject.answer = may_retry(subject.budget, tries, 3, 10.0, 0.02, now)
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -12,7 +12,7 @@
 
 
 class RoutingSubject:
-    """Holds the measurements of one entry over equal backend servers."""
+    """Routing table of one entry with identical backend servers."""
 
     def __init__(self, count: int, choices: int, seed: int) -> None:
         self.candidates = [Candidate(f"b{number}", 8, 64) for number in range(1, count + 1)]
@@ -34,7 +34,7 @@
             self.table.finished(name, 0.001, False, 0.0)
 
     def used(self, now: float, pending: str = "") -> set[str | None]:
-        """Return the backend servers that 50 requests one after another would use.
+        """Return the backend servers that 50 sequential requests are routed to.
 
         Requests to `pending` do not end.
         """
@@ -131,7 +131,7 @@
         self.latencies: list[float] = []
         self.last_sent: dict[str, float] = {}
 
-    def play(self, rate: float, seconds: float) -> None:
+    def simulate(self, rate: float, seconds: float) -> None:
         now, number = 0.0, 0
         while now < seconds:
             now, number = now + self.rng.expovariate(rate), number + 1
@@ -147,12 +147,12 @@
         if int(process) < self.slow and now > 5.0:
             work *= self.factor
         slots = self.busy[process]
-        begun = now if len(slots) < 8 else max(now, heappop(slots))
-        heappush(slots, begun + work)
+        started_at = now if len(slots) < 8 else max(now, heappop(slots))
+        heappush(slots, started_at + work)
         while slots[0] <= now:
             heappop(slots)
         table.sent(process, now)
-        latency = begun + work - now
+        latency = started_at + work - now
         heappush(self.open, (now + latency, number, table, process, latency))
         self.last_sent[process] = now
         if now > 8.0:
@@ -164,14 +164,16 @@
     "as long at {rate:d} per s from seed {seed:d}"
 )
 def _(context: Any, slow: int, factor: float, rate: int, seed: int) -> None:
-    context.fleet = RoutedFleet(slow, factor, seed)
-    context.fleet.play(rate, 40.0)
+    context.simulation = RoutedFleet(slow, factor, seed)
+    context.simulation.simulate(rate, 40.0)
 
 
 @then("the routed p99 is at most {p99:d} ms and every slow server was tried again")
 def _(context: Any, p99: int) -> None:
-    fleet = context.fleet
-    found = sorted(fleet.latencies)[int(len(fleet.latencies) * 0.99)] * 1000
+    simulation = context.simulation
+    found = sorted(simulation.latencies)[int(len(simulation.latencies) * 0.99)] * 1000
     assert found <= p99, found
-    # Without a new try an entry would never learn that a server has recovered.
-    assert all(fleet.last_sent[str(n)] > 20.0 for n in range(fleet.slow)), fleet.last_sent
+    # Without a later request an entry could not detect that a server has recovered.
+    assert all(simulation.last_sent[str(n)] > 20.0 for n in range(simulation.slow)), (
+        simulation.last_sent
+    )
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -24,7 +24,7 @@
 
 
 class LogCase:
-    """One store and the logs of schedulers that follow each other."""
+    """One store and the run logs of successive schedulers."""
 
     def __init__(self) -> None:
         self.actions: list[Callable[[], Awaitable[None]]] = []
@@ -134,8 +134,8 @@
     case.run()
 
 
-@then("the first scheduler is told by the runlog that it was replaced")
-def told(context: Any) -> None:
+@then("the runlog rejects the append of the first scheduler as fenced")
+def is_fenced(context: Any) -> None:
     case: LogCase = context.log
 
     async def act() -> None:
--- a/tests/features/steps/settle_steps.py
+++ b/tests/features/steps/settle_steps.py
@@ -16,7 +16,7 @@
 
 
 class SettleSubject:
-    """Holds the tables of one agent, with 100 bytes per answer and 1000 in all."""
+    """Tables of one agent that keep at most 100 bytes per answer and 1000 in total."""
 
     def __init__(self) -> None:
         self.requests = RequestTable(100, 1000, 240.0)
@@ -88,7 +88,7 @@
     HISTORIES[history](context.settle)
 
 
-@then("settling it says {settlement}")
+@then("settling it returns {settlement}")
 def _(context: Any, settlement: str) -> None:
     subject = context.settle
     assert subject.requests.settle(REQUEST, subject.now).settlement.value == settlement
