--- a/packages/daemon/src/apricotpathd/attempt.py
+++ b/packages/daemon/src/apricotpathd/attempt.py
@@ -1,4 +1,4 @@
-"""One try of a request at an agent, and the answer that comes back in parts."""
+"""One try of a request at an agent, and its answer, which arrives in parts."""
 
 from collections import deque
 from collections.abc import AsyncIterator
@@ -12,17 +12,18 @@
 from apricotpath.messages import Header, Message, RequestRefused, ResponseAck
 from apricotpath.servicerules import ClassRules
 
-# Acknowledged this often, a large answer never waits for the agent's window of 1 MiB.
+# Interval of acknowledgements; far below the agent's send window of 1 MiB, so that the
+# agent never has to wait for one.
 ACK_BYTES = 256 << 10
-# Parts that came before an earlier one are held up to this size.
-EARLY_BYTES = 2 << 20
+# Limit on buffered parts that arrived out of order.
+MAX_OUT_OF_ORDER_BYTES = 2 << 20
 
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """One caller's request with its whole body; `deadline` is monotonic seconds.
+    """One caller's request with its complete body; `deadline` is monotonic seconds.
 
-    `key` is the caller's own text, or empty for an idempotent class.
+    `key` is the idempotency key as the caller sent it, or empty for an idempotent class.
     """
 
     service: ServiceId
@@ -38,7 +39,7 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One request id at one agent, and what has come back of its answer."""
+    """One request id at one agent, and the part of its answer received so far."""
 
     request: RequestId
     process: ProcessId
@@ -49,29 +50,29 @@
     parts: deque[bytes] = field(default_factory=deque)
     received: int = 0
     acked: int = 0
-    whole: bool = False
+    complete: bool = False
     refused: RequestRefused | None = None
     failed: str = ""
     total: int = -1
-    early: dict[int, bytes] = field(default_factory=dict)
-    early_bytes: int = 0
-    following: bool = False
+    out_of_order: dict[int, bytes] = field(default_factory=dict)
+    out_of_order_bytes: int = 0
+    settled_as_running: bool = False
     timed_out: bool = False
     resends: int = 0
     event: anyio.Event = field(default_factory=anyio.Event)
 
     @property
     def started(self) -> bool:
-        """Whether status and headers have come."""
+        """Whether status and headers have arrived."""
         return self.status != 0
 
     @property
-    def lost(self) -> bool:
-        """Whether the link it was sent on has ended."""
+    def link_ended(self) -> bool:
+        """Whether the link that the request was sent on has closed."""
         return not self.link.is_open
 
     def wake(self) -> None:
-        """Wake the caller's task."""
+        """Wake the task that waits for the answer."""
         self.event.set()
 
     async def wait(self) -> None:
@@ -80,8 +81,8 @@
         self.event = anyio.Event()
 
     def add(self, offset: int, data: bytes, final: bool, total: int) -> None:
-        """Add part of the body; parts seen before are ignored and early ones wait."""
-        if self.whole:
+        """Add a part of the body; repeated parts are ignored, out-of-order ones buffered."""
+        if self.complete:
             return
         if final:
             if total != offset + len(data):
@@ -89,16 +90,16 @@
                 return
             self.total = total
         if offset > self.received:
-            if self.early_bytes + len(data) <= EARLY_BYTES:
-                self.early[offset] = data
-                self.early_bytes += len(data)
+            if self.out_of_order_bytes + len(data) <= MAX_OUT_OF_ORDER_BYTES:
+                self.out_of_order[offset] = data
+                self.out_of_order_bytes += len(data)
             return
         self._append(offset, data)
-        while self.early and (first := min(self.early)) <= self.received:
-            early = self.early.pop(first)
-            self.early_bytes -= len(early)
-            self._append(first, early)
-        self.whole = self.total == self.received
+        while self.out_of_order and (first := min(self.out_of_order)) <= self.received:
+            out_of_order = self.out_of_order.pop(first)
+            self.out_of_order_bytes -= len(out_of_order)
+            self._append(first, out_of_order)
+        self.complete = self.total == self.received
 
     def _append(self, offset: int, data: bytes) -> None:
         skip = self.received - offset
@@ -107,27 +108,27 @@
             self.received = offset + len(data)
 
 
-class Follower(Protocol):
-    """What an answer needs of the exchange that receives it."""
+class AnswerSource(Protocol):
+    """The operations of the exchange that an AnswerStream uses."""
 
-    async def progress(self, attempt: "Attempt", deadline: float) -> None:
-        """Wait until more of the answer has come, settling it if the link is lost."""
+    async def wait_for_progress(self, attempt: "Attempt", deadline: float) -> None:
+        """Wait until more of the answer has arrived; settle the request if its link closed."""
 
-    def post(self, link: Link, message: Message) -> None:
-        """Send a message whose loss does no harm."""
+    def send_best_effort(self, link: Link, message: Message) -> None:
+        """Send a message that may be lost without harm."""
 
     def close_attempt(self, attempt: "Attempt") -> None:
-        """Forget an attempt; an agent that still runs it is told to stop."""
+        """Remove an attempt; an agent that still runs it is asked to cancel it."""
 
 
 class AnswerStream:
-    """An answer whose start has come; `chunks` yields the rest of it.
+    """An answer whose status and headers have arrived; `chunks` yields its body.
 
-    `whole` means that the complete body is at hand. `chunks` raises
-    OutcomeUnknown if the rest does not come.
+    `complete` tells whether the entire body has arrived. `chunks` raises
+    OutcomeUnknown if the rest of the body does not arrive.
     """
 
-    def __init__(self, exchange: Follower, attempt: Attempt, deadline: float) -> None:
+    def __init__(self, exchange: AnswerSource, attempt: Attempt, deadline: float) -> None:
         self._exchange = exchange
         self._attempt = attempt
         self._deadline = deadline
@@ -136,32 +137,34 @@
         self.headers = attempt.headers
 
     @property
-    def whole(self) -> bool:
-        """Whether the complete body is at hand."""
-        return self._attempt.whole
+    def complete(self) -> bool:
+        """Whether the entire body has arrived."""
+        return self._attempt.complete
 
     def body(self) -> bytes:
-        """Return the complete body of a whole answer."""
-        assert self._attempt.whole
+        """Return the body; the answer must be complete."""
+        assert self._attempt.complete
         parts = self._attempt.parts
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in order, acknowledging what the caller has taken."""
+        """Yield the body in order, and acknowledge the bytes that the caller has consumed."""
         attempt = self._attempt
-        taken = 0
+        consumed = 0
         while True:
             while attempt.parts:
                 data = attempt.parts.popleft()
                 yield data
-                taken += len(data)
-                if taken - attempt.acked >= ACK_BYTES:
-                    attempt.acked = taken
-                    self._exchange.post(attempt.link, ResponseAck(attempt.request, taken))
-            if attempt.whole:
+                consumed += len(data)
+                if consumed - attempt.acked >= ACK_BYTES:
+                    attempt.acked = consumed
+                    self._exchange.send_best_effort(
+                        attempt.link, ResponseAck(attempt.request, consumed)
+                    )
+            if attempt.complete:
                 return
-            await self._exchange.progress(attempt, self._deadline)
+            await self._exchange.wait_for_progress(attempt, self._deadline)
 
     def close(self) -> None:
-        """Drop the answer; an agent that still runs the request is told to stop."""
+        """Close the answer; an agent that still runs the request is asked to cancel it."""
         self._exchange.close_attempt(self._attempt)
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -1,4 +1,4 @@
-"""HTTP for callers: `/s/<service>/<path>` as an ASGI app for hypercorn."""
+"""HTTP port for callers: `/s/<service>/<path>` as an ASGI app for hypercorn."""
 
 import json
 import logging
@@ -24,14 +24,14 @@
 log = logging.getLogger(__name__)
 
 PREFIX = "/s/"
-MAX_NAME = 128
-# All request bodies held at one time, as a multiple of the limit for one.
-HELD_BODIES = 8
-# Hypercorn keeps a connection that its caller has closed until this time has passed
-# as well, so a longer one would let closed connections use up the limit.
+MAX_HEADER_CHARS = 128
+# Limit on all buffered request bodies together, as a multiple of the limit for one body.
+MAX_BUFFERED_BODIES = 8
+# Hypercorn also keeps a connection that its caller has closed until this time has passed,
+# so a longer time would let closed connections use up the connection limit.
 KEEP_ALIVE_S = 15.0
 DEFAULT_TEAM = TeamId("none")
-# Headers that belong to one connection, or that the entry sets itself.
+# Request headers that are not forwarded: hop-by-hop headers, and headers that the entry sets.
 DROPPED_REQUEST_HEADERS = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade host "
     b"content-length expect apricotpath-class apricotpath-team apricotpath-deadline-ms "
@@ -39,8 +39,8 @@
 )
 
 
-class BadCall(NotRun):
-    """The caller's request breaks a rule; `status` is the HTTP status to answer with."""
+class RejectedRequest(NotRun):
+    """A request that is rejected before it is forwarded; `status` is the HTTP status to send."""
 
     def __init__(self, status: int, reason: str, text: str) -> None:
         super().__init__(text, reason)
@@ -48,7 +48,7 @@
 
 
 class CallerApp:
-    """ASGI app of one entry; `run` must be running while it serves."""
+    """ASGI app of one entry; `run` must be running while requests are served."""
 
     def __init__(
         self, cfg: EntrySettings, rules: RequestRules, exchange: Exchange, metrics: Metrics
@@ -57,21 +57,21 @@
         self.rules = rules
         self.exchange = exchange
         self.metrics = metrics
-        self.open = 0
+        self.open_requests = 0
         self.draining = False
-        self._held = 0
+        self._buffered_bytes = 0
         self._group: TaskGroup | None = None
         self._idle = anyio.Event()
 
     async def run(self) -> None:
-        """Watch for callers that hang up, until cancelled."""
+        """Watch for callers that disconnect, until cancelled."""
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
     async def drain(self) -> None:
         """Return when no request is open."""
         self.draining = True
-        while self.open:
+        while self.open_requests:
             self._idle = anyio.Event()
             await self._idle.wait()
 
@@ -80,29 +80,29 @@
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            self.open += 1
+            self.open_requests += 1
             try:
                 await _Call(self, scope, receive, send).serve()
             finally:
-                self.open -= 1
-                if not self.open:
+                self.open_requests -= 1
+                if not self.open_requests:
                     self._idle.set()
 
     def watch(self, call: "_Call") -> None:
-        """Cancel a call when its caller hangs up."""
+        """Cancel a call when its caller disconnects."""
         if self._group is not None:
             self._group.start_soon(call.watch)
 
-    def hold(self, size: int) -> bool:
-        """Count bytes of request bodies; false if they would be too many."""
-        if self._held + size > HELD_BODIES * self.cfg.limits.request_body:
+    def reserve_buffer(self, size: int) -> bool:
+        """Reserve buffer space for request bodies; return False if the limit would be exceeded."""
+        if self._buffered_bytes + size > MAX_BUFFERED_BODIES * self.cfg.limits.request_body:
             return False
-        self._held += size
+        self._buffered_bytes += size
         return True
 
-    def release(self, size: int) -> None:
-        """Give back bytes counted by `hold`."""
-        self._held -= size
+    def release_buffer(self, size: int) -> None:
+        """Release bytes reserved by `reserve_buffer`."""
+        self._buffered_bytes -= size
 
 
 class _Call:
@@ -118,27 +118,27 @@
         self.request_class = ClassId("")
         self.team = DEFAULT_TEAM
         self.request = ""
-        self.held = 0
+        self.buffered_bytes = 0
         self.ended = False
         self.body_done = False
         self.cancel_scope = anyio.CancelScope()
 
     async def serve(self) -> None:
-        """Answer the request; every path sets Apricotpath-Outcome."""
-        begun = anyio.current_time()
+        """Answer the request; every answer has the header Apricotpath-Outcome."""
+        started_at = anyio.current_time()
         result = ResultClass.UNKNOWN
         try:
             with self.cancel_scope:
-                result = await self._answer(begun)
+                result = await self._answer(started_at)
         finally:
             self.ended = True
-            self.app.release(self.held)
-            seconds = anyio.current_time() - begun
+            self.app.release_buffer(self.buffered_bytes)
+            seconds = anyio.current_time() - started_at
             metrics = self.app.metrics
             metrics.finished(self.service, self.request_class, self.team, result, seconds)
 
     async def watch(self) -> None:
-        """Cancel the call once the connection has ended before the answer has."""
+        """Cancel the call if the connection closes before the answer is complete."""
         while not self.ended:
             message = await self.receive()
             if message["type"] == "http.disconnect":
@@ -146,12 +146,12 @@
                     self.cancel_scope.cancel()
                 return
 
-    async def _answer(self, begun: float) -> ResultClass:
+    async def _answer(self, started_at: float) -> ResultClass:
         try:
-            req = await self._read_request(begun)
+            req = await self._read_request(started_at)
             self.app.watch(self)
             answer = await self.app.exchange.request(req)
-        except BadCall as exc:
+        except RejectedRequest as exc:
             await self._send_error(exc.status, ResultClass.NOT_RUN, exc, exc.reason, 0)
             return ResultClass.NOT_RUN
         except NotRun as exc:
@@ -167,30 +167,32 @@
         try:
             await self._send_answer(answer)
         except OutcomeUnknown as exc:
-            log.info("an answer was cut short: %s", exc, extra={"request": answer.request})
-            await self._cut_answer(answer)
+            log.info("an answer could not be completed: %s", exc, extra={"request": answer.request})
+            await self._signal_truncation(answer)
             return ResultClass.UNKNOWN
         finally:
             answer.close()
         return ResultClass.ANSWERED
 
-    async def _read_request(self, begun: float) -> CallerRequest:
+    async def _read_request(self, started_at: float) -> CallerRequest:
         app, limits = self.app, self.app.cfg.limits
-        if app.open > limits.connections:
-            raise BadCall(503, "too-many-requests", "Too many requests are open at this entry.")
+        if app.open_requests > limits.connections:
+            raise RejectedRequest(
+                503, "too-many-requests", "Too many requests are open at this entry."
+            )
         raw = self.scope["headers"]
         if sum(len(name) + len(value) for name, value in raw) > limits.header_bytes:
-            raise BadCall(431, "headers-too-large", "The request headers are too large.")
+            raise RejectedRequest(431, "headers-too-large", "The request headers are too large.")
         self.headers = dict(raw)
         rules = self._find_class()
-        deadline = begun + self._deadline_s(rules, limits)
-        key = self._text(b"idempotency-key", "")
+        deadline = started_at + self._deadline_s(rules, limits)
+        key = self._header(b"idempotency-key", "")
         if not rules.idempotent and not key:
             text = "This request class needs an Idempotency-Key header."
-            raise BadCall(400, "key-missing", text)
-        body = await self._read_body(min(deadline, begun + limits.max_deadline_s))
+            raise RejectedRequest(400, "key-missing", text)
+        body = await self._read_body(min(deadline, started_at + limits.max_deadline_s))
         query = self.scope["query_string"].decode("latin-1")
-        rest = self.scope["raw_path"].decode("latin-1")[len(PREFIX) + len(self.service) :] or "/"
+        target = self.scope["raw_path"].decode("latin-1")[len(PREFIX) + len(self.service) :] or "/"
         forwarded = tuple(
             Header(name.decode("latin-1"), value.decode("latin-1"))
             for name, value in raw
@@ -203,7 +205,7 @@
             key if not rules.idempotent else "",
             deadline,
             self.scope["method"],
-            f"{rest}?{query}" if query else rest,
+            f"{target}?{query}" if query else target,
             forwarded,
             body,
         )
@@ -211,39 +213,43 @@
     def _find_class(self) -> ClassRules:
         path: str = self.scope["raw_path"].decode("latin-1")
         if not path.startswith(PREFIX):
-            raise BadCall(404, "not-found", "Requests go to /s/<service>/<path>.")
+            raise RejectedRequest(404, "not-found", "Requests go to /s/<service>/<path>.")
         name = ServiceId(path[len(PREFIX) :].partition("/")[0])
         service = self.app.rules.service_rules(name)
         if service is None:
-            raise BadCall(404, "no-service", "There is no service of this name.")
+            raise RejectedRequest(404, "no-service", "There is no service of this name.")
         self.service = name
-        self.team = TeamId(self._text(b"apricotpath-team", DEFAULT_TEAM))
-        wanted = ClassId(self._text(b"apricotpath-class", ""))
-        if not wanted and len(service.classes) == 1:
-            wanted = next(iter(service.classes))
-        rules = service.classes.get(wanted)
+        self.team = TeamId(self._header(b"apricotpath-team", DEFAULT_TEAM))
+        class_id = ClassId(self._header(b"apricotpath-class", ""))
+        if not class_id and len(service.classes) == 1:
+            class_id = next(iter(service.classes))
+        rules = service.classes.get(class_id)
         if rules is None:
             text = "The Apricotpath-Class header must name a request class of the service."
-            raise BadCall(400, "no-class", text)
-        self.request_class = wanted
+            raise RejectedRequest(400, "no-class", text)
+        self.request_class = class_id
         return rules
 
-    def _text(self, header: bytes, default: str) -> str:
+    def _header(self, header: bytes, default: str) -> str:
         value = self.headers.get(header, b"").decode("latin-1").strip()
-        if len(value) > MAX_NAME:
-            raise BadCall(400, "header-too-long", f"The header {header.decode()} is too long.")
+        if len(value) > MAX_HEADER_CHARS:
+            raise RejectedRequest(
+                400, "header-too-long", f"The header {header.decode()} is too long."
+            )
         return value or default
 
     def _deadline_s(self, rules: ClassRules, limits: LimitSettings) -> float:
-        text = self._text(b"apricotpath-deadline-ms", "")
+        text = self._header(b"apricotpath-deadline-ms", "")
         if not text:
             return min(rules.deadline_s or limits.default_deadline_s, limits.max_deadline_s)
         if not text.isascii() or not text.isdecimal() or int(text) == 0:
-            raise BadCall(400, "bad-deadline", "Apricotpath-Deadline-Ms must be a whole number.")
+            raise RejectedRequest(
+                400, "bad-deadline", "Apricotpath-Deadline-Ms must be a whole number."
+            )
         return min(int(text) / 1000, limits.max_deadline_s)
 
     async def _read_body(self, deadline: float) -> bytes:
-        """Return the whole body; it is needed again if the request is retried."""
+        """Return the entire body; it is kept because a retry sends it again."""
         limits = self.app.cfg.limits
         parts: list[bytes] = []
         while True:
@@ -252,26 +258,32 @@
             with anyio.CancelScope(deadline=end):
                 message = await self.receive()
             if message is None:
-                raise BadCall(408, "body-too-slow", "The request body did not arrive in time.")
+                raise RejectedRequest(
+                    408, "body-too-slow", "The request body did not arrive in time."
+                )
             if message["type"] == "http.disconnect":
                 self.body_done = True
-                raise BadCall(400, "hung-up", "The caller hung up before the body was whole.")
+                raise RejectedRequest(
+                    400, "hung-up", "The caller hung up before the body was whole."
+                )
             data = message.get("body", b"")
             if data:
-                if self.held + len(data) > limits.request_body:
-                    raise BadCall(413, "body-too-large", "The request body is too large.")
-                if not self.app.hold(len(data)):
-                    raise BadCall(503, "entry-full", "The entry holds too many request bodies.")
-                self.held += len(data)
+                if self.buffered_bytes + len(data) > limits.request_body:
+                    raise RejectedRequest(413, "body-too-large", "The request body is too large.")
+                if not self.app.reserve_buffer(len(data)):
+                    raise RejectedRequest(
+                        503, "entry-full", "The entry holds too many request bodies."
+                    )
+                self.buffered_bytes += len(data)
                 parts.append(data)
             if not message.get("more_body", False):
                 self.body_done = True
                 return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def _discard_body(self) -> None:
-        """Read the rest of a refused body over HTTP/2, for a limited time.
+        """Read the rest of a refused HTTP/2 body for a limited time.
 
-        Hypercorn ends the whole connection, with the caller's other requests,
+        Hypercorn closes the whole connection, including the caller's other requests,
         when an answer is complete before its request is.
         """
         with anyio.move_on_after(self.app.cfg.limits.read_timeout_s):
@@ -280,7 +292,7 @@
         self.body_done = True
 
     async def _send_answer(self, answer: AnswerStream) -> None:
-        """Send the answer on; a whole one in two messages."""
+        """Forward the answer; a complete one takes two ASGI messages."""
         self.request = answer.request
         headers = [(h.name.encode("latin-1"), h.value.encode("latin-1")) for h in answer.headers]
         headers = [pair for pair in headers if not pair[0].startswith(b"apricotpath-")]
@@ -288,22 +300,22 @@
         headers.append((b"apricotpath-request-id", answer.request.encode()))
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         await self.send(start)
-        if answer.whole:
+        if answer.complete:
             await self.send({"type": "http.response.body", "body": answer.body()})
             return
         async for data in answer.chunks():
             await self.send({"type": "http.response.body", "body": data, "more_body": True})
         await self.send({"type": "http.response.body", "body": b""})
 
-    async def _cut_answer(self, answer: AnswerStream) -> None:
-        """Show the caller that a body whose status has been sent is short.
+    async def _signal_truncation(self, answer: AnswerStream) -> None:
+        """Signal to the caller that a body is truncated after its status was sent.
 
         Over HTTP/1.1 hypercorn closes the connection when the app returns
         without the end of the body. Over HTTP/2 it leaves the stream open
-        until the connection has been idle for KEEP_ALIVE_S; a stream that
-        ends before its content-length is an error to every client at once
+        until the connection has been idle for KEEP_ALIVE_S; ending the stream
+        before its content-length is an immediate error for every client
         (RFC 9113, section 8.1.1). Without that header the stream is left
-        open, since an end would make the body look whole.
+        open, since ending it would make the body look complete.
         """
         sized = any(header.name == "content-length" for header in answer.headers)
         if self.scope["http_version"] == "2" and sized:
@@ -329,7 +341,7 @@
 
 
 class _BoundedListener(socket.socket):
-    """Listening socket that closes connections beyond a limit as they come."""
+    """Listening socket that closes new connections while a limit is reached."""
 
     limit = 0
     open_count = 0
@@ -347,7 +359,7 @@
 
 
 class _CountedSocket(socket.socket):
-    """Connection that its listener counts until it is closed."""
+    """Connection that counts towards its listener's limit until it is closed."""
 
     listener: _BoundedListener | None = None
 
@@ -359,7 +371,7 @@
 
 
 class _CallerConfig(Config):
-    """Hypercorn settings with a bound on connections."""
+    """Hypercorn settings with a limit on connections."""
 
     limit = 0
 
@@ -388,7 +400,7 @@
     result.h2_max_header_list_size = limits.header_bytes
     result.keep_alive_timeout = KEEP_ALIVE_S
     result.include_server_header = False
-    # Requests in flight may take until their deadline.
+    # Requests in flight may run until their deadline.
     result.graceful_timeout = limits.max_deadline_s
     return result
 
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -1,4 +1,4 @@
-"""The parts of an entry, built from its settings."""
+"""The components of an entry, built from its settings."""
 
 import random
 from collections import Counter
@@ -37,7 +37,7 @@
 
 
 class EntryParts(Process):
-    """An entry without its ports: all components, joined to each other."""
+    """The connected components of an entry, without its network ports."""
 
     def __init__(
         self, cfg: EntrySettings, utc: UtcClock = utc_now, store: EtcdStore | None = None
@@ -72,7 +72,7 @@
         )
         self._view_ready = anyio.Event()
         self.members.add_listener(self._on_view)
-        # The registry comes first, so that the others find the row of a new agent.
+        # The registry comes first, so that the other components find the row of a new agent.
         components: list[Component] = [
             self.registry,
             self.flow,
@@ -115,10 +115,12 @@
             "Task attempts that this entry has assigned",
             lambda: sum(len(shard.runs) for shard in self.owner.state.shards.values()),
         )
-        watch("apricotpath_open_requests", "Requests being served", lambda: self.callers.open)
+        watch(
+            "apricotpath_open_requests", "Requests being served", lambda: self.callers.open_requests
+        )
 
     def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
-        """Return what heartbeats tell of the control state."""
+        """Return the bundle version and data-centre statuses for heartbeats."""
         return self.control.bundle_version, self.control.statuses()
 
     def store_calls(self) -> Counter[str]:
@@ -161,14 +163,14 @@
 
 
 class OwnerMembers:
-    """Membership and shard claims as the owner uses them (`apricotpathd.runs.Members`)."""
+    """Adapter of Members and Peers for the owner (implements `apricotpathd.runs.Members`)."""
 
     def __init__(self, members: Members, peers: Peers) -> None:
         self.members = members
         self.peers = peers
 
     def view(self) -> View:
-        """Return entries that are alive, and shard owners with their epochs."""
+        """Return the registered entries, and the shard owners with their epochs."""
         view = self.members.view
         owners = {
             shard: (owner.entry, owner.epoch)
@@ -186,14 +188,14 @@
         return self.peers.links.get(entry)
 
     async def acquire_shard(self, shard: ShardId) -> Acquired | None:
-        """Take a shard; raises ConflictError if another entry has it."""
-        # The record compared by the store is that of the view at this moment.
+        """Acquire a shard; raises ConflictError if another entry owns it."""
+        # `acquire_shard` compares against this record of the view.
         former = self.members.view.shards.get(shard)
         owner = await self.members.acquire_shard(shard)
         return Acquired(owner.epoch, released=former is not None and former.settled)
 
     async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
-        """Give a shard up if it is still ours under this epoch."""
+        """Release a shard if this entry still owns it under this epoch."""
         owner = self.members.view.shards.get(shard)
         if owner is not None and owner.epoch == epoch:
             await self.members.release_shard(shard, settled)
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -1,4 +1,4 @@
-"""The entry's part in requests: tries over links, settling, retries and keys."""
+"""The entry's request path: sending over links, settlement, retries and idempotency keys."""
 
 import logging
 from collections.abc import Iterable
@@ -57,25 +57,25 @@
 log = logging.getLogger(__name__)
 
 CHUNK_BYTES = 64 << 10
-# An agent that has not answered a reservation by then is treated as silent.
+# An agent that has not replied to a reservation within this time counts as unreachable.
 RESERVE_TIMEOUT_S = 1.0
 SETTLE_TIMEOUT_S = 2.0
-# At the deadline the agent is asked once more, so that the caller learns the truth.
-LAST_SETTLE_S = 1.0
-# Parts that came before an earlier one are held for this time.
+# Extra time after the deadline for one last settle call, which tells whether the request ran.
+FINAL_SETTLE_S = 1.0
+# How long to wait for a missing part of an answer before asking for the whole answer again.
 GAP_WAIT_S = 0.5
 TICK_S = 0.05
 RETRY_AFTER_S = 1.0
-# A new entry must not count the places of a key before every agent had time to
-# dial it: one that is missing may be the one that remembers the key.
+# A new entry reserves no keys until every agent has had time to dial it: an agent that is
+# not linked yet may be the one that remembers the key.
 KEY_SETTLE_S = 5.0
-# Failed tries are spread by up to this time, so that they do not come in step.
+# Upper bound of the random pause before a retry, so that failed requests do not retry together.
 RETRY_PAUSE_S = 0.02
 
 
 @dataclass(eq=False, slots=True)
-class _Turn:
-    """A request in the queue and the event that ends its wait."""
+class _QueuedRequest:
+    """A queued request and the event that ends its wait."""
 
     item: Waiting
     event: anyio.Event = field(default_factory=anyio.Event)
@@ -88,7 +88,7 @@
 
 
 class Exchange:
-    """Component that carries callers' requests to agents and the answers back."""
+    """Component that forwards callers' requests to agents and returns the answers."""
 
     handles: frozenset[type[Message]] = frozenset(
         (ResponseStart, ResponseBody, RequestRefused, RequestFailed, Settled, KeyReserved)
@@ -111,11 +111,11 @@
         self.rng = rng
         self.routing = RoutingTable()
         self.record: RecordEvent = no_trace
-        self.open = 0
+        self.open_requests = 0
         self._links: dict[ProcessId, Link] = {}
         self._attempts: dict[RequestId, list[Attempt]] = {}
         self._queues: dict[ServiceId, ClassQueues] = {}
-        self._turns: dict[Waiting, _Turn] = {}
+        self._queued: dict[Waiting, _QueuedRequest] = {}
         self._budgets: dict[ServiceId, RetryBudget] = {}
         self._counter = 0
         self._started_at: float | None = None
@@ -124,33 +124,33 @@
     # Component.
 
     async def run(self) -> None:
-        """Move queues and expire waiting requests until cancelled."""
+        """Dispatch and expire queued requests until cancelled."""
         self._started_at = anyio.current_time()
         while True:
             await anyio.sleep(TICK_S)
             now = anyio.current_time()
             for service, queues in self._queues.items():
                 for item in queues.expire(now):
-                    self._end_turn(item, refusal=Refusal.EXPIRED)
+                    self._end_wait(item, refusal=Refusal.EXPIRED)
                 if queues.size:
                     self._dispatch(service, queues)
 
-    def settled(self) -> bool:
-        """Tell whether agents that remember keys have had the time to announce themselves."""
+    def startup_wait_over(self) -> bool:
+        """Tell whether agents that remember keys have had enough time to announce themselves."""
         started_at = self._started_at
         return started_at is not None and anyio.current_time() - started_at >= KEY_SETTLE_S
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Handle a message of an agent."""
+        """Handle a message from an agent."""
         self._handle(envelope.body, link)
 
     async def link_opened(self, link: Link) -> None:
-        """Remember the newest link to a process, on which requests are settled."""
+        """Record the newest link to a process; requests are settled over it."""
         if link.peer is not None:
             self._links[link.peer.process_id] = link
 
     async def link_closed(self, link: Link) -> None:
-        """Wake the requests that were sent on a link, so that they settle."""
+        """Wake the requests that were sent on a link, so that they are settled."""
         if link.peer is not None and self._links.get(link.peer.process_id) is link:
             del self._links[link.peer.process_id]
         for attempts in self._attempts.values():
@@ -160,13 +160,13 @@
 
     async def drain(self) -> None:
         """Return when no request is open."""
-        while self.open:
+        while self.open_requests:
             self._idle = anyio.Event()
             await self._idle.wait()
 
     @singledispatchmethod
     def _handle(self, body: Message, link: Link) -> None:
-        """Ignore late replies to calls that have given up."""
+        """Ignore late replies to calls that have timed out."""
 
     @_handle.register
     def _response_start(self, body: ResponseStart, link: Link) -> None:
@@ -208,17 +208,17 @@
             budget = RetryBudget(cfg.policy.retry_share, cfg.requests.retry_budget)
             self._budgets[req.service] = budget
         budget.arrived()
-        left_s = max(0.0, req.deadline - anyio.current_time())
-        self.record(Request(req.service, req.rules.name, req.team, deadline_s=left_s))
-        self.open += 1
+        remaining_s = max(0.0, req.deadline - anyio.current_time())
+        self.record(Request(req.service, req.rules.name, req.team, deadline_s=remaining_s))
+        self.open_requests += 1
         try:
-            return await self._tries(req, budget)
+            return await self._request_with_retries(req, budget)
         finally:
-            self.open -= 1
-            if not self.open:
+            self.open_requests -= 1
+            if not self.open_requests:
                 self._idle.set()
 
-    async def _tries(self, req: CallerRequest, budget: RetryBudget) -> AnswerStream:
+    async def _request_with_retries(self, req: CallerRequest, budget: RetryBudget) -> AnswerStream:
         avoid: set[ProcessId] = set()
         tries = 0
         may_have_run: OutcomeUnknown | None = None
@@ -226,7 +226,7 @@
             tries += 1
             try:
                 if req.rules.idempotent:
-                    return await self._try_any(req, avoid)
+                    return await self._try_idempotent(req, avoid)
                 return await self._try_keyed(req)
             except (NotRun, OutcomeUnknown) as exc:
                 if isinstance(exc, OutcomeUnknown):
@@ -236,14 +236,14 @@
                 elif exc.reason not in RETRIED_REFUSALS:
                     raise may_have_run or exc from exc
                 now = anyio.current_time()
-                most = self.cfg.requests.max_tries
-                if not may_retry(budget, tries, most, req.deadline, RETRY_PAUSE_S, now):
-                    # An earlier try that may have run outweighs a later refusal.
+                try_limit = self.cfg.requests.max_tries
+                if not may_retry(budget, tries, try_limit, req.deadline, RETRY_PAUSE_S, now):
+                    # An earlier try that may have run takes precedence over a later refusal.
                     raise may_have_run or exc from exc
                 self.metrics.retried(req.service)
                 await anyio.sleep(RETRY_PAUSE_S * self.rng.random())
 
-    async def _try_any(self, req: CallerRequest, avoid: set[ProcessId]) -> AnswerStream:
+    async def _try_idempotent(self, req: CallerRequest, avoid: set[ProcessId]) -> AnswerStream:
         """Try an idempotent request at the backend server that routing chooses."""
         process = await self._admit(req, avoid)
         avoid.add(process)
@@ -256,12 +256,12 @@
             attempt = self._open_attempt(self._next_id(), row.process, row.incarnation, row.link)
             return await self._send_and_wait(req, attempt)
         finally:
-            self._finished(req.service, process, attempt, started)
+            self._record_result(req.service, process, attempt, started)
 
-    def _finished(
+    def _record_result(
         self, service: ServiceId, process: ProcessId, attempt: Attempt | None, started: float
     ) -> None:
-        """Feed the result of a try to routing, and let the next request go."""
+        """Report the result of a try to routing, and dispatch queued requests."""
         now = anyio.current_time()
         if attempt is not None and attempt.started and not attempt.failed:
             self.routing.finished(process, now - started, attempt.status < 500, now)
@@ -282,18 +282,18 @@
         try:
             await self._send(req, attempt)
             while not attempt.started:
-                await self.progress(attempt, req.deadline)
-            if not attempt.whole and attempt.received < CHUNK_BYTES:
-                await self.progress(attempt, req.deadline)
+                await self.wait_for_progress(attempt, req.deadline)
+            if not attempt.complete and attempt.received < CHUNK_BYTES:
+                await self.wait_for_progress(attempt, req.deadline)
             return AnswerStream(self, attempt, req.deadline)
         except BaseException:
             self.close_attempt(attempt)
             raise
 
     async def _send(self, req: CallerRequest, attempt: Attempt) -> None:
-        """Send the request's frames; a link that ends meanwhile is settled later."""
-        left_ms = max(0, int((req.deadline - anyio.current_time()) * 1000))
-        first, rest = req.body[:CHUNK_BYTES], len(req.body) > CHUNK_BYTES
+        """Send the request's frames; if the link closes meanwhile, the request is settled later."""
+        remaining_ms = max(0, int((req.deadline - anyio.current_time()) * 1000))
+        first, has_more = req.body[:CHUNK_BYTES], len(req.body) > CHUNK_BYTES
         start = RequestStart(
             attempt.request,
             req.service,
@@ -301,32 +301,34 @@
             req.team,
             scoped_key(req) if req.key else KeyId(""),
             req.rules.idempotent,
-            left_ms,
+            remaining_ms,
             req.method,
             req.path,
             req.headers,
             first,
-            not rest,
+            not has_more,
         )
         try:
             await attempt.link.send(start)
-            for offset in range(CHUNK_BYTES, len(req.body) if rest else 0, CHUNK_BYTES):
+            for offset in range(CHUNK_BYTES, len(req.body) if has_more else 0, CHUNK_BYTES):
                 data = req.body[offset : offset + CHUNK_BYTES]
                 final = offset + len(data) == len(req.body)
                 total = len(req.body) if final else 0
                 await attempt.link.send(RequestBody(attempt.request, offset, data, final, total))
         except LinkError as exc:
-            log.info("a request is to be settled: %s", exc, extra={"request": attempt.request})
+            log.info(
+                "request not fully sent; to be settled: %s", exc, extra={"request": attempt.request}
+            )
 
-    async def progress(self, attempt: Attempt, deadline: float) -> None:
-        """Wait until more of an answer has come.
+    async def wait_for_progress(self, attempt: Attempt, deadline: float) -> None:
+        """Wait until more of an answer has arrived.
 
-        Raises NotRun after a refusal and OutcomeUnknown when no whole answer
-        can come any more.
+        Raises NotRun after a refusal, and OutcomeUnknown when the answer can no
+        longer be completed.
         """
-        had = (attempt.received, attempt.whole, attempt.started)
+        previous = (attempt.received, attempt.complete, attempt.started)
         while True:
-            if (attempt.received, attempt.whole, attempt.started) != had:
+            if (attempt.received, attempt.complete, attempt.started) != previous:
                 return
             if attempt.refused is not None:
                 reason = attempt.refused.reason
@@ -336,32 +338,32 @@
                 raise OutcomeUnknown(f"There is no whole answer: {attempt.failed}.", "failed")
             now = anyio.current_time()
             if now >= deadline:
-                await self._settle_at_deadline(attempt, deadline + LAST_SETTLE_S)
-            elif attempt.lost:
+                await self._settle_at_deadline(attempt, deadline + FINAL_SETTLE_S)
+            elif attempt.link_ended:
                 await self._settle(attempt, deadline)
-            elif attempt.early and not attempt.following:
+            elif attempt.out_of_order and not attempt.settled_as_running:
                 await self._wait_for_gap(attempt, deadline)
             else:
                 with anyio.CancelScope(deadline=deadline):
                     await attempt.wait()
 
     async def _wait_for_gap(self, attempt: Attempt, deadline: float) -> None:
-        """Wait a little for a part that is missing, then ask for the answer again."""
-        # Each time the answer is asked for again, twice as long is left for it to come.
+        """Wait for a missing part of the answer, then ask the agent to send the answer again."""
+        # Exponential backoff: the wait doubles with every repeated request for the answer.
         wait_s = GAP_WAIT_S * 2**attempt.resends
         attempt.resends += 1
         received, until = attempt.received, anyio.current_time() + wait_s
         with anyio.CancelScope(deadline=min(until, deadline)):
-            while attempt.received == received and not attempt.failed and not attempt.lost:
+            while attempt.received == received and not attempt.failed and not attempt.link_ended:
                 await attempt.wait()
             return
         if anyio.current_time() < deadline:
             await self._settle(attempt, deadline)
 
     async def _settle(self, attempt: Attempt, deadline: float) -> None:
-        """Ask for a request again over the present link to the same agent.
+        """Settle a request over the current link to the same agent.
 
-        Returns when the answer follows, or when the deadline has passed.
+        Returns when the settlement is applied, or when the deadline has passed.
         """
         while anyio.current_time() < deadline:
             link = self._links.get(attempt.process)
@@ -373,22 +375,22 @@
                 attempt.failed = "the agent has restarted since"
                 return
             attempt.link = link
-            settlement, reason = await self._ask(link, attempt, deadline)
+            settlement, reason = await self._request_settlement(link, attempt, deadline)
             if settlement is not None:
-                self._apply(attempt, settlement, reason)
+                self._apply_settlement(attempt, settlement, reason)
                 return
 
     async def _settle_at_deadline(self, attempt: Attempt, until: float) -> None:
-        """Find out, once the deadline has passed, whether the request ran."""
+        """Settle a request whose deadline has passed, to learn whether it ran."""
         link = self._links.get(attempt.process)
         present = link is not None and link.is_open and link.peer is not None
         if present and link is not None and link.peer is not None:
-            same = link.peer.incarnation == attempt.incarnation
-            if same and anyio.current_time() < until:
+            same_incarnation = link.peer.incarnation == attempt.incarnation
+            if same_incarnation and anyio.current_time() < until:
                 attempt.link = link
-                settlement, reason = await self._ask(link, attempt, until)
+                settlement, reason = await self._request_settlement(link, attempt, until)
                 if settlement is not None:
-                    self._apply(attempt, settlement, reason)
+                    self._apply_settlement(attempt, settlement, reason)
                 if settlement is Settlement.DONE:
                     with anyio.CancelScope(deadline=until):
                         await attempt.wait()
@@ -398,25 +400,25 @@
             attempt.timed_out = True
             raise OutcomeUnknown("The deadline passed before the answer came.", "deadline")
 
-    async def _ask(
+    async def _request_settlement(
         self, link: Link, attempt: Attempt, deadline: float
     ) -> tuple[Settlement | None, str]:
-        left = max(0.01, min(SETTLE_TIMEOUT_S, deadline - anyio.current_time()))
+        timeout_s = max(0.01, min(SETTLE_TIMEOUT_S, deadline - anyio.current_time()))
         try:
-            reply = await link.call(Settle(attempt.request, attempt.incarnation), left)
+            reply = await link.call(Settle(attempt.request, attempt.incarnation), timeout_s)
         except LinkError:
             return None, ""
         if not isinstance(reply, Settled):
             return None, ""
         return reply.settlement, reply.reason
 
-    def _apply(self, attempt: Attempt, settlement: Settlement, reason: str) -> None:
+    def _apply_settlement(self, attempt: Attempt, settlement: Settlement, reason: str) -> None:
         if settlement is Settlement.NEVER:
             text = reason or "it did not reach the backend server"
             attempt.refused = RequestRefused(attempt.request, text, 0)
         elif settlement is Settlement.UNKNOWN:
             attempt.failed = reason or "its outcome is not known"
-        attempt.following = settlement is Settlement.RUNNING
+        attempt.settled_as_running = settlement is Settlement.RUNNING
 
     def _open_attempt(
         self, request: RequestId, process: ProcessId, incarnation: IncarnationId, link: Link
@@ -426,18 +428,18 @@
         return attempt
 
     def close_attempt(self, attempt: Attempt) -> None:
-        """Forget a try; one that may still run is cancelled."""
+        """Remove a try; the request is cancelled if it may still run."""
         others = self._attempts.get(attempt.request)
         if others is None or attempt not in others:
             return
         others.remove(attempt)
         if not others:
             del self._attempts[attempt.request]
-            if not attempt.whole and attempt.refused is None and not attempt.failed:
-                self.post(attempt.link, RequestCancel(attempt.request))
+            if not attempt.complete and attempt.refused is None and not attempt.failed:
+                self.send_best_effort(attempt.link, RequestCancel(attempt.request))
 
-    def post(self, link: Link, message: Message) -> None:
-        """Send a message whose loss does no harm."""
+    def send_best_effort(self, link: Link, message: Message) -> None:
+        """Send a message that may be lost without harm."""
         try:
             link.send_nowait(message)
         except LinkError as exc:
@@ -450,7 +452,7 @@
     # Admission.
 
     def candidates(self, service: ServiceId) -> list[Candidate]:
-        """Return the backend servers that may take a request now."""
+        """Return the backend servers that may receive requests now."""
         return [
             Candidate(row.process, row.announce.slots, row.announce.connections)
             for row in self.hosts.of_service(service)
@@ -462,7 +464,7 @@
         return row.present and not row.leaving and in_service
 
     async def _admit(self, req: CallerRequest, avoid: set[ProcessId]) -> ProcessId:
-        """Return a backend server with room, after a wait in the queue if need be."""
+        """Return a backend server with free capacity, waiting in the queue if necessary."""
         now = anyio.current_time()
         if now >= req.deadline:
             raise NotRun("The deadline has passed.", Refusal.EXPIRED.value)
@@ -477,24 +479,24 @@
                 return process
             if not self.candidates(req.service):
                 raise NotRun("No backend server is there.", "no-backend", RETRY_AFTER_S)
-        turn = _Turn(Waiting(req.rules, req.deadline, now))
-        refusal, shed = queues.offer(turn.item, now)
+        queued = _QueuedRequest(Waiting(req.rules, req.deadline, now))
+        refusal, shed = queues.offer(queued.item, now)
         if shed is not None:
-            self._end_turn(shed, refusal=Refusal.SHED)
+            self._end_wait(shed, refusal=Refusal.SHED)
         if refusal is not None:
             raise _refusal(refusal)
-        self._turns[turn.item] = turn
+        self._queued[queued.item] = queued
         try:
-            await turn.event.wait()
+            await queued.event.wait()
         except BaseException:
-            queues.remove(turn.item)
-            self._turns.pop(turn.item, None)
-            if turn.process is not None:
-                self.routing.released(turn.process)
+            queues.remove(queued.item)
+            self._queued.pop(queued.item, None)
+            if queued.process is not None:
+                self.routing.released(queued.process)
             raise
-        if turn.process is None:
-            raise _refusal(turn.refusal or Refusal.SHED)
-        return turn.process
+        if queued.process is None:
+            raise _refusal(queued.refusal or Refusal.SHED)
+        return queued.process
 
     def _choose(self, service: ServiceId, avoid: set[ProcessId], now: float) -> ProcessId | None:
         """Choose a backend server and count the request as sent to it."""
@@ -506,7 +508,7 @@
         return process
 
     def _dispatch(self, service: ServiceId, queues: ClassQueues) -> None:
-        """Let waiting requests go while a backend server has room."""
+        """Dispatch queued requests while a backend server has free capacity."""
         now = anyio.current_time()
         while queues.size:
             process = self._choose(service, set(), now)
@@ -514,60 +516,60 @@
                 return
             item = queues.take(now)
             assert item is not None
-            self._end_turn(item, process=process)
+            self._end_wait(item, process=process)
 
-    def _end_turn(
+    def _end_wait(
         self, item: Waiting, process: ProcessId | None = None, refusal: Refusal | None = None
     ) -> None:
-        turn = self._turns.pop(item)
-        turn.process, turn.refusal = process, refusal
-        turn.event.set()
+        queued = self._queued.pop(item)
+        queued.process, queued.refusal = process, refusal
+        queued.event.set()
 
     # Idempotency keys.
 
     async def _try_keyed(self, req: CallerRequest) -> AnswerStream:
-        """Reserve the key, then send the request to its home or follow an earlier run."""
+        """Reserve the key; send the request to its home agent, or wait for an earlier run."""
         if not self.rules.has_founders(req.service):
             raise NotRun("The service is still starting.", "no-founders", RETRY_AFTER_S)
         now = anyio.current_time()
-        if not self.settled():
-            raise _not_vouched("the entry is still starting", "entry-starting")
+        if not self.startup_wait_over():
+            raise _unknown_outcome("the entry is still starting", "entry-starting")
         if now >= req.deadline:
-            raise _not_vouched("the deadline has passed", Refusal.EXPIRED.value)
+            raise _unknown_outcome("the deadline has passed", Refusal.EXPIRED.value)
         key, request = scoped_key(req), self._next_id()
         places = key_places(key, self._key_agents(req.service))
         steps = reserve_key(key, req.service, request, places)
-        followed: Attempt | None = None
+        earlier: Attempt | None = None
         reply: Reply = None
         try:
             step = next(steps)
             while True:
                 if isinstance(step, SettleAt):
-                    if followed is not None:
-                        self.close_attempt(followed)
-                    followed = await self._follow(step, req.deadline)
-                    reply = _settlement(followed)
+                    if earlier is not None:
+                        self.close_attempt(earlier)
+                    earlier = await self._settle_earlier_run(step, req.deadline)
+                    reply = _settlement(earlier)
                 else:
-                    reply = await self._step(step)
+                    reply = await self._perform_step(step)
                 step = steps.send(reply)
         except StopIteration as stop:
             result = stop.value
         if isinstance(result, Granted):
-            if followed is not None:
-                self.close_attempt(followed)
+            if earlier is not None:
+                self.close_attempt(earlier)
             return await self._run_keyed(req, key, request, result.home, places)
-        if isinstance(result, Existing) and followed is not None:
-            return await self._await_existing(followed, req.deadline)
+        if isinstance(result, Existing) and earlier is not None:
+            return await self._await_existing(earlier, req.deadline)
         assert isinstance(result, Blocked)
-        if followed is not None:
-            self.close_attempt(followed)
-        raise _not_vouched(result.reason, "key-not-reserved")
+        if earlier is not None:
+            self.close_attempt(earlier)
+        raise _unknown_outcome(result.reason, "key-not-reserved")
 
     async def _await_existing(self, attempt: Attempt, deadline: float) -> AnswerStream:
-        """Wait for the answer of an earlier request with the same key."""
+        """Wait for the answer to an earlier request with the same key."""
         try:
             while not attempt.started:
-                await self.progress(attempt, deadline)
+                await self.wait_for_progress(attempt, deadline)
             return AnswerStream(self, attempt, deadline)
         except NotRun as exc:
             # The earlier request was refused after it had been settled as running.
@@ -580,7 +582,7 @@
     async def _run_keyed(
         self, req: CallerRequest, key: KeyId, request: RequestId, home: Place, places: list[Place]
     ) -> AnswerStream:
-        """Send a request whose key is reserved; give the key back if it never ran."""
+        """Send a request whose key is reserved; release the key if the request did not run."""
         started = anyio.current_time()
         row = self.hosts.rows.get(home.process)
         attempt: Attempt | None = None
@@ -592,13 +594,16 @@
             return await self._send_and_wait(req, attempt)
         except NotRun:
             release = ReleaseKey(key, request)
-            self._tell(tuple((place.process, release) for place in places))
+            self._send_all(tuple((place.process, release) for place in places))
             raise
         finally:
-            self._finished(req.service, home.process, attempt, started)
+            self._record_result(req.service, home.process, attempt, started)
 
     def _key_agents(self, service: ServiceId) -> list[Place]:
-        """Return the agents that may hold keys: not young, present or gone only lately."""
+        """Return the agents that may remember keys.
+
+        These are agents that are not young and are present or left within `key_memory_s`.
+        """
         now = anyio.current_time()
         founders = self.rules.founders(service)
         memory_s = self.cfg.policy.key_memory_s
@@ -611,16 +616,16 @@
                 continue
             if not row.present and now - (row.gone_at or 0.0) >= memory_s:
                 continue
-            # A former incarnation counts as a place that is not present.
+            # A former incarnation is a separate place that is not present.
             name = row.process if row.present else ProcessId(f"{row.process}/{row.incarnation}")
             healthy = self.routing.healthy(row.process, now)
             usable = self._usable(row)
             places[name] = Place(row.process, row.incarnation, row.present, usable, healthy)
         return list(places.values())
 
-    async def _step(self, step: Step) -> Reply:
+    async def _perform_step(self, step: Step) -> Reply:
         if isinstance(step, TellPlaces):
-            self._tell(step.messages)
+            self._send_all(step.messages)
             return None
         assert isinstance(step, AskPlaces)
         if len(step.asks) == 1:
@@ -645,14 +650,14 @@
             return None
         return reply if isinstance(reply, KeyReserved) else None
 
-    def _tell(self, messages: tuple[tuple[ProcessId, Message], ...]) -> None:
+    def _send_all(self, messages: tuple[tuple[ProcessId, Message], ...]) -> None:
         for process, message in messages:
             link = self._links.get(process)
             if link is not None:
-                self.post(link, message)
+                self.send_best_effort(link, message)
 
-    async def _follow(self, step: SettleAt, deadline: float) -> Attempt:
-        """Settle an earlier request at its home; its answer comes to the attempt."""
+    async def _settle_earlier_run(self, step: SettleAt, deadline: float) -> Attempt:
+        """Settle an earlier request at its agent; the returned attempt receives its answer."""
         settle = step.settle
         link = self._links.get(step.process)
         attempt = self._open_attempt(
@@ -667,7 +672,7 @@
 
 
 class _NoLink(Link):
-    """Stands for a link that never opened."""
+    """Placeholder for a link that was never opened."""
 
     def __init__(self) -> None:
         self.is_open = False
@@ -677,7 +682,7 @@
 
 _NO_LINK = _NoLink()
 
-# Refusals by one agent or lack of room there, where another try may succeed.
+# Refusals that concern one agent or its capacity, so that another try may succeed.
 RETRIED_REFUSALS = frozenset(("refused", "backend-gone", "key-not-reserved"))
 
 _REFUSAL_TEXTS = {
@@ -692,25 +697,25 @@
     return NotRun(_REFUSAL_TEXTS[refusal], refusal.value, RETRY_AFTER_S)
 
 
-def _not_vouched(why: str, reason: str) -> OutcomeUnknown:
-    """Return the error for a call that was not sent, when its key may have run before.
+def _unknown_outcome(cause: str, reason: str) -> OutcomeUnknown:
+    """Return the error for a request that was not sent but whose key may have run before.
 
-    "Not run" would let the caller take a new key and run the same work twice.
+    Answering "not run" would let the caller choose a new key and run the same work twice.
     """
-    text = f"This call was not sent, but an earlier one with its key may have run: {why}."
+    text = f"This call was not sent, but an earlier one with its key may have run: {cause}."
     return OutcomeUnknown(text, reason, RETRY_AFTER_S)
 
 
 def _settlement(attempt: Attempt) -> Settlement:
-    """Return what settling has found; without an answer the outcome is unknown."""
+    """Return the settlement of an attempt; it is UNKNOWN if the attempt failed."""
     if attempt.refused is not None:
         return Settlement.NEVER
     if attempt.failed:
         return Settlement.UNKNOWN
-    return Settlement.DONE if attempt.whole else Settlement.RUNNING
+    return Settlement.DONE if attempt.complete else Settlement.RUNNING
 
 
 def scoped_key(req: CallerRequest) -> KeyId:
-    """Return the key within its service and team, so that teams never share answers."""
+    """Return a hash of service, team and key, so that teams never share answers."""
     text = f"{req.service}\0{req.team}\0{req.key}"
     return KeyId(blake2b(text.encode(), digest_size=16).hexdigest())
--- a/packages/daemon/src/apricotpathd/services.py
+++ b/packages/daemon/src/apricotpathd/services.py
@@ -1,4 +1,4 @@
-"""What an entry does for operators, assembled from its parts."""
+"""The operator services of an entry, implemented with its components."""
 
 import json
 from collections.abc import Mapping
@@ -32,11 +32,11 @@
 
     @property
     def flow(self) -> ControlFlow:
-        """The entry's control flow."""
+        """The component that propagates the entry's control state."""
         return self.parts.flow
 
     async def put_bundle(self, envelope: bytes) -> Json:
-        """Accept a signed bundle: checked here, then stored by compare-and-swap."""
+        """Check a signed bundle, then store it by compare-and-swap."""
         control = self.parts.control
         if envelope == control.envelope:
             return self._bundle_answer(control.bundle_version)
@@ -57,39 +57,42 @@
         return {"version": control.bundle_version, "envelope": envelope}
 
     async def set_data_centre(self, dc: DataCentreId, seq: int, state: ServiceState) -> Json:
-        """Take a data centre out, with or without the store, or bring it back with it."""
+        """Take a data centre out of service, also without the store, or bring it back.
+
+        Bringing it back needs the store.
+        """
         control = self.parts.control
         if control.bundle is None or dc not in control.bundle.datacentres:
             raise NotFoundError(f"the bundle in force has no data centre {dc!r}")
-        wanted = DataCentreStatus(dc, seq, state)
-        known = control.status(dc)
+        requested = DataCentreStatus(dc, seq, state)
+        current = control.status(dc)
         if (
-            known != wanted
-            and known.seq >= seq
-            and not (known.seq == seq and state is ServiceState.OUT)
+            current != requested
+            and current.seq >= seq
+            and not (current.seq == seq and state is ServiceState.OUT)
         ):
             raise ConflictError(
-                f"data centre {dc} has change {known.seq} ({known.state.value}) already"
+                f"data centre {dc} has change {current.seq} ({current.state.value}) already"
             )
         if state is ServiceState.IN:
             await self.parts.members.put_status(dc, state, seq)
-            self._offer(wanted)
+            self._apply_status(requested)
         else:
-            self._offer(wanted)
-            await self._store_take_out(wanted)
-        return self._status_answer(wanted)
+            self._apply_status(requested)
+            await self._store_take_out(requested)
+        return self._status_answer(requested)
 
-    async def _store_take_out(self, wanted: DataCentreStatus) -> None:
-        """Store a take-out if the store answers; otherwise it is written back later."""
+    async def _store_take_out(self, requested: DataCentreStatus) -> None:
+        """Store a take-out if the store is reachable; otherwise it is written back later."""
         members = self.parts.members
         if not members.view.store_up:
             return
         try:
-            await members.put_status(wanted.data_centre, wanted.state, wanted.seq)
+            await members.put_status(requested.data_centre, requested.state, requested.seq)
         except StoreError:
             return
 
-    def _offer(self, status: DataCentreStatus) -> None:
+    def _apply_status(self, status: DataCentreStatus) -> None:
         if self.parts.control.offer_statuses([status]):
             self.flow.publish()
 
@@ -116,7 +119,7 @@
         return frozenset(ProcessId(entry) for entry in entries if entry != self.parts.cfg.entry)
 
     async def submit_job(self, spec: JobSpec) -> Json:
-        """Accept a job once its team and activity are known to the bundle."""
+        """Accept a job whose team and data centres are in the bundle in force."""
         bundle = self.parts.control.bundle
         if bundle is None:
             raise StoreUnavailable("no bundle is in force yet")
@@ -147,7 +150,7 @@
         return await self.parts.owner.cancel(job)
 
     async def hosts(self) -> Json:
-        """Return every host with its commitments."""
+        """Return every host with its size, committed resources and usage."""
         rows = sorted(self.parts.hosts.rows.values(), key=lambda row: row.host)
         return {"hosts": [self._host(row) for row in rows]}
 
@@ -189,7 +192,7 @@
         }
 
     async def explain(self, query: Mapping[str, str]) -> Json:
-        """Explain a job or task, or what the rules say of an activity."""
+        """Explain the state of a job or task, or the rules for an activity."""
         if query.get("job"):
             return await self.parts.owner.explain(query["job"])
         missing = [name for name in ("team", "activity", "data_centre") if not query.get(name)]
@@ -209,7 +212,7 @@
         }
 
     async def status(self) -> Json:
-        """Return the state that operators look at first."""
+        """Return an overview of the entry, its bundle and the data centres."""
         parts, control = self.parts, self.parts.control
         view = parts.members.view
         names = control.bundle.datacentres if control.bundle else {}
@@ -242,13 +245,17 @@
             ],
             "store_calls": dict(parts.store_calls()),
             "owner": parts.owner.debug(),
-            "open_requests": parts.exchange.open,
+            "open_requests": parts.exchange.open_requests,
         }
 
     def ready(self) -> bool:
         """Tell whether requests of all classes can be served."""
         parts = self.parts
-        return parts.control.bundle is not None and parts.exchange.settled() and not parts.draining
+        return (
+            parts.control.bundle is not None
+            and parts.exchange.startup_wait_over()
+            and not parts.draining
+        )
 
     def metrics(self) -> bytes:
         """Return all metrics of the entry."""
@@ -263,11 +270,11 @@
     }
 
 
-MAX_LISTED = 10_000
+MAX_LIST_LIMIT = 10_000
 
 
 def _limit(query: Mapping[str, str]) -> int:
     text = query.get("limit", "100")
-    if not text.isdigit() or not 1 <= int(text) <= MAX_LISTED:
-        raise InputError(f"limit must be from 1 to {MAX_LISTED}, not {text!r}")
+    if not text.isdigit() or not 1 <= int(text) <= MAX_LIST_LIMIT:
+        raise InputError(f"limit must be from 1 to {MAX_LIST_LIMIT}, not {text!r}")
     return int(text)
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -1,14 +1,14 @@
 Feature: callers
 
-  Guards against a caller who takes a short body for a whole one, against
-  "not run" for work that ran, against callers that use up the entry, and
-  against requests cut off by a shutdown. Everything runs over TCP on
-  loopback; what ran is read from the backend servers' records.
+  Fails if a caller takes a truncated body for a complete one, if a request that ran
+  is reported as "not run", if callers exhaust the entry, or if a shutdown interrupts
+  requests. Everything runs over TCP on loopback; the backend servers' records show
+  which requests ran.
 
   Scenario Outline: every caller gets the whole answer to its own request
     Given a callers deployment with 3 agents
     When 120 callers ask over HTTP/<version> for bodies of 0 to 3000000 bytes
-    Then each caller got its own whole body once
+    Then each caller got the complete body of its own request once
 
     Examples:
       | version |
@@ -17,8 +17,8 @@
 
   Scenario Outline: a cut body is never taken for a whole one
     Given a callers deployment with 1 agents
-    When the backend server cuts a body of <size> bytes asked for over HTTP/<version>
-    Then the caller of the cut body sees <what>
+    When the backend server truncates a body of <size> bytes asked for over HTTP/<version>
+    Then the caller of the truncated body sees <what>
 
     Examples:
       | size    | version | what        |
@@ -50,8 +50,8 @@
 
   Scenario: a flood is answered or refused as not run, and nothing else
     Given a callers deployment with 1 agents
-    When 150 callers come at once with 30 ms of work each
-    Then each caller of the flood was answered or told to retry, and only answered ones ran
+    When 150 callers send requests at once with 30 ms of work each
+    Then each of these callers got an answer or a refusal with Retry-After, and only answered requests ran
 
   Scenario: refused requests over HTTP/2 leave the others on their connection alone
     Given a callers deployment with 1 agents
--- a/tests/features/exchange.feature
+++ b/tests/features/exchange.feature
@@ -1,14 +1,14 @@
 Feature: exchange
 
-  Guards against a caller who gets a short, foreign or repeated answer; against
-  "not run" for work that ran or runs later; against a second run of a request
-  with the same idempotency key; and against work sent to agents that leave.
-  What ran is read from the backend servers' records.
+  Fails if a caller gets a truncated answer, another request's answer or a repeated
+  one; if a request is reported as "not run" although it ran or runs later; if a
+  request with the same idempotency key runs twice; or if requests are sent to agents
+  that leave. The backend servers' records show which requests ran.
 
   Scenario Outline: answers are whole and run once whatever happens to their messages
     Given a deployment with agents: 3, entries: 1, seed: <seed>
     When 12 exchange requests of <size> bytes are made while answers are <fault>
-    Then every exchange answer is whole and its own
+    Then every exchange answer is complete and belongs to its request
     And no exchange request ran twice
 
     Examples:
@@ -24,7 +24,7 @@
   Scenario Outline: a link that fails while a request runs is settled by id
     Given a deployment with agents: 2, entries: 1, seed: 1
     When the link of a running exchange request <failure> after <after> s and it needs 1 s
-    Then every exchange answer is whole and its own
+    Then every exchange answer is complete and belongs to its request
     And exchange requests that ran: 1
 
     Examples:
@@ -35,8 +35,8 @@
 
   Scenario: a request settled as never run does not run when a late copy of it comes
     Given a deployment with agents: 2, entries: 1, seed: 1
-    When an exchange request is held up on its way for 6 s and its link breaks
-    Then every exchange answer is whole and its own
+    When an exchange request is delayed for 6 s and its link breaks
+    Then every exchange answer is complete and belongs to its request
     And exchange requests that ran: 1
 
   Scenario Outline: an agent's restart leaves the outcome unknown unless the class is idempotent
@@ -74,7 +74,7 @@
 
   Scenario Outline: bookings need agents that can vouch for the key
     Given a deployment with agents: 3, entries: 1, seed: 1
-    When <missing> of the agents have no full memory of keys and a booking is made
+    When <missing> of the agents have no full key memory and a booking is made
     Then the exchange outcome is <outcome>
 
     Examples:
@@ -84,20 +84,20 @@
 
   Scenario: a backend server never gets more than its slots and connections
     Given a deployment with agents: 1, entries: 3, seed: 1
-    When 200 exchange requests of 50 ms come at once
+    When 200 exchange requests of 50 ms are sent at once
     Then the backend server saw at most 8 requests at a time
-    And every exchange answer is whole or it did not run
+    And every exchange answer is complete or its request did not run
 
   Scenario: a leaving agent finishes its requests and gets no new ones
     Given a deployment with agents: 2, entries: 1, seed: 1
     When an agent leaves while 8 exchange requests of 3 s run
     Then the drain ended after the last answer
-    And every exchange answer is whole and its own
+    And every exchange answer is complete and belongs to its request
     And nothing started at the leaving agent after it left
 
   Scenario: an agent that left or whose data centre is out refuses what still comes
     Given a deployment with agents: 1, entries: 1, seed: 1
-    When exchange requests are sent past routing after leaving and with the data centre out
+    When exchange requests bypass routing after leaving and with the data centre out
     Then both were refused and nothing ran
 
   Scenario: a caller that hangs up while its request is queued leaves nothing to run
@@ -124,7 +124,7 @@
   Scenario Outline: one key runs at most once over all interleavings of racing entries
     Given racing entries where <views>
     When every interleaving of their messages is explored
-    Then no interleaving runs the key twice or runs what was answered as not run
+    Then no interleaving runs the key twice or runs a request reported as not run
     And some interleaving runs the key once
 
     Examples:
@@ -139,7 +139,7 @@
   Scenario: entries that reach no common place of a key both refuse
     Given racing entries where each reaches only one place
     When every interleaving of their messages is explored
-    Then no interleaving runs the key twice or runs what was answered as not run
+    Then no interleaving runs the key twice or runs a request reported as not run
 
   Scenario Outline: the exploration finds a second run when a protection is off
     Given racing entries where <views>
@@ -154,5 +154,5 @@
   Scenario: a backend server that is down does not attract requests by refusing fast
     Given a deployment with agents: 4, entries: 1, seed: 3
     And the backend server of an exchange agent is down
-    When 200 idempotent exchange requests of 20 ms come one after the other
+    When 200 idempotent exchange requests of 20 ms are sent one after the other
     Then the exchange sent at most 8 requests to the backend server that is down
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -35,24 +35,24 @@
         super().__init__(1, limits)
         self.count = agents
         self.shutdown: Any = None
-        self.backends_end: Any = None
-        self.serving = 0
-        # Longer than a scenario may take, so that it cannot hide a stream left open.
+        self.backends_stop: Any = None
+        self.open_servers = 0
+        # Longer than the time limit of a scenario, so that a stream left open makes it fail.
         self.keep_alive_s = 2 * WAIT_S
         self.url = ""
         self.app: Any = None
 
-    def play(self, act: Callable[["LoopbackNet"], Awaitable[None]]) -> None:
+    def run_scenario(self, actions: Callable[["LoopbackNet"], Awaitable[None]]) -> None:
         async def main() -> None:
-            self.shutdown, self.backends_end = anyio.Event(), anyio.Event()
+            self.shutdown, self.backends_stop = anyio.Event(), anyio.Event()
             with anyio.fail_after(WAIT_S):
                 async with anyio.create_task_group() as self.group:
-                    await self.launch()
-                    await act(self)
-                    # Hypercorn does not bear being cancelled while it serves.
+                    await self.start_processes()
+                    await actions(self)
+                    # Hypercorn fails if it is cancelled while it serves, so it is shut down first.
                     self.shutdown.set()
-                    self.backends_end.set()
-                    await until(lambda: self.serving == 0)
+                    self.backends_stop.set()
+                    await until(lambda: self.open_servers == 0)
                     self.group.cancel_scope.cancel()
 
         with (
@@ -61,7 +61,7 @@
         ):
             anyio.run(main)
 
-    async def launch(self) -> None:
+    async def start_processes(self) -> None:
         entry = self.entries["entry1"] = EntryNode(self, "entry1", RequestSettings())
         self.group.start_soon(entry.run)
         bound: list[Address] = []
@@ -81,7 +81,7 @@
             sock, port = bound_socket()
             self.urls[name] = f"http://127.0.0.1:{port}"
             backend = BackendApp(SERVICE)
-            self.group.start_soon(self.serve, serve_app, backend, sock, self.backends_end)
+            self.group.start_soon(self.serve, serve_app, backend, sock, self.backends_stop)
             agent = self.agents[name] = AgentNode(self, name, 1, backend)
             self.group.start_soon(agent.run)
             self.group.start_soon(
@@ -97,9 +97,9 @@
         await until(lambda: can_connect(port))
 
     async def serve(self, server: Any, app: Any, sock: socket.socket, end: Any) -> None:
-        self.serving += 1
+        self.open_servers += 1
         await server(app, f"fd://{sock.detach()}", end.wait)
-        self.serving -= 1
+        self.open_servers -= 1
 
 
 def can_connect(port: int) -> bool:
@@ -108,20 +108,20 @@
 
 
 async def until(ready: Callable[[], bool]) -> None:
-    """Wait for a state of our own objects that has no event; the run has a time limit."""
+    """Poll until a condition holds that has no event; the run has a time limit."""
     while not ready():
         await anyio.sleep(0.005)
 
 
 class CallersSubject:
-    """Holds one deployment and what its callers were told."""
+    """Holds one deployment and the responses that its callers received."""
 
     def __init__(self, agents: int) -> None:
         self.net = LoopbackNet(agents, LIMITS)
         self.responses: list[tuple[int, Response]] = []
         self.error: Exception | None = None
         self.closed = 0
-        self.notes: dict[str, Any] = {}
+        self.measured: dict[str, Any] = {}
 
     def client(self, version: int = 1, connections: int = 30) -> AsyncClient:
         return AsyncClient(
@@ -143,18 +143,18 @@
             return
         self.responses.append((size, response))
 
-    async def many(
+    async def get_many(
         self, sizes: list[int], version: int = 1, work_ms: int = 0, at_once: int = 300
     ) -> None:
         limiter = anyio.CapacityLimiter(at_once)
 
-        async def one(client: AsyncClient, size: int) -> None:
+        async def get_one(client: AsyncClient, size: int) -> None:
             async with limiter:
                 await self.get(client, size, work_ms=work_ms)
 
         async with self.client(version, at_once) as client, anyio.create_task_group() as group:
             for size in sizes:
-                group.start_soon(one, client, size)
+                group.start_soon(get_one, client, size)
 
     def check(self, size: int, response: Response) -> None:
         assert response.status_code == 200, response.text
@@ -172,10 +172,12 @@
 def _(context: Any, count: int, version: int, size: int) -> None:
     sizes = [(0, 100, 70_000, 300_000)[number % 4] for number in range(count)]
     sizes[::30] = [size] * len(sizes[::30])
-    context.callers.net.play(lambda net: context.callers.many(sizes, version, at_once=40))
+    context.callers.net.run_scenario(
+        lambda net: context.callers.get_many(sizes, version, at_once=40)
+    )
 
 
-@then("each caller got its own whole body once")
+@then("each caller got the complete body of its own request once")
 def _(context: Any) -> None:
     subject = context.callers
     assert subject.error is None, repr(subject.error)
@@ -185,35 +187,35 @@
     assert len(ids) == len(subject.responses) == len(subject.net.runs) == 120
 
 
-@when("the backend server cuts a body of {size:d} bytes asked for over HTTP/{version:d}")
+@when("the backend server truncates a body of {size:d} bytes asked for over HTTP/{version:d}")
 def _(context: Any, size: int, version: int) -> None:
     subject = context.callers
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         backend = net.agents["agent1"].backend
         backend.faults = type(backend.faults)(cut_body=True)
         async with subject.client(version) as client:
             await subject.get(client, size)
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
-@then("the caller of the cut body sees {what}")
+@then("the caller of the truncated body sees {what}")
 def _(context: Any, what: str) -> None:
     subject = context.callers
     if what == "an error":
         assert subject.error is not None, subject.responses
         return
     response = subject.responses[0][1]
-    seen = f"{response.status_code} {response.headers['apricotpath-outcome']}"
-    assert seen == what, response.text
+    status_and_outcome = f"{response.status_code} {response.headers['apricotpath-outcome']}"
+    assert status_and_outcome == what, response.text
 
 
-async def stalled(net: LoopbackNet) -> AsyncIterator[bytes]:
-    """Yield the beginning of a body, and the end only once the call is over."""
+async def stalled_body(net: LoopbackNet) -> AsyncIterator[bytes]:
+    """Yield the beginning of a body, and end it only after the call has ended."""
     yield b"x"
-    await until(lambda: net.app.open == 1)
-    await until(lambda: net.app.open == 0)
+    await until(lambda: net.app.open_requests == 1)
+    await until(lambda: net.app.open_requests == 0)
 
 
 BAD_CALLS: dict[str, dict[str, Any]] = {
@@ -224,7 +226,7 @@
     "a deadline that is text": {"headers": {"Apricotpath-Deadline-Ms": "soon"}},
     "a body over the limit": {"content": bytes((1 << 20) + 1)},
     "headers over the limit": {"headers": {f"x{number}": "y" * 1000 for number in range(9)}},
-    "a body that stalls": {"content": stalled},
+    "a body that stalls": {"content": stalled_body},
 }
 
 
@@ -232,11 +234,11 @@
 def _(context: Any, size: int) -> None:
     subject = context.callers
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         async with subject.client() as client:
             await subject.get(client, 10, content=bytes(size))
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
 @then("the backend server got {size:d} bytes from the caller")
@@ -254,11 +256,11 @@
     if callable(options.get("content")):
         options["content"] = options["content"](subject.net)
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         async with subject.client() as client:
             subject.responses.append((0, await client.post(**options)))
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
 @then("the caller gets status {status:d} and reason {reason}, and nothing ran")
@@ -270,13 +272,16 @@
     assert context.callers.net.runs == []
 
 
-@when("{count:d} callers come at once with {work:d} ms of work each")
+@when("{count:d} callers send requests at once with {work:d} ms of work each")
 def _(context: Any, count: int, work: int) -> None:
     subject = context.callers
-    subject.net.play(lambda net: subject.many([100] * count, 1, work))
+    subject.net.run_scenario(lambda net: subject.get_many([100] * count, 1, work))
 
 
-@then("each caller of the flood was answered or told to retry, and only answered ones ran")
+@then(
+    "each of these callers got an answer or a refusal with Retry-After,"
+    " and only answered requests ran"
+)
 def _(context: Any) -> None:
     subject = context.callers
     assert subject.error is None, repr(subject.error)
@@ -297,7 +302,7 @@
 def _(context: Any, count: int, limit: int) -> None:
     subject = context.callers
     subject.net.limits = replace(LIMITS, connections=limit)
-    subject.net.play(lambda net: subject.many([70_000] * count, 2, 20, at_once=count))
+    subject.net.run_scenario(lambda net: subject.get_many([70_000] * count, 2, 20, at_once=count))
 
 
 @then("each caller on the connection was answered or refused")
@@ -312,10 +317,10 @@
 def _(context: Any, count: int) -> None:
     subject = context.callers
     subject.net.limits = replace(LIMITS, connections=40)
-    # Idle connections must not end before the excess ones have been counted.
+    # Idle connections must stay open until the excess ones have been counted.
     subject.net.keep_alive_s = 1.5
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         streams = [await anyio.connect_tcp("127.0.0.1", net.port) for _number in range(count)]
 
         async def read(stream: Any) -> None:
@@ -336,12 +341,12 @@
             while not subject.responses:
                 await subject.get(client, 10)
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
 @then("{count:d} connections were closed and a caller is served once the others have gone")
 def _(context: Any, count: int) -> None:
-    # The connection that found the port open may still be counted.
+    # The connection of `can_connect` may still be counted.
     assert context.callers.closed - count in (0, 1), context.callers.closed
     context.callers.check(*context.callers.responses[0])
 
@@ -350,16 +355,16 @@
 def _(context: Any, count: int, work: int) -> None:
     subject = context.callers
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(subject.many, [100] * count, 1, work)
-            await until(lambda: net.app.open == count)
+            group.start_soon(subject.get_many, [100] * count, 1, work)
+            await until(lambda: net.app.open_requests == count)
             net.shutdown.set()
         await net.app.drain()
-        await until(lambda: net.serving == len(net.agents))
-        subject.notes["open"] = can_connect(net.port)
+        await until(lambda: net.open_servers == len(net.agents))
+        subject.measured["open"] = can_connect(net.port)
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
 @then("all {count:d} callers got their answers and the port is closed")
@@ -369,26 +374,26 @@
     assert len(subject.responses) == count
     for size, response in subject.responses:
         subject.check(size, response)
-    assert not subject.notes["open"]
+    assert not subject.measured["open"]
 
 
 @when("a caller hangs up during {work:d} ms of work")
 def _(context: Any, work: int) -> None:
     subject = context.callers
 
-    async def act(net: LoopbackNet) -> None:
+    async def actions(net: LoopbackNet) -> None:
         async with subject.client() as client, anyio.create_task_group() as group:
             group.start_soon(lambda: subject.get(client, 10, work_ms=work))
             await until(lambda: len(net.runs) == 1)
-            subject.notes["busy"] = net.agents["agent1"].component.busy_slots
+            subject.measured["busy"] = net.agents["agent1"].component.busy_slots
             group.cancel_scope.cancel()
         await until(lambda: net.agents["agent1"].component.busy_slots == 0)
-        # The stand-in works on after the agent has gone; only the slot is free.
-        subject.notes["end"] = net.runs[0].end
+        # The stand-in continues its work after the agent has cancelled it; only the slot is free.
+        subject.measured["end"] = net.runs[0].end
 
-    subject.net.play(act)
+    subject.net.run_scenario(actions)
 
 
 @then("the agent's slot for that caller was free before the work had ended")
 def _(context: Any) -> None:
-    assert context.callers.notes == {"busy": 1, "end": None}
+    assert context.callers.measured == {"busy": 1, "end": None}
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -13,29 +13,29 @@
 
 
 class ExchangeSubject:
-    """Holds one deployment, the callers' replies and what a scenario measured."""
+    """Holds one deployment, the callers' replies and the values measured by a scenario."""
 
     def __init__(self, agents: int, entries: int, seed: int) -> None:
         self.net = Net(seed)
         self.agents, self.entries = agents, entries
         self.replies: list[Reply] = []
         self.sizes: list[int] = []
-        self.notes: dict[str, Any] = {}
+        self.measured: dict[str, Any] = {}
 
-    def play(self, act: Any) -> None:
+    def run_scenario(self, actions: Any) -> None:
         async def scenario(net: Net) -> None:
             await net.start(self.agents, self.entries)
-            await act(net)
+            await actions(net)
 
         self.net.run(scenario)
 
-    def launch(self, group: Any, entry: str = "entry1", **want: Any) -> Reply:
+    def start_request(self, group: Any, entry: str = "entry1", **options: Any) -> Reply:
         reply = Reply()
         self.replies.append(reply)
-        self.sizes.append(want.get("size", 100))
+        self.sizes.append(options.get("size", 100))
 
         async def call() -> None:
-            await self.net.call(reply, entry, **want)
+            await self.net.call(reply, entry, **options)
 
         group.start_soon(call)
         return reply
@@ -61,27 +61,27 @@
 def _(context: Any, count: int, size: int, fault: str) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         entry = net.entries["entry1"]
         answers = (ResponseStart, ResponseBody, RequestRefused)
         seen = set()
 
-        def decide(body: Any) -> list[float]:
+        def choose_delays(body: Any) -> list[float]:
             part = (type(body), getattr(body, "request", ""), getattr(body, "offset", 0))
             if not isinstance(body, answers) or (fault == "lost" and part in seen):
                 return [0.0]
             seen.add(part)
             return FAULTS[fault](entry.component.rng)
 
-        entry.fault = decide
+        entry.fault = choose_delays
         async with anyio.create_task_group() as group:
             for _number in range(count):
-                subject.launch(group, size=size, work_ms=20)
+                subject.start_request(group, size=size, work_ms=20)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
-@then("every exchange answer is whole and its own")
+@then("every exchange answer is complete and belongs to its request")
 def _(context: Any) -> None:
     subject = context.exchange
     assert subject.replies
@@ -99,21 +99,21 @@
 def _(context: Any, failure: str, after: float) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         def fail() -> None:
             for name in net.agents if not after else [subject.running_agent().name]:
                 (net.break_link if failure == "breaks" else net.silence)(name)
 
         async with anyio.create_task_group() as group:
             if after:
-                subject.launch(group, work_ms=1000)
+                subject.start_request(group, work_ms=1000)
                 await anyio.sleep(after)
                 fail()
             else:
                 fail()
-                subject.launch(group, work_ms=1000)
+                subject.start_request(group, work_ms=1000)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("exchange requests that ran: {count:d}")
@@ -122,44 +122,46 @@
     assert len(runs) == count, runs
 
 
-@when("an exchange request is held up on its way for 6 s and its link breaks")
+@when("an exchange request is delayed for 6 s and its link breaks")
 def _(context: Any) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
-        held = []
+    async def actions(net: Net) -> None:
+        delayed = []
 
-        def hold(body: Any) -> list[float]:
-            if isinstance(body, RequestStart) and not held:
-                held.append(body.request)
+        def delay_first(body: Any) -> list[float]:
+            if isinstance(body, RequestStart) and not delayed:
+                delayed.append(body.request)
                 return [6.0]
             return [0.0]
 
         for agent in net.agents.values():
-            agent.fault = hold
+            agent.fault = delay_first
         async with anyio.create_task_group() as group:
-            subject.launch(group, work_ms=10)
+            subject.start_request(group, work_ms=10)
             await anyio.sleep(0.5)
             for name in net.agents:
                 net.break_link(name)
         await anyio.sleep(10)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @when("the agent of a running {name} exchange request restarts")
 def _(context: Any, name: str) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         async with anyio.create_task_group() as group:
-            subject.launch(group, request_class=name, key="k" * (name == "booking"), work_ms=1000)
+            subject.start_request(
+                group, request_class=name, key="k" * (name == "booking"), work_ms=1000
+            )
             await anyio.sleep(0.5)
             agent = subject.running_agent()
             agent.kill()
             net.start_agent(agent.name, 2)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("the exchange outcome is {outcome}")
@@ -175,45 +177,45 @@
 def _(context: Any, killed: float, retry: float) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         async with anyio.create_task_group() as group:
-            subject.launch(group, request_class="booking", key="k", work_ms=1000)
+            subject.start_request(group, request_class="booking", key="k", work_ms=1000)
             await anyio.sleep(killed)
             net.entries["entry1"].kill()
             group.cancel_scope.cancel()
         await anyio.sleep(retry)
         async with anyio.create_task_group() as group:
-            subject.launch(group, "entry2", request_class="booking", key="k", work_ms=1000)
+            subject.start_request(group, "entry2", request_class="booking", key="k", work_ms=1000)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @when("a booking has run, its home {failure} and the caller retries with the same key")
 def _(context: Any, failure: str) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         for _try in range(2):
             async with anyio.create_task_group() as group:
-                subject.launch(group, request_class="booking", key="k")
+                subject.start_request(group, request_class="booking", key="k")
             home = next(agent for agent in net.agents.values() if agent.backend.runs)
             if failure == "restarts":
                 home.kill()
                 net.start_agent(home.name, 2)
             else:
-                net.cut.add((home.name, "entry1"))
+                net.partitioned.add((home.name, "entry1"))
                 net.break_link(home.name)
             await anyio.sleep(1)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
-@when("{missing:d} of the agents have no full memory of keys and a booking is made")
+@when("{missing:d} of the agents have no full key memory and a booking is made")
 def _(context: Any, missing: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
-        # Their incarnations are no founders, and as old as the deployment.
+    async def actions(net: Net) -> None:
+        # These incarnations are not founders and are as old as the deployment.
         net.rules.founding = frozenset(sorted(net.rules.founding)[missing:])
         for row in net.entries["entry1"].hosts.rows.values():
             joining = row.incarnation not in net.rules.founding
@@ -222,23 +224,23 @@
                 **{name: getattr(row.announce, name) for name in row.announce.__slots__} | changed
             )
         async with anyio.create_task_group() as group:
-            subject.launch(group, request_class="booking", key="k")
+            subject.start_request(group, request_class="booking", key="k")
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
-@when("{count:d} exchange requests of {work:d} ms come at once")
+@when("{count:d} exchange requests of {work:d} ms are sent at once")
 def _(context: Any, count: int, work: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         async with anyio.create_task_group() as group:
             for number in range(count):
                 name = list(net.entries)[number % len(net.entries)]
                 kind = {} if number % 2 else {"request_class": "booking", "key": f"k{number}"}
-                subject.launch(group, name, work_ms=work, **kind)
+                subject.start_request(group, name, work_ms=work, **kind)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("the backend server saw at most {slots:d} requests at a time")
@@ -247,7 +249,7 @@
     assert 1 < backend.most_present <= slots, backend.most_present
 
 
-@then("every exchange answer is whole or it did not run")
+@then("every exchange answer is complete or its request did not run")
 def _(context: Any) -> None:
     subject = context.exchange
     answered = [reply for reply in subject.replies if reply.outcome == "answered"]
@@ -264,46 +266,46 @@
 def _(context: Any, count: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         agent = net.agents["agent1"]
         async with anyio.create_task_group() as group:
             for _number in range(count):
-                subject.launch(group, work_ms=3000)
+                subject.start_request(group, work_ms=3000)
             await anyio.sleep(0.1)
-            subject.notes["busy"] = agent.component.busy_slots
+            subject.measured["busy"] = agent.component.busy_slots
             await agent.leave()
-            subject.notes["left"] = anyio.current_time()
+            subject.measured["left"] = anyio.current_time()
             group.start_soon(drain, agent.component)
             await anyio.sleep(0.5)
             for _number in range(20):
-                subject.launch(group, work_ms=10)
+                subject.start_request(group, work_ms=10)
 
     async def drain(component: Any) -> None:
         await component.drain()
-        subject.notes["drained"] = anyio.current_time()
+        subject.measured["drained"] = anyio.current_time()
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("the drain ended after the last answer")
 def _(context: Any) -> None:
-    notes, backend = context.exchange.notes, context.exchange.net.agents["agent1"].backend
-    assert notes["busy"] > 0
-    assert notes["drained"] >= max(run.end for run in backend.runs)
+    measured, backend = context.exchange.measured, context.exchange.net.agents["agent1"].backend
+    assert measured["busy"] > 0
+    assert measured["drained"] >= max(run.end for run in backend.runs)
 
 
 @then("nothing started at the leaving agent after it left")
 def _(context: Any) -> None:
     subject = context.exchange
     starts = [run.start for run in subject.net.agents["agent1"].backend.runs]
-    assert max(starts) <= subject.notes["left"]
+    assert max(starts) <= subject.measured["left"]
 
 
-@when("exchange requests are sent past routing after leaving and with the data centre out")
+@when("exchange requests bypass routing after leaving and with the data centre out")
 def _(context: Any) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         agent = net.agents["agent1"]
         entry = net.entries["entry1"].component
         entry._usable = lambda row: True
@@ -314,7 +316,7 @@
         await anyio.sleep(2.0)
         subject.replies.append(await net.answer())
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("both were refused and nothing ran")
@@ -328,26 +330,26 @@
 def _(context: Any, count: int, queued: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         async with anyio.create_task_group() as group:
             for _number in range(count):
-                subject.launch(group, work_ms=1000)
+                subject.start_request(group, work_ms=1000)
             await anyio.sleep(0.1)
-            async with anyio.create_task_group() as late:
+            async with anyio.create_task_group() as cancelled_group:
                 for _number in range(queued):
-                    subject.launch(late, work_ms=1000)
+                    subject.start_request(cancelled_group, work_ms=1000)
                 await anyio.sleep(0.1)
-                late.cancel_scope.cancel()
+                cancelled_group.cancel_scope.cancel()
         await anyio.sleep(3)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @when("{fault} during an exchange request with a deadline of {deadline:d} s")
 def _(context: Any, fault: str, deadline: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         backend = net.agents["agent1"].backend
         if fault == "the backend server hangs":
             backend.faults = type(backend.faults)(hang=True)
@@ -355,7 +357,7 @@
             net.entries["entry1"].fault = lambda body: []
         subject.replies.append(await net.answer(deadline_s=deadline))
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("the exchange answer took at most {seconds:f} s")
@@ -367,15 +369,15 @@
 def _(context: Any, count: int) -> None:
     subject = context.exchange
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         backend = net.agents["agent1"].backend
         backend.faults = type(backend.faults)(fail_all=True)
         for _number in range(count):
             async with anyio.create_task_group() as group:
-                subject.launch(group, work_ms=5)
+                subject.start_request(group, work_ms=5)
                 await anyio.sleep(0.01)
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("fewer than {count:d} exchange requests were answered with status 500")
@@ -407,11 +409,11 @@
         context.explorer.explore()
 
 
-@then("no interleaving runs the key twice or runs what was answered as not run")
+@then("no interleaving runs the key twice or runs a request reported as not run")
 def _(context: Any) -> None:
     explorer = context.explorer
     assert explorer.count > 3, explorer.count
-    assert not explorer.broken, explorer.broken[0]
+    assert not explorer.violations, explorer.violations[0]
 
 
 @then("some interleaving runs the key once")
@@ -421,7 +423,7 @@
 
 @then("some interleaving runs the key twice")
 def _(context: Any) -> None:
-    assert any("ran twice" in text for text in context.explorer.broken)
+    assert any("ran twice" in text for text in context.explorer.violations)
 
 
 @given("the backend server of an exchange agent is down")
@@ -429,12 +431,12 @@
     context.exchange.net.down.add("agent2")
 
 
-@when("{count:d} idempotent exchange requests of {work:d} ms come one after the other")
+@when("{count:d} idempotent exchange requests of {work:d} ms are sent one after the other")
 def _(context: Any, count: int, work: int) -> None:
     subject = context.exchange
     subject.refused = 0
 
-    async def act(net: Net) -> None:
+    async def actions(net: Net) -> None:
         entry = net.entries["entry1"]
         received = entry.component.received
 
@@ -446,14 +448,14 @@
         for _number in range(count):
             subject.replies.append(await net.answer(work_ms=work))
 
-    subject.play(act)
+    subject.run_scenario(actions)
 
 
 @then("the exchange sent at most {count:d} requests to the backend server that is down")
 def _(context: Any, count: int) -> None:
     subject = context.exchange
     assert 0 < subject.refused <= count, subject.refused
-    # Until the ejection the retry budget may be spent; each such request was refused.
+    # Before the ejection the retry budget may run out; each such request was refused.
     not_run = [reply for reply in subject.replies if reply.outcome == "not-run"]
     answered = [reply for reply in subject.replies if reply.outcome == "answered"]
     assert len(not_run) <= subject.refused
--- a/tests/features/steps/key_explorer.py
+++ b/tests/features/steps/key_explorer.py
@@ -1,4 +1,4 @@
-"""Systematic exploration of entries that race for one idempotency key."""
+"""Exhaustive exploration of the interleavings of entries that reserve one idempotency key."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True)
 class View:
-    """Places as one entry sees them; `absent` are gone and `silent` do not answer."""
+    """Places as one entry sees them; `absent` ones are not linked, `silent` ones do not reply."""
 
     places: str = "ABC"
     absent: str = ""
@@ -41,7 +41,7 @@
 
 
 class Agent:
-    """The tables of one agent; J is the only one without a full memory."""
+    """The tables of one agent; only agent J has no full key memory."""
 
     def __init__(self, name: str) -> None:
         self.maturity = Maturity.JOINING if name == "J" else FULL
@@ -50,7 +50,7 @@
 
 
 class Racer:
-    """One entry's reservation and the messages it has under way to each agent."""
+    """One entry's reservation and its undelivered messages to each agent."""
 
     def __init__(self, number: int, view: View) -> None:
         self.view, self.request, self.outcome = view, f"entry{number}.1", ""
@@ -67,7 +67,7 @@
             self.queues[name].append(item)
 
     def advance(self, reply: Any) -> None:
-        """Take steps until one has to wait for an agent."""
+        """Perform steps until one has to wait for an agent."""
         self.history.append(repr(reply))
         try:
             step = self.steps.send(reply)
@@ -101,10 +101,10 @@
             self.outcome = "not-run" if isinstance(result, Blocked) else "existing"
 
     def deliver(self, name: str, agent: Agent, runs: list[str]) -> None:
-        """Let an agent handle the next message of this entry, with the releases before it.
+        """Deliver the next message of this entry to an agent, with the releases before it.
 
-        Handling releases apart from the message behind them would only add
-        states in which a dead reservation is in force for longer.
+        Handling releases separately from the message after them would only add
+        states in which an obsolete reservation lasts longer.
         """
         while isinstance(self.queues[name][0], ReleaseKey) and len(self.queues[name]) > 1:
             release = self.queues[name].pop(0)
@@ -133,26 +133,26 @@
                 self.advance(self.replies)
 
 
-# Enough for one take-over by each entry; more rounds only repeat it.
+# Enough for one takeover of the key by each entry; more rounds only repeat it.
 MAX_ROUNDS = 2
 
 
 class KeyExplorer:
-    """Visits every state that a race can reach, whatever order agents work in.
+    """Visits every reachable state of a race, for all orders of message delivery.
 
-    Handling a message is the only step that entries share, so a reply may be
-    taken as soon as it is sent. Messages from one entry to one agent stay in
-    order. A state is reached again by repeating the choices that led to it.
+    Entries interact only when an agent handles a message, so a reply is delivered
+    as soon as it is sent. Messages from one entry to one agent stay in order. A
+    state is reached again by repeating the choices that led to it.
     """
 
     def __init__(self, views: tuple[View, ...]) -> None:
         self.views = views
         self.count = 0
         self.ran = 0
-        self.broken: list[str] = []
+        self.violations: list[str] = []
 
     def explore(self) -> None:
-        """Visit all states, and check the ones where every message was handled."""
+        """Visit all states, and check those in which all messages are delivered."""
         with patch("apricotpath.keyplaces.MAX_ROUNDS", MAX_ROUNDS):
             self._explore()
 
@@ -161,7 +161,7 @@
         paths: list[tuple[int, ...]] = [()]
         while paths:
             path = paths.pop()
-            agents, racers, runs = self.race(path)
+            agents, racers, runs = self.replay(path)
             while (state := self.state(agents, racers, runs)) not in seen:
                 seen.add(state)
                 self.count += 1
@@ -169,7 +169,7 @@
                 if not options:
                     self.check(path, racers, runs)
                     break
-                # The first choice is taken in place, which saves repeating the path.
+                # The first choice is made in place, which avoids replaying the path.
                 paths.extend((*path, choice) for choice in range(1, len(options)))
                 path = (*path, 0)
                 racer, name = options[0]
@@ -177,7 +177,7 @@
 
     @staticmethod
     def state(agents: dict[str, Agent], racers: list[Racer], runs: list[str]) -> str:
-        """Return a text that differs for states that differ."""
+        """Return a string that is different for different states."""
         tables = [(agent.keys.records, agent.requests.records) for agent in agents.values()]
         return repr((tables, [(r.queues, r.history, r.outcome) for r in racers], runs))
 
@@ -185,7 +185,7 @@
     def options(racers: list[Racer]) -> list[tuple[Racer, str]]:
         return [(racer, name) for racer in racers for name, q in racer.queues.items() if q]
 
-    def race(self, path: tuple[int, ...]) -> tuple[dict[str, Agent], list[Racer], list[str]]:
+    def replay(self, path: tuple[int, ...]) -> tuple[dict[str, Agent], list[Racer], list[str]]:
         """Return the state that a path of choices leads to."""
         agents = {name: Agent(name) for name in "ABCJ"}
         racers = [Racer(number, view) for number, view in enumerate(self.views, 1)]
@@ -198,7 +198,7 @@
     def check(self, path: tuple[int, ...], racers: list[Racer], runs: list[str]) -> None:
         self.ran += bool(runs)
         if len(runs) > 1:
-            self.broken.append(f"ran twice: {runs} in order {path}")
+            self.violations.append(f"ran twice: {runs} in order {path}")
         for racer in racers:
             if racer.outcome == "not-run" and racer.request in runs:
-                self.broken.append(f"{racer.request} ran but was answered as not run: {path}")
+                self.violations.append(f"{racer.request} ran but was answered as not run: {path}")
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -1,4 +1,4 @@
-"""Entries, agents and backend servers in one process, joined by links over memory streams."""
+"""Entries, agents and backend servers in one process, with links over memory streams."""
 
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -33,7 +33,7 @@
 from apricotpathd.exchange import Exchange
 from apricotpathd.hosts import HostTable
 
-# One line per request would bury what a failed scenario prints.
+# One line per request would hide the output of a failed scenario.
 getLogger("httpx").setLevel("WARNING")
 
 ADDRESS = Address("127.0.0.1", 0)
@@ -67,13 +67,13 @@
 
 
 class MemoryStream(ByteStream):
-    """One end of a byte stream; with `hole` set, what is sent disappears."""
+    """One end of a byte stream; with `discards` set, sent bytes are dropped."""
 
     def __init__(self, tx: Any, rx: Any) -> None:
-        self.tx, self.rx, self.hole = tx, rx, False
+        self.tx, self.rx, self.discards = tx, rx, False
 
     async def send(self, item: bytes) -> None:
-        if not self.hole:
+        if not self.discards:
             await self.tx.send(item)
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
@@ -94,10 +94,10 @@
 
 
 class Node:
-    """Handler of a process's links; `fault` decides on each received message.
+    """Handler of a process's links; `fault` injects faults into received messages.
 
-    It returns the delays in seconds after which the message is handled: none
-    loses it, two double it, and a longer one lets later messages pass.
+    It returns the delays in seconds after which the message is handled: an empty
+    list loses the message, two delays duplicate it, and a long delay reorders it.
     """
 
     def __init__(self, net: "Net", hello: Hello, component: Any) -> None:
@@ -149,7 +149,7 @@
 
 
 class AgentNode(Node):
-    """An agent with its backend server, which outlives the agent's incarnations."""
+    """An agent and its backend server, which keeps running when the agent restarts."""
 
     def __init__(self, net: "Net", name: str, number: int, backend: BackendApp) -> None:
         self.net, self.name, self.backend = net, name, backend
@@ -215,7 +215,7 @@
 
 
 class Reply:
-    """What one caller was told."""
+    """The result that one caller received."""
 
     def __init__(self) -> None:
         self.outcome = "pending"
@@ -241,11 +241,11 @@
         self.agents: dict[str, AgentNode] = {}
         self.entries: dict[str, EntryNode] = {}
         self.streams: dict[tuple[str, str], tuple[MemoryStream, MemoryStream]] = {}
-        self.cut: set[tuple[str, str]] = set()
+        self.partitioned: set[tuple[str, str]] = set()
         self.group: Any = None
 
     def run(self, scenario: Callable[["Net"], Awaitable[None]]) -> None:
-        """Run a scenario on a trio clock that jumps over waiting times."""
+        """Run a scenario in virtual time, with a trio clock that skips waiting times."""
 
         async def main() -> None:
             async with anyio.create_task_group() as self.group:
@@ -258,7 +258,7 @@
     async def start(
         self, agents: int, entries: int = 1, cfg: RequestSettings | None = None
     ) -> None:
-        """Start processes and wait until every entry serves keys."""
+        """Start processes and wait until every entry accepts requests with keys."""
         names = [f"agent{number}" for number in range(1, agents + 1)]
         self.rules.founding = frozenset(f"{name}-1" for name in names)
         for number in range(1, entries + 1):
@@ -280,11 +280,15 @@
     async def _dial(self, agent: AgentNode, entry: EntryNode) -> None:
         while agent.alive and entry.alive:
             pair = (agent.name, entry.hello.process_id)
-            if pair not in self.cut:
-                ours, theirs = self.streams[pair] = stream_pair()
+            if pair not in self.partitioned:
+                agent_end, entry_end = self.streams[pair] = stream_pair()
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._serve, Link(ours, agent.hello, LinkSettings(), agent))
-                    group.start_soon(self._serve, Link(theirs, entry.hello, LinkSettings(), entry))
+                    group.start_soon(
+                        self._serve, Link(agent_end, agent.hello, LinkSettings(), agent)
+                    )
+                    group.start_soon(
+                        self._serve, Link(entry_end, entry.hello, LinkSettings(), entry)
+                    )
             await anyio.sleep(0.1)
 
     async def _serve(self, link: Link) -> None:
@@ -292,27 +296,27 @@
             await link.run()
 
     def silence(self, agent: str, entry: str = "entry1") -> None:
-        """Make the present connection lose everything from now on."""
+        """Drop everything that is sent on the current connection."""
         for stream in self.streams[agent, entry]:
-            stream.hole = True
+            stream.discards = True
 
     def break_link(self, agent: str, entry: str = "entry1") -> None:
         for link in list(self.agents[agent].links):
             if link.peer is not None and link.peer.process_id == entry:
                 link.close("broken by the test")
 
-    async def call(self, reply: Reply, entry: str = "entry1", **want: Any) -> None:
-        """Make one caller's request and note what the caller is told."""
-        rules = CLASSES[want.get("request_class", "intake")]
-        path = f"/x?work_ms={want.get('work_ms', 0)}&size={want.get('size', 100)}"
-        begun = anyio.current_time()
+    async def call(self, reply: Reply, entry: str = "entry1", **options: Any) -> None:
+        """Send one caller's request and record its result in `reply`."""
+        rules = CLASSES[options.get("request_class", "intake")]
+        path = f"/x?work_ms={options.get('work_ms', 0)}&size={options.get('size', 100)}"
+        started_at = anyio.current_time()
         req = CallerRequest(
             SERVICE,
             rules,
             "team",
-            want.get("key", ""),
-            begun + want.get("deadline_s", 10.0),
-            *("POST", path, (), want.get("body", b"")),
+            options.get("key", ""),
+            started_at + options.get("deadline_s", 10.0),
+            *("POST", path, (), options.get("body", b"")),
         )
         exchange = self.entries[entry].component
         try:
@@ -327,19 +331,19 @@
             reply.outcome, reply.reason = "not-run", exc.reason
         except OutcomeUnknown as exc:
             reply.outcome, reply.reason = "unknown", exc.reason
-        reply.seconds = anyio.current_time() - begun
+        reply.seconds = anyio.current_time() - started_at
 
-    async def answer(self, entry: str = "entry1", **want: Any) -> Reply:
+    async def answer(self, entry: str = "entry1", **options: Any) -> Reply:
         reply = Reply()
-        await self.call(reply, entry, **want)
+        await self.call(reply, entry, **options)
         return reply
 
     @property
     def runs(self) -> list[Any]:
-        """Every run in the records of the backend servers."""
+        """All runs recorded by the backend servers."""
         return [run for agent in self.agents.values() for run in agent.backend.runs]
 
     def check_body(self, reply: Reply, size: int) -> None:
-        """Check that an answer is whole and belongs to its own request."""
+        """Check that an answer is complete and belongs to its request."""
         assert reply.outcome == "answered", (reply.outcome, reply.reason)
         assert reply.body == expected_body(reply.request, size)
