--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -1,4 +1,4 @@
-"""The agent role: one host's tasks and the requests of its backend server."""
+"""The agent role: runs the tasks of one host and serves requests with its backend server."""
 
 import logging
 import random
@@ -19,21 +19,22 @@
 from apricotpathd.component import Component, UtcClock
 from apricotpathd.controlflow import ControlFlow
 from apricotpathd.entryparts import utc_now
-from apricotpathd.httpserver import HttpServers, require_free, serve_http
+from apricotpathd.httpserver import HttpServers, require_bindable, serve_http
 from apricotpathd.process import Process, wait_for_stop
 from apricotpathd.statusapp import StatusApp
 
 log = logging.getLogger(__name__)
 
 WORKER_TIMEOUT_S = 2.0
-# The maturity of the key memory and readiness change with time, so they are compared this
-# often. An unchanged announcement is repeated rarely: links lose nothing while they are open.
+# The maturity of the key memory and readiness change with time, so the announcement is
+# compared with the last one this often. An unchanged one is repeated rarely, because an open
+# link loses no messages.
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_REPEAT_S = 10.0
 
 
 class Agent(Process):
-    """An agent without its ports: all components, joined to each other."""
+    """The connected components of an agent, without its network ports."""
 
     def __init__(self, cfg: AgentSettings, utc: UtcClock = utc_now) -> None:
         super().__init__(Role.AGENT, cfg.process, cfg.data_centre)
@@ -45,9 +46,11 @@
         self.requests: AgentRequests | None = None
         if cfg.backend is not None:
             self.requests = AgentRequests(cfg, self.incarnation, self.control)
-        self.tasks = AgentTasks(cfg, self.worker, self.control, utc, self.incarnation, self._load)
-        parts: list[Component] = [self.flow, self.tasks]
-        self.use([*parts, self.requests] if self.requests is not None else parts)
+        self.tasks = AgentTasks(
+            cfg, self.worker, self.control, utc, self.incarnation, self._service_load
+        )
+        components: list[Component] = [self.flow, self.tasks]
+        self.use([*components, self.requests] if self.requests is not None else components)
         self._watch_gauges()
 
     def _watch_gauges(self) -> None:
@@ -72,21 +75,25 @@
         watch(
             "apricotpath_busy_slots",
             "Requests at the backend server",
-            lambda: self._load().busy_slots,
+            lambda: self._service_load().busy_slots,
+        )
+        watch(
+            "apricotpath_queued",
+            "Requests that wait for a slot",
+            lambda: self._service_load().queued,
         )
-        watch("apricotpath_queued", "Requests that wait for a slot", lambda: self._load().queued)
         watch(
             "apricotpath_slowdown",
             "Slowdown of requests against their quiet baseline",
-            lambda: self._load().pressure,
+            lambda: self._service_load().pressure,
         )
 
     def worker_clock_ms(self) -> int:
-        """Return the newest reading of the worker's clock."""
+        """Return the newest reading of the worker's clock in ms."""
         return self.tasks.worker_clock_ms
 
     def control_digest(self) -> tuple[int, tuple[DataCentreStatus, ...]]:
-        """Return what heartbeats tell of the control state."""
+        """Return the bundle version and data-centre statuses for heartbeats."""
         return self.control.bundle_version, self.control.statuses()
 
     async def opened(self, link: Link) -> None:
@@ -95,7 +102,7 @@
         await super().opened(link)
 
     def announcement(self) -> Announce:
-        """Return what this agent offers now."""
+        """Return the current announcement of this host and its backend server."""
         cfg, backend = self.cfg, self.cfg.backend
         return Announce(
             cfg.host,
@@ -112,7 +119,7 @@
         )
 
     def ready(self) -> bool:
-        """Tell whether a bundle is in force and the worker's tasks are adopted."""
+        """Tell whether a bundle is in force, the worker's tasks are adopted and no drain runs."""
         return self.control.bundle is not None and self.tasks.ready and not self.draining
 
     async def announce_forever(self) -> None:
@@ -120,16 +127,16 @@
         sent, sent_at = self.announcement(), anyio.current_time()
         while True:
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
-            now, offer = anyio.current_time(), self.announcement()
-            if offer == sent and now - sent_at < ANNOUNCE_REPEAT_S:
+            now, current = anyio.current_time(), self.announcement()
+            if current == sent and now - sent_at < ANNOUNCE_REPEAT_S:
                 continue
-            sent, sent_at = offer, now
+            sent, sent_at = current, now
             for link in list(self.links):
                 if link.is_open:
-                    await link.send(offer)
+                    await link.send(current)
 
     async def leave(self) -> None:
-        """Tell all entries that this host takes no new work."""
+        """Tell all entries that this host accepts no new work."""
         self.draining = True
         for link in list(self.links):
             if link.is_open:
@@ -149,7 +156,7 @@
             "queued": report.queued,
         }
 
-    def _load(self) -> ServiceLoad:
+    def _service_load(self) -> ServiceLoad:
         if self.requests is None:
             return ServiceLoad()
         requests = self.requests
@@ -157,12 +164,12 @@
 
 
 async def run_agent(cfg: AgentSettings) -> None:
-    """Run an agent until it is asked to stop and has finished the work in hand.
+    """Run an agent until it is asked to stop and has finished its current work.
 
     Raises SettingsError before anything is started if its port or certificate cannot be used.
     """
     check_tls(cfg.link.tls)
-    require_free(cfg.metrics)
+    require_bindable(cfg.metrics)
     agent = Agent(cfg)
     stopped = anyio.Event()
     app = StatusApp(agent.ready, agent.metrics.render, agent.debug)
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -1,4 +1,4 @@
-"""The agent's part in requests: admission to the backend server, answers and keys."""
+"""The agent's request path: admission to the backend server, answers and idempotency keys."""
 
 import logging
 from collections import deque
@@ -42,20 +42,21 @@
 
 log = logging.getLogger(__name__)
 
-# An answer up to this size travels in one frame; larger ones in chunks of it.
+# An answer up to this size is sent in one frame, a larger one in chunks of this size.
 CHUNK_BYTES = 64 << 10
-# Bytes of an answer on their way to a caller who has not taken them yet.
+# Limit on the bytes of an answer that are sent but not acknowledged by the caller's entry.
 SEND_WINDOW_BYTES = 1 << 20
-# Request bodies held for requests that have not started; bounds the agent's memory.
-HELD_BODIES_BYTES = 32 << 20
+# Limit on the bytes of all buffered request bodies; bounds the agent's memory.
+MAX_BUFFERED_BODY_BYTES = 32 << 20
 CONNECT_TIMEOUT_S = 1.0
 EXPIRE_INTERVAL_S = 1.0
 RETRY_AFTER_MS = 1000
-# Weights of a new sample: recent latency, and the quiet baseline downwards and upwards.
+# Smoothing factors of a new sample: for the recent latency, and for the baseline when the
+# sample is below it and above it.
 RECENT_WEIGHT = 0.1
-QUIET_FALL = 0.1
-QUIET_RISE = 0.002
-# Without requests for this long the last measurement says nothing about the present.
+BASELINE_FALL_WEIGHT = 0.1
+BASELINE_RISE_WEIGHT = 0.002
+# A request class without requests for this long is left out of the slowdown.
 PRESSURE_MEMORY_S = 5.0
 HOP_BY_HOP = frozenset(
     ("connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding")
@@ -64,16 +65,16 @@
 
 @dataclass(slots=True)
 class ClassLatency:
-    """Latency of one request class in seconds, now and when the host is quiet."""
+    """Latency of one request class in seconds: recent, and the baseline without load."""
 
     recent_s: float
-    quiet_s: float
-    at: float
+    baseline_s: float
+    updated_at: float
 
 
 @dataclass(slots=True)
 class Pressure:
-    """Slowdown of the backend server against its own quiet baseline (1.0 = none).
+    """Slowdown of the backend server against its baseline latency without load (1.0 = none).
 
     The baseline follows faster answers quickly and slower ones very slowly,
     so it stays near the fastest tenth of recent answers.
@@ -83,19 +84,19 @@
 
     def add(self, request_class: ClassId, seconds: float, now: float) -> None:
         """Add the latency of one answer, without its time in the queue."""
-        known = self.classes.get(request_class)
-        if known is None:
+        latency = self.classes.get(request_class)
+        if latency is None:
             self.classes[request_class] = ClassLatency(seconds, seconds, now)
             return
-        known.recent_s += RECENT_WEIGHT * (seconds - known.recent_s)
-        weight = QUIET_FALL if seconds < known.quiet_s else QUIET_RISE
-        known.quiet_s += weight * (seconds - known.quiet_s)
-        known.at = now
+        latency.recent_s += RECENT_WEIGHT * (seconds - latency.recent_s)
+        weight = BASELINE_FALL_WEIGHT if seconds < latency.baseline_s else BASELINE_RISE_WEIGHT
+        latency.baseline_s += weight * (seconds - latency.baseline_s)
+        latency.updated_at = now
 
     def value(self, now: float) -> float:
-        """Return the mean slowdown of the classes seen lately."""
-        fresh = [c for c in self.classes.values() if now - c.at <= PRESSURE_MEMORY_S]
-        ratios = [max(1.0, c.recent_s / max(c.quiet_s, 1e-6)) for c in fresh]
+        """Return the mean slowdown of the classes with recent requests."""
+        fresh = [c for c in self.classes.values() if now - c.updated_at <= PRESSURE_MEMORY_S]
+        ratios = [max(1.0, c.recent_s / max(c.baseline_s, 1e-6)) for c in fresh]
         return sum(ratios) / len(ratios) if ratios else 1.0
 
     def expected_s(self) -> float:
@@ -105,8 +106,8 @@
 
 
 @dataclass(eq=False, slots=True)
-class Job:
-    """One admitted request and where its answer goes."""
+class AdmittedRequest:
+    """One admitted request and the links that its answer is sent to."""
 
     start: RequestStart
     link: Link
@@ -117,14 +118,14 @@
     acked: int = 0
     ack_event: anyio.Event | None = None
     scope: anyio.CancelScope | None = None
-    waiting: list[Link] = field(default_factory=list)
+    waiting_links: list[Link] = field(default_factory=list)
 
 
 class AgentRequests:
     """Component that runs requests at the backend server on loopback.
 
     At most `slots` requests run, and at most `connections` run or wait.
-    A request whose link breaks goes on, and its answer is kept for Settle.
+    A request whose link breaks continues, and its answer is kept for Settle.
     """
 
     handles: frozenset[type[Message]] = frozenset(
@@ -144,17 +145,17 @@
         self.incarnation = incarnation
         self.rules = rules
         policy, limits = cfg.policy, cfg.limits
-        # A key outlives the longest request by the time that the page promises.
+        # A key is remembered for `key_memory_s` after the longest possible request has ended.
         keep_s = policy.key_memory_s + limits.max_deadline_s
         self.table = RequestTable(limits.kept_answer, limits.kept_answers_total, keep_s)
         self.keys = KeyTable(keep_s)
         self.leaving_at: float | None = None
         self.refused = 0
         self._pressure = Pressure()
-        self._jobs: dict[RequestId, Job] = {}
-        self._queue: deque[Job] = deque()
+        self._admitted: dict[RequestId, AdmittedRequest] = {}
+        self._queue: deque[AdmittedRequest] = deque()
         self._busy = 0
-        self._held_bytes = 0
+        self._buffered_bytes = 0
         self._started_at: float | None = None
         self._group: TaskGroup | None = None
         self._client = (client or http_client)(self.backend)
@@ -167,16 +168,16 @@
 
     @property
     def queued(self) -> int:
-        """Requests that have been admitted and do not run yet."""
-        return len(self._jobs) - self._busy
+        """Requests that have been admitted but have not started."""
+        return len(self._admitted) - self._busy
 
     @property
     def pressure(self) -> float:
-        """Slowdown against the quiet baseline, for HostReport."""
+        """Slowdown against the baseline latency (1.0 = none), for HostReport."""
         return self._pressure.value(anyio.current_time())
 
     def maturity(self) -> Maturity:
-        """Return how far back the memory of keys reaches, for Announce."""
+        """Return the maturity of this agent's memory of idempotency keys, for Announce."""
         founder = self.incarnation in self.rules.founders(self.backend.service)
         started = self._started_at
         age = 0.0 if started is None else anyio.current_time() - started
@@ -191,47 +192,49 @@
                 now = anyio.current_time()
                 self.table.expire(now)
                 self.keys.expire(now)
-                self._refuse_late(now)
+                self._refuse_expired(now)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Handle a message of an entry."""
+        """Handle a message from an entry."""
         self._handle(envelope.body, link, envelope.id)
 
     async def link_opened(self, link: Link) -> None:
-        """Do nothing: entries start the exchange."""
+        """Do nothing; entries send the first message."""
 
     async def link_closed(self, link: Link) -> None:
-        """Wake the senders of large answers on this link; requests go on."""
-        for job in list(self._jobs.values()):
-            if job.link is link and job.ack_event is not None:
-                job.ack_event.set()
-            if job.link is link and not job.complete:
-                self._refuse(job.start.request, link, "the link broke before the body was whole")
+        """Wake the senders of large answers on this link; running requests continue."""
+        for admitted in list(self._admitted.values()):
+            if admitted.link is link and admitted.ack_event is not None:
+                admitted.ack_event.set()
+            if admitted.link is link and not admitted.complete:
+                self._refuse(
+                    admitted.start.request, link, "the link broke before the body was whole"
+                )
 
     def leave(self) -> None:
-        """Start leaving: requests are refused once `leave_grace_s` has passed."""
+        """Begin to leave; new requests are refused once `leave_grace_s` has passed."""
         if self.leaving_at is None:
             self.leaving_at = anyio.current_time()
 
     async def drain(self) -> None:
-        """Leave, and return when the grace has passed and every request has ended."""
+        """Leave, and return when the grace period is over and every request has ended."""
         self.leave()
         assert self.leaving_at is not None
         await anyio.sleep_until(self.leaving_at + self.cfg.policy.leave_grace_s)
-        while self._jobs:
+        while self._admitted:
             self._idle = anyio.Event()
             await self._idle.wait()
-        # The last answers are in the send queues of the links; a short pause lets them out.
+        # The last answers are still in the links' send queues; a short pause lets them be sent.
         await anyio.sleep(0.05)
 
     # Messages.
 
     @singledispatchmethod
-    def _handle(self, body: Message, link: Link, number: int) -> None:
+    def _handle(self, body: Message, link: Link, message_id: int) -> None:
         raise TypeError(f"{type(body).__name__} is not handled here")
 
     @_handle.register
-    def _start(self, body: RequestStart, link: Link, number: int) -> None:
+    def _start(self, body: RequestStart, link: Link, message_id: int) -> None:
         now = anyio.current_time()
         deadline = now + body.deadline_ms / 1000
         verdict = self.table.start(body.request, bool(body.key), deadline, now)
@@ -241,18 +244,18 @@
             self._post(link, RequestFailed(body.request, "the request is no longer remembered"))
             return
         reason = "the request was settled as never run" if verdict is StartVerdict.NEVER else ""
-        reason = reason or self._objection(body, now)
+        reason = reason or self._refusal_reason(body, now)
         if reason:
             self._refuse(body.request, link, reason)
             return
-        job = Job(body, link, deadline, bytearray(body.body), body.body_complete)
-        self._jobs[body.request] = job
-        self._held_bytes += len(job.body)
-        if job.complete:
-            self._enqueue(job)
-
-    def _objection(self, body: RequestStart, now: float) -> str:
-        """Return why a request is not admitted, or an empty text."""
+        admitted = AdmittedRequest(body, link, deadline, bytearray(body.body), body.body_complete)
+        self._admitted[body.request] = admitted
+        self._buffered_bytes += len(admitted.body)
+        if admitted.complete:
+            self._enqueue(admitted)
+
+    def _refusal_reason(self, body: RequestStart, now: float) -> str:
+        """Return why a request is not admitted, or an empty string."""
         grace = self.cfg.policy.leave_grace_s
         if self._group is None:
             return "the agent is not ready"
@@ -262,199 +265,207 @@
             return "the backend server runs another service"
         if not self.rules.in_service(self.cfg.data_centre):
             return "the data centre is out of service"
-        if len(self._jobs) >= self.backend.connections:
+        if len(self._admitted) >= self.backend.connections:
             return "the backend server's connections are all in use"
-        rounds = 0.0
+        queue_rounds = 0.0
         if self._busy >= self.backend.slots:
-            rounds = (self.queued + 1) / self.backend.slots
-        if body.deadline_ms / 1000 <= rounds * self._pressure.expected_s():
+            queue_rounds = (self.queued + 1) / self.backend.slots
+        if body.deadline_ms / 1000 <= queue_rounds * self._pressure.expected_s():
             return "the deadline would pass in the queue"
-        if self._held_bytes + len(body.body) > HELD_BODIES_BYTES:
+        if self._buffered_bytes + len(body.body) > MAX_BUFFERED_BODY_BYTES:
             return "too many request bodies are held"
         return ""
 
     @_handle.register
-    def _body(self, body: RequestBody, link: Link, number: int) -> None:
-        job = self._jobs.get(body.request)
-        if job is None or job.complete or job.link is not link:
+    def _body(self, body: RequestBody, link: Link, message_id: int) -> None:
+        admitted = self._admitted.get(body.request)
+        if admitted is None or admitted.complete or admitted.link is not link:
             return
-        if body.offset < len(job.body):
+        if body.offset < len(admitted.body):
             return
-        too_large = len(job.body) + len(body.data) > self.cfg.limits.request_body
-        if body.offset > len(job.body) or too_large:
+        too_large = len(admitted.body) + len(body.data) > self.cfg.limits.request_body
+        if body.offset > len(admitted.body) or too_large:
             self._refuse(body.request, link, "the request body is damaged or too large")
             return
-        job.body += body.data
-        self._held_bytes += len(body.data)
-        if self._held_bytes > HELD_BODIES_BYTES:
+        admitted.body += body.data
+        self._buffered_bytes += len(body.data)
+        if self._buffered_bytes > MAX_BUFFERED_BODY_BYTES:
             self._refuse(body.request, link, "too many request bodies are held")
-        elif body.final and body.total != len(job.body):
+        elif body.final and body.total != len(admitted.body):
             self._refuse(body.request, link, "the request body is not whole")
         elif body.final:
-            job.complete = True
-            self._enqueue(job)
+            admitted.complete = True
+            self._enqueue(admitted)
 
     @_handle.register
-    def _cancel(self, body: RequestCancel, link: Link, number: int) -> None:
-        job = self._jobs.get(body.request)
-        if job is None:
+    def _cancel(self, body: RequestCancel, link: Link, message_id: int) -> None:
+        admitted = self._admitted.get(body.request)
+        if admitted is None:
             return
-        if not job.running:
+        if not admitted.running:
             self._refuse(body.request, link, "the request was cancelled")
-        elif not job.start.key and job.scope is not None:
-            # With a key the caller may come back for the answer, so that run goes on.
-            job.scope.cancel()
+        elif not admitted.start.key and admitted.scope is not None:
+            # A keyed request continues, because the caller may retry to get its answer.
+            admitted.scope.cancel()
 
     @_handle.register
-    def _ack(self, body: ResponseAck, link: Link, number: int) -> None:
-        job = self._jobs.get(body.request)
-        if job is not None and job.link is link:
-            job.acked = max(job.acked, body.offset)
-            if job.ack_event is not None:
-                job.ack_event.set()
+    def _ack(self, body: ResponseAck, link: Link, message_id: int) -> None:
+        admitted = self._admitted.get(body.request)
+        if admitted is not None and admitted.link is link:
+            admitted.acked = max(admitted.acked, body.offset)
+            if admitted.ack_event is not None:
+                admitted.ack_event.set()
 
     @_handle.register
-    def _settle(self, body: Settle, link: Link, number: int) -> None:
+    def _settle(self, body: Settle, link: Link, message_id: int) -> None:
         if body.incarnation != self.incarnation:
             reason = "the agent has restarted since"
-            self._post(link, Settled(body.request, Settlement.UNKNOWN, reason), number)
+            self._post(link, Settled(body.request, Settlement.UNKNOWN, reason), message_id)
             return
-        job = self._jobs.get(body.request)
-        if job is not None and not job.complete and job.link is not link:
+        admitted = self._admitted.get(body.request)
+        if admitted is not None and not admitted.complete and admitted.link is not link:
             self._refuse(body.request, link, "the request body did not arrive")
         view = self.table.settle(body.request, anyio.current_time())
-        self._post(link, Settled(body.request, view.settlement, view.reason), number)
+        self._post(link, Settled(body.request, view.settlement, view.reason), message_id)
         if view.answer is not None and self._group is not None:
             self._group.start_soon(self._send_kept, body.request, view.answer, link)
-        elif view.settlement is Settlement.RUNNING and job is not None:
-            job.waiting.append(link)
+        elif view.settlement is Settlement.RUNNING and admitted is not None:
+            admitted.waiting_links.append(link)
 
     @_handle.register
-    def _reserve(self, body: ReserveKey, link: Link, number: int) -> None:
+    def _reserve(self, body: ReserveKey, link: Link, message_id: int) -> None:
         reply = self.keys.reserve(body, self.maturity(), anyio.current_time())
         failure = Failure("full", "the agent's table of idempotency keys is full")
-        self._post(link, reply or failure, number)
+        self._post(link, reply or failure, message_id)
 
     @_handle.register
-    def _release(self, body: ReleaseKey, link: Link, number: int) -> None:
+    def _release(self, body: ReleaseKey, link: Link, message_id: int) -> None:
         self.keys.release(body.key, body.request)
 
     # Queue and runs.
 
-    def _enqueue(self, job: Job) -> None:
-        self._queue.append(job)
+    def _enqueue(self, admitted: AdmittedRequest) -> None:
+        self._queue.append(admitted)
         self._run_next()
 
     def _run_next(self) -> None:
         """Start queued requests while there are free slots."""
         now = anyio.current_time()
         while self._queue and self._busy < self.backend.slots:
-            job = self._queue.popleft()
-            if job.deadline <= now:
-                self._refuse(job.start.request, job.link, "the deadline passed in the queue")
-            elif self.table.run(job.start.request):
+            admitted = self._queue.popleft()
+            if admitted.deadline <= now:
+                self._refuse(
+                    admitted.start.request, admitted.link, "the deadline passed in the queue"
+                )
+            elif self.table.run(admitted.start.request):
                 assert self._group is not None
-                job.running = True
+                admitted.running = True
                 self._busy += 1
-                self._group.start_soon(self._run, job)
+                self._group.start_soon(self._run, admitted)
 
-    def _refuse_late(self, now: float) -> None:
-        late = [job for job in self._jobs.values() if not job.running and job.deadline <= now]
-        for job in late:
-            self._refuse(job.start.request, job.link, "the deadline passed in the queue")
+    def _refuse_expired(self, now: float) -> None:
+        expired = [
+            admitted
+            for admitted in self._admitted.values()
+            if not admitted.running and admitted.deadline <= now
+        ]
+        for admitted in expired:
+            self._refuse(admitted.start.request, admitted.link, "the deadline passed in the queue")
 
     def _refuse(self, request: RequestId, link: Link, reason: str) -> None:
-        """Make sure that a request never runs, and say so."""
+        """Mark a request so that it never runs, and send the refusal."""
         if not self.table.never(request, anyio.current_time()):
             return
         self.refused += 1
         message = RequestRefused(request, reason, RETRY_AFTER_MS)
-        job = self._jobs.get(request)
-        if job is not None and job in self._queue:
-            self._queue.remove(job)
-        for target in {link, *(job.waiting if job else ())}:
+        admitted = self._admitted.get(request)
+        if admitted is not None and admitted in self._queue:
+            self._queue.remove(admitted)
+        for target in {link, *(admitted.waiting_links if admitted else ())}:
             self._post(target, message)
-        if job is not None:
-            self._forget(job)
+        if admitted is not None:
+            self._remove(admitted)
 
-    def _forget(self, job: Job) -> None:
-        if self._jobs.pop(job.start.request, None) is not None:
-            self._held_bytes -= len(job.body)
-        if not self._jobs:
+    def _remove(self, admitted: AdmittedRequest) -> None:
+        if self._admitted.pop(admitted.start.request, None) is not None:
+            self._buffered_bytes -= len(admitted.body)
+        if not self._admitted:
             self._idle.set()
 
-    async def _run(self, job: Job) -> None:
-        """Run one request to its end and send the answer on."""
-        request = job.start.request
+    async def _run(self, admitted: AdmittedRequest) -> None:
+        """Run one request to its end and forward the answer."""
+        request = admitted.start.request
         answer: Answer | None = None
         reason = "the request was cancelled or its deadline passed while it ran"
         started = anyio.current_time()
         try:
-            req = self._build(job)
+            req = self._build_request(admitted)
             if req is None:
                 self.table.unsent(request)
-                self._refuse(request, job.link, "the request is not valid HTTP")
+                self._refuse(request, admitted.link, "the request is not valid HTTP")
                 return
-            with anyio.CancelScope(deadline=job.deadline) as job.scope:
-                answer, reason = await self._exchange(job, req)
+            with anyio.CancelScope(deadline=admitted.deadline) as admitted.scope:
+                answer, reason = await self._forward(admitted, req)
             now = anyio.current_time()
             if answer is not None or reason == TOO_LARGE:
-                self._pressure.add(job.start.request_class, now - started, now)
+                self._pressure.add(admitted.start.request_class, now - started, now)
         except (HttpConnectError, HttpConnectTimeout):
             self.table.unsent(request)
-            self._refuse(request, job.link, BACKEND_DOWN)
+            self._refuse(request, admitted.link, BACKEND_DOWN)
             return
         except HTTPError as exc:
             reason = f"the backend server's answer is not whole: {exc or type(exc).__name__}"
         finally:
             self._busy -= 1
-            job.running = False
+            admitted.running = False
             self._run_next()
-            if request in self._jobs and self._group is not None:
-                self._end(job, answer, reason)
+            if request in self._admitted and self._group is not None:
+                self._finish(admitted, answer, reason)
 
-    def _end(self, job: Job, answer: Answer | None, reason: str) -> None:
-        """Keep the answer, and tell the links that wait for it."""
-        request = job.start.request
+    def _finish(self, admitted: AdmittedRequest, answer: Answer | None, reason: str) -> None:
+        """Store the answer, and send the result to the links that wait for it."""
+        request = admitted.start.request
         self.table.done(request, answer, reason, anyio.current_time())
         if answer is None and reason != TOO_LARGE:
-            self._post(job.link, RequestFailed(request, reason))
-        for link in job.waiting:
+            self._post(admitted.link, RequestFailed(request, reason))
+        for link in admitted.waiting_links:
             if answer is not None and self._group is not None:
                 self._group.start_soon(self._send_kept, request, answer, link)
             else:
                 self._post(link, RequestFailed(request, reason))
-        self._forget(job)
+        self._remove(admitted)
 
-    def _build(self, job: Job) -> Request | None:
+    def _build_request(self, admitted: AdmittedRequest) -> Request | None:
         """Return the request for the backend server, or None if HTTP does not allow it."""
-        start = job.start
+        start = admitted.start
         headers = [(h.name.encode("latin-1"), h.value.encode("latin-1")) for h in start.headers]
         headers.append((REQUEST_ID_HEADER, start.request.encode()))
         url = self.backend.url + start.path
         try:
-            return Request(start.method, url, headers=headers, content=bytes(job.body))
+            return Request(start.method, url, headers=headers, content=bytes(admitted.body))
         except (InvalidURL, ValueError, TypeError) as exc:
-            log.info("a request cannot be sent: %s", exc, extra={"request": start.request})
+            log.info("the request is not valid HTTP: %s", exc, extra={"request": start.request})
             return None
 
-    async def _exchange(self, job: Job, req: Request) -> tuple[Answer | None, str]:
-        """Send the request and pass the answer on; return it if it can be kept."""
+    async def _forward(self, admitted: AdmittedRequest, req: Request) -> tuple[Answer | None, str]:
+        """Send the request and forward the answer; return it if it is small enough to keep."""
         response = await self._client.send(req, stream=True)
         try:
-            return await _Forwarder(self, job, response).run()
+            return await _Forwarder(self, admitted, response).run()
         finally:
             with anyio.CancelScope(shield=True):
                 await response.aclose()
 
     async def _send_kept(self, request: RequestId, answer: Answer, link: Link) -> None:
-        """Send a kept answer from the beginning."""
+        """Send a kept answer from its first byte."""
         try:
             body = answer.body
-            whole = len(body) <= CHUNK_BYTES
-            first = body if whole else b""
-            await link.send(ResponseStart(request, answer.status, answer.headers, first, whole))
-            for offset in range(0, 0 if whole else len(body), CHUNK_BYTES):
+            single_frame = len(body) <= CHUNK_BYTES
+            first = body if single_frame else b""
+            await link.send(
+                ResponseStart(request, answer.status, answer.headers, first, single_frame)
+            )
+            for offset in range(0, 0 if single_frame else len(body), CHUNK_BYTES):
                 data = body[offset : offset + CHUNK_BYTES]
                 final = offset + len(data) == len(body)
                 total = len(body) if final else 0
@@ -463,7 +474,7 @@
             log.info("a kept answer could not be sent: %s", exc, extra={"request": request})
 
     def _post(self, link: Link, message: Message, reply_to: int = 0) -> None:
-        """Send a message without waiting; a full queue is waited for in a task."""
+        """Send a message without waiting; if the send queue is full, a task waits for it."""
         try:
             link.send_nowait(message, reply_to)
         except LinkError:
@@ -482,14 +493,16 @@
 
 
 class _Forwarder:
-    """Passes one answer from the backend server to a link, and keeps a copy.
+    """Forwards one answer from the backend server to a link, and keeps a copy.
 
-    Once the link has gone it reads on, so that the answer can be kept.
+    If the link closes, it reads the rest of the answer, so that the answer can be kept.
     """
 
-    def __init__(self, requests: AgentRequests, job: Job, response: Response) -> None:
+    def __init__(
+        self, requests: AgentRequests, admitted: AdmittedRequest, response: Response
+    ) -> None:
         self.limits = requests.cfg.limits
-        self.job = job
+        self.admitted = admitted
         self.response = response
         self.headers = tuple(
             Header(name, value.decode("latin-1"))
@@ -501,7 +514,7 @@
         self.total = 0
 
     async def run(self) -> tuple[Answer | None, str]:
-        """Return the whole answer, or None and the reason if it was too large to keep."""
+        """Return the entire answer, or None and the reason if it was too large to keep."""
         unsent = bytearray()
         async for chunk in self.response.aiter_raw():
             self.total += len(chunk)
@@ -519,29 +532,30 @@
         return Answer(self.response.status_code, self.headers, bytes(self.kept)), ""
 
     async def _send(self, data: bytes, final: bool) -> None:
-        """Send the next part; the first one goes with the status and headers."""
-        job, request = self.job, self.job.start.request
+        """Send the next part; the first one is sent with the status and headers."""
+        admitted, request = self.admitted, self.admitted.start.request
         offset = max(self.sent, 0)
         try:
             if self.sent < 0:
                 status = self.response.status_code
-                await job.link.send(ResponseStart(request, status, self.headers, data, final))
+                await admitted.link.send(ResponseStart(request, status, self.headers, data, final))
             else:
-                while job.link.is_open and offset - job.acked > SEND_WINDOW_BYTES:
-                    job.ack_event = anyio.Event()
-                    await job.ack_event.wait()
+                while admitted.link.is_open and offset - admitted.acked > SEND_WINDOW_BYTES:
+                    admitted.ack_event = anyio.Event()
+                    await admitted.ack_event.wait()
                 total = self.total if final else 0
-                await job.link.send(ResponseBody(request, offset, data, final, total))
+                await admitted.link.send(ResponseBody(request, offset, data, final, total))
         except LinkError:
-            # The entry asks for the answer on its next link.
+            # The entry will request the answer over its next link.
             pass
         self.sent = offset + len(data)
 
 
 def http_client(backend: BackendSettings) -> AsyncClient:
-    """Return the client for one backend server; deadlines end requests, not timeouts.
+    """Return the client for one backend server.
 
-    The agent's admission keeps it within the backend server's slots.
+    It has only a connect timeout, since deadlines end requests, and no limit on
+    connections, since admission limits requests to the backend server's slots.
     """
     timeout = Timeout(None, connect=CONNECT_TIMEOUT_S)
     return AsyncClient(transport=BackendTransport(), timeout=timeout, follow_redirects=False)
--- a/packages/daemon/src/apricotpathd/backendtransport.py
+++ b/packages/daemon/src/apricotpathd/backendtransport.py
@@ -1,4 +1,4 @@
-"""Connections of an agent to its backend server, at a cost that does not grow with their number."""
+"""Connection pool to a backend server whose cost per request does not grow with its size."""
 
 import ssl
 from collections import deque
@@ -12,20 +12,21 @@
 
 
 class BackendTransport(AsyncBaseTransport):
-    """Pool of transports of one connection each; the caller bounds how many are in use.
+    """Pool of transports with one connection each; the caller limits how many are in use.
 
-    The pool of httpx asks the kernel about every idle connection before and
-    after each request, which at 32 connections took most of an agent's time.
+    The pool of httpx polls every idle connection before and after each
+    request, which with 32 connections took most of an agent's processor time.
     """
 
     def __init__(self) -> None:
-        # The backend server is on loopback without TLS; a default context costs 20 ms each.
+        # The backend server is on loopback without TLS, so an empty context is enough; creating
+        # a default one takes 20 ms.
         self._context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-        # The most recently used is taken first, so that the others can end.
+        # The most recently used connection is reused first, so that the others can time out.
         self._idle: deque[tuple[float, AsyncHTTPTransport]] = deque()
 
     async def handle_async_request(self, request: Request) -> Response:
-        """Send a request on a free connection, or on a new one."""
+        """Send a request on an idle connection, or on a new one."""
         transport = self._idle.pop()[1] if self._idle else self._open()
         try:
             response = await transport.handle_async_request(request)
@@ -34,7 +35,7 @@
                 await transport.aclose()
             raise
         assert isinstance(response.stream, AsyncByteStream)
-        response.stream = _Lease(self, transport, response.stream)
+        response.stream = _PooledStream(self, transport, response.stream)
         return response
 
     async def aclose(self) -> None:
@@ -43,7 +44,7 @@
             await self._idle.pop()[1].aclose()
 
     async def release(self, transport: AsyncHTTPTransport) -> None:
-        """Take a connection back, and close those that have been idle for too long."""
+        """Return a connection to the pool, and close those idle for longer than KEEP_ALIVE_S."""
         now = anyio.current_time()
         self._idle.append((now, transport))
         while now - self._idle[0][0] > KEEP_ALIVE_S:
@@ -56,8 +57,8 @@
         return AsyncHTTPTransport(verify=self._context, trust_env=False, limits=limits)
 
 
-class _Lease(AsyncByteStream):
-    """Body of one answer; its connection is free again once this is closed."""
+class _PooledStream(AsyncByteStream):
+    """Body of one answer; closing it returns its connection to the pool."""
 
     def __init__(
         self, pool: BackendTransport, transport: AsyncHTTPTransport, stream: AsyncByteStream
--- a/packages/daemon/src/apricotpathd/entry.py
+++ b/packages/daemon/src/apricotpathd/entry.py
@@ -8,7 +8,7 @@
 from apricotpath.link import check_tls, listen
 from apricotpathd.callers import serve_callers
 from apricotpathd.entryparts import EntryParts, utc_now
-from apricotpathd.httpserver import HttpServers, require_free, serve_http
+from apricotpathd.httpserver import HttpServers, require_bindable, serve_http
 from apricotpathd.operators import OperatorApp
 from apricotpathd.process import wait_for_stop
 from apricotpathd.services import EntryServices
@@ -17,13 +17,13 @@
 
 
 async def run_entry(cfg: EntrySettings) -> None:
-    """Run an entry until it is asked to stop and has finished the work in hand.
+    """Run an entry until it is asked to stop and has finished its current work.
 
     Raises SettingsError before anything is started if a port or certificate cannot be used.
     """
     check_tls(cfg.link.tls)
     for address in (cfg.links, cfg.callers, cfg.operators):
-        require_free(address)
+        require_bindable(address)
     parts = EntryParts(cfg)
     operators = OperatorApp(EntryServices(parts, utc_now), parts.control.trust, utc_now)
     stopping, drained = anyio.Event(), anyio.Event()
@@ -39,7 +39,7 @@
         servers.start(serve_http, operators, cfg.operators, cfg.limits, drained.wait)
         log.info("entry started", extra={"incarnation": parts.incarnation})
         await wait_for_stop()
-        # Not ready from here on, while the load balancer may still send for a while.
+        # The entry is no longer ready, but the load balancer may send requests for a while.
         parts.draining = True
         parts.members.leaving = True
         await anyio.sleep(cfg.drain_s)
--- a/packages/daemon/src/apricotpathd/httpserver.py
+++ b/packages/daemon/src/apricotpathd/httpserver.py
@@ -1,4 +1,4 @@
-"""Hypercorn on either event loop, with a shutdown that cuts nothing off."""
+"""Hypercorn on asyncio or trio, with a shutdown that completes open answers."""
 
 import asyncio
 import logging
@@ -15,16 +15,16 @@
 from apricotpath.errors import SettingsError
 from apricotpathd.asgi import serve_asgi
 
-# Long enough for the longest deadline; the process decides when to stop waiting.
+# Longer than the longest request deadline; the process decides when to stop waiting.
 GRACEFUL_TIMEOUT_S = 150.0
 KEEP_ALIVE_S = 75.0
 BACKLOG = 512
-# Every request has been answered by then; this is for a caller that reads slowly.
-LAST_BYTES_S = 10.0
+# Time limit for flushing the last answers to slow readers; all requests are answered by then.
+FLUSH_TIMEOUT_S = 10.0
 
 
 class HttpServers:
-    """The HTTP servers of a process, which end by themselves once they are told to stop.
+    """The HTTP servers of a process, which end after their `stop` function returns.
 
     Cancelling a server loses the part of an answer that is still in its
     buffers, and makes hypercorn raise an unrelated error.
@@ -41,8 +41,8 @@
         self._group.start_soon(self._run, ended, serve, args)
 
     async def wait_ended(self) -> None:
-        """Wait until all servers have written their answers, for at most LAST_BYTES_S."""
-        with anyio.move_on_after(LAST_BYTES_S):
+        """Wait until all servers have written their answers, for at most FLUSH_TIMEOUT_S."""
+        with anyio.move_on_after(FLUSH_TIMEOUT_S):
             for ended in self._ended:
                 await ended.wait()
 
@@ -52,7 +52,7 @@
         try:
             await serve(*args)
         except asyncio.InvalidStateError:
-            # Hypercorn asks its connections for their result although they were cancelled.
+            # Hypercorn reads the results of its connections' tasks although they were cancelled.
             await anyio.lowlevel.checkpoint()
             raise
         finally:
@@ -60,7 +60,7 @@
 
 
 def http_config(address: Address, limits: LimitSettings) -> Config:
-    """Return hypercorn's configuration for an address, bounded by the limits."""
+    """Return hypercorn's configuration for an address with these limits."""
     config = Config()
     config.bind = [f"{address.host}:{address.port}"]
     config.backlog = BACKLOG
@@ -74,11 +74,11 @@
     return config
 
 
-def require_free(address: Address) -> None:
-    """Raise SettingsError if an address cannot be listened on.
+def require_bindable(address: Address) -> None:
+    """Raise SettingsError if the process cannot listen on an address.
 
     Hypercorn reports an address in use only from within its own tasks, which
-    is too late for one clear message.
+    is too late for one clear error message.
     """
     probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
