--- a/packages/daemon/src/apricotpathd/controlflow.py
+++ b/packages/daemon/src/apricotpathd/controlflow.py
@@ -1,4 +1,4 @@
-"""Spreads the control state between processes and tracks who has acknowledged it."""
+"""Propagates the control state between processes and tracks their acknowledgements."""
 
 import logging
 from collections.abc import Awaitable, Callable, Iterable, Mapping
@@ -23,22 +23,22 @@
 
 log = logging.getLogger(__name__)
 
-# An update sent to a peer is repeated only after this long, so that heartbeats
-# sent before the peer had read it do not cause a second copy.
+# Minimum time before an update is sent to a peer again, so that heartbeats that the
+# peer sent before it read the update do not cause a second copy.
 RESEND_S = 2.0
-# The delay doubles up to this for a peer that stays behind, such as one that
-# refuses the bundle, so that it does not receive a large bundle every 2 s.
+# Maximum of the backoff for a peer that stays behind, such as one that rejects the
+# bundle, so that it does not receive a large bundle every 2 s.
 MAX_RESEND_S = 60.0
-# An agent waits this long before it brings an entry up to date, since the other
-# entries do so at once and every agent would send the same bundle.
-AGENT_PATIENCE_S = 1.5
+# Delay before an agent updates an entry that is behind: the other entries do so
+# immediately, and otherwise every agent would send it the same bundle.
+AGENT_UPDATE_DELAY_S = 1.5
 
 WriteBack = Callable[[DataCentreStatus], Awaitable[None]]
 
 
 @dataclass(slots=True)
 class PeerState:
-    """What a linked peer has told of its control state; times are monotonic seconds."""
+    """The control state that a linked peer has reported; times are monotonic seconds."""
 
     link: Link
     role: Role
@@ -61,8 +61,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Progress:
-    """How far a change has come: linked peers that confirmed it and that have not."""
+class ChangeProgress:
+    """Linked peers that have confirmed a change, and those that have not."""
 
     confirmed: tuple[ProcessId, ...]
     waiting: tuple[ProcessId, ...]
@@ -71,6 +71,7 @@
 class ControlFlow:
     """Sends and merges control state; a Component of entries and agents.
 
+    A take-out marks a data centre as out of service, a bring-back as in service.
     `write_back` (entries only) puts a pending take-out into the store by
     compare-and-swap. `on_change` is called after each change of the state.
     """
@@ -92,39 +93,39 @@
         self._acknowledged: dict[ProcessId, Acknowledged] = {}
         self._incarnations: dict[ProcessId, IncarnationId] = {}
         self._stored: dict[DataCentreId, tuple[DataCentreStatus, float]] = {}
-        self._own: dict[DataCentreId, tuple[DataCentreStatus, float]] = {}
+        self._applied: dict[DataCentreId, tuple[DataCentreStatus, float]] = {}
 
     async def run(self) -> None:
         """Wait until cancelled; all work is driven by messages and store reads."""
         await anyio.sleep_forever()
 
     async def drain(self) -> None:
-        """Return at once: the control state has no work in hand."""
+        """Return immediately; this component has no work to finish."""
 
     async def link_opened(self, link: Link) -> None:
         """Send the whole control state to a new peer."""
         assert link.peer is not None
         process = link.peer.process_id
         if self._incarnations.get(process) != link.peer.incarnation:
-            # A restarted process has forgotten what it acknowledged.
+            # A restarted process has lost the state that it acknowledged.
             self._acknowledged.pop(process, None)
             self._incarnations[process] = link.peer.incarnation
         peer = self.peers[process] = PeerState(link, link.peer.role)
         self._send(peer)
 
     async def link_closed(self, link: Link) -> None:
-        """Forget the peer unless a newer link has replaced this one."""
+        """Remove the peer unless a newer link has replaced this one."""
         assert link.peer is not None
         peer = self.peers.get(link.peer.process_id)
         if peer is not None and peer.link is link:
             del self.peers[link.peer.process_id]
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Merge a peer's state and answer an update with what is in force here."""
+        """Merge a peer's state, and acknowledge an update with the state in force here."""
         body = envelope.body
         assert link.peer is not None and isinstance(body, ControlUpdate | ControlAck | Heartbeat)
         process = link.peer.process_id
-        self._note_peer(process, body)
+        self._record_peer(process, body)
         if isinstance(body, ControlUpdate):
             changed = self.control.offer(body)
             self._answer(link, envelope.id)
@@ -134,7 +135,7 @@
             self.publish()
         peer = self.peers.get(process)
         if peer is not None and peer.link is link and isinstance(body, Heartbeat):
-            self._help_if_behind(peer)
+            self._resend_if_behind(peer)
 
     async def apply_store(
         self,
@@ -145,47 +146,47 @@
     ) -> bool:
         """Merge a control read of the store that began at a monotonic time.
 
-        Returns whether anything changed. A take-out that the store lacks is
-        written back; a failed write is repeated after the next read.
+        Returns whether the state changed. A take-out that the store lacks is
+        written back; a failed write is retried after the next read.
         """
-        found = {status.data_centre: status for status in statuses}
-        changed = self.control.offer_statuses(found.values())
+        store_statuses = {status.data_centre: status for status in statuses}
+        changed = self.control.offer_statuses(store_statuses.values())
         for service, incarnations in founders.items():
             changed |= self.control.offer_founders(service, incarnations)
         if bundle and bundle != self.control.envelope:
             changed |= self.control.offer_bundle(bundle)
         self.control.note_read(started_at)
-        self._note_stored(found)
+        self._record_stored(store_statuses)
         if changed:
             self.publish()
-        await self._write_pending(found)
+        await self._write_pending(store_statuses)
         return changed
 
     def publish(self) -> None:
-        """Send a change of the control state to every peer that lacks it."""
-        self._note_own(anyio.current_time())
+        """Send the control state to every peer that lacks it."""
+        self._record_applied(anyio.current_time())
         if self._on_change is not None:
             self._on_change()
         for peer in self.peers.values():
             if self.role is Role.ENTRY:
                 self._send(peer)
             elif self._lacks_status(peer):
-                # Entries send the bundle to each other, so agents pass on only statuses.
+                # Entries send the bundle to each other, so agents forward only statuses.
                 self._send(peer, may_send_bundle=False)
 
-    def bundle_progress(self, version: int) -> Progress:
-        """Return which linked peers have a bundle version, or a later one, in force."""
-        have = {process for process, peer in self.peers.items() if peer.version >= version}
-        return self._progress(have)
+    def bundle_progress(self, version: int) -> ChangeProgress:
+        """Return which linked peers have this bundle version or a later one in force."""
+        confirmed_by = {process for process, peer in self.peers.items() if peer.version >= version}
+        return self._progress(confirmed_by)
 
-    def status_progress(self, status: DataCentreStatus) -> Progress:
-        """Return which linked peers know a data-centre status or a later one."""
-        have = {
+    def status_progress(self, status: DataCentreStatus) -> ChangeProgress:
+        """Return which linked peers have this data-centre status or a later one."""
+        confirmed_by = {
             process
             for process, peer in self.peers.items()
             if not supersedes(status, peer.statuses.get(status.data_centre))
         }
-        return self._progress(have)
+        return self._progress(confirmed_by)
 
     def bundle_in_force(self, version: int, entries: frozenset[ProcessId]) -> bool:
         """Tell whether a bundle is in force here, at all entries and at all linked agents.
@@ -204,7 +205,7 @@
     def take_out_in_force(
         self, dc: DataCentreId, entries: frozenset[ProcessId], now: float, cfg: PolicySettings
     ) -> bool:
-        """Tell whether no start can take effect any more in a data centre that is out.
+        """Tell whether no task start can take effect any more in a data centre that is out.
 
         Either the store has held the take-out for `fresh_s + start_window_s`,
         or every registered entry has acknowledged it, and the start windows
@@ -224,18 +225,20 @@
             return False
         if not entries and not self.status_progress(status).waiting:
             return True
-        # Agents linked only to other entries are not seen here, so their windows must pass.
-        self._note_own(now)
-        known_at = [self._own[dc][1], *(at for at in times if at is not None)]
+        # Agents linked only to other entries are not visible here, so their windows must pass.
+        self._record_applied(now)
+        known_at = [self._applied[dc][1], *(at for at in times if at is not None)]
         return now - max(known_at) >= cfg.start_window_s
 
-    def _note_peer(self, process: ProcessId, body: ControlUpdate | ControlAck | Heartbeat) -> None:
+    def _record_peer(
+        self, process: ProcessId, body: ControlUpdate | ControlAck | Heartbeat
+    ) -> None:
         now = anyio.current_time()
         old = self._acknowledged.get(process, Acknowledged(0, now, {}))
         statuses = dict(old.statuses)
         for status in body.statuses:
-            held = statuses.get(status.data_centre)
-            if supersedes(status, held[0] if held is not None else None):
+            recorded = statuses.get(status.data_centre)
+            if supersedes(status, recorded[0] if recorded is not None else None):
                 statuses[status.data_centre] = (status, now)
         newer = body.bundle_version > old.version
         version, version_at = (body.bundle_version, now) if newer else (old.version, old.version_at)
@@ -243,34 +246,34 @@
         peer = self.peers.get(process)
         if peer is not None:
             peer.version = max(peer.version, body.bundle_version)
-            peer.statuses = {dc: held[0] for dc, held in statuses.items()}
+            peer.statuses = {dc: recorded[0] for dc, recorded in statuses.items()}
 
     def _status_time(self, process: ProcessId, status: DataCentreStatus) -> float | None:
         """Return when a process acknowledged a status or a later one, or None."""
         ack = self._acknowledged.get(process)
-        held = ack.statuses.get(status.data_centre) if ack is not None else None
-        return held[1] if held is not None and not supersedes(status, held[0]) else None
+        recorded = ack.statuses.get(status.data_centre) if ack is not None else None
+        return recorded[1] if recorded is not None and not supersedes(status, recorded[0]) else None
 
-    def _note_own(self, now: float) -> None:
+    def _record_applied(self, now: float) -> None:
         for status in self.control.statuses():
-            held = self._own.get(status.data_centre)
-            if held is None or held[0] != status:
-                self._own[status.data_centre] = (status, now)
+            recorded = self._applied.get(status.data_centre)
+            if recorded is None or recorded[0] != status:
+                self._applied[status.data_centre] = (status, now)
 
-    def _note_stored(self, found: Mapping[DataCentreId, DataCentreStatus]) -> None:
+    def _record_stored(self, store_statuses: Mapping[DataCentreId, DataCentreStatus]) -> None:
         now = anyio.current_time()
-        for dc, status in found.items():
-            held = self._stored.get(dc)
-            if held is None or held[0] != status:
+        for dc, status in store_statuses.items():
+            recorded = self._stored.get(dc)
+            if recorded is None or recorded[0] != status:
                 self._stored[dc] = (status, now)
 
-    async def _write_pending(self, found: Mapping[DataCentreId, DataCentreStatus]) -> None:
+    async def _write_pending(self, store_statuses: Mapping[DataCentreId, DataCentreStatus]) -> None:
         if self._write_back is None:
             return
         for status in self.control.statuses():
             if status.state is not ServiceState.OUT:
                 continue
-            if supersedes(status, found.get(status.data_centre)):
+            if supersedes(status, store_statuses.get(status.data_centre)):
                 try:
                     await self._write_back(status)
                 except (StoreError, ConflictError) as exc:
@@ -282,7 +285,7 @@
         try:
             link.send_nowait(self.control.ack(), reply_to=number)
         except LinkError as exc:
-            # The next heartbeat tells the peer the same.
+            # The next heartbeat carries the same state.
             log.info("control acknowledgement not sent to %s: %s", link.peer_id, exc)
 
     def _send(self, peer: PeerState, may_send_bundle: bool = True) -> None:
@@ -305,18 +308,20 @@
             for status in self.control.statuses()
         )
 
-    def _help_if_behind(self, peer: PeerState) -> None:
-        """Send the state again to a peer whose heartbeat shows an older one."""
+    def _resend_if_behind(self, peer: PeerState) -> None:
+        """Send the state again to a peer whose heartbeat shows an older state."""
         now = anyio.current_time()
         if peer.version >= self.control.bundle_version and not self._lacks_status(peer):
             peer.behind_since, peer.resend_s = None, RESEND_S
             return
         if peer.behind_since is None:
             peer.behind_since = now
-        patience = AGENT_PATIENCE_S if self.role is Role.AGENT else 0.0
-        if now - peer.behind_since >= patience and now - peer.sent_status_at >= peer.resend_s:
+        delay_s = AGENT_UPDATE_DELAY_S if self.role is Role.AGENT else 0.0
+        if now - peer.behind_since >= delay_s and now - peer.sent_status_at >= peer.resend_s:
             self._send(peer)
             peer.resend_s = min(2 * peer.resend_s, MAX_RESEND_S)
 
-    def _progress(self, have: set[ProcessId]) -> Progress:
-        return Progress(tuple(sorted(have)), tuple(sorted(self.peers.keys() - have)))
+    def _progress(self, confirmed_by: set[ProcessId]) -> ChangeProgress:
+        return ChangeProgress(
+            tuple(sorted(confirmed_by)), tuple(sorted(self.peers.keys() - confirmed_by))
+        )
--- a/packages/daemon/src/apricotpathd/dialler.py
+++ b/packages/daemon/src/apricotpathd/dialler.py
@@ -1,4 +1,4 @@
-"""Dialling loops towards a set of processes that changes."""
+"""Dialling loops to a changing set of processes."""
 
 import random
 from collections.abc import Hashable, Mapping
@@ -13,7 +13,7 @@
 
 
 class Dialler:
-    """Keeps one dialling loop to each wanted process; `run` must be running."""
+    """Keeps one dialling loop per target process; `run` must be running."""
 
     def __init__(self, hello: Hello, cfg: LinkSettings, handler: Handler) -> None:
         self.hello = hello
@@ -29,19 +29,19 @@
         return self._group is not None
 
     async def run(self) -> None:
-        """Hold the task group of the loops until cancelled."""
+        """Run the dialling loops until cancelled."""
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
-    def want(self, wanted: Mapping[Any, Address]) -> None:
-        """Dial exactly these processes from now on."""
+    def want(self, targets: Mapping[Any, Address]) -> None:
+        """Set the processes to dial; loops to all others are cancelled."""
         if self._group is None:
             return
         for name, (address, scope) in list(self._dials.items()):
-            if wanted.get(name) != address:
+            if targets.get(name) != address:
                 scope.cancel()
                 del self._dials[name]
-        for name, address in wanted.items():
+        for name, address in targets.items():
             if name not in self._dials:
                 scope = anyio.CancelScope()
                 self._dials[name] = (address, scope)
--- a/packages/daemon/src/apricotpathd/entrylinks.py
+++ b/packages/daemon/src/apricotpathd/entrylinks.py
@@ -1,4 +1,4 @@
-"""Which entries an agent keeps links to: the scheduler, and as few others as will do."""
+"""Selection of the entries that an agent links to: the scheduler and a few others."""
 
 from collections.abc import Mapping
 
@@ -11,56 +11,56 @@
 from apricotpathd.dialler import Dialler
 from apricotpathd.hostagent import HostAgent
 
-# Entries beside the scheduler's that an agent stays linked to. They relay the news of a later
-# scheduler, also when the agent cannot reach the store.
+# Number of entries other than the scheduler's that an agent stays linked to. They announce a
+# new scheduler, also when the agent cannot reach the store.
 SPARE_LINKS = 1
-# A scheduler that has granted nothing for this long may have lost its place.
-GRANT_LATE_S = 1.2
-# Without a scheduler, one more entry is dialled each time this has passed: all agents lose it
-# at once, and would keep its successor busy with their dials.
+# A scheduler that has granted nothing for this long may no longer be the leader.
+GRANT_TIMEOUT_S = 1.2
+# Without a scheduler, one more entry is dialled per interval. All agents lose the scheduler at
+# the same time, and dialling all entries at once would keep its successor busy.
 WIDEN_INTERVAL_S = 0.7
-LOOK_INTERVAL_S = 0.4
+REFRESH_INTERVAL_S = 0.4
 
 
 class EntryLinks:
     """Chooses the entries that an agent dials; `run` must be running.
 
-    Both ends pay for a link whether or not it is used, so with links to all
-    entries each entry would serve every agent.
+    Even an unused link costs resources at both ends, so with links to all entries
+    each entry would serve every agent.
     """
 
     def __init__(self, host: HostId, agent: HostAgent, dialler: Dialler) -> None:
-        self.known: dict[ProcessId, Address] = {}
+        self.registered: dict[ProcessId, Address] = {}
         self._host, self._agent, self._dialler = host, agent, dialler
         self._granted_at = boot_s()
 
     def found(self, entries: Mapping[ProcessId, Address]) -> None:
-        """Take over the registered entries; without any, the known ones stay."""
+        """Set the registered entries; an empty mapping leaves them unchanged."""
         if entries:
-            self.known = dict(entries)
-            self.look()
+            self.registered = dict(entries)
+            self.refresh()
 
     async def run(self) -> None:
-        """Follow the agent's state until cancelled."""
+        """Update the dialled entries when the agent's state changes, until cancelled."""
         while True:
             changed = self._agent.changed
-            self.look()
-            with anyio.move_on_after(LOOK_INTERVAL_S):
+            self.refresh()
+            with anyio.move_on_after(REFRESH_INTERVAL_S):
                 await changed.wait()
 
-    def look(self) -> None:
-        """Dial the entries that are wanted now."""
+    def refresh(self) -> None:
+        """Dial the entries that the agent needs at present."""
         now = boot_s()
-        # Without an executor there is nothing to be granted.
-        if self._agent.state is None or self._agent.granted_age_s() < GRANT_LATE_S:
+        # Without an executor no grants are expected.
+        if self._agent.state is None or self._agent.granted_age_s() < GRANT_TIMEOUT_S:
             self._granted_at = now
-        more = int((now - self._granted_at) / WIDEN_INTERVAL_S)
-        wanted = {*self._spares(SPARE_LINKS + more), self._agent.leader}
+        extra = int((now - self._granted_at) / WIDEN_INTERVAL_S)
+        selected = {*self._preferred(SPARE_LINKS + extra), self._agent.leader}
         self._dialler.want(
-            {name: address for name, address in self.known.items() if name in wanted}
+            {name: address for name, address in self.registered.items() if name in selected}
         )
 
-    def _spares(self, count: int) -> list[ProcessId]:
-        """Return the entries beside the scheduler's that this host prefers, by rendezvous hash."""
-        others = [EntryId(name) for name in self.known if name != self._agent.leader]
+    def _preferred(self, count: int) -> list[ProcessId]:
+        """Return this host's preferred entries other than the scheduler's, by rendezvous hash."""
+        others = [EntryId(name) for name in self.registered if name != self._agent.leader]
         return [ProcessId(name) for name in rendezvous(self._host, others)[:count]]
--- a/packages/daemon/src/apricotpathd/members.py
+++ b/packages/daemon/src/apricotpathd/members.py
@@ -1,4 +1,4 @@
-"""Membership of entries, ownership of shards and the control range of the store."""
+"""Membership of entries, ownership of shards and reads of the store's control keys."""
 
 import json
 import logging
@@ -40,21 +40,22 @@
 
 T = TypeVar("T")
 
-# Interval of control reads; a process reads at a random phase of it.
+# Interval of control reads; each process starts at a random offset within it.
 READ_INTERVAL_S = 1.0
-# Delay before another attempt after a failure; it doubles up to the maximum, with jitter, so
-# that entries do not return all at once after an outage. The maximum is far below the time
-# between a missed renewal and the end of a lease. It is longer while the store limits calls.
+# Exponential backoff with jitter after a failed store call, so that entries do not all retry
+# at once after an outage. The maximum is far below the time between a missed renewal and the
+# end of a lease. It is longer while the store rejects calls with a rate limit.
 RETRY_FIRST_S = 0.25
 RETRY_MAX_S = 1.0
 LIMITED_MAX_S = 4.0
-# Time that a drain spends on releasing shards and the lease; both lapse by themselves too.
+# Time limit of a drain for releasing the shards and the lease; without a release, both end
+# when the lease expires.
 RELEASE_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
 class EntryRecord:
-    """One registered entry and the address of its links."""
+    """One registered entry and the address at which it accepts links."""
 
     entry: EntryId
     incarnation: IncarnationId
@@ -65,9 +66,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardOwner:
-    """Owner of a shard; `entry` is empty after a release. The epoch never falls.
+    """Owner of a shard; `entry` is empty after a release. The epoch never decreases.
 
-    `settled` tells that at the release no task was held for an earlier owner.
+    `settled` tells that no task was held for an earlier owner at the release.
     """
 
     shard: ShardId
@@ -80,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlView:
-    """The control range at the last successful read.
+    """The control keys of the store at the last successful read.
 
     `read_started_at` is monotonic time in seconds, -inf before the first
     read; `store_up` tells whether the newest read succeeded. `bundle` is the
@@ -98,12 +99,12 @@
     read_started_at: float = -inf
     store_up: bool = False
 
-    def fresh(self, now: float, fresh_s: float) -> bool:
+    def is_fresh(self, now: float, fresh_s: float) -> bool:
         """Tell whether the read began at most `fresh_s` seconds before `now`."""
         return now - self.read_started_at <= fresh_s
 
     def live_owner(self, shard: ShardId) -> ShardOwner | None:
-        """Return the owner of a shard if that incarnation is registered."""
+        """Return the owner of a shard if the owning incarnation is registered, else None."""
         owner = self.shards.get(shard)
         if owner is None or not owner.entry:
             return None
@@ -119,11 +120,11 @@
     shards: Iterable[ShardId],
     held: Mapping[ShardId, EntryId] = MappingProxyType({}),
 ) -> dict[ShardId, EntryId]:
-    """Return the entry that should own each shard; the same for everyone with this view.
+    """Return the entry that should own each shard; equal views give equal results.
 
-    An entry keeps the shards that it holds up to its share, the number of shards
-    per entry rounded up. Each other shard goes to the entry that ranks highest in
-    its rendezvous order and has fewer than its share.
+    An entry keeps the shards that it holds up to its share, which is the number of
+    shards per entry rounded up. Each other shard goes to the entry that ranks highest
+    by rendezvous hashing among the entries with fewer shards than their share.
     """
     wanted = sorted(shards)
     if not entries:
@@ -150,10 +151,10 @@
 
 
 class Members:
-    """Component that keeps the entry registered and reads the control range.
+    """Component that keeps the entry registered and reads the control keys.
 
-    `on_view` listeners are plain functions called after every read, also
-    after a failed one, with `store_up` False then.
+    Listeners are plain functions that are called with the view after every
+    read; after a failed read its `store_up` is False.
     """
 
     handles: frozenset[type[Message]] = frozenset()
@@ -177,19 +178,19 @@
         self._renewed_at = -inf
         self._registered_revision = 0
         self._was_registered = False
-        self._ended = False
-        self._lapsed = anyio.Event()
+        self._stopped = False
+        self._lease_lost = anyio.Event()
 
     # Component.
 
     async def run(self) -> None:
-        """Register and read until cancelled."""
+        """Keep this entry registered and read the control keys until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._keep_registered)
             group.start_soon(self._keep_reading)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Do nothing; no message is for this part."""
+        """Do nothing; this component handles no messages."""
 
     async def link_opened(self, link: Link) -> None:
         """Do nothing; membership does not depend on links."""
@@ -198,12 +199,12 @@
         """Do nothing; membership does not depend on links."""
 
     async def drain(self) -> None:
-        """Release this entry's shards and its lease, so that others need not wait for it.
+        """Release this entry's shards and its lease, so that others need not wait for expiry.
 
-        Must come after the drain of all parts that need a shard. Setting
-        `leaving` before makes this entry take no more shards.
+        All components that need a shard must be drained first. Once `leaving` is
+        set, this entry acquires no more shards.
         """
-        self.leaving = self._ended = True
+        self.leaving = self._stopped = True
         with anyio.move_on_after(RELEASE_S):
             for shard in self.owned():
                 try:
@@ -224,9 +225,9 @@
         self._listeners.append(on_view)
 
     def registered(self) -> bool:
-        """Tell whether this entry's record is alive, judged by the last renewal."""
-        left = self._renewed_at + self.cfg.policy.entry_lease_s - anyio.current_time()
-        return self._lease is not None and self._registered_revision > 0 and left > 0
+        """Tell whether this entry's lease is valid, judged by the last renewal."""
+        remaining_s = self._renewed_at + self.cfg.policy.entry_lease_s - anyio.current_time()
+        return self._lease is not None and self._registered_revision > 0 and remaining_s > 0
 
     def owned(self) -> list[ShardId]:
         """Return the shards whose record names this incarnation."""
@@ -238,11 +239,11 @@
     # Shards.
 
     async def acquire_shard(self, shard: ShardId) -> ShardOwner:
-        """Take a shard that is free or whose owner's record is gone, with the next epoch.
+        """Acquire a shard that is free or whose owner is not registered, with the next epoch.
 
-        A shard of this incarnation is returned as it is. Raises ConflictError
-        if another entry has it, StoreUnavailable or StoreLimited (no effect),
-        or StoreOutcomeUnknown.
+        A shard that this incarnation owns already is returned unchanged. Raises
+        ConflictError if another entry owns it, StoreUnavailable or StoreLimited
+        (both without effect), or StoreOutcomeUnknown.
         """
         if self.leaving or not self.registered():
             raise StoreUnavailable("this entry is not registered in the store")
@@ -252,7 +253,7 @@
         if self.view.live_owner(shard) is not None:
             raise ConflictError(f"shard {shard} belongs to another entry")
         epoch = Epoch(former.epoch + 1 if former else 1)
-        # The store checks all of it again, since the view is up to a second old.
+        # The transaction checks these conditions again, since the view is up to a second old.
         compares = [Compare(self._entry_key(self.cfg.entry), self._registered_revision)]
         if former is not None and former.entry and former.entry != self.cfg.entry:
             holder = self.view.entries.get(former.entry)
@@ -262,7 +263,7 @@
         return await self._put_shard(owner, former, compares)
 
     async def release_shard(self, shard: ShardId, settled: bool = False) -> None:
-        """Give up a shard of this incarnation; raises like `acquire_shard`."""
+        """Release a shard of this incarnation; raises like `acquire_shard`."""
         former = self.view.shards.get(shard)
         if former is None or not self._is_own(former):
             raise ConflictError(f"shard {shard} does not belong to this entry")
@@ -280,11 +281,11 @@
             "epoch": owner.epoch,
             "settled": owner.settled,
         }
-        result = await self._swap(key, expected, content, compares)
+        result = await self._compare_and_swap(key, expected, content, compares)
         if not result.succeeded:
             raise ConflictError(f"shard {owner.shard} was changed by another entry first")
         owner = replace(owner, mod_revision=result.revision)
-        # A lost answer may be settled after the next owner's change has been read.
+        # If an answer was lost, the next owner's change may have been read in the meantime.
         shards = {**self.view.shards, owner.shard: owner}
         self._publish(_keep_newer(replace(self.view, shards=shards), self.view))
         return owner
@@ -297,7 +298,7 @@
         """Store a data centre's status; returns it once it is in the store.
 
         Raises ConflictError if the store has this `seq` with another state, or
-        a higher one; otherwise raises like `acquire_shard`.
+        a higher `seq`; otherwise raises like `acquire_shard`.
         """
         key = f"{self._prefix}dc/{data_centre}"
         wanted = DataCentreStatus(data_centre, seq, state)
@@ -311,7 +312,7 @@
             )
         content = {"seq": seq, "state": state.value}
         expected = item.mod_revision if item is not None else 0
-        if not (await self._swap(key, expected, content)).succeeded:
+        if not (await self._compare_and_swap(key, expected, content)).succeeded:
             raise ConflictError(f"data centre {data_centre} was changed by someone else first")
         return wanted
 
@@ -333,7 +334,7 @@
             raise ConflictError(f"bundle version {version} does not follow version {present}")
         content = {"version": version, "envelope": b64encode(envelope).decode()}
         expected = item.mod_revision if item is not None else 0
-        result = await self._swap(key, expected, content)
+        result = await self._compare_and_swap(key, expected, content)
         if not result.succeeded:
             raise ConflictError(f"another bundle version {version} was accepted first")
         return result.revision
@@ -341,10 +342,13 @@
     async def found_service(
         self, service: ServiceId, incarnations: Sequence[IncarnationId]
     ) -> tuple[IncarnationId, ...]:
-        """Create a service's record if it is absent; returns the founders in force."""
+        """Create a service's record if it is absent; returns the stored founders.
+
+        Founders are agent incarnations whose key memory counts as full from the start.
+        """
         key = f"{self._prefix}service/{service}"
         content = {"founders": list(incarnations)}
-        if (await self._swap(key, 0, content)).succeeded:
+        if (await self._compare_and_swap(key, 0, content)).succeeded:
             founders = tuple(incarnations)
         else:
             item = await self.store.get(key)
@@ -355,7 +359,7 @@
         self._publish(replace(self.view, founders={**self.view.founders, service: founders}))
         return founders
 
-    async def _swap(
+    async def _compare_and_swap(
         self,
         key: str,
         expected: int,
@@ -363,9 +367,9 @@
         compares: Sequence[Compare] = (),
         lease: LeaseId | None = None,
     ) -> TxnResult:
-        """Put a JSON value with a writer token if the key is at `expected`.
+        """Put a JSON value with a writer token if the key's mod revision is `expected`.
 
-        The revision of a success is the key's new mod revision.
+        On success, the revision of the result is the key's new mod revision.
         """
         token = new_token()
         put = Put(key, json.dumps(content | {"token": token}).encode(), lease)
@@ -377,7 +381,7 @@
     async def _keep_registered(self) -> None:
         await anyio.sleep(self._rng.random() * RETRY_FIRST_S)
         delay = RETRY_FIRST_S
-        while not self._ended:
+        while not self._stopped:
             try:
                 if self._lease is None:
                     await self._register()
@@ -389,8 +393,8 @@
                 log.warning("this entry is not registered: %s", exc)
                 wait, delay = delay * (0.5 + self._rng.random()), _next_delay(exc, delay)
             with anyio.move_on_after(wait):
-                await self._lapsed.wait()
-                self._lapsed = anyio.Event()
+                await self._lease_lost.wait()
+                self._lease_lost = anyio.Event()
 
     async def _register(self) -> None:
         key = self._entry_key(self.cfg.entry)
@@ -409,23 +413,23 @@
         }
         expected = item.mod_revision if item is not None else 0
         try:
-            result = await self._swap(key, expected, content, lease=lease)
+            result = await self._compare_and_swap(key, expected, content, lease=lease)
         except StoreError:
-            await self._revoke_quietly(lease)
+            await self._try_revoke(lease)
             raise
-        if not result.succeeded or self._ended:
-            await self._revoke_quietly(lease)
+        if not result.succeeded or self._stopped:
+            await self._try_revoke(lease)
             raise ConflictError(f"the record of entry {self.cfg.entry} was changed or dropped")
         self._lease, self._renewed_at = lease, started
         self._registered_revision = result.revision
         self._was_registered = True
 
-    async def _revoke_quietly(self, lease: LeaseId) -> None:
-        """End the lease of a failed registration; it would end by itself otherwise."""
+    async def _try_revoke(self, lease: LeaseId) -> None:
+        """Revoke the lease of a failed registration; if that fails, the lease expires."""
         try:
             await self.store.lease_revoke(lease)
         except StoreError as exc:
-            log.info("a store lease was left to end by itself: %s", exc)
+            log.info("a store lease was not revoked and will expire: %s", exc)
 
     async def _renew(self) -> float:
         """Renew the lease and return the seconds until the next renewal."""
@@ -437,11 +441,12 @@
             self._renewed_at = started
             return self.cfg.policy.entry_renew_s
         if not alive:
-            self._forget_lease("the store lease has ended")
-        # Entries whose leases ended in the same outage do not register all at once.
+            self._clear_lease("the store lease has ended")
+        # A random delay, so that entries whose leases ended in the same outage do not all
+        # register at once.
         return self._rng.random() * RETRY_FIRST_S
 
-    def _forget_lease(self, reason: str) -> None:
+    def _clear_lease(self, reason: str) -> None:
         if self._lease is not None:
             log.warning("this entry must register again: %s", reason)
         self._lease, self._registered_revision = None, 0
@@ -466,7 +471,7 @@
             await anyio.sleep(max(0.0, wait))
 
     async def _read(self, started: float) -> ControlView:
-        """Read the control range in two calls, around the journals."""
+        """Read the control keys in two range calls that leave out the journals between them."""
         low = await self.store.range(self._prefix, f"{self._prefix}journal/")
         high = await self.store.range(f"{self._prefix}service/", f"{self._prefix}shard0")
         return build_view((*low.items, *high.items), self._prefix, low.revision, started)
@@ -480,14 +485,14 @@
                 log.exception("a listener of the control view failed")
 
     def _check_registration(self) -> None:
-        """Register again if a newer view lacks this entry's record."""
+        """Register again if a view newer than the registration lacks this entry's record."""
         if not self.view.store_up or self.view.revision < self._registered_revision:
             return
         record = self.view.entries.get(self.cfg.entry)
         present = record is not None and record.mod_revision == self._registered_revision
         if self._lease is not None and not present:
-            self._forget_lease("its record is gone from the store")
-            self._lapsed.set()
+            self._clear_lease("its record is gone from the store")
+            self._lease_lost.set()
 
     def _entry_key(self, entry: EntryId) -> str:
         return f"{self._prefix}entry/{entry}"
@@ -498,9 +503,9 @@
 
 
 def _keep_newer(view: ControlView, former: ControlView) -> ControlView:
-    """Return a view in which no shard is older than in the former one.
+    """Return the view with each shard record at least as new as in the former view.
 
-    A read that began before this entry changed a shard ends after the change.
+    A read that began before this entry changed a shard can end after the change.
     Records of shards and services are never deleted.
     """
     shards = dict(view.shards)
@@ -513,7 +518,7 @@
 def build_view(
     items: Iterable[KeyValue], prefix: str, revision: int, started: float
 ) -> ControlView:
-    """Return the view of the control range's keys; malformed values are logged and left out."""
+    """Return the view of the control keys; malformed values are logged and left out."""
     entries: dict[EntryId, EntryRecord] = {}
     shards: dict[ShardId, ShardOwner] = {}
     statuses: dict[DataCentreId, DataCentreStatus] = {}
--- a/packages/daemon/src/apricotpathd/peers.py
+++ b/packages/daemon/src/apricotpathd/peers.py
@@ -18,7 +18,7 @@
     """Component that keeps one link to each other registered entry.
 
     Of two entries the one whose id sorts first dials, so that there is one
-    link between them. Peers stay dialled while the store is out.
+    link between them. While the store is down, the links are kept.
     """
 
     handles: frozenset[type[Message]] = frozenset()
@@ -29,26 +29,26 @@
         self._dialler = Dialler(hello, cfg, handler)
 
     async def run(self) -> None:
-        """Hold the task group of the dialling loops until cancelled."""
+        """Run the dialling loops until cancelled."""
         await self._dialler.run()
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Do nothing; no message is for this part."""
+        """Do nothing; this component handles no messages."""
 
     async def link_opened(self, link: Link) -> None:
-        """Remember the newest link to an entry."""
+        """Record the newest link to an entry."""
         if link.peer is not None and link.peer.role is Role.ENTRY:
             self.links[EntryId(link.peer.process_id)] = link
 
     async def link_closed(self, link: Link) -> None:
-        """Forget the link unless a newer one has replaced it."""
+        """Remove the link unless a newer one has replaced it."""
         if link.peer is not None:
             entry = EntryId(link.peer.process_id)
             if self.links.get(entry) is link:
                 del self.links[entry]
 
     async def drain(self) -> None:
-        """Return at once; links close with the process."""
+        """Return immediately; links close with the process."""
 
     def on_view(self, view: ControlView) -> None:
         """Dial the entries of a new view; a failed read changes nothing."""
--- a/tests/features/controlflow.feature
+++ b/tests/features/controlflow.feature
@@ -1,7 +1,8 @@
 Feature: controlflow
 
-  Guards against a change that misses a process, a take-out that is lost while
-  the store is out or reported in force too early, and bundles sent over and over.
+  Fails if a change does not reach every process, if a take-out of a data centre is
+  lost while the store is down or reported in force too early, or if bundles are sent
+  repeatedly.
 
   Scenario: a bundle and a take-out reach every entry and agent
     Given a control network of 2 entries and 3 agents linked to both
--- a/tests/features/entrylinks.feature
+++ b/tests/features/entrylinks.feature
@@ -1,16 +1,15 @@
 Feature: entrylinks
 
-  Guards against agents that link to every entry, so that each entry serves every
-  agent; against an agent that waits for a scheduler it has no link to; and against all
-  agents dialling all entries at the moment when they lose the scheduler, which kept
-  one successor after another too busy to renew its lease.
+  Fails if agents link to every entry, so that each entry serves every agent; if an
+  agent waits for a scheduler that it has no link to; or if all agents dial all entries
+  when they lose the scheduler, which keeps each successor too busy to renew its lease.
 
   Scenario: entrylinks dials one entry more each 0.7 seconds until a scheduler grants
     Given an agent of entrylinks that knows 10 entries
     Then entrylinks dials 1 entries
-    When entrylinks is at a time 2 seconds later
+    When entrylinks runs 2 seconds later
     Then entrylinks dials 3 entries
-    When entrylinks is at a time 8 seconds later
+    When entrylinks runs 8 seconds later
     Then entrylinks dials 10 entries
     When the scheduler of entrylinks grants
     Then entrylinks dials 2 entries, the scheduler's among them
@@ -18,7 +17,7 @@
   Scenario Outline: entrylinks dials <dialled> entries <seconds> seconds after the newest grant
     Given an agent of entrylinks that knows 10 entries
     When the scheduler of entrylinks grants
-    And entrylinks is at a time <seconds> seconds later
+    And entrylinks runs <seconds> seconds later
     Then entrylinks dials <dialled> entries
 
     Examples:
@@ -29,7 +28,7 @@
 
   Scenario: entrylinks keeps to one entry while the agent has no executor
     Given an agent of entrylinks that knows 10 entries and has no executor
-    When entrylinks is at a time 9 seconds later
+    When entrylinks runs 9 seconds later
     Then entrylinks dials 1 entries
 
   Scenario: entrylinks dials a later scheduler that a spare entry has named
--- a/tests/features/members.feature
+++ b/tests/features/members.feature
@@ -1,9 +1,9 @@
 Feature: members
 
-  Guards against two owners of a shard, a change that is reported as refused
-  but applied, an entry that stays unregistered after a lapse or an outage,
-  entries that disagree on their shares, and a herd of calls that exceeds the
-  store's limits.
+  Fails if a shard has two owners, if a change is reported as refused but applied,
+  if an entry stays unregistered after its lease expired or after an outage, if
+  entries compute different shares, or if simultaneous retries exceed the store's
+  rate limits.
 
   Scenario Outline: members share <shards> shards fairly over <entries> entries
     When <shards> shards are shared over <entries> members
@@ -30,7 +30,7 @@
   Scenario Outline: members survive an outage of <seconds> seconds by <fault>
     Given 3 members that own their fair shares
     When the store of the members fails by <fault> for <seconds> seconds
-    Then the members saw the outage and were fresh and registered within 5 seconds after it
+    Then the members noticed the outage and had fresh views and records within 5 seconds after it
     And no shard epoch had two member owners
 
     Examples:
@@ -41,7 +41,7 @@
 
   Scenario Outline: members racing for one shard under random faults, seeds <first> to <last>
     When 3 members race for one shard under random faults for seeds <first> to <last>
-    Then every epoch of the raced shard had one member owner and its revision was true and never fell in a view
+    Then every epoch of the raced shard had one member owner and its revision matched the store and never decreased in a view
 
     Examples:
       | first | last |
@@ -54,8 +54,8 @@
 
   Scenario Outline: a member whose view is wrong about <what> gets no shard
     Given 2 members that own their fair shares
-    When the first member takes a shard while its view is wrong about <what>
-    Then the members conflict is reported and the shard's owner is unchanged
+    When the first member acquires a shard while its view is wrong about <what>
+    Then the member reports a conflict and the shard's owner is unchanged
 
     Examples:
       | what              |
@@ -65,7 +65,7 @@
   Scenario Outline: two operators race through members to change <what> while <fault>
     Given 2 members that own their fair shares
     When both members change <what> at once while <fault>
-    Then one members change was accepted, the other was a conflict, and the store has the accepted one
+    Then one members change was accepted, the other conflicted, and the store has the accepted one
 
     Examples:
       | what     | fault              |
@@ -78,12 +78,12 @@
 
   Scenario: members refuse old bundles and statuses and repeat accepted ones
     Given 1 members that own their fair shares
-    When old, equal and new changes are put through the member
-    Then only the new members changes were accepted and the equal ones repeated
+    When old, equal and new changes are sent to the member
+    Then the member accepted only new changes and confirmed equal ones
 
   Scenario: members agree on the founders of a service
     Given 2 members that own their fair shares
-    When both members found a service with different incarnations while answers are lost
+    When both members create a service's founders with different incarnations while answers are lost
     Then both members have the same founders
 
   Scenario: a restarted member replaces its record and the former process gives up
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -22,7 +22,7 @@
 
 
 class MemoryLink:
-    """One end of a link whose messages wait in the network's queue."""
+    """One end of a link whose messages are put into the network's queue."""
 
     def __init__(self, network: "ControlNetwork", sender: str, receiver: str, boot: int) -> None:
         self.network, self.sender, self.receiver = network, sender, receiver
@@ -40,7 +40,7 @@
 
 
 class ControlNetwork:
-    """Processes with a ControlFlow each, linked in memory, in virtual time."""
+    """Processes with one ControlFlow each, linked in memory, in virtual time."""
 
     def __init__(self, entries: int, agents: int) -> None:
         self.key = generate_key()
@@ -56,12 +56,12 @@
         self.script.append(self._build)
 
     def check(self, step: Callable[[], Awaitable[None]]) -> None:
-        """Run the script so far and a last step, in virtual time."""
+        """Run the recorded steps and a final one in virtual time."""
 
         async def main() -> None:
             for action in (*self.script, step):
                 await action()
-                await self.pump()
+                await self.deliver_all()
 
         anyio.run(main, backend="trio", backend_options={"clock": MockClock(autojump_threshold=0)})
 
@@ -88,7 +88,7 @@
         for sender, receiver in ((first, second), (second, first)):
             await self.flows[sender].link_closed(self.links.pop((sender, receiver)))  # type: ignore[arg-type]
 
-    async def pump(self) -> None:
+    async def deliver_all(self) -> None:
         while self.queue:
             receiver, sender, envelope = self.queue.popleft()
             link = self.links.get((receiver, sender))
@@ -115,25 +115,25 @@
             control = self.flows[sender].control
             beat = Heartbeat(number, 0, control.bundle_version, control.statuses())
             self.queue.append((receiver, sender, Envelope(1, 0, beat)))
-            await self.pump()
+            await self.deliver_all()
             await anyio.sleep(1)
 
-    async def lose(self, sender: str, peer: str) -> None:
-        """Bring bundle 2 to every process but one, which no process reaches."""
-        # No update was sent for a while, so only the delays for late peers apply.
+    async def update_all_but(self, sender: str, peer: str) -> None:
+        """Put bundle 2 in force at all processes except `peer`, which receives no messages."""
+        # No update was sent for 10 s, so only the resend delays for peers that are behind apply.
         await anyio.sleep(10)
         blocked = [link for ends, link in self.links.items() if ends[1] == peer]
         for link in blocked:
             link.lost = True
         await self.read("entry-1", 2)
-        await self.pump()
+        await self.deliver_all()
         assert self.flows[peer].control.bundle_version == 1
         for link in blocked:
             link.lost = False
         self.bundles_sent.clear()
 
-    async def disturb(self, event: str) -> None:
-        """Take the data centre out at entry-1 under the named circumstances."""
+    async def take_out_during(self, event: str) -> None:
+        """Take the data centre out of service at entry-1 while the named event happens."""
         if event == "the store":
             for name in self.entries[1:]:
                 await self.cut("entry-1", name)
@@ -144,7 +144,7 @@
         if event == "agent-1 silent":
             self.links[("entry-1", "agent-1")].lost = True
         await self.take_out("entry-1")
-        await self.pump()
+        await self.deliver_all()
         if event == "entry-2 restarted":
             await self.cut("entry-1", "entry-2")
             self.add("entry-2")
@@ -152,7 +152,7 @@
             self.queue.clear()
 
 
-def has_all(network: ControlNetwork) -> Callable[[], Awaitable[None]]:
+def check_all_updated(network: ControlNetwork) -> Callable[[], Awaitable[None]]:
     async def step() -> None:
         for name, flow in network.flows.items():
             assert flow.control.bundle_version == 2, name
@@ -196,7 +196,7 @@
 
 @then("the whole control network has bundle 2 and the take-out")
 def _(context: Any) -> None:
-    context.network.check(has_all(context.network))
+    context.network.check(check_all_updated(context.network))
 
 
 @then("entry-1 sees both acknowledged by all its peers")
@@ -228,7 +228,7 @@
 @when("the updates from {sender} to {peer} are lost while it gets bundle 2")
 def _(context: Any, sender: str, peer: str) -> None:
     network = context.network
-    network.script.append(lambda: network.lose(sender, peer))
+    network.script.append(lambda: network.update_all_but(sender, peer))
 
 
 @when("{peer} sends heartbeats to {sender} for {seconds:d} s")
@@ -302,7 +302,7 @@
 @when("entry-1 takes suva-depot out with {event}")
 def _(context: Any, event: str) -> None:
     network = context.network
-    network.script.append(lambda: network.disturb(event))
+    network.script.append(lambda: network.take_out_during(event))
 
 
 @then("after {seconds:g} s entry-1 reports the take-out {report}")
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -14,7 +14,7 @@
 
 
 class StubAgent:
-    """What entrylinks reads of an agent."""
+    """The attributes of an agent that EntryLinks reads."""
 
     def __init__(self) -> None:
         self.leader: ProcessId | None = None
@@ -26,7 +26,7 @@
 
 
 class StubDialler:
-    """Records which entries are to be dialled."""
+    """Records the entries to dial."""
 
     def __init__(self) -> None:
         self.dialled: set[str] = set()
@@ -36,7 +36,7 @@
 
 
 class LinksCase:
-    """An agent's links, on a clock that the case moves."""
+    """The links of one agent, with a clock that the test case advances."""
 
     def __init__(self, host: str = "host0") -> None:
         self.now = 100.0
@@ -49,73 +49,73 @@
     def grant(self) -> None:
         self.agent.leader = ProcessId("entry3")
         self.agent.granted_at = self.now
-        self.links.look()
+        self.links.refresh()
 
-    def pass_time(self, seconds: float) -> None:
+    def advance_clock(self, seconds: float) -> None:
         self.now += seconds
-        self.links.look()
+        self.links.refresh()
 
 
 @given("an agent of entrylinks that knows 10 entries")
-def make(context: Any) -> None:
+def create_case(context: Any) -> None:
     context.case = LinksCase()
     context.add_cleanup(use_source, None)
 
 
 @given("an agent of entrylinks that knows 10 entries and has no executor")
-def make_idle(context: Any) -> None:
-    make(context)
+def create_case_without_executor(context: Any) -> None:
+    create_case(context)
     context.case.agent.state = None
 
 
 @when("the scheduler of entrylinks grants")
-def grants(context: Any) -> None:
+def grant_by_scheduler(context: Any) -> None:
     context.case.grant()
 
 
-@when("entrylinks is at a time {seconds:d} seconds later")
-def later(context: Any, seconds: int) -> None:
-    context.case.pass_time(seconds)
+@when("entrylinks runs {seconds:d} seconds later")
+def advance(context: Any, seconds: int) -> None:
+    context.case.advance_clock(seconds)
 
 
 @when("a spare entry of entrylinks names a later scheduler")
-def named(context: Any) -> None:
+def name_new_scheduler(context: Any) -> None:
     case: LinksCase = context.case
     case.agent.granted_at = float("-inf")
     spare = next(iter(case.dialler.dialled - {"entry3"}))
     case.agent.leader = ProcessId("entry5" if spare != "entry5" else "entry6")
-    case.links.look()
+    case.links.refresh()
 
 
 @when("300 agents of entrylinks have a scheduler among 10 entries")
-def many(context: Any) -> None:
-    many_lose(context, 0)
+def link_many_agents(context: Any) -> None:
+    lose_scheduler_of_many_agents(context, 0)
 
 
 @when("300 agents of entrylinks lose the scheduler among 10 entries for {seconds:d} second")
-def many_lose(context: Any, seconds: int) -> None:
+def lose_scheduler_of_many_agents(context: Any, seconds: int) -> None:
     context.add_cleanup(use_source, None)
     context.counts = Counter()
     for number in range(300):
         case = LinksCase(f"host{number}")
         case.grant()
         case.agent.granted_at = case.now - (10 if seconds else 0)
-        case.pass_time(seconds)
+        case.advance_clock(seconds)
         context.counts.update(case.dialler.dialled)
 
 
 @then("entrylinks dials {count:d} entries")
-def dials(context: Any, count: int) -> None:
+def check_dialled_count(context: Any, count: int) -> None:
     assert len(context.case.dialler.dialled) == count, context.case.dialler.dialled
 
 
 @then("entrylinks dials {count:d} entries, the scheduler's among them")
-def dials_scheduler(context: Any, count: int) -> None:
-    dials(context, count)
+def check_dialled_scheduler(context: Any, count: int) -> None:
+    check_dialled_count(context, count)
     assert context.case.agent.leader in context.case.dialler.dialled
 
 
 @then("no entry of entrylinks but the scheduler's has more than {most:d} links")
-def spread(context: Any, most: int) -> None:
+def check_spread(context: Any, most: int) -> None:
     counts = {name: count for name, count in context.counts.items() if name != "entry3"}
     assert max(counts.values()) <= most, counts
--- a/tests/features/steps/members_steps.py
+++ b/tests/features/steps/members_steps.py
@@ -27,7 +27,7 @@
 from apricotpath_bench.storestandin import DirectTransport, StandinStore
 from apricotpathd.members import ControlView, Members, ShardOwner, build_view, fair_shares
 
-# The expected lapses and failures of many members would hide the results.
+# The expected warnings of many members would hide the results.
 logging.getLogger("httpx").setLevel(logging.WARNING)
 logging.getLogger("apricotpathd.members").setLevel(logging.ERROR)
 
@@ -49,7 +49,7 @@
 
 def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
     """Run a coroutine function in virtual time; a seed fixes the order of ready tasks too."""
-    # trio shuffles ready tasks; these are the switches that its own test plugins use.
+    # trio shuffles ready tasks; its own test plugins use the same switches to fix the order.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -57,7 +57,7 @@
 
 
 class PausableTransport(DirectTransport):
-    """Holds back all calls of one process while it is paused, and delays its answers."""
+    """Blocks all store calls of one process while it is paused, and delays its answers."""
 
     def __init__(self, store: StandinStore) -> None:
         super().__init__(store)
@@ -74,7 +74,7 @@
 
 
 class Fleet:
-    """Several members over one stand-in, and every acquisition that they made."""
+    """Several members with one store stand-in, and all their shard acquisitions."""
 
     def __init__(self, count: int) -> None:
         self.count = count
@@ -82,10 +82,10 @@
         self.transports: list[PausableTransport] = []
         self.members: list[Members] = []
         self.owners: dict[tuple[ShardId, int], set[IncarnationId]] = defaultdict(set)
-        self.facts: dict[str, Any] = {}
+        self.observed: dict[str, Any] = {}
 
     def run(self, script: Callable[["Fleet"], Awaitable[None]], owning: bool = True) -> None:
-        """Start the members, let them settle for 10 s, and run a script."""
+        """Start the members, wait 10 s for them to register and share shards, and run a script."""
 
         async def main() -> None:
             async with anyio.create_task_group() as self.group:
@@ -114,11 +114,11 @@
         self.members.append(members)
         self.group.start_soon(members.run)
         if owning:
-            self.group.start_soon(self._own, members)
+            self.group.start_soon(self._acquire_share, members)
         return members
 
-    async def _own(self, members: Members) -> None:
-        """Take the member's fair share, as the owner of the shards will."""
+    async def _acquire_share(self, members: Members) -> None:
+        """Acquire the member's fair share of shards, as an entry's owner component does."""
         while True:
             numbers = map(ShardId, range(members.cfg.policy.shards))
             shares = fair_shares(members.view.entries.keys(), numbers)
@@ -137,15 +137,15 @@
         self.owners[shard, owner.epoch].add(members.incarnation)
         return owner
 
-    def fail(self, **faults: Any) -> None:
+    def set_faults(self, **faults: Any) -> None:
         self.standin.apply_faults(NO_FAULTS | faults)
 
 
-def only_view(fleet: Fleet) -> ControlView:
+def last_view(fleet: Fleet) -> ControlView:
     return fleet.members[-1].view
 
 
-async def pause_first(fleet: Fleet) -> None:
+async def pause_first_member(fleet: Fleet) -> None:
     first, second = fleet.members
     shards = first.owned()
     journals = []
@@ -158,38 +158,38 @@
         fleet.group.start_soon(journal.run)
     fleet.transports[0].running = anyio.Event()
     await anyio.sleep(15)
-    fleet.facts["taken"] = len(second.owned())
+    fleet.observed["taken"] = len(second.owned())
     fleet.transports[0].running.set()
     await anyio.sleep(3)
-    fleet.facts["registered"] = first.registered()
-    fleet.facts["fenced"] = 0
+    fleet.observed["registered"] = first.registered()
+    fleet.observed["fenced"] = 0
     for journal in journals:
         try:
             await journal.append([to_json(JobCancelled(JobId("j")))])
         except FencedError:
-            fleet.facts["fenced"] += 1
-    fleet.facts["shards"] = len(shards)
+            fleet.observed["fenced"] += 1
+    fleet.observed["shards"] = len(shards)
 
 
 def outage(fault: str, seconds: int) -> Callable[[Fleet], Awaitable[None]]:
     async def script(fleet: Fleet) -> None:
         seen: list[bool] = []
         fleet.members[0].add_listener(lambda view: seen.append(view.store_up))
-        fleet.fail(**OUTAGES[fault])
+        fleet.set_faults(**OUTAGES[fault])
         await anyio.sleep(seconds)
         now = anyio.current_time()
-        fleet.facts["stale"] = all(not m.view.fresh(now, 2.0) for m in fleet.members)
-        fleet.fail()
+        fleet.observed["stale"] = all(not m.view.is_fresh(now, 2.0) for m in fleet.members)
+        fleet.set_faults()
         await anyio.sleep(5)
         now = anyio.current_time()
-        fleet.facts["seen"] = False in seen and seen[-1]
-        fleet.facts["fresh"] = all(m.view.fresh(now, 2.0) for m in fleet.members)
-        fleet.facts["registered"] = all(m.registered() for m in fleet.members)
+        fleet.observed["seen"] = False in seen and seen[-1]
+        fleet.observed["fresh"] = all(m.view.is_fresh(now, 2.0) for m in fleet.members)
+        fleet.observed["registered"] = all(m.registered() for m in fleet.members)
 
     return script
 
 
-def take_with_wrong_view(what: str) -> Callable[[Fleet], Awaitable[None]]:
+def acquire_with_wrong_view(what: str) -> Callable[[Fleet], Awaitable[None]]:
     async def script(fleet: Fleet) -> None:
         first, second = fleet.members
         shard = second.owned()[0]
@@ -201,12 +201,12 @@
             first.view = replace(first.view, entries={})
         key = f"{PREFIX}shard/{shard}".encode()
         before = fleet.standin.rows[key]
-        fleet.facts["result"] = "taken"
+        fleet.observed["result"] = "taken"
         try:
             await first.acquire_shard(shard)
         except ConflictError:
-            fleet.facts["result"] = "conflict"
-        fleet.facts["unchanged"] = fleet.standin.rows[key] == before
+            fleet.observed["result"] = "conflict"
+        fleet.observed["unchanged"] = fleet.standin.rows[key] == before
 
     return script
 
@@ -221,22 +221,22 @@
     def run(self, members: int, seed: int) -> None:
         rng = random.Random(seed)
         fleet = Fleet(members)
-        fleet.run(lambda each: self._script(each, rng, seed), owning=False)
+        fleet.run(lambda contender: self._script(contender, rng, seed), owning=False)
 
     async def _script(self, fleet: Fleet, rng: random.Random, seed: int) -> None:
         async with anyio.create_task_group() as group:
-            for each, transport in zip(fleet.members, fleet.transports, strict=True):
+            for contender, transport in zip(fleet.members, fleet.transports, strict=True):
                 transport.answer_delay_s = rng.choice((0.0, 0.4))
-                self._check_views(each, seed)
-                group.start_soon(self._contend, fleet, each, rng, seed)
+                self._check_views(contender, seed)
+                group.start_soon(self._contend, fleet, contender, rng, seed)
             for _ in range(15):
                 fault = rng.choice(
                     ("lose_answers", "late_writes", "down", "lapse_lease", "slow_ms")
                 )
                 value = {"down": True, "lapse_lease": 0, "slow_ms": 40}.get(fault, 1)
-                fleet.fail(**{fault: value}, late_s=rng.choice((0.05, 0.5, 3.0)))
+                fleet.set_faults(**{fault: value}, late_s=rng.choice((0.05, 0.5, 3.0)))
                 await anyio.sleep(rng.uniform(0.2, 3.0))
-                fleet.fail()
+                fleet.set_faults()
                 await anyio.sleep(rng.uniform(0.0, 1.0))
             group.cancel_scope.cancel()
         self.faults += [
@@ -246,33 +246,37 @@
         ]
         self.acquired += len(fleet.owners)
 
-    async def _contend(self, fleet: Fleet, each: Members, rng: random.Random, seed: int) -> None:
+    async def _contend(
+        self, fleet: Fleet, contender: Members, rng: random.Random, seed: int
+    ) -> None:
         while True:
             await anyio.sleep(rng.uniform(0.0, 0.6))
-            owner = await fleet.acquire(each, SHARD)
+            owner = await fleet.acquire(contender, SHARD)
             if owner is None:
                 continue
             self._check_revision(fleet, owner, seed)
             await anyio.sleep(rng.uniform(0.0, 1.0))
             if rng.random() < 0.7:
                 try:
-                    await each.release_shard(SHARD)
+                    await contender.release_shard(SHARD)
                 except (StoreError, ConflictError):
                     continue
 
-    def _check_views(self, each: Members, seed: int) -> None:
+    def _check_views(self, contender: Members, seed: int) -> None:
         newest = [0]
 
         def check(view: ControlView) -> None:
             found = view.shards[SHARD].mod_revision if SHARD in view.shards else 0
             if found < newest[0]:
-                self.faults.append(f"seed {seed}: the view fell from {newest[0]} to {found}")
+                self.faults.append(
+                    f"seed {seed}: the view's revision decreased from {newest[0]} to {found}"
+                )
             newest[0] = max(newest[0], found)
 
-        each.add_listener(check)
+        contender.add_listener(check)
 
     def _check_revision(self, fleet: Fleet, owner: ShardOwner, seed: int) -> None:
-        """Compare with the history: the write at this revision must be this acquisition."""
+        """Check in the store's history that the write at this revision is this acquisition."""
         key = f"{PREFIX}shard/{SHARD}".encode()
         rows = [change.after for change in fleet.standin.history if change.key == key]
         row = next((row for row in rows if row and row.mod_revision == owner.mod_revision), None)
@@ -284,9 +288,9 @@
     async def script(fleet: Fleet) -> None:
         await fleet.members[0].put_status(DC, ServiceState.IN, 1)
         await fleet.members[0].put_bundle(b"first", 1)
-        # The fault is for these two changes; renewals of leases come at other times.
+        # The fault must affect these two changes; lease renewals happen at other times.
         await anyio.sleep(2)
-        fleet.fail(**RACE_FAULTS[fault])
+        fleet.set_faults(**RACE_FAULTS[fault])
         results: list[tuple[str, Any]] = []
 
         async def change(number: int) -> None:
@@ -306,9 +310,9 @@
             group.start_soon(change, 0)
             group.start_soon(change, 1)
         await anyio.sleep(3)
-        view = only_view(fleet)
+        view = last_view(fleet)
         found = view.bundle if what == "a bundle" else view.statuses[DC].state
-        fleet.facts = {"results": results, "found": found}
+        fleet.observed = {"results": results, "found": found}
 
     return script
 
@@ -326,16 +330,16 @@
         ("status 5 other", lambda: member.put_status(DC, ServiceState.IN, 5)),
         ("status 4", lambda: member.put_status(DC, ServiceState.IN, 4)),
     ]
-    fleet.facts["refused"] = []
+    fleet.observed["refused"] = []
     for name, call in calls:
         try:
             await call()
         except ConflictError:
-            fleet.facts["refused"].append(name)
+            fleet.observed["refused"].append(name)
 
 
-async def found_twice(fleet: Fleet) -> None:
-    fleet.fail(lose_answers=2)
+async def create_founders_twice(fleet: Fleet) -> None:
+    fleet.set_faults(lose_answers=2)
     founders: list[tuple[IncarnationId, ...]] = []
 
     async def found(number: int) -> None:
@@ -347,15 +351,15 @@
         group.start_soon(found, 1)
     await anyio.sleep(2)
     founders += [member.view.founders[ServiceId("s")] for member in fleet.members]
-    fleet.facts["founders"] = founders
+    fleet.observed["founders"] = founders
 
 
-async def restart_first(fleet: Fleet) -> None:
+async def restart_first_member(fleet: Fleet) -> None:
     former = fleet.members[0]
     shards = former.owned()
     newer = fleet.add(0, "restarted")
     await anyio.sleep(8)
-    fleet.facts = {
+    fleet.observed = {
         "newer": newer.registered(),
         "former": former.registered(),
         "record": newer.view.entries[EntryId("entry-0")].incarnation,
@@ -363,35 +367,35 @@
     }
 
 
-async def drain_first(fleet: Fleet) -> None:
+async def drain_first_member(fleet: Fleet) -> None:
     first, second = fleet.members
     await first.drain()
     await anyio.sleep(1.1)
-    fleet.facts["records"] = list(second.view.entries)
+    fleet.observed["records"] = list(second.view.entries)
     owners = second.view.shards.values()
-    fleet.facts["left"] = [o for o in owners if o.entry == first.cfg.entry]
+    fleet.observed["left"] = [o for o in owners if o.entry == first.cfg.entry]
     await anyio.sleep(2)
-    fleet.facts["taken"] = len(second.owned())
+    fleet.observed["taken"] = len(second.owned())
 
 
-async def idle(fleet: Fleet) -> None:
+async def run_idle(fleet: Fleet) -> None:
     before = [sum(member.store.calls.values()) for member in fleet.members]  # type: ignore[attr-defined]
     await anyio.sleep(10)
     after = [sum(member.store.calls.values()) for member in fleet.members]  # type: ignore[attr-defined]
-    fleet.facts["per_s"] = [(b - a) / 10 for a, b in zip(before, after, strict=True)]
+    fleet.observed["per_s"] = [(b - a) / 10 for a, b in zip(before, after, strict=True)]
 
 
-async def herd(fleet: Fleet) -> None:
+async def outage_and_lease_restart(fleet: Fleet) -> None:
     for bins in fleet.standin.per_second.values():
         bins.clear()
-    fleet.fail(down=True)
+    fleet.set_faults(down=True)
     await anyio.sleep(15)
-    fleet.fail()
+    fleet.set_faults()
     await anyio.sleep(10)
     fleet.standin.lapse_lease()
     await anyio.sleep(10)
-    fleet.facts = fleet.standin.count_report()
-    fleet.facts["registered"] = all(member.registered() for member in fleet.members)
+    fleet.observed = fleet.standin.count_report()
+    fleet.observed["registered"] = all(member.registered() for member in fleet.members)
 
 
 @when("{shards:d} shards are shared over {entries:d} members")
@@ -443,14 +447,14 @@
 
 @when("the first member is paused for 15 seconds while the second takes its shards")
 def _(context: Any) -> None:
-    context.fleet.run(pause_first)
+    context.fleet.run(pause_first_member)
 
 
 @then("the paused member is registered again and its former journals are fenced")
 def _(context: Any) -> None:
-    facts = context.fleet.facts
-    assert facts["registered"] and facts["taken"] == 16, facts
-    assert facts["fenced"] == facts["shards"] == 8, facts
+    observed = context.fleet.observed
+    assert observed["registered"] and observed["taken"] == 16, observed
+    assert observed["fenced"] == observed["shards"] == 8, observed
 
 
 @then("no shard epoch had two member owners")
@@ -465,10 +469,10 @@
     context.fleet.run(outage(fault, seconds))
 
 
-@then("the members saw the outage and were fresh and registered within 5 seconds after it")
+@then("the members noticed the outage and had fresh views and records within 5 seconds after it")
 def _(context: Any) -> None:
-    facts = context.fleet.facts
-    assert all(facts[name] for name in ("stale", "seen", "fresh", "registered")), facts
+    observed = context.fleet.observed
+    assert all(observed[name] for name in ("stale", "seen", "fresh", "registered")), observed
 
 
 @when("{count:d} members race for one shard under random faults for seeds {first:d} to {last:d}")
@@ -479,22 +483,24 @@
 
 
 @then(
-    "every epoch of the raced shard had one member owner and its revision was true"
-    " and never fell in a view"
+    "every epoch of the raced shard had one member owner and its revision matched the store"
+    " and never decreased in a view"
 )
 def _(context: Any) -> None:
     assert not context.shard_race.faults, context.shard_race.faults
     assert context.shard_race.acquired > 50, context.shard_race.acquired
 
 
-@when("the first member takes a shard while its view is wrong about {what}")
+@when("the first member acquires a shard while its view is wrong about {what}")
 def _(context: Any, what: str) -> None:
-    context.fleet.run(take_with_wrong_view(what))
+    context.fleet.run(acquire_with_wrong_view(what))
 
 
-@then("the members conflict is reported and the shard's owner is unchanged")
+@then("the member reports a conflict and the shard's owner is unchanged")
 def _(context: Any) -> None:
-    assert context.fleet.facts == {"result": "conflict", "unchanged": True}, context.fleet.facts
+    assert context.fleet.observed == {"result": "conflict", "unchanged": True}, (
+        context.fleet.observed
+    )
 
 
 @when("both members change {what} at once while {fault}")
@@ -502,71 +508,69 @@
     context.fleet.run(race_change(what, fault))
 
 
-@then(
-    "one members change was accepted, the other was a conflict, and the store has the accepted one"
-)
+@then("one members change was accepted, the other conflicted, and the store has the accepted one")
 def _(context: Any) -> None:
-    facts = context.fleet.facts
-    accepted = [value for name, value in facts["results"] if name == "accepted"]
-    conflicts = [name for name, _value in facts["results"] if name == "ConflictError"]
-    assert accepted == [facts["found"]] and len(conflicts) == 1, facts
+    observed = context.fleet.observed
+    accepted = [value for name, value in observed["results"] if name == "accepted"]
+    conflicts = [name for name, _value in observed["results"] if name == "ConflictError"]
+    assert accepted == [observed["found"]] and len(conflicts) == 1, observed
 
 
-@when("old, equal and new changes are put through the member")
+@when("old, equal and new changes are sent to the member")
 def _(context: Any) -> None:
     context.fleet.run(put_changes)
 
 
-@then("only the new members changes were accepted and the equal ones repeated")
+@then("the member accepted only new changes and confirmed equal ones")
 def _(context: Any) -> None:
     expected = ["bundle 2 first", "bundle 1 other", "status 5 other", "status 4"]
-    assert context.fleet.facts["refused"] == expected, context.fleet.facts
+    assert context.fleet.observed["refused"] == expected, context.fleet.observed
 
 
-@when("both members found a service with different incarnations while answers are lost")
+@when("both members create a service's founders with different incarnations while answers are lost")
 def _(context: Any) -> None:
-    context.fleet.run(found_twice)
+    context.fleet.run(create_founders_twice)
 
 
 @then("both members have the same founders")
 def _(context: Any) -> None:
-    founders = context.fleet.facts["founders"]
+    founders = context.fleet.observed["founders"]
     assert len(founders) == 4 and len(set(founders)) == 1, founders
 
 
 @when("a new incarnation of the first member starts")
 def _(context: Any) -> None:
-    context.fleet.run(restart_first)
+    context.fleet.run(restart_first_member)
 
 
 @then("the new incarnation is registered, owns the former shards, and the former one is not")
 def _(context: Any) -> None:
-    facts = context.fleet.facts
+    observed = context.fleet.observed
     expected = {"newer": True, "former": False, "record": "restarted", "kept": True}
-    assert facts == expected, facts
+    assert observed == expected, observed
 
 
 @when("the first member is drained")
 def _(context: Any) -> None:
-    context.fleet.run(drain_first)
+    context.fleet.run(drain_first_member)
 
 
 @then("the store has no record of the drained member and its shards are free within 1 second")
 def _(context: Any) -> None:
-    facts = context.fleet.facts
-    assert facts["records"] == ["entry-1"] and not facts["left"], facts
-    assert facts["taken"] == 16, facts
+    observed = context.fleet.observed
+    assert observed["records"] == ["entry-1"] and not observed["left"], observed
+    assert observed["taken"] == 16, observed
 
 
 @when("{count:d} members run idle for 10 seconds")
 def _(context: Any, count: int) -> None:
     context.fleet = Fleet(count)
-    context.fleet.run(idle)
+    context.fleet.run(run_idle)
 
 
 @then("each idle member made at most {limit:f} store calls a second")
 def _(context: Any, limit: float) -> None:
-    rates = context.fleet.facts["per_s"]
+    rates = context.fleet.observed["per_s"]
     print(f"store calls a second of an idle entry: {min(rates):.2f} to {max(rates):.2f}")
     assert max(rates) <= limit, rates
 
@@ -574,7 +578,7 @@
 @when("{count:d} members run through an outage of 15 seconds and a restart of the leases")
 def _(context: Any, count: int) -> None:
     context.fleet = Fleet(count)
-    context.fleet.run(herd)
+    context.fleet.run(outage_and_lease_restart)
 
 
 @then(
@@ -582,8 +586,8 @@
     " and none was limited"
 )
 def _(context: Any, writes: int, reads: int) -> None:
-    facts = context.fleet.facts
-    print(f"calls a second at most: {facts['max_per_s']}")
-    assert facts["max_per_s"]["write"] <= writes, facts
-    assert facts["max_per_s"]["read"] <= reads, facts
-    assert "limited" not in facts["calls"] and facts["registered"], facts
+    observed = context.fleet.observed
+    print(f"calls a second at most: {observed['max_per_s']}")
+    assert observed["max_per_s"]["write"] <= writes, observed
+    assert observed["max_per_s"]["read"] <= reads, observed
+    assert "limited" not in observed["calls"] and observed["registered"], observed
