--- a/packages/daemon/src/apricotpathd/asgi.py
+++ b/packages/daemon/src/apricotpathd/asgi.py
@@ -1,4 +1,4 @@
-"""Parts of ASGI apps that the HTTP ports share: serving, request bodies, answers."""
+"""Common functions of the ASGI apps: serving, reading request bodies, sending answers."""
 
 import json
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
@@ -17,7 +17,7 @@
 
 
 async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Confirm the start and the end of the server, which need no work here."""
+    """Confirm the ASGI startup and shutdown events, which need no work here."""
     while True:
         kind = (await receive())["type"]
         await send({"type": f"{kind}.complete"})
@@ -26,7 +26,7 @@
 
 
 async def read_body(receive: Receive, limit: int | None = None) -> bytes:
-    """Return the body of a request, cut off soon after `limit` bytes if it is longer."""
+    """Return the body of a request; reading stops once it exceeds `limit` bytes."""
     body = bytearray()
     while True:
         message = await receive()
@@ -47,20 +47,20 @@
 async def send_body(
     send: Send, status: int, content_type: str, body: bytes, extra: RawHeaders = ()
 ) -> None:
-    """Send a whole answer, with `extra` headers after those of its body."""
+    """Send a complete answer, with `extra` headers after those of its body."""
     headers = [*body_headers(content_type, len(body)), *extra]
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
 
 
 async def send_json(send: Send, status: int, value: Any) -> None:
-    """Send a whole JSON answer."""
+    """Send a complete JSON answer."""
     await send_body(send, status, JSON, json.dumps(value).encode())
 
 
 async def serve_asgi(app: Any, config: Config, stop: Callable[[], Awaitable[Any]]) -> None:
     """Serve an ASGI app with hypercorn on the running event loop until `stop` returns."""
-    # Each is imported only where it is used, so that asyncio processes do not load trio.
+    # Imported only when used, so that asyncio processes do not load trio.
     if sniffio.current_async_library() == "trio":
         from hypercorn.trio import serve
     else:
--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -1,4 +1,4 @@
-"""Commands of a shard's owner to the agents, each under the shard's epoch."""
+"""Commands from a shard's owner to agents, each with the shard's epoch."""
 
 import logging
 
@@ -29,14 +29,14 @@
 
 
 class Commands:
-    """Sends commands; a send that fails is repeated by the systems of a later tick."""
+    """Sends commands; a failed send is retried in a later tick of the scheduler."""
 
     def __init__(self, state: OwnerState) -> None:
         self.state = state
         self.group: TaskGroup | None = None
 
     def send(self, row: HostRow | None, message: Message) -> bool:
-        """Queue a message to a host; False if its link is closed or full."""
+        """Queue a message to a host; return False if its link is closed or its queue full."""
         if row is None or row.link is None:
             return False
         try:
@@ -59,8 +59,8 @@
     def start(self, shard: Shard, run: Run) -> None:
         """Send a start, if the control state is fresh and the host reachable.
 
-        The time by which the lease has ended counts from the receipt of the
-        heartbeat that the start answers, which is later than the worker's reading.
+        The lease runs from the worker's clock in the last heartbeat. The owner
+        counts its end from the receipt of that heartbeat, which is later.
         """
         state, row = self.state, self.row(run.process)
         if row is None or row.leaving or not state.is_fresh() or self.group is None:
@@ -79,7 +79,7 @@
         run.sends += 1
         run.sent_at = anyio.current_time()
         run.phase = Phase.STARTING
-        self.group.start_soon(self._start, shard, run, link, self._start_message(shard, run))
+        self.group.start_soon(self._call_start, shard, run, link, self._start_message(shard, run))
 
     def _start_message(self, shard: Shard, run: Run) -> StartTask:
         spec = run.spec
@@ -101,7 +101,7 @@
             bundle_version=self.state.rules.bundle_version,
         )
 
-    async def _start(self, shard: Shard, run: Run, link: Link, message: StartTask) -> None:
+    async def _call_start(self, shard: Shard, run: Run, link: Link, message: StartTask) -> None:
         try:
             reply = await link.call(message)
         except LinkError as exc:
@@ -113,16 +113,16 @@
             if run.phase is Phase.STARTING:
                 run.accepted, run.phase = True, Phase.RUNNING
             return
-        self._refused(shard, run, reply)
+        self._handle_refusal(shard, run, reply)
 
-    def _refused(self, shard: Shard, run: Run, reply: TaskReply) -> None:
+    def _handle_refusal(self, shard: Shard, run: Run, reply: TaskReply) -> None:
         log.info("start refused: %s", reply.reason, extra={"task": run.task, "code": reply.code})
         if reply.code is ReplyCode.EPOCH:
             self.state.drop(shard, f"host {run.host} knows a newer owner of shard {shard.shard}")
             return
         if reply.code is ReplyCode.REFUSED:
             self.state.health.record(run.process, run.job, False, anyio.current_time())
-        # The host is taken as full until its next report, as other owners may have used it.
+        # The host counts as full until its next report, as other owners may have used it.
         self.state.index.remove(run.process)
         # A refusal of the only copy proves that the attempt never runs. After a repeated
         # start the refusal may concern one copy while the other runs.
@@ -134,7 +134,7 @@
         self.send(row, StopTask(shard.shard, shard.epoch, task, attempt, reason))
 
     def evict(self, shard: Shard, run: Run, reason: str, now: float) -> bool:
-        """Ask for a checkpoint and stop of an attempt."""
+        """Ask a host to checkpoint and stop an attempt; return whether the command was sent."""
         message = EvictTask(shard.shard, shard.epoch, run.task, run.attempt, reason)
         if not self.send(self.row(run.process), message):
             return False
@@ -150,7 +150,7 @@
             run.share, run.told_at = share, now
 
     def acknowledge(self, shard: Shard, row: HostRow, ended: list[tuple[TaskId, int]]) -> None:
-        """Tell a host that outcomes are journaled."""
+        """Tell a host that the outcomes of these attempts are journaled."""
         tasks, attempts = tuple(t for t, _ in ended), tuple(a for _, a in ended)
         self.send(row, OutcomeAck(shard.shard, tasks, attempts, shard.epoch))
 
@@ -160,10 +160,10 @@
         if link is None or link.last_heartbeat is None or link.last_heartbeat.worker_clock_ms <= 0:
             return
         clock_ms, received_at = link.last_heartbeat.worker_clock_ms, link.last_heartbeat_at
-        for at in range(0, len(runs), RENEW_CHUNK):
-            chunk = runs[at : at + RENEW_CHUNK]
-            # The end of the lease moves before the message leaves: a message whose
-            # sending seems to fail may still arrive.
+        for offset in range(0, len(runs), RENEW_CHUNK):
+            chunk = runs[offset : offset + RENEW_CHUNK]
+            # The end of the lease is extended before the message is sent, because a
+            # message whose send fails may still arrive.
             for run in chunk:
                 self.state.lease(run, clock_ms, received_at)
                 run.renewed_at = now
--- a/packages/daemon/src/apricotpathd/component.py
+++ b/packages/daemon/src/apricotpathd/component.py
@@ -1,4 +1,4 @@
-"""Interface of the parts that an entry or agent is assembled from."""
+"""Interface of the components of an entry or agent."""
 
 from collections.abc import Callable, Coroutine
 from datetime import datetime
@@ -8,21 +8,21 @@
 from apricotpath.link import Link
 from apricotpath.messages import Message
 
-# Parts take the UTC time from a function, so that tests can move it; monotonic
-# time in seconds is always `anyio.current_time()`, which follows a test's clock.
+# Components get the UTC time from a function, so that tests can set it; monotonic
+# time in seconds is always `anyio.current_time()`, which uses the test's clock.
 UtcClock = Callable[[], datetime]
 
-# Work that a part starts in its task group.
+# A coroutine function that a component starts in its task group.
 Job = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Component(Protocol):
-    """One part of a process."""
+    """One component of a process."""
 
     handles: frozenset[type[Message]]
 
     async def run(self) -> None:
-        """Run the part's background loops until cancelled."""
+        """Run the component's background loops until cancelled."""
 
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message of a type in `handles`; must not wait for the peer."""
@@ -34,4 +34,4 @@
         """Handle the end of a link."""
 
     async def drain(self) -> None:
-        """Refuse new work and return when the work in hand is done."""
+        """Refuse new work and return when the current work is done."""
--- a/packages/daemon/src/apricotpathd/exits.py
+++ b/packages/daemon/src/apricotpathd/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes of the programs, and errors on the way out."""
+"""Exit codes of the programs, and reports of fatal errors."""
 
 import sys
 
@@ -9,7 +9,7 @@
 
 
 def report_error(program: str, exc: BaseException) -> int:
-    """Print an error of ours as one sentence and return the exit code; raise any other."""
+    """Print an ApricotpathError as one sentence and return the exit code; re-raise any other."""
     while isinstance(exc, BaseExceptionGroup):
         exc = exc.exceptions[0]
     if not isinstance(exc, ApricotpathError):
--- a/packages/daemon/src/apricotpathd/operators.py
+++ b/packages/daemon/src/apricotpathd/operators.py
@@ -1,4 +1,4 @@
-"""HTTP for operators: signed JSON requests, health checks and metrics."""
+"""HTTP port for operators: signed JSON requests, health checks and metrics."""
 
 import json
 import logging
@@ -42,28 +42,28 @@
 
 
 class OperatorServices(Protocol):
-    """What the entry does for operators.
+    """Operations that the entry offers to operators.
 
     Answers are JSON values. An answer with `in_force` false is sent with
-    status 202. Any call may raise an ApricotpathError, whose kind decides the
+    status 202. Any call may raise an ApricotpathError, whose class decides the
     status: InputError 400, NotFoundError 404, ConflictError 409, StoreError 503.
     """
 
     async def put_bundle(self, envelope: bytes) -> Json:
-        """Accept a signed bundle; answers `version` and `in_force`."""
+        """Accept a signed bundle; returns `version` and `in_force`."""
 
     async def get_bundle(self) -> Json:
         """Return `version` and `envelope` (JSON, or None) of the bundle in force."""
 
     async def set_data_centre(self, dc: DataCentreId, seq: int, state: ServiceState) -> Json:
-        """Take a data centre out or bring it back.
+        """Take a data centre out of service or bring it back.
 
-        Answers `data_centre`, `seq`, `state`, `in_force`. Raises ConflictError if
-        `seq` is not above the known one, unless that status is in place already.
+        Returns `data_centre`, `seq`, `state`, `in_force`. Raises ConflictError if
+        `seq` is not above the current one, unless the status is the current one.
         """
 
     async def submit_job(self, spec: JobSpec) -> Json:
-        """Accept a job; the same job a second time gives the same answer."""
+        """Accept a job; submitting the same job again returns the same answer."""
 
     async def list_jobs(self, query: Mapping[str, str]) -> Json:
         """Return `jobs`; the query may name `team`, `state` and `limit`."""
@@ -72,16 +72,16 @@
         """Return one job with its tasks."""
 
     async def cancel_job(self, job: JobId) -> Json:
-        """Cancel a job; cancelling it again changes nothing."""
+        """Cancel a job; cancelling it again has no effect."""
 
     async def hosts(self) -> Json:
-        """Return `hosts`."""
+        """Return all hosts under the key `hosts`."""
 
     async def backends(self) -> Json:
-        """Return `backends`."""
+        """Return all backend servers under the key `backends`."""
 
     async def explain(self, query: Mapping[str, str]) -> Json:
-        """Explain a `job`, or what the rules say of `team`, `activity` and `data_centre`."""
+        """Explain the state of a `job`, or the rules for `team`, `activity` and `data_centre`."""
 
     async def status(self) -> Json:
         """Return `entry`, `bundle` (`version`, `in_force`) and `data_centres`.
@@ -100,8 +100,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
-    """An operator's request whose credentials have been checked."""
+class VerifiedRequest:
+    """An operator's request with verified credentials."""
 
     argument: str
     query: Mapping[str, str]
@@ -116,7 +116,7 @@
 
 
 class HttpError(ApricotpathError):
-    """A request that is refused before its meaning is looked at."""
+    """A request that is refused before its operation is called; `status` is the HTTP status."""
 
     def __init__(self, status: int, text: str, rule: str = "") -> None:
         super().__init__(text)
@@ -124,11 +124,11 @@
         self.rule = rule
 
 
-Operation = Callable[[OperatorServices, Call], Awaitable[Json]]
+Operation = Callable[[OperatorServices, VerifiedRequest], Awaitable[Json]]
 
 
-async def _set_data_centre(services: OperatorServices, call: Call) -> Json:
-    value = call.json()
+async def _set_data_centre(services: OperatorServices, request: VerifiedRequest) -> Json:
+    value = request.json()
     if not isinstance(value, dict) or set(value) != {"seq", "state"}:
         rule = "must be an object with 'seq' and 'state'"
         raise InputError(f"the body {rule}", "body", rule)
@@ -138,30 +138,30 @@
         raise InputError(f"seq {rule}", "seq", rule)
     if state not in [item.value for item in ServiceState]:
         raise InputError("state must be 'in' or 'out'", "state", "must be 'in' or 'out'")
-    return await services.set_data_centre(DataCentreId(call.argument), seq, ServiceState(state))
+    return await services.set_data_centre(DataCentreId(request.argument), seq, ServiceState(state))
 
 
-async def _submit_job(services: OperatorServices, call: Call) -> Json:
-    return await services.submit_job(job_from_json(call.json()))
+async def _submit_job(services: OperatorServices, request: VerifiedRequest) -> Json:
+    return await services.submit_job(job_from_json(request.json()))
 
 
-# Operations by path and method; a path that ends in / takes one more part.
+# Operations by method and path; a path that ends in / takes one more segment as argument.
 OPERATIONS: dict[tuple[str, str], Operation] = {
     ("GET", "/v1/status"): lambda services, _: services.status(),
     ("GET", "/v1/bundle"): lambda services, _: services.get_bundle(),
-    ("PUT", "/v1/bundle"): lambda services, call: services.put_bundle(call.body),
+    ("PUT", "/v1/bundle"): lambda services, request: services.put_bundle(request.body),
     ("PUT", "/v1/datacentres/"): _set_data_centre,
-    ("GET", "/v1/jobs"): lambda services, call: services.list_jobs(call.query),
+    ("GET", "/v1/jobs"): lambda services, request: services.list_jobs(request.query),
     ("POST", "/v1/jobs"): _submit_job,
-    ("GET", "/v1/jobs/"): lambda services, call: services.job(JobId(call.argument)),
-    ("DELETE", "/v1/jobs/"): lambda services, call: services.cancel_job(JobId(call.argument)),
+    ("GET", "/v1/jobs/"): lambda services, request: services.job(JobId(request.argument)),
+    ("DELETE", "/v1/jobs/"): lambda services, request: services.cancel_job(JobId(request.argument)),
     ("GET", "/v1/hosts"): lambda services, _: services.hosts(),
     ("GET", "/v1/backends"): lambda services, _: services.backends(),
-    ("GET", "/v1/explain"): lambda services, call: services.explain(call.query),
+    ("GET", "/v1/explain"): lambda services, request: services.explain(request.query),
     ("GET", "/v1/debug"): lambda services, _: services.debug(),
 }
 
-# The first class that matches decides.
+# The first matching class decides the HTTP status.
 STATUS_OF_ERROR: tuple[tuple[type[ApricotpathError], int], ...] = (
     (SignatureError, 401),
     (InputError, 400),
@@ -174,7 +174,7 @@
 class OperatorApp:
     """The ASGI application of the operators' port.
 
-    `trust` returns the keys trusted now; `utc_now` is the entry's wall clock.
+    `trust` returns the keys trusted at present; `utc_now` is the entry's wall clock.
     """
 
     def __init__(
@@ -194,9 +194,9 @@
 
     async def _respond(self, scope: Scope, receive: Receive) -> tuple[int, str, bytes]:
         if scope["method"] in ("GET", "HEAD"):
-            open_answer = self._open_answer(scope["path"])
-            if open_answer is not None:
-                return open_answer
+            public_answer = self._public_answer(scope["path"])
+            if public_answer is not None:
+                return public_answer
         try:
             answer = await self._serve(scope, receive)
             status = 202 if answer.get("in_force") is False else 200
@@ -207,8 +207,8 @@
             status, answer = 500, {"error": "the entry failed; its log has details"}
         return status, JSON, json.dumps(answer).encode()
 
-    def _open_answer(self, path: str) -> tuple[int, str, bytes] | None:
-        """Return the answer of a path that needs no credentials, or None."""
+    def _public_answer(self, path: str) -> tuple[int, str, bytes] | None:
+        """Return the answer for a path that needs no credentials, or None for other paths."""
         if path == "/healthz":
             return 200, TEXT, b"ok\n"
         if path == "/readyz":
@@ -218,23 +218,23 @@
         return None
 
     async def _serve(self, scope: Scope, receive: Receive) -> Json:
-        headers = _headers(scope)
-        target = _target(scope)
-        # The credentials are parsed first, so that nobody without any can send a body.
+        headers = _read_headers(scope)
+        target = _request_target(scope)
+        # The credentials are parsed first, so that no body is read from a client without any.
         proof = parse_proof(headers.get("authorization", ""), headers.get("apricotpath-chain", ""))
         body = await _read_body(headers, receive)
         now_ms = int(self._utc_now().timestamp() * 1000)
         method = scope["method"]
         key = check_request(proof, method, target, body, self._trust(), now_ms, self.nonces)
-        operation, argument = _find(method, target.partition("?")[0])
+        operation, argument = _find_operation(method, target.partition("?")[0])
         if method != "GET":
             log.info("operator request", extra={"key": key, "method": method, "target": target})
         query = dict(parse_qsl(target.partition("?")[2]))
-        return await operation(self.services, Call(argument, query, body))
+        return await operation(self.services, VerifiedRequest(argument, query, body))
 
 
 def error_answer(exc: ApricotpathError) -> tuple[int, Json]:
-    """Return the status and the body that tell an operator of an error."""
+    """Return the HTTP status and the JSON body for an error."""
     answer: Json = {"error": str(exc)}
     for name in ("path", "rule"):
         if getattr(exc, name, ""):
@@ -245,7 +245,7 @@
     return status, answer
 
 
-def _headers(scope: Scope) -> dict[str, str]:
+def _read_headers(scope: Scope) -> dict[str, str]:
     size = sum(len(name) + len(value) for name, value in scope["headers"])
     if size > MAX_HEADER_BYTES:
         raise HttpError(431, f"the headers have more than {MAX_HEADER_BYTES} bytes", "size")
@@ -254,8 +254,8 @@
     }
 
 
-def _target(scope: Scope) -> str:
-    """Return path and query as the client sent and signed them."""
+def _request_target(scope: Scope) -> str:
+    """Return the path and query as the client sent and signed them."""
     raw = scope.get("raw_path") or scope["path"].encode()
     target: str = raw.partition(b"?")[0].decode("latin-1")
     if scope["query_string"]:
@@ -286,16 +286,20 @@
         raise HttpError(408, f"the body took longer than {BODY_TIMEOUT_S:g} s", "time") from exc
 
 
-def _find(method: str, path: str) -> tuple[Operation, str]:
-    """Return the operation of a path and its argument, or raise HttpError."""
-    base, _, last = path.rpartition("/")
-    plain = {name for name, known in OPERATIONS if known == path and not known.endswith("/")}
-    if plain:
-        if method in plain:
+def _find_operation(method: str, path: str) -> tuple[Operation, str]:
+    """Return the operation for a method and path, and its argument, or raise HttpError."""
+    base, _, segment = path.rpartition("/")
+    exact_methods = {
+        name for name, pattern in OPERATIONS if pattern == path and not pattern.endswith("/")
+    }
+    if exact_methods:
+        if method in exact_methods:
             return OPERATIONS[(method, path)], ""
-    elif (allowed := {name for name, known in OPERATIONS if known == f"{base}/"}) and last:
-        if method in allowed:
-            return OPERATIONS[(method, f"{base}/")], unquote(last)
+    elif (
+        prefix_methods := {name for name, pattern in OPERATIONS if pattern == f"{base}/"}
+    ) and segment:
+        if method in prefix_methods:
+            return OPERATIONS[(method, f"{base}/")], unquote(segment)
     else:
         raise HttpError(404, f"there is nothing at {path}", "path")
     raise HttpError(405, f"{method} is not possible at {path}", "method")
--- a/packages/daemon/src/apricotpathd/process.py
+++ b/packages/daemon/src/apricotpathd/process.py
@@ -1,4 +1,4 @@
-"""What both roles share: identity, dispatch of messages, signals and graceful shutdown."""
+"""Base of both roles: identity, message dispatch, signals and graceful shutdown."""
 
 import logging
 import secrets
@@ -22,7 +22,7 @@
 
 
 class Process:
-    """An entry or agent: its components and the links that they share.
+    """An entry or agent: its components and their common links.
 
     A subclass sets `components` and may override the heartbeat's fields.
     """
@@ -59,29 +59,29 @@
         return Heartbeat(self._heartbeats, self.worker_clock_ms(), version, statuses)
 
     async def opened(self, link: Link) -> None:
-        """Tell every component of a new link."""
+        """Add a new link and notify every component."""
         self.links.append(link)
         for component in self.components:
             await component.link_opened(link)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Give a message to the components that handle its type."""
+        """Pass a message to the components that handle its type."""
         for component in self._routes.get(type(envelope.body), ()):
             try:
                 await component.received(link, envelope)
             except LinkError as exc:
-                # The link broke while the message was handled; its reader will notice.
+                # The link broke while the message was handled; its reader will close it.
                 log.info("message from %s not handled: %s", link.peer_id, exc)
 
     async def closed(self, link: Link) -> None:
-        """Tell every component of the end of a link."""
+        """Remove a closed link and notify every component."""
         self.links.remove(link)
         self._closed_frames += link.frames_sent + link.frames_received
         for component in self.components:
             await component.link_closed(link)
 
     def frames(self) -> int:
-        """Return how many frames all links have carried, in both directions."""
+        """Return the number of frames sent and received on all links so far."""
         return self._closed_frames + sum(
             link.frames_sent + link.frames_received for link in self.links
         )
@@ -92,7 +92,7 @@
             group.start_soon(component.run)
 
     async def drain(self) -> None:
-        """Let all components finish the work in hand."""
+        """Wait until all components have finished their current work."""
         self.draining = True
         async with anyio.create_task_group() as group:
             for component in self.components:
--- a/packages/daemon/src/apricotpathd/statusapp.py
+++ b/packages/daemon/src/apricotpathd/statusapp.py
@@ -1,4 +1,4 @@
-"""The agent's HTTP port: health, readiness, metrics and state, without credentials."""
+"""HTTP port of an agent: health, readiness, metrics and state, without credentials."""
 
 import json
 from collections.abc import Callable
@@ -8,7 +8,7 @@
 
 
 class StatusApp:
-    """ASGI app over three functions of a process."""
+    """ASGI app that serves a process's readiness, metrics and debug state."""
 
     def __init__(
         self,
--- a/packages/daemon/src/apricotpathd/tracing.py
+++ b/packages/daemon/src/apricotpathd/tracing.py
@@ -1,4 +1,4 @@
-"""Records what an entry sees in a trace, if its settings name a file."""
+"""Records the events of an entry in a trace file, if its settings name one."""
 
 import random
 from collections.abc import Callable
@@ -26,17 +26,17 @@
     TaskSeen,
 )
 
-WATCH_S = 0.5
+POLL_INTERVAL_S = 0.5
 
 RecordEvent = Callable[[Event], None]
 
 
 def no_trace(_: Event) -> None:
-    """Record nothing."""
+    """Ignore an event; used when no trace is recorded."""
 
 
 class Tracing:
-    """Component that records hosts, reports and the control state."""
+    """Component that records hosts, reports and changes of the control state."""
 
     handles: frozenset[type[Message]] = frozenset({Announce, HostReport, Leaving})
 
@@ -58,18 +58,18 @@
         self._statuses: tuple[DataCentreStatus, ...] = ()
 
     def record(self, event: Event) -> None:
-        """Record an event of another part."""
+        """Record an event of another component."""
         self.recorder.record(event)
 
     async def run(self) -> None:
-        """Write the trace and follow the control state until cancelled."""
+        """Write the trace and record changes of the control state until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.recorder.run)
             while True:
-                self._control()
-                await anyio.sleep(WATCH_S)
+                self._record_control_changes()
+                await anyio.sleep(POLL_INTERVAL_S)
 
-    def _control(self) -> None:
+    def _record_control_changes(self) -> None:
         bundle = self.control.bundle
         if bundle is not None and bundle.version != self._version:
             self._version = bundle.version
@@ -109,12 +109,12 @@
             self.record(HostGone(process))
 
     async def link_opened(self, link: Link) -> None:
-        """Wait for the agent to announce itself."""
+        """Do nothing; a host is recorded when its agent announces itself."""
 
     async def link_closed(self, link: Link) -> None:
-        """Record that an agent is gone."""
+        """Record that an agent has disconnected."""
         if link.peer is not None and link.peer.role is Role.AGENT:
             self.record(HostGone(link.peer.process_id))
 
     async def drain(self) -> None:
-        """Return at once; the rest is written when the process ends."""
+        """Return immediately; the remaining events are written when the process ends."""
--- a/tests/features/daemon.feature
+++ b/tests/features/daemon.feature
@@ -1,7 +1,7 @@
 Feature: daemon
 
-  Guards against a process that starts with settings it cannot use, or ends
-  with a traceback instead of one sentence.
+  Fails if a process starts with unusable settings, or ends with a traceback instead
+  of an error message of one sentence.
 
   Scenario Outline: the daemon refuses <mistake> in <role> settings
     Given valid daemon settings of the role <role>
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -1,7 +1,7 @@
 Feature: operators
 
-  Guards against an operator port that acts without credentials, acts twice on
-  a replayed request, reads bodies without bound, or gives errors that do not help.
+  Fails if the operator port acts on a request without valid credentials, acts twice on
+  a replayed request, reads bodies of unlimited size, or returns errors without a reason.
 
   Scenario Outline: some paths need no credentials
     Given an operator port that is <state>
@@ -22,7 +22,7 @@
     Given an operator port that is ready
     When the operator port gets a take-out with <credentials>
     Then the operator port answers 401
-    And the operators changed nothing more
+    And no further change was made through the operator port
 
     Examples:
       | credentials                  |
@@ -39,7 +39,7 @@
     Given an operator port that is ready
     When the operator port gets a signed request with <excess>
     Then the operator port answers <status>
-    And the operators changed nothing more
+    And no further change was made through the operator port
 
     Examples:
       | excess                     | status |
@@ -52,7 +52,7 @@
     Given an operator port that is ready
     When the operator port gets signed <method> <path> with <body>
     Then the operator port answers <status> with path <where> and a rule like <rule>
-    And the operators changed nothing more
+    And no further change was made through the operator port
 
     Examples:
       | method | path                       | body                          | status | where   | rule             |
@@ -73,18 +73,18 @@
 
   Scenario: a change that is not in force yet is answered as accepted
     Given an operator port that is ready
-    When the operator port lags and gets bundle 2
+    When the operator port gets bundle 2 while other processes lag
     Then the operator port answers 202
 
   Scenario: a store that is out is told apart from a refusal
     Given an operator port that is ready
     When the operator port's store is out and it gets bundle 2
     Then the operator port answers 503
-    And the operators changed nothing more
+    And no further change was made through the operator port
 
   Scenario: a fault in the entry shows no details
     Given an operator port that is ready
-    When the operator port fails inside
+    When the operator port's services raise an unexpected error
     Then the operator port answers 500 without details
 
   Scenario: a body that never ends is given up
--- a/tests/features/steps/daemon_steps.py
+++ b/tests/features/steps/daemon_steps.py
@@ -16,7 +16,7 @@
 
 
 class DaemonSubject:
-    """Settings of one role, and what the daemon made of them."""
+    """Settings of one role, and the result of starting the daemon with them."""
 
     def __init__(self, role: str) -> None:
         self.role = role
@@ -44,8 +44,8 @@
             "metrics": self._address(),
         }
 
-    def make(self, mistake: str) -> None:
-        """Put a mistake into the settings."""
+    def add_mistake(self, mistake: str) -> None:
+        """Add a mistake to the settings."""
         port_name = "callers" if self.role == "entry" else "metrics"
         if mistake == "an unknown setting":
             self.settings["no_such_setting"] = 1
@@ -69,7 +69,7 @@
 
     def start(self, mistake: str) -> None:
         """Run the daemon until it ends."""
-        self.make(mistake)
+        self.add_mistake(mistake)
         path = Path(self.scratch.name) / "settings.json"
         if mistake != "no settings file":
             path.write_text(json.dumps(self.settings), encoding="utf-8")
--- a/tests/features/steps/operator_standin.py
+++ b/tests/features/steps/operator_standin.py
@@ -1,4 +1,4 @@
-"""An entry's operator port for tests, with services that keep everything in memory."""
+"""An entry's operator port for tests, with services that keep their state in memory."""
 
 from collections.abc import Mapping
 from datetime import UTC, datetime
@@ -18,9 +18,9 @@
 
 
 class MemoryStore:
-    """What the entries share: the bundle, and bring-backs.
+    """State that the entries share: the bundle, and data centres brought back.
 
-    Take-outs stay out of it, as while the store cannot be written.
+    Take-outs are not stored, as if the store were not writable.
     """
 
     def __init__(self) -> None:
@@ -29,7 +29,7 @@
 
 
 class MemoryServices:
-    """Implements OperatorServices; `changes` lists what operators changed."""
+    """Implements OperatorServices; `changes` lists the changes made by operators."""
 
     def __init__(self, name: str, public_keys: list[str], store: "MemoryStore") -> None:
         self.name = name
@@ -43,7 +43,7 @@
         self.broken = False
 
     async def put_bundle(self, envelope: bytes) -> Json:
-        self._needs_store()
+        self._require_store()
         self._read_store()
         bundle = self.control.check_bundle(envelope)
         self.store.bundle = envelope
@@ -57,20 +57,20 @@
 
     async def set_data_centre(self, dc: DataCentreId, seq: int, state: ServiceState) -> Json:
         if state is ServiceState.IN:
-            self._needs_store()
-        known = self.control.status(dc)
-        wanted = DataCentreStatus(dc, seq, state)
-        if known != wanted:
-            if known.seq >= seq:
-                raise ConflictError(f"the status of {dc} has seq {known.seq} already")
-            self.control.offer_statuses([wanted])
+            self._require_store()
+        current = self.control.status(dc)
+        requested = DataCentreStatus(dc, seq, state)
+        if current != requested:
+            if current.seq >= seq:
+                raise ConflictError(f"the status of {dc} has seq {current.seq} already")
+            self.control.offer_statuses([requested])
             if state is ServiceState.IN:
-                self.store.statuses.append(wanted)
+                self.store.statuses.append(requested)
             self.changes.append(f"{dc} {state.value}")
         return {"data_centre": dc, "seq": seq, "state": state.value, "in_force": self.in_force}
 
     async def submit_job(self, spec: JobSpec) -> Json:
-        self._needs_store()
+        self._require_store()
         if spec.job_id not in self.jobs:
             self.changes.append(f"job {spec.job_id}")
         self.jobs[spec.job_id] = spec
@@ -104,17 +104,17 @@
         if self.broken:
             raise RuntimeError("secret detail")
         self._read_store()
-        centres = self.control.bundle.datacentres if self.control.bundle else {}
-        rows = [self._centre(dc) for dc in centres]
+        data_centres = self.control.bundle.datacentres if self.control.bundle else {}
+        rows = [self._data_centre_answer(dc) for dc in data_centres]
         bundle = {"version": self.control.bundle_version, "in_force": self.in_force}
         return {"entry": self.name, "bundle": bundle, "data_centres": rows}
 
-    def _centre(self, dc: DataCentreId) -> Json:
-        known = self.control.status(dc)
+    def _data_centre_answer(self, dc: DataCentreId) -> Json:
+        current = self.control.status(dc)
         return {
             "data_centre": dc,
-            "seq": known.seq,
-            "state": known.state.value,
+            "seq": current.seq,
+            "state": current.state.value,
             "in_service": self.control.in_service(dc),
             "in_force": self.in_force,
         }
@@ -133,16 +133,16 @@
             self.control.offer_bundle(self.store.bundle)
         self.control.offer_statuses(self.store.statuses)
 
-    def _needs_store(self) -> None:
+    def _require_store(self) -> None:
         if self.store_out:
             raise StoreUnavailable("the store cannot be reached")
 
 
 class MemoryEntries(httpx.AsyncBaseTransport):
-    """Carries HTTP calls to entries in this process, by the host name in the URL.
+    """Passes HTTP calls to entries in this process, chosen by the host name in the URL.
 
-    Entries in `down` cannot be reached for that many calls; the answers to the
-    next writes in `lose_answers` are lost after they took effect.
+    `down` gives the number of calls for which an entry is unreachable. The answers
+    to the next `lose_answers` writes are lost after the writes took effect.
     """
 
     def __init__(self, names: list[str], public_keys: list[str]) -> None:
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -18,7 +18,7 @@
 
 
 class OperatorPort:
-    """Holds an entry's operator port with bundle 1 in force and the last answer."""
+    """Holds an entry's operator port with bundle 1 in force, and its last answer."""
 
     def __init__(self, ready: bool) -> None:
         self.key = generate_key()
@@ -28,14 +28,14 @@
         assert self.services.control.offer_bundle(signed(self.key, 1))
         self.answer = httpx.Response(0)
         self.changes_before: list[str] = []
-        self.number = 0
+        self.nonce = 0
 
     def credentials(
         self, method: str, target: str, body: bytes, age_ms: int = 0, key: Any = None
     ) -> dict[str, str]:
-        self.number += 1
+        self.nonce += 1
         now_ms = time.time_ns() // 1_000_000 - age_ms
-        return sign_request(key or self.key, method, target, body, now_ms, str(self.number))
+        return sign_request(key or self.key, method, target, body, now_ms, str(self.nonce))
 
     def send(self, method: str, target: str, body: bytes, headers: dict[str, str]) -> None:
         async def main() -> None:
@@ -73,7 +73,7 @@
         extra: dict[str, str] = {}
         if excess == "a body over the limit":
             body = b" " * (MAX_BODY_BYTES + 1)
-            # The declared length is not to be relied on.
+            # The declared length is wrong, so the port must count the bytes it reads.
             extra["Content-Length"] = "5"
         elif excess == "a declared length too high":
             extra["Content-Length"] = str(MAX_BODY_BYTES + 1)
@@ -95,7 +95,7 @@
         return bundles[text]() if text in bundles else text.encode()
 
     def incomplete_body(self) -> tuple[float, int]:
-        """Return after how long, and how, an incomplete body was answered."""
+        """Send an incomplete body; return the seconds until the answer, and its HTTP status."""
         sent: list[dict[str, Any]] = []
         headers = self.credentials("PUT", TARGET, TAKE_OUT)
         scope = {
@@ -147,7 +147,7 @@
     context.port.send_signed(method, path, context.port.body(body))
 
 
-@when("the operator port lags and gets bundle 2")
+@when("the operator port gets bundle 2 while other processes lag")
 def _(context: Any) -> None:
     context.port.services.in_force = False
     context.port.send_signed("PUT", "/v1/bundle", context.port.body("bundle 2"))
@@ -159,7 +159,7 @@
     context.port.send_signed("PUT", "/v1/bundle", context.port.body("bundle 2"))
 
 
-@when("the operator port fails inside")
+@when("the operator port's services raise an unexpected error")
 def _(context: Any) -> None:
     context.port.services.broken = True
     context.port.send_signed("GET", "/v1/status", b"")
@@ -188,7 +188,7 @@
     assert "secret" not in context.port.answer.text
 
 
-@then("the operators changed nothing more")
+@then("no further change was made through the operator port")
 def _(context: Any) -> None:
     assert context.port.services.changes == context.port.changes_before
 
