--- a/packages/core/src/apricotpath/control.py
+++ b/packages/core/src/apricotpath/control.py
@@ -35,10 +35,11 @@
 
 
 class Control:
-    """The control state; an update older than what is known never replaces it.
+    """The control state of a process; stale updates are ignored.
 
     `trusted_keys` are the public keys in the settings. A process without a
-    bundle refuses everything.
+    bundle refuses everything. The founders of a service are the agent
+    incarnations that it was first started with.
     """
 
     def __init__(self, trusted_keys: Iterable[str]) -> None:
@@ -50,7 +51,7 @@
         self._statuses: dict[DataCentreId, DataCentreStatus] = {}
         self._founders: dict[ServiceId, frozenset[IncarnationId]] = {}
         self._services: dict[ServiceId, ServiceRules] = {}
-        self._quiet: dict[tuple[str, DataCentreId], tuple[QuietHours, ...]] = {}
+        self._quiet_cache: dict[tuple[str, DataCentreId], tuple[QuietHours, ...]] = {}
         self._read_at: float | None = None
 
     @property
@@ -61,16 +62,17 @@
     def trust(self) -> Trust:
         """Return the keys trusted now.
 
-        These are the keys of the settings, those that the bundle in force was
-        signed through, and those that it names, without the keys it revokes.
-        A key in the settings can therefore be revoked after a rotation. Earlier
-        bundles do not count, so that a restarted process trusts the same keys.
+        These are the keys in the settings, the keys in the delegation chain of
+        the bundle in force, and the keys that this bundle lists, without those
+        that it revokes. A key in the settings can therefore be revoked after a
+        rotation. Keys of earlier bundles are not trusted, so that a restarted
+        process trusts the same keys.
         """
         revoked = self.bundle.revoked_keys if self.bundle is not None else ()
         return Trust({**self._settings_trust.keys, **self._bundle_keys}, frozenset(revoked))
 
     def note_read(self, started_at: float) -> None:
-        """Note a successful control read of the store that began at a monotonic time."""
+        """Record a successful control read of the store; `started_at` is monotonic seconds."""
         if self._read_at is None or started_at > self._read_at:
             self._read_at = started_at
 
@@ -81,8 +83,8 @@
     def offer(self, update: ControlUpdate) -> bool:
         """Merge an update and return whether anything changed.
 
-        A bundle that is refused is reported in `refusal`; the rest of the
-        update is merged all the same.
+        The error of a rejected bundle is kept in `refusal`; the rest of the
+        update is still merged.
         """
         changed = self.offer_statuses(update.statuses)
         for founders in update.founders:
@@ -101,32 +103,35 @@
         return changed
 
     def offer_founders(self, service: ServiceId, founders: Iterable[IncarnationId]) -> bool:
-        """Note a service's founders; the record is written once, so the first one stays."""
+        """Store a service's founders unless they are already set; return whether they were stored.
+
+        The record in the store is written only once, so the first value is kept.
+        """
         if service in self._founders:
             return False
         self._founders[service] = frozenset(founders)
         return True
 
     def offer_bundle(self, data: bytes) -> bool:
-        """Put a signed bundle in force if it is valid and newer; return whether it did."""
+        """Activate a signed bundle if it is valid and newer; return whether it was activated."""
         try:
-            envelope, bundle = self._open(data)
+            envelope, bundle = self._verify_bundle(data)
         except InputError as exc:
             self.refusal = str(exc)
-            log.warning("a bundle was refused: %s", exc)
+            log.warning("bundle rejected: %s", exc)
             return False
         if bundle.version <= self.bundle_version:
             return False
-        self._put_in_force(data, envelope, bundle)
+        self._activate_bundle(data, envelope, bundle)
         return True
 
     def check_bundle(self, data: bytes) -> Bundle:
-        """Return a signed bundle that may follow the one in force.
+        """Verify and return a signed bundle that may replace the one in force.
 
-        Raises SignatureError, BundleError, or ConflictError for a version
-        that is not the next one. Nothing is changed.
+        Raises SignatureError, BundleError, or ConflictError if its version
+        is not the next one. The state is not changed.
         """
-        _, bundle = self._open(data)
+        _, bundle = self._verify_bundle(data)
         if bundle.version != self.bundle_version + 1:
             raise ConflictError(
                 f"the bundle has version {bundle.version}, but version {self.bundle_version} "
@@ -134,7 +139,7 @@
             )
         return bundle
 
-    def _open(self, data: bytes) -> tuple[SignedEnvelope, Bundle]:
+    def _verify_bundle(self, data: bytes) -> tuple[SignedEnvelope, Bundle]:
         envelope = parse_envelope(data)
         bundle = parse_bundle(check_envelope(envelope, self.trust()))
         if envelope.key in bundle.revoked_keys:
@@ -143,7 +148,7 @@
             )
         return envelope, bundle
 
-    def _put_in_force(self, data: bytes, envelope: SignedEnvelope, bundle: Bundle) -> None:
+    def _activate_bundle(self, data: bytes, envelope: SignedEnvelope, bundle: Bundle) -> None:
         keys = self.trust().extended(envelope.chain)
         in_chain = {item.public_key for item in envelope.chain}
         self._bundle_keys = {
@@ -151,7 +156,7 @@
         }
         self._bundle_keys |= {key_id(text): text for text in bundle.trusted_keys}
         self.envelope, self.bundle, self.refusal = data, bundle, ""
-        self._quiet = {}
+        self._quiet_cache = {}
         self._services = {
             name: ServiceRules(
                 name,
@@ -167,7 +172,10 @@
         }
 
     def update(self, now: float | None = None, with_bundle: bool = True) -> ControlUpdate:
-        """Return the whole state; `now` is needed for the age of the last control read."""
+        """Return the complete state.
+
+        `now`, in monotonic seconds, is needed for the age of the last control read.
+        """
         age_ms = -1
         if now is not None and self._read_at is not None:
             age_ms = max(0, int((now - self._read_at) * 1000))
@@ -179,15 +187,15 @@
         return ControlUpdate(self.bundle_version, bundle, self.statuses(), founders, age_ms)
 
     def ack(self) -> ControlAck:
-        """Return what is in force here."""
+        """Return the bundle version and statuses in force in this process."""
         return ControlAck(self.bundle_version, self.statuses())
 
     def statuses(self) -> tuple[DataCentreStatus, ...]:
-        """Return the known data-centre statuses in order of name."""
+        """Return the data-centre statuses, sorted by name."""
         return tuple(self._statuses[dc] for dc in sorted(self._statuses))
 
     def status(self, dc: DataCentreId) -> DataCentreStatus:
-        """Return a data centre's status; one that operators never changed is `in` with seq 0."""
+        """Return a data centre's status; the default is `in` with seq 0."""
         return self._statuses.get(dc) or DataCentreStatus(dc, 0, ServiceState.IN)
 
     def in_service(self, dc: DataCentreId) -> bool:
@@ -198,7 +206,7 @@
         return self.status(dc).state is ServiceState.IN
 
     def claim_of(self, service: ServiceId) -> Size:
-        """Return what a backend server of a service reserves; nothing if it is unknown."""
+        """Return the size that a backend server of a service reserves; zero if it is unknown."""
         rules = self._services.get(service)
         return rules.claim if rules is not None else Size()
 
@@ -226,10 +234,10 @@
         bundle = self.bundle
         if bundle is None:
             return Verdict(False, "no bundle is in force", 0)
-        rule = self._standing_refusal(bundle, team, activity, dc)
+        rule = self._static_refusal(bundle, team, activity, dc)
         if rule:
             return Verdict(False, rule, bundle.version)
-        quiet = self._quiet_for(bundle, activity, dc)
+        quiet = self._quiet_hours_for(bundle, activity, dc)
         for item in quiet:
             span = forbidden_span((item.period(),), utc)
             if span is not None:
@@ -241,9 +249,7 @@
         until = next_start((item.period() for item in quiet), utc)
         return Verdict(True, "", bundle.version, until)
 
-    def _standing_refusal(
-        self, bundle: Bundle, team: TeamId, activity: str, dc: DataCentreId
-    ) -> str:
+    def _static_refusal(self, bundle: Bundle, team: TeamId, activity: str, dc: DataCentreId) -> str:
         if dc not in bundle.datacentres:
             return f"datacentres does not name {dc!r}"
         if not self.in_service(dc):
@@ -255,12 +261,14 @@
                 return f"placement[{number}] does not allow {activity!r} of {team} in {dc}"
         return ""
 
-    def _quiet_for(self, bundle: Bundle, activity: str, dc: DataCentreId) -> tuple[QuietHours, ...]:
-        # Activities that no rule names share one entry, so that the cache stays small.
+    def _quiet_hours_for(
+        self, bundle: Bundle, activity: str, dc: DataCentreId
+    ) -> tuple[QuietHours, ...]:
+        # Activities that no rule names share one cache entry, which bounds the cache.
         named = any(activity in item.activities for item in bundle.quiet_hours)
         key = (activity if named else ANY, dc)
-        if key not in self._quiet:
-            self._quiet[key] = tuple(
+        if key not in self._quiet_cache:
+            self._quiet_cache[key] = tuple(
                 item for item in bundle.quiet_hours if item.applies(key[0], dc)
             )
-        return self._quiet[key]
+        return self._quiet_cache[key]
--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -1,4 +1,4 @@
-"""Election of the entry that schedules jobs, through the store."""
+"""Leader election among entries, through the store; the leader schedules jobs."""
 
 import json
 import logging
@@ -19,30 +19,31 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.1
-# How long an entry leaves a free place to registered ones that have more processors.
+# How long an entry lets registered entries with more processors take a vacant leadership first.
 DEFER_S = 0.5
-# Spreads the attempts of several entries that see a free place at the same time.
+# Spreads the attempts of entries that see the vacancy at the same time.
 JITTER_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class ElectionSettings:
-    """Times in seconds of the lease that an entry holds in the store."""
+    """Settings of an entry's store lease, in seconds, and of its candidacy."""
 
     lease_s: float = 1.5
     renew_s: float = 0.4
     prefix: str = "apricotpath/"
-    # Processors that this entry has; of those that could take the place, the strongest goes first.
+    # Processors of this entry; among the candidates, the one with the most goes first.
     cores: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Term:
-    """One period in which an entry schedules jobs.
+    """One period in which an entry is the leader.
 
-    `epoch_revision` is the revision of the epoch's key; a write that compares
-    it fails once a later term has begun. `succeeds_itself`: the previous term
-    belonged to an earlier life of the same process, which is surely over.
+    `epoch_revision` is the mod revision of the epoch key; a write that compares
+    it fails once a later term has begun. `succeeds_itself` means that the
+    previous leader was an earlier incarnation of the same process, which no
+    longer runs, or that there was none.
     """
 
     epoch: Epoch
@@ -53,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderRecord:
-    """Who holds the place, as stored."""
+    """The leader as stored under the leader key and the epoch key."""
 
     epoch: Epoch
     entry: ProcessId
@@ -61,10 +62,11 @@
 
 
 class Election:
-    """Keeps this entry registered and takes the place of the scheduler when it is free.
+    """Keeps this entry registered and acquires the leadership when it is vacant.
 
-    `serve_term(term)` runs while this entry holds the place; it ends by itself
-    when the term is over. `leader` is the newest known holder.
+    `serve_term(term)` runs while this entry is the leader. It must return once
+    the term is over, and is cancelled when the entry resigns or sees a later
+    epoch. `leader` is the newest leader that was seen.
     """
 
     def __init__(
@@ -86,20 +88,20 @@
         self._serve_term = serve_term
         self._lease: LeaseId | None = None
         self._changed = anyio.Event()
-        self._free_since = float("inf")
+        self._vacant_since = float("inf")
         self._term_scope: anyio.CancelScope | None = None
         root = f"{cfg.prefix}ctl/"
         self._leader_key, self._epoch_key = f"{root}leader", f"{root}epoch"
         self._entry_prefix = f"{root}entry/"
-        self.mirror = Mirror(store, root, self._noted)
+        self.mirror = Mirror(store, root, self._on_key_change)
 
     @property
     def presence_key(self) -> str:
-        """Key under which agents and entries find this entry."""
+        """Key of this entry's registration, by which agents and other entries find it."""
         return f"{self._entry_prefix}{self._entry}"
 
     def peers(self) -> dict[ProcessId, Address]:
-        """Return the other registered entries and where to dial them."""
+        """Return the addresses of the other registered entries."""
         found = {}
         for key, item in self.mirror.items.items():
             if key.startswith(self._entry_prefix) and key != self.presence_key:
@@ -110,14 +112,14 @@
         return found
 
     async def run(self) -> None:
-        """Take part until cancelled."""
+        """Take part in elections until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.mirror.run)
             group.start_soon(self._keep_lease)
-            group.start_soon(self._stand)
+            group.start_soon(self._campaign)
 
     async def resign(self) -> None:
-        """Give the place up, so that another entry can take it at once."""
+        """End the term and delete this entry's keys, so that another entry can lead at once."""
         self.leaving = True
         if self._term_scope is not None:
             self._term_scope.cancel()
@@ -129,12 +131,12 @@
             log.info("resignation not stored: %s", exc)
 
     def outranked(self, epoch: Epoch) -> None:
-        """End the own term because a later epoch has been seen."""
+        """End this entry's term if `epoch` is later than its own."""
         if self.term is not None and epoch > self.term.epoch and self._term_scope is not None:
-            log.warning("a later scheduler exists", extra={"epoch": epoch})
+            log.warning("term ended by a leader with a later epoch", extra={"epoch": epoch})
             self._term_scope.cancel()
 
-    def _noted(self, key: str, value: bytes | None, revision: int) -> None:
+    def _on_key_change(self, key: str, value: bytes | None, revision: int) -> None:
         if key == self._leader_key:
             record = _leader_record(value)
             if record is not None and (self.leader is None or record.epoch >= self.leader.epoch):
@@ -146,7 +148,7 @@
         self._changed = anyio.Event()
 
     async def _keep_lease(self) -> None:
-        """Hold a lease and this entry's registration under it."""
+        """Keep a store lease alive and this entry registered under it."""
         while not self.leaving:
             started = boot_s()
             try:
@@ -158,7 +160,7 @@
                         log.warning("store lease ended", extra={"lease": self._lease})
                         self._lease = None
                         continue
-                    elif self.mirror.loaded.is_set() and self._missing():
+                    elif self.mirror.loaded.is_set() and self._registration_missing():
                         await self._register(self._lease)
                 if not scope.cancelled_caught:
                     self.contact_at = started
@@ -168,8 +170,8 @@
                 log.info("store lease not renewed: %s", exc)
             await anyio.sleep(max(RETRY_S, self.cfg.renew_s - (boot_s() - started)))
 
-    def _missing(self) -> bool:
-        """Tell whether keys of this entry went although its lease lives."""
+    def _registration_missing(self) -> bool:
+        """Tell whether this entry's key was deleted although its lease is alive."""
         return self.presence_key not in self.mirror.items
 
     async def _register(self, lease: LeaseId) -> None:
@@ -182,57 +184,63 @@
         }
         await self.store.txn([], [Put(self.presence_key, json_bytes(value), lease)])
 
-    async def _stand(self) -> None:
-        """Take the place whenever it is free."""
+    async def _campaign(self) -> None:
+        """Acquire the leadership whenever it is vacant, and serve each term."""
         await self.mirror.loaded.wait()
         while True:
             changed = self._changed
-            if self.term is None and not self.leaving and self._may_stand():
+            if self.term is None and not self.leaving and self._may_campaign():
                 await anyio.sleep(random.uniform(0, JITTER_S))
-                if self._place_is_free() and self._lease is not None:
+                if self._is_vacant() and self._lease is not None:
                     term = await self._acquire(self._lease)
                     if term is not None:
                         await self._serve(term)
                         continue
-            with anyio.move_on_after(RETRY_S if self._place_is_free() else 1.0):
+            with anyio.move_on_after(RETRY_S if self._is_vacant() else 1.0):
                 await changed.wait()
 
-    def _may_stand(self) -> bool:
-        """Tell whether the place is free, and has been for a while if others are stronger."""
+    def _may_campaign(self) -> bool:
+        """Tell whether this entry may try to acquire the leadership now.
+
+        It must be vacant, and vacant for DEFER_S if a peer has more processors.
+        """
         now = boot_s()
-        if not self._place_is_free():
-            self._free_since = float("inf")
+        if not self._is_vacant():
+            self._vacant_since = float("inf")
             return False
-        self._free_since = min(self._free_since, now)
-        return now - self._free_since >= DEFER_S or not self._has_stronger_peer()
+        self._vacant_since = min(self._vacant_since, now)
+        return now - self._vacant_since >= DEFER_S or not self._has_peer_with_more_cores()
 
-    def _has_stronger_peer(self) -> bool:
+    def _has_peer_with_more_cores(self) -> bool:
         return any(
             entry_cores(item.value) > self.cfg.cores
             for key, item in self.mirror.items.items()
             if key.startswith(self._entry_prefix) and key != self.presence_key
         )
 
-    def _place_is_free(self) -> bool:
+    def _is_vacant(self) -> bool:
         item = self.mirror.items.get(self._leader_key)
         record = _leader_record(item.value if item else None)
-        # A record of this entry without a term is of its former life, or of an attempt whose
-        # answer was lost.
+        # A record that names this entry while it has no term was written by an earlier
+        # incarnation, or by an attempt whose answer was lost.
         return record is None or (record.entry == self._entry and self.term is None)
 
     async def _acquire(self, lease: LeaseId) -> Term | None:
-        """Try to take the place; None if another entry was first or the store is away."""
+        """Try to acquire the leadership.
+
+        Returns None if another entry was first or the store is unavailable.
+        """
         leader = self.mirror.items.get(self._leader_key)
         epoch_item = self.mirror.items.get(self._epoch_key)
-        former = _leader_record(epoch_item.value if epoch_item else None)
-        epoch = Epoch(former.epoch + 1 if former else 1)
+        previous = _leader_record(epoch_item.value if epoch_item else None)
+        epoch = Epoch(previous.epoch + 1 if previous else 1)
         compares = [
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
         ]
         puts = [
-            Put(self._leader_key, self._own_record(epoch), lease),
-            Put(self._epoch_key, self._own_record(epoch)),
+            Put(self._leader_key, self._new_leader_record(epoch), lease),
+            Put(self._epoch_key, self._new_leader_record(epoch)),
         ]
         try:
             result = await self.store.txn(compares, puts)
@@ -243,26 +251,26 @@
         except StoreOutcomeUnknown:
             revision = await self._read_back(puts[1])
         except StoreError as exc:
-            log.info("place of the scheduler not taken: %s", exc)
+            log.info("leadership not acquired: %s", exc)
             return None
         if not revision:
             return None
-        itself = former is None or former.entry == self._entry
-        log.info("scheduler elected", extra={"epoch": epoch, "succeeds_itself": itself})
+        same_process = previous is None or previous.entry == self._entry
+        log.info("scheduler elected", extra={"epoch": epoch, "succeeds_itself": same_process})
         self.leader = LeaderRecord(epoch, self._entry, self._incarnation)
-        return Term(epoch, self._epoch_key, revision, itself)
+        return Term(epoch, self._epoch_key, revision, same_process)
 
-    def _own_record(self, epoch: Epoch) -> bytes:
-        """Return this entry's record for an epoch, told apart from others by its token."""
+    def _new_leader_record(self, epoch: Epoch) -> bytes:
+        """Return this entry's leader record for an epoch, with a unique token."""
         record = {"epoch": epoch, "entry": self._entry, "incarnation": self._incarnation}
         return json_bytes(record | {"token": new_token()})
 
     async def _read_back(self, put: Put) -> int:
-        """Return the revision at which a write took effect whose answer was lost, or 0."""
+        """Return the mod revision of a write whose answer was lost, or 0 if it is not found."""
         try:
             item = await self.store.get(put.key)
         except StoreError as exc:
-            log.info("outcome of the election not known: %s", exc)
+            log.info("election outcome unknown: %s", exc)
             return 0
         return item.mod_revision if item is not None and item.value == put.value else 0
 
@@ -271,16 +279,16 @@
         try:
             with anyio.CancelScope() as self._term_scope:
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._hold_place, term)
+                    group.start_soon(self._restore_leader_key, term)
                     await self._serve_term(term)
                     group.cancel_scope.cancel()
         finally:
             self.term = None
             self._term_scope = None
-            log.info("scheduler's term ended", extra={"epoch": term.epoch})
+            log.info("scheduler term ended", extra={"epoch": term.epoch})
 
-    async def _hold_place(self, term: Term) -> None:
-        """Write the leader's key again if it goes while nobody has taken over."""
+    async def _restore_leader_key(self, term: Term) -> None:
+        """Rewrite the leader key if it disappears while no later term has begun."""
         while True:
             await anyio.sleep(self.cfg.renew_s)
             if self._leader_key in self.mirror.items or self._lease is None:
@@ -289,31 +297,31 @@
                 continue
             compares = [Compare(self._leader_key, 0), Compare(self._epoch_key, term.epoch_revision)]
             try:
-                record = self._own_record(term.epoch)
+                record = self._new_leader_record(term.epoch)
                 await self.store.txn(compares, [Put(self._leader_key, record, self._lease)])
-                log.info("leader's key written again", extra={"epoch": term.epoch})
+                log.info("leader key restored", extra={"epoch": term.epoch})
             except StoreLeaseEnded:
                 self._lease = None
             except StoreError as exc:
-                log.info("leader's key not written: %s", exc)
+                log.info("leader key not restored: %s", exc)
 
 
 def entry_address(value: bytes) -> Address | None:
-    """Return where a registered entry is dialled, or None if the value is malformed."""
+    """Return the address in an entry's registration, or None if the value is malformed."""
     try:
         content = json.loads(value)
         return Address(str(content["host"]), int(content["port"]))
     except (ValueError, KeyError, TypeError):
-        log.warning("registration of an entry is malformed")
+        log.warning("entry registration is malformed")
         return None
 
 
 def entry_cores(value: bytes) -> float:
-    """Return how many processors a registered entry has; 0 if it does not say."""
+    """Return the number of processors in an entry's registration; 0 if it has none."""
     try:
         return float(json.loads(value).get("cores", 0.0))
     except (ValueError, AttributeError, TypeError):
-        log.warning("registration of an entry is malformed")
+        log.warning("entry registration is malformed")
         return 0.0
 
 
@@ -328,5 +336,5 @@
             IncarnationId(content["incarnation"]),
         )
     except (ValueError, KeyError, TypeError):
-        log.warning("record of the leader is malformed")
+        log.warning("leader record is malformed")
         return None
--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -1,4 +1,4 @@
-"""A copy of one prefix of the store, kept current by waiting for changes."""
+"""Local copy of one prefix of the store, kept up to date by long polling for changes."""
 
 import logging
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 
 class HistoryGone(StoreError):
-    """The store no longer has the changes after the given revision."""
+    """The store has compacted the changes after the requested revision."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,12 +30,12 @@
 
 
 class FeedStore(Store, Protocol):
-    """A store that tells of changes call by call."""
+    """A store that can be polled for changes."""
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Return the changes of a prefix after a revision, waiting for the first.
+        """Return the changes of a prefix after a revision; wait up to `wait_s` for the first.
 
-        Returns no events when the wait is over. Raises HistoryGone, or
+        Returns no events if the wait ends without a change. Raises HistoryGone, or
         StoreUnavailable if there was no answer.
         """
 
@@ -44,11 +44,11 @@
 
 
 class Mirror:
-    """The items of a prefix; `run` must be running.
+    """Local copy of the items of a prefix; needs `run` as a background task.
 
-    `on_change(key, value or None, revision)` is called for each difference,
-    also when a whole range is read anew. `read_at` is the boot-clock second
-    at which the newest answer had been asked for.
+    `on_change(key, value or None, revision)` is called for each changed key,
+    also when all keys are read again. `read_at` is the boot-clock time in
+    seconds at which the newest successful call began.
     """
 
     def __init__(
@@ -64,48 +64,46 @@
         self._revision = 0
 
     def age_s(self) -> float:
-        """Return how old the copy may be, in seconds."""
+        """Return the maximum age of the copy in seconds; infinite before the first read."""
         return float("inf") if self.read_at is None else boot_s() - self.read_at
 
     async def run(self) -> None:
-        """Follow the prefix until cancelled."""
+        """Keep the copy up to date until cancelled."""
         delay = RETRY_FIRST_S
         reachable = True
-        whole = True
+        needs_full_read = True
         while True:
             started = boot_s()
             try:
-                if whole:
-                    await self._read_whole()
-                    whole = False
+                if needs_full_read:
+                    await self._read_all()
+                    needs_full_read = False
                 else:
                     await self._read_changes()
                 self.read_at = started
                 delay = RETRY_FIRST_S
                 if not reachable:
-                    log.info("store regained", extra={"prefix": self.prefix})
+                    log.info("store reachable again", extra={"prefix": self.prefix})
                 reachable = True
             except HistoryGone:
-                log.info(
-                    "history of the store is gone; reading anew", extra={"prefix": self.prefix}
-                )
-                whole = True
+                log.info("store history compacted; reading all keys", extra={"prefix": self.prefix})
+                needs_full_read = True
             except StoreError as exc:
                 if reachable:
-                    log.warning("store lost: %s", exc, extra={"prefix": self.prefix})
+                    log.warning("store unreachable: %s", exc, extra={"prefix": self.prefix})
                 reachable = False
                 await anyio.sleep(delay)
                 delay = min(2 * delay, RETRY_MAX_S)
 
-    async def _read_whole(self) -> None:
+    async def _read_all(self) -> None:
         result = await self.store.range(self.prefix)
         found = {item.key: item for item in result.items}
         for key in [key for key in self.items if key not in found]:
             del self.items[key]
             self._on_change(key, None, result.revision)
         for key, item in found.items():
-            known = self.items.get(key)
-            if known is None or known.mod_revision < item.mod_revision:
+            current = self.items.get(key)
+            if current is None or current.mod_revision < item.mod_revision:
                 self.items[key] = item
                 self._on_change(key, item.value, item.mod_revision)
         self._revision = result.revision
@@ -114,8 +112,8 @@
     async def _read_changes(self) -> None:
         changes = await self.store.changes(self.prefix, self._revision, self._wait_s)
         for event in changes.events:
-            known = self.items.get(event.key)
-            if known is not None and known.mod_revision >= event.mod_revision:
+            current = self.items.get(event.key)
+            if current is not None and current.mod_revision >= event.mod_revision:
                 continue
             if event.value is None:
                 self.items.pop(event.key, None)
--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -1,12 +1,14 @@
 Feature: control
 
-  Guards against a bundle or data-centre status that reverts, a state that
-  depends on the order of updates, a take-out lost to a bring-back, trust in a
-  revoked key, and permission without rules or outside them.
+  Guards against a bundle version or data-centre status that goes backwards, a
+  state that depends on the order of updates, an out status that is overridden
+  by an in status of the same seq, trust in a revoked key, and work that is
+  allowed without rules or against them. A take-out is a status with state out,
+  a bring-back one with state in.
 
   Scenario: every order of updates leads to the same state and never reverts
     Given a control state and updates with 3 bundles, 4 statuses and 1 founders record
-    When the updates are offered in every order
+    When the updates are applied in every order
     Then every order of updates ends in bundle 3 and the highest statuses
     And no step of any order lowered the bundle version or a status
 
@@ -24,7 +26,7 @@
   Scenario Outline: a bundle is refused but the rest of the update is merged
     Given a control state with bundle 1 in force
     When an update brings <bundle> with a take-out
-    Then bundle 1 stays in force and the take-out is known
+    Then bundle 1 stays in force and the take-out is applied
 
     Examples:
       | bundle                                |
@@ -40,12 +42,12 @@
     Given a control state with bundle 1 in force
     When bundle 2 is signed by a rotated key and bundle 3 revokes the old one
     Then a bundle 4 by the revoked key is refused
-    And a bundle 4 by a key that the revoked one vouches for is refused
+    And a bundle 4 by a key with a delegation from the revoked one is refused
     And a bundle 4 by the rotated key is accepted
 
   Scenario Outline: one bundle hands over from a key in the settings to others
     Given a control state with bundle 1 in force
-    When bundle 2 by a rotated key revokes the old one and names the key of a colleague
+    When bundle 2 by a rotated key revokes the old one and lists the key of a colleague as trusted
     Then a bundle 3 by <signer> is <result> by a running and by a restarted process
 
     Examples:
@@ -82,7 +84,7 @@
 
   Scenario Outline: work is allowed or refused by the rules
     Given a control state with bundle 1 in force
-    When the control state knows <dc> as <state>
+    When the control state gets status <state> of <dc>
     Then work of <team> doing <activity> in <dc> is refused by: <rule>
 
     Examples:
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -19,12 +19,12 @@
 
 SUVA = Path(__file__).parents[3] / "examples" / "suva" / "bundle.json"
 RULES = load_bundle(SUVA)
-# Monday 2026-12-07 at 21:30 in Suva, which is within the quiet hours of the compost yard.
+# Monday 2026-12-07 at 21:30 in Suva, within the quiet hours of the compost yard.
 MONDAY_NIGHT = datetime(2026, 12, 7, 9, 30, tzinfo=UTC)
 
 
 def signed(key: SigningKey, version: int, **changes: Any) -> bytes:
-    """Return a signed version of the rules of Suva."""
+    """Return a signed bundle with Suva's rules, a version and changed fields."""
     bundle: Bundle = replace(RULES, version=version, **changes)
     return seal(bundle_bytes(bundle), key).to_bytes()
 
@@ -40,7 +40,7 @@
 
 
 class ControlSubject:
-    """Holds a control state, its key, and the updates offered to it."""
+    """Holds a control state, its signing key, the updates for it, and the observed results."""
 
     def __init__(self, version: int = 0) -> None:
         self.key = generate_key()
@@ -48,32 +48,32 @@
         if version:
             assert self.control.offer_bundle(signed(self.key, version))
         self.updates: list[ControlUpdate] = []
-        self.ends: set[tuple[Any, ...]] = set()
-        self.reverted: list[str] = []
-        self.raced: list[ServiceState] = []
+        self.end_states: set[tuple[Any, ...]] = set()
+        self.regressions: list[str] = []
+        self.race_results: list[ServiceState] = []
 
     def fresh(self) -> Control:
         return Control([self.key.public_text])
 
-    def explore(self) -> None:
+    def apply_in_every_order(self) -> None:
         for order in permutations(self.updates):
             control = self.fresh()
             for item in order:
                 before = control.ack()
                 control.offer(item)
-                self._compare(before, control)
+                self._record_regressions(before, control)
             founders = control.founders("scraps")  # type: ignore[arg-type]
-            self.ends.add((control.bundle_version, control.statuses(), founders))
+            self.end_states.add((control.bundle_version, control.statuses(), founders))
 
-    def _compare(self, before: Any, control: Control) -> None:
+    def _record_regressions(self, before: Any, control: Control) -> None:
         if control.bundle_version < before.bundle_version:
-            self.reverted.append(f"{before.bundle_version} to {control.bundle_version}")
+            self.regressions.append(f"{before.bundle_version} to {control.bundle_version}")
         for old in before.statuses:
             new = control.status(old.data_centre)
             if new.seq < old.seq or (
                 new.seq == old.seq and new != old and old.state.value == "out"
             ):
-                self.reverted.append(f"{old} to {new}")
+                self.regressions.append(f"{old} to {new}")
 
     def race(self, out: int, back: int) -> None:
         for order in permutations(
@@ -82,15 +82,15 @@
             control = self.fresh()
             for item in order:
                 control.offer(update(0, b"", item))
-            self.raced.append(control.status(item.data_centre).state)
+            self.race_results.append(control.status(item.data_centre).state)
 
-    def doubtful(self, name: str) -> ControlUpdate:
-        """Return an update with a bundle that must be refused, and a take-out."""
-        stranger = generate_key()
+    def update_with_invalid_bundle(self, name: str) -> ControlUpdate:
+        """Return an update with a bundle that must be rejected, and a take-out."""
+        untrusted_key = generate_key()
         other = signed(self.key, 1, region="elsewhere")
         bundles = {
             "bundle 1 with other rules": (1, other),
-            "bundle 2 signed by a stranger": (2, signed(stranger, 2)),
+            "bundle 2 signed by a stranger": (2, signed(untrusted_key, 2)),
             "bundle 2 that revokes its signing key": (
                 2,
                 signed(self.key, 2, revoked_keys=(self.key.key_id,)),
@@ -121,20 +121,20 @@
     ]
 
 
-@when("the updates are offered in every order")
+@when("the updates are applied in every order")
 def _(context: Any) -> None:
-    context.control.explore()
+    context.control.apply_in_every_order()
 
 
 @then("every order of updates ends in bundle 3 and the highest statuses")
 def _(context: Any) -> None:
     expected = (status("compost-yard", 1, "out"), status("suva-depot", 5, "out"))
-    assert context.control.ends == {(3, expected, frozenset({"a#1", "b#1"}))}
+    assert context.control.end_states == {(3, expected, frozenset({"a#1", "b#1"}))}
 
 
 @then("no step of any order lowered the bundle version or a status")
 def _(context: Any) -> None:
-    assert not context.control.reverted, context.control.reverted[:3]
+    assert not context.control.regressions, context.control.regressions[:3]
 
 
 @given("a control state with bundle 1 in force")
@@ -154,15 +154,15 @@
 
 @then("the raced data centre is {state} in both orders")
 def _(context: Any, state: str) -> None:
-    assert [item.value for item in context.control.raced] == [state, state]
+    assert [item.value for item in context.control.race_results] == [state, state]
 
 
 @when("an update brings {bundle} with a take-out")
 def _(context: Any, bundle: str) -> None:
-    assert context.control.control.offer(context.control.doubtful(bundle))
+    assert context.control.control.offer(context.control.update_with_invalid_bundle(bundle))
 
 
-@then("bundle 1 stays in force and the take-out is known")
+@then("bundle 1 stays in force and the take-out is applied")
 def _(context: Any) -> None:
     control = context.control.control
     assert control.bundle_version == 1
@@ -184,14 +184,14 @@
     subject = context.control
     keys = {
         "the revoked key": subject.key,
-        "a key that the revoked one vouches for": rotate_key(subject.key),
+        "a key with a delegation from the revoked one": rotate_key(subject.key),
         "the rotated key": subject.new,
     }
     data = signed(keys[signer], 4, revoked_keys=(subject.key.key_id,))
     assert subject.control.offer_bundle(data) is (result == "accepted")
 
 
-@when("bundle 2 by a rotated key revokes the old one and names the key of a colleague")
+@when("bundle 2 by a rotated key revokes the old one and lists the key of a colleague as trusted")
 def _(context: Any) -> None:
     subject = context.control
     subject.signers = {
@@ -199,7 +199,7 @@
         "the rotated key": rotate_key(subject.key),
         "the colleague": generate_key(),
     }
-    subject.handover = signed(
+    subject.handover_bundle = signed(
         subject.signers["the rotated key"],
         2,
         revoked_keys=(subject.key.key_id,),
@@ -211,7 +211,7 @@
 def _(context: Any, signer: str, result: str) -> None:
     subject = context.control
     for control in (subject.control, subject.fresh()):
-        assert control.offer_bundle(subject.handover)
+        assert control.offer_bundle(subject.handover_bundle)
         bundle = signed(subject.signers[signer], 3)
         assert control.offer_bundle(bundle) is (result == "accepted")
 
@@ -241,7 +241,7 @@
     assert context.control.control.is_fresh(now, PolicySettings()) is (fresh == "fresh")
 
 
-@when("the control state knows {dc} as {state}")
+@when("the control state gets status {state} of {dc}")
 def _(context: Any, dc: str, state: str) -> None:
     context.control.control.offer_statuses([status(dc, 1, state)])
 
