--- a/packages/core/src/apricotpath/journal.py
+++ b/packages/core/src/apricotpath/journal.py
@@ -36,17 +36,17 @@
 
 log = logging.getLogger(__name__)
 
-# Version of the values; a process refuses values of a newer version.
+# Format version of stored values; values of a newer version are rejected.
 JOURNAL_VERSION = 1
-# The store takes values up to 1 MB; the rest is left for the fields around the records.
+# The store limits values to 1 MB; the difference is for the fields around the records.
 MAX_VALUE_BYTES = 900_000
-# Encoded records that may wait to be written; more are refused as not written.
+# Limit of encoded records waiting to be written; further appends raise StoreUnavailable.
 MAX_QUEUED_BYTES = 8 << 20
-# Callers wait this long for a lost answer to be settled, then get the error that the
-# outcome is unknown. The journal itself goes on settling, since nothing may be written
+# How long a caller waits while the outcome of a write with a lost answer is determined. Then
+# it gets StoreOutcomeUnknown, but the journal keeps trying, since nothing may be written
 # after a gap.
 SETTLE_WAIT_S = 10.0
-# A write that the store refuses because of its rate limit is repeated for this long.
+# How long a write that hits the store's rate limit is retried.
 LIMITED_WAIT_S = 5.0
 SEQ_DIGITS = 16
 PART_DIGITS = 5
@@ -54,7 +54,7 @@
 Seq = NewType("Seq", int)
 
 
-# One record: a JSON object. What it means is up to the caller (see `apricotpath.records`).
+# One record: a JSON object that the caller interprets (see `apricotpath.records`).
 JsonRecord = dict[str, Any]
 
 
@@ -68,23 +68,23 @@
     done: anyio.Event = field(default_factory=anyio.Event)
     error: StoreError | None = None
     seq: Seq = Seq(0)
-    # The caller has returned or was cancelled; a late success goes to `on_late`.
-    released: bool = False
+    # `append` has returned or was cancelled; a later success is reported to `on_late_success`.
+    caller_done: bool = False
 
     def settle(self, error: StoreError | None = None) -> None:
-        """Give the caller its outcome; only the first one counts."""
+        """Set the caller's outcome; only the first call has an effect."""
         if not self.done.is_set():
             self.error = error
             self.done.set()
 
 
 class Journal:
-    """Journal of a shard, written by the owner of one epoch; `run` must be running.
+    """Journal of a shard, written by the owner of one epoch; needs `run` as a background task.
 
     `shard_revision` is the mod revision of `shard/<n>` when this owner
     acquired it. Every transaction compares it, so a former owner cannot write.
-    `on_late` is called with records that turned out durable after their
-    caller was cancelled or heard that the outcome is unknown.
+    `on_late_success` is called with records that became durable after their
+    caller was cancelled or got StoreOutcomeUnknown.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         shard_revision: int,
         cfg: PolicySettings,
         prefix: str = "/apricotpath/",
-        on_late: Callable[[Sequence[JsonRecord]], None] | None = None,
+        on_late_success: Callable[[Sequence[JsonRecord]], None] | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.store = store
@@ -105,7 +105,7 @@
         self.fenced = False
         self.writes = 0
         self.records_written = 0
-        self._on_late = on_late
+        self._on_late_success = on_late_success
         self._rng = rng or random.Random()
         self._owner = Compare(f"{prefix}shard/{shard}", shard_revision)
         self._root = f"{prefix}journal/{shard}/"
@@ -115,19 +115,19 @@
         self._queue: deque[_Pending] = deque()
         self._queued_bytes = 0
         self._wake = anyio.Event()
-        # Durable batches whose callers have not all returned, oldest first.
-        self._unreturned: deque[tuple[Seq, list[_Pending]]] = deque()
+        # Durable batches for which some `append` calls have not returned yet, oldest first.
+        self._unreturned_batches: deque[tuple[Seq, list[_Pending]]] = deque()
         self._snapshot_lock = anyio.Lock()
         self._closed = False
         self._closing = False
 
     @property
     def last_seq(self) -> int:
-        """Number of the newest durable log entry, for `debug`."""
+        """Number of the newest durable log entry."""
         return self._last
 
     async def append(self, records: Sequence[JsonRecord]) -> None:
-        """Return when the records are durable; they become so together or not at all.
+        """Write records atomically and return when they are durable.
 
         Raises StoreUnavailable (not written and never will be), FencedError
         (not written; a newer owner has the shard) or StoreOutcomeUnknown. The
@@ -140,13 +140,17 @@
         try:
             await pending.done.wait()
         except BaseException:
-            self._forget(pending)
+            self._discard_unsent(pending)
             # Under asyncio a cancellation can arrive after the outcome.
-            if pending.done.is_set() and pending.error is None and self._on_late is not None:
-                self._on_late(pending.records)
+            if (
+                pending.done.is_set()
+                and pending.error is None
+                and self._on_late_success is not None
+            ):
+                self._on_late_success(pending.records)
             raise
         finally:
-            pending.released = True
+            pending.caller_done = True
         if pending.error is not None:
             raise type(pending.error)(*pending.error.args) from pending.error
 
@@ -167,8 +171,8 @@
         self._wake.set()
         return pending
 
-    def _forget(self, pending: _Pending) -> None:
-        """Drop the records of a cancelled caller if they have not been sent."""
+    def _discard_unsent(self, pending: _Pending) -> None:
+        """Remove the records of a cancelled caller from the queue if they are still there."""
         if pending in self._queue:
             self._queue.remove(pending)
             self._queued_bytes -= pending.size
@@ -179,10 +183,10 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Write queued records until cancelled, closed or fenced; then every caller gets an error.
+        """Write queued records until cancelled, closed or fenced; pending callers get an error.
 
-        The first group after a pause is written at once, later ones
-        `journal_interval_s` after the one before.
+        The first batch after an idle period is written at once, each further
+        one `journal_interval_s` after the previous one.
         """
         next_at = anyio.current_time()
         batch: list[_Pending] = []
@@ -190,7 +194,7 @@
             while not self.fenced and not self._closing:
                 await self._wake.wait()
                 await anyio.sleep(max(0.0, next_at - anyio.current_time()))
-                batch = self._take_batch()
+                batch = self._next_batch()
                 next_at = anyio.current_time() + self.cfg.journal_interval_s
                 if batch:
                     await self._commit(batch)
@@ -201,7 +205,7 @@
             fenced = FencedError(f"a newer owner has shard {self.shard}; nothing was written")
             self._fail_queue(fenced if self.fenced else StoreUnavailable(reason))
 
-    def _take_batch(self) -> list[_Pending]:
+    def _next_batch(self) -> list[_Pending]:
         batch: list[_Pending] = []
         size = 0
         while self._queue and size + self._queue[0].size <= MAX_VALUE_BYTES:
@@ -212,29 +216,29 @@
             self._wake = anyio.Event()
         return batch
 
-    def _take_seq(self) -> Seq:
+    def _allocate_seq(self) -> Seq:
         seq = self._next
         self._next = Seq(seq + 1)
         return seq
 
     async def _commit(self, batch: list[_Pending]) -> None:
-        """Write one batch and settle its callers; returns when its outcome is certain."""
-        seq, token = self._take_seq(), new_token()
+        """Write one batch and settle its callers; return when the outcome is certain."""
+        seq, token = self._allocate_seq(), new_token()
         key = self._log_key(seq)
         texts = [text for pending in batch for text in pending.texts]
         put = Put(key, self._value(token, texts))
         compares = (self._owner, Compare(key, 0))
         started = anyio.current_time()
-        # In doubt: a copy of the write may have been applied, or may still be.
+        # Set once a copy of the write may have been applied, or may still be applied later.
         in_doubt = False
         for delay in settle_delays():
             try:
-                if in_doubt and await self._settled(batch, seq, token):
+                if in_doubt and await self._settle_by_reading(batch, seq, token):
                     return
                 result = await self.store.txn(compares, (put,))
-                if result.succeeded or await self._settled(batch, seq, token, in_doubt):
+                if result.succeeded or await self._settle_by_reading(batch, seq, token, in_doubt):
                     if result.succeeded:
-                        self._written(batch, seq)
+                        self._mark_durable(batch, seq)
                     return
                 in_doubt = True
             except StoreOutcomeUnknown:
@@ -258,22 +262,22 @@
                 _settle(batch, StoreOutcomeUnknown(reason))
             await anyio.sleep(delay * (0.5 + self._rng.random()))
 
-    async def _settled(
+    async def _settle_by_reading(
         self, batch: list[_Pending], seq: Seq, token: str, in_doubt: bool = True
     ) -> bool:
-        """Read a batch back and settle it if its outcome is certain."""
+        """Read the batch's key back and settle the callers; False if still uncertain."""
         key = self._log_key(seq)
         state = (await find_token(self.store, key, token, 0)).state
         if state is TokenState.APPLIED:
-            self._written(batch, seq)
+            self._mark_durable(batch, seq)
             return True
         owner = await self.store.get(self._owner.key)
-        same = owner is not None and owner.mod_revision == self._owner.mod_revision
-        if same and state is not TokenState.OVERTAKEN:
+        still_owner = owner is not None and owner.mod_revision == self._owner.mod_revision
+        if still_owner and state is not TokenState.OVERTAKEN:
             return False
-        # The newer owner may have covered the entry by a snapshot and deleted it. An entry of
-        # that owner under the same number shows that ours never was there, since an owner
-        # takes numbers above all that it has read.
+        # The newer owner may have deleted the entry after a snapshot that covers it. If that
+        # owner has an entry with the same number, this batch was never written, since an
+        # owner allocates numbers above all that it has read.
         self.fenced = True
         reason = f"a newer owner has shard {self.shard}"
         if in_doubt and state is not TokenState.OVERTAKEN:
@@ -282,20 +286,20 @@
             _settle(batch, FencedError(f"{reason}; nothing was written"))
         return True
 
-    def _written(self, batch: list[_Pending], seq: Seq) -> None:
+    def _mark_durable(self, batch: list[_Pending], seq: Seq) -> None:
         self.writes += 1
         self.records_written += sum(len(pending.records) for pending in batch)
         self._last = seq
         waiting = []
         for pending in batch:
-            if pending.released or pending.done.is_set():
-                if self._on_late is not None:
-                    self._on_late(pending.records)
+            if pending.caller_done or pending.done.is_set():
+                if self._on_late_success is not None:
+                    self._on_late_success(pending.records)
                 continue
             pending.settle()
             waiting.append(pending)
-        self._returned_seq()
-        self._unreturned.append((seq, waiting))
+        self._last_returned_seq()
+        self._unreturned_batches.append((seq, waiting))
 
     def _fail_queue(self, error: StoreError) -> None:
         _settle(self._queue, error)
@@ -304,10 +308,10 @@
         self._wake = anyio.Event()
 
     async def load(self) -> list[JsonRecord]:
-        """Return the newest complete snapshot and the log entries after it, in order.
+        """Return the records of the newest complete snapshot and of the later log entries.
 
-        Must be called once before `append`. Raises FencedError if the shard
-        has a newer owner, and StoreError if a value cannot be read.
+        They are in order. Must be called once before `append`. Raises FencedError
+        if the shard has a newer owner, and StoreError if a value cannot be read.
         """
         found = await self.store.range(self._root)
         owner = await self.store.get(self._owner.key)
@@ -338,32 +342,37 @@
         return records
 
     async def snapshot(self, state_records: Sequence[JsonRecord]) -> None:
-        """Write the records that rebuild the caller's state, then delete what they cover.
+        """Write a snapshot of the caller's state, then delete the log entries that it covers.
 
         The state must contain every record whose `append` has returned and
-        every one given to `on_late`. A crash at any point leaves either the
-        former snapshot with its log, or the new one. Raises FencedError,
+        every one passed to `on_late_success`. A crash at any point leaves either
+        the previous snapshot with its log, or the new one. Raises FencedError,
         StoreUnavailable, StoreLimited or StoreOutcomeUnknown; the journal
         stays usable and a later snapshot cleans up.
         """
-        # Taken before the first await, while the state and the covered entries agree.
-        covers, texts = self._returned_seq(), [compact_json(record) for record in state_records]
+        # Computed before the first await, while the state and the covered entries agree.
+        covers, texts = (
+            self._last_returned_seq(),
+            [compact_json(record) for record in state_records],
+        )
         async with self._snapshot_lock:
             if not self._loaded:
                 raise StoreUnavailable(f"the journal of shard {self.shard} is not open")
-            # The number is unique, so a crashed snapshot never mixes with parts of this one.
-            seq, token = self._take_seq(), new_token()
+            # The number is unique, so parts of an interrupted snapshot never mix with this one.
+            seq, token = self._allocate_seq(), new_token()
             groups = list(_split(texts))
             for number, group in enumerate(groups):
                 header = {"part": number, "parts": len(groups), "covers": covers}
                 await self._put_part(seq, number, self._value(token, group, header), token)
             await self._delete_covered(seq, covers)
 
-    def _returned_seq(self) -> Seq:
-        """Return the newest log entry such that every caller up to it has its outcome."""
-        while self._unreturned and all(item.released for item in self._unreturned[0][1]):
-            self._unreturned.popleft()
-        return Seq(self._unreturned[0][0] - 1) if self._unreturned else self._last
+    def _last_returned_seq(self) -> Seq:
+        """Return the newest log entry up to which all `append` calls have returned."""
+        while self._unreturned_batches and all(
+            item.caller_done for item in self._unreturned_batches[0][1]
+        ):
+            self._unreturned_batches.popleft()
+        return Seq(self._unreturned_batches[0][0] - 1) if self._unreturned_batches else self._last
 
     async def _put_part(self, seq: Seq, number: int, value: bytes, token: str) -> None:
         key = f"{self._root}snap/{seq:0{SEQ_DIGITS}d}/{number:0{PART_DIGITS}d}"
@@ -373,7 +382,7 @@
             raise FencedError(f"a newer owner has shard {self.shard}; the snapshot was dropped")
 
     async def _delete_covered(self, seq: Seq, covers: Seq) -> None:
-        """Delete covered entries and older snapshots; repeating it is harmless."""
+        """Delete covered log entries and older snapshots; idempotent."""
         operations = (
             Delete(f"{self._root}log/", end=self._log_key(Seq(covers + 1))),
             Delete(f"{self._root}snap/", end=f"{self._root}snap/{seq:0{SEQ_DIGITS}d}/"),
@@ -397,7 +406,7 @@
     ) -> bytes:
         content = {"version": JOURNAL_VERSION, "token": token, "epoch": self.epoch}
         head = compact_json(content | (header or {}))
-        # The records are already JSON texts; they are joined instead of being encoded again.
+        # The records are already encoded as JSON, so they are joined instead of encoded again.
         return f'{head[:-1]},"records":[{",".join(texts)}]}}'.encode()
 
     def _content(self, item: KeyValue) -> dict[str, Any]:
@@ -424,7 +433,7 @@
 
 
 def _split(texts: Sequence[str]) -> Iterator[list[str]]:
-    """Split records into groups that fit one value; an empty state is one empty group."""
+    """Split encoded records into groups that fit one value; no records give one empty group."""
     group: list[str] = []
     size = 0
     for text in texts:
--- a/packages/core/src/apricotpath/records.py
+++ b/packages/core/src/apricotpath/records.py
@@ -1,4 +1,4 @@
-"""Records of a shard's journal and their JSON form."""
+"""Record types of a shard's journal and their JSON form."""
 
 from dataclasses import asdict, dataclass, fields
 from enum import Enum
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """Base of every record."""
+    """Base class of all journal records."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskAssigned(Record):
-    """An attempt may run on a host from now on."""
+    """An attempt was assigned to a host."""
 
     task: TaskId
     attempt: int
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskEvicted(Record):
-    """An attempt ended with a checkpoint; an empty one keeps the former checkpoint."""
+    """An attempt was evicted; an empty `checkpoint` keeps the task's previous one."""
 
     task: TaskId
     attempt: int
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskLost(Record):
-    """An attempt has surely ended without a result, or never began."""
+    """An attempt is certain to have ended without a result, or never began."""
 
     task: TaskId
     attempt: int
@@ -73,14 +73,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobCancelled(Record):
-    """No further attempt of a job starts."""
+    """A job was cancelled; no further attempt of its tasks starts."""
 
     job: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class JobImpossible(Record):
-    """No known host could hold a task of the job; an empty reason withdraws this."""
+    """No registered host can run a task of the job; an empty `reason` revokes such a record."""
 
     job: JobId
     reason: str
@@ -88,14 +88,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobForgotten(Record):
-    """An ended job has left the table."""
+    """An ended job was removed from the job table."""
 
     job: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class TasksFinished(Record):
-    """Snapshot form of finished tasks: numbers from `first` up to but not `end`."""
+    """Snapshot record of finished tasks, with numbers from `first` up to but not `end`."""
 
     job: JobId
     first: int
@@ -104,7 +104,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskRestored(Record):
-    """Snapshot form of one task that has been assigned at least once."""
+    """Snapshot record of one task that has been assigned at least once."""
 
     task: TaskId
     state: TaskState
@@ -120,44 +120,44 @@
 KINDS: dict[str, type[Record]] = {cls.__name__: cls for cls in Record.__subclasses__()}
 
 
-def _plain(value: Any) -> Any:
+def _to_json_value(value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
     if isinstance(value, dict):
-        return {key: _plain(item) for key, item in value.items()}
+        return {key: _to_json_value(item) for key, item in value.items()}
     if isinstance(value, tuple | list):
-        return [_plain(item) for item in value]
+        return [_to_json_value(item) for item in value]
     return value
 
 
 def spec_to_json(spec: JobSpec) -> dict[str, Any]:
-    """Return a job's JSON form; absent and empty values are left out."""
-    plain = {key: _plain(value) for key, value in asdict(spec).items()}
+    """Return a job as JSON values, without None and empty strings."""
+    plain = {key: _to_json_value(value) for key, value in asdict(spec).items()}
     return {key: value for key, value in plain.items() if value not in (None, "")}
 
 
 def spec_from_json(value: Any) -> JobSpec:
-    """Return the job of its JSON form, or raise SettingsError naming the field."""
+    """Return a job from JSON values, or raise SettingsError that names the field."""
     return build(JobSpec, value, "job")
 
 
 def to_json(record: Record) -> dict[str, Any]:
-    """Return the JSON form of a record: its fields with `kind` and `version`."""
-    return {"kind": type(record).__name__, "version": RECORD_VERSION, **_body(record)}
+    """Return a record as JSON values: its fields with `kind` and `version`."""
+    return {"kind": type(record).__name__, "version": RECORD_VERSION, **_field_values(record)}
 
 
 @singledispatch
-def _body(record: Record) -> dict[str, Any]:
-    return {item.name: _plain(getattr(record, item.name)) for item in fields(record)}
+def _field_values(record: Record) -> dict[str, Any]:
+    return {item.name: _to_json_value(getattr(record, item.name)) for item in fields(record)}
 
 
-@_body.register
+@_field_values.register
 def _(record: JobAccepted) -> dict[str, Any]:
     return {"spec": spec_to_json(record.spec), "accepted_at": record.accepted_at}
 
 
 def from_json(value: Any) -> Record:
-    """Return the record of its JSON form, or raise RecordError."""
+    """Return a record from JSON values, or raise RecordError."""
     if not isinstance(value, dict):
         raise RecordError("a journal record must be an object")
     body = dict(value)
@@ -171,7 +171,7 @@
     if set(body) - names:
         raise RecordError(f"{kind}: unknown fields {sorted(set(body) - names)}")
     try:
-        return cls(**{name: _field(cls, name, item) for name, item in body.items()})
+        return cls(**{name: _convert_field(cls, name, item) for name, item in body.items()})
     except (TypeError, ValueError, SettingsError) as exc:
         raise RecordError(f"malformed journal record {kind}: {exc}") from exc
 
@@ -181,7 +181,7 @@
     return get_type_hints(KINDS[kind])
 
 
-def _field(cls: type[Record], name: str, value: Any) -> Any:
+def _convert_field(cls: type[Record], name: str, value: Any) -> Any:
     hint = _hints(cls.__name__)[name]
     while hasattr(hint, "__supertype__"):
         hint = hint.__supertype__
--- a/packages/core/src/apricotpath/store.py
+++ b/packages/core/src/apricotpath/store.py
@@ -25,20 +25,21 @@
 
 LeaseId = NewType("LeaseId", int)
 
-# A range is read in pages, so that one response stays well below the memory limit of an entry.
+# Keys per page of a range read; keeps one response well below the memory limit of an entry.
 RANGE_PAGE_KEYS = 200
-# A watch without any event or progress line for this long is taken for a dead connection.
+# A watch that receives no event or progress line for this long is treated as disconnected.
 WATCH_IDLE_S = 60.0
-# Delays between attempts to settle a write whose answer was lost.
+# Delays between attempts to settle a write, that is, to determine its outcome after its answer
+# was lost, and the time limit for all attempts.
 SETTLE_FIRST_S = 0.05
 SETTLE_MAX_S = 1.0
 SETTLE_TOTAL_S = 10.0
-# Older values of a key that are looked through for a writer token.
-SETTLE_HISTORY = 8
+# Versions of a key that are searched for a writer token.
+SETTLE_MAX_VERSIONS = 8
 # gRPC status codes that the gateway reports in the body of an error.
 GRPC_NOT_FOUND = 5
 GRPC_RESOURCE_EXHAUSTED = 8
-# With these codes the server may have applied the write: unknown, deadline exceeded, aborted,
+# Codes after which the write may have been applied: unknown, deadline exceeded, aborted,
 # internal, unavailable.
 GRPC_UNCERTAIN = frozenset({2, 4, 10, 13, 14})
 
@@ -63,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Compare:
-    """Holds if the key's mod revision equals this; 0 means that the key is absent."""
+    """Condition that a key has this mod revision; 0 means that the key is absent."""
 
     key: str
     mod_revision: int
@@ -71,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Sets a key; with a lease, the key goes when the lease ends."""
+    """Sets a key; with a lease, the key is deleted when the lease ends."""
 
     key: str
     value: bytes
@@ -80,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delete:
-    """Deletes a key, or every key with this prefix, or every key from `key` to before `end`."""
+    """Deletes a key, all keys with the prefix `key`, or all from `key` up to but not `end`."""
 
     key: str
     prefix: bool = False
@@ -89,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TxnResult:
-    """Whether all compares held, and the revision after the transaction."""
+    """Whether all compares were true, and the store's revision after the transaction."""
 
     succeeded: bool
     revision: int
@@ -105,17 +106,17 @@
 
 
 class Store(Protocol):
-    """What apricotpath needs of the platform's store. Keys are full paths.
+    """Interface to the platform's key-value store. Keys are full paths.
 
     Every call may raise StoreUnavailable (no effect), StoreLimited (no effect)
     and, for writes, StoreOutcomeUnknown (the answer was lost).
     """
 
     async def get(self, key: str, revision: int = 0) -> KeyValue | None:
-        """Return one key, or None; at a past revision of the store if one is given."""
+        """Return one key, or None; reads at a past revision of the store if `revision` is not 0."""
 
     async def range(self, prefix: str, end: str = "") -> RangeResult:
-        """Return all keys with a prefix, or from `prefix` to before `end`, in key order.
+        """Return all keys with a prefix, or from `prefix` up to but not `end`, in key order.
 
         All of them are read at one revision of the store.
         """
@@ -123,7 +124,7 @@
     async def txn(
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> TxnResult:
-        """Run the operations if every compare holds, all at once or not at all."""
+        """Apply all operations atomically if every compare is true, else none of them."""
 
     async def lease_grant(self, ttl_s: float) -> LeaseId:
         """Return a new lease that ends `ttl_s` seconds after its last keepalive."""
@@ -135,11 +136,14 @@
         """End a lease and delete its keys."""
 
     def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
-        """Yield changes from a revision on; raises StoreUnavailable when cut."""
+        """Yield the changes since a revision, inclusive.
+
+        Raises StoreUnavailable when the connection ends.
+        """
 
 
 def new_token() -> str:
-    """Return a writer token; each write attempt of a value has its own."""
+    """Return a unique writer token, which identifies one write of a value."""
     return uuid4().hex
 
 
@@ -166,7 +170,7 @@
 
 
 class TokenState(Enum):
-    """What reading a key back tells about a write to it."""
+    """State of a write, determined by reading its key back; see `find_token`."""
 
     APPLIED = "applied"
     UNCHANGED = "unchanged"
@@ -175,38 +179,39 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Finding:
-    """Result of reading a write back; `revision` is its mod revision if it was applied."""
+class TokenLookup:
+    """Result of `find_token`; `revision` is the write's mod revision if it was applied."""
 
     state: TokenState
     revision: int = 0
 
 
-async def find_token(store: Store, key: str, token: str, expected: int) -> Finding:
-    """Tell whether a write with a token, which compared `expected`, took effect on a key.
+async def find_token(store: Store, key: str, token: str, expected: int) -> TokenLookup:
+    """Determine whether a write with a token took effect on a key.
 
-    UNCHANGED means not yet: a delayed copy of the write can still arrive.
-    OVERTAKEN means that another writer was first, so the write never takes
-    effect. UNCERTAIN means that the history needed to decide is gone.
+    `expected` is the mod revision that the write compared. UNCHANGED means not
+    yet: a delayed copy of the write can still arrive. OVERTAKEN means that
+    another writer was first, so the write never takes effect. UNCERTAIN means
+    that the history needed to decide has been compacted or is too long.
     Raises StoreUnavailable or StoreLimited.
     """
     revision = 0
-    for _ in range(SETTLE_HISTORY):
+    for _ in range(SETTLE_MAX_VERSIONS):
         try:
             item = await store.get(key, revision)
         except (StoreUnavailable, StoreLimited):
             raise
         except StoreError:
-            return Finding(TokenState.UNCERTAIN)
+            return TokenLookup(TokenState.UNCERTAIN)
         if item is not None and has_token(item.value, token):
-            return Finding(TokenState.APPLIED, item.mod_revision)
+            return TokenLookup(TokenState.APPLIED, item.mod_revision)
         found = item.mod_revision if item is not None else 0
         if found == expected:
-            return Finding(TokenState.OVERTAKEN if revision else TokenState.UNCHANGED)
+            return TokenLookup(TokenState.OVERTAKEN if revision else TokenState.UNCHANGED)
         if found == 0:
-            return Finding(TokenState.UNCERTAIN)
+            return TokenLookup(TokenState.UNCERTAIN)
         revision = found - 1
-    return Finding(TokenState.UNCERTAIN)
+    return TokenLookup(TokenState.UNCERTAIN)
 
 
 async def settled_txn(
@@ -216,11 +221,11 @@
     token_key: str,
     token: str,
 ) -> TxnResult:
-    """Run a transaction that puts a value with `token` at `token_key`, and know its outcome.
+    """Run a transaction that puts a value with `token` at `token_key`, and determine its outcome.
 
-    The compares must contain `token_key`, a key that nobody deletes. After a
-    lost answer the key is read back; only if it is unchanged is the same
-    transaction sent again, which the compare keeps from taking effect twice.
+    The compares must contain `token_key`, a key that is never deleted. After a
+    lost answer the key is read back. The same transaction is sent again only
+    if the key is unchanged; the compare keeps it from taking effect twice.
     The revision of a success is the mod revision of `token_key`.
     Raises StoreUnavailable or StoreLimited (no effect), or StoreOutcomeUnknown
     if the outcome could not be determined within SETTLE_TOTAL_S or from the
@@ -241,8 +246,9 @@
             state = finding.state
             if state is TokenState.APPLIED:
                 return TxnResult(True, finding.revision)
-            # A key that still has a non-zero expected revision was never written in between;
-            # the compare that failed was another one, and revisions never return.
+            # A key that still has its non-zero expected revision has not been written since,
+            # so the compare that failed was another one. It can never become true again,
+            # since revisions only increase.
             if state is TokenState.OVERTAKEN or (refused and expected):
                 return TxnResult(False, 0)
             if state is TokenState.UNCERTAIN or refused:
@@ -257,7 +263,7 @@
 
 
 class EtcdStore:
-    """Store over the etcd v3 JSON gateway; counts its calls by kind in `calls`."""
+    """Store client for the etcd v3 JSON gateway; counts its calls by kind in `calls`."""
 
     def __init__(
         self, cfg: StoreSettings, transport: httpx.AsyncBaseTransport | None = None
@@ -265,7 +271,7 @@
         self.cfg = cfg
         self.calls: Counter[str] = Counter()
         # The connect timeout is shorter than the total, so that a host that drops packets
-        # gives "unavailable" and not "unknown".
+        # causes StoreUnavailable and not StoreOutcomeUnknown.
         timeout = httpx.Timeout(cfg.timeout_s, connect=cfg.timeout_s / 2, pool=cfg.timeout_s / 2)
         self._client = httpx.AsyncClient(base_url=cfg.url, transport=transport, timeout=timeout)
 
@@ -341,7 +347,7 @@
             return
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
-        """Yield changes from a revision on; see Store."""
+        """Yield the changes since a revision; see Store."""
         self.calls["watch"] += 1
         request = {
             "key": _encode(prefix),
@@ -369,7 +375,7 @@
         try:
             return await self._call(path, body)
         except StoreOutcomeUnknown as exc:
-            # A read has no outcome that could be in doubt.
+            # A read has no effect, so a lost answer just means that the store is unavailable.
             raise StoreUnavailable(str(exc)) from exc
 
     async def _write(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
@@ -379,7 +385,7 @@
         kind = path.rsplit("/", 1)[-1]
         self.calls[kind] += 1
         try:
-            # httpx limits each step of a call; this limits all of them together.
+            # The httpx timeouts apply to each step of a call; this one limits the total.
             with anyio.fail_after(self.cfg.timeout_s):
                 response = await self._client.post(path, json=body)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -1,9 +1,9 @@
 Feature: journal
 
-  Guards against a record that was acknowledged and is gone after a crash, a
-  record that was reported as not written and appears later, a former owner
-  that still writes, a snapshot that loses or repeats records when it is cut
-  short, and a store budget exceeded by many small writes.
+  Guards against an acknowledged record that is lost in a crash, a record that
+  was reported as not written and appears later, writes of a former owner, a
+  snapshot that loses or repeats records when it is interrupted, and many small
+  writes that exceed the store's rate limit.
 
   Scenario: journal records are committed in groups
     When 100 journal records are appended within a second by 10 callers
@@ -11,7 +11,7 @@
 
   Scenario Outline: a journal crash at store call <first> to <last> keeps what was acknowledged
     When the journal script is crashed at each store call from <first> to <last>, <moment> its effect
-    Then after each journal crash the new owner loaded exactly what the outcomes allow
+    Then after each journal crash the new owner loaded exactly the records that the outcomes allow
     And the journal script made at least <first> store calls in every run
 
     Examples:
@@ -23,8 +23,8 @@
 
   Scenario Outline: journal outcomes are true under random faults, crashes and two owners, seeds <first> to <last>
     When journal owners follow each other under random faults for seeds <first> to <last>
-    Then every journal outcome of every seed was true
-    And the journal runs of these seeds met acknowledged, refused and fenced appends
+    Then every journal outcome of every seed was correct
+    And the journal runs of these seeds included acknowledged, refused and fenced appends
 
     Examples:
       | first | last |
@@ -37,7 +37,7 @@
 
   Scenario Outline: a journal caller during <fault> hears <outcome>
     When a journal record is appended during <fault>
-    Then the journal caller hears <outcome> and the record is durable: <durable>
+    Then the journal caller gets <outcome> and the record is durable: <durable>
 
     Examples:
       | fault             | outcome             | durable |
@@ -54,7 +54,7 @@
 
   Scenario: a journal snapshot taken at any scheduling step of an append keeps its records
     When a journal snapshot is taken at each of 80 scheduling steps of an append
-    Then the journal's next owner found the records at every step, durable before or after
+    Then the journal's next owner found the records for every step, durable before or after it
 
   Scenario: the journal of 1,400 records a second over 16 shards stays within the store's budget
     When 1400 journal records a second are appended over 16 shards for 3 seconds
--- a/tests/features/records.feature
+++ b/tests/features/records.feature
@@ -1,11 +1,11 @@
 Feature: records
 
-  Guards against a journal that cannot be read back, and against a record of an
-  unknown kind or shape that changes the table.
+  Guards against a journal that cannot be read back, and against a malformed
+  record or one of an unknown kind that is applied to the job table.
 
   Scenario: every kind of journal record survives its JSON form
     Given a journal record of every kind
-    When each journal record goes through JSON text and back
+    When each journal record is converted to JSON text and back
     Then each journal record equals the original
 
   Scenario Outline: a malformed journal record gives a record error
--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -32,20 +32,20 @@
 from apricotpath.store import Compare, EtcdStore, Put
 from apricotpath_bench.storestandin import DirectTransport, Limits, StandinStore
 
-# httpx logs a line per call, which would hide the results.
+# httpx logs a line per call, which would hide the test results.
 logging.getLogger("httpx").setLevel(logging.WARNING)
 
 CFG = StoreSettings("http://127.0.0.1:1")
 POLICY = PolicySettings()
 SHARD_KEY = "/apricotpath/shard/3"
-# Snapshots of the tests have several parts, each with a few records.
+# Small enough that snapshots in the tests have several parts.
 SMALL_VALUE_BYTES = 400
 NO_FAULTS = {"down": False, "refuse": False, "slow_ms": 0, "lose_answers": 0, "late_writes": 0}
 
 
 def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
-    """Run a coroutine function in virtual time; a seed fixes the order of ready tasks too."""
-    # trio shuffles ready tasks; these are the switches that its own test plugins use.
+    """Run a coroutine function in virtual time, with a task order determined by the seed."""
+    # trio shuffles ready tasks. Its test plugins use the same private switches to prevent that.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -65,29 +65,29 @@
 
 
 class Outcomes:
-    """What became of each record, and whether loaded journals agree with it."""
+    """Outcomes of appended records by number, and loaded records that contradict them."""
 
     def __init__(self) -> None:
         self.by_number: dict[int, str] = {}
         self.faults: list[str] = []
 
-    def note(self, record_numbers: Sequence[int], outcome: str) -> None:
+    def set_outcome(self, record_numbers: Sequence[int], outcome: str) -> None:
         for number in record_numbers:
             self.by_number[number] = outcome
 
     def check(self, loaded: Sequence[int], where: str) -> None:
-        """Compare a loaded journal; an unknown or pending record may be there or not."""
+        """Check loaded records; those with an unknown or pending outcome may be missing or not."""
         counts = Counter(loaded)
         repeated = [number for number, count in counts.items() if count > 1]
         missing = [n for n, text in self.by_number.items() if text == "done" and n not in counts]
         never = {"StoreUnavailable", "FencedError"}
-        ghosts = [n for n in counts if self.by_number[n] in never]
-        if repeated or missing or ghosts:
-            self.faults.append(f"{where}: {repeated=} {missing=} {ghosts=}")
+        unexpected = [n for n in counts if self.by_number[n] in never]
+        if repeated or missing or unexpected:
+            self.faults.append(f"{where}: {repeated=} {missing=} {unexpected=}")
 
 
 class Owner:
-    """One owner of the shard: its journal, its state, and its callers."""
+    """One owner of the shard with its journal and its state."""
 
     def __init__(self, store: EtcdStore, epoch: int, outcomes: Outcomes) -> None:
         self.store = store
@@ -97,7 +97,7 @@
         self.journal: Journal | None = None
 
     async def take_over(self) -> list[JsonRecord]:
-        """Acquire the shard with the next epoch and load the journal; retries until it works."""
+        """Acquire the shard and load its journal; retries until it succeeds."""
         while True:
             try:
                 item = await self.store.get(SHARD_KEY)
@@ -109,7 +109,7 @@
                 epoch, revision = Epoch(self.epoch), result.revision
                 late, rng = self.state.extend, random.Random(self.epoch)
                 self.journal = Journal(
-                    self.store, ShardId(3), epoch, revision, POLICY, on_late=late, rng=rng
+                    self.store, ShardId(3), epoch, revision, POLICY, on_late_success=late, rng=rng
                 )
                 self.state += await self.journal.load()
                 return list(self.state)
@@ -119,7 +119,7 @@
     async def append(self, record_numbers: Sequence[int]) -> str:
         assert self.journal is not None
         records = [finished(number) for number in record_numbers]
-        self.outcomes.note(record_numbers, "pending")
+        self.outcomes.set_outcome(record_numbers, "pending")
         try:
             await self.journal.append(records)
         except StoreError as exc:
@@ -127,7 +127,7 @@
         else:
             outcome = "done"
             self.state += records
-        self.outcomes.note(record_numbers, outcome)
+        self.outcomes.set_outcome(record_numbers, outcome)
         return outcome
 
     async def snapshot(self) -> None:
@@ -139,7 +139,7 @@
 
 
 class CrashingTransport(DirectTransport):
-    """Ends a scope at the n-th call, before or after the call takes effect."""
+    """Cancels a scope at store call number `at`, before or after the call takes effect."""
 
     def __init__(self, store: StandinStore, at: int, after: bool) -> None:
         super().__init__(store)
@@ -163,7 +163,7 @@
 
 
 class CrashScript:
-    """A fixed run of appends and snapshots that is crashed at one store call after another."""
+    """A fixed sequence of appends and snapshots, crashed at a different store call in each run."""
 
     def __init__(self) -> None:
         self.faults: list[str] = []
@@ -213,31 +213,31 @@
 
 
 class RandomOwners:
-    """Owners that follow each other, some still running, under random faults."""
+    """Successive owners under random faults; some former owners keep running."""
 
     def __init__(self) -> None:
         self.faults: list[str] = []
-        self.seen: Counter[str] = Counter()
+        self.outcome_counts: Counter[str] = Counter()
 
     def run(self, first: int, last: int) -> None:
         limit = journal.MAX_VALUE_BYTES
         journal.MAX_VALUE_BYTES = 4 * SMALL_VALUE_BYTES
         try:
             for seed in range(first, last + 1):
-                run_virtual(lambda seed=seed: self._one(seed), seed)
+                run_virtual(lambda seed=seed: self._run_seed(seed), seed)
         finally:
             journal.MAX_VALUE_BYTES = limit
 
-    async def _one(self, seed: int) -> None:
+    async def _run_seed(self, seed: int) -> None:
         rng, standin, outcomes = random.Random(seed), StandinStore(), Outcomes()
         self.counter = 0
         async with anyio.create_task_group() as group:
-            group.start_soon(self._inject, rng, standin)
+            group.start_soon(self._inject_faults, rng, standin)
             for epoch in range(1, 6):
                 owner = Owner(EtcdStore(CFG, DirectTransport(standin)), epoch, outcomes)
                 loaded = await owner.take_over()
                 outcomes.check(numbers(loaded), f"seed {seed} epoch {epoch}")
-                group.start_soon(self._own, rng, owner, rng.random() < 0.5)
+                group.start_soon(self._run_owner, rng, owner, rng.random() < 0.5)
                 await anyio.sleep(rng.choice((rng.uniform(0.5, 6.0), 15.0)))
             group.cancel_scope.cancel()
         standin.apply_faults(NO_FAULTS)
@@ -246,21 +246,21 @@
         last = Owner(EtcdStore(CFG, DirectTransport(standin)), 9, outcomes)
         outcomes.check(numbers(await last.take_over()), f"seed {seed} at the end")
         self.faults += outcomes.faults
-        self.seen.update(outcomes.by_number.values())
+        self.outcome_counts.update(outcomes.by_number.values())
 
-    async def _own(self, rng: random.Random, owner: Owner, crashes: bool) -> None:
-        """Append and snapshot until the end, or until a crash after some seconds."""
+    async def _run_owner(self, rng: random.Random, owner: Owner, crashes: bool) -> None:
+        """Append and take snapshots until fenced, or until a crash after 0.5 to 4 s."""
         assert owner.journal is not None
         with anyio.move_on_after(rng.uniform(0.5, 4.0) if crashes else float("inf")):
             async with anyio.create_task_group() as group:
                 group.start_soon(owner.journal.run)
                 for _ in range(3):
-                    group.start_soon(self._call, rng, owner)
+                    group.start_soon(self._append_repeatedly, rng, owner)
                 while not owner.journal.fenced:
                     await anyio.sleep(rng.uniform(0.2, 3.0))
                     await owner.snapshot()
 
-    async def _call(self, rng: random.Random, owner: Owner) -> None:
+    async def _append_repeatedly(self, rng: random.Random, owner: Owner) -> None:
         assert owner.journal is not None
         while not owner.journal.fenced:
             count = rng.randint(1, 4)
@@ -269,7 +269,7 @@
                 await owner.append(range(first, first + count))
             await anyio.sleep(rng.uniform(0.1, 0.8))
 
-    async def _inject(self, rng: random.Random, standin: StandinStore) -> None:
+    async def _inject_faults(self, rng: random.Random, standin: StandinStore) -> None:
         changes: list[dict[str, Any]] = [
             {"lose_answers": 2},
             {"late_writes": 2, "late_s": 0.1},
@@ -283,14 +283,14 @@
         while True:
             await anyio.sleep(rng.uniform(0.0, 1.5))
             standin.apply_faults(rng.choice(changes))
-            # Some faults outlast the time that a caller waits for a lost answer.
+            # 12 s is longer than a caller waits for the outcome of a write with a lost answer.
             await anyio.sleep(rng.choice((0.1, 0.5, 1.0, 2.5, 2.5, 12.0)))
             standin.apply_faults(NO_FAULTS)
             standin.set_limits(Limits())
 
 
-class OneAppend:
-    """One append during one fault, its outcome, and whether the record was found afterwards."""
+class AppendDuringFault:
+    """One append during a fault, its outcome, and whether the record was found afterwards."""
 
     def __init__(self, fault: str) -> None:
         self.fault = fault
@@ -311,7 +311,8 @@
             group.cancel_scope.cancel()
         successor = Owner(EtcdStore(CFG, DirectTransport(standin)), 3, Outcomes())
         loaded = numbers(await successor.take_over())
-        # A record that the caller did not hear of reached the state through `on_late`.
+        # A record whose append did not return success reached the state through
+        # `on_late_success`.
         late = 1 in numbers(owner.state) and self.outcome != "done"
         self.durable = ("late" if late else "yes") if 1 in loaded else "no"
 
@@ -323,26 +324,26 @@
         except ApricotpathError as exc:
             self.outcome = type(exc).__name__
 
-    async def _with(self, standin: StandinStore, owner: Owner, **faults: Any) -> None:
+    async def _append_with_faults(self, standin: StandinStore, owner: Owner, **faults: Any) -> None:
         standin.apply_faults(faults)
         await self._append(owner, finished(1))
         standin.apply_faults(NO_FAULTS)
         standin.set_limits(Limits())
 
     async def _refuse(self, standin: StandinStore, owner: Owner) -> None:
-        await self._with(standin, owner, refuse=True)
+        await self._append_with_faults(standin, owner, refuse=True)
 
     async def _limits(self, standin: StandinStore, owner: Owner) -> None:
-        await self._with(standin, owner, limits={"writes_per_s": 0.0})
+        await self._append_with_faults(standin, owner, limits={"writes_per_s": 0.0})
 
     async def _lost_answer(self, standin: StandinStore, owner: Owner) -> None:
-        await self._with(standin, owner, lose_answers=1)
+        await self._append_with_faults(standin, owner, lose_answers=1)
 
     async def _late_write(self, standin: StandinStore, owner: Owner) -> None:
-        await self._with(standin, owner, late_writes=1, late_s=0.1)
+        await self._append_with_faults(standin, owner, late_writes=1, late_s=0.1)
 
     async def _long_outage(self, standin: StandinStore, owner: Owner) -> None:
-        await self._with(standin, owner, down=True)
+        await self._append_with_faults(standin, owner, down=True)
 
     async def _newer_owner(self, standin: StandinStore, owner: Owner) -> None:
         await Owner(owner.store, 2, Outcomes()).take_over()
@@ -350,11 +351,11 @@
 
     async def _newer_snapshot(self, standin: StandinStore, owner: Owner) -> None:
         # The newer owner reads the record, and its snapshot deletes the log entry before the
-        # former owner reads back.
+        # former owner reads its write back.
         standin.apply_faults({"lose_answers": 1})
         async with anyio.create_task_group() as group:
             group.start_soon(self._append, owner, finished(1))
-            # The write is made in virtual time without delay; the first read back comes later.
+            # The write takes no virtual time; the former owner reads back later.
             await anyio.sleep(0.22)
             newer = Owner(owner.store, 2, Outcomes())
             await newer.take_over()
@@ -366,7 +367,7 @@
     async def _a_full_queue(self, standin: StandinStore, owner: Owner) -> None:
         assert owner.journal is not None
         async with anyio.create_task_group() as group:
-            # Two of eleven are taken into the first write; the queue holds 8 MiB.
+            # The queue holds 8 MiB, so ten records of 800 kB fit and the eleventh does not.
             standin.apply_faults({"slow_ms": 1500})
             big = failed("big", 800_000)
             for _ in range(10):
@@ -384,7 +385,7 @@
 
 
 class SnapshotSteps:
-    """A snapshot that starts at one scheduling step of an append after another."""
+    """Snapshots that each start at a different scheduling step of an append."""
 
     def __init__(self) -> None:
         self.faults: list[str] = []
@@ -411,7 +412,7 @@
 
 
 class JournalLoad:
-    """Records appended at an even rate over several shards, in virtual time."""
+    """Records appended at a constant rate to random shards, in virtual time."""
 
     def __init__(self, shards: int, cfg: PolicySettings = POLICY) -> None:
         self.shards = shards
@@ -474,7 +475,7 @@
     context.script.run(first, last, moment == "after")
 
 
-@then("after each journal crash the new owner loaded exactly what the outcomes allow")
+@then("after each journal crash the new owner loaded exactly the records that the outcomes allow")
 def _(context: Any) -> None:
     assert not context.script.faults, context.script.faults
 
@@ -490,24 +491,26 @@
     context.owners.run(first, last)
 
 
-@then("every journal outcome of every seed was true")
+@then("every journal outcome of every seed was correct")
 def _(context: Any) -> None:
     assert not context.owners.faults, context.owners.faults
 
 
-@then("the journal runs of these seeds met acknowledged, refused and fenced appends")
+@then("the journal runs of these seeds included acknowledged, refused and fenced appends")
 def _(context: Any) -> None:
     kinds = ("done", StoreUnavailable.__name__, FencedError.__name__, StoreOutcomeUnknown.__name__)
-    assert all(context.owners.seen[kind] > 5 for kind in kinds), context.owners.seen
+    assert all(context.owners.outcome_counts[kind] > 5 for kind in kinds), (
+        context.owners.outcome_counts
+    )
 
 
 @when("a journal record is appended during {fault}")
 def _(context: Any, fault: str) -> None:
-    context.one_append = OneAppend(fault)
+    context.one_append = AppendDuringFault(fault)
     run_virtual(context.one_append.run)
 
 
-@then("the journal caller hears {outcome} and the record is durable: {durable}")
+@then("the journal caller gets {outcome} and the record is durable: {durable}")
 def _(context: Any, outcome: str, durable: str) -> None:
     found = (context.one_append.outcome, context.one_append.durable)
     assert found == (outcome, durable), found
@@ -542,7 +545,7 @@
     run_virtual(lambda: context.steps.run(steps))
 
 
-@then("the journal's next owner found the records at every step, durable before or after")
+@then("the journal's next owner found the records for every step, durable before or after it")
 def _(context: Any) -> None:
     assert not context.steps.faults, context.steps.faults
     assert set(context.steps.before) == {False, True}, context.steps.before
--- a/tests/features/steps/records_steps.py
+++ b/tests/features/steps/records_steps.py
@@ -21,7 +21,7 @@
 
 
 class RecordsSubject:
-    """Holds records and the error of a malformed one."""
+    """Holds a record of every kind, and the error from reading a malformed one."""
 
     def __init__(self) -> None:
         samples = {JobSpec: job("j", 3, data_centres=("suva-depot",)), str: "", int: 4, float: 1.5}
@@ -50,7 +50,7 @@
     assert len(context.records.records) == 11
 
 
-@when("each journal record goes through JSON text and back")
+@when("each journal record is converted to JSON text and back")
 def _(context: Any) -> None:
     subject = context.records
     subject.read = [from_json(json.loads(json.dumps(to_json(r)))) for r in subject.records]
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -28,7 +28,7 @@
 )
 from apricotpath_bench.storestandin import DirectTransport, Limits, StandinApp, StandinStore
 
-# httpx logs a line per call, which would hide the results.
+# httpx logs a line per call, which would hide the test results.
 logging.getLogger("httpx").setLevel(logging.WARNING)
 
 CFG = StoreSettings("http://127.0.0.1:1")
@@ -46,8 +46,8 @@
 
 
 def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
-    """Run a coroutine function in virtual time; a seed fixes the order of ready tasks too."""
-    # trio shuffles ready tasks; these are the switches that its own test plugins use.
+    """Run a coroutine function in virtual time, with a task order determined by the seed."""
+    # trio shuffles ready tasks. Its test plugins use the same private switches to prevent that.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -55,7 +55,7 @@
 
 
 class StoreContract:
-    """What any Store must do; keys are under a prefix of their own."""
+    """Contract tests for any Store; each instance uses a unique key prefix."""
 
     def __init__(self, url: str | None) -> None:
         self.url = url
@@ -183,7 +183,7 @@
 
 
 class StoreFaultCase:
-    """One call during one fault, and what became of it."""
+    """One call during a fault, its result, and whether the write took effect."""
 
     def __init__(self, fault: str) -> None:
         self.fault = fault
@@ -234,7 +234,7 @@
             async def fail_later() -> None:
                 await anyio.sleep(3)
                 standin.apply_faults(FAULTS[self.fault])
-                # A waiting watch notices an outage with the next wake-up.
+                # A waiting watch notices an outage only when it is woken.
                 standin.cut_watches()
 
             group.start_soon(fail_later)
@@ -251,7 +251,7 @@
     def __init__(self, seed: int, history: int) -> None:
         self.rng = random.Random(seed)
         self.history = history
-        self.value = self.sure = self.unknown = 0
+        self.value = self.acknowledged = self.unknown = 0
 
     def run(self, writers: int, rounds: int) -> None:
         run_virtual(lambda: self._run(writers, rounds))
@@ -260,7 +260,7 @@
         standin = StandinStore(history_events=self.history)
         store = EtcdStore(CFG, DirectTransport(standin))
         async with anyio.create_task_group() as faults:
-            faults.start_soon(self._inject, standin)
+            faults.start_soon(self._inject_faults, standin)
             async with anyio.create_task_group() as group:
                 for _ in range(writers):
                     group.start_soon(self._write, store, rounds)
@@ -271,7 +271,7 @@
         assert item is not None
         self.value = int(item.value.split(b'"n": ')[1].split(b",")[0])
 
-    async def _inject(self, standin: StandinStore) -> None:
+    async def _inject_faults(self, standin: StandinStore) -> None:
         rng = self.rng
         while True:
             await anyio.sleep(rng.uniform(0.1, 1.0))
@@ -292,7 +292,7 @@
                 value = f'{{"n": {count + 1}, "token": "{token}"}}'.encode()
                 compare = Compare(KEY, item.mod_revision if item else 0)
                 result = await settled_txn(store, (compare,), (Put(KEY, value),), KEY, token)
-                self.sure += result.succeeded
+                self.acknowledged += result.succeeded
             except StoreOutcomeUnknown:
                 self.unknown += 1
             except StoreError:
@@ -300,7 +300,7 @@
 
 
 class StoreOverTcp:
-    """The stand-in behind hypercorn on a free port, with a real client."""
+    """The stand-in served by hypercorn on a free port, used by a client over TCP."""
 
     def __init__(self) -> None:
         self.seen: list[str] = []
@@ -310,7 +310,7 @@
         anyio.run(self._run, serve_trio if backend == "trio" else serve_asyncio, backend=backend)
 
     async def _run(self, serve: Any) -> None:
-        # hypercorn takes over the descriptor and closes it.
+        # hypercorn takes ownership of the descriptor and closes it.
         listener = socket.create_server(("127.0.0.1", 0))
         port = listener.getsockname()[1]
         config = Config()
@@ -345,7 +345,7 @@
         self.counts = (await control.get(f"{url}/counts")).json()
 
 
-@given("a store that is under contract")
+@given("a store for the contract cases")
 def _(context: Any) -> None:
     context.contract = StoreContract(context.config.userdata.get("store_url"))
 
@@ -385,11 +385,11 @@
     context.race.run(writers, rounds)
 
 
-@then("the store's value is the number of acknowledged increments, give or take the unknown ones")
+@then("the store's value is the number of acknowledged increments plus at most the unknown ones")
 def _(context: Any) -> None:
     race = context.race
-    assert race.sure > 50, race.sure
-    assert race.sure <= race.value <= race.sure + race.unknown, vars(race)
+    assert race.acknowledged > 50, race.acknowledged
+    assert race.acknowledged <= race.value <= race.acknowledged + race.unknown, vars(race)
 
 
 @given("a store stand-in that allows {reads:d} reads a second")
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -1,12 +1,12 @@
 Feature: store
 
-  Guards against a store client that reports a lost write as not written or
-  the reverse, applies a write twice, misses a change, or exceeds the call
-  budget unnoticed. The contract runs against another store with
-  `scripts/test -Dstore_url=URL tests/features/store.feature`.
+  Guards against a store client that reports a write as not written although it
+  may have been, or the reverse, applies a write twice, misses a change, or
+  exceeds the store's rate limit unnoticed. To run the contract cases against
+  another store, use `scripts/test -Dstore_url=URL tests/features/store.feature`.
 
   Scenario Outline: the store contract holds for <case>
-    Given a store that is under contract
+    Given a store for the contract cases
     When the store contract case "<case>" runs
 
     Examples:
@@ -55,7 +55,7 @@
 
   Scenario Outline: settled store writers never count an increment twice or lose one, seed <seed>
     When 4 store writers increment a key 60 times under random faults from seed <seed> with <history> changes of history
-    Then the store's value is the number of acknowledged increments, give or take the unknown ones
+    Then the store's value is the number of acknowledged increments plus at most the unknown ones
 
     Examples:
       | seed | history |
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -1,4 +1,4 @@
-"""A store in memory with the faults that the platform's store has, for tests in virtual time."""
+"""In-memory store with simulated faults, for tests in virtual time."""
 
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
@@ -24,10 +24,11 @@
 
 @dataclass
 class Faults:
-    """Faults in force. `lose` and `late` count writes still to be affected.
+    """Active faults; `lose` and `late` are the numbers of further writes that they affect.
 
-    A lost write takes effect and is not answered; a late one takes effect
-    `late_s` later if its condition still holds.
+    A `lose` write takes effect but its answer is lost. A `late` write also gets
+    no answer, and takes effect `late_s` later if its compares are still true.
+    With `down`, calls fail at once; with `silent`, they get no answer.
     """
 
     down: bool = False
@@ -39,7 +40,7 @@
 
 @dataclass
 class SharedStore:
-    """The data, seen by all clients."""
+    """The data of the store, shared by all clients."""
 
     items: dict[str, KeyValue] = field(default_factory=dict)
     history: list[WatchEvent] = field(default_factory=list)
@@ -62,9 +63,9 @@
     def remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self.note(WatchEvent(key, None, self.revision))
+            self.publish(WatchEvent(key, None, self.revision))
 
-    def note(self, event: WatchEvent) -> None:
+    def publish(self, event: WatchEvent) -> None:
         self.history.append(event)
         self.changed.set()
         self.changed = anyio.Event()
@@ -93,22 +94,22 @@
                 self.items[operation.key] = KeyValue(
                     operation.key, operation.value, self.revision, lease
                 )
-                self.note(WatchEvent(operation.key, operation.value, self.revision))
+                self.publish(WatchEvent(operation.key, operation.value, self.revision))
             elif operation.key in self.items:
                 del self.items[operation.key]
-                self.note(WatchEvent(operation.key, None, self.revision))
+                self.publish(WatchEvent(operation.key, None, self.revision))
         return TxnResult(True, self.revision)
 
 
 class MemoryStore:
-    """One client's access; implements `apricotpath.mirror.FeedStore`."""
+    """A client of the shared store; implements `apricotpath.mirror.FeedStore`."""
 
     def __init__(self, shared: SharedStore) -> None:
         self.shared = shared
         self.faults = Faults()
         self._late: list[tuple[float, Sequence[Compare], Sequence[Put | Delete]]] = []
 
-    async def _pass(self) -> None:
+    async def _simulate_call(self) -> None:
         await anyio.sleep(ANSWER_S)
         self.carry_out_late()
         if self.faults.silent:
@@ -119,17 +120,17 @@
         self.shared.expire()
 
     def carry_out_late(self) -> None:
-        """Apply the late writes whose time has come."""
+        """Apply the late writes that are due."""
         for entry in [entry for entry in self._late if entry[0] <= boot_s()]:
             self._late.remove(entry)
             self.shared.apply(entry[1], entry[2])
 
     async def get(self, key: str, revision: int = 0) -> KeyValue | None:
-        await self._pass()
+        await self._simulate_call()
         return self.shared.items.get(key)
 
     async def range(self, prefix: str, end: str = "") -> RangeResult:
-        await self._pass()
+        await self._simulate_call()
         items = sorted(self.shared.items.items())
         found = tuple(item for key, item in items if key.startswith(prefix))
         return RangeResult(found, self.shared.revision)
@@ -137,7 +138,7 @@
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         ends_at = boot_s() + wait_s
         while True:
-            await self._pass()
+            await self._simulate_call()
             if after < self.shared.forgotten:
                 raise HistoryGone("forgotten")
             found = tuple(
@@ -158,7 +159,7 @@
     async def txn(
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> TxnResult:
-        await self._pass()
+        await self._simulate_call()
         if self.faults.late > 0:
             self.faults.late -= 1
             self._late.append((boot_s() + self.faults.late_s, compares, operations))
@@ -170,13 +171,13 @@
         return result
 
     async def lease_grant(self, ttl_s: float) -> LeaseId:
-        await self._pass()
+        await self._simulate_call()
         lease = LeaseId(len(self.shared.leases) + self.shared.revision * 1000 + 1)
         self.shared.leases[lease] = (boot_s() + ttl_s, ttl_s)
         return lease
 
     async def lease_keepalive(self, lease: LeaseId) -> bool:
-        await self._pass()
+        await self._simulate_call()
         if lease not in self.shared.leases:
             return False
         ttl_s = self.shared.leases[lease][1]
@@ -184,5 +185,5 @@
         return True
 
     async def lease_revoke(self, lease: LeaseId) -> None:
-        await self._pass()
+        await self._simulate_call()
         self.shared.end_lease(lease)
