Reword messages, codec and link in networking terms

Docstrings of messages described them from a story's view ("what became of", "gives back"). They now say what each message does and what its fields mean; private names and step sentences follow.

--- a/packages/core/src/apricotpath/codec.py
+++ b/packages/core/src/apricotpath/codec.py
@@ -16,8 +16,8 @@
 PROTOCOL_VERSION = 1
 LENGTH_BYTES = 4
 MAX_FRAME = 1 << 20
-# A reader may visit at most this many 8-byte words, so that a small frame
-# with aliased pointers cannot make the decoder work without bound.
+# Maximum number of 8-byte words that the decoder traverses; a small frame with aliased
+# pointers would otherwise cause unbounded work.
 TRAVERSAL_WORDS = 4 * MAX_FRAME // 8
 
 capnp.remove_import_hook()
@@ -33,7 +33,7 @@
     body: Message
 
 
-def _camel(name: str) -> str:
+def _camel_case(name: str) -> str:
     head, *rest = name.split("_")
     return head + "".join(part.title() for part in rest)
 
@@ -50,9 +50,9 @@
 
 
 def _writer(hint: Any) -> Callable[[Any, str, Any], None]:
-    """Return the function that sets a field of a capnp builder.
+    """Return the function that sets a field of this type in a capnp builder.
 
-    Setting fields one by one took a tenth of the time of `from_dict` on a
+    Fields are set one by one, since `from_dict` took ten times as long on a
     message with a list of structs.
     """
     if get_origin(hint) is tuple:
@@ -67,7 +67,7 @@
 def _write_structs(builder: Any, name: str, values: tuple[Any, ...]) -> None:
     items = builder.init(name, len(values))
     for index, value in enumerate(values):
-        _fill(items[index], value)
+        _write_fields(items[index], value)
 
 
 def _write_list(builder: Any, name: str, values: tuple[Any, ...]) -> None:
@@ -77,20 +77,20 @@
 
 
 def _write_struct(builder: Any, name: str, value: Any) -> None:
-    _fill(builder.init(name), value)
+    _write_fields(builder.init(name), value)
 
 
 def _write_enum(builder: Any, name: str, value: Enum) -> None:
     setattr(builder, name, value.value)
 
 
-def _fill(builder: Any, value: Any) -> None:
-    for name, wire_name, write, _ in _plan(value.__class__):
+def _write_fields(builder: Any, value: Any) -> None:
+    for name, wire_name, write, _ in _field_codecs(value.__class__):
         write(builder, wire_name, getattr(value, name))
 
 
 def _decoder(hint: Any) -> Callable[[Any], Any] | None:
-    """Return the conversion of a capnp value to its field, or None for plain values."""
+    """Return the function that converts a capnp value to this type; None for plain values."""
     if get_origin(hint) is tuple:
         item = _decoder(get_args(hint)[0])
         if item is None:
@@ -104,11 +104,16 @@
 
 
 @cache
-def _plan(cls: Any) -> tuple[tuple[str, str, Any, Any], ...]:
+def _field_codecs(cls: Any) -> tuple[tuple[str, str, Any, Any], ...]:
     """Return (attribute, capnp name, writer, decoder) of each field of a message."""
     hints = get_type_hints(cls)
     return tuple(
-        (field.name, _camel(field.name), _writer(hints[field.name]), _decoder(hints[field.name]))
+        (
+            field.name,
+            _camel_case(field.name),
+            _writer(hints[field.name]),
+            _decoder(hints[field.name]),
+        )
         for field in fields(cls)
     )
 
@@ -117,7 +122,7 @@
     return cls(
         *(
             decode(getattr(reader, wire_name)) if decode else getattr(reader, wire_name)
-            for _, wire_name, _, decode in _plan(cls)
+            for _, wire_name, _, decode in _field_codecs(cls)
         )
     )
 
@@ -132,7 +137,7 @@
         builder = _wire.Envelope.new_message(
             version=PROTOCOL_VERSION, id=envelope.id, replyTo=envelope.reply_to
         )
-        _fill(builder.init(_union_name(type(envelope.body))), envelope.body)
+        _write_fields(builder.init(_union_name(type(envelope.body))), envelope.body)
         payload: bytes = builder.to_bytes()
     except (capnp.KjException, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise CodecError(f"cannot encode {type(envelope.body).__name__}: {exc}") from exc
--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -1,4 +1,4 @@
-"""One TCP connection between two processes: frames, heartbeats, calls and redialling."""
+"""TCP connections between processes: framing, heartbeats, calls and reconnecting."""
 
 import logging
 import random
@@ -25,16 +25,17 @@
 
 log = logging.getLogger(__name__)
 
-# Frames waiting to be sent are joined up to this size, which saves system calls.
+# Queued frames are joined up to this size before they are sent, to save system calls.
 WRITE_BATCH_BYTES = 64 << 10
 READ_BYTES = 64 << 10
 
 
 class Handler(Protocol):
-    """What a process does with its links.
+    """Callbacks of a link.
 
-    `received` runs in the link's reading task, in order; anything that waits
-    must be started as a task of its own, or heartbeats would stop counting.
+    `received` runs in the link's reading task, in order of arrival. It must
+    start a separate task for anything that waits; otherwise no heartbeats are
+    read meanwhile and the link times out.
     """
 
     def heartbeat(self) -> Heartbeat:
@@ -51,7 +52,7 @@
 
 
 class Link:
-    """A connection that has a peer, heartbeats both ways and calls by id.
+    """A connection to a peer, with heartbeats in both directions and concurrent calls.
 
     `run` returns or raises LinkError when the connection ends; afterwards
     every pending and later call raises LinkError.
@@ -94,14 +95,14 @@
         return anyio.current_time() - self.last_received_at
 
     async def run(self) -> None:
-        """Serve the connection until it ends."""
+        """Exchange Hello messages and serve the connection until it ends."""
         opened = False
         try:
             with anyio.CancelScope() as self._scope:
-                with anyio.move_on_after(self.cfg.silence_s) as greeting:
-                    await self._write(Envelope(self._take_id(), 0, self.hello))
+                with anyio.move_on_after(self.cfg.silence_s) as hello_timeout:
+                    await self._write(Envelope(self._allocate_id(), 0, self.hello))
                     self.peer = self._check_hello(await self._read())
-                if greeting.cancelled_caught:
+                if hello_timeout.cancelled_caught:
                     raise LinkError("the peer sent no Hello")
                 self.is_open = opened = True
                 async with anyio.create_task_group() as group:
@@ -115,7 +116,7 @@
         except* (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError) as group_exc:
             self._close_reason = self._close_reason or f"connection lost: {group_exc.exceptions[0]}"
         except* (CodecError, LinkError) as group_exc:
-            self._close_reason = self._close_reason or str(_leaf(group_exc))
+            self._close_reason = self._close_reason or str(_first_leaf(group_exc))
         finally:
             self.is_open = False
             self._fail_calls()
@@ -128,7 +129,7 @@
             raise LinkError(self._close_reason)
 
     def close(self, reason: str) -> None:
-        """End the connection at once."""
+        """Close the connection at once."""
         self._close_reason = self._close_reason or reason
         self.is_open = False
         if self._scope is not None:
@@ -140,8 +141,8 @@
         while len(self._outbox) >= self.cfg.send_queue:
             await self._outbox_drained.wait()
             self._require_open()
-        number = self._take_id()
-        self._queue(encode(Envelope(number, reply_to, body)))
+        number = self._allocate_id()
+        self._enqueue(encode(Envelope(number, reply_to, body)))
         return number
 
     def send_nowait(self, body: Message, reply_to: int = 0) -> None:
@@ -149,13 +150,13 @@
         self._require_open()
         if len(self._outbox) >= self.cfg.send_queue:
             raise LinkError("the link's send queue is full")
-        self._queue(encode(Envelope(self._take_id(), reply_to, body)))
+        self._enqueue(encode(Envelope(self._allocate_id(), reply_to, body)))
 
     async def call(self, body: Message, timeout_s: float | None = None) -> Message:
         """Send a message and return the reply.
 
         Raises PeerError if the reply is a Failure, and LinkError if the link
-        ends or no reply comes in time; then the effect is not known.
+        ends or the call times out; the peer may then have executed it or not.
         """
         self._require_open()
         call = _Call()
@@ -163,13 +164,14 @@
         limit = self.cfg.call_timeout_s if timeout_s is None else timeout_s
         try:
             with anyio.move_on_after(limit) as scope:
-                # Registered before anything is awaited, since the reply may come at once.
+                # The call is registered before its frame is queued, so that its reply is never
+                # missed.
                 while len(self._outbox) >= self.cfg.send_queue:
                     await self._outbox_drained.wait()
                     self._require_open()
-                number = self._take_id()
+                number = self._allocate_id()
                 self._calls[number] = call
-                self._queue(encode(Envelope(number, 0, body)))
+                self._enqueue(encode(Envelope(number, 0, body)))
                 await call.done.wait()
         finally:
             self._calls.pop(number, None)
@@ -185,13 +187,13 @@
         if not self.is_open:
             raise LinkError(self._close_reason or "the link is closed")
 
-    def _queue(self, frame: bytes) -> None:
+    def _enqueue(self, frame: bytes) -> None:
         self.frames_sent += 1
         self.last_queued_at = anyio.current_time()
         self._outbox.append(frame)
         self._outbox_filled.set()
 
-    def _take_id(self) -> int:
+    def _allocate_id(self) -> int:
         number = self._next_id
         self._next_id += 1
         return number
@@ -211,7 +213,7 @@
         await self._write_bytes(encode(envelope))
 
     async def _write_bytes(self, data: bytes) -> None:
-        # A failure report may be written while the sending task is in the middle of a batch.
+        # The lock is needed because `_report_failure` may write while a batch is being sent.
         async with self._write_lock:
             self.bytes_sent += len(data)
             await self._stream.send(data)
@@ -221,7 +223,7 @@
         return decode(await self._read_exactly(length))
 
     async def _read_exactly(self, count: int) -> bytes:
-        """Return bytes from the buffer, which one read fills with many small frames."""
+        """Return `count` bytes; one read from the stream may buffer many small frames."""
         while len(self._buffer) < count:
             data = await self._stream.receive(READ_BYTES)
             self.last_received_at = anyio.current_time()
@@ -250,9 +252,9 @@
                 await self.handler.received(self, envelope)
 
     async def _report_failure(self, exc: CodecError) -> None:
-        """Tell the peer why the connection is about to close, if it still listens."""
+        """Send the reason for the coming disconnect to the peer, if it still reads."""
         with anyio.move_on_after(0.2):
-            await self._write(Envelope(self._take_id(), 0, Failure("codec", str(exc))))
+            await self._write(Envelope(self._allocate_id(), 0, Failure("codec", str(exc))))
 
     async def _send_frames(self) -> None:
         while True:
@@ -298,25 +300,25 @@
         self.reply: Message | None = None
 
 
-def _leaf(exc: BaseException) -> BaseException:
+def _first_leaf(exc: BaseException) -> BaseException:
     while isinstance(exc, BaseExceptionGroup):
         exc = exc.exceptions[0]
     return exc
 
 
 def certified_name(stream: ByteStream) -> str:
-    """Return the common name in the certificate of a TLS stream's peer, or an empty text."""
+    """Return the common name in the certificate of a TLS stream's peer, or an empty string."""
     certificate: Any = None
     if TLSAttribute.peer_certificate in stream.extra_attributes:
         certificate = stream.extra(TLSAttribute.peer_certificate)
-    # The ssl module gives a subject as a tuple of tuples of (field, value) pairs.
+    # The ssl module represents a subject as a tuple of tuples of (field, value) pairs.
     subject = certificate["subject"] if certificate else ()
     fields: dict[str, str] = dict(pair for part in subject for pair in part)
     return fields.get("commonName", "")
 
 
 def check_tls(tls: TlsSettings | None) -> None:
-    """Raise SettingsError unless the files of the settings can be used."""
+    """Raise SettingsError if a TLS file in the settings is missing or unusable."""
     if tls is None:
         return
     for path in (tls.certificate, tls.private_key, tls.authority):
@@ -330,16 +332,16 @@
 
 
 def client_context(tls: TlsSettings) -> ssl.SSLContext:
-    """Return a context that proves our certificate and checks the peer's."""
+    """Return a client context that presents our certificate and verifies the peer's."""
     context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=str(tls.authority))
     context.load_cert_chain(tls.certificate, tls.private_key)
-    # Processes are addressed by IP number; the authority signs only our own processes.
+    # Processes are addressed by IP address; the authority signs only apricotpath processes.
     context.check_hostname = False
     return context
 
 
 def server_context(tls: TlsSettings) -> ssl.SSLContext:
-    """Return a context that demands a certificate of the same authority."""
+    """Return a server context that requires a client certificate of the same authority."""
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=str(tls.authority))
     context.load_cert_chain(tls.certificate, tls.private_key)
     context.verify_mode = ssl.CERT_REQUIRED
@@ -347,9 +349,9 @@
 
 
 async def connect(address: Address, cfg: LinkSettings) -> ByteStream:
-    """Return a connection to a process, under TLS if the settings say so.
+    """Connect to a process, with TLS if it is configured; raises LinkError.
 
-    Certificates are read for each connection, so a rotation needs no restart.
+    Certificate files are read for each connection, so rotation needs no restart.
     """
     try:
         with anyio.fail_after(cfg.dial_timeout_s):
@@ -370,9 +372,9 @@
     handler: Handler,
     rng: random.Random,
 ) -> None:
-    """Keep a link to an address; redial after an exponential delay with jitter.
+    """Keep a link to an address; reconnect with exponential backoff and jitter.
 
-    The jitter spreads the dials of many processes after a common failure.
+    The jitter spreads the reconnects of many processes after a common failure.
     """
     delay = cfg.redial_min_s
     while True:
@@ -402,7 +404,10 @@
     group: TaskGroup,
     started: Callable[[Address], Awaitable[None]] | None = None,
 ) -> None:
-    """Accept links on an address until cancelled; raises LinkError if it is in use."""
+    """Accept links on an address until cancelled; raises LinkError if it cannot listen there.
+
+    `started` is called with the bound address, for example when the port was 0.
+    """
     try:
         listener = await anyio.create_tcp_listener(
             local_host=address.host, local_port=address.port, reuse_port=False
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages between our processes; each matches one struct in wire.capnp."""
+"""Typed messages between apricotpath processes; each matches one struct in wire.capnp."""
 
 from dataclasses import dataclass
 
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """Base of every message body; it has no fields of its own."""
+    """Base class of all message bodies."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DataCentreStatus:
-    """Service state of one data centre; a higher `seq` wins."""
+    """Service state of one data centre; a higher `seq` supersedes a lower one."""
 
     data_centre: DataCentreId
     seq: int
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Message):
-    """Sent every second; `worker_clock_ms` is 0 when the sender is an entry."""
+    """Periodic message on each link; `worker_clock_ms` is 0 when the sender is an entry."""
 
     seq: int
     worker_clock_ms: int
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Announce(Message):
-    """What an agent offers: its host and, if `service` is not empty, a backend server."""
+    """Capacity of an agent: its host and, if `service` is not empty, its backend server."""
 
     host: HostId
     rack: RackId
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving(Message):
-    """The sender takes no new work from now on."""
+    """The sender accepts no new work from now on."""
 
     reason: str
 
@@ -131,10 +131,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostReport(Message):
-    """State of a host, sent every second; usage lags behind the present.
+    """State of a host, sent every second; `usage` may lag behind the actual use.
 
-    `pressure` is the slowdown of the backend server's requests against its
-    own quiet baseline (1.0 = none).
+    `pressure` is the slowdown of the backend server's requests relative to
+    its own unloaded baseline (1.0 = none).
     """
 
     host: HostId
@@ -159,10 +159,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestStart(Message):
-    """Start of a request; `deadline_ms` is the time left when it was sent.
+    """Start of a request; `deadline_ms` is the time left until its deadline when it was sent.
 
-    `body` is the beginning of the body. RequestBody follows from there unless
-    `body_complete`, so a small request needs one frame.
+    `body` is the first part of the body. RequestBody messages carry the rest
+    unless `body_complete` is set, so a small request needs one frame.
     """
 
     request: RequestId
@@ -192,10 +192,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseStart(Message):
-    """Status and headers of the backend server's answer.
+    """Status and headers of the backend server's response.
 
-    `body` is the beginning of its body. ResponseBody follows from there
-    unless `body_complete`, so a small answer needs one frame.
+    `body` is the first part of the body. ResponseBody messages carry the rest
+    unless `body_complete` is set, so a small response needs one frame.
     """
 
     request: RequestId
@@ -207,7 +207,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseBody(Message):
-    """Part of an answer's body at a byte offset; `total` is set when `final`."""
+    """Part of a response body at a byte offset; `total` is set when `final`."""
 
     request: RequestId
     offset: int
@@ -218,7 +218,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseAck(Message):
-    """The caller has taken the answer's body up to `offset`; the agent may send more."""
+    """Flow control: the receiver has consumed the body up to `offset`; the agent may send more."""
 
     request: RequestId
     offset: int
@@ -226,7 +226,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestRefused(Message):
-    """The request did not run and never will at this agent."""
+    """The request did not run at this agent and never will."""
 
     request: RequestId
     reason: str
@@ -235,7 +235,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestFailed(Message):
-    """The request reached the backend server and has no whole answer."""
+    """The request reached the backend server, but there is no complete response."""
 
     request: RequestId
     reason: str
@@ -243,14 +243,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCancel(Message):
-    """The caller has gone or its deadline has passed."""
+    """Cancels a request whose caller has disconnected or whose deadline has passed."""
 
     request: RequestId
 
 
 @dataclass(frozen=True, slots=True)
 class Settle(Message):
-    """Asks what became of a request sent to `incarnation`."""
+    """Asks for the outcome of a request that was sent to an incarnation of an agent."""
 
     request: RequestId
     incarnation: IncarnationId
@@ -258,7 +258,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled(Message):
-    """Answer to `Settle`; after DONE the kept answer follows on the same link."""
+    """Reply to `Settle`; after DONE the stored response follows on the same link."""
 
     request: RequestId
     settlement: Settlement
@@ -278,7 +278,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyReserved(Message):
-    """Answer to `ReserveKey`; the last fields describe the reservation in force."""
+    """Reply to `ReserveKey`; the last three fields describe the reservation in force."""
 
     key: KeyId
     state: KeyState
@@ -290,7 +290,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseKey(Message):
-    """Gives back a reservation whose request was never sent."""
+    """Releases a reservation whose request was never sent."""
 
     key: KeyId
     request: RequestId
@@ -321,7 +321,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlAck(Message):
-    """The control state in force at the sender."""
+    """Acknowledges control updates with the state in force at the sender."""
 
     bundle_version: int
     statuses: tuple[DataCentreStatus, ...]
@@ -329,7 +329,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimShard(Message):
-    """A new owner fences older epochs of a shard at a host."""
+    """Sent by a shard's new owner to a host, which then rejects older epochs."""
 
     shard: ShardId
     epoch: Epoch
@@ -337,10 +337,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardClaimed(Message):
-    """What a host holds of a shard once it is fenced.
+    """Reply to `ClaimShard`: the shard's tasks and outcomes on the host after fencing.
 
-    `epoch` is the highest epoch seen; a claim was refused if it is higher
-    than the claimed one.
+    `epoch` is the highest epoch that the host has seen; the claim was refused
+    if it is higher than the claimed one.
     """
 
     shard: ShardId
@@ -352,7 +352,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask(Message):
-    """Start of one attempt; the anchor is the heartbeat that it answers."""
+    """Starts one attempt.
+
+    The anchor names the agent's heartbeat that this message answers; the start
+    window and the lease are counted from its clock value.
+    """
 
     shard: ShardId
     epoch: Epoch
@@ -373,7 +377,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopTask(Message):
-    """Stop of an attempt without a checkpoint, for example after a cancellation."""
+    """Stops an attempt without a checkpoint, for example after a cancellation."""
 
     shard: ShardId
     epoch: Epoch
@@ -384,7 +388,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EvictTask(Message):
-    """Checkpoint of an attempt, then stop."""
+    """Checkpoints an attempt and then stops it."""
 
     shard: ShardId
     epoch: Epoch
@@ -417,7 +421,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskReply(Message):
-    """Answer to a task command; a refused start had and will have no effect."""
+    """Reply to a task command; a refused start had no effect and never will."""
 
     task: TaskId
     attempt: int
@@ -428,10 +432,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAck(Message):
-    """The outcomes of these attempts are journaled and may be forgotten.
+    """The outcomes of these attempts are in the journal; the host may delete them.
 
-    A host ignores it if it knows a higher epoch of the shard: the journal of a
-    former owner is not the one that counts.
+    A host ignores it if it has seen a higher epoch of the shard, since only the
+    journal of the current owner is authoritative.
     """
 
     shard: ShardId
@@ -442,7 +446,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobCall(Message):
-    """An operators' call forwarded to another entry; `body` is JSON."""
+    """An operator's call forwarded to another entry; `body` is JSON."""
 
     method: str
     path: str
@@ -451,7 +455,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReply(Message):
-    """Answer to `JobCall`; `body` is JSON."""
+    """Reply to `JobCall`; `body` is JSON."""
 
     status: int
     body: bytes
@@ -459,7 +463,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareRequest(Message):
-    """Asks the entry that lends a team's limit for part of it.
+    """Asks the entry that manages a team's limit for a share of it.
 
     `kind` is "size" (a fraction of the quota) or "rate" (starts per second).
     """
@@ -471,7 +475,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareGrant(Message):
-    """Part of a team's limit, to be returned or renewed within `ttl_ms`."""
+    """Share of a team's limit, which expires after `ttl_ms` unless it is renewed."""
 
     team: TeamId
     amount: float
@@ -481,7 +485,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failure(Message):
-    """The call could not be served."""
+    """Error reply to a call, or the reason why the sender closes the link."""
 
     code: str
     text: str
@@ -489,7 +493,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderNotice(Message):
-    """The entry that schedules jobs, and its epoch; a higher epoch replaces a lower one."""
+    """The entry that schedules jobs, and its epoch; a higher epoch supersedes a lower one."""
 
     epoch: Epoch
     entry: ProcessId
@@ -497,9 +501,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HostAttach(Message):
-    """Call of an agent that puts one life of its executor under a scheduler's orders.
+    """Call of an agent that registers one incarnation of its executor with the scheduler.
 
-    `epoch` is the highest epoch that the agent has heard of.
+    `epoch` is the highest scheduler epoch that the agent has seen.
     """
 
     host: HostId
@@ -515,7 +519,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostAttached(Message):
-    """Reply to HostAttach: the token under which the agent may act from now on."""
+    """Reply to HostAttach: the fencing token of the attachment."""
 
     epoch: Epoch
     fence: FenceToken
@@ -523,9 +527,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RunStatus:
-    """One run that works on a host; see `apricotpath.jobtable.Run`.
+    """One active run on a host; see `apricotpath.jobtable.Run`.
 
-    `pace` is the percentage of its speed that a filler task was given.
+    `pace` is the current speed limit of a filler task, in percent of full speed.
     """
 
     task: TaskId
@@ -538,7 +542,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnding:
-    """The end of a run; numbers rise by one within a life of the executor."""
+    """The end of a run; `number` increases by one per ending of an executor incarnation."""
 
     number: int
     task: TaskId
@@ -549,12 +553,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRuns(Message):
-    """All runs of a host and the ends that are not noted yet.
+    """Report of all runs of a host and of the endings that are not acknowledged yet.
 
     `renewal` numbers the reports of one attachment. In the `first` report
-    the lists are exact: no other run of an earlier token can still begin.
-    `remaining_ms` is how long a draining executor stays at least.
-    `filler_percent` is the share of their speed that filler tasks were given lately.
+    the lists are complete: no other run of an earlier token can still begin.
+    `remaining_ms` is the minimum time that a draining executor stays available.
+    `filler_percent` is the share of full speed that filler tasks recently got, in percent.
     """
 
     fence: FenceToken
@@ -569,9 +573,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HostGrant(Message):
-    """Lets the runs of a host go on for one lease after report `renewal` was sent.
+    """Extends the lease of a host's runs, counted from when report `renewal` was sent.
 
-    `noted` is the number of the newest end that is durably noted.
+    `noted` is the number of the newest ending that is durably stored.
     """
 
     fence: FenceToken
@@ -581,9 +585,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RunOrder:
-    """Order to start one run of a task, from the checkpoint `saved` if there is one.
+    """Order to start one run of a task, from the checkpoint `saved` if it is not empty.
 
-    `pressure` tells how much a filler task disturbs serving ones; see `RunTrait`.
+    `pressure` is how much a filler task slows down serving tasks; see `RunTrait`.
     """
 
     task: TaskId
@@ -598,7 +602,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRuns(Message):
-    """Starts for a host; valid for a short time after its report `renewal` was sent."""
+    """Start orders for a host; valid for a short time after its report `renewal` was sent."""
 
     fence: FenceToken
     renewal: int
@@ -607,7 +611,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunName:
-    """A run of a task."""
+    """Identifies a run of a task."""
 
     task: TaskId
     run: int
@@ -615,7 +619,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRuns(Message):
-    """Runs that a host must stop, or never start if it does not know them."""
+    """Runs that a host must stop, or must never start if it has not started them yet."""
 
     fence: FenceToken
     runs: tuple[RunName, ...]
@@ -623,10 +627,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTrait:
-    """What an agent needs to know of a run that it did not start itself, or what has changed.
+    """Properties of a run that the agent did not start itself, or that have changed.
 
-    `pressure` is by how much a filler task at full speed raises the logarithm
-    of the tail latency of serving tasks beside it.
+    `pressure` is the increase of the logarithm of the tail latency of serving
+    tasks on the same host that a filler task causes at full speed.
     """
 
     task: TaskId
@@ -638,7 +642,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTraits(Message):
-    """Traits of runs that a host holds: of all when it attaches, of filler tasks now and then."""
+    """Properties of a host's runs: of all after it attaches, later of filler tasks that changed."""
 
     fence: FenceToken
     traits: tuple[RunTrait, ...]
@@ -646,7 +650,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """What became of an order to start a run."""
+    """Result of an order to start a run."""
 
     task: TaskId
     run: int
@@ -655,7 +659,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswers(Message):
-    """Answers of a host to StartRuns."""
+    """Reply of a host to StartRuns."""
 
     fence: FenceToken
     answers: tuple[OrderAnswer, ...]
@@ -663,7 +667,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAccepted(Message):
-    """A job that an entry has just stored; `content` is its stored form."""
+    """A job that an entry has just stored; `content` is its stored JSON."""
 
     job: JobId
     content: str
@@ -671,7 +675,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobCancelling(Message):
-    """A job whose cancelling an entry has just stored."""
+    """A job whose cancellation an entry has just stored."""
 
     job: JobId
 
@@ -687,7 +691,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobStatuses(Message):
-    """Durable states of jobs; a `whole` message begins the list of all jobs anew."""
+    """Durable states of jobs; a message with `whole` set starts a new complete list."""
 
     epoch: Epoch
     whole: bool
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -1,4 +1,4 @@
-# Messages between apricotpath processes; messages.py holds the typed form.
+# Messages between apricotpath processes; messages.py defines the Python classes.
 @0xc3a9d7f14b62e805;
 
 struct Size {
--- a/tests/features/codec.feature
+++ b/tests/features/codec.feature
@@ -1,7 +1,8 @@
 Feature: codec
 
-  Guards against a frame that changes a message, and against a malformed frame
-  that ends the process instead of the connection.
+  Guards against messages that change when they are encoded and decoded, and
+  against malformed frames that crash the process instead of only ending the
+  connection.
 
   Scenario: every message kind survives a round trip
     Given a sample of every message kind
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -1,8 +1,8 @@
 Feature: link
 
-  Guards against connections that stay open but silent, against malformed
-  frames that end more than their own connection, and against calls that wait
-  forever or get another call's reply.
+  Guards against connections that stay open although the peer is silent, against
+  malformed frames that end other connections as well, and against calls that
+  wait forever or get another call's reply.
 
   Scenario: link calls get their own replies when these come in reverse order
     Given two linked processes with a silence limit of 3 s
@@ -11,13 +11,13 @@
 
   Scenario: a link that a relay holds silent is replaced by a new one
     Given two linked processes with a silence limit of 0.4 s
-    When the relay holds the link silent
+    When the relay stops forwarding on the link
     Then both ends close the silent link within 2 s
     And a new link answers calls
 
   Scenario: a pending link call fails when the link goes silent
     Given two linked processes with a silence limit of 0.4 s
-    When the relay holds the link silent during a call
+    When the relay stops forwarding on the link during a call
     Then the link call ends with a link error
 
   Scenario Outline: a link that carries other messages <case>
@@ -33,8 +33,8 @@
 
   Scenario Outline: a bad byte stream ends only its own link
     Given two linked processes with a silence limit of 3 s
-    When a stranger connects to the link port and sends <bytes>
-    Then the stranger is disconnected
+    When an unknown client connects to the link port and sends <bytes>
+    Then the unknown client is disconnected
     And the first link still answers calls
 
     Examples:
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -15,7 +15,7 @@
 
 
 def sample(hint: Any) -> Any:
-    """Return a non-default value of a message field's type."""
+    """Return a non-default value for the type of a message field."""
     while hasattr(hint, "__supertype__"):
         hint = hint.__supertype__
     if get_origin(hint) is tuple:
@@ -29,7 +29,7 @@
 
 
 class CodecSubject:
-    """Holds the frames under test."""
+    """Holds the frame and the messages under test."""
 
     def __init__(self) -> None:
         self.frame = b""
@@ -38,7 +38,7 @@
         self.errors = 0
 
     def damage(self, how: str) -> None:
-        """Change the heartbeat's frame in the named way."""
+        """Damage the heartbeat's frame as described by `how`."""
         frame = self.frame
         changes = {
             "cutting it short": frame[: len(frame) // 2],
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -24,7 +24,7 @@
 
 
 class RecordingHandler:
-    """Answers calls, the ones named `hold` only when told to."""
+    """Records links and replies to calls; calls with method `hold` are only stored in `held`."""
 
     def __init__(self) -> None:
         self.links: list[Link] = []
@@ -55,7 +55,7 @@
 
 
 class LinkSubject:
-    """Two processes joined through a relay; scenarios run inside one event loop."""
+    """Two processes linked through a relay; each scenario runs inside one event loop."""
 
     def __init__(self, silence_s: float) -> None:
         self.cfg = LinkSettings(heartbeat_s=silence_s / 4, silence_s=silence_s)
@@ -97,7 +97,7 @@
         reply = await self.client.links[-1].call(JobCall("echo", "/", body))
         assert reply == JobReply(200, body)
 
-    async def reversed_replies(self, count: int) -> None:
+    async def call_with_reversed_replies(self, count: int) -> None:
         replies: dict[int, Any] = {}
 
         async def one(number: int) -> None:
@@ -112,7 +112,7 @@
                 await link.send(JobReply(200, envelope.body.body), envelope.id)
         self.result = replies
 
-    async def hold_silent(self) -> None:
+    async def silence_link(self) -> None:
         assert self.relay.hold() == 1
         with anyio.fail_after(2):
             await until(lambda: self.client.ended > 0 and self.server.ended > 0)
@@ -120,7 +120,7 @@
         await self.call(b"after")
         self.result = "replaced"
 
-    async def hold_during_call(self) -> None:
+    async def silence_link_during_call(self) -> None:
         async def pending() -> None:
             try:
                 await self.client.links[0].call(JobCall("hold", "/", b""))
@@ -132,8 +132,8 @@
             await until(lambda: len(self.server.held) == 1)
             self.relay.hold()
 
-    async def busy(self, every_s: float, for_s: float) -> None:
-        """Let calls go over the link all the while, and count the frames beside them."""
+    async def keep_busy(self, every_s: float, for_s: float) -> None:
+        """Make a call every `every_s` seconds, and count the other frames that were received."""
         link = self.client.links[0]
         frames, calls, ends_at = link.frames_received, 0, anyio.current_time() + for_s
         while anyio.current_time() < ends_at:
@@ -142,7 +142,7 @@
             await anyio.sleep(every_s)
         self.result = link.frames_received - frames - calls
 
-    async def stranger(self, data: bytes) -> None:
+    async def connect_unknown_client(self, data: bytes) -> None:
         stream = await anyio.connect_tcp("127.0.0.1", self.port)
         async with stream:
             if data:
@@ -156,7 +156,7 @@
         await self.call(b"still here")
 
 
-STRANGER_BYTES = {
+UNKNOWN_CLIENT_BYTES = {
     "random bytes": random.Random(3).randbytes(400),
     "an oversized length": (MAX_FRAME + 1).to_bytes(4, "little"),
     "a message before Hello": encode(Envelope(1, 0, JobCall("echo", "/", b""))),
@@ -181,7 +181,7 @@
 
 @when("messages go both ways on the link every {every_s:g} s for {for_s:g} s")
 def _(context: Any, every_s: float, for_s: float) -> None:
-    context.link.run(lambda: context.link.busy(every_s, for_s))
+    context.link.run(lambda: context.link.keep_busy(every_s, for_s))
 
 
 @then("the link has carried between {least:d} and {most:d} heartbeats")
@@ -191,7 +191,7 @@
 
 @when("{count:d} link calls are answered in reverse order")
 def _(context: Any, count: int) -> None:
-    context.link.run(lambda: context.link.reversed_replies(count))
+    context.link.run(lambda: context.link.call_with_reversed_replies(count))
 
 
 @then("each link call has its own reply")
@@ -201,9 +201,9 @@
     assert len(context.link.result) == 20
 
 
-@when("the relay holds the link silent")
+@when("the relay stops forwarding on the link")
 def _(context: Any) -> None:
-    context.link.run(context.link.hold_silent)
+    context.link.run(context.link.silence_link)
 
 
 @then("both ends close the silent link within 2 s")
@@ -217,9 +217,9 @@
     assert context.link.result == "replaced"
 
 
-@when("the relay holds the link silent during a call")
+@when("the relay stops forwarding on the link during a call")
 def _(context: Any) -> None:
-    context.link.run(context.link.hold_during_call)
+    context.link.run(context.link.silence_link_during_call)
 
 
 @then("the link call ends with a link error")
@@ -227,12 +227,12 @@
     assert isinstance(context.link.result, LinkError)
 
 
-@when("a stranger connects to the link port and sends {what}")
+@when("an unknown client connects to the link port and sends {what}")
 def _(context: Any, what: str) -> None:
-    context.link.run(lambda: context.link.stranger(STRANGER_BYTES[what]))
+    context.link.run(lambda: context.link.connect_unknown_client(UNKNOWN_CLIENT_BYTES[what]))
 
 
-@then("the stranger is disconnected")
+@then("the unknown client is disconnected")
 def _(context: Any) -> None:
     assert context.link.result == "disconnected"
 
