--- a/packages/core/src/apricotpath/bundle.py
+++ b/packages/core/src/apricotpath/bundle.py
@@ -1,4 +1,4 @@
-"""The operators' bundle of rules: parse, validate, compare."""
+"""The operators' bundle of rules: parsing, validation and comparison."""
 
 import json
 import re
@@ -16,7 +16,7 @@
 from apricotpath.model import Size
 from apricotpath.signing import key_id
 
-# The signed envelope with its base64 payload must fit one store value and one frame.
+# The signed envelope with its base64 payload must fit into one store value and one frame.
 MAX_BUNDLE_BYTES = 512 << 10
 ANY = "*"
 MAX_DEADLINE_S = 3600.0
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DataCentre:
-    """A data centre; `in_service` false keeps it out whatever its status is."""
+    """A data centre; if `in_service` is false, it is out of service whatever its status is."""
 
     zone: str
     in_service: bool = True
@@ -53,7 +53,7 @@
 class QuietHours:
     """Hours in which activities are forbidden; `start` and `end` are HH:MM local time.
 
-    An end before the start lies on the next day. `*` stands for all data
+    An end before the start is on the next day. `*` stands for all data
     centres or all activities.
     """
 
@@ -65,8 +65,8 @@
     end: str = field(metadata={"name": "to"})
 
     def applies(self, activity: str, dc: DataCentreId) -> bool:
-        """Tell whether the rule concerns an activity in a data centre."""
-        return _listed(activity, self.activities) and _listed(dc, self.datacentres)
+        """Tell whether the rule applies to an activity in a data centre."""
+        return _matches(activity, self.activities) and _matches(dc, self.datacentres)
 
     def period(self) -> WeeklyPeriod:
         """Return the weekly period of the rule."""
@@ -105,7 +105,7 @@
 class PlacementRule:
     """Work of these teams and activities may run only in these data centres.
 
-    An empty list of teams or activities means all of them, but not both.
+    An empty list of teams or activities means all of them; not both may be empty.
     """
 
     datacentres: tuple[DataCentreId, ...]
@@ -113,7 +113,7 @@
     activities: tuple[str, ...] = ()
 
     def applies(self, team: TeamId, activity: str) -> bool:
-        """Tell whether the rule concerns a team's activity."""
+        """Tell whether the rule applies to an activity of a team."""
         return (not self.teams or team in self.teams) and (
             not self.activities or activity in self.activities
         )
@@ -135,7 +135,7 @@
 
 
 def load_bundle(path: Path) -> Bundle:
-    """Return the bundle in a file; errors name the file, the path in it and the rule."""
+    """Load a bundle from a file; a BundleError names the file, the path in it and the rule."""
     try:
         data = path.read_bytes()
     except OSError as exc:
@@ -144,7 +144,7 @@
 
 
 def parse_bundle(data: bytes, name: str = "bundle") -> Bundle:
-    """Return a valid bundle from JSON with comments, or raise BundleError."""
+    """Parse and validate a bundle in JSON with comments; raises BundleError."""
     if len(data) > MAX_BUNDLE_BYTES:
         raise BundleError(f"{name}: is larger than {MAX_BUNDLE_BYTES} bytes", rule="size")
     try:
@@ -165,7 +165,7 @@
 
 
 def plain(value: Any) -> Any:
-    """Return a bundle or a part of it as JSON values."""
+    """Convert a bundle or a part of it to JSON values."""
     if isinstance(value, Enum):
         return value.value
     if is_dataclass(value) and not isinstance(value, type):
@@ -181,7 +181,7 @@
 
 
 def clock_minute(text: str) -> int:
-    """Return the minutes since midnight of an HH:MM text; 24:00 is allowed."""
+    """Parse HH:MM to minutes since midnight; 24:00 is allowed. Raises ValueError."""
     found = _CLOCK.match(text)
     if found is None or int(found[1]) * 60 + int(found[2]) > MINUTES_PER_DAY:
         raise ValueError(text)
@@ -189,20 +189,20 @@
 
 
 def problems(bundle: Bundle) -> Iterator[tuple[str, str]]:
-    """Yield (path, rule) of every rule that a bundle of the right shape breaks."""
+    """Yield (path, rule) for every violation in a bundle of the correct types."""
     if bundle.version < 1:
         yield "version", "must be at least 1"
     if not bundle.datacentres:
         yield "datacentres", "must name at least one data centre"
     for dc, item in bundle.datacentres.items():
-        yield from _name(f"datacentres.{dc}", dc)
-        yield from _zone_rule(f"datacentres.{dc}.zone", item.zone)
+        yield from _name_problems(f"datacentres.{dc}", dc)
+        yield from _zone_problems(f"datacentres.{dc}.zone", item.zone)
     for number, quiet in enumerate(bundle.quiet_hours):
         yield from _quiet_problems(f"quiet_hours[{number}]", quiet, bundle)
     for service, rules in bundle.services.items():
         yield from _service_problems(f"services.{service}", service, rules)
     for team, row in bundle.teams.items():
-        yield from _name(f"teams.{team}", team)
+        yield from _name_problems(f"teams.{team}", team)
         if row.share <= 0:
             yield f"teams.{team}.share", "must be above 0"
     for number, rule in enumerate(bundle.placement):
@@ -215,10 +215,12 @@
 
 
 def _quiet_problems(path: str, quiet: QuietHours, bundle: Bundle) -> Iterator[tuple[str, str]]:
-    yield from _centres(f"{path}.datacentres", quiet.datacentres, bundle, any_allowed=True)
+    yield from _data_centre_problems(
+        f"{path}.datacentres", quiet.datacentres, bundle, any_allowed=True
+    )
     if not quiet.activities:
         yield f"{path}.activities", "must name at least one activity, or '*' for all"
-    yield from _zone_rule(f"{path}.zone", quiet.zone)
+    yield from _zone_problems(f"{path}.zone", quiet.zone)
     if not quiet.days:
         yield f"{path}.days", "must name at least one day"
     for name, text in (("from", quiet.start), ("to", quiet.end)):
@@ -235,12 +237,12 @@
 
 
 def _service_problems(path: str, name: str, service: Service) -> Iterator[tuple[str, str]]:
-    yield from _name(path, name)
+    yield from _name_problems(path, name)
     if not service.classes:
         yield f"{path}.classes", "must name at least one class"
     for class_name, row in service.classes.items():
         where = f"{path}.classes.{class_name}"
-        yield from _name(where, class_name)
+        yield from _name_problems(where, class_name)
         if row.priority > MAX_PRIORITY:
             yield f"{where}.priority", f"must be from 0 to {MAX_PRIORITY}"
         if not 0 < row.deadline_s <= MAX_DEADLINE_S:
@@ -252,7 +254,9 @@
 def _placement_problems(
     path: str, rule: PlacementRule, bundle: Bundle
 ) -> Iterator[tuple[str, str]]:
-    yield from _centres(f"{path}.datacentres", rule.datacentres, bundle, any_allowed=False)
+    yield from _data_centre_problems(
+        f"{path}.datacentres", rule.datacentres, bundle, any_allowed=False
+    )
     if not rule.teams and not rule.activities:
         yield path, "must name teams or activities"
     for team in rule.teams:
@@ -260,7 +264,7 @@
             yield f"{path}.teams", f"team {team!r} is not in 'teams'"
 
 
-def _centres(
+def _data_centre_problems(
     path: str, names: tuple[DataCentreId, ...], bundle: Bundle, any_allowed: bool
 ) -> Iterator[tuple[str, str]]:
     if not names:
@@ -270,19 +274,19 @@
             yield path, f"data centre {name!r} is not in 'datacentres'"
 
 
-def _name(path: str, name: str) -> Iterator[tuple[str, str]]:
+def _name_problems(path: str, name: str) -> Iterator[tuple[str, str]]:
     if not _NAME.match(name):
         yield path, "must be a name of 1 to 63 letters, digits, '.', '_' or '-'"
 
 
-def _zone_rule(path: str, name: str) -> Iterator[tuple[str, str]]:
+def _zone_problems(path: str, name: str) -> Iterator[tuple[str, str]]:
     try:
         ZoneInfo(name)
     except (KeyError, ValueError, OSError):
         yield path, f"{name!r} is not a time zone"
 
 
-def _listed(name: str, names: tuple[str, ...]) -> bool:
+def _matches(name: str, names: tuple[str, ...]) -> bool:
     return name in names or ANY in names
 
 
--- a/packages/core/src/apricotpath/config.py
+++ b/packages/core/src/apricotpath/config.py
@@ -1,4 +1,4 @@
-"""Settings of both roles: JSON with comments, validated, passed whole."""
+"""Settings of both roles: dataclasses, and loading and validation of JSON with comments."""
 
 import json
 import types
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """A TCP address: an IP number and a port."""
+    """A TCP address: an IP address and a port."""
 
     host: str
     port: int
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TlsSettings:
-    """PEM files for mutual TLS between our processes; all three are needed."""
+    """PEM files for mutual TLS between processes; all three are required."""
 
     certificate: Path
     private_key: Path
@@ -43,10 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """Timing and limits of connections between our processes, in seconds.
+    """Timing and limits of connections between processes; times in seconds.
 
-    `heartbeat_when_busy`: heartbeats are also sent while other messages keep
-    the link from being silent; they are needed for what they carry.
+    With `heartbeat_when_busy`, heartbeats are also sent while other messages
+    keep the link alive; this is needed where the content of heartbeats is used.
     """
 
     heartbeat_s: float = 1.0
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicySettings:
-    """Times in seconds that the rules of docs/design.md section 5 name."""
+    """Timing and policy of scheduling, see docs/design.md section 5; times in seconds."""
 
     fresh_s: float = 2.0
     start_window_s: float = 2.5
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
-    """Bounds on what callers may send; sizes in bytes, times in seconds."""
+    """Limits on callers' requests and their responses; sizes in bytes, times in seconds."""
 
     request_body: int = 8 << 20
     response_body: int = 64 << 20
@@ -109,11 +109,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSettings:
-    """Policy of an entry for callers' requests; the second value of a switch is the baseline.
+    """Routing and retry policy of an entry for callers' requests.
 
-    `choices` backend servers are drawn and the least loaded is used; 1 is
-    random routing. `window` bounds the requests outstanding from one entry at
-    one backend server, as a multiple of its slots.
+    `choices` backend servers are drawn at random and the least loaded is used;
+    1 is random routing. `window` limits the outstanding requests of one entry
+    at one backend server, as a multiple of its slots. Setting a switch to false
+    gives the baseline behaviour that benchmarks compare with.
     """
 
     choices: int = 2
@@ -147,7 +148,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendSettings:
-    """The backend server beside an agent."""
+    """The backend server on an agent's host."""
 
     backend: BackendId
     service: ServiceId
@@ -178,7 +179,7 @@
 
 
 def load_json(path: Path) -> Any:
-    """Return the value of a file in JSON with comments, or raise SettingsError."""
+    """Parse a file of JSON with comments; raises SettingsError."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
@@ -187,9 +188,9 @@
 
 
 def parse_json(text: str, where: str) -> Any:
-    """Return the value of a text in JSON with comments, or raise SettingsError.
+    """Parse a text of JSON with comments; raises SettingsError.
 
-    Plain JSON takes the fast parser of the standard library.
+    Plain JSON is parsed with the standard library, which is faster.
     """
     try:
         return json.loads(text, object_pairs_hook=_unique_pairs)
@@ -211,25 +212,25 @@
 
 
 def load_settings(path: Path, cls: type[T]) -> T:
-    """Return the settings in a file; every error names the file and the path in it."""
+    """Load settings from a file; a SettingsError names the file and the path in it."""
     return build(cls, load_json(path), str(path))
 
 
 def build(cls: type[T], value: Any, where: str) -> T:
-    """Return `cls` built from plain JSON values, or raise SettingsError.
+    """Build an instance of the dataclass `cls` from JSON values, or raise SettingsError.
 
-    `where` is the file and path so far, for example `entry.json: links.port`.
+    `where` is the file and path of the value, for example `entry.json: links.port`.
     """
     if not isinstance(value, dict):
         raise SettingsError(f"{where}: must be an object")
     hints = get_type_hints(cls)
-    # A name that Python reserves, such as `from`, is given in the field's metadata.
-    known = {item.metadata.get("name", item.name): item for item in fields(cls)}  # type: ignore[arg-type]
+    # JSON names that are Python keywords, such as `from`, are in the field's metadata.
+    fields_by_name = {item.metadata.get("name", item.name): item for item in fields(cls)}  # type: ignore[arg-type]
     for name in value:
-        if name not in known:
+        if name not in fields_by_name:
             raise SettingsError(f"{where}: unknown setting {name!r}")
     arguments = {}
-    for name, item in known.items():
+    for name, item in fields_by_name.items():
         if name in value:
             arguments[item.name] = _convert(hints[item.name], value[name], _join(where, name))
         elif item.default is MISSING and item.default_factory is MISSING:
@@ -285,7 +286,7 @@
     return _convert_number(hint, value, where)
 
 
-# Larger numbers are mistakes, and would overflow when a time is computed from them.
+# Larger numbers are mistakes and would overflow in computations of times.
 MAX_NUMBER = 1 << 48
 
 
--- a/packages/core/src/apricotpath/errors.py
+++ b/packages/core/src/apricotpath/errors.py
@@ -1,14 +1,14 @@
-"""The exception tree; every error that a user can see is one plain sentence."""
+"""Exception hierarchy; the text of every error shown to users is one plain sentence."""
 
 
 class ApricotpathError(Exception):
-    """Root of all errors raised on purpose by apricotpath."""
+    """Base class of all errors raised deliberately by apricotpath."""
 
 
 class InputError(ApricotpathError):
     """A setting, bundle, command line or submission is wrong; nothing was changed.
 
-    `path` is the place in the input and `rule` the broken rule, where they are known.
+    `path` is the place in the input and `rule` the violated rule; both may be empty.
     """
 
     def __init__(self, text: str, path: str = "", rule: str = "") -> None:
@@ -22,11 +22,11 @@
 
 
 class TraceError(InputError):
-    """A trace is unreadable, malformed or of a newer version."""
+    """A trace is unreadable, malformed or of an unsupported version."""
 
 
 class BundleError(InputError):
-    """A bundle breaks a rule of its format."""
+    """A bundle is malformed or violates a rule of its format."""
 
 
 class SignatureError(InputError):
@@ -38,7 +38,7 @@
 
 
 class NotFoundError(ApricotpathError):
-    """There is no job, data centre or other record of the given name."""
+    """There is no job, data centre or other record with the requested name."""
 
 
 class CodecError(ApricotpathError):
@@ -46,7 +46,7 @@
 
 
 class LinkError(ApricotpathError):
-    """A connection to another process is closed, silent or was refused."""
+    """A connection to another process was refused, closed or timed out."""
 
 
 class PeerError(LinkError):
@@ -58,7 +58,7 @@
 
 
 class StoreError(ApricotpathError):
-    """The key-value store did not do what was asked."""
+    """A call to the key-value store failed."""
 
 
 class StoreUnavailable(StoreError):
@@ -70,31 +70,31 @@
 
 
 class StoreLimited(StoreError):
-    """The store refused a call because its rate limit was reached."""
+    """The store rejected a call because of its rate limit; the call had no effect."""
 
 
 class StoreLeaseEnded(StoreError):
-    """The lease of a write has ended; the write had no effect."""
+    """The lease named in a call has ended; the call had no effect."""
 
 
 class FencedError(StoreError):
-    """A write was refused because a newer owner holds the record."""
+    """A write was rejected because a newer owner holds the record."""
 
 
 class WorkerError(ApricotpathError):
-    """The worker refused a call or could not be reached."""
+    """The worker rejected a call or could not be reached."""
 
 
 class WorkerUnavailable(WorkerError):
-    """The worker could not be reached; the effect of the call is not known."""
+    """The worker could not be reached; the call may have taken effect."""
 
 
 class WorkerRefused(WorkerError):
-    """The worker refused a call; it had no effect."""
+    """The worker rejected a call; the call had no effect."""
 
 
 class CapacityError(ApricotpathError):
-    """A commitment would exceed the host's size."""
+    """A reservation would exceed the host's size."""
 
 
 class RecordError(ApricotpathError):
@@ -102,11 +102,11 @@
 
 
 class JobError(ApricotpathError):
-    """An operators' call on a job cannot be carried out."""
+    """An operator's call on a job failed."""
 
 
 class JobUnknown(JobError):
-    """No such job or task is known to its shard's owner."""
+    """The shard's owner has no such job or task."""
 
 
 class NoOwner(JobError):
@@ -114,9 +114,10 @@
 
 
 class RequestError(ApricotpathError):
-    """A caller's request has no whole answer.
+    """A caller's request did not get a complete response.
 
-    `reason` is a short code and `retry_after_s` is 0 when no time is advised.
+    `reason` is a short code. `retry_after_s` is the suggested delay before a
+    retry in seconds, or 0.
     """
 
     def __init__(self, text: str, reason: str = "", retry_after_s: float = 0.0) -> None:
@@ -130,4 +131,4 @@
 
 
 class OutcomeUnknown(RequestError):
-    """Whether the request ran cannot be determined."""
+    """It cannot be determined whether the request ran."""
--- a/packages/core/src/apricotpath/model.py
+++ b/packages/core/src/apricotpath/model.py
@@ -7,14 +7,14 @@
 
 
 class Role(Enum):
-    """Role of a process, as it is sent in `Hello`."""
+    """Role of a process, as sent in `Hello`."""
 
     ENTRY = "entry"
     AGENT = "agent"
 
 
 class ServiceState(Enum):
-    """Whether operators have a data centre in service."""
+    """Whether a data centre is in service, as set by operators."""
 
     IN = "in"
     OUT = "out"
@@ -36,7 +36,7 @@
 
 
 class TaskState(Enum):
-    """State of a task as its shard's owner sees it."""
+    """State of a task in its shard owner's job table."""
 
     WAITING = "waiting"
     ASSIGNED = "assigned"
@@ -50,7 +50,7 @@
 
 
 class JobState(Enum):
-    """State of a job as operators see it."""
+    """State of a job as shown to operators."""
 
     OPEN = "open"
     FINISHED = "finished"
@@ -60,7 +60,7 @@
 
 
 class RunState(Enum):
-    """State of a task as its worker reports it."""
+    """State of a task as reported by its worker."""
 
     RUNNING = "running"
     THROTTLED = "throttled"
@@ -79,11 +79,11 @@
 
 
 class ReplyCode(StrEnum):
-    """Why an agent accepted or refused a task command.
+    """Why an agent accepted or rejected a task command.
 
-    UNKNOWN: the attempt does not run here. EPOCH: a newer owner is known.
-    ANCHOR: the start answers no heartbeat of this agent. REFUSED: the worker
-    refused. LATE: the start window had passed.
+    UNKNOWN: the attempt does not run on this host. EPOCH: the shard has a newer
+    owner. ANCHOR: the anchor of the start is not a heartbeat of this agent.
+    REFUSED: the worker rejected the call. LATE: the start window had passed.
     """
 
     OK = "ok"
@@ -105,10 +105,10 @@
 
 
 class StartAnswer(Enum):
-    """What became of an order to start a run.
+    """Result of an order to start a run.
 
-    REFUSED and all that follow it: the run did not begin and never will.
-    UNFIT: the executor had no room. BROKEN: the executor failed the order itself.
+    After REFUSED, UNFIT, BROKEN and TICKET the run did not begin and never will.
+    UNFIT: the executor had no capacity. BROKEN: the executor failed on the order.
     """
 
     STARTED = "started"
@@ -119,7 +119,7 @@
 
 
 class Settlement(Enum):
-    """What an agent knows of a request id."""
+    """State of a request at an agent, as reported in `Settled`."""
 
     DONE = "done"
     RUNNING = "running"
@@ -128,14 +128,14 @@
 
 
 class KeyState(Enum):
-    """Answer of an agent to a reservation of an idempotency key."""
+    """Result of reserving an idempotency key at an agent."""
 
     NEW = "new"
     KNOWN = "known"
 
 
 class Maturity(Enum):
-    """How far back an agent's memory of idempotency keys reaches."""
+    """How complete an agent's record of recent idempotency keys is."""
 
     YOUNG = "young"
     JOINING = "joining"
@@ -143,7 +143,7 @@
 
 
 class ResultClass(Enum):
-    """What a caller is told in the `Apricotpath-Outcome` header."""
+    """Outcome of a request in the `Apricotpath-Outcome` response header."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
@@ -183,9 +183,9 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
-    """What a team submits: `tasks` equal tasks of one size.
+    """A job as submitted by a team: `tasks` identical tasks of one size.
 
-    `activity` names the kind of work that quiet hours may forbid; an empty
+    `activity` is the kind of work, which quiet hours may forbid. An empty
     `data_centres` means any that the bundle allows. Times are in seconds.
     """
 
--- a/tests/features/bundle.feature
+++ b/tests/features/bundle.feature
@@ -1,7 +1,7 @@
 Feature: bundle
 
-  Guards against a wrong bundle that is accepted, an error that does not tell
-  what to change, and a comparison that hides a change.
+  Guards against an invalid bundle that is accepted, an error that does not tell
+  what to change, and a comparison that omits a change.
 
   Scenario: the examples are valid and survive a round trip
     Then each example bundle equals itself after it is written and parsed
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -1,7 +1,7 @@
 Feature: config
 
-  Guards against a settings file that is accepted with a mistake in it, and an
-  error that does not name the place.
+  Guards against an invalid settings file that is accepted, and an error that
+  does not name the file and the setting.
 
   Scenario Outline: a wrong setting is refused with its place
     Given the example entry settings
--- a/tests/features/steps/bundle_steps.py
+++ b/tests/features/steps/bundle_steps.py
@@ -21,18 +21,18 @@
 
 
 def changed(value: Any, path: str, new: Any) -> Any:
-    """Return a copy of JSON values with the value at a dotted path replaced."""
+    """Return a copy of a JSON value in which the value at a dotted path is replaced."""
     value = copy.deepcopy(value)
     *parents, last = path.split(".")
-    place = value
+    container = value
     for name in parents:
-        place = place[int(name)] if isinstance(place, list) else place[name]
-    place[last] = new
+        container = container[int(name)] if isinstance(container, list) else container[name]
+    container[last] = new
     return value
 
 
 class BundleSubject:
-    """Holds a bundle as JSON values."""
+    """Holds an example bundle, and its JSON values to be changed."""
 
     def __init__(self) -> None:
         self.old = load_bundle(EXAMPLES / "suva" / "bundle.json")
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -25,13 +25,13 @@
 
 
 class EntryFile:
-    """Holds the values of an entry's settings and checks variations of them."""
+    """Holds the JSON values of an entry's settings and tries changed ones."""
 
     def __init__(self) -> None:
         self.value = load_json(ENTRY)
         self.accepted = 0
         self.refused = 0
-        self.unnamed: list[str] = []
+        self.errors_without_file: list[str] = []
 
     def error(self) -> str:
         try:
@@ -43,7 +43,7 @@
     def try_arbitrary(self, count: int) -> None:
         paths = st.sampled_from(["", *self.value, "links.port", "links.host", "store.url"])
 
-        # A fixed seed keeps the run the same everywhere.
+        # A fixed seed makes the run reproducible.
         @seed(5)
         @settings(max_examples=count, database=None, deadline=None)
         @for_all(paths, VALUES)
@@ -59,7 +59,7 @@
         except SettingsError as exc:
             self.refused += 1
             if not str(exc).startswith("entry.json: "):
-                self.unnamed.append(str(exc))
+                self.errors_without_file.append(str(exc))
 
 
 @given("the example entry settings")
@@ -109,5 +109,5 @@
 @then("each gave settings or a settings error that names the file")
 def _(context: Any) -> None:
     subject = context.entry_file
-    assert not subject.unnamed, subject.unnamed[:3]
+    assert not subject.errors_without_file, subject.errors_without_file[:3]
     assert subject.accepted > 0 and subject.refused > 100, (subject.accepted, subject.refused)
