Use cryptographic terms in signing and certs

Comments spoke of keys that "vouch" and envelopes that are "spoilt". They now use delegation, domain separation, verification and replay window; private names and step sentences follow, signed texts and file formats stay. scripts/check passes; signing and tls features: 35 scenarios passed, none failed.

--- a/packages/core/src/apricotpath/certs.py
+++ b/packages/core/src/apricotpath/certs.py
@@ -1,4 +1,4 @@
-"""A private certificate authority and process certificates for TLS between processes."""
+"""Private certificate authority and process certificates for TLS between processes."""
 
 from datetime import UTC, datetime, timedelta
 from ipaddress import IPv4Address, IPv6Address, ip_address
@@ -14,21 +14,24 @@
 
 AUTHORITY_DAYS = 3650
 PROCESS_DAYS = 365
-# A certificate is valid this long before it is made, for clocks that run behind.
+# Certificates are valid from this long before they are created, to allow for slow clocks.
 BACKDATE = timedelta(minutes=5)
 
 
 def create_authority(name: str, certificate: Path, private_key: Path, now: datetime) -> None:
-    """Write a self-signed authority and its key; raises InputError if a file exists."""
+    """Create a self-signed authority certificate and its key.
+
+    Raises InputError if a file exists.
+    """
     key = ec.generate_private_key(ec.SECP256R1())
     subject = _name(name)
-    built = (
+    signed_certificate = (
         _builder(subject, subject, key, now, AUTHORITY_DAYS)
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
-        .add_extension(_usage(signs_certificates=True), critical=True)
+        .add_extension(_key_usage(signs_certificates=True), critical=True)
         .sign(key, hashes.SHA256())
     )
-    _save(certificate, private_key, built, key)
+    _save(certificate, private_key, signed_certificate, key)
 
 
 def issue_certificate(
@@ -38,20 +41,21 @@
     files: tuple[Path, Path],
     now: datetime,
 ) -> None:
-    """Write a process certificate and its key.
+    """Create a process certificate and its key.
 
-    `authority` and `files` are (certificate, private key). `addresses` are IP
-    numbers. Raises InputError if an address or a file is wrong.
+    `authority` and `files` are paths (certificate, private key). `addresses` are
+    IP addresses. Raises InputError if an address is invalid, the authority
+    cannot be read or a file exists.
     """
     issuer, issuer_key = _load_authority(*authority)
     key = ec.generate_private_key(ec.SECP256R1())
     names = x509.SubjectAlternativeName([x509.IPAddress(_address(text)) for text in addresses])
     uses = [ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH]
-    built = (
+    signed_certificate = (
         _builder(_name(process), issuer.subject, key, now, PROCESS_DAYS)
         .add_extension(names, critical=False)
         .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
-        .add_extension(_usage(signs_certificates=False), critical=True)
+        .add_extension(_key_usage(signs_certificates=False), critical=True)
         .add_extension(x509.ExtendedKeyUsage(uses), critical=False)
         .add_extension(
             x509.AuthorityKeyIdentifier.from_issuer_public_key(issuer_key.public_key()),
@@ -59,7 +63,7 @@
         )
         .sign(issuer_key, hashes.SHA256())
     )
-    _save(*files, built, key)
+    _save(*files, signed_certificate, key)
 
 
 def _builder(
@@ -82,7 +86,7 @@
     )
 
 
-def _usage(signs_certificates: bool) -> x509.KeyUsage:
+def _key_usage(signs_certificates: bool) -> x509.KeyUsage:
     return x509.KeyUsage(
         digital_signature=not signs_certificates,
         content_commitment=False,
@@ -126,7 +130,10 @@
 
 
 def _save(
-    certificate: Path, private_key: Path, built: x509.Certificate, key: ec.EllipticCurvePrivateKey
+    certificate: Path,
+    private_key: Path,
+    signed_certificate: x509.Certificate,
+    key: ec.EllipticCurvePrivateKey,
 ) -> None:
     if certificate.exists():
         raise InputError(f"{certificate}: exists already")
@@ -137,6 +144,6 @@
     )
     write_private(private_key, pem)
     try:
-        certificate.write_bytes(built.public_bytes(serialization.Encoding.PEM))
+        certificate.write_bytes(signed_certificate.public_bytes(serialization.Encoding.PEM))
     except OSError as exc:
         raise InputError(f"{certificate}: cannot be written: {exc.strerror}") from exc
--- a/packages/core/src/apricotpath/signing.py
+++ b/packages/core/src/apricotpath/signing.py
@@ -1,4 +1,4 @@
-"""Ed25519 keys, signed envelopes with delegated keys, and signed operator requests."""
+"""Ed25519 keys, key delegation, signed envelopes and signed operator requests."""
 
 import base64
 import binascii
@@ -23,17 +23,17 @@
 
 PUBLIC_KEY_BYTES = 32
 KEY_ID_BYTES = 16
-# An envelope is stored as one value (1 MB) and sent in one frame (1 MiB).
+# An envelope must fit into one store value (1 MB) and one frame (1 MiB).
 MAX_ENVELOPE_BYTES = 768 << 10
 MAX_CHAIN = 16
-# An operator's clock may differ from an entry's by this much.
+# Maximum difference between an operator's clock and an entry's.
 CLOCK_SKEW_S = 30.0
-# Signed requests that one entry remembers; more in the window are refused.
+# Nonces that one entry keeps; further requests within the replay window are rejected.
 MAX_NONCES = 20_000
 MAX_NONCE_CHARACTERS = 64
 SCHEME = "Apricotpath"
 
-# A prefix per use keeps a signature made for one use from being valid for another.
+# Domain separation: a signature made for one use is not valid for another.
 _ENVELOPE = b"apricotpath envelope 1\0"
 _DELEGATION = b"apricotpath delegation 1\0"
 _REQUEST = b"apricotpath request 1\0"
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delegation:
-    """Statement of an older key (`by`) that a new public key is to be trusted."""
+    """Statement signed by an older key (`by`) that a new public key is to be trusted."""
 
     public_key: str
     by: KeyId
@@ -50,14 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SigningKey:
-    """A private key and the delegations that lead to it from a key in the settings."""
+    """A private key and its chain of delegations from a key in the settings."""
 
     private: Ed25519PrivateKey
     chain: tuple[Delegation, ...] = ()
 
     @property
     def public_text(self) -> str:
-        """Public key as it is written in `trusted_keys`: base64 of 32 bytes."""
+        """Public key in the form used in `trusted_keys`: base64 of 32 bytes."""
         return _encode(
             self.private.public_key().public_bytes(
                 serialization.Encoding.Raw, serialization.PublicFormat.Raw
@@ -70,13 +70,13 @@
         return key_id(self.public_text)
 
     def sign(self, prefix: bytes, data: bytes) -> str:
-        """Return the base64 signature of data for one use."""
+        """Return the base64 signature of data; `prefix` identifies the use."""
         return _encode(self.private.sign(prefix + data))
 
 
 @dataclass(frozen=True, slots=True)
 class SignedEnvelope:
-    """Exact payload bytes with a signature."""
+    """Payload bytes with their signature."""
 
     payload: bytes
     key: KeyId
@@ -96,37 +96,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Trust:
-    """Public keys by id that are trusted now, and the ids that are revoked."""
+    """Trusted public keys by id, and the ids of revoked keys."""
 
     keys: Mapping[KeyId, str]
     revoked: frozenset[KeyId] = frozenset()
 
     @classmethod
     def of(cls, texts: Sequence[str], revoked: Sequence[KeyId] = ()) -> "Trust":
-        """Return the trust in public keys given as text; raises SignatureError."""
+        """Create it from public keys in base64; raises SignatureError."""
         return cls({key_id(text): text for text in texts}, frozenset(revoked))
 
     def extended(self, chain: Sequence[Delegation]) -> dict[KeyId, str]:
-        """Return the trusted keys with those that a chain adds, without revoked ones.
+        """Return the trusted keys and those that a chain adds, without revoked ones.
 
-        A delegation by a key that is unknown or revoked adds nothing.
+        A delegation by an unknown or revoked key is skipped. Raises
+        SignatureError if a signature is wrong or the chain is too long.
         """
         if len(chain) > MAX_CHAIN:
             raise SignatureError(f"the delegation chain is longer than {MAX_CHAIN} keys")
-        known = {key: text for key, text in self.keys.items() if key not in self.revoked}
+        trusted = {key: text for key, text in self.keys.items() if key not in self.revoked}
         for item in chain:
-            issuer = known.get(item.by)
+            issuer = trusted.get(item.by)
             new = key_id(item.public_key)
             if issuer is None or new in self.revoked:
                 continue
             _verify(issuer, _DELEGATION + _decode(item.public_key), item.signature)
-            known[new] = item.public_key
-        return known
+            trusted[new] = item.public_key
+        return trusted
 
 
 @dataclass(frozen=True, slots=True)
 class RequestProof:
-    """Credentials of one operator request; `time_ms` is UTC since 1970."""
+    """Credentials of one operator request; `time_ms` is Unix time in milliseconds."""
 
     key: KeyId
     time_ms: int
@@ -136,19 +137,19 @@
 
 
 def generate_key() -> SigningKey:
-    """Return a new key."""
+    """Generate a new key without delegations."""
     return SigningKey(Ed25519PrivateKey.generate())
 
 
 def rotate_key(old: SigningKey) -> SigningKey:
-    """Return a new key that the old one vouches for."""
+    """Generate a new key with a delegation by the old one."""
     new = generate_key()
     signature = old.sign(_DELEGATION, _decode(new.public_text))
     return SigningKey(new.private, (*old.chain, Delegation(new.public_text, old.key_id, signature)))
 
 
 def key_id(public_text: str) -> KeyId:
-    """Return the id of a public key given as text, or raise SignatureError."""
+    """Return the id of a public key in base64, or raise SignatureError."""
     raw = _decode(public_text)
     if len(raw) != PUBLIC_KEY_BYTES:
         raise SignatureError("a public key must be the base64 form of 32 bytes")
@@ -156,7 +157,7 @@
 
 
 def save_key(key: SigningKey, path: Path) -> None:
-    """Write a key (PEM, mode 600) and its chain beside it; never overwrites a file."""
+    """Write a key (PEM, mode 600) and its chain file; raises InputError if a file exists."""
     pem = key.private.private_bytes(
         serialization.Encoding.PEM,
         serialization.PrivateFormat.PKCS8,
@@ -178,7 +179,10 @@
 
 
 def load_key(path: Path) -> SigningKey:
-    """Read a key file and its chain; refuses a file that others can read."""
+    """Read a key file and its chain file.
+
+    Raises SignatureError if others can read the file or it is no Ed25519 key.
+    """
     try:
         mode = path.stat().st_mode & 0o777
         if mode & 0o077:
@@ -197,7 +201,7 @@
 
 
 def chain_path(path: Path) -> Path:
-    """Return the file that holds the delegation chain of a key file."""
+    """Return the path of the file with the delegation chain of a key file."""
     return path.with_name(path.name + ".chain")
 
 
@@ -214,32 +218,36 @@
     if not isinstance(value, list) or len(value) > MAX_CHAIN:
         raise SignatureError(f"a delegation chain must be a list of at most {MAX_CHAIN} items")
     return tuple(
-        Delegation(_text(item, "public_key"), KeyId(_text(item, "by")), _text(item, "signature"))
+        Delegation(
+            _required_text(item, "public_key"),
+            KeyId(_required_text(item, "by")),
+            _required_text(item, "signature"),
+        )
         for item in value
     )
 
 
 def seal(payload: bytes, key: SigningKey) -> SignedEnvelope:
-    """Return a signed envelope of the payload."""
+    """Sign a payload and return the envelope."""
     return SignedEnvelope(payload, key.key_id, key.sign(_ENVELOPE, payload), key.chain)
 
 
 def parse_envelope(data: bytes) -> SignedEnvelope:
-    """Return an envelope from its JSON form without checking the signature."""
+    """Parse an envelope from JSON without verifying its signature; raises SignatureError."""
     if len(data) > MAX_ENVELOPE_BYTES:
         raise SignatureError(f"an envelope may have at most {MAX_ENVELOPE_BYTES} bytes")
     value = _load_json(data)
     return SignedEnvelope(
-        _decode(_text(value, "payload")),
-        KeyId(_text(value, "key")),
-        _text(value, "signature"),
+        _decode(_required_text(value, "payload")),
+        KeyId(_required_text(value, "key")),
+        _required_text(value, "signature"),
         chain_from_json(value.get("chain", [])),
     )
 
 
 def check_envelope(envelope: SignedEnvelope, trust: Trust) -> bytes:
     """Return the payload if a trusted key signed it, or raise SignatureError."""
-    public = _trusted(envelope.key, trust, envelope.chain)
+    public = _trusted_public_key(envelope.key, trust, envelope.chain)
     _verify(public, _ENVELOPE + envelope.payload, envelope.signature)
     return envelope.payload
 
@@ -247,8 +255,8 @@
 def sign_request(
     key: SigningKey, method: str, target: str, body: bytes, time_ms: int, nonce: str
 ) -> dict[str, str]:
-    """Return the headers that sign a request; `target` is path and query as sent."""
-    signature = key.sign(_REQUEST, _request_text(method, target, body, time_ms, nonce))
+    """Return the authentication headers of a request; `target` is path and query as sent."""
+    signature = key.sign(_REQUEST, _signed_request_bytes(method, target, body, time_ms, nonce))
     fields = f'key="{key.key_id}", time="{time_ms}", nonce="{nonce}", signature="{signature}"'
     headers = {"Authorization": f"{SCHEME} {fields}"}
     if key.chain:
@@ -258,7 +266,7 @@
 
 
 def parse_proof(authorization: str, chain: str = "") -> RequestProof:
-    """Return the credentials in the headers of a request, or raise SignatureError."""
+    """Parse the credentials in a request's headers; raises SignatureError."""
     scheme, _, rest = authorization.partition(" ")
     if scheme != SCHEME:
         raise SignatureError("the request carries no Apricotpath credentials")
@@ -273,22 +281,22 @@
         raise SignatureError("the nonce in the credentials is missing or too long")
     delegations = chain_from_json(_load_json(_decode(chain))) if chain else ()
     return RequestProof(
-        KeyId(_text(values, "key")),
+        KeyId(_required_text(values, "key")),
         int(time_text),
         nonce,
-        _text(values, "signature"),
+        _required_text(values, "signature"),
         delegations,
     )
 
 
 @dataclass(slots=True)
 class NonceCache:
-    """Nonces of signed requests that could still be replayed."""
+    """Nonces of accepted requests that could still be replayed."""
 
     seen: dict[tuple[KeyId, str], int] = field(default_factory=dict)
 
     def add(self, key: KeyId, nonce: str, time_ms: int, now_ms: int) -> None:
-        """Remember a nonce, or raise SignatureError if it is known or there are too many."""
+        """Store a nonce, or raise SignatureError if it was used before or the cache is full."""
         oldest = now_ms - int(2 * CLOCK_SKEW_S * 1000)
         if len(self.seen) >= MAX_NONCES:
             self.seen = {item: at for item, at in self.seen.items() if at >= oldest}
@@ -308,30 +316,30 @@
     now_ms: int,
     nonces: NonceCache,
 ) -> KeyId:
-    """Return the key that signed a request, or raise SignatureError.
+    """Verify a request and return the key that signed it, or raise SignatureError.
 
-    The nonce is remembered only after the signature proved right, so that
-    nobody without a key can fill the cache.
+    The nonce is stored only after the signature was verified, so that requests
+    without a trusted key cannot fill the cache.
     """
     if abs(now_ms - proof.time_ms) > CLOCK_SKEW_S * 1000:
         raise SignatureError(
             f"the request's time differs from the entry's by more than {CLOCK_SKEW_S:g} s",
             rule="clock skew",
         )
-    public = _trusted(proof.key, trust, proof.chain)
-    text = _request_text(method, target, body, proof.time_ms, proof.nonce)
+    public = _trusted_public_key(proof.key, trust, proof.chain)
+    text = _signed_request_bytes(method, target, body, proof.time_ms, proof.nonce)
     _verify(public, _REQUEST + text, proof.signature)
     nonces.add(proof.key, proof.nonce, proof.time_ms, now_ms)
     return proof.key
 
 
-def _request_text(method: str, target: str, body: bytes, time_ms: int, nonce: str) -> bytes:
+def _signed_request_bytes(method: str, target: str, body: bytes, time_ms: int, nonce: str) -> bytes:
     digest = hashlib.sha256(body).hexdigest()
-    # JSON keeps the fields apart whatever characters they hold.
+    # JSON separates the fields unambiguously whatever characters they contain.
     return json.dumps([method.upper(), target, digest, time_ms, nonce]).encode()
 
 
-def _trusted(key: KeyId, trust: Trust, chain: Sequence[Delegation]) -> str:
+def _trusted_public_key(key: KeyId, trust: Trust, chain: Sequence[Delegation]) -> str:
     if key in trust.revoked:
         raise SignatureError(f"key {key} is revoked", rule="revoked_keys")
     public = trust.extended(chain).get(key)
@@ -365,7 +373,7 @@
         raise SignatureError("the signed data is not valid JSON") from exc
 
 
-def _text(value: Any, name: str) -> str:
+def _required_text(value: Any, name: str) -> str:
     found = value.get(name) if isinstance(value, dict) else None
     if not isinstance(found, str) or not found:
         raise SignatureError(f"the signed data has no field {name!r}")
--- a/tests/features/signing.feature
+++ b/tests/features/signing.feature
@@ -1,8 +1,8 @@
 Feature: signing
 
-  Guards against a bundle or operator request that nobody entitled has signed,
-  against replayed and altered requests, against a key rotation that needs new
-  settings, and against private keys that others can read.
+  Guards against accepting a bundle or operator request that no trusted key has
+  signed, against replayed and altered requests, against a key rotation that
+  needs new settings, and against private keys that others can read.
 
   Scenario: a signed envelope is accepted with its exact payload
     Given a trusted signing key and a sealed envelope
@@ -10,7 +10,7 @@
 
   Scenario Outline: a wrong envelope is refused
     Given a trusted signing key and a sealed envelope
-    When the sealed envelope is spoilt by <damage>
+    When the sealed envelope is damaged by <damage>
     Then opening the sealed envelope raises a signature error
 
     Examples:
@@ -28,12 +28,12 @@
 
   Scenario: a key rotated twice is trusted without a change of settings
     Given a trusted signing key and a sealed envelope
-    When the signing key is rotated 2 times and seals again
+    When the signing key is rotated 2 times and signs the envelope again
     Then the sealed envelope opens to its payload after a round trip
 
   Scenario Outline: an altered operator request is refused
     Given a signed operator request
-    When the request credentials are spoilt by <damage>
+    When the request credentials are damaged by <damage>
     Then the request credentials are refused
 
     Examples:
--- a/tests/features/steps/signing_steps.py
+++ b/tests/features/steps/signing_steps.py
@@ -40,7 +40,7 @@
 
 
 def raises(call: Callable[[], Any], kind: type[Exception] = SignatureError) -> bool:
-    """Tell whether a call raises an error of a kind."""
+    """Tell whether a call raises an exception of a type."""
     try:
         call()
     except kind:
@@ -49,7 +49,7 @@
 
 
 class SealedEnvelope:
-    """Holds keys and the envelope under test."""
+    """Holds a signing key, the trusted keys, and the envelope under test."""
 
     payload = b'{"version": 7}'
 
@@ -66,17 +66,19 @@
             self.key = rotate_key(self.key)
         self.data = seal(self.payload, self.key).to_bytes()
 
-    def spoil(self, damage: str) -> None:
+    def apply_damage(self, damage: str) -> None:
         envelope = parse_envelope(self.data)
-        stranger = generate_key()
+        untrusted_key = generate_key()
         changes: dict[str, Callable[[], SignedEnvelope]] = {
             "one changed payload byte": lambda: replace(envelope, payload=b'{"version": 8}'),
             "a signature by another key": lambda: replace(
-                envelope, signature=seal(self.payload, stranger).signature
+                envelope, signature=seal(self.payload, untrusted_key).signature
             ),
-            "the id of a key nobody knows": lambda: seal(self.payload, stranger),
-            "a chain that an unknown key began": lambda: seal(self.payload, rotate_key(stranger)),
-            "a chain with a forged delegation": lambda: self._forged(stranger),
+            "the id of a key nobody knows": lambda: seal(self.payload, untrusted_key),
+            "a chain that an unknown key began": lambda: seal(
+                self.payload, rotate_key(untrusted_key)
+            ),
+            "a chain with a forged delegation": lambda: self._forged(untrusted_key),
             "a signature made for a request": lambda: replace(
                 envelope, signature=self.key.sign(b"apricotpath request 1\0", self.payload)
             ),
@@ -96,10 +98,10 @@
             padding = b" " * MAX_ENVELOPE_BYTES
             self.data = self.data + padding
 
-    def _forged(self, stranger: SigningKey) -> SignedEnvelope:
-        signature = stranger.sign(b"apricotpath delegation 1\0", b"x")
-        link = Delegation(stranger.public_text, self.key.key_id, signature)
-        return seal(self.payload, SigningKey(stranger.private, (link,)))
+    def _forged(self, untrusted_key: SigningKey) -> SignedEnvelope:
+        signature = untrusted_key.sign(b"apricotpath delegation 1\0", b"x")
+        link = Delegation(untrusted_key.public_text, self.key.key_id, signature)
+        return seal(self.payload, SigningKey(untrusted_key.private, (link,)))
 
 
 @given("a trusted signing key and a sealed envelope")
@@ -107,12 +109,12 @@
     context.sealed = SealedEnvelope()
 
 
-@when("the sealed envelope is spoilt by {damage}")
+@when("the sealed envelope is damaged by {damage}")
 def _(context: Any, damage: str) -> None:
-    context.sealed.spoil(damage)
+    context.sealed.apply_damage(damage)
 
 
-@when("the signing key is rotated {times:d} times and seals again")
+@when("the signing key is rotated {times:d} times and signs the envelope again")
 def _(context: Any, times: int) -> None:
     context.sealed.rotate(times)
 
@@ -128,7 +130,7 @@
 
 
 class SignedRequest:
-    """Holds a signed request as an entry receives it."""
+    """Holds a signed request as received by an entry, and the entry's trusted keys and clock."""
 
     def __init__(self) -> None:
         self.key = generate_key()
@@ -144,7 +146,7 @@
             proof, self.method, self.target, self.body, self.trust, self.now_ms, self.nonces
         )
 
-    def spoil(self, damage: str) -> None:
+    def apply_damage(self, damage: str) -> None:
         credentials = self.headers["Authorization"]
         edits = {
             "another time": (str(NOW_MS), str(NOW_MS + 1)),
@@ -176,9 +178,9 @@
     context.signed = SignedRequest()
 
 
-@when("the request credentials are spoilt by {damage}")
+@when("the request credentials are damaged by {damage}")
 def _(context: Any, damage: str) -> None:
-    context.signed.spoil(damage)
+    context.signed.apply_damage(damage)
 
 
 @then("the request credentials are refused")
@@ -206,13 +208,13 @@
         context.nonces.add(KeyId("k"), "new", NOW_MS + after_ms, NOW_MS + after_ms)
 
     assert raises(lambda: add(0))
-    # A request may be dated 30 s ahead and is then accepted for 60 s.
+    # A request with a time 30 s ahead of the entry's clock is accepted for 60 s.
     assert raises(lambda: add(60_000))
     add(60_001)
 
 
 class KeyFile:
-    """Holds a rotated key in a file."""
+    """Holds a rotated key and the file that it was saved to."""
 
     def __init__(self, folder: str) -> None:
         self.path = Path(folder) / "operator.pem"
@@ -252,29 +254,29 @@
 
 
 class Handshake:
-    """Holds certificates and runs a TLS handshake in memory."""
+    """Holds certificates of two authorities and runs TLS handshakes in memory."""
 
     def __init__(self, folder: str) -> None:
         self.now = datetime.now(UTC)
         self.succeeded = False
         self.ours, self.other = Path(folder) / "a", Path(folder) / "b"
-        for place in (self.ours, self.other):
-            place.mkdir()
-            create_authority("test", place / "ca.crt", place / "ca.key", self.now)
-            self._issue(place, "one")
-            self._issue(place, "two")
+        for directory in (self.ours, self.other):
+            directory.mkdir()
+            create_authority("test", directory / "ca.crt", directory / "ca.key", self.now)
+            self._issue(directory, "one")
+            self._issue(directory, "two")
 
-    def _issue(self, place: Path, name: str) -> None:
+    def _issue(self, directory: Path, name: str) -> None:
         issue_certificate(
             name,
             ("127.0.0.1", "::1"),
-            (place / "ca.crt", place / "ca.key"),
-            (place / f"{name}.crt", place / f"{name}.key"),
+            (directory / "ca.crt", directory / "ca.key"),
+            (directory / f"{name}.crt", directory / f"{name}.key"),
             self.now,
         )
 
-    def dial(self, place: Path) -> None:
-        client_tls = TlsSettings(place / "one.crt", place / "one.key", self.ours / "ca.crt")
+    def dial(self, directory: Path) -> None:
+        client_tls = TlsSettings(directory / "one.crt", directory / "one.key", self.ours / "ca.crt")
         server_tls = TlsSettings(self.ours / "two.crt", self.ours / "two.key", self.ours / "ca.crt")
         to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
         client = client_context(client_tls).wrap_bio(to_client, to_server)
--- a/tests/features/steps/tls_steps.py
+++ b/tests/features/steps/tls_steps.py
@@ -18,7 +18,7 @@
 from apricotpath.link import dial_forever, listen
 from apricotpath.messages import JobCall, JobReply
 
-DIALS_WATCHED = 3
+MIN_DIALS = 3
 
 
 def make_files(folder: Path, processes: tuple[str, ...]) -> None:
@@ -39,7 +39,7 @@
 
 
 class TlsSubject:
-    """A server and a client on loopback, both with mutual TLS."""
+    """A server and a client on the loopback interface, with mutual TLS."""
 
     def __init__(self) -> None:
         self.scratch = tempfile.TemporaryDirectory()
@@ -48,7 +48,7 @@
         self.cfg = LinkSettings(heartbeat_s=0.1, silence_s=1.0, redial_max_s=0.2)
         self.server = RecordingHandler()
         self.client = RecordingHandler()
-        self.accepted = 0
+        self.ended_dials = 0
         self.result = ""
 
     def client_tls(self, which: str) -> TlsSettings | None:
@@ -58,7 +58,7 @@
         if which == "a certificate of another authority":
             other = Path(self.scratch.name) / "other"
             make_files(other, ("client",))
-            # The stranger trusts our authority, or it would refuse the server itself.
+            # This client trusts our authority; otherwise it would reject the server itself.
             shutil.copy(self.folder / "authority.pem", other / "authority.pem")
             return settings_of(other, "client")
         name = "server" if which == "the certificate of another process" else "client"
@@ -74,7 +74,7 @@
                 target = Address("127.0.0.1", port)
                 rng = random.Random(2)
                 group.start_soon(
-                    dial_forever, target, hello("client"), cfg, self.client, _Counting(rng, self)
+                    dial_forever, target, hello("client"), cfg, self.client, _DialCounter(rng, self)
                 )
                 with anyio.fail_after(20):
                     await scenario()
@@ -105,7 +105,7 @@
 
     async def refused(self) -> None:
         """Wait until the client has dialled several times."""
-        await until(lambda: self.accepted >= DIALS_WATCHED)
+        await until(lambda: self.ended_dials >= MIN_DIALS)
         self.result = "refused"
 
     async def replaced(self) -> None:
@@ -119,8 +119,8 @@
         self.result = "replaced"
 
 
-class _Counting(random.Random):
-    """Counts the dials that ended, since each one draws a random delay."""
+class _DialCounter(random.Random):
+    """Counts connection attempts of the client: each ended attempt draws a random delay."""
 
     def __init__(self, rng: random.Random, subject: TlsSubject) -> None:
         super().__init__(rng.random())
@@ -128,7 +128,7 @@
 
     def random(self) -> float:
         if hasattr(self, "subject"):
-            self.subject.accepted += 1
+            self.subject.ended_dials += 1
         return super().random()
 
 
@@ -164,6 +164,6 @@
     context.tls.run("its own certificate", context.tls.replaced)
 
 
-@then("the TLS link that was open goes on and a new one opens with the new certificates")
+@then("the open TLS link still works and a new one opens with the new certificates")
 def _(context: Any) -> None:
     assert context.tls.result == "replaced"
--- a/tests/features/tls.feature
+++ b/tests/features/tls.feature
@@ -1,7 +1,8 @@
 Feature: tls
 
-  Guards against a process that gets in without a certificate of our authority,
-  under the name of another process, or only until certificates are replaced.
+  Guards against a process that is accepted without a certificate of our
+  authority or under the name of another process, and against links that fail
+  after certificates were replaced.
 
   Scenario: two TLS processes with certificates of one authority are linked
     Given a TLS authority with certificates for server and client
@@ -22,4 +23,4 @@
   Scenario: TLS certificates are replaced without a restart
     Given a TLS authority with certificates for server and client
     When the TLS authority and all certificates are replaced while linked
-    Then the TLS link that was open goes on and a new one opens with the new certificates
+    Then the open TLS link still works and a new one opens with the new certificates
