Use rate-limiting and monitoring terms in logs and metrics

Names such as "budget", "untold" and "told" hid a token bucket and a count of lines that were not reported yet.

--- a/packages/core/src/apricotpath/boottime.py
+++ b/packages/core/src/apricotpath/boottime.py
@@ -1,22 +1,22 @@
-"""The clock for leases and authority, which goes on while a machine is suspended."""
+"""Monotonic clock for leases, which also advances while the machine is suspended."""
 
 import time
 from collections.abc import Callable
 
 
-def _machine_s() -> float:
+def _system_boot_s() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-_source: Callable[[], float] = _machine_s
+_clock: Callable[[], float] = _system_boot_s
 
 
 def boot_s() -> float:
-    """Return seconds since the machine's start, suspension included."""
-    return _source()
+    """Return the seconds since boot, including time in suspend."""
+    return _clock()
 
 
 def use_source(source: Callable[[], float] | None) -> None:
-    """Read another clock from now on, so that tests can move time; None restores the machine's."""
-    global _source
-    _source = source or _machine_s
+    """Replace the clock, for tests with virtual time; None restores the system clock."""
+    global _clock
+    _clock = source or _system_boot_s
--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -1,10 +1,10 @@
-"""Counters and histograms of jobs, their runs, and the calls that serve them."""
+"""Metrics of jobs, their runs, and calls to the store and executors."""
 
 from apricotpath.ids import QueueId
 from apricotpath.metrics import MetricSet
 from apricotpath.workload import Progress, RunResult
 
-# Operators choose the names of queues, so only this many get a label of their own.
+# Limits label cardinality, since operators choose queue names; other queues share one label.
 MAX_QUEUES = 256
 OTHER_QUEUES = QueueId("other")
 
@@ -28,37 +28,37 @@
             "apricotpath_job_seconds", "Time from the acceptance of a job to its final state"
         )
         self._runs = self._counter("apricotpath_runs_ended_total", "Ends of runs by result")
-        self._out_s = self._histogram(
+        self._outward_call_s = self._histogram(
             "apricotpath_outward_call_seconds", "Time of calls to the store and the executor"
         )
-        self._out = self._counter(
+        self._outward_calls = self._counter(
             "apricotpath_outward_calls_total", "Calls to the store and the executor by outcome"
         )
 
-    def _queue(self, queue: QueueId) -> QueueId:
+    def _queue_label(self, queue: QueueId) -> QueueId:
         if len(self._queues) < MAX_QUEUES:
             self._queues.add(queue)
         return queue if queue in self._queues else OTHER_QUEUES
 
     def answered(self, call: str, queue: QueueId, status: int, seconds: float) -> None:
         """Count a caller's call that was answered."""
-        labels = {"call": call, "queue": self._queue(queue)}
+        labels = {"call": call, "queue": self._queue_label(queue)}
         self._call_s.add(labels, seconds)
         self._calls.inc({**labels, "status": str(status)})
 
     def task_ordered(self, queue: QueueId, waited_s: float) -> None:
         """Count a run that was ordered."""
-        self._wait_s.add({"queue": self._queue(queue)}, waited_s)
+        self._wait_s.add({"queue": self._queue_label(queue)}, waited_s)
 
     def run_ended(self, queue: QueueId, result: RunResult) -> None:
-        """Count a run that ended or was given up."""
-        self._runs.inc({"queue": self._queue(queue), "result": result.value})
+        """Count a run that ended or was given up as lost."""
+        self._runs.inc({"queue": self._queue_label(queue), "result": result.value})
 
     def job_ended(self, queue: QueueId, progress: Progress, seconds: float) -> None:
         """Count a job that has reached its final state."""
-        self._job_s.add({"queue": self._queue(queue), "progress": progress.value}, seconds)
+        self._job_s.add({"queue": self._queue_label(queue), "progress": progress.value}, seconds)
 
     def called(self, call: str, outcome: str, seconds: float) -> None:
         """Count a call to the store or an executor."""
-        self._out_s.add({"call": call}, seconds)
-        self._out.inc({"call": call, "outcome": outcome})
+        self._outward_call_s.add({"call": call}, seconds)
+        self._outward_calls.inc({"call": call, "outcome": outcome})
--- a/packages/core/src/apricotpath/jsontext.py
+++ b/packages/core/src/apricotpath/jsontext.py
@@ -1,13 +1,13 @@
-"""Compact JSON as it is stored."""
+"""Compact JSON encoding."""
 
 import json
 
 
 def compact_json(value: object) -> str:
-    """Return JSON without spaces."""
+    """Return a value as JSON without spaces."""
     return json.dumps(value, separators=(",", ":"))
 
 
 def json_bytes(value: object) -> bytes:
-    """Return JSON without spaces, encoded."""
+    """Return a value as JSON without spaces, encoded in UTF-8."""
     return compact_json(value).encode()
--- a/packages/core/src/apricotpath/metrics.py
+++ b/packages/core/src/apricotpath/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, histograms and gauges of a process in the Prometheus text format."""
+"""Prometheus metrics of a process, and the metrics of requests to services."""
 
 from collections.abc import Callable
 
@@ -7,18 +7,18 @@
 from apricotpath.ids import ClassId, ServiceId, TeamId
 from apricotpath.model import ResultClass
 
-# Upper bounds in seconds; fine enough for a p99.9 between 5 ms and 1 s.
+# Upper bounds in seconds, dense enough to estimate a p99.9 between 5 ms and 1 s.
 LATENCY_BUCKETS_S = [
     *(0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1),
     *(0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0, 120.0),
 ]
-# Callers choose the team's name, so only this many get a label of their own.
+# Limits label cardinality, since callers choose the team name; other teams share one label.
 MAX_TEAMS = 512
 OTHER_TEAMS = TeamId("other")
 
 
 class MetricSet:
-    """Metrics of one process with a registry of their own, and how they are rendered."""
+    """Metrics of one process in a separate registry."""
 
     def __init__(self) -> None:
         self.registry = Registry()
@@ -63,7 +63,7 @@
         result: ResultClass,
         seconds: float,
     ) -> None:
-        """Count a request that has ended; only whole answers enter the histogram."""
+        """Count an ended request; only complete responses are added to the latency histogram."""
         if len(self._teams) < MAX_TEAMS:
             self._teams.add(team)
         label = team if team in self._teams else OTHER_TEAMS
@@ -73,9 +73,9 @@
         self._outcomes.inc({**labels, "outcome": result.value})
 
     def retried(self, service: ServiceId) -> None:
-        """Count one more try of a request."""
+        """Count a retry of a request."""
         self._retries.inc({"service": service})
 
     def refused(self, service: ServiceId, reason: str) -> None:
-        """Count a request or a try that was refused."""
+        """Count a request or an attempt that was rejected."""
         self._refusals.inc({"service": service, "reason": reason})
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -1,21 +1,21 @@
 Feature: logs
 
-  Guards against a log that grows without bound under load, a reader of the log
-  that stops reading and so stops the process, and lines that are lost without
-  being counted.
+  Guards against a log that grows without limit under load, a process that
+  blocks because the reader of its log has stopped reading, and lines that are
+  lost without being counted.
 
   Scenario: logs keep their volume bounded in a burst and count what is left out
     Given a process logs to a pipe that is read
     When it logs 5000 lines at once
     Then at most 1400 of its lines are written
-    And the lines written and those told as left out are 5000 together
+    And the lines written and those reported as left out add up to 5000
 
   Scenario: logs are not delayed by a reader that stops reading
     Given a process logs to a pipe that nobody reads
     When it logs 5000 lines of 1500 characters over 2 seconds
-    Then no line took it longer than 0.25 seconds
+    Then no log call took longer than 0.25 seconds
     When the pipe is read again
-    Then the lines written and those told as left out are 5000 together
+    Then the lines written and those reported as left out add up to 5000
 
   Scenario: logs keep warnings although ordinary lines use up their budget
     Given a process logs to a pipe that is read
@@ -52,7 +52,7 @@
 
   Scenario: logs tell once what a process repeats meanwhile
     Given logs of an entry, an agent and a scheduler that was replaced
-    And the agent logs 5 times that it does not reach the store
+    And the agent logs 5 times that it cannot reach the store
     When the operators' command explains 00000000000000a1 from the logs
     Then it prints one line "entries not looked up" that was repeated 4 times
 
--- a/tests/features/steps/logs_steps.py
+++ b/tests/features/steps/logs_steps.py
@@ -22,7 +22,7 @@
 
 
 class LoggingProcess:
-    """A logger of its own on a pipe, and what was read from the pipe."""
+    """A separate logger that writes to a pipe, and the text read from the pipe."""
 
     def __init__(self, reads: bool) -> None:
         self.reader, writer = os.pipe()
@@ -43,7 +43,7 @@
         while data := os.read(self.reader, READ_BYTES):
             self.text += data
 
-    def say(self, level: int, text: str, extra: dict[str, Any] | None = None) -> None:
+    def log_line(self, level: int, text: str, extra: dict[str, Any] | None = None) -> None:
         started = time.perf_counter()
         self.log.log(level, text, extra=extra)
         self.slowest_s = max(self.slowest_s, time.perf_counter() - started)
@@ -55,7 +55,7 @@
     def written(self, level: str) -> int:
         return sum(line["level"] == level and line["logger"] == "case" for line in self.lines())
 
-    def told(self) -> int:
+    def reported_left_out(self) -> int:
         return sum(line["count"] for line in self.lines() if line["text"] == "log lines left out")
 
     def wait_for(self, wanted: int, count: Any) -> None:
@@ -78,26 +78,26 @@
 @when("it logs {count:d} lines at once")
 def step_burst(context: Any, count: int) -> None:
     for number in range(count):
-        context.logging.say(logging.INFO, "line", {"number": number})
+        context.logging.log_line(logging.INFO, "line", {"number": number})
 
 
 @when("it logs {count:d} warnings at once")
 def step_warnings(context: Any, count: int) -> None:
     for number in range(count):
-        context.logging.say(logging.WARNING, "warning", {"number": number})
+        context.logging.log_line(logging.WARNING, "warning", {"number": number})
 
 
 @when("it logs {count:d} lines of {length:d} characters over {seconds:g} seconds")
 def step_long_burst(context: Any, count: int, length: int, seconds: float) -> None:
     for number in range(count):
-        context.logging.say(logging.INFO, "x" * length)
+        context.logging.log_line(logging.INFO, "x" * length)
         if seconds and number % 100 == 0:
             time.sleep(100 * seconds / count)
 
 
 @when("it logs a line with a field of {length:d} characters")
 def step_long_field(context: Any, length: int) -> None:
-    context.logging.say(logging.INFO, "line", {"reason": "x" * length})
+    context.logging.log_line(logging.INFO, "line", {"reason": "x" * length})
 
 
 @when("the pipe is read again")
@@ -120,18 +120,18 @@
 @then("at most {most:d} of its lines are written")
 def step_at_most(context: Any, most: int) -> None:
     case = context.logging
-    case.wait_for(case.logged, lambda: case.written("info") + case.told())
+    case.wait_for(case.logged, lambda: case.written("info") + case.reported_left_out())
     assert case.written("info") <= most, case.written("info")
 
 
-@then("the lines written and those told as left out are {count:d} together")
-def step_together(context: Any, count: int) -> None:
+@then("the lines written and those reported as left out add up to {count:d}")
+def step_total(context: Any, count: int) -> None:
     case = context.logging
-    case.wait_for(count, lambda: case.written("info") + case.told())
-    assert case.told() == case.handler.left_out
+    case.wait_for(count, lambda: case.written("info") + case.reported_left_out())
+    assert case.reported_left_out() == case.handler.left_out
 
 
-@then("no line took it longer than {seconds:g} seconds")
+@then("no log call took longer than {seconds:g} seconds")
 def step_no_delay(context: Any, seconds: float) -> None:
     assert context.logging.slowest_s < seconds, context.logging.slowest_s
 
@@ -203,7 +203,7 @@
     assert sentence in context.explain_error, context.explain_error
 
 
-@given("the agent logs {count:d} times that it does not reach the store")
+@given("the agent logs {count:d} times that it cannot reach the store")
 def step_repeats(context: Any, count: int) -> None:
     path = next(Path(name) for name in context.log_files if "side-1" in name)
     with path.open("a") as file:
