--- a/packages/core/src/apricotpath/trace.py
+++ b/packages/core/src/apricotpath/trace.py
@@ -1,4 +1,4 @@
-"""Versioned trace of what an entry saw, one JSON line per event: record, write and read."""
+"""Versioned trace of an entry's input events, one JSON line each: recording, writing, reading."""
 
 import json
 import logging
@@ -31,20 +31,20 @@
 
 TRACE_VERSION = 1
 NO_TEAM, NO_RACK = TeamId(""), RackId("")
-# Bounds of a recording: events waiting to be written, bytes of the file, seconds
-# between writes. What exceeds them is dropped and counted.
-MAX_WAITING = 10_000
-MAX_BYTES = 256 << 20
-WRITE_S = 1.0
-# Longest wait for the last write when the process ends.
-LAST_WRITE_S = 2.0
+# Limits of a recording: events waiting to be written, and bytes of the file. Events beyond
+# them are dropped and counted. Waiting events are written every WRITE_INTERVAL_S seconds.
+MAX_WAITING_EVENTS = 10_000
+MAX_FILE_BYTES = 256 << 20
+WRITE_INTERVAL_S = 1.0
+# Maximum duration of the last write when the process ends.
+LAST_WRITE_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
 class Header:
-    """First line of a trace. `utc` is the ISO time at which the event times are 0.
+    """First line of a trace; `utc` is the ISO time that corresponds to event time 0.
 
-    `settings` are those that matter for a replay, `source` says how it was made.
+    `settings` are those that a replay needs; `source` describes how the trace was made.
     """
 
     version: int
@@ -57,12 +57,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One input of the decisions."""
+    """Base class of trace events, the inputs of scheduling and routing decisions."""
 
 
 @dataclass(frozen=True, slots=True)
 class Job(Event):
-    """An accepted job; `run_ratio` is the real run time against the declared one, if known."""
+    """An accepted job; `run_ratio` is its actual divided by its declared run time, or 1.0."""
 
     spec: JobSpec
     run_ratio: float = 1.0
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostUp(Event):
-    """A host that was announced, with its backend server if `slots` is not 0."""
+    """A host announced itself, with a backend server if `slots` is not 0."""
 
     process: ProcessId
     host: HostId
@@ -91,14 +91,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HostGone(Event):
-    """A host whose agent is gone or leaves."""
+    """A host's agent disconnected or is leaving."""
 
     process: ProcessId
 
 
 @dataclass(frozen=True, slots=True)
 class TaskSeen:
-    """A task in a report."""
+    """A task in a host's report."""
 
     task: TaskId
     attempt: int
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report(Event):
-    """A host's report: measured usage, slowdown of its requests, and its tasks."""
+    """A host's report: measured usage, slowdown of its requests (`pressure`), and its tasks."""
 
     process: ProcessId
     usage: Size
@@ -118,11 +118,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Activity(Event):
-    """How an activity behaves beside others, as it was measured.
+    """Measured effect of an activity on other work on the same host.
 
     One task adds `pressure` to the slowdown of requests and `drag` to that of
-    other tasks; `use_ratio` is its real use against the declared size. Without
-    `keeps`, an eviction loses the work since the newest checkpoint.
+    other tasks; `use_ratio` is its actual usage divided by its declared size. If
+    `keeps` is false, an eviction loses the work since the last checkpoint.
     """
 
     activity: str
@@ -136,7 +136,7 @@
 class Request(Event):
     """Requests of one class; `count` of them arrive within `over_s` seconds.
 
-    `work_s` is the time one takes at an idle backend server, 0 if it is not known.
+    `work_s` is the service time of one at an idle backend server, 0 if unknown.
     """
 
     service: ServiceId
@@ -150,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer(Event):
-    """The end of one try at a backend server; status 0 if there was no answer."""
+    """The end of one attempt at a backend server; `status` is 0 if there was no response."""
 
     process: ProcessId
     latency_s: float
@@ -159,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Status(Event):
-    """Operators took a data centre out of service or brought it back."""
+    """Operators took a data centre out of service or put it back into service."""
 
     data_centre: DataCentreId
     state: ServiceState
@@ -168,14 +168,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BundleInForce(Event):
-    """A bundle that came into force, without its signature."""
+    """A bundle took effect; `text` is its JSON without the signature."""
 
     text: str
 
 
 @dataclass(frozen=True, slots=True)
 class Dropped(Event):
-    """Events that were not recorded since the last such line."""
+    """Number of events dropped since the previous such event."""
 
     count: int
 
@@ -198,7 +198,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Timed:
-    """An event at a time in seconds after the trace began."""
+    """An event with its time in seconds since the start of the trace."""
 
     at: float
     event: Event
@@ -206,7 +206,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Trace:
-    """A whole trace; times never decrease."""
+    """A complete trace; event times never decrease."""
 
     header: Header
     events: tuple[Timed, ...]
@@ -215,30 +215,30 @@
 T = TypeVar("T")
 
 
-def _plain(value: Any) -> Any:
+def _to_json_value(value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
     if is_dataclass(value) and not isinstance(value, type):
-        shown = {item.name: _plain(getattr(value, item.name)) for item in fields(value)}
-        return {name: item for name, item in shown.items() if item not in (None, "")}
+        content = {item.name: _to_json_value(getattr(value, item.name)) for item in fields(value)}
+        return {name: item for name, item in content.items() if item not in (None, "")}
     if isinstance(value, tuple):
-        return [_plain(item) for item in value]
+        return [_to_json_value(item) for item in value]
     return value
 
 
 def header_line(header: Header) -> str:
-    """Return the first line of a trace."""
-    return json.dumps({"kind": "trace", **_plain(header)}, ensure_ascii=False)
+    """Return the first line of a trace, without a newline."""
+    return json.dumps({"kind": "trace", **_to_json_value(header)}, ensure_ascii=False)
 
 
 def event_line(at: float, event: Event) -> str:
-    """Return the line of an event."""
-    shown = {"at": round(at, 6), "kind": NAMES[type(event)], **_plain(event)}
-    return json.dumps(shown, ensure_ascii=False, separators=(",", ":"))
+    """Return the line of an event, without a newline; `at` is in seconds."""
+    content = {"at": round(at, 6), "kind": NAMES[type(event)], **_to_json_value(event)}
+    return json.dumps(content, ensure_ascii=False, separators=(",", ":"))
 
 
 def write_trace(path: Path, trace: Trace) -> None:
-    """Write a trace; raises TraceError if the file cannot be written."""
+    """Write a trace to a file; raises TraceError if it cannot be written."""
     lines = [header_line(trace.header), *(event_line(t.at, t.event) for t in trace.events)]
     try:
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
@@ -247,7 +247,7 @@
 
 
 def read_trace(path: Path) -> Trace:
-    """Return the trace in a file, or raise TraceError naming the file and line."""
+    """Read a trace from a file; a TraceError names the file and line."""
     try:
         with path.open(encoding="utf-8") as file:
             return parse_trace(file, str(path))
@@ -258,7 +258,7 @@
 
 
 def parse_trace(lines: Iterable[str], name: str) -> Trace:
-    """Return the trace in some lines; raises TraceError like `read_trace`."""
+    """Parse the lines of a trace; `name` is the file name in a TraceError."""
     numbered = ((number, line) for number, line in enumerate(lines, 1) if line.strip())
     first = next(numbered, None)
     if first is None:
@@ -268,18 +268,18 @@
 
 
 def _events(numbered: Iterator[tuple[int, str]], name: str) -> Iterator[Timed]:
-    former = 0.0
+    previous = 0.0
     for number, line in numbered:
         where = f"{name}, line {number}"
         body = _object(line, where)
         at, kind = body.pop("at", None), body.pop("kind", None)
-        if isinstance(at, bool) or not isinstance(at, int | float) or not former <= at < 1e9:
+        if isinstance(at, bool) or not isinstance(at, int | float) or not previous <= at < 1e9:
             raise TraceError(f"{where}: at must be a time in seconds that does not go back")
         cls = KINDS.get(kind) if isinstance(kind, str) else None
         if cls is None:
             raise TraceError(f"{where}: unknown kind of event {kind!r}")
-        former = float(at)
-        yield Timed(former, _build(cls, body, where))
+        previous = float(at)
+        yield Timed(previous, _build(cls, body, where))
 
 
 def _header(line: str, where: str) -> Header:
@@ -312,58 +312,58 @@
 
 
 class Recorder:
-    """Records events of a running entry; never waits and never fails.
+    """Records events of a running entry; `record` never blocks and never fails.
 
-    Lines wait in memory until `run` writes them in a thread. When too many
-    wait, the file is full or a write fails, events are dropped and counted.
+    Events are queued in memory until `run` writes them in a thread. If the queue
+    or the file is full or a write fails, events are dropped and counted.
     """
 
-    def __init__(self, path: Path, header: Header, max_bytes: int = MAX_BYTES) -> None:
+    def __init__(self, path: Path, header: Header, max_bytes: int = MAX_FILE_BYTES) -> None:
         self.path = path
         self.header = header
         self.max_bytes = max_bytes
         self.dropped = 0
         self.written = 0
-        self._noted = 0
-        self._headed = False
+        self._reported_drops = 0
+        self._header_written = False
         self._waiting: deque[tuple[float, Event]] = deque()
-        self._began: float | None = None
+        self._started_at: float | None = None
 
     def record(self, event: Event) -> None:
-        """Take an event at the present time."""
-        if len(self._waiting) >= MAX_WAITING or self.written >= self.max_bytes:
+        """Queue an event with the current time."""
+        if len(self._waiting) >= MAX_WAITING_EVENTS or self.written >= self.max_bytes:
             self.dropped += 1
             return
         now = anyio.current_time()
-        if self._began is None:
-            self._began = now
-        self._waiting.append((now - self._began, event))
+        if self._started_at is None:
+            self._started_at = now
+        self._waiting.append((now - self._started_at, event))
 
     async def run(self) -> None:
-        """Write what is recorded until cancelled; the rest is written then."""
+        """Write queued events periodically until cancelled, and once more at the end."""
         try:
             while True:
-                await anyio.sleep(WRITE_S)
+                await anyio.sleep(WRITE_INTERVAL_S)
                 await self.flush()
         finally:
-            with anyio.move_on_after(LAST_WRITE_S, shield=True):
+            with anyio.move_on_after(LAST_WRITE_TIMEOUT_S, shield=True):
                 await self.flush()
 
     async def flush(self) -> None:
-        """Write what is recorded so far."""
+        """Write all queued events."""
         waiting, self._waiting = self._waiting, deque()
         if not waiting:
             return
-        missed = self.dropped - self._noted
-        if missed:
-            waiting.append((waiting[-1][0], Dropped(missed)))
-            self._noted += missed
+        unreported_drops = self.dropped - self._reported_drops
+        if unreported_drops:
+            waiting.append((waiting[-1][0], Dropped(unreported_drops)))
+            self._reported_drops += unreported_drops
         await run_sync(self._write_events, waiting, abandon_on_cancel=True)
 
     def _write_events(self, events: Iterable[tuple[float, Event]]) -> None:
-        """Format and write events; runs in a thread, so that the event loop is not held up."""
-        if not self._headed:
-            self._headed = True
+        """Format and write events; runs in a thread, so that it does not block the event loop."""
+        if not self._header_written:
+            self._header_written = True
             self._write([header_line(self.header)], "w")
         self._write([event_line(at, event) for at, event in events], "a")
 
--- a/packages/core/src/apricotpath/worker.py
+++ b/packages/core/src/apricotpath/worker.py
@@ -1,4 +1,4 @@
-"""Adapter to the platform's worker on the same host."""
+"""Client for the platform's worker on the same host."""
 
 import json
 from dataclasses import MISSING, dataclass, fields, is_dataclass
@@ -16,17 +16,18 @@
 
 T = TypeVar("T")
 
-# The worker answers "not done, and it had no effect" with this status.
+# HTTP status with which the worker rejects a call that had no effect.
 REFUSED_STATUS = 409
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerTask:
-    """One task that the worker runs or remembers until `forget`.
+    """One task that the worker runs, or an ended one that it keeps until `forget`.
 
     `outcome` is None while the task runs. `deadline_ms` is the end of its
-    lease on the worker's clock; `progress` runs from 0.0 to 1.0. `checkpoint_s`
-    is the declared time of a checkpoint, which a restarted agent needs again.
+    lease on the worker's clock; `progress` is from 0.0 to 1.0. `checkpoint_s`
+    is the declared duration of a checkpoint, which an agent needs again after
+    its restart.
     """
 
     task: TaskId
@@ -50,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerStatus:
-    """State of the worker; `clock_ms` is its monotonic clock, restarted with `boot`."""
+    """State of the worker; `clock_ms` is its monotonic clock, reset when `boot` changes."""
 
     boot: str
     clock_ms: int
@@ -61,12 +62,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """One start.
+    """Order to start one attempt of a task.
 
-    The worker refuses it when its clock has passed `start_by_ms`, when it
-    knows a higher attempt of the task, or when the size does not fit. It kills
-    the task at `deadline_ms`, or at most the kill grace later. Both times are
-    on the clock of `boot`: the worker refuses an order for another boot.
+    The worker rejects it if its clock has passed `start_by_ms`, if it has seen a
+    higher attempt of the task, or if the size does not fit. It kills the task
+    at `deadline_ms`, or at most the kill grace later. Both times are on the
+    clock of `boot`; the worker rejects an order for another boot.
     """
 
     task: TaskId
@@ -87,10 +88,10 @@
 
 
 class Worker(Protocol):
-    """What an agent needs of the worker.
+    """Interface of the worker that an agent uses.
 
     Every call may raise WorkerUnavailable (effect unknown) or WorkerRefused
-    (no effect). All calls are idempotent by (task, attempt).
+    (no effect). All calls are idempotent per (task, attempt).
     """
 
     async def status(self) -> WorkerStatus:
@@ -100,7 +101,7 @@
         """Start a task, or return it if this attempt is known already."""
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
-        """Move a running task's deadline, later or earlier."""
+        """Set a running task's deadline, later or earlier."""
 
     async def checkpoint(self, task: TaskId, attempt: int) -> WorkerTask:
         """Write a checkpoint and return the task with the checkpoint's id."""
@@ -109,14 +110,14 @@
         """Limit a task to a share of its processors, from 0.0 to 1.0."""
 
     async def stop(self, task: TaskId, attempt: int, outcome: Outcome) -> WorkerTask:
-        """Ask a task to stop; it has ended when its state says so."""
+        """Ask a task to stop; it has ended once its state is ENDED."""
 
     async def forget(self, task: TaskId, attempt: int) -> None:
-        """Drop the record of an ended attempt; the highest attempt is remembered."""
+        """Delete the record of an ended attempt, except the task's highest attempt number."""
 
 
 def to_plain(value: Any) -> Any:
-    """Return a dataclass of this module as JSON values."""
+    """Convert a dataclass of this module to JSON values."""
     if is_dataclass(value):
         return {item.name: to_plain(getattr(value, item.name)) for item in fields(value)}
     if isinstance(value, Enum):
@@ -127,7 +128,7 @@
 
 
 def from_plain(cls: type[T], value: Any) -> T:
-    """Return a dataclass of this module from JSON values, or raise ValueError."""
+    """Build a dataclass of this module from JSON values, or raise ValueError."""
     result: T = _convert(cls, value)
     return result
 
@@ -170,9 +171,9 @@
 
 
 class HttpWorker:
-    """The worker's HTTP interface; `timeout_s` bounds each call.
+    """HTTP client of the worker; `timeout_s` limits each call.
 
-    A call that ends without a whole, well-formed answer raises
+    A call that ends without a complete, well-formed answer raises
     WorkerUnavailable, since it may have taken effect.
     """
 
@@ -181,13 +182,13 @@
     ) -> None:
         self.url = url
         self.timeout_s = timeout_s
-        # A proxy from the environment must not see calls to the loopback address.
+        # Calls to the loopback address must not go through a proxy set in the environment.
         self._client = httpx.AsyncClient(
             base_url=url, timeout=timeout_s, transport=transport, trust_env=False
         )
 
     async def aclose(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         await self._client.aclose()
 
     async def status(self) -> WorkerStatus:
@@ -199,7 +200,7 @@
         return await self._call("POST", "/start", to_plain(order), WorkerTask)
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
-        """Move a running task's deadline, later or earlier."""
+        """Set a running task's deadline, later or earlier."""
         return await self._command("/renew", task, attempt, deadline_ms=deadline_ms)
 
     async def checkpoint(self, task: TaskId, attempt: int) -> WorkerTask:
@@ -211,21 +212,23 @@
         return await self._command("/throttle", task, attempt, share=share)
 
     async def stop(self, task: TaskId, attempt: int, outcome: Outcome) -> WorkerTask:
-        """Ask a task to stop; it has ended when its state says so."""
+        """Ask a task to stop; it has ended once its state is ENDED."""
         return await self._command("/stop", task, attempt, outcome=outcome.value)
 
     async def forget(self, task: TaskId, attempt: int) -> None:
-        """Drop the record of an ended attempt; the highest attempt is remembered."""
+        """Delete the record of an ended attempt, except the task's highest attempt number."""
         await self._send("POST", "/forget", {"task": task, "attempt": attempt})
 
-    async def _command(self, path: str, task: TaskId, attempt: int, **more: Any) -> WorkerTask:
+    async def _command(
+        self, path: str, task: TaskId, attempt: int, **extra_fields: Any
+    ) -> WorkerTask:
         return await self._call(
-            "POST", path, {"task": task, "attempt": attempt, **more}, WorkerTask
+            "POST", path, {"task": task, "attempt": attempt, **extra_fields}, WorkerTask
         )
 
     async def _call(self, method: str, path: str, body: Any, cls: type[T]) -> T:
         answer = await self._send(method, path, body)
-        # The worker nests the task, since every answer carries its clock as well.
+        # The worker puts the task into a field, since its answers also contain its clock.
         plain = answer.get("task") if cls is WorkerTask else answer
         try:
             return from_plain(cls, plain)
--- a/tests/features/steps/trace_steps.py
+++ b/tests/features/steps/trace_steps.py
@@ -51,7 +51,7 @@
 
 
 class TraceSubject:
-    """A trace in a folder of its own."""
+    """A trace in a temporary folder."""
 
     def __init__(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
@@ -60,7 +60,7 @@
         write_trace(self.path, self.trace)
         self.recorder: Recorder | None = None
 
-    def spoil(self, fault: str) -> None:
+    def corrupt(self, fault: str) -> None:
         lines = self.path.read_text().splitlines()
         third = json.loads(lines[2])
         changes: dict[str, tuple[int, Any]] = {
@@ -108,9 +108,9 @@
     assert context.read == context.trace.trace
 
 
-@when("the trace gets {fault}")
+@when("the trace is changed to have {fault}")
 def _(context: Any, fault: str) -> None:
-    context.trace.spoil(fault)
+    context.trace.corrupt(fault)
 
 
 @then("the trace is refused at line {line:d} because of {text}")
@@ -122,7 +122,7 @@
         place = f"{path}, line {line}: " if line else f"{path}: "
         assert str(exc).startswith(place) and text in str(exc), exc
     else:
-        raise AssertionError("the trace was taken")
+        raise AssertionError("the trace was accepted")
 
 
 @given("a trace recorder with {fault}")
--- a/tests/features/steps/worker_steps.py
+++ b/tests/features/steps/worker_steps.py
@@ -36,7 +36,7 @@
 
 
 class WorkerCases:
-    """A stand-in in this process, behind the HTTP adapter."""
+    """Contract cases, run by the HTTP client against a stand-in in the same process."""
 
     def __init__(self) -> None:
         self.checked = 0
@@ -165,7 +165,7 @@
 
 
 class WorkerProcess:
-    """The stand-in as a process on a free port of the loopback address."""
+    """The stand-in as a separate process on a free port of the loopback address."""
 
     def lose_an_answer(self) -> None:
         with socket.socket() as probe:
@@ -182,7 +182,7 @@
     async def _lose(self, url: str) -> None:
         worker = HttpWorker(url, 2.0)
         for _ in range(300):
-            if await self._answers(worker):
+            if await self._is_reachable(worker):
                 break
             await anyio.sleep(0.05)
         async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
@@ -196,7 +196,7 @@
             self.record = (await client.get("/record")).json()
         await worker.aclose()
 
-    async def _answers(self, worker: HttpWorker) -> bool:
+    async def _is_reachable(self, worker: HttpWorker) -> bool:
         try:
             await worker.status()
         except WorkerUnavailable:
@@ -222,7 +222,7 @@
     context.worker_process.lose_an_answer()
 
 
-@then("the worker adapter reports it unavailable and the task runs")
+@then("the worker client reports it unavailable and the task runs")
 def _(context: Any) -> None:
     assert context.worker_process.outcome
     assert [run["task"] for run in context.worker_process.record["runs"]] == ["t"]
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -1,8 +1,8 @@
 Feature: trace
 
-  Guards against a trace that changes when it is written and read, a malformed or
-  newer trace that fails without its place, and a recorder that fails or grows
-  without bound when its file cannot be written.
+  Guards against a trace that changes when it is written and read, an error that
+  does not name the file and line of a malformed or newer trace, and a recorder
+  that fails or grows without limit when its file cannot be written.
 
   Scenario: every kind of trace event is read as it was written
     Given a trace with one event of every kind
@@ -11,7 +11,7 @@
 
   Scenario Outline: a trace with <fault> is refused with its file and line
     Given a trace with one event of every kind
-    When the trace gets <fault>
+    When the trace is changed to have <fault>
     Then the trace is refused at line <line> because of <text>
 
     Examples:
--- a/tests/features/worker.feature
+++ b/tests/features/worker.feature
@@ -1,7 +1,7 @@
 Feature: worker
 
-  Guards against an adapter that takes a lost answer for a refusal, and against a stand-in
-  that does not keep the worker's contract, which would make the agent's tests worthless.
+  Guards against a client that treats a lost answer as a refusal, and against a stand-in
+  that breaks the worker's contract, since the agent's tests rely on the stand-in.
 
   Scenario Outline: the worker keeps its contract for <case> on <backend>
     When the worker contract case "<case>" runs on <backend>
@@ -22,4 +22,4 @@
 
   Scenario: a worker process loses an answer on a real connection
     When a worker process is told to lose one answer to a start
-    Then the worker adapter reports it unavailable and the task runs
+    Then the worker client reports it unavailable and the task runs
