--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -1,13 +1,14 @@
 Feature: capacity
 
-  Guards against costs that grow with time or with the number of hosts where they
-  must not: store calls that follow hosts, tables that keep rows of replaced hosts,
-  messages that repeat what has not changed, and connections that are not reused.
+  Guards against costs that grow with time or with the number of hosts although
+  they must not: store calls in proportion to the hosts, tables that keep rows of
+  replaced hosts, messages that repeat unchanged state, and connections that are
+  not reused.
 
   Scenario Outline: capacity of the store when entries start or return together
-    Given a capacity trial of <entries> entries that know 300 hosts of 5 services
+    Given a capacity trial of <entries> entries that each have 300 hosts of 5 services
     When the capacity entries <event>
-    Then no second of the capacity trial has more than <most> store calls
+    Then the capacity trial makes at most <most> store calls in any second
     And the idle capacity entries make at most 2.5 store calls a second each
 
     Examples:
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -47,7 +47,7 @@
 
 
 class StoreTrial:
-    """Entries with their registries over one stand-in, and its calls per second."""
+    """Entries with their host registries on one store stand-in, and its calls per second."""
 
     def __init__(self, entries: int) -> None:
         self.entries = entries
@@ -64,7 +64,7 @@
                 if event.startswith("lose"):
                     self.store.apply_faults({"refuse": True})
                     await anyio.sleep(60)
-                    # Only what comes after the outage counts.
+                    # Count only the calls after the outage.
                     for bins in self.store.per_second.values():
                         bins.clear()
                     self.store.apply_faults({"refuse": False})
@@ -100,13 +100,13 @@
         group.start_soon(registry.run)
         for host in range(300):
             peer = SimpleNamespace(process_id=process_of(host), incarnation=f"a{host}")
-            offer = replace(announce_of(host), service=f"service-{host % 5}")
+            announcement = replace(announce_of(host), service=f"service-{host % 5}")
             link = SimpleNamespace(peer=peer, is_open=True)
-            group.start_soon(registry.received, link, Envelope(1, 0, offer))
+            group.start_soon(registry.received, link, Envelope(1, 0, announcement))
 
 
-class Churn:
-    """An owner whose hosts are replaced by others with new names."""
+class HostChurn:
+    """A shard owner whose hosts are replaced by hosts with new names."""
 
     def __init__(self, hosts: int) -> None:
         self.hosts = hosts
@@ -129,7 +129,7 @@
 
 
 class RecordingLink:
-    """Open link that keeps what is sent."""
+    """Open link that records the sent messages."""
 
     def __init__(self) -> None:
         self.is_open = True
@@ -140,7 +140,7 @@
 
 
 class IdleAgent:
-    """An agent without a worker, with links that keep its messages."""
+    """An agent without a worker, with links that record its messages."""
 
     def __init__(self, links: int) -> None:
         self.links = [RecordingLink() for _ in range(links)]
@@ -162,8 +162,8 @@
         run_in_virtual_time(main)
 
 
-class RawBackend:
-    """Backend server on loopback that counts its connections."""
+class CountingBackend:
+    """Backend server on the loopback interface that counts connections and requests."""
 
     def __init__(self, close: bool) -> None:
         self.close = close
@@ -191,30 +191,31 @@
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             client = AsyncClient(transport=BackendTransport())
 
-            # All answers of a round are held until all its requests have their connections.
-            async def request(arrived: list[int], everyone: anyio.Event) -> None:
+            # No response of a round is read to its end before all its requests have a
+            # connection.
+            async def request(arrived: list[int], all_connected: anyio.Event) -> None:
                 async with client.stream("GET", f"http://127.0.0.1:{port}/") as response:
                     arrived.append(response.status_code)
                     if len(arrived) == count:
-                        everyone.set()
-                    await everyone.wait()
+                        all_connected.set()
+                    await all_connected.wait()
                     assert await response.aread() == b"ok"
 
             async with listener, anyio.create_task_group() as group:
                 group.start_soon(listener.serve, self.serve)
                 for _ in range(rounds):
                     arrived: list[int] = []
-                    everyone = anyio.Event()
+                    all_connected = anyio.Event()
                     async with anyio.create_task_group() as calls:
                         for _ in range(count):
-                            calls.start_soon(request, arrived, everyone)
+                            calls.start_soon(request, arrived, all_connected)
                 await client.aclose()
                 group.cancel_scope.cancel()
 
         anyio.run(main)
 
 
-@given("a capacity trial of {entries:d} entries that know 300 hosts of 5 services")
+@given("a capacity trial of {entries:d} entries that each have 300 hosts of 5 services")
 def given_entries(context: Any, entries: int) -> None:
     context.subject = StoreTrial(entries)
 
@@ -224,7 +225,7 @@
     context.subject.run(event)
 
 
-@then("no second of the capacity trial has more than {most:d} store calls")
+@then("the capacity trial makes at most {most:d} store calls in any second")
 def then_peak(context: Any, most: int) -> None:
     assert context.subject.peak <= most, context.subject.peak
 
@@ -237,7 +238,7 @@
 
 @given("a capacity owner that is linked to {hosts:d} hosts")
 def given_owner(context: Any, hosts: int) -> None:
-    context.subject = Churn(hosts)
+    context.subject = HostChurn(hosts)
 
 
 @when("{count:d} capacity hosts are replaced one after another, {step:d} s apart")
@@ -274,9 +275,9 @@
 def then_announced(context: Any, most: int) -> None:
     for link in context.subject.links:
         assert any(isinstance(body, Leaving) for body in link.sent)
-        offers = [body for body in link.sent if isinstance(body, Announce)]
-        assert offers and len(offers) <= most, len(offers)
-        assert offers[-1].leaving
+        announcements = [body for body in link.sent if isinstance(body, Announce)]
+        assert announcements and len(announcements) <= most, len(announcements)
+        assert announcements[-1].leaving
 
 
 @then("a capacity agent with {tasks:d} tasks and {links:d} links sends at most {kb:d} KB a second")
@@ -286,10 +287,10 @@
         full = bench.report_of(0)
         report = replace(full, tasks=full.tasks[:tasks])
         assert isinstance(report, HostReport) and len(report.tasks) == tasks
-        beat = bench.links[0].last_heartbeat
+        heartbeat = bench.links[0].last_heartbeat
         rates = (
             (report, REPORT_S),
-            (beat, LinkSettings().heartbeat_s),
+            (heartbeat, LinkSettings().heartbeat_s),
             (announce_of(0), ANNOUNCE_REPEAT_S),
         )
         sent = links * sum(len(encode(Envelope(1, 0, body))) / every for body, every in rates)
@@ -300,7 +301,7 @@
 
 @given("a capacity backend server that {behaviour}")
 def given_backend(context: Any, behaviour: str) -> None:
-    context.subject = RawBackend(behaviour.startswith("closes"))
+    context.subject = CountingBackend(behaviour.startswith("closes"))
 
 
 @when("{rounds:d} rounds of {count:d} capacity requests at once are sent to it")
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Runs behave, a process per feature, and prints a closing line with the counts."""
+"""Runs behave in one process per feature and prints a summary line with the counts."""
 
 import json
 import os
@@ -12,9 +12,9 @@
 ROOT = Path(__file__).parent.parent
 FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-# Features that start many processes run one after another, after the rest.
-ALONE = frozenset({"processes", "platformpath"})
-AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))
+# Features that start many processes; they run one after another, after all others.
+RUN_ALONE = frozenset({"processes", "platformpath"})
+MAX_PARALLEL = max(1, min(4, (os.cpu_count() or 2) // 2))
 FEATURE_TIMEOUT_S = 900
 MAX_ERROR_CHARACTERS = 4000
 NOT_RUN = ("skipped", "untested")
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FeatureResult:
-    """Results of one feature as (scenario, status), what behave printed, and failed steps."""
+    """Results of one feature: (scenario, status) pairs, behave's output, and failed steps."""
 
     scenarios: tuple[tuple[str, str], ...]
     output: str
@@ -52,7 +52,8 @@
             done = subprocess.run(
                 command,
                 cwd=ROOT,
-                # Orders of sets of texts, and so of events in virtual time, repeat from run to run.
+                # A fixed hash seed makes the iteration order of sets of strings, and so the order
+                # of events in virtual time, the same in every run.
                 env=os.environ | {"PYTHONPATH": path, "PYTHONHASHSEED": "0"},
                 stdout=subprocess.PIPE,
                 stderr=subprocess.STDOUT,
@@ -82,7 +83,7 @@
 
 
 def failed_steps(path: Path) -> list[str]:
-    """Return the text of each failed step and its error; the progress format leaves errors out."""
+    """Return the text and error of each failed step, since the progress format omits errors."""
     found = []
     for feature in json.loads(path.read_text() or "[]") if path.exists() else []:
         for element in feature.get("elements", []):
@@ -96,16 +97,16 @@
 
 
 def run_all(targets: list[str], options: list[str]) -> list[FeatureResult]:
-    """Run features, several at once but for those that must run alone."""
-    alone = [target for target in targets if Path(target).stem in ALONE]
+    """Run features, several in parallel except for those in RUN_ALONE."""
+    alone = [target for target in targets if Path(target).stem in RUN_ALONE]
     others = [target for target in targets if target not in alone]
-    with ThreadPoolExecutor(AT_ONCE) as pool:
+    with ThreadPoolExecutor(MAX_PARALLEL) as pool:
         results = list(pool.map(lambda target: run_feature(target, options), others))
     return results + [run_feature(target, options) for target in alone]
 
 
 def main(argv: list[str]) -> int:
-    """Run the features named in `argv`, or all, with its options; return the exit code."""
+    """Run the features named in `argv`, or all, with the options in it; return the exit code."""
     targets = [arg for arg in argv if not arg.startswith("-")]
     options = [arg for arg in argv if arg.startswith("-")]
     targets = targets or [str(path) for path in sorted(FEATURES.glob("*.feature"))]
