Correct details of reworded message and worker docstrings

A second reading found a dropped fact (shares may be returned), a wrong one (filler traits are sent periodically) and vague words.

--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Message):
-    """Periodic message on each link; `worker_clock_ms` is 0 when the sender is an entry."""
+    """Sent every `LinkSettings.heartbeat_s`; `worker_clock_ms` is 0 if an entry is the sender."""
 
     seq: int
     worker_clock_ms: int
@@ -218,7 +218,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseAck(Message):
-    """Flow control: the receiver has consumed the body up to `offset`; the agent may send more."""
+    """Flow control: the caller has consumed the body up to `offset`; the agent may send more."""
 
     request: RequestId
     offset: int
@@ -475,7 +475,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareGrant(Message):
-    """Share of a team's limit, which expires after `ttl_ms` unless it is renewed."""
+    """Share of a team's limit, to be renewed or returned within `ttl_ms`."""
 
     team: TeamId
     amount: float
@@ -627,7 +627,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTrait:
-    """Properties of a run that the agent did not start itself, or that have changed.
+    """Properties of a run, for runs that the agent did not start itself or to update them.
 
     `pressure` is the increase of the logarithm of the tail latency of serving
     tasks on the same host that a filler task causes at full speed.
@@ -642,7 +642,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTraits(Message):
-    """Properties of a host's runs: of all after it attaches, later of filler tasks that changed."""
+    """Properties of a host's runs: of all runs after it attaches, then periodically of fillers."""
 
     fence: FenceToken
     traits: tuple[RunTrait, ...]
--- a/packages/core/src/apricotpath/worker.py
+++ b/packages/core/src/apricotpath/worker.py
@@ -98,7 +98,7 @@
         """Return the worker's clock, size, usage and all tasks."""
 
     async def start(self, order: StartOrder) -> WorkerTask:
-        """Start a task, or return it if this attempt is known already."""
+        """Start a task, or return it if this attempt was started before."""
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
         """Set a running task's deadline, later or earlier."""
@@ -196,7 +196,7 @@
         return await self._call("GET", "/tasks", None, WorkerStatus)
 
     async def start(self, order: StartOrder) -> WorkerTask:
-        """Start a task, or return it if this attempt is known already."""
+        """Start a task, or return it if this attempt was started before."""
         return await self._call("POST", "/start", to_plain(order), WorkerTask)
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -28,7 +28,7 @@
 
     A `lose` write takes effect but its answer is lost. A `late` write also gets
     no answer, and takes effect `late_s` later if its compares are still true.
-    With `down`, calls fail at once; with `silent`, they get no answer.
+    With `down`, calls fail at once; with `silent`, after 1 s without an answer.
     """
 
     down: bool = False
