--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -1,4 +1,4 @@
-"""What an agent knows of its executor, and of the runs there under one attachment."""
+"""An agent's state of its executor, and of one attachment to a scheduler with its runs."""
 
 from dataclasses import dataclass, field
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutorState:
-    """What the executor said of itself last."""
+    """The newest heartbeat of the executor."""
 
     facts: HostFacts
     draining: bool = False
@@ -18,19 +18,22 @@
 
 @dataclass(slots=True)
 class RunView:
-    """What the agent knows of a run beside the executor's list."""
+    """The agent's own data on a run, beyond what the executor reports."""
 
     filler: bool = False
     target_ms: float = 0.0
     pressure: float = 0.0
     started_at: float = float("inf")
-    paced: int = 100
-    paced_at: float = float("-inf")
+    pace_percent: int = 100
+    pace_sent_at: float = float("-inf")
 
 
 @dataclass(slots=True)
 class Attachment:
-    """One attachment to a scheduler, with its fencing token."""
+    """One attachment to a scheduler, with its fencing token.
+
+    `noted` is the number of the last ending that the scheduler has recorded.
+    """
 
     link: Link
     epoch: Epoch
@@ -42,5 +45,5 @@
     noted: int = 0
     reported: bool = False
     hold_failed: bool = False
-    listed: set[tuple[TaskId, int]] = field(default_factory=set)
+    reported_runs: set[tuple[TaskId, int]] = field(default_factory=set)
     views: dict[tuple[TaskId, int], RunView] = field(default_factory=dict)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -1,4 +1,4 @@
-"""The part of an agent that runs tasks on its executor for the scheduler."""
+"""Runs tasks of the scheduler on an agent's executor."""
 
 import logging
 from collections.abc import Callable
@@ -46,29 +46,29 @@
 
 log = logging.getLogger(__name__)
 
-# A hold waits this long for an end; reports and renewals follow at least as often. Beside
-# serving tasks, readings for the pace of filler tasks are wanted more often.
+# A hold call waits this long for an ending, which bounds the interval of reports and renewals.
+# With serving tasks on the host, the pace of filler tasks needs more frequent readings.
 HOLD_WAIT_S = 0.8
 SERVING_HOLD_WAIT_S = 0.4
 HOLD_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
-# Between two attempts of an order that the executor did not answer.
+# Pause between two attempts of an order that the executor did not answer.
 ORDER_RETRY_S = 0.05
-# Readings of load are averages over half a second, so pacing follows hardly faster.
+# Load readings are averages over half a second, so faster pacing would gain little.
 PACE_INTERVAL_S = 0.35
-# A share that has not changed is sent again, since an older order may be carried out late.
+# An unchanged pace is sent again, since an older order may be carried out late.
 PACE_REPEAT_S = 2.0
 PACE_LOG_INTERVAL_S = 2.0
-# Grants and sent reports that are remembered; reports are 0.4 s apart or more.
+# Number of reports whose send times are kept; reports are at least 0.4 s apart.
 MAX_RENEWALS = 64
 
 
 class HostAgent:
     """Component that follows the scheduler of the highest epoch.
 
-    Runs go on only as long as the scheduler has granted. All calls to the
-    executor carry the attachment's fencing token, so that a call of an
-    earlier attachment, carried out late, has no effect.
+    Runs continue only while their lease from the scheduler is valid. All calls to the
+    executor carry the attachment's fencing token, so that a delayed call of an
+    earlier attachment has no effect.
     """
 
     handles: frozenset[type[Message]] = frozenset(
@@ -96,30 +96,30 @@
         self._paced_at = float("-inf")
         self._pace_logged_at = float("-inf")
 
-    # What the executor says of itself.
+    # State of the executor.
 
     def executor_said(self, state: ExecutorState) -> None:
-        """Take over the executor's own report; a new life ends the attachment."""
-        known = self.state
+        """Apply a heartbeat of the executor; a restarted executor ends the attachment."""
+        previous = self.state
         self.state = state
-        if known is None or (known.facts.instance, known.facts.born_ms) != (
+        if previous is None or (previous.facts.instance, previous.facts.born_ms) != (
             state.facts.instance,
             state.facts.born_ms,
         ):
-            log.info("executor seen", extra={"instance": state.facts.instance})
+            log.info("executor connected", extra={"instance": state.facts.instance})
             self.executor = self._connect(state.facts)
-            self._detach("a new life of the executor")
-        if known is None or state.draining != known.draining:
+            self._detach("the executor has restarted")
+        if previous is None or state.draining != previous.draining:
             log.info("executor state", extra={"draining": state.draining})
         self._signal()
 
     def executor_left(self, instance: str) -> None:
-        """Note that the executor has said goodbye."""
+        """Handle the executor's notice that it shuts down."""
         if self.state is not None and self.state.facts.instance == instance:
-            log.info("executor left", extra={"instance": instance})
+            log.info("executor shut down", extra={"instance": instance})
             self.state = None
             self.executor = None
-            self._detach("the executor left")
+            self._detach("the executor shut down")
 
     def _detach(self, reason: str) -> None:
         if self.attachment is not None:
@@ -132,20 +132,20 @@
         self.changed = anyio.Event()
 
     def granted_age_s(self) -> float:
-        """Return for how long the scheduler has granted nothing; infinite if not attached."""
+        """Return the seconds since the newest grant; infinite if not attached."""
         attached = self.attachment
         if attached is None or not attached.granted_until:
             return float("inf")
         return boot_s() - (attached.granted_until - self.cfg.run_lease_s)
 
     def runs(self) -> list[tuple[TaskId, int]]:
-        """Return the runs that are known to be at the executor or on their way to it."""
+        """Return the runs on the executor, including those whose start order is under way."""
         return list(self.attachment.views) if self.attachment is not None else []
 
     # Loops.
 
     async def run(self) -> None:
-        """Attach, hold and report until cancelled."""
+        """Attach, poll the executor and report until cancelled."""
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             while True:
@@ -213,10 +213,10 @@
         else:
             attached.hold_failed = False
             if attached is self.attachment:
-                await self._held(attached, holding, sent)
+                await self._handle_holding(attached, holding, sent)
 
     def _hold_wait_s(self, attached: Attachment) -> float:
-        """Return how long the next hold may wait; not at all after one that failed."""
+        """Return how long the next hold call may wait; 0 after a failed one."""
         if not attached.reported or attached.hold_failed:
             return 0.0
         serving = any(view.target_ms > 0 for view in attached.views.values())
@@ -226,26 +226,28 @@
         if attached is self.attachment:
             self._detach(reason)
 
-    async def _held(self, attached: Attachment, holding: Holding, sent: float) -> None:
-        """Report what the executor runs, and steer filler tasks."""
+    async def _handle_holding(self, attached: Attachment, holding: Holding, sent: float) -> None:
+        """Report the executor's runs and endings, and adjust the pace of filler tasks."""
         if holding.born_ms and attached.facts.born_ms and holding.born_ms != attached.facts.born_ms:
-            # Its next heartbeat names the new life.
+            # The executor has restarted; its next heartbeat leads to a new attachment.
             await anyio.sleep(HOLD_RETRY_S)
             return
         self._clock_ms, self._clock_at = holding.clock_ms, boot_s()
-        listed = attached.listed = {(status.task, status.run) for status in holding.runs}
+        reported_runs = attached.reported_runs = {
+            (status.task, status.run) for status in holding.runs
+        }
         for ending in holding.endings:
             attached.views.pop((ending.task, ending.run), None)
         self._report(attached, holding.runs, holding.endings)
-        gone = [
+        missing = [
             name
             for name, view in attached.views.items()
-            if view.started_at < sent and name not in listed
+            if view.started_at < sent and name not in reported_runs
         ]
-        for task, run in gone:
+        for task, run in missing:
             del attached.views[task, run]
             self._answer(attached, task, run, StartAnswer.REFUSED)
-        await self._pace(attached, holding.runs)
+        await self._adjust_pace(attached, holding.runs)
 
     def _report(
         self,
@@ -267,18 +269,18 @@
             draining,
             int(min(left_s, 3600.0) * 1000),
             self.pacer.lately,
-            tuple(self._with_pace(attached, status) for status in runs),
+            tuple(self._add_pace(attached, status) for status in runs),
             endings,
         )
         if self._send(attached, report):
             attached.reported = True
 
     @staticmethod
-    def _with_pace(attached: Attachment, status: RunStatus) -> RunStatus:
+    def _add_pace(attached: Attachment, status: RunStatus) -> RunStatus:
         view = attached.views.get((status.task, status.run))
         if view is None or not view.filler:
             return status
-        return replace(status, pace=view.paced)
+        return replace(status, pace=view.pace_percent)
 
     def _send(self, attached: Attachment, message: HostRuns | OrderAnswers) -> bool:
         try:
@@ -290,16 +292,16 @@
         return True
 
     def _deadline(self, attached: Attachment) -> int | None:
-        """Return the granted end of runs on the executor's clock; None if there is none."""
-        left = attached.granted_until - boot_s()
-        if left <= 0 or not self._clock_at:
+        """Return the lease deadline of runs on the executor's clock; None without a valid grant."""
+        remaining_s = attached.granted_until - boot_s()
+        if remaining_s <= 0 or not self._clock_at:
             return None
-        since = boot_s() - self._clock_at
-        return self._clock_ms + round((since + left) * 1000)
+        elapsed_s = boot_s() - self._clock_at
+        return self._clock_ms + round((elapsed_s + remaining_s) * 1000)
 
     # Pacing of filler tasks.
 
-    async def _pace(self, attached: Attachment, runs: tuple[RunStatus, ...]) -> None:
+    async def _adjust_pace(self, attached: Attachment, runs: tuple[RunStatus, ...]) -> None:
         now = boot_s()
         if now - self._paced_at < PACE_INTERVAL_S:
             return
@@ -315,18 +317,18 @@
         percent = self.pacer.update(worst, fillers)
         if fillers and worst is not None:
             self._log_pace(now, percent, worst, len(ratios), fillers)
-        filling = [(status, view) for status, view in views if view and view.filler]
+        filler_views = [(status, view) for status, view in views if view and view.filler]
         # The oldest run comes first; the order stays the same from one reading to the next.
-        filling.sort(key=lambda item: (item[1].started_at, item[0].task))
-        pressures = [view.pressure for _, view in filling]
-        for (status, view), pace in zip(filling, paces(percent, pressures), strict=True):
-            repeat = pace < 100 and now - view.paced_at > PACE_REPEAT_S
-            if view.paced != pace or repeat:
-                view.paced, view.paced_at = pace, now
+        filler_views.sort(key=lambda item: (item[1].started_at, item[0].task))
+        pressures = [view.pressure for _, view in filler_views]
+        for (status, view), pace in zip(filler_views, paces(percent, pressures), strict=True):
+            repeat = pace < 100 and now - view.pace_sent_at > PACE_REPEAT_S
+            if view.pace_percent != pace or repeat:
+                view.pace_percent, view.pace_sent_at = pace, now
                 await self._send_pace(attached, status.task, status.run, pace)
 
     def _log_pace(self, now: float, percent: int, worst: float, serving: int, fillers: int) -> None:
-        """Log the share of their speed that filler tasks are given, now and then."""
+        """Log the current pace of filler tasks at intervals."""
         if now - self._pace_logged_at < PACE_LOG_INTERVAL_S:
             return
         self._pace_logged_at = now
@@ -340,14 +342,17 @@
             },
         )
 
-    async def _pace_first(self, attached: Attachment, task: TaskId, run: int) -> None:
-        """Slow a filler task down from its start on a host where others serve users."""
+    async def _set_initial_pace(self, attached: Attachment, task: TaskId, run: int) -> None:
+        """Pace a filler task from its start if serving tasks run on the host."""
         view = attached.views.get((task, run))
         if view is not None and any(other.target_ms > 0 for other in attached.views.values()):
             pressures = [other.pressure for other in attached.views.values() if other.filler]
             pressures = [*pressures, view.pressure]
-            view.paced, view.paced_at = paces(self.pacer.percent, pressures)[-1], boot_s()
-            await self._send_pace(attached, task, run, view.paced)
+            view.pace_percent, view.pace_sent_at = (
+                paces(self.pacer.percent, pressures)[-1],
+                boot_s(),
+            )
+            await self._send_pace(attached, task, run, view.pace_percent)
 
     async def _send_pace(self, attached: Attachment, task: TaskId, run: int, percent: int) -> None:
         if self.executor is None:
@@ -360,7 +365,7 @@
     # Orders.
 
     async def _start(self, attached: Attachment, order: RunOrder, valid_until: float) -> None:
-        """Start a run; the answer says whether it began, or never will."""
+        """Start a run, and answer whether it has started or certainly never will."""
         name = (order.task, order.run)
         attached.views[name] = RunView(order.filler, order.target_ms, order.pressure)
         answer = await self._try_start(attached, order, valid_until)
@@ -371,7 +376,7 @@
             if view is not None:
                 view.started_at = boot_s()
             if order.filler:
-                await self._pace_first(attached, order.task, order.run)
+                await self._set_initial_pace(attached, order.task, order.run)
         else:
             attached.views.pop(name, None)
         log.info(
@@ -407,12 +412,12 @@
         return StartAnswer.REFUSED
 
     async def _withdraw(self, attached: Attachment, task: TaskId, run: int) -> StartAnswer:
-        """Make sure that a run whose start was not answered never begins."""
+        """Ensure that a run whose start was not answered never begins."""
         await self._stop(attached, task, run)
         return StartAnswer.REFUSED
 
     async def _stop(self, attached: Attachment, task: TaskId, run: int) -> None:
-        """Stop a run; goes on until the executor has answered."""
+        """Stop a run, with retries until the executor has answered."""
         while attached is self.attachment and self.executor is not None:
             try:
                 await self.executor.stop(task, run, attached.fence)
@@ -454,16 +459,17 @@
                 self._group.start_soon(self._stop, attached, name.task, name.run)
         elif isinstance(body, RunTraits) and body.fence == attached.fence:
             for trait in body.traits:
-                self._note_trait(attached, trait)
+                self._apply_trait(attached, trait)
 
     @staticmethod
-    def _note_trait(attached: Attachment, trait: RunTrait) -> None:
-        """Take over what is known of a run that is here."""
+    def _apply_trait(attached: Attachment, trait: RunTrait) -> None:
+        """Apply a trait of a run from the scheduler."""
         name = (trait.task, trait.run)
         view = attached.views.get(name)
         if view is None:
-            if name not in attached.listed:
-                # Its start may still be on its way, and must not be taken for one without effect.
+            if name not in attached.reported_runs:
+                # Its start order may still be under way. With a view and without the run in
+                # the executor's report, the start would be answered as refused.
                 return
             view = attached.views[name] = RunView(started_at=boot_s())
         view.filler, view.target_ms = trait.filler, trait.target_ms
@@ -485,16 +491,16 @@
         return None
 
     async def link_opened(self, link: Link) -> None:
-        """Note a link to an entry."""
+        """Add a link to an entry."""
         self._links.append(link)
         self._signal()
 
     async def link_closed(self, link: Link) -> None:
-        """Forget a link, and the attachment that used it."""
+        """Remove a link, and end the attachment that uses it."""
         if link in self._links:
             self._links.remove(link)
         if self.attachment is not None and self.attachment.link is link:
             self._detach("the link to the scheduler closed")
 
     async def drain(self) -> None:
-        """Leave the runs to the next life of this agent."""
+        """Return at once; the next process of this agent continues the runs."""
--- a/packages/daemon/src/apricotpathd/hostboard.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -1,4 +1,4 @@
-"""The scheduler's ties to hosts: attachments, reports, grants and answers to orders."""
+"""Tracks the attached hosts of a scheduler: reports, lease grants and answers to orders."""
 
 import logging
 from collections import deque
@@ -31,37 +31,37 @@
 
 log = logging.getLogger(__name__)
 
-# Fencing tokens of one epoch; each attachment of a host takes the next.
+# Size of an epoch's range of fencing tokens; each attachment of a host gets the next token.
 FENCES_PER_EPOCH = 1 << 24
-# A stop is repeated after this long while the run is still listed.
-STOP_AGAIN_S = 0.6
-# Hosts with serving and filler tasks hear this often how much the latter disturb.
+# A stop is sent again after this time while the host still reports the run.
+STOP_RESEND_S = 0.6
+# Interval at which hosts with both serving and filler tasks get new interference estimates.
 TRAITS_INTERVAL_S = 2.0
-# A host whose executor had no room gets no starts for this long.
-UNFIT_PAUSE_S = 0.15
-# Progress of a run is taken as a reading of its host's speed after this long.
-SPEED_AFTER_S = 0.8
+# A host whose executor lacked capacity for a start gets no starts for this time.
+NO_CAPACITY_PAUSE_S = 0.15
+# The progress of a run counts as a measure of its host's speed only after this time.
+MIN_SPEED_SAMPLE_S = 0.8
 MAX_REPORT_GAP_S = 1.0
 
 
-class Listed(NamedTuple):
-    """An end that a life of a host's executor has listed."""
+class ReportedEnding(NamedTuple):
+    """An ending reported by a host's executor; `life` is the executor's id and start time."""
 
     host: HostId
     life: tuple[str, int]
     ending: RunEnding
 
 
-class Lost(NamedTuple):
-    """A run that is surely over without a listed end, or never began."""
+class LostRun(NamedTuple):
+    """A run that never began, or that has certainly ended without a reported ending."""
 
     task: TaskKey
     run: int
     reason: str
 
 
-class HostBoard:
-    """Hosts of one term; `endings` and `lost` are what the scheduler has yet to record."""
+class HostTracker:
+    """Hosts of one term; `endings` and `lost_runs` are events that are not recorded yet."""
 
     def __init__(
         self,
@@ -73,30 +73,30 @@
     ) -> None:
         self.hosts: dict[HostId, Host] = {}
         self.links: dict[HostId, Link] = {}
-        self.endings: deque[Listed] = deque()
-        self.lost: deque[Lost] = deque()
+        self.endings: deque[ReportedEnding] = deque()
+        self.lost_runs: deque[LostRun] = deque()
         self._term, self._table, self._cfg = term, table, cfg
         self._contact_at, self._wake = contact_at, wake
-        self._fences = 0
-        self._queued: dict[HostId, int] = {}
-        self._unknown: dict[HostId, dict[RunName, float]] = {}
+        self._fences_issued = 0
+        self._last_queued_endings: dict[HostId, int] = {}
+        self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
         self.disturbance = Disturbance()
-        self._traits_at: dict[HostId, float] = {}
+        self._traits_sent_at: dict[HostId, float] = {}
 
     def attach(self, link: Link, message: HostAttach) -> HostAttached:
-        """Put a life of a host's executor under this term and return its fencing token."""
+        """Attach a host's executor to this term and return the new fencing token."""
         name = message.host
         host = self.hosts.setdefault(name, Host(name))
         life = (message.instance, message.born_ms)
         now = boot_s()
         if host.life() != life:
             host.noted = 0
-            self._queued.pop(name, None)
+            self._last_queued_endings.pop(name, None)
             host.draining, host.leaves_at = False, float("inf")
             host.note_success()
             host.set_aside_until = float("-inf")
-        self._fences += 1
-        host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences)
+        self._fences_issued += 1
+        host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences_issued)
         host.reported = False
         host.facts = HostFacts(
             message.instance,
@@ -117,15 +117,15 @@
         return HostAttached(self._term.epoch, host.fence)
 
     def link_closed(self, link: Link) -> None:
-        """Note that the hosts of a link are not attached any more."""
+        """Detach the hosts that are attached over a link."""
         for name in [name for name, used in self.links.items() if used is link]:
             del self.links[name]
             self.hosts[name].reported = False
             self.hosts[name].fence = NOT_ATTACHED
             log.info("host detached", extra={"host": name})
 
-    def report(self, link: Link, message: HostRuns) -> None:
-        """Take over the report of a host and let its runs go on."""
+    def receive_report(self, link: Link, message: HostRuns) -> None:
+        """Apply a host's report and renew the lease of its runs."""
         host = next((item for item in self.hosts.values() if item.fence == message.fence), None)
         if host is None or self.links.get(host.host) is not link:
             return
@@ -134,16 +134,16 @@
         host.renewal = message.renewal
         host.filler_percent = message.filler_percent
         if message.draining and not host.draining:
-            log.info("host leaves", extra={"host": host.host, "left_ms": message.remaining_ms})
+            log.info("host is draining", extra={"host": host.host, "left_ms": message.remaining_ms})
             self._wake()
         host.draining = message.draining
         host.leaves_at = now + message.remaining_ms / 1000 if message.draining else float("inf")
         self._match_runs(host, message, now)
-        self._learn(host, link, now)
+        self._update_interference(host, link, now)
         for ending in message.endings:
-            if ending.number > self._queued.get(host.host, host.noted):
-                self._queued[host.host] = ending.number
-                self.endings.append(Listed(host.host, host.life(), ending))
+            if ending.number > self._last_queued_endings.get(host.host, host.noted):
+                self._last_queued_endings[host.host] = ending.number
+                self.endings.append(ReportedEnding(host.host, host.life(), ending))
                 self._wake()
         if message.first:
             host.reported = True
@@ -151,29 +151,29 @@
             self._wake()
 
     def _grant(self, host: Host, link: Link, renewal: int, now: float) -> None:
-        """Let a host's runs go on, if no later scheduler can have counted on their end."""
+        """Renew the lease of a host's runs, unless a later scheduler may consider it expired."""
         if now - self._contact_at() > self._cfg.authority_s:
             return
         host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.noted))
 
     def _match_runs(self, host: Host, message: HostRuns, now: float) -> None:
-        """Compare what a host runs with the tables."""
-        known = self._table.by_host.get(host.host, {})
-        # Time without reports says nothing of progress.
+        """Reconcile the runs that a host reports with the job table."""
+        expected = self._table.by_host.get(host.host, {})
+        # A gap between reports is not evidence that a run makes no progress.
         since = min(now - host.reported_at, MAX_REPORT_GAP_S)
         host.reported_at = now
-        listed = set()
+        reported_runs = set()
         for status in message.runs:
             try:
                 key = TaskKey.parse(status.task)
             except InputError as exc:
-                log.error("host %s reports a run: %s", host.host, exc)
+                log.error("invalid run reported by host %s: %s", host.host, exc)
                 continue
-            listed.add((key, status.run))
-            run = known.get((key, status.run))
+            reported_runs.add((key, status.run))
+            run = expected.get((key, status.run))
             if run is None:
-                self._stop_unknown(host, RunName(status.task, status.run), now)
+                self._stop_unknown_run(host, RunName(status.task, status.run), now)
                 continue
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
@@ -184,15 +184,15 @@
                 run.stalled_s += since
             run.percent, run.saved, run.load = status.percent, status.saved, status.load
             run.pace = status.pace
-            self._note_speed(host, run, now)
+            self._update_host_speed(host, run, now)
         if message.first:
             ended = {(ending.task, ending.run) for ending in message.endings}
-            for (key, number), run in known.items():
-                if (key, number) not in listed and (str(key), number) not in ended:
-                    self.lose(run, "its host does not know it")
+            for (key, number), run in expected.items():
+                if (key, number) not in reported_runs and (str(key), number) not in ended:
+                    self.mark_lost(run, "its host does not report it")
 
-    def _learn(self, host: Host, link: Link, now: float) -> None:
-        """Learn how filler tasks disturb serving ones, and tell a host that holds both."""
+    def _update_interference(self, host: Host, link: Link, now: float) -> None:
+        """Update the interference estimates, and send them to a host with both kinds of task."""
         if host.facts is None:
             return
         serving: list[tuple[str, float]] = []
@@ -202,46 +202,50 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if step.filler:
-                share = run.pace / 100 * self._share(host.facts, step)
+                share = run.pace / 100 * self._cpu_share(host.facts, step)
                 shares[step.image] = shares.get(step.image, 0.0) + share
             elif step.target_ms > 0 and run.percent >= AT_WORK and run.load > 0:
                 serving.append((step.image, run.load / step.target_ms))
         self.disturbance.note(serving, shares)
-        if serving and shares and now - self._traits_at.get(host.host, 0.0) > TRAITS_INTERVAL_S:
+        if (
+            serving
+            and shares
+            and now - self._traits_sent_at.get(host.host, 0.0) > TRAITS_INTERVAL_S
+        ):
             self._send_traits(host, link, fillers_only=True)
 
     @staticmethod
-    def _share(facts: HostFacts, step: Step) -> float:
-        """Return the share of a host's processors that a task works on at full speed."""
+    def _cpu_share(facts: HostFacts, step: Step) -> float:
+        """Return the share of a host's processors that a task uses at full speed."""
         return step.size.cpu_milli / max(1, facts.capacity.cpu_milli)
 
     def pressure(self, host: Host, step: Step) -> float:
-        """Return by how much a filler task raises the logarithm of tails on a host."""
+        """Return by how much a filler task raises the logarithm of tail latencies on a host."""
         if not step.filler or host.facts is None:
             return 0.0
-        return self.disturbance.pressure(step.image) * self._share(host.facts, step)
+        return self.disturbance.pressure(step.image) * self._cpu_share(host.facts, step)
 
-    def _note_speed(self, host: Host, run: Run, now: float) -> None:
-        """Learn from a run's progress how fast its host is."""
+    def _update_host_speed(self, host: Host, run: Run, now: float) -> None:
+        """Update the estimate of a host's speed from the progress of a run."""
         row = self._table.rows.get(run.task.job)
-        if row is None or not row.tasks or now - run.since < SPEED_AFTER_S:
+        if row is None or not row.tasks or now - run.since < MIN_SPEED_SAMPLE_S:
             return
         step = row.step(run.task)
         if step.estimate_s > 0 and not (step.long_running or step.filler or step.gang):
             rate = (run.percent - run.first_percent) / (now - run.since)
             host.note_speed(rate * step.estimate_s / 100)
 
-    def _stop_unknown(self, host: Host, name: RunName, now: float) -> None:
-        """Stop a run that belongs to no unfinished task."""
-        sent = self._unknown.setdefault(host.host, {})
-        if now - sent.get(name, float("-inf")) < STOP_AGAIN_S:
+    def _stop_unknown_run(self, host: Host, name: RunName, now: float) -> None:
+        """Stop a reported run that the job table does not contain."""
+        sent = self._unknown_stops_sent_at.setdefault(host.host, {})
+        if now - sent.get(name, float("-inf")) < STOP_RESEND_S:
             return
         sent[name] = now
         log.info("unknown run stopped", extra={"host": host.host, "task": name.task})
         self.send(host, StopRuns(host.fence, (name,)))
 
     def _send_traits(self, host: Host, link: Link, fillers_only: bool = False) -> None:
-        self._traits_at[host.host] = boot_s()
+        self._traits_sent_at[host.host] = boot_s()
         traits = []
         for run in self._table.runs_on(host.host):
             if run.task not in self._table.rows[run.task.job].tasks:
@@ -253,7 +257,7 @@
         send_nowait(link, RunTraits(host.fence, tuple(traits)))
 
     def answers(self, link: Link, message: OrderAnswers) -> None:
-        """Take over what became of starts."""
+        """Apply a host's answers to start orders."""
         host = next((item for item in self.hosts.values() if item.fence == message.fence), None)
         if host is None or self.links.get(host.host) is not link:
             return
@@ -266,37 +270,37 @@
             if answer.answer is StartAnswer.STARTED:
                 continue
             if answer.answer is StartAnswer.UNFIT:
-                host.set_aside_until = max(host.set_aside_until, now + UNFIT_PAUSE_S)
+                host.set_aside_until = max(host.set_aside_until, now + NO_CAPACITY_PAUSE_S)
             elif answer.answer is StartAnswer.BROKEN and host.note_failure(key.job, now):
                 log.warning("host set aside", extra={"host": host.host, "reason": "refuses starts"})
-            self.lose(run, f"its start was answered {answer.answer.value}")
+            self.mark_lost(run, f"its start was answered {answer.answer.value}")
 
-    def lose(self, run: Run, reason: str) -> None:
-        """Let the scheduler record that a run is over without a listed end."""
-        self.lost.append(Lost(run.task, run.run, reason))
+    def mark_lost(self, run: Run, reason: str) -> None:
+        """Queue a run for the scheduler to record as lost."""
+        self.lost_runs.append(LostRun(run.task, run.run, reason))
         self._wake()
 
     def send(self, host: Host, message: StartRuns | StopRuns) -> bool:
-        """Send orders to a host; False if it is not attached or does not take them."""
+        """Send orders to a host; False if it is not attached or its link rejects them."""
         link = self.links.get(host.host)
         return link is not None and send_nowait(link, message)
 
-    def sweep(self, now: float) -> None:
-        """Give up the runs of hosts whose leases have surely ended.
+    def expire_leases(self, now: float) -> None:
+        """Mark the runs of hosts as lost whose leases have certainly expired.
 
-        An agent may stay attached although its executor is lost for good.
+        An agent may stay attached although its executor is permanently lost.
         """
         for name, host in list(self.hosts.items()):
             if now < host.runs_until:
                 continue
             for run in self._table.runs_on(name):
-                self.lose(run, "its host is gone and its lease has ended")
+                self.mark_lost(run, "its host is unreachable and its lease has expired")
             if not host.fence and now > host.runs_until + self._cfg.retention_s:
                 del self.hosts[name]
 
 
 def send_nowait(link: Link, message: HostGrant | RunTraits | StartRuns | StopRuns) -> bool:
-    """Queue a message on a link; False if the link is gone or does not take it."""
+    """Queue a message on a link; False if the link is closed or its queue is full."""
     try:
         link.send_nowait(message)
     except LinkError as exc:
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobdesk.py
@@ -1,4 +1,4 @@
-"""Calls on jobs at any entry: submit, read, cancel and count, over the store and the leader."""
+"""Job calls at any entry: submit, read, cancel and count, through the store and the leader."""
 
 import logging
 import time
@@ -34,18 +34,18 @@
 
 log = logging.getLogger(__name__)
 
-# How long a submission that the store refuses is tried again before the caller hears of it.
-SUBMIT_PATIENCE_S = 1.0
-# How long one is tried again whose outcome is not known.
-SETTLE_PATIENCE_S = 2.5
-# States that an entry keeps in memory.
+# How long a submission that the store refuses is retried before the call fails.
+REFUSED_RETRY_S = 1.0
+# How long a submission with an unknown outcome is retried.
+UNKNOWN_RETRY_S = 2.5
+# Job states that an entry keeps in memory.
 MAX_STATUSES = 50_000
-# Jobs that an entry remembers because it could not tell whether they were stored.
-MAX_DOUBTFUL = 10_000
+# Jobs with an unknown submission outcome that an entry remembers.
+MAX_UNCERTAIN = 10_000
 
 
 class Submission(Enum):
-    """What a caller is told of a submission."""
+    """Outcome of a submission as the caller sees it."""
 
     ACCEPTED = "accepted"
     NOT_ACCEPTED = "not-accepted"
@@ -53,7 +53,7 @@
 
 
 class DeskUnavailable(StoreError):
-    """The answer cannot be known now."""
+    """The answer cannot be determined now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,15 +72,15 @@
         return f"{self.root}job/{job}"
 
     def cancel(self, job: JobId) -> str:
-        """Return the key that says that a job is to be cancelled."""
+        """Return the key that marks a job as cancelled."""
         return f"{self.root}cancel/{job}"
 
 
 class JobDesk:
     """Component of an entry that serves calls on jobs.
 
-    An accepted job is in the store before its caller hears so; the scheduler
-    learns of it by a message, or from the store if the message is lost.
+    An accepted job is in the store before the caller gets its answer; the scheduler
+    is notified by a message, or reads the job from the store if the message is lost.
     """
 
     handles: frozenset[type[Message]] = frozenset({LeaderNotice, JobStatuses})
@@ -98,14 +98,14 @@
         self.statuses: dict[JobId, JobStatus] = {}
         self.epoch = Epoch(0)
         self.leader: ProcessId | None = None
-        self.local: Callable[[Message], None] | None = None
+        self.send_local: Callable[[Message], None] | None = None
         self.on_epoch: Callable[[Epoch], None] = lambda _epoch: None
-        self._whole_from: Epoch | None = None
-        self._doubtful: dict[JobId, None] = {}
+        self._complete_epoch: Epoch | None = None
+        self._uncertain: dict[JobId, None] = {}
         self._links: list[Link] = []
         self._utc = utc
 
-    # Calls of callers.
+    # Calls.
 
     async def submit(self, job: Job) -> Submission:
         """Accept a job; raises InputError if it is malformed."""
@@ -114,35 +114,35 @@
         if job.job_id in self.statuses:
             return Submission.ACCEPTED
         if not self._store_answers():
-            # A write that is not even tried leaves no doubt that the job will not run.
-            outcome = self._weigh(job.job_id, Submission.NOT_ACCEPTED)
+            # Nothing was written, so it is certain that this submission does not run the job.
+            outcome = self._combine_outcomes(job.job_id, Submission.NOT_ACCEPTED)
             log.info(
                 "job not accepted: the store does not answer",
                 extra={"job": job.job_id, "outcome": outcome.value},
             )
             return outcome
         text = job_text(job)
-        outcome = self._weigh(job.job_id, await self._store_job(job, text))
+        outcome = self._combine_outcomes(job.job_id, await self._store_job(job, text))
         if outcome is Submission.ACCEPTED:
-            self._tell(JobAccepted(job.job_id, text))
+            self._notify_scheduler(JobAccepted(job.job_id, text))
         log.info(
             "job submitted", extra={"job": job.job_id, "queue": job.queue, "outcome": outcome.value}
         )
         return outcome
 
-    def _weigh(self, job: JobId, outcome: Submission) -> Submission:
-        """Return what can be said of a job after all its submissions here.
+    def _combine_outcomes(self, job: JobId, outcome: Submission) -> Submission:
+        """Combine an outcome with those of earlier submissions of the job at this entry.
 
-        An earlier write that was not answered may still be carried out, so a later refusal
-        does not mean that the job never runs.
+        An earlier write without an answer may still take effect, so a later refusal
+        does not prove that the job never runs.
         """
         if outcome is Submission.UNKNOWN:
-            self._doubtful[job] = None
-            if len(self._doubtful) > MAX_DOUBTFUL:
-                del self._doubtful[next(iter(self._doubtful))]
+            self._uncertain[job] = None
+            if len(self._uncertain) > MAX_UNCERTAIN:
+                del self._uncertain[next(iter(self._uncertain))]
         elif outcome is Submission.ACCEPTED:
-            self._doubtful.pop(job, None)
-        elif job in self._doubtful:
+            self._uncertain.pop(job, None)
+        elif job in self._uncertain:
             return Submission.UNKNOWN
         return outcome
 
@@ -158,16 +158,16 @@
             except (StoreUnavailable, StoreLimited) as exc:
                 log.info("job not stored yet: %s", exc, extra={"job": job.job_id})
             else:
-                # Whether now or before: a job of this id is stored.
+                # A job with this id is stored, by this write or an earlier one.
                 return Submission.ACCEPTED
-            patience = SETTLE_PATIENCE_S if unknown else SUBMIT_PATIENCE_S
-            if anyio.current_time() + delay - started > patience:
+            retry_s = UNKNOWN_RETRY_S if unknown else REFUSED_RETRY_S
+            if anyio.current_time() + delay - started > retry_s:
                 break
             await anyio.sleep(delay)
         return Submission.UNKNOWN if unknown else Submission.NOT_ACCEPTED
 
     async def progress(self, job: JobId) -> Progress | None:
-        """Return a job's state, or None if there is no such job; raises DeskUnavailable."""
+        """Return a job's progress, or None if there is no such job; raises DeskUnavailable."""
         status = self.statuses.get(job)
         if status is not None and (status.progress.final or self.is_fresh()):
             return status.progress
@@ -189,12 +189,12 @@
                 await self.store.txn([], [Put(key, b"{}")])
             except StoreError as exc:
                 raise DeskUnavailable(f"the cancelling is not stored: {exc}") from exc
-            self._tell(JobCancelling(job))
+            self._notify_scheduler(JobCancelling(job))
         log.info("job cancelled", extra={"job": job, "ended": stored.ended is not None})
         return True
 
     def pending(self, queue: QueueId) -> int:
-        """Return how many jobs of a queue have not begun; raises DeskUnavailable."""
+        """Return how many jobs of a queue have not started; raises DeskUnavailable."""
         if not self.is_fresh():
             raise DeskUnavailable("the scheduler cannot be reached")
         return sum(
@@ -203,10 +203,10 @@
         )
 
     def is_fresh(self) -> bool:
-        """Tell whether the states of jobs follow the scheduler's."""
-        if self._whole_from != self.epoch or self.leader is None:
+        """Tell whether the job states are up to date with the scheduler's."""
+        if self._complete_epoch != self.epoch or self.leader is None:
             return False
-        return self.local is not None or self._leader_link() is not None
+        return self.send_local is not None or self._leader_link() is not None
 
     async def _read(self, job: JobId) -> StoredJob | None:
         try:
@@ -222,10 +222,10 @@
 
     # Messages.
 
-    def _tell(self, message: Message) -> None:
-        """Tell the scheduler at once; it reads the same from the store otherwise."""
-        if self.local is not None:
-            self.local(message)
+    def _notify_scheduler(self, message: Message) -> None:
+        """Notify the scheduler; if that fails, it finds the change in the store."""
+        if self.send_local is not None:
+            self.send_local(message)
             return
         link = self._leader_link()
         if link is None:
@@ -233,7 +233,7 @@
         try:
             link.send_nowait(message)
         except LinkError as exc:
-            log.info("scheduler not told: %s", exc)
+            log.info("scheduler not notified: %s", exc)
 
     def _leader_link(self) -> Link | None:
         for link in self._links:
@@ -242,27 +242,27 @@
         return None
 
     def follow(self, epoch: Epoch, leader: ProcessId) -> None:
-        """Follow a scheduler unless a later one is known."""
+        """Follow a scheduler unless this entry follows a later one."""
         if epoch < self.epoch or (epoch == self.epoch and leader == self.leader):
             return
         log.info("following scheduler", extra={"leader": leader, "epoch": epoch})
         self.epoch, self.leader = epoch, leader
         self.on_epoch(epoch)
 
-    def take_statuses(self, message: JobStatuses) -> None:
-        """Take over states of jobs from the scheduler."""
+    def apply_statuses(self, message: JobStatuses) -> None:
+        """Apply job states from the scheduler."""
         if message.epoch != self.epoch:
             return
         if message.whole:
-            self._whole_from = message.epoch
+            self._complete_epoch = message.epoch
             self.statuses.clear()
         for status in message.jobs:
             self.statuses[status.job] = status
         if len(self.statuses) > MAX_STATUSES:
-            self._drop_old()
+            self._evict_final_statuses()
 
-    def _drop_old(self) -> None:
-        """Drop the older half of the final states; the store still has them."""
+    def _evict_final_statuses(self) -> None:
+        """Evict the older half of the final states; the store still has them."""
         final = [job for job, status in self.statuses.items() if status.progress.final]
         for job in final[: len(final) // 2]:
             del self.statuses[job]
@@ -276,15 +276,15 @@
         if isinstance(body, LeaderNotice):
             self.follow(body.epoch, body.entry)
         elif isinstance(body, JobStatuses) and link.peer_id == self.leader:
-            self.take_statuses(body)
+            self.apply_statuses(body)
 
     async def link_opened(self, link: Link) -> None:
-        """Note a link to another entry."""
+        """Add a link to another entry."""
         if link.peer is not None and link.peer.role is Role.ENTRY:
             self._links.append(link)
 
     async def link_closed(self, link: Link) -> None:
-        """Forget a link."""
+        """Remove a link."""
         if link in self._links:
             self._links.remove(link)
 
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -1,4 +1,4 @@
-"""The part of an entry that schedules jobs: election, the scheduler's term, and its links."""
+"""Runs leader election and the job scheduler on an entry."""
 
 import logging
 import time
@@ -76,7 +76,7 @@
         desk.on_epoch = self._epoch_seen
 
     def rules_changed(self) -> None:
-        """Look at waiting work again under new rules."""
+        """Run a scheduling pass with the new rules."""
         if self.scheduler is not None:
             self.scheduler.wake()
 
@@ -88,31 +88,31 @@
             group.start_soon(self._dial_peers)
 
     async def _dial_peers(self) -> None:
-        """Keep one link to each other entry: of two, the one that sorts first dials."""
-        own = self.process.hello.process_id
+        """Keep one link to each other entry; of two entries, the one that sorts first dials."""
+        own_id = self.process.hello.process_id
         await self.election.mirror.loaded.wait()
         while True:
-            # A registration that lapses while the store is away does not end a link.
+            # A registration that expires while the store is unavailable does not end a link.
             if self.election.mirror.age_s() < 2 * self.election.cfg.lease_s:
                 peers = self.election.peers()
-                self._dialler.want({name: peers[name] for name in peers if name > own})
+                self._dialler.want({name: peers[name] for name in peers if name > own_id})
             await anyio.sleep(DIAL_INTERVAL_S)
 
     def _epoch_seen(self, epoch: Epoch) -> None:
-        """End an own term that is outdated, and tell the linked agents of the new one."""
+        """End this entry's term if it is outdated, and announce the new leader to linked agents."""
         self.election.outranked(epoch)
         for link in list(self.process.links):
-            self._relay(link)
+            self._announce_leader(link)
 
-    def _relay(self, link: Link) -> None:
-        """Tell an agent which scheduler this entry follows; it may have no link to that one."""
+    def _announce_leader(self, link: Link) -> None:
+        """Announce the leader to an agent, which may have no link to it."""
         leader = self.desk.leader
         if leader is None or link.peer is None or link.peer.role is not Role.AGENT:
             return
         try:
             link.send_nowait(LeaderNotice(self.desk.epoch, leader))
         except LinkError as exc:
-            log.info("%s not told of the scheduler: %s", link.peer_id, exc)
+            log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
     async def _serve_term(self, term: Term) -> None:
         scheduler = Scheduler(
@@ -129,45 +129,45 @@
         self.scheduler = scheduler
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._announce, scheduler)
+                group.start_soon(self._announce_term, scheduler)
                 await scheduler.serve()
                 group.cancel_scope.cancel()
         finally:
             self.scheduler = None
-            self.desk.local = None
+            self.desk.send_local = None
 
-    async def _announce(self, scheduler: Scheduler) -> None:
-        """Tell every process of the term as soon as its tables are loaded."""
+    async def _announce_term(self, scheduler: Scheduler) -> None:
+        """Announce the term to all linked processes once its tables are loaded."""
         await scheduler.loaded.wait()
-        self.desk.local = self._local
+        self.desk.send_local = self._handle_job_message
         self.desk.follow(scheduler.term.epoch, self.process.hello.process_id)
         for link in list(self.process.links):
-            self._introduce(link, scheduler)
-        for message in scheduler.whole_statuses():
-            self.desk.take_statuses(message)
+            self._announce_scheduler(link, scheduler)
+        for message in scheduler.all_statuses():
+            self.desk.apply_statuses(message)
 
-    def _introduce(self, link: Link, scheduler: Scheduler) -> None:
+    def _announce_scheduler(self, link: Link, scheduler: Scheduler) -> None:
         try:
             link.send_nowait(LeaderNotice(scheduler.term.epoch, self.process.hello.process_id))
             if link.peer is not None and link.peer.role is Role.ENTRY:
-                for message in scheduler.whole_statuses():
+                for message in scheduler.all_statuses():
                     link.send_nowait(message)
         except LinkError as exc:
-            log.info("%s not told of the scheduler: %s", link.peer_id, exc)
+            log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
     def _publish(self, message: JobStatuses) -> None:
-        self.desk.take_statuses(message)
+        self.desk.apply_statuses(message)
         for link in self.process.links:
             if link.peer is not None and link.peer.role is Role.ENTRY:
                 try:
                     link.send_nowait(message)
                 except LinkError as exc:
-                    # The entry would miss a change; its next link begins with all states.
-                    log.info("states of jobs not sent to %s: %s", link.peer_id, exc)
+                    # The entry has missed a change; after a reconnect it gets all states.
+                    log.info("job states not sent to %s: %s", link.peer_id, exc)
                     link.close("its queue is full")
 
-    def _local(self, message: Message) -> None:
-        """Handle a message of this process's own desk."""
+    def _handle_job_message(self, message: Message) -> None:
+        """Handle a message about a job, from this process or from another entry."""
         scheduler = self.scheduler
         if scheduler is None:
             return
@@ -177,7 +177,7 @@
             scheduler.cancel(message.job)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Handle a message of an agent or of another entry's desk."""
+        """Handle a message of an agent or of another entry."""
         body = envelope.body
         scheduler = self.scheduler
         if scheduler is None or not scheduler.loaded.is_set():
@@ -188,18 +188,18 @@
             self.election.outranked(body.epoch)
             await link.send(scheduler.board.attach(link, body), envelope.id)
         elif isinstance(body, HostRuns):
-            scheduler.board.report(link, body)
+            scheduler.board.receive_report(link, body)
         elif isinstance(body, OrderAnswers):
             scheduler.board.answers(link, body)
         else:
-            self._local(body)
+            self._handle_job_message(body)
 
     async def link_opened(self, link: Link) -> None:
-        """Introduce the scheduler to a new peer, or name the one that this entry follows."""
+        """Announce this entry's scheduler to a new peer, or the leader that this entry follows."""
         if self.scheduler is not None and self.scheduler.loaded.is_set():
-            self._introduce(link, self.scheduler)
+            self._announce_scheduler(link, self.scheduler)
         else:
-            self._relay(link)
+            self._announce_leader(link)
 
     async def link_closed(self, link: Link) -> None:
         """Detach the hosts of a link."""
@@ -207,5 +207,5 @@
             self.scheduler.board.link_closed(link)
 
     async def drain(self) -> None:
-        """Leave the place of the scheduler to another entry."""
+        """Resign, so that another entry can be elected."""
         await self.election.resign()
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -1,4 +1,4 @@
-"""Stops of runs that are not to go on where they are."""
+"""Stops runs that must not continue on their current host."""
 
 import logging
 
@@ -8,34 +8,36 @@
 from apricotpath.messages import RunName, StopRuns
 from apricotpath.runmoves import serving_to_gather, slow_runs, stalled
 from apricotpath.runplacement import PlacementInput
-from apricotpathd.hostboard import STOP_AGAIN_S, HostBoard
+from apricotpathd.hosttracker import STOP_RESEND_S, HostTracker
 
 log = logging.getLogger(__name__)
 
-# Runs on an executor that leaves are stopped this long before it goes, to save their work.
+# Runs on a draining executor are stopped this long before it exits, so that they checkpoint.
 LEAVE_LEAD_S = 1.0
 MOVE_INTERVAL_S = 1.0
-# Time for one serving task to be at work again before the next one moves.
+# Time for one serving task to run again before the next one is moved.
 GATHER_INTERVAL_S = 2.0
 
 
 class RunStops:
-    """Sends stops, each again until the run has ended."""
+    """Sends stop orders, and repeats each until the run has ended."""
 
-    def __init__(self, table: JobTable, board: HostBoard, now: float) -> None:
-        self._table, self._board = table, board
+    def __init__(self, table: JobTable, tracker: HostTracker, now: float) -> None:
+        self._table, self._tracker = table, tracker
         self._moved_at = self._gathered_at = now
 
-    def send(self, given: PlacementInput) -> None:
-        """Send stops for runs that are not to go on, each again until it has ended."""
-        now = given.now
-        moved = self._runs_to_move(given)
+    def send(self, inputs: PlacementInput) -> None:
+        """Send stop orders that are due for runs that must not continue."""
+        now = inputs.now
+        moved = self._runs_to_move(inputs)
         for name, runs in self._table.by_host.items():
-            host = self._board.hosts.get(name)
+            host = self._tracker.hosts.get(name)
             if host is None or not host.reported:
                 continue
-            stops = [run for run in runs.values() if run in moved or self._unwanted(run, host, now)]
-            due = [run for run in stops if now - run.stop_sent_at > STOP_AGAIN_S]
+            stops = [
+                run for run in runs.values() if run in moved or self._must_stop(run, host, now)
+            ]
+            due = [run for run in stops if now - run.stop_sent_at > STOP_RESEND_S]
             if not due:
                 continue
             for run in due:
@@ -43,28 +45,28 @@
                 run.phase = RunPhase.STOPPING
             names = tuple(RunName(TaskId(str(run.task)), run.run) for run in due)
             log.info("runs stopped", extra={"host": name, "tasks": [item.task for item in names]})
-            self._board.send(host, StopRuns(host.fence, names))
+            self._tracker.send(host, StopRuns(host.fence, names))
 
-    def _runs_to_move(self, given: PlacementInput) -> list[Run]:
-        """Return runs that are better off elsewhere, looked for once a second."""
-        if given.now - self._moved_at < MOVE_INTERVAL_S:
+    def _runs_to_move(self, inputs: PlacementInput) -> list[Run]:
+        """Return runs that should move to another host; searched for once per second."""
+        if inputs.now - self._moved_at < MOVE_INTERVAL_S:
             return []
-        self._moved_at = given.now
-        for host in self._board.hosts.values():
+        self._moved_at = inputs.now
+        for host in self._tracker.hosts.values():
             host.recover_speed()
-        moved = slow_runs(self._table, given)
-        if given.now - self._gathered_at >= GATHER_INTERVAL_S:
-            gathered = serving_to_gather(self._table, given)
+        moved = slow_runs(self._table, inputs)
+        if inputs.now - self._gathered_at >= GATHER_INTERVAL_S:
+            gathered = serving_to_gather(self._table, inputs)
             for run in gathered:
-                self._gathered_at = given.now
+                self._gathered_at = inputs.now
                 log.info(
-                    "serving task moves, to leave its host to filler tasks",
+                    "serving task moved to free its host for filler tasks",
                     extra={"task": str(run.task), "run": run.run, "host": run.host},
                 )
             moved += gathered
         return moved
 
-    def _unwanted(self, run: Run, host: Host, now: float) -> bool:
+    def _must_stop(self, run: Run, host: Host, now: float) -> bool:
         row = self._table.rows.get(run.task.job)
         if row is None or row.unwanted or run.task not in row.tasks:
             return True
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -1,4 +1,4 @@
-"""One scheduler's term: jobs in, starts and stops out, every decision in the run log first."""
+"""Schedules jobs during one leader term; every decision is written to the run log first."""
 
 import logging
 from collections import Counter
@@ -37,30 +37,30 @@
 from apricotpath.store import Delete, Put
 from apricotpath.waitreasons import long_waits, room_row
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
-from apricotpathd.hostboard import HostBoard
+from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobdesk import JobKeys
 from apricotpathd.runstops import RunStops
 
 log = logging.getLogger(__name__)
 
-# Without any event, tables are looked through this often for what time alone changes.
-IDLE_S = 0.2
+# Maximum time between two scheduling passes; some conditions depend on the clock alone.
+MAX_IDLE_S = 0.2
 LOAD_RETRY_S = 0.1
 COPY_INTERVAL_S = 0.3
-# Progress that is lost at most when all machines lose power at once.
+# Bounds the progress that is lost when all machines lose power at once.
 SAVE_INTERVAL_S = 2.0
-# All jobs are looked through for old ones this often, all runs for ones to stop that often.
+# Intervals of the scans over all jobs for expired ones and over all runs for runs to stop.
 FORGET_INTERVAL_S = 0.5
 STOP_INTERVAL_S = 0.1
-# Checkpoints recorded in one append, some 40 kB.
-MAX_SAVED = 600
+# Checkpoints recorded in one append, about 40 kB.
+MAX_CHECKPOINTS_PER_APPEND = 600
 FLEET_LOG_INTERVAL_S = 2.0
 STATUSES_PER_MESSAGE = 4000
 
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """What operators have in force: queues, and data centres taken out."""
+    """Operator settings in force: the queues, and the data centres that are out of service."""
 
     queues: dict[QueueId, Queue] = field(default_factory=dict)
     out: frozenset[DataCentreId] = frozenset()
@@ -68,9 +68,10 @@
 
 @dataclass(slots=True)
 class _Batch:
-    """Records of one append, and what to do once they are durable.
+    """Records of one append, and the actions to take once they are durable.
 
-    `starts` holds the attachments that the starts were decided for.
+    `starts` pairs each placement with the fencing token of the attachment that it was
+    decided for. `noted` holds the number of the last ending recorded for each host.
     """
 
     records: list[RunRecord] = field(default_factory=list)
@@ -82,8 +83,8 @@
 class Scheduler:
     """Schedules all jobs for one term; `serve` runs it.
 
-    The tables run ahead of the log by the batch that is being written;
-    nothing is sent or shown before the batch is durable.
+    The in-memory tables are ahead of the log by the batch that is being written;
+    nothing is sent or published before the batch is durable.
     """
 
     def __init__(
@@ -107,16 +108,16 @@
         self._metrics = metrics
         self._keys = JobKeys(prefix)
         self._log = RunLog(store, f"{prefix}runs/", term.epoch_key, term.epoch_revision)
-        self._mirror = Mirror(store, self._keys.root, self._job_noted)
+        self._mirror = Mirror(store, self._keys.root, self._on_job_key_changed)
         self._wake = anyio.Event()
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
-        self.board = HostBoard(term, self.table, cfg, contact_at, self.wake)
-        self._stops = RunStops(self.table, self.board, self._started)
+        self.board = HostTracker(term, self.table, cfg, contact_at, self.wake)
+        self._run_stops = RunStops(self.table, self.board, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
 
-    # Life of the term.
+    # Start of the term.
 
     async def serve(self) -> None:
         """Run until the term is over or the task is cancelled."""
@@ -125,7 +126,7 @@
             records = await self._load()
             await self._mirror.loaded.wait()
             self.table.apply_all(records, boot_s())
-            self._expect_hosts()
+            self._restore_hosts()
             self.table.changed.update(self.table.rows)
             self.loaded.set()
             log.info(
@@ -133,7 +134,7 @@
                 extra={"jobs": len(self.table.rows), "records": len(records), "epoch": self.epoch},
             )
             try:
-                await self._work()
+                await self._run_loop()
             except FencedError as exc:
                 log.warning("%s", exc, extra={"epoch": self.epoch})
             group.cancel_scope.cancel()
@@ -151,8 +152,8 @@
                 log.info("run log not read: %s", exc)
                 await anyio.sleep(LOAD_RETRY_S)
 
-    def _expect_hosts(self) -> None:
-        """Note hosts that runs were assigned to; their agents may have gone on being granted."""
+    def _restore_hosts(self) -> None:
+        """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed."""
         hold = self.cfg.run_hold_s
         if not self.term.succeeds_itself:
             hold += self.cfg.authority_s
@@ -161,11 +162,11 @@
                 self.board.hosts[name] = Host(name, runs_until=self._started + hold)
 
     def wake(self) -> None:
-        """Look through the tables soon."""
+        """Run a scheduling pass soon."""
         self._wake.set()
 
-    def _job_noted(self, key: str, value: bytes | None, revision: int) -> None:
-        """Take over a change of a job's key."""
+    def _on_job_key_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        """Apply a change of a job's key in the store."""
         if value is None:
             return
         if key.startswith(self._keys.cancel(JobId(""))):
@@ -174,7 +175,7 @@
         self.add_job(value)
 
     def add_job(self, content: str | bytes) -> None:
-        """Add a stored job unless it is known."""
+        """Add a stored job unless the table has it already."""
         try:
             stored = parse_job(content)
         except InputError as exc:
@@ -193,24 +194,24 @@
         self.wake()
 
     def cancel(self, job: JobId) -> None:
-        """Take note that a job is to be cancelled."""
+        """Mark a job as cancelled."""
         self._cancel_keys.add(job)
         self.table.cancel(job)
         self.wake()
 
-    # The work loop.
+    # Scheduling loop.
 
-    async def _work(self) -> None:
+    async def _run_loop(self) -> None:
         while True:
-            with anyio.move_on_after(IDLE_S):
+            with anyio.move_on_after(MAX_IDLE_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
             batch = self._decide()
             started = boot_s()
             if batch.records or batch.extra:
                 await self._log.append(batch.records, batch.extra)
-                self._finish(batch)
-            self._show()
+                self._complete_batch(batch)
+            self._publish_changes()
             self._send_stops(boot_s())
             if self._log.entries > SNAPSHOT_EVERY:
                 await self._log.snapshot(list(self.table.summaries()))
@@ -221,18 +222,18 @@
     def _send_stops(self, now: float) -> None:
         if now - self._stopped_at >= STOP_INTERVAL_S:
             self._stopped_at = now
-            self._stops.send(self._placement_input(now))
+            self._run_stops.send(self._placement_input(now))
 
     def _log_fleet(self) -> None:
-        """Log how full the hosts are and what waits, now and then."""
+        """Log the load of the hosts and the waiting tasks at intervals."""
         now = boot_s()
         if now - self._fleet_logged_at < FLEET_LOG_INTERVAL_S:
             return
         self._fleet_logged_at = now
-        given = self._placement_input(now)
-        rooms = make_rooms(self.table, given)
-        for wait in long_waits(self.table, given, rooms):
-            log.info("tasks wait", extra=wait)
+        inputs = self._placement_input(now)
+        rooms = make_rooms(self.table, inputs)
+        for wait in long_waits(self.table, inputs, rooms):
+            log.info("tasks waiting", extra=wait)
         waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
         log.info(
             "fleet",
@@ -247,15 +248,15 @@
         )
 
     def _decide(self) -> _Batch:
-        """Apply what happened and choose starts; returns what must become durable."""
+        """Apply events and choose starts; return the records that must become durable."""
         batch = _Batch()
         now = boot_s()
-        self.board.sweep(now)
-        self._take_endings(batch, now)
-        self._take_lost(batch, now)
+        self.board.expire_leases(now)
+        self._process_endings(batch, now)
+        self._process_lost_runs(batch, now)
         self._save_progress(batch, now)
-        given = self._placement_input(now)
-        for placement in [*place(self.table, given), *self._copies(given)]:
+        inputs = self._placement_input(now)
+        for placement in [*place(self.table, inputs), *self._place_copies(inputs)]:
             host = self.board.hosts[placement.host]
             instance, born_ms = host.life()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
@@ -265,19 +266,19 @@
         return batch
 
     def _save_progress(self, batch: _Batch, now: float) -> None:
-        """Record checkpoints of runs at work now and then; hosts may be lost with the scheduler."""
+        """Record checkpoints at intervals, in case hosts and scheduler are lost together."""
         if now - self._saved_at < SAVE_INTERVAL_S:
             return
         self._saved_at = now
-        for record in list(islice(self.table.unsaved(), MAX_SAVED)):
+        for record in list(islice(self.table.unsaved(), MAX_CHECKPOINTS_PER_APPEND)):
             self._apply(batch, record, now)
 
-    def _copies(self, given: PlacementInput) -> list[Placement]:
-        """Return starts of copies, looked for less often since they depend on time only."""
-        if given.now - self._copied_at < COPY_INTERVAL_S:
+    def _place_copies(self, inputs: PlacementInput) -> list[Placement]:
+        """Return starts of speculative copies, at intervals since they depend on time only."""
+        if inputs.now - self._copied_at < COPY_INTERVAL_S:
             return []
-        self._copied_at = given.now
-        return place_copies(self.table, given)
+        self._copied_at = inputs.now
+        return place_copies(self.table, inputs)
 
     def _placement_input(self, now: float) -> PlacementInput:
         rules = self._rules()
@@ -295,7 +296,7 @@
         batch.records.append(record)
         self.table.apply(record, now)
 
-    def _take_endings(self, batch: _Batch, now: float) -> None:
+    def _process_endings(self, batch: _Batch, now: float) -> None:
         while self.board.endings:
             name, life, ending = self.board.endings.popleft()
             host = self.board.hosts.get(name)
@@ -305,23 +306,23 @@
             try:
                 key = TaskKey.parse(ending.task)
             except InputError as exc:
-                log.error("host %s reports an end: %s", name, exc)
+                log.error("invalid ending reported by host %s: %s", name, exc)
                 continue
-            self._note_health(host, key, ending, now)
+            self._record_host_health(host, key, ending, now)
             self._end_run(batch, key, ending.run, ending.result, ending.saved, now)
 
-    def _note_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
+    def _record_host_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
         if ending.result is RunResult.DONE:
             host.note_success()
         elif ending.result is RunResult.FAILED and host.note_failure(key.job, now):
             log.warning("host set aside", extra={"host": host.host, "reason": "runs fail"})
 
-    def _take_lost(self, batch: _Batch, now: float) -> None:
-        while self.board.lost:
-            key, run, reason = self.board.lost.popleft()
+    def _process_lost_runs(self, batch: _Batch, now: float) -> None:
+        while self.board.lost_runs:
+            key, run, reason = self.board.lost_runs.popleft()
             task = self.table.task(key)
-            known = task.runs.get(run) if task is not None else None
-            if known is None:
+            lost = task.runs.get(run) if task is not None else None
+            if lost is None:
                 continue
             log.info(
                 "run lost: %s",
@@ -329,12 +330,12 @@
                 extra={
                     "task": str(key),
                     "run": run,
-                    "host": known.host,
-                    "percent": known.percent,
-                    "saved": known.saved,
+                    "host": lost.host,
+                    "percent": lost.percent,
+                    "saved": lost.saved,
                 },
             )
-            self._end_run(batch, key, run, RunResult.LOST, known.saved, now)
+            self._end_run(batch, key, run, RunResult.LOST, lost.saved, now)
 
     def _end_run(
         self, batch: _Batch, key: TaskKey, run: int, result: RunResult, saved: str, now: float
@@ -353,7 +354,7 @@
             return
         if self.table.out_of_attempts(key, queue.attempts):
             log.info(
-                "job fails",
+                "job failed",
                 extra={"job": key.job, "task": str(key), "attempts": queue.attempts},
             )
             self.table.fail(key.job)
@@ -383,7 +384,7 @@
         self._forget_jobs(batch, now)
 
     def _forget_jobs(self, batch: _Batch, now: float) -> None:
-        """Remove jobs that were kept long enough, and the cancellings of those that have ended."""
+        """Remove jobs past their retention time, and the cancel keys of jobs that have ended."""
         if now - self._forgot_at < FORGET_INTERVAL_S:
             return
         self._forgot_at = now
@@ -399,27 +400,27 @@
                 self.statuses.pop(job, None)
 
     def _objective_s(self, job: Job) -> float:
-        """Return within which time a job is to end; 0 if its queue is not configured any more."""
+        """Return the target completion time of a job; 0 if its queue is not configured any more."""
         queue = self._rules().queues.get(job.queue)
         return objective_s(job, queue) if queue is not None else 0.0
 
-    def _finish(self, batch: _Batch) -> None:
-        """Act on a batch that is durable."""
+    def _complete_batch(self, batch: _Batch) -> None:
+        """Acknowledge the endings and send the starts of a batch that has become durable."""
         for name, number in batch.noted.items():
             host = self.board.hosts.get(name)
             if host is not None:
                 host.noted = max(host.noted, number)
         by_host: dict[HostId, list[Placement]] = {}
         for fence, placement in batch.starts:
-            # A host that has attached again meanwhile shows in its first report that the run is
-            # not there, and the task is given out anew.
+            # If the host has attached again meanwhile, its first report shows that the run is
+            # missing, and the task is placed again.
             if self.board.hosts[placement.host].fence == fence:
                 by_host.setdefault(placement.host, []).append(placement)
         for name, placements in by_host.items():
             self._send_starts(self.board.hosts[name], placements)
 
     def _send_starts(self, host: Host, placements: Iterable[Placement]) -> None:
-        """Order starts, but for those that have become wrong while they were written."""
+        """Send start orders, except those that became invalid while they were being written."""
         orders = []
         rules = self._rules()
         for placement in placements:
@@ -430,9 +431,9 @@
                 continue
             out = host.facts is not None and host.facts.data_centre in rules.out
             if row.unwanted or task.done or out or host.draining:
-                self.board.lose(run, "its start was not sent")
+                self.board.mark_lost(run, "its start was not sent")
                 continue
-            # Writing the assignment may have taken long, which is not the run's time.
+            # The time spent on writing the assignment does not count as run time.
             run.since = boot_s()
             step = row.step(placement.task)
             name = TaskId(str(placement.task))
@@ -463,11 +464,12 @@
                 },
             )
         if orders:
-            # If the link is gone, the host's next first report shows that the run is not there.
+            # If the link is closed, the first report after the host attaches again shows that
+            # the run is missing.
             self.board.send(host, StartRuns(host.fence, host.renewal, tuple(orders)))
 
-    def _show(self) -> None:
-        """Publish the states of jobs that have changed."""
+    def _publish_changes(self) -> None:
+        """Publish the job states that have changed."""
         if not self.table.changed:
             return
         changed = []
@@ -482,9 +484,9 @@
         if changed:
             self._publish(JobStatuses(self.term.epoch, False, tuple(changed)))
 
-    def whole_statuses(self) -> Iterable[JobStatuses]:
-        """Yield messages that together hold the states of all jobs."""
-        every = list(self.statuses.values())
-        for start in range(0, max(1, len(every)), STATUSES_PER_MESSAGE):
-            part = tuple(every[start : start + STATUSES_PER_MESSAGE])
-            yield JobStatuses(self.term.epoch, start == 0, part)
+    def all_statuses(self) -> Iterable[JobStatuses]:
+        """Yield messages that together contain the states of all jobs."""
+        job_statuses = list(self.statuses.values())
+        for start in range(0, max(1, len(job_statuses)), STATUSES_PER_MESSAGE):
+            chunk = tuple(job_statuses[start : start + STATUSES_PER_MESSAGE])
+            yield JobStatuses(self.term.epoch, start == 0, chunk)
--- a/tests/features/hostagent.feature
+++ b/tests/features/hostagent.feature
@@ -1,9 +1,8 @@
 Feature: hostagent
 
-  Guards against runs that outlive what the scheduler has granted, an order that
-  is carried out long after it was void, orders of a scheduler or an attachment
-  that has been replaced, starts on an executor that leaves, and filler tasks
-  at full speed beside tasks that serve users.
+  Guards against runs that outlive their lease, an order that is executed after it
+  has become invalid, orders of a scheduler or an attachment that has been replaced,
+  starts on a draining executor, and filler tasks at full speed beside serving tasks.
 
   Scenario: hostagent keeps no run alive beyond its newest grant
     Given a hostagent whose scheduler grants
@@ -37,26 +36,26 @@
 
   Scenario: hostagent says nothing of a run whose traits come before its start
     Given a hostagent whose scheduler grants
-    When the traits of a run come to the hostagent 2 seconds before its start is ordered
+    When the traits of a run reach the hostagent 2 seconds before its start is ordered
     Then the hostagent answers started within 2 seconds
     And the hostagent's executor ran it once in the next 15 seconds
 
   Scenario: hostagent follows the scheduler of the highest epoch only
     Given a hostagent whose scheduler grants
-    When the hostagent hears of a scheduler of an earlier epoch
+    When the hostagent gets a notice of a scheduler of an earlier epoch
     Then the hostagent is still attached to its scheduler
 
   Scenario: hostagent attaches anew when its executor begins another life
     Given a hostagent whose scheduler grants
-    When the hostagent's executor crashes and begins another life
+    When the hostagent's executor crashes and restarts
     Then the hostagent attaches under a higher token within 2 seconds
 
   Scenario: hostagent slows a filler task down from its start beside a task that serves
     Given a hostagent whose scheduler grants
-    When a serving task with a tail of 50 of 100 ms and a filler run at the hostagent
+    When a serving task with a tail latency of 50 of 100 ms and a filler run at the hostagent
     Then the hostagent's filler task is paced below 40 within 1 second
-    When the hostagent's serving task has a tail of 150 of 100 ms for 3 seconds
+    When the hostagent's serving task has a tail latency of 150 of 100 ms for 3 seconds
     Then the hostagent's filler task is paced below 5 within 1 second
-    And the hostagent reports that filler tasks were given below 40 percent lately
-    When the hostagent's serving task has a tail of 40 of 100 ms for 8 seconds
+    And the hostagent reports a recent filler pace below 40 percent
+    When the hostagent's serving task has a tail latency of 40 of 100 ms for 8 seconds
     Then the hostagent's filler task is paced above 80 within 1 second
--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -1,16 +1,16 @@
 Feature: jobworld
 
   Entries, agents, executors and the store together, in virtual time. Guards
-  against a task that runs twice at once, an accepted job that is forgotten or
-  stands still, a lease that outlives its grant, an order that takes effect
-  long after it was void, a scheduler that acts after its term, and work that
-  begins anew although its checkpoints had been reported.
+  against overlapping runs of a task, an accepted job that is lost or never
+  finishes, a lease that outlives its grant, an order that takes effect after
+  it has become invalid, a scheduler that acts after its term, and tasks that
+  start from the beginning although their checkpoints were reported.
 
   Scenario: jobworld finishes a job of two steps and shows it at every entry
     Given a jobworld of 2 entries and 3 agents
     When a job of steps 4 and 2 is submitted to the jobworld
     Then the jobworld's job is completed within 5 seconds at every entry
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
   Scenario Outline: jobworld goes on when <fault>
     Given a jobworld of 3 entries and 4 agents
@@ -18,8 +18,8 @@
     When a job of steps 6 and 2 is submitted to the jobworld
     And the jobworld meets a fault: <fault>
     Then the jobworld's job is completed within <limit> seconds
-    And no rule of the jobworld was broken
-    And tasks of the jobworld began at most <starts> times
+    And no invariant of the jobworld was violated
+    And tasks of the jobworld started at most <starts> times
 
     Examples:
       | fault                                        | limit | starts |
@@ -43,7 +43,7 @@
     When a job of steps 2 and 1 is submitted to the jobworld
     And the jobworld meets a fault: a host hears only the former scheduler
     Then the jobworld's job is completed within 90 seconds
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
   Scenario: jobworld runs a task again within seconds of its host's loss, and not before its lease ended
     Given a jobworld of 2 entries and 2 agents
@@ -51,14 +51,14 @@
     When a job of steps 2 and 1 is submitted to the jobworld
     And the jobworld meets a fault: an agent is cut off for 60 seconds
     Then the jobworld's job is completed within 24 seconds
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
   Scenario Outline: jobworld runs each task once at a time while orders are carried out late, seed <seed>
     Given a jobworld of 2 entries and 4 agents
     And the jobworld's executors leave 30 of 100 orders unanswered and carry them out late
     When 12 jobs of steps 4 and 2 are submitted to the jobworld
     Then the jobworld's jobs are completed within 60 seconds
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
     Examples:
       | seed |
@@ -77,8 +77,8 @@
     And tasks of the jobworld take 4 seconds
     When every agent attaches again while the starts of a job of 6 tasks are written
     Then the jobworld's job is completed within 16 seconds
-    And no rule of the jobworld was broken
-    And tasks of the jobworld began at most 6 times
+    And no invariant of the jobworld was violated
+    And tasks of the jobworld started at most 6 times
 
   Scenario: jobworld tells an agent of the next scheduler through an entry that does not schedule
     Given a jobworld of 6 entries and 2 agents
@@ -104,7 +104,7 @@
     And the jobworld meets a fault: all machines lose power after 10 seconds
     Then the jobworld's job is completed within 30 seconds
     And each task of the jobworld resumed from at least 6 seconds of work
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
   Scenario: jobworld stops what runs of a cancelled job and starts no more of it
     Given a jobworld of 2 entries and 2 agents
@@ -119,13 +119,13 @@
     And the first task of the jobworld's next job always fails
     When a job of steps 2 and 1 is submitted to the jobworld
     Then the jobworld's job is failed within 6 seconds
-    And tasks of the jobworld began at most 3 times
+    And tasks of the jobworld started at most 3 times
 
   Scenario: jobworld accepts a job once, however often and wherever it is submitted
     Given a jobworld of 3 entries and 2 agents
     When one job is submitted three times at each entry of the jobworld while answers are lost
     Then the jobworld's job is completed within 10 seconds
-    And tasks of the jobworld began at most 2 times
+    And tasks of the jobworld started at most 2 times
 
   Scenario: jobworld answers for a job at an entry that has lost the scheduler
     Given a jobworld of 3 entries and 2 agents
@@ -138,7 +138,7 @@
     And tasks of the jobworld take 2 seconds
     When 25 jobs are submitted to the jobworld under random faults with seed <seed>
     Then the jobworld's jobs are completed within 60 seconds
-    And no rule of the jobworld was broken
+    And no invariant of the jobworld was violated
 
     Examples:
       | seed |
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -47,7 +47,7 @@
 EPOCH = Epoch(4)
 
 
-class StubbornExecutor(ModelExecutor):
+class SilentStartExecutor(ModelExecutor):
     """Answers no start, or only every second one; stops are answered."""
 
     every_second = False
@@ -57,13 +57,13 @@
         self.starts += 1
         if self.every_second and self.starts % 2 == 0:
             return self.model.start(call, fence)
-        self._group.start_soon(self._late, self.model.start, call, fence)
+        self._group.start_soon(self._execute_late, self.model.start, call, fence)
         await anyio.sleep(0.5)
         raise ExecutorSilent("no answer")
 
 
 class SchedulerLink:
-    """The scheduler's end of a link, as the agent sees it."""
+    """The agent's end of a link to the scheduler."""
 
     is_open = True
 
@@ -80,8 +80,8 @@
 
     async def call(self, body: Message, timeout_s: float | None = None) -> Message:
         assert isinstance(body, HostAttach)
-        self.case.fences += 1
-        return HostAttached(EPOCH, FenceToken(1000 + self.case.fences))
+        self.case.fences_issued += 1
+        return HostAttached(EPOCH, FenceToken(1000 + self.case.fences_issued))
 
     def send_nowait(self, body: Message, reply_to: int = 0) -> None:
         case = self.case
@@ -89,21 +89,21 @@
             case.renewals.append((body.renewal, boot_s()))
             case.filler_percent = body.filler_percent
             if case.granting:
-                case.give(HostGrant(body.fence, body.renewal, 0))
+                case.send_later(HostGrant(body.fence, body.renewal, 0))
         elif isinstance(body, OrderAnswers):
             case.answers += [answer.answer for answer in body.answers]
 
 
 class AgentCase:
-    """An agent with its executor and a scheduler that can be told what to do."""
+    """An agent with its executor and a simulated scheduler."""
 
     def __init__(self) -> None:
         self.granting = True
-        self.fences = 0
+        self.fences_issued = 0
         self.renewals: list[tuple[int, float]] = []
         self.answers: list[StartAnswer] = []
         self.filler_percent = 100.0
-        self.stubborn: bool | None = None
+        self.answers_every_second: bool | None = None
         self.actions: list[Callable[[], Awaitable[None]]] = []
 
     def run(self) -> None:
@@ -118,8 +118,8 @@
             group.start_soon(self.agent.run)
             self.link: Any = SchedulerLink(self)
             await self.agent.link_opened(self.link)
-            await self.hear(LeaderNotice(EPOCH, ProcessId("entry0")))
-            self.say()
+            await self.deliver(LeaderNotice(EPOCH, ProcessId("entry0")))
+            self.send_heartbeat()
             await anyio.sleep(1.5)
             assert self.agent.attachment is not None
             for action in self.actions:
@@ -127,13 +127,13 @@
             group.cancel_scope.cancel()
 
     def _connect(self, facts: HostFacts) -> ModelExecutor:
-        if self.stubborn is None:
+        if self.answers_every_second is None:
             return ModelExecutor(self.model, self.group)
-        executor = StubbornExecutor(self.model, self.group, 7)
-        executor.every_second = self.stubborn
+        executor = SilentStartExecutor(self.model, self.group, 7)
+        executor.every_second = self.answers_every_second
         return executor
 
-    def say(self, draining: bool = False) -> None:
+    def send_heartbeat(self, draining: bool = False) -> None:
         facts = HostFacts(
             "oven",
             self.model.born_ms,
@@ -145,22 +145,22 @@
         )
         self.agent.executor_said(ExecutorState(facts, draining))
 
-    async def hear(self, message: Message) -> None:
+    async def deliver(self, message: Message) -> None:
         await self.agent.received(self.link, Envelope(1, 0, message))
 
-    def give(self, message: Message) -> None:
-        self.group.start_soon(self.hear, message)
+    def send_later(self, message: Message) -> None:
+        self.group.start_soon(self.deliver, message)
 
     async def order(
         self, task: TaskId = TASK, fence: int = 0, renewal: int = 0, **traits: Any
     ) -> None:
         traits = {"filler": False, "target_ms": 0.0} | traits
         order = RunOrder(task, 1, "bake", "", "", **traits)
-        token = FenceToken(fence or 1000 + self.fences)
-        await self.hear(StartRuns(token, renewal or self.renewals[-1][0], (order,)))
+        token = FenceToken(fence or 1000 + self.fences_issued)
+        await self.deliver(StartRuns(token, renewal or self.renewals[-1][0], (order,)))
 
-    async def began_later(self, seconds: float) -> int:
-        """Return how many runs the executor has begun after some time."""
+    async def started_after(self, seconds: float) -> int:
+        """Return how many runs the executor has started after some time."""
         ends_at = boot_s() + seconds
         while boot_s() < ends_at:
             await anyio.sleep(0.1)
@@ -174,13 +174,13 @@
 
 
 @given("its executor answers no starts and carries them out up to 12 seconds later")
-def stubborn(context: Any) -> None:
-    context.case.stubborn = False
+def answers_every_second(context: Any) -> None:
+    context.case.answers_every_second = False
 
 
 @given("its executor answers every second start and carries the others out up to 12 seconds later")
-def half_stubborn(context: Any) -> None:
-    context.case.stubborn = True
+def half_of_start_answers(context: Any) -> None:
+    context.case.answers_every_second = True
 
 
 @when("a run of {seconds:d} seconds is ordered of the hostagent and the scheduler grants no more")
@@ -220,48 +220,51 @@
             old = [number for number, at in case.renewals if boot_s() - at > 3.0]
             await case.order(renewal=old[-1])
         else:
-            case.say(draining=True)
+            case.send_heartbeat(draining=True)
             await case.order()
 
     case.actions.append(act)
 
 
-@when("the traits of a run come to the hostagent {seconds:d} seconds before its start is ordered")
+@when("the traits of a run reach the hostagent {seconds:d} seconds before its start is ordered")
 def traits_first(context: Any, seconds: int) -> None:
     case: AgentCase = context.case
 
     async def act() -> None:
         case.behaviour.seconds = 3
         trait = RunTrait(TASK, 1, True, 0.0, 0.5)
-        await case.hear(RunTraits(FenceToken(1000 + case.fences), (trait,)))
+        await case.deliver(RunTraits(FenceToken(1000 + case.fences_issued), (trait,)))
         await anyio.sleep(seconds)
         await case.order()
 
     case.actions.append(act)
 
 
-@when("the hostagent hears of a scheduler of an earlier epoch")
+@when("the hostagent gets a notice of a scheduler of an earlier epoch")
 def earlier_epoch(context: Any) -> None:
     case: AgentCase = context.case
 
     async def act() -> None:
-        await case.hear(LeaderNotice(Epoch(3), ProcessId("entry9")))
+        await case.deliver(LeaderNotice(Epoch(3), ProcessId("entry9")))
 
     case.actions.append(act)
 
 
-@when("the hostagent's executor crashes and begins another life")
+@when("the hostagent's executor crashes and restarts")
 def crash(context: Any) -> None:
     case: AgentCase = context.case
 
     async def act() -> None:
         case.model.crash()
-        case.say()
+        case.send_heartbeat()
 
     case.actions.append(act)
 
 
-@when("a serving task with a tail of {tail:d} of {target:d} ms and a filler run at the hostagent")
+@when(
+    "a serving task with a tail latency of {tail:d} of {target:d} ms "
+    "and a filler run at the hostagent"
+)
 def serve_and_fill(context: Any, tail: int, target: int) -> None:
     case: AgentCase = context.case
 
@@ -274,7 +277,9 @@
     case.actions.append(act)
 
 
-@when("the hostagent's serving task has a tail of {tail:d} of 100 ms for {seconds:d} seconds")
+@when(
+    "the hostagent's serving task has a tail latency of {tail:d} of 100 ms for {seconds:d} seconds"
+)
 def tail_for(context: Any, tail: int, seconds: int) -> None:
     case: AgentCase = context.case
 
@@ -286,7 +291,7 @@
 
 
 def check(context: Any, act: Callable[[], Awaitable[None]]) -> None:
-    """Add a check, which runs inside the event loop after what came before it."""
+    """Add a check, which runs inside the event loop after the earlier actions."""
     context.case.actions.append(act)
 
 
@@ -324,7 +329,7 @@
     case: AgentCase = context.case
 
     async def act() -> None:
-        assert await case.began_later(seconds) == 0, case.model.began
+        assert await case.started_after(seconds) == 0, case.model.began
 
     check(context, act)
     case.run()
@@ -335,7 +340,7 @@
     case: AgentCase = context.case
 
     async def act() -> None:
-        assert await case.began_later(seconds) == 1, case.model.began
+        assert await case.started_after(seconds) == 1, case.model.began
         assert len(case.model.history) == 1, case.model.history
 
     check(context, act)
@@ -385,7 +390,7 @@
         case.run()
 
 
-@then("the hostagent reports that filler tasks were given below {most:d} percent lately")
+@then("the hostagent reports a recent filler pace below {most:d} percent")
 def reports_pace(context: Any, most: int) -> None:
     case: AgentCase = context.case
 
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -1,4 +1,4 @@
-"""Steps for jobworld.feature; the world runs in virtual time when its first check is made."""
+"""Steps for jobworld.feature; the world runs in virtual time at the first check."""
 
 import random
 from collections.abc import Awaitable, Callable
@@ -19,13 +19,13 @@
 
 
 class Script:
-    """What a scenario does with a world; the actions run in order inside the event loop."""
+    """Actions of a scenario on a world; they run in order inside the event loop."""
 
     def __init__(self, entries: int, agents: int) -> None:
         self.entries, self.agents = entries, agents
         self.seed = 1
         self.seconds = 1.0
-        self.unanswered = 0.0
+        self.unanswered_share = 0.0
         self.checkpoint_s = 0.0
         self.failing_first = False
         self.actions: list[Action] = []
@@ -40,26 +40,26 @@
             world = self.world = JobWorld(group)
             world.behaviour.seconds = self.seconds
             world.behaviour.checkpoint_s = self.checkpoint_s
-            world.unanswered = self.unanswered
+            world.unanswered_share = self.unanswered_share
             if self.failing_first:
                 world.behaviour.failing.add(TaskId("0000000000000001.0.0.0"))
             for number in range(self.entries):
                 world.add_entry(f"entry{number}")
             for number in range(self.agents):
                 world.add_agent(f"host{number}", HOST)
-            await world.settle()
+            await world.wait_until_attached()
             for action in self.actions:
                 await action(self)
             group.cancel_scope.cancel()
 
     @property
-    def now(self) -> JobWorld:
+    def running_world(self) -> JobWorld:
         assert self.world is not None
         return self.world
 
-    def began(self) -> int:
-        """Return how many runs have begun."""
-        models = [node.model for node in self.now.agents.values()]
+    def runs_started(self) -> int:
+        """Return how many runs have started."""
+        models = [node.model for node in self.running_world.agents.values()]
         return sum(len(model.history) + len(model.runs) for model in models)
 
 
@@ -69,23 +69,23 @@
 
 
 @given("a jobworld of {entries:d} entries and {agents:d} agents")
-def make(context: Any, entries: int, agents: int) -> None:
+def create(context: Any, entries: int, agents: int) -> None:
     context.script = Script(entries, agents)
 
 
 @given("tasks of the jobworld take {seconds:d} seconds")
-def take(context: Any, seconds: int) -> None:
+def set_run_time(context: Any, seconds: int) -> None:
     script(context).seconds = seconds
 
 
 @given("tasks of the jobworld take {seconds:d} seconds and make a checkpoint each second")
-def take_with_checkpoints(context: Any, seconds: int) -> None:
+def set_run_time_with_checkpoints(context: Any, seconds: int) -> None:
     script(context).seconds, script(context).checkpoint_s = seconds, 1.0
 
 
 @given("the jobworld's executors leave {share:d} of 100 orders unanswered and carry them out late")
-def unanswered(context: Any, share: int) -> None:
-    script(context).unanswered = share / 100
+def unanswered_share(context: Any, share: int) -> None:
+    script(context).unanswered_share = share / 100
 
 
 @given("the first task of the jobworld's next job always fails")
@@ -104,7 +104,7 @@
         run.seed = count
         for _ in range(count):
             steps = (Step(first, CORE, 1.0), Step(second, CORE, 1.0, after=(0,)))
-            run.jobs.append(await run.now.submit(*steps))
+            run.jobs.append(await run.running_world.submit(*steps))
         await anyio.sleep(0.5)
 
     script(context).actions.append(act)
@@ -113,7 +113,7 @@
 @when("a job of {count:d} tasks with checkpoints is submitted to the jobworld")
 def submit_with_checkpoints(context: Any, count: int) -> None:
     async def act(run: Script) -> None:
-        run.jobs.append(await run.now.submit(Step(count, CORE, 20.0, checkpoints=True)))
+        run.jobs.append(await run.running_world.submit(Step(count, CORE, 20.0, checkpoints=True)))
 
     script(context).actions.append(act)
 
@@ -122,7 +122,7 @@
 def join_entries(context: Any, cores: str) -> None:
     async def act(run: Script) -> None:
         for number, text in enumerate(cores.replace(" and ", ", ").split(", ")):
-            run.now.add_entry(f"entry{run.entries + number}", float(text))
+            run.running_world.add_entry(f"entry{run.entries + number}", float(text))
         await anyio.sleep(2.0)
 
     script(context).actions.append(act)
@@ -132,9 +132,9 @@
 def scheduler_is(context: Any, which: str, limit: int) -> None:
     async def act(run: Script) -> None:
         with anyio.fail_after(limit):
-            while run.now.leader() is None:
+            while run.running_world.leader() is None:
                 await anyio.sleep(0.05)
-        leader = run.now.leader()
+        leader = run.running_world.leader()
         assert leader is not None
         name = leader.process.hello.process_id
         assert (name != "entry4") if which == "any other" else (name == which), name
@@ -156,20 +156,20 @@
 
 @fault("the scheduler is killed")
 async def kill_scheduler(run: Script) -> None:
-    leader = run.now.leader()
+    leader = run.running_world.leader()
     assert leader is not None
-    await run.now.kill(leader)
+    await run.running_world.kill(leader)
 
 
 @fault("the two strongest entries are killed")
 async def kill_strongest(run: Script) -> None:
     await kill_scheduler(run)
-    await run.now.kill(run.now.entries["entry4"])
+    await run.running_world.kill(run.running_world.entries["entry4"])
 
 
 @fault("the strongest entry cannot reach the store")
 async def cut_strongest(run: Script) -> None:
-    run.now.entries["entry4"].store.faults.silent = True
+    run.running_world.entries["entry4"].store.faults.silent = True
     await kill_scheduler(run)
 
 
@@ -181,22 +181,22 @@
 
 @fault("an agent is killed and started again")
 async def restart_agent(run: Script) -> None:
-    await run.now.kill(run.now.agents["host0"])
+    await run.running_world.kill(run.running_world.agents["host0"])
     await anyio.sleep(1.0)
-    run.now.add_agent("host0", HOST)
+    run.running_world.add_agent("host0", HOST)
 
 
 @fault("an executor crashes")
 async def crash_executor(run: Script) -> None:
-    run.now.agents["host0"].model.crash()
+    run.running_world.agents["host0"].model.crash()
 
 
 @fault("an executor is lost for good")
 async def lose_executor(run: Script) -> None:
-    node = run.now.agents["host0"]
-    node.beats = False
+    node = run.running_world.agents["host0"]
+    node.sends_heartbeats = False
     node.model.crash()
-    node.agent.executor.dark = True  # type: ignore[union-attr]
+    node.agent.executor.unresponsive = True  # type: ignore[union-attr]
 
 
 @fault("an executor crashes and its agent is killed")
@@ -207,20 +207,20 @@
 
 @fault("an agent is cut off for 20 seconds")
 async def cut_agent(run: Script) -> None:
-    run.now.group.start_soon(run.now.cut_off, "host0", 20.0)
+    run.running_world.group.start_soon(run.running_world.partition, "host0", 20.0)
 
 
 @fault("an agent is cut off for 60 seconds")
 async def cut_agent_long(run: Script) -> None:
-    run.now.group.start_soon(run.now.cut_off, "host0", 60.0)
+    run.running_world.group.start_soon(run.running_world.partition, "host0", 60.0)
 
 
 @fault("the scheduler is paused for 5 seconds")
 async def pause_scheduler(run: Script) -> None:
-    leader = run.now.leader()
+    leader = run.running_world.leader()
     assert leader is not None
     name = leader.process.hello.process_id
-    resume = run.now.pause(name)
+    resume = run.running_world.pause(name)
     leader.store.faults.silent = True
     await anyio.sleep(5.0)
     leader.store.faults.silent = False
@@ -229,79 +229,81 @@
 
 @fault("the scheduler is cut off for 6 seconds")
 async def cut_scheduler(run: Script) -> None:
-    leader = run.now.leader()
+    leader = run.running_world.leader()
     assert leader is not None
     leader.store.faults.silent = True
-    run.now.group.start_soon(run.now.cut_off, leader.process.hello.process_id, 6.0)
+    run.running_world.group.start_soon(
+        run.running_world.partition, leader.process.hello.process_id, 6.0
+    )
     await anyio.sleep(6.0)
     leader.store.faults.silent = False
 
 
 @fault("the store is away for 5 seconds")
 async def store_away(run: Script) -> None:
-    for node in run.now.entries.values():
+    for node in run.running_world.entries.values():
         node.store.faults.silent = True
     await anyio.sleep(5.0)
-    for node in run.now.entries.values():
+    for node in run.running_world.entries.values():
         node.store.faults.silent = False
 
 
 @fault("answers of the store are lost")
 async def lose_answers(run: Script) -> None:
-    for node in run.now.entries.values():
+    for node in run.running_world.entries.values():
         node.store.faults.lose = 3
         node.store.faults.late = 2
 
 
 @fault("every entry is killed and started again")
 async def restart_entries(run: Script) -> None:
-    names = list(run.now.entries)
+    names = list(run.running_world.entries)
     for name in names:
-        await run.now.kill(run.now.entries[name])
+        await run.running_world.kill(run.running_world.entries[name])
     await anyio.sleep(1.0)
     for name in names:
-        run.now.add_entry(name)
+        run.running_world.add_entry(name)
 
 
 @fault("all machines lose power after 10 seconds")
 async def lose_power(run: Script) -> None:
     await anyio.sleep(10.0)
-    entries, agents = list(run.now.entries), list(run.now.agents)
-    for node in [*run.now.entries.values(), *run.now.agents.values()]:
-        await run.now.kill(node)
+    entries, agents = list(run.running_world.entries), list(run.running_world.agents)
+    for node in [*run.running_world.entries.values(), *run.running_world.agents.values()]:
+        await run.running_world.kill(node)
     await anyio.sleep(1.0)
     for name in agents:
-        run.now.agents[name].model.crash()
-        run.now.agents[name].model.resumed_s.clear()
+        run.running_world.agents[name].model.crash()
+        run.running_world.agents[name].model.resumed_s.clear()
     for name in entries:
-        run.now.add_entry(name)
+        run.running_world.add_entry(name)
     for name in agents:
-        run.now.add_agent(name, HOST)
+        run.running_world.add_agent(name, HOST)
 
 
 @fault("the scheduler is killed before ends are noted")
 async def kill_before_noted(run: Script) -> None:
-    leader = run.now.leader()
+    leader = run.running_world.leader()
     assert leader is not None
     await anyio.sleep(2.7)
     leader.store.faults.silent = True
     await anyio.sleep(1.5)
-    await run.now.kill(leader)
+    await run.running_world.kill(leader)
 
 
 @fault("a host hears only the former scheduler")
 async def one_sided(run: Script) -> None:
-    leader = run.now.leader()
+    leader = run.running_world.leader()
     assert leader is not None
     leader.store.faults.silent = True
-    others = [name for name, node in run.now.entries.items() if node is not leader]
+    others = [name for name, node in run.running_world.entries.items() if node is not leader]
     pairs = {frozenset({"host0", other}) for other in others}
-    pairs.add(frozenset(run.now.entries))
-    run.now.cut_pairs |= pairs
+    pairs.add(frozenset(run.running_world.entries))
+    run.running_world.partitioned_pairs |= pairs
     await anyio.sleep(30.0)
     leader.store.faults.silent = False
-    run.now.cut_pairs.clear()
-    await run.now.cut_off(leader.process.hello.process_id, 2.0)
+    run.running_world.partitioned_pairs.clear()
+    await run.running_world.partition(leader.process.hello.process_id, 2.0)
 
 
 @when("the jobworld meets a fault: {name}")
@@ -312,8 +314,8 @@
 @when("the jobworld's job is cancelled at an entry that does not schedule")
 def cancel(context: Any) -> None:
     async def act(run: Script) -> None:
-        leader = run.now.leader()
-        others = [node for node in run.now.entries.values() if node is not leader]
+        leader = run.running_world.leader()
+        others = [node for node in run.running_world.entries.values() if node is not leader]
         assert await others[0].desk.cancel(run.jobs[0])
 
     script(context).actions.append(act)
@@ -326,12 +328,12 @@
         run.jobs.append(job.job_id)
         await lose_answers(run)
 
-        async def hand_in(name: str) -> None:
-            await run.now.entries[name].desk.submit(job)
+        async def submit_at(name: str) -> None:
+            await run.running_world.entries[name].desk.submit(job)
 
         async with anyio.create_task_group() as group:
-            for name in list(run.now.entries) * 3:
-                group.start_soon(hand_in, name)
+            for name in list(run.running_world.entries) * 3:
+                group.start_soon(submit_at, name)
 
     script(context).actions.append(act)
 
@@ -339,11 +341,11 @@
 @when("the jobworld's job ends while an entry is cut off from all but the store")
 def end_while_cut(context: Any) -> None:
     async def act(run: Script) -> None:
-        leader = run.now.leader()
-        names = [name for name, node in run.now.entries.items() if node is not leader]
-        run.cut = names[0]  # type: ignore[attr-defined]
-        run.now.group.start_soon(run.now.cut_off, names[0], 60.0)
-        await run.now.ended(run.jobs[0], 10.0, at=names[1])
+        leader = run.running_world.leader()
+        names = [name for name, node in run.running_world.entries.items() if node is not leader]
+        run.partitioned_entry = names[0]  # type: ignore[attr-defined]
+        run.running_world.group.start_soon(run.running_world.partition, names[0], 60.0)
+        await run.running_world.ended(run.jobs[0], 10.0, at=names[1])
 
     script(context).actions.append(act)
 
@@ -351,8 +353,8 @@
 @then("that entry of the jobworld shows it as completed")
 def shown_at_cut(context: Any) -> None:
     async def act(run: Script) -> None:
-        name = run.cut  # type: ignore[attr-defined]
-        assert await run.now.ended(run.jobs[0], 1.0, at=name) == "completed"
+        name = run.partitioned_entry  # type: ignore[attr-defined]
+        assert await run.running_world.ended(run.jobs[0], 1.0, at=name) == "completed"
 
     script(context).actions.append(act)
     script(context).run()
@@ -361,8 +363,8 @@
 @then("the jobworld's job is completed within {limit:d} seconds at every entry")
 def completed_everywhere(context: Any, limit: int) -> None:
     async def act(run: Script) -> None:
-        for name in run.now.entries:
-            assert await run.now.ended(run.jobs[0], limit, at=name) == "completed"
+        for name in run.running_world.entries:
+            assert await run.running_world.ended(run.jobs[0], limit, at=name) == "completed"
 
     finish(context, act)
 
@@ -370,7 +372,7 @@
 @then("the jobworld's job is {state:w} within {limit:d} seconds")
 def job_ends(context: Any, state: str, limit: int) -> None:
     async def act(run: Script) -> None:
-        found = await run.now.ended(run.jobs[0], limit)
+        found = await run.running_world.ended(run.jobs[0], limit)
         assert found == state, found
 
     finish(context, act)
@@ -381,41 +383,41 @@
     async def act(run: Script) -> None:
         ends_at = boot_s() + limit
         for job in run.jobs:
-            found = await run.now.ended(job, max(0.1, ends_at - boot_s()))
+            found = await run.running_world.ended(job, max(0.1, ends_at - boot_s()))
             assert found == "completed", (job, found)
 
     finish(context, act)
 
 
 def finish(context: Any, act: Action) -> None:
-    """Run the script up to this check; later checks look at what the world has recorded."""
+    """Run the script up to this check; later checks use the recorded results."""
     run = script(context)
     run.actions.append(act)
 
     async def record(run: Script) -> None:
         await anyio.sleep(3.0)
-        run.found = run.now.check()  # type: ignore[attr-defined]
-        run.runs = run.began()  # type: ignore[attr-defined]
-        active = [node.model.runs for node in run.now.agents.values()]
+        run.found = run.running_world.violations()  # type: ignore[attr-defined]
+        run.runs = run.runs_started()  # type: ignore[attr-defined]
+        active = [node.model.runs for node in run.running_world.agents.values()]
         run.active = sum(map(len, active))  # type: ignore[attr-defined]
 
     run.actions.append(record)
     run.run()
 
 
-@then("no rule of the jobworld was broken")
-def no_rule_broken(context: Any) -> None:
+@then("no invariant of the jobworld was violated")
+def no_invariant_violated(context: Any) -> None:
     assert context.script.found == [], context.script.found
 
 
-@then("tasks of the jobworld began at most {times:d} times")
-def began(context: Any, times: int) -> None:
+@then("tasks of the jobworld started at most {times:d} times")
+def runs_started(context: Any, times: int) -> None:
     assert context.script.runs <= times, context.script.runs
 
 
 @then("each task of the jobworld resumed from at least {least:d} seconds of work")
 def resumed(context: Any, least: int) -> None:
-    models = [node.model for node in script(context).now.agents.values()]
+    models = [node.model for node in script(context).running_world.agents.values()]
     found = [done_s for model in models for done_s in model.resumed_s]
     assert found and min(found) >= least, found
 
@@ -425,15 +427,15 @@
     assert context.script.active == 0, context.script.active
 
 
-class Troubles:
-    """Random faults, a few at a time, that all pass in the end."""
+class RandomFaults:
+    """Random temporary faults, one after another."""
 
     def __init__(self, run: Script, seed: int) -> None:
         self.run, self.rng = run, random.Random(seed)
 
-    async def one(self) -> None:
-        """Let one random fault come and go."""
-        world, rng = self.run.now, self.rng
+    async def inject_one(self) -> None:
+        """Cause one random fault and wait until it is over."""
+        world, rng = self.run.running_world, self.rng
         kind = rng.choice(["entry", "agent", "crash", "cut", "store", "lost", "late", "lease"])
         if kind == "entry":
             name = rng.choice(list(world.entries))
@@ -448,7 +450,7 @@
         elif kind == "crash":
             rng.choice(list(world.agents.values())).model.crash()
         elif kind == "cut":
-            await world.cut_off(rng.choice([*world.entries, *world.agents]), rng.uniform(2, 9))
+            await world.partition(rng.choice([*world.entries, *world.agents]), rng.uniform(2, 9))
         elif kind == "store":
             nodes = rng.sample(list(world.entries.values()), rng.randint(1, len(world.entries)))
             for node in nodes:
@@ -465,7 +467,7 @@
 
     async def loop(self, until: float) -> None:
         while boot_s() < until:
-            await self.one()
+            await self.inject_one()
             await anyio.sleep(self.rng.uniform(0.2, 2.0))
 
 
@@ -476,28 +478,28 @@
     async def act(run: Script) -> None:
         rng = random.Random(seed)
         until = boot_s() + count * 1.0
-        run.now.unanswered = 0.05
+        run.running_world.unanswered_share = 0.05
         async with anyio.create_task_group() as group:
             for number in range(2):
-                group.start_soon(Troubles(run, seed * 10 + number).loop, until)
+                group.start_soon(RandomFaults(run, seed * 10 + number).loop, until)
             for number in range(count):
                 steps = (
                     Step(rng.randint(1, 5), CORE, 2.0, checkpoints=rng.random() < 0.5),
                     Step(rng.randint(1, 3), CORE, 2.0, after=(0,), gang=rng.random() < 0.3),
                 )
                 job = Job(JobId(f"{seed:08x}{number:08x}"), QUEUE, "bake", steps)
-                group.start_soon(hand_in_until_accepted, run, job, rng.random())
+                group.start_soon(submit_until_accepted, run, job, rng.random())
                 run.jobs.append(job.job_id)
                 await anyio.sleep(rng.uniform(0.2, 1.6))
 
     script(context).actions.append(act)
 
 
-async def hand_in_until_accepted(run: Script, job: Job, choice: float) -> None:
+async def submit_until_accepted(run: Script, job: Job, choice: float) -> None:
     """Submit a job at one entry after another, as a client does."""
     while True:
-        names = sorted(run.now.entries)
-        node = run.now.entries[names[int(choice * 97) % len(names)]]
+        names = sorted(run.running_world.entries)
+        node = run.running_world.entries[names[int(choice * 97) % len(names)]]
         choice += 0.37
         if not node.scope.cancel_called and (await node.desk.submit(job)).value == "accepted":
             return
@@ -507,7 +509,7 @@
 @when("every agent attaches again while the starts of a job of {count:d} tasks are written")
 def attach_during_write(context: Any, count: int) -> None:
     async def act(run: Script) -> None:
-        world = run.now
+        world = run.running_world
         leader = world.leader()
         assert leader is not None
         other = next(name for name, node in world.entries.items() if node is not leader)
@@ -518,7 +520,7 @@
             for link in [link for link in world.links if link.near is node.process]:
                 if link.far is leader.process:
                     await world.close(link)
-                    await world.join(node.process, leader.process)
+                    await world.connect(node.process, leader.process)
         await anyio.sleep(0.5)
         leader.store.faults.silent = False
 
@@ -528,7 +530,7 @@
 @when("a job is submitted to the jobworld while writes are late, and again while all are refused")
 def submit_in_doubt(context: Any) -> None:
     async def act(run: Script) -> None:
-        node = run.now.entries["entry0"]
+        node = run.running_world.entries["entry0"]
         context.outcomes = []
         first, second = (
             Job(JobId(f"{number:016x}"), QUEUE, "bake", (Step(1, CORE, 1.0),)) for number in (7, 8)
@@ -559,7 +561,7 @@
 )
 def few_links(context: Any) -> None:
     async def act(run: Script) -> None:
-        world = run.now
+        world = run.running_world
         leader = world.leader()
         assert leader is not None
         agent = world.agents["host0"].process
@@ -577,8 +579,8 @@
     async def act(run: Script) -> None:
         with anyio.fail_after(limit):
             while True:
-                leader = run.now.leader()
-                name = run.now.agents["host0"].agent.leader
+                leader = run.running_world.leader()
+                name = run.running_world.agents["host0"].agent.leader
                 if leader is not None and name == leader.process.hello.process_id:
                     return
                 await anyio.sleep(0.05)
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -1,4 +1,4 @@
-"""An executor in memory that keeps the promises of a real one, for tests in virtual time."""
+"""An in-memory executor with the guarantees of a real one, for tests in virtual time."""
 
 import random
 from dataclasses import dataclass, field
@@ -18,8 +18,8 @@
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import RunResult
 
-ANSWER_S = 0.002
-STOP_S = 0.3
+ANSWER_DELAY_S = 0.002
+STOP_DELAY_S = 0.3
 
 
 @dataclass
@@ -38,11 +38,11 @@
 
 @dataclass
 class Behaviour:
-    """What becomes of runs: seconds of work by task, and tasks that fail.
+    """Behaviour of runs: their length in seconds, failing tasks, and sizes by task prefix.
 
-    With `checkpoint_s`, a run makes a checkpoint each time it has worked that
-    long; its name is the work done in seconds, and a start that carries it
-    goes on from there.
+    With `checkpoint_s`, a run makes a checkpoint each time it has worked for that
+    many seconds. Its name is the work done in seconds, and a start with that
+    checkpoint resumes from there.
     """
 
     seconds: float = 1.0
@@ -52,7 +52,7 @@
 
 
 class ExecutorModel:
-    """One executor; `crash` begins a new life. `history` holds (task, run, from, to)."""
+    """One executor; `crash` restarts it. `history` holds (task, run, from, to) of ended runs."""
 
     def __init__(self, name: str, capacity: Size, behaviour: Behaviour) -> None:
         self.name = name
@@ -71,14 +71,14 @@
         self.runs: dict[tuple[TaskId, int], ModelRun] = {}
         self.began: dict[tuple[TaskId, int], float] = {}
         self.ends: list[RunEnding] = []
-        self.blocked: dict[TaskId, int] = {}
+        self.highest_blocked_run: dict[TaskId, int] = {}
         self.numbers = 0
         self.changed = anyio.Event()
 
     def crash(self) -> None:
-        """End everything without a report, and begin a new life under the same id."""
+        """Lose all runs without a report, and restart under the same id."""
         for run in list(self.runs.values()):
-            self._note(run)
+            self._record_run(run)
         self.born_ms += 1
         self._reset()
 
@@ -86,19 +86,19 @@
         return round((boot_s() - self.started_at) * 1000)
 
     def percent(self, run: ModelRun) -> int:
-        """Return how much of a run's work is done."""
+        """Return the progress of a run in percent."""
         began = self.began[run.task, run.run]
         return round(min(1.0, (boot_s() - began) / max(0.01, run.ends_at - began)) * 100)
 
     def _save(self, run: ModelRun, now: float) -> None:
-        """Let a run make the checkpoints that are due."""
+        """Make the checkpoint of a run that is due."""
         every_s = self.behaviour.checkpoint_s
         done_s = self.behaviour.seconds - max(0.0, run.ends_at - now)
         if every_s and done_s >= every_s:
             run.saved = str(every_s * int(done_s / every_s))
 
     def work(self) -> None:
-        """Carry out what is due: checkpoints, ends of runs, and the lease."""
+        """Process what is due: checkpoints, ends of runs, and expiry of the lease."""
         now = boot_s()
         for run in self.runs.values():
             self._save(run, now)
@@ -111,13 +111,13 @@
 
     def end(self, run: ModelRun, result: RunResult) -> None:
         del self.runs[run.task, run.run]
-        self._note(run)
+        self._record_run(run)
         self.numbers += 1
         self.ends.append(RunEnding(self.numbers, run.task, run.run, result, run.saved))
         self.changed.set()
         self.changed = anyio.Event()
 
-    def _note(self, run: ModelRun) -> None:
+    def _record_run(self, run: ModelRun) -> None:
         self.history.append((run.task, run.run, self.began[run.task, run.run], boot_s()))
 
     def check_fence(self, fence: FenceToken) -> None:
@@ -132,7 +132,7 @@
         if name in self.runs:
             return StartAnswer.STARTED
         deadline = self.started_at + call.deadline_ms / 1000
-        if call.run <= self.blocked.get(call.task, 0) or deadline <= boot_s():
+        if call.run <= self.highest_blocked_run.get(call.task, 0) or deadline <= boot_s():
             return StartAnswer.REFUSED
         self.deadline = max(self.deadline, deadline)
         size = self.behaviour.sizes.get(str(call.task).rsplit(".", 1)[0], Size(1000, 100, 0))
@@ -147,47 +147,49 @@
         ends_at = boot_s() + self.behaviour.seconds - done_s
         self.runs[name] = ModelRun(call.task, call.run, ends_at, result, size, saved=call.saved)
         self.began[name] = boot_s()
-        self.blocked[call.task] = max(call.run, self.blocked.get(call.task, 0))
+        self.highest_blocked_run[call.task] = max(
+            call.run, self.highest_blocked_run.get(call.task, 0)
+        )
         return StartAnswer.STARTED
 
     def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
         self.check_fence(fence)
-        self.blocked[task] = max(run, self.blocked.get(task, 0))
+        self.highest_blocked_run[task] = max(run, self.highest_blocked_run.get(task, 0))
         found = self.runs.get((task, run))
         if found is not None and found.result is not RunResult.STOPPED:
             found.result = RunResult.STOPPED
-            found.ends_at = boot_s() + STOP_S
+            found.ends_at = boot_s() + STOP_DELAY_S
             found.saved = f"saved-{run}"
 
 
 class ModelExecutor:
-    """Calls to one life of a model; implements `apricotpath.executor.Executor`.
+    """Client of one incarnation of a model; implements `apricotpath.executor.Executor`.
 
-    `unanswered` is the share of orders that get no answer and are carried out
-    up to `late_s` later; `dark` answers nothing at all.
+    `unanswered_share` is the share of orders without an answer, which take effect up to
+    `late_s` later. With `unresponsive` set, no call is answered.
     """
 
     def __init__(self, model: ExecutorModel, group: anyio.abc.TaskGroup, seed: int = 0) -> None:
         self.model = model
         self.born_ms = model.born_ms
-        self.unanswered = 0.0
+        self.unanswered_share = 0.0
         self.late_s = 12.0
-        self.dark = False
+        self.unresponsive = False
         self._group = group
         self._rng = random.Random(seed)
 
-    async def _pass(self) -> None:
-        await anyio.sleep(ANSWER_S)
-        if self.dark:
+    async def _wait_for_answer(self) -> None:
+        await anyio.sleep(ANSWER_DELAY_S)
+        if self.unresponsive:
             await anyio.sleep(0.5)
             raise ExecutorSilent("no answer")
         if self.model.born_ms != self.born_ms:
-            raise ExecutorReplaced("another life")
+            raise ExecutorReplaced("the executor has restarted")
 
     async def hold(
         self, fence: FenceToken, noted: int, deadline_ms: int | None, wait_s: float
     ) -> Holding:
-        await self._pass()
+        await self._wait_for_answer()
         model = self.model
         model.check_fence(fence)
         if deadline_ms is not None:
@@ -212,28 +214,28 @@
         )
 
     async def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
-        await self._pass()
-        if self._rng.random() < self.unanswered:
-            self._group.start_soon(self._late, self.model.start, call, fence)
+        await self._wait_for_answer()
+        if self._rng.random() < self.unanswered_share:
+            self._group.start_soon(self._execute_late, self.model.start, call, fence)
             raise ExecutorSilent("no answer")
         return self.model.start(call, fence)
 
     async def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
-        await self._pass()
-        if self._rng.random() < self.unanswered:
-            self._group.start_soon(self._late, self.model.stop, task, run, fence)
+        await self._wait_for_answer()
+        if self._rng.random() < self.unanswered_share:
+            self._group.start_soon(self._execute_late, self.model.stop, task, run, fence)
             raise ExecutorSilent("no answer")
         self.model.stop(task, run, fence)
 
-    async def _late(self, carry_out: object, *args: object) -> None:
+    async def _execute_late(self, execute: object, *args: object) -> None:
         await anyio.sleep(self._rng.uniform(2.0, self.late_s))
         try:
-            carry_out(*args)  # type: ignore[operator]
+            execute(*args)  # type: ignore[operator]
         except ExecutorFenced:
             return
 
     async def pace(self, task: TaskId, run: int, percent: int, fence: FenceToken) -> None:
-        await self._pass()
+        await self._wait_for_answer()
         self.model.check_fence(fence)
         found = self.model.runs.get((task, run))
         if found is not None:
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -1,4 +1,4 @@
-"""Entries, agents, executors and a store in virtual time, joined by links in memory."""
+"""Entries, agents, executors and a store in virtual time, connected by in-memory links."""
 
 import random
 from collections.abc import Awaitable, Callable
@@ -38,12 +38,12 @@
 SERVICE = ServiceId("bakery")
 QUEUE = QueueId("bread")
 PREFIX = "test/"
-HOP_S = 0.001
+LINK_DELAY_S = 0.001
 PORT = 1
 
 
 def run_virtual(main: Callable[[], Awaitable[Any]], seed: int = 0) -> Any:
-    """Run a coroutine function in virtual time, which the boot clock follows too."""
+    """Run a coroutine function in virtual time; the boot clock uses it too."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     random.seed(seed)
@@ -85,16 +85,16 @@
 
     async def _deliver(self, envelope: Envelope) -> None:
         self._sent.append(envelope)
-        await anyio.sleep(HOP_S)
+        await anyio.sleep(LINK_DELAY_S)
         while self._sent and self._sent[0] is not envelope:
             await anyio.lowlevel.checkpoint()
         if self._sent:
             self._sent.pop(0)
         other = self.other
-        # A cut swallows messages without an error; a paused process handles them later.
-        if other is None or not other.is_open or self.world.is_cut(self.near, self.far):
+        # A partition drops messages without an error; a paused process handles them later.
+        if other is None or not other.is_open or self.world.is_partitioned(self.near, self.far):
             return
-        await self.world.resumed(self.far)
+        await self.world.wait_while_paused(self.far)
         call = other._calls.pop(envelope.reply_to, None) if envelope.reply_to else None
         if call is not None:
             call[1].append(envelope.body)
@@ -120,7 +120,7 @@
 
 @dataclass
 class EntryNode:
-    """An entry of the world and the scope that kills it."""
+    """An entry of the world; cancelling `scope` kills it."""
 
     process: Process
     store: MemoryStore
@@ -131,13 +131,13 @@
 
 @dataclass
 class AgentNode:
-    """An agent of the world with its executor."""
+    """An agent of the world with its executor; cancelling `scope` kills the agent."""
 
     process: Process
     agent: HostAgent
     model: ExecutorModel
     scope: anyio.CancelScope
-    beats: bool = True
+    sends_heartbeats: bool = True
 
 
 class JobWorld:
@@ -153,12 +153,12 @@
         self.agents: dict[str, AgentNode] = {}
         self.queues = {QUEUE: Queue(QUEUE, SERVICE, attempts=2)}
         self.out: set[DataCentreId] = set()
-        self.cut: set[str] = set()
-        self.cut_pairs: set[frozenset[str]] = set()
+        self.partitioned: set[str] = set()
+        self.partitioned_pairs: set[frozenset[str]] = set()
         self.links: list[MemoryLink] = []
-        self.unanswered = 0.0
+        self.unanswered_share = 0.0
         self._paused: dict[str, anyio.Event] = {}
-        self._numbers = 0
+        self._jobs_submitted = 0
 
     # Processes.
 
@@ -186,28 +186,28 @@
         self.group.start_soon(self._run, node.scope, process)
         for other in [*self.entries.values(), *self.agents.values()]:
             if other is not node and not other.scope.cancel_called:
-                self.group.start_soon(self.join, other.process, process)
+                self.group.start_soon(self.connect, other.process, process)
         return node
 
     def add_agent(self, name: str, capacity: Size, zone: str = "z1", rack: str = "r1") -> AgentNode:
-        known = self.agents.get(name)
-        model = known.model if known else ExecutorModel(name, capacity, self.behaviour)
+        previous = self.agents.get(name)
+        model = previous.model if previous else ExecutorModel(name, capacity, self.behaviour)
         process = Process(Role.AGENT, ProcessId(name), DataCentreId(zone))
 
-        def connect(facts: HostFacts) -> Executor:
+        def connect_executor(facts: HostFacts) -> Executor:
             executor = ModelExecutor(model, self.group, crc32(name.encode()))
-            executor.unanswered = self.unanswered
+            executor.unanswered_share = self.unanswered_share
             return executor
 
-        agent = HostAgent(HostId(name), self.cfg, connect)
+        agent = HostAgent(HostId(name), self.cfg, connect_executor)
         process.use([agent])
         node = AgentNode(process, agent, model, anyio.CancelScope())
         self.agents[name] = node
         self.group.start_soon(self._run, node.scope, process)
-        self.group.start_soon(self._beat, node, zone, rack)
+        self.group.start_soon(self._send_heartbeats, node, zone, rack)
         for entry in self.entries.values():
             if not entry.scope.cancel_called:
-                self.group.start_soon(self.join, process, entry.process)
+                self.group.start_soon(self.connect, process, entry.process)
         return node
 
     async def _run(self, scope: anyio.CancelScope, process: Process) -> None:
@@ -215,10 +215,10 @@
             async with anyio.create_task_group() as group:
                 await process.serve(group)
 
-    async def _beat(self, node: AgentNode, zone: str, rack: str) -> None:
+    async def _send_heartbeats(self, node: AgentNode, zone: str, rack: str) -> None:
         while not node.scope.cancel_called:
             model = node.model
-            if node.beats:
+            if node.sends_heartbeats:
                 facts = HostFacts(
                     model.name,
                     model.born_ms,
@@ -233,14 +233,14 @@
             await anyio.sleep(0.5)
 
     async def kill(self, node: EntryNode | AgentNode) -> None:
-        """End a process without a word."""
+        """Kill a process without a clean shutdown."""
         node.scope.cancel()
         for link in [link for link in self.links if link.near is node.process]:
             await self.close(link)
 
     # Links.
 
-    async def join(self, near: Process, far: Process) -> None:
+    async def connect(self, near: Process, far: Process) -> None:
         """Open a link between two processes."""
         one, two = MemoryLink(self, near, far), MemoryLink(self, far, near)
         one.other, two.other = two, one
@@ -258,34 +258,34 @@
                 for done, _ in end._calls.values():
                     done.set()
 
-    def is_cut(self, near: Process, far: Process) -> bool:
-        """Tell whether messages between two processes get lost."""
+    def is_partitioned(self, near: Process, far: Process) -> bool:
+        """Tell whether messages between two processes are lost."""
         names = frozenset({str(near.hello.process_id), str(far.hello.process_id)})
-        return bool(names & self.cut) or names in self.cut_pairs
+        return bool(names & self.partitioned) or names in self.partitioned_pairs
 
-    async def cut_off(self, name: str, for_s: float) -> None:
-        """Cut a process off from all others: messages vanish, and links close after a silence."""
-        self.cut.add(name)
+    async def partition(self, name: str, for_s: float) -> None:
+        """Partition a process from all others: messages are lost, and links close on silence."""
+        self.partitioned.add(name)
         await anyio.sleep(1.6)
         process = (self.entries.get(name) or self.agents[name]).process
         for link in [link for link in self.links if link.near is process]:
             await self.close(link)
         await anyio.sleep(max(0.0, for_s - 1.6))
-        self.cut.discard(name)
+        self.partitioned.discard(name)
         others = [*self.entries.values(), *self.agents.values()]
         for other in others:
-            entry_between = name in self.entries or other in self.entries.values()
-            if other.process is not process and entry_between and not other.scope.cancel_called:
-                await self.join(process, other.process)
+            involves_entry = name in self.entries or other in self.entries.values()
+            if other.process is not process and involves_entry and not other.scope.cancel_called:
+                await self.connect(process, other.process)
 
-    async def resumed(self, process: Process) -> None:
+    async def wait_while_paused(self, process: Process) -> None:
         """Wait while a process is paused."""
         event = self._paused.get(process.hello.process_id)
         if event is not None:
             await event.wait()
 
     def pause(self, name: str) -> Callable[[], None]:
-        """Keep messages to a process waiting; returns what lets it go on."""
+        """Delay messages to a process; returns a function that resumes it."""
         event = self._paused[name] = anyio.Event()
 
         def resume() -> None:
@@ -297,9 +297,9 @@
     # Work.
 
     async def submit(self, *steps: Step, at: str = "") -> JobId:
-        """Hand in a job at an entry and return its id."""
-        self._numbers += 1
-        job = JobId(f"{self._numbers:016x}")
+        """Submit a job at an entry and return its id."""
+        self._jobs_submitted += 1
+        job = JobId(f"{self._jobs_submitted:016x}")
         desk = self.entries[at or next(iter(self.entries))].desk
         outcome = await desk.submit(Job(job, QUEUE, "bake", steps))
         assert outcome.value == "accepted", outcome
@@ -313,8 +313,8 @@
                 return node
         return None
 
-    async def settle(self) -> None:
-        """Wait until a scheduler is loaded and every living agent is attached."""
+    async def wait_until_attached(self) -> None:
+        """Wait until a scheduler is loaded and every running agent is attached."""
         with anyio.fail_after(30):
             while self.leader() is None or not all(
                 node.agent.attachment is not None and node.agent.attachment.reported
@@ -324,7 +324,7 @@
                 await anyio.sleep(0.05)
 
     async def ended(self, job: JobId, within_s: float, at: str = "") -> str:
-        """Return the final state of a job as an entry shows it; fails if it comes too late."""
+        """Return the final state of a job as an entry shows it; raises TimeoutError."""
         node = (
             self.entries[at]
             if at
@@ -337,15 +337,15 @@
                     return progress.value
                 await anyio.sleep(0.05)
 
-    def check(self) -> list[str]:
-        """Return what breaks a rule: overlapping runs of a task, or a start after its end."""
+    def violations(self) -> list[str]:
+        """Return violated invariants: overlapping runs of a task, or an overcommitted host."""
         found = []
         runs: dict[str, list[tuple[float, float]]] = {}
         for node in self.agents.values():
             model = node.model
             model.work()
             if model.overcommitted:
-                found.append(f"{model.name} was given more than it holds")
+                found.append(f"{model.name} was overcommitted")
             active = [
                 (run.task, run.run, model.began[run.task, run.run], boot_s())
                 for run in model.runs.values()
@@ -356,7 +356,7 @@
             spans.sort()
             for (_, ended), (began, _) in pairwise(spans):
                 if began < ended:
-                    found.append(f"{task} ran twice at once")
+                    found.append(f"{task} had overlapping runs")
         return found
 
 
