--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -1,4 +1,4 @@
-"""Keeps an entry's host table, and records the founders of services that are new."""
+"""Keeps an entry's host table up to date, and records the founders of new services."""
 
 import logging
 from collections.abc import Callable
@@ -22,7 +22,7 @@
 
 
 class HostRegistry:
-    """Component that fills the host table from announcements and reports."""
+    """Component that updates the host table from announcements and reports."""
 
     handles: frozenset[type[Message]] = frozenset({Announce, HostReport, Leaving})
 
@@ -32,22 +32,22 @@
         hosts: HostTable,
         control: Control,
         members: Members,
-        on_founders: Callable[[], None],
+        on_founders_recorded: Callable[[], None],
     ) -> None:
         self.policy = policy
         self.hosts = hosts
         self.control = control
         self.members = members
-        self.on_founders = on_founders
+        self.on_founders_recorded = on_founders_recorded
         self._first_seen: dict[ServiceId, float] = {}
 
     async def run(self) -> None:
-        """Expire rows and found services until cancelled."""
+        """Expire rows and record the founders of new services until cancelled."""
         while True:
             await anyio.sleep(EXPIRE_INTERVAL_S)
             now = anyio.current_time()
             self.hosts.expire(now, self.policy.key_memory_s)
-            await self._found_services(now)
+            await self._record_founders(now)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Update the row of the agent that sent a message."""
@@ -71,21 +71,21 @@
         """Wait for the agent to announce itself."""
 
     async def link_closed(self, link: Link) -> None:
-        """Mark the agent gone."""
+        """Mark the agent as gone."""
         if link.peer is not None and link.peer.role is Role.AGENT:
             self.hosts.closed(link, anyio.current_time())
 
     async def drain(self) -> None:
-        """Return at once; the table holds no work."""
+        """Return at once; the table has no work in progress."""
 
-    async def _found_services(self, now: float) -> None:
-        """Record who was there when a service was first seen, if nobody has."""
+    async def _record_founders(self, now: float) -> None:
+        """Record the agents present when a service was first seen, unless they are recorded."""
         view: ControlView = self.members.view
         if not view.store_up:
             return
         for service, seen_at in self._first_seen.items():
-            known = service in view.founders or self.control.has_founders(service)
-            if known or now - seen_at < self.policy.founding_s:
+            recorded = service in view.founders or self.control.has_founders(service)
+            if recorded or now - seen_at < self.policy.founding_s:
                 continue
             if self.control.service_rules(service) is None:
                 continue
@@ -93,8 +93,8 @@
             try:
                 founders = await self.members.found_service(service, present)
             except StoreError as exc:
-                log.info("service %s is not recorded yet: %s", service, exc)
+                log.info("founders of service %s not recorded yet: %s", service, exc)
                 continue
-            log.info("service recorded", extra={"service": service, "founders": len(founders)})
+            log.info("founders recorded", extra={"service": service, "founders": len(founders)})
             if self.control.offer_founders(service, founders):
-                self.on_founders()
+                self.on_founders_recorded()
--- a/packages/daemon/src/apricotpathd/hosts.py
+++ b/packages/daemon/src/apricotpathd/hosts.py
@@ -36,7 +36,7 @@
 
     @property
     def maturity(self) -> Maturity:
-        """Age class of the agent's memory of idempotency keys."""
+        """How complete the agent's memory of idempotency keys is."""
         return self.announce.maturity
 
 
@@ -44,14 +44,14 @@
 class HostTable:
     """Hosts by agent process id; the newest link and incarnation of an agent win.
 
-    Former incarnations of an agent stay in `former` for as long as their
-    places in the key order matter (`key_memory_s`). `openings` counts new links
-    and incarnations, so that a scan for these can be left out while it stands.
+    Former incarnations of an agent stay in `former` while their positions in the
+    order of idempotency keys matter (`key_memory_s`). `link_changes` counts new links and
+    incarnations, so that scans for new hosts can be skipped while it is unchanged.
     """
 
     rows: dict[ProcessId, HostRow] = field(default_factory=dict)
     former: list[HostRow] = field(default_factory=list)
-    openings: int = 0
+    link_changes: int = 0
     _services: dict[ServiceId, dict[ProcessId, HostRow]] = field(default_factory=dict)
 
     def by_host(self, host: HostId) -> HostRow | None:
@@ -71,14 +71,14 @@
             row.link = None
             row.gone_at = row.gone_at if row.gone_at is not None else now
             self.former.append(row)
-            self._unlist(row)
+            self._remove_from_service(row)
             row = None
         if row is None:
             row = self.rows[process] = HostRow(process, incarnation, announce, None)
         if row.link is not link:
-            self.openings += 1
+            self.link_changes += 1
         if row.announce.service != announce.service:
-            self._unlist(row)
+            self._remove_from_service(row)
         self._services.setdefault(announce.service, {})[process] = row
         row.announce, row.link, row.gone_at = announce, link, None
         row.leaving = row.leaving or announce.leaving
@@ -86,7 +86,7 @@
         return row
 
     def closed(self, link: Link, now: float) -> HostRow | None:
-        """Mark the agent gone if this was its current link; return its row then."""
+        """Mark an agent as gone and return its row, or None if this is not its current link."""
         row = self.rows.get(link.peer.process_id) if link.peer is not None else None
         if row is None or row.link is not link:
             return None
@@ -99,9 +99,9 @@
         for process, row in list(self.rows.items()):
             if row.gone_at is not None and now - row.gone_at > keep_s:
                 del self.rows[process]
-                self._unlist(row)
+                self._remove_from_service(row)
 
-    def _unlist(self, row: HostRow) -> None:
+    def _remove_from_service(self, row: HostRow) -> None:
         """Remove a row from the list of its service."""
         rows = self._services.get(row.announce.service, {})
         if rows.get(row.process) is row:
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -1,4 +1,4 @@
-"""Operators' calls on jobs: carried out by the shard's owner, forwarded to it by any entry."""
+"""Job calls of operators: executed by the shard's owner, forwarded to it by other entries."""
 
 import json
 import re
@@ -35,16 +35,16 @@
 from apricotpathd.tracing import RecordEvent, no_trace
 
 JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
-# Tasks listed one by one by `show`; the counts cover all.
-SHOWN_TASKS = 200
+# Maximum number of tasks that `show` lists; the counts cover all tasks.
+MAX_SHOWN_TASKS = 200
 
-# A call waits this long for the owner of a shard that moves or has just lost its owner.
+# A call waits this long for a shard that has no owner or is moving to another.
 OWNER_WAIT_S = 3.0
 OWNER_POLL_S = 0.1
 
 JOBS, EXPLAIN = "/v1/jobs", "/v1/explain"
-# Only between entries: asks another owner to make room for urgent tasks.
-ROOM = "/v1/room"
+# Between entries only: asks another owner to free capacity for urgent tasks.
+FREE_CAPACITY = "/v1/room"
 
 ERROR_CODES: dict[str, tuple[int, type[ApricotpathError]]] = {
     "input": (400, InputError),
@@ -58,7 +58,7 @@
 
 
 def check_spec(spec: JobSpec) -> None:
-    """Raise InputError if a job's own fields are contradictory or out of range."""
+    """Raise InputError if fields of a job are contradictory or out of range."""
     size = spec.size
     checks = (
         (JOB_ID.fullmatch(spec.job_id) is not None, "job_id must match [A-Za-z0-9][A-Za-z0-9._-]*"),
@@ -76,7 +76,7 @@
 
 
 class JobCalls:
-    """Submission, cancellation and questions about jobs."""
+    """Submits, cancels, lists, shows and explains jobs."""
 
     def __init__(
         self, state: OwnerState, members: Members, scheduler: Scheduler, reconciler: Reconciler
@@ -88,15 +88,15 @@
         self.record: RecordEvent = no_trace
 
     async def submit(self, spec: JobSpec) -> dict[str, Any]:
-        """Accept a job, durably, and return its summary; a repeated call changes nothing."""
+        """Accept a job durably and return its summary; idempotent by job id."""
         check_spec(spec)
 
         async def local(shard: Shard) -> dict[str, Any]:
             return await self._submit(shard, spec)
 
-        return await self._routed(spec.job_id, local, "POST", JOBS, spec_to_json(spec))
+        return await self._call_owner(spec.job_id, local, "POST", JOBS, spec_to_json(spec))
 
-    async def _routed(
+    async def _call_owner(
         self,
         job: JobId,
         local: Callable[[Shard], Awaitable[dict[str, Any]]],
@@ -104,10 +104,10 @@
         path: str,
         body: Any = None,
     ) -> dict[str, Any]:
-        """Carry out a call at the owner of a job's shard, here or at another entry.
+        """Execute a call at the owner of a job's shard, here or at another entry.
 
-        A shard that moves has no owner for a moment, so the call is tried again for a while.
-        All calls may be repeated: submission and cancellation are idempotent by job id.
+        A shard that moves has no owner for a short time, so the call is retried. All
+        calls may be repeated: submission and cancellation are idempotent by job id.
         """
         deadline = anyio.current_time() + OWNER_WAIT_S
         while True:
@@ -135,12 +135,12 @@
         return summary(row)
 
     async def cancel(self, job: JobId) -> dict[str, Any]:
-        """Cancel a job, durably, and return its summary; running tasks stop afterwards."""
+        """Cancel a job durably and return its summary; running tasks stop afterwards."""
 
         async def local(shard: Shard) -> dict[str, Any]:
             return await self._cancel(shard, job)
 
-        return await self._routed(job, local, "DELETE", f"{JOBS}/{job}")
+        return await self._call_owner(job, local, "DELETE", f"{JOBS}/{job}")
 
     async def _cancel(self, shard: Shard, job: JobId) -> dict[str, Any]:
         row = shard.table.job(job)
@@ -155,7 +155,7 @@
         return summary(row)
 
     async def _journal(self, shard: Shard, record: Record) -> None:
-        """Return when a record is durable and applied, or raise why it is not."""
+        """Return once a record is durable and applied; raises the error otherwise."""
         written = anyio.Event()
         errors: list[Exception] = []
 
@@ -176,27 +176,31 @@
         async def local(shard: Shard) -> dict[str, Any]:
             return self._show(shard, job)
 
-        return await self._routed(job, local, "GET", f"{JOBS}/{job}")
+        return await self._call_owner(job, local, "GET", f"{JOBS}/{job}")
 
     def _show(self, shard: Shard, job: JobId) -> dict[str, Any]:
         row = shard.table.job(job)
-        tasks = [self._task(shard, row, n) for n in sorted(row.rows)[:SHOWN_TASKS]]
+        tasks = [self._task(shard, row, n) for n in sorted(row.rows)[:MAX_SHOWN_TASKS]]
         return {**summary(row), "spec": spec_to_json(row.spec), "task_list": tasks}
 
     def _task(self, shard: Shard, row: JobRow, number: int) -> dict[str, Any]:
         name = task_id(row.spec.job_id, number)
-        known, run = row.rows.get(number), shard.runs.get(name)
+        task_row, run = row.rows.get(number), shard.runs.get(name)
         shown: dict[str, Any] = {"task": name, "state": task_state(row, number, run).value}
-        if known is not None:
-            shown |= {"attempt": known.attempt, "host": known.host, "checkpoint": known.checkpoint}
-            shown |= {"evictions": known.evictions, "failures": known.failures}
-            shown |= {"reason": known.reason}
+        if task_row is not None:
+            shown |= {
+                "attempt": task_row.attempt,
+                "host": task_row.host,
+                "checkpoint": task_row.checkpoint,
+            }
+            shown |= {"evictions": task_row.evictions, "failures": task_row.failures}
+            shown |= {"reason": task_row.reason}
         if run is not None:
             shown |= {"progress": round(run.progress, 4), "share": run.share}
         return shown
 
     async def list(self) -> dict[str, Any]:
-        """Return the summaries of all jobs, and the shards that no entry answered for."""
+        """Return the summaries of all jobs, and the shards for which no entry answered."""
         found = self._list()
         view = self.members.view()
         missing = set(range(self.state.policy.shards)) - set(self.state.shards)
@@ -220,13 +224,13 @@
         return {"jobs": jobs, "shards": [int(number) for number in shards]}
 
     async def explain(self, name: str) -> dict[str, Any]:
-        """Return the state of a job or task and why it waits: the rule or limit that decided."""
+        """Return the state of a job or task, and the rule or limit because of which it waits."""
         job = job_of(name)
 
         async def local(shard: Shard) -> dict[str, Any]:
             return self._explain(shard, name)
 
-        return await self._routed(job, local, "GET", f"{EXPLAIN}/{name}")
+        return await self._call_owner(job, local, "GET", f"{EXPLAIN}/{name}")
 
     def _explain(self, shard: Shard, name: str) -> dict[str, Any]:
         job = job_of(name)
@@ -257,7 +261,7 @@
         return shard if shard is not None and shard.loaded else None
 
     async def _forward(self, job: JobId, method: str, path: str, body: Any) -> dict[str, Any]:
-        """Carry out a call at the entry that owns a job's shard."""
+        """Execute a call at the entry that owns a job's shard."""
         number = shard_of(job, self.state.policy.shards)
         owner = self.members.view().owners.get(number)
         if owner is None or owner[0] == self.state.entry:
@@ -279,7 +283,7 @@
         return dict(value)
 
     async def answer(self, call: JobCall) -> JobReply:
-        """Carry out a forwarded call; it is never forwarded again."""
+        """Execute a forwarded call; it is never forwarded again."""
         try:
             value = await self._dispatch(call)
         except ApricotpathError as exc:
@@ -291,49 +295,51 @@
     async def _dispatch(self, call: JobCall) -> dict[str, Any]:
         if (call.method, call.path) == ("GET", JOBS):
             return self._list()
-        if (call.method, call.path) == ("POST", ROOM):
-            return self._make_room(json.loads(call.body))
+        if (call.method, call.path) == ("POST", FREE_CAPACITY):
+            return self._free_capacity(json.loads(call.body))
         if (call.method, call.path) == ("POST", JOBS):
             try:
                 spec = spec_from_json(json.loads(call.body))
             except ValueError as exc:
                 raise InputError(f"the job is not valid JSON: {exc}") from exc
-            return await self._submit(self._must_own(spec.job_id), spec)
+            return await self._submit(self._require_owned(spec.job_id), spec)
         if call.method == "GET" and call.path.startswith(EXPLAIN + "/"):
             name = call.path[len(EXPLAIN) + 1 :]
-            return self._explain(self._must_own(job_of(name)), name)
+            return self._explain(self._require_owned(job_of(name)), name)
         if call.path.startswith(JOBS + "/"):
             job = JobId(call.path[len(JOBS) + 1 :])
-            shard = self._must_own(job)
+            shard = self._require_owned(job)
             if call.method == "DELETE":
                 return await self._cancel(shard, job)
             if call.method == "GET":
                 return self._show(shard, job)
         raise InputError(f"there is no call {call.method} {call.path}")
 
-    async def ask_room(
+    async def request_capacity(
         self, spec: JobSpec, tasks: Sequence[TaskId], data_centres: Sequence[DataCentreId]
     ) -> None:
-        """Ask the other owners in turn to evict for urgent tasks without room."""
-        wanted = [*tasks]
+        """Ask the other owners in turn to free capacity for urgent tasks that found none."""
+        remaining = [*tasks]
         for entry in self.members.view().entries:
             link = self.members.link_to(entry) if entry != self.state.entry else None
-            if link is None or not wanted:
+            if link is None or not remaining:
                 continue
-            body = {"size": asdict(spec.size), "data_centres": [*data_centres], "tasks": wanted}
+            body = {"size": asdict(spec.size), "data_centres": [*data_centres], "tasks": remaining}
             try:
-                reply = await link.call(JobCall("POST", ROOM, json.dumps(body).encode()))
+                reply = await link.call(JobCall("POST", FREE_CAPACITY, json.dumps(body).encode()))
             except LinkError:
                 continue
             if isinstance(reply, JobReply) and reply.status == 200:
-                wanted = wanted[json.loads(reply.body)["made"] :]
+                remaining = remaining[json.loads(reply.body)["made"] :]
 
-    def _make_room(self, body: dict[str, Any]) -> dict[str, Any]:
+    def _free_capacity(self, body: dict[str, Any]) -> dict[str, Any]:
         now = anyio.current_time()
         size = Size(**body["size"])
-        return {"made": self.scheduler.make_room(size, body["data_centres"], body["tasks"], now)}
+        return {
+            "made": self.scheduler.free_capacity(size, body["data_centres"], body["tasks"], now)
+        }
 
-    def _must_own(self, job: JobId) -> Shard:
+    def _require_owned(self, job: JobId) -> Shard:
         shard = self._owned(job)
         if shard is None:
             raise NoOwner(f"entry {self.state.entry} does not own the shard of job {job}")
@@ -341,12 +347,12 @@
 
 
 def job_of(name: str) -> JobId:
-    """Return the job of a job id or task id."""
+    """Return the job id for a job id or a task id."""
     return split_task(TaskId(name))[0] if "/" in name else JobId(name)
 
 
 def job_state(row: JobRow) -> JobState:
-    """Return a job's state as operators see it."""
+    """Return a job's state as shown to operators."""
     if row.cancelled:
         return JobState.CANCELLED
     if not row.ended:
@@ -371,7 +377,7 @@
 
 
 def task_state(row: JobRow, number: int, run: Run | None) -> TaskState:
-    """Return a task's state as operators see it."""
+    """Return a task's state as shown to operators."""
     state = row.state_of(number)
     if state is not TaskState.ASSIGNED or run is None:
         return state
@@ -388,7 +394,7 @@
 
 
 def error_code(exc: ApricotpathError) -> str:
-    """Return the code under which an error crosses between entries."""
+    """Return the code that represents an error in messages between entries."""
     for code, (_, cls) in ERROR_CODES.items():
         if isinstance(exc, cls):
             return code
@@ -396,6 +402,6 @@
 
 
 def raise_error(value: dict[str, Any]) -> NoReturn:
-    """Raise the error that another entry answered with."""
+    """Raise the error that another entry returned."""
     _, cls = ERROR_CODES.get(str(value.get("code")), (500, JobError))
     raise cls(str(value.get("text")))
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -46,26 +46,26 @@
 
 log = logging.getLogger(__name__)
 
-ACQUIRE_S = 1.0
-# Entries that start together find each other within this time after their first view; only
-# then do they share out the shards, so that no shard has to move soon afterwards.
-GATHER_S = 1.5
-# An entry that is not the first choice for a shard without an owner waits this
-# long per place, so that usually only one entry tries.
-PLACE_WAIT_S = 3.0
-# What an entry holds beyond its fair share moves when that has lasted this long.
-HAND_OVER_S = 10.0
+ACQUIRE_INTERVAL_S = 1.0
+# Entries that start together see each other within this time after their first view. Shards
+# are distributed only then, so that none has to move soon afterwards.
+STARTUP_WAIT_S = 1.5
+# An entry that is not the first choice for a shard without an owner waits this long
+# per rank, so that usually only one entry tries to acquire it.
+RANK_WAIT_S = 3.0
+# A shard beyond an entry's fair share is handed over after this time.
+HANDOVER_DELAY_S = 10.0
 STORE_RETRY_S = 0.5
 SNAPSHOT_RECORDS = 5000
-# Systems over all attempts run at this interval, the decisions every tick.
-SCAN_S = 0.5
-JUDGE_S = 5.0
+# Scans over all attempts run at this interval, placement in every tick.
+SCAN_INTERVAL_S = 0.5
+IMPOSSIBLE_CHECK_INTERVAL_S = 5.0
 
 OpenJournal = Callable[[ShardId, Epoch], Journal]
 
 
 class Owner:
-    """Owns shards for as long as the store and the hosts know no newer owner."""
+    """Owns shards until the store or a host reports a newer owner."""
 
     handles: frozenset[type[Message]] = frozenset(
         {HostReport, ShardClaimed, JobCall, ShareRequest, Leaving}
@@ -99,8 +99,8 @@
         self._first_view_at: float | None = None
         self._view_changed = anyio.Event()
         self._acquiring: set[ShardId] = set()
-        self._scan_at = 0.0
-        self._judge_at = 0.0
+        self._next_scan_at = 0.0
+        self._next_impossible_check_at = 0.0
 
     async def submit(self, spec: JobSpec) -> dict[str, Any]:
         """Accept a job, durably, and return its summary. Idempotent by job id.
@@ -154,18 +154,18 @@
         """Acquire shards and run the scheduling tick until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = self.commands.group = self.shares.group = group
-            self.scheduler.ask_others = self._ask_others
+            self.scheduler.request_remote_capacity = self._request_remote_capacity
             group.start_soon(self._acquire_loop)
             while True:
                 self.tick(anyio.current_time())
                 await anyio.sleep(self.state.policy.tick_s)
 
     def tick(self, now: float) -> None:
-        """Run the systems once, in the order in which each needs the others' results."""
+        """Reconcile and schedule once; the order matters, as later steps use earlier results."""
         self.reconciler.take_reports(now)
         self.reconciler.send_claims(now)
-        if now >= self._scan_at:
-            self._scan_at = now + SCAN_S
+        if now >= self._next_scan_at:
+            self._next_scan_at = now + SCAN_INTERVAL_S
             self.reconciler.expire(now)
             self.reconciler.renew(now, self.members.last_contact_at())
             self.reconciler.stop_cancelled(now)
@@ -173,8 +173,8 @@
             self.scheduler.guard_hosts(now)
             self.scheduler.restore_throttles(now)
             self.shares.keep(now)
-        if now >= self._judge_at:
-            self._judge_at = now + JUDGE_S
+        if now >= self._next_impossible_check_at:
+            self._next_impossible_check_at = now + IMPOSSIBLE_CHECK_INTERVAL_S
             self.scheduler.judge_possible(now)
             self.scheduler.forget_ended(now)
             self.reconciler.forget_hosts()
@@ -182,7 +182,7 @@
             self.scheduler.place(now)
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Take a message; replies that need the store are sent by a task of their own."""
+        """Handle a message; replies that need the store are sent from a separate task."""
         body = envelope.body
         if isinstance(body, HostReport):
             if link.peer is not None:
@@ -201,11 +201,11 @@
     async def _answer(self, link: Link, number: int, call: JobCall) -> None:
         self._reply(link, await self.calls.answer(call), number)
 
-    def _ask_others(
+    def _request_remote_capacity(
         self, spec: JobSpec, tasks: Sequence[TaskId], data_centres: Sequence[DataCentreId]
     ) -> None:
         if self._group is not None:
-            self._group.start_soon(self.calls.ask_room, spec, [*tasks], [*data_centres])
+            self._group.start_soon(self.calls.request_capacity, spec, [*tasks], [*data_centres])
 
     @staticmethod
     def _reply(link: Link, message: Message, reply_to: int) -> None:
@@ -215,17 +215,17 @@
             log.info("reply not sent: %s", exc)
 
     async def link_opened(self, link: Link) -> None:
-        """Do nothing: hosts are known from their announcements."""
+        """Do nothing: hosts are registered by their announcements."""
 
     async def link_closed(self, link: Link) -> None:
-        """Stop placing on the host; its tasks go on under their leases."""
+        """Stop placing tasks on the host; its running tasks continue under their leases."""
         if link.peer is not None:
             row = self.state.hosts.rows.get(link.peer.process_id)
             if row is None or row.link is link or row.link is None:
                 self.state.index.remove(link.peer.process_id)
 
     async def drain(self) -> None:
-        """Take no decisions any more and release all shards once their writes are done."""
+        """Stop scheduling, and release all shards once their writes are done."""
         self.draining = True
         for shard in list(self.state.shards.values()):
             while shard.loaded and not shard.dropped and (shard.outbox or shard.busy):
@@ -234,11 +234,11 @@
                 await anyio.sleep(self.state.policy.tick_s)
             await self._release(shard, "the entry is shutting down")
 
-    async def _release(self, shard: Shard, why: str) -> None:
-        # An earlier owner may still renew tasks that are held, so the next owner must wait too.
+    async def _release(self, shard: Shard, reason: str) -> None:
+        # An earlier owner may still renew held tasks, so the next owner must wait for them too.
         held = any(run.phase is Phase.HELD for run in shard.runs.values())
         settled = shard.loaded and not held
-        self.state.drop(shard, why)
+        self.state.drop(shard, reason)
         try:
             await self.members.release_shard(shard.shard, shard.epoch, settled)
         except StoreError as exc:
@@ -249,22 +249,24 @@
             self._view_changed = anyio.Event()
             if not self.draining:
                 self._review_shards(anyio.current_time())
-            with anyio.move_on_after(ACQUIRE_S):
+            with anyio.move_on_after(ACQUIRE_INTERVAL_S):
                 await self._view_changed.wait()
 
     def view_changed(self) -> None:
-        """Review the shards now: another entry may have released one."""
+        """Review the shards now, since another entry may have released one."""
         self._view_changed.set()
 
     def _review_shards(self, now: float) -> None:
-        """Drop shards that the store gives to others, and go for those without an owner."""
+        """Drop shards that the store assigns to others, and acquire those without an owner."""
         view, entry = self.members.view(), self.state.entry
         numbers = [ShardId(number) for number in range(self.state.policy.shards)]
         held = {number: owner[0] for number, owner in view.owners.items()}
         fair = fair_shares(view.entries, numbers, held)
         if entry in view.entries and self._first_view_at is None:
             self._first_view_at = now
-        gathered = self._first_view_at is not None and now - self._first_view_at >= GATHER_S
+        startup_over = (
+            self._first_view_at is not None and now - self._first_view_at >= STARTUP_WAIT_S
+        )
         for number in numbers:
             owner, shard = view.owners.get(number), self.state.shards.get(number)
             if shard is not None:
@@ -276,22 +278,22 @@
             if owner is not None and owner[0] in view.entries and owner[0] != entry:
                 self._unowned_since.pop(number, None)
                 continue
-            if entry not in view.entries or number in self._acquiring or not gathered:
+            if entry not in view.entries or number in self._acquiring or not startup_over:
                 continue
             since = self._unowned_since.setdefault(number, now)
-            places = rendezvous(f"shard/{number}", list(view.entries))
-            place = 0 if fair[number] == entry else 1 + places.index(entry)
-            if now - since >= place * PLACE_WAIT_S and self._group is not None:
+            ranking = rendezvous(f"shard/{number}", list(view.entries))
+            place = 0 if fair[number] == entry else 1 + ranking.index(entry)
+            if now - since >= place * RANK_WAIT_S and self._group is not None:
                 self._acquiring.add(number)
                 self._group.start_soon(self._acquire, number)
 
     def _hand_over(self, shard: Shard, first: EntryId | None, now: float) -> None:
-        """Release a shard beyond this entry's fair share, so that the load is spread."""
+        """Release a shard beyond this entry's fair share, to balance the load."""
         if first in (None, self.state.entry) or not shard.usable:
             self._misplaced_since.pop(shard.shard, None)
             return
         since = self._misplaced_since.setdefault(shard.shard, now)
-        if now - since >= HAND_OVER_S and not shard.outbox and not shard.busy:
+        if now - since >= HANDOVER_DELAY_S and not shard.outbox and not shard.busy:
             self._misplaced_since.pop(shard.shard)
             if self._group is not None:
                 self._group.start_soon(self._release, shard, f"handed over to {first}")
@@ -311,7 +313,7 @@
         shard = Shard(number, epoch, self.open_journal(number, epoch), anyio.current_time())
         shard.released = acquired.released
         self.state.shards[number] = shard
-        # Hosts may take tasks again when they have accepted this claim too.
+        # Hosts take tasks again once they have accepted this claim too.
         for process in list(self.state.index.hosts):
             self.state.index.remove(process)
         log.info("shard acquired", extra={"shard": number, "epoch": epoch})
@@ -320,7 +322,7 @@
             self._group.start_soon(self._serve, shard)
 
     async def _serve(self, shard: Shard) -> None:
-        """Load a shard's journal, then write what is proposed until the shard is dropped."""
+        """Load a shard's journal, then write proposals until the shard is dropped."""
         with shard.scope:
             if shard.dropped:
                 return
@@ -354,10 +356,10 @@
         shard.loaded, shard.store_failed_at = True, None
 
     def _match_runs(self, shard: Shard, *, first: bool) -> None:
-        """Keep the attempts that the journal confirms, hold those that it adds.
+        """Keep the attempts that the journal confirms, and add those that only it contains.
 
-        After a reload an added assignment is one of this owner's own whose write
-        had no answer. It was never sent, so it can be given back at once.
+        After the first load these are held. After a reload such an assignment was written by
+        this owner without an answer; it was never sent, so it can be released at once.
         """
         policy, state = self.state.policy, self.state
         # An owner stops renewing before it releases a shard, so only its last renewals count.
@@ -389,7 +391,7 @@
                 state.remove_run(shard, task)
 
     async def _write(self, shard: Shard) -> None:
-        """Write all proposals in one append, then apply and follow up on each."""
+        """Write all proposals in one append, then apply each and call its callback."""
         shard.wake = anyio.Event()
         batch, shard.outbox = shard.outbox, []
         records = [record for proposal in batch for record in proposal.records]
@@ -410,7 +412,7 @@
             log.warning("journal reloaded: %s", exc, extra={"shard": shard.shard})
             shard.loaded = False
             self._fail(batch, exc)
-            # What was queued meanwhile rests on a table that is about to be replaced.
+            # Proposals queued meanwhile are based on a table that is about to be replaced.
             queued, shard.outbox = shard.outbox, []
             self._fail(queued, StoreUnavailable("the journal is being read again"))
             await self._load(shard, first=False)
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -1,4 +1,4 @@
-"""Systems that compare a shard's journal with what the hosts report."""
+"""Reconciles a shard's journal with the reports of the hosts."""
 
 import logging
 from collections import Counter, defaultdict
@@ -18,56 +18,55 @@
 
 log = logging.getLogger(__name__)
 
-# A start without an answer is sent again after this time, a few times.
-RESEND_S = 1.5
+# A start without an answer is sent again after this time, `MAX_SENDS` times in all.
+START_RESEND_S = 1.5
 MAX_SENDS = 3
-# A report proves absence only when its worker clock is past the start window by
-# this margin; heartbeats, and so anchors, are up to the silence limit old.
+# A report proves that an attempt is absent only if its worker clock is past the start window
+# by this margin; heartbeats, and so lease anchors, may be as old as the silence limit.
 ABSENCE_MARGIN_MS = 3000
-# Reports may overtake each other by at most this; a larger step back of the
-# worker's clock is a restart of the worker.
+# Maximum reordering of reports; a larger step back of the worker's clock is a restart.
 REORDER_MS = 30_000
-TELL_AGAIN_S = 1.0
-EVICT_AGAIN_S = 3.0
-CLAIM_AGAIN_S = 1.0
+STOP_RESEND_S = 1.0
+EVICT_RESEND_S = 3.0
+CLAIM_RESEND_S = 1.0
 # An agent whose link has just ended usually redials within this time.
 REDIAL_S = 5.0
-# A present host whose worker gives no list is waited for this long after a lease has ended.
+# How long after the end of a lease to wait for a present host whose worker does not answer.
 REPORT_WAIT_S = 30.0
-# Claims of one tick are bounded, so that a take-over does not overload the links.
-CLAIMS_PER_TICK = 2000
+# Bounds the claims of one tick, so that acquiring many shards does not overload the links.
+MAX_CLAIMS_PER_TICK = 2000
 
 
 class Reconciler:
-    """Handles claims, reports, outcomes, absences and ends of leases."""
+    """Handles claims, reports, outcomes, absent attempts and expired leases."""
 
     def __init__(self, state: OwnerState, commands: Commands) -> None:
         self.state = state
         self.commands = commands
 
     def send_claims(self, now: float) -> None:
-        """Claim every linked host for every shard; hosts with assigned tasks first."""
-        budget, openings = CLAIMS_PER_TICK, self.state.hosts.openings
+        """Send shard claims to all linked hosts; hosts with assigned tasks come first."""
+        budget, link_changes = MAX_CLAIMS_PER_TICK, self.state.hosts.link_changes
         for shard in self.state.shards.values():
-            # Only a new link or incarnation brings a host that has not accepted the claim.
-            if not shard.loaded or shard.claimed_openings == openings:
+            # Only a new link or incarnation can add a host that has not accepted the claim.
+            if not shard.loaded or shard.claimed_link_changes == link_changes:
                 continue
             rows = self.state.hosts.rows.values()
-            open_rows = [
+            unclaimed_rows = [
                 row
                 for row in rows
                 if row.present and shard.claims.get(row.process) != row.incarnation
             ]
-            if not open_rows:
-                shard.claimed_openings = openings
-            open_rows.sort(key=lambda row: row.process not in shard.by_process)
-            for row in open_rows[:budget]:
-                if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_AGAIN_S:
+            if not unclaimed_rows:
+                shard.claimed_link_changes = link_changes
+            unclaimed_rows.sort(key=lambda row: row.process not in shard.by_process)
+            for row in unclaimed_rows[:budget]:
+                if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_RESEND_S:
                     self.commands.claim(shard, row, now)
                     budget -= 1
 
     def forget_hosts(self) -> None:
-        """Drop the claims of agents that are gone for good, as replaced hosts have new names."""
+        """Drop the claims of agents no longer in the host table; replaced hosts get new names."""
         rows = self.state.hosts.rows
         for shard in self.state.shards.values():
             for process in [name for name in shard.claims if name not in rows]:
@@ -76,7 +75,7 @@
                 del shard.claim_sent[process]
 
     def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
-        """Take a host's answer to a claim."""
+        """Handle a host's answer to a claim."""
         shard, row = self.state.shards.get(reply.shard), self.state.row_of(link)
         if shard is None or row is None or not shard.loaded:
             return
@@ -92,19 +91,19 @@
         for task in list(shard.by_process.get(row.process, ())):
             run = shard.runs[task]
             if run.phase is Phase.HELD:
-                self._account(run, row, present.get((task, run.attempt)), now)
-        self._outcomes(shard, row, reply.outcomes, now)
+                self._resolve_held(run, row, present.get((task, run.attempt)), now)
+        self._handle_outcomes(shard, row, reply.outcomes, now)
         self.state.refresh_host(row.process)
 
-    def _account(self, run: Run, row: HostRow, report: TaskReport | None, now: float) -> None:
-        """Settle a task held since the take-over, now that its host is fenced.
+    def _resolve_held(self, run: Run, row: HostRow, report: TaskReport | None, now: float) -> None:
+        """Resolve an attempt held since the shard was acquired, now that its host is fenced.
 
-        If the host does not list it, a start by the former owner may still be
+        If the host does not report it, a start by the former owner may still be
         on its way to the worker, until the start window has passed.
         """
         run.expires_at = now + self.state.lease_total_s
         if report is not None:
-            self._seen(run, report, now)
+            self._mark_running(run, report, now)
             return
         heartbeat = row.link.last_heartbeat if row.link is not None else None
         run.anchor_clock_ms = heartbeat.worker_clock_ms if heartbeat is not None else 0
@@ -121,95 +120,99 @@
                 continue
             self.state.reports[process] = (row.incarnation, report)
             if report.ready:
-                self._report(row, report, now)
+                self._handle_report(row, report, now)
             self.state.refresh_host(process)
-            self._learn(row, report, now)
+            self._observe_interference(row, report, now)
 
     def _is_older(self, row: HostRow, report: HostReport) -> bool:
-        known = self.state.reports.get(row.process)
-        if known is None or known[0] != row.incarnation:
+        recorded = self.state.reports.get(row.process)
+        if recorded is None or recorded[0] != row.incarnation:
             return False
-        return 0 < known[1].worker_clock_ms - report.worker_clock_ms < REORDER_MS
+        return 0 < recorded[1].worker_clock_ms - report.worker_clock_ms < REORDER_MS
 
-    def _report(self, row: HostRow, report: HostReport, now: float) -> None:
-        listed: set[tuple[TaskId, int]] = set()
+    def _handle_report(self, row: HostRow, report: HostReport, now: float) -> None:
+        reported: set[tuple[TaskId, int]] = set()
         for task in report.tasks:
-            listed.add((task.task, task.attempt))
+            reported.add((task.task, task.attempt))
             shard = self.state.shards.get(task.shard)
             if shard is not None and shard.loaded:
-                self._task(shard, row, task, now)
+                self._handle_task(shard, row, task, now)
         outcomes: dict[int, list[TaskOutcome]] = defaultdict(list)
         for outcome in report.outcomes:
-            listed.add((outcome.task, outcome.attempt))
+            reported.add((outcome.task, outcome.attempt))
             outcomes[outcome.shard].append(outcome)
         for shard in list(self.state.shards.values()):
             if shard.claims.get(row.process) != row.incarnation:
                 continue
-            self._outcomes(shard, row, outcomes.get(shard.shard, ()), now)
+            self._handle_outcomes(shard, row, outcomes.get(shard.shard, ()), now)
             for name in list(shard.by_process.get(row.process, ())):
                 run = shard.runs[name]
-                if (name, run.attempt) not in listed and name not in shard.busy:
-                    self._absent(shard, run, row, report, now)
+                if (name, run.attempt) not in reported and name not in shard.busy:
+                    self._handle_absent(shard, run, row, report, now)
 
-    def _task(self, shard: Shard, row: HostRow, task: TaskReport, now: float) -> None:
+    def _handle_task(self, shard: Shard, row: HostRow, task: TaskReport, now: float) -> None:
         if task.epoch > shard.epoch:
             self.state.drop(shard, f"host {row.host} runs a task under epoch {task.epoch}")
             return
         if task.state in (RunState.ENDED, RunState.STOPPING):
-            self._update(shard.runs.get(task.task), task, row)
+            self._mark_present(shard.runs.get(task.task), task, row)
             return
         if shard.claims.get(row.process) != row.incarnation:
             return
         run = shard.runs.get(task.task)
         if run is not None and run.attempt == task.attempt and run.process == row.process:
-            self._seen(run, task, now)
+            self._mark_running(run, task, now)
             return
         self.commands.stop(shard, row, task.task, task.attempt, "not assigned to this host")
 
     @staticmethod
-    def _update(run: Run | None, task: TaskReport, row: HostRow) -> bool:
+    def _mark_present(run: Run | None, task: TaskReport, row: HostRow) -> bool:
         if run is None or run.attempt != task.attempt or run.process != row.process:
             return False
-        run.absent = 0
+        run.absent_reports = 0
         return True
 
-    def _seen(self, run: Run, task: TaskReport, now: float) -> None:
-        """Note that an attempt runs. A held one is renewed from now on."""
+    def _mark_running(self, run: Run, task: TaskReport, now: float) -> None:
+        """Mark an attempt as running. A held one is renewed from now on."""
         if run.phase in (Phase.HELD, Phase.STARTING, Phase.UNSENT):
             run.expires_at = max(
                 run.expires_at if run.phase is Phase.STARTING else 0.0,
                 now + self.state.lease_total_s,
             )
             run.phase = Phase.RUNNING
-        run.seen_at, run.absent, run.progress = now, 0, task.progress
+        run.seen_at, run.absent_reports, run.progress = now, 0, task.progress
         run.throttled = task.state is RunState.THROTTLED
         if task.checkpoint != run.checkpoint:
-            run.checkpoint, run.kept = task.checkpoint, task.progress
+            run.checkpoint, run.checkpoint_progress = task.checkpoint, task.progress
 
-    def _absent(self, shard: Shard, run: Run, row: HostRow, report: HostReport, now: float) -> None:
-        """Judge an assigned attempt that its host lists neither as running nor as ended."""
+    def _handle_absent(
+        self, shard: Shard, run: Run, row: HostRow, report: HostReport, now: float
+    ) -> None:
+        """Handle an assigned attempt that its host reports neither as running nor as ended."""
         if run.phase in (Phase.PROPOSED, Phase.UNSENT, Phase.HELD):
             return
         policy = self.state.policy
         settled_ms = run.anchor_clock_ms + 1000 * policy.start_window_s + ABSENCE_MARGIN_MS
-        known_clock = run.anchor_incarnation == row.incarnation
+        same_incarnation = run.anchor_incarnation == row.incarnation
         if run.accepted or run.seen_at is not None:
-            # The worker has lost it, perhaps by a restart. Its lease is not renewed any more.
-            run.absent += (known_clock and report.worker_clock_ms > settled_ms) or not known_clock
+            # The worker has lost it, perhaps in a restart, so its lease is not renewed any more.
+            run.absent_reports += (
+                same_incarnation and report.worker_clock_ms > settled_ms
+            ) or not same_incarnation
             return
-        if run.sends < MAX_SENDS and not run.cancelled and now - run.sent_at >= RESEND_S:
+        if run.sends < MAX_SENDS and not run.cancelled and now - run.sent_at >= START_RESEND_S:
             self.commands.start(shard, run)
-        elif known_clock and report.worker_clock_ms > settled_ms:
+        elif same_incarnation and report.worker_clock_ms > settled_ms:
             run.expires_at = 0.0
 
-    def _outcomes(
+    def _handle_outcomes(
         self, shard: Shard, row: HostRow, outcomes: Iterable[TaskOutcome], now: float
     ) -> None:
-        """Journal outcomes, then acknowledge them; known ones are acknowledged at once."""
+        """Journal and then acknowledge outcomes; recorded ones are acknowledged at once."""
         if not shard.usable:
             return
         records: list[Record] = []
-        journaled, known = [], []
+        journaled, recorded = [], []
         for outcome in outcomes:
             run = shard.runs.get(outcome.task)
             if outcome.task in shard.busy:
@@ -217,20 +220,20 @@
             if run is not None and run.attempt == outcome.attempt and run.process == row.process:
                 records.append(record_of(outcome))
                 journaled.append((outcome.task, outcome.attempt))
-                self._health(run, outcome, now)
+                self._record_health(run, outcome, now)
                 if outcome.outcome is Outcome.EVICTED:
                     written = outcome.checkpoint not in ("", run.checkpoint)
                     self.state.checkpoints.record(run.spec.activity, written)
-            elif self._is_past(shard, outcome):
-                known.append((outcome.task, outcome.attempt))
-        if known:
-            self.commands.acknowledge(shard, row, known)
+            elif self._is_recorded(shard, outcome):
+                recorded.append((outcome.task, outcome.attempt))
+        if recorded:
+            self.commands.acknowledge(shard, row, recorded)
         if records:
             done = partial(self.commands.acknowledge, shard, row, journaled)
-            self.end(shard, records, done)
+            self.record_endings(shard, records, done)
 
-    def _is_past(self, shard: Shard, outcome: TaskOutcome) -> bool:
-        """Tell whether the journal already knows how an attempt ended."""
+    def _is_recorded(self, shard: Shard, outcome: TaskOutcome) -> bool:
+        """Tell whether the journal already has the outcome of an attempt."""
         try:
             job, number = split_task(outcome.task)
         except JobUnknown:
@@ -247,14 +250,14 @@
             return task.attempt > outcome.attempt
         return task.attempt >= outcome.attempt
 
-    def _health(self, run: Run, outcome: TaskOutcome, now: float) -> None:
+    def _record_health(self, run: Run, outcome: TaskOutcome, now: float) -> None:
         health, state = self.state.health, outcome.outcome
         if state is Outcome.FAILED:
             health.record(run.process, run.job, False, now)
         elif state in (Outcome.FINISHED, Outcome.EVICTED):
             health.record(run.process, run.job, True, now)
 
-    def end(self, shard: Shard, records: list[Record], done: object = None) -> None:
+    def record_endings(self, shard: Shard, records: list[Record], done: object = None) -> None:
         """Journal records that end attempts, then remove these from memory."""
         tasks = [record.task for record in records]  # type: ignore[attr-defined]
         shard.busy.update(tasks)
@@ -273,17 +276,17 @@
 
         shard.propose(Proposal(records, applied, failed))
 
-    def _learn(self, row: HostRow, report: HostReport, now: float) -> None:
+    def _observe_interference(self, row: HostRow, report: HostReport, now: float) -> None:
         activities = Counter(task.activity for task in report.tasks if task.activity)
         self.state.estimates.observe(
             row.process, row.announce.service, activities, report.pressure, now
         )
 
     def expire(self, now: float) -> None:
-        """Declare attempts lost whose lease has surely ended.
+        """Record attempts as lost whose lease has certainly ended.
 
-        A host that is present is heard first: its next report may bring the
-        attempt's outcome, which must not be thrown away.
+        A present host gets time for its next report first, since that may contain
+        the attempt's outcome, which must not be discarded.
         """
         for shard in self.state.shards.values():
             if not shard.usable:
@@ -298,30 +301,30 @@
             ]
             if lost:
                 log.info("%d attempts lost", len(lost), extra={"shard": shard.shard})
-                self.end(shard, lost)
+                self.record_endings(shard, lost)
 
     def _expects_no_report(self, run: Run, now: float) -> bool:
-        """Tell whether no news of an attempt can be expected any more.
+        """Tell whether no further report on an attempt can be expected.
 
-        The worker's clock in a report decides, since reports that were queued
-        while this process was paused are older than they seem.
+        The worker's clock in a report is decisive, since reports that were queued
+        while this process was paused are older than their time of receipt.
         """
-        row, known = self.state.hosts.rows.get(run.process), self.state.reports.get(run.process)
+        row, recorded = self.state.hosts.rows.get(run.process), self.state.reports.get(run.process)
         if row is None or run.expires_at == 0.0 or now - run.expires_at >= REPORT_WAIT_S:
             return True
         if not row.present:
             return row.gone_at is None or now - row.gone_at >= REDIAL_S
-        if known is None or not known[1].ready or known[1].worker_clock_ms < run.ended_ms:
+        if recorded is None or not recorded[1].ready or recorded[1].worker_clock_ms < run.ended_ms:
             return False
-        # An outcome in the report was not taken while the journal could not be written.
-        outcomes = known[1].outcomes
+        # An outcome in the report was skipped while the journal could not be written.
+        outcomes = recorded[1].outcomes
         return not any(o.task == run.task and o.attempt == run.attempt for o in outcomes)
 
     def renew(self, now: float, last_store_contact: float) -> None:
-        """Renew the leases of running attempts, unless the store is out for too long.
+        """Renew the leases of running attempts, unless the store was unavailable for too long.
 
-        A new owner waits `run_hold_s` for tasks on hosts that it cannot reach,
-        so an owner without the store must stop renewing by then.
+        A new owner waits `run_hold_s` for tasks on unreachable hosts, so an owner
+        without the store must have stopped renewing by then.
         """
         policy = self.state.policy
         if now - last_store_contact >= policy.run_hold_s:
@@ -333,7 +336,7 @@
                 if (
                     now - run.renewed_at >= due_s
                     and run.phase in (Phase.RUNNING, Phase.EVICTING)
-                    and not run.absent
+                    and not run.absent_reports
                     and not run.cancelled
                     and now < run.expires_at
                     and run.task not in shard.busy
@@ -346,20 +349,20 @@
                     self.commands.renew(shard, row, runs, now)
 
     def stop_cancelled(self, now: float) -> None:
-        """Stop attempts of cancelled jobs, and repeat evictions without an effect."""
+        """Stop attempts of cancelled jobs, and resend evictions that had no effect."""
         for shard in self.state.shards.values():
             for run in shard.runs.values():
-                if run.cancelled and now - run.told_at >= TELL_AGAIN_S:
+                if run.cancelled and now - run.told_at >= STOP_RESEND_S:
                     row = self.commands.row(run.process)
                     claimed = row is not None and (shard.claims.get(run.process) == row.incarnation)
                     if row is not None and claimed and run.phase is not Phase.PROPOSED:
                         run.told_at = now
                         self.commands.stop(shard, row, run.task, run.attempt, "job cancelled")
-                elif run.phase is Phase.EVICTING and now - run.told_at >= EVICT_AGAIN_S:
+                elif run.phase is Phase.EVICTING and now - run.told_at >= EVICT_RESEND_S:
                     self.commands.evict(shard, run, "repeated", now)
 
     def mark_cancelled(self, shard: Shard, job: JobId) -> None:
-        """Note on a job's attempts that it is cancelled."""
+        """Mark the attempts of a job as cancelled."""
         row = shard.table.jobs.get(job)
         if row is None:
             return
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -1,4 +1,4 @@
-"""What an owner keeps in memory: its shards, attempts in progress, journal writes, hosts."""
+"""In-memory state of an owner: shards, attempts in progress, pending journal writes, hosts."""
 
 import logging
 from collections import Counter, defaultdict
@@ -64,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Acquired:
-    """A shard's new epoch, and whether the former owner released it knowing all its tasks.
+    """A shard's new epoch, and whether the former owner released it with no task held.
 
-    Then no earlier owner can renew the lease of any task of the shard.
+    If it did, no earlier owner can renew the lease of any task of the shard.
     """
 
     epoch: Epoch
@@ -98,12 +98,12 @@
         """Return an open link to another entry, or None."""
 
     async def acquire_shard(self, shard: ShardId) -> Acquired | None:
-        """Take a shard whose owner is gone; None if another entry has it."""
+        """Acquire a shard whose owner is gone; None if another entry owns it."""
 
     async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
-        """Give a shard up, so that another entry may take it at once.
+        """Release a shard, so that another entry may acquire it at once.
 
-        `settled` tells that no task of it is held for the sake of an earlier owner.
+        `settled` is True if no task is held because an earlier owner may still renew it.
         """
 
 
@@ -111,7 +111,7 @@
 
 
 class Phase(Enum):
-    """How far the owner knows an attempt to be."""
+    """Progress of an attempt as far as the owner has seen it."""
 
     PROPOSED = "proposed"
     UNSENT = "unsent"
@@ -125,9 +125,11 @@
 class Run:
     """One assigned attempt; times are monotonic seconds of this process.
 
-    `expires_at` is when the attempt has surely ended unless its lease is
+    `expires_at` is when the attempt has certainly ended unless its lease is
     renewed; `ended_ms` is the same on the worker's clock, without drift.
-    `anchor_clock_ms` belongs to the newest start that was sent.
+    `anchor_clock_ms` belongs to the newest start that was sent. `absent_reports`
+    counts reports of the host without the attempt, and `checkpoint_progress` is
+    the progress at the newest checkpoint.
     """
 
     task: TaskId
@@ -143,13 +145,13 @@
     sends: int = 0
     sent_at: float = -1e9
     seen_at: float | None = None
-    absent: int = 0
+    absent_reports: int = 0
     renewed_at: float = -1e9
     told_at: float = -1e9
     share: float = 1.0
     throttled: bool = False
     progress: float = 0.0
-    kept: float = 0.0
+    checkpoint_progress: float = 0.0
     checkpoint: str = ""
     evictions: int = 0
     accepted: bool = False
@@ -163,10 +165,10 @@
 
 @dataclass(slots=True)
 class Proposal:
-    """Records that must be journaled together with what follows.
+    """Records to journal together, with callbacks.
 
-    `done` is called with whether each record changed the table; `failed` when
-    the records were not written.
+    `done` is called with one flag per record, True if the record changed the table;
+    `failed` is called if the records were not written.
     """
 
     records: list[Record]
@@ -178,10 +180,10 @@
 class Shard:
     """A shard that this entry owns under `epoch`.
 
-    `busy` are tasks with a record under way; no other decision is taken about
-    them meanwhile. `claims` holds the incarnation of each host that has
-    accepted the epoch; all hosts present had, when `HostTable.openings` was
-    `claimed_openings`. `released` is as in `Acquired`.
+    `busy` contains tasks with a record that is being written; no other decision is
+    made about them meanwhile. `claims` holds the incarnation of each host that has
+    accepted the epoch. All present hosts had done so when `HostTable.link_changes`
+    was `claimed_link_changes`. `released` is as in `Acquired`.
     """
 
     shard: ShardId
@@ -196,7 +198,7 @@
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     released: bool = False
     claim_sent: dict[ProcessId, float] = field(default_factory=dict)
-    claimed_openings: int = -1
+    claimed_link_changes: int = -1
     outbox: list[Proposal] = field(default_factory=list)
     busy: set[TaskId] = field(default_factory=set)
     cancelling: set[JobId] = field(default_factory=set)
@@ -210,7 +212,7 @@
 
     @property
     def usable(self) -> bool:
-        """Whether decisions may be taken: loaded, owned and the store not failing."""
+        """Whether decisions may be made: the shard is loaded and owned, and the store works."""
         return self.loaded and not self.dropped and self.store_failed_at is None
 
     def add_run(self, run: Run) -> None:
@@ -239,12 +241,12 @@
 
 @dataclass(slots=True)
 class OwnerState:
-    """Everything that the owner's systems work on.
+    """State shared by the owner's scheduler, reconciler and calls.
 
     `inbox` holds the newest report of each agent until the next tick, `reports`
     the last one handled.
-    `used` is the committed cores of each team in the shards held here.
-    `reasons` says why a job's next task waits, as the last round found.
+    `used` is the committed cores of each team in the shards owned here.
+    `reasons` tells why a job's next task waits, as of the last round of placement.
     """
 
     entry: EntryId
@@ -268,7 +270,7 @@
 
     @property
     def lease_total_s(self) -> float:
-        """Seconds after receipt of an anchor until its lease has surely ended."""
+        """Seconds after receipt of an anchor until its lease has certainly ended."""
         return (self.policy.task_lease_s + self.policy.kill_grace_s) * (1.0 + CLOCK_DRIFT)
 
     def shard_of(self, job: JobId) -> Shard | None:
@@ -281,7 +283,7 @@
         return row if row is not None and row.link is link else None
 
     def lease(self, run: Run, anchor_ms: int, received_at: float) -> None:
-        """Note that an attempt's lease may now last as an anchor allows."""
+        """Extend an attempt's recorded lease to the latest end that an anchor allows."""
         run.expires_at = max(run.expires_at, received_at + self.lease_total_s)
         length_s = self.policy.task_lease_s + self.policy.kill_grace_s
         run.ended_ms = max(run.ended_ms, anchor_ms + 1000.0 * length_s)
@@ -298,8 +300,8 @@
             self.used[run.spec.team] -= run.spec.size.cpu_milli / 1000.0
         return run
 
-    def drop(self, shard: Shard, why: str) -> None:
-        """Stop acting for a shard at once; its tasks go on under their leases."""
+    def drop(self, shard: Shard, reason: str) -> None:
+        """Give up a shard at once; its tasks continue under their leases."""
         if shard.dropped:
             return
         shard.dropped = True
@@ -308,34 +310,34 @@
             self.remove_run(shard, run.task)
         shard.scope.cancel()
         shard.journal.close()
-        error = FencedError(why)
+        error = FencedError(reason)
         for proposal in shard.outbox:
             proposal.failed(error)
         shard.outbox.clear()
-        log.warning("shard dropped: %s", why, extra={"shard": shard.shard, "epoch": shard.epoch})
+        log.warning("shard dropped: %s", reason, extra={"shard": shard.shard, "epoch": shard.epoch})
 
     def runs_on(self, process: ProcessId) -> Iterator[tuple[Shard, Run]]:
-        """Yield the attempts on a host in all shards held here."""
+        """Yield the attempts on a host in all shards owned here."""
         for shard in self.shards.values():
             for task in shard.by_process.get(process, ()):
                 yield shard, shard.runs[task]
 
     def refresh_host(self, process: ProcessId) -> None:
-        """Bring the placement index up to date with a host's newest report.
+        """Update the placement index with a host's newest report.
 
-        A host is in the index only while it may take tasks of every shard
-        held here: present, ready, not leaving and with all claims accepted.
+        A host is in the index only while it accepts tasks of every shard
+        owned here: present, ready, not leaving and with all claims accepted.
         """
-        row, known = self.hosts.rows.get(process), self.reports.get(process)
-        if row is None or known is None or not self._takes_tasks(row, *known):
+        row, newest = self.hosts.rows.get(process), self.reports.get(process)
+        if row is None or newest is None or not self._accepts_tasks(row, *newest):
             self.index.remove(process)
             return
-        report = known[1]
+        report = newest[1]
         free = row.announce.size - report.committed
-        listed = {(task.task, task.attempt) for task in report.tasks}
+        reported = {(task.task, task.attempt) for task in report.tasks}
         activities = Counter(task.activity for task in report.tasks if task.activity)
         for _, run in self.runs_on(process):
-            if (run.task, run.attempt) not in listed:
+            if (run.task, run.attempt) not in reported:
                 free = free - run.spec.size
                 activities[run.spec.activity] += 1
         announce = row.announce
@@ -351,7 +353,7 @@
             )
         )
 
-    def _takes_tasks(self, row: HostRow, incarnation: IncarnationId, report: HostReport) -> bool:
+    def _accepts_tasks(self, row: HostRow, incarnation: IncarnationId, report: HostReport) -> bool:
         return (
             row.present
             and not row.leaving
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -1,4 +1,4 @@
-"""Systems that decide: placement, eviction for urgent work, guards, impossible jobs."""
+"""Scheduling decisions of an owner: placement, eviction, interference guards, impossible jobs."""
 
 import logging
 from collections import defaultdict
@@ -37,22 +37,22 @@
 
 log = logging.getLogger(__name__)
 
-STARTS_PER_TICK = 200
-# A job that found no room is tried again after this time, by priority, so that
+MAX_STARTS_PER_TICK = 200
+# A job that found no free capacity is retried after this time, by priority, so that
 # many waiting jobs do not scan all hosts in every tick.
 RETRY_S = {Priority.URGENT: 0.0, Priority.NORMAL: 0.4, Priority.LOW: 0.9}
-# Room made for an urgent task is expected within this time.
-RESERVED_S = 3.0
-URGENT_PER_TICK = 64
-FORBIDDEN_PER_SCAN = 50
+# Evictions for an urgent task are expected to free its capacity within this time.
+RESERVATION_TTL_S = 3.0
+MAX_URGENT_PER_TICK = 64
+MAX_RULE_EVICTIONS_PER_SCAN = 50
 IMPOSSIBLE_AFTER_S = 30.0
-FORGET_S = 6 * 3600.0
-THROTTLE_AGAIN_S = 3.0
+ENDED_JOB_RETENTION_S = 6 * 3600.0
+THROTTLE_RESEND_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Room on a host that evictions make for one urgent task."""
+    """Capacity on a host that evictions free for one urgent task; `until` is monotonic seconds."""
 
     process: ProcessId
     size: Size
@@ -60,7 +60,7 @@
 
 
 class Scheduler:
-    """Takes the owner's decisions; every start is journaled before it is sent."""
+    """Makes the owner's scheduling decisions; every start is journaled before it is sent."""
 
     def __init__(self, state: OwnerState, commands: Commands, shares: TeamShares) -> None:
         self.state = state
@@ -68,11 +68,13 @@
         self.shares = shares
         self.retry_at: dict[JobId, float] = {}
         self.reserved: dict[TaskId, Reservation] = {}
-        # A replay puts a baseline in its place.
+        # A trace replay replaces it by a baseline policy.
         self.choose_victims: Callable[..., list[Victim]] = choose_victims
-        self.ask_others: Callable[[JobSpec, list[TaskId], list[DataCentreId]], None] | None = None
-        self._cleared: set[ProcessId] = set()
-        self.blocked_since: dict[JobId, float] = {}
+        self.request_remote_capacity: (
+            Callable[[JobSpec, list[TaskId], list[DataCentreId]], None] | None
+        ) = None
+        self._reserved_hosts: set[ProcessId] = set()
+        self.unplaceable_since: dict[JobId, float] = {}
 
     def place(self, now: float) -> None:
         """Assign waiting tasks, if the control state is fresh; evict for urgent ones."""
@@ -81,13 +83,15 @@
         waiting = [(shard, row) for shard, row in self._waiting() if self._is_due(row, now)]
         if not waiting:
             return
-        per_job = max(8, STARTS_PER_TICK // len(waiting))
-        demands = [Demand(row, self._numbers(shard, row, per_job)) for shard, row in waiting]
+        per_job = max(8, MAX_STARTS_PER_TICK // len(waiting))
+        demands = [
+            Demand(row, self._startable_numbers(shard, row, per_job)) for shard, row in waiting
+        ]
         self.shares.begin_round(self.committed())
         self.reserved = {task: r for task, r in self.reserved.items() if r.until > now}
-        self._cleared = {reservation.process for reservation in self.reserved.values()}
+        self._reserved_hosts = {reservation.process for reservation in self.reserved.values()}
         placer = self._placer(now)
-        placed = placer.run(demands, self.state.used, self.shares.weight, STARTS_PER_TICK)
+        placed = placer.run(demands, self.state.used, self.shares.weight, MAX_STARTS_PER_TICK)
         by_shard: dict[int, list[Placement]] = defaultdict(list)
         shards = {row.spec.job_id: shard for shard, row in waiting}
         for placement in placed:
@@ -96,9 +100,9 @@
         for number in by_shard:
             shard = shards[by_shard[number][0].job]
             self._assign(shard, by_shard[number], now)
-        self._note_reasons(placer, now)
+        self._record_reasons(placer, now)
         if self.state.mode is Mode.POLICY:
-            self._make_room(placer, shards, demands, now)
+            self._free_capacity_for_urgent(placer, shards, demands, now)
 
     def _waiting(self) -> Iterator[tuple[Shard, JobRow]]:
         for shard in self.state.shards.values():
@@ -111,7 +115,7 @@
         return self.retry_at.get(row.spec.job_id, now) <= now
 
     @staticmethod
-    def _numbers(shard: Shard, row: JobRow, limit: int) -> list[int]:
+    def _startable_numbers(shard: Shard, row: JobRow, limit: int) -> list[int]:
         job = row.spec.job_id
         free = (
             number for number in row.waiting_numbers() if task_id(job, number) not in shard.busy
@@ -143,13 +147,13 @@
         )
 
     def _usable(self, now: float, process: ProcessId, spec: JobSpec) -> bool:
-        """Tell whether a host is healthy, not being cleared and not under pressure.
+        """Tell whether a host is healthy, not reserved by evictions and not under pressure.
 
-        Work that is known to be harmless may start on a host under pressure.
+        Work with a negligible measured slowdown may start on a host under pressure.
         """
         if not self.state.health.usable(process, now):
             return False
-        if spec.priority is not Priority.URGENT and process in self._cleared:
+        if spec.priority is not Priority.URGENT and process in self._reserved_hosts:
             return False
         row = self.state.guards.get(process)
         if row is None:
@@ -165,8 +169,8 @@
         for placement in placements:
             row = shard.table.jobs[placement.job]
             task = task_id(placement.job, placement.number)
-            known = row.rows.get(placement.number)
-            attempt = 1 + (known.attempt if known is not None else 0)
+            previous = row.rows.get(placement.number)
+            attempt = 1 + (previous.attempt if previous is not None else 0)
             run = Run(
                 task,
                 row.spec,
@@ -175,8 +179,8 @@
                 placement.process,
                 Phase.PROPOSED,
                 expires_at=0.0,
-                checkpoint=known.checkpoint if known is not None else "",
-                evictions=known.evictions if known is not None else 0,
+                checkpoint=previous.checkpoint if previous is not None else "",
+                evictions=previous.evictions if previous is not None else 0,
             )
             runs.append(run)
             records.append(TaskAssigned(task, attempt, placement.host, placement.process))
@@ -192,7 +196,7 @@
         )
 
     def _assigned(self, shard: Shard, runs: list[Run], changed: list[bool]) -> None:
-        """Send the starts of journaled assignments; one that is not sent is given back."""
+        """Send the starts of journaled assignments; one that cannot be sent is recorded as lost."""
         for run, applied in zip(runs, changed, strict=True):
             shard.busy.discard(run.task)
             if not applied:
@@ -207,7 +211,7 @@
             self.state.remove_run(shard, run.task)
             self.state.refresh_host(run.process)
 
-    def _note_reasons(self, placer: Placer, now: float) -> None:
+    def _record_reasons(self, placer: Placer, now: float) -> None:
         for job, reason in placer.reasons.items():
             self.state.reasons[job] = reason
             shard = self.state.shard_of(job)
@@ -217,11 +221,11 @@
         if len(self.retry_at) > 4096:
             self.retry_at = {job: at for job, at in self.retry_at.items() if at > now}
 
-    def _make_room(
+    def _free_capacity_for_urgent(
         self, placer: Placer, shards: dict[JobId, Shard], demands: list[Demand], now: float
     ) -> None:
-        """Evict batch tasks for urgent tasks that found no room, here or at other owners."""
-        budget = URGENT_PER_TICK
+        """Evict batch tasks, here or at other owners, for urgent tasks that found no capacity."""
+        budget = MAX_URGENT_PER_TICK
         for demand in demands:
             spec = demand.row.spec
             reason = placer.reasons.get(spec.job_id)
@@ -231,25 +235,27 @@
             tasks = [task_id(spec.job_id, number) for number in demand.numbers]
             tasks = [task for task in tasks if task not in self.reserved][:budget]
             budget -= len(tasks)
-            made = self.make_room(spec.size, allowed, tasks, now)
-            if made < len(tasks) and self.ask_others is not None:
-                for task in tasks[made:]:
-                    self.reserved[task] = Reservation(NO_PROCESS, spec.size, now + RESERVED_S)
-                self.ask_others(spec, tasks[made:], allowed)
+            freed = self.free_capacity(spec.size, allowed, tasks, now)
+            if freed < len(tasks) and self.request_remote_capacity is not None:
+                for task in tasks[freed:]:
+                    self.reserved[task] = Reservation(
+                        NO_PROCESS, spec.size, now + RESERVATION_TTL_S
+                    )
+                self.request_remote_capacity(spec, tasks[freed:], allowed)
 
-    def make_room(
+    def free_capacity(
         self, size: Size, data_centres: list[DataCentreId], tasks: list[TaskId], now: float
     ) -> int:
-        """Evict tasks of this owner for urgent tasks; return for how many there will be room.
+        """Evict tasks of this owner for urgent tasks; return how many of these will fit.
 
-        Until the room is used or the wait for it ends, only urgent work is placed there.
+        The hosts take only urgent work until the capacity is used or its reservation expires.
         """
-        for made, task in enumerate(tasks):
+        for freed, task in enumerate(tasks):
             free = self._free_after_evictions(set(data_centres))
             victims = self.choose_victims(size, self._victims(), free, self.state.limits, now)
             if not victims:
-                return made
-            self.reserved[task] = Reservation(victims[0].process, size, now + RESERVED_S)
+                return freed
+            self.reserved[task] = Reservation(victims[0].process, size, now + RESERVATION_TTL_S)
             for victim in victims:
                 shard = self.state.shard_of(victim.job)
                 if shard is not None:
@@ -258,7 +264,7 @@
         return len(tasks)
 
     def _free_after_evictions(self, allowed: set[DataCentreId]) -> dict[ProcessId, Size]:
-        """Return what will be free on each host once the evictions under way are done."""
+        """Return the free capacity of each host after the evictions in progress."""
         free = {
             process: host.free
             for process, host in self.state.index.hosts.items()
@@ -290,7 +296,7 @@
             run.phase is Phase.RUNNING
             and run.spec.task_class is TaskClass.BATCH
             and not run.cancelled
-            and not run.absent
+            and not run.absent_reports
             and run.task not in shard.busy
         )
 
@@ -344,10 +350,10 @@
         self.state.index.remove(process)
 
     def evict_forbidden(self, now: float) -> None:
-        """Checkpoint and stop what the bundle or a take-out does not allow any more."""
+        """Evict tasks that the bundle, or a data centre out of service, no longer allows."""
         state = self.state
         found: dict[tuple[TeamId, str, DataCentreId], Reason | None] = {}
-        budget = FORBIDDEN_PER_SCAN
+        budget = MAX_RULE_EVICTIONS_PER_SCAN
         for shard in state.shards.values():
             for run in shard.runs.values():
                 row = state.hosts.rows.get(run.process)
@@ -364,7 +370,7 @@
                     self.commands.evict(shard, run, reason.text, now)
 
     def judge_possible(self, now: float) -> None:
-        """Mark jobs that no known host could hold, and withdraw the mark later."""
+        """Mark jobs that fit no registered host as impossible, and unmark them when a host fits."""
         fits: dict[tuple[Size, tuple[DataCentreId, ...]], bool] = {}
         for shard in self.state.shards.values():
             if not shard.usable:
@@ -375,15 +381,17 @@
                 key = (row.spec.size, row.spec.data_centres)
                 if key not in fits:
                     fits[key] = self.could_hold(row.spec)
-                self._judge(shard, job, row, fits[key], now)
+                self._update_impossible(shard, job, row, fits[key], now)
 
-    def _judge(self, shard: Shard, job: JobId, row: JobRow, fits: bool, now: float) -> None:
+    def _update_impossible(
+        self, shard: Shard, job: JobId, row: JobRow, fits: bool, now: float
+    ) -> None:
         if fits:
-            self.blocked_since.pop(job, None)
+            self.unplaceable_since.pop(job, None)
             if row.impossible:
                 self._propose(shard, JobImpossible(job, ""))
             return
-        since = self.blocked_since.setdefault(job, now)
+        since = self.unplaceable_since.setdefault(job, now)
         if not row.impossible and now - since >= IMPOSSIBLE_AFTER_S:
             self._propose(shard, JobImpossible(job, impossible_text(row.spec)))
 
@@ -392,41 +400,41 @@
         shard.propose(Proposal([record], lambda _: None, lambda _: None))
 
     def could_hold(self, spec: JobSpec) -> bool:
-        """Tell whether any known host in the job's data centres could ever hold a task."""
+        """Tell whether a task would fit an empty host in one of the job's data centres."""
         for row in self.state.hosts.rows.values():
             announce = row.announce
             if spec.data_centres and announce.data_centre not in spec.data_centres:
                 continue
-            room = announce.size
+            available = announce.size
             if announce.service:
-                room = room - self.state.rules.claim_of(announce.service)
-            if spec.size.fits_in(room):
+                available = available - self.state.rules.claim_of(announce.service)
+            if spec.size.fits_in(available):
                 return True
         return False
 
     def forget_ended(self, now: float) -> None:
-        """Remove jobs that ended long ago; until then a repeated submission is recognised."""
+        """Remove jobs that ended long ago; until then repeated submissions are idempotent."""
         for shard in self.state.shards.values():
             if not shard.usable:
                 continue
             for job, row in shard.table.jobs.items():
                 if not row.ended:
                     shard.ended_at.pop(job, None)
-                elif now - shard.ended_at.setdefault(job, now) >= FORGET_S:
+                elif now - shard.ended_at.setdefault(job, now) >= ENDED_JOB_RETENTION_S:
                     self._propose(shard, JobForgotten(job))
 
     def restore_throttles(self, now: float) -> None:
-        """Repeat throttles and releases that a host does not show, as after a lost message."""
+        """Resend throttles and releases that host reports do not show, as after a lost message."""
         for shard in self.state.shards.values():
             for run in shard.runs.values():
-                shown = run.throttled is (run.share < 1.0)
-                due = not shown and now - run.told_at >= THROTTLE_AGAIN_S
+                in_effect = run.throttled is (run.share < 1.0)
+                due = not in_effect and now - run.told_at >= THROTTLE_RESEND_S
                 if due and self._may_evict(shard, run):
                     self.commands.throttle(shard, run, run.share, now)
 
 
 def victim_of(run: Run, loses: float) -> Victim:
-    """Return an attempt as the eviction rules see it."""
+    """Return the data on an attempt that the eviction rules need."""
     spec = run.spec
     return Victim(
         run.task,
@@ -435,7 +443,7 @@
         spec.size,
         spec.priority,
         run.progress,
-        run.kept,
+        run.checkpoint_progress,
         spec.run_time_s,
         run.evictions,
         loses,
@@ -443,7 +451,7 @@
 
 
 def impossible_text(spec: JobSpec) -> str:
-    """Return the sentence for a job that no known host could hold."""
+    """Return the message for a job that fits no registered host."""
     size = f"{spec.size.cpu_milli / 1000:g} cores, {spec.size.memory_mb} MB"
     where = ", ".join(spec.data_centres) if spec.data_centres else "any data centre"
     return f"no known host in {where} could hold {size} and {spec.size.accelerators} accelerators"
--- a/packages/daemon/src/apricotpathd/shares.py
+++ b/packages/daemon/src/apricotpathd/shares.py
@@ -1,4 +1,4 @@
-"""Limits of teams over all entries: lending at a team's home, borrowing at the owners."""
+"""Team limits across all entries: the home entry of a team lends shares, owners borrow them."""
 
 import logging
 from collections.abc import Callable
@@ -27,12 +27,13 @@
 log = logging.getLogger(__name__)
 
 SIZE, RATE = "size", "rate"
-# Prefix of a request's kind: a new home asks what an entry holds of a former one.
-HELD = "held-"
-# A new home asks an entry that gave no answer again after this time.
-ASK_AGAIN_S = 0.2
-# Agrees with `PolicySettings.fresh_s`, the age of a view on which starts may rest.
+# Prefix of a request's kind: a new home asks which share an entry holds from a former home.
+HELD_PREFIX = "held-"
+# A new home repeats its question to an entry without an answer after this time.
+HELD_RETRY_S = 0.2
+# Equals the default of `PolicySettings.fresh_s`, the maximum view age for starting tasks.
 FRESH_S = 2.0
+# Seconds at the end of a share in which it is not used, by kind.
 QUIET_S = {SIZE: 0.0, RATE: WINDOW_S}
 
 Limits = Callable[[TeamId], TeamLimit | None]
@@ -43,11 +44,11 @@
     return None
 
 
-def quota_part(size: Size, quota: Size) -> float:
-    """Return the part of a quota that a size takes in its largest dimension.
+def quota_fraction(size: Size, quota: Size) -> float:
+    """Return the fraction of a quota that a size takes, the maximum over its dimensions.
 
-    The sum of these parts is at least the part of each dimension in use, so a
-    sum of at most 1.0 keeps every dimension within the quota.
+    The sum of these fractions is at least the fraction in use of each dimension, so
+    a sum of at most 1.0 keeps every dimension within the quota.
     """
     pairs = (
         (size.cpu_milli, quota.cpu_milli),
@@ -58,7 +59,7 @@
 
 
 class TeamShares:
-    """What this entry may use of each team's limits, and what it lends to others."""
+    """The shares of team limits that this entry may use, and those that it lends to others."""
 
     def __init__(
         self, entry: EntryId, members: Members, limits: Limits, fresh_s: float = FRESH_S
@@ -73,7 +74,7 @@
         self.rates: dict[TeamId, RateShare] = {}
         self.used: dict[TeamId, float] = {}
         self._entries: frozenset[EntryId] = frozenset()
-        self._settled_at = 0.0
+        self._former_views_expire_at = 0.0
 
     def weight(self, team: TeamId) -> float:
         """Return a team's weight in the order of placement."""
@@ -86,34 +87,34 @@
         for team, committed in sizes.items():
             limit = self.limits(team)
             if limit is not None and limit.quota is not None:
-                self.used[team] = sum(quota_part(size, limit.quota) for size in committed)
+                self.used[team] = sum(quota_fraction(size, limit.quota) for size in committed)
 
     def admit(self, spec: JobSpec, now: float) -> Reason | None:
-        """Count one more start of a team, or return which limit forbids it."""
+        """Count one more start of a team, or return the limit that forbids it."""
         limit = self.limits(spec.team)
         if limit is None:
             return None
         window = self.rates.setdefault(spec.team, RateShare())
-        # Both shares are asked for before one can refuse, so that the waits do not add up.
+        # Request both shares before either can refuse, so that their delays do not add up.
         rate = inf
         if limit.rate > 0:
-            rate = self._available(spec.team, RATE, window.need(now), now)
+            rate = self._held_share(spec.team, RATE, window.need(now), now)
         if limit.quota is not None:
-            part = quota_part(spec.size, limit.quota)
+            fraction = quota_fraction(spec.size, limit.quota)
             used = self.used.get(spec.team, 0.0)
-            if used + part > self._available(spec.team, SIZE, used + part, now) + 1e-9:
+            if used + fraction > self._held_share(spec.team, SIZE, used + fraction, now) + 1e-9:
                 return Reason("quota", f"team {spec.team} has used its quota", "teams")
         if limit.rate > 0 and not window.take(rate, now):
             return Reason("rate", f"team {spec.team} starts {limit.rate:g} tasks/s", "teams")
         if limit.quota is not None:
-            self.used[spec.team] = used + part
+            self.used[spec.team] = used + fraction
         return None
 
-    def _available(self, team: TeamId, kind: str, need: float, now: float) -> float:
-        """Return the share held; asks for more if it is short or about to end.
+    def _held_share(self, team: TeamId, kind: str, need: float, now: float) -> float:
+        """Return the share held; requests more if it is too small or about to expire.
 
-        An entry whose registration has ended uses no share. A new home relies on it when
-        it does not ask entries that are not registered what they hold.
+        An entry whose registration has expired uses no share. A new home relies on this,
+        since it does not ask unregistered entries for the shares they hold.
         """
         borrower = self.borrowers.setdefault((team, kind), Borrower())
         amount = borrower.ask(need, now)
@@ -123,22 +124,22 @@
         return borrower.available(now) if registered else 0.0
 
     def keep(self, now: float) -> None:
-        """Renew the shares that committed tasks use, and follow changes of the members."""
-        self._follow_members(now)
+        """Renew the shares that committed tasks use, and apply membership changes."""
+        self._update_members(now)
         for team, used in self.used.items():
             if used > 0:
-                self._available(team, SIZE, used, now)
+                self._held_share(team, SIZE, used, now)
 
-    def _follow_members(self, now: float) -> None:
-        """Drop lenders of teams that have another home now.
+    def _update_members(self, now: float) -> None:
+        """Drop the lenders of teams whose home has moved to another entry.
 
-        An entry that has left may act on its last view for `fresh_s` seconds more.
+        An entry that has left may act on its last view for another `fresh_s` seconds.
         """
         entries = frozenset(self.members.view().entries)
         if entries == self._entries:
             return
         if not self._entries or self._entries - entries:
-            self._settled_at = now + self.fresh_s
+            self._former_views_expire_at = now + self.fresh_s
         self._entries = entries
         names = list(entries)
         for team, kind in list(self.lenders):
@@ -172,10 +173,10 @@
             borrower.granted(reply.amount, reply.ttl_ms / 1000.0, sent_at, QUIET_S[kind])
 
     def answer(self, entry: EntryId, request: ShareRequest, now: float) -> ShareGrant:
-        """Answer another entry: lend it a share, or tell it what is held here."""
-        if not request.kind.startswith(HELD):
+        """Answer another entry: lend it a share, or return the share that is held here."""
+        if not request.kind.startswith(HELD_PREFIX):
             return self.lend(entry, request, now)
-        kind = request.kind.removeprefix(HELD)
+        kind = request.kind.removeprefix(HELD_PREFIX)
         borrower = self.borrowers.setdefault((request.team, kind), Borrower())
         held = borrower.declare(entry, now)
         left_s = max(0.0, borrower.until + QUIET_S.get(kind, 0.0) - now)
@@ -183,7 +184,7 @@
 
     def lend(self, entry: EntryId, request: ShareRequest, now: float) -> ShareGrant:
         """Answer a request for part of a team's limit; refused if this is not its home."""
-        self._follow_members(now)
+        self._update_members(now)
         limit = self.limits(request.team)
         total = 0.0
         if limit is not None:
@@ -199,52 +200,52 @@
         return ShareGrant(request.team, amount, int(seconds * 1000), request.kind)
 
     def _new_lender(self, key: tuple[TeamId, str], total: float, now: float) -> Lender:
-        """Return a lender that opens when it knows what a former home has lent.
+        """Return a lender that opens once the shares lent by a former home are counted.
 
-        Without the answers of all entries it opens when every old share has ended.
+        Without the answers of all entries it opens when every old share has expired.
         """
         lender = Lender(total, now + SHARE_TTL_S, whole=key[1] == RATE)
         others = [name for name in self.members.view().entries if name != self.entry]
         if not others:
-            self._count_held(key, lender, {}, now)
+            self._open_lender(key, lender, {}, now)
         elif self.group is not None:
-            self.group.start_soon(self._ask_held, key, lender, others)
+            self.group.start_soon(self._collect_held_shares, key, lender, others)
         return lender
 
-    async def _ask_held(
+    async def _collect_held_shares(
         self, key: tuple[TeamId, str], lender: Lender, others: list[EntryId]
     ) -> None:
-        """Ask every other entry what it holds, until all have answered or it is too late."""
+        """Ask all other entries for their shares, until all have answered or the lender opens."""
         held: dict[EntryId, Loan] = {}
         waiting = list(others)
         while waiting and anyio.current_time() < lender.opens_at:
             for name in list(waiting):
-                loan = await self._held_by(name, key)
+                loan = await self._query_held_share(name, key)
                 if loan is not None:
                     held[name] = loan
                     waiting.remove(name)
             if waiting:
-                await anyio.sleep(ASK_AGAIN_S)
+                await anyio.sleep(HELD_RETRY_S)
         if not waiting and self.lenders.get(key) is lender:
-            self._count_held(key, lender, held, anyio.current_time())
+            self._open_lender(key, lender, held, anyio.current_time())
 
-    async def _held_by(self, name: EntryId, key: tuple[TeamId, str]) -> Loan | None:
+    async def _query_held_share(self, name: EntryId, key: tuple[TeamId, str]) -> Loan | None:
         link = self.members.link_to(name)
         if link is None:
             return None
         try:
-            reply = await link.call(ShareRequest(key[0], 0.0, HELD + key[1]))
+            reply = await link.call(ShareRequest(key[0], 0.0, HELD_PREFIX + key[1]))
         except LinkError as exc:
-            log.info("entry %s did not say what it holds: %s", name, exc)
+            log.info("no answer from entry %s about its share: %s", name, exc)
             return None
         if not isinstance(reply, ShareGrant):
             return None
         return Loan(reply.amount, anyio.current_time() + reply.ttl_ms / 1000.0)
 
-    def _count_held(
+    def _open_lender(
         self, key: tuple[TeamId, str], lender: Lender, held: dict[EntryId, Loan], now: float
     ) -> None:
         own = self.borrowers.setdefault(key, Borrower())
         until = own.until + QUIET_S.get(key[1], 0.0)
         held = {**held, self.entry: Loan(own.declare(self.entry, now), until)}
-        lender.take_over(held, now, max(now, self._settled_at))
+        lender.take_over(held, now, max(now, self._former_views_expire_at))
--- a/tests/features/owner.feature
+++ b/tests/features/owner.feature
@@ -1,14 +1,14 @@
 Feature: owner
 
   Guards against a task that runs in two places at once, work that resumes twice
-  or from an old checkpoint, a start without fresh control state, a job accepted
-  but lost, and waiting work that blocks other work. Everything is judged from
-  the intervals in which the workers of the world ran the tasks.
+  or from an old checkpoint, a start without fresh control state, an accepted job
+  that is lost, and waiting work that blocks other work. All checks use the
+  intervals in which the simulated workers ran the tasks.
 
   Scenario Outline: owners under random faults run each task in one place and finish all
     Given an owner world of 8 hosts and 2 entries from seed <seed>
-    When owner messages are lost, doubled, delayed and reordered and 10 random faults strike
-    Then the owners finish all jobs and no rule of the runs is broken
+    When owner messages are lost, duplicated, delayed and reordered and 10 random faults occur
+    Then the owners finish all jobs and no invariant of the runs is violated
 
     Examples:
       | seed |
@@ -20,7 +20,7 @@
     Given an owner world of 4 hosts and 2 entries from seed <seed>
     And an owner runs a job of 8 tasks of <run> s
     When the owner world has <fault>
-    Then the owners finish all jobs and no rule of the runs is broken
+    Then the owners finish all jobs and no invariant of the runs is violated
     And owner tasks that ran again: <again>
 
     Examples:
@@ -40,7 +40,7 @@
   Scenario Outline: a start whose answer is lost runs once
     Given an owner world of 2 hosts and 1 entries from seed <seed>
     When the owner submits 6 tasks while a third of the messages is lost
-    Then the owners finish all jobs and no rule of the runs is broken
+    Then the owners finish all jobs and no invariant of the runs is violated
 
     Examples:
       | seed |
@@ -51,7 +51,7 @@
     Given an owner world of 4 hosts and 1 entries from seed <seed>
     And an owner runs a job of 8 tasks of 20 s
     When the owner world has the owner paused for 45 s and lost answers afterwards
-    Then the owners finish all jobs and no rule of the runs is broken
+    Then the owners finish all jobs and no invariant of the runs is violated
     And owner tasks that ran again: no
 
     Examples:
@@ -63,12 +63,12 @@
   Scenario: a paused owner that resumes between its journal write and the start
     Given an owner world of 4 hosts and 2 entries from seed 31
     When the owner is paused for 28 s just after an assignment was journaled
-    Then the owners finish all jobs and no rule of the runs is broken
+    Then the owners finish all jobs and no invariant of the runs is violated
 
   Scenario: a new owner holds tasks on a host that nobody reaches
     Given an owner world of 4 hosts and 2 entries from seed 41
     And an owner runs a job of 8 tasks of 150 s
-    When a host is cut off from the second entry and then the owner is killed but goes on renewing
+    When a host is cut off from the second entry and the owner loses only its store lease
     Then the held owner tasks start nowhere else while the old owner may renew
 
   Scenario: with the store out the owner accepts and starts nothing
@@ -110,8 +110,8 @@
 
   Scenario: jobs that can never run are refused or explained and block nobody
     Given an owner world of 4 hosts and 1 entries from seed 91
-    When the owner gets impossible jobs before possible ones
-    Then the owner refuses what no host could hold and finishes the rest
+    When the owner gets jobs that can never run before jobs that can
+    Then the owner refuses jobs that fit no host and finishes the rest
 
   Scenario: a job that became impossible is explained, and runs when a host returns
     Given an owner world of 4 hosts and 1 entries from seed 92
@@ -126,7 +126,7 @@
   Scenario: a worker that fails everything does not fail the jobs of the owner
     Given an owner world of 4 hosts and 1 entries from seed 96
     When one worker of the owner fails every task of 20 jobs
-    Then the owners finish all jobs and no rule of the runs is broken
+    Then the owners finish all jobs and no invariant of the runs is violated
     And the failing worker of the owner got few tasks
 
   Scenario: batch work that slows requests is throttled, then moved, by the owner
--- a/tests/features/steps/owner_steps.py
+++ b/tests/features/steps/owner_steps.py
@@ -19,7 +19,7 @@
 
 
 class OwnerSubject:
-    """Collects what is to happen in the world and runs it when the result is asked for."""
+    """Collects the actions of a scenario and runs them in a world when a result is needed."""
 
     def __init__(self, seed: int, hosts: int, entries: int) -> None:
         self.world: World | None = None
@@ -73,7 +73,7 @@
         host = world.hosts[world.intervals[0].host]
         world.cut(host)
         await anyio.sleep(seconds)
-        world.mend(host)
+        world.heal(host)
 
     return act
 
@@ -94,7 +94,7 @@
 
 
 async def fault_answers(world: World) -> None:
-    """Lose an answer of the store again and again while jobs arrive in quick succession."""
+    """Lose answers of the store repeatedly while jobs arrive in quick succession."""
     for number in range(40):
         world.store.lose_answers = int(number % 4 == 0)
         world.group.start_soon(world.submit, job(f"more{number}", 2, 1, run_time_s=1.0))
@@ -105,9 +105,9 @@
 
 
 async def fault_pause_answers(world: World) -> None:
-    """Lose the answer of a write that was under way when the owner was paused.
+    """Lose the answer of a write that was in progress when the owner was paused.
 
-    The journal is then read again while the first reports after the pause come in.
+    The journal is then reloaded while the first reports after the pause arrive.
     """
     owner = world.owner_of("work")
     owner.paused = True
@@ -123,7 +123,7 @@
 
 
 async def fault_evicted(world: World) -> None:
-    """Take a data centre out for a while and lose every acknowledgement of an outcome."""
+    """Take all data centres out of service for 8 s; each host loses its first acknowledgements."""
     for host in world.hosts.values():
         command = host.command
         passed = iter([False] * 6)
@@ -150,28 +150,28 @@
 }
 
 
-async def strike(world: World, rng: random.Random) -> None:
+async def inject_fault(world: World, rng: random.Random) -> None:
     """Cause one random fault."""
     host, entry = rng.choice(list(world.hosts.values())), rng.choice(list(world.entries.values()))
     what = rng.choice(["cut", "dead", "agent", "pause", "store", "answer", "out"])
     if what == "cut" and not host.cut:
         world.cut(host)
-        world.later(rng.uniform(1, 50), lambda: host.dead or world.mend(host))
+        world.call_later(rng.uniform(1, 50), lambda: host.dead or world.heal(host))
     elif what == "dead" and not host.cut and sum(h.dead for h in world.hosts.values()) < 2:
         world.cut(host, dead=True)
     elif what == "agent" and not host.cut:
         world.restart_agent(host)
     elif what == "pause" and not entry.paused:
         entry.paused = True
-        world.later(rng.uniform(1, 40), entry.resume)
+        world.call_later(rng.uniform(1, 40), entry.resume)
     elif what == "store":
         world.store.down = True
-        world.later(rng.uniform(1, 20), lambda: setattr(world.store, "down", False))
+        world.call_later(rng.uniform(1, 20), lambda: setattr(world.store, "down", False))
     elif what == "answer":
         world.store.lose_answers += 2
     elif what == "out":
         world.rules.out.add("suva-depot")
-        world.later(10, lambda: world.rules.out.discard("suva-depot"))
+        world.call_later(10, lambda: world.rules.out.discard("suva-depot"))
 
 
 @given("an owner world of {hosts:d} hosts and {entries:d} entries from seed {seed:d}")
@@ -185,13 +185,15 @@
     subject.acts.append(lambda world: subject.start_job(world, tasks, float(run_s)))
 
 
-@when("owner messages are lost, doubled, delayed and reordered and {count:d} random faults strike")
+@when(
+    "owner messages are lost, duplicated, delayed and reordered and {count:d} random faults occur"
+)
 def _(context: Any, count: int) -> None:
     subject = context.owner
 
     async def act(world: World) -> None:
         rng = random.Random(world.seed)
-        world.faults = Faults(lost=0.05, doubled=0.1, delay=0.4)
+        world.faults = Faults(lost=0.05, duplicated=0.1, delay=0.4)
         for number in range(12):
             fields = {"run_time_s": rng.choice([2.0, 10.0, 40.0]), "checkpoint_s": 0.5}
             priority, cores = rng.choice(list(Priority)), rng.choice([1, 4, 8])
@@ -199,7 +201,7 @@
             world.group.start_soon(subject.submit, world, spec, rng.choice(list(world.entries)))
         for _number in range(count):
             await anyio.sleep(rng.random() * 8)
-            await strike(world, rng)
+            await inject_fault(world, rng)
         await anyio.sleep(50)
         world.faults = Faults()
 
@@ -225,7 +227,7 @@
 
     async def act(world: World) -> None:
         await anyio.sleep(3.0)
-        world.faults = Faults(lost=0.33, doubled=0.1, delay=0.3)
+        world.faults = Faults(lost=0.33, duplicated=0.1, delay=0.3)
         await subject.submit(world, job("work", tasks, run_time_s=4.0))
         await anyio.sleep(40.0)
         world.faults = Faults()
@@ -259,7 +261,7 @@
     subject.acts.append(act)
 
 
-@then("the owners finish all jobs and no rule of the runs is broken")
+@then("the owners finish all jobs and no invariant of the runs is violated")
 def _(context: Any) -> None:
     context.owner.run(context.owner.finish)
 
@@ -270,7 +272,7 @@
     assert again == "any" or (len(intervals) > 8) is (again == "yes"), intervals
 
 
-@when("a host is cut off from the second entry and then the owner is killed but goes on renewing")
+@when("a host is cut off from the second entry and the owner loses only its store lease")
 def _(context: Any) -> None:
     subject = context.owner
 
@@ -337,7 +339,7 @@
         await anyio.sleep(3.0)
         entry = world.entries["e0"]
         if state == "the control state is not fresh":
-            entry.fresh_override = False
+            entry.freshness_override = False
         elif state == "both data centres are out of service":
             world.rules.out = {"suva-depot", "nasinu-depot"}
         else:
@@ -433,7 +435,7 @@
     assert kinds.count("JobCancelled") == 60
 
 
-@when("the owner gets impossible jobs before possible ones")
+@when("the owner gets jobs that can never run before jobs that can")
 def _(context: Any) -> None:
     subject = context.owner
 
@@ -447,7 +449,7 @@
             except InputError:
                 refused += 1
         subject.notes["refused"] = refused
-        # Nothing but the allowed hours keeps this job from running, for ever.
+        # Only its allowed hours keep this job from ever running.
         await owner.submit(urgent("never", tasks=50, not_before_hour=0, not_after_hour=1))
         for number in range(4):
             await subject.submit(world, job(f"j{number}", 6))
@@ -455,7 +457,7 @@
     subject.acts.append(act)
 
 
-@then("the owner refuses what no host could hold and finishes the rest")
+@then("the owner refuses jobs that fit no host and finishes the rest")
 def _(context: Any) -> None:
     world = context.owner.run(context.owner.finish)
     assert context.owner.notes["refused"] == 2
@@ -479,7 +481,7 @@
         await anyio.sleep(seconds)
         subject.notes["explained"] = await entry.owner.explain("wide")
         world.rules.out = set()
-        world.mend(host)
+        world.heal(host)
 
     subject.acts.append(act)
 
@@ -550,7 +552,7 @@
         host = world.hosts["h0"]
         host.service = "desk"
         world.connect(world.entries["e0"], host)
-        host.pressure = lambda h: 1.0 + sum(t.slept * 2.0 for t in h.tasks.values())
+        host.pressure = lambda h: 1.0 + sum(t.cpu_share * 2.0 for t in h.tasks.values())
         world.rules.out = {"nasinu-depot"}
         await subject.submit(world, job("noise", 1, 4, run_time_s=60.0, checkpoint_s=0.2))
         await world.until(lambda: bool(world.intervals), 10)
@@ -604,7 +606,7 @@
 @then("the rate of the owner's team was never above {rate:d} starts in a second")
 def _(context: Any, rate: int) -> None:
     starts = sorted(i.start for i in context.owner.world.intervals)
-    # A start message is on its way for up to 0.3 s, so starts may bunch by that.
+    # A start message takes up to 0.3 s to arrive, so starts may bunch up by that much.
     most = max(sum(at <= other < at + 0.7 for other in starts) for at in starts)
     assert most <= rate, starts
 
--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -1,4 +1,4 @@
-"""A world of owners, hosts and a store in virtual time, at the level of messages."""
+"""Owners, hosts and a store in virtual time, simulated at the level of messages."""
 
 import random
 from collections import defaultdict
@@ -82,12 +82,12 @@
     """Probabilities per message, and the longest extra delay in seconds."""
 
     lost: float = 0.0
-    doubled: float = 0.0
+    duplicated: float = 0.0
     delay: float = 0.005
 
 
 class FakeRules:
-    """Rules that allow everything but in the data centres in `out`."""
+    """Rules that allow everything, except in the data centres in `out`."""
 
     bundle_version = 7
 
@@ -120,7 +120,7 @@
 
 
 class FakeJournal:
-    """A shard's journal with the delay of group commit."""
+    """A shard's journal, with the delay of group commit."""
 
     def __init__(self, world: "World", entry: "Entry", shard: int, epoch: int) -> None:
         self.world, self.entry, self.shard, self.epoch = world, entry, shard, epoch
@@ -140,7 +140,7 @@
 
     async def append(self, records: Sequence[dict[str, Any]]) -> None:
         await anyio.sleep(max(0.003, self.last + 0.2 - anyio.current_time()))
-        await self.entry.gate()
+        await self.entry.wait_while_paused()
         self._check()
         self.last = anyio.current_time()
         self.world.store.journals[self.shard].extend(records)
@@ -148,7 +148,7 @@
             self.world.store.lose_answers -= 1
             raise StoreOutcomeUnknown("the answer was lost")
         await anyio.sleep(0.002)
-        await self.entry.gate()
+        await self.entry.wait_while_paused()
 
     async def load(self) -> Sequence[dict[str, Any]]:
         await anyio.sleep(0.01)
@@ -161,7 +161,7 @@
 
 
 class Entry:
-    """An entry: an owner, its members view and host table; it can be paused."""
+    """An entry: an owner, its membership view and its host table; it can be paused."""
 
     def __init__(self, world: "World", name: str) -> None:
         self.world, self.name = world, name
@@ -169,9 +169,9 @@
         self.last_view = View((), {})
         self.links: dict[str, FakeLink] = {}
         self.paused = False
-        self.fresh_override: bool | None = None
+        self.freshness_override: bool | None = None
         self.resumed = anyio.Event()
-        self.waiting: list[Callable[[], None]] = []
+        self.deferred: list[Callable[[], None]] = []
         self.owner = PausableOwner(
             EntryId(name),
             world.policy,
@@ -183,19 +183,19 @@
             world.utc,
             **world.owner_options,
         )
-        self.owner.home = self
+        self.owner.simulated_entry = self
 
     def is_fresh(self) -> bool:
-        if self.fresh_override is not None:
-            return self.fresh_override
+        if self.freshness_override is not None:
+            return self.freshness_override
         return anyio.current_time() - self.contact <= 2.0
 
-    async def gate(self) -> None:
+    async def wait_while_paused(self) -> None:
         while self.paused:
             await self.resumed.wait()
 
     def beat(self, now: float) -> None:
-        """Renew the entry's lease and read the store, as a process does that is not paused."""
+        """Renew the entry's lease and read the store, unless paused."""
         if not self.paused and not self.world.store.down:
             self.contact = now
             store = self.world.store
@@ -217,7 +217,7 @@
 
     async def acquire_shard(self, shard: int) -> Acquired | None:
         await anyio.sleep(0.01)
-        await self.gate()
+        await self.wait_while_paused()
         store, now = self.world.store, anyio.current_time()
         owner = store.owners.get(shard)
         if store.down or store.alive_until.get(self.name, 0.0) <= now:
@@ -237,9 +237,9 @@
             self.world.store.alive_until.setdefault("", 0.0)
 
     def deliver(self, act: Callable[[], None]) -> None:
-        """Run `act` now, or on resumption if the process is paused."""
+        """Run `act` now, or on resume if the process is paused."""
         if self.paused:
-            self.waiting.append(act)
+            self.deferred.append(act)
         else:
             act()
 
@@ -247,22 +247,22 @@
         self.paused = False
         self.resumed.set()
         self.resumed = anyio.Event()
-        waiting, self.waiting = self.waiting, []
-        for act in waiting:
+        deferred, self.deferred = self.deferred, []
+        for act in deferred:
             act()
 
 
 class PausableOwner(Owner):
     """An owner whose loops do nothing while its process is paused."""
 
-    home: Entry
+    simulated_entry: Entry
 
     def tick(self, now: float) -> None:
-        if not self.home.paused:
+        if not self.simulated_entry.paused:
             super().tick(now)
 
     def _review_shards(self, now: float) -> None:
-        if not self.home.paused:
+        if not self.simulated_entry.paused:
             super()._review_shards(now)
 
 
@@ -283,7 +283,7 @@
 
 
 class FakeLink:
-    """The entry's end of a link to a host; messages may be lost, doubled and reordered."""
+    """The entry's end of a link to a host; messages may be lost, duplicated and reordered."""
 
     def __init__(self, world: "World", entry: Entry, host: "FakeHost") -> None:
         self.world, self.entry, self.host = world, entry, host
@@ -297,7 +297,7 @@
     def send_nowait(self, body: Any, reply_to: int = 0) -> None:
         if not self.is_open:
             raise LinkError("closed")
-        self.world.carry(self, lambda: self.host.received(self, body, None))
+        self.world.deliver_later(self, lambda: self.host.received(self, body, None))
 
     async def call(self, body: Any) -> Any:
         if not self.is_open:
@@ -309,12 +309,12 @@
                 replies.append(reply)
                 done.set()
 
-            self.world.carry(self, lambda: self.entry.deliver(arrive))
+            self.world.deliver_later(self, lambda: self.entry.deliver(arrive))
 
-        self.world.carry(self, lambda: self.host.received(self, body, answer))
+        self.world.deliver_later(self, lambda: self.host.received(self, body, answer))
         with anyio.move_on_after(5.0):
             await done.wait()
-        await self.entry.gate()
+        await self.entry.wait_while_paused()
         if not replies:
             raise LinkError("no reply")
         return replies[0]
@@ -327,7 +327,7 @@
             elif self.is_open:
                 self.world.group.start_soon(self.entry.owner.received, self, Envelope(1, 0, body))
 
-        self.world.carry(self, lambda: self.entry.deliver(arrive))
+        self.world.deliver_later(self, lambda: self.entry.deliver(arrive))
 
 
 @dataclass
@@ -342,11 +342,11 @@
     checkpoint: str
     evict_at: float | None = None
     stop_at: float | None = None
-    slept: float = 1.0
+    cpu_share: float = 1.0
 
 
 class FakeHost:
-    """An agent and its worker, which keep to their part of docs/design.md section 5."""
+    """An agent and its worker, which follow the protocol of docs/design.md section 5."""
 
     def __init__(self, world: "World", name: str, dc: str, size: Size, service: str = "") -> None:
         self.world, self.name, self.dc, self.size, self.service = world, name, dc, size, service
@@ -407,7 +407,7 @@
 
     def task_report(self, task: FakeTask) -> TaskReport:
         order = task.order
-        state = RunState.RUNNING if task.slept == 1.0 else RunState.THROTTLED
+        state = RunState.RUNNING if task.cpu_share == 1.0 else RunState.THROTTLED
         state = state if task.stop_at is None else RunState.STOPPING
         return TaskReport(
             order.task,
@@ -496,7 +496,7 @@
             elif isinstance(body, EvictTask):
                 task.evict_at = task.evict_at or now + task.order.checkpoint_s
             elif isinstance(body, ThrottleTask):
-                task.slept = body.share
+                task.cpu_share = body.share
                 self.shares.append(body.share)
 
     def step(self, now: float, dt: float) -> None:
@@ -505,7 +505,7 @@
         clock = self.clock_ms()
         changed = False
         for name, task in list(self.tasks.items()):
-            task.progress += dt * task.slept / task.order.run_time_s
+            task.progress += dt * task.cpu_share / task.order.run_time_s
             outcome = self.outcome_of(task, now, clock)
             if outcome is not None:
                 changed = True
@@ -544,7 +544,7 @@
 
 
 class World:
-    """Everything together; `run` drives it in virtual time."""
+    """All entries, hosts and the store; `run` drives them in virtual time."""
 
     def __init__(self, seed: int, hosts: int, entries: int, **owner_options: Any) -> None:
         self.seed, self.rng = seed, random.Random(seed)
@@ -566,9 +566,9 @@
     def utc(self) -> datetime:
         return START + timedelta(seconds=anyio.current_time())
 
-    def carry(self, link: FakeLink, act: Callable[[], None]) -> None:
-        """Carry a message with the faults in force; both ends of a cut link are silent."""
-        copies = 2 if self.rng.random() < self.faults.doubled else 1
+    def deliver_later(self, link: FakeLink, act: Callable[[], None]) -> None:
+        """Deliver a message subject to the current faults, unless the host is partitioned."""
+        copies = 2 if self.rng.random() < self.faults.duplicated else 1
         for _ in range(copies):
             if self.rng.random() < self.faults.lost or link.host.cut or link.host.dead:
                 continue
@@ -591,7 +591,7 @@
         self.group.start_soon(entry.owner.link_closed, link)
 
     def cut(self, host: FakeHost, *, dead: bool = False) -> None:
-        """Cut a host from everyone; the entries notice after the silence limit."""
+        """Partition a host from all entries, which notice after the silence limit."""
         host.cut, host.dead = True, dead
         self.cuts[host.name].append((anyio.current_time(), float("inf")))
         if dead:
@@ -599,24 +599,26 @@
                 task.interval.end = anyio.current_time()
             host.tasks.clear()
         for entry in self.entries.values():
-            self.later(3.0, lambda e=entry: e.links[host.name].is_open and self.disconnect(e, host))
+            self.call_later(
+                3.0, lambda e=entry: e.links[host.name].is_open and self.disconnect(e, host)
+            )
 
-    def mend(self, host: FakeHost) -> None:
+    def heal(self, host: FakeHost) -> None:
         host.cut = False
         self.cuts[host.name][-1] = (self.cuts[host.name][-1][0], anyio.current_time())
         for entry in self.entries.values():
-            self.later(0.2, lambda e=entry: self.connect(e, host))
+            self.call_later(0.2, lambda e=entry: self.connect(e, host))
 
     def restart_agent(self, host: FakeHost) -> None:
-        """Replace the agent's process; the worker and its tasks go on."""
+        """Replace the agent's process; the worker and its tasks continue."""
         number = int(host.incarnation.rpartition("-")[2])
         host.incarnation = IncarnationId(f"{host.name}-{number + 1}")
         for entry in self.entries.values():
             if entry.links[host.name].is_open:
                 self.disconnect(entry, host)
-            self.later(0.3, lambda e=entry: self.connect(e, host))
+            self.call_later(0.3, lambda e=entry: self.connect(e, host))
 
-    def later(self, delay: float, act: Callable[[], Any]) -> None:
+    def call_later(self, delay: float, act: Callable[[], Any]) -> None:
         self.count += 1
         heappush(self.events, (anyio.current_time() + delay, self.count, act))
 
@@ -630,11 +632,11 @@
                 for host in self.hosts.values():
                     self.connect(entry, host)
                 self.group.start_soon(entry.owner.run)
-            self.group.start_soon(self.physics)
+            self.group.start_soon(self.simulate)
             await scenario(self)
             self.group.cancel_scope.cancel()
 
-    async def physics(self) -> None:
+    async def simulate(self) -> None:
         dt, beat_at, step_at = 0.02, 0.0, 0.0
         while True:
             now = anyio.current_time()
@@ -651,7 +653,7 @@
             await anyio.sleep(dt)
 
     async def submit(self, spec: JobSpec, via: str = "e0") -> dict[str, Any]:
-        """Submit through an entry, again for as long as it is not accepted."""
+        """Submit through an entry, with retries until the job is accepted."""
         while True:
             try:
                 return await self.entries[via].owner.submit(spec)
@@ -667,16 +669,16 @@
                 await anyio.sleep(0.05)
 
     def finished(self) -> set[str]:
-        """Return the tasks that some worker completed."""
+        """Return the tasks that a worker has completed."""
         return {i.task for i in self.intervals if i.outcome is Outcome.FINISHED}
 
     def owner_of(self, job: str) -> Entry:
         return self.entries[self.store.owners[shard_of(job, SHARDS)][0]]
 
     def check(self) -> None:
-        """Judge all runs: one place at a time, each attempt once, from the newest checkpoint.
+        """Check all runs: no overlap, each attempt once, each from the newest checkpoint.
 
-        What ended on a host that was then cut off or lost may be done again, since
+        A task that ended on a host that was then partitioned or lost may run again, since
         its outcome could not be reported.
         """
         by_task: dict[str, list[Interval]] = defaultdict(list)
@@ -689,8 +691,8 @@
                     f"seed {self.seed}: two runs of {task} at once: {first} {second}"
                 )
                 assert first.attempt < second.attempt, f"seed {self.seed}: {first} {second}"
-                excused = self.unheard(first, second.start)
-                assert excused or first.outcome is not Outcome.FINISHED, (
+                unreported = self.may_be_unreported(first, second.start)
+                assert unreported or first.outcome is not Outcome.FINISHED, (
                     f"seed {self.seed}: ran again {first} {second}"
                 )
             newest = {""}
@@ -698,11 +700,11 @@
                 assert run.resumed in newest, f"seed {self.seed}: {run} not from {newest!r}"
                 newest = {run.resumed}
                 if run.outcome is Outcome.EVICTED:
-                    kept = {run.resumed} if self.unheard(run, float("inf")) else set()
+                    kept = {run.resumed} if self.may_be_unreported(run, float("inf")) else set()
                     newest = {f"{task}@{run.attempt}"} | kept
 
-    def unheard(self, run: Interval, until: float) -> bool:
-        """Tell whether the run's host was cut off at some time from its end to `until`."""
+    def may_be_unreported(self, run: Interval, until: float) -> bool:
+        """Tell whether the run's host was partitioned at any time from the run's end to `until`."""
         end = run.end if run.end is not None else until
         cuts = self.cuts.get(run.host, [])
         return any(first <= until and last + 4.0 >= end for first, last in cuts)
