Use standard terms for task attempts on an agent

Comments and private names of the agent's task modules were vague. heldtasks.py is now taskattempts.py with HeldAttempt and AttemptTable, and comments, log texts and the tests' messages follow.

--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -1,4 +1,4 @@
-"""The agent's side of tasks: commitments, starts, leases, evictions and reports."""
+"""Task handling of an agent: commitments, starts, leases, evictions and reports."""
 
 import logging
 from collections import Counter, deque
@@ -32,8 +32,8 @@
 from apricotpath.rules import Rules
 from apricotpath.worker import Worker, WorkerStatus
 from apricotpathd.component import Job, UtcClock
-from apricotpathd.heldtasks import Changes, Phase
 from apricotpathd.hostview import HostView
+from apricotpathd.taskattempts import Changes, Phase
 from apricotpathd.taskchecks import TaskCommand, task_reply
 from apricotpathd.taskends import Endings
 from apricotpathd.taskguard import TaskGuard
@@ -43,7 +43,7 @@
 log = logging.getLogger(__name__)
 
 REPORT_S = 1.0
-DRAIN_S = 10.0
+DRAIN_TIMEOUT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +56,9 @@
 
 
 class AgentTasks:
-    """Owner of the host's commitments and of every command to its worker.
+    """Manages the host's resource commitments and all commands to its worker.
 
-    Commands for one task run in the order of their arrival. `utc` gives the
+    Commands for one task run in the order of their arrival. `utc` returns the
     time for rules on hours; everything else uses the worker's clock.
     """
 
@@ -86,12 +86,12 @@
         self.table = self._view.table
         self.clock = self._view.clock
         self._leases = Leases(self._view)
-        self._endings = Endings(self._view, self._leases, self._spawn, self._note_progress)
+        self._endings = Endings(self._view, self._leases, self._spawn, self._signal_progress)
         self._guard = TaskGuard(self._view, self._endings)
-        self._starts = Starts(self._view, self._take)
+        self._starts = Starts(self._view, self._handle_changes)
         self._links: list[Link] = []
         self._group: TaskGroup | None = None
-        # Jobs that came in before `run`.
+        # Jobs that were spawned before `run`.
         self._backlog: list[Job] = []
         # Commands by task that are in progress or wait, in order of arrival.
         self._queues: dict[TaskId, deque[Job]] = {}
@@ -99,12 +99,12 @@
         self._report_now = anyio.Event()
         self._progress = anyio.Event()
 
-    # State that other parts use.
+    # State for other components.
 
     @property
     def worker_clock_ms(self) -> int:
         """The newest reading of the worker's clock, for heartbeats; 0 before the first."""
-        return self.clock.reading_ms
+        return self.clock.last_reading_ms
 
     @property
     def status(self) -> WorkerStatus | None:
@@ -145,7 +145,7 @@
     # Component.
 
     async def run(self) -> None:
-        """Read the worker, enforce the rules and report until cancelled."""
+        """Poll the worker, enforce the rules and report until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             while self._backlog:
@@ -161,11 +161,11 @@
             try:
                 await anyio.sleep_forever()
             finally:
-                # Commands may still come in while the loops end.
+                # Commands may still arrive while the loops end.
                 self._group = None
 
     async def received(self, link: Link, envelope: Envelope) -> None:
-        """Handle a command; slow work goes to the component's task group."""
+        """Handle a command; slow work runs in the component's task group."""
         msg = envelope.body
         if isinstance(msg, ClaimShard):
             self._raise_epoch(msg.shard, msg.epoch)
@@ -189,13 +189,13 @@
             self._links.remove(link)
 
     async def drain(self) -> None:
-        """Refuse starts, finish what is in progress and checkpoint what runs.
+        """Refuse starts, finish commands in progress and checkpoint running tasks.
 
-        Running tasks stay with the worker: a successor adopts them within their
-        lease, and if none comes they resume elsewhere from these checkpoints.
+        Running tasks stay with the worker: a successor agent adopts them within their
+        lease; without one they resume elsewhere from these checkpoints.
         """
         self._view.draining = True
-        with anyio.move_on_after(DRAIN_S):
+        with anyio.move_on_after(DRAIN_TIMEOUT_S):
             await self._wait_until(self._is_settled)
             async with anyio.create_task_group() as group:
                 for held in list(self.table.held.values()):
@@ -210,7 +210,7 @@
         while not done():
             await self._progress.wait()
 
-    def _note_progress(self) -> None:
+    def _signal_progress(self) -> None:
         self._progress.set()
         self._progress = anyio.Event()
 
@@ -223,9 +223,9 @@
             self._raise_epoch(held.shard, held.epoch)
         for row in self.table.ended.values():
             self._raise_epoch(row.shard, row.epoch)
-        self._take(changes)
+        self._handle_changes(changes)
 
-    def _take(self, changes: Changes) -> None:
+    def _handle_changes(self, changes: Changes) -> None:
         for held in changes.adopted:
             if held.phase is Phase.STOPPING:
                 self._spawn(partial(self._endings.finish, held, Outcome.EVICTED))
@@ -241,8 +241,8 @@
             self.epochs[shard] = epoch
 
     async def _claim(self, link: Link, reply_to: int, msg: ClaimShard) -> None:
-        # A start of a former owner may be on its way to the worker. It must show in
-        # the answer, or the new owner could start the task elsewhere.
+        # A start of a former owner may be under way to the worker. The reply must include
+        # it, or the new owner could start the task elsewhere.
         await self._wait_until(lambda: not self._has_starts_before(msg))
         fresh = await self._view.refresh()
         self._send(link, self._shard_state(msg.shard, fresh), reply_to)
@@ -270,7 +270,7 @@
             return
         self._raise_epoch(msg.shard, msg.epoch)
         if self.status is None or self._group is None:
-            # This is no refusal: the attempt may run on the worker already.
+            # This is not a refusal, since the attempt may already run on the worker.
             self._send(link, Failure("not-ready", "the worker's tasks are not known yet"), reply_to)
             return
         owner = (msg.shard, msg.epoch)
@@ -283,7 +283,7 @@
             finally:
                 if isinstance(msg, StartTask):
                     self._starting[owner] -= 1
-                    self._note_progress()
+                    self._signal_progress()
             self._send(link, reply, reply_to)
 
         queue = self._queues.get(msg.task)
@@ -299,7 +299,7 @@
             await queue[0]()
             queue.popleft()
         del self._queues[task]
-        self._note_progress()
+        self._signal_progress()
 
     async def _execute(self, msg: TaskCommand) -> TaskReply:
         if msg.epoch < self.epochs.get(msg.shard, -1):
@@ -308,7 +308,7 @@
             return await self._starts.start(msg)
         held = self.table.held.get((msg.task, msg.attempt))
         if held is None:
-            return self._starts.answer_absent(msg)
+            return self._starts.refuse_absent(msg)
         if isinstance(msg, ThrottleTask):
             return await self._guard.throttle(msg, held)
         if isinstance(msg, EvictTask):
@@ -318,12 +318,14 @@
         return task_reply(msg, True, ReplyCode.OK, "")
 
     def _epoch_refusal(self, msg: TaskCommand) -> TaskReply:
-        known = self.epochs.get(msg.shard, Epoch(0))
-        return task_reply(msg, False, ReplyCode.EPOCH, f"shard {msg.shard} is at epoch {known}")
+        current_epoch = self.epochs.get(msg.shard, Epoch(0))
+        return task_reply(
+            msg, False, ReplyCode.EPOCH, f"shard {msg.shard} is at epoch {current_epoch}"
+        )
 
     def _receive_renewal(self, link: Link, reply_to: int, msg: RenewTasks) -> None:
         if msg.epoch < self.epochs.get(msg.shard, -1):
-            # This tells a former owner of the higher epoch.
+            # The reply tells a former owner about the higher epoch.
             self._send(link, self._shard_state(msg.shard, False), reply_to)
             return
         self._raise_epoch(msg.shard, msg.epoch)
--- a/packages/daemon/src/apricotpathd/hostview.py
+++ b/packages/daemon/src/apricotpathd/hostview.py
@@ -1,4 +1,4 @@
-"""What an agent knows of its host: the worker's newest status and the table of attempts."""
+"""An agent's state of its host: the worker's newest status and the table of attempts."""
 
 import logging
 from collections.abc import Callable
@@ -14,15 +14,15 @@
 from apricotpath.rules import Rules
 from apricotpath.worker import Worker, WorkerStatus
 from apricotpathd.component import UtcClock
-from apricotpathd.heldtasks import Changes, HeldTable, WorkerClock
+from apricotpathd.taskattempts import AttemptTable, Changes, WorkerClock
 from apricotpathd.taskchecks import Allowance, allowance
 
 log = logging.getLogger(__name__)
 
-# The worker's clock is read this often, so the reading in a heartbeat is at most
-# this old plus one call. An older reading only shortens what an owner may grant.
+# The worker's clock is read at this interval, so the reading in a heartbeat is at most this
+# old plus one call. An older reading only shortens the leases that an owner may grant.
 REFRESH_S = 0.25
-# Without a status for this long the worker counts as unreachable and no start is tried.
+# Without a status for this long the worker counts as unreachable and starts are refused.
 STATUS_STALE_S = 3.0
 # Pause before a worker call with an unknown effect is repeated.
 RETRY_S = 0.25
@@ -31,9 +31,9 @@
 class HostView:
     """Settings, rules and state of one host, shared by everything that acts on its tasks.
 
-    `status` is the worker's newest status, None before the first, and `began`
-    the monotonic time in seconds at which its call began. `applied` is called
-    with the changes of each status.
+    `status` is the worker's newest status, None before the first, and
+    `status_requested_at` the monotonic time in seconds at which its call began.
+    `applied` is called with the changes of each status.
     """
 
     def __init__(
@@ -51,15 +51,15 @@
         self.utc = utc
         self.incarnation = incarnation
         self.draining = False
-        self.table = HeldTable(Ledger(Size()))
+        self.table = AttemptTable(Ledger(Size()))
         policy = cfg.policy
-        rights_s = policy.task_lease_s + policy.kill_grace_s + policy.start_window_s
-        self.clock = WorkerClock(int(rights_s * 1000))
+        max_authority_s = policy.task_lease_s + policy.kill_grace_s + policy.start_window_s
+        self.clock = WorkerClock(int(max_authority_s * 1000))
         self.status: WorkerStatus | None = None
-        self.began = -1.0
+        self.status_requested_at = -1.0
         self._applied = applied
-        self._utc_read = utc()
-        self._done = 0.0
+        self._utc_at_status = utc()
+        self._status_received_at = 0.0
         self._refresh_lock = anyio.Lock()
         self._reachable = True
 
@@ -68,7 +68,7 @@
         """Whether starts are considered: tasks are adopted and the worker answers."""
         if self.status is None or self.draining:
             return False
-        return anyio.current_time() - self._done <= STATUS_STALE_S
+        return anyio.current_time() - self._status_received_at <= STATUS_STALE_S
 
     def allowance(self, team: TeamId, activity: str, utc: datetime) -> Allowance:
         """Decide whether an activity may run on this host at a UTC time."""
@@ -78,7 +78,7 @@
         """Return the latest deadline that the rules allow, on the worker's clock."""
         if allowed.until is None or self.status is None:
             return None
-        left_s = (allowed.until - self._utc_read).total_seconds()
+        left_s = (allowed.until - self._utc_at_status).total_seconds()
         return self.status.clock_ms + int(left_s * 1000)
 
     def set_claim(self) -> None:
@@ -89,7 +89,7 @@
     async def refresh(self) -> bool:
         """Read the worker's status and apply it; tell whether the worker answered."""
         async with self._refresh_lock:
-            began = anyio.current_time()
+            status_requested_at = anyio.current_time()
             try:
                 status = await self.worker.status()
             except WorkerError as exc:
@@ -98,7 +98,7 @@
                 self._reachable = False
                 return False
             self._reachable = True
-            self._apply(status, began)
+            self._apply(status, status_requested_at)
             return True
 
     async def refresh_forever(self) -> None:
@@ -107,16 +107,16 @@
             await self.refresh()
             await anyio.sleep(REFRESH_S)
 
-    def _apply(self, status: WorkerStatus, began: float) -> None:
-        # UTC is taken after the reading: a pause in between makes boundaries earlier.
-        self._utc_read = self.utc()
-        if self.clock.read(status):
+    def _apply(self, status: WorkerStatus, status_requested_at: float) -> None:
+        # UTC is read after the status, so a pause in between makes boundaries earlier, not later.
+        self._utc_at_status = self.utc()
+        if self.clock.update(status):
             log.warning("the worker has restarted and lost its tasks")
         if self.status is None or self.status.size != status.size:
             self.table.ledger.size = _smaller(self.cfg.size, status.size)
-        changes = self.table.apply(status, began)
-        self.status, self.began = status, began
-        self._done = anyio.current_time()
+        changes = self.table.apply(status, status_requested_at)
+        self.status, self.status_requested_at = status, status_requested_at
+        self._status_received_at = anyio.current_time()
         self.set_claim()
         self._applied(changes)
 
--- a/packages/daemon/src/apricotpathd/heldtasks.py
+++ b/packages/daemon/src/apricotpathd/taskattempts.py
@@ -15,8 +15,8 @@
 
 Key = tuple[TaskId, int]
 
-# A status reading that began this long before it is applied does not occur, since
-# calls to the worker time out earlier; older records of forgotten attempts can go.
+# Calls to the worker time out earlier than this, so a status cannot be requested this long
+# before it is applied, and older records of forgotten attempts can be dropped.
 FORGOTTEN_KEEP_S = 60.0
 
 
@@ -35,12 +35,12 @@
 
 
 @dataclass(slots=True)
-class Held:
-    """One attempt that has not ended as far as the agent knows.
+class HeldAttempt:
+    """One attempt that has not ended, to the agent's knowledge.
 
-    A worker status that began before `known_at` (monotonic seconds) may lack
-    the attempt. `fits` is False when a running task was found that exceeds the
-    host's size. `owner_share` and `guard_share` limit its processors.
+    A worker status requested before `confirmed_at` (monotonic seconds) may lack the
+    attempt. `fits` is False for a running task that was found on the worker and exceeds
+    the host's size. `owner_share` and `guard_share` limit its processors.
     """
 
     task: TaskId
@@ -55,7 +55,7 @@
     phase: Phase = Phase.RUNNING
     row: WorkerTask | None = None
     checkpoint: str = ""
-    known_at: float = 0.0
+    confirmed_at: float = 0.0
     fits: bool = True
     owner_share: float = 1.0
     guard_share: float = 1.0
@@ -74,9 +74,9 @@
         return self.phase in (Phase.CHECKPOINTING, Phase.STOPPING)
 
     def report(self) -> TaskReport:
-        """Return the attempt as a host report shows it."""
+        """Return the attempt in the form of a host report."""
         row = self.row
-        # A start that is not settled yet may run, so it is reported as running.
+        # A start without a result yet may be running, so it is reported as running.
         state = row.state if row else RunState.RUNNING
         return TaskReport(
             self.task,
@@ -91,9 +91,9 @@
         )
 
 
-def held_from_start(msg: StartTask) -> Held:
-    """Return the row of an attempt whose start has been admitted."""
-    return Held(
+def attempt_from_start(msg: StartTask) -> HeldAttempt:
+    """Return an attempt whose start has been admitted."""
+    return HeldAttempt(
         msg.task,
         msg.attempt,
         msg.shard,
@@ -108,10 +108,10 @@
     )
 
 
-def held_from_worker(row: WorkerTask) -> Held:
-    """Return the row of an attempt that was found on the worker."""
+def attempt_from_worker(row: WorkerTask) -> HeldAttempt:
+    """Return an attempt that was found on the worker."""
     stopping = row.state is RunState.STOPPING
-    return Held(
+    return HeldAttempt(
         row.task,
         row.attempt,
         row.shard,
@@ -123,106 +123,106 @@
         row.checkpoint_s,
         phase=Phase.STOPPING if stopping else Phase.RUNNING,
         row=row,
-        # Which limit set the share is not known. As the guard's it is released
-        # when the host has room, and the owner sends its own again.
+        # It is unknown whether the owner or the guard set the share. The guard releases it
+        # when the host has spare capacity, and the owner sends its own share again.
         guard_share=row.share,
     )
 
 
 @dataclass(slots=True)
 class WorkerClock:
-    """The worker's clock as owners see it, in ms; it does not restart with the worker.
+    """The worker's clock as owners see it, in ms; it does not go back when the worker restarts.
 
-    A worker that restarts begins its clock anew, so an anchor of its former
-    boot could look current. Each boot is therefore moved `gap_ms` past the last
-    reading, which is longer than any right that an anchor gives.
+    A restarted worker begins its clock anew, so an anchor of its previous boot could
+    look current. Each boot is therefore shifted to `gap_ms` past the last reading,
+    which is longer than an anchor can be used for starts and leases.
     """
 
     gap_ms: int
     boot: str = ""
     base_ms: int = 0
-    reading_ms: int = 0
+    last_reading_ms: int = 0
 
-    def read(self, status: WorkerStatus) -> bool:
-        """Take a status reading; tell whether the worker has restarted."""
+    def update(self, status: WorkerStatus) -> bool:
+        """Apply a status; tell whether the worker has restarted."""
         restarted = bool(self.boot) and self.boot != status.boot
         if restarted:
-            self.base_ms = self.reading_ms + self.gap_ms
+            self.base_ms = self.last_reading_ms + self.gap_ms
         self.boot = status.boot
-        self.reading_ms = max(self.reading_ms, self.base_ms + status.clock_ms)
+        self.last_reading_ms = max(self.last_reading_ms, self.base_ms + status.clock_ms)
         return restarted
 
     def to_worker(self, visible_ms: int) -> int:
-        """Return a time on the clock of the worker's present boot."""
+        """Convert a time to the clock of the worker's current boot."""
         return visible_ms - self.base_ms
 
 
 @dataclass(slots=True)
 class Changes:
-    """What a status reading changed."""
+    """The changes that a worker status led to."""
 
-    adopted: list[Held] = field(default_factory=list)
+    adopted: list[HeldAttempt] = field(default_factory=list)
     ended: list[WorkerTask] = field(default_factory=list)
 
 
 @dataclass(slots=True)
-class HeldTable:
-    """Attempts held, attempts ended but not acknowledged, and the ledger."""
+class AttemptTable:
+    """Held (not ended) attempts, unacknowledged ended attempts, and the resource ledger."""
 
     ledger: Ledger
-    held: dict[Key, Held] = field(default_factory=dict)
+    held: dict[Key, HeldAttempt] = field(default_factory=dict)
     ended: dict[Key, WorkerTask] = field(default_factory=dict)
     forgotten: dict[Key, float] = field(default_factory=dict)
 
-    def of_task(self, task: TaskId) -> Held | None:
+    def of_task(self, task: TaskId) -> HeldAttempt | None:
         """Return the held attempt of a task, or None."""
         return next((held for held in self.held.values() if held.task == task), None)
 
-    def of_shard(self, shard: ShardId) -> list[Held]:
+    def of_shard(self, shard: ShardId) -> list[HeldAttempt]:
         """Return the held attempts of a shard."""
         return [held for held in self.held.values() if held.shard == shard]
 
     @property
-    def overfull(self) -> bool:
+    def overcommitted(self) -> bool:
         """Whether a task runs that exceeds the host's size."""
         return any(not held.fits for held in self.held.values())
 
-    def add(self, held: Held) -> None:
-        """Commit and hold an attempt about to start; raises CapacityError."""
-        if self.overfull:
+    def add(self, held: HeldAttempt) -> None:
+        """Commit resources and add an attempt that is about to start; raises CapacityError."""
+        if self.overcommitted:
             raise CapacityError("a task that runs already exceeds the host's size")
         self.ledger.reserve(ledger_key(held.key), held.size)
         self.held[held.key] = held
 
-    def drop(self, held: Held) -> None:
-        """Release an attempt that the worker does not run and will not run."""
+    def drop(self, held: HeldAttempt) -> None:
+        """Remove an attempt that the worker does not run and will not run."""
         self.held.pop(held.key, None)
         self.ledger.release(ledger_key(held.key))
         held.ended.set()
 
-    def apply(self, status: WorkerStatus, began: float) -> Changes:
-        """Take a status whose call began at `began` (monotonic seconds)."""
+    def apply(self, status: WorkerStatus, requested_at: float) -> Changes:
+        """Apply a status that was requested at `requested_at` (monotonic seconds)."""
         changes = Changes()
         seen = {(row.task, row.attempt) for row in status.tasks}
         for row in status.tasks:
-            self.apply_row(row, began, changes)
+            self.apply_row(row, requested_at, changes)
         for key, held in list(self.held.items()):
-            # A start in progress may still reach the worker after this reading.
+            # A start in progress may still reach the worker after this status.
             absent = key not in seen and held.phase is not Phase.STARTING
-            if absent and held.known_at < began:
+            if absent and held.confirmed_at < requested_at:
                 self.drop(held)
-        self._adopt_unfit()
-        self._expire(seen, began)
+        self._commit_adopted()
+        self._expire(seen, requested_at)
         return changes
 
-    def apply_row(self, row: WorkerTask, began: float, changes: Changes) -> None:
-        """Take one attempt as the worker showed it."""
+    def apply_row(self, row: WorkerTask, requested_at: float, changes: Changes) -> None:
+        """Apply one attempt of a worker status."""
         key = (row.task, row.attempt)
         held = self.held.get(key)
         if row.outcome is not None:
             if held is not None:
                 self.drop(held)
-            if key not in self.ended and self.forgotten.get(key, -1.0) < began:
+            if key not in self.ended and self.forgotten.get(key, -1.0) < requested_at:
                 self.ended[key] = row
                 changes.ended.append(row)
         elif held is not None:
@@ -231,7 +231,7 @@
             self._adopt(row, changes)
 
     def outcomes(self, rows: Iterable[WorkerTask] | None = None) -> tuple[TaskOutcome, ...]:
-        """Return ended attempts that were not acknowledged, as reports show them."""
+        """Return the unacknowledged ended attempts in the form of a host report."""
         return tuple(
             TaskOutcome(
                 row.task,
@@ -245,12 +245,12 @@
         )
 
     def _adopt(self, row: WorkerTask, changes: Changes) -> None:
-        held = held_from_worker(row)
+        held = attempt_from_worker(row)
         held.fits = False
         self.held[held.key] = held
         changes.adopted.append(held)
 
-    def _adopt_unfit(self) -> None:
+    def _commit_adopted(self) -> None:
         for held in self.held.values():
             if held.fits:
                 continue
@@ -260,9 +260,9 @@
                 continue
             held.fits = True
 
-    def _expire(self, seen: set[Key], began: float) -> None:
+    def _expire(self, seen: set[Key], requested_at: float) -> None:
         for key in [key for key in self.ended if key not in seen]:
             del self.ended[key]
         for key, at in list(self.forgotten.items()):
-            if began - at > FORGOTTEN_KEEP_S:
+            if requested_at - at > FORGOTTEN_KEEP_S:
                 del self.forgotten[key]
--- a/packages/daemon/src/apricotpathd/taskchecks.py
+++ b/packages/daemon/src/apricotpathd/taskchecks.py
@@ -1,4 +1,4 @@
-"""Checks of task commands and of the rules on where and when work may run."""
+"""Validates task commands and applies the rules on where and when work may run."""
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -12,15 +12,15 @@
 
 TaskCommand = StartTask | StopTask | EvictTask | ThrottleTask
 
-# Longer declared times are mistakes, and would overflow a date.
+# Longer declared times are errors and would overflow a datetime.
 MAX_TASK_S = 1e9
 
 
 @dataclass(frozen=True, slots=True)
 class Allowance:
-    """Whether work may run here now, and until which UTC time (None: no end in sight).
+    """Whether work may run here now, and until which UTC time (None: no limit).
 
-    `code` is None if it may run. `until` is early enough for a kill and a clock offset.
+    `code` is None if it may run. `until` leaves time for a kill and allows for clock offset.
     """
 
     code: ReplyCode | None
@@ -44,7 +44,7 @@
 
 
 def malformed(msg: StartTask) -> str:
-    """Return what is wrong with the values of a start, or an empty text."""
+    """Return why the values of a start are invalid, or an empty string."""
     times = (msg.run_time_s, msg.checkpoint_s)
     if not all(isfinite(value) and 0 <= value <= MAX_TASK_S for value in times):
         return f"a time is outside 0 to {MAX_TASK_S:.0f} s"
--- a/packages/daemon/src/apricotpathd/taskguard.py
+++ b/packages/daemon/src/apricotpathd/taskguard.py
@@ -1,4 +1,4 @@
-"""Evictions by rules, and throttling by the owner and the host's guard."""
+"""Evicts tasks that the rules forbid, and throttles for the owner and the host's guard."""
 
 import logging
 from datetime import timedelta
@@ -10,15 +10,15 @@
 from apricotpath.messages import TaskReply, ThrottleTask
 from apricotpath.model import Outcome, ReplyCode, Size
 from apricotpath.rules import EVICT_SLACK_S
-from apricotpathd.heldtasks import Held, Phase
 from apricotpathd.hostview import HostView
+from apricotpathd.taskattempts import HeldAttempt, Phase
 from apricotpathd.taskchecks import MAX_TASK_S, task_reply
 from apricotpathd.taskends import Endings
 
 log = logging.getLogger(__name__)
 
-# Measured usage lags, so the guard waits to see an action's effect before the next.
-GUARD_S = 2.0
+# Measured usage lags, so the guard waits for the effect of an action before the next one.
+GUARD_INTERVAL_S = 2.0
 
 
 class TaskGuard:
@@ -29,7 +29,7 @@
         self.endings = endings
 
     async def enforce_forever(self) -> None:
-        """Evict at intervals what the rules no longer allow, until cancelled."""
+        """Evict tasks that the rules no longer allow, at intervals until cancelled."""
         while True:
             if self.view.status is not None:
                 self.view.set_claim()
@@ -37,7 +37,7 @@
                     self._enforce(held)
             await anyio.sleep(self.view.cfg.policy.tick_s)
 
-    def _enforce(self, held: Held) -> None:
+    def _enforce(self, held: HeldAttempt) -> None:
         if held.phase is not Phase.RUNNING:
             return
         utc = self.view.utc()
@@ -48,7 +48,7 @@
         elif allowed.until is not None and utc + lead >= allowed.until:
             self.endings.begin(held, f"{allowed.reason} begins soon", Outcome.EVICTED)
 
-    async def throttle(self, msg: ThrottleTask, held: Held) -> TaskReply:
+    async def throttle(self, msg: ThrottleTask, held: HeldAttempt) -> TaskReply:
         """Limit a task to the owner's share, or to the guard's if that is smaller."""
         if not 0.0 <= msg.share <= 1.0:
             return task_reply(msg, False, ReplyCode.MALFORMED, "the share is outside 0 to 1")
@@ -59,14 +59,14 @@
             return task_reply(msg, False, ReplyCode.REFUSED, str(exc))
         return task_reply(msg, True, ReplyCode.OK, "")
 
-    async def _apply_share(self, held: Held) -> None:
+    async def _apply_share(self, held: HeldAttempt) -> None:
         share = min(held.owner_share, held.guard_share)
         await self.view.worker.throttle(held.task, held.attempt, share)
 
     async def guard_forever(self) -> None:
-        """Throttle or evict at intervals while the host is overloaded, until cancelled."""
+        """Throttle or evict tasks while the host is overloaded, at intervals until cancelled."""
         while True:
-            await anyio.sleep(GUARD_S)
+            await anyio.sleep(GUARD_INTERVAL_S)
             if self.view.cfg.policy.guards and self.view.status is not None:
                 await self._guard(self.view.status.usage)
 
--- a/packages/daemon/src/apricotpathd/taskstarts.py
+++ b/packages/daemon/src/apricotpathd/taskstarts.py
@@ -1,4 +1,4 @@
-"""Starts of task attempts: checks, commitment and the order to the worker."""
+"""Starts task attempts: checks, resource commitment and the order to the worker."""
 
 import logging
 from collections.abc import Callable
@@ -11,24 +11,24 @@
 from apricotpath.model import ReplyCode
 from apricotpath.rules import EVICT_SLACK_S
 from apricotpath.worker import StartOrder, WorkerTask
-from apricotpathd.heldtasks import Changes, Key, Phase, held_from_start
 from apricotpathd.hostview import RETRY_S, HostView
+from apricotpathd.taskattempts import Changes, Key, Phase, attempt_from_start
 from apricotpathd.taskchecks import TaskCommand, malformed, task_reply
 
 log = logging.getLogger(__name__)
 
 
 class Starts:
-    """Starts attempts and remembers refusals; `take` gets changes that a start showed."""
+    """Starts attempts and remembers refusals; `on_changes` gets changes found during a start."""
 
-    def __init__(self, view: HostView, take: Callable[[Changes], None]) -> None:
+    def __init__(self, view: HostView, on_changes: Callable[[Changes], None]) -> None:
         self.view = view
-        self._take = take
-        # Refused starts by attempt, with the clock up to which anchors are refused again.
+        self._on_changes = on_changes
+        # Refused starts by attempt, with the clock reading up to which anchors stay refused.
         self._refused: dict[Key, tuple[int, TaskReply]] = {}
 
     async def start(self, msg: StartTask) -> TaskReply:
-        """Start an attempt unless a check fails; a start of a known attempt changes nothing."""
+        """Start an attempt unless a check fails; a repeated start changes nothing."""
         key = (msg.task, msg.attempt)
         if key in self.view.table.held or key in self.view.table.ended:
             return task_reply(msg, True, ReplyCode.KNOWN, "")
@@ -41,14 +41,14 @@
             self._refused[key] = (max(msg.anchor_clock_ms, self._refused_up_to(key)), reply)
         return reply
 
-    def answer_absent(self, msg: TaskCommand) -> TaskReply:
-        """Return the reply to a command for an attempt that is not held."""
+    def refuse_absent(self, msg: TaskCommand) -> TaskReply:
+        """Return the reply to a command for an attempt that is not held here."""
         key = (msg.task, msg.attempt)
         if key in self.view.table.ended:
             return task_reply(msg, True, ReplyCode.ENDED, "the attempt has ended")
         reply = task_reply(msg, False, ReplyCode.UNKNOWN, "the attempt does not run here")
-        # Once the owner has been told so, a delayed start of it must not run.
-        self._refused[key] = (self.view.clock.reading_ms, reply)
+        # The owner may rely on this reply, so a delayed start of the attempt must not run.
+        self._refused[key] = (self.view.clock.last_reading_ms, reply)
         return reply
 
     def _refused_up_to(self, key: Key) -> int:
@@ -57,11 +57,11 @@
     def _expire_refused(self) -> None:
         window_ms = int(self.view.cfg.policy.start_window_s * 1000)
         for key, (anchor_ms, _) in list(self._refused.items()):
-            if anchor_ms + window_ms < self.view.clock.reading_ms:
+            if anchor_ms + window_ms < self.view.clock.last_reading_ms:
                 del self._refused[key]
 
     def _refusal(self, msg: StartTask) -> TaskReply | None:
-        """Return why a start is refused before it costs anything, or None."""
+        """Return the refusal of a start by checks that need no worker call, or None."""
         if reason := malformed(msg):
             return task_reply(msg, False, ReplyCode.MALFORMED, reason)
         if self.view.draining:
@@ -70,7 +70,7 @@
             return task_reply(msg, False, ReplyCode.NOT_READY, "the worker does not answer")
         if msg.anchor_incarnation != self.view.incarnation:
             return task_reply(msg, False, ReplyCode.ANCHOR, "the anchor is of another incarnation")
-        if msg.anchor_clock_ms > self.view.clock.reading_ms:
+        if msg.anchor_clock_ms > self.view.clock.last_reading_ms:
             return task_reply(
                 msg, False, ReplyCode.ANCHOR, "the anchor is ahead of the worker's clock"
             )
@@ -97,7 +97,7 @@
         return None
 
     async def _admit(self, msg: StartTask) -> TaskReply:
-        held = held_from_start(msg)
+        held = attempt_from_start(msg)
         try:
             self.view.table.add(held)
         except CapacityError as exc:
@@ -110,18 +110,18 @@
             return task_reply(msg, False, ReplyCode.REFUSED, str(exc))
         except WorkerUnavailable as exc:
             log.info("start of %s has no answer: %s", msg.task, exc)
-            row = await self._settle_start(order)
+            row = await self._resolve_start(order)
         if row is None:
             self.view.table.drop(held)
             return task_reply(
                 msg, False, ReplyCode.LATE, "the start did not reach the worker in time"
             )
-        held.known_at = anyio.current_time()
+        held.confirmed_at = anyio.current_time()
         if held.phase is Phase.STARTING:
             held.phase = Phase.RUNNING
         changes = Changes()
-        self.view.table.apply_row(row, held.known_at, changes)
-        self._take(changes)
+        self.view.table.apply_row(row, held.confirmed_at, changes)
+        self._on_changes(changes)
         return task_reply(msg, True, ReplyCode.OK, "")
 
     def _order(self, msg: StartTask) -> StartOrder:
@@ -148,15 +148,19 @@
             boot=self.view.clock.boot,
         )
 
-    async def _settle_start(self, order: StartOrder) -> WorkerTask | None:
-        """Return the attempt once the worker shows it, or None once it cannot start.
+    async def _resolve_start(self, order: StartOrder) -> WorkerTask | None:
+        """Return the attempt once the worker lists it, or None once it cannot start.
 
-        The order may still be on its way, so only a reading past `start_by_ms`
+        The order may still be under way, so only a status past `start_by_ms`
         or of another boot proves that it never starts.
         """
-        lost_at = anyio.current_time()
+        unanswered_at = anyio.current_time()
         while True:
-            if await self.view.refresh() and self.view.status and self.view.began >= lost_at:
+            if (
+                await self.view.refresh()
+                and self.view.status
+                and self.view.status_requested_at >= unanswered_at
+            ):
                 status = self.view.status
                 for row in status.tasks:
                     if (row.task, row.attempt) == (order.task, order.attempt):
--- a/tests/features/agenttasks.feature
+++ b/tests/features/agenttasks.feature
@@ -1,12 +1,13 @@
 Feature: agenttasks
 
   Guards against a host committed beyond its size, a task that runs twice, evicted work
-  that resumes from the wrong checkpoint, a start after a take-out and work in forbidden
-  hours. The worker stand-in's record is the judge; its own size check is out of the way.
+  that resumes from the wrong checkpoint, a start while the data centre is out of service
+  and work in forbidden hours. The checks use the record of the simulated worker, whose
+  own size limit is too large to matter.
 
   Scenario Outline: an agent and its tasks survive <fault>
     When an agent meets "<fault>" with seeds 1 to <seeds>
-    Then the worker record of the agent holds every invariant
+    Then the worker record of the agent satisfies every invariant
 
     Examples: starts
       | fault                              | seeds |
@@ -63,7 +64,7 @@
   @long
   Scenario Outline: an agent and its tasks survive many cases of <fault>
     When an agent meets "<fault>" with seeds 100 to <last>
-    Then the worker record of the agent holds every invariant
+    Then the worker record of the agent satisfies every invariant
 
     Examples:
       | fault | last |
--- a/tests/features/steps/agenttasks_steps.py
+++ b/tests/features/steps/agenttasks_steps.py
@@ -19,7 +19,7 @@
 )
 from apricotpath.model import Outcome, RunState, Size, TaskClass
 from apricotpath_bench.workerstandin import checkpoint_progress
-from taskhost import CLAIM, HOST_SIZE, FakeRules, QuietHours, TaskHost, judge, run_seeded
+from taskhost import CLAIM, HOST_SIZE, FakeRules, QuietHours, TaskHost, check_invariants, run_seeded
 
 NOON = datetime(2026, 6, 1, 12, 0, tzinfo=UTC)
 FULL = Size(12000, 1000, 0)
@@ -34,7 +34,7 @@
 
 
 class AgentCases:
-    """One simulated deployment per seed; each case is a method named after its fault."""
+    """One simulated deployment per seed; the method of a case has the name of its fault."""
 
     def __init__(self, seed: int) -> None:
         self.seed = seed
@@ -47,7 +47,7 @@
             case = getattr(self, fault.replace(" ", "_").replace("'", "").replace("-", "_"))
             try:
                 await case()
-                judge(self.hosts)
+                check_invariants(self.hosts)
             except BaseException as exc:
                 exc.add_note(f"fault {fault!r}, seed {self.seed}")
                 raise
@@ -112,7 +112,7 @@
         host.network.held = {"start"}
         first = await host.send(host.start_msg(size=FULL))
         await anyio.sleep(self.rng.uniform(1.1, 2.2))
-        # The call has timed out, but the order may still arrive, so its size stays committed.
+        # The call has timed out, but the order may still arrive, so its size remains committed.
         assert host.agent.committed == FULL + CLAIM
         assert await self.code(host, "other") == "capacity"
         await host.link.until(lambda: first in host.link.replies)
@@ -147,7 +147,7 @@
         assert (await host.call(msg)).code == "capacity"
         await host.call(StopTask(3, 1, "other", 2, "cancelled"))
         await host.outcome("other", 2)
-        # The successor does not know what was refused, only that the anchor is not its own.
+        # The new agent does not know the earlier refusals, only that the anchor is not its own.
         await self.restart(host)
         assert (await host.call(msg)).code == "anchor"
         assert host.runs("third") == []
@@ -209,13 +209,13 @@
         host = await self.host()
         await self.started(host)
         await anyio.sleep(self.rng.uniform(0.0, 20.0))
-        # This renewal is on its way when the agent pauses, and the last one the owner sends.
+        # The last renewal of the owner is under way when the agent pauses.
         host.network.held = {"*"}
         host.renewing = False
         anchor = (host.agent.incarnation, host.agent.worker_clock_ms)
         received = anyio.current_time()
         await host.send(RenewTasks(3, 1, ("t",), *anchor))
-        # The owner's wait: lease, grace and 1 % of both for the drift of the clocks.
+        # The owner waits for lease and grace period, plus 1 % of both for clock drift.
         await anyio.sleep_until(received + 32 * 1.01)
         assert await self.other_host_runs("t", 2)
         host.network.release()
@@ -259,7 +259,7 @@
         host.network.held = {"tasks"}
         await host.start_agent()
         await anyio.sleep(0.1)
-        # "Refused" would tell the owner that the attempt never runs, but it does.
+        # A refusal would tell the owner that the attempt never runs, although it runs.
         assert isinstance(await host.call(host.start_msg()), Failure)
         assert isinstance(await host.call(host.start_msg("other")), Failure)
         assert not (await host.call(ClaimShard(3, 1))).ready
@@ -420,7 +420,7 @@
             host.network.held = {"*"}
             await anyio.sleep(pause_s + 20)
             host.network.release()
-            # Until it has read the worker again the agent refuses starts as "not-ready".
+            # Until the agent has read the worker's status again it refuses starts as "not-ready".
             await anyio.sleep(2.0)
         ended = await host.outcome("t", 1)
         if not faults and pause_s is None:
@@ -453,7 +453,7 @@
         await anyio.sleep_until(host.origin + BOUNDARY_S - 25)
         host.rules.quiet = EVENING
         await anyio.sleep(self.rng.uniform(1.0, 3.0))
-        # With the shortened lease in place the agent may pause for good.
+        # Once the lease is shortened the agent may pause forever.
         host.network.held = {"*"}
         await anyio.sleep(120.0)
         assert host.runs()[0]["outcome"] == "lease-expired"
@@ -461,7 +461,7 @@
     async def a_boundary_soon_after_a_start(self) -> None:
         host = await self.host(BEFORE_EVENING, FakeRules(quiet=EVENING))
         await anyio.sleep_until(host.origin + BOUNDARY_S - self.rng.uniform(11.0, 28.0))
-        # The agent pauses for good as soon as the order has left it.
+        # The agent pauses forever as soon as it has sent the order.
         host.network.held = {"renew", "checkpoint", "stop"}
         await host.send(host.start_msg(run_time_s=3000.0))
         await anyio.sleep(90.0)
@@ -515,16 +515,16 @@
         hosts = [await self.host(), await self.host()]
         for host in hosts:
             host.network.delay = lambda: self.rng.choice((0.0, 0.0, 0.05, 0.7, 1.5))
-            self.group.start_soon(self.trouble, host)
+            self.group.start_soon(self.inject_faults, host)
         async with anyio.create_task_group() as owners:
             for number in range(2):
-                owners.start_soon(self.own, hosts, f"task{number}")
+                owners.start_soon(self.run_as_owner, hosts, f"task{number}")
         runs = [run for host in hosts for run in host.runs()]
         finished = [run["task"] for run in runs if run["outcome"] == "finished"]
-        # A host may finish a task while it is cut off, and another then runs it again.
+        # A host may finish a task while it is unreachable, and another host then runs it again.
         assert set(finished) == {"task0", "task1"}, runs
 
-    async def trouble(self, host: TaskHost) -> None:
+    async def inject_faults(self, host: TaskHost) -> None:
         faults = host.model.faults
         for _ in range(4):
             await anyio.sleep(self.rng.uniform(1.0, 8.0))
@@ -545,8 +545,8 @@
                 faults.slow_stop_s = self.rng.choice((0.0, 0.5, 4.0))
         faults.ignore_stop = False
 
-    async def own(self, hosts: list[TaskHost], task: str) -> None:
-        """Run one task to its end as an owner does, with one attempt at a time."""
+    async def run_as_owner(self, hosts: list[TaskHost], task: str) -> None:
+        """Run one task to its end as an owner does, one attempt at a time."""
         attempt, checkpoint, last = 0, "", ""
         while True:
             attempt += 1
@@ -561,7 +561,7 @@
                 await host.send(OutcomeAck(3, (task,), (attempt,)))
                 if ended.outcome is Outcome.FINISHED:
                     return
-                assert ended.checkpoint >= last, "R3: an older checkpoint came back"
+                assert ended.checkpoint >= last, "an older checkpoint was reported"
                 checkpoint = last = ended.checkpoint
 
     def storm_start(self, host: TaskHost, task: str, attempt: int, checkpoint: str) -> Any:
@@ -575,13 +575,13 @@
         return None if isinstance(reply, Failure) else reply
 
     async def follow(self, host: TaskHost, task: str, attempt: int, anchored: float) -> Any:
-        """Return the attempt's outcome, or None when its lease must have ended."""
+        """Return the attempt's outcome, or None once its lease must have ended."""
         while anyio.current_time() < anchored + 32 * 1.01:
             if outcome := host._reported(task, attempt):
                 return outcome
             received, agent = anyio.current_time(), host.agent
             anchor = (agent.incarnation, agent.worker_clock_ms)
-            # Renewing a task that is not there would keep the owner waiting for ever.
+            # Renewing a task that does not run would keep the owner waiting forever.
             rows = host.link.reports[-1].tasks if host.link.reports else ()
             listed = (task, attempt) in [(row.task, row.attempt) for row in rows]
             if listed and self.rng.random() < 0.9 and agent.ready:
@@ -602,7 +602,7 @@
         context.agent_cases.append(case)
 
 
-@then("the worker record of the agent holds every invariant")
+@then("the worker record of the agent satisfies every invariant")
 def _(context: Any) -> None:
-    # Each case has judged its record while its clock ran; an empty one would prove nothing.
+    # Each case has checked its records during its run; a case without hosts proves nothing.
     assert all(case.hosts for case in context.agent_cases)
--- a/tests/taskhost.py
+++ b/tests/taskhost.py
@@ -21,19 +21,19 @@
 from apricotpath_bench.workerstandin import StandInSettings, WorkerApp, WorkerModel
 from apricotpathd.agenttasks import AgentTasks
 
-# A line for each call to the worker would cost most of the time of a test.
+# Logging every call to the worker would take most of the run time of a test.
 getLogger("httpx").setLevel(WARNING)
 
 HOST_SIZE = Size(16000, 60000, 2)
-# The stand-in admits four times what the agent may commit, so that R1 is the agent's work.
+# The stand-in admits four times the agent's limit, so that only the agent enforces its limit.
 WORKER_SIZE = Size(64000, 240000, 8)
 CLAIM = Size(4000, 8000, 0)
 KILL_DELAY_S = 1.9
 
 
 def run_seeded(case, seed: int) -> None:
-    """Run a coroutine function under virtual time; the seed fixes trio's task order too."""
-    # Trio offers no public way to this; without it a failing seed would not fail again.
+    """Run a coroutine function in virtual time; the seed also determines trio's task order."""
+    # Trio has no public API for this; without it a failing seed would not be reproducible.
     _run._ALLOW_DETERMINISTIC_SCHEDULING = True
     _run._r.seed(seed)
     clock = MockClock(autojump_threshold=0)
@@ -88,7 +88,7 @@
 
 @dataclass
 class FakeLink:
-    """Keeps what the agent sends; replies can be awaited by id."""
+    """Records messages of the agent; replies can be awaited by id."""
 
     is_open: bool = True
     replies: dict = field(default_factory=dict)
@@ -103,17 +103,17 @@
         self.arrived.set()
         self.arrived = anyio.Event()
 
-    async def until(self, seen):
-        while not (result := seen()):
+    async def until(self, condition):
+        while not (result := condition()):
             await self.arrived.wait()
         return result
 
 
 class Network(httpx.AsyncBaseTransport):
-    """Carries calls to the worker; a call once sent arrives even if its sender has gone.
+    """Transports calls to the worker; a call that was sent arrives even if its sender is gone.
 
-    Calls whose path is in `held` wait until `release`; `held_answers` likewise. `delay`
-    returns the seconds that a call takes to arrive.
+    Calls whose path is in `held` wait until `release`, as do answers in `held_answers`; "*"
+    stands for all paths. `delay` returns the seconds that a call takes to arrive.
     """
 
     def __init__(self, group, app: WorkerApp) -> None:
@@ -122,17 +122,17 @@
         self.held: set[str] = set()
         self.held_answers: set[str] = set()
         self.delay = lambda: 0.0
-        self.freed = anyio.Event()
+        self.released = anyio.Event()
         self.calls: list[str] = []
 
     def release(self) -> None:
         self.held, self.held_answers = set(), set()
-        self.freed.set()
-        self.freed = anyio.Event()
+        self.released.set()
+        self.released = anyio.Event()
 
     async def _wait(self, held: set[str], path: str) -> None:
         if path in held or "*" in held:
-            await self.freed.wait()
+            await self.released.wait()
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         await request.aread()
@@ -154,7 +154,7 @@
 
 
 class TaskHost:
-    """One host; `offset_s` is how far the agent's UTC clock is ahead of the true time."""
+    """One host; the agent's UTC clock is `offset_s` seconds ahead of the true time."""
 
     def __init__(
         self, group, base: datetime, rules: FakeRules | None = None, origin: float | None = None
@@ -209,7 +209,7 @@
     async def send(self, msg: Message) -> int:
         self.calls += 1
         if self.scope.cancel_called:
-            return self.calls  # Nobody reads what is sent to a killed process.
+            return self.calls  # A killed process reads no messages.
         await self.agent.received(self.link, Envelope(self.calls, 0, msg))
         return self.calls
 
@@ -243,32 +243,34 @@
         return [row for row in rows if task in (None, row["task"])]
 
 
-def judge(hosts: list[TaskHost]) -> None:
-    """Check R1 and R2, and R11 if hours are set, from the records of all workers."""
+def check_invariants(hosts: list[TaskHost]) -> None:
+    """Check the records of all workers: host capacity, no overlapping runs, quiet hours."""
     runs = []
     for host in hosts:
         record = host.model.record()
         peak = Size(**record["max"])
-        assert (peak + CLAIM).fits_in(HOST_SIZE), f"R1: {peak} and {CLAIM} exceed {HOST_SIZE}"
+        assert (peak + CLAIM).fits_in(HOST_SIZE), f"capacity: {peak} and {CLAIM} exceed {HOST_SIZE}"
         runs += record["runs"]
         for run in record["runs"]:
-            _judge_hours(host, run)
+            _check_quiet_hours(host, run)
     now = hosts[0].true_utc().timestamp()
     runs.sort(key=lambda run: (run["task"], run["started_at"]))
     for before, after in pairwise(runs):
         if before["task"] == after["task"]:
             ended = before["ended_at"] or now
-            assert ended <= after["started_at"], f"R2: {before} overlaps {after}"
-            assert before["attempt"] < after["attempt"], f"R2: {after} was started again"
+            assert ended <= after["started_at"], f"overlap: {before} overlaps {after}"
+            assert before["attempt"] < after["attempt"], f"overlap: {after} was started again"
 
 
-def _judge_hours(host: TaskHost, run: dict) -> None:
+def _check_quiet_hours(host: TaskHost, run: dict) -> None:
     if host.rules.quiet is None:
         return
     second = run["started_at"]
     last = run["ended_at"] or host.true_utc().timestamp()
     while second < last:
-        assert not host.rules.quiet.forbids(datetime.fromtimestamp(second, UTC)), f"R11: {run}"
+        assert not host.rules.quiet.forbids(datetime.fromtimestamp(second, UTC)), (
+            f"quiet hours: {run}"
+        )
         second += 1.0
     final = datetime.fromtimestamp(last, UTC)
-    assert not host.rules.quiet.forbids(final), f"R11: {run} ended at {final}"
+    assert not host.rules.quiet.forbids(final), f"quiet hours: {run} ended at {final}"
