Name what the faults and limits of the scheduling tests do

Some step functions and comments still used vague names such as one_sided and few_links. They now say what is done.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -139,7 +139,7 @@
         return boot_s() - (attached.granted_until - self.cfg.run_lease_s)
 
     def runs(self) -> list[tuple[TaskId, int]]:
-        """Return the runs on the executor, including those whose start order is under way."""
+        """Return the runs on the executor, including those with a start order in progress."""
         return list(self.attachment.views) if self.attachment is not None else []
 
     # Loops.
--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -68,7 +68,7 @@
             row.leaving = True
 
     async def link_opened(self, link: Link) -> None:
-        """Wait for the agent to announce itself."""
+        """Do nothing; the row is added when the agent announces itself."""
 
     async def link_closed(self, link: Link) -> None:
         """Mark the agent as gone."""
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobdesk.py
@@ -38,9 +38,9 @@
 REFUSED_RETRY_S = 1.0
 # How long a submission with an unknown outcome is retried.
 UNKNOWN_RETRY_S = 2.5
-# Job states that an entry keeps in memory.
+# Maximum number of job states that an entry keeps in memory.
 MAX_STATUSES = 50_000
-# Jobs with an unknown submission outcome that an entry remembers.
+# Maximum number of jobs with an unknown submission outcome that an entry remembers.
 MAX_UNCERTAIN = 10_000
 
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -52,7 +52,7 @@
 # Intervals of the scans over all jobs for expired ones and over all runs for runs to stop.
 FORGET_INTERVAL_S = 0.5
 STOP_INTERVAL_S = 0.1
-# Checkpoints recorded in one append, about 40 kB.
+# 600 checkpoint records take about 40 kB in one append.
 MAX_CHECKPOINTS_PER_APPEND = 600
 FLEET_LOG_INTERVAL_S = 2.0
 STATUSES_PER_MESSAGE = 4000
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -350,7 +350,7 @@
         self.state.index.remove(process)
 
     def evict_forbidden(self, now: float) -> None:
-        """Evict tasks that the bundle, or a data centre out of service, no longer allows."""
+        """Evict tasks that the bundle forbids or whose data centre is out of service."""
         state = self.state
         found: dict[tuple[TeamId, str, DataCentreId], Reason | None] = {}
         budget = MAX_RULE_EVICTIONS_PER_SCAN
--- a/tests/features/steps/agenttasks_steps.py
+++ b/tests/features/steps/agenttasks_steps.py
@@ -162,7 +162,7 @@
 
     async def a_worker_that_restarts(self) -> None:
         host = await self.host()
-        # The worker's new clock soon reads what the old one read when the anchor was taken.
+        # The restarted worker's clock soon reaches the reading from which the anchor was taken.
         await self.started(host)
         msg = host.start_msg("other")
         host.model.reboot()
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -168,7 +168,7 @@
 
 
 @fault("the strongest entry cannot reach the store")
-async def cut_strongest(run: Script) -> None:
+async def partition_strongest(run: Script) -> None:
     run.running_world.entries["entry4"].store.faults.silent = True
     await kill_scheduler(run)
 
@@ -176,7 +176,7 @@
 @fault("the scheduler is killed and the store lost")
 async def kill_scheduler_without_store(run: Script) -> None:
     await kill_scheduler(run)
-    await store_away(run)
+    await make_store_unavailable(run)
 
 
 @fault("an agent is killed and started again")
@@ -206,12 +206,12 @@
 
 
 @fault("an agent is cut off for 20 seconds")
-async def cut_agent(run: Script) -> None:
+async def partition_agent(run: Script) -> None:
     run.running_world.group.start_soon(run.running_world.partition, "host0", 20.0)
 
 
 @fault("an agent is cut off for 60 seconds")
-async def cut_agent_long(run: Script) -> None:
+async def partition_agent_long(run: Script) -> None:
     run.running_world.group.start_soon(run.running_world.partition, "host0", 60.0)
 
 
@@ -228,7 +228,7 @@
 
 
 @fault("the scheduler is cut off for 6 seconds")
-async def cut_scheduler(run: Script) -> None:
+async def partition_scheduler(run: Script) -> None:
     leader = run.running_world.leader()
     assert leader is not None
     leader.store.faults.silent = True
@@ -240,7 +240,7 @@
 
 
 @fault("the store is away for 5 seconds")
-async def store_away(run: Script) -> None:
+async def make_store_unavailable(run: Script) -> None:
     for node in run.running_world.entries.values():
         node.store.faults.silent = True
     await anyio.sleep(5.0)
@@ -282,7 +282,7 @@
 
 
 @fault("the scheduler is killed before ends are noted")
-async def kill_before_noted(run: Script) -> None:
+async def kill_before_endings_are_recorded(run: Script) -> None:
     leader = run.running_world.leader()
     assert leader is not None
     await anyio.sleep(2.7)
@@ -292,7 +292,7 @@
 
 
 @fault("a host hears only the former scheduler")
-async def one_sided(run: Script) -> None:
+async def partition_from_other_entries(run: Script) -> None:
     leader = run.running_world.leader()
     assert leader is not None
     leader.store.faults.silent = True
@@ -528,7 +528,7 @@
 
 
 @when("a job is submitted to the jobworld while writes are late, and again while all are refused")
-def submit_in_doubt(context: Any) -> None:
+def submit_with_unknown_outcome(context: Any) -> None:
     async def act(run: Script) -> None:
         node = run.running_world.entries["entry0"]
         context.outcomes = []
@@ -559,7 +559,7 @@
     "host0 of the jobworld is linked to the scheduler and one other entry, "
     "and the scheduler is killed"
 )
-def few_links(context: Any) -> None:
+def close_other_links_and_kill_scheduler(context: Any) -> None:
     async def act(run: Script) -> None:
         world = run.running_world
         leader = world.leader()
--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -452,13 +452,13 @@
             self.refused.add(key)
             return TaskReply(order.task, order.attempt, False, code, code)
 
-        known = self.tasks.get(order.task)
-        if key in self.ended or (known is not None and known.order.attempt == order.attempt):
+        running = self.tasks.get(order.task)
+        if key in self.ended or (running is not None and running.order.attempt == order.attempt):
             return TaskReply(order.task, order.attempt, True, ReplyCode.OK, "")
         late = self.clock_ms() > order.anchor_clock_ms + WINDOW_MS and self.world.windows
         if key in self.refused or late or order.anchor_incarnation != self.incarnation:
             return refuse(ReplyCode.LATE)
-        if order.attempt < self.highest[order.task] or known is not None:
+        if order.attempt < self.highest[order.task] or running is not None:
             return refuse(ReplyCode.BUSY)
         if not (self.committed() + order.size).fits_in(self.size):
             self.capacity_refusals += 1
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -195,8 +195,8 @@
         if deadline_ms is not None:
             model.deadline = max(model.deadline, model.started_at + deadline_ms / 1000)
         model.ends = [ending for ending in model.ends if ending.number > noted]
-        ends_at, known = boot_s() + wait_s, model.numbers
-        while boot_s() < ends_at and model.numbers == known:
+        ends_at, last_number = boot_s() + wait_s, model.numbers
+        while boot_s() < ends_at and model.numbers == last_number:
             model.work()
             soonest = min([run.ends_at for run in model.runs.values()], default=ends_at)
             changed = model.changed
