--- a/packages/cli/src/apricotpath_cli/__init__.py
+++ b/packages/cli/src/apricotpath_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' command."""
+"""The operators' command, `apricotpath`."""
--- a/packages/cli/src/apricotpath_cli/__main__.py
+++ b/packages/cli/src/apricotpath_cli/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the operators' command with `python -m apricotpath_cli`."""
+"""Runs the operators' command as `python -m apricotpath_cli`."""
 
 import sys
 
--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -1,4 +1,4 @@
-"""Commands for the bundle."""
+"""Commands that check, sign and apply bundles, the signed rules of the operators."""
 
 import argparse
 import json
@@ -58,7 +58,7 @@
 
 
 def read_bundle(path: Path) -> tuple[Bundle, bytes | None]:
-    """Return a bundle file and, if it is signed, its envelope; raises InputError."""
+    """Return the bundle in a file and, if it is signed, its envelope; raises InputError."""
     try:
         data = path.read_bytes()
     except OSError as exc:
@@ -112,7 +112,7 @@
     key = signing_key(key_path)
     if key.key_id in bundle.revoked_keys:
         raise InputError(f"{path}: revoked_keys: names the key that signs the bundle")
-    # The compact form is signed, since every process parses it again on each change.
+    # Signs the compact form, since every process parses it on each change.
     return seal(bundle_bytes(bundle), key).to_bytes()
 
 
@@ -135,12 +135,12 @@
     async def run() -> int:
         async with Client(cfg.entries, key, args.timeout) as client:
             answer = await _put(client, bundle, envelope)
-            what = f"bundle version {bundle.version}"
+            label = f"bundle version {bundle.version}"
             if answer.get("in_force") is True:
-                print(f"{what}: in force")
+                print(f"{label}: in force")
                 return EXIT_DONE
             return await wait_in_force(
-                client, what, lambda status: _has_bundle(status, bundle.version), args.wait
+                client, label, lambda status: _has_bundle(status, bundle.version), args.wait
             )
 
     return anyio.run(run)
@@ -163,14 +163,14 @@
 
 
 async def _is_accepted(client: Client, version: int, envelope: bytes) -> bool:
-    """Tell whether an earlier try, whose answer was lost, has put this bundle in force.
+    """Tell whether an earlier attempt, whose answer was lost, has put this bundle in force.
 
-    The entry asked may learn of it only with its next read of the store.
+    Polls, because the entry may see the bundle only at its next read of the store.
     """
     for _attempt in range(PUT_TRIES):
-        held = await client.any("GET", "/v1/bundle")
-        if held.get("version") != version - 1:
-            return held.get("version") == version and held.get("envelope") == json.loads(envelope)
+        reply = await client.any("GET", "/v1/bundle")
+        if reply.get("version") != version - 1:
+            return reply.get("version") == version and reply.get("envelope") == json.loads(envelope)
         await anyio.sleep(RETRY_S)
     return False
 
--- a/packages/cli/src/apricotpath_cli/client.py
+++ b/packages/cli/src/apricotpath_cli/client.py
@@ -1,4 +1,4 @@
-"""Signed calls to the operator port of entries."""
+"""Signed HTTP calls to the operator port of entries."""
 
 import json
 import secrets
@@ -27,14 +27,14 @@
 
 
 class EntryUnavailable(ApricotpathError):
-    """An entry could not be reached or did not answer; the effect is not known."""
+    """An entry could not be reached or did not answer; the call may have taken effect."""
 
 
 class EntryFailed(ApricotpathError):
-    """An entry answered that it cannot do what was asked now."""
+    """An entry answered that it cannot serve the call now."""
 
 
-# A 401 is not the caller's input being malformed, but nothing was changed either.
+# Statuses of calls without effect; 401 counts as bad input too, though it is not malformed.
 ERROR_OF_STATUS: dict[int, type[ApricotpathError]] = {
     400: InputError,
     401: SignatureError,
@@ -46,13 +46,13 @@
     431: InputError,
 }
 
-# Tests replace the transport by one that calls an application directly.
+# Tests set a transport that calls an application directly.
 transport: httpx.AsyncBaseTransport | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The answer of one entry; `error` is set instead of `value` if it failed."""
+    """The answer of one entry; if the call failed, `error` is set and `value` is empty."""
 
     entry: str
     value: dict[str, Any]
@@ -60,7 +60,7 @@
 
 
 class Client:
-    """Calls entries; every try is signed anew with a fresh nonce."""
+    """Calls entries; each attempt is signed with a new nonce."""
 
     def __init__(self, entries: Sequence[str], key: SigningKey, timeout_s: float) -> None:
         self.entries = tuple(entries)
@@ -77,7 +77,7 @@
         await self._http.aclose()
 
     async def call(self, entry: str, method: str, target: str, body: Any = None) -> dict[str, Any]:
-        """Return one entry's answer; `body` is bytes or a JSON value."""
+        """Return the answer of one entry, or raise; `body` is bytes or a JSON value."""
         data = body if isinstance(body, bytes) else _encode(body)
         now_ms = time.time_ns() // 1_000_000
         headers = sign_request(
@@ -88,37 +88,37 @@
                 method, entry.rstrip("/") + target, content=data, headers=headers
             )
         except (httpx.HTTPError, httpx.InvalidURL) as exc:
-            why = str(exc) or type(exc).__name__
-            raise EntryUnavailable(f"entry {entry} cannot be reached: {why}") from exc
+            detail = str(exc) or type(exc).__name__
+            raise EntryUnavailable(f"entry {entry} cannot be reached: {detail}") from exc
         return _decode(entry, response)
 
     async def any(self, method: str, target: str, body: Any = None) -> dict[str, Any]:
-        """Return the answer of the first entry that can be reached and is not failing.
+        """Try the entries in order and return the first answer.
 
-        Only for calls that may be repeated: reads, and writes that carry an id.
+        Only for idempotent calls: reads, and writes that carry an id.
         """
-        last: ApricotpathError = EntryUnavailable("no entry can be reached")
+        last_error: ApricotpathError = EntryUnavailable("no entry can be reached")
         for entry in self.entries:
             try:
                 return await self.call(entry, method, target, body)
             except (EntryUnavailable, EntryFailed) as exc:
-                last = exc
-        raise last
+                last_error = exc
+        raise last_error
 
     async def all(self, method: str, target: str, body: Any = None) -> list[Answer]:
-        """Call every entry at the same time and return the answers in their order."""
+        """Call all entries concurrently and return the answers in the order of the entries."""
 
-        async def one(entry: str) -> Answer:
+        async def call_one(entry: str) -> Answer:
             try:
                 return Answer(entry, await self.call(entry, method, target, body))
             except ApricotpathError as exc:
                 return Answer(entry, {}, exc)
 
-        return await gather([partial(one, entry) for entry in self.entries])
+        return await gather([partial(call_one, entry) for entry in self.entries])
 
 
 async def gather(calls: Sequence[Callable[[], Awaitable[T]]]) -> list[T]:
-    """Run calls at the same time and return their results in order."""
+    """Run calls concurrently and return their results in order."""
     results: dict[int, T] = {}
 
     async def run(number: int, call: Callable[[], Awaitable[T]]) -> None:
--- a/packages/cli/src/apricotpath_cli/cmdline.py
+++ b/packages/cli/src/apricotpath_cli/cmdline.py
@@ -13,7 +13,7 @@
 EXIT_BAD_INPUT = 2
 EXIT_INTERRUPTED = 130
 
-# A command group is added to the command by adding its function here.
+# Registers the command groups; a new group is added here.
 GROUPS: tuple[Callable[[Groups], None], ...] = (
     keys.add_group,
     tls.add_group,
@@ -28,10 +28,10 @@
 
 
 class Parser(argparse.ArgumentParser):
-    """A parser whose errors are one sentence, raised as InputError."""
+    """An argument parser that raises its errors as InputError, in one sentence."""
 
     def error(self, message: str) -> NoReturn:
-        """Raise the error instead of printing the usage."""
+        """Raise InputError instead of printing the usage and exiting."""
         raise InputError(f"{message} (see '{self.prog} --help')")
 
 
--- a/packages/cli/src/apricotpath_cli/confirm.py
+++ b/packages/cli/src/apricotpath_cli/confirm.py
@@ -12,40 +12,44 @@
 EXIT_NOT_YET = 3
 POLL_S = 0.25
 
-# Tells from an entry's status whether the change is in force as far as it knows.
+# Tells whether the status of an entry reports the change as in force.
 InForce = Callable[[dict[str, Any]], bool]
-# Looks at each poll's answers, for example to send a change to an entry that lacks it.
-Review = Callable[[list[Answer]], Awaitable[None]]
+# Called with the answers of each poll, for example to resend the change to an entry without it.
+PollCallback = Callable[[list[Answer]], Awaitable[None]]
 
 
 async def wait_in_force(
-    client: Client, what: str, in_force: InForce, wait_s: float, review: Review | None = None
+    client: Client,
+    label: str,
+    in_force: InForce,
+    wait_s: float,
+    on_poll: PollCallback | None = None,
 ) -> int:
-    """Poll the entries until every one that answers, and at least one, reports it.
+    """Poll the entries until all that answer, and at least one, report the change as in force.
 
-    An entry judges this for the whole deployment, so one that cannot be
-    reached from here does not hold the result up.
+    Each entry reports for the whole deployment, so an entry that cannot be
+    reached from here does not delay the result. Returns the exit code.
     """
     progress = Progress()
     with anyio.move_on_after(wait_s):
         while True:
             answers = await client.all("GET", "/v1/status")
-            heard = [answer for answer in answers if answer.error is None]
-            ready = [answer for answer in heard if _holds(in_force, answer)]
-            progress.show(f"{what}: in force at {len(ready)} of {len(answers)} entries")
-            if heard and len(ready) == len(heard):
+            reachable = [answer for answer in answers if answer.error is None]
+            ready = [answer for answer in reachable if _reports_in_force(in_force, answer)]
+            progress.show(f"{label}: in force at {len(ready)} of {len(answers)} entries")
+            if reachable and len(ready) == len(reachable):
                 progress.done()
-                print(f"{what}: in force")
+                print(f"{label}: in force")
                 return EXIT_DONE
-            if review is not None:
-                await review(answers)
+            if on_poll is not None:
+                await on_poll(answers)
             await anyio.sleep(POLL_S)
     progress.done()
-    print(f"{what}: accepted, not yet in force")
+    print(f"{label}: accepted, not yet in force")
     return EXIT_NOT_YET
 
 
-def _holds(in_force: InForce, answer: Answer) -> bool:
+def _reports_in_force(in_force: InForce, answer: Answer) -> bool:
     try:
         return in_force(answer.value)
     except (KeyError, TypeError, AttributeError):
--- a/packages/cli/src/apricotpath_cli/datacentres.py
+++ b/packages/cli/src/apricotpath_cli/datacentres.py
@@ -62,12 +62,12 @@
 
 
 async def change(client: Client, dc: str, state: ServiceState, wait_s: float) -> int:
-    """Send the change to every entry, then wait until it is in force.
+    """Send the change to every entry, wait until it is in force, and return the exit code.
 
-    Entries that do not answer get it from the others, or from a later try.
+    Entries that do not answer get it from the others, or when it is sent again.
     """
-    seq, known = await _next_seq(client, dc)
-    if not known:
+    seq, exists = await _next_seq(client, dc)
+    if not exists:
         raise InputError(f"no entry knows a data centre {dc!r}")
     for attempt in range(TRIES):
         wanted = DataCentreStatus(DataCentreId(dc), seq, state)
@@ -79,7 +79,7 @@
         if refused or attempt == TRIES - 1:
             raise (refused or failed)[0]
         await anyio.sleep(RETRY_S)
-        # Another operator's change may have come first; then this one needs a higher number.
+        # If another operator's change came first, this one needs a higher sequence number.
         seq = max(seq, (await _next_seq(client, dc))[0])
     raise AssertionError("unreachable")
 
@@ -89,7 +89,7 @@
     body = {"seq": wanted.seq, "state": wanted.state.value}
     if wanted.state is ServiceState.OUT:
         return await client.all("PUT", target, body)
-    # A bring-back is one compare-and-swap in the store; any entry can do it.
+    # Bringing a data centre back is one compare-and-swap in the store, by any entry.
     try:
         return [Answer("", await client.any("PUT", target, body))]
     except ApricotpathError as exc:
@@ -97,45 +97,45 @@
 
 
 async def _next_seq(client: Client, dc: str) -> tuple[int, bool]:
-    """Return a number above every known one, and whether any entry knows the data centre."""
+    """Return the next sequence number, and whether any entry knows the data centre."""
     answers = await client.all("GET", "/v1/status")
     failed = [answer.error for answer in answers if answer.error is not None]
     if len(failed) == len(answers):
         raise failed[0]
-    rows = [row for answer in answers if (row := _row(answer.value, dc))]
+    rows = [row for answer in answers if (row := _status_row(answer.value, dc))]
     return 1 + max((_seq(row) for row in rows), default=0), bool(rows)
 
 
 async def _confirm(client: Client, wanted: DataCentreStatus, wait_s: float) -> int:
     def in_force(status: dict[str, Any]) -> bool:
-        row = _row(status, wanted.data_centre)
-        return _has(row, wanted) and row["in_force"] is True
+        row = _status_row(status, wanted.data_centre)
+        return _has_change(row, wanted) and row["in_force"] is True
 
-    async def review(answers: list[Answer]) -> None:
+    async def on_poll(answers: list[Answer]) -> None:
         for answer in answers:
             if answer.error is None:
-                row = _row(answer.value, wanted.data_centre)
+                row = _status_row(answer.value, wanted.data_centre)
                 if _is_superseded(row, wanted):
                     raise ConflictError(
                         f"another operator has since changed data centre {wanted.data_centre} "
                         f"to {row['state']!r}; check 'dc status' and try again"
                     )
-                # The entry could not be reached when the change was sent.
-                if wanted.state is ServiceState.OUT and not _has(row, wanted):
+                # Resends to an entry that could not be reached when the change was sent.
+                if wanted.state is ServiceState.OUT and not _has_change(row, wanted):
                     await _send(client, wanted)
 
-    what = f"data centre {wanted.data_centre} {wanted.state.value}"
-    return await wait_in_force(client, what, in_force, wait_s, review)
+    label = f"data centre {wanted.data_centre} {wanted.state.value}"
+    return await wait_in_force(client, label, in_force, wait_s, on_poll)
 
 
-def _row(status: dict[str, Any], dc: str) -> dict[str, Any]:
+def _status_row(status: dict[str, Any], dc: str) -> dict[str, Any]:
     rows = status.get("data_centres")
-    found = [
+    matching = [
         row
         for row in (rows if isinstance(rows, list) else [])
         if isinstance(row, dict) and row.get("data_centre") == dc
     ]
-    return found[0] if found else {}
+    return matching[0] if matching else {}
 
 
 def _seq(row: dict[str, Any]) -> int:
@@ -143,7 +143,7 @@
     return seq if isinstance(seq, int) else 0
 
 
-def _has(row: dict[str, Any], wanted: DataCentreStatus) -> bool:
+def _has_change(row: dict[str, Any], wanted: DataCentreStatus) -> bool:
     return _seq(row) >= wanted.seq and row.get("state") == wanted.state.value
 
 
--- a/packages/cli/src/apricotpath_cli/jobs.py
+++ b/packages/cli/src/apricotpath_cli/jobs.py
@@ -1,4 +1,4 @@
-"""Commands for jobs."""
+"""Commands that submit, show and cancel jobs."""
 
 import argparse
 from pathlib import Path
@@ -9,7 +9,7 @@
 from apricotpath.submission import job_from_json
 from apricotpath_cli.options import Groups, add_entries
 from apricotpath_cli.output import print_fields, print_json, print_table
-from apricotpath_cli.views import ask_one
+from apricotpath_cli.views import call_any_entry
 
 
 def add_group(groups: Groups) -> None:
@@ -37,15 +37,15 @@
 
 def _submit(args: argparse.Namespace) -> int:
     value = load_json(args.file)
-    # A job carries its id, so sending it to a second entry cannot run it twice.
+    # The file contains the job's id, so sending it to a second entry cannot run the job twice.
     job_from_json(value, str(args.file))
-    return _print(args, ask_one(args, "POST", "/v1/jobs", value))
+    return _print(args, call_any_entry(args, "POST", "/v1/jobs", value))
 
 
 def _list(args: argparse.Namespace) -> int:
     names = ("team", "state", "limit")
     query = {name: getattr(args, name) for name in names if getattr(args, name)}
-    answer = ask_one(args, "GET", f"/v1/jobs?{urlencode(query)}")
+    answer = call_any_entry(args, "GET", f"/v1/jobs?{urlencode(query)}")
     if args.json:
         print_json(answer)
     else:
@@ -55,7 +55,7 @@
 
 def _call(args: argparse.Namespace) -> int:
     target = f"/v1/jobs/{quote(args.job, safe='')}"
-    return _print(args, ask_one(args, args.method, target))
+    return _print(args, call_any_entry(args, args.method, target))
 
 
 def _print(args: argparse.Namespace, answer: dict[str, Any]) -> int:
--- a/packages/cli/src/apricotpath_cli/keys.py
+++ b/packages/cli/src/apricotpath_cli/keys.py
@@ -1,4 +1,4 @@
-"""Commands for operators' keys."""
+"""Commands that create, rotate and show operators' signing keys."""
 
 import argparse
 from pathlib import Path
--- a/packages/cli/src/apricotpath_cli/load.py
+++ b/packages/cli/src/apricotpath_cli/load.py
@@ -1,11 +1,11 @@
-"""Command that loads a local deployment and compares it with its baseline."""
+"""Command that puts load on a local deployment and compares it with its baseline."""
 
 import argparse
 
 from apricotpath.errors import InputError
 from apricotpath_cli.options import Groups
 
-# Options of `apricotpath_bench.compare`, which checks their values.
+# Options passed on to `apricotpath_bench.compare`, which validates them.
 OPTIONS = {
     "shape": "small, suva, asante or both",
     "seconds": "seconds of load on each side",
@@ -20,7 +20,7 @@
 def add_group(groups: Groups) -> None:
     """Add `load compare`."""
     commands = groups.add_parser(
-        "load", help="load a local deployment and compare it with its baseline"
+        "load", help="put load on a local deployment and compare it with its baseline"
     ).add_subparsers(required=True, metavar="COMMAND")
     compare = commands.add_parser("compare", help="run the same load on both and report")
     for name, text in OPTIONS.items():
@@ -34,5 +34,5 @@
         from apricotpath_bench.compare import main
     except ImportError as exc:
         raise InputError(f"the package apricotpath-bench is not installed: {exc}") from exc
-    given = {name: getattr(args, name) for name in OPTIONS if getattr(args, name) is not None}
-    return main([f"--{name}={value}" for name, value in given.items()])
+    chosen = {name: getattr(args, name) for name in OPTIONS if getattr(args, name) is not None}
+    return main([f"--{name}={value}" for name, value in chosen.items()])
--- a/packages/cli/src/apricotpath_cli/options.py
+++ b/packages/cli/src/apricotpath_cli/options.py
@@ -1,4 +1,4 @@
-"""Command options, each declared once, and the settings of the operators' command."""
+"""Options shared by several commands, and the settings of the operators' command."""
 
 import argparse
 from collections.abc import Callable
@@ -14,7 +14,7 @@
 Handler = Callable[[argparse.Namespace], int]
 Groups: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 
-# A bundle or take-out is in force within 5 s today and 19 s at target size.
+# A change is in force within 5 s at the present size, and within 19 s at the target size.
 DEFAULT_WAIT_S = 20.0
 DEFAULT_TIMEOUT_S = 3.0
 MAX_WAIT_S = 3600.0
@@ -22,14 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
-    """Settings of the operators' command: entries' operator URLs and the key file."""
+    """Settings of the operators' command: operator URLs of entries, and the key file."""
 
     entries: tuple[str, ...] = ()
     key: Path | None = None
 
 
 def seconds(text: str) -> float:
-    """Return a number of seconds from 0 to an hour."""
+    """Parse a number of seconds from 0 to an hour."""
     value = float(text)
     if not 0 <= value <= MAX_WAIT_S:
         raise argparse.ArgumentTypeError(f"{text} is outside 0 to {MAX_WAIT_S:g} seconds")
@@ -79,7 +79,7 @@
 
 
 def operator_settings(args: argparse.Namespace) -> OperatorSettings:
-    """Return the settings file with the options that override it; raises InputError."""
+    """Return the settings from the file, overridden by the options; raises InputError."""
     cfg = load_settings(args.settings, OperatorSettings) if args.settings else OperatorSettings()
     entries = tuple(args.entry) or cfg.entries
     if not entries:
--- a/packages/cli/src/apricotpath_cli/output.py
+++ b/packages/cli/src/apricotpath_cli/output.py
@@ -18,8 +18,8 @@
     if not rows:
         print("none")
         return
-    cells = [[title(name) for name in names]]
-    cells += [[text(row.get(name)) for name in names] for row in rows]
+    cells = [[format_name(name) for name in names]]
+    cells += [[format_value(row.get(name)) for name in names] for row in rows]
     widths = [max(len(line[column]) for line in cells) for column in range(len(names))]
     for line in cells:
         padded = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
@@ -30,16 +30,16 @@
     """Print an object as one aligned `name  value` line per field."""
     width = max((len(name) for name in value), default=0)
     for name, item in value.items():
-        print(f"{title(name).ljust(width)}  {text(item)}")
+        print(f"{format_name(name).ljust(width)}  {format_value(item)}")
 
 
-def title(name: str) -> str:
-    """Return a field name as it is shown."""
+def format_name(name: str) -> str:
+    """Return a field name with spaces instead of underscores."""
     return name.replace("_", " ")
 
 
-def text(value: Any) -> str:
-    """Return a value as it is shown in a table."""
+def format_value(value: Any) -> str:
+    """Return a value as the text of a table cell."""
     if value is None or value == "":
         return "-"
     if isinstance(value, bool):
@@ -47,22 +47,22 @@
     if isinstance(value, float):
         return f"{value:.3f}".rstrip("0").rstrip(".")
     if isinstance(value, Mapping):
-        return ", ".join(f"{title(key)} {text(item)}" for key, item in value.items())
+        return ", ".join(f"{format_name(key)} {format_value(item)}" for key, item in value.items())
     if isinstance(value, list):
-        return ", ".join(text(item) for item in value) or "-"
-    # Control characters from an entry must not reach the terminal.
+        return ", ".join(format_value(item) for item in value) or "-"
+    # Replaces control characters, which an entry could send to the terminal otherwise.
     return "".join(char if char.isprintable() else "?" for char in str(value))
 
 
 class Progress:
-    """A line on standard error that is rewritten on a terminal and repeated elsewhere."""
+    """Progress on standard error, in one line on a terminal and in a line per change elsewhere."""
 
     def __init__(self) -> None:
         self._shown = ""
         self._on_terminal = sys.stderr.isatty()
 
     def show(self, line: str) -> None:
-        """Show the state if it differs from the one shown."""
+        """Show a line unless it is the one already shown."""
         if line == self._shown:
             return
         if self._on_terminal:
@@ -73,6 +73,6 @@
         self._shown = line
 
     def done(self) -> None:
-        """Leave the line on a terminal."""
+        """End the line on a terminal, so that it stays there."""
         if self._on_terminal and self._shown:
             sys.stderr.write("\n")
--- a/packages/cli/src/apricotpath_cli/tls.py
+++ b/packages/cli/src/apricotpath_cli/tls.py
@@ -1,4 +1,4 @@
-"""Commands for the certificates of processes."""
+"""Commands that create the certificates of processes."""
 
 import argparse
 from datetime import UTC, datetime
@@ -13,7 +13,7 @@
     commands = groups.add_parser(
         "tls", help="make certificates for TLS between processes"
     ).add_subparsers(required=True, metavar="COMMAND")
-    init = commands.add_parser("init", help="make a private authority")
+    init = commands.add_parser("init", help="make a private certificate authority")
     init.add_argument("--name", default="apricotpath", help="name in the certificate")
     init.set_defaults(run=_init)
     issue = commands.add_parser("issue", help="make the certificate of a process")
@@ -22,7 +22,7 @@
         "--address",
         action="append",
         metavar="IP",
-        help="IP number of the process; may be repeated; 127.0.0.1 if not given",
+        help="IP address of the process; may be repeated; 127.0.0.1 if not given",
     )
     issue.set_defaults(run=_issue)
     for parser in (init, issue):
@@ -30,7 +30,7 @@
             "--folder",
             type=Path,
             default=Path(),
-            help="folder of authority.crt and authority.key, and of the files made",
+            help="folder of authority.crt and authority.key, and of the created files",
         )
 
 
--- a/packages/cli/src/apricotpath_cli/traces.py
+++ b/packages/cli/src/apricotpath_cli/traces.py
@@ -1,4 +1,4 @@
-"""Commands on traces: make one from a shape, check one, and replay one."""
+"""Commands that write the trace of a simulated deployment and replay traces."""
 
 import argparse
 from pathlib import Path
@@ -15,15 +15,15 @@
     commands = groups.add_parser("trace", help="make and replay traces").add_subparsers(
         required=True, metavar="ACTION"
     )
-    record = commands.add_parser("record", help="write the trace of a made-up deployment")
+    record = commands.add_parser("record", help="write the trace of a simulated deployment")
     record.add_argument("out", type=Path)
     record.add_argument("--shape", choices=SHAPES, required=True)
     record.add_argument("--seed", type=int, required=True)
     record.set_defaults(run=_record)
-    replay = commands.add_parser("replay", help="replay a trace through the decisions")
+    replay = commands.add_parser("replay", help="replay a trace through the scheduling code")
     replay.add_argument("file", type=Path)
-    replay.add_argument("--seed", type=int, help="instead of the trace's own")
-    replay.add_argument("--outcomes", type=Path, help="file of stated outcomes to check")
+    replay.add_argument("--seed", type=int, help="seed to use instead of the trace's")
+    replay.add_argument("--outcomes", type=Path, help="file of expected outcomes to check")
     replay.set_defaults(run=_replay)
 
 
@@ -46,6 +46,6 @@
     if not trace.events:
         raise InputError(f"{args.file}: has no events to replay")
     outcomes = load_outcomes(args.outcomes) if args.outcomes else ()
-    text, held = report(trace, outcomes, args.seed)
+    text, all_met = report(trace, outcomes, args.seed)
     print(text)
-    return 0 if held else 1
+    return 0 if all_met else 1
--- a/packages/cli/src/apricotpath_cli/views.py
+++ b/packages/cli/src/apricotpath_cli/views.py
@@ -8,20 +8,20 @@
 import anyio
 
 from apricotpath_cli.client import Answer, Client
-from apricotpath_cli.logstory import explain_from_logs
+from apricotpath_cli.logtimeline import explain_from_logs
 from apricotpath_cli.options import Groups, add_entries, operator_settings, signing_key
-from apricotpath_cli.output import print_fields, print_json, print_table, text
+from apricotpath_cli.output import format_value, print_fields, print_json, print_table
 
 
 def add_group(groups: Groups) -> None:
     """Add `hosts`, `backends`, `explain`, `debug` and `status`."""
-    for name, run, about in (
+    for name, run, help_text in (
         ("status", _status, "show the state of every entry"),
         ("hosts", _list_of("hosts"), "list hosts with commitments and usage"),
         ("backends", _list_of("backends"), "list backend servers"),
         ("debug", _debug, "show the internal state of every entry"),
     ):
-        parser = groups.add_parser(name, help=about)
+        parser = groups.add_parser(name, help=help_text)
         add_entries(parser)
         parser.set_defaults(run=run)
     explain = groups.add_parser("explain", help="tell why work does or does not run")
@@ -35,8 +35,10 @@
     explain.set_defaults(run=_explain)
 
 
-def ask_one(args: argparse.Namespace, method: str, target: str, body: Any = None) -> dict[str, Any]:
-    """Return the answer of the first entry that can give one."""
+def call_any_entry(
+    args: argparse.Namespace, method: str, target: str, body: Any = None
+) -> dict[str, Any]:
+    """Call the entries in order and return the first answer."""
     cfg = operator_settings(args)
     key = signing_key(cfg.key)
 
@@ -47,8 +49,8 @@
     return anyio.run(run)
 
 
-def ask_all(args: argparse.Namespace, target: str) -> list[Answer]:
-    """Return the answers of all entries."""
+def call_all_entries(args: argparse.Namespace, target: str) -> list[Answer]:
+    """Send a GET to all entries and return their answers."""
     cfg = operator_settings(args)
     key = signing_key(cfg.key)
 
@@ -62,8 +64,8 @@
 def status_rows(
     args: argparse.Namespace, rows_of: Callable[[dict[str, Any]], list[dict[str, Any]]]
 ) -> int:
-    """Print rows of every entry's status; exit code 1 if no entry answered."""
-    answers = ask_all(args, "/v1/status")
+    """Print rows from every entry's status; returns exit code 1 if no entry answered."""
+    answers = call_all_entries(args, "/v1/status")
     rows: list[dict[str, Any]] = []
     for answer in answers:
         if answer.error is not None:
@@ -82,19 +84,21 @@
 
 
 def _status(args: argparse.Namespace) -> int:
-    return status_rows(args, lambda value: [_short(value)])
+    return status_rows(args, lambda value: [_summary_row(value)])
 
 
-def _short(status: dict[str, Any]) -> dict[str, Any]:
+def _summary_row(status: dict[str, Any]) -> dict[str, Any]:
     row = {key: value for key, value in status.items() if key not in ("entry", "data_centres")}
     centres = status.get("data_centres", [])
-    row["data_centres"] = {text(item.get("data_centre")): item.get("state") for item in centres}
+    row["data_centres"] = {
+        format_value(item.get("data_centre")): item.get("state") for item in centres
+    }
     return row
 
 
 def _list_of(name: str) -> Callable[[argparse.Namespace], int]:
     def run(args: argparse.Namespace) -> int:
-        value = ask_one(args, "GET", f"/v1/{name}")
+        value = call_any_entry(args, "GET", f"/v1/{name}")
         if args.json:
             print_json(value)
         else:
@@ -105,7 +109,7 @@
 
 
 def _debug(args: argparse.Namespace) -> int:
-    answers = ask_all(args, "/v1/debug")
+    answers = call_all_entries(args, "/v1/debug")
     print_json(
         {
             answer.entry: answer.value if answer.error is None else {"error": str(answer.error)}
@@ -120,7 +124,7 @@
         return explain_from_logs(args)
     names = ("job", "team", "activity", "data_centre")
     query = {name: getattr(args, name) for name in names if getattr(args, name)}
-    value = ask_one(args, "GET", f"/v1/explain?{urlencode(query)}")
+    value = call_any_entry(args, "GET", f"/v1/explain?{urlencode(query)}")
     if args.json:
         print_json(value)
     else:
--- a/tests/features/cli.feature
+++ b/tests/features/cli.feature
@@ -1,8 +1,8 @@
 Feature: cli
 
-  Guards against an operators' command that changes something on bad input,
-  reports a change as done that is not in force, gives up on a lost answer, or
-  repeats a change.
+  Guards against an operators' command that has an effect despite bad input,
+  reports success for a change that is not in force, fails on a lost answer, or
+  applies a change twice.
 
   Scenario Outline: bad input ends with exit code 2, one sentence, and no change
     Given an operators' command with 2 entries
@@ -43,7 +43,7 @@
     Given an operators' command with 2 entries
     And the entries have the fault <fault>
     When the command runs with bundle apply {bundle} --wait 0.3 {to}
-    Then the command exits with <code> and says <words>
+    Then the command exits with <code> and prints <words>
     And the entries saw the change "bundle 2" <times> times
 
     Examples:
@@ -60,7 +60,7 @@
     Given an operators' command with 2 entries
     And the entries have the fault <fault>
     When the command runs with dc out suva-depot --wait 0.6 {to}
-    Then the command exits with <code> and says <words>
+    Then the command exits with <code> and prints <words>
     And the entries saw the change "suva-depot out" <times> times
 
     Examples:
@@ -78,7 +78,7 @@
     Given an operators' command with 2 entries
     And the entries have the fault <fault>
     When the command runs with dc in suva-depot --wait 0.3 {to}
-    Then the command exits with <code> and says <words>
+    Then the command exits with <code> and prints <words>
 
     Examples:
       | fault                  | code | words                    |
@@ -92,12 +92,12 @@
     When the command runs with keys rotate {key} {new}
     And the command runs with bundle sign {bundle} --out {signed} --key {new}
     And the command runs with bundle apply {signed} --entry http://one --entry http://two --wait 1 --key {new}
-    Then the command exits with 0 and says bundle version 2: in force
+    Then the command exits with 0 and prints bundle version 2: in force
 
   Scenario Outline: a command prints what was asked for
     Given an operators' command with 2 entries
     When the command runs with <arguments>
-    Then the command exits with 0 and says <words>
+    Then the command exits with 0 and prints <words>
 
     Examples:
       | arguments                      | words                     |
--- a/tests/features/platformpath.feature
+++ b/tests/features/platformpath.feature
@@ -1,16 +1,16 @@
 Feature: platformpath
 
-  The programs of platform/ as processes against stand-ins of the platform.
-  Guards against a job that is lost or run twice on the way from client to
-  executor, an answer that is not the protocol's, a configuration that is not
-  in force or goes back, and a process that ends at a signal or at malformed
-  input.
+  Runs entries and agents as processes against stand-ins of the platform's
+  store and executors. Guards against a job that is lost or run twice, an
+  answer that breaks the protocol, a configuration that is not applied or is
+  replaced by an older one, and a process that crashes at a signal or at
+  malformed input.
 
   Background:
     Given the platformpath's processes are running
 
   Scenario: platformpath serves a job of two steps from client to executor
-    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    When a client submits a job of steps 2 and 1 at platformpath's front-1
     Then platformpath answers 200
     And platformpath's front-2 shows the job as completed within 8 seconds
     And platformpath's executors ran 3 tasks once each
@@ -32,7 +32,7 @@
 
   Scenario: platformpath cancels a job and stops its tasks
     Given tasks of platformpath take 30 seconds
-    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    When a client submits a job of steps 2 and 1 at platformpath's front-1
     And tasks of the job run at platformpath's executors
     And a client cancels the job at platformpath's front-2
     Then platformpath's front-1 shows the job as cancelled within 3 seconds
@@ -40,23 +40,23 @@
 
   Scenario: platformpath brings a new configuration into force and never goes back
     When platformpath's operator adds a queue in version 9
-    Then a job is taken in the new queue at both entries of platformpath within 2 seconds
+    Then both entries of platformpath accept a job in the new queue within 2 seconds
     When platformpath's operator writes version 5 without the new queue
-    Then a job is still taken in the new queue at both entries of platformpath a second later
+    Then both entries of platformpath still accept a job in the new queue a second later
 
   Scenario: platformpath starts nothing in a zone that is taken out, and goes on when it is back
     When platformpath's operator takes the zone out
-    And a client hands in a job of steps 1 and 1 at platformpath's front-1
-    Then nothing has begun at platformpath's executors 2 seconds later
+    And a client submits a job of steps 1 and 1 at platformpath's front-1
+    Then nothing has started at platformpath's executors 2 seconds later
     When platformpath's operator takes the zone back
     Then platformpath's front-1 shows the job as completed within 8 seconds
 
   Scenario Outline: platformpath finishes a job although <fault>
     Given tasks of platformpath take 3 seconds
-    When a client hands in a job of steps 4 and 1 at platformpath's front-1
+    When a client submits a job of steps 4 and 1 at platformpath's front-1
     And <fault> at platformpath
     Then platformpath shows the job as completed within 25 seconds
-    And no task of platformpath ran twice at once
+    And no task of platformpath had two runs at the same time
 
     Examples:
       | fault                                     |
@@ -71,38 +71,38 @@
 
   Scenario: platformpath refuses a job while the store is away, and it never runs
     When the store of platformpath refuses all calls
-    And a client hands in a job of steps 1 and 1 at platformpath's front-1
+    And a client submits a job of steps 1 and 1 at platformpath's front-1
     Then platformpath answers 503
-    And the answer of platformpath names the job, and the log of the entry says why
+    And the answer of platformpath names the job, and the log of the entry gives the reason
     When the store of platformpath serves again
     Then the job is not known at platformpath's front-2 2 seconds later
 
   Scenario: platformpath stays up at SIGHUP and at malformed heartbeats, and ends cleanly at SIGTERM
     When platformpath's processes get SIGHUP and malformed heartbeats
-    Then all processes of platformpath still run and say that the settings were read again
+    Then all processes of platformpath still run and have logged that they read the settings again
     When platformpath's agent side-1 is told to stop
-    Then it has ended with code 0
+    Then it has exited with code 0
 
   Scenario: platformpath serves metrics and state of each process
-    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    When a client submits a job of steps 2 and 1 at platformpath's front-1
     Then platformpath's front-2 shows the job as completed within 8 seconds
     And the metrics of platformpath count the job and its 3 runs
     And each process of platformpath shows its state and that it is ready
 
   Scenario: platformpath leads from a job's id to its story although its scheduler died
     Given tasks of platformpath take 3 seconds
-    When a client hands in a job of steps 2 and 1 at platformpath's front-1
+    When a client submits a job of steps 2 and 1 at platformpath's front-1
     And tasks of the job run at platformpath's executors
     And the scheduler is killed at platformpath
     Then platformpath shows the job as completed within 25 seconds
-    And the logs of platformpath tell of the job's submission, runs, new scheduler and end
+    And the logs of platformpath show the job's submission, run, new scheduler and end in order
 
   Scenario: platformpath stops in one sentence at a status port that is not one
     When a process of platformpath is started with the status port 99999
-    Then it has ended with the sentence "--status-port 99999 is not a port"
+    Then it has failed with the sentence "--status-port 99999 is not a port"
 
   Scenario: platformpath links an agent to few of many entries, and it follows the next scheduler
     When 5 more entries of platformpath are started
-    Then each agent of platformpath keeps 2 links at the most, one of them to the scheduler
+    Then each agent of platformpath keeps at most 2 links, one of them to the scheduler
     When the scheduler is killed at platformpath
-    Then each agent of platformpath keeps 2 links at the most, one of them to the scheduler
+    Then each agent of platformpath keeps at most 2 links, one of them to the scheduler
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -28,7 +28,7 @@
 
 
 class OperatorsCommand:
-    """Holds entries in memory, files in a folder, and the last run of the command."""
+    """Runs the command against in-memory entries and files in a folder, and keeps its output."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -59,9 +59,9 @@
 
     def run(self, arguments: str) -> None:
         names = ("key", "stranger", "bundle", "bad_bundle", "job", "bad_job", "bad_settings")
-        places = {name: str(self.folder / name) for name in (*names, "new", "signed", "tls")}
-        to = f"--entry http://one --entry http://two --timeout 1 --key {places['key']}"
-        argv = shlex.split(arguments.format(to=to, **places))
+        paths = {name: str(self.folder / name) for name in (*names, "new", "signed", "tls")}
+        to = f"--entry http://one --entry http://two --timeout 1 --key {paths['key']}"
+        argv = shlex.split(arguments.format(to=to, **paths))
         out, err = io.StringIO(), io.StringIO()
         client.transport = self.entries
         try:
@@ -129,7 +129,7 @@
     assert command.out == ""
 
 
-@then("the command exits with {code:d} and says {words}")
+@then("the command exits with {code:d} and prints {words}")
 def _(context: Any, code: int, words: str) -> None:
     command = context.command
     assert command.code == code, (command.code, command.out, command.err)
--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -12,7 +12,7 @@
 import httpx
 from behave import given, then, when
 
-from apricotpath_cli.logstory import read_logs, story
+from apricotpath_cli.logtimeline import read_logs, timeline
 from support.platformworld import PREFIX, PlatformWorld, configuration
 
 CPU = {"cpu": 500, "memMb": 64, "estRuntimeMs": 500}
@@ -20,7 +20,7 @@
 
 
 class RunningPlatform:
-    """One world for all scenarios of the feature; each begins with all processes up."""
+    """Deployment shared by all scenarios of the feature; `get` first restores all processes."""
 
     shared: ClassVar["RunningPlatform | None"] = None
 
@@ -37,10 +37,10 @@
     def get(cls) -> "RunningPlatform":
         if cls.shared is None:
             cls.shared = cls()
-        cls.shared.heal()
+        cls.shared.reset()
         return cls.shared
 
-    def heal(self) -> None:
+    def reset(self) -> None:
         world = self.world
         world.behaviour.seconds = 0.5
         world.store.mode, world.store.lose_answers = "", 0
@@ -48,7 +48,7 @@
             if process.poll() is not None:
                 world.run(name)
         world.wait(lambda: all(world.ready(name) for name in world.settings if "front" in name))
-        # A short job shows that a scheduler and its hosts are there.
+        # Only a scheduler with attached hosts completes this job.
         self.submit("front-1", 1)
         world.wait(lambda: world.state("front-1", self.job) == "completed")
 
@@ -62,7 +62,7 @@
         self.answer = self.world.call(entry, "POST", PREFIX + self.job, body)
 
     def runs_of(self, job: str) -> list[tuple[str, float, float]]:
-        """Return (task, from, to) of all runs of a job that have begun."""
+        """Return (task, start, end) of all started runs of a job; end is inf while it runs."""
         found = []
         for executor in self.world.executors.values():
             model = executor.model
@@ -78,7 +78,7 @@
         return found
 
     def scheduler(self) -> str:
-        """Return the entry that was elected last."""
+        """Return the entry that was elected most recently."""
         item = self.world.shared.items["apricotpath/ctl/leader"]
         return next(name for name in self.world.settings if name in item.value.decode())
 
@@ -94,12 +94,12 @@
 
 
 @given("tasks of platformpath take {seconds:d} seconds")
-def take(context: Any, seconds: int) -> None:
+def set_task_duration(context: Any, seconds: int) -> None:
     running(context).world.behaviour.seconds = seconds
 
 
-@when("a client hands in a job of steps {first:d} and {second:d} at platformpath's {entry}")
-def hand_in(context: Any, first: int, second: int, entry: str) -> None:
+@when("a client submits a job of steps {first:d} and {second:d} at platformpath's {entry}")
+def submit_job(context: Any, first: int, second: int, entry: str) -> None:
     running(context).submit(entry, first, second)
 
 
@@ -188,7 +188,7 @@
     run.world.wait(lambda: all(end < float("inf") for _, _, end in run.runs_of(run.job)), seconds)
 
 
-@then("nothing has begun at platformpath's executors {seconds:d} seconds later")
+@then("nothing has started at platformpath's executors {seconds:d} seconds later")
 def nothing_began(context: Any, seconds: int) -> None:
     time.sleep(seconds)
     run = running(context)
@@ -198,16 +198,16 @@
 @when("platformpath's operator adds a queue in version {version:d}")
 def add_queue(context: Any, version: int) -> None:
     queues = (PREFIX, NEW_QUEUE)
-    running(context).world.operate("op/config", configuration(version, queues))
+    running(context).world.write_as_operator("op/config", configuration(version, queues))
 
 
 @when("platformpath's operator writes version {version:d} without the new queue")
 def older_version(context: Any, version: int) -> None:
-    running(context).world.operate("op/config", configuration(version))
+    running(context).world.write_as_operator("op/config", configuration(version))
 
 
-def taken(run: RunningPlatform) -> bool:
-    """Tell whether both entries take a job in the new queue."""
+def accepted(run: RunningPlatform) -> bool:
+    """Tell whether both entries accept a job in the new queue."""
     body = {"spec": "bake", "steps": [CPU | {"count": 1}]}
     codes = []
     for entry in ("front-1", "front-2"):
@@ -217,21 +217,21 @@
     return codes == [200, 200]
 
 
-@then("a job is taken in the new queue at both entries of platformpath within 2 seconds")
+@then("both entries of platformpath accept a job in the new queue within 2 seconds")
 def new_queue(context: Any) -> None:
     run = running(context)
-    run.world.wait(lambda: taken(run), 2)
+    run.world.wait(lambda: accepted(run), 2)
 
 
-@then("a job is still taken in the new queue at both entries of platformpath a second later")
-def still_taken(context: Any) -> None:
+@then("both entries of platformpath still accept a job in the new queue a second later")
+def still_accepted(context: Any) -> None:
     time.sleep(1)
-    assert taken(running(context))
+    assert accepted(running(context))
 
 
-@when("platformpath's operator takes the zone {way:w}")
-def zone(context: Any, way: str) -> None:
-    running(context).world.operate("op/evacuate/z1", {} if way == "out" else None)
+@when("platformpath's operator takes the zone {action:w}")
+def change_zone(context: Any, action: str) -> None:
+    running(context).world.write_as_operator("op/evacuate/z1", {} if action == "out" else None)
     time.sleep(0.5)
 
 
@@ -291,7 +291,7 @@
     world.wait(lambda: all(world.ready(name) for name in names))
 
 
-@then("each agent of platformpath keeps {most:d} links at the most, one of them to the scheduler")
+@then("each agent of platformpath keeps at most {most:d} links, one of them to the scheduler")
 def few_links(context: Any, most: int) -> None:
     run = running(context)
 
@@ -314,7 +314,7 @@
     FAULTS[fault](run)
 
 
-@then("no task of platformpath ran twice at once")
+@then("no task of platformpath had two runs at the same time")
 def once_at_a_time(context: Any) -> None:
     run = running(context)
     spans: dict[str, list[tuple[float, float]]] = {}
@@ -326,11 +326,11 @@
             assert ended <= began, (task, found)
 
 
-@when("the store of platformpath {way}")
-def store_way(context: Any, way: str) -> None:
+@when("the store of platformpath {action}")
+def change_store_mode(context: Any, action: str) -> None:
     run = running(context)
-    run.world.store.mode = "busy" if way == "refuses all calls" else ""
-    # Entries notice at their next call, which is at most a lease renewal away.
+    run.world.store.mode = "busy" if action == "refuses all calls" else ""
+    # Entries notice at their next store call, at the latest when they renew a lease.
     time.sleep(1.2)
 
 
@@ -343,7 +343,7 @@
 
 
 @when("platformpath's processes get SIGHUP and malformed heartbeats")
-def hup(context: Any) -> None:
+def send_sighup(context: Any) -> None:
     run = running(context)
     control = run.world.settings["side-1"]["listen"]["control"]
     for body in (b"\xff", b"[]", b'{"service":7}', b'{"service":"other","state":"ready"}'):
@@ -353,7 +353,7 @@
         process.send_signal(signal.SIGHUP)
 
 
-@then("all processes of platformpath still run and say that the settings were read again")
+@then("all processes of platformpath still run and have logged that they read the settings again")
 def still_run(context: Any) -> None:
     world = running(context).world
     world.wait(lambda: all("settings read again" in world.log(name) for name in world.processes), 5)
@@ -365,24 +365,24 @@
     context.code = running(context).world.end(name, signal.SIGTERM)
 
 
-@then("it has ended with code 0")
+@then("it has exited with code 0")
 def ended(context: Any) -> None:
     assert context.code == 0, context.code
 
 
-@then("the answer of platformpath names the job, and the log of the entry says why")
-def names_job(context: Any) -> None:
+@then("the answer of platformpath names the job, and the log of the entry gives the reason")
+def check_named_job(context: Any) -> None:
     case = running(context)
     assert case.answer is not None
     body = case.answer.json()
     assert body["job"] == case.job and body["error"], body
 
-    def told() -> bool:
+    def logged() -> bool:
         lines = [line for line in case.world.log(body["entry"]).splitlines() if case.job in line]
         return any("call not served" in line and body["error"] in line for line in lines)
 
-    # A thread of its own writes the log, so a line may come after the answer that it tells of.
-    case.world.wait(told, 2)
+    # A separate thread writes the log, so the line may come later than the answer.
+    case.world.wait(logged, 2)
 
 
 @then("the metrics of platformpath count the job and its 3 runs")
@@ -411,12 +411,12 @@
         assert state["incarnation"] and state["epoch"] > 0, state
 
 
-@then("the logs of platformpath tell of the job's submission, runs, new scheduler and end")
-def tells_story(context: Any) -> None:
+@then("the logs of platformpath show the job's submission, run, new scheduler and end in order")
+def check_timeline(context: Any) -> None:
     case = running(context)
     files = [str(case.world.folder / f"{name}.log") for name in case.world.settings]
     lines = sorted(read_logs(files), key=lambda line: str(line["time"]))
-    texts = [line["text"] for line in story(lines, case.job)]
+    texts = [line["text"] for line in timeline(lines, case.job)]
     wanted = ["job submitted", "run ordered", "scheduler elected", "run ended", "job ended"]
     places = [texts.index(text) for text in wanted]
     assert places == sorted(places), texts
@@ -437,8 +437,8 @@
     )
 
 
-@then('it has ended with the sentence "{sentence}"')
+@then('it has failed with the sentence "{sentence}"')
 def ended_with(context: Any, sentence: str) -> None:
-    done = context.ended_process
-    assert done.returncode != 0 and sentence in done.stderr, done
-    assert "Traceback" not in done.stderr, done.stderr
+    result = context.ended_process
+    assert result.returncode != 0 and sentence in result.stderr, result
+    assert "Traceback" not in result.stderr, result.stderr
--- a/tests/support/platformstandin.py
+++ b/tests/support/platformstandin.py
@@ -1,4 +1,4 @@
-"""The users' platform on loopback: its store and executors, by their published protocol."""
+"""Stand-ins for the store and executors of the users' platform, by the published protocol."""
 
 import json
 from base64 import b64decode, b64encode
@@ -24,12 +24,17 @@
 PAGE_ITEMS = 3
 MAX_TXN_ENTRIES = 32
 MAX_WAIT_MS = 30_000
-BEAT_S = 0.3
+HEARTBEAT_INTERVAL_S = 0.3
 REASONS = {StartAnswer.REFUSED: "old", StartAnswer.UNFIT: "room", StartAnswer.TICKET: "ticket"}
 
 
 class StoreApp:
-    """ASGI app of the store; `mode` is "", "busy", "many" or "silent"."""
+    """ASGI app of the store.
+
+    `mode` is "" for normal service, "busy" or "many" to refuse calls with 503
+    or 429, or "silent" to delay each call by 60 s. The next `lose_answers`
+    transactions are applied at once, and their answers are delayed by 60 s.
+    """
 
     def __init__(self, shared: SharedStore) -> None:
         self.shared = shared
@@ -107,16 +112,16 @@
         while True:
             if after < self.shared.forgotten:
                 return 410, {"error": "history is gone"}
-            found = [
+            matching = [
                 event
                 for event in self.shared.history
                 if event.mod_revision > after and event.key.startswith(query["prefix"])
             ]
-            if found or boot_s() >= ends_at:
-                events = [_event_row(event) for event in found]
+            if matching or boot_s() >= ends_at:
+                events = [_event_row(event) for event in matching]
                 return 200, {"events": events, "currentRev": self.shared.revision}
             changed = self.shared.changed
-            # Leases end without a call too.
+            # Leases expire without a call that would set the event.
             with anyio.move_on_after(min(0.1, max(0.001, ends_at - boot_s()))):
                 await changed.wait()
             self.shared.expire()
@@ -140,8 +145,8 @@
             return 412, {"items": [_row(item) for item in items if item is not None]}
         return 200, {"rev": result.revision}
 
-    def operate(self, key: str, value: object | None) -> None:
-        """Write as the operator does; None removes the key."""
+    def write_as_operator(self, key: str, value: object | None) -> None:
+        """Write a key with the operator's rights; None deletes it."""
         change: Put | Delete = (
             Delete(key) if value is None else Put(key, json.dumps(value).encode())
         )
@@ -165,7 +170,7 @@
 
 
 class ExecutorApp:
-    """ASGI app of one executor around a model; `beat` reports it to its agent."""
+    """ASGI app of an executor model; `send_heartbeats` reports it to its agent."""
 
     def __init__(self, model: ExecutorModel, service: str, zone: str, address: str) -> None:
         self.model = model
@@ -215,8 +220,8 @@
             until = model.started_at + body["deadlineMs"] / 1000
             model.deadline = max(model.deadline, until)
         model.ends = [ending for ending in model.ends if ending.number > body["lastSeen"]]
-        ends_at, known = boot_s() + body["waitMs"] / 1000, model.numbers
-        while boot_s() < ends_at and model.numbers == known:
+        ends_at, seen = boot_s() + body["waitMs"] / 1000, model.numbers
+        while boot_s() < ends_at and model.numbers == seen:
             await anyio.sleep(0.02)
             model.work()
         running = [
@@ -229,8 +234,8 @@
         ]
         return {"running": running, "ended": ended, "born": model.born_ms}
 
-    async def beat(self, control: str) -> None:
-        """Report to the agent until cancelled."""
+    async def send_heartbeats(self, control: str) -> None:
+        """Send heartbeats to the agent until cancelled."""
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
                 self.seq += 1
@@ -254,7 +259,7 @@
                     await client.put(url, json=report, timeout=1.0)
                 except httpx.HTTPError:
                     pass
-                await anyio.sleep(BEAT_S)
+                await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
 
 async def serve_app(app: Any, port: int) -> None:
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -1,4 +1,4 @@
-"""Processes of apricotpath on the platform's stand-ins, all on loopback."""
+"""Runs apricotpath's processes against stand-ins of the platform, all on loopback."""
 
 import json
 import os
@@ -27,14 +27,14 @@
 
 
 def free_port() -> int:
-    """Return a port of loopback that is free now."""
+    """Return a loopback port that is free at the moment."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
 
 
 def configuration(version: int, queues: tuple[str, ...] = (PREFIX,)) -> dict[str, Any]:
-    """Return an operator's configuration with one route a prefix."""
+    """Return an operator's configuration with one route per prefix in `queues`."""
     return {
         "version": version,
         "routes": [
@@ -58,7 +58,7 @@
 
 
 class PlatformWorld:
-    """Two entries and two agents as processes, a store and executors in a thread."""
+    """Entries and agents as processes, with the store and executors in a thread."""
 
     def __init__(self) -> None:
         self.stack = ExitStack()
@@ -79,8 +79,8 @@
         self.serving.append(self.portal.start_task_soon(serve_app, app, port))
 
     def start(self) -> None:
-        """Start everything and wait until jobs are taken."""
-        self.operate("op/config", configuration(3))
+        """Start two entries and two agents, and wait until the entries are ready."""
+        self.write_as_operator("op/config", configuration(3))
         for number in (1, 2):
             self.add_entry(f"front-{number}")
             self.add_agent(f"side-{number}")
@@ -115,12 +115,12 @@
         self.executors[name] = executor
         self._serve(executor, app_port)
         self.serving.append(
-            self.portal.start_task_soon(executor.beat, settings["listen"]["control"])
+            self.portal.start_task_soon(executor.send_heartbeats, settings["listen"]["control"])
         )
         self.run(name)
 
     def run(self, name: str) -> None:
-        """Start the process of a node, again if it ran before."""
+        """Start or restart the process of a node."""
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings[name]))
         role = "entry" if "front" in self.settings[name]["listen"] else "agent"
@@ -134,17 +134,17 @@
             )
 
     def log(self, name: str) -> str:
-        """Return what a process has written."""
+        """Return the log of a process, from all its starts."""
         return (self.folder / f"{name}.log").read_text()
 
     def end(self, name: str, number: int = signal.SIGKILL, timeout_s: float = 10.0) -> int:
-        """Signal a process that this world started, and return its exit code."""
+        """Send a signal to a process, wait until it ends, and return its exit code."""
         process = self.processes[name]
         process.send_signal(number)
         return process.wait(timeout_s)
 
     def close(self) -> None:
-        """End all that this world started."""
+        """Kill the processes and stop the stand-ins."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -153,12 +153,12 @@
             fut.cancel()
         self.stack.close()
 
-    def operate(self, key: str, value: object | None) -> None:
-        """Write to the store as the operator does."""
-        self.portal.call(self.store.operate, key, value)
+    def write_as_operator(self, key: str, value: object | None) -> None:
+        """Write a key with the operator's rights; None deletes it."""
+        self.portal.call(self.store.write_as_operator, key, value)
 
     def wait(self, check: Callable[[], bool], limit_s: float = 20.0) -> float:
-        """Wait until a check holds and return how long it took."""
+        """Wait until a check holds and return how long it took, in seconds."""
         started = time.monotonic()
         while not check():
             if time.monotonic() - started > limit_s:
@@ -167,12 +167,12 @@
             time.sleep(0.05)
         return time.monotonic() - started
 
-    # Clients' calls.
+    # HTTP requests to the processes.
 
     def call(
         self, entry: str, method: str, path: str, body: object = None, host: str = HOST
     ) -> httpx.Response:
-        """Make a client's call at an entry."""
+        """Send a client's request to an entry."""
         url = f"http://{self.settings[entry]['listen']['front']}{path}"
         content = body if isinstance(body, bytes) else None
         json_body = None if content is not None else body
@@ -187,7 +187,7 @@
         )
 
     def ready(self, entry: str) -> bool:
-        """Tell whether an entry says that it is ready."""
+        """Tell whether the readiness probe of an entry succeeds."""
         url = f"http://{self.settings[entry]['listen']['ready']}/readyz"
         try:
             return httpx.get(url, timeout=1, trust_env=False).status_code == 200
@@ -195,11 +195,11 @@
             return False
 
     def status(self, name: str, path: str) -> httpx.Response:
-        """Read the status port of a process."""
+        """Send a GET to the status port of a process."""
         url = f"http://127.0.0.1:{self.status_ports[name]}{path}"
         return httpx.get(url, timeout=5, trust_env=False)
 
     def state(self, entry: str, job: str) -> str:
-        """Return a job's state as an entry shows it."""
+        """Return a job's state at an entry, or the HTTP status if it has none."""
         response = self.call(entry, "GET", PREFIX + job)
         return str(response.json().get("state", response.status_code))
