--- a/tests/features/platforminput.feature
+++ b/tests/features/platforminput.feature
@@ -1,11 +1,11 @@
 Feature: platforminput
 
-  Guards against a process that ends, or takes over half of it, when another
-  writer sends fields that are missing, of another type, or no JSON at all.
+  Guards against a process that crashes or applies only part of an input when
+  another process sends invalid JSON, or JSON with missing or mistyped fields.
 
   Scenario Outline: platforminput meets random input in <reader> with its own error only
-    When random input of 300 kinds is read by the platforminput reader <reader>
-    Then the platforminput reader answered each with a value or with its own error
+    When the platforminput parser for <reader> reads 300 random inputs
+    Then the platforminput parser returned a value or raised its own error each time
 
     Examples:
       | reader        |
@@ -18,7 +18,7 @@
 
   Scenario Outline: platforminput refuses a settings file that <fault> with one sentence
     When the platform's command starts with a settings file that <fault>
-    Then the platform's command says one sentence with <words> and exits with 2
+    Then the platform's command prints one sentence with <words> and exits with 2
 
     Examples:
       | fault               | words     |
--- a/tests/features/steps/httpcalls_steps.py
+++ b/tests/features/steps/httpcalls_steps.py
@@ -19,11 +19,11 @@
 
 
 class SlowServer:
-    """A server of HTTP on loopback that answers late, or not at all at first."""
+    """HTTP server on loopback that delays its answers and ignores the first `silent` requests."""
 
     def __init__(self, delay_s: float = 0.0, silent: int = 0) -> None:
         self.delay_s, self.silent = delay_s, silent
-        self.in_hand = self.most = 0
+        self.in_flight = self.max_in_flight = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while not reader.at_eof():
@@ -31,10 +31,10 @@
                 await reader.readuntil(END_OF_HEAD)
             except asyncio.IncompleteReadError:
                 break
-            self.in_hand += 1
-            self.most = max(self.most, self.in_hand)
+            self.in_flight += 1
+            self.max_in_flight = max(self.max_in_flight, self.in_flight)
             await asyncio.sleep(self.delay_s)
-            self.in_hand -= 1
+            self.in_flight -= 1
             if self.silent:
                 self.silent -= 1
                 continue
@@ -43,18 +43,18 @@
 
 
 async def outcomes(server: SlowServer, calls: int, timeout_s: float, at_once: bool) -> list[str]:
-    """Return how calls to a server ended."""
+    """Return the outcome of each call to a server: its status, or "no answer"."""
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     caller = HttpCaller(Address("127.0.0.1", port), JobMetrics())
-    found: list[str] = []
+    results: list[str] = []
 
     async def call() -> None:
         try:
             response = await caller.call("GET", "/kv-key", timeout_s=timeout_s)
-            found.append(str(response.status_code))
+            results.append(str(response.status_code))
         except CallFailed:
-            found.append("no answer")
+            results.append("no answer")
 
     async with anyio.create_task_group() as group:
         for _ in range(calls):
@@ -63,24 +63,24 @@
             else:
                 await call()
     listener.close()
-    return found
+    return results
 
 
 @contextmanager
-def count_loaded() -> Iterator[list[object]]:
-    """Record each time that certificates are loaded."""
+def record_loaded() -> Iterator[list[object]]:
+    """Record each SSL context that loads certificates."""
     loaded: list[object] = []
-    real = ssl.SSLContext.load_verify_locations
+    original = ssl.SSLContext.load_verify_locations
 
     def load(context: ssl.SSLContext, *args: Any, **options: Any) -> None:
         loaded.append(context)
-        real(context, *args, **options)
+        original(context, *args, **options)
 
     with mock.patch.object(ssl.SSLContext, "load_verify_locations", load):
         yield loaded
 
 
-@given("a httpcalls server that is silent once")
+@given("a httpcalls server that does not answer its first request")
 def silent_once(context: Any) -> None:
     context.server = SlowServer(silent=1)
 
@@ -90,18 +90,18 @@
     context.server = SlowServer(delay_s)
 
 
-@when("{calls:d} calls are made by httpcalls with a timeout of {timeout_s:g} seconds")
+@when("httpcalls makes {calls:d} calls in turn with a timeout of {timeout_s:g} seconds")
 def one_by_one(context: Any, calls: int, timeout_s: float) -> None:
-    with count_loaded() as context.loaded:
+    with record_loaded() as context.loaded:
         context.outcomes = anyio.run(outcomes, context.server, calls, timeout_s, False)
 
 
-@when("{calls:d} calls are made at once by httpcalls")
+@when("httpcalls makes {calls:d} calls at once")
 def at_once(context: Any, calls: int) -> None:
     context.outcomes = anyio.run(outcomes, context.server, calls, 3.0, True)
 
 
-@then("httpcalls ended them as {expected}")
+@then("the httpcalls outcomes are {expected}")
 def ended_as(context: Any, expected: str) -> None:
     assert context.outcomes == expected.split(", "), context.outcomes
 
@@ -111,7 +111,9 @@
     assert not context.loaded, len(context.loaded)
 
 
-@then("the httpcalls server had at most {most:d} in hand, and answered all")
-def bounded(context: Any, most: int) -> None:
-    assert context.server.most <= most, context.server.most
+@then(
+    "the httpcalls server had at most {max_in_flight:d} requests in flight and answered all of them"
+)
+def bounded(context: Any, max_in_flight: int) -> None:
+    assert context.server.max_in_flight <= max_in_flight, context.server.max_in_flight
     assert set(context.outcomes) == {"200"}, context.outcomes
--- a/tests/features/steps/platforminput_steps.py
+++ b/tests/features/steps/platforminput_steps.py
@@ -16,14 +16,14 @@
 from apricotpath.errors import InputError, SettingsError, StoreError
 from apricotpath.executor import ExecutorError
 from apricotpath.ids import JobId, QueueId
-from apricotpath_platform import orders, store
+from apricotpath_platform import executorcalls, store
 from apricotpath_platform.cmdline import main
-from apricotpath_platform.heartbeats import parse_beat
-from apricotpath_platform.jobforms import parse_submission
+from apricotpath_platform.heartbeats import parse_heartbeat
+from apricotpath_platform.jobrequests import parse_submission
 from apricotpath_platform.operatorview import parse_configuration
 from apricotpath_platform.settings import load_node_settings
 
-# Names that the readers know, so that random objects get past the first look.
+# Field names that the parsers look up, so that random objects exercise more than a missing field.
 NAMES = st.sampled_from(
     [
         *("steps", "count", "cpu", "after", "spec", "times", "startAtMs", "routes", "name", "host"),
@@ -65,16 +65,19 @@
 READERS: dict[str, tuple[Callable[[bytes], Any], type[Exception]]] = {
     "submission": (lambda data: parse_submission(JobId("a"), QueueId("q"), data), InputError),
     "configuration": (parse_configuration, InputError),
-    "heartbeat": (lambda data: parse_beat("i-1", data, 0.0), InputError),
-    "holding": (lambda data: orders.read_holding(httpx.Response(200, content=data)), ExecutorError),
+    "heartbeat": (lambda data: parse_heartbeat("i-1", data, 0.0), InputError),
+    "holding": (
+        lambda data: executorcalls.read_holding(httpx.Response(200, content=data)),
+        ExecutorError,
+    ),
     "settings": (read_settings, SettingsError),
     "store answer": (read_store, StoreError),
 }
 
 
-@when("random input of {count:d} kinds is read by the platforminput reader {name}")
+@when("the platforminput parser for {name} reads {count:d} random inputs")
 def read_random(context: Any, count: int, name: str) -> None:
-    read, own_error = READERS[name]
+    read, expected_error = READERS[name]
     context.failures = []
 
     @settings(
@@ -88,7 +91,7 @@
     def check(data: bytes) -> None:
         try:
             read(data)
-        except own_error:
+        except expected_error:
             pass
         except Exception as exc:
             context.failures.append((data[:300], repr(exc)))
@@ -96,12 +99,12 @@
     check()
 
 
-@then("the platforminput reader answered each with a value or with its own error")
-def own_errors(context: Any) -> None:
+@then("the platforminput parser returned a value or raised its own error each time")
+def check_failures(context: Any) -> None:
     assert not context.failures, context.failures[:3]
 
 
-GOOD: dict[str, Any] = {
+VALID_SETTINGS: dict[str, Any] = {
     "nodeName": "front-1",
     "ip": "127.0.0.1",
     "zone": "z1",
@@ -113,8 +116,8 @@
 
 
 @when("the platform's command starts with a settings file that {fault}")
-def start_with(context: Any, fault: str) -> None:
-    body = dict(GOOD)
+def start_command(context: Any, fault: str) -> None:
+    body = dict(VALID_SETTINGS)
     if fault == "has no ip":
         del body["ip"]
     elif fault == "has a bad address":
@@ -128,11 +131,11 @@
         errors = io.StringIO()
         with contextlib.redirect_stderr(errors):
             context.code = main(["entry", "--settings", str(path)])
-        context.said = errors.getvalue()
+        context.stderr = errors.getvalue()
 
 
-@then("the platform's command says one sentence with {words} and exits with 2")
-def says(context: Any, words: str) -> None:
+@then("the platform's command prints one sentence with {words} and exits with 2")
+def check_error_output(context: Any, words: str) -> None:
     assert context.code == 2, context.code
-    assert words in context.said, context.said
-    assert context.said.count("\n") == 1, context.said
+    assert words in context.stderr, context.stderr
+    assert context.stderr.count("\n") == 1, context.stderr
