Reword the feature on real processes and the test relay

They now say which fault is injected and what is checked; the bounds are the same. scripts/check passed; processes: 6 passed, 0 failed. Of its @long scenarios three were run (kill of an agent, take-out with no fault, quiet hours): 3 passed; the others were not run.

--- a/tests/features/processes.feature
+++ b/tests/features/processes.feature
@@ -1,16 +1,17 @@
 Feature: processes
 
-  Real processes on loopback under kills, pauses, silent connections and store
-  faults. The verdicts come from what the worker and backend server stand-ins
-  recorded, never from what the system says of itself. Guards against a host
-  beyond its size, a task in two places, work that resumes from an old
-  checkpoint, starts after a take-out, mixed-up or cut answers, a false "not
-  run", a booking that runs twice, and a bundle that reverts.
+  Runs real processes on loopback under kills, pauses, silent connections and
+  store faults, and judges them by the records of the worker and backend server
+  stand-ins, not by what the processes report. Guards against a host above its
+  capacity, a task that runs in two places, a resume from an outdated
+  checkpoint, task starts in a data centre out of service, swapped or truncated
+  answers, a false "not run", a booking that runs twice, and a bundle that is
+  replaced by an older one.
 
   @long
   Scenario Outline: processes run each task in one place after <fault>
     Given running processes with a job of 6 tasks that run for 8 seconds
-    When the processes suffer <fault>
+    When <fault> is injected into the processes
     Then the processes' job finishes
     And the processes' records show no violation
 
@@ -31,7 +32,7 @@
 
   Scenario Outline: processes run a booking once that is sent again after <fault>
     Given running processes
-    When a booking is in flight at the processes and <fault> comes
+    When a booking is in flight at the processes and <fault> is injected
     And the booking is sent again to the processes through another entry
     Then the processes answered it as <outcome>
     And the processes' backend servers recorded the booking once
@@ -51,7 +52,7 @@
   Scenario Outline: processes start nothing in a data centre taken out with <fault>
     Given running processes with a stream of jobs
     When a data centre of the processes is taken out with <fault>
-    Then nothing starts there at the processes' workers after 5 seconds
+    Then the processes' workers start no task there after 5 seconds
     And the processes' records show no violation
 
     Examples:
@@ -76,14 +77,14 @@
   Scenario: processes take one of two bundles that operators race with
     Given running processes
     When two operators apply different bundles of one version to the processes
-    Then one of them is told that it was accepted and all processes show it within 5 seconds
+    Then one of the bundles is accepted and all processes show it within 5 seconds
     And the processes' records show no violation
 
   @long
   Scenario: processes stop forbidden work before quiet hours begin
     Given running processes
     When quiet hours begin at the processes while a long job runs in two data centres
-    Then the processes' workers have none of it in the quiet data centre when they begin
+    Then the processes' workers run none of its tasks in the quiet data centre
     And the processes' records show no violation
 
   Scenario: processes hold every row in a mixed run of 12 seconds with seed 7
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -25,12 +25,13 @@
 QUIET_AHEAD_S = 15.0
 STREAM_INTERVAL_S = 0.15
 SHARDS = 16
-# A shutdown of an agent lasts longer than the bound for new work at its backend server.
-LONG_MS = {"an entry": 2500, "an agent": 8000}
+# By the process that shuts down. An agent waits for the answers, and its shutdown must outlast
+# LEAVE_BOUND_S, the bound for new work at its backend server.
+ANSWER_TIME_MS = {"an entry": 2500, "an agent": 8000}
 
 
 class RunningProcesses:
-    """One deployment for all scenarios of the feature; each scenario heals it first."""
+    """Deployment shared by all scenarios of the feature; `get` first restores it."""
 
     shared: ClassVar["RunningProcesses | None"] = None
 
@@ -44,7 +45,7 @@
         }
         self.deployment = Deployment(SMALL, Path(self.folder.name), policy=policy, relayed=True)
         atexit.register(self.close)
-        # Without rate limits, since an owner that has just started waits for its share of them.
+        # Without rate limits, since a newly started owner waits for its share of them.
         self.deployment.start(self.rules(1, 0.0))
         self.drive = Drive(self.deployment)
         self.drive.sample_forever()
@@ -58,7 +59,7 @@
 
     @staticmethod
     def rules(version: int, last_rate: float) -> dict[str, Any]:
-        """Return a bundle without rate limits but for the last team."""
+        """Return a bundle in which only the last team has a rate limit."""
         rules = bundle_of(SMALL, version)
         for team in SMALL.teams:
             rules["teams"][team]["rate_per_s"] = 0.0
@@ -69,14 +70,14 @@
     def get(cls) -> "RunningProcesses":
         if cls.shared is None:
             cls.shared = cls()
-        cls.shared.heal()
+        cls.shared.reset()
         return cls.shared
 
     def close(self) -> None:
         self.deployment.stop()
         self.folder.cleanup()
 
-    def heal(self) -> None:
+    def reset(self) -> None:
         self.streaming.clear()
         self.deployment.faults("store", **HEALED_STORE)
         for name, item in list(self.deployment.processes.items()):
@@ -104,7 +105,7 @@
             "checkpoint_s": 0.1,
             "max_attempts": 50,
         }
-        # A shard may have no owner for a moment after the fault of an earlier scenario.
+        # A shard may briefly have no owner after the fault of an earlier scenario.
         wait_until("the job is accepted", lambda: self.accepts(job | changes))
         return name
 
@@ -121,8 +122,8 @@
         self.current = self.job(tasks, run_time_s)
         wait_until("all tasks run", lambda: len(self.runs(self.current)) == tasks)
 
-    def disturbed(self, names: list[str], act: Callable[[], Any]) -> None:
-        """Note when processes are disturbed, so that their versions may lag meanwhile."""
+    def record_disturbance(self, names: list[str], act: Callable[[], Any]) -> None:
+        """Run `act` and record its period, in which the named processes may have old bundles."""
         since = time.time()
         try:
             act()
@@ -130,9 +131,9 @@
             for name in names:
                 self.drive.disturb(name, since)
 
-    # Faults.
+    # Faults
 
-    def suffer(self, fault: str) -> None:
+    def inject_fault(self, fault: str) -> None:
         entry, host = self.owner(), self.runs(self.current)[0].worker.partition("-")[2]
         agent = f"agent-{host}"
         kills = {
@@ -148,18 +149,20 @@
             "a store that limits writes": {"limits": {"writes_per_s": 6.0}},
         }
         if fault in kills:
-            self.disturbed(kills[fault], lambda: self.kill_and_start(kills[fault]))
+            self.record_disturbance(kills[fault], lambda: self.kill_and_start(kills[fault]))
         elif fault in store:
             self.deployment.faults("store", **store[fault])
-            self.disturbed([], lambda: self.wait_ended(3))
+            self.record_disturbance([], lambda: self.wait_ended(3))
         elif fault == "silent connections":
             self.silence()
         elif fault == "a restart of everything without store":
             self.restart_everything()
         elif fault == "pause of an agent past the task leases":
-            self.disturbed([agent], lambda: self.pause(agent, lambda: self.leases_ended(host)))
+            self.record_disturbance(
+                [agent], lambda: self.pause(agent, lambda: self.leases_ended(host))
+            )
         else:
-            self.disturbed([entry], lambda: self.pause(entry, self.entry_gone))
+            self.record_disturbance([entry], lambda: self.pause(entry, self.entry_gone))
 
     def kill_and_start(self, names: list[str]) -> None:
         for name in names:
@@ -206,7 +209,7 @@
             held = [relay.hold() for relay in self.deployment.relays.values()]
             assert sum(held) >= SMALL.hosts * SMALL.entries, held
 
-        self.disturbed(names, act)
+        self.record_disturbance(names, act)
 
     def restart_everything(self) -> None:
         names = [name for name in self.deployment.processes if name.startswith(("entry", "agent"))]
@@ -219,12 +222,12 @@
             for name in names:
                 self.deployment.wait_ready(name)
 
-        self.disturbed(names, act)
+        self.record_disturbance(names, act)
 
     def all_ended(self) -> bool:
         return all(run.ended is not None for run in self.runs(self.current))
 
-    # Bookings.
+    # Bookings
 
     def book(self, fault: str) -> None:
         self.number += 1
@@ -234,33 +237,33 @@
         host = next(run.backend for run in self.drive.read_requests() if run.path == path)
         agent = host.replace("backend", "agent")
         if fault == "a kill of its entry":
-            self.disturbed(["entry-1"], lambda: self.drive.kill("entry-1"))
+            self.record_disturbance(["entry-1"], lambda: self.drive.kill("entry-1"))
         elif fault == "silence on all connections":
             self.silence()
         else:
-            self.disturbed([agent], lambda: self.kill_and_start([agent]))
+            self.record_disturbance([agent], lambda: self.kill_and_start([agent]))
         self.calls = [first]
 
     def booking_run(self) -> Any:
         return next((run for run in self.drive.read_requests() if run.key == self.key), None)
 
-    def book_again(self) -> None:
+    def resend_booking(self) -> None:
         """Send the booking again until the entry reaches the key's agents.
 
-        The booking runs, so "not run" would be false whatever the entry reaches.
+        The booking is running, so the outcome "not-run" would always be false.
         """
 
-        def again() -> Call | None:
+        def resend() -> Call | None:
             call = self.drive.call(2, self.drive.keyed_class(), self.key, 1500)
             assert call.outcome != "not-run", call
             return call if call.reason != "key-not-reserved" else None
 
-        self.booking = wait_until("the key's agents are reached", again)
+        self.booking = wait_until("the key's agents are reached", resend)
 
-    # Take-outs.
+    # Data centres out of service
 
     def stream(self) -> None:
-        """Submit short one-task jobs for a data centre until healed."""
+        """Submit short one-task jobs for a data centre until `streaming` is cleared."""
         self.streaming.set()
         begun = time.time()
 
@@ -286,21 +289,23 @@
             self.deployment.faults("store", down=True)
         if paused:
             self.deployment.pause("entry-2")
-        taken = time.time()
+        taken_out_at = time.time()
         if "racing" in fault:
             self.race_bring_back(centre)
-            taken = time.time()
+            taken_out_at = time.time()
         self.code = self.drive.change(centre, "out", 0.0)
-        self.accepted = time.time()
-        # Waits beyond the bound, so that a late start would be seen.
+        self.accepted_at = time.time()
+        # Waits longer than the bound, to detect late starts.
         time.sleep(OUT_BOUND_S + 2.0)
-        self.taken, self.watched_until = taken, time.time()
+        self.taken_out_at, self.watched_until = taken_out_at, time.time()
         self.deployment.faults("store", down=False)
         self.deployment.resume("entry-2")
         self.drive.disturb("entry-2", since)
-        self.drive.seen.outs.append(Period(centre, self.accepted + OUT_BOUND_S, self.watched_until))
-        # A race may stop the starts at once, so the ones before it count.
-        self.before = [at for at in self.starts(since - 10) if at < self.accepted]
+        self.drive.seen.outs.append(
+            Period(centre, self.accepted_at + OUT_BOUND_S, self.watched_until)
+        )
+        # A race may stop all starts at once, so the starts before it are counted too.
+        self.before = [at for at in self.starts(since - 10) if at < self.accepted_at]
         wait_until("the data centre is back", lambda: self.bring_back(centre))
 
     def race_bring_back(self, centre: str) -> None:
@@ -316,11 +321,11 @@
             return self.drive.change(centre, "in", 2.0) in (0, 3)
         return False
 
-    # Shutdown.
+    # Shutdown
 
     def shut_down(self, process: str) -> None:
         cls, before = self.drive.idempotent_class(), {r.path for r in self.drive.read_requests()}
-        work_ms = LONG_MS[process]
+        work_ms = ANSWER_TIME_MS[process]
         self.calls = [self.drive.call_later(1, cls, "", work_ms, 300_000) for _ in range(12)]
 
         def running() -> list[Any]:
@@ -329,10 +334,10 @@
         wait_until("all requests run", lambda: len({run.path for run in running()}) == 12)
         backend = running()[0].backend
         name = "entry-1" if process == "an entry" else backend.replace("backend", "agent")
-        served, since = Event(), time.time()
+        terminated, since = Event(), time.time()
 
         def keep_calling() -> None:
-            while not served.wait(0.1):
+            while not terminated.wait(0.1):
                 self.drive.call(2, cls)
 
         caller = Thread(target=keep_calling)
@@ -340,7 +345,7 @@
         try:
             code = self.deployment.terminate(name)
         finally:
-            served.set()
+            terminated.set()
             caller.join()
         assert code == 0, self.deployment.log_of(name)[-2000:]
         if process == "an agent":
@@ -349,33 +354,33 @@
             self.drive.seen.leaves.append(Period(backend, since, time.time()))
         self.drive.disturb(name, since)
 
-    # Bundles.
+    # Bundles and quiet hours
 
     def race_bundles(self) -> None:
         self.version += 1
         with ThreadPoolExecutor(2) as pool:
             self.codes = list(pool.map(self.apply, ("a", "b")))
-        self.applied = time.time()
+        self.applied_at = time.time()
 
-    def apply(self, who: str, **changes: Any) -> int:
-        rules = self.rules(self.version, float(who == "a")) | changes
-        path = self.deployment.folder / f"bundle-{self.version}-{who}"
+    def apply(self, operator: str, **changes: Any) -> int:
+        rules = self.rules(self.version, float(operator == "a")) | changes
+        path = self.deployment.folder / f"bundle-{self.version}-{operator}"
         return apply_bundle(self.drive, rules, path)
 
     def check_race(self) -> None:
         assert sorted(self.codes) == [0, 1], self.codes
-        self.drive.seen.in_force.append((self.version, self.applied))
-        left = self.applied + 5.0 - time.time()
+        self.drive.seen.in_force.append((self.version, self.applied_at))
+        remaining_s = self.applied_at + 5.0 - time.time()
         count = SMALL.entries + SMALL.hosts
         wait_until(
             "all processes show the version",
             lambda: [*self.drive.versions().values()] == [self.version] * count,
-            left,
+            remaining_s,
         )
         envelopes = {str(answer.value) for answer in self.drive.entry_answers("/v1/bundle")}
         assert len(envelopes) == 1, envelopes
 
-    def quiet(self) -> None:
+    def start_quiet_hours(self) -> None:
         begin = next_minute(QUIET_AHEAD_S)
         self.version += 1
         assert self.apply("a", quiet_hours=[quiet_rule(begin, SMALL)]) == 0
@@ -386,7 +391,7 @@
             (begin + timedelta(minutes=30)).timestamp(),
         )
         self.drive.seen.bans.append(self.ban)
-        # More than one host can hold, so that both data centres get tasks.
+        # More tasks than fit on one host, so that both data centres get some.
         self.start_job(12, 120.0)
         time.sleep(max(0.0, begin.timestamp() + 5.0 - time.time()))
 
@@ -422,9 +427,9 @@
     context.processes.stream()
 
 
-@when("the processes suffer {fault}")
-def step_suffer(context, fault):
-    context.processes.suffer(fault)
+@when("{fault} is injected into the processes")
+def step_inject_fault(context, fault):
+    context.processes.inject_fault(fault)
 
 
 @then("the processes' job finishes")
@@ -439,14 +444,14 @@
     assert not found, found
 
 
-@when("a booking is in flight at the processes and {fault} comes")
+@when("a booking is in flight at the processes and {fault} is injected")
 def step_book(context, fault):
     context.processes.book(fault)
 
 
 @when("the booking is sent again to the processes through another entry")
 def step_book_again(context):
-    context.processes.book_again()
+    context.processes.resend_booking()
 
 
 @then("the processes answered it as {outcome}")
@@ -466,16 +471,16 @@
     context.processes.take_out(fault)
 
 
-@then("nothing starts there at the processes' workers after 5 seconds")
+@then("the processes' workers start no task there after 5 seconds")
 def step_no_starts(context):
     processes = context.processes
     assert processes.before, "nothing had started there before the take-out"
     late = [
         at
-        for at in processes.starts(processes.accepted + OUT_BOUND_S)
+        for at in processes.starts(processes.accepted_at + OUT_BOUND_S)
         if at < processes.watched_until
     ]
-    assert not late, [at - processes.accepted for at in late]
+    assert not late, [at - processes.accepted_at for at in late]
 
 
 @when("{process} of the processes shuts down with 12 long answers in flight")
@@ -494,17 +499,17 @@
     context.processes.race_bundles()
 
 
-@then("one of them is told that it was accepted and all processes show it within 5 seconds")
+@then("one of the bundles is accepted and all processes show it within 5 seconds")
 def step_check_race(context):
     context.processes.check_race()
 
 
 @when("quiet hours begin at the processes while a long job runs in two data centres")
 def step_quiet(context):
-    context.processes.quiet()
+    context.processes.start_quiet_hours()
 
 
-@then("the processes' workers have none of it in the quiet data centre when they begin")
+@then("the processes' workers run none of its tasks in the quiet data centre")
 def step_check_quiet(context):
     context.processes.check_quiet()
 
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that can hold its connections silent, as a forgetful middlebox does."""
+"""TCP relay that can silence connections, like a NAT or firewall that loses their state."""
 
 import anyio
 from anyio.abc import ByteStream, SocketAttribute
@@ -7,14 +7,14 @@
 class Relay:
     """Forwards connections to a port on loopback.
 
-    `hold()` makes the connections of that moment silent for good without
-    closing them; later connections work. `cut()` closes all of them.
+    `hold()` silences all open connections for good without closing them, and
+    returns how many there are; later connections work. `cut()` closes all.
     """
 
     def __init__(self, target_port: int) -> None:
         self.target_port = target_port
         self.port = 0
-        self.connections: list[_Relayed] = []
+        self.connections: list[_Connection] = []
         self.refuse = False
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[int]) -> None:
@@ -26,7 +26,7 @@
 
     def hold(self) -> int:
         for connection in self.connections:
-            connection.held = True
+            connection.silenced = True
         return len(self.connections)
 
     def cut(self) -> None:
@@ -37,7 +37,7 @@
         if self.refuse:
             await anyio.aclose_forcefully(stream)
             return
-        connection = _Relayed()
+        connection = _Connection()
         self.connections.append(connection)
         try:
             with connection.scope:
@@ -51,23 +51,23 @@
             self.connections.remove(connection)
 
 
-class _Relayed:
+class _Connection:
     """One relayed connection."""
 
     def __init__(self) -> None:
-        self.held = False
+        self.silenced = False
         self.scope = anyio.CancelScope()
 
     async def pump(self, source: ByteStream, sink: ByteStream) -> None:
         while True:
             try:
                 data = await source.receive()
-                if self.held:
-                    # Swallows the bytes and the end of the stream as well.
+                if self.silenced:
+                    # Forwards neither the bytes nor the end of the stream.
                     await anyio.sleep_forever()
                 await sink.send(data)
             except (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError):
-                if self.held:
+                if self.silenced:
                     await anyio.sleep_forever()
                 self.scope.cancel()
                 return
