Name host_loads and low_impact_images by what they hold

make_rooms and light did not say that they return the load of each host and the images whose filler tasks hardly slow serving tasks. Renamed at the definitions and at every use.

--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -67,7 +67,7 @@
         """Return the rounded pressures of all measured images, for logs."""
         return {image: round(value, 2) for image, value in self._pressures.items()}
 
-    def light(self) -> frozenset[str]:
+    def low_impact_images(self) -> frozenset[str]:
         """Return the images with a low impact on serving tasks."""
         return frozenset(
             image for image, pressure in self._pressures.items() if pressure < LOW_IMPACT_PRESSURE
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -10,7 +10,7 @@
     PlacementInput,
     WaitingGroup,
     choose_host,
-    make_rooms,
+    host_loads,
     may_use,
 )
 from apricotpath.workload import Queue, Step
@@ -47,7 +47,7 @@
             step = row.step(task.key)
             if not _needs_copy(task, step, queue, inputs.now):
                 continue
-            loads = loads or make_rooms(table, inputs)
+            loads = loads or host_loads(table, inputs)
             current_host = next(iter(task.runs.values())).host
             group = WaitingGroup(row, step, queue, [task])
             allowed = [
@@ -73,7 +73,7 @@
 
 def slow_runs(table: JobTable, inputs: PlacementInput) -> list[Run]:
     """Return runs to stop because they would finish much sooner on another host."""
-    loads = make_rooms(table, inputs)
+    loads = host_loads(table, inputs)
     selected: list[Run] = []
     for load in loads.values():
         slowed_by_serving = load.serving > 0 and load.fillers > 0
@@ -104,7 +104,7 @@
     for load in loads:
         if load is current or load.slow:
             continue
-        if step.filler and load.serving and step.image not in inputs.light:
+        if step.filler and load.serving and step.image not in inputs.low_impact_images:
             continue
         if may_use(load, step, queue, inputs) and load.fits(step):
             return load
@@ -117,7 +117,7 @@
     A host qualifies if it has few serving tasks and all of them fit on hosts
     with more serving tasks. Nothing moves while no filler task would benefit.
     """
-    loads = make_rooms(table, inputs)
+    loads = host_loads(table, inputs)
     if not any(load.fillers for load in loads.values()):
         return []
     lightly_loaded = [load for load in loads.values() if 0 < load.serving <= MAX_CONSOLIDATED]
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -65,7 +65,7 @@
     steps: dict[tuple[JobId, int, int], int] = field(default_factory=dict)
     reserved: bool = False
     slow: bool = False
-    light: frozenset[str] = frozenset()
+    low_impact_images: frozenset[str] = frozenset()
 
     def add(self, task: TaskKey, step: Step) -> None:
         """Commit one more task."""
@@ -90,7 +90,7 @@
         if not self.serving:
             return FILLER_SHARE_ALONE
         # Images with a low impact on serving tasks are throttled last.
-        unpaced = 1.0 if step.image in self.light else self.host.filler_percent / 100
+        unpaced = 1.0 if step.image in self.low_impact_images else self.host.filler_percent / 100
         return FILLER_SHARE_PACED + unpaced * (FILLER_SHARE_UNPACED - FILLER_SHARE_PACED)
 
     def has_resources_for(self, step: Step) -> bool:
@@ -131,7 +131,7 @@
     utc_s: float
     cfg: FleetSettings
     # Images whose filler tasks have little effect on serving tasks.
-    light: frozenset[str] = frozenset()
+    low_impact_images: frozenset[str] = frozenset()
     # Executors (instance id) that an advisory service allows for a task, or None if it has not
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
@@ -147,13 +147,13 @@
     tasks: list[Task]
 
 
-def make_rooms(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
+def host_loads(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
     """Return the load of every host whose executor has attached."""
     loads = {}
     for host in inputs.hosts.values():
         if host.facts is None:
             continue
-        load = HostLoad(host, host.facts.capacity, light=inputs.light)
+        load = HostLoad(host, host.facts.capacity, low_impact_images=inputs.low_impact_images)
         for run in table.by_host.get(host.host, {}).values():
             row = table.rows.get(run.task.job)
             if row is not None and row.tasks:
@@ -170,7 +170,7 @@
     """Return the tasks to start now, in order."""
     if not table.waiting:
         return []
-    loads = make_rooms(table, inputs)
+    loads = host_loads(table, inputs)
     placements: list[Placement] = []
     for group in waiting_groups(table, inputs):
         allowed = [
@@ -306,7 +306,7 @@
     other_rack = bool(step.near) and facts is not None and facts.rack != step.near
     share = load.share_used(step.size.cpu_milli)
     if step.filler:
-        separation = 0.0 if step.image in load.light else float(load.serving)
+        separation = 0.0 if step.image in load.low_impact_images else float(load.serving)
     elif step.long_running:
         separation = 0.0 if load.serving else 1.0 + load.fillers
         share = -load.share_claimed()
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -29,7 +29,7 @@
 from apricotpath.runplacement import (
     Placement,
     PlacementInput,
-    make_rooms,
+    host_loads,
     objective_s,
     place,
 )
@@ -231,8 +231,8 @@
             return
         self._fleet_logged_at = now
         inputs = self._placement_input(now)
-        rooms = make_rooms(self.table, inputs)
-        for wait in long_waits(self.table, inputs, rooms):
+        loads = host_loads(self.table, inputs)
+        for wait in long_waits(self.table, inputs, loads):
             log.info("tasks waiting", extra=wait)
         waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
         log.info(
@@ -242,7 +242,7 @@
                 "waiting": dict(waiting),
                 "pressures": self.board.disturbance.pressures(),
                 "hosts": {
-                    name: room_row(room, now, self.cfg.silent_s) for name, room in rooms.items()
+                    name: room_row(load, now, self.cfg.silent_s) for name, load in loads.items()
                 },
             },
         )
@@ -289,7 +289,7 @@
             now,
             self._utc(),
             self.cfg,
-            light=self.board.disturbance.light(),
+            low_impact_images=self.board.disturbance.low_impact_images(),
         )
 
     def _apply(self, batch: _Batch, record: RunRecord, now: float) -> None:
--- a/tests/features/steps/disturbance_steps.py
+++ b/tests/features/steps/disturbance_steps.py
@@ -63,7 +63,7 @@
 
 @then("the only light image of disturbance is {image:w}")
 def only_light(context: Any, image: str) -> None:
-    assert context.disturbance.light() == {image}, estimated(context)
+    assert context.disturbance.low_impact_images() == {image}, estimated(context)
 
 
 @then("disturbance ranks the images in the order {order}")
@@ -74,7 +74,9 @@
 
 @then("the images of disturbance have equal pressures and none is light")
 def equal_pressures(context: Any) -> None:
-    assert len(set(estimated(context).values())) == 1 and not context.disturbance.light()
+    assert (
+        len(set(estimated(context).values())) == 1 and not context.disturbance.low_impact_images()
+    )
 
 
 @then("all pressures of disturbance are between {least:d} and {most:d}")
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -30,7 +30,7 @@
         self.hosts: dict[HostId, Host] = {}
         self.out: set[DataCentreId] = set()
         self.placed: list[Placement] = []
-        self.light: frozenset[str] = frozenset()
+        self.low_impact_images: frozenset[str] = frozenset()
         self.jobs = 0
 
     def host(self, name: str, cores: int, rack: str = "") -> Host:
@@ -60,7 +60,7 @@
             given_now,
             0.0,
             FleetSettings(),
-            light=self.light,
+            low_impact_images=self.low_impact_images,
         )
         self.placed = place(self.table, given)
         return self.placed
@@ -422,7 +422,7 @@
 
 @given("filler tasks of image {image:w} have a low impact on other runplacement tasks")
 def light_image(context: Any, image: str) -> None:
-    context.case.light = frozenset({image})
+    context.case.low_impact_images = frozenset({image})
 
 
 @when(
