--- a/packages/core/src/apricotpath/waitreasons.py
+++ b/packages/core/src/apricotpath/waitreasons.py
@@ -60,7 +60,7 @@
     return "has room" if load.fits(step) else "full"
 
 
-def room_row(load: HostLoad, now: float, silent_s: float) -> list[float]:
+def host_row(load: HostLoad, now: float, silent_s: float) -> list[float]:
     """Return the values of one host in the `fleet` log line, in this order.
 
     Share of processors in use, share reserved, number of serving tasks, number
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -35,7 +35,7 @@
 )
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
-from apricotpath.waitreasons import long_waits, room_row
+from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobdesk import JobKeys
@@ -242,7 +242,7 @@
                 "waiting": dict(waiting),
                 "pressures": self.board.disturbance.pressures(),
                 "hosts": {
-                    name: room_row(load, now, self.cfg.silent_s) for name, load in loads.items()
+                    name: host_row(load, now, self.cfg.silent_s) for name, load in loads.items()
                 },
             },
         )
