Name the consolidation of serving runs

serving_to_gather and GATHER_INTERVAL_S belong to the consolidation of serving runs on fewer hosts (MAX_CONSOLIDATED); their names now say so.

--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -111,7 +111,7 @@
     return None
 
 
-def serving_to_gather(table: JobTable, inputs: PlacementInput) -> list[Run]:
+def serving_runs_to_consolidate(table: JobTable, inputs: PlacementInput) -> list[Run]:
     """Return at most one serving run to stop so that its host can be cleared for filler tasks.
 
     A host qualifies if it has few serving tasks and all of them fit on hosts
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -6,7 +6,7 @@
 from apricotpath.ids import TaskId
 from apricotpath.jobtable import JobTable, Run, RunPhase
 from apricotpath.messages import RunName, StopRuns
-from apricotpath.runmoves import serving_to_gather, slow_runs, stalled
+from apricotpath.runmoves import serving_runs_to_consolidate, slow_runs, stalled
 from apricotpath.runplacement import PlacementInput
 from apricotpathd.hosttracker import STOP_RESEND_S, HostTracker
 
@@ -16,7 +16,7 @@
 LEAVE_LEAD_S = 1.0
 MOVE_INTERVAL_S = 1.0
 # Time for one serving task to run again before the next one is moved.
-GATHER_INTERVAL_S = 2.0
+CONSOLIDATE_INTERVAL_S = 2.0
 
 
 class RunStops:
@@ -24,7 +24,7 @@
 
     def __init__(self, table: JobTable, tracker: HostTracker, now: float) -> None:
         self._table, self._tracker = table, tracker
-        self._moved_at = self._gathered_at = now
+        self._moved_at = self._consolidated_at = now
 
     def send(self, inputs: PlacementInput) -> None:
         """Send stop orders that are due for runs that must not continue."""
@@ -55,15 +55,15 @@
         for host in self._tracker.hosts.values():
             host.recover_speed()
         moved = slow_runs(self._table, inputs)
-        if inputs.now - self._gathered_at >= GATHER_INTERVAL_S:
-            gathered = serving_to_gather(self._table, inputs)
-            for run in gathered:
-                self._gathered_at = inputs.now
+        if inputs.now - self._consolidated_at >= CONSOLIDATE_INTERVAL_S:
+            consolidated = serving_runs_to_consolidate(self._table, inputs)
+            for run in consolidated:
+                self._consolidated_at = inputs.now
                 log.info(
                     "serving task moved to free its host for filler tasks",
                     extra={"task": str(run.task), "run": run.run, "host": run.host},
                 )
-            moved += gathered
+            moved += consolidated
         return moved
 
     def _must_stop(self, run: Run, host: Host, now: float) -> bool:
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -11,7 +11,7 @@
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
 from apricotpath.jobtable import JobTable, RunPhase
 from apricotpath.model import Size
-from apricotpath.runmoves import place_copies, serving_to_gather, slow_runs
+from apricotpath.runmoves import place_copies, serving_runs_to_consolidate, slow_runs
 from apricotpath.runplacement import Placement, PlacementInput, place
 from apricotpath.runrecords import Assigned, Ended
 from apricotpath.workload import HostFacts, Job, Queue, RunResult, Step, TaskKey
@@ -416,7 +416,7 @@
 
 @then("runplacement stops {count:d} serving runs on a")
 def stops_serving(context: Any, count: int) -> None:
-    found = serving_to_gather(context.case.table, placement_input(context.case))
+    found = serving_runs_to_consolidate(context.case.table, placement_input(context.case))
     assert [run.host for run in found] == ["a"] * count, found
 
 
