Name READY_PERCENT, to_be_stopped and new_checkpoints in the job table

AT_WORK, unwanted and unsaved were vague: the progress at which a task is ready, a job whose remaining runs are to be stopped, and checkpoints without a record. Ruff and mypy are clean.

--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -10,7 +10,7 @@
 from apricotpath.workload import Job, Progress, RunResult, Step, TaskKey
 
 # Progress in percent at which a long-running task is ready to serve.
-AT_WORK = 100
+READY_PERCENT = 100
 
 
 class RunPhase(Enum):
@@ -88,7 +88,7 @@
                     self.tasks[key] = Task(key)
 
     @property
-    def unwanted(self) -> bool:
+    def to_be_stopped(self) -> bool:
         """Whether the remaining runs of the job are to be stopped."""
         return self.cancelling or self.failing or self.progress.final
 
@@ -162,7 +162,7 @@
         """Remove a job that has ended."""
         self.rows.pop(job, None)
 
-    def unsaved(self) -> Iterator[Saved]:
+    def new_checkpoints(self) -> Iterator[Saved]:
         """Yield records of the checkpoints of current runs that are not recorded yet."""
         for runs in self.by_host.values():
             for run in runs.values():
@@ -294,7 +294,7 @@
                 member.done = True
                 state.remaining -= 1
                 self.waiting.pop(member.key, None)
-        if state.remaining == 0 and not row.unwanted:
+        if state.remaining == 0 and not row.to_be_stopped:
             for number, step in enumerate(row.job.steps):
                 if task.key.step in step.after and row.step_ready(task.key.occurrence, number):
                     self._enqueue_step(row, task.key.occurrence, number, now)
@@ -307,7 +307,7 @@
 
     def _enqueue(self, row: JobRow, task: Task, now: float) -> None:
         ready = row.step_ready(task.key.occurrence, task.key.step)
-        if not row.unwanted and ready and task.key not in self.waiting:
+        if not row.to_be_stopped and ready and task.key not in self.waiting:
             task.waiting_since = now
             self.waiting[task.key] = task
 
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from apricotpath.ids import HostId
-from apricotpath.jobtable import AT_WORK, JobTable, Run, RunPhase, Task
+from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase, Task
 from apricotpath.runplacement import (
     HostLoad,
     Placement,
@@ -41,7 +41,11 @@
     copies = []
     for row in table.rows.values():
         queue = inputs.queues.get(row.job.queue)
-        if queue is None or row.unwanted or not any(step.speculative for step in row.job.steps):
+        if (
+            queue is None
+            or row.to_be_stopped
+            or not any(step.speculative for step in row.job.steps)
+        ):
             continue
         for task in row.tasks.values():
             step = row.step(task.key)
@@ -82,7 +86,7 @@
         for run in table.by_host.get(load.host.host, {}).values():
             row = table.rows.get(run.task.job)
             queue = inputs.queues.get(row.job.queue) if row else None
-            if row is None or queue is None or not row.tasks or row.unwanted:
+            if row is None or queue is None or not row.tasks or row.to_be_stopped:
                 continue
             step = row.step(run.task)
             if not _is_slow(run, step, load, inputs.now):
@@ -157,13 +161,17 @@
     """Return whether a serving run may be stopped: all tasks of its step must be ready."""
     row = table.rows[run.task.job]
     step = row.step(run.task)
-    if row.unwanted or row.job.queue not in inputs.queues or inputs.queues[row.job.queue].advised:
+    if (
+        row.to_be_stopped
+        or row.job.queue not in inputs.queues
+        or inputs.queues[row.job.queue].advised
+    ):
         return False
     if step.gang or step.max_unavailable == 0 or inputs.now - run.since < CONSOLIDATE_AFTER_S:
         return False
     return all(
         any(
-            other.phase is RunPhase.RUNNING and other.percent >= AT_WORK
+            other.phase is RunPhase.RUNNING and other.percent >= READY_PERCENT
             for other in member.runs.values()
         )
         for member in row.members(run.task)
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -11,7 +11,7 @@
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
 from apricotpath.ids import FenceToken, HostId, TaskId
-from apricotpath.jobtable import AT_WORK, JobTable, Run, RunPhase
+from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase
 from apricotpath.link import Link
 from apricotpath.messages import (
     HostAttach,
@@ -204,7 +204,7 @@
             if step.filler:
                 share = run.pace / 100 * self._cpu_share(host.facts, step)
                 shares[step.image] = shares.get(step.image, 0.0) + share
-            elif step.target_ms > 0 and run.percent >= AT_WORK and run.load > 0:
+            elif step.target_ms > 0 and run.percent >= READY_PERCENT and run.load > 0:
                 serving.append((step.image, run.load / step.target_ms))
         self.disturbance.note(serving, shares)
         if (
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -68,7 +68,7 @@
 
     def _must_stop(self, run: Run, host: Host, now: float) -> bool:
         row = self._table.rows.get(run.task.job)
-        if row is None or row.unwanted or run.task not in row.tasks:
+        if row is None or row.to_be_stopped or run.task not in row.tasks:
             return True
         if row.tasks[run.task].done or run.phase is RunPhase.STOPPING:
             return True
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -270,7 +270,7 @@
         if now - self._saved_at < SAVE_INTERVAL_S:
             return
         self._saved_at = now
-        for record in list(islice(self.table.unsaved(), MAX_CHECKPOINTS_PER_APPEND)):
+        for record in list(islice(self.table.new_checkpoints(), MAX_CHECKPOINTS_PER_APPEND)):
             self._apply(batch, record, now)
 
     def _place_copies(self, inputs: PlacementInput) -> list[Placement]:
@@ -347,7 +347,7 @@
         self._metrics.run_ended(row.job.queue, result)
         self._apply(batch, Ended(key, run, result, saved), now)
         log.info("run ended", extra={"task": str(key), "run": run, "result": result.value})
-        if result is not RunResult.FAILED or row.unwanted:
+        if result is not RunResult.FAILED or row.to_be_stopped:
             return
         queue = self._rules().queues.get(row.job.queue)
         if queue is None or task.runs:
@@ -430,7 +430,7 @@
             if task is None or run is None or row is None:
                 continue
             out = host.facts is not None and host.facts.data_centre in rules.out
-            if row.unwanted or task.done or out or host.draining:
+            if row.to_be_stopped or task.done or out or host.draining:
                 self.board.mark_lost(run, "its start was not sent")
                 continue
             # The time spent on writing the assignment does not count as run time.
