Name the host, pacing and eviction tables by the field's terms

life, noted, note_*, lately, paces, note, kept and loses were figurative: executor_incarnation (the executor's id and start time), acked_ending, record_*, average_percent, speed_limits, observe, checkpoint_progress and loss_probability.

--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -38,7 +38,7 @@
         self._bases: dict[str, float] = {}
         self._pressures: dict[str, float] = {}
 
-    def note(self, serving: Iterable[tuple[str, float]], shares: Mapping[str, float]) -> None:
+    def observe(self, serving: Iterable[tuple[str, float]], shares: Mapping[str, float]) -> None:
         """Update the estimates with a measurement of one host.
 
         `serving` has the image and the latency ratio of each serving task;
--- a/packages/core/src/apricotpath/eviction.py
+++ b/packages/core/src/apricotpath/eviction.py
@@ -20,9 +20,9 @@
 class Victim:
     """A running batch task that may be evicted.
 
-    `progress` and `kept`, the progress at the newest checkpoint, are shares
-    from 0.0 to 1.0. `loses` is the probability that its eviction writes no
-    checkpoint.
+    `progress` and `checkpoint_progress`, the progress at the newest checkpoint,
+    are shares from 0.0 to 1.0. `loss_probability` is the probability that its
+    eviction writes no checkpoint.
     """
 
     task: TaskId
@@ -31,16 +31,18 @@
     size: Size
     priority: Priority
     progress: float
-    kept: float
+    checkpoint_progress: float
     run_time_s: float
     evictions: int
-    loses: float = 1.0
+    loss_probability: float = 1.0
 
 
 def lost_work(victim: Victim) -> float:
     """Return the core seconds of work that an eviction is expected to lose."""
-    share = max(0.0, victim.progress - victim.kept)
-    return victim.loses * share * victim.run_time_s * max(1, victim.size.cpu_milli) / 1000.0
+    share = max(0.0, victim.progress - victim.checkpoint_progress)
+    return (
+        victim.loss_probability * share * victim.run_time_s * max(1, victim.size.cpu_milli) / 1000.0
+    )
 
 
 @dataclass(slots=True)
@@ -54,7 +56,7 @@
         """Count a finished eviction."""
         (self.written if written else self.missed)[activity] += 1
 
-    def loses(self, activity: str) -> float:
+    def loss_probability(self, activity: str) -> float:
         """Return the probability that an eviction writes no checkpoint; 0.5 without any data."""
         missed, written = self.missed.get(activity, 0), self.written.get(activity, 0)
         return (missed + 1.0) / (missed + written + 2.0)
--- a/packages/core/src/apricotpath/executor.py
+++ b/packages/core/src/apricotpath/executor.py
@@ -57,11 +57,11 @@
     """
 
     async def hold(
-        self, fence: FenceToken, noted: int, deadline_ms: int | None, wait_s: float
+        self, fence: FenceToken, acked_ending: int, deadline_ms: int | None, wait_s: float
     ) -> Holding:
         """Extend the leases of all runs to a deadline and return the runs and run ends.
 
-        Ends up to number `noted` are acknowledged, so the executor drops them.
+        Ends up to number `acked_ending` are acknowledged, so the executor drops them.
         Waits up to `wait_s` for an end that was not returned before.
         """
 
--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -57,7 +57,7 @@
     `runs_until`: time by which all its runs have ended unless a new lease is
     granted. `speed`: how fast tasks run here relative to their estimates.
     `filler_percent`: recent speed limit of its filler tasks in percent.
-    `renewal`: number of its newest report. `noted`: number of the newest run
+    `renewal`: number of its newest report. `acked_ending`: number of the newest run
     end that is in the run log.
     """
 
@@ -70,15 +70,15 @@
     runs_until: float = 0.0
     draining: bool = False
     leaves_at: float = float("inf")
-    noted: int = 0
+    acked_ending: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     set_aside_until: float = float("-inf")
     set_aside_s: float = INITIAL_SET_ASIDE_S
     speed: float = 1.0
     filler_percent: float = 100.0
 
-    def life(self) -> tuple[str, int]:
-        """Return the instance id and birth time (ms) of the executor, or an empty pair."""
+    def executor_incarnation(self) -> tuple[str, int]:
+        """Return the instance id and start time (ms) of the executor, or an empty pair."""
         return (self.facts.instance, self.facts.born_ms) if self.facts else ("", 0)
 
     def accepts_starts(self, now: float, silent_s: float) -> bool:
@@ -93,7 +93,7 @@
             return "not heard of"
         return "set aside" if now < self.set_aside_until else ""
 
-    def note_speed(self, speed: float) -> None:
+    def record_speed(self, speed: float) -> None:
         """Update the speed with a measurement relative to the estimated speed."""
         self.speed += SPEED_WEIGHT * (min(speed, MAX_SPEED) - self.speed)
 
@@ -101,12 +101,12 @@
         """Move the speed back towards 1.0, so that a formerly slow host is tried again."""
         self.speed += SPEED_RECOVERY * (1.0 - self.speed)
 
-    def note_success(self) -> None:
+    def record_success(self) -> None:
         """Reset the failure count after a successful run."""
         self.failed_jobs.clear()
         self.set_aside_s = INITIAL_SET_ASIDE_S
 
-    def note_failure(self, job: str, now: float) -> bool:
+    def record_failure(self, job: str, now: float) -> bool:
         """Count a failed run; return True if the host is set aside because of it.
 
         Failures of a single job do not count, since the job itself may be faulty.
--- a/packages/core/src/apricotpath/pacing.py
+++ b/packages/core/src/apricotpath/pacing.py
@@ -19,10 +19,10 @@
 # Smaller pressures are within the estimation error.
 MIN_PRESSURE = 0.02
 # Weight of the newest percentage in the moving average that is reported.
-LATELY_WEIGHT = 0.15
+AVERAGE_WEIGHT = 0.15
 
 
-def paces(percent: float, pressures: Sequence[float]) -> list[int]:
+def speed_limits(percent: float, pressures: Sequence[float]) -> list[int]:
     """Return the speed limit of each filler task in percent.
 
     `percent` of the total pressure is distributed in order of increasing
@@ -43,12 +43,12 @@
 class Pacer:
     """Additive increase, multiplicative decrease of the speed limit of one host's filler tasks.
 
-    `percent` is the current limit, `lately` its moving average.
+    `percent` is the current limit, `average_percent` its moving average.
     """
 
     def __init__(self) -> None:
         self.percent = INITIAL_PERCENT
-        self.lately = 100.0
+        self.average_percent = 100.0
         self._smoothed: float | None = None
 
     def update(self, worst_ratio: float | None, fillers: int) -> int:
@@ -61,7 +61,7 @@
         """
         if worst_ratio is None:
             self._smoothed = None
-            self.percent = self.lately = 100.0
+            self.percent = self.average_percent = 100.0
             return 100
         previous = worst_ratio if self._smoothed is None else self._smoothed
         self._smoothed = RATIO_WEIGHT * worst_ratio + (1 - RATIO_WEIGHT) * previous
@@ -76,5 +76,5 @@
         if self.percent < MIN_PERCENT:
             self.percent = 0.0
         if fillers:
-            self.lately += LATELY_WEIGHT * (self.percent - self.lately)
+            self.average_percent += AVERAGE_WEIGHT * (self.percent - self.average_percent)
         return round(self.percent)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -277,7 +277,9 @@
             advised_hosts = inputs.advised(task.key)
             if advised_hosts is None:
                 return
-            allowed = [load for load in candidates if load.host.life()[0] in advised_hosts]
+            allowed = [
+                load for load in candidates if load.host.executor_incarnation()[0] in advised_hosts
+            ]
         load = choose_host(group, task, allowed)
         if load is None:
             return
--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -32,7 +32,7 @@
 class Attachment:
     """One attachment to a scheduler, with its fencing token.
 
-    `noted` is the number of the last ending that the scheduler has recorded.
+    `acked_ending` is the number of the last ending that the scheduler has recorded.
     """
 
     link: Link
@@ -42,7 +42,7 @@
     renewal: int = 0
     sent_at: dict[int, float] = field(default_factory=dict)
     granted_until: float = 0.0
-    noted: int = 0
+    acked_ending: int = 0
     reported: bool = False
     hold_failed: bool = False
     reported_runs: set[tuple[TaskId, int]] = field(default_factory=set)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -40,7 +40,7 @@
     StopRuns,
 )
 from apricotpath.model import StartAnswer
-from apricotpath.pacing import Pacer, paces
+from apricotpath.pacing import Pacer, speed_limits
 from apricotpath.workload import HostFacts
 from apricotpathd.attachment import Attachment, ExecutorState, RunView
 
@@ -198,7 +198,7 @@
         wait_s = self._hold_wait_s(attached)
         try:
             holding = await executor.hold(
-                attached.fence, attached.noted, self._deadline(attached), wait_s
+                attached.fence, attached.acked_ending, self._deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
             log.warning("hold refused: %s", exc)
@@ -268,7 +268,7 @@
             first,
             draining,
             int(min(left_s, 3600.0) * 1000),
-            self.pacer.lately,
+            self.pacer.average_percent,
             tuple(self._add_pace(attached, status) for status in runs),
             endings,
         )
@@ -321,7 +321,9 @@
         # The oldest run comes first; the order stays the same from one reading to the next.
         filler_views.sort(key=lambda item: (item[1].started_at, item[0].task))
         pressures = [view.pressure for _, view in filler_views]
-        for (status, view), pace in zip(filler_views, paces(percent, pressures), strict=True):
+        for (status, view), pace in zip(
+            filler_views, speed_limits(percent, pressures), strict=True
+        ):
             repeat = pace < 100 and now - view.pace_sent_at > PACE_REPEAT_S
             if view.pace_percent != pace or repeat:
                 view.pace_percent, view.pace_sent_at = pace, now
@@ -349,7 +351,7 @@
             pressures = [other.pressure for other in attached.views.values() if other.filler]
             pressures = [*pressures, view.pressure]
             view.pace_percent, view.pace_sent_at = (
-                paces(self.pacer.percent, pressures)[-1],
+                speed_limits(self.pacer.percent, pressures)[-1],
                 boot_s(),
             )
             await self._send_pace(attached, task, run, view.pace_percent)
@@ -448,7 +450,7 @@
             if sent is not None:
                 until = sent + self.cfg.run_lease_s
                 attached.granted_until = max(attached.granted_until, until)
-            attached.noted = max(attached.noted, body.noted)
+            attached.acked_ending = max(attached.acked_ending, body.noted)
         elif isinstance(body, StartRuns) and body.fence == attached.fence:
             sent = attached.sent_at.get(body.renewal, float("-inf"))
             for order in body.orders:
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -45,10 +45,13 @@
 
 
 class ReportedEnding(NamedTuple):
-    """An ending reported by a host's executor; `life` is the executor's id and start time."""
+    """An ending reported by a host's executor.
+
+    `executor_incarnation` is the executor's id and start time.
+    """
 
     host: HostId
-    life: tuple[str, int]
+    executor_incarnation: tuple[str, int]
     ending: RunEnding
 
 
@@ -87,13 +90,13 @@
         """Attach a host's executor to this term and return the new fencing token."""
         name = message.host
         host = self.hosts.setdefault(name, Host(name))
-        life = (message.instance, message.born_ms)
+        executor_incarnation = (message.instance, message.born_ms)
         now = boot_s()
-        if host.life() != life:
-            host.noted = 0
+        if host.executor_incarnation() != executor_incarnation:
+            host.acked_ending = 0
             self._last_queued_endings.pop(name, None)
             host.draining, host.leaves_at = False, float("inf")
-            host.note_success()
+            host.record_success()
             host.set_aside_until = float("-inf")
         self._fences_issued += 1
         host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences_issued)
@@ -141,9 +144,9 @@
         self._match_runs(host, message, now)
         self._update_interference(host, link, now)
         for ending in message.endings:
-            if ending.number > self._last_queued_endings.get(host.host, host.noted):
+            if ending.number > self._last_queued_endings.get(host.host, host.acked_ending):
                 self._last_queued_endings[host.host] = ending.number
-                self.endings.append(ReportedEnding(host.host, host.life(), ending))
+                self.endings.append(ReportedEnding(host.host, host.executor_incarnation(), ending))
                 self._wake()
         if message.first:
             host.reported = True
@@ -155,7 +158,7 @@
         if now - self._contact_at() > self._cfg.authority_s:
             return
         host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
-        send_nowait(link, HostGrant(host.fence, renewal, host.noted))
+        send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
 
     def _match_runs(self, host: Host, message: HostRuns, now: float) -> None:
         """Reconcile the runs that a host reports with the job table."""
@@ -206,7 +209,7 @@
                 shares[step.image] = shares.get(step.image, 0.0) + share
             elif step.target_ms > 0 and run.percent >= READY_PERCENT and run.load > 0:
                 serving.append((step.image, run.load / step.target_ms))
-        self.disturbance.note(serving, shares)
+        self.disturbance.observe(serving, shares)
         if (
             serving
             and shares
@@ -233,7 +236,7 @@
         step = row.step(run.task)
         if step.estimate_s > 0 and not (step.long_running or step.filler or step.gang):
             rate = (run.percent - run.first_percent) / (now - run.since)
-            host.note_speed(rate * step.estimate_s / 100)
+            host.record_speed(rate * step.estimate_s / 100)
 
     def _stop_unknown_run(self, host: Host, name: RunName, now: float) -> None:
         """Stop a reported run that the job table does not contain."""
@@ -271,7 +274,7 @@
                 continue
             if answer.answer is StartAnswer.UNFIT:
                 host.set_aside_until = max(host.set_aside_until, now + NO_CAPACITY_PAUSE_S)
-            elif answer.answer is StartAnswer.BROKEN and host.note_failure(key.job, now):
+            elif answer.answer is StartAnswer.BROKEN and host.record_failure(key.job, now):
                 log.warning("host set aside", extra={"host": host.host, "reason": "refuses starts"})
             self.mark_lost(run, f"its start was answered {answer.answer.value}")
 
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -77,7 +77,7 @@
             return step.long_running or now > host.leaves_at - LEAVE_LEAD_S
         if run.phase is RunPhase.RUNNING and stalled(run, step):
             log.warning("run makes no progress", extra={"task": str(run.task), "host": host.host})
-            if host.note_failure(run.task.job, now):
+            if host.record_failure(run.task.job, now):
                 log.warning("host set aside", extra={"host": host.host, "reason": "runs stall"})
             return True
         return False
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -71,13 +71,13 @@
     """Records of one append, and the actions to take once they are durable.
 
     `starts` pairs each placement with the fencing token of the attachment that it was
-    decided for. `noted` holds the number of the last ending recorded for each host.
+    decided for. `acked_endings` holds the number of the last ending recorded for each host.
     """
 
     records: list[RunRecord] = field(default_factory=list)
     extra: list[Put | Delete] = field(default_factory=list)
     starts: list[tuple[FenceToken, Placement]] = field(default_factory=list)
-    noted: dict[HostId, int] = field(default_factory=dict)
+    acked_endings: dict[HostId, int] = field(default_factory=dict)
 
 
 class Scheduler:
@@ -242,7 +242,8 @@
                 "waiting": dict(waiting),
                 "pressures": self.board.disturbance.pressures(),
                 "hosts": {
-                    name: host_row(load, now, self.cfg.silent_s) for name, load in loads.items()
+                    name: host_row(host_load, now, self.cfg.silent_s)
+                    for name, host_load in loads.items()
                 },
             },
         )
@@ -258,7 +259,7 @@
         inputs = self._placement_input(now)
         for placement in [*place(self.table, inputs), *self._place_copies(inputs)]:
             host = self.board.hosts[placement.host]
-            instance, born_ms = host.life()
+            instance, born_ms = host.executor_incarnation()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
             self._apply(batch, record, now)
             batch.starts.append((host.fence, placement))
@@ -298,11 +299,11 @@
 
     def _process_endings(self, batch: _Batch, now: float) -> None:
         while self.board.endings:
-            name, life, ending = self.board.endings.popleft()
+            name, executor_incarnation, ending = self.board.endings.popleft()
             host = self.board.hosts.get(name)
-            if host is None or host.life() != life:
+            if host is None or host.executor_incarnation() != executor_incarnation:
                 continue
-            batch.noted[name] = ending.number
+            batch.acked_endings[name] = ending.number
             try:
                 key = TaskKey.parse(ending.task)
             except InputError as exc:
@@ -313,8 +314,8 @@
 
     def _record_host_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
         if ending.result is RunResult.DONE:
-            host.note_success()
-        elif ending.result is RunResult.FAILED and host.note_failure(key.job, now):
+            host.record_success()
+        elif ending.result is RunResult.FAILED and host.record_failure(key.job, now):
             log.warning("host set aside", extra={"host": host.host, "reason": "runs fail"})
 
     def _process_lost_runs(self, batch: _Batch, now: float) -> None:
@@ -406,10 +407,10 @@
 
     def _complete_batch(self, batch: _Batch) -> None:
         """Acknowledge the endings and send the starts of a batch that has become durable."""
-        for name, number in batch.noted.items():
+        for name, number in batch.acked_endings.items():
             host = self.board.hosts.get(name)
             if host is not None:
-                host.noted = max(host.noted, number)
+                host.acked_ending = max(host.acked_ending, number)
         by_host: dict[HostId, list[Placement]] = {}
         for fence, placement in batch.starts:
             # If the host has attached again meanwhile, its first report shows that the run is
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -288,7 +288,7 @@
                     yield self._victim(run)
 
     def _victim(self, run: Run) -> Victim:
-        return victim_of(run, self.state.checkpoints.loses(run.spec.activity))
+        return victim_of(run, self.state.checkpoints.loss_probability(run.spec.activity))
 
     @staticmethod
     def _may_evict(shard: Shard, run: Run) -> bool:
@@ -433,7 +433,7 @@
                     self.commands.throttle(shard, run, run.share, now)
 
 
-def victim_of(run: Run, loses: float) -> Victim:
+def victim_of(run: Run, loss_probability: float) -> Victim:
     """Return the data on an attempt that the eviction rules need."""
     spec = run.spec
     return Victim(
@@ -446,7 +446,7 @@
         run.checkpoint_progress,
         spec.run_time_s,
         run.evictions,
-        loses,
+        loss_probability,
     )
 
 
--- a/tests/features/steps/disturbance_steps.py
+++ b/tests/features/steps/disturbance_steps.py
@@ -38,22 +38,22 @@
             shares = {image: rng.uniform(0.05, 0.3) for image in IMAGES if rng.random() < 0.5}
             raised = sum(context.pressures[image] * share for image, share in shares.items())
             ratios = [0.45 * exp(raised + rng.gauss(0, NOISE)) for _ in range(4)]
-            context.disturbance.note([("serving", ratio) for ratio in ratios], shares)
+            context.disturbance.observe([("serving", ratio) for ratio in ratios], shares)
 
 
 @when("disturbance gets measurements of 0, of 1000000 and without filler tasks")
 def extreme(context: Any) -> None:
     for ratio in (0.0, 1e6) * 200:
-        context.disturbance.note([("serving", ratio)], dict.fromkeys(IMAGES, 1.0))
-        context.disturbance.note([("serving", ratio)], {})
-        context.disturbance.note([], {"light": 0.5})
+        context.disturbance.observe([("serving", ratio)], dict.fromkeys(IMAGES, 1.0))
+        context.disturbance.observe([("serving", ratio)], {})
+        context.disturbance.observe([], {"light": 0.5})
 
 
 @when("disturbance gets measurements of {count:d} images")
 def many(context: Any, count: int) -> None:
     context.disturbance = Disturbance()
     for number in range(count):
-        context.disturbance.note([(f"serving-{number}", 0.5)], {f"image-{number}": 0.5})
+        context.disturbance.observe([(f"serving-{number}", 0.5)], {f"image-{number}": 0.5})
 
 
 @then("disturbance keeps estimates of {count:d} images")
