Name on_placed, NO_CAPACITY and MIN_ADDED_SLOWDOWN

Placer.taken is a callback on each placement; NO_ROOM is the reason for lack of capacity (its code no-room is unchanged); HARMLESS is a threshold of the added slowdown; Guarded is a task.

--- a/packages/core/src/apricotpath/interference.py
+++ b/packages/core/src/apricotpath/interference.py
@@ -26,9 +26,9 @@
 ACTION_INTERVAL_S = 5.0
 MOVE_PAUSE_S = 30.0
 THROTTLE_STEPS = (0.5, 0.25)
-# Tasks that add less than HARMLESS to the slowdown are not throttled, nor are those that add less
-# than NOISY_FRACTION of what the worst task on the host adds.
-HARMLESS = 0.05
+# Tasks that add less than MIN_ADDED_SLOWDOWN to the slowdown are not throttled, nor are those that
+# add less than NOISY_FRACTION of what the worst task on the host adds.
+MIN_ADDED_SLOWDOWN = 0.05
 NOISY_FRACTION = 0.25
 
 
@@ -127,7 +127,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Guarded:
+class GuardedTask:
     """A batch task that may be throttled or moved; `lost_work` is in core seconds."""
 
     task: TaskId
@@ -160,7 +160,7 @@
     row: GuardRow,
     service: ServiceId,
     pressure: float,
-    tasks: list[Guarded],
+    tasks: list[GuardedTask],
     estimates: Estimates,
     now: float,
 ) -> Action | None:
@@ -188,7 +188,7 @@
     row: GuardRow,
     service: ServiceId,
     pressure: float,
-    tasks: list[Guarded],
+    tasks: list[GuardedTask],
     estimates: Estimates,
     now: float,
 ) -> Action | None:
@@ -206,8 +206,10 @@
     return Action(Step.MOVE, min(noisy, key=lambda t: t.lost_work).task, 0.0, reason)
 
 
-def _noisy_tasks(service: ServiceId, tasks: list[Guarded], estimates: Estimates) -> list[Guarded]:
+def _noisy_tasks(
+    service: ServiceId, tasks: list[GuardedTask], estimates: Estimates
+) -> list[GuardedTask]:
     """Return the tasks whose throttling would help; all of them without usable estimates."""
     added = {task.task: estimates.added(service, {}, task.activity) for task in tasks}
-    least = max(HARMLESS, NOISY_FRACTION * max(added.values()))
+    least = max(MIN_ADDED_SLOWDOWN, NOISY_FRACTION * max(added.values()))
     return [task for task in tasks if added[task.task] >= least] or tasks
--- a/packages/core/src/apricotpath/placement.py
+++ b/packages/core/src/apricotpath/placement.py
@@ -142,7 +142,7 @@
 class Placer:
     """One placement round; only the index and the estimates are kept between rounds.
 
-    `usable` tells whether a host may get a task of a job, `taken` is called for
+    `usable` tells whether a host may get a task of a job, `on_placed` is called for
     each host that gets one.
     """
 
@@ -150,7 +150,7 @@
     rules: Rules
     estimates: Estimates
     usable: Callable[[ProcessId, JobSpec], bool]
-    taken: Callable[[ProcessId], None]
+    on_placed: Callable[[ProcessId], None]
     admit: Admit
     now_utc: datetime
     hours_margin_s: float
@@ -219,7 +219,7 @@
         host = None if shape in self._unplaceable else self.find(spec, allowed)
         if host is None:
             self._unplaceable.add(shape)
-            self.reasons[spec.job_id] = NO_ROOM
+            self.reasons[spec.job_id] = NO_CAPACITY
             return False
         refused = self.admit(spec)
         if refused is not None:
@@ -232,7 +232,7 @@
 
     def _commit(self, host: Host, spec: JobSpec) -> None:
         self.index.resize(host.process, host.free - spec.size)
-        self.taken(host.process)
+        self.on_placed(host.process)
         host.activities[spec.activity] = host.activities.get(spec.activity, 0) + 1
 
     def allowed(self, spec: JobSpec) -> tuple[list[DataCentreId], Reason | None]:
@@ -338,7 +338,7 @@
         return 0.0 if total <= SOFT_SLOWDOWN else total
 
 
-NO_ROOM = Reason("no-room", "no usable host has room for one more task")
+NO_CAPACITY = Reason("no-room", "no usable host has room for one more task")
 NO_HOSTS = Reason("no-hosts", "no host is linked in the data centres of the job")
 
 
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -10,10 +10,10 @@
 from apricotpath.eviction import Victim, choose_victims, lost_work
 from apricotpath.ids import DataCentreId, JobId, ProcessId, TaskId, TeamId
 from apricotpath.interference import (
-    HARMLESS,
     HIGH_PRESSURE,
+    MIN_ADDED_SLOWDOWN,
     MOVE_PAUSE_S,
-    Guarded,
+    GuardedTask,
     GuardRow,
     Step,
     guard,
@@ -21,8 +21,8 @@
 from apricotpath.jobs import NO_PROCESS, JobRow, task_id
 from apricotpath.model import JobSpec, Priority, Size, TaskClass
 from apricotpath.placement import (
+    NO_CAPACITY,
     NO_HOSTS,
-    NO_ROOM,
     Demand,
     Mode,
     Placement,
@@ -139,7 +139,7 @@
             rules=state.rules,
             estimates=state.estimates,
             usable=partial(self._usable, now),
-            taken=partial(state.health.placed, now=now),
+            on_placed=partial(state.health.placed, now=now),
             admit=partial(self.shares.admit, now=now),
             now_utc=state.utc(),
             hours_margin_s=state.policy.hours_margin_s,
@@ -162,7 +162,7 @@
             return True
         service = self.state.hosts.rows[process].announce.service
         added = self.state.estimates.single.get((service, spec.activity))
-        return added is not None and added < HARMLESS
+        return added is not None and added < MIN_ADDED_SLOWDOWN
 
     def _assign(self, shard: Shard, placements: list[Placement], now: float) -> None:
         records, runs = [], []
@@ -215,7 +215,7 @@
         for job, reason in placer.reasons.items():
             self.state.reasons[job] = reason
             shard = self.state.shard_of(job)
-            if shard is not None and reason.code in (NO_ROOM.code, NO_HOSTS.code):
+            if shard is not None and reason.code in (NO_CAPACITY.code, NO_HOSTS.code):
                 priority = shard.table.jobs[job].spec.priority
                 self.retry_at[job] = now + RETRY_S[priority]
         if len(self.retry_at) > 4096:
@@ -229,7 +229,7 @@
         for demand in demands:
             spec = demand.row.spec
             reason = placer.reasons.get(spec.job_id)
-            if spec.priority is not Priority.URGENT or reason is not NO_ROOM:
+            if spec.priority is not Priority.URGENT or reason is not NO_CAPACITY:
                 continue
             allowed = placer.allowed(spec)[0]
             tasks = [task_id(spec.job_id, number) for number in demand.numbers]
@@ -328,7 +328,7 @@
             if self._may_evict(shard, run)
         }
         tasks = [
-            Guarded(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
+            GuardedTask(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
             for _, run in runs.values()
             if self.state.limits.allows(self._victim(run), now)
         ]
--- a/tests/features/steps/interference_steps.py
+++ b/tests/features/steps/interference_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from apricotpath.interference import Estimates, Guarded, GuardRow, Step, guard
+from apricotpath.interference import Estimates, GuardedTask, GuardRow, Step, guard
 
 NAMES = ("grinding", "sorting")
 
@@ -49,7 +49,7 @@
             for _ in range(int(seconds * 2)):
                 now += 0.5
                 tasks = [
-                    Guarded(name, "loud" if name == "noisy" else "calm", self.shares[name], 1.0)
+                    GuardedTask(name, "loud" if name == "noisy" else "calm", self.shares[name], 1.0)
                     for name in sorted(running)
                 ]
                 action = guard(row, "desk", pressure, tasks, self.estimates, now)
