Rename JobRow.fresh to first_unassigned

It is the lowest number of a task that was never assigned. The local fresh of counts, the state of those tasks, is unassigned_state (split in jobs.py).

--- a/packages/bench/src/apricotpath_bench/ownertables.py
+++ b/packages/bench/src/apricotpath_bench/ownertables.py
@@ -209,7 +209,7 @@
                 added += 1
             if added == tasks:
                 row = shard.table.jobs[spec.job_id]
-                row.fresh = spec.tasks
+                row.first_unassigned = spec.tasks
 
     def report_of(self, number: int) -> HostReport:
         """Return the report of a host about what this owner runs there."""
--- a/packages/core/src/apricotpath/jobs.py
+++ b/packages/core/src/apricotpath/jobs.py
@@ -63,18 +63,18 @@
 
 @dataclass(slots=True)
 class JobRow:
-    """One job. Tasks from number `fresh` on were never assigned and have no row.
+    """One job. Tasks from number `first_unassigned` on were never assigned and have no row.
 
     Finished tasks are bits of `finished` (bit number = task number). Both keep
     a job of many thousands of tasks small. `requeued` holds, in order, the
-    numbers of waiting tasks below `fresh`. `assigned` counts tasks.
+    numbers of waiting tasks below `first_unassigned`. `assigned` counts tasks.
     """
 
     spec: JobSpec
     accepted_at: float
     cancelled: bool = False
     impossible: str = ""
-    fresh: int = 0
+    first_unassigned: int = 0
     finished: int = 0
     rows: dict[int, TaskRow] = field(default_factory=dict)
     requeued: list[int] = field(default_factory=list)
@@ -83,7 +83,7 @@
     @property
     def waiting(self) -> int:
         """Number of tasks waiting to be placed."""
-        return 0 if self.cancelled else len(self.requeued) + self.spec.tasks - self.fresh
+        return 0 if self.cancelled else len(self.requeued) + self.spec.tasks - self.first_unassigned
 
     @property
     def ended(self) -> bool:
@@ -94,7 +94,7 @@
         """Yield the tasks to place next; those that were assigned before come first."""
         if not self.cancelled:
             yield from self.requeued
-            yield from range(self.fresh, self.spec.tasks)
+            yield from range(self.first_unassigned, self.spec.tasks)
 
     def is_finished(self, number: int) -> bool:
         """Return whether a task has finished."""
@@ -114,8 +114,8 @@
     def counts(self) -> dict[TaskState, int]:
         """Return the number of tasks in each state that occurs."""
         found = Counter(row.state for row in self.rows.values())
-        fresh = TaskState.CANCELLED if self.cancelled else TaskState.WAITING
-        found[fresh] += self.spec.tasks - self.fresh
+        unassigned_state = TaskState.CANCELLED if self.cancelled else TaskState.WAITING
+        found[unassigned_state] += self.spec.tasks - self.first_unassigned
         found[TaskState.FINISHED] += self.finished.bit_count()
         return {state: number for state, number in found.items() if number}
 
@@ -241,14 +241,14 @@
     def _(self, record: TasksFinished) -> bool:
         row = self.jobs[record.job]
         row.finished |= (1 << record.end) - (1 << record.first)
-        row.fresh = max(row.fresh, record.end)
+        row.first_unassigned = max(row.first_unassigned, record.end)
         return True
 
     @apply.register
     def _(self, record: TaskRestored) -> bool:
         job, number = split_task(record.task)
         row = self.jobs[job]
-        row.fresh = max(row.fresh, number + 1)
+        row.first_unassigned = max(row.first_unassigned, number + 1)
         row.rows[number] = TaskRow(
             record.state,
             record.attempt,
@@ -310,10 +310,10 @@
 
 def _ensure_row(job: JobRow, number: int) -> TaskRow:
     """Return the row of a task; creates the missing rows up to its number."""
-    while job.fresh <= number:
-        job.rows[job.fresh] = TaskRow()
-        insort(job.requeued, job.fresh)
-        job.fresh += 1
+    while job.first_unassigned <= number:
+        job.rows[job.first_unassigned] = TaskRow()
+        insort(job.requeued, job.first_unassigned)
+        job.first_unassigned += 1
     return job.rows[number]
 
 
