Name the calls of the quota lenders and borrowers by their task

take, ask, granted, declare, trusts and need said nothing about shares: try_acquire, amount_to_request, accept_grant, report_share, accepts_grants_of and required_rate.

--- a/packages/bench/src/apricotpath_bench/quotareplay.py
+++ b/packages/bench/src/apricotpath_bench/quotareplay.py
@@ -73,17 +73,17 @@
             team, entry = key
             borrower, rate = borrowers[key], rates[key]
             while waiting[key]:
-                amount = borrower.ask(rate.need(now), now)
+                amount = borrower.amount_to_request(rate.required_rate(now), now)
                 if amount is not None:
                     messages += 2
                     granted, ttl_s = lenders[team].request(entry, amount, now)
-                    borrower.granted(granted, ttl_s, now, WINDOW_S)
-                if not rate.take(borrower.available(now), now):
+                    borrower.accept_grant(granted, ttl_s, now, WINDOW_S)
+                if not rate.try_acquire(borrower.available(now), now):
                     break
                 waiting[key] -= 1
                 times[team].append(now)
         for team in list(exact_waiting):
-            while exact_waiting[team] and exact[team].take(now):
+            while exact_waiting[team] and exact[team].try_acquire(now):
                 exact_waiting[team] -= 1
         delay += STEP_S * sum(waiting.values())
         exact_delay += STEP_S * sum(exact_waiting.values())
--- a/packages/bench/src/apricotpath_bench/slopes.py
+++ b/packages/bench/src/apricotpath_bench/slopes.py
@@ -277,15 +277,15 @@
         for team in teams:
             wanted = int(2 * SHARE_RATE * step + rng.random())
             for _ in range(wanted):
-                allowed += exact[team].take(now)
+                allowed += exact[team].try_acquire(now)
                 at = rng.randrange(entries)
                 borrower, window = borrowers[team][at], windows[team][at]
-                amount = borrower.ask(window.need(now), now)
+                amount = borrower.amount_to_request(window.required_rate(now), now)
                 if amount is not None:
                     asked += 1
                     granted, ttl = lenders[team].request(f"entry-{at}", amount, now)  # type: ignore[arg-type]
-                    borrower.granted(granted, ttl, now, WINDOW_S)
-                if window.take(borrower.available(now), now):
+                    borrower.accept_grant(granted, ttl, now, WINDOW_S)
+                if window.try_acquire(borrower.available(now), now):
                     lent += 1
                     times[team].append(now)
     most = max(
--- a/packages/core/src/apricotpath/quota.py
+++ b/packages/core/src/apricotpath/quota.py
@@ -43,7 +43,7 @@
     limit: int
     times: list[float] = field(default_factory=list)
 
-    def take(self, now: float) -> bool:
+    def try_acquire(self, now: float) -> bool:
         """Count an event and return True, or return False if the window is full."""
         del self.times[: bisect_right(self.times, now - WINDOW_S)]
         if len(self.times) >= self.limit:
@@ -172,7 +172,9 @@
     requested_at: float = -1e9
     last_needed_at: float = -1e9
 
-    def granted(self, amount: float, ttl_s: float, sent_at: float, quiet_s: float = 0.0) -> None:
+    def accept_grant(
+        self, amount: float, ttl_s: float, sent_at: float, quiet_s: float = 0.0
+    ) -> None:
         """Accept a grant of `ttl_s` seconds from `sent_at`, the time of the request.
 
         The time of the answer does not count, since it may be late. The share is not used in
@@ -185,11 +187,11 @@
         self.amount = amount
         self.until = sent_at + ttl_s * (1.0 - CLOCK_DRIFT) - quiet_s
 
-    def trusts(self, home: EntryId, now: float) -> bool:
+    def accepts_grants_of(self, home: EntryId, now: float) -> bool:
         """Return whether a grant of this home may be accepted."""
         return self.home in (None, home) or now >= self.exclusive_until
 
-    def declare(self, home: EntryId, now: float) -> float:
+    def report_share(self, home: EntryId, now: float) -> float:
         """Return the share held for a new home to count, and accept only that home's grants."""
         self.home, self.exclusive_until = home, now + SHARE_TTL_S
         return self.available(now)
@@ -198,7 +200,7 @@
         """Return the share that may be used now."""
         return self.amount if now < self.until else 0.0
 
-    def ask(self, need: float, now: float, retry_s: float = 0.2) -> float | None:
+    def amount_to_request(self, need: float, now: float, retry_s: float = 0.2) -> float | None:
         """Return the amount to request now, or None if no request is needed."""
         if need > 0:
             self.last_needed_at = now
@@ -219,15 +221,15 @@
 
     window: RollingWindow = field(default_factory=lambda: RollingWindow(0))
 
-    def need(self, now: float) -> float:
+    def required_rate(self, now: float) -> float:
         """Return the rate (starts per second) that one more start needs."""
         del self.window.times[: bisect_right(self.window.times, now - WINDOW_S)]
         return len(self.window.times) + 1.0
 
-    def take(self, share: float, now: float) -> bool:
+    def try_acquire(self, share: float, now: float) -> bool:
         """Count a start and return True, or return False if the rate `share` is used up."""
         self.window.limit = int(share)
-        return self.window.take(now)
+        return self.window.try_acquire(now)
 
 
 def home_of(team: TeamId, entries: list[EntryId]) -> EntryId | None:
--- a/packages/daemon/src/apricotpathd/shares.py
+++ b/packages/daemon/src/apricotpathd/shares.py
@@ -98,13 +98,13 @@
         # Request both shares before either can refuse, so that their delays do not add up.
         rate = inf
         if limit.rate > 0:
-            rate = self._held_share(spec.team, RATE, window.need(now), now)
+            rate = self._held_share(spec.team, RATE, window.required_rate(now), now)
         if limit.quota is not None:
             fraction = quota_fraction(spec.size, limit.quota)
             used = self.used.get(spec.team, 0.0)
             if used + fraction > self._held_share(spec.team, SIZE, used + fraction, now) + 1e-9:
                 return Reason("quota", f"team {spec.team} has used its quota", "teams")
-        if limit.rate > 0 and not window.take(rate, now):
+        if limit.rate > 0 and not window.try_acquire(rate, now):
             return Reason("rate", f"team {spec.team} starts {limit.rate:g} tasks/s", "teams")
         if limit.quota is not None:
             self.used[spec.team] = used + fraction
@@ -117,7 +117,7 @@
         since it does not ask unregistered entries for the shares they hold.
         """
         borrower = self.borrowers.setdefault((team, kind), Borrower())
-        amount = borrower.ask(need, now)
+        amount = borrower.amount_to_request(need, now)
         if amount is not None:
             self._request(team, kind, amount, borrower, now)
         registered = self.entry in self.members.view().entries
@@ -152,9 +152,9 @@
         home = home_of(team, list(self.members.view().entries))
         if home == self.entry:
             grant = self.lend(self.entry, ShareRequest(team, amount, kind), now)
-            if not borrower.trusts(self.entry, now):
+            if not borrower.accepts_grants_of(self.entry, now):
                 return
-            borrower.granted(grant.amount, grant.ttl_ms / 1000.0, now, QUIET_S[kind])
+            borrower.accept_grant(grant.amount, grant.ttl_ms / 1000.0, now, QUIET_S[kind])
         elif home is not None and self.group is not None:
             self.group.start_soon(self._borrow, home, team, kind, amount, borrower)
 
@@ -169,8 +169,8 @@
         except LinkError as exc:
             log.info("no share of team %s: %s", team, exc)
             return
-        if isinstance(reply, ShareGrant) and borrower.trusts(home, anyio.current_time()):
-            borrower.granted(reply.amount, reply.ttl_ms / 1000.0, sent_at, QUIET_S[kind])
+        if isinstance(reply, ShareGrant) and borrower.accepts_grants_of(home, anyio.current_time()):
+            borrower.accept_grant(reply.amount, reply.ttl_ms / 1000.0, sent_at, QUIET_S[kind])
 
     def answer(self, entry: EntryId, request: ShareRequest, now: float) -> ShareGrant:
         """Answer another entry: lend it a share, or return the share that is held here."""
@@ -178,7 +178,7 @@
             return self.lend(entry, request, now)
         kind = request.kind.removeprefix(HELD_PREFIX)
         borrower = self.borrowers.setdefault((request.team, kind), Borrower())
-        held = borrower.declare(entry, now)
+        held = borrower.report_share(entry, now)
         left_s = max(0.0, borrower.until + QUIET_S.get(kind, 0.0) - now)
         return ShareGrant(request.team, held, int(left_s * 1000) + 1, request.kind)
 
@@ -247,5 +247,5 @@
     ) -> None:
         own = self.borrowers.setdefault(key, Borrower())
         until = own.until + QUIET_S.get(key[1], 0.0)
-        held = {**held, self.entry: Loan(own.declare(self.entry, now), until)}
+        held = {**held, self.entry: Loan(own.report_share(self.entry, now), until)}
         lender.take_over(held, now, max(now, self._former_views_expire_at))
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -47,15 +47,15 @@
                     t: Lender(float(n), opens_at, whole=True) for t, n in self.limits.items()
                 }
             for team, entry in self.start_requests(now):
-                self.served_exact += self.exact[team].take(now)
+                self.served_exact += self.exact[team].try_acquire(now)
                 rate, borrower = rates[team, entry], borrowers[team, entry]
-                amount = borrower.ask(rate.need(now), now)
+                amount = borrower.amount_to_request(rate.required_rate(now), now)
                 if amount is not None:
                     self.messages += 2
                     granted, ttl = lenders[team].request(entry, amount, now)
                     if faults != "lost answers" or self.rng.random() > 0.2:
-                        borrower.granted(granted, ttl, now, WINDOW_S)
-                if rate.take(borrower.available(now), now):
+                        borrower.accept_grant(granted, ttl, now, WINDOW_S)
+                if rate.try_acquire(borrower.available(now), now):
                     self.served += 1
                     self.by_entry[entry] += 1
                     self.times[team].append(now)
@@ -74,7 +74,7 @@
     for _number in range(count):
         now += rng.expovariate(3 * limit)
         allowed = sum(now - time < WINDOW_S for time in subject.times["t"]) < limit
-        taken = subject.window.take(now)
+        taken = subject.window.try_acquire(now)
         assert taken == allowed, now
         if taken:
             subject.times["t"].append(now)
