--- a/packages/core/src/apricotpath/retry.py
+++ b/packages/core/src/apricotpath/retry.py
@@ -23,7 +23,7 @@
         """Count the arrival of a request."""
         self.tokens = min(MAX_TOKENS, self.tokens + self.share)
 
-    def take(self) -> bool:
+    def try_acquire(self) -> bool:
         """Consume the token for one retry; false if the budget is exhausted."""
         if not self.limited:
             return True
@@ -39,4 +39,4 @@
     """Return whether one more try of about `need_s` seconds is allowed; consumes a token if so."""
     if tries >= max_tries or now + need_s >= deadline:
         return False
-    return budget.take()
+    return budget.try_acquire()
--- a/tests/features/steps/retry_steps.py
+++ b/tests/features/steps/retry_steps.py
@@ -16,7 +16,7 @@
         self.answer = False
 
     def request_retries(self, count: int) -> None:
-        self.allowed += sum(self.budget.take() for _number in range(count))
+        self.allowed += sum(self.budget.try_acquire() for _number in range(count))
 
 
 @given("a retry budget whose limit is {limit}")
