--- a/packages/bench/src/apricotpath_bench/requestreplay.py
+++ b/packages/bench/src/apricotpath_bench/requestreplay.py
@@ -121,7 +121,7 @@
                 self._send(call, process, now)
                 return
         item = Waiting(call.rules, call.deadline, now)
-        refusal, shed = queues.offer(item, now)
+        refusal, shed = queues.enqueue(item, now)
         if shed is not None:
             self._give_up(self._turns.pop(shed), "shed")
         if refusal is not None:
@@ -174,7 +174,7 @@
         queues = self._queues[service]
         while queues.size:
             process = self._choose(service, set(), now)
-            item = queues.take(now) if process is not None else None
+            item = queues.dequeue(now) if process is not None else None
             if process is None or item is None:
                 return
             self._send(self._turns.pop(item), process, now)
--- a/packages/core/src/apricotpath/admission.py
+++ b/packages/core/src/apricotpath/admission.py
@@ -44,7 +44,7 @@
     service_interval_s: float = 0.0
     last_taken_at: float | None = None
 
-    def offer(self, item: Waiting, now: float) -> tuple[Refusal | None, Waiting | None]:
+    def enqueue(self, item: Waiting, now: float) -> tuple[Refusal | None, Waiting | None]:
         """Queue a request; return (refusal, shed): why it was refused, or one shed in its place."""
         class_queue = self.queues.setdefault(item.rules.name, deque())
         if self.by_priority and len(class_queue) >= item.rules.queue:
@@ -72,7 +72,7 @@
         )
         return ahead * self.service_interval_s
 
-    def take(self, now: float) -> Waiting | None:
+    def dequeue(self, now: float) -> Waiting | None:
         """Remove and return the next request: highest priority, then longest wait, or None."""
         heads = [queue[0] for queue in self.queues.values() if queue]
         if not heads:
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -480,7 +480,7 @@
             if not self.candidates(req.service):
                 raise NotRun("No backend server is there.", "no-backend", RETRY_AFTER_S)
         queued = _QueuedRequest(Waiting(req.rules, req.deadline, now))
-        refusal, shed = queues.offer(queued.item, now)
+        refusal, shed = queues.enqueue(queued.item, now)
         if shed is not None:
             self._end_wait(shed, refusal=Refusal.SHED)
         if refusal is not None:
@@ -514,7 +514,7 @@
             process = self._choose(service, set(), now)
             if process is None:
                 return
-            item = queues.take(now)
+            item = queues.dequeue(now)
             assert item is not None
             self._end_wait(item, process=process)
 
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -19,7 +19,7 @@
 
     def offer(self, name: str, deadline_s: float = 10.0) -> None:
         item = Waiting(CLASSES[name], self.now + deadline_s, self.now)
-        refusal, shed = self.queues.offer(item, self.now)
+        refusal, shed = self.queues.enqueue(item, self.now)
         if refusal is not None:
             self.refused.append(refusal.value)
         if shed is not None:
@@ -67,7 +67,7 @@
 
 @then("admission dequeues them in the order {order}")
 def _(context: Any, order: str) -> None:
-    taken = [context.admission.queues.take(1.0) for _name in order.split(", ")]
+    taken = [context.admission.queues.dequeue(1.0) for _name in order.split(", ")]
     assert ", ".join(item.rules.name for item in taken) == order
 
 
@@ -78,7 +78,7 @@
         subject.offer("intake", 1000.0)
     for _number in range(5):
         subject.now += 1.0
-        subject.queues.take(subject.now)
+        subject.queues.dequeue(subject.now)
 
 
 @then("admission refuses a request with a deadline in {deadline:g} s as {reason}")
