--- a/packages/bench/src/apricotpath_bench/requestreplay.py
+++ b/packages/bench/src/apricotpath_bench/requestreplay.py
@@ -139,7 +139,7 @@
         others = [c for c in found if c.process not in avoid]
         process = choose(others or found, self.routing, self.cfg, self.rng, now)
         if process is not None:
-            self.routing.sent(process, now)
+            self.routing.record_sent(process, now)
         return process
 
     def _send(self, call: Call, process: ProcessId, now: float) -> None:
@@ -151,11 +151,11 @@
 
     def _done(self, call: Call, process: ProcessId, sent: float, status: int, now: float) -> None:
         if status:
-            self.routing.finished(process, now - sent, status < 500, now)
+            self.routing.record_result(process, now - sent, status < 500, now)
             self.ended["answered"] += 1
             self.samples.append(Sample(call.arrived, now - call.arrived, call.rules.name))
         else:
-            self.routing.finished(process, None, False, now)
+            self.routing.record_result(process, None, False, now)
             self._retry(call, now)
         self._dispatch(call.service, now)
 
--- a/packages/core/src/apricotpath/routing.py
+++ b/packages/core/src/apricotpath/routing.py
@@ -65,14 +65,16 @@
             found = self.stats[process] = BackendStats()
         return found
 
-    def sent(self, process: ProcessId, now: float) -> None:
+    def record_sent(self, process: ProcessId, now: float) -> None:
         """Count a request that is about to be sent."""
         stats = self.of(process)
         stats.outstanding += 1
         if stats.ejections and stats.ejected_until <= now:
             stats.probing = True
 
-    def finished(self, process: ProcessId, latency_s: float | None, ok: bool, now: float) -> None:
+    def record_result(
+        self, process: ProcessId, latency_s: float | None, ok: bool, now: float
+    ) -> None:
         """Record the end of a request; `latency_s` is None if there was no answer."""
         stats = self.of(process)
         stats.outstanding -= 1
@@ -91,7 +93,7 @@
             stats.ejections += 1
             stats.failures = 0
 
-    def released(self, process: ProcessId) -> None:
+    def record_cancelled(self, process: ProcessId) -> None:
         """Record the end of a request without a result for the backend server.
 
         It was refused, or its caller disconnected.
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -264,15 +264,15 @@
         """Report the result of a try to routing, and dispatch queued requests."""
         now = anyio.current_time()
         if attempt is not None and attempt.started and not attempt.failed:
-            self.routing.finished(process, now - started, attempt.status < 500, now)
+            self.routing.record_result(process, now - started, attempt.status < 500, now)
             self.record(Answer(process, now - started, attempt.status))
         elif attempt is not None and (attempt.failed or attempt.timed_out or _is_down(attempt)):
             # A backend server that is down refuses faster than others answer. If this did
             # not count as a failure, it would have the least load and get most requests.
-            self.routing.finished(process, None, False, now)
+            self.routing.record_result(process, None, False, now)
             self.record(Answer(process, now - started, 0))
         else:
-            self.routing.released(process)
+            self.routing.record_cancelled(process)
         queues = self._queues.get(service)
         if queues is not None and queues.size:
             self._dispatch(service, queues)
@@ -492,7 +492,7 @@
             queues.remove(queued.item)
             self._queued.pop(queued.item, None)
             if queued.process is not None:
-                self.routing.released(queued.process)
+                self.routing.record_cancelled(queued.process)
             raise
         if queued.process is None:
             raise _refusal(queued.refusal or Refusal.SHED)
@@ -504,7 +504,7 @@
         others = [c for c in candidates if c.process not in avoid]
         process = choose(others or candidates, self.routing, self.cfg.requests, self.rng, now)
         if process is not None:
-            self.routing.sent(process, now)
+            self.routing.record_sent(process, now)
         return process
 
     def _dispatch(self, service: ServiceId, queues: ClassQueues) -> None:
@@ -586,7 +586,7 @@
         started = anyio.current_time()
         row = self.hosts.rows.get(home.process)
         attempt: Attempt | None = None
-        self.routing.sent(home.process, started)
+        self.routing.record_sent(home.process, started)
         try:
             if row is None or row.link is None or row.incarnation != home.incarnation:
                 raise NotRun("The backend server has just gone.", "backend-gone")
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -24,14 +24,14 @@
     def route(self, now: float) -> str | None:
         name = choose(self.candidates, self.table, self.cfg, self.rng, now)
         if name is not None:
-            self.table.sent(name, now)
+            self.table.record_sent(name, now)
             self.sent[name] = self.sent.get(name, 0) + 1
         return name
 
     def fail(self, name: str) -> None:
         for _number in range(5):
-            self.table.sent(name, 0.0)
-            self.table.finished(name, 0.001, False, 0.0)
+            self.table.record_sent(name, 0.0)
+            self.table.record_result(name, 0.001, False, 0.0)
 
     def used(self, now: float, pending: str = "") -> set[str | None]:
         """Return the backend servers that 50 sequential requests are routed to.
@@ -43,7 +43,7 @@
             name = self.route(now)
             names.add(name)
             if name not in (None, pending):
-                self.table.finished(name, 0.001, True, now)
+                self.table.record_result(name, 0.001, True, now)
         return names
 
 
@@ -76,7 +76,7 @@
         now = number * 0.002
         for end in sorted(item for item in ends if item[0] <= now):
             ends.remove(end)
-            subject.table.finished(end[1], end[2], True, now)
+            subject.table.record_result(end[1], end[2], True, now)
         name = subject.route(now)
         latency = 0.05 if name == "b1" else 0.01
         ends.append((now + latency, name, latency))
@@ -109,7 +109,7 @@
 @then("after a probe that {probe} routing uses it {again}")
 def _(context: Any, probe: str, again: str) -> None:
     subject = context.routing
-    subject.table.finished("b1", 0.001, probe == "succeeds", 5.0)
+    subject.table.record_result("b1", 0.001, probe == "succeeds", 5.0)
     assert ("b1" in subject.used(14.9)) == (again == "at once")
     assert "b1" in subject.used(15.1)
 
@@ -137,7 +137,7 @@
             now, number = now + self.rng.expovariate(rate), number + 1
             while self.open and self.open[0][0] <= now:
                 at, _, table, process, latency = heappop(self.open)
-                table.finished(process, latency, True, at)
+                table.record_result(process, latency, True, at)
             self.send(self.tables[number % 3], number, now)
 
     def send(self, table: RoutingTable, number: int, now: float) -> None:
@@ -151,7 +151,7 @@
         heappush(slots, started_at + work)
         while slots[0] <= now:
             heappop(slots)
-        table.sent(process, now)
+        table.record_sent(process, now)
         latency = started_at + work - now
         heappush(self.open, (now + latency, number, table, process, latency))
         self.last_sent[process] = now
