--- a/packages/core/src/apricotpath/keyplaces.py
+++ b/packages/core/src/apricotpath/keyplaces.py
@@ -32,14 +32,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskPlaces:
+class RequestReplies:
     """Step: send each reservation and return the replies, None for a missing one."""
 
     asks: tuple[tuple[ProcessId, ReserveKey], ...]
 
 
 @dataclass(frozen=True, slots=True)
-class TellPlaces:
+class SendMessages:
     """Step: send messages in order without waiting for a reply."""
 
     messages: tuple[tuple[ProcessId, Message], ...]
@@ -75,7 +75,7 @@
     reason: str
 
 
-Step = AskPlaces | TellPlaces | SettleAt
+Step = RequestReplies | SendMessages | SettleAt
 Reply = Sequence[KeyReserved | None] | Settlement | None
 Result = Granted | Existing | Blocked
 
@@ -127,11 +127,11 @@
         return Blocked("no agent that holds idempotency keys can take the request")
     reservation = ReserveKey(key, service, request, home.process, home.incarnation)
     present = [place.process for place in places if place.present]
-    release = TellPlaces(tuple((process, ReleaseKey(key, request)) for process in present))
+    release = SendMessages(tuple((process, ReleaseKey(key, request)) for process in present))
     for _round in range(MAX_ROUNDS):
         replies: dict[ProcessId, KeyReserved] = {}
         for group in ([home], [p for p in places if p.present and p is not home]):
-            answers = yield AskPlaces(tuple((place.process, reservation) for place in group))
+            answers = yield RequestReplies(tuple((place.process, reservation) for place in group))
             assert isinstance(answers, Sequence)
             for place, reply in zip(group, answers, strict=True):
                 if reply is not None:
@@ -150,10 +150,10 @@
         assert isinstance(settlement, Settlement)
         if settlement is not Settlement.NEVER:
             yield release
-            yield TellPlaces(_replicate(key, service, existing, places))
+            yield SendMessages(_replicate(key, service, existing, places))
             return Existing(existing.request, settlement)
         stale = ReleaseKey(key, existing.request)
-        yield TellPlaces(tuple((process, stale) for process in present))
+        yield SendMessages(tuple((process, stale) for process in present))
     yield release
     return Blocked("other requests with the same idempotency key are in progress")
 
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -15,15 +15,15 @@
 from apricotpath.errors import LinkError, NotRun, OutcomeUnknown, RequestError
 from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId
 from apricotpath.keyplaces import (
-    AskPlaces,
     Blocked,
     Existing,
     Granted,
     Place,
     Reply,
+    RequestReplies,
+    SendMessages,
     SettleAt,
     Step,
-    TellPlaces,
     key_places,
     reserve_key,
 )
@@ -624,10 +624,10 @@
         return list(places.values())
 
     async def _perform_step(self, step: Step) -> Reply:
-        if isinstance(step, TellPlaces):
+        if isinstance(step, SendMessages):
             self._send_all(step.messages)
             return None
-        assert isinstance(step, AskPlaces)
+        assert isinstance(step, RequestReplies)
         if len(step.asks) == 1:
             return [await self._reserve(*step.asks[0])]
         replies: list[KeyReserved | None] = [None] * len(step.asks)
--- a/tests/features/steps/key_explorer.py
+++ b/tests/features/steps/key_explorer.py
@@ -5,12 +5,12 @@
 from unittest.mock import patch
 
 from apricotpath.keyplaces import (
-    AskPlaces,
     Blocked,
     Granted,
     Place,
+    RequestReplies,
+    SendMessages,
     SettleAt,
-    TellPlaces,
     reserve_key,
 )
 from apricotpath.messages import ReleaseKey, ReserveKey, Settle
@@ -71,7 +71,7 @@
         self.history.append(repr(reply))
         try:
             step = self.steps.send(reply)
-            while isinstance(step, TellPlaces):
+            while isinstance(step, SendMessages):
                 for name, message in step.messages:
                     self.send(name, message)
                 step = self.steps.send(None)
@@ -84,7 +84,7 @@
             else:
                 self.send(step.process, step.settle)
             return
-        assert isinstance(step, AskPlaces)
+        assert isinstance(step, RequestReplies)
         self.replies = [None] * len(step.asks)
         self.waiting = 0
         for index, (name, ask) in enumerate(step.asks):
