Rename RequestTable.never, unsent and done to mark_*

The methods set the state of a request. exchange_steps patches RequestTable.mark_never_run by its name as a text (WORD). never is also a local in settle.py, unsent a buffer in agentrequests.py and a step method in settle_steps.py (splits).

--- a/packages/core/src/apricotpath/settle.py
+++ b/packages/core/src/apricotpath/settle.py
@@ -118,11 +118,11 @@
         record.state = RequestState.RUNNING
         return True
 
-    def never(self, request: RequestId, now: float) -> bool:
+    def mark_never_run(self, request: RequestId, now: float) -> bool:
         """Record that a request must not run; false if it may have started already.
 
         For a request in state RUNNING that did not reach the backend server,
-        call `unsent` first.
+        call `mark_unsent` first.
         """
         record = self.records.get(request)
         if record is None:
@@ -135,13 +135,13 @@
             record.keep_until = max(record.keep_until, now + self.keyed_keep_s)
         return record.state is RequestState.NEVER
 
-    def unsent(self, request: RequestId) -> None:
+    def mark_unsent(self, request: RequestId) -> None:
         """Revert `run` for a request that did not reach the backend server."""
         record = self.records[request]
         if record.state is RequestState.RUNNING:
             record.state = RequestState.QUEUED
 
-    def done(self, request: RequestId, answer: Answer | None, reason: str, now: float) -> None:
+    def mark_done(self, request: RequestId, answer: Answer | None, reason: str, now: float) -> None:
         """Record the end of a request; without an answer it settles as UNKNOWN."""
         record = self.records[request]
         record.state, record.reason = RequestState.DONE, reason
@@ -167,7 +167,7 @@
         if record is None:
             if self._may_have_been_dropped(request):
                 return SettleView(Settlement.UNKNOWN, "the request is no longer remembered")
-            self.never(request, now)
+            self.mark_never_run(request, now)
             return SettleView(Settlement.NEVER)
         if record.keyed:
             record.keep_until = max(record.keep_until, now + self.keyed_keep_s)
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -374,7 +374,7 @@
 
     def _refuse(self, request: RequestId, link: Link, reason: str) -> None:
         """Mark a request so that it never runs, and send the refusal."""
-        if not self.table.never(request, anyio.current_time()):
+        if not self.table.mark_never_run(request, anyio.current_time()):
             return
         self.refused += 1
         message = RequestRefused(request, reason, RETRY_AFTER_MS)
@@ -401,7 +401,7 @@
         try:
             req = self._build_request(admitted)
             if req is None:
-                self.table.unsent(request)
+                self.table.mark_unsent(request)
                 self._refuse(request, admitted.link, "the request is not valid HTTP")
                 return
             with anyio.CancelScope(deadline=admitted.deadline) as admitted.scope:
@@ -410,7 +410,7 @@
             if answer is not None or reason == TOO_LARGE:
                 self._pressure.add(admitted.start.request_class, now - started, now)
         except (HttpConnectError, HttpConnectTimeout):
-            self.table.unsent(request)
+            self.table.mark_unsent(request)
             self._refuse(request, admitted.link, BACKEND_DOWN)
             return
         except HTTPError as exc:
@@ -425,7 +425,7 @@
     def _finish(self, admitted: AdmittedRequest, answer: Answer | None, reason: str) -> None:
         """Store the answer, and send the result to the links that wait for it."""
         request = admitted.start.request
-        self.table.done(request, answer, reason, anyio.current_time())
+        self.table.mark_done(request, answer, reason, anyio.current_time())
         if answer is None and reason != TOO_LARGE:
             self._post(admitted.link, RequestFailed(request, reason))
         for link in admitted.waiting_links:
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -398,7 +398,7 @@
 
 PROTECTIONS = {
     "the majority": ("apricotpath.keyplaces.majority", lambda count: 1),
-    "the tombstone": ("apricotpath.settle.RequestTable.never", lambda *args: True),
+    "the tombstone": ("apricotpath.settle.RequestTable.mark_never_run", lambda *args: True),
 }
 
 
--- a/tests/features/steps/settle_steps.py
+++ b/tests/features/steps/settle_steps.py
@@ -26,7 +26,7 @@
 
     def answered(self, size: int) -> None:
         self.begin()
-        self.requests.done(REQUEST, kept(size), "", self.now)
+        self.requests.mark_done(REQUEST, kept(size), "", self.now)
 
     def begin(self) -> None:
         self.requests.start(REQUEST, False, 10.0, self.now)
@@ -34,25 +34,25 @@
 
     def refused(self) -> None:
         self.requests.start(REQUEST, False, 10.0, self.now)
-        assert self.requests.never(REQUEST, self.now)
+        assert self.requests.mark_never_run(REQUEST, self.now)
         assert not self.requests.run(REQUEST)
 
     def unsent(self) -> None:
         self.begin()
-        assert not self.requests.never(REQUEST, self.now)
-        self.requests.unsent(REQUEST)
-        assert self.requests.never(REQUEST, self.now)
+        assert not self.requests.mark_never_run(REQUEST, self.now)
+        self.requests.mark_unsent(REQUEST)
+        assert self.requests.mark_never_run(REQUEST, self.now)
 
     def failed(self) -> None:
         self.begin()
-        self.requests.done(REQUEST, None, "cut", self.now)
+        self.requests.mark_done(REQUEST, None, "cut", self.now)
 
     def fill(self, count: int) -> None:
         for number in range(100, 100 + count):
             request = request_id("entry", number)
             self.requests.start(request, False, 10.0, self.now)
             self.requests.run(request)
-            self.requests.done(request, kept(100), "", self.now)
+            self.requests.mark_done(request, kept(100), "", self.now)
 
     def forget(self) -> None:
         self.now = 10000.0
