Name the executor's lease renewal and its report

Executor.hold extends the leases of all runs and Holding lists the runs and endings of the executor: renew_lease and ExecutorReport, with the constants, fields and log texts that speak of them. ExecutorSilent is ExecutorUnavailable.

--- a/packages/core/src/apricotpath/executor.py
+++ b/packages/core/src/apricotpath/executor.py
@@ -13,7 +13,7 @@
     """The executor did not carry out a call."""
 
 
-class ExecutorSilent(ExecutorError):
+class ExecutorUnavailable(ExecutorError):
     """No answer arrived; the call may have been executed or may still be."""
 
 
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Holding:
+class ExecutorReport:
     """All runs and unacknowledged run ends of an executor at `clock_ms` of its clock.
 
     `born_ms` is its start time, or 0 if the executor did not report it.
@@ -56,9 +56,9 @@
     A restarted executor raises ExecutorReplaced.
     """
 
-    async def hold(
+    async def renew_lease(
         self, fence: FenceToken, acked_ending: int, deadline_ms: int | None, wait_s: float
-    ) -> Holding:
+    ) -> ExecutorReport:
         """Extend the leases of all runs to a deadline and return the runs and run ends.
 
         Ends up to number `acked_ending` are acknowledged, so the executor drops them.
--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -44,6 +44,6 @@
     granted_until: float = 0.0
     acked_ending: int = 0
     reported: bool = False
-    hold_failed: bool = False
+    renewal_failed: bool = False
     reported_runs: set[tuple[TaskId, int]] = field(default_factory=set)
     views: dict[tuple[TaskId, int], RunView] = field(default_factory=dict)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -15,8 +15,8 @@
     ExecutorError,
     ExecutorFenced,
     ExecutorReplaced,
-    ExecutorSilent,
-    Holding,
+    ExecutorReport,
+    ExecutorUnavailable,
     StartCall,
 )
 from apricotpath.fleet import FleetSettings
@@ -46,11 +46,11 @@
 
 log = logging.getLogger(__name__)
 
-# A hold call waits this long for an ending, which bounds the interval of reports and renewals.
+# A renewal waits this long for an ending, which bounds the interval of reports and renewals.
 # With serving tasks on the host, the pace of filler tasks needs more frequent readings.
-HOLD_WAIT_S = 0.8
-SERVING_HOLD_WAIT_S = 0.4
-HOLD_RETRY_S = 0.1
+RENEWAL_WAIT_S = 0.8
+SERVING_RENEWAL_WAIT_S = 0.4
+RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
 # Pause between two attempts of an order that the executor did not answer.
 ORDER_RETRY_S = 0.05
@@ -149,7 +149,7 @@
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             while True:
-                await self._hold_once()
+                await self._renew_once()
 
     async def _attach_forever(self) -> None:
         while True:
@@ -187,7 +187,7 @@
         self._signal()
         return True
 
-    async def _hold_once(self) -> None:
+    async def _renew_once(self) -> None:
         attached, executor = self.attachment, self.executor
         if attached is None or executor is None:
             changed = self.changed
@@ -195,50 +195,52 @@
                 await changed.wait()
             return
         sent = boot_s()
-        wait_s = self._hold_wait_s(attached)
+        wait_s = self._renewal_wait_s(attached)
         try:
-            holding = await executor.hold(
+            report = await executor.renew_lease(
                 attached.fence, attached.acked_ending, self._deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
-            log.warning("hold refused: %s", exc)
+            log.warning("lease renewal refused: %s", exc)
             self._end_attachment(attached, "a higher fencing token was used")
         except ExecutorReplaced as exc:
-            log.warning("hold refused: %s", exc)
-            await anyio.sleep(HOLD_RETRY_S)
+            log.warning("lease renewal refused: %s", exc)
+            await anyio.sleep(RENEWAL_RETRY_S)
         except ExecutorError as exc:
-            log.info("hold failed: %s", exc)
-            attached.hold_failed = True
-            await anyio.sleep(HOLD_RETRY_S)
+            log.info("lease renewal failed: %s", exc)
+            attached.renewal_failed = True
+            await anyio.sleep(RENEWAL_RETRY_S)
         else:
-            attached.hold_failed = False
+            attached.renewal_failed = False
             if attached is self.attachment:
-                await self._handle_holding(attached, holding, sent)
+                await self._handle_report(attached, report, sent)
 
-    def _hold_wait_s(self, attached: Attachment) -> float:
-        """Return how long the next hold call may wait; 0 after a failed one."""
-        if not attached.reported or attached.hold_failed:
+    def _renewal_wait_s(self, attached: Attachment) -> float:
+        """Return how long the next renewal may wait; 0 after a failed one."""
+        if not attached.reported or attached.renewal_failed:
             return 0.0
         serving = any(view.target_ms > 0 for view in attached.views.values())
-        return SERVING_HOLD_WAIT_S if serving else HOLD_WAIT_S
+        return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
 
     def _end_attachment(self, attached: Attachment, reason: str) -> None:
         if attached is self.attachment:
             self._detach(reason)
 
-    async def _handle_holding(self, attached: Attachment, holding: Holding, sent: float) -> None:
+    async def _handle_report(
+        self, attached: Attachment, report: ExecutorReport, sent: float
+    ) -> None:
         """Report the executor's runs and endings, and adjust the pace of filler tasks."""
-        if holding.born_ms and attached.facts.born_ms and holding.born_ms != attached.facts.born_ms:
+        if report.born_ms and attached.facts.born_ms and report.born_ms != attached.facts.born_ms:
             # The executor has restarted; its next heartbeat leads to a new attachment.
-            await anyio.sleep(HOLD_RETRY_S)
+            await anyio.sleep(RENEWAL_RETRY_S)
             return
-        self._clock_ms, self._clock_at = holding.clock_ms, boot_s()
+        self._clock_ms, self._clock_at = report.clock_ms, boot_s()
         reported_runs = attached.reported_runs = {
-            (status.task, status.run) for status in holding.runs
+            (status.task, status.run) for status in report.runs
         }
-        for ending in holding.endings:
+        for ending in report.endings:
             attached.views.pop((ending.task, ending.run), None)
-        self._report(attached, holding.runs, holding.endings)
+        self._report(attached, report.runs, report.endings)
         missing = [
             name
             for name, view in attached.views.items()
@@ -247,7 +249,7 @@
         for task, run in missing:
             del attached.views[task, run]
             self._answer(attached, task, run, StartAnswer.REFUSED)
-        await self._adjust_pace(attached, holding.runs)
+        await self._adjust_pace(attached, report.runs)
 
     def _report(
         self,
@@ -403,7 +405,7 @@
             try:
                 sent = True
                 return await self.executor.start(call, attached.fence)
-            except ExecutorSilent as exc:
+            except ExecutorUnavailable as exc:
                 log.info("start not answered: %s", exc, extra={"task": order.task})
             except ExecutorFenced:
                 self._end_attachment(attached, "a higher fencing token was used")
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -8,7 +8,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
-from apricotpath.executor import ExecutorSilent, StartCall
+from apricotpath.executor import ExecutorUnavailable, StartCall
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
@@ -59,7 +59,7 @@
             return self.model.start(call, fence)
         self._group.start_soon(self._execute_late, self.model.start, call, fence)
         await anyio.sleep(0.5)
-        raise ExecutorSilent("no answer")
+        raise ExecutorUnavailable("no answer")
 
 
 class SchedulerLink:
--- a/tests/features/steps/platforminput_steps.py
+++ b/tests/features/steps/platforminput_steps.py
@@ -67,7 +67,7 @@
     "configuration": (parse_configuration, InputError),
     "heartbeat": (lambda data: parse_heartbeat("i-1", data, 0.0), InputError),
     "holding": (
-        lambda data: executorcalls.read_holding(httpx.Response(200, content=data)),
+        lambda data: executorcalls.read_report(httpx.Response(200, content=data)),
         ExecutorError,
     ),
     "settings": (read_settings, SettingsError),
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -9,8 +9,8 @@
 from apricotpath.executor import (
     ExecutorFenced,
     ExecutorReplaced,
-    ExecutorSilent,
-    Holding,
+    ExecutorReport,
+    ExecutorUnavailable,
     StartCall,
 )
 from apricotpath.ids import FenceToken, TaskId
@@ -182,13 +182,13 @@
         await anyio.sleep(ANSWER_DELAY_S)
         if self.unresponsive:
             await anyio.sleep(0.5)
-            raise ExecutorSilent("no answer")
+            raise ExecutorUnavailable("no answer")
         if self.model.born_ms != self.born_ms:
             raise ExecutorReplaced("the executor has restarted")
 
-    async def hold(
+    async def renew_lease(
         self, fence: FenceToken, acked_ending: int, deadline_ms: int | None, wait_s: float
-    ) -> Holding:
+    ) -> ExecutorReport:
         await self._wait_for_answer()
         model = self.model
         model.check_fence(fence)
@@ -203,7 +203,7 @@
             with anyio.move_on_after(max(0.001, min(soonest, ends_at) - boot_s())):
                 await changed.wait()
             model.work()
-        return Holding(
+        return ExecutorReport(
             model.clock_ms(),
             model.born_ms,
             tuple(
@@ -217,14 +217,14 @@
         await self._wait_for_answer()
         if self._rng.random() < self.unanswered_share:
             self._group.start_soon(self._execute_late, self.model.start, call, fence)
-            raise ExecutorSilent("no answer")
+            raise ExecutorUnavailable("no answer")
         return self.model.start(call, fence)
 
     async def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
         await self._wait_for_answer()
         if self._rng.random() < self.unanswered_share:
             self._group.start_soon(self._execute_late, self.model.stop, task, run, fence)
-            raise ExecutorSilent("no answer")
+            raise ExecutorUnavailable("no answer")
         self.model.stop(task, run, fence)
 
     async def _execute_late(self, execute: object, *args: object) -> None:
