Name the acknowledged ending of a lease renewal

The parameter noted of Executor.renew_lease is the number of the last acknowledged ending. The local of hostagent.py is executor_report, apart from the report to the scheduler.

--- a/packages/core/src/apricotpath/executor.py
+++ b/packages/core/src/apricotpath/executor.py
@@ -57,11 +57,11 @@
     """
 
     async def renew_lease(
-        self, fence: FenceToken, acked_ending: int, deadline_ms: int | None, wait_s: float
+        self, fence: FenceToken, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> ExecutorReport:
         """Extend the leases of all runs to a deadline and return the runs and run ends.
 
-        Ends up to number `acked_ending` are acknowledged, so the executor drops them.
+        Ends up to number `acknowledged` are acknowledged, so the executor drops them.
         Waits up to `wait_s` for an end that was not returned before.
         """
 
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -197,7 +197,7 @@
         sent = boot_s()
         wait_s = self._renewal_wait_s(attached)
         try:
-            report = await executor.renew_lease(
+            executor_report = await executor.renew_lease(
                 attached.fence, attached.acked_ending, self._deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
@@ -213,7 +213,7 @@
         else:
             attached.renewal_failed = False
             if attached is self.attachment:
-                await self._handle_report(attached, report, sent)
+                await self._handle_report(attached, executor_report, sent)
 
     def _renewal_wait_s(self, attached: Attachment) -> float:
         """Return how long the next renewal may wait; 0 after a failed one."""
@@ -227,20 +227,24 @@
             self._detach(reason)
 
     async def _handle_report(
-        self, attached: Attachment, report: ExecutorReport, sent: float
+        self, attached: Attachment, executor_report: ExecutorReport, sent: float
     ) -> None:
         """Report the executor's runs and endings, and adjust the pace of filler tasks."""
-        if report.born_ms and attached.facts.born_ms and report.born_ms != attached.facts.born_ms:
+        if (
+            executor_report.born_ms
+            and attached.facts.born_ms
+            and executor_report.born_ms != attached.facts.born_ms
+        ):
             # The executor has restarted; its next heartbeat leads to a new attachment.
             await anyio.sleep(RENEWAL_RETRY_S)
             return
-        self._clock_ms, self._clock_at = report.clock_ms, boot_s()
+        self._clock_ms, self._clock_at = executor_report.clock_ms, boot_s()
         reported_runs = attached.reported_runs = {
-            (status.task, status.run) for status in report.runs
+            (status.task, status.run) for status in executor_report.runs
         }
-        for ending in report.endings:
+        for ending in executor_report.endings:
             attached.views.pop((ending.task, ending.run), None)
-        self._report(attached, report.runs, report.endings)
+        self._report(attached, executor_report.runs, executor_report.endings)
         missing = [
             name
             for name, view in attached.views.items()
@@ -249,7 +253,7 @@
         for task, run in missing:
             del attached.views[task, run]
             self._answer(attached, task, run, StartAnswer.REFUSED)
-        await self._adjust_pace(attached, report.runs)
+        await self._adjust_pace(attached, executor_report.runs)
 
     def _report(
         self,
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -187,14 +187,14 @@
             raise ExecutorReplaced("the executor has restarted")
 
     async def renew_lease(
-        self, fence: FenceToken, acked_ending: int, deadline_ms: int | None, wait_s: float
+        self, fence: FenceToken, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> ExecutorReport:
         await self._wait_for_answer()
         model = self.model
         model.check_fence(fence)
         if deadline_ms is not None:
             model.deadline = max(model.deadline, model.started_at + deadline_ms / 1000)
-        model.ends = [ending for ending in model.ends if ending.number > acked_ending]
+        model.ends = [ending for ending in model.ends if ending.number > acknowledged]
         ends_at, last_number = boot_s() + wait_s, model.numbers
         while boot_s() < ends_at and model.numbers == last_number:
             model.work()
