Rename the merging methods of Control

Control.offer* merge an update, statuses, founders or a bundle; note_read records a read of the store; refusal is the error of a rejected bundle.

--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -365,14 +365,16 @@
     @_take.register
     def _(self, event: Status) -> None:
         if self.modes.statuses:
-            self.control.offer_statuses(
+            self.control.merge_statuses(
                 (DataCentreStatus(event.data_centre, event.seq, event.state),)
             )
 
     @_take.register
     def _(self, event: BundleInForce) -> None:
-        if not self.control.offer_bundle(seal(event.text.encode(), self._key).to_bytes()):
-            raise TraceError(f"the trace has a bundle that is not valid: {self.control.refusal}")
+        if not self.control.merge_bundle(seal(event.text.encode(), self._key).to_bytes()):
+            raise TraceError(
+                f"the trace has a bundle that is not valid: {self.control.bundle_error}"
+            )
 
 
 def run_once(trace: Trace, modes: Modes | None = None, seed: int | None = None) -> Result:
--- a/packages/core/src/apricotpath/control.py
+++ b/packages/core/src/apricotpath/control.py
@@ -46,7 +46,7 @@
         self._settings_trust = Trust.of(tuple(trusted_keys))
         self.bundle: Bundle | None = None
         self.envelope = b""
-        self.refusal = ""
+        self.bundle_error = ""
         self._bundle_keys: dict[KeyId, str] = {}
         self._statuses: dict[DataCentreId, DataCentreStatus] = {}
         self._founders: dict[ServiceId, frozenset[IncarnationId]] = {}
@@ -71,7 +71,7 @@
         revoked = self.bundle.revoked_keys if self.bundle is not None else ()
         return Trust({**self._settings_trust.keys, **self._bundle_keys}, frozenset(revoked))
 
-    def note_read(self, started_at: float) -> None:
+    def record_store_read(self, started_at: float) -> None:
         """Record a successful control read of the store; `started_at` is monotonic seconds."""
         if self._read_at is None or started_at > self._read_at:
             self._read_at = started_at
@@ -80,20 +80,20 @@
         """Tell whether the last control read began at most `fresh_s` ago."""
         return self._read_at is not None and now - self._read_at <= cfg.fresh_s
 
-    def offer(self, update: ControlUpdate) -> bool:
+    def merge_update(self, update: ControlUpdate) -> bool:
         """Merge an update and return whether anything changed.
 
-        The error of a rejected bundle is kept in `refusal`; the rest of the
+        The error of a rejected bundle is kept in `bundle_error`; the rest of the
         update is still merged.
         """
-        changed = self.offer_statuses(update.statuses)
+        changed = self.merge_statuses(update.statuses)
         for founders in update.founders:
-            changed |= self.offer_founders(founders.service, founders.incarnations)
+            changed |= self.merge_founders(founders.service, founders.incarnations)
         if update.bundle and update.bundle_version > self.bundle_version:
-            changed |= self.offer_bundle(update.bundle)
+            changed |= self.merge_bundle(update.bundle)
         return changed
 
-    def offer_statuses(self, statuses: Iterable[DataCentreStatus]) -> bool:
+    def merge_statuses(self, statuses: Iterable[DataCentreStatus]) -> bool:
         """Merge data-centre statuses and return whether any changed."""
         changed = False
         for status in statuses:
@@ -102,7 +102,7 @@
                 changed = True
         return changed
 
-    def offer_founders(self, service: ServiceId, founders: Iterable[IncarnationId]) -> bool:
+    def merge_founders(self, service: ServiceId, founders: Iterable[IncarnationId]) -> bool:
         """Store a service's founders unless they are already set; return whether they were stored.
 
         The record in the store is written only once, so the first value is kept.
@@ -112,12 +112,12 @@
         self._founders[service] = frozenset(founders)
         return True
 
-    def offer_bundle(self, data: bytes) -> bool:
+    def merge_bundle(self, data: bytes) -> bool:
         """Activate a signed bundle if it is valid and newer; return whether it was activated."""
         try:
             envelope, bundle = self._verify_bundle(data)
         except InputError as exc:
-            self.refusal = str(exc)
+            self.bundle_error = str(exc)
             log.warning("bundle rejected: %s", exc)
             return False
         if bundle.version <= self.bundle_version:
@@ -155,7 +155,7 @@
             key: text for key, text in keys.items() if text in in_chain or key == envelope.key
         }
         self._bundle_keys |= {key_id(text): text for text in bundle.trusted_keys}
-        self.envelope, self.bundle, self.refusal = data, bundle, ""
+        self.envelope, self.bundle, self.bundle_error = data, bundle, ""
         self._quiet_cache = {}
         self._services = {
             name: ServiceRules(
--- a/packages/daemon/src/apricotpathd/controlflow.py
+++ b/packages/daemon/src/apricotpathd/controlflow.py
@@ -127,10 +127,10 @@
         process = link.peer.process_id
         self._record_peer(process, body)
         if isinstance(body, ControlUpdate):
-            changed = self.control.offer(body)
+            changed = self.control.merge_update(body)
             self._answer(link, envelope.id)
         else:
-            changed = self.control.offer_statuses(body.statuses)
+            changed = self.control.merge_statuses(body.statuses)
         if changed:
             self.publish()
         peer = self.peers.get(process)
@@ -150,12 +150,12 @@
         written back; a failed write is retried after the next read.
         """
         store_statuses = {status.data_centre: status for status in statuses}
-        changed = self.control.offer_statuses(store_statuses.values())
+        changed = self.control.merge_statuses(store_statuses.values())
         for service, incarnations in founders.items():
-            changed |= self.control.offer_founders(service, incarnations)
+            changed |= self.control.merge_founders(service, incarnations)
         if bundle and bundle != self.control.envelope:
-            changed |= self.control.offer_bundle(bundle)
-        self.control.note_read(started_at)
+            changed |= self.control.merge_bundle(bundle)
+        self.control.record_store_read(started_at)
         self._record_stored(store_statuses)
         if changed:
             self.publish()
--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -96,5 +96,5 @@
                 log.info("founders of service %s not recorded yet: %s", service, exc)
                 continue
             log.info("founders recorded", extra={"service": service, "founders": len(founders)})
-            if self.control.offer_founders(service, founders):
+            if self.control.merge_founders(service, founders):
                 self.on_founders_recorded()
--- a/packages/daemon/src/apricotpathd/services.py
+++ b/packages/daemon/src/apricotpathd/services.py
@@ -42,7 +42,7 @@
             return self._bundle_answer(control.bundle_version)
         bundle = control.check_bundle(envelope)
         await self.parts.members.put_bundle(envelope, bundle.version)
-        if control.offer_bundle(envelope):
+        if control.merge_bundle(envelope):
             self.flow.publish()
         return self._bundle_answer(bundle.version)
 
@@ -93,7 +93,7 @@
             return
 
     def _apply_status(self, status: DataCentreStatus) -> None:
-        if self.parts.control.offer_statuses([status]):
+        if self.parts.control.merge_statuses([status]):
             self.flow.publish()
 
     def _status_answer(self, status: DataCentreStatus) -> Json:
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -92,7 +92,7 @@
         control = SimpleNamespace(
             has_founders=lambda service: False,
             service_rules=lambda service: service,
-            offer_founders=lambda service, founders: True,
+            merge_founders=lambda service, founders: True,
         )
         registry = HostRegistry(cfg.policy, HostTable(), control, members, lambda: None)
         self.members.append(members)
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -35,7 +35,7 @@
         self.key = generate_key()
         self.entries = MemoryEntries(["one", "two"], [self.key.public_text])
         for services in self.entries.services.values():
-            services.control.offer_bundle(signed(self.key, 1))
+            services.control.merge_bundle(signed(self.key, 1))
         self.code, self.out, self.err = -1, "", ""
         save_key(self.key, folder / "key")
         save_key(generate_key(), folder / "stranger")
@@ -87,7 +87,7 @@
             one.store_out = two.store_out = True
         elif fault == "another bundle 2":
             for services in (one, two):
-                services.control.offer_bundle(signed(self.key, 2, region="elsewhere"))
+                services.control.merge_bundle(signed(self.key, 2, region="elsewhere"))
         elif fault == "another operator's bring-back":
             one.in_force = two.in_force = False
             self.entries.on_write = self._bring_back
@@ -96,7 +96,7 @@
 
     def _bring_back(self) -> None:
         for services in self.entries.services.values():
-            services.control.offer_statuses([status("suva-depot", 9, "in")])
+            services.control.merge_statuses([status("suva-depot", 9, "in")])
 
     def unchanged(self) -> bool:
         return self._files() == self.before and not self.entries.changes
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -46,7 +46,7 @@
         self.key = generate_key()
         self.control = self.fresh()
         if version:
-            assert self.control.offer_bundle(signed(self.key, version))
+            assert self.control.merge_bundle(signed(self.key, version))
         self.updates: list[ControlUpdate] = []
         self.end_states: set[tuple[Any, ...]] = set()
         self.regressions: list[str] = []
@@ -60,7 +60,7 @@
             control = self.fresh()
             for item in order:
                 before = control.ack()
-                control.offer(item)
+                control.merge_update(item)
                 self._record_regressions(before, control)
             founders = control.founders("scraps")  # type: ignore[arg-type]
             self.end_states.add((control.bundle_version, control.statuses(), founders))
@@ -81,7 +81,7 @@
         ):
             control = self.fresh()
             for item in order:
-                control.offer(update(0, b"", item))
+                control.merge_update(update(0, b"", item))
             self.race_results.append(control.status(item.data_centre).state)
 
     def update_with_invalid_bundle(self, name: str) -> ControlUpdate:
@@ -159,7 +159,7 @@
 
 @when("an update brings {bundle} with a take-out")
 def _(context: Any, bundle: str) -> None:
-    assert context.control.control.offer(context.control.update_with_invalid_bundle(bundle))
+    assert context.control.control.merge_update(context.control.update_with_invalid_bundle(bundle))
 
 
 @then("bundle 1 stays in force and the take-out is applied")
@@ -175,8 +175,8 @@
 def _(context: Any) -> None:
     subject = context.control
     subject.new = rotate_key(subject.key)
-    assert subject.control.offer_bundle(signed(subject.new, 2))
-    assert subject.control.offer_bundle(signed(subject.new, 3, revoked_keys=(subject.key.key_id,)))
+    assert subject.control.merge_bundle(signed(subject.new, 2))
+    assert subject.control.merge_bundle(signed(subject.new, 3, revoked_keys=(subject.key.key_id,)))
 
 
 @then("a bundle 4 by {signer} is {result}")
@@ -188,7 +188,7 @@
         "the rotated key": subject.new,
     }
     data = signed(keys[signer], 4, revoked_keys=(subject.key.key_id,))
-    assert subject.control.offer_bundle(data) is (result == "accepted")
+    assert subject.control.merge_bundle(data) is (result == "accepted")
 
 
 @when("bundle 2 by a rotated key revokes the old one and lists the key of a colleague as trusted")
@@ -211,9 +211,9 @@
 def _(context: Any, signer: str, result: str) -> None:
     subject = context.control
     for control in (subject.control, subject.fresh()):
-        assert control.offer_bundle(subject.handover_bundle)
+        assert control.merge_bundle(subject.handover_bundle)
         bundle = signed(subject.signers[signer], 3)
-        assert control.offer_bundle(bundle) is (result == "accepted")
+        assert control.merge_bundle(bundle) is (result == "accepted")
 
 
 @then("submitting bundle {version:d} gives {result}")
@@ -233,7 +233,7 @@
 @when("control reads began at {reads}")
 def _(context: Any, reads: str) -> None:
     for text in reads.split(",") if reads != "none" else ():
-        context.control.control.note_read(float(text))
+        context.control.control.record_store_read(float(text))
 
 
 @then("at {now:g} s the control state is {fresh}")
@@ -243,7 +243,7 @@
 
 @when("the control state gets status {state} of {dc}")
 def _(context: Any, dc: str, state: str) -> None:
-    context.control.control.offer_statuses([status(dc, 1, state)])
+    context.control.control.merge_statuses([status(dc, 1, state)])
 
 
 @then("work of {team} doing {activity} in {dc} is refused by: {rule}")
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -107,7 +107,7 @@
 
     async def take_out(self, name: str) -> None:
         flow = self.flows[name]
-        assert flow.control.offer_statuses([TAKE_OUT])
+        assert flow.control.merge_statuses([TAKE_OUT])
         flow.publish()
 
     async def heartbeats(self, sender: str, receiver: str, seconds: int) -> None:
--- a/tests/features/steps/operator_standin.py
+++ b/tests/features/steps/operator_standin.py
@@ -47,7 +47,7 @@
         self._read_store()
         bundle = self.control.check_bundle(envelope)
         self.store.bundle = envelope
-        self.control.offer_bundle(envelope)
+        self.control.merge_bundle(envelope)
         self.changes.append(f"bundle {bundle.version}")
         return {"version": bundle.version, "in_force": self.in_force}
 
@@ -63,7 +63,7 @@
         if current != requested:
             if current.seq >= seq:
                 raise ConflictError(f"the status of {dc} has seq {current.seq} already")
-            self.control.offer_statuses([requested])
+            self.control.merge_statuses([requested])
             if state is ServiceState.IN:
                 self.store.statuses.append(requested)
             self.changes.append(f"{dc} {state.value}")
@@ -130,8 +130,8 @@
 
     def _read_store(self) -> None:
         if self.store.bundle:
-            self.control.offer_bundle(self.store.bundle)
-        self.control.offer_statuses(self.store.statuses)
+            self.control.merge_bundle(self.store.bundle)
+        self.control.merge_statuses(self.store.statuses)
 
     def _require_store(self) -> None:
         if self.store_out:
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -25,7 +25,7 @@
         self.entries = MemoryEntries(["one"], [self.key.public_text])
         self.services = self.entries.services["one"]
         self.services.is_ready = ready
-        assert self.services.control.offer_bundle(signed(self.key, 1))
+        assert self.services.control.merge_bundle(signed(self.key, 1))
         self.answer = httpx.Response(0)
         self.changes_before: list[str] = []
         self.nonce = 0
