--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -82,7 +82,7 @@
         self.store = store
         self.leader: LeaderRecord | None = None
         self.term: Term | None = None
-        self.contact_at = float("-inf")
+        self.last_store_contact_at = float("-inf")
         self.leaving = False
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
@@ -130,7 +130,7 @@
         except StoreError as exc:
             log.info("resignation not stored: %s", exc)
 
-    def outranked(self, epoch: Epoch) -> None:
+    def step_down_for(self, epoch: Epoch) -> None:
         """End this entry's term if `epoch` is later than its own."""
         if self.term is not None and epoch > self.term.epoch and self._term_scope is not None:
             log.warning("term ended by a leader with a later epoch", extra={"epoch": epoch})
@@ -143,7 +143,7 @@
                 self.leader = record
                 log.info("leader seen", extra={"entry": record.entry, "epoch": record.epoch})
                 if record.incarnation != self._incarnation:
-                    self.outranked(record.epoch)
+                    self.step_down_for(record.epoch)
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -163,7 +163,7 @@
                     elif self.mirror.loaded.is_set() and self._registration_missing():
                         await self._register(self._lease)
                 if not scope.cancelled_caught:
-                    self.contact_at = started
+                    self.last_store_contact_at = started
             except StoreLeaseEnded:
                 self._lease = None
             except StoreError as exc:
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -71,7 +71,7 @@
         term: Term,
         table: JobTable,
         cfg: FleetSettings,
-        contact_at: Callable[[], float],
+        last_store_contact_at: Callable[[], float],
         wake: Callable[[], None],
     ) -> None:
         self.hosts: dict[HostId, Host] = {}
@@ -79,7 +79,7 @@
         self.endings: deque[ReportedEnding] = deque()
         self.lost_runs: deque[LostRun] = deque()
         self._term, self._table, self._cfg = term, table, cfg
-        self._contact_at, self._wake = contact_at, wake
+        self._last_store_contact_at, self._wake = last_store_contact_at, wake
         self._fences_issued = 0
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
@@ -155,7 +155,7 @@
 
     def _grant(self, host: Host, link: Link, renewal: int, now: float) -> None:
         """Renew the lease of a host's runs, unless a later scheduler may consider it expired."""
-        if now - self._contact_at() > self._cfg.authority_s:
+        if now - self._last_store_contact_at() > self._cfg.authority_s:
             return
         host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -100,7 +100,7 @@
 
     def _epoch_seen(self, epoch: Epoch) -> None:
         """End this entry's term if it is outdated, and announce the new leader to linked agents."""
-        self.election.outranked(epoch)
+        self.election.step_down_for(epoch)
         for link in list(self.process.links):
             self._announce_leader(link)
 
@@ -121,7 +121,7 @@
             self.prefix,
             self.cfg,
             self._rules,
-            lambda: max(self.election.contact_at, self.election.mirror.read_at or 0.0),
+            lambda: max(self.election.last_store_contact_at, self.election.mirror.read_at or 0.0),
             self._publish,
             self._metrics,
             self._utc,
@@ -185,7 +185,7 @@
                 await link.send(Failure("not-leader", "this entry schedules no jobs"), envelope.id)
             return
         if isinstance(body, HostAttach):
-            self.election.outranked(body.epoch)
+            self.election.step_down_for(body.epoch)
             await link.send(scheduler.board.attach(link, body), envelope.id)
         elif isinstance(body, HostRuns):
             scheduler.board.receive_report(link, body)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -94,7 +94,7 @@
         prefix: str,
         cfg: FleetSettings,
         rules: Callable[[], Rules],
-        contact_at: Callable[[], float],
+        last_store_contact_at: Callable[[], float],
         publish: Callable[[JobStatuses], None],
         metrics: JobMetrics,
         utc: Callable[[], float],
@@ -112,7 +112,7 @@
         self._wake = anyio.Event()
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
-        self.board = HostTracker(term, self.table, cfg, contact_at, self.wake)
+        self.board = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
         self._run_stops = RunStops(self.table, self.board, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
