--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -13,7 +13,7 @@
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreOutcomeUnknown
 from apricotpath.ids import Epoch, IncarnationId, ProcessId
 from apricotpath.jsontext import json_bytes
-from apricotpath.mirror import FeedStore, Mirror
+from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.store import Compare, Delete, LeaseId, Put, new_token
 
 log = logging.getLogger(__name__)
@@ -71,7 +71,7 @@
 
     def __init__(
         self,
-        store: FeedStore,
+        store: WatchableStore,
         cfg: ElectionSettings,
         entry: ProcessId,
         incarnation: IncarnationId,
--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -17,7 +17,7 @@
 RETRY_MAX_S = 0.4
 
 
-class HistoryGone(StoreError):
+class HistoryCompacted(StoreError):
     """The store has compacted the changes after the requested revision."""
 
 
@@ -29,13 +29,13 @@
     revision: int
 
 
-class FeedStore(Store, Protocol):
+class WatchableStore(Store, Protocol):
     """A store that can be polled for changes."""
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes of a prefix after a revision; wait up to `wait_s` for the first.
 
-        Returns no events if the wait ends without a change. Raises HistoryGone, or
+        Returns no events if the wait ends without a change. Raises HistoryCompacted, or
         StoreUnavailable if there was no answer.
         """
 
@@ -52,7 +52,7 @@
     """
 
     def __init__(
-        self, store: FeedStore, prefix: str, on_change: OnChange, wait_s: float = 1.0
+        self, store: WatchableStore, prefix: str, on_change: OnChange, wait_s: float = 1.0
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -85,7 +85,7 @@
                 if not reachable:
                     log.info("store reachable again", extra={"prefix": self.prefix})
                 reachable = True
-            except HistoryGone:
+            except HistoryCompacted:
                 log.info("store history compacted; reading all keys", extra={"prefix": self.prefix})
                 needs_full_read = True
             except StoreError as exc:
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -25,7 +25,7 @@
     Message,
     OrderAnswers,
 )
-from apricotpath.mirror import FeedStore
+from apricotpath.mirror import WatchableStore
 from apricotpath.model import Role
 from apricotpathd.dialler import Dialler
 from apricotpathd.jobdesk import JobDesk
@@ -47,7 +47,7 @@
     def __init__(
         self,
         process: Process,
-        store: FeedStore,
+        store: WatchableStore,
         cfg: FleetSettings,
         election: ElectionSettings,
         address: Address,
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -23,7 +23,7 @@
     RunOrder,
     StartRuns,
 )
-from apricotpath.mirror import FeedStore, Mirror
+from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.runlog import MAX_EXTRA, SNAPSHOT_EVERY, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import (
@@ -90,7 +90,7 @@
     def __init__(
         self,
         term: Term,
-        store: FeedStore,
+        store: WatchableStore,
         prefix: str,
         cfg: FleetSettings,
         rules: Callable[[], Rules],
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -7,7 +7,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.errors import StoreLeaseEnded, StoreOutcomeUnknown, StoreUnavailable
-from apricotpath.mirror import Changes, HistoryGone
+from apricotpath.mirror import Changes, HistoryCompacted
 from apricotpath.store import (
     Compare,
     Delete,
@@ -102,7 +102,7 @@
 
 
 class MemoryStore:
-    """A client of the shared store; implements `apricotpath.mirror.FeedStore`."""
+    """A client of the shared store; implements `apricotpath.mirror.WatchableStore`."""
 
     def __init__(self, shared: SharedStore) -> None:
         self.shared = shared
@@ -140,7 +140,7 @@
         while True:
             await self._simulate_call()
             if after < self.shared.forgotten:
-                raise HistoryGone("forgotten")
+                raise HistoryCompacted("forgotten")
             found = tuple(
                 event
                 for event in self.shared.history
