--- a/packages/core/src/apricotpath/boottime.py
+++ b/packages/core/src/apricotpath/boottime.py
@@ -16,7 +16,7 @@
     return _clock()
 
 
-def use_source(source: Callable[[], float] | None) -> None:
+def set_clock(source: Callable[[], float] | None) -> None:
     """Replace the clock, for tests with virtual time; None restores the system clock."""
     global _clock
     _clock = source or _system_boot_s
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from apricotpath.boottime import boot_s, use_source
+from apricotpath.boottime import boot_s, set_clock
 from apricotpath.config import Address
 from apricotpath.ids import HostId, ProcessId
 from apricotpathd.entrylinks import EntryLinks
@@ -40,7 +40,7 @@
 
     def __init__(self, host: str = "host0") -> None:
         self.now = 100.0
-        use_source(lambda: self.now)
+        set_clock(lambda: self.now)
         self.agent, self.dialler = StubAgent(), StubDialler()
         links: Any = EntryLinks
         self.links = links(HostId(host), self.agent, self.dialler)
@@ -59,7 +59,7 @@
 @given("an agent of entrylinks that knows 10 entries")
 def create_case(context: Any) -> None:
     context.case = LinksCase()
-    context.add_cleanup(use_source, None)
+    context.add_cleanup(set_clock, None)
 
 
 @given("an agent of entrylinks that knows 10 entries and has no executor")
@@ -94,7 +94,7 @@
 
 @when("300 agents of entrylinks lose the scheduler among 10 entries for {seconds:d} second")
 def lose_scheduler_of_many_agents(context: Any, seconds: int) -> None:
-    context.add_cleanup(use_source, None)
+    context.add_cleanup(set_clock, None)
     context.counts = Counter()
     for number in range(300):
         case = LinksCase(f"host{number}")
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -13,7 +13,7 @@
 import trio.testing
 from anyio.abc import TaskGroup
 
-from apricotpath.boottime import boot_s, use_source
+from apricotpath.boottime import boot_s, set_clock
 from apricotpath.codec import Envelope
 from apricotpath.config import Address, LinkSettings
 from apricotpath.election import ElectionSettings
@@ -48,11 +48,11 @@
     trio._core._run._r.seed(seed)
     random.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
-    use_source(trio.current_time)
+    set_clock(trio.current_time)
     try:
         return anyio.run(main, backend="trio", backend_options={"clock": clock})
     finally:
-        use_source(None)
+        set_clock(None)
 
 
 class MemoryLink:
