--- a/packages/core/src/apricotpath/metrics.py
+++ b/packages/core/src/apricotpath/metrics.py
@@ -30,7 +30,7 @@
     def _histogram(self, name: str, text: str) -> Histogram:
         return Histogram(name, text, buckets=LATENCY_BUCKETS_S, registry=self.registry)
 
-    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read whenever the metrics are rendered."""
         self._gauges.append((Gauge(name, text, registry=self.registry), read))
 
@@ -55,7 +55,7 @@
         self._retries = self._counter("apricotpath_retries_total", "Further tries of requests")
         self._refusals = self._counter("apricotpath_refusals_total", "Requests refused by reason")
 
-    def finished(
+    def request_finished(
         self,
         service: ServiceId,
         request_class: ClassId,
@@ -72,10 +72,10 @@
             self._latency.add(labels, seconds)
         self._outcomes.inc({**labels, "outcome": result.value})
 
-    def retried(self, service: ServiceId) -> None:
+    def request_retried(self, service: ServiceId) -> None:
         """Count a retry of a request."""
         self._retries.inc({"service": service})
 
-    def refused(self, service: ServiceId, reason: str) -> None:
+    def request_refused(self, service: ServiceId, reason: str) -> None:
         """Count a request or an attempt that was rejected."""
         self._refusals.inc({"service": service, "reason": reason})
--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -54,35 +54,35 @@
         self._watch_gauges()
 
     def _watch_gauges(self) -> None:
-        watch, tasks = self.metrics.watch, self.tasks
-        watch("apricotpath_ready", "1 if the host takes work", self.ready)
-        watch("apricotpath_links", "Open links to entries", lambda: len(self.links))
-        watch(
+        add_gauge, tasks = self.metrics.add_gauge, self.tasks
+        add_gauge("apricotpath_ready", "1 if the host takes work", self.ready)
+        add_gauge("apricotpath_links", "Open links to entries", lambda: len(self.links))
+        add_gauge(
             "apricotpath_bundle_version",
             "Version of the bundle in force",
             lambda: self.control.bundle_version,
         )
-        watch(
+        add_gauge(
             "apricotpath_committed_cpu_milli",
             "Committed processors in thousandths",
             lambda: tasks.committed.cpu_milli,
         )
-        watch(
+        add_gauge(
             "apricotpath_committed_memory_mb",
             "Committed memory in MB",
             lambda: tasks.committed.memory_mb,
         )
-        watch(
+        add_gauge(
             "apricotpath_busy_slots",
             "Requests at the backend server",
             lambda: self._service_load().busy_slots,
         )
-        watch(
+        add_gauge(
             "apricotpath_queued",
             "Requests that wait for a slot",
             lambda: self._service_load().queued,
         )
-        watch(
+        add_gauge(
             "apricotpath_slowdown",
             "Slowdown of requests against their quiet baseline",
             lambda: self._service_load().pressure,
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -135,7 +135,7 @@
             self.app.release_buffer(self.buffered_bytes)
             seconds = anyio.current_time() - started_at
             metrics = self.app.metrics
-            metrics.finished(self.service, self.request_class, self.team, result, seconds)
+            metrics.request_finished(self.service, self.request_class, self.team, result, seconds)
 
     async def watch(self) -> None:
         """Cancel the call if the connection closes before the answer is complete."""
@@ -155,7 +155,7 @@
             await self._send_error(exc.status, ResultClass.NOT_RUN, exc, exc.reason, 0)
             return ResultClass.NOT_RUN
         except NotRun as exc:
-            self.app.metrics.refused(self.service, exc.reason)
+            self.app.metrics.request_refused(self.service, exc.reason)
             wait_s = max(1, round(exc.retry_after_s))
             await self._send_error(503, ResultClass.NOT_RUN, exc, exc.reason, wait_s)
             return ResultClass.NOT_RUN
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -88,34 +88,36 @@
         self._watch_gauges()
 
     def _watch_gauges(self) -> None:
-        watch, hosts = self.metrics.watch, self.hosts
-        watch(
+        add_gauge, hosts = self.metrics.add_gauge, self.hosts
+        add_gauge(
             "apricotpath_store_up",
             "1 if the newest control read succeeded",
             lambda: self.members.view.store_up,
         )
-        watch(
+        add_gauge(
             "apricotpath_bundle_version",
             "Version of the bundle in force",
             lambda: self.control.bundle_version,
         )
-        watch(
+        add_gauge(
             "apricotpath_hosts_present",
             "Hosts whose agent is linked",
             lambda: sum(row.present for row in hosts.rows.values()),
         )
-        watch("apricotpath_entries", "Registered entries", lambda: len(self.members.view.entries))
-        watch(
+        add_gauge(
+            "apricotpath_entries", "Registered entries", lambda: len(self.members.view.entries)
+        )
+        add_gauge(
             "apricotpath_shards_owned",
             "Job shards owned by this entry",
             lambda: len(self.owner.state.shards),
         )
-        watch(
+        add_gauge(
             "apricotpath_attempts",
             "Task attempts that this entry has assigned",
             lambda: sum(len(shard.runs) for shard in self.owner.state.shards.values()),
         )
-        watch(
+        add_gauge(
             "apricotpath_open_requests", "Requests being served", lambda: self.callers.open_requests
         )
 
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -240,7 +240,7 @@
                 if not may_retry(budget, tries, try_limit, req.deadline, RETRY_PAUSE_S, now):
                     # An earlier try that may have run takes precedence over a later refusal.
                     raise may_have_run or exc from exc
-                self.metrics.retried(req.service)
+                self.metrics.request_retried(req.service)
                 await anyio.sleep(RETRY_PAUSE_S * self.rng.random())
 
     async def _try_idempotent(self, req: CallerRequest, avoid: set[ProcessId]) -> AnswerStream:
