--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -40,7 +40,7 @@
             self._queues.add(queue)
         return queue if queue in self._queues else OTHER_QUEUES
 
-    def answered(self, call: str, queue: QueueId, status: int, seconds: float) -> None:
+    def call_answered(self, call: str, queue: QueueId, status: int, seconds: float) -> None:
         """Count a caller's call that was answered."""
         labels = {"call": call, "queue": self._queue_label(queue)}
         self._call_s.add(labels, seconds)
@@ -58,7 +58,7 @@
         """Count a job that has reached its final state."""
         self._job_s.add({"queue": self._queue_label(queue), "progress": progress.value}, seconds)
 
-    def called(self, call: str, outcome: str, seconds: float) -> None:
+    def outward_call_ended(self, call: str, outcome: str, seconds: float) -> None:
         """Count a call to the store or an executor."""
         self._outward_call_s.add({"call": call}, seconds)
         self._outward_calls.inc({"call": call, "outcome": outcome})
