--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -22,7 +22,7 @@
 from apricotpath.placement import Mode
 from apricotpath.quota import TeamLimit
 from apricotpath.records import JobAccepted, JobCancelled
-from apricotpath.signing import generate_key, seal
+from apricotpath.signing import generate_key, sign_envelope
 from apricotpath.trace import (
     Activity,
     Answer,
@@ -371,7 +371,7 @@
 
     @_take.register
     def _(self, event: BundleInForce) -> None:
-        if not self.control.merge_bundle(seal(event.text.encode(), self._key).to_bytes()):
+        if not self.control.merge_bundle(sign_envelope(event.text.encode(), self._key).to_bytes()):
             raise TraceError(
                 f"the trace has a bundle that is not valid: {self.control.bundle_error}"
             )
--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -9,7 +9,7 @@
 
 from apricotpath.bundle import Bundle, bundle_bytes, diff, load_bundle, parse_bundle
 from apricotpath.errors import ConflictError, InputError
-from apricotpath.signing import parse_envelope, seal
+from apricotpath.signing import parse_envelope, sign_envelope
 from apricotpath_cli.client import Client, EntryFailed, EntryUnavailable
 from apricotpath_cli.confirm import EXIT_DONE, wait_in_force
 from apricotpath_cli.options import (
@@ -113,7 +113,7 @@
     if key.key_id in bundle.revoked_keys:
         raise InputError(f"{path}: revoked_keys: names the key that signs the bundle")
     # Signs the compact form, since every process parses it on each change.
-    return seal(bundle_bytes(bundle), key).to_bytes()
+    return sign_envelope(bundle_bytes(bundle), key).to_bytes()
 
 
 def _diff(args: argparse.Namespace) -> int:
--- a/packages/core/src/apricotpath/signing.py
+++ b/packages/core/src/apricotpath/signing.py
@@ -227,7 +227,7 @@
     )
 
 
-def seal(payload: bytes, key: SigningKey) -> SignedEnvelope:
+def sign_envelope(payload: bytes, key: SigningKey) -> SignedEnvelope:
     """Sign a payload and return the envelope."""
     return SignedEnvelope(payload, key.key_id, key.sign(_ENVELOPE, payload), key.chain)
 
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -15,7 +15,7 @@
 from apricotpath.messages import ControlUpdate, DataCentreStatus, ServiceFounders
 from apricotpath.model import ServiceState
 from apricotpath.rules import Verdict
-from apricotpath.signing import SigningKey, generate_key, rotate_key, seal
+from apricotpath.signing import SigningKey, generate_key, rotate_key, sign_envelope
 
 SUVA = Path(__file__).parents[3] / "examples" / "suva" / "bundle.json"
 RULES = load_bundle(SUVA)
@@ -26,7 +26,7 @@
 def signed(key: SigningKey, version: int, **changes: Any) -> bytes:
     """Return a signed bundle with Suva's rules, a version and changed fields."""
     bundle: Bundle = replace(RULES, version=version, **changes)
-    return seal(bundle_bytes(bundle), key).to_bytes()
+    return sign_envelope(bundle_bytes(bundle), key).to_bytes()
 
 
 def status(dc: str, seq: int, state: str) -> DataCentreStatus:
--- a/tests/features/steps/signing_steps.py
+++ b/tests/features/steps/signing_steps.py
@@ -32,7 +32,7 @@
     parse_proof,
     rotate_key,
     save_key,
-    seal,
+    sign_envelope,
     sign_request,
 )
 
@@ -56,7 +56,7 @@
     def __init__(self) -> None:
         self.key = generate_key()
         self.trust = Trust.of([self.key.public_text])
-        self.data = seal(self.payload, self.key).to_bytes()
+        self.data = sign_envelope(self.payload, self.key).to_bytes()
 
     def open(self) -> bytes:
         return check_envelope(parse_envelope(self.data), self.trust)
@@ -64,7 +64,7 @@
     def rotate(self, times: int) -> None:
         for _number in range(times):
             self.key = rotate_key(self.key)
-        self.data = seal(self.payload, self.key).to_bytes()
+        self.data = sign_envelope(self.payload, self.key).to_bytes()
 
     def apply_damage(self, damage: str) -> None:
         envelope = parse_envelope(self.data)
@@ -72,10 +72,10 @@
         changes: dict[str, Callable[[], SignedEnvelope]] = {
             "one changed payload byte": lambda: replace(envelope, payload=b'{"version": 8}'),
             "a signature by another key": lambda: replace(
-                envelope, signature=seal(self.payload, untrusted_key).signature
+                envelope, signature=sign_envelope(self.payload, untrusted_key).signature
             ),
-            "the id of a key nobody knows": lambda: seal(self.payload, untrusted_key),
-            "a chain that an unknown key began": lambda: seal(
+            "the id of a key nobody knows": lambda: sign_envelope(self.payload, untrusted_key),
+            "a chain that an unknown key began": lambda: sign_envelope(
                 self.payload, rotate_key(untrusted_key)
             ),
             "a chain with a forged delegation": lambda: self._forged(untrusted_key),
@@ -89,7 +89,7 @@
             self.trust = replace(self.trust, revoked=frozenset({self.key.key_id}))
         elif damage == "a chain through a revoked key":
             middle = rotate_key(self.key)
-            self.data = seal(self.payload, rotate_key(middle)).to_bytes()
+            self.data = sign_envelope(self.payload, rotate_key(middle)).to_bytes()
             self.open()
             self.trust = replace(self.trust, revoked=frozenset({middle.key_id}))
         elif damage == "a cut off end":
@@ -101,7 +101,7 @@
     def _forged(self, untrusted_key: SigningKey) -> SignedEnvelope:
         signature = untrusted_key.sign(b"apricotpath delegation 1\0", b"x")
         link = Delegation(untrusted_key.public_text, self.key.key_id, signature)
-        return seal(self.payload, SigningKey(untrusted_key.private, (link,)))
+        return sign_envelope(self.payload, SigningKey(untrusted_key.private, (link,)))
 
 
 @given("a trusted signing key and a sealed envelope")
