--- a/packages/core/src/apricotpath/bundle.py
+++ b/packages/core/src/apricotpath/bundle.py
@@ -161,22 +161,22 @@
 
 def bundle_bytes(bundle: Bundle) -> bytes:
     """Return a bundle as compact JSON, which is what operators sign."""
-    return json.dumps(plain(bundle), separators=(",", ":"), ensure_ascii=False).encode()
+    return json.dumps(to_json_value(bundle), separators=(",", ":"), ensure_ascii=False).encode()
 
 
-def plain(value: Any) -> Any:
+def to_json_value(value: Any) -> Any:
     """Convert a bundle or a part of it to JSON values."""
     if isinstance(value, Enum):
         return value.value
     if is_dataclass(value) and not isinstance(value, type):
         return {
-            item.metadata.get("name", item.name): plain(getattr(value, item.name))
+            item.metadata.get("name", item.name): to_json_value(getattr(value, item.name))
             for item in fields(value)
         }
     if isinstance(value, dict):
-        return {key: plain(item) for key, item in value.items()}
+        return {key: to_json_value(item) for key, item in value.items()}
     if isinstance(value, tuple):
-        return [plain(item) for item in value]
+        return [to_json_value(item) for item in value]
     return value
 
 
@@ -292,8 +292,8 @@
 
 def diff(old: Bundle | None, new: Bundle) -> list[str]:
     """Return the differences of two bundles, one readable line per changed value."""
-    before = _leaves(plain(old), "") if old is not None else {}
-    after = _leaves(plain(new), "")
+    before = _leaves(to_json_value(old), "") if old is not None else {}
+    after = _leaves(to_json_value(new), "")
     lines = []
     for path in sorted(before.keys() | after.keys()):
         if path not in before:
--- a/tests/features/steps/bundle_steps.py
+++ b/tests/features/steps/bundle_steps.py
@@ -13,7 +13,7 @@
     diff,
     load_bundle,
     parse_bundle,
-    plain,
+    to_json_value,
 )
 from apricotpath.errors import BundleError
 
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.old = load_bundle(EXAMPLES / "suva" / "bundle.json")
-        self.value = plain(self.old)
+        self.value = to_json_value(self.old)
 
     def error(self) -> BundleError:
         try:
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -12,7 +12,7 @@
 from control_steps import RULES, signed, status
 from operator_standin import MemoryEntries
 
-from apricotpath.bundle import plain
+from apricotpath.bundle import to_json_value
 from apricotpath.signing import generate_key, save_key
 from apricotpath_cli import client
 from apricotpath_cli.cmdline import main
@@ -43,7 +43,7 @@
         (folder / "tls2").mkdir()
         with contextlib.redirect_stdout(io.StringIO()):
             assert main(["tls", "init", "--folder", str(folder / "tls")]) == 0
-        rules = plain(RULES)
+        rules = to_json_value(RULES)
         self._write("bundle", {**rules, "version": 2})
         self._write("bad_bundle", {**rules, "version": 0})
         self._write("job", JOB)
--- a/tests/features/steps/operator_standin.py
+++ b/tests/features/steps/operator_standin.py
@@ -6,7 +6,7 @@
 
 import httpx
 
-from apricotpath.bundle import plain
+from apricotpath.bundle import to_json_value
 from apricotpath.control import Control
 from apricotpath.errors import ConflictError, NotFoundError, StoreUnavailable
 from apricotpath.ids import DataCentreId, JobId
@@ -74,7 +74,7 @@
         if spec.job_id not in self.jobs:
             self.changes.append(f"job {spec.job_id}")
         self.jobs[spec.job_id] = spec
-        return plain(spec)  # type: ignore[no-any-return]
+        return to_json_value(spec)  # type: ignore[no-any-return]
 
     async def list_jobs(self, query: Mapping[str, str]) -> Json:
         team = query.get("team")
