--- a/packages/bench/src/apricotpath_bench/workerstandin.py
+++ b/packages/bench/src/apricotpath_bench/workerstandin.py
@@ -23,8 +23,8 @@
     StartOrder,
     WorkerStatus,
     WorkerTask,
-    from_plain,
-    to_plain,
+    from_json_value,
+    to_json_value,
 )
 from apricotpathd.asgi import JSON, Receive, Scope, Send, body_headers, read_body, serve_lifespan
 
@@ -484,25 +484,25 @@
         if path == "/faults":
             return self._set_faults(call)
         if path == "/start":
-            return {"task": to_plain(self.model.start(from_plain(StartOrder, call)))}
+            return {"task": to_json_value(self.model.start(from_json_value(StartOrder, call)))}
         task, attempt = TaskId(call["task"]), int(call["attempt"])
         if path == "/forget":
             self.model.forget(task, attempt)
             return {}
         if path == "/checkpoint":
-            return {"task": to_plain(await self._checkpoint(task, attempt))}
+            return {"task": to_json_value(await self._checkpoint(task, attempt))}
         commands: dict[str, Callable[[], WorkerTask]] = {
             "/renew": lambda: self.model.renew(task, attempt, int(call["deadline_ms"])),
             "/throttle": lambda: self.model.throttle(task, attempt, float(call["share"])),
             "/stop": lambda: self.model.stop(task, attempt, Outcome(call["outcome"])),
         }
-        return {"task": to_plain(commands[path]())}
+        return {"task": to_json_value(commands[path]())}
 
     def _read_answer(self, path: str) -> dict[str, Any]:
         if path == "/record":
             return self.model.record()
         if path == "/tasks":
-            plain: dict[str, Any] = to_plain(self.model.status())
+            plain: dict[str, Any] = to_json_value(self.model.status())
             return plain
         raise KeyError(path)
 
--- a/packages/core/src/apricotpath/worker.py
+++ b/packages/core/src/apricotpath/worker.py
@@ -116,18 +116,18 @@
         """Delete the record of an ended attempt, except the task's highest attempt number."""
 
 
-def to_plain(value: Any) -> Any:
+def to_json_value(value: Any) -> Any:
     """Convert a dataclass of this module to JSON values."""
     if is_dataclass(value):
-        return {item.name: to_plain(getattr(value, item.name)) for item in fields(value)}
+        return {item.name: to_json_value(getattr(value, item.name)) for item in fields(value)}
     if isinstance(value, Enum):
         return value.value
     if isinstance(value, tuple):
-        return [to_plain(item) for item in value]
+        return [to_json_value(item) for item in value]
     return value
 
 
-def from_plain(cls: type[T], value: Any) -> T:
+def from_json_value(cls: type[T], value: Any) -> T:
     """Build a dataclass of this module from JSON values, or raise ValueError."""
     result: T = _convert(cls, value)
     return result
@@ -197,7 +197,7 @@
 
     async def start(self, order: StartOrder) -> WorkerTask:
         """Start a task, or return it if this attempt was started before."""
-        return await self._call("POST", "/start", to_plain(order), WorkerTask)
+        return await self._call("POST", "/start", to_json_value(order), WorkerTask)
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
         """Set a running task's deadline, later or earlier."""
@@ -231,7 +231,7 @@
         # The worker puts the task into a field, since its answers also contain its clock.
         plain = answer.get("task") if cls is WorkerTask else answer
         try:
-            return from_plain(cls, plain)
+            return from_json_value(cls, plain)
         except (ValueError, TypeError) as exc:
             raise WorkerUnavailable(f"the worker's answer to {path} is malformed: {exc}") from exc
 
