--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -31,7 +31,7 @@
 from apricotpath.model import Outcome, ReplyCode, Size
 from apricotpath.rules import Rules
 from apricotpath.worker import Worker, WorkerStatus
-from apricotpathd.component import Job, UtcClock
+from apricotpathd.component import TaskFunction, UtcClock
 from apricotpathd.hostview import HostView
 from apricotpathd.taskattempts import Changes, Phase
 from apricotpathd.taskchecks import TaskCommand, task_reply
@@ -91,10 +91,10 @@
         self._starts = Starts(self._view, self._handle_changes)
         self._links: list[Link] = []
         self._group: TaskGroup | None = None
-        # Jobs that were spawned before `run`.
-        self._backlog: list[Job] = []
+        # Functions that were spawned before `run`.
+        self._backlog: list[TaskFunction] = []
         # Commands by task that are in progress or wait, in order of arrival.
-        self._queues: dict[TaskId, deque[Job]] = {}
+        self._queues: dict[TaskId, deque[TaskFunction]] = {}
         self._starting: Counter[tuple[ShardId, Epoch]] = Counter()
         self._report_now = anyio.Event()
         self._progress = anyio.Event()
@@ -354,8 +354,8 @@
             # The owner asks again or reads the next report.
             log.info("%s was not sent: %s", type(msg).__name__, exc)
 
-    def _spawn(self, job: Job) -> None:
+    def _spawn(self, function: TaskFunction) -> None:
         if self._group is None:
-            self._backlog.append(job)
+            self._backlog.append(function)
         else:
-            self._group.start_soon(job)
+            self._group.start_soon(function)
--- a/packages/daemon/src/apricotpathd/component.py
+++ b/packages/daemon/src/apricotpathd/component.py
@@ -13,7 +13,7 @@
 UtcClock = Callable[[], datetime]
 
 # A coroutine function that a component starts in its task group.
-Job = Callable[[], Coroutine[Any, Any, None]]
+TaskFunction = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Component(Protocol):
--- a/packages/daemon/src/apricotpathd/taskends.py
+++ b/packages/daemon/src/apricotpathd/taskends.py
@@ -8,7 +8,7 @@
 
 from apricotpath.errors import WorkerError, WorkerRefused, WorkerUnavailable
 from apricotpath.model import Outcome
-from apricotpathd.component import Job
+from apricotpathd.component import TaskFunction
 from apricotpathd.hostview import RETRY_S, HostView
 from apricotpathd.taskattempts import HeldAttempt, Key, Phase
 from apricotpathd.taskleases import Leases
@@ -23,13 +23,16 @@
 
 
 class Endings:
-    """Ends attempts; `spawn` starts a background job, and `finished` is called after each end."""
+    """Ends attempts.
+
+    `spawn` runs a function in the background; `finished` is called after each end.
+    """
 
     def __init__(
         self,
         view: HostView,
         leases: Leases,
-        spawn: Callable[[Job], None],
+        spawn: Callable[[TaskFunction], None],
         finished: Callable[[], None],
     ) -> None:
         self.view = view
