--- a/packages/daemon/src/apricotpathd/dialler.py
+++ b/packages/daemon/src/apricotpathd/dialler.py
@@ -33,7 +33,7 @@
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
-    def want(self, targets: Mapping[Any, Address]) -> None:
+    def set_targets(self, targets: Mapping[Any, Address]) -> None:
         """Set the processes to dial; loops to all others are cancelled."""
         if self._group is None:
             return
--- a/packages/daemon/src/apricotpathd/entrylinks.py
+++ b/packages/daemon/src/apricotpathd/entrylinks.py
@@ -56,7 +56,7 @@
             self._granted_at = now
         extra = int((now - self._granted_at) / WIDEN_INTERVAL_S)
         selected = {*self._preferred(SPARE_LINKS + extra), self._agent.leader}
-        self._dialler.want(
+        self._dialler.set_targets(
             {name: address for name, address in self.registered.items() if name in selected}
         )
 
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -95,7 +95,7 @@
             # A registration that expires while the store is unavailable does not end a link.
             if self.election.mirror.age_s() < 2 * self.election.cfg.lease_s:
                 peers = self.election.peers()
-                self._dialler.want({name: peers[name] for name in peers if name > own_id})
+                self._dialler.set_targets({name: peers[name] for name in peers if name > own_id})
             await anyio.sleep(DIAL_INTERVAL_S)
 
     def _epoch_seen(self, epoch: Epoch) -> None:
--- a/packages/daemon/src/apricotpathd/peers.py
+++ b/packages/daemon/src/apricotpathd/peers.py
@@ -54,7 +54,7 @@
         """Dial the entries of a new view; a failed read changes nothing."""
         if not view.store_up or not self._dialler.running:
             return
-        self._dialler.want(
+        self._dialler.set_targets(
             {
                 record.entry: record.address
                 for record in view.entries.values()
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -31,7 +31,7 @@
     def __init__(self) -> None:
         self.dialled: set[str] = set()
 
-    def want(self, wanted: dict[str, Address]) -> None:
+    def set_targets(self, wanted: dict[str, Address]) -> None:
         self.dialled = set(wanted)
 
 
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -179,7 +179,7 @@
             JobMetrics(),
             boot_s,
         )
-        dialler.want = lambda wanted: None  # type: ignore[method-assign]
+        dialler.set_targets = lambda wanted: None  # type: ignore[method-assign]
         process.use([desk, jobs])
         node = EntryNode(process, store, desk, jobs, anyio.CancelScope())
         self.entries[name] = node
