--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -50,7 +50,9 @@
             cfg, self.worker, self.control, utc, self.incarnation, self._service_load
         )
         components: list[Component] = [self.flow, self.tasks]
-        self.use([*components, self.requests] if self.requests is not None else components)
+        self.set_components(
+            [*components, self.requests] if self.requests is not None else components
+        )
         self._watch_gauges()
 
     def _watch_gauges(self) -> None:
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -84,7 +84,7 @@
             tracing = Tracing(cfg, self.control)
             self.exchange.record = self.owner.calls.record = tracing.record
             components.append(tracing)
-        self.use(components)
+        self.set_components(components)
         self._watch_gauges()
 
     def _watch_gauges(self) -> None:
--- a/packages/daemon/src/apricotpathd/process.py
+++ b/packages/daemon/src/apricotpathd/process.py
@@ -37,7 +37,7 @@
         self._closed_frames = 0
         self._routes: dict[type[Message], list[Component]] = {}
 
-    def use(self, components: Sequence[Component]) -> None:
+    def set_components(self, components: Sequence[Component]) -> None:
         """Set the components; a message goes to each that handles its type, in order."""
         self.components = components
         for component in components:
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -180,7 +180,7 @@
             boot_s,
         )
         dialler.set_targets = lambda wanted: None  # type: ignore[method-assign]
-        process.use([desk, jobs])
+        process.set_components([desk, jobs])
         node = EntryNode(process, store, desk, jobs, anyio.CancelScope())
         self.entries[name] = node
         self.group.start_soon(self._run, node.scope, process)
@@ -200,7 +200,7 @@
             return executor
 
         agent = HostAgent(HostId(name), self.cfg, connect_executor)
-        process.use([agent])
+        process.set_components([agent])
         node = AgentNode(process, agent, model, anyio.CancelScope())
         self.agents[name] = node
         self.group.start_soon(self._run, node.scope, process)
