--- a/packages/daemon/src/apricotpathd/entrylinks.py
+++ b/packages/daemon/src/apricotpathd/entrylinks.py
@@ -34,7 +34,7 @@
         self._host, self._agent, self._dialler = host, agent, dialler
         self._granted_at = boot_s()
 
-    def found(self, entries: Mapping[ProcessId, Address]) -> None:
+    def set_entries(self, entries: Mapping[ProcessId, Address]) -> None:
         """Set the registered entries; an empty mapping leaves them unchanged."""
         if entries:
             self.registered = dict(entries)
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -44,7 +44,7 @@
         self.agent, self.dialler = StubAgent(), StubDialler()
         links: Any = EntryLinks
         self.links = links(HostId(host), self.agent, self.dialler)
-        self.links.found(ENTRIES)
+        self.links.set_entries(ENTRIES)
 
     def grant(self) -> None:
         self.agent.leader = ProcessId("entry3")
