--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -91,7 +91,7 @@
                 continue
             present = [row.incarnation for row in self.hosts.of_service(service) if row.present]
             try:
-                founders = await self.members.found_service(service, present)
+                founders = await self.members.record_founders(service, present)
             except StoreError as exc:
                 log.info("founders of service %s not recorded yet: %s", service, exc)
                 continue
--- a/packages/daemon/src/apricotpathd/members.py
+++ b/packages/daemon/src/apricotpathd/members.py
@@ -339,7 +339,7 @@
             raise ConflictError(f"another bundle version {version} was accepted first")
         return result.revision
 
-    async def found_service(
+    async def record_founders(
         self, service: ServiceId, incarnations: Sequence[IncarnationId]
     ) -> tuple[IncarnationId, ...]:
         """Create a service's record if it is absent; returns the stored founders.
--- a/tests/features/steps/members_steps.py
+++ b/tests/features/steps/members_steps.py
@@ -344,7 +344,7 @@
 
     async def found(number: int) -> None:
         incarnations = [IncarnationId(f"agent-{number}")]
-        founders.append(await fleet.members[number].found_service(ServiceId("s"), incarnations))
+        founders.append(await fleet.members[number].record_founders(ServiceId("s"), incarnations))
 
     async with anyio.create_task_group() as group:
         group.start_soon(found, 0)
