--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -149,7 +149,7 @@
 
     def start(self, shard: Shard, run: Run) -> None:
         """Start an attempt; it is accepted, since placement knows what is free."""
-        row = self.row(run.process)
+        row = self.present_row(run.process)
         if row is None:
             run.expires_at = 0.0
             return
--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -46,7 +46,7 @@
             return False
         return True
 
-    def row(self, process: ProcessId) -> HostRow | None:
+    def present_row(self, process: ProcessId) -> HostRow | None:
         """Return the row of a host that is present, or None."""
         row = self.state.hosts.rows.get(process)
         return row if row is not None and row.present else None
@@ -62,7 +62,7 @@
         The lease runs from the worker's clock in the last heartbeat. The owner
         counts its end from the receipt of that heartbeat, which is later.
         """
-        state, row = self.state, self.row(run.process)
+        state, row = self.state, self.present_row(run.process)
         if row is None or row.leaving or not state.is_fresh() or self.group is None:
             return
         link = row.link
@@ -136,7 +136,7 @@
     def evict(self, shard: Shard, run: Run, reason: str, now: float) -> bool:
         """Ask a host to checkpoint and stop an attempt; return whether the command was sent."""
         message = EvictTask(shard.shard, shard.epoch, run.task, run.attempt, reason)
-        if not self.send(self.row(run.process), message):
+        if not self.send(self.present_row(run.process), message):
             return False
         if run.phase is not Phase.EVICTING:
             self.state.limits.record(run.job, now)
@@ -146,7 +146,7 @@
     def throttle(self, shard: Shard, run: Run, share: float, now: float) -> None:
         """Limit an attempt to a share of its processors."""
         message = ThrottleTask(shard.shard, shard.epoch, run.task, run.attempt, share)
-        if self.send(self.row(run.process), message):
+        if self.send(self.present_row(run.process), message):
             run.share, run.told_at = share, now
 
     def acknowledge(self, shard: Shard, row: HostRow, ended: list[tuple[TaskId, int]]) -> None:
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -353,7 +353,7 @@
         for shard in self.state.shards.values():
             for run in shard.runs.values():
                 if run.cancelled and now - run.told_at >= STOP_RESEND_S:
-                    row = self.commands.row(run.process)
+                    row = self.commands.present_row(run.process)
                     claimed = row is not None and (shard.claims.get(run.process) == row.incarnation)
                     if row is not None and claimed and run.phase is not Phase.PROPOSED:
                         run.told_at = now
