--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -68,7 +68,7 @@
 RETRY_AFTER_S = 1.0
 # A new entry reserves no keys until every agent has had time to dial it: an agent that is
 # not linked yet may be the one that remembers the key.
-KEY_SETTLE_S = 5.0
+ANNOUNCE_WAIT_S = 5.0
 # Upper bound of the random pause before a retry, so that failed requests do not retry together.
 RETRY_PAUSE_S = 0.02
 
@@ -138,7 +138,7 @@
     def startup_wait_over(self) -> bool:
         """Tell whether agents that remember keys have had enough time to announce themselves."""
         started_at = self._started_at
-        return started_at is not None and anyio.current_time() - started_at >= KEY_SETTLE_S
+        return started_at is not None and anyio.current_time() - started_at >= ANNOUNCE_WAIT_S
 
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message from an agent."""
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -56,7 +56,7 @@
                     self.group.cancel_scope.cancel()
 
         with (
-            patch("apricotpathd.exchange.KEY_SETTLE_S", 0.0),
+            patch("apricotpathd.exchange.ANNOUNCE_WAIT_S", 0.0),
             patch("apricotpathd.callers.KEEP_ALIVE_S", self.keep_alive_s),
         ):
             anyio.run(main)
