Name the commands, claims and relinquished shards of the owner

told_at is the time of the last command to a run, claim_sent the time of each claim, drop relinquishes a shard and lease extends the recorded lease.

--- a/packages/daemon/src/apricotpathd/commands.py
+++ b/packages/daemon/src/apricotpathd/commands.py
@@ -53,7 +53,7 @@
 
     def claim(self, shard: Shard, row: HostRow, now: float) -> None:
         """Send the shard's epoch to a host."""
-        shard.claim_sent[row.process] = now
+        shard.claim_sent_at[row.process] = now
         self.send(row, ClaimShard(shard.shard, shard.epoch))
 
     def start(self, shard: Shard, run: Run) -> None:
@@ -73,7 +73,7 @@
         if not state.rules.in_service(row.announce.data_centre):
             return
         heartbeat, received_at = link.last_heartbeat, link.last_heartbeat_at
-        state.lease(run, heartbeat.worker_clock_ms, received_at)
+        state.extend_lease(run, heartbeat.worker_clock_ms, received_at)
         run.anchor_clock_ms = heartbeat.worker_clock_ms
         run.anchor_incarnation = row.incarnation
         run.sends += 1
@@ -107,7 +107,7 @@
         except LinkError as exc:
             log.info("start unanswered: %s", exc, extra={"task": run.task, "attempt": run.attempt})
             return
-        if not isinstance(reply, TaskReply) or shard.dropped:
+        if not isinstance(reply, TaskReply) or shard.relinquished:
             return
         if reply.accepted:
             if run.phase is Phase.STARTING:
@@ -118,7 +118,9 @@
     def _handle_refusal(self, shard: Shard, run: Run, reply: TaskReply) -> None:
         log.info("start refused: %s", reply.reason, extra={"task": run.task, "code": reply.code})
         if reply.code is ReplyCode.EPOCH:
-            self.state.drop(shard, f"host {run.host} knows a newer owner of shard {shard.shard}")
+            self.state.relinquish(
+                shard, f"host {run.host} knows a newer owner of shard {shard.shard}"
+            )
             return
         if reply.code is ReplyCode.REFUSED:
             self.state.health.record(run.process, run.job, False, anyio.current_time())
@@ -140,14 +142,14 @@
             return False
         if run.phase is not Phase.EVICTING:
             self.state.limits.record(run.job, now)
-        run.phase, run.told_at = Phase.EVICTING, now
+        run.phase, run.last_command_at = Phase.EVICTING, now
         return True
 
     def throttle(self, shard: Shard, run: Run, share: float, now: float) -> None:
         """Limit an attempt to a share of its processors."""
         message = ThrottleTask(shard.shard, shard.epoch, run.task, run.attempt, share)
         if self.send(self.present_row(run.process), message):
-            run.share, run.told_at = share, now
+            run.share, run.last_command_at = share, now
 
     def acknowledge(self, shard: Shard, row: HostRow, ended: list[tuple[TaskId, int]]) -> None:
         """Tell a host that the outcomes of these attempts are journaled."""
@@ -165,7 +167,7 @@
             # The end of the lease is extended before the message is sent, because a
             # message whose send fails may still arrive.
             for run in chunk:
-                self.state.lease(run, clock_ms, received_at)
+                self.state.extend_lease(run, clock_ms, received_at)
                 run.renewed_at = now
             tasks = tuple(run.task for run in chunk)
             message = RenewTasks(shard.shard, shard.epoch, tasks, row.incarnation, clock_ms)
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -228,7 +228,7 @@
         """Stop scheduling, and release all shards once their writes are done."""
         self.draining = True
         for shard in list(self.state.shards.values()):
-            while shard.loaded and not shard.dropped and (shard.outbox or shard.busy):
+            while shard.loaded and not shard.relinquished and (shard.outbox or shard.busy):
                 if shard.store_failed_at is not None:
                     break
                 await anyio.sleep(self.state.policy.tick_s)
@@ -238,7 +238,7 @@
         # An earlier owner may still renew held tasks, so the next owner must wait for them too.
         held = any(run.phase is Phase.HELD for run in shard.runs.values())
         settled = shard.loaded and not held
-        self.state.drop(shard, reason)
+        self.state.relinquish(shard, reason)
         try:
             await self.members.release_shard(shard.shard, shard.epoch, settled)
         except StoreError as exc:
@@ -271,7 +271,7 @@
             owner, shard = view.owners.get(number), self.state.shards.get(number)
             if shard is not None:
                 if owner is not None and owner[1] > shard.epoch:
-                    self.state.drop(shard, f"{owner[0]} owns it under epoch {owner[1]}")
+                    self.state.relinquish(shard, f"{owner[0]} owns it under epoch {owner[1]}")
                 else:
                     self._hand_over(shard, fair.get(number), now)
                 continue
@@ -324,7 +324,7 @@
     async def _serve(self, shard: Shard) -> None:
         """Load a shard's journal, then write proposals until the shard is dropped."""
         with shard.scope:
-            if shard.dropped:
+            if shard.relinquished:
                 return
             try:
                 await self._load(shard, first=True)
@@ -332,10 +332,10 @@
                     await shard.wake.wait()
                     await self._write(shard)
             except FencedError as exc:
-                self.state.drop(shard, str(exc))
+                self.state.relinquish(shard, str(exc))
             except ApricotpathError as exc:
                 log.exception("shard cannot be served")
-                self.state.drop(shard, str(exc))
+                self.state.relinquish(shard, str(exc))
 
     async def _load(self, shard: Shard, *, first: bool) -> None:
         """Fill the table from the journal and match it with the attempts in memory."""
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -61,7 +61,7 @@
                 shard.claimed_link_changes = link_changes
             unclaimed_rows.sort(key=lambda row: row.process not in shard.by_process)
             for row in unclaimed_rows[:budget]:
-                if now - shard.claim_sent.get(row.process, -1e9) >= CLAIM_RESEND_S:
+                if now - shard.claim_sent_at.get(row.process, -1e9) >= CLAIM_RESEND_S:
                     self.commands.claim(shard, row, now)
                     budget -= 1
 
@@ -71,8 +71,8 @@
         for shard in self.state.shards.values():
             for process in [name for name in shard.claims if name not in rows]:
                 del shard.claims[process]
-            for process in [name for name in shard.claim_sent if name not in rows]:
-                del shard.claim_sent[process]
+            for process in [name for name in shard.claim_sent_at if name not in rows]:
+                del shard.claim_sent_at[process]
 
     def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
         """Handle a host's answer to a claim."""
@@ -80,7 +80,7 @@
         if shard is None or row is None or not shard.loaded:
             return
         if reply.epoch > shard.epoch:
-            self.state.drop(shard, f"host {row.host} knows epoch {reply.epoch}")
+            self.state.relinquish(shard, f"host {row.host} knows epoch {reply.epoch}")
             return
         if reply.epoch < shard.epoch or not reply.ready:
             return
@@ -152,7 +152,7 @@
 
     def _handle_task(self, shard: Shard, row: HostRow, task: TaskReport, now: float) -> None:
         if task.epoch > shard.epoch:
-            self.state.drop(shard, f"host {row.host} runs a task under epoch {task.epoch}")
+            self.state.relinquish(shard, f"host {row.host} runs a task under epoch {task.epoch}")
             return
         if task.state in (RunState.ENDED, RunState.STOPPING):
             self._mark_present(shard.runs.get(task.task), task, row)
@@ -352,13 +352,13 @@
         """Stop attempts of cancelled jobs, and resend evictions that had no effect."""
         for shard in self.state.shards.values():
             for run in shard.runs.values():
-                if run.cancelled and now - run.told_at >= STOP_RESEND_S:
+                if run.cancelled and now - run.last_command_at >= STOP_RESEND_S:
                     row = self.commands.present_row(run.process)
                     claimed = row is not None and (shard.claims.get(run.process) == row.incarnation)
                     if row is not None and claimed and run.phase is not Phase.PROPOSED:
-                        run.told_at = now
+                        run.last_command_at = now
                         self.commands.stop(shard, row, run.task, run.attempt, "job cancelled")
-                elif run.phase is Phase.EVICTING and now - run.told_at >= EVICT_RESEND_S:
+                elif run.phase is Phase.EVICTING and now - run.last_command_at >= EVICT_RESEND_S:
                     self.commands.evict(shard, run, "repeated", now)
 
     def mark_cancelled(self, shard: Shard, job: JobId) -> None:
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -147,7 +147,7 @@
     seen_at: float | None = None
     absent_reports: int = 0
     renewed_at: float = -1e9
-    told_at: float = -1e9
+    last_command_at: float = -1e9
     share: float = 1.0
     throttled: bool = False
     progress: float = 0.0
@@ -197,7 +197,7 @@
     )
     claims: dict[ProcessId, IncarnationId] = field(default_factory=dict)
     released: bool = False
-    claim_sent: dict[ProcessId, float] = field(default_factory=dict)
+    claim_sent_at: dict[ProcessId, float] = field(default_factory=dict)
     claimed_link_changes: int = -1
     outbox: list[Proposal] = field(default_factory=list)
     busy: set[TaskId] = field(default_factory=set)
@@ -206,14 +206,14 @@
     wake: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     loaded: bool = False
-    dropped: bool = False
+    relinquished: bool = False
     store_failed_at: float | None = None
     appended: int = 0
 
     @property
     def usable(self) -> bool:
         """Whether decisions may be made: the shard is loaded and owned, and the store works."""
-        return self.loaded and not self.dropped and self.store_failed_at is None
+        return self.loaded and not self.relinquished and self.store_failed_at is None
 
     def add_run(self, run: Run) -> None:
         """Insert an attempt."""
@@ -232,7 +232,7 @@
 
     def propose(self, proposal: Proposal) -> None:
         """Queue records for the journal; they fail at once if the shard is dropped."""
-        if self.dropped:
+        if self.relinquished:
             proposal.failed(FencedError(f"shard {self.shard} is not owned any more"))
             return
         self.outbox.append(proposal)
@@ -282,7 +282,7 @@
         row = self.hosts.rows.get(link.peer.process_id) if link.peer else None
         return row if row is not None and row.link is link else None
 
-    def lease(self, run: Run, anchor_ms: int, received_at: float) -> None:
+    def extend_lease(self, run: Run, anchor_ms: int, received_at: float) -> None:
         """Extend an attempt's recorded lease to the latest end that an anchor allows."""
         run.expires_at = max(run.expires_at, received_at + self.lease_total_s)
         length_s = self.policy.task_lease_s + self.policy.kill_grace_s
@@ -300,11 +300,11 @@
             self.used[run.spec.team] -= run.spec.size.cpu_milli / 1000.0
         return run
 
-    def drop(self, shard: Shard, reason: str) -> None:
+    def relinquish(self, shard: Shard, reason: str) -> None:
         """Give up a shard at once; its tasks continue under their leases."""
-        if shard.dropped:
+        if shard.relinquished:
             return
-        shard.dropped = True
+        shard.relinquished = True
         self.shards.pop(shard.shard, None)
         for run in list(shard.runs.values()):
             self.remove_run(shard, run.task)
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -428,7 +428,7 @@
         for shard in self.state.shards.values():
             for run in shard.runs.values():
                 in_effect = run.throttled is (run.share < 1.0)
-                due = not in_effect and now - run.told_at >= THROTTLE_RESEND_S
+                due = not in_effect and now - run.last_command_at >= THROTTLE_RESEND_S
                 if due and self._may_evict(shard, run):
                     self.commands.throttle(shard, run, run.share, now)
 
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -121,7 +121,7 @@
                 bench.table.closed(old, now)
                 bench._add_host(number)
                 for shard in shards:
-                    shard.claim_sent[process_of(number)] = now
+                    shard.claim_sent_at[process_of(number)] = now
                 bench.table.expire(now, bench.policy.key_memory_s)
                 bench.owner.tick(now)
 
@@ -256,7 +256,7 @@
     }
     for shard in bench.state.shards.values():
         sizes[f"claims {shard.shard}"] = len(shard.claims)
-        sizes[f"claims sent {shard.shard}"] = len(shard.claim_sent)
+        sizes[f"claims sent {shard.shard}"] = len(shard.claim_sent_at)
     assert all(size <= present + gone for size in sizes.values()), sizes
     assert sum(row.present for row in bench.table.rows.values()) == present
 
