--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -30,7 +30,7 @@
 from apricotpathd.dialler import Dialler
 from apricotpathd.jobdesk import JobDesk
 from apricotpathd.process import Process
-from apricotpathd.scheduler import Rules, Scheduler
+from apricotpathd.scheduler import Scheduler, SchedulerRules
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +52,7 @@
         election: ElectionSettings,
         address: Address,
         desk: JobDesk,
-        rules: Callable[[], Rules],
+        rules: Callable[[], SchedulerRules],
         dialler: Dialler,
         metrics: JobMetrics,
         utc: Callable[[], float] = time.time,
@@ -186,11 +186,11 @@
             return
         if isinstance(body, HostAttach):
             self.election.step_down_for(body.epoch)
-            await link.send(scheduler.board.attach(link, body), envelope.id)
+            await link.send(scheduler.host_tracker.attach(link, body), envelope.id)
         elif isinstance(body, HostRuns):
-            scheduler.board.receive_report(link, body)
+            scheduler.host_tracker.receive_report(link, body)
         elif isinstance(body, OrderAnswers):
-            scheduler.board.answers(link, body)
+            scheduler.host_tracker.answers(link, body)
         else:
             self._handle_job_message(body)
 
@@ -204,7 +204,7 @@
     async def link_closed(self, link: Link) -> None:
         """Detach the hosts of a link."""
         if self.scheduler is not None:
-            self.scheduler.board.link_closed(link)
+            self.scheduler.host_tracker.link_closed(link)
 
     async def drain(self) -> None:
         """Resign, so that another entry can be elected."""
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -322,7 +322,7 @@
             self._group.start_soon(self._serve, shard)
 
     async def _serve(self, shard: Shard) -> None:
-        """Load a shard's journal, then write proposals until the shard is dropped."""
+        """Load a shard's journal, then write proposals until the shard is relinquished."""
         with shard.scope:
             if shard.relinquished:
                 return
--- a/packages/daemon/src/apricotpathd/runs.py
+++ b/packages/daemon/src/apricotpathd/runs.py
@@ -231,7 +231,7 @@
         return run
 
     def propose(self, proposal: Proposal) -> None:
-        """Queue records for the journal; they fail at once if the shard is dropped."""
+        """Queue records for the journal; they fail at once if the shard is relinquished."""
         if self.relinquished:
             proposal.failed(FencedError(f"shard {self.shard} is not owned any more"))
             return
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class SchedulerRules:
     """Operator settings in force: the queues, and the data centres that are out of service."""
 
     queues: dict[QueueId, Queue] = field(default_factory=dict)
@@ -93,7 +93,7 @@
         store: WatchableStore,
         prefix: str,
         cfg: FleetSettings,
-        rules: Callable[[], Rules],
+        rules: Callable[[], SchedulerRules],
         last_store_contact_at: Callable[[], float],
         publish: Callable[[JobStatuses], None],
         metrics: JobMetrics,
@@ -112,8 +112,8 @@
         self._wake = anyio.Event()
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
-        self.board = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
-        self._run_stops = RunStops(self.table, self.board, self._started)
+        self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
+        self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
 
@@ -159,7 +159,7 @@
             hold += self.cfg.authority_s
         for name, runs in self.table.by_host.items():
             if runs:
-                self.board.hosts[name] = Host(name, runs_until=self._started + hold)
+                self.host_tracker.hosts[name] = Host(name, runs_until=self._started + hold)
 
     def wake(self) -> None:
         """Run a scheduling pass soon."""
@@ -238,9 +238,9 @@
         log.info(
             "fleet",
             extra={
-                "attached": len(self.board.links),
+                "attached": len(self.host_tracker.links),
                 "waiting": dict(waiting),
-                "pressures": self.board.disturbance.pressures(),
+                "pressures": self.host_tracker.disturbance.pressures(),
                 "hosts": {
                     name: host_row(host_load, now, self.cfg.silent_s)
                     for name, host_load in loads.items()
@@ -252,13 +252,13 @@
         """Apply events and choose starts; return the records that must become durable."""
         batch = _Batch()
         now = boot_s()
-        self.board.expire_leases(now)
+        self.host_tracker.expire_leases(now)
         self._process_endings(batch, now)
         self._process_lost_runs(batch, now)
         self._save_progress(batch, now)
         inputs = self._placement_input(now)
         for placement in [*place(self.table, inputs), *self._place_copies(inputs)]:
-            host = self.board.hosts[placement.host]
+            host = self.host_tracker.hosts[placement.host]
             instance, born_ms = host.executor_incarnation()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
             self._apply(batch, record, now)
@@ -284,13 +284,13 @@
     def _placement_input(self, now: float) -> PlacementInput:
         rules = self._rules()
         return PlacementInput(
-            self.board.hosts,
+            self.host_tracker.hosts,
             rules.queues,
             rules.out,
             now,
             self._utc(),
             self.cfg,
-            low_impact_images=self.board.disturbance.low_impact_images(),
+            low_impact_images=self.host_tracker.disturbance.low_impact_images(),
         )
 
     def _apply(self, batch: _Batch, record: RunRecord, now: float) -> None:
@@ -298,9 +298,9 @@
         self.table.apply(record, now)
 
     def _process_endings(self, batch: _Batch, now: float) -> None:
-        while self.board.endings:
-            name, executor_incarnation, ending = self.board.endings.popleft()
-            host = self.board.hosts.get(name)
+        while self.host_tracker.endings:
+            name, executor_incarnation, ending = self.host_tracker.endings.popleft()
+            host = self.host_tracker.hosts.get(name)
             if host is None or host.executor_incarnation() != executor_incarnation:
                 continue
             batch.acked_endings[name] = ending.number
@@ -319,8 +319,8 @@
             log.warning("host set aside", extra={"host": host.host, "reason": "runs fail"})
 
     def _process_lost_runs(self, batch: _Batch, now: float) -> None:
-        while self.board.lost_runs:
-            key, run, reason = self.board.lost_runs.popleft()
+        while self.host_tracker.lost_runs:
+            key, run, reason = self.host_tracker.lost_runs.popleft()
             task = self.table.task(key)
             lost = task.runs.get(run) if task is not None else None
             if lost is None:
@@ -408,17 +408,17 @@
     def _complete_batch(self, batch: _Batch) -> None:
         """Acknowledge the endings and send the starts of a batch that has become durable."""
         for name, number in batch.acked_endings.items():
-            host = self.board.hosts.get(name)
+            host = self.host_tracker.hosts.get(name)
             if host is not None:
                 host.acked_ending = max(host.acked_ending, number)
         by_host: dict[HostId, list[Placement]] = {}
         for fence, placement in batch.starts:
             # If the host has attached again meanwhile, its first report shows that the run is
             # missing, and the task is placed again.
-            if self.board.hosts[placement.host].fence == fence:
+            if self.host_tracker.hosts[placement.host].fence == fence:
                 by_host.setdefault(placement.host, []).append(placement)
         for name, placements in by_host.items():
-            self._send_starts(self.board.hosts[name], placements)
+            self._send_starts(self.host_tracker.hosts[name], placements)
 
     def _send_starts(self, host: Host, placements: Iterable[Placement]) -> None:
         """Send start orders, except those that became invalid while they were being written."""
@@ -432,7 +432,7 @@
                 continue
             out = host.facts is not None and host.facts.data_centre in rules.out
             if row.to_be_stopped or task.done or out or host.draining:
-                self.board.mark_lost(run, "its start was not sent")
+                self.host_tracker.mark_lost(run, "its start was not sent")
                 continue
             # The time spent on writing the assignment does not count as run time.
             run.since = boot_s()
@@ -447,7 +447,7 @@
                     "",
                     step.filler,
                     step.target_ms,
-                    self.board.pressure(host, step),
+                    self.host_tracker.pressure(host, step),
                 )
             )
             waited_s = run.since - task.waiting_since
@@ -467,7 +467,7 @@
         if orders:
             # If the link is closed, the first report after the host attaches again shows that
             # the run is missing.
-            self.board.send(host, StartRuns(host.fence, host.renewal, tuple(orders)))
+            self.host_tracker.send(host, StartRuns(host.fence, host.renewal, tuple(orders)))
 
     def _publish_changes(self) -> None:
         """Publish the job states that have changed."""
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -31,7 +31,7 @@
 from apricotpathd.jobdesk import JobDesk
 from apricotpathd.jobentry import JobEntry
 from apricotpathd.process import Process
-from apricotpathd.scheduler import Rules
+from apricotpathd.scheduler import SchedulerRules
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.memorystore import MemoryStore, SharedStore
 
@@ -174,7 +174,7 @@
             replace(self.election, cores=cores),
             Address(name, PORT),
             desk,
-            lambda: Rules(dict(self.queues), frozenset(self.out)),
+            lambda: SchedulerRules(dict(self.queues), frozenset(self.out)),
             dialler,
             JobMetrics(),
             boot_s,
