Rename the module jobdesk to jobservice

JobDesk serves the calls on jobs at an entry: JobService, and JobServiceUnavailable if the answer cannot be determined. The attributes and locals desk are job_service, since jobs is the JobEntry beside it. The logger of the module follows its name.

--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -28,7 +28,7 @@
 from apricotpath.mirror import WatchableStore
 from apricotpath.model import Role
 from apricotpathd.dialler import Dialler
-from apricotpathd.jobdesk import JobDesk
+from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 
@@ -51,7 +51,7 @@
         cfg: FleetSettings,
         election: ElectionSettings,
         address: Address,
-        desk: JobDesk,
+        job_service: JobService,
         rules: Callable[[], SchedulerRules],
         dialler: Dialler,
         metrics: JobMetrics,
@@ -59,7 +59,7 @@
     ) -> None:
         self.process, self.store, self.cfg = process, store, cfg
         self.prefix = election.prefix
-        self.desk = desk
+        self.job_service = job_service
         self.scheduler: Scheduler | None = None
         self._rules, self._utc = rules, utc
         self._dialler = dialler
@@ -73,7 +73,7 @@
             address,
             self._serve_term,
         )
-        desk.on_epoch = self._epoch_seen
+        job_service.on_epoch = self._epoch_seen
 
     def rules_changed(self) -> None:
         """Run a scheduling pass with the new rules."""
@@ -106,11 +106,11 @@
 
     def _announce_leader(self, link: Link) -> None:
         """Announce the leader to an agent, which may have no link to it."""
-        leader = self.desk.leader
+        leader = self.job_service.leader
         if leader is None or link.peer is None or link.peer.role is not Role.AGENT:
             return
         try:
-            link.send_nowait(LeaderNotice(self.desk.epoch, leader))
+            link.send_nowait(LeaderNotice(self.job_service.epoch, leader))
         except LinkError as exc:
             log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
@@ -134,17 +134,17 @@
                 group.cancel_scope.cancel()
         finally:
             self.scheduler = None
-            self.desk.send_local = None
+            self.job_service.send_local = None
 
     async def _announce_term(self, scheduler: Scheduler) -> None:
         """Announce the term to all linked processes once its tables are loaded."""
         await scheduler.loaded.wait()
-        self.desk.send_local = self._handle_job_message
-        self.desk.follow(scheduler.term.epoch, self.process.hello.process_id)
+        self.job_service.send_local = self._handle_job_message
+        self.job_service.follow(scheduler.term.epoch, self.process.hello.process_id)
         for link in list(self.process.links):
             self._announce_scheduler(link, scheduler)
         for message in scheduler.all_statuses():
-            self.desk.apply_statuses(message)
+            self.job_service.apply_statuses(message)
 
     def _announce_scheduler(self, link: Link, scheduler: Scheduler) -> None:
         try:
@@ -156,7 +156,7 @@
             log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
     def _publish(self, message: JobStatuses) -> None:
-        self.desk.apply_statuses(message)
+        self.job_service.apply_statuses(message)
         for link in self.process.links:
             if link.peer is not None and link.peer.role is Role.ENTRY:
                 try:
--- a/packages/daemon/src/apricotpathd/jobdesk.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -52,7 +52,7 @@
     UNKNOWN = "unknown"
 
 
-class DeskUnavailable(StoreError):
+class JobServiceUnavailable(StoreError):
     """The answer cannot be determined now."""
 
 
@@ -76,7 +76,7 @@
         return f"{self.root}cancel/{job}"
 
 
-class JobDesk:
+class JobService:
     """Component of an entry that serves calls on jobs.
 
     An accepted job is in the store before the caller gets its answer; the scheduler
@@ -167,7 +167,7 @@
         return Submission.UNKNOWN if unknown else Submission.NOT_ACCEPTED
 
     async def progress(self, job: JobId) -> Progress | None:
-        """Return a job's progress, or None if there is no such job; raises DeskUnavailable."""
+        """Return a job's progress, or None if unknown; raises JobServiceUnavailable."""
         status = self.statuses.get(job)
         if status is not None and (status.progress.final or self.is_fresh()):
             return status.progress
@@ -179,7 +179,7 @@
         return status.progress if status is not None else Progress.QUEUED
 
     async def cancel(self, job: JobId) -> bool:
-        """Cancel a job; False if there is none. Raises DeskUnavailable."""
+        """Cancel a job; False if there is none. Raises JobServiceUnavailable."""
         stored = await self._read(job)
         if stored is None:
             return False
@@ -188,15 +188,15 @@
             try:
                 await self.store.txn([], [Put(key, b"{}")])
             except StoreError as exc:
-                raise DeskUnavailable(f"the cancelling is not stored: {exc}") from exc
+                raise JobServiceUnavailable(f"the cancelling is not stored: {exc}") from exc
             self._notify_scheduler(JobCancelling(job))
         log.info("job cancelled", extra={"job": job, "ended": stored.ended is not None})
         return True
 
     def pending(self, queue: QueueId) -> int:
-        """Return how many jobs of a queue have not started; raises DeskUnavailable."""
+        """Return how many jobs of a queue have not started; raises JobServiceUnavailable."""
         if not self.is_fresh():
-            raise DeskUnavailable("the scheduler cannot be reached")
+            raise JobServiceUnavailable("the scheduler cannot be reached")
         return sum(
             status.queue == queue and status.progress is Progress.QUEUED
             for status in self.statuses.values()
@@ -212,13 +212,13 @@
         try:
             item = await self.store.get(self.keys.job(job))
         except StoreError as exc:
-            raise DeskUnavailable(f"the store did not answer: {exc}") from exc
+            raise JobServiceUnavailable(f"the store did not answer: {exc}") from exc
         if item is None:
             return None
         try:
             return parse_job(item.value)
         except InputError as exc:
-            raise DeskUnavailable(str(exc)) from exc
+            raise JobServiceUnavailable(str(exc)) from exc
 
     # Messages.
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -38,7 +38,7 @@
 from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
 from apricotpathd.hosttracker import HostTracker
-from apricotpathd.jobdesk import JobKeys
+from apricotpathd.jobservice import JobKeys
 from apricotpathd.runstops import RunStops
 
 log = logging.getLogger(__name__)
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -316,7 +316,7 @@
     async def act(run: Script) -> None:
         leader = run.running_world.leader()
         others = [node for node in run.running_world.entries.values() if node is not leader]
-        assert await others[0].desk.cancel(run.jobs[0])
+        assert await others[0].job_service.cancel(run.jobs[0])
 
     script(context).actions.append(act)
 
@@ -329,7 +329,7 @@
         await lose_answers(run)
 
         async def submit_at(name: str) -> None:
-            await run.running_world.entries[name].desk.submit(job)
+            await run.running_world.entries[name].job_service.submit(job)
 
         async with anyio.create_task_group() as group:
             for name in list(run.running_world.entries) * 3:
@@ -501,7 +501,10 @@
         names = sorted(run.running_world.entries)
         node = run.running_world.entries[names[int(choice * 97) % len(names)]]
         choice += 0.37
-        if not node.scope.cancel_called and (await node.desk.submit(job)).value == "accepted":
+        if (
+            not node.scope.cancel_called
+            and (await node.job_service.submit(job)).value == "accepted"
+        ):
             return
         await anyio.sleep(0.3)
 
@@ -536,10 +539,10 @@
             Job(JobId(f"{number:016x}"), QUEUE, "bake", (Step(1, CORE, 1.0),)) for number in (7, 8)
         )
         node.store.faults.late, node.store.faults.late_s = 100, 30.0
-        context.outcomes.append((await node.desk.submit(first)).value)
+        context.outcomes.append((await node.job_service.submit(first)).value)
         node.store.faults.late, node.store.faults.down = 0, True
         for job in (first, second):
-            context.outcomes.append((await node.desk.submit(job)).value)
+            context.outcomes.append((await node.job_service.submit(job)).value)
 
     script(context).actions.append(act)
 
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -28,8 +28,8 @@
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.dialler import Dialler
 from apricotpathd.hostagent import HostAgent
-from apricotpathd.jobdesk import JobDesk
 from apricotpathd.jobentry import JobEntry
+from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
 from apricotpathd.scheduler import SchedulerRules
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
@@ -124,7 +124,7 @@
 
     process: Process
     store: MemoryStore
-    desk: JobDesk
+    job_service: JobService
     jobs: JobEntry
     scope: anyio.CancelScope
 
@@ -165,7 +165,7 @@
     def add_entry(self, name: str, cores: float = 1.0) -> EntryNode:
         process = Process(Role.ENTRY, ProcessId(name), DataCentreId("z1"))
         store = MemoryStore(self.shared)
-        desk = JobDesk(store, PREFIX, utc=boot_s)
+        job_service = JobService(store, PREFIX, utc=boot_s)
         dialler = Dialler(process.hello, LinkSettings(), process)
         jobs = JobEntry(
             process,
@@ -173,15 +173,15 @@
             self.cfg,
             replace(self.election, cores=cores),
             Address(name, PORT),
-            desk,
+            job_service,
             lambda: SchedulerRules(dict(self.queues), frozenset(self.out)),
             dialler,
             JobMetrics(),
             boot_s,
         )
         dialler.set_targets = lambda wanted: None  # type: ignore[method-assign]
-        process.set_components([desk, jobs])
-        node = EntryNode(process, store, desk, jobs, anyio.CancelScope())
+        process.set_components([job_service, jobs])
+        node = EntryNode(process, store, job_service, jobs, anyio.CancelScope())
         self.entries[name] = node
         self.group.start_soon(self._run, node.scope, process)
         for other in [*self.entries.values(), *self.agents.values()]:
@@ -300,8 +300,8 @@
         """Submit a job at an entry and return its id."""
         self._jobs_submitted += 1
         job = JobId(f"{self._jobs_submitted:016x}")
-        desk = self.entries[at or next(iter(self.entries))].desk
-        outcome = await desk.submit(Job(job, QUEUE, "bake", steps))
+        job_service = self.entries[at or next(iter(self.entries))].job_service
+        outcome = await job_service.submit(Job(job, QUEUE, "bake", steps))
         assert outcome.value == "accepted", outcome
         return job
 
@@ -332,7 +332,7 @@
         )
         with anyio.fail_after(within_s):
             while True:
-                progress = await node.desk.progress(job)
+                progress = await node.job_service.progress(job)
                 if progress is not None and progress.final:
                     return progress.value
                 await anyio.sleep(0.05)
