Name the executor's callbacks and the age of the lease grant

executor_said and executor_left handle a heartbeat and a notice of shutdown; granted_age_s is the age of the newest lease grant.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -98,7 +98,7 @@
 
     # State of the executor.
 
-    def executor_said(self, state: ExecutorState) -> None:
+    def on_executor_heartbeat(self, state: ExecutorState) -> None:
         """Apply a heartbeat of the executor; a restarted executor ends the attachment."""
         previous = self.state
         self.state = state
@@ -113,7 +113,7 @@
             log.info("executor state", extra={"draining": state.draining})
         self._signal()
 
-    def executor_left(self, instance: str) -> None:
+    def on_executor_shutdown(self, instance: str) -> None:
         """Handle the executor's notice that it shuts down."""
         if self.state is not None and self.state.facts.instance == instance:
             log.info("executor shut down", extra={"instance": instance})
@@ -131,7 +131,7 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def granted_age_s(self) -> float:
+    def lease_grant_age_s(self) -> float:
         """Return the seconds since the newest grant; infinite if not attached."""
         attached = self.attachment
         if attached is None or not attached.granted_until:
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -21,7 +21,7 @@
         self.granted_at = float("-inf")
         self.state: object | None = "an executor"
 
-    def granted_age_s(self) -> float:
+    def lease_grant_age_s(self) -> float:
         return boot_s() - self.granted_at
 
 
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -143,7 +143,7 @@
             frozenset(),
             self.model.capacity,
         )
-        self.agent.executor_said(ExecutorState(facts, draining))
+        self.agent.on_executor_heartbeat(ExecutorState(facts, draining))
 
     async def deliver(self, message: Message) -> None:
         await self.agent.received(self.link, Envelope(1, 0, message))
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -228,7 +228,7 @@
                     frozenset({rack}),
                     model.capacity,
                 )
-                node.agent.executor_said(ExecutorState(facts))
+                node.agent.on_executor_heartbeat(ExecutorState(facts))
             model.work()
             await anyio.sleep(0.5)
 
