--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -44,7 +44,7 @@
 from apricotpathd.hosts import HostRow, HostTable
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import OwnerState, Phase, Run, Shard, View
-from apricotpathd.scheduling import Scheduler
+from apricotpathd.scheduling import ShardScheduler
 from apricotpathd.shares import TeamShares
 
 REPORT_S = 1.0
@@ -194,7 +194,7 @@
         )
         self.commands = ModelCommands(self.state, self)
         self.shares = TeamShares(ENTRY, cast(Any, OneMember()), self._limit, 0.0)
-        self.scheduler = Scheduler(self.state, self.commands, self.shares)
+        self.scheduler = ShardScheduler(self.state, self.commands, self.shares)
         self.scheduler.choose_victims = modes.victims
         self.reconciler = Reconciler(self.state, self.commands)
         self.shard = Shard(ShardId(0), Epoch(1), cast(Any, None), 0.0, loaded=True)
@@ -266,7 +266,7 @@
             self.scheduler.restore_throttles(now)
             self.shares.keep(now)
         if step % round(JUDGE_S / tick) == 0:
-            self.scheduler.judge_possible(now)
+            self.scheduler.mark_impossible_jobs(now)
         self._journal()
         self.scheduler.place(now)
         self._journal()
--- a/packages/daemon/src/apricotpathd/jobcalls.py
+++ b/packages/daemon/src/apricotpathd/jobcalls.py
@@ -31,7 +31,7 @@
 from apricotpath.trace import Cancel, Job
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Members, OwnerState, Phase, Proposal, Run, Shard
-from apricotpathd.scheduling import Scheduler, impossible_text
+from apricotpathd.scheduling import ShardScheduler, impossible_text
 from apricotpathd.tracing import RecordEvent, no_trace
 
 JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
@@ -79,7 +79,7 @@
     """Submits, cancels, lists, shows and explains jobs."""
 
     def __init__(
-        self, state: OwnerState, members: Members, scheduler: Scheduler, reconciler: Reconciler
+        self, state: OwnerState, members: Members, scheduler: ShardScheduler, reconciler: Reconciler
     ) -> None:
         self.state = state
         self.members = members
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -41,7 +41,7 @@
 from apricotpathd.members import fair_shares
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Journal, Members, OwnerState, Phase, Proposal, Run, Shard
-from apricotpathd.scheduling import Scheduler
+from apricotpathd.scheduling import ShardScheduler
 from apricotpathd.shares import Limits, TeamShares, no_limits
 
 log = logging.getLogger(__name__)
@@ -90,7 +90,7 @@
         self.commands = Commands(self.state)
         self.shares = TeamShares(entry, members, limits, policy.fresh_s)
         self.reconciler = Reconciler(self.state, self.commands)
-        self.scheduler = Scheduler(self.state, self.commands, self.shares)
+        self.scheduler = ShardScheduler(self.state, self.commands, self.shares)
         self.calls = JobCalls(self.state, members, self.scheduler, self.reconciler)
         self.draining = False
         self._group: TaskGroup | None = None
@@ -175,7 +175,7 @@
             self.shares.keep(now)
         if now >= self._next_impossible_check_at:
             self._next_impossible_check_at = now + IMPOSSIBLE_CHECK_INTERVAL_S
-            self.scheduler.judge_possible(now)
+            self.scheduler.mark_impossible_jobs(now)
             self.scheduler.forget_ended(now)
             self.reconciler.forget_hosts()
         if not self.draining:
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -59,7 +59,7 @@
     until: float
 
 
-class Scheduler:
+class ShardScheduler:
     """Makes the owner's scheduling decisions; every start is journaled before it is sent."""
 
     def __init__(self, state: OwnerState, commands: Commands, shares: TeamShares) -> None:
@@ -369,7 +369,7 @@
                     budget -= 1
                     self.commands.evict(shard, run, reason.text, now)
 
-    def judge_possible(self, now: float) -> None:
+    def mark_impossible_jobs(self, now: float) -> None:
         """Mark jobs that fit no registered host as impossible, and unmark them when a host fits."""
         fits: dict[tuple[Size, tuple[DataCentreId, ...]], bool] = {}
         for shard in self.state.shards.values():
