--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -281,7 +281,7 @@
             self.state.inbox[process] = (row.link, self.model.report(process))
             for _, run in self.state.runs_on(process):
                 run.expires_at = self.now + self.state.lease_total_s
-        self.reconciler.take_reports(self.now)
+        self.reconciler.process_reports(self.now)
 
     def _journal(self) -> None:
         """Apply what was proposed at once, as a journal does that is never late."""
--- a/packages/bench/src/apricotpath_bench/slopes.py
+++ b/packages/bench/src/apricotpath_bench/slopes.py
@@ -77,7 +77,7 @@
     tasks = int(hosts * TASKS_PER_HOST / ENTRIES)
     bench = OwnerBench(hosts, tasks)
     bench.fill_inbox()
-    reports = timed(lambda: bench.owner.reconciler.take_reports(1.0), 1)
+    reports = timed(lambda: bench.owner.reconciler.process_reports(1.0), 1)
     found = [Figure("report handled", hosts, reports / hosts * US_PER_S, "us each")]
     owner, now = bench.owner, 2.0
 
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -162,7 +162,7 @@
 
     def tick(self, now: float) -> None:
         """Reconcile and schedule once; the order matters, as later steps use earlier results."""
-        self.reconciler.take_reports(now)
+        self.reconciler.process_reports(now)
         self.reconciler.send_claims(now)
         if now >= self._next_scan_at:
             self._next_scan_at = now + SCAN_INTERVAL_S
@@ -188,7 +188,7 @@
             if link.peer is not None:
                 self.state.inbox[link.peer.process_id] = (link, body)
         elif isinstance(body, ShardClaimed):
-            self.reconciler.claimed(link, body, anyio.current_time())
+            self.reconciler.receive_claim(link, body, anyio.current_time())
         elif isinstance(body, JobCall) and self._group is not None:
             self._group.start_soon(self._answer, link, envelope.id, body)
         elif isinstance(body, ShareRequest) and link.peer is not None:
--- a/packages/daemon/src/apricotpathd/reconcile.py
+++ b/packages/daemon/src/apricotpathd/reconcile.py
@@ -74,7 +74,7 @@
             for process in [name for name in shard.claim_sent_at if name not in rows]:
                 del shard.claim_sent_at[process]
 
-    def claimed(self, link: Link, reply: ShardClaimed, now: float) -> None:
+    def receive_claim(self, link: Link, reply: ShardClaimed, now: float) -> None:
         """Handle a host's answer to a claim."""
         shard, row = self.state.shards.get(reply.shard), self.state.row_of(link)
         if shard is None or row is None or not shard.loaded:
@@ -111,7 +111,7 @@
         run.sends = MAX_SENDS
         run.phase = Phase.STARTING
 
-    def take_reports(self, now: float) -> None:
+    def process_reports(self, now: float) -> None:
         """Handle the newest report of every host that sent one since the last tick."""
         inbox, self.state.inbox = self.state.inbox, {}
         for process, (link, report) in inbox.items():
