--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -264,7 +264,7 @@
             self.scheduler.evict_forbidden(now)
             self.scheduler.guard_hosts(now)
             self.scheduler.restore_throttles(now)
-            self.shares.keep(now)
+            self.shares.renew_used_shares(now)
         if step % round(JUDGE_S / tick) == 0:
             self.scheduler.mark_impossible_jobs(now)
         self._journal()
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -172,7 +172,7 @@
             self.scheduler.evict_forbidden(now)
             self.scheduler.guard_hosts(now)
             self.scheduler.restore_throttles(now)
-            self.shares.keep(now)
+            self.shares.renew_used_shares(now)
         if now >= self._next_impossible_check_at:
             self._next_impossible_check_at = now + IMPOSSIBLE_CHECK_INTERVAL_S
             self.scheduler.mark_impossible_jobs(now)
--- a/packages/daemon/src/apricotpathd/shares.py
+++ b/packages/daemon/src/apricotpathd/shares.py
@@ -123,7 +123,7 @@
         registered = self.entry in self.members.view().entries
         return borrower.available(now) if registered else 0.0
 
-    def keep(self, now: float) -> None:
+    def renew_used_shares(self, now: float) -> None:
         """Renew the shares that committed tasks use, and apply membership changes."""
         self._update_members(now)
         for team, used in self.used.items():
