--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -607,7 +607,7 @@
         now = anyio.current_time()
         founders = self.rules.founders(service)
         memory_s = self.cfg.policy.key_memory_s
-        rows: Iterable[HostRow] = [*self.hosts.of_service(service), *self.hosts.former]
+        rows: Iterable[HostRow] = [*self.hosts.of_service(service), *self.hosts.former_incarnations]
         places: dict[ProcessId, Place] = {}
         for row in rows:
             if row.announce.service != service:
--- a/packages/daemon/src/apricotpathd/hosts.py
+++ b/packages/daemon/src/apricotpathd/hosts.py
@@ -44,13 +44,13 @@
 class HostTable:
     """Hosts by agent process id; the newest link and incarnation of an agent win.
 
-    Former incarnations of an agent stay in `former` while their positions in the
+    Former incarnations of an agent stay in `former_incarnations` while their positions in the
     order of idempotency keys matter (`key_memory_s`). `link_changes` counts new links and
     incarnations, so that scans for new hosts can be skipped while it is unchanged.
     """
 
     rows: dict[ProcessId, HostRow] = field(default_factory=dict)
-    former: list[HostRow] = field(default_factory=list)
+    former_incarnations: list[HostRow] = field(default_factory=list)
     link_changes: int = 0
     _services: dict[ServiceId, dict[ProcessId, HostRow]] = field(default_factory=dict)
 
@@ -70,7 +70,7 @@
         if row is not None and row.incarnation != incarnation:
             row.link = None
             row.gone_at = row.gone_at if row.gone_at is not None else now
-            self.former.append(row)
+            self.former_incarnations.append(row)
             self._remove_from_service(row)
             row = None
         if row is None:
@@ -95,7 +95,9 @@
 
     def expire(self, now: float, keep_s: float) -> None:
         """Drop rows of agents that have been gone for longer than `keep_s` seconds."""
-        self.former = [row for row in self.former if now - (row.gone_at or 0.0) <= keep_s]
+        self.former_incarnations = [
+            row for row in self.former_incarnations if now - (row.gone_at or 0.0) <= keep_s
+        ]
         for process, row in list(self.rows.items()):
             if row.gone_at is not None and now - row.gone_at > keep_s:
                 del self.rows[process]
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -251,7 +251,7 @@
     bench = context.subject.bench
     sizes = {
         "rows": len(bench.table.rows),
-        "former": len(bench.table.former),
+        "former": len(bench.table.former_incarnations),
         "listed": sum(map(len, bench.table._services.values())),
     }
     for shard in bench.state.shards.values():
