--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -42,7 +42,7 @@
 
 log = logging.getLogger(__name__)
 
-REPORT_S = 1.0
+REPORT_INTERVAL_S = 1.0
 DRAIN_TIMEOUT_S = 10.0
 
 
@@ -337,7 +337,7 @@
 
     async def _report_forever(self) -> None:
         while True:
-            with anyio.move_on_after(REPORT_S):
+            with anyio.move_on_after(REPORT_INTERVAL_S):
                 await self._report_now.wait()
             self._report_now = anyio.Event()
             self._send_reports()
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -27,7 +27,7 @@
 from apricotpath_bench.ownertables import OwnerBench, announce_of, process_of
 from apricotpath_bench.storestandin import DirectTransport, StandinStore
 from apricotpathd.agent import ANNOUNCE_REPEAT_S, Agent
-from apricotpathd.agenttasks import REPORT_S
+from apricotpathd.agenttasks import REPORT_INTERVAL_S
 from apricotpathd.backendtransport import BackendTransport
 from apricotpathd.hostregistry import HostRegistry
 from apricotpathd.hosts import HostTable
@@ -289,7 +289,7 @@
         assert isinstance(report, HostReport) and len(report.tasks) == tasks
         heartbeat = bench.links[0].last_heartbeat
         rates = (
-            (report, REPORT_S),
+            (report, REPORT_INTERVAL_S),
             (heartbeat, LinkSettings().heartbeat_s),
             (announce_of(0), ANNOUNCE_REPEAT_S),
         )
