--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -259,7 +259,7 @@
                 traits.append(RunTrait(name, run.run, step.filler, step.target_ms, pressure))
         send_nowait(link, RunTraits(host.fence, tuple(traits)))
 
-    def answers(self, link: Link, message: OrderAnswers) -> None:
+    def receive_answers(self, link: Link, message: OrderAnswers) -> None:
         """Apply a host's answers to start orders."""
         host = next((item for item in self.hosts.values() if item.fence == message.fence), None)
         if host is None or self.links.get(host.host) is not link:
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -190,7 +190,7 @@
         elif isinstance(body, HostRuns):
             scheduler.host_tracker.receive_report(link, body)
         elif isinstance(body, OrderAnswers):
-            scheduler.host_tracker.answers(link, body)
+            scheduler.host_tracker.receive_answers(link, body)
         else:
             self._handle_job_message(body)
 
