--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -138,7 +138,7 @@
             load.pressure,
             load.busy_slots,
             load.queued,
-            tuple(held.report() for held in self.table.held.values()),
+            tuple(held.report() for held in self.table.active.values()),
             self.table.outcomes(),
         )
 
@@ -198,13 +198,13 @@
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
             await self._wait_until(self._is_settled)
             async with anyio.create_task_group() as group:
-                for held in list(self.table.held.values()):
+                for held in list(self.table.active.values()):
                     group.start_soon(self._endings.write_checkpoint, held)
             await self._view.refresh()
         self._send_reports()
 
     def _is_settled(self) -> bool:
-        return not self._queues and not any(held.ending for held in self.table.held.values())
+        return not self._queues and not any(held.ending for held in self.table.active.values())
 
     async def _wait_until(self, done: Callable[[], bool]) -> None:
         while not done():
@@ -219,7 +219,7 @@
         return await self._view.refresh()
 
     def _applied(self, changes: Changes) -> None:
-        for held in self.table.held.values():
+        for held in self.table.active.values():
             self._raise_epoch(held.shard, held.epoch)
         for row in self.table.ended.values():
             self._raise_epoch(row.shard, row.epoch)
@@ -306,7 +306,7 @@
             return self._epoch_refusal(msg)
         if isinstance(msg, StartTask):
             return await self._starts.start(msg)
-        held = self.table.held.get((msg.task, msg.attempt))
+        held = self.table.active.get((msg.task, msg.attempt))
         if held is None:
             return self._starts.refuse_absent(msg)
         if isinstance(msg, ThrottleTask):
--- a/packages/daemon/src/apricotpathd/taskattempts.py
+++ b/packages/daemon/src/apricotpathd/taskattempts.py
@@ -167,36 +167,36 @@
 
 @dataclass(slots=True)
 class AttemptTable:
-    """Held (not ended) attempts, unacknowledged ended attempts, and the resource ledger."""
+    """Active (not ended) attempts, unacknowledged ended attempts, and the resource ledger."""
 
     ledger: Ledger
-    held: dict[Key, HeldAttempt] = field(default_factory=dict)
+    active: dict[Key, HeldAttempt] = field(default_factory=dict)
     ended: dict[Key, WorkerTask] = field(default_factory=dict)
     forgotten: dict[Key, float] = field(default_factory=dict)
 
     def of_task(self, task: TaskId) -> HeldAttempt | None:
-        """Return the held attempt of a task, or None."""
-        return next((held for held in self.held.values() if held.task == task), None)
+        """Return the active attempt of a task, or None."""
+        return next((held for held in self.active.values() if held.task == task), None)
 
     def of_shard(self, shard: ShardId) -> list[HeldAttempt]:
-        """Return the held attempts of a shard."""
-        return [held for held in self.held.values() if held.shard == shard]
+        """Return the active attempts of a shard."""
+        return [held for held in self.active.values() if held.shard == shard]
 
     @property
     def overcommitted(self) -> bool:
         """Whether a task runs that exceeds the host's size."""
-        return any(not held.fits for held in self.held.values())
+        return any(not held.fits for held in self.active.values())
 
     def add(self, held: HeldAttempt) -> None:
         """Commit resources and add an attempt that is about to start; raises CapacityError."""
         if self.overcommitted:
             raise CapacityError("a task that runs already exceeds the host's size")
         self.ledger.reserve(ledger_key(held.key), held.size)
-        self.held[held.key] = held
+        self.active[held.key] = held
 
     def drop(self, held: HeldAttempt) -> None:
         """Remove an attempt that the worker does not run and will not run."""
-        self.held.pop(held.key, None)
+        self.active.pop(held.key, None)
         self.ledger.release(ledger_key(held.key))
         held.ended.set()
 
@@ -206,7 +206,7 @@
         seen = {(row.task, row.attempt) for row in status.tasks}
         for row in status.tasks:
             self.apply_row(row, requested_at, changes)
-        for key, held in list(self.held.items()):
+        for key, held in list(self.active.items()):
             # A start in progress may still reach the worker after this status.
             absent = key not in seen and held.phase is not Phase.STARTING
             if absent and held.confirmed_at < requested_at:
@@ -218,7 +218,7 @@
     def apply_row(self, row: WorkerTask, requested_at: float, changes: Changes) -> None:
         """Apply one attempt of a worker status."""
         key = (row.task, row.attempt)
-        held = self.held.get(key)
+        held = self.active.get(key)
         if row.outcome is not None:
             if held is not None:
                 self.drop(held)
@@ -247,11 +247,11 @@
     def _adopt(self, row: WorkerTask, changes: Changes) -> None:
         held = attempt_from_worker(row)
         held.fits = False
-        self.held[held.key] = held
+        self.active[held.key] = held
         changes.adopted.append(held)
 
     def _commit_adopted(self) -> None:
-        for held in self.held.values():
+        for held in self.active.values():
             if held.fits:
                 continue
             try:
--- a/packages/daemon/src/apricotpathd/taskguard.py
+++ b/packages/daemon/src/apricotpathd/taskguard.py
@@ -33,7 +33,7 @@
         while True:
             if self.view.status is not None:
                 self.view.set_claim()
-                for held in list(self.view.table.held.values()):
+                for held in list(self.view.table.active.values()):
                     self._enforce(held)
             await anyio.sleep(self.view.cfg.policy.tick_s)
 
@@ -73,11 +73,11 @@
     async def _guard(self, usage: Size) -> None:
         rows = [
             GuardRow(*held.key, held.task_class, held.size, held.row.usage, held.guard_share)
-            for held in self.view.table.held.values()
+            for held in self.view.table.active.values()
             if held.row is not None and not held.ending
         ]
         for action in decide(self.view.table.ledger.size, usage, rows):
-            held = self.view.table.held.get((action.task, action.attempt))
+            held = self.view.table.active.get((action.task, action.attempt))
             if held is None:
                 continue
             if isinstance(action, Shed):
--- a/packages/daemon/src/apricotpathd/taskleases.py
+++ b/packages/daemon/src/apricotpathd/taskleases.py
@@ -40,7 +40,7 @@
         This runs in a separate loop, since a call to the worker may hang.
         """
         while True:
-            for held in list(self.view.table.held.values()):
+            for held in list(self.view.table.active.values()):
                 await self._update_deadline(held, None)
             await anyio.sleep(self.view.cfg.policy.tick_s)
 
--- a/packages/daemon/src/apricotpathd/taskstarts.py
+++ b/packages/daemon/src/apricotpathd/taskstarts.py
@@ -30,7 +30,7 @@
     async def start(self, msg: StartTask) -> TaskReply:
         """Start an attempt unless a check fails; a repeated start changes nothing."""
         key = (msg.task, msg.attempt)
-        if key in self.view.table.held or key in self.view.table.ended:
+        if key in self.view.table.active or key in self.view.table.ended:
             return task_reply(msg, True, ReplyCode.KNOWN, "")
         reply = self._refusal(msg)
         if reply is None:
--- a/tests/features/steps/agenttasks_steps.py
+++ b/tests/features/steps/agenttasks_steps.py
@@ -69,7 +69,7 @@
 
     async def renew(self, host: TaskHost, agent: Any, epoch: int) -> None:
         while agent is host.agent and host.renewing:
-            tasks = tuple(sorted(held.task for held in agent.table.held.values()))
+            tasks = tuple(sorted(held.task for held in agent.table.active.values()))
             anchor = (agent.incarnation, agent.worker_clock_ms)
             await host.send(RenewTasks(3, epoch, tasks, *anchor))
             await anyio.sleep(1.0)
@@ -404,7 +404,7 @@
         assert [row.task for row in report.outcomes] == ["evicted"]
         assert [(row.task, bool(row.checkpoint)) for row in report.tasks] == [("kept", True)]
         await self.restart(host)
-        assert [held.task for held in host.agent.table.held.values()] == ["kept"]
+        assert [held.task for held in host.agent.table.active.values()] == ["kept"]
 
     # Control.
 
