Rename Client.any, Client.all and change of the operators' command

The methods call any or all entries: call_any and call_all, which also no longer hide built-in names; change_state changes the state of a data centre.

--- a/packages/bench/src/apricotpath_bench/drive.py
+++ b/packages/bench/src/apricotpath_bench/drive.py
@@ -19,7 +19,7 @@
 from apricotpath_bench.judge import Call, Observed, Period, Sample, read_backend, read_worker
 from apricotpath_bench.shapes import MB_PER_GB, bundle_of
 from apricotpath_cli.client import Answer, Client
-from apricotpath_cli.datacentres import change
+from apricotpath_cli.datacentres import change_state
 
 T = TypeVar("T")
 
@@ -153,17 +153,17 @@
 
     def submit(self, job: dict[str, Any]) -> None:
         """Submit a job; raises an ApricotpathError if no entry accepts it."""
-        self.operate(lambda client: client.any("POST", "/v1/jobs", job))
+        self.operate(lambda client: client.call_any("POST", "/v1/jobs", job))
         self.jobs.append(job["job_id"])
 
     def cancel(self, name: str) -> None:
         """Cancel a job; raises an ApricotpathError if no entry accepts it."""
-        self.operate(lambda client: client.any("DELETE", f"/v1/jobs/{name}"))
+        self.operate(lambda client: client.call_any("DELETE", f"/v1/jobs/{name}"))
 
     def job(self, name: str) -> dict[str, Any]:
         """Return what an entry shows of a job; empty while none answers."""
         try:
-            shown = self.operate(lambda client: client.any("GET", f"/v1/jobs/{name}"))
+            shown = self.operate(lambda client: client.call_any("GET", f"/v1/jobs/{name}"))
         except ApricotpathError:
             return {}
         return dict(shown)
@@ -181,7 +181,7 @@
     ) -> int:
         """Take a data centre out or bring it back; returns the command's exit code."""
         code = self.operate(
-            lambda client: change(client, data_centre, ServiceState(state), wait_s), entries
+            lambda client: change_state(client, data_centre, ServiceState(state), wait_s), entries
         )
         return int(code)
 
@@ -191,7 +191,7 @@
 
     def entry_answers(self, path: str) -> list[Answer]:
         """Return what each entry answers to a signed GET."""
-        found: list[Answer] = self.operate(lambda client: client.all("GET", path))
+        found: list[Answer] = self.operate(lambda client: client.call_all("GET", path))
         return found
 
     def versions(self) -> dict[str, int]:
--- a/packages/bench/src/apricotpath_bench/load.py
+++ b/packages/bench/src/apricotpath_bench/load.py
@@ -161,7 +161,7 @@
         await _until(origin + arrival.at_s)
         job = arrival.job["job_id"]
         try:
-            await self.client.any("POST", "/v1/jobs", arrival.job)
+            await self.client.call_any("POST", "/v1/jobs", arrival.job)
             phase.jobs.append(job)
         except ApricotpathError:
             phase.refused_jobs += 1
@@ -173,7 +173,7 @@
     async def cancel(self, job: str) -> None:
         """Cancel a job; one that has ended already is no error."""
         try:
-            await self.client.any("DELETE", f"/v1/jobs/{job}")
+            await self.client.call_any("DELETE", f"/v1/jobs/{job}")
         except ApricotpathError:
             return
 
--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -150,7 +150,7 @@
     """Send the bundle; a lost answer is resolved by reading which bundle is in force."""
     for attempt in range(PUT_TRIES):
         try:
-            return await client.any("PUT", "/v1/bundle", envelope)
+            return await client.call_any("PUT", "/v1/bundle", envelope)
         except ConflictError:
             if await _is_accepted(client, bundle.version, envelope):
                 return {}
@@ -168,7 +168,7 @@
     Polls, because the entry may see the bundle only at its next read of the store.
     """
     for _attempt in range(PUT_TRIES):
-        reply = await client.any("GET", "/v1/bundle")
+        reply = await client.call_any("GET", "/v1/bundle")
         if reply.get("version") != version - 1:
             return reply.get("version") == version and reply.get("envelope") == json.loads(envelope)
         await anyio.sleep(RETRY_S)
--- a/packages/cli/src/apricotpath_cli/client.py
+++ b/packages/cli/src/apricotpath_cli/client.py
@@ -92,7 +92,7 @@
             raise EntryUnavailable(f"entry {entry} cannot be reached: {detail}") from exc
         return _decode(entry, response)
 
-    async def any(self, method: str, target: str, body: Any = None) -> dict[str, Any]:
+    async def call_any(self, method: str, target: str, body: Any = None) -> dict[str, Any]:
         """Try the entries in order and return the first answer.
 
         Only for idempotent calls: reads, and writes that carry an id.
@@ -105,7 +105,7 @@
                 last_error = exc
         raise last_error
 
-    async def all(self, method: str, target: str, body: Any = None) -> list[Answer]:
+    async def call_all(self, method: str, target: str, body: Any = None) -> list[Answer]:
         """Call all entries concurrently and return the answers in the order of the entries."""
 
         async def call_one(entry: str) -> Answer:
--- a/packages/cli/src/apricotpath_cli/confirm.py
+++ b/packages/cli/src/apricotpath_cli/confirm.py
@@ -33,7 +33,7 @@
     progress = Progress()
     with anyio.move_on_after(wait_s):
         while True:
-            answers = await client.all("GET", "/v1/status")
+            answers = await client.call_all("GET", "/v1/status")
             reachable = [answer for answer in answers if answer.error is None]
             ready = [answer for answer in reachable if _reports_in_force(in_force, answer)]
             progress.show(f"{label}: in force at {len(ready)} of {len(answers)} entries")
--- a/packages/cli/src/apricotpath_cli/datacentres.py
+++ b/packages/cli/src/apricotpath_cli/datacentres.py
@@ -56,12 +56,12 @@
 
     async def run() -> int:
         async with Client(cfg.entries, key, args.timeout) as client:
-            return await change(client, args.data_centre, args.state, args.wait)
+            return await change_state(client, args.data_centre, args.state, args.wait)
 
     return anyio.run(run)
 
 
-async def change(client: Client, dc: str, state: ServiceState, wait_s: float) -> int:
+async def change_state(client: Client, dc: str, state: ServiceState, wait_s: float) -> int:
     """Send the change to every entry, wait until it is in force, and return the exit code.
 
     Entries that do not answer get it from the others, or when it is sent again.
@@ -88,17 +88,17 @@
     target = f"/v1/datacentres/{quote(wanted.data_centre, safe='')}"
     body = {"seq": wanted.seq, "state": wanted.state.value}
     if wanted.state is ServiceState.OUT:
-        return await client.all("PUT", target, body)
+        return await client.call_all("PUT", target, body)
     # Bringing a data centre back is one compare-and-swap in the store, by any entry.
     try:
-        return [Answer("", await client.any("PUT", target, body))]
+        return [Answer("", await client.call_any("PUT", target, body))]
     except ApricotpathError as exc:
         return [Answer("", {}, exc)]
 
 
 async def _next_seq(client: Client, dc: str) -> tuple[int, bool]:
     """Return the next sequence number, and whether any entry knows the data centre."""
-    answers = await client.all("GET", "/v1/status")
+    answers = await client.call_all("GET", "/v1/status")
     failed = [answer.error for answer in answers if answer.error is not None]
     if len(failed) == len(answers):
         raise failed[0]
--- a/packages/cli/src/apricotpath_cli/views.py
+++ b/packages/cli/src/apricotpath_cli/views.py
@@ -44,7 +44,7 @@
 
     async def run() -> dict[str, Any]:
         async with Client(cfg.entries, key, args.timeout) as client:
-            return await client.any(method, target, body)
+            return await client.call_any(method, target, body)
 
     return anyio.run(run)
 
@@ -56,7 +56,7 @@
 
     async def run() -> list[Answer]:
         async with Client(cfg.entries, key, args.timeout) as client:
-            return await client.all("GET", target)
+            return await client.call_all("GET", target)
 
     return anyio.run(run)
 
