Name the test doubles by the field's terms

signed_bundle, compacted_revision, apply_due_writes, lost_answers, late_writes, endings, last_ending_number, process_due, renew_lease, Relay.silence and wait_for_end say what the stand-ins do.

--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from behave import given, then, when
-from control_steps import RULES, signed, status
+from control_steps import RULES, signed_bundle, status
 from operator_standin import MemoryEntries
 
 from apricotpath.bundle import to_json_value
@@ -35,7 +35,7 @@
         self.key = generate_key()
         self.entries = MemoryEntries(["one", "two"], [self.key.public_text])
         for services in self.entries.services.values():
-            services.control.merge_bundle(signed(self.key, 1))
+            services.control.merge_bundle(signed_bundle(self.key, 1))
         self.code, self.out, self.err = -1, "", ""
         save_key(self.key, folder / "key")
         save_key(generate_key(), folder / "stranger")
@@ -87,7 +87,7 @@
             one.store_out = two.store_out = True
         elif fault == "another bundle 2":
             for services in (one, two):
-                services.control.merge_bundle(signed(self.key, 2, region="elsewhere"))
+                services.control.merge_bundle(signed_bundle(self.key, 2, region="elsewhere"))
         elif fault == "another operator's bring-back":
             one.in_force = two.in_force = False
             self.entries.on_write = self._bring_back
--- a/tests/features/steps/control_steps.py
+++ b/tests/features/steps/control_steps.py
@@ -23,7 +23,7 @@
 MONDAY_NIGHT = datetime(2026, 12, 7, 9, 30, tzinfo=UTC)
 
 
-def signed(key: SigningKey, version: int, **changes: Any) -> bytes:
+def signed_bundle(key: SigningKey, version: int, **changes: Any) -> bytes:
     """Return a signed bundle with Suva's rules, a version and changed fields."""
     bundle: Bundle = replace(RULES, version=version, **changes)
     return sign_envelope(bundle_bytes(bundle), key).to_bytes()
@@ -46,7 +46,7 @@
         self.key = generate_key()
         self.control = self.fresh()
         if version:
-            assert self.control.merge_bundle(signed(self.key, version))
+            assert self.control.merge_bundle(signed_bundle(self.key, version))
         self.updates: list[ControlUpdate] = []
         self.end_states: set[tuple[Any, ...]] = set()
         self.regressions: list[str] = []
@@ -87,17 +87,17 @@
     def update_with_invalid_bundle(self, name: str) -> ControlUpdate:
         """Return an update with a bundle that must be rejected, and a take-out."""
         untrusted_key = generate_key()
-        other = signed(self.key, 1, region="elsewhere")
+        other = signed_bundle(self.key, 1, region="elsewhere")
         bundles = {
             "bundle 1 with other rules": (1, other),
-            "bundle 2 signed by a stranger": (2, signed(untrusted_key, 2)),
+            "bundle 2 signed by a stranger": (2, signed_bundle(untrusted_key, 2)),
             "bundle 2 that revokes its signing key": (
                 2,
-                signed(self.key, 2, revoked_keys=(self.key.key_id,)),
+                signed_bundle(self.key, 2, revoked_keys=(self.key.key_id,)),
             ),
-            "bundle 2 with an invalid rule": (2, signed(self.key, 2, datacentres={})),
+            "bundle 2 with an invalid rule": (2, signed_bundle(self.key, 2, datacentres={})),
             "bundle 1 announced as 9": (9, other),
-            "bundle 2 announced as 0": (0, signed(self.key, 2)),
+            "bundle 2 announced as 0": (0, signed_bundle(self.key, 2)),
             "bytes that are no envelope": (9, b"\x00\xff"),
         }
         version, data = bundles[name]
@@ -110,7 +110,7 @@
 @given("a control state and updates with 3 bundles, 4 statuses and 1 founders record")
 def _(context: Any) -> None:
     subject = context.control = ControlSubject()
-    first, second, third = (signed(subject.key, version) for version in (1, 2, 3))
+    first, second, third = (signed_bundle(subject.key, version) for version in (1, 2, 3))
     founders = (ServiceFounders("scraps", ("a#1", "b#1")),)  # type: ignore[arg-type]
     subject.updates = [
         update(1, first, status("suva-depot", 4, "in")),
@@ -175,8 +175,10 @@
 def _(context: Any) -> None:
     subject = context.control
     subject.new = rotate_key(subject.key)
-    assert subject.control.merge_bundle(signed(subject.new, 2))
-    assert subject.control.merge_bundle(signed(subject.new, 3, revoked_keys=(subject.key.key_id,)))
+    assert subject.control.merge_bundle(signed_bundle(subject.new, 2))
+    assert subject.control.merge_bundle(
+        signed_bundle(subject.new, 3, revoked_keys=(subject.key.key_id,))
+    )
 
 
 @then("a bundle 4 by {signer} is {result}")
@@ -187,7 +189,7 @@
         "a key with a delegation from the revoked one": rotate_key(subject.key),
         "the rotated key": subject.new,
     }
-    data = signed(keys[signer], 4, revoked_keys=(subject.key.key_id,))
+    data = signed_bundle(keys[signer], 4, revoked_keys=(subject.key.key_id,))
     assert subject.control.merge_bundle(data) is (result == "accepted")
 
 
@@ -199,7 +201,7 @@
         "the rotated key": rotate_key(subject.key),
         "the colleague": generate_key(),
     }
-    subject.handover_bundle = signed(
+    subject.handover_bundle = signed_bundle(
         subject.signers["the rotated key"],
         2,
         revoked_keys=(subject.key.key_id,),
@@ -212,7 +214,7 @@
     subject = context.control
     for control in (subject.control, subject.fresh()):
         assert control.merge_bundle(subject.handover_bundle)
-        bundle = signed(subject.signers[signer], 3)
+        bundle = signed_bundle(subject.signers[signer], 3)
         assert control.merge_bundle(bundle) is (result == "accepted")
 
 
@@ -220,7 +222,7 @@
 def _(context: Any, version: int, result: str) -> None:
     subject = context.control
     try:
-        subject.control.check_bundle(signed(subject.key, version))
+        subject.control.check_bundle(signed_bundle(subject.key, version))
         found = "accepted"
     except ConflictError:
         found = "conflict"
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -6,7 +6,7 @@
 
 import anyio
 from behave import given, then, when
-from control_steps import signed, status
+from control_steps import signed_bundle, status
 from trio.testing import MockClock
 
 from apricotpath.codec import Envelope
@@ -72,7 +72,7 @@
             for second in (*self.entries, *self.agents):
                 if first < second or second in self.agents:
                     await self.connect(first, second)
-        await self.flows["entry-1"].apply_store(signed(self.key, 1), (), {}, 0.0)
+        await self.flows["entry-1"].apply_store(signed_bundle(self.key, 1), (), {}, 0.0)
 
     def add(self, name: str) -> None:
         role = Role.ENTRY if name.startswith("entry") else Role.AGENT
@@ -102,7 +102,7 @@
         self.written.append(item)
 
     async def read(self, name: str, version: int, *statuses: DataCentreStatus) -> None:
-        data = signed(self.key, version)
+        data = signed_bundle(self.key, version)
         await self.flows[name].apply_store(data, statuses, {}, anyio.current_time())
 
     async def take_out(self, name: str) -> None:
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -164,7 +164,7 @@
         ends_at = boot_s() + seconds
         while boot_s() < ends_at:
             await anyio.sleep(0.1)
-            self.model.work()
+            self.model.process_due()
         return len(self.model.began)
 
 
@@ -304,7 +304,7 @@
         with anyio.fail_after(most + 1):
             while case.model.runs:
                 await anyio.sleep(0.05)
-                case.model.work()
+                case.model.process_due()
         assert least <= boot_s() - started <= most, boot_s() - started
 
     check(context, act)
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -251,8 +251,8 @@
 @fault("answers of the store are lost")
 async def lose_answers(run: Script) -> None:
     for node in run.running_world.entries.values():
-        node.store.faults.lose = 3
-        node.store.faults.late = 2
+        node.store.faults.lost_answers = 3
+        node.store.faults.late_writes = 2
 
 
 @fault("every entry is killed and started again")
@@ -345,7 +345,7 @@
         names = [name for name, node in run.running_world.entries.items() if node is not leader]
         run.partitioned_entry = names[0]  # type: ignore[attr-defined]
         run.running_world.group.start_soon(run.running_world.partition, names[0], 60.0)
-        await run.running_world.ended(run.jobs[0], 10.0, at=names[1])
+        await run.running_world.wait_for_end(run.jobs[0], 10.0, at=names[1])
 
     script(context).actions.append(act)
 
@@ -354,7 +354,7 @@
 def shown_at_cut(context: Any) -> None:
     async def act(run: Script) -> None:
         name = run.partitioned_entry  # type: ignore[attr-defined]
-        assert await run.running_world.ended(run.jobs[0], 1.0, at=name) == "completed"
+        assert await run.running_world.wait_for_end(run.jobs[0], 1.0, at=name) == "completed"
 
     script(context).actions.append(act)
     script(context).run()
@@ -364,7 +364,7 @@
 def completed_everywhere(context: Any, limit: int) -> None:
     async def act(run: Script) -> None:
         for name in run.running_world.entries:
-            assert await run.running_world.ended(run.jobs[0], limit, at=name) == "completed"
+            assert await run.running_world.wait_for_end(run.jobs[0], limit, at=name) == "completed"
 
     finish(context, act)
 
@@ -372,7 +372,7 @@
 @then("the jobworld's job is {state:w} within {limit:d} seconds")
 def job_ends(context: Any, state: str, limit: int) -> None:
     async def act(run: Script) -> None:
-        found = await run.running_world.ended(run.jobs[0], limit)
+        found = await run.running_world.wait_for_end(run.jobs[0], limit)
         assert found == state, found
 
     finish(context, act)
@@ -383,7 +383,7 @@
     async def act(run: Script) -> None:
         ends_at = boot_s() + limit
         for job in run.jobs:
-            found = await run.running_world.ended(job, max(0.1, ends_at - boot_s()))
+            found = await run.running_world.wait_for_end(job, max(0.1, ends_at - boot_s()))
             assert found == "completed", (job, found)
 
     finish(context, act)
@@ -459,9 +459,9 @@
             for node in nodes:
                 node.store.faults.silent = False
         elif kind == "lost":
-            rng.choice(list(world.entries.values())).store.faults.lose = 3
+            rng.choice(list(world.entries.values())).store.faults.lost_answers = 3
         elif kind == "late":
-            rng.choice(list(world.entries.values())).store.faults.late = 3
+            rng.choice(list(world.entries.values())).store.faults.late_writes = 3
         elif world.shared.leases:
             world.shared.end_lease(rng.choice(list(world.shared.leases)))
 
@@ -538,9 +538,9 @@
         first, second = (
             Job(JobId(f"{number:016x}"), QUEUE, "bake", (Step(1, CORE, 1.0),)) for number in (7, 8)
         )
-        node.store.faults.late, node.store.faults.late_s = 100, 30.0
+        node.store.faults.late_writes, node.store.faults.late_s = 100, 30.0
         context.outcomes.append((await node.job_service.submit(first)).value)
-        node.store.faults.late, node.store.faults.down = 0, True
+        node.store.faults.late_writes, node.store.faults.down = 0, True
         for job in (first, second):
             context.outcomes.append((await node.job_service.submit(job)).value)
 
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -113,7 +113,7 @@
         self.result = replies
 
     async def silence_link(self) -> None:
-        assert self.relay.hold() == 1
+        assert self.relay.silence() == 1
         with anyio.fail_after(2):
             await until(lambda: self.client.ended > 0 and self.server.ended > 0)
         await until(lambda: len(self.client.links) > 1 and self.client.links[-1].is_open)
@@ -130,7 +130,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(pending)
             await until(lambda: len(self.server.held) == 1)
-            self.relay.hold()
+            self.relay.silence()
 
     async def keep_busy(self, every_s: float, for_s: float) -> None:
         """Make a call every `every_s` seconds, and count the other frames that were received."""
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -6,7 +6,7 @@
 import anyio
 import httpx
 from behave import given, then, when
-from control_steps import signed
+from control_steps import signed_bundle
 from operator_standin import MemoryEntries
 from trio.testing import MockClock
 
@@ -25,7 +25,7 @@
         self.entries = MemoryEntries(["one"], [self.key.public_text])
         self.services = self.entries.services["one"]
         self.services.is_ready = ready
-        assert self.services.control.merge_bundle(signed(self.key, 1))
+        assert self.services.control.merge_bundle(signed_bundle(self.key, 1))
         self.answer = httpx.Response(0)
         self.changes_before: list[str] = []
         self.nonce = 0
@@ -85,11 +85,11 @@
 
     def body(self, text: str) -> bytes:
         bundles = {
-            "bundle 1": lambda: signed(self.key, 1),
-            "bundle 2": lambda: signed(self.key, 2),
-            "bundle 3": lambda: signed(self.key, 3),
-            "bundle 2 without data centres": lambda: signed(self.key, 2, datacentres={}),
-            "bundle 2 of a stranger": lambda: signed(generate_key(), 2),
+            "bundle 1": lambda: signed_bundle(self.key, 1),
+            "bundle 2": lambda: signed_bundle(self.key, 2),
+            "bundle 3": lambda: signed_bundle(self.key, 3),
+            "bundle 2 without data centres": lambda: signed_bundle(self.key, 2, datacentres={}),
+            "bundle 2 of a stranger": lambda: signed_bundle(generate_key(), 2),
             "nothing": lambda: b"",
         }
         return bundles[text]() if text in bundles else text.encode()
--- a/tests/features/steps/owner_steps.py
+++ b/tests/features/steps/owner_steps.py
@@ -281,7 +281,7 @@
         other = next(e for e in world.entries.values() if e is not owner)
         world.disconnect(other, host)
         # The owner loses its store lease, but not its links to the hosts.
-        owner.beat = lambda now: None  # type: ignore[method-assign]
+        owner.renew_lease = lambda now: None  # type: ignore[method-assign]
         await world.until(lambda: world.owner_of("work") is other, 30)
         subject.notes |= {"host": host.name, "since": anyio.current_time()}
         await anyio.sleep(20)
@@ -665,12 +665,12 @@
         for other in world.entries.values():
             if other is not owner:
                 world.disconnect(other, host)
-        owner.beat = lambda now: None  # type: ignore[method-assign]
+        owner.renew_lease = lambda now: None  # type: ignore[method-assign]
         await world.until(lambda: world.owner_of("work") is not owner, 40)
         await anyio.sleep(5.0)
         second = world.owner_of("work")
         await second.owner.drain()
-        second.beat = lambda now: None  # type: ignore[method-assign]
+        second.renew_lease = lambda now: None  # type: ignore[method-assign]
 
     subject.acts.append(act)
 
--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -66,7 +66,7 @@
         found = []
         for executor in self.world.executors.values():
             model = executor.model
-            self.world.portal.call(model.work)
+            self.world.portal.call(model.process_due)
             found += [(task, a, b) for task, _, a, b in model.history if task.startswith(job)]
             active = model.runs.values()
             began = model.began
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -65,11 +65,11 @@
     async def act() -> None:
         faults = case.store.faults
         if fault == "the answer is lost":
-            faults.lose = 1
+            faults.lost_answers = 1
         elif fault.startswith("the write"):
-            faults.late = 1
+            faults.late_writes = 1
         elif fault.startswith("three"):
-            faults.lose = 3
+            faults.lost_answers = 3
         elif fault.startswith("the store"):
             faults.down = True
         async with anyio.create_task_group() as group:
@@ -78,7 +78,7 @@
             faults.down = False
         await case.append(2)
         await anyio.sleep(5)
-        case.store.carry_out_late()
+        case.store.apply_due_writes()
 
     case.actions.append(act)
 
@@ -89,7 +89,7 @@
 
     async def act() -> None:
         if "late" in when_:
-            case.store.faults.late = 1
+            case.store.faults.late_writes = 1
         async with anyio.create_task_group() as group:
 
             async def append() -> None:
@@ -104,7 +104,7 @@
             await anyio.sleep(0.02)
             await case.take_over(MemoryStore(case.shared))
         await anyio.sleep(5)
-        case.store.carry_out_late()
+        case.store.apply_due_writes()
 
     case.actions.append(act)
 
--- a/tests/ownerworld.py
+++ b/tests/ownerworld.py
@@ -194,7 +194,7 @@
         while self.paused:
             await self.resumed.wait()
 
-    def beat(self, now: float) -> None:
+    def renew_lease(self, now: float) -> None:
         """Renew the entry's lease and read the store, unless paused."""
         if not self.paused and not self.world.store.down:
             self.contact = now
@@ -628,7 +628,7 @@
         trio._core._run._r.seed(self.seed)
         async with anyio.create_task_group() as self.group:
             for entry in self.entries.values():
-                entry.beat(anyio.current_time())
+                entry.renew_lease(anyio.current_time())
                 for host in self.hosts.values():
                     self.connect(entry, host)
                 self.group.start_soon(entry.owner.run)
@@ -643,7 +643,7 @@
             if now >= beat_at:
                 beat_at = now + 1.0
                 for entry in self.entries.values():
-                    entry.beat(now)
+                    entry.renew_lease(now)
             if now >= step_at:
                 for host in self.hosts.values():
                     host.step(now, 0.1)
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -70,9 +70,9 @@
         self.deadline = 0.0
         self.runs: dict[tuple[TaskId, int], ModelRun] = {}
         self.began: dict[tuple[TaskId, int], float] = {}
-        self.ends: list[RunEnding] = []
+        self.endings: list[RunEnding] = []
         self.highest_blocked_run: dict[TaskId, int] = {}
-        self.numbers = 0
+        self.last_ending_number = 0
         self.changed = anyio.Event()
 
     def crash(self) -> None:
@@ -97,7 +97,7 @@
         if every_s and done_s >= every_s:
             run.saved = str(every_s * int(done_s / every_s))
 
-    def work(self) -> None:
+    def process_due(self) -> None:
         """Process what is due: checkpoints, ends of runs, and expiry of the lease."""
         now = boot_s()
         for run in self.runs.values():
@@ -112,8 +112,10 @@
     def end(self, run: ModelRun, result: RunResult) -> None:
         del self.runs[run.task, run.run]
         self._record_run(run)
-        self.numbers += 1
-        self.ends.append(RunEnding(self.numbers, run.task, run.run, result, run.saved))
+        self.last_ending_number += 1
+        self.endings.append(
+            RunEnding(self.last_ending_number, run.task, run.run, result, run.saved)
+        )
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -121,7 +123,7 @@
         self.history.append((run.task, run.run, self.began[run.task, run.run], boot_s()))
 
     def check_fence(self, fence: FenceToken) -> None:
-        self.work()
+        self.process_due()
         if fence < self.fence:
             raise ExecutorFenced("a higher fencing token was used")
         self.fence = fence
@@ -194,15 +196,15 @@
         model.check_fence(fence)
         if deadline_ms is not None:
             model.deadline = max(model.deadline, model.started_at + deadline_ms / 1000)
-        model.ends = [ending for ending in model.ends if ending.number > acknowledged]
-        ends_at, last_number = boot_s() + wait_s, model.numbers
-        while boot_s() < ends_at and model.numbers == last_number:
-            model.work()
+        model.endings = [ending for ending in model.endings if ending.number > acknowledged]
+        ends_at, last_number = boot_s() + wait_s, model.last_ending_number
+        while boot_s() < ends_at and model.last_ending_number == last_number:
+            model.process_due()
             soonest = min([run.ends_at for run in model.runs.values()], default=ends_at)
             changed = model.changed
             with anyio.move_on_after(max(0.001, min(soonest, ends_at) - boot_s())):
                 await changed.wait()
-            model.work()
+            model.process_due()
         return ExecutorReport(
             model.clock_ms(),
             model.born_ms,
@@ -210,7 +212,7 @@
                 RunStatus(run.task, run.run, run.saved, model.percent(run), run.load)
                 for run in model.runs.values()
             ),
-            tuple(model.ends),
+            tuple(model.endings),
         )
 
     async def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -229,7 +229,7 @@
                     model.capacity,
                 )
                 node.agent.on_executor_heartbeat(ExecutorState(facts))
-            model.work()
+            model.process_due()
             await anyio.sleep(0.5)
 
     async def kill(self, node: EntryNode | AgentNode) -> None:
@@ -323,7 +323,7 @@
             ):
                 await anyio.sleep(0.05)
 
-    async def ended(self, job: JobId, within_s: float, at: str = "") -> str:
+    async def wait_for_end(self, job: JobId, within_s: float, at: str = "") -> str:
         """Return the final state of a job as an entry shows it; raises TimeoutError."""
         node = (
             self.entries[at]
@@ -343,7 +343,7 @@
         runs: dict[str, list[tuple[float, float]]] = {}
         for node in self.agents.values():
             model = node.model
-            model.work()
+            model.process_due()
             if model.overcommitted:
                 found.append(f"{model.name} was overcommitted")
             active = [
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -24,16 +24,16 @@
 
 @dataclass
 class Faults:
-    """Active faults; `lose` and `late` are the numbers of further writes that they affect.
+    """Active faults; `lost_answers` and `late_writes` are numbers of further writes.
 
-    A `lose` write takes effect but its answer is lost. A `late` write also gets
-    no answer, and takes effect `late_s` later if its compares are still true.
+    A write whose answer is lost takes effect. A late write also gets no answer,
+    and takes effect `late_s` later if its compares are still true.
     With `down`, calls fail at once; with `silent`, after 1 s without an answer.
     """
 
     down: bool = False
-    lose: int = 0
-    late: int = 0
+    lost_answers: int = 0
+    late_writes: int = 0
     late_s: float = 2.0
     silent: bool = False
 
@@ -45,7 +45,7 @@
     items: dict[str, KeyValue] = field(default_factory=dict)
     history: list[WatchEvent] = field(default_factory=list)
     revision: int = 1
-    forgotten: int = 0
+    compacted_revision: int = 0
     leases: dict[LeaseId, tuple[float, float]] = field(default_factory=dict)
     changed: anyio.Event = field(default_factory=anyio.Event)
     writes: int = 0
@@ -72,7 +72,7 @@
 
     def forget_history(self) -> None:
         self.history.clear()
-        self.forgotten = self.revision
+        self.compacted_revision = self.revision
 
     def apply(self, compares: Sequence[Compare], operations: Sequence[Put | Delete]) -> TxnResult:
         self.expire()
@@ -111,7 +111,7 @@
 
     async def _simulate_call(self) -> None:
         await anyio.sleep(ANSWER_S)
-        self.carry_out_late()
+        self.apply_due_writes()
         if self.faults.silent:
             await anyio.sleep(1.0)
             raise StoreUnavailable("no answer")
@@ -119,7 +119,7 @@
             raise StoreUnavailable("down")
         self.shared.expire()
 
-    def carry_out_late(self) -> None:
+    def apply_due_writes(self) -> None:
         """Apply the late writes that are due."""
         for entry in [entry for entry in self._late if entry[0] <= boot_s()]:
             self._late.remove(entry)
@@ -139,7 +139,7 @@
         ends_at = boot_s() + wait_s
         while True:
             await self._simulate_call()
-            if after < self.shared.forgotten:
+            if after < self.shared.compacted_revision:
                 raise HistoryCompacted("forgotten")
             found = tuple(
                 event
@@ -160,13 +160,13 @@
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> TxnResult:
         await self._simulate_call()
-        if self.faults.late > 0:
-            self.faults.late -= 1
+        if self.faults.late_writes > 0:
+            self.faults.late_writes -= 1
             self._late.append((boot_s() + self.faults.late_s, compares, operations))
             raise StoreOutcomeUnknown("the answer was lost")
         result = self.shared.apply(compares, operations)
-        if self.faults.lose > 0:
-            self.faults.lose -= 1
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
             raise StoreOutcomeUnknown("the answer was lost")
         return result
 
--- a/tests/support/platformstandin.py
+++ b/tests/support/platformstandin.py
@@ -110,7 +110,7 @@
         assert wait_ms <= MAX_WAIT_MS
         ends_at = boot_s() + wait_ms / 1000
         while True:
-            if after < self.shared.forgotten:
+            if after < self.shared.compacted_revision:
                 return 410, {"error": "history is gone"}
             matching = [
                 event
@@ -219,18 +219,18 @@
         if "deadlineMs" in body:
             until = model.started_at + body["deadlineMs"] / 1000
             model.deadline = max(model.deadline, until)
-        model.ends = [ending for ending in model.ends if ending.number > body["lastSeen"]]
-        ends_at, seen = boot_s() + body["waitMs"] / 1000, model.numbers
-        while boot_s() < ends_at and model.numbers == seen:
+        model.endings = [ending for ending in model.endings if ending.number > body["lastSeen"]]
+        ends_at, seen = boot_s() + body["waitMs"] / 1000, model.last_ending_number
+        while boot_s() < ends_at and model.last_ending_number == seen:
             await anyio.sleep(0.02)
-            model.work()
+            model.process_due()
         running = [
             [run.task, run.run, run.saved, model.percent(run), run.load]
             for run in model.runs.values()
         ]
         ended = [
             [ending.number, ending.task, ending.run, ending.result.value, ending.saved]
-            for ending in model.ends
+            for ending in model.endings
         ]
         return {"running": running, "ended": ended, "born": model.born_ms}
 
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -7,7 +7,7 @@
 class Relay:
     """Forwards connections to a port on loopback.
 
-    `hold()` silences all open connections for good without closing them, and
+    `silence()` silences all open connections for good without closing them, and
     returns how many there are; later connections work. `cut()` closes all.
     """
 
@@ -24,7 +24,7 @@
         async with listener:
             await listener.serve(self._serve)
 
-    def hold(self) -> int:
+    def silence(self) -> int:
         for connection in self.connections:
             connection.silenced = True
         return len(self.connections)
