--- a/packages/bench/src/apricotpath_bench/arrivals.py
+++ b/packages/bench/src/apricotpath_bench/arrivals.py
@@ -1,4 +1,4 @@
-"""Arrivals of requests and jobs for a run, made from a seed before the run starts."""
+"""Arrivals of requests and jobs, generated from a seed before a run starts."""
 
 import heapq
 from collections.abc import Iterator
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Burst:
-    """A time in which requests arrive `factor` times as often; seconds from the start."""
+    """Span in which the request rate is multiplied by `factor`; seconds from the start."""
 
     start_s: float
     end_s: float
@@ -20,10 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """How many requests arrive: `rate` per second on average outside bursts.
+    """Request load: `rate` per second on average, outside bursts, for `seconds`.
 
-    `label` is part of the idempotency keys. Without it two phases of a run would
-    send the same keys, and the second would get the kept answers of the first.
+    `label` is part of the idempotency keys. Without it, two phases of a run would
+    send the same keys, and the second would get the stored answers of the first.
     """
 
     seed: int
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobArrival:
-    """One job as the operators' interface takes it; times in seconds from the start."""
+    """One job in the format of the operators' interface; times in seconds from the start."""
 
     at_s: float
     job: dict[str, Any]
@@ -56,9 +56,9 @@
 
 @dataclass(frozen=True, slots=True)
 class JobMix:
-    """Jobs of one kind that arrive evenly between two times.
+    """Jobs of one kind that arrive at even intervals between two times.
 
-    `cancelled` is the share of them that is cancelled after `cancel_after_s`.
+    `cancelled_share` is the probability of a cancellation `cancel_after_s` after the arrival.
     """
 
     prefix: str
@@ -70,7 +70,7 @@
     start_s: float
     end_s: float
     priority: str = "normal"
-    cancelled: float = 0.0
+    cancelled_share: float = 0.0
     cancel_after_s: float = 2.0
     memory_mb: int = 256
 
@@ -78,45 +78,48 @@
 def request_arrivals(shape: Shape, plan: LoadPlan) -> list[Arrival]:
     """Return Poisson arrivals of every class and team, in order of time.
 
-    Each class and team has its own random stream, so a change of one leaves
-    the arrivals of the others as they were.
+    Each class and team has its own random stream, so that changing one does not change
+    the arrivals of the others.
     """
     streams = [
-        _stream(plan, cls, team, plan.rate * cls.share / len(shape.teams))
+        _request_stream(plan, cls, team, plan.rate * cls.share / len(shape.teams))
         for cls in shape.classes
         for team in shape.teams
     ]
     return list(heapq.merge(*streams, key=lambda arrival: arrival.at_s))
 
 
-def _stream(plan: LoadPlan, cls: ClassShape, team: str, rate: float) -> Iterator[Arrival]:
+def _request_stream(plan: LoadPlan, cls: ClassShape, team: str, rate: float) -> Iterator[Arrival]:
     rng = Random(f"{plan.seed}/{cls.name}/{team}")
-    highest = max([1.0, *(burst.factor for burst in plan.bursts)])
+    peak_factor = max([1.0, *(burst.factor for burst in plan.bursts)])
     at, number = 0.0, 0
     while rate > 0:
-        at += rng.expovariate(rate * highest)
+        at += rng.expovariate(rate * peak_factor)
         if at >= plan.seconds:
             return
-        # Candidates come at the highest rate and are kept with the share of the present rate.
-        if rng.random() * highest >= _factor(plan, at):
+        # Thinning: candidates arrive at the peak rate and are accepted with the probability
+        # of the current rate over the peak rate.
+        if rng.random() * peak_factor >= _burst_factor(plan, at):
             continue
         number += 1
         key = "" if cls.idempotent else f"{plan.label}-{plan.seed}-{cls.name}-{team}-{number}"
         yield Arrival(at, cls.name, team, key, cls.work_ms, cls.deadline_ms)
 
 
-def _factor(plan: LoadPlan, at_s: float) -> float:
+def _burst_factor(plan: LoadPlan, at_s: float) -> float:
     factors = [b.factor for b in plan.bursts if b.start_s <= at_s < b.end_s]
     return max(factors, default=1.0)
 
 
 def job_arrivals(shape: Shape, mixes: list[JobMix], seed: int) -> list[JobArrival]:
     """Return the jobs of all mixes in order of time."""
-    found = [job for mix in mixes for job in _jobs(shape, mix, Random(f"{seed}/{mix.prefix}"))]
+    found = [
+        job for mix in mixes for job in _mix_arrivals(shape, mix, Random(f"{seed}/{mix.prefix}"))
+    ]
     return sorted(found, key=lambda job: job.at_s)
 
 
-def _jobs(shape: Shape, mix: JobMix, rng: Random) -> Iterator[JobArrival]:
+def _mix_arrivals(shape: Shape, mix: JobMix, rng: Random) -> Iterator[JobArrival]:
     for number in range(mix.jobs):
         at = mix.start_s + (mix.end_s - mix.start_s) * number / mix.jobs
         size = {"cpu_milli": mix.cpu_milli, "memory_mb": mix.memory_mb, "accelerators": 0}
@@ -131,5 +134,5 @@
             "checkpoint_s": 0.2,
             "max_attempts": 20,
         }
-        cancel = at + mix.cancel_after_s if rng.random() < mix.cancelled else None
+        cancel = at + mix.cancel_after_s if rng.random() < mix.cancelled_share else None
         yield JobArrival(at, job, cancel)
--- a/packages/bench/src/apricotpath_bench/compare.py
+++ b/packages/bench/src/apricotpath_bench/compare.py
@@ -1,4 +1,4 @@
-"""Runs the same load on a deployment and on its baseline, and prints the comparison."""
+"""Runs the same load on the system and on its baseline, and prints the comparison."""
 
 import argparse
 import json
@@ -9,7 +9,7 @@
 from typing import Any
 
 from apricotpath.errors import ApricotpathError
-from apricotpath_bench.load import MAX_RATE, PHASES, RunSettings, run_side
+from apricotpath_bench.load import MAX_REQUESTS_PER_S, PHASES, RunSettings, run_side
 from apricotpath_bench.report import measures, text_report, write_report
 from apricotpath_bench.shapes import SHAPES
 
@@ -22,14 +22,16 @@
     parser.add_argument("--shape", choices=[*sorted(SHAPES), BOTH], default=BOTH)
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="per side")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--rate", type=float, default=200.0, help=f"requests/s, to {MAX_RATE:g}")
+    parser.add_argument(
+        "--rate", type=float, default=200.0, help=f"requests/s, to {MAX_REQUESTS_PER_S:g}"
+    )
     parser.add_argument("--phase", action="append", choices=list(PHASES), help="only this phase")
     parser.add_argument("--out", type=Path, help="folder for report.txt, .json and .html")
     parser.add_argument("--logs", type=Path, help="keep settings and logs in this folder")
 
 
 def compare(args: argparse.Namespace) -> int:
-    """Run the comparison that the options describe and print it; returns 0 when it has run."""
+    """Run the comparison that the options select, print it and return 0."""
     names = ("suva", "asante") if args.shape == BOTH else (args.shape,)
     phases = tuple(args.phase or PHASES)
     results: dict[str, Any] = {}
--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -24,12 +24,12 @@
 
 
 class DeploymentError(ApricotpathError):
-    """A process of the deployment did not start or a command failed."""
+    """A process of the deployment did not start, or a command failed."""
 
 
 @dataclass(slots=True)
-class Launched:
-    """One process that was started, with its command, so that it can be restarted."""
+class LaunchedProcess:
+    """A started process and the command that started it."""
 
     name: str
     command: list[str]
@@ -38,7 +38,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports on loopback that were free a moment ago."""
+    """Return TCP ports on loopback that no socket was bound to when they were chosen."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for item in sockets:
@@ -51,14 +51,15 @@
 
 @dataclass(slots=True)
 class Deployment:
-    """Store, workers, backend servers, entries and agents of one shape in a folder.
-
-    `policy` overrides settings of `PolicySettings` in all processes, and
-    `overrides` whole settings by kind of process, `entry` or `agent`. `noise`
-    is the slowdown that one batch task of an activity adds to the requests of
-    the backend server on its host. With `relayed`, agents reach entry N through
-    `relays["entry-N"]`. Workers and backend servers write their records to
-    `record_path(name)` as well, which outlasts a kill.
+    """Store, workers, backend servers, entries and agents of one shape.
+
+    All settings, logs and records are written to `folder`. `policy` overrides
+    `PolicySettings` in all processes. `overrides` replaces top-level settings by
+    process kind, `entry` or `agent`. `noise` maps an activity to the slowdown that
+    one of its batch tasks adds to requests of the backend server on the same host.
+    With `relayed`, agents reach entry N through `relays["entry-N"]`. Workers and
+    backend servers also write their records to `record_path(name)`, so that the
+    records survive a kill.
     """
 
     shape: Shape
@@ -66,34 +67,34 @@
     policy: dict[str, Any] = field(default_factory=dict)
     overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
     noise: dict[str, float] = field(default_factory=dict)
-    processes: dict[str, Launched] = field(default_factory=dict)
+    processes: dict[str, LaunchedProcess] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     relayed: bool = False
     relays: dict[str, SilentRelay] = field(default_factory=dict)
 
     @property
     def key_path(self) -> Path:
-        """Private key of the operators."""
+        """Path of the operators' private key."""
         return self.folder / "operator.pem"
 
     def url(self, name: str) -> str:
-        """Return the HTTP address of a port by name, for example `entry-1-callers`."""
+        """Return the base URL of a named port, for example `entry-1-callers`."""
         return f"http://{LOOPBACK}:{self.ports[name]}"
 
     def operator_urls(self) -> list[str]:
-        """Return the operators' addresses of all entries."""
+        """Return the base URLs of the operator interfaces of all entries."""
         return [self.url(f"entry-{n}-operators") for n in range(1, self.shape.entries + 1)]
 
     def host_names(self) -> list[str]:
-        """Return the numbers of the hosts as used in process names."""
+        """Return the host numbers, as text, that process names end with."""
         return [str(n) for n in range(1, self.shape.hosts + 1)]
 
     def record_path(self, name: str) -> Path:
-        """File with the record of a worker or backend server over all its restarts."""
+        """Return the record file of a worker or backend server, kept across restarts."""
         return self.folder / f"{name}.record"
 
     def start(self, bundle: dict[str, Any] | None = None) -> None:
-        """Write settings, start all processes and put the first bundle in force."""
+        """Write settings, start all processes and apply the first bundle."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self._choose_ports()
         if self.relayed:
@@ -118,70 +119,73 @@
                 self.wait_ready(name)
 
     def apply_bundle(self, bundle: dict[str, Any]) -> str:
-        """Sign a bundle and apply it; returns the command's output."""
+        """Sign a bundle, apply it and return the output of the apply command."""
         version = bundle["version"]
         source = self.folder / f"bundle-{version}.json"
         source.write_text(json.dumps(bundle, indent=2), encoding="utf-8")
         signed = self.folder / f"bundle-{version}.signed"
         self.cli("bundle", "sign", str(source), "--key", str(self.key_path), "--out", str(signed))
-        return self.operate("bundle", "apply", str(signed))
+        return self.run_operator_command("bundle", "apply", str(signed))
 
-    def operate(self, *arguments: str) -> str:
-        """Run an operators' command against all entries and return its output."""
+    def run_operator_command(self, *arguments: str) -> str:
+        """Run an `apricotpath` command against all entries and return its output.
+
+        Raises DeploymentError if the command fails.
+        """
         entries = [item for url in self.operator_urls() for item in ("--entry", url)]
         return self.cli(*arguments, *entries, "--key", str(self.key_path))
 
     def cli(self, *arguments: str) -> str:
-        """Run the operators' command and return its output, or raise DeploymentError."""
-        done = self.run_cli(*arguments)
-        if done.returncode != 0:
+        """Run an `apricotpath` command and return its output; raises DeploymentError."""
+        completed = self.run_cli(*arguments)
+        if completed.returncode != 0:
             raise DeploymentError(
-                f"apricotpath {' '.join(arguments)} exited with {done.returncode}: "
-                f"{done.stderr.strip() or done.stdout.strip()}"
+                f"apricotpath {' '.join(arguments)} exited with {completed.returncode}: "
+                f"{completed.stderr.strip() or completed.stdout.strip()}"
             )
-        return done.stdout
+        return completed.stdout
 
     def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run the operators' command and return what it printed and its exit code."""
+        """Run an `apricotpath` command and return its output and exit code."""
         command = [sys.executable, "-m", "apricotpath_cli", *arguments]
         return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
 
     def start_process(self, name: str) -> None:
-        """Start a process by name, or start it again after it ended."""
+        """Start or restart a process by name."""
         command, port_name = self._command(name)
         log = (self.folder / f"{name}.log").open("ab")
         process = subprocess.Popen(command, stdout=log, stderr=log, cwd=self.folder)
         log.close()
-        self.processes[name] = Launched(name, command, self.url(port_name), process)
+        self.processes[name] = LaunchedProcess(name, command, self.url(port_name), process)
 
     def wait_listening(self, name: str) -> None:
-        """Wait until a process answers HTTP at all."""
-        self._wait(name, "/healthz", lambda response: True)
+        """Wait until a process answers /healthz with any status."""
+        self._wait_for_http(name, "/healthz", lambda response: True)
 
     def wait_ready(self, name: str) -> None:
-        """Wait until a process says that it is ready."""
-        self._wait(name, "/readyz", lambda response: response.status_code == 200)
+        """Wait until a process answers /readyz with 200."""
+        self._wait_for_http(name, "/readyz", lambda response: response.status_code == 200)
 
     def kill(self, name: str) -> None:
-        """End a process at once, as a crash would."""
+        """Kill a process with SIGKILL, as in a crash."""
         self._signal(name, signal.SIGKILL)
         self.processes[name].process.wait()
 
     def pause(self, name: str) -> None:
-        """Stop a process from running until it is resumed."""
+        """Suspend a process with SIGSTOP until it is resumed."""
         self._signal(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
-        """Let a paused process run on."""
+        """Resume a paused process."""
         self._signal(name, signal.SIGCONT)
 
     def terminate(self, name: str) -> int:
-        """Ask a process to shut down; return its exit code when it has ended."""
+        """Send SIGTERM to a process, wait for it to end and return its exit code."""
         self._signal(name, signal.SIGTERM)
         return self.processes[name].process.wait(timeout=STOP_TIMEOUT_S)
 
     def stop(self) -> None:
-        """End all processes that this object started."""
+        """Kill all processes of the deployment and close the relays."""
         running = [item for item in self.processes.values() if item.process.poll() is None]
         for item in running:
             item.process.send_signal(signal.SIGCONT)
@@ -192,7 +196,7 @@
             relay.close()
 
     def log_of(self, name: str) -> str:
-        """Return what a process wrote to its log."""
+        """Return the contents of a process's log."""
         return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
 
     def record(self, name: str) -> Any:
@@ -200,20 +204,20 @@
         return httpx.get(f"{self.url(name)}/record", timeout=10).raise_for_status().json()
 
     def faults(self, name: str, **switches: Any) -> None:
-        """Set fault switches of a stand-in."""
+        """Set the fault switches of a stand-in through its HTTP interface."""
         httpx.post(f"{self.url(name)}/faults", json=switches, timeout=10).raise_for_status()
 
     def _signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self.processes[name].process.pid, number)
 
-    def _wait(self, name: str, path: str, accept: Any) -> None:
+    def _wait_for_http(self, name: str, path: str, accepts: Any) -> None:
         item = self.processes[name]
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             if item.process.poll() is not None:
                 raise DeploymentError(f"{name} ended: {self.log_of(name)[-2000:]}")
             try:
-                if accept(httpx.get(item.ready_url + path, timeout=2)):
+                if accepts(httpx.get(item.ready_url + path, timeout=2)):
                     return
             except httpx.HTTPError:
                 pass
@@ -248,7 +252,7 @@
         slots = ["--service", self.shape.service, "--slots", str(self.shape.slots)]
         slots += ["--connections", str(self.shape.connections)]
         slots += ["--noise", json.dumps(self.noise)]
-        # Entry and backend server are taken to be in different data centres.
+        # The added delay assumes that entry and backend server are in different data centres.
         slots += ["--delay-ms", str(2 * self.shape.dc_delay_ms)]
         slots += ["--record", str(self.record_path(name))]
         return [*python, "apricotpath_bench.backendstandin", *address, *slots], name
@@ -257,11 +261,11 @@
         public_key = json.loads(self.cli("keys", "show", str(self.key_path), "--json"))
         common = {"trusted_keys": [public_key["public_key"]], "policy": self.policy}
         for number in range(1, self.shape.entries + 1):
-            self._write(f"entry-{number}", common | self._entry_settings(number))
+            self._write_settings_file(f"entry-{number}", common | self._entry_settings(number))
         for host in self.host_names():
-            self._write(f"agent-{host}", common | self._agent_settings(host))
+            self._write_settings_file(f"agent-{host}", common | self._agent_settings(host))
 
-    def _write(self, name: str, settings: dict[str, Any]) -> None:
+    def _write_settings_file(self, name: str, settings: dict[str, Any]) -> None:
         path = self.folder / f"{name}.json"
         settings = settings | self.overrides.get(name.partition("-")[0], {})
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
--- a/packages/bench/src/apricotpath_bench/drive.py
+++ b/packages/bench/src/apricotpath_bench/drive.py
@@ -1,4 +1,4 @@
-"""Drives a deployment as callers and operators do, and collects what the stand-ins recorded."""
+"""Sends caller and operator traffic to a deployment and collects the stand-ins' records."""
 
 import json
 import time
@@ -16,7 +16,7 @@
 from apricotpath.signing import load_key
 from apricotpath_bench.backendstandin import expected_body
 from apricotpath_bench.deploy import Deployment, DeploymentError
-from apricotpath_bench.judge import Call, Observed, Period, Sample, read_backend, read_worker
+from apricotpath_bench.judge import Call, Observations, Period, Sample, read_backend, read_worker
 from apricotpath_bench.shapes import MB_PER_GB, bundle_of
 from apricotpath_cli.client import Answer, Client
 from apricotpath_cli.datacentres import change
@@ -31,28 +31,31 @@
 ENDED_STATES = ("finished", "failed", "cancelled", "impossible")
 
 
-def wait_until(what: str, holds: Callable[[], T], timeout_s: float = 30.0) -> T:
-    """Return the first true value of `holds`; raises DeploymentError after the timeout."""
+def wait_until(description: str, condition: Callable[[], T], timeout_s: float = 30.0) -> T:
+    """Poll `condition` and return its first true value.
+
+    Raises DeploymentError, with `description` in its message, after `timeout_s`.
+    """
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
-        value = holds()
+        value = condition()
         if value:
             return value
         time.sleep(POLL_S)
-    raise DeploymentError(f"this did not come true in {timeout_s:g} s: {what}")
+    raise DeploymentError(f"condition not met within {timeout_s:g} s: {description}")
 
 
 @dataclass(slots=True)
 class Drive:
-    """Callers, operators and records of one deployment that has started."""
+    """Caller and operator client of a running deployment, with all records of the run."""
 
     deployment: Deployment
-    seen: Observed = field(default_factory=Observed)
+    seen: Observations = field(default_factory=Observations)
     jobs: list[str] = field(default_factory=list)
     _lock: Lock = field(default_factory=Lock)
     _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(CALLER_THREADS))
-    _sampling: Event = field(default_factory=Event)
-    _number: int = 0
+    _sampling_stopped: Event = field(default_factory=Event)
+    _call_count: int = 0
 
     # Callers.
 
@@ -65,10 +68,10 @@
         size: int = 100,
         deadline_ms: int = 0,
     ) -> Call:
-        """Send one request on a new connection and record what came back."""
+        """Send one request on a new connection and record the result."""
         with self._lock:
-            self._number += 1
-            path = f"/call-{self._number}"
+            self._call_count += 1
+            path = f"/call-{self._call_count}"
         headers = {
             "Apricotpath-Class": request_class,
             "Apricotpath-Team": self.deployment.shape.teams[0],
@@ -81,19 +84,21 @@
         callers = self.deployment.url(f"entry-{entry}-callers")
         url = f"{callers}/s/{self.deployment.shape.service}{path}"
         params = {"work_ms": work_ms, "size": size}
-        begun = time.time()
+        sent_at = time.time()
         try:
             response = httpx.post(
                 url, params=params, headers=headers, content=b"{}", timeout=CALL_TIMEOUT_S
             )
         except httpx.HTTPError as exc:
             reason = f"{type(exc).__name__}: {exc}"
-            got = Call(path, entry, request_class, key, begun, time.time(), "cut", 0, reason=reason)
+            result = Call(
+                path, entry, request_class, key, sent_at, time.time(), "cut", 0, reason=reason
+            )
         else:
-            got = self._read(path, entry, request_class, key, begun, size, response)
+            result = self._read(path, entry, request_class, key, sent_at, size, response)
         with self._lock:
-            self.seen.calls.append(got)
-        return got
+            self.seen.calls.append(result)
+        return result
 
     def call_later(self, *args: Any, **kwargs: Any) -> "Future[Call]":
         """Send a request from another thread."""
@@ -105,7 +110,7 @@
         entry: int,
         request_class: str,
         key: str,
-        begun: float,
+        sent_at: float,
         size: int,
         response: httpx.Response,
     ) -> Call:
@@ -113,9 +118,9 @@
         run = headers.get("run-id", "")
         problem = ""
         if response.status_code == 200 and response.content != expected_body(run, size):
-            problem = f"{len(response.content)} of {size} bytes, or bytes of another answer"
+            problem = f"{len(response.content)} of {size} bytes, or the content of another answer"
         return Call(
-            *(path, entry, request_class, key, begun, time.time()),
+            *(path, entry, request_class, key, sent_at, time.time()),
             *(headers.get("apricotpath-outcome", "none"), response.status_code),
             *(run, problem, headers.get("apricotpath-reason", "")),
         )
@@ -130,7 +135,7 @@
         return max(classes, key=lambda cls: cls.deadline_ms).name
 
     def wait_bookable(self, entry: int = 1) -> None:
-        """Wait until requests that are not idempotent are taken."""
+        """Wait until requests that are not idempotent are accepted."""
         name = self.keyed_class()
         wait_until(
             "a keyed request is answered",
@@ -139,31 +144,33 @@
 
     # Operators.
 
-    def operate(self, work: Callable[[Client], Any], entries: list[int] | None = None) -> Any:
-        """Run an operators' call; `work` gets a client for some or all entries."""
+    def run_with_client(
+        self, operation: Callable[[Client], Any], entries: list[int] | None = None
+    ) -> Any:
+        """Run `operation` with an operator client for the selected entries, or for all."""
         urls = self.deployment.operator_urls()
-        chosen = urls if entries is None else [urls[number - 1] for number in entries]
+        selected_urls = urls if entries is None else [urls[number - 1] for number in entries]
         key = load_key(self.deployment.key_path)
 
         async def run() -> Any:
-            async with Client(chosen, key, OPERATOR_TIMEOUT_S) as client:
-                return await work(client)
+            async with Client(selected_urls, key, OPERATOR_TIMEOUT_S) as client:
+                return await operation(client)
 
         return anyio.run(run)
 
     def submit(self, job: dict[str, Any]) -> None:
         """Submit a job; raises an ApricotpathError if no entry accepts it."""
-        self.operate(lambda client: client.any("POST", "/v1/jobs", job))
+        self.run_with_client(lambda client: client.any("POST", "/v1/jobs", job))
         self.jobs.append(job["job_id"])
 
     def cancel(self, name: str) -> None:
         """Cancel a job; raises an ApricotpathError if no entry accepts it."""
-        self.operate(lambda client: client.any("DELETE", f"/v1/jobs/{name}"))
+        self.run_with_client(lambda client: client.any("DELETE", f"/v1/jobs/{name}"))
 
     def job(self, name: str) -> dict[str, Any]:
-        """Return what an entry shows of a job; empty while none answers."""
+        """Return a job's status as an entry shows it; empty if no entry answers."""
         try:
-            shown = self.operate(lambda client: client.any("GET", f"/v1/jobs/{name}"))
+            shown = self.run_with_client(lambda client: client.any("GET", f"/v1/jobs/{name}"))
         except ApricotpathError:
             return {}
         return dict(shown)
@@ -179,19 +186,19 @@
     def change(
         self, data_centre: str, state: str, wait_s: float = 10.0, entries: list[int] | None = None
     ) -> int:
-        """Take a data centre out or bring it back; returns the command's exit code."""
-        code = self.operate(
+        """Set a data centre's service state and return the command's exit code."""
+        code = self.run_with_client(
             lambda client: change(client, data_centre, ServiceState(state), wait_s), entries
         )
         return int(code)
 
     def bundle(self, version: int, **changes: Any) -> dict[str, Any]:
-        """Return a bundle of the shape with some parts replaced."""
+        """Return the shape's bundle with some top-level parts replaced."""
         return bundle_of(self.deployment.shape, version) | changes
 
     def entry_answers(self, path: str) -> list[Answer]:
-        """Return what each entry answers to a signed GET."""
-        found: list[Answer] = self.operate(lambda client: client.all("GET", path))
+        """Return the answer of each entry to a signed GET."""
+        found: list[Answer] = self.run_with_client(lambda client: client.all("GET", path))
         return found
 
     def versions(self) -> dict[str, int]:
@@ -210,15 +217,15 @@
         return found
 
     def sample_forever(self) -> None:
-        """Record versions in a thread until `finish`."""
+        """Record bundle versions in a thread until `finish` is called."""
 
         def run() -> None:
-            while not self._sampling.wait(SAMPLE_S):
+            while not self._sampling_stopped.wait(SAMPLE_S):
                 at, before = time.time(), self.pids()
                 versions = self.versions()
                 after = self.pids()
                 for name, version in versions.items():
-                    # A process that was replaced meanwhile may have given either answer.
+                    # If a process was restarted in between, either incarnation may have answered.
                     if before[name] == after[name]:
                         self.seen.samples.append(Sample(name, after[name], at, version))
 
@@ -231,7 +238,7 @@
     # Faults.
 
     def kill(self, name: str) -> None:
-        """Kill a process; a worker's record gets a line that its tasks have ended."""
+        """Kill a process; for a worker, append a line to its record that ends its tasks."""
         self.deployment.kill(name)
         if name.startswith("worker"):
             declared = {"cpu_milli": 0, "memory_mb": 0, "accelerators": 0}
@@ -240,17 +247,17 @@
                 file.write(json.dumps(line) + "\n")
 
     def disturb(self, name: str, since: float) -> None:
-        """Note that a process was disturbed from a unix time until now."""
+        """Record that a process was subject to a fault from the unix time `since` until now."""
         self.seen.disturbed.append(Period(name, since, time.time()))
 
-    def runs_of(self, path: str) -> bool:
-        """Tell whether a backend server has recorded the start of a request."""
+    def has_run(self, path: str) -> bool:
+        """Return whether a backend server has recorded the start of a request."""
         return any(run.path == path for run in self.read_requests())
 
     # Records.
 
     def read_requests(self) -> list[Any]:
-        """Return the runs at all backend servers so far."""
+        """Return the request runs recorded by all backend servers so far."""
         offset = time.time() - time.monotonic()
         found = []
         for host in self.deployment.host_names():
@@ -258,8 +265,8 @@
             found += read_backend(self.deployment.record_path(name), name, offset)
         return found
 
-    def collect(self) -> Observed:
-        """Read all records into `seen` and return it."""
+    def collect(self) -> Observations:
+        """Read all records of the stand-ins into `seen` and return it."""
         shape, seen = self.deployment.shape, self.seen
         memory = shape.memory_gb * MB_PER_GB
         seen.tasks, seen.commitments = [], []
@@ -277,6 +284,6 @@
         return seen
 
     def finish(self) -> None:
-        """Stop sampling and wait for the callers."""
-        self._sampling.set()
+        """Stop sampling and wait for all pending calls."""
+        self._sampling_stopped.set()
         self._pool.shutdown()
--- a/packages/bench/src/apricotpath_bench/judge.py
+++ b/packages/bench/src/apricotpath_bench/judge.py
@@ -1,4 +1,4 @@
-"""Judges the invariants from the records of workers, backend servers and callers."""
+"""Checks the invariants against the records of workers, backend servers and callers."""
 
 import json
 from collections import defaultdict
@@ -13,14 +13,15 @@
 OUT_BOUND_S = 5.0
 LEAVE_BOUND_S = 5.0
 BUNDLE_BOUND_S = 5.0
-# Each worker stand-in reads the wall clock once, when it starts; its later times come
-# from the monotonic clock. Two workers can disagree by the time between the two reads.
+# A worker stand-in reads the wall clock only once, at its start, and derives all later
+# times from the monotonic clock. The times of two workers can differ by the delay between
+# reading the two clocks.
 CLOCK_SLACK_S = 0.02
 
 
 @dataclass(slots=True)
 class TaskRun:
-    """One attempt on a worker; unix times in seconds, `ended` None while it runs."""
+    """One attempt on a worker; unix times in seconds, `ended` is None while it runs."""
 
     worker: str
     data_centre: str
@@ -36,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Commitment:
-    """Declared sizes on a worker after an event, plus its backend server's claim."""
+    """Sum of declared sizes on a worker after an event, plus its backend server's claim."""
 
     worker: str
     cpu_milli: int
@@ -58,17 +59,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """What one caller sent and got; `outcome` is `cut` if the connection failed.
+    """One request of a caller and its result; `outcome` is `cut` if the connection failed.
 
-    `run` is the request id that the body belongs to, and `problem` says what
-    is wrong with the body. Unix times in seconds.
+    `run` is the id of the request that the answer belongs to. `problem` describes
+    a wrong body and is empty otherwise. Unix times in seconds.
     """
 
     path: str
     entry: int
     request_class: str
     key: str
-    begun: float
+    sent_at: float
     ended: float
     outcome: str
     status: int
@@ -79,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Period:
-    """A span in which a name (data centre, backend server) must get nothing new."""
+    """Time span for a name: a data centre, backend server or process; unix times."""
 
     name: str
     since: float
@@ -88,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ban:
-    """A span in which an activity may not run in a data centre."""
+    """Time span in which an activity must not run in a data centre; unix times."""
 
     data_centre: str
     activity: str
@@ -98,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """Bundle version that a process (name and pid) showed at a unix time."""
+    """Bundle version that a process (name and pid) reported at a unix time."""
 
     process: str
     pid: int
@@ -107,8 +108,13 @@
 
 
 @dataclass(slots=True)
-class Observed:
-    """Everything that was recorded during a run."""
+class Observations:
+    """All records of a run.
+
+    `outs` and `leaves` are the spans in which a data centre or a leaving backend
+    server must get no new work. `in_force` holds bundle versions and the unix
+    times at which they were applied.
+    """
 
     tasks: list[TaskRun] = field(default_factory=list)
     commitments: list[Commitment] = field(default_factory=list)
@@ -119,21 +125,21 @@
     bans: list[Ban] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     in_force: list[tuple[int, float]] = field(default_factory=list)
-    # Spans in which a process was being disturbed and may lag behind.
+    # Spans in which a process was subject to a fault and may have an older bundle.
     disturbed: list[Period] = field(default_factory=list)
 
 
 def read_worker(
     path: Path, worker: str, data_centre: str, size: tuple[int, int], claim: tuple[int, int]
 ) -> tuple[list[TaskRun], list[Commitment]]:
-    """Return runs and commitments from a worker's record file.
+    """Return the runs and commitments in a worker's record file.
 
-    A line `killed` with the time `at` ends the runs that are still open.
+    A `killed` event ends all open runs at its time `at`.
     """
     runs: list[TaskRun] = []
     open_runs: dict[tuple[str, int], TaskRun] = {}
-    sums = []
-    for line in _lines(path):
+    totals = []
+    for line in _read_json_lines(path):
         if line["event"] == "killed":
             for run in open_runs.values():
                 run.ended, run.outcome = line["at"], "killed"
@@ -153,72 +159,75 @@
             run.checkpoint = line["checkpoint"]
         declared = line["declared"]
         cpu, memory = declared["cpu_milli"] + claim[0], declared["memory_mb"] + claim[1]
-        sums.append(Commitment(worker, cpu, memory, *size))
-    return runs, sums
+        totals.append(Commitment(worker, cpu, memory, *size))
+    return runs, totals
 
 
 def read_backend(path: Path, backend: str, unix_offset: float) -> list[RequestRun]:
-    """Return runs from a backend server's record; its clock plus the offset is unix time."""
+    """Return the runs in a backend server's record file.
+
+    `unix_offset` converts the times of its monotonic clock to unix time.
+    """
     return [
         RequestRun(backend, row["request"], row["key"], row["path"], row["start"] + unix_offset)
-        for row in _lines(path)
+        for row in _read_json_lines(path)
         if row["event"] == "start"
     ]
 
 
-def _lines(path: Path) -> list[dict[str, Any]]:
+def _read_json_lines(path: Path) -> list[dict[str, Any]]:
     if not path.exists():
         return []
-    # A kill can leave the last line unfinished, without an end.
+    # A kill can truncate the last line; only lines with a newline are complete.
     rows = path.read_text(encoding="utf-8").split("\n")[:-1]
     return [json.loads(row) for row in rows if row]
 
 
-def commitments_problems(seen: Observed) -> Iterator[str]:
-    """R1: the sum of declared sizes and the claim never exceeds the host."""
-    for row in seen.commitments:
+def commitments_problems(observed: Observations) -> Iterator[str]:
+    """R1: the declared sizes plus the claim never exceed the host's size."""
+    for row in observed.commitments:
         if row.cpu_milli > row.cpu_limit or row.memory_mb > row.memory_limit:
             yield f"{row.worker} holds {row.cpu_milli} milli-cores and {row.memory_mb} MB"
 
 
-def overlap_problems(seen: Observed) -> Iterator[str]:
+def overlap_problems(observed: Observations) -> Iterator[str]:
     """R2: no two attempts of one task run at the same time."""
-    for task, runs in _by_task(seen).items():
-        for one, two in pairwise(runs):
-            if one.ended is None or one.ended > two.started + CLOCK_SLACK_S:
+    for task, runs in _runs_by_task(observed).items():
+        for first, second in pairwise(runs):
+            if first.ended is None or first.ended > second.started + CLOCK_SLACK_S:
                 yield (
-                    f"{task}#{one.attempt} on {one.worker} until {one.ended} overlaps "
-                    f"#{two.attempt} on {two.worker} from {two.started}"
+                    f"{task}#{first.attempt} on {first.worker} until {first.ended} overlaps "
+                    f"#{second.attempt} on {second.worker} from {second.started}"
                 )
 
 
-def resume_problems(seen: Observed) -> Iterator[str]:
-    """R3: an attempt runs once, and begins at the newest checkpoint an eviction left."""
-    for task, runs in _by_task(seen).items():
+def resume_problems(observed: Observations) -> Iterator[str]:
+    """R3: each attempt runs once and resumes from the latest checkpoint of an eviction."""
+    for task, runs in _runs_by_task(observed).items():
         attempts = [run.attempt for run in runs]
         if len(set(attempts)) != len(attempts) or attempts != sorted(attempts):
             yield f"{task} ran the attempts {attempts}"
-        newest = ""
+        latest = ""
         for run in runs:
-            if checkpoint_progress(run.resumed_from) < checkpoint_progress(newest):
-                yield f"{task}#{run.attempt} began at {run.resumed_from!r}, not {newest!r}"
+            if checkpoint_progress(run.resumed_from) < checkpoint_progress(latest):
+                yield f"{task}#{run.attempt} began at {run.resumed_from!r}, not {latest!r}"
             if run.outcome == "evicted":
-                newest = run.checkpoint
+                latest = run.checkpoint
 
 
-def take_out_problems(seen: Observed) -> Iterator[str]:
-    """R4: no start in a data centre once its take-out is in force."""
-    for out in seen.outs:
-        for run in seen.tasks:
-            if run.data_centre == out.name and out.since < run.started < out.until:
-                late = run.started - out.since
-                yield f"{run.task}#{run.attempt} started in {out.name} {late:.2f} s too late"
+def take_out_problems(observed: Observations) -> Iterator[str]:
+    """R4: no task starts in a data centre while it is out of service."""
+    for span in observed.outs:
+        for run in observed.tasks:
+            if run.data_centre == span.name and span.since < run.started < span.until:
+                delay_s = run.started - span.since
+                yield f"{run.task}#{run.attempt} started in {span.name} {delay_s:.2f} s too late"
 
 
-def body_problems(seen: Observed) -> Iterator[str]:
-    """R5: an answer is whole and belongs to the caller's own request or key."""
-    runs = {run.request: run for run in seen.requests}
-    for call in seen.calls:
+def body_problems(observed: Observations) -> Iterator[str]:
+    """R5: an answer is complete and belongs to the caller's own request or key."""
+    runs = {run.request: run for run in observed.requests}
+    for call in observed.calls:
         if call.outcome != "answered":
             continue
         if call.problem:
@@ -229,22 +238,22 @@
                 yield f"{call.path}: the answer belongs to {run}"
 
 
-def not_run_problems(seen: Observed) -> Iterator[str]:
-    """R6: a request answered as not run is in no record, nor is an earlier run with its key."""
-    paths = {run.path: run for run in seen.requests}
-    keys = {run.key: run for run in seen.requests if run.key}
-    for call in seen.calls:
+def not_run_problems(observed: Observations) -> Iterator[str]:
+    """R6: a request answered `not-run` has not run, nor has its key before the answer."""
+    paths = {run.path: run for run in observed.requests}
+    keys = {run.key: run for run in observed.requests if run.key}
+    for call in observed.calls:
         if call.outcome == "not-run" and call.path in paths:
             yield f"{call.path} was answered as not run ({call.reason}): {paths[call.path]}"
         run = keys.get(call.key) if call.key else None
         if call.outcome == "not-run" and run is not None and run.started < call.ended:
-            yield f"{call.path}: not run was said ({call.reason}), but its key ran: {run}"
+            yield f"{call.path}: answered as not run ({call.reason}), but its key ran: {run}"
 
 
-def key_problems(seen: Observed) -> Iterator[str]:
-    """R7: a key is recorded at most once."""
+def key_problems(observed: Observations) -> Iterator[str]:
+    """R7: requests with the same idempotency key run at most once."""
     found = defaultdict(list)
-    for run in seen.requests:
+    for run in observed.requests:
         if run.key:
             found[run.key].append(run)
     for key, runs in found.items():
@@ -252,38 +261,41 @@
             yield f"key {key} ran {len(runs)} times: {runs}"
 
 
-def leaving_problems(seen: Observed) -> Iterator[str]:
-    """R8: a leaving backend server gets no new work after the bound."""
-    for left in seen.leaves:
-        for run in seen.requests:
-            if run.backend == left.name and left.since + LEAVE_BOUND_S < run.started < left.until:
-                yield f"{run.path} started on {left.name} {run.started - left.since:.2f} s late"
+def leaving_problems(observed: Observations) -> Iterator[str]:
+    """R8: a leaving backend server gets no new requests after LEAVE_BOUND_S."""
+    for leave in observed.leaves:
+        for run in observed.requests:
+            if (
+                run.backend == leave.name
+                and leave.since + LEAVE_BOUND_S < run.started < leave.until
+            ):
+                yield f"{run.path} started on {leave.name} {run.started - leave.since:.2f} s late"
 
 
-def version_problems(seen: Observed) -> Iterator[str]:
-    """R10: a version never reverts, and one in force is everywhere within the bound."""
+def version_problems(observed: Observations) -> Iterator[str]:
+    """R10: versions never go back, and each reaches all processes within BUNDLE_BOUND_S."""
     last: dict[tuple[str, int], int] = {}
-    for sample in seen.samples:
+    for sample in observed.samples:
         key = (sample.process, sample.pid)
         if sample.version < last.get(key, 0):
             yield f"{sample.process} went from version {last[key]} to {sample.version}"
         last[key] = sample.version
-        due = [v for v, at in seen.in_force if at + BUNDLE_BOUND_S < sample.at]
-        if sample.version < max(due, default=0) and not _is_disturbed(seen, sample):
-            yield f"{sample.process} has version {sample.version} at {sample.at}, due {max(due)}"
+        due = [v for v, at in observed.in_force if at + BUNDLE_BOUND_S < sample.at]
+        if sample.version < max(due, default=0) and not _was_disturbed(observed, sample):
+            yield f"{sample.process} has version {sample.version} at {sample.at}, not {max(due)}"
 
 
-def ban_problems(seen: Observed) -> Iterator[str]:
-    """R11: nothing runs where and when the bundle forbids it."""
-    for ban in seen.bans:
-        for run in seen.tasks:
+def ban_problems(observed: Observations) -> Iterator[str]:
+    """R11: no task runs where or when the bundle forbids it."""
+    for ban in observed.bans:
+        for run in observed.tasks:
             if (run.data_centre, run.activity) != (ban.data_centre, ban.activity):
                 continue
             if run.started < ban.until and (run.ended is None or run.ended > ban.since):
                 yield f"{run.task}#{run.attempt} ran in {ban.data_centre} until {run.ended}: {ban}"
 
 
-ROWS = {
+INVARIANTS = {
     "R1 no host beyond its size": commitments_problems,
     "R2 no task in two places": overlap_problems,
     "R3 evicted work resumes once, from its newest checkpoint": resume_problems,
@@ -297,20 +309,20 @@
 }
 
 
-def judge(seen: Observed) -> dict[str, Sequence[str]]:
-    """Return the violations of every row."""
-    return {name: list(problems(seen)) for name, problems in ROWS.items()}
+def judge(observed: Observations) -> dict[str, Sequence[str]]:
+    """Return the violations of every invariant by its name."""
+    return {name: list(problems(observed)) for name, problems in INVARIANTS.items()}
 
 
-def _by_task(seen: Observed) -> dict[str, list[TaskRun]]:
+def _runs_by_task(observed: Observations) -> dict[str, list[TaskRun]]:
     found = defaultdict(list)
-    for run in seen.tasks:
+    for run in observed.tasks:
         found[run.task].append(run)
     return {task: sorted(runs, key=lambda run: run.started) for task, runs in found.items()}
 
 
-def _is_disturbed(seen: Observed, sample: Sample) -> bool:
+def _was_disturbed(observed: Observations, sample: Sample) -> bool:
     return any(
         item.name == sample.process and item.since <= sample.at <= item.until + BUNDLE_BOUND_S
-        for item in seen.disturbed
+        for item in observed.disturbed
     )
--- a/packages/bench/src/apricotpath_bench/local.py
+++ b/packages/bench/src/apricotpath_bench/local.py
@@ -1,4 +1,4 @@
-"""Starts a local deployment and shows a request answered and a job finished under failures."""
+"""Demonstration on a local deployment: requests are answered and jobs finish despite crashes."""
 
 import argparse
 import json
@@ -29,8 +29,8 @@
     return httpx.post(url, headers=headers, content=b"{}", timeout=15)
 
 
-def job_of(deployment: Deployment, name: str, tasks: int, run_time_s: float) -> dict[str, Any]:
-    """Return a job of small tasks for a deployment."""
+def make_job(deployment: Deployment, name: str, tasks: int, run_time_s: float) -> dict[str, Any]:
+    """Return the specification of a job of small tasks."""
     return {
         "job_id": name,
         "team": deployment.shape.teams[0],
@@ -42,31 +42,34 @@
 
 
 def submit(deployment: Deployment, job: dict[str, Any]) -> str:
-    """Submit a job with the operators' command and return its output."""
+    """Submit a job with `apricotpath jobs submit` and return the output."""
     path = deployment.folder / f"{job['job_id']}.json"
     path.write_text(json.dumps(job), encoding="utf-8")
-    return deployment.operate("jobs", "submit", str(path))
+    return deployment.run_operator_command("jobs", "submit", str(path))
 
 
 def wait_for_job(deployment: Deployment, job: str, timeout_s: float = JOB_TIMEOUT_S) -> Any:
-    """Wait until a job has ended and return what the operators' command shows of it."""
+    """Wait until a job has ended and return its status; raises DeploymentError on timeout."""
     deadline = time.monotonic() + timeout_s
     shown: Any = None
     while time.monotonic() < deadline:
-        done = deployment.run_cli(
+        completed = deployment.run_cli(
             *("jobs", "show", job, "--json", "--key", str(deployment.key_path)),
             *(item for url in deployment.operator_urls() for item in ("--entry", url)),
         )
-        if done.returncode == 0:
-            shown = json.loads(done.stdout)
+        if completed.returncode == 0:
+            shown = json.loads(completed.stdout)
             if shown["state"] in ("finished", "failed", "cancelled", "impossible"):
                 return shown
         time.sleep(POLL_S)
     raise DeploymentError(f"job {job} did not end in {timeout_s:g} s; last seen: {shown}")
 
 
-def answered(deployment: Deployment, entry: int, label: str) -> None:
-    """Send requests of every class through an entry and print how many were answered."""
+def check_answered(deployment: Deployment, entry: int, label: str) -> None:
+    """Send requests of every class through an entry and print their outcomes.
+
+    Raises DeploymentError unless all were answered.
+    """
     classes = deployment.shape.classes
     counts: dict[str, int] = {}
     for number in range(REQUESTS):
@@ -80,27 +83,27 @@
         raise DeploymentError(f"not all requests were answered: {counts}")
 
 
-def show(deployment: Deployment) -> None:
-    """Run the demonstration on a deployment that has started."""
-    print(deployment.operate("status"))
-    wait_until_founded(deployment)
-    answered(deployment, 1, "first")
-    print(submit(deployment, job_of(deployment, "demo-1", tasks=6, run_time_s=3.0)))
+def run_demo(deployment: Deployment) -> None:
+    """Run the demonstration on a started deployment."""
+    print(deployment.run_operator_command("status"))
+    wait_until_keys_accepted(deployment)
+    check_answered(deployment, 1, "first")
+    print(submit(deployment, make_job(deployment, "demo-1", tasks=6, run_time_s=3.0)))
     print(f"demo-1: {wait_for_job(deployment, 'demo-1')['state']}")
-    print(submit(deployment, job_of(deployment, "demo-2", tasks=8, run_time_s=8.0)))
+    print(submit(deployment, make_job(deployment, "demo-2", tasks=8, run_time_s=8.0)))
     print("killing entry-1 and agent-1 while demo-2 runs; agent-1 is started again")
     deployment.kill("entry-1")
     deployment.kill("agent-1")
     deployment.start_process("agent-1")
-    answered(deployment, 2, "after the kills")
+    check_answered(deployment, 2, "after the kills")
     deployment.start_process("entry-1")
     print(f"demo-2: {wait_for_job(deployment, 'demo-2')['state']}")
-    print(deployment.operate("hosts"))
-    print(deployment.operate("backends"))
+    print(deployment.run_operator_command("hosts"))
+    print(deployment.run_operator_command("backends"))
 
 
-def wait_until_founded(deployment: Deployment) -> None:
-    """Wait until requests that are not idempotent are taken."""
+def wait_until_keys_accepted(deployment: Deployment) -> None:
+    """Wait until requests that are not idempotent are accepted."""
     keyed = next(cls for cls in deployment.shape.classes if not cls.idempotent)
     deadline = time.monotonic() + 30
     while time.monotonic() < deadline:
@@ -112,7 +115,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run the demonstration; returns 0 if everything was answered and finished."""
+    """Run the demonstration; returns 0 if all requests were answered and all jobs ended."""
     parser = argparse.ArgumentParser(prog="python -m apricotpath_bench.local")
     parser.add_argument("--shape", choices=sorted(SHAPES), default="small")
     parser.add_argument("--folder", type=Path, help="keep settings and logs in this folder")
@@ -124,7 +127,7 @@
             started = time.monotonic()
             deployment.start()
             print(f"{len(deployment.processes)} processes in {time.monotonic() - started:.1f} s")
-            show(deployment)
+            run_demo(deployment)
             while args.stay:
                 time.sleep(1)
         except KeyboardInterrupt:
--- a/packages/bench/src/apricotpath_bench/measure.py
+++ b/packages/bench/src/apricotpath_bench/measure.py
@@ -1,4 +1,4 @@
-"""Figures from what a run recorded: latencies, outcomes, and the stand-ins' records."""
+"""Figures of a run, computed from latencies, outcomes and the stand-ins' records."""
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
@@ -9,9 +9,9 @@
 
 from apricotpath_bench.workerstandin import checkpoint_progress
 
-# Latencies are kept in microseconds, up to five minutes, to three digits.
+# Range and precision of the latency histograms.
 MAX_LATENCY_US = 300_000_000
-DIGITS = 3
+SIGNIFICANT_DIGITS = 3
 US_PER_S = 1_000_000
 ALL = "all"
 PERCENTILES = {"p50_ms": 50.0, "p99_ms": 99.0, "p999_ms": 99.9}
@@ -19,22 +19,22 @@
 
 def histogram() -> HdrHistogram:
     """Return an empty histogram of microseconds."""
-    return HdrHistogram(1, MAX_LATENCY_US, DIGITS)
+    return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
 
 @dataclass(slots=True)
 class Latencies:
     """Latencies by (class, team) and outcomes by class, of one phase of a run.
 
-    A latency counts from the intended arrival: a request that could not be
-    sent in time, because the one before it was slow, has waited as well.
+    A latency is measured from the intended arrival, so that it includes the time by
+    which a request was sent late.
     """
 
     histograms: dict[tuple[str, str], HdrHistogram] = field(default_factory=dict)
     outcomes: dict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
 
     def add(self, cls: str, team: str, outcome: str, intended_s: float, ended_s: float) -> None:
-        """Count one request; only answered ones have a latency."""
+        """Count one request; a latency is recorded only for answered ones."""
         self.outcomes[cls][outcome] += 1
         if outcome == "answered":
             key = (cls, team)
@@ -44,21 +44,21 @@
             self.histograms[key].record_value(micros)
 
     def merged(self, cls: str = ALL, team: str = ALL) -> HdrHistogram:
-        """Return one histogram of all that match."""
+        """Return the merged histogram of a class and team; `ALL` matches any."""
         total = histogram()
-        for (name, who), part in self.histograms.items():
-            if cls in (ALL, name) and team in (ALL, who):
+        for (name, row_team), part in self.histograms.items():
+            if cls in (ALL, name) and team in (ALL, row_team):
                 total.add(part)
         return total
 
     def rows(self) -> list[dict[str, Any]]:
-        """Return count and percentiles of everything, of each class, and of each class and team."""
+        """Return count and percentiles in total, by class, and by class and team."""
         keys = [(ALL, ALL), *((cls, ALL) for cls in sorted({c for c, _ in self.histograms}))]
         keys += sorted(self.histograms)
         return [{"class": c, "team": t, **summary(self.merged(c, t))} for c, t in keys]
 
     def total(self) -> Counter[str]:
-        """Return the outcomes of all classes."""
+        """Return the number of requests by outcome, over all classes."""
         return sum(self.outcomes.values(), Counter())
 
     def curve(self) -> list[list[float]]:
@@ -76,11 +76,12 @@
 
 @dataclass(slots=True)
 class Batch:
-    """Batch work in core seconds; `useful` is what the tasks have kept of it.
+    """Batch work in core seconds.
 
-    `wasted` was done and lost, `wasted_by_eviction` the part that evicted
-    attempts lost. `uncheckpointed` is what evictions would have lost if they had
-    stopped the attempts without a checkpoint.
+    `done` is the sum of `useful`, which the tasks kept, and `wasted`, which was lost.
+    `wasted_by_eviction` is the part of `wasted` that evicted attempts lost.
+    `uncheckpointed` is the work that evictions would have lost if the attempts had been
+    stopped without a checkpoint.
     """
 
     done: float = 0.0
@@ -92,8 +93,8 @@
     finished_tasks: int = 0
 
 
-def batch_of(runs: Iterable[dict[str, Any]], prefix: str = "") -> Batch:
-    """Return the work in the workers' records, of the tasks whose id starts with `prefix`."""
+def batch_work(runs: Iterable[dict[str, Any]], prefix: str = "") -> Batch:
+    """Sum the work of attempts in the workers' records, for task ids that start with `prefix`."""
     attempts: dict[str, list[dict[str, Any]]] = defaultdict(list)
     for run in runs:
         if run["task"].startswith(prefix):
@@ -102,30 +103,30 @@
     for rows in attempts.values():
         rows.sort(key=lambda run: run["attempt"])
         for at, run in enumerate(rows):
-            following = rows[at + 1] if at + 1 < len(rows) else None
-            _add(total, run, following)
+            next_attempt = rows[at + 1] if at + 1 < len(rows) else None
+            _add_attempt(total, run, next_attempt)
     return total
 
 
-def _add(total: Batch, run: dict[str, Any], following: dict[str, Any] | None) -> None:
+def _add_attempt(total: Batch, run: dict[str, Any], next_attempt: dict[str, Any] | None) -> None:
     weight = run["run_time_s"] * run["cpu_milli"] / 1000.0
-    begun = checkpoint_progress(run["resumed_from"])
-    total.done += (run["progress"] - begun) * weight
+    start_progress = checkpoint_progress(run["resumed_from"])
+    total.done += (run["progress"] - start_progress) * weight
     total.finished_tasks += run["outcome"] == "finished"
     evicted = run["outcome"] == "evicted"
     total.evictions += evicted
-    if following is not None:
-        kept = checkpoint_progress(following["resumed_from"])
+    if next_attempt is not None:
+        kept_progress = checkpoint_progress(next_attempt["resumed_from"])
     elif run["outcome"] in (None, "finished"):
-        kept = run["progress"]
+        kept_progress = run["progress"]
     else:
-        kept = checkpoint_progress(run["checkpoint"])
-    lost = max(0.0, run["progress"] - kept) * weight
-    total.useful += (run["progress"] - begun) * weight - lost
+        kept_progress = checkpoint_progress(run["checkpoint"])
+    lost = max(0.0, run["progress"] - kept_progress) * weight
+    total.useful += (run["progress"] - start_progress) * weight - lost
     total.wasted += lost
     if evicted:
         total.wasted_by_eviction += lost
-        total.uncheckpointed += (run["progress"] - begun) * weight
+        total.uncheckpointed += (run["progress"] - start_progress) * weight
 
 
 def busy_core_s(runs: Iterable[dict[str, Any]], start: float, end: float) -> float:
@@ -140,10 +141,10 @@
 def change_cost(
     before: float, out: float, after: float, times: tuple[float, ...], share: float
 ) -> float:
-    """Return the part of the work lost while a data centre left and returned, beyond its share.
+    """Return the fraction of work lost to taking a data centre out, beyond its capacity share.
 
-    `before`, `out` and `after` are core seconds done in the three spans of
-    `times` (their lengths in seconds); `share` is its part of the capacity.
+    `before`, `out` and `after` are the core seconds done in three successive spans whose
+    lengths in seconds are `times`. `share` is the data centre's share of all capacity.
     """
     rate = before / times[0] if times[0] else 0.0
     expected = rate * (times[1] * (1.0 - share) + times[2])
@@ -151,9 +152,9 @@
 
 
 def service_time(backends: Iterable[dict[str, Any]], path: str) -> dict[str, Any]:
-    """Return count and percentiles of the time that requests ran at backend servers.
+    """Return count and percentiles of the run times of requests at backend servers.
 
-    Unlike the callers' latency this has no part of the load tool's own delays.
+    Unlike the callers' latency, these do not include delays of the load tool itself.
     """
     hist = histogram()
     for record in backends:
@@ -165,6 +166,6 @@
 
 
 def sends_per_arrival(backends: Iterable[dict[str, Any]], path: str, arrivals: int) -> float:
-    """Return how many requests with a path reached backend servers, per arrival."""
+    """Return the number of requests with a path at backend servers, divided by `arrivals`."""
     sent = sum(run["path"] == path for record in backends for run in record["runs"])
     return sent / arrivals if arrivals else 0.0
--- a/packages/bench/src/apricotpath_bench/relay.py
+++ b/packages/bench/src/apricotpath_bench/relay.py
@@ -1,96 +1,99 @@
-"""A TCP relay in threads that can hold its connections silent, as a forgetful middlebox does."""
+"""A threaded TCP relay that can drop all traffic of open connections without closing them.
+
+This is how a middlebox behaves that has lost its connection table.
+"""
 
 import socket
 from contextlib import suppress
 from threading import Lock, Thread
 
 LOOPBACK = "127.0.0.1"
-PART_BYTES = 64 << 10
+READ_BYTES = 64 << 10
 DIAL_TIMEOUT_S = 2.0
 
 
 class SilentRelay:
     """Forwards connections to a port on loopback.
 
-    `hold()` makes the connections of that moment silent for good without
-    closing them; later connections work.
+    `hold()` discards all further traffic of the connections that are open at that
+    moment, without closing them. Later connections work.
     """
 
     def __init__(self, target_port: int) -> None:
         self.target_port = target_port
         self._lock = Lock()
-        self._pairs: list[_Pair] = []
+        self._connections: list[_RelayedConnection] = []
         self._listener = socket.create_server((LOOPBACK, 0))
         self.port: int = self._listener.getsockname()[1]
         Thread(target=self._accept, daemon=True).start()
 
     def hold(self) -> int:
-        """Silence all present connections and return their number."""
+        """Silence all open connections and return their number."""
         with self._lock:
-            for pair in self._pairs:
-                pair.held = True
-            return len(self._pairs)
+            for connection in self._connections:
+                connection.silenced = True
+            return len(self._connections)
 
     def close(self) -> None:
         """Close the listener and all connections."""
         self._listener.close()
         with self._lock:
-            pairs = list(self._pairs)
-        for pair in pairs:
-            pair.close()
+            connections = list(self._connections)
+        for connection in connections:
+            connection.close()
 
     def _accept(self) -> None:
         while True:
             try:
-                near, _ = self._listener.accept()
+                client, _ = self._listener.accept()
             except OSError:
                 return
-            Thread(target=self._serve, args=(near,), daemon=True).start()
+            Thread(target=self._serve, args=(client,), daemon=True).start()
 
-    def _serve(self, near: socket.socket) -> None:
+    def _serve(self, client: socket.socket) -> None:
         try:
-            far = socket.create_connection((LOOPBACK, self.target_port), DIAL_TIMEOUT_S)
+            server = socket.create_connection((LOOPBACK, self.target_port), DIAL_TIMEOUT_S)
         except OSError:
-            near.close()
+            client.close()
             return
-        far.settimeout(None)
-        pair = _Pair(near, far)
+        server.settimeout(None)
+        connection = _RelayedConnection(client, server)
         with self._lock:
-            self._pairs.append(pair)
-        other = Thread(target=pair.pump, args=(far, near), daemon=True)
-        other.start()
-        pair.pump(near, far)
-        other.join()
-        pair.close()
+            self._connections.append(connection)
+        answers = Thread(target=connection.pump, args=(server, client), daemon=True)
+        answers.start()
+        connection.pump(client, server)
+        answers.join()
+        connection.close()
         with self._lock:
-            self._pairs.remove(pair)
+            self._connections.remove(connection)
 
 
-class _Pair:
+class _RelayedConnection:
     """One relayed connection."""
 
-    def __init__(self, near: socket.socket, far: socket.socket) -> None:
-        self.near, self.far = near, far
-        self.held = False
+    def __init__(self, client: socket.socket, server: socket.socket) -> None:
+        self.client, self.server = client, server
+        self.silenced = False
 
     def pump(self, source: socket.socket, sink: socket.socket) -> None:
-        """Forward bytes until one side ends; a held pair swallows them instead."""
+        """Forward bytes until one side ends; discard them while silenced."""
         while True:
             try:
-                data = source.recv(PART_BYTES)
-                if not self.held and data:
+                data = source.recv(READ_BYTES)
+                if not self.silenced and data:
                     sink.sendall(data)
             except OSError:
                 data = b""
             if not data:
-                # A held pair does not tell the other side of the end either.
-                if not self.held:
+                # A silenced connection does not pass on the end of stream either.
+                if not self.silenced:
                     self.close()
                 return
 
     def close(self) -> None:
-        """Close both sides; a reader of either of them returns."""
-        for side in (self.near, self.far):
+        """Close both sockets, which ends the reads that wait on them."""
+        for sock in (self.client, self.server):
             with suppress(OSError):
-                side.shutdown(socket.SHUT_RDWR)
-            side.close()
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
--- a/packages/bench/src/apricotpath_bench/report.py
+++ b/packages/bench/src/apricotpath_bench/report.py
@@ -1,4 +1,4 @@
-"""The report of a comparison: measures with the baseline beside them, as text, JSON and HTML."""
+"""Report of a comparison between the system and the baseline, as text, JSON and HTML."""
 
 import base64
 import html
@@ -9,20 +9,21 @@
 from pathlib import Path
 from typing import Any
 
+# Results of one side of a comparison, by phase; also the results of one phase by name.
 Side = dict[str, Any]
 
-MAX_TAIL = 0.6
-MIN_THROUGHPUT = 0.95
-MAX_SENDS = 1.1
-MAX_WASTE = 0.5
+MAX_P99_RATIO = 0.6
+MIN_WORK_RATIO = 0.95
+MAX_SENDS_PER_ARRIVAL = 1.1
+MAX_WASTE_RATIO = 0.5
 MAX_CHANGE_COST = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class Measure:
-    """One measure of the system and its baseline; `ratio` is what the target is about.
+    """One measure of the system and its baseline; the target applies to `ratio`.
 
-    `met` is None when there is no target or nothing to compare with.
+    `met` is None if there is no target, or no baseline value to compare with.
     """
 
     name: str
@@ -53,44 +54,50 @@
 
 
 def _wave(system: Side, baseline: Side) -> list[Measure]:
-    theirs = {(row["class"], row["team"]): row for row in baseline["latency"]}
+    baseline_values = {(row["class"], row["team"]): row for row in baseline["latency"]}
     found = []
     for row in system["latency"]:
-        other = theirs.get((row["class"], row["team"]))
+        other = baseline_values.get((row["class"], row["team"]))
         if other is not None and row["team"] == "all":
             name = f"wave: p99 of {row['class']}, ms"
-            found.append(_at_most(name, row["p99_ms"], other["p99_ms"], MAX_TAIL))
+            found.append(_at_most(name, row["p99_ms"], other["p99_ms"], MAX_P99_RATIO))
     if "service" in system and "service" in baseline:
         times = system["service"]["p99_ms"], baseline["service"]["p99_ms"]
-        found.append(_at_most("wave: p99 at the backend servers, ms", *times, MAX_TAIL))
-    mine, reference = system["batch"]["useful"], baseline["batch"]["useful"]
-    ratio = _ratio(mine, reference)
-    met = None if ratio is None else ratio >= MIN_THROUGHPUT
-    target = f"at least {MIN_THROUGHPUT:g} of the baseline"
-    found.append(Measure("wave: batch work kept, core s", mine, reference, ratio, target, met))
-    found.append(_plain("wave: evictions", system, baseline, lambda s: s["batch"]["evictions"]))
-    found.append(_plain("wave: answered, share", system, baseline, answered_share))
+        found.append(_at_most("wave: p99 at the backend servers, ms", *times, MAX_P99_RATIO))
+    system_values, baseline_work = system["batch"]["useful"], baseline["batch"]["useful"]
+    ratio = _ratio(system_values, baseline_work)
+    met = None if ratio is None else ratio >= MIN_WORK_RATIO
+    target = f"at least {MIN_WORK_RATIO:g} of the baseline"
+    found.append(
+        Measure("wave: batch work kept, core s", system_values, baseline_work, ratio, target, met)
+    )
+    found.append(
+        _without_target("wave: evictions", system, baseline, lambda s: s["batch"]["evictions"])
+    )
+    found.append(_without_target("wave: answered, share", system, baseline, answered_share))
     return found
 
 
 def _evict(system: Side, baseline: Side) -> list[Measure]:
-    mine, theirs = system["batch"], baseline["batch"]
+    system_values, baseline_values = system["batch"], baseline["batch"]
     return [
         _at_most(
             "evict: work wasted by evictions, core s",
-            mine["wasted_by_eviction"],
-            theirs["wasted_by_eviction"],
-            MAX_WASTE,
+            system_values["wasted_by_eviction"],
+            baseline_values["wasted_by_eviction"],
+            MAX_WASTE_RATIO,
         ),
-        # The baseline may evict nothing; then the same evictions are compared.
+        # The baseline may not evict at all. This compares with the same evictions instead.
         _at_most(
             "evict: the same against stops without checkpoint (computed), core s",
-            mine["wasted_by_eviction"],
-            mine["uncheckpointed"],
-            MAX_WASTE,
+            system_values["wasted_by_eviction"],
+            system_values["uncheckpointed"],
+            MAX_WASTE_RATIO,
+        ),
+        _without_target("evict: evictions", system, baseline, lambda s: s["batch"]["evictions"]),
+        _without_target(
+            "evict: urgent tasks started", system, baseline, lambda s: s["urgent_started"]
         ),
-        _plain("evict: evictions", system, baseline, lambda s: s["batch"]["evictions"]),
-        _plain("evict: urgent tasks started", system, baseline, lambda s: s["urgent_started"]),
     ]
 
 
@@ -100,21 +107,25 @@
     name = "change: work lost beyond the data centre's share"
     return [
         Measure(name, cost, baseline["cost"], cost, target, cost <= MAX_CHANGE_COST),
-        _plain("change: work wasted, core s", system, baseline, lambda s: s["batch"]["wasted"]),
-        _plain("change: answered, share", system, baseline, answered_share),
+        _without_target(
+            "change: work wasted, core s", system, baseline, lambda s: s["batch"]["wasted"]
+        ),
+        _without_target("change: answered, share", system, baseline, answered_share),
     ]
 
 
 def _half_failed(system: Side, baseline: Side) -> list[Measure]:
     sends = system["sends"]
-    name, target = "half-failed: requests sent per arrival", f"at most {MAX_SENDS:g}"
+    name, target = "half-failed: requests sent per arrival", f"at most {MAX_SENDS_PER_ARRIVAL:g}"
     return [
-        Measure(name, sends, baseline["sends"], sends, target, sends <= MAX_SENDS),
-        _plain("half-failed: answered, share", system, baseline, answered_share),
+        Measure(name, sends, baseline["sends"], sends, target, sends <= MAX_SENDS_PER_ARRIVAL),
+        _without_target("half-failed: answered, share", system, baseline, answered_share),
     ]
 
 
-def _plain(name: str, system: Side, baseline: Side, value: Callable[[Side], float]) -> Measure:
+def _without_target(
+    name: str, system: Side, baseline: Side, value: Callable[[Side], float]
+) -> Measure:
     return Measure(name, value(system), value(baseline))
 
 
@@ -134,29 +145,29 @@
 
 
 def text_report(title: str, rows: list[Measure]) -> str:
-    """Return the measures as a table; a missed target says so."""
+    """Return the measures as a text table with the verdict of each target."""
     lines = [title, f"{'measure':<72} {'system':>10} {'baseline':>10} {'ratio':>7}  target"]
     lines += [
-        f"{row.name:<72} {row.value:>10.3f} {row.baseline:>10.3f} {_shown(row.ratio):>7}  "
-        f"{row.target}{VERDICT[row.met] if row.target else ''}"
+        f"{row.name:<72} {row.value:>10.3f} {row.baseline:>10.3f} {_format_ratio(row.ratio):>7}  "
+        f"{row.target}{VERDICTS[row.met] if row.target else ''}"
         for row in rows
     ]
     return "\n".join(line.rstrip() for line in lines)
 
 
-VERDICT = {True: ": met", False: ": MISSED", None: ": not comparable"}
+VERDICTS = {True: ": met", False: ": MISSED", None: ": not comparable"}
 
 
-def _shown(ratio: float | None) -> str:
+def _format_ratio(ratio: float | None) -> str:
     return "-" if ratio is None else f"{ratio:.3f}"
 
 
 def write_report(folder: Path, results: dict[str, Any]) -> None:
-    """Write report.json, report.txt and report.html; `results` holds both sides by shape."""
+    """Write report.json, report.txt and report.html; `results` has both sides by shape name."""
     folder.mkdir(parents=True, exist_ok=True)
     tables = {name: measures(r["system"], r["baseline"]) for name, r in results.items()}
-    plain = {name: [asdict(row) for row in rows] for name, rows in tables.items()}
-    value = {"results": results, "measures": plain}
+    rows_by_shape = {name: [asdict(row) for row in rows] for name, rows in tables.items()}
+    value = {"results": results, "measures": rows_by_shape}
     (folder / "report.json").write_text(json.dumps(value, indent=1), encoding="utf-8")
     text = "\n\n".join(text_report(name, rows) for name, rows in tables.items())
     (folder / "report.txt").write_text(text + "\n", encoding="utf-8")
@@ -164,7 +175,7 @@
 
 
 def html_report(results: dict[str, Any], tables: dict[str, list[Measure]]) -> str:
-    """Return one page with the tables and the plots in it."""
+    """Return an HTML page with all tables and embedded plots."""
     parts = ["<!doctype html><meta charset=utf-8><title>apricotpath: comparison</title>"]
     parts.append("<style>body{font-family:sans-serif}td,th{padding:2px 8px;text-align:right}")
     parts.append("td:first-child{text-align:left}.missed{background:#fcc}</style>")
@@ -182,15 +193,15 @@
 
 def _html_row(row: Measure) -> str:
     style = ' class="missed"' if row.met is False else ""
-    verdict = VERDICT[row.met] if row.target else ""
-    cells = (row.name, f"{row.value:.3f}", f"{row.baseline:.3f}", _shown(row.ratio))
+    verdict = VERDICTS[row.met] if row.target else ""
+    cells = (row.name, f"{row.value:.3f}", f"{row.baseline:.3f}", _format_ratio(row.ratio))
     shown = "".join(f"<td>{html.escape(cell)}" for cell in (*cells, row.target + verdict))
     return f"<tr{style}>{shown}</tr>"
 
 
 def plot(result: dict[str, Side]) -> bytes:
-    """Return a PNG: latency by percentile in each phase with requests, and batch work."""
-    # Matplotlib takes most of a second to load, and only this function needs it.
+    """Return a PNG with latency by percentile for each phase with requests, and batch work."""
+    # Imported here because matplotlib takes most of a second to load.
     from matplotlib.backends.backend_agg import FigureCanvasAgg
     from matplotlib.figure import Figure
 
--- a/packages/bench/src/apricotpath_bench/shapes.py
+++ b/packages/bench/src/apricotpath_bench/shapes.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClassShape:
-    """A request class; times in milliseconds, `share` of all arrivals."""
+    """A request class; `share` is its fraction of all arrivals."""
 
     name: str
     priority: int
@@ -20,9 +20,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """A deployment that the local launcher and the load tool can make.
+    """Size and configuration of a deployment, for the local launcher and the load tool.
 
-    Delays are one way, in milliseconds.
+    Delays are one-way, in milliseconds.
     """
 
     name: str
@@ -45,11 +45,11 @@
     quiet_hours: tuple[dict[str, Any], ...] = field(default=())
 
     def data_centre_of(self, host: int) -> str:
-        """Return the data centre of a host; whole racks lie in one data centre."""
+        """Return the data centre of a host, by its index; a rack is in one data centre."""
         return self.data_centres[host // self.hosts_per_rack % len(self.data_centres)]
 
     def rack_of(self, host: int) -> str:
-        """Return the rack of a host."""
+        """Return the rack of a host, by its index."""
         return f"rack-{host // self.hosts_per_rack}"
 
 
@@ -134,7 +134,7 @@
 
 
 def bundle_of(shape: Shape, version: int = 1) -> dict[str, Any]:
-    """Return a bundle for a shape; each backend server claims a quarter of its host."""
+    """Return a bundle for a shape; each backend server's claim is a quarter of its host."""
     claim = {
         "cpu_milli": shape.cores * 250,
         "memory_mb": shape.memory_gb * MB_PER_GB // 4,
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -1,14 +1,14 @@
 Feature: load
 
-  Guards against arrivals that differ between the two sides of a comparison, against
-  latencies that leave out the time a request waited to be sent, and against batch
-  figures that count work twice or hide what evictions lost.
+  Guards against arrivals that differ between the two sides of a comparison, latencies
+  that do not include the time a request waited to be sent, and batch figures that count
+  work twice or leave out the work that evictions lost.
 
   Scenario Outline: the load's arrivals follow from the seed alone
     When the load tool plans <rate> requests/s for 60 s from seed <seed>
     Then the same load seed gives the same arrivals and another seed does not
     And the load has about <rate> arrivals/s in the shares of the classes
-    And only load arrivals that are not idempotent have a key, each its own
+    And only load arrivals that are not idempotent have a key, and no two share one
 
     Examples:
       | rate | seed |
@@ -30,7 +30,7 @@
   Scenario Outline: load latency counts from the intended arrival
     When a load of <count> requests every 10 ms is served one at a time with a pause of <pause> ms
     Then the load p99 is within <low> to <high> ms
-    And the load p50 counts the wait of at least <waited> ms
+    And the load p50 includes a wait of at least <waited> ms
 
     Examples:
       | count | pause | low  | high | waited |
@@ -40,7 +40,7 @@
 
   Scenario: load outcomes other than answered have no latency
     When the load tool counts one request of each outcome
-    Then one load latency and four outcomes are known
+    Then one load latency and four outcomes are counted
 
   Scenario Outline: the work of <attempts> is counted once
     When the load tool counts the batch work of <attempts>
--- a/tests/features/report.feature
+++ b/tests/features/report.feature
@@ -1,7 +1,7 @@
 Feature: report
 
-  Guards against a report that shows a missed target as met, compares with an empty
-  baseline, or fails when a phase is missing on one side.
+  Guards against a report that shows a missed target as met, divides by a baseline of 0,
+  or fails when a phase is missing on one side.
 
   Scenario Outline: a report judges <measure>
     Given a recorded comparison for the report
--- a/tests/features/steps/load_steps.py
+++ b/tests/features/steps/load_steps.py
@@ -9,14 +9,14 @@
 from behave import then, when
 
 from apricotpath_bench.arrivals import Arrival, Burst, LoadPlan, request_arrivals
-from apricotpath_bench.measure import Latencies, batch_of, change_cost
+from apricotpath_bench.measure import Latencies, batch_work, change_cost
 from apricotpath_bench.shapes import SUVA
 
 TOLERANCE = 0.1
 
 
 class LoadSubject:
-    """A plan, its arrivals and what was measured."""
+    """Load plans with their arrivals and measured latencies."""
 
     def __init__(self, *plans: LoadPlan) -> None:
         self.plans = plans
@@ -27,7 +27,7 @@
         return sum(start <= a.at_s < end for a in self.arrivals[0]) / (end - start)
 
     def serve(self, count: int, pause_s: float) -> None:
-        """Serve requests of 5 ms one at a time; the first also waits for the pause."""
+        """Serve requests of 5 ms one at a time, the first after a pause of `pause_s`."""
         free_at = 0.0
         for number in range(count):
             intended = number * 0.01
@@ -35,23 +35,25 @@
             self.latencies.add("booking", "depot", "answered", intended, free_at)
 
 
-def near(value: float, wanted: float) -> bool:
+def is_close(value: float, wanted: float) -> bool:
     return abs(value - wanted) <= TOLERANCE * wanted
 
 
-def of_class(arrivals: list[Arrival], names: set[str]) -> list[Arrival]:
+def of_classes(arrivals: list[Arrival], names: set[str]) -> list[Arrival]:
     return [arrival for arrival in arrivals if arrival.request_class in names]
 
 
-def attempt(number: int, begun: float, progress: float, kept: float, outcome: Any) -> Any:
-    """Return one attempt of a task of 10 s and 2 cores as the worker's record shows it."""
+def attempt(
+    number: int, start_progress: float, progress: float, checkpoint_progress: float, outcome: Any
+) -> Any:
+    """Return a worker's record of one attempt of a task of 10 s on 2 cores."""
     return {
         "task": "t",
         "attempt": number,
         "run_time_s": 10.0,
         "cpu_milli": 2000,
-        "resumed_from": f"1@{begun}" if begun else "",
-        "checkpoint": f"2@{kept}" if kept else "",
+        "resumed_from": f"1@{start_progress}" if start_progress else "",
+        "checkpoint": f"2@{checkpoint_progress}" if checkpoint_progress else "",
         "progress": progress,
         "outcome": outcome,
     }
@@ -83,18 +85,18 @@
 
 @then("the load has about {rate:d} arrivals/s in the shares of the classes")
 def _(context: Any, rate: int) -> None:
-    assert near(context.load.rate(0, 60), rate)
+    assert is_close(context.load.rate(0, 60), rate)
     counts = Counter(arrival.request_class for arrival in context.load.arrivals[0])
     for cls in SUVA.classes:
-        assert near(counts[cls.name] / 60, rate * cls.share), counts
+        assert is_close(counts[cls.name] / 60, rate * cls.share), counts
 
 
-@then("only load arrivals that are not idempotent have a key, each its own")
+@then("only load arrivals that are not idempotent have a key, and no two share one")
 def _(context: Any) -> None:
     keyed = {cls.name for cls in SUVA.classes if not cls.idempotent}
     arrivals = context.load.arrivals[0]
     keys = [arrival.key for arrival in arrivals if arrival.key]
-    assert len(set(keys)) == len(keys) == len(of_class(arrivals, keyed))
+    assert len(set(keys)) == len(keys) == len(of_classes(arrivals, keyed))
 
 
 @when("the load tool plans 100 requests/s for 60 s with a burst of 3 from 20 to 40 s")
@@ -105,7 +107,7 @@
 @then("about 100, 300 and 100 load arrivals/s come in the three spans")
 def _(context: Any) -> None:
     for start, wanted in ((0, 100), (20, 300), (40, 100)):
-        assert near(context.load.rate(start, start + 20), wanted)
+        assert is_close(context.load.rate(start, start + 20), wanted)
 
 
 @when("the load tool plans a shape again with another share of one class")
@@ -120,7 +122,7 @@
 def _(context: Any) -> None:
     names = {cls.name for cls in SUVA.classes[1:]}
     before, after = context.load.arrivals
-    assert of_class(before, names) == of_class(after, names)
+    assert of_classes(before, names) == of_classes(after, names)
     assert len(before) < len(after)
 
 
@@ -150,7 +152,7 @@
     assert low <= p99 <= high, p99
 
 
-@then("the load p50 counts the wait of at least {waited:g} ms")
+@then("the load p50 includes a wait of at least {waited:g} ms")
 def _(context: Any, waited: float) -> None:
     p50 = context.load.latencies.rows()[0]["p50_ms"]
     assert p50 >= waited, p50
@@ -163,7 +165,7 @@
         context.load.latencies.add("intake", "depot", outcome, 1.0, 1.5)
 
 
-@then("one load latency and four outcomes are known")
+@then("one load latency and four outcomes are counted")
 def _(context: Any) -> None:
     latencies = context.load.latencies
     assert [row["count"] for row in latencies.rows()] == [1, 1, 1]
@@ -172,7 +174,7 @@
 
 @when("the load tool counts the batch work of {attempts}")
 def _(context: Any, attempts: str) -> None:
-    context.load = batch_of(ATTEMPTS[attempts])
+    context.load = batch_work(ATTEMPTS[attempts])
 
 
 @then("the load work is {done:g} done, {useful:g} useful, {evicted:g} lost by {number:d} evictions")
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -14,7 +14,7 @@
 
 
 class ReportSubject:
-    """A comparison as a run records it, and the report that was written of it."""
+    """Results of both sides of a comparison, and the files of the report on them."""
 
     def __init__(self) -> None:
         self.sides = {"system": self.side(0.05), "baseline": self.side(0.1)}
@@ -39,7 +39,7 @@
             "half-failed": {**requests, "sends": 1.0},
         }
 
-    def change(self, side: str, phase: str, key: str, value: float) -> None:
+    def set_value(self, side: str, phase: str, key: str, value: float) -> None:
         values = self.sides[side][phase]
         if key == "p99":
             self.sides["baseline"][phase]["latency"][0]["p99_ms"] = 100.0
@@ -66,7 +66,7 @@
 
 @when("the report's {side} has {key} = {value:g} in phase {phase}")
 def _(context: Any, side: str, key: str, value: float, phase: str) -> None:
-    context.report.change(side, phase, key, value)
+    context.report.set_value(side, phase, key, value)
 
 
 @then('the report shows "{measure}" as {verdict}')
