--- a/packages/bench/src/apricotpath_bench/backendstandin.py
+++ b/packages/bench/src/apricotpath_bench/backendstandin.py
@@ -17,16 +17,16 @@
 
 REQUEST_ID_HEADER = "apricotpath-request-id"
 CHUNK_BYTES = 64 << 10
-MAX_SIZE = 1 << 30
-# A hanging request ends after this time, so that a test cannot block for ever.
-HANG_S = 600.0
+MAX_BODY_BYTES = 1 << 30
+# A hanging request ends after this time, so that a test cannot block forever.
+HANG_TIMEOUT_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
 class Faults:
-    """Faults in force; `slow` multiplies the service time.
+    """Active faults; `slow` multiplies the service time.
 
-    `cut_body` ends answers at half their length, and `hang` never answers.
+    `cut_body` truncates answers at half their length, `hang` sends no answer.
     """
 
     slow: float = 1.0
@@ -37,7 +37,10 @@
 
 @dataclass(slots=True)
 class Run:
-    """One run; times are seconds of the process's clock, `end` is None while it runs."""
+    """One run of a request; times in seconds of the process's monotonic clock.
+
+    `end` is None while the request runs.
+    """
 
     request: str
     key: str
@@ -51,20 +54,20 @@
 def expected_body(request: str, size: int) -> bytes:
     """Return the body of `size` bytes that belongs to a request id.
 
-    Every 256 bytes hold the id's hash and their own position, so that parts of
-    another body or in another order are seen.
+    Each block of 256 bytes contains the hash of the id and its own offset, so that parts
+    of other bodies and reordered parts are detected.
     """
     seed = 15 * blake2b(request.encode(), digest_size=8).hexdigest()
     return "".join(f"{seed}{offset:016x}" for offset in range(0, size, 256)).encode()[:size]
 
 
 class BackendApp:
-    """ASGI app; `slots` requests are served at a time and the others wait.
+    """ASGI app that serves `slots` requests at a time and lets the others wait.
 
-    A request beyond `connections` is answered with 503 and counted in
-    `overrun`: the agent beside it must never send one. `noise` is the
-    slowdown that one task of an activity on the same host adds, and
-    `delay_s` the round trip between data centres, spent outside the slots.
+    A request beyond `connections` is answered with 503 and counted in `overrun`; the
+    agent of the host must never send one. `noise` maps an activity to the slowdown that
+    one of its tasks on the same host adds. `delay_s` is the round trip between data
+    centres, during which a request holds no slot.
     """
 
     def __init__(
@@ -102,7 +105,7 @@
                 await self._serve(scope, len(body), send)
 
     def summary(self) -> dict[str, Any]:
-        """Return all runs and the highest loads seen."""
+        """Return all runs and the highest numbers of concurrent requests."""
         return {
             "service": self.service,
             "runs": [asdict(run) for run in self.runs],
@@ -112,12 +115,12 @@
         }
 
     def slowdown(self) -> float:
-        """Return the factor on service times from faults and the tasks on this host."""
+        """Return the factor on service times, from faults and from the tasks on this host."""
         added = sum(self.noise.get(name, 0.0) * n for name, n in self.neighbours.items())
         return self.faults.slow * (1.0 + added)
 
     async def _set_neighbours(self, body: bytes, send: Send) -> None:
-        """Take the tasks that run on this host: activity to number, weighted by throttle."""
+        """Set the running tasks of this host: activity to number, weighted by throttle share."""
         try:
             self.neighbours = {str(name): float(n) for name, n in json.loads(body).items()}
         except (ValueError, TypeError, AttributeError) as exc:
@@ -126,15 +129,15 @@
         await send_json(send, 200, self.neighbours)
 
     async def _set_faults(self, body: bytes, send: Send) -> None:
-        known = {item.name for item in fields(Faults)}
+        fault_names = {item.name for item in fields(Faults)}
         try:
-            wanted = json.loads(body)
-            if not isinstance(wanted, dict) or set(wanted) - known:
+            changes = json.loads(body)
+            if not isinstance(changes, dict) or set(changes) - fault_names:
                 raise ValueError("unknown fault")
         except ValueError as exc:
             await send_json(send, 400, {"error": f"The faults are not valid: {exc}."})
             return
-        self.faults = replace(self.faults, **wanted)
+        self.faults = replace(self.faults, **changes)
         await send_json(send, 200, asdict(self.faults))
 
     async def _serve(self, scope: Scope, body_bytes: int, send: Send) -> None:
@@ -156,26 +159,26 @@
             async with self._slots:
                 run = Run(request, key, scope["path"], anyio.current_time(), body_bytes)
                 self.runs.append(run)
-                self._write("start", run)
+                self._write_record("start", run)
                 self._running += 1
                 self.most_running = max(self.most_running, self._running)
                 try:
-                    await self._work(run, headers, query, send)
+                    await self._respond(run, headers, query, send)
                 finally:
                     self._running -= 1
                     run.end = anyio.current_time()
-                    self._write("end", run)
+                    self._write_record("end", run)
         finally:
             self.present -= 1
 
-    async def _work(
+    async def _respond(
         self, run: Run, headers: dict[str, str], query: dict[str, str], send: Send
     ) -> None:
         work_ms = float(query.get("work_ms") or headers.get("work-ms") or 0)
-        size = min(int(query.get("size") or headers.get("size") or 0), MAX_SIZE)
+        size = min(int(query.get("size") or headers.get("size") or 0), MAX_BODY_BYTES)
         faults = self.faults
         if faults.hang:
-            await anyio.sleep(HANG_S)
+            await anyio.sleep(HANG_TIMEOUT_S)
         if work_ms:
             await anyio.sleep(work_ms / 1000 * self.slowdown())
         if faults.fail_all:
@@ -184,16 +187,19 @@
             return
         run.status = 200
         body = expected_body(run.request, size)
-        shown = body[: size // 2] if faults.cut_body else body
-        length = [(b"content-length", str(size).encode()), (b"run-id", run.request.encode())]
-        await send({"type": "http.response.start", "status": 200, "headers": length})
-        for offset in range(0, len(shown), CHUNK_BYTES):
-            part = shown[offset : offset + CHUNK_BYTES]
-            await send({"type": "http.response.body", "body": part, "more_body": True})
+        sent_body = body[: size // 2] if faults.cut_body else body
+        response_headers = [
+            (b"content-length", str(size).encode()),
+            (b"run-id", run.request.encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": response_headers})
+        for offset in range(0, len(sent_body), CHUNK_BYTES):
+            chunk = sent_body[offset : offset + CHUNK_BYTES]
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
         if not faults.cut_body:
             await send({"type": "http.response.body", "body": b"", "more_body": False})
 
-    def _write(self, event: str, run: Run) -> None:
+    def _write_record(self, event: str, run: Run) -> None:
         if self.record is not None:
             with self.record.open("a", encoding="utf-8") as file:
                 file.write(json.dumps({"event": event, **asdict(run)}) + "\n")
@@ -212,16 +218,16 @@
 async def _main(args: argparse.Namespace) -> None:
     app = BackendApp(args.service, args.slots, args.connections, args.record)
     app.noise, app.delay_s = args.noise, args.delay_ms / 1000.0
-    ended = anyio.Event()
+    stopped = anyio.Event()
 
     async def watch_signals() -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _number in signals:
-                ended.set()
+                stopped.set()
 
     async with anyio.create_task_group() as group:
         group.start_soon(watch_signals)
-        await serve_app(app, f"{args.host}:{args.port}", ended.wait)
+        await serve_app(app, f"{args.host}:{args.port}", stopped.wait)
         group.cancel_scope.cancel()
 
 
--- a/packages/bench/src/apricotpath_bench/storefaults.py
+++ b/packages/bench/src/apricotpath_bench/storefaults.py
@@ -1,4 +1,4 @@
-"""Faults, rate limits and watches of the store stand-in, around its model."""
+"""Store stand-in: the model with faults, rate limits and watches."""
 
 from collections import Counter, deque
 from collections.abc import AsyncIterator
@@ -15,23 +15,25 @@
     GatewayError,
     Row,
     StoreModel,
-    bounds,
+    key_range,
 )
 
 WRITE_PATHS = {"/v3/kv/txn", "/v3/lease/grant", "/v3/lease/keepalive", "/v3/lease/revoke"}
 
 
 class ConnectionDropped(ConnectionResetError):
-    """The connection is closed without an answer."""
+    """The connection is closed without a response."""
 
 
 @dataclass(frozen=True, slots=True)
 class Faults:
-    """Faults in force; counts are of calls still to be affected, -1 means all.
+    """Active faults.
 
-    `down` closes connections without an answer and without effect; `refuse`
-    (in-process only) fails to connect. `lose_answers` applies writes and then
-    closes; `late_writes` closes, and applies the write `late_s` later.
+    With `down`, connections are closed without a response and calls have no effect.
+    With `refuse` (in-process only), connections fail. `lose_answers` and `late_writes`
+    are the numbers of writes that they still affect, -1 for all. `lose_answers` applies
+    a write and then closes the connection. `late_writes` closes the connection and
+    applies the write `late_s` later.
     """
 
     down: bool = False
@@ -44,22 +46,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Calls per second; a waiting watch counts as one read a second."""
+    """Rate limits in calls per second; an open watch counts as one read per second."""
 
     writes_per_s: float = 300.0
     reads_per_s: float = 2000.0
 
 
 @dataclass(slots=True)
-class Bucket:
-    """Token bucket that holds one second of calls."""
+class TokenBucket:
+    """Token bucket whose capacity is one second of calls."""
 
     rate: float
     tokens: float
     at: float = 0.0
 
     def take(self, now: float, rate: float) -> bool:
-        """Take a token at a refill of `rate` per second; False if none is left."""
+        """Refill at `rate` per second, then take a token; returns False if none is left."""
         self.tokens = min(self.rate, self.tokens + (now - self.at) * max(0.0, rate))
         self.at = now
         if self.tokens < 1:
@@ -69,7 +71,7 @@
 
 
 class StandinStore:
-    """A store model under limits and faults; all methods must run in one event loop."""
+    """A store model with limits and faults; all methods must run in one event loop."""
 
     def __init__(self, history_events: int = HISTORY_EVENTS) -> None:
         self.model = StoreModel(history_events)
@@ -78,19 +80,19 @@
         self.counts: Counter[str] = Counter()
         self.per_second: dict[str, Counter[int]] = {"read": Counter(), "write": Counter()}
         self.limits = Limits()
-        self._buckets: dict[str, Bucket] = {}
+        self._buckets: dict[str, TokenBucket] = {}
         self._watch_epoch = 0
-        self._late: list[tuple[float, str, dict[str, Any]]] = []
+        self._delayed_writes: list[tuple[float, str, dict[str, Any]]] = []
         self.set_limits(Limits())
 
     @property
     def rows(self) -> dict[bytes, Row]:
-        """The keys as they are now."""
+        """Current rows by key."""
         return self.model.rows
 
     @property
     def history(self) -> deque[Change]:
-        """The changes that are not compacted, oldest first."""
+        """Changes that are not compacted, oldest first."""
         return self.model.history
 
     # Control of the stand-in.
@@ -99,21 +101,21 @@
         """Set the rate limits and fill the buckets."""
         self.limits = limits
         self._buckets = {
-            "write": Bucket(limits.writes_per_s, limits.writes_per_s),
-            "read": Bucket(limits.reads_per_s, limits.reads_per_s),
+            "write": TokenBucket(limits.writes_per_s, limits.writes_per_s),
+            "read": TokenBucket(limits.reads_per_s, limits.reads_per_s),
         }
 
     def set_faults(self, **changes: Any) -> None:
-        """Change some of the faults in force."""
+        """Replace some of the active faults."""
         self.faults = replace(self.faults, **changes)
 
     def lapse_lease(self, lease: int = 0) -> None:
-        """End a lease as if its time had passed; 0 ends all of them."""
+        """End a lease as if its TTL had passed; 0 ends all leases."""
         for number in [lease] if lease else list(self.model.leases):
             self.model.end_lease(number)
 
     def cut_watches(self) -> None:
-        """Close the connection of every waiting watch."""
+        """Close the connections of all open watches."""
         self._watch_epoch += 1
         self.model.notify()
 
@@ -131,7 +133,7 @@
         self.set_faults(**body)
 
     def count_report(self) -> dict[str, Any]:
-        """Return the calls by kind and the maximum per second."""
+        """Return the number of calls by path, and the maximum per second of reads and writes."""
         peaks = {kind: max(bins.values(), default=0) for kind, bins in self.per_second.items()}
         return {
             "calls": dict(self.counts),
@@ -145,19 +147,19 @@
     async def handle(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Serve one call other than a watch; raises GatewayError or ConnectionDropped."""
         await self._admit(path, body)
-        if path in WRITE_PATHS and self._take("late_writes"):
-            self._late.append((anyio.current_time() + self.faults.late_s, path, body))
+        if path in WRITE_PATHS and self._consume_fault("late_writes"):
+            self._delayed_writes.append((anyio.current_time() + self.faults.late_s, path, body))
             raise ConnectionDropped
         answer = self.model.dispatch(path, body)
-        if path in WRITE_PATHS and self._take("lose_answers"):
+        if path in WRITE_PATHS and self._consume_fault("lose_answers"):
             raise ConnectionDropped
         return answer
 
     async def watch(self, body: dict[str, Any]) -> AsyncIterator[dict[str, Any]]:
-        """Yield the messages of a watch; raises ConnectionDropped when it is cut."""
+        """Yield the messages of a watch; raises ConnectionDropped when a fault closes it."""
         await self._admit("/v3/watch", body)
         request = body["create_request"]
-        start, end = bounds(request)
+        start, end = key_range(request)
         at = int(request.get("start_revision", 0)) or self.model.revision + 1
         yield {"result": {"header": self.model.header(), "created": True}}
         if at <= self.model.compacted:
@@ -177,7 +179,7 @@
                 if events:
                     yield {"result": {"header": self.model.header(), "events": events}}
                     continue
-                with anyio.move_on_after(self.model.until_expiry()):
+                with anyio.move_on_after(self.model.seconds_to_expiry()):
                     await changed.wait()
         finally:
             self.watches -= 1
@@ -190,7 +192,7 @@
             if self.faults.down:
                 raise ConnectionDropped
         self.model.expire()
-        self._apply_late()
+        self._apply_delayed_writes()
         now = anyio.current_time()
         kind = "write" if path in WRITE_PATHS else "read"
         self.counts[path] += 1
@@ -200,16 +202,16 @@
             self.counts["limited"] += 1
             raise GatewayError(RESOURCE_EXHAUSTED, "too many requests")
 
-    def _take(self, name: str) -> bool:
-        left = getattr(self.faults, name)
-        if left > 0:
-            self.set_faults(**{name: left - 1})
-        return bool(left)
+    def _consume_fault(self, name: str) -> bool:
+        remaining = getattr(self.faults, name)
+        if remaining > 0:
+            self.set_faults(**{name: remaining - 1})
+        return bool(remaining)
 
-    def _apply_late(self) -> None:
+    def _apply_delayed_writes(self) -> None:
         now = anyio.current_time()
-        due = [item for item in self._late if item[0] <= now]
-        self._late = [item for item in self._late if item[0] > now]
+        due = [item for item in self._delayed_writes if item[0] <= now]
+        self._delayed_writes = [item for item in self._delayed_writes if item[0] > now]
         for _, path, body in due:
             try:
                 self.model.dispatch(path, body)
--- a/packages/bench/src/apricotpath_bench/storemodel.py
+++ b/packages/bench/src/apricotpath_bench/storemodel.py
@@ -1,4 +1,4 @@
-"""The key-value store's model for its stand-in: revisions, transactions, leases and history."""
+"""In-memory model of the key-value store: revisions, transactions, leases and history."""
 
 from base64 import b64decode, b64encode
 from collections import deque
@@ -10,7 +10,7 @@
 
 MAX_VALUE_BYTES = 1 << 20
 MAX_TXN_OPERATIONS = 128
-# History kept for watches and reads at past revisions.
+# Limits of the history for watches and for reads at past revisions.
 HISTORY_EVENTS = 20_000
 HISTORY_BYTES = 64 << 20
 # gRPC status codes of the gateway's error bodies.
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One change of a key: its row before and after, None where it is absent."""
+    """One change of a key; `before` or `after` is None where the key does not exist."""
 
     revision: int
     key: bytes
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True)
 class Lease:
-    """A lease; `ends_at` is monotonic time in seconds."""
+    """A lease with its attached keys; `ends_at` is monotonic time in seconds."""
 
     ttl_s: float
     ends_at: float
@@ -59,7 +59,7 @@
 class StoreModel:
     """Keys, leases and history; all methods must run in one event loop.
 
-    History beyond `history_events` changes is compacted.
+    All but the latest `history_events` changes are compacted.
     """
 
     def __init__(self, history_events: int = HISTORY_EVENTS) -> None:
@@ -70,12 +70,12 @@
         self.leases: dict[int, Lease] = {}
         self.history: deque[Change] = deque()
         self.history_bytes = 0
-        # Set and replaced at each change, for watches to wait on.
+        # Watches wait for this event; each change sets and replaces it.
         self.changed = anyio.Event()
         self._next_lease = 7_000_000_001
 
     def dispatch(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Serve one call other than a watch at once; raises GatewayError."""
+        """Serve one call other than a watch; raises GatewayError."""
         calls: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
             "/v3/kv/range": self._range,
             "/v3/kv/txn": self._txn,
@@ -91,7 +91,7 @@
             raise GatewayError(INVALID_ARGUMENT, f"malformed request: {exc!r}") from exc
 
     def events(self, start: bytes, end: bytes, since: int) -> list[dict[str, Any]]:
-        """Return the events from revision `since` on of keys from `start` to before `end`."""
+        """Return the events since revision `since`, inclusive, for `start` <= key < `end`."""
         return [
             _event(change)
             for change in self.history
@@ -105,39 +105,41 @@
             return
         self.revision += 1
         for key in sorted(lease.keys):
-            self._set(key, None, 0)
+            self._set_row(key, None, 0)
         self.notify()
 
     def expire(self) -> None:
-        """End the leases whose time has passed."""
+        """End the leases whose TTL has passed."""
         now = anyio.current_time()
         for number in [n for n, lease in self.leases.items() if lease.ends_at <= now]:
             self.end_lease(number)
 
-    def until_expiry(self) -> float:
-        """Return the seconds until the next lease ends, infinite if there is none."""
+    def seconds_to_expiry(self) -> float:
+        """Return the seconds until the next lease ends, or infinity if there is none."""
         ends = min((lease.ends_at for lease in self.leases.values()), default=float("inf"))
         return max(0.0, ends - anyio.current_time())
 
     def notify(self) -> None:
-        """Wake all that wait for a change."""
+        """Wake all tasks that wait for a change."""
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
 
     def header(self) -> dict[str, str]:
-        """Return the header of an answer."""
+        """Return the header of a response."""
         return {"cluster_id": "1", "member_id": "1", "revision": str(self.revision)}
 
     def _range(self, body: dict[str, Any]) -> dict[str, Any]:
-        start, end = bounds(body)
+        start, end = key_range(body)
         rows = self._rows_at(int(body.get("revision", 0)))
-        found = sorted((row for key, row in rows.items() if start <= key < end), key=_key_of)
-        limit = int(body.get("limit", 0)) or len(found)
+        matching_rows = sorted(
+            (row for key, row in rows.items() if start <= key < end), key=_key_of
+        )
+        limit = int(body.get("limit", 0)) or len(matching_rows)
         return {
             "header": self.header(),
-            "kvs": [_row_json(row) for row in found[:limit]],
-            "more": len(found) > limit,
-            "count": str(len(found)),
+            "kvs": [_row_json(row) for row in matching_rows[:limit]],
+            "more": len(matching_rows) > limit,
+            "count": str(len(matching_rows)),
         }
 
     def _rows_at(self, revision: int) -> dict[bytes, Row]:
@@ -161,15 +163,15 @@
         operations = body.get("success", [])
         if len(operations) > MAX_TXN_OPERATIONS:
             raise GatewayError(INVALID_ARGUMENT, "too many operations in txn request")
-        held = all(self._holds(item) for item in body.get("compare", []))
-        if held:
+        matched = all(self._compare_matches(item) for item in body.get("compare", []))
+        if matched:
             puts = [item["request_put"] for item in operations if "request_put" in item]
             self._check_puts(puts)
             if operations:
                 self._apply(operations)
-        return {"header": self.header(), "succeeded": held}
+        return {"header": self.header(), "succeeded": matched}
 
-    def _holds(self, compare: dict[str, Any]) -> bool:
+    def _compare_matches(self, compare: dict[str, Any]) -> bool:
         if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
             raise GatewayError(INVALID_ARGUMENT, "only compares of the mod revision are supported")
         row = self.rows.get(b64decode(compare["key"]))
@@ -189,14 +191,14 @@
             if "request_put" in item:
                 put = item["request_put"]
                 key = b64decode(put["key"])
-                self._set(key, b64decode(put["value"]), int(put.get("lease", 0)))
+                self._set_row(key, b64decode(put["value"]), int(put.get("lease", 0)))
             else:
-                start, end = bounds(item["request_delete_range"])
+                start, end = key_range(item["request_delete_range"])
                 for key in [key for key in self.rows if start <= key < end]:
-                    self._set(key, None, 0)
+                    self._set_row(key, None, 0)
         self.notify()
 
-    def _set(self, key: bytes, value: bytes | None, lease: int) -> None:
+    def _set_row(self, key: bytes, value: bytes | None, lease: int) -> None:
         before = self.rows.get(key)
         after = None
         if before is not None and before.lease in self.leases:
@@ -212,9 +214,9 @@
         self.history.append(Change(self.revision, key, before, after))
         self.history_bytes += len(value or b"")
         while len(self.history) > self.history_events or self.history_bytes > HISTORY_BYTES:
-            dropped = self.history.popleft()
-            self.history_bytes -= len(dropped.after.value) if dropped.after else 0
-            self.compacted = dropped.revision
+            compacted_change = self.history.popleft()
+            self.history_bytes -= len(compacted_change.after.value) if compacted_change.after else 0
+            self.compacted = compacted_change.revision
 
     def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
         ttl = int(body["TTL"])
@@ -241,8 +243,8 @@
         return {"header": self.header()}
 
 
-def bounds(body: dict[str, Any]) -> tuple[bytes, bytes]:
-    """Return the first key of a request's range and the key after its last."""
+def key_range(body: dict[str, Any]) -> tuple[bytes, bytes]:
+    """Return the first key of a request's range and its exclusive end."""
     start = b64decode(body["key"])
     end = b64decode(body.get("range_end", ""))
     return start, end or start + b"\0"
@@ -260,7 +262,7 @@
         "mod_revision": str(row.mod_revision),
         "version": str(row.version),
     }
-    # The gateway leaves out fields that have their default.
+    # The gateway omits fields with default values.
     return content | ({"lease": str(row.lease)} if row.lease else {})
 
 
--- a/packages/bench/src/apricotpath_bench/storestandin.py
+++ b/packages/bench/src/apricotpath_bench/storestandin.py
@@ -33,12 +33,12 @@
 __all__ = ["DirectTransport", "Limits", "StandinApp", "StandinStore"]
 
 MAX_REQUEST_BYTES = 4 << 20
-# HTTP status of the gRPC status codes in the gateway's error bodies.
+# HTTP status for each gRPC status code of the gateway's errors.
 HTTP_STATUS = {INVALID_ARGUMENT: 400, NOT_FOUND: 404, RESOURCE_EXHAUSTED: 429, OUT_OF_RANGE: 400}
 
 
 class StandinApp:
-    """ASGI application of the gateway, with `POST /faults` and `GET /counts`."""
+    """ASGI application of the gateway, extended by `POST /faults` and `GET /counts`."""
 
     def __init__(self, store: StandinStore | None = None) -> None:
         self.store = store or StandinStore()
@@ -48,9 +48,9 @@
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
-        path, raw = scope["path"], await read_body(receive, MAX_REQUEST_BYTES)
+        path, raw_body = scope["path"], await read_body(receive, MAX_REQUEST_BYTES)
         try:
-            body = json.loads(raw or b"{}")
+            body = json.loads(raw_body or b"{}")
             if path == "/v3/watch":
                 await self._serve_watch(body, receive, send)
             elif path == "/counts":
@@ -65,8 +65,8 @@
         except ValueError as exc:
             await send_json(send, 400, {"code": INVALID_ARGUMENT, "message": str(exc)})
         except ConnectionDropped:
-            # hypercorn closes the connection when an app ends in the middle of a response;
-            # it would answer 500 if no response had been started.
+            # Hypercorn closes the connection if an app fails in the middle of a response.
+            # Without a started response it would answer 500 instead.
             await send(
                 {"type": "http.response.start", "status": 200, "headers": body_headers(JSON, 1)}
             )
@@ -80,9 +80,11 @@
 
         async def forward() -> None:
             try:
-                await send({"type": "http.response.body", "body": _line(first), "more_body": True})
+                await send(
+                    {"type": "http.response.body", "body": _json_line(first), "more_body": True}
+                )
                 async for message in messages:
-                    part = _line(message)
+                    part = _json_line(message)
                     await send({"type": "http.response.body", "body": part, "more_body": True})
                 await send({"type": "http.response.body", "body": b""})
             except ConnectionDropped:
@@ -100,7 +102,7 @@
 class DirectTransport(httpx.AsyncBaseTransport):
     """Connects an httpx client to a stand-in in the same process, with streaming and timeouts.
 
-    httpx.ASGITransport collects a whole response, so a watch would never answer.
+    httpx.ASGITransport buffers the whole response, so that a watch would never return.
     """
 
     def __init__(self, store: StandinStore) -> None:
@@ -119,7 +121,7 @@
                     messages = self.store.watch(body)
                     first = await anext(messages)
                     return httpx.Response(200, stream=_WatchStream(first, messages, limit))
-                # A request takes a moment, so that other tasks run in between as with TCP.
+                # Yield to the event loop, so that other tasks can run during a request as over TCP.
                 await anyio.lowlevel.checkpoint()
                 return httpx.Response(200, json=await self.store.handle(path, body))
         except GatewayError as exc:
@@ -137,7 +139,7 @@
         self.first, self.messages, self.limit = first, messages, limit
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        yield _line(self.first)
+        yield _json_line(self.first)
         while True:
             try:
                 with anyio.fail_after(self.limit):
@@ -148,7 +150,7 @@
                 raise httpx.ReadTimeout("no event in time") from exc
             except ConnectionDropped as exc:
                 raise httpx.ReadError("the connection was closed") from exc
-            yield _line(message)
+            yield _json_line(message)
 
     async def aclose(self) -> None:
         await self.messages.aclose()  # type: ignore[attr-defined]
@@ -158,12 +160,12 @@
     return {"error": str(exc), "code": exc.code, "message": f"etcdserver: {exc}"}
 
 
-def _line(message: dict[str, Any]) -> bytes:
+def _json_line(message: dict[str, Any]) -> bytes:
     return f"{json.dumps(message)}\n".encode()
 
 
 def main() -> None:
-    """Serve the stand-in until it is ended by a signal."""
+    """Serve the stand-in until a signal ends it."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=2379)
@@ -171,7 +173,7 @@
     config = Config()
     config.bind = [f"{arguments.host}:{arguments.port}"]
     config.accesslog = None
-    # Dropped connections end in an exception that hypercorn would log each time.
+    # Each dropped connection raises an exception that hypercorn would log.
     config.errorlog = None
     config.keep_alive_timeout = 3600.0
     app: Any = StandinApp()
