--- a/packages/bench/src/apricotpath_bench/quotareplay.py
+++ b/packages/bench/src/apricotpath_bench/quotareplay.py
@@ -1,4 +1,4 @@
-"""A trace's job starts through the lent shares of several entries, beside an exact window."""
+"""Compares lent rate shares of several entries with an exact window, on a trace's starts."""
 
 from collections import Counter, defaultdict
 from zlib import crc32
@@ -10,16 +10,16 @@
 
 ENTRIES = tuple(EntryId(f"entry-{number}") for number in range(1, 7))
 STEP_S = 0.1
-# A start that is not allowed this long after the last job is counted as it is.
-LONGEST_S = 120.0
+# The replay ends at the latest this long after the last job, with starts still waiting.
+MAX_DRAIN_S = 120.0
 
 
 def replay_limits(trace: Trace) -> dict[str, float]:
-    """Return how near lent rates come to the exact limit, and at how many messages.
+    """Return the delays and messages per start of lent rates and of an exact limit.
 
-    Every task of a job is one start, at the entry of its job or the next one. It waits
-    until the limit allows it, once with lent shares and once with an exact window
-    that is asked by a message for every start.
+    Every task of a job is one start. Half of them are at the entry that the job's id selects,
+    the others at the next entry. A start waits until the limit allows it. Lent shares are
+    compared with an exact window, which takes a request and an answer for every start.
     """
     bundle = _bundle(trace)
     if bundle is None:
@@ -54,10 +54,10 @@
     rates: dict[tuple[TeamId, EntryId], RateShare] = defaultdict(RateShare)
     waiting: Counter[tuple[TeamId, EntryId]] = Counter()
     exact_waiting: Counter[TeamId] = Counter()
-    times: dict[TeamId, list[float]] = defaultdict(list)
+    start_times: dict[TeamId, list[float]] = defaultdict(list)
     delay = exact_delay = 0.0
     messages = starts = at = step = 0
-    end = arrivals[-1][0] + LONGEST_S
+    end = arrivals[-1][0] + MAX_DRAIN_S
     while step * STEP_S < end and (
         at < len(arrivals) or any(waiting.values()) or any(exact_waiting.values())
     ):
@@ -81,7 +81,7 @@
                 if not rate.take(borrower.available(now), now):
                     break
                 waiting[key] -= 1
-                times[team].append(now)
+                start_times[team].append(now)
         for team in list(exact_waiting):
             while exact_waiting[team] and exact[team].take(now):
                 exact_waiting[team] -= 1
@@ -93,11 +93,13 @@
         "limits.added_delay_s": (delay - exact_delay) / starts,
         "limits.messages_per_start": messages / starts,
         "limits.exact_messages_per_start": 2.0,
-        "limits.exceeded": float(sum(_exceeds(times[t], int(limits[t])) for t in times)),
+        "limits.exceeded": float(
+            sum(_count_violations(start_times[t], int(limits[t])) for t in start_times)
+        ),
     }
 
 
-def _exceeds(times: list[float], limit: int) -> int:
-    """Count the starts that break the limit in some window."""
-    pairs = zip(times, times[limit:], strict=False)
+def _count_violations(start_times: list[float], limit: int) -> int:
+    """Return the number of starts that exceed the limit within some window."""
+    pairs = zip(start_times, start_times[limit:], strict=False)
     return sum(last - first < WINDOW_S - 1e-6 for first, last in pairs)
--- a/packages/bench/src/apricotpath_bench/replay.py
+++ b/packages/bench/src/apricotpath_bench/replay.py
@@ -1,4 +1,4 @@
-"""Replay of a trace through the real decision code, compared with the baselines."""
+"""Replays a trace through the production decision code and compares it with baselines."""
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
@@ -47,32 +47,40 @@
 from apricotpathd.scheduling import Scheduler
 from apricotpathd.shares import TeamShares
 
-REPORT_S = 1.0
-SCAN_S = 0.5
-JUDGE_S = 5.0
-# The replay goes on after the last event, so that what it caused can be seen.
+REPORT_INTERVAL_S = 1.0
+SCAN_INTERVAL_S = 0.5
+FEASIBILITY_INTERVAL_S = 5.0
+# The replay continues after the last event to include its effects.
 TAIL_S = 5.0
 ENTRY = EntryId("entry-1")
-FIRST = IncarnationId("1")
+FIRST_INCARNATION = IncarnationId("1")
 
-POLICY_REQUESTS = RequestSettings()
+DEFAULT_REQUESTS = RequestSettings()
 
-Choose = Callable[..., list[Victim]]
+ChooseVictims = Callable[..., list[Victim]]
 
 
 @dataclass(frozen=True, slots=True)
 class Modes:
-    """Which decisions are the real ones; each field names one baseline otherwise."""
+    """Selects the production code or a baseline for each kind of decision.
+
+    `statuses` is whether status changes of data centres take effect.
+    """
 
     placement: Mode = Mode.POLICY
-    victims: Choose = choose_victims
-    requests: RequestSettings = POLICY_REQUESTS
+    victims: ChooseVictims = choose_victims
+    requests: RequestSettings = DEFAULT_REQUESTS
     statuses: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Figures of one run; times in seconds, work in core seconds."""
+    """Figures of one run; times in seconds, work in core seconds.
+
+    `work_at` is the useful work so far at each full second. `wasted` holds pairs of time and
+    lost work, `samples` pairs of arrival time and latency. `result_counts` is the number of
+    requests by result.
+    """
 
     digest: str
     decisions: int
@@ -84,10 +92,10 @@
     arrivals: tuple[float, ...]
     sends: tuple[float, ...]
     samples: tuple[tuple[float, float], ...]
-    ended: Mapping[str, int]
+    result_counts: Mapping[str, int]
 
     def work_in(self, begin: float, end: float) -> float:
-        """Return the core seconds of work done in a window, less what was lost in it."""
+        """Return the core seconds of useful work done in a window."""
         last = len(self.work_at) - 1
         return self.work_at[min(int(end), last)] - self.work_at[min(int(begin), last)]
 
@@ -96,7 +104,7 @@
         return sum(work for at, work in self.wasted if begin <= at < end)
 
     def latency_s(self, share: float, begin: float, end: float) -> float:
-        """Return the latency that a share of the requests arrived in a window stays below."""
+        """Return the `share` quantile, from 0 to 1, of the latencies of requests in a window."""
         found = sorted(latency for at, latency in self.samples if begin <= at < end)
         return found[min(len(found) - 1, int(share * len(found)))] if found else 0.0
 
@@ -108,54 +116,56 @@
     limits: EvictionLimits,
     now: float,
 ) -> list[Victim]:
-    """Return the first low tasks found that make room on one host: the eviction baseline."""
+    """Eviction baseline: return the first low-priority tasks that free enough of one host."""
     found: dict[ProcessId, list[Victim]] = {}
     for victim in victims:
         if victim.priority is not Priority.LOW or victim.process not in free:
             continue
         chosen = found.setdefault(victim.process, [])
         chosen.append(victim)
-        room = free[victim.process]
+        available = free[victim.process]
         for item in chosen:
-            room = room + item.size
-        if need.fits_in(room):
+            available = available + item.size
+        if need.fits_in(available):
             return chosen
     return []
 
 
 class ModelLink:
-    """The entry's end of a link to a modelled host."""
+    """The entry's side of a link to a modelled host."""
 
-    def __init__(self, model: HostModel, up: HostUp, note: Callable[[str], None]) -> None:
+    def __init__(
+        self, model: HostModel, host_up: HostUp, record_decision: Callable[[str], None]
+    ) -> None:
         self.model = model
-        self.note = note
-        self.process_id = up.process
+        self.record_decision = record_decision
+        self.process_id = host_up.process
         self.peer = self
         self.is_open = True
         self.last_heartbeat = None
 
     def send_nowait(self, message: Message, reply_to: int = 0) -> None:
-        """Carry out a command at once."""
-        self.note(f"{type(message).__name__} {self.process_id} {message}")
+        """Execute a command immediately."""
+        self.record_decision(f"{type(message).__name__} {self.process_id} {message}")
         self.model.command(message, self.process_id)
 
 
 class ModelCommands(Commands):
-    """Commands whose starts take effect in the model."""
+    """Commands that start attempts in the model."""
 
     def __init__(self, state: OwnerState, replay: "Replay") -> None:
         super().__init__(state)
         self.replay = replay
 
     def start(self, shard: Shard, run: Run) -> None:
-        """Start an attempt; it is accepted, since placement knows what is free."""
+        """Start an attempt; the host accepts it, since placement has checked the free capacity."""
         row = self.row(run.process)
         if row is None:
             run.expires_at = 0.0
             return
         replay = self.replay
-        replay.note(f"start {run.task} {run.attempt} {run.process}")
-        replay.started(run)
+        replay.record_decision(f"start {run.task} {run.attempt} {run.process}")
+        replay.record_start(run)
         replay.model.start(run.process, run.task, run.attempt, run.spec, replay.ratios[run.job])
         run.anchor_clock_ms, run.anchor_incarnation = int(replay.now * 1000), row.incarnation
         run.expires_at = replay.now + self.state.lease_total_s
@@ -163,16 +173,16 @@
         run.phase, run.accepted = Phase.RUNNING, True
 
 
-class OneMember:
-    """Membership of the only entry of a replay."""
+class SingleMember:
+    """Membership with a single entry, that of the replay."""
 
     def view(self) -> View:
-        """Return a view with this entry alone."""
+        """Return a view with this entry only."""
         return View((ENTRY,), {})
 
 
 class Replay:
-    """One run of a trace with given modes; deterministic for a trace and a seed."""
+    """One run of a trace; deterministic for a trace, modes and a seed."""
 
     def __init__(self, trace: Trace, modes: Modes, seed: int) -> None:
         self.trace = trace
@@ -182,44 +192,46 @@
         self.ratios: dict[JobId, float] = {}
         self._digest = sha256()
         self._decisions = 0
-        self._urgent: list[float] = []
+        self._urgent_waits_s: list[float] = []
         self._work_at: list[float] = []
         self._key = generate_key()
         self.control = Control((self._key.public_text,))
         self.hosts = HostTable()
         policy = replace(PolicySettings(), shards=1)
-        self._began = datetime.fromisoformat(trace.header.utc)
+        self._start_utc = datetime.fromisoformat(trace.header.utc)
         self.state = OwnerState(
             ENTRY, policy, self.hosts, self.control, lambda: True, self.utc, modes.placement
         )
         self.commands = ModelCommands(self.state, self)
-        self.shares = TeamShares(ENTRY, cast(Any, OneMember()), self._limit, 0.0)
+        self.shares = TeamShares(ENTRY, cast(Any, SingleMember()), self._team_limit, 0.0)
         self.scheduler = Scheduler(self.state, self.commands, self.shares)
         self.scheduler.choose_victims = modes.victims
         self.reconciler = Reconciler(self.state, self.commands)
         self.shard = Shard(ShardId(0), Epoch(1), cast(Any, None), 0.0, loaded=True)
         self.state.shards[ShardId(0)] = self.shard
         rng = Random(seed)
-        self.requests = RequestReplay(modes.requests, self.control, self.model, rng, self.note)
+        self.requests = RequestReplay(
+            modes.requests, self.control, self.model, rng, self.record_decision
+        )
 
     def utc(self) -> datetime:
-        """Return the UTC time of the present step."""
-        return self._began + timedelta(seconds=self.now)
+        """Return the UTC time of the current step."""
+        return self._start_utc + timedelta(seconds=self.now)
 
-    def _limit(self, team: TeamId) -> TeamLimit | None:
+    def _team_limit(self, team: TeamId) -> TeamLimit | None:
         rules = self.control.team(team)
         return TeamLimit(rules.share, rules.quota, rules.rate_per_s) if rules else None
 
-    def note(self, decision: str) -> None:
+    def record_decision(self, decision: str) -> None:
         """Add a decision to the digest."""
         self._decisions += 1
         self._digest.update(f"{self.now:.3f} {decision}\n".encode())
 
-    def started(self, run: Run) -> None:
-        """Note how long an urgent task waited for its first start."""
+    def record_start(self, run: Run) -> None:
+        """Record the time from acceptance to the first start of an urgent task."""
         if run.spec.priority is Priority.URGENT and run.attempt == 1:
             accepted = self.shard.table.jobs[run.job].accepted_at
-            self._urgent.append(self.utc().timestamp() - accepted + START_DELAY_S)
+            self._urgent_waits_s.append(self.utc().timestamp() - accepted + START_DELAY_S)
 
     def run(self) -> Result:
         """Replay the whole trace."""
@@ -228,7 +240,7 @@
         at, step = 0, 0
         while self.now < last + TAIL_S:
             while at < len(events) and events[at].at <= self.now:
-                self._take(events[at].event)
+                self._apply_event(events[at].event)
                 at += 1
             self._tick(step)
             step += 1
@@ -244,35 +256,35 @@
             tuple(self._work_at),
             tuple(totals.wasted),
             totals.evictions,
-            max(self._urgent, default=0.0),
+            max(self._urgent_waits_s, default=0.0),
             tuple(requests.arrivals),
             tuple(requests.sends),
             tuple((sample.arrived, sample.latency_s) for sample in requests.samples),
-            dict(requests.ended),
+            dict(requests.result_counts),
         )
 
     def _tick(self, step: int) -> None:
-        """Do what the owner does in a tick, in the same order."""
+        """Run the steps of an owner's tick, in the same order."""
         now, tick = self.now, self.state.policy.tick_s
         self.model.step(now)
         if step % round(1.0 / tick) == 0:
             self._work_at.append(self.model.useful_work())
         self.requests.run(now)
-        self._reports(step)
-        if step % round(SCAN_S / tick) == 0:
+        self._take_reports(step)
+        if step % round(SCAN_INTERVAL_S / tick) == 0:
             self.reconciler.expire(now)
             self.scheduler.evict_forbidden(now)
             self.scheduler.guard_hosts(now)
             self.scheduler.restore_throttles(now)
             self.shares.keep(now)
-        if step % round(JUDGE_S / tick) == 0:
+        if step % round(FEASIBILITY_INTERVAL_S / tick) == 0:
             self.scheduler.judge_possible(now)
         self._journal()
         self.scheduler.place(now)
         self._journal()
 
-    def _reports(self, step: int) -> None:
-        every = round(REPORT_S / self.state.policy.tick_s)
+    def _take_reports(self, step: int) -> None:
+        every = round(REPORT_INTERVAL_S / self.state.policy.tick_s)
         for number, (process, row) in enumerate(self.hosts.rows.items()):
             host = self.model.hosts[process]
             due = (step + number) % every == 0 or host.outcomes
@@ -284,38 +296,38 @@
         self.reconciler.take_reports(self.now)
 
     def _journal(self) -> None:
-        """Apply what was proposed at once, as a journal does that is never late."""
+        """Apply all proposals immediately, as a journal without latency."""
         while self.shard.outbox:
             batch, self.shard.outbox = self.shard.outbox, []
             for proposal in batch:
                 proposal.done([self.shard.table.apply(record) for record in proposal.records])
 
     @singledispatchmethod
-    def _take(self, event: Event) -> None:
-        """Take an event; reports and dropped lines of a recording need nothing."""
+    def _apply_event(self, event: Event) -> None:
+        """Apply an event; other kinds, such as dropped lines of a recording, have no effect."""
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Job) -> None:
         self.ratios[event.spec.job_id] = event.run_ratio
         self.shard.table.apply(JobAccepted(event.spec, self.utc().timestamp()))
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Cancel) -> None:
         self.shard.table.apply(JobCancelled(event.job))
         self.reconciler.mark_cancelled(self.shard, event.job)
         self.reconciler.stop_cancelled(self.now)
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: HostUp) -> None:
-        known = self.model.hosts.get(event.process)
-        if known is not None and not known.gone:
+        former_host = self.model.hosts.get(event.process)
+        if former_host is not None and not former_host.gone:
             return
         service = event.service
         claim = self.control.claim_of(service) if service is not None else Size()
-        self.model.up(event, claim)
+        self.model.host_up(event, claim)
         if service is not None and event.process not in self.requests.by_service[service]:
             self.requests.by_service[service].append(event.process)
-        link = cast(Any, ModelLink(self.model, event, self.note))
+        link = cast(Any, ModelLink(self.model, event, self.record_decision))
         announce = Announce(
             event.host,
             event.rack,
@@ -330,53 +342,55 @@
             Maturity.FULL,
         )
         former = self.hosts.rows.get(event.process)
-        incarnation = FIRST if former is None else IncarnationId(f"{former.incarnation}+")
+        incarnation = (
+            FIRST_INCARNATION if former is None else IncarnationId(f"{former.incarnation}+")
+        )
         self.hosts.rows[event.process] = HostRow(event.process, incarnation, announce, link)
         self.shard.claims[event.process] = incarnation
         self.state.reports.pop(event.process, None)
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: HostGone) -> None:
         row = self.hosts.rows.get(event.process)
         if row is not None and row.link is not None:
             row.link, row.gone_at = None, self.now
-            self.model.lose(event.process)
+            self.model.host_gone(event.process)
             self.state.index.remove(event.process)
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Activity) -> None:
         self.model.activities[event.activity] = event
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Request) -> None:
         self.requests.add(event, self.now)
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Answer) -> None:
         host = self.model.hosts.get(event.process)
         if host is not None:
             failed = event.status == 0 or event.status >= 500
             host.fault = (event.status, event.latency_s) if failed else None
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Report) -> None:
-        """Do nothing: the model reports what the replayed decisions lead to."""
+        """Do nothing: reports come from the model, since they depend on the decisions."""
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: Status) -> None:
         if self.modes.statuses:
             self.control.offer_statuses(
                 (DataCentreStatus(event.data_centre, event.seq, event.state),)
             )
 
-    @_take.register
+    @_apply_event.register
     def _(self, event: BundleInForce) -> None:
         if not self.control.offer_bundle(seal(event.text.encode(), self._key).to_bytes()):
             raise TraceError(f"the trace has a bundle that is not valid: {self.control.refusal}")
 
 
 def run_once(trace: Trace, modes: Modes | None = None, seed: int | None = None) -> Result:
-    """Return the result of one run; events of anyio need a running loop."""
+    """Return the result of one run, in an event loop since anyio's events need one."""
     chosen = trace.header.seed if seed is None else seed
 
     async def main() -> Result:
@@ -403,26 +417,26 @@
 
 
 def compare(trace: Trace, seed: int | None = None) -> tuple[Result, dict[str, float]]:
-    """Return the result with the real decisions, and all metrics against the baselines."""
+    """Return the result of the production decisions, and all metrics against the baselines."""
     policy = run_once(trace, None, seed)
     if not policy.decisions:
         return policy, replay_limits(trace)
     settings = trace.header.settings
-    others = {}
+    baseline_results = {}
     for name, modes in BASELINES.items():
-        # What follows the window that a baseline is compared in cannot change the figures.
+        # Events after the window of a comparison cannot change its figures.
         end = settings.get(WINDOW_ENDS.get(name, ""), inf)
         kept = tuple(timed for timed in trace.events if timed.at <= end)
-        others[name] = run_once(replace(trace, events=kept), modes, seed)
+        baseline_results[name] = run_once(replace(trace, events=kept), modes, seed)
     metrics = {"urgent.start_s": policy.urgent_start_s}
-    metrics |= _placement(policy, others["placement"], settings)
-    metrics |= _sends(policy, others, settings)
+    metrics |= _placement_metrics(policy, baseline_results["placement"], settings)
+    metrics |= _send_metrics(policy, baseline_results, settings)
     window = settings.get("urgent_from", 0.0), settings.get("urgent_to", 1e9)
-    mine, other = policy.lost(*window), others["eviction"].lost(*window)
-    metrics["eviction.wasted"], metrics["eviction.baseline_wasted"] = mine, other
-    metrics["eviction.wasted_ratio"] = _ratio(mine, other)
+    policy_value, baseline_value = policy.lost(*window), baseline_results["eviction"].lost(*window)
+    metrics["eviction.wasted"], metrics["eviction.baseline_wasted"] = policy_value, baseline_value
+    metrics["eviction.wasted_ratio"] = _ratio(policy_value, baseline_value)
     if settings.get("out_share"):
-        lost = _ratio(others["stay"].work - policy.work, others["stay"].work)
+        lost = _ratio(baseline_results["stay"].work - policy.work, baseline_results["stay"].work)
         metrics["data_centre.lost_share"] = lost
         metrics["data_centre.lost_beyond"] = lost - settings["out_share"]
     metrics |= replay_limits(trace)
@@ -433,34 +447,45 @@
     return value / base if base else float(value > 0)
 
 
-def _placement(policy: Result, base: Result, settings: Mapping[str, float]) -> dict[str, float]:
+def _placement_metrics(
+    policy: Result, base: Result, settings: Mapping[str, float]
+) -> dict[str, float]:
     window = settings.get("wave_from", 0.0), settings.get("wave_to", 1e9)
     found = {}
     for name, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
-        mine, other = policy.latency_s(share, *window), base.latency_s(share, *window)
-        found[f"wave.{name}_s"], found[f"wave.baseline_{name}_s"] = mine, other
-        found[f"wave.{name}_ratio"] = _ratio(mine, other)
+        policy_value, baseline_value = (
+            policy.latency_s(share, *window),
+            base.latency_s(share, *window),
+        )
+        found[f"wave.{name}_s"], found[f"wave.baseline_{name}_s"] = policy_value, baseline_value
+        found[f"wave.{name}_ratio"] = _ratio(policy_value, baseline_value)
     found["wave.work_ratio"] = _ratio(policy.work_in(*window), base.work_in(*window))
     return found
 
 
-def _sends(
-    policy: Result, others: Mapping[str, Result], settings: Mapping[str, float]
+def _send_metrics(
+    policy: Result, baseline_results: Mapping[str, Result], settings: Mapping[str, float]
 ) -> dict[str, float]:
     begin, end = settings.get("fail_from", 0.0), settings.get("fail_to", 1e9)
     found = {}
-    for name, result in (("", policy), ("random_", others["routing"]), ("free_", others["retry"])):
+    for name, result in (
+        ("", policy),
+        ("random_", baseline_results["routing"]),
+        ("free_", baseline_results["retry"]),
+    ):
         arrived = sum(begin <= at < end for at in result.arrivals)
         sent = sum(begin <= at < end for at in result.sends)
         found[f"failed.{name}sent_ratio"] = _ratio(sent, arrived)
-        total = sum(result.ended.values())
-        found[f"failed.{name}answered_share"] = _ratio(result.ended.get("answered", 0), total)
+        total = sum(result.result_counts.values())
+        found[f"failed.{name}answered_share"] = _ratio(
+            result.result_counts.get("answered", 0), total
+        )
     return found
 
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """A stated outcome: a metric and the bounds that it must keep."""
+    """An expected outcome: a metric with its lower and upper bound, and the reason for them."""
 
     metric: str
     why: str
@@ -468,7 +493,7 @@
     most: float | None = None
 
     def missed(self, metrics: Mapping[str, float]) -> str:
-        """Return what is wrong, or an empty text."""
+        """Return a message if the metric is missing or out of bounds, or an empty text."""
         value = metrics.get(self.metric)
         if value is None:
             return f"{self.metric}: the replay has no such metric"
@@ -481,13 +506,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcomes:
-    """A file of stated outcomes."""
+    """Contents of a file of expected outcomes."""
 
     outcomes: tuple[Outcome, ...]
 
 
 def report(trace: Trace, outcomes: Iterable[Outcome], seed: int | None = None) -> tuple[str, bool]:
-    """Return the text that compares the decisions, and whether all stated outcomes hold."""
+    """Return the metrics as text, and whether all expected outcomes hold."""
     result, metrics = compare(trace, seed)
     lines = [f"digest {result.digest} of {result.decisions} decisions"]
     lines += [f"{name:34} {value:.4f}" for name, value in metrics.items()]
@@ -497,5 +522,5 @@
 
 
 def load_outcomes(path: Path) -> tuple[Outcome, ...]:
-    """Return the stated outcomes in a file, or raise SettingsError."""
+    """Return the expected outcomes in a file; raises SettingsError."""
     return build(Outcomes, load_json(path), str(path)).outcomes
--- a/packages/bench/src/apricotpath_bench/requestreplay.py
+++ b/packages/bench/src/apricotpath_bench/requestreplay.py
@@ -1,4 +1,4 @@
-"""Requests of a trace through the real admission, routing and retry decisions."""
+"""Replays a trace's requests through the production admission, routing and retry code."""
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -17,14 +17,17 @@
 from apricotpath_bench.hostmodel import HostModel
 from apricotpathd.exchange import RETRY_PAUSE_S
 
-QUEUE = 512
+QUEUE_LENGTH = 512
 
-Note = Callable[[str], None]
+RecordDecision = Callable[[str], None]
 
 
 @dataclass(slots=True)
 class Call:
-    """One request on its way; times are in seconds of the trace."""
+    """One request; times in seconds of the trace.
+
+    `tried` are the processes that the request was sent to.
+    """
 
     number: int
     service: ServiceId
@@ -33,12 +36,12 @@
     arrived: float
     deadline: float
     tries: int = 0
-    avoid: set[ProcessId] = field(default_factory=set)
+    tried: set[ProcessId] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """An answered request."""
+    """An answered request; times in seconds."""
 
     arrived: float
     latency_s: float
@@ -46,55 +49,60 @@
 
 
 class RequestReplay:
-    """The entry's request path over modelled backend servers."""
+    """The entry's request path with modelled backend servers."""
 
     def __init__(
-        self, cfg: RequestSettings, rules: Control, model: HostModel, rng: Random, note: Note
+        self,
+        cfg: RequestSettings,
+        rules: Control,
+        model: HostModel,
+        rng: Random,
+        record_decision: RecordDecision,
     ) -> None:
         self.cfg = cfg
         self.rules = rules
         self.model = model
         self.rng = rng
-        self.note = note
+        self.record_decision = record_decision
         self.routing = RoutingTable()
         self.arrivals: list[float] = []
         self.sends: list[float] = []
         self.samples: list[Sample] = []
-        self.ended: Counter[str] = Counter()
+        self.result_counts: Counter[str] = Counter()
         self._budgets: dict[ServiceId, RetryBudget] = {}
         self._queues: dict[ServiceId, ClassQueues] = {}
-        self._turns: dict[Waiting, Call] = {}
+        self._waiting_calls: dict[Waiting, Call] = {}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
-        self._count = 0
+        self._event_count = 0
         self._numbers: Counter[ServiceId] = Counter()
         self.by_service: dict[ServiceId, list[ProcessId]] = defaultdict(list)
 
-    def later(self, at: float, act: Callable[[float], None]) -> None:
-        """Do something at a time."""
-        self._count += 1
-        heappush(self._events, (at, self._count, act))
+    def schedule(self, at: float, action: Callable[[float], None]) -> None:
+        """Schedule an action at a time."""
+        self._event_count += 1
+        heappush(self._events, (at, self._event_count, action))
 
     def add(self, request: Request, at: float) -> None:
-        """Let requests arrive at random times, the same for the same seed."""
+        """Schedule arrivals at random times, which depend only on the seed."""
         for _ in range(request.count):
             arrival = at + self.rng.random() * request.over_s
             work_s = request.work_s * self.rng.uniform(0.5, 1.5)
-            self.later(arrival, lambda now, w=work_s: self._arrive(request, w, now))  # type: ignore[misc]
+            self.schedule(arrival, lambda now, w=work_s: self._arrive(request, w, now))  # type: ignore[misc]
 
     def run(self, until: float) -> None:
-        """Handle all that happens before a time."""
+        """Run all scheduled actions up to a time and expire queued requests."""
         while self._events and self._events[0][0] <= until:
-            now, _, act = heappop(self._events)
-            act(now)
+            now, _, action = heappop(self._events)
+            action(now)
         for queues in self._queues.values():
             for item in queues.expire(until):
-                self._give_up(self._turns.pop(item), "deadline-in-queue")
+                self._end_unanswered(self._waiting_calls.pop(item), "deadline-in-queue")
 
     def _arrive(self, request: Request, work_s: float, now: float) -> None:
         service = self.rules.service_rules(request.service)
         rules = service.classes.get(request.request_class) if service is not None else None
         if rules is None:
-            self.ended["unknown-class"] += 1
+            self.result_counts["unknown-class"] += 1
             return
         self.arrivals.append(now)
         self._budget(request.service).arrived()
@@ -113,30 +121,30 @@
         call.tries += 1
         queues = self._queues.get(call.service)
         if queues is None:
-            queues = ClassQueues(QUEUE, self.cfg.priority_queues)
+            queues = ClassQueues(QUEUE_LENGTH, self.cfg.priority_queues)
             self._queues[call.service] = queues
         if not queues.size:
-            process = self._choose(call.service, call.avoid, now)
+            process = self._choose(call.service, call.tried, now)
             if process is not None:
                 self._send(call, process, now)
                 return
         item = Waiting(call.rules, call.deadline, now)
         refusal, shed = queues.offer(item, now)
         if shed is not None:
-            self._give_up(self._turns.pop(shed), "shed")
+            self._end_unanswered(self._waiting_calls.pop(shed), "shed")
         if refusal is not None:
-            self._give_up(call, refusal.value)
+            self._end_unanswered(call, refusal.value)
             return
-        self._turns[item] = call
+        self._waiting_calls[item] = call
 
-    def _choose(self, service: ServiceId, avoid: set[ProcessId], now: float) -> ProcessId | None:
+    def _choose(self, service: ServiceId, tried: set[ProcessId], now: float) -> ProcessId | None:
         hosts = self.model.hosts
         found = [
-            Candidate(process, hosts[process].up.slots, hosts[process].up.connections)
+            Candidate(process, hosts[process].host_up.slots, hosts[process].host_up.connections)
             for process in self.by_service[service]
-            if not hosts[process].gone and self.rules.in_service(hosts[process].up.data_centre)
+            if not hosts[process].gone and self.rules.in_service(hosts[process].host_up.data_centre)
         ]
-        others = [c for c in found if c.process not in avoid]
+        others = [c for c in found if c.process not in tried]
         process = choose(others or found, self.routing, self.cfg, self.rng, now)
         if process is not None:
             self.routing.sent(process, now)
@@ -144,15 +152,15 @@
 
     def _send(self, call: Call, process: ProcessId, now: float) -> None:
         self.sends.append(now)
-        call.avoid.add(process)
-        self.note(f"send {call.number} {call.tries} {process}")
+        call.tried.add(process)
+        self.record_decision(f"send {call.number} {call.tries} {process}")
         latency_s, status = self.model.serve(process, call.work_s, now)
-        self.later(now + latency_s, lambda at: self._done(call, process, now, status, at))
+        self.schedule(now + latency_s, lambda at: self._done(call, process, now, status, at))
 
     def _done(self, call: Call, process: ProcessId, sent: float, status: int, now: float) -> None:
         if status:
             self.routing.finished(process, now - sent, status < 500, now)
-            self.ended["answered"] += 1
+            self.result_counts["answered"] += 1
             self.samples.append(Sample(call.arrived, now - call.arrived, call.rules.name))
         else:
             self.routing.finished(process, None, False, now)
@@ -161,14 +169,14 @@
 
     def _retry(self, call: Call, now: float) -> None:
         if not call.rules.idempotent:
-            self._give_up(call, "unknown")
+            self._end_unanswered(call, "unknown")
             return
         budget = self._budget(call.service)
         if may_retry(budget, call.tries, self.cfg.max_tries, call.deadline, RETRY_PAUSE_S, now):
             pause = RETRY_PAUSE_S * self.rng.random()
-            self.later(now + pause, lambda at: self._admit(call, at))
+            self.schedule(now + pause, lambda at: self._admit(call, at))
         else:
-            self._give_up(call, "unknown")
+            self._end_unanswered(call, "unknown")
 
     def _dispatch(self, service: ServiceId, now: float) -> None:
         queues = self._queues[service]
@@ -177,8 +185,8 @@
             item = queues.take(now) if process is not None else None
             if process is None or item is None:
                 return
-            self._send(self._turns.pop(item), process, now)
+            self._send(self._waiting_calls.pop(item), process, now)
 
-    def _give_up(self, call: Call, why: str) -> None:
-        self.note(f"refuse {call.number} {why}")
-        self.ended[why] += 1
+    def _end_unanswered(self, call: Call, reason: str) -> None:
+        self.record_decision(f"refuse {call.number} {reason}")
+        self.result_counts[reason] += 1
--- a/tests/features/replay.feature
+++ b/tests/features/replay.feature
@@ -1,7 +1,7 @@
 Feature: replay
 
   Guards against a replay that depends on anything but the trace and the seed, a
-  baseline that is the same as the real decision, a stated outcome that is not
+  baseline that decides as the production code does, an expected outcome that is not
   checked, and a policy change that misses a target on the shipped traces.
 
   Scenario: the same replay trace and seed give the same decisions
@@ -12,7 +12,7 @@
   Scenario Outline: the replay baseline of <decision> differs from the real decision
     Given the short replay trace
     When it is replayed with the baseline of <decision>
-    Then the replay digest differs from that of the real decisions
+    Then the replay digest differs from that of the production decisions
 
     Examples:
       | decision  |
@@ -34,7 +34,7 @@
   Scenario Outline: the stated outcomes of the <name> replay trace hold
     Given the shipped <name> replay trace
     When all its replay baselines are compared
-    Then every stated outcome of the replay holds
+    Then every expected outcome of the replay holds
 
     Examples: shipped
       | name   |
--- a/tests/features/steps/replay_steps.py
+++ b/tests/features/steps/replay_steps.py
@@ -16,17 +16,17 @@
 from apricotpath_cli.cmdline import main
 
 TRACES = Path(__file__).parents[2] / "traces"
-SHORT_S = 24.0
+SHORT_TRACE_S = 24.0
 
 
 def short_trace() -> Trace:
-    """Return the beginning of the shipped trace of Suva, without the last load."""
+    """Return the first SHORT_TRACE_S seconds of the shipped trace `suva`."""
     trace = read_trace(TRACES / "suva.jsonl")
-    return Trace(trace.header, tuple(item for item in trace.events if item.at <= SHORT_S))
+    return Trace(trace.header, tuple(item for item in trace.events if item.at <= SHORT_TRACE_S))
 
 
 class ReplayCommand:
-    """The command on files in a folder of its own."""
+    """Runs the command on files in a temporary folder."""
 
     def __init__(self, given_input: str) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -72,10 +72,10 @@
     context.results = [run_once(context.trace), run_once(context.trace, BASELINES[decision])]
 
 
-@then("the replay digest differs from that of the real decisions")
+@then("the replay digest differs from that of the production decisions")
 def _(context: Any) -> None:
-    real, baseline = context.results
-    assert real.digest != baseline.digest
+    production, baseline = context.results
+    assert production.digest != baseline.digest
 
 
 @when("the replay command gets {given_input}")
@@ -100,7 +100,7 @@
     print(result.digest, context.metrics)
 
 
-@then("every stated outcome of the replay holds")
+@then("every expected outcome of the replay holds")
 def _(context: Any) -> None:
     stated = load_outcomes(TRACES / f"{context.name}.outcomes.json")
     missed = [text for outcome in stated if (text := outcome.missed(context.metrics))]
