--- a/packages/bench/src/apricotpath_bench/__init__.py
+++ b/packages/bench/src/apricotpath_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins, local deployment, load and reports."""
+"""Stand-ins for external systems, local deployments, load tests, replays and reports."""
--- a/packages/bench/src/apricotpath_bench/hostgroup.py
+++ b/packages/bench/src/apricotpath_bench/hostgroup.py
@@ -1,4 +1,4 @@
-"""Many real agents in one process, over real links, with workers that stand still."""
+"""Runs many agents in one process, with links over TCP and idle workers."""
 
 import json
 import random
@@ -21,34 +21,34 @@
 MS_PER_S = 1000
 
 
-class StillWorker:
-    """Worker without tasks that refuses every command; its clock is this process's."""
+class IdleWorker:
+    """Worker without tasks that refuses every command; it uses this process's clock."""
 
     def __init__(self, size: Size) -> None:
         self.size = size
 
     async def status(self) -> WorkerStatus:
-        """Return an empty host."""
+        """Return a status without tasks or usage."""
         return WorkerStatus("boot", int(anyio.current_time() * MS_PER_S) + 1, self.size, Size(), ())
 
     async def start(self, order: StartOrder) -> WorkerTask:
-        """Refuse."""
+        """Raise WorkerRefused."""
         raise WorkerRefused("this worker runs nothing")
 
     async def renew(self, task: TaskId, attempt: int, deadline_ms: int) -> WorkerTask:
-        """Refuse."""
+        """Raise WorkerRefused."""
         raise WorkerRefused("this worker runs nothing")
 
     async def checkpoint(self, task: TaskId, attempt: int) -> WorkerTask:
-        """Refuse."""
+        """Raise WorkerRefused."""
         raise WorkerRefused("this worker runs nothing")
 
     async def throttle(self, task: TaskId, attempt: int, share: float) -> WorkerTask:
-        """Refuse."""
+        """Raise WorkerRefused."""
         raise WorkerRefused("this worker runs nothing")
 
     async def stop(self, task: TaskId, attempt: int, outcome: Outcome) -> WorkerTask:
-        """Refuse."""
+        """Raise WorkerRefused."""
         raise WorkerRefused("this worker runs nothing")
 
     async def forget(self, task: TaskId, attempt: int) -> None:
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """Bytes and open links of all agents of a process so far."""
+    """Bytes over open links, open links and ready agents of one process."""
 
     sent: int = 0
     received: int = 0
@@ -80,9 +80,9 @@
 
 
 async def start_agent(cfg: AgentSettings, group: TaskGroup) -> Agent:
-    """Start an agent with a still worker and links to all entries of its settings."""
+    """Start an agent with an idle worker and links to all entries in its settings."""
     agent = Agent(cfg)
-    agent.worker = agent.tasks.worker = StillWorker(cfg.size)  # type: ignore[assignment]
+    agent.worker = agent.tasks.worker = IdleWorker(cfg.size)  # type: ignore[assignment]
     await agent.serve(group)
     group.start_soon(agent.announce_forever)
     for address in cfg.entries:
@@ -92,7 +92,7 @@
 
 
 def traffic(agents: list[Agent]) -> Traffic:
-    """Return the traffic of the links that are open now."""
+    """Return the traffic of the currently open links."""
     total = Traffic()
     for agent in agents:
         total.links += len(agent.links)
@@ -104,7 +104,7 @@
 
 
 async def run_group(template: Path, first: int, count: int) -> None:
-    """Run agents until the input ends; each line read is answered with the traffic."""
+    """Run agents until standard input ends; each line of input prints the traffic as JSON."""
     settings = load_settings(template, AgentSettings)
     async with anyio.create_task_group() as group:
         agents = [
--- a/packages/bench/src/apricotpath_bench/idlecost.py
+++ b/packages/bench/src/apricotpath_bench/idlecost.py
@@ -1,4 +1,4 @@
-"""Measures what idle agents and entries cost: processor time, memory, bytes and store calls."""
+"""Measures processor time, memory, traffic and store calls of idle agents and entries."""
 
 import argparse
 import json
@@ -16,22 +16,22 @@
 from apricotpath_bench.procstat import cpu_seconds, load_average, resident_mb
 from apricotpath_bench.shapes import SUVA
 
-SIZES = (11, 100, 300)
-GROUP = 50
+HOST_COUNTS = (11, 100, 300)
+GROUP_SIZE = 50
 SETTLE_S = 6.0
 READY_S = 60.0
-# What control may cost a node.
-NODE_CORE_PERCENT, NODE_MB, NODE_KB_PER_S = 3.6, 128, 22.0
+# Limits for the control software on one node: percent of a core, memory and traffic.
+MAX_CORE_PERCENT, MAX_MB, MAX_KB_PER_S = 3.6, 128, 22.0
 SHAPE = replace(SUVA, name="idle", hosts=1, entries=3, data_centres=("suva-depot",), quiet_hours=())
 
 
 @dataclass(frozen=True, slots=True)
 class Idle:
-    """Cost with a number of hosts; processor time in percent of one core.
+    """Cost at a number of hosts; processor time in percent of one core.
 
-    `agent_percent` and `agent_mb` are of one agent process with its own HTTP
-    worker. `packed_percent` is per agent of those that share processes and
-    have no HTTP worker. Bytes are per agent over the links to all entries.
+    `agent_percent` and `agent_mb` apply to an agent in a process of its own with an HTTP
+    worker. `packed_percent` is the cost per agent of those that share a process and have
+    no HTTP worker. Traffic is per agent, over the links to all entries.
     """
 
     hosts: int
@@ -45,8 +45,8 @@
     store_calls_s: float
 
 
-class Group:
-    """One process of packed agents."""
+class AgentGroup:
+    """One process with many agents, see `hostgroup`."""
 
     def __init__(self, template: Path, first: int, count: int) -> None:
         command = [sys.executable, "-m", "apricotpath_bench.hostgroup"]
@@ -59,7 +59,7 @@
         )
 
     def traffic(self) -> list[int]:
-        """Return bytes sent and received, open links and agents that are ready."""
+        """Return bytes sent and received, open links and the number of ready agents."""
         assert self.process.stdin is not None and self.process.stdout is not None
         self.process.stdin.write("\n")
         self.process.stdin.flush()
@@ -81,13 +81,13 @@
 
 
 def store_calls(deployment: Deployment) -> float:
-    """Return the calls that the store stand-in has counted so far."""
+    """Return the number of calls to the store stand-in so far."""
     counts: dict[str, Any] = httpx.get(f"{deployment.url('store')}/counts", timeout=5).json()
     return float(sum(counts["calls"].values()))
 
 
-def snapshot(deployment: Deployment, groups: list[Group]) -> dict[str, float]:
-    """Return all counters at one moment."""
+def snapshot(deployment: Deployment, groups: list[AgentGroup]) -> dict[str, float]:
+    """Return the current values of all counters."""
     pids = {name: item.process.pid for name, item in deployment.processes.items()}
     packed = [group.traffic() for group in groups]
     return {
@@ -101,8 +101,8 @@
     }
 
 
-def measure(deployment: Deployment, groups: list[Group], seconds: float) -> Idle:
-    """Return the cost over some seconds."""
+def measure(deployment: Deployment, groups: list[AgentGroup], seconds: float) -> Idle:
+    """Return the cost over an interval of `seconds`."""
     before = snapshot(deployment, groups)
     time.sleep(seconds)
     after = snapshot(deployment, groups)
@@ -127,7 +127,7 @@
 
 
 def run(sizes: tuple[int, ...], seconds: float, entries: int) -> list[Idle]:
-    """Measure one deployment that grows to each number of hosts."""
+    """Measure one deployment while its number of hosts grows through `sizes`."""
     result, groups = [], []
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(replace(SHAPE, entries=entries), Path(folder))
@@ -136,8 +136,8 @@
             present = 1
             for size in sizes:
                 while present < size:
-                    count = min(GROUP, size - present)
-                    group = Group(Path(folder) / "agent-1.json", present, count)
+                    count = min(GROUP_SIZE, size - present)
+                    group = AgentGroup(Path(folder) / "agent-1.json", present, count)
                     groups.append(group)
                     present += count
                     group.wait_ready(entries)
@@ -152,16 +152,16 @@
 
 
 def main(arguments: list[str] | None = None) -> None:
-    """Print one JSON line per size, then the limits of a node and the entry's slope."""
+    """Print one JSON line per size, then the limits and the entry's cost per host."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--hosts", type=int, nargs="+", default=list(SIZES))
+    parser.add_argument("--hosts", type=int, nargs="+", default=list(HOST_COUNTS))
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--entries", type=int, default=3)
     options = parser.parse_args(arguments)
     result = run(tuple(options.hosts), options.seconds, options.entries)
     first, last = result[0], result[-1]
     summary = {
-        "limits": {"percent": NODE_CORE_PERCENT, "mb": NODE_MB, "kb_s": NODE_KB_PER_S},
+        "limits": {"percent": MAX_CORE_PERCENT, "mb": MAX_MB, "kb_s": MAX_KB_PER_S},
         "load_average": load_average(),
     }
     if last.hosts > first.hosts:
--- a/packages/bench/src/apricotpath_bench/ownertables.py
+++ b/packages/bench/src/apricotpath_bench/ownertables.py
@@ -1,4 +1,4 @@
-"""An owner with tables of any size and no network, for measurements of its systems."""
+"""An owner with tables of any size and no network, for measurements of its code."""
 
 import random
 from collections.abc import Sequence
@@ -31,8 +31,8 @@
 from apricotpathd.owner import Owner
 from apricotpathd.runs import Acquired, Phase, Run, Shard, View
 
-HOST = Size(64_000, 250 << 10, 0)
-TASK = Size(4_000, 4 << 10, 0)
+HOST_SIZE = Size(64_000, 250 << 10, 0)
+TASK_SIZE = Size(4_000, 4 << 10, 0)
 DATA_CENTRES = 8
 TEAMS = 220
 TASKS_PER_JOB = 50
@@ -40,26 +40,26 @@
 ENTRY = EntryId("entry-1")
 
 
-class OpenRules:
-    """Control state that allows everything."""
+class PermissiveRules:
+    """Control state that allows every task everywhere."""
 
     bundle_version = 1
 
     def in_service(self, dc: DataCentreId) -> bool:
-        """Tell that every data centre is in service."""
+        """Return True: every data centre is in service."""
         return True
 
     def claim_of(self, service: ServiceId) -> Size:
-        """Return no claim."""
+        """Return an empty claim."""
         return Size()
 
     def verdict(self, team: TeamId, activity: str, dc: DataCentreId, utc: datetime) -> Verdict:
-        """Allow without an end."""
+        """Allow without a time limit."""
         return Verdict(True, "", 1)
 
 
 class CountingLink:
-    """Link that encodes what is sent and keeps only its size."""
+    """Link that encodes sent messages and records only their number and size."""
 
     def __init__(self, process: ProcessId) -> None:
         self.peer = SimpleNamespace(process_id=process, incarnation=IncarnationId("1" * 16))
@@ -70,13 +70,13 @@
         self.bytes_sent = 0
 
     def send_nowait(self, body: Any, reply_to: int = 0) -> None:
-        """Encode a message."""
+        """Encode a message and count its frame and bytes."""
         self.frames += 1
         self.bytes_sent += len(encode(Envelope(self.frames, reply_to, body)))
 
 
-class NoJournal:
-    """Journal that is never run; proposals stay in the shard's outbox."""
+class NullJournal:
+    """Journal without effect; proposals stay in the shard's outbox."""
 
     def close(self) -> None:
         """Do nothing."""
@@ -95,22 +95,22 @@
         """Do nothing."""
 
 
-class OneEntry:
-    """Membership of one entry that owns everything."""
+class SingleEntry:
+    """Membership with a single entry, which owns all shards."""
 
     def view(self) -> View:
-        """Return the entry alone."""
+        """Return a view with this entry only."""
         return View((ENTRY,), {})
 
     def last_contact_at(self) -> float:
-        """Return the present, so that renewals go on."""
+        """Return a time in the far future, so that leases are always renewed."""
         return 1e12
 
     def link_to(self, entry: EntryId) -> None:
         """Return no link."""
 
     async def acquire_shard(self, shard: ShardId) -> Acquired | None:
-        """Refuse."""
+        """Return None: the shard is not acquired."""
         return None
 
     async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
@@ -123,13 +123,13 @@
 
 
 def announce_of(number: int) -> Announce:
-    """Return what a host offers."""
+    """Return the announcement of a host."""
     data_centre = DataCentreId(f"dc-{number % DATA_CENTRES}")
     return Announce(
         HostId(f"host-{number:05d}"),
         RackId(f"rack-{number // 20}"),
         data_centre,
-        HOST,
+        HOST_SIZE,
         BackendId(f"backend-{number:05d}"),
         ServiceId(f"service-{number % TEAMS}"),
         8,
@@ -141,7 +141,7 @@
 
 
 class OwnerBench:
-    """An owner of `shards` shards that knows `hosts` hosts and runs `tasks` tasks."""
+    """An owner of `shards` shards with `hosts` linked hosts and `tasks` running tasks."""
 
     def __init__(self, hosts: int, tasks: int, shards: int = 1, seed: int = 7) -> None:
         self.policy = PolicySettings()
@@ -152,15 +152,15 @@
             ENTRY,
             self.policy,
             self.table,
-            OneEntry(),
-            lambda shard, epoch: NoJournal(),
-            OpenRules(),
+            SingleEntry(),
+            lambda shard, epoch: NullJournal(),
+            PermissiveRules(),
             lambda: True,
             lambda: datetime(2026, 1, 1, tzinfo=UTC),
         )
         self.state = self.owner.state
         for number in range(shards):
-            shard = Shard(ShardId(number), Epoch(1), NoJournal(), 0.0, loaded=True)
+            shard = Shard(ShardId(number), Epoch(1), NullJournal(), 0.0, loaded=True)
             self.state.shards[shard.shard] = shard
         for number in range(hosts):
             self._add_host(number)
@@ -175,12 +175,12 @@
             shard.claims[row.process] = row.incarnation
 
     def job(self, number: int, tasks: int, priority: Priority = Priority.NORMAL) -> JobSpec:
-        """Add a job of some tasks to the shard that it belongs to, if that is owned here."""
+        """Return a new job; it is added to its shard if this owner has that shard."""
         spec = JobSpec(
             JobId(f"job-{number:06d}"),
             TeamId(f"team-{number % TEAMS}"),
             "reporting",
-            TASK,
+            TASK_SIZE,
             tasks,
             600.0,
             priority=priority,
@@ -212,7 +212,7 @@
                 row.fresh = spec.tasks
 
     def report_of(self, number: int) -> HostReport:
-        """Return the report of a host about what this owner runs there."""
+        """Return the report of a host on this owner's tasks."""
         process = process_of(number)
         tasks = tuple(
             task_report(run.task, shard.shard, run.spec)
@@ -223,13 +223,13 @@
         return HostReport(host, self.clock_ms, True, used, used, 1.0, 0, 0, tasks, ())
 
     def fill_inbox(self) -> None:
-        """Let every host report once."""
+        """Put one report of every host into the inbox."""
         self.clock_ms += MS_PER_S
         for number, link in enumerate(self.links):
             self.state.inbox[link.peer.process_id] = (link, self.report_of(number))  # type: ignore[assignment]
 
     def traffic(self) -> tuple[int, int]:
-        """Return frames and bytes sent to hosts so far."""
+        """Return the number of frames and bytes sent to hosts so far."""
         return sum(x.frames for x in self.links), sum(x.bytes_sent for x in self.links)
 
 
--- a/packages/bench/src/apricotpath_bench/pathcost.py
+++ b/packages/bench/src/apricotpath_bench/pathcost.py
@@ -1,7 +1,7 @@
 """Measures processor time and added latency of the request path on loopback.
 
-Three paths to the same backend stand-in are measured in turn in one run: direct,
-through a bare forwarder (hypercorn and httpx only), and through entry and agent.
+One run measures three paths to the same backend stand-in: direct, through a bare
+forwarder (hypercorn and httpx only), and through entry and agent.
 """
 
 import argparse
@@ -29,12 +29,12 @@
 from apricotpath_bench.shapes import SUVA, Shape
 
 SIZES_BYTES = (200, 64 << 10)
-CONCURRENT = (1, 32)
-WARM_UP = 200
+CONCURRENCY_LEVELS = (1, 32)
+WARM_UP_REQUESTS = 200
 WORK_MS = 2
 READY_S = 10.0
 READ_BYTES = 256 << 10
-# An entry may add this multiple of the processor time that a bare forwarder needs.
+# Limit for the entry's processor time, as a multiple of the bare forwarder's.
 TARGET_RATIO = 1.5
 SHAPE = replace(
     SUVA,
@@ -50,10 +50,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Cost:
-    """One path at one load; times are per request.
+    """Cost of one path at one load; processor times are per request.
 
-    `body` is the size of both bodies in bytes. `forwarder_us`, `entry_us` and
-    `agent_us` are 0 where the path has no such process.
+    `body` is the size in bytes of the request's and the answer's body. `forwarder_us`,
+    `entry_us` and `agent_us` are 0 if the path has no such process.
     """
 
     path: str
@@ -69,7 +69,7 @@
 
 
 class ProfiledDeployment(Deployment):
-    """A deployment whose entries and agents write a profile when they end by SIGTERM."""
+    """A deployment whose entries and agents write a profile when SIGTERM ends them."""
 
     def _command(self, name: str) -> tuple[list[str], str]:
         command, port_name = super()._command(name)
@@ -80,7 +80,7 @@
 
 
 class Forwarder:
-    """ASGI app that sends each request on to one address and streams the answer back."""
+    """ASGI app that forwards each request to one address and streams the answer back."""
 
     def __init__(self, target: str) -> None:
         limits = httpx.Limits(max_connections=64, max_keepalive_connections=64)
@@ -144,8 +144,8 @@
 class Caller:
     """One keep-alive connection of a caller.
 
-    It writes prepared bytes and reads only the length, since a client library
-    takes more processor time per request than the processes measured here.
+    It sends prepared bytes and parses only the status and the length, since a client library
+    would take more processor time per request than the measured processes.
     """
 
     def __init__(self, stream: ByteStream, request: bytes) -> None:
@@ -165,14 +165,14 @@
         if not head.startswith(b"http/1.1 200"):
             raise RuntimeError(f"the answer was {data[:300]!r}")
         length = int(head.partition(b"content-length:")[2].partition(b"\r\n")[0])
-        left = length - (len(data) - end - 4)
-        while left > 0:
-            left -= len(await self.stream.receive(READ_BYTES))
+        remaining = length - (len(data) - end - 4)
+        while remaining > 0:
+            remaining -= len(await self.stream.receive(READ_BYTES))
         return b"connection: close" not in head
 
 
-async def load(url: str, body: bytes, count: int, concurrent: int) -> list[float]:
-    """Make requests in a closed loop and return their times in seconds, sorted."""
+async def run_requests(url: str, body: bytes, count: int, concurrent: int) -> list[float]:
+    """Send requests in a closed loop and return their sorted times in seconds."""
     parts = urlsplit(url)
     assert parts.hostname is not None and parts.port is not None
     head = (
@@ -182,20 +182,20 @@
     )
     request = head.encode() + body
     times: list[float] = []
-    left = count
+    remaining = count
 
     async def work(host: str, port: int) -> None:
-        nonlocal left
+        nonlocal remaining
         # Hypercorn closes a connection after 1,000 requests.
-        while left > 0:
+        while remaining > 0:
             is_open = True
             async with await anyio.connect_tcp(host, port) as stream:
                 caller = Caller(stream, request)
-                while left > 0 and is_open:
-                    left -= 1
-                    begun = time.perf_counter()
+                while remaining > 0 and is_open:
+                    remaining -= 1
+                    started_at = time.perf_counter()
                     is_open = await caller.exchange()
-                    times.append(time.perf_counter() - begun)
+                    times.append(time.perf_counter() - started_at)
 
     async with anyio.create_task_group() as group:
         for _ in range(concurrent):
@@ -209,9 +209,9 @@
     """Return the cost of one path under one load."""
     url = f"{base}/work?work_ms={WORK_MS}&size={body}"
     content = b"x" * body
-    anyio.run(load, url, content, WARM_UP, concurrent)
+    anyio.run(run_requests, url, content, WARM_UP_REQUESTS, concurrent)
     before = {name: cpu_seconds(pid) for name, pid in pids.items()}
-    times = anyio.run(load, url, content, count, concurrent)
+    times = anyio.run(run_requests, url, content, count, concurrent)
     used = {
         f"{name}_us": round((cpu_seconds(pid) - before[name]) / count * 1e6)
         for name, pid in pids.items()
@@ -222,7 +222,7 @@
 
 @contextmanager
 def forwarder(target: str) -> Iterator[tuple[str, int]]:
-    """Run the bare forwarder as a process; yields its address and process id."""
+    """Run the bare forwarder as a process; yields its base URL and process id."""
     port = free_ports(1)[0]
     command = [sys.executable, "-m", "apricotpath_bench.pathcost", "--forward", target]
     process = subprocess.Popen([*command, "--port", str(port)])
@@ -250,7 +250,7 @@
     levels: tuple[int, ...],
     profiles: Path | None = None,
 ) -> list[Cost]:
-    """Measure all paths and return their costs; `profiles` is a folder for profiles."""
+    """Measure all paths and return their costs; profiles are written to `profiles`, if set."""
     costs = []
     with tempfile.TemporaryDirectory() as scratch:
         folder = profiles or Path(scratch)
@@ -285,7 +285,7 @@
 
 
 def ratios(costs: list[Cost]) -> list[dict[str, float]]:
-    """Return entry time as a multiple of the forwarder's, for each load."""
+    """Return the processor time of entry and agent relative to the forwarder, by load."""
     result = []
     for cost in costs:
         if cost.path != "entry+agent":
@@ -313,7 +313,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--requests", type=int, default=2000)
     parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES_BYTES))
-    parser.add_argument("--concurrent", type=int, nargs="+", default=list(CONCURRENT))
+    parser.add_argument("--concurrent", type=int, nargs="+", default=list(CONCURRENCY_LEVELS))
     parser.add_argument("--profiles", type=Path, help="folder for profiles of entry and agent")
     parser.add_argument("--forward", help=argparse.SUPPRESS)
     parser.add_argument("--port", type=int, help=argparse.SUPPRESS)
