--- a/packages/bench/src/apricotpath_bench/chaos.py
+++ b/packages/bench/src/apricotpath_bench/chaos.py
@@ -312,7 +312,7 @@
         name = self._pick_process("entry", choice)
         with self._reserve("silence", [name]) as acquired:
             if acquired:
-                self.drive.deployment.relays[name].hold()
+                self.drive.deployment.relays[name].silence_connections()
 
     def _store_fault(self, duration_s: float, choice: float) -> None:
         switches: list[dict[str, Any]] = [
--- a/packages/bench/src/apricotpath_bench/relay.py
+++ b/packages/bench/src/apricotpath_bench/relay.py
@@ -15,7 +15,7 @@
 class SilentRelay:
     """Forwards connections to a port on loopback.
 
-    `hold()` discards all further traffic of the connections that are open at that
+    `silence_connections()` discards all further traffic of the connections that are open at that
     moment, without closing them. Later connections work.
     """
 
@@ -27,7 +27,7 @@
         self.port: int = self._listener.getsockname()[1]
         Thread(target=self._accept, daemon=True).start()
 
-    def hold(self) -> int:
+    def silence_connections(self) -> int:
         """Silence all open connections and return their number."""
         with self._lock:
             for connection in self._connections:
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -206,7 +206,7 @@
         names = [f"agent-{host}" for host in self.deployment.host_names()]
 
         def act() -> None:
-            held = [relay.hold() for relay in self.deployment.relays.values()]
+            held = [relay.silence_connections() for relay in self.deployment.relays.values()]
             assert sum(held) >= SMALL.hosts * SMALL.entries, held
 
         self.record_disturbance(names, act)
