Name the driver and the invariant checks of the bench package

Drive, seen, disturb, judge, outs, leaves, bans, Ban, HEALED_STORE and faults were figurative or vague: DeploymentDriver, observations, record_disturbance, check_invariants, take_outs, shutdowns, forbidden, ForbiddenSpan, NO_STORE_FAULTS, set_faults; the bounds are maximum delays.

--- a/packages/bench/src/apricotpath_bench/chaos.py
+++ b/packages/bench/src/apricotpath_bench/chaos.py
@@ -22,8 +22,8 @@
 
 from apricotpath.errors import ApricotpathError
 from apricotpath_bench.deploy import Deployment, DeploymentError
-from apricotpath_bench.drive import Drive, wait_until
-from apricotpath_bench.judge import INVARIANTS, Ban, Period, judge
+from apricotpath_bench.drive import DeploymentDriver, wait_until
+from apricotpath_bench.judge import INVARIANTS, ForbiddenSpan, Period, check_invariants
 from apricotpath_bench.shapes import SHAPES, bundle_of
 
 # Shorter than the defaults, so that leases and idempotency keys expire several times in a run.
@@ -54,7 +54,7 @@
 class ChaosRun:
     """One run; the seed determines the order of the faults."""
 
-    drive: Drive
+    drive: DeploymentDriver
     seed: int
     seconds: float
     rng: random.Random = field(default_factory=random.Random)
@@ -83,7 +83,7 @@
         threads = [Thread(target=load_loop, args=(self.rng.random(),)) for load_loop in load_loops]
         for thread in threads:
             thread.start()
-        self.drive.sample_forever()
+        self.drive.start_sampling()
         self._run_faults()
         self._load_stopped.set()
         for thread in threads:
@@ -95,7 +95,9 @@
         self._log_event("versions agree")
         self.drive.finish()
         self.problems |= {
-            row: list(found) for row, found in judge(self.drive.collect()).items() if found
+            row: list(found)
+            for row, found in check_invariants(self.drive.collect()).items()
+            if found
         }
         return not self.problems
 
@@ -169,7 +171,7 @@
                 exit_codes = list(pool.map(self._apply, (version, version), ("a", "b")))
             self._log_event(f"bundle {version}: exit codes {exit_codes}")
             if 0 in exit_codes:
-                self.drive.seen.in_force.append((version, time.time()))
+                self.drive.observations.in_force.append((version, time.time()))
             if exit_codes.count(0) + exit_codes.count(3) > 1:
                 self._add_violation(
                     "R10 bundles spread and never revert", f"version {version} twice"
@@ -254,7 +256,7 @@
         finally:
             if acquired:
                 for name in names:
-                    self.drive.disturb(name, since)
+                    self.drive.record_disturbance(name, since)
                 self._log_event(f"end of {label} {' '.join(names)}")
                 with self._lock:
                     self._reserved -= set(names)
@@ -325,9 +327,9 @@
         selected_faults = switches[int(choice * len(switches))]
         with self._reserve(f"store {selected_faults}", ["store"]) as acquired:
             if acquired:
-                self.drive.deployment.faults("store", **selected_faults)
+                self.drive.deployment.set_faults("store", **selected_faults)
                 time.sleep(duration_s)
-                self.drive.deployment.faults("store", **HEALED_STORE)
+                self.drive.deployment.set_faults("store", **NO_STORE_FAULTS)
 
     def _take_data_centre_out(self, duration_s: float, choice: float) -> None:
         centres = self.drive.deployment.shape.data_centres
@@ -335,18 +337,18 @@
         with self._reserve("take out", [name]) as acquired:
             if not acquired:
                 return
-            code = self.drive.change(name, "out", 8.0)
+            code = self.drive.set_service_state(name, "out", 8.0)
             since = time.time()
             self._log_event(f"take-out of {name}: exit code {code}")
             time.sleep(duration_s)
             until = time.time()
             if code == 0:
-                self.drive.seen.outs.append(Period(name, since, until))
+                self.drive.observations.take_outs.append(Period(name, since, until))
             wait_until(f"{name} is back", lambda: self._return_to_service(name), RECOVERY_S)
 
     def _return_to_service(self, name: str) -> bool:
         try:
-            return self.drive.change(name, "in", 2.0) in (0, 3)
+            return self.drive.set_service_state(name, "in", 2.0) in (0, 3)
         except ApricotpathError:
             return False
 
@@ -360,7 +362,7 @@
                 self.drive.deployment.start_process(name)
                 if name.startswith("agent"):
                     backend = name.replace("agent", "backend")
-                    self.drive.seen.leaves.append(Period(backend, since, until))
+                    self.drive.observations.shutdowns.append(Period(backend, since, until))
                 self.drive.deployment.wait_listening(name)
 
     def _stop_entry(self, duration_s: float, choice: float) -> None:
@@ -405,9 +407,9 @@
     ) -> None:
         with self._reserve(str(selected_faults), [name]) as acquired:
             if acquired:
-                self.drive.deployment.faults(name, **selected_faults)
+                self.drive.deployment.set_faults(name, **selected_faults)
                 time.sleep(duration_s)
-                self.drive.deployment.faults(name, **cleared_faults)
+                self.drive.deployment.set_faults(name, **cleared_faults)
 
     # Recovery and final checks.
 
@@ -415,7 +417,7 @@
         """Clear the faults, restart ended processes and wait until all are ready."""
         deployment = self.drive.deployment
         self._log_event("healing")
-        deployment.faults("store", **HEALED_STORE)
+        deployment.set_faults("store", **NO_STORE_FAULTS)
         for name, item in list(deployment.processes.items()):
             if item.process.poll() is None:
                 deployment.resume(name)
@@ -458,7 +460,7 @@
             )
 
 
-HEALED_STORE = {
+NO_STORE_FAULTS = {
     "down": False,
     "slow_ms": 0,
     "lose_answers": 0,
@@ -491,17 +493,20 @@
     return {"activities": [shape.activities[-1]], "datacentres": [shape.data_centres[-1]]}
 
 
-def bans_of(since: datetime, shape: Any) -> list[Ban]:
+def bans_of(since: datetime, shape: Any) -> list[ForbiddenSpan]:
     """Return the spans that `quiet_rule` and `placement_rule` forbid, for the checks."""
     begin = since.timestamp()
-    quiet = Ban(
+    quiet = ForbiddenSpan(
         *(shape.data_centres[0], shape.activities[0], begin, begin + QUIET_MINUTES * 60),
     )
     elsewhere = shape.data_centres[:-1]
-    return [quiet, *(Ban(name, shape.activities[-1], 0.0, float("inf")) for name in elsewhere)]
+    return [
+        quiet,
+        *(ForbiddenSpan(name, shape.activities[-1], 0.0, float("inf")) for name in elsewhere),
+    ]
 
 
-def apply_bundle(drive: Drive, bundle: dict[str, Any], name: Path) -> int:
+def apply_bundle(drive: DeploymentDriver, bundle: dict[str, Any], name: Path) -> int:
     """Sign a bundle, apply it and return the exit code.
 
     `name` is the path of the written files without their suffixes.
@@ -518,11 +523,11 @@
 def run(shape: str, seed: int, seconds: float, folder: Path) -> ChaosRun:
     """Run once in a folder; raises DeploymentError if the deployment does not start."""
     deployment = Deployment(SHAPES[shape], folder, policy=POLICY, relayed=True)
-    chaos = ChaosRun(Drive(deployment), seed, seconds)
+    chaos = ChaosRun(DeploymentDriver(deployment), seed, seconds)
     try:
         deployment.start(chaos.bundle(1))
-        chaos.drive.seen.bans = bans_of(chaos.quiet_from, deployment.shape)
-        chaos.drive.wait_bookable()
+        chaos.drive.observations.forbidden = bans_of(chaos.quiet_from, deployment.shape)
+        chaos.drive.wait_until_keys_accepted()
         chaos.run()
         if time.time() < chaos.quiet_from.timestamp():
             chaos.not_checked.append("R11: the quiet hours had not begun when the run ended")
@@ -534,13 +539,13 @@
 
 def report(chaos: ChaosRun) -> list[str]:
     """Return a summary of the run's load, one line per invariant, and the violations."""
-    seen = chaos.drive.seen
+    seen = chaos.drive.observations
     outcomes: dict[str, int] = {}
     for call in seen.calls:
         outcomes[call.outcome] = outcomes.get(call.outcome, 0) + 1
     lines = [
         f"seed {chaos.seed}: {len(seen.calls)} calls {outcomes}, {len(chaos.drive.jobs)} jobs, "
-        f"{len(seen.tasks)} attempts, {len(seen.in_force)} bundles, {len(seen.outs)} take-outs"
+        f"{len(seen.tasks)} attempts, {len(seen.in_force)} bundles, {len(seen.take_outs)} take-outs"
     ]
     for row in [*INVARIANTS, "all accepted jobs end"]:
         found = chaos.problems.get(row, [])
--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -203,7 +203,7 @@
         """Return the record of a worker or backend server stand-in."""
         return httpx.get(f"{self.url(name)}/record", timeout=10).raise_for_status().json()
 
-    def faults(self, name: str, **switches: Any) -> None:
+    def set_faults(self, name: str, **switches: Any) -> None:
         """Set the fault switches of a stand-in through its HTTP interface."""
         httpx.post(f"{self.url(name)}/faults", json=switches, timeout=10).raise_for_status()
 
--- a/packages/bench/src/apricotpath_bench/drive.py
+++ b/packages/bench/src/apricotpath_bench/drive.py
@@ -46,11 +46,11 @@
 
 
 @dataclass(slots=True)
-class Drive:
+class DeploymentDriver:
     """Caller and operator client of a running deployment, with all records of the run."""
 
     deployment: Deployment
-    seen: Observations = field(default_factory=Observations)
+    observations: Observations = field(default_factory=Observations)
     jobs: list[str] = field(default_factory=list)
     _lock: Lock = field(default_factory=Lock)
     _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(CALLER_THREADS))
@@ -97,7 +97,7 @@
         else:
             result = self._read(path, entry, request_class, key, sent_at, size, response)
         with self._lock:
-            self.seen.calls.append(result)
+            self.observations.calls.append(result)
         return result
 
     def call_later(self, *args: Any, **kwargs: Any) -> "Future[Call]":
@@ -134,7 +134,7 @@
         classes = [cls for cls in self.deployment.shape.classes if cls.idempotent]
         return max(classes, key=lambda cls: cls.deadline_ms).name
 
-    def wait_bookable(self, entry: int = 1) -> None:
+    def wait_until_keys_accepted(self, entry: int = 1) -> None:
         """Wait until requests that are not idempotent are accepted."""
         name = self.keyed_class()
         wait_until(
@@ -183,7 +183,7 @@
             timeout_s,
         )
 
-    def change(
+    def set_service_state(
         self, data_centre: str, state: str, wait_s: float = 10.0, entries: list[int] | None = None
     ) -> int:
         """Set a data centre's service state and return the command's exit code."""
@@ -216,7 +216,7 @@
             found[name] = int(shown["bundle_version"])
         return found
 
-    def sample_forever(self) -> None:
+    def start_sampling(self) -> None:
         """Record bundle versions in a thread until `finish` is called."""
 
         def run() -> None:
@@ -227,7 +227,7 @@
                 for name, version in versions.items():
                     # If a process was restarted in between, either incarnation may have answered.
                     if before[name] == after[name]:
-                        self.seen.samples.append(Sample(name, after[name], at, version))
+                        self.observations.samples.append(Sample(name, after[name], at, version))
 
         Thread(target=run, daemon=True).start()
 
@@ -246,9 +246,9 @@
             with self.deployment.record_path(name).open("a", encoding="utf-8") as file:
                 file.write(json.dumps(line) + "\n")
 
-    def disturb(self, name: str, since: float) -> None:
+    def record_disturbance(self, name: str, since: float) -> None:
         """Record that a process was subject to a fault from the unix time `since` until now."""
-        self.seen.disturbed.append(Period(name, since, time.time()))
+        self.observations.disturbed.append(Period(name, since, time.time()))
 
     def has_run(self, path: str) -> bool:
         """Return whether a backend server has recorded the start of a request."""
@@ -267,7 +267,7 @@
 
     def collect(self) -> Observations:
         """Read all records of the stand-ins into `seen` and return it."""
-        shape, seen = self.deployment.shape, self.seen
+        shape, seen = self.deployment.shape, self.observations
         memory = shape.memory_gb * MB_PER_GB
         seen.tasks, seen.commitments = [], []
         for host in self.deployment.host_names():
--- a/packages/bench/src/apricotpath_bench/judge.py
+++ b/packages/bench/src/apricotpath_bench/judge.py
@@ -10,8 +10,8 @@
 
 from apricotpath_bench.workerstandin import checkpoint_progress
 
-OUT_BOUND_S = 5.0
-LEAVE_BOUND_S = 5.0
+MAX_TAKE_OUT_DELAY_S = 5.0
+MAX_LEAVE_DELAY_S = 5.0
 BUNDLE_BOUND_S = 5.0
 # A worker stand-in reads the wall clock only once, at its start, and derives all later
 # times from the monotonic clock. The times of two workers can differ by the delay between
@@ -88,7 +88,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ban:
+class ForbiddenSpan:
     """Time span in which an activity must not run in a data centre; unix times."""
 
     data_centre: str
@@ -120,9 +120,9 @@
     commitments: list[Commitment] = field(default_factory=list)
     requests: list[RequestRun] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
-    outs: list[Period] = field(default_factory=list)
-    leaves: list[Period] = field(default_factory=list)
-    bans: list[Ban] = field(default_factory=list)
+    take_outs: list[Period] = field(default_factory=list)
+    shutdowns: list[Period] = field(default_factory=list)
+    forbidden: list[ForbiddenSpan] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     in_force: list[tuple[int, float]] = field(default_factory=list)
     # Spans in which a process was subject to a fault and may have an older bundle.
@@ -217,7 +217,7 @@
 
 def take_out_problems(observed: Observations) -> Iterator[str]:
     """R4: no task starts in a data centre while it is out of service."""
-    for span in observed.outs:
+    for span in observed.take_outs:
         for run in observed.tasks:
             if run.data_centre == span.name and span.since < run.started < span.until:
                 delay_s = run.started - span.since
@@ -263,11 +263,11 @@
 
 def leaving_problems(observed: Observations) -> Iterator[str]:
     """R8: a leaving backend server gets no new requests after LEAVE_BOUND_S."""
-    for leave in observed.leaves:
+    for leave in observed.shutdowns:
         for run in observed.requests:
             if (
                 run.backend == leave.name
-                and leave.since + LEAVE_BOUND_S < run.started < leave.until
+                and leave.since + MAX_LEAVE_DELAY_S < run.started < leave.until
             ):
                 yield f"{run.path} started on {leave.name} {run.started - leave.since:.2f} s late"
 
@@ -287,7 +287,7 @@
 
 def ban_problems(observed: Observations) -> Iterator[str]:
     """R11: no task runs where or when the bundle forbids it."""
-    for ban in observed.bans:
+    for ban in observed.forbidden:
         for run in observed.tasks:
             if (run.data_centre, run.activity) != (ban.data_centre, ban.activity):
                 continue
@@ -309,7 +309,7 @@
 }
 
 
-def judge(observed: Observations) -> dict[str, Sequence[str]]:
+def check_invariants(observed: Observations) -> dict[str, Sequence[str]]:
     """Return the violations of every invariant by its name."""
     return {name: list(problems(observed)) for name, problems in INVARIANTS.items()}
 
--- a/packages/bench/src/apricotpath_bench/load.py
+++ b/packages/bench/src/apricotpath_bench/load.py
@@ -240,7 +240,7 @@
     """
     phase, shape, cfg = Phase("wave"), driver.cfg.shape, driver.cfg
     for host in range(1, USAGE_FACTOR_HOSTS + 1):
-        factor = partial(driver.deployment.faults, f"worker-{host}", size_factor=USAGE_FACTOR)
+        factor = partial(driver.deployment.set_faults, f"worker-{host}", size_factor=USAGE_FACTOR)
         await anyio.to_thread.run_sync(factor)
     mild, loud, quiet = shape.activities
     cpu_milli, hosts = task_cpu_milli(shape), shape.hosts
@@ -263,7 +263,7 @@
     records = await driver.records("backend")
     phase.values = {"batch": asdict(batch_work(runs)), "service": service_time(records, "/wave")}
     for host in range(1, USAGE_FACTOR_HOSTS + 1):
-        factor = partial(driver.deployment.faults, f"worker-{host}", size_factor=1.0)
+        factor = partial(driver.deployment.set_faults, f"worker-{host}", size_factor=1.0)
         await anyio.to_thread.run_sync(factor)
     await driver.clear(phase)
     return phase
@@ -358,7 +358,7 @@
         if number % 2:
             driver.deployment.kill(name)
         else:
-            fail = partial(driver.deployment.faults, name, fail_all=True)
+            fail = partial(driver.deployment.set_faults, name, fail_all=True)
             await anyio.to_thread.run_sync(fail)
     arrivals = request_arrivals(shape, LoadPlan(cfg.seed, seconds, cfg.rate, label=phase.name))
     await driver.requests(phase, arrivals)
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -16,10 +16,24 @@
 from apricotpath.errors import ApricotpathError
 from apricotpath.ids import JobId
 from apricotpath.jobs import shard_of
-from apricotpath_bench.chaos import HEALED_STORE, POLICY, apply_bundle, next_minute, quiet_rule, run
+from apricotpath_bench.chaos import (
+    NO_STORE_FAULTS,
+    POLICY,
+    apply_bundle,
+    next_minute,
+    quiet_rule,
+    run,
+)
 from apricotpath_bench.deploy import Deployment
-from apricotpath_bench.drive import Drive, wait_until
-from apricotpath_bench.judge import LEAVE_BOUND_S, OUT_BOUND_S, Ban, Call, Period, judge
+from apricotpath_bench.drive import DeploymentDriver, wait_until
+from apricotpath_bench.judge import (
+    MAX_LEAVE_DELAY_S,
+    MAX_TAKE_OUT_DELAY_S,
+    Call,
+    ForbiddenSpan,
+    Period,
+    check_invariants,
+)
 from apricotpath_bench.shapes import SMALL, bundle_of
 
 QUIET_AHEAD_S = 15.0
@@ -47,8 +61,8 @@
         atexit.register(self.close)
         # Without rate limits, since a newly started owner waits for its share of them.
         self.deployment.start(self.rules(1, 0.0))
-        self.drive = Drive(self.deployment)
-        self.drive.sample_forever()
+        self.drive = DeploymentDriver(self.deployment)
+        self.drive.start_sampling()
         self.version = 1
         self.number = 0
         self.calls: list[Future[Call]] = []
@@ -79,7 +93,7 @@
 
     def reset(self) -> None:
         self.streaming.clear()
-        self.deployment.faults("store", **HEALED_STORE)
+        self.deployment.set_faults("store", **NO_STORE_FAULTS)
         for name, item in list(self.deployment.processes.items()):
             if item.process.poll() is None:
                 self.deployment.resume(name)
@@ -89,7 +103,7 @@
             if name.startswith(("entry", "agent")):
                 self.deployment.wait_ready(name)
         for entry in (1, 2):
-            self.drive.wait_bookable(entry)
+            self.drive.wait_until_keys_accepted(entry)
 
     def job(self, tasks: int, run_time_s: float, **changes: Any) -> str:
         self.number += 1
@@ -129,7 +143,7 @@
             act()
         finally:
             for name in names:
-                self.drive.disturb(name, since)
+                self.drive.record_disturbance(name, since)
 
     # Faults
 
@@ -151,7 +165,7 @@
         if fault in kills:
             self.record_disturbance(kills[fault], lambda: self.kill_and_start(kills[fault]))
         elif fault in store:
-            self.deployment.faults("store", **store[fault])
+            self.deployment.set_faults("store", **store[fault])
             self.record_disturbance([], lambda: self.wait_ended(3))
         elif fault == "silent connections":
             self.silence()
@@ -215,10 +229,10 @@
         names = [name for name in self.deployment.processes if name.startswith(("entry", "agent"))]
 
         def act() -> None:
-            self.deployment.faults("store", down=True)
+            self.deployment.set_faults("store", down=True)
             self.kill_and_start(names)
             wait_until("tasks lose their leases or end", lambda: self.all_ended())
-            self.deployment.faults("store", down=False)
+            self.deployment.set_faults("store", down=False)
             for name in names:
                 self.deployment.wait_ready(name)
 
@@ -286,23 +300,23 @@
         store_out, paused = "store out" in fault, "entry paused" in fault
         since = time.time()
         if store_out:
-            self.deployment.faults("store", down=True)
+            self.deployment.set_faults("store", down=True)
         if paused:
             self.deployment.pause("entry-2")
         taken_out_at = time.time()
         if "racing" in fault:
             self.race_bring_back(centre)
             taken_out_at = time.time()
-        self.code = self.drive.change(centre, "out", 0.0)
+        self.code = self.drive.set_service_state(centre, "out", 0.0)
         self.accepted_at = time.time()
         # Waits longer than the bound, to detect late starts.
-        time.sleep(OUT_BOUND_S + 2.0)
+        time.sleep(MAX_TAKE_OUT_DELAY_S + 2.0)
         self.taken_out_at, self.watched_until = taken_out_at, time.time()
-        self.deployment.faults("store", down=False)
+        self.deployment.set_faults("store", down=False)
         self.deployment.resume("entry-2")
-        self.drive.disturb("entry-2", since)
-        self.drive.seen.outs.append(
-            Period(centre, self.accepted_at + OUT_BOUND_S, self.watched_until)
+        self.drive.record_disturbance("entry-2", since)
+        self.drive.observations.take_outs.append(
+            Period(centre, self.accepted_at + MAX_TAKE_OUT_DELAY_S, self.watched_until)
         )
         # A race may stop all starts at once, so the starts before it are counted too.
         self.before = [at for at in self.starts(since - 10) if at < self.accepted_at]
@@ -311,14 +325,14 @@
     def race_bring_back(self, centre: str) -> None:
         def attempt(state: str) -> None:
             with suppress(ApricotpathError):
-                self.drive.change(centre, state, 0.0)
+                self.drive.set_service_state(centre, state, 0.0)
 
         with ThreadPoolExecutor(4) as pool:
             list(pool.map(attempt, ["out", "in", "out", "in"]))
 
     def bring_back(self, centre: str) -> bool:
         with suppress(ApricotpathError):
-            return self.drive.change(centre, "in", 2.0) in (0, 3)
+            return self.drive.set_service_state(centre, "in", 2.0) in (0, 3)
         return False
 
     # Shutdown
@@ -350,9 +364,9 @@
         assert code == 0, self.deployment.log_of(name)[-2000:]
         if process == "an agent":
             lasted = time.time() - since
-            assert lasted > LEAVE_BOUND_S + 1.0, lasted
-            self.drive.seen.leaves.append(Period(backend, since, time.time()))
-        self.drive.disturb(name, since)
+            assert lasted > MAX_LEAVE_DELAY_S + 1.0, lasted
+            self.drive.observations.shutdowns.append(Period(backend, since, time.time()))
+        self.drive.record_disturbance(name, since)
 
     # Bundles and quiet hours
 
@@ -369,7 +383,7 @@
 
     def check_race(self) -> None:
         assert sorted(self.codes) == [0, 1], self.codes
-        self.drive.seen.in_force.append((self.version, self.applied_at))
+        self.drive.observations.in_force.append((self.version, self.applied_at))
         remaining_s = self.applied_at + 5.0 - time.time()
         count = SMALL.entries + SMALL.hosts
         wait_until(
@@ -384,13 +398,13 @@
         begin = next_minute(QUIET_AHEAD_S)
         self.version += 1
         assert self.apply("a", quiet_hours=[quiet_rule(begin, SMALL)]) == 0
-        self.ban = Ban(
+        self.ban = ForbiddenSpan(
             SMALL.data_centres[0],
             SMALL.activities[0],
             begin.timestamp(),
             (begin + timedelta(minutes=30)).timestamp(),
         )
-        self.drive.seen.bans.append(self.ban)
+        self.drive.observations.forbidden.append(self.ban)
         # More tasks than fit on one host, so that both data centres get some.
         self.start_job(12, 120.0)
         time.sleep(max(0.0, begin.timestamp() + 5.0 - time.time()))
@@ -402,10 +416,12 @@
         self.drive.cancel(self.current)
         self.version += 1
         assert self.apply("a") == 0
-        self.drive.seen.bans.remove(self.ban)
+        self.drive.observations.forbidden.remove(self.ban)
 
     def violations(self) -> dict[str, Any]:
-        return {row: found for row, found in judge(self.drive.collect()).items() if found}
+        return {
+            row: found for row, found in check_invariants(self.drive.collect()).items() if found
+        }
 
 
 @given("running processes")
@@ -434,7 +450,7 @@
 
 @then("the processes' job finishes")
 def step_job_finishes(context):
-    context.processes.deployment.faults("store", **HEALED_STORE)
+    context.processes.deployment.set_faults("store", **NO_STORE_FAULTS)
     assert context.processes.drive.wait_job(context.processes.current) == "finished"
 
 
@@ -477,7 +493,7 @@
     assert processes.before, "nothing had started there before the take-out"
     late = [
         at
-        for at in processes.starts(processes.accepted_at + OUT_BOUND_S)
+        for at in processes.starts(processes.accepted_at + MAX_TAKE_OUT_DELAY_S)
         if at < processes.watched_until
     ]
     assert not late, [at - processes.accepted_at for at in late]
