--- a/packages/cli/src/apricotpath_cli/bundles.py
+++ b/packages/cli/src/apricotpath_cli/bundles.py
@@ -9,7 +9,7 @@
 
 from apricotpath.bundle import Bundle, bundle_bytes, diff, load_bundle, parse_bundle
 from apricotpath.errors import ConflictError, InputError
-from apricotpath.signing import parse_envelope, seal
+from apricotpath.signing import parse_envelope, sign_envelope
 from apricotpath_cli.client import Client, EntryFailed, EntryUnavailable
 from apricotpath_cli.confirm import EXIT_DONE, wait_in_force
 from apricotpath_cli.options import (
@@ -113,7 +113,7 @@
     if key.key_id in bundle.revoked_keys:
         raise InputError(f"{path}: revoked_keys: names the key that signs the bundle")
     # Signs the compact form, since every process parses it on each change.
-    return seal(bundle_bytes(bundle), key).to_bytes()
+    return sign_envelope(bundle_bytes(bundle), key).to_bytes()
 
 
 def _diff(args: argparse.Namespace) -> int:
@@ -150,7 +150,7 @@
     """Send the bundle; a lost answer is resolved by reading which bundle is in force."""
     for attempt in range(PUT_TRIES):
         try:
-            return await client.any("PUT", "/v1/bundle", envelope)
+            return await client.call_any("PUT", "/v1/bundle", envelope)
         except ConflictError:
             if await _is_accepted(client, bundle.version, envelope):
                 return {}
@@ -168,7 +168,7 @@
     Polls, because the entry may see the bundle only at its next read of the store.
     """
     for _attempt in range(PUT_TRIES):
-        reply = await client.any("GET", "/v1/bundle")
+        reply = await client.call_any("GET", "/v1/bundle")
         if reply.get("version") != version - 1:
             return reply.get("version") == version and reply.get("envelope") == json.loads(envelope)
         await anyio.sleep(RETRY_S)
--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -38,7 +38,7 @@
         self._bases: dict[str, float] = {}
         self._pressures: dict[str, float] = {}
 
-    def note(self, serving: Iterable[tuple[str, float]], shares: Mapping[str, float]) -> None:
+    def observe(self, serving: Iterable[tuple[str, float]], shares: Mapping[str, float]) -> None:
         """Update the estimates with a measurement of one host.
 
         `serving` has the image and the latency ratio of each serving task;
@@ -67,7 +67,7 @@
         """Return the rounded pressures of all measured images, for logs."""
         return {image: round(value, 2) for image, value in self._pressures.items()}
 
-    def light(self) -> frozenset[str]:
+    def low_impact_images(self) -> frozenset[str]:
         """Return the images with a low impact on serving tasks."""
         return frozenset(
             image for image, pressure in self._pressures.items() if pressure < LOW_IMPACT_PRESSURE
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterable
 
 from apricotpath.ids import HostId
-from apricotpath.jobtable import AT_WORK, JobTable, Run, RunPhase, Task
+from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase, Task
 from apricotpath.runplacement import (
     HostLoad,
     Placement,
     PlacementInput,
     WaitingGroup,
     choose_host,
-    make_rooms,
+    host_loads,
     may_use,
 )
 from apricotpath.workload import Queue, Step
@@ -41,13 +41,17 @@
     copies = []
     for row in table.rows.values():
         queue = inputs.queues.get(row.job.queue)
-        if queue is None or row.unwanted or not any(step.speculative for step in row.job.steps):
+        if (
+            queue is None
+            or row.to_be_stopped
+            or not any(step.speculative for step in row.job.steps)
+        ):
             continue
         for task in row.tasks.values():
             step = row.step(task.key)
             if not _needs_copy(task, step, queue, inputs.now):
                 continue
-            loads = loads or make_rooms(table, inputs)
+            loads = loads or host_loads(table, inputs)
             current_host = next(iter(task.runs.values())).host
             group = WaitingGroup(row, step, queue, [task])
             allowed = [
@@ -73,7 +77,7 @@
 
 def slow_runs(table: JobTable, inputs: PlacementInput) -> list[Run]:
     """Return runs to stop because they would finish much sooner on another host."""
-    loads = make_rooms(table, inputs)
+    loads = host_loads(table, inputs)
     selected: list[Run] = []
     for load in loads.values():
         slowed_by_serving = load.serving > 0 and load.fillers > 0
@@ -82,7 +86,7 @@
         for run in table.by_host.get(load.host.host, {}).values():
             row = table.rows.get(run.task.job)
             queue = inputs.queues.get(row.job.queue) if row else None
-            if row is None or queue is None or not row.tasks or row.unwanted:
+            if row is None or queue is None or not row.tasks or row.to_be_stopped:
                 continue
             step = row.step(run.task)
             if not _is_slow(run, step, load, inputs.now):
@@ -104,20 +108,20 @@
     for load in loads:
         if load is current or load.slow:
             continue
-        if step.filler and load.serving and step.image not in inputs.light:
+        if step.filler and load.serving and step.image not in inputs.low_impact_images:
             continue
         if may_use(load, step, queue, inputs) and load.fits(step):
             return load
     return None
 
 
-def serving_to_gather(table: JobTable, inputs: PlacementInput) -> list[Run]:
+def serving_runs_to_consolidate(table: JobTable, inputs: PlacementInput) -> list[Run]:
     """Return at most one serving run to stop so that its host can be cleared for filler tasks.
 
     A host qualifies if it has few serving tasks and all of them fit on hosts
     with more serving tasks. Nothing moves while no filler task would benefit.
     """
-    loads = make_rooms(table, inputs)
+    loads = host_loads(table, inputs)
     if not any(load.fillers for load in loads.values()):
         return []
     lightly_loaded = [load for load in loads.values() if 0 < load.serving <= MAX_CONSOLIDATED]
@@ -157,13 +161,17 @@
     """Return whether a serving run may be stopped: all tasks of its step must be ready."""
     row = table.rows[run.task.job]
     step = row.step(run.task)
-    if row.unwanted or row.job.queue not in inputs.queues or inputs.queues[row.job.queue].advised:
+    if (
+        row.to_be_stopped
+        or row.job.queue not in inputs.queues
+        or inputs.queues[row.job.queue].advised
+    ):
         return False
     if step.gang or step.max_unavailable == 0 or inputs.now - run.since < CONSOLIDATE_AFTER_S:
         return False
     return all(
         any(
-            other.phase is RunPhase.RUNNING and other.percent >= AT_WORK
+            other.phase is RunPhase.RUNNING and other.percent >= READY_PERCENT
             for other in member.runs.values()
         )
         for member in row.members(run.task)
--- a/packages/daemon/src/apricotpathd/agenttasks.py
+++ b/packages/daemon/src/apricotpathd/agenttasks.py
@@ -31,7 +31,7 @@
 from apricotpath.model import Outcome, ReplyCode, Size
 from apricotpath.rules import Rules
 from apricotpath.worker import Worker, WorkerStatus
-from apricotpathd.component import Job, UtcClock
+from apricotpathd.component import TaskFunction, UtcClock
 from apricotpathd.hostview import HostView
 from apricotpathd.taskattempts import Changes, Phase
 from apricotpathd.taskchecks import TaskCommand, task_reply
@@ -42,7 +42,7 @@
 
 log = logging.getLogger(__name__)
 
-REPORT_S = 1.0
+REPORT_INTERVAL_S = 1.0
 DRAIN_TIMEOUT_S = 10.0
 
 
@@ -91,10 +91,10 @@
         self._starts = Starts(self._view, self._handle_changes)
         self._links: list[Link] = []
         self._group: TaskGroup | None = None
-        # Jobs that were spawned before `run`.
-        self._backlog: list[Job] = []
+        # Functions that were spawned before `run`.
+        self._backlog: list[TaskFunction] = []
         # Commands by task that are in progress or wait, in order of arrival.
-        self._queues: dict[TaskId, deque[Job]] = {}
+        self._queues: dict[TaskId, deque[TaskFunction]] = {}
         self._starting: Counter[tuple[ShardId, Epoch]] = Counter()
         self._report_now = anyio.Event()
         self._progress = anyio.Event()
@@ -138,7 +138,7 @@
             load.pressure,
             load.busy_slots,
             load.queued,
-            tuple(held.report() for held in self.table.held.values()),
+            tuple(held.report() for held in self.table.active.values()),
             self.table.outcomes(),
         )
 
@@ -198,13 +198,13 @@
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
             await self._wait_until(self._is_settled)
             async with anyio.create_task_group() as group:
-                for held in list(self.table.held.values()):
+                for held in list(self.table.active.values()):
                     group.start_soon(self._endings.write_checkpoint, held)
             await self._view.refresh()
         self._send_reports()
 
     def _is_settled(self) -> bool:
-        return not self._queues and not any(held.ending for held in self.table.held.values())
+        return not self._queues and not any(held.ending for held in self.table.active.values())
 
     async def _wait_until(self, done: Callable[[], bool]) -> None:
         while not done():
@@ -219,7 +219,7 @@
         return await self._view.refresh()
 
     def _applied(self, changes: Changes) -> None:
-        for held in self.table.held.values():
+        for held in self.table.active.values():
             self._raise_epoch(held.shard, held.epoch)
         for row in self.table.ended.values():
             self._raise_epoch(row.shard, row.epoch)
@@ -306,7 +306,7 @@
             return self._epoch_refusal(msg)
         if isinstance(msg, StartTask):
             return await self._starts.start(msg)
-        held = self.table.held.get((msg.task, msg.attempt))
+        held = self.table.active.get((msg.task, msg.attempt))
         if held is None:
             return self._starts.refuse_absent(msg)
         if isinstance(msg, ThrottleTask):
@@ -337,7 +337,7 @@
 
     async def _report_forever(self) -> None:
         while True:
-            with anyio.move_on_after(REPORT_S):
+            with anyio.move_on_after(REPORT_INTERVAL_S):
                 await self._report_now.wait()
             self._report_now = anyio.Event()
             self._send_reports()
@@ -354,8 +354,8 @@
             # The owner asks again or reads the next report.
             log.info("%s was not sent: %s", type(msg).__name__, exc)
 
-    def _spawn(self, job: Job) -> None:
+    def _spawn(self, function: TaskFunction) -> None:
         if self._group is None:
-            self._backlog.append(job)
+            self._backlog.append(function)
         else:
-            self._group.start_soon(job)
+            self._group.start_soon(function)
--- a/packages/daemon/src/apricotpathd/entrylinks.py
+++ b/packages/daemon/src/apricotpathd/entrylinks.py
@@ -34,7 +34,7 @@
         self._host, self._agent, self._dialler = host, agent, dialler
         self._granted_at = boot_s()
 
-    def found(self, entries: Mapping[ProcessId, Address]) -> None:
+    def set_entries(self, entries: Mapping[ProcessId, Address]) -> None:
         """Set the registered entries; an empty mapping leaves them unchanged."""
         if entries:
             self.registered = dict(entries)
@@ -52,11 +52,11 @@
         """Dial the entries that the agent needs at present."""
         now = boot_s()
         # Without an executor no grants are expected.
-        if self._agent.state is None or self._agent.granted_age_s() < GRANT_TIMEOUT_S:
+        if self._agent.state is None or self._agent.lease_grant_age_s() < GRANT_TIMEOUT_S:
             self._granted_at = now
         extra = int((now - self._granted_at) / WIDEN_INTERVAL_S)
         selected = {*self._preferred(SPARE_LINKS + extra), self._agent.leader}
-        self._dialler.want(
+        self._dialler.set_targets(
             {name: address for name, address in self.registered.items() if name in selected}
         )
 
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -15,15 +15,15 @@
 from apricotpath.errors import LinkError, NotRun, OutcomeUnknown, RequestError
 from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId
 from apricotpath.keyplaces import (
-    AskPlaces,
     Blocked,
     Existing,
     Granted,
     Place,
     Reply,
+    RequestReplies,
+    SendMessages,
     SettleAt,
     Step,
-    TellPlaces,
     key_places,
     reserve_key,
 )
@@ -68,7 +68,7 @@
 RETRY_AFTER_S = 1.0
 # A new entry reserves no keys until every agent has had time to dial it: an agent that is
 # not linked yet may be the one that remembers the key.
-KEY_SETTLE_S = 5.0
+ANNOUNCE_WAIT_S = 5.0
 # Upper bound of the random pause before a retry, so that failed requests do not retry together.
 RETRY_PAUSE_S = 0.02
 
@@ -138,7 +138,7 @@
     def startup_wait_over(self) -> bool:
         """Tell whether agents that remember keys have had enough time to announce themselves."""
         started_at = self._started_at
-        return started_at is not None and anyio.current_time() - started_at >= KEY_SETTLE_S
+        return started_at is not None and anyio.current_time() - started_at >= ANNOUNCE_WAIT_S
 
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message from an agent."""
@@ -240,7 +240,7 @@
                 if not may_retry(budget, tries, try_limit, req.deadline, RETRY_PAUSE_S, now):
                     # An earlier try that may have run takes precedence over a later refusal.
                     raise may_have_run or exc from exc
-                self.metrics.retried(req.service)
+                self.metrics.request_retried(req.service)
                 await anyio.sleep(RETRY_PAUSE_S * self.rng.random())
 
     async def _try_idempotent(self, req: CallerRequest, avoid: set[ProcessId]) -> AnswerStream:
@@ -264,15 +264,15 @@
         """Report the result of a try to routing, and dispatch queued requests."""
         now = anyio.current_time()
         if attempt is not None and attempt.started and not attempt.failed:
-            self.routing.finished(process, now - started, attempt.status < 500, now)
+            self.routing.record_result(process, now - started, attempt.status < 500, now)
             self.record(Answer(process, now - started, attempt.status))
         elif attempt is not None and (attempt.failed or attempt.timed_out or _is_down(attempt)):
             # A backend server that is down refuses faster than others answer. If this did
             # not count as a failure, it would have the least load and get most requests.
-            self.routing.finished(process, None, False, now)
+            self.routing.record_result(process, None, False, now)
             self.record(Answer(process, now - started, 0))
         else:
-            self.routing.released(process)
+            self.routing.record_cancelled(process)
         queues = self._queues.get(service)
         if queues is not None and queues.size:
             self._dispatch(service, queues)
@@ -480,7 +480,7 @@
             if not self.candidates(req.service):
                 raise NotRun("No backend server is there.", "no-backend", RETRY_AFTER_S)
         queued = _QueuedRequest(Waiting(req.rules, req.deadline, now))
-        refusal, shed = queues.offer(queued.item, now)
+        refusal, shed = queues.enqueue(queued.item, now)
         if shed is not None:
             self._end_wait(shed, refusal=Refusal.SHED)
         if refusal is not None:
@@ -492,7 +492,7 @@
             queues.remove(queued.item)
             self._queued.pop(queued.item, None)
             if queued.process is not None:
-                self.routing.released(queued.process)
+                self.routing.record_cancelled(queued.process)
             raise
         if queued.process is None:
             raise _refusal(queued.refusal or Refusal.SHED)
@@ -504,7 +504,7 @@
         others = [c for c in candidates if c.process not in avoid]
         process = choose(others or candidates, self.routing, self.cfg.requests, self.rng, now)
         if process is not None:
-            self.routing.sent(process, now)
+            self.routing.record_sent(process, now)
         return process
 
     def _dispatch(self, service: ServiceId, queues: ClassQueues) -> None:
@@ -514,7 +514,7 @@
             process = self._choose(service, set(), now)
             if process is None:
                 return
-            item = queues.take(now)
+            item = queues.dequeue(now)
             assert item is not None
             self._end_wait(item, process=process)
 
@@ -586,7 +586,7 @@
         started = anyio.current_time()
         row = self.hosts.rows.get(home.process)
         attempt: Attempt | None = None
-        self.routing.sent(home.process, started)
+        self.routing.record_sent(home.process, started)
         try:
             if row is None or row.link is None or row.incarnation != home.incarnation:
                 raise NotRun("The backend server has just gone.", "backend-gone")
@@ -607,7 +607,7 @@
         now = anyio.current_time()
         founders = self.rules.founders(service)
         memory_s = self.cfg.policy.key_memory_s
-        rows: Iterable[HostRow] = [*self.hosts.of_service(service), *self.hosts.former]
+        rows: Iterable[HostRow] = [*self.hosts.of_service(service), *self.hosts.former_incarnations]
         places: dict[ProcessId, Place] = {}
         for row in rows:
             if row.announce.service != service:
@@ -624,10 +624,10 @@
         return list(places.values())
 
     async def _perform_step(self, step: Step) -> Reply:
-        if isinstance(step, TellPlaces):
+        if isinstance(step, SendMessages):
             self._send_all(step.messages)
             return None
-        assert isinstance(step, AskPlaces)
+        assert isinstance(step, RequestReplies)
         if len(step.asks) == 1:
             return [await self._reserve(*step.asks[0])]
         replies: list[KeyReserved | None] = [None] * len(step.asks)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -15,8 +15,8 @@
     ExecutorError,
     ExecutorFenced,
     ExecutorReplaced,
-    ExecutorSilent,
-    Holding,
+    ExecutorReport,
+    ExecutorUnavailable,
     StartCall,
 )
 from apricotpath.fleet import FleetSettings
@@ -40,17 +40,17 @@
     StopRuns,
 )
 from apricotpath.model import StartAnswer
-from apricotpath.pacing import Pacer, paces
+from apricotpath.pacing import Pacer, speed_limits
 from apricotpath.workload import HostFacts
 from apricotpathd.attachment import Attachment, ExecutorState, RunView
 
 log = logging.getLogger(__name__)
 
-# A hold call waits this long for an ending, which bounds the interval of reports and renewals.
+# A renewal waits this long for an ending, which bounds the interval of reports and renewals.
 # With serving tasks on the host, the pace of filler tasks needs more frequent readings.
-HOLD_WAIT_S = 0.8
-SERVING_HOLD_WAIT_S = 0.4
-HOLD_RETRY_S = 0.1
+RENEWAL_WAIT_S = 0.8
+SERVING_RENEWAL_WAIT_S = 0.4
+RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
 # Pause between two attempts of an order that the executor did not answer.
 ORDER_RETRY_S = 0.05
@@ -98,7 +98,7 @@
 
     # State of the executor.
 
-    def executor_said(self, state: ExecutorState) -> None:
+    def on_executor_heartbeat(self, state: ExecutorState) -> None:
         """Apply a heartbeat of the executor; a restarted executor ends the attachment."""
         previous = self.state
         self.state = state
@@ -113,7 +113,7 @@
             log.info("executor state", extra={"draining": state.draining})
         self._signal()
 
-    def executor_left(self, instance: str) -> None:
+    def on_executor_shutdown(self, instance: str) -> None:
         """Handle the executor's notice that it shuts down."""
         if self.state is not None and self.state.facts.instance == instance:
             log.info("executor shut down", extra={"instance": instance})
@@ -131,7 +131,7 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def granted_age_s(self) -> float:
+    def lease_grant_age_s(self) -> float:
         """Return the seconds since the newest grant; infinite if not attached."""
         attached = self.attachment
         if attached is None or not attached.granted_until:
@@ -149,7 +149,7 @@
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             while True:
-                await self._hold_once()
+                await self._renew_once()
 
     async def _attach_forever(self) -> None:
         while True:
@@ -187,7 +187,7 @@
         self._signal()
         return True
 
-    async def _hold_once(self) -> None:
+    async def _renew_once(self) -> None:
         attached, executor = self.attachment, self.executor
         if attached is None or executor is None:
             changed = self.changed
@@ -195,50 +195,56 @@
                 await changed.wait()
             return
         sent = boot_s()
-        wait_s = self._hold_wait_s(attached)
+        wait_s = self._renewal_wait_s(attached)
         try:
-            holding = await executor.hold(
-                attached.fence, attached.noted, self._deadline(attached), wait_s
+            executor_report = await executor.renew_lease(
+                attached.fence, attached.acked_ending, self._deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
-            log.warning("hold refused: %s", exc)
+            log.warning("lease renewal refused: %s", exc)
             self._end_attachment(attached, "a higher fencing token was used")
         except ExecutorReplaced as exc:
-            log.warning("hold refused: %s", exc)
-            await anyio.sleep(HOLD_RETRY_S)
+            log.warning("lease renewal refused: %s", exc)
+            await anyio.sleep(RENEWAL_RETRY_S)
         except ExecutorError as exc:
-            log.info("hold failed: %s", exc)
-            attached.hold_failed = True
-            await anyio.sleep(HOLD_RETRY_S)
+            log.info("lease renewal failed: %s", exc)
+            attached.renewal_failed = True
+            await anyio.sleep(RENEWAL_RETRY_S)
         else:
-            attached.hold_failed = False
+            attached.renewal_failed = False
             if attached is self.attachment:
-                await self._handle_holding(attached, holding, sent)
+                await self._handle_report(attached, executor_report, sent)
 
-    def _hold_wait_s(self, attached: Attachment) -> float:
-        """Return how long the next hold call may wait; 0 after a failed one."""
-        if not attached.reported or attached.hold_failed:
+    def _renewal_wait_s(self, attached: Attachment) -> float:
+        """Return how long the next renewal may wait; 0 after a failed one."""
+        if not attached.reported or attached.renewal_failed:
             return 0.0
         serving = any(view.target_ms > 0 for view in attached.views.values())
-        return SERVING_HOLD_WAIT_S if serving else HOLD_WAIT_S
+        return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
 
     def _end_attachment(self, attached: Attachment, reason: str) -> None:
         if attached is self.attachment:
             self._detach(reason)
 
-    async def _handle_holding(self, attached: Attachment, holding: Holding, sent: float) -> None:
+    async def _handle_report(
+        self, attached: Attachment, executor_report: ExecutorReport, sent: float
+    ) -> None:
         """Report the executor's runs and endings, and adjust the pace of filler tasks."""
-        if holding.born_ms and attached.facts.born_ms and holding.born_ms != attached.facts.born_ms:
+        if (
+            executor_report.born_ms
+            and attached.facts.born_ms
+            and executor_report.born_ms != attached.facts.born_ms
+        ):
             # The executor has restarted; its next heartbeat leads to a new attachment.
-            await anyio.sleep(HOLD_RETRY_S)
+            await anyio.sleep(RENEWAL_RETRY_S)
             return
-        self._clock_ms, self._clock_at = holding.clock_ms, boot_s()
+        self._clock_ms, self._clock_at = executor_report.clock_ms, boot_s()
         reported_runs = attached.reported_runs = {
-            (status.task, status.run) for status in holding.runs
+            (status.task, status.run) for status in executor_report.runs
         }
-        for ending in holding.endings:
+        for ending in executor_report.endings:
             attached.views.pop((ending.task, ending.run), None)
-        self._report(attached, holding.runs, holding.endings)
+        self._report(attached, executor_report.runs, executor_report.endings)
         missing = [
             name
             for name, view in attached.views.items()
@@ -247,7 +253,7 @@
         for task, run in missing:
             del attached.views[task, run]
             self._answer(attached, task, run, StartAnswer.REFUSED)
-        await self._adjust_pace(attached, holding.runs)
+        await self._adjust_pace(attached, executor_report.runs)
 
     def _report(
         self,
@@ -268,7 +274,7 @@
             first,
             draining,
             int(min(left_s, 3600.0) * 1000),
-            self.pacer.lately,
+            self.pacer.average_percent,
             tuple(self._add_pace(attached, status) for status in runs),
             endings,
         )
@@ -321,7 +327,9 @@
         # The oldest run comes first; the order stays the same from one reading to the next.
         filler_views.sort(key=lambda item: (item[1].started_at, item[0].task))
         pressures = [view.pressure for _, view in filler_views]
-        for (status, view), pace in zip(filler_views, paces(percent, pressures), strict=True):
+        for (status, view), pace in zip(
+            filler_views, speed_limits(percent, pressures), strict=True
+        ):
             repeat = pace < 100 and now - view.pace_sent_at > PACE_REPEAT_S
             if view.pace_percent != pace or repeat:
                 view.pace_percent, view.pace_sent_at = pace, now
@@ -349,7 +357,7 @@
             pressures = [other.pressure for other in attached.views.values() if other.filler]
             pressures = [*pressures, view.pressure]
             view.pace_percent, view.pace_sent_at = (
-                paces(self.pacer.percent, pressures)[-1],
+                speed_limits(self.pacer.percent, pressures)[-1],
                 boot_s(),
             )
             await self._send_pace(attached, task, run, view.pace_percent)
@@ -401,7 +409,7 @@
             try:
                 sent = True
                 return await self.executor.start(call, attached.fence)
-            except ExecutorSilent as exc:
+            except ExecutorUnavailable as exc:
                 log.info("start not answered: %s", exc, extra={"task": order.task})
             except ExecutorFenced:
                 self._end_attachment(attached, "a higher fencing token was used")
@@ -448,7 +456,7 @@
             if sent is not None:
                 until = sent + self.cfg.run_lease_s
                 attached.granted_until = max(attached.granted_until, until)
-            attached.noted = max(attached.noted, body.noted)
+            attached.acked_ending = max(attached.acked_ending, body.noted)
         elif isinstance(body, StartRuns) and body.fence == attached.fence:
             sent = attached.sent_at.get(body.renewal, float("-inf"))
             for order in body.orders:
--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -91,10 +91,10 @@
                 continue
             present = [row.incarnation for row in self.hosts.of_service(service) if row.present]
             try:
-                founders = await self.members.found_service(service, present)
+                founders = await self.members.record_founders(service, present)
             except StoreError as exc:
                 log.info("founders of service %s not recorded yet: %s", service, exc)
                 continue
             log.info("founders recorded", extra={"service": service, "founders": len(founders)})
-            if self.control.offer_founders(service, founders):
+            if self.control.merge_founders(service, founders):
                 self.on_founders_recorded()
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -25,12 +25,12 @@
     Message,
     OrderAnswers,
 )
-from apricotpath.mirror import FeedStore
+from apricotpath.mirror import WatchableStore
 from apricotpath.model import Role
 from apricotpathd.dialler import Dialler
-from apricotpathd.jobdesk import JobDesk
+from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
-from apricotpathd.scheduler import Rules, Scheduler
+from apricotpathd.scheduler import Scheduler, SchedulerRules
 
 log = logging.getLogger(__name__)
 
@@ -47,19 +47,19 @@
     def __init__(
         self,
         process: Process,
-        store: FeedStore,
+        store: WatchableStore,
         cfg: FleetSettings,
         election: ElectionSettings,
         address: Address,
-        desk: JobDesk,
-        rules: Callable[[], Rules],
+        job_service: JobService,
+        rules: Callable[[], SchedulerRules],
         dialler: Dialler,
         metrics: JobMetrics,
         utc: Callable[[], float] = time.time,
     ) -> None:
         self.process, self.store, self.cfg = process, store, cfg
         self.prefix = election.prefix
-        self.desk = desk
+        self.job_service = job_service
         self.scheduler: Scheduler | None = None
         self._rules, self._utc = rules, utc
         self._dialler = dialler
@@ -73,7 +73,7 @@
             address,
             self._serve_term,
         )
-        desk.on_epoch = self._epoch_seen
+        job_service.on_epoch = self._epoch_seen
 
     def rules_changed(self) -> None:
         """Run a scheduling pass with the new rules."""
@@ -95,22 +95,22 @@
             # A registration that expires while the store is unavailable does not end a link.
             if self.election.mirror.age_s() < 2 * self.election.cfg.lease_s:
                 peers = self.election.peers()
-                self._dialler.want({name: peers[name] for name in peers if name > own_id})
+                self._dialler.set_targets({name: peers[name] for name in peers if name > own_id})
             await anyio.sleep(DIAL_INTERVAL_S)
 
     def _epoch_seen(self, epoch: Epoch) -> None:
         """End this entry's term if it is outdated, and announce the new leader to linked agents."""
-        self.election.outranked(epoch)
+        self.election.step_down_for(epoch)
         for link in list(self.process.links):
             self._announce_leader(link)
 
     def _announce_leader(self, link: Link) -> None:
         """Announce the leader to an agent, which may have no link to it."""
-        leader = self.desk.leader
+        leader = self.job_service.leader
         if leader is None or link.peer is None or link.peer.role is not Role.AGENT:
             return
         try:
-            link.send_nowait(LeaderNotice(self.desk.epoch, leader))
+            link.send_nowait(LeaderNotice(self.job_service.epoch, leader))
         except LinkError as exc:
             log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
@@ -121,7 +121,7 @@
             self.prefix,
             self.cfg,
             self._rules,
-            lambda: max(self.election.contact_at, self.election.mirror.read_at or 0.0),
+            lambda: max(self.election.last_store_contact_at, self.election.mirror.read_at or 0.0),
             self._publish,
             self._metrics,
             self._utc,
@@ -134,17 +134,17 @@
                 group.cancel_scope.cancel()
         finally:
             self.scheduler = None
-            self.desk.send_local = None
+            self.job_service.send_local = None
 
     async def _announce_term(self, scheduler: Scheduler) -> None:
         """Announce the term to all linked processes once its tables are loaded."""
         await scheduler.loaded.wait()
-        self.desk.send_local = self._handle_job_message
-        self.desk.follow(scheduler.term.epoch, self.process.hello.process_id)
+        self.job_service.send_local = self._handle_job_message
+        self.job_service.follow(scheduler.term.epoch, self.process.hello.process_id)
         for link in list(self.process.links):
             self._announce_scheduler(link, scheduler)
         for message in scheduler.all_statuses():
-            self.desk.apply_statuses(message)
+            self.job_service.apply_statuses(message)
 
     def _announce_scheduler(self, link: Link, scheduler: Scheduler) -> None:
         try:
@@ -156,7 +156,7 @@
             log.info("leader notice to %s not sent: %s", link.peer_id, exc)
 
     def _publish(self, message: JobStatuses) -> None:
-        self.desk.apply_statuses(message)
+        self.job_service.apply_statuses(message)
         for link in self.process.links:
             if link.peer is not None and link.peer.role is Role.ENTRY:
                 try:
@@ -185,12 +185,12 @@
                 await link.send(Failure("not-leader", "this entry schedules no jobs"), envelope.id)
             return
         if isinstance(body, HostAttach):
-            self.election.outranked(body.epoch)
-            await link.send(scheduler.board.attach(link, body), envelope.id)
+            self.election.step_down_for(body.epoch)
+            await link.send(scheduler.host_tracker.attach(link, body), envelope.id)
         elif isinstance(body, HostRuns):
-            scheduler.board.receive_report(link, body)
+            scheduler.host_tracker.receive_report(link, body)
         elif isinstance(body, OrderAnswers):
-            scheduler.board.answers(link, body)
+            scheduler.host_tracker.receive_answers(link, body)
         else:
             self._handle_job_message(body)
 
@@ -204,7 +204,7 @@
     async def link_closed(self, link: Link) -> None:
         """Detach the hosts of a link."""
         if self.scheduler is not None:
-            self.scheduler.board.link_closed(link)
+            self.scheduler.host_tracker.link_closed(link)
 
     async def drain(self) -> None:
         """Resign, so that another entry can be elected."""
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -41,7 +41,7 @@
 from apricotpathd.members import fair_shares
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Journal, Members, OwnerState, Phase, Proposal, Run, Shard
-from apricotpathd.scheduling import Scheduler
+from apricotpathd.scheduling import ShardScheduler
 from apricotpathd.shares import Limits, TeamShares, no_limits
 
 log = logging.getLogger(__name__)
@@ -90,7 +90,7 @@
         self.commands = Commands(self.state)
         self.shares = TeamShares(entry, members, limits, policy.fresh_s)
         self.reconciler = Reconciler(self.state, self.commands)
-        self.scheduler = Scheduler(self.state, self.commands, self.shares)
+        self.scheduler = ShardScheduler(self.state, self.commands, self.shares)
         self.calls = JobCalls(self.state, members, self.scheduler, self.reconciler)
         self.draining = False
         self._group: TaskGroup | None = None
@@ -162,7 +162,7 @@
 
     def tick(self, now: float) -> None:
         """Reconcile and schedule once; the order matters, as later steps use earlier results."""
-        self.reconciler.take_reports(now)
+        self.reconciler.process_reports(now)
         self.reconciler.send_claims(now)
         if now >= self._next_scan_at:
             self._next_scan_at = now + SCAN_INTERVAL_S
@@ -172,10 +172,10 @@
             self.scheduler.evict_forbidden(now)
             self.scheduler.guard_hosts(now)
             self.scheduler.restore_throttles(now)
-            self.shares.keep(now)
+            self.shares.renew_used_shares(now)
         if now >= self._next_impossible_check_at:
             self._next_impossible_check_at = now + IMPOSSIBLE_CHECK_INTERVAL_S
-            self.scheduler.judge_possible(now)
+            self.scheduler.mark_impossible_jobs(now)
             self.scheduler.forget_ended(now)
             self.reconciler.forget_hosts()
         if not self.draining:
@@ -188,7 +188,7 @@
             if link.peer is not None:
                 self.state.inbox[link.peer.process_id] = (link, body)
         elif isinstance(body, ShardClaimed):
-            self.reconciler.claimed(link, body, anyio.current_time())
+            self.reconciler.receive_claim(link, body, anyio.current_time())
         elif isinstance(body, JobCall) and self._group is not None:
             self._group.start_soon(self._answer, link, envelope.id, body)
         elif isinstance(body, ShareRequest) and link.peer is not None:
@@ -228,7 +228,7 @@
         """Stop scheduling, and release all shards once their writes are done."""
         self.draining = True
         for shard in list(self.state.shards.values()):
-            while shard.loaded and not shard.dropped and (shard.outbox or shard.busy):
+            while shard.loaded and not shard.relinquished and (shard.outbox or shard.busy):
                 if shard.store_failed_at is not None:
                     break
                 await anyio.sleep(self.state.policy.tick_s)
@@ -238,7 +238,7 @@
         # An earlier owner may still renew held tasks, so the next owner must wait for them too.
         held = any(run.phase is Phase.HELD for run in shard.runs.values())
         settled = shard.loaded and not held
-        self.state.drop(shard, reason)
+        self.state.relinquish(shard, reason)
         try:
             await self.members.release_shard(shard.shard, shard.epoch, settled)
         except StoreError as exc:
@@ -271,7 +271,7 @@
             owner, shard = view.owners.get(number), self.state.shards.get(number)
             if shard is not None:
                 if owner is not None and owner[1] > shard.epoch:
-                    self.state.drop(shard, f"{owner[0]} owns it under epoch {owner[1]}")
+                    self.state.relinquish(shard, f"{owner[0]} owns it under epoch {owner[1]}")
                 else:
                     self._hand_over(shard, fair.get(number), now)
                 continue
@@ -322,9 +322,9 @@
             self._group.start_soon(self._serve, shard)
 
     async def _serve(self, shard: Shard) -> None:
-        """Load a shard's journal, then write proposals until the shard is dropped."""
+        """Load a shard's journal, then write proposals until the shard is relinquished."""
         with shard.scope:
-            if shard.dropped:
+            if shard.relinquished:
                 return
             try:
                 await self._load(shard, first=True)
@@ -332,10 +332,10 @@
                     await shard.wake.wait()
                     await self._write(shard)
             except FencedError as exc:
-                self.state.drop(shard, str(exc))
+                self.state.relinquish(shard, str(exc))
             except ApricotpathError as exc:
                 log.exception("shard cannot be served")
-                self.state.drop(shard, str(exc))
+                self.state.relinquish(shard, str(exc))
 
     async def _load(self, shard: Shard, *, first: bool) -> None:
         """Fill the table from the journal and match it with the attempts in memory."""
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -23,22 +23,22 @@
     RunOrder,
     StartRuns,
 )
-from apricotpath.mirror import FeedStore, Mirror
+from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.runlog import MAX_EXTRA, SNAPSHOT_EVERY, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import (
     Placement,
     PlacementInput,
-    make_rooms,
+    host_loads,
     objective_s,
     place,
 )
 from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
-from apricotpath.waitreasons import long_waits, room_row
+from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
 from apricotpathd.hosttracker import HostTracker
-from apricotpathd.jobdesk import JobKeys
+from apricotpathd.jobservice import JobKeys
 from apricotpathd.runstops import RunStops
 
 log = logging.getLogger(__name__)
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class SchedulerRules:
     """Operator settings in force: the queues, and the data centres that are out of service."""
 
     queues: dict[QueueId, Queue] = field(default_factory=dict)
@@ -71,13 +71,13 @@
     """Records of one append, and the actions to take once they are durable.
 
     `starts` pairs each placement with the fencing token of the attachment that it was
-    decided for. `noted` holds the number of the last ending recorded for each host.
+    decided for. `acked_endings` holds the number of the last ending recorded for each host.
     """
 
     records: list[RunRecord] = field(default_factory=list)
     extra: list[Put | Delete] = field(default_factory=list)
     starts: list[tuple[FenceToken, Placement]] = field(default_factory=list)
-    noted: dict[HostId, int] = field(default_factory=dict)
+    acked_endings: dict[HostId, int] = field(default_factory=dict)
 
 
 class Scheduler:
@@ -90,11 +90,11 @@
     def __init__(
         self,
         term: Term,
-        store: FeedStore,
+        store: WatchableStore,
         prefix: str,
         cfg: FleetSettings,
-        rules: Callable[[], Rules],
-        contact_at: Callable[[], float],
+        rules: Callable[[], SchedulerRules],
+        last_store_contact_at: Callable[[], float],
         publish: Callable[[JobStatuses], None],
         metrics: JobMetrics,
         utc: Callable[[], float],
@@ -112,8 +112,8 @@
         self._wake = anyio.Event()
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
-        self.board = HostTracker(term, self.table, cfg, contact_at, self.wake)
-        self._run_stops = RunStops(self.table, self.board, self._started)
+        self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
+        self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
 
@@ -159,7 +159,7 @@
             hold += self.cfg.authority_s
         for name, runs in self.table.by_host.items():
             if runs:
-                self.board.hosts[name] = Host(name, runs_until=self._started + hold)
+                self.host_tracker.hosts[name] = Host(name, runs_until=self._started + hold)
 
     def wake(self) -> None:
         """Run a scheduling pass soon."""
@@ -231,18 +231,19 @@
             return
         self._fleet_logged_at = now
         inputs = self._placement_input(now)
-        rooms = make_rooms(self.table, inputs)
-        for wait in long_waits(self.table, inputs, rooms):
+        loads = host_loads(self.table, inputs)
+        for wait in long_waits(self.table, inputs, loads):
             log.info("tasks waiting", extra=wait)
         waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
         log.info(
             "fleet",
             extra={
-                "attached": len(self.board.links),
+                "attached": len(self.host_tracker.links),
                 "waiting": dict(waiting),
-                "pressures": self.board.disturbance.pressures(),
+                "pressures": self.host_tracker.disturbance.pressures(),
                 "hosts": {
-                    name: room_row(room, now, self.cfg.silent_s) for name, room in rooms.items()
+                    name: host_row(host_load, now, self.cfg.silent_s)
+                    for name, host_load in loads.items()
                 },
             },
         )
@@ -251,14 +252,14 @@
         """Apply events and choose starts; return the records that must become durable."""
         batch = _Batch()
         now = boot_s()
-        self.board.expire_leases(now)
+        self.host_tracker.expire_leases(now)
         self._process_endings(batch, now)
         self._process_lost_runs(batch, now)
         self._save_progress(batch, now)
         inputs = self._placement_input(now)
         for placement in [*place(self.table, inputs), *self._place_copies(inputs)]:
-            host = self.board.hosts[placement.host]
-            instance, born_ms = host.life()
+            host = self.host_tracker.hosts[placement.host]
+            instance, born_ms = host.executor_incarnation()
             record = Assigned(placement.task, placement.run, placement.host, instance, born_ms)
             self._apply(batch, record, now)
             batch.starts.append((host.fence, placement))
@@ -270,7 +271,7 @@
         if now - self._saved_at < SAVE_INTERVAL_S:
             return
         self._saved_at = now
-        for record in list(islice(self.table.unsaved(), MAX_CHECKPOINTS_PER_APPEND)):
+        for record in list(islice(self.table.new_checkpoints(), MAX_CHECKPOINTS_PER_APPEND)):
             self._apply(batch, record, now)
 
     def _place_copies(self, inputs: PlacementInput) -> list[Placement]:
@@ -283,13 +284,13 @@
     def _placement_input(self, now: float) -> PlacementInput:
         rules = self._rules()
         return PlacementInput(
-            self.board.hosts,
+            self.host_tracker.hosts,
             rules.queues,
             rules.out,
             now,
             self._utc(),
             self.cfg,
-            light=self.board.disturbance.light(),
+            low_impact_images=self.host_tracker.disturbance.low_impact_images(),
         )
 
     def _apply(self, batch: _Batch, record: RunRecord, now: float) -> None:
@@ -297,12 +298,12 @@
         self.table.apply(record, now)
 
     def _process_endings(self, batch: _Batch, now: float) -> None:
-        while self.board.endings:
-            name, life, ending = self.board.endings.popleft()
-            host = self.board.hosts.get(name)
-            if host is None or host.life() != life:
+        while self.host_tracker.endings:
+            name, executor_incarnation, ending = self.host_tracker.endings.popleft()
+            host = self.host_tracker.hosts.get(name)
+            if host is None or host.executor_incarnation() != executor_incarnation:
                 continue
-            batch.noted[name] = ending.number
+            batch.acked_endings[name] = ending.number
             try:
                 key = TaskKey.parse(ending.task)
             except InputError as exc:
@@ -313,13 +314,13 @@
 
     def _record_host_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
         if ending.result is RunResult.DONE:
-            host.note_success()
-        elif ending.result is RunResult.FAILED and host.note_failure(key.job, now):
+            host.record_success()
+        elif ending.result is RunResult.FAILED and host.record_failure(key.job, now):
             log.warning("host set aside", extra={"host": host.host, "reason": "runs fail"})
 
     def _process_lost_runs(self, batch: _Batch, now: float) -> None:
-        while self.board.lost_runs:
-            key, run, reason = self.board.lost_runs.popleft()
+        while self.host_tracker.lost_runs:
+            key, run, reason = self.host_tracker.lost_runs.popleft()
             task = self.table.task(key)
             lost = task.runs.get(run) if task is not None else None
             if lost is None:
@@ -347,7 +348,7 @@
         self._metrics.run_ended(row.job.queue, result)
         self._apply(batch, Ended(key, run, result, saved), now)
         log.info("run ended", extra={"task": str(key), "run": run, "result": result.value})
-        if result is not RunResult.FAILED or row.unwanted:
+        if result is not RunResult.FAILED or row.to_be_stopped:
             return
         queue = self._rules().queues.get(row.job.queue)
         if queue is None or task.runs:
@@ -406,18 +407,18 @@
 
     def _complete_batch(self, batch: _Batch) -> None:
         """Acknowledge the endings and send the starts of a batch that has become durable."""
-        for name, number in batch.noted.items():
-            host = self.board.hosts.get(name)
+        for name, number in batch.acked_endings.items():
+            host = self.host_tracker.hosts.get(name)
             if host is not None:
-                host.noted = max(host.noted, number)
+                host.acked_ending = max(host.acked_ending, number)
         by_host: dict[HostId, list[Placement]] = {}
         for fence, placement in batch.starts:
             # If the host has attached again meanwhile, its first report shows that the run is
             # missing, and the task is placed again.
-            if self.board.hosts[placement.host].fence == fence:
+            if self.host_tracker.hosts[placement.host].fence == fence:
                 by_host.setdefault(placement.host, []).append(placement)
         for name, placements in by_host.items():
-            self._send_starts(self.board.hosts[name], placements)
+            self._send_starts(self.host_tracker.hosts[name], placements)
 
     def _send_starts(self, host: Host, placements: Iterable[Placement]) -> None:
         """Send start orders, except those that became invalid while they were being written."""
@@ -430,8 +431,8 @@
             if task is None or run is None or row is None:
                 continue
             out = host.facts is not None and host.facts.data_centre in rules.out
-            if row.unwanted or task.done or out or host.draining:
-                self.board.mark_lost(run, "its start was not sent")
+            if row.to_be_stopped or task.done or out or host.draining:
+                self.host_tracker.mark_lost(run, "its start was not sent")
                 continue
             # The time spent on writing the assignment does not count as run time.
             run.since = boot_s()
@@ -446,7 +447,7 @@
                     "",
                     step.filler,
                     step.target_ms,
-                    self.board.pressure(host, step),
+                    self.host_tracker.pressure(host, step),
                 )
             )
             waited_s = run.since - task.waiting_since
@@ -466,7 +467,7 @@
         if orders:
             # If the link is closed, the first report after the host attaches again shows that
             # the run is missing.
-            self.board.send(host, StartRuns(host.fence, host.renewal, tuple(orders)))
+            self.host_tracker.send(host, StartRuns(host.fence, host.renewal, tuple(orders)))
 
     def _publish_changes(self) -> None:
         """Publish the job states that have changed."""
--- a/packages/daemon/src/apricotpathd/scheduling.py
+++ b/packages/daemon/src/apricotpathd/scheduling.py
@@ -10,10 +10,10 @@
 from apricotpath.eviction import Victim, choose_victims, lost_work
 from apricotpath.ids import DataCentreId, JobId, ProcessId, TaskId, TeamId
 from apricotpath.interference import (
-    HARMLESS,
     HIGH_PRESSURE,
+    MIN_ADDED_SLOWDOWN,
     MOVE_PAUSE_S,
-    Guarded,
+    GuardedTask,
     GuardRow,
     Step,
     guard,
@@ -21,8 +21,8 @@
 from apricotpath.jobs import NO_PROCESS, JobRow, task_id
 from apricotpath.model import JobSpec, Priority, Size, TaskClass
 from apricotpath.placement import (
+    NO_CAPACITY,
     NO_HOSTS,
-    NO_ROOM,
     Demand,
     Mode,
     Placement,
@@ -59,7 +59,7 @@
     until: float
 
 
-class Scheduler:
+class ShardScheduler:
     """Makes the owner's scheduling decisions; every start is journaled before it is sent."""
 
     def __init__(self, state: OwnerState, commands: Commands, shares: TeamShares) -> None:
@@ -139,7 +139,7 @@
             rules=state.rules,
             estimates=state.estimates,
             usable=partial(self._usable, now),
-            taken=partial(state.health.placed, now=now),
+            on_placed=partial(state.health.placed, now=now),
             admit=partial(self.shares.admit, now=now),
             now_utc=state.utc(),
             hours_margin_s=state.policy.hours_margin_s,
@@ -162,7 +162,7 @@
             return True
         service = self.state.hosts.rows[process].announce.service
         added = self.state.estimates.single.get((service, spec.activity))
-        return added is not None and added < HARMLESS
+        return added is not None and added < MIN_ADDED_SLOWDOWN
 
     def _assign(self, shard: Shard, placements: list[Placement], now: float) -> None:
         records, runs = [], []
@@ -215,7 +215,7 @@
         for job, reason in placer.reasons.items():
             self.state.reasons[job] = reason
             shard = self.state.shard_of(job)
-            if shard is not None and reason.code in (NO_ROOM.code, NO_HOSTS.code):
+            if shard is not None and reason.code in (NO_CAPACITY.code, NO_HOSTS.code):
                 priority = shard.table.jobs[job].spec.priority
                 self.retry_at[job] = now + RETRY_S[priority]
         if len(self.retry_at) > 4096:
@@ -229,7 +229,7 @@
         for demand in demands:
             spec = demand.row.spec
             reason = placer.reasons.get(spec.job_id)
-            if spec.priority is not Priority.URGENT or reason is not NO_ROOM:
+            if spec.priority is not Priority.URGENT or reason is not NO_CAPACITY:
                 continue
             allowed = placer.allowed(spec)[0]
             tasks = [task_id(spec.job_id, number) for number in demand.numbers]
@@ -288,7 +288,7 @@
                     yield self._victim(run)
 
     def _victim(self, run: Run) -> Victim:
-        return victim_of(run, self.state.checkpoints.loses(run.spec.activity))
+        return victim_of(run, self.state.checkpoints.loss_probability(run.spec.activity))
 
     @staticmethod
     def _may_evict(shard: Shard, run: Run) -> bool:
@@ -328,7 +328,7 @@
             if self._may_evict(shard, run)
         }
         tasks = [
-            Guarded(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
+            GuardedTask(run.task, run.spec.activity, run.share, lost_work(self._victim(run)))
             for _, run in runs.values()
             if self.state.limits.allows(self._victim(run), now)
         ]
@@ -369,7 +369,7 @@
                     budget -= 1
                     self.commands.evict(shard, run, reason.text, now)
 
-    def judge_possible(self, now: float) -> None:
+    def mark_impossible_jobs(self, now: float) -> None:
         """Mark jobs that fit no registered host as impossible, and unmark them when a host fits."""
         fits: dict[tuple[Size, tuple[DataCentreId, ...]], bool] = {}
         for shard in self.state.shards.values():
@@ -428,12 +428,12 @@
         for shard in self.state.shards.values():
             for run in shard.runs.values():
                 in_effect = run.throttled is (run.share < 1.0)
-                due = not in_effect and now - run.told_at >= THROTTLE_RESEND_S
+                due = not in_effect and now - run.last_command_at >= THROTTLE_RESEND_S
                 if due and self._may_evict(shard, run):
                     self.commands.throttle(shard, run, run.share, now)
 
 
-def victim_of(run: Run, loses: float) -> Victim:
+def victim_of(run: Run, loss_probability: float) -> Victim:
     """Return the data on an attempt that the eviction rules need."""
     spec = run.spec
     return Victim(
@@ -446,7 +446,7 @@
         run.checkpoint_progress,
         spec.run_time_s,
         run.evictions,
-        loses,
+        loss_probability,
     )
 
 
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -27,7 +27,7 @@
 from apricotpath_bench.ownertables import OwnerBench, announce_of, process_of
 from apricotpath_bench.storestandin import DirectTransport, StandinStore
 from apricotpathd.agent import ANNOUNCE_REPEAT_S, Agent
-from apricotpathd.agenttasks import REPORT_S
+from apricotpathd.agenttasks import REPORT_INTERVAL_S
 from apricotpathd.backendtransport import BackendTransport
 from apricotpathd.hostregistry import HostRegistry
 from apricotpathd.hosts import HostTable
@@ -92,7 +92,7 @@
         control = SimpleNamespace(
             has_founders=lambda service: False,
             service_rules=lambda service: service,
-            offer_founders=lambda service, founders: True,
+            merge_founders=lambda service, founders: True,
         )
         registry = HostRegistry(cfg.policy, HostTable(), control, members, lambda: None)
         self.members.append(members)
@@ -121,7 +121,7 @@
                 bench.table.closed(old, now)
                 bench._add_host(number)
                 for shard in shards:
-                    shard.claim_sent[process_of(number)] = now
+                    shard.claim_sent_at[process_of(number)] = now
                 bench.table.expire(now, bench.policy.key_memory_s)
                 bench.owner.tick(now)
 
@@ -251,12 +251,12 @@
     bench = context.subject.bench
     sizes = {
         "rows": len(bench.table.rows),
-        "former": len(bench.table.former),
+        "former": len(bench.table.former_incarnations),
         "listed": sum(map(len, bench.table._services.values())),
     }
     for shard in bench.state.shards.values():
         sizes[f"claims {shard.shard}"] = len(shard.claims)
-        sizes[f"claims sent {shard.shard}"] = len(shard.claim_sent)
+        sizes[f"claims sent {shard.shard}"] = len(shard.claim_sent_at)
     assert all(size <= present + gone for size in sizes.values()), sizes
     assert sum(row.present for row in bench.table.rows.values()) == present
 
@@ -289,7 +289,7 @@
         assert isinstance(report, HostReport) and len(report.tasks) == tasks
         heartbeat = bench.links[0].last_heartbeat
         rates = (
-            (report, REPORT_S),
+            (report, REPORT_INTERVAL_S),
             (heartbeat, LinkSettings().heartbeat_s),
             (announce_of(0), ANNOUNCE_REPEAT_S),
         )
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 from behave import given, then, when
-from control_steps import RULES, signed, status
+from control_steps import RULES, signed_bundle, status
 from operator_standin import MemoryEntries
 
-from apricotpath.bundle import plain
+from apricotpath.bundle import to_json_value
 from apricotpath.signing import generate_key, save_key
 from apricotpath_cli import client
 from apricotpath_cli.cmdline import main
@@ -35,7 +35,7 @@
         self.key = generate_key()
         self.entries = MemoryEntries(["one", "two"], [self.key.public_text])
         for services in self.entries.services.values():
-            services.control.offer_bundle(signed(self.key, 1))
+            services.control.merge_bundle(signed_bundle(self.key, 1))
         self.code, self.out, self.err = -1, "", ""
         save_key(self.key, folder / "key")
         save_key(generate_key(), folder / "stranger")
@@ -43,7 +43,7 @@
         (folder / "tls2").mkdir()
         with contextlib.redirect_stdout(io.StringIO()):
             assert main(["tls", "init", "--folder", str(folder / "tls")]) == 0
-        rules = plain(RULES)
+        rules = to_json_value(RULES)
         self._write("bundle", {**rules, "version": 2})
         self._write("bad_bundle", {**rules, "version": 0})
         self._write("job", JOB)
@@ -87,7 +87,7 @@
             one.store_out = two.store_out = True
         elif fault == "another bundle 2":
             for services in (one, two):
-                services.control.offer_bundle(signed(self.key, 2, region="elsewhere"))
+                services.control.merge_bundle(signed_bundle(self.key, 2, region="elsewhere"))
         elif fault == "another operator's bring-back":
             one.in_force = two.in_force = False
             self.entries.on_write = self._bring_back
@@ -96,7 +96,7 @@
 
     def _bring_back(self) -> None:
         for services in self.entries.services.values():
-            services.control.offer_statuses([status("suva-depot", 9, "in")])
+            services.control.merge_statuses([status("suva-depot", 9, "in")])
 
     def unchanged(self) -> bool:
         return self._files() == self.before and not self.entries.changes
--- a/tests/features/steps/entrylinks_steps.py
+++ b/tests/features/steps/entrylinks_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from apricotpath.boottime import boot_s, use_source
+from apricotpath.boottime import boot_s, set_clock
 from apricotpath.config import Address
 from apricotpath.ids import HostId, ProcessId
 from apricotpathd.entrylinks import EntryLinks
@@ -21,7 +21,7 @@
         self.granted_at = float("-inf")
         self.state: object | None = "an executor"
 
-    def granted_age_s(self) -> float:
+    def lease_grant_age_s(self) -> float:
         return boot_s() - self.granted_at
 
 
@@ -31,7 +31,7 @@
     def __init__(self) -> None:
         self.dialled: set[str] = set()
 
-    def want(self, wanted: dict[str, Address]) -> None:
+    def set_targets(self, wanted: dict[str, Address]) -> None:
         self.dialled = set(wanted)
 
 
@@ -40,11 +40,11 @@
 
     def __init__(self, host: str = "host0") -> None:
         self.now = 100.0
-        use_source(lambda: self.now)
+        set_clock(lambda: self.now)
         self.agent, self.dialler = StubAgent(), StubDialler()
         links: Any = EntryLinks
         self.links = links(HostId(host), self.agent, self.dialler)
-        self.links.found(ENTRIES)
+        self.links.set_entries(ENTRIES)
 
     def grant(self) -> None:
         self.agent.leader = ProcessId("entry3")
@@ -59,7 +59,7 @@
 @given("an agent of entrylinks that knows 10 entries")
 def create_case(context: Any) -> None:
     context.case = LinksCase()
-    context.add_cleanup(use_source, None)
+    context.add_cleanup(set_clock, None)
 
 
 @given("an agent of entrylinks that knows 10 entries and has no executor")
@@ -94,7 +94,7 @@
 
 @when("300 agents of entrylinks lose the scheduler among 10 entries for {seconds:d} second")
 def lose_scheduler_of_many_agents(context: Any, seconds: int) -> None:
-    context.add_cleanup(use_source, None)
+    context.add_cleanup(set_clock, None)
     context.counts = Counter()
     for number in range(300):
         case = LinksCase(f"host{number}")
--- a/tests/features/steps/hostagent_steps.py
+++ b/tests/features/steps/hostagent_steps.py
@@ -8,7 +8,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
-from apricotpath.executor import ExecutorSilent, StartCall
+from apricotpath.executor import ExecutorUnavailable, StartCall
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
@@ -59,7 +59,7 @@
             return self.model.start(call, fence)
         self._group.start_soon(self._execute_late, self.model.start, call, fence)
         await anyio.sleep(0.5)
-        raise ExecutorSilent("no answer")
+        raise ExecutorUnavailable("no answer")
 
 
 class SchedulerLink:
@@ -143,7 +143,7 @@
             frozenset(),
             self.model.capacity,
         )
-        self.agent.executor_said(ExecutorState(facts, draining))
+        self.agent.on_executor_heartbeat(ExecutorState(facts, draining))
 
     async def deliver(self, message: Message) -> None:
         await self.agent.received(self.link, Envelope(1, 0, message))
@@ -164,7 +164,7 @@
         ends_at = boot_s() + seconds
         while boot_s() < ends_at:
             await anyio.sleep(0.1)
-            self.model.work()
+            self.model.process_due()
         return len(self.model.began)
 
 
@@ -304,7 +304,7 @@
         with anyio.fail_after(most + 1):
             while case.model.runs:
                 await anyio.sleep(0.05)
-                case.model.work()
+                case.model.process_due()
         assert least <= boot_s() - started <= most, boot_s() - started
 
     check(context, act)
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -11,7 +11,7 @@
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
 from apricotpath.jobtable import JobTable, RunPhase
 from apricotpath.model import Size
-from apricotpath.runmoves import place_copies, serving_to_gather, slow_runs
+from apricotpath.runmoves import place_copies, serving_runs_to_consolidate, slow_runs
 from apricotpath.runplacement import Placement, PlacementInput, place
 from apricotpath.runrecords import Assigned, Ended
 from apricotpath.workload import HostFacts, Job, Queue, RunResult, Step, TaskKey
@@ -30,7 +30,7 @@
         self.hosts: dict[HostId, Host] = {}
         self.out: set[DataCentreId] = set()
         self.placed: list[Placement] = []
-        self.light: frozenset[str] = frozenset()
+        self.low_impact_images: frozenset[str] = frozenset()
         self.jobs = 0
 
     def host(self, name: str, cores: int, rack: str = "") -> Host:
@@ -60,7 +60,7 @@
             given_now,
             0.0,
             FleetSettings(),
-            light=self.light,
+            low_impact_images=self.low_impact_images,
         )
         self.placed = place(self.table, given)
         return self.placed
@@ -416,13 +416,13 @@
 
 @then("runplacement stops {count:d} serving runs on a")
 def stops_serving(context: Any, count: int) -> None:
-    found = serving_to_gather(context.case.table, placement_input(context.case))
+    found = serving_runs_to_consolidate(context.case.table, placement_input(context.case))
     assert [run.host for run in found] == ["a"] * count, found
 
 
 @given("filler tasks of image {image:w} have a low impact on other runplacement tasks")
 def light_image(context: Any, image: str) -> None:
-    context.case.light = frozenset({image})
+    context.case.low_impact_images = frozenset({image})
 
 
 @when(
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -13,7 +13,7 @@
 import trio.testing
 from anyio.abc import TaskGroup
 
-from apricotpath.boottime import boot_s, use_source
+from apricotpath.boottime import boot_s, set_clock
 from apricotpath.codec import Envelope
 from apricotpath.config import Address, LinkSettings
 from apricotpath.election import ElectionSettings
@@ -28,10 +28,10 @@
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.dialler import Dialler
 from apricotpathd.hostagent import HostAgent
-from apricotpathd.jobdesk import JobDesk
 from apricotpathd.jobentry import JobEntry
+from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
-from apricotpathd.scheduler import Rules
+from apricotpathd.scheduler import SchedulerRules
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.memorystore import MemoryStore, SharedStore
 
@@ -48,11 +48,11 @@
     trio._core._run._r.seed(seed)
     random.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
-    use_source(trio.current_time)
+    set_clock(trio.current_time)
     try:
         return anyio.run(main, backend="trio", backend_options={"clock": clock})
     finally:
-        use_source(None)
+        set_clock(None)
 
 
 class MemoryLink:
@@ -124,7 +124,7 @@
 
     process: Process
     store: MemoryStore
-    desk: JobDesk
+    job_service: JobService
     jobs: JobEntry
     scope: anyio.CancelScope
 
@@ -165,7 +165,7 @@
     def add_entry(self, name: str, cores: float = 1.0) -> EntryNode:
         process = Process(Role.ENTRY, ProcessId(name), DataCentreId("z1"))
         store = MemoryStore(self.shared)
-        desk = JobDesk(store, PREFIX, utc=boot_s)
+        job_service = JobService(store, PREFIX, utc=boot_s)
         dialler = Dialler(process.hello, LinkSettings(), process)
         jobs = JobEntry(
             process,
@@ -173,15 +173,15 @@
             self.cfg,
             replace(self.election, cores=cores),
             Address(name, PORT),
-            desk,
-            lambda: Rules(dict(self.queues), frozenset(self.out)),
+            job_service,
+            lambda: SchedulerRules(dict(self.queues), frozenset(self.out)),
             dialler,
             JobMetrics(),
             boot_s,
         )
-        dialler.want = lambda wanted: None  # type: ignore[method-assign]
-        process.use([desk, jobs])
-        node = EntryNode(process, store, desk, jobs, anyio.CancelScope())
+        dialler.set_targets = lambda wanted: None  # type: ignore[method-assign]
+        process.set_components([job_service, jobs])
+        node = EntryNode(process, store, job_service, jobs, anyio.CancelScope())
         self.entries[name] = node
         self.group.start_soon(self._run, node.scope, process)
         for other in [*self.entries.values(), *self.agents.values()]:
@@ -200,7 +200,7 @@
             return executor
 
         agent = HostAgent(HostId(name), self.cfg, connect_executor)
-        process.use([agent])
+        process.set_components([agent])
         node = AgentNode(process, agent, model, anyio.CancelScope())
         self.agents[name] = node
         self.group.start_soon(self._run, node.scope, process)
@@ -228,8 +228,8 @@
                     frozenset({rack}),
                     model.capacity,
                 )
-                node.agent.executor_said(ExecutorState(facts))
-            model.work()
+                node.agent.on_executor_heartbeat(ExecutorState(facts))
+            model.process_due()
             await anyio.sleep(0.5)
 
     async def kill(self, node: EntryNode | AgentNode) -> None:
@@ -300,8 +300,8 @@
         """Submit a job at an entry and return its id."""
         self._jobs_submitted += 1
         job = JobId(f"{self._jobs_submitted:016x}")
-        desk = self.entries[at or next(iter(self.entries))].desk
-        outcome = await desk.submit(Job(job, QUEUE, "bake", steps))
+        job_service = self.entries[at or next(iter(self.entries))].job_service
+        outcome = await job_service.submit(Job(job, QUEUE, "bake", steps))
         assert outcome.value == "accepted", outcome
         return job
 
@@ -323,7 +323,7 @@
             ):
                 await anyio.sleep(0.05)
 
-    async def ended(self, job: JobId, within_s: float, at: str = "") -> str:
+    async def wait_for_end(self, job: JobId, within_s: float, at: str = "") -> str:
         """Return the final state of a job as an entry shows it; raises TimeoutError."""
         node = (
             self.entries[at]
@@ -332,7 +332,7 @@
         )
         with anyio.fail_after(within_s):
             while True:
-                progress = await node.desk.progress(job)
+                progress = await node.job_service.progress(job)
                 if progress is not None and progress.final:
                     return progress.value
                 await anyio.sleep(0.05)
@@ -343,7 +343,7 @@
         runs: dict[str, list[tuple[float, float]]] = {}
         for node in self.agents.values():
             model = node.model
-            model.work()
+            model.process_due()
             if model.overcommitted:
                 found.append(f"{model.name} was overcommitted")
             active = [
