--- a/packages/bench/src/apricotpath_bench/chaos.py
+++ b/packages/bench/src/apricotpath_bench/chaos.py
@@ -256,7 +256,7 @@
         finally:
             if acquired:
                 for name in names:
-                    self.drive.record_disturbance(name, since)
+                    self.drive.record_disturbed_period(name, since)
                 self._log_event(f"end of {label} {' '.join(names)}")
                 with self._lock:
                     self._reserved -= set(names)
--- a/packages/bench/src/apricotpath_bench/drive.py
+++ b/packages/bench/src/apricotpath_bench/drive.py
@@ -246,7 +246,7 @@
             with self.deployment.record_path(name).open("a", encoding="utf-8") as file:
                 file.write(json.dumps(line) + "\n")
 
-    def record_disturbance(self, name: str, since: float) -> None:
+    def record_disturbed_period(self, name: str, since: float) -> None:
         """Record that a process was subject to a fault from the unix time `since` until now."""
         self.observations.disturbed.append(Period(name, since, time.time()))
 
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -143,7 +143,7 @@
             act()
         finally:
             for name in names:
-                self.drive.record_disturbance(name, since)
+                self.drive.record_disturbed_period(name, since)
 
     # Faults
 
@@ -314,7 +314,7 @@
         self.taken_out_at, self.watched_until = taken_out_at, time.time()
         self.deployment.set_faults("store", down=False)
         self.deployment.resume("entry-2")
-        self.drive.record_disturbance("entry-2", since)
+        self.drive.record_disturbed_period("entry-2", since)
         self.drive.observations.take_outs.append(
             Period(centre, self.accepted_at + MAX_TAKE_OUT_DELAY_S, self.watched_until)
         )
@@ -366,7 +366,7 @@
             lasted = time.time() - since
             assert lasted > MAX_LEAVE_DELAY_S + 1.0, lasted
             self.drive.observations.shutdowns.append(Period(backend, since, time.time()))
-        self.drive.record_disturbance(name, since)
+        self.drive.record_disturbed_period(name, since)
 
     # Bundles and quiet hours
 
