--- a/tests/features/processes.feature
+++ b/tests/features/processes.feature
@@ -1,12 +1,11 @@
 Feature: processes
 
-  Runs real processes on loopback under kills, pauses, silent connections and
-  store faults, and judges them by the records of the worker and backend server
-  stand-ins, not by what the processes report. Guards against a host above its
-  capacity, a task that runs in two places, a resume from an outdated
-  checkpoint, task starts in a data centre out of service, swapped or truncated
-  answers, a false "not run", a booking that runs twice, and a bundle that is
-  replaced by an older one.
+  Runs real processes on loopback under kills, pauses, silent connections and store
+  faults, and judges them by the records of the worker and backend server
+  stand-ins, not by what the processes report. Guards against a host above its capacity,
+  a task that runs in two places, a resume from an outdated checkpoint, task starts
+  in a data centre out of service, swapped or truncated answers, a false "not run",
+  a booking that runs twice, and a bundle that is replaced by an older one.
 
   @long
   Scenario Outline: processes run each task in one place after <fault>
