Do not say 'not run' to a key that the entry has not looked up

Cause: an entry that has just started, and has no bundle yet, knew no service and rejected each call with 404 "no-service" and outcome not-run, a repeated key whose first call had run included. The same held for every rejection before a key's places are asked, and for an entry that had not read the founders' record. Change: an entry without a bundle answers 503 no-bundle with Retry-After; a rejected call with a key that its class needs, or whose class is not known, has outcome unknown; so has no-founders.

--- a/packages/core/src/apricotpath/control.py
+++ b/packages/core/src/apricotpath/control.py
@@ -210,6 +210,10 @@
         rules = self._services.get(service)
         return rules.claim if rules is not None else Size()
 
+    def has_bundle(self) -> bool:
+        """Tell whether a bundle is in force."""
+        return self.bundle is not None
+
     def service_rules(self, service: ServiceId) -> ServiceRules | None:
         """Return the rules of a service, or None if the bundle does not name it."""
         return self._services.get(service)
--- a/packages/core/src/apricotpath/servicerules.py
+++ b/packages/core/src/apricotpath/servicerules.py
@@ -35,6 +35,9 @@
 class RequestRules(Protocol):
     """The control state as the request path sees it; no call blocks."""
 
+    def has_bundle(self) -> bool:
+        """Return whether a bundle is in force; a process that has just started may have none."""
+
     def service_rules(self, service: ServiceId) -> ServiceRules | None:
         """Return the rules of a service, or None if it is not in the bundle."""
 
--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -25,6 +25,9 @@
 
 PREFIX = "/s/"
 MAX_HEADER_CHARS = 128
+IDEMPOTENCY_KEY = b"idempotency-key"
+# Retry-After of calls that are rejected because of the state of this entry.
+REJECTED_RETRY_AFTER_S = 1
 # Limit on all buffered request bodies together, as a multiple of the limit for one body.
 MAX_BUFFERED_BODIES = 8
 # Hypercorn also keeps a connection that its caller has closed until this time has passed,
@@ -116,6 +119,8 @@
         self.headers: dict[bytes, bytes] = {}
         self.service = ServiceId("")
         self.request_class = ClassId("")
+        # Whether the request's class, once it is known, is idempotent.
+        self.idempotent = False
         self.team = DEFAULT_TEAM
         self.request = ""
         self.buffered_bytes = 0
@@ -152,8 +157,10 @@
             self.app.watch(self)
             answer = await self.app.exchange.request(req)
         except RejectedRequest as exc:
-            await self._send_error(exc.status, ResultClass.NOT_RUN, exc, exc.reason, 0)
-            return ResultClass.NOT_RUN
+            result = ResultClass.UNKNOWN if self._may_have_run() else ResultClass.NOT_RUN
+            wait_s = REJECTED_RETRY_AFTER_S if exc.status == 503 else 0
+            await self._send_error(exc.status, result, exc, exc.reason, wait_s)
+            return result
         except NotRun as exc:
             self.app.metrics.request_refused(self.service, exc.reason)
             wait_s = max(1, round(exc.retry_after_s))
@@ -174,6 +181,15 @@
             answer.close()
         return ResultClass.ANSWERED
 
+    def _may_have_run(self) -> bool:
+        """Tell whether an earlier call with the key of this rejected one may have run.
+
+        The key's agents have not been asked, and a caller told "not run" may choose a new key.
+        """
+        if self.idempotent:
+            return False
+        return any(name == IDEMPOTENCY_KEY and value for name, value in self.scope["headers"])
+
     async def _read_request(self, started_at: float) -> CallerRequest:
         app, limits = self.app, self.app.cfg.limits
         if app.open_requests > limits.connections:
@@ -186,7 +202,7 @@
         self.headers = dict(raw)
         rules = self._find_class()
         deadline = started_at + self._deadline_s(rules, limits)
-        key = self._header(b"idempotency-key", "")
+        key = self._header(IDEMPOTENCY_KEY, "")
         if not rules.idempotent and not key:
             text = "This request class needs an Idempotency-Key header."
             raise RejectedRequest(400, "key-missing", text)
@@ -214,6 +230,8 @@
         path: str = self.scope["raw_path"].decode("latin-1")
         if not path.startswith(PREFIX):
             raise RejectedRequest(404, "not-found", "Requests go to /s/<service>/<path>.")
+        if not self.app.rules.has_bundle():
+            raise RejectedRequest(503, "no-bundle", "This entry has no bundle yet.")
         name = ServiceId(path[len(PREFIX) :].partition("/")[0])
         service = self.app.rules.service_rules(name)
         if service is None:
@@ -227,7 +245,7 @@
         if rules is None:
             text = "The Apricotpath-Class header must name a request class of the service."
             raise RejectedRequest(400, "no-class", text)
-        self.request_class = class_id
+        self.request_class, self.idempotent = class_id, rules.idempotent
         return rules
 
     def _header(self, header: bytes, default: str) -> str:
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -530,7 +530,8 @@
     async def _try_keyed(self, req: CallerRequest) -> AnswerStream:
         """Reserve the key; send the request to its home agent, or wait for an earlier run."""
         if not self.rules.has_founders(req.service):
-            raise NotRun("The service is still starting.", "no-founders", RETRY_AFTER_S)
+            # The record may exist without this entry having read it.
+            raise _unknown_outcome("the service is still starting", "no-founders")
         now = anyio.current_time()
         if not self.startup_wait_over():
             raise _unknown_outcome("the entry is still starting", "entry-starting")
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -43,6 +43,26 @@
       | headers over the limit  | 431    | headers-too-large |
       | a body that stalls      | 408    | body-too-slow     |
 
+  # A restarted entry knew no service yet, and answered 404 "not run" to a key that had run.
+  Scenario Outline: a call with a key that may have run before is never reported as not run
+    Given a callers deployment with 1 agents
+    When a caller repeats an answered booking <how>
+    Then the repeated booking gets status <status>, reason <reason> and outcome unknown
+
+    Examples:
+      | how                                              | status | reason       |
+      | at an entry that has no bundle yet               | 503    | no-bundle    |
+      | at an entry without the service's founders       | 502    | no-founders  |
+      | for a service that the bundle no longer names    | 404    | no-service   |
+      | with a class that the bundle does not name       | 400    | no-class     |
+      | with a deadline that is text                     | 400    | bad-deadline |
+      | while the entry holds too many requests          | 503    | too-many-requests |
+
+  Scenario: a call without a key is reported as not run by an entry that has no bundle yet
+    Given a callers deployment with 1 agents
+    When a request without a key reaches an entry that has no bundle yet
+    Then the request gets status 503, Retry-After and outcome not-run
+
   Scenario: a large request body reaches the backend server whole
     Given a callers deployment with 1 agents
     When a caller uploads 900000 bytes
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -272,6 +272,77 @@
     assert context.callers.net.runs == []
 
 
+def forget_bundle(net: LoopbackNet) -> None:
+    net.rules.loaded = False
+
+
+def forget_founders(net: LoopbackNet) -> None:
+    net.rules.founded = False
+
+
+def refuse_all(net: LoopbackNet) -> None:
+    net.app.cfg = replace(net.app.cfg, limits=replace(LIMITS, connections=0))
+
+
+# What happens to the entry before the booking is repeated, and what the second call changes.
+REPEATS: dict[str, tuple[Callable[[LoopbackNet], None] | None, dict[str, Any]]] = {
+    "at an entry that has no bundle yet": (forget_bundle, {}),
+    "at an entry without the service's founders": (forget_founders, {}),
+    "for a service that the bundle no longer names": (None, {"url": "/s/other/x"}),
+    "with a class that the bundle does not name": (None, {"Apricotpath-Class": "other"}),
+    "with a deadline that is text": (None, {"Apricotpath-Deadline-Ms": "soon"}),
+    "while the entry holds too many requests": (refuse_all, {}),
+}
+
+
+@when("a caller repeats an answered booking {how}")
+def _(context: Any, how: str) -> None:
+    subject = context.callers
+    change, options = REPEATS[how]
+    headers = {"Apricotpath-Class": "booking", "Idempotency-Key": "key-1"}
+
+    async def actions(net: LoopbackNet) -> None:
+        async with subject.client() as client:
+            first = await client.post("/s/scraps/x", headers=headers)
+            assert first.headers["apricotpath-outcome"] == "answered", first.text
+            if change is not None:
+                change(net)
+            url = options.get("url", "/s/scraps/x")
+            repeat = headers | {name: options[name] for name in options if name != "url"}
+            subject.responses.append((0, await client.post(url, headers=repeat)))
+
+    subject.net.run_scenario(actions)
+
+
+@then("the repeated booking gets status {status:d}, reason {reason} and outcome unknown")
+def _(context: Any, status: int, reason: str) -> None:
+    response = context.callers.responses[0][1]
+    assert response.status_code == status, response.text
+    assert response.headers["apricotpath-reason"] == reason
+    assert response.headers["apricotpath-outcome"] == "unknown", response.text
+    assert len(context.callers.net.runs) == 1
+
+
+@when("a request without a key reaches an entry that has no bundle yet")
+def _(context: Any) -> None:
+    subject = context.callers
+
+    async def actions(net: LoopbackNet) -> None:
+        forget_bundle(net)
+        async with subject.client() as client:
+            await subject.get(client, 10)
+
+    subject.net.run_scenario(actions)
+
+
+@then("the request gets status 503, Retry-After and outcome not-run")
+def _(context: Any) -> None:
+    response = context.callers.responses[0][1]
+    assert response.status_code == 503, response.text
+    assert int(response.headers["retry-after"]) > 0
+    assert response.headers["apricotpath-outcome"] == "not-run"
+
+
 @when("{count:d} callers send requests at once with {work:d} ms of work each")
 def _(context: Any, count: int, work: int) -> None:
     subject = context.callers
--- a/tests/features/steps/request_harness.py
+++ b/tests/features/steps/request_harness.py
@@ -52,9 +52,14 @@
         self.out: set[str] = set()
         self.founding: frozenset[str] = frozenset()
         self.founded = True
+        self.loaded = True
+
+    def has_bundle(self) -> bool:
+        return self.loaded
 
     def service_rules(self, service: str) -> ServiceRules | None:
-        return ServiceRules(SERVICE, Size(), CLASSES) if service == SERVICE else None
+        known = self.loaded and service == SERVICE
+        return ServiceRules(SERVICE, Size(), CLASSES) if known else None
 
     def in_service(self, data_centre: str) -> bool:
         return data_centre not in self.out
