Load, write and announce a scheduler's state over narrow links

Cause: the time limit of a store call took no account of its answer's size, so that a scheduler on a link of 2 Mbit/s never read its run log after a power cut of all machines; each try began anew, and the entry kept its place all the while.

The mirror scenario counted distinct numbers of applied keys, which depend on the random order of two tasks in a tick; it now counts the runs while keys are applied, with the same bound (it fails with a slice of 5000 keys).

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -22,8 +22,10 @@
 DEFER_S = 0.5
 # Spreads the attempts of entries that see the vacancy at the same time.
 JITTER_S = 0.05
-# Time limit of each write of an entry that shuts down.
+# Time limit of each write of an entry that shuts down or gives up its term.
 DRAIN_WRITE_S = 1.0
+# How long an entry that gave up its term leaves the leadership to others.
+STAND_BACK_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +52,8 @@
     previous term, if any; `predecessor_ended` is set once that leader and all
     before it certainly do nothing any more in their terms. Those before it have
     ended by `former_until`, and all of them by `earlier_until`, on the boot clock.
-    `holds` is filled when the term ends, see `LeaderRecord`.
+    `holds` is filled when the term ends, see `LeaderRecord`. `given_up` is set
+    if the leader cannot serve the term.
     """
 
     epoch: Epoch
@@ -61,6 +64,7 @@
     earlier_until: float = float("-inf")
     predecessor_ended: anyio.Event = field(default_factory=anyio.Event)
     holds: dict[HostId, float] = field(default_factory=dict)
+    given_up: anyio.Event = field(default_factory=anyio.Event)
 
 
 class Election:
@@ -95,6 +99,7 @@
         self._leader_lease: LeaseId | None = None
         self._changed = anyio.Event()
         self._vacant_since = float("inf")
+        self._stands_back_until = float("-inf")
         self._term_scope: anyio.CancelScope | None = None
         self._resigned = self._drain_stored = False
         self._released = anyio.Event()
@@ -228,21 +233,31 @@
                         # The entry may have resigned while its election was written.
                         if not self._resigned:
                             await self._serve(term)
-                        if self.draining:
+                        if self.draining or term.given_up.is_set():
                             await self._release(term)
+                        if term.given_up.is_set():
+                            self._stand_back()
                         self._released.set()
                         continue
             with anyio.move_on_after(RETRY_S if self._is_vacant() else 1.0):
                 await changed.wait()
 
+    def _stand_back(self) -> None:
+        """Leave the leadership to other entries for a while."""
+        self._stands_back_until = boot_s() + STAND_BACK_S
+        # If the release was not stored, the leader key ends with its lease.
+        self._lease = None
+
     def _may_campaign(self) -> bool:
         """Tell whether this entry may try to acquire the leadership now.
 
         It must be vacant, and vacant for DEFER_S if a peer has more processors. An entry that
-        is draining leaves it to any entry that is not.
+        is draining, or that has just given up its term, leaves it to any entry that is not
+        draining.
         """
         now = boot_s()
-        if self._resigned or (self.draining and self._has_non_draining_peer()):
+        stands_back = self.draining or now < self._stands_back_until
+        if self._resigned or (stands_back and self._has_non_draining_peer()):
             return False
         if not self._is_vacant():
             self._vacant_since = float("inf")
--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -10,6 +10,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.errors import StoreError
+from apricotpath.pagedread import PagedRead, PagedStore, ReadProgress
 from apricotpath.store import KeyValue, LeaseId, Store, WatchEvent
 
 log = logging.getLogger(__name__)
@@ -32,8 +33,8 @@
     revision: int
 
 
-class WatchableStore(Store, Protocol):
-    """A store that can be polled for changes."""
+class WatchableStore(Store, PagedStore, Protocol):
+    """A store that can be read in pages and polled for changes."""
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes of a prefix after a revision; wait up to `wait_s` for the first.
@@ -51,11 +52,16 @@
 
     `on_change(key, value or None, revision)` is called for each changed key,
     also when all keys are read again. `read_at` is the boot-clock time in
-    seconds at which the newest successful call began.
+    seconds at which the newest successful call began. `progress` counts what full reads receive.
     """
 
     def __init__(
-        self, store: WatchableStore, prefix: str, on_change: OnChange, wait_s: float = 1.0
+        self,
+        store: WatchableStore,
+        prefix: str,
+        on_change: OnChange,
+        wait_s: float = 1.0,
+        progress: ReadProgress | None = None,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -65,6 +71,7 @@
         self._on_change = on_change
         self._wait_s = wait_s
         self._revision = 0
+        self._progress = progress or ReadProgress()
 
     def age_s(self) -> float:
         """Return the maximum age of the copy in seconds; infinite before the first read."""
@@ -75,15 +82,16 @@
         delay = RETRY_FIRST_S
         reachable = True
         needs_full_read = True
+        full_read = PagedRead(self.store, self.prefix, self._progress)
+        started = boot_s()
         while True:
-            started = boot_s()
             try:
                 if needs_full_read:
-                    await self._read_all()
+                    await self._read_all(full_read)
                     needs_full_read = False
                 else:
                     await self._read_changes()
-                self.read_at = started
+                self.read_at, started = started, boot_s()
                 delay = RETRY_FIRST_S
                 if not reachable:
                     log.info("store reachable again", extra={"prefix": self.prefix})
@@ -91,15 +99,20 @@
             except HistoryCompacted:
                 log.info("store history compacted; reading all keys", extra={"prefix": self.prefix})
                 needs_full_read = True
+                full_read = PagedRead(self.store, self.prefix, self._progress)
+                started = boot_s()
             except StoreError as exc:
                 if reachable:
                     log.warning("store unreachable: %s", exc, extra={"prefix": self.prefix})
                 reachable = False
                 await anyio.sleep(delay)
                 delay = min(2 * delay, RETRY_MAX_S)
+                # The pages of an unfinished read are as old as its first one.
+                if not needs_full_read:
+                    started = boot_s()
 
-    async def _read_all(self) -> None:
-        result = await self.store.range(self.prefix)
+    async def _read_all(self, full_read: PagedRead) -> None:
+        result = await full_read.finish()
         found = {item.key: item for item in result.items}
         for key in [key for key in self.items if key not in found]:
             del self.items[key]
--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
 
 import anyio
 import anyio.lowlevel
@@ -15,161 +15,150 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from apricotpath.jsonfields import parse_object, read_int, read_list
+from apricotpath.jsonfields import parse_object, read_list
 from apricotpath.jsontext import json_bytes
+from apricotpath.mirror import WatchableStore
+from apricotpath.pagedread import ReadProgress
+from apricotpath.runlogreader import RunLogKeys, RunLogReader, find_obsolete
 from apricotpath.runrecords import RunRecord, from_row, to_row
-from apricotpath.store import Compare, Delete, KeyValue, Put, Store, new_token, settle_delays
+from apricotpath.store import Compare, Delete, KeyValue, Put, new_token, settle_delays
 
 log = logging.getLogger(__name__)
 
 # Entries that a store transaction may have, compares included.
 MAX_TXN_ENTRIES = 32
-# Digits of the numbers in keys, so that keys sort as their numbers do.
-SEQ_DIGITS = 12
 # Entries that every append needs: two compares and one put.
 APPEND_ENTRIES = 3
 # Operations that a caller may add to one append.
 MAX_EXTRA = 20
-MAX_PART_BYTES = 512 << 10
+# Records of one transaction, so that it is written in less than the time limit of a call also
+# over a narrow link.
+MAX_WRITE_BYTES = 64 << 10
 # Records handled at a time; other tasks of the process, such as lease renewals, run in between.
 RECORDS_PER_SLICE = 200
-LIST_RETRY_S = 0.1
-# Log entries after which a snapshot is due.
+LIST_RETRY_S = 0.5
+# A snapshot is due after so many log entries, or once the log is larger than the last snapshot
+# and than MIN_LOG_BYTES; what a successor reads thus grows with the open work only.
 SNAPSHOT_EVERY = 1500
+MIN_LOG_BYTES = 128 << 10
 
 
 class RunLog:
     """Log of one scheduler epoch; every append compares the epoch's key.
 
     A scheduler of an earlier epoch therefore cannot write. Appends must not run
-    concurrently.
+    concurrently, and snapshots neither, but a snapshot may run beside appends.
+    `entries` and `log_bytes` count what was appended since the newest snapshot.
     """
 
-    def __init__(self, store: Store, prefix: str, epoch_key: str, epoch_revision: int) -> None:
+    def __init__(
+        self,
+        store: WatchableStore,
+        prefix: str,
+        epoch_key: str,
+        epoch_revision: int,
+        progress: ReadProgress | None = None,
+    ) -> None:
         self.store = store
-        self.entries = 0
-        self._prefix = prefix
+        self.entries = self.log_bytes = 0
+        self._snapshot_bytes = 0
+        self._keys = RunLogKeys(prefix)
+        self._reader = RunLogReader(store, self._keys, progress or ReadProgress())
         self._epoch = Compare(epoch_key, epoch_revision)
-        self._seq = 0
+        self._seq = self._loaded_snapshot = 0
+        self._own_snapshots: list[int] = []
+        # Parts of the newest snapshot.
+        self._part_keys: list[str] = []
         self._obsolete: deque[str] = deque()
 
+    @property
+    def snapshot_due(self) -> bool:
+        """Whether the log has grown so long that a snapshot should replace it."""
+        limit = max(MIN_LOG_BYTES, self._snapshot_bytes)
+        return self.entries > SNAPSHOT_EVERY or self.log_bytes > limit
+
     async def load(self) -> list[RunRecord]:
         """Return all records, oldest first: those of the snapshot, then those of the log.
 
         Malformed records are logged and left out; the hosts' reports then show what runs.
+        Call it again after a StoreError; it keeps what was read.
         """
-        head = await self.store.get(f"{self._prefix}snapshot")
-        parts = await self.store.range(f"{self._prefix}parts/")
-        entries = self._entries((await self.store.range(f"{self._prefix}log/")).items)
-        after = self._snapshot_seq(head, parts.items, entries)
-        part_prefix = self._part_prefix(after)
-        items = [item for item in parts.items if item.key.startswith(part_prefix)]
-        self._seq = after
-        for seq, item in entries.items():
-            if seq > after:
-                items.append(item)
-                self._seq = seq
-                self.entries += 1
-        # `_snapshot_seq` relies on log entries being removed before the parts they follow.
-        self._obsolete += [item.key for seq, item in entries.items() if seq <= after]
-        self._obsolete += [item.key for item in parts.items if not item.key.startswith(part_prefix)]
-        return await self._decode(items)
-
-    def _entries(self, items: Iterable[KeyValue]) -> dict[int, KeyValue]:
-        """Return the log entries by number, in order; keys of another form are left out."""
-        numbered = {}
-        for item in items:
-            digits = item.key.rpartition("/")[2]
-            if digits.isdecimal() and item.key == self._entry_key(int(digits)):
-                numbered[int(digits)] = item
-            else:
-                log.error("malformed key in the run log ignored", extra={"key": item.key})
-        return dict(sorted(numbered.items()))
-
-    def _snapshot_seq(
-        self, head: KeyValue | None, parts: Sequence[KeyValue], entries: Mapping[int, KeyValue]
-    ) -> int:
-        """Return the number of the last log entry that the newest complete snapshot contains.
-
-        With a malformed head, the oldest snapshot that the log continues is taken: a newer one
-        may be incomplete, and the parts of an older one are removed after the entries between.
-        """
-        if head is None:
-            return 0
-        found = {0, *(self._part_seq(item.key) for item in parts)}
-        try:
-            seq = read_int(parse_object(head.value, "the snapshot's head"), "seq")
-            if seq in found:
-                return seq
-            log.error("head of a snapshot without parts ignored", extra={"seq": seq})
-        except InputError as exc:
-            log.error("malformed head of a snapshot ignored: %s", exc)
-        continued = [seq for seq in found if seq + 1 in entries]
-        return min(continued) if continued else max(found)
-
-    def _part_seq(self, key: str) -> int:
-        """Return the number in the key of a snapshot's part; 0 if it has another form."""
-        digits = key.removeprefix(f"{self._prefix}parts/").partition("/")[0]
-        return int(digits) if digits.isdecimal() and len(digits) == SEQ_DIGITS else 0
+        stored = await self._reader.read()
+        self._loaded_snapshot = stored.snapshot_seq
+        self._seq = max(stored.entries, default=stored.snapshot_seq)
+        self.entries = len(stored.entries)
+        self.log_bytes = sum(len(item.value) for item in stored.entries.values())
+        self._snapshot_bytes = sum(len(item.value) for item in stored.parts)
+        self._part_keys = [item.key for item in stored.parts]
+        return await self._decode([*stored.parts, *stored.entries.values()])
+
+    async def find_obsolete(self) -> None:
+        """Find what earlier schedulers left behind, for appends to remove; retries for good."""
+        while True:
+            try:
+                self._obsolete += await find_obsolete(
+                    self.store, self._keys, self._loaded_snapshot, self._own_snapshots
+                )
+                return
+            except StoreError as exc:
+                log.info("obsolete keys of the run log not listed: %s", exc)
+                await anyio.sleep(LIST_RETRY_S)
 
     async def append(
         self, records: Sequence[RunRecord], extra: Sequence[Put | Delete] = ()
     ) -> None:
-        """Write the records and extra operations in one transaction; return once durable.
+        """Write the records and extra operations; return once all are durable.
 
-        Retries while the store is unavailable. Raises FencedError if a newer
-        scheduler has taken over; nothing of this call is written then.
+        The extra operations take effect together with the last records, at least as many as
+        there are operations. Earlier records may precede them in transactions of their own,
+        which hold at most MAX_WRITE_BYTES. Retries while the store is unavailable. Raises
+        FencedError if a newer scheduler has taken over; the last records and the extra
+        operations are not written then.
         """
+        rows = [json_bytes(to_row(record)) for record in records]
+        first = size = 0
+        for number in range(len(rows) - len(extra)):
+            size += len(rows[number]) + 1
+            if size > MAX_WRITE_BYTES:
+                await self._append_entry(rows[first:number], ())
+                first, size = number, len(rows[number]) + 1
+        await self._append_entry(rows[first:], extra)
+
+    async def _append_entry(self, rows: Sequence[bytes], extra: Sequence[Put | Delete]) -> None:
+        """Write one log entry, and remove obsolete keys in the same transaction."""
         self._seq += 1
-        key = self._entry_key(self._seq)
-        value = {"token": new_token(), "records": [to_row(record) for record in records]}
-        operations: list[Put | Delete] = [Put(key, json_bytes(value)), *extra]
+        key = self._keys.entry(self._seq)
+        value = _entry_value(rows)
+        operations: list[Put | Delete] = [Put(key, value), *extra]
         free_entries = MAX_TXN_ENTRIES - APPEND_ENTRIES - len(extra)
         removed = [self._obsolete.popleft() for _ in range(min(free_entries, len(self._obsolete)))]
         operations += [Delete(obsolete) for obsolete in removed]
         await self._write(key, [Compare(key, 0)], operations)
         self.entries += 1
+        self.log_bytes += len(value)
 
-    async def snapshot(self, records: Iterable[RunRecord]) -> None:
-        """Replace the log by records that rebuild the same state; raises like `append`."""
-        seq = self._seq
-        parts: list[list[object]] = [[]]
-        size = 0
-        for record in records:
-            row = to_row(record)
-            size += len(json_bytes(row)) + 1
-            if size > MAX_PART_BYTES:
-                parts.append([])
-                size = 0
-            parts[-1].append(row)
-        for number, rows in enumerate(parts):
-            key = f"{self._part_prefix(seq)}{number:06d}"
-            part = {"token": new_token(), "records": rows}
-            await self._write(key, [], [Put(key, json_bytes(part))])
-        head = f"{self._prefix}snapshot"
-        old_parts = await self._old_parts(seq)
-        await self._write(head, [], [Put(head, json_bytes({"token": new_token(), "seq": seq}))])
-        first = seq - self.entries + 1
-        self._obsolete += [self._entry_key(old) for old in range(first, seq + 1)]
-        self._obsolete += old_parts
-        self.entries = 0
-
-    async def _old_parts(self, seq: int) -> list[str]:
-        while True:
-            try:
-                result = await self.store.range(f"{self._prefix}parts/")
-            except StoreError as exc:
-                log.info("parts of the snapshot not listed: %s", exc)
-                await anyio.sleep(LIST_RETRY_S)
-                continue
-            new = self._part_prefix(seq)
-            return [item.key for item in result.items if not item.key.startswith(new)]
+    async def snapshot(self, records: Sequence[RunRecord]) -> None:
+        """Replace the log by records that rebuild the same state; raises like `append`.
 
-    def _entry_key(self, seq: int) -> str:
-        return f"{self._prefix}log/{seq:0{SEQ_DIGITS}d}"
-
-    def _part_prefix(self, seq: int) -> str:
-        return f"{self._prefix}parts/{seq:0{SEQ_DIGITS}d}/"
+        The records must be the state at the call; entries that are appended meanwhile stay.
+        """
+        seq, entries, log_bytes = self._seq, self.entries, self.log_bytes
+        self._own_snapshots.append(seq)
+        part_keys: list[str] = []
+        size = 0
+        async for rows in _parts(records):
+            part_keys.append(self._keys.part(seq, len(part_keys)))
+            value = _entry_value(rows)
+            size += len(value)
+            await self._write(part_keys[-1], [], [Put(part_keys[-1], value)])
+        head = json_bytes({"token": new_token(), "seq": seq})
+        await self._write(self._keys.head, [], [Put(self._keys.head, head)])
+        first = seq - entries + 1
+        self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
+        self._obsolete += [key for key in self._part_keys if key not in part_keys]
+        self._part_keys, self._snapshot_bytes = part_keys, size
+        self.entries -= entries
+        self.log_bytes -= log_bytes
 
     async def _write(
         self, key: str, compares: Sequence[Compare], operations: Sequence[Put | Delete]
@@ -211,6 +200,30 @@
         return records
 
 
+def _entry_value(rows: Sequence[bytes]) -> bytes:
+    """Return the JSON text of a log entry, or of a part of a snapshot, with the given records."""
+    return b'{"token":"%s","records":[%s]}' % (new_token().encode(), b",".join(rows))
+
+
+async def _parts(records: Sequence[RunRecord]) -> AsyncIterator[list[bytes]]:
+    """Yield the JSON rows of records, at most MAX_WRITE_BYTES at a time; other tasks run meanwhile.
+
+    There is at least one part, so that a snapshot without records is told from a missing one.
+    """
+    part: list[bytes] = []
+    size = 0
+    for number, record in enumerate(records, 1):
+        row = json_bytes(to_row(record))
+        if size + len(row) >= MAX_WRITE_BYTES and part:
+            yield part
+            part, size = [], 0
+        part.append(row)
+        size += len(row) + 1
+        if number % RECORDS_PER_SLICE == 0:
+            await anyio.lowlevel.checkpoint()
+    yield part
+
+
 def decode_records(item: KeyValue) -> Iterator[RunRecord]:
     """Yield the records of a log entry or of a part of a snapshot; malformed ones are left out."""
     try:
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -175,6 +175,7 @@
         if stored is None:
             return None
         if stored.ended is not None:
+            self._add_status(JobStatus(job, stored.job.queue, stored.ended))
             return stored.ended
         return status.progress if status is not None else Progress.QUEUED
 
@@ -255,9 +256,14 @@
             return
         if message.whole:
             self._complete_epoch = message.epoch
-            self.statuses.clear()
+            # Final states never change; the message leaves them out.
+            final = {job: item for job, item in self.statuses.items() if item.progress.final}
+            self.statuses = final
         for status in message.jobs:
-            self.statuses[status.job] = status
+            self._add_status(status)
+
+    def _add_status(self, status: JobStatus) -> None:
+        self.statuses[status.job] = status
         if len(self.statuses) > MAX_STATUSES:
             self._evict_final_statuses()
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.lowlevel
+from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
 from apricotpath.crashes import Blame, CrashedRun, CrashHistory, assign_blame
@@ -27,7 +28,8 @@
     StartRuns,
 )
 from apricotpath.mirror import Mirror, WatchableStore
-from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, SNAPSHOT_EVERY, RunLog
+from apricotpath.pagedread import ReadProgress
+from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import (
     Placement,
@@ -50,6 +52,12 @@
 # Maximum time between two scheduling passes; some conditions depend on the clock alone.
 MAX_IDLE_S = 0.2
 LOAD_RETRY_S = 0.1
+# Interval of the log lines and checks while the tables are loaded.
+LOAD_CHECK_S = 1.0
+# A scheduler gives up its term when, while it loads, no byte has come from the store for
+# LOAD_SILENCE_S, or no whole page for LOAD_PAGE_S. A page of 1 MB takes 5 s at 2 Mbit/s.
+LOAD_SILENCE_S = 3.0
+LOAD_PAGE_S = 15.0
 COPY_INTERVAL_S = 0.3
 # Bounds the progress that is lost when all machines lose power at once.
 SAVE_INTERVAL_S = 2.0
@@ -113,8 +121,9 @@
         self._rules, self._publish, self._utc = rules, publish, utc
         self._metrics = metrics
         self._keys = JobKeys(prefix)
-        self._log = RunLog(store, f"{prefix}runs/", term.epoch_key, term.epoch_revision)
-        self._mirror = Mirror(store, self._keys.root, self._on_job_key_changed)
+        self.load_progress = progress = ReadProgress()
+        self._log = RunLog(store, f"{prefix}runs/", term.epoch_key, term.epoch_revision, progress)
+        self._mirror = Mirror(store, self._keys.root, self._on_job_key_changed, progress=progress)
         self._wake = anyio.Event()
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
@@ -122,30 +131,23 @@
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
+        self._snapshot_running = False
 
     # Start of the term.
 
     async def serve(self) -> None:
-        """Run until the term is over or the task is cancelled."""
+        """Run until the term is over or given up, or the task is cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._mirror.run)
-            records = await self._load()
-            await self._mirror.loaded.wait()
-            await self._apply_loaded(records)
-            self._restore_hosts()
-            group.start_soon(self._shorten_holds)
-            self.table.changed.update(self.table.rows)
-            self.loaded.set()
-            log.info(
-                "scheduler loaded",
-                extra={"jobs": len(self.table.rows), "records": len(records), "epoch": self.epoch},
-            )
-            try:
-                await self._run_loop()
-            except FencedError as exc:
-                log.warning("%s", exc, extra={"epoch": self.epoch})
-            finally:
-                self.term.holds.update(self.host_tracker.holds(boot_s()))
+            if await self._load_tables():
+                group.start_soon(self._shorten_holds)
+                group.start_soon(self._log.find_obsolete)
+                try:
+                    await self._run_loop(group)
+                except FencedError as exc:
+                    log.warning("%s", exc, extra={"epoch": self.epoch})
+                finally:
+                    self.term.holds.update(self.host_tracker.holds(boot_s()))
             group.cancel_scope.cancel()
 
     @property
@@ -153,14 +155,64 @@
         """The term's epoch."""
         return self.term.epoch
 
-    async def _load(self) -> list[RunRecord]:
+    async def _load_tables(self) -> bool:
+        """Load jobs and runs; return False if that makes no progress and the term is given up."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_loading, group.cancel_scope)
+            records = await self._read_log()
+            await self._mirror.loaded.wait()
+            await self._apply_loaded(records)
+            self._restore_hosts()
+            self._add_statuses()
+            self.loaded.set()
+            group.cancel_scope.cancel()
+        if self.term.given_up.is_set():
+            return False
+        log.info(
+            "scheduler loaded",
+            extra=self._load_state() | {"jobs": len(self.table.rows), "records": len(records)},
+        )
+        return True
+
+    def _add_statuses(self) -> None:
+        """Add the states of the loaded jobs, but for final ones, which are in the store."""
+        self.table.changed.clear()
+        for job, row in self.table.rows.items():
+            if not row.progress.final:
+                self.statuses[job] = JobStatus(job, row.job.queue, row.progress)
+
+    async def _read_log(self) -> list[RunRecord]:
         while True:
             try:
                 return await self._log.load()
             except StoreError as exc:
-                log.info("run log not read: %s", exc)
+                log.info("run log not read yet: %s", exc, extra=self._load_state())
                 await anyio.sleep(LOAD_RETRY_S)
 
+    async def _watch_loading(self, scope: anyio.CancelScope) -> None:
+        """Log how far loading is; give up the term once that makes no progress."""
+        progress = self.load_progress
+        while True:
+            await anyio.sleep(LOAD_CHECK_S)
+            now = boot_s()
+            log.info("scheduler loading", extra=self._load_state())
+            silent = now - progress.byte_at > LOAD_SILENCE_S
+            if silent or now - progress.page_at > LOAD_PAGE_S:
+                log.warning("term given up: loading makes no progress", extra=self._load_state())
+                self.term.given_up.set()
+                scope.cancel()
+
+    def _load_state(self) -> dict[str, object]:
+        """Return how far loading is, for log lines."""
+        progress = self.load_progress
+        return {
+            "epoch": self.epoch,
+            "bytes": progress.received_bytes,
+            "keys": progress.keys,
+            "failed_calls": progress.failed_calls,
+            "took_s": round(boot_s() - self._started, 3),
+        }
+
     async def _apply_loaded(self, records: Sequence[RunRecord]) -> None:
         """Apply the records of the run log, and let other tasks run in between."""
         now = boot_s()
@@ -229,7 +281,7 @@
 
     # Scheduling loop.
 
-    async def _run_loop(self) -> None:
+    async def _run_loop(self, group: TaskGroup) -> None:
         while True:
             with anyio.move_on_after(MAX_IDLE_S):
                 await self._wake.wait()
@@ -241,12 +293,23 @@
                 self._complete_batch(batch)
             self._publish_changes()
             self._send_stops(boot_s())
-            if self._log.entries > SNAPSHOT_EVERY:
-                await self._log.snapshot(list(self.table.summaries()))
+            if self._log.snapshot_due and not self._snapshot_running:
+                self._snapshot_running = True
+                group.start_soon(self._write_snapshot, list(self.table.summaries()))
             self._log_fleet()
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
 
+    async def _write_snapshot(self, records: list[RunRecord]) -> None:
+        """Replace the log so far by records of the present state, beside later appends."""
+        try:
+            await self._log.snapshot(records)
+        except FencedError as exc:
+            # The next append ends the term.
+            log.warning("snapshot not written: %s", exc, extra={"epoch": self.epoch})
+        finally:
+            self._snapshot_running = False
+
     def _send_stops(self, now: float) -> None:
         if now - self._stopped_at >= STOP_INTERVAL_S:
             self._stopped_at = now
@@ -583,8 +646,12 @@
             self._publish(JobStatuses(self.term.epoch, False, tuple(changed)))
 
     def all_statuses(self) -> Iterable[JobStatuses]:
-        """Yield messages that together contain the states of all jobs."""
-        job_statuses = list(self.statuses.values())
+        """Yield messages that together contain the states of all jobs that have not ended.
+
+        Final states are in the store, so that what a new scheduler sends does not grow with
+        the jobs of the past.
+        """
+        job_statuses = [item for item in self.statuses.values() if not item.progress.final]
         for start in range(0, max(1, len(job_statuses)), STATUSES_PER_MESSAGE):
             chunk = tuple(job_statuses[start : start + STATUSES_PER_MESSAGE])
             yield JobStatuses(self.term.epoch, start == 0, chunk)
--- a/tests/features/httpcalls.feature
+++ b/tests/features/httpcalls.feature
@@ -1,7 +1,8 @@
 Feature: httpcalls
 
   Guards against calls over plain HTTP that load TLS certificates, which cost an agent 27 ms of
-  processor time per timeout, and against the reuse of idle connections after a timeout.
+  processor time per timeout, against the reuse of idle connections after a timeout, and against
+  a bound on time that takes no account of the size of an answer.
 
   Scenario: httpcalls loads no certificates, also for the connections after a timeout
     Given a httpcalls server that does not answer its first request
@@ -24,3 +25,16 @@
       | nothing listens             | ConnectionRefused |
       | no descriptor is left       | CallFailed        |
       | the network is unreachable  | CallFailed        |
+
+  # A bound on the whole call made a scheduler read the same page of the store again and again.
+  Scenario Outline: httpcalls read a long page of the store for as long as it keeps coming
+    Given a httpcalls store whose page of 400 kB <comes>
+    When the page of the httpcalls store is read
+    Then the read of the httpcalls store <ends> after <least> to <most> seconds
+
+    Examples:
+      | comes                                      | ends                  | least | most |
+      | takes 2.5 seconds                          | returns the page      | 2.4   | 6    |
+      | stops after 100 kB                         | fails                 | 1.2   | 3    |
+      | is reset after 100 kB                      | fails                 | 0     | 1.5  |
+      | is refused                                 | fails                 | 0     | 3    |
--- a/tests/features/steps/httpcalls_steps.py
+++ b/tests/features/steps/httpcalls_steps.py
@@ -1,8 +1,11 @@
 """Steps for httpcalls.feature."""
 
 import asyncio
+import json
 import socket
 import ssl
+import time
+from base64 import b64encode
 from collections.abc import Iterator
 from contextlib import contextmanager, nullcontext
 from errno import EMFILE, ENETUNREACH
@@ -13,8 +16,10 @@
 from behave import given, then, when
 
 from apricotpath.config import Address
+from apricotpath.errors import StoreError
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath_platform.httpcalls import CallFailed, HttpCaller
+from apricotpath_platform.store import PlatformStore
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}"
 END_OF_HEAD = b"\r\n\r\n"
@@ -151,3 +156,70 @@
 @then("the httpcalls outcome is {outcome:w}")
 def check_outcome(context: Any, outcome: str) -> None:
     assert context.outcome == outcome, context.outcome
+
+
+PIECES = 40
+VALUE_BYTES = 7_500
+
+
+class PageServer:
+    """Store on loopback that sends one page of 400 kB in PIECES pieces."""
+
+    def __init__(self, how: str) -> None:
+        self.how = how
+        value = b64encode(bytes(VALUE_BYTES)).decode()
+        items = [{"key": f"k/{number}", "value": value, "rev": 1} for number in range(PIECES)]
+        self.page = json.dumps({"items": items, "currentRev": 1, "hasMore": False}).encode()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(END_OF_HEAD)
+        status = "503 Busy" if "refused" in self.how else "200 OK"
+        head = f"HTTP/1.1 {status}\r\ncontent-length: {len(self.page)}\r\n\r\n"
+        writer.write(head.encode())
+        size = len(self.page) // PIECES + 1
+        try:
+            for number in range(PIECES):
+                if number == PIECES // 4 and "100 kB" in self.how:
+                    break
+                writer.write(self.page[number * size : (number + 1) * size])
+                await writer.drain()
+                await asyncio.sleep(2.5 / PIECES if "takes" in self.how else 0)
+            if "reset" in self.how:
+                writer.transport.abort()
+            else:
+                await reader.read()
+        except OSError:
+            return
+        finally:
+            writer.close()
+
+
+@given("a httpcalls store whose page of 400 kB {how}")
+def page_store(context: Any, how: str) -> None:
+    context.server = PageServer(how)
+
+
+@when("the page of the httpcalls store is read")
+def read_page(context: Any) -> None:
+    async def main() -> None:
+        listener = await asyncio.start_server(context.server.serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        store = PlatformStore(Address("127.0.0.1", port), JobMetrics())
+        started = time.monotonic()
+        try:
+            context.page = await store.range("k/")
+        except StoreError:
+            context.page = None
+        context.seconds = time.monotonic() - started
+        listener.close()
+
+    anyio.run(main)
+
+
+@then("the read of the httpcalls store {ends} after {least:g} to {most:g} seconds")
+def page_read(context: Any, ends: str, least: float, most: float) -> None:
+    if ends == "fails":
+        assert context.page is None
+    else:
+        assert [len(item.value) for item in context.page.items] == [VALUE_BYTES] * PIECES
+    assert least <= context.seconds <= most, context.seconds
--- a/tests/features/steps/mirror_steps.py
+++ b/tests/features/steps/mirror_steps.py
@@ -22,8 +22,9 @@
 @then("another task runs at least {least:d} times while the mirror reads all its keys")
 def runs_meanwhile(context: Any, least: int) -> None:
     applied: list[str] = []
-    # How many keys had been applied each time the other task ran.
-    seen: set[int] = set()
+    # How many keys had been applied each time the other task ran. The order of the two tasks in
+    # each tick is random, so that a number may be seen twice.
+    seen: list[int] = []
 
     async def main() -> None:
         store = InstantStore(SharedStore())
@@ -33,7 +34,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(mirror.run)
             while not mirror.loaded.is_set():
-                seen.add(len(applied))
+                if 0 < len(applied) < context.count:
+                    seen.append(len(applied))
                 await anyio.lowlevel.checkpoint()
             group.cancel_scope.cancel()
 
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -49,6 +49,7 @@
         result = await store.txn([], [Put(EPOCH_KEY, b"{}")])
         log = RunLog(store, PREFIX, EPOCH_KEY, result.revision)
         self.loaded = await log.load()
+        await log.find_obsolete()
         return log
 
     async def append(self, number: int) -> None:
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -10,6 +10,7 @@
 from apricotpath.boottime import boot_s
 from apricotpath.errors import StoreLeaseEnded, StoreOutcomeUnknown, StoreUnavailable
 from apricotpath.mirror import Changes, HistoryCompacted
+from apricotpath.pagedread import OnBytes, Page, PagedRead, ReadProgress
 from apricotpath.store import (
     Compare,
     Delete,
@@ -22,6 +23,8 @@
 )
 
 ANSWER_S = 0.004
+PAGE_ITEMS = 500
+UNLIMITED = 1 << 60
 
 
 @dataclass
@@ -40,6 +43,12 @@
     late_s: float = 2.0
     silent: bool = False
     silent_watches: bool = False
+    # The link of the client; a connection is reset when so many more bytes of pages have come.
+    bytes_per_s: float = float("inf")
+    reset_every_bytes: int = UNLIMITED
+    reset_after_bytes: int = UNLIMITED
+    # Reads of pages get no answer, while all other calls do.
+    reads_stall: bool = False
 
 
 @dataclass
@@ -111,6 +120,7 @@
     def __init__(self, shared: SharedStore) -> None:
         self.shared = shared
         self.faults = Faults()
+        self.page_items = PAGE_ITEMS
         self._late: list[tuple[float, Sequence[Compare], Sequence[Put | Delete]]] = []
 
     async def _simulate_call(self) -> None:
@@ -136,10 +146,31 @@
         return self.shared.items.get(key)
 
     async def range(self, prefix: str, end: str = "") -> RangeResult:
+        return await PagedRead(self, prefix, ReadProgress()).finish()
+
+    async def page(self, prefix: str, after: str, on_bytes: OnBytes) -> Page:
         await self._simulate_call()
         items = sorted(self.shared.items.items())
-        found = tuple(item for key, item in items if key.startswith(prefix))
-        return RangeResult(found, self.shared.revision)
+        found = [item for key, item in items if key.startswith(prefix) and key > after]
+        page = tuple(found[: self.page_items])
+        size = sum(len(item.value) for item in page)
+        await self._transfer(size, on_bytes)
+        return Page(page, self.shared.revision, len(found) > len(page))
+
+    async def _transfer(self, size: int, on_bytes: OnBytes) -> None:
+        """Take the time that an answer of `size` bytes takes on this client's link."""
+        faults = self.faults
+        if faults.reads_stall:
+            await anyio.sleep(1.0)
+            raise StoreUnavailable("no answer")
+        if size > faults.reset_after_bytes:
+            await anyio.sleep(faults.reset_after_bytes / faults.bytes_per_s)
+            on_bytes(faults.reset_after_bytes)
+            faults.reset_after_bytes = faults.reset_every_bytes
+            raise StoreUnavailable("the connection was reset")
+        faults.reset_after_bytes -= size
+        await anyio.sleep(size / faults.bytes_per_s)
+        on_bytes(size)
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         ends_at = boot_s() + wait_s
