--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -122,10 +122,10 @@
             )
             return outcome
         text = job_text(job)
+        # The scheduler may read the stored job before this entry has the store's answer.
+        log.info("job submitted", extra={"job": job.job_id, "queue": job.queue})
         outcome = self._combine_outcomes(job.job_id, await self._store_job(job, text))
-        log.info(
-            "job submitted", extra={"job": job.job_id, "queue": job.queue, "outcome": outcome.value}
-        )
+        log.info("submission answered", extra={"job": job.job_id, "outcome": outcome.value})
         if outcome is Submission.ACCEPTED:
             self._notify_scheduler(JobAccepted(job.job_id, text))
         return outcome
