--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -346,6 +346,17 @@
             await self._discard_body()
         value = {"error": str(exc), "reason": reason, "outcome": result.value}
         request = getattr(exc, "request", "") or self.request
+        log.info(
+            "call not served",
+            extra={
+                "request": request,
+                "service": self.service,
+                "class": self.request_class,
+                "status": status,
+                "reason": reason,
+                "outcome": result.value,
+            },
+        )
         if request:
             value["request"] = request
         body = json.dumps(value).encode()
