Find the host of a report without looking at all hosts

Cause: the tracker searched all hosts for a report's fencing token, so that all reports together cost the square of the number of hosts; likewise for the end of a link. Change: hosts are kept by fencing token and by link.

--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -110,6 +110,10 @@
     ) -> None:
         self.hosts: dict[HostId, Host] = {}
         self.links: dict[HostId, Link] = {}
+        # The hosts of `links` by fencing token and by link, so that a report costs the same
+        # however many hosts there are.
+        self._names_by_fence: dict[FenceToken, HostId] = {}
+        self._names_by_link: dict[Link, set[HostId]] = {}
         self.endings: deque[ReportedEnding] = deque()
         self.lost_runs: deque[LostRun] = deque()
         self.crashes: deque[ReportedCrash] = deque()
@@ -139,6 +143,7 @@
         elif host.facts is not None:
             self._log_capacity(host, host.facts.capacity, message.capacity)
         self._queue_crashes(message)
+        self._detach(name)
         self._fences_issued += 1
         host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences_issued)
         host.reported = False
@@ -153,6 +158,8 @@
         )
         host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
         self.links[name] = link
+        self._names_by_fence[host.fence] = name
+        self._names_by_link.setdefault(link, set()).add(name)
         log.info(
             "host attached",
             extra={"host": name, "instance": message.instance, "fence": host.fence},
@@ -184,16 +191,26 @@
 
     def link_closed(self, link: Link) -> None:
         """Detach the hosts that are attached over a link."""
-        for name in [name for name, used in self.links.items() if used is link]:
-            del self.links[name]
-            self.hosts[name].reported = False
-            self.hosts[name].fence = NOT_ATTACHED
+        for name in sorted(self._names_by_link.get(link, ())):
+            self._detach(name)
             log.info("host detached", extra={"host": name})
 
+    def _detach(self, name: HostId) -> None:
+        """Take a host off its link; nothing that comes under its fencing token counts any more."""
+        link, host = self.links.pop(name, None), self.hosts[name]
+        self._names_by_fence.pop(host.fence, None)
+        host.reported = False
+        host.fence = NOT_ATTACHED
+        if link is not None:
+            names = self._names_by_link[link]
+            names.discard(name)
+            if not names:
+                del self._names_by_link[link]
+
     def _attached_host(self, link: Link, fence: FenceToken) -> Host | None:
         """Return the host that is attached over a link under a fencing token."""
-        host = next((item for item in self.hosts.values() if item.fence == fence), None)
-        return host if host is not None and self.links.get(host.host) is link else None
+        name = self._names_by_fence.get(fence)
+        return self.hosts[name] if name is not None and self.links.get(name) is link else None
 
     def receive_capacity(self, link: Link, message: HostCapacity) -> None:
         """Apply a change of a host's capacity; runs that no longer fit go on."""
@@ -241,8 +258,8 @@
 
     def receive_silence(self, link: Link, message: HostSilent) -> None:
         """Note that a host's executor does not answer: it gets no starts until its next report."""
-        host = next((item for item in self.hosts.values() if item.fence == message.fence), None)
-        if host is None or self.links.get(host.host) is not link:
+        host = self._attached_host(link, message.fence)
+        if host is None:
             return
         host.silent_since = boot_s()
         runs = self._table.runs_on(host.host)
