--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -53,6 +53,8 @@
     `on_change(key, value or None, revision)` is called for each changed key,
     also when all keys are read again. `read_at` is the boot-clock time in
     seconds at which the newest successful call began. `progress` counts what full reads receive.
+    With `coalesce_s`, a change is followed by full reads at that interval until nothing changes
+    any more, which suits large values that change many times in a row.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         on_change: OnChange,
         wait_s: float = 1.0,
         progress: ReadProgress | None = None,
+        coalesce_s: float = 0.0,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -72,6 +75,7 @@
         self._wait_s = wait_s
         self._revision = 0
         self._progress = progress or ReadProgress()
+        self._coalesce_s = coalesce_s
 
     def age_s(self) -> float:
         """Return the maximum age of the copy in seconds; infinite before the first read."""
@@ -81,53 +85,66 @@
         """Keep the copy up to date until cancelled."""
         delay = RETRY_FIRST_S
         reachable = True
-        needs_full_read = True
-        full_read = PagedRead(self.store, self.prefix, self._progress)
-        started = boot_s()
+        full_read: PagedRead | None = self._new_read()
         while True:
             try:
-                if needs_full_read:
+                if full_read is not None:
                     await self._read_all(full_read)
-                    needs_full_read = False
-                else:
-                    await self._read_changes()
-                self.read_at, started = started, boot_s()
+                    full_read = None
+                elif await self._read_changes() and self._coalesce_s:
+                    await self._read_until_quiet()
                 delay = RETRY_FIRST_S
                 if not reachable:
                     log.info("store reachable again", extra={"prefix": self.prefix})
                 reachable = True
             except HistoryCompacted:
                 log.info("store history compacted; reading all keys", extra={"prefix": self.prefix})
-                needs_full_read = True
-                full_read = PagedRead(self.store, self.prefix, self._progress)
-                started = boot_s()
+                full_read = self._new_read()
             except StoreError as exc:
                 if reachable:
                     log.warning("store unreachable: %s", exc, extra={"prefix": self.prefix})
                 reachable = False
                 await anyio.sleep(delay)
                 delay = min(2 * delay, RETRY_MAX_S)
-                # The pages of an unfinished read are as old as its first one.
-                if not needs_full_read:
-                    started = boot_s()
 
-    async def _read_all(self, full_read: PagedRead) -> None:
+    def _new_read(self) -> PagedRead:
+        return PagedRead(self.store, self.prefix, self._progress)
+
+    async def _read_until_quiet(self) -> None:
+        """Read all keys at intervals for as long as they go on changing.
+
+        The changes themselves would contain each version of a key in between.
+        """
+        changed = True
+        while changed:
+            await anyio.sleep(self._coalesce_s)
+            changed = await self._read_all(self._new_read())
+
+    async def _read_all(self, full_read: PagedRead) -> bool:
+        """Apply a full read; return whether anything has changed."""
         result = await full_read.finish()
         found = {item.key: item for item in result.items}
-        for key in [key for key in self.items if key not in found]:
+        gone = [key for key in self.items if key not in found]
+        for key in gone:
             del self.items[key]
             self._on_change(key, None, result.revision)
+        changed = bool(gone)
         for number, (key, item) in enumerate(found.items(), 1):
             if number % KEYS_PER_SLICE == 0:
                 await anyio.lowlevel.checkpoint()
             current = self.items.get(key)
             if current is None or current.mod_revision < item.mod_revision:
+                changed = True
                 self.items[key] = item
                 self._on_change(key, item.value, item.mod_revision)
         self._revision = result.revision
+        self.read_at = full_read.started_at
         self.loaded.set()
+        return changed
 
-    async def _read_changes(self) -> None:
+    async def _read_changes(self) -> bool:
+        """Wait for changes and apply them; return whether there were any."""
+        started = boot_s()
         changes = await self.store.changes(self.prefix, self._revision, self._wait_s)
         for event in changes.events:
             current = self.items.get(event.key)
@@ -141,3 +158,5 @@
                 )
             self._on_change(event.key, event.value, event.mod_revision)
         self._revision = max(self._revision, changes.revision)
+        self.read_at = started
+        return bool(changes.events)
--- a/packages/core/src/apricotpath/pagedread.py
+++ b/packages/core/src/apricotpath/pagedread.py
@@ -59,7 +59,8 @@
 class PagedRead:
     """One read of all keys with a prefix that sort after the key `after`.
 
-    `more` tells whether keys after `last_key` remain to be read.
+    `more` tells whether keys after `last_key` remain to be read. `started_at` is the boot-clock
+    time in seconds at which the call for the first page began.
     """
 
     def __init__(
@@ -70,9 +71,12 @@
         self._revision = 0
         self.last_key = after
         self.more = True
+        self.started_at = boot_s()
 
     async def next_page(self) -> tuple[KeyValue, ...]:
         """Read one more page and return its keys; raises StoreError."""
+        if not self._items:
+            self.started_at = boot_s()
         try:
             page = await self._store.page(self._prefix, self.last_key, self._progress.add_bytes)
         except StoreError:
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -121,6 +121,8 @@
         self.shared = shared
         self.faults = Faults()
         self.page_items = PAGE_ITEMS
+        # Bytes of the values in pages and changes that were returned.
+        self.received_bytes = 0
         self._late: list[tuple[float, Sequence[Compare], Sequence[Put | Delete]]] = []
 
     async def _simulate_call(self) -> None:
@@ -150,12 +152,13 @@
 
     async def page(self, prefix: str, after: str, on_bytes: OnBytes) -> Page:
         await self._simulate_call()
-        items = sorted(self.shared.items.items())
+        items, revision = sorted(self.shared.items.items()), self.shared.revision
         found = [item for key, item in items if key.startswith(prefix) and key > after]
         page = tuple(found[: self.page_items])
         size = sum(len(item.value) for item in page)
+        self.received_bytes += size
         await self._transfer(size, on_bytes)
-        return Page(page, self.shared.revision, len(found) > len(page))
+        return Page(page, revision, len(found) > len(page))
 
     async def _transfer(self, size: int, on_bytes: OnBytes) -> None:
         """Take the time that an answer of `size` bytes takes on this client's link."""
@@ -187,7 +190,11 @@
                 if event.mod_revision > after and event.key.startswith(prefix)
             )
             if found or boot_s() >= ends_at:
-                return Changes(found, self.shared.revision)
+                revision = self.shared.revision
+                size = sum(len(event.value or b"") for event in found)
+                self.received_bytes += size
+                await anyio.sleep(size / self.faults.bytes_per_s)
+                return Changes(found, revision)
             changed = self.shared.changed
             with anyio.move_on_after(max(0.0, ends_at - boot_s())):
                 await changed.wait()
