--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -11,13 +11,12 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
-from apricotpath.commitments import reserved_size
 from apricotpath.crashes import Blame, CrashedRun, CrashHistory, assign_blame
 from apricotpath.election import Term
-from apricotpath.errors import FencedError, InputError, StoreError
+from apricotpath.errors import FencedError, InputError
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput, host_loads
-from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, TaskId
+from apricotpath.ids import DataCentreId, FenceToken, JobId, QueueId
 from apricotpath.jobcodec import ended_text, parse_job
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.joborder import objective_s
@@ -27,8 +26,6 @@
     JobStatus,
     JobStatuses,
     RunEnding,
-    RunOrder,
-    StartRuns,
 )
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.pagedread import ReadProgress
@@ -42,18 +39,13 @@
 from apricotpathd.hosttracker import ExecutorName, HostTracker
 from apricotpathd.jobservice import JobKeys
 from apricotpathd.runstops import RunStops
+from apricotpathd.startorders import StartOrders
+from apricotpathd.tableload import TableLoad
 
 log = logging.getLogger(__name__)
 
 # Maximum time between two scheduling passes; some conditions depend on the clock alone.
 MAX_IDLE_S = 0.2
-LOAD_RETRY_S = 0.1
-# Interval of the log lines and checks while the tables are loaded.
-LOAD_CHECK_S = 1.0
-# A scheduler gives up its term when, while it loads, no byte has come from the store for
-# LOAD_SILENCE_S, or no whole page for LOAD_PAGE_S. A page of 1 MB takes 5 s at 2 Mbit/s.
-LOAD_SILENCE_S = 3.0
-LOAD_PAGE_S = 15.0
 COPY_INTERVAL_S = 0.3
 # Bounds the progress that is lost when all machines lose power at once.
 SAVE_INTERVAL_S = 2.0
@@ -124,6 +116,9 @@
         self._started = boot_s()
         self._cancel_keys: set[JobId] = set()
         self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
+        self._start_orders = StartOrders(
+            term.epoch, self.table, self.host_tracker, lambda: rules().out, metrics
+        )
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
@@ -152,21 +147,18 @@
         return self.term.epoch
 
     async def _load_tables(self) -> bool:
-        """Load jobs and runs; return False if that makes no progress and the term is given up."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_loading, group.cancel_scope)
-            records = await self._read_log()
-            await self._mirror.loaded.wait()
-            await self._apply_loaded(records)
-            self._restore_hosts()
-            self._add_statuses()
-            self.loaded.set()
-            group.cancel_scope.cancel()
+        """Load jobs and runs; return False if the term is given up instead."""
+        loading = TableLoad(self.term, self._log, self._mirror, self.load_progress)
+        records = await loading.read()
         if self.term.given_up.is_set():
             return False
+        await self._apply_loaded(records)
+        self._restore_hosts()
+        self._add_statuses()
+        self.loaded.set()
         log.info(
             "scheduler loaded",
-            extra=self._load_state() | {"jobs": len(self.table.rows), "records": len(records)},
+            extra=loading.state() | {"jobs": len(self.table.rows), "records": len(records)},
         )
         return True
 
@@ -177,38 +169,6 @@
             if not row.progress.final:
                 self.statuses[job] = JobStatus(job, row.job.queue, row.progress)
 
-    async def _read_log(self) -> list[RunRecord]:
-        while True:
-            try:
-                return await self._log.load()
-            except StoreError as exc:
-                log.info("run log not read yet: %s", exc, extra=self._load_state())
-                await anyio.sleep(LOAD_RETRY_S)
-
-    async def _watch_loading(self, scope: anyio.CancelScope) -> None:
-        """Log how far loading is; give up the term once that makes no progress."""
-        progress = self.load_progress
-        while True:
-            await anyio.sleep(LOAD_CHECK_S)
-            now = boot_s()
-            log.info("scheduler loading", extra=self._load_state())
-            silent = now - progress.byte_at > LOAD_SILENCE_S
-            if silent or now - progress.page_at > LOAD_PAGE_S:
-                log.warning("term given up: loading makes no progress", extra=self._load_state())
-                self.term.given_up.set()
-                scope.cancel()
-
-    def _load_state(self) -> dict[str, object]:
-        """Return how far loading is, for log lines."""
-        progress = self.load_progress
-        return {
-            "epoch": self.epoch,
-            "bytes": progress.received_bytes,
-            "keys": progress.keys,
-            "failed_calls": progress.failed_calls,
-            "took_s": round(boot_s() - self._started, 3),
-        }
-
     async def _apply_loaded(self, records: Sequence[RunRecord]) -> None:
         """Apply the records of the run log, and let other tasks run in between."""
         now = boot_s()
@@ -564,66 +524,7 @@
         """Acknowledge the endings and send the starts of a batch that has become durable."""
         for executor, number in batch.acked_endings.items():
             self.host_tracker.acknowledge_endings(executor, number)
-        by_host: dict[HostId, list[Placement]] = {}
-        for fence, placement in batch.starts:
-            # If the host has attached again meanwhile, its first report shows that the run is
-            # missing, and the task is placed again.
-            if self.host_tracker.hosts[placement.host].fence == fence:
-                by_host.setdefault(placement.host, []).append(placement)
-        for name, placements in by_host.items():
-            self._send_starts(self.host_tracker.hosts[name], placements)
-
-    def _send_starts(self, host: Host, placements: Iterable[Placement]) -> None:
-        """Send start orders, except those that became invalid while they were being written."""
-        orders, ordered = [], []
-        rules = self._rules()
-        for placement in placements:
-            task = self.table.task(placement.task)
-            run = task.runs.get(placement.run) if task else None
-            row = self.table.rows.get(placement.task.job)
-            if task is None or run is None or row is None:
-                continue
-            out = host.facts is not None and host.facts.data_centre in rules.out
-            if row.to_be_stopped or task.done or out or host.draining:
-                self.host_tracker.mark_lost(run, "its start was not sent")
-                continue
-            # The time spent on writing the assignment does not count as run time.
-            run.since = boot_s()
-            step = row.step(placement.task)
-            name = TaskId(str(placement.task))
-            orders.append(
-                RunOrder(
-                    name,
-                    run.run,
-                    row.job.command,
-                    task.saved,
-                    "",
-                    step.filler,
-                    step.target_ms,
-                    self.host_tracker.pressure(host, step),
-                    reserved_size(step),
-                )
-            )
-            ordered.append(run)
-            waited_s = run.since - task.waiting_since
-            self._metrics.task_ordered(row.job.queue, waited_s)
-            log.info(
-                "run ordered",
-                extra={
-                    "task": name,
-                    "run": run.run,
-                    "host": host.host,
-                    "epoch": self.epoch,
-                    "saved": task.saved,
-                    "waited_s": round(waited_s, 3),
-                    "report_age_s": round(run.since - host.reported_at, 3),
-                },
-            )
-        if orders:
-            message = StartRuns(host.fence, host.renewal, tuple(orders))
-            if not self.host_tracker.send(host, message):
-                for run in ordered:
-                    self.host_tracker.mark_lost(run, "its start was not sent")
+        self._start_orders.send(batch.starts)
 
     def _publish_changes(self) -> None:
         """Publish the job states that have changed."""
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -0,0 +1,99 @@
+"""Sends the start orders of placements whose assignments are durable."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from apricotpath.boottime import boot_s
+from apricotpath.commitments import reserved_size
+from apricotpath.fleet import Host
+from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, TaskId
+from apricotpath.jobmetrics import JobMetrics
+from apricotpath.jobtable import JobRow, JobTable, Run, Task
+from apricotpath.messages import RunOrder, StartRuns
+from apricotpath.runplacement import Placement
+from apricotpathd.hosttracker import HostTracker
+
+log = logging.getLogger(__name__)
+
+
+class StartOrders:
+    """Sends start orders to hosts; `out` returns the data centres that are out of service."""
+
+    def __init__(
+        self,
+        epoch: Epoch,
+        table: JobTable,
+        tracker: HostTracker,
+        out: Callable[[], frozenset[DataCentreId]],
+        metrics: JobMetrics,
+    ) -> None:
+        self._epoch, self._table, self._tracker = epoch, table, tracker
+        self._out, self._metrics = out, metrics
+
+    def send(self, starts: Iterable[tuple[FenceToken, Placement]]) -> None:
+        """Send the starts of a batch, each decided for an attachment of its host.
+
+        If the host has attached again meanwhile, its first report shows that the run is missing,
+        and the task is placed again.
+        """
+        by_host: dict[HostId, list[Placement]] = {}
+        for fence, placement in starts:
+            if self._tracker.hosts[placement.host].fence == fence:
+                by_host.setdefault(placement.host, []).append(placement)
+        for name, placements in by_host.items():
+            self._send_to(self._tracker.hosts[name], placements)
+
+    def _send_to(self, host: Host, placements: Iterable[Placement]) -> None:
+        """Send start orders, except those that became invalid while they were being written."""
+        orders, ordered = [], []
+        out = host.facts is not None and host.facts.data_centre in self._out()
+        for placement in placements:
+            task = self._table.task(placement.task)
+            run = task.runs.get(placement.run) if task else None
+            row = self._table.rows.get(placement.task.job)
+            if task is None or run is None or row is None:
+                continue
+            if row.to_be_stopped or task.done or out or host.draining:
+                self._tracker.mark_lost(run, "its start was not sent")
+                continue
+            # The time spent on writing the assignment does not count as run time.
+            run.since = boot_s()
+            orders.append(self._order(host, row, task, run))
+            ordered.append(run)
+            self._note(host, row, task, run)
+        if orders:
+            message = StartRuns(host.fence, host.renewal, tuple(orders))
+            if not self._tracker.send(host, message):
+                for run in ordered:
+                    self._tracker.mark_lost(run, "its start was not sent")
+
+    def _order(self, host: Host, row: JobRow, task: Task, run: Run) -> RunOrder:
+        step = row.step(task.key)
+        return RunOrder(
+            TaskId(str(task.key)),
+            run.run,
+            row.job.command,
+            task.saved,
+            "",
+            step.filler,
+            step.target_ms,
+            self._tracker.pressure(host, step),
+            reserved_size(step),
+        )
+
+    def _note(self, host: Host, row: JobRow, task: Task, run: Run) -> None:
+        """Count and log a start that is ordered."""
+        waited_s = run.since - task.waiting_since
+        self._metrics.task_ordered(row.job.queue, waited_s)
+        log.info(
+            "run ordered",
+            extra={
+                "task": str(task.key),
+                "run": run.run,
+                "host": host.host,
+                "epoch": self._epoch,
+                "saved": task.saved,
+                "waited_s": round(waited_s, 3),
+                "report_age_s": round(run.since - host.reported_at, 3),
+            },
+        )
