--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -3,6 +3,7 @@
 import logging
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
+from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
@@ -43,6 +44,15 @@
 MIN_LOG_BYTES = 128 << 10
 
 
+@dataclass(frozen=True, slots=True)
+class LogPosition:
+    """The last entry of a run log, and how much was appended since its newest snapshot."""
+
+    seq: int
+    entries: int
+    log_bytes: int
+
+
 class RunLog:
     """Log of one scheduler epoch; every append compares the epoch's key.
 
@@ -143,12 +153,16 @@
         self.entries += 1
         self.log_bytes += len(value)
 
-    async def snapshot(self, records: Sequence[RunRecord]) -> None:
-        """Replace the log by records that rebuild the same state; raises like `append`.
+    def position(self) -> LogPosition:
+        """Return the present end of the log; no append may be in progress."""
+        return LogPosition(self._seq, self.entries, self.log_bytes)
+
+    async def snapshot(self, records: Sequence[RunRecord], position: LogPosition) -> None:
+        """Replace the log up to a position by records that rebuild the state there.
 
-        The records must be the state at the call; entries that are appended meanwhile stay.
+        Entries that were appended since then stay. Raises like `append`.
         """
-        seq, entries, log_bytes = self._seq, self.entries, self.log_bytes
+        seq = position.seq
         self._own_snapshots.append(seq)
         part_keys: list[str] = []
         size = 0
@@ -159,12 +173,12 @@
             await self._write(part_keys[-1], [], [Put(part_keys[-1], value)])
         head = json_bytes({"token": new_token(), "seq": seq})
         await self._write(self._keys.head, [], [Put(self._keys.head, head)])
-        first = seq - entries + 1
+        first = seq - position.entries + 1
         self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
         self._obsolete += [key for key in self._part_keys if key not in part_keys]
         self._part_keys, self._snapshot_bytes = part_keys, size
-        self.entries -= entries
-        self.log_bytes -= log_bytes
+        self.entries -= position.entries
+        self.log_bytes -= position.log_bytes
 
     async def _write(
         self, key: str, compares: Sequence[Compare], operations: Sequence[Put | Delete]
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -29,7 +29,7 @@
 )
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.pagedread import ReadProgress
-from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, RunLog
+from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import Placement, place
 from apricotpath.runrecords import Assigned, Crashed, Ended, JobEnded, RunRecord
@@ -251,15 +251,17 @@
             self._send_stops(boot_s())
             if self._log.snapshot_due and not self._snapshot_running:
                 self._snapshot_running = True
-                group.start_soon(self._write_snapshot, list(self.table.summaries()))
+                # Both are taken before the next append can begin.
+                records, position = list(self.table.summaries()), self._log.position()
+                group.start_soon(self._write_snapshot, records, position)
             self._log_fleet()
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
 
-    async def _write_snapshot(self, records: list[RunRecord]) -> None:
-        """Replace the log so far by records of the present state, beside later appends."""
+    async def _write_snapshot(self, records: list[RunRecord], position: LogPosition) -> None:
+        """Replace the log up to a position by records of the state there, beside later appends."""
         try:
-            await self._log.snapshot(records)
+            await self._log.snapshot(records, position)
         except FencedError as exc:
             # The next append ends the term.
             log.warning("snapshot not written: %s", exc, extra={"epoch": self.epoch})
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -40,6 +40,12 @@
     Then the next scheduler loads the runlog's records once and in order
     And the store holds at most 12 keys of the runlog
 
+  # A snapshot that begins after the next append must not claim to contain it.
+  Scenario: runlog keeps the records that are appended before a snapshot is begun
+    Given a runlog of the first scheduler
+    When a snapshot of the runlog is begun late, after 3 more records were appended
+    Then the next scheduler loads the runlog's records once and in order
+
   # A malformed log entry or head of a snapshot ended each scheduler that loaded it.
   Scenario: runlog loads the other records beside malformed ones
     Given a runlog of the first scheduler
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -121,7 +121,20 @@
         for number in range(1, count + 1):
             await case.append(number)
             if number % every == 0:
-                await case.log.snapshot(case.appended)
+                await case.log.snapshot(case.appended, case.log.position())
+
+    case.actions.append(act)
+
+
+@when("a snapshot of the runlog is begun late, after {count:d} more records were appended")
+def late_snapshot(context: Any, count: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        records, position = list(case.appended), case.log.position()
+        for number in range(1, count + 1):
+            await case.append(number)
+        await case.log.snapshot(records, position)
 
     case.actions.append(act)
 
@@ -205,18 +218,18 @@
 
     async def act() -> None:
         if when_ == "right after a snapshot":
-            await case.log.snapshot(case.appended)
+            await case.log.snapshot(case.appended, case.log.position())
             # An append without records removes what the snapshot replaces.
             while case.log._obsolete:
                 await case.log.append([])
         elif when_.startswith("after a snapshot"):
             head = case.shared.items[f"{PREFIX}snapshot"]
-            await case.log.snapshot(case.appended)
+            await case.log.snapshot(case.appended, case.log.position())
             case.shared.items[head.key] = head
             parts = [key for key in case.shared.items if key.startswith(f"{PREFIX}parts/")]
             case.shared.remove(max(parts))
         elif when_.startswith("while"):
-            await case.log.snapshot(case.appended)
+            await case.log.snapshot(case.appended, case.log.position())
             case.log = await case.take_over(MemoryStore(case.shared))
             # The other operations of the append leave room to remove a part of the old keys only.
             other = [Put(f"test/other/{number}", b"") for number in range(MAX_EXTRA)]
