--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -154,7 +154,13 @@
         self.log_bytes += len(value)
 
     def position(self) -> LogPosition:
-        """Return the present end of the log; no append may be in progress."""
+        """Return the present end of the log for a snapshot there; no append may be in progress.
+
+        An earlier snapshot at this position that was not completed has the same keys, which
+        are not obsolete any more.
+        """
+        parts = self._keys.parts_of(self._seq)
+        self._obsolete = deque(key for key in self._obsolete if not key.startswith(parts))
         return LogPosition(self._seq, self.entries, self.log_bytes)
 
     async def snapshot(self, records: Sequence[RunRecord], position: LogPosition) -> None:
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -46,6 +46,13 @@
     When a snapshot of the runlog is begun late, after 3 more records were appended
     Then the next scheduler loads the runlog's records once and in order
 
+  # Parts that a dead scheduler left were still to be removed when the same keys were written again.
+  Scenario: runlog keeps a snapshot at the place of one that was not completed
+    Given a runlog of the first scheduler
+    When the first scheduler dies during a snapshot of the runlog, and the next one makes it again
+    And the next scheduler appends records until no key of the runlog is obsolete
+    Then the next scheduler loads the runlog's records once and in order
+
   # A malformed log entry or head of a snapshot ended each scheduler that loaded it.
   Scenario: runlog loads the other records beside malformed ones
     Given a runlog of the first scheduler
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -139,6 +139,33 @@
     case.actions.append(act)
 
 
+@when("the first scheduler dies during a snapshot of the runlog, and the next one makes it again")
+def repeated_snapshot(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        head = case.shared.items.get(f"{PREFIX}snapshot")
+        assert head is None
+        await case.log.snapshot(case.appended, case.log.position())
+        case.shared.remove(f"{PREFIX}snapshot")
+        case.log = await case.take_over(MemoryStore(case.shared))
+        await case.log.snapshot(case.appended, case.log.position())
+
+    case.actions.append(act)
+
+
+@when("the next scheduler appends records until no key of the runlog is obsolete")
+def remove_obsolete(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        await case.append(900)
+        while case.log._obsolete:
+            await case.log.append([])
+
+    case.actions.append(act)
+
+
 @when("{entries:d} entries of {each:d} records each are appended to the runlog")
 def append_many(context: Any, entries: int, each: int) -> None:
     case: LogCase = context.log
