--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -56,8 +56,11 @@
 class RunLog:
     """Log of one scheduler epoch; every append compares the epoch's key.
 
-    A scheduler of an earlier epoch therefore cannot write. Appends must not run
-    concurrently, and snapshots neither, but a snapshot may run beside appends.
+    A scheduler of an earlier epoch therefore cannot write. Each write of a snapshot also
+    compares the head that the snapshot replaces, so that none can take effect after the head of
+    that snapshot or of a later one. Appends must not run concurrently, and snapshots neither, but
+    a snapshot may run beside appends.
+
     `entries` and `log_bytes` count what was appended since the newest snapshot.
     """
 
@@ -75,7 +78,7 @@
         self._keys = RunLogKeys(prefix)
         self._reader = RunLogReader(store, self._keys, progress or ReadProgress())
         self._epoch = Compare(epoch_key, epoch_revision)
-        self._seq = self._loaded_snapshot = 0
+        self._seq = self._loaded_snapshot = self._head_revision = 0
         self._own_snapshots: list[int] = []
         # Parts of the newest snapshot.
         self._part_keys: list[str] = []
@@ -100,6 +103,7 @@
         """
         stored = await self._reader.read()
         self._loaded_snapshot = stored.snapshot_seq
+        self._head_revision = stored.head_revision
         self._seq = max(stored.entries, default=stored.snapshot_seq)
         self.entries = len(stored.entries)
         self.log_bytes = sum(len(item.value) for item in stored.entries.values())
@@ -145,11 +149,10 @@
         self._seq += 1
         key = self._keys.entry(self._seq)
         value = _entry_value(rows)
-        operations: list[Put | Delete] = [Put(key, value), *extra]
         free_entries = MAX_TXN_ENTRIES - APPEND_ENTRIES - len(extra)
         removed = [self._obsolete.popleft() for _ in range(min(free_entries, len(self._obsolete)))]
-        operations += [Delete(obsolete) for obsolete in removed]
-        await self._write(key, [Compare(key, 0)], operations)
+        deletes = [Delete(obsolete) for obsolete in removed]
+        await self._write(Put(key, value), Compare(key, 0), [*extra, *deletes])
         self.entries += 1
         self.log_bytes += len(value)
 
@@ -170,15 +173,16 @@
         """
         seq = position.seq
         self._own_snapshots.append(seq)
+        former_head = Compare(self._keys.head, self._head_revision)
         part_keys: list[str] = []
         size = 0
         async for rows in _parts(records):
             part_keys.append(self._keys.part(seq, len(part_keys)))
             value = _entry_value(rows)
             size += len(value)
-            await self._write(part_keys[-1], [], [Put(part_keys[-1], value)])
+            await self._write(Put(part_keys[-1], value), former_head)
         head = json_bytes({"token": new_token(), "seq": seq})
-        await self._write(self._keys.head, [], [Put(self._keys.head, head)])
+        self._head_revision = await self._write(Put(self._keys.head, head), former_head)
         first = seq - position.entries + 1
         self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
         self._obsolete += [key for key in self._part_keys if key not in part_keys]
@@ -186,29 +190,26 @@
         self.entries -= position.entries
         self.log_bytes -= position.log_bytes
 
-    async def _write(
-        self, key: str, compares: Sequence[Compare], operations: Sequence[Put | Delete]
-    ) -> None:
-        """Write one transaction that puts `key`; retries until the outcome is certain."""
-        expected = next(op.value for op in operations if isinstance(op, Put) and op.key == key)
-        unknown = False
+    async def _write(self, put: Put, compare: Compare, others: Sequence[Put | Delete] = ()) -> int:
+        """Write one transaction; retries until the outcome is certain.
+
+        Returns the mod revision of the key that `put` sets. An unanswered attempt may take effect
+        later, as long as `compare` is true and the epoch lasts.
+        """
         delays = settle_delays()
         while True:
             try:
-                result = await self.store.txn([self._epoch, *compares], operations)
+                result = await self.store.txn([self._epoch, compare], [put, *others])
                 if result.succeeded:
-                    return
-                if unknown or compares:
-                    item = await self.store.get(key)
-                    # An earlier attempt whose answer was lost has taken effect.
-                    if item is not None and item.value == expected:
-                        return
+                    return result.revision
+                item = await self.store.get(put.key)
+                # An earlier attempt whose answer was lost has taken effect.
+                if item is not None and item.value == put.value:
+                    return item.mod_revision
                 raise FencedError("a newer scheduler has taken over; nothing was written")
-            except StoreOutcomeUnknown:
-                unknown = True
             except FencedError:
                 raise
-            except (StoreUnavailable, StoreLimited):
+            except (StoreUnavailable, StoreLimited, StoreOutcomeUnknown):
                 pass
             except StoreError as exc:
                 log.error("store rejected the write, retrying: %s", exc)
--- a/packages/core/src/apricotpath/runlogreader.py
+++ b/packages/core/src/apricotpath/runlogreader.py
@@ -66,10 +66,12 @@
 class StoredLog:
     """What a run log consists of: the parts of its snapshot, and the entries after it by number.
 
-    `snapshot_seq` is the number of the last entry that the snapshot contains.
+    `snapshot_seq` is the number of the last entry that the snapshot contains, and
+    `head_revision` the mod revision of the head, 0 if there is none.
     """
 
     snapshot_seq: int
+    head_revision: int
     parts: tuple[KeyValue, ...]
     entries: Mapping[int, KeyValue]
 
@@ -91,13 +93,14 @@
         if not self._heads:
             self._heads.append(await self._store.get(self._keys.head))
         head = self._heads[0]
+        revision = head.mod_revision if head is not None else 0
         seq = 0 if head is None else self._head_seq(head)
         if seq is not None:
             parts = await self._range(self._keys.parts_of(seq)) if head is not None else ()
             if parts or not seq:
-                return StoredLog(seq, parts, await self._entries_after(seq))
+                return StoredLog(seq, revision, parts, await self._entries_after(seq))
             log.error("head of a snapshot without parts ignored", extra={"seq": seq})
-        return await self._read_without_head()
+        return await self._read_without_head(revision)
 
     def _head_seq(self, head: KeyValue) -> int | None:
         try:
@@ -127,7 +130,7 @@
                 log.error("malformed key in the run log ignored", extra={"key": item.key})
         return dict(sorted(numbered.items()))
 
-    async def _read_without_head(self) -> StoredLog:
+    async def _read_without_head(self, head_revision: int) -> StoredLog:
         """Read all keys, and take the oldest snapshot that the log continues.
 
         A newer one may be incomplete, and the parts of an older one are removed after the
@@ -140,7 +143,7 @@
         seq = min(continued) if continued else max(found)
         own_parts = tuple(item for item in parts if item.key.startswith(self._keys.parts_of(seq)))
         later = {number: item for number, item in entries.items() if number > seq}
-        return StoredLog(seq, own_parts, later)
+        return StoredLog(seq, head_revision, own_parts, later)
 
 
 async def find_obsolete(
--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -44,6 +44,16 @@
       | every entry is killed and started again      | 18    | 14     |
       | the scheduler is killed before ends are noted | 22   | 8      |
 
+  # An unanswered write of the key that names the newest snapshot took effect again after a newer
+  # one: the next scheduler lost what the newer one had replaced, and ended tasks started again.
+  Scenario: jobworld starts no ended task again after a late write of an older snapshot's head
+    Given a jobworld of 2 entries and 3 agents
+    When a job of steps 8 and 8 is submitted to the jobworld
+    And the jobworld meets a fault: an older head takes effect late and the scheduler is killed
+    Then the jobworld's jobs are completed within 16 seconds
+    And no invariant of the jobworld was violated
+    And tasks of the jobworld started at most 73 times
+
   Scenario: jobworld waits for a host that hears only a scheduler which has lost its place
     Given a jobworld of 2 entries and 2 agents
     And tasks of the jobworld take 20 seconds
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -75,3 +75,18 @@
       | right after a snapshot                     |
       | after a snapshot that was not completed    |
       | while a restarted scheduler removes parts  |
+
+  # A head that was written again after no answer took effect once more, after a newer one, and the
+  # next scheduler loaded an old snapshot and lost the entries that the newer one had replaced.
+  Scenario: runlog keeps all records when an unanswered head takes effect after a newer one
+    Given a runlog of the first scheduler
+    When the runlog's write of a head is carried out late, while a newer snapshot replaces it
+    Then the next scheduler loads the runlog's records once and in order
+    And the runlog's reader reports nothing
+
+  # A part that was written again after no answer came back after its removal.
+  Scenario: runlog does not bring back a part of a replaced snapshot
+    Given a runlog of the first scheduler
+    When the runlog's write of a part is carried out late, while a newer snapshot replaces it
+    Then the next scheduler loads the runlog's records once and in order
+    And the store holds the parts of 1 snapshot of the runlog
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -11,9 +11,10 @@
 from apricotpath.boottime import boot_s
 from apricotpath.ids import JobId, TaskId
 from apricotpath.model import Size
+from apricotpath.runlog import MIN_LOG_BYTES
 from apricotpath.workload import Job, Step
 from apricotpathd.attachment import ExecutorState
-from support.jobworld import QUEUE, JobWorld, run_virtual
+from support.jobworld import PREFIX, QUEUE, JobWorld, run_virtual
 
 CORE = Size(1000, 100, 0)
 HOST = Size(8000, 8000, 0)
@@ -324,6 +325,44 @@
     await run.running_world.kill(leader)
 
 
+async def write_snapshot(run: Script) -> None:
+    """Make the scheduler write a snapshot of the run log now."""
+    leader = run.running_world.leader()
+    assert leader is not None
+    run_log = leader.jobs.scheduler._log  # type: ignore[union-attr]
+    items, key = run.running_world.shared.items, f"{PREFIX}runs/snapshot"
+    former = items.get(key)
+    run_log.log_bytes += MIN_LOG_BYTES + run_log._snapshot_bytes
+    with anyio.fail_after(5):
+        while items.get(key) == former:
+            await anyio.sleep(0.001)
+
+
+@fault("an older head takes effect late and the scheduler is killed")
+async def write_head_late(run: Script) -> None:
+    leader = run.running_world.leader()
+    assert leader is not None
+    store, items = leader.store, run.running_world.shared.items
+    store.faults.late_prefix = f"{PREFIX}runs/snapshot"
+    store.faults.late_writes, store.faults.late_s = 1, 1000.0
+    await write_snapshot(run)
+    # Tasks that end now are forgotten by their executors once the ends are in the log.
+    steps = [Step(2, CORE, 1.0, after=(number - 1,) if number else ()) for number in range(6)]
+    run.jobs.append(await run.running_world.submit(*steps))
+    await anyio.sleep(3.5)
+    # The log grows by more entries than one append removes.
+    for _ in range(45):
+        run.jobs.append(await run.running_world.submit(Step(1, CORE, 1.0)))
+        await anyio.sleep(0.04)
+    await write_snapshot(run)
+    count = len([key for key in items if key.startswith(f"{PREFIX}runs/log/")])
+    with anyio.fail_after(5):
+        while len([key for key in items if key.startswith(f"{PREFIX}runs/log/")]) >= count:
+            await anyio.sleep(0.001)
+    store.apply_late_writes()
+    await run.running_world.kill(leader)
+
+
 @fault("a host hears only the former scheduler")
 async def partition_from_other_entries(run: Script) -> None:
     leader = run.running_world.leader()
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -1,6 +1,7 @@
 """Steps for runlog.feature."""
 
 import json
+import logging
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -20,12 +21,24 @@
 
 PREFIX = "test/runs/"
 EPOCH_KEY = "test/epoch"
+HEAD_KEY = f"{PREFIX}snapshot"
 
 
 def record(number: int) -> Ended:
     return Ended(TaskKey(JobId("a"), 0, 0, number), 1, RunResult.DONE)
 
 
+class ReaderErrors(logging.Handler):
+    """Keeps the errors that the reader of a run log reports."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
 class LogCase:
     """One store and the run logs of successive schedulers."""
 
@@ -35,7 +48,13 @@
         self.fenced = False
 
     def run(self) -> None:
-        run_virtual(self._main)
+        self.errors = ReaderErrors()
+        logger = logging.getLogger("apricotpath.runlogreader")
+        logger.addHandler(self.errors)
+        try:
+            run_virtual(self._main)
+        finally:
+            logger.removeHandler(self.errors)
 
     async def _main(self) -> None:
         self.shared = SharedStore()
@@ -144,10 +163,10 @@
     case: LogCase = context.log
 
     async def act() -> None:
-        head = case.shared.items.get(f"{PREFIX}snapshot")
+        head = case.shared.items.get(HEAD_KEY)
         assert head is None
         await case.log.snapshot(case.appended, case.log.position())
-        case.shared.remove(f"{PREFIX}snapshot")
+        case.shared.remove(HEAD_KEY)
         case.log = await case.take_over(MemoryStore(case.shared))
         await case.log.snapshot(case.appended, case.log.position())
 
@@ -160,8 +179,35 @@
 
     async def act() -> None:
         await case.append(900)
-        while case.log._obsolete:
-            await case.log.append([])
+        await remove_all_obsolete(case)
+
+    case.actions.append(act)
+
+
+async def remove_all_obsolete(case: LogCase) -> None:
+    """Append entries without records until they have removed all obsolete keys."""
+    while case.log._obsolete:
+        await case.log.append([])
+
+
+@when("the runlog's write of {what} is carried out late, while a newer snapshot replaces it")
+def late_older_write(context: Any, what: str) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        faults = case.store.faults
+        faults.late_prefix = PREFIX + ("snapshot" if what == "a head" else "parts/")
+        faults.late_writes, faults.late_s = 1, 1.0
+        await case.log.snapshot(case.appended, case.log.position())
+        for number in range(1, 41):
+            await case.append(number)
+        await case.log.snapshot(case.appended, case.log.position())
+        # Removes most, but not all, of what the newer snapshot replaces.
+        await case.append(41)
+        if what == "a part":
+            await remove_all_obsolete(case)
+        await anyio.sleep(2.0)
+        case.store.apply_due_writes()
 
     case.actions.append(act)
 
@@ -246,11 +292,9 @@
     async def act() -> None:
         if when_ == "right after a snapshot":
             await case.log.snapshot(case.appended, case.log.position())
-            # An append without records removes what the snapshot replaces.
-            while case.log._obsolete:
-                await case.log.append([])
+            await remove_all_obsolete(case)
         elif when_.startswith("after a snapshot"):
-            head = case.shared.items[f"{PREFIX}snapshot"]
+            head = case.shared.items[HEAD_KEY]
             await case.log.snapshot(case.appended, case.log.position())
             case.shared.items[head.key] = head
             parts = [key for key in case.shared.items if key.startswith(f"{PREFIX}parts/")]
@@ -263,7 +307,7 @@
             await case.log.append([record(100)], other)
             case.appended.append(record(100))
         for value in ODD_HEADS.values():
-            await case.store.txn([], [Put(f"{PREFIX}snapshot", value)])
+            await case.store.txn([], [Put(HEAD_KEY, value)])
             await case.take_over(MemoryStore(case.shared))
             assert case.loaded == case.appended, (value[:80], case.loaded)
 
@@ -302,3 +346,16 @@
     case: LogCase = context.log
     found = [key for key in case.shared.items if key.startswith(PREFIX)]
     assert len(found) <= count, len(found)
+
+
+@then("the runlog's reader reports nothing")
+def no_report(context: Any) -> None:
+    found = context.log.errors.records
+    assert not found, [record.getMessage() for record in found]
+
+
+@then("the store holds the parts of {count:d} snapshot of the runlog")
+def snapshots_held(context: Any, count: int) -> None:
+    keys_ = [key for key in context.log.shared.items if key.startswith(f"{PREFIX}parts/")]
+    held = {key.removeprefix(f"{PREFIX}parts/").partition("/")[0] for key in keys_}
+    assert len(held) == count, held
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -32,7 +32,8 @@
     """Active faults; `lost_answers` and `late_writes` are numbers of further writes.
 
     A write whose answer is lost takes effect. A late write also gets no answer,
-    and takes effect `late_s` later if its compares are still true.
+    and takes effect `late_s` later if its compares are still true; only writes that put a key
+    with the prefix `late_prefix` are late.
     With `down`, calls fail at once; with `silent`, after 1 s without an answer, and with
     `silent_watches` only those that ask for changes.
     """
@@ -41,6 +42,7 @@
     lost_answers: int = 0
     late_writes: int = 0
     late_s: float = 2.0
+    late_prefix: str = ""
     silent: bool = False
     silent_watches: bool = False
     # The link of the client; a connection is reset when so many more bytes of pages have come.
@@ -143,6 +145,11 @@
             with suppress(StoreLeaseEnded):
                 self.shared.apply(entry[1], entry[2])
 
+    def apply_late_writes(self) -> None:
+        """Apply all late writes now."""
+        self._late = [(boot_s(), compares, operations) for _, compares, operations in self._late]
+        self.apply_due_writes()
+
     async def get(self, key: str, revision: int = 0) -> KeyValue | None:
         await self._simulate_call()
         return self.shared.items.get(key)
@@ -207,7 +214,7 @@
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> TxnResult:
         await self._simulate_call()
-        if self.faults.late_writes > 0:
+        if self.faults.late_writes > 0 and self._puts_late_key(operations):
             self.faults.late_writes -= 1
             self._late.append((boot_s() + self.faults.late_s, compares, operations))
             raise StoreOutcomeUnknown("the answer was lost")
@@ -217,6 +224,12 @@
             raise StoreOutcomeUnknown("the answer was lost")
         return result
 
+    def _puts_late_key(self, operations: Sequence[Put | Delete]) -> bool:
+        prefix = self.faults.late_prefix
+        if not prefix:
+            return True
+        return any(isinstance(op, Put) and op.key.startswith(prefix) for op in operations)
+
     async def lease_grant(self, ttl_s: float) -> LeaseId:
         await self._simulate_call()
         lease = LeaseId(len(self.shared.leases) + self.shared.revision * 1000 + 1)
