Stop an agent only when entries have acknowledged its last answers

Callers saw: a request that ran to its end at an agent that shut down got no answer; its caller waited until the deadline and was told "unknown", although the class was idempotent or the answer was known. Cause: the drain ended 0.05 s after the last request. An answer whose link had just broken was meant to be settled over the next link, but the agent stopped before; an answer sent on a link that had gone silent was lost in the same way. Change: an entry acknowledges a whole answer to an agent that has said that it leaves (ResponseAck, which both sides know), and the agent's drain waits for these acknowledgements, at most for the time in which a broken link is noticed and dialled again (8 s with the defaults), and logs each answer that has none. Agents that are not leaving get no more messages than before. An entry without this change makes an agent that finishes requests in its drain wait the whole 8 s. Why it works: the acknowledgement is sent after the entry has read the last byte; until then the agent keeps its links, its kept answers and its replies to Settle.

--- a/packages/core/src/apricotpath/link.py
+++ b/packages/core/src/apricotpath/link.py
@@ -29,6 +29,9 @@
 # Queued frames are joined up to this size before they are sent, to save system calls.
 WRITE_BATCH_BYTES = 64 << 10
 READ_BYTES = 64 << 10
+# The pause before a redial is multiplied with a random factor between these two.
+MIN_REDIAL_JITTER = 0.5
+MAX_REDIAL_JITTER = 1.5
 
 
 class Handler(Protocol):
@@ -381,6 +384,11 @@
         raise LinkError(f"{address.host!r} is not the name of a host") from exc
 
 
+def relink_s(cfg: LinkSettings) -> float:
+    """Return the longest time in seconds until a broken link is noticed and dialled again."""
+    return cfg.silence_s + MAX_REDIAL_JITTER * cfg.redial_max_s + cfg.dial_timeout_s
+
+
 async def dial_forever(
     address: Address,
     hello: Hello,
@@ -408,7 +416,7 @@
             )
         if anyio.current_time() - started > cfg.redial_max_s:
             delay = cfg.redial_min_s
-        await anyio.sleep(delay * (0.5 + rng.random()))
+        await anyio.sleep(delay * rng.uniform(MIN_REDIAL_JITTER, MAX_REDIAL_JITTER))
         delay = min(2 * delay, cfg.redial_max_s)
 
 
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -16,7 +16,7 @@
 from apricotpath.config import AgentSettings, BackendSettings
 from apricotpath.errors import LinkError
 from apricotpath.ids import ClassId, IncarnationId, RequestId
-from apricotpath.link import Link
+from apricotpath.link import Link, relink_s
 from apricotpath.messages import (
     Failure,
     Header,
@@ -107,7 +107,11 @@
 
 @dataclass(eq=False, slots=True)
 class AdmittedRequest:
-    """One admitted request and the links that its answer is sent to."""
+    """One admitted request and the links that its answer is sent to.
+
+    `total` is the length of the answer in bytes, -1 until it is known. `confirmed` tells
+    whether an entry has acknowledged all of it.
+    """
 
     start: RequestStart
     link: Link
@@ -116,6 +120,8 @@
     complete: bool
     running: bool = False
     acked: int = 0
+    total: int = -1
+    confirmed: bool = False
     ack_event: anyio.Event | None = None
     scope: anyio.CancelScope | None = None
     waiting_links: list[Link] = field(default_factory=list)
@@ -154,6 +160,7 @@
         self._pressure = Pressure()
         self._admitted: dict[RequestId, AdmittedRequest] = {}
         self._queue: deque[AdmittedRequest] = deque()
+        self._unconfirmed: dict[RequestId, int] = {}
         self._busy = 0
         self._buffered_bytes = 0
         self._started_at: float | None = None
@@ -217,16 +224,30 @@
             self.leaving_at = anyio.current_time()
 
     async def drain(self) -> None:
-        """Leave, and return when the grace period is over and every request has ended."""
+        """Leave, and return when the grace period is over and every request has ended.
+
+        Answers that no entry has acknowledged are waited for, for the time that an entry
+        needs to open a new link and settle its requests.
+        """
         self.leave()
         assert self.leaving_at is not None
         await anyio.sleep_until(self.leaving_at + self.cfg.policy.leave_grace_s)
         while self._admitted:
             self._idle = anyio.Event()
             await self._idle.wait()
-        # The last answers are still in the links' send queues; a short pause lets them be sent.
+        await self._wait_confirmed()
+        # The last refusals are still in the links' send queues; a short pause lets them be sent.
         await anyio.sleep(0.05)
 
+    async def _wait_confirmed(self) -> None:
+        """Wait until entries have acknowledged the answers, for a limited time."""
+        with anyio.move_on_after(relink_s(self.cfg.link)):
+            while self._unconfirmed:
+                self._idle = anyio.Event()
+                await self._idle.wait()
+        for request in self._unconfirmed:
+            log.warning("no entry has acknowledged an answer", extra={"request": request})
+
     # Messages.
 
     @singledispatchmethod
@@ -311,6 +332,10 @@
     @_handle.register
     def _ack(self, body: ResponseAck, link: Link, message_id: int) -> None:
         admitted = self._admitted.get(body.request)
+        if admitted is not None and admitted.total == body.offset:
+            admitted.confirmed = True
+        if self._unconfirmed.get(body.request) == body.offset:
+            self._confirm(body.request)
         if admitted is not None and admitted.link is link:
             admitted.acked = max(admitted.acked, body.offset)
             if admitted.ack_event is not None:
@@ -327,6 +352,8 @@
             self._refuse(body.request, link, "the request body did not arrive")
         view = self.table.settle(body.request, anyio.current_time())
         self._post(link, Settled(body.request, view.settlement, view.reason), message_id)
+        if view.settlement is Settlement.UNKNOWN:
+            self._confirm(body.request)
         if view.answer is not None and self._group is not None:
             self._group.start_soon(self._send_kept, body.request, view.answer, link)
         elif view.settlement is Settlement.RUNNING and admitted is not None:
@@ -386,6 +413,11 @@
         if admitted is not None:
             self._remove(admitted)
 
+    def _confirm(self, request: RequestId) -> None:
+        """Stop waiting for the acknowledgement of an answer."""
+        if self._unconfirmed.pop(request, None) is not None and not self._unconfirmed:
+            self._idle.set()
+
     def _remove(self, admitted: AdmittedRequest) -> None:
         if self._admitted.pop(admitted.start.request, None) is not None:
             self._buffered_bytes -= len(admitted.body)
@@ -426,6 +458,9 @@
         """Store the answer, and send the result to the links that wait for it."""
         request = admitted.start.request
         self.table.mark_done(request, answer, reason, anyio.current_time())
+        has_answer = answer is not None or reason == TOO_LARGE
+        if self.leaving_at is not None and has_answer and not admitted.confirmed:
+            self._unconfirmed[request] = admitted.total
         if answer is None and reason != TOO_LARGE:
             self._post(admitted.link, RequestFailed(request, reason))
         for link in admitted.waiting_links:
@@ -526,6 +561,7 @@
             while len(unsent) > CHUNK_BYTES:
                 await self._send(bytes(unsent[:CHUNK_BYTES]), False)
                 del unsent[:CHUNK_BYTES]
+        self.admitted.total = self.total
         await self._send(bytes(unsent), True)
         if self.total > self.limits.kept_answer:
             return None, TOO_LARGE
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -38,6 +38,7 @@
     RequestRefused,
     RequestStart,
     ReserveKey,
+    ResponseAck,
     ResponseBody,
     ResponseStart,
     Settle,
@@ -175,12 +176,24 @@
                 attempt.status, attempt.headers = body.status, body.headers
             attempt.add(0, body.body, body.body_complete, len(body.body))
             attempt.wake()
+        if body.body_complete:
+            self._confirm_if_leaving(body.request, len(body.body), link)
 
     @_handle.register
     def _response_body(self, body: ResponseBody, link: Link) -> None:
         for attempt in self._attempts.get(body.request, ()):
             attempt.add(body.offset, body.data, body.final, body.total)
             attempt.wake()
+        if body.final:
+            self._confirm_if_leaving(body.request, body.total, link)
+
+    def _confirm_if_leaving(self, request: RequestId, total: int, link: Link) -> None:
+        """Confirm a whole answer to an agent that leaves, as it waits for this before it stops."""
+        row = self.hosts.rows.get(link.peer.process_id) if link.peer is not None else None
+        if row is None or not row.leaving:
+            return
+        if all(attempt.complete for attempt in self._attempts.get(request, ())):
+            self.send_best_effort(link, ResponseAck(request, total))
 
     @_handle.register
     def _refused(self, body: RequestRefused, link: Link) -> None:
--- a/tests/features/exchange.feature
+++ b/tests/features/exchange.feature
@@ -95,6 +95,29 @@
     And every exchange answer is complete and belongs to its request
     And nothing started at the leaving agent after it left
 
+  # Guards against an agent that stops while its link is down, so that its last answers are lost
+  # and their callers wait until the deadline.
+  Scenario Outline: exchange answers are not lost when the link <failure> before their agent stops
+    Given a deployment with agents: 2, entries: 1, seed: 1
+    When an exchange agent shuts down and its link <failure> before its answers of <size> bytes
+    Then the exchange agent had requests and has stopped
+    And every exchange answer is complete and belongs to its request
+    And no exchange request ran twice
+
+    Examples:
+      | failure     | size   |
+      | breaks      | 100    |
+      | breaks      | 0      |
+      | breaks      | 200000 |
+      | goes silent | 100    |
+      | goes silent | 200000 |
+
+  # Guards against a shutdown that waits for a confirmation that no entry will send.
+  Scenario: an exchange agent whose entry is gone stops without a confirmation of its answers
+    Given a deployment with agents: 1, entries: 1, seed: 1
+    When an exchange agent shuts down and its entry is gone before its answers
+    Then the exchange agent stopped within 9 s of its last answer
+
   Scenario: an agent that left or whose data centre is out refuses what still comes
     Given a deployment with agents: 1, entries: 1, seed: 1
     When exchange requests bypass routing after leaving and with the data centre out
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -301,6 +301,69 @@
     assert max(starts) <= subject.measured["left"]
 
 
+async def shut_down_exchange_agent(subject: Any, agent: Any) -> None:
+    """Do what an agent's process does: leave, drain and end."""
+    subject.measured["busy"] = agent.component.busy_slots
+    await agent.leave()
+    await agent.component.drain()
+    agent.kill()
+    subject.measured["stopped"] = anyio.current_time()
+
+
+@when("an exchange agent shuts down and its link {failure} before its answers of {size:d} bytes")
+def _(context: Any, failure: str, size: int) -> None:
+    subject = context.exchange
+
+    async def actions(net: Net) -> None:
+        agent = net.agents["agent1"]
+        async with anyio.create_task_group() as group:
+            for _number in range(8):
+                subject.start_request(group, work_ms=3000, size=size, deadline_s=30.0)
+            await anyio.sleep(0.1)
+            group.start_soon(shut_down_exchange_agent, subject, agent)
+            await anyio.sleep(2.8)
+            if failure == "breaks":
+                net.partitioned.add((agent.name, "entry1"))
+                net.break_link(agent.name)
+                await anyio.sleep(1.0)
+                net.partitioned.clear()
+            else:
+                net.silence(agent.name)
+
+    subject.run_scenario(actions)
+
+
+@then("the exchange agent had requests and has stopped")
+def _(context: Any) -> None:
+    measured = context.exchange.measured
+    assert measured["busy"] > 0
+    assert "stopped" in measured
+
+
+@when("an exchange agent shuts down and its entry is gone before its answers")
+def _(context: Any) -> None:
+    subject = context.exchange
+
+    async def actions(net: Net) -> None:
+        agent = net.agents["agent1"]
+        async with anyio.create_task_group() as group:
+            subject.start_request(group, work_ms=3000)
+            await anyio.sleep(0.1)
+            group.start_soon(shut_down_exchange_agent, subject, agent)
+            await anyio.sleep(2.8)
+            net.entries["entry1"].kill()
+
+    subject.run_scenario(actions)
+
+
+@then("the exchange agent stopped within {seconds:d} s of its last answer")
+def _(context: Any, seconds: int) -> None:
+    subject = context.exchange
+    last = max(run.end for run in subject.net.runs)
+    assert subject.measured["busy"] == 1
+    assert subject.measured["stopped"] - last <= seconds, (subject.measured, last)
+
+
 @when("exchange requests bypass routing after leaving and with the data centre out")
 def _(context: Any) -> None:
     subject = context.exchange
