Let the bench offer `load` and `trace` as plugins of the operators' command

Cause: apricotpath_cli imported apricotpath_bench in load.py and traces.py. Without the bench, `load` and `trace` were listed with all their options and failed only when they ran, one with exit code 2 and the other with 1.

Change: both modules move to the namespace package apricotpath_plugins, which the bench ships. The command adds the groups of all modules that it finds there on sys.path, which needs no metadata and so works with PYTHONPATH and with editable installs made earlier. For `load` and `trace` without a plugin it says in one sentence which package they need, with exit code 2. A plugin that cannot be imported leaves the other groups usable. The options are unchanged.

--- a/packages/cli/src/apricotpath_cli/load.py
+++ b/packages/bench/src/apricotpath_plugins/load.py
@@ -1,8 +1,8 @@
-"""Command that puts load on a local deployment and compares it with its baseline."""
+"""Command group `load`: puts load on a local deployment and compares it with its baseline."""
 
 import argparse
 
-from apricotpath.errors import InputError
+from apricotpath.errors import ApricotpathError
 from apricotpath_cli.options import Groups
 
 # Options passed on to `apricotpath_bench.compare`, which validates them.
@@ -29,10 +29,9 @@
 
 
 def _compare(args: argparse.Namespace) -> int:
-    # The bench package is large and is not installed with the operators' command.
     try:
         from apricotpath_bench.compare import main
     except ImportError as exc:
-        raise InputError(f"the package apricotpath-bench is not installed: {exc}") from exc
+        raise ApricotpathError(f"a library of apricotpath-bench is not installed: {exc}") from exc
     chosen = {name: getattr(args, name) for name in OPTIONS if getattr(args, name) is not None}
     return main([f"--{name}={value}" for name, value in chosen.items()])
--- a/packages/cli/src/apricotpath_cli/traces.py
+++ b/packages/bench/src/apricotpath_plugins/trace.py
@@ -1,4 +1,4 @@
-"""Commands that write the trace of a simulated deployment and replay traces."""
+"""Command group `trace`: writes the trace of a simulated deployment and replays traces."""
 
 import argparse
 from pathlib import Path
@@ -31,7 +31,7 @@
     try:
         from apricotpath_bench.tracemaker import trace_of
     except ImportError as exc:
-        raise ApricotpathError(f"apricotpath-bench is not installed: {exc}") from exc
+        raise ApricotpathError(f"a library of apricotpath-bench is not installed: {exc}") from exc
     write_trace(args.out, trace_of(args.shape, args.seed))
     print(f"{args.out}: written")
     return 0
@@ -41,7 +41,7 @@
     try:
         from apricotpath_bench.replay import load_outcomes, report
     except ImportError as exc:
-        raise ApricotpathError(f"apricotpath-bench is not installed: {exc}") from exc
+        raise ApricotpathError(f"a library of apricotpath-bench is not installed: {exc}") from exc
     trace = read_trace(args.file)
     if not trace.events:
         raise InputError(f"{args.file}: has no events to replay")
--- a/packages/cli/src/apricotpath_cli/cmdline.py
+++ b/packages/cli/src/apricotpath_cli/cmdline.py
@@ -6,14 +6,15 @@
 from typing import NoReturn
 
 from apricotpath.errors import ApricotpathError, InputError
-from apricotpath_cli import bundles, checks, datacentres, jobs, keys, load, tls, traces, views
+from apricotpath_cli import bundles, checks, datacentres, jobs, keys, tls, views
 from apricotpath_cli.options import Groups
+from apricotpath_cli.plugins import add_plugin_groups
 
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 EXIT_INTERRUPTED = 130
 
-# Registers the command groups; a new group is added here.
+# Registers the command groups; a new group of this package is added here.
 GROUPS: tuple[Callable[[Groups], None], ...] = (
     keys.add_group,
     tls.add_group,
@@ -22,8 +23,7 @@
     jobs.add_group,
     views.add_group,
     checks.add_group,
-    load.add_group,
-    traces.add_group,
+    add_plugin_groups,
 )
 
 
--- a/tests/features/cli.feature
+++ b/tests/features/cli.feature
@@ -121,3 +121,31 @@
   Scenario: the operators' command does not load the bench package at its start
     When a fresh interpreter builds the parser with the load commands
     Then no module of the bench package is loaded in the fresh interpreter
+
+  Scenario Outline: the operators' command runs where the bench package cannot be imported
+    When the operators' command runs without the bench package with <arguments>
+    Then the command without the bench package exits with <code> and prints only <words>
+
+    Examples:
+      | arguments                               | code | words                                             |
+      | check-config entry examples/suva/entry-1.json | 0 | valid                                          |
+      | load                                    | 2    | 'load' needs the package apricotpath-bench: it is not installed |
+      | load --help                             | 2    | 'load' needs the package apricotpath-bench: it is not installed |
+      | load compare --shape small              | 2    | 'load' needs the package apricotpath-bench: it is not installed |
+      | trace record out --shape suva --seed 1  | 2    | 'trace' needs the package apricotpath-bench: it is not installed |
+      | trace replay nowhere.trace              | 2    | 'trace' needs the package apricotpath-bench: it is not installed |
+
+  Scenario: no module of the operators' command imports the bench package
+    When the imports of the operators' command are collected
+    Then the operators' command imports no module of the bench package
+
+  Scenario Outline: a plugin that cannot be used leaves the other groups of the operators' command
+    When the operators' command runs beside a plugin that <fault> with <arguments>
+    Then the command without the bench package exits with <code> and prints only <words>
+
+    Examples:
+      | fault                  | arguments                                     | code | words                    |
+      | imports what is absent | check-config entry examples/suva/entry-1.json | 0    | valid                    |
+      | imports what is absent | load compare                                  | 2    | 'load' needs the package apricotpath-bench: the plugin apricotpath_plugins.load cannot be loaded: No module named 'absent' |
+      | adds no group          | check-config entry examples/suva/entry-1.json | 0    | valid                    |
+      | adds no group          | load compare                                  | 2    | 'load' needs the package apricotpath-bench: the plugin apricotpath_plugins.load has no function add_group |
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -1,10 +1,14 @@
 """Steps for cli.feature."""
 
+import ast
 import contextlib
 import io
 import json
 import shlex
+import subprocess
+import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +18,7 @@
 
 from apricotpath.bundle import to_json_value
 from apricotpath.signing import generate_key, save_key
+from apricotpath_cli import __file__ as cli_file
 from apricotpath_cli import client
 from apricotpath_cli.cmdline import main
 
@@ -26,6 +31,23 @@
     "run_time_s": 1,
 }
 
+# Runs the command in an interpreter that cannot see the bench package, neither on PYTHONPATH nor
+# through an editable install; the first argument is a folder with plugins, or empty.
+WITHOUT_BENCH = """
+import sys
+from importlib.util import find_spec
+from pathlib import Path
+sys.path = [name for name in sys.path if not (Path(name) / "apricotpath_bench").exists()]
+assert find_spec("apricotpath_bench") is None
+folder = sys.argv.pop(1)
+if folder:
+    sys.path.append(folder)
+from apricotpath_cli.cmdline import main
+sys.exit(main())
+"""
+PLUGIN_FAULTS = {"imports what is absent": "import absent\n", "adds no group": "add_group = None\n"}
+COMMAND_TIMEOUT_S = 60
+
 
 class OperatorsCommand:
     """Runs the command against in-memory entries and files in a folder, and keeps its output."""
@@ -144,3 +166,53 @@
 @then('the entries saw the change "{change}" {times:d} times')
 def _(context: Any, change: str, times: int) -> None:
     assert context.command.entries.changes.count(change) == times, context.command.entries.changes
+
+
+def run_without_bench(folder: str, arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-c", WITHOUT_BENCH, folder, *shlex.split(arguments)]
+    return subprocess.run(
+        command, capture_output=True, text=True, check=False, timeout=COMMAND_TIMEOUT_S
+    )
+
+
+@when("the operators' command runs without the bench package with {arguments}")
+def _(context: Any, arguments: str) -> None:
+    context.completed = run_without_bench("", arguments)
+
+
+@when("the operators' command runs beside a plugin that {fault} with {arguments}")
+def _(context: Any, fault: str, arguments: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        plugins = Path(folder) / "apricotpath_plugins"
+        plugins.mkdir()
+        (plugins / "load.py").write_text(PLUGIN_FAULTS[fault])
+        context.completed = run_without_bench(folder, arguments)
+
+
+@then("the command without the bench package exits with {code:d} and prints only {words}")
+def _(context: Any, code: int, words: str) -> None:
+    completed = context.completed
+    output = completed.stdout + completed.stderr
+    assert completed.returncode == code, (completed.returncode, output)
+    assert output.count("\n") == 1 and words in output, output
+
+
+def imported_modules(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ""
+
+
+@when("the imports of the operators' command are collected")
+def _(context: Any) -> None:
+    paths = list(Path(cli_file).parent.rglob("*.py"))
+    context.imported = {name for path in paths for name in imported_modules(path)}
+
+
+@then("the operators' command imports no module of the bench package")
+def _(context: Any) -> None:
+    found = [name for name in context.imported if name.partition(".")[0] == "apricotpath_bench"]
+    assert "apricotpath_cli.options" in context.imported, context.imported
+    assert not found, found
