--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -20,7 +20,7 @@
 from apricotpath.jsontext import json_bytes
 from apricotpath.mirror import WatchableStore
 from apricotpath.pagedread import ReadProgress
-from apricotpath.runlogreader import RunLogKeys, RunLogReader, find_obsolete
+from apricotpath.runlogreader import RunLogKeys, RunLogReader, SnapshotHead, find_obsolete
 from apricotpath.runrecords import RunRecord, from_row, to_row
 from apricotpath.store import Compare, Delete, KeyValue, Put, new_token, settle_delays
 
@@ -181,7 +181,7 @@
             value = _entry_value(rows)
             size += len(value)
             await self._write(Put(part_keys[-1], value), former_head)
-        head = json_bytes({"token": new_token(), "seq": seq})
+        head = SnapshotHead(seq, len(part_keys)).encode()
         self._head_revision = await self._write(Put(self._keys.head, head), former_head)
         first = seq - position.entries + 1
         self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
--- a/packages/core/src/apricotpath/runlogreader.py
+++ b/packages/core/src/apricotpath/runlogreader.py
@@ -1,14 +1,16 @@
 """Reading of the run log from the store: keys, the snapshot, and the entries after it."""
 
 import logging
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from itertools import groupby
 
 from apricotpath.errors import InputError
 from apricotpath.jsonfields import parse_object, read_int
+from apricotpath.jsontext import json_bytes
 from apricotpath.mirror import WatchableStore
 from apricotpath.pagedread import PagedRead, ReadProgress
-from apricotpath.store import KeyValue
+from apricotpath.store import KeyValue, new_token
 
 log = logging.getLogger(__name__)
 
@@ -56,10 +58,43 @@
             return int(digits)
         return None
 
-    def part_seq(self, key: str) -> int:
-        """Return the snapshot's number in the key of a part; 0 if it has another form."""
+    def part_seq(self, key: str) -> int | None:
+        """Return the snapshot's number in the key of a part; None if it has another form."""
         digits = key.removeprefix(self.parts).partition("/")[0]
-        return int(digits) if digits.isdecimal() and len(digits) == SEQ_DIGITS else 0
+        if digits.isdecimal() and key.startswith(self.parts_of(int(digits))):
+            return int(digits)
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotHead:
+    """The number of the newest snapshot, and of how many parts it consists.
+
+    `parts` is None if the head does not tell it, as in logs of earlier versions.
+    """
+
+    seq: int
+    parts: int | None
+
+    def encode(self) -> bytes:
+        """Return the JSON form with a new writer token."""
+        return json_bytes({"token": new_token(), "seq": self.seq, "parts": self.parts})
+
+    @classmethod
+    def parse(cls, value: bytes) -> "SnapshotHead":
+        """Parse the JSON form, or raise InputError."""
+        content = parse_object(value, "the snapshot's head")
+        seq = read_int(content, "seq")
+        parts = read_int(content, "parts", low=1) if "parts" in content else None
+        return cls(seq, parts)
+
+    def lacks_parts(self, found: int) -> bool:
+        """Tell whether `found` parts are too few; there is always at least one."""
+        return found < (1 if self.parts is None else self.parts)
+
+
+# Stands for the head of a log without a snapshot.
+NO_SNAPSHOT = SnapshotHead(0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,28 +122,54 @@
     async def read(self) -> StoredLog:
         """Return the run log; call it again after a StoreError to continue.
 
-        Only the newest complete snapshot and the entries after it are read, unless the head
-        that names it is malformed.
+        Only the newest snapshot and the entries after it are read, unless the head that names it
+        is malformed, parts of it are missing, or the entries do not continue it.
         """
         if not self._heads:
             self._heads.append(await self._store.get(self._keys.head))
-        head = self._heads[0]
-        revision = head.mod_revision if head is not None else 0
-        seq = 0 if head is None else self._head_seq(head)
-        if seq is not None:
-            parts = await self._range(self._keys.parts_of(seq)) if head is not None else ()
-            if parts or not seq:
-                return StoredLog(seq, revision, parts, await self._entries_after(seq))
-            log.error("head of a snapshot without parts ignored", extra={"seq": seq})
-        return await self._read_without_head(revision)
-
-    def _head_seq(self, head: KeyValue) -> int | None:
+        item = self._heads[0]
+        revision = item.mod_revision if item is not None else 0
+        head = self._parse_head(item)
+        stored = await self._read_named(head, revision) if head is not None else None
+        return stored or await self._read_best(head, revision)
+
+    def _parse_head(self, item: KeyValue | None) -> SnapshotHead | None:
+        """Return the head; None if it is malformed."""
+        if item is None:
+            return NO_SNAPSHOT
         try:
-            return read_int(parse_object(head.value, "the snapshot's head"), "seq")
+            return SnapshotHead.parse(item.value)
         except InputError as exc:
             log.error("malformed head of a snapshot ignored: %s", exc)
             return None
 
+    async def _read_named(self, head: SnapshotHead, revision: int) -> StoredLog | None:
+        """Read the snapshot that the head names, and what follows; None if that is incomplete."""
+        parts: tuple[KeyValue, ...] = ()
+        if head is not NO_SNAPSHOT:
+            parts = self._counted(head, await self._range(self._keys.parts_of(head.seq)))
+        if head.lacks_parts(len(parts)):
+            numbers = {"snapshot": head.seq, "found": len(parts), "parts": head.parts}
+            log.error("the newest snapshot of the run log lacks parts", extra=numbers)
+            return None
+        entries = await self._entries_after(head.seq)
+        missing = _count_missing(head.seq, max(entries, default=head.seq), entries)
+        if missing:
+            numbers = {"snapshot": head.seq, "entries": len(entries), "missing": missing}
+            log.error("the run log lacks entries after its newest snapshot", extra=numbers)
+            return None
+        return StoredLog(head.seq, revision, parts, entries)
+
+    def _counted(self, head: SnapshotHead, parts: Iterable[KeyValue]) -> tuple[KeyValue, ...]:
+        """Return the parts that the head counts.
+
+        A longer snapshot that was not completed may have left others at the same place.
+        """
+        if head.parts is None:
+            return tuple(parts)
+        end = self._keys.part(head.seq, head.parts)
+        return tuple(item for item in parts if item.key < end)
+
     async def _range(self, prefix: str, after: str = "") -> tuple[KeyValue, ...]:
         key = (prefix, after)
         if key not in self._reads:
@@ -130,20 +191,42 @@
                 log.error("malformed key in the run log ignored", extra={"key": item.key})
         return dict(sorted(numbered.items()))
 
-    async def _read_without_head(self, head_revision: int) -> StoredLog:
-        """Read all keys, and take the oldest snapshot that the log continues.
+    async def _read_best(self, head: SnapshotHead | None, revision: int) -> StoredLog:
+        """Read all keys, and take the oldest snapshot that the log continues with fewest gaps.
 
         A newer one may be incomplete, and the parts of an older one are removed after the
         entries between.
         """
-        parts = await self._range(self._keys.parts)
+        parts = self._by_snapshot(await self._range(self._keys.parts))
         entries = await self._entries_after(0)
-        found = {0, *(self._keys.part_seq(item.key) for item in parts)}
-        continued = [seq for seq in found if seq + 1 in entries]
-        seq = min(continued) if continued else max(found)
-        own_parts = tuple(item for item in parts if item.key.startswith(self._keys.parts_of(seq)))
+        lacking: int | None = None
+        if head is not None and head.seq in parts:
+            parts[head.seq] = self._counted(head, parts[head.seq])
+            lacking = head.seq if head.lacks_parts(len(parts[head.seq])) else None
+        # A snapshot begins after the entry of its number has been written.
+        last = max([*parts, *entries])
+        missing = {seq: _count_missing(seq, last, entries) for seq in parts}
+        seq = min(parts, key=lambda seq: (missing[seq], seq == lacking, seq))
         later = {number: item for number, item in entries.items() if number > seq}
-        return StoredLog(seq, head_revision, own_parts, later)
+        numbers = {"snapshot": seq, "entries": len(later), "missing": missing[seq]}
+        log.error("run log loaded by its parts and entries instead of its head", extra=numbers)
+        return StoredLog(seq, revision, parts[seq], later)
+
+    def _by_snapshot(self, items: Iterable[KeyValue]) -> dict[int, tuple[KeyValue, ...]]:
+        """Return the parts, which are in order, by the number of their snapshot.
+
+        0 stands for the beginning of the log.
+        """
+        found: dict[int, tuple[KeyValue, ...]] = {0: ()}
+        for seq, group in groupby(items, lambda item: self._keys.part_seq(item.key)):
+            if seq is not None:
+                found[seq] = tuple(group)
+        return found
+
+
+def _count_missing(first: int, last: int, entries: Collection[int]) -> int:
+    """Return how many entries after number `first` and up to `last` are not there."""
+    return last - first - sum(first < number <= last for number in entries)
 
 
 async def find_obsolete(
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -90,3 +90,45 @@
     When the runlog's write of a part is carried out late, while a newer snapshot replaces it
     Then the next scheduler loads the runlog's records once and in order
     And the store holds the parts of 1 snapshot of the runlog
+
+  # A head that named an older snapshot, of which entries were removed, was loaded without a word.
+  Scenario: runlog loads the newest whole snapshot when the head names an older one
+    Given a runlog of the first scheduler
+    When the head of the runlog names an older snapshot while entries after it are removed
+    Then the next scheduler loads the runlog's records once and in order
+    And the runlog's reader reports 26 missing entries after snapshot 1
+
+  # A gap in the entries was passed over without a word.
+  Scenario: runlog reports a gap in its entries and loads all others
+    Given a runlog of the first scheduler
+    When 20 records are appended to the runlog with a snapshot after every 15
+    And the runlog's entry 18 is lost
+    Then the next scheduler loads the runlog's records but that of entry 18
+    And the runlog's reader reports 1 missing entries after snapshot 16
+
+  # A snapshot that had lost a part was loaded as if it were whole, although the log had it all.
+  Scenario: runlog does not take a snapshot without some of its parts for a whole one
+    Given a runlog of the first scheduler
+    When a snapshot of 3000 records of the runlog loses a part while the entries are there
+    Then the next scheduler loads the runlog's records once and in order
+    And the runlog's reader reports 1 parts of 2
+
+  # A longer snapshot at the same place, which a dead scheduler left, was read along with it.
+  Scenario: runlog leaves out a part beyond those that the head counts
+    Given a runlog of the first scheduler
+    When a snapshot of the runlog is followed by a part of an earlier one at its place
+    Then the next scheduler loads the runlog's records once and in order
+    And the runlog's reader reports nothing
+
+  # Logs of the version before, whose heads do not count the parts, must load.
+  Scenario: runlog loads a snapshot whose head does not count its parts
+    Given a runlog of the first scheduler
+    When 20 records are appended to the runlog with a snapshot after every 15
+    And the head of the runlog's snapshot does not count its parts
+    Then the next scheduler loads the runlog's records once and in order
+    And the runlog's reader reports nothing
+
+  Scenario: runlog loads an empty log whose head is malformed
+    Given a runlog of the first scheduler
+    When all of the runlog but a malformed head is lost
+    Then the next scheduler loads the runlog's records once and in order
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -348,12 +348,121 @@
     assert len(found) <= count, len(found)
 
 
+@when("the head of the runlog names an older snapshot while entries after it are removed")
+def older_head(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        await case.log.snapshot(case.appended, case.log.position())
+        older = case.shared.items[HEAD_KEY].value
+        for number in range(1, 41):
+            await case.append(number)
+        await case.log.snapshot(case.appended, case.log.position())
+        # Extra operations leave room for the removal of 26 entries.
+        await case.log.append([record(41)], [Put(f"test/other/{n}", b"") for n in range(3)])
+        case.appended.append(record(41))
+        await case.store.txn([], [Put(HEAD_KEY, older)])
+
+    case.actions.append(act)
+
+
+@when("the runlog's entry {seq:d} is lost")
+def lose_entry(context: Any, seq: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        case.shared.remove(f"{PREFIX}log/{seq:012d}")
+
+    case.actions.append(act)
+
+
+@when("a snapshot of {count:d} records of the runlog loses a part while the entries are there")
+def lose_part(context: Any, count: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        records = [record(number) for number in range(1, count + 1)]
+        await case.log.append(records)
+        case.appended += records
+        await case.log.snapshot(case.appended, case.log.position())
+        parts = [key for key in case.shared.items if key.startswith(f"{PREFIX}parts/")]
+        case.shared.remove(max(parts))
+
+    case.actions.append(act)
+
+
+@when("all of the runlog but a malformed head is lost")
+def lose_all(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        for key in [key for key in case.shared.items if key.startswith(PREFIX)]:
+            case.shared.remove(key)
+        await case.store.txn([], [Put(HEAD_KEY, b"{}")])
+        case.appended.clear()
+
+    case.actions.append(act)
+
+
+@when("a snapshot of the runlog is followed by a part of an earlier one at its place")
+def longer_snapshot(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        await case.log.snapshot(case.appended, case.log.position())
+        part = next(key for key in case.shared.items if key.startswith(f"{PREFIX}parts/"))
+        value = case.shared.items[part].value
+        await case.store.txn([], [Put(part[:-1] + "1", value)])
+
+    case.actions.append(act)
+
+
+@when("the head of the runlog's snapshot does not count its parts")
+def head_without_count(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        content = json.loads(case.shared.items[HEAD_KEY].value)
+        head = {"token": content["token"], "seq": content["seq"]}
+        await case.store.txn([], [Put(HEAD_KEY, json.dumps(head).encode())])
+
+    case.actions.append(act)
+
+
+@then("the next scheduler loads the runlog's records but that of entry {seq:d}")
+def loads_others(context: Any, seq: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        await case.take_over(MemoryStore(case.shared))
+        # Each entry has one record; the first entry has the number 1.
+        others = [*case.appended[: seq - 1], *case.appended[seq:]]
+        assert case.loaded == others, case.loaded
+
+    case.actions.append(act)
+    case.run()
+
+
 @then("the runlog's reader reports nothing")
 def no_report(context: Any) -> None:
     found = context.log.errors.records
     assert not found, [record.getMessage() for record in found]
 
 
+@then("the runlog's reader reports {missing:d} missing entries after snapshot {seq:d}")
+def reports_gap(context: Any, missing: int, seq: int) -> None:
+    found = [vars(record) for record in context.log.errors.records]
+    numbers = [(item.get("snapshot"), item.get("missing")) for item in found]
+    assert (seq, missing) in numbers, numbers
+
+
+@then("the runlog's reader reports {found:d} parts of {expected:d}")
+def reports_parts(context: Any, found: int, expected: int) -> None:
+    records = [vars(record) for record in context.log.errors.records]
+    numbers = [(item.get("found"), item.get("parts")) for item in records]
+    assert (found, expected) in numbers, numbers
+
+
 @then("the store holds the parts of {count:d} snapshot of the runlog")
 def snapshots_held(context: Any, count: int) -> None:
     keys_ = [key for key in context.log.shared.items if key.startswith(f"{PREFIX}parts/")]
--- a/tests/support/oddvalues.py
+++ b/tests/support/oddvalues.py
@@ -168,7 +168,13 @@
     ).items()
     if label != "a list"
 }
-ODD_HEADS = odd_records({"seq": "1"}, {"seq": NOT_A_COUNT | {"1000000": "1000000"}})
+ODD_HEADS = odd_records(
+    {"seq": "1", "parts": "1"},
+    {
+        "seq": NOT_A_COUNT | {"1000000": "1000000"},
+        "parts": NOT_A_COUNT | {"0": "0", "1000000": "1000000"},
+    },
+)
 
 # Rows in an executor's lists, which are parsed with the other rows of an answer.
 ODD_NUMBERS = [
