Try an idempotent request elsewhere when its agent has left without an answer

Callers saw: after an agent had shut down while it was cut off from the entry, idempotent requests that it had run waited until their deadline, up to 120 s, and ended as unknown. Cause: the entry settles a request whose link has ended only over a new link to the same agent, and polled for one until the deadline, although the agent had said that it leaves. Change: when such an agent has been gone for longer than a broken link needs to be noticed and dialled again (8 s with the defaults), an idempotent request counts as failed there and goes through the usual retries. A request with a key still waits until its deadline, since only its own agent can tell whether it ran. Why it works: an idempotent request may run twice, and the entry has an agent that can answer it.

--- a/packages/daemon/src/apricotpathd/attempt.py
+++ b/packages/daemon/src/apricotpathd/attempt.py
@@ -39,12 +39,16 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One request id at one agent, and the part of its answer received so far."""
+    """One request id at one agent, and the part of its answer received so far.
+
+    `idempotent` tells whether the request may also run at another agent.
+    """
 
     request: RequestId
     process: ProcessId
     incarnation: IncarnationId
     link: Link
+    idempotent: bool = False
     status: int = 0
     headers: tuple[Header, ...] = ()
     parts: deque[bytes] = field(default_factory=deque)
--- a/packages/daemon/src/apricotpathd/exchange.py
+++ b/packages/daemon/src/apricotpathd/exchange.py
@@ -27,7 +27,7 @@
     key_places,
     reserve_key,
 )
-from apricotpath.link import Link
+from apricotpath.link import Link, relink_s
 from apricotpath.messages import (
     KeyReserved,
     Message,
@@ -267,6 +267,7 @@
             if row is None or row.link is None:
                 raise NotRun("The backend server has just gone.", "backend-gone")
             attempt = self._open_attempt(self._next_id(), row.process, row.incarnation, row.link)
+            attempt.idempotent = True
             return await self._send_and_wait(req, attempt)
         finally:
             self._record_result(req.service, process, attempt, started)
@@ -381,6 +382,9 @@
         while anyio.current_time() < deadline:
             link = self._links.get(attempt.process)
             if link is None or not link.is_open:
+                if attempt.idempotent and self._has_left(attempt.process):
+                    attempt.failed = "the agent has left"
+                    return
                 await anyio.sleep(TICK_S)
                 continue
             assert link.peer is not None
@@ -393,6 +397,14 @@
                 self._apply_settlement(attempt, settlement, reason)
                 return
 
+    def _has_left(self, process: ProcessId) -> bool:
+        """Tell whether an agent that announced its shutdown has been gone too long to return."""
+        row = self.hosts.rows.get(process)
+        if row is None:
+            return True
+        gone_s = 0.0 if row.gone_at is None else anyio.current_time() - row.gone_at
+        return row.leaving and gone_s > relink_s(self.cfg.link)
+
     async def _settle_at_deadline(self, attempt: Attempt, until: float) -> None:
         """Settle a request whose deadline has passed, to learn whether it ran."""
         link = self._links.get(attempt.process)
--- a/tests/features/exchange.feature
+++ b/tests/features/exchange.feature
@@ -118,6 +118,18 @@
     When an exchange agent shuts down and its entry is gone before its answers
     Then the exchange agent stopped within 9 s of its last answer
 
+  # Guards against callers that wait until the deadline for the answer of an agent that has left.
+  Scenario Outline: an exchange request whose agent left while cut off ends as <outcome>
+    Given a deployment with agents: 3, entries: 1, seed: 1
+    When an exchange agent leaves and is cut off during <class> requests with a deadline of 40 s
+    Then the exchange agent had requests and has stopped
+    And the exchange outcomes of its requests are <outcome> after <from> to <to> s
+
+    Examples:
+      | class   | outcome  | from | to |
+      | intake  | answered | 11   | 20 |
+      | booking | unknown  | 39   | 42 |
+
   Scenario: an agent that left or whose data centre is out refuses what still comes
     Given a deployment with agents: 1, entries: 1, seed: 1
     When exchange requests bypass routing after leaving and with the data centre out
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -340,6 +340,39 @@
     assert "stopped" in measured
 
 
+@when(
+    "an exchange agent leaves and is cut off during {name} requests with a deadline of "
+    "{deadline:d} s"
+)
+def _(context: Any, name: str, deadline: int) -> None:
+    subject = context.exchange
+
+    async def actions(net: Net) -> None:
+        async with anyio.create_task_group() as group:
+            for number in range(12):
+                key = f"k{number}" * (name == "booking")
+                options = {"request_class": name, "key": key, "work_ms": 3000}
+                subject.start_request(group, **options, deadline_s=float(deadline))
+            await anyio.sleep(0.1)
+            agent = subject.running_agent()
+            subject.measured["agent"] = agent
+            group.start_soon(shut_down_exchange_agent, subject, agent)
+            await anyio.sleep(1.0)
+            net.partitioned.add((agent.name, "entry1"))
+            net.break_link(agent.name)
+
+    subject.run_scenario(actions)
+
+
+@then("the exchange outcomes of its requests are {outcome} after {low:d} to {high:d} s")
+def _(context: Any, outcome: str, low: int, high: int) -> None:
+    subject = context.exchange
+    late = [reply for reply in subject.replies if reply.seconds > 4.0]
+    assert len(late) == subject.measured["busy"], [reply.seconds for reply in subject.replies]
+    seen = [(reply.outcome, reply.seconds) for reply in late]
+    assert all(found == outcome and low <= seconds <= high for found, seconds in seen), seen
+
+
 @when("an exchange agent shuts down and its entry is gone before its answers")
 def _(context: Any) -> None:
     subject = context.exchange
