Show what a restarted process does with a bundle signed by a withdrawn key

docs/proofs.md named this as not shown. A control network has a bundle 2 that revokes the key of bundle 1, and one entry or agent restarts with nothing and first hears, from a peer or the store, of bundle 1. Seen: if its settings no longer list the withdrawn key, it refuses bundle 1 and the key (four examples). If they still do, it takes bundle 1 and accepts the key until it hears of bundle 2 from any peer or the store; then it refuses the key, and bundle 1 does not come back (three examples). This is not fixed here: a process without memory cannot know of the revocation, and waiting for the store would stop an entry that restarts while the store is out. operators.md already says to remove the key from the settings; the row says what happens until then.

--- a/tests/features/controlflow.feature
+++ b/tests/features/controlflow.feature
@@ -43,6 +43,27 @@
     And agent-1 sends heartbeats to entry-1 for 62 s
     Then entry-1 sent bundle 2 to the refusing agent-1 from 2 to 6 times
 
+  # Guards against a withdrawn key that a restart brings back for good, or at all if no settings list it.
+  Scenario Outline: a restarted control process with <keys> does not keep a withdrawn key from <source>
+    Given a control network of 2 entries and 1 agents linked to both
+    When bundle 2 by a rotated key revokes the old one and reaches only entry-1 of the control network
+    And <process> restarts in the control network with settings that list <keys>
+    And the restarted control process hears from <source>, which has bundle 1 by the withdrawn key
+    Then the restarted control process has bundle <first> and <trusts> the withdrawn key
+    When the restarted control process hears from <later>, which has bundle 2
+    And the restarted control process hears from <source>, which has bundle 1 by the withdrawn key
+    Then the restarted control process has bundle 2 and refuses the withdrawn key
+
+    Examples:
+      | process | keys         | source    | later     | first | trusts  |
+      | agent-9 | the new key  | entry-2   | entry-1   | 0     | refuses |
+      | entry-9 | the new key  | entry-2   | entry-1   | 0     | refuses |
+      | entry-9 | the new key  | the store | entry-1   | 0     | refuses |
+      | entry-9 | the new key  | agent-1   | the store | 0     | refuses |
+      | agent-9 | both keys    | entry-2   | entry-1   | 1     | accepts |
+      | entry-9 | both keys    | entry-2   | the store | 1     | accepts |
+      | entry-9 | the old key  | the store | entry-1   | 1     | accepts |
+
   Scenario: a take-out without the store is written back once the store answers
     Given a control network of 2 entries and 1 agents linked to both
     When entry-2 takes suva-depot out while the store is out
--- a/tests/features/steps/controlflow_steps.py
+++ b/tests/features/steps/controlflow_steps.py
@@ -12,10 +12,10 @@
 from apricotpath.codec import Envelope
 from apricotpath.config import PolicySettings
 from apricotpath.control import Control
-from apricotpath.errors import LinkError, StoreUnavailable
+from apricotpath.errors import LinkError, SignatureError, StoreUnavailable
 from apricotpath.messages import ControlUpdate, DataCentreStatus, Heartbeat, Hello, Message
 from apricotpath.model import Role
-from apricotpath.signing import generate_key
+from apricotpath.signing import check_envelope, generate_key, rotate_key, sign_envelope
 from apricotpathd.controlflow import ControlFlow
 
 TAKE_OUT = status("suva-depot", 5, "out")
@@ -339,3 +339,84 @@
         assert network.flows["entry-1"].bundle_in_force(2, frozenset(["entry-2"]))
 
     network.check(step)
+
+
+@when(
+    "bundle 2 by a rotated key revokes the old one and reaches only entry-1 of the control network"
+)
+def _(context: Any) -> None:
+    network = context.network
+    network.new_key = rotate_key(network.key)
+    revoked = (network.key.key_id,)
+    network.bundles = {
+        1: signed_bundle(network.key, 1),
+        2: signed_bundle(network.new_key, 2, revoked_keys=revoked),
+    }
+
+    async def step() -> None:
+        for peer in ("entry-2", "agent-1"):
+            await network.cut("entry-1", peer)
+        assert await network.flows["entry-1"].apply_store(network.bundles[2], (), {}, 0.0)
+
+    network.script.append(step)
+
+
+@when("{process} restarts in the control network with settings that list {keys}")
+def _(context: Any, process: str, keys: str) -> None:
+    network = context.network
+    old, new = network.key.public_text, network.new_key.public_text
+    listed = {"the old key": [old], "the new key": [new], "both keys": [old, new]}[keys]
+
+    async def step() -> None:
+        network.restarted = process
+        role = Role.ENTRY if process.startswith("entry") else Role.AGENT
+        network.flows[process] = ControlFlow(Control(listed), role)
+
+    network.script.append(step)
+
+
+@when("the restarted control process hears from {source}, which has bundle 1 by the withdrawn key")
+def _(context: Any, source: str) -> None:
+    hear_from(context.network, source, 1)
+
+
+@when("the restarted control process hears from {source}, which has bundle 2")
+def _(context: Any, source: str) -> None:
+    hear_from(context.network, source, 2)
+
+
+def hear_from(network: ControlNetwork, source: str, version: int) -> None:
+    """Let the restarted process read the store, or link to a peer, deliver and end the link."""
+
+    async def step() -> None:
+        flow = network.flows[network.restarted]
+        if source == "the store":
+            await flow.apply_store(network.bundles[version], (), {}, anyio.current_time())
+            return
+        # The peer may have been brought up to date by the restarted process before.
+        if network.flows[source].control.bundle_version != version:
+            control = network.flows[source].control = Control([network.key.public_text])
+            assert control.merge_bundle(network.bundles[version])
+        await network.connect(network.restarted, source)
+        await network.deliver_all()
+        await network.cut(network.restarted, source)
+
+    network.script.append(step)
+
+
+@then("the restarted control process has bundle {version:d} and {trusts} the withdrawn key")
+def _(context: Any, version: int, trusts: str) -> None:
+    network = context.network
+
+    async def step() -> None:
+        control = network.flows[network.restarted].control
+        found = "accepts"
+        try:
+            check_envelope(sign_envelope(b"probe", network.key), control.trust())
+        except SignatureError:
+            found = "refuses"
+        assert (control.bundle_version, found) == (version, trusts), (control.bundle_version, found)
+        # Without this, a process that was sent no bundle at all would pass.
+        assert version or "is not trusted" in control.bundle_error, control.bundle_error
+
+    network.check(step)
