Split members.py into modules with one job each

Cause: one class of 400 lines kept the registration, claimed shards, wrote operators' changes and read the control keys, beside the records, their parsers and the distribution of shards.

Callers use the parts (`members.shards.acquire`, `members.changes.put_status`) instead of methods that pass calls on. The steps of members, capacity and platforminput follow the new names; no check is changed.

The whole suite was not run.

--- a/packages/daemon/src/apricotpathd/entry.py
+++ b/packages/daemon/src/apricotpathd/entry.py
@@ -41,7 +41,7 @@
         await wait_for_stop()
         # The entry is no longer ready, but the load balancer may send requests for a while.
         parts.draining = True
-        parts.members.leaving = True
+        parts.members.shards.leaving = True
         await anyio.sleep(cfg.drain_s)
         stopping.set()
         await parts.callers.drain()
--- a/packages/daemon/src/apricotpathd/entryparts.py
+++ b/packages/daemon/src/apricotpathd/entryparts.py
@@ -20,10 +20,11 @@
 from apricotpathd.callers import CallerApp
 from apricotpathd.component import Component, UtcClock
 from apricotpathd.controlflow import ControlFlow
+from apricotpathd.controlview import ControlView
 from apricotpathd.exchange import Exchange
 from apricotpathd.hostregistry import HostRegistry
 from apricotpathd.hosts import HostTable
-from apricotpathd.members import ControlView, Members
+from apricotpathd.members import Members
 from apricotpathd.owner import Owner
 from apricotpathd.peers import Peers
 from apricotpathd.process import Process
@@ -71,7 +72,7 @@
             Mode.POLICY if cfg.policy.guards else Mode.BASELINE,
         )
         self._view_ready = anyio.Event()
-        self.members.add_listener(self._on_view)
+        self.members.views.add_listener(self._on_view)
         # The registry comes first, so that the other components find the row of a new agent.
         components: list[Component] = [
             self.registry,
@@ -142,7 +143,7 @@
         return Journal(self.store, shard, epoch, revision, self.cfg.policy, prefix)
 
     async def _write_back(self, status: DataCentreStatus) -> None:
-        await self.members.put_status(status.data_centre, status.state, status.seq)
+        await self.members.changes.put_status(status.data_centre, status.state, status.seq)
 
     def _on_view(self, view: ControlView) -> None:
         self.peers.on_view(view)
@@ -191,13 +192,13 @@
 
     async def acquire_shard(self, shard: ShardId) -> Acquired | None:
         """Acquire a shard; raises ConflictError if another entry owns it."""
-        # `acquire_shard` compares against this record of the view.
+        # `acquire` compares against this record of the view.
         former = self.members.view.shards.get(shard)
-        owner = await self.members.acquire_shard(shard)
+        owner = await self.members.shards.acquire(shard)
         return Acquired(owner.epoch, released=former is not None and former.settled)
 
     async def release_shard(self, shard: ShardId, epoch: Epoch, settled: bool) -> None:
         """Release a shard if this entry still owns it under this epoch."""
         owner = self.members.view.shards.get(shard)
         if owner is not None and owner.epoch == epoch:
-            await self.members.release_shard(shard, settled)
+            await self.members.shards.release(shard, settled)
--- a/packages/daemon/src/apricotpathd/hostregistry.py
+++ b/packages/daemon/src/apricotpathd/hostregistry.py
@@ -13,8 +13,9 @@
 from apricotpath.link import Link
 from apricotpath.messages import Announce, HostReport, Leaving, Message
 from apricotpath.model import Role
+from apricotpathd.controlview import ControlView
 from apricotpathd.hosts import HostTable
-from apricotpathd.members import ControlView, Members
+from apricotpathd.members import Members
 
 log = logging.getLogger(__name__)
 
@@ -91,7 +92,7 @@
                 continue
             present = [row.incarnation for row in self.hosts.of_service(service) if row.present]
             try:
-                founders = await self.members.record_founders(service, present)
+                founders = await self.members.changes.record_founders(service, present)
             except StoreError as exc:
                 log.info("founders of service %s not recorded yet: %s", service, exc)
                 continue
--- a/packages/daemon/src/apricotpathd/owner.py
+++ b/packages/daemon/src/apricotpathd/owner.py
@@ -36,9 +36,9 @@
 from apricotpath.rules import Rules
 from apricotpathd.commands import Commands
 from apricotpathd.component import UtcClock
+from apricotpathd.fairshares import fair_shares
 from apricotpathd.hosts import HostTable
 from apricotpathd.jobcalls import JobCalls
-from apricotpathd.members import fair_shares
 from apricotpathd.reconcile import Reconciler
 from apricotpathd.runs import Journal, Members, OwnerState, Phase, Proposal, Run, Shard
 from apricotpathd.scheduling import ShardScheduler
--- a/packages/daemon/src/apricotpathd/peers.py
+++ b/packages/daemon/src/apricotpathd/peers.py
@@ -8,8 +8,8 @@
 from apricotpath.link import Handler, Link
 from apricotpath.messages import Hello, Message
 from apricotpath.model import Role
+from apricotpathd.controlview import ControlView
 from apricotpathd.dialler import Dialler
-from apricotpathd.members import ControlView
 
 log = logging.getLogger(__name__)
 
--- a/packages/daemon/src/apricotpathd/services.py
+++ b/packages/daemon/src/apricotpathd/services.py
@@ -41,7 +41,7 @@
         if envelope == control.envelope:
             return self._bundle_answer(control.bundle_version)
         bundle = control.check_bundle(envelope)
-        await self.parts.members.put_bundle(envelope, bundle.version)
+        await self.parts.members.changes.put_bundle(envelope, bundle.version)
         if control.merge_bundle(envelope):
             self.flow.publish()
         return self._bundle_answer(bundle.version)
@@ -75,7 +75,7 @@
                 f"data centre {dc} has change {current.seq} ({current.state.value}) already"
             )
         if state is ServiceState.IN:
-            await self.parts.members.put_status(dc, state, seq)
+            await self.parts.members.changes.put_status(dc, state, seq)
             self._apply_status(requested)
         else:
             self._apply_status(requested)
@@ -88,7 +88,7 @@
         if not members.view.store_up:
             return
         try:
-            await members.put_status(requested.data_centre, requested.state, requested.seq)
+            await members.changes.put_status(requested.data_centre, requested.state, requested.seq)
         except StoreError:
             return
 
--- a/tests/features/steps/capacity_steps.py
+++ b/tests/features/steps/capacity_steps.py
@@ -33,7 +33,8 @@
 from apricotpathd.hosts import HostTable
 from apricotpathd.members import Members
 
-logging.getLogger("apricotpathd.members").setLevel(logging.ERROR)
+for name in ("members", "registration"):
+    logging.getLogger(f"apricotpathd.{name}").setLevel(logging.ERROR)
 
 PORT = Address("127.0.0.1", 1)
 IDLE_S = 30
@@ -72,7 +73,7 @@
                 before = self._calls()
                 await anyio.sleep(IDLE_S)
                 self.idle_calls = self._calls() - before
-                assert all(member.registered() for member in self.members)
+                assert all(member.registration.is_valid() for member in self.members)
                 group.cancel_scope.cancel()
 
         run_in_virtual_time(main)
--- a/tests/features/steps/members_steps.py
+++ b/tests/features/steps/members_steps.py
@@ -25,11 +25,15 @@
 from apricotpath.records import JobCancelled, to_json
 from apricotpath.store import EtcdStore, KeyValue, LeaseId
 from apricotpath_bench.storestandin import DirectTransport, StandinStore
-from apricotpathd.members import ControlView, Members, ShardOwner, build_view, fair_shares
+from apricotpathd.controlrecords import build_view
+from apricotpathd.controlview import ControlView, ShardOwner
+from apricotpathd.fairshares import fair_shares
+from apricotpathd.members import Members
 
 # The expected warnings of many members would hide the results.
 logging.getLogger("httpx").setLevel(logging.WARNING)
-logging.getLogger("apricotpathd.members").setLevel(logging.ERROR)
+for name in ("members", "registration"):
+    logging.getLogger(f"apricotpathd.{name}").setLevel(logging.ERROR)
 
 PREFIX = "/apricotpath/"
 SHARD = ShardId(3)
@@ -123,7 +127,7 @@
             numbers = map(ShardId, range(members.cfg.policy.shards))
             shares = fair_shares(members.view.entries.keys(), numbers)
             for shard, entry in shares.items():
-                if entry != members.cfg.entry or members.leaving:
+                if entry != members.cfg.entry or members.shards.leaving:
                     continue
                 if not members.view.live_owner(shard):
                     await self.acquire(members, shard)
@@ -131,7 +135,7 @@
 
     async def acquire(self, members: Members, shard: ShardId) -> ShardOwner | None:
         try:
-            owner = await members.acquire_shard(shard)
+            owner = await members.shards.acquire(shard)
         except (StoreError, ConflictError):
             return None
         self.owners[shard, owner.epoch].add(members.incarnation)
@@ -147,7 +151,7 @@
 
 async def pause_first_member(fleet: Fleet) -> None:
     first, second = fleet.members
-    shards = first.owned()
+    shards = first.shards.owned()
     journals = []
     for shard in shards:
         owner = first.view.shards[shard]
@@ -158,10 +162,10 @@
         fleet.group.start_soon(journal.run)
     fleet.transports[0].running = anyio.Event()
     await anyio.sleep(15)
-    fleet.observed["taken"] = len(second.owned())
+    fleet.observed["taken"] = len(second.shards.owned())
     fleet.transports[0].running.set()
     await anyio.sleep(3)
-    fleet.observed["registered"] = first.registered()
+    fleet.observed["registered"] = first.registration.is_valid()
     fleet.observed["fenced"] = 0
     for journal in journals:
         try:
@@ -174,7 +178,7 @@
 def outage(fault: str, seconds: int) -> Callable[[Fleet], Awaitable[None]]:
     async def script(fleet: Fleet) -> None:
         seen: list[bool] = []
-        fleet.members[0].add_listener(lambda view: seen.append(view.store_up))
+        fleet.members[0].views.add_listener(lambda view: seen.append(view.store_up))
         fleet.set_faults(**OUTAGES[fault])
         await anyio.sleep(seconds)
         now = anyio.current_time()
@@ -184,7 +188,7 @@
         now = anyio.current_time()
         fleet.observed["seen"] = False in seen and seen[-1]
         fleet.observed["fresh"] = all(m.view.is_fresh(now, 2.0) for m in fleet.members)
-        fleet.observed["registered"] = all(m.registered() for m in fleet.members)
+        fleet.observed["registered"] = all(m.registration.is_valid() for m in fleet.members)
 
     return script
 
@@ -192,18 +196,18 @@
 def acquire_with_wrong_view(what: str) -> Callable[[Fleet], Awaitable[None]]:
     async def script(fleet: Fleet) -> None:
         first, second = fleet.members
-        shard = second.owned()[0]
+        shard = second.shards.owned()[0]
         if what == "its own record":
-            await second.release_shard(shard)
-            first.view = replace(first.view, shards=second.view.shards)
-            fleet.standin.lapse_lease(first._lease or 0)
+            await second.shards.release(shard)
+            first.views.newest = replace(first.view, shards=second.view.shards)
+            fleet.standin.lapse_lease(first.registration.lease or 0)
         else:
-            first.view = replace(first.view, entries={})
+            first.views.newest = replace(first.view, entries={})
         key = f"{PREFIX}shard/{shard}".encode()
         before = fleet.standin.rows[key]
         fleet.observed["result"] = "taken"
         try:
-            await first.acquire_shard(shard)
+            await first.shards.acquire(shard)
         except ConflictError:
             fleet.observed["result"] = "conflict"
         fleet.observed["unchanged"] = fleet.standin.rows[key] == before
@@ -258,7 +262,7 @@
             await anyio.sleep(rng.uniform(0.0, 1.0))
             if rng.random() < 0.7:
                 try:
-                    await contender.release_shard(SHARD)
+                    await contender.shards.release(SHARD)
                 except (StoreError, ConflictError):
                     continue
 
@@ -273,7 +277,7 @@
                 )
             newest[0] = max(newest[0], found)
 
-        contender.add_listener(check)
+        contender.views.add_listener(check)
 
     def _check_revision(self, fleet: Fleet, owner: ShardOwner, seed: int) -> None:
         """Check in the store's history that the write at this revision is this acquisition."""
@@ -286,8 +290,8 @@
 
 def race_change(what: str, fault: str) -> Callable[[Fleet], Awaitable[None]]:
     async def script(fleet: Fleet) -> None:
-        await fleet.members[0].put_status(DC, ServiceState.IN, 1)
-        await fleet.members[0].put_bundle(b"first", 1)
+        await fleet.members[0].changes.put_status(DC, ServiceState.IN, 1)
+        await fleet.members[0].changes.put_bundle(b"first", 1)
         # The fault must affect these two changes; lease renewals happen at other times.
         await anyio.sleep(2)
         fleet.set_faults(**RACE_FAULTS[fault])
@@ -297,11 +301,11 @@
             member = fleet.members[number]
             try:
                 if what == "a bundle":
-                    await member.put_bundle(f"bundle {number}".encode(), 2)
+                    await member.changes.put_bundle(f"bundle {number}".encode(), 2)
                     results.append(("accepted", f"bundle {number}".encode()))
                 else:
                     state = (ServiceState.IN, ServiceState.OUT)[number]
-                    await member.put_status(DC, state, 2)
+                    await member.changes.put_status(DC, state, 2)
                     results.append(("accepted", state))
             except ApricotpathError as exc:
                 results.append((type(exc).__name__, None))
@@ -320,15 +324,15 @@
 async def put_changes(fleet: Fleet) -> None:
     member = fleet.members[0]
     calls: list[tuple[str, Callable[[], Awaitable[Any]]]] = [
-        ("bundle 2 first", lambda: member.put_bundle(b"b", 2)),
-        ("bundle 1", lambda: member.put_bundle(b"a", 1)),
-        ("bundle 1 again", lambda: member.put_bundle(b"a", 1)),
-        ("bundle 1 other", lambda: member.put_bundle(b"x", 1)),
-        ("bundle 2", lambda: member.put_bundle(b"b", 2)),
-        ("status 5", lambda: member.put_status(DC, ServiceState.OUT, 5)),
-        ("status 5 again", lambda: member.put_status(DC, ServiceState.OUT, 5)),
-        ("status 5 other", lambda: member.put_status(DC, ServiceState.IN, 5)),
-        ("status 4", lambda: member.put_status(DC, ServiceState.IN, 4)),
+        ("bundle 2 first", lambda: member.changes.put_bundle(b"b", 2)),
+        ("bundle 1", lambda: member.changes.put_bundle(b"a", 1)),
+        ("bundle 1 again", lambda: member.changes.put_bundle(b"a", 1)),
+        ("bundle 1 other", lambda: member.changes.put_bundle(b"x", 1)),
+        ("bundle 2", lambda: member.changes.put_bundle(b"b", 2)),
+        ("status 5", lambda: member.changes.put_status(DC, ServiceState.OUT, 5)),
+        ("status 5 again", lambda: member.changes.put_status(DC, ServiceState.OUT, 5)),
+        ("status 5 other", lambda: member.changes.put_status(DC, ServiceState.IN, 5)),
+        ("status 4", lambda: member.changes.put_status(DC, ServiceState.IN, 4)),
     ]
     fleet.observed["refused"] = []
     for name, call in calls:
@@ -344,7 +348,9 @@
 
     async def found(number: int) -> None:
         incarnations = [IncarnationId(f"agent-{number}")]
-        founders.append(await fleet.members[number].record_founders(ServiceId("s"), incarnations))
+        founders.append(
+            await fleet.members[number].changes.record_founders(ServiceId("s"), incarnations)
+        )
 
     async with anyio.create_task_group() as group:
         group.start_soon(found, 0)
@@ -356,14 +362,14 @@
 
 async def restart_first_member(fleet: Fleet) -> None:
     former = fleet.members[0]
-    shards = former.owned()
+    shards = former.shards.owned()
     newer = fleet.add(0, "restarted")
     await anyio.sleep(8)
     fleet.observed = {
-        "newer": newer.registered(),
-        "former": former.registered(),
+        "newer": newer.registration.is_valid(),
+        "former": former.registration.is_valid(),
         "record": newer.view.entries[EntryId("entry-0")].incarnation,
-        "kept": newer.owned() == shards,
+        "kept": newer.shards.owned() == shards,
     }
 
 
@@ -375,7 +381,7 @@
     owners = second.view.shards.values()
     fleet.observed["left"] = [o for o in owners if o.entry == first.cfg.entry]
     await anyio.sleep(2)
-    fleet.observed["taken"] = len(second.owned())
+    fleet.observed["taken"] = len(second.shards.owned())
 
 
 async def run_idle(fleet: Fleet) -> None:
@@ -395,7 +401,7 @@
     fleet.standin.lapse_lease()
     await anyio.sleep(10)
     fleet.observed = fleet.standin.count_report()
-    fleet.observed["registered"] = all(member.registered() for member in fleet.members)
+    fleet.observed["registered"] = all(member.registration.is_valid() for member in fleet.members)
 
 
 @when("{shards:d} shards are shared over {entries:d} members")
--- a/tests/features/steps/platforminput_steps.py
+++ b/tests/features/steps/platforminput_steps.py
@@ -35,7 +35,7 @@
 from apricotpath_platform.jobrequests import parse_submission
 from apricotpath_platform.operatorview import parse_configuration
 from apricotpath_platform.settings import load_node_settings
-from apricotpathd.members import build_view
+from apricotpathd.controlrecords import build_view
 from support.oddvalues import (
     HEARTBEAT,
     ODD_ENDED,
