Fence an executor that restarts under its id before late calls reach it

What callers saw: two runs of a task at the same time. An executor that restarts under its id has seen no fencing token, remembers no stop, and its clock starts anew. A start without an answer, given up long before, began there. A renewal that was carried out late made it forget endings that nobody had seen. Both stayed possible until the agent was attached again, which takes as long as there is no scheduler.

Cause: between a restart and the next attachment the agent made no call, so that nothing raised the token of the new incarnation. A list that names another start time was ignored until the next heartbeat.

Change: RestartGuard calls the new incarnation under the token that follows the newest attachment's, every 0.1 s until one call is answered, and stops the runs that this answer lists. The calls extend no lease and acknowledge nothing. It begins with the heartbeat, or with the list, that tells of the restart; the agent attaches only after it.

Why it works: every start and every acknowledgement goes out under an attachment's own token, which is lower than the raised one, so the executor refuses those that come late. Tokens of a host rise by at least one with each attachment, so that the next one is refused by nobody. It may equal the raised token; calls under that start nothing and acknowledge nothing, so that they may come late too. An agent that restarts thus needs no memory of what it raised, and an agent or a scheduler that is rolled back meets no token that is out of its range (a local part of 64 per attachment would have locked former agents out).

Limit: what an incarnation carries out before its first answered call still begins; it is stopped at once.

Tests: the executor of the tests was more lenient than the contract. It now takes calls meant for a former incarnation with the same id, shortens leases to 6 s, takes the lease of a start that it refuses as old, ends open calls at a restart, can leave renewals unanswered and carry them out late, and notes endings that are forgotten unseen.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -22,7 +22,7 @@
     StartCall,
 )
 from apricotpath.fleet import FleetSettings
-from apricotpath.ids import Epoch, HostId, InstanceId, ProcessId, TaskId
+from apricotpath.ids import Epoch, FenceToken, HostId, InstanceId, ProcessId, TaskId
 from apricotpath.link import Link
 from apricotpath.messages import (
     HostAttach,
@@ -48,6 +48,7 @@
 from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState, RunView
 from apricotpathd.crashwatch import CrashWatch
 from apricotpathd.fillerpacing import FillerPacing
+from apricotpathd.restartguard import Restart, RestartGuard
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +70,8 @@
 
     Runs continue only while their lease from the scheduler is valid. All calls to the
     executor carry the attachment's fencing token, so that a delayed call of an
-    earlier attachment has no effect.
+    earlier attachment has no effect. An executor that restarts under its id is called under
+    a higher one before the next attachment.
     """
 
     handles: frozenset[type[Message]] = frozenset(
@@ -98,6 +100,10 @@
         self._group: TaskGroup | None = None
         self.pacing = FillerPacing()
         self._crash_watch = CrashWatch()
+        self._restart_guard = RestartGuard(self._note_unreachable, self._signal)
+        self._highest_fence = FenceToken(0)
+        # The newest start time that the executor has reported.
+        self._reported_born_ms = 0
 
     # State of the executor.
 
@@ -116,6 +122,7 @@
             self._endings = ()
             self.phase = ExecutorPhase.REGISTERED
             self._detach("the executor has restarted")
+            self._guard_restart(previous, state)
         elif self.phase is ExecutorPhase.ENDED:
             log.warning("executor has not ended", extra={"instance": state.facts.instance})
             self.phase = ExecutorPhase.DEREGISTERED
@@ -125,6 +132,30 @@
         self._send_capacity(state.facts)
         self._signal()
 
+    def _guard_restart(self, previous: ExecutorState | None, state: ExecutorState) -> None:
+        """Fence an executor that has restarted under its id; another id needs no fence."""
+        if previous is None or previous.facts.instance != state.facts.instance:
+            self._reported_born_ms = 0
+            self._restart_guard.cancel()
+        elif previous.facts.born_ms:
+            self._fence_restarted(state.facts.born_ms)
+
+    def _fence_restarted(self, born_ms: int) -> None:
+        """Keep calls for former incarnations of the executor from taking effect on this one."""
+        assert self.executor is not None
+        fence = FenceToken(self._highest_fence + 1)
+        begun = self._restart_guard.begin(Restart(self.executor, born_ms, fence))
+        if begun and self._group is not None:
+            self._group.start_soon(self._restart_guard.run)
+
+    def _note_unreachable(self) -> None:
+        """Handle that a restarted executor refuses connections; one that shut down has ended."""
+        if self.state is not None and self.phase is ExecutorPhase.DEREGISTERED:
+            log.info("executor ended", extra={"instance": self.state.facts.instance})
+            self.phase = ExecutorPhase.ENDED
+            self._restart_guard.cancel()
+            self._signal()
+
     def _note_crash(self, previous: ExecutorState) -> None:
         """Keep the runs of an executor that was replaced, unless it had announced its end."""
         if self.phase is ExecutorPhase.REGISTERED and not previous.draining:
@@ -186,6 +217,8 @@
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             self._group.start_soon(self.pacing.run)
+            if self._restart_guard.pending:
+                self._group.start_soon(self._restart_guard.run)
             while True:
                 await self._renew_once()
 
@@ -193,12 +226,18 @@
         while True:
             changed = self.changed
             link, state = self._leader_link(), self.state
-            if link is None or state is None or self.attachment is not None:
+            if link is None or state is None or not self._may_attach(state):
                 await changed.wait()
                 continue
             if not await self._attach(link, state.facts):
                 await anyio.sleep(ATTACH_RETRY_S)
 
+    def _may_attach(self, state: ExecutorState) -> bool:
+        """Whether the newest incarnation of the executor is known and fenced, not attached yet."""
+        if self.attachment is not None or self._restart_guard.pending:
+            return False
+        return self.phase is ExecutorPhase.ENDED or state.facts.born_ms >= self._reported_born_ms
+
     async def _attach(self, link: Link, facts: HostFacts) -> bool:
         call = HostAttach(
             self.host,
@@ -221,6 +260,9 @@
             return False
         if self.state is None or self.state.facts != facts or link is not self._leader_link():
             return False
+        if not self._may_attach(self.state):
+            return False
+        self._highest_fence = max(self._highest_fence, reply.fence)
         self.attachment = Attachment(link, reply.epoch, reply.fence, facts)
         log.info("attached", extra={"leader": link.peer_id, "fence": reply.fence})
         self._signal()
@@ -262,7 +304,6 @@
             self._note_silence(attached, isinstance(exc, ExecutorDisconnected))
             await anyio.sleep(RENEWAL_RETRY_S)
         else:
-            attached.renewal_failed = False
             if attached is self.attachment:
                 await self._handle_report(attached, executor, executor_report, sent)
 
@@ -308,14 +349,11 @@
         sent: float,
     ) -> None:
         """Report the executor's runs and endings, and adjust the pace of filler tasks."""
-        if (
-            executor_report.born_ms
-            and attached.facts.born_ms
-            and executor_report.born_ms != attached.facts.born_ms
-        ):
-            # The executor has restarted; its next heartbeat leads to a new attachment.
-            await anyio.sleep(RENEWAL_RETRY_S)
+        born_ms = executor_report.born_ms
+        if born_ms and attached.facts.born_ms and born_ms != attached.facts.born_ms:
+            await self._handle_restart(attached, born_ms)
             return
+        attached.renewal_failed = False
         self._clock_ms, self._clock_at = executor_report.clock_ms, boot_s()
         reported_runs = attached.reported_runs = {
             (status.task, status.run) for status in executor_report.runs
@@ -340,6 +378,16 @@
             log.info("run not listed", extra={"task": task, "run": run})
             self._answer(attached, task, run, StartAnswer.REFUSED)
 
+    async def _handle_restart(self, attached: Attachment, born_ms: int) -> None:
+        """End the attachment to a former incarnation; the next one follows its heartbeat."""
+        if born_ms < attached.facts.born_ms:
+            await anyio.sleep(RENEWAL_RETRY_S)
+            return
+        self._reported_born_ms = max(self._reported_born_ms, born_ms)
+        self._crash_watch.on_silence(attached, disconnected=False)
+        self._end_attachment(attached, "the executor has restarted")
+        self._fence_restarted(born_ms)
+
     def _report(
         self,
         attached: Attachment,
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/restartguard.py
@@ -0,0 +1,139 @@
+"""Keeps calls meant for an executor's former incarnation from taking effect on the next one."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.executor import (
+    Executor,
+    ExecutorError,
+    ExecutorFenced,
+    ExecutorReplaced,
+    ExecutorReport,
+    ExecutorUnreachable,
+)
+from apricotpath.ids import FenceToken
+from apricotpath.messages import RunStatus
+
+log = logging.getLogger(__name__)
+
+# Interval between two attempts to fence, which may be in progress at the same time.
+ATTEMPT_INTERVAL_S = 0.1
+# Pause between two attempts of a stop.
+STOP_RETRY_S = 0.05
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Restart:
+    """A restart of an executor under its id; `fence` is above all tokens used before it."""
+
+    executor: Executor
+    born_ms: int
+    fence: FenceToken
+
+
+class RestartGuard:
+    """Fences an executor that has restarted under its id, even while there is no scheduler.
+
+    The new incarnation has seen no fencing token and would carry out delayed calls of the
+    former one. It is called under the token that follows the newest attachment's, and the
+    runs that it lists, which were started for the former incarnation, are stopped. A later
+    attachment may have the same token: calls under it start no run, extend no lease and
+    acknowledge nothing, so that they may be carried out late.
+
+    `on_unreachable` is called when the executor's address refuses a connection, `on_fenced`
+    when the new incarnation has answered.
+    """
+
+    def __init__(self, on_unreachable: Callable[[], None], on_fenced: Callable[[], None]) -> None:
+        self._on_unreachable, self._on_fenced = on_unreachable, on_fenced
+        self._restart: Restart | None = None
+        self._fenced = True
+        self._changed = anyio.Event()
+
+    @property
+    def pending(self) -> bool:
+        """Whether a new incarnation has not answered yet; it must get no starts until then."""
+        return not self._fenced
+
+    def begin(self, restart: Restart) -> bool:
+        """Note a new incarnation; `run` has to fence it if this returns True."""
+        if self._restart is not None and restart.born_ms <= self._restart.born_ms:
+            return False
+        log.warning("executor restarted under its id", extra={"born_ms": restart.born_ms})
+        self._restart, self._fenced = restart, False
+        self._signal()
+        return True
+
+    def cancel(self) -> None:
+        """End all calls: the executor has another id, or has ended."""
+        self._restart, self._fenced = None, True
+        self._signal()
+
+    def _signal(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Fence the newest incarnation and stop the runs that it lists."""
+        restart = self._restart
+        if restart is None:
+            return
+        async with anyio.create_task_group() as group:
+            while self._is_open(restart):
+                changed = self._changed
+                group.start_soon(self._attempt, group, restart)
+                with anyio.move_on_after(ATTEMPT_INTERVAL_S):
+                    await changed.wait()
+
+    async def _attempt(self, group: TaskGroup, restart: Restart) -> None:
+        """Make one attempt to fence; the first one that is answered stops the listed runs."""
+        try:
+            report = await restart.executor.renew_lease(restart.fence, 0, None, 0.0)
+        except (ExecutorFenced, ExecutorReplaced) as exc:
+            log.info("restarted executor needs no fence: %s", exc)
+            self._finish(restart)
+        except ExecutorError as exc:
+            log.info("restarted executor not fenced: %s", exc)
+            if isinstance(exc, ExecutorUnreachable) and self._is_open(restart):
+                self._on_unreachable()
+        else:
+            of_former = 0 < report.born_ms < restart.born_ms
+            if self._is_open(restart) and not of_former:
+                self._handle_report(group, restart, report)
+
+    def _is_open(self, restart: Restart) -> bool:
+        """Tell whether a restart is the newest one and not fenced yet."""
+        return restart is self._restart and not self._fenced
+
+    def _handle_report(self, group: TaskGroup, restart: Restart, report: ExecutorReport) -> None:
+        """Stop the runs that a fenced incarnation lists."""
+        extra = {"born_ms": report.born_ms, "fence": restart.fence, "runs": len(report.runs)}
+        log.info("restarted executor fenced", extra=extra)
+        for status in report.runs:
+            group.start_soon(self._stop, restart, status)
+        self._finish(restart)
+
+    def _finish(self, restart: Restart) -> None:
+        if self._is_open(restart):
+            self._fenced = True
+            self._signal()
+            self._on_fenced()
+
+    async def _stop(self, restart: Restart, status: RunStatus) -> None:
+        """Stop a run, with retries until it is answered or the executor has restarted again."""
+        extra = {"task": status.task, "run": status.run, "born_ms": restart.born_ms}
+        log.warning("run of former incarnation stopped", extra=extra)
+        while restart is self._restart:
+            try:
+                await restart.executor.stop(status.task, status.run, restart.fence)
+                return
+            except (ExecutorFenced, ExecutorReplaced) as exc:
+                log.info("stop refused: %s", exc, extra=extra)
+                return
+            except ExecutorError as exc:
+                log.info("stop failed: %s", exc, extra=extra)
+            await anyio.sleep(STOP_RETRY_S)
--- /dev/null
+++ b/tests/features/incarnations.feature
@@ -0,0 +1,34 @@
+Feature: incarnations
+
+  An executor may restart under its id. It then has seen no fencing token, remembers neither
+  stops nor endings, and its clock starts anew, while calls without an answer may still be
+  carried out seconds later. Guards against calls that take effect on another incarnation than
+  the one that they were meant for.
+
+  # TWICE: a withdrawn start was carried out by the next incarnation, which nobody had fenced.
+  Scenario: incarnations do not begin a late start that was withdrawn from the former incarnation
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a start is ordered of the incarnations agent, and then it loses its scheduler
+    And the incarnations executor restarts under its id after 3 seconds and sends a heartbeat
+    Then no run begins at the incarnations executor in the next 10 seconds
+
+  # TWICE: a run that the next incarnation had begun for the former one went on without a scheduler.
+  Scenario: incarnations stop a run that was begun for the former incarnation
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a start is ordered of the incarnations agent, and then it loses its scheduler
+    And the incarnations executor restarts under its id after 3 seconds, heard of 1.2 seconds later
+    Then the run at the incarnations executor has ended as stopped within 1 second
+
+  # TWICE: only a heartbeat told of the restart, although a list had told of it before.
+  Scenario: incarnations are told apart by a list that comes before a heartbeat
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a start is ordered of the incarnations agent, and then it loses its scheduler
+    And the incarnations executor restarts under its id after 3 seconds without a heartbeat
+    Then no run begins at the incarnations executor in the next 10 seconds
+
+  # TWICE: a late renewal made the next incarnation forget the ending of a run that was done.
+  Scenario: incarnations keep their endings when a renewal meant for the former one comes late
+    Given an incarnations agent whose executor has ended 1 run and had it acknowledged
+    And the incarnations executor carries out a renewal 4 seconds late
+    When the incarnations executor restarts, and has done the run of a late start after 3 seconds
+    Then the incarnations executor has forgotten no ending unseen in the next 5 seconds
--- a/tests/support/agentcase.py
+++ b/tests/support/agentcase.py
@@ -8,6 +8,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
+from apricotpath.errors import LinkError
 from apricotpath.executor import ExecutorUnavailable, StartCall
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
@@ -89,6 +90,9 @@
 
     async def call(self, body: Message, timeout_s: float | None = None) -> Message:
         assert isinstance(body, HostAttach)
+        if not self.case.attaching:
+            await anyio.sleep(timeout_s or 0.0)
+            raise LinkError("no answer")
         self.case.fences_issued += 1
         return HostAttached(EPOCH, FenceToken(1000 + self.case.fences_issued))
 
@@ -117,6 +121,8 @@
 
     def __init__(self) -> None:
         self.granting = True
+        # Without a scheduler, no attachment is answered.
+        self.attaching = True
         self.fences_issued = 0
         self.renewals: list[tuple[int, float]] = []
         self.answers: list[StartAnswer] = []
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -26,6 +26,8 @@
 STOP_DELAY_S = 0.3
 # A call without an answer fails after this time.
 CALL_TIMEOUT_S = 0.5
+# A longer lease is shortened to this.
+HOLD_MAX_S = 6.0
 NEVER = float("inf")
 
 
@@ -113,7 +115,8 @@
     """One executor; `crash` and `go_down` restart it.
 
     `history` holds (task, run, from, to) of ended runs, `starts` (task, time) of all
-    starts, and `crashes` the crashes after which a new incarnation came.
+    starts, and `crashes` the crashes after which a new incarnation came. `unseen` holds the
+    endings that were acknowledged although no answer of their incarnation had listed them.
     """
 
     def __init__(self, name: str, capacity: Size, behaviour: Behaviour) -> None:
@@ -134,6 +137,7 @@
         self.over_capacity_at: list[float] = []
         self.is_shut_down = False
         self.resumed_s: list[float] = []
+        self.unseen: list[RunEnding] = []
         self._reset()
 
     def _reset(self) -> None:
@@ -145,6 +149,7 @@
         self.endings: list[RunEnding] = []
         self.highest_blocked_run: dict[TaskId, int] = {}
         self.last_ending_number = 0
+        self.listed_ending = 0
         self.changed = anyio.Event()
 
     def crash(self) -> None:
@@ -248,15 +253,37 @@
             raise ExecutorFenced("a higher fencing token was used")
         self.fence = fence
 
+    def extend_leases(self, deadline_ms: int) -> None:
+        """Extend the lease of all runs to a time on this incarnation's clock."""
+        asked = self.started_at + deadline_ms / 1000
+        self.deadline = max(self.deadline, min(asked, boot_s() + HOLD_MAX_S))
+
+    def hold(self, fence: FenceToken, acknowledged: int, deadline_ms: int | None) -> None:
+        """Extend the leases and forget acknowledged endings."""
+        self.check_fence(fence)
+        if deadline_ms is not None:
+            self.extend_leases(deadline_ms)
+        forgotten = [ending for ending in self.endings if ending.number <= acknowledged]
+        self.unseen += [ending for ending in forgotten if ending.number > self.listed_ending]
+        self.endings = [ending for ending in self.endings if ending.number > acknowledged]
+
+    def list_endings(self) -> tuple[RunEnding, ...]:
+        """Return the endings that one answer lists."""
+        listed = tuple(islice(self.endings, self.behaviour.listed_endings))
+        self.listed_ending = max([self.listed_ending, *(ending.number for ending in listed)])
+        return listed
+
     def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
         self.check_fence(fence)
         name = (call.task, call.run)
         if name in self.runs:
             return StartAnswer.STARTED
-        deadline = self.started_at + call.deadline_ms / 1000
-        if call.run <= self.highest_blocked_run.get(call.task, 0) or deadline <= boot_s():
+        if call.run <= self.highest_blocked_run.get(call.task, 0):
+            self.extend_leases(call.deadline_ms)
+            return StartAnswer.REFUSED
+        if self.started_at + call.deadline_ms / 1000 <= boot_s():
             return StartAnswer.REFUSED
-        self.deadline = max(self.deadline, deadline)
+        self.extend_leases(call.deadline_ms)
         size = self.behaviour.sizes.get(str(call.task).rsplit(".", 1)[0], Size(1000, 100, 0))
         used = sum((run.size for run in self.runs.values()), Size())
         fits = (used + size).fits_in(self.capacity)
@@ -296,17 +323,22 @@
     """Client of one incarnation of a model; implements `apricotpath.executor.Executor`.
 
     A call that is open when the executor crashes ends without an answer. Once another
-    incarnation is there, it refuses the calls that are meant for this one.
+    incarnation with another id is there, it refuses the calls that are meant for this one;
+    one with the same id carries them out.
 
     `unanswered_share` is the share of orders without an answer, which take effect up to
-    `late_s` later. With `unresponsive` set, no call is answered.
+    `late_s` later, and `unanswered_renewals` that of renewals. Another incarnation carries
+    them out `late_after_restart_s` after its start at the earliest. With `unresponsive` set, no
+    call is answered; calls that are made meanwhile have no effect.
     """
 
     def __init__(self, model: ExecutorModel, group: anyio.abc.TaskGroup, seed: int = 0) -> None:
         self.model = model
         self.instance, self.born_ms = model.instance, model.born_ms
         self.unanswered_share = 0.0
+        self.unanswered_renewals = 0.0
         self.late_s = 12.0
+        self.late_after_restart_s = 0.0
         self.unresponsive = False
         self._group = group
         self._rng = random.Random(seed)
@@ -319,13 +351,9 @@
             raise ExecutorUnreachable("the connection was refused")
         if self.unresponsive or self.model.is_down:
             await self._time_out()
-        if self._is_replaced():
+        if self._is_gone():
             raise ExecutorReplaced("the executor has restarted")
 
-    def _is_replaced(self) -> bool:
-        """Tell whether another incarnation is at the executor's address."""
-        return (self.model.instance, self.model.born_ms) != (self.instance, self.born_ms)
-
     def _is_gone(self) -> bool:
         """Tell whether the incarnation has crashed; one that kept its id is not told apart."""
         return self.model.is_down or self.model.instance != self.instance
@@ -335,15 +363,16 @@
     ) -> ExecutorReport:
         await self._wait_for_answer()
         model = self.model
-        model.check_fence(fence)
-        if deadline_ms is not None:
-            model.deadline = max(model.deadline, model.started_at + deadline_ms / 1000)
-        model.endings = [ending for ending in model.endings if ending.number > acknowledged]
+        if self.unanswered_renewals and self._rng.random() < self.unanswered_renewals:
+            self._group.start_soon(self._execute_late, model.hold, fence, acknowledged, deadline_ms)
+            await self._time_out()
+        model.hold(fence, acknowledged, deadline_ms)
+        born_ms = model.born_ms
         ends_at = boot_s() + wait_s
         # Like a real executor, it waits for an end only while it has none to list.
         while boot_s() < ends_at and not model.endings:
             model.process_due()
-            if self._is_gone():
+            if self._is_gone() or model.born_ms != born_ms:
                 await self._lose_connection()
             due = [min(run.ends_at, run.crashes_at) for run in model.runs.values()]
             soonest = min(due, default=ends_at)
@@ -351,7 +380,7 @@
             with anyio.move_on_after(max(0.001, min(soonest, ends_at) - boot_s())):
                 await changed.wait()
             model.process_due()
-        if self._is_gone():
+        if self._is_gone() or model.born_ms != born_ms:
             await self._lose_connection()
         return ExecutorReport(
             model.clock_ms(),
@@ -361,7 +390,7 @@
                 for run in model.runs.values()
                 if run.task not in model.behaviour.unreadable
             ),
-            tuple(islice(model.endings, model.behaviour.listed_endings)),
+            model.list_endings(),
             not model.behaviour.unreadable and len(model.endings) <= model.behaviour.listed_endings,
         )
 
@@ -390,6 +419,15 @@
 
     async def _execute_late(self, execute: object, *args: object) -> None:
         await anyio.sleep(self._rng.uniform(2.0, self.late_s))
+        await self._execute(execute, *args)
+
+    async def _execute(self, execute: object, *args: object) -> None:
+        """Carry out a call that nobody waits for, if an executor with this id is there."""
+        while self.model.born_ms != self.born_ms:
+            ready_at = self.model.started_at + self.late_after_restart_s
+            if boot_s() >= ready_at:
+                break
+            await anyio.sleep_until(ready_at)
         if self._is_gone():
             return
         try:
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -180,6 +180,9 @@
         self.partitioned_pairs: set[frozenset[str]] = set()
         self.links: list[MemoryLink] = []
         self.unanswered_share = 0.0
+        self.unanswered_renewals = 0.0
+        self.late_s = 12.0
+        self.late_after_restart_s = 0.0
         # Number of the next messages with starts that links reject because their queue is full.
         self.starts_rejected = 0
         self.messages: Counter[str] = Counter()
@@ -234,6 +237,9 @@
         def connect_executor(facts: HostFacts) -> Executor:
             executor = ModelExecutor(model, self.group, crc32(name.encode()))
             executor.unanswered_share = self.unanswered_share
+            executor.unanswered_renewals = self.unanswered_renewals
+            executor.late_s = self.late_s
+            executor.late_after_restart_s = self.late_after_restart_s
             return executor
 
         agent = HostAgent(HostId(name), self.cfg, connect_executor)
@@ -398,8 +404,8 @@
     def violations(self) -> list[str]:
         """Return violated invariants.
 
-        They are overlapping runs of a task, an overcommitted host, and a task that was
-        started too often after it had crashed executors.
+        They are overlapping runs of a task, an overcommitted host, an ending that was
+        acknowledged unseen, and a task that was started too often after it had crashed executors.
         """
         found = self._start_budget_violations()
         runs: dict[str, list[tuple[float, float]]] = {}
@@ -408,6 +414,8 @@
             model.process_due()
             if model.overcommitted:
                 found.append(f"{model.name} was overcommitted")
+            for ending in model.unseen:
+                found.append(f"the end of {ending.task} was acknowledged unseen")
             active = [
                 (run.task, run.run, model.began[run.task, run.run], boot_s())
                 for run in model.runs.values()
--- a/tests/support/platformstandin.py
+++ b/tests/support/platformstandin.py
@@ -236,11 +236,7 @@
 
     async def _hold(self, body: dict[str, Any], fence: FenceToken) -> dict[str, Any]:
         model = self.model
-        model.check_fence(fence)
-        if "deadlineMs" in body:
-            until = model.started_at + body["deadlineMs"] / 1000
-            model.deadline = max(model.deadline, until)
-        model.endings = [ending for ending in model.endings if ending.number > body["lastSeen"]]
+        model.hold(fence, body["lastSeen"], body.get("deadlineMs"))
         ends_at = boot_s() + body["waitMs"] / 1000
         # Like a real executor, it waits for an end only while it has none to list.
         while boot_s() < ends_at and not model.endings:
@@ -252,7 +248,7 @@
         ]
         ended = [
             [ending.number, ending.task, ending.run, ending.result.value, ending.saved]
-            for ending in model.endings
+            for ending in model.list_endings()
         ]
         return {
             "running": [*self.odd_running, *running],
