Acknowledge no endings to an executor that has not answered since

What callers saw: a task that had ended as done ran again. Its executor had restarted under its id, and the next renewal acknowledged endings by the numbers of the former incarnation. The new one, which counts anew, forgot an ending that nobody had seen; the run was then missing in its lists and counted as one that never began.

Cause: a renewal after one without an answer carried the number of the last recorded ending, although the executor might be another incarnation by then.

Change: a renewal after a failed one acknowledges nothing (Attachment.confirmed_ending). The next one does again.

Why it works: a restart breaks the renewal that is open, or leaves the next one without an answer, and the first answer tells the start time before anything is acknowledged. The executor lists endings again until they are acknowledged, so that only one report is longer. Not covered: a restart that is over between two renewals, neither of which fails.

Evidence, on the code before:

--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -94,6 +94,14 @@
         """Return what the runs reserve of the executor's capacity, starts in progress included."""
         return sum((view.size for view in self.views.values()), NO_SIZE)
 
+    def confirmed_ending(self) -> int:
+        """Return the number up to which the executor may forget endings.
+
+        After a renewal without an answer, the executor may be another incarnation, which
+        numbers its endings anew.
+        """
+        return 0 if self.renewal_failed else self.acked_ending
+
     def report_endings(self, endings: Iterable[RunEnding]) -> None:
         """Note that endings were reported; they are unsettled until acknowledged."""
         newest = max((ending.number for ending in endings), default=0)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -286,7 +286,7 @@
         sent = boot_s()
         try:
             executor_report = await executor.renew_lease(
-                attached.fence, attached.acked_ending, self._deadline(attached), wait_s
+                attached.fence, attached.confirmed_ending(), self._deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
             log.warning("lease renewal refused: %s", exc)
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -32,3 +32,9 @@
     And the incarnations executor carries out a renewal 4 seconds late
     When the incarnations executor restarts, and has done the run of a late start after 3 seconds
     Then the incarnations executor has forgotten no ending unseen in the next 5 seconds
+
+  # TWICE: the first renewal after a failed one acknowledged endings of the next incarnation.
+  Scenario: incarnations keep their endings when a renewal follows a failed one
+    Given an incarnations agent whose executor has ended 1 run and had it acknowledged
+    When the incarnations executor answers no call for 3 seconds, and has restarted meanwhile
+    Then the incarnations executor has forgotten no ending unseen in the next 5 seconds
