Log a run that another incarnation reports than it was ordered for

What operators saw: nothing.

Change: the host tracker compares the id and start time of the executor that lists or ends a run with those that the run was ordered for, and logs a difference once a run: task, run, host, ordered_for, reported_by. Runs whose order does not name an executor are left out. Runs that are not in the job table already have the line `unknown run stopped`.

--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -40,7 +40,8 @@
     `load` is the tail latency in ms of a long-running task, else the
     processors in use in thousandths of a core. `pace` is the speed limit of a
     filler task in percent. `saved` names its newest checkpoint. `survived`: the
-    executor listed it SURVIVAL_S or more after it was ordered.
+    executor listed it SURVIVAL_S or more after it was ordered. `on_other`: it was reported by
+    another incarnation of its host's executor than the one that it was ordered for.
     """
 
     task: TaskKey
@@ -58,6 +59,7 @@
     pace: int = 100
     stop_sent_at: float = 0.0
     survived: bool = False
+    on_other: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import NamedTuple
 
@@ -243,6 +243,7 @@
         host.draining = message.draining
         host.leaves_at = now + message.remaining_ms / 1000 if message.draining else float("inf")
         self._match_runs(host, message, now)
+        self._note_ended_incarnations(host, message.endings)
         self._update_interference(host, link, now)
         for ending in message.endings:
             if ending.number > self._last_queued_endings.get(host.host, host.acked_ending):
@@ -329,6 +330,7 @@
                 host.unknown_runs += 1
                 self._stop_unknown_run(host, RunName(status.task, status.run), now)
                 continue
+            self._note_incarnation(host, run)
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
                 run.first_percent = status.percent
@@ -348,6 +350,34 @@
                 if (key, number) not in reported_runs and (str(key), number) not in ended:
                     self.mark_lost(run, "its host does not report it")
 
+    @staticmethod
+    def _note_incarnation(host: Host, run: Run) -> None:
+        """Log once that another incarnation reports a run than it was ordered for."""
+        ordered_for = (run.instance, run.born_ms)
+        reported_by = host.executor_incarnation()
+        if run.on_other or not run.instance or ordered_for == reported_by:
+            return
+        run.on_other = True
+        log.warning(
+            "run reported by another incarnation",
+            extra={
+                "task": str(run.task),
+                "run": run.run,
+                "host": host.host,
+                "ordered_for": ordered_for,
+                "reported_by": reported_by,
+            },
+        )
+
+    def _note_ended_incarnations(self, host: Host, endings: Iterable[RunEnding]) -> None:
+        """Log runs that ended on another incarnation than they were ordered for."""
+        ended = {(ending.task, ending.run) for ending in endings}
+        if not ended:
+            return
+        for (key, number), run in self._table.by_host.get(host.host, {}).items():
+            if (str(key), number) in ended:
+                self._note_incarnation(host, run)
+
     def _update_interference(self, host: Host, link: Link, now: float) -> None:
         """Update the interference estimates, and send them to a host with both kinds of task."""
         if host.facts is None:
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -45,6 +45,12 @@
     When a start is ordered of the incarnations agent after a failed renewal and a restart
     Then no run begins at the incarnations executor in the next 5 seconds
 
+  # Nothing told that a start had been carried out by another incarnation than it was ordered for.
+  Scenario: incarnations that run what was ordered of another one are logged with both
+    Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
+    When the executor of the incarnations world restarts, and begins a run before it is heard of
+    Then the incarnations log names both incarnations of the run once
+
   # TWICE, as a whole: restarts under an id beside late calls, cuts and kills.
   Scenario Outline: incarnations never make two runs of a task with seed <seed>
     Given an incarnations world of 4 agents whose executors leave 30 of 100 calls unanswered
