Go on after a list of the executor with a start time that is too high

Found when reading. What callers would have seen: one list with an odd start time took the host away for good. The agent took it for a restart, waited for a heartbeat with that time, and repeated its fencing call until one would name it; a real restart after it, with a lower time, went unnoticed. The code before ignored such a list.

Change: the answer to the fencing call tells which incarnation is there. If it is not later than the one known, nothing is stopped, and its start time replaces the odd one, so that the agent attaches again at once and later restarts are noticed.

Why it works: the executor has one incarnation at a time, and the call is made after the time became known, so that its answer is newer than the odd list. The raised token does not hinder the next attachment.

Evidence, on the code before:

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -100,7 +100,7 @@
         self._group: TaskGroup | None = None
         self.pacing = FillerPacing()
         self._crash_watch = CrashWatch()
-        self._restart_guard = RestartGuard(self._note_unreachable, self._signal)
+        self._restart_guard = RestartGuard(self._note_unreachable, self._note_fenced)
         self._highest_fence = FenceToken(0)
         # The newest start time that the executor has reported.
         self._reported_born_ms = 0
@@ -148,6 +148,11 @@
         if begun and self._group is not None:
             self._group.start_soon(self._restart_guard.run)
 
+    def _note_fenced(self, born_ms: int) -> None:
+        """Handle that a restarted executor, which reports this start time, has been fenced."""
+        self._reported_born_ms = born_ms
+        self._signal()
+
     def _note_unreachable(self) -> None:
         """Handle that a restarted executor refuses connections; one that shut down has ended."""
         if self.state is not None and self.phase is ExecutorPhase.DEREGISTERED:
--- a/packages/daemon/src/apricotpathd/restartguard.py
+++ b/packages/daemon/src/apricotpathd/restartguard.py
@@ -44,13 +44,17 @@
     attachment may have the same token: calls under it start no run, extend no lease and
     acknowledge nothing, so that they may be carried out late.
 
-    `on_unreachable` is called when the executor's address refuses a connection, `on_fenced`
-    when the new incarnation has answered.
+    `on_unreachable` is called when the executor's address refuses a connection, and
+    `on_fenced` when the executor has answered, with its start time.
+    That time may be lower than the one of the restart, which then was no restart.
     """
 
-    def __init__(self, on_unreachable: Callable[[], None], on_fenced: Callable[[], None]) -> None:
+    def __init__(
+        self, on_unreachable: Callable[[], None], on_fenced: Callable[[int], None]
+    ) -> None:
         self._on_unreachable, self._on_fenced = on_unreachable, on_fenced
         self._restart: Restart | None = None
+        self._born_ms = 0
         self._fenced = True
         self._changed = anyio.Event()
 
@@ -61,16 +65,16 @@
 
     def begin(self, restart: Restart) -> bool:
         """Note a new incarnation; `run` has to fence it if this returns True."""
-        if self._restart is not None and restart.born_ms <= self._restart.born_ms:
+        if restart.born_ms <= self._born_ms:
             return False
         log.warning("executor restarted under its id", extra={"born_ms": restart.born_ms})
-        self._restart, self._fenced = restart, False
+        self._restart, self._born_ms, self._fenced = restart, restart.born_ms, False
         self._signal()
         return True
 
     def cancel(self) -> None:
         """End all calls: the executor has another id, or has ended."""
-        self._restart, self._fenced = None, True
+        self._restart, self._born_ms, self._fenced = None, 0, True
         self._signal()
 
     def _signal(self) -> None:
@@ -95,14 +99,13 @@
             report = await restart.executor.renew_lease(restart.fence, 0, None, 0.0)
         except (ExecutorFenced, ExecutorReplaced) as exc:
             log.info("restarted executor needs no fence: %s", exc)
-            self._finish(restart)
+            self._finish(restart, restart.born_ms)
         except ExecutorError as exc:
             log.info("restarted executor not fenced: %s", exc)
             if isinstance(exc, ExecutorUnreachable) and self._is_open(restart):
                 self._on_unreachable()
         else:
-            of_former = 0 < report.born_ms < restart.born_ms
-            if self._is_open(restart) and not of_former:
+            if self._is_open(restart):
                 self._handle_report(group, restart, report)
 
     def _is_open(self, restart: Restart) -> bool:
@@ -110,18 +113,20 @@
         return restart is self._restart and not self._fenced
 
     def _handle_report(self, group: TaskGroup, restart: Restart, report: ExecutorReport) -> None:
-        """Stop the runs that a fenced incarnation lists."""
+        """Stop the runs that a fenced incarnation lists, unless it has not restarted."""
         extra = {"born_ms": report.born_ms, "fence": restart.fence, "runs": len(report.runs)}
         log.info("restarted executor fenced", extra=extra)
-        for status in report.runs:
+        has_restarted = not report.born_ms or report.born_ms >= restart.born_ms
+        for status in report.runs if has_restarted else ():
             group.start_soon(self._stop, restart, status)
-        self._finish(restart)
+        self._finish(restart, report.born_ms)
 
-    def _finish(self, restart: Restart) -> None:
+    def _finish(self, restart: Restart, born_ms: int) -> None:
         if self._is_open(restart):
             self._fenced = True
+            self._born_ms = born_ms or restart.born_ms
             self._signal()
-            self._on_fenced()
+            self._on_fenced(self._born_ms)
 
     async def _stop(self, restart: Restart, status: RunStatus) -> None:
         """Stop a run, with retries until it is answered or the executor has restarted again."""
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -20,18 +21,21 @@
 OTHER_TASK = TaskId("00000000000000a3.0.0.0")
 HOST = Size(8000, 8000, 0)
 QUICK_RUN_S = 0.3
+ODD_BORN_MS = 1 << 41
 FAULTS_FOR_S = 12.0
 
 
 class LateExecutor(ModelExecutor):
     """Leaves calls without an answer and carries them out `late_s` seconds later.
 
-    `late_starts` and `late_renewals` are the numbers of the next calls that it treats so.
-    Both are shared by the clients of all incarnations. A further start has no effect.
+    `late_starts` and `late_renewals` are the numbers of the next calls that it treats so,
+    `odd_lists` that of the next lists with an odd start time. They are shared by the clients
+    of all incarnations. A further start has no effect.
     """
 
     late_starts = 0
     late_renewals = 0
+    odd_lists = 0
     late_s = 4.0
     silent_until = 0.0
 
@@ -58,7 +62,11 @@
                 self._carry_out, self.model.hold, fence, acknowledged, deadline_ms
             )
             await self._time_out()
-        return await super().renew_lease(fence, acknowledged, deadline_ms, wait_s)
+        report = await super().renew_lease(fence, acknowledged, deadline_ms, wait_s)
+        if LateExecutor.odd_lists:
+            LateExecutor.odd_lists -= 1
+            return replace(report, born_ms=ODD_BORN_MS)
+        return report
 
     async def _carry_out(self, execute: Any, *args: Any) -> None:
         await anyio.sleep(LateExecutor.late_s)
@@ -67,7 +75,7 @@
 
 def agent_case(context: Any) -> AgentCase:
     """Return the case of a scenario; its executor's settings are the default ones."""
-    LateExecutor.late_starts = LateExecutor.late_renewals = 0
+    LateExecutor.late_starts = LateExecutor.late_renewals = LateExecutor.odd_lists = 0
     LateExecutor.silent_until = 0.0
     case: AgentCase = context.case
     return case
@@ -266,6 +274,45 @@
     case.actions.append(act)
 
 
+@when("a run of the incarnations agent is at work, and one list has a start time in the far future")
+def odd_start_time(context: Any) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        LateExecutor.late_starts = 0
+        await case.order()
+        await anyio.sleep(1.0)
+        LateExecutor.odd_lists = 1
+        while LateExecutor.odd_lists:
+            await anyio.sleep(0.01)
+        await anyio.sleep(2.0)
+
+    case.actions.append(act)
+
+
+@when("the incarnations executor restarts and has begun a run of the former one")
+def restart_with_run(context: Any) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        case.granting = case.attaching = False
+        case.model.crash()
+        start_directly(case.model, FenceToken(0))
+        context.begun = list(case.model.began)
+        case.send_heartbeat()
+
+    case.actions.append(act)
+
+
+@then("the incarnations agent is attached 2 seconds later, and its run is at work")
+def is_attached(context: Any) -> None:
+    case: AgentCase = context.case
+    case.run()
+    assert case.agent.attachment is not None and case.agent.attachment.reported
+    at_work = [(run.task, run.result) for run in case.model.runs.values()]
+    assert at_work == [(TASK, RunResult.DONE)], (at_work, case.model.endings)
+
+
 class RestartWorld:
     """A job world whose executors restart under their id beside late calls, cuts and kills."""
 
