--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -3,6 +3,7 @@
 import logging
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 
 import anyio
@@ -173,6 +174,23 @@
         """
         seq = position.seq
         self._own_snapshots.append(seq)
+        try:
+            part_keys, size = await self._write_snapshot(seq, records)
+        except FencedError:
+            # Without a newer scheduler, somebody else has changed the head.
+            await self._read_head_revision()
+            raise
+        first = seq - position.entries + 1
+        self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
+        self._obsolete += [key for key in self._part_keys if key not in part_keys]
+        self._part_keys, self._snapshot_bytes = part_keys, size
+        self.entries -= position.entries
+        self.log_bytes -= position.log_bytes
+
+    async def _write_snapshot(
+        self, seq: int, records: Sequence[RunRecord]
+    ) -> tuple[list[str], int]:
+        """Write parts and head; return the keys of the parts, and the size of all in bytes."""
         former_head = Compare(self._keys.head, self._head_revision)
         part_keys: list[str] = []
         size = 0
@@ -183,12 +201,13 @@
             await self._write(Put(part_keys[-1], value), former_head)
         head = SnapshotHead(seq, len(part_keys)).encode()
         self._head_revision = await self._write(Put(self._keys.head, head), former_head)
-        first = seq - position.entries + 1
-        self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
-        self._obsolete += [key for key in self._part_keys if key not in part_keys]
-        self._part_keys, self._snapshot_bytes = part_keys, size
-        self.entries -= position.entries
-        self.log_bytes -= position.log_bytes
+        return part_keys, size
+
+    async def _read_head_revision(self) -> None:
+        """Set the revision that the next snapshot compares; a failed read leaves it unchanged."""
+        with suppress(StoreError):
+            item = await self.store.get(self._keys.head)
+            self._head_revision = item.mod_revision if item is not None else 0
 
     async def _write(self, put: Put, compare: Compare, others: Sequence[Put | Delete] = ()) -> int:
         """Write one transaction; retries until the outcome is certain.
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -128,6 +128,14 @@
     Then the next scheduler loads the runlog's records once and in order
     And the runlog's reader reports nothing
 
+  # A scheduler whose head was removed by others could write no snapshot any more.
+  Scenario: runlog writes a snapshot after its head was removed
+    Given a runlog of the first scheduler
+    When 20 records are appended to the runlog with a snapshot after every 15
+    And the head of the runlog is removed
+    Then the first scheduler's second attempt to write a snapshot of the runlog succeeds
+    And the next scheduler loads the runlog's records once and in order
+
   Scenario: runlog loads an empty log whose head is malformed
     Given a runlog of the first scheduler
     When all of the runlog but a malformed head is lost
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -490,6 +491,29 @@
     case.actions.append(act)
 
 
+@when("the head of the runlog is removed")
+def remove_head(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        case.shared.remove(HEAD_KEY)
+
+    case.actions.append(act)
+
+
+@then("the first scheduler's second attempt to write a snapshot of the runlog succeeds")
+def second_attempt(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        with suppress(FencedError):
+            await case.log.snapshot(case.appended, case.log.position())
+        await case.log.snapshot(case.appended, case.log.position())
+        await remove_all_obsolete(case)
+
+    case.actions.append(act)
+
+
 @when("a snapshot of the runlog is followed by a part of an earlier one at its place")
 def longer_snapshot(context: Any) -> None:
     case: LogCase = context.log
