Choose the ports of the bench's relays together with all others

Seen: one start of the processes of processes.feature in 16 ended before any scenario, with "apricotpathd: cannot listen on 127.0.0.1:36499: Address already in use" in the log of agent-2; 36499 was the relay of entry-2. Cause: a relay bound port 0 after the ports of the processes had been chosen and released, so the system could give it one of them. Change: a relay's port is chosen with the others and named entry-N-relay. Why it works: free_ports holds all ports at once, so no two are equal. Another process of the machine can still take a port before it is bound.

--- a/packages/bench/src/apricotpath_bench/deploy.py
+++ b/packages/bench/src/apricotpath_bench/deploy.py
@@ -98,9 +98,9 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self._choose_ports()
         if self.relayed:
-            for number in range(1, self.shape.entries + 1):
-                target = self.ports[f"entry-{number}-links"]
-                self.relays[f"entry-{number}"] = SilentRelay(target)
+            for name in (f"entry-{number}" for number in range(1, self.shape.entries + 1)):
+                port, target = self.ports[f"{name}-relay"], self.ports[f"{name}-links"]
+                self.relays[name] = SilentRelay(port, target)
         self.cli("keys", "init", str(self.key_path))
         self._write_settings()
         self.start_process("store")
@@ -228,6 +228,7 @@
         names = ["store"]
         for number in range(1, self.shape.entries + 1):
             names += [f"entry-{number}-{kind}" for kind in ("links", "callers", "operators")]
+            names += [f"entry-{number}-relay"] * self.relayed
         for host in self.host_names():
             names += [f"{kind}-{host}" for kind in ("worker", "backend", "agent")]
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
--- a/packages/bench/src/apricotpath_bench/relay.py
+++ b/packages/bench/src/apricotpath_bench/relay.py
@@ -13,18 +13,18 @@
 
 
 class SilentRelay:
-    """Forwards connections to a port on loopback.
+    """Forwards connections from `port` to another port on loopback.
 
     `silence_connections()` discards all further traffic of the connections that are open at that
     moment, without closing them. Later connections work.
     """
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, port: int, target_port: int) -> None:
+        self.port = port
         self.target_port = target_port
         self._lock = Lock()
         self._connections: list[_RelayedConnection] = []
-        self._listener = socket.create_server((LOOPBACK, 0))
-        self.port: int = self._listener.getsockname()[1]
+        self._listener = socket.create_server((LOOPBACK, port))
         Thread(target=self._accept, daemon=True).start()
 
     def silence_connections(self) -> int:
--- a/tests/features/processes.feature
+++ b/tests/features/processes.feature
@@ -73,6 +73,11 @@
       | an entry |
       | an agent |
 
+  # Guards against a relay that takes a port chosen for a process, which then cannot start.
+  Scenario: processes and the relays between them get different ports
+    When the ports of processes with relays are chosen
+    Then the relays of the processes listen on ports that were chosen for them alone
+
   Scenario: processes take one of two bundles that operators race with
     Given running processes
     When two operators apply different bundles of one version to the processes
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from threading import Event, Thread
 from typing import Any, ClassVar
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -24,7 +25,7 @@
     quiet_rule,
     run,
 )
-from apricotpath_bench.deploy import Deployment
+from apricotpath_bench.deploy import Deployment, free_ports
 from apricotpath_bench.drive import DeploymentDriver, wait_until
 from apricotpath_bench.judge import (
     MAX_LEAVE_DELAY_S,
@@ -510,6 +511,45 @@
     assert all(call.outcome == "answered" and call.status == 200 for call in calls), calls
 
 
+class PortsOnlyDeployment(Deployment):
+    """A deployment that opens its relays but starts no process."""
+
+    def cli(self, *arguments: str) -> str:
+        return '{"public_key": "none"}'
+
+    def start_process(self, name: str) -> None:
+        pass
+
+    def apply_bundle(self, bundle: dict[str, Any]) -> str:
+        return ""
+
+
+@when("the ports of processes with relays are chosen")
+def step_choose_ports(context):
+    chosen: list[int] = []
+
+    def choose(count: int) -> list[int]:
+        chosen.extend(free_ports(count))
+        return chosen
+
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = PortsOnlyDeployment(SMALL, Path(folder), relayed=True)
+        context.add_cleanup(deployment.stop)
+        with patch("apricotpath_bench.deploy.free_ports", choose):
+            deployment.start()
+    context.chosen_ports, context.ports_only = chosen, deployment
+
+
+@then("the relays of the processes listen on ports that were chosen for them alone")
+def step_relay_ports(context):
+    relays = [relay.port for relay in context.ports_only.relays.values()]
+    assert len(relays) == SMALL.entries
+    assert set(relays) <= set(context.chosen_ports), (relays, context.chosen_ports)
+    assert len(context.chosen_ports) == len(set(context.chosen_ports))
+    names = [name for name, port in context.ports_only.ports.items() if port in relays]
+    assert names == [f"{name}-relay" for name in context.ports_only.relays], names
+
+
 @when("two operators apply different bundles of one version to the processes")
 def step_race_bundles(context):
     context.processes.race_bundles()
