--- a/packages/core/src/apricotpath/runlogreader.py
+++ b/packages/core/src/apricotpath/runlogreader.py
@@ -123,7 +123,7 @@
         """Return the run log; call it again after a StoreError to continue.
 
         Only the newest snapshot and the entries after it are read, unless the head that names it
-        is malformed, parts of it are missing, or the entries do not continue it.
+        is malformed, parts of it are missing, or the entries right after it are.
         """
         if not self._heads:
             self._heads.append(await self._store.get(self._keys.head))
@@ -144,7 +144,11 @@
             return None
 
     async def _read_named(self, head: SnapshotHead, revision: int) -> StoredLog | None:
-        """Read the snapshot that the head names, and what follows; None if that is incomplete."""
+        """Read the snapshot that the head names, and what follows; None if that is superseded.
+
+        It may be if it lacks parts, or if the entries right after it are gone: they are removed in
+        order once a newer snapshot is complete. With other gaps, a newer one need not be whole.
+        """
         parts: tuple[KeyValue, ...] = ()
         if head is not NO_SNAPSHOT:
             parts = self._counted(head, await self._range(self._keys.parts_of(head.seq)))
@@ -157,7 +161,8 @@
         if missing:
             numbers = {"snapshot": head.seq, "entries": len(entries), "missing": missing}
             log.error("the run log lacks entries after its newest snapshot", extra=numbers)
-            return None
+            if head.seq + 1 not in entries:
+                return None
         return StoredLog(head.seq, revision, parts, entries)
 
     def _counted(self, head: SnapshotHead, parts: Iterable[KeyValue]) -> tuple[KeyValue, ...]:
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -106,6 +106,14 @@
     Then the next scheduler loads the runlog's records but that of entry 18
     And the runlog's reader reports 1 missing entries after snapshot 16
 
+  # For the sake of one lost entry, a snapshot that a dead scheduler had begun was taken for whole.
+  Scenario: runlog loads no incomplete snapshot in place of a whole one that lacks an entry
+    Given a runlog of the first scheduler
+    When 20 records are appended to the runlog with a snapshot after every 15
+    And a snapshot of 3000 records of the runlog is not completed, and entry 18 is lost
+    Then the next scheduler loads the runlog's records but that of entry 18
+    And the runlog's reader reports 1 missing entries after snapshot 16
+
   # A snapshot that had lost a part was loaded as if it were whole, although the log had it all.
   Scenario: runlog does not take a snapshot without some of its parts for a whole one
     Given a runlog of the first scheduler
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -391,6 +391,23 @@
     case.actions.append(act)
 
 
+@when("a snapshot of {count:d} records of the runlog is not completed, and entry {seq:d} is lost")
+def incomplete_beside_gap(context: Any, count: int, seq: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        records = [record(number) for number in range(100, 100 + count)]
+        await case.log.append(records)
+        case.appended += records
+        head = case.shared.items[HEAD_KEY]
+        await case.log.snapshot(case.appended, case.log.position())
+        case.shared.items[HEAD_KEY] = head
+        case.shared.remove(max(key for key in case.shared.items if f"{PREFIX}parts/" in key))
+        case.shared.remove(f"{PREFIX}log/{seq:012d}")
+
+    case.actions.append(act)
+
+
 @when("all of the runlog but a malformed head is lost")
 def lose_all(context: Any) -> None:
     case: LogCase = context.log
