Keep log entries whose append may still take effect

What callers would see: a job that is accepted under the id of one past its retention loses its key in the store, and is not known any more after a change of schedulers.

Cause: an append compares the epoch and that its own key is new. One that gets no answer is repeated with success.

Change: entries of which an attempt was not answered are not removed in the epoch that wrote them. No call or compare is added.

Why it works: while the key is there the compare is false, and once the epoch has changed that compare is false for good.

--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -82,6 +82,8 @@
         self._own_snapshots: list[int] = []
         # Parts of the newest snapshot.
         self._part_keys: list[str] = []
+        # Keys of writes of which an attempt was not answered; it may take effect later.
+        self._unanswered: set[str] = set()
         self._obsolete: deque[str] = deque()
         self._obsolete_known = False
 
@@ -169,7 +171,9 @@
     async def snapshot(self, records: Sequence[RunRecord], position: LogPosition) -> None:
         """Replace the log up to a position by records that rebuild the state there.
 
-        Entries that were appended since then stay. Raises like `append`.
+        Entries that were appended since then stay, and so do those of which an attempt was not
+        answered: while the key is there, the attempt cannot take effect. A later epoch removes
+        them. Raises like `append`.
         """
         seq = position.seq
         self._own_snapshots.append(seq)
@@ -184,7 +188,8 @@
         head = SnapshotHead(seq, len(part_keys)).encode()
         self._head_revision = await self._write(Put(self._keys.head, head), former_head)
         first = seq - position.entries + 1
-        self._obsolete += [self._keys.entry(old) for old in range(first, seq + 1)]
+        replaced = [self._keys.entry(old) for old in range(first, seq + 1)]
+        self._obsolete += [key for key in replaced if key not in self._unanswered]
         self._obsolete += [key for key in self._part_keys if key not in part_keys]
         self._part_keys, self._snapshot_bytes = part_keys, size
         self.entries -= position.entries
@@ -209,7 +214,9 @@
                 raise FencedError("a newer scheduler has taken over; nothing was written")
             except FencedError:
                 raise
-            except (StoreUnavailable, StoreLimited, StoreOutcomeUnknown):
+            except StoreOutcomeUnknown:
+                self._unanswered.add(put.key)
+            except (StoreUnavailable, StoreLimited):
                 pass
             except StoreError as exc:
                 log.error("store rejected the write, retrying: %s", exc)
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -91,6 +91,14 @@
     Then the next scheduler loads the runlog's records once and in order
     And the store holds the parts of 1 snapshot of the runlog
 
+  # An append that was written again after no answer took effect once more when its entry had been
+  # removed, and removed the key of a job that was accepted since.
+  Scenario: runlog carries out an append once although its entry is removed meanwhile
+    Given a runlog of the first scheduler
+    When an append to the runlog that removes a key is carried out again after its entry is removed
+    Then the next scheduler loads the runlog's records once and in order
+    And the key that was written after the removal is in the store
+
   # A head that named an older snapshot, of which entries were removed, was loaded without a word.
   Scenario: runlog loads the newest whole snapshot when the head names an older one
     Given a runlog of the first scheduler
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -13,7 +13,7 @@
 from apricotpath.ids import JobId
 from apricotpath.runlog import MAX_EXTRA, RunLog
 from apricotpath.runrecords import Ended, RunRecord, to_row
-from apricotpath.store import Put
+from apricotpath.store import Compare, Delete, Put
 from apricotpath.workload import RunResult, TaskKey
 from support.jobworld import run_virtual
 from support.memorystore import InstantStore, MemoryStore, SharedStore
@@ -22,6 +22,8 @@
 PREFIX = "test/runs/"
 EPOCH_KEY = "test/epoch"
 HEAD_KEY = f"{PREFIX}snapshot"
+# A key that is written and removed beside the run log, as those of jobs are.
+OTHER_KEY = "test/other"
 
 
 def record(number: int) -> Ended:
@@ -212,6 +214,30 @@
     case.actions.append(act)
 
 
+@when("an append to the runlog that removes a key is carried out again after its entry is removed")
+def append_again(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        faults = case.store.faults
+        faults.late_prefix = f"{PREFIX}log/"
+        faults.late_writes, faults.late_s = 1, 10.0
+        await case.log.append([record(1)], [Delete(OTHER_KEY)])
+        case.appended.append(record(1))
+        await case.log.snapshot(case.appended, case.log.position())
+        await case.append(2)
+        await remove_all_obsolete(case)
+        await case.store.txn([Compare(OTHER_KEY, 0)], [Put(OTHER_KEY, b"accepted")])
+        case.store.apply_late_writes()
+
+    case.actions.append(act)
+
+
+@then("the key that was written after the removal is in the store")
+def still_stored(context: Any) -> None:
+    assert OTHER_KEY in context.log.shared.items
+
+
 @when("{entries:d} entries of {each:d} records each are appended to the runlog")
 def append_many(context: Any, entries: int, each: int) -> None:
     case: LogCase = context.log
