Do not deny a job whose submission may still be stored

What callers would see: a cancelling that is answered "no such job" (410), and the job running afterwards.

Cause: a submission without an answer from the store may take effect seconds later. A cancelling at the same entry in between finds no job, writes nothing and says that there is none.

Change: while a submission of the id is uncertain at the entry and the job is not stored, its cancelling is refused (503), as later submissions of it are answered as unknown (504). Other entries do not know of the submission.

Why it works: the caller asks again, and is answered once the job is stored; that cancelling is written, and the job ends as cancelled.

--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -180,9 +180,14 @@
         return status.progress if status is not None else Progress.QUEUED
 
     async def cancel(self, job: JobId) -> bool:
-        """Cancel a job; False if there is none. Raises JobServiceUnavailable."""
+        """Cancel a job; False if there is none. Raises JobServiceUnavailable.
+
+        A job that is not stored may come into being while a submission of it is uncertain.
+        """
         stored = await self._read(job)
         if stored is None:
+            if job in self._uncertain:
+                raise JobServiceUnavailable("a submission of the job may still take effect")
             return False
         if stored.ended is None:
             key = self.keys.cancel(job)
--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -189,6 +189,13 @@
     And each task of the jobworld resumed from at least 6 seconds of work
     And no invariant of the jobworld was violated
 
+  # The cancelling was answered as if there were no such job, which was stored, and ran, afterwards.
+  Scenario: jobworld does not answer that there is no job while its submission may still be stored
+    Given a jobworld of 2 entries and 2 agents
+    When a job is cancelled in the jobworld while its unanswered submission is under way
+    Then the jobworld's job is cancelled within 2 seconds
+    And the first cancelling of the jobworld's job was not answered as done
+
   Scenario: jobworld stops what runs of a cancelled job and starts no more of it
     Given a jobworld of 2 entries and 2 agents
     And tasks of the jobworld take 30 seconds
--- a/tests/features/steps/jobworld_steps.py
+++ b/tests/features/steps/jobworld_steps.py
@@ -15,6 +15,7 @@
 from apricotpath.store import Put
 from apricotpath.workload import Job, Step
 from apricotpathd.attachment import ExecutorState
+from apricotpathd.jobservice import JobServiceUnavailable, Submission
 from support.jobworld import PREFIX, QUEUE, JobWorld, run_virtual
 
 CORE = Size(1000, 100, 0)
@@ -36,6 +37,7 @@
         self.actions: list[Action] = []
         self.jobs: list[JobId] = []
         self.world: JobWorld | None = None
+        self.cancel_answer: bool | None = None
 
     def run(self) -> None:
         run_virtual(self._main, self.seed)
@@ -414,6 +416,32 @@
     script(context).actions.append(act)
 
 
+@when("a job is cancelled in the jobworld while its unanswered submission is under way")
+def cancel_before_stored(context: Any) -> None:
+    async def act(run: Script) -> None:
+        world = run.running_world
+        entry, job = next(iter(world.entries.values())), world.next_job()
+        faults = entry.store.faults
+        faults.late_prefix, faults.late_writes, faults.late_s = f"{PREFIX}jobs/job/", 100, 1000.0
+        outcome = await entry.job_service.submit(Job(job, QUEUE, "bake", (Step(1, CORE, 1.0),)))
+        faults.late_writes = 0
+        assert outcome is Submission.UNKNOWN, outcome
+        run.jobs.append(job)
+        try:
+            run.cancel_answer = await entry.job_service.cancel(job)
+        except JobServiceUnavailable:
+            run.cancel_answer = None
+        entry.store.apply_late_writes()
+        assert await entry.job_service.cancel(job)
+
+    script(context).actions.append(act)
+
+
+@then("the first cancelling of the jobworld's job was not answered as done")
+def cancel_not_done(context: Any) -> None:
+    assert context.script.cancel_answer is None, context.script.cancel_answer
+
+
 @when("the jobworld's job is cancelled at an entry that does not schedule")
 def cancel(context: Any) -> None:
     async def act(run: Script) -> None:
