--- a/tests/features/jobworld.feature
+++ b/tests/features/jobworld.feature
@@ -54,6 +54,16 @@
     And no invariant of the jobworld was violated
     And tasks of the jobworld started at most 73 times
 
+  # A scheduler whose snapshot was refused began it again in each pass for the rest of its term, and
+  # its log grew without end.
+  Scenario: jobworld writes snapshots again after the head of the run log was replaced
+    Given a jobworld of 2 entries and 2 agents
+    When a job of steps 8 and 8 is submitted to the jobworld
+    And the jobworld meets a fault: another process writes the head of the run log before a snapshot
+    Then the jobworld's job is completed within 16 seconds
+    And no invariant of the jobworld was violated
+    And tasks of the jobworld started at most 16 times
+
   Scenario: jobworld waits for a host that hears only a scheduler which has lost its place
     Given a jobworld of 2 entries and 2 agents
     And tasks of the jobworld take 20 seconds
@@ -179,6 +189,13 @@
     And each task of the jobworld resumed from at least 6 seconds of work
     And no invariant of the jobworld was violated
 
+  # The cancelling was answered as if there were no such job, which was stored, and ran, afterwards.
+  Scenario: jobworld does not answer that there is no job while its submission may still be stored
+    Given a jobworld of 2 entries and 2 agents
+    When a job is cancelled in the jobworld while its unanswered submission is under way
+    Then the jobworld's job is cancelled within 2 seconds
+    And the first cancelling of the jobworld's job was not answered as done
+
   Scenario: jobworld stops what runs of a cancelled job and starts no more of it
     Given a jobworld of 2 entries and 2 agents
     And tasks of the jobworld take 30 seconds
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -91,6 +91,14 @@
     Then the next scheduler loads the runlog's records once and in order
     And the store holds the parts of 1 snapshot of the runlog
 
+  # An append that was written again after no answer took effect once more when its entry had been
+  # removed, and removed the key of a job that was accepted since.
+  Scenario: runlog carries out an append once although its entry is removed meanwhile
+    Given a runlog of the first scheduler
+    When an append to the runlog that removes a key is carried out again after its entry is removed
+    Then the next scheduler loads the runlog's records once and in order
+    And the key that was written after the removal is in the store
+
   # A head that named an older snapshot, of which entries were removed, was loaded without a word.
   Scenario: runlog loads the newest whole snapshot when the head names an older one
     Given a runlog of the first scheduler
@@ -106,6 +114,14 @@
     Then the next scheduler loads the runlog's records but that of entry 18
     And the runlog's reader reports 1 missing entries after snapshot 16
 
+  # For the sake of one lost entry, a snapshot that a dead scheduler had begun was taken for whole.
+  Scenario: runlog loads no incomplete snapshot in place of a whole one that lacks an entry
+    Given a runlog of the first scheduler
+    When 20 records are appended to the runlog with a snapshot after every 15
+    And a snapshot of 3000 records of the runlog is not completed, and entry 18 is lost
+    Then the next scheduler loads the runlog's records but that of entry 18
+    And the runlog's reader reports 1 missing entries after snapshot 16
+
   # A snapshot that had lost a part was loaded as if it were whole, although the log had it all.
   Scenario: runlog does not take a snapshot without some of its parts for a whole one
     Given a runlog of the first scheduler
