--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -122,7 +122,7 @@
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
-        self._snapshot_running = self._snapshot_fenced = False
+        self._snapshot_running = False
 
     # Start of the term.
 
@@ -238,8 +238,7 @@
     # Scheduling loop.
 
     async def _run_loop(self, group: TaskGroup) -> None:
-        """Run scheduling passes until a snapshot is fenced; raises FencedError if an append is."""
-        while not self._snapshot_fenced:
+        while True:
             with anyio.move_on_after(MAX_IDLE_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -264,11 +263,8 @@
         try:
             await self._log.snapshot(records, position)
         except FencedError as exc:
-            # A later scheduler, or another process, has replaced the head; only a new load of the
-            # log tells which. The log would grow until then.
+            # The next append ends the term.
             log.warning("snapshot not written: %s", exc, extra={"epoch": self.epoch})
-            self._snapshot_fenced = True
-            self.wake()
         finally:
             self._snapshot_running = False
 
