Count the hold of a former scheduler's leases from its certain end

What callers would see: two runs of a task at the same time, after a take-over in which the new scheduler loads its tables for longer than 6 s (narrow link) and the former one, cut off from the store, still grants leases to a host that hears only it.

Cause: whether the predecessor had ended was looked at when the tables were loaded, but the hold of one lease was counted from the start of the term. A predecessor that counted as ended 6 s after the election, during the load, may have granted until then; its leases were taken for expired up to 6 s too early.

Change: the shorter hold from the start of the term applies only if the predecessor had ended then. Otherwise hosts are held for the full time, which is cut to one lease after the moment at which the end became certain, also if that is during the load.

Evidence: new feature authority, in virtual time. The stand-in store can carry out late writes of clients that have ended, take keys away while their lease goes on, and send pages slowly.

Why it works: every lease of a former scheduler is granted before its certain end, so that it has run out one lease later.

--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -114,6 +114,7 @@
         self._mirror = Mirror(store, self._keys.root, self._on_job_key_changed, progress=progress)
         self._wake = anyio.Event()
         self._started = boot_s()
+        self._starts_alone = term.predecessor_ended.is_set()
         self._cancel_keys: set[JobId] = set()
         self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
         self._start_orders = StartOrders(
@@ -130,8 +131,8 @@
         """Run until the term is over or given up, or the task is cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._mirror.run)
+            group.start_soon(self._shorten_holds)
             if await self._load_tables():
-                group.start_soon(self._shorten_holds)
                 group.start_soon(self._log.find_obsolete)
                 try:
                     await self._run_loop(group)
@@ -177,10 +178,12 @@
             await anyio.lowlevel.checkpoint()
 
     def _restore_hosts(self) -> None:
-        """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed."""
+        """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
+
+        One that ended while the tables were loaded may have done so until it ended.
+        """
         max_hold_s = self.cfg.run_hold_s + self.cfg.authority_s
-        ended = self.term.predecessor_ended.is_set()
-        hold_s = self.cfg.run_hold_s if ended else max_hold_s
+        hold_s = self.cfg.run_hold_s if self._starts_alone else max_hold_s
         predecessor = self.term.predecessor
         known = predecessor.holds if predecessor is not None else {}
         hosts = [name for name, runs in self.table.by_host.items() if runs]
@@ -192,7 +195,9 @@
     async def _shorten_holds(self) -> None:
         """Once the previous schedulers have ended, end the leases that they may have granted."""
         await self.term.predecessor_ended.wait()
-        self.host_tracker.limit_holds(boot_s() + self.cfg.run_hold_s)
+        until = boot_s() + self.cfg.run_hold_s
+        await self.loaded.wait()
+        self.host_tracker.limit_holds(until)
 
     def wake(self) -> None:
         """Run a scheduling pass soon."""
--- /dev/null
+++ b/tests/features/authority.feature
@@ -0,0 +1,18 @@
+Feature: authority
+
+  A scheduler grants leases only for as long as its successor waits for that. Guards against two
+  runs of a task when a later scheduler takes a former one for ended that still grants leases, or
+  takes leases for expired that the former one has granted.
+
+  # TWICE: holds were counted from the election although the former scheduler ended during the load.
+  Scenario Outline: authority is waited for by a scheduler whose pages take <seconds> seconds to load
+    Given a world of replacements with 2 entries and 4 hosts
+    And 6 long-running tasks at work
+    When authority's scheduler and a host are cut off, and pages take its successor <seconds> seconds
+    Then no task of the replacements ran twice at the same time
+
+    Examples:
+      | seconds |
+      | 3       |
+      | 7       |
+      | 10      |
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -17,12 +17,13 @@
 from apricotpath.boottime import boot_s, set_clock
 from apricotpath.codec import Envelope
 from apricotpath.config import Address, LinkSettings
-from apricotpath.election import ElectionSettings
+from apricotpath.election import ElectionSettings, Term
 from apricotpath.errors import LinkError, PeerError
 from apricotpath.executor import Executor
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
+    Epoch,
     HostId,
     JobId,
     ProcessId,
@@ -32,13 +33,14 @@
     TaskId,
 )
 from apricotpath.jobmetrics import JobMetrics
-from apricotpath.messages import Failure, Hello, Message, StartRuns
+from apricotpath.messages import Failure, Hello, HostGrant, Message, StartRuns
 from apricotpath.model import Role, Size
 from apricotpath.traffic import Traffic
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.dialler import Dialler
 from apricotpathd.hostagent import HostAgent
+from apricotpathd.hosttracker import FENCES_PER_EPOCH
 from apricotpathd.jobentry import JobEntry
 from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
@@ -99,6 +101,8 @@
         self._number += 1
         self.frames_sent += 1
         self.world.messages[type(body).__name__] += 1
+        if isinstance(body, HostGrant):
+            self.world.last_grants[Epoch(body.fence // FENCES_PER_EPOCH)] = boot_s()
         self.world.group.start_soon(self._deliver, Envelope(self._number, reply_to, body))
 
     async def send(self, body: Message, reply_to: int = 0) -> int:
@@ -183,6 +187,10 @@
         # Number of the next messages with starts that links reject because their queue is full.
         self.starts_rejected = 0
         self.messages: Counter[str] = Counter()
+        # Time of the last grant of each epoch, and the time from which on the scheduler of an
+        # epoch takes all earlier ones for ended.
+        self.last_grants: dict[Epoch, float] = {}
+        self.earlier_ended: dict[Epoch, float] = {}
         self._paused: dict[str, anyio.Event] = {}
         self._jobs_submitted = 0
 
@@ -209,6 +217,7 @@
             boot_s,
         )
         dialler.set_targets = lambda wanted: None  # type: ignore[method-assign]
+        self._record_ended_predecessors(jobs)
         process.set_components([job_service, jobs])
         node = EntryNode(process, store, job_service, jobs, anyio.CancelScope())
         self.entries[name] = node
@@ -221,6 +230,25 @@
                 self.group.start_soon(self._connect_later, agent, node, agents_link_after_s)
         return node
 
+    def _record_ended_predecessors(self, jobs: JobEntry) -> None:
+        """Record when each scheduler of an entry takes the earlier ones for ended."""
+        election: Any = jobs.election
+        serve_term, check_predecessor = election._serve_term, election._check_predecessor
+
+        def record(term: Term | None) -> None:
+            if term is not None and term.predecessor_ended.is_set():
+                self.earlier_ended.setdefault(term.epoch, boot_s())
+
+        async def serve_and_record(term: Term) -> None:
+            record(term)
+            await serve_term(term)
+
+        def check_and_record() -> None:
+            check_predecessor()
+            record(election.term)
+
+        election._serve_term, election._check_predecessor = serve_and_record, check_and_record
+
     async def _connect_later(self, agent: "AgentNode", entry: EntryNode, delay_s: float) -> None:
         await anyio.sleep(delay_s)
         if not agent.scope.cancel_called and not entry.scope.cancel_called:
@@ -398,10 +426,11 @@
     def violations(self) -> list[str]:
         """Return violated invariants.
 
-        They are overlapping runs of a task, an overcommitted host, and a task that was
-        started too often after it had crashed executors.
+        They are overlapping runs of a task, an overcommitted host, a task that was
+        started too often after it had crashed executors, and a lease granted by a scheduler
+        that a later one took for ended.
         """
-        found = self._start_budget_violations()
+        found = [*self._start_budget_violations(), *self._late_grants()]
         runs: dict[str, list[tuple[float, float]]] = {}
         for node in self.agents.values():
             model = node.model
@@ -421,6 +450,14 @@
                     found.append(f"{task} had overlapping runs")
         return found
 
+    def _late_grants(self) -> list[str]:
+        return [
+            f"epoch {old} granted a lease {at - ended:.2f} s after epoch {later} believed it ended"
+            for later, ended in self.earlier_ended.items()
+            for old, at in self.last_grants.items()
+            if old < later and at > ended
+        ]
+
     def crashes(self) -> list[Crash]:
         """Return the crashes of all executors after which a new incarnation came, by time."""
         found = [crash for node in self.agents.values() for crash in node.model.crashes]
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -25,6 +25,8 @@
 ANSWER_S = 0.004
 PAGE_ITEMS = 500
 UNLIMITED = 1 << 60
+# Time at which a write takes effect, its compares and its operations.
+LateWrite = tuple[float, Sequence[Compare], Sequence[Put | Delete]]
 
 
 @dataclass
@@ -33,6 +35,7 @@
 
     A write whose answer is lost takes effect. A late write also gets no answer,
     and takes effect `late_s` later if its compares are still true.
+    With `late_writes_outlive`, it takes effect also when the client has ended meanwhile.
     With `down`, calls fail at once; with `silent`, after 1 s without an answer, and with
     `silent_watches` only those that ask for changes.
     """
@@ -41,6 +44,7 @@
     lost_answers: int = 0
     late_writes: int = 0
     late_s: float = 2.0
+    late_writes_outlive: bool = False
     silent: bool = False
     silent_watches: bool = False
     # The link of the client; a connection is reset when so many more bytes of pages have come.
@@ -49,6 +53,8 @@
     reset_after_bytes: int = UNLIMITED
     # Reads of pages get no answer, while all other calls do.
     reads_stall: bool = False
+    # Each page takes so many seconds more, and comes in one piece a second.
+    page_s: int = 0
 
 
 @dataclass
@@ -62,14 +68,28 @@
     leases: dict[LeaseId, tuple[float, float]] = field(default_factory=dict)
     changed: anyio.Event = field(default_factory=anyio.Event)
     writes: int = 0
+    late: list[LateWrite] = field(default_factory=list)
 
     def expire(self) -> None:
+        """End the leases that are due, and carry out the late writes that are due."""
+        self._end_due_leases()
+        due = [entry for entry in self.late if entry[0] <= boot_s()]
+        self.late = [entry for entry in self.late if entry[0] > boot_s()]
+        for _, compares, operations in due:
+            with suppress(StoreLeaseEnded):
+                self.apply(compares, operations)
+
+    def _end_due_leases(self) -> None:
         for lease, (ends_at, _) in list(self.leases.items()):
             if boot_s() >= ends_at:
                 self.end_lease(lease)
 
     def end_lease(self, lease: LeaseId) -> None:
         self.leases.pop(lease, None)
+        self.take_keys_away(lease)
+
+    def take_keys_away(self, lease: LeaseId) -> None:
+        """Remove the keys of a lease, which goes on."""
         for key in [key for key, item in self.items.items() if item.lease == lease]:
             self.remove(key)
 
@@ -123,7 +143,7 @@
         self.page_items = PAGE_ITEMS
         # Bytes of the values in pages and changes that were returned.
         self.received_bytes = 0
-        self._late: list[tuple[float, Sequence[Compare], Sequence[Put | Delete]]] = []
+        self._late: list[LateWrite] = []
 
     async def _simulate_call(self) -> None:
         await anyio.sleep(ANSWER_S)
@@ -166,6 +186,9 @@
         if faults.reads_stall:
             await anyio.sleep(1.0)
             raise StoreUnavailable("no answer")
+        for _ in range(faults.page_s):
+            await anyio.sleep(1.0)
+            on_bytes(1)
         if size > faults.reset_after_bytes:
             await anyio.sleep(faults.reset_after_bytes / faults.bytes_per_s)
             on_bytes(faults.reset_after_bytes)
@@ -209,7 +232,8 @@
         await self._simulate_call()
         if self.faults.late_writes > 0:
             self.faults.late_writes -= 1
-            self._late.append((boot_s() + self.faults.late_s, compares, operations))
+            late = self.shared.late if self.faults.late_writes_outlive else self._late
+            late.append((boot_s() + self.faults.late_s, compares, operations))
             raise StoreOutcomeUnknown("the answer was lost")
         result = self.shared.apply(compares, operations)
         if self.faults.lost_answers > 0:
