End a term when a full read shows a later epoch without a leader

What callers would see: two runs of a task at the same time, after a scheduler that was cut off from the store reads it again while its successor has gone already and the store has discarded its history.

Cause: any answer of the store counted as proof that the scheduler still leads, since an election would have shown as a change of the leader key. A full read shows only what is there: the leader key of a successor that has ended is missing, and the later epoch was not looked at.

Change: a change of the epoch key ends a term that began before it, and an answer counts as proof only while the mirror holds the epoch key with the revision of the term's election.

Why it works: each election writes the epoch key, which is never removed, so that a mirror that holds the revision of one's own election shows that there was no later one when it was read.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -13,7 +13,7 @@
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreOutcomeUnknown
 from apricotpath.ids import Epoch, HostId, IncarnationId, ProcessId
 from apricotpath.mirror import Mirror, WatchableStore
-from apricotpath.store import Compare, Delete, LeaseId, Put
+from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
 
 log = logging.getLogger(__name__)
 
@@ -73,8 +73,7 @@
 
     `serve_term(term)` runs while this entry is the leader. It must return once
     the term is over, and is cancelled when the entry resigns, hands over or sees a
-    later epoch. `leader` is the newest leader that was seen. `last_led_at` is the newest
-    time (boot-clock seconds) at which a lease call showed that nobody else could be elected.
+    later epoch. `leader` is the newest leader that was seen.
     """
 
     def __init__(
@@ -91,7 +90,7 @@
         self.leader: LeaderRecord | None = None
         self._leader_seen_at = float("-inf")
         self.term: Term | None = None
-        self.last_led_at = float("-inf")
+        self._epoch_read_at = float("-inf")
         self.draining = False
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
@@ -117,6 +116,18 @@
         """Key of this entry's registration, by which agents and other entries find it."""
         return f"{self._entry_prefix}{self._entry}"
 
+    @property
+    def last_led_at(self) -> float:
+        """Newest boot-clock time (s) at which the store showed that no later leader was elected."""
+        if self.term is None or not self._is_newest(self.mirror.items.get(self._epoch_key)):
+            return self._epoch_read_at
+        return max(self._epoch_read_at, self.mirror.read_at or self._epoch_read_at)
+
+    def _is_newest(self, epoch_item: KeyValue | None) -> bool:
+        """Tell whether the epoch key shows that this entry's term is the newest."""
+        shown = epoch_item.mod_revision if epoch_item is not None else 0
+        return self.term is not None and shown == self.term.epoch_revision
+
     def peers(self) -> dict[ProcessId, Address]:
         """Return the addresses of the other registered entries."""
         return {name: record.address for name, record in self._peer_records()}
@@ -166,6 +177,14 @@
             log.warning("term ended by a leader with a later epoch", extra={"epoch": epoch})
             self._term_scope.cancel()
 
+    def _end_term_before(self, epoch_revision: int) -> None:
+        """End this entry's term if the epoch key was written after it began, at a revision."""
+        term = self.term
+        if term is None or self._term_scope is None or epoch_revision <= term.epoch_revision:
+            return
+        log.warning("term ended by a later epoch", extra={"epoch": term.epoch})
+        self._term_scope.cancel()
+
     def _on_key_change(self, key: str, value: bytes | None, revision: int) -> None:
         if key == self._leader_key:
             record = self.leader_records.read(self.mirror.items.get(key))
@@ -174,6 +193,8 @@
                 log.info("leader seen", extra={"entry": record.entry, "epoch": record.epoch})
                 if record.incarnation != self._incarnation:
                     self.step_down_for(record.epoch)
+        elif key == self._epoch_key:
+            self._end_term_before(revision)
         self._hand_over_if_possible()
         self._check_predecessor()
         self._changed.set()
@@ -202,7 +223,7 @@
                         await self._register(self._lease)
                         self._hand_over_if_possible()
                 if not scope.cancelled_caught and self._lease == self._leader_lease:
-                    self.last_led_at = started
+                    self._epoch_read_at = started
             except StoreLeaseEnded:
                 self._lease = None
             except StoreError as exc:
@@ -325,7 +346,7 @@
         if not revision:
             return None
         self._see_leader(record)
-        self._leader_lease, self.last_led_at = lease, started
+        self._leader_lease, self._epoch_read_at = lease, started
         earlier_until = boot_s() + self.cfg.authority_s
         term = Term(epoch, self._epoch_key, revision, previous, former_until, earlier_until)
         if former_ended:
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -132,7 +132,7 @@
             self.prefix,
             self.cfg,
             self._rules,
-            lambda: max(self.election.last_led_at, self.election.mirror.read_at or 0.0),
+            lambda: self.election.last_led_at,
             self._publish,
             self._metrics,
             self._utc,
--- a/tests/features/authority.feature
+++ b/tests/features/authority.feature
@@ -4,6 +4,14 @@
   runs of a task when a later scheduler takes a former one for ended that still grants leases, or
   takes leases for expired that the former one has granted.
 
+  # TWICE: a scheduler that read all keys again did not see the election of one that had gone.
+  Scenario: authority ends when a full read shows the epoch of a scheduler that has gone
+    Given a world of replacements with 3 entries and 4 hosts
+    And 6 long-running tasks at work
+    When authority's scheduler reads a later epoch without a leader key after the store forgot its history
+    Then no task of the replacements ran twice at the same time
+    And the former scheduler of authority has ended its term within 1.5 seconds
+
   # TWICE: holds were counted from the election although the former scheduler ended during the load.
   Scenario Outline: authority is waited for by a scheduler whose pages take <seconds> seconds to load
     Given a world of replacements with 2 entries and 4 hosts
--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -3,11 +3,16 @@
 from typing import Any
 
 import anyio
-from behave import when
+from behave import then, when
 from replacements_steps import SAMPLE_S, Replacements, scenario
 
 from support.jobworld import EntryNode
 
+# How long an entry needs to see the election of another one.
+SEEN_S = 0.3
+# How long an entry needs to read all keys once the store answers it again.
+READ_S = 1.5
+
 
 def leader_of(run: Replacements) -> EntryNode:
     """Return the entry that schedules."""
@@ -16,6 +21,40 @@
     return leader
 
 
+@when(
+    "authority's scheduler reads a later epoch without a leader key "
+    "after the store forgot its history"
+)
+def read_later_epoch(context: Any) -> None:
+    async def act(run: Replacements) -> None:
+        world, former = run.world, leader_of(run)
+        # Longer than any scheduler acts after it has lost its place.
+        await anyio.sleep(world.cfg.authority_s + 1.0)
+        term = former.jobs.election.term
+        run.cut_off(former)
+        successor = await run.wait_for_other_leader(former)
+        others = [node for node in world.entries.values() if node is not former]
+        third = next(node for node in others if node is not world.entries[successor])
+        await anyio.sleep(SEEN_S)
+        third.store.faults.silent = True
+        await world.stop_entry(successor, 0.0)
+        world.shared.forget_history()
+        former.store.faults.silent = False
+        await anyio.sleep(READ_S)
+        context.former_ended = former.jobs.election.term is not term
+        former.store.faults.silent = True
+        third.store.faults.silent = False
+        await run.wait_for_other_leader(former)
+
+    scenario(context).background.append(act)
+
+
+@then("the former scheduler of authority has ended its term within {limit_s:g} seconds")
+def term_ended(context: Any, limit_s: float) -> None:
+    assert limit_s == READ_S
+    assert context.former_ended
+
+
 @when(
     "authority's scheduler and a host are cut off, and pages take its successor {seconds:d} seconds"
 )
