Prove leadership by the epoch key instead of a renewed store lease

What callers would see: two runs of a task at the same time, after the store took the keys of the scheduler away at once while its lease went on. If the scheduler gets no answer to its watches and hears of the next one over no link, it grants leases to hosts that hear only it for as long as its lease is renewed, while its successor waits for 6 s and one lease.

Cause: the renewal of the store lease of the leader key counted as proof that nobody else could be elected. That holds only while the key is there.

Change: the scheduler reads the epoch key every 0.4 s, beside the renewals. The read counts as proof, from the moment when it was sent, only if the key has the revision of the term's election; a later one ends the term. Renewals prove nothing any more.

Cost: one read of one key each 0.4 s, 2.5 a second, by the scheduler alone, whatever the size of the fleet.

Why it works: every election writes the epoch key, so that a linearizable read that returns the revision of one's own election shows that there was no later one when the read was sent. A former scheduler thus grants nothing later than 6 s after the next election.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -95,8 +95,6 @@
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
         self._lease: LeaseId | None = None
-        # The lease of the leader key; while it lives, no other entry can be elected.
-        self._leader_lease: LeaseId | None = None
         self._changed = anyio.Event()
         self._vacant_since = float("inf")
         self._stands_back_until = float("-inf")
@@ -211,7 +209,7 @@
         while not self._resigned:
             started = boot_s()
             try:
-                with anyio.move_on_after(self.cfg.lease_s / 2) as scope:
+                with anyio.move_on_after(self.cfg.lease_s / 2):
                     if self._lease is None:
                         self._lease = await self.store.lease_grant(self.cfg.lease_s)
                         await self._register(self._lease)
@@ -222,8 +220,6 @@
                     elif self.mirror.loaded.is_set() and self._registration_outdated():
                         await self._register(self._lease)
                         self._hand_over_if_possible()
-                if not scope.cancelled_caught and self._lease == self._leader_lease:
-                    self._epoch_read_at = started
             except StoreLeaseEnded:
                 self._lease = None
             except StoreError as exc:
@@ -346,7 +342,7 @@
         if not revision:
             return None
         self._see_leader(record)
-        self._leader_lease, self._epoch_read_at = lease, started
+        self._epoch_read_at = started
         earlier_until = boot_s() + self.cfg.authority_s
         term = Term(epoch, self._epoch_key, revision, previous, former_until, earlier_until)
         if former_ended:
@@ -401,6 +397,7 @@
             with anyio.CancelScope() as self._term_scope:
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._restore_leader_key, term)
+                    group.start_soon(self._read_epoch, term)
                     await self._serve_term(term)
                     group.cancel_scope.cancel()
         finally:
@@ -408,6 +405,25 @@
             self._term_scope = None
             log.info("scheduler term ended", extra={"epoch": term.epoch})
 
+    async def _read_epoch(self, term: Term) -> None:
+        """Read the epoch key at intervals; end the term once it shows a later one.
+
+        A living store lease proves nothing: its keys may be gone.
+        """
+        started = boot_s()
+        while True:
+            await anyio.sleep(max(RETRY_S, self.cfg.renew_s - (boot_s() - started)))
+            started = boot_s()
+            try:
+                item = await self.store.get(term.epoch_key)
+            except StoreError as exc:
+                log.info("epoch not read: %s", exc, extra={"epoch": term.epoch})
+                continue
+            if self._is_newest(item):
+                self._epoch_read_at = started
+            elif item is not None:
+                self._end_term_before(item.mod_revision)
+
     async def _release(self, term: Term) -> None:
         """Delete the leader key, and record that nothing happens in the term any more."""
         compares = [Compare(self._epoch_key, term.epoch_revision)]
@@ -434,9 +450,7 @@
             try:
                 record = LeaderRecord(term.epoch, self._entry, self._incarnation)
                 put = Put(self._leader_key, record.encode(), self._lease)
-                lease = self._lease
                 if (await self.store.txn(compares, [put])).succeeded:
-                    self._leader_lease = lease
                     log.info("leader key restored", extra={"epoch": term.epoch})
             except StoreLeaseEnded:
                 self._lease = None
--- a/tests/features/authority.feature
+++ b/tests/features/authority.feature
@@ -4,6 +4,18 @@
   runs of a task when a later scheduler takes a former one for ended that still grants leases, or
   takes leases for expired that the former one has granted.
 
+  # TWICE: a renewed store lease counted as proof that nobody else could be elected.
+  Scenario Outline: authority ends soon after another entry is elected while the store lease goes on, <change>
+    Given a world of replacements with 2 entries and 4 hosts
+    And 1 long-running tasks at work
+    When the keys of authority's scheduler are taken away while its lease goes on, <change>
+    Then no task of the replacements ran twice at the same time
+
+    Examples:
+      | change                                 |
+      | and it hears of no change in the store |
+      | and it hears of changes                |
+
   # TWICE: a scheduler that read all keys again did not see the election of one that had gone.
   Scenario: authority ends when a full read shows the epoch of a scheduler that has gone
     Given a world of replacements with 3 entries and 4 hosts
--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -21,6 +21,34 @@
     return leader
 
 
+def cut_links(run: Replacements, former: EntryNode) -> None:
+    """Cut a scheduler and the busiest host off from the other entries, but not from the store."""
+    together = {str(former.process.hello.process_id), run.busiest}
+    for name in set(run.world.entries) - together:
+        run.world.partitioned_pairs.update(frozenset({name, other}) for other in together)
+
+
+def take_keys_away(run: Replacements, node: EntryNode) -> None:
+    """Remove the keys of an entry, whose store lease goes on."""
+    lease = node.jobs.election._lease
+    assert lease is not None
+    run.world.shared.take_keys_away(lease)
+
+
+@when("the keys of authority's scheduler are taken away while its lease goes on, {change}")
+def lose_keys(context: Any, change: str) -> None:
+    async def act(run: Replacements) -> None:
+        former = leader_of(run)
+        cut_links(run, former)
+        former.store.faults.silent_watches = change == "and it hears of no change in the store"
+        # A call for changes that is open is answered.
+        await anyio.sleep(2.5)
+        take_keys_away(run, former)
+        await run.wait_for_other_leader(former)
+
+    scenario(context).background.append(act)
+
+
 @when(
     "authority's scheduler reads a later epoch without a leader key "
     "after the store forgot its history"
