Remove kept log entries once no late append can take effect

What operators would see: entries of the run log whose append got no answer stay in the store for the rest of a term, which may last for months.

Cause: such an entry is kept so that a late attempt of its append finds its key and fails; only the next scheduler removed it.

Change: it is removed 600 s after its last unanswered attempt, by the appends, as other obsolete entries are.

Evidence, on the code before: runlog "removes an entry whose append was not answered once no attempt can take effect": ASSERT FAILED: (True, True); now (True, False), 31 scenarios of runlog passed.

--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.lowlevel
 
+from apricotpath.boottime import boot_s
 from apricotpath.errors import (
     FencedError,
     InputError,
@@ -39,6 +40,8 @@
 # Records handled at a time; other tasks of the process, such as lease renewals, run in between.
 RECORDS_PER_SLICE = 200
 LIST_RETRY_S = 0.5
+# An attempt of a write that got no answer has no effect any more after this time.
+LATE_WRITE_S = 600.0
 # A snapshot is due after so many log entries, or once the log is larger than the last snapshot
 # and than MIN_LOG_BYTES; what a successor reads thus grows with the open work only.
 SNAPSHOT_EVERY = 1500
@@ -83,9 +86,11 @@
         self._own_snapshots: list[int] = []
         # Parts of the newest snapshot.
         self._part_keys: list[str] = []
-        # Keys of writes of which an attempt was not answered; it may take effect later.
-        self._unanswered: set[str] = set()
+        # When (boot-clock seconds) the last unanswered attempt of an append ended, by its key.
+        self._unanswered: dict[str, float] = {}
         self._obsolete: deque[str] = deque()
+        # Obsolete entries that must stay for a while, as an attempt may still take effect.
+        self._held: deque[str] = deque()
         self._obsolete_known = False
 
     @property
@@ -152,6 +157,7 @@
         self._seq += 1
         key = self._keys.entry(self._seq)
         value = _entry_value(rows)
+        self._release_held()
         free_entries = MAX_TXN_ENTRIES - APPEND_ENTRIES - len(extra)
         removed = [self._obsolete.popleft() for _ in range(min(free_entries, len(self._obsolete)))]
         deletes = [Delete(obsolete) for obsolete in removed]
@@ -159,6 +165,14 @@
         self.entries += 1
         self.log_bytes += len(value)
 
+    def _release_held(self) -> None:
+        """Let the obsolete entries go of which no attempt can take effect any more."""
+        due = boot_s() - LATE_WRITE_S
+        while self._held and self._unanswered[self._held[0]] < due:
+            key = self._held.popleft()
+            del self._unanswered[key]
+            self._obsolete.append(key)
+
     def position(self) -> LogPosition:
         """Return the present end of the log for a snapshot there; no append may be in progress.
 
@@ -173,8 +187,8 @@
         """Replace the log up to a position by records that rebuild the state there.
 
         Entries that were appended since then stay, and so do those of which an attempt was not
-        answered: while the key is there, the attempt cannot take effect. A later epoch removes
-        them. Raises like `append`.
+        answered: while the key is there, the attempt cannot take effect. They are removed
+        LATE_WRITE_S later. Raises like `append`.
         """
         seq = position.seq
         self._own_snapshots.append(seq)
@@ -186,6 +200,7 @@
             raise
         first = seq - position.entries + 1
         replaced = [self._keys.entry(old) for old in range(first, seq + 1)]
+        self._held += [key for key in replaced if key in self._unanswered]
         self._obsolete += [key for key in replaced if key not in self._unanswered]
         self._obsolete += [key for key in self._part_keys if key not in part_keys]
         self._part_keys, self._snapshot_bytes = part_keys, size
@@ -234,7 +249,8 @@
             except FencedError:
                 raise
             except StoreOutcomeUnknown:
-                self._unanswered.add(put.key)
+                if compare.key == put.key:
+                    self._unanswered[put.key] = boot_s()
             except (StoreUnavailable, StoreLimited):
                 pass
             except StoreError as exc:
--- a/tests/features/runlog.feature
+++ b/tests/features/runlog.feature
@@ -99,6 +99,12 @@
     Then the next scheduler loads the runlog's records once and in order
     And the key that was written after the removal is in the store
 
+  # Entries that are kept for the sake of such an append would pile up in a term of months.
+  Scenario: runlog removes an entry whose append was not answered once no attempt can take effect
+    Given a runlog of the first scheduler
+    When an append to the runlog is not answered, and a snapshot replaces its entry
+    Then the runlog's entry is in the store for 9 minutes and not after 11
+
   # A head that named an older snapshot, of which entries were removed, was loaded without a word.
   Scenario: runlog loads the newest whole snapshot when the head names an older one
     Given a runlog of the first scheduler
--- a/tests/features/steps/runlog_steps.py
+++ b/tests/features/steps/runlog_steps.py
@@ -240,6 +240,37 @@
     case.actions.append(act)
 
 
+@when("an append to the runlog is not answered, and a snapshot replaces its entry")
+def unanswered_append(context: Any) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        case.store.faults.late_prefix, case.store.faults.late_writes = f"{PREFIX}log/", 1
+        await case.append(1)
+        await case.log.snapshot(case.appended, case.log.position())
+
+    case.actions.append(act)
+
+
+@then("the runlog's entry is in the store for {kept:d} minutes and not after {removed:d}")
+def entry_kept(context: Any, kept: int, removed: int) -> None:
+    case: LogCase = context.log
+
+    async def act() -> None:
+        # The first entry is that of record 0.
+        key = f"{PREFIX}log/{2:012d}"
+        await anyio.sleep(60.0 * kept)
+        await case.append(2)
+        case.kept = key in case.shared.items
+        await anyio.sleep(60.0 * (removed - kept))
+        await case.append(3)
+        case.kept_too_long = key in case.shared.items
+
+    case.actions.append(act)
+    case.run()
+    assert (case.kept, case.kept_too_long) == (True, False), (case.kept, case.kept_too_long)
+
+
 @then("the key that was written after the removal is in the store")
 def still_stored(context: Any) -> None:
     assert OTHER_KEY in context.log.shared.items
