Take only a later incarnation's registration for the end of a leader

What callers would see: two runs of a task at the same time, after an entry was killed, started again and elected, and its first registration, a write without an answer, was carried out only then. If the entry loses its place before that registration lapses, and is cut off, its successor waits for one lease only, while it still grants leases for 6 s.

Cause: a registration with another incarnation than the leader's counted as proof that the leader's process had ended. It may be that of an earlier incarnation.

Change: registrations and leader records tell the store's revision at the first read of their incarnation (`began`). Only a registration that began later than the leader proves its end. An entry registers again if its key shows another incarnation. It waits up to 0.1 s for its first read before it registers; without it, `began` is 0, which proves nothing, and it registers again after the read. Records without `began` prove nothing either, so that a successor waits for 6 s and one lease while entries of both versions run.

Why it works: the election of a leader raises the store's revision, and an incarnation that starts after the leader's has ended reads a later revision than the leader did at its start; an earlier one has read an earlier or the same revision, whenever its registration is written.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -20,6 +20,8 @@
 RETRY_S = 0.1
 # How long an entry lets registered entries with more processors take a vacant leadership first.
 DEFER_S = 0.5
+# How long an entry that starts waits for its first read before it registers without it.
+LOAD_WAIT_S = 0.1
 # Spreads the attempts of entries that see the vacancy at the same time.
 JITTER_S = 0.05
 # Time limit of each write of an entry that shuts down or gives up its term.
@@ -206,6 +208,9 @@
 
     async def _keep_lease(self) -> None:
         """Keep a store lease alive and this entry registered under it."""
+        # So that the first registration shows when this incarnation began.
+        with anyio.move_on_after(LOAD_WAIT_S):
+            await self.mirror.loaded.wait()
         while not self._resigned:
             started = boot_s()
             try:
@@ -228,12 +233,14 @@
             await anyio.sleep(max(RETRY_S, self.cfg.renew_s - (boot_s() - started)))
 
     def _registration_outdated(self) -> bool:
-        """Tell whether this entry's key was deleted, or does not show that it is draining."""
+        """Tell whether this entry's key does not show its present registration."""
         record = self.entry_records.read(self.mirror.items.get(self.presence_key))
-        return record is None or record.draining != self.draining
+        shown = record and (record.incarnation, record.began, record.draining)
+        return shown != (self._incarnation, self.mirror.first_revision, self.draining)
 
     async def _register(self, lease: LeaseId) -> None:
-        record = EntryRecord(self._address, self.cfg.cores, self._incarnation, self.draining)
+        began = self.mirror.first_revision
+        record = EntryRecord(self._address, self.cfg.cores, self._incarnation, self.draining, began)
         await self.store.txn([], [Put(self.presence_key, record.encode(), lease)])
         self._drain_stored = record.draining
 
@@ -318,7 +325,7 @@
         first = epoch_item is None
         former_until = self._former_until(previous)
         former_ended = first or self._have_ended(previous, former_until)
-        record = LeaderRecord(epoch, self._entry, self._incarnation, former_ended=former_ended)
+        record = replace(self._leader_record(epoch), former_ended=former_ended)
         compares = [
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
@@ -366,9 +373,12 @@
         """Tell whether a former leader certainly does nothing any more in its term."""
         if leader.ended or leader.entry == self._entry:
             return True
-        # A later incarnation of a process starts only after the former one has ended.
+        # A later incarnation of a process starts only after the former one has ended. One that
+        # began at an earlier revision may be registered late.
         return any(
-            name == leader.entry and record.incarnation != leader.incarnation
+            name == leader.entry
+            and record.incarnation != leader.incarnation
+            and record.began > leader.began
             for name, record in self._peer_records()
         )
 
@@ -382,6 +392,11 @@
             log.info("predecessor ended", extra={"epoch": term.epoch})
             term.predecessor_ended.set()
 
+    def _leader_record(self, epoch: Epoch) -> LeaderRecord:
+        """Return the record of this entry as the leader of an epoch."""
+        began = self.mirror.first_revision
+        return LeaderRecord(epoch, self._entry, self._incarnation, began=began)
+
     async def _read_back(self, put: Put) -> int:
         """Return the mod revision of a write whose answer was lost, or 0 if it is not found."""
         try:
@@ -428,8 +443,11 @@
         """Delete the leader key, and record that nothing happens in the term any more."""
         compares = [Compare(self._epoch_key, term.epoch_revision)]
         former_ended = term.predecessor_ended.is_set()
-        record = LeaderRecord(
-            term.epoch, self._entry, self._incarnation, True, term.holds, former_ended
+        record = replace(
+            self._leader_record(term.epoch),
+            ended=True,
+            holds=term.holds,
+            former_ended=former_ended,
         )
         release = (Delete(self._leader_key), Put(self._epoch_key, record.encode()))
         try:
@@ -448,7 +466,7 @@
                 continue
             compares = [Compare(self._leader_key, 0), Compare(self._epoch_key, term.epoch_revision)]
             try:
-                record = LeaderRecord(term.epoch, self._entry, self._incarnation)
+                record = self._leader_record(term.epoch)
                 put = Put(self._leader_key, record.encode(), self._lease)
                 if (await self.store.txn(compares, [put])).succeeded:
                     log.info("leader key restored", extra={"epoch": term.epoch})
--- a/packages/core/src/apricotpath/entryrecords.py
+++ b/packages/core/src/apricotpath/entryrecords.py
@@ -39,13 +39,15 @@
     """Registration of an entry, by which agents and other entries find it.
 
     `cores` is the number of its processors. A `draining` entry shuts down, and leads only
-    while no other entry can.
+    while no other entry can. `began` is the store's revision when the incarnation began; 0 if
+    it is not known.
     """
 
     address: Address
     cores: float
     incarnation: IncarnationId
     draining: bool = False
+    began: int = 0
 
     @classmethod
     def parse(cls, value: bytes) -> Self:
@@ -56,6 +58,7 @@
             read_number(content, "cores", 0.0, low=0),
             IncarnationId(read_str(content, "incarnation", "")),
             read_bool(content, "draining", False),
+            read_int(content, "began", 0, low=0),
         )
 
     def encode(self) -> bytes:
@@ -68,6 +71,7 @@
                 "port": self.address.port,
                 "cores": self.cores,
                 "draining": self.draining,
+                "began": self.began,
             }
         )
 
@@ -79,7 +83,7 @@
     Once its term has `ended`, it does nothing in that term any more. `holds` then tells for
     how many seconds from then on runs may continue on hosts that were not attached to it.
     `former_ended` tells that no leader before this one granted leases any more when the
-    record was written.
+    record was written. `began` is that of the entry's registration.
     """
 
     epoch: Epoch
@@ -88,6 +92,7 @@
     ended: bool = False
     holds: Mapping[HostId, float] = field(default_factory=dict)
     former_ended: bool = False
+    began: int = 0
 
     @classmethod
     def parse(cls, value: bytes) -> Self:
@@ -100,6 +105,7 @@
             read_bool(content, "ended", False),
             _parse_holds(content),
             read_bool(content, "former_ended", False),
+            read_int(content, "began", 0, low=0),
         )
 
     def encode(self) -> bytes:
@@ -112,6 +118,7 @@
                 "ended": self.ended,
                 "holds": dict(islice(self.holds.items(), MAX_HOLDS)),
                 "former_ended": self.former_ended,
+                "began": self.began,
                 "token": new_token(),
             }
         )
--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -54,7 +54,8 @@
 
     `on_change(key, value or None, revision)` is called for each changed key,
     also when all keys are read again. `read_at` is the boot-clock time in
-    seconds at which the newest successful call began. `progress` counts what full reads receive.
+    seconds at which the newest successful call began. `first_revision` is the store's revision
+    at the first full read, and 0 before it. `progress` counts what full reads receive.
     With `coalesce_s`, changes in quick succession are followed by full reads at that interval
     until nothing changes any more, which suits large values that change many times in a row.
     """
@@ -72,6 +73,7 @@
         self.prefix = prefix
         self.items: dict[str, KeyValue] = {}
         self.read_at: float | None = None
+        self.first_revision = 0
         self.loaded = anyio.Event()
         self._on_change = on_change
         self._wait_s = wait_s
@@ -145,6 +147,7 @@
                 self._on_change(key, item.value, item.mod_revision)
         self._revision = result.revision
         self.read_at = full_read.started_at
+        self.first_revision = self.first_revision or result.revision
         self.loaded.set()
         return changed
 
--- a/tests/features/authority.feature
+++ b/tests/features/authority.feature
@@ -24,6 +24,13 @@
     Then no task of the replacements ran twice at the same time
     And the former scheduler of authority has ended its term within 1.5 seconds
 
+  # TWICE: a registration of an earlier incarnation counted as proof that a later one had ended.
+  Scenario: authority of an earlier incarnation's late registration proves no end
+    Given a world of replacements with 2 entries and 4 hosts
+    And 6 long-running tasks at work
+    When authority's scheduler restarts, is overtaken by its earlier registration and loses its place
+    Then no task of the replacements ran twice at the same time
+
   # TWICE: holds were counted from the election although the former scheduler ended during the load.
   Scenario Outline: authority is waited for by a scheduler whose pages take <seconds> seconds to load
     Given a world of replacements with 2 entries and 4 hosts
--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -12,6 +12,8 @@
 SEEN_S = 0.3
 # How long an entry needs to read all keys once the store answers it again.
 READ_S = 1.5
+# When a late registration is carried out; its store lease lives for 1.5 s after a renewal.
+LATE_REGISTRATION_S = 1.0
 
 
 def leader_of(run: Replacements) -> EntryNode:
@@ -83,6 +85,40 @@
     assert context.former_ended
 
 
+@when(
+    "authority's scheduler restarts, is overtaken by its earlier registration and loses its place"
+)
+def register_late(context: Any) -> None:
+    async def act(run: Replacements) -> None:
+        world, former = run.world, leader_of(run)
+        name = str(former.process.hello.process_id)
+        faults = former.store.faults
+        faults.late_writes_outlive, faults.late_s = True, LATE_REGISTRATION_S
+        faults.late_writes = 1
+        world.shared.remove(former.jobs.election.presence_key)
+        while faults.late_writes:
+            await anyio.sleep(0.001)
+        await world.kill(former)
+        again = world.add_entry(name)
+        await world.wait_until_attached()
+        assert world.leader() is again
+        incarnation = former.process.incarnation.encode()
+        with anyio.fail_after(2):
+            while incarnation not in registration(run, again):
+                await anyio.sleep(0.001)
+        run.cut_off(again)
+        take_keys_away(run, again)
+        await run.wait_for_other_leader(again)
+
+    scenario(context).background.append(act)
+
+
+def registration(run: Replacements, node: EntryNode) -> bytes:
+    """Return the registration of an entry in the store, or nothing."""
+    item = run.world.shared.items.get(node.jobs.election.presence_key)
+    return item.value if item is not None else b""
+
+
 @when(
     "authority's scheduler and a host are cut off, and pages take its successor {seconds:d} seconds"
 )
