Attach again when the scheduler does not know the attachment

What callers would see: a host that gets no tasks any more, and whose runs are lost after one lease and done again elsewhere, until its link breaks or another scheduler is elected.

Cause: a HostAttach that arrives over an older link after a newer attachment takes that one's place. When the older link then closes, the scheduler detaches the host. Reports under the agent's token got no answer, and the agent, whose own link is sound, waits for grants without a limit. The same holds while the older link stays open, or if the late call names a former incarnation.

Change: a loaded scheduler answers a report under a token that it does not know on that link with HostDetached. The agent ends the attachment if it still uses that token on that link, and attaches again.

Why it works: the agent reports at least every 0.8 s while its executor answers, so that an attachment that the scheduler has replaced ends well within the lease. Messages on one link keep their order, so that an answer for an earlier attachment names another token and is ignored.

--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -78,6 +78,7 @@
     "HostAttach",
     "HostAttached",
     "HostCapacity",
+    "HostDetached",
     "HostGrant",
     "HostReport",
     "HostRuns",
@@ -203,6 +204,13 @@
     fence: FenceToken
 
 
+@dataclass(frozen=True, slots=True)
+class HostDetached(Message):
+    """Answer to a HostRuns under a fencing token that the scheduler does not know on its link."""
+
+    fence: FenceToken
+
+
 @dataclass(frozen=True, slots=True)
 class RunStatus:
     """One active run on a host; see `apricotpath.jobtable.Run`.
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -343,6 +343,10 @@
   fence @1 :Int64;
 }
 
+struct HostDetached {
+  fence @0 :Int64;
+}
+
 struct RunStatus {
   task @0 :Text;
   run @1 :Int64;
@@ -509,5 +513,6 @@
     jobStatuses @48 :JobStatuses;
     hostSilent @49 :HostSilent;
     hostCapacity @50 :HostCapacity;
+    hostDetached @51 :HostDetached;
   }
 }
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -28,6 +28,7 @@
     HostAttach,
     HostAttached,
     HostCapacity,
+    HostDetached,
     HostGrant,
     HostRuns,
     HostSilent,
@@ -75,7 +76,7 @@
     """
 
     handles: frozenset[type[Message]] = frozenset(
-        {LeaderNotice, HostGrant, StartRuns, StopRuns, RunTraits}
+        {LeaderNotice, HostDetached, HostGrant, StartRuns, StopRuns, RunTraits}
     )
 
     def __init__(
@@ -568,7 +569,9 @@
         attached = self.attachment
         if attached is None or attached.link is not link or self._group is None:
             return
-        if isinstance(body, HostGrant) and body.fence == attached.fence:
+        if isinstance(body, HostDetached) and body.fence == attached.fence:
+            self._detach("the scheduler does not know the attachment")
+        elif isinstance(body, HostGrant) and body.fence == attached.fence:
             sent = attached.sent_at.get(body.renewal)
             if sent is not None:
                 until = sent + self.cfg.run_lease_s
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -21,6 +21,7 @@
     HostAttach,
     HostAttached,
     HostCapacity,
+    HostDetached,
     HostGrant,
     HostRuns,
     HostSilent,
@@ -228,9 +229,15 @@
             log.info("capacity changed", extra=extra)
 
     def receive_report(self, link: Link, message: HostRuns) -> None:
-        """Apply a host's report and renew the lease of its runs."""
+        """Apply a host's report and renew the lease of its runs.
+
+        An unknown token is answered: a late attachment over another link may have replaced
+        the one that the agent uses, which would go on with reports that count for nothing.
+        """
         host = self._attached_host(link, message.fence)
         if host is None:
+            log.info("report under an unknown token", extra={"fence": message.fence})
+            send_nowait(link, HostDetached(message.fence))
             return
         now = boot_s()
         self._grant(host, link, message.renewal, now)
@@ -493,7 +500,9 @@
                 del self.hosts[name]
 
 
-def send_nowait(link: Link, message: HostGrant | RunTraits | StartRuns | StopRuns) -> bool:
+def send_nowait(
+    link: Link, message: HostDetached | HostGrant | RunTraits | StartRuns | StopRuns
+) -> bool:
     """Queue a message on a link; False if the link is closed or its queue is full."""
     try:
         link.send_nowait(message)
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -64,6 +64,18 @@
     When the executor of the incarnations world restarts, and begins a run before it is heard of
     Then the incarnations log names both incarnations of the run once
 
+  # Guards against a host that is lost for good, since a late attachment has replaced its newest one.
+  Scenario Outline: incarnations attach again after a late attachment <which>
+    Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
+    When an attachment <which> reaches the scheduler of the incarnations world late
+    Then the incarnations host is attached and reported again 2 seconds later, its run at work
+
+    Examples:
+      | which                                      |
+      | over an older link, which then closes      |
+      | over an older link, which stays open       |
+      | of a former incarnation over an older link |
+
   # TWICE, as a whole: restarts under an id beside late calls, cuts and kills.
   Scenario Outline: incarnations never make two runs of a task with seed <seed>
     Given an incarnations world of 4 agents whose executors leave 30 of 100 calls unanswered
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -10,13 +10,16 @@
 from behave import given, then, when
 
 from apricotpath.boottime import boot_s
+from apricotpath.codec import Envelope
 from apricotpath.executor import ExecutorReport, ExecutorUnavailable, StartCall
-from apricotpath.ids import FenceToken, JobId, TaskId
+from apricotpath.fleet import Host
+from apricotpath.ids import FenceToken, HostId, InstanceId, JobId, TaskId
+from apricotpath.messages import HostAttach
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import RunResult, Step
 from support.agentcase import TASK, AgentCase
 from support.executormodel import CALL_TIMEOUT_S, ExecutorModel, ModelExecutor
-from support.jobworld import JobWorld, run_virtual
+from support.jobworld import AgentNode, JobWorld, run_virtual
 
 OTHER_TASK = TaskId("00000000000000a3.0.0.0")
 HOST = Size(8000, 8000, 0)
@@ -313,6 +316,24 @@
     assert at_work == [(TASK, RunResult.DONE)], (at_work, case.model.endings)
 
 
+def late_attach(node: AgentNode, former: bool) -> HostAttach:
+    """Return an attachment of an agent's executor, or of its former incarnation."""
+    state = node.agent.state
+    assert state is not None
+    facts = state.facts
+    return HostAttach(
+        node.agent.host,
+        InstanceId(facts.instance),
+        facts.born_ms - former,
+        facts.service,
+        facts.data_centre,
+        facts.rack,
+        tuple(sorted(facts.labels)),
+        facts.capacity,
+        node.agent.epoch,
+    )
+
+
 class RestartWorld:
     """A job world whose executors restart under their id beside late calls, cuts and kills."""
 
@@ -324,6 +345,9 @@
         self.agents, self.share = agents, share
         self.violations: list[str] = []
         self.ends: list[str] = []
+        # The hosts as the scheduler knows them and the runs at the executors, at the end.
+        self.hosts: dict[HostId, Host] = {}
+        self.at_work: list[RunResult] = []
 
     async def main(self, jobs: int, tasks: int, seed: int) -> None:
         """Submit the jobs under random faults, and collect their ends."""
@@ -351,6 +375,32 @@
             await self._end_of(world, job)
             group.cancel_scope.cancel()
 
+    async def attach_late(self, former: bool, closes: bool) -> None:
+        """Let a HostAttach arrive over an older link after a newer attachment."""
+        async with anyio.create_task_group() as group:
+            world = await self._start(group)
+            leader, node = world.leader(), world.agents["host0"]
+            assert leader is not None
+            world.behaviour.seconds = 20.0
+            await self._submit(world, 1)
+            await anyio.sleep(1.0)
+            attached = node.agent.attachment
+            assert attached is not None
+            older: Any = attached.link
+            await world.connect(node.process, leader.process)
+            # The agent has dialled anew, and attaches over the newer link.
+            await node.agent.link_closed(attached.link)
+            await world.wait_until_attached()
+            await leader.process.received(older.other, Envelope(1000, 0, late_attach(node, former)))
+            if closes:
+                await leader.process.closed(older.other)
+            await anyio.sleep(2.0)
+            scheduler = leader.jobs.scheduler
+            assert scheduler is not None
+            self.hosts = dict(scheduler.host_tracker.hosts)
+            self.at_work = [status.result for status in node.model.runs.values()]
+            group.cancel_scope.cancel()
+
     async def _start(self, group: TaskGroup) -> JobWorld:
         world = JobWorld(group)
         world.unanswered_share = self.share
@@ -427,6 +477,25 @@
     assert set(context.world.ends) == {"completed"}, context.world.ends
 
 
+@when("an attachment {which} reaches the scheduler of the incarnations world late")
+def attach_late(context: Any, which: str) -> None:
+    world: RestartWorld = context.world
+    former, closes = which.startswith("of a former"), which.endswith("closes")
+
+    async def main() -> None:
+        await world.attach_late(former, closes)
+
+    run_virtual(main)
+
+
+@then("the incarnations host is attached and reported again 2 seconds later, its run at work")
+def is_attached_again(context: Any) -> None:
+    world: RestartWorld = context.world
+    host = world.hosts[HostId("host0")]
+    assert host.fence and host.reported, host
+    assert world.at_work == [RunResult.DONE], world.at_work
+
+
 class LogRecords(logging.Handler):
     """Keeps the log records with one text."""
 
