Keep the random worlds in which a scheduler was taken for ended too early

Random events around elections, 12 or 25 in a world of 3 entries and 5 hosts with 10 tasks: keys taken away while their lease goes on, with and without answers to watches; registrations and other writes carried out 0.5 to 6 s late, also after their writer has ended; entries and agents that hear nothing for 3, 6 or 12 s; entries cut off together with some hosts; agents, executors and entries restarted; history forgotten; pages that take seconds; the store silent.

--- a/tests/features/authority.feature
+++ b/tests/features/authority.feature
@@ -43,3 +43,45 @@
       | 3       |
       | 7       |
       | 10      |
+
+  # TWICE: a successor that took a former scheduler, or its leases, for ended too early, in any order of events.
+  Scenario Outline: authority never lets a task run twice in a random order of <count> events, seed <seed>
+    Given a world of replacements with 3 entries and 5 hosts
+    And 10 long-running tasks at work
+    When <count> random events around authority's elections follow one another with seed <seed>
+    Then no task of the replacements ran twice at the same time
+
+    Examples:
+      | count | seed |
+      | 12    | 29   |
+      | 12    | 47   |
+      | 12    | 60   |
+      | 12    | 78   |
+      | 12    | 83   |
+      | 12    | 110  |
+      | 12    | 115  |
+      | 12    | 139  |
+      | 12    | 150  |
+      | 12    | 154  |
+      | 12    | 175  |
+      | 12    | 186  |
+      | 12    | 219  |
+      | 12    | 220  |
+      | 12    | 244  |
+      | 12    | 246  |
+      | 12    | 260  |
+      | 12    | 266  |
+      | 25    | 302  |
+      | 25    | 303  |
+      | 25    | 314  |
+      | 25    | 315  |
+      | 25    | 325  |
+      | 25    | 326  |
+      | 25    | 328  |
+      | 25    | 338  |
+      | 25    | 349  |
+      | 25    | 353  |
+      | 25    | 360  |
+      | 25    | 369  |
+      | 25    | 382  |
+      | 25    | 391  |
--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -1,5 +1,6 @@
 """Steps for authority.feature, beside those for worlds of replacements."""
 
+import random
 from typing import Any
 
 import anyio
@@ -141,3 +142,150 @@
     """Tell whether an entry schedules."""
     scheduler = node.jobs.scheduler
     return scheduler is not None and scheduler.loaded.is_set()
+
+
+class RandomLosses:
+    """Events around elections that overlap, each of a random kind, in random order."""
+
+    def __init__(self, run: Replacements, seed: int) -> None:
+        self.run, self.rng = run, random.Random(seed)
+
+    async def happen(self, count: int) -> None:
+        """Begin an event at a time, and wait until all are over."""
+        kinds = [
+            self.take_keys_away,
+            self.take_keys_away,
+            self.register_late,
+            self.write_late,
+            self.pause,
+            self.hear_one_entry,
+            self.restart_agent,
+            self.crash_executor,
+            self.kill_entry,
+            self.restart_entry,
+            self.forget_history,
+            self.load_slowly,
+            self.silence_store,
+        ]
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(self.rng.choice(kinds))
+                await anyio.sleep(self.rng.uniform(0.1, 2.5))
+
+    def _any_entry(self) -> EntryNode:
+        """Return an entry that is not stopped, most often the scheduler."""
+        leader = self.run.world.leader()
+        if leader is not None and self.rng.random() < 0.6:
+            return leader
+        return self.rng.choice(self._live_entries())
+
+    def _live_entries(self) -> list[EntryNode]:
+        nodes = list(self.run.world.entries.values())
+        return [node for node in nodes if not node.scope.cancel_called] or nodes
+
+    async def _cut(self, node: EntryNode, hosts: list[str], for_s: float) -> None:
+        """Cut an entry and some hosts off from the other entries."""
+        together = {str(node.process.hello.process_id), *hosts}
+        others = set(self.run.world.entries) - together
+        pairs = {frozenset({one, other}) for one in together for other in others}
+        self.run.world.partitioned_pairs |= pairs
+        await anyio.sleep(for_s)
+        self.run.world.partitioned_pairs -= pairs
+
+    def _some_hosts(self) -> list[str]:
+        return self.rng.sample(list(self.run.world.agents), self.rng.randint(0, 3))
+
+    async def take_keys_away(self) -> None:
+        node, for_s = self._any_entry(), self.rng.uniform(2.0, 18.0)
+        lease = node.jobs.election._lease
+        node.store.faults.silent_watches = self.rng.random() < 0.7
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cut, node, self._some_hosts(), for_s)
+            await anyio.sleep(self.rng.uniform(0.0, 2.5))
+            if lease is not None:
+                self.run.world.shared.take_keys_away(lease)
+        node.store.faults.silent_watches = False
+
+    async def register_late(self) -> None:
+        node = self._any_entry()
+        self._make_writes_late(node, 1)
+        self.run.world.shared.remove(node.jobs.election.presence_key)
+        await anyio.sleep(self.rng.uniform(0.3, 0.9))
+        if node in self._live_entries():
+            await self._kill(node, self.rng.uniform(0.0, 0.4))
+
+    async def write_late(self) -> None:
+        self._make_writes_late(self._any_entry(), self.rng.randint(1, 4))
+
+    def _make_writes_late(self, node: EntryNode, count: int) -> None:
+        faults = node.store.faults
+        faults.late_writes_outlive, faults.late_writes = True, count
+        faults.late_s = self.rng.uniform(0.5, 6.0)
+
+    async def pause(self) -> None:
+        node, world = self._any_entry(), self.run.world
+        name = str(node.process.hello.process_id)
+        if self.rng.random() < 0.3:
+            name = self.rng.choice(list(world.agents))
+        if name in world._paused:
+            return
+        resume = world.pause(name)
+        node.store.faults.silent |= name in world.entries
+        await anyio.sleep(self.rng.choice([3.0, 6.0, 12.0]))
+        node.store.faults.silent = False
+        resume()
+
+    async def hear_one_entry(self) -> None:
+        await self._cut(self._any_entry(), self._some_hosts(), self.rng.uniform(3.0, 15.0))
+
+    async def restart_agent(self) -> None:
+        name = self.rng.choice(list(self.run.world.agents))
+        if not self.run.world.agents[name].scope.cancel_called:
+            await self.run.restart_agent(name, self.rng.uniform(0.1, 2.0))
+
+    async def crash_executor(self) -> None:
+        self.rng.choice(list(self.run.world.agents.values())).model.crash()
+
+    async def kill_entry(self) -> None:
+        await self._kill(self._any_entry(), self.rng.uniform(0.0, 3.0))
+
+    async def _kill(self, node: EntryNode, pause_s: float) -> None:
+        if node.jobs.election.draining or node.scope.cancel_called:
+            return
+        await self.run.world.kill(node)
+        await anyio.sleep(pause_s)
+        self.run.world.add_entry(str(node.process.hello.process_id))
+
+    async def restart_entry(self) -> None:
+        node = self._any_entry()
+        if not node.jobs.election.draining and not node.scope.cancel_called:
+            name = str(node.process.hello.process_id)
+            await self.run.restart_entry(name, self.rng.uniform(0.0, 2.0))
+
+    async def forget_history(self) -> None:
+        self.run.world.shared.forget_history()
+
+    async def load_slowly(self) -> None:
+        nodes, seconds = self._live_entries(), self.rng.randint(2, 9)
+        for node in nodes:
+            node.store.faults.page_s = seconds
+        await anyio.sleep(self.rng.uniform(1.0, 8.0))
+        for node in nodes:
+            node.store.faults.page_s = 0
+
+    async def silence_store(self) -> None:
+        entries = self._live_entries()
+        nodes = entries if self.rng.random() < 0.3 else [self._any_entry()]
+        for node in nodes:
+            node.store.faults.silent = True
+        await anyio.sleep(self.rng.uniform(1.0, 8.0))
+        for node in nodes:
+            node.store.faults.silent = False
+
+
+@when("{count:d} random events around authority's elections follow one another with seed {seed:d}")
+def random_losses(context: Any, count: int, seed: int) -> None:
+    async def act(run: Replacements) -> None:
+        await RandomLosses(run, seed).happen(count)
+
+    scenario(context).background.append(act)
