Record that a run is done although its executor has restarted since

What callers would see: a task whose end was reported as done runs again. Its executor had restarted while the end waited at the scheduler for another append, for example while the store answers slowly.

Cause: the scheduler dropped queued endings whose executor's incarnation was not the host's newest one. Nobody lists them again, so that the first report of the next incarnation showed the run as missing, and it was lost.

Change: such an ending counts if the run is done. Its number is acknowledged under the incarnation that it belongs to, which HostTracker.acknowledge_endings compares. Other endings of a former incarnation are left to the lists of the next one, as before.

Why it works: endings are processed before the lost runs of the same pass, and a task that is done is never placed again. A run belongs to one host, and its number is never given again, so that the ending names no other run.

--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -360,18 +360,24 @@
         self.table.apply(record, now)
 
     def _process_endings(self, batch: _Batch, now: float) -> None:
+        """Record the reported endings.
+
+        Of an executor that has restarted since, only those of runs that are done count: the
+        next incarnation may have begun another run again, which its lists tell.
+        """
         while self.host_tracker.endings:
             name, executor_incarnation, ending = self.host_tracker.endings.popleft()
-            host = self.host_tracker.hosts.get(name)
-            if host is None or host.executor_incarnation() != executor_incarnation:
-                continue
             batch.acked_endings[ExecutorName(name, *executor_incarnation)] = ending.number
             try:
                 key = TaskKey.parse(ending.task)
             except InputError as exc:
                 log.error("invalid ending reported by host %s: %s", name, exc)
                 continue
-            self._record_host_health(host, key, ending, now)
+            host = self.host_tracker.hosts.get(name)
+            if host is not None and host.executor_incarnation() == executor_incarnation:
+                self._record_host_health(host, key, ending, now)
+            elif ending.result is not RunResult.DONE:
+                continue
             self._end_run(batch, key, ending.run, ending.result, ending.saved, now)
 
     def _record_host_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -76,6 +76,12 @@
       | over an older link, which stays open       |
       | of a former incarnation over an older link |
 
+  # TWICE: a reported ending was dropped, since the executor had restarted before it was in the run log.
+  Scenario: incarnations keep an ending that was reported before a restart
+    Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
+    When a run of the incarnations world is done and reported while an append waits, and the executor restarts
+    Then each task of the incarnations world has begun once and is done
+
   # TWICE, as a whole: restarts under an id beside late calls, cuts and kills.
   Scenario Outline: incarnations never make two runs of a task with seed <seed>
     Given an incarnations world of 4 agents whose executors leave 30 of 100 calls unanswered
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -17,6 +17,7 @@
 from apricotpath.messages import HostAttach
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import RunResult, Step
+from apricotpathd.attachment import ExecutorState
 from support.agentcase import TASK, AgentCase
 from support.executormodel import CALL_TIMEOUT_S, ExecutorModel, ModelExecutor
 from support.jobworld import AgentNode, JobWorld, run_virtual
@@ -26,6 +27,7 @@
 QUICK_RUN_S = 0.3
 ODD_BORN_MS = 1 << 41
 FAULTS_FOR_S = 12.0
+ONE_TASK = Step(1, Size(1000, 100, 0), 2.0)
 
 
 class LateExecutor(ModelExecutor):
@@ -316,6 +318,13 @@
     assert at_work == [(TASK, RunResult.DONE)], (at_work, case.model.endings)
 
 
+def state_after_restart(node: AgentNode) -> ExecutorState:
+    """Return the state that the first heartbeat after a restart shows."""
+    state = node.agent.state
+    assert state is not None
+    return replace(state, facts=replace(state.facts, born_ms=node.model.born_ms))
+
+
 def late_attach(node: AgentNode, former: bool) -> HostAttach:
     """Return an attachment of an agent's executor, or of its former incarnation."""
     state = node.agent.state
@@ -348,6 +357,7 @@
         # The hosts as the scheduler knows them and the runs at the executors, at the end.
         self.hosts: dict[HostId, Host] = {}
         self.at_work: list[RunResult] = []
+        self.started: list[TaskId] = []
 
     async def main(self, jobs: int, tasks: int, seed: int) -> None:
         """Submit the jobs under random faults, and collect their ends."""
@@ -401,6 +411,32 @@
             self.at_work = [status.result for status in node.model.runs.values()]
             group.cancel_scope.cancel()
 
+    async def restart_behind_append(self) -> None:
+        """Restart an executor after it has reported an ending, which waits for another append."""
+        async with anyio.create_task_group() as group:
+            world = await self._start(group)
+            leader, node = world.leader(), world.agents["host0"]
+            assert leader is not None
+            follower = next(name for name in world.entries if world.entries[name] is not leader)
+            world.behaviour.seconds = 1.0
+            jobs = [await self._submit(world, 1)]
+            await anyio.sleep(0.8)
+            # The assignment of a further task waits for an answer of the store.
+            leader.store.faults.silent = True
+            jobs.append(await world.submit(ONE_TASK, at=follower))
+            await anyio.sleep(0.4)
+            reported = node.agent.attachment
+            assert reported is not None and reported.reported_ending == 1, reported
+            assert reported.acked_ending == 0, reported
+            node.model.crash()
+            node.agent.on_executor_heartbeat(state_after_restart(node))
+            await anyio.sleep(0.1)
+            leader.store.faults.silent = False
+            for job in jobs:
+                self.ends.append(await self._end_of(world, job))
+            self.started = [task for task, _ in node.model.starts]
+            group.cancel_scope.cancel()
+
     async def _start(self, group: TaskGroup) -> JobWorld:
         world = JobWorld(group)
         world.unanswered_share = self.share
@@ -496,6 +532,21 @@
     assert world.at_work == [RunResult.DONE], world.at_work
 
 
+@when(
+    "a run of the incarnations world is done and reported while an append waits, "
+    "and the executor restarts"
+)
+def restart_behind_append(context: Any) -> None:
+    run_virtual(context.world.restart_behind_append)
+
+
+@then("each task of the incarnations world has begun once and is done")
+def begun_once(context: Any) -> None:
+    world: RestartWorld = context.world
+    assert len(world.started) == len(set(world.started)) == 2, world.started
+    assert world.ends == ["completed", "completed"], world.ends
+
+
 class LogRecords(logging.Handler):
     """Keeps the log records with one text."""
 
