Ask an executor again whose start time no heartbeat has confirmed

What callers would see: a host that gets no tasks any more, for good, after two lists in a row with a start time that is too high: the one that looks like a restart, and the answer to the fencing call after it. Also a host that never reports its end if its executor shuts down while only a list has told of its restart, since nobody calls it any more.

Cause: the answer to the fencing call sets the start time that a heartbeat must reach before the agent attaches. While it does not, there is no attachment and the call is not repeated, so that nothing can correct the time.

Change: while the newest start time of a list is later than that of the heartbeats, the agent fences the executor again each second.

Why it works: the call starts no run, extends no lease and acknowledges nothing, so that it may be repeated; the answer that names the time of the heartbeats ends the wait. Runs that an odd answer lists are still stopped, as runs of a former incarnation are; their tasks start elsewhere.

Argued only: the executor that shuts down.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -59,6 +59,8 @@
 SERVING_RENEWAL_WAIT_S = 0.4
 RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
+# A start time that only lists have told is asked for again after this time without a heartbeat.
+CONFIRM_S = 1.0
 # Pause between two attempts of an order that the executor did not answer.
 ORDER_RETRY_S = 0.05
 # Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
@@ -153,6 +155,20 @@
         """Handle that a restarted executor, which reports this start time, has been fenced."""
         self._reported_born_ms = born_ms
         self._signal()
+        if self._awaits_heartbeat(born_ms) and self._group is not None:
+            self._group.start_soon(self._fence_unconfirmed, born_ms)
+
+    def _awaits_heartbeat(self, born_ms: int) -> bool:
+        """Whether this is the newest start time of a list, and later than that of heartbeats."""
+        newest = self._reported_born_ms == born_ms and not self._restart_guard.pending
+        return newest and self.state is not None and self.state.facts.born_ms < born_ms
+
+    async def _fence_unconfirmed(self, born_ms: int) -> None:
+        """Fence an executor again, whose answer may correct an odd start time of its lists."""
+        await anyio.sleep(CONFIRM_S)
+        if self._awaits_heartbeat(born_ms):
+            self._restart_guard.cancel()
+            self._fence_restarted(born_ms)
 
     def _note_unreachable(self) -> None:
         """Handle that a restarted executor refuses connections; one that shut down has ended."""
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -48,16 +48,27 @@
   # Guards against a host that is lost for good, and runs that are stopped, after one odd start time.
   Scenario: incarnations go on after one list with a start time that is too high
     Given an incarnations agent whose executor carries out a start 4 seconds late
-    When a run of the incarnations agent is at work, and one list has a start time in the far future
+    When a run of the incarnations agent is at work, and 1 list has a start time in the far future
     Then the incarnations agent is attached 2 seconds later, and its run is at work
 
   # Guards against a restart that goes unnoticed after an odd start time, which was taken for a later one.
   Scenario: incarnations are fenced after one list with a start time that is too high
     Given an incarnations agent whose executor carries out a start 4 seconds late
-    When a run of the incarnations agent is at work, and one list has a start time in the far future
+    When a run of the incarnations agent is at work, and 1 list has a start time in the far future
     And the incarnations executor restarts and has begun a run of the former one
     Then the run at the incarnations executor has ended as stopped within 1 second
 
+  # Guards against a host that is lost for good when the answer to the fencing call is odd as well.
+  Scenario Outline: incarnations are attached again after <lists> lists with a start time that is too high
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a run of the incarnations agent is at work, and <lists> list has a start time in the far future
+    Then the incarnations agent is attached again within 4 seconds
+
+    Examples:
+      | lists |
+      | 2     |
+      | 4     |
+
   # Nothing told that a start had been carried out by another incarnation than it was ordered for.
   Scenario: incarnations that run what was ordered of another one are logged with both
     Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -279,16 +279,19 @@
     case.actions.append(act)
 
 
-@when("a run of the incarnations agent is at work, and one list has a start time in the far future")
-def odd_start_time(context: Any) -> None:
+@when(
+    "a run of the incarnations agent is at work, and {lists:d} list has a start time in the far "
+    "future"
+)
+def odd_start_time(context: Any, lists: int) -> None:
     case: AgentCase = context.case
 
     async def act() -> None:
         LateExecutor.late_starts = 0
         await case.order()
         await anyio.sleep(1.0)
-        LateExecutor.odd_lists = 1
-        while LateExecutor.odd_lists:
+        LateExecutor.odd_lists = lists
+        while LateExecutor.odd_lists > max(0, lists - 2):
             await anyio.sleep(0.01)
         await anyio.sleep(2.0)
 
@@ -343,6 +346,19 @@
     )
 
 
+@then("the incarnations agent is attached again within {seconds:d} seconds")
+def is_attached_within(context: Any, seconds: int) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        with anyio.fail_after(seconds):
+            while case.agent.attachment is None or not case.agent.attachment.reported:
+                await anyio.sleep(0.05)
+
+    case.actions.append(act)
+    case.run()
+
+
 class RestartWorld:
     """A job world whose executors restart under their id beside late calls, cuts and kills."""
 
