End the stops of a restarted executor once it has ended

What callers would see: an agent whose executor restarts under its id and then shuts down calls the dead address and logs "stop failed" twenty times a second for each run that it could not stop, until another executor comes.

Cause: only the guard's own failed call ended its stops. The end is as a rule noticed by a lease renewal, which did not.

Change: both ways go through HostAgent._note_ended, which cancels the guard.

Why it works: nothing runs on an executor that has ended, and a next incarnation under its id is fenced as a restart.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -173,11 +173,15 @@
     def _note_unreachable(self) -> None:
         """Handle that a restarted executor refuses connections; one that shut down has ended."""
         if self.state is not None and self.phase is ExecutorPhase.DEREGISTERED:
-            log.info("executor ended", extra={"instance": self.state.facts.instance})
-            self.phase = ExecutorPhase.ENDED
-            self._restart_guard.cancel()
+            self._note_ended(self.state.facts.instance)
             self._signal()
 
+    def _note_ended(self, instance: str) -> None:
+        """Note that the executor has ended; no call to it is repeated any more."""
+        log.info("executor ended", extra={"instance": instance})
+        self.phase = ExecutorPhase.ENDED
+        self._restart_guard.cancel()
+
     def _note_crash(self, previous: ExecutorState) -> None:
         """Keep the runs of an executor that was replaced, unless it had announced its end."""
         if self.phase is ExecutorPhase.REGISTERED and not previous.draining:
@@ -320,8 +324,7 @@
             log.info("lease renewal failed: %s", exc)
             refused = isinstance(exc, ExecutorUnreachable) and executor is self.executor
             if refused and self.phase is ExecutorPhase.DEREGISTERED:
-                log.info("executor ended", extra={"instance": attached.facts.instance})
-                self.phase = ExecutorPhase.ENDED
+                self._note_ended(attached.facts.instance)
                 return
             self._note_silence(attached, isinstance(exc, ExecutorDisconnected))
             await anyio.sleep(RENEWAL_RETRY_S)
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -69,6 +69,14 @@
       | 2     |
       | 4     |
 
+  # Guards against stops of an executor that has ended, twenty a second for each run, until another comes.
+  Scenario: incarnations get no stops any more once the executor has ended
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a run of the incarnations agent is at work, and 0 list has a start time in the far future
+    And the incarnations executor restarts and has begun a run of the former one, and answers no stop
+    And the incarnations executor shuts down 1 second later, with a scheduler
+    Then the incarnations executor gets no stop in the last 1 of 3 seconds
+
   # Nothing told that a start had been carried out by another incarnation than it was ordered for.
   Scenario: incarnations that run what was ordered of another one are logged with both
     Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -43,6 +43,8 @@
     odd_lists = 0
     late_s = 4.0
     silent_until = 0.0
+    answers_stops = True
+    stopped_at = float("-inf")
 
     async def start(self, call: StartCall, fence: FenceToken) -> StartAnswer:
         """Start a run: late, at once, or never."""
@@ -73,6 +75,13 @@
             return replace(report, born_ms=ODD_BORN_MS)
         return report
 
+    async def stop(self, task: TaskId, run: int, fence: FenceToken) -> None:
+        """Stop a run, or leave the call without effect and answer."""
+        LateExecutor.stopped_at = boot_s()
+        if not LateExecutor.answers_stops and not self.model.is_shut_down:
+            await self._time_out()
+        await super().stop(task, run, fence)
+
     async def _carry_out(self, execute: Any, *args: Any) -> None:
         await anyio.sleep(LateExecutor.late_s)
         await self._execute(execute, *args)
@@ -82,6 +91,7 @@
     """Return the case of a scenario; its executor's settings are the default ones."""
     LateExecutor.late_starts = LateExecutor.late_renewals = LateExecutor.odd_lists = 0
     LateExecutor.silent_until = 0.0
+    LateExecutor.answers_stops, LateExecutor.stopped_at = True, float("-inf")
     case: AgentCase = context.case
     return case
 
@@ -312,6 +322,46 @@
     case.actions.append(act)
 
 
+@when(
+    "the incarnations executor restarts and has begun a run of the former one, and answers no stop"
+)
+def restart_without_stops(context: Any) -> None:
+    restart_with_run(context)
+
+    async def act() -> None:
+        LateExecutor.answers_stops = False
+
+    context.case.actions.append(act)
+
+
+@when("the incarnations executor shuts down 1 second later, with a scheduler")
+def shut_down(context: Any) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        case.granting = case.attaching = True
+        await anyio.sleep(1.0)
+        assert case.agent.attachment is not None
+        case.agent.on_executor_shutdown("oven")
+        case.model.shut_down()
+
+    case.actions.append(act)
+
+
+@then("the incarnations executor gets no stop in the last 1 of 3 seconds")
+def no_more_stops(context: Any) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        await anyio.sleep(3.0)
+        assert not case.agent.has_executor
+        since = boot_s() - LateExecutor.stopped_at
+        assert 1.0 <= since < 10.0, since
+
+    case.actions.append(act)
+    case.run()
+
+
 @then("the incarnations agent is attached 2 seconds later, and its run is at work")
 def is_attached(context: Any) -> None:
     case: AgentCase = context.case
