Show a late start that begins after executor and agent have restarted

What callers see: two runs of a task at the same time. An agent is killed, its next process finds no scheduler, and the executor restarts under its id. A start of the former agent that is carried out late begins on the next incarnation, up to seconds after the scheduler has given the run up and started the task elsewhere.

Cause: the guard fences under the token after the highest one that this process has used. The next process of an agent has used none, so that it fences under 1, below the token of the late call.

No fix: a token above all earlier ones, but not above that of the next attachment, can be known only from a scheduler or from lasting state, which the agent does not have. To be weighed: attachments that name the agent's token, and a scheduler that issues a higher one; a second restart of the agent would forget it.

--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -12,6 +12,14 @@
     And the incarnations executor restarts under its id after 3 seconds and sends a heartbeat
     Then no run begins at the incarnations executor in the next 10 seconds
 
+  # TWICE: an agent that has restarted too fences the executor under a token below those of late calls.
+  Scenario: incarnations do not begin a late start when the agent has restarted as well
+    Given an incarnations agent whose executor carries out a start 4 seconds late
+    When a start is ordered of the incarnations agent, and then it loses its scheduler
+    And the incarnations agent is replaced by its next process, which finds no scheduler
+    And the incarnations executor restarts under its id after 3 seconds and sends a heartbeat
+    Then no run begins at the incarnations executor in the next 10 seconds
+
   # TWICE: a run that the next incarnation had begun for the former one went on without a scheduler.
   Scenario: incarnations stop a run that was begun for the former incarnation
     Given an incarnations agent whose executor carries out a start 4 seconds late
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -12,12 +12,13 @@
 from apricotpath.boottime import boot_s
 from apricotpath.codec import Envelope
 from apricotpath.executor import ExecutorReport, ExecutorUnavailable, StartCall
-from apricotpath.fleet import Host
+from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import FenceToken, HostId, InstanceId, JobId, TaskId
 from apricotpath.messages import HostAttach
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import RunResult, Step
 from apricotpathd.attachment import ExecutorState
+from apricotpathd.hostagent import HostAgent
 from support.agentcase import TASK, AgentCase
 from support.executormodel import CALL_TIMEOUT_S, ExecutorModel, ModelExecutor
 from support.jobworld import AgentNode, JobWorld, run_virtual
@@ -117,6 +118,21 @@
     case.actions.append(act)
 
 
+@when("the incarnations agent is replaced by its next process, which finds no scheduler")
+def replace_agent(context: Any) -> None:
+    case: AgentCase = context.case
+
+    async def act() -> None:
+        while LateExecutor.late_starts > 1:
+            await anyio.sleep(0.01)
+        await case.agent.link_closed(case.link)
+        case.agent = HostAgent(HostId("host0"), FleetSettings(), case._connect)
+        case.group.start_soon(case.agent.run)
+        case.send_heartbeat()
+
+    case.actions.append(act)
+
+
 async def restart_at(context: Any, seconds: float) -> None:
     """Restart the executor some time after the order."""
     await anyio.sleep(context.ordered_at + seconds - boot_s())
