--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -178,7 +178,7 @@
             self._term_scope.cancel()
 
     def _end_term_before(self, epoch_revision: int) -> None:
-        """End this entry's term if the epoch key was written after it began, at a revision."""
+        """End this entry's term if `epoch_revision` of the epoch key is later than its own."""
         term = self.term
         if term is None or self._term_scope is None or epoch_revision <= term.epoch_revision:
             return
--- a/packages/core/src/apricotpath/runlog.py
+++ b/packages/core/src/apricotpath/runlog.py
@@ -166,7 +166,7 @@
         self.log_bytes += len(value)
 
     def _release_held(self) -> None:
-        """Let the obsolete entries go of which no attempt can take effect any more."""
+        """Make held entries obsolete once no attempt to write them can take effect."""
         due = boot_s() - LATE_WRITE_S
         while self._held and self._unanswered[self._held[0]] < due:
             key = self._held.popleft()
@@ -188,7 +188,8 @@
 
         Entries that were appended since then stay, and so do those of which an attempt was not
         answered: while the key is there, the attempt cannot take effect. They are removed
-        LATE_WRITE_S later. Raises like `append`.
+        LATE_WRITE_S later. Raises FencedError if a newer scheduler has taken over, or if
+        another writer has changed the head; parts may be written then.
         """
         seq = position.seq
         self._own_snapshots.append(seq)
@@ -233,7 +234,8 @@
         """Write one transaction; retries until the outcome is certain.
 
         Returns the mod revision of the key that `put` sets. An unanswered attempt may take effect
-        later, as long as `compare` is true and the epoch lasts.
+        later, as long as `compare` is true and the epoch lasts. Raises FencedError if the epoch or
+        the compared key has changed.
         """
         delays = settle_delays()
         while True:
@@ -245,11 +247,11 @@
                 # An earlier attempt whose answer was lost has taken effect.
                 if item is not None and item.value == put.value:
                     return item.mod_revision
-                raise FencedError("a newer scheduler has taken over; nothing was written")
+                raise FencedError("the epoch or the compared key has changed; nothing was written")
             except FencedError:
                 raise
             except StoreOutcomeUnknown:
-                if compare.key == put.key:
+                if put.key.startswith(self._keys.entries):
                     self._unanswered[put.key] = boot_s()
             except (StoreUnavailable, StoreLimited):
                 pass
--- a/packages/core/src/apricotpath/runlogreader.py
+++ b/packages/core/src/apricotpath/runlogreader.py
@@ -146,8 +146,9 @@
     async def _read_named(self, head: SnapshotHead, revision: int) -> StoredLog | None:
         """Read the snapshot that the head names, and what follows; None if that is superseded.
 
-        It may be if it lacks parts, or if the entries right after it are gone: they are removed in
-        order once a newer snapshot is complete. With other gaps, a newer one need not be whole.
+        It may be if it lacks parts, or if the entry right after it is gone: entries are removed
+        once a newer snapshot is complete, in order but for those that are held for a while.
+        With other gaps, a newer one need not be whole.
         """
         parts: tuple[KeyValue, ...] = ()
         if head is not NO_SNAPSHOT:
--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -160,6 +160,7 @@
         self._pressure = Pressure()
         self._admitted: dict[RequestId, AdmittedRequest] = {}
         self._queue: deque[AdmittedRequest] = deque()
+        # Length in bytes of each answer that no entry has acknowledged.
         self._unconfirmed: dict[RequestId, int] = {}
         self._busy = 0
         self._buffered_bytes = 0
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -59,7 +59,7 @@
 SERVING_RENEWAL_WAIT_S = 0.4
 RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
-# A start time that only lists have told is asked for again after this time without a heartbeat.
+# An executor whose restart no heartbeat confirms within this time is fenced again.
 CONFIRM_S = 1.0
 # Pause between two attempts of an order that the executor did not answer.
 ORDER_RETRY_S = 0.05
--- a/packages/daemon/src/apricotpathd/restartguard.py
+++ b/packages/daemon/src/apricotpathd/restartguard.py
@@ -28,7 +28,10 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Restart:
-    """A restart of an executor under its id; `fence` is above all tokens used before it."""
+    """A restart of an executor under its id; `fence` is above all tokens used before it.
+
+    `born_ms`: start time of the new incarnation (Unix ms).
+    """
 
     executor: Executor
     born_ms: int
@@ -41,12 +44,12 @@
     The new incarnation has seen no fencing token and would carry out delayed calls of the
     former one. It is called under the token that follows the newest attachment's, and the
     runs that it lists, which were started for the former incarnation, are stopped. A later
-    attachment may have the same token: calls under it start no run, extend no lease and
+    attachment may have the same token; the guard's calls start no run, extend no lease and
     acknowledge nothing, so that they may be carried out late.
 
     `on_unreachable` is called when the executor's address refuses a connection, and
-    `on_fenced` when the executor has answered, with its start time.
-    That time may be lower than the one of the restart, which then was no restart.
+    `on_fenced` once it is fenced, with the start time (Unix ms) that it reported, or else the
+    restart's. That time may be lower than the one of the restart, which then was no restart.
     """
 
     def __init__(
@@ -82,7 +85,7 @@
         self._changed = anyio.Event()
 
     async def run(self) -> None:
-        """Fence the newest incarnation and stop the runs that it lists."""
+        """Fence the newest incarnation and stop the runs that it lists; return once done."""
         restart = self._restart
         if restart is None:
             return
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -180,7 +180,7 @@
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
 
-        One that ended while the tables were loaded may have done so until it ended.
+        One that ended only while the tables were loaded may have renewed them until then.
         """
         max_hold_s = self.cfg.run_hold_s + self.cfg.authority_s
         hold_s = self.cfg.run_hold_s if self._starts_alone else max_hold_s
@@ -268,7 +268,7 @@
         try:
             await self._log.snapshot(records, position)
         except FencedError as exc:
-            # The next append ends the term.
+            # A newer scheduler ends the term at the next append; else the next snapshot succeeds.
             log.warning("snapshot not written: %s", exc, extra={"epoch": self.epoch})
         finally:
             self._snapshot_running = False
@@ -362,8 +362,8 @@
     def _process_endings(self, batch: _Batch, now: float) -> None:
         """Record the reported endings.
 
-        Of an executor that has restarted since, only those of runs that are done count: the
-        next incarnation may have begun another run again, which its lists tell.
+        Of an executor that has restarted since, only done runs count: the next incarnation may
+        be running the others, as its lists will tell.
         """
         while self.host_tracker.endings:
             name, executor_incarnation, ending = self.host_tracker.endings.popleft()
