--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -15,6 +15,8 @@
 READ_S = 1.5
 # When a late registration is carried out; its store lease lives for 1.5 s after a renewal.
 LATE_REGISTRATION_S = 1.0
+# Limit of a wait for something that happens at once or not at all.
+WAIT_LIMIT_S = 10.0
 
 
 def leader_of(run: Replacements) -> EntryNode:
@@ -97,8 +99,9 @@
         faults.late_writes_outlive, faults.late_s = True, LATE_REGISTRATION_S
         faults.late_writes = 1
         world.shared.remove(former.jobs.election.presence_key)
-        while faults.late_writes:
-            await anyio.sleep(0.001)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while faults.late_writes:
+                await anyio.sleep(0.001)
         await world.kill(former)
         again = world.add_entry(name)
         await world.wait_until_attached()
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -26,6 +26,8 @@
 OTHER_TASK = TaskId("00000000000000a3.0.0.0")
 HOST = Size(8000, 8000, 0)
 QUICK_RUN_S = 0.3
+# Limit of each wait for something that happens at once or not at all.
+WAIT_LIMIT_S = 10.0
 ODD_BORN_MS = 1 << 41
 FAULTS_FOR_S = 12.0
 ONE_TASK = Step(1, Size(1000, 100, 0), 2.0)
@@ -123,8 +125,9 @@
     case: AgentCase = context.case
 
     async def act() -> None:
-        while LateExecutor.late_starts > 1:
-            await anyio.sleep(0.01)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while LateExecutor.late_starts > 1:
+                await anyio.sleep(0.01)
         await case.agent.link_closed(case.link)
         case.agent = HostAgent(HostId("host0"), FleetSettings(), case._connect)
         case.group.start_soon(case.agent.run)
@@ -221,8 +224,9 @@
 
     async def act() -> None:
         LateExecutor.late_renewals, LateExecutor.late_s = 1, float(seconds)
-        while LateExecutor.late_renewals:
-            await anyio.sleep(0.01)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while LateExecutor.late_renewals:
+                await anyio.sleep(0.01)
 
     case.actions.append(act)
 
@@ -317,8 +321,9 @@
         await case.order()
         await anyio.sleep(1.0)
         LateExecutor.odd_lists = lists
-        while LateExecutor.odd_lists > max(0, lists - 2):
-            await anyio.sleep(0.01)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while LateExecutor.odd_lists > max(0, lists - 2):
+                await anyio.sleep(0.01)
         await anyio.sleep(2.0)
 
     case.actions.append(act)
@@ -462,8 +467,9 @@
             node = world.agents["host0"]
             node.model.crash()
             job = await self._submit(world, 1)
-            while not node.model.starts:
-                await anyio.sleep(0.001)
+            with anyio.fail_after(WAIT_LIMIT_S):
+                while not node.model.starts:
+                    await anyio.sleep(0.001)
             await self._end_of(world, job)
             group.cancel_scope.cancel()
 
