--- a/tests/features/authority.feature
+++ b/tests/features/authority.feature
@@ -4,7 +4,7 @@
   runs of a task when a later scheduler takes a former one for ended that still grants leases, or
   takes leases for expired that the former one has granted.
 
-  # TWICE: a renewed store lease counted as proof that nobody else could be elected.
+  # Guards against two runs of a task: a renewed store lease counted as proof that nobody else could be elected.
   Scenario Outline: authority ends soon after another entry is elected while the store lease goes on, <change>
     Given a world of replacements with 2 entries and 4 hosts
     And 1 long-running tasks at work
@@ -16,7 +16,7 @@
       | and it hears of no change in the store |
       | and it hears of changes                |
 
-  # TWICE: a scheduler that read all keys again did not see the election of one that had gone.
+  # Guards against two runs of a task: a scheduler that read all keys again did not see the election of one that had gone.
   Scenario: authority ends when a full read shows the epoch of a scheduler that has gone
     Given a world of replacements with 3 entries and 4 hosts
     And 6 long-running tasks at work
@@ -24,14 +24,14 @@
     Then no task of the replacements ran twice at the same time
     And the former scheduler of authority has ended its term within 1.5 seconds
 
-  # TWICE: a registration of an earlier incarnation counted as proof that a later one had ended.
+  # Guards against two runs of a task: a registration of an earlier incarnation counted as proof that a later one had ended.
   Scenario: authority of an earlier incarnation's late registration proves no end
     Given a world of replacements with 2 entries and 4 hosts
     And 6 long-running tasks at work
     When authority's scheduler restarts, is overtaken by its earlier registration and loses its place
     Then no task of the replacements ran twice at the same time
 
-  # TWICE: holds were counted from the election although the former scheduler ended during the load.
+  # Guards against two runs of a task: holds were counted from the election although the former scheduler ended during the load.
   Scenario Outline: authority is waited for by a scheduler whose pages take <seconds> seconds to load
     Given a world of replacements with 2 entries and 4 hosts
     And 6 long-running tasks at work
@@ -44,7 +44,7 @@
       | 7       |
       | 10      |
 
-  # TWICE: a successor that took a former scheduler, or its leases, for ended too early, in any order of events.
+  # Guards against two runs of a task: a successor that took a former scheduler, or its leases, for ended too early, in any order of events.
   Scenario Outline: authority never lets a task run twice in a random order of <count> events, seed <seed>
     Given a world of replacements with 3 entries and 5 hosts
     And 10 long-running tasks at work
--- a/tests/features/incarnations.feature
+++ b/tests/features/incarnations.feature
@@ -5,14 +5,14 @@
   carried out seconds later. Guards against calls that take effect on another incarnation than
   the one that they were meant for.
 
-  # TWICE: a withdrawn start was carried out by the next incarnation, which nobody had fenced.
+  # Guards against two runs of a task: a withdrawn start was carried out by the next incarnation, which nobody had fenced.
   Scenario: incarnations do not begin a late start that was withdrawn from the former incarnation
     Given an incarnations agent whose executor carries out a start 4 seconds late
     When a start is ordered of the incarnations agent, and then it loses its scheduler
     And the incarnations executor restarts under its id after 3 seconds and sends a heartbeat
     Then no run begins at the incarnations executor in the next 10 seconds
 
-  # TWICE: an agent that has restarted too fences the executor under a token below those of late calls.
+  # Guards against two runs of a task: an agent that has restarted too fences the executor under a token below those of late calls.
   Scenario: incarnations do not begin a late start when the agent has restarted as well
     Given an incarnations agent whose executor carries out a start 4 seconds late
     When a start is ordered of the incarnations agent, and then it loses its scheduler
@@ -20,34 +20,34 @@
     And the incarnations executor restarts under its id after 3 seconds and sends a heartbeat
     Then no run begins at the incarnations executor in the next 10 seconds
 
-  # TWICE: a run that the next incarnation had begun for the former one went on without a scheduler.
+  # Guards against two runs of a task: a run that the next incarnation had begun for the former one went on without a scheduler.
   Scenario: incarnations stop a run that was begun for the former incarnation
     Given an incarnations agent whose executor carries out a start 4 seconds late
     When a start is ordered of the incarnations agent, and then it loses its scheduler
     And the incarnations executor restarts under its id after 3 seconds, heard of 1.2 seconds later
     Then the run at the incarnations executor has ended as stopped within 1 second
 
-  # TWICE: only a heartbeat told of the restart, although a list had told of it before.
+  # Guards against two runs of a task: only a heartbeat told of the restart, although a list had told of it before.
   Scenario: incarnations are told apart by a list that comes before a heartbeat
     Given an incarnations agent whose executor carries out a start 4 seconds late
     When a start is ordered of the incarnations agent, and then it loses its scheduler
     And the incarnations executor restarts under its id after 3 seconds without a heartbeat
     Then no run begins at the incarnations executor in the next 10 seconds
 
-  # TWICE: a late renewal made the next incarnation forget the ending of a run that was done.
+  # Guards against two runs of a task: a late renewal made the next incarnation forget the ending of a run that was done.
   Scenario: incarnations keep their endings when a renewal meant for the former one comes late
     Given an incarnations agent whose executor has ended 1 run and had it acknowledged
     And the incarnations executor carries out a renewal 4 seconds late
     When the incarnations executor restarts, and has done the run of a late start after 3 seconds
     Then the incarnations executor has forgotten no ending unseen in the next 5 seconds
 
-  # TWICE: the first renewal after a failed one acknowledged endings of the next incarnation.
+  # Guards against two runs of a task: the first renewal after a failed one acknowledged endings of the next incarnation.
   Scenario: incarnations keep their endings when a renewal follows a failed one
     Given an incarnations agent whose executor has ended 1 run and had it acknowledged
     When the incarnations executor answers no call for 3 seconds, and has restarted meanwhile
     Then the incarnations executor has forgotten no ending unseen in the next 5 seconds
 
-  # TWICE: a start that was ordered for the former incarnation was sent to the next one.
+  # Guards against two runs of a task: a start that was ordered for the former incarnation was sent to the next one.
   Scenario: incarnations get no start while a renewal has no answer
     Given an incarnations agent whose executor has ended 1 run and had it acknowledged
     When a start is ordered of the incarnations agent after a failed renewal and a restart
@@ -103,13 +103,13 @@
       | over an older link, which stays open       |
       | of a former incarnation over an older link |
 
-  # TWICE: a reported ending was dropped, since the executor had restarted before it was in the run log.
+  # Guards against two runs of a task: a reported ending was dropped, since the executor had restarted before it was in the run log.
   Scenario: incarnations keep an ending that was reported before a restart
     Given an incarnations world of 1 agents whose executors leave 0 of 100 calls unanswered
     When a run of the incarnations world is done and reported while an append waits, and the executor restarts
     Then each task of the incarnations world has begun once and is done
 
-  # TWICE, as a whole: restarts under an id beside late calls, cuts and kills.
+  # Guards against two runs of a task as a whole: restarts under an id beside late calls, cuts and kills.
   Scenario Outline: incarnations never make two runs of a task with seed <seed>
     Given an incarnations world of 4 agents whose executors leave 30 of 100 calls unanswered
     When 8 jobs of 4 tasks are submitted to the incarnations world under faults of seed <seed>
--- a/tests/features/lateorders.feature
+++ b/tests/features/lateorders.feature
@@ -3,7 +3,7 @@
   An executor may carry out an order seconds after the call was given up. Guards against a
   task that is started elsewhere although such an order made, or will make, its earlier run begin.
 
-  # TWICE: an answered stop, or the refusal of a repeated start, was taken as proof that a run never begins.
+  # Guards against two runs of a task: an answered stop, or the refusal of a repeated start, was taken as proof that a run never begins.
   Scenario Outline: lateorders are not called refused when <case>
     Given a lateorders agent whose executor <case>
     When a start is ordered of the lateorders agent
@@ -17,7 +17,7 @@
       | fails on a repeated start and carries out the first one late        | refused             |
       | finishes a run before it refuses its repeated start                 | reported the end of |
 
-  # TWICE: an attempt after the order to stop started a copy of a task that was done.
+  # Guards against two runs of a task: an attempt after the order to stop started a copy of a task that was done.
   Scenario: lateorders do not repeat a start that was ordered to stop
     Given a lateorders agent beside an executor that answers no order for 2 seconds
     When a start is ordered of the lateorders agent, and a stop of it 0.7 seconds later
@@ -30,7 +30,7 @@
     When a filler task beside a serving one is slowed down, and the serving one ends after 2 seconds
     Then the filler task of the lateorders agent has full speed 8 seconds later, after it was slowed down late
 
-  # TWICE: a task was started on a second host while a start carried out late ran on the first.
+  # Guards against two runs of a task: a task was started on a second host while a start carried out late ran on the first.
   Scenario Outline: lateorders never make two runs of a task with seed <seed>
     Given a lateorders world of 3 agents whose executors leave <share> of 100 orders unanswered
     When 6 jobs of 4 tasks are submitted to the lateorders world with seed <seed>
