--- a/review/common/world.py
+++ b/review/common/world.py
@@ -10,6 +10,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import time
 import traceback
@@ -24,20 +25,20 @@
 from apricotpath.ids import TaskId
 from apricotpath.model import Size
 from apricotpathd.asgi import read_body, send_json
-from support import platformstandin
+from support import platformstandin, platformworld
 from support.executormodel import ExecutorModel
 from support.memorystore import SharedStore
 from support.platformstandin import ExecutorApp, StoreApp
-from support.platformworld import HOST, SERVICE, PlatformWorld, configuration, free_port
+from support.platformworld import HOST, SERVICE, PlatformWorld, configuration
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PREFIX = "/lohu930/"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-# An executor of sites/suva-organics.toml: 16 cores and 62.5 GB.
-CAPACITY = Size(16000, 62500, 0)
+# An executor of sites/apw-carve.toml: 64 cores and 250 GB.
+CAPACITY = Size(64000, 250000, 0)
 # PROTOCOL.md: a range returns at most about 500 items.
 platformstandin.PAGE_ITEMS = 500
-# The bounds of sites/suva-organics.toml, as the settings of a process give them.
+# The bounds of sites/apw-carve.toml, as the settings of a process give them.
 BOUNDS = {
     "seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4,
     "drainMs": 2000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000,
@@ -49,6 +50,21 @@
     "harmMs": 4000,
 }  # fmt: skip
 
+# Below the ports that the system gives to outgoing connections.
+_ports = iter(range(20000 + os.getpid() % 400 * 20, 32000))
+
+
+def free_port() -> int:
+    """Return a loopback port that is free, and that this process has not returned before."""
+    for port in _ports:
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise OSError("no port is free")
+
+
+platformworld.free_port = free_port
+
 
 class Record:
     """The file record.txt: what was sent, answered and run, with the seconds since the start."""
