--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,4 +35,4 @@
     return HELD if started else BROKEN
 
 
-run_case(case, capacity=Size(64000, 250000, 0))
+run_case(case)
