--- a/review/common/world.py
+++ b/review/common/world.py
@@ -51,7 +51,7 @@
 }  # fmt: skip
 
 # Below the ports that the system gives to outgoing connections.
-_ports = iter(range(20000 + os.getpid() % 400 * 20, 32000))
+_ports = iter(range(20000 + os.getpid() % 29 * 400, 32000))
 
 
 def free_port() -> int:
@@ -138,6 +138,7 @@
         self.labels, self.record = labels, record
         self.refuses = False
         self.refused = 0
+        self.heartbeat_s = 0.3
 
     async def _answer(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if path == "/run-start" and self.refuses:
@@ -185,7 +186,7 @@
                     url = f"http://{control}/instances/{self.model.instance}"
                     with suppress(httpx.HTTPError):
                         await client.put(url, json=report, timeout=1.0)
-                await anyio.sleep(0.3)
+                await anyio.sleep(self.heartbeat_s)
 
 
 class World(PlatformWorld):
