Do not give a job up for crashes of a single host

Cause: three suspicions ended the job, also if all came from one host some time after the start, where a sick host looks the same as a task that crashes it.

Change: such crashes must come from two hosts. Crashes right at the start still count wherever they are.

--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -101,9 +101,14 @@
 
     @property
     def convicted(self) -> bool:
-        """Whether the task must not start again."""
+        """Whether the task must not start again.
+
+        Crashes of a single host some time after the start may be the fault of the host.
+        """
         parts = self._suspected_parts()
-        return len(parts) >= MIN_SUSPICIONS and self.chance <= CONVICT_CHANCE and parts[-1].alone
+        if len(parts) < MIN_SUSPICIONS or self.chance > CONVICT_CHANCE or not parts[-1].alone:
+            return False
+        return not self.delayed or len({part.host for part in parts}) > 1
 
     def _suspected_parts(self) -> list[CrashPart]:
         return [part for part in self.parts.values() if part.blame is Blame.SUSPECT]
--- a/tests/features/crashingtasks.feature
+++ b/tests/features/crashingtasks.feature
@@ -176,6 +176,16 @@
     Then the job of the failing task is failed within 10 seconds
     And the failing task was started once for each attempt
 
+  # A sick host crashed under a sound task three times, and the task's job was given up for it.
+  Scenario: crashingtasks give up no job whose only host keeps crashing some time after each start
+    Given a world of crashing tasks with 2 entries and 1 hosts
+    And executors of crashing tasks restart in 1 seconds
+    When 1 ordinary jobs of 1 tasks of 4 seconds are at work
+    And executors crash one after another 6 times, 3 seconds apart
+    Then no job is shown as failed
+    And all ordinary jobs are completed within 40 seconds
+    And the world of crashing tasks has no violation
+
   # Tasks that were at several crashes waited for a host of their own, up to 97 s beside idle ones.
   Scenario: crashingtasks leave no task waiting after many crashes that none of them caused
     Given a world of crashing tasks with 2 entries and 11 hosts
