Open the tasks of a job when they may start

Cause: the job table built every task of every occurrence as soon as a job was known, in one step of the event loop: 5.6 s for 600,000 tasks here, with 393 MB, while the leader's lease lasts 1.5 s. Each entry in turn lost its term to that.

Change: a row holds open tasks only. Occurrences are opened when they are due, at most 16 of a job at a time; a step has 1000 waiting tasks open at most (shared by the steps of a job), and 4 once 20,000 tasks wait in all. Gangs wait whole: a submission with more than 5,000 gang tasks is refused at once with the limit.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -8,7 +8,8 @@
 from apricotpath.crashes import OBSERVATION_S
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
-from apricotpath.jobtable import JobTable, Run
+from apricotpath.jobrows import Run
+from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.workload import Queue, Step, TaskKey
 
--- a/packages/core/src/apricotpath/joborder.py
+++ b/packages/core/src/apricotpath/joborder.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from apricotpath.hostload import PlacementInput
-from apricotpath.jobtable import JobRow, JobTable, Task
+from apricotpath.ids import JobId
+from apricotpath.jobrows import JobRow, Task
+from apricotpath.jobtable import JobTable
 from apricotpath.workload import Job, Queue, Step, TaskKey
 
 # A job that ends later than LATE_FACTOR times its objective is of little use and placed last; one
@@ -25,12 +27,15 @@
 def waiting_groups(table: JobTable, inputs: PlacementInput) -> list[WaitingGroup]:
     """Return the due waiting tasks grouped by step and occurrence, in placement order."""
     groups = []
+    works: dict[JobId, float] = {}
     for tasks in table.waiting_steps.values():
         key = next(iter(tasks))
         row = table.rows[key.job]
         queue = inputs.queues.get(row.job.queue)
         if queue is not None and row.job.due_s(key.occurrence) <= inputs.utc_s:
             groups.append(WaitingGroup(row, row.step(key), queue, list(tasks.values())))
+            if key.job not in works:
+                works[key.job] = remaining_work(row)
     return sorted(
         groups,
         key=lambda group: (
@@ -39,14 +44,17 @@
             # on few hosts.
             not group.step.long_running,
             lateness_rank(group.row.job, group.queue, group.tasks[0].key, inputs.utc_s),
-            remaining_work(group.row),
+            works[group.row.job.job_id],
             group.row.job.accepted_s,
         ),
     )
 
 
 def remaining_work(row: JobRow) -> float:
-    """Return the estimated processor time, in thousandths of a core second, that a job needs."""
+    """Return the estimated processor time that the open occurrences of a job need.
+
+    The unit is a thousandth of a core second.
+    """
     return sum(
         state.remaining * row.job.steps[number].estimate_s * row.job.steps[number].size.cpu_milli
         for (_, number), state in row.steps.items()
--- a/packages/core/src/apricotpath/jobs.py
+++ b/packages/core/src/apricotpath/jobs.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from zlib import crc32
 
+from apricotpath.bitranges import set_bit_ranges
 from apricotpath.errors import JobUnknown
 from apricotpath.ids import HostId, JobId, ProcessId, ShardId, TaskId
 from apricotpath.model import JobSpec, TaskState
@@ -270,7 +271,7 @@
             yield JobAccepted(row.spec, row.accepted_at)
             if row.impossible:
                 yield JobImpossible(job, row.impossible)
-            for first, end in _set_bit_ranges(row.finished):
+            for first, end in set_bit_ranges(row.finished):
                 yield TasksFinished(job, first, end)
             for number, task in row.rows.items():
                 yield TaskRestored(
@@ -324,14 +325,3 @@
     task.state = TaskState.CANCELLED if job.cancelled else TaskState.WAITING
     if not job.cancelled:
         insort(job.requeued, number)
-
-
-def _set_bit_ranges(bits: int) -> Iterator[tuple[int, int]]:
-    """Yield the ranges of set bits as (first, end), with the end excluded."""
-    first = 0
-    while bits:
-        gap = (bits & -bits).bit_length() - 1
-        first, bits = first + gap, bits >> gap
-        length = (~bits & (bits + 1)).bit_length() - 1
-        yield first, first + length
-        first, bits = first + length, bits >> length
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -1,140 +1,47 @@
 """The scheduler's tables of jobs, tasks and runs; runs change only by log records."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
-from enum import Enum
 from functools import singledispatchmethod
+from heapq import heappop, heappush
 
+from apricotpath.bitranges import first_unset, set_bit_ranges
 from apricotpath.commitments import Commitments
 from apricotpath.crashes import CrashHistory
 from apricotpath.ids import HostId, JobId
+from apricotpath.jobrows import JobRow, Run, Task
 from apricotpath.runrecords import (
     Assigned,
     Crashed,
     Ended,
     JobEnded,
+    OccurrencesDone,
     RunRecord,
     Saved,
+    TasksDone,
     TaskSummary,
 )
 from apricotpath.workload import Job, Progress, RunResult, Step, TaskKey
 
-# Progress in percent at which a long-running task is ready to serve.
-READY_PERCENT = 100
-
-
-class RunPhase(Enum):
-    """Phase of a run that has not ended."""
-
-    ORDERED = "ordered"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclass(slots=True)
-class Run:
-    """One run of a task on a host; `since` is in boot-clock seconds.
-
-    `percent` is the progress that the executor reports, `first_percent` that
-    of its first report; `stalled_s` is the reported time without progress.
-    `load` is the tail latency in ms of a long-running task, else the
-    processors in use in thousandths of a core. `pace` is the speed limit of a
-    filler task in percent. `saved` names its newest checkpoint. `survived`: the
-    executor listed it SURVIVAL_S or more after it was ordered. `on_other`: it was reported by
-    another incarnation of its host's executor than the one that it was ordered for.
-    """
-
-    task: TaskKey
-    run: int
-    host: HostId
-    instance: str
-    born_ms: int
-    phase: RunPhase = RunPhase.ORDERED
-    since: float = 0.0
-    saved: str = ""
-    percent: int = 0
-    first_percent: int = 0
-    stalled_s: float = 0.0
-    load: float = 0.0
-    pace: int = 100
-    stop_sent_at: float = 0.0
-    survived: bool = False
-    on_other: bool = False
-
-
-@dataclass(slots=True)
-class Task:
-    """One task of a step; `saved` names its newest checkpoint."""
-
-    key: TaskKey
-    done: bool = False
-    failed_runs: set[int] = field(default_factory=set)
-    last_run: int = 0
-    saved: str = ""
-    runs: dict[int, Run] = field(default_factory=dict)
-    failed_hosts: list[HostId] = field(default_factory=list)
-    waiting_since: float = 0.0
-
-
-@dataclass(slots=True)
-class StepState:
-    """Progress of one step of one occurrence: the number of tasks not done."""
-
-    remaining: int
-
-
-class JobRow:
-    """A job with its tasks; the tasks are dropped once the job and its runs have ended."""
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.progress = Progress.QUEUED
-        self.cancelling = False
-        self.failing = False
-        self.ended_at = 0.0
-        self.tasks: dict[TaskKey, Task] = {}
-        self.steps: dict[tuple[int, int], StepState] = {}
-        for occurrence in range(job.occurrences):
-            for number, step in enumerate(job.steps):
-                self.steps[occurrence, number] = StepState(step.count)
-                for index in range(step.count):
-                    key = TaskKey(job.job_id, occurrence, number, index)
-                    self.tasks[key] = Task(key)
-
-    @property
-    def to_be_stopped(self) -> bool:
-        """Whether the remaining runs of the job are to be stopped."""
-        return self.cancelling or self.failing or self.progress.final
-
-    def step(self, task: TaskKey) -> Step:
-        """Return the step of a task."""
-        return self.job.steps[task.step]
-
-    def members(self, task: TaskKey) -> Iterator[Task]:
-        """Yield the tasks of the same step and occurrence."""
-        for index in range(self.step(task).count):
-            yield self.tasks[TaskKey(task.job, task.occurrence, task.step, index)]
-
-    def step_ready(self, occurrence: int, number: int) -> bool:
-        """Return whether all steps that a step depends on are done."""
-        return all(
-            self.steps[occurrence, earlier].remaining == 0
-            for earlier in self.job.steps[number].after
-        )
-
-    def runs(self) -> Iterator[Run]:
-        """Yield all runs that have not ended."""
-        for task in self.tasks.values():
-            yield from task.runs.values()
+# Waiting tasks that one occurrence of a job has open at most, shared by its steps, but for gangs,
+# which wait whole. More are opened as these start.
+JOB_WINDOW = 1000
+# A step has at least this many waiting tasks open.
+MIN_WINDOW = 16
+# Once this many tasks wait in all, each step has only CROWDED_WINDOW open, and each job only one
+# more occurrence.
+MAX_WAITING = 20_000
+CROWDED_WINDOW = 4
+# Occurrences of a job that are open at the same time, and all that one call opens.
+MAX_OPEN_OCCURRENCES = 16
+MAX_OPENED_PER_CALL = 64
 
 
 class JobTable:
     """All jobs and the runs on each host.
 
-    `waiting` holds the tasks to be placed; tasks of scheduled jobs may not be
-    due yet. `crashes` holds the tasks that were on crashed executors. `changed`
-    collects jobs whose progress changed. `to_end` maps jobs whose final state
-    is decided, but not in the log yet, to that state.
+    `waiting` holds the open tasks to be placed. `crashes` holds the tasks that were
+    on crashed executors. `changed` collects jobs whose progress changed. `to_end`
+    maps jobs whose final state is decided, but not in the log yet, to that state.
     """
 
     def __init__(self) -> None:
@@ -147,6 +54,8 @@
         self.crashes: dict[TaskKey, CrashHistory] = {}
         self.changed: set[JobId] = set()
         self.to_end: dict[JobId, Progress] = {}
+        # When (UTC seconds) the next occurrences of scheduled jobs are due; a heap.
+        self._due: list[tuple[float, JobId]] = []
 
     def add(self, job: Job, now: float) -> JobRow | None:
         """Add an accepted job; None if it is in the table already."""
@@ -155,12 +64,47 @@
         row = JobRow(job)
         self.rows[job.job_id] = row
         self.changed.add(job.job_id)
-        for occurrence in range(job.occurrences):
-            for number, step in enumerate(job.steps):
-                if not step.after:
-                    self._enqueue_step(row, occurrence, number, now)
+        if job.schedule is None:
+            self._open_next(row, now)
+        else:
+            self._await_next(row)
         return row
 
+    def open_due(self, utc_s: float, now: float) -> bool:
+        """Open the occurrences of scheduled jobs that are due; return whether all are open.
+
+        `utc_s` is in UTC seconds, `now` in boot-clock seconds.
+        """
+        for _ in range(MAX_OPENED_PER_CALL):
+            if not self._due or self._due[0][0] > utc_s:
+                return True
+            row = self.rows.get(heappop(self._due)[1])
+            if row is not None and not row.to_be_stopped:
+                row.awaits_due = False
+                self._open_next(row, now)
+                self._await_next(row)
+        return False
+
+    def _await_next(self, row: JobRow) -> None:
+        """Wait until the next occurrence of a job is due, unless too many are open."""
+        row.next_occurrence = first_unset(row.finished, row.next_occurrence)
+        limit = 1 if len(self.waiting) >= MAX_WAITING else MAX_OPEN_OCCURRENCES
+        left = row.next_occurrence < row.job.occurrences and row.opened < limit
+        if left and not row.awaits_due:
+            row.awaits_due = True
+            heappush(self._due, (row.job.due_s(row.next_occurrence), row.job.job_id))
+
+    def _open_next(self, row: JobRow, now: float) -> None:
+        """Open the next occurrence of a job; records may have opened some of its tasks."""
+        occurrence = row.next_occurrence
+        row.next_occurrence += 1
+        if row.is_finished(occurrence):
+            return
+        row.opened += 1
+        row.open_steps(occurrence)
+        for number in range(len(row.job.steps)):
+            self._open_tasks(row, occurrence, number, now)
+
     def add_ended(self, job: Job, progress: Progress, now: float) -> None:
         """Add a job that has ended already; only its state can be read."""
         row = JobRow(Job(job.job_id, job.queue, "", ()))
@@ -193,7 +137,7 @@
                     yield Saved(run.task, run.saved)
 
     def task(self, key: TaskKey) -> Task | None:
-        """Return a task, or None if its job is unknown or has ended."""
+        """Return an open task; None if it is done, or its job is unknown or has ended."""
         row = self.rows.get(key.job)
         return row.tasks.get(key) if row else None
 
@@ -233,7 +177,7 @@
 
     @apply.register
     def _(self, record: Assigned, now: float) -> None:
-        task = self.task(record.task)
+        task = self._open_task(record.task)
         if task is None:
             return
         run = Run(record.task, record.run, record.host, record.instance, record.born_ms, since=now)
@@ -243,13 +187,12 @@
         self.commitments_changed(record.host)
         self.by_host.setdefault(record.host, {})[record.task, record.run] = run
         row = self.rows[record.task.job]
-        if row.progress is Progress.QUEUED:
-            row.progress = Progress.RUNNING
-            self.changed.add(record.task.job)
+        self._note_begun(row)
+        self._open_tasks(row, record.task.occurrence, record.task.step, now)
 
     @apply.register
     def _(self, record: Ended, now: float) -> None:
-        task = self.task(record.task)
+        task = self._open_task(record.task)
         if task is None:
             return
         row = self.rows[record.task.job]
@@ -263,7 +206,7 @@
         first_record = run is not None
         if record.saved:
             self._save(row, task, record.saved)
-        if record.result is RunResult.DONE and not step.long_running:
+        if record.result is RunResult.DONE and not step.long_running and not task.done:
             self._finish(row, task, now)
         elif record.result is RunResult.FAILED and first_record:
             task.failed_runs.add(record.run)
@@ -271,11 +214,12 @@
                 task.failed_hosts.append(run.host)
         if not task.done and not task.runs:
             self._enqueue(row, task, now)
+        self._close_if_done(row, task)
         self._check_end(row)
 
     @apply.register
     def _(self, record: Saved, now: float) -> None:
-        task = self.task(record.task)
+        task = self._open_task(record.task)
         if task is not None:
             self._save(self.rows[record.task.job], task, record.saved)
 
@@ -310,51 +254,157 @@
 
     @apply.register
     def _(self, record: TaskSummary, now: float) -> None:
-        task = self.task(record.task)
+        task = self._open_task(record.task)
         if task is None:
             return
         row = self.rows[record.task.job]
         task.failed_runs, task.last_run = set(record.failed_runs), record.last_run
         task.saved = record.saved
-        if record.last_run and row.progress is Progress.QUEUED:
-            row.progress = Progress.RUNNING
+        if record.last_run:
+            self._note_begun(row)
         if record.done:
             self._finish(row, task, now)
             self._check_end(row)
+        elif not task.runs:
+            self._enqueue(row, task, now)
+
+    @apply.register
+    def _(self, record: TasksDone, now: float) -> None:
+        row = self.rows.get(record.job)
+        last = TaskKey(record.job, record.occurrence, record.step, record.end - 1)
+        if row is None or not row.has_task(last) or row.is_finished(record.occurrence):
+            return
+        self._note_begun(row)
+        row.open_steps(record.occurrence)
+        state = row.steps[record.occurrence, record.step]
+        for position in range(record.first, min(record.end, state.opened)):
+            key = last._replace(position=position)
+            row.tasks.pop(key, None)
+            self._drop_waiting(key)
+        before = state.done.bit_count()
+        state.done |= (1 << record.end) - (1 << record.first)
+        state.remaining -= state.done.bit_count() - before
+        self._advance(row, record.occurrence, record.step, now)
+        self._check_end(row)
+
+    @apply.register
+    def _(self, record: OccurrencesDone, now: float) -> None:
+        row = self.rows.get(record.job)
+        if row is None or not 0 <= record.first < record.end <= row.job.occurrences:
+            return
+        self._note_begun(row)
+        row.finished |= (1 << record.end) - (1 << record.first)
+        for key in [key for key in row.tasks if row.is_finished(key.occurrence)]:
+            del row.tasks[key]
+            self._drop_waiting(key)
+        for occurrence in {occurrence for occurrence, _ in row.steps}:
+            if row.is_finished(occurrence):
+                self._close_steps(row, occurrence)
+        self._check_end(row)
 
     def summaries(self) -> Iterator[RunRecord]:
         """Yield records that rebuild the tasks and runs of all unfinished jobs."""
-        for row in self.rows.values():
+        for job, row in self.rows.items():
+            done_tasks = row.done_tasks()
+            finished = row.finished
+            for occurrence in {occurrence for occurrence, _ in done_tasks}:
+                finished &= ~(1 << occurrence)
+            for first, end in set_bit_ranges(finished):
+                yield OccurrencesDone(job, first, end)
+            for (occurrence, number), done in done_tasks.items():
+                for first, end in set_bit_ranges(done):
+                    yield TasksDone(job, occurrence, number, first, end)
             for task in row.tasks.values():
+                for run in task.runs.values():
+                    yield Assigned(task.key, run.run, run.host, run.instance, run.born_ms)
                 if task.last_run or task.done or task.saved:
                     failed = tuple(sorted(task.failed_runs))
                     yield TaskSummary(task.key, task.done, failed, task.last_run, task.saved)
-                for run in task.runs.values():
-                    yield Assigned(task.key, run.run, run.host, run.instance, run.born_ms)
         for key, history in self.crashes.items():
             for number, part in history.parts.items():
                 yield Crashed(key, number, part)
 
+    def _open_task(self, key: TaskKey) -> Task | None:
+        """Return a task that a record names; None if it is done, or its job unknown or ended."""
+        row = self.rows.get(key.job)
+        return row.open_task(key) if row is not None else None
+
+    def _note_begun(self, row: JobRow) -> None:
+        """Note that a task of a job has been assigned."""
+        if row.progress is Progress.QUEUED:
+            row.progress = Progress.RUNNING
+            self.changed.add(row.job.job_id)
+
     def _finish(self, row: JobRow, task: Task, now: float) -> None:
         """Mark a task as done; one finished member of a gang finishes all members."""
-        members = list(row.members(task.key)) if row.step(task.key).gang else [task]
-        state = row.steps[task.key.occurrence, task.key.step]
+        key = task.key
+        members = list(row.members(key)) if row.step(key).gang else [task]
+        state = row.steps[key.occurrence, key.step]
         for member in members:
             if not member.done:
                 member.done = True
+                state.done |= 1 << member.key.position
                 state.remaining -= 1
                 self._drop_waiting(member.key)
-        if state.remaining == 0 and not row.to_be_stopped:
-            for number, step in enumerate(row.job.steps):
-                if task.key.step in step.after and row.step_ready(task.key.occurrence, number):
-                    self._enqueue_step(row, task.key.occurrence, number, now)
-
-    def _enqueue_step(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
-        for index in range(row.job.steps[number].count):
-            task = row.tasks[TaskKey(row.job.job_id, occurrence, number, index)]
-            if not task.done and not task.runs:
+                self._close_if_done(row, member)
+        self._advance(row, key.occurrence, key.step, now)
+
+    def _advance(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
+        """Open what may start now that tasks of a step are done."""
+        if row.steps[occurrence, number].remaining:
+            self._open_tasks(row, occurrence, number, now)
+            return
+        for later, step in enumerate(row.job.steps):
+            if number in step.after:
+                self._open_tasks(row, occurrence, later, now)
+        self._finish_occurrence(row, occurrence)
+
+    def _close_if_done(self, row: JobRow, task: Task) -> None:
+        """Drop a done task without runs; its step knows that it is done."""
+        if task.done and not task.runs:
+            row.tasks.pop(task.key, None)
+            self.crashes.pop(task.key, None)
+
+    def _finish_occurrence(self, row: JobRow, occurrence: int) -> None:
+        """Drop the steps of an occurrence once all of its tasks are done."""
+        states = [row.steps[occurrence, number] for number in range(len(row.job.steps))]
+        if any(state.remaining for state in states):
+            return
+        row.finished |= 1 << occurrence
+        self._close_steps(row, occurrence)
+
+    def _close_steps(self, row: JobRow, occurrence: int) -> None:
+        """Drop the steps of a finished occurrence, and await the next one."""
+        for number in range(len(row.job.steps)):
+            del row.steps[occurrence, number]
+        if occurrence < row.next_occurrence:
+            row.opened -= 1
+            self._await_next(row)
+
+    def _open_tasks(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
+        """Let tasks of a step wait if it is ready and few of them do."""
+        state = row.steps.get((occurrence, number))
+        if state is None or row.to_be_stopped or not row.step_ready(occurrence, number):
+            return
+        step, window = row.job.steps[number], self._window(row)
+        key = (row.job.job_id, occurrence, number)
+        if not step.gang and len(self.waiting_steps.get(key, ())) > window // 2:
+            return
+        while step.gang or len(self.waiting_steps.get(key, ())) < window:
+            position = first_unset(state.done, state.opened)
+            if position >= step.count:
+                return
+            state.opened = position + 1
+            task = row.open_task(TaskKey(*key, position))
+            if task is not None and not task.done and not task.runs:
                 self._enqueue(row, task, now)
 
+    def _window(self, row: JobRow) -> int:
+        """Return how many tasks of a step may wait open."""
+        if len(self.waiting) >= MAX_WAITING:
+            return CROWDED_WINDOW
+        return max(MIN_WINDOW, JOB_WINDOW // len(row.job.steps))
+
     def _enqueue(self, row: JobRow, task: Task, now: float) -> None:
         ready = row.step_ready(task.key.occurrence, task.key.step)
         if not row.to_be_stopped and ready and task.key not in self.waiting:
@@ -398,7 +448,7 @@
             self.to_end[job] = Progress.CANCELLED
         elif row.failing:
             self.to_end[job] = Progress.FAILED
-        elif all(state.remaining == 0 for state in row.steps.values()):
+        elif row.completed:
             self.to_end[job] = Progress.COMPLETED
 
     def out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -5,7 +5,8 @@
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId
 from apricotpath.joborder import WaitingGroup
-from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase, Task
+from apricotpath.jobrows import READY_PERCENT, Run, RunPhase, Task
+from apricotpath.jobtable import JobTable
 from apricotpath.runplacement import Placement, choose_host
 from apricotpath.workload import Queue, Step
 
@@ -174,12 +175,13 @@
         return False
     if step.gang or step.max_unavailable == 0 or inputs.now - run.since < CONSOLIDATE_AFTER_S:
         return False
-    return all(
+    members = list(row.members(run.task))
+    return len(members) == step.count and all(
         any(
             other.phase is RunPhase.RUNNING and other.percent >= READY_PERCENT
             for other in member.runs.values()
         )
-        for member in row.members(run.task)
+        for member in members
     )
 
 
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -8,7 +8,8 @@
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId, ServiceId
 from apricotpath.joborder import WaitingGroup, waiting_groups
-from apricotpath.jobtable import JobTable, Task
+from apricotpath.jobrows import Task
+from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.workload import Step, TaskKey
 
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -9,7 +9,7 @@
 from apricotpath.errors import InputError
 from apricotpath.ids import HostId, JobId
 from apricotpath.jsonfields import to_int, to_list, to_number, to_str
-from apricotpath.workload import Progress, RunResult, TaskKey
+from apricotpath.workload import MAX_TASKS_PER_JOB, Progress, RunResult, TaskKey
 
 MAX_RUN = 1 << 31
 # Probability taken for a suspicion in logs of earlier versions, which do not tell it.
@@ -82,6 +82,26 @@
     saved: str
 
 
+@dataclass(frozen=True, slots=True)
+class TasksDone(RunRecord):
+    """The tasks of a step from position `first` to before `end` are done; part of a snapshot."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    first: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class OccurrencesDone(RunRecord):
+    """The occurrences of a job from `first` to before `end` are done; part of a snapshot."""
+
+    job: JobId
+    first: int
+    end: int
+
+
 @singledispatch
 def to_row(record: RunRecord) -> list[Any]:
     """Return the JSON form of a record: a tag and its fields in order."""
@@ -124,6 +144,16 @@
     return ["t", str(record.task), *summary]
 
 
+@to_row.register
+def _(record: TasksDone) -> list[Any]:
+    return ["d", record.job, record.occurrence, record.step, record.first, record.end]
+
+
+@to_row.register
+def _(record: OccurrencesDone) -> list[Any]:
+    return ["o", record.job, record.first, record.end]
+
+
 def from_row(row: Any) -> RunRecord:
     """Parse the JSON form of a record, or raise InputError."""
     tag, *values = to_list(row, "a record", 1)
@@ -194,6 +224,28 @@
     return TaskSummary(_task(task), done, failed_runs, _run(last_run), to_str(saved, "saved"))
 
 
+def _tasks_done(values: list[Any]) -> RunRecord:
+    job, occurrence, step, first, end = values
+    first, end = _range(first, end)
+    return TasksDone(
+        JobId(to_str(job, "job")),
+        to_int(occurrence, "occurrence", low=0),
+        to_int(step, "step", low=0),
+        first,
+        end,
+    )
+
+
+def _occurrences_done(values: list[Any]) -> RunRecord:
+    job, first, end = values
+    return OccurrencesDone(JobId(to_str(job, "job")), *_range(first, end))
+
+
+def _range(first: Any, end: Any) -> tuple[int, int]:
+    low = to_int(first, "first", low=0, high=MAX_TASKS_PER_JOB)
+    return low, to_int(end, "end", low=low + 1, high=MAX_TASKS_PER_JOB)
+
+
 def _task(value: Any) -> TaskKey:
     return TaskKey.parse(to_str(value, "task"))
 
@@ -210,4 +262,6 @@
     "c": _crashed,
     "j": _job_ended,
     "t": _task_summary,
+    "d": _tasks_done,
+    "o": _occurrences_done,
 }
--- a/packages/core/src/apricotpath/workload.py
+++ b/packages/core/src/apricotpath/workload.py
@@ -12,8 +12,10 @@
 NO_SIZE = Size()
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
-# Tasks of all steps and occurrences of a job, which the scheduler keeps in memory.
+# Tasks of all steps and occurrences of a job. The scheduler keeps a bit of each in memory.
 MAX_TASKS_PER_JOB = 1_000_000
+# Tasks of all gangs of an occurrence, which the scheduler keeps in memory together.
+MAX_GANG_TASKS = 5000
 
 
 class Progress(Enum):
@@ -177,6 +179,18 @@
     capacity: Size = NO_SIZE
 
 
+def check_limits(job: Job) -> None:
+    """Raise InputError if a job that is valid is larger than is accepted.
+
+    Unlike `check_job`, this does not apply to jobs that have been accepted already.
+    """
+    gang_tasks = sum(step.count for step in job.steps if step.gang)
+    if gang_tasks > MAX_GANG_TASKS:
+        raise InputError(
+            f"the gangs of a job have at most {MAX_GANG_TASKS} tasks in all", path="steps"
+        )
+
+
 def check_job(job: Job) -> None:
     """Raise InputError unless the steps and the schedule of a job are valid."""
     if not 0 < len(job.steps) <= MAX_STEPS:
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -14,7 +14,8 @@
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
 from apricotpath.ids import FenceToken, HostId, TaskId
-from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase
+from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
+from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
     ExecutorCrash,
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -30,7 +30,7 @@
 )
 from apricotpath.model import Role
 from apricotpath.store import Compare, Put, Store, settle_delays
-from apricotpath.workload import Job, Progress, check_job
+from apricotpath.workload import Job, Progress, check_job, check_limits
 
 log = logging.getLogger(__name__)
 
@@ -110,6 +110,7 @@
     async def submit(self, job: Job) -> Submission:
         """Accept a job; raises InputError if it is malformed."""
         check_job(job)
+        check_limits(job)
         job = replace(job, accepted_s=self._utc())
         if job.job_id in self.statuses:
             return Submission.ACCEPTED
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -6,7 +6,8 @@
 from apricotpath.fleet import Host
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import TaskId
-from apricotpath.jobtable import JobTable, Run, RunPhase
+from apricotpath.jobrows import Run, RunPhase
+from apricotpath.jobtable import JobTable
 from apricotpath.messages import RunName, StopRuns
 from apricotpath.runmoves import serving_runs_to_consolidate, slow_runs, stalled
 from apricotpathd.hosttracker import STOP_RESEND_S, HostTracker
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -322,6 +322,8 @@
         self._fail_exhausted()
         self._save_progress(batch, now)
         inputs = self._placement_input(now)
+        if not self.table.open_due(inputs.utc_s, now):
+            self.wake()
         self._assign(batch, place(self.table, inputs), now)
         # Copies are chosen afterwards, so that they count the tasks placed by this pass.
         self._assign(batch, self._place_copies(inputs), now)
@@ -567,8 +569,9 @@
                     self.statuses[job] = status
                     changed.append(status)
         self.table.changed.clear()
-        if changed:
-            self._publish(JobStatuses(self.term.epoch, False, tuple(changed)))
+        for start in range(0, len(changed), STATUSES_PER_MESSAGE):
+            chunk = tuple(changed[start : start + STATUSES_PER_MESSAGE])
+            self._publish(JobStatuses(self.term.epoch, False, chunk))
 
     def all_statuses(self) -> Iterable[JobStatuses]:
         """Yield messages that together contain the states of all jobs that have not ended.
--- a/packages/daemon/src/apricotpathd/startorders.py
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -8,7 +8,8 @@
 from apricotpath.fleet import Host
 from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobmetrics import JobMetrics
-from apricotpath.jobtable import JobRow, JobTable, Run, Task
+from apricotpath.jobrows import JobRow, Run, Task
+from apricotpath.jobtable import JobTable
 from apricotpath.messages import RunOrder, StartRuns
 from apricotpath.runplacement import Placement
 from apricotpathd.hosttracker import HostTracker
--- a/tests/features/steps/jobtable_steps.py
+++ b/tests/features/steps/jobtable_steps.py
@@ -11,10 +11,12 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.runrecords import Assigned, Ended, RunRecord, from_row, to_row
-from apricotpath.workload import Job, RunResult, Step, TaskKey
+from apricotpath.workload import Job, RunResult, Schedule, Step, TaskKey
 
 JOB = JobId("00000000000000a1")
 HOST = HostId("oven")
+# Time (UTC seconds) at which 20 occurrences of the jobs that repeat are due.
+DUE_S = 20.0
 
 
 class TableCase:
@@ -128,9 +130,11 @@
             kind = rng.choice(["gang", "long_running", "plain", "plain"])
             flags = {kind: True} if kind != "plain" else {}
             steps.append(Step(rng.randint(1, 4), Size(10, 1, 0), after=after, **flags))
-        job = Job(JobId(f"{number:016x}"), QueueId("bread"), "", tuple(steps))
+        schedule = rng.choice([None, Schedule(rng.randint(1, 40), 0.0, 1.0)])
+        job = Job(JobId(f"{number:016x}"), QueueId("bread"), "", tuple(steps), schedule)
         self.jobs.append(job)
         self.table.add(job, 0.0)
+        self.table.open_due(DUE_S, 0.0)
 
     def _advance(self) -> None:
         rng, table = self.rng, self.table
@@ -155,6 +159,12 @@
             table.add(parse_job(job_text(job)).job, 0.0)
         return table
 
+    def open_due(self, *tables: JobTable) -> None:
+        """Open in all tables what is due, so that they can be compared."""
+        for table in (self.table, *tables):
+            while not table.open_due(DUE_S, 1.0):
+                pass
+
 
 def table_state(table: JobTable) -> Any:
     """Return the state of a table that a replay must reproduce."""
@@ -169,7 +179,13 @@
         for row in table.rows.values()
         for task in row.tasks.values()
     }
-    return tasks, sorted(table.waiting), dict(table.to_end)
+    done = {
+        (job, row.finished, key): state.done
+        for job, row in table.rows.items()
+        for key, state in row.steps.items()
+    }
+    finished = {job: row.finished for job, row in table.rows.items()}
+    return tasks, done, finished, sorted(table.waiting), dict(table.to_end)
 
 
 @when("random histories of jobtables are replayed and rebuilt from snapshots, seeds {a:d} to {b:d}")
@@ -180,6 +196,7 @@
         replayed, rebuilt = history.new_table(), history.new_table()
         replayed.apply_all(history.records, 1.0)
         rebuilt.apply_all(list(history.table.summaries()), 1.0)
+        history.open_due(replayed, rebuilt)
         context.tables.append((seed, history.table, replayed, rebuilt))
 
 
--- a/tests/features/steps/passes_steps.py
+++ b/tests/features/steps/passes_steps.py
@@ -10,7 +10,8 @@
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, JobId, RackId
-from apricotpath.jobtable import READY_PERCENT, JobTable, Run, RunPhase
+from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
+from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.runplacement import place
 from apricotpath.runrecords import Assigned
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -11,7 +11,8 @@
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
-from apricotpath.jobtable import JobTable, RunPhase
+from apricotpath.jobrows import RunPhase
+from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.runmoves import place_copies, serving_runs_to_consolidate, slow_runs
 from apricotpath.runplacement import Placement, place
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -15,10 +15,10 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s, set_clock
-from apricotpath.codec import Envelope
+from apricotpath.codec import Envelope, encode
 from apricotpath.config import Address, LinkSettings
 from apricotpath.election import ElectionSettings, Term
-from apricotpath.errors import LinkError, PeerError
+from apricotpath.errors import CodecError, LinkError, PeerError
 from apricotpath.executor import Executor
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
@@ -99,12 +99,22 @@
             self.world.starts_rejected -= 1
             raise LinkError("the link's send queue is full")
         self._number += 1
+        if isinstance(body, StartRuns):
+            self._encode(body)
         self.frames_sent += 1
         self.world.messages[type(body).__name__] += 1
         if isinstance(body, HostGrant):
             self.world.last_grants[Epoch(body.fence // FENCES_PER_EPOCH)] = boot_s()
         self.world.group.start_soon(self._deliver, Envelope(self._number, reply_to, body))
 
+    def _encode(self, body: Message) -> None:
+        """Encode a message as a link does, which refuses one that is too large."""
+        try:
+            frame = encode(Envelope(self._number, 0, body))
+        except CodecError as exc:
+            raise LinkError(f"the message cannot be sent: {exc}") from exc
+        self.world.largest_start_bytes = max(self.world.largest_start_bytes, len(frame))
+
     async def send(self, body: Message, reply_to: int = 0) -> int:
         self.send_nowait(body, reply_to)
         return self._number
@@ -189,6 +199,8 @@
         self.late_after_restart_s = 0.0
         # Number of the next messages with starts that links reject because their queue is full.
         self.starts_rejected = 0
+        # Size of the largest message with start orders.
+        self.largest_start_bytes = 0
         self.messages: Counter[str] = Counter()
         # Time of the last grant of each epoch, and the time from which on the scheduler of an
         # epoch takes all earlier ones for ended.
@@ -388,12 +400,12 @@
         """Return the id of the job that is submitted next."""
         return JobId(f"{self._jobs_submitted + 1:016x}")
 
-    async def submit(self, *steps: Step, at: str = "") -> JobId:
+    async def submit(self, *steps: Step, at: str = "", command: str = "bake") -> JobId:
         """Submit a job at an entry and return its id."""
         job = self.next_job()
         self._jobs_submitted += 1
         job_service = self.entries[at or next(iter(self.entries))].job_service
-        outcome = await job_service.submit(Job(job, QUEUE, "bake", steps))
+        outcome = await job_service.submit(Job(job, QUEUE, command, steps))
         assert outcome.value == "accepted", outcome
         return job
 
