Bound the start orders of a pass and of a message

Cause: all starts of a pass for a host were one message, with the spec once for each task. Over 1 MiB the link refuses it; the runs were marked as lost, and the next pass chose the same ones.

Change: a pass chooses at most 512 KiB of start orders (more only for a gang, which starts whole) and the next one follows at once; a host gets them in messages of about 64 KiB; one that cannot be sent loses its own starts only. A host has at most 2,000 runs, so that tasks that ask for nothing cannot outgrow its reports.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -26,9 +26,45 @@
 # A task that is suspected of crashes waits at most this long (seconds) for a host of its own.
 MAX_SUSPECT_WAIT_S = 2.0
 
+# Bytes of start orders that one pass may choose, which bounds its time, the records that it
+# writes, and what it sends; and the bytes of an order besides its command.
+MAX_PASS_BYTES = 512 << 10
+ORDER_BYTES = 512
+
+# Tasks may ask for nothing. So many runs still fit the messages of a host, of some 150 bytes each.
+MAX_RUNS_PER_HOST = 2000
+
 OTHER_SERVICE = "of another service"
 
 
+@dataclass(slots=True)
+class PassBudget:
+    """How many bytes of start orders a pass may still choose.
+
+    An order takes about `ORDER_BYTES` and the command. A gang starts whole, beyond the budget
+    if necessary.
+    """
+
+    left_bytes: int = MAX_PASS_BYTES
+
+    @property
+    def spent(self) -> bool:
+        """Whether the pass may start nothing more."""
+        return self.left_bytes <= 0
+
+    def allowance(self, command: str) -> int:
+        """Return how many tasks with a command the pass may still start."""
+        return max(0, -(-self.left_bytes // _order_bytes(command)))
+
+    def spend(self, command: str, starts: int) -> None:
+        """Note that tasks with a command are started."""
+        self.left_bytes -= starts * _order_bytes(command)
+
+
+def _order_bytes(command: str) -> int:
+    return ORDER_BYTES + len(command.encode())
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementInput:
     """Inputs of a placement pass besides the job table.
@@ -47,6 +83,7 @@
     # Executors (instance id) that an advisory service allows for a task, or None if it has not
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
+    budget: PassBudget = field(default_factory=PassBudget)
 
 
 @dataclass(slots=True)
@@ -110,7 +147,9 @@
 
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
-        return (self.claimed + reserved_size(step)).fits_in(self.capacity)
+        return self.runs < MAX_RUNS_PER_HOST and (self.claimed + reserved_size(step)).fits_in(
+            self.capacity
+        )
 
     def can_make_room_for(self, step: Step) -> bool:
         """Return whether one more task of a step fits once all but long-running tasks end."""
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -44,6 +44,8 @@
         _keep_hosts_for_suspects(groups, loads.values(), inputs)
     hosts = _UsableHosts(list(loads.values()), inputs)
     for group in groups:
+        if inputs.budget.spent:
+            break
         allowed = hosts.allowed(group)
         candidates = [load for load in allowed if not load.reserved]
         if group.step.gang:
@@ -51,12 +53,15 @@
         elif hosts.are_full_for(group):
             placed = []
         else:
+            del group.tasks[inputs.budget.allowance(group.row.job.command) :]
             placed = list(_place_each(group, candidates, inputs))
             if len(placed) < len(group.tasks):
                 hosts.note_if_full(group, candidates)
         if len(placed) < len(group.tasks):
             _reserve_for_next(group, placed, candidates, loads.values(), inputs)
-        placements += placed or _place_starving(group, allowed, inputs, placements)
+        placed = placed or _place_starving(group, allowed, inputs, placements)
+        inputs.budget.spend(group.row.job.command, len(placed))
+        placements += placed
     return placements
 
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -325,6 +325,8 @@
         if not self.table.open_due(inputs.utc_s, now):
             self.wake()
         self._assign(batch, place(self.table, inputs), now)
+        if inputs.budget.spent:
+            self.wake()
         # Copies are chosen afterwards, so that they count the tasks placed by this pass.
         self._assign(batch, self._place_copies(inputs), now)
         self._end_jobs(batch, now)
--- a/packages/daemon/src/apricotpathd/startorders.py
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -1,21 +1,26 @@
 """Sends the start orders of placements whose assignments are durable."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from apricotpath.boottime import boot_s
 from apricotpath.commitments import reserved_size
 from apricotpath.fleet import Host
+from apricotpath.hostload import ORDER_BYTES
 from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobrows import JobRow, Run, Task
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import RunOrder, StartRuns
 from apricotpath.runplacement import Placement
+from apricotpath.workload import TaskKey
 from apricotpathd.hosttracker import HostTracker
 
 log = logging.getLogger(__name__)
 
+# Start orders are sent in messages of about this size, far below the limit of a frame.
+MAX_MESSAGE_BYTES = 64 << 10
+
 
 class StartOrders:
     """Sends start orders to hosts; `out` returns the data centres that are out of service."""
@@ -46,7 +51,7 @@
 
     def _send_to(self, host: Host, placements: Iterable[Placement]) -> None:
         """Send start orders, except those that became invalid while they were being written."""
-        orders, ordered = [], []
+        orders: list[RunOrder] = []
         out = host.facts is not None and host.facts.data_centre in self._out()
         for placement in placements:
             task = self._table.task(placement.task)
@@ -60,12 +65,11 @@
             # The time spent on writing the assignment does not count as run time.
             run.since = boot_s()
             orders.append(self._order(host, row, task, run))
-            ordered.append(run)
             self._note(host, row, task, run)
-        if orders:
-            message = StartRuns(host.fence, host.renewal, tuple(orders))
-            if not self._tracker.send(host, message):
-                for run in ordered:
+        for chunk in _in_messages(orders):
+            if not self._tracker.send(host, StartRuns(host.fence, host.renewal, chunk)):
+                for order in chunk:
+                    run = self._table.by_host[host.host][TaskKey.parse(order.task), order.run]
                     self._tracker.mark_lost(run, "its start was not sent")
 
     def _order(self, host: Host, row: JobRow, task: Task, run: Run) -> RunOrder:
@@ -98,3 +102,18 @@
                 "report_age_s": round(run.since - host.reported_at, 3),
             },
         )
+
+
+def _in_messages(orders: Iterable[RunOrder]) -> Iterator[tuple[RunOrder, ...]]:
+    """Yield the orders in the groups that one message takes."""
+    group: list[RunOrder] = []
+    size = 0
+    for order in orders:
+        order_bytes = ORDER_BYTES + len(order.command.encode()) + len(order.saved.encode())
+        if group and size + order_bytes > MAX_MESSAGE_BYTES:
+            yield tuple(group)
+            group, size = [], 0
+        group.append(order)
+        size += order_bytes
+    if group:
+        yield tuple(group)
--- a/tests/features/largejobs.feature
+++ b/tests/features/largejobs.feature
@@ -36,3 +36,10 @@
   Scenario: largejobs refuse a job whose gangs are too large at once, and name the limit
     When a largejobs job of 2 gangs of 3000 tasks is submitted
     Then it is refused with "the gangs of a job have at most 5000 tasks in all"
+
+  # All starts of a pass for a host were one message, which was refused over 1 MiB and chosen again.
+  Scenario: largejobs start the tasks of a job with a long command, and those of other jobs
+    Given a largejobs world of 2 hosts with room for 600 tasks
+    When a job of 600 tasks with a command of 4000 bytes is submitted, and then one of 1 task
+    Then all 601 largejobs tasks have started within 10 seconds, each once
+    And no largejobs message was larger than 128 kB
