Take a job for running only when a run of it has begun

Cause: a job became running when a start was decided, and nothing set it back if the executor refused it, or if the scheduler was killed before it sent the order.

Change: it becomes running when its executor answers that a run has started, reports one, or reports an end; a new scheduler learns it the same way, and entries keep showing a job as running that they have shown so.

--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -161,6 +161,13 @@
                 found.starting += not run.survived
         return found
 
+    def note_begun(self, job: JobId) -> None:
+        """Note that a run of a job has begun; a start that is only ordered may be refused."""
+        row = self.rows.get(job)
+        if row is not None and row.progress is Progress.QUEUED:
+            row.progress = Progress.RUNNING
+            self.changed.add(job)
+
     def commitments_changed(self, host: HostId) -> None:
         """Note that runs of a host were added or have ended, or have survived their start."""
         self._commitments.pop(host, None)
@@ -187,7 +194,6 @@
         self.commitments_changed(record.host)
         self.by_host.setdefault(record.host, {})[record.task, record.run] = run
         row = self.rows[record.task.job]
-        self._note_begun(row)
         self._open_tasks(row, record.task.occurrence, record.task.step, now)
 
     @apply.register
@@ -202,6 +208,8 @@
             self.by_host.get(run.host, {}).pop((record.task, record.run), None)
             self.commitments_changed(run.host)
         task.last_run = max(task.last_run, record.run)
+        if record.result is not RunResult.LOST:
+            self.note_begun(record.task.job)
         # A second record of the same end must not count as another failure.
         first_record = run is not None
         if record.saved:
@@ -260,8 +268,8 @@
         row = self.rows[record.task.job]
         task.failed_runs, task.last_run = set(record.failed_runs), record.last_run
         task.saved = record.saved
-        if record.last_run:
-            self._note_begun(row)
+        if record.done or record.failed_runs or record.saved:
+            self.note_begun(record.task.job)
         if record.done:
             self._finish(row, task, now)
             self._check_end(row)
@@ -274,7 +282,7 @@
         last = TaskKey(record.job, record.occurrence, record.step, record.end - 1)
         if row is None or not row.has_task(last) or row.is_finished(record.occurrence):
             return
-        self._note_begun(row)
+        self.note_begun(record.job)
         row.open_steps(record.occurrence)
         state = row.steps[record.occurrence, record.step]
         for position in range(record.first, min(record.end, state.opened)):
@@ -292,7 +300,7 @@
         row = self.rows.get(record.job)
         if row is None or not 0 <= record.first < record.end <= row.job.occurrences:
             return
-        self._note_begun(row)
+        self.note_begun(record.job)
         row.finished |= (1 << record.end) - (1 << record.first)
         for key in [key for key in row.tasks if row.is_finished(key.occurrence)]:
             del row.tasks[key]
@@ -329,12 +337,6 @@
         row = self.rows.get(key.job)
         return row.open_task(key) if row is not None else None
 
-    def _note_begun(self, row: JobRow) -> None:
-        """Note that a task of a job has been assigned."""
-        if row.progress is Progress.QUEUED:
-            row.progress = Progress.RUNNING
-            self.changed.add(row.job.job_id)
-
     def _finish(self, row: JobRow, task: Task, now: float) -> None:
         """Mark a task as done; one finished member of a gang finishes all members."""
         key = task.key
--- a/packages/core/src/apricotpath/workload.py
+++ b/packages/core/src/apricotpath/workload.py
@@ -27,6 +27,11 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
 
+    @property
+    def begun(self) -> bool:
+        """Whether a task has begun, or the job has ended."""
+        return self is not Progress.QUEUED
+
     @property
     def final(self) -> bool:
         """Whether the state never changes again."""
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -341,6 +341,7 @@
             self._note_incarnation(host, run)
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
+                self._table.note_begun(key.job)
                 run.first_percent = status.percent
             if status.percent != run.percent or status.saved != run.saved:
                 run.stalled_s = 0.0
@@ -470,6 +471,7 @@
             if run is None:
                 continue
             if answer.answer is StartAnswer.STARTED:
+                self._table.note_begun(key.job)
                 continue
             if answer.answer in (StartAnswer.UNFIT, StartAnswer.REFUSED):
                 host.set_aside_until = max(host.set_aside_until, now + REJECTED_PAUSE_S)
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -102,6 +102,8 @@
         self.on_epoch: Callable[[Epoch], None] = lambda _epoch: None
         self._complete_epoch: Epoch | None = None
         self._uncertain: dict[JobId, None] = {}
+        # Jobs that had begun when the newest scheduler sent its states.
+        self._begun: set[JobId] = set()
         self._links: list[Link] = []
         self._utc = utc
 
@@ -262,10 +264,15 @@
             return
         if message.whole:
             self._complete_epoch = message.epoch
-            # Final states never change; the message leaves them out.
+            # Final states never change; the message leaves them out. A new scheduler does not
+            # know yet which jobs have begun.
+            begun = {job for job, item in self.statuses.items() if item.progress.begun}
             final = {job: item for job, item in self.statuses.items() if item.progress.final}
             self.statuses = final
+            self._begun = begun - final.keys()
         for status in message.jobs:
+            if status.progress is Progress.QUEUED and status.job in self._begun:
+                status = replace(status, progress=Progress.RUNNING)
             self._add_status(status)
 
     def _add_status(self, status: JobStatus) -> None:
--- a/tests/features/jobtable.feature
+++ b/tests/features/jobtable.feature
@@ -43,6 +43,17 @@
     Then the jobtable has no waiting tasks
     And the jobtable's job is to end cancelled
 
+  # A job counted as begun, and so not as pending, once a start was decided that its executor refused.
+  Scenario: jobtable takes a job for running only when a run of it has begun
+    Given a jobtable with a job of steps 1 and 1, the second after the first
+    When run 1 of 0.0 in the jobtable is assigned
+    Then the jobtable's job is shown as queued
+    When the end lost of run 1 of 0.0 reaches the jobtable again
+    And run 2 of 0.0 in the jobtable is assigned
+    Then the jobtable's job is shown as queued
+    When run 2 of 0.0 in the jobtable has begun
+    Then the jobtable's job is shown as running
+
   Scenario: jobtable never ends a job whose tasks run until it is cancelled
     Given a jobtable with a long-running step of 2
     When run 1 of 0.0 in the jobtable ends done
--- a/tests/features/steps/jobtable_steps.py
+++ b/tests/features/steps/jobtable_steps.py
@@ -78,6 +78,22 @@
     context.case.table.cancel(JOB)
 
 
+@when("run {run:d} of {place} in the jobtable is assigned")
+def assign(context: Any, run: int, place: str) -> None:
+    case = context.case
+    case.table.apply(Assigned(case.key(place), run, HOST, "i-1", 1), 1.0)
+
+
+@when("run {run:d} of {place} in the jobtable has begun")
+def begin(context: Any, run: int, place: str) -> None:
+    context.case.table.note_begun(context.case.key(place).job)
+
+
+@then("the jobtable's job is shown as {progress:w}")
+def shown(context: Any, progress: str) -> None:
+    assert context.case.table.rows[JOB].progress.value == progress
+
+
 @then("the jobtable has no waiting tasks")
 def no_waiting(context: Any) -> None:
     assert context.case.waiting_names() == [], context.case.waiting_names()
