Refuse jobs at once while 5,000 are open

Seen by the users: a limit for each job alone does not bound what a scheduler holds. With the tasks opened late, a job still takes its command, steps and a few open tasks.

largejobs 'refuse a job at once while too many are open' is new, as is the limit.

--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -42,6 +42,8 @@
 MAX_STATUSES = 50_000
 # Maximum number of jobs with an unknown submission outcome that an entry remembers.
 MAX_UNCERTAIN = 10_000
+# Jobs that may be open at the same time. Each takes up to 75 kB of a scheduler's memory.
+MAX_OPEN_JOBS = 5000
 
 
 class Submission(Enum):
@@ -49,6 +51,7 @@
 
     ACCEPTED = "accepted"
     NOT_ACCEPTED = "not-accepted"
+    TOO_MANY = "too-many"
     UNKNOWN = "unknown"
 
 
@@ -102,6 +105,7 @@
         self.on_epoch: Callable[[Epoch], None] = lambda _epoch: None
         self._complete_epoch: Epoch | None = None
         self._uncertain: dict[JobId, None] = {}
+        self._open_jobs = 0
         # Jobs that had begun when the newest scheduler sent its states.
         self._begun: set[JobId] = set()
         self._links: list[Link] = []
@@ -116,6 +120,8 @@
         job = replace(job, accepted_s=self._utc())
         if job.job_id in self.statuses:
             return Submission.ACCEPTED
+        if self._open_jobs >= MAX_OPEN_JOBS:
+            return await self._refuse(job)
         if not self._store_answers():
             # Nothing was written, so it is certain that this submission does not run the job.
             outcome = self._combine_outcomes(job.job_id, Submission.NOT_ACCEPTED)
@@ -133,6 +139,19 @@
             self._notify_scheduler(JobAccepted(job.job_id, text))
         return outcome
 
+    async def _refuse(self, job: Job) -> Submission:
+        """Refuse a job for the number of open ones, unless it has been accepted before."""
+        try:
+            stored = await self._read(job.job_id)
+        except JobServiceUnavailable as exc:
+            log.info("job not looked up: %s", exc, extra={"job": job.job_id})
+            return Submission.UNKNOWN
+        outcome = Submission.ACCEPTED if stored is not None else Submission.TOO_MANY
+        outcome = self._combine_outcomes(job.job_id, outcome)
+        extra = {"job": job.job_id, "open": self._open_jobs, "outcome": outcome.value}
+        log.warning("too many jobs are open", extra=extra)
+        return outcome
+
     def _combine_outcomes(self, job: JobId, outcome: Submission) -> Submission:
         """Combine an outcome with those of earlier submissions of the job at this entry.
 
@@ -269,6 +288,7 @@
             begun = {job for job, item in self.statuses.items() if item.progress.begun}
             final = {job: item for job, item in self.statuses.items() if item.progress.final}
             self.statuses = final
+            self._open_jobs = 0
             self._begun = begun - final.keys()
         for status in message.jobs:
             if status.progress is Progress.QUEUED and status.job in self._begun:
@@ -276,6 +296,9 @@
             self._add_status(status)
 
     def _add_status(self, status: JobStatus) -> None:
+        former = self.statuses.get(status.job)
+        self._open_jobs -= former is not None and not former.progress.final
+        self._open_jobs += not status.progress.final
         self.statuses[status.job] = status
         if len(self.statuses) > MAX_STATUSES:
             self._evict_final_statuses()
--- a/tests/features/largejobs.feature
+++ b/tests/features/largejobs.feature
@@ -37,6 +37,14 @@
     When a largejobs job of 2 gangs of 3000 tasks is submitted
     Then it is refused with "the gangs of a job have at most 5000 tasks in all"
 
+  # What a scheduler holds grew with the number of jobs, however small each of them was.
+  Scenario: largejobs refuse a job at once while too many are open, and take a repeated one
+    Given a largejobs entry that knows 5000 open jobs, and one that it stored without an answer
+    Then a new job is refused as too-many, and nothing of it is stored
+    And the job that is stored is accepted again
+    When one of the open largejobs jobs ends
+    Then a new job is accepted
+
   # All starts of a pass for a host were one message, which was refused over 1 MiB and chosen again.
   Scenario: largejobs start the tasks of a job with a long command, and those of other jobs
     Given a largejobs world of 2 hosts with room for 600 tasks
--- a/tests/features/steps/largejobs_steps.py
+++ b/tests/features/steps/largejobs_steps.py
@@ -8,11 +8,16 @@
 
 from apricotpath.errors import InputError
 from apricotpath.ids import HostId, JobId, QueueId, TaskId
+from apricotpath.jobcodec import job_text
 from apricotpath.jobtable import JobTable
+from apricotpath.messages import JobStatus, JobStatuses
 from apricotpath.model import Size
 from apricotpath.runrecords import Assigned, Ended, from_row, to_row
-from apricotpath.workload import Job, RunResult, Schedule, Step, TaskKey, check_limits
+from apricotpath.store import Put
+from apricotpath.workload import Job, Progress, RunResult, Schedule, Step, TaskKey, check_limits
+from apricotpathd.jobservice import JobService, JobServiceUnavailable, Submission
 from support.jobworld import JobWorld, run_virtual
+from support.memorystore import MemoryStore, SharedStore
 
 SIZE = Size(100, 10, 0)
 QUEUE = QueueId("bread")
@@ -21,6 +26,8 @@
 LONG_AGO_S = UTC_S - 2 * 365 * 86400
 INTERVAL_S = 300.0
 YEAR_TIMES = 105_120
+# Later than any scenario ends.
+NEVER_S = 1e6
 
 FORMS: dict[str, tuple[tuple[Step, ...], Schedule | None]] = {
     "6 tasks, 105120 times, not yet due": (
@@ -198,3 +205,82 @@
 @then("no largejobs message was larger than {limit:d} kB")
 def small_messages(context: Any, limit: int) -> None:
     assert 0 < context.world.largest <= limit * 1000, context.world.largest
+
+
+class SubmittingEntry:
+    """The job service of an entry on a store in memory, in virtual time."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore(SharedStore())
+        self.service = JobService(self.store, "t/")
+        self._numbers = iter(range(1, 1 << 30))
+
+    def new_job(self) -> Job:
+        return Job(JobId(f"{next(self._numbers):016x}"), QUEUE, "", (Step(1, SIZE),))
+
+    def status(self, job: JobId, progress: Progress) -> JobStatuses:
+        return JobStatuses(self.service.epoch, False, (JobStatus(job, QUEUE, progress),))
+
+
+@given("a largejobs entry that knows {count:d} open jobs, and one that it stored without an answer")
+def full_entry(context: Any, count: int) -> None:
+    context.entry = entry = SubmittingEntry()
+    context.open = [entry.new_job() for _ in range(count)]
+    for job in context.open:
+        entry.service.apply_statuses(entry.status(job.job_id, Progress.RUNNING))
+    context.stored = entry.new_job()
+    key = entry.service.keys.job(context.stored.job_id)
+    run_virtual(lambda: entry.store.txn([], [Put(key, job_text(context.stored).encode())]))
+
+
+@then("a new job is refused as {outcome:S}, and nothing of it is stored")
+def refused_as(context: Any, outcome: str) -> None:
+    entry, job = context.entry, context.entry.new_job()
+    assert run_virtual(lambda: entry.service.submit(job)).value == outcome
+    assert run_virtual(lambda: entry.store.get(entry.service.keys.job(job.job_id))) is None
+
+
+@then("the job that is stored is accepted again")
+def accepted_again(context: Any) -> None:
+    outcome = run_virtual(lambda: context.entry.service.submit(context.stored))
+    assert outcome is Submission.ACCEPTED, outcome
+
+
+@when("one of the open largejobs jobs ends")
+def one_ends(context: Any) -> None:
+    entry, job = context.entry, context.open[0]
+    entry.service.apply_statuses(entry.status(job.job_id, Progress.COMPLETED))
+
+
+@then("a new job is accepted")
+def new_accepted(context: Any) -> None:
+    entry, job = context.entry, context.entry.new_job()
+    assert run_virtual(lambda: entry.service.submit(job)) is Submission.ACCEPTED
+
+
+@given("a largejobs entry whose submission of a job got no answer from the store")
+def uncertain_entry(context: Any) -> None:
+    context.entry = SubmittingEntry()
+
+
+async def cancel_after(entry: SubmittingEntry, seconds: float) -> bool | None:
+    """Return what cancelling says so long after a submission without an answer; None: unknown."""
+    job = entry.new_job()
+    faults = entry.store.faults
+    faults.late_prefix, faults.late_writes, faults.late_s = entry.service.keys.root, 100, NEVER_S
+    assert await entry.service.submit(job) is Submission.UNKNOWN
+    await anyio.sleep(seconds)
+    try:
+        return await entry.service.cancel(job.job_id)
+    except JobServiceUnavailable:
+        return None
+
+
+@then("the entry cannot tell within {seconds:d} seconds whether there is such a job")
+def cannot_tell(context: Any, seconds: int) -> None:
+    assert run_virtual(lambda: cancel_after(context.entry, seconds)) is None
+
+
+@then("it tells after {seconds:d} seconds that there is none")
+def tells(context: Any, seconds: int) -> None:
+    assert run_virtual(lambda: cancel_after(context.entry, seconds)) is False
