End the doubt about a submission after ten minutes

Seen in the search for doubts without a limit in time: once the store had left a submission unanswered, the entry refused to cancel that job, and called each later refusal unknown, until 10,000 newer doubts had pushed it out.

Change: the doubt ends after 600 s, the time after which an unanswered write has no effect any more in the run log.

largejobs 'end the doubt about a submission' failed before: unknown also after 700 s.

--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -29,6 +29,7 @@
     Message,
 )
 from apricotpath.model import Role
+from apricotpath.runlog import LATE_WRITE_S
 from apricotpath.store import Compare, Put, Store, settle_delays
 from apricotpath.workload import Job, Progress, check_job, check_limits
 
@@ -40,8 +41,10 @@
 UNKNOWN_RETRY_S = 2.5
 # Maximum number of job states that an entry keeps in memory.
 MAX_STATUSES = 50_000
-# Maximum number of jobs with an unknown submission outcome that an entry remembers.
+# Maximum number of jobs with an unknown submission outcome that an entry remembers, and for how
+# long; a write without an answer has no effect any more after that.
 MAX_UNCERTAIN = 10_000
+UNCERTAIN_S = LATE_WRITE_S
 # Jobs that may be open at the same time. Each takes up to 75 kB of a scheduler's memory.
 MAX_OPEN_JOBS = 5000
 
@@ -104,7 +107,8 @@
         self.send_local: Callable[[Message], None] | None = None
         self.on_epoch: Callable[[Epoch], None] = lambda _epoch: None
         self._complete_epoch: Epoch | None = None
-        self._uncertain: dict[JobId, None] = {}
+        # When (event loop's clock) the newest write with an unknown outcome ended, by job.
+        self._uncertain: dict[JobId, float] = {}
         self._open_jobs = 0
         # Jobs that had begun when the newest scheduler sent its states.
         self._begun: set[JobId] = set()
@@ -159,15 +163,20 @@
         does not prove that the job never runs.
         """
         if outcome is Submission.UNKNOWN:
-            self._uncertain[job] = None
+            self._uncertain[job] = anyio.current_time()
             if len(self._uncertain) > MAX_UNCERTAIN:
                 del self._uncertain[next(iter(self._uncertain))]
         elif outcome is Submission.ACCEPTED:
             self._uncertain.pop(job, None)
-        elif job in self._uncertain:
+        elif self._is_uncertain(job):
             return Submission.UNKNOWN
         return outcome
 
+    def _is_uncertain(self, job: JobId) -> bool:
+        """Tell whether an earlier write of a job may still take effect."""
+        since = self._uncertain.get(job, float("-inf"))
+        return anyio.current_time() - since < UNCERTAIN_S
+
     async def _store_job(self, job: Job, text: str) -> Submission:
         key = self.keys.job(job.job_id)
         unknown = False
@@ -208,7 +217,7 @@
         """
         stored = await self._read(job)
         if stored is None:
-            if job in self._uncertain:
+            if self._is_uncertain(job):
                 raise JobServiceUnavailable("a submission of the job may still take effect")
             return False
         if stored.ended is None:
--- a/tests/features/largejobs.feature
+++ b/tests/features/largejobs.feature
@@ -45,6 +45,12 @@
     When one of the open largejobs jobs ends
     Then a new job is accepted
 
+  # A submission without an answer was in doubt for ever, and its cancelling was refused for ever.
+  Scenario: largejobs end the doubt about a submission once it cannot take effect any more
+    Given a largejobs entry whose submission of a job got no answer from the store
+    Then the entry cannot tell within 500 seconds whether there is such a job
+    And it tells after 700 seconds that there is none
+
   # All starts of a pass for a host were one message, which was refused over 1 MiB and chosen again.
   Scenario: largejobs start the tasks of a job with a long command, and those of other jobs
     Given a largejobs world of 2 hosts with room for 600 tasks
