Suspect nobody for one crash some time after a start

Cause: with few crashes seen, one ordinary crash had a probability below 1 % for each task that had been there for less than 3 s, so that all of these were kept apart for 3 s; before, two crashes were needed.

Change: crashes some time after the start make a suspect from the second one on.

The scenarios of crashingtasks hold.

--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -20,8 +20,10 @@
 # A run that has been at work for this long (seconds) does not crash its executor; a crash that
 # comes sooner may be its doing.
 OBSERVATION_S = 3.0
-# A task is suspected if its crashes have at most this probability without it.
+# A task is suspected if its crashes have at most this probability without it, and one of them came
+# at its start, or so many some time later.
 SUSPECT_CHANCE = 0.01
+REPEATED_CRASHES = 2
 # A task that was suspected of this many crashes, which have at most this probability without it,
 # is given up.
 MIN_SUSPICIONS = 3
@@ -92,7 +94,9 @@
     @property
     def suspected(self) -> bool:
         """Whether the task must start apart from other jobs, to find out."""
-        return self.suspicions > 0 and self.chance <= SUSPECT_CHANCE
+        parts = self._suspected_parts()
+        at_start = any(not part.delayed for part in parts)
+        return (at_start or len(parts) >= REPEATED_CRASHES) and self.chance <= SUSPECT_CHANCE
 
     @property
     def delayed(self) -> bool:
