--- a/tests/features/crashingtasks.feature
+++ b/tests/features/crashingtasks.feature
@@ -196,3 +196,15 @@
     Then no job is shown as failed
     And all ordinary jobs are completed within 56 seconds
     And the world of crashing tasks has no violation
+
+  # One ordinary crash kept all tasks apart that had been there for some seconds, as few crashes make one improbable.
+  Scenario Outline: crashingtasks suspect a task that ran for <seconds> s of <crashes> crashes or more
+    When a task was there at one crash less than <crashes>, <seconds> s after its start, with a chance of 0.001
+    Then the task of the crash history is not suspected
+    When it was there at another crash
+    Then the task of the crash history is suspected
+
+    Examples:
+      | seconds | crashes |
+      | 0.01    | 1       |
+      | 1.0     | 2       |
--- a/tests/features/steps/crashingtasks_steps.py
+++ b/tests/features/steps/crashingtasks_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from apricotpath.boottime import boot_s
-from apricotpath.ids import JobId, TaskId
+from apricotpath.crashes import Blame, CrashHistory, CrashPart
+from apricotpath.ids import HostId, JobId, TaskId
 from apricotpath.model import Size
 from apricotpath.workload import Step, TaskKey
 from apricotpathd.jobservice import JobServiceUnavailable
@@ -472,3 +473,29 @@
     run = results(context)
     starts = run.world.start_times(TaskId(f"{run.others[0]}.0.0.0"))
     assert len(starts) == context.attempts, starts
+
+
+@when(
+    "a task was there at one crash less than {crashes:d}, {seconds:g} s after its start, with a "
+    "chance of {chance:g}"
+)
+def make_history(context: Any, crashes: int, seconds: float, chance: float) -> None:
+    context.part = CrashPart(Blame.SUSPECT, chance, True, HostId("host0"), seconds)
+    context.history = CrashHistory()
+    for run in range(1, crashes):
+        context.history.note(run, context.part)
+
+
+@when("it was there at another crash")
+def another_crash(context: Any) -> None:
+    context.history.note(len(context.history.parts) + 1, context.part)
+
+
+@then("the task of the crash history is not suspected")
+def not_suspected(context: Any) -> None:
+    assert not context.history.suspected, context.history
+
+
+@then("the task of the crash history is suspected")
+def suspected(context: Any) -> None:
+    assert context.history.suspected, context.history
