--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 import time
 import tomllib
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 from urllib.parse import unquote
@@ -31,8 +33,10 @@
 HEARTBEAT_S = 1.1
 HOLD_MAX_S = 6.0
 STOP_S = 0.3
+GANG_WAIT_S = 3.0
 CHECKPOINT_S = 0.5
 FINISH_S = 14.0
+START_S = 30.0
 WINDOW_S = 3.0
 CANNOT_RUN = 2
 BOUNDS = {
@@ -88,7 +92,9 @@
             pass
         finally:
             self._writers.discard(writer)
-            writer.close()
+            # At the end of the script the event loop may be closed already.
+            with suppress(RuntimeError):
+                writer.close()
 
 
 class Executor:
@@ -126,7 +132,10 @@
         """Lose everything at once, as by SIGKILL."""
         for task, run in list(self.runs):
             self.world.run_ended(self, task, run, "crash")
+        lost = list(self.runs)
         self.runs.clear()
+        for task, run in lost:
+            self.world.leave_gang(task, run, "crash")
         self.up = False
         self.server.abort()
         for item in self._tasks:
@@ -168,8 +177,22 @@
     def _end(self, task: str, run: int, how: str) -> None:
         row = self.runs.pop((task, run))
         self.last_end += 1
-        self.ended.append([self.last_end, task, run, how, row["saved"]])
+        saved = "" if how == "done" else self._saved(row, time.monotonic())
+        self.ended.append([self.last_end, task, run, how, saved])
         self.world.run_ended(self, task, run, how)
+        self.world.leave_gang(task, run, how)
+
+    @staticmethod
+    def _percent(row: dict[str, Any], now: float) -> int:
+        done_s = row["first"] * CHECKPOINT_S + max(0.0, now - row["began"])
+        return min(99, int(100 * done_s / row["seconds"]))
+
+    @staticmethod
+    def _saved(row: dict[str, Any], now: float) -> str:
+        """Return the newest checkpoint of a run."""
+        number = row["first"] + int(max(0.0, now - row["began"]) / CHECKPOINT_S)
+        number = number if row["saves"] else 0
+        return f"{number:016x}" if number > 0 else ""
 
     def used(self) -> int:
         return sum(row["cpu"] for row in self.runs.values())
@@ -216,13 +239,18 @@
         if over or memory > self.capacity["memMb"]:
             return 409, self._answer(reason="room")
         seconds, how = self.world.behave(task, run, call["spec"])
+        # A checkpoint is named by its number; a start that carries it goes on from there.
+        first = int(call.get("saved") or "0", 16)
         row = {
-            "ends": time.monotonic() + seconds, "began": time.monotonic(), "how": how,
-            "seconds": seconds, "cpu": step["cpu"], "mem": step["memMb"], "saved": "",
+            "ends": time.monotonic() + seconds - first * CHECKPOINT_S, "began": time.monotonic(),
+            "how": how, "seconds": seconds, "cpu": step["cpu"], "mem": step["memMb"],
+            "saves": step.get("checkpoint", False), "first": first,
         }  # fmt: skip
         self.runs[name] = row
         self.blocked[task] = run
         self.world.run_started(self, task, run)
+        if step.get("gang"):
+            self.world.join_gang(self, task, run, row, step.get("count", 1))
         return 200, self._answer()
 
     async def _hold(self, call: dict[str, Any]) -> dict[str, Any]:
@@ -233,7 +261,7 @@
             await asyncio.sleep(0.01)
         now = time.monotonic()
         running = [
-            [task, run, row["saved"], min(99, int(100 * (now - row["began"]) / row["seconds"])), 0]
+            [task, run, self._saved(row, now), self._percent(row, now), 0]
             for (task, run), row in self.runs.items()
         ]
         return self._answer(running=running, ended=self.ended[:500])
@@ -258,6 +286,7 @@
         self.settings: dict[str, dict[str, Any]] = {}
         self.executors: dict[str, Executor] = {}
         self.jobs: dict[str, dict[str, Any]] = {}
+        self.gangs: dict[tuple[str, int], dict[str, tuple[Executor, dict[str, Any]]]] = {}
         self.behave: Callable[[str, int, str], tuple[float, str]] = lambda _t, _r, _s: (1.0, "done")
         self.rng = random.Random(7)
         # Facts seen at the executors: starts, and ends with how, by task.
@@ -274,7 +303,7 @@
 
     def note(self, text: str, **fields: Any) -> None:
         more = " ".join(f"{name}={value}" for name, value in fields.items())
-        print(f"{self.now():8.3f} {text} {more}".rstrip(), file=self.record, flush=True)
+        print(f"{self.now():8.3f} {text} {more}".rstrip(), file=self.record)
 
     def run_started(self, executor: Executor, task: str, run: int) -> None:
         self.starts.append((self.now(), task, run, executor.name))
@@ -288,6 +317,32 @@
         job, _, step, _ = task.split(".")
         return {"cpu": 0, "memMb": 0} | self.jobs[job]["steps"][int(step)]
 
+    # Gangs: their tasks work from the moment when all of a run are there, and end together.
+
+    def join_gang(
+        self, executor: Executor, task: str, run: int, row: dict[str, Any], count: int
+    ) -> None:
+        members = self.gangs.setdefault((task.rpartition(".")[0], run), {})
+        members[task] = (executor, row)
+        # Until all are there, it does not work.
+        waits_until = time.monotonic() + GANG_WAIT_S
+        row |= {"ends": waits_until, "began": waits_until, "then": row["how"], "how": "alone"}
+        if len(members) == count:
+            for _, other in members.values():
+                left = other["seconds"] - other["first"] * CHECKPOINT_S
+                other |= {"began": time.monotonic(), "ends": time.monotonic() + left}
+                other["how"] = other["then"]
+
+    def leave_gang(self, task: str, run: int, how: str) -> None:
+        gang = (task.rpartition(".")[0], run)
+        members = self.gangs.get(gang, {})
+        if members.pop(task, None) is None or how == "done":
+            return
+        del self.gangs[gang]
+        for _, other in members.values():
+            if other["how"] != "stopped":
+                other |= {"ends": 0.0, "how": "broken"}
+
     # The deployment.
 
     async def start(self, entries: int, agents: list[dict[str, Any]]) -> None:
@@ -313,8 +368,7 @@
             self.settings[name]["zone"] = zone
             self.run(name)
             await executor.start()
-        await self.wait(lambda: all(self.fronts_ready()), 30)
-        await self.wait(self._all_attached, 30)
+        await self._wait_until_ready()
 
     async def _store_call(
         self, method: str, target: str, headers: dict[str, str], body: bytes
@@ -385,48 +439,26 @@
     def log(self, name: str) -> str:
         return (Path(self.temp.name) / f"{name}.log").read_text()
 
-    def fronts_ready(self) -> list[bool]:
-        return [self._get_status(name) == 200 for name in self.settings if "front" in name]
-
-    def _get_status(self, name: str) -> int:
-        return self.probe(f"http://{self.settings[name]['listen']['ready']}/readyz")
-
-    def probe(self, url: str) -> int:
-        """Return the status of a GET by another process, so that this loop goes on; 0 if none."""
-        return self._probes.get(url, 0)
-
-    _probes: dict[str, int] = {}
-
-    def _all_attached(self) -> bool:
-        """Whether each agent has a scheduler, by the status port of the deploy file."""
-        return all(
-            self.probe(f"http://{item['ip']}:9464/readyz") == 200
+    async def _wait_until_ready(self) -> None:
+        """Wait until each entry is ready and each agent has a scheduler."""
+        ends = time.monotonic() + START_S
+        urls = [
+            f"http://{item['listen']['ready'] if 'front' in name else item['ip'] + ':9464'}/readyz"
             for name, item in self.settings.items()
-            if "side" in name
-        )
-
-    async def wait(self, check: Callable[[], bool], limit_s: float) -> None:
-        """Wait until a check holds; the case cannot run otherwise."""
-        ends = time.monotonic() + limit_s
+        ]
         async with httpx.AsyncClient(trust_env=False) as client:
-            while True:
-                urls = [
-                    f"http://{item['listen']['ready']}/readyz"
-                    if "front" in name
-                    else f"http://{item['ip']}:9464/readyz"
-                    for name, item in self.settings.items()
-                ]
-                for url in urls:
-                    try:
-                        answer = await client.get(url, timeout=1.0)
-                        self._probes[url] = answer.status_code
-                    except httpx.HTTPError:
-                        self._probes[url] = 0
-                if check():
-                    return
+            while urls:
                 if time.monotonic() > ends:
                     raise RuntimeError("the deployment did not start")
                 await asyncio.sleep(0.2)
+                urls = [url for url in urls if not await self._answers(client, url)]
+
+    @staticmethod
+    async def _answers(client: httpx.AsyncClient, url: str) -> bool:
+        try:
+            return (await client.get(url, timeout=1.0)).status_code == 200
+        except httpx.HTTPError:
+            return False
 
     # Clients.
 
@@ -531,9 +563,7 @@
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
                 process.wait(10)
-        for item in self.executors.values():
-            if item.up:
-                item.crash()
+        self.record.close()
         logs = os.environ.get("REVIEW_LOGS")
         if logs:
             for path in Path(self.temp.name).glob("*.log"):
@@ -548,9 +578,12 @@
     async def body() -> str:
         return str(await asyncio.wait_for(case(world), 110))
 
+    # Each executor may have some 40 connections of its agent.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(max(soft, 8192), hard), hard))
     try:
         broken = asyncio.run(body())
-    except (RuntimeError, TimeoutError, OSError) as exc:
+    except Exception as exc:
         world.note("could not run", error=repr(exc))
         code = CANNOT_RUN
     else:
