--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -57,6 +57,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
         self._server = await asyncio.start_server(self._serve, host, port, backlog=512)
 
     def abort(self) -> None:
@@ -98,7 +99,7 @@
 
 
 class Executor:
-    """An executor by the page "Running tasks"; `behave(task, run, spec)` returns seconds and how."""
+    """An executor by PROTOCOL.md; the world's `behave(task, run, spec)` returns seconds and how."""
 
     def __init__(
         self, world: "World", name: str, ip: str, cpu: int, mem: int, labels: list[str], zone: str
@@ -143,6 +144,7 @@
         self.world.note("executor crashed", executor=self.name)
 
     def clock_ms(self) -> int:
+        """Return the executor's steady clock."""
         return round((time.monotonic() - self.started) * 1000)
 
     async def _beats(self) -> None:
@@ -195,6 +197,7 @@
         return f"{number:016x}" if number > 0 else ""
 
     def used(self) -> int:
+        """Return the processors in use, in thousandths of a core."""
         return sum(row["cpu"] for row in self.runs.values())
 
     def _extend(self, deadline_ms: int | None) -> None:
@@ -257,7 +260,7 @@
         self._extend(call.get("deadlineMs"))
         self.ended = [row for row in self.ended if row[0] > call["lastSeen"]]
         until = time.monotonic() + call.get("waitMs", 0) / 1000
-        while not self.ended and time.monotonic() < until:
+        while not self.ended and time.monotonic() < until:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
         now = time.monotonic()
         running = [
@@ -299,21 +302,26 @@
     # The record.
 
     def now(self) -> float:
+        """Return the seconds since the script began."""
         return time.monotonic() - self.began
 
     def note(self, text: str, **fields: Any) -> None:
+        """Write a line to the record."""
         more = " ".join(f"{name}={value}" for name, value in fields.items())
         print(f"{self.now():8.3f} {text} {more}".rstrip(), file=self.record)
 
     def run_started(self, executor: Executor, task: str, run: int) -> None:
+        """Note a start at an executor."""
         self.starts.append((self.now(), task, run, executor.name))
         self.note("run started", task=task, run=run, executor=executor.name)
 
     def run_ended(self, executor: Executor, task: str, run: int, how: str) -> None:
+        """Note an end at an executor."""
         self.ends.append((self.now(), task, run, executor.name, how))
         self.note("run ended", task=task, run=run, executor=executor.name, how=how)
 
     def step_of(self, task: str) -> dict[str, Any]:
+        """Return the step of a task as its client sent it."""
         job, _, step, _ = task.split(".")
         return {"cpu": 0, "memMb": 0} | self.jobs[job]["steps"][int(step)]
 
@@ -322,6 +330,7 @@
     def join_gang(
         self, executor: Executor, task: str, run: int, row: dict[str, Any], count: int
     ) -> None:
+        """Let a member of a gang wait for the others, or begin to work with them."""
         members = self.gangs.setdefault((task.rpartition(".")[0], run), {})
         members[task] = (executor, row)
         # Until all are there, it does not work.
@@ -334,6 +343,7 @@
                 other["how"] = other["then"]
 
     def leave_gang(self, task: str, run: int, how: str) -> None:
+        """Break the other members of a run that has not ended done."""
         gang = (task.rpartition(".")[0], run)
         members = self.gangs.get(gang, {})
         if members.pop(task, None) is None or how == "done":
@@ -391,6 +401,7 @@
         return sent["status"], json.loads(sent["body"])
 
     def ip(self, last: int) -> str:
+        """Return a loopback address of this case."""
         return f"127.{self.net}.{last // 200}.{last % 200 + 1}"
 
     def _settings(self, name: str, ip: str, machine_class: str) -> dict[str, Any]:
@@ -437,6 +448,7 @@
             )
 
     def log(self, name: str) -> str:
+        """Return the log of a process."""
         return (Path(self.temp.name) / f"{name}.log").read_text()
 
     async def _wait_until_ready(self) -> None:
@@ -480,6 +492,7 @@
         return status, value
 
     def job_id(self) -> str:
+        """Return a new id."""
         return f"{self.rng.getrandbits(64):016x}"
 
     async def submit(
@@ -501,6 +514,7 @@
         raise RuntimeError("no entry accepted a job")
 
     async def state(self, job: str, entry: str = "front-1", prefix: str = PREFIX) -> str:
+        """Return a job's state, or the status of the answer."""
         status, value = await self.call(entry, "GET", prefix + job)
         return str(value.get("state", status))
 
@@ -539,8 +553,7 @@
             need = 2 * step.get("cpu", 0)
             label = step.get("requires", "")
             if any(
-                item.capacity["cpu"] - item.used() >= need
-                and (not label or label in item.labels)
+                item.capacity["cpu"] - item.used() >= need and (not label or label in item.labels)
                 for item in up
             ):
                 return True
@@ -559,6 +572,7 @@
         return sorted(still)
 
     def close(self) -> None:
+        """End all processes and write the record."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
