--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -11,6 +11,7 @@
 import random
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -273,12 +274,37 @@
         return {"clockMs": self.clock_ms(), "born": self.born_ms} | fields
 
 
+def free_net(first: int) -> int:
+    """Return the first network 127.N, from `first` on, where no port of a case is in use."""
+    ports = {1: (8169,), **dict.fromkeys(range(11, 14), (8161, 8167, 9464, 7720))}
+    ports |= dict.fromkeys(range(51, 71), (8165, 8166, 9464, 7720))
+    for net in range(first, first + 20):
+        if all(is_free(address(net, last), port) for last in ports for port in ports[last]):
+            return net
+    raise RuntimeError("no free ports")
+
+
+def address(net: int, last: int) -> str:
+    """Return a loopback address."""
+    return f"127.{net}.{last // 200}.{last % 200 + 1}"
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tell whether a port can be listened on."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class World:
     """Entries, agents and stand-ins; `behave` decides how runs go."""
 
     def __init__(self, folder: Path, net: int) -> None:
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.net = net
+        self.net = free_net(net)
         self.folder = folder
         self.record = (folder / "record.txt").open("w")
         self.temp = tempfile.TemporaryDirectory()
@@ -402,7 +428,7 @@
 
     def ip(self, last: int) -> str:
         """Return a loopback address of this case."""
-        return f"127.{self.net}.{last // 200}.{last % 200 + 1}"
+        return address(self.net, last)
 
     def _settings(self, name: str, ip: str, machine_class: str) -> dict[str, Any]:
         return {
@@ -587,7 +613,13 @@
 
 def run_case(folder: Path, net: int, case: Callable[[World], Any]) -> None:
     """Run a case, which returns what broke the rule or an empty text; exits with 1, 0 or 2."""
-    world = World(folder, net)
+    code = CANNOT_RUN
+    # A script that is told to stop ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+    try:
+        world = World(folder, net)
+    except RuntimeError:
+        sys.exit(CANNOT_RUN)
 
     async def body() -> str:
         return str(await asyncio.wait_for(case(world), 110))
@@ -599,7 +631,6 @@
         broken = asyncio.run(body())
     except Exception as exc:
         world.note("could not run", error=repr(exc))
-        code = CANNOT_RUN
     else:
         world.note("RULE BROKEN" if broken else "rule held", what=broken)
         code = 1 if broken else 0
