Move the orders of an agent into a module

Starting and stopping runs, with their retries, is a part of its own (hostorders.py); applying a trait belongs to the attachment. No change of behaviour.

--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -6,9 +6,10 @@
 
 import anyio
 
+from apricotpath.boottime import boot_s
 from apricotpath.ids import Epoch, FenceToken, TaskId
 from apricotpath.link import Link
-from apricotpath.messages import RunEnding
+from apricotpath.messages import RunEnding, RunTrait
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, HostFacts
 
@@ -114,3 +115,16 @@
         self.acked_ending = max(self.acked_ending, number)
         if self.acked_ending >= self.reported_ending:
             self.settled.set()
+
+    def apply_trait(self, trait: RunTrait) -> None:
+        """Apply a trait of a run from the scheduler."""
+        name = (trait.task, trait.run)
+        view = self.views.get(name)
+        if view is None:
+            if name not in self.reported_runs:
+                # Its start order may still be under way. With a view and without the run in
+                # the executor's report, the start would be answered as refused.
+                return
+            view = self.views[name] = RunView(settled_at=boot_s())
+        view.filler, view.target_ms = trait.filler, trait.target_ms
+        view.pressure, view.size = trait.pressure, trait.size
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -17,9 +17,7 @@
     ExecutorFenced,
     ExecutorReplaced,
     ExecutorReport,
-    ExecutorUnavailable,
     ExecutorUnreachable,
-    StartCall,
 )
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import Epoch, FenceToken, HostId, InstanceId, ProcessId, TaskId
@@ -34,21 +32,19 @@
     HostSilent,
     LeaderNotice,
     Message,
-    OrderAnswer,
     OrderAnswers,
     RunEnding,
-    RunOrder,
     RunStatus,
-    RunTrait,
     RunTraits,
     StartRuns,
     StopRuns,
 )
 from apricotpath.model import StartAnswer
 from apricotpath.workload import HostFacts
-from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState, RunView
+from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState
 from apricotpathd.crashwatch import CrashWatch
 from apricotpathd.fillerpacing import FillerPacing
+from apricotpathd.hostorders import HostOrders
 from apricotpathd.restartguard import Restart, RestartGuard
 
 log = logging.getLogger(__name__)
@@ -61,8 +57,6 @@
 ATTACH_RETRY_S = 0.1
 # An executor whose restart no heartbeat confirms within this time is fenced again.
 CONFIRM_S = 1.0
-# Pause between two attempts of an order that the executor did not answer.
-ORDER_RETRY_S = 0.05
 # Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
 # up to 50 are sent per second.
 MAX_RENEWALS = 512
@@ -102,6 +96,7 @@
         self.changed = anyio.Event()
         self._group: TaskGroup | None = None
         self.pacing = FillerPacing()
+        self._orders = HostOrders(self)
         self._crash_watch = CrashWatch()
         self._restart_guard = RestartGuard(self._note_unreachable, self._note_fenced)
         self._highest_fence = FenceToken(0)
@@ -193,7 +188,7 @@
         attached = self.attachment
         if attached is not None and facts.capacity != attached.facts.capacity:
             attached.facts = facts
-            self._send(attached, HostCapacity(attached.fence, facts.capacity))
+            self.send(attached, HostCapacity(attached.fence, facts.capacity))
 
     def on_executor_shutdown(self, instance: str) -> None:
         """Handle the executor's notice that it shuts down; it ends once it stops answering."""
@@ -210,7 +205,7 @@
         return self.state is not None and self.phase is not ExecutorPhase.ENDED
 
     @property
-    def _draining(self) -> bool:
+    def draining(self) -> bool:
         """Whether the executor takes no new runs."""
         return not self.has_executor or (self.state is not None and self.state.draining)
 
@@ -312,11 +307,11 @@
         sent = boot_s()
         try:
             executor_report = await executor.renew_lease(
-                attached.fence, attached.confirmed_ending(), self._deadline(attached), wait_s
+                attached.fence, attached.confirmed_ending(), self.deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
             log.warning("lease renewal refused: %s", exc)
-            self._end_attachment(attached, "a higher fencing token was used")
+            self.end_attachment(attached, "a higher fencing token was used")
         except ExecutorReplaced as exc:
             log.warning("lease renewal refused: %s", exc)
             await anyio.sleep(RENEWAL_RETRY_S)
@@ -336,7 +331,7 @@
         """Tell the scheduler once that the executor does not answer."""
         self._crash_watch.on_silence(attached, disconnected)
         if not attached.renewal_failed and attached is self.attachment:
-            self._send(attached, HostSilent(attached.fence))
+            self.send(attached, HostSilent(attached.fence))
         attached.renewal_failed = True
 
     async def _wait_until_settled(self, attached: Attachment) -> float:
@@ -357,7 +352,8 @@
         serving = any(view.target_ms > 0 for view in attached.views.values())
         return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
 
-    def _end_attachment(self, attached: Attachment, reason: str) -> None:
+    def end_attachment(self, attached: Attachment, reason: str) -> None:
+        """End an attachment if it is the present one."""
         if attached is self.attachment:
             self._detach(reason)
 
@@ -401,7 +397,7 @@
         for task, run in missing:
             del attached.views[task, run]
             log.info("run not listed", extra={"task": task, "run": run})
-            self._answer(attached, task, run, StartAnswer.REFUSED)
+            self._orders.answer(attached, task, run, StartAnswer.REFUSED)
 
     async def _handle_restart(self, attached: Attachment, born_ms: int) -> None:
         """End the attachment to a former incarnation; the next one follows its heartbeat."""
@@ -410,7 +406,7 @@
             return
         self._reported_born_ms = max(self._reported_born_ms, born_ms)
         self._crash_watch.on_silence(attached, disconnected=False)
-        self._end_attachment(attached, "the executor has restarted")
+        self.end_attachment(attached, "the executor has restarted")
         self._fence_restarted(born_ms)
 
     def _report(
@@ -421,7 +417,7 @@
         complete: bool,
     ) -> None:
         """Send a report; all runs that are missing in a complete one have ended."""
-        state, draining = self.state, self._draining
+        state, draining = self.state, self.draining
         left_s = max(0.0, state.leaves_at - boot_s()) if state and draining else 0.0
         attached.renewal += 1
         attached.sent_at[attached.renewal] = boot_s()
@@ -436,7 +432,7 @@
             tuple(self._add_pace(attached, status) for status in runs),
             endings,
         )
-        if self._send(attached, report):
+        if self.send(attached, report):
             attached.reported = True
             attached.complete_reported |= complete
             attached.report_endings(endings)
@@ -448,20 +444,21 @@
             return status
         return replace(status, pace=view.pace_percent)
 
-    def _send(
+    def send(
         self,
         attached: Attachment,
         message: HostCapacity | HostRuns | HostSilent | OrderAnswers,
     ) -> bool:
+        """Send a message to the scheduler; if its link is closed, the attachment ends."""
         try:
             attached.link.send_nowait(message)
         except LinkError as exc:
             log.info("report not sent: %s", exc)
-            self._end_attachment(attached, "the link to the scheduler ended")
+            self.end_attachment(attached, "the link to the scheduler ended")
             return False
         return True
 
-    def _deadline(self, attached: Attachment) -> int | None:
+    def deadline(self, attached: Attachment) -> int | None:
         """Return the lease deadline of runs on the executor's clock; None without a valid grant."""
         remaining_s = attached.granted_until - boot_s()
         if remaining_s <= 0 or not self._clock_at:
@@ -469,114 +466,6 @@
         elapsed_s = boot_s() - self._clock_at
         return self._clock_ms + round((elapsed_s + remaining_s) * 1000)
 
-    # Orders.
-
-    async def _start(self, attached: Attachment, order: RunOrder, valid_until: float) -> None:
-        """Start a run, and answer whether it has started or certainly never will."""
-        name = (order.task, order.run)
-        attached.views[name] = RunView(order.filler, order.target_ms, order.pressure, order.size)
-        answer = await self._try_start(attached, order, valid_until)
-        if attached is not self.attachment:
-            return
-        extra = {"task": order.task, "run": order.run, "answer": answer.value if answer else ""}
-        log.info("run started" if answer else "start withdrawn", extra=extra)
-        if answer in (None, StartAnswer.STARTED):
-            view = attached.views.get(name)
-            if view is not None:
-                view.settled_at = boot_s()
-        else:
-            attached.views.pop(name, None)
-        if answer is None:
-            # The next report tells whether the run exists.
-            return
-        if answer is StartAnswer.STARTED and order.filler and self.executor is not None:
-            self.pacing.start(attached, self.executor, order.task, order.run)
-        self._answer(attached, order.task, order.run, answer)
-
-    def _fits(self, attached: Attachment) -> bool:
-        """Return whether all runs fit the executor, whose capacity may just have shrunk."""
-        return self.state is not None and attached.reserved().fits_in(self.state.facts.capacity)
-
-    async def _try_start(
-        self, attached: Attachment, order: RunOrder, valid_until: float
-    ) -> StartAnswer | None:
-        """Start a run, with retries; None if the start was withdrawn.
-
-        Once an attempt was not answered, the refusal of a later one proves nothing: the
-        earlier one may be carried out before or after it. No attempt is made while the newest
-        renewal has no answer, since the executor may be another incarnation.
-        """
-        unanswered = False
-        name = (order.task, order.run)
-        while attached is self.attachment and self.executor is not None:
-            deadline = self._deadline(attached)
-            answer: StartAnswer | None = StartAnswer.REFUSED
-            valid = not self._draining and boot_s() <= valid_until
-            wanted = deadline is not None and valid and name not in attached.stopping
-            if wanted and attached.renewal_failed:
-                await anyio.sleep(ORDER_RETRY_S)
-                continue
-            if not self._fits(attached):
-                answer = StartAnswer.UNFIT
-            elif wanted and deadline is not None:
-                answer = await self._start_once(attached, order, deadline)
-            if answer is StartAnswer.STARTED:
-                return answer
-            if answer is None:
-                unanswered = True
-                await anyio.sleep(ORDER_RETRY_S)
-            elif unanswered:
-                await self._stop(attached, order.task, order.run)
-                return None
-            else:
-                return answer
-        return StartAnswer.REFUSED
-
-    async def _start_once(
-        self, attached: Attachment, order: RunOrder, deadline: int
-    ) -> StartAnswer | None:
-        """Make one attempt to start a run; None if it was not answered or is out of date."""
-        assert self.executor is not None
-        call = StartCall(order.task, order.run, order.command, order.saved, order.ticket, deadline)
-        try:
-            return await self.executor.start(call, attached.fence)
-        except ExecutorUnavailable as exc:
-            extra = {"task": order.task, "run": order.run}
-            log.info("start not answered: %s", exc, extra=extra)
-        except ExecutorFenced:
-            self._end_attachment(attached, "a higher fencing token was used")
-        except ExecutorError as exc:
-            log.info("start failed: %s", exc, extra={"task": order.task, "run": order.run})
-            return StartAnswer.BROKEN
-        return None
-
-    async def _stop(self, attached: Attachment, task: TaskId, run: int) -> None:
-        """Stop a run, with retries until the executor has answered or has ended."""
-        stopping = attached.stopping.get((task, run))
-        if stopping is not None:
-            await stopping.wait()
-            return
-        stopping = attached.stopping[task, run] = anyio.Event()
-        await self._stop_until_answered(attached, task, run)
-        del attached.stopping[task, run]
-        stopping.set()
-
-    async def _stop_until_answered(self, attached: Attachment, task: TaskId, run: int) -> None:
-        while attached is self.attachment and self.executor is not None and self.has_executor:
-            try:
-                await self.executor.stop(task, run, attached.fence)
-                log.info("stop answered", extra={"task": task, "run": run})
-                return
-            except ExecutorFenced:
-                self._end_attachment(attached, "a higher fencing token was used")
-            except ExecutorError as exc:
-                log.info("stop failed: %s", exc, extra={"task": task, "run": run})
-            await anyio.sleep(ORDER_RETRY_S)
-
-    def _answer(self, attached: Attachment, task: TaskId, run: int, answer: StartAnswer) -> None:
-        if attached is self.attachment:
-            self._send(attached, OrderAnswers(attached.fence, (OrderAnswer(task, run, answer),)))
-
     # Messages.
 
     async def received(self, link: Link, envelope: Envelope) -> None:
@@ -602,27 +491,13 @@
             sent = attached.sent_at.get(body.renewal, float("-inf"))
             for order in body.orders:
                 valid = sent + self.cfg.start_window_s
-                self._group.start_soon(self._start, attached, order, valid)
+                self._group.start_soon(self._orders.start, attached, order, valid)
         elif isinstance(body, StopRuns) and body.fence == attached.fence:
             for name in body.runs:
-                self._group.start_soon(self._stop, attached, name.task, name.run)
+                self._group.start_soon(self._orders.stop, attached, name.task, name.run)
         elif isinstance(body, RunTraits) and body.fence == attached.fence:
             for trait in body.traits:
-                self._apply_trait(attached, trait)
-
-    @staticmethod
-    def _apply_trait(attached: Attachment, trait: RunTrait) -> None:
-        """Apply a trait of a run from the scheduler."""
-        name = (trait.task, trait.run)
-        view = attached.views.get(name)
-        if view is None:
-            if name not in attached.reported_runs:
-                # Its start order may still be under way. With a view and without the run in
-                # the executor's report, the start would be answered as refused.
-                return
-            view = attached.views[name] = RunView(settled_at=boot_s())
-        view.filler, view.target_ms = trait.filler, trait.target_ms
-        view.pressure, view.size = trait.pressure, trait.size
+                attached.apply_trait(trait)
 
     def _follow(self, notice: LeaderNotice) -> None:
         if notice.epoch < self.epoch:
