Fence the executor above the tokens of an agent's earlier processes

Cause: the next process of an agent knew no fencing token of its predecessors and did not fence an executor that it heard of for the first time.

Change: a scheduler issues tokens up to a limit in the store (ctl/fences), written with the election and raised by compared writes. An agent that starts reads epoch and limit, which no order of its predecessors exceeds, and fences each incarnation that it does not know above them before it attaches. HostAttach names the bound, and a living scheduler issues a token above it. The fencing of incarnations moves out of hostagent.py, the events of hosts out of hosttracker.py.

The incarnations scenario of a restarted agent failed before and passes.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -11,6 +11,7 @@
 from apricotpath.config import Address
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreOutcomeUnknown
+from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
 from apricotpath.ids import Epoch, HostId, IncarnationId, ProcessId
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
@@ -105,7 +106,7 @@
         self._released = anyio.Event()
         self._released.set()
         root = f"{cfg.prefix}ctl/"
-        self._leader_key, self._epoch_key = f"{root}leader", f"{root}epoch"
+        self._leader_key, self._epoch_key = f"{root}leader", epoch_key(cfg.prefix)
         self._entry_prefix = f"{root}entry/"
         self.entry_records = RecordReader(EntryRecord.parse)
         self.leader_records = RecordReader(LeaderRecord.parse)
@@ -333,6 +334,7 @@
         puts = [
             Put(self._leader_key, record.encode(), lease),
             Put(self._epoch_key, record.encode()),
+            Put(limit_key(self.cfg.prefix), FenceLimit(epoch, FIRST_LIMIT).encode()),
         ]
         started = boot_s()
         try:
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -169,12 +169,16 @@
     runs: tuple[RunAtCrash, ...]
 
 
+NO_FENCE = FenceToken(0)
+
+
 @dataclass(frozen=True, slots=True)
 class HostAttach(Message):
     """Call of an agent that registers one incarnation of its executor with the scheduler.
 
     `epoch` is the highest scheduler epoch that the agent has seen, `crashes` the newest crashes
-    of executors beside it.
+    of executors beside it. `fence` is the highest token that calls to the executor may have
+    carried so far; that of the attachment must be higher.
     """
 
     host: HostId
@@ -187,6 +191,7 @@
     capacity: Size
     epoch: Epoch
     crashes: tuple[ExecutorCrash, ...] = ()
+    fence: FenceToken = NO_FENCE
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -332,6 +332,7 @@
   capacity @7 :Size;
   epoch @8 :Int64;
   crashes @9 :List(ExecutorCrash);
+  fence @10 :Int64;
 }
 
 struct HostSilent {
--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -1,7 +1,7 @@
 """An agent's state of its executor, and of one attachment to a scheduler with its runs."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import anyio
@@ -9,10 +9,15 @@
 from apricotpath.boottime import boot_s
 from apricotpath.ids import Epoch, FenceToken, TaskId
 from apricotpath.link import Link
-from apricotpath.messages import RunEnding, RunTrait
+from apricotpath.messages import RunEnding, RunStatus, RunTrait
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, HostFacts
 
+# A renewal waits this long for an ending, which bounds the interval of reports and renewals.
+# With serving tasks on the host, the pace of filler tasks needs more frequent readings.
+RENEWAL_WAIT_S = 0.8
+SERVING_RENEWAL_WAIT_S = 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorState:
@@ -103,6 +108,20 @@
         """
         return 0 if self.renewal_failed else self.acked_ending
 
+    def renewal_wait_s(self) -> float:
+        """Return how long the next renewal may wait; 0 after a failed one."""
+        if not self.reported or self.renewal_failed:
+            return 0.0
+        serving = any(view.target_ms > 0 for view in self.views.values())
+        return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
+
+    def with_pace(self, status: RunStatus) -> RunStatus:
+        """Return the status of a run, with the pace of a filler task."""
+        view = self.views.get((status.task, status.run))
+        if view is None or not view.filler:
+            return status
+        return replace(status, pace=view.pace_percent)
+
     def report_endings(self, endings: Iterable[RunEnding]) -> None:
         """Note that endings were reported; they are unsettled until acknowledged."""
         newest = max((ending.number for ending in endings), default=0)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,8 +18,9 @@
     ExecutorReport,
     ExecutorUnreachable,
 )
+from apricotpath.fencelimits import epoch_of
 from apricotpath.fleet import FleetSettings
-from apricotpath.ids import Epoch, FenceToken, HostId, InstanceId, ProcessId, TaskId
+from apricotpath.ids import Epoch, HostId, InstanceId, ProcessId, TaskId
 from apricotpath.link import Link
 from apricotpath.messages import (
     HostAttach,
@@ -44,19 +44,14 @@
 from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState
 from apricotpathd.crashwatch import CrashWatch
 from apricotpathd.fillerpacing import FillerPacing
+from apricotpathd.formerfence import FormerFence
 from apricotpathd.hostorders import HostOrders
-from apricotpathd.restartguard import Restart, RestartGuard
+from apricotpathd.incarnations import IncarnationFences
 
 log = logging.getLogger(__name__)
 
-# A renewal waits this long for an ending, which bounds the interval of reports and renewals.
-# With serving tasks on the host, the pace of filler tasks needs more frequent readings.
-RENEWAL_WAIT_S = 0.8
-SERVING_RENEWAL_WAIT_S = 0.4
 RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
-# An executor whose restart no heartbeat confirms within this time is fenced again.
-CONFIRM_S = 1.0
 # Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
 # up to 50 are sent per second.
 MAX_RENEWALS = 512
@@ -67,8 +62,9 @@
 
     Runs continue only while their lease from the scheduler is valid. All calls to the
     executor carry the attachment's fencing token, so that a delayed call of an
-    earlier attachment has no effect. An executor that restarts under its id is called under
-    a higher one before the next attachment.
+    earlier attachment has no effect. An incarnation of the executor that may still get delayed
+    calls of before is called under a higher one before the next attachment; `former_fence` bounds
+    the tokens of earlier processes of this agent.
     """
 
     handles: frozenset[type[Message]] = frozenset(
@@ -80,6 +76,7 @@
         host: HostId,
         cfg: FleetSettings,
         connect: Callable[[HostFacts], Executor],
+        former_fence: FormerFence | None = None,
     ) -> None:
         self.host, self.cfg = host, cfg
         self.state: ExecutorState | None = None
@@ -98,10 +95,7 @@
         self.pacing = FillerPacing()
         self._orders = HostOrders(self)
         self._crash_watch = CrashWatch()
-        self._restart_guard = RestartGuard(self._note_unreachable, self._note_fenced)
-        self._highest_fence = FenceToken(0)
-        # The newest start time that the executor has reported.
-        self._reported_born_ms = 0
+        self.fences = IncarnationFences(former_fence, self._signal, self._note_unreachable)
 
     # State of the executor.
 
@@ -120,7 +114,8 @@
             self._endings = ()
             self.phase = ExecutorPhase.REGISTERED
             self._detach("the executor has restarted")
-            self._guard_restart(previous, state)
+            former = previous.facts if previous is not None else None
+            self.fences.on_heartbeat(former, state.facts, self.executor)
         elif self.phase is ExecutorPhase.ENDED:
             log.warning("executor has not ended", extra={"instance": state.facts.instance})
             self.phase = ExecutorPhase.DEREGISTERED
@@ -130,41 +125,6 @@
         self._send_capacity(state.facts)
         self._signal()
 
-    def _guard_restart(self, previous: ExecutorState | None, state: ExecutorState) -> None:
-        """Fence an executor that has restarted under its id; another id needs no fence."""
-        if previous is None or previous.facts.instance != state.facts.instance:
-            self._reported_born_ms = 0
-            self._restart_guard.cancel()
-        elif previous.facts.born_ms:
-            self._fence_restarted(state.facts.born_ms)
-
-    def _fence_restarted(self, born_ms: int) -> None:
-        """Keep calls for former incarnations of the executor from taking effect on this one."""
-        assert self.executor is not None
-        fence = FenceToken(self._highest_fence + 1)
-        begun = self._restart_guard.begin(Restart(self.executor, born_ms, fence))
-        if begun and self._group is not None:
-            self._group.start_soon(self._restart_guard.run)
-
-    def _note_fenced(self, born_ms: int) -> None:
-        """Handle that a restarted executor, which reports this start time, has been fenced."""
-        self._reported_born_ms = born_ms
-        self._signal()
-        if self._awaits_heartbeat(born_ms) and self._group is not None:
-            self._group.start_soon(self._fence_unconfirmed, born_ms)
-
-    def _awaits_heartbeat(self, born_ms: int) -> bool:
-        """Whether this is the newest start time of a list, and later than that of heartbeats."""
-        newest = self._reported_born_ms == born_ms and not self._restart_guard.pending
-        return newest and self.state is not None and self.state.facts.born_ms < born_ms
-
-    async def _fence_unconfirmed(self, born_ms: int) -> None:
-        """Fence an executor again, whose answer may correct an odd start time of its lists."""
-        await anyio.sleep(CONFIRM_S)
-        if self._awaits_heartbeat(born_ms):
-            self._restart_guard.cancel()
-            self._fence_restarted(born_ms)
-
     def _note_unreachable(self) -> None:
         """Handle that a restarted executor refuses connections; one that shut down has ended."""
         if self.state is not None and self.phase is ExecutorPhase.DEREGISTERED:
@@ -175,7 +135,7 @@
         """Note that the executor has ended; no call to it is repeated any more."""
         log.info("executor ended", extra={"instance": instance})
         self.phase = ExecutorPhase.ENDED
-        self._restart_guard.cancel()
+        self.fences.cancel()
 
     def _note_crash(self, previous: ExecutorState) -> None:
         """Keep the runs of an executor that was replaced, unless it had announced its end."""
@@ -238,8 +198,7 @@
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             self._group.start_soon(self.pacing.run)
-            if self._restart_guard.pending:
-                self._group.start_soon(self._restart_guard.run)
+            self._group.start_soon(self.fences.run)
             while True:
                 await self._renew_once()
 
@@ -247,17 +206,17 @@
         while True:
             changed = self.changed
             link, state = self._leader_link(), self.state
-            if link is None or state is None or not self._may_attach(state):
+            if link is None or state is None or not self._may_attach():
                 await changed.wait()
                 continue
             if not await self._attach(link, state.facts):
                 await anyio.sleep(ATTACH_RETRY_S)
 
-    def _may_attach(self, state: ExecutorState) -> bool:
+    def _may_attach(self) -> bool:
         """Whether the newest incarnation of the executor is known and fenced, not attached yet."""
-        if self.attachment is not None or self._restart_guard.pending:
+        if self.attachment is not None or self.fences.pending:
             return False
-        return self.phase is ExecutorPhase.ENDED or state.facts.born_ms >= self._reported_born_ms
+        return self.phase is ExecutorPhase.ENDED or self.fences.settled
 
     async def _attach(self, link: Link, facts: HostFacts) -> bool:
         call = HostAttach(
@@ -269,8 +228,9 @@
             facts.rack,
             tuple(sorted(facts.labels)),
             facts.capacity,
-            self.epoch,
+            max(self.epoch, epoch_of(self.fences.highest)),
             tuple(self._crash_watch.crashes),
+            self.fences.highest,
         )
         try:
             reply = await link.call(call, timeout_s=1.0)
@@ -279,11 +239,14 @@
             return False
         if not isinstance(reply, HostAttached) or reply.epoch < self.epoch:
             return False
+        if reply.fence <= self.fences.highest:
+            log.info("attachment under an old token ignored", extra={"fence": reply.fence})
+            return False
         if self.state is None or self.state.facts != facts or link is not self._leader_link():
             return False
-        if not self._may_attach(self.state):
+        if not self._may_attach():
             return False
-        self._highest_fence = max(self._highest_fence, reply.fence)
+        self.fences.note_token(reply.fence)
         self.attachment = Attachment(link, reply.epoch, reply.fence, facts)
         log.info("attached", extra={"leader": link.peer_id, "fence": reply.fence})
         self._signal()
@@ -340,18 +303,11 @@
         The executor answers a renewal at once while it has endings to list, so that
         renewals in the meantime would only repeat the same report.
         """
-        wait_s = self._renewal_wait_s(attached)
+        wait_s = attached.renewal_wait_s()
         with anyio.move_on_after(wait_s) as scope:
             await attached.settled.wait()
         return 0.0 if scope.cancelled_caught else wait_s
 
-    def _renewal_wait_s(self, attached: Attachment) -> float:
-        """Return how long the next renewal may wait; 0 after a failed one."""
-        if not attached.reported or attached.renewal_failed:
-            return 0.0
-        serving = any(view.target_ms > 0 for view in attached.views.values())
-        return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
-
     def end_attachment(self, attached: Attachment, reason: str) -> None:
         """End an attachment if it is the present one."""
         if attached is self.attachment:
@@ -404,10 +360,9 @@
         if born_ms < attached.facts.born_ms:
             await anyio.sleep(RENEWAL_RETRY_S)
             return
-        self._reported_born_ms = max(self._reported_born_ms, born_ms)
         self._crash_watch.on_silence(attached, disconnected=False)
         self.end_attachment(attached, "the executor has restarted")
-        self._fence_restarted(born_ms)
+        self.fences.on_listed(born_ms)
 
     def _report(
         self,
@@ -429,7 +384,7 @@
             draining,
             int(min(left_s, 3600.0) * 1000),
             self.pacing.average_percent,
-            tuple(self._add_pace(attached, status) for status in runs),
+            tuple(attached.with_pace(status) for status in runs),
             endings,
         )
         if self.send(attached, report):
@@ -437,13 +392,6 @@
             attached.complete_reported |= complete
             attached.report_endings(endings)
 
-    @staticmethod
-    def _add_pace(attached: Attachment, status: RunStatus) -> RunStatus:
-        view = attached.views.get((status.task, status.run))
-        if view is None or not view.filler:
-            return status
-        return replace(status, pace=view.pace_percent)
-
     def send(
         self,
         attached: Attachment,
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import NamedTuple
 
 from apricotpath.boottime import boot_s
 from apricotpath.commitments import reserved_size
@@ -18,7 +17,7 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
-    ExecutorCrash,
+    Failure,
     HostAttach,
     HostAttached,
     HostCapacity,
@@ -36,11 +35,11 @@
 )
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import HostFacts, Step, TaskKey
+from apricotpathd.fencetokens import FenceTokens
+from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
 
 log = logging.getLogger(__name__)
 
-# Size of an epoch's range of fencing tokens; each attachment of a host gets the next token.
-FENCES_PER_EPOCH = 1 << 24
 # A stop is sent again after this time while the host still reports the run.
 STOP_RESEND_S = 0.6
 # Interval at which hosts with both serving and filler tasks get new interference estimates.
@@ -54,51 +53,6 @@
 TOGETHER_S = 1.0
 
 
-class ReportedEnding(NamedTuple):
-    """An ending reported by a host's executor.
-
-    `executor_incarnation` is the executor's id and start time.
-    """
-
-    host: HostId
-    executor_incarnation: tuple[str, int]
-    ending: RunEnding
-
-
-class ExecutorName(NamedTuple):
-    """One incarnation of a host's executor; each numbers its endings anew."""
-
-    host: HostId
-    instance: str
-    born_ms: int
-
-
-class ReportedCrash(NamedTuple):
-    """A crash of an executor, reported by the agent of its host."""
-
-    host: HostId
-    crash: ExecutorCrash
-
-
-class Silence(NamedTuple):
-    """Since when (boot-clock seconds) an incarnation of an executor does not answer.
-
-    `at_work`: it had runs, and all of them had survived their start.
-    """
-
-    executor_incarnation: tuple[str, int]
-    since: float
-    at_work: bool
-
-
-class LostRun(NamedTuple):
-    """A run that never began, or that has certainly ended without a reported ending."""
-
-    task: TaskKey
-    run: int
-    reason: str
-
-
 class HostTracker:
     """Hosts of one term; `endings`, `lost_runs` and `crashes` are events not recorded yet."""
 
@@ -123,15 +77,21 @@
         self._silences: dict[HostId, Silence] = {}
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
-        self._fences_issued = 0
+        self.fences = FenceTokens(term)
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
         self.disturbance = Disturbance()
         self._traits_sent_at: dict[HostId, float] = {}
 
-    def attach(self, link: Link, message: HostAttach) -> HostAttached:
-        """Attach a host's executor to this term and return the new fencing token."""
+    def attach(self, link: Link, message: HostAttach) -> HostAttached | Failure:
+        """Attach a host's executor to this term and return the new fencing token.
+
+        The attachment fails while there is no token above the one that the host has used.
+        """
         name = message.host
+        fence = self.fences.issue(message.fence)
+        if fence is None:
+            return Failure("no-fence", "no fencing token may be issued yet that is high enough")
         host = self.hosts.setdefault(name, Host(name))
         executor_incarnation = (message.instance, message.born_ms)
         now = boot_s()
@@ -146,8 +106,7 @@
             self._log_capacity(host, host.facts.capacity, message.capacity)
         self._queue_crashes(message)
         self._detach(name)
-        self._fences_issued += 1
-        host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences_issued)
+        host.fence = fence
         host.reported = False
         host.facts = HostFacts(
             message.instance,
--- a/packages/daemon/src/apricotpathd/restartguard.py
+++ b/packages/daemon/src/apricotpathd/restartguard.py
@@ -28,22 +28,23 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Restart:
-    """A restart of an executor under its id; `fence` is above all tokens used before it.
+    """A new incarnation of an executor under an id that may have been used before.
 
-    `born_ms`: start time of the new incarnation (Unix ms).
+    `born_ms`: its start time (Unix ms). `stops_runs`: what it runs was started for a former
+    incarnation.
     """
 
     executor: Executor
     born_ms: int
-    fence: FenceToken
+    stops_runs: bool = True
 
 
 class RestartGuard:
-    """Fences an executor that has restarted under its id, even while there is no scheduler.
+    """Fences an incarnation of an executor, even while there is no scheduler.
 
-    The new incarnation has seen no fencing token and would carry out delayed calls of the
-    former one. It is called under the token that follows the newest attachment's, and the
-    runs that it lists, which were started for the former incarnation, are stopped. A later
+    One that has restarted under its id has seen no fencing token and would carry out delayed
+    calls of the former one. It is called under a token above all that were used before, and the
+    runs that it lists are stopped if they were started for the former incarnation. A later
     attachment may have the same token; the guard's calls start no run, extend no lease and
     acknowledge nothing, so that they may be carried out late.
 
@@ -66,11 +67,17 @@
         """Whether a new incarnation has not answered yet; it must get no starts until then."""
         return not self._fenced
 
+    @property
+    def stops_runs(self) -> bool:
+        """Whether what the newest incarnation lists is stopped."""
+        return self._restart is None or self._restart.stops_runs
+
     def begin(self, restart: Restart) -> bool:
         """Note a new incarnation; `run` has to fence it if this returns True."""
-        if restart.born_ms <= self._born_ms:
+        if self._restart is not None and restart.born_ms <= self._born_ms:
             return False
-        log.warning("executor restarted under its id", extra={"born_ms": restart.born_ms})
+        if restart.stops_runs:
+            log.warning("executor restarted under its id", extra={"born_ms": restart.born_ms})
         self._restart, self._born_ms, self._fenced = restart, restart.born_ms, False
         self._signal()
         return True
@@ -84,7 +91,7 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def run(self) -> None:
+    async def run(self, fence: FenceToken) -> None:
         """Fence the newest incarnation and stop the runs that it lists; return once done."""
         restart = self._restart
         if restart is None:
@@ -92,36 +99,38 @@
         async with anyio.create_task_group() as group:
             while self._is_open(restart):
                 changed = self._changed
-                group.start_soon(self._attempt, group, restart)
+                group.start_soon(self._attempt, group, restart, fence)
                 with anyio.move_on_after(ATTEMPT_INTERVAL_S):
                     await changed.wait()
 
-    async def _attempt(self, group: TaskGroup, restart: Restart) -> None:
+    async def _attempt(self, group: TaskGroup, restart: Restart, fence: FenceToken) -> None:
         """Make one attempt to fence; the first one that is answered stops the listed runs."""
         try:
-            report = await restart.executor.renew_lease(restart.fence, 0, None, 0.0)
+            report = await restart.executor.renew_lease(fence, 0, None, 0.0)
         except (ExecutorFenced, ExecutorReplaced) as exc:
-            log.info("restarted executor needs no fence: %s", exc)
+            log.info("executor needs no fence: %s", exc)
             self._finish(restart, restart.born_ms)
         except ExecutorError as exc:
-            log.info("restarted executor not fenced: %s", exc)
+            log.info("executor not fenced: %s", exc)
             if isinstance(exc, ExecutorUnreachable) and self._is_open(restart):
                 self._on_unreachable()
         else:
             if self._is_open(restart):
-                self._handle_report(group, restart, report)
+                self._handle_report(group, restart, fence, report)
 
     def _is_open(self, restart: Restart) -> bool:
         """Tell whether a restart is the newest one and not fenced yet."""
         return restart is self._restart and not self._fenced
 
-    def _handle_report(self, group: TaskGroup, restart: Restart, report: ExecutorReport) -> None:
+    def _handle_report(
+        self, group: TaskGroup, restart: Restart, fence: FenceToken, report: ExecutorReport
+    ) -> None:
         """Stop the runs that a fenced incarnation lists, unless it has not restarted."""
-        extra = {"born_ms": report.born_ms, "fence": restart.fence, "runs": len(report.runs)}
-        log.info("restarted executor fenced", extra=extra)
+        extra = {"born_ms": report.born_ms, "fence": fence, "runs": len(report.runs)}
+        log.info("executor fenced", extra=extra)
         has_restarted = not report.born_ms or report.born_ms >= restart.born_ms
-        for status in report.runs if has_restarted else ():
-            group.start_soon(self._stop, restart, status)
+        for status in report.runs if has_restarted and restart.stops_runs else ():
+            group.start_soon(self._stop, restart, fence, status)
         self._finish(restart, report.born_ms)
 
     def _finish(self, restart: Restart, born_ms: int) -> None:
@@ -131,13 +140,13 @@
             self._signal()
             self._on_fenced(self._born_ms)
 
-    async def _stop(self, restart: Restart, status: RunStatus) -> None:
+    async def _stop(self, restart: Restart, fence: FenceToken, status: RunStatus) -> None:
         """Stop a run, with retries until it is answered or the executor has restarted again."""
         extra = {"task": status.task, "run": status.run, "born_ms": restart.born_ms}
         log.warning("run of former incarnation stopped", extra=extra)
         while restart is self._restart:
             try:
-                await restart.executor.stop(status.task, status.run, restart.fence)
+                await restart.executor.stop(status.task, status.run, fence)
                 return
             except (ExecutorFenced, ExecutorReplaced) as exc:
                 log.info("stop refused: %s", exc, extra=extra)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -22,6 +22,7 @@
 )
 from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError
+from apricotpath.fencelimits import limit_key
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import DataCentreId, FenceToken, JobId, QueueId
@@ -44,7 +45,8 @@
 from apricotpath.store import Delete, Put
 from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
-from apricotpathd.hosttracker import ExecutorName, HostTracker
+from apricotpathd.hostevents import ExecutorName
+from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobservice import JobKeys
 from apricotpathd.runstops import RunStops
 from apricotpathd.startorders import StartOrders
@@ -117,6 +119,7 @@
         self._rules, self._publish, self._utc = rules, publish, utc
         self._metrics = metrics
         self._keys = JobKeys(prefix)
+        self._store, self._fence_limit_key = store, limit_key(prefix)
         self.load_progress = progress = ReadProgress()
         self._log = RunLog(store, f"{prefix}runs/", term.epoch_key, term.epoch_revision, progress)
         self._mirror = Mirror(store, self._keys.root, self._on_job_key_changed, progress=progress)
@@ -141,6 +144,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._mirror.run)
             group.start_soon(self._shorten_holds)
+            group.start_soon(self._raise_fence_limits, group)
             if await self._load_tables():
                 group.start_soon(self._log.find_obsolete)
                 try:
@@ -151,6 +155,12 @@
                     self.term.holds.update(self.host_tracker.holds(boot_s()))
             group.cancel_scope.cancel()
 
+    async def _raise_fence_limits(self, group: TaskGroup) -> None:
+        """Store limits of fencing tokens; give the term up once its epoch has none left."""
+        await self.host_tracker.fences.raise_limits(self._store, self._fence_limit_key)
+        self.term.given_up.set()
+        group.cancel_scope.cancel()
+
     @property
     def epoch(self) -> int:
         """The term's epoch."""
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -12,13 +12,12 @@
 from apricotpath.boottime import boot_s
 from apricotpath.codec import Envelope
 from apricotpath.executor import ExecutorReport, ExecutorUnavailable, StartCall
-from apricotpath.fleet import FleetSettings, Host
+from apricotpath.fleet import Host
 from apricotpath.ids import FenceToken, HostId, InstanceId, JobId, TaskId
 from apricotpath.messages import HostAttach
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import RunResult, Step
 from apricotpathd.attachment import ExecutorState
-from apricotpathd.hostagent import HostAgent
 from support.agentcase import TASK, AgentCase
 from support.executormodel import CALL_TIMEOUT_S, ExecutorModel, ModelExecutor
 from support.jobworld import AgentNode, JobWorld, run_virtual
@@ -129,7 +128,7 @@
             while LateExecutor.late_starts > 1:
                 await anyio.sleep(0.01)
         await case.agent.link_closed(case.link)
-        case.agent = HostAgent(HostId("host0"), FleetSettings(), case._connect)
+        case.agent = case.next_agent()
         case.group.start_soon(case.agent.run)
         case.send_heartbeat()
 
--- a/tests/features/steps/stories_steps.py
+++ b/tests/features/steps/stories_steps.py
@@ -56,9 +56,11 @@
                 world.add_entry(name, cores)
             world.add_agent("agent0", CAPACITY)
             await world.wait_until_attached()
-            delay_answers(world, "entry1", context.delay)
+            leader = world.leader()
+            other = next(name for name, node in world.entries.items() if node is not leader)
+            delay_answers(world, other, context.delay)
             job = world.next_job()
-            await world.submit(TASK, at="entry1")
+            await world.submit(TASK, at=other)
             assert await world.wait_for_end(job, 20) == "completed"
             context.job = job
             group.cancel_scope.cancel()
--- a/tests/support/agentcase.py
+++ b/tests/support/agentcase.py
@@ -8,8 +8,10 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
+from apricotpath.entryrecords import LeaderRecord
 from apricotpath.errors import LinkError
 from apricotpath.executor import ExecutorUnavailable, StartCall
+from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
@@ -35,11 +37,14 @@
     StartRuns,
 )
 from apricotpath.model import Role, Size, StartAnswer
+from apricotpath.store import Put
 from apricotpath.workload import HostFacts
 from apricotpathd.attachment import ExecutorState
+from apricotpathd.formerfence import FormerFence
 from apricotpathd.hostagent import HostAgent
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
-from support.jobworld import run_virtual
+from support.jobworld import PREFIX, run_virtual
+from support.memorystore import MemoryStore, SharedStore
 
 TASK = TaskId("00000000000000a1.0.0.0")
 FILLER = TaskId("00000000000000a2.0.0.0")
@@ -157,6 +162,16 @@
                 await action()
             group.cancel_scope.cancel()
 
+    def next_agent(self) -> HostAgent:
+        """Return the next process of the agent, which finds the epoch in the store."""
+        shared = SharedStore()
+        record = LeaderRecord(EPOCH, ProcessId("entry0"), IncarnationId("x"))
+        limit = FenceLimit(EPOCH, FIRST_LIMIT)
+        puts = [Put(epoch_key(PREFIX), record.encode()), Put(limit_key(PREFIX), limit.encode())]
+        shared.apply([], puts)
+        former_fence = FormerFence(MemoryStore(shared), PREFIX)
+        return HostAgent(HostId("host0"), FleetSettings(), self._connect, former_fence)
+
     def _connect(self, facts: HostFacts) -> ModelExecutor:
         if self.connect_executor is not None:
             return self.connect_executor(self.model, self.group)
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -20,6 +20,7 @@
 from apricotpath.election import ElectionSettings, Term
 from apricotpath.errors import CodecError, LinkError, PeerError
 from apricotpath.executor import Executor
+from apricotpath.fencelimits import FENCES_PER_EPOCH
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
@@ -39,8 +40,8 @@
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.dialler import Dialler
+from apricotpathd.formerfence import FormerFence
 from apricotpathd.hostagent import HostAgent
-from apricotpathd.hosttracker import FENCES_PER_EPOCH
 from apricotpathd.jobentry import JobEntry
 from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
@@ -173,6 +174,7 @@
     agent: HostAgent
     model: ExecutorModel
     scope: anyio.CancelScope
+    store: MemoryStore
     sends_heartbeats: bool = True
     drain_until: float = float("inf")
 
@@ -282,9 +284,11 @@
             executor.late_after_restart_s = self.late_after_restart_s
             return executor
 
-        agent = HostAgent(HostId(name), self.cfg, connect_executor)
+        store = MemoryStore(self.shared)
+        former_fence = FormerFence(store, PREFIX)
+        agent = HostAgent(HostId(name), self.cfg, connect_executor, former_fence)
         process.set_components([agent])
-        node = AgentNode(process, agent, model, anyio.CancelScope())
+        node = AgentNode(process, agent, model, anyio.CancelScope(), store)
         self.agents[name] = node
         self.group.start_soon(self._run, node.scope, process)
         self.group.start_soon(self._send_heartbeats, node, zone, rack)
