Take only crashes apart from each other for evidence against a task

Cause: three crashes convicted a task as if executors crashed independently and at one rate. On two executors that flap, of 20, crashes 0.7 s apart counted three times; their rate was divided by the time of all 20, without the crashes at which the task was.

Change: the run of the last suspicion must have been ordered 4 s or more after the crash before it; a suspect of two crashes is held back for that long. Crashes without the job count for the host where they come from the second one on, and two crashes of a host without a suspect take back the suspicions from there. The recording of crashes moves out of scheduler.py. The log's record c has a further value at its end; earlier versions' records are read as not apart, and an earlier version cannot read a new record of a suspicion.

--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -3,6 +3,12 @@
 A task that crashes executors does so each time it starts. Other tasks are there by chance, the
 more often the more executors crash for reasons of their own. A task is therefore judged by the
 probability that so many executors would have crashed by themselves so soon after its starts.
+
+Crashes close to each other may have one cause, on one host or on many. Before a crash that could
+end its job, a task is therefore held back for a while; executors that crash without it meanwhile
+make crashes more probable there, and take back the suspicions from there. Sufficient evidence is:
+three suspicions, improbable enough without the task, the last one by a run that was ordered after
+such a pause and shared with no other job, and, unless all came at the start, more than one host.
 """
 
 from collections import deque
@@ -12,7 +18,7 @@
 from math import exp, prod
 from typing import NamedTuple
 
-from apricotpath.ids import HostId
+from apricotpath.ids import HostId, JobId
 from apricotpath.workload import TaskKey
 
 # A run that has been at work for this long (seconds) has survived its start.
@@ -28,6 +34,13 @@
 # is given up.
 MIN_SUSPICIONS = 3
 CONVICT_CHANCE = 1e-5
+# Crashes within this time (seconds) may have one cause. Executors that crash by themselves every
+# few seconds do so without the task meanwhile.
+CALM_S = 4.0
+# A host that has crashed so often without a task is taken to crash by itself.
+HOST_CRASHES = 2
+# Added to the time (seconds) over which the crashes of one host are counted.
+PRIOR_SPAN_S = 10.0
 # Crashes of other executors count for this long (seconds).
 RATE_WINDOW_S = 60.0
 # Assumed before anything is seen: half a crash in this many seconds of one executor.
@@ -51,7 +64,9 @@
 
     `chance`: probability that its executor would have crashed so soon without it. `alone`: no
     other job's task may have caused the crash. `host` and `ran_s`: where the run was and for
-    how long (seconds).
+    how long (seconds). `apart`: the run was ordered CALM_S or more after the last crash of which
+    the task is suspected. `ago_s`: time (seconds) from the crash to its record; the log does
+    not keep it.
     """
 
     blame: Blame
@@ -59,6 +74,8 @@
     alone: bool = False
     host: HostId = HostId("")
     ran_s: float = 0.0
+    apart: bool = False
+    ago_s: float = 0.0
 
     @property
     def delayed(self) -> bool:
@@ -71,13 +88,20 @@
 
 @dataclass(slots=True)
 class CrashHistory:
-    """The crashes at which runs of one task were there, by the number of the run."""
+    """The crashes at which runs of one task were there, by the number of the run.
+
+    `suspected_at`: boot-clock time (seconds) of the last crash of which the task is suspected, or
+    when that was loaded.
+    """
 
     parts: dict[int, CrashPart] = field(default_factory=dict)
+    suspected_at: float = float("-inf")
 
-    def note(self, run: int, part: CrashPart) -> None:
+    def note(self, run: int, part: CrashPart, now: float = float("-inf")) -> None:
         """Note a run's part in a crash; one that outlived its start clears the task."""
         self.parts[run] = part
+        if part.blame is Blame.SUSPECT:
+            self.suspected_at = max(self.suspected_at, now - part.ago_s)
         if part.blame is Blame.OUTLIVED:
             self.parts = dict.fromkeys(self.parts, BYSTANDER)
 
@@ -98,6 +122,21 @@
         at_start = any(not part.delayed for part in parts)
         return (at_start or len(parts) >= REPEATED_CRASHES) and self.chance <= SUSPECT_CHANCE
 
+    @property
+    def held_until(self) -> float:
+        """Until when the task must not start, since another crash too soon proves nothing."""
+        if not self.suspected or self.suspicions < MIN_SUSPICIONS - 1:
+            return float("-inf")
+        return self.suspected_at + CALM_S
+
+    def runs_suspected_on(self, host: HostId) -> list[int]:
+        """Return the numbers of the runs that are suspected of a crash of a host."""
+        return [
+            run
+            for run, part in self.parts.items()
+            if part.blame is Blame.SUSPECT and part.host == host
+        ]
+
     @property
     def delayed(self) -> bool:
         """Whether the task may crash executors some time after its start."""
@@ -110,7 +149,9 @@
         Crashes of a single host some time after the start may be the fault of the host.
         """
         parts = self._suspected_parts()
-        if len(parts) < MIN_SUSPICIONS or self.chance > CONVICT_CHANCE or not parts[-1].alone:
+        if len(parts) < MIN_SUSPICIONS or self.chance > CONVICT_CHANCE:
+            return False
+        if not parts[-1].alone or not parts[-1].apart:
             return False
         return not self.delayed or len({part.host for part in parts}) > 1
 
@@ -118,31 +159,64 @@
         return [part for part in self.parts.values() if part.blame is Blame.SUSPECT]
 
 
+class _Crash(NamedTuple):
+    """A crash of a host's executor; the jobs whose tasks are suspected of it."""
+
+    at: float
+    host: HostId
+    jobs: frozenset[JobId]
+
+
 class CrashRate:
     """Counts the crashes of executors; times are boot-clock seconds."""
 
     def __init__(self, started_at: float) -> None:
         self._started_at = started_at
-        self._times: deque[float] = deque()
+        self._crashes: deque[_Crash] = deque()
 
-    def add(self, now: float) -> None:
-        """Count one crash."""
-        self._times.append(now)
+    def add(self, now: float, host: HostId, jobs: frozenset[JobId]) -> None:
+        """Count one crash; tasks of `jobs` are suspected of it."""
+        self._crashes.append(_Crash(now, host, jobs))
 
     def without(self, own: int, hosts: int, now: float) -> float:
         """Return the crashes per second of one executor, leaving `own` of them out."""
-        while self._times and now - self._times[0] > RATE_WINDOW_S:
-            self._times.popleft()
+        while self._crashes and now - self._crashes[0].at > RATE_WINDOW_S:
+            self._crashes.popleft()
         seen_s = hosts * min(RATE_WINDOW_S, now - self._started_at)
-        others = max(0, len(self._times) - own)
+        others = max(0, len(self._crashes) - own)
         return (others + PRIOR_CRASHES) / (seen_s + PRIOR_HOST_S)
 
+    def on_host(self, host: HostId, now: float) -> "HostCrashes":
+        """Return the crashes of one host in the last RATE_WINDOW_S."""
+        recent = [crash for crash in self._crashes if now - crash.at <= RATE_WINDOW_S]
+        return HostCrashes([crash for crash in recent if crash.host == host], now)
+
+
+class HostCrashes:
+    """The recent crashes of one host."""
+
+    def __init__(self, crashes: list[_Crash], now: float) -> None:
+        self._crashes, self._now = crashes, now
+
+    def rate_without(self, job: JobId) -> float:
+        """Return the crashes per second that a job is not suspected of; 0 for too few."""
+        times = [crash.at for crash in self._crashes if job not in crash.jobs]
+        if len(times) < HOST_CRASHES:
+            return 0.0
+        return len(times) / (self._now - times[0] + PRIOR_SPAN_S)
+
+    @property
+    def crashes_by_itself(self) -> bool:
+        """Whether the host has crashed repeatedly without any suspect."""
+        return sum(not crash.jobs for crash in self._crashes) >= HOST_CRASHES
+
 
 class CrashedRun(NamedTuple):
     """A run that was lost with its executor.
 
     `ran_s`: how long (seconds) it had certainly run. `suspected`: its task was suspected before.
-    `rate`: crashes per second of one executor that have nothing to do with the task.
+    `rate`: crashes per second of one executor that have nothing to do with the task. `apart` and
+    `ago_s`: see `CrashPart`.
     """
 
     task: TaskKey
@@ -150,6 +224,8 @@
     ran_s: float
     suspected: bool
     rate: float
+    apart: bool = False
+    ago_s: float = 0.0
 
 
 def assign_blame(runs: Collection[CrashedRun], host: HostId) -> dict[CrashedRun, CrashPart]:
@@ -172,7 +248,8 @@
             # the others there count little against one that has not.
             rivals = 1 if young else len(jobs)
             chance = min(1.0, rivals * (1 - exp(-run.rate * window_s)))
-            parts[run] = CrashPart(Blame.SUSPECT, chance, len(jobs) == 1, host, run.ran_s)
+            alone, ago_s = len(jobs) == 1, run.ago_s
+            parts[run] = CrashPart(Blame.SUSPECT, chance, alone, host, run.ran_s, run.apart, ago_s)
         else:
             parts[run] = BYSTANDER
     return parts
--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -93,7 +93,8 @@
     `suspects` tells of how many crashes tasks are suspected. Such a task starts only on a
     host that is `kept_for` its job (a gang on others as well) and where no run of another job
     is `starting`. `observed` is the job of suspected tasks that are being observed; only others
-    of these start on its host, since one that causes a crash ends the job.
+    of these start on its host, since one that causes a crash ends the job. Suspects that are
+    `held` start nowhere.
     """
 
     host: Host = field(kw_only=True)
@@ -102,6 +103,7 @@
     slow: bool = False
     low_impact_images: frozenset[str] = frozenset()
     suspects: Mapping[TaskKey, int] = field(default_factory=dict)
+    held: frozenset[TaskKey] = frozenset()
     kept_for: JobId | None = None
     observed: JobId | None = None
 
@@ -118,6 +120,8 @@
         Members of a gang are suspected together, since none of them runs alone. Those that do
         not fit on the host kept for their job may start on others.
         """
+        if task in self.held:
+            return False
         if self.observed is not None:
             return self.observed == task.job and (step.gang or task in self.suspects)
         if task in self.suspects:
@@ -173,6 +177,7 @@
     """Return the load of every host whose executor has attached."""
     loads = {}
     suspects = _suspects(table, inputs.now)
+    held = frozenset(key for key in suspects if table.crashes[key].held_until > inputs.now)
     for host in inputs.hosts.values():
         if host.facts is None:
             continue
@@ -181,6 +186,7 @@
             capacity=host.facts.capacity,
             low_impact_images=inputs.low_impact_images,
             suspects=suspects,
+            held=held,
         )
         load.copy_from(table.commitments(host.host))
         for run in table.by_host.get(host.host, {}).values() if suspects else ():
@@ -208,7 +214,10 @@
 
 def _is_overdue(table: JobTable, key: TaskKey, now: float) -> bool:
     task = table.waiting.get(key)
-    return task is not None and now - task.waiting_since > MAX_SUSPECT_WAIT_S
+    if task is None:
+        return False
+    since = max(task.waiting_since, table.crashes[key].held_until)
+    return now - since > MAX_SUSPECT_WAIT_S
 
 
 def _is_observed(table: JobTable, run: Run, now: float) -> bool:
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -242,7 +242,7 @@
         if self.task(record.task) is None:
             return
         history = self.crashes.setdefault(record.task, CrashHistory())
-        history.note(record.run, record.part)
+        history.note(record.run, record.part, now)
         row = self.rows[record.task.job]
         if history.convicted and not row.to_be_stopped:
             self.fail(record.task.job)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -255,10 +255,10 @@
     """
     observed = {load.observed for load in loads if load.observed is not None}
     limit = max(1, len(loads) // HOSTS_PER_SUSPECT)
-    suspects = _suspects(loads)
+    suspects, held = _suspects(loads), next((load.held for load in loads), frozenset())
     for group in groups:
         step, job = group.step, group.row.job.job_id
-        waiting = [task for task in group.tasks if task.key in suspects]
+        waiting = [task for task in group.tasks if task.key in suspects and task.key not in held]
         if not waiting or job in observed or len(observed) >= limit:
             continue
         task = max(waiting, key=lambda task: suspects[task.key])
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -129,7 +129,7 @@
     row = ["c", str(record.task), record.run, part.blame.value]
     if part.blame is Blame.SUSPECT:
         chance = float(f"{part.chance:.{DIGITS_OF_CHANCE}g}")
-        row += [chance, part.alone, part.host, round(part.ran_s, 3)]
+        row += [chance, part.alone, part.host, round(part.ran_s, 3), part.apart]
     return row
 
 
@@ -199,15 +199,17 @@
     if not details:
         chance = OLD_SUSPICION_CHANCE if blame is Blame.SUSPECT else 1.0
         return CrashPart(blame, chance)
-    chance, alone, host, ran_s = details
-    if not isinstance(alone, bool):
-        raise InputError("alone is not true or false", path="alone")
+    chance, alone, host, ran_s, *later = details
+    apart = later[0] if later else False
+    if not isinstance(alone, bool) or not isinstance(apart, bool):
+        raise InputError("alone or apart is not true or false", path="alone")
     return CrashPart(
         blame,
         to_number(chance, "chance"),
         alone,
         HostId(to_str(host, "host")),
         to_number(ran_s, "ran_s"),
+        apart,
     )
 
 
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/crashrecorder.py
@@ -0,0 +1,141 @@
+"""Records the crashes of executors at the tasks that were there."""
+
+import logging
+from collections.abc import Callable, Iterator
+
+from apricotpath.crashes import (
+    BYSTANDER,
+    CALM_S,
+    Blame,
+    CrashedRun,
+    CrashHistory,
+    CrashPart,
+    CrashRate,
+    assign_blame,
+)
+from apricotpath.errors import InputError
+from apricotpath.ids import HostId
+from apricotpath.jobmetrics import JobMetrics
+from apricotpath.jobrows import Run
+from apricotpath.jobtable import JobTable
+from apricotpath.messages import ExecutorCrash
+from apricotpath.runrecords import Crashed
+from apricotpath.workload import TaskKey
+from apricotpathd.hostevents import ExecutorName
+from apricotpathd.hosttracker import HostTracker
+
+log = logging.getLogger(__name__)
+
+MAX_SUSPECTS_LOGGED = 10
+# Lost runs whose crash may still be reported; a host reports one once its next executor is up.
+MAX_LOST_RUNS = 10_000
+
+Apply = Callable[[Crashed], None]
+
+
+class CrashRecorder:
+    """Turns the crashes that agents report into records; `started` is when the term began."""
+
+    def __init__(
+        self, table: JobTable, tracker: HostTracker, metrics: JobMetrics, started: float
+    ) -> None:
+        self._table, self._tracker, self._metrics = table, tracker, metrics
+        self._rate = CrashRate(started)
+        self._lost_ordered_at: dict[tuple[TaskKey, int], float] = {}
+
+    def note_lost(self, run: Run) -> None:
+        """Remember when a run was ordered that is lost; its crash may be reported later."""
+        self._lost_ordered_at[run.task, run.run] = run.since
+        if len(self._lost_ordered_at) > MAX_LOST_RUNS:
+            del self._lost_ordered_at[next(iter(self._lost_ordered_at))]
+
+    def process(self, apply: Apply, now: float) -> None:
+        """Record the crashes that have been reported."""
+        while self._tracker.crashes:
+            host, crash = self._tracker.crashes.popleft()
+            self._process_one(host, crash, apply, now)
+
+    def _process_one(self, host: HostId, crash: ExecutorCrash, apply: Apply, now: float) -> None:
+        runs = list(self._runs_at_crash(host, crash, now))
+        parts = assign_blame(runs, host)
+        if self._tracker.crashed_with_others(ExecutorName(host, crash.instance, crash.born_ms)):
+            parts = dict.fromkeys(runs, BYSTANDER)
+        suspects = [run for run, part in parts.items() if part.blame is Blame.SUSPECT]
+        self._rate.add(now, host, frozenset(run.task.job for run in suspects))
+        if not suspects and self._rate.on_host(host, now).crashes_by_itself:
+            self._clear_suspicions(host, apply)
+        self._metrics.executor_crashed()
+        log.warning(
+            "executor crashed",
+            extra={
+                "host": host,
+                "instance": crash.instance,
+                "runs": len(crash.runs),
+                "suspects": [str(run.task) for run in suspects[:MAX_SUSPECTS_LOGGED]],
+                "suspect_count": len(suspects),
+            },
+        )
+        for run, part in parts.items():
+            self._record(run, part, apply)
+
+    def _clear_suspicions(self, host: HostId, apply: Apply) -> None:
+        """Take back the suspicions of crashes of a host that crashes by itself."""
+        cleared = [
+            Crashed(task, run, BYSTANDER)
+            for task, history in self._table.crashes.items()
+            for run in history.runs_suspected_on(host)
+        ]
+        if cleared:
+            log.info("suspicions taken back", extra={"host": host, "runs": len(cleared)})
+        for record in cleared:
+            apply(record)
+
+    def _runs_at_crash(
+        self, host: HostId, crash: ExecutorCrash, now: float
+    ) -> Iterator[CrashedRun]:
+        """Yield the runs at a crash whose tasks are not done, except those recorded before."""
+        hosts = len(self._tracker.hosts)
+        own = self._rate.on_host(host, now)
+        for item in crash.runs:
+            try:
+                key = TaskKey.parse(item.task)
+            except InputError as exc:
+                log.error("invalid run reported at a crash: %s", exc)
+                continue
+            task, history = self._table.task(key), self._table.crashes.get(key, CrashHistory())
+            if task is None or task.done or item.run in history.parts:
+                continue
+            rate = self._rate.without(len(history.parts), hosts, now)
+            ran_s = item.ran_ms / 1000
+            run = task.runs.get(item.run)
+            lost_at = self._lost_ordered_at.get((key, item.run))
+            ordered_at = run.since if run is not None else lost_at
+            yield CrashedRun(
+                key,
+                item.run,
+                ran_s,
+                history.suspected,
+                max(rate, own.rate_without(key.job)),
+                ordered_at is not None and ordered_at >= history.suspected_at + CALM_S,
+                max(0.0, now - ordered_at - ran_s) if ordered_at is not None else 0.0,
+            )
+
+    def _record(self, run: CrashedRun, part: CrashPart, apply: Apply) -> None:
+        """Record the part of a task in a crash; its job fails once it is to blame."""
+        if part.blame is Blame.OUTLIVED and run.task not in self._table.crashes:
+            return
+        row = self._table.rows[run.task.job]
+        given_up = row.to_be_stopped
+        apply(Crashed(run.task, run.run, part))
+        if row.failing and not given_up:
+            history = self._table.crashes[run.task]
+            log.warning(
+                "job failed: its task crashes executors",
+                extra={
+                    "job": run.task.job,
+                    "task": str(run.task),
+                    "crashes": len(history.parts),
+                    "suspicions": history.suspicions,
+                    "chance": history.chance,
+                },
+            )
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -11,15 +11,6 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
-from apricotpath.crashes import (
-    BYSTANDER,
-    Blame,
-    CrashedRun,
-    CrashHistory,
-    CrashPart,
-    CrashRate,
-    assign_blame,
-)
 from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
@@ -31,7 +22,6 @@
 from apricotpath.joborder import objective_s
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import (
-    ExecutorCrash,
     JobStatus,
     JobStatuses,
     RunEnding,
@@ -41,10 +31,11 @@
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import Placement, place
-from apricotpath.runrecords import Assigned, Crashed, Ended, JobEnded, RunRecord
+from apricotpath.runrecords import Assigned, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
 from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
+from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobservice import JobKeys
@@ -66,7 +57,6 @@
 MAX_CHECKPOINTS_PER_APPEND = 600
 FLEET_LOG_INTERVAL_S = 2.0
 STATUSES_PER_MESSAGE = 4000
-MAX_SUSPECTS_LOGGED = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +125,7 @@
         self._copied_at = self._saved_at = self._forgot_at = self._stopped_at = self._started
         self._fleet_logged_at = float("-inf")
         self._snapshot_running = False
-        self._crash_rate = CrashRate(self._started)
+        self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
 
     # Start of the term.
 
@@ -327,7 +317,7 @@
         now = boot_s()
         self.host_tracker.expire_leases(now)
         self._process_endings(batch, now)
-        self._process_crashes(batch, now)
+        self._crashes.process(lambda record: self._apply(batch, record, now), now)
         self._process_lost_runs(batch, now)
         self._fail_exhausted()
         self._save_progress(batch, now)
@@ -416,6 +406,7 @@
             lost = task.runs.get(run) if task is not None else None
             if lost is None:
                 continue
+            self._crashes.note_lost(lost)
             log.info(
                 "run lost: %s",
                 reason,
@@ -429,65 +420,6 @@
             )
             self._end_run(batch, key, run, RunResult.LOST, lost.saved, now)
 
-    def _process_crashes(self, batch: _Batch, now: float) -> None:
-        """Record the crashes of executors at the tasks that were there."""
-        while self.host_tracker.crashes:
-            host, crash = self.host_tracker.crashes.popleft()
-            runs = list(self._runs_at_crash(crash, now))
-            self._crash_rate.add(now)
-            parts = assign_blame(runs, host)
-            name = ExecutorName(host, crash.instance, crash.born_ms)
-            if self.host_tracker.crashed_with_others(name):
-                parts = dict.fromkeys(runs, BYSTANDER)
-            suspects = [run for run, part in parts.items() if part.blame is Blame.SUSPECT]
-            self._metrics.executor_crashed()
-            log.warning(
-                "executor crashed",
-                extra={
-                    "host": host,
-                    "instance": crash.instance,
-                    "runs": len(crash.runs),
-                    "suspects": [str(run.task) for run in suspects[:MAX_SUSPECTS_LOGGED]],
-                    "suspect_count": len(suspects),
-                },
-            )
-            for run, part in parts.items():
-                self._record_crash(batch, run, part, now)
-
-    def _runs_at_crash(self, crash: ExecutorCrash, now: float) -> Iterator[CrashedRun]:
-        """Yield the runs at a crash whose tasks are not done, except those recorded before."""
-        hosts = len(self.host_tracker.hosts)
-        for item in crash.runs:
-            try:
-                key = TaskKey.parse(item.task)
-            except InputError as exc:
-                log.error("invalid run reported at a crash: %s", exc)
-                continue
-            task, history = self.table.task(key), self.table.crashes.get(key, CrashHistory())
-            if task is not None and not task.done and item.run not in history.parts:
-                rate = self._crash_rate.without(len(history.parts), hosts, now)
-                yield CrashedRun(key, item.run, item.ran_ms / 1000, history.suspected, rate)
-
-    def _record_crash(self, batch: _Batch, run: CrashedRun, part: CrashPart, now: float) -> None:
-        """Record the part of a task in a crash; its job fails once it is to blame."""
-        if part.blame is Blame.OUTLIVED and run.task not in self.table.crashes:
-            return
-        row = self.table.rows[run.task.job]
-        given_up = row.to_be_stopped
-        self._apply(batch, Crashed(run.task, run.run, part), now)
-        if row.failing and not given_up:
-            history = self.table.crashes[run.task]
-            log.warning(
-                "job failed: its task crashes executors",
-                extra={
-                    "job": run.task.job,
-                    "task": str(run.task),
-                    "crashes": len(history.parts),
-                    "suspicions": history.suspicions,
-                    "chance": history.chance,
-                },
-            )
-
     def _end_run(
         self, batch: _Batch, key: TaskKey, run: int, result: RunResult, saved: str, now: float
     ) -> None:
