Set no host aside for a hopeless job, nor the last half of a service

Cause: two failed runs in a row of two jobs set a host aside, whatever the jobs did on other hosts; runs ordered before doubled the time, up to 30 s, though the host had not been tried again; nothing kept a host in use.

A job that failed on two hosts and succeeded on none is the cause, and what it has counted against hosts is taken back. A run counts only if it was ordered after its host was set aside last. At least half of a service's hosts that could take runs stay in use, looked at in each pass. A refused start pauses its host apart from this.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from apricotpath.ids import FenceToken, HostId
+from apricotpath.ids import FenceToken, HostId, JobId, ServiceId
 from apricotpath.workload import HostFacts
 
 
@@ -35,11 +35,8 @@
         return self.run_lease_s * (1 + self.clock_drift) + self.margin_s
 
 
-# A host is set aside (gets no new runs) after it failed runs of this many jobs without a success
-# in between.
-SET_ASIDE_AFTER_JOBS = 2
+# For how long (seconds) a host is set aside at first.
 INITIAL_SET_ASIDE_S = 4.0
-MAX_SET_ASIDE_S = 30.0
 # Smoothing of the speed that each report yields; the estimated run times of single tasks are
 # far off.
 SPEED_WEIGHT = 0.08
@@ -60,7 +57,9 @@
     `silent_since`: when its executor stopped answering; infinite while it answers.
     `renewal`: number of its newest report. `acked_ending`: number of the newest run
     end that is in the run log. `unknown_runs`: number of runs in its newest report that the job
-    table does not contain.
+    table does not contain. `failed_jobs`: jobs whose runs have failed here since the last success;
+    `set_aside_for`: those for which it was set aside at `set_aside_at`, and `set_aside_s`: for how
+    long it will be next. It has refused starts until `paused_until`.
     """
 
     host: HostId
@@ -74,9 +73,12 @@
     draining: bool = False
     leaves_at: float = float("inf")
     acked_ending: int = 0
-    failed_jobs: set[str] = field(default_factory=set)
+    failed_jobs: set[JobId] = field(default_factory=set)
+    set_aside_for: set[JobId] = field(default_factory=set)
+    set_aside_at: float = float("-inf")
     set_aside_until: float = float("-inf")
     set_aside_s: float = INITIAL_SET_ASIDE_S
+    paused_until: float = float("-inf")
     speed: float = 1.0
     filler_percent: float = 100.0
     unknown_runs: int = 0
@@ -91,13 +93,25 @@
 
     def exclusion_reason(self, now: float, silent_s: float) -> str:
         """Return why the host accepts no new runs; empty if it does."""
+        reason = self.unavailable_reason(now, silent_s)
+        return reason or ("set aside" if self.is_set_aside(now) or now < self.paused_until else "")
+
+    def unavailable_reason(self, now: float, silent_s: float) -> str:
+        """Return why the host accepts no new runs, whether set aside or not."""
         if self.draining:
             return "leaving"
         if not self.reported or now - self.reported_at >= silent_s:
             return "not heard of"
-        if now >= self.silent_since:
-            return "executor does not answer"
-        return "set aside" if now < self.set_aside_until else ""
+        return "executor does not answer" if now >= self.silent_since else ""
+
+    def is_set_aside(self, now: float) -> bool:
+        """Return whether the host gets no new runs because it fails them."""
+        return now < self.set_aside_until
+
+    @property
+    def service(self) -> ServiceId | None:
+        """The service of the host's executor; None while it is not known."""
+        return self.facts.service if self.facts is not None else None
 
     def record_speed(self, speed: float) -> None:
         """Update the speed with a measurement relative to the estimated speed."""
@@ -107,20 +121,14 @@
         """Move the speed back towards 1.0, so that a formerly slow host is tried again."""
         self.speed += SPEED_RECOVERY * (1.0 - self.speed)
 
-    def record_success(self) -> None:
-        """Reset the failure count after a successful run."""
-        self.failed_jobs.clear()
-        self.set_aside_s = INITIAL_SET_ASIDE_S
+    def take_back(self) -> None:
+        """End the time for which the host is set aside."""
+        self.set_aside_until = float("-inf")
 
-    def record_failure(self, job: str, now: float) -> bool:
-        """Count a failed run; return True if the host is set aside because of it.
-
-        Failures of a single job do not count, since the job itself may be faulty.
-        """
-        self.failed_jobs.add(job)
-        if len(self.failed_jobs) < SET_ASIDE_AFTER_JOBS:
-            return False
-        self.set_aside_until = now + self.set_aside_s
-        self.set_aside_s = min(2 * self.set_aside_s, MAX_SET_ASIDE_S)
+    def forget_failures(self) -> None:
+        """Begin anew with another incarnation of the executor."""
         self.failed_jobs.clear()
-        return True
+        self.set_aside_for.clear()
+        self.set_aside_s = INITIAL_SET_ASIDE_S
+        self.set_aside_at = self.paused_until = float("-inf")
+        self.take_back()
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -34,6 +34,7 @@
     StopRuns,
 )
 from apricotpath.model import Size, StartAnswer
+from apricotpath.quarantine import Quarantine
 from apricotpath.workload import HostFacts, Step, TaskKey
 from apricotpathd.fencetokens import FenceTokens
 from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
@@ -75,6 +76,7 @@
         self.crashes: deque[ReportedCrash] = deque()
         self._known_crashes: set[ExecutorName] = set()
         self._silences: dict[HostId, Silence] = {}
+        self.quarantine = Quarantine(self.hosts, cfg.silent_s)
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
         self.fences = FenceTokens(term)
@@ -99,8 +101,7 @@
             host.acked_ending = 0
             self._last_queued_endings.pop(name, None)
             host.draining, host.leaves_at = False, float("inf")
-            host.record_success()
-            host.set_aside_until = float("-inf")
+            host.forget_failures()
             host.silent_since = float("inf")
         elif host.facts is not None:
             self._log_capacity(host, host.facts.capacity, message.capacity)
@@ -433,11 +434,27 @@
                 self._table.note_begun(key.job)
                 continue
             if answer.answer in (StartAnswer.UNFIT, StartAnswer.REFUSED):
-                host.set_aside_until = max(host.set_aside_until, now + REJECTED_PAUSE_S)
-            elif answer.answer is StartAnswer.BROKEN and host.record_failure(key.job, now):
-                log.warning("host set aside", extra={"host": host.host, "reason": "refuses starts"})
+                host.paused_until = max(host.paused_until, now + REJECTED_PAUSE_S)
+            elif answer.answer is StartAnswer.BROKEN:
+                self.record_failure(host, run, "refuses starts", now)
             self.mark_lost(run, f"its start was answered {answer.answer.value}")
 
+    def record_failure(self, host: Host, run: Run, reason: str, now: float) -> None:
+        """Count a failed run against its host or its job."""
+        if self.quarantine.record_failure(host, run.task.job, run.since, now):
+            extra = {"host": host.host, "reason": reason, "jobs": sorted(host.set_aside_for)}
+            log.warning("host set aside", extra=extra | {"for_s": host.set_aside_until - now})
+
+    def restore_share(self, now: float) -> None:
+        """Take back hosts that are set aside where too few of a service are left."""
+        for host in self.quarantine.restore_share(now):
+            log.info("host no longer set aside", extra={"host": host.host})
+
+    def count_set_aside(self) -> int:
+        """Return how many hosts are set aside."""
+        now = boot_s()
+        return sum(host.is_set_aside(now) for host in self.hosts.values())
+
     def mark_lost(self, run: Run, reason: str) -> None:
         """Queue a run for the scheduler to record as lost."""
         self.lost_runs.append(LostRun(run.task, run.run, reason))
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -85,7 +85,6 @@
             return step.long_running or now > host.leaves_at - LEAVE_LEAD_S
         if run.phase is RunPhase.RUNNING and stalled(run, step):
             log.warning("run makes no progress", extra={"task": str(run.task), "host": host.host})
-            if host.record_failure(run.task.job, now):
-                log.warning("host set aside", extra={"host": host.host, "reason": "runs stall"})
+            self._tracker.record_failure(host, run, "runs stall", now)
             return True
         return False
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -316,6 +316,7 @@
         batch = _Batch()
         now = boot_s()
         self.host_tracker.expire_leases(now)
+        self.host_tracker.restore_share(now)
         self._process_endings(batch, now)
         self._crashes.process(lambda record: self._apply(batch, record, now), now)
         self._process_lost_runs(batch, now)
@@ -394,10 +395,12 @@
             self._end_run(batch, key, ending.run, ending.result, ending.saved, now)
 
     def _record_host_health(self, host: Host, key: TaskKey, ending: RunEnding, now: float) -> None:
+        task = self.table.task(key)
+        run = task.runs.get(ending.run) if task is not None else None
         if ending.result is RunResult.DONE:
-            host.record_success()
-        elif ending.result is RunResult.FAILED and host.record_failure(key.job, now):
-            log.warning("host set aside", extra={"host": host.host, "reason": "runs fail"})
+            self.host_tracker.quarantine.record_success(host, key.job)
+        elif ending.result is RunResult.FAILED and run is not None:
+            self.host_tracker.record_failure(host, run, "runs fail", now)
 
     def _process_lost_runs(self, batch: _Batch, now: float) -> None:
         while self.host_tracker.lost_runs:
