--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,12 +16,11 @@
     ExecutorFenced,
     ExecutorReplaced,
     ExecutorReport,
-    ExecutorUnavailable,
     ExecutorUnreachable,
-    StartCall,
 )
+from apricotpath.fencelimits import epoch_of
 from apricotpath.fleet import FleetSettings
-from apricotpath.ids import Epoch, FenceToken, HostId, InstanceId, ProcessId, TaskId
+from apricotpath.ids import Epoch, HostId, InstanceId, ProcessId, TaskId
 from apricotpath.link import Link
 from apricotpath.messages import (
     HostAttach,
@@ -34,35 +32,26 @@
     HostSilent,
     LeaderNotice,
     Message,
-    OrderAnswer,
     OrderAnswers,
     RunEnding,
-    RunOrder,
     RunStatus,
-    RunTrait,
     RunTraits,
     StartRuns,
     StopRuns,
 )
 from apricotpath.model import StartAnswer
 from apricotpath.workload import HostFacts
-from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState, RunView
+from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState
 from apricotpathd.crashwatch import CrashWatch
 from apricotpathd.fillerpacing import FillerPacing
-from apricotpathd.restartguard import Restart, RestartGuard
+from apricotpathd.formerfence import FormerFence
+from apricotpathd.hostorders import HostOrders
+from apricotpathd.incarnations import IncarnationFences
 
 log = logging.getLogger(__name__)
 
-# A renewal waits this long for an ending, which bounds the interval of reports and renewals.
-# With serving tasks on the host, the pace of filler tasks needs more frequent readings.
-RENEWAL_WAIT_S = 0.8
-SERVING_RENEWAL_WAIT_S = 0.4
 RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
-# An executor whose restart no heartbeat confirms within this time is fenced again.
-CONFIRM_S = 1.0
-# Pause between two attempts of an order that the executor did not answer.
-ORDER_RETRY_S = 0.05
 # Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
 # up to 50 are sent per second.
 MAX_RENEWALS = 512
@@ -73,8 +62,9 @@
 
     Runs continue only while their lease from the scheduler is valid. All calls to the
     executor carry the attachment's fencing token, so that a delayed call of an
-    earlier attachment has no effect. An executor that restarts under its id is called under
-    a higher one before the next attachment.
+    earlier attachment has no effect. An incarnation of the executor that may still get delayed
+    calls of before is called under a higher one before the next attachment; `former_fence` bounds
+    the tokens of earlier processes of this agent.
     """
 
     handles: frozenset[type[Message]] = frozenset(
@@ -86,6 +76,7 @@
         host: HostId,
         cfg: FleetSettings,
         connect: Callable[[HostFacts], Executor],
+        former_fence: FormerFence | None = None,
     ) -> None:
         self.host, self.cfg = host, cfg
         self.state: ExecutorState | None = None
@@ -102,11 +93,9 @@
         self.changed = anyio.Event()
         self._group: TaskGroup | None = None
         self.pacing = FillerPacing()
+        self._orders = HostOrders(self)
         self._crash_watch = CrashWatch()
-        self._restart_guard = RestartGuard(self._note_unreachable, self._note_fenced)
-        self._highest_fence = FenceToken(0)
-        # The newest start time that the executor has reported.
-        self._reported_born_ms = 0
+        self.fences = IncarnationFences(former_fence, self._signal, self._note_unreachable)
 
     # State of the executor.
 
@@ -125,7 +114,8 @@
             self._endings = ()
             self.phase = ExecutorPhase.REGISTERED
             self._detach("the executor has restarted")
-            self._guard_restart(previous, state)
+            former = previous.facts if previous is not None else None
+            self.fences.on_heartbeat(former, state.facts, self.executor)
         elif self.phase is ExecutorPhase.ENDED:
             log.warning("executor has not ended", extra={"instance": state.facts.instance})
             self.phase = ExecutorPhase.DEREGISTERED
@@ -135,41 +125,6 @@
         self._send_capacity(state.facts)
         self._signal()
 
-    def _guard_restart(self, previous: ExecutorState | None, state: ExecutorState) -> None:
-        """Fence an executor that has restarted under its id; another id needs no fence."""
-        if previous is None or previous.facts.instance != state.facts.instance:
-            self._reported_born_ms = 0
-            self._restart_guard.cancel()
-        elif previous.facts.born_ms:
-            self._fence_restarted(state.facts.born_ms)
-
-    def _fence_restarted(self, born_ms: int) -> None:
-        """Keep calls for former incarnations of the executor from taking effect on this one."""
-        assert self.executor is not None
-        fence = FenceToken(self._highest_fence + 1)
-        begun = self._restart_guard.begin(Restart(self.executor, born_ms, fence))
-        if begun and self._group is not None:
-            self._group.start_soon(self._restart_guard.run)
-
-    def _note_fenced(self, born_ms: int) -> None:
-        """Handle that a restarted executor, which reports this start time, has been fenced."""
-        self._reported_born_ms = born_ms
-        self._signal()
-        if self._awaits_heartbeat(born_ms) and self._group is not None:
-            self._group.start_soon(self._fence_unconfirmed, born_ms)
-
-    def _awaits_heartbeat(self, born_ms: int) -> bool:
-        """Whether this is the newest start time of a list, and later than that of heartbeats."""
-        newest = self._reported_born_ms == born_ms and not self._restart_guard.pending
-        return newest and self.state is not None and self.state.facts.born_ms < born_ms
-
-    async def _fence_unconfirmed(self, born_ms: int) -> None:
-        """Fence an executor again, whose answer may correct an odd start time of its lists."""
-        await anyio.sleep(CONFIRM_S)
-        if self._awaits_heartbeat(born_ms):
-            self._restart_guard.cancel()
-            self._fence_restarted(born_ms)
-
     def _note_unreachable(self) -> None:
         """Handle that a restarted executor refuses connections; one that shut down has ended."""
         if self.state is not None and self.phase is ExecutorPhase.DEREGISTERED:
@@ -180,7 +135,7 @@
         """Note that the executor has ended; no call to it is repeated any more."""
         log.info("executor ended", extra={"instance": instance})
         self.phase = ExecutorPhase.ENDED
-        self._restart_guard.cancel()
+        self.fences.cancel()
 
     def _note_crash(self, previous: ExecutorState) -> None:
         """Keep the runs of an executor that was replaced, unless it had announced its end."""
@@ -193,7 +148,7 @@
         attached = self.attachment
         if attached is not None and facts.capacity != attached.facts.capacity:
             attached.facts = facts
-            self._send(attached, HostCapacity(attached.fence, facts.capacity))
+            self.send(attached, HostCapacity(attached.fence, facts.capacity))
 
     def on_executor_shutdown(self, instance: str) -> None:
         """Handle the executor's notice that it shuts down; it ends once it stops answering."""
@@ -210,7 +165,7 @@
         return self.state is not None and self.phase is not ExecutorPhase.ENDED
 
     @property
-    def _draining(self) -> bool:
+    def draining(self) -> bool:
         """Whether the executor takes no new runs."""
         return not self.has_executor or (self.state is not None and self.state.draining)
 
@@ -243,8 +198,7 @@
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._attach_forever)
             self._group.start_soon(self.pacing.run)
-            if self._restart_guard.pending:
-                self._group.start_soon(self._restart_guard.run)
+            self._group.start_soon(self.fences.run)
             while True:
                 await self._renew_once()
 
@@ -252,17 +206,17 @@
         while True:
             changed = self.changed
             link, state = self._leader_link(), self.state
-            if link is None or state is None or not self._may_attach(state):
+            if link is None or state is None or not self._may_attach():
                 await changed.wait()
                 continue
             if not await self._attach(link, state.facts):
                 await anyio.sleep(ATTACH_RETRY_S)
 
-    def _may_attach(self, state: ExecutorState) -> bool:
+    def _may_attach(self) -> bool:
         """Whether the newest incarnation of the executor is known and fenced, not attached yet."""
-        if self.attachment is not None or self._restart_guard.pending:
+        if self.attachment is not None or self.fences.pending:
             return False
-        return self.phase is ExecutorPhase.ENDED or state.facts.born_ms >= self._reported_born_ms
+        return self.phase is ExecutorPhase.ENDED or self.fences.settled
 
     async def _attach(self, link: Link, facts: HostFacts) -> bool:
         call = HostAttach(
@@ -274,8 +228,9 @@
             facts.rack,
             tuple(sorted(facts.labels)),
             facts.capacity,
-            self.epoch,
+            max(self.epoch, epoch_of(self.fences.highest)),
             tuple(self._crash_watch.crashes),
+            self.fences.highest,
         )
         try:
             reply = await link.call(call, timeout_s=1.0)
@@ -284,11 +239,14 @@
             return False
         if not isinstance(reply, HostAttached) or reply.epoch < self.epoch:
             return False
+        if reply.fence <= self.fences.highest:
+            log.info("attachment under an old token ignored", extra={"fence": reply.fence})
+            return False
         if self.state is None or self.state.facts != facts or link is not self._leader_link():
             return False
-        if not self._may_attach(self.state):
+        if not self._may_attach():
             return False
-        self._highest_fence = max(self._highest_fence, reply.fence)
+        self.fences.note_token(reply.fence)
         self.attachment = Attachment(link, reply.epoch, reply.fence, facts)
         log.info("attached", extra={"leader": link.peer_id, "fence": reply.fence})
         self._signal()
@@ -312,11 +270,11 @@
         sent = boot_s()
         try:
             executor_report = await executor.renew_lease(
-                attached.fence, attached.confirmed_ending(), self._deadline(attached), wait_s
+                attached.fence, attached.confirmed_ending(), self.deadline(attached), wait_s
             )
         except ExecutorFenced as exc:
             log.warning("lease renewal refused: %s", exc)
-            self._end_attachment(attached, "a higher fencing token was used")
+            self.end_attachment(attached, "a higher fencing token was used")
         except ExecutorReplaced as exc:
             log.warning("lease renewal refused: %s", exc)
             await anyio.sleep(RENEWAL_RETRY_S)
@@ -336,7 +294,7 @@
         """Tell the scheduler once that the executor does not answer."""
         self._crash_watch.on_silence(attached, disconnected)
         if not attached.renewal_failed and attached is self.attachment:
-            self._send(attached, HostSilent(attached.fence))
+            self.send(attached, HostSilent(attached.fence))
         attached.renewal_failed = True
 
     async def _wait_until_settled(self, attached: Attachment) -> float:
@@ -345,19 +303,13 @@
         The executor answers a renewal at once while it has endings to list, so that
         renewals in the meantime would only repeat the same report.
         """
-        wait_s = self._renewal_wait_s(attached)
+        wait_s = attached.renewal_wait_s()
         with anyio.move_on_after(wait_s) as scope:
             await attached.settled.wait()
         return 0.0 if scope.cancelled_caught else wait_s
 
-    def _renewal_wait_s(self, attached: Attachment) -> float:
-        """Return how long the next renewal may wait; 0 after a failed one."""
-        if not attached.reported or attached.renewal_failed:
-            return 0.0
-        serving = any(view.target_ms > 0 for view in attached.views.values())
-        return SERVING_RENEWAL_WAIT_S if serving else RENEWAL_WAIT_S
-
-    def _end_attachment(self, attached: Attachment, reason: str) -> None:
+    def end_attachment(self, attached: Attachment, reason: str) -> None:
+        """End an attachment if it is the present one."""
         if attached is self.attachment:
             self._detach(reason)
 
@@ -401,17 +353,16 @@
         for task, run in missing:
             del attached.views[task, run]
             log.info("run not listed", extra={"task": task, "run": run})
-            self._answer(attached, task, run, StartAnswer.REFUSED)
+            self._orders.answer(attached, task, run, StartAnswer.REFUSED)
 
     async def _handle_restart(self, attached: Attachment, born_ms: int) -> None:
         """End the attachment to a former incarnation; the next one follows its heartbeat."""
         if born_ms < attached.facts.born_ms:
             await anyio.sleep(RENEWAL_RETRY_S)
             return
-        self._reported_born_ms = max(self._reported_born_ms, born_ms)
         self._crash_watch.on_silence(attached, disconnected=False)
-        self._end_attachment(attached, "the executor has restarted")
-        self._fence_restarted(born_ms)
+        self.end_attachment(attached, "the executor has restarted")
+        self.fences.on_listed(born_ms)
 
     def _report(
         self,
@@ -421,7 +372,7 @@
         complete: bool,
     ) -> None:
         """Send a report; all runs that are missing in a complete one have ended."""
-        state, draining = self.state, self._draining
+        state, draining = self.state, self.draining
         left_s = max(0.0, state.leaves_at - boot_s()) if state and draining else 0.0
         attached.renewal += 1
         attached.sent_at[attached.renewal] = boot_s()
@@ -433,35 +384,29 @@
             draining,
             int(min(left_s, 3600.0) * 1000),
             self.pacing.average_percent,
-            tuple(self._add_pace(attached, status) for status in runs),
+            tuple(attached.with_pace(status) for status in runs),
             endings,
         )
-        if self._send(attached, report):
+        if self.send(attached, report):
             attached.reported = True
             attached.complete_reported |= complete
             attached.report_endings(endings)
 
-    @staticmethod
-    def _add_pace(attached: Attachment, status: RunStatus) -> RunStatus:
-        view = attached.views.get((status.task, status.run))
-        if view is None or not view.filler:
-            return status
-        return replace(status, pace=view.pace_percent)
-
-    def _send(
+    def send(
         self,
         attached: Attachment,
         message: HostCapacity | HostRuns | HostSilent | OrderAnswers,
     ) -> bool:
+        """Send a message to the scheduler; if its link is closed, the attachment ends."""
         try:
             attached.link.send_nowait(message)
         except LinkError as exc:
             log.info("report not sent: %s", exc)
-            self._end_attachment(attached, "the link to the scheduler ended")
+            self.end_attachment(attached, "the link to the scheduler ended")
             return False
         return True
 
-    def _deadline(self, attached: Attachment) -> int | None:
+    def deadline(self, attached: Attachment) -> int | None:
         """Return the lease deadline of runs on the executor's clock; None without a valid grant."""
         remaining_s = attached.granted_until - boot_s()
         if remaining_s <= 0 or not self._clock_at:
@@ -469,114 +414,6 @@
         elapsed_s = boot_s() - self._clock_at
         return self._clock_ms + round((elapsed_s + remaining_s) * 1000)
 
-    # Orders.
-
-    async def _start(self, attached: Attachment, order: RunOrder, valid_until: float) -> None:
-        """Start a run, and answer whether it has started or certainly never will."""
-        name = (order.task, order.run)
-        attached.views[name] = RunView(order.filler, order.target_ms, order.pressure, order.size)
-        answer = await self._try_start(attached, order, valid_until)
-        if attached is not self.attachment:
-            return
-        extra = {"task": order.task, "run": order.run, "answer": answer.value if answer else ""}
-        log.info("run started" if answer else "start withdrawn", extra=extra)
-        if answer in (None, StartAnswer.STARTED):
-            view = attached.views.get(name)
-            if view is not None:
-                view.settled_at = boot_s()
-        else:
-            attached.views.pop(name, None)
-        if answer is None:
-            # The next report tells whether the run exists.
-            return
-        if answer is StartAnswer.STARTED and order.filler and self.executor is not None:
-            self.pacing.start(attached, self.executor, order.task, order.run)
-        self._answer(attached, order.task, order.run, answer)
-
-    def _fits(self, attached: Attachment) -> bool:
-        """Return whether all runs fit the executor, whose capacity may just have shrunk."""
-        return self.state is not None and attached.reserved().fits_in(self.state.facts.capacity)
-
-    async def _try_start(
-        self, attached: Attachment, order: RunOrder, valid_until: float
-    ) -> StartAnswer | None:
-        """Start a run, with retries; None if the start was withdrawn.
-
-        Once an attempt was not answered, the refusal of a later one proves nothing: the
-        earlier one may be carried out before or after it. No attempt is made while the newest
-        renewal has no answer, since the executor may be another incarnation.
-        """
-        unanswered = False
-        name = (order.task, order.run)
-        while attached is self.attachment and self.executor is not None:
-            deadline = self._deadline(attached)
-            answer: StartAnswer | None = StartAnswer.REFUSED
-            valid = not self._draining and boot_s() <= valid_until
-            wanted = deadline is not None and valid and name not in attached.stopping
-            if wanted and attached.renewal_failed:
-                await anyio.sleep(ORDER_RETRY_S)
-                continue
-            if not self._fits(attached):
-                answer = StartAnswer.UNFIT
-            elif wanted and deadline is not None:
-                answer = await self._start_once(attached, order, deadline)
-            if answer is StartAnswer.STARTED:
-                return answer
-            if answer is None:
-                unanswered = True
-                await anyio.sleep(ORDER_RETRY_S)
-            elif unanswered:
-                await self._stop(attached, order.task, order.run)
-                return None
-            else:
-                return answer
-        return StartAnswer.REFUSED
-
-    async def _start_once(
-        self, attached: Attachment, order: RunOrder, deadline: int
-    ) -> StartAnswer | None:
-        """Make one attempt to start a run; None if it was not answered or is out of date."""
-        assert self.executor is not None
-        call = StartCall(order.task, order.run, order.command, order.saved, order.ticket, deadline)
-        try:
-            return await self.executor.start(call, attached.fence)
-        except ExecutorUnavailable as exc:
-            extra = {"task": order.task, "run": order.run}
-            log.info("start not answered: %s", exc, extra=extra)
-        except ExecutorFenced:
-            self._end_attachment(attached, "a higher fencing token was used")
-        except ExecutorError as exc:
-            log.info("start failed: %s", exc, extra={"task": order.task, "run": order.run})
-            return StartAnswer.BROKEN
-        return None
-
-    async def _stop(self, attached: Attachment, task: TaskId, run: int) -> None:
-        """Stop a run, with retries until the executor has answered or has ended."""
-        stopping = attached.stopping.get((task, run))
-        if stopping is not None:
-            await stopping.wait()
-            return
-        stopping = attached.stopping[task, run] = anyio.Event()
-        await self._stop_until_answered(attached, task, run)
-        del attached.stopping[task, run]
-        stopping.set()
-
-    async def _stop_until_answered(self, attached: Attachment, task: TaskId, run: int) -> None:
-        while attached is self.attachment and self.executor is not None and self.has_executor:
-            try:
-                await self.executor.stop(task, run, attached.fence)
-                log.info("stop answered", extra={"task": task, "run": run})
-                return
-            except ExecutorFenced:
-                self._end_attachment(attached, "a higher fencing token was used")
-            except ExecutorError as exc:
-                log.info("stop failed: %s", exc, extra={"task": task, "run": run})
-            await anyio.sleep(ORDER_RETRY_S)
-
-    def _answer(self, attached: Attachment, task: TaskId, run: int, answer: StartAnswer) -> None:
-        if attached is self.attachment:
-            self._send(attached, OrderAnswers(attached.fence, (OrderAnswer(task, run, answer),)))
-
     # Messages.
 
     async def received(self, link: Link, envelope: Envelope) -> None:
@@ -602,27 +439,13 @@
             sent = attached.sent_at.get(body.renewal, float("-inf"))
             for order in body.orders:
                 valid = sent + self.cfg.start_window_s
-                self._group.start_soon(self._start, attached, order, valid)
+                self._group.start_soon(self._orders.start, attached, order, valid)
         elif isinstance(body, StopRuns) and body.fence == attached.fence:
             for name in body.runs:
-                self._group.start_soon(self._stop, attached, name.task, name.run)
+                self._group.start_soon(self._orders.stop, attached, name.task, name.run)
         elif isinstance(body, RunTraits) and body.fence == attached.fence:
             for trait in body.traits:
-                self._apply_trait(attached, trait)
-
-    @staticmethod
-    def _apply_trait(attached: Attachment, trait: RunTrait) -> None:
-        """Apply a trait of a run from the scheduler."""
-        name = (trait.task, trait.run)
-        view = attached.views.get(name)
-        if view is None:
-            if name not in attached.reported_runs:
-                # Its start order may still be under way. With a view and without the run in
-                # the executor's report, the start would be answered as refused.
-                return
-            view = attached.views[name] = RunView(settled_at=boot_s())
-        view.filler, view.target_ms = trait.filler, trait.target_ms
-        view.pressure, view.size = trait.pressure, trait.size
+                attached.apply_trait(trait)
 
     def _follow(self, notice: LeaderNotice) -> None:
         if notice.epoch < self.epoch:
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import NamedTuple
 
 from apricotpath.boottime import boot_s
 from apricotpath.commitments import reserved_size
@@ -18,7 +17,7 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
-    ExecutorCrash,
+    Failure,
     HostAttach,
     HostAttached,
     HostCapacity,
@@ -35,12 +34,13 @@
     StopRuns,
 )
 from apricotpath.model import Size, StartAnswer
+from apricotpath.quarantine import Quarantine
 from apricotpath.workload import HostFacts, Step, TaskKey
+from apricotpathd.fencetokens import FenceTokens
+from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
 
 log = logging.getLogger(__name__)
 
-# Size of an epoch's range of fencing tokens; each attachment of a host gets the next token.
-FENCES_PER_EPOCH = 1 << 24
 # A stop is sent again after this time while the host still reports the run.
 STOP_RESEND_S = 0.6
 # Interval at which hosts with both serving and filler tasks get new interference estimates.
@@ -54,51 +54,6 @@
 TOGETHER_S = 1.0
 
 
-class ReportedEnding(NamedTuple):
-    """An ending reported by a host's executor.
-
-    `executor_incarnation` is the executor's id and start time.
-    """
-
-    host: HostId
-    executor_incarnation: tuple[str, int]
-    ending: RunEnding
-
-
-class ExecutorName(NamedTuple):
-    """One incarnation of a host's executor; each numbers its endings anew."""
-
-    host: HostId
-    instance: str
-    born_ms: int
-
-
-class ReportedCrash(NamedTuple):
-    """A crash of an executor, reported by the agent of its host."""
-
-    host: HostId
-    crash: ExecutorCrash
-
-
-class Silence(NamedTuple):
-    """Since when (boot-clock seconds) an incarnation of an executor does not answer.
-
-    `at_work`: it had runs, and all of them had survived their start.
-    """
-
-    executor_incarnation: tuple[str, int]
-    since: float
-    at_work: bool
-
-
-class LostRun(NamedTuple):
-    """A run that never began, or that has certainly ended without a reported ending."""
-
-    task: TaskKey
-    run: int
-    reason: str
-
-
 class HostTracker:
     """Hosts of one term; `endings`, `lost_runs` and `crashes` are events not recorded yet."""
 
@@ -121,17 +76,24 @@
         self.crashes: deque[ReportedCrash] = deque()
         self._known_crashes: set[ExecutorName] = set()
         self._silences: dict[HostId, Silence] = {}
+        self.quarantine = Quarantine(self.hosts, cfg.silent_s)
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
-        self._fences_issued = 0
+        self.fences = FenceTokens(term)
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
         self.disturbance = Disturbance()
         self._traits_sent_at: dict[HostId, float] = {}
 
-    def attach(self, link: Link, message: HostAttach) -> HostAttached:
-        """Attach a host's executor to this term and return the new fencing token."""
+    def attach(self, link: Link, message: HostAttach) -> HostAttached | Failure:
+        """Attach a host's executor to this term and return the new fencing token.
+
+        The attachment fails while there is no token above the one that the host has used.
+        """
         name = message.host
+        fence = self.fences.issue(message.fence)
+        if fence is None:
+            return Failure("no-fence", "no fencing token may be issued yet that is high enough")
         host = self.hosts.setdefault(name, Host(name))
         executor_incarnation = (message.instance, message.born_ms)
         now = boot_s()
@@ -139,15 +101,13 @@
             host.acked_ending = 0
             self._last_queued_endings.pop(name, None)
             host.draining, host.leaves_at = False, float("inf")
-            host.record_success()
-            host.set_aside_until = float("-inf")
+            host.forget_failures()
             host.silent_since = float("inf")
         elif host.facts is not None:
             self._log_capacity(host, host.facts.capacity, message.capacity)
         self._queue_crashes(message)
         self._detach(name)
-        self._fences_issued += 1
-        host.fence = FenceToken(self._term.epoch * FENCES_PER_EPOCH + self._fences_issued)
+        host.fence = fence
         host.reported = False
         host.facts = HostFacts(
             message.instance,
@@ -474,11 +434,27 @@
                 self._table.note_begun(key.job)
                 continue
             if answer.answer in (StartAnswer.UNFIT, StartAnswer.REFUSED):
-                host.set_aside_until = max(host.set_aside_until, now + REJECTED_PAUSE_S)
-            elif answer.answer is StartAnswer.BROKEN and host.record_failure(key.job, now):
-                log.warning("host set aside", extra={"host": host.host, "reason": "refuses starts"})
+                host.paused_until = max(host.paused_until, now + REJECTED_PAUSE_S)
+            elif answer.answer is StartAnswer.BROKEN:
+                self.record_failure(host, run, "refuses starts", now)
             self.mark_lost(run, f"its start was answered {answer.answer.value}")
 
+    def record_failure(self, host: Host, run: Run, reason: str, now: float) -> None:
+        """Count a failed run against its host or its job."""
+        if self.quarantine.record_failure(host, run.task.job, run.since, now):
+            extra = {"host": host.host, "reason": reason, "jobs": sorted(host.set_aside_for)}
+            log.warning("host set aside", extra=extra | {"for_s": host.set_aside_until - now})
+
+    def restore_share(self, now: float) -> None:
+        """Take back hosts that are set aside where too few of a service are left."""
+        for host in self.quarantine.restore_share(now):
+            log.info("host no longer set aside", extra={"host": host.host})
+
+    def count_set_aside(self) -> int:
+        """Return how many hosts are set aside."""
+        now = boot_s()
+        return sum(host.is_set_aside(now) for host in self.hosts.values())
+
     def mark_lost(self, run: Run, reason: str) -> None:
         """Queue a run for the scheduler to record as lost."""
         self.lost_runs.append(LostRun(run.task, run.run, reason))
