--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from apricotpath.ids import FenceToken, HostId
-from apricotpath.workload import HostFacts
+from apricotpath.workload import HostFacts, TaskKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,9 @@
     `silent_since`: when its executor stopped answering; infinite while it answers.
     `renewal`: number of its newest report. `acked_ending`: number of the newest run
     end that is in the run log. `unknown_runs`: number of runs in its newest report that the job
-    table does not contain.
+    table does not contain. `upkeep_stops`: the runs (task and number) that must stop now, if the
+    host is being emptied for the upkeep of its machine, else None. `upkeep_due`: its machine is
+    to have its upkeep soon.
     """
 
     host: HostId
@@ -80,6 +82,8 @@
     speed: float = 1.0
     filler_percent: float = 100.0
     unknown_runs: int = 0
+    upkeep_stops: frozenset[tuple[TaskKey, int]] | None = None
+    upkeep_due: bool = False
 
     def executor_incarnation(self) -> tuple[str, int]:
         """Return the instance id and start time (ms) of the executor, or an empty pair."""
@@ -93,6 +97,8 @@
         """Return why the host accepts no new runs; empty if it does."""
         if self.draining:
             return "leaving"
+        if self.upkeep_stops is not None:
+            return "upkeep"
         if not self.reported or now - self.reported_at >= silent_s:
             return "not heard of"
         if now >= self.silent_since:
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -132,7 +132,11 @@
         return []
     lightly_loaded = [load for load in loads.values() if 0 < load.serving <= MAX_CONSOLIDATED]
     for load in sorted(lightly_loaded, key=HostLoad.share_claimed):
-        others = [other for other in loads.values() if other.serving > load.serving]
+        others = [
+            other
+            for other in loads.values()
+            if other.serving > load.serving and not other.host.upkeep_due
+        ]
         runs = [
             run
             for run in table.by_host.get(load.host.host, {}).values()
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -213,6 +213,8 @@
         separation = 0.0 if load.serving else 0.2
         separation += max(0.0, share - 1)
     unreliable = load.host.host in task.failed_hosts or load.slow
+    # A long-running task would have to move again soon.
+    unreliable = unreliable or (step.long_running and load.host.upkeep_due)
     not_kept = load.kept_for is None and load.observed is None
     return (task.key in load.suspects and not_kept, unreliable, other_rack, separation, share)
 
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -80,6 +80,8 @@
             return True
         if row.tasks[run.task].done or run.phase is RunPhase.STOPPING:
             return True
+        if host.upkeep_stops is not None and (run.task, run.run) in host.upkeep_stops:
+            return True
         step = row.step(run.task)
         if host.draining:
             return step.long_running or now > host.leaves_at - LEAVE_LEAD_S
