Carry out upkeep waves during a scheduler's term

Cause: upkeep waves (`op/wave/N`) were not served.

Change: `UpkeepKeeper` runs as long as a term. It lists the machines of open waves at most once a second, empties hosts, sends orders with the epoch as fencing token, and writes `status/wave/N` only when it changes. An order without an answer counts as a machine that is down until an answer and a later list show otherwise.

--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -37,6 +37,9 @@
         self._outward_calls = self._counter(
             "apricotpath_outward_calls_total", "Calls to the store and the executor by outcome"
         )
+        self._upkeep_orders = self._counter(
+            "apricotpath_upkeep_orders_total", "Orders of machine upkeep by answer"
+        )
 
     def _queue_label(self, queue: QueueId) -> QueueId:
         if len(self._queues) < MAX_QUEUES:
@@ -65,6 +68,10 @@
         """Count a job that has reached its final state."""
         self._job_s.add({"queue": self._queue_label(queue), "progress": progress.value}, seconds)
 
+    def upkeep_answered(self, answer: str) -> None:
+        """Count an order of the upkeep of a machine."""
+        self._upkeep_orders.inc({"answer": answer})
+
     def outward_call_ended(self, call: str, outcome: str, seconds: float) -> None:
         """Count a call to the store or an executor."""
         self._outward_call_s.add({"call": call}, seconds)
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -2,8 +2,9 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from typing import Any
 
 import anyio
 
@@ -84,6 +85,8 @@
             address,
             self._serve_term,
         )
+        # Each is run with the scheduler as long as a term lasts.
+        self.term_tasks: list[Callable[[Scheduler], Coroutine[Any, Any, None]]] = []
         job_service.on_epoch = self._epoch_seen
 
     def rules_changed(self) -> None:
@@ -141,6 +144,8 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._announce_term, scheduler)
+                for task in self.term_tasks:
+                    group.start_soon(task, scheduler)
                 await scheduler.serve()
                 group.cancel_scope.cancel()
         finally:
--- /dev/null
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -0,0 +1,366 @@
+"""Carries out upkeep waves during a scheduler's term: empties hosts, orders, reports."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import anyio
+from anyio.abc import TaskGroup
+
+from apricotpath.boottime import boot_s
+from apricotpath.errors import StoreError
+from apricotpath.hostload import PlacementInput
+from apricotpath.ids import MachineId, WaveId
+from apricotpath.jobmetrics import JobMetrics
+from apricotpath.machines import (
+    MachineService,
+    MachineServiceError,
+    UpkeepAnswer,
+    UpkeepSettings,
+    Wave,
+    WaveState,
+    WaveStatus,
+    WaveStatuses,
+)
+from apricotpath.store import Compare
+from apricotpath.upkeepplan import UpkeepInput, UpkeepOrder, UpkeepPlan, match_hosts, plan_upkeep
+from apricotpath.upkeepstate import MachineView, OrderState, WaveProgress
+from apricotpathd.scheduler import Scheduler, SchedulerRules
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.2
+# Machines are listed at most this often, as calls of the service are priced.
+LIST_INTERVAL_S = 1.0
+# A list is delayed for up to this time if an upkeep ends meanwhile.
+MAX_LIST_DELAY_S = 0.6
+# Nothing is ordered once this long has passed since the store showed that no later scheduler was
+# elected. With the longest call it is below the time that a new scheduler waits.
+MAX_AUTHORITY_AGE_S = 1.0
+# Nothing is ordered by waves that were read longer ago; a quiet watch lasts one second.
+MAX_WAVES_AGE_S = 2.5
+REPORT_RETRY_S = 1.0
+# A host with tasks that may not be stopped is given up for a while after this time.
+MAX_STUCK_S = 10.0
+# Share of the order rate of all nodes that one scheduler uses.
+ORDER_RATE_SHARE = 0.5
+LOG_INTERVAL_S = 2.0
+# Removed waves of which unanswered orders are remembered.
+MAX_FORMER_WAVES = 64
+
+
+class UpkeepKeeper:
+    """Runs the waves in `waves()`, which were read from the store `waves_age_s()` ago.
+
+    `serve` runs during a term. `last_led_at()` is the boot-clock time (s) at which the store
+    showed last that no later scheduler was elected.
+    """
+
+    def __init__(
+        self,
+        service: MachineService,
+        statuses: WaveStatuses,
+        cfg: UpkeepSettings,
+        waves: Callable[[], Mapping[WaveId, Wave]],
+        waves_age_s: Callable[[], float],
+        last_led_at: Callable[[], float],
+        rules: Callable[[], SchedulerRules],
+        metrics: JobMetrics,
+    ) -> None:
+        self.service, self.statuses, self.cfg = service, statuses, cfg
+        self.waves, self.rules, self.metrics = waves, rules, metrics
+        self._waves_age_s, self._last_led_at = waves_age_s, last_led_at
+        self.term: UpkeepTerm | None = None
+
+    async def serve(self, scheduler: Scheduler) -> None:
+        """Carry out waves until cancelled."""
+        # Counts from the election, shortly before.
+        orders_from = boot_s() + self.cfg.takeover_s
+        await scheduler.loaded.wait()
+        self.term = UpkeepTerm(self, scheduler, orders_from)
+        try:
+            await self.term.run()
+        finally:
+            self.term = None
+
+    def may_order(self, now: float) -> bool:
+        """Return whether the store has shown recently who schedules, and the open waves."""
+        led_s = now - self._last_led_at()
+        return led_s <= MAX_AUTHORITY_AGE_S and self._waves_age_s() <= MAX_WAVES_AGE_S
+
+    def open_waves(self) -> int:
+        """Return the number of open waves, at the entry that schedules."""
+        return len(self.term.open()) if self.term else 0
+
+    def overdue_waves(self) -> int:
+        """Return the number of open waves whose time has passed."""
+        return sum(item.due_at < boot_s() for item in self.term.open()) if self.term else 0
+
+    def pending_machines(self) -> int:
+        """Return the number of machines that are still to have their upkeep."""
+        term = self.term
+        return sum(len(item.pending(term.view)) for item in term.open()) if term else 0
+
+    def emptied_hosts(self) -> int:
+        """Return the number of hosts that are kept free of new starts."""
+        return len(self.term.plan.stops) if self.term else 0
+
+
+class UpkeepTerm:
+    """The waves of one term; orders are sent from `orders_from` (boot-clock seconds) on."""
+
+    def __init__(self, keeper: UpkeepKeeper, scheduler: Scheduler, orders_from: float) -> None:
+        self.view = MachineView()
+        self.plan = UpkeepPlan()
+        self._keeper, self._scheduler, self._orders_from = keeper, scheduler, orders_from
+        self._epoch = scheduler.term.epoch
+        self._leads = Compare(scheduler.term.epoch_key, scheduler.term.epoch_revision)
+        self._progress: dict[WaveId, WaveProgress] = {}
+        self._stored: dict[WaveId, WaveStatus] | None = None
+        # Orders of removed waves that may still be carried out, in case the wave returns.
+        self._former: dict[WaveId, dict[MachineId, OrderState]] = {}
+        self._fenced: set[MachineId] = set()
+        self._overdue: set[WaveId] = set()
+        self._list_at = self._orders_from
+        self._report_at = self._logged_at = float("-inf")
+        self._listing = self._paused = False
+
+    async def run(self) -> None:
+        """Carry out waves until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._tick(group)
+                await anyio.sleep(TICK_S)
+
+    def open(self) -> list[WaveProgress]:
+        """Return the open waves."""
+        waves = self._keeper.waves()
+        return [item for name, item in self._progress.items() if name in waves]
+
+    async def _tick(self, group: TaskGroup) -> None:
+        waves = self._keeper.waves()
+        if waves and self._stored is None and not await self._read_statuses():
+            return
+        self._update_waves(waves)
+        if not self._progress:
+            self._apply(UpkeepPlan())
+            return
+        await self._report_running()
+        now = boot_s()
+        paused = not self._keeper.may_order(now)
+        if paused != self._paused:
+            self._paused = paused
+            log.info("upkeep paused" if paused else "upkeep goes on", extra={"epoch": self._epoch})
+        if paused or now < self._orders_from:
+            self._apply(UpkeepPlan())
+            return
+        if now >= self._list_at and not self._listing and not self._returns_soon(now):
+            self._listing = True
+            group.start_soon(self._list)
+        self._make_plan(group, now)
+        await self._report_completed()
+        self._log_state(now)
+
+    # Waves and their states in the store.
+
+    async def _read_statuses(self) -> bool:
+        """Read the stored states of waves; only this scheduler writes them afterwards."""
+        try:
+            self._stored = await self._keeper.statuses.read()
+        except StoreError as exc:
+            log.info("states of waves not read: %s", exc)
+            return False
+        return True
+
+    def _update_waves(self, waves: Mapping[WaveId, Wave]) -> None:
+        """Add new waves, take over changes, and drop removed and completed ones."""
+        for name, wave in waves.items():
+            progress = self._progress.get(name)
+            if progress is not None:
+                progress.wave = wave
+            elif not self._is_completed(wave):
+                self._progress[name] = WaveProgress(wave, boot_s(), self._former.pop(name, {}))
+                log.info(
+                    "wave open",
+                    extra={
+                        "wave": name,
+                        "machines": len(wave.machines),
+                        "duration_s": wave.duration_s,
+                        "max_down": wave.max_down,
+                    },
+                )
+        for name in [name for name in self._progress if name not in waves]:
+            log.info("wave removed", extra={"wave": name})
+            orders = self._progress.pop(name).orders
+            in_doubt = {machine: state for machine, state in orders.items() if state.in_doubt}
+            if in_doubt and len(self._former) < MAX_FORMER_WAVES:
+                self._former[name] = in_doubt
+
+    def _is_completed(self, wave: Wave) -> bool:
+        """Return whether a wave was completed and not written again since."""
+        stored = (self._stored or {}).get(wave.wave)
+        return (
+            stored is not None
+            and stored.state is WaveState.COMPLETED
+            and stored.revision > wave.revision
+        )
+
+    async def _report_running(self) -> None:
+        for name in list(self._progress):
+            stored = (self._stored or {}).get(name)
+            if stored is None or stored.state is not WaveState.RUNNING:
+                await self._report(name, WaveState.RUNNING)
+
+    async def _report_completed(self) -> None:
+        for name in self.plan.completed:
+            if name in self._progress and await self._report(name, WaveState.COMPLETED):
+                log.info("wave completed", extra={"wave": name})
+                del self._progress[name]
+
+    async def _report(self, wave: WaveId, state: WaveState) -> bool:
+        """Store the state of a wave; return whether that is done."""
+        if boot_s() < self._report_at or self._stored is None:
+            return False
+        try:
+            revision = await self._keeper.statuses.write(wave, state, self._leads)
+        except StoreError as exc:
+            self._report_at = boot_s() + REPORT_RETRY_S
+            log.info("state of a wave not stored: %s", exc, extra={"wave": wave})
+            return False
+        if not revision:
+            self._report_at = float("inf")
+            log.warning("state of a wave not stored: a later scheduler was elected")
+            return False
+        self._stored[wave] = WaveStatus(state, revision)
+        return True
+
+    # Plans and orders.
+
+    def _returns_soon(self, now: float) -> bool:
+        """Return whether a list that is requested a little later shows the end of an upkeep."""
+        if now - self.view.requested_at > MAX_LIST_DELAY_S + LIST_INTERVAL_S:
+            return False
+        return any(
+            now < state.down_until <= now + MAX_LIST_DELAY_S
+            for progress in self._progress.values()
+            for state in progress.orders.values()
+        )
+
+    async def _list(self) -> None:
+        """List the machines of the open waves."""
+        started = boot_s()
+        wanted = {name for item in self._progress.values() for name in item.wave.machines}
+        try:
+            found = await self._keeper.service.list_machines(wanted)
+            self.view.update(wanted, found, started)
+        except MachineServiceError as exc:
+            log.info("machines not listed: %s", exc)
+        finally:
+            self._list_at = max(started + LIST_INTERVAL_S, boot_s())
+            self._listing = False
+
+    def _make_plan(self, group: TaskGroup, now: float) -> None:
+        """Make the next plan, apply it, and start sending its orders."""
+        hosts = self._scheduler.host_tracker.hosts
+        rules = self._keeper.rules()
+        inputs = PlacementInput(hosts, rules.queues, rules.out, now, 0.0, self._scheduler.cfg)
+        matched = match_hosts(self.view, self._scheduler.table, list(hosts.values()))
+        for name in self.view.machines:
+            if name in matched:
+                self.view.unmatched_since.pop(name, None)
+            else:
+                self.view.unmatched_since.setdefault(name, now)
+        plan = plan_upkeep(
+            UpkeepInput(
+                list(self._progress.values()),
+                self.view,
+                self._scheduler.table,
+                inputs,
+                self._keeper.cfg.upkeep_s,
+                frozenset(self._fenced),
+            )
+        )
+        self._apply(plan)
+        self._note_emptied(now)
+        rate = self._keeper.cfg.orders_per_s * ORDER_RATE_SHARE
+        for order in plan.orders[: max(1, int(rate * TICK_S))]:
+            state = self._progress[order.wave].order(order.machine)
+            was_in_doubt = state.in_doubt
+            state.sending()
+            group.start_soon(self._send, order, self._progress[order.wave], was_in_doubt)
+
+    def _apply(self, plan: UpkeepPlan) -> None:
+        """Mark the hosts to be emptied and those whose upkeep is still to come."""
+        if not (plan.stops or plan.due or self.plan.stops or self.plan.due):
+            self.plan = plan
+            return
+        changed = plan.stops.keys() != self.plan.stops.keys()
+        self.plan = plan
+        for name, host in self._scheduler.host_tracker.hosts.items():
+            host.upkeep_stops = plan.stops.get(name)
+            host.upkeep_due = name in plan.due
+        if changed:
+            log.info("hosts emptied for upkeep", extra={"hosts": sorted(plan.stops)})
+            self._scheduler.wake()
+
+    def _note_emptied(self, now: float) -> None:
+        """Note since when machines are emptied; those that cannot be give way to others."""
+        plan = self.plan
+        for name, progress in self._progress.items():
+            for machine, state in progress.orders.items():
+                order = UpkeepOrder(name, machine)
+                if order in plan.emptied:
+                    state.emptied_since = min(state.emptied_since, now)
+                    if order in plan.stuck and now - state.emptied_since > MAX_STUCK_S:
+                        log.info("emptying given up", extra={"machine": machine, "wave": name})
+                        state.hold(now)
+                else:
+                    state.emptied_since = float("inf")
+                    if order in plan.held:
+                        state.hold(now)
+
+    async def _send(self, order: UpkeepOrder, progress: WaveProgress, was_in_doubt: bool) -> None:
+        """Send an order, unless the scheduler may have lost its place or the wave is removed."""
+        keeper, state = self._keeper, progress.order(order.machine)
+        answer = UpkeepAnswer.NOT_SENT
+        if keeper.may_order(boot_s()) and order.wave in keeper.waves():
+            answer = await keeper.service.order_upkeep(order.machine, order.wave, self._epoch)
+        now = boot_s()
+        state.answered(answer, was_in_doubt, keeper.cfg.upkeep_s, now)
+        keeper.metrics.upkeep_answered(answer.value)
+        extra = {"machine": order.machine, "wave": order.wave, "answer": answer.value}
+        extra["epoch"] = self._epoch
+        if answer is UpkeepAnswer.FENCED:
+            self._fenced.add(order.machine)
+            log.error("upkeep order fenced: a higher token was used", extra=extra)
+        elif answer in (UpkeepAnswer.NOT_IN_WAVE, UpkeepAnswer.NO_SUCH_MACHINE):
+            log.warning("upkeep refused", extra=extra)
+        else:
+            log.info("upkeep ordered", extra=extra)
+
+    def _log_state(self, now: float) -> None:
+        """Log waves whose time has passed, and the state of all at intervals."""
+        for name, progress in self._progress.items():
+            if progress.due_at < now and name not in self._overdue:
+                self._overdue.add(name)
+                left = progress.pending(self.view)
+                log.warning("wave overdue", extra={"wave": name, "machines": len(left)})
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        for name, progress in self._progress.items():
+            log.info(
+                "wave running",
+                extra={
+                    "wave": name,
+                    "pending": len(progress.pending(self.view)),
+                    "down": sorted(progress.down(self.view, now)),
+                    "emptied": sorted(item.machine for item in self.plan.emptied),
+                    "held": dict(
+                        Counter(
+                            reason for item, reason in self.plan.held.items() if item.wave == name
+                        )
+                    ),
+                    "due_in_s": round(progress.due_at - now, 1),
+                },
+            )
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -72,7 +72,8 @@
     Meanwhile the executor refuses connections, or leaves calls without an answer
     in the share `silent_share` of crashes. `gangs` maps jobs whose tasks run all together
     to the time at which the gang was broken last by a crash. Reports list at most
-    `listed_endings` endings, and leave out the runs of the tasks in `unreadable`.
+    `listed_endings` endings, and leave out the runs of the tasks in `unreadable`. The tasks of
+    the jobs in `serving` are ready that many seconds after their start.
     """
 
     seconds: float = 1.0
@@ -87,6 +88,7 @@
     gangs: dict[str, float] = field(default_factory=dict)
     listed_endings: int = 500
     unreadable: set[TaskId] = field(default_factory=set)
+    serving: dict[str, float] = field(default_factory=dict)
 
     def is_deadly(self, task: TaskId) -> bool:
         """Tell whether a task crashes its executor."""
@@ -204,6 +206,9 @@
     def percent(self, run: ModelRun) -> int:
         """Return the progress of a run in percent."""
         began = self.began[run.task, run.run]
+        ready_s = self.behaviour.serving.get(job_of(run.task))
+        if ready_s is not None:
+            return 100 if boot_s() - began >= ready_s else 0
         return round(min(1.0, (boot_s() - began) / max(0.01, run.ends_at - began)) * 100)
 
     def _save(self, run: ModelRun, now: float) -> None:
