Test the calls to the machine service over HTTP and with processes

Cause: the client of the machine service, the parsing of waves and the wiring of the entry process had been run in virtual time only, without HTTP.

--- a/tests/features/platforminput.feature
+++ b/tests/features/platforminput.feature
@@ -23,6 +23,9 @@
       | writer token  |
       | journal       |
       | worker answer |
+      | wave          |
+      | state of a wave |
+      | machine list  |
 
   Scenario Outline: platforminput refuses a settings file that <fault> with one sentence
     When the platform's command starts with a settings file that <fault>
@@ -39,6 +42,8 @@
       | has a port of 65536 | portRange |
       | has a nested port   | portRange |
       | has a high address  | address   |
+      | has a bad cloudApi  | address   |
+      | has a rate of 0     | ratePerS  |
       | is nested deeply    | JSON      |
 
   # Nothing knew which executors start whatever they are told to.
--- a/tests/features/platformpath.feature
+++ b/tests/features/platformpath.feature
@@ -159,3 +159,9 @@
       | form               |
       | refuse connections |
       | answer nothing     |
+
+  Scenario: platformpath carries out an upkeep wave
+    When the operator opens wave 1 for all machines of platformpath, 1 at a time
+    Then platformpath reports wave 1 as completed within 30 seconds
+    And each machine of platformpath had one upkeep, ordered by the scheduler with its epoch
+    And each process of platformpath that was not killed still runs
--- a/tests/features/steps/platforminput_steps.py
+++ b/tests/features/steps/platforminput_steps.py
@@ -29,7 +29,7 @@
 from apricotpath.store import EtcdStore, KeyValue, LeaseId, has_token
 from apricotpath.worker import from_json_value
 from apricotpath.workload import RunResult
-from apricotpath_platform import executorcalls, store
+from apricotpath_platform import executorcalls, machinecalls, store, waves
 from apricotpath_platform.cmdline import main
 from apricotpath_platform.heartbeats import parse_heartbeat
 from apricotpath_platform.jobrequests import parse_submission
@@ -53,7 +53,8 @@
         *("prefix", "service", "version", "limits", "state", "capacity", "labels", "born", "seq"),
         *("zone", "running", "ended", "clockMs", "ip", "listen", "portRange", "bounds", "platform"),
         *("addr", "nodeName", "key", "value", "rev", "items", "events", "deleted", "currentRev"),
-        *("hasMore", "priority", "daemon", "services", "enforcesCapacity"),
+        *("hasMore", "priority", "daemon", "services", "enforcesCapacity", "wave", "machines"),
+        *("durationS", "maxCount", "machine", "id", "nextToken", "reason", "cloudApi", "ratePerS"),
     ]
 )
 LEAVES = (
@@ -112,6 +113,13 @@
         from_json_value(worker.WorkerTask, answer)
 
 
+def read_machines(data: bytes) -> None:
+    machinecalls._read_answer(httpx.Response(409, content=data))
+    rows, _ = machinecalls.read_page(data)
+    for row in rows:
+        machinecalls._read_machine(row)
+
+
 READERS: dict[str, tuple[Callable[[bytes], Any], type[Exception]]] = {
     "submission": (lambda data: parse_submission(JobId("a"), QueueId("q"), data), InputError),
     "configuration": (parse_configuration, InputError),
@@ -130,6 +138,9 @@
     "writer token": (lambda data: has_token(data, "token"), InputError),
     "journal": (read_journal, StoreError),
     "worker answer": (read_worker, ValueError),
+    "wave": (lambda data: waves.parse_wave("1", data, 1), InputError),
+    "state of a wave": (waves._parse_status, InputError),
+    "machine list": (read_machines, InputError),
 }
 
 
@@ -215,6 +226,10 @@
         del body["ip"]
     elif fault == "has a bad address":
         body["platform"] = {"addr": "nowhere"}
+    elif fault == "has a bad cloudApi":
+        body["cloudApi"] = {"addr": "nowhere"}
+    elif fault == "has a rate of 0":
+        body["cloudApi"] = {"addr": "127.0.0.1:8170", "ratePerS": 0}
     elif fault == "has no port range":
         body["portRange"] = []
     elif fault == "has a high address":
--- a/tests/support/machinemodel.py
+++ b/tests/support/machinemodel.py
@@ -234,7 +234,7 @@
         self.model = model
         self.odd_rows: list[Any] = []
         self.odd_answer: tuple[int, Any] | None = None
-        self.headers: list[dict[str, str]] = []
+        self.pages = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
@@ -254,6 +254,7 @@
             await self._order(scope, json.loads(raw), send)
 
     def _page(self, first: int) -> dict[str, Any]:
+        self.pages += 1
         rows = [*self.odd_rows, *self.model.rows()]
         end = first + PAGE_MACHINES
         token = str(end) if end < len(rows) else None
@@ -261,7 +262,6 @@
 
     async def _order(self, scope: Scope, body: dict[str, Any], send: Send) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in scope["headers"]}
-        self.headers.append(headers)
         answer = self.model.order(
             body["machine"], body["wave"], headers["duty-holder"], int(headers["fence-token"])
         )
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -18,6 +18,7 @@
 
 from apricotpath.model import Size
 from support.executormodel import Behaviour, ExecutorModel
+from support.machinemodel import MachineApp, MachineModel
 from support.memorystore import SharedStore
 from support.platformstandin import ExecutorApp, StoreApp, serve_app, serve_executor
 
@@ -69,6 +70,9 @@
         self.store_port = free_port()
         self.serving: list[Any] = []
         self._serve(self.store, self.store_port)
+        self.machines = MachineApp(MachineModel(self.shared))
+        self.machines_port = free_port()
+        self._serve(self.machines, self.machines_port)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
         self.status_ports: dict[str, int] = {}
@@ -104,6 +108,7 @@
     def add_entry(self, name: str) -> None:
         settings = self._base(name)
         settings["listen"] = {kind: f"127.0.0.1:{free_port()}" for kind in ("front", "ready")}
+        settings["cloudApi"] = {"addr": f"127.0.0.1:{self.machines_port}", "requireFence": True}
         self.settings[name] = settings
         self.run(name)
 
@@ -116,6 +121,7 @@
         model = self.portal.call(ExecutorModel, f"i-{name}", Size(8000, 8000, 0), self.behaviour)
         executor = ExecutorApp(model, SERVICE, "z1", settings["app"])
         self.executors[name] = executor
+        self.machines.model.executors[f"m-{name}"] = model
         self.start_executor(name)
         self.run(name)
 
