Mend what an upkeep wave takes over from earlier lists and states

Cause: a machine that two lists had lacked for one wave was taken for gone by the next wave, which was reported as completed without an order. A machine that was down was not counted any more once its wave did not name it. A wave that the operator wrote again while it was being reported as completed was not carried out. Where a list takes over 1 s, no machine would have been sent, since no list was fresh enough.

Change: what earlier lists lacked is forgotten when a wave names machines anew; machines that were ordered count as down until a list shows otherwise; a stored state concerns the revision of the wave that it was written for; the age that a list may have grows with the time that it takes.

--- a/packages/core/src/apricotpath/machines.py
+++ b/packages/core/src/apricotpath/machines.py
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveStatus:
-    """Stored state of a wave, and the revision of its key."""
+    """Stored state of a wave. It concerns the wave as it was at a revision of the store."""
 
     state: WaveState
     revision: int
@@ -104,11 +104,8 @@
     async def read(self) -> dict[WaveId, WaveStatus]:
         """Return all stored states."""
 
-    async def write(self, wave: WaveId, state: WaveState, leads: Compare) -> int:
-        """Store the state of a wave and return its revision.
-
-        Returns 0, and changes nothing, if `leads` is false.
-        """
+    async def write(self, wave: WaveId, state: WaveState, leads: Compare) -> bool:
+        """Store the state of a wave; return False, and change nothing, if `leads` is false."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/upkeepplan.py
+++ b/packages/core/src/apricotpath/upkeepplan.py
@@ -20,7 +20,8 @@
 from apricotpath.upkeepstate import MachineView, WaveProgress
 from apricotpath.workload import Step, TaskKey
 
-# No order is sent by a list that was requested longer ago.
+# No order is sent by a list that was requested longer ago. A list of many pages takes seconds, and
+# is older when the next one is complete.
 MAX_LIST_AGE_S = 3.0
 # A machine whose instance no host has may have a host that has just restarted. Longer than
 # MAX_LIST_AGE_S, so that a newer list has named its present instance.
@@ -196,7 +197,7 @@
                 break
 
     def _list_is_fresh(self) -> bool:
-        return self._now - self._view.requested_at <= MAX_LIST_AGE_S
+        return self._now - self._view.requested_at <= MAX_LIST_AGE_S + 2 * self._view.took_s
 
     def _is_candidate(self, progress: WaveProgress, name: MachineId) -> bool:
         """Return whether a machine may be sent for upkeep next, as far as the service is known."""
@@ -328,7 +329,7 @@
         host = self._inputs.hosts.get(self._hosts.get(name, HostId("")))
         if host is None:
             since = self._view.unmatched_since.get(name, self._now)
-            return self._now - since >= UNMATCHED_S
+            return self._now - since >= UNMATCHED_S + 2 * self._view.took_s
         if self._table.by_host.get(host.host) or host.unknown_runs:
             return False
         # An executor that has just attached may list runs that the table does not contain.
--- a/packages/core/src/apricotpath/upkeepstate.py
+++ b/packages/core/src/apricotpath/upkeepstate.py
@@ -1,6 +1,6 @@
 """What a scheduler knows of the machines of upkeep waves during its term."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from apricotpath.ids import MachineId
@@ -28,25 +28,37 @@
 class MachineView:
     """The newest list of the machines of open waves; times are boot-clock seconds.
 
-    `requested_at`: when the newest list was requested. `absences` counts the whole lists in a
-    row that lack a machine. `unmatched_since`: since when no host has the instance of a machine.
+    `requested_at`: when the newest list was requested; `took_s`: how long it took. `absences`
+    counts the whole lists in a row that lack a machine. `unmatched_since`: since when no host has
+    the instance of a machine.
     """
 
     machines: dict[MachineId, Machine] = field(default_factory=dict)
     requested_at: float = float("-inf")
+    took_s: float = 0.0
     absences: dict[MachineId, int] = field(default_factory=dict)
     unmatched_since: dict[MachineId, float] = field(default_factory=dict)
 
-    def update(self, wanted: set[MachineId], found: MachineList, requested_at: float) -> None:
+    def update(
+        self, wanted: set[MachineId], found: MachineList, requested_at: float, now: float
+    ) -> None:
         """Take over a list that was requested for the wanted machines."""
         self.machines = {item.machine: item for item in found.machines}
-        self.requested_at = requested_at
+        self.requested_at, self.took_s = requested_at, now - requested_at
+        kept = self.unmatched_since.items()
+        self.unmatched_since = {name: at for name, at in kept if name in self.machines}
+        self.absences = {name: count for name, count in self.absences.items() if name in wanted}
         for name in wanted:
             if name in self.machines:
                 self.absences.pop(name, None)
             elif found.whole:
                 self.absences[name] = self.absences.get(name, 0) + 1
 
+    def forget(self, machines: Iterable[MachineId]) -> None:
+        """Forget what earlier lists lacked, for a wave that names machines anew."""
+        for name in machines:
+            self.absences.pop(name, None)
+
     def is_gone(self, machine: MachineId) -> bool:
         """Return whether a machine certainly does not exist any more."""
         return self.absences.get(machine, 0) >= ABSENCES
@@ -150,6 +162,10 @@
             found = self.orders[machine] = OrderState()
         return found
 
+    def names(self) -> set[MachineId]:
+        """Return the machines that the wave names, or that were ordered for it."""
+        return self.orders.keys() | self.wave.machines
+
     def pending(self, view: MachineView) -> list[MachineId]:
         """Return the machines that exist and have not begun their upkeep for this wave."""
         return [
@@ -159,7 +175,7 @@
         ]
 
     def down(self, view: MachineView, now: float) -> Iterator[MachineId]:
-        """Yield the machines that may be down for this wave."""
-        for name in self.wave.machines:
+        """Yield the machines that may be down for this wave, which may not name them any more."""
+        for name in self.names():
             if self.order(name).counts_as_down(name, view, now):
                 yield name
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -178,9 +178,13 @@
         for name, wave in waves.items():
             progress = self._progress.get(name)
             if progress is not None:
+                if wave.revision != progress.wave.revision:
+                    self.view.forget(wave.machines)
                 progress.wave = wave
             elif not self._is_completed(wave):
                 self._progress[name] = WaveProgress(wave, boot_s(), self._former.pop(name, {}))
+                self.view.forget(wave.machines)
+                self._overdue.discard(name)
                 log.info(
                     "wave open",
                     extra={
@@ -200,40 +204,39 @@
     def _is_completed(self, wave: Wave) -> bool:
         """Return whether a wave was completed and not written again since."""
         stored = (self._stored or {}).get(wave.wave)
-        return (
-            stored is not None
-            and stored.state is WaveState.COMPLETED
-            and stored.revision > wave.revision
-        )
+        if stored is None or stored.state is not WaveState.COMPLETED:
+            return False
+        return stored.revision >= wave.revision
 
     async def _report_running(self) -> None:
         for name in list(self._progress):
             stored = (self._stored or {}).get(name)
             if stored is None or stored.state is not WaveState.RUNNING:
-                await self._report(name, WaveState.RUNNING)
+                await self._report(self._progress[name].wave, WaveState.RUNNING)
 
     async def _report_completed(self) -> None:
         for name in self.plan.completed:
-            if name in self._progress and await self._report(name, WaveState.COMPLETED):
+            progress = self._progress[name]
+            if await self._report(progress.wave, WaveState.COMPLETED):
                 log.info("wave completed", extra={"wave": name})
                 del self._progress[name]
 
-    async def _report(self, wave: WaveId, state: WaveState) -> bool:
+    async def _report(self, wave: Wave, state: WaveState) -> bool:
         """Store the state of a wave; return whether that is done."""
         if boot_s() < self._report_at or self._stored is None:
             return False
         try:
-            revision = await self._keeper.statuses.write(wave, state, self._leads)
+            if await self._keeper.statuses.write(wave.wave, state, self._leads):
+                # The operator may have written the wave again just before.
+                self._stored[wave.wave] = WaveStatus(state, wave.revision)
+                return True
         except StoreError as exc:
             self._report_at = boot_s() + REPORT_RETRY_S
-            log.info("state of a wave not stored: %s", exc, extra={"wave": wave})
+            log.info("state of a wave not stored: %s", exc, extra={"wave": wave.wave})
             return False
-        if not revision:
-            self._report_at = float("inf")
-            log.warning("state of a wave not stored: a later scheduler was elected")
-            return False
-        self._stored[wave] = WaveStatus(state, revision)
-        return True
+        self._report_at = float("inf")
+        log.warning("state of a wave not stored: a later scheduler was elected")
+        return False
 
     # Plans and orders.
 
@@ -250,10 +253,10 @@
     async def _list(self) -> None:
         """List the machines of the open waves."""
         started = boot_s()
-        wanted = {name for item in self._progress.values() for name in item.wave.machines}
+        wanted: set[MachineId] = set().union(*(item.names() for item in self._progress.values()))
         try:
             found = await self._keeper.service.list_machines(wanted)
-            self.view.update(wanted, found, started)
+            self.view.update(wanted, found, started, boot_s())
         except MachineServiceError as exc:
             log.info("machines not listed: %s", exc)
         finally:
--- a/tests/features/upkeep.feature
+++ b/tests/features/upkeep.feature
@@ -74,6 +74,29 @@
     When upkeep machine 1 disappears
     Then wave 1 is completed within 10 seconds
 
+  # A machine that earlier lists had lacked was taken for gone, and its wave for completed.
+  Scenario: upkeep looks for the machines of each wave anew
+    Given an upkeep world of 1 entries and 3 agents
+    When wave 1 names machines 0 and 9 for 20 seconds, 1 at a time
+    Then wave 1 is completed within 15 seconds
+    When upkeep machine 9 appears in place of machine 2
+    And wave 2 names machines 9 for 20 seconds, 1 at a time
+    Then wave 2 is completed within 15 seconds, with 1 upkeep of each machine named
+
+  # The machines of a wave that was written again while its end was reported were never sent.
+  Scenario: upkeep carries out a wave again that is written again while it is reported
+    Given an upkeep world of 1 entries and 3 agents
+    When wave 1 names machine 2 in place of others just before it is reported as completed
+    Then wave 1 is completed within 25 seconds, with 1 upkeep of each machine named
+
+  # A machine that was down was not counted any more once the wave did not name it.
+  Scenario: upkeep counts a machine that the wave does not name any more
+    Given an upkeep world of 1 entries and 3 agents
+    When wave 1 names machines 0 and 1 for 20 seconds, 1 at a time
+    And wave 1 names machine 2 in place of others after the first upkeep
+    Then wave 1 is completed within 15 seconds, with 1 upkeep of each machine named
+    And no more than 1 machine was down for wave 1
+
   Scenario: upkeep does not carry on a wave that is removed
     Given an upkeep world of 1 entries and 4 agents
     And 2 serving upkeep tasks of which 1 may be away, and 4 short ones
--- a/tests/features/upkeepplan.feature
+++ b/tests/features/upkeepplan.feature
@@ -53,6 +53,13 @@
       | machine a is down              |
       | list is 4 s old                |
 
+  # No machine was ever sent where a list takes longer than it may be old.
+  Scenario: upkeepplan goes by an older list if lists take long
+    Given upkeepplan hosts a and b
+    And the upkeepplan's list is 6 s old, and took 2 s
+    When upkeepplan plans a wave of 20 s for a, 1 at a time
+    Then the upkeepplan sends machine a
+
   Scenario: upkeepplan places a serving task on a host whose upkeep is not still to come
     Given upkeepplan hosts a and b
     And on host a 1 serving task of a step of 1, of which 1 may be away
