--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from apricotpath.ids import FenceToken, HostId, JobId, ServiceId
-from apricotpath.workload import HostFacts
+from apricotpath.workload import HostFacts, TaskKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,9 @@
     end that is in the run log. `unknown_runs`: number of runs in its newest report that the job
     table does not contain. `failed_jobs`: jobs whose runs have failed here since the last success;
     `set_aside_for`: those for which it was set aside at `set_aside_at`, and `set_aside_s`: for how
-    long it will be next. It has refused starts until `paused_until`.
+    long it will be next. It has refused starts until `paused_until`. `upkeep_stops`: the
+    runs (task and number) that must stop now, if the host is being emptied for the upkeep of its
+    machine, else None. `upkeep_due`: its machine is to have its upkeep soon.
     """
 
     host: HostId
@@ -82,6 +84,8 @@
     speed: float = 1.0
     filler_percent: float = 100.0
     unknown_runs: int = 0
+    upkeep_stops: frozenset[tuple[TaskKey, int]] | None = None
+    upkeep_due: bool = False
 
     def executor_incarnation(self) -> tuple[str, int]:
         """Return the instance id and start time (ms) of the executor, or an empty pair."""
@@ -100,6 +104,8 @@
         """Return why the host accepts no new runs, whether set aside or not."""
         if self.draining:
             return "leaving"
+        if self.upkeep_stops is not None:
+            return "upkeep"
         if not self.reported or now - self.reported_at >= silent_s:
             return "not heard of"
         return "executor does not answer" if now >= self.silent_since else ""
