Tests: crowds of misbehaving clients at an entry

Runs one entry with 128 MB and 400 file descriptors (100 of them reserved) against five crowds on loopback, over HTTP/1.1 and HTTP/2, to a path with a route, one without, and the readiness address.

--- a/tests/run.py
+++ b/tests/run.py
@@ -13,7 +13,7 @@
 FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 # Features that start many processes; they run one after another, after all others.
-RUN_ALONE = frozenset({"processes", "platformpath", "frozen"})
+RUN_ALONE = frozenset({"processes", "platformpath", "frozen", "misbehavingclients"})
 MAX_PARALLEL = max(1, min(4, (os.cpu_count() or 2) // 2))
 FEATURE_TIMEOUT_S = 900
 MAX_ERROR_CHARACTERS = 4000
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -58,9 +59,13 @@
 
 
 class PlatformWorld:
-    """Entries and agents as processes, with the store and executors in a thread."""
+    """Entries and agents as processes, with the store and executors in a thread.
 
-    def __init__(self) -> None:
+    Processes may have at most `max_descriptors` open files, if it is set.
+    """
+
+    def __init__(self, max_descriptors: int | None = None) -> None:
+        self.max_descriptors = max_descriptors
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         self.portal = self.stack.enter_context(start_blocking_portal())
@@ -81,10 +86,10 @@
         self.serving.append(task)
         return task
 
-    def start(self) -> None:
-        """Start two entries and two agents, and wait until the entries are ready."""
+    def start(self, pairs: int = 2) -> None:
+        """Start pairs of an entry and an agent, and wait until the entries are ready."""
         self.write_as_operator("op/config", configuration(3))
-        for number in (1, 2):
+        for number in range(1, pairs + 1):
             self.add_entry(f"front-{number}")
             self.add_agent(f"side-{number}")
         self.wait(lambda: all(self.ready(name) for name in self.settings if "front" in name))
@@ -150,8 +155,13 @@
                 env=os.environ | {"APRICOTPATH_CONFIG": str(path)},
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit_descriptors if self.max_descriptors else None,
             )
 
+    def _limit_descriptors(self) -> None:
+        assert self.max_descriptors is not None
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_descriptors, self.max_descriptors))
+
     def log(self, name: str) -> str:
         """Return the log of a process, from all its starts."""
         return (self.folder / f"{name}.log").read_text()
