Limit what clients of an entry may use

Cause: hypercorn bounds neither its connections nor what it buffers. An entry kept bodies until they were complete, thousands of parsed headers for as long as a request lasted, 100 unread answers for each connection of HTTP/2, and accepted connections until no file descriptor was left. A crowd that all had something to parse was served in one iteration of the event loop.

Change: the two addresses of an entry that clients reach are served by LimitedServer, which takes the place of hypercorn's socket handling and keeps its protocols. A ClientTable per address charges requests, bodies, what is parsed and answers to their connections, and closes the connection with the least progress for the longest time first. Heads, bodies, answers and idle connections have limits on the time without progress; connections have limits in all, by peer address, and in what they hold. One piece of clients' work is done in each iteration of the event loop. A body is read only where it is of use, and a job's number of steps is checked before its steps are made.

--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -1,5 +1,6 @@
 """Metrics of jobs, their runs, and calls to the store and executors."""
 
+from apricotpath.clientlimits import Limit
 from apricotpath.ids import QueueId
 from apricotpath.metrics import MetricSet
 from apricotpath.workload import Progress, RunResult
@@ -38,6 +39,14 @@
             "apricotpath_outward_calls_total", "Calls to the store and the executor by outcome"
         )
 
+        self._limits = self._counter(
+            "apricotpath_client_limits_total", "Requests and connections ended by a limit"
+        )
+
+    def client_limited(self, limit: Limit) -> None:
+        """Count a request or connection that a limit on clients has ended."""
+        self._limits.inc({"limit": limit.value})
+
     def _queue_label(self, queue: QueueId) -> QueueId:
         if len(self._queues) < MAX_QUEUES:
             self._queues.add(queue)
--- a/packages/daemon/src/apricotpathd/httpserver.py
+++ b/packages/daemon/src/apricotpathd/httpserver.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 from hypercorn.config import Config
 
+from apricotpath.clientlimits import ClientTable
 from apricotpath.config import Address, LimitSettings
 from apricotpath.errors import SettingsError
 from apricotpathd.asgi import serve_asgi
@@ -97,3 +98,13 @@
     """Serve an ASGI app until `stop` returns and all open requests are answered."""
     config = http_config(address, limits)
     await serve_asgi(app, config, stop)
+
+
+async def serve_clients(
+    app: Any, address: Address, table: ClientTable, stop: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve an ASGI app within the limits of a table, as `serve_http` does without."""
+    # Needs asyncio; other processes do not load it.
+    from apricotpathd.limitedserver import serve_limited
+
+    await serve_limited(app, http_config(address, LimitSettings()), table, stop)
