A placement pass looks at a bounded number of hosts for waiting gangs

Cause: every pass tried each waiting gang member by member on each host; 30 gangs of 5,000 tasks that did not fit stopped all scheduling. Change: members that fit are counted for each host by arithmetic, a gang that needs no less than one that did not fit in the pass is skipped, and the gangs of a pass are limited: half of the looks go to the first gangs, half to those that were not looked at for longest.

--- a/packages/core/src/apricotpath/gangplacement.py
+++ b/packages/core/src/apricotpath/gangplacement.py
@@ -2,7 +2,7 @@
 
 Answers for up to 5,000 members of a gang and any number of waiting gangs. Looking whether a gang
 fits takes one step for each host, and placing it at most `CHUNKS_PER_HOST` for each host, however
-many members it has.
+many members it has. `gangturns` limits the gangs of one pass.
 """
 
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
@@ -77,8 +77,10 @@
 
 def _room(load: HostLoad, parts: Iterable[Sequence[Task]], step: Step) -> int:
     """Return how many members may start on a host, at most."""
-    admitted = [part[0].key for part in parts if part and load.admits(part[0].key, step)]
-    return load.room_for(admitted[0], step) if admitted else 0
+    for part in parts:
+        if part and load.admits(part[0].key, step):
+            return load.room_for(part[0].key, step)
+    return 0
 
 
 def _pools(rooms: list[tuple[HostLoad, int]], step: Step) -> Iterator[list[tuple[HostLoad, int]]]:
--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -7,6 +7,7 @@
 from apricotpath.commitments import Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
 from apricotpath.fleet import FleetSettings, Host
+from apricotpath.gangturns import GangTurns
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
@@ -84,6 +85,7 @@
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
     budget: PassBudget = field(default_factory=PassBudget)
+    gang_turns: GangTurns = field(default_factory=GangTurns)
 
 
 @dataclass(slots=True)
@@ -157,20 +159,23 @@
 
     def room_for(self, task: TaskKey, step: Step) -> int:
         """Return how many tasks of a step fit together, beside what is committed already."""
-        if not self.fits(step):
+        size, capacity, claimed = step.size, self.capacity, self.claimed
+        if not claimed.fits_in(capacity):
             return 0
         count = MAX_RUNS_PER_HOST - self.runs
-        need, free = reserved_size(step), self.capacity - self.claimed
-        for each, left in (
-            (need.cpu_milli, free.cpu_milli),
-            (need.memory_mb, free.memory_mb),
-            (need.accelerators, free.accelerators),
-        ):
-            if each:
-                count = min(count, left // each)
-        if step.filler and step.size.cpu_milli:
-            left_milli = self.filler_share(step) * self.capacity.cpu_milli - self.used
-            count = min(count, int(left_milli // step.size.cpu_milli))
+        if size.memory_mb:
+            count = min(count, (capacity.memory_mb - claimed.memory_mb) // size.memory_mb)
+        if size.accelerators:
+            free = capacity.accelerators - claimed.accelerators
+            count = min(count, free // size.accelerators)
+        if step.filler:
+            left_milli = self.filler_share(step) * capacity.cpu_milli - self.used
+            if left_milli < size.cpu_milli or left_milli < 0:
+                return 0
+            if size.cpu_milli:
+                count = min(count, int(left_milli // size.cpu_milli))
+        elif size.cpu_milli:
+            count = min(count, (capacity.cpu_milli - claimed.cpu_milli) // size.cpu_milli)
         if step.max_per_host:
             count = min(count, step.max_per_host - self.steps.get(task.step_key, 0))
         return max(0, count)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from apricotpath.gangplacement import Misfits, assign
+from apricotpath.gangturns import GangTurns
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId, ServiceId
 from apricotpath.joborder import WaitingGroup, waiting_groups
@@ -44,13 +45,17 @@
     if table.crashes:
         _keep_hosts_for_suspects(groups, loads.values(), inputs)
     hosts = _UsableHosts(list(loads.values()), inputs)
+    turns = inputs.gang_turns
+    turns.begin((group.key for group in groups if group.step.gang), len(loads))
     for group in groups:
         if inputs.budget.spent:
             break
+        if group.step.gang and not turns.may_look_at(group.key):
+            continue
         allowed = hosts.allowed(group)
         candidates = [load for load in allowed if not load.reserved]
         if group.step.gang:
-            placed = _place_gang(group, candidates, hosts.misfits(group))
+            placed = _place_gang(group, candidates, hosts.misfits(group), turns)
         elif hosts.are_full_for(group):
             placed = []
         else:
@@ -332,7 +337,7 @@
 
 
 def _place_gang(
-    group: WaitingGroup, candidates: list[HostLoad], misfits: Misfits
+    group: WaitingGroup, candidates: list[HostLoad], misfits: Misfits, turns: GangTurns
 ) -> list[Placement]:
     """Place all members of a gang at once, or none; preferably on one rack if it asks for that."""
     gang, step, count = group.tasks[0].gang, group.step, len(group.tasks)
@@ -340,7 +345,9 @@
         return []
     # Which hosts a gang may use depends on its job while tasks are suspected of crashes.
     alike = not _suspects(candidates)
-    if alike and misfits.cover(step, count):
+    skipped = alike and misfits.cover(step, count)
+    turns.note_checks(group.key, len(candidates), skipped)
+    if skipped:
         return []
     members = sorted(group.tasks, key=attrgetter("key"))
     chosen = assign(members, step, candidates, _preference)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -21,6 +21,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fleet import FleetSettings, Host
+from apricotpath.gangturns import GangTurns
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, JobId, QueueId
 from apricotpath.jobcodec import parse_job
@@ -116,6 +117,7 @@
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
         self._snapshot_running = False
+        self._gang_turns = GangTurns()
         self._crash_rate = CrashRate(self._started)
 
     # Start of the term.
@@ -357,6 +359,7 @@
             self._utc(),
             self.cfg,
             low_impact_images=self.host_tracker.disturbance.low_impact_images(),
+            gang_turns=self._gang_turns,
         )
 
     def _process_crashes(self, batch: Batch, now: float) -> None:
