A host that attaches to a new scheduler is held for one lease only

Change: an attachment under the term's epoch sets that time to one hold after it, since the agent takes no grant of an earlier epoch from then on. If the link closes before a complete report, the longer hold applies again, as the next process of the agent may follow the former scheduler.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -55,7 +55,9 @@
     """One host as the scheduler sees it; times are boot-clock seconds.
 
     `runs_until`: time by which all its runs have ended unless a new lease is
-    granted. `speed`: how fast tasks run here relative to their estimates.
+    granted. `former_until`: time by which runs have ended that an earlier scheduler may have
+    granted leases to, if an agent follows it. `speed`: how fast tasks run here relative to
+    their estimates.
     `filler_percent`: recent speed limit of its filler tasks in percent.
     `silent_since`: when its executor stopped answering; infinite while it answers.
     `renewal`: number of its newest report. `acked_ending`: number of the newest run
@@ -71,6 +73,7 @@
     silent_since: float = float("inf")
     renewal: int = 0
     runs_until: float = 0.0
+    former_until: float = float("-inf")
     draining: bool = False
     leaves_at: float = float("inf")
     acked_ending: int = 0
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -12,7 +12,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
-from apricotpath.ids import FenceToken, HostId, TaskId
+from apricotpath.ids import Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
@@ -120,7 +120,7 @@
             frozenset(message.labels),
             message.capacity,
         )
-        host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
+        host.runs_until = self._hold_at_attachment(host, message.epoch, now)
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -131,6 +131,16 @@
         self._wake()
         return HostAttached(self._term.epoch, host.fence)
 
+    def _hold_at_attachment(self, host: Host, epoch: Epoch, now: float) -> float:
+        """Return the time by which the runs of a host that attaches end without another grant.
+
+        An agent that follows this term's epoch has dropped its former attachment and follows no
+        earlier epoch any more, so that its runs end one lease after that at the latest, also
+        while an earlier scheduler still grants leases.
+        """
+        until = now + self._cfg.run_hold_s
+        return until if epoch == self._term.epoch else max(host.runs_until, until)
+
     def _queue_crashes(self, message: HostAttach) -> None:
         """Queue the crashes that an agent reports, each once per term."""
         for crash in message.crashes:
@@ -148,15 +158,22 @@
         }
 
     def limit_holds(self, until: float) -> None:
-        """Set the time by which runs have ended on hosts that have not attached in this term."""
+        """Set the time by which runs have ended that earlier schedulers have granted leases to."""
         for host in self.hosts.values():
+            host.former_until = min(host.former_until, until)
             if host.facts is None:
                 host.runs_until = min(host.runs_until, until)
 
     def link_closed(self, link: Link) -> None:
-        """Detach the hosts that are attached over a link."""
+        """Detach the hosts that are attached over a link.
+
+        The agent may have ended, and its next process may follow an earlier scheduler until the
+        executor has seen a token of this term.
+        """
         for name in sorted(self._names_by_link.get(link, ())):
             self._detach(name)
+            host = self.hosts[name]
+            host.runs_until = max(host.runs_until, host.former_until)
             log.info("host detached", extra={"host": name})
 
     def _detach(self, name: HostId) -> None:
@@ -224,6 +241,7 @@
             host.reported = True
             # The executor has seen the new fencing token, so nobody renews older leases.
             host.runs_until = now + self._cfg.run_hold_s
+            host.former_until = float("-inf")
             self._send_traits(host, link)
             self._wake()
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -188,7 +188,7 @@
         hosts = [name for name, runs in self.table.by_host.items() if runs]
         for name in hosts:
             until = self._started + min(max_hold_s, known.get(name, hold_s))
-            self.host_tracker.hosts[name] = Host(name, runs_until=until)
+            self.host_tracker.hosts[name] = Host(name, runs_until=until, former_until=until)
         log.info("runs of the last term held", extra={"hosts": len(hosts), "hold_s": hold_s})
 
     async def _shorten_holds(self) -> None:
--- /dev/null
+++ b/tests/features/steps/hostholds_steps.py
@@ -0,0 +1,213 @@
+"""Steps for hostholds.feature, beside those for worlds of replacements."""
+
+from typing import Any
+
+import anyio
+from behave import given, then, when
+from replacements_steps import Replacements, scenario
+
+from apricotpath.boottime import boot_s
+from apricotpath.codec import PROTOCOL_VERSION, Envelope
+from apricotpath.election import Term
+from apricotpath.fleet import FleetSettings, Host
+from apricotpath.ids import (
+    DataCentreId,
+    Epoch,
+    FenceToken,
+    HostId,
+    IncarnationId,
+    InstanceId,
+    JobId,
+    ProcessId,
+    QueueId,
+    RackId,
+    ServiceId,
+)
+from apricotpath.jobtable import JobTable
+from apricotpath.messages import (
+    Hello,
+    HostAttach,
+    HostAttached,
+    HostGrant,
+    HostRuns,
+    LeaderNotice,
+    Message,
+)
+from apricotpath.model import Role, Size
+from apricotpath.runrecords import Assigned
+from apricotpath.workload import HostFacts, Job, Step, TaskKey
+from apricotpathd.attachment import ExecutorState
+from apricotpathd.hostagent import HostAgent
+from apricotpathd.hosttracker import HostTracker
+from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
+from support.jobworld import run_virtual
+
+HOST = HostId("oven")
+SERVICE, ZONE, RACK = ServiceId("bakery"), DataCentreId("z1"), RackId("r1")
+CAPACITY = Size(8000, 8000, 0)
+CFG = FleetSettings()
+OLD, NEW = Epoch(4), Epoch(5)
+KEY = TaskKey(JobId("00000000000000a1"), 0, 0, 0)
+# Longer than any hold.
+END_S = 20.0
+
+
+@when(
+    "the scheduler is frozen for {seconds:g} seconds and the executor with most tasks is lost "
+    "for good"
+)
+def freeze(context: Any, seconds: float) -> None:
+    async def act(run: Replacements) -> None:
+        world, former = run.world, run.world.leader()
+        assert former is not None
+        # Long after the start, so that all that is known of earlier terms has been settled.
+        await anyio.sleep(world.cfg.authority_s + 1.0)
+        lost = world.agents[run.busiest]
+        lost.sends_heartbeats = False
+        lost.model.shut_down()
+        resume = world.pause(str(former.process.hello.process_id))
+        former.store.faults.silent = True
+        await anyio.sleep(seconds)
+        former.store.faults.silent = False
+        resume()
+
+    scenario(context).background.append(act)
+
+
+class FakeLink:
+    """A link that keeps what is sent over it."""
+
+    is_open = True
+
+    def __init__(self, name: str) -> None:
+        self.peer_id = name
+        self.peer = Hello(
+            PROTOCOL_VERSION, Role.ENTRY, ProcessId(name), IncarnationId("x"), DataCentreId("z1")
+        )
+        self.sent: list[Message] = []
+        self.epoch = OLD
+        self.attached: list[Epoch] = []
+
+    def send_nowait(self, body: Message, reply_to: int = 0) -> None:
+        self.sent.append(body)
+
+    async def call(self, body: Message, timeout_s: float | None = None) -> Message:
+        self.attached.append(self.epoch)
+        return HostAttached(self.epoch, FenceToken(self.epoch * 1000 + len(self.attached)))
+
+
+class HeldHost:
+    """A tracker of a new term, in virtual time, with a host that has a run of the last term."""
+
+    def __init__(self) -> None:
+        self.table = JobTable()
+        self.link: Any = FakeLink("oven")
+        self.given_up_s = float("inf")
+
+    async def play(self, event: str) -> None:
+        """Let the event happen, and note when the run is given up."""
+        table = self.table
+        table.add(Job(KEY.job, QueueId("bread"), "", (Step(1, CAPACITY, long_running=True),)), 0.0)
+        table.apply(Assigned(KEY, 1, HOST, "oven", 1), 0.0)
+        tracker = HostTracker(Term(NEW, "", 1), table, CFG, boot_s, lambda: None)
+        started = boot_s()
+        until = started + CFG.run_hold_s + CFG.authority_s
+        tracker.hosts[HOST] = Host(HOST, runs_until=until, former_until=until)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._happen, tracker, event)
+            while boot_s() < started + END_S and not tracker.lost_runs:
+                tracker.expire_leases(boot_s())
+                await anyio.sleep(0.05)
+            self.given_up_s = boot_s() - started
+
+    async def _happen(self, tracker: HostTracker, event: str) -> None:
+        if event == "never attaches":
+            return
+        await anyio.sleep(1.0)
+        epoch = OLD if "former epoch" in event else NEW
+        call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
+        attached = tracker.attach(self.link, call)
+        if "after a report" in event:
+            report = HostRuns(attached.fence, 1, True, False, 0, 100.0, (), ())
+            tracker.receive_report(self.link, report)
+            tracker.lost_runs.clear()
+        if "link closes" in event:
+            tracker.link_closed(self.link)
+        if "ended at 3" in event:
+            await anyio.sleep(2.0)
+            tracker.limit_holds(boot_s() + CFG.run_hold_s)
+
+
+@given("a hostholds host of the last term whose scheduler may still grant leases")
+def held_host(context: Any) -> None:
+    context.case = HeldHost()
+
+
+@when("the hostholds host {event}")
+def host_event(context: Any, event: str) -> None:
+    run_virtual(lambda: context.case.play(event))
+
+
+@then("its runs are given up between {least:g} and {most:g} seconds after the start of the term")
+def given_up(context: Any, least: float, most: float) -> None:
+    assert least <= context.case.given_up_s <= most, context.case.given_up_s
+
+
+class FollowingAgent:
+    """An agent with links to two schedulers, whose executor answers."""
+
+    def __init__(self) -> None:
+        self.old, self.new = FakeLink("old"), FakeLink("new")
+        self.new.epoch = NEW
+        self.granted: list[float] = []
+
+    async def main(self) -> None:
+        """Attach to the old scheduler, hear of the new one, and go on to hear the old one."""
+        async with anyio.create_task_group() as group:
+            model = ExecutorModel("oven", CAPACITY, Behaviour())
+            agent = HostAgent(HOST, CFG, lambda _facts: ModelExecutor(model, group))
+            group.start_soon(agent.run)
+            facts = HostFacts("oven", 1, SERVICE, ZONE, RACK, capacity=CAPACITY)
+            agent.on_executor_heartbeat(ExecutorState(facts))
+            for link in (self.old, self.new):
+                await agent.link_opened(link)  # type: ignore[arg-type]
+            await self._hear(agent, self.old, LeaderNotice(OLD, ProcessId("old")))
+            await anyio.sleep(1.0)
+            attached = agent.attachment
+            assert attached is not None and attached.epoch == OLD
+            await self._hear(agent, self.old, HostGrant(attached.fence, attached.renewal, 0))
+            assert attached.granted_until > boot_s()
+            # The old one's grants come before the new one has answered, and after that.
+            granted_until = attached.granted_until
+            await self._hear(agent, self.new, LeaderNotice(NEW, ProcessId("new")))
+            assert agent.attachment is None
+            for _ in range(20):
+                await self._hear(agent, self.old, LeaderNotice(OLD, ProcessId("old")))
+                await self._hear(agent, self.old, HostGrant(attached.fence, attached.renewal, 0))
+                current = agent.attachment
+                self.granted.append(current.granted_until if current is not None else 0.0)
+                await anyio.sleep(0.1)
+            assert attached.granted_until == granted_until
+            group.cancel_scope.cancel()
+
+    @staticmethod
+    async def _hear(agent: HostAgent, link: FakeLink, body: Message) -> None:
+        await agent.received(link, Envelope(1, 0, body))  # type: ignore[arg-type]
+
+
+@given("a hostholds agent that is attached to the scheduler of epoch 4")
+def following_agent(context: Any) -> None:
+    context.case = FollowingAgent()
+
+
+@when("it hears of the scheduler of epoch 5, and then gets grants and notices of epoch 4")
+def hears(context: Any) -> None:
+    run_virtual(context.case.main)
+
+
+@then("its hostholds lease was not extended, and it never attached to epoch 4 again")
+def not_extended(context: Any) -> None:
+    case: FollowingAgent = context.case
+    assert set(case.granted) == {0.0}, case.granted
+    assert case.old.attached == [OLD], case.old.attached
+    assert case.new.attached and set(case.new.attached) == {NEW}, case.new.attached
