--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -1,7 +1,7 @@
 """Tracks the attached hosts of a scheduler: reports, lease grants and answers to orders."""
 
 import logging
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -12,7 +12,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
-from apricotpath.ids import FenceToken, HostId, TaskId
+from apricotpath.ids import Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
@@ -52,6 +52,8 @@
 MAX_REPORT_GAP_S = 1.0
 # Executors that stop answering within this time of each other may have one cause.
 TOGETHER_S = 1.0
+# While so many lost runs are queued, no more hosts are looked at for expired leases.
+MAX_QUEUED_LOST = 1000
 
 
 class HostTracker:
@@ -72,7 +74,7 @@
         self._names_by_fence: dict[FenceToken, HostId] = {}
         self._names_by_link: dict[Link, set[HostId]] = {}
         self.endings: deque[ReportedEnding] = deque()
-        self.lost_runs: deque[LostRun] = deque()
+        self.lost_runs: OrderedDict[tuple[TaskKey, int], LostRun] = OrderedDict()
         self.crashes: deque[ReportedCrash] = deque()
         self._known_crashes: set[ExecutorName] = set()
         self._silences: dict[HostId, Silence] = {}
@@ -118,7 +120,7 @@
             frozenset(message.labels),
             message.capacity,
         )
-        host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
+        host.runs_until = self._hold_at_attachment(host, message.epoch, now)
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -129,6 +131,16 @@
         self._wake()
         return HostAttached(self._term.epoch, host.fence)
 
+    def _hold_at_attachment(self, host: Host, epoch: Epoch, now: float) -> float:
+        """Return the time by which the runs of a host that attaches end without another grant.
+
+        An agent that follows this term's epoch has dropped its former attachment and follows no
+        earlier epoch any more, so that its runs end one lease after that at the latest, also
+        while an earlier scheduler still grants leases.
+        """
+        until = now + self._cfg.run_hold_s
+        return until if epoch == self._term.epoch else max(host.runs_until, until)
+
     def _queue_crashes(self, message: HostAttach) -> None:
         """Queue the crashes that an agent reports, each once per term."""
         for crash in message.crashes:
@@ -146,15 +158,22 @@
         }
 
     def limit_holds(self, until: float) -> None:
-        """Set the time by which runs have ended on hosts that have not attached in this term."""
+        """Set the time by which runs have ended that earlier schedulers have granted leases to."""
         for host in self.hosts.values():
+            host.former_until = min(host.former_until, until)
             if host.facts is None:
                 host.runs_until = min(host.runs_until, until)
 
     def link_closed(self, link: Link) -> None:
-        """Detach the hosts that are attached over a link."""
+        """Detach the hosts that are attached over a link.
+
+        The agent may have ended, and its next process may follow an earlier scheduler until the
+        executor has seen a token of this term.
+        """
         for name in sorted(self._names_by_link.get(link, ())):
             self._detach(name)
+            host = self.hosts[name]
+            host.runs_until = max(host.runs_until, host.former_until)
             log.info("host detached", extra={"host": name})
 
     def _detach(self, name: HostId) -> None:
@@ -222,6 +241,7 @@
             host.reported = True
             # The executor has seen the new fencing token, so nobody renews older leases.
             host.runs_until = now + self._cfg.run_hold_s
+            host.former_until = float("-inf")
             self._send_traits(host, link)
             self._wake()
 
@@ -310,8 +330,7 @@
             run.percent, run.saved, run.load = status.percent, status.saved, status.load
             run.pace = status.pace
             if not run.survived and now - run.since >= SURVIVAL_S:
-                run.survived = True
-                self._table.commitments_changed(host.host)
+                self._table.note_survived(run)
             self._update_host_speed(host, run, now)
         if message.complete:
             ended = {(ending.task, ending.run) for ending in message.endings}
@@ -456,8 +475,8 @@
         return sum(host.is_set_aside(now) for host in self.hosts.values())
 
     def mark_lost(self, run: Run, reason: str) -> None:
-        """Queue a run for the scheduler to record as lost."""
-        self.lost_runs.append(LostRun(run.task, run.run, reason))
+        """Queue a run for the scheduler to record as lost, unless it is queued already."""
+        self.lost_runs.setdefault((run.task, run.run), LostRun(run.task, run.run, reason))
         self._wake()
 
     def send(self, host: Host, message: StartRuns | StopRuns) -> bool:
@@ -468,11 +487,14 @@
     def expire_leases(self, now: float) -> None:
         """Mark the runs of hosts as lost whose leases have certainly expired.
 
-        An agent may stay attached although its executor is permanently lost.
+        Those of some hosts are left to the next passes if they are many. An agent may stay
+        attached although its executor is permanently lost.
         """
         for name, host in list(self.hosts.items()):
             if now < host.runs_until:
                 continue
+            if len(self.lost_runs) >= MAX_QUEUED_LOST:
+                return
             for run in self._table.runs_on(name):
                 self.mark_lost(run, "its host is unreachable and its lease has expired")
             if not host.fence and now > host.runs_until + self._cfg.retention_s:
