Reserve a host for a gang only if the whole gang can fit

Cause: whether a reservation is worth it was asked for one member of a gang. Change: a gang reserves a host only if its members fit together on the hosts that it may use once all but long-running tasks have ended there; asked in each pass, so the reservation ends when that no longer holds.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from apricotpath.commitments import Commitments, reserved_size
+from apricotpath.commitments import SERVING_CPU_SHARE, Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
@@ -156,6 +156,26 @@
         left = self.capacity - self.long_running
         return step.size.fits_in(self.capacity) and reserved_size(step).fits_in(left)
 
+    def room_for(self, step: Step) -> int:
+        """Return how many more tasks of a step fit once all but long-running tasks end."""
+        if not self.can_make_room_for(step):
+            return 0
+        need, left = reserved_size(step), self.capacity - self.long_running
+        limits = [MAX_RUNS_PER_HOST]
+        if need.cpu_milli:
+            limits.append(left.cpu_milli // need.cpu_milli)
+        if need.memory_mb:
+            limits.append(left.memory_mb // need.memory_mb)
+        if need.accelerators:
+            limits.append(left.accelerators // need.accelerators)
+        if step.filler and step.size.cpu_milli:
+            used = self.long_running.cpu_milli * SERVING_CPU_SHARE
+            most = FILLER_SHARE_UNPACED if self.serving else FILLER_SHARE_ALONE
+            limits.append(int(most * self.capacity.cpu_milli - used) // step.size.cpu_milli)
+        if step.max_per_host:
+            limits.append(step.max_per_host)
+        return max(0, min(limits))
+
     def within_max_per_host(self, task: TaskKey, step: Step) -> bool:
         """Return whether one more task of a step stays within the step's limit per host."""
         return not step.max_per_host or self.steps.get(task.step_key, 0) < step.max_per_host
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -58,7 +58,7 @@
             if len(placed) < len(group.tasks):
                 hosts.note_if_full(group, candidates)
         if len(placed) < len(group.tasks):
-            _reserve_for_next(group, placed, candidates, loads.values(), inputs)
+            _reserve_for_next(group, placed, allowed, loads.values(), inputs)
         placed = placed or _place_starving(group, allowed, inputs, placements)
         inputs.budget.spend(group.row.job.command, len(placed))
         placements += placed
@@ -288,21 +288,33 @@
 def _reserve_for_next(
     group: WaitingGroup,
     placed: Collection[Placement],
-    candidates: Collection[HostLoad],
+    allowed: Collection[HostLoad],
     loads: Collection[HostLoad],
     inputs: PlacementInput,
 ) -> None:
     """Reserve a host for the first task that was not placed and is not suspected of crashes."""
     passed_over = {placement.task for placement in placed} | _suspects(loads).keys()
     task = next((task for task in group.tasks if task.key not in passed_over), None)
-    if task is not None:
-        _reserve(group, task, candidates, loads, inputs)
+    if task is not None and _can_fit_whole(group, allowed):
+        _reserve(group, task, allowed, loads, inputs)
+
+
+def _can_fit_whole(group: WaitingGroup, allowed: Iterable[HostLoad]) -> bool:
+    """Return whether a gang fits once all but long-running tasks end; true for other groups."""
+    if not group.step.gang:
+        return True
+    missing = group.step.count
+    for load in allowed:
+        missing -= load.room_for(group.step)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _reserve(
     group: WaitingGroup,
     task: Task,
-    candidates: Iterable[HostLoad],
+    allowed: Iterable[HostLoad],
     loads: Collection[HostLoad],
     inputs: PlacementInput,
 ) -> None:
@@ -314,8 +326,10 @@
         return
     eligible = [
         load
-        for load in candidates
-        if load.can_make_room_for(group.step) and load.within_max_per_host(task.key, group.step)
+        for load in allowed
+        if not load.reserved
+        and load.can_make_room_for(group.step)
+        and load.within_max_per_host(task.key, group.step)
     ]
     if eligible:
         closest = min(eligible, key=lambda load: load.claimed.cpu_milli - load.capacity.cpu_milli)
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -222,3 +222,30 @@
     And 2 tasks of 1 core run on runplacement host b
     When a task that is suspected of a crash is advised to run on runplacement host b
     Then runplacement puts 0 on a and 1 on b
+
+  # Guards against a host kept free for a gang of which only single members fit (review/8).
+  Scenario Outline: runplacement reserves a host for a waiting gang only if all members fit, <why>
+    Given runplacement hosts a and b of 16 cores
+    And runplacement host a lacks the label
+    And a serving task of <serving> cores runs on runplacement host b
+    And 8 tasks of 1 core run on runplacement host b
+    And a gang of <count> tasks of <cores> cores that needs the label has waited 3 seconds
+    When a step of 3 tasks of 1 core is placed by runplacement
+    Then runplacement puts 0 on a and <on_b> on b
+
+    Examples:
+      | why                         | count | cores | serving | on_b |
+      | each member alone           | 2     | 9.6   | 1       | 3    |
+      | beside a long-running task  | 3     | 4     | 5       | 3    |
+      | all once the short ones end | 2     | 6     | 1       | 0    |
+
+  # Guards against a reservation that outlasts the gang's chance to fit.
+  Scenario: runplacement gives up the reservation of a gang when its hosts shrink
+    Given runplacement hosts a and b of 16 cores
+    And runplacement host a lacks the label
+    And 8 tasks of 1 core run on runplacement host b
+    And a gang of 2 tasks of 6 cores that needs the label has waited 3 seconds
+    When a step of 3 tasks of 1 core is placed by runplacement
+    Then runplacement puts 0 on a and 0 on b
+    When runplacement host b shrinks to 11 cores
+    Then runplacement puts 0 on a and 3 on b
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -511,3 +511,16 @@
     task = TaskKey(case.add(step(1, 1)), 0, 0, 0)
     case.table.apply(Crashed(task, 1, CrashPart(Blame.SUSPECT, chance=0.0)), NOW)
     case.place()
+
+
+@given("a gang of {count:d} tasks of {cores:g} cores that needs the label has waited 3 seconds")
+def waiting_gang(context: Any, count: int, cores: float) -> None:
+    context.case.add(step(count, cores, gang=True, label="stone"), 3.0)
+
+
+@when("runplacement host b shrinks to {cores:d} cores")
+def shrink(context: Any, cores: int) -> None:
+    host = context.case.hosts[HostId("b")]
+    assert host.facts is not None
+    host.facts = replace(host.facts, capacity=Size(cores * CORE, cores * 1000, 0))
+    context.case.place()
