Reservations with backfill for waiting groups that do not fit

Cause: small jobs take each gap as it opens, so that large tasks and gangs wait long. Change: with a Lookahead given to place, the first waiting groups that do not fit (four at most) hold a reservation: the earliest hosts on which they fit by the expected ends of runs. Others start there if they are expected to end before it begins, or fit beside it; more urgent queues are not bound. Filler tasks wait while those beside which they would start do not end soon. The scheduler does not use it yet. The room of a host is compared without sums of sizes.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -11,7 +11,7 @@
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
-from apricotpath.workload import Queue, Step, TaskKey
+from apricotpath.workload import NO_SIZE, Queue, Step, TaskKey
 
 # Filler tasks are placed while the processors in use stay below this share of a host. Above 1
 # they only slow each other down, which is better than slowing a serving task. On a host with
@@ -19,6 +19,9 @@
 FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_PACED = 0.6
 FILLER_SHARE_UNPACED = 1.0
+# Where ends are forecast, filler tasks are placed while the runs that do not end soon stay below
+# this share: tasks that run one after another end sooner on average than side by side.
+FILLER_SHARE_AHEAD = 1.0
 # Hosts that run tasks below this share of the median speed get new tasks last. Speeds are
 # compared between hosts, since errors in the estimated run times affect all hosts alike.
 SLOW_HOST_SHARE = 0.55
@@ -86,6 +89,24 @@
     budget: PassBudget = field(default_factory=PassBudget)
 
 
+@dataclass(slots=True)
+class Hold:
+    """What a reservation asks of the other groups on its hosts.
+
+    `bound` tells whether the group that is being placed has to heed it, and `group_ends_at` when
+    a task of that group would end (boot-clock seconds). `for_filler`: filler tasks are waited
+    for, so that processors count as they are used.
+    """
+
+    for_filler: bool
+    bound: bool = False
+    group_ends_at: float = 0.0
+
+    def size_of(self, step: Step) -> Size:
+        """Return what a task of another group takes from what is left beside the reservation."""
+        return step.size if self.for_filler else reserved_size(step)
+
+
 @dataclass(slots=True)
 class HostLoad(Commitments):
     """Resources committed on one host during a placement pass.
@@ -94,6 +115,10 @@
     host that is `kept_for` its job (a gang on others as well) and where no run of another job
     is `starting`. `observed` is the job of suspected tasks that are being observed; only others
     of these start on its host, since one that causes a crash ends the job.
+
+    `hold` is that of a reservation which begins at `held_from` (boot-clock seconds); `spare` is
+    what is left beside it then. `used_soon` are the processors in use by runs that do not end
+    soon; None if ends are not forecast.
     """
 
     host: Host = field(kw_only=True)
@@ -104,6 +129,10 @@
     suspects: Mapping[TaskKey, int] = field(default_factory=dict)
     kept_for: JobId | None = None
     observed: JobId | None = None
+    hold: Hold | None = None
+    held_from: float = 0.0
+    spare: Size = NO_SIZE
+    used_soon: float | None = None
 
     def add_start(self, task: TaskKey, step: Step) -> None:
         """Commit one more task, which is to start now."""
@@ -111,6 +140,10 @@
         self.starting += 1
         if task in self.suspects:
             self.observed = task.job
+        if self.hold is not None and self.hold.group_ends_at > self.held_from:
+            self.spare = (self.spare - self.hold.size_of(step)).not_negative()
+        if self.used_soon is not None:
+            self.used_soon += step.size.cpu_milli
 
     def admits(self, task: TaskKey, step: Step) -> bool:
         """Return whether a task may start here beside tasks that are suspected of crashes.
@@ -129,14 +162,28 @@
         """Take back the tasks committed since `saved` was copied from this load."""
         self.copy_from(saved)
         self.observed = saved.observed
+        self.spare, self.used_soon = saved.spare, saved.used_soon
 
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits without slowing the tasks already there."""
         limit = self.filler_share(step) * self.capacity.cpu_milli
         if step.filler and self.used + step.size.cpu_milli > limit:
             return False
+        if step.filler and not self._filler_starts_soon_enough(step):
+            return False
         return self.has_resources_for(step)
 
+    def _filler_starts_soon_enough(self, step: Step) -> bool:
+        """Return whether a filler task does not do better by a wait for earlier ones to end.
+
+        On a host without serving tasks it waits while those that do not end soon use the processors
+        that it would share. Always true if ends are not forecast.
+        """
+        if self.used_soon is None or self.serving or self.used_soon <= 0:
+            return True
+        limit = FILLER_SHARE_AHEAD * self.capacity.cpu_milli
+        return self.used_soon + step.size.cpu_milli <= limit
+
     def filler_share(self, step: Step) -> float:
         """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
@@ -147,14 +194,33 @@
 
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
-        return self.runs < MAX_RUNS_PER_HOST and (self.claimed + reserved_size(step)).fits_in(
-            self.capacity
+        # Asked for each host and group; sums of sizes would take most of the time of a pass.
+        size, claimed, capacity = step.size, self.claimed, self.capacity
+        return (
+            (step.filler or claimed.cpu_milli + size.cpu_milli <= capacity.cpu_milli)
+            and claimed.cpu_milli <= capacity.cpu_milli
+            and claimed.memory_mb + size.memory_mb <= capacity.memory_mb
+            and claimed.accelerators + size.accelerators <= capacity.accelerators
+            and self.runs < MAX_RUNS_PER_HOST
+            and (self.hold is None or self._fits_beside_hold(step, self.hold))
         )
 
+    def _fits_beside_hold(self, step: Step, hold: Hold) -> bool:
+        """Return whether a task delays no reservation: it ends before, or takes what is spare."""
+        if not hold.bound or hold.group_ends_at <= self.held_from:
+            return True
+        return hold.size_of(step).fits_in(self.spare)
+
     def can_make_room_for(self, step: Step) -> bool:
         """Return whether one more task of a step fits once all but long-running tasks end."""
-        left = self.capacity - self.long_running
-        return step.size.fits_in(self.capacity) and reserved_size(step).fits_in(left)
+        size, lasting, capacity = step.size, self.long_running, self.capacity
+        reserved_milli = 0 if step.filler else size.cpu_milli
+        return (
+            size.fits_in(capacity)
+            and reserved_milli + lasting.cpu_milli <= capacity.cpu_milli
+            and size.memory_mb + lasting.memory_mb <= capacity.memory_mb
+            and size.accelerators + lasting.accelerators <= capacity.accelerators
+        )
 
     def room_for(self, step: Step) -> int:
         """Return how many more tasks of a step fit once all but long-running tasks end."""
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -10,6 +10,7 @@
 from apricotpath.joborder import WaitingGroup, waiting_groups
 from apricotpath.jobrows import Task
 from apricotpath.jobtable import JobTable
+from apricotpath.lookahead import UNBOUND, GroupBounds, GroupKey, Lookahead
 from apricotpath.model import Size
 from apricotpath.workload import Step, TaskKey
 
@@ -33,35 +34,48 @@
     host: HostId
 
 
-def place(table: JobTable, inputs: PlacementInput) -> list[Placement]:
-    """Return the tasks to start now, in order."""
+def place(
+    table: JobTable, inputs: PlacementInput, ahead: Lookahead | None = None
+) -> list[Placement]:
+    """Return the tasks to start now, in order; with `ahead`, by reservations with backfill."""
     if not table.waiting:
+        if ahead is not None:
+            ahead.nothing_waits()
         return []
     loads = host_loads(table, inputs)
     placements: list[Placement] = []
     groups = waiting_groups(table, inputs)
     if table.crashes:
         _keep_hosts_for_suspects(groups, loads.values(), inputs)
+    if ahead is not None:
+        ahead.begin_pass(table, groups, loads, inputs)
     hosts = _UsableHosts(list(loads.values()), inputs)
     for group in groups:
         if inputs.budget.spent:
             break
         allowed = hosts.allowed(group)
-        candidates = [load for load in allowed if not load.reserved]
+        # With `ahead`, each load knows what groups may take beside its reservation.
+        candidates = allowed if ahead else [load for load in allowed if not load.reserved]
+        bounds = ahead.begin_group(group, inputs.now) if ahead is not None else UNBOUND
         if group.step.gang:
             placed = _place_gang(group, candidates)
-        elif hosts.are_full_for(group):
+        elif hosts.are_full_for(group, bounds):
             placed = []
         else:
             del group.tasks[inputs.budget.allowance(group.row.job.command) :]
             placed = list(_place_each(group, candidates, inputs))
             if len(placed) < len(group.tasks):
-                hosts.note_if_full(group, candidates)
+                hosts.note_if_full(group, bounds, candidates)
         if len(placed) < len(group.tasks):
-            _reserve_for_next(group, placed, allowed, loads.values(), inputs)
+            if ahead is not None:
+                _reserve_ahead(table, group, placed, allowed, inputs, ahead)
+            else:
+                _reserve_for_next(group, placed, allowed, loads.values(), inputs)
         placed = placed or _place_starving(group, allowed, inputs, placements)
         inputs.budget.spend(group.row.job.command, len(placed))
         placements += placed
+    if ahead is not None:
+        ahead.end_pass((placement.task, placement.host) for placement in placements)
     return placements
 
 
@@ -73,6 +87,15 @@
     guards_capacity: bool
 
 
+class _ResourceKind(NamedTuple):
+    """What decides whether a host has room for tasks, apart from their size and end."""
+
+    hosts: _HostKind
+    filler: bool
+    low_impact: bool
+    reservations: tuple[GroupKey, ...]
+
+
 class _UsableHosts:
     """The hosts that groups may use in one pass, looked up once for groups of a kind.
 
@@ -83,7 +106,7 @@
     def __init__(self, loads: list[HostLoad], inputs: PlacementInput) -> None:
         self._loads, self._inputs = loads, inputs
         self._allowed: dict[_HostKind, list[HostLoad]] = {}
-        self._too_large: dict[tuple[_HostKind, bool, bool], list[Size]] = {}
+        self._too_large: dict[_ResourceKind, list[tuple[Size, float]]] = {}
 
     def allowed(self, group: WaitingGroup) -> list[HostLoad]:
         """Return the hosts on which a group's tasks may start, regardless of free resources."""
@@ -94,19 +117,28 @@
             ]
         return self._allowed[kind]
 
-    def are_full_for(self, group: WaitingGroup) -> bool:
-        """Return whether no host has the resources that a task of a group needs."""
-        sizes = self._too_large.get(self._resource_kind(group), ())
-        return any(size.fits_in(group.step.size) for size in sizes)
+    def are_full_for(self, group: WaitingGroup, bounds: GroupBounds) -> bool:
+        """Return whether no host has the resources that a task of a group needs.
 
-    def note_if_full(self, group: WaitingGroup, candidates: Iterable[HostLoad]) -> None:
+        A task that ends later fits beside no more reservations than an earlier one.
+        """
+        noted = self._too_large.get(self._resource_kind(group, bounds), ())
+        return any(
+            size.fits_in(group.step.size) and ends_at <= bounds.ends_at for size, ends_at in noted
+        )
+
+    def note_if_full(
+        self, group: WaitingGroup, bounds: GroupBounds, candidates: Iterable[HostLoad]
+    ) -> None:
         """Remember the size of a group's tasks if it fits on none of its candidates."""
         if not any(load.fits(group.step) for load in candidates):
-            self._too_large.setdefault(self._resource_kind(group), []).append(group.step.size)
+            noted = self._too_large.setdefault(self._resource_kind(group, bounds), [])
+            noted.append((group.step.size, bounds.ends_at))
 
-    def _resource_kind(self, group: WaitingGroup) -> tuple[_HostKind, bool, bool]:
+    def _resource_kind(self, group: WaitingGroup, bounds: GroupBounds) -> _ResourceKind:
         step = group.step
-        return _kind(group), step.filler, step.image in self._inputs.low_impact_images
+        low_impact = step.image in self._inputs.low_impact_images
+        return _ResourceKind(_kind(group), step.filler, low_impact, bounds.reservations)
 
 
 def _kind(group: WaitingGroup) -> _HostKind:
@@ -299,6 +331,28 @@
         _reserve(group, task, allowed, loads, inputs)
 
 
+def _reserve_ahead(
+    table: JobTable,
+    group: WaitingGroup,
+    placed: Collection[Placement],
+    allowed: Collection[HostLoad],
+    inputs: PlacementInput,
+    ahead: Lookahead,
+) -> None:
+    """Let a group hold a reservation for its tasks that were not placed.
+
+    Suspected tasks have hosts kept for them already, and those that an advisory service has not
+    answered for may use no host yet.
+    """
+    if not ahead.may_reserve(group, inputs.now):
+        return
+    if table.crashes and any(task.key in table.crashes for task in group.tasks):
+        return
+    advised = _advised(group, group.tasks[0], allowed, inputs)
+    if advised is not None:
+        ahead.reserve(table, group, len(group.tasks) - len(placed), advised, inputs.now)
+
+
 def _can_fit_whole(group: WaitingGroup, allowed: Iterable[HostLoad]) -> bool:
     """Return whether a gang fits once all but long-running tasks end; true for other groups."""
     if not group.step.gang:
