--backfill of an entry, with metrics of reservations and of the waits of groups

Cause: reservations with backfill need a switch, and what they do must be seen on deployments. New line 'groups started' with p50 and p95 of the waits of large and small groups, also without the option; new metrics for waits, reservations and backfilled tasks. The deploy file does not pass the option yet.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -37,6 +37,10 @@
 # Tasks may ask for nothing. So many runs still fit the messages of a host, of some 150 bytes each.
 MAX_RUNS_PER_HOST = 2000
 
+# A task is large if it takes at least one in this many parts of a host in a resource: gaps for
+# smaller ones come often enough.
+LARGE_PARTS = 8
+
 OTHER_SERVICE = "of another service"
 
 
@@ -255,6 +259,16 @@
         return self.claimed.cpu_milli / max(1, self.capacity.cpu_milli)
 
 
+def is_large(step: Step, capacity: Size) -> bool:
+    """Return whether a task takes a large part of a host of a capacity."""
+    size = step.size
+    return (
+        LARGE_PARTS * size.cpu_milli >= capacity.cpu_milli
+        or LARGE_PARTS * size.memory_mb >= capacity.memory_mb
+        or size.accelerators > 0
+    )
+
+
 def host_loads(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
     """Return the load of every host whose executor has attached."""
     loads = {}
--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -2,6 +2,7 @@
 
 from apricotpath.ids import QueueId
 from apricotpath.metrics import MetricSet
+from apricotpath.planevents import GroupWait, PlanCounts
 from apricotpath.workload import Progress, RunResult
 
 # Limits label cardinality, since operators choose queue names; other queues share one label.
@@ -31,6 +32,16 @@
         self._crashes = self._counter(
             "apricotpath_executor_crashes_total", "Executors that ended without notice"
         )
+        self._group_wait_s = self._histogram(
+            "apricotpath_group_wait_seconds", "Time that groups waited for their starts, by size"
+        )
+        self._reservations = self._counter(
+            "apricotpath_reservations_total",
+            "Reservations for waiting groups by what became of them",
+        )
+        self._backfilled = self._counter(
+            "apricotpath_tasks_backfilled_total", "Tasks started on hosts reserved for other groups"
+        )
         self._outward_call_s = self._histogram(
             "apricotpath_outward_call_seconds", "Time of calls to the store and the executor"
         )
@@ -53,6 +64,21 @@
         """Count a run that was ordered."""
         self._wait_s.add({"queue": self._queue_label(queue)}, waited_s)
 
+    def group_started(self, wait: GroupWait) -> None:
+        """Count a group of which a pass has started tasks."""
+        labels = {"queue": self._queue_label(wait.queue), "size": wait.size.value}
+        self._group_wait_s.add(labels, wait.waited_s)
+
+    def plan_changed(self, counts: PlanCounts) -> None:
+        """Count what has happened to reservations."""
+        events = {"made": counts.made, "used": counts.used}
+        events |= {reason.value: count for reason, count in counts.given_up.items()}
+        for event, count in events.items():
+            if count:
+                self._reservations.add({"event": event}, count)
+        if counts.backfilled:
+            self._backfilled.add({}, counts.backfilled)
+
     def run_ended(self, queue: QueueId, result: RunResult) -> None:
         """Count a run that ended or was given up as lost."""
         self._runs.inc({"queue": self._queue_label(queue), "result": result.value})
--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -4,16 +4,15 @@
 are expected to end before it begins, or fit beside it. A new scheduler starts without a plan.
 """
 
-from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from enum import Enum
 from typing import NamedTuple
 
 from apricotpath.forecasts import Forecasts
-from apricotpath.hostload import HostLoad, PlacementInput, may_use
+from apricotpath.hostload import HostLoad, PlacementInput, is_large, may_use
 from apricotpath.ids import HostId, JobId
 from apricotpath.joborder import WaitingGroup
 from apricotpath.jobtable import JobTable
+from apricotpath.planevents import GiveUpReason, PlanCounts
 from apricotpath.reservations import (
     Candidate,
     Reservation,
@@ -23,7 +22,7 @@
     spare_beside,
 )
 from apricotpath.runtimes import RunTimes
-from apricotpath.workload import Step, TaskKey
+from apricotpath.workload import TaskKey
 
 # Groups that hold a reservation at the same time.
 MAX_RESERVATIONS = 4
@@ -40,9 +39,6 @@
 # forecasts do not keep hosts free for ever.
 MAX_HELD_S = 20.0
 COOL_OFF_S = 10.0
-# Tasks of less than one in this many parts of a host in each resource get no reservation: gaps for
-# them come often enough.
-LARGE_PARTS = 8
 # A group for which no room was found is tried again after this time.
 RETRY_S = 1.0
 # Searches for room in one pass, which bounds its time.
@@ -63,25 +59,6 @@
 UNBOUND = GroupBounds()
 
 
-class GiveUpReason(Enum):
-    """Why a reservation was given up."""
-
-    GONE = "gone"
-    HOST = "host"
-    NO_ROOM = "no-room"
-    LATE = "late"
-    OVERDUE = "overdue"
-    URGENT = "urgent"
-
-
-class PlanCounts:
-    """What has happened to reservations since the counts were last taken."""
-
-    def __init__(self) -> None:
-        self.made = self.used = self.backfilled = 0
-        self.given_up: Counter[GiveUpReason] = Counter()
-
-
 class Lookahead:
     """Learned run times, forecasts of ends, and reservations of one scheduler."""
 
@@ -219,7 +196,8 @@
     ) -> None:
         """Reserve room for the tasks of a group that were not placed, if there is any in time."""
         key = group.tasks[0].key.step_key
-        if not group.step.gang and not _is_large(group.step, allowed):
+        large = any(is_large(group.step, load.capacity) for load in allowed)
+        if not group.step.gang and not large:
             self._retry_at[key] = now + RETRY_S
             return
         self._searches_left -= 1
@@ -286,14 +264,3 @@
     if group.queue.priority != item.priority:
         return group.queue.priority < item.priority
     return group.step.long_running and not item.step.long_running
-
-
-def _is_large(step: Step, allowed: Iterable[HostLoad]) -> bool:
-    """Return whether a task takes a large part of the hosts that it may use."""
-    size = step.size
-    return any(
-        LARGE_PARTS * size.cpu_milli >= load.capacity.cpu_milli
-        or LARGE_PARTS * size.memory_mb >= load.capacity.memory_mb
-        or size.accelerators > 0
-        for load in allowed
-    )
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -39,13 +39,14 @@
 from apricotpath.pagedread import ReadProgress
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
-from apricotpath.runplacement import Placement, place
+from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, Crashed, Ended, JobEnded, RunRecord
 from apricotpath.store import Delete, Put
 from apricotpath.waitreasons import host_row, long_waits
 from apricotpath.workload import Job, Queue, RunResult, TaskKey
 from apricotpathd.hosttracker import ExecutorName, HostTracker
 from apricotpathd.jobservice import JobKeys
+from apricotpathd.planning import Planning
 from apricotpathd.runstops import RunStops
 from apricotpathd.startorders import StartOrders
 from apricotpathd.tableload import TableLoad
@@ -133,6 +134,7 @@
         self._fleet_logged_at = float("-inf")
         self._snapshot_running = False
         self._crash_rate = CrashRate(self._started)
+        self.planning = Planning(cfg, metrics)
 
     # Start of the term.
 
@@ -185,6 +187,7 @@
         for start in range(0, len(records), RECORDS_PER_SLICE):
             self.table.apply_all(records[start : start + RECORDS_PER_SLICE], now)
             await anyio.lowlevel.checkpoint()
+        self.planning.loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
@@ -295,6 +298,7 @@
         self._fleet_logged_at = now
         inputs = self._placement_input(now)
         loads = host_loads(self.table, inputs)
+        self.planning.log_state(now)
         for wait in long_waits(self.table, inputs, loads):
             log.info("tasks waiting", extra=wait)
         waiting = Counter(self.table.rows[key.job].job.queue for key in self.table.waiting)
@@ -324,7 +328,7 @@
         inputs = self._placement_input(now)
         if not self.table.open_due(inputs.utc_s, now):
             self.wake()
-        self._assign(batch, place(self.table, inputs), now)
+        self._assign(batch, self.planning.place(self.table, inputs), now)
         if inputs.budget.spent:
             self.wake()
         # Copies are chosen afterwards, so that they count the tasks placed by this pass.
@@ -486,6 +490,7 @@
             return
         row = self.table.rows[key.job]
         self._metrics.run_ended(row.job.queue, result)
+        self.planning.run_ended(row.step(key), task.runs.get(run), result, now)
         self._apply(batch, Ended(key, run, result, saved), now)
         log.info("run ended", extra={"task": str(key), "run": run, "result": result.value})
 
--- a/tests/features/lookahead.feature
+++ b/tests/features/lookahead.feature
@@ -98,3 +98,20 @@
   Scenario: lookahead bounds the work of a pass
     Given a lookahead table of 60 hosts, each with 20 runs, and 200 groups that wait
     Then a lookahead pass takes at most 1.5 times the instructions of one without it
+
+  # Guards against a plan that the scheduler's loop does not use, and one that a successor needs.
+  Scenario: lookahead lets a scheduler plan, learn and report, and its successor begin anew
+    When a lookahead world runs a stream of small jobs, a gang that fits beside none, and a new scheduler
+    Then the lookahead gang and all jobs are done before and after the change of scheduler
+    And the first lookahead scheduler has learned run times and used a reservation
+    And the lookahead metrics name the waits of large and small groups and the reservations
+
+  Scenario Outline: lookahead is enabled by the command line <words>: <result>
+    When lookahead settings are loaded with the command line <words>
+    Then the result of lookahead is <result>
+
+    Examples:
+      | words            | result  |
+      | entry            | off     |
+      | entry --backfill | on      |
+      | agent --backfill | refused |
--- a/tests/features/steps/lookahead_steps.py
+++ b/tests/features/steps/lookahead_steps.py
@@ -1,8 +1,13 @@
 """Steps for lookahead.feature."""
 
+import contextlib
+import io
+import json
+import tempfile
 from hashlib import sha256
 from typing import Any
 
+import anyio
 from behave import given, then, when
 
 from apricotpath.fleet import FleetSettings, Host
@@ -10,12 +15,15 @@
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
 from apricotpath.jobrows import RunPhase
 from apricotpath.jobtable import JobTable
-from apricotpath.lookahead import GiveUpReason, Lookahead
+from apricotpath.lookahead import Lookahead
 from apricotpath.model import Size
+from apricotpath.planevents import GiveUpReason
 from apricotpath.runplacement import Placement, place
 from apricotpath.runrecords import Assigned, Ended
 from apricotpath.workload import HostFacts, Job, Queue, RunResult, Step, TaskKey
+from apricotpath_platform.cmdline import load_settings, parse_args
 from support.instructions import count_instructions
+from support.jobworld import JobWorld, run_virtual
 from support.placementtables import PASSES, GeneratedTable, digest_of_passes
 
 SERVICE = ServiceId("bakery")
@@ -287,3 +295,87 @@
         costs.append(count_instructions(case.run_pass))
     assert ahead is not None and ahead.reservations
     assert costs[1] <= factor * costs[0], costs
+
+
+@when(
+    "a lookahead world runs a stream of small jobs, a gang that fits beside none, "
+    "and a new scheduler"
+)
+def run_world(context: Any) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = context.world = JobWorld(group, FleetSettings(backfill=True))
+            world.behaviour.seconds = 1.1
+            for name in ("entry0", "entry1"):
+                world.add_entry(name)
+            for number in range(3):
+                world.add_agent(f"host{number}", Size(4000, 4000))
+            await world.wait_until_attached()
+            context.states, context.plans, context.metrics = [], [], []
+            for _ in range(2):
+                leader = world.leader()
+                assert leader is not None and leader.jobs.scheduler is not None
+                name = leader.process.hello.process_id
+                context.plans.append(leader.jobs.scheduler.planning)
+                jobs = []
+                for turn in range(12):
+                    jobs.append(await world.submit(step(11, 0.45, 2.0), at=name))
+                    if turn == 1:
+                        gang = step(3, 4, 0.5, gang=True)
+                        jobs.append(await world.submit(gang, at=name))
+                    await anyio.sleep(0.4)
+                context.states += [await world.wait_for_end(job, 30.0) for job in jobs]
+                context.metrics.append(leader.jobs._metrics.render().decode())
+                leader.scope.cancel()
+                await anyio.sleep(8.0)
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+@then("the lookahead gang and all jobs are done before and after the change of scheduler")
+def all_done(context: Any) -> None:
+    assert set(context.states) == {"completed"}, context.states
+
+
+@then("the first lookahead scheduler has learned run times and used a reservation")
+def planned(context: Any) -> None:
+    plan = context.plans[0]
+    assert len(plan.ahead.times) > 0 and plan._totals.used > 0, vars(plan._totals)
+    assert context.plans[1] is not plan
+
+
+@then("the lookahead metrics name the waits of large and small groups and the reservations")
+def metrics_named(context: Any) -> None:
+    for text in ('size="large"', 'size="small"', 'reservations_total{event="made"}'):
+        assert text in context.metrics[0], [
+            line for line in context.metrics[0].splitlines() if "wait" in line or "reserv" in line
+        ]
+
+
+@when("lookahead settings are loaded with the command line {words}")
+def load_words(context: Any, words: str) -> None:
+    body = {
+        "nodeName": "front-1",
+        "ip": "127.0.0.1",
+        "portRange": [20000, 20010],
+        "zone": "zvolen",
+        "platform": {"addr": "127.0.0.1:1"},
+        "listen": {},
+        "bounds": {},
+    }
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(body, file)
+        file.flush()
+        with contextlib.redirect_stderr(io.StringIO()):
+            try:
+                cfg = load_settings(parse_args([*words.split(), "--settings", file.name]))
+            except SystemExit:
+                context.result = "refused"
+                return
+    context.result = "on" if cfg.fleet.backfill else "off"
+
+
+@then("the result of lookahead is {result:w}")
+def settings_result(context: Any, result: str) -> None:
+    assert context.result == result, context.result
