--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -21,7 +21,7 @@
 FILLER_SHARE_UNPACED = 1.0
 # Where ends are forecast, filler tasks are placed while the runs that do not end soon stay below
 # this share: tasks that run one after another end sooner on average than side by side.
-FILLER_SHARE_AHEAD = 1.0
+FILLER_SHARE_AHEAD = 1.15
 # Hosts that run tasks below this share of the median speed get new tasks last. Speeds are
 # compared between hosts, since errors in the estimated run times affect all hosts alike.
 SLOW_HOST_SHARE = 0.55
--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -29,10 +29,8 @@
 # At most one in this many hosts is reserved for tasks that start one by one. A gang may hold
 # more if nothing else is reserved on the hosts that it may use.
 HOSTS_PER_RESERVED = 5
-# A group that has waited this long gets a reservation; most groups fit sooner. Filler tasks wait
-# for what others leave unused, so that their reservations delay others of them only.
+# A group that has waited this long gets a reservation; most groups fit sooner.
 RESERVE_AFTER_S = 0.3
-RESERVE_FILLER_AFTER_S = 2.0
 # A reservation that has not been used this long after its start is made anew.
 LATE_S = 0.5
 # A group holds reservations for this long in all, and then none for some time, so that wrong
@@ -176,8 +174,9 @@
     def may_reserve(self, group: WaitingGroup, now: float) -> bool:
         """Return whether a group that was not placed may get a reservation in this pass."""
         first, key = group.tasks[0], group.tasks[0].key.step_key
-        after = RESERVE_FILLER_AFTER_S if group.step.filler else RESERVE_AFTER_S
-        if not self._searches_left or now - first.waiting_since < after:
+        if group.step.filler and not group.step.gang:
+            return False
+        if not self._searches_left or now - first.waiting_since < RESERVE_AFTER_S:
             return False
         if key in self.reservations or key in self._retry_at:
             return False
