--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from apricotpath.commitments import Commitments, reserved_size
+from apricotpath.commitments import SERVING_CPU_SHARE, Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.gangturns import GangTurns
@@ -12,7 +12,7 @@
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
-from apricotpath.workload import Queue, Step, TaskKey
+from apricotpath.workload import NO_SIZE, Queue, Step, TaskKey
 
 # Filler tasks are placed while the processors in use stay below this share of a host. Above 1
 # they only slow each other down, which is better than slowing a serving task. On a host with
@@ -20,6 +20,9 @@
 FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_PACED = 0.6
 FILLER_SHARE_UNPACED = 1.0
+# Where ends are forecast, filler tasks are placed while the runs that do not end soon stay below
+# this share: tasks that run one after another end sooner on average than side by side.
+FILLER_SHARE_AHEAD = 1.15
 # Hosts that run tasks below this share of the median speed get new tasks last. Speeds are
 # compared between hosts, since errors in the estimated run times affect all hosts alike.
 SLOW_HOST_SHARE = 0.55
@@ -35,6 +38,10 @@
 # Tasks may ask for nothing. So many runs still fit the messages of a host, of some 150 bytes each.
 MAX_RUNS_PER_HOST = 2000
 
+# A task is large if it takes at least one in this many parts of a host in a resource: gaps for
+# smaller ones come often enough.
+LARGE_PARTS = 8
+
 OTHER_SERVICE = "of another service"
 
 
@@ -88,6 +95,24 @@
     gang_turns: GangTurns = field(default_factory=GangTurns)
 
 
+@dataclass(slots=True)
+class Hold:
+    """What a reservation asks of the other groups on its hosts.
+
+    `bound` tells whether the group that is being placed has to heed it, and `group_ends_at` when
+    a task of that group would end (boot-clock seconds). `for_filler`: filler tasks are waited
+    for, so that processors count as they are used.
+    """
+
+    for_filler: bool
+    bound: bool = False
+    group_ends_at: float = 0.0
+
+    def size_of(self, step: Step) -> Size:
+        """Return what a task of another group takes from what is left beside the reservation."""
+        return step.size if self.for_filler else reserved_size(step)
+
+
 @dataclass(slots=True)
 class HostLoad(Commitments):
     """Resources committed on one host during a placement pass.
@@ -97,6 +122,10 @@
     is `starting`. `observed` is the job of suspected tasks that are being observed; only others
     of these start on its host, since one that causes a crash ends the job. Suspects that are
     `held` start nowhere.
+
+    `hold` is that of a reservation which begins at `held_from` (boot-clock seconds); `spare` is
+    what is left beside it then. `used_soon` are the processors in use by runs that do not end
+    soon; None if ends are not forecast.
     """
 
     host: Host = field(kw_only=True)
@@ -108,6 +137,10 @@
     held: frozenset[TaskKey] = frozenset()
     kept_for: JobId | None = None
     observed: JobId | None = None
+    hold: Hold | None = None
+    held_from: float = 0.0
+    spare: Size = NO_SIZE
+    used_soon: float | None = None
 
     def add_start(self, task: TaskKey, step: Step) -> None:
         """Commit one more task, which is to start now."""
@@ -119,6 +152,12 @@
         self.starting += count
         if task in self.suspects:
             self.observed = task.job
+        if self.hold is not None and self.hold.group_ends_at > self.held_from:
+            size = self.hold.size_of(step)
+            taken = Size(size.cpu_milli * count, size.memory_mb * count, size.accelerators * count)
+            self.spare = (self.spare - taken).not_negative()
+        if self.used_soon is not None:
+            self.used_soon += step.size.cpu_milli * count
 
     def admits(self, task: TaskKey, step: Step) -> bool:
         """Return whether a task may start here beside tasks that are suspected of crashes.
@@ -139,14 +178,28 @@
         """Take back the tasks committed since `saved` was copied from this load."""
         self.copy_from(saved)
         self.observed = saved.observed
+        self.spare, self.used_soon = saved.spare, saved.used_soon
 
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits without slowing the tasks already there."""
         limit = self.filler_share(step) * self.capacity.cpu_milli
         if step.filler and self.used + step.size.cpu_milli > limit:
             return False
+        if step.filler and not self._filler_starts_soon_enough(step):
+            return False
         return self.has_resources_for(step)
 
+    def _filler_starts_soon_enough(self, step: Step) -> bool:
+        """Return whether a filler task does not do better by a wait for earlier ones to end.
+
+        On a host without serving tasks it waits while those that do not end soon use the processors
+        that it would share. Always true if ends are not forecast.
+        """
+        if self.used_soon is None or self.serving or self.used_soon <= 0:
+            return True
+        limit = FILLER_SHARE_AHEAD * self.capacity.cpu_milli
+        return self.used_soon + step.size.cpu_milli <= limit
+
     def filler_share(self, step: Step) -> float:
         """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
@@ -157,8 +210,15 @@
 
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
-        return self.runs < MAX_RUNS_PER_HOST and (self.claimed + reserved_size(step)).fits_in(
-            self.capacity
+        # Asked for each host and group; sums of sizes would take most of the time of a pass.
+        size, claimed, capacity = step.size, self.claimed, self.capacity
+        return (
+            (step.filler or claimed.cpu_milli + size.cpu_milli <= capacity.cpu_milli)
+            and claimed.cpu_milli <= capacity.cpu_milli
+            and claimed.memory_mb + size.memory_mb <= capacity.memory_mb
+            and claimed.accelerators + size.accelerators <= capacity.accelerators
+            and self.runs < MAX_RUNS_PER_HOST
+            and (self.hold is None or self._fits_beside_hold(step, self.hold))
         )
 
     def room_for(self, task: TaskKey, step: Step) -> int:
@@ -182,12 +242,46 @@
             count = min(count, (capacity.cpu_milli - claimed.cpu_milli) // size.cpu_milli)
         if step.max_per_host:
             count = min(count, step.max_per_host - self.steps.get(task.step_key, 0))
+        if self.hold is not None and self.hold.bound and self.hold.group_ends_at > self.held_from:
+            count = min(count, _times_in(self.hold.size_of(step), self.spare))
         return max(0, count)
 
+    def _fits_beside_hold(self, step: Step, hold: Hold) -> bool:
+        """Return whether a task delays no reservation: it ends before, or takes what is spare."""
+        if not hold.bound or hold.group_ends_at <= self.held_from:
+            return True
+        return hold.size_of(step).fits_in(self.spare)
+
     def can_make_room_for(self, step: Step) -> bool:
         """Return whether one more task of a step fits once all but long-running tasks end."""
-        left = self.capacity - self.long_running
-        return step.size.fits_in(self.capacity) and reserved_size(step).fits_in(left)
+        size, lasting, capacity = step.size, self.long_running, self.capacity
+        reserved_milli = 0 if step.filler else size.cpu_milli
+        return (
+            size.fits_in(capacity)
+            and reserved_milli + lasting.cpu_milli <= capacity.cpu_milli
+            and size.memory_mb + lasting.memory_mb <= capacity.memory_mb
+            and size.accelerators + lasting.accelerators <= capacity.accelerators
+        )
+
+    def most_room_for(self, step: Step) -> int:
+        """Return how many more tasks of a step fit once all but long-running tasks end."""
+        if not self.can_make_room_for(step):
+            return 0
+        need, left = reserved_size(step), self.capacity - self.long_running
+        limits = [MAX_RUNS_PER_HOST]
+        if need.cpu_milli:
+            limits.append(left.cpu_milli // need.cpu_milli)
+        if need.memory_mb:
+            limits.append(left.memory_mb // need.memory_mb)
+        if need.accelerators:
+            limits.append(left.accelerators // need.accelerators)
+        if step.filler and step.size.cpu_milli:
+            used = self.long_running.cpu_milli * SERVING_CPU_SHARE
+            most = FILLER_SHARE_UNPACED if self.serving else FILLER_SHARE_ALONE
+            limits.append(int(most * self.capacity.cpu_milli - used) // step.size.cpu_milli)
+        if step.max_per_host:
+            limits.append(step.max_per_host)
+        return max(0, min(limits))
 
     def within_max_per_host(self, task: TaskKey, step: Step) -> bool:
         """Return whether one more task of a step stays within the step's limit per host."""
@@ -202,6 +296,22 @@
         return self.claimed.cpu_milli / max(1, self.capacity.cpu_milli)
 
 
+def is_large(step: Step, capacity: Size) -> bool:
+    """Return whether a task takes a large part of a host of a capacity."""
+    size = step.size
+    return (
+        LARGE_PARTS * size.cpu_milli >= capacity.cpu_milli
+        or LARGE_PARTS * size.memory_mb >= capacity.memory_mb
+        or size.accelerators > 0
+    )
+
+
+def _times_in(size: Size, room: Size) -> int:
+    """Return how many times a size fits in what is left."""
+    pairs = zip(size.as_list(), room.as_list(), strict=True)
+    return min((left // one for one, left in pairs if one > 0), default=MAX_RUNS_PER_HOST)
+
+
 def host_loads(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
     """Return the load of every host whose executor has attached."""
     loads = {}
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -12,6 +12,7 @@
 from apricotpath.joborder import WaitingGroup, waiting_groups
 from apricotpath.jobrows import Task
 from apricotpath.jobtable import JobTable
+from apricotpath.lookahead import UNBOUND, GroupBounds, GroupKey, Lookahead
 from apricotpath.model import Size
 from apricotpath.workload import Step, TaskKey
 
@@ -35,15 +36,21 @@
     host: HostId
 
 
-def place(table: JobTable, inputs: PlacementInput) -> list[Placement]:
-    """Return the tasks to start now, in order."""
+def place(
+    table: JobTable, inputs: PlacementInput, ahead: Lookahead | None = None
+) -> list[Placement]:
+    """Return the tasks to start now, in order; with `ahead`, by reservations with backfill."""
     if not table.waiting:
+        if ahead is not None:
+            ahead.nothing_waits()
         return []
     loads = host_loads(table, inputs)
     placements: list[Placement] = []
     groups = waiting_groups(table, inputs)
     if table.crashes:
         _keep_hosts_for_suspects(groups, loads.values(), inputs)
+    if ahead is not None:
+        ahead.begin_pass(table, groups, loads, inputs)
     hosts = _UsableHosts(list(loads.values()), inputs)
     turns = inputs.gang_turns
     turns.begin((group.key for group in groups if group.step.gang), len(loads))
@@ -53,21 +60,30 @@
         if group.step.gang and not turns.may_look_at(group.key):
             continue
         allowed = hosts.allowed(group)
-        candidates = [load for load in allowed if not load.reserved]
+        # With `ahead`, each load knows what groups may take beside its reservation.
+        candidates = allowed if ahead else [load for load in allowed if not load.reserved]
+        bounds = ahead.begin_group(group, inputs.now) if ahead is not None else UNBOUND
         if group.step.gang:
-            placed = _place_gang(group, candidates, hosts.misfits(group), turns)
-        elif hosts.are_full_for(group):
+            placed = _place_gang(group, candidates, hosts.misfits(group, bounds), turns)
+        elif hosts.are_full_for(group, bounds):
             placed = []
         else:
             del group.tasks[inputs.budget.allowance(group.row.job.command) :]
             placed = list(_place_each(group, candidates, inputs))
             if len(placed) < len(group.tasks):
-                hosts.note_if_full(group, candidates)
+                hosts.note_if_full(group, bounds, candidates)
         if len(placed) < len(group.tasks):
-            _reserve_for_next(group, placed, candidates, loads.values(), inputs)
-        placed = placed or _place_starving(group, allowed, inputs, placements)
-        inputs.budget.spend(group.row.job.command, len(placed))
-        placements += placed
+            if ahead is not None:
+                _reserve_ahead(table, group, placed, allowed, inputs, ahead)
+            else:
+                _reserve_for_next(group, placed, allowed, loads.values(), inputs)
+        if not placed and group.step.filler:
+            placed = _place_starving(group, allowed, inputs, placements)
+        if placed:
+            inputs.budget.spend(group.row.job.command, len(placed))
+            placements += placed
+    if ahead is not None:
+        ahead.end_pass((placement.task, placement.host) for placement in placements)
     return placements
 
 
@@ -79,6 +95,15 @@
     guards_capacity: bool
 
 
+class _ResourceKind(NamedTuple):
+    """What decides whether a host has room for tasks, apart from their size and end."""
+
+    hosts: _HostKind
+    filler: bool
+    low_impact: bool
+    reservations: tuple[GroupKey, ...]
+
+
 class _UsableHosts:
     """The hosts that groups may use in one pass, looked up once for groups of a kind.
 
@@ -89,35 +114,52 @@
     def __init__(self, loads: list[HostLoad], inputs: PlacementInput) -> None:
         self._loads, self._inputs = loads, inputs
         self._allowed: dict[_HostKind, list[HostLoad]] = {}
-        self._too_large: dict[tuple[_HostKind, bool, bool], list[Size]] = {}
-        self._misfits: dict[tuple[_HostKind, bool, bool], Misfits] = {}
+        self._too_large: dict[_ResourceKind, list[tuple[Size, float]]] = {}
+        self._misfits: dict[_ResourceKind, Misfits] = {}
 
     def allowed(self, group: WaitingGroup) -> list[HostLoad]:
         """Return the hosts on which a group's tasks may start, regardless of free resources."""
         kind = _kind(group)
-        if kind not in self._allowed:
-            self._allowed[kind] = [
+        found = self._allowed.get(kind)
+        if found is None:
+            found = self._allowed[kind] = [
                 load for load in self._loads if may_use(load, group.step, group.queue, self._inputs)
             ]
-        return self._allowed[kind]
-
-    def are_full_for(self, group: WaitingGroup) -> bool:
-        """Return whether no host has the resources that a task of a group needs."""
-        sizes = self._too_large.get(self._resource_kind(group), ())
-        return any(size.fits_in(group.step.size) for size in sizes)
-
-    def note_if_full(self, group: WaitingGroup, candidates: Iterable[HostLoad]) -> None:
+        return found
+
+    def are_full_for(self, group: WaitingGroup, bounds: GroupBounds) -> bool:
+        """Return whether no host has the resources that a task of a group needs.
+
+        A task that ends later fits beside no more reservations than an earlier one.
+        """
+        if not self._too_large:
+            return False
+        noted = self._too_large.get(self._resource_kind(group, bounds), ())
+        return any(
+            ends_at <= bounds.ends_at and size.fits_in(group.step.size) for size, ends_at in noted
+        )
+
+    def note_if_full(
+        self, group: WaitingGroup, bounds: GroupBounds, candidates: Iterable[HostLoad]
+    ) -> None:
         """Remember the size of a group's tasks if it fits on none of its candidates."""
         if not any(load.fits(group.step) for load in candidates):
-            self._too_large.setdefault(self._resource_kind(group), []).append(group.step.size)
+            noted = self._too_large.setdefault(self._resource_kind(group, bounds), [])
+            noted.append((group.step.size, bounds.ends_at))
+
+    def misfits(self, group: WaitingGroup, bounds: GroupBounds) -> Misfits:
+        """Return the gangs of a group's kind that did not fit in this pass.
 
-    def misfits(self, group: WaitingGroup) -> Misfits:
-        """Return the gangs of a group's kind that did not fit in this pass."""
-        return self._misfits.setdefault(self._resource_kind(group), Misfits())
+        Beside reservations, whether a gang fits depends on when it ends: nothing is kept then.
+        """
+        if bounds.reservations:
+            return Misfits()
+        return self._misfits.setdefault(self._resource_kind(group, bounds), Misfits())
 
-    def _resource_kind(self, group: WaitingGroup) -> tuple[_HostKind, bool, bool]:
+    def _resource_kind(self, group: WaitingGroup, bounds: GroupBounds) -> _ResourceKind:
         step = group.step
-        return _kind(group), step.filler, step.image in self._inputs.low_impact_images
+        low_impact = step.image in self._inputs.low_impact_images
+        return _ResourceKind(_kind(group), step.filler, low_impact, bounds.reservations)
 
 
 def _kind(group: WaitingGroup) -> _HostKind:
@@ -304,21 +346,55 @@
 def _reserve_for_next(
     group: WaitingGroup,
     placed: Collection[Placement],
-    candidates: Collection[HostLoad],
+    allowed: Collection[HostLoad],
     loads: Collection[HostLoad],
     inputs: PlacementInput,
 ) -> None:
     """Reserve a host for the first task that was not placed and is not suspected of crashes."""
     passed_over = {placement.task for placement in placed} | _suspects(loads).keys()
     task = next((task for task in group.tasks if task.key not in passed_over), None)
-    if task is not None:
-        _reserve(group, task, candidates, loads, inputs)
+    if task is not None and _can_fit_whole(group, allowed):
+        _reserve(group, task, allowed, loads, inputs)
+
+
+def _reserve_ahead(
+    table: JobTable,
+    group: WaitingGroup,
+    placed: Collection[Placement],
+    allowed: Collection[HostLoad],
+    inputs: PlacementInput,
+    ahead: Lookahead,
+) -> None:
+    """Let a group hold a reservation for its tasks that were not placed.
+
+    Suspected tasks have hosts kept for them already, and those that an advisory service has not
+    answered for may use no host yet.
+    """
+    if not ahead.may_reserve(group, inputs.now):
+        return
+    if table.crashes and any(task.key in table.crashes for task in group.tasks):
+        return
+    advised = _advised(group, group.tasks[0], allowed, inputs)
+    if advised is not None:
+        ahead.reserve(table, group, len(group.tasks) - len(placed), advised, inputs.now)
+
+
+def _can_fit_whole(group: WaitingGroup, allowed: Iterable[HostLoad]) -> bool:
+    """Return whether a gang fits once all but long-running tasks end; true for other groups."""
+    if not group.step.gang:
+        return True
+    missing = group.step.count
+    for load in allowed:
+        missing -= load.most_room_for(group.step)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _reserve(
     group: WaitingGroup,
     task: Task,
-    candidates: Iterable[HostLoad],
+    allowed: Iterable[HostLoad],
     loads: Collection[HostLoad],
     inputs: PlacementInput,
 ) -> None:
@@ -330,8 +406,10 @@
         return
     eligible = [
         load
-        for load in candidates
-        if load.can_make_room_for(group.step) and load.within_max_per_host(task.key, group.step)
+        for load in allowed
+        if not load.reserved
+        and load.can_make_room_for(group.step)
+        and load.within_max_per_host(task.key, group.step)
     ]
     if eligible:
         closest = min(eligible, key=lambda load: load.claimed.cpu_milli - load.capacity.cpu_milli)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -27,7 +27,7 @@
 from apricotpath.pagedread import ReadProgress
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
-from apricotpath.runplacement import Placement, place
+from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, RunRecord
 from apricotpath.slices import OPERATIONS_PER_SLICE, RUNS_PER_OPERATION, Slices
 from apricotpath.workload import Queue, StepKey
@@ -36,6 +36,7 @@
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobends import JobEnds
 from apricotpathd.jobservice import JobKeys
+from apricotpathd.planning import Planning
 from apricotpathd.runends import RunEnds
 from apricotpathd.runstops import RunStops
 from apricotpathd.schedulerbatch import Batch
@@ -105,7 +106,10 @@
         )
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
-        self._run_ends = RunEnds(self.table, self.host_tracker, self._crashes, metrics, self.wake)
+        self.planning = Planning(cfg, metrics)
+        self._run_ends = RunEnds(
+            self.table, self.host_tracker, self._crashes, self.planning, metrics, self.wake
+        )
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
         self._snapshot_running = False
@@ -173,6 +177,7 @@
             # Counted here host by host, and not for all hosts together in the first pass.
             self.table.commitments(host)
             await anyio.lowlevel.checkpoint()
+        self.planning.loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
@@ -256,6 +261,7 @@
             if self._log.snapshot_due and not self._snapshot_running:
                 await self._begin_snapshot(group, slices)
             if self._fleet_log.is_due(boot_s()):
+                self.planning.log_state(boot_s())
                 await self._fleet_log.write(self._placement_input(boot_s()), slices)
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
@@ -309,7 +315,7 @@
         """Choose the runs to start now."""
         if not self.table.open_due(inputs.utc_s, inputs.now):
             self.wake()
-        await self._assign(batch, place(self.table, inputs), inputs.now, slices)
+        await self._assign(batch, self.planning.place(self.table, inputs), inputs.now, slices)
         if inputs.budget.spent:
             self.wake()
         # Copies are chosen afterwards, so that they count the tasks placed by this pass.
