--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -141,8 +141,9 @@
             if host in self._loads:
                 self._loads[host].hold = None
         self.counts.given_up[reason] += 1
-        if reason is GiveUpReason.OVERDUE:
+        if reason is not GiveUpReason.LATE:
             self._held_since.pop(key, None)
+        if reason is GiveUpReason.OVERDUE:
             self._retry_at[key] = now + COOL_OFF_S
 
     def _mark(self, table: JobTable, item: Reservation) -> None:
@@ -202,6 +203,7 @@
         self._searches_left -= 1
         slots = self._search(table, group, unplaced, allowed, now)
         if not slots:
+            self._held_since.pop(key, None)
             self._retry_at[key] = now + RETRY_S
             return
         if len(self.reservations) == MAX_RESERVATIONS:
--- a/tests/features/lookahead.feature
+++ b/tests/features/lookahead.feature
@@ -44,6 +44,15 @@
       | late    | the runs on a take 8 seconds     | a       |
       | overdue | the runs on both take 60 seconds | nothing |
 
+  # Such a group got no reservation for 10 s more, as if it had held hosts all the time.
+  Scenario: lookahead counts against a group only the time in which it holds hosts
+    Given lookahead hosts a and b, full for 2 and 2 seconds, with 0 cores free on b
+    And a lookahead gang of 4 tasks of 8 cores that waits, on any rack
+    Then lookahead reserves a and b
+    When the event of lookahead is: all hosts drain for 25 seconds and are full for 2 after that
+    Then lookahead reserves a and b
+    And lookahead has given up 0 reservation as overdue
+
   Scenario Outline: lookahead reserves nothing for <members> members of <cores> cores
     Given lookahead hosts a and b, full for 2 and 10 seconds, with 0 cores free on b
     And a lookahead gang of <members> tasks of <cores> cores that waits, on any rack
--- a/tests/features/steps/lookahead_steps.py
+++ b/tests/features/steps/lookahead_steps.py
@@ -191,6 +191,14 @@
     assert host.facts is not None
     if "cancelled" in event:
         case.table.cancel(case.gang)
+    elif "all hosts drain" in event:
+        for other in case.hosts.values():
+            other.draining = True
+        case.tick(case.now + 25.0)
+        for other in case.hosts.values():
+            other.draining = False
+            case.fill(other.host, 2.0)
+        case.tick(case.now + 1.5)
     elif "drains" in event:
         host.draining = True
     elif "leaves" in event:
@@ -209,10 +217,10 @@
         case.run_pass()
 
 
-@then("lookahead has given up 1 reservation as {reason}")
-def given_up(context: Any, reason: str) -> None:
+@then("lookahead has given up {count:d} reservation as {reason}")
+def given_up(context: Any, count: int, reason: str) -> None:
     counts = context.case.ahead.counts.given_up
-    assert counts[GiveUpReason(reason)] == 1, counts
+    assert counts[GiveUpReason(reason)] == count, counts
 
 
 @when("another scheduler takes over at lookahead")
