Count a reservation as used when its group has started elsewhere

Cause: a gang that started on other hosts than the reserved ones, or a group whose last task did, was counted as gone. Change: a reservation whose group waits no longer counts as used unless its job is being stopped.

--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -94,6 +94,7 @@
         if not self.reservations:
             return
         waiting = {group.tasks[0].key.step_key: group for group in groups}
+        self._drop_started(table)
         for key, item in list(self.reservations.items()):
             reason = self._review(item, waiting.get(key), loads, inputs)
             if reason is not None:
@@ -154,8 +155,21 @@
             if forecast is not None:
                 load.spare = spare_beside(Candidate(load, forecast), item.step, slot)
 
-    def nothing_waits(self) -> None:
-        """Give up all reservations, since no group waits."""
+    def _drop_started(self, table: JobTable) -> None:
+        """Count the reservations as used whose groups have started, here or elsewhere."""
+        for key in [key for key in self.reservations if key not in table.waiting_steps]:
+            row = table.rows.get(key[0])
+            if row is not None and not row.to_be_stopped:
+                self._use(key)
+
+    def _use(self, key: GroupKey) -> None:
+        del self.reservations[key]
+        self._held_since.pop(key, None)
+        self.counts.used += 1
+
+    def nothing_waits(self, table: JobTable) -> None:
+        """Drop all reservations, since no group waits."""
+        self._drop_started(table)
         for key in list(self.reservations):
             self._give_up(key, GiveUpReason.GONE, 0.0)
 
@@ -255,9 +269,7 @@
             if slot is not None and slot.tasks > 1:
                 item.slots[host] = slot._replace(tasks=slot.tasks - 1)
         for key in [key for key, item in self.reservations.items() if not item.slots]:
-            del self.reservations[key]
-            self._held_since.pop(key, None)
-            self.counts.used += 1
+            self._use(key)
 
 
 def _precedes(group: WaitingGroup, item: Reservation) -> bool:
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -40,7 +40,7 @@
     """Return the tasks to start now, in order; with `ahead`, by reservations with backfill."""
     if not table.waiting:
         if ahead is not None:
-            ahead.nothing_waits()
+            ahead.nothing_waits(table)
         return []
     loads = host_loads(table, inputs)
     placements: list[Placement] = []
