Order waiting groups with keys computed beside them

Cause: the order of 870 groups took 8.3 ms of a pass at 300 hosts and 10,000 waiting tasks. Change: the key of each group is computed where the group is made. The placements are the same by the digest of lookahead.feature.

--- a/packages/core/src/apricotpath/joborder.py
+++ b/packages/core/src/apricotpath/joborder.py
@@ -1,6 +1,7 @@
 """Order in which the waiting tasks of jobs are placed."""
 
 from dataclasses import dataclass
+from operator import itemgetter
 
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import JobId
@@ -26,28 +27,26 @@
 
 def waiting_groups(table: JobTable, inputs: PlacementInput) -> list[WaitingGroup]:
     """Return the due waiting tasks grouped by step and occurrence, in placement order."""
-    groups = []
+    # The keys are computed beside the groups, since all groups are ordered in each pass.
+    ordered: list[tuple[tuple[int, bool, int, float, float], WaitingGroup]] = []
     works: dict[JobId, float] = {}
     for tasks in table.waiting_steps.values():
-        key = next(iter(tasks))
-        row = table.rows[key.job]
-        queue = inputs.queues.get(row.job.queue)
-        if queue is not None and row.job.due_s(key.occurrence) <= inputs.utc_s:
-            groups.append(WaitingGroup(row, row.step(key), queue, list(tasks.values())))
-            if key.job not in works:
-                works[key.job] = remaining_work(row)
-    return sorted(
-        groups,
-        key=lambda group: (
-            group.queue.priority,
-            # Long-running tasks go first: short ones would take the space needed to keep them
-            # on few hosts.
-            not group.step.long_running,
-            lateness_rank(group.row.job, group.queue, group.tasks[0].key, inputs.utc_s),
-            works[group.row.job.job_id],
-            group.row.job.accepted_s,
-        ),
-    )
+        first = next(iter(tasks))
+        row = table.rows[first.job]
+        job = row.job
+        queue = inputs.queues.get(job.queue)
+        if queue is None or job.due_s(first.occurrence) > inputs.utc_s:
+            continue
+        step, work = job.steps[first.step], works.get(first.job)
+        if work is None:
+            work = works[first.job] = remaining_work(row)
+        # Long-running tasks go first: short ones would take the space needed to keep them on few
+        # hosts.
+        rank = lateness_rank(job, queue, first, inputs.utc_s)
+        key = (queue.priority, not step.long_running, rank, work, job.accepted_s)
+        ordered.append((key, WaitingGroup(row, step, queue, list(tasks.values()))))
+    ordered.sort(key=itemgetter(0))
+    return [group for _, group in ordered]
 
 
 def remaining_work(row: JobRow) -> float:
@@ -55,10 +54,11 @@
 
     The unit is a thousandth of a core second.
     """
-    return sum(
-        state.remaining * row.job.steps[number].estimate_s * row.job.steps[number].size.cpu_milli
-        for (_, number), state in row.steps.items()
-    )
+    steps, work = row.job.steps, 0.0
+    for (_, number), state in row.steps.items():
+        step = steps[number]
+        work += state.remaining * step.estimate_s * step.size.cpu_milli
+    return work
 
 
 def lateness_rank(job: Job, queue: Queue, task: TaskKey, utc_s: float) -> int:
