--- a/packages/core/src/apricotpath/clientlimits.py
+++ b/packages/core/src/apricotpath/clientlimits.py
@@ -202,9 +202,12 @@
         if not self._peers[client.peer]:
             del self._peers[client.peer]
 
-    def remove(self, key: object) -> None:
+    def remove(self, key: object, client: Client) -> None:
         """Forget a connection that is closed."""
-        self.detach(self.clients.pop(key))
+        self.detach(client)
+        # A later connection may have the same address and port.
+        if self.clients.get(key) is client:
+            del self.clients[key]
 
     def evict(self, client: Client, limit: Limit) -> None:
         """Close a connection because of a limit."""
@@ -230,15 +233,22 @@
             self.evict(found, limit)
 
     def charge(self, client: Client, size: int) -> None:
+        """Reserve bytes for a request of a connection, as `reserve` does.
+
+        Raises BudgetExhausted also if the connection would hold too much.
+        """
+        if client.charged + size > self.limits.connection_bytes and not client.closing:
+            self.on_limit(Limit.CONNECTION_BYTES, client.peer)
+            raise BudgetExhausted("the connection holds too much memory")
+        self.reserve(client, size)
+
+    def reserve(self, client: Client, size: int) -> None:
         """Reserve bytes for a connection, closing others that make less progress.
 
         Raises BudgetExhausted if none does, and ClientGone if the connection is closed.
         """
         if client.closing:
             raise ClientGone("the connection is closed")
-        if client.charged + size > self.limits.connection_bytes:
-            self.on_limit(Limit.CONNECTION_BYTES, client.peer)
-            raise BudgetExhausted("the connection holds too much memory")
         while self.used_bytes + size > self.limits.budget_bytes:
             victim = first_to_close(other for other in self.clients.values() if other.charged)
             if victim is None or victim is client:
--- a/packages/daemon/src/apricotpathd/limitedapp.py
+++ b/packages/daemon/src/apricotpathd/limitedapp.py
@@ -139,8 +139,9 @@
         if self._client.closing:
             raise ClientGone("the connection is closed")
         self._answering = True
+        size = len(message.get("body", b""))
         try:
-            self._request.charge(len(message.get("body", b"")))
+            self._request.charge(size)
         except BudgetExhausted as exc:
             # The request was run, so that a refusal would be wrong.
             self._table.evict(self._client, Limit.BUDGET_BYTES)
@@ -154,6 +155,7 @@
             raise ClientGone("the answer makes no progress") from exc
         finally:
             self._client.handling += 1
+            self._request.release(size)
 
     async def refuse(self, status: int, reason: str) -> None:
         """Answer that the request was not run, unless an answer has begun."""
--- a/packages/daemon/src/apricotpathd/limitedserver.py
+++ b/packages/daemon/src/apricotpathd/limitedserver.py
@@ -88,15 +88,17 @@
             await stop()
             await self.context.terminated.set()
             accepting.cancel()
+            await asyncio.wait([accepting])
+            sock.close()
             ends_at = self.loop.time() + self.config.graceful_timeout
             while self.table.clients and self.loop.time() < ends_at:
                 self._close_idle()
                 await asyncio.sleep(ROOM_WAIT_S)
         finally:
+            # Does nothing if the socket is closed already.
+            sock.close()
             for task in (accepting, sweeping, *self._tasks):
                 task.cancel()
-            self.loop.remove_reader(sock)
-            sock.close()
 
     def _close_idle(self) -> None:
         for client in self.table.clients.values():
@@ -173,7 +175,7 @@
             log.warning("connection failed", exc_info=True)
         finally:
             self.sock.close()
-            self.table.remove(self.address)
+            self.table.remove(self.address, self.client)
             self.server.room.set()
 
     async def _serve(self) -> None:
@@ -256,7 +258,7 @@
         """Pass data to the protocol, within the budget for what it parses."""
         client, size = self.client, len(data) * PARSE_FACTOR
         self._count_head(len(data))
-        self.table.charge(client, size)
+        self.table.reserve(client, size)
         try:
             await self.protocol.handle(RawData(data))
         finally:
@@ -265,7 +267,7 @@
         if held > self._held:
             self.table.release(client, held - self._held)
         else:
-            self.table.charge(client, self._held - held)
+            self.table.reserve(client, self._held - held)
 
     def _count_head(self, size: int) -> None:
         """Count what has arrived since the last part of a request that was recognized."""
