Discard a body that is not kept, instead of leaving it unread

Cause: an answer to a request whose body was not read waited for room in the body's queue, which nobody emptied, until its time limit closed the connection. A job in a queue that is not configured was answered before its body was read, which ended the connection.

Change: while an answer is sent, the rest of the body is read and discarded.

--- a/packages/daemon/src/apricotpathd/asgi.py
+++ b/packages/daemon/src/apricotpathd/asgi.py
@@ -36,6 +36,18 @@
             return bytes(body)
 
 
+async def discard_body(receive: Receive, limit: int, release: Callable[[int], None]) -> None:
+    """Read a body of at most `limit` bytes without keeping it; `release` gets each piece's size."""
+    size = 0
+    while size <= limit:
+        message = await receive()
+        piece = len(message.get("body", b""))
+        release(piece)
+        size += piece
+        if not message.get("more_body", False):
+            return
+
+
 def body_headers(content_type: str, length: int) -> list[tuple[bytes, bytes]]:
     """Return the headers that describe a body of `length` bytes."""
     return [
--- a/packages/daemon/src/apricotpathd/limitedapp.py
+++ b/packages/daemon/src/apricotpathd/limitedapp.py
@@ -92,6 +92,7 @@
             # There is nobody to answer.
             pass
         finally:
+            limited.end()
             client.handling -= 1
             request.end()
 
@@ -108,12 +109,15 @@
         self._mark = (self._loop.time(), 0)
         self._size = 0
         self._answering = False
+        self._complete = False
+        self._discarding: asyncio.Task[None] | None = None
 
     async def receive(self) -> MutableMapping[str, Any]:
         """Return the next message, once its bytes are charged."""
         message = await self._next()
         if message["type"] == "http.disconnect":
             raise ClientGone("the connection is closed")
+        self._complete = not message.get("more_body", False)
         size, now = len(message.get("body", b"")), self._loop.time()
         self._client.add_progress(size, now)
         self._client.unparsed_bytes = 0
@@ -138,7 +142,7 @@
         """Send a message that the client takes within the time limit."""
         if self._client.closing:
             raise ClientGone("the connection is closed")
-        self._answering = True
+        self._start_answer()
         size = len(message.get("body", b""))
         try:
             self._request.charge(size)
@@ -157,10 +161,26 @@
             self._client.handling += 1
             self._request.release(size)
 
+    def _start_answer(self) -> None:
+        """Discard the rest of the body from now on, since the answer ends only once it is taken."""
+        self._answering = True
+        if not self._complete and self._discarding is None:
+            self._discarding = self._loop.create_task(self._discard())
+
+    async def _discard(self) -> None:
+        while (await self._receive()).get("more_body", False):
+            pass
+
+    def end(self) -> None:
+        """Stop discarding the body."""
+        if self._discarding is not None:
+            self._discarding.cancel()
+
     async def refuse(self, status: int, reason: str) -> None:
         """Answer that the request was not run, unless an answer has begun."""
         if self._answering or self._client.closing:
             return
+        self._start_answer()
         body = json.dumps({"error": f"{reason}; nothing was run"}).encode()
         headers = [(b"connection", b"close"), (b"retry-after", b"%d" % RETRY_AFTER_S)]
         self._client.handling -= 1
--- a/tests/features/clientlimits.feature
+++ b/tests/features/clientlimits.feature
@@ -46,6 +46,13 @@
       | a body of legal size over HTTP/2             |
       | a body of legal size after 4000 short fields |
 
+  # The answer waited for room in the queue of the body, which nobody emptied.
+  Scenario: clientlimits answer a request whose body the app does not read
+    Given a server with clientlimits
+    When a client of the clientlimits sends a body that the app does not read
+    Then the clientlimits' server answers it without any limit
+    And nothing stays charged to the clientlimits
+
   Scenario Outline: clientlimits answer <status> to <request>
     Given a server with clientlimits
     When a client of the clientlimits sends <request>
--- a/tests/features/steps/clientlimits_steps.py
+++ b/tests/features/steps/clientlimits_steps.py
@@ -146,8 +146,8 @@
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
-        body = await read_body(receive)
-        if scope["path"] == "/slow":
+        body = b"" if scope["path"] == "/unread" else await read_body(receive)
+        if scope["path"] in ("/slow", "/unread"):
             await anyio.sleep(HANDLING_S)
             self.handled += 1
         if scope["path"] == "/long":
@@ -216,6 +216,9 @@
     "a body that stops half-way": [SIZED + BODY[:-1]],
     "a body that goes on byte by byte": [SIZED + b"x"],
     "a head beyond the limit": [HEAD + b"a: " + b"a" * 20_000],
+    "a body that the app does not read": [
+        request_head("POST", "/unread", "host", f"Content-Length: {len(BODY)}") + b"\r\n" + BODY
+    ],
     "more than a connection may hold": [
         post(f"Content-Length: {8 * len(BODY)}", "Connection: close"),
         *[BODY] * 4,
@@ -259,6 +262,14 @@
     assert status != 503 or b"retry-after: 1" in server.answer, server.answer
 
 
+@then("the clientlimits' server answers it without any limit")
+def answers_unread(context: Any) -> None:
+    server = context.server
+    server.read_until_closed()
+    assert server.answer.startswith(b"HTTP/1.1 200 "), server.answer
+    assert not server.counts, server.counts
+
+
 @then("nothing stays charged to the clientlimits")
 def nothing_charged(context: Any) -> None:
     server = context.server
