--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -8,7 +8,7 @@
 from apricotpath.bitranges import first_unset
 from apricotpath.commitments import Commitments
 from apricotpath.crashes import CrashHistory
-from apricotpath.ids import HostId, JobId
+from apricotpath.ids import HostId, JobId, QueueId
 from apricotpath.jobrows import JobRow, Run, StepState, Task
 from apricotpath.runindex import RunIndex
 from apricotpath.runrecords import (
@@ -17,13 +17,14 @@
     Ended,
     JobEnded,
     OccurrencesDone,
+    QueueKept,
     RunRecord,
     Saved,
     TasksDone,
     TaskSummary,
 )
 from apricotpath.tablesnapshot import summary_slices
-from apricotpath.workload import Job, Progress, RunResult, Step, StepKey, TaskKey
+from apricotpath.workload import Job, Progress, Queue, RunResult, Step, StepKey, TaskKey
 
 # Waiting tasks that one occurrence of a job has open at most, shared by its steps, but for gangs,
 # which wait whole. More are opened as these start.
@@ -42,17 +43,16 @@
 class JobTable:
     """All jobs and the runs on each host.
 
-    `waiting` holds the open tasks to be placed. `crashes` holds the tasks that were
-    on crashed executors. `changed` collects jobs whose progress changed. `to_end`
-    maps jobs whose final state is decided, but not in the log yet, to that state.
-    `retries` collects tasks that wait again after a failure and whose attempts are to be
-    counted.
+    `waiting` holds the open tasks to be placed, `waiting_steps` the same by step. `crashes` holds
+    the tasks that were on crashed executors. `changed` collects jobs whose progress changed.
+    `to_end` maps jobs whose final state is decided, but not in the log yet, to that state.
+    `retries` collects tasks that wait again after a failure, to have their attempts counted.
+    `queues` holds the newest rules of queues, `queues_used` the queues of jobs that were added.
     """
 
     def __init__(self) -> None:
         self.rows: dict[JobId, JobRow] = {}
         self.waiting: dict[TaskKey, Task] = {}
-        # The same tasks by step.
         self.waiting_steps: dict[StepKey, dict[TaskKey, Task]] = {}
         self._index = RunIndex(self._step_with_tasks)
         self.by_host = self._index.by_host
@@ -60,6 +60,8 @@
         self.changed: set[JobId] = set()
         self.to_end: dict[JobId, Progress] = {}
         self.retries: deque[TaskKey] = deque()
+        self.queues: dict[QueueId, Queue] = {}
+        self.queues_used: set[QueueId] = set()
         # When (UTC seconds) the next occurrences of scheduled jobs are due; a heap.
         self._due: list[tuple[float, JobId]] = []
 
@@ -69,6 +71,7 @@
             return None
         row = JobRow(job)
         self.rows[job.job_id] = row
+        self.queues_used.add(job.queue)
         self.changed.add(job.job_id)
         if job.schedule is None:
             self._open_next(row, now)
@@ -308,13 +311,17 @@
                 self._close_steps(row, occurrence)
         self._check_end(row)
 
+    @apply.register
+    def _(self, record: QueueKept, now: float) -> None:
+        self.queues[record.queue.queue] = record.queue
+
     def summaries(self) -> Iterator[RunRecord]:
         """Yield records that rebuild the tasks and runs of all unfinished jobs."""
         return (record for records in self.summary_slices() for record in records)
 
     def summary_slices(self) -> Iterator[list[RunRecord]]:
         """Yield the records of `summaries` in lists; no record may be applied in between."""
-        return summary_slices(self.rows, self.crashes)
+        return summary_slices(self.rows, self.crashes, self.queues)
 
     def _open_task(self, key: TaskKey) -> Task | None:
         """Return a task that a record names; None if it is done, or its job unknown or ended."""
@@ -489,7 +496,4 @@
     def out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
         """Return whether a task, or its gang, has used up its queue's attempts."""
         row = self.rows[key.job]
-        step = row.step(key)
-        if step.long_running:
-            return False
-        return row.tasks[key].failures() >= attempts
+        return not row.step(key).long_running and row.tasks[key].failures() >= attempts
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -7,9 +7,9 @@
 
 from apricotpath.crashes import Blame, CrashPart
 from apricotpath.errors import InputError
-from apricotpath.ids import HostId, JobId
+from apricotpath.ids import HostId, JobId, QueueId, ServiceId
 from apricotpath.jsonfields import to_int, to_list, to_number, to_str
-from apricotpath.workload import MAX_TASKS_PER_JOB, Progress, RunResult, TaskKey
+from apricotpath.workload import MAX_TASKS_PER_JOB, Progress, Queue, RunResult, TaskKey
 
 MAX_RUN = 1 << 31
 # Probability taken for a suspicion in logs of earlier versions, which do not tell it.
@@ -102,6 +102,13 @@
     end: int
 
 
+@dataclass(frozen=True, slots=True)
+class QueueKept(RunRecord):
+    """The newest rules of a queue; its jobs go on under them once it is not configured."""
+
+    queue: Queue
+
+
 @singledispatch
 def to_row(record: RunRecord) -> list[Any]:
     """Return the JSON form of a record: a tag and its fields in order."""
@@ -154,6 +161,13 @@
     return ["o", record.job, record.first, record.end]
 
 
+@to_row.register
+def _(record: QueueKept) -> list[Any]:
+    queue = record.queue
+    numbers = [queue.priority, queue.attempts, queue.stretch, queue.target_s]
+    return ["q", queue.queue, queue.service, *numbers, queue.advised, queue.guards_capacity]
+
+
 def from_row(row: Any) -> RunRecord:
     """Parse the JSON form of a record, or raise InputError."""
     tag, *values = to_list(row, "a record", 1)
@@ -241,6 +255,23 @@
     return OccurrencesDone(JobId(to_str(job, "job")), *_range(first, end))
 
 
+def _queue_kept(values: list[Any]) -> RunRecord:
+    queue, service, priority, attempts, stretch, target_s, advised, guards_capacity = values
+    if not isinstance(advised, bool) or not isinstance(guards_capacity, bool):
+        raise InputError("advised or guards_capacity is not true or false", path="advised")
+    rules = Queue(
+        QueueId(to_str(queue, "queue")),
+        ServiceId(to_str(service, "service")),
+        to_int(priority, "priority"),
+        to_int(attempts, "attempts", low=1),
+        to_number(stretch, "stretch"),
+        to_number(target_s, "target_s"),
+        advised,
+        guards_capacity,
+    )
+    return QueueKept(rules)
+
+
 def _range(first: Any, end: Any) -> tuple[int, int]:
     low = to_int(first, "first", low=0, high=MAX_TASKS_PER_JOB)
     return low, to_int(end, "end", low=low + 1, high=MAX_TASKS_PER_JOB)
@@ -264,4 +295,5 @@
     "t": _task_summary,
     "d": _tasks_done,
     "o": _occurrences_done,
+    "q": _queue_kept,
 }
--- a/packages/core/src/apricotpath/tablesnapshot.py
+++ b/packages/core/src/apricotpath/tablesnapshot.py
@@ -4,29 +4,33 @@
 
 from apricotpath.bitranges import set_bit_ranges
 from apricotpath.crashes import CrashHistory
-from apricotpath.ids import JobId
+from apricotpath.ids import JobId, QueueId
 from apricotpath.jobrows import JobRow, Task
 from apricotpath.runrecords import (
     Assigned,
     Crashed,
     OccurrencesDone,
+    QueueKept,
     RunRecord,
     TasksDone,
     TaskSummary,
 )
-from apricotpath.workload import TaskKey
+from apricotpath.workload import Queue, TaskKey
 
 # Open tasks that one slice looks at.
 TASKS_PER_SLICE = 200
 
 
 def summary_slices(
-    rows: Mapping[JobId, JobRow], crashes: Mapping[TaskKey, CrashHistory]
+    rows: Mapping[JobId, JobRow],
+    crashes: Mapping[TaskKey, CrashHistory],
+    queues: Mapping[QueueId, Queue],
 ) -> Iterator[list[RunRecord]]:
     """Yield lists of records that rebuild the tasks and runs of all unfinished jobs.
 
     Jobs may be added or cancelled between two lists, but no record may be applied.
     """
+    yield [QueueKept(queue) for queue in queues.values()]
     for job, row in list(rows.items()):
         yield list(_done_records(job, row))
         tasks = list(row.tasks.values())
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -34,6 +34,7 @@
 )
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.pagedread import ReadProgress
+from apricotpath.queuerules import changed_queues, forget_queues, queues_in_force
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import Placement, place
@@ -265,6 +266,7 @@
     async def _begin_snapshot(self, group: TaskGroup, slices: Slices) -> None:
         """Take the records and position of a snapshot before the next append can begin."""
         self._snapshot_running = True
+        forget_queues(self.table, self._rules().queues)
         records: list[RunRecord] = []
         for part in self.table.summary_slices():
             records += part
@@ -293,6 +295,9 @@
         """
         batch = Batch(self.table)
         now = boot_s()
+        for kept in list(changed_queues(self.table, self._rules().queues)):
+            batch.apply(kept, now)
+            await slices.note()
         self.host_tracker.expire_leases(now)
         await self._run_ends.process_endings(batch, now, slices)
         self._process_crashes(batch, now)
@@ -354,7 +359,7 @@
         rules = self._rules()
         return PlacementInput(
             self.host_tracker.hosts,
-            rules.queues,
+            queues_in_force(self.table, rules.queues),
             rules.out,
             now,
             self._utc(),
