--- a/packages/core/src/apricotpath/gangturns.py
+++ b/packages/core/src/apricotpath/gangturns.py
@@ -16,7 +16,10 @@
 
 
 class GangTurns:
-    """Which gangs a pass looks at, when they are too many for one; kept from pass to pass."""
+    """Which gangs a pass looks at, when they are too many for one; kept from pass to pass.
+
+    `left_out` counts the gangs that the newest pass has not looked at.
+    """
 
     def __init__(self) -> None:
         self._pass = 0
--- a/packages/daemon/src/apricotpathd/fleetlog.py
+++ b/packages/daemon/src/apricotpathd/fleetlog.py
@@ -39,6 +39,7 @@
                 "attached": len(self._tracker.links),
                 "waiting": dict(self._waiting()),
                 "unrecorded_endings": len(self._tracker.endings),
+                "gangs_left_out": inputs.gang_turns.left_out,
                 "pressures": self._tracker.disturbance.pressures(),
                 "hosts": {
                     name: host_row(load, inputs.now, inputs.cfg.silent_s)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -118,7 +118,7 @@
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
         self._snapshot_running = False
-        self._gang_turns = GangTurns()
+        self.gang_turns = GangTurns()
         self._crash_rate = CrashRate(self._started)
 
     # Start of the term.
@@ -365,7 +365,7 @@
             self._utc(),
             self.cfg,
             low_impact_images=self.host_tracker.disturbance.low_impact_images(),
-            gang_turns=self._gang_turns,
+            gang_turns=self.gang_turns,
         )
 
     def _process_crashes(self, batch: Batch, now: float) -> None:
