--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -25,6 +25,7 @@
 )
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.pagedread import ReadProgress
+from apricotpath.queuerules import changed_queues, forget_queues, queues_in_force
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import Placement
@@ -113,7 +114,7 @@
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
         self._snapshot_running = False
-        self._gang_turns = GangTurns()
+        self.gang_turns = GangTurns()
 
     # Start of the term.
 
@@ -269,6 +270,7 @@
     async def _begin_snapshot(self, group: TaskGroup, slices: Slices) -> None:
         """Take the records and position of a snapshot before the next append can begin."""
         self._snapshot_running = True
+        forget_queues(self.table, self._rules().queues)
         records: list[RunRecord] = []
         for part in self.table.summary_slices():
             records += part
@@ -297,6 +299,9 @@
         """
         batch = Batch(self.table)
         now = boot_s()
+        for kept in list(changed_queues(self.table, self._rules().queues)):
+            batch.apply(kept, now)
+            await slices.note()
         self.host_tracker.expire_leases(now)
         self.host_tracker.restore_share(now)
         await self._run_ends.process_endings(batch, now, slices)
@@ -359,13 +364,13 @@
         rules = self._rules()
         return PlacementInput(
             self.host_tracker.hosts,
-            rules.queues,
+            queues_in_force(self.table, rules.queues),
             rules.out,
             now,
             self._utc(),
             self.cfg,
             low_impact_images=self.host_tracker.disturbance.low_impact_images(),
-            gang_turns=self._gang_turns,
+            gang_turns=self.gang_turns,
         )
 
     def _end_jobs(self, batch: Batch, now: float) -> None:
