Do not excuse a deadly task by crashes at the start of another one

Change: crashes at the start of other jobs' suspects do not count for the host.

The new scenario of crashevidence failed before. crashevidence, crashingtasks and incarnations: 64 passed.

--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -160,11 +160,15 @@
 
 
 class _Crash(NamedTuple):
-    """A crash of a host's executor; the jobs whose tasks are suspected of it."""
+    """A crash of a host's executor; the jobs whose tasks are suspected of it.
+
+    `at_start`: they had just started, so that one of them is likely to be the cause.
+    """
 
     at: float
     host: HostId
     jobs: frozenset[JobId]
+    at_start: bool
 
 
 class CrashRate:
@@ -174,9 +178,9 @@
         self._started_at = started_at
         self._crashes: deque[_Crash] = deque()
 
-    def add(self, now: float, host: HostId, jobs: frozenset[JobId]) -> None:
-        """Count one crash; tasks of `jobs` are suspected of it."""
-        self._crashes.append(_Crash(now, host, jobs))
+    def add(self, now: float, host: HostId, jobs: frozenset[JobId], at_start: bool = False) -> None:
+        """Count one crash; tasks of `jobs` are suspected of it, perhaps just at their start."""
+        self._crashes.append(_Crash(now, host, jobs, at_start))
 
     def without(self, own: int, hosts: int, now: float) -> float:
         """Return the crashes per second of one executor, leaving `own` of them out."""
@@ -199,8 +203,15 @@
         self._crashes, self._now = crashes, now
 
     def rate_without(self, job: JobId) -> float:
-        """Return the crashes per second that a job is not suspected of; 0 for too few."""
-        times = [crash.at for crash in self._crashes if job not in crash.jobs]
+        """Return the crashes per second that a job is not suspected of; 0 for too few.
+
+        Those at the start of other jobs' suspects do not count, since these may be the cause.
+        """
+        times = [
+            crash.at
+            for crash in self._crashes
+            if job not in crash.jobs and not (crash.jobs and crash.at_start)
+        ]
         if len(times) < HOST_CRASHES:
             return 0.0
         return len(times) / (self._now - times[0] + PRIOR_SPAN_S)
--- a/packages/daemon/src/apricotpathd/crashrecorder.py
+++ b/packages/daemon/src/apricotpathd/crashrecorder.py
@@ -61,7 +61,8 @@
         if self._tracker.crashed_with_others(ExecutorName(host, crash.instance, crash.born_ms)):
             parts = dict.fromkeys(runs, BYSTANDER)
         suspects = [run for run, part in parts.items() if part.blame is Blame.SUSPECT]
-        self._rate.add(now, host, frozenset(run.task.job for run in suspects))
+        at_start = not any(parts[run].delayed for run in suspects)
+        self._rate.add(now, host, frozenset(run.task.job for run in suspects), at_start)
         if not suspects and self._rate.on_host(host, now).crashes_by_itself:
             self._clear_suspicions(host, apply)
         self._metrics.executor_crashed()
--- a/tests/features/crashevidence.feature
+++ b/tests/features/crashevidence.feature
@@ -42,3 +42,8 @@
   Scenario: crashevidence counts the crashes of a host that a task is not suspected of
     When a host of crashevidence crashes 3 times in 4 seconds, 1 of them under a suspect of the job
     Then its rate of crashes without the job is 2 in 14 seconds, and without another one 3 in 14 seconds
+
+  # Guards against a deadly job that is given up late, since another one has crashed its hosts before.
+  Scenario: crashevidence does not excuse a job by crashes at the start of another one
+    When a host of crashevidence crashes 3 times in 4 seconds at the start of another job
+    Then its rate of crashes without the job is 0
--- a/tests/features/steps/crashevidence_steps.py
+++ b/tests/features/steps/crashevidence_steps.py
@@ -118,3 +118,19 @@
     assert context.crashes.rate_without(JOB) == own / span
     assert context.crashes.rate_without(OTHER_JOB) == other / other_span
     assert context.crashes.crashes_by_itself
+
+
+@when(
+    "a host of crashevidence crashes {count:d} times in {seconds:d} seconds at the start of "
+    "another job"
+)
+def crash_at_start(context: Any, count: int, seconds: int) -> None:
+    rate = CrashRate(0.0)
+    for number in range(count):
+        rate.add(100.0 + number, HostId("host0"), frozenset({OTHER_JOB}), at_start=True)
+    context.crashes = rate.on_host(HostId("host0"), 100.0 + seconds)
+
+
+@then("its rate of crashes without the job is 0")
+def has_no_rate(context: Any) -> None:
+    assert context.crashes.rate_without(JOB) == 0.0
