Ask an executor which incarnation it is, not its start time

Cause: a heartbeat with a lower start time than the present one counted as late, so that an executor that starts again after its clock has stepped back was ignored for good. The agent neither fenced nor attached such an incarnation either.

At the agent a lower start time begins the comparison anew, and while a list shows a lower one no start is sent.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -358,6 +358,8 @@
     async def _handle_restart(self, attached: Attachment, born_ms: int) -> None:
         """End the attachment to a former incarnation; the next one follows its heartbeat."""
         if born_ms < attached.facts.born_ms:
+            # The clock has stepped back, or a start time is odd: a heartbeat will tell.
+            attached.renewal_failed = True
             await anyio.sleep(RENEWAL_RETRY_S)
             return
         self._crash_watch.on_silence(attached, disconnected=False)
@@ -433,7 +435,8 @@
                 until = sent + self.cfg.run_lease_s
                 attached.granted_until = max(attached.granted_until, until)
                 attached.granted_renewal = max(attached.granted_renewal, body.renewal)
-                self._signal_if_end_reported(attached)
+                if self._end_reported():
+                    self._signal()
             attached.acknowledge_endings(body.noted)
         elif isinstance(body, StartRuns) and body.fence == attached.fence:
             sent = attached.sent_at.get(body.renewal, float("-inf"))
@@ -494,7 +497,3 @@
         if attached is None or attached.final_renewal is None:
             return False
         return attached.granted_renewal >= attached.final_renewal
-
-    def _signal_if_end_reported(self, attached: Attachment) -> None:
-        if attached is self.attachment and self._end_reported():
-            self._signal()
--- a/packages/daemon/src/apricotpathd/incarnations.py
+++ b/packages/daemon/src/apricotpathd/incarnations.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from apricotpath.executor import Executor
+from apricotpath.executor import Executor, ExecutorError, ExecutorReplaced
 from apricotpath.ids import FenceToken
 from apricotpath.workload import HostFacts
 from apricotpathd.formerfence import FormerFence
@@ -82,20 +82,29 @@
             if self._former is not None:
                 self._begin(facts.born_ms, stops_runs=False)
         elif previous.born_ms:
-            self._begin_restarted(facts.born_ms)
+            stops_runs = self._stops_runs
+            if facts.born_ms < previous.born_ms:
+                # The clock has stepped back: earlier start times tell nothing any more.
+                self._listed_born_ms = 0
+                self._guard.cancel()
+            self._begin(facts.born_ms, stops_runs)
 
     def on_listed(self, born_ms: int) -> None:
         """Handle that a list of the executor shows a later start time than its heartbeats."""
         self._listed_born_ms = max(self._listed_born_ms, born_ms)
-        self._begin_restarted(born_ms)
+        self._begin(born_ms, self._stops_runs)
 
     def cancel(self) -> None:
         """Make no further calls: the executor has ended."""
         self._guard.cancel()
 
-    def _begin_restarted(self, born_ms: int) -> None:
-        # What an unknown incarnation runs may have been started by an earlier process.
-        self._begin(born_ms, stops_runs=self._guard.stops_runs or not self._guard.pending)
+    @property
+    def _stops_runs(self) -> bool:
+        """Whether what an incarnation that has restarted runs is stopped.
+
+        What an unknown one runs may have been started by an earlier process.
+        """
+        return self._guard.stops_runs or not self._guard.pending
 
     def _begin(self, born_ms: int, stops_runs: bool) -> None:
         assert self._executor is not None
@@ -129,3 +138,14 @@
             stops_runs = self._guard.stops_runs
             self._guard.cancel()
             self._begin(born_ms, stops_runs)
+
+
+async def answers_as(executor: Executor, facts: HostFacts, fence: FenceToken) -> bool | None:
+    """Ask an executor whether it is an incarnation; None if it does not answer or tell."""
+    try:
+        report = await executor.renew_lease(fence, 0, None, 0.0)
+    except ExecutorReplaced:
+        return False
+    except ExecutorError:
+        return None
+    return report.born_ms == facts.born_ms if report.born_ms else None
