Let the graceful shutdown go on at a SIGHUP

Cause: the handler of SIGHUP was gone after the first SIGTERM, so that a SIGHUP during the shutdown ended the process at once, and its open requests with it.

Change: SIGHUP is received until the tasks of the process end, and ignored from then on.

signals: three of four examples failed before, all pass; the fourth shows that a second SIGTERM still ends a process at once.

--- a/packages/daemon/src/apricotpathd/agent.py
+++ b/packages/daemon/src/apricotpathd/agent.py
@@ -184,7 +184,7 @@
         servers = HttpServers(group)
         servers.start(serve_http, app, cfg.metrics, cfg.limits, stopped.wait)
         log.info("agent started", extra={"incarnation": agent.incarnation})
-        await wait_for_stop()
+        await wait_for_stop(group)
         await agent.leave()
         await agent.drain()
         stopped.set()
--- a/packages/daemon/src/apricotpathd/entry.py
+++ b/packages/daemon/src/apricotpathd/entry.py
@@ -38,7 +38,7 @@
         servers.start(serve_callers, parts.callers, bind, stopping.wait)
         servers.start(serve_http, operators, cfg.operators, cfg.limits, drained.wait)
         log.info("entry started", extra={"incarnation": parts.incarnation})
-        await wait_for_stop()
+        await wait_for_stop(group)
         # The entry is no longer ready, but the load balancer may send requests for a while.
         parts.draining = True
         parts.members.shards.leaving = True
--- a/packages/daemon/src/apricotpathd/process.py
+++ b/packages/daemon/src/apricotpathd/process.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 import anyio
-from anyio.abc import TaskGroup
+from anyio.abc import TaskGroup, TaskStatus
 
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
 from apricotpath.errors import InputError, LinkError
@@ -108,12 +108,26 @@
                 group.start_soon(component.drain)
 
 
-async def wait_for_stop(reload: Callable[[], None] = lambda: None) -> None:
-    """Return at the first SIGTERM or SIGINT; call `reload` at each SIGHUP."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+async def wait_for_stop(group: TaskGroup, reload: Callable[[], None] = lambda: None) -> None:
+    """Return at the first SIGTERM or SIGINT; call `reload` at each SIGHUP until `group` ends.
+
+    A SIGHUP during the graceful shutdown must not end the process.
+    """
+    await group.start(_reload_at_signals, reload)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
-            if number is signal.SIGHUP:
-                reload()
-                continue
             log.info("received %s; shutting down", number.name)
             return
+
+
+async def _reload_at_signals(
+    reload: Callable[[], None], *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+) -> None:
+    """Call `reload` at each SIGHUP until cancelled; ignore it from then on."""
+    try:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            task_status.started()
+            async for _ in signals:
+                reload()
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
