Clients' turns on the event loop: none is waited for while it is free

Cause: each piece and each request waited an iteration of the event loop, also when no other connection had anything to parse, and an ordinary submission of 4 kB came in two pieces.

Change: a free turn is taken at once, the first request of a piece uses the piece's turn, HTTP/1.1 is received in pieces of 8 kB, and an answer that fits the socket's buffer is sent without a time limit.

--- a/packages/daemon/src/apricotpathd/limitedserver.py
+++ b/packages/daemon/src/apricotpathd/limitedserver.py
@@ -26,7 +26,9 @@
 
 log = logging.getLogger(__name__)
 
-RECEIVE_BYTES = 4096
+# An ordinary request fits; a piece of HTTP/2 is smaller, since each of its bytes may be a field.
+RECEIVE_BYTES = 8192
+H2_RECEIVE_BYTES = 4096
 SEND_BYTES = 4096
 # Memory of a protocol for each byte that it parses: a field of a head takes some hundred bytes,
 # and a repeated one is a single byte in HTTP/2.
@@ -151,6 +153,8 @@
         self._aborted = False
         # Bytes of an incomplete head that are charged.
         self._held = 0
+        # Whether the turn of the last piece has not been used by a request yet.
+        self._has_turn = False
         self._send_lock = asyncio.Lock()
         self.protocol: ProtocolWrapper
 
@@ -237,7 +241,8 @@
     async def _read(self) -> None:
         try:
             while not self.ended.is_set():
-                data = await self.loop.sock_recv(self.sock, RECEIVE_BYTES)
+                size = H2_RECEIVE_BYTES if self._is_h2() else RECEIVE_BYTES
+                data = await self.loop.sock_recv(self.sock, size)
                 if not data:
                     break
                 await self._wait_turn()
@@ -258,6 +263,7 @@
         """Pass data to the protocol, within the budget for what it parses."""
         client, size = self.client, len(data) * PARSE_FACTOR
         self._count_head(len(data))
+        self._has_turn = True
         self.table.reserve(client, size)
         try:
             await self.protocol.handle(RawData(data))
@@ -300,10 +306,16 @@
             if isinstance(protocol, H2Protocol) and not isinstance(protocol.streams, _Streams):
                 protocol.streams = _Streams(protocol.streams)
             # Also lets the request be charged before the protocol goes on to the next one.
-            await self._wait_turn()
+            if not self._has_turn:
+                await self._wait_turn()
+            self._has_turn = False
 
     async def _send_data(self, data: bytes) -> None:
         """Send data in parts, each of which the client must take within the time limit."""
+        with contextlib.suppress(OSError):
+            # An ordinary answer fits the socket's buffer.
+            if not self._aborted:
+                data = data[self.sock.send(data) :]
         for start in range(0, len(data), SEND_BYTES):
             if self._aborted:
                 return
--- a/packages/daemon/src/apricotpathd/turns.py
+++ b/packages/daemon/src/apricotpathd/turns.py
@@ -16,20 +16,25 @@
         self._loop = asyncio.get_running_loop()
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         self._numbers = count()
+        # Whether the turn of this iteration is taken.
+        self._taken = False
 
     async def wait(self, work: int) -> None:
         """Wait for a turn; `work` is the number of recent turns of the caller's connection."""
+        if not self._taken:
+            self._taken = True
+            self._loop.call_soon(self._next)
+            return
         fut = self._loop.create_future()
         heapq.heappush(self._waiting, (work, next(self._numbers), fut))
-        if len(self._waiting) == 1:
-            self._loop.call_soon(self._next)
         await fut
 
     def _next(self) -> None:
+        """Begin an iteration's turn."""
         while self._waiting:
             fut = heapq.heappop(self._waiting)[2]
             if not fut.done():
                 fut.set_result(None)
-                break
-        if self._waiting:
-            self._loop.call_soon(self._next)
+                self._loop.call_soon(self._next)
+                return
+        self._taken = False
