Keep the estimates of disturbance over a change of scheduler

Cause: a new scheduler knew nothing of how much each image of filler tasks slows serving tasks down.

Change: the estimates are saved with an append every 4 s and restored by the next scheduler; malformed values are ignored. Bases and pressures are learned as before.

The new scenario of a restored estimate has no counterpart before.

--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -2,6 +2,11 @@
 
 from collections.abc import Iterable, Mapping
 from math import log
+from typing import Any
+
+from apricotpath.errors import InputError
+from apricotpath.jsonfields import parse_object, read_object, to_number
+from apricotpath.jsontext import json_bytes
 
 # Initial estimate for an image of serving tasks: logarithm of the ratio of tail latency to target
 # without filler tasks.
@@ -59,6 +64,22 @@
             updated = self.pressure(image) + step * share
             _set_estimate(self._pressures, image, max(0.0, min(MAX_PRESSURE, updated)))
 
+    def encode(self) -> bytes:
+        """Return the estimates in the form that `restore` reads."""
+        return json_bytes({"bases": _rounded(self._bases), "pressures": _rounded(self._pressures)})
+
+    def restore(self, value: bytes) -> None:
+        """Take over the estimates of an earlier scheduler.
+
+        Raises InputError, and keeps all estimates, if they are malformed.
+        Estimates that have been made meanwhile are replaced.
+        """
+        content = parse_object(value, "the estimates")
+        bases = _parse_estimates(read_object(content, "bases"), -MAX_PRESSURE)
+        pressures = _parse_estimates(read_object(content, "pressures"), 0.0)
+        self._bases = bases
+        self._pressures = pressures
+
     def pressure(self, image: str) -> float:
         """Return the estimated pressure of an image."""
         return self._pressures.get(image, INITIAL_PRESSURE)
@@ -77,3 +98,13 @@
 def _set_estimate(estimates: dict[str, float], image: str, value: float) -> None:
     if image in estimates or len(estimates) < MAX_IMAGES:
         estimates[image] = value
+
+
+def _rounded(estimates: Mapping[str, float]) -> dict[str, float]:
+    return {image: round(value, 4) for image, value in estimates.items()}
+
+
+def _parse_estimates(rows: dict[str, Any], low: float) -> dict[str, float]:
+    if len(rows) > MAX_IMAGES:
+        raise InputError(f"there are estimates of more than {MAX_IMAGES} images")
+    return {image: to_number(value, image, low, MAX_PRESSURE) for image, value in rows.items()}
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -19,6 +19,7 @@
 from apricotpath.jobcodec import parse_job
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
+from apricotpath.learnedstate import LearnedState
 from apricotpath.messages import (
     JobStatus,
     JobStatuses,
@@ -102,6 +103,8 @@
         self._starts_alone = term.predecessor_ended.is_set()
         self._ends = JobEnds(self.table, self._keys, cfg, metrics, self._started)
         self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
+        disturbance = self.host_tracker.disturbance
+        self._learned = LearnedState(store, prefix, disturbance, self._started)
         self._start_orders = StartOrders(
             term.epoch, self.table, self.host_tracker, lambda: rules().out, metrics
         )
@@ -123,6 +126,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._mirror.run)
             group.start_soon(self._shorten_holds)
+            group.start_soon(self._learned.load)
             group.start_soon(self._raise_fence_limits, group)
             if await self._load_tables():
                 group.start_soon(self._log.find_obsolete)
@@ -253,6 +257,8 @@
             slices = Slices()
             batch = await self._decide(slices)
             started = boot_s()
+            if batch.records and len(batch.extra) < MAX_EXTRA:
+                batch.extra += filter(None, [self._learned.due_put(started)])
             if batch.records or batch.extra:
                 await self._log.append(batch.records, batch.extra)
             # Endings that need no record are acknowledged as well.
--- a/tests/features/disturbance.feature
+++ b/tests/features/disturbance.feature
@@ -30,3 +30,36 @@
     Given images of disturbance with pressures light 0.2, medium 1.5 and heavy 4.5
     When disturbance gets measurements of 0, of 1000000 and without filler tasks
     Then all pressures of disturbance are between 0 and 8
+
+  # Each new scheduler took heavy images for unknown ones and slowed serving tasks down with them.
+  Scenario: disturbance goes on from the estimates of an earlier scheduler
+    Given images of disturbance with pressures light 0.2, medium 1.5 and heavy 4.5
+    When disturbance gets 20 seconds of measurements of 10 hosts with seed 1
+    And a new scheduler restores the saved estimates of disturbance
+    Then the only light image of disturbance is light
+    And disturbance ranks the images in the order light, medium, heavy
+    When the images of disturbance have pressures light 4.5, medium 1.5 and heavy 0.2
+    And disturbance gets 30 seconds of measurements of 10 hosts with seed 1
+    Then the only light image of disturbance is heavy
+
+  # A malformed value must end neither the term nor the estimates that have been made meanwhile.
+  Scenario Outline: disturbance starts without saved estimates that are <form>
+    Given images of disturbance with pressures light 0.2, medium 1.5 and heavy 4.5
+    When a new scheduler restores the estimates <form>
+    Then the images of disturbance have equal pressures and none is light
+
+    Examples:
+      | form                                          |
+      | not there                                     |
+      | [1, 2]                                        |
+      | {"bases": {}}                                 |
+      | {"bases": {}, "pressures": {"a": [1]}}        |
+      | {"bases": {}, "pressures": {"a": [1, "x"]}}   |
+      | {"bases": {}, "pressures": {"a": [99, 1]}}    |
+      | {"bases": {}, "pressures": {"a": [1, -1]}}    |
+
+  # Estimates are saved with an append, which a later scheduler fences, and not each time.
+  Scenario: disturbance saves its estimates at intervals and only if they have changed
+    Given images of disturbance with pressures light 0.2, medium 1.5 and heavy 4.5
+    When disturbance gets 2 seconds of measurements of 10 hosts with seed 1
+    Then the estimates of disturbance are saved at 4 s, and at 5 s and 9 s they are not
--- a/tests/features/steps/disturbance_steps.py
+++ b/tests/features/steps/disturbance_steps.py
@@ -2,11 +2,14 @@
 
 import random
 from math import exp
-from typing import Any
+from typing import Any, cast
 
+import anyio
 from behave import given, then, when
 
 from apricotpath.disturbance import Disturbance
+from apricotpath.learnedstate import LearnedState
+from apricotpath.store import KeyValue, LeaseId
 
 IMAGES = ("light", "medium", "heavy")
 MEASUREMENTS_PER_S = 2.5
@@ -89,3 +92,36 @@
 def estimated(context: Any) -> dict[str, float]:
     """Return the estimated pressures of all images."""
     return {image: context.disturbance.pressure(image) for image in IMAGES}
+
+
+class SavedValue:
+    """A store with at most one value."""
+
+    def __init__(self, value: bytes | None) -> None:
+        self.value = value
+
+    async def get(self, key: str) -> KeyValue | None:
+        return KeyValue(key, self.value, 1, LeaseId(0)) if self.value is not None else None
+
+
+def restore(context: Any, value: bytes | None) -> None:
+    context.disturbance = Disturbance()
+    learned = LearnedState(cast(Any, SavedValue(value)), "test/", context.disturbance, 0.0)
+    anyio.run(learned.load)
+
+
+@when("a new scheduler restores the saved estimates of disturbance")
+def restore_saved(context: Any) -> None:
+    restore(context, context.disturbance.encode())
+
+
+@when("a new scheduler restores the estimates {form}")
+def restore_form(context: Any, form: str) -> None:
+    restore(context, None if form == "not there" else form.encode())
+
+
+@then("the estimates of disturbance are saved at 4 s, and at 5 s and 9 s they are not")
+def saved_at(context: Any) -> None:
+    learned = LearnedState(cast(Any, SavedValue(None)), "test/", context.disturbance, 0.0)
+    puts = [learned.due_put(now) for now in (4.0, 5.0, 9.0)]
+    assert [put is not None for put in puts] == [True, False, False], puts
