Logs tell what the end of a host's leases is known from

`runs of the last term held` gets `recorded`, `lease renewal failed` gets `refused`, `draining` and `phase`, and `leases of a host have expired` is new, with `basis` and `silent_s`. No decision changes.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.ids import FenceToken, HostId, JobId, ServiceId
 from apricotpath.workload import HostFacts, TaskKey
 
@@ -55,7 +56,8 @@
 
     `runs_until`: time by which all its runs have ended unless a new lease is
     granted. `former_until`: time by which runs have ended that an earlier scheduler may have
-    granted leases to, if an agent follows it. `speed`: how fast tasks run here relative to
+    granted leases to, if an agent follows it. `lease_basis`: what `runs_until` is known from.
+    `speed`: how fast tasks run here relative to
     their estimates.
     `filler_percent`: recent speed limit of its filler tasks in percent.
     `silent_since`: when its executor stopped answering; infinite while it answers.
@@ -77,6 +79,7 @@
     renewal: int = 0
     runs_until: float = 0.0
     former_until: float = float("-inf")
+    lease_basis: LeaseBasis = LeaseBasis.NONE
     draining: bool = False
     leaves_at: float = float("inf")
     acked_ending: int = 0
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -279,8 +279,9 @@
             log.warning("lease renewal refused: %s", exc)
             await anyio.sleep(RENEWAL_RETRY_S)
         except ExecutorError as exc:
-            log.info("lease renewal failed: %s", exc)
             refused = isinstance(exc, ExecutorUnreachable) and executor is self.executor
+            extra = {"refused": refused, "draining": self.draining, "phase": self.phase.value}
+            log.info("lease renewal failed: %s", exc, extra=extra)
             if refused and self.phase is ExecutorPhase.DEREGISTERED:
                 self._note_ended(attached.facts.instance)
                 return
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -12,6 +12,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.ids import Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
 from apricotpath.jobtable import JobTable
@@ -82,6 +83,7 @@
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
         self.fences = FenceTokens(term)
+        self._started = boot_s()
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
         self.disturbance = Disturbance()
@@ -121,6 +123,7 @@
             message.capacity,
         )
         host.runs_until = self._hold_at_attachment(host, message.epoch, now)
+        host.lease_basis = LeaseBasis.ATTACHMENT
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -161,8 +164,9 @@
         """Set the time by which runs have ended that earlier schedulers have granted leases to."""
         for host in self.hosts.values():
             host.former_until = min(host.former_until, until)
-            if host.facts is None:
-                host.runs_until = min(host.runs_until, until)
+            if host.facts is None and host.runs_until > until:
+                host.runs_until = until
+                host.lease_basis = LeaseBasis.PREDECESSOR_ENDED
 
     def link_closed(self, link: Link) -> None:
         """Detach the hosts that are attached over a link.
@@ -242,6 +246,7 @@
             # The executor has seen the new fencing token, so nobody renews older leases.
             host.runs_until = now + self._cfg.run_hold_s
             host.former_until = float("-inf")
+            host.lease_basis = LeaseBasis.GRANT
             self._send_traits(host, link)
             self._wake()
 
@@ -283,6 +288,7 @@
         if now - self._last_store_contact_at() > self._cfg.authority_s:
             return
         host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
+        host.lease_basis = LeaseBasis.GRANT
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
 
     def acknowledge_endings(self, executor: ExecutorName, number: int) -> None:
@@ -495,11 +501,20 @@
                 continue
             if len(self.lost_runs) >= MAX_QUEUED_LOST:
                 return
-            for run in self._table.runs_on(name):
+            runs = self._table.runs_on(name)
+            if any((run.task, run.run) not in self.lost_runs for run in runs):
+                self._log_expiry(host, len(runs), now)
+            for run in runs:
                 self.mark_lost(run, "its host is unreachable and its lease has expired")
             if not host.fence and now > host.runs_until + self._cfg.retention_s:
                 del self.hosts[name]
 
+    def _log_expiry(self, host: Host, runs: int, now: float) -> None:
+        """Log what the end of a host's leases is known from, and since when it is silent."""
+        silent_s = now - max(host.reported_at, self._started)
+        extra = {"host": host.host, "runs": runs, "basis": host.lease_basis.value}
+        log.info("leases of a host have expired", extra=extra | {"silent_s": round(silent_s, 3)})
+
 
 def send_nowait(
     link: Link, message: HostDetached | HostGrant | RunTraits | StartRuns | StopRuns
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -14,6 +14,7 @@
 from apricotpath.fencelimits import limit_key
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.gangturns import GangTurns
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, JobId, QueueId
 from apricotpath.jobcodec import parse_job
@@ -196,8 +197,11 @@
         hosts = [name for name, runs in self.table.by_host.items() if runs]
         for name in hosts:
             until = self._started + min(max_hold_s, known.get(name, hold_s))
-            self.host_tracker.hosts[name] = Host(name, runs_until=until, former_until=until)
-        log.info("runs of the last term held", extra={"hosts": len(hosts), "hold_s": hold_s})
+            basis = LeaseBasis.RECORD if name in known else LeaseBasis.ASSUMPTION
+            host = Host(name, runs_until=until, former_until=until, lease_basis=basis)
+            self.host_tracker.hosts[name] = host
+        extra = {"hosts": len(hosts), "hold_s": hold_s, "recorded": len(known.keys() & set(hosts))}
+        log.info("runs of the last term held", extra=extra)
 
     async def _shorten_holds(self) -> None:
         """Once the previous schedulers have ended, end the leases that they may have granted."""
