--- a/tests/features/replacements.feature
+++ b/tests/features/replacements.feature
@@ -165,6 +165,37 @@
     And all entries restart in turn, 3 seconds apart, each serving for 2 more seconds
     Then no task of the replacements was down for longer than 7 seconds
 
+  # Each scheduler held the runs of a lost executor for a whole lease, since its agent was attached.
+  Scenario: replacements run the tasks of a lost executor again after its lease while schedulers follow one another
+    Given a world of replacements with 3 entries and 4 hosts
+    And 6 long-running tasks at work
+    When the executor of the host with most tasks is lost, and its agent stays
+    And the scheduler restarts 4 times, 4 seconds apart, each time serving for 2 more seconds
+    Then no task of the replacements was down for longer than 7 seconds
+    And no task of the replacements ran twice at the same time
+
+  # An executor that had announced its end and left without a deregistration counted as silent.
+  Scenario Outline: replacements run a task again soon after an executor has left as announced, <agent>
+    Given a world of replacements with 2 entries and 4 hosts
+    And 6 long-running tasks at work
+    When the executor of the host with most tasks leaves 0.25 seconds after it announced that, without a deregistration
+    And <agent>
+    Then no task of the replacements was down for longer than 2 seconds
+    And no task of the replacements ran twice at the same time
+
+    Examples:
+      | agent                                               |
+      | that host's agent stays                             |
+      | that host's agent is told to stop 0.4 seconds later |
+
+  # What an announced end must not be taken from: the notice alone, or a single refused connection.
+  Scenario: replacements keep the runs of an executor that stays beyond its announced end
+    Given a world of replacements with 2 entries and 2 hosts
+    And 4 long-running tasks at work
+    When the executor of the host with most tasks announces its end in 0.25 seconds and stays, refusing 2 connections
+    Then the agents of the replacements are attached for executors that run
+    And no executor of the replacements was taken for ended
+
   # Stops without an answer were repeated at a dead executor for as long as the agent lived.
   Scenario: replacements call an executor no more once it has ended
     Given a world of replacements with 2 entries and 4 hosts
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -9,6 +9,7 @@
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
 from apricotpath.election import Term
+from apricotpath.entryrecords import LeaderRecord
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.ids import (
     DataCentreId,
@@ -23,6 +24,7 @@
     RackId,
     ServiceId,
 )
+from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import (
     Hello,
@@ -38,9 +40,12 @@
 from apricotpath.workload import HostFacts, Job, Step, TaskKey
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.hostagent import HostAgent
+from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
+from apricotpathd.scheduler import Scheduler, SchedulerRules
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.jobworld import run_virtual
+from support.memorystore import MemoryStore, SharedStore
 
 HOST = HostId("oven")
 SERVICE, ZONE, RACK = ServiceId("bakery"), DataCentreId("z1"), RackId("r1")
@@ -103,16 +108,50 @@
         self.table = JobTable()
         self.link: Any = FakeLink("oven")
         self.given_up_s = float("inf")
+        self.hold_s = CFG.run_hold_s + CFG.authority_s
+        self.recorded: dict[HostId, float] = {}
+        self.grants_after_record = 0
 
-    async def play(self, event: str) -> None:
-        """Let the event happen, and note when the run is given up."""
+    def make_tracker(self) -> HostTracker:
+        """Return the tracker of a term that has just begun, with the host of the last one."""
         table = self.table
         table.add(Job(KEY.job, QueueId("bread"), "", (Step(1, CAPACITY, long_running=True),)), 0.0)
         table.apply(Assigned(KEY, 1, HOST, "oven", 1), 0.0)
         tracker = HostTracker(Term(NEW, "", 1), table, CFG, boot_s, lambda: None)
-        started = boot_s()
-        until = started + CFG.run_hold_s + CFG.authority_s
+        until = boot_s() + self.hold_s
         tracker.hosts[HOST] = Host(HOST, runs_until=until, former_until=until)
+        return tracker
+
+    def attach(self, tracker: HostTracker, epoch: Epoch = NEW) -> FenceToken:
+        """Attach the host and return its fencing token."""
+        call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
+        attached = tracker.attach(self.link, call)
+        assert isinstance(attached, HostAttached), attached
+        return attached.fence
+
+    async def end_term(self, attach_at_s: float, lasts_s: float) -> None:
+        """Attach at a time, and end the term later."""
+        tracker = self.make_tracker()
+        await anyio.sleep(attach_at_s)
+        self.attach(tracker)
+        await anyio.sleep(lasts_s)
+        self.recorded = tracker.holds(boot_s())
+
+    async def report_after_record(self) -> None:
+        """Report before the end of the term and after it."""
+        tracker = self.make_tracker()
+        fence = self.attach(tracker)
+        tracker.receive_report(self.link, HostRuns(fence, 1, True, False, 0, 100.0, (), ()))
+        self.recorded = tracker.holds(boot_s())
+        self.link.sent.clear()
+        tracker.receive_report(self.link, HostRuns(fence, 2, False, False, 0, 100.0, (), ()))
+        tracker.acknowledge_endings(ExecutorName(HOST, "oven", 1), 1)
+        self.grants_after_record = sum(isinstance(sent, HostGrant) for sent in self.link.sent)
+
+    async def play(self, event: str) -> None:
+        """Let the event happen, and note when the run is given up."""
+        started = boot_s()
+        tracker = self.make_tracker()
         async with anyio.create_task_group() as group:
             group.start_soon(self._happen, tracker, event)
             while boot_s() < started + END_S and not tracker.lost_runs:
@@ -123,12 +162,13 @@
     async def _happen(self, tracker: HostTracker, event: str) -> None:
         if event == "never attaches":
             return
+        while "again and again" in event and boot_s() < END_S:
+            self.attach(tracker)
+            await anyio.sleep(1.0)
         await anyio.sleep(1.0)
-        epoch = OLD if "former epoch" in event else NEW
-        call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
-        attached = tracker.attach(self.link, call)
+        fence = self.attach(tracker, OLD if "former epoch" in event else NEW)
         if "after a report" in event:
-            report = HostRuns(attached.fence, 1, True, False, 0, 100.0, (), ())
+            report = HostRuns(fence, 1, True, False, 0, 100.0, (), ())
             tracker.receive_report(self.link, report)
             tracker.lost_runs.clear()
         if "link closes" in event:
@@ -143,6 +183,101 @@
     context.case = HeldHost()
 
 
+@given("a hostholds host whose runs last 2 seconds as the last scheduler recorded")
+def recorded_host(context: Any) -> None:
+    context.case = HeldHost()
+    context.case.hold_s = 2.0
+
+
+@when(
+    "it attaches {first_s:g} second after the start of the term, "
+    "which ends {later_s:g} seconds later"
+)
+def end_term(context: Any, first_s: float, later_s: float) -> None:
+    run_virtual(lambda: context.case.end_term(first_s, later_s))
+
+
+@then(
+    "its hostholds record says {hold_s:g} seconds, "
+    "as its next agent may follow the former scheduler"
+)
+def record_says(context: Any, hold_s: float) -> None:
+    assert context.case.recorded == {HOST: hold_s}, context.case.recorded
+
+
+@given("a hostholds host of the last term that has reported")
+def reporting_host(context: Any) -> None:
+    context.case = HeldHost()
+
+
+@when("the term of the hostholds ends, and another report arrives")
+def report_late(context: Any) -> None:
+    run_virtual(context.case.report_after_record)
+
+
+@then("the host gets no hostholds grant after the record was taken")
+def no_grant(context: Any) -> None:
+    assert context.case.recorded[HOST] > 0
+    assert context.case.grants_after_record == 0, context.case.grants_after_record
+
+
+class LoadingScheduler:
+    """A scheduler whose store answers no read, in virtual time."""
+
+    def __init__(self, recorded_s: float) -> None:
+        last = LeaderRecord(
+            OLD, ProcessId("old"), IncarnationId("x"), ended=True, holds={HOST: recorded_s}
+        )
+        self.term = Term(NEW, "test/ctl/epoch", 1, last)
+
+    async def end_after(self, seconds: float) -> None:
+        """Start it, and cancel it while it loads."""
+        store = MemoryStore(SharedStore())
+        store.faults.silent = True
+        scheduler = Scheduler(
+            self.term,
+            store,
+            "test/",
+            CFG,
+            lambda: SchedulerRules({}),
+            boot_s,
+            lambda statuses: None,
+            JobMetrics(),
+            boot_s,
+        )
+        with anyio.move_on_after(seconds):
+            await scheduler.serve()
+        assert not scheduler.loaded.is_set()
+
+
+@given("a hostholds scheduler whose predecessor recorded {seconds:g} seconds for a host")
+def loading_scheduler(context: Any, seconds: float) -> None:
+    context.case = LoadingScheduler(seconds)
+
+
+@when("it ends {seconds:g} seconds after its start, while it still loads its tables")
+def end_while_loading(context: Any, seconds: float) -> None:
+    run_virtual(lambda: context.case.end_after(seconds))
+
+
+@then("its hostholds record says {seconds:g} seconds")
+def passed_on(context: Any, seconds: float) -> None:
+    assert context.case.term.holds == {HOST: seconds}, context.case.term.holds
+
+
+@given("a hostholds record of {count:d} hosts that are held for up to {longest_s:g} seconds")
+def long_record(context: Any, count: int, longest_s: float) -> None:
+    holds = {HostId(f"host{n}"): longest_s * (count - n) / count for n in range(count)}
+    context.case = LeaderRecord(OLD, ProcessId("old"), IncarnationId("x"), ended=True, holds=holds)
+
+
+@then("its stored form names the {count:d} with the shortest holds, and can be read again")
+def names_shortest(context: Any, count: int) -> None:
+    record: LeaderRecord = context.case
+    shortest = dict(sorted(record.holds.items(), key=lambda item: item[1])[:count])
+    assert LeaderRecord.parse(record.encode()).holds == shortest
+
+
 @when("the hostholds host {event}")
 def host_event(context: Any, event: str) -> None:
     run_virtual(lambda: context.case.play(event))
--- a/tests/features/steps/replacements_steps.py
+++ b/tests/features/steps/replacements_steps.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -50,6 +51,7 @@
         self.replaced: set[int] = set()
         self.resigned: Any = None
         self.term_after_resigning: Any = None
+        self.taken_for_ended: list[str] = []
         self.late_calls = 0
         self.most_stops = 0
         self._world: JobWorld | None = None
@@ -123,6 +125,15 @@
         node.model.shut_down()
         node.agent.on_executor_shutdown(node.model.name)
 
+    async def announce_end(self, name: str, notice_s: float) -> None:
+        """Let an executor announce when it ends, and return at that time."""
+        node = self.world.agents[name]
+        node.drain_until = boot_s() + notice_s
+        assert node.agent.state is not None
+        state = replace(node.agent.state, draining=True, leaves_at=node.drain_until)
+        node.agent.on_executor_heartbeat(state)
+        await anyio.sleep(notice_s)
+
     async def replace_host(self, number: int) -> None:
         """Add a host, drain and end the executor of another one, then stop its agent."""
         old = f"host{number}"
@@ -356,6 +367,58 @@
     scenario(context).background.append(act)
 
 
+@when("the executor of the host with most tasks is lost, and its agent stays")
+def lose_executor(context: Any) -> None:
+    async def act(run: Replacements) -> None:
+        node = run.world.agents[run.busiest]
+        node.sends_heartbeats = False
+        node.model.shut_down()
+
+    scenario(context).background.append(act)
+
+
+@when(
+    "the executor of the host with most tasks leaves {notice_s:g} seconds after it announced "
+    "that, without a deregistration"
+)
+def leave_as_announced(context: Any, notice_s: float) -> None:
+    async def act(run: Replacements) -> None:
+        node = run.world.agents[run.busiest]
+        await run.announce_end(run.busiest, notice_s)
+        node.sends_heartbeats = False
+        node.model.shut_down()
+
+    scenario(context).background.append(act)
+
+
+@when("that host's agent stays")
+def agent_stays(context: Any) -> None:
+    pass
+
+
+@when(
+    "the executor of the host with most tasks announces its end in {notice_s:g} seconds and "
+    "stays, refusing {count:d} connections"
+)
+def stay_beyond_end(context: Any, notice_s: float, count: int) -> None:
+    async def act(run: Replacements) -> None:
+        agent: Any = run.world.agents[run.busiest].agent
+        agent._note_ended = run.taken_for_ended.append
+        await run.announce_end(run.busiest, notice_s)
+        executor = agent.executor
+        renew_lease = executor.renew_lease
+        refusals = [ExecutorUnreachable("the connection was refused")] * count
+
+        async def refuse(*args: Any) -> Any:
+            if refusals:
+                raise refusals.pop()
+            return await renew_lease(*args)
+
+        executor.renew_lease = refuse
+
+    scenario(context).background.append(act)
+
+
 @when("that host's executor answers nothing for {silent_s:d} seconds")
 def silence_executor(context: Any, silent_s: int) -> None:
     async def act(run: Replacements) -> None:
@@ -630,6 +693,22 @@
     scenario(context).background.append(act)
 
 
+@when(
+    "the scheduler restarts {count:d} times, {gap_s:g} seconds apart, "
+    "each time serving for {serving_s:g} more seconds"
+)
+def restart_schedulers(context: Any, count: int, gap_s: float, serving_s: float) -> None:
+    async def act(run: Replacements) -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                leader = run.world.leader()
+                assert leader is not None
+                group.start_soon(run.restart_entry, leader.process.hello.process_id, serving_s)
+                await anyio.sleep(gap_s)
+
+    scenario(context).background.append(act)
+
+
 @when("{count:d} hosts are replaced from second {first_s:g} on, {gap_s:g} seconds apart")
 def replace_hosts(context: Any, count: int, first_s: float, gap_s: float) -> None:
     async def act(run: Replacements) -> None:
@@ -650,6 +729,12 @@
     assert run.longest_down_s and not late, late
 
 
+@then("no executor of the replacements was taken for ended")
+def none_ended(context: Any) -> None:
+    scenario(context).run()
+    assert scenario(context).taken_for_ended == [], scenario(context).taken_for_ended
+
+
 @then("no run of the replacements was stopped")
 def none_stopped(context: Any) -> None:
     scenario(context).run()
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -194,11 +194,12 @@
         self.changed = anyio.Event()
 
     def shut_down(self) -> None:
-        """End for good with all runs; no call is answered any more."""
+        """End for good with all runs; no call is answered any more, nor one that waits."""
         for run in list(self.runs.values()):
             self._record_run(run, boot_s())
         self.runs.clear()
         self.is_shut_down = True
+        self._signal()
 
     def clock_ms(self) -> int:
         return round((boot_s() - self.started_at) * 1000)
@@ -364,8 +365,9 @@
             raise ExecutorReplaced("the executor has restarted")
 
     def _is_gone(self) -> bool:
-        """Tell whether the incarnation has crashed; one that kept its id is not told apart."""
-        return self.model.is_down or self.model.instance != self.instance
+        """Tell whether the incarnation has ended; one that kept its id is not told apart."""
+        model = self.model
+        return model.is_shut_down or model.is_down or model.instance != self.instance
 
     async def renew_lease(
         self, fence: FenceToken, acknowledged: int, deadline_ms: int | None, wait_s: float
