An attachment never prolongs the hold of a host's earlier leases

Callers saw tasks that last stay down for a whole lease after each change of the scheduler, although their executor was gone. Cause: `HostTracker.attach` set the end of a host's leases to one lease from now, whatever was known before, and did so again with each attachment. An attachment tells that the agent takes no more grants of earlier schedulers; it is no new lease. `HostLeases` keeps the leases of this term apart from earlier ones: knowledge only lowers the bound of those, and a grant, or an executor that answers under a token of this term, are all that raises one.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from apricotpath.hostleases import LeaseBasis
+from apricotpath.hostleases import HostLeases
 from apricotpath.ids import FenceToken, HostId, JobId, ServiceId
 from apricotpath.workload import HostFacts, TaskKey
 
@@ -54,11 +54,8 @@
 class Host:
     """One host as the scheduler sees it; times are boot-clock seconds.
 
-    `runs_until`: time by which all its runs have ended unless a new lease is
-    granted. `former_until`: time by which runs have ended that an earlier scheduler may have
-    granted leases to, if an agent follows it. `lease_basis`: what `runs_until` is known from.
-    `speed`: how fast tasks run here relative to
-    their estimates.
+    `leases`: until when its runs may go on. `speed`: how fast tasks run here relative to their
+    estimates.
     `filler_percent`: recent speed limit of its filler tasks in percent.
     `silent_since`: when its executor stopped answering; infinite while it answers.
     `renewal`: number of its newest report. `acked_ending`: number of the newest run
@@ -77,9 +74,7 @@
     reported_at: float = float("-inf")
     silent_since: float = float("inf")
     renewal: int = 0
-    runs_until: float = 0.0
-    former_until: float = float("-inf")
-    lease_basis: LeaseBasis = LeaseBasis.NONE
+    leases: HostLeases = field(default_factory=HostLeases)
     draining: bool = False
     leaves_at: float = float("inf")
     acked_ending: int = 0
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -12,8 +12,7 @@
 from apricotpath.election import Term
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
-from apricotpath.hostleases import LeaseBasis
-from apricotpath.ids import Epoch, FenceToken, HostId, TaskId
+from apricotpath.ids import FenceToken, HostId, TaskId
 from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
@@ -122,8 +121,9 @@
             frozenset(message.labels),
             message.capacity,
         )
-        host.runs_until = self._hold_at_attachment(host, message.epoch, now)
-        host.lease_basis = LeaseBasis.ATTACHMENT
+        if message.epoch == self._term.epoch:
+            # The agent has dropped its former attachment, and follows no earlier epoch any more.
+            host.leases.follow(now + self._cfg.run_hold_s)
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -134,16 +134,6 @@
         self._wake()
         return HostAttached(self._term.epoch, host.fence)
 
-    def _hold_at_attachment(self, host: Host, epoch: Epoch, now: float) -> float:
-        """Return the time by which the runs of a host that attaches end without another grant.
-
-        An agent that follows this term's epoch has dropped its former attachment and follows no
-        earlier epoch any more, so that its runs end one lease after that at the latest, also
-        while an earlier scheduler still grants leases.
-        """
-        until = now + self._cfg.run_hold_s
-        return until if epoch == self._term.epoch else max(host.runs_until, until)
-
     def _queue_crashes(self, message: HostAttach) -> None:
         """Queue the crashes that an agent reports, each once per term."""
         for crash in message.crashes:
@@ -155,7 +145,7 @@
     def holds(self, now: float) -> dict[HostId, float]:
         """Return for how many seconds runs may continue on the hosts that are not attached."""
         return {
-            name: round(max(0.0, host.runs_until - now), 3)
+            name: round(host.leases.left_s(now), 3)
             for name, host in self.hosts.items()
             if name not in self.links and self._table.by_host.get(name)
         }
@@ -163,10 +153,7 @@
     def limit_holds(self, until: float) -> None:
         """Set the time by which runs have ended that earlier schedulers have granted leases to."""
         for host in self.hosts.values():
-            host.former_until = min(host.former_until, until)
-            if host.facts is None and host.runs_until > until:
-                host.runs_until = until
-                host.lease_basis = LeaseBasis.PREDECESSOR_ENDED
+            host.leases.limit(until)
 
     def link_closed(self, link: Link) -> None:
         """Detach the hosts that are attached over a link.
@@ -177,7 +164,7 @@
         for name in sorted(self._names_by_link.get(link, ())):
             self._detach(name)
             host = self.hosts[name]
-            host.runs_until = max(host.runs_until, host.former_until)
+            host.leases.forget_agent()
             log.info("host detached", extra={"host": name})
 
     def _detach(self, name: HostId) -> None:
@@ -244,9 +231,7 @@
         if message.complete:
             host.reported = True
             # The executor has seen the new fencing token, so nobody renews older leases.
-            host.runs_until = now + self._cfg.run_hold_s
-            host.former_until = float("-inf")
-            host.lease_basis = LeaseBasis.GRANT
+            host.leases.fence(now + self._cfg.run_hold_s)
             self._send_traits(host, link)
             self._wake()
 
@@ -287,8 +272,7 @@
         """Renew the lease of a host's runs, unless a later scheduler may consider it expired."""
         if now - self._last_store_contact_at() > self._cfg.authority_s:
             return
-        host.runs_until = max(host.runs_until, now + self._cfg.run_hold_s)
-        host.lease_basis = LeaseBasis.GRANT
+        host.leases.grant(now + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
 
     def acknowledge_endings(self, executor: ExecutorName, number: int) -> None:
@@ -497,7 +481,7 @@
         attached although its executor is permanently lost.
         """
         for name, host in list(self.hosts.items()):
-            if now < host.runs_until:
+            if now < host.leases.until:
                 continue
             if len(self.lost_runs) >= MAX_QUEUED_LOST:
                 return
@@ -506,13 +490,13 @@
                 self._log_expiry(host, len(runs), now)
             for run in runs:
                 self.mark_lost(run, "its host is unreachable and its lease has expired")
-            if not host.fence and now > host.runs_until + self._cfg.retention_s:
+            if not host.fence and now > host.leases.until + self._cfg.retention_s:
                 del self.hosts[name]
 
     def _log_expiry(self, host: Host, runs: int, now: float) -> None:
         """Log what the end of a host's leases is known from, and since when it is silent."""
         silent_s = now - max(host.reported_at, self._started)
-        extra = {"host": host.host, "runs": runs, "basis": host.lease_basis.value}
+        extra = {"host": host.host, "runs": runs, "basis": host.leases.bound.basis.value}
         log.info("leases of a host have expired", extra=extra | {"silent_s": round(silent_s, 3)})
 
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -198,8 +198,8 @@
         for name in hosts:
             until = self._started + min(max_hold_s, known.get(name, hold_s))
             basis = LeaseBasis.RECORD if name in known else LeaseBasis.ASSUMPTION
-            host = Host(name, runs_until=until, former_until=until, lease_basis=basis)
-            self.host_tracker.hosts[name] = host
+            host = self.host_tracker.hosts[name] = Host(name)
+            host.leases.restore(until, basis)
         extra = {"hosts": len(hosts), "hold_s": hold_s, "recorded": len(known.keys() & set(hosts))}
         log.info("runs of the last term held", extra=extra)
 
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -11,6 +11,7 @@
 from apricotpath.election import Term
 from apricotpath.entryrecords import LeaderRecord
 from apricotpath.fleet import FleetSettings, Host
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.ids import (
     DataCentreId,
     Epoch,
@@ -119,7 +120,8 @@
         table.apply(Assigned(KEY, 1, HOST, "oven", 1), 0.0)
         tracker = HostTracker(Term(NEW, "", 1), table, CFG, boot_s, lambda: None)
         until = boot_s() + self.hold_s
-        tracker.hosts[HOST] = Host(HOST, runs_until=until, former_until=until)
+        host = tracker.hosts[HOST] = Host(HOST)
+        host.leases.restore(until, LeaseBasis.ASSUMPTION)
         return tracker
 
     def attach(self, tracker: HostTracker, epoch: Epoch = NEW) -> FenceToken:
