The record of a term names the holds of attached hosts too

Of more than 100 hosts it named any.

Now it names each host with runs, the shortest holds first, and grants nothing after the holds were taken, since a later lease would outlast them.

--- a/packages/core/src/apricotpath/entryrecords.py
+++ b/packages/core/src/apricotpath/entryrecords.py
@@ -3,7 +3,8 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from itertools import islice
+from heapq import nsmallest
+from operator import itemgetter
 from typing import Any, Generic, Self, TypeVar
 
 from apricotpath.config import Address
@@ -24,7 +25,7 @@
 log = logging.getLogger(__name__)
 
 MAX_RECORD_BYTES = 16 << 10
-# Hosts whose holds a record tells; the runs of others are held for the full time.
+# Hosts whose holds a record tells, the shortest ones; other hosts are held for the full time.
 MAX_HOLDS = 100
 # Fencing tokens are epochs shifted by 24 bits, and must fit a signed integer of 64 bits.
 MAX_EPOCH = 1 << 38
@@ -81,7 +82,8 @@
     """The leader as stored under the leader key and the epoch key.
 
     Once its term has `ended`, it does nothing in that term any more. `holds` then tells for
-    how many seconds from then on runs may continue on hosts that were not attached to it.
+    how many seconds from then on runs may continue on a host; hosts that would go on for
+    longest may be left out.
     `former_ended` tells that no leader before this one granted leases any more when the
     record was written. `began` is that of the entry's registration.
     """
@@ -116,7 +118,7 @@
                 "entry": self.entry,
                 "incarnation": self.incarnation,
                 "ended": self.ended,
-                "holds": dict(islice(self.holds.items(), MAX_HOLDS)),
+                "holds": dict(nsmallest(MAX_HOLDS, self.holds.items(), key=itemgetter(1))),
                 "former_ended": self.former_ended,
                 "began": self.began,
                 "token": new_token(),
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -83,6 +83,7 @@
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
         self.fences = FenceTokens(term)
         self._started = boot_s()
+        self._grants_ended = False
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
         self.disturbance = Disturbance()
@@ -142,12 +143,13 @@
                 self._known_crashes.add(name)
                 self.crashes.append(ReportedCrash(message.host, crash))
 
-    def holds(self, now: float) -> dict[HostId, float]:
-        """Return for how many seconds runs may continue on the hosts that are not attached."""
+    def end_grants(self, now: float) -> dict[HostId, float]:
+        """Grant no lease any more; return for how many seconds runs may continue, by host."""
+        self._grants_ended = True
         return {
             name: round(host.leases.left_s(now), 3)
             for name, host in self.hosts.items()
-            if name not in self.links and self._table.by_host.get(name)
+            if self._table.by_host.get(name)
         }
 
     def limit_holds(self, until: float) -> None:
@@ -270,7 +272,7 @@
 
     def _grant(self, host: Host, link: Link, renewal: int, now: float) -> None:
         """Renew the lease of a host's runs, unless a later scheduler may consider it expired."""
-        if now - self._last_store_contact_at() > self._cfg.authority_s:
+        if self._grants_ended or now - self._last_store_contact_at() > self._cfg.authority_s:
             return
         host.leases.grant(now + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -136,7 +136,7 @@
                 except FencedError as exc:
                     log.warning("%s", exc, extra={"epoch": self.epoch})
                 finally:
-                    self.term.holds.update(self.host_tracker.holds(boot_s()))
+                    self.term.holds.update(self.host_tracker.end_grants(boot_s()))
             group.cancel_scope.cancel()
 
     async def _raise_fence_limits(self, group: TaskGroup) -> None:
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -137,14 +137,14 @@
         await anyio.sleep(attach_at_s)
         self.attach(tracker)
         await anyio.sleep(lasts_s)
-        self.recorded = tracker.holds(boot_s())
+        self.recorded = tracker.end_grants(boot_s())
 
     async def report_after_record(self) -> None:
         """Report before the end of the term and after it."""
         tracker = self.make_tracker()
         fence = self.attach(tracker)
         tracker.receive_report(self.link, HostRuns(fence, 1, True, False, 0, 100.0, (), ()))
-        self.recorded = tracker.holds(boot_s())
+        self.recorded = tracker.end_grants(boot_s())
         self.link.sent.clear()
         tracker.receive_report(self.link, HostRuns(fence, 2, False, False, 0, 100.0, (), ()))
         tracker.acknowledge_endings(ExecutorName(HOST, "oven", 1), 1)
