A scheduler that ends while it loads passes on the holds of the last one

Such a term left a record without holds, so that the next scheduler held the runs of all hosts for a whole lease again: with restarts in turn over narrow links, where loading takes seconds, a hold that had nearly ended began anew. Nothing is granted before the tables are loaded, so what the predecessor recorded still holds, less the time that has passed.

--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -1,7 +1,7 @@
 """Schedules jobs during one leader term; every decision is written to the run log first."""
 
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,7 +16,7 @@
 from apricotpath.gangturns import GangTurns
 from apricotpath.hostleases import LeaseBasis
 from apricotpath.hostload import PlacementInput
-from apricotpath.ids import DataCentreId, JobId, QueueId
+from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
 from apricotpath.jobcodec import parse_job
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
@@ -124,20 +124,37 @@
 
     async def serve(self) -> None:
         """Run until the term is over or given up, or the task is cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._mirror.run)
-            group.start_soon(self._shorten_holds)
-            group.start_soon(self._learned.load)
-            group.start_soon(self._raise_fence_limits, group)
-            if await self._load_tables():
-                group.start_soon(self._log.find_obsolete)
-                try:
-                    await self._run_loop(group)
-                except FencedError as exc:
-                    log.warning("%s", exc, extra={"epoch": self.epoch})
-                finally:
-                    self.term.holds.update(self.host_tracker.end_grants(boot_s()))
-            group.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._mirror.run)
+                group.start_soon(self._shorten_holds)
+                group.start_soon(self._learned.load)
+                group.start_soon(self._raise_fence_limits, group)
+                if await self._load_tables():
+                    group.start_soon(self._log.find_obsolete)
+                    try:
+                        await self._run_loop(group)
+                    except FencedError as exc:
+                        log.warning("%s", exc, extra={"epoch": self.epoch})
+                group.cancel_scope.cancel()
+        finally:
+            self.term.holds.update(self._end_holds(boot_s()))
+
+    def _end_holds(self, now: float) -> dict[HostId, float]:
+        """Return for how many seconds runs may continue after the term, by host."""
+        if self.loaded.is_set():
+            return self.host_tracker.end_grants(now)
+        # Nothing was granted, so that what the last scheduler knew still holds.
+        elapsed_s = now - self._started
+        return {
+            name: round(max(0.0, hold_s - elapsed_s), 3)
+            for name, hold_s in self._recorded_holds().items()
+        }
+
+    def _recorded_holds(self) -> Mapping[HostId, float]:
+        """Return the holds that the last scheduler recorded at the end of its term."""
+        predecessor = self.term.predecessor
+        return predecessor.holds if predecessor is not None else {}
 
     async def _raise_fence_limits(self, group: TaskGroup) -> None:
         """Store limits of fencing tokens; give the term up once its epoch has none left."""
@@ -192,8 +209,7 @@
         """
         max_hold_s = self.cfg.run_hold_s + self.cfg.authority_s
         hold_s = self.cfg.run_hold_s if self._starts_alone else max_hold_s
-        predecessor = self.term.predecessor
-        known = predecessor.holds if predecessor is not None else {}
+        known = self._recorded_holds()
         hosts = [name for name, runs in self.table.by_host.items() if runs]
         for name in hosts:
             until = self._started + min(max_hold_s, known.get(name, hold_s))
