An executor that leaves as announced has ended, also without a deregistration

Callers saw the tasks of an executor that is taken away at short notice stay down for a lease, and for more once the scheduler was handed over: the agent had heard the announcement, every renewal was refused from the announced end on, and it told the scheduler only that the executor does not answer. It took a refused connection for the end only after a deregistration, which such an executor does not send.

Now three refused connections in a row after the announced end tell the same. A refusal before that time, a time-out, or an answer in between do not.

--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -33,7 +33,8 @@
 
     A deregistered executor may still answer: it is about to end, or the notice is a delayed
     one of its earlier incarnation. It counts as ended, with nothing running, once its address
-    refuses connections.
+    refuses connections. So does one that has not deregistered, if it goes on refusing them after
+    the end that its heartbeats announced.
     """
 
     REGISTERED = "registered"
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -52,6 +52,9 @@
 
 RENEWAL_RETRY_S = 0.1
 ATTACH_RETRY_S = 0.1
+# After the end that it announced, an executor has ended once it refused so many connections in a
+# row. One refusal may be a connection that was reset while it was opened.
+REFUSALS_OF_ENDED = 3
 # Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
 # up to 50 are sent per second.
 MAX_RENEWALS = 512
@@ -89,6 +92,8 @@
         self._clock_ms, self._clock_at = 0, 0.0
         # Endings in the executor's newest report; they outlive it and each attachment.
         self._endings: tuple[RunEnding, ...] = ()
+        # Connections in a row that the executor has refused to lease renewals.
+        self._refusals = 0
         self._links: list[Link] = []
         self.changed = anyio.Event()
         self._group: TaskGroup | None = None
@@ -112,6 +117,7 @@
                 self._note_crash(previous)
             self.executor = self._connect(state.facts)
             self._endings = ()
+            self._refusals = 0
             self.phase = ExecutorPhase.REGISTERED
             self._detach("the executor has restarted")
             former = previous.facts if previous is not None else None
@@ -282,15 +288,24 @@
             refused = isinstance(exc, ExecutorUnreachable) and executor is self.executor
             extra = {"refused": refused, "draining": self.draining, "phase": self.phase.value}
             log.info("lease renewal failed: %s", exc, extra=extra)
-            if refused and self.phase is ExecutorPhase.DEREGISTERED:
+            self._refusals = self._refusals + 1 if refused else 0
+            if refused and self._has_left():
                 self._note_ended(attached.facts.instance)
                 return
             self._note_silence(attached, isinstance(exc, ExecutorDisconnected))
             await anyio.sleep(RENEWAL_RETRY_S)
         else:
+            self._refusals = 0
             if attached is self.attachment:
                 await self._handle_report(attached, executor, executor_report, sent)
 
+    def _has_left(self) -> bool:
+        """Tell whether an executor that refuses connections has ended, as it had told before."""
+        if self.phase is ExecutorPhase.DEREGISTERED:
+            return True
+        announced = self.state is not None and boot_s() >= self.state.leaves_at
+        return announced and self._refusals >= REFUSALS_OF_ENDED
+
     def _note_silence(self, attached: Attachment, disconnected: bool) -> None:
         """Tell the scheduler once that the executor does not answer."""
         self._crash_watch.on_silence(attached, disconnected)
