--- a/packages/daemon/src/apricotpathd/attempt.py
+++ b/packages/daemon/src/apricotpathd/attempt.py
@@ -3,11 +3,12 @@
 from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import Protocol
 
 import anyio
 
-from apricotpath.ids import IncarnationId, ProcessId, RequestId, ServiceId, TeamId
+from apricotpath.ids import IncarnationId, KeyId, ProcessId, RequestId, ServiceId, TeamId
 from apricotpath.link import Link
 from apricotpath.messages import Header, Message, RequestRefused, ResponseAck
 from apricotpath.servicerules import ClassRules
@@ -36,6 +37,11 @@
     headers: tuple[Header, ...]
     body: bytes
 
+    def key_id(self) -> KeyId:
+        """Return a hash of service, team and key, so that teams never share answers."""
+        text = f"{self.service}\0{self.team}\0{self.key}"
+        return KeyId(blake2b(text.encode(), digest_size=16).hexdigest())
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
