--- a/packages/daemon/src/apricotpathd/agentrequests.py
+++ b/packages/daemon/src/apricotpathd/agentrequests.py
@@ -3,23 +3,22 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import anyio
 from anyio.abc import TaskGroup
-from httpx import AsyncClient, HTTPError, InvalidURL, Request, Response, Timeout
+from httpx import AsyncClient, HTTPError, InvalidURL, Request, Timeout
 from httpx import ConnectError as HttpConnectError
 from httpx import ConnectTimeout as HttpConnectTimeout
 
+from apricotpath.backendpressure import Pressure
 from apricotpath.codec import Envelope
 from apricotpath.config import AgentSettings, BackendSettings
 from apricotpath.errors import LinkError
-from apricotpath.ids import ClassId, IncarnationId, RequestId
+from apricotpath.ids import IncarnationId, RequestId
 from apricotpath.link import Link, relink_s
 from apricotpath.messages import (
     Failure,
-    Header,
     Message,
     ReleaseKey,
     RequestBody,
@@ -38,93 +37,22 @@
 from apricotpath.routing import BACKEND_DOWN
 from apricotpath.servicerules import RequestRules
 from apricotpath.settle import Answer, KeyTable, RequestTable, StartVerdict, maturity
+from apricotpathd.answerforwarder import (
+    CHUNK_BYTES,
+    TOO_LARGE,
+    AdmittedRequest,
+    AnswerForwarder,
+)
 from apricotpathd.backendtransport import BackendTransport
 
 log = logging.getLogger(__name__)
 
-# An answer up to this size is sent in one frame, a larger one in chunks of this size.
-CHUNK_BYTES = 64 << 10
-# Limit on the bytes of an answer that are sent but not acknowledged by the caller's entry.
-SEND_WINDOW_BYTES = 1 << 20
 # Limit on the bytes of all buffered request bodies; bounds the agent's memory.
 MAX_BUFFERED_BODY_BYTES = 32 << 20
 CONNECT_TIMEOUT_S = 1.0
 EXPIRE_INTERVAL_S = 1.0
 RETRY_AFTER_MS = 1000
-# Smoothing factors of a new sample: for the recent latency, and for the baseline when the
-# sample is below it and above it.
-RECENT_WEIGHT = 0.1
-BASELINE_FALL_WEIGHT = 0.1
-BASELINE_RISE_WEIGHT = 0.002
-# A request class without requests for this long is left out of the slowdown.
-PRESSURE_MEMORY_S = 5.0
-HOP_BY_HOP = frozenset(
-    ("connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding")
-)
-
-
-@dataclass(slots=True)
-class ClassLatency:
-    """Latency of one request class in seconds: recent, and the baseline without load."""
-
-    recent_s: float
-    baseline_s: float
-    updated_at: float
-
-
-@dataclass(slots=True)
-class Pressure:
-    """Slowdown of the backend server against its baseline latency without load (1.0 = none).
-
-    The baseline follows faster answers quickly and slower ones very slowly,
-    so it stays near the fastest tenth of recent answers.
-    """
-
-    classes: dict[ClassId, ClassLatency] = field(default_factory=dict)
-
-    def add(self, request_class: ClassId, seconds: float, now: float) -> None:
-        """Add the latency of one answer, without its time in the queue."""
-        latency = self.classes.get(request_class)
-        if latency is None:
-            self.classes[request_class] = ClassLatency(seconds, seconds, now)
-            return
-        latency.recent_s += RECENT_WEIGHT * (seconds - latency.recent_s)
-        weight = BASELINE_FALL_WEIGHT if seconds < latency.baseline_s else BASELINE_RISE_WEIGHT
-        latency.baseline_s += weight * (seconds - latency.baseline_s)
-        latency.updated_at = now
-
-    def value(self, now: float) -> float:
-        """Return the mean slowdown of the classes with recent requests."""
-        fresh = [c for c in self.classes.values() if now - c.updated_at <= PRESSURE_MEMORY_S]
-        ratios = [max(1.0, c.recent_s / max(c.baseline_s, 1e-6)) for c in fresh]
-        return sum(ratios) / len(ratios) if ratios else 1.0
-
-    def expected_s(self) -> float:
-        """Return the mean recent latency in seconds, 0 if nothing was measured."""
-        recent = [c.recent_s for c in self.classes.values()]
-        return sum(recent) / len(recent) if recent else 0.0
-
-
-@dataclass(eq=False, slots=True)
-class AdmittedRequest:
-    """One admitted request and the links that its answer is sent to.
-
-    `total` is the length of the answer in bytes, -1 until it is known. `confirmed` tells
-    whether an entry has acknowledged all of it.
-    """
-
-    start: RequestStart
-    link: Link
-    deadline: float
-    body: bytearray
-    complete: bool
-    running: bool = False
-    acked: int = 0
-    total: int = -1
-    confirmed: bool = False
-    ack_event: anyio.Event | None = None
-    scope: anyio.CancelScope | None = None
-    waiting_links: list[Link] = field(default_factory=list)
+REQUEST_ID_HEADER = b"apricotpath-request-id"
 
 
 class AgentRequests:
@@ -487,7 +415,7 @@
         """Send the request and forward the answer; return it if it is small enough to keep."""
         response = await self._client.send(req, stream=True)
         try:
-            return await _Forwarder(self, admitted, response).run()
+            return await AnswerForwarder(self.cfg.limits, admitted, response).run()
         finally:
             with anyio.CancelScope(shield=True):
                 await response.aclose()
@@ -524,70 +452,6 @@
             log.info("%s could not be sent: %s", type(message).__name__, exc)
 
 
-TOO_LARGE = "the answer was too large to be kept"
-REQUEST_ID_HEADER = b"apricotpath-request-id"
-
-
-class _Forwarder:
-    """Forwards one answer from the backend server to a link, and keeps a copy.
-
-    If the link closes, it reads the rest of the answer, so that the answer can be kept.
-    """
-
-    def __init__(
-        self, requests: AgentRequests, admitted: AdmittedRequest, response: Response
-    ) -> None:
-        self.limits = requests.cfg.limits
-        self.admitted = admitted
-        self.response = response
-        self.headers = tuple(
-            Header(name, value.decode("latin-1"))
-            for raw, value in response.headers.raw
-            if (name := raw.decode("latin-1").lower()) not in HOP_BY_HOP
-        )
-        self.kept = bytearray()
-        self.sent = -1
-        self.total = 0
-
-    async def run(self) -> tuple[Answer | None, str]:
-        """Return the entire answer, or None and the reason if it was too large to keep."""
-        unsent = bytearray()
-        async for chunk in self.response.aiter_raw():
-            self.total += len(chunk)
-            if self.total <= self.limits.kept_answer:
-                self.kept += chunk
-            if self.total > self.limits.response_body:
-                return None, "the answer exceeds the limit on its size"
-            unsent += chunk
-            while len(unsent) > CHUNK_BYTES:
-                await self._send(bytes(unsent[:CHUNK_BYTES]), False)
-                del unsent[:CHUNK_BYTES]
-        self.admitted.total = self.total
-        await self._send(bytes(unsent), True)
-        if self.total > self.limits.kept_answer:
-            return None, TOO_LARGE
-        return Answer(self.response.status_code, self.headers, bytes(self.kept)), ""
-
-    async def _send(self, data: bytes, final: bool) -> None:
-        """Send the next part; the first one is sent with the status and headers."""
-        admitted, request = self.admitted, self.admitted.start.request
-        offset = max(self.sent, 0)
-        try:
-            if self.sent < 0:
-                status = self.response.status_code
-                await admitted.link.send(ResponseStart(request, status, self.headers, data, final))
-            else:
-                while admitted.link.is_open and offset - admitted.acked > SEND_WINDOW_BYTES:
-                    admitted.ack_event = anyio.Event()
-                    await admitted.ack_event.wait()
-                total = self.total if final else 0
-                await admitted.link.send(ResponseBody(request, offset, data, final, total))
-        except LinkError:
-            # The entry will request the answer over its next link.
-            pass
-        self.sent = offset + len(data)
-
-
 def http_client(backend: BackendSettings) -> AsyncClient:
     """Return the client for one backend server.
 
