An agent that attaches tells how long its leases last

Cause: a scheduler that is killed or cut off leaves no record of holds, so that each of a series of them held the runs of a host for a whole lease from its own start, although the agent of the host was there all the time. The agent knows better: all leases pass through it, and those of its earlier process end one lease after its own start at the latest. HostAttach now has lease_ms, -1 from earlier versions, and the bound of a followed host is that in place of a whole lease. An agent that restarts or follows an earlier scheduler again is bounded as before.

--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -35,7 +35,12 @@
     @property
     def run_hold_s(self) -> float:
         """Longest time that runs can continue after the last grant, in seconds."""
-        return self.run_lease_s * (1 + self.clock_drift) + self.margin_s
+        return self.hold_s(self.run_lease_s)
+
+    def hold_s(self, lease_s: float) -> float:
+        """Longest time that runs can continue with `lease_s` seconds left of their lease."""
+        drift_s = self.run_lease_s * self.clock_drift
+        return min(lease_s, self.run_lease_s) + drift_s + self.margin_s
 
 
 # For how long (seconds) a host is set aside at first.
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -170,6 +170,8 @@
 
 
 NO_FENCE = FenceToken(0)
+# Stands for the rest of a lease that an agent does not tell.
+UNKNOWN_LEASE_MS = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,7 +180,8 @@
 
     `epoch` is the highest scheduler epoch that the agent has seen, `crashes` the newest crashes
     of executors beside it. `fence` is the highest token that calls to the executor may have
-    carried so far; that of the attachment must be higher.
+    carried so far; that of the attachment must be higher. `lease_ms`: for how long at most the
+    leases last that this agent was granted; UNKNOWN_LEASE_MS from earlier versions.
     """
 
     host: HostId
@@ -192,6 +195,7 @@
     epoch: Epoch
     crashes: tuple[ExecutorCrash, ...] = ()
     fence: FenceToken = NO_FENCE
+    lease_ms: int = UNKNOWN_LEASE_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -333,6 +333,7 @@
   epoch @8 :Int64;
   crashes @9 :List(ExecutorCrash);
   fence @10 :Int64;
+  leaseMs @11 :Int64 = -1;
 }
 
 struct HostSilent {
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from math import ceil
 
 import anyio
 from anyio.abc import TaskGroup
@@ -90,6 +91,9 @@
         self.executor: Executor | None = None
         self._connect = connect
         self._clock_ms, self._clock_at = 0, 0.0
+        # End of the longest lease granted so far; an earlier process of this agent may have been
+        # granted one until it ended.
+        self._leased_until = boot_s() + cfg.run_lease_s
         # Endings in the executor's newest report; they outlive it and each attachment.
         self._endings: tuple[RunEnding, ...] = ()
         # Connections in a row that the executor has refused to lease renewals.
@@ -237,6 +241,7 @@
             max(self.epoch, epoch_of(self.fences.highest)),
             tuple(self._crash_watch.crashes),
             self.fences.highest,
+            ceil(max(0.0, self._leased_until - boot_s()) * 1000),
         )
         try:
             reply = await link.call(call, timeout_s=1.0)
@@ -450,6 +455,7 @@
             if sent is not None:
                 until = sent + self.cfg.run_lease_s
                 attached.granted_until = max(attached.granted_until, until)
+                self._leased_until = max(self._leased_until, until)
                 attached.granted_renewal = max(attached.granted_renewal, body.renewal)
                 if self._end_reported():
                     self._signal()
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -17,6 +17,7 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
+    UNKNOWN_LEASE_MS,
     Failure,
     HostAttach,
     HostAttached,
@@ -127,7 +128,7 @@
         )
         if message.epoch == self._term.epoch:
             # The agent has dropped its former attachment, and follows no earlier epoch any more.
-            host.leases.follow(now + self._cfg.run_hold_s)
+            host.leases.follow(now + self._hold_s(message))
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -138,6 +139,12 @@
         self._wake()
         return HostAttached(self._term.epoch, host.fence)
 
+    def _hold_s(self, message: HostAttach) -> float:
+        """Return for how long runs can continue that their agent was granted leases for."""
+        if message.lease_ms <= UNKNOWN_LEASE_MS:
+            return self._cfg.run_hold_s
+        return self._cfg.hold_s(message.lease_ms / 1000)
+
     def _queue_crashes(self, message: HostAttach) -> None:
         """Queue the crashes that an agent reports, each once per term."""
         for crash in message.crashes:
--- a/tests/features/doubts.feature
+++ b/tests/features/doubts.feature
@@ -21,3 +21,174 @@
     Given a doubts host that reports once and is silent from then on
     When the doubts host gets an acknowledgement of endings 4 seconds after its report
     Then the doubts host is given up between 6.4 and 6.6 seconds after the start of the term
+
+  # A scheduler that is killed leaves no record, so that the next one began the hold anew, although the agent was
+  # there all the time.
+  Scenario: doubts about a lost executor end after its lease while one scheduler after another is killed
+    Given a world of replacements with 3 entries and 4 hosts
+    And 6 long-running tasks at work
+    When the executor of the host with most tasks is lost, and its agent stays
+    And the scheduler of the doubts is killed 4 times, 3 seconds apart, and starts again each time
+    Then no task of the replacements was down for longer than 8 seconds
+    And no task of the replacements ran twice at the same time
+
+  # The lease that an agent tells of is one bound of several.
+  Scenario Outline: doubts about a host that attaches with <lease> seconds of a lease left end after <until> seconds
+    Given a doubts host of the last term whose scheduler may still grant leases
+    When the doubts host attaches after 1 second with <lease> seconds of a lease left, and <event>
+    Then the doubts host is given up between <until> and <latest> seconds after the start of the term
+
+    Examples:
+      | lease | event                     | until | latest |
+      | 2     | stays                     | 3.4   | 3.6    |
+      | 0     | stays                     | 1.4   | 1.6    |
+      | 30    | stays                     | 7.4   | 7.6    |
+      | 2     | its link closes           | 12.4  | 12.6   |
+      | 2     | follows the former epoch  | 12.4  | 12.6   |
+
+  # What an agent cannot know of, it takes for a whole lease.
+  Scenario: doubts of an agent about the leases of its earlier process last for a whole lease
+    Given a doubts agent that has just started
+    When it attaches at once, and again after 4 seconds without a grant
+    Then it told the schedulers of 6 and 2 seconds of a lease
+
+  Scenario: doubts of an agent about a granted lease end with that
+    Given a doubts agent that has just started
+    When it attaches, is granted a lease after 3 seconds, and attaches again 1 second later
+    Then it told the schedulers of 6 and 5 seconds of a lease
+
+  # A task that is down for longer than a lease, or twice at work, after planned changes in any order.
+  Scenario Outline: doubts of planned changes last no longer than a lease in a random order of events, seed <seed>
+    Given a world of replacements with 3 entries and 6 hosts
+    And 12 long-running tasks at work
+    When 12 planned doubts follow one another with seed <seed>
+    Then no task of the replacements was down for longer than 8 seconds
+    And no task of the replacements ran twice at the same time
+
+    Examples:
+      | seed |
+      | 101  |
+      | 102  |
+      | 103  |
+
+    @long
+    Examples:
+      | seed |
+      | 111  |
+      | 112  |
+      | 113  |
+      | 114  |
+      | 115  |
+      | 116  |
+      | 117  |
+      | 118  |
+      | 119  |
+      | 120  |
+      | 121  |
+      | 122  |
+      | 123  |
+      | 124  |
+      | 125  |
+      | 126  |
+      | 127  |
+      | 128  |
+      | 129  |
+      | 130  |
+      | 131  |
+      | 132  |
+      | 133  |
+      | 134  |
+      | 135  |
+      | 136  |
+      | 137  |
+      | 138  |
+      | 139  |
+      | 140  |
+      | 141  |
+      | 142  |
+      | 143  |
+      | 144  |
+      | 145  |
+      | 146  |
+      | 147  |
+      | 148  |
+      | 149  |
+      | 150  |
+      | 151  |
+      | 152  |
+      | 153  |
+      | 154  |
+      | 155  |
+      | 156  |
+      | 157  |
+      | 158  |
+      | 159  |
+      | 160  |
+
+  # Two runs of a task at once when schedulers, agents and writes are late or cut off, in any order.
+  Scenario Outline: doubts of all kinds let no task run twice in a random order of events, seed <seed>
+    Given a world of replacements with 3 entries and 6 hosts
+    And 12 long-running tasks at work
+    When 12 doubts of all kinds follow one another with seed <seed>
+    Then no task of the replacements was down for longer than 25 seconds
+    And no task of the replacements ran twice at the same time
+
+    Examples:
+      | seed |
+      | 201  |
+      | 202  |
+      | 203  |
+
+    @long
+    Examples:
+      | seed |
+      | 211  |
+      | 212  |
+      | 213  |
+      | 214  |
+      | 215  |
+      | 216  |
+      | 217  |
+      | 218  |
+      | 219  |
+      | 220  |
+      | 221  |
+      | 222  |
+      | 223  |
+      | 224  |
+      | 225  |
+      | 226  |
+      | 227  |
+      | 228  |
+      | 229  |
+      | 230  |
+      | 231  |
+      | 232  |
+      | 233  |
+      | 234  |
+      | 235  |
+      | 236  |
+      | 237  |
+      | 238  |
+      | 239  |
+      | 240  |
+      | 241  |
+      | 242  |
+      | 243  |
+      | 244  |
+      | 245  |
+      | 246  |
+      | 247  |
+      | 248  |
+      | 249  |
+      | 250  |
+      | 251  |
+      | 252  |
+      | 253  |
+      | 254  |
+      | 255  |
+      | 256  |
+      | 257  |
+      | 258  |
+      | 259  |
+      | 260  |
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -1,15 +1,43 @@
 """Steps for doubts.feature, beside those for holds and worlds of replacements."""
 
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from typing import Any
 
 import anyio
 from behave import given, then, when
-from hostholds_steps import END_S, HOST, FakeLink, HeldHost
+from hostholds_steps import (
+    CAPACITY,
+    CFG,
+    END_S,
+    HOST,
+    NEW,
+    OLD,
+    RACK,
+    SERVICE,
+    ZONE,
+    FakeLink,
+    HeldHost,
+)
+from replacements_steps import RESTART_DELAY_S, RandomEvents, Replacements, scenario
 
 from apricotpath.boottime import boot_s
-from apricotpath.messages import HostRuns
+from apricotpath.codec import Envelope
+from apricotpath.ids import FenceToken, InstanceId, ProcessId
+from apricotpath.messages import (
+    HostAttach,
+    HostAttached,
+    HostGrant,
+    HostRuns,
+    LeaderNotice,
+    Message,
+)
+from apricotpath.workload import HostFacts
+from apricotpathd.attachment import ExecutorState
+from apricotpathd.hostagent import HostAgent
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
+from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.jobworld import run_virtual
 
 
@@ -46,6 +74,16 @@
         self.attach(tracker)
         tracker.link_closed(former)
 
+    async def attach_leased(self, tracker: HostTracker, lease_s: float, event: str) -> None:
+        """Attach after 1 second, with what is left of a lease."""
+        await anyio.sleep_until(1.0)
+        epoch = OLD if "former epoch" in event else NEW
+        call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
+        attached = tracker.attach(self.link, replace(call, lease_ms=round(lease_s * 1000)))
+        assert isinstance(attached, HostAttached), attached
+        if event == "its link closes":
+            tracker.link_closed(self.link)
+
     async def acknowledge_late(self, tracker: HostTracker, after_s: float) -> None:
         """Report once, and get an acknowledgement later."""
         fence = self.attach(tracker)
@@ -84,6 +122,14 @@
     run_virtual(lambda: case.watch(case.relink, first_s, last_s, state == "open"))
 
 
+@when(
+    "the doubts host attaches after 1 second with {lease_s:g} seconds of a lease left, and {event}"
+)
+def attach_leased(context: Any, lease_s: float, event: str) -> None:
+    case: DoubtfulHost = context.case
+    run_virtual(lambda: case.watch(case.attach_leased, lease_s, event))
+
+
 @when("the doubts host gets an acknowledgement of endings {after_s:g} seconds after its report")
 def acknowledge(context: Any, after_s: float) -> None:
     case: DoubtfulHost = context.case
@@ -95,3 +141,222 @@
 )
 def given_up(context: Any, least: float, most: float) -> None:
     assert least <= context.case.given_up_s <= most, context.case.given_up_s
+
+
+class LeaseLink(FakeLink):
+    """A link to a scheduler, which keeps what the agent tells of its lease."""
+
+    def __init__(self, told_ms: list[int]) -> None:
+        super().__init__("new")
+        self.epoch = NEW
+        self.told_ms = told_ms
+
+    async def call(self, body: Message, timeout_s: float | None = None) -> Message:
+        assert isinstance(body, HostAttach)
+        self.told_ms.append(body.lease_ms)
+        # Tokens rise with each attachment.
+        return HostAttached(NEW, FenceToken(NEW * 1000 + len(self.told_ms)))
+
+
+class TellingAgent:
+    """An agent in virtual time, with a link to a scheduler at a time."""
+
+    def __init__(self) -> None:
+        self.told_ms: list[int] = []
+
+    async def main(self, grant_after_s: float, again_after_s: float) -> None:
+        """Attach, be granted a lease unless that is never, and attach over another link."""
+        async with anyio.create_task_group() as group:
+            model = ExecutorModel("oven", CAPACITY, Behaviour())
+            agent = HostAgent(HOST, CFG, lambda _facts: ModelExecutor(model, group))
+            group.start_soon(agent.run)
+            facts = HostFacts("oven", 1, SERVICE, ZONE, RACK, capacity=CAPACITY)
+            agent.on_executor_heartbeat(ExecutorState(facts))
+            link: Any = LeaseLink(self.told_ms)
+            await agent.link_opened(link)
+            await self._hear(agent, link, LeaderNotice(NEW, ProcessId("new")))
+            if grant_after_s < float("inf"):
+                await anyio.sleep(grant_after_s)
+                attached = agent.attachment
+                assert attached is not None
+                # A lease counts from its report, which is sent at the time of the grant here.
+                attached.sent_at[attached.renewal] = boot_s()
+                await self._hear(agent, link, HostGrant(attached.fence, attached.renewal, 0))
+            await anyio.sleep(again_after_s)
+            await agent.link_closed(link)
+            await agent.link_opened(LeaseLink(self.told_ms))  # type: ignore[arg-type]
+            await anyio.sleep(0.5)
+            group.cancel_scope.cancel()
+
+    @staticmethod
+    async def _hear(agent: HostAgent, link: Any, body: Message) -> None:
+        await agent.received(link, Envelope(1, 0, body))
+
+
+@given("a doubts agent that has just started")
+def telling_agent(context: Any) -> None:
+    context.case = TellingAgent()
+
+
+@when("it attaches at once, and again after {again_s:g} seconds without a grant")
+def attach_ungranted(context: Any, again_s: float) -> None:
+    run_virtual(lambda: context.case.main(float("inf"), again_s))
+
+
+@when(
+    "it attaches, is granted a lease after {grant_s:g} seconds, "
+    "and attaches again {again_s:g} second later"
+)
+def attach_granted(context: Any, grant_s: float, again_s: float) -> None:
+    run_virtual(lambda: context.case.main(grant_s, again_s))
+
+
+@then("it told the schedulers of {first_s:g} and {last_s:g} seconds of a lease")
+def told_lease(context: Any, first_s: float, last_s: float) -> None:
+    told_s = [told_ms / 1000 for told_ms in context.case.told_ms]
+    assert len(told_s) == 2, told_s
+    assert first_s - 0.1 <= told_s[0] <= first_s and last_s - 0.1 <= told_s[1] <= last_s, told_s
+
+
+@when(
+    "the scheduler of the doubts is killed {count:d} times, {gap_s:g} seconds apart, "
+    "and starts again each time"
+)
+def kill_schedulers(context: Any, count: int, gap_s: float) -> None:
+    async def act(run: Replacements) -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                await anyio.sleep(gap_s)
+                leader = run.world.leader()
+                assert leader is not None
+                await run.world.kill(leader)
+                group.start_soon(start_again, run, leader.process.hello.process_id)
+
+    scenario(context).background.append(act)
+
+
+async def start_again(run: Replacements, name: str) -> None:
+    await anyio.sleep(RESTART_DELAY_S)
+    run.world.add_entry(name)
+
+
+class DoubtfulEvents(RandomEvents):
+    """Random events after which somebody does not know whether something has ended.
+
+    Executors of hosts 0 to 2 end for good; each is replaced first.
+    """
+
+    def planned(self) -> Sequence[Callable[[], Awaitable[None]]]:
+        """Return kinds of events after which only executors are in doubt."""
+        return [self.hand_over, self.hand_over, self.leave_unreported, self.lose_executor]
+
+    def all(self) -> Sequence[Callable[[], Awaitable[None]]]:
+        """Return all kinds of events."""
+        return [
+            *self.planned(),
+            self.hand_over_late,
+            self.cut_off_scheduler,
+            self.cut_off_agent,
+            self.kill_entry,
+            self.restart_agent,
+            self.silence_executor,
+        ]
+
+    async def follow_one_another(
+        self, kinds: Sequence[Callable[[], Awaitable[None]]], count: int
+    ) -> None:
+        """Begin an event at a time, and wait until all are over."""
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(self.rng.choice(kinds))
+                await anyio.sleep(self.rng.uniform(0.1, 3.0))
+
+    async def _take_host(self) -> str:
+        """Return a host that may lose its executor, after another one was added; "" if none."""
+        left = sorted(set(range(3)) - self.run.replaced)
+        if not left:
+            return ""
+        number = self.rng.choice(left)
+        self.run.replaced.add(number)
+        self.run.world.add_agent(f"new{number}", CAPACITY)
+        await anyio.sleep(1.0)
+        return f"host{number}"
+
+    async def leave_unreported(self) -> None:
+        """Let an executor leave as announced without a deregistration; its agent may stop."""
+        name = await self._take_host()
+        if not name:
+            return
+        node = self.run.world.agents[name]
+        await self.run.announce_end(name, self.rng.uniform(0.1, 3.0))
+        node.sends_heartbeats = False
+        node.model.shut_down()
+        if self.rng.random() < 0.5:
+            await anyio.sleep(self.rng.uniform(0.0, 2.0))
+            await self.run.world.stop_agent(name)
+
+    async def lose_executor(self) -> None:
+        """End an executor for good; its agent stays."""
+        name = await self._take_host()
+        if name:
+            self.run.world.agents[name].sends_heartbeats = False
+            self.run.world.agents[name].model.shut_down()
+
+    async def hand_over(self) -> None:
+        """Restart the scheduler gracefully; agents find it as soon as it has started."""
+        world, leader = self.run.world, self.run.world.leader()
+        if leader is not None and not leader.jobs.election.draining:
+            name = leader.process.hello.process_id
+            await world.stop_entry(name, self.rng.uniform(0.5, 3.0))
+            await anyio.sleep(RESTART_DELAY_S)
+            world.add_entry(name)
+
+    async def hand_over_late(self) -> None:
+        """Restart the scheduler gracefully; the record of its end is written late."""
+        leader = self.run.world.leader()
+        if leader is not None:
+            faults = leader.store.faults
+            faults.late_prefix, faults.late_writes_outlive = "test/ctl/epoch", True
+            faults.late_writes, faults.late_s = 1, self.rng.uniform(0.5, 3.0)
+        await self.hand_over()
+
+    async def cut_off_scheduler(self) -> None:
+        """Cut the scheduler off from the store, and from all others but some agents."""
+        world, leader = self.run.world, self.run.world.leader()
+        if leader is None:
+            return
+        name = leader.process.hello.process_id
+        others = [other for other in world.entries if other != name]
+        some = [host for host in world.agents if self.rng.random() < 0.3]
+        cut = {frozenset({one, other}) for one in (name, *some) for other in others}
+        world.partitioned_pairs |= cut
+        leader.store.faults.silent = True
+        await anyio.sleep(self.rng.uniform(2.0, 9.0))
+        leader.store.faults.silent = False
+        world.partitioned_pairs -= cut
+
+    async def cut_off_agent(self) -> None:
+        """Cut an agent off from one entry."""
+        world = self.run.world
+        cut = {frozenset({self._any_agent(), self.rng.choice(list(world.entries))})}
+        world.partitioned_pairs |= cut
+        await anyio.sleep(self.rng.uniform(1.0, 6.0))
+        world.partitioned_pairs -= cut
+
+
+@when("{count:d} planned doubts follow one another with seed {seed:d}")
+def planned_doubts(context: Any, count: int, seed: int) -> None:
+    async def act(run: Replacements) -> None:
+        events = DoubtfulEvents(run, seed)
+        await events.follow_one_another(events.planned(), count)
+
+    scenario(context).background.append(act)
+
+
+@when("{count:d} doubts of all kinds follow one another with seed {seed:d}")
+def all_doubts(context: Any, count: int, seed: int) -> None:
+    async def act(run: Replacements) -> None:
+        events = DoubtfulEvents(run, seed)
+        await events.follow_one_another(events.all(), count)
+
+    scenario(context).background.append(act)
