Random series of doubts restart agents whose executors fall silent

The series found no wrong bound of an earlier agent's lease before: an agent attaches only once its executor has answered it. Now the executor falls silent right after that.

--- a/tests/features/doubts.feature
+++ b/tests/features/doubts.feature
@@ -57,6 +57,18 @@
     When it attaches, is granted a lease after 3 seconds, and attaches again 1 second later
     Then it told the schedulers of 6 and 5 seconds of a lease
 
+  # Runs go on under the lease that the earlier process of an agent was granted.
+  Scenario Outline: doubts about the lease of an earlier agent let no task run twice when the scheduler <event>
+    Given a world of replacements with 2 entries and 4 hosts
+    And 6 long-running tasks at work
+    When the agent of the host with most tasks restarts, its executor answers nothing for 9 seconds, and the scheduler of the doubts <event>
+    Then no task of the replacements ran twice at the same time
+
+    Examples:
+      | event       |
+      | is killed   |
+      | shuts down  |
+
   # A task that is down for longer than a lease, or twice at work, after planned changes in any order.
   Scenario Outline: doubts of planned changes last no longer than a lease in a random order of events, seed <seed>
     Given a world of replacements with 3 entries and 6 hosts
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -235,6 +235,39 @@
     scenario(context).background.append(act)
 
 
+async def restart_silently(run: Replacements, name: str, silent_s: float) -> None:
+    """Restart an agent whose executor answers nothing for a while once it has been fenced."""
+    await run.restart_agent(name, 0.2)
+    agent = run.world.agents[name].agent
+    with anyio.move_on_after(2.0):
+        while agent.executor is None or not agent.fences.settled:
+            await anyio.sleep(0.001)
+    executor: Any = agent.executor
+    if executor is not None:
+        executor.unresponsive = True
+        await anyio.sleep(silent_s)
+        executor.unresponsive = False
+
+
+@when(
+    "the agent of the host with most tasks restarts, its executor answers nothing for "
+    "{silent_s:g} seconds, and the scheduler of the doubts {event}"
+)
+def restart_beside_silence(context: Any, silent_s: float, event: str) -> None:
+    async def act(run: Replacements) -> None:
+        leader = run.world.leader()
+        assert leader is not None
+        async with anyio.create_task_group() as group:
+            group.start_soon(restart_silently, run, run.busiest, silent_s)
+            await anyio.sleep(0.1)
+            if event == "is killed":
+                await run.world.kill(leader)
+            else:
+                await run.world.stop_entry(leader.process.hello.process_id, 0.5)
+
+    scenario(context).background.append(act)
+
+
 async def start_again(run: Replacements, name: str) -> None:
     await anyio.sleep(RESTART_DELAY_S)
     run.world.add_entry(name)
@@ -259,6 +292,7 @@
             self.cut_off_agent,
             self.kill_entry,
             self.restart_agent,
+            self.restart_agent_of_silent,
             self.silence_executor,
         ]
 
@@ -335,6 +369,13 @@
         leader.store.faults.silent = False
         world.partitioned_pairs -= cut
 
+    async def restart_agent_of_silent(self) -> None:
+        """Restart an agent whose executor answers nothing once it has been fenced."""
+        # The hosts with lower numbers lose their executors.
+        name = f"host{self.rng.randrange(3, 6)}"
+        if not self.run.world.agents[name].scope.cancel_called:
+            await restart_silently(self.run, name, self.rng.uniform(2.0, 9.0))
+
     async def cut_off_agent(self) -> None:
         """Cut an agent off from one entry."""
         world = self.run.world
