A new scheduler goes on with an upkeep wave where the last one stopped

Operators saw a wave that never ended while the scheduler changed every few seconds, and work stopped in vain after a single change: which machines had begun their upkeep was known to one scheduler only, so that the next one emptied each of their hosts and sent each order again, one round of upkeep for each.

The scheduler now records begun upkeeps in the store, at most once a second, as bits by place in the wave; a record of another revision of the wave, or a malformed one, counts as none. It is deleted with the wave.

--- /dev/null
+++ b/packages/core/src/apricotpath/upkeeprecords.py
@@ -0,0 +1,90 @@
+"""Records in the store of the machines that have begun their upkeep for an open wave.
+
+A scheduler continues a wave where the last one stopped, and empties no host a second time.
+"""
+
+import logging
+from collections.abc import Container, Iterator
+from dataclasses import dataclass
+from typing import Self
+
+from apricotpath.errors import InputError
+from apricotpath.ids import MachineId, WaveId
+from apricotpath.jsonfields import parse_object, read_int, read_str
+from apricotpath.jsontext import json_bytes
+from apricotpath.machines import Wave
+from apricotpath.store import Compare, Delete, Put, Store
+
+log = logging.getLogger(__name__)
+
+# Hexadecimal digits of a record, for 4 machines each.
+MAX_DIGITS = 2500
+
+
+@dataclass(frozen=True, slots=True)
+class BegunUpkeeps:
+    """The machines of a wave that have begun their upkeep, as bits by their places in it.
+
+    The places are those in the wave as it was at `revision`.
+    """
+
+    revision: int
+    bits: int
+
+    @classmethod
+    def of(cls, wave: Wave, begun: Container[MachineId]) -> Self:
+        """Return which machines of a wave have begun."""
+        digits = "".join("1" if name in begun else "0" for name in reversed(wave.machines))
+        return cls(wave.revision, int(digits or "0", 2))
+
+    def machines(self, wave: Wave) -> Iterator[MachineId]:
+        """Yield the machines that have begun; none if the wave was written again since."""
+        if wave.revision == self.revision:
+            for place, name in enumerate(wave.machines):
+                if self.bits >> place & 1:
+                    yield name
+
+    @classmethod
+    def parse(cls, value: bytes) -> Self:
+        """Return the record of a stored value, or raise InputError."""
+        body = parse_object(value, "the begun upkeeps")
+        digits = read_str(body, "begun")
+        try:
+            bits = int(digits[:MAX_DIGITS], 16)
+        except ValueError as exc:
+            raise InputError("begun is not a hexadecimal number", path="begun") from exc
+        return cls(read_int(body, "revision", low=0), max(0, bits))
+
+    def encode(self) -> bytes:
+        """Return the stored form."""
+        return json_bytes({"revision": self.revision, "begun": f"{self.bits:x}"})
+
+
+class UpkeepRecords:
+    """The records of all waves; calls raise StoreError.
+
+    Writes return False, and change nothing, if `leads` is false.
+    """
+
+    def __init__(self, store: Store, prefix: str) -> None:
+        self._store, self._root = store, f"{prefix}upkeep/"
+
+    async def read(self) -> dict[WaveId, BegunUpkeeps]:
+        """Return all records; a malformed one counts as none."""
+        found = {}
+        for item in (await self._store.range(self._root)).items:
+            name = item.key.removeprefix(self._root)
+            try:
+                found[WaveId(int(name))] = BegunUpkeeps.parse(item.value)
+            except (InputError, ValueError) as exc:
+                log.error("malformed record of upkeeps: %s", exc, extra={"key": item.key})
+        return found
+
+    async def write(self, wave: WaveId, begun: BegunUpkeeps, leads: Compare) -> bool:
+        """Store the record of a wave."""
+        put = Put(f"{self._root}{wave}", begun.encode())
+        return (await self._store.txn([leads], [put])).succeeded
+
+    async def delete(self, wave: WaveId, leads: Compare) -> bool:
+        """Delete the record of a wave that is closed."""
+        return (await self._store.txn([leads], [Delete(f"{self._root}{wave}")])).succeeded
--- a/packages/core/src/apricotpath/upkeepstate.py
+++ b/packages/core/src/apricotpath/upkeepstate.py
@@ -114,6 +114,10 @@
         lasts = answer is UpkeepAnswer.BUSY or answer in LASTING_REFUSALS
         self.postpone(now, RETRY_MAX_S if lasts and not self.in_doubt else RETRY_SOON_MAX_S)
 
+    def restore_begun(self, now: float) -> None:
+        """Note that an earlier scheduler has recorded that the upkeep has begun."""
+        self.begun, self.down_until = True, now
+
     def postpone(self, now: float, max_delay_s: float = RETRY_MAX_S) -> None:
         """Send no order for a while, each time for longer."""
         self.retry_at = now + min(self.delay_s, max_delay_s)
@@ -166,6 +170,10 @@
         """Return the machines that the wave names, or that were ordered for it."""
         return self.orders.keys() | self.wave.machines
 
+    def begun(self) -> set[MachineId]:
+        """Return the machines that have begun their upkeep for this wave."""
+        return {name for name, state in self.orders.items() if state.begun}
+
     def pending(self, view: MachineView) -> list[MachineId]:
         """Return the machines that exist and have not begun their upkeep for this wave."""
         return [
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -33,6 +33,7 @@
 from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, RunRecord
 from apricotpath.slices import OPERATIONS_PER_SLICE, RUNS_PER_OPERATION, Slices
+from apricotpath.upkeeprecords import UpkeepRecords
 from apricotpath.workload import Queue, StepKey
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.fleetlog import FleetLog
@@ -162,6 +163,10 @@
         self.term.given_up.set()
         group.cancel_scope.cancel()
 
+    def upkeep_records(self) -> UpkeepRecords:
+        """Return the records of upkeeps in the store of this scheduler."""
+        return UpkeepRecords(self._store, self._keys.prefix)
+
     @property
     def epoch(self) -> int:
         """The term's epoch."""
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -24,6 +24,7 @@
 )
 from apricotpath.store import Compare
 from apricotpath.upkeepplan import UpkeepInput, UpkeepOrder, UpkeepPlan, match_hosts, plan_upkeep
+from apricotpath.upkeeprecords import BegunUpkeeps
 from apricotpath.upkeepstate import MachineView, OrderState, WaveProgress
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 
@@ -40,6 +41,8 @@
 # Nothing is ordered by waves that were read longer ago; a quiet watch lasts one second.
 MAX_WAVES_AGE_S = 2.5
 REPORT_RETRY_S = 1.0
+# Begun upkeeps are recorded at most this often, as calls of the store are priced.
+RECORD_INTERVAL_S = 1.0
 # A host with tasks that may not be stopped is given up for a while after this time.
 MAX_STUCK_S = 10.0
 # Share of the order rate of all nodes that one scheduler uses.
@@ -117,6 +120,11 @@
         self._leads = Compare(scheduler.term.epoch_key, scheduler.term.epoch_revision)
         self._progress: dict[WaveId, WaveProgress] = {}
         self._stored: dict[WaveId, WaveStatus] | None = None
+        self._records = scheduler.upkeep_records()
+        self._recorded: dict[WaveId, BegunUpkeeps] = {}
+        # Closed waves whose records are still to be deleted.
+        self._closed: set[WaveId] = set()
+        self._record_at = float("-inf")
         # Orders of removed waves that may still be carried out, in case the wave returns.
         self._former: dict[WaveId, dict[MachineId, OrderState]] = {}
         self._fenced: set[MachineId] = set()
@@ -145,6 +153,7 @@
         if waves and self._stored is None and not await self._read_statuses():
             return
         self._update_waves(waves)
+        await self._record_begun(boot_s())
         if not self._progress:
             self._apply(UpkeepPlan())
             return
@@ -167,8 +176,9 @@
     # Waves and their states in the store.
 
     async def _read_statuses(self) -> bool:
-        """Read the stored states of waves; only this scheduler writes them afterwards."""
+        """Read what is stored on waves; only this scheduler writes it afterwards."""
         try:
+            self._recorded = await self._records.read()
             self._stored = await self._keeper.statuses.read()
         except StoreError as exc:
             log.info("states of waves not read: %s", exc)
@@ -184,7 +194,7 @@
                     self.view.forget(wave.machines)
                 progress.wave = wave
             elif not self._is_completed(wave):
-                self._progress[name] = WaveProgress(wave, boot_s(), self._former.pop(name, {}))
+                self._open(wave)
                 self.view.forget(wave.machines)
                 self._overdue.discard(name)
                 log.info(
@@ -203,9 +213,20 @@
             if in_doubt and len(self._former) < MAX_FORMER_WAVES:
                 self._former[name] = in_doubt
 
+    def _open(self, wave: Wave) -> None:
+        """Add a wave, with the upkeeps for it that have begun in earlier terms."""
+        now = boot_s()
+        progress = WaveProgress(wave, now, self._former.pop(wave.wave, {}))
+        self._progress[wave.wave] = progress
+        recorded = self._recorded.get(wave.wave)
+        for machine in recorded.machines(wave) if recorded is not None else ():
+            progress.order(machine).restore_begun(now)
+
     def _close(self, wave: WaveId) -> WaveProgress:
         """Drop a wave, and return what was known of it."""
         self._held = {order: why for order, why in self._held.items() if order.wave != wave}
+        if self._recorded.pop(wave, None) is not None:
+            self._closed.add(wave)
         return self._progress.pop(wave)
 
     def _is_completed(self, wave: Wave) -> bool:
@@ -215,6 +236,25 @@
             return False
         return stored.revision >= wave.revision
 
+    async def _record_begun(self, now: float) -> None:
+        """Record which upkeeps have begun, and delete the records of closed waves."""
+        if self._stored is None or now < self._record_at:
+            return
+        try:
+            for wave in list(self._closed):
+                if await self._records.delete(wave, self._leads):
+                    self._closed.discard(wave)
+            for name, progress in list(self._progress.items()):
+                begun = BegunUpkeeps.of(progress.wave, progress.begun())
+                if begun.bits and begun != self._recorded.get(name):
+                    self._record_at = now + RECORD_INTERVAL_S
+                    if await self._records.write(name, begun, self._leads):
+                        self._recorded[name] = begun
+                        self._closed.discard(name)
+        except StoreError as exc:
+            self._record_at = boot_s() + REPORT_RETRY_S
+            log.info("begun upkeeps not recorded: %s", exc)
+
     async def _report_running(self) -> None:
         for name in list(self._progress):
             stored = (self._stored or {}).get(name)
--- a/tests/features/doubts.feature
+++ b/tests/features/doubts.feature
@@ -69,6 +69,33 @@
       | is killed   |
       | shuts down  |
 
+  # Each scheduler emptied and ordered all machines of a wave anew, so that with a change every few seconds a wave
+  # never ended, and work was stopped in vain on machines that had had their upkeep.
+  Scenario Outline: doubts about the upkeep of machines are not begun anew when schedulers <event> every <gap> seconds
+    Given an upkeep world of 3 entries and 6 agents
+    When wave 1 names machines 0, 1, 2, 3 and 4 for 60 seconds, 1 at a time
+    And the schedulers of the upkeep doubts <event> every <gap> seconds
+    Then wave 1 is completed within <limit> seconds, with 1 upkeep of each machine named
+    And no machine of the upkeep doubts was ordered again once its upkeep had begun
+    And the upkeep doubts leave no record of wave 1
+
+    Examples:
+      | event     | gap | limit |
+      | shut down | 6   | 30    |
+      | end       | 8   | 40    |
+
+  Scenario Outline: doubts about upkeeps are answered by no record that <fault>
+    Given an upkeep world of 1 entries and 3 agents
+    When the record of the upkeep doubts of wave 1 is <value>
+    And wave 1 names machines 0 and 1 for 60 seconds, 1 at a time
+    Then wave 1 is completed within 20 seconds, with 1 upkeep of each machine named
+
+    Examples:
+      | fault                        | value                       |
+      | is malformed                 | {"revision":                |
+      | has no number                | {"revision":1,"begun":"x"}  |
+      | concerns an earlier revision | {"revision":1,"begun":"3"}  |
+
   # A task that is down for longer than a lease, or twice at work, after planned changes in any order.
   Scenario Outline: doubts of planned changes last no longer than a lease in a random order of events, seed <seed>
     Given a world of replacements with 3 entries and 6 hosts
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -1,5 +1,6 @@
 """Steps for doubts.feature, beside those for holds and worlds of replacements."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Any
@@ -39,6 +40,7 @@
 from apricotpathd.hosttracker import HostTracker
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.jobworld import run_virtual
+from support.upkeepworld import UpkeepWorld
 
 
 class DoubtfulHost(HeldHost):
@@ -273,6 +275,66 @@
     run.world.add_entry(name)
 
 
+@when("the schedulers of the upkeep doubts {event} every {gap_s:g} seconds")
+def change_schedulers(context: Any, event: str, gap_s: float) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def change_one() -> None:
+        node = upkeep.world.leader()
+        if node is None:
+            return
+        name = str(node.process.hello.process_id)
+        if event == "end":
+            await upkeep.world.kill(node)
+        else:
+            await upkeep.world.stop_entry(name, 0.0)
+        await anyio.sleep(RESTART_DELAY_S)
+        upkeep._add_entry(name)
+
+    async def change_on() -> None:
+        while True:
+            await anyio.sleep(gap_s)
+            upkeep.world.group.start_soon(change_one)
+
+    async def act() -> None:
+        upkeep.world.group.start_soon(change_on)
+
+    upkeep.add(context, act)
+
+
+@when("the record of the upkeep doubts of wave {wave:d} is {value}")
+def write_record(context: Any, wave: int, value: str) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def act() -> None:
+        upkeep.write(f"test/upkeep/{wave}", value)
+
+    upkeep.add(context, act)
+
+
+@then("no machine of the upkeep doubts was ordered again once its upkeep had begun")
+def not_ordered_again(context: Any) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def act() -> None:
+        counts = Counter(order.machine for order in upkeep.service.orders)
+        assert set(counts.values()) == {1}, counts
+
+    upkeep.add(context, act)
+
+
+@then("the upkeep doubts leave no record of wave {wave:d}")
+def no_record(context: Any, wave: int) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def act() -> None:
+        await anyio.sleep(2.0)
+        left = [key for key in upkeep.world.shared.items if key.endswith(f"/upkeep/{wave}")]
+        assert not left, left
+
+    upkeep.add(context, act)
+
+
 class DoubtfulEvents(RandomEvents):
     """Random events after which somebody does not know whether something has ended.
 
