The time of an upkeep wave goes on when the scheduler changes

Each scheduler counted a wave's time from when it had seen the wave first, so that it thought itself in time, waited for tasks without checkpoints that it should have stopped, and reported no overdue wave. The record of a wave now tells for how long it has been open; it is stored every 2 s, and at once when an upkeep has begun, so that one that begins just before a change is not sent again.

--- a/packages/core/src/apricotpath/upkeeprecords.py
+++ b/packages/core/src/apricotpath/upkeeprecords.py
@@ -1,4 +1,4 @@
-"""Records in the store of the machines that have begun their upkeep for an open wave.
+"""Records in the store of how far open upkeep waves have come.
 
 A scheduler continues a wave where the last one stopped, and empties no host a second time.
 """
@@ -10,7 +10,7 @@
 
 from apricotpath.errors import InputError
 from apricotpath.ids import MachineId, WaveId
-from apricotpath.jsonfields import parse_object, read_int, read_str
+from apricotpath.jsonfields import parse_object, read_int, read_number, read_str
 from apricotpath.jsontext import json_bytes
 from apricotpath.machines import Wave
 from apricotpath.store import Compare, Delete, Put, Store
@@ -19,23 +19,32 @@
 
 # Hexadecimal digits of a record, for 4 machines each.
 MAX_DIGITS = 2500
+# A record is stored again once the wave has been open for so much longer (seconds).
+OPEN_STEP_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
-class BegunUpkeeps:
+class WaveRecord:
     """The machines of a wave that have begun their upkeep, as bits by their places in it.
 
-    The places are those in the wave as it was at `revision`.
+    The places are those in the wave as it was at `revision`. `open_s`: for how long (seconds)
+    schedulers had known the wave at least.
     """
 
     revision: int
     bits: int
+    open_s: float = 0.0
 
     @classmethod
-    def of(cls, wave: Wave, begun: Container[MachineId]) -> Self:
-        """Return which machines of a wave have begun."""
+    def of(cls, wave: Wave, begun: Container[MachineId], open_s: float) -> Self:
+        """Return the record of a wave whose machines have `begun`."""
         digits = "".join("1" if name in begun else "0" for name in reversed(wave.machines))
-        return cls(wave.revision, int(digits or "0", 2))
+        return cls(wave.revision, int(digits or "0", 2), round(open_s, 3))
+
+    def is_outdated_by(self, newer: Self) -> bool:
+        """Return whether a newer record tells so much more that it should be stored."""
+        changed = (self.revision, self.bits) != (newer.revision, newer.bits)
+        return changed or newer.open_s - self.open_s >= OPEN_STEP_S
 
     def machines(self, wave: Wave) -> Iterator[MachineId]:
         """Yield the machines that have begun; none if the wave was written again since."""
@@ -47,17 +56,23 @@
     @classmethod
     def parse(cls, value: bytes) -> Self:
         """Return the record of a stored value, or raise InputError."""
-        body = parse_object(value, "the begun upkeeps")
+        body = parse_object(value, "the record of a wave")
         digits = read_str(body, "begun")
         try:
             bits = int(digits[:MAX_DIGITS], 16)
         except ValueError as exc:
             raise InputError("begun is not a hexadecimal number", path="begun") from exc
-        return cls(read_int(body, "revision", low=0), max(0, bits))
+        open_s = read_number(body, "openS", 0.0, low=0)
+        return cls(read_int(body, "revision", low=0), max(0, bits), open_s)
 
     def encode(self) -> bytes:
         """Return the stored form."""
-        return json_bytes({"revision": self.revision, "begun": f"{self.bits:x}"})
+        content = {"revision": self.revision, "begun": f"{self.bits:x}", "openS": self.open_s}
+        return json_bytes(content)
+
+
+# Stands for the record of a wave that has none.
+NO_RECORD = WaveRecord(0, 0)
 
 
 class UpkeepRecords:
@@ -69,20 +84,20 @@
     def __init__(self, store: Store, prefix: str) -> None:
         self._store, self._root = store, f"{prefix}upkeep/"
 
-    async def read(self) -> dict[WaveId, BegunUpkeeps]:
+    async def read(self) -> dict[WaveId, WaveRecord]:
         """Return all records; a malformed one counts as none."""
         found = {}
         for item in (await self._store.range(self._root)).items:
             name = item.key.removeprefix(self._root)
             try:
-                found[WaveId(int(name))] = BegunUpkeeps.parse(item.value)
+                found[WaveId(int(name))] = WaveRecord.parse(item.value)
             except (InputError, ValueError) as exc:
-                log.error("malformed record of upkeeps: %s", exc, extra={"key": item.key})
+                log.error("malformed record of a wave: %s", exc, extra={"key": item.key})
         return found
 
-    async def write(self, wave: WaveId, begun: BegunUpkeeps, leads: Compare) -> bool:
+    async def write(self, wave: WaveId, record: WaveRecord, leads: Compare) -> bool:
         """Store the record of a wave."""
-        put = Put(f"{self._root}{wave}", begun.encode())
+        put = Put(f"{self._root}{wave}", record.encode())
         return (await self._store.txn([leads], [put])).succeeded
 
     async def delete(self, wave: WaveId, leads: Compare) -> bool:
--- a/packages/core/src/apricotpath/upkeepstate.py
+++ b/packages/core/src/apricotpath/upkeepstate.py
@@ -148,7 +148,7 @@
 
 @dataclass(slots=True)
 class WaveProgress:
-    """An open wave; `first_seen_at` (boot-clock seconds) is when this scheduler saw it first."""
+    """An open wave; `first_seen_at` (boot-clock seconds) is when a scheduler saw it first."""
 
     wave: Wave
     first_seen_at: float
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -24,7 +24,7 @@
 )
 from apricotpath.store import Compare
 from apricotpath.upkeepplan import UpkeepInput, UpkeepOrder, UpkeepPlan, match_hosts, plan_upkeep
-from apricotpath.upkeeprecords import BegunUpkeeps
+from apricotpath.upkeeprecords import NO_RECORD, WaveRecord
 from apricotpath.upkeepstate import MachineView, OrderState, WaveProgress
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 
@@ -41,8 +41,6 @@
 # Nothing is ordered by waves that were read longer ago; a quiet watch lasts one second.
 MAX_WAVES_AGE_S = 2.5
 REPORT_RETRY_S = 1.0
-# Begun upkeeps are recorded at most this often, as calls of the store are priced.
-RECORD_INTERVAL_S = 1.0
 # A host with tasks that may not be stopped is given up for a while after this time.
 MAX_STUCK_S = 10.0
 # Share of the order rate of all nodes that one scheduler uses.
@@ -121,7 +119,7 @@
         self._progress: dict[WaveId, WaveProgress] = {}
         self._stored: dict[WaveId, WaveStatus] | None = None
         self._records = scheduler.upkeep_records()
-        self._recorded: dict[WaveId, BegunUpkeeps] = {}
+        self._recorded: dict[WaveId, WaveRecord] = {}
         # Closed waves whose records are still to be deleted.
         self._closed: set[WaveId] = set()
         self._record_at = float("-inf")
@@ -153,7 +151,7 @@
         if waves and self._stored is None and not await self._read_statuses():
             return
         self._update_waves(waves)
-        await self._record_begun(boot_s())
+        await self._record_waves(boot_s())
         if not self._progress:
             self._apply(UpkeepPlan())
             return
@@ -219,8 +217,10 @@
         progress = WaveProgress(wave, now, self._former.pop(wave.wave, {}))
         self._progress[wave.wave] = progress
         recorded = self._recorded.get(wave.wave)
-        for machine in recorded.machines(wave) if recorded is not None else ():
-            progress.order(machine).restore_begun(now)
+        if recorded is not None and recorded.revision == wave.revision:
+            progress.first_seen_at = now - recorded.open_s
+            for machine in recorded.machines(wave):
+                progress.order(machine).restore_begun(now)
 
     def _close(self, wave: WaveId) -> WaveProgress:
         """Drop a wave, and return what was known of it."""
@@ -236,24 +236,32 @@
             return False
         return stored.revision >= wave.revision
 
-    async def _record_begun(self, now: float) -> None:
-        """Record which upkeeps have begun, and delete the records of closed waves."""
+    async def _record_waves(self, now: float) -> None:
+        """Record how far open waves have come, and delete the records of closed ones."""
         if self._stored is None or now < self._record_at:
             return
         try:
             for wave in list(self._closed):
                 if await self._records.delete(wave, self._leads):
                     self._closed.discard(wave)
-            for name, progress in list(self._progress.items()):
-                begun = BegunUpkeeps.of(progress.wave, progress.begun())
-                if begun.bits and begun != self._recorded.get(name):
-                    self._record_at = now + RECORD_INTERVAL_S
-                    if await self._records.write(name, begun, self._leads):
-                        self._recorded[name] = begun
-                        self._closed.discard(name)
+            for progress in list(self._progress.values()):
+                await self._record_wave(progress, now)
         except StoreError as exc:
             self._record_at = boot_s() + REPORT_RETRY_S
-            log.info("begun upkeeps not recorded: %s", exc)
+            log.info("waves not recorded: %s", exc)
+
+    async def _record_wave(self, progress: WaveProgress, now: float) -> None:
+        """Record how far one wave has come, if that is more than is recorded."""
+        name = progress.wave.wave
+        newer = WaveRecord.of(progress.wave, progress.begun(), now - progress.first_seen_at)
+        if not self._recorded.get(name, NO_RECORD).is_outdated_by(newer):
+            return
+        if await self._records.write(name, newer, self._leads):
+            self._recorded[name] = newer
+            self._closed.discard(name)
+        else:
+            # A later scheduler was elected.
+            self._record_at = float("inf")
 
     async def _report_running(self) -> None:
         for name in list(self._progress):
--- a/tests/features/doubts.feature
+++ b/tests/features/doubts.feature
@@ -84,6 +84,14 @@
       | shut down | 6   | 30    |
       | end       | 8   | 40    |
 
+  # Each scheduler counted the time of a wave from when it had seen the wave first, and thought itself in time.
+  Scenario: doubts about the time of a wave are not begun anew when schedulers shut down every 6 seconds
+    Given an upkeep world of 3 entries and 6 agents
+    And 3 upkeep tasks of 90 s that save checkpoints
+    When wave 1 names machines 0, 1, 2, 3 and 4 for 60 seconds, 1 at a time
+    And the schedulers of the upkeep doubts shut down every 6 seconds
+    Then the scheduler of the upkeep doubts has at most 50 seconds left for wave 1 after 14 seconds
+
   Scenario Outline: doubts about upkeeps are answered by no record that <fault>
     Given an upkeep world of 1 entries and 3 agents
     When the record of the upkeep doubts of wave 1 is <value>
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -323,6 +323,22 @@
     upkeep.add(context, act)
 
 
+@then(
+    "the scheduler of the upkeep doubts has at most {most_s:g} seconds left for wave {wave:d} "
+    "after {seconds:g} seconds"
+)
+def time_left(context: Any, most_s: float, wave: int, seconds: float) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def act() -> None:
+        await anyio.sleep(seconds)
+        terms = [keeper.term for keeper in upkeep.keepers.values() if keeper.term is not None]
+        left_s = [item.due_at - boot_s() for item in terms[-1].open() if item.wave.wave == wave]
+        assert len(left_s) == 1 and left_s[0] <= most_s, left_s
+
+    upkeep.add(context, act)
+
+
 @then("the upkeep doubts leave no record of wave {wave:d}")
 def no_record(context: Any, wave: int) -> None:
     upkeep: UpkeepWorld = context.upkeep
