--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -17,6 +17,7 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
+    UNKNOWN_LEASE_MS,
     Failure,
     HostAttach,
     HostAttached,
@@ -110,6 +111,9 @@
         elif host.facts is not None:
             self._log_capacity(host, host.facts.capacity, message.capacity)
         self._queue_crashes(message)
+        if self.links.get(name, link) is not link:
+            # Its former process may have ended unnoticed, and this one followed another scheduler.
+            host.leases.forget_agent()
         self._detach(name)
         host.fence = fence
         host.reported = False
@@ -124,7 +128,7 @@
         )
         if message.epoch == self._term.epoch:
             # The agent has dropped its former attachment, and follows no earlier epoch any more.
-            host.leases.follow(now + self._cfg.run_hold_s)
+            host.leases.follow(now + self._hold_s(message))
         self.links[name] = link
         self._names_by_fence[host.fence] = name
         self._names_by_link.setdefault(link, set()).add(name)
@@ -135,6 +139,12 @@
         self._wake()
         return HostAttached(self._term.epoch, host.fence)
 
+    def _hold_s(self, message: HostAttach) -> float:
+        """Return for how long runs can continue that their agent was granted leases for."""
+        if message.lease_ms <= UNKNOWN_LEASE_MS:
+            return self._cfg.run_hold_s
+        return self._cfg.hold_s(message.lease_ms / 1000)
+
     def _queue_crashes(self, message: HostAttach) -> None:
         """Queue the crashes that an agent reports, each once per term."""
         for crash in message.crashes:
@@ -270,11 +280,15 @@
             if host != name.host
         )
 
-    def _grant(self, host: Host, link: Link, renewal: int, now: float) -> None:
-        """Renew the lease of a host's runs, unless a later scheduler may consider it expired."""
-        if self._grants_ended or now - self._last_store_contact_at() > self._cfg.authority_s:
+    def _grant(self, host: Host, link: Link, renewal: int, reported_at: float) -> None:
+        """Renew the lease of a host's runs, unless a later scheduler may consider it expired.
+
+        The agent counts the lease from when it sent the report, which arrived at `reported_at`.
+        """
+        store_silent_s = boot_s() - self._last_store_contact_at()
+        if self._grants_ended or store_silent_s > self._cfg.authority_s:
             return
-        host.leases.grant(now + self._cfg.run_hold_s)
+        host.leases.grant(reported_at + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
 
     def acknowledge_endings(self, executor: ExecutorName, number: int) -> None:
@@ -288,7 +302,7 @@
             return
         host.acked_ending = max(host.acked_ending, number)
         if link is not None and host.reported:
-            self._grant(host, link, host.renewal, boot_s())
+            self._grant(host, link, host.renewal, host.reported_at)
 
     def _match_runs(self, host: Host, message: HostRuns, now: float) -> None:
         """Reconcile the runs that a host reports with the job table."""
