Serving tasks that are down may use hosts reserved for others

Cause: a group that has waited for 2 s reserves a host on which its task does not fit yet, and no other group may use that, however long it waits. `tasks waiting` shows the hosts as "has room".

--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -216,6 +216,21 @@
     When a step of 1 serving tasks of 3 cores is placed by runplacement
     Then runplacement puts 1 on a and 0 on b
 
+  # A serving task that was down waited beside a host with room for it, which was reserved for a larger task.
+  Scenario Outline: runplacement starts <count> serving task on a reserved host after a wait of <waited> seconds
+    Given runplacement hosts a and b of 8 cores
+    And 5 tasks of 1 core run on runplacement host a
+    And a serving task of 8 cores runs on runplacement host b
+    And a serving task of 5 cores has waited 4 seconds for runplacement
+    And a serving task of 2 cores has waited <waited> seconds for runplacement
+    When a step of 1 tasks of 1 core is placed by runplacement
+    Then runplacement puts <count> on a and 0 on b
+
+    Examples:
+      | waited | count |
+      | 2      | 0     |
+      | 4      | 1     |
+
   # Guards against a suspected task that waits for ever for a host where it may not run.
   Scenario: runplacement keeps a host for a suspected task that its advisory service allows
     Given runplacement hosts a and b of 8 cores
