Keep error, load and process logs of failed scenarios with real processes

Cause: two scenarios of platformpath were red once beside load and left no error. behave's JSON report has the text of failed assertions only, so that an exception in a step (a timeout of a client, for example) was printed without any text, and process logs went with their temporary folder.

Change: a hook copies the logs of watched folders with the error and the load average into target/test-failures/FEATURE-LINE-TIME/ (20 at most), the run prints the folder with the failure, and a formatter reports the error text of every failed step, of which the run prints up to 20,000 characters.

--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -36,6 +36,7 @@
     check_invariants,
 )
 from apricotpath_bench.shapes import SMALL, bundle_of
+from support.failurelogs import failure_logs
 
 QUIET_AHEAD_S = 15.0
 STREAM_INTERVAL_S = 0.15
@@ -52,6 +53,7 @@
 
     def __init__(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
+        failure_logs.watch(Path(self.folder.name))
         policy = POLICY | {
             "task_lease_s": 4.0,
             "entry_lease_s": 3.0,
--- a/tests/run.py
+++ b/tests/run.py
@@ -12,22 +12,29 @@
 ROOT = Path(__file__).parent.parent
 FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Written by support.failurelogs, one folder for each failure of a scenario with real processes.
+FAILURES = Path(os.environ.get("APRICOTPATH_TEST_FAILURES", ROOT / "target" / "test-failures"))
 # Features that start many processes; they run one after another, after all others.
 RUN_ALONE = frozenset({"processes", "platformpath", "frozen", "misbehavingclients"})
 MAX_PARALLEL = max(1, min(4, (os.cpu_count() or 2) // 2))
 FEATURE_TIMEOUT_S = 900
-MAX_ERROR_CHARACTERS = 4000
+MAX_ERROR_CHARACTERS = 20_000
+FAILED = ("failed", "error", "hook_error", "undefined")
 NOT_RUN = ("skipped", "untested")
 
 
 @dataclass(frozen=True, slots=True)
 class FeatureResult:
-    """Results of one feature: (scenario, status) pairs, behave's output, and failed steps."""
+    """Results of one feature: (scenario, status) pairs, behave's output, and failed steps.
+
+    `kept` are the folders with the process logs of its failures.
+    """
 
     scenarios: tuple[tuple[str, str], ...]
     output: str
     crashed: bool
     errors: tuple[str, ...] = ()
+    kept: tuple[Path, ...] = ()
 
 
 def known_red() -> set[str]:
@@ -40,9 +47,11 @@
 
 def run_feature(target: str, options: list[str]) -> FeatureResult:
     """Run behave on one feature file or on a scenario of it (`file:line`)."""
+    kept_before = kept_failures(target)
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
-        outputs = ["--format", "json", "--outfile", str(report), "--format", "progress"]
+        json_format = "support.jsonreport:JSONReport"
+        outputs = ["--format", json_format, "--outfile", str(report), "--format", "progress"]
         selection = ["--no-color", "--no-skipped"]
         if not any(option.startswith("--tags") for option in options):
             selection += ["--tags", "not @long"]
@@ -62,10 +71,19 @@
                 check=False,
             )
         except subprocess.TimeoutExpired as exc:
-            return FeatureResult((), f"{target} timed out\n{exc.stdout or ''}", True)
+            kept = tuple(sorted(kept_failures(target) - kept_before))
+            return FeatureResult((), f"{target} timed out\n{exc.stdout or ''}", True, kept=kept)
         scenarios = tuple(scenario_results(report))
         crashed = done.returncode != 0 and all(status == "passed" for _, status in scenarios)
-        return FeatureResult(scenarios, done.stdout, crashed, tuple(failed_steps(report)))
+        errors = tuple(failed_steps(report))
+        kept = tuple(sorted(kept_failures(target) - kept_before))
+        return FeatureResult(scenarios, done.stdout, crashed, errors, kept)
+
+
+def kept_failures(target: str) -> set[Path]:
+    """Return the folders with what earlier failures of a feature left behind."""
+    stem = Path(target.split(":")[0]).stem
+    return set(FAILURES.glob(f"{stem}-*"))
 
 
 def scenario_results(path: Path) -> list[tuple[str, str]]:
@@ -89,13 +107,22 @@
         for element in feature.get("elements", []):
             for step in element.get("steps", []):
                 result = step.get("result", {})
-                if result.get("status") in ("failed", "error"):
+                if result.get("status") in FAILED:
                     lines = result.get("error_message", [])
                     text = lines if isinstance(lines, str) else "\n".join(lines)
                     found.append(f"{step['name']}\n{text[:MAX_ERROR_CHARACTERS]}")
     return found
 
 
+def load_line(folder: Path) -> str:
+    """Return the line about the load average of a kept failure."""
+    try:
+        lines = (folder / "error.txt").read_text().splitlines()
+    except OSError:
+        return ""
+    return next((line for line in lines if line.startswith("load average")), "")
+
+
 def run_all(targets: list[str], options: list[str]) -> list[FeatureResult]:
     """Run features, several in parallel except for those in RUN_ALONE."""
     alone = [target for target in targets if Path(target).stem in RUN_ALONE]
@@ -119,6 +146,8 @@
     for result in results:
         if result.crashed or any(name in failed for name, _ in result.scenarios):
             print(result.output, *result.errors, sep="\n")
+        for folder in result.kept:
+            print(f"process logs kept in {folder}; {load_line(folder)}")
     for name in failed:
         print(f"{'known red' if name in expected else 'FAILED'}: {name}")
     print(f"{len(ran) - len(failed)} passed, {len(unexpected) + crashed} failed")
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -19,6 +19,7 @@
 
 from apricotpath.model import Size
 from support.executormodel import Behaviour, ExecutorModel
+from support.failurelogs import failure_logs
 from support.machinemodel import MachineApp, MachineModel
 from support.memorystore import SharedStore
 from support.platformstandin import ExecutorApp, StoreApp, serve_app, serve_executor
@@ -69,6 +70,7 @@
         self.max_descriptors = max_descriptors
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        failure_logs.watch(self.folder)
         self.portal = self.stack.enter_context(start_blocking_portal())
         self.shared = self.portal.call(SharedStore)
         self.store = StoreApp(self.shared)
