platformpath: wait until restarted processes serve their status port

Cause: the scenario before stops agent side-1, and the start of the next one began its process again without waiting for it. The metrics of all processes are read at once; beside load the agent had not opened its status port yet, and the step failed with a refused connection, of which no text was kept.

Change: a scenario begins once every process says at its status port that it is ready. No bound changes. A job that is not completed in time now tells the answer to its submission.

--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -63,6 +63,8 @@
             if process.poll() is not None:
                 world.run(name)
         world.wait(lambda: all(world.ready(name) for name in world.settings if "front" in name))
+        # A process that was started again may not have opened its status port yet.
+        world.wait(lambda: all(world.serves_status(name) for name in world.settings))
         # Only a scheduler with attached hosts completes this job.
         self.submit("front-1", 1)
         world.wait(lambda: world.state("front-1", self.job) == "completed")
@@ -174,7 +176,11 @@
                 continue
         return False
 
-    run.world.wait(shown, seconds)
+    try:
+        run.world.wait(shown, seconds)
+    except AssertionError as exc:
+        answer = run.answer and (run.answer.status_code, run.answer.text)
+        raise AssertionError(f"its submission was answered {answer}; {exc}") from exc
 
 
 @then("platformpath's executors ran {count:d} tasks once each")
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -231,6 +231,13 @@
         except httpx.HTTPError:
             return False
 
+    def serves_status(self, name: str) -> bool:
+        """Tell whether a process answers at its status port that it is ready."""
+        try:
+            return self.status(name, "/readyz").status_code == 200
+        except httpx.HTTPError:
+            return False
+
     def status(self, name: str, path: str) -> httpx.Response:
         """Send a GET to the status port of a process."""
         url = f"http://127.0.0.1:{self.status_ports[name]}{path}"
