A scheduler that loses the store alone hands over to an entry that reaches it

Cause: nothing started for the rest of the store lease (1.5 s) when the store answered all entries but the scheduler.

Change: after 0.5 s without an answer the scheduler asks the linked entries whether the store answers them. If so, and it gets no answer in one more try itself, it ends its term for good and sends epoch, revision of the epoch key and holds; the receiver is elected by a transaction on that revision.

--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -9,10 +9,12 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.config import Address
+from apricotpath.entrymessages import TermHandover
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
-from apricotpath.errors import StoreError, StoreLeaseEnded, StoreOutcomeUnknown
+from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreOutcomeUnknown
 from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
 from apricotpath.ids import Epoch, HostId, IncarnationId, ProcessId
+from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
 
@@ -57,7 +59,8 @@
     before it certainly do nothing any more in their terms. Those before it have
     ended by `former_until`, and all of them by `earlier_until`, on the boot clock.
     `holds` is filled when the term ends, see `LeaderRecord`. `given_up` is set
-    if the leader cannot serve the term.
+    if the leader cannot serve the term, and `ended` once it does nothing in it any more.
+    `began` is the time of the election on the boot clock.
     """
 
     epoch: Epoch
@@ -69,6 +72,8 @@
     predecessor_ended: anyio.Event = field(default_factory=anyio.Event)
     holds: dict[HostId, float] = field(default_factory=dict)
     given_up: anyio.Event = field(default_factory=anyio.Event)
+    ended: anyio.Event = field(default_factory=anyio.Event)
+    began: float = field(default_factory=boot_s)
 
 
 class Election:
@@ -76,7 +81,8 @@
 
     `serve_term(term)` runs while this entry is the leader. It must return once
     the term is over, and is cancelled when the entry resigns, hands over or sees a
-    later epoch. `leader` is the newest leader that was seen.
+    later epoch. `leader` is the newest leader that was seen, and `answered_at` the boot-clock
+    time (s) at which the store last answered the renewal of the lease or of the term.
     """
 
     def __init__(
@@ -94,6 +100,8 @@
         self._leader_seen_at = float("-inf")
         self.term: Term | None = None
         self._epoch_read_at = float("-inf")
+        self.answered_at = float("-inf")
+        self._handover: tuple[TermHandover, Hello] | None = None
         self.draining = False
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
@@ -133,6 +141,15 @@
         """Return the addresses of the other registered entries."""
         return {name: record.address for name, record in self._peer_records()}
 
+    def peer_cores(self) -> dict[ProcessId, float]:
+        """Return the processors of the other registered entries."""
+        return {name: record.cores for name, record in self._peer_records()}
+
+    async def read_epoch_revision(self) -> int:
+        """Return the mod revision of the epoch key, 0 if there is none; raises StoreError."""
+        item = await self.store.get(self._epoch_key)
+        return item.mod_revision if item is not None else 0
+
     async def run(self) -> None:
         """Take part in elections until cancelled."""
         async with anyio.create_task_group() as group:
@@ -163,6 +180,24 @@
         except StoreError as exc:
             log.info("resignation not stored: %s", exc)
 
+    async def give_up(self, term: Term) -> None:
+        """End a term of this entry for good; return once nothing happens in it any more."""
+        term.given_up.set()
+        if self.term is term and self._term_scope is not None:
+            self._term_scope.cancel()
+        await term.ended.wait()
+
+    def can_take_over(self) -> bool:
+        """Tell whether this entry could lead if the present leader handed over to it."""
+        if self.draining or boot_s() < self._stands_back_until:
+            return False
+        return self._released.is_set() and self._lease is not None
+
+    def take_over(self, handover: TermHandover, sender: Hello) -> None:
+        """Try to acquire the leadership that its holder hands over to this entry."""
+        self._handover = handover, sender
+        self._notify()
+
     def _hand_over_if_possible(self) -> None:
         """End this entry's term if it is draining and another entry can lead."""
         # While the store cannot be written, no other entry could be elected.
@@ -198,6 +233,10 @@
             self._end_term_before(revision)
         self._hand_over_if_possible()
         self._check_predecessor()
+        self._notify()
+
+    def _notify(self) -> None:
+        """Let this entry look again whether it may lead."""
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -226,13 +265,20 @@
                     elif self.mirror.loaded.is_set() and self._registration_outdated():
                         await self._register(self._lease)
                         self._hand_over_if_possible()
+                    self.answered_at = boot_s()
             except StoreLeaseEnded:
                 self._lease = None
             except StoreError as exc:
+                self._note_failure(exc)
                 log.info("store lease not renewed: %s", exc)
             self._check_predecessor()
             await anyio.sleep(max(RETRY_S, self.cfg.renew_s - (boot_s() - started)))
 
+    def _note_failure(self, exc: StoreError) -> None:
+        """Note a failed call; a store that limits calls has answered."""
+        if isinstance(exc, StoreLimited):
+            self.answered_at = boot_s()
+
     def _registration_outdated(self) -> bool:
         """Tell whether this entry's key does not show its present registration."""
         record = self.entry_records.read(self.mirror.items.get(self.presence_key))
@@ -250,24 +296,49 @@
         await self.mirror.loaded.wait()
         while True:
             changed = self._changed
-            if self.term is None and self._may_campaign():
-                await anyio.sleep(random.uniform(0, JITTER_S))
-                if self._is_vacant() and self._lease is not None:
-                    term = await self._acquire(self._lease)
-                    if term is not None:
-                        self._released = anyio.Event()
-                        # The entry may have resigned while its election was written.
-                        if not self._resigned:
-                            await self._serve(term)
-                        if self.draining or term.given_up.is_set():
-                            await self._release(term)
-                        if term.given_up.is_set():
-                            self._stand_back()
-                        self._released.set()
-                        continue
+            term = await self._next_term()
+            if term is not None:
+                self._released = anyio.Event()
+                # The entry may have resigned while its election was written.
+                if not self._resigned:
+                    await self._serve(term)
+                if self.draining or term.given_up.is_set():
+                    await self._release(term)
+                if term.given_up.is_set():
+                    self._stand_back()
+                self._released.set()
+                continue
             with anyio.move_on_after(RETRY_S if self._is_vacant() else 1.0):
                 await changed.wait()
 
+    async def _next_term(self) -> Term | None:
+        """Try to acquire the leadership if it was handed over to this entry, or is vacant."""
+        handover, self._handover = self._handover, None
+        if handover is not None and self._lease is not None and self.can_take_over():
+            former = self._handed_over(*handover)
+            if former is not None:
+                return await self._acquire(self._lease, former)
+        if not self._may_campaign():
+            return None
+        await anyio.sleep(random.uniform(0, JITTER_S))
+        if self._is_vacant() and self._lease is not None:
+            return await self._acquire(self._lease)
+        return None
+
+    def _handed_over(self, handover: TermHandover, sender: Hello) -> LeaderRecord | None:
+        """Return the record of a term that was handed over, or None if it is not the newest."""
+        item = self.mirror.items.get(self._epoch_key)
+        record = self.leader_records.read(item)
+        if item is None or record is None or item.mod_revision != handover.epoch_revision:
+            log.info("handover of another term ignored", extra={"epoch": handover.epoch})
+            return None
+        if (record.entry, record.incarnation) != (sender.process_id, sender.incarnation):
+            log.warning("handover by another process ignored", extra={"epoch": handover.epoch})
+            return None
+        holds = {hold.host: hold.left_ms / 1000 for hold in handover.holds}
+        log.info("handover accepted", extra={"from": record.entry, "epoch": record.epoch})
+        return replace(record, ended=True, holds=holds, former_ended=handover.former_ended)
+
     def _stand_back(self) -> None:
         """Leave the leadership to other entries for a while."""
         self._stands_back_until = boot_s() + STAND_BACK_S
@@ -314,14 +385,14 @@
         # incarnation, or by an attempt whose answer was lost.
         return record is None or (record.entry == self._entry and self.term is None)
 
-    async def _acquire(self, lease: LeaseId) -> Term | None:
-        """Try to acquire the leadership.
+    async def _acquire(self, lease: LeaseId, former: LeaderRecord | None = None) -> Term | None:
+        """Try to acquire the leadership, from `former` if the newest leader has handed it over.
 
         Returns None if another entry was first or the store is unavailable.
         """
         leader = self.mirror.items.get(self._leader_key)
         epoch_item = self.mirror.items.get(self._epoch_key)
-        previous = self.leader_records.read(epoch_item)
+        previous = former or self.leader_records.read(epoch_item)
         epoch = next_epoch(epoch_item, previous, self.leader)
         first = epoch_item is None
         former_until = self._former_until(previous)
@@ -352,6 +423,7 @@
             return None
         self._see_leader(record)
         self._epoch_read_at = started
+        self.answered_at = boot_s()
         earlier_until = boot_s() + self.cfg.authority_s
         term = Term(epoch, self._epoch_key, revision, previous, former_until, earlier_until)
         if former_ended:
@@ -420,6 +492,7 @@
         finally:
             self.term = None
             self._term_scope = None
+            term.ended.set()
             log.info("scheduler term ended", extra={"epoch": term.epoch})
 
     async def _read_epoch(self, term: Term) -> None:
@@ -434,8 +507,10 @@
             try:
                 item = await self.store.get(term.epoch_key)
             except StoreError as exc:
+                self._note_failure(exc)
                 log.info("epoch not read: %s", exc, extra={"epoch": term.epoch})
                 continue
+            self.answered_at = boot_s()
             if self._is_newest(item):
                 self._epoch_read_at = started
             elif item is not None:
--- a/packages/core/src/apricotpath/entrymessages.py
+++ b/packages/core/src/apricotpath/entrymessages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from apricotpath.ids import Epoch, JobId, ProcessId, QueueId, TeamId
+from apricotpath.ids import Epoch, HostId, JobId, ProcessId, QueueId, TeamId
 from apricotpath.messagebase import Message
 from apricotpath.workload import Progress
 
@@ -54,6 +54,46 @@
     entry: ProcessId
 
 
+@dataclass(frozen=True, slots=True)
+class StoreQuestion(Message):
+    """Call of a scheduler that gets no answers from the store: asks whether the receiver does.
+
+    The reply is `StoreReached`, or a Failure if the store does not answer the receiver either or
+    it could not lead.
+    """
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReached(Message):
+    """Reply to `StoreQuestion`; the store has just shown this mod revision of the epoch key."""
+
+    epoch_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostHold:
+    """How long (ms) runs may continue on a host after the end of a term."""
+
+    host: HostId
+    left_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TermHandover(Message):
+    """The sender's term, in which it does nothing any more; the receiver may lead at once.
+
+    `epoch_revision` is the mod revision of the epoch key in that term. `former_ended` and `holds`
+    are those of an `apricotpath.entryrecords.LeaderRecord` of an ended term.
+    """
+
+    epoch: Epoch
+    epoch_revision: int
+    former_ended: bool
+    holds: tuple[HostHold, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobAccepted(Message):
     """A job that an entry has just stored; `content` is its stored JSON."""
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -8,6 +8,7 @@
 
 from apricotpath.controlmessages import ControlAck, ControlUpdate, DataCentreStatus, ServiceFounders
 from apricotpath.entrymessages import (
+    HostHold,
     JobAccepted,
     JobCall,
     JobCancelling,
@@ -17,6 +18,9 @@
     LeaderNotice,
     ShareGrant,
     ShareRequest,
+    StoreQuestion,
+    StoreReached,
+    TermHandover,
 )
 from apricotpath.ids import (
     DataCentreId,
@@ -80,6 +84,7 @@
     "HostCapacity",
     "HostDetached",
     "HostGrant",
+    "HostHold",
     "HostReport",
     "HostRuns",
     "HostSilent",
@@ -124,9 +129,12 @@
     "StartTask",
     "StopRuns",
     "StopTask",
+    "StoreQuestion",
+    "StoreReached",
     "TaskOutcome",
     "TaskReply",
     "TaskReport",
+    "TermHandover",
     "ThrottleTask",
 ]
 
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -309,6 +309,26 @@
   entry @1 :Text;
 }
 
+struct StoreQuestion {
+  epoch @0 :Int64;
+}
+
+struct StoreReached {
+  epochRevision @0 :Int64;
+}
+
+struct HostHold {
+  host @0 :Text;
+  leftMs @1 :Int64;
+}
+
+struct TermHandover {
+  epoch @0 :Int64;
+  epochRevision @1 :Int64;
+  formerEnded @2 :Bool;
+  holds @3 :List(HostHold);
+}
+
 struct RunAtCrash {
   task @0 :Text;
   run @1 :Int64;
@@ -515,5 +535,8 @@
     hostSilent @49 :HostSilent;
     hostCapacity @50 :HostCapacity;
     hostDetached @51 :HostDetached;
+    storeQuestion @52 :StoreQuestion;
+    storeReached @53 :StoreReached;
+    termHandover @54 :TermHandover;
   }
 }
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -28,6 +28,8 @@
     LeaderNotice,
     Message,
     OrderAnswers,
+    StoreQuestion,
+    TermHandover,
 )
 from apricotpath.mirror import WatchableStore
 from apricotpath.model import Role
@@ -35,6 +37,7 @@
 from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
 from apricotpathd.scheduler import Scheduler, SchedulerRules
+from apricotpathd.storeloss import StoreLoss
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +56,8 @@
             OrderAnswers,
             JobAccepted,
             JobCancelling,
+            StoreQuestion,
+            TermHandover,
         }
     )
 
@@ -85,6 +90,7 @@
             address,
             self._serve_term,
         )
+        self._store_loss = StoreLoss(self.election, process.links)
         # Each is run with the scheduler as long as a term lasts.
         self.term_tasks: list[Callable[[Scheduler], Coroutine[Any, Any, None]]] = []
         job_service.on_epoch = self._epoch_seen
@@ -100,6 +106,7 @@
             group.start_soon(self._dialler.run)
             group.start_soon(self.election.run)
             group.start_soon(self._dial_peers)
+            group.start_soon(self._store_loss.run)
 
     async def _dial_peers(self) -> None:
         """Keep one link to each other entry; of two entries, the one that sorts first dials."""
@@ -195,6 +202,12 @@
     async def received(self, link: Link, envelope: Envelope) -> None:
         """Handle a message of an agent or of another entry."""
         body = envelope.body
+        if isinstance(body, StoreQuestion):
+            self._store_loss.ask(link, envelope.id)
+            return
+        if isinstance(body, TermHandover):
+            self._store_loss.receive_handover(link, body)
+            return
         scheduler = self.scheduler
         if scheduler is None or not scheduler.loaded.is_set():
             if isinstance(body, HostAttach):
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -106,7 +106,9 @@
         self.world.messages[type(body).__name__] += 1
         if isinstance(body, HostGrant):
             self.world.last_grants[Epoch(body.fence // FENCES_PER_EPOCH)] = boot_s()
-        self.world.group.start_soon(self._deliver, Envelope(self._number, reply_to, body))
+        envelope = Envelope(self._number, reply_to, body)
+        for delay_s in self.world.deliveries(self, body):
+            self.world.group.start_soon(self._deliver, envelope, delay_s)
 
     def _encode(self, body: Message) -> None:
         """Encode a message as a link does, which refuses one that is too large."""
@@ -120,7 +122,8 @@
         self.send_nowait(body, reply_to)
         return self._number
 
-    async def _deliver(self, envelope: Envelope) -> None:
+    async def _deliver(self, envelope: Envelope, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
         self._sent.append(envelope)
         await anyio.sleep(LINK_DELAY_S)
         while self._sent and self._sent[0] is not envelope:
@@ -208,6 +211,8 @@
         # epoch takes all earlier ones for ended.
         self.last_grants: dict[Epoch, float] = {}
         self.earlier_ended: dict[Epoch, float] = {}
+        # Returns how much later than usual (s) each copy of a message is delivered.
+        self.deliveries: Callable[[MemoryLink, Message], tuple[float, ...]] = lambda *_: (0.0,)
         self._paused: dict[str, anyio.Event] = {}
         self._jobs_submitted = 0
 
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -38,7 +38,8 @@
     with the prefix `late_prefix` are late. With `late_writes_outlive`, it takes effect also
     when the client has ended meanwhile.
     With `down`, calls fail at once; with `silent`, after 1 s without an answer, and with
-    `silent_watches` only those that ask for changes.
+    `silent_watches` only those that ask for changes. Writes without an answer are late as well
+    with `late_while_silent`. With `fail_every`, one call in so many fails.
     """
 
     down: bool = False
@@ -49,6 +50,8 @@
     late_writes_outlive: bool = False
     silent: bool = False
     silent_watches: bool = False
+    late_while_silent: bool = False
+    fail_every: int = 0
     # The link of the client; a connection is reset when so many more bytes of pages have come.
     bytes_per_s: float = float("inf")
     reset_every_bytes: int = UNLIMITED
@@ -146,6 +149,7 @@
         # Bytes of the values in pages and changes that were returned.
         self.received_bytes = 0
         self._late: list[LateWrite] = []
+        self._calls = 0
 
     async def _simulate_call(self) -> None:
         await anyio.sleep(ANSWER_S)
@@ -153,7 +157,10 @@
         if self.faults.silent:
             await anyio.sleep(1.0)
             raise StoreUnavailable("no answer")
-        if self.faults.down:
+        self._calls += 1
+        if self.faults.down or (
+            self.faults.fail_every and self._calls % self.faults.fail_every == 0
+        ):
             raise StoreUnavailable("down")
         self.shared.expire()
 
@@ -236,6 +243,8 @@
     async def txn(
         self, compares: Sequence[Compare], operations: Sequence[Put | Delete]
     ) -> TxnResult:
+        if self.faults.silent and self.faults.late_while_silent:
+            self.shared.late.append((boot_s() + self.faults.late_s, compares, operations))
         await self._simulate_call()
         if self.faults.late_writes > 0 and self._puts_late_key(operations):
             self.faults.late_writes -= 1
