--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -76,6 +76,14 @@
     began: float = field(default_factory=boot_s)
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedHandover:
+    """A handover to this entry that it has not looked at yet, and the process that sent it."""
+
+    message: TermHandover
+    sender: Hello
+
+
 class Election:
     """Keeps this entry registered and acquires the leadership when it is vacant.
 
@@ -101,7 +109,7 @@
         self.term: Term | None = None
         self._epoch_read_at = float("-inf")
         self.answered_at = float("-inf")
-        self._handover: tuple[TermHandover, Hello] | None = None
+        self._handover: ReceivedHandover | None = None
         self.draining = False
         self._entry, self._incarnation, self._address = entry, incarnation, address
         self._serve_term = serve_term
@@ -195,7 +203,7 @@
 
     def take_over(self, handover: TermHandover, sender: Hello) -> None:
         """Try to acquire the leadership that its holder hands over to this entry."""
-        self._handover = handover, sender
+        self._handover = ReceivedHandover(handover, sender)
         self._notify()
 
     def _hand_over_if_possible(self) -> None:
@@ -315,7 +323,7 @@
         """Try to acquire the leadership if it was handed over to this entry, or is vacant."""
         handover, self._handover = self._handover, None
         if handover is not None and self._lease is not None and self.can_take_over():
-            former = self._handed_over(*handover)
+            former = self._former_leader(handover)
             if former is not None:
                 return await self._acquire(self._lease, former)
         if not self._may_campaign():
@@ -325,19 +333,20 @@
             return await self._acquire(self._lease)
         return None
 
-    def _handed_over(self, handover: TermHandover, sender: Hello) -> LeaderRecord | None:
+    def _former_leader(self, handover: ReceivedHandover) -> LeaderRecord | None:
         """Return the record of a term that was handed over, or None if it is not the newest."""
+        message, sender = handover.message, handover.sender
         item = self.mirror.items.get(self._epoch_key)
         record = self.leader_records.read(item)
-        if item is None or record is None or item.mod_revision != handover.epoch_revision:
-            log.info("handover of another term ignored", extra={"epoch": handover.epoch})
+        if item is None or record is None or item.mod_revision != message.epoch_revision:
+            log.info("handover of another term ignored", extra={"epoch": message.epoch})
             return None
         if (record.entry, record.incarnation) != (sender.process_id, sender.incarnation):
-            log.warning("handover by another process ignored", extra={"epoch": handover.epoch})
+            log.warning("handover by another process ignored", extra={"epoch": message.epoch})
             return None
-        holds = {hold.host: hold.left_ms / 1000 for hold in handover.holds}
+        holds = {hold.host: hold.left_ms / 1000 for hold in message.holds}
         log.info("handover accepted", extra={"from": record.entry, "epoch": record.epoch})
-        return replace(record, ended=True, holds=holds, former_ended=handover.former_ended)
+        return replace(record, ended=True, holds=holds, former_ended=message.former_ended)
 
     def _stand_back(self) -> None:
         """Leave the leadership to other entries for a while."""
--- a/packages/daemon/src/apricotpathd/storeloss.py
+++ b/packages/daemon/src/apricotpathd/storeloss.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import anyio
 
@@ -29,6 +30,14 @@
 MIN_TERM_S = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A StoreQuestion that is not answered yet, with its number on the link."""
+
+    link: Link
+    number: int
+
+
 class StoreLoss:
     """Watches whether the store answers a leader, and answers other leaders that ask for it.
 
@@ -38,8 +47,7 @@
 
     def __init__(self, election: Election, links: Sequence[Link]) -> None:
         self._election, self._links = election, links
-        # Links and numbers of the questions that are not answered yet.
-        self._questions: list[tuple[Link, int]] = []
+        self._questions: list[Question] = []
         self._asked = anyio.Event()
 
     async def run(self) -> None:
@@ -119,7 +127,7 @@
 
     def ask(self, link: Link, number: int) -> None:
         """Answer a StoreQuestion soon, in another task than that of the link."""
-        self._questions.append((link, number))
+        self._questions.append(Question(link, number))
         self._asked.set()
 
     async def _answer_questions(self) -> None:
@@ -128,9 +136,9 @@
             self._asked = anyio.Event()
             questions, self._questions = self._questions, []
             answer = await self._answer()
-            for link, number in questions:
+            for question in questions:
                 try:
-                    link.send_nowait(answer, number)
+                    question.link.send_nowait(answer, question.number)
                 except LinkError as exc:
                     log.info("answer about the store not sent: %s", exc)
 
