platformpath: submit at the new scheduler after a handover

Cause: the scenario submitted at front-2 right after the store's silence for one entry had ended. If that was the former scheduler, it still refused the job (503), as a client has to expect after an outage.

Change: it submits at the present scheduler, and checks that the answer is 200.

--- a/tests/features/platformpath.feature
+++ b/tests/features/platformpath.feature
@@ -167,8 +167,9 @@
     And only the scheduler of platformpath gets no answer from the store, 4 times at most until it has handed over
     Then platformpath shows the job as completed within 25 seconds
     And no task of platformpath had two runs at the same time
-    When a client submits a job of steps 4 and 1 at platformpath's front-2
-    Then platformpath shows the job as completed within 25 seconds
+    When a client submits a job of steps 4 and 1 at the scheduler of platformpath
+    Then platformpath answers 200
+    And platformpath shows the job as completed within 25 seconds
     And each process of platformpath that was not killed still runs
 
   Scenario: platformpath carries out an upkeep wave
--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -576,6 +576,12 @@
     run.submit(live[0], first, second)
 
 
+@when("a client submits a job of steps {first:d} and {second:d} at the scheduler of platformpath")
+def submit_at_scheduler(context: Any, first: int, second: int) -> None:
+    run = running(context)
+    run.submit(run.scheduler(), first, second)
+
+
 @then("each process of platformpath that was not killed still runs")
 def run_on(context: Any) -> None:
     killed = getattr(context, "killed", "")
