--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -31,6 +31,10 @@
 
 CPU = {"cpu": 500, "memMb": 64, "estRuntimeMs": 500}
 NEW_QUEUE = "/second/"
+# A term that has lasted so long may be handed over.
+SETTLED_S = 4.5
+# How long one entry gets no answers from the store.
+SILENCE_S = 3.0
 
 
 class RunningPlatform:
@@ -59,10 +63,13 @@
         world.behaviour.seconds = 0.5
         world.behaviour.deadly.clear()
         world.store.mode, world.store.lose_answers = "", 0
+        world.store.silent_ports.clear()
         for name, process in world.processes.items():
             if process.poll() is not None:
                 world.run(name)
         world.wait(lambda: all(world.ready(name) for name in world.settings if "front" in name))
+        # A process that was started again may not have opened its status port yet.
+        world.wait(lambda: all(world.serves_status(name) for name in world.settings))
         # Only a scheduler with attached hosts completes this job.
         self.submit("front-1", 1)
         world.wait(lambda: world.state("front-1", self.job) == "completed")
@@ -174,7 +181,11 @@
                 continue
         return False
 
-    run.world.wait(shown, seconds)
+    try:
+        run.world.wait(shown, seconds)
+    except AssertionError as exc:
+        answer = run.answer and (run.answer.status_code, run.answer.text)
+        raise AssertionError(f"its submission was answered {answer}; {exc}") from exc
 
 
 @then("platformpath's executors ran {count:d} tasks once each")
@@ -378,6 +389,33 @@
     time.sleep(1.2)
 
 
+def accepted_handovers(run: RunningPlatform) -> int:
+    """Return how many handovers entries have accepted."""
+    logs = [run.world.log(name) for name in run.world.settings if "front" in name]
+    return sum(log.count("handover accepted") for log in logs)
+
+
+@when(
+    "only the scheduler of platformpath gets no answer from the store, "
+    "{most:d} times at most until it has handed over"
+)
+def silence_for_scheduler(context: Any, most: int) -> None:
+    # Beside load, the other entries may answer too late, and the store lease ends instead.
+    run = running(context)
+    silent = run.world.store.silent_ports
+    before = accepted_handovers(run)
+    for _ in range(most):
+        time.sleep(SETTLED_S)
+        former = run.scheduler()
+        silent.add(run.world.store_ports[former])
+        run.world.wait(lambda former=former: run.scheduler() != former, 10)  # type: ignore[misc]
+        time.sleep(SILENCE_S)
+        silent.clear()
+        if accepted_handovers(run) > before:
+            return
+    raise AssertionError(f"no scheduler has handed over in {most} attempts")
+
+
 @then("the job is not known at platformpath's front-2 {seconds:d} seconds later")
 def not_known(context: Any, seconds: int) -> None:
     time.sleep(seconds)
@@ -538,6 +576,12 @@
     run.submit(live[0], first, second)
 
 
+@when("a client submits a job of steps {first:d} and {second:d} at the scheduler of platformpath")
+def submit_at_scheduler(context: Any, first: int, second: int) -> None:
+    run = running(context)
+    run.submit(run.scheduler(), first, second)
+
+
 @then("each process of platformpath that was not killed still runs")
 def run_on(context: Any) -> None:
     killed = getattr(context, "killed", "")
--- a/tests/support/platformworld.py
+++ b/tests/support/platformworld.py
@@ -19,6 +19,7 @@
 
 from apricotpath.model import Size
 from support.executormodel import Behaviour, ExecutorModel
+from support.failurelogs import failure_logs
 from support.machinemodel import MachineApp, MachineModel
 from support.memorystore import SharedStore
 from support.platformstandin import ExecutorApp, StoreApp, serve_app, serve_executor
@@ -69,6 +70,7 @@
         self.max_descriptors = max_descriptors
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        failure_logs.watch(self.folder)
         self.portal = self.stack.enter_context(start_blocking_portal())
         self.shared = self.portal.call(SharedStore)
         self.store = StoreApp(self.shared)
@@ -81,6 +83,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
         self.status_ports: dict[str, int] = {}
+        self.store_ports: dict[str, int] = {}
         self.behaviour = Behaviour(seconds=0.5)
         self.executors: dict[str, ExecutorApp] = {}
         self._executor_tasks: dict[str, list[Any]] = {}
@@ -113,6 +116,10 @@
     def add_entry(self, name: str) -> None:
         settings = self._base(name)
         settings["listen"] = {kind: f"127.0.0.1:{free_port()}" for kind in ("front", "ready")}
+        # A port of its own, so that the store can be silent for one entry.
+        self.store_ports[name] = port = free_port()
+        self._serve(self.store, port)
+        settings["platform"]["addr"] = f"127.0.0.1:{port}"
         settings["cloudApi"] = {"addr": f"127.0.0.1:{self.machines_port}", "requireFence": True}
         self.settings[name] = settings
         self.run(name)
@@ -229,6 +236,13 @@
         except httpx.HTTPError:
             return False
 
+    def serves_status(self, name: str) -> bool:
+        """Tell whether a process answers at its status port that it is ready."""
+        try:
+            return self.status(name, "/readyz").status_code == 200
+        except httpx.HTTPError:
+            return False
+
     def status(self, name: str, path: str) -> httpx.Response:
         """Send a GET to the status port of a process."""
         url = f"http://127.0.0.1:{self.status_ports[name]}{path}"
