A handover names as many holds as a record

The message of a scheduler that hands over grew with the number of hosts; the receiver holds those that are left out for the full time, as with a record.

--- a/packages/core/src/apricotpath/entryrecords.py
+++ b/packages/core/src/apricotpath/entryrecords.py
@@ -118,7 +118,7 @@
                 "entry": self.entry,
                 "incarnation": self.incarnation,
                 "ended": self.ended,
-                "holds": dict(nsmallest(MAX_HOLDS, self.holds.items(), key=itemgetter(1))),
+                "holds": shortest_holds(self.holds),
                 "former_ended": self.former_ended,
                 "began": self.began,
                 "token": new_token(),
@@ -126,6 +126,11 @@
         )
 
 
+def shortest_holds(holds: Mapping[HostId, float]) -> dict[HostId, float]:
+    """Return the shortest holds (seconds), as many as one record or message tells."""
+    return dict(nsmallest(MAX_HOLDS, holds.items(), key=itemgetter(1)))
+
+
 def _parse_holds(content: dict[str, Any]) -> Mapping[HostId, float]:
     holds = read_object(content, "holds", {})
     return {HostId(host): read_number(holds, host, low=0) for host in holds}
--- a/packages/daemon/src/apricotpathd/storeloss.py
+++ b/packages/daemon/src/apricotpathd/storeloss.py
@@ -9,6 +9,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.election import Election, Term
+from apricotpath.entryrecords import shortest_holds
 from apricotpath.errors import LinkError, PeerError, StoreError, StoreLimited
 from apricotpath.ids import ProcessId
 from apricotpath.link import Link
@@ -114,7 +115,10 @@
             term.epoch,
             term.epoch_revision,
             term.predecessor_ended.is_set(),
-            tuple(HostHold(name, math.ceil(1000 * s)) for name, s in term.holds.items()),
+            tuple(
+                HostHold(name, math.ceil(1000 * s))
+                for name, s in shortest_holds(term.holds).items()
+            ),
         )
         extra = {"epoch": term.epoch, "to": successor.peer_id, "silent_s": silent_s}
         log.warning("store lost by this entry; leadership handed over", extra=extra)
