The scheduler can tell what a pass would do with a job, without it

Change: `try_job` adds the job to a copy of the maps of the table that an added job changes, and runs `place` over it with copies of the gang turns and of the plan. `place` calls a `PassWatch` after each group, by which the reasons are taken at the job's own turn. `Scheduler.dry_run` is the only addition to the scheduler.

--- /dev/null
+++ b/packages/core/src/apricotpath/dryrun.py
@@ -0,0 +1,209 @@
+"""Where a job would go if it were submitted now, and why: a pass of placement on a copy.
+
+Answers for one job at a time, at 300 hosts. The pass is the one that decides on starts; what it
+reads is shared with the scheduler, and what it changes is copied.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import NamedTuple
+
+from apricotpath.forecasts import Forecasts
+from apricotpath.hostload import HostLoad, PlacementInput, may_use
+from apricotpath.ids import HostId, JobId
+from apricotpath.joborder import WaitingGroup
+from apricotpath.jobtable import JobTable
+from apricotpath.lookahead import Lookahead
+from apricotpath.reservations import Candidate, earliest_start
+from apricotpath.runplacement import Placement, can_fit_whole, place
+from apricotpath.runtimes import RunTimes
+from apricotpath.waitreasons import trial_reason
+from apricotpath.workload import Job, Step
+
+# No accepted job has this id.
+TRIAL_JOB = JobId("dry-run")
+# Steps of a job whose hosts are looked at; starts of the others are only counted.
+MAX_STEPS_EXPLAINED = 4
+# Hosts of which the ends of runs are forecast for a step, those with most room first.
+MAX_HOSTS_FORECAST = 100
+
+
+class Outcome(Enum):
+    """What becomes of a job, or of the tasks of a step, that is submitted now."""
+
+    PLACED = "placed"
+    WAITING = "waiting"
+    REFUSED = "refused"
+
+
+class WaitCause(Enum):
+    """Why tasks of a step wait, as far as hosts do not tell."""
+
+    NOT_DUE = "the first occurrence is not due yet"
+    EARLIER_STEPS = "earlier steps must be done first"
+    LATER_PASS = "the pass has no time or budget left for the step; a later pass looks at it"
+    ADVICE = "the advisory service of the queue has not answered"
+    NO_HOST = "no host may run it now, whatever is free"
+    TOO_LARGE = "it fits no host that may run it, even once all but long-running tasks end"
+    ROOM = "no host that may run it has room now"
+    NOT_EXPLAINED = "only the first steps that a pass looks at are explained"
+
+
+class GroupAhead(NamedTuple):
+    """Tasks of another job's step that come first and wait too."""
+
+    job: JobId
+    step: int
+    tasks: int
+
+
+@dataclass(slots=True)
+class StepTrial:
+    """What a pass does with the tasks of a step.
+
+    `tasks` are those of the step, `due` those that would wait to be placed at once. `placed`
+    counts starts by host. `ruled_out` has by reason the hosts that were not chosen or, if tasks
+    wait, that take no more. `not_before_s`: the
+    seconds after which there is room by the expected ends of runs if nothing else starts; None
+    if that is not known, or never.
+    """
+
+    number: int
+    step: Step
+    due: int = 0
+    cause: WaitCause | None = None
+    placed: Counter[HostId] = field(default_factory=Counter)
+    ruled_out: dict[str, list[HostId]] = field(default_factory=dict)
+    ahead: tuple[GroupAhead, ...] = ()
+    not_before_s: float | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """PLACED if all tasks that are due start now, else WAITING."""
+        return Outcome.WAITING if self.cause is not None else Outcome.PLACED
+
+
+@dataclass(frozen=True, slots=True)
+class JobTrial:
+    """What a pass does with a job; without `steps` it is not due before `not_before_s`."""
+
+    steps: tuple[StepTrial, ...]
+    not_before_s: float | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """PLACED if all tasks that are due start now, else WAITING."""
+        due = [step for step in self.steps if step.due]
+        waits = not due or any(step.outcome is Outcome.WAITING for step in due)
+        return Outcome.WAITING if waits else Outcome.PLACED
+
+
+def try_job(
+    table: JobTable, job: Job, inputs: PlacementInput, ahead: Lookahead | None = None
+) -> JobTrial:
+    """Return what a pass would do with a job that has just been accepted; changes nothing.
+
+    Of a job with a schedule, the first occurrence is tried.
+    """
+    schedule = replace(job.schedule, times=1) if job.schedule is not None else None
+    job = replace(job, job_id=TRIAL_JOB, schedule=schedule, accepted_s=inputs.utc_s)
+    inputs = replace(inputs, gang_turns=inputs.gang_turns.copy())
+    plan = ahead.copy() if ahead is not None else None
+    trial = table.trial_copy()
+    row = trial.add(job, inputs.now)
+    trial.open_due(inputs.utc_s, inputs.now)
+    if row is None or not row.steps:
+        return JobTrial((), max(0.0, job.due_s(0) - inputs.utc_s))
+    watch = _Watch(trial, inputs, plan)
+    place(trial, inputs, plan, watch)
+    steps = enumerate(job.steps)
+    return JobTrial(tuple(watch.found.get(n) or _unseen(trial, n, step) for n, step in steps))
+
+
+def _unseen(table: JobTable, number: int, step: Step) -> StepTrial:
+    """Return what is known of a step that the pass has not looked at."""
+    due = len(table.waiting_steps.get((TRIAL_JOB, 0, number), ()))
+    cause = WaitCause.LATER_PASS if due else WaitCause.EARLIER_STEPS
+    return StepTrial(number, step, due, cause)
+
+
+class _Watch:
+    """Collects what a pass does with the steps of the trial job, and what comes before them."""
+
+    def __init__(self, table: JobTable, inputs: PlacementInput, plan: Lookahead | None) -> None:
+        self.found: dict[int, StepTrial] = {}
+        self._table, self._inputs = table, inputs
+        # Steps share these, since most of them may use the same hosts.
+        self._forecasts = plan.forecasts.copy() if plan is not None else Forecasts(RunTimes())
+        self._ahead: list[GroupAhead] = []
+
+    def __call__(
+        self,
+        group: WaitingGroup,
+        loads: Mapping[HostId, HostLoad],
+        placed: Sequence[Placement],
+    ) -> None:
+        """Note a group that the pass has looked at."""
+        job, _, number = group.key
+        if job != TRIAL_JOB:
+            if len(placed) < len(group.tasks):
+                left = len(group.tasks) - len(placed)
+                self._ahead.append(GroupAhead(job, number, left))
+            return
+        due = len(self._table.waiting_steps[group.key])
+        found = StepTrial(number, group.step, due)
+        found.placed.update(placement.host for placement in placed)
+        found.ahead = tuple(self._ahead)
+        explained = len(self.found) < MAX_STEPS_EXPLAINED
+        if len(placed) < due:
+            cause = self._cause(group, loads.values()) if explained else WaitCause.NOT_EXPLAINED
+            found.cause = cause
+        if explained:
+            self._explain(found, group, loads)
+        self.found[number] = found
+
+    def _cause(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> WaitCause:
+        allowed = self._allowed(group, loads)
+        if not allowed:
+            return WaitCause.NO_HOST
+        step = group.step
+        possible = any(load.can_make_room_for(step) for load in allowed)
+        if not possible or not can_fit_whole(group, allowed):
+            return WaitCause.TOO_LARGE
+        if group.queue.advised and self._inputs.advised(group.tasks[0].key) is None:
+            return WaitCause.ADVICE
+        return WaitCause.LATER_PASS if self._inputs.budget.spent else WaitCause.ROOM
+
+    def _explain(
+        self, found: StepTrial, group: WaitingGroup, loads: Mapping[HostId, HostLoad]
+    ) -> None:
+        """Add why hosts were not chosen, or take no more, and when there is room."""
+        waits = found.cause is not None
+        for name, load in loads.items():
+            if waits or name not in found.placed:
+                reason = trial_reason(load, group, self._inputs, waits)
+                found.ruled_out.setdefault(reason, []).append(name)
+        if found.cause is WaitCause.ROOM:
+            found.not_before_s = self._not_before_s(group, loads.values())
+
+    def _not_before_s(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> float | None:
+        """Return in how many seconds there is room, as far as the ends of runs are forecast."""
+        inputs = self._inputs
+        allowed = sorted(self._allowed(group, loads), key=HostLoad.share_claimed)
+        allowed = allowed[:MAX_HOSTS_FORECAST]
+        hosts = {load.host.host: load.host for load in allowed}
+        self._forecasts.refresh(self._table, hosts, inputs.now)
+        candidates = [
+            Candidate(load, forecast)
+            for load in allowed
+            if load.within_max_per_host(group.tasks[0].key, group.step)
+            and (forecast := self._forecasts.get(self._table, load.host.host)) is not None
+        ]
+        at = earliest_start(group.step, candidates, inputs.now)
+        return max(0.0, at - inputs.now) if at is not None else None
+
+    def _allowed(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> list[HostLoad]:
+        """Return the hosts on which a group's tasks may start, regardless of free resources."""
+        return [load for load in loads if may_use(load, group.step, group.queue, self._inputs)]
--- a/packages/core/src/apricotpath/forecasts.py
+++ b/packages/core/src/apricotpath/forecasts.py
@@ -84,6 +84,12 @@
         self.known_since = float("-inf")
         self._times = times
 
+    def copy(self) -> "Forecasts":
+        """Return forecasts that may be renewed without changing these; run times are shared."""
+        other = Forecasts(self._times)
+        other.by_host, other.known_since = self.by_host.copy(), self.known_since
+        return other
+
     def refresh(self, table: JobTable, hosts: Mapping[HostId, Host], now: float) -> None:
         """Renew the forecasts of changed hosts and the oldest ones, up to RUNS_PER_PASS runs."""
         for name in [name for name in self.by_host if name not in hosts]:
--- a/packages/core/src/apricotpath/gangturns.py
+++ b/packages/core/src/apricotpath/gangturns.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+from copy import copy
 from heapq import nsmallest
 
 from apricotpath.workload import StepKey
@@ -28,6 +29,11 @@
         self._checks_left = 0
         self.left_out = 0
 
+    def copy(self) -> "GangTurns":
+        """Return turns that passes may take without changing these."""
+        # Passes put other collections in place of the present ones.
+        return copy(self)
+
     def begin(self, gangs: Iterable[StepKey], hosts: int) -> None:
         """Begin a pass with the waiting gangs in placement order."""
         self._pass += 1
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -65,6 +65,18 @@
         # When (UTC seconds) the next occurrences of scheduled jobs are due; a heap.
         self._due: list[tuple[float, JobId]] = []
 
+    def trial_copy(self) -> "JobTable":
+        """Return a table to which jobs may be added without changing this one.
+
+        It shares the jobs and runs there are, so that no record may be applied to it.
+        """
+        other = JobTable()
+        other.rows, other.waiting = self.rows.copy(), self.waiting.copy()
+        other.waiting_steps = self.waiting_steps.copy()
+        other._index, other.by_host = self._index, self.by_host
+        other.crashes, other.queues = self.crashes, self.queues
+        return other
+
     def add(self, job: Job, now: float) -> JobRow | None:
         """Add an accepted job; None if it is in the table already."""
         if job.job_id in self.rows:
--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import replace
 from typing import NamedTuple
 
 from apricotpath.forecasts import Forecasts
@@ -71,6 +72,16 @@
         # Those of the current pass.
         self._loads: Mapping[HostId, HostLoad] = {}
 
+    def copy(self) -> "Lookahead":
+        """Return a plan that passes may change without changing this one; run times are shared."""
+        other = Lookahead()
+        other.times, other.forecasts = self.times, self.forecasts.copy()
+        other.reservations = {
+            key: replace(item, slots=item.slots.copy()) for key, item in self.reservations.items()
+        }
+        other._held_since, other._retry_at = self._held_since.copy(), self._retry_at.copy()
+        return other
+
     def take_counts(self) -> PlanCounts:
         """Return the counts and start them anew."""
         taken, self.counts = self.counts, PlanCounts()
--- a/packages/core/src/apricotpath/reservations.py
+++ b/packages/core/src/apricotpath/reservations.py
@@ -107,6 +107,21 @@
     return {host: Slot(1, at) for at, _, host in found[:need] if at <= now + HORIZON_S}
 
 
+def earliest_start(step: Step, candidates: Collection[Candidate], now: float) -> float | None:
+    """Return when a task, or the whole gang, fits first if nothing else starts; None if never."""
+    if step.gang:
+        rooms = sorted(_rooms(step, candidates, now), key=lambda room: room.starts_at)
+        at = _start_of_gang(step.count, rooms)
+        return at if at < float("inf") else None
+    found = []
+    for candidate in candidates:
+        ends = candidate.forecast.ends
+        if _count_after(candidate, step, len(ends)) >= 1:
+            first = _first_fitting(candidate, step)
+            found.append(ends[first - 1] if first else now)
+    return min(found, default=None)
+
+
 def _first_fitting(candidate: Candidate, step: Step) -> int:
     """Return after how many ends a task fits, if it fits after all of them."""
     low, high = 0, len(candidate.forecast.ends)
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -1,6 +1,6 @@
 """Placement of waiting tasks on hosts: pure functions over the job and host tables."""
 
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from heapq import heapify, heappop, heapreplace
 from operator import attrgetter
 from typing import NamedTuple
@@ -36,10 +36,20 @@
     host: HostId
 
 
+# Gets a group that a pass has looked at, the loads of all hosts by then, and the group's starts.
+PassWatch = Callable[[WaitingGroup, Mapping[HostId, HostLoad], Sequence[Placement]], None]
+
+
 def place(
-    table: JobTable, inputs: PlacementInput, ahead: Lookahead | None = None
+    table: JobTable,
+    inputs: PlacementInput,
+    ahead: Lookahead | None = None,
+    watch: PassWatch | None = None,
 ) -> list[Placement]:
-    """Return the tasks to start now, in order; with `ahead`, by reservations with backfill."""
+    """Return the tasks to start now, in order; with `ahead`, by reservations with backfill.
+
+    `watch` is called after each group that the pass has looked at.
+    """
     if not table.waiting:
         if ahead is not None:
             ahead.nothing_waits(table)
@@ -82,6 +92,8 @@
         if placed:
             inputs.budget.spend(group.row.job.command, len(placed))
             placements += placed
+        if watch is not None:
+            watch(group, loads, placed)
     if ahead is not None:
         ahead.end_pass((placement.task, placement.host) for placement in placements)
     return placements
@@ -353,7 +365,7 @@
     """Reserve a host for the first task that was not placed and is not suspected of crashes."""
     passed_over = {placement.task for placement in placed} | _suspects(loads).keys()
     task = next((task for task in group.tasks if task.key not in passed_over), None)
-    if task is not None and _can_fit_whole(group, allowed):
+    if task is not None and can_fit_whole(group, allowed):
         _reserve(group, task, allowed, loads, inputs)
 
 
@@ -379,7 +391,7 @@
         ahead.reserve(table, group, len(group.tasks) - len(placed), advised, inputs.now)
 
 
-def _can_fit_whole(group: WaitingGroup, allowed: Iterable[HostLoad]) -> bool:
+def can_fit_whole(group: WaitingGroup, allowed: Iterable[HostLoad]) -> bool:
     """Return whether a gang fits once all but long-running tasks end; true for other groups."""
     if not group.step.gang:
         return True
--- a/packages/core/src/apricotpath/waitreasons.py
+++ b/packages/core/src/apricotpath/waitreasons.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from typing import Any
 
 from apricotpath.hostload import OTHER_SERVICE, HostLoad, PlacementInput, exclusion_reason
@@ -15,6 +16,10 @@
 # Steps logged per call, longest waits first.
 MAX_STEPS_LOGGED = 5
 
+HAS_ROOM = "has room"
+IN_USE = "processors in use"
+RESERVED = "reserved for another group"
+
 
 def long_waits(
     table: JobTable, inputs: PlacementInput, loads: Mapping[HostId, HostLoad]
@@ -56,7 +61,27 @@
         return "too small"
     if not load.within_max_per_host(group.tasks[0].key, step):
         return "enough tasks of the step"
-    return resource_shortage(load, step) or "has room"
+    return resource_shortage(load, step) or HAS_ROOM
+
+
+def trial_reason(load: HostLoad, group: WaitingGroup, inputs: PlacementInput, waits: bool) -> str:
+    """Return why a host takes no task of a group, or no more, after the group was looked at.
+
+    `waits`: some of its tasks were not placed.
+    """
+    step, task = group.step, group.tasks[0].key
+    reason = wait_reason(load, group, inputs) or OTHER_SERVICE
+    if reason == IN_USE and load.hold is not None and replace(load, hold=None).fits(step):
+        return RESERVED
+    if reason != HAS_ROOM:
+        return reason
+    if not load.admits(task, step):
+        return "kept for tasks suspected of crashes"
+    if load.reserved:
+        return RESERVED
+    if waits:
+        return "has room for some members of the gang" if step.gang else HAS_ROOM
+    return "less preferred"
 
 
 def resource_shortage(load: HostLoad, step: Step) -> str:
@@ -70,7 +95,7 @@
         return "memory reserved"
     if free.accelerators < step.size.accelerators:
         return "accelerators reserved"
-    return "" if load.fits(step) else "processors in use"
+    return "" if load.fits(step) else IN_USE
 
 
 def host_row(load: HostLoad, now: float, silent_s: float) -> list[float]:
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
+from apricotpath.dryrun import JobTrial, try_job
 from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
@@ -33,7 +34,7 @@
 from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, RunRecord
 from apricotpath.slices import OPERATIONS_PER_SLICE, RUNS_PER_OPERATION, Slices
-from apricotpath.workload import Queue, StepKey
+from apricotpath.workload import Job, Queue, StepKey
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.fleetlog import FleetLog
 from apricotpathd.hosttracker import HostTracker
@@ -267,6 +268,10 @@
         self.table.cancel(job)
         self.wake()
 
+    def dry_run(self, job: Job) -> JobTrial:
+        """Return what a pass would do now with a job that is not submitted; changes nothing."""
+        return try_job(self.table, job, self._placement_input(boot_s()), self.planning.ahead)
+
     # Scheduling loop.
 
     async def _run_loop(self, group: TaskGroup) -> None:
