`apricotpath dry-run` tells where a job would go now, and why

Change: POST /dry-run on an entry's status port runs the checks of a submission and then `Scheduler.dry_run`; the command prints text or JSON and ends with 0, 3 or 4 for placed, waiting and refused. `IngressApp` and `JobService` give the words and the order of their refusals to both.

--- a/packages/cli/src/apricotpath_cli/cmdline.py
+++ b/packages/cli/src/apricotpath_cli/cmdline.py
@@ -6,7 +6,7 @@
 from typing import NoReturn
 
 from apricotpath.errors import ApricotpathError, InputError
-from apricotpath_cli import bundles, checks, datacentres, jobs, keys, tls, views
+from apricotpath_cli import bundles, checks, datacentres, dryrun, jobs, keys, tls, views
 from apricotpath_cli.options import Groups
 from apricotpath_cli.plugins import add_plugin_groups
 
@@ -21,6 +21,7 @@
     bundles.add_group,
     datacentres.add_group,
     jobs.add_group,
+    dryrun.add_group,
     views.add_group,
     checks.add_group,
     add_plugin_groups,
--- a/packages/cli/src/apricotpath_cli/options.py
+++ b/packages/cli/src/apricotpath_cli/options.py
@@ -85,11 +85,12 @@
     if not entries:
         raise InputError("no entry is given; use --entry URL or --settings FILE")
     for url in entries:
-        _check_url(url)
+        check_url(url)
     return OperatorSettings(tuple(dict.fromkeys(entries)), args.key or cfg.key)
 
 
-def _check_url(url: str) -> None:
+def check_url(url: str) -> None:
+    """Raise InputError unless a text is the URL of an entry."""
     try:
         parts = urlsplit(url)
         valid = parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
--- a/packages/daemon/src/apricotpathd/asgi.py
+++ b/packages/daemon/src/apricotpathd/asgi.py
@@ -10,6 +10,7 @@
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
 RawHeaders = Iterable[tuple[bytes, bytes]]
 
 JSON = "application/json"
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -124,9 +124,10 @@
         job = replace(job, accepted_s=self._utc())
         if job.job_id in self.statuses:
             return Submission.ACCEPTED
-        if self._open_jobs >= MAX_OPEN_JOBS:
+        refusal = self.refusal()
+        if refusal is Submission.TOO_MANY:
             return await self._refuse(job)
-        if not self._store_answers():
+        if refusal is not None:
             # Nothing was written, so it is certain that this submission does not run the job.
             outcome = self._combine_outcomes(job.job_id, Submission.NOT_ACCEPTED)
             log.info(
@@ -143,6 +144,12 @@
             self._notify_scheduler(JobAccepted(job.job_id, text))
         return outcome
 
+    def refusal(self) -> Submission | None:
+        """Return why new jobs are refused now; None if they are not."""
+        if self._open_jobs >= MAX_OPEN_JOBS:
+            return Submission.TOO_MANY
+        return None if self._store_answers() else Submission.NOT_ACCEPTED
+
     async def _refuse(self, job: Job) -> Submission:
         """Refuse a job for the number of open ones, unless it has been accepted before."""
         try:
--- a/tests/features/platformpath.feature
+++ b/tests/features/platformpath.feature
@@ -89,6 +89,12 @@
     And the metrics of platformpath count the job and its 3 runs
     And each process of platformpath shows its state and that it is ready
 
+  Scenario: platformpath tells where a job would go without running it
+    When the dry-run command asks all entries of platformpath about a job of 2 tasks
+    Then platformpath's scheduler has answered that both start now
+    And platformpath's other entry alone answers with the name of the scheduler
+    And no task of platformpath has started since the dry runs, 2 seconds later
+
   Scenario: platformpath leads from a job's id to its story although its scheduler died
     Given tasks of platformpath take 3 seconds
     When a client submits a job of steps 2 and 1 at platformpath's front-1
--- a/tests/features/steps/platformpath_steps.py
+++ b/tests/features/steps/platformpath_steps.py
@@ -1,18 +1,23 @@
 """Steps for platformpath.feature."""
 
 import atexit
+import contextlib
+import io
+import json
 import signal
 import subprocess
 import sys
 import time
 from collections.abc import Callable
 from itertools import pairwise
+from pathlib import Path
 from typing import Any, ClassVar
 
 import httpx
 from behave import given, then, when
 
 from apricotpath.store import Delete, Put
+from apricotpath_cli.cmdline import main as run_command
 from apricotpath_cli.logtimeline import read_logs, timeline
 from support.oddvalues import (
     HEARTBEAT,
@@ -30,6 +35,7 @@
 from support.platformworld import PREFIX, PlatformWorld, configuration
 
 CPU = {"cpu": 500, "memMb": 64, "estRuntimeMs": 500}
+QUEUE = configuration(1)["routes"][0]["name"]
 NEW_QUEUE = "/second/"
 
 
@@ -92,6 +98,10 @@
             ]
         return found
 
+    def starts(self) -> int:
+        """Return how many tasks the executors have started."""
+        return sum(len(executor.model.starts) for executor in self.world.executors.values())
+
     def scheduler(self) -> str:
         """Return the entry that was elected most recently."""
         item = self.world.shared.items["apricotpath/ctl/leader"]
@@ -446,6 +456,57 @@
     assert 'call="run-start"' in "".join(texts[name] for name in texts if "side" in name)
 
 
+class DryRunCommand:
+    """Asks entries of platformpath with the operators' command, and keeps what it prints."""
+
+    def __init__(self, case: RunningPlatform, entries: list[str]) -> None:
+        ports = [case.world.status_ports[name] for name in entries]
+        args = ["dry-run", str(self._job_file(case)), "--queue", QUEUE, "--json"]
+        for port in ports:
+            args += ["--entry", f"http://127.0.0.1:{port}"]
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            self.code = run_command(args)
+        self.out, self.err = out.getvalue(), err.getvalue()
+
+    @staticmethod
+    def _job_file(case: RunningPlatform) -> Path:
+        path = case.world.folder / "dry-run.json"
+        path.write_text(json.dumps({"steps": [{"count": 2, "cpu": 100, "memMb": 1}]}))
+        return path
+
+
+@when("the dry-run command asks all entries of platformpath about a job of 2 tasks")
+def ask_entries(context: Any) -> None:
+    case = running(context)
+    names = [name for name in case.world.settings if name.startswith("front")]
+    context.fronts = sorted(names, key=lambda name: name == case.scheduler())
+    context.starts = case.starts()
+    context.dry_run = DryRunCommand(case, context.fronts)
+
+
+@then("platformpath's scheduler has answered that both start now")
+def scheduler_answered(context: Any) -> None:
+    found = context.dry_run
+    assert found.code == 0, (found.code, found.out, found.err)
+    answer = json.loads(found.out)
+    assert (answer["outcome"], answer["entry"]) == ("placed", context.fronts[-1]), answer
+    assert answer["steps"][0]["starts"] == 2 and answer["configuration"] > 0, answer
+
+
+@then("platformpath's other entry alone answers with the name of the scheduler")
+def other_answered(context: Any) -> None:
+    found = DryRunCommand(running(context), context.fronts[:1])
+    assert found.code == 1, (found.code, found.out, found.err)
+    assert f"this entry does not schedule; ask {context.fronts[-1]}" in found.err, found.err
+
+
+@then("no task of platformpath has started since the dry runs, {seconds:d} seconds later")
+def nothing_started(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    assert running(context).starts() == context.starts > 0
+
+
 @then("each process of platformpath shows its state and that it is ready")
 def shows_state(context: Any) -> None:
     world = running(context).world
