Backfill: filler tasks no longer wait for earlier ones to end

The wait is taken out, so that filler tasks start up to 1.4 of the processors as without the option. The scenario that asked for the wait asks for the same room as without a plan; it fails on the earlier code.

--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -20,9 +20,6 @@
 FILLER_SHARE_ALONE = 1.4
 FILLER_SHARE_PACED = 0.6
 FILLER_SHARE_UNPACED = 1.0
-# Where ends are forecast, filler tasks are placed while the runs that do not end soon stay below
-# this share: tasks that run one after another end sooner on average than side by side.
-FILLER_SHARE_AHEAD = 1.15
 # Hosts that run tasks below this share of the median speed get new tasks last. Speeds are
 # compared between hosts, since errors in the estimated run times affect all hosts alike.
 SLOW_HOST_SHARE = 0.55
@@ -124,8 +121,7 @@
     `held` start nowhere.
 
     `hold` is that of a reservation which begins at `held_from` (boot-clock seconds); `spare` is
-    what is left beside it then. `used_soon` are the processors in use by runs that do not end
-    soon; None if ends are not forecast.
+    what is left beside it then.
     """
 
     host: Host = field(kw_only=True)
@@ -140,7 +136,6 @@
     hold: Hold | None = None
     held_from: float = 0.0
     spare: Size = NO_SIZE
-    used_soon: float | None = None
 
     def add_start(self, task: TaskKey, step: Step) -> None:
         """Commit one more task, which is to start now."""
@@ -156,8 +151,6 @@
             size = self.hold.size_of(step)
             taken = Size(size.cpu_milli * count, size.memory_mb * count, size.accelerators * count)
             self.spare = (self.spare - taken).not_negative()
-        if self.used_soon is not None:
-            self.used_soon += step.size.cpu_milli * count
 
     def admits(self, task: TaskKey, step: Step) -> bool:
         """Return whether a task may start here beside tasks that are suspected of crashes.
@@ -178,28 +171,15 @@
         """Take back the tasks committed since `saved` was copied from this load."""
         self.copy_from(saved)
         self.observed = saved.observed
-        self.spare, self.used_soon = saved.spare, saved.used_soon
+        self.spare = saved.spare
 
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits without slowing the tasks already there."""
         limit = self.filler_share(step) * self.capacity.cpu_milli
         if step.filler and self.used + step.size.cpu_milli > limit:
             return False
-        if step.filler and not self._filler_starts_soon_enough(step):
-            return False
         return self.has_resources_for(step)
 
-    def _filler_starts_soon_enough(self, step: Step) -> bool:
-        """Return whether a filler task does not do better by a wait for earlier ones to end.
-
-        On a host without serving tasks it waits while those that do not end soon use the processors
-        that it would share. Always true if ends are not forecast.
-        """
-        if self.used_soon is None or self.serving or self.used_soon <= 0:
-            return True
-        limit = FILLER_SHARE_AHEAD * self.capacity.cpu_milli
-        return self.used_soon + step.size.cpu_milli <= limit
-
     def filler_share(self, step: Step) -> float:
         """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
--- a/packages/core/src/apricotpath/lookahead.py
+++ b/packages/core/src/apricotpath/lookahead.py
@@ -41,8 +41,6 @@
 RETRY_S = 1.0
 # Searches for room in one pass, which bounds its time.
 SEARCHES_PER_PASS = 1
-# Runs that end within this time count as ended where filler tasks start.
-SOON_S = 0.4
 
 GroupKey = tuple[JobId, int, int]
 
@@ -87,10 +85,6 @@
         self._searches_left, self._loads = SEARCHES_PER_PASS, loads
         self.forecasts.refresh(table, inputs.hosts, inputs.now)
         self._forget(table, inputs.now)
-        for load in loads.values():
-            forecast = self.forecasts.get(table, load.host.host)
-            ended = forecast.count_ended(inputs.now + SOON_S) if forecast else 0
-            load.used_soon = load.used - (forecast.freed_used[ended] if forecast else 0.0)
         if not self.reservations:
             return
         waiting = {group.tasks[0].key.step_key: group for group in groups}
