--- a/packages/core/src/apricotpath/runtimes.py
+++ b/packages/core/src/apricotpath/runtimes.py
@@ -20,6 +20,8 @@
 MAX_KINDS = 1024
 # Assumed for a step without an estimate while nothing is learned.
 DEFAULT_RUN_S = 1.0
+# Newest runs of which the percentiles of the ratio to the expected time are taken.
+MAX_RATIOS = 500
 # Stands for tasks of any size.
 ANY_SIZE = -1
 
@@ -53,6 +55,35 @@
         return len(self.items) >= MIN_SAMPLES and now - self.items[-1][0] <= MAX_SAMPLE_AGE_S
 
 
+class RatioSummary(NamedTuple):
+    """Percentiles of how many times as long as expected the newest runs took."""
+
+    runs: int
+    p5: float
+    p50: float
+    p95: float
+
+
+class RunTimeRatios:
+    """How many times as long as expected the newest ended runs took."""
+
+    def __init__(self) -> None:
+        self._ratios: deque[float] = deque(maxlen=MAX_RATIOS)
+
+    def add(self, ran_s: float, expected_s: float) -> None:
+        """Add a run that took `ran_s` seconds in place of `expected_s`; left out if that is 0."""
+        if expected_s > 0:
+            self._ratios.append(ran_s / expected_s)
+
+    def summary(self) -> RatioSummary:
+        """Return the percentiles; zeros if no run has ended."""
+        ratios = sorted(self._ratios)
+        if not ratios:
+            return RatioSummary(0, 0.0, 0.0, 0.0)
+        p5, p50, p95 = (ratios[int(share * len(ratios))] for share in (0.05, 0.5, 0.95))
+        return RatioSummary(len(ratios), round(p5, 2), round(p50, 2), round(p95, 2))
+
+
 class RunTimes:
     """Learned run times by image, size class and whether the tasks are filler tasks."""
 
--- a/packages/daemon/src/apricotpathd/planning.py
+++ b/packages/daemon/src/apricotpathd/planning.py
@@ -12,6 +12,7 @@
 from apricotpath.lookahead import Lookahead
 from apricotpath.planevents import PlanCounts, SizeClass
 from apricotpath.runplacement import Placement, place
+from apricotpath.runtimes import RunTimeRatios
 from apricotpath.workload import RunResult, Step
 
 log = logging.getLogger(__name__)
@@ -25,6 +26,8 @@
         self._metrics = metrics
         self._waits = WaitLog()
         self._totals = PlanCounts()
+        # By whether they are those of filler tasks.
+        self._ratios = {False: RunTimeRatios(), True: RunTimeRatios()}
 
     @property
     def held(self) -> int:
@@ -54,8 +57,11 @@
         if self.ahead is None or run is None or result is not RunResult.DONE:
             return
         resumed = step.checkpoints and run.run > 1
-        if not resumed and run.since > self.ahead.forecasts.known_since:
-            self.ahead.times.note(step, now - run.since, now)
+        if step.long_running or resumed or run.since <= self.ahead.forecasts.known_since:
+            return
+        ran_s, times = now - run.since, self.ahead.times
+        self._ratios[step.filler].add(ran_s, times.expected_s(step, now))
+        times.note(step, ran_s, now)
 
     def log_state(self, now: float) -> None:
         """Log the waits of groups by size class, and the plan if there is one."""
@@ -70,6 +76,8 @@
                 "given_up": {reason.value: count for reason, count in totals.given_up.items()},
                 "backfilled": totals.backfilled,
                 "run_kinds": len(self.ahead.times),
+                "run_ratios": self._ratios[False].summary()._asdict(),
+                "filler_run_ratios": self._ratios[True].summary()._asdict(),
                 "reservations": [
                     {
                         "job": item.group[0],
--- a/tests/features/runtimes.feature
+++ b/tests/features/runtimes.feature
@@ -18,6 +18,10 @@
       | 20    | 5        | a larger step of the image is asked |
       | 20    | 2        | another image is asked              |
 
+  Scenario: runtimes tell how far off expected times were
+    When runtimes expect 2 seconds of runs that take 1, 2, 2, 2 and 14 seconds
+    Then runtimes tell of 5 runs, of which the ratios are 0.5, 1 and 7
+
   # Callers choose the names of images.
   Scenario: runtimes of many images take bounded memory
     When runtimes learn from runs of 5000 images
--- a/tests/features/steps/lookahead_steps.py
+++ b/tests/features/steps/lookahead_steps.py
@@ -350,6 +350,7 @@
 def planned(context: Any) -> None:
     plan = context.plans[0]
     assert len(plan.ahead.times) > 0 and plan._totals.used > 0, vars(plan._totals)
+    assert plan._ratios[False].summary().runs > 0
     assert context.plans[1] is not plan
 
 
--- a/tests/features/steps/runtimes_steps.py
+++ b/tests/features/steps/runtimes_steps.py
@@ -13,7 +13,7 @@
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
 from apricotpath.runrecords import Assigned
-from apricotpath.runtimes import RunTimes
+from apricotpath.runtimes import RatioSummary, RunTimeRatios, RunTimes
 from apricotpath.workload import Job, Step, TaskKey
 
 NOW = 1000.0
@@ -47,6 +47,20 @@
     assert context.times.expected_s(context.asked, context.now) == seconds
 
 
+@when("runtimes expect 2 seconds of runs that take 1, 2, 2, 2 and 14 seconds")
+def ratios(context: Any) -> None:
+    context.ratios = RunTimeRatios()
+    assert context.ratios.summary().runs == 0
+    for ran_s in (1.0, 2.0, 2.0, 2.0, 14.0):
+        context.ratios.add(ran_s, 2.0)
+    context.ratios.add(1.0, 0.0)
+
+
+@then("runtimes tell of {runs:d} runs, of which the ratios are {p5:g}, {p50:g} and {p95:g}")
+def told_ratios(context: Any, runs: int, p5: float, p50: float, p95: float) -> None:
+    assert context.ratios.summary() == RatioSummary(runs, p5, p50, p95)
+
+
 @when("runtimes learn from runs of {count:d} images")
 def many_images(context: Any, count: int) -> None:
     context.times = RunTimes()
