Tests: filler tasks keep off hosts with serving tasks while others have room

With the wait of filler tasks that took out, those that were refused on free hosts started beside serving tasks: of two filler tasks of 4 cores the second went to the serving host.

--- a/tests/features/lookahead.feature
+++ b/tests/features/lookahead.feature
@@ -106,6 +106,13 @@
       | of which half end at once by their progress | 3     | 2     |
       | that go on for seconds                      | 3     | 2     |
 
+  # They went to hosts with serving tasks, which they slow down, instead of waiting.
+  Scenario: lookahead keeps filler tasks apart from serving tasks as long as other hosts have room
+    Given a lookahead host with 14 cores of filler tasks, that go on for seconds
+    And a lookahead host b with a serving task of 2 cores
+    When a lookahead filler step of 2 tasks of 4 cores comes
+    Then lookahead starts 2 of them on a
+
   Scenario: lookahead bounds the work of a pass
     Given a lookahead table of 60 hosts, each with 20 runs, and 200 groups that wait
     Then a lookahead pass takes at most 1.5 times the instructions of one without it
--- a/tests/features/steps/lookahead_steps.py
+++ b/tests/features/steps/lookahead_steps.py
@@ -273,6 +273,12 @@
         runs[0].percent = 95
 
 
+@given("a lookahead host b with a serving task of 2 cores")
+def serving_host(context: Any) -> None:
+    case: LookaheadCase = context.case
+    case.run(case.add_host("b"), step(1, 2, 0.0, long_running=True), 60.0)
+
+
 @when("a lookahead filler step of {count:d} tasks of {cores:d} cores comes")
 def filler_step(context: Any, count: int, cores: int) -> None:
     context.case.add(step(count, cores, 4.0, filler=True))
