Start calls wait for their turn within a window

An agent sent all start calls of a gang at once. An executor that did not reach them within the call timeout got repeats, which took up its time in turn.

The calls under way are limited by how fast the executor answers (callwindow.py, additive increase, multiplicative decrease); the others wait in the order of their orders (startturns.py). A start that waits is withdrawn at once by a stop, and refused when its order becomes invalid. Stops, renewals and paces don't wait.

--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -47,6 +47,7 @@
 from apricotpathd.formerfence import FormerFence
 from apricotpathd.hostorders import HostOrders
 from apricotpathd.incarnations import IncarnationFences
+from apricotpathd.startturns import StartTurns
 
 log = logging.getLogger(__name__)
 
@@ -98,7 +99,8 @@
         self.changed = anyio.Event()
         self._group: TaskGroup | None = None
         self.pacing = FillerPacing()
-        self._orders = HostOrders(self)
+        self.start_turns = StartTurns()
+        self._orders = HostOrders(self, self.start_turns)
         self._crash_watch = CrashWatch()
         self.fences = IncarnationFences(former_fence, self._signal, self._note_unreachable)
 
--- a/packages/daemon/src/apricotpathd/hostorders.py
+++ b/packages/daemon/src/apricotpathd/hostorders.py
@@ -1,6 +1,7 @@
 """Carries out the orders of a scheduler at an agent's executor, with retries."""
 
 import logging
+from enum import Enum
 from typing import Protocol
 
 import anyio
@@ -18,6 +19,7 @@
 from apricotpath.model import StartAnswer
 from apricotpathd.attachment import Attachment, ExecutorState, RunView
 from apricotpathd.fillerpacing import FillerPacing
+from apricotpathd.startturns import StartTurns, Turn
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +27,16 @@
 ORDER_RETRY_S = 0.05
 
 
+class NoAnswer(Enum):
+    """Why an attempt to start a run has no answer.
+
+    NOT_SENT: no call was made. UNANSWERED: it may have been carried out, or may still be.
+    """
+
+    NOT_SENT = "not-sent"
+    UNANSWERED = "unanswered"
+
+
 class OrderingAgent(Protocol):
     """What orders need of their agent; `attachment` is None while no scheduler is attached."""
 
@@ -52,10 +64,14 @@
 
 
 class HostOrders:
-    """Starts and stops runs at the executor for the agent's attachment."""
+    """Starts and stops runs at the executor for the agent's attachment.
+
+    Start calls wait for their turn, stops don't.
+    """
 
-    def __init__(self, agent: OrderingAgent) -> None:
+    def __init__(self, agent: OrderingAgent, turns: StartTurns) -> None:
         self._agent = agent
+        self._turns = turns
 
     async def start(self, attached: Attachment, order: RunOrder, valid_until: float) -> None:
         """Start a run, and answer whether it has started or certainly never will."""
@@ -95,23 +111,14 @@
         renewal has no answer, since the executor may be another incarnation.
         """
         unanswered = False
-        name = (order.task, order.run)
+        name, place = (order.task, order.run), self._turns.next_place()
         while attached is self._agent.attachment and self._agent.executor is not None:
-            deadline = self._agent.deadline(attached)
-            answer: StartAnswer | None = StartAnswer.REFUSED
-            valid = not self._agent.draining and boot_s() <= valid_until
-            wanted = deadline is not None and valid and name not in attached.stopping
-            if wanted and attached.renewal_failed:
-                await anyio.sleep(ORDER_RETRY_S)
-                continue
-            if not self._fits(attached):
-                answer = StartAnswer.UNFIT
-            elif wanted and deadline is not None:
-                answer = await self._start_once(attached, order, deadline)
+            async with self._turns.turn(place, name, valid_until - boot_s()) as turn:
+                answer = await self._attempt(attached, order, valid_until, turn)
             if answer is StartAnswer.STARTED:
                 return answer
-            if answer is None:
-                unanswered = True
+            if isinstance(answer, NoAnswer):
+                unanswered = unanswered or answer is NoAnswer.UNANSWERED
                 await anyio.sleep(ORDER_RETRY_S)
             elif unanswered:
                 await self.stop(attached, order.task, order.run)
@@ -120,23 +127,48 @@
                 return answer
         return StartAnswer.REFUSED
 
+    async def _attempt(
+        self, attached: Attachment, order: RunOrder, valid_until: float, turn: Turn | None
+    ) -> StartAnswer | NoAnswer:
+        """Make one attempt to start a run, unless it is out of date when its turn has come."""
+        if attached is not self._agent.attachment:
+            return StartAnswer.REFUSED
+        deadline = self._agent.deadline(attached)
+        valid = not self._agent.draining and boot_s() <= valid_until
+        stopped = (order.task, order.run) in attached.stopping
+        wanted = turn is not None and deadline is not None and valid and not stopped
+        if wanted and attached.renewal_failed:
+            return NoAnswer.NOT_SENT
+        if not self._fits(attached):
+            return StartAnswer.UNFIT
+        if not wanted or turn is None or deadline is None:
+            return StartAnswer.REFUSED
+        return await self._start_once(attached, order, deadline, turn)
+
     async def _start_once(
-        self, attached: Attachment, order: RunOrder, deadline: int
-    ) -> StartAnswer | None:
-        """Make one attempt to start a run; None if it was not answered or is out of date."""
+        self, attached: Attachment, order: RunOrder, deadline: int, turn: Turn
+    ) -> StartAnswer | NoAnswer:
+        """Make one call to start a run."""
         assert self._agent.executor is not None
         call = StartCall(order.task, order.run, order.command, order.saved, order.ticket, deadline)
+        turn.begin()
         try:
-            return await self._agent.executor.start(call, attached.fence)
+            answer = await self._agent.executor.start(call, attached.fence)
         except ExecutorUnavailable as exc:
+            turn.unanswered()
             extra = {"task": order.task, "run": order.run}
             log.info("start not answered: %s", exc, extra=extra)
+            return NoAnswer.UNANSWERED
         except ExecutorFenced:
+            turn.answered()
             self._agent.end_attachment(attached, "a higher fencing token was used")
+            return NoAnswer.UNANSWERED
         except ExecutorError as exc:
+            turn.answered()
             log.info("start failed: %s", exc, extra={"task": order.task, "run": order.run})
             return StartAnswer.BROKEN
-        return None
+        turn.answered()
+        return answer
 
     async def stop(self, attached: Attachment, task: TaskId, run: int) -> None:
         """Stop a run, with retries until the executor has answered or has ended."""
@@ -145,6 +177,7 @@
             await stopping.wait()
             return
         stopping = attached.stopping[task, run] = anyio.Event()
+        self._turns.withdraw((task, run))
         await self._stop_until_answered(attached, task, run)
         del attached.stopping[task, run]
         stopping.set()
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -188,6 +188,7 @@
         self.election = ElectionSettings(prefix=PREFIX)
         self.shared = SharedStore()
         self.behaviour = Behaviour()
+        self.executor_class: type[ModelExecutor] = ModelExecutor
         self.entries: dict[str, EntryNode] = {}
         self.agents: dict[str, AgentNode] = {}
         self.queues = {QUEUE: Queue(QUEUE, SERVICE, attempts=2)}
@@ -277,7 +278,7 @@
         process = Process(Role.AGENT, ProcessId(name), DataCentreId(zone))
 
         def connect_executor(facts: HostFacts) -> Executor:
-            executor = ModelExecutor(model, self.group, crc32(name.encode()))
+            executor = self.executor_class(model, self.group, crc32(name.encode()))
             executor.unanswered_share = self.unanswered_share
             executor.unanswered_renewals = self.unanswered_renewals
             executor.late_s = self.late_s
