The limit of start calls falls only with calls that are not answered

On a busy machine answers are slow whatever the limit, so that a limit that fell with slow answers came down to 1. It begins at 16, doubles with quick answers until it is halved for the first time, and rises by one a round from then on.

--- a/packages/core/src/apricotpath/callwindow.py
+++ b/packages/core/src/apricotpath/callwindow.py
@@ -2,15 +2,13 @@
 
 from typing import NamedTuple
 
-INITIAL_CALLS = 8
+INITIAL_CALLS = 16
 MIN_CALLS = 1
 # Leaves connections of a pool of 32 to other calls.
 MAX_CALLS = 24
-# Answers that take at most this long (seconds) show that the server can take more calls.
-QUICK_ANSWER_S = 0.1
-# Answers that take longer than this (seconds) show that calls queue up at the server.
-SLOW_ANSWER_S = 0.25
-DECREASE = 0.5
+# Answers that take at most this long (seconds) show that the server can take more calls. With
+# twice as many they still come within a call timeout of 0.5 s.
+QUICK_ANSWER_S = 0.25
 
 
 class OpenCall(NamedTuple):
@@ -21,17 +19,19 @@
 
 
 class CallWindow:
-    """Additive increase, multiplicative decrease of the limit; times are in seconds.
+    """Limit that rises with quick answers and is halved by calls without one; times in seconds.
 
-    The limit rises by one for each round of quick answers, while it is reached. It falls at most
-    once in a round: when an answer is slow, or when a call gets none. A call without an answer
-    counts as lost, not as a sign of load, if one that was sent after it was answered.
+    `open` is the number of calls under way. The limit rises only while it is reached: by one for
+    each quick answer until it is halved for the first time, and by one for each round of quick
+    answers from then on. It falls at most once in a round. A call without an answer counts as
+    lost, not as a sign of load, if one that was sent after it was answered.
     """
 
     def __init__(self) -> None:
         self.open = 0
         self._limit = float(INITIAL_CALLS)
-        self._last_sent = self._newest_answered = self._last_before_decrease = 0
+        self._was_halved = False
+        self._last_sent = self._newest_answered = self._last_before_halving = 0
 
     @property
     def limit(self) -> int:
@@ -58,20 +58,19 @@
         was_full = self.open >= self.limit
         self.open -= 1
         self._newest_answered = max(self._newest_answered, call.number)
-        took_s = now - call.sent_at
-        if took_s > SLOW_ANSWER_S:
-            self._decrease(call)
-        elif was_full and took_s <= QUICK_ANSWER_S:
-            self._limit = min(float(MAX_CALLS), self._limit + 1 / self._limit)
+        if was_full and now - call.sent_at <= QUICK_ANSWER_S:
+            step = 1 / self._limit if self._was_halved else 1.0
+            self._limit = min(float(MAX_CALLS), self._limit + step)
 
     def unanswered(self, call: OpenCall) -> None:
         """Adjust the limit to a call without an answer."""
         self.open -= 1
         if call.number > self._newest_answered:
-            self._decrease(call)
-
-    def _decrease(self, call: OpenCall) -> None:
-        """Lower the limit, unless the call was sent before it was lowered last."""
-        if call.number > self._last_before_decrease:
-            self._last_before_decrease = self._last_sent
-            self._limit = max(float(MIN_CALLS), self._limit * DECREASE)
+            self._halve(call)
+
+    def _halve(self, call: OpenCall) -> None:
+        """Halve the limit, unless the call was sent before it was halved last."""
+        if call.number > self._last_before_halving:
+            self._last_before_halving = self._last_sent
+            self._was_halved = True
+            self._limit = max(float(MIN_CALLS), self._limit / 2)
