--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import anyio
 
@@ -13,10 +13,12 @@
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreOutcomeUnknown
 from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
-from apricotpath.ids import Epoch, HostId, IncarnationId, ProcessId
+from apricotpath.ids import Epoch, IncarnationId, ProcessId
 from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
+from apricotpath.receivedhandover import ReceivedHandover
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
+from apricotpath.term import ElectionSettings, Term
 
 log = logging.getLogger(__name__)
 
@@ -34,56 +36,6 @@
 STAND_BACK_S = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class ElectionSettings:
-    """Settings of an entry's store lease, in seconds, and of its candidacy.
-
-    `authority_s`: for how long at most a leader acts after a later one was elected.
-    """
-
-    lease_s: float = 1.5
-    renew_s: float = 0.4
-    authority_s: float = 6.0
-    prefix: str = "apricotpath/"
-    # Processors of this entry; among the candidates, the one with the most goes first.
-    cores: float = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class Term:
-    """One period in which an entry is the leader.
-
-    `epoch_revision` is the mod revision of the epoch key; a write that compares
-    it fails once a later term has begun. `predecessor` is the leader of the
-    previous term, if any; `predecessor_ended` is set once that leader and all
-    before it certainly do nothing any more in their terms. Those before it have
-    ended by `former_until`, and all of them by `earlier_until`, on the boot clock.
-    `holds` is filled when the term ends, see `LeaderRecord`. `given_up` is set
-    if the leader cannot serve the term, and `ended` once it does nothing in it any more.
-    `elected_at` is the time of the election on the boot clock.
-    """
-
-    epoch: Epoch
-    epoch_key: str
-    epoch_revision: int
-    predecessor: LeaderRecord | None = None
-    former_until: float = float("-inf")
-    earlier_until: float = float("-inf")
-    predecessor_ended: anyio.Event = field(default_factory=anyio.Event)
-    holds: dict[HostId, float] = field(default_factory=dict)
-    given_up: anyio.Event = field(default_factory=anyio.Event)
-    ended: anyio.Event = field(default_factory=anyio.Event)
-    elected_at: float = field(default_factory=boot_s)
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedHandover:
-    """A handover to this entry that it has not looked at yet, and the process that sent it."""
-
-    message: TermHandover
-    sender: Hello
-
-
 class Election:
     """Keeps this entry registered and acquires the leadership when it is vacant.
 
@@ -323,7 +275,8 @@
         """Try to acquire the leadership if it was handed over to this entry, or is vacant."""
         handover, self._handover = self._handover, None
         if handover is not None and self._lease is not None and self.can_take_over():
-            former = self._former_leader(handover)
+            item = self.mirror.items.get(self._epoch_key)
+            former = handover.ended_record(item, self.leader_records.read(item))
             if former is not None:
                 return await self._acquire(self._lease, former)
         if not self._may_campaign():
@@ -333,21 +286,6 @@
             return await self._acquire(self._lease)
         return None
 
-    def _former_leader(self, handover: ReceivedHandover) -> LeaderRecord | None:
-        """Return the record of a term that was handed over, or None if it is not the newest."""
-        message, sender = handover.message, handover.sender
-        item = self.mirror.items.get(self._epoch_key)
-        record = self.leader_records.read(item)
-        if item is None or record is None or item.mod_revision != message.epoch_revision:
-            log.info("handover of another term ignored", extra={"epoch": message.epoch})
-            return None
-        if (record.entry, record.incarnation) != (sender.process_id, sender.incarnation):
-            log.warning("handover by another process ignored", extra={"epoch": message.epoch})
-            return None
-        holds = {hold.host: hold.left_ms / 1000 for hold in message.holds}
-        log.info("handover accepted", extra={"from": record.entry, "epoch": record.epoch})
-        return replace(record, ended=True, holds=holds, former_ended=message.former_ended)
-
     def _stand_back(self) -> None:
         """Leave the leadership to other entries for a while."""
         self._stands_back_until = boot_s() + STAND_BACK_S
--- a/packages/daemon/src/apricotpathd/fencetokens.py
+++ b/packages/daemon/src/apricotpathd/fencetokens.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from apricotpath.election import Term
 from apricotpath.entryrecords import RecordReader
 from apricotpath.errors import StoreError
 from apricotpath.fencelimits import (
@@ -17,6 +16,7 @@
 from apricotpath.ids import FenceToken
 from apricotpath.mirror import WatchableStore
 from apricotpath.store import Compare, Put
+from apricotpath.term import Term
 
 log = logging.getLogger(__name__)
 
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -9,7 +9,6 @@
 from apricotpath.commitments import reserved_size
 from apricotpath.crashes import SURVIVAL_S
 from apricotpath.disturbance import Disturbance
-from apricotpath.election import Term
 from apricotpath.errors import InputError, LinkError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
 from apricotpath.ids import FenceToken, HostId, TaskId
@@ -36,6 +35,7 @@
 )
 from apricotpath.model import Size, StartAnswer
 from apricotpath.quarantine import Quarantine
+from apricotpath.term import Term
 from apricotpath.workload import HostFacts, Step, TaskKey
 from apricotpathd.fencetokens import FenceTokens
 from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -10,7 +10,7 @@
 
 from apricotpath.codec import Envelope
 from apricotpath.config import Address
-from apricotpath.election import Election, ElectionSettings, Term
+from apricotpath.election import Election
 from apricotpath.errors import LinkError
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import Epoch
@@ -33,6 +33,7 @@
 )
 from apricotpath.mirror import WatchableStore
 from apricotpath.model import Role
+from apricotpath.term import ElectionSettings, Term
 from apricotpathd.dialler import Dialler
 from apricotpathd.jobservice import JobService
 from apricotpathd.process import Process
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -10,7 +10,6 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.dryrun import JobTrial, try_job
-from apricotpath.election import Term
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
 from apricotpath.fleet import FleetSettings, Host
@@ -34,6 +33,7 @@
 from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, RunRecord
 from apricotpath.slices import OPERATIONS_PER_SLICE, RUNS_PER_OPERATION, Slices
+from apricotpath.term import Term
 from apricotpath.upkeeprecords import UpkeepRecords
 from apricotpath.workload import Job, Queue, StepKey
 from apricotpathd.crashrecorder import CrashRecorder
--- a/packages/daemon/src/apricotpathd/storeloss.py
+++ b/packages/daemon/src/apricotpathd/storeloss.py
@@ -8,13 +8,14 @@
 import anyio
 
 from apricotpath.boottime import boot_s
-from apricotpath.election import Election, Term
+from apricotpath.election import Election
 from apricotpath.entryrecords import shortest_holds
 from apricotpath.errors import LinkError, PeerError, StoreError, StoreLimited
 from apricotpath.ids import ProcessId
 from apricotpath.link import Link
 from apricotpath.messages import Failure, HostHold, StoreQuestion, StoreReached, TermHandover
 from apricotpath.model import Role
+from apricotpath.term import Term
 
 log = logging.getLogger(__name__)
 
--- a/packages/daemon/src/apricotpathd/tableload.py
+++ b/packages/daemon/src/apricotpathd/tableload.py
@@ -5,12 +5,12 @@
 import anyio
 
 from apricotpath.boottime import boot_s
-from apricotpath.election import Term
 from apricotpath.errors import StoreError
 from apricotpath.mirror import Mirror
 from apricotpath.pagedread import ReadProgress
 from apricotpath.runlog import RunLog
 from apricotpath.runrecords import RunRecord
+from apricotpath.term import Term
 
 log = logging.getLogger(__name__)
 
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -8,7 +8,6 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import PROTOCOL_VERSION, Envelope
-from apricotpath.election import Term
 from apricotpath.entryrecords import LeaderRecord
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostleases import LeaseBasis
@@ -38,6 +37,7 @@
 )
 from apricotpath.model import Role, Size
 from apricotpath.runrecords import Assigned
+from apricotpath.term import Term
 from apricotpath.workload import HostFacts, Job, Step, TaskKey
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.hostagent import HostAgent
--- a/tests/features/steps/hostslopes_steps.py
+++ b/tests/features/steps/hostslopes_steps.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 
 from apricotpath.boottime import set_clock
-from apricotpath.election import Term
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import DataCentreId, Epoch, HostId, JobId, QueueId, RackId, ServiceId
@@ -18,6 +17,7 @@
 from apricotpath.model import Size
 from apricotpath.runplacement import choose_host, place
 from apricotpath.runrecords import Assigned
+from apricotpath.term import Term
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
 from apricotpathd.hosttracker import HostTracker
 from support.instructions import count_instructions
--- a/tests/features/steps/passes_steps.py
+++ b/tests/features/steps/passes_steps.py
@@ -6,7 +6,6 @@
 import anyio
 from behave import given, then, when
 
-from apricotpath.election import Term
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, JobId, RackId
@@ -16,6 +15,7 @@
 from apricotpath.runplacement import place
 from apricotpath.runrecords import Assigned
 from apricotpath.slices import Slices
+from apricotpath.term import Term
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.runstops import RunStops
--- a/tests/support/gangworld.py
+++ b/tests/support/gangworld.py
@@ -10,7 +10,6 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
-from apricotpath.election import Term
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import (
     DataCentreId,
@@ -39,6 +38,7 @@
 )
 from apricotpath.model import Size
 from apricotpath.store import Put
+from apricotpath.term import Term
 from apricotpath.workload import Job, Progress, Queue, RunResult, Step
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 from support.memorystore import MemoryStore, SharedStore
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -17,7 +17,6 @@
 from apricotpath.boottime import boot_s, set_clock
 from apricotpath.codec import Envelope, encode
 from apricotpath.config import Address, LinkSettings
-from apricotpath.election import ElectionSettings, Term
 from apricotpath.errors import CodecError, LinkError, PeerError
 from apricotpath.executor import Executor
 from apricotpath.fencelimits import FENCES_PER_EPOCH
@@ -36,6 +35,7 @@
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.messages import Failure, Hello, HostGrant, Message, StartRuns
 from apricotpath.model import Role, Size
+from apricotpath.term import ElectionSettings, Term
 from apricotpath.traffic import Traffic
 from apricotpath.workload import HostFacts, Job, Queue, Step, TaskKey
 from apricotpathd.attachment import ExecutorState
