--- a/packages/daemon/src/apricotpathd/fleetlog.py
+++ b/packages/daemon/src/apricotpathd/fleetlog.py
@@ -40,7 +40,7 @@
                 "waiting": dict(self._waiting()),
                 "unrecorded_endings": len(self._tracker.endings),
                 "gangs_left_out": inputs.gang_turns.left_out,
-                "pressures": self._tracker.disturbance.pressures(),
+                "pressures": self._tracker.traits.disturbance.pressures(),
                 "hosts": {
                     name: host_row(load, inputs.now, inputs.cfg.silent_s)
                     for name, load in loads.items()
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -6,13 +6,11 @@
 from dataclasses import replace
 
 from apricotpath.boottime import boot_s
-from apricotpath.commitments import reserved_size
 from apricotpath.crashes import SURVIVAL_S
-from apricotpath.disturbance import Disturbance
-from apricotpath.errors import InputError, LinkError
+from apricotpath.errors import InputError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
-from apricotpath.ids import FenceToken, HostId, TaskId
-from apricotpath.jobrows import READY_PERCENT, Run, RunPhase
+from apricotpath.ids import FenceToken, HostId
+from apricotpath.jobrows import Run, RunPhase
 from apricotpath.jobtable import JobTable
 from apricotpath.link import Link
 from apricotpath.messages import (
@@ -28,24 +26,22 @@
     OrderAnswers,
     RunEnding,
     RunName,
-    RunTrait,
-    RunTraits,
     StartRuns,
     StopRuns,
 )
 from apricotpath.model import Size, StartAnswer
 from apricotpath.quarantine import Quarantine
 from apricotpath.term import Term
-from apricotpath.workload import HostFacts, Step, TaskKey
+from apricotpath.workload import HostFacts, TaskKey
 from apricotpathd.fencetokens import FenceTokens
 from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
+from apricotpathd.hostsending import send_nowait
+from apricotpathd.hosttraits import HostTraits
 
 log = logging.getLogger(__name__)
 
 # A stop is sent again after this time while the host still reports the run.
 STOP_RESEND_S = 0.6
-# Interval at which hosts with both serving and filler tasks get new interference estimates.
-TRAITS_INTERVAL_S = 2.0
 # A host that rejected a start gets no starts for this time; its next report tells why.
 REJECTED_PAUSE_S = 0.15
 # The progress of a run counts as a measure of its host's speed only after this time.
@@ -87,8 +83,7 @@
         self._grants_ended = False
         self._last_queued_endings: dict[HostId, int] = {}
         self._unknown_stops_sent_at: dict[HostId, dict[RunName, float]] = {}
-        self.disturbance = Disturbance()
-        self._traits_sent_at: dict[HostId, float] = {}
+        self.traits = HostTraits(table)
 
     def attach(self, link: Link, message: HostAttach) -> HostAttached | Failure:
         """Attach a host's executor to this term and return the new fencing token.
@@ -234,7 +229,7 @@
         host.leaves_at = now + message.remaining_ms / 1000 if message.draining else float("inf")
         self._match_runs(host, message, now)
         self._note_ended_incarnations(host, message.endings)
-        self._update_interference(host, link, now)
+        self.traits.observe(host, link, now)
         for ending in message.endings:
             if ending.number > self._last_queued_endings.get(host.host, host.acked_ending):
                 self._last_queued_endings[host.host] = ending.number
@@ -244,7 +239,7 @@
             host.reported = True
             # The executor has seen the new fencing token, so nobody renews older leases.
             host.leases.on_fenced(now + self._cfg.run_hold_s)
-            self._send_traits(host, link)
+            self.traits.send(host, link)
             self._wake()
 
     def receive_silence(self, link: Link, message: HostSilent) -> None:
@@ -372,40 +367,6 @@
             if (str(key), number) in ended:
                 self._note_incarnation(host, run)
 
-    def _update_interference(self, host: Host, link: Link, now: float) -> None:
-        """Update the interference estimates, and send them to a host with both kinds of task."""
-        if host.facts is None:
-            return
-        serving: list[tuple[str, float]] = []
-        shares: dict[str, float] = {}
-        for run in self._table.by_host.get(host.host, {}).values():
-            step = self._table.step_of(run.task)
-            if run.phase is not RunPhase.RUNNING:
-                continue
-            if step.filler:
-                share = run.pace / 100 * self._cpu_share(host.facts, step)
-                shares[step.image] = shares.get(step.image, 0.0) + share
-            elif step.target_ms > 0 and run.percent >= READY_PERCENT and run.load > 0:
-                serving.append((step.image, run.load / step.target_ms))
-        self.disturbance.observe(serving, shares)
-        if (
-            serving
-            and shares
-            and now - self._traits_sent_at.get(host.host, 0.0) > TRAITS_INTERVAL_S
-        ):
-            self._send_traits(host, link, fillers_only=True)
-
-    @staticmethod
-    def _cpu_share(facts: HostFacts, step: Step) -> float:
-        """Return the share of a host's processors that a task uses at full speed."""
-        return step.size.cpu_milli / max(1, facts.capacity.cpu_milli)
-
-    def pressure(self, host: Host, step: Step) -> float:
-        """Return by how much a filler task raises the logarithm of tail latencies on a host."""
-        if not step.filler or host.facts is None:
-            return 0.0
-        return self.disturbance.pressure(step.image) * self._cpu_share(host.facts, step)
-
     def _update_host_speed(self, host: Host, run: Run, now: float) -> None:
         """Update the estimate of a host's speed from the progress of a run."""
         row = self._table.rows.get(run.task.job)
@@ -425,21 +386,6 @@
         log.info("unknown run stopped", extra={"host": host.host, "task": name.task})
         self.send(host, StopRuns(host.fence, (name,)))
 
-    def _send_traits(self, host: Host, link: Link, fillers_only: bool = False) -> None:
-        self._traits_sent_at[host.host] = boot_s()
-        traits = []
-        for run in self._table.runs_on(host.host):
-            if run.task not in self._table.rows[run.task.job].tasks:
-                continue
-            step = self._table.step_of(run.task)
-            if step.filler or not fillers_only:
-                name, pressure = TaskId(str(run.task)), self.pressure(host, step)
-                trait = RunTrait(
-                    name, run.run, step.filler, step.target_ms, pressure, reserved_size(step)
-                )
-                traits.append(trait)
-        send_nowait(link, RunTraits(host.fence, tuple(traits)))
-
     def receive_answers(self, link: Link, message: OrderAnswers) -> None:
         """Apply a host's answers to start orders."""
         host = self._attached_host(link, message.fence)
@@ -514,15 +460,3 @@
         silent_s = now - max(host.reported_at, self._started)
         extra = {"host": host.host, "runs": runs, "basis": host.leases.bound.basis.value}
         log.info("leases of a host have expired", extra=extra | {"silent_s": round(silent_s, 3)})
-
-
-def send_nowait(
-    link: Link, message: HostDetached | HostGrant | RunTraits | StartRuns | StopRuns
-) -> bool:
-    """Queue a message on a link; False if the link is closed or its queue is full."""
-    try:
-        link.send_nowait(message)
-    except LinkError as exc:
-        log.info("message to %s not sent: %s", link.peer_id, exc)
-        return False
-    return True
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -106,7 +106,7 @@
         self._starts_alone = term.predecessor_ended.is_set()
         self._ends = JobEnds(self.table, self._keys, cfg, metrics, self._started)
         self.host_tracker = HostTracker(term, self.table, cfg, last_store_contact_at, self.wake)
-        disturbance = self.host_tracker.disturbance
+        disturbance = self.host_tracker.traits.disturbance
         self._learned = LearnedState(store, prefix, disturbance, self._started)
         self._start_orders = StartOrders(
             term.epoch, self.table, self.host_tracker, lambda: rules().out, metrics
@@ -405,7 +405,7 @@
             now,
             self._utc(),
             self.cfg,
-            low_impact_images=self.host_tracker.disturbance.low_impact_images(),
+            low_impact_images=self.host_tracker.traits.disturbance.low_impact_images(),
             gang_turns=self.gang_turns,
         )
 
--- a/packages/daemon/src/apricotpathd/startorders.py
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -86,7 +86,7 @@
             "",
             step.filler,
             step.target_ms,
-            self._tracker.pressure(host, step),
+            self._tracker.traits.pressure(host, step),
             reserved_size(step),
         )
 
