--- a/packages/core/src/apricotpath/dryrun.py
+++ b/packages/core/src/apricotpath/dryrun.py
@@ -115,7 +115,7 @@
     job = replace(job, job_id=TRIAL_JOB, schedule=schedule, accepted_s=inputs.utc_s)
     inputs = replace(inputs, gang_turns=inputs.gang_turns.copy())
     plan = ahead.copy() if ahead is not None else None
-    trial = table.trial_copy()
+    trial = _copy_for_trial(table)
     row = trial.add(job, inputs.now)
     trial.open_due(inputs.utc_s, inputs.now)
     if row is None or not row.steps:
@@ -126,6 +126,19 @@
     return JobTrial(tuple(watch.found.get(n) or _unseen(trial, n, step) for n, step in steps))
 
 
+def _copy_for_trial(table: JobTable) -> JobTable:
+    """Return a table to which a job may be added without changing the given one.
+
+    It shares the jobs and runs there are, so that no record may be applied to it.
+    """
+    other = JobTable()
+    other.rows, other.waiting = table.rows.copy(), table.waiting.copy()
+    other.waiting_steps = table.waiting_steps.copy()
+    other.index, other.by_host = table.index, table.by_host
+    other.crashes, other.queues = table.crashes, table.queues
+    return other
+
+
 def _unseen(table: JobTable, number: int, step: Step) -> StepTrial:
     """Return what is known of a step that the pass has not looked at."""
     due = len(table.waiting_steps.get((TRIAL_JOB, 0, number), ()))
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -54,8 +54,8 @@
         self.rows: dict[JobId, JobRow] = {}
         self.waiting: dict[TaskKey, Task] = {}
         self.waiting_steps: dict[StepKey, dict[TaskKey, Task]] = {}
-        self._index = RunIndex(self._step_with_tasks)
-        self.by_host = self._index.by_host
+        self.index = RunIndex(self._step_with_tasks)
+        self.by_host = self.index.by_host
         self.crashes: dict[TaskKey, CrashHistory] = {}
         self.changed: set[JobId] = set()
         self.to_end: dict[JobId, Progress] = {}
@@ -65,18 +65,6 @@
         # When (UTC seconds) the next occurrences of scheduled jobs are due; a heap.
         self._due: list[tuple[float, JobId]] = []
 
-    def trial_copy(self) -> "JobTable":
-        """Return a table to which jobs may be added without changing this one.
-
-        It shares the jobs and runs there are, so that no record may be applied to it.
-        """
-        other = JobTable()
-        other.rows, other.waiting = self.rows.copy(), self.waiting.copy()
-        other.waiting_steps = self.waiting_steps.copy()
-        other._index, other.by_host = self._index, self.by_host
-        other.crashes, other.queues = self.crashes, self.queues
-        return other
-
     def add(self, job: Job, now: float) -> JobRow | None:
         """Add an accepted job; None if it is in the table already."""
         if job.job_id in self.rows:
@@ -178,11 +166,11 @@
 
     def commitments(self, host: HostId) -> Commitments:
         """Return what the runs on a host reserve and use; not to be changed."""
-        return self._index.commitments(host)
+        return self.index.commitments(host)
 
     def note_survived(self, run: Run) -> None:
         """Note that a run has survived its start."""
-        self._index.note_survived(run)
+        self.index.note_survived(run)
 
     def _step_with_tasks(self, key: TaskKey) -> Step | None:
         """Return the step of a task; None if its job is unknown or has no tasks any more."""
@@ -216,7 +204,7 @@
         row.run_count += record.run not in task.runs
         task.add_run(run)
         self._drop_waiting(record.task)
-        self._index.add(run)
+        self.index.add(run)
         if task.gang is None:
             self._open_tasks(row, record.task.occurrence, record.task.step, now)
 
@@ -230,7 +218,7 @@
         run = task.end_run(record.run)
         if run is not None:
             row.run_count -= 1
-            self._index.remove(run)
+            self.index.remove(run)
         if record.result is not RunResult.LOST:
             self.note_begun(record.task.job)
         if record.saved:
