Split hostagent.py: the executor's clock, and what belongs to an attachment

ExecutorClock converts times; an attachment numbers its reports, applies grants and tells which runs a list lacks.

--- a/packages/daemon/src/apricotpathd/attachment.py
+++ b/packages/daemon/src/apricotpathd/attachment.py
@@ -9,7 +9,7 @@
 from apricotpath.boottime import boot_s
 from apricotpath.ids import Epoch, FenceToken, TaskId
 from apricotpath.link import Link
-from apricotpath.messages import RunEnding, RunStatus, RunTrait
+from apricotpath.messages import HostGrant, RunEnding, RunStatus, RunTrait
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, HostFacts
 
@@ -17,6 +17,9 @@
 # With serving tasks on the host, the pace of filler tasks needs more frequent readings.
 RENEWAL_WAIT_S = 0.8
 SERVING_RENEWAL_WAIT_S = 0.4
+# Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
+# up to 50 are sent per second.
+MAX_RENEWALS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,13 @@
     def __post_init__(self) -> None:
         self.settled.set()
 
+    def next_renewal(self) -> int:
+        """Return the number of a report that is sent now."""
+        self.renewal += 1
+        self.sent_at[self.renewal] = boot_s()
+        self.sent_at.pop(self.renewal - MAX_RENEWALS, None)
+        return self.renewal
+
     def reserved(self) -> Size:
         """Return what the runs reserve of the executor's capacity, starts in progress included."""
         return sum((view.size for view in self.views.values()), NO_SIZE)
@@ -130,6 +140,27 @@
         if self.reported_ending > self.acked_ending and self.settled.is_set():
             self.settled = anyio.Event()
 
+    def apply_grant(self, grant: HostGrant, lease_s: float) -> None:
+        """Extend the lease, which counts from the report that is answered."""
+        sent = self.sent_at.get(grant.renewal)
+        if sent is not None:
+            self.granted_until = max(self.granted_until, sent + lease_s)
+            self.granted_renewal = max(self.granted_renewal, grant.renewal)
+        self.acknowledge_endings(grant.noted)
+
+    @property
+    def end_answered(self) -> bool:
+        """Whether the scheduler has answered the final report on an ended executor."""
+        return self.final_renewal is not None and self.granted_renewal >= self.final_renewal
+
+    def missing_runs(self, requested_at: float) -> list[tuple[TaskId, int]]:
+        """Return the runs that a list requested then would show if they existed."""
+        return [
+            name
+            for name, view in self.views.items()
+            if view.settled_at < requested_at and name not in self.reported_runs
+        ]
+
     def acknowledge_endings(self, number: int) -> None:
         """Note that the scheduler has recorded all endings up to a number."""
         self.acked_ending = max(self.acked_ending, number)
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -44,6 +44,7 @@
 from apricotpath.workload import HostFacts
 from apricotpathd.attachment import Attachment, ExecutorPhase, ExecutorState
 from apricotpathd.crashwatch import CrashWatch
+from apricotpathd.executorclock import ExecutorClock
 from apricotpathd.fillerpacing import FillerPacing
 from apricotpathd.formerfence import FormerFence
 from apricotpathd.hostorders import HostOrders
@@ -57,9 +58,6 @@
 # After its announced end, an executor has ended once it refuses this many connections in a row; a
 # single refusal may be a connection that was reset while it was opened.
 MIN_REFUSALS_TO_END = 3
-# Number of reports whose send times are kept. A report follows each acknowledgement of endings, so
-# up to 50 are sent per second.
-MAX_RENEWALS = 512
 
 
 class HostAgent:
@@ -91,7 +89,7 @@
         self.attachment: Attachment | None = None
         self.executor: Executor | None = None
         self._connect = connect
-        self._clock_ms, self._clock_at = 0, 0.0
+        self._clock = ExecutorClock()
         # End of the longest lease granted so far; an earlier process of this agent may have been
         # granted one until it ended.
         self._leased_until = boot_s() + cfg.run_lease_s
@@ -354,10 +352,8 @@
             await self._handle_restart(attached, born_ms)
             return
         attached.renewal_failed = False
-        self._clock_ms, self._clock_at = executor_report.clock_ms, boot_s()
-        reported_runs = attached.reported_runs = {
-            (status.task, status.run) for status in executor_report.runs
-        }
+        self._clock.note(executor_report.clock_ms)
+        attached.reported_runs = {(status.task, status.run) for status in executor_report.runs}
         self._crash_watch.on_answer()
         self._endings = executor_report.endings
         for ending in executor_report.endings:
@@ -368,12 +364,7 @@
         if not executor_report.whole:
             # A run that is not listed may be at work.
             return
-        missing = [
-            name
-            for name, view in attached.views.items()
-            if view.settled_at < sent and name not in reported_runs
-        ]
-        for task, run in missing:
+        for task, run in attached.missing_runs(sent):
             del attached.views[task, run]
             log.info("run not listed", extra={"task": task, "run": run})
             self._orders.answer(attached, task, run, StartAnswer.REFUSED)
@@ -399,12 +390,9 @@
         """Send a report; all runs that are missing in a complete one have ended."""
         state, draining = self.state, self.draining
         left_s = max(0.0, state.leaves_at - boot_s()) if state and draining else 0.0
-        attached.renewal += 1
-        attached.sent_at[attached.renewal] = boot_s()
-        attached.sent_at.pop(attached.renewal - MAX_RENEWALS, None)
         report = HostRuns(
             attached.fence,
-            attached.renewal,
+            attached.next_renewal(),
             complete,
             draining,
             int(min(left_s, 3600.0) * 1000),
@@ -433,11 +421,7 @@
 
     def deadline(self, attached: Attachment) -> int | None:
         """Return the lease deadline of runs on the executor's clock; None without a valid grant."""
-        remaining_s = attached.granted_until - boot_s()
-        if remaining_s <= 0 or not self._clock_at:
-            return None
-        elapsed_s = boot_s() - self._clock_at
-        return self._clock_ms + round((elapsed_s + remaining_s) * 1000)
+        return self._clock.time_ms(attached.granted_until)
 
     # Messages.
 
@@ -453,15 +437,10 @@
         if isinstance(body, HostDetached) and body.fence == attached.fence:
             self._detach("the scheduler does not know the attachment")
         elif isinstance(body, HostGrant) and body.fence == attached.fence:
-            sent = attached.sent_at.get(body.renewal)
-            if sent is not None:
-                until = sent + self.cfg.run_lease_s
-                attached.granted_until = max(attached.granted_until, until)
-                self._leased_until = max(self._leased_until, until)
-                attached.granted_renewal = max(attached.granted_renewal, body.renewal)
-                if self._end_reported():
-                    self._signal()
-            attached.acknowledge_endings(body.noted)
+            attached.apply_grant(body, self.cfg.run_lease_s)
+            self._leased_until = max(self._leased_until, attached.granted_until)
+            if attached.end_answered:
+                self._signal()
         elif isinstance(body, StartRuns) and body.fence == attached.fence:
             sent = attached.sent_at.get(body.renewal, float("-inf"))
             for order in body.orders:
@@ -506,7 +485,7 @@
 
         Returns at once if the executor stays: the next process of this agent continues the runs.
         """
-        while self._awaits_end() and not self._end_reported():
+        while self._awaits_end() and not (self.attachment and self.attachment.end_answered):
             await self.changed.wait()
 
     def _awaits_end(self) -> bool:
@@ -514,10 +493,3 @@
         if self.state is None:
             return False
         return self.state.draining or self.phase is not ExecutorPhase.REGISTERED
-
-    def _end_reported(self) -> bool:
-        """Tell whether the scheduler has answered the final report on an ended executor."""
-        attached = self.attachment
-        if attached is None or attached.final_renewal is None:
-            return False
-        return attached.granted_renewal >= attached.final_renewal
