--- a/packages/cli/src/apricotpath_cli/client.py
+++ b/packages/cli/src/apricotpath_cli/client.py
@@ -134,7 +134,8 @@
     return b"" if body is None else json.dumps(body).encode()
 
 
-def _decode(entry: str, response: httpx.Response) -> dict[str, Any]:
+def decode_object(entry: str, response: httpx.Response) -> dict[str, Any]:
+    """Return the JSON object that an entry has answered, or raise EntryFailed."""
     try:
         if len(response.content) > MAX_ANSWER_BYTES:
             raise ValueError
@@ -145,6 +146,11 @@
         raise EntryFailed(
             f"entry {entry} sent an answer with status {response.status_code} that is not JSON"
         ) from exc
+    return value
+
+
+def _decode(entry: str, response: httpx.Response) -> dict[str, Any]:
+    value = decode_object(entry, response)
     if response.status_code < 300:
         return value
     text = str(value.get("error", f"status {response.status_code}"))
--- a/packages/cli/src/apricotpath_cli/dryrun.py
+++ b/packages/cli/src/apricotpath_cli/dryrun.py
@@ -1,7 +1,6 @@
 """Command that tells where a job would go if it were submitted now, and why."""
 
 import argparse
-import json
 import sys
 from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
@@ -13,14 +12,13 @@
 
 from apricotpath.errors import InputError
 from apricotpath_cli import client
-from apricotpath_cli.client import EntryFailed, EntryUnavailable
-from apricotpath_cli.options import DEFAULT_TIMEOUT_S, Groups, add_json, check_url, seconds
+from apricotpath_cli.client import EntryFailed, EntryUnavailable, decode_object
+from apricotpath_cli.options import Groups, add_json, add_timeout, check_url
 from apricotpath_cli.output import format_value, print_json
 
 PATH = "/dry-run"
 # As the entry's limit; a longer file is not sent.
 MAX_JOB_BYTES = 1 << 20
-MAX_ANSWER_BYTES = 4 << 20
 STDIN = "-"
 # Hosts and groups that a line of text names.
 MAX_NAMES = 5
@@ -48,13 +46,7 @@
         metavar="URL",
         help="status port of an entry, for example http://127.0.0.1:9464; may be repeated",
     )
-    parser.add_argument(
-        "--timeout",
-        type=seconds,
-        default=DEFAULT_TIMEOUT_S,
-        metavar="S",
-        help="seconds to wait for one answer of an entry",
-    )
+    add_timeout(parser)
     add_json(parser)
     parser.set_defaults(run=_dry_run)
 
@@ -107,15 +99,7 @@
 
 def _decode(entry: str, response: httpx.Response) -> dict[str, Any]:
     """Return the answer of an entry; raises EntryFailed, or InputError if the call is wrong."""
-    try:
-        if len(response.content) > MAX_ANSWER_BYTES:
-            raise ValueError
-        value = json.loads(response.content)
-        if not isinstance(value, dict):
-            raise ValueError
-    except (ValueError, RecursionError) as exc:
-        status = response.status_code
-        raise EntryFailed(f"entry {entry} answers no dry runs (status {status})") from exc
+    value = decode_object(entry, response)
     if response.status_code in (400, 413):
         raise InputError(f"entry {entry}: {value.get('error')}")
     if response.status_code != 200 or value.get("outcome") not in EXIT_CODES:
--- a/packages/cli/src/apricotpath_cli/options.py
+++ b/packages/cli/src/apricotpath_cli/options.py
@@ -56,6 +56,13 @@
         metavar="URL",
         help="operator URL of an entry, for example http://127.0.0.1:7103; may be repeated",
     )
+    add_timeout(parser)
+    add_key(parser)
+    add_json(parser)
+
+
+def add_timeout(parser: argparse.ArgumentParser) -> None:
+    """Add the time limit of each call to an entry."""
     parser.add_argument(
         "--timeout",
         type=seconds,
@@ -63,8 +70,6 @@
         metavar="S",
         help="seconds to wait for one answer of an entry",
     )
-    add_key(parser)
-    add_json(parser)
 
 
 def add_wait(parser: argparse.ArgumentParser) -> None:
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -10,7 +9,6 @@
 from hostholds_steps import (
     CAPACITY,
     CFG,
-    END_S,
     HOST,
     NEW,
     OLD,
@@ -24,7 +22,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.codec import Envelope
-from apricotpath.ids import FenceToken, InstanceId, ProcessId
+from apricotpath.ids import FenceToken, ProcessId
 from apricotpath.messages import (
     HostAttach,
     HostAttached,
@@ -46,16 +44,6 @@
 class DoubtfulHost(HeldHost):
     """A host with a run of the last term, whose executor answers little or nothing."""
 
-    async def watch(self, event: Any, *args: Any) -> None:
-        """Let an event happen, and note when the run is given up."""
-        started, tracker = boot_s(), self.make_tracker()
-        async with anyio.create_task_group() as group:
-            group.start_soon(event, tracker, *args)
-            while boot_s() < started + END_S and not tracker.lost_runs:
-                tracker.expire_leases(boot_s())
-                await anyio.sleep(0.05)
-            self.given_up_s = boot_s() - started
-
     async def attach_twice(self, tracker: HostTracker, first_s: float, last_s: float) -> None:
         """Attach twice over one link."""
         for at in (first_s, last_s):
@@ -80,9 +68,7 @@
         """Attach after 1 second, with what is left of a lease."""
         await anyio.sleep_until(1.0)
         epoch = OLD if "former epoch" in event else NEW
-        call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
-        attached = tracker.attach(self.link, replace(call, lease_ms=round(lease_s * 1000)))
-        assert isinstance(attached, HostAttached), attached
+        self.attach(tracker, epoch, round(lease_s * 1000))
         if event == "its link closes":
             tracker.link_closed(self.link)
 
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -1,5 +1,6 @@
 """Steps for hostholds.feature, beside those for worlds of replacements."""
 
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -27,6 +28,7 @@
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import (
+    UNKNOWN_LEASE_MS,
     Hello,
     HostAttach,
     HostAttached,
@@ -124,10 +126,12 @@
         host.leases.restore(until, LeaseBasis.ASSUMPTION)
         return tracker
 
-    def attach(self, tracker: HostTracker, epoch: Epoch = NEW) -> FenceToken:
+    def attach(
+        self, tracker: HostTracker, epoch: Epoch = NEW, lease_ms: int = UNKNOWN_LEASE_MS
+    ) -> FenceToken:
         """Attach the host and return its fencing token."""
         call = HostAttach(HOST, InstanceId("oven"), 1, SERVICE, ZONE, RACK, (), CAPACITY, epoch)
-        attached = tracker.attach(self.link, call)
+        attached = tracker.attach(self.link, replace(call, lease_ms=lease_ms))
         assert isinstance(attached, HostAttached), attached
         return attached.fence
 
@@ -152,10 +156,13 @@
 
     async def play(self, event: str) -> None:
         """Let the event happen, and note when the run is given up."""
-        started = boot_s()
-        tracker = self.make_tracker()
+        await self.watch(self._happen, event)
+
+    async def watch(self, event: Any, *args: Any) -> None:
+        """Let an event happen to a tracker, and note when the run is given up."""
+        started, tracker = boot_s(), self.make_tracker()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._happen, tracker, event)
+            group.start_soon(event, tracker, *args)
             while boot_s() < started + END_S and not tracker.lost_runs:
                 tracker.expire_leases(boot_s())
                 await anyio.sleep(0.05)
