--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -375,9 +375,28 @@
         term = Term(epoch, self._epoch_key, revision, previous, former_until, earlier_until)
         if former_ended:
             term.predecessor_ended.set()
-        log.info("scheduler elected", extra={"epoch": epoch, "predecessor_ended": former_ended})
+        self._log_elected(term)
         return term
 
+    def _log_elected(self, term: Term) -> None:
+        """Log a new term, and for how long its predecessors may act and by which record."""
+        now, leader = boot_s(), term.predecessor
+        extra: dict[str, object] = {
+            "epoch": term.epoch,
+            "predecessor_ended": term.predecessor_ended.is_set(),
+            "predecessor_wait_s": round(max(0.0, term.earlier_until - now), 3),
+            "former_wait_s": round(max(0.0, term.former_until - now), 3),
+        }
+        if leader is not None:
+            extra["predecessor"] = {
+                "epoch": leader.epoch,
+                "entry": leader.entry,
+                "ended": leader.ended,
+                "former_ended": leader.former_ended,
+                "entry_restarted": self._has_restarted(leader),
+            }
+        log.info("scheduler elected", extra=extra)
+
     def _former_until(self, leader: LeaderRecord | None) -> float:
         """Return the time by which the leaders before the given one do nothing any more."""
         if leader is not None and leader.former_ended:
@@ -392,10 +411,14 @@
 
     def _has_ended(self, leader: LeaderRecord) -> bool:
         """Tell whether a former leader certainly does nothing any more in its term."""
-        if leader.ended or leader.entry == self._entry:
-            return True
-        # A later incarnation of a process starts only after the former one has ended. One that
-        # began at an earlier revision may be registered late.
+        return leader.ended or leader.entry == self._entry or self._has_restarted(leader)
+
+    def _has_restarted(self, leader: LeaderRecord) -> bool:
+        """Tell whether a later incarnation of a former leader's entry is registered.
+
+        It starts only after the former one has ended. One that began at an earlier revision may
+        be registered late.
+        """
         return any(
             name == leader.entry
             and record.incarnation != leader.incarnation
@@ -410,7 +433,8 @@
             return
         ended = self._have_ended(term.predecessor, term.former_until)
         if ended or boot_s() >= term.earlier_until:
-            log.info("predecessor ended", extra={"epoch": term.epoch})
+            basis = "evidence" if ended else "time"
+            log.info("predecessor ended", extra={"epoch": term.epoch, "basis": basis})
             term.predecessor_ended.set()
 
     def _leader_record(self, epoch: Epoch) -> LeaderRecord:
