--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -1,21 +1,32 @@
 """Leader election among entries, through the store; the leader schedules jobs."""
 
 import logging
+import math
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import anyio
 
 from apricotpath.boottime import boot_s
 from apricotpath.config import Address
-from apricotpath.entrymessages import TermHandover
+from apricotpath.entrymessages import Supported, SupportRequest, TermHandover
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
+from apricotpath.entryregistry import EntryRegistry
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreOutcomeUnknown
 from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
 from apricotpath.ids import Epoch, IncarnationId, ProcessId
+from apricotpath.leadersupport import (
+    NO_EVIDENCE,
+    GivenSupport,
+    Supporter,
+    SupportersRecord,
+    SupportEvidence,
+    supporters_key,
+)
 from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
+from apricotpath.predecessors import EndBasis, GrantsEnd, Predecessors
 from apricotpath.receivedhandover import ReceivedHandover
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
 from apricotpath.term import ElectionSettings, Term
@@ -56,8 +67,6 @@
     ) -> None:
         self.cfg = cfg
         self.store = store
-        self.leader: LeaderRecord | None = None
-        self._leader_seen_at = float("-inf")
         self.term: Term | None = None
         self._epoch_read_at = float("-inf")
         self.answered_at = float("-inf")
@@ -75,15 +84,29 @@
         self._released.set()
         root = f"{cfg.prefix}ctl/"
         self._leader_key, self._epoch_key = f"{root}leader", epoch_key(cfg.prefix)
-        self._entry_prefix = f"{root}entry/"
-        self.entry_records = RecordReader(EntryRecord.parse)
         self.leader_records = RecordReader(LeaderRecord.parse)
         self.mirror = Mirror(store, root, self._on_key_change)
+        self.registry = EntryRegistry(self.mirror.items, f"{root}entry/", entry)
+        self._predecessors = Predecessors(entry, self.registry, cfg.authority_s)
+        self._support = GivenSupport()
+        self._supporters_key = supporters_key(cfg.prefix)
+        self._supporters_records = RecordReader(SupportersRecord.parse)
 
     @property
     def presence_key(self) -> str:
         """Key of this entry's registration, by which agents and other entries find it."""
-        return f"{self._entry_prefix}{self._entry}"
+        return self.registry.own_key
+
+    @property
+    def leader(self) -> LeaderRecord | None:
+        """The newest leader that was seen."""
+        return self._predecessors.newest
+
+    @property
+    def malformed_records(self) -> int:
+        """How many malformed records of entries and leaders were read."""
+        readers = (self.registry.records, self.leader_records, self._supporters_records)
+        return sum(reader.malformed for reader in readers)
 
     @property
     def last_led_at(self) -> float:
@@ -99,11 +122,11 @@
 
     def peers(self) -> dict[ProcessId, Address]:
         """Return the addresses of the other registered entries."""
-        return {name: record.address for name, record in self._peer_records()}
+        return self.registry.addresses()
 
     def peer_cores(self) -> dict[ProcessId, float]:
         """Return the processors of the other registered entries."""
-        return {name: record.cores for name, record in self._peer_records()}
+        return self.registry.cores()
 
     async def read_epoch_revision(self) -> int:
         """Return the mod revision of the epoch key, 0 if there is none; raises StoreError."""
@@ -158,12 +181,17 @@
         self._handover = ReceivedHandover(handover, sender)
         self._notify()
 
+    def support(self, request: SupportRequest) -> Supported | None:
+        """Support a leader that asks for it; return None if a later term may have begun."""
+        newest = self.leader.epoch if self.leader is not None else request.epoch
+        return self._support.answer(request, newest)
+
     def _hand_over_if_possible(self) -> None:
         """End this entry's term if it is draining and another entry can lead."""
         # While the store cannot be written, no other entry could be elected.
         if not self._drain_stored or self._term_scope is None:
             return
-        if self._has_non_draining_peer():
+        if self.registry.has_non_draining_peer():
             log.info("leadership handed over")
             self._term_scope.cancel()
 
@@ -185,7 +213,7 @@
         if key == self._leader_key:
             record = self.leader_records.read(self.mirror.items.get(key))
             if record is not None and (self.leader is None or record.epoch >= self.leader.epoch):
-                self._see_leader(record)
+                self._predecessors.see(record)
                 log.info("leader seen", extra={"entry": record.entry, "epoch": record.epoch})
                 if record.incarnation != self._incarnation:
                     self.step_down_for(record.epoch)
@@ -200,12 +228,6 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def _see_leader(self, record: LeaderRecord) -> None:
-        """Remember the newest leader, and when it was first seen."""
-        if self.leader is None or record.epoch > self.leader.epoch:
-            self._leader_seen_at = boot_s()
-        self.leader = record
-
     async def _keep_lease(self) -> None:
         """Keep a store lease alive and this entry registered under it."""
         # So that the first registration shows when this incarnation began.
@@ -241,7 +263,7 @@
 
     def _registration_outdated(self) -> bool:
         """Tell whether this entry's key does not show its present registration."""
-        record = self.entry_records.read(self.mirror.items.get(self.presence_key))
+        record = self.registry.own_record()
         shown = record and (record.incarnation, record.began, record.draining)
         return shown != (self._incarnation, self.mirror.first_revision, self.draining)
 
@@ -301,29 +323,14 @@
         """
         now = boot_s()
         stands_back = self.draining or now < self._stands_back_until
-        if self._resigned or (stands_back and self._has_non_draining_peer()):
+        if self._resigned or (stands_back and self.registry.has_non_draining_peer()):
             return False
         if not self._is_vacant():
             self._vacant_since = float("inf")
             return False
         self._vacant_since = min(self._vacant_since, now)
-        return now - self._vacant_since >= DEFER_S or not self._has_peer_with_more_cores()
-
-    def _peer_records(self) -> Iterator[tuple[ProcessId, EntryRecord]]:
-        """Yield the names and records of the other registered entries."""
-        for key, item in self.mirror.items.items():
-            if key.startswith(self._entry_prefix) and key != self.presence_key:
-                record = self.entry_records.read(item)
-                if record is not None:
-                    yield ProcessId(key.removeprefix(self._entry_prefix)), record
-
-    def _has_non_draining_peer(self) -> bool:
-        return any(not record.draining for _, record in self._peer_records())
-
-    def _has_peer_with_more_cores(self) -> bool:
-        return any(
-            record.cores > self.cfg.cores and not record.draining
-            for _, record in self._peer_records()
+        return now - self._vacant_since >= DEFER_S or not self.registry.has_peer_with_more_cores(
+            self.cfg.cores
         )
 
     def _is_vacant(self) -> bool:
@@ -342,13 +349,16 @@
         previous = former or self.leader_records.read(epoch_item)
         epoch = next_epoch(epoch_item, previous, self.leader)
         first = epoch_item is None
-        former_until = self._former_until(previous)
-        former_ended = first or self._have_ended(previous, former_until)
-        record = replace(self._leader_record(epoch), former_ended=former_ended)
         compares = [
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
         ]
+        # From here on, nothing that this entry does prolongs what the former leader may grant.
+        self._support.withdraw(previous.epoch if previous is not None else epoch)
+        supporters = self._supporters_of(previous, compares)
+        evidence = self._evidence(previous, supporters)
+        end = GrantsEnd.first() if first else self._predecessors.grants_end(previous, evidence)
+        record = self._leader_record(epoch, end.until)
         puts = [
             Put(self._leader_key, record.encode(), lease),
             Put(self._epoch_key, record.encode()),
@@ -358,34 +368,73 @@
         try:
             result = await self.store.txn(compares, puts)
             revision = result.revision if result.succeeded else 0
-        except StoreLeaseEnded:
-            self._lease = None
-            return None
         except StoreOutcomeUnknown:
+            # A write that is not found may be carried out late.
+            self._support.keep_withdrawn()
             revision = await self._read_back(puts[1])
         except StoreError as exc:
+            if isinstance(exc, StoreLeaseEnded):
+                self._lease = None
             log.info("leadership not acquired: %s", exc)
-            return None
+            revision = 0
         if not revision:
+            self._support.restore()
             return None
-        self._see_leader(record)
+        self._predecessors.see(record)
         self._epoch_read_at = started
         self.answered_at = boot_s()
-        earlier_until = boot_s() + self.cfg.authority_s
-        term = Term(epoch, self._epoch_key, revision, previous, former_until, earlier_until)
-        if former_ended:
+        until = min(end.until, boot_s() + self.cfg.authority_s)
+        if end.basis is EndBasis.AUTHORITY:
+            # The former leader may have renewed its authority until the election was carried out.
+            until = boot_s() + self.cfg.authority_s
+        term = Term(
+            epoch,
+            self._epoch_key,
+            revision,
+            previous,
+            end.former_until,
+            until,
+            end.holds_until,
+            supporters,
+        )
+        if record.former_ended:
             term.predecessor_ended.set()
-        self._log_elected(term)
+        self._log_elected(term, end.basis)
         return term
 
-    def _log_elected(self, term: Term) -> None:
-        """Log a new term, and for how long its predecessors may act and by which record."""
+    def _supporters_of(
+        self, leader: LeaderRecord | None, compares: list[Compare]
+    ) -> frozenset[Supporter]:
+        """Return those whose support a leader waits for, if its end is not recorded.
+
+        Adds the condition to `compares` that it does so until the election.
+        """
+        item = self.mirror.items.get(self._supporters_key)
+        record = self._supporters_records.read(item)
+        if leader is None or leader.ended or item is None or record is None:
+            return frozenset()
+        if record.epoch != leader.epoch or not record.supporters:
+            return frozenset()
+        compares.append(Compare(self._supporters_key, item.mod_revision))
+        return record.supporters
+
+    def _evidence(
+        self, leader: LeaderRecord | None, supporters: frozenset[Supporter]
+    ) -> SupportEvidence:
+        """Return what this entry knows of a leader that waits for `supporters`."""
+        if leader is None or Supporter(self._entry, self._incarnation) not in supporters:
+            return NO_EVIDENCE
+        return self._support.evidence(leader.epoch, self._predecessors.former_until(leader))
+
+    def _log_elected(self, term: Term, basis: EndBasis) -> None:
+        """Log a new term, and what is known of the leaders before it."""
         now, leader = boot_s(), term.predecessor
         extra: dict[str, object] = {
             "epoch": term.epoch,
             "predecessor_ended": term.predecessor_ended.is_set(),
             "predecessor_wait_s": round(max(0.0, term.earlier_until - now), 3),
             "former_wait_s": round(max(0.0, term.former_until - now), 3),
+            "basis": basis.value,
         }
         if leader is not None:
             extra["predecessor"] = {
@@ -393,54 +442,34 @@
                 "entry": leader.entry,
                 "ended": leader.ended,
                 "former_ended": leader.former_ended,
-                "entry_restarted": self._has_restarted(leader),
             }
         log.info("scheduler elected", extra=extra)
 
-    def _former_until(self, leader: LeaderRecord | None) -> float:
-        """Return the time by which the leaders before the given one do nothing any more."""
-        if leader is not None and leader.former_ended:
-            return float("-inf")
-        seen = leader is not None and self.leader is not None and self.leader.epoch == leader.epoch
-        return (self._leader_seen_at if seen else boot_s()) + self.cfg.authority_s
-
-    def _have_ended(self, leader: LeaderRecord | None, former_until: float) -> bool:
-        """Tell whether a former leader and all before it certainly do nothing any more."""
-        # A malformed record does not tell who has led before.
-        return leader is not None and boot_s() >= former_until and self._has_ended(leader)
-
-    def _has_ended(self, leader: LeaderRecord) -> bool:
-        """Tell whether a former leader certainly does nothing any more in its term."""
-        return leader.ended or leader.entry == self._entry or self._has_restarted(leader)
-
-    def _has_restarted(self, leader: LeaderRecord) -> bool:
-        """Tell whether a later incarnation of a former leader's entry is registered.
-
-        It starts only after the former one has ended. One that began at an earlier revision may
-        be registered late.
-        """
-        return any(
-            name == leader.entry
-            and record.incarnation != leader.incarnation
-            and record.began > leader.began
-            for name, record in self._peer_records()
-        )
-
     def _check_predecessor(self) -> None:
         """Tell the scheduler once the previous leaders have certainly ended."""
-        term = self.term
+        term, now = self.term, boot_s()
         if term is None or term.predecessor_ended.is_set():
             return
-        ended = self._have_ended(term.predecessor, term.former_until)
-        if ended or boot_s() >= term.earlier_until:
+        ended = now >= term.former_until and self._predecessors.has_ended(term.predecessor)
+        if ended or now >= term.earlier_until:
             basis = "evidence" if ended else "time"
             log.info("predecessor ended", extra={"epoch": term.epoch, "basis": basis})
             term.predecessor_ended.set()
 
-    def _leader_record(self, epoch: Epoch) -> LeaderRecord:
-        """Return the record of this entry as the leader of an epoch."""
-        began = self.mirror.first_revision
-        return LeaderRecord(epoch, self._entry, self._incarnation, began=began)
+    def _leader_record(self, epoch: Epoch, earlier_until: float) -> LeaderRecord:
+        """Return the record of this entry as the leader of an epoch.
+
+        `earlier_until` is the time by which the leaders before it grant no lease any more.
+        """
+        left_s = math.ceil(1000 * max(0.0, earlier_until - boot_s())) / 1000
+        return LeaderRecord(
+            epoch,
+            self._entry,
+            self._incarnation,
+            former_ended=not left_s,
+            began=self.mirror.first_revision,
+            former_left_s=left_s,
+        )
 
     async def _read_back(self, put: Put) -> int:
         """Return the mod revision of a write whose answer was lost, or 0 if it is not found."""
@@ -490,12 +519,8 @@
     async def _release(self, term: Term) -> None:
         """Delete the leader key, and record that nothing happens in the term any more."""
         compares = [Compare(self._epoch_key, term.epoch_revision)]
-        former_ended = term.predecessor_ended.is_set()
         record = replace(
-            self._leader_record(term.epoch),
-            ended=True,
-            holds=term.holds,
-            former_ended=former_ended,
+            self._leader_record(term.epoch, _earlier_until(term)), ended=True, holds=term.holds
         )
         release = (Delete(self._leader_key), Put(self._epoch_key, record.encode()))
         try:
@@ -514,7 +539,7 @@
                 continue
             compares = [Compare(self._leader_key, 0), Compare(self._epoch_key, term.epoch_revision)]
             try:
-                record = self._leader_record(term.epoch)
+                record = self._leader_record(term.epoch, _earlier_until(term))
                 put = Put(self._leader_key, record.encode(), self._lease)
                 if (await self.store.txn(compares, [put])).succeeded:
                     log.info("leader key restored", extra={"epoch": term.epoch})
@@ -522,3 +547,8 @@
                 self._lease = None
             except StoreError as exc:
                 log.info("leader key not restored: %s", exc)
+
+
+def _earlier_until(term: Term) -> float:
+    """Return the time by which the leaders before a term grant no lease any more."""
+    return float("-inf") if term.predecessor_ended.is_set() else term.earlier_until
--- a/packages/core/src/apricotpath/entrymessages.py
+++ b/packages/core/src/apricotpath/entrymessages.py
@@ -6,6 +6,8 @@
 from apricotpath.messagebase import Message
 from apricotpath.workload import Progress
 
+NO_EPOCH = Epoch(0)
+
 
 @dataclass(frozen=True, slots=True)
 class JobCall(Message):
@@ -94,6 +96,41 @@
     holds: tuple[HostHold, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SupportRequest(Message):
+    """Asks an entry to support the sender, the leader of an epoch; see `leadersupport`.
+
+    `number` increases with each request of the epoch. The leaders before the sender grant no
+    leases from `former_ms` after the request was sent on. `holds`: for how long leases may last
+    that the sender does not extend, left out while an answer shows that the receiver has those
+    of request `holds_number` already. `former`: the epoch of an earlier leader that the sender
+    wants to know of, or 0.
+    """
+
+    epoch: Epoch
+    number: int
+    former_ms: int
+    holds_number: int
+    holds: tuple[HostHold, ...]
+    former: Epoch = NO_EPOCH
+
+
+@dataclass(frozen=True, slots=True)
+class Supported(Message):
+    """Answer to `SupportRequest` by an entry that has not been elected since.
+
+    If it supported the leader of epoch `former` before: from `former_ms` after the answer on,
+    that leader grants no leases that wait for this entry's support, and those before it grant
+    none; `former_holds` are those of its newest request.
+    """
+
+    epoch: Epoch
+    number: int
+    former: Epoch = NO_EPOCH
+    former_ms: int = 0
+    former_holds: tuple[HostHold, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class JobAccepted(Message):
     """A job that an entry has just stored; `content` is its stored JSON."""
--- a/packages/core/src/apricotpath/entryrecords.py
+++ b/packages/core/src/apricotpath/entryrecords.py
@@ -85,7 +85,8 @@
     how many seconds from then on runs may continue on a host. The longest holds may be left
     out; a host that is not named is held for the full time.
     `former_ended` tells that no leader before this one granted leases any more when the
-    record was written. `began` is that of the entry's registration.
+    record was written; else they grant none from `former_left_s` after that on; None from
+    earlier versions. `began` is that of the entry's registration.
     """
 
     epoch: Epoch
@@ -95,6 +96,7 @@
     holds: Mapping[HostId, float] = field(default_factory=dict)
     former_ended: bool = False
     began: int = 0
+    former_left_s: float | None = None
 
     @classmethod
     def parse(cls, value: bytes) -> Self:
@@ -108,22 +110,24 @@
             _parse_holds(content),
             read_bool(content, "former_ended", False),
             read_int(content, "began", 0, low=0),
+            read_number(content, "former_left_s", low=0) if "former_left_s" in content else None,
         )
 
     def encode(self) -> bytes:
         """Return the stored form, with a unique token of this write."""
-        return json_bytes(
-            {
-                "epoch": self.epoch,
-                "entry": self.entry,
-                "incarnation": self.incarnation,
-                "ended": self.ended,
-                "holds": shortest_holds(self.holds),
-                "former_ended": self.former_ended,
-                "began": self.began,
-                "token": new_token(),
-            }
-        )
+        content: dict[str, Any] = {
+            "epoch": self.epoch,
+            "entry": self.entry,
+            "incarnation": self.incarnation,
+            "ended": self.ended,
+            "holds": shortest_holds(self.holds),
+            "former_ended": self.former_ended,
+            "began": self.began,
+            "token": new_token(),
+        }
+        if self.former_left_s is not None:
+            content["former_left_s"] = self.former_left_s
+        return json_bytes(content)
 
 
 def shortest_holds(holds: Mapping[HostId, float]) -> dict[HostId, float]:
--- a/packages/core/src/apricotpath/hostleases.py
+++ b/packages/core/src/apricotpath/hostleases.py
@@ -77,9 +77,9 @@
         self.former = LeaseBound(until, LeaseBasis.ATTACHMENT)
         self.unfenced = NO_LEASE
 
-    def on_predecessors_ended(self, until: float) -> None:
-        """Note that earlier schedulers have ended; their leases last until then at most."""
-        bound = LeaseBound(until, LeaseBasis.PREDECESSOR_ENDED)
+    def limit_former(self, until: float, basis: LeaseBasis) -> None:
+        """Note that the leases that earlier schedulers have granted last until then at most."""
+        bound = LeaseBound(until, basis)
         self.former = min(self.former, bound, key=_until)
         self.unfenced = min(self.unfenced, bound, key=_until)
 
--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -20,6 +20,8 @@
     ShareRequest,
     StoreQuestion,
     StoreReached,
+    Supported,
+    SupportRequest,
     TermHandover,
 )
 from apricotpath.ids import (
@@ -131,6 +133,8 @@
     "StopTask",
     "StoreQuestion",
     "StoreReached",
+    "SupportRequest",
+    "Supported",
     "TaskOutcome",
     "TaskReply",
     "TaskReport",
--- a/packages/core/src/apricotpath/term.py
+++ b/packages/core/src/apricotpath/term.py
@@ -1,5 +1,6 @@
 """One period in which an entry is the leader, and the settings of its candidacy."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -7,6 +8,7 @@
 from apricotpath.boottime import boot_s
 from apricotpath.entryrecords import LeaderRecord
 from apricotpath.ids import Epoch, HostId
+from apricotpath.leadersupport import Supporter
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +33,10 @@
     `epoch_revision` is the mod revision of the epoch key; a write that compares
     it fails once a later term has begun. `predecessor` is the leader of the
     previous term, if any; `predecessor_ended` is set once that leader and all
-    before it certainly do nothing any more in their terms. Those before it have
-    ended by `former_until`, and all of them by `earlier_until`, on the boot clock.
+    before it certainly do nothing any more in their terms. Those before it grant no lease from
+    `former_until` on, and none of them does from `earlier_until` on, on the boot clock. By
+    `holds_until` the leases of single hosts have ended that the predecessor did not extend. It
+    waited for the support of `supporters` until this term began.
     `holds` is filled when the term ends, see `LeaderRecord`. `given_up` is set
     if the leader cannot serve the term, and `ended` once it does nothing in it any more.
     `elected_at` is the time of the election on the boot clock.
@@ -43,7 +47,9 @@
     epoch_revision: int
     predecessor: LeaderRecord | None = None
     former_until: float = float("-inf")
-    earlier_until: float = float("-inf")
+    earlier_until: float = float("inf")
+    holds_until: Mapping[HostId, float] = field(default_factory=dict)
+    supporters: frozenset[Supporter] = frozenset()
     predecessor_ended: anyio.Event = field(default_factory=anyio.Event)
     holds: dict[HostId, float] = field(default_factory=dict)
     given_up: anyio.Event = field(default_factory=anyio.Event)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -329,6 +329,23 @@
   holds @3 :List(HostHold);
 }
 
+struct SupportRequest {
+  epoch @0 :Int64;
+  number @1 :Int64;
+  formerMs @2 :Int64;
+  holdsNumber @3 :Int64;
+  holds @4 :List(HostHold);
+  former @5 :Int64;
+}
+
+struct Supported {
+  epoch @0 :Int64;
+  number @1 :Int64;
+  former @2 :Int64;
+  formerMs @3 :Int64;
+  formerHolds @4 :List(HostHold);
+}
+
 struct RunAtCrash {
   task @0 :Text;
   run @1 :Int64;
@@ -539,5 +556,7 @@
     storeQuestion @52 :StoreQuestion;
     storeReached @53 :StoreReached;
     termHandover @54 :TermHandover;
+    supportRequest @55 :SupportRequest;
+    supported @56 :Supported;
   }
 }
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -2,13 +2,14 @@
 
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from apricotpath.boottime import boot_s
 from apricotpath.crashes import SURVIVAL_S
 from apricotpath.errors import InputError
 from apricotpath.fleet import NOT_ATTACHED, FleetSettings, Host
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.ids import FenceToken, HostId
 from apricotpath.jobrows import Run, RunPhase
 from apricotpath.jobtable import JobTable
@@ -47,6 +48,8 @@
 # The progress of a run counts as a measure of its host's speed only after this time.
 MIN_SPEED_SAMPLE_S = 0.8
 MAX_REPORT_GAP_S = 1.0
+# The other entries are told the leases of hosts that have not reported for this time.
+SILENT_S = 1.0
 # Executors that stop answering within this time of each other may have one cause.
 TOGETHER_S = 1.0
 # While so many lost runs are queued, no more hosts are looked at for expired leases.
@@ -78,6 +81,9 @@
         self.quarantine = Quarantine(self.hosts, cfg.silent_s)
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
+        # Tells whether the other entries let this scheduler grant leases of a host.
+        self.may_grant: Callable[[HostId], bool] = lambda _host: True
+        self._ungranted: set[HostId] = set()
         self.fences = FenceTokens(term)
         self._started = boot_s()
         self._grants_ended = False
@@ -160,7 +166,18 @@
     def limit_holds(self, until: float) -> None:
         """Set the time by which runs have ended that earlier schedulers have granted leases to."""
         for host in self.hosts.values():
-            host.leases.on_predecessors_ended(until)
+            host.leases.limit_former(until, LeaseBasis.PREDECESSOR_ENDED)
+
+    def limit_former_grants(self, until: float, holds_until: Mapping[HostId, float]) -> None:
+        """Set the time from which on earlier schedulers grant nothing any more.
+
+        `holds_until`: when the leases of single hosts have ended that they did not extend.
+        """
+        self.limit_holds(until + self._cfg.run_hold_s)
+        for name, end in holds_until.items():
+            host = self.hosts.get(name)
+            if host is not None:
+                host.leases.limit_former(end, LeaseBasis.RECORD)
 
     def link_closed(self, link: Link) -> None:
         """Detach the hosts that are attached over a link.
@@ -283,9 +300,33 @@
         store_silent_s = boot_s() - self._last_store_contact_at()
         if self._grants_ended or store_silent_s > self._cfg.authority_s:
             return
+        if not self.may_grant(host.host):
+            self._ungranted.add(host.host)
+            return
+        self._ungranted.discard(host.host)
         host.leases.grant(reported_at + self._cfg.run_hold_s)
         send_nowait(link, HostGrant(host.fence, renewal, host.acked_ending))
 
+    def grant_again(self) -> None:
+        """Renew the leases that could not be renewed at the hosts' newest reports."""
+        for name in list(self._ungranted):
+            self._ungranted.discard(name)
+            host, link = self.hosts.get(name), self.links.get(name)
+            if host is not None and link is not None and not self._is_silent(host, boot_s()):
+                self._grant(host, link, host.renewal, host.reported_at)
+
+    def silent_holds(self, now: float) -> dict[HostId, float]:
+        """Return for how many seconds leases may last, by host that runs tasks and is silent."""
+        return {
+            name: host.leases.left_s(now)
+            for name, host in self.hosts.items()
+            if self._is_silent(host, now) and self._table.by_host.get(name)
+        }
+
+    def _is_silent(self, host: Host, now: float) -> bool:
+        """Tell whether a host has not reported for a while."""
+        return now - max(host.reported_at, self._started) >= SILENT_S
+
     def acknowledge_endings(self, executor: ExecutorName, number: int) -> None:
         """Tell a host that the endings of its executor up to a number are recorded.
 
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -15,6 +15,7 @@
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import Epoch
 from apricotpath.jobmetrics import JobMetrics
+from apricotpath.leadersupport import supporters_key
 from apricotpath.link import Link
 from apricotpath.messages import (
     Failure,
@@ -29,6 +30,8 @@
     Message,
     OrderAnswers,
     StoreQuestion,
+    Supported,
+    SupportRequest,
     TermHandover,
 )
 from apricotpath.mirror import WatchableStore
@@ -39,6 +42,7 @@
 from apricotpathd.process import Process
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 from apricotpathd.storeloss import StoreLoss
+from apricotpathd.supportrounds import SupportRounds
 
 log = logging.getLogger(__name__)
 
@@ -58,6 +62,8 @@
             JobAccepted,
             JobCancelling,
             StoreQuestion,
+            Supported,
+            SupportRequest,
             TermHandover,
         }
     )
@@ -92,6 +98,7 @@
             self._serve_term,
         )
         self._store_loss = StoreLoss(self.election, process.links)
+        self._support_rounds: SupportRounds | None = None
         # Each is run with the scheduler as long as a term lasts.
         self.term_tasks: list[Callable[[Scheduler], Coroutine[Any, Any, None]]] = []
         job_service.on_epoch = self._epoch_seen
@@ -149,17 +156,33 @@
             self._utc,
         )
         self.scheduler = scheduler
+        tracker = scheduler.host_tracker
+        self._support_rounds = rounds = SupportRounds(
+            term,
+            self.store,
+            supporters_key(self.prefix),
+            self.process.links,
+            tracker,
+        )
+        tracker.may_grant = rounds.may_grant
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._announce_term, scheduler)
+                group.start_soon(self._ask_for_support, scheduler, rounds)
                 for task in self.term_tasks:
                     group.start_soon(task, scheduler)
                 await scheduler.serve()
                 group.cancel_scope.cancel()
         finally:
-            self.scheduler = None
+            self.scheduler = self._support_rounds = None
             self.job_service.send_local = None
 
+    @staticmethod
+    async def _ask_for_support(scheduler: Scheduler, rounds: SupportRounds) -> None:
+        """Ask for support once the tables are loaded, as nothing is granted before."""
+        await scheduler.loaded.wait()
+        await rounds.run()
+
     async def _announce_term(self, scheduler: Scheduler) -> None:
         """Announce the term to all linked processes once its tables are loaded."""
         await scheduler.loaded.wait()
@@ -209,6 +232,15 @@
         if isinstance(body, TermHandover):
             self._store_loss.receive_handover(link, body)
             return
+        if isinstance(body, SupportRequest):
+            answer = self.election.support(body)
+            if answer is not None:
+                link.send_nowait(answer)
+            return
+        if isinstance(body, Supported):
+            if self._support_rounds is not None:
+                self._support_rounds.receive(link, body)
+            return
         scheduler = self.scheduler
         if scheduler is None or not scheduler.loaded.is_set():
             if isinstance(body, HostAttach):
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -147,16 +147,16 @@
         if self.loaded.is_set():
             return self.host_tracker.end_grants(now)
         # Nothing was granted, so that what the last scheduler knew still holds.
-        elapsed_s = now - self._started
-        return {
-            name: round(max(0.0, hold_s - elapsed_s), 3)
-            for name, hold_s in self._recorded_holds().items()
-        }
+        return {name: round(max(0.0, end - now), 3) for name, end in self._known_holds().items()}
 
-    def _recorded_holds(self) -> Mapping[HostId, float]:
-        """Return the holds that the last scheduler recorded at the end of its term."""
+    def _known_holds(self) -> Mapping[HostId, float]:
+        """Return by when leases have ended that are known from the last scheduler, by host."""
         predecessor = self.term.predecessor
-        return predecessor.holds if predecessor is not None else {}
+        recorded = predecessor.holds if predecessor is not None else {}
+        ends = {name: self._started + hold_s for name, hold_s in recorded.items()}
+        for name, until in self.term.holds_until.items():
+            ends[name] = min(until, ends.get(name, until))
+        return ends
 
     async def _raise_fence_limits(self, group: TaskGroup) -> None:
         """Store limits of fencing tokens; give the term up once its epoch has none left."""
@@ -213,16 +213,21 @@
 
         One that ended only while the tables were loaded may have renewed them until then.
         """
-        max_hold_s = self.cfg.run_hold_s + self.cfg.authority_s
-        hold_s = self.cfg.run_hold_s if self._starts_alone else max_hold_s
-        known = self._recorded_holds()
+        authority_s = 0.0 if self._starts_alone else self.cfg.authority_s
+        grants_until = min(self._started + authority_s, self.term.earlier_until)
+        latest = grants_until + self.cfg.run_hold_s
+        known = self._known_holds()
         hosts = [name for name, runs in self.table.by_host.items() if runs]
         for name in hosts:
-            until = self._started + min(max_hold_s, known.get(name, hold_s))
+            until = min(latest, known.get(name, latest))
             basis = LeaseBasis.RECORD if name in known else LeaseBasis.ASSUMPTION
             host = self.host_tracker.hosts[name] = Host(name)
             host.leases.restore(until, basis)
-        extra = {"hosts": len(hosts), "hold_s": hold_s, "recorded": len(known.keys() & set(hosts))}
+        extra = {
+            "hosts": len(hosts),
+            "hold_s": round(latest - self._started, 3),
+            "recorded": len(known.keys() & set(hosts)),
+        }
         log.info("runs of the last term held", extra=extra)
 
     async def _shorten_holds(self) -> None:
--- a/tests/features/steps/replacements_steps.py
+++ b/tests/features/steps/replacements_steps.py
@@ -15,7 +15,7 @@
 from apricotpath.model import Size
 from apricotpath.workload import Step
 from apricotpathd.attachment import ExecutorPhase
-from support.jobworld import EntryNode, JobWorld, run_virtual
+from support.jobworld import PREFIX, EntryNode, JobWorld, run_virtual
 
 CORE = Size(1000, 100, 0)
 HOST = Size(8000, 8000, 0)
@@ -567,7 +567,9 @@
         commit = other.store.txn
 
         async def commit_and_resign(compares: Any, operations: Any) -> Any:
-            if len(compares) == 2 and not other.jobs.election._resigned:
+            # Its election, which also compares the record of supporters if that names it.
+            elects = len(operations) == 3 and operations[0].key == f"{PREFIX}ctl/leader"
+            if elects and not other.jobs.election._resigned:
                 run.world.group.start_soon(other.jobs.resign)
             return await commit(compares, operations)
 
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -260,7 +260,8 @@
 
         def record(term: Term | None) -> None:
             if term is not None and term.predecessor_ended.is_set():
-                self.earlier_ended.setdefault(term.epoch, boot_s())
+                # Holds of hosts count from the earlier of the two.
+                self.earlier_ended.setdefault(term.epoch, min(boot_s(), term.earlier_until))
 
         async def serve_and_record(term: Term) -> None:
             record(term)
