--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -225,7 +225,7 @@
             host.leases.restore(until, basis)
         extra = {
             "hosts": len(hosts),
-            "hold_s": round(latest - self._started, 3),
+            "hold_s": round(max(0.0, latest - self._started), 3),
             "recorded": len(known.keys() & set(hosts)),
         }
         log.info("runs of the last term held", extra=extra)
