Tests: an executor whose agent is gone lets its runs lapse at the end of their lease

New: random orders of events around support (entries parted from each other, late and lost writes of the record of supporters).

--- a/tests/features/leadersupport.feature
+++ b/tests/features/leadersupport.feature
@@ -39,3 +39,17 @@
       | an entry answers no other entry for 20 seconds                |
       | an entry is paused for 4 seconds                              |
       | entries are killed one after another, each starts again       |
+
+  # Guards against two runs of a task, and against a lease that is granted after a successor counts on the last one.
+  Scenario Outline: leadersupport lets no task run twice in a random order of <count> events, seed <seed>
+    Given a world of replacements with 3 entries and 5 hosts
+    And 10 long-running tasks at work
+    When <count> random events around leadersupport follow one another with seed <seed>
+    Then no task of the replacements ran twice at the same time
+
+    Examples:
+      | count | seed |
+      | 12    | 1    |
+      | 12    | 2    |
+      | 25    | 3    |
+      | 25    | 4    |
--- a/tests/features/steps/authority_steps.py
+++ b/tests/features/steps/authority_steps.py
@@ -1,6 +1,7 @@
 """Steps for authority.feature, beside those for worlds of replacements."""
 
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -155,7 +156,15 @@
 
     async def happen(self, count: int) -> None:
         """Begin an event at a time, and wait until all are over."""
-        kinds = [
+        kinds = self.kinds()
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(self.rng.choice(kinds))
+                await anyio.sleep(self.rng.uniform(0.1, 2.5))
+
+    def kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the kinds of events, the more frequent ones more than once."""
+        return [
             self.take_keys_away,
             self.take_keys_away,
             self.register_late,
@@ -170,10 +179,6 @@
             self.load_slowly,
             self.silence_store,
         ]
-        async with anyio.create_task_group() as group:
-            for _ in range(count):
-                group.start_soon(self.rng.choice(kinds))
-                await anyio.sleep(self.rng.uniform(0.1, 2.5))
 
     def _any_entry(self) -> EntryNode:
         """Return an entry that is not stopped, most often the scheduler."""
--- a/tests/features/steps/leadersupport_steps.py
+++ b/tests/features/steps/leadersupport_steps.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import anyio
-from authority_steps import leader_of
+from authority_steps import RandomLosses, leader_of
 from behave import when
 from doubts_steps import start_again
 from replacements_steps import Replacements, scenario
@@ -189,3 +189,47 @@
             await anyio.sleep(KILL_GAP_S)
 
     scenario(context).background.append(act)
+
+
+class SupportEvents(RandomLosses):
+    """Random events around elections, and around the support that entries give a scheduler."""
+
+    def kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the kinds of events; those about support are more frequent."""
+        support = [self.part_entries, self.write_record_late, self.lose_answers, self.lose_host]
+        return [*super().kinds(), *support, *support]
+
+    async def part_entries(self) -> None:
+        """Cut two entries off from each other, both reach the store."""
+        cut = {frozenset(self.rng.sample(list(self.run.world.entries), 2))}
+        self.run.world.partitioned_pairs |= cut
+        await anyio.sleep(self.rng.uniform(0.3, 8.0))
+        self.run.world.partitioned_pairs -= cut
+
+    async def write_record_late(self) -> None:
+        """Carry out a write of the record of supporters late, also after its sender's end."""
+        faults = self._any_entry().store.faults
+        faults.late_prefix, faults.late_writes_outlive = "test/ctl/supporters", True
+        faults.late_writes, faults.late_s = self.rng.randint(1, 3), self.rng.uniform(0.1, 4.0)
+        await anyio.sleep(5.0)
+        faults.late_prefix, faults.late_writes = "", 0
+
+    async def lose_answers(self) -> None:
+        """Lose the answers to some writes of an entry, which take effect."""
+        self._any_entry().store.faults.lost_answers = self.rng.randint(1, 3)
+
+    async def lose_host(self) -> None:
+        """End an executor and its agent for a while."""
+        name = self.rng.choice(list(self.run.world.agents))
+        node = self.run.world.agents[name]
+        if not node.scope.cancel_called:
+            node.model.crash()
+            await self.run.restart_agent(name, self.rng.uniform(0.2, 12.0))
+
+
+@when("{count:d} random events around leadersupport follow one another with seed {seed:d}")
+def random_events(context: Any, count: int, seed: int) -> None:
+    async def act(run: Replacements) -> None:
+        await SupportEvents(run, seed).happen(count)
+
+    scenario(context).background.append(act)
--- a/tests/features/steps/replacements_steps.py
+++ b/tests/features/steps/replacements_steps.py
@@ -106,6 +106,8 @@
     def running_tasks(self) -> set[str]:
         """Return the tasks that run at an executor now."""
         models = [node.model for node in self.world.agents.values()]
+        for model in models:
+            model.process_due()
         return {str(task) for model in models for task, _ in model.runs}
 
     async def start_tasks(self, step: Step, work_s: float) -> None:
--- a/tests/support/executormodel.py
+++ b/tests/support/executormodel.py
@@ -17,6 +17,7 @@
     ExecutorUnreachable,
     StartCall,
 )
+from apricotpath.fleet import FleetSettings
 from apricotpath.ids import FenceToken, TaskId
 from apricotpath.messages import RunEnding, RunStatus
 from apricotpath.model import Size, StartAnswer
@@ -27,6 +28,8 @@
 # A call without an answer fails after this time.
 CALL_TIMEOUT_S = 0.5
 # A longer lease is shortened to this.
+# How much longer a lease lasts on a clock that is as slow as it may be.
+SLOW_CLOCK_S = FleetSettings().run_lease_s * FleetSettings().clock_drift
 HOLD_MAX_S = 6.0
 NEVER = float("inf")
 
@@ -240,13 +243,15 @@
                 self.end(run, RunResult.BROKEN)
             elif now >= run.ends_at:
                 self.end(run, run.result)
-        if self.runs and now >= self.deadline:
+        lapses_at = self.deadline + SLOW_CLOCK_S
+        if self.runs and now >= lapses_at:
             for run in list(self.runs.values()):
-                self.end(run, RunResult.LAPSED)
+                self.end(run, RunResult.LAPSED, lapses_at)
 
-    def end(self, run: ModelRun, result: RunResult) -> None:
+    def end(self, run: ModelRun, result: RunResult, at: float | None = None) -> None:
+        """End a run now, or note that it has ended at a time at which nobody looked."""
         del self.runs[run.task, run.run]
-        self._record_run(run, boot_s())
+        self._record_run(run, boot_s() if at is None else at)
         self.last_ending_number += 1
         self.endings.append(
             RunEnding(self.last_ending_number, run.task, run.run, result, run.saved)
