--- a/packages/core/src/apricotpath/gangs.py
+++ b/packages/core/src/apricotpath/gangs.py
@@ -35,6 +35,11 @@
         self.failed_runs.add(run)
         self.failed_hosts.add(host)
 
+    @property
+    def incomplete(self) -> bool:
+        """Whether some members run and others do not, so that none of them can work."""
+        return 0 < self.runs < self.size
+
     def can_start(self, waiting: int) -> bool:
         """Return whether all members wait, of which there are `waiting`."""
         return not self.runs and waiting >= self.size
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -88,7 +88,11 @@
         row = self._table.rows.get(run.task.job)
         if row is None or row.to_be_stopped or run.task not in row.tasks:
             return True
-        if row.tasks[run.task].done or run.phase is RunPhase.STOPPING:
+        task = row.tasks[run.task]
+        if task.done or run.phase is RunPhase.STOPPING:
+            return True
+        if task.gang is not None and task.gang.incomplete:
+            # The gang starts again as a whole once all of its runs have ended.
             return True
         if host.upkeep_stops is not None and (run.task, run.run) in host.upkeep_stops:
             return True
--- a/tests/features/largegangs.feature
+++ b/tests/features/largegangs.feature
@@ -30,3 +30,19 @@
     Given a largegangs world of 11 hosts
     When a gang of 300 tasks runs for 9 seconds, each member with checkpoints of its own
     Then at most 6 checkpoints of the gang are in the run log
+
+  # review/6: the others waited for the member that was missing until they ended as alone.
+  Scenario Outline: largegangs start again as a whole when a member <misses its start>
+    Given a largegangs world of 11 hosts
+    When a gang of <count> tasks is ordered, and a member <misses its start>
+    Then all members ran together within <seconds> seconds, in run 2, and its job is completed
+    And the gang has failed in no run
+    And no step of the scheduler made more than 50000 calls
+
+    Examples:
+      | misses its start                            | count | seconds |
+      | is refused by its host                      | 300   | 1.0     |
+      | is refused, and the scheduler changes       | 300   | 1.5     |
+      | has a host that attaches again without it   | 300   | 1.5     |
+      | has a host that is lost                     | 300   | 12.0    |
+      | has an executor that restarts               | 300   | 1.5     |
--- a/tests/features/startcalls.feature
+++ b/tests/features/startcalls.feature
@@ -41,6 +41,13 @@
       | 200  |
       | 1000 |
 
+  # The members that had begun waited for the others until they ended as alone.
+  Scenario: startcalls of a gang are made again for all members after lost calls
+    Given a startcalls world of 4 hosts whose executors leave a share of 0.3 of calls without an answer
+    When a gang of 60 long tasks is submitted to the startcalls world
+    Then the gang of the startcalls world is whole within 20 seconds
+    And no two runs of a member overlapped
+
   Scenario: startcalls go on once an executor answers again
     Given a startcalls agent whose executor answers no start for 4 seconds
     When 12 starts are ordered of the startcalls agent each second for 4 seconds, and 12 at 4.5 seconds
--- a/tests/features/steps/largegangs_steps.py
+++ b/tests/features/steps/largegangs_steps.py
@@ -5,6 +5,7 @@
 import anyio
 from behave import given, then, when
 
+from apricotpath.boottime import boot_s
 from apricotpath.ids import JobId, TaskId
 from apricotpath.jsonfields import parse_object, read_list
 from apricotpath.model import Size
@@ -150,3 +151,86 @@
 def few_checkpoints(context: Any, limit: int) -> None:
     saved: list[TaskId] = context.saved
     assert 0 < len(saved) <= limit, len(saved)
+
+
+async def refuse(world: GangWorld) -> None:
+    """Let the start of one member be refused; nothing else happens."""
+
+
+async def change_scheduler(world: GangWorld) -> None:
+    """Change the scheduler after the refusal is recorded, and before a stop arrives."""
+    for host in world.hosts:
+        host.gets_no_orders = True
+    await anyio.sleep(0.5)
+    for host in world.hosts:
+        host.gets_no_orders = False
+    await world.replace_scheduler()
+
+
+async def attach_again(world: GangWorld) -> None:
+    """Attach the host that got no orders again."""
+    await anyio.sleep(0.2)
+    host = world.hosts[0]
+    host.gets_no_orders = False
+    host.attach()
+
+
+async def lose_host(world: GangWorld) -> None:
+    """Lose the host that got no orders."""
+    await anyio.sleep(0.2)
+    world.hosts[0].lose()
+
+
+async def restart_executor(world: GangWorld) -> None:
+    """Restart an executor that has got its orders, before the gang is at work."""
+    world.hosts[0].restart()
+
+
+# What happens once a gang is ordered, by the words of the scenario.
+MISSED_STARTS = {
+    "is refused by its host": refuse,
+    "is refused, and the scheduler changes": change_scheduler,
+    "has a host that attaches again without it": attach_again,
+    "has a host that is lost": lose_host,
+    "has an executor that restarts": restart_executor,
+}
+
+
+@when("a gang of {count:d} tasks is ordered, and a member {misses}")
+def miss_start(context: Any, count: int, misses: str) -> None:
+    act_on = MISSED_STARTS[misses]
+
+    async def act(world: GangWorld) -> None:
+        host = world.hosts[0]
+        host.gets_no_orders = act_on in (attach_again, lose_host)
+        host.refusals = int(act_on in (refuse, change_scheduler))
+        context.job = await world.submit(1, gang(count))
+        await wait_until(lambda: any(item.runs for item in world.hosts), SOON_S)
+        began = boot_s()
+        await act_on(world)
+        await wait_until(lambda: {run for _, run in all_runs(world)} == {2}, 20.0)
+        await wait_until(lambda: world.running() == count, SOON_S)
+        context.took_s = boot_s() - began
+        context.runs = {run for _, run in all_runs(world)}
+        members = world.scheduler.table.rows[context.job].tasks.values()
+        context.failed_runs = [task.key for task in members if task.failures()]
+        world.end_all(RunResult.DONE)
+        await wait_until(lambda: world.progress(context.job) is Progress.COMPLETED, SOON_S)
+
+    play(context, act)
+
+
+def all_runs(world: GangWorld) -> list[tuple[TaskId, int]]:
+    """Return the runs on all hosts."""
+    return [name for host in world.hosts for name in host.runs]
+
+
+@then("all members ran together within {seconds:g} seconds, in run 2, and its job is completed")
+def ran_together(context: Any, seconds: float) -> None:
+    assert context.took_s <= seconds, context.took_s
+    assert context.runs == {2}, context.runs
+
+
+@then("the gang has failed in no run")
+def no_failures(context: Any) -> None:
+    assert not context.failed_runs, context.failed_runs
--- a/tests/features/steps/startcalls_steps.py
+++ b/tests/features/steps/startcalls_steps.py
@@ -8,7 +8,7 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.callwindow import MAX_CALLS, CallWindow
-from apricotpath.ids import FenceToken, TaskId
+from apricotpath.ids import FenceToken, JobId, TaskId
 from apricotpath.messages import RunName, RunOrder, StartRuns, StopRuns
 from apricotpath.model import Size, StartAnswer
 from apricotpath.workload import Step
@@ -22,6 +22,9 @@
 # Larger than each answer of a start takes.
 SOON_S = 0.01
 GANG_RUN_S = 2.0
+LONG_RUN_S = 1000.0
+# Time for a gang to be whole, in virtual time.
+MAX_WAIT_S = 120.0
 MEMBER = Size(100, 10, 0)
 
 
@@ -123,29 +126,34 @@
 
 @when("a gang of {count:d} tasks is submitted to the startcalls world")
 def submit_gang(context: Any, count: int) -> None:
-    async def main() -> None:
-        async with anyio.create_task_group() as group:
-            await play_gang(context, JobWorld(group), count)
-            group.cancel_scope.cancel()
-
-    run_virtual(main)
+    play_world(lambda world: play_gang(context, world, count))
 
 
-async def play_gang(context: Any, world: JobWorld, count: int) -> None:
-    """Run a gang that takes all hosts, and keep its starts and its end."""
-    world.executor_class = RatedExecutor
-    world.behaviour.seconds = GANG_RUN_S
+async def add_hosts(context: Any, world: JobWorld, members: int) -> list[Any]:
+    """Add hosts that a gang fills, and return their executors."""
     world.add_entry("entry0")
-    share = count // context.hosts
+    share = members // context.hosts
     for number in range(context.hosts):
         world.add_agent(f"host{number}", Size(MEMBER.cpu_milli * share, 1_000_000, 0))
     await world.wait_until_attached()
-    executors: list[Any] = [node.agent.executor for node in world.agents.values()]
-    for executor in executors:
-        executor.rate = context.rate
+    return [node.agent.executor for node in world.agents.values()]
+
+
+async def start_gang(world: JobWorld, count: int, run_s: float) -> JobId:
+    """Submit a gang."""
     job = world.next_job()
+    world.behaviour.seconds = run_s
     world.behaviour.sizes[f"{job}.0.0"] = MEMBER
-    await world.submit(Step(count, MEMBER, GANG_RUN_S, gang=True))
+    return await world.submit(Step(count, MEMBER, run_s, gang=True))
+
+
+async def play_gang(context: Any, world: JobWorld, count: int) -> None:
+    """Run a gang that takes all hosts, and keep its starts and its end."""
+    world.executor_class = RatedExecutor
+    executors = await add_hosts(context, world, count)
+    for executor in executors:
+        executor.rate = context.rate
+    job = await start_gang(world, count, GANG_RUN_S)
     try:
         context.end = await world.wait_for_end(job, 20.0)
     except TimeoutError:
@@ -172,6 +180,63 @@
     assert context.end == "completed", context.end
 
 
+@given(
+    "a startcalls world of {hosts:d} hosts whose executors leave a share of {share:g} of calls "
+    "without an answer"
+)
+def lossy_hosts(context: Any, hosts: int, share: float) -> None:
+    context.hosts, context.rate, context.share = hosts, float("inf"), share
+
+
+@when("a gang of {count:d} long tasks is submitted to the startcalls world")
+def submit_long_gang(context: Any, count: int) -> None:
+    async def act(world: JobWorld) -> None:
+        world.unanswered_share, world.late_s = context.share, 4.0
+        await add_hosts(context, world, count)
+        await run_long_gang(context, world, count)
+
+    play_world(act)
+
+
+def play_world(act: Callable[[JobWorld], Awaitable[None]]) -> None:
+    """Play what a scenario does in a new world."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await act(JobWorld(group))
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+async def run_long_gang(context: Any, world: JobWorld, count: int) -> None:
+    """Submit a gang, and wait until all members of one run are there."""
+    models = [node.model for node in world.agents.values()]
+    submitted = boot_s()
+    await start_gang(world, count, LONG_RUN_S)
+
+    def is_whole() -> bool:
+        runs = [run for model in models for _, run in model.runs]
+        return len(runs) == count and len(set(runs)) == 1
+
+    context.took_s = float("inf")
+    with anyio.move_on_after(MAX_WAIT_S):
+        while not is_whole():
+            await anyio.sleep(0.05)
+        context.took_s = boot_s() - submitted
+    context.violations = world.violations()
+
+
+@then("the gang of the startcalls world is whole within {seconds:g} seconds")
+def is_whole_within(context: Any, seconds: float) -> None:
+    assert context.took_s <= seconds, context.took_s
+
+
+@then("no two runs of a member overlapped")
+def no_violations(context: Any) -> None:
+    assert not context.violations, context.violations
+
+
 class StartCase(AgentCase):
     """An agent with a rated executor and many small tasks."""
 
--- a/tests/support/gangworld.py
+++ b/tests/support/gangworld.py
@@ -1,7 +1,7 @@
 """A scheduler with simulated hosts in virtual time, and a count of what each of its steps does."""
 
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -30,13 +30,15 @@
     HostGrant,
     HostRuns,
     Message,
+    OrderAnswer,
+    OrderAnswers,
     RunEnding,
     RunOrder,
     RunStatus,
     StartRuns,
     StopRuns,
 )
-from apricotpath.model import Size
+from apricotpath.model import Size, StartAnswer
 from apricotpath.store import Put
 from apricotpath.term import Term
 from apricotpath.workload import Job, Progress, Queue, RunResult, Step
@@ -80,7 +82,10 @@
 
 
 class SimulatedHost:
-    """A host whose runs go on until the test ends them; it is also the link to the host."""
+    """A host whose runs go on until the test ends them; it is also the link to the host.
+
+    It refuses the next `refusals` starts, and gets no orders while `gets_no_orders`.
+    """
 
     def __init__(self, name: str, scheduler: Scheduler) -> None:
         self.name, self.peer_id, self.is_open = HostId(name), name, True
@@ -88,17 +93,21 @@
         self.scheduler = scheduler
         self.fence = FenceToken(0)
         self.renewal = self.last_ending = self.acknowledged = 0
+        self.born_ms = 1
         self.runs: dict[tuple[TaskId, int], RunOrder] = {}
         self.saved: dict[TaskId, str] = {}
         self.endings: list[RunEnding] = []
         self.orders: list[RunOrder] = []
+        self.refusals = 0
+        self.gets_no_orders = self.is_lost = False
+        self.answers: list[OrderAnswer] = []
 
     def attach(self) -> None:
         """Attach to the scheduler."""
         call = HostAttach(
             self.name,
             InstanceId(self.name),
-            1,
+            self.born_ms,
             SERVICE,
             DataCentreId("z1"),
             RackId("r1"),
@@ -111,9 +120,10 @@
 
     def send_nowait(self, body: Message, reply_to: int = 0) -> None:
         """Carry out an order of the scheduler."""
+        if self.gets_no_orders and isinstance(body, (StartRuns, StopRuns)):
+            return
         if isinstance(body, StartRuns):
-            self.orders += body.orders
-            self.runs |= {(order.task, order.run): order for order in body.orders}
+            self._start(body.orders)
         elif isinstance(body, StopRuns):
             for name in body.runs:
                 self.end(name.task, name.run, RunResult.STOPPED)
@@ -121,6 +131,17 @@
             self.acknowledged = max(self.acknowledged, body.noted)
             self.endings = [item for item in self.endings if item.number > body.noted]
 
+    def _start(self, orders: Iterable[RunOrder]) -> None:
+        """Start runs, or keep the answers to the others until the next report."""
+        for order in orders:
+            self.orders.append(order)
+            if self.refusals:
+                self.refusals -= 1
+                answer = OrderAnswer(order.task, order.run, StartAnswer.REFUSED)
+                self.answers.append(answer)
+            else:
+                self.runs[order.task, order.run] = order
+
     def end(self, task: TaskId, run: int, result: RunResult) -> None:
         """End a run, if it is there."""
         if self.runs.pop((task, run), None) is not None:
@@ -128,8 +149,26 @@
             saved = self.saved.get(task, "")
             self.endings.append(RunEnding(self.last_ending, task, run, result, saved))
 
+    def restart(self) -> None:
+        """Begin another incarnation, which runs nothing, and attach."""
+        self.born_ms += 1
+        self.last_ending = self.acknowledged = 0
+        self.runs.clear()
+        self.endings.clear()
+        self.attach()
+
+    def lose(self) -> None:
+        """End for good, with all runs."""
+        self.is_lost = True
+        self.runs.clear()
+        self.scheduler.host_tracker.link_closed(self)  # type: ignore[arg-type]
+
     def report(self) -> None:
-        """Send a report."""
+        """Send a report, and the answers to start orders."""
+        answers, self.answers = tuple(self.answers), []
+        if answers:
+            message = OrderAnswers(self.fence, answers)
+            self.scheduler.host_tracker.receive_answers(self, message)  # type: ignore[arg-type]
         self.renewal += 1
         runs = [RunStatus(task, run, self.saved.get(task, ""), 10, 0.0) for task, run in self.runs]
         endings = tuple(self.endings[:LISTED_ENDINGS])
@@ -188,7 +227,7 @@
             await scheduler.serve()
 
     async def _report(self, host: SimulatedHost, scheduler: Scheduler) -> None:
-        while host.scheduler is scheduler:
+        while host.scheduler is scheduler and not host.is_lost:
             host.report()
             await anyio.sleep(REPORT_S)
 
