Place gangs in a step of the loop of their own

A gang of 5,000 that started again after a refusal was placed in one step of the scheduler's loop together with up to 99 recorded ends: 52,737 calls, over the bound of 50,000. A pass lets other tasks run before it places, if it has recorded something.

--- a/packages/core/src/apricotpath/slices.py
+++ b/packages/core/src/apricotpath/slices.py
@@ -21,3 +21,8 @@
         if self._done >= OPERATIONS_PER_SLICE:
             self._done = 0
             await anyio.lowlevel.checkpoint()
+
+    async def end_step(self) -> None:
+        """Let other tasks run now if there were operations since they last ran."""
+        if self._done:
+            await self.note(OPERATIONS_PER_SLICE)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -349,6 +349,8 @@
         self._crashes.process(lambda record: batch.apply(record, now), now)
         await self._run_ends.process_lost_runs(batch, now, slices)
         await self._save_progress(batch, now, slices)
+        # A large gang is placed in one step.
+        await slices.end_step()
         inputs = self._placement_input(boot_s())
         if self._ends.fail_exhausted(inputs.queues):
             await self._place(batch, inputs, slices)
--- a/tests/features/largegangs.feature
+++ b/tests/features/largegangs.feature
@@ -42,6 +42,7 @@
     Examples:
       | misses its start                            | count | seconds |
       | is refused by its host                      | 300   | 1.0     |
+      | is refused by its host                      | 5000  | 1.5     |
       | is refused, and the scheduler changes       | 300   | 1.5     |
       | has a host that attaches again without it   | 300   | 1.5     |
       | has a host that is lost                     | 300   | 12.0    |
