A gang that is refused again and again pauses before it starts again

A run that begins within 4 s of the one before is followed by a pause of 0.25 s, doubled each time up to 2 s, counted from its begin. The first repetition comes at once. A new scheduler may wait up to 2 s once, since the starts that it reads from the log count as made when it loads.

--- a/packages/core/src/apricotpath/gangs.py
+++ b/packages/core/src/apricotpath/gangs.py
@@ -4,6 +4,12 @@
 
 from apricotpath.ids import HostId
 
+# A gang whose run begins soon after the one before starts again after a pause, counted from that
+# begin, which doubles with each such run. Hosts that refuse members get no more orders then.
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+SOON_S = 2 * MAX_PAUSE_S
+
 
 @dataclass(slots=True)
 class Gang:
@@ -12,7 +18,8 @@
     `size` counts the members that are not done, `runs` their runs that have not ended. `saved`
     names the newest checkpoint, which run `saved_run` has written: a gang has one, and all
     members resume from it. `failed_runs` are the numbers of runs in which a member failed,
-    `failed_hosts` the hosts of the newest of them.
+    `failed_hosts` the hosts of the newest of them. The newest run began at `started_at`
+    (boot-clock seconds), and the next one does so at least `pause_s` later.
     """
 
     size: int = 0
@@ -22,6 +29,8 @@
     saved_run: int = 0
     failed_runs: set[int] = field(default_factory=set)
     failed_hosts: set[HostId] = field(default_factory=set)
+    started_at: float = float("-inf")
+    pause_s: float = 0.0
 
     def save(self, run: int, saved: str) -> None:
         """Set the newest checkpoint; one of an earlier run never replaces that of a later one."""
@@ -35,11 +44,21 @@
         self.failed_runs.add(run)
         self.failed_hosts.add(host)
 
+    def note_start(self, run: int, now: float) -> None:
+        """Note that a member starts, the first one of a run or a later one."""
+        if run <= self.last_run:
+            return
+        soon = now - self.started_at < SOON_S
+        longer_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
+        self.pause_s = longer_s if soon else 0.0
+        self.started_at, self.last_run = now, run
+
     @property
     def incomplete(self) -> bool:
         """Whether some members run and others do not, so that none of them can work."""
         return 0 < self.runs < self.size
 
-    def can_start(self, waiting: int) -> bool:
-        """Return whether all members wait, of which there are `waiting`."""
-        return not self.runs and waiting >= self.size
+    def can_start(self, waiting: int, now: float) -> bool:
+        """Return whether all members wait, of which there are `waiting`, and no pause is left."""
+        rested = now - self.started_at >= self.pause_s
+        return rested and not self.runs and waiting >= self.size
--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -99,7 +99,7 @@
         """Add a run that has been assigned to a host."""
         if self.gang is not None:
             self.gang.runs += run.run not in self.runs
-            self.gang.last_run = max(self.gang.last_run, run.run)
+            self.gang.note_start(run.run, run.since)
         self.runs[run.run] = run
         self.last_run = max(self.last_run, run.run)
 
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -77,7 +77,8 @@
         candidates = allowed if ahead else _candidates(group, allowed, inputs)
         bounds = ahead.begin_group(group, inputs.now) if ahead is not None else UNBOUND
         if group.step.gang:
-            placed = _place_gang(group, candidates, hosts.misfits(group, bounds), turns)
+            misfits = hosts.misfits(group, bounds)
+            placed = _place_gang(group, candidates, misfits, turns, inputs.now)
         elif hosts.are_full_for(group, bounds):
             placed = []
         else:
@@ -442,11 +443,15 @@
 
 
 def _place_gang(
-    group: WaitingGroup, candidates: list[HostLoad], misfits: Misfits, turns: GangTurns
+    group: WaitingGroup,
+    candidates: list[HostLoad],
+    misfits: Misfits,
+    turns: GangTurns,
+    now: float,
 ) -> list[Placement]:
     """Place all members of a gang at once, or none; preferably on one rack if it asks for that."""
     gang, step, count = group.tasks[0].gang, group.step, len(group.tasks)
-    if gang is None or not gang.can_start(count):
+    if gang is None or not gang.can_start(count, now):
         return []
     # Which hosts a gang may use depends on its job while tasks are suspected of crashes.
     alike = not _suspects(candidates)
--- a/tests/features/largegangs.feature
+++ b/tests/features/largegangs.feature
@@ -47,3 +47,8 @@
       | has a host that attaches again without it   | 300   | 1.5     |
       | has a host that is lost                     | 300   | 12.0    |
       | has an executor that restarts               | 300   | 1.5     |
+
+  Scenario: largegangs that hosts refuse again and again are ordered less and less often
+    Given a largegangs world of 11 hosts
+    When a gang of 300 tasks is ordered, and all hosts refuse all starts for 20 seconds
+    Then the gang was ordered at most 14 times, and ran whole at most 2.5 seconds after that
--- a/tests/features/steps/largegangs_steps.py
+++ b/tests/features/steps/largegangs_steps.py
@@ -17,6 +17,7 @@
 # Time for a gang to start, and for its end to be recorded, in virtual time.
 SOON_S = 10.0
 SAVE_S = 2.5
+REFUSE_ALL = 1_000_000
 
 
 def gang(count: int) -> Step:
@@ -203,7 +204,7 @@
     async def act(world: GangWorld) -> None:
         host = world.hosts[0]
         host.gets_no_orders = act_on in (attach_again, lose_host)
-        host.refusals = int(act_on in (refuse, change_scheduler))
+        host.refusals = 1 if act_on in (refuse, change_scheduler) else 0
         context.job = await world.submit(1, gang(count))
         await wait_until(lambda: any(item.runs for item in world.hosts), SOON_S)
         began = boot_s()
@@ -234,3 +235,29 @@
 @then("the gang has failed in no run")
 def no_failures(context: Any) -> None:
     assert not context.failed_runs, context.failed_runs
+
+
+@when(
+    "a gang of {count:d} tasks is ordered, and all hosts refuse all starts for {seconds:d} seconds"
+)
+def refuse_all(context: Any, count: int, seconds: int) -> None:
+    async def act(world: GangWorld) -> None:
+        for host in world.hosts:
+            host.refusals = REFUSE_ALL
+        await world.submit(1, gang(count))
+        await anyio.sleep(seconds)
+        context.orders = len({order.run for host in world.hosts for order in host.orders})
+        for host in world.hosts:
+            host.refusals = 0
+        context.took_s = await wait_until(lambda: world.running() == count, SOON_S)
+
+    play(context, act)
+
+
+@then(
+    "the gang was ordered at most {orders:d} times, and ran whole at most {seconds:g} seconds "
+    "after that"
+)
+def ordered_less_often(context: Any, orders: int, seconds: float) -> None:
+    assert context.orders <= orders, context.orders
+    assert context.took_s <= seconds, context.took_s
