--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -26,6 +26,7 @@
     JobStatuses,
 )
 from apricotpath.mirror import Mirror, WatchableStore
+from apricotpath.newcheckpoints import new_checkpoints
 from apricotpath.pagedread import ReadProgress
 from apricotpath.queuerules import changed_queues, forget_queues, queues_in_force
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
@@ -387,7 +388,7 @@
         gangs: set[StepKey] = set()
         left = MAX_CHECKPOINTS_PER_APPEND
         for host, runs in list(self.table.by_host.items()):
-            records = list(self.table.new_checkpoints(host, gangs))[:left]
+            records = list(new_checkpoints(self.table, host, gangs))[:left]
             left -= len(records)
             for record in records:
                 batch.apply(record, now)
