--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -91,20 +91,29 @@
     """The crashes at which runs of one task were there, by the number of the run.
 
     `suspected_at`: boot-clock time (seconds) of the last crash of which the task is suspected, or
-    when that was loaded.
+    by when that had happened. `calm_s` and `waited_s`: how long the task had waited by the newest
+    record of that, see `SuspectWaited`.
     """
 
     parts: dict[int, CrashPart] = field(default_factory=dict)
     suspected_at: float = float("-inf")
+    calm_s: float = 0.0
+    waited_s: float = 0.0
 
     def note(self, run: int, part: CrashPart, now: float = float("-inf")) -> None:
         """Note a run's part in a crash; one that outlived its start clears the task."""
         self.parts[run] = part
         if part.blame is Blame.SUSPECT:
             self.suspected_at = max(self.suspected_at, now - part.ago_s)
+            self.calm_s = self.waited_s = 0.0
         if part.blame is Blame.OUTLIVED:
             self.parts = dict.fromkeys(self.parts, BYSTANDER)
 
+    def resume_wait(self, calm_s: float, waited_s: float, now: float) -> None:
+        """Count the wait of the task on from a record of it."""
+        self.calm_s, self.waited_s = calm_s, waited_s
+        self.suspected_at = min(self.suspected_at, now - calm_s)
+
     @property
     def suspicions(self) -> int:
         """How many crashes the task may have caused."""
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -20,6 +20,7 @@
     QueueKept,
     RunRecord,
     Saved,
+    SuspectWaited,
     TasksDone,
     TaskSummary,
 )
@@ -187,6 +188,8 @@
         row.run_count += record.run not in task.runs
         task.add_run(run)
         self._drop_waiting(record.task)
+        if record.task in self.crashes:
+            self.crashes[record.task].waited_s = 0.0
         self.index.add(run)
         if task.gang is None:
             self._open_tasks(row, record.task.occurrence, record.task.step, now)
@@ -232,6 +235,13 @@
         if history.convicted and not row.to_be_stopped:
             self.fail(record.task.job)
 
+    @apply.register
+    def _(self, record: SuspectWaited, now: float) -> None:
+        history, task = self.crashes.get(record.task), self.waiting.get(record.task)
+        if history is not None and task is not None:
+            history.resume_wait(record.calm_s, record.waited_s, now)
+            task.waiting_since = min(task.waiting_since, now - record.waited_s)
+
     @apply.register
     def _(self, record: JobEnded, now: float) -> None:
         row = self.rows.get(record.job)
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -63,6 +63,19 @@
     part: CrashPart
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectWaited(RunRecord):
+    """A task that is suspected of crashes has waited; a later scheduler counts on from here.
+
+    `calm_s`: time (seconds) since the last of the crashes. `waited_s`: time since the task may be
+    placed. Both leave out times without a scheduler.
+    """
+
+    task: TaskKey
+    calm_s: float
+    waited_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class JobEnded(RunRecord):
     """A job reached a final state."""
@@ -140,6 +153,11 @@
     return row
 
 
+@to_row.register
+def _(record: SuspectWaited) -> list[Any]:
+    return ["w", str(record.task), round(record.calm_s, 3), round(record.waited_s, 3)]
+
+
 @to_row.register
 def _(record: JobEnded) -> list[Any]:
     return ["j", record.job, record.progress.value]
@@ -227,6 +245,15 @@
     )
 
 
+def _suspect_waited(values: list[Any]) -> RunRecord:
+    task, calm_s, waited_s = values
+    return SuspectWaited(
+        _task(task),
+        to_number(calm_s, "calm_s", low=0),
+        to_number(waited_s, "waited_s", low=0),
+    )
+
+
 def _job_ended(values: list[Any]) -> RunRecord:
     job, progress = values
     return JobEnded(JobId(to_str(job, "job")), Progress(to_str(progress, "progress")))
@@ -293,6 +320,7 @@
     "e": _ended,
     "s": _saved,
     "c": _crashed,
+    "w": _suspect_waited,
     "j": _job_ended,
     "t": _task_summary,
     "d": _tasks_done,
--- a/packages/core/src/apricotpath/tablesnapshot.py
+++ b/packages/core/src/apricotpath/tablesnapshot.py
@@ -12,6 +12,7 @@
     OccurrencesDone,
     QueueKept,
     RunRecord,
+    SuspectWaited,
     TasksDone,
     TaskSummary,
 )
@@ -41,12 +42,20 @@
     histories = list(crashes.items())
     for first in range(0, len(histories), TASKS_PER_SLICE):
         yield [
-            Crashed(key, number, part)
+            record
             for key, history in histories[first : first + TASKS_PER_SLICE]
-            for number, part in history.parts.items()
+            for record in _crash_records(key, history)
         ]
 
 
+def _crash_records(key: TaskKey, history: CrashHistory) -> Iterator[RunRecord]:
+    """Yield records of the crashes at which a task was, and of its wait since then."""
+    for number, part in history.parts.items():
+        yield Crashed(key, number, part)
+    if history.calm_s or history.waited_s:
+        yield SuspectWaited(key, history.calm_s, history.waited_s)
+
+
 def _done_records(job: JobId, row: JobRow) -> Iterator[RunRecord]:
     """Yield records of what is done of a job."""
     done_tasks = row.done_tasks()
--- a/packages/daemon/src/apricotpathd/crashrecorder.py
+++ b/packages/daemon/src/apricotpathd/crashrecorder.py
@@ -19,7 +19,8 @@
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
 from apricotpath.messages import ExecutorCrash
-from apricotpath.runrecords import Crashed
+from apricotpath.runrecords import Crashed, SuspectWaited
+from apricotpath.suspectwaits import RECORD_INTERVAL_S, suspect_waits
 from apricotpath.workload import TaskKey
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
@@ -42,6 +43,7 @@
         self._table, self._tracker, self._metrics = table, tracker, metrics
         self._rate = CrashRate(started)
         self._lost_ordered_at: dict[tuple[TaskKey, int], float] = {}
+        self._waits_recorded_at = started
 
     def note_lost(self, run: Run) -> None:
         """Remember when a run was ordered that is lost; its crash may be reported later."""
@@ -55,6 +57,14 @@
             host, crash = self._tracker.crashes.popleft()
             self._process_one(host, crash, apply, now)
 
+    def record_waits(self, apply: Callable[[SuspectWaited], None], now: float) -> None:
+        """Record at intervals how long suspects have waited."""
+        if now - self._waits_recorded_at < RECORD_INTERVAL_S:
+            return
+        self._waits_recorded_at = now
+        for record in suspect_waits(self._table, now):
+            apply(record)
+
     def _process_one(self, host: HostId, crash: ExecutorCrash, apply: Apply, now: float) -> None:
         runs = list(self._runs_at_crash(host, crash, now))
         parts = assign_blame(runs, host)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -349,6 +349,7 @@
         await self._run_ends.process_endings(batch, now, slices)
         self._crashes.process(lambda record: batch.apply(record, now), now)
         await self._run_ends.process_lost_runs(batch, now, slices)
+        self._crashes.record_waits(lambda record: batch.apply(record, now), now)
         await self._save_progress(batch, now, slices)
         inputs = self._placement_input(boot_s())
         if self._ends.fail_exhausted(inputs.queues):
