--- a/packages/core/src/apricotpath/jobmetrics.py
+++ b/packages/core/src/apricotpath/jobmetrics.py
@@ -1,5 +1,6 @@
 """Metrics of jobs, their runs, and calls to the store and executors."""
 
+from apricotpath.absences import EndBasis
 from apricotpath.clientlimits import Limit
 from apricotpath.ids import QueueId
 from apricotpath.metrics import MetricSet
@@ -9,6 +10,8 @@
 # Limits label cardinality, since operators choose queue names; other queues share one label.
 MAX_QUEUES = 256
 OTHER_QUEUES = QueueId("other")
+# Upper bounds of the buckets for absences of tasks, in seconds.
+ABSENCE_BUCKETS_S = [0.1, 0.2, 0.5, *map(float, range(1, 13)), 15.0, 20.0, 30.0, 60.0]
 
 
 class JobMetrics(MetricSet):
@@ -26,6 +29,12 @@
         self._wait_s = self._histogram(
             "apricotpath_task_wait_seconds", "Time from a task's turn to the order of its run"
         )
+        self._absence_s = self._histogram(
+            "apricotpath_task_absence_seconds",
+            "Time from the end of a run of a long-running task to its next start, by what the end "
+            "is known from",
+            ABSENCE_BUCKETS_S,
+        )
         self._job_s = self._histogram(
             "apricotpath_job_seconds", "Time from the acceptance of a job to its final state"
         )
@@ -76,6 +85,10 @@
         """Count a run that was ordered."""
         self._wait_s.add({"queue": self._queue_label(queue)}, waited_s)
 
+    def absence_ended(self, basis: EndBasis, away_s: float) -> None:
+        """Count a start of a long-running task that had run before."""
+        self._absence_s.add({"basis": basis.value}, away_s)
+
     def group_started(self, wait: GroupWait) -> None:
         """Count a group of which a pass has started tasks."""
         labels = {"queue": self._queue_label(wait.queue), "size": wait.size.value}
--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from apricotpath.absences import Absence
 from apricotpath.gangs import Gang
 from apricotpath.ids import HostId
 from apricotpath.workload import Job, Progress, Step, TaskKey
@@ -34,7 +35,8 @@
     processors in use in thousandths of a core. `pace` is the speed limit of a
     filler task in percent. `saved` names its newest checkpoint. `survived`: the
     executor listed it SURVIVAL_S or more after it was ordered. `on_other`: it was reported by
-    another incarnation of its host's executor than the one that it was ordered for.
+    another incarnation of its host's executor than the one that it was ordered for. `reported_at`:
+    when its host last said that it was at work, in boot-clock seconds.
     """
 
     task: TaskKey
@@ -53,11 +55,20 @@
     stop_sent_at: float = 0.0
     survived: bool = False
     on_other: bool = False
+    reported_at: float = float("-inf")
+
+    @property
+    def was_reported(self) -> bool:
+        """Whether its host has told this scheduler that it is at work."""
+        return self.reported_at > float("-inf")
 
 
 @dataclass(slots=True)
 class Task:
-    """One task of a step; `own_saved` names its newest checkpoint if it is in no gang."""
+    """One task of a step; `own_saved` names its newest checkpoint if it is in no gang.
+
+    `absence`: of a long-running task that does not run any more.
+    """
 
     key: TaskKey
     gang: Gang | None = None
@@ -68,6 +79,7 @@
     runs: dict[int, Run] = field(default_factory=dict)
     failed_hosts: list[HostId] = field(default_factory=list)
     waiting_since: float = 0.0
+    absence: Absence | None = None
 
     @property
     def saved(self) -> str:
--- a/packages/core/src/apricotpath/metrics.py
+++ b/packages/core/src/apricotpath/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of a process, and the metrics of requests to services."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -27,8 +27,10 @@
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(name, text, registry=self.registry)
 
-    def _histogram(self, name: str, text: str) -> Histogram:
-        return Histogram(name, text, buckets=LATENCY_BUCKETS_S, registry=self.registry)
+    def _histogram(
+        self, name: str, text: str, buckets_s: Sequence[float] = LATENCY_BUCKETS_S
+    ) -> Histogram:
+        return Histogram(name, text, buckets=list(buckets_s), registry=self.registry)
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read whenever the metrics are rendered."""
--- a/packages/daemon/src/apricotpathd/hostevents.py
+++ b/packages/daemon/src/apricotpathd/hostevents.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from apricotpath.absences import EndBasis
 from apricotpath.ids import HostId
 from apricotpath.messages import ExecutorCrash, RunEnding
 from apricotpath.workload import TaskKey
@@ -50,3 +51,4 @@
     task: TaskKey
     run: int
     reason: str
+    basis: EndBasis
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -2,9 +2,10 @@
 
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
+from apricotpath.absences import AbsenceBasis, EndBasis
 from apricotpath.boottime import boot_s
 from apricotpath.crashes import SURVIVAL_S
 from apricotpath.errors import InputError
@@ -25,7 +26,6 @@
     HostRuns,
     HostSilent,
     OrderAnswers,
-    RunEnding,
     RunName,
     StartRuns,
     StopRuns,
@@ -38,6 +38,7 @@
 from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
 from apricotpathd.hostsending import send_nowait
 from apricotpathd.hosttraits import HostTraits
+from apricotpathd.incarnationlog import note_ended_incarnations, note_incarnation
 
 log = logging.getLogger(__name__)
 
@@ -84,6 +85,8 @@
         # Tells whether the other entries let this scheduler grant leases of a host.
         self.may_grant: Callable[[HostId], bool] = lambda _host: True
         self._ungranted: set[HostId] = set()
+        # Called with a run and the time when its host says that it is at work.
+        self.on_begun: Callable[[Run, float], None] = lambda _run, _now: None
         self.fences = FenceTokens(term)
         self._started = boot_s()
         self._grants_ended = False
@@ -245,7 +248,7 @@
         host.draining = message.draining
         host.leaves_at = now + message.remaining_ms / 1000 if message.draining else float("inf")
         self._match_runs(host, message, now)
-        self._note_ended_incarnations(host, message.endings)
+        note_ended_incarnations(self._table, host, message.endings)
         self.traits.observe(host, link, now)
         for ending in message.endings:
             if ending.number > self._last_queued_endings.get(host.host, host.acked_ending):
@@ -360,11 +363,12 @@
                 host.unknown_runs += 1
                 self._stop_unknown_run(host, RunName(status.task, status.run), now)
                 continue
-            self._note_incarnation(host, run)
+            note_incarnation(host, run)
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
-                self._table.note_begun(key.job)
+                self._note_begun(run, now)
                 run.first_percent = status.percent
+            run.reported_at = now
             if status.percent != run.percent or status.saved != run.saved:
                 run.stalled_s = 0.0
             else:
@@ -378,35 +382,7 @@
             ended = {(ending.task, ending.run) for ending in message.endings}
             for (key, number), run in expected.items():
                 if (key, number) not in reported_runs and (str(key), number) not in ended:
-                    self.mark_lost(run, "its host does not report it")
-
-    @staticmethod
-    def _note_incarnation(host: Host, run: Run) -> None:
-        """Log once that another incarnation reports a run than it was ordered for."""
-        ordered_for = (run.instance, run.born_ms)
-        reported_by = host.executor_incarnation()
-        if run.on_other or not run.instance or ordered_for == reported_by:
-            return
-        run.on_other = True
-        log.warning(
-            "run reported by another incarnation",
-            extra={
-                "task": str(run.task),
-                "run": run.run,
-                "host": host.host,
-                "ordered_for": ordered_for,
-                "reported_by": reported_by,
-            },
-        )
-
-    def _note_ended_incarnations(self, host: Host, endings: Iterable[RunEnding]) -> None:
-        """Log runs that ended on another incarnation than they were ordered for."""
-        ended = {(ending.task, ending.run) for ending in endings}
-        if not ended:
-            return
-        for (key, number), run in self._table.by_host.get(host.host, {}).items():
-            if (str(key), number) in ended:
-                self._note_incarnation(host, run)
+                    self.mark_lost(run, "its host does not report it", AbsenceBasis.UNLISTED)
 
     def _update_host_speed(self, host: Host, run: Run, now: float) -> None:
         """Update the estimate of a host's speed from the progress of a run."""
@@ -443,13 +419,20 @@
             if run is None:
                 continue
             if answer.answer is StartAnswer.STARTED:
-                self._table.note_begun(key.job)
+                run.reported_at = now
+                self._note_begun(run, now)
                 continue
             if answer.answer in (StartAnswer.UNFIT, StartAnswer.REFUSED):
                 host.paused_until = max(host.paused_until, now + REJECTED_PAUSE_S)
             elif answer.answer is StartAnswer.BROKEN:
                 self.record_failure(host, run, "refuses starts", now)
-            self.mark_lost(run, f"its start was answered {answer.answer.value}")
+            reason = f"its start was answered {answer.answer.value}"
+            self.mark_lost(run, reason, AbsenceBasis.NOT_STARTED)
+
+    def _note_begun(self, run: Run, now: float) -> None:
+        """Note that a run is at work, as its host says."""
+        self._table.note_begun(run.task.job)
+        self.on_begun(run, now)
 
     def record_failure(self, host: Host, run: Run, reason: str, now: float) -> None:
         """Count a failed run against its host or its job."""
@@ -467,9 +450,9 @@
         now = boot_s()
         return sum(host.is_set_aside(now) for host in self.hosts.values())
 
-    def mark_lost(self, run: Run, reason: str) -> None:
+    def mark_lost(self, run: Run, reason: str, basis: EndBasis) -> None:
         """Queue a run for the scheduler to record as lost, unless it is queued already."""
-        self.lost_runs.setdefault((run.task, run.run), LostRun(run.task, run.run, reason))
+        self.lost_runs.setdefault((run.task, run.run), LostRun(run.task, run.run, reason, basis))
         self._wake()
 
     def send(self, host: Host, message: StartRuns | StopRuns) -> bool:
@@ -492,7 +475,8 @@
             if any((run.task, run.run) not in self.lost_runs for run in runs):
                 self._log_expiry(host, len(runs), now)
             for run in runs:
-                self.mark_lost(run, "its host is unreachable and its lease has expired")
+                reason = "its host is unreachable and its lease has expired"
+                self.mark_lost(run, reason, host.leases.bound.basis)
             if not host.fence and now > host.leases.until + self._cfg.retention_s:
                 del self.hosts[name]
 
--- a/packages/daemon/src/apricotpathd/runends.py
+++ b/packages/daemon/src/apricotpathd/runends.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from apricotpath.absences import AbsenceBasis, EndBasis
 from apricotpath.errors import InputError
 from apricotpath.fleet import Host
 from apricotpath.jobmetrics import JobMetrics
@@ -11,6 +12,7 @@
 from apricotpath.runrecords import Ended
 from apricotpath.slices import Slices
 from apricotpath.workload import RunResult, TaskKey
+from apricotpathd.absencelog import AbsenceLog
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
@@ -32,11 +34,13 @@
         tracker: HostTracker,
         crashes: CrashRecorder,
         planning: Planning,
+        absences: AbsenceLog,
         metrics: JobMetrics,
         wake: Callable[[], None],
     ) -> None:
         self._table, self._tracker, self._crashes = table, tracker, crashes
-        self._planning, self._metrics, self._wake = planning, metrics, wake
+        self._planning, self._absences = planning, absences
+        self._metrics, self._wake = metrics, wake
 
     async def process_endings(self, batch: Batch, now: float, slices: Slices) -> None:
         """Record the reported endings.
@@ -59,7 +63,9 @@
                 self._record_host_health(host, key, ending, now)
             elif ending.result is not RunResult.DONE:
                 continue
-            self._end_run(batch, key, ending.run, ending.result, ending.saved, now)
+            self._end_run(
+                batch, Ended(key, ending.run, ending.result, ending.saved), AbsenceBasis.REPORT, now
+            )
         if endings:
             self._wake()
 
@@ -76,7 +82,7 @@
         lost_runs = self._tracker.lost_runs
         for _ in range(min(MAX_ENDS_PER_PASS, len(lost_runs))):
             await slices.note()
-            _, (key, run, reason) = lost_runs.popitem(last=False)
+            _, (key, run, reason, basis) = lost_runs.popitem(last=False)
             task = self._table.task(key)
             lost = task.runs.get(run) if task is not None else None
             if lost is None:
@@ -93,18 +99,22 @@
                     "saved": lost.saved,
                 },
             )
-            self._end_run(batch, key, run, RunResult.LOST, lost.saved, now)
+            self._end_run(batch, Ended(key, run, RunResult.LOST, lost.saved), basis, now)
         if lost_runs:
             self._wake()
 
-    def _end_run(
-        self, batch: Batch, key: TaskKey, run: int, result: RunResult, saved: str, now: float
-    ) -> None:
+    def _end_run(self, batch: Batch, end: Ended, basis: EndBasis, now: float) -> None:
+        """Record the end of a run, unless it is known and tells nothing new."""
+        key, result = end.task, end.result
         task = self._table.task(key)
-        if task is None or (run not in task.runs and (task.done or result is not RunResult.DONE)):
+        if task is None or (
+            end.run not in task.runs and (task.done or result is not RunResult.DONE)
+        ):
             return
-        row = self._table.rows[key.job]
+        row, run = self._table.rows[key.job], task.runs.get(end.run)
         self._metrics.run_ended(row.job.queue, result)
-        self._planning.run_ended(row.step(key), task.runs.get(run), result, now)
-        batch.apply(Ended(key, run, result, saved), now)
-        log.info("run ended", extra={"task": str(key), "run": run, "result": result.value})
+        self._planning.run_ended(row.step(key), run, result, now)
+        batch.apply(end, now)
+        if run is not None and not row.to_be_stopped:
+            self._absences.on_ended(task, run, basis)
+        log.info("run ended", extra={"task": str(key), "run": end.run, "result": result.value})
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -37,6 +37,7 @@
 from apricotpath.term import Term
 from apricotpath.upkeeprecords import UpkeepRecords
 from apricotpath.workload import Job, Queue, StepKey
+from apricotpathd.absencelog import AbsenceLog
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.fleetlog import FleetLog
 from apricotpathd.hosttracker import HostTracker
@@ -115,8 +116,16 @@
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
         self.planning = Planning(cfg, metrics)
+        self._absences = AbsenceLog(self.table, metrics, self._started)
+        self.host_tracker.on_begun = self._absences.on_begun
         self._run_ends = RunEnds(
-            self.table, self.host_tracker, self._crashes, self.planning, metrics, self.wake
+            self.table,
+            self.host_tracker,
+            self._crashes,
+            self.planning,
+            self._absences,
+            metrics,
+            self.wake,
         )
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
@@ -208,6 +217,7 @@
             self.table.commitments(host)
             await anyio.lowlevel.checkpoint()
         self.planning.loaded(now)
+        self._absences.on_loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
--- a/packages/daemon/src/apricotpathd/startorders.py
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Iterable, Iterator
 
+from apricotpath.absences import AbsenceBasis
 from apricotpath.boottime import boot_s
 from apricotpath.commitments import reserved_size
 from apricotpath.fleet import Host
@@ -64,7 +65,7 @@
             if task is None or run is None or row is None:
                 continue
             if row.to_be_stopped or task.done or out or host.draining:
-                self._tracker.mark_lost(run, "its start was not sent")
+                self._mark_not_sent(run)
                 continue
             # The time spent on writing the assignment does not count as run time.
             run.since = boot_s()
@@ -74,7 +75,10 @@
             if not self._tracker.send(host, StartRuns(host.fence, host.renewal, chunk)):
                 for order in chunk:
                     run = self._table.by_host[host.host][TaskKey.parse(order.task), order.run]
-                    self._tracker.mark_lost(run, "its start was not sent")
+                    self._mark_not_sent(run)
+
+    def _mark_not_sent(self, run: Run) -> None:
+        self._tracker.mark_lost(run, "its start was not sent", AbsenceBasis.NOT_STARTED)
 
     def _order(self, host: Host, row: JobRow, task: Task, run: Run) -> RunOrder:
         step = row.step(task.key)
--- a/tests/features/steps/incarnations_steps.py
+++ b/tests/features/steps/incarnations_steps.py
@@ -652,7 +652,7 @@
 def begin_on_next(context: Any) -> None:
     world: RestartWorld = context.world
     context.records = LogRecords("run reported by another incarnation")
-    logger = logging.getLogger("apricotpathd.hosttracker")
+    logger = logging.getLogger("apricotpathd.incarnationlog")
     logger.addHandler(context.records)
     level = logger.level
     logger.setLevel(logging.INFO)
