--- a/packages/core/src/apricotpath/upkeepplan.py
+++ b/packages/core/src/apricotpath/upkeepplan.py
@@ -67,14 +67,14 @@
 
     `stops`: the hosts to be emptied, each with the runs to stop there now. `due`: hosts whose
     upkeep is still to come. `emptied`: the machines that `stops` is about, except those that are
-    emptied ahead of their turn. `held`: machines that give way to others, and why. `stuck`: those
-    of `emptied` with tasks that may not be stopped now.
+    emptied ahead of their turn. `held`: machines that give way to others, and why. `stuck`: how
+    many tasks may not be stopped now, of those of `emptied` with such tasks.
     """
 
     stops: dict[HostId, frozenset[RunKey]] = field(default_factory=dict)
     due: set[HostId] = field(default_factory=set)
     emptied: set[UpkeepOrder] = field(default_factory=set)
-    stuck: set[UpkeepOrder] = field(default_factory=set)
+    stuck: Counter[UpkeepOrder] = field(default_factory=Counter)
     held: dict[UpkeepOrder, str] = field(default_factory=dict)
     orders: list[UpkeepOrder] = field(default_factory=list)
     completed: list[WaveId] = field(default_factory=list)
@@ -348,7 +348,7 @@
             if key in former or self._may_stop(run, step, slack_s):
                 stops.add(key)
             elif step.long_running:
-                self.plan.stuck.add(order)
+                self.plan.stuck[order] += 1
         return frozenset(stops)
 
     def _may_stop(self, run: Run, step: Step, slack_s: float) -> bool:
--- a/packages/core/src/apricotpath/upkeepstate.py
+++ b/packages/core/src/apricotpath/upkeepstate.py
@@ -70,7 +70,8 @@
 
     `begun`: the service has confirmed it. `in_flight`: a call is being made. `down_until`: the
     machine counts as down until a list that was requested later shows otherwise; infinite while
-    an order may still be carried out. `emptied_since`: since when its host is being emptied.
+    an order may still be carried out. `emptied`: its host is being emptied. `stuck_since`: since
+    when `stuck_runs` of its tasks may not be stopped, and none of them could be.
     """
 
     begun: bool = False
@@ -78,18 +79,15 @@
     down_until: float = float("-inf")
     retry_at: float = float("-inf")
     delay_s: float = RETRY_FIRST_S
-    emptied_since: float = float("inf")
+    emptied: bool = False
+    stuck_since: float = float("inf")
+    stuck_runs: int = 0
 
     @property
     def in_doubt(self) -> bool:
         """Whether an order was not answered and may have been, or still be, carried out."""
         return self.down_until == float("inf")
 
-    @property
-    def emptied(self) -> bool:
-        """Whether the host of the machine is being emptied."""
-        return self.emptied_since < float("inf")
-
     def sending(self) -> None:
         """Note that an order is being sent."""
         self.in_flight, self.down_until = True, float("inf")
@@ -122,12 +120,24 @@
         """Send no order for a while, each time for longer."""
         self.retry_at = now + min(self.delay_s, max_delay_s)
         self.delay_s = min(2 * self.delay_s, RETRY_MAX_S)
-        self.emptied_since = float("inf")
+        self.end_emptying()
 
     def hold(self, now: float) -> None:
         """Give way to other machines for a moment."""
         self.retry_at = now + HELD_RETRY_S
-        self.emptied_since = float("inf")
+        self.end_emptying()
+
+    def note_emptying(self, stuck_runs: int, now: float) -> None:
+        """Note that the host is being emptied, and how many tasks may not be stopped now."""
+        if not stuck_runs:
+            self.stuck_since = float("inf")
+        elif not self.stuck_runs or stuck_runs < self.stuck_runs:
+            self.stuck_since = now
+        self.emptied, self.stuck_runs = True, stuck_runs
+
+    def end_emptying(self) -> None:
+        """Note that the host takes starts again."""
+        self.emptied, self.stuck_runs, self.stuck_since = False, 0, float("inf")
 
     def counts_as_down(self, name: MachineId, view: MachineView, now: float) -> bool:
         """Return whether the machine may be down for this wave."""
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -41,8 +41,9 @@
 # Nothing is ordered by waves that were read longer ago; a quiet watch lasts one second.
 MAX_WAVES_AGE_S = 2.5
 REPORT_RETRY_S = 1.0
-# A host with tasks that may not be stopped is given up for a while after this time.
-MAX_STUCK_S = 10.0
+# A host with tasks that may not be stopped is given up for a while once none of them could be for
+# this time: a task that is away may fit nowhere else, and is to run again in MAX_ABSENCE_S.
+MAX_STUCK_S = 6.0
 # Share of the order rate of all nodes that one scheduler uses.
 ORDER_RATE_SHARE = 0.5
 LOG_INTERVAL_S = 2.0
@@ -367,12 +368,12 @@
         plan = self.plan
         for order in self._emptied - plan.emptied:
             if order.wave in self._progress:
-                self._state(order).emptied_since = float("inf")
+                self._state(order).end_emptying()
         self._emptied = plan.emptied
         for order in plan.emptied:
             state = self._state(order)
-            state.emptied_since = min(state.emptied_since, now)
-            if order in plan.stuck and now - state.emptied_since > MAX_STUCK_S:
+            state.note_emptying(plan.stuck[order], now)
+            if now - state.stuck_since > MAX_STUCK_S:
                 log.info("emptying given up", extra=order._asdict())
                 state.hold(now)
             self._held.pop(order, None)
