--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -86,6 +86,12 @@
         """Name of the newest checkpoint from which the task resumes; empty without one."""
         return self.gang.saved if self.gang is not None else self.own_saved
 
+    @property
+    def away_since(self) -> float:
+        """Since when (boot-clock seconds) the task does not run, or else waits."""
+        began = self.absence.since if self.absence is not None else self.waiting_since
+        return min(began, self.waiting_since)
+
     def save(self, run: int, saved: str) -> None:
         """Set the newest checkpoint, which a run has written."""
         if self.gang is not None:
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -21,7 +21,7 @@
 RESERVE_AFTER_S = 2.0
 # At most one in this many hosts is reserved, so that placement continues on the others.
 HOSTS_PER_RESERVATION = 5
-# Long-running tasks that have waited this long may use reserved hosts: their callers go unserved
+# Long-running tasks that are away for this long may use reserved hosts: their callers go unserved
 # meanwhile, and the tasks that a host is reserved for do not fit there yet.
 LONG_RUNNING_MAX_WAIT_S = 3.0
 # At most one in this many hosts is kept for tasks that are suspected of crashes.
@@ -105,10 +105,11 @@
 def _candidates(
     group: WaitingGroup, allowed: list[HostLoad], inputs: PlacementInput
 ) -> list[HostLoad]:
-    """Return the hosts that a group may use: reserved ones only after a long wait of its tasks."""
-    waited_s = inputs.now - group.tasks[0].waiting_since
-    if group.step.long_running and waited_s >= LONG_RUNNING_MAX_WAIT_S:
-        return allowed
+    """Return the hosts that a group may use: reserved ones only if a task is away for long."""
+    if group.step.long_running:
+        away_since = min(task.away_since for task in group.tasks)
+        if inputs.now - away_since >= LONG_RUNNING_MAX_WAIT_S:
+            return allowed
     return [load for load in allowed if not load.reserved]
 
 
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -231,6 +231,21 @@
       | 2      | 0     |
       | 4      | 1     |
 
+  # Its callers had gone unserved for 6 s when its host was given up, and it then waited 3 s more.
+  Scenario Outline: runplacement starts <count> serving task on a reserved host that was away for <away> seconds
+    Given runplacement hosts a and b of 8 cores
+    And 5 tasks of 1 core run on runplacement host a
+    And a serving task of 8 cores runs on runplacement host b
+    And a serving task of 5 cores has waited 4 seconds for runplacement
+    And a serving task of 2 cores has waited 0 seconds for runplacement, and does not run since <away> seconds
+    When a step of 1 tasks of 1 core is placed by runplacement
+    Then runplacement puts <count> on a and 0 on b
+
+    Examples:
+      | away | count |
+      | 2    | 0     |
+      | 6    | 1     |
+
   # Guards against a suspected task that waits for ever for a host where it may not run.
   Scenario: runplacement keeps a host for a suspected task that its advisory service allows
     Given runplacement hosts a and b of 8 cores
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -7,8 +7,10 @@
 
 from behave import given, then, when
 
+from apricotpath.absences import Absence
 from apricotpath.crashes import Blame, CrashPart
 from apricotpath.fleet import FleetSettings, Host
+from apricotpath.hostleases import LeaseBasis
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
 from apricotpath.jobrows import RunPhase
@@ -200,6 +202,16 @@
     context.case.add(step(1, cores, long_running=True, target_ms=10.0), seconds)
 
 
+@given(
+    "a serving task of {cores:d} cores has waited {seconds:d} seconds for runplacement, "
+    "and does not run since {away_s:d} seconds"
+)
+def waiting_away(context: Any, cores: int, seconds: int, away_s: int) -> None:
+    job = context.case.add(step(1, cores, long_running=True, target_ms=10.0), seconds)
+    (task,) = context.case.table.rows[job].tasks.values()
+    task.absence = Absence(NOW - away_s, LeaseBasis.ASSUMPTION)
+
+
 @given("{count:d} tasks of {cores:d} core run on runplacement host {host:w}")
 def running_on_one(context: Any, count: int, cores: int, host: str) -> None:
     for _ in range(count):
