--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -20,6 +20,7 @@
     QueueKept,
     RunRecord,
     Saved,
+    SuspectWaited,
     TasksDone,
     TaskSummary,
 )
@@ -134,23 +135,6 @@
         """Remove a job that has ended."""
         self.rows.pop(job, None)
 
-    def new_checkpoints(self, host: HostId, gangs: set[StepKey]) -> Iterator[Saved]:
-        """Yield records of the checkpoints of a host's current runs that are not recorded yet.
-
-        A gang has one checkpoint, that of the first member found; `gangs` collects those seen.
-        """
-        for run in self.by_host.get(host, {}).values():
-            task = self.task(run.task)
-            # With two runs of a task, only checkpoints of the newer one count.
-            if task is None or not run.saved or run.run != task.last_run:
-                continue
-            if task.gang is not None:
-                if run.task.step_key in gangs:
-                    continue
-                gangs.add(run.task.step_key)
-            if run.saved != task.saved:
-                yield Saved(run.task, run.saved)
-
     def task(self, key: TaskKey) -> Task | None:
         """Return an open task; None if it is done, or its job is unknown or has ended."""
         row = self.rows.get(key.job)
@@ -204,6 +188,8 @@
         row.run_count += record.run not in task.runs
         task.add_run(run)
         self._drop_waiting(record.task)
+        if record.task in self.crashes:
+            self.crashes[record.task].waited_s = 0.0
         self.index.add(run)
         if task.gang is None:
             self._open_tasks(row, record.task.occurrence, record.task.step, now)
@@ -249,6 +235,13 @@
         if history.convicted and not row.to_be_stopped:
             self.fail(record.task.job)
 
+    @apply.register
+    def _(self, record: SuspectWaited, now: float) -> None:
+        history, task = self.crashes.get(record.task), self.waiting.get(record.task)
+        if history is not None and task is not None:
+            history.resume_wait(record.calm_s, record.waited_s, now)
+            task.waiting_since = min(task.waiting_since, now - record.waited_s)
+
     @apply.register
     def _(self, record: JobEnded, now: float) -> None:
         row = self.rows.get(record.job)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -26,6 +26,7 @@
     JobStatuses,
 )
 from apricotpath.mirror import Mirror, WatchableStore
+from apricotpath.newcheckpoints import new_checkpoints
 from apricotpath.pagedread import ReadProgress
 from apricotpath.queuerules import changed_queues, forget_queues, queues_in_force
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
@@ -36,6 +37,7 @@
 from apricotpath.term import Term
 from apricotpath.upkeeprecords import UpkeepRecords
 from apricotpath.workload import Job, Queue, StepKey
+from apricotpathd.absencelog import AbsenceLog
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.fleetlog import FleetLog
 from apricotpathd.hosttracker import HostTracker
@@ -114,8 +116,16 @@
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
         self.planning = Planning(cfg, metrics)
+        self._absences = AbsenceLog(self.table, metrics, self._started)
+        self.host_tracker.on_begun = self._absences.on_begun
         self._run_ends = RunEnds(
-            self.table, self.host_tracker, self._crashes, self.planning, metrics, self.wake
+            self.table,
+            self.host_tracker,
+            self._crashes,
+            self.planning,
+            self._absences,
+            metrics,
+            self.wake,
         )
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
@@ -207,6 +217,7 @@
             self.table.commitments(host)
             await anyio.lowlevel.checkpoint()
         self.planning.loaded(now)
+        self._absences.on_loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
@@ -348,6 +359,7 @@
         await self._run_ends.process_endings(batch, now, slices)
         self._crashes.process(lambda record: batch.apply(record, now), now)
         await self._run_ends.process_lost_runs(batch, now, slices)
+        self._crashes.record_waits(lambda record: batch.apply(record, now), now)
         await self._save_progress(batch, now, slices)
         # A large gang is placed in one step.
         await slices.end_step()
@@ -389,7 +401,7 @@
         gangs: set[StepKey] = set()
         left = MAX_CHECKPOINTS_PER_APPEND
         for host, runs in list(self.table.by_host.items()):
-            records = list(self.table.new_checkpoints(host, gangs))[:left]
+            records = list(new_checkpoints(self.table, host, gangs))[:left]
             left -= len(records)
             for record in records:
                 batch.apply(record, now)
