--- a/packages/core/src/apricotpath/messages.py
+++ b/packages/core/src/apricotpath/messages.py
@@ -172,13 +172,21 @@
     ran_ms: int
 
 
+# Stands for the time since a crash that an agent does not tell.
+UNKNOWN_AGO_MS = -1
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutorCrash:
-    """An executor that ended without notice while its agent ran, with its runs."""
+    """An executor that ended without notice while its agent ran, with its runs.
+
+    `ago_ms`: for how long (ms) it has not answered; UNKNOWN_AGO_MS from earlier versions.
+    """
 
     instance: InstanceId
     born_ms: int
     runs: tuple[RunAtCrash, ...]
+    ago_ms: int = UNKNOWN_AGO_MS
 
 
 NO_FENCE = FenceToken(0)
--- a/packages/core/src/apricotpath/wire.capnp
+++ b/packages/core/src/apricotpath/wire.capnp
@@ -356,6 +356,7 @@
   instance @0 :Text;
   bornMs @1 :Int64;
   runs @2 :List(RunAtCrash);
+  agoMs @3 :Int64 = -1;
 }
 
 struct HostAttach {
--- a/packages/daemon/src/apricotpathd/crashrecorder.py
+++ b/packages/daemon/src/apricotpathd/crashrecorder.py
@@ -21,7 +21,7 @@
 from apricotpath.messages import ExecutorCrash
 from apricotpath.runrecords import Crashed
 from apricotpath.workload import TaskKey
-from apricotpathd.hostevents import ExecutorName
+from apricotpathd.hostevents import ExecutorName, ReportedCrash
 from apricotpathd.hosttracker import HostTracker
 
 log = logging.getLogger(__name__)
@@ -34,12 +34,18 @@
 
 
 class CrashRecorder:
-    """Turns the crashes that agents report into records; `started` is when the term began."""
+    """Turns the crashes that agents report into records; `started` is when the term began.
+
+    Agents tell each scheduler their newest crashes. Those of before the term show what their runs
+    are suspected of, but not how often executors crash by themselves: an earlier scheduler may
+    have recorded the runs that caused them, or ended their jobs.
+    """
 
     def __init__(
         self, table: JobTable, tracker: HostTracker, metrics: JobMetrics, started: float
     ) -> None:
         self._table, self._tracker, self._metrics = table, tracker, metrics
+        self._started = started
         self._rate = CrashRate(started)
         self._lost_ordered_at: dict[tuple[TaskKey, int], float] = {}
 
@@ -51,26 +57,30 @@
 
     def process(self, apply: Apply, now: float) -> None:
         """Record the crashes that have been reported."""
-        while self._tracker.crashes:
-            host, crash = self._tracker.crashes.popleft()
-            self._process_one(host, crash, apply, now)
+        queued = self._tracker.crash_reports.queued
+        while queued:
+            self._process_one(queued.popleft(), apply, now)
 
-    def _process_one(self, host: HostId, crash: ExecutorCrash, apply: Apply, now: float) -> None:
+    def _process_one(self, reported: ReportedCrash, apply: Apply, now: float) -> None:
+        host, crash, crashed_at = reported
         runs = list(self._runs_at_crash(host, crash, now))
         parts = assign_blame(runs, host)
-        if self._tracker.crashed_with_others(ExecutorName(host, crash.instance, crash.born_ms)):
+        executor = ExecutorName(host, crash.instance, crash.born_ms)
+        if self._tracker.crash_reports.crashed_with_others(executor):
             parts = dict.fromkeys(runs, BYSTANDER)
         suspects = [run for run, part in parts.items() if part.blame is Blame.SUSPECT]
-        at_start = not any(parts[run].delayed for run in suspects)
-        self._rate.add(now, host, frozenset(run.task.job for run in suspects), at_start)
-        if not suspects and self._rate.on_host(host, now).crashes_by_itself:
-            self._clear_suspicions(host, apply)
+        if crashed_at >= self._started:
+            at_start = not any(parts[run].delayed for run in suspects)
+            self._rate.add(now, host, frozenset(run.task.job for run in suspects), at_start)
+            if not suspects and self._rate.on_host(host, now).crashes_by_itself:
+                self._clear_suspicions(host, apply)
         self._metrics.executor_crashed()
         log.warning(
             "executor crashed",
             extra={
                 "host": host,
                 "instance": crash.instance,
+                "ago_s": round(now - crashed_at, 3),
                 "runs": len(crash.runs),
                 "suspects": [str(run.task) for run in suspects[:MAX_SUSPECTS_LOGGED]],
                 "suspect_count": len(suspects),
--- a/packages/daemon/src/apricotpathd/crashwatch.py
+++ b/packages/daemon/src/apricotpathd/crashwatch.py
@@ -1,6 +1,7 @@
 """An agent's knowledge of which runs were on its executor when it crashed."""
 
 from collections import deque
+from dataclasses import replace
 
 from apricotpath.boottime import boot_s
 from apricotpath.ids import InstanceId
@@ -21,10 +22,17 @@
     """
 
     def __init__(self) -> None:
-        self.crashes: deque[ExecutorCrash] = deque(maxlen=MAX_CRASHES)
+        # Each with the boot-clock time (seconds) from which on the executor did not answer.
+        self._crashes: deque[tuple[float, ExecutorCrash]] = deque(maxlen=MAX_CRASHES)
         self._answered_at = float("-inf")
+        self._silent_since = float("inf")
         self._runs: tuple[RunAtCrash, ...] | None = None
 
+    def recent_crashes(self) -> tuple[ExecutorCrash, ...]:
+        """Return the newest crashes, with the time since each."""
+        now = boot_s()
+        return tuple(replace(crash, ago_ms=round((now - at) * 1000)) for at, crash in self._crashes)
+
     def on_answer(self) -> None:
         """Note that the executor has answered a renewal."""
         self._answered_at = boot_s()
@@ -36,7 +44,8 @@
         If it was `disconnected`, it was alive until now, otherwise at least until its last answer.
         """
         if self._runs is None:
-            alive_until = boot_s() if disconnected else self._answered_at
+            self._silent_since = boot_s()
+            alive_until = self._silent_since if disconnected else self._answered_at
             self._runs = tuple(_runs_of(attached, alive_until))
 
     def on_crash(self, facts: HostFacts, attached: Attachment | None) -> None:
@@ -44,7 +53,8 @@
         if attached is not None:
             self.on_silence(attached, disconnected=False)
         crash = ExecutorCrash(InstanceId(facts.instance), facts.born_ms, self._runs or ())
-        self.crashes.append(crash)
+        at = self._silent_since if self._runs is not None else boot_s()
+        self._crashes.append((at, crash))
         self._runs = None
 
 
--- a/packages/daemon/src/apricotpathd/hostagent.py
+++ b/packages/daemon/src/apricotpathd/hostagent.py
@@ -239,7 +239,7 @@
             tuple(sorted(facts.labels)),
             facts.capacity,
             max(self.epoch, epoch_of(self.fences.highest)),
-            tuple(self._crash_watch.crashes),
+            self._crash_watch.recent_crashes(),
             self.fences.highest,
             ceil(max(0.0, self._leased_until - boot_s()) * 1000),
         )
--- a/packages/daemon/src/apricotpathd/hostevents.py
+++ b/packages/daemon/src/apricotpathd/hostevents.py
@@ -27,10 +27,11 @@
 
 
 class ReportedCrash(NamedTuple):
-    """A crash of an executor, reported by the agent of its host."""
+    """A crash of an executor at a boot-clock time (seconds), reported by its host's agent."""
 
     host: HostId
     crash: ExecutorCrash
+    at: float
 
 
 class Silence(NamedTuple):
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -34,8 +34,9 @@
 from apricotpath.quarantine import Quarantine
 from apricotpath.term import Term
 from apricotpath.workload import HostFacts, TaskKey
+from apricotpathd.crashreports import CrashReports
 from apricotpathd.fencetokens import FenceTokens
-from apricotpathd.hostevents import ExecutorName, LostRun, ReportedCrash, ReportedEnding, Silence
+from apricotpathd.hostevents import ExecutorName, LostRun, ReportedEnding
 from apricotpathd.hostsending import send_nowait
 from apricotpathd.hosttraits import HostTraits
 
@@ -50,14 +51,12 @@
 MAX_REPORT_GAP_S = 1.0
 # The other entries are told the leases of hosts that have not reported for this time.
 SILENT_S = 1.0
-# Executors that stop answering within this time of each other may have one cause.
-TOGETHER_S = 1.0
 # While so many lost runs are queued, no more hosts are looked at for expired leases.
 MAX_QUEUED_LOST = 1000
 
 
 class HostTracker:
-    """Hosts of one term; `endings`, `lost_runs` and `crashes` are events not recorded yet."""
+    """Hosts of one term; `endings` and `lost_runs` are events not recorded yet."""
 
     def __init__(
         self,
@@ -75,9 +74,7 @@
         self._names_by_link: dict[Link, set[HostId]] = {}
         self.endings: deque[ReportedEnding] = deque()
         self.lost_runs: OrderedDict[tuple[TaskKey, int], LostRun] = OrderedDict()
-        self.crashes: deque[ReportedCrash] = deque()
-        self._known_crashes: set[ExecutorName] = set()
-        self._silences: dict[HostId, Silence] = {}
+        self.crash_reports = CrashReports()
         self.quarantine = Quarantine(self.hosts, cfg.silent_s)
         self._term, self._table, self._cfg = term, table, cfg
         self._last_store_contact_at, self._wake = last_store_contact_at, wake
@@ -111,7 +108,7 @@
             host.silent_since = float("inf")
         elif host.facts is not None:
             self._log_capacity(host, host.facts.capacity, message.capacity)
-        self._queue_crashes(message)
+        self.crash_reports.queue_crashes(message, now)
         if self.links.get(name, link) is not link:
             # Its former process may have ended unnoticed, and this one followed another scheduler.
             host.leases.on_detached()
@@ -146,14 +143,6 @@
             return self._cfg.run_hold_s
         return self._cfg.hold_s(message.lease_ms / 1000)
 
-    def _queue_crashes(self, message: HostAttach) -> None:
-        """Queue the crashes that an agent reports, each once per term."""
-        for crash in message.crashes:
-            name = ExecutorName(message.host, crash.instance, crash.born_ms)
-            if name not in self._known_crashes:
-                self._known_crashes.add(name)
-                self.crashes.append(ReportedCrash(message.host, crash))
-
     def end_grants(self, now: float) -> dict[HostId, float]:
         """Grant no lease any more; return for how many seconds runs may continue, by host."""
         self._grants_ended = True
@@ -237,7 +226,7 @@
         now = boot_s()
         self._grant(host, link, message.renewal, now)
         host.renewal = message.renewal
-        self._end_silence(host)
+        self.crash_reports.end_silence(host)
         host.filler_percent = message.filler_percent
         if message.draining and not host.draining:
             log.info("host is draining", extra={"host": host.host, "left_ms": message.remaining_ms})
@@ -264,34 +253,10 @@
         host = self._attached_host(link, message.fence)
         if host is None:
             return
-        host.silent_since = boot_s()
         runs = self._table.runs_on(host.host)
-        at_work = bool(runs) and all(run.survived for run in runs)
-        incarnation = host.executor_incarnation()
-        self._silences[host.host] = Silence(incarnation, host.silent_since, at_work)
+        self.crash_reports.note_silence(host, runs, boot_s())
         log.info("executor does not answer", extra={"host": host.host, "runs": len(runs)})
 
-    def _end_silence(self, host: Host) -> None:
-        """Note that a host's executor answers; the silence of one that has crashed is kept."""
-        host.silent_since = float("inf")
-        silence = self._silences.get(host.host)
-        if silence is not None and silence.executor_incarnation == host.executor_incarnation():
-            del self._silences[host.host]
-
-    def crashed_with_others(self, name: ExecutorName) -> bool:
-        """Tell whether executors crashed together for a reason that is not the start of a task.
-
-        That is so if another one, all of whose runs had survived their start, crashed as well.
-        """
-        silence = self._silences.get(name.host)
-        if silence is None or silence.executor_incarnation != (name.instance, name.born_ms):
-            return False
-        return any(
-            other.at_work and abs(other.since - silence.since) <= TOGETHER_S
-            for host, other in self._silences.items()
-            if host != name.host
-        )
-
     def _grant(self, host: Host, link: Link, renewal: int, reported_at: float) -> None:
         """Renew the lease of a host's runs, unless a later scheduler may consider it expired.
 
--- a/tests/features/crashingtasks.feature
+++ b/tests/features/crashingtasks.feature
@@ -80,6 +80,15 @@
       | the store is away for some seconds                        |
       | the scheduler is killed and the store away for some seconds |
 
+  # A new scheduler took the crashes of before its term, reported again, for crashes of the host by itself.
+  Scenario: crashingtasks keep what a task is suspected of on one host when the scheduler changes
+    Given a world of crashing tasks with 3 entries and 1 hosts
+    When a job of 1 tasks is submitted of which 1 are deadly
+    And the scheduler is killed 4 seconds after crash 2
+    Then each deadly task has crashed at most 3 executors
+    And the jobs with deadly tasks are failed within 60 seconds
+    And the world of crashing tasks has no violation
+
   # Fillers, gangs, long-running tasks and copies are started in ways of their own.
   Scenario Outline: crashingtasks start a deadly task of a <kind> step at most twice after 3 crashes
     Given a world of crashing tasks with 2 entries and 6 hosts
