--- a/packages/core/src/apricotpath/fleet.py
+++ b/packages/core/src/apricotpath/fleet.py
@@ -99,6 +99,11 @@
         """Return the instance id and start time (ms) of the executor, or an empty pair."""
         return (self.facts.instance, self.facts.born_ms) if self.facts else ("", 0)
 
+    @property
+    def attached(self) -> bool:
+        """Whether an agent is attached for the host."""
+        return self.fence != NOT_ATTACHED
+
     def accepts_starts(self, now: float, silent_s: float) -> bool:
         """Return whether the host accepts new runs."""
         return not self.exclusion_reason(now, silent_s)
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from apricotpath.crashes import OBSERVATION_S
+from apricotpath.fleet import Host
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId
 from apricotpath.joborder import WaitingGroup
@@ -47,8 +49,11 @@
             # A second run would let the task crash two executors at once.
             if _is_suspected(table, task) or not _needs_copy(task, step, queue, inputs.now):
                 continue
+            (run,) = task.runs.values()
+            if _may_have_crashed_executor(run, inputs.hosts.get(run.host), inputs.now):
+                continue
             loads = loads or host_loads(table, inputs)
-            current_host = next(iter(task.runs.values())).host
+            current_host = run.host
             group = WaitingGroup(row, step, queue, [task])
             allowed = [
                 load
@@ -67,6 +72,17 @@
     return history is not None and history.suspicions > 0
 
 
+def _may_have_crashed_executor(run: Run, host: Host | None, now: float) -> bool:
+    """Return whether a run's executor stopped answering soon after the start of the run.
+
+    Its agent reports a crash once the next executor is there; without one, the run is lost when
+    its lease expires.
+    """
+    if host is None or not host.attached or (host.reported and now < host.silent_since):
+        return False
+    return host.reported_at - run.since < OBSERVATION_S
+
+
 def _needs_copy(task: Task, step: Step, queue: Queue, now: float) -> bool:
     if not step.speculative or step.gang or task.done or len(task.runs) != 1 or queue.advised:
         return False
--- a/packages/core/src/apricotpath/upkeepplan.py
+++ b/packages/core/src/apricotpath/upkeepplan.py
@@ -337,7 +337,7 @@
         if self._table.by_host.get(host.host) or host.unknown_runs:
             return False
         # An executor that has just attached may list runs that the table does not contain.
-        return host.reported or not host.fence
+        return host.reported or not host.attached
 
     def _stops(self, order: UpkeepOrder, host: HostId, slack_s: float) -> frozenset[RunKey]:
         """Return the runs on a host that must stop now."""
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -458,7 +458,7 @@
                 self._log_expiry(host, len(runs), now)
             for run in runs:
                 self.mark_lost(run, "its host is unreachable and its lease has expired")
-            if not host.fence and now > host.leases.until + self._cfg.retention_s:
+            if not host.attached and now > host.leases.until + self._cfg.retention_s:
                 del self.hosts[name]
 
     def _log_expiry(self, host: Host, runs: int, now: float) -> None:
--- a/tests/features/crashingtasks.feature
+++ b/tests/features/crashingtasks.feature
@@ -89,6 +89,15 @@
     And the jobs with deadly tasks are failed within 60 seconds
     And the world of crashing tasks has no violation
 
+  # A copy was ordered while the crash of the first run was not reported yet, and crashed a second executor.
+  Scenario: crashingtasks start no copy of a task whose run may have crashed its executor
+    Given a world of crashing tasks with 2 entries and 6 hosts
+    And its crashed executors do either
+    When a speculative step with a deadly task is submitted
+    Then no deadly task was started while an executor that it had crashed was down
+    And each deadly task has crashed at most 3 executors
+    And the world of crashing tasks has no violation
+
   # Fillers, gangs, long-running tasks and copies are started in ways of their own.
   Scenario Outline: crashingtasks start a deadly task of a <kind> step at most twice after 3 crashes
     Given a world of crashing tasks with 2 entries and 6 hosts
--- a/tests/features/steps/crashingtasks_steps.py
+++ b/tests/features/steps/crashingtasks_steps.py
@@ -1,5 +1,6 @@
 """Steps for crashingtasks.feature; the world runs in virtual time at the first check."""
 
+from itertools import pairwise
 from typing import Any
 
 import anyio
@@ -258,6 +259,17 @@
     assert max(run.starts_after.values(), default=0) <= most, run.starts_after
 
 
+@then("no deadly task was started while an executor that it had crashed was down")
+def no_start_while_down(context: Any) -> None:
+    run = results(context)
+    assert run.crash_times, "no task crashed an executor"
+    soonest = min(
+        (later - former for times in run.crash_times.values() for former, later in pairwise(times)),
+        default=LONGEST_S,
+    )
+    assert soonest >= run.restart_s, f"{soonest:.2f} s after a crash by it"
+
+
 @then("the world of crashing tasks has no violation")
 def no_violation(context: Any) -> None:
     assert not results(context).violations, results(context).violations
