--- a/packages/daemon/src/apricotpathd/attempt.py
+++ b/packages/daemon/src/apricotpathd/attempt.py
@@ -119,7 +119,7 @@
 
 
 class AnswerSource(Protocol):
-    """The operations of the exchange that an AnswerStream uses."""
+    """The operations on attempts that an AnswerStream uses."""
 
     async def wait_for_progress(self, attempt: "Attempt", deadline: float) -> None:
         """Wait until more of the answer has arrived; settle the request if its link closed."""
@@ -138,8 +138,8 @@
     OutcomeUnknown if the rest of the body does not arrive.
     """
 
-    def __init__(self, exchange: AnswerSource, attempt: Attempt, deadline: float) -> None:
-        self._exchange = exchange
+    def __init__(self, source: AnswerSource, attempt: Attempt, deadline: float) -> None:
+        self._source = source
         self._attempt = attempt
         self._deadline = deadline
         self.request = attempt.request
@@ -168,13 +168,13 @@
                 consumed += len(data)
                 if consumed - attempt.acked >= ACK_BYTES:
                     attempt.acked = consumed
-                    self._exchange.send_best_effort(
+                    self._source.send_best_effort(
                         attempt.link, ResponseAck(attempt.request, consumed)
                     )
             if attempt.complete:
                 return
-            await self._exchange.wait_for_progress(attempt, self._deadline)
+            await self._source.wait_for_progress(attempt, self._deadline)
 
     def close(self) -> None:
         """Close the answer; an agent that still runs the request is asked to cancel it."""
-        self._exchange.close_attempt(self._attempt)
+        self._source.close_attempt(self._attempt)
