--- a/tests/features/httpcalls.feature
+++ b/tests/features/httpcalls.feature
@@ -15,6 +15,12 @@
     When httpcalls makes 80 calls at once
     Then the httpcalls server had at most 32 requests in flight and answered all of them
 
+  # A call that no connection was free for counted as sent, so that what it asked for was in doubt.
+  Scenario: httpcalls tells that a call was not sent when no connection was free in time
+    Given a httpcalls server that answers after 60 seconds
+    When httpcalls makes a call with a timeout of 0.1 seconds while 32 others wait for their answers
+    Then the last httpcalls call was not sent, and the connections are kept
+
   # Any failed connection counted as proof that an executor has ended.
   Scenario Outline: httpcalls takes only a refused connection as proof that nobody listens
     When httpcalls calls an address at which <failure>
--- a/tests/features/steps/httpcalls_steps.py
+++ b/tests/features/steps/httpcalls_steps.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, nullcontext
 from errno import EMFILE, ENETUNREACH
+from functools import partial
 from typing import Any
 from unittest import mock
 
@@ -31,6 +32,8 @@
     def __init__(self, delay_s: float = 0.0, silent: int = 0) -> None:
         self.delay_s, self.silent = delay_s, silent
         self.in_flight = self.max_in_flight = 0
+        # Once it is set, nothing is delayed any more.
+        self.released = asyncio.Event()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while not reader.at_eof():
@@ -40,7 +43,8 @@
                 break
             self.in_flight += 1
             self.max_in_flight = max(self.max_in_flight, self.in_flight)
-            await asyncio.sleep(self.delay_s)
+            with anyio.move_on_after(self.delay_s):
+                await self.released.wait()
             self.in_flight -= 1
             if self.silent:
                 self.silent -= 1
@@ -50,7 +54,7 @@
 
 
 async def outcomes(server: SlowServer, calls: int, timeout_s: float, at_once: bool) -> list[str]:
-    """Return the outcome of each call to a server: its status, or "no answer"."""
+    """Return the outcome of each call: its status, "no answer" or "not sent"."""
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     caller = HttpCaller(Address("127.0.0.1", port), JobMetrics())
@@ -60,8 +64,8 @@
         try:
             response = await caller.call("GET", "/kv-key", timeout_s=timeout_s)
             results.append(str(response.status_code))
-        except CallFailed:
-            results.append("no answer")
+        except CallFailed as exc:
+            results.append("no answer" if exc.sent else "not sent")
 
     async with anyio.create_task_group() as group:
         for _ in range(calls):
@@ -108,6 +112,40 @@
     context.outcomes = anyio.run(outcomes, context.server, calls, 3.0, True)
 
 
+@when(
+    "httpcalls makes a call with a timeout of {timeout_s:g} seconds while {others:d} others wait"
+    " for their answers"
+)
+def call_beside_others(context: Any, timeout_s: float, others: int) -> None:
+    async def main() -> None:
+        server = context.server
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        caller = HttpCaller(Address("127.0.0.1", port), JobMetrics())
+        async with anyio.create_task_group() as group:
+            for _ in range(others):
+                group.start_soon(partial(caller.call, "GET", "/kv-key", timeout_s=30.0))
+            while server.in_flight < others:
+                await anyio.sleep(0.01)
+            connections = caller._transport
+            try:
+                await caller.call("GET", "/kv-key", timeout_s=timeout_s)
+            except CallFailed as exc:
+                context.sent = exc.sent
+            context.kept = caller._transport is connections
+            server.released.set()
+        listener.close()
+
+    anyio.run(main)
+
+
+@then("the last httpcalls call was not sent, and the connections are kept")
+def not_sent(context: Any) -> None:
+    assert context.server.max_in_flight == 32, context.server.max_in_flight
+    assert context.sent is False, context.sent
+    assert context.kept, "the connections were replaced"
+
+
 @then("the httpcalls outcomes are {expected}")
 def ended_as(context: Any, expected: str) -> None:
     assert context.outcomes == expected.split(", "), context.outcomes
