--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -122,12 +122,19 @@
         at_start = any(not part.delayed for part in parts)
         return (at_start or len(parts) >= REPEATED_CRASHES) and self.chance <= SUSPECT_CHANCE
 
+    @property
+    def holds_back(self) -> bool:
+        """Whether the next crash could end the job, so that the task starts after a pause only."""
+        return self.suspected and self.suspicions >= MIN_SUSPICIONS - 1
+
     @property
     def held_until(self) -> float:
         """Until when the task must not start, since another crash too soon proves nothing."""
-        if not self.suspected or self.suspicions < MIN_SUSPICIONS - 1:
-            return float("-inf")
-        return self.suspected_at + CALM_S
+        return self.suspected_at + CALM_S if self.holds_back else float("-inf")
+
+    def is_apart(self, ordered_at: float) -> bool:
+        """Return whether a run was ordered CALM_S or more after the last suspicion."""
+        return ordered_at >= self.suspected_at + CALM_S
 
     def runs_suspected_on(self, host: HostId) -> list[int]:
         """Return the numbers of the runs that are suspected of a crash of a host."""
--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -34,7 +34,9 @@
     processors in use in thousandths of a core. `pace` is the speed limit of a
     filler task in percent. `saved` names its newest checkpoint. `survived`: the
     executor listed it SURVIVAL_S or more after it was ordered. `on_other`: it was reported by
-    another incarnation of its host's executor than the one that it was ordered for.
+    another incarnation of its host's executor than the one that it was ordered for. `apart`: it
+    was ordered after the pause for which a suspect of crashes is held back, and no crash of
+    which its task is suspected was recorded since.
     """
 
     task: TaskKey
@@ -53,6 +55,7 @@
     stop_sent_at: float = 0.0
     survived: bool = False
     on_other: bool = False
+    apart: bool = False
 
 
 @dataclass(slots=True)
@@ -203,6 +206,16 @@
             for number, step in enumerate(self.job.steps):
                 self.steps[occurrence, number] = StepState(step.count)
 
+    def drop_task(self, key: TaskKey) -> None:
+        """Drop a task that records show as done."""
+        task = self.tasks.pop(key, None)
+        if task is None:
+            return
+        self.run_count -= len(task.runs)
+        if task.gang is not None:
+            task.gang.size -= not task.done
+            task.gang.runs -= len(task.runs)
+
     def open_task(self, key: TaskKey) -> Task | None:
         """Return a task and open it if necessary; None if there is none, or if it is done."""
         task = self.tasks.get(key)
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -7,7 +7,7 @@
 
 from apricotpath.bitranges import first_unset
 from apricotpath.commitments import Commitments
-from apricotpath.crashes import CrashHistory
+from apricotpath.crashes import Blame, CrashHistory
 from apricotpath.ids import HostId, JobId, QueueId
 from apricotpath.jobrows import JobRow, Run, StepState, Task
 from apricotpath.runindex import RunIndex
@@ -200,6 +200,8 @@
         if task is None:
             return
         run = Run(record.task, record.run, record.host, record.instance, record.born_ms, since=now)
+        history = self.crashes.get(record.task)
+        run.apart = history is not None and history.holds_back
         row = self.rows[record.task.job]
         row.run_count += record.run not in task.runs
         task.add_run(run)
@@ -241,8 +243,11 @@
 
     @apply.register
     def _(self, record: Crashed, now: float) -> None:
-        if self.task(record.task) is None:
+        task = self.task(record.task)
+        if task is None:
             return
+        for run in task.runs.values() if record.part.blame is Blame.SUSPECT else ():
+            run.apart = False
         history = self.crashes.setdefault(record.task, CrashHistory())
         history.note(record.run, record.part, now)
         row = self.rows[record.task.job]
@@ -288,7 +293,7 @@
         state = row.steps[record.occurrence, record.step]
         for position in range(record.first, min(record.end, state.opened)):
             key = last._replace(position=position)
-            self._drop_task(row, key)
+            row.drop_task(key)
             self._drop_waiting(key)
         before = state.done.bit_count()
         state.done |= (1 << record.end) - (1 << record.first)
@@ -304,7 +309,7 @@
         self.note_begun(record.job)
         row.finished |= (1 << record.end) - (1 << record.first)
         for key in [key for key in row.tasks if row.is_finished(key.occurrence)]:
-            self._drop_task(row, key)
+            row.drop_task(key)
             self._drop_waiting(key)
         for occurrence in {occurrence for occurrence, _ in row.steps}:
             if row.is_finished(occurrence):
@@ -370,17 +375,6 @@
             row.tasks.pop(task.key, None)
             self.crashes.pop(task.key, None)
 
-    @staticmethod
-    def _drop_task(row: JobRow, key: TaskKey) -> None:
-        """Drop a task that records show as done."""
-        task = row.tasks.pop(key, None)
-        if task is None:
-            return
-        row.run_count -= len(task.runs)
-        if task.gang is not None:
-            task.gang.size -= not task.done
-            task.gang.runs -= len(task.runs)
-
     def _finish_occurrence(self, row: JobRow, occurrence: int) -> None:
         """Drop the steps of an occurrence once all of its tasks are done."""
         states = [row.steps[occurrence, number] for number in range(len(row.job.steps))]
--- a/packages/daemon/src/apricotpathd/crashrecorder.py
+++ b/packages/daemon/src/apricotpathd/crashrecorder.py
@@ -2,10 +2,10 @@
 
 import logging
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from apricotpath.crashes import (
     BYSTANDER,
-    CALM_S,
     Blame,
     CrashedRun,
     CrashHistory,
@@ -18,7 +18,6 @@
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
-from apricotpath.messages import ExecutorCrash
 from apricotpath.runrecords import Crashed
 from apricotpath.workload import TaskKey
 from apricotpathd.hostevents import ExecutorName, ReportedCrash
@@ -33,6 +32,13 @@
 Apply = Callable[[Crashed], None]
 
 
+class _Order(NamedTuple):
+    """When a run was ordered, or loaded (boot-clock seconds); `apart`: see `Run`."""
+
+    at: float
+    apart: bool
+
+
 class CrashRecorder:
     """Turns the crashes that agents report into records; `started` is when the term began.
 
@@ -47,13 +53,18 @@
         self._table, self._tracker, self._metrics = table, tracker, metrics
         self._started = started
         self._rate = CrashRate(started)
-        self._lost_ordered_at: dict[tuple[TaskKey, int], float] = {}
+        self._loaded_at = float("-inf")
+        self._lost_orders: dict[tuple[TaskKey, int], _Order] = {}
+
+    def loaded(self, now: float) -> None:
+        """Note that all runs in the table so far were ordered by earlier schedulers."""
+        self._loaded_at = now
 
     def note_lost(self, run: Run) -> None:
         """Remember when a run was ordered that is lost; its crash may be reported later."""
-        self._lost_ordered_at[run.task, run.run] = run.since
-        if len(self._lost_ordered_at) > MAX_LOST_RUNS:
-            del self._lost_ordered_at[next(iter(self._lost_ordered_at))]
+        self._lost_orders[run.task, run.run] = _Order(run.since, run.apart)
+        if len(self._lost_orders) > MAX_LOST_RUNS:
+            del self._lost_orders[next(iter(self._lost_orders))]
 
     def process(self, apply: Apply, now: float) -> None:
         """Record the crashes that have been reported."""
@@ -63,7 +74,7 @@
 
     def _process_one(self, reported: ReportedCrash, apply: Apply, now: float) -> None:
         host, crash, crashed_at = reported
-        runs = list(self._runs_at_crash(host, crash, now))
+        runs = list(self._runs_at_crash(reported, now))
         parts = assign_blame(runs, host)
         executor = ExecutorName(host, crash.instance, crash.born_ms)
         if self._tracker.crash_reports.crashed_with_others(executor):
@@ -101,13 +112,11 @@
         for record in cleared:
             apply(record)
 
-    def _runs_at_crash(
-        self, host: HostId, crash: ExecutorCrash, now: float
-    ) -> Iterator[CrashedRun]:
+    def _runs_at_crash(self, reported: ReportedCrash, now: float) -> Iterator[CrashedRun]:
         """Yield the runs at a crash whose tasks are not done, except those recorded before."""
         hosts = len(self._tracker.hosts)
-        own = self._rate.on_host(host, now)
-        for item in crash.runs:
+        own = self._rate.on_host(reported.host, now)
+        for item in reported.crash.runs:
             try:
                 key = TaskKey.parse(item.task)
             except InputError as exc:
@@ -119,18 +128,26 @@
             rate = self._rate.without(len(history.parts), hosts, now)
             ran_s = item.ran_ms / 1000
             run = task.runs.get(item.run)
-            lost_at = self._lost_ordered_at.get((key, item.run))
-            ordered_at = run.since if run is not None else lost_at
+            order = self._lost_orders.get((key, item.run))
+            if run is not None:
+                order = _Order(run.since, run.apart)
             yield CrashedRun(
                 key,
                 item.run,
                 ran_s,
                 history.suspected,
                 max(rate, own.rate_without(key.job)),
-                ordered_at is not None and ordered_at >= history.suspected_at + CALM_S,
-                max(0.0, now - ordered_at - ran_s) if ordered_at is not None else 0.0,
+                order is not None and self._is_apart(order, history),
+                max(0.0, now - min(reported.at, order.at + ran_s)) if order is not None else 0.0,
             )
 
+    def _is_apart(self, order: _Order, history: CrashHistory) -> bool:
+        """Return whether a run was ordered long enough after its task's last suspicion.
+
+        The times of what happened before the load are not known.
+        """
+        return history.is_apart(order.at) if order.at > self._loaded_at else order.apart
+
     def _record(self, run: CrashedRun, part: CrashPart, apply: Apply) -> None:
         """Record the part of a task in a crash; its job fails once it is to blame."""
         if part.blame is Blame.OUTLIVED and run.task not in self._table.crashes:
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -207,6 +207,7 @@
             self.table.commitments(host)
             await anyio.lowlevel.checkpoint()
         self.planning.loaded(now)
+        self._crashes.loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
--- a/tests/features/crashingtasks.feature
+++ b/tests/features/crashingtasks.feature
@@ -80,6 +80,18 @@
       | the store is away for some seconds                        |
       | the scheduler is killed and the store away for some seconds |
 
+  # A run that an earlier scheduler had ordered after the pause did not count as apart, so that no crash was enough.
+  Scenario: crashingtasks give up a deadly task when the scheduler is killed after the third crash
+    Given a world of crashing tasks with 3 entries and 6 hosts
+    And its crashed executors do either
+    When 8 ordinary jobs of 6 tasks are submitted
+    And a job of 4 tasks is submitted of which 1 are deadly
+    And the scheduler is killed after crash 3
+    Then each deadly task has crashed at most 3 executors
+    And the jobs with deadly tasks are failed within 90 seconds
+    And all ordinary jobs are completed within 120 seconds
+    And the world of crashing tasks has no violation
+
   # A new scheduler took the crashes of before its term, reported again, for crashes of the host by itself.
   Scenario: crashingtasks keep what a task is suspected of on one host when the scheduler changes
     Given a world of crashing tasks with 3 entries and 1 hosts
