--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -36,7 +36,9 @@
     filler task in percent. `saved` names its newest checkpoint. `survived`: the
     executor listed it SURVIVAL_S or more after it was ordered. `on_other`: it was reported by
     another incarnation of its host's executor than the one that it was ordered for. `reported_at`:
-    when its host last said that it was at work, in boot-clock seconds.
+    when its host last said that it was at work, in boot-clock seconds. `apart`: it
+    was ordered after the pause for which a suspect of crashes is held back, and no crash of
+    which its task is suspected was recorded since.
     """
 
     task: TaskKey
@@ -56,6 +58,7 @@
     survived: bool = False
     on_other: bool = False
     reported_at: float = float("-inf")
+    apart: bool = False
 
     @property
     def was_reported(self) -> bool:
@@ -221,6 +224,16 @@
             for number, step in enumerate(self.job.steps):
                 self.steps[occurrence, number] = StepState(step.count)
 
+    def drop_task(self, key: TaskKey) -> None:
+        """Drop a task that records show as done."""
+        task = self.tasks.pop(key, None)
+        if task is None:
+            return
+        self.run_count -= len(task.runs)
+        if task.gang is not None:
+            task.gang.size -= not task.done
+            task.gang.runs -= len(task.runs)
+
     def open_task(self, key: TaskKey) -> Task | None:
         """Return a task and open it if necessary; None if there is none, or if it is done."""
         task = self.tasks.get(key)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -218,6 +218,7 @@
             await anyio.lowlevel.checkpoint()
         self.planning.loaded(now)
         self._absences.on_loaded(now)
+        self._crashes.loaded(now)
 
     def _restore_hosts(self) -> None:
         """Add hosts with assigned runs, whose leases an earlier scheduler may have renewed.
