--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -10,11 +10,12 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.config import Address
+from apricotpath.electionattempt import ElectionAttempt
 from apricotpath.entrymessages import NO_EPOCH, Supported, SupportRequest, TermHandover
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
 from apricotpath.entryregistry import EntryRegistry
-from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreOutcomeUnknown
-from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
+from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreUnavailable
+from apricotpath.fencelimits import epoch_key
 from apricotpath.ids import Epoch, IncarnationId, ProcessId
 from apricotpath.leadersupport import (
     NO_EVIDENCE,
@@ -26,7 +27,7 @@
 )
 from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
-from apricotpath.predecessors import EndBasis, GrantsEnd, Predecessors
+from apricotpath.predecessors import GrantsEnd, Predecessors
 from apricotpath.receivedhandover import ReceivedHandover
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
 from apricotpath.term import ElectionSettings, Term
@@ -89,6 +90,9 @@
         self.registry = EntryRegistry(self.mirror.items, f"{root}entry/", entry)
         self._predecessors = Predecessors(entry, self.registry, cfg.authority_s)
         self._support = GivenSupport()
+        # Attempts without an answer, whose writes may be carried out late.
+        self._open_attempts: list[ElectionAttempt] = []
+        self._is_acquiring = False
         self._supporters_key = supporters_key(cfg.prefix)
         self._supporters_records = RecordReader(SupportersRecord.parse)
 
@@ -183,8 +187,25 @@
 
     def support(self, request: SupportRequest) -> Supported | None:
         """Support a leader that asks for it; return None if a later term may have begun."""
-        newest = self.leader.epoch if self.leader is not None else request.epoch
-        return self._support.answer(request, newest)
+        if not self.mirror.loaded.is_set() or self._may_be_elected():
+            return None
+        stored = self.leader_records.read(self.mirror.items.get(self._epoch_key))
+        known = [record.epoch for record in (self.leader, stored) if record is not None]
+        return self._support.answer(request, max(known, default=request.epoch))
+
+    def _may_be_elected(self) -> bool:
+        """Tell whether an attempt of this entry is being written, or may be carried out late."""
+        self._open_attempts = [
+            attempt
+            for attempt in self._open_attempts
+            if all(self._mirrored(item.key)[1] == item.mod_revision for item in attempt.compares)
+        ]
+        return self._is_acquiring or bool(self._open_attempts)
+
+    def _mirrored(self, key: str) -> tuple[str, int]:
+        """Return a key with its mod revision in this entry's copy, 0 if it is absent."""
+        item = self.mirror.items.get(key)
+        return key, item.mod_revision if item is not None else 0
 
     def _hand_over_if_possible(self) -> None:
         """End this entry's term if it is draining and another entry can lead."""
@@ -269,7 +290,9 @@
 
     async def _register(self, lease: LeaseId) -> None:
         began = self.mirror.first_revision
-        record = EntryRecord(self._address, self.cfg.cores, self._incarnation, self.draining, began)
+        record = EntryRecord(
+            self._address, self.cfg.cores, self._incarnation, self.draining, began, supports=True
+        )
         await self.store.txn([], [Put(self.presence_key, record.encode(), lease)])
         self._drain_stored = record.draining
 
@@ -344,81 +367,71 @@
 
         Returns None if another entry was first or the store is unavailable.
         """
+        # From here on, nothing that this entry does prolongs what the last leader may grant.
+        self._is_acquiring = True
+        attempt = self._prepare(former)
+        started = boot_s()
+        revision = await self._write(attempt, lease)
+        self._is_acquiring = False
+        if not revision:
+            return None
+        self._predecessors.see(attempt.record)
+        self._epoch_read_at = started
+        self.answered_at = boot_s()
+        term = attempt.term(self.cfg.prefix, revision, self.cfg.authority_s)
+        attempt.log_success(term)
+        return term
+
+    def _prepare(self, former: LeaderRecord | None) -> ElectionAttempt:
+        """Return an attempt to follow `former`, or the leader that the store shows."""
         leader = self.mirror.items.get(self._leader_key)
         epoch_item = self.mirror.items.get(self._epoch_key)
         previous = former or self.leader_records.read(epoch_item)
         epoch = next_epoch(epoch_item, previous, self.leader)
-        first = epoch_item is None
         compares = [
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
         ]
-        # From here on, nothing that this entry does prolongs what the former leader may grant.
-        self._support.withdraw(previous.epoch if previous is not None else epoch)
-        named = self._supporters_of(previous, compares)
+        named = self._supporters_of(previous)
+        if named.supporters:
+            # The last leader waits for them until this election.
+            compares.append(Compare(*self._mirrored(self._supporters_key)))
         former_supporters = named.supporters if not (previous and previous.ended) else frozenset()
         evidence = self._evidence(previous, former_supporters)
-        led_before = [previous.entry] if previous is not None else []
-        supporters = named.handed_on(epoch, self._entry, *led_before)
+        first = epoch_item is None
         end = GrantsEnd.first() if first else self._predecessors.grants_end(previous, evidence)
-        record = self._leader_record(epoch, end.until)
-        puts = [
-            Put(self._leader_key, record.encode(), lease),
-            Put(self._epoch_key, record.encode()),
-            Put(limit_key(self.cfg.prefix), FenceLimit(epoch, FIRST_LIMIT).encode()),
-            Put(self._supporters_key, supporters.encode()),
-        ]
-        started = boot_s()
-        try:
-            result = await self.store.txn(compares, puts)
-            revision = result.revision if result.succeeded else 0
-        except StoreOutcomeUnknown:
-            # A write that is not found may be carried out late.
-            self._support.keep_withdrawn()
-            revision = await self._read_back(puts[1])
-        except StoreError as exc:
-            if isinstance(exc, StoreLeaseEnded):
-                self._lease = None
-            log.info("leadership not acquired: %s", exc)
-            revision = 0
-        if not revision:
-            self._support.restore()
-            return None
-        self._predecessors.see(record)
-        self._epoch_read_at = started
-        self.answered_at = boot_s()
-        until = min(end.until, boot_s() + self.cfg.authority_s)
-        if end.basis is EndBasis.AUTHORITY:
-            # The former leader may have renewed its authority until the election was carried out.
-            until = boot_s() + self.cfg.authority_s
-        term = Term(
-            epoch,
-            self._epoch_key,
-            revision,
+        led_before = [previous.entry] if previous is not None else []
+        return ElectionAttempt(
             previous,
-            end.former_until,
-            until,
-            end.holds_until,
+            end,
             former_supporters,
-            supporters.supporters,
+            tuple(compares),
+            self._leader_record(epoch, end.until),
+            named.handed_on(epoch, self._entry, *led_before),
         )
-        if record.former_ended:
-            term.predecessor_ended.set()
-        self._log_elected(term, end.basis)
-        return term
-
-    def _supporters_of(
-        self, leader: LeaderRecord | None, compares: list[Compare]
-    ) -> SupportersRecord:
-        """Return the record of those whose support a leader waits for.
 
-        Adds the condition to `compares` that it does so until the election.
-        """
-        item = self.mirror.items.get(self._supporters_key)
-        record = self._supporters_records.read(item)
-        if leader is None or item is None or record is None or record.epoch != leader.epoch:
+    async def _write(self, attempt: ElectionAttempt, lease: LeaseId) -> int:
+        """Write an attempt; return the store's revision, or 0 if it is not known to succeed."""
+        puts = attempt.puts(self.cfg.prefix, lease)
+        try:
+            result = await self.store.txn(attempt.compares, puts)
+        except (StoreUnavailable, StoreLimited, StoreLeaseEnded) as exc:
+            if isinstance(exc, StoreLeaseEnded):
+                self._lease = None
+            log.info("leadership not acquired: %s", exc)
+            return 0
+        except StoreError as exc:
+            log.info("election outcome unknown: %s", exc)
+            # A write that is not found may be carried out late.
+            self._open_attempts.append(attempt)
+            return await self._read_back(puts[1])
+        return result.revision if result.succeeded else 0
+
+    def _supporters_of(self, leader: LeaderRecord | None) -> SupportersRecord:
+        """Return the record of those whose support a leader waits for."""
+        record = self._supporters_records.read(self.mirror.items.get(self._supporters_key))
+        if leader is None or record is None or record.epoch != leader.epoch:
             return SupportersRecord(NO_EPOCH, frozenset())
-        compares.append(Compare(self._supporters_key, item.mod_revision))
         return record
 
     def _evidence(
@@ -429,25 +442,6 @@
             return NO_EVIDENCE
         return self._support.evidence(leader.epoch, self._predecessors.former_until(leader))
 
-    def _log_elected(self, term: Term, basis: EndBasis) -> None:
-        """Log a new term, and what is known of the leaders before it."""
-        now, leader = boot_s(), term.predecessor
-        extra: dict[str, object] = {
-            "epoch": term.epoch,
-            "predecessor_ended": term.predecessor_ended.is_set(),
-            "predecessor_wait_s": round(max(0.0, term.earlier_until - now), 3),
-            "former_wait_s": round(max(0.0, term.former_until - now), 3),
-            "basis": basis.value,
-        }
-        if leader is not None:
-            extra["predecessor"] = {
-                "epoch": leader.epoch,
-                "entry": leader.entry,
-                "ended": leader.ended,
-                "former_ended": leader.former_ended,
-            }
-        log.info("scheduler elected", extra=extra)
-
     def _check_predecessor(self) -> None:
         """Tell the scheduler once the previous leaders have certainly ended."""
         term, now = self.term, boot_s()
@@ -523,7 +517,7 @@
         """Delete the leader key, and record that nothing happens in the term any more."""
         compares = [Compare(self._epoch_key, term.epoch_revision)]
         record = replace(
-            self._leader_record(term.epoch, _earlier_until(term)), ended=True, holds=term.holds
+            self._leader_record(term.epoch, term.grants_until), ended=True, holds=term.holds
         )
         release = (Delete(self._leader_key), Put(self._epoch_key, record.encode()))
         try:
@@ -542,7 +536,7 @@
                 continue
             compares = [Compare(self._leader_key, 0), Compare(self._epoch_key, term.epoch_revision)]
             try:
-                record = self._leader_record(term.epoch, _earlier_until(term))
+                record = self._leader_record(term.epoch, term.grants_until)
                 put = Put(self._leader_key, record.encode(), self._lease)
                 if (await self.store.txn(compares, [put])).succeeded:
                     log.info("leader key restored", extra={"epoch": term.epoch})
@@ -550,8 +544,3 @@
                 self._lease = None
             except StoreError as exc:
                 log.info("leader key not restored: %s", exc)
-
-
-def _earlier_until(term: Term) -> float:
-    """Return the time by which the leaders before a term grant no lease any more."""
-    return float("-inf") if term.predecessor_ended.is_set() else term.earlier_until
--- a/packages/core/src/apricotpath/entryrecords.py
+++ b/packages/core/src/apricotpath/entryrecords.py
@@ -41,7 +41,7 @@
 
     `cores` is the number of its processors. A `draining` entry shuts down, and leads only
     while no other entry can. `began` is the store's revision when the incarnation began; 0 if
-    it is not known.
+    it is not known. `supports`: it answers a `SupportRequest`, unlike earlier versions.
     """
 
     address: Address
@@ -49,6 +49,7 @@
     incarnation: IncarnationId
     draining: bool = False
     began: int = 0
+    supports: bool = False
 
     @classmethod
     def parse(cls, value: bytes) -> Self:
@@ -60,6 +61,7 @@
             IncarnationId(read_str(content, "incarnation", "")),
             read_bool(content, "draining", False),
             read_int(content, "began", 0, low=0),
+            read_bool(content, "supports", False),
         )
 
     def encode(self) -> bytes:
@@ -73,6 +75,7 @@
                 "cores": self.cores,
                 "draining": self.draining,
                 "began": self.began,
+                "supports": self.supports,
             }
         )
 
--- a/packages/core/src/apricotpath/entryregistry.py
+++ b/packages/core/src/apricotpath/entryregistry.py
@@ -4,7 +4,7 @@
 
 from apricotpath.config import Address
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader
-from apricotpath.ids import ProcessId
+from apricotpath.ids import IncarnationId, ProcessId
 from apricotpath.store import KeyValue
 
 
@@ -56,3 +56,10 @@
             and record.began > leader.began
             for name, record in self.peers()
         )
+
+    def supports(self, entry: ProcessId, incarnation: IncarnationId) -> bool:
+        """Tell whether a registered process of another entry answers a `SupportRequest`."""
+        return any(
+            (name, record.incarnation) == (entry, incarnation) and record.supports
+            for name, record in self.peers()
+        )
--- a/packages/core/src/apricotpath/leadersupport.py
+++ b/packages/core/src/apricotpath/leadersupport.py
@@ -100,21 +100,19 @@
         self._former_until = float("inf")
         self._holds_until: dict[HostId, float] = {}
         self._holds_number = 0
-        # Of the leader that was supported before.
+        # Of the leader before the present one, which asks for it.
         self._former = NO_EVIDENCE
-        # Leaders of epochs up to these are not supported: for now, and for good.
-        self._withdrawn = self._withdrawn_for_good = NO_EPOCH
 
     def answer(self, request: SupportRequest, newest: Epoch) -> Supported | None:
         """Support a leader until the next request; return None if a later epoch may have begun.
 
         `newest` is the latest epoch that this entry has heard of.
         """
-        if request.epoch < max(newest, self._epoch) or request.epoch <= self._withdrawn:
+        if request.epoch < max(newest, self._epoch):
             return None
         now = boot_s()
         if request.epoch > self._epoch:
-            self._former = self.evidence(self._epoch, float("inf"))
+            self._former = self.evidence(request.former, float("inf"))
             self._epoch, self._holds_until, self._holds_number = request.epoch, {}, 0
             self._former_until = float("inf")
         self._former_until = min(self._former_until, now + request.former_ms / 1000)
@@ -129,34 +127,20 @@
         holds = (HostHold(name, milliseconds(t - now)) for name, t in former.holds_until.items())
         return Supported(request.epoch, request.number, former.epoch, left_ms, tuple(holds))
 
-    def withdraw(self, epoch: Epoch) -> None:
-        """Support no leader of an epoch up to this one, as this entry tries to follow it."""
-        self._withdrawn = max(epoch, self._withdrawn_for_good)
-
-    def keep_withdrawn(self) -> None:
-        """Never support those leaders again, as this entry may yet follow them."""
-        self._withdrawn_for_good = self._withdrawn
-
-    def restore(self) -> None:
-        """Support the newest leader again, since this entry has certainly not followed it."""
-        self._withdrawn = self._withdrawn_for_good
-
     def evidence(self, epoch: Epoch, former_until: float) -> SupportEvidence:
         """Return what is known of the leader of an epoch, if it waits for this entry's support.
 
         `former_until` is the time by which the leaders before it have ended, as far as is known
         otherwise.
         """
-        if epoch < self._epoch or epoch == NO_EPOCH:
+        if NO_EPOCH in (epoch, self._epoch) or epoch < self._epoch:
             return NO_EVIDENCE
-        if epoch > self._epoch and self._epoch == NO_EPOCH:
-            return SupportEvidence(epoch, former_until)
-        own_bound = max(self._former_until, self._answered_at + SUPPORT_S)
+        answered_until = self._answered_at + SUPPORT_S
         if epoch > self._epoch:
-            # A leader that waits for this entry and got no answer has granted nothing. It was
-            # elected while the leader before it waited for this entry, too.
-            return SupportEvidence(epoch, min(former_until, own_bound), dict(self._holds_until))
-        grants_until = max(min(former_until, self._former_until), self._answered_at + SUPPORT_S)
+            # A leader that waits for this entry and got no answer has granted nothing, and was
+            # elected while the one before it waited for this entry, too.
+            former_until = self._former_until
+        grants_until = max(min(former_until, self._former_until), answered_until)
         return SupportEvidence(epoch, grants_until, dict(self._holds_until))
 
 
--- a/packages/core/src/apricotpath/predecessors.py
+++ b/packages/core/src/apricotpath/predecessors.py
@@ -39,7 +39,7 @@
     @classmethod
     def first(cls) -> Self:
         """Return the bounds where there was no earlier leader."""
-        return cls(float("-inf"), float("-inf"), EndBasis.FIRST)
+        return cls(boot_s(), float("-inf"), EndBasis.FIRST)
 
 
 class Predecessors:
--- a/packages/core/src/apricotpath/term.py
+++ b/packages/core/src/apricotpath/term.py
@@ -57,3 +57,8 @@
     given_up: anyio.Event = field(default_factory=anyio.Event)
     ended: anyio.Event = field(default_factory=anyio.Event)
     elected_at: float = field(default_factory=boot_s)
+
+    @property
+    def grants_until(self) -> float:
+        """The time from which on the leaders before this term grant no lease."""
+        return float("-inf") if self.predecessor_ended.is_set() else self.earlier_until
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -186,6 +186,8 @@
     def _detach(self, name: HostId) -> None:
         """Take a host off its link; nothing that comes under its fencing token counts any more."""
         link, host = self.links.pop(name, None), self.hosts[name]
+        # Its next attachment numbers its reports anew.
+        self._ungranted.discard(name)
         self._names_by_fence.pop(host.fence, None)
         host.reported = False
         host.fence = NOT_ATTACHED
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -162,6 +162,7 @@
             self.store,
             supporters_key(self.prefix),
             self.process.links,
+            self.election.registry,
             tracker,
         )
         tracker.may_grant = rounds.may_grant
@@ -232,6 +233,9 @@
         if isinstance(body, TermHandover):
             self._store_loss.receive_handover(link, body)
             return
+        if isinstance(body, SupportRequest | Supported) and not _is_entry(link):
+            log.warning("message about support ignored", extra={"sender": link.peer_id})
+            return
         if isinstance(body, SupportRequest):
             answer = self.election.support(body)
             if answer is not None:
@@ -279,3 +283,7 @@
     async def resign(self) -> None:
         """Stop scheduling for good, just before the process ends."""
         await self.election.resign()
+
+
+def _is_entry(link: Link) -> bool:
+    return link.peer is not None and link.peer.role is Role.ENTRY
--- a/packages/daemon/src/apricotpathd/supportrounds.py
+++ b/packages/daemon/src/apricotpathd/supportrounds.py
@@ -10,6 +10,7 @@
 from apricotpath.boottime import boot_s
 from apricotpath.entrymessages import NO_EPOCH
 from apricotpath.entryrecords import shortest_holds
+from apricotpath.entryregistry import EntryRegistry
 from apricotpath.errors import InputError, LinkError, StoreError
 from apricotpath.ids import HostId, ProcessId
 from apricotpath.leadersupport import SUPPORT_S, Supporter, SupportersRecord, milliseconds
@@ -27,13 +28,16 @@
 MIN_ROUND_S = 0.02
 # Interval of the checks whether the stored record names the entries that answer.
 CHECK_S = 0.05
-# An entry is left out of the record if it has not answered for so long after its support ended.
-LATE_ANSWER_S = 0.2
+# An entry is left out of the record after so many checks in a row without its support. Counted in
+# checks, so that a stall of this process counts as one.
+MAX_MISSED_CHECKS = 4
+# One that is not waited for is forgotten after so many.
+MAX_REMEMBERED_CHECKS = 200
 # An entry that was left out is not named again sooner, so that one that comes and goes does not
 # cost a write each time.
 RETURN_S = 2.0
 # Pause after a failed write of the record.
-RETRY_S = 0.3
+RETRY_S = 0.1
 # Limits the messages of a leader that has many entries beside it.
 MAX_SUPPORTERS = 8
 
@@ -42,11 +46,13 @@
 class Peer:
     """Another entry's process: the newest request it has answered, and when that was sent.
 
-    `returns_at`: when it may be named in the record again. Times are on the boot clock.
+    `missed_checks`: how many checks in a row it has not supported the leader. `returns_at`: when
+    it may be named in the record again. Times are on the boot clock.
     """
 
     answered: int = 0
     sent_at: float = float("-inf")
+    missed_checks: int = 0
     returns_at: float = float("-inf")
 
     @property
@@ -68,20 +74,21 @@
         store: Store,
         key: str,
         links: Sequence[Link],
+        registry: EntryRegistry,
         tracker: HostTracker,
     ) -> None:
         self._term, self._store, self._key, self._links = term, store, key, links
-        self._tracker = tracker
+        self._registry, self._tracker = registry, tracker
         self._number = self._holds_number = 0
         self._sent_at: dict[int, float] = {}
         self._named: frozenset[HostId] = frozenset()
         # The first request that did not name a host any more, and the newest of these.
         self._unnamed_by: dict[HostId, int] = {}
         self._last_unnamed_by = 0
-        self._peers: dict[Supporter, Peer] = {}
-        # Those whose support is needed: at least those that the stored record may name.
-        self._needed: dict[Supporter, Peer] = {}
         self._recorded = term.supporters
+        self._peers = {supporter: Peer() for supporter in self._recorded}
+        # Those whose support is needed: at least those that the stored record may name.
+        self._needed = dict(self._peers)
         # The first record was written with the election.
         self._revision: int | None = term.epoch_revision
         # When the earlier leaders grant no lease any more, and whether a supporter has told that.
@@ -92,10 +99,6 @@
 
     async def run(self) -> None:
         """Ask for support and keep the stored record up to date until cancelled."""
-        # Those named already have a moment to answer; nothing is granted before.
-        for supporter in self._recorded:
-            self._peers[supporter] = Peer(sent_at=boot_s() - SUPPORT_S)
-            self._needed[supporter] = self._peers[supporter]
         async with anyio.create_task_group() as group:
             group.start_soon(self._ask)
             group.start_soon(self._keep_record)
@@ -121,11 +124,6 @@
             return
         peer.answered = message.number
         peer.sent_at = self._sent_at.get(message.number, float("-inf"))
-        for other, former in list(self._needed.items()):
-            # The next process of an entry starts only after the former one has ended.
-            same_entry = other.entry == supporter.entry and other != supporter
-            if same_entry and former.answered < message.number:
-                del self._needed[other]
         if message.former != NO_EPOCH and supporter in self._term.former_supporters:
             self._note_former(message)
         self._tracker.grant_again()
@@ -177,6 +175,8 @@
             if link.peer is None or link.peer.role is not Role.ENTRY:
                 continue
             supporter = Supporter(link.peer.process_id, link.peer.incarnation)
+            if supporter not in self._peers and not self._registry.supports(*supporter):
+                continue
             knows_holds = self._answered(supporter) >= self._holds_number
             request = SupportRequest(
                 self._term.epoch,
@@ -234,15 +234,26 @@
     def _wanted(self) -> frozenset[Supporter]:
         """Return the entries that the record should name."""
         now = boot_s()
-        found = []
-        for supporter, peer in self._peers.items():
-            if supporter in self._needed:
-                if now < peer.supports_until + LATE_ANSWER_S:
-                    found.append(supporter)
-                else:
-                    peer.returns_at = now + RETURN_S
-            elif peer.returns_at <= now < peer.supports_until and self._is_up_to_date(peer):
-                found.append(supporter)
+        for peer in self._peers.values():
+            peer.missed_checks = 0 if now < peer.supports_until else peer.missed_checks + 1
+        lost = {
+            name for name, peer in self._needed.items() if peer.missed_checks >= MAX_MISSED_CHECKS
+        }
+        if lost != self._needed.keys():
+            # If none answers, the cause is not theirs.
+            for name in lost:
+                self._peers[name].returns_at = now + RETURN_S
+        found = self._needed.keys() - lost
+        found |= {
+            name
+            for name, peer in self._peers.items()
+            if peer.returns_at <= now < peer.supports_until and self._is_up_to_date(peer)
+        }
+        self._peers = {
+            name: peer
+            for name, peer in self._peers.items()
+            if name in self._needed or peer.missed_checks < MAX_REMEMBERED_CHECKS
+        }
         kept = sorted(found, key=lambda name: (name not in self._needed, name))
         return frozenset(kept[:MAX_SUPPORTERS])
 
--- a/tests/features/steps/leadersupport_steps.py
+++ b/tests/features/steps/leadersupport_steps.py
@@ -210,7 +210,13 @@
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the kinds of events; those about support are more frequent."""
-        support = [self.part_entries, self.write_record_late, self.lose_answers, self.lose_host]
+        support = [
+            self.part_entries,
+            self.write_record_late,
+            self.lose_answers,
+            self.lose_host,
+            self.restart_without_store,
+        ]
         return [*super().kinds(), *support, *support]
 
     async def part_entries(self) -> None:
@@ -228,6 +234,18 @@
         await anyio.sleep(5.0)
         faults.late_prefix, faults.late_writes = "", 0
 
+    async def restart_without_store(self) -> None:
+        """Kill an entry, often one that was just elected; its next process finds no store."""
+        node = self._any_entry()
+        if node.jobs.election.draining or node.scope.cancel_called:
+            return
+        await self.run.world.kill(node)
+        await anyio.sleep(self.rng.uniform(0.0, 2.0))
+        again = self.run.world.add_entry(name_of(node))
+        again.store.faults.silent = True
+        await anyio.sleep(self.rng.uniform(0.5, 6.0))
+        again.store.faults.silent = False
+
     async def lose_answers(self) -> None:
         """Lose the answers to some writes of an entry, which take effect."""
         self._any_entry().store.faults.lost_answers = self.rng.randint(1, 3)
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -245,7 +245,14 @@
     ) -> TxnResult:
         if self.faults.silent and self.faults.late_while_silent:
             self.shared.late.append((boot_s() + self.faults.late_s, compares, operations))
-        await self._simulate_call()
+        silent = self.faults.silent
+        try:
+            await self._simulate_call()
+        except StoreUnavailable as exc:
+            if silent:
+                # A write without an answer may have been carried out.
+                raise StoreOutcomeUnknown(str(exc)) from exc
+            raise
         if self.faults.late_writes > 0 and self._puts_late_key(operations):
             self.faults.late_writes -= 1
             late = self.shared.late if self.faults.late_writes_outlive else self._late
