--- a/packages/daemon/src/apricotpathd/runends.py
+++ b/packages/daemon/src/apricotpathd/runends.py
@@ -16,7 +16,6 @@
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
-from apricotpathd.planning import Planning
 from apricotpathd.schedulerbatch import Batch
 
 log = logging.getLogger(__name__)
@@ -33,13 +32,12 @@
         table: JobTable,
         tracker: HostTracker,
         crashes: CrashRecorder,
-        planning: Planning,
         absences: AbsenceLog,
         metrics: JobMetrics,
         wake: Callable[[], None],
     ) -> None:
         self._table, self._tracker, self._crashes = table, tracker, crashes
-        self._planning, self._absences = planning, absences
+        self._absences = absences
         self._metrics, self._wake = metrics, wake
 
     async def process_endings(self, batch: Batch, now: float, slices: Slices) -> None:
@@ -113,7 +111,6 @@
             return
         row, run = self._table.rows[key.job], task.runs.get(end.run)
         self._metrics.run_ended(row.job.queue, result)
-        self._planning.run_ended(row.step(key), run, result, now)
         batch.apply(end, now)
         if run is not None and not row.to_be_stopped:
             self._absences.on_ended(task, run, basis)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -115,17 +115,11 @@
         )
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
-        self.planning = Planning(cfg, metrics)
+        self.planning = Planning(metrics)
         self._absences = AbsenceLog(self.table, metrics, self._started)
         self.host_tracker.on_begun = self._absences.on_begun
         self._run_ends = RunEnds(
-            self.table,
-            self.host_tracker,
-            self._crashes,
-            self.planning,
-            self._absences,
-            metrics,
-            self.wake,
+            self.table, self.host_tracker, self._crashes, self._absences, metrics, self.wake
         )
         self._fleet_log = FleetLog(self.table, self.host_tracker)
         self._copied_at = self._saved_at = self._stopped_at = self._started
@@ -216,7 +210,6 @@
             # Counted here host by host, and not for all hosts together in the first pass.
             self.table.commitments(host)
             await anyio.lowlevel.checkpoint()
-        self.planning.loaded(now)
         self._absences.on_loaded(now)
         self._crashes.loaded(now)
 
@@ -292,7 +285,7 @@
 
     def dry_run(self, job: Job) -> JobTrial:
         """Return what a pass would do now with a job that is not submitted; changes nothing."""
-        return try_job(self.table, job, self._placement_input(boot_s()), self.planning.ahead)
+        return try_job(self.table, job, self._placement_input(boot_s()))
 
     # Scheduling loop.
 
@@ -315,7 +308,7 @@
             if self._log.snapshot_due and not self._snapshot_running:
                 await self._begin_snapshot(group, slices)
             if self._fleet_log.is_due(boot_s()):
-                self.planning.log_state(boot_s())
+                self.planning.log_state()
                 await self._fleet_log.write(self._placement_input(boot_s()), slices)
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
