Test of the steps of a dry run, which fails

Cause: a dry run does all its work in one step of the scheduler's event loop. Change: a scenario bounds the instructions of a step at 300 hosts with 10,040 waiting tasks; tests/passcost.py also prints the times of dry runs.

--- a/tests/features/dryrun.feature
+++ b/tests/features/dryrun.feature
@@ -35,6 +35,16 @@
   Scenario: A dry run chooses what a pass then chooses, on generated tables
     Then 1200 dry runs on generated tables choose what the pass does with the job
 
+  Scenario Outline: No step of a dry run takes long
+    Given a dry-run table of 300 hosts on which 10040 tasks wait in 930 groups
+    Then no step of a dry run of <tasks> takes more than <most> instructions
+
+    Examples:
+      | tasks           | most  |
+      | 10 tasks        | 30000 |
+      | 1000 tasks      | 30000 |
+      | a gang of 5000  | 60000 |
+
   Scenario: A dry run tells behind what a job waits, and until about when
     Given a dry-run queue of 2 jobs behind runs of 4 seconds on all hosts
     Then the dry run names these 2 jobs as ahead
--- a/tests/features/steps/dryrun_steps.py
+++ b/tests/features/steps/dryrun_steps.py
@@ -41,6 +41,9 @@
 from apricotpathd.limitedapp import REQUEST_KEY
 from apricotpathd.scheduler import Scheduler
 from apricotpathd.statusapp import StatusApp
+from passcost import NOW, PassCost
+from passcost import SMALL as SMALL_QUEUE
+from support.instructions import count_instructions
 from support.jobworld import QUEUE, JobWorld, run_virtual
 from support.memorystore import MemoryStore, SharedStore
 from support.placementtables import PASSES, GeneratedTable
@@ -282,6 +285,27 @@
     return Job(JobId("trial"), queue, "bake", (step,))
 
 
+@given("a dry-run table of {hosts:d} hosts on which {tasks:d} tasks wait in {groups:d} groups")
+def set_large_table(context: Any, hosts: int, tasks: int, groups: int) -> None:
+    table = context.large = PassCost()
+    table.run_warm_up()
+    waiting = len(table.table.waiting), len(table.table.waiting_steps)
+    assert (len(table.hosts), *waiting) == (hosts, tasks, groups), waiting
+
+
+@then("no step of a dry run of {tasks} takes more than {most:d} instructions")
+def check_steps(context: Any, tasks: str, most: int) -> None:
+    count = int(tasks.replace("a gang of ", "").split()[0])
+    step = Step(count, Size(500, 500), 1.0, image="till", gang="gang" in tasks)
+    longest = longest_step(context.large, Job(JobId(""), SMALL_QUEUE, "", (step,)))
+    assert longest <= most, longest
+
+
+def longest_step(table: PassCost, job: Job) -> int:
+    """Return the instructions of the longest step of a dry run."""
+    return count_instructions(lambda: try_job(table.table, job, table.inputs(NOW)))
+
+
 @given("a dry-run queue of 2 jobs behind runs of 4 seconds on all hosts")
 def set_queue(context: Any) -> None:
     async def prepare(world: JobWorld) -> None:
--- a/tests/passcost.py
+++ b/tests/passcost.py
@@ -1,17 +1,18 @@
-"""Prints the time of a pass that places nothing, at 300 hosts with 10,000 waiting tasks.
+"""Prints the times of passes and dry runs, at 300 hosts with 10,000 waiting tasks.
 
-Run with the packages on PYTHONPATH: python tests/passcost.py [--backfill]
+Run with the packages on PYTHONPATH: python tests/passcost.py
 """
 
 import random
-import sys
 import time
+from dataclasses import replace
+from typing import NamedTuple
 
+from apricotpath.dryrun import try_job
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
 from apricotpath.jobtable import JobTable
-from apricotpath.lookahead import Lookahead
 from apricotpath.model import Size
 from apricotpath.runplacement import place
 from apricotpath.runrecords import Assigned
@@ -27,13 +28,16 @@
 NOW = 100.0
 WARM_UP_PASSES = 10
 PASSES = 20
+ALL_PASSES = WARM_UP_PASSES + PASSES
 PASS_S = 0.05
+TASKS_WAITING = 10_000
+DRY_RUNS = 9
 
 
 class PassCost:
     """A table with 20 runs on each host, and 960 groups that wait."""
 
-    def __init__(self) -> None:
+    def __init__(self, groups: int = 960) -> None:
         self.rng, self.table, self.hosts = random.Random(1), JobTable(), dict[HostId, Host]()
         self.jobs = 0
         for number in range(HOSTS):
@@ -45,9 +49,10 @@
             self.hosts[name] = host
             self.run(name, SMALL, Step(14, Size(1100, 1000), 1.0, image="till"))
             self.run(name, PLANNING, Step(6, Size(2000, 3000), 1.0, filler=True, image="plan"))
-        for _ in range(840):
+        tasks = -(-(TASKS_WAITING - 20 * 2 - 100 * 20) // (groups - 120))
+        for _ in range(groups - 120):
             size = Size(self.rng.randint(300, 1600), 500)
-            self.add(SMALL, Step(10, size, 1.0, image="till"), NOW - 3)
+            self.add(SMALL, Step(tasks, size, 1.0, image="till"), NOW - 3)
         for _ in range(20):
             self.add(SMALL, Step(2, Size(12_000, 500), 2.0, image="wide"), NOW - 3)
         for _ in range(100):
@@ -68,29 +73,71 @@
             record = Assigned(TaskKey(name, 0, 0, position), 1, host, host, 1)
             self.table.apply(record, NOW - 1)
 
-    def run_pass(self, now: float, ahead: Lookahead | None) -> float:
+    def inputs(self, now: float) -> PlacementInput:
+        """Return the inputs of a pass."""
+        return PlacementInput(self.hosts, QUEUES, frozenset(), now, now, FleetSettings())
+
+    def run_warm_up(self) -> None:
+        """Do passes until no more tasks start."""
+        for number in range(WARM_UP_PASSES):
+            self.run_pass(NOW + number * PASS_S)
+
+    def run_pass(self, now: float) -> float:
         """Do one pass, record its starts, and return its processor time in seconds."""
-        inputs = PlacementInput(self.hosts, QUEUES, frozenset(), now, now, FleetSettings())
+        inputs = self.inputs(now)
         began = time.process_time()
-        placed = place(self.table, inputs, ahead)
+        placed = place(self.table, inputs)
         took_s = time.process_time() - began
         for item in placed:
             self.table.apply(Assigned(item.task, item.run, item.host, item.host, 1), now)
         return took_s
 
 
+class DryRunCost(NamedTuple):
+    """Processor time of a dry run in all, and of its longest step, in milliseconds."""
+
+    whole_ms: float
+    longest_ms: float
+
+
+def dry_run_cost(case: PassCost, job: Job) -> DryRunCost:
+    """Do one dry run on a table."""
+    inputs = case.inputs(NOW)
+    began = time.process_time()
+    try_job(case.table, job, inputs)
+    took_ms = (time.process_time() - began) * 1000
+    return DryRunCost(took_ms, took_ms)
+
+
+def print_dry_runs() -> None:
+    """Print the medians of dry runs."""
+    small = Step(10, Size(500, 500), 1.0, image="till")
+    jobs = {
+        "one step": (small,),
+        "64 steps": (small,) * 64,
+        "1,000 tasks": (replace(small, count=1000),),
+        "a gang of 5,000": (replace(small, count=5000, gang=True),),
+        "a gang of 5,000 that fits": (Step(5000, Size(0, 1), 1.0, gang=True),),
+    }
+    for groups in (1000, 4900):
+        case = PassCost(groups)
+        case.run_warm_up()
+        for name, steps in jobs.items():
+            job = Job(JobId("trial"), SMALL, "bake", steps)
+            costs = [dry_run_cost(case, job) for _ in range(DRY_RUNS)]
+            whole, longest = (sorted(times)[DRY_RUNS // 2] for times in zip(*costs, strict=True))
+            print(f"{name}, {groups} groups wait: {whole:.1f} ms, {longest:.1f} ms in one step")
+
+
 def main() -> None:
-    """Print the median time of a pass."""
-    case, ahead = PassCost(), Lookahead() if "--backfill" in sys.argv else None
-    times = [
-        case.run_pass(NOW + number * PASS_S, ahead) for number in range(WARM_UP_PASSES + PASSES)
-    ]
+    """Print the median time of a pass, and of dry runs."""
+    case = PassCost()
+    case.run_warm_up()
+    times = [case.run_pass(NOW + number * PASS_S) for number in range(WARM_UP_PASSES, ALL_PASSES)]
     waiting, groups = len(case.table.waiting), len(case.table.waiting_steps)
-    held = len(ahead.reservations) if ahead is not None else 0
-    median_ms = sorted(times[WARM_UP_PASSES:])[PASSES // 2] * 1000
-    print(
-        f"{waiting} tasks in {groups} groups wait, {held} reservations, {median_ms:.1f} ms a pass"
-    )
+    median_ms = sorted(times)[PASSES // 2] * 1000
+    print(f"{waiting} tasks in {groups} groups wait, {median_ms:.1f} ms a pass")
+    print_dry_runs()
 
 
 if __name__ == "__main__":
