--- a/packages/cli/src/apricotpath_cli/dryrun.py
+++ b/packages/cli/src/apricotpath_cli/dryrun.py
@@ -19,6 +19,8 @@
 PATH = "/dry-run"
 # As the entry's limit; a longer file is not sent.
 MAX_JOB_BYTES = 1 << 20
+# An entry gives a dry run up after 20 s.
+TIMEOUT_S = 30.0
 STDIN = "-"
 # Hosts and groups that a line of text names.
 MAX_NAMES = 5
@@ -47,6 +49,7 @@
         help="status port of an entry, for example http://127.0.0.1:9464; may be repeated",
     )
     add_timeout(parser)
+    parser.set_defaults(timeout=TIMEOUT_S)
     add_json(parser)
     parser.set_defaults(run=_dry_run)
 
--- a/packages/core/src/apricotpath/dryrun.py
+++ b/packages/core/src/apricotpath/dryrun.py
@@ -1,7 +1,8 @@
 """Where a job would go if it were submitted now, and why: a pass of placement on a copy.
 
 Handles one job at a time, in about the time of a pass of the scheduler. That pass is the one that
-decides on starts; what it reads is shared with the scheduler, and what it changes is copied.
+decides on starts, in steps between which the scheduler goes on; what it reads is shared with the
+scheduler, and what it changes is copied.
 """
 
 from collections import Counter
@@ -13,11 +14,12 @@
 from apricotpath.earlieststart import Candidate, earliest_start
 from apricotpath.fleet import Host
 from apricotpath.forecasts import HostForecast, forecast
-from apricotpath.hostload import HostLoad, PlacementInput, may_use
+from apricotpath.hostload import HOSTS_PER_STEP, HostLoad, PlacementInput, may_use
 from apricotpath.ids import HostId, JobId
-from apricotpath.joborder import WaitingGroup
+from apricotpath.joborder import GROUPS_PER_STEP, WaitingGroup
 from apricotpath.jobtable import JobTable
-from apricotpath.runplacement import Placement, can_fit_whole, place
+from apricotpath.runplacement import Placement, can_fit_whole, place_in_steps
+from apricotpath.steps import Steps, finish
 from apricotpath.waitreasons import trial_reason
 from apricotpath.workload import Job, Step
 
@@ -110,30 +112,50 @@
 
     Of a job with a schedule, the first occurrence is tried.
     """
+    return finish(try_in_steps(table, job, inputs))
+
+
+def try_in_steps(table: JobTable, job: Job, inputs: PlacementInput) -> Steps[JobTrial]:
+    """Do the same in steps, between which the table and the hosts may change.
+
+    The tasks that wait and the hosts are those found at first; loads and states of hosts are those
+    of the moment at which a step looks at them.
+    """
     schedule = replace(job.schedule, times=1) if job.schedule is not None else None
     job = replace(job, job_id=TRIAL_JOB, schedule=schedule, accepted_s=inputs.utc_s)
-    inputs = replace(inputs, gang_turns=inputs.gang_turns.copy())
-    trial = _copy_for_trial(table)
-    row = trial.add(job, inputs.now)
+    inputs = replace(inputs, hosts=dict(inputs.hosts), gang_turns=inputs.gang_turns.copy())
+    trial = yield from _copy_for_trial(table)
+    row = yield from trial.add_in_steps(job, inputs.now)
     trial.open_due(inputs.utc_s, inputs.now)
     if row is None or not row.steps:
         return JobTrial((), max(0.0, job.due_s(0) - inputs.utc_s), WaitCause.NOT_DUE)
     watch = _Watch(trial, inputs)
-    place(trial, inputs, watch)
+    yield
+    yield from place_in_steps(trial, inputs, watch)
     steps = enumerate(job.steps)
-    return JobTrial(tuple(watch.found.get(n) or _unseen(trial, n, step) for n, step in steps))
+    found = tuple(watch.found.get(n) or _unseen(trial, n, step) for n, step in steps)
+    # To free them all at once takes long.
+    while trial.waiting_steps:
+        trial.waiting_steps.popitem()
+        yield
+    return JobTrial(found)
 
 
-def _copy_for_trial(table: JobTable) -> JobTable:
+def _copy_for_trial(table: JobTable) -> Steps[JobTable]:
     """Return a table to which a job may be added without changing the given one.
 
-    It shares the jobs and runs there are, so that no record may be applied to it.
+    It shares the jobs, tasks and runs there are, so that no record may be applied to it.
     """
     other = JobTable()
     other.rows, other.waiting = table.rows.copy(), table.waiting.copy()
-    other.waiting_steps = table.waiting_steps.copy()
     other.index, other.by_host = table.index, table.by_host
-    other.crashes, other.queues = table.crashes, table.queues
+    other.crashes, other.queues = table.crashes.copy(), table.queues
+    for number, (key, tasks) in enumerate(list(table.waiting_steps.items()), start=1):
+        if number % GROUPS_PER_STEP == 0:
+            yield
+        # Those of a step may all have started meanwhile.
+        if tasks:
+            other.waiting_steps[key] = tasks.copy()
     return other
 
 
@@ -159,7 +181,7 @@
         group: WaitingGroup,
         loads: Mapping[HostId, HostLoad],
         placed: Sequence[Placement],
-    ) -> None:
+    ) -> Steps[None]:
         """Note a group that the pass has looked at."""
         job, _, number = group.key
         if job != TRIAL_JOB:
@@ -176,7 +198,7 @@
             cause = self._cause(group, loads.values()) if explained else WaitCause.NOT_EXPLAINED
             found.cause = cause
         if explained:
-            self._explain(found, group, loads)
+            yield from self._explain(found, group, loads)
         self.found[number] = found
 
     def _cause(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> WaitCause:
@@ -193,17 +215,19 @@
 
     def _explain(
         self, found: StepTrial, group: WaitingGroup, loads: Mapping[HostId, HostLoad]
-    ) -> None:
+    ) -> Steps[None]:
         """Add why hosts were not chosen, or take no more, and when there is room."""
         waits = found.cause is not None
-        for name, load in loads.items():
+        for number, (name, load) in enumerate(loads.items(), start=1):
+            if number % HOSTS_PER_STEP == 0:
+                yield
             if waits or name not in found.placed:
                 reason = trial_reason(load, group, self._inputs, waits)
                 found.ruled_out.setdefault(reason, []).append(name)
         if found.cause is WaitCause.ROOM:
-            found.not_before_s = self._not_before_s(group, loads.values())
+            found.not_before_s = yield from self._not_before_s(group, loads.values())
 
-    def _not_before_s(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> float | None:
+    def _not_before_s(self, group: WaitingGroup, loads: Iterable[HostLoad]) -> Steps[float | None]:
         """Return in how many seconds there is room, as far as the ends of runs are forecast."""
         now, left = self._inputs.now, MAX_RUNS_FORECAST
         candidates = []
@@ -212,8 +236,10 @@
             if left <= 0:
                 break
             left -= load.runs
+            yield
             if load.within_max_per_host(group.tasks[0].key, group.step):
                 candidates.append(Candidate(load, self._forecast(load.host)))
+        yield
         at = earliest_start(group.step, candidates, now)
         return max(0.0, at - now) if at is not None else None
 
--- a/packages/core/src/apricotpath/gangplacement.py
+++ b/packages/core/src/apricotpath/gangplacement.py
@@ -9,13 +9,15 @@
 from dataclasses import dataclass, field, replace
 from heapq import heapify, heappop, heapreplace
 
-from apricotpath.hostload import HostLoad
+from apricotpath.hostload import HOSTS_PER_STEP, HostLoad
 from apricotpath.jobrows import Task
 from apricotpath.model import Size
+from apricotpath.steps import Steps, finish
 from apricotpath.workload import Step
 
 # Members are placed in so many chunks for each host; more chunks fill the hosts more evenly.
 CHUNKS_PER_HOST = 16
+CHUNKS_PER_STEP = 64
 
 # Returns the sort key of a host for a task; the lowest is preferred.
 Preference = Callable[[HostLoad, Task, Step], tuple[bool, bool, bool, float, float]]
@@ -62,14 +64,25 @@
 
     The members are on one rack if the step asks for that and one has room.
     """
+    return finish(assign_in_steps(members, step, candidates, prefer))
+
+
+def assign_in_steps(
+    members: Sequence[Task], step: Step, candidates: Collection[HostLoad], prefer: Preference
+) -> Steps[list[tuple[Task, HostLoad]]]:
+    """Do the same in steps."""
     suspects = next((load.suspects for load in candidates), {})
     # Suspected members go first: they start only on hosts where nothing else starts.
     parts = [[task for task in members if task.key in suspects] if suspects else []]
     parts.append([task for task in members if task.key not in suspects] if suspects else [*members])
+    yield
     rooms = [(load, _room(load, parts, step)) for load in candidates]
+    yield
     for pool in _pools(rooms, step):
         if sum(room for _, room in pool) >= len(members):
-            chosen = _assign_to([load for load, room in pool if room], parts, step, prefer)
+            chosen = yield from _assign_to(
+                [load for load, room in pool if room], parts, step, prefer
+            )
             if chosen is not None:
                 return chosen
     return []
@@ -96,12 +109,16 @@
 
 def _assign_to(
     pool: list[HostLoad], parts: Iterable[Sequence[Task]], step: Step, prefer: Preference
-) -> list[tuple[Task, HostLoad]] | None:
+) -> Steps[list[tuple[Task, HostLoad]] | None]:
     """Commit all members to the hosts of a pool, or change nothing and return None."""
-    before = [replace(load, steps=dict(load.steps)) for load in pool]
+    before = []
+    for load in pool:
+        before.append(replace(load, steps=dict(load.steps)))
+        if len(before) % HOSTS_PER_STEP == 0:
+            yield
     chosen: list[tuple[Task, HostLoad]] = []
     for part in parts:
-        placed = _place_part(pool, part, step, prefer)
+        placed = yield from _place_part(pool, part, step, prefer)
         if len(placed) < len(part):
             for load, saved in zip(pool, before, strict=True):
                 load.restore(saved)
@@ -112,7 +129,7 @@
 
 def _place_part(
     pool: list[HostLoad], members: Sequence[Task], step: Step, prefer: Preference
-) -> list[tuple[Task, HostLoad]]:
+) -> Steps[list[tuple[Task, HostLoad]]]:
     """Place members that prefer the same hosts, some at a time on the host preferred most."""
     if not members:
         return []
@@ -133,7 +150,11 @@
     heap = [key(number) for number, load in enumerate(pool) if room(load)]
     heapify(heap)
     placed: list[tuple[Task, HostLoad]] = []
+    chunks = 0
     while heap and len(placed) < len(members):
+        chunks += 1
+        if chunks % CHUNKS_PER_STEP == 0:
+            yield
         number = heap[0][-1]
         load = pool[number]
         part = members[len(placed) : len(placed) + min(at_once, room(load))]
--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -12,6 +12,7 @@
 from apricotpath.jobrows import Run
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
+from apricotpath.steps import Steps, finish
 from apricotpath.workload import Queue, Step, TaskKey
 
 # Filler tasks are placed while the processors in use stay below this share of a host. Above 1
@@ -32,6 +33,8 @@
 MAX_PASS_BYTES = 512 << 10
 ORDER_BYTES = 512
 
+HOSTS_PER_STEP = 32
+
 # Tasks may ask for nothing. So many runs still fit the messages of a host, of some 150 bytes each.
 MAX_RUNS_PER_HOST = 2000
 
@@ -250,10 +253,17 @@
 
 def host_loads(table: JobTable, inputs: PlacementInput) -> dict[HostId, HostLoad]:
     """Return the load of every host whose executor has attached."""
+    return finish(load_in_steps(table, inputs))
+
+
+def load_in_steps(table: JobTable, inputs: PlacementInput) -> Steps[dict[HostId, HostLoad]]:
+    """Do the same in steps; each load is that of the moment at which its step is done."""
     loads = {}
     suspects = _suspects(table, inputs.now)
     held = frozenset(key for key in suspects if table.crashes[key].held_until > inputs.now)
-    for host in inputs.hosts.values():
+    for number, host in enumerate(inputs.hosts.values(), start=1):
+        if number % HOSTS_PER_STEP == 0:
+            yield
         if host.facts is None:
             continue
         load = HostLoad(
@@ -268,6 +278,7 @@
             if run.task in suspects and _is_observed(table, run, inputs.now):
                 load.observed = run.task.job
         loads[host.host] = load
+    yield
     if loads:
         median_speed = median(load.host.speed for load in loads.values())
         for load in loads.values():
--- a/packages/core/src/apricotpath/joborder.py
+++ b/packages/core/src/apricotpath/joborder.py
@@ -7,12 +7,14 @@
 from apricotpath.ids import JobId
 from apricotpath.jobrows import JobRow, Task
 from apricotpath.jobtable import JobTable
+from apricotpath.steps import Steps, finish
 from apricotpath.workload import Job, Queue, Step, StepKey, TaskKey
 
 # A job that ends later than LATE_FACTOR times its objective is of little use and placed last; one
 # that has waited longer than STARVING_FACTOR times its objective ranks as on time again.
 LATE_FACTOR = 3.0
 STARVING_FACTOR = 12.0
+GROUPS_PER_STEP = 64
 
 
 @dataclass(slots=True)
@@ -32,15 +34,25 @@
 
 def waiting_groups(table: JobTable, inputs: PlacementInput) -> list[WaitingGroup]:
     """Return the due waiting tasks grouped by step and occurrence, in placement order."""
+    return finish(group_in_steps(table, inputs))
+
+
+def group_in_steps(table: JobTable, inputs: PlacementInput) -> Steps[list[WaitingGroup]]:
+    """Do the same in steps.
+
+    Waiting tasks may not change meanwhile; jobs may, but those that end are left out.
+    """
     # The keys are computed beside the groups, since all groups are ordered in each pass.
     ordered: list[tuple[tuple[int, bool, int, float, float], WaitingGroup]] = []
     works: dict[JobId, float] = {}
-    for tasks in table.waiting_steps.values():
+    for number, tasks in enumerate(table.waiting_steps.values(), start=1):
+        if number % GROUPS_PER_STEP == 0:
+            yield
         first = next(iter(tasks))
         row = table.rows[first.job]
         job = row.job
         queue = inputs.queues.get(job.queue)
-        if queue is None or job.due_s(first.occurrence) > inputs.utc_s:
+        if not job.steps or queue is None or job.due_s(first.occurrence) > inputs.utc_s:
             continue
         step, work = job.steps[first.step], works.get(first.job)
         if work is None:
@@ -50,7 +62,9 @@
         rank = lateness_rank(job, queue, first, inputs.utc_s)
         key = (queue.priority, not step.long_running, rank, work, job.accepted_s)
         ordered.append((key, WaitingGroup(row, step, queue, list(tasks.values()))))
+    yield
     ordered.sort(key=itemgetter(0))
+    yield
     return [group for _, group in ordered]
 
 
--- a/packages/core/src/apricotpath/jobrows.py
+++ b/packages/core/src/apricotpath/jobrows.py
@@ -10,10 +10,12 @@
 
 from apricotpath.gangs import Gang
 from apricotpath.ids import HostId
+from apricotpath.steps import Steps, finish
 from apricotpath.workload import Job, Progress, Step, TaskKey
 
 # Progress in percent at which a long-running task is ready to serve.
 READY_PERCENT = 100
+TASKS_PER_STEP = 256
 
 
 class RunPhase(Enum):
@@ -208,17 +210,21 @@
         task = self.tasks.get(key)
         if task is not None or not self.has_task(key) or self.is_finished(key.occurrence):
             return task
+        return finish(self.open_in_steps(key))
+
+    def open_in_steps(self, key: TaskKey) -> Steps[Task | None]:
+        """Open a task that the job has in an occurrence that is not finished, in steps."""
         self.open_steps(key.occurrence)
         state = self.steps[key.occurrence, key.step]
         if state.is_done(key.position):
             return None
         if self.step(key).gang:
-            self._open_gang(key, state)
+            yield from self._open_gang(key, state)
         else:
             self.tasks[key] = Task(key)
         return self.tasks[key]
 
-    def _open_gang(self, key: TaskKey, state: StepState) -> None:
+    def _open_gang(self, key: TaskKey, state: StepState) -> Steps[None]:
         """Open all members of a gang that are not done."""
         gang = Gang()
         job, occurrence, step, _ = key
@@ -228,6 +234,8 @@
                 member = TaskKey(job, occurrence, step, position)
                 self.tasks[member] = Task(member, gang)
                 gang.size += 1
+            if position % TASKS_PER_STEP == 0:
+                yield
 
     def done_tasks(self) -> dict[tuple[int, int], int]:
         """Return which tasks are done and have no runs, as bits, by occurrence and step.
--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -9,7 +9,7 @@
 from apricotpath.commitments import Commitments
 from apricotpath.crashes import CrashHistory
 from apricotpath.ids import HostId, JobId, QueueId
-from apricotpath.jobrows import JobRow, Run, StepState, Task
+from apricotpath.jobrows import TASKS_PER_STEP, JobRow, Run, StepState, Task
 from apricotpath.runindex import RunIndex
 from apricotpath.runrecords import (
     Assigned,
@@ -23,6 +23,7 @@
     TasksDone,
     TaskSummary,
 )
+from apricotpath.steps import Steps, finish
 from apricotpath.tablesnapshot import summary_slices
 from apricotpath.workload import Job, Progress, Queue, RunResult, Step, StepKey, TaskKey
 
@@ -67,6 +68,10 @@
 
     def add(self, job: Job, now: float) -> JobRow | None:
         """Add an accepted job; None if it is in the table already."""
+        return finish(self.add_in_steps(job, now))
+
+    def add_in_steps(self, job: Job, now: float) -> Steps[JobRow | None]:
+        """Do the same in steps, between which nothing else may change the table."""
         if job.job_id in self.rows:
             return None
         row = JobRow(job)
@@ -74,7 +79,7 @@
         self.queues_used.add(job.queue)
         self.changed.add(job.job_id)
         if job.schedule is None:
-            self._open_next(row, now)
+            yield from self._open_next(row, now)
         else:
             self._await_next(row)
         return row
@@ -90,7 +95,7 @@
             row = self.rows.get(heappop(self._due)[1])
             if row is not None and not row.to_be_stopped:
                 row.awaits_due = False
-                self._open_next(row, now)
+                finish(self._open_next(row, now))
                 self._await_next(row)
         return False
 
@@ -103,7 +108,7 @@
             row.awaits_due = True
             heappush(self._due, (row.job.due_s(row.next_occurrence), row.job.job_id))
 
-    def _open_next(self, row: JobRow, now: float) -> None:
+    def _open_next(self, row: JobRow, now: float) -> Steps[None]:
         """Open the next occurrence of a job; records may have opened some of its tasks."""
         occurrence = row.next_occurrence
         row.next_occurrence += 1
@@ -112,7 +117,7 @@
         row.opened += 1
         row.open_steps(occurrence)
         for number in range(len(row.job.steps)):
-            self._open_tasks(row, occurrence, number, now)
+            yield from self._open_in_steps(row, occurrence, number, now)
 
     def add_ended(self, job: Job, progress: Progress, now: float) -> None:
         """Add a job that has ended already; only its state can be read."""
@@ -399,6 +404,9 @@
 
     def _open_tasks(self, row: JobRow, occurrence: int, number: int, now: float) -> None:
         """Let tasks of a step wait if it is ready and few of them do."""
+        finish(self._open_in_steps(row, occurrence, number, now))
+
+    def _open_in_steps(self, row: JobRow, occurrence: int, number: int, now: float) -> Steps[None]:
         state = row.steps.get((occurrence, number))
         if state is None or row.to_be_stopped or not row.step_ready(occurrence, number):
             return
@@ -407,7 +415,7 @@
         if not step.gang and len(self.waiting_steps.get(key, ())) > window // 2:
             return
         if step.gang:
-            self._open_gang(row, TaskKey(*key, 0), now)
+            yield from self._open_gang(row, TaskKey(*key, 0), now)
             return
         while len(self.waiting_steps.get(key, ())) < window:
             position = first_unset(state.done, state.opened)
@@ -417,17 +425,23 @@
             task = row.open_task(TaskKey(*key, position))
             if task is not None and not task.done and not task.runs:
                 self._enqueue(row, task, now)
+            if position % TASKS_PER_STEP == 0:
+                yield
 
-    def _open_gang(self, row: JobRow, key: TaskKey, now: float) -> None:
+    def _open_gang(self, row: JobRow, key: TaskKey, now: float) -> Steps[None]:
         """Let all members of a gang wait whose turn has come and that do not run."""
         state, count = row.steps[key.occurrence, key.step], row.step(key).count
         first = first_unset(state.done, state.opened)
         state.opened = count
         if first >= count:
             return
-        row.open_task(key._replace(position=first))
+        member = key._replace(position=first)
+        if member not in row.tasks:
+            yield from row.open_in_steps(member)
         waiting = self.waiting_steps.setdefault(key.step_key, {})
-        for task in row.members(key):
+        for number, task in enumerate(row.members(key)):
+            if number % TASKS_PER_STEP == 0:
+                yield
             if not task.done and not task.runs and task.key not in waiting:
                 task.waiting_since = now
                 self.waiting[task.key] = waiting[task.key] = task
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -5,14 +5,15 @@
 from operator import attrgetter
 from typing import NamedTuple
 
-from apricotpath.gangplacement import Misfits, assign
+from apricotpath.gangplacement import Misfits, assign_in_steps
 from apricotpath.gangturns import GangTurns
-from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
+from apricotpath.hostload import HostLoad, PlacementInput, load_in_steps, may_use
 from apricotpath.ids import HostId, ServiceId
-from apricotpath.joborder import WaitingGroup, waiting_groups
+from apricotpath.joborder import WaitingGroup, group_in_steps
 from apricotpath.jobrows import Task
 from apricotpath.jobtable import JobTable
 from apricotpath.model import Size
+from apricotpath.steps import Steps, finish
 from apricotpath.workload import Step, TaskKey
 
 # A group of tasks that has waited this long reserves one host, which smaller tasks of later
@@ -28,6 +29,7 @@
 # A filler job without a running task gets one after this long, however busy the hosts are: slow
 # progress is better than none.
 FILLER_MAX_WAIT_S = 1.5
+STARTS_PER_STEP = 64
 
 
 class Placement(NamedTuple):
@@ -39,29 +41,33 @@
 
 
 # Gets a group that a pass has looked at, the loads of all hosts by then, and the group's starts.
-PassWatch = Callable[[WaitingGroup, Mapping[HostId, HostLoad], Sequence[Placement]], None]
+PassWatch = Callable[[WaitingGroup, Mapping[HostId, HostLoad], Sequence[Placement]], Steps[None]]
 
 
-def place(
-    table: JobTable,
-    inputs: PlacementInput,
-    watch: PassWatch | None = None,
-) -> list[Placement]:
-    """Return the tasks to start now, in order.
+def place(table: JobTable, inputs: PlacementInput) -> list[Placement]:
+    """Return the tasks to start now, in order."""
+    return finish(place_in_steps(table, inputs))
+
+
+def place_in_steps(
+    table: JobTable, inputs: PlacementInput, watch: PassWatch | None = None
+) -> Steps[list[Placement]]:
+    """Do the same in steps, between which waiting tasks and the set of hosts may not change.
 
     `watch` is called after each group that the pass has looked at.
     """
     if not table.waiting:
         return []
-    loads = host_loads(table, inputs)
+    loads = yield from load_in_steps(table, inputs)
     placements: list[Placement] = []
-    groups = waiting_groups(table, inputs)
+    groups = yield from group_in_steps(table, inputs)
     if table.crashes:
         _keep_hosts_for_suspects(groups, loads.values(), inputs)
     hosts = _UsableHosts(list(loads.values()), inputs)
     turns = inputs.gang_turns
     turns.begin((group.key for group in groups if group.step.gang), len(loads))
     for group in groups:
+        yield
         if inputs.budget.spent:
             break
         if group.step.gang and not turns.may_look_at(group.key):
@@ -69,12 +75,16 @@
         allowed = hosts.allowed(group)
         candidates = _candidates(group, allowed, inputs)
         if group.step.gang:
-            placed = _place_gang(group, candidates, hosts.misfits(group), turns)
+            placed = yield from _place_gang(group, candidates, hosts.misfits(group), turns)
         elif hosts.are_full_for(group):
             placed = []
         else:
             del group.tasks[inputs.budget.allowance(group.row.job.command) :]
-            placed = list(_place_each(group, candidates, inputs))
+            placed = []
+            for placement in _place_each(group, candidates, inputs):
+                placed.append(placement)
+                if len(placed) % STARTS_PER_STEP == 0:
+                    yield
             if len(placed) < len(group.tasks):
                 hosts.note_if_full(group, candidates)
         if len(placed) < len(group.tasks):
@@ -85,7 +95,7 @@
             inputs.budget.spend(group.row.job.command, len(placed))
             placements += placed
         if watch is not None:
-            watch(group, loads, placed)
+            yield from watch(group, loads, placed)
     return placements
 
 
@@ -394,7 +404,7 @@
 
 def _place_gang(
     group: WaitingGroup, candidates: list[HostLoad], misfits: Misfits, turns: GangTurns
-) -> list[Placement]:
+) -> Steps[list[Placement]]:
     """Place all members of a gang at once, or none; preferably on one rack if it asks for that."""
     gang, step, count = group.tasks[0].gang, group.step, len(group.tasks)
     if gang is None or not gang.can_start(count):
@@ -406,7 +416,7 @@
     if skipped:
         return []
     members = sorted(group.tasks, key=attrgetter("key"))
-    chosen = assign(members, step, candidates, _preference)
+    chosen = yield from assign_in_steps(members, step, candidates, _preference)
     if not chosen and alike:
         misfits.add(step, count)
     return [Placement(task.key, gang.last_run + 1, load.host.host) for task, load in chosen]
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
-from apricotpath.dryrun import JobTrial, try_job
+from apricotpath.dryrun import JobTrial, try_in_steps
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
 from apricotpath.fleet import FleetSettings, Host
@@ -33,6 +33,7 @@
 from apricotpath.runplacement import Placement
 from apricotpath.runrecords import Assigned, RunRecord
 from apricotpath.slices import OPERATIONS_PER_SLICE, RUNS_PER_OPERATION, Slices
+from apricotpath.steps import Steps
 from apricotpath.term import Term
 from apricotpath.upkeeprecords import UpkeepRecords
 from apricotpath.workload import Job, Queue, StepKey
@@ -275,9 +276,12 @@
         self.table.cancel(job)
         self.wake()
 
-    def dry_run(self, job: Job) -> JobTrial:
-        """Return what a pass would do now with a job that is not submitted; changes nothing."""
-        return try_job(self.table, job, self._placement_input(boot_s()))
+    def dry_run(self, job: Job) -> Steps[JobTrial]:
+        """Return the steps that tell what a pass would do with a job that is not submitted.
+
+        They change nothing, and passes may come in between.
+        """
+        return try_in_steps(self.table, job, self._placement_input(boot_s()))
 
     # Scheduling loop.
 
