--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -11,25 +11,21 @@
 from apricotpath.boottime import boot_s
 from apricotpath.config import Address
 from apricotpath.electionattempt import ElectionAttempt
-from apricotpath.entrymessages import NO_EPOCH, Supported, SupportRequest, TermHandover
+from apricotpath.entrymessages import TermHandover
 from apricotpath.entryrecords import EntryRecord, LeaderRecord, RecordReader, next_epoch
 from apricotpath.entryregistry import EntryRegistry
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreUnavailable
 from apricotpath.fencelimits import epoch_key
 from apricotpath.ids import Epoch, IncarnationId, ProcessId
 from apricotpath.leadersupport import (
-    NO_EVIDENCE,
-    GivenSupport,
     Supporter,
-    SupportersRecord,
-    SupportEvidence,
-    supporters_key,
 )
 from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.predecessors import GrantsEnd, Predecessors
 from apricotpath.receivedhandover import ReceivedHandover
 from apricotpath.store import Compare, Delete, KeyValue, LeaseId, Put
+from apricotpath.supportgiver import SupportGiver
 from apricotpath.term import ElectionSettings, Term
 
 log = logging.getLogger(__name__)
@@ -89,12 +85,10 @@
         self.mirror = Mirror(store, root, self._on_key_change)
         self.registry = EntryRegistry(self.mirror.items, f"{root}entry/", entry)
         self._predecessors = Predecessors(entry, self.registry, cfg.authority_s)
-        self._support = GivenSupport()
-        # Attempts without an answer, whose writes may be carried out late.
-        self._open_attempts: list[ElectionAttempt] = []
-        self._is_acquiring = False
-        self._supporters_key = supporters_key(cfg.prefix)
-        self._supporters_records = RecordReader(SupportersRecord.parse)
+        own = Supporter(entry, incarnation)
+        self.support = SupportGiver(
+            own, cfg.prefix, self.mirror, self._predecessors, self.leader_records
+        )
 
     @property
     def presence_key(self) -> str:
@@ -109,7 +103,7 @@
     @property
     def malformed_records(self) -> int:
         """How many malformed records of entries and leaders were read."""
-        readers = (self.registry.records, self.leader_records, self._supporters_records)
+        readers = (self.registry.records, self.leader_records, self.support.records)
         return sum(reader.malformed for reader in readers)
 
     @property
@@ -124,14 +118,6 @@
         shown = epoch_item.mod_revision if epoch_item is not None else 0
         return self.term is not None and shown == self.term.epoch_revision
 
-    def peers(self) -> dict[ProcessId, Address]:
-        """Return the addresses of the other registered entries."""
-        return self.registry.addresses()
-
-    def peer_cores(self) -> dict[ProcessId, float]:
-        """Return the processors of the other registered entries."""
-        return self.registry.cores()
-
     async def read_epoch_revision(self) -> int:
         """Return the mod revision of the epoch key, 0 if there is none; raises StoreError."""
         item = await self.store.get(self._epoch_key)
@@ -185,28 +171,6 @@
         self._handover = ReceivedHandover(handover, sender)
         self._notify()
 
-    def support(self, request: SupportRequest) -> Supported | None:
-        """Support a leader that asks for it; return None if a later term may have begun."""
-        if not self.mirror.loaded.is_set() or self._may_be_elected():
-            return None
-        stored = self.leader_records.read(self.mirror.items.get(self._epoch_key))
-        known = [record.epoch for record in (self.leader, stored) if record is not None]
-        return self._support.answer(request, max(known, default=request.epoch))
-
-    def _may_be_elected(self) -> bool:
-        """Tell whether an attempt of this entry is being written, or may be carried out late."""
-        self._open_attempts = [
-            attempt
-            for attempt in self._open_attempts
-            if all(self._mirrored(item.key)[1] == item.mod_revision for item in attempt.compares)
-        ]
-        return self._is_acquiring or bool(self._open_attempts)
-
-    def _mirrored(self, key: str) -> tuple[str, int]:
-        """Return a key with its mod revision in this entry's copy, 0 if it is absent."""
-        item = self.mirror.items.get(key)
-        return key, item.mod_revision if item is not None else 0
-
     def _hand_over_if_possible(self) -> None:
         """End this entry's term if it is draining and another entry can lead."""
         # While the store cannot be written, no other entry could be elected.
@@ -368,11 +332,11 @@
         Returns None if another entry was first or the store is unavailable.
         """
         # From here on, nothing that this entry does prolongs what the last leader may grant.
-        self._is_acquiring = True
+        self.support.is_acquiring = True
         attempt = self._prepare(former)
         started = boot_s()
         revision = await self._write(attempt, lease)
-        self._is_acquiring = False
+        self.support.is_acquiring = False
         if not revision:
             return None
         self._predecessors.see(attempt.record)
@@ -392,12 +356,12 @@
             Compare(self._leader_key, leader.mod_revision if leader else 0),
             Compare(self._epoch_key, epoch_item.mod_revision if epoch_item else 0),
         ]
-        named = self._supporters_of(previous)
+        named = self.support.supporters_of(previous)
         if named.supporters:
             # The last leader waits for them until this election.
-            compares.append(Compare(*self._mirrored(self._supporters_key)))
+            compares.append(self.support.compare())
         former_supporters = named.supporters if not (previous and previous.ended) else frozenset()
-        evidence = self._evidence(previous, former_supporters)
+        evidence = self.support.evidence(previous, former_supporters)
         first = epoch_item is None
         end = GrantsEnd.first() if first else self._predecessors.grants_end(previous, evidence)
         led_before = [previous.entry] if previous is not None else []
@@ -423,25 +387,10 @@
         except StoreError as exc:
             log.info("election outcome unknown: %s", exc)
             # A write that is not found may be carried out late.
-            self._open_attempts.append(attempt)
+            self.support.note_unanswered(attempt)
             return await self._read_back(puts[1])
         return result.revision if result.succeeded else 0
 
-    def _supporters_of(self, leader: LeaderRecord | None) -> SupportersRecord:
-        """Return the record of those whose support a leader waits for."""
-        record = self._supporters_records.read(self.mirror.items.get(self._supporters_key))
-        if leader is None or record is None or record.epoch != leader.epoch:
-            return SupportersRecord(NO_EPOCH, frozenset())
-        return record
-
-    def _evidence(
-        self, leader: LeaderRecord | None, supporters: frozenset[Supporter]
-    ) -> SupportEvidence:
-        """Return what this entry knows of a leader that waits for `supporters`."""
-        if leader is None or Supporter(self._entry, self._incarnation) not in supporters:
-            return NO_EVIDENCE
-        return self._support.evidence(leader.epoch, self._predecessors.former_until(leader))
-
     def _check_predecessor(self) -> None:
         """Tell the scheduler once the previous leaders have certainly ended."""
         term, now = self.term, boot_s()
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -123,7 +123,7 @@
         while True:
             # A registration that expires while the store is unavailable does not end a link.
             if self.election.mirror.age_s() < 2 * self.election.cfg.lease_s:
-                peers = self.election.peers()
+                peers = self.election.registry.addresses()
                 self._dialler.set_targets({name: peers[name] for name in peers if name > own_id})
             await anyio.sleep(DIAL_INTERVAL_S)
 
@@ -237,7 +237,7 @@
             log.warning("message about support ignored", extra={"sender": link.peer_id})
             return
         if isinstance(body, SupportRequest):
-            answer = self.election.support(body)
+            answer = self.election.support.answer(body)
             if answer is not None:
                 link.send_nowait(answer)
             return
--- a/packages/daemon/src/apricotpathd/storeloss.py
+++ b/packages/daemon/src/apricotpathd/storeloss.py
@@ -81,7 +81,7 @@
             await self._is_lost()
         if not reaching or not await self._is_lost() or self._election.term is not term:
             return
-        cores = self._election.peer_cores()
+        cores = self._election.registry.cores()
         successor = max(reaching, key=lambda link: cores.get(ProcessId(link.peer_id), 0.0))
         await self._hand_over(term, successor)
 
--- a/tests/features/steps/oddvalues_steps.py
+++ b/tests/features/steps/oddvalues_steps.py
@@ -154,7 +154,7 @@
 def check_peers(context: Any) -> None:
     case = case_of(context)
     for node in case.world.entries.values():
-        peers = set(node.jobs.election.peers())
+        peers = set(node.jobs.election.registry.addresses())
         assert peers <= set(case.world.entries), peers
 
 
