--- a/tests/features/steps/oddvalues_steps.py
+++ b/tests/features/steps/oddvalues_steps.py
@@ -25,6 +25,7 @@
 HOST = Size(8000, 8000, 0)
 JOB_LIMIT_S = 20.0
 LEADER_KEY, EPOCH_KEY = f"{PREFIX}ctl/leader", f"{PREFIX}ctl/epoch"
+SUPPORTERS_KEY = f"{PREFIX}ctl/supporters"
 
 
 class RecordCounter(logging.Handler):
@@ -167,7 +168,8 @@
 @then("the oddvalues world serves a job after each malformed value at the {which}'s key")
 def serve_after_each(context: Any, which: str) -> None:
     case = case_of(context)
-    key = {"leader": LEADER_KEY, "epoch": EPOCH_KEY}[which]
+    keys = {"leader": LEADER_KEY, "epoch": EPOCH_KEY, "supporters": SUPPORTERS_KEY}
+    key = keys[which]
 
     async def act(case: OddCase) -> None:
         for label, value in ODD_LEADERS.items():
