--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -139,23 +139,6 @@
         """Remove a job that has ended."""
         self.rows.pop(job, None)
 
-    def new_checkpoints(self, host: HostId, gangs: set[StepKey]) -> Iterator[Saved]:
-        """Yield records of the checkpoints of a host's current runs that are not recorded yet.
-
-        A gang has one checkpoint, that of the first member found; `gangs` collects those seen.
-        """
-        for run in self.by_host.get(host, {}).values():
-            task = self.task(run.task)
-            # With two runs of a task, only checkpoints of the newer one count.
-            if task is None or not run.saved or run.run != task.last_run:
-                continue
-            if task.gang is not None:
-                if run.task.step_key in gangs:
-                    continue
-                gangs.add(run.task.step_key)
-            if run.saved != task.saved:
-                yield Saved(run.task, run.saved)
-
     def task(self, key: TaskKey) -> Task | None:
         """Return an open task; None if it is done, or its job is unknown or has ended."""
         row = self.rows.get(key.job)
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
+from apricotpath.checkpoints import new_checkpoints
 from apricotpath.dryrun import JobTrial, try_in_steps
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
@@ -388,7 +389,7 @@
         gangs: set[StepKey] = set()
         left = MAX_CHECKPOINTS_PER_APPEND
         for host, runs in list(self.table.by_host.items()):
-            records = list(self.table.new_checkpoints(host, gangs))[:left]
+            records = list(new_checkpoints(self.table, host, gangs))[:left]
             left -= len(records)
             for record in records:
                 batch.apply(record, now)
