--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
+from apricotpath.checkpoints import new_checkpoints
 from apricotpath.dryrun import JobTrial, try_in_steps
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
