--- a/packages/core/src/apricotpath/commitments.py
+++ b/packages/core/src/apricotpath/commitments.py
@@ -1,10 +1,13 @@
 """What the runs on one host reserve and use."""
 
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from apricotpath.model import Size
 from apricotpath.workload import NO_SIZE, Step, StepKey, TaskKey
 
+Key = TypeVar("Key")
+
 # Share of its reserved processors that a long-running task is assumed to use when filler tasks
 # are placed.
 SERVING_CPU_SHARE = 0.45
@@ -17,7 +20,8 @@
     `claimed` is what tasks reserve; filler tasks reserve no processors. `long_running`
     is the part of it that long-running tasks reserve. `serving_milli` are the processors of
     serving tasks and `other_milli` those of all others, in thousandths of a core.
-    `fillers` and `serving` count tasks, `steps` counts tasks by step, `runs` all runs and
+    `fillers` and `serving` count tasks, `serving_images` counts serving tasks by image,
+    `steps` counts tasks by step, `runs` all runs and
     `starting` those that have not survived their start yet. `changes` counts calls of `add`.
     """
 
@@ -27,6 +31,7 @@
     other_milli: int = 0
     fillers: int = 0
     serving: int = 0
+    serving_images: dict[str, int] = field(default_factory=dict)
     steps: dict[StepKey, int] = field(default_factory=dict)
     runs: int = 0
     starting: int = 0
@@ -50,22 +55,29 @@
         if step.long_running and not step.filler:
             self.serving += count
             self.serving_milli += step.size.cpu_milli * count
+            _count(self.serving_images, step.image, count)
         else:
             self.other_milli += step.size.cpu_milli * count
-        left = self.steps.get(task.step_key, 0) + count
-        if left:
-            self.steps[task.step_key] = left
-        else:
-            del self.steps[task.step_key]
+        _count(self.steps, task.step_key, count)
 
     def copy_from(self, other: "Commitments") -> None:
         """Take over the commitments of another host or of an earlier time."""
         self.claimed, self.long_running = other.claimed, other.long_running
         self.serving_milli, self.other_milli = other.serving_milli, other.other_milli
         self.fillers, self.serving, self.steps = other.fillers, other.serving, dict(other.steps)
+        self.serving_images = dict(other.serving_images)
         self.runs, self.starting = other.runs, other.starting
 
 
+def _count(counts: dict[Key, int], key: Key, change: int) -> None:
+    """Change a count, which is left out while it is 0."""
+    left = counts.get(key, 0) + change
+    if left:
+        counts[key] = left
+    else:
+        del counts[key]
+
+
 def reserved_size(step: Step) -> Size:
     """Return the resources that a task reserves; a filler task reserves no processors."""
     if not step.filler:
--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -6,6 +6,7 @@
 
 from apricotpath.commitments import SERVING_CPU_SHARE, Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE, Disturbance
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.gangturns import GangTurns
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
@@ -83,8 +84,8 @@
     now: float
     utc_s: float
     cfg: FleetSettings
-    # Images whose filler tasks have little effect on serving tasks.
-    low_impact_images: frozenset[str] = frozenset()
+    # Estimates of how much filler tasks slow serving tasks down.
+    disturbance: Disturbance = field(default_factory=Disturbance)
     # Executors (instance id) that an advisory service allows for a task, or None if it has not
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
@@ -128,7 +129,7 @@
     capacity: Size = field(kw_only=True)
     reserved: bool = False
     slow: bool = False
-    low_impact_images: frozenset[str] = frozenset()
+    disturbance: Disturbance = field(default_factory=Disturbance)
     suspects: Mapping[TaskKey, int] = field(default_factory=dict)
     held: frozenset[TaskKey] = frozenset()
     kept_for: JobId | None = None
@@ -184,10 +185,17 @@
         """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
             return FILLER_SHARE_ALONE
-        # Images with a low impact on serving tasks are throttled last.
-        unpaced = 1.0 if step.image in self.low_impact_images else self.host.filler_percent / 100
+        # Tasks with a low impact on the serving tasks are throttled last.
+        low_impact = self.impact(step) < LOW_IMPACT_PRESSURE
+        unpaced = 1.0 if low_impact else self.host.filler_percent / 100
         return FILLER_SHARE_PACED + unpaced * (FILLER_SHARE_UNPACED - FILLER_SHARE_PACED)
 
+    def impact(self, step: Step) -> float:
+        """Return the highest pressure of a filler step on the serving tasks; 0 without any."""
+        if not self.serving:
+            return 0.0
+        return self.disturbance.pressure(step.image, self.serving_images)
+
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
         # Asked for each host and group; sums of sizes would take most of the time of a pass.
@@ -303,7 +311,7 @@
         load = HostLoad(
             host=host,
             capacity=host.facts.capacity,
-            low_impact_images=inputs.low_impact_images,
+            disturbance=inputs.disturbance,
             suspects=suspects,
             held=held,
         )
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId
 from apricotpath.joborder import WaitingGroup
@@ -113,7 +114,7 @@
     for load in loads:
         if load is current or load.slow:
             continue
-        if step.filler and load.serving and step.image not in inputs.low_impact_images:
+        if step.filler and load.impact(step) >= LOW_IMPACT_PRESSURE:
             continue
         if may_use(load, step, queue, inputs) and load.fits(step):
             return load
--- a/packages/core/src/apricotpath/runplacement.py
+++ b/packages/core/src/apricotpath/runplacement.py
@@ -5,6 +5,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE
 from apricotpath.gangplacement import Misfits, assign
 from apricotpath.gangturns import GangTurns
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
@@ -125,7 +126,7 @@
 
     hosts: _HostKind
     filler: bool
-    low_impact: bool
+    filler_image: str
     reservations: tuple[GroupKey, ...]
 
 
@@ -183,8 +184,8 @@
 
     def _resource_kind(self, group: WaitingGroup, bounds: GroupBounds) -> _ResourceKind:
         step = group.step
-        low_impact = step.image in self._inputs.low_impact_images
-        return _ResourceKind(_kind(group), step.filler, low_impact, bounds.reservations)
+        filler_image = step.image if step.filler else ""
+        return _ResourceKind(_kind(group), step.filler, filler_image, bounds.reservations)
 
 
 def _kind(group: WaitingGroup) -> _HostKind:
@@ -275,15 +276,17 @@
     members of a gang to as few others as they need.
 
     Filler tasks slow serving tasks down, so the two are kept on different
-    hosts. Serving tasks fill one host after another regardless of filler
-    tasks, which can be throttled or end soon. Other tasks prefer hosts with
-    serving tasks, which leaves the remaining hosts to filler tasks.
+    hosts, unless the image of the one hardly disturbs that of the other.
+    Serving tasks fill one host after another regardless of filler tasks, which
+    can be throttled or end soon. Other tasks prefer hosts with serving tasks,
+    which leaves the remaining hosts to filler tasks.
     """
     facts = load.host.facts
     other_rack = bool(step.near) and facts is not None and facts.rack != step.near
     share = load.share_used(step.size.cpu_milli)
     if step.filler:
-        separation = 0.0 if step.image in load.low_impact_images else float(load.serving)
+        impact = load.impact(step)
+        separation = 0.0 if impact < LOW_IMPACT_PRESSURE else impact * load.serving
     elif step.long_running:
         separation = 0.0 if load.serving else 1.0 + load.fillers
         share = -load.share_claimed()
--- a/packages/daemon/src/apricotpathd/fillerpacing.py
+++ b/packages/daemon/src/apricotpathd/fillerpacing.py
@@ -9,7 +9,7 @@
 from apricotpath.executor import Executor, ExecutorError
 from apricotpath.ids import TaskId
 from apricotpath.messages import RunStatus
-from apricotpath.pacing import Pacer, speed_limits
+from apricotpath.pacing import Pacer, pressure_in_use
 from apricotpathd.attachment import Attachment, RunView
 
 log = logging.getLogger(__name__)
@@ -62,18 +62,17 @@
             for status, view in views
             if view is not None and view.target_ms > 0
         ]
-        fillers = sum(view is not None and view.filler for _, view in views)
         worst = max(ratios, default=None)
-        percent = self._pacer.update(worst, fillers)
-        if fillers and worst is not None:
-            self._log(now, percent, worst, len(ratios), fillers)
         filler_views = [(status, view) for status, view in views if view and view.filler]
         # The oldest run comes first; the order stays the same from one reading to the next.
         filler_views.sort(key=lambda item: (item[1].settled_at, item[0].task))
+        fillers = len(filler_views)
         pressures = [view.pressure for _, view in filler_views]
-        for (status, view), pace in zip(
-            filler_views, speed_limits(percent, pressures), strict=True
-        ):
+        in_use = pressure_in_use(pressures, [view.pace_percent for _, view in filler_views])
+        percent = self._pacer.update(worst, fillers, in_use)
+        if fillers and worst is not None:
+            self._log(now, percent, worst, len(ratios), fillers)
+        for (status, view), pace in zip(filler_views, self._pacer.limits(pressures), strict=True):
             uncertain = pace < 100 or view.pace_in_doubt
             repeat = uncertain and now - view.pace_sent_at > PACE_REPEAT_S
             if view.pace_percent != pace or repeat or view.pace_unanswered:
@@ -87,7 +86,7 @@
             return
         pressures = [other.pressure for other in attached.views.values() if other.filler]
         pressures = [*pressures, view.pressure]
-        view.pace_percent = speed_limits(self._pacer.percent, pressures)[-1]
+        view.pace_percent = self._pacer.limits(pressures)[-1]
         view.pace_sent_at = boot_s()
         self._send_soon(attached, executor, (task, run), view)
 
--- a/packages/daemon/src/apricotpathd/fleetlog.py
+++ b/packages/daemon/src/apricotpathd/fleetlog.py
@@ -13,6 +13,8 @@
 log = logging.getLogger(__name__)
 
 FLEET_LOG_INTERVAL_S = 2.0
+# The pairs of images with the highest pressures that are logged.
+LOGGED_PAIRS = 16
 
 
 class FleetLog:
@@ -40,7 +42,7 @@
                 "waiting": dict(self._waiting()),
                 "unrecorded_endings": len(self._tracker.endings),
                 "gangs_left_out": inputs.gang_turns.left_out,
-                "pressures": self._tracker.traits.disturbance.pressures(),
+                "pressures": self._tracker.traits.disturbance.heaviest(LOGGED_PAIRS),
                 "hosts": {
                     name: host_row(load, inputs.now, inputs.cfg.silent_s)
                     for name, load in loads.items()
--- a/packages/daemon/src/apricotpathd/hosttraits.py
+++ b/packages/daemon/src/apricotpathd/hosttraits.py
@@ -35,7 +35,7 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if step.filler:
-                share = run.pace / 100 * self._cpu_share(host.facts, step)
+                share = run.load / max(1, host.facts.capacity.cpu_milli)
                 shares[step.image] = shares.get(step.image, 0.0) + share
             elif step.target_ms > 0 and run.percent >= READY_PERCENT and run.load > 0:
                 serving.append((step.image, run.load / step.target_ms))
@@ -52,7 +52,8 @@
         """Return by how much a filler task raises the logarithm of tail latencies on a host."""
         if not step.filler or host.facts is None:
             return 0.0
-        return self.disturbance.pressure(step.image) * self._cpu_share(host.facts, step)
+        serving = self._table.commitments(host.host).serving_images
+        return self.disturbance.pressure(step.image, serving) * self._cpu_share(host.facts, step)
 
     def send(self, host: Host, link: Link, fillers_only: bool = False) -> None:
         """Send a host the traits of its runs."""
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -410,7 +410,7 @@
             now,
             self._utc(),
             self.cfg,
-            low_impact_images=self.host_tracker.traits.disturbance.low_impact_images(),
+            disturbance=self.host_tracker.traits.disturbance,
             gang_turns=self.gang_turns,
         )
 
--- a/tests/features/runplacement.feature
+++ b/tests/features/runplacement.feature
@@ -113,6 +113,16 @@
     When a step of 30 filler tasks of 1 core of image oven is placed by runplacement
     Then runplacement puts between 15 and 20 on a
 
+  # Filler tasks went to the hosts with the fewest serving tasks, whichever of these they slow down.
+  Scenario: runplacement puts filler tasks beside the serving tasks that they hardly slow down
+    Given runplacement hosts a and b of 20 cores
+    And a serving task of 4 cores of image watch runs on runplacement host a
+    And a serving task of 4 cores of image feed runs on runplacement host b
+    And a serving task of 4 cores of image feed runs on runplacement host b
+    And filler tasks of image oven slow watch down by 8 and feed not at all
+    When a step of 10 filler tasks of 1 core of image oven is placed by runplacement
+    Then runplacement puts 10 on b and 0 on a
+
   Scenario: runplacement lets a filler job begin that has waited long beside full hosts
     Given runplacement hosts a and b of 4 cores
     And 4 filler tasks of 1 core run on each runplacement host
