Placement reads a copy of the pressures, and keeps each host's answer for a pass

Cause: looking up each pair for each host and group took 35 ms of a pass over 300 hosts with 100 filler groups of 18 images, 9 ms before pairs were learned. Result: 11 ms of processor time for the same pass (least of nine).

--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import log
 from typing import Any
 
@@ -58,6 +58,25 @@
         return FIRST_RATE + settled * (PRESSURE_RATE - FIRST_RATE)
 
 
+@dataclass(frozen=True, slots=True)
+class Pressures:
+    """Estimated pressures of the measured pairs at one moment, by filler and serving image."""
+
+    by_filler: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
+
+    def highest(self, filler: str, serving: Iterable[str]) -> float:
+        """Return the highest pressure of an image of filler tasks on images of serving tasks.
+
+        Without serving tasks it is the initial estimate: it is not known which ones will come.
+        """
+        row = self.by_filler.get(filler)
+        if row is None:
+            return INITIAL_PRESSURE
+        return max(
+            (row.get(image, INITIAL_PRESSURE) for image in serving), default=INITIAL_PRESSURE
+        )
+
+
 class Disturbance:
     """Estimates per pair of images from the measurements of all hosts.
 
@@ -114,7 +133,11 @@
     def encode(self) -> bytes:
         """Return the estimates in the form that `restore` reads."""
         bases = {image: round(value, 4) for image, value in self._bases.items()}
-        return json_bytes({"bases": bases, "pressures": self.pressures()})
+        pressures = {
+            filler: {image: round(value, 4) for image, value in row.items()}
+            for filler, row in self.pressures().by_filler.items()
+        }
+        return json_bytes({"bases": bases, "pressures": pressures})
 
     def restore(self, value: bytes) -> None:
         """Take over the estimates of an earlier scheduler.
@@ -133,11 +156,8 @@
         found = self._pressures.get(pair)
         return INITIAL_PRESSURE if found is None else found.value
 
-    def pressure(self, filler: str, serving: Iterable[str]) -> float:
-        """Return the highest pressure of an image of filler tasks on images of serving tasks.
-
-        Without serving tasks it is the initial estimate: it is not known which ones will come.
-        """
+    def highest(self, filler: str, serving: Iterable[str]) -> float:
+        """Return the highest pressure of a filler image on serving ones, as `Pressures` does."""
         pressures = (self.pair_pressure(ImagePair(filler, image)) for image in serving)
         return max(pressures, default=INITIAL_PRESSURE)
 
@@ -146,12 +166,12 @@
         pairs = sorted(self._pressures.items(), key=lambda item: -item[1].value)[:count]
         return {f"{pair.filler} on {pair.serving}": round(row.value, 2) for pair, row in pairs}
 
-    def pressures(self) -> dict[str, dict[str, float]]:
-        """Return the rounded pressures of all measured pairs, by filler and serving image."""
+    def pressures(self) -> Pressures:
+        """Return the present pressures of all measured pairs."""
         rows: dict[str, dict[str, float]] = {}
         for pair, pressure in self._pressures.items():
-            rows.setdefault(pair.filler, {})[pair.serving] = round(pressure.value, 2)
-        return rows
+            rows.setdefault(pair.filler, {})[pair.serving] = pressure.value
+        return Pressures(rows)
 
 
 def _parse_bases(rows: dict[str, Any]) -> dict[str, float]:
--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -6,7 +6,7 @@
 
 from apricotpath.commitments import SERVING_CPU_SHARE, Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
-from apricotpath.disturbance import LOW_IMPACT_PRESSURE, Disturbance
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE, Pressures
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.gangturns import GangTurns
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
@@ -85,7 +85,7 @@
     utc_s: float
     cfg: FleetSettings
     # Estimates of how much filler tasks slow serving tasks down.
-    disturbance: Disturbance = field(default_factory=Disturbance)
+    pressures: Pressures = field(default_factory=Pressures)
     # Executors (instance id) that an advisory service allows for a task, or None if it has not
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
@@ -129,7 +129,7 @@
     capacity: Size = field(kw_only=True)
     reserved: bool = False
     slow: bool = False
-    disturbance: Disturbance = field(default_factory=Disturbance)
+    pressures: Pressures = field(default_factory=Pressures)
     suspects: Mapping[TaskKey, int] = field(default_factory=dict)
     held: frozenset[TaskKey] = frozenset()
     kept_for: JobId | None = None
@@ -137,6 +137,8 @@
     hold: Hold | None = None
     held_from: float = 0.0
     spare: Size = NO_SIZE
+    # Impacts of images of filler tasks beside the present serving tasks.
+    _impacts: dict[str, float] = field(default_factory=dict)
 
     def add_start(self, task: TaskKey, step: Step) -> None:
         """Commit one more task, which is to start now."""
@@ -146,6 +148,8 @@
         """Commit some tasks of a step, which are to start now; `task` is one of them."""
         self.add(task, step, count)
         self.starting += count
+        if step.long_running:
+            self._impacts.clear()
         if task in self.suspects:
             self.observed = task.job
         if self.hold is not None and self.hold.group_ends_at > self.held_from:
@@ -173,6 +177,7 @@
         self.copy_from(saved)
         self.observed = saved.observed
         self.spare = saved.spare
+        self._impacts.clear()
 
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits without slowing the tasks already there."""
@@ -194,7 +199,11 @@
         """Return the highest pressure of a filler step on the serving tasks; 0 without any."""
         if not self.serving:
             return 0.0
-        return self.disturbance.pressure(step.image, self.serving_images)
+        impact = self._impacts.get(step.image)
+        if impact is None:
+            impact = self.pressures.highest(step.image, self.serving_images)
+            self._impacts[step.image] = impact
+        return impact
 
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
@@ -311,7 +320,7 @@
         load = HostLoad(
             host=host,
             capacity=host.facts.capacity,
-            disturbance=inputs.disturbance,
+            pressures=inputs.pressures,
             suspects=suspects,
             held=held,
         )
--- a/packages/core/src/apricotpath/learnedstate.py
+++ b/packages/core/src/apricotpath/learnedstate.py
@@ -43,7 +43,9 @@
         except (StoreError, InputError) as exc:
             log.warning("estimates of the earlier scheduler not restored: %s", exc)
             return
-        log.info("estimates restored", extra={"images": len(self._disturbance.pressures())})
+        log.info(
+            "estimates restored", extra={"images": len(self._disturbance.pressures().by_filler)}
+        )
 
     def due_put(self, now: float) -> Put | None:
         """Return the write that saves the estimates, if it is due and they have changed.
--- a/packages/daemon/src/apricotpathd/hosttraits.py
+++ b/packages/daemon/src/apricotpathd/hosttraits.py
@@ -53,7 +53,8 @@
         if not step.filler or host.facts is None:
             return 0.0
         serving = self._table.commitments(host.host).serving_images
-        return self.disturbance.pressure(step.image, serving) * self._cpu_share(host.facts, step)
+        pressure = self.disturbance.highest(step.image, serving)
+        return pressure * self._cpu_share(host.facts, step)
 
     def send(self, host: Host, link: Link, fillers_only: bool = False) -> None:
         """Send a host the traits of its runs."""
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -410,7 +410,7 @@
             now,
             self._utc(),
             self.cfg,
-            disturbance=self.host_tracker.traits.disturbance,
+            pressures=self.host_tracker.traits.disturbance.pressures(),
             gang_turns=self.gang_turns,
         )
 
--- a/tests/features/steps/disturbance_steps.py
+++ b/tests/features/steps/disturbance_steps.py
@@ -80,7 +80,7 @@
 @then("disturbance tells the two apart, and expects the higher pressure where both serve")
 def tells_apart(context: Any) -> None:
     slowed, other = context.slowed, context.other
-    pressure = context.disturbance.pressure
+    pressure = context.disturbance.pressures().highest
     assert pressure("heavy", [other]) < LOW_IMPACT_PRESSURE < 4 < pressure("heavy", [slowed])
     assert pressure("heavy", [other, slowed]) == pressure("heavy", [slowed])
 
@@ -110,7 +110,7 @@
 
 def estimated(context: Any) -> dict[str, float]:
     """Return the estimated pressures of all images on the serving one."""
-    return {image: context.disturbance.pressure(image, ["serving"]) for image in IMAGES}
+    return {image: context.disturbance.highest(image, ["serving"]) for image in IMAGES}
 
 
 def low_impact_images(context: Any) -> set[str]:
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -1,6 +1,5 @@
 """Steps for runplacement.feature."""
 
-import json
 import random
 from collections import Counter
 from dataclasses import replace
@@ -9,7 +8,7 @@
 from behave import given, then, when
 
 from apricotpath.crashes import Blame, CrashPart
-from apricotpath.disturbance import Disturbance
+from apricotpath.disturbance import Pressures
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostload import PlacementInput, host_loads
 from apricotpath.ids import DataCentreId, FenceToken, HostId, JobId, QueueId, RackId, ServiceId
@@ -36,7 +35,7 @@
         self.hosts: dict[HostId, Host] = {}
         self.out: set[DataCentreId] = set()
         self.placed: list[Placement] = []
-        self.disturbance = Disturbance()
+        self.pressures = Pressures()
         self.jobs = 0
         self.queue = QUEUE
         self.advised: frozenset[str] | None = None
@@ -68,7 +67,7 @@
             given_now,
             0.0,
             FleetSettings(),
-            disturbance=self.disturbance,
+            pressures=self.pressures,
             advised=lambda _task: self.advised,
         )
         self.placed = place(self.table, given)
@@ -471,19 +470,14 @@
 
 @given("filler tasks of image {image:w} have a low impact on other runplacement tasks")
 def light_image(context: Any, image: str) -> None:
-    set_pressures(context, image, {"": 0.0})
+    context.case.pressures = Pressures({image: {"": 0.0}})
 
 
 @given(
     "filler tasks of image {image:w} slow {slowed:w} down by {pressure:g} and {other:w} not at all"
 )
 def heavy_for_one(context: Any, image: str, slowed: str, pressure: float, other: str) -> None:
-    set_pressures(context, image, {slowed: pressure, other: 0.0})
-
-
-def set_pressures(context: Any, image: str, pressures: dict[str, float]) -> None:
-    content = {"bases": {}, "pressures": {image: pressures}}
-    context.case.disturbance.restore(json.dumps(content).encode())
+    context.case.pressures = Pressures({image: {slowed: pressure, other: 0.0}})
 
 
 @when(
