--- a/packages/core/src/apricotpath/hostload.py
+++ b/packages/core/src/apricotpath/hostload.py
@@ -6,6 +6,7 @@
 
 from apricotpath.commitments import SERVING_CPU_SHARE, Commitments, reserved_size
 from apricotpath.crashes import OBSERVATION_S
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE, Pressures
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.gangturns import GangTurns
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
@@ -86,8 +87,8 @@
     now: float
     utc_s: float
     cfg: FleetSettings
-    # Images whose filler tasks have little effect on serving tasks.
-    low_impact_images: frozenset[str] = frozenset()
+    # Estimates of how much filler tasks slow serving tasks down.
+    pressures: Pressures = field(default_factory=Pressures)
     # Executors (instance id) that an advisory service allows for a task, or None if it has not
     # answered yet.
     advised: Callable[[TaskKey], frozenset[str] | None] = lambda _task: None
@@ -110,11 +111,13 @@
     capacity: Size = field(kw_only=True)
     reserved: bool = False
     slow: bool = False
-    low_impact_images: frozenset[str] = frozenset()
+    pressures: Pressures = field(default_factory=Pressures)
     suspects: Mapping[TaskKey, int] = field(default_factory=dict)
     held: frozenset[TaskKey] = frozenset()
     kept_for: JobId | None = None
     observed: JobId | None = None
+    # Impacts of images of filler tasks beside the present serving tasks.
+    _impacts: dict[str, float] = field(default_factory=dict)
 
     def add_start(self, task: TaskKey, step: Step) -> None:
         """Commit one more task, which is to start now."""
@@ -124,6 +127,8 @@
         """Commit some tasks of a step, which are to start now; `task` is one of them."""
         self.add(task, step, count)
         self.starting += count
+        if step.long_running:
+            self._impacts.clear()
         if task in self.suspects:
             self.observed = task.job
 
@@ -146,6 +151,7 @@
         """Take back the tasks committed since `saved` was copied from this load."""
         self.copy_from(saved)
         self.observed = saved.observed
+        self._impacts.clear()
 
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits without slowing the tasks already there."""
@@ -158,10 +164,21 @@
         """Return the share of processors in use up to which a step's filler tasks are placed."""
         if not self.serving:
             return FILLER_SHARE_ALONE
-        # Images with a low impact on serving tasks are throttled last.
-        unpaced = 1.0 if step.image in self.low_impact_images else self.host.filler_percent / 100
+        # Tasks with a low impact on the serving tasks are throttled last.
+        low_impact = self.impact(step) < LOW_IMPACT_PRESSURE
+        unpaced = 1.0 if low_impact else self.host.filler_percent / 100
         return FILLER_SHARE_PACED + unpaced * (FILLER_SHARE_UNPACED - FILLER_SHARE_PACED)
 
+    def impact(self, step: Step) -> float:
+        """Return the highest pressure of a filler step on the serving tasks; 0 without any."""
+        if not self.serving:
+            return 0.0
+        impact = self._impacts.get(step.image)
+        if impact is None:
+            impact = self.pressures.highest(step.image, self.serving_images)
+            self._impacts[step.image] = impact
+        return impact
+
     def has_resources_for(self, step: Step) -> bool:
         """Return whether the host has the resources that one more task of a step reserves."""
         # Asked for each host and group; sums of sizes would take most of the time of a pass.
@@ -269,7 +286,7 @@
         load = HostLoad(
             host=host,
             capacity=host.facts.capacity,
-            low_impact_images=inputs.low_impact_images,
+            pressures=inputs.pressures,
             suspects=suspects,
             held=held,
         )
--- a/packages/core/src/apricotpath/runmoves.py
+++ b/packages/core/src/apricotpath/runmoves.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from apricotpath.crashes import OBSERVATION_S
+from apricotpath.disturbance import LOW_IMPACT_PRESSURE
 from apricotpath.fleet import Host
 from apricotpath.hostload import HostLoad, PlacementInput, host_loads, may_use
 from apricotpath.ids import HostId
@@ -129,7 +130,7 @@
     for load in loads:
         if load is current or load.slow:
             continue
-        if step.filler and load.serving and step.image not in inputs.low_impact_images:
+        if step.filler and load.impact(step) >= LOW_IMPACT_PRESSURE:
             continue
         if may_use(load, step, queue, inputs) and load.fits(step):
             return load
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -9,7 +9,6 @@
 from anyio.abc import TaskGroup
 
 from apricotpath.boottime import boot_s
-from apricotpath.checkpoints import new_checkpoints
 from apricotpath.dryrun import JobTrial, try_in_steps
 from apricotpath.errors import FencedError, InputError
 from apricotpath.fencelimits import limit_key
@@ -423,7 +422,7 @@
             now,
             self._utc(),
             self.cfg,
-            low_impact_images=self.host_tracker.traits.disturbance.low_impact_images(),
+            pressures=self.host_tracker.traits.disturbance.pressures(),
             gang_turns=self.gang_turns,
         )
 
--- a/tests/features/steps/runplacement_steps.py
+++ b/tests/features/steps/runplacement_steps.py
@@ -9,6 +9,7 @@
 
 from apricotpath.absences import Absence
 from apricotpath.crashes import Blame, CrashPart
+from apricotpath.disturbance import Pressures
 from apricotpath.fleet import FleetSettings, Host
 from apricotpath.hostleases import LeaseBasis
 from apricotpath.hostload import PlacementInput, host_loads
@@ -36,7 +37,7 @@
         self.hosts: dict[HostId, Host] = {}
         self.out: set[DataCentreId] = set()
         self.placed: list[Placement] = []
-        self.low_impact_images: frozenset[str] = frozenset()
+        self.pressures = Pressures()
         self.jobs = 0
         self.queue = QUEUE
         self.advised: frozenset[str] | None = None
@@ -68,7 +69,7 @@
             given_now,
             0.0,
             FleetSettings(),
-            low_impact_images=self.low_impact_images,
+            pressures=self.pressures,
             advised=lambda _task: self.advised,
         )
         self.placed = place(self.table, given)
@@ -139,6 +140,11 @@
     context.case.run(host, step(1, cores, long_running=True, target_ms=10.0))
 
 
+@given("a serving task of {cores:d} cores of image {image:w} runs on runplacement host {host:w}")
+def serving_image(context: Any, cores: int, image: str, host: str) -> None:
+    context.case.run(host, step(1, cores, long_running=True, target_ms=10.0, image=image))
+
+
 @given("{count:d} filler tasks of {cores:d} core run on runplacement host {host:w}")
 def fillers_on_one(context: Any, count: int, cores: int, host: str) -> None:
     for _ in range(count):
@@ -476,7 +482,14 @@
 
 @given("filler tasks of image {image:w} have a low impact on other runplacement tasks")
 def light_image(context: Any, image: str) -> None:
-    context.case.low_impact_images = frozenset({image})
+    context.case.pressures = Pressures({image: {"": 0.0}})
+
+
+@given(
+    "filler tasks of image {image:w} slow {slowed:w} down by {pressure:g} and {other:w} not at all"
+)
+def heavy_for_one(context: Any, image: str, slowed: str, pressure: float, other: str) -> None:
+    context.case.pressures = Pressures({image: {slowed: pressure, other: 0.0}})
 
 
 @when(
