--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -1,7 +1,6 @@
 """Leader election among entries, through the store; the leader schedules jobs."""
 
 import logging
-import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -17,9 +16,7 @@
 from apricotpath.errors import StoreError, StoreLeaseEnded, StoreLimited, StoreUnavailable
 from apricotpath.fencelimits import epoch_key
 from apricotpath.ids import Epoch, IncarnationId, ProcessId
-from apricotpath.leadersupport import (
-    Supporter,
-)
+from apricotpath.leadersupport import Supporter, milliseconds
 from apricotpath.linkmessages import Hello
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.predecessors import GrantsEnd, Predecessors
@@ -407,7 +404,7 @@
 
         `earlier_until` is the time by which the leaders before it grant no lease any more.
         """
-        left_s = math.ceil(1000 * max(0.0, earlier_until - boot_s())) / 1000
+        left_s = milliseconds(earlier_until - boot_s()) / 1000
         return LeaderRecord(
             epoch,
             self._entry,
--- a/packages/core/src/apricotpath/leadersupport.py
+++ b/packages/core/src/apricotpath/leadersupport.py
@@ -124,8 +124,8 @@
         if request.former == NO_EPOCH or request.former != former.epoch:
             return Supported(request.epoch, request.number)
         left_ms = milliseconds(former.grants_until - now)
-        holds = (HostHold(name, milliseconds(t - now)) for name, t in former.holds_until.items())
-        return Supported(request.epoch, request.number, former.epoch, left_ms, tuple(holds))
+        holds = host_holds({name: t - now for name, t in former.holds_until.items()})
+        return Supported(request.epoch, request.number, former.epoch, left_ms, holds)
 
     def evidence(self, epoch: Epoch, former_until: float) -> SupportEvidence:
         """Return what is known of the leader of an epoch, if it waits for this entry's support.
@@ -147,3 +147,8 @@
 def milliseconds(seconds: float) -> int:
     """Return a duration in whole milliseconds, rounded up, and 0 for a negative one."""
     return math.ceil(1000 * max(0.0, seconds))
+
+
+def host_holds(holds: Mapping[HostId, float]) -> tuple[HostHold, ...]:
+    """Return the rows of a message for how many seconds runs may continue, by host."""
+    return tuple(HostHold(host, milliseconds(left_s)) for host, left_s in holds.items())
--- a/packages/daemon/src/apricotpathd/storeloss.py
+++ b/packages/daemon/src/apricotpathd/storeloss.py
@@ -1,7 +1,6 @@
 """Hands the leadership to an entry that reaches the store when this one has lost it."""
 
 import logging
-import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -12,8 +11,9 @@
 from apricotpath.entryrecords import shortest_holds
 from apricotpath.errors import LinkError, PeerError, StoreError, StoreLimited
 from apricotpath.ids import ProcessId
+from apricotpath.leadersupport import host_holds
 from apricotpath.link import Link
-from apricotpath.messages import Failure, HostHold, StoreQuestion, StoreReached, TermHandover
+from apricotpath.messages import Failure, StoreQuestion, StoreReached, TermHandover
 from apricotpath.model import Role
 from apricotpath.term import Term
 
@@ -117,10 +117,7 @@
             term.epoch,
             term.epoch_revision,
             term.predecessor_ended.is_set(),
-            tuple(
-                HostHold(name, math.ceil(1000 * s))
-                for name, s in shortest_holds(term.holds).items()
-            ),
+            host_holds(shortest_holds(term.holds)),
         )
         extra = {"epoch": term.epoch, "to": successor.peer_id, "silent_s": silent_s}
         log.warning("store lost by this entry; leadership handed over", extra=extra)
--- a/packages/daemon/src/apricotpathd/supportrounds.py
+++ b/packages/daemon/src/apricotpathd/supportrounds.py
@@ -13,9 +13,15 @@
 from apricotpath.entryregistry import EntryRegistry
 from apricotpath.errors import InputError, LinkError, StoreError
 from apricotpath.ids import HostId, ProcessId
-from apricotpath.leadersupport import SUPPORT_S, Supporter, SupportersRecord, milliseconds
+from apricotpath.leadersupport import (
+    SUPPORT_S,
+    Supporter,
+    SupportersRecord,
+    host_holds,
+    milliseconds,
+)
 from apricotpath.link import Link
-from apricotpath.messages import HostHold, Supported, SupportRequest
+from apricotpath.messages import Supported, SupportRequest
 from apricotpath.model import Role
 from apricotpath.store import Compare, Put, Store
 from apricotpath.term import Term
@@ -166,7 +172,7 @@
         self._sent_at.pop(self._number - math.ceil(SUPPORT_S / MIN_ROUND_S), None)
         holds = shortest_holds(self._tracker.silent_holds(now))
         self._note_named(frozenset(holds))
-        told = tuple(HostHold(host, milliseconds(s)) for host, s in holds.items())
+        told = host_holds(holds)
         ended = self._term.predecessor_ended.is_set()
         former_ms = 0 if ended else milliseconds(self._former_until - now)
         former = self._term.predecessor
