The deadline of a request bounds its body again

Seen by a newcomer reading the diff: since an entry reads what has arrived before it gives a body up, each piece that came after the deadline gave the next one 0.1 s more, up to the size limit.

Change: the moment for what has arrived begins once, at the deadline.

--- a/packages/daemon/src/apricotpathd/callers.py
+++ b/packages/daemon/src/apricotpathd/callers.py
@@ -272,9 +272,12 @@
         """Return the entire body; it is kept because a retry sends it again."""
         limits = self.app.cfg.limits
         parts: list[bytes] = []
+        late_until = float("inf")
         while True:
-            end = min(deadline, anyio.current_time() + limits.read_timeout_s)
-            message = await self._receive_by(end)
+            now = anyio.current_time()
+            if now >= deadline:
+                late_until = min(late_until, now + ARRIVED_READ_S)
+            message = await self._receive_by(min(deadline, now + limits.read_timeout_s), late_until)
             if message is None:
                 raise RejectedRequest(
                     408, "body-too-slow", "The request body did not arrive in time."
@@ -298,14 +301,16 @@
                 self.body_done = True
                 return parts[0] if len(parts) == 1 else b"".join(parts)
 
-    async def _receive_by(self, end: float) -> Any:
-        """Return the next message, or None if it has not arrived by a monotonic time (seconds).
+    async def _receive_by(self, end: float, late_until: float) -> Any:
+        """Return the next message, or None if it has not arrived by `end` (monotonic seconds).
 
-        After a pause of this process the time has run out before what arrived meanwhile is read.
+        After a pause of this process the time has run out before what arrived meanwhile is read,
+        so there is a moment more for that, until `late_until` at most.
         """
         with anyio.CancelScope(deadline=end):
             return await self.receive()
-        with anyio.move_on_after(ARRIVED_READ_S):
+        late_until = min(late_until, anyio.current_time() + ARRIVED_READ_S)
+        with anyio.CancelScope(deadline=late_until):
             return await self.receive()
         return None
 
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -33,6 +33,12 @@
     When the rest of a body arrives while the entry is paused for longer than a body may take
     Then the paused call is answered with status 200
 
+  # Each piece that came after the deadline gave the next one more time.
+  Scenario: a body that trickles in beyond its deadline is given up
+    Given a callers deployment with 1 agents
+    When a body arrives a byte each 0.05 seconds under a deadline of 0.3 seconds
+    Then the slow body is answered with status 408 within 1.5 seconds
+
   Scenario Outline: a call that breaks a rule is refused and does not run
     Given a callers deployment with 1 agents
     When a caller sends <what>
