Runs of a gang that are read from the log do not count as begun soon after each other

Cause: all runs of a slice of the log are applied at one time, so that a gang with several runs paused for up to 2 s after each change of the scheduler. The new scenario failed before (no start) and passes.

--- a/packages/core/src/apricotpath/gangs.py
+++ b/packages/core/src/apricotpath/gangs.py
@@ -20,7 +20,7 @@
     members resume from it. `failed_runs` are the numbers of runs in which a member failed,
     `failed_hosts` the hosts of the newest of them. The newest run began at `started_at`
     (boot-clock seconds), and the next one does so at least `pause_s` later. `ended_at` is when
-    the first member of a run ended, if later than `started_at` that of the newest run.
+    the first member of the newest run ended; before `started_at` if none has.
     `stopped_run` is the newest run of which a member was stopped to end the others.
     """
 
@@ -52,7 +52,8 @@
         """Note that a member starts, the first one of a run or a later one."""
         if run <= self.last_run:
             return
-        soon = now - self.started_at < SOON_S
+        # Runs read from the log at the same time tell nothing about the time between them.
+        soon = 0 < now - self.started_at < SOON_S
         longer_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
         self.pause_s = longer_s if soon else 0.0
         self.started_at, self.last_run = now, run
--- a/tests/features/largegangs.feature
+++ b/tests/features/largegangs.feature
@@ -53,3 +53,8 @@
     Given a largegangs world of 11 hosts
     When a gang of 300 tasks is ordered, and all hosts refuse all starts for 20 seconds
     Then the gang was ordered at most 14 times, and ran whole at most 2.5 seconds after that
+
+  # Runs of a gang that were read from the log counted as begun soon after each other.
+  Scenario: largegangs do not pause for runs that a new scheduler reads from the log
+    When a scheduler reads 6 runs of a gang from its log
+    Then the gang of the log may start at once
