A gang that was not placed takes back the images of its serving members, too

Cause: the merge of gangs placed in steps with pressures by pair of images left the new counts shared between a load and its copy.

--- a/packages/core/src/apricotpath/gangplacement.py
+++ b/packages/core/src/apricotpath/gangplacement.py
@@ -113,7 +113,8 @@
     """Commit all members to the hosts of a pool, or change nothing and return None."""
     before = []
     for load in pool:
-        before.append(replace(load, steps=dict(load.steps)))
+        images = dict(load.serving_images)
+        before.append(replace(load, steps=dict(load.steps), serving_images=images))
         if len(before) % HOSTS_PER_STEP == 0:
             yield
     chosen: list[tuple[Task, HostLoad]] = []
