--- a/tests/features/jobtable.feature
+++ b/tests/features/jobtable.feature
@@ -63,3 +63,8 @@
   Scenario: jobtable is the same after any history and after its snapshot, seeds 1 to 60
     When random histories of jobtables are replayed and rebuilt from snapshots, seeds 1 to 60
     Then the rebuilt jobtables equal the original ones
+
+  # A crash of such a run convicts its task; after a snapshot it would take one crash more.
+  Scenario: jobtable snapshots keep that a run was ordered after the pause of a suspect
+    When a run is ordered after two crashes of which its task is suspected, and a snapshot is read
+    Then the run counts as ordered after the pause, also after the snapshot
