--- a/packages/core/src/apricotpath/crashes.py
+++ b/packages/core/src/apricotpath/crashes.py
@@ -90,9 +90,9 @@
 class CrashHistory:
     """The crashes at which runs of one task were there, by the number of the run.
 
-    `suspected_at`: boot-clock time (seconds) of the last crash of which the task is suspected, or
-    by when that had happened. `calm_s` and `waited_s`: how long the task had waited by the newest
-    record of that, see `SuspectWaited`.
+    `suspected_at`: boot-clock time (seconds) of the last crash of which the task is suspected;
+    after a load, the latest time that the records allow. `calm_s` and `waited_s`: those of the
+    newest `SuspectWaited` record of the task, 0 without one.
     """
 
     parts: dict[int, CrashPart] = field(default_factory=dict)
--- a/packages/core/src/apricotpath/disturbance.py
+++ b/packages/core/src/apricotpath/disturbance.py
@@ -69,12 +69,8 @@
 
         Without serving tasks it is the initial estimate: it is not known which ones will come.
         """
-        row = self.by_filler.get(filler)
-        if row is None:
-            return INITIAL_PRESSURE
-        return max(
-            (row.get(image, INITIAL_PRESSURE) for image in serving), default=INITIAL_PRESSURE
-        )
+        row = self.by_filler.get(filler, {})
+        return _highest(row.get(image, INITIAL_PRESSURE) for image in serving)
 
 
 class Disturbance:
@@ -158,8 +154,7 @@
 
     def highest(self, filler: str, serving: Iterable[str]) -> float:
         """Return the highest pressure of a filler image on serving ones, as `Pressures` does."""
-        pressures = (self.pair_pressure(ImagePair(filler, image)) for image in serving)
-        return max(pressures, default=INITIAL_PRESSURE)
+        return _highest(self.pair_pressure(ImagePair(filler, image)) for image in serving)
 
     def heaviest(self, count: int) -> dict[str, float]:
         """Return the highest pressures of measured pairs, for logs."""
@@ -193,3 +188,8 @@
     if len(pressures) > MAX_PAIRS:
         raise InputError(f"there are estimates of more than {MAX_PAIRS} pairs of images")
     return pressures
+
+
+def _highest(pressures: Iterable[float]) -> float:
+    """Return the highest pressure, or the initial estimate without any."""
+    return max(pressures, default=INITIAL_PRESSURE)
--- a/packages/core/src/apricotpath/election.py
+++ b/packages/core/src/apricotpath/election.py
@@ -333,6 +333,7 @@
         attempt = self._prepare(former)
         started = boot_s()
         revision = await self._write(attempt, lease)
+        # Stays set if the write is interrupted: it may be carried out late.
         self.support.is_acquiring = False
         if not revision:
             return None
--- a/packages/core/src/apricotpath/electionattempt.py
+++ b/packages/core/src/apricotpath/electionattempt.py
@@ -8,7 +8,7 @@
 from apricotpath.fencelimits import FIRST_LIMIT, FenceLimit, epoch_key, limit_key
 from apricotpath.ids import Epoch
 from apricotpath.leadersupport import Supporter, SupportersRecord, supporters_key
-from apricotpath.predecessors import EndBasis, GrantsEnd
+from apricotpath.predecessors import GrantsEnd, GrantsEndBasis
 from apricotpath.store import Compare, LeaseId, Put
 from apricotpath.term import Term
 
@@ -52,7 +52,7 @@
         """
         limit = boot_s() + authority_s
         # A leader without supporters may have renewed its authority until now.
-        until = limit if self.end.basis is EndBasis.AUTHORITY else min(self.end.until, limit)
+        until = limit if self.end.basis is GrantsEndBasis.AUTHORITY else min(self.end.until, limit)
         term = Term(
             self.epoch,
             epoch_key(prefix),
--- a/packages/core/src/apricotpath/entrymessages.py
+++ b/packages/core/src/apricotpath/entrymessages.py
@@ -101,7 +101,7 @@
     """Asks an entry to support the sender, the leader of an epoch; see `leadersupport`.
 
     `number` increases with each request of the epoch. The leaders before the sender grant no
-    leases from `former_ms` after the request was sent on. `holds`: for how long leases may last
+    lease later than `former_ms` after the request was sent. `holds`: for how long leases may last
     that the sender does not extend, left out while an answer shows that the receiver has those
     of request `holds_number` already. `former`: the epoch of an earlier leader that the sender
     wants to know of, or 0.
@@ -119,9 +119,9 @@
 class Supported(Message):
     """Answer to `SupportRequest` by an entry that has not been elected since.
 
-    If it supported the leader of epoch `former` before: from `former_ms` after the answer on,
-    that leader grants no leases that wait for this entry's support, and those before it grant
-    none; `former_holds` are those of its newest request.
+    If it supported the leader of epoch `former`: that leader and those before it grant no lease
+    later than `former_ms` after this answer, as far as they wait for this entry's support.
+    `former_holds` are those of that leader's newest request.
     """
 
     epoch: Epoch
--- a/packages/core/src/apricotpath/entryregistry.py
+++ b/packages/core/src/apricotpath/entryregistry.py
@@ -9,7 +9,7 @@
 
 
 class EntryRegistry:
-    """The entries that are registered beside this one; `items` is that copy by key."""
+    """The entries that are registered in the store; `items` is this entry's copy of it, by key."""
 
     def __init__(self, items: Mapping[str, KeyValue], prefix: str, entry: ProcessId) -> None:
         self._items, self._prefix = items, prefix
--- a/packages/core/src/apricotpath/joborder.py
+++ b/packages/core/src/apricotpath/joborder.py
@@ -40,7 +40,7 @@
 def group_in_steps(table: JobTable, inputs: PlacementInput) -> Steps[list[WaitingGroup]]:
     """Do the same in steps.
 
-    Waiting tasks may not change meanwhile; jobs may, but those that end are left out.
+    The waiting tasks must not change between the steps. Jobs may end; their tasks are left out.
     """
     # The keys are computed beside the groups, since all groups are ordered in each pass.
     ordered: list[tuple[tuple[int, bool, int, float, float], WaitingGroup]] = []
--- a/packages/core/src/apricotpath/predecessors.py
+++ b/packages/core/src/apricotpath/predecessors.py
@@ -12,7 +12,7 @@
 from apricotpath.leadersupport import SupportEvidence
 
 
-class EndBasis(Enum):
+class GrantsEndBasis(Enum):
     """What the end of the earlier leaders' grants is known from."""
 
     FIRST = "no earlier leader"
@@ -33,13 +33,13 @@
 
     until: float
     former_until: float
-    basis: EndBasis
+    basis: GrantsEndBasis
     holds_until: Mapping[HostId, float] = field(default_factory=dict)
 
     @classmethod
     def first(cls) -> Self:
         """Return the bounds where there was no earlier leader."""
-        return cls(boot_s(), float("-inf"), EndBasis.FIRST)
+        return cls(boot_s(), float("-inf"), GrantsEndBasis.FIRST)
 
 
 class Predecessors:
@@ -76,17 +76,17 @@
     def has_ended(self, leader: LeaderRecord | None) -> bool:
         """Tell whether a leader certainly does nothing any more in its term."""
         # A malformed record does not tell who has led before.
-        return leader is not None and self._end_basis(leader) is not EndBasis.AUTHORITY
+        return leader is not None and self._end_basis(leader) is not GrantsEndBasis.AUTHORITY
 
-    def _end_basis(self, leader: LeaderRecord) -> EndBasis:
+    def _end_basis(self, leader: LeaderRecord) -> GrantsEndBasis:
         """Return what the end of a leader's term is known from."""
         if leader.ended:
-            return EndBasis.RECORD
+            return GrantsEndBasis.RECORD
         if leader.entry == self._entry:
-            return EndBasis.SAME_ENTRY
+            return GrantsEndBasis.SAME_ENTRY
         if self._registry.has_restarted(leader):
-            return EndBasis.RESTART
-        return EndBasis.AUTHORITY
+            return GrantsEndBasis.RESTART
+        return GrantsEndBasis.AUTHORITY
 
     def grants_end(self, leader: LeaderRecord | None, evidence: SupportEvidence) -> GrantsEnd:
         """Return the bounds of the grants of a leader and of all before it.
@@ -95,10 +95,10 @@
         """
         now, former_until = boot_s(), self.former_until(leader)
         if leader is None:
-            return GrantsEnd(now + self._authority_s, former_until, EndBasis.AUTHORITY)
+            return GrantsEnd(now + self._authority_s, former_until, GrantsEndBasis.AUTHORITY)
         basis = self._end_basis(leader)
-        limit_s = self._authority_s if basis is EndBasis.AUTHORITY else 0.0
+        limit_s = self._authority_s if basis is GrantsEndBasis.AUTHORITY else 0.0
         until = min(max(former_until, now + limit_s), now + self._authority_s)
         if evidence.grants_until < until:
-            until, basis = evidence.grants_until, EndBasis.SUPPORT
+            until, basis = evidence.grants_until, GrantsEndBasis.SUPPORT
         return GrantsEnd(until, former_until, basis, evidence.holds_until)
--- a/packages/core/src/apricotpath/steps.py
+++ b/packages/core/src/apricotpath/steps.py
@@ -1,4 +1,4 @@
-"""Long computations in steps, between which other tasks of the process may run."""
+"""Long computations in steps, between which other tasks may run; not the steps of a job."""
 
 from collections.abc import Generator
 from time import perf_counter
@@ -29,7 +29,7 @@
 
 
 def do_step(steps: Steps[T], result: list[T]) -> None:
-    """Do one step, and add the result if it was the last one."""
+    """Do one step; if it was the last one, append the result to `result`."""
     try:
         next(steps)
     except StopIteration as exc:
--- a/packages/core/src/apricotpath/term.py
+++ b/packages/core/src/apricotpath/term.py
@@ -33,9 +33,10 @@
     `epoch_revision` is the mod revision of the epoch key; a write that compares
     it fails once a later term has begun. `predecessor` is the leader of the
     previous term, if any; `predecessor_ended` is set once that leader and all
-    before it certainly do nothing any more in their terms. Those before it grant no lease from
-    `former_until` on, and none of them does from `earlier_until` on, on the boot clock. By
-    `holds_until` the leases of single hosts have ended that the predecessor did not extend. It
+    before it certainly grant no lease any more; their writes are fenced by the epoch. Those
+    before it grant no lease from `former_until` on, and none of them does from `earlier_until`
+    on, on the boot clock. By `holds_until` the leases of single hosts have ended that the
+    predecessor did not extend. It
     waited for the support of `former_supporters` until this term began; this term begins with
     those of `supporters`.
     `holds` is filled when the term ends, see `LeaderRecord`. `given_up` is set
--- a/packages/daemon/src/apricotpathd/attempts.py
+++ b/packages/daemon/src/apricotpathd/attempts.py
@@ -1,4 +1,4 @@
-"""The tries of an entry's requests at agents: sending over links, answers and settlement."""
+"""The attempts of an entry's requests at agents: sending, answers and settlement."""
 
 import logging
 from functools import singledispatchmethod
@@ -41,7 +41,7 @@
 
 
 class Attempts:
-    """Open tries of an entry's requests, and the newest link to each agent."""
+    """The open attempts of an entry's requests, and the newest link to each agent."""
 
     handles: frozenset[type[Message]] = frozenset(
         (ResponseStart, ResponseBody, RequestRefused, RequestFailed, Settled, KeyReserved)
@@ -56,7 +56,7 @@
     # Messages of agents.
 
     def receive(self, body: Message, link: Link) -> None:
-        """Apply a message from an agent to the tries of its request."""
+        """Apply a message from an agent to the attempts of its request."""
         self._handle(body, link)
 
     def link_opened(self, link: Link) -> None:
@@ -269,18 +269,18 @@
             attempt.failed = reason or "its outcome is not known"
         attempt.settled_as_running = settlement is Settlement.RUNNING
 
-    # Tries.
+    # Opening and closing.
 
     def open(
         self, request: RequestId, process: ProcessId, incarnation: IncarnationId, link: Link
     ) -> Attempt:
-        """Open a try of a request at an agent."""
+        """Open an attempt of a request at an agent."""
         attempt = Attempt(request, process, incarnation, link)
         self._attempts.setdefault(request, []).append(attempt)
         return attempt
 
     def close_attempt(self, attempt: Attempt) -> None:
-        """Remove a try; the request is cancelled if it may still run."""
+        """Remove an attempt; the request is cancelled if it may still run."""
         others = self._attempts.get(attempt.request)
         if others is None or attempt not in others:
             return
--- a/packages/daemon/src/apricotpathd/hosttracker.py
+++ b/packages/daemon/src/apricotpathd/hosttracker.py
@@ -50,8 +50,9 @@
 # The progress of a run counts as a measure of its host's speed only after this time.
 MIN_SPEED_SAMPLE_S = 0.8
 MAX_REPORT_GAP_S = 1.0
-# The other entries are told the leases of hosts that have not reported for this time.
-SILENT_S = 1.0
+# Leases of hosts that have not reported for this time are told to the other entries, which is
+# before `silent_s`, from which on such hosts get no new runs.
+UNREPORTED_S = 1.0
 # While so many lost runs are queued, no more hosts are looked at for expired leases.
 MAX_QUEUED_LOST = 1000
 
@@ -282,7 +283,7 @@
         for name in list(self._ungranted):
             self._ungranted.discard(name)
             host, link = self.hosts.get(name), self.links.get(name)
-            if host is not None and link is not None and not self._is_silent(host, boot_s()):
+            if host is not None and link is not None and not self._is_unreported(host, boot_s()):
                 self._grant(host, link, host.renewal, host.reported_at)
 
     def silent_holds(self, now: float) -> dict[HostId, float]:
@@ -290,13 +291,13 @@
         return {
             name: host.leases.left_s(now)
             for name, host in self.hosts.items()
-            if self._is_silent(host, now) and self._table.by_host.get(name)
+            if self._is_unreported(host, now) and self._table.by_host.get(name)
         }
 
     @staticmethod
-    def _is_silent(host: Host, now: float) -> bool:
+    def _is_unreported(host: Host, now: float) -> bool:
         """Tell whether a host has not reported for a while, or not yet in this term."""
-        return now - host.reported_at >= SILENT_S
+        return now - host.reported_at >= UNREPORTED_S
 
     def acknowledge_endings(self, executor: ExecutorName, number: int) -> None:
         """Tell a host that the endings of its executor up to a number are recorded.
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -29,10 +29,10 @@
 
 
 def _must_break(run: Run, gang: Gang, now: float) -> bool:
-    """Tell whether a run of a gang that is done or incomplete must be stopped.
+    """Tell whether a run of a gang that is done or incomplete must be stopped, and note the first.
 
-    Executors end the members of a gang at work by themselves. Of one that waits for members
-    that do not come, one is stopped, so that thousands of stops are not in the way of its next run.
+    Executors end the members of a gang at work by themselves. If it waits for members that do
+    not come, only one member is stopped until BREAK_S has passed, as the executors end the others.
     """
     if now - gang.ended_at > BREAK_S:
         return True
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -359,7 +359,7 @@
         await self._run_ends.process_lost_runs(batch, now, slices)
         self._crashes.record_waits(lambda record: batch.apply(record, now), now)
         await self._save_progress(batch, now, slices)
-        # A large gang is placed in one step.
+        # The placement pass lets no other task run until it is done.
         await slices.end_step()
         inputs = self._placement_input(boot_s())
         if self._ends.fail_exhausted(inputs.queues):
--- a/packages/daemon/src/apricotpathd/supportrounds.py
+++ b/packages/daemon/src/apricotpathd/supportrounds.py
@@ -148,10 +148,13 @@
         log.info("last scheduler's grants known from a supporter", extra=extra)
 
     def _check_former(self) -> None:
-        """Note that the earlier leaders have ended, by what a supporter has told."""
-        if not self._term.predecessor_ended.is_set() and boot_s() >= self._former_until:
-            log.info("predecessor ended", extra={"epoch": self._term.epoch, "basis": "support"})
-            self._term.predecessor_ended.set()
+        """Note that the earlier leaders grant no lease any more, by what a supporter has told."""
+        term = self._term
+        if self._former_until >= term.earlier_until or term.predecessor_ended.is_set():
+            return
+        if boot_s() >= self._former_until:
+            log.info("predecessor ended", extra={"epoch": term.epoch, "basis": "support"})
+            term.predecessor_ended.set()
 
     async def _ask(self) -> None:
         while True:
