--- a/tests/features/suspectpauses.feature
+++ b/tests/features/suspectpauses.feature
@@ -15,7 +15,7 @@
     Examples:
       | change       | gap | bound |
       | told to stop | 3   | 9     |
-      | killed       | 3   | 10    |
+      | killed       | 3   | 9     |
 
   # A log that keeps the crashes but not the time since then lets each scheduler begin the pause anew.
   Scenario Outline: suspectpauses are counted on from <source> of an earlier scheduler
