--- a/tests/features/replacements.feature
+++ b/tests/features/replacements.feature
@@ -77,7 +77,7 @@
       | event                                         | limit |
       | restarts gracefully                           | 7     |
       | is killed and starts again once it is replaced | 9     |
-      | is killed for good                            | 14.5  |
+      | is killed for good                            | 9     |
       | was replaced 3 seconds before                 | 7     |
 
   # A late notice of an earlier incarnation made the scheduler stop the serving tasks of a sound executor.
