--- a/packages/daemon/src/apricotpathd/jobends.py
+++ b/packages/daemon/src/apricotpathd/jobends.py
@@ -6,6 +6,7 @@
 from apricotpath.fleet import FleetSettings
 from apricotpath.ids import JobId, QueueId
 from apricotpath.jobcodec import ended_text
+from apricotpath.jobkeys import JobKeys
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.joborder import objective_s
 from apricotpath.jobtable import JobTable
@@ -13,7 +14,6 @@
 from apricotpath.runrecords import JobEnded
 from apricotpath.store import Delete, Put
 from apricotpath.workload import Job, Queue
-from apricotpathd.jobservice import JobKeys
 
 log = logging.getLogger(__name__)
 
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -43,6 +43,7 @@
 from apricotpathd.scheduler import Scheduler, SchedulerRules
 from apricotpathd.storeloss import StoreLoss
 from apricotpathd.supportrounds import SupportRounds
+from apricotpathd.tombstones import TombstoneSweeper
 
 log = logging.getLogger(__name__)
 
@@ -170,6 +171,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._announce_term, scheduler)
                 group.start_soon(self._ask_for_support, scheduler, rounds)
+                group.start_soon(self._sweep_tombstones, scheduler)
                 for task in self.term_tasks:
                     group.start_soon(task, scheduler)
                 await scheduler.serve()
@@ -184,6 +186,11 @@
         await scheduler.loaded.wait()
         await rounds.run()
 
+    async def _sweep_tombstones(self, scheduler: Scheduler) -> None:
+        """Remove old tombstones, once the tables are loaded."""
+        await scheduler.loaded.wait()
+        await TombstoneSweeper(self.store, self.job_service.keys, self._utc).run()
+
     async def _announce_term(self, scheduler: Scheduler) -> None:
         """Announce the term to all linked processes once its tables are loaded."""
         await scheduler.loaded.wait()
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -2,12 +2,14 @@
 
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import Enum
 
 import anyio
 
+from apricotpath.boottime import boot_s
 from apricotpath.codec import Envelope
 from apricotpath.errors import (
     InputError,
@@ -18,7 +20,8 @@
     StoreUnavailable,
 )
 from apricotpath.ids import Epoch, JobId, ProcessId, QueueId
-from apricotpath.jobcodec import StoredJob, job_text, parse_job
+from apricotpath.jobcodec import StoredJob, ended_text, job_text, parse_job
+from apricotpath.jobkeys import JobKeys
 from apricotpath.link import Link
 from apricotpath.messages import (
     JobAccepted,
@@ -30,14 +33,15 @@
 )
 from apricotpath.model import Role
 from apricotpath.runlog import LATE_WRITE_S
-from apricotpath.store import Compare, Put, Store, settle_delays
+from apricotpath.store import Compare, KeyValue, Put, Store, settle_delays
 from apricotpath.workload import Job, Progress, check_job, check_limits
+from apricotpathd.tombstones import MAX_SUBMISSION_S, TombstoneWriter
 
 log = logging.getLogger(__name__)
 
-# How long a submission that the store refuses is retried before the call fails.
+# How long a submission or cancelling that the store refuses is retried before the call fails.
 REFUSED_RETRY_S = 1.0
-# How long a submission with an unknown outcome is retried.
+# How long a submission or cancelling with an unknown outcome is retried.
 UNKNOWN_RETRY_S = 2.5
 # Maximum number of job states that an entry keeps in memory.
 MAX_STATUSES = 50_000
@@ -53,6 +57,8 @@
     """Outcome of a submission as the caller sees it."""
 
     ACCEPTED = "accepted"
+    # Stored as cancelled, since it was cancelled before.
+    CANCELLED = "cancelled"
     NOT_ACCEPTED = "not-accepted"
     TOO_MANY = "too-many"
     UNKNOWN = "unknown"
@@ -62,26 +68,6 @@
     """The answer cannot be determined now."""
 
 
-@dataclass(frozen=True, slots=True)
-class JobKeys:
-    """Keys of jobs in the store."""
-
-    prefix: str
-
-    @property
-    def root(self) -> str:
-        """Prefix of all keys about jobs."""
-        return f"{self.prefix}jobs/"
-
-    def job(self, job: JobId) -> str:
-        """Return the key of a job."""
-        return f"{self.root}job/{job}"
-
-    def cancel(self, job: JobId) -> str:
-        """Return the key that marks a job as cancelled."""
-        return f"{self.root}cancel/{job}"
-
-
 class JobService:
     """Component of an entry that serves calls on jobs.
 
@@ -101,6 +87,7 @@
         self.store = store
         self._store_answers = store_answers
         self.keys = JobKeys(prefix)
+        self.tombstones = TombstoneWriter(store, self.keys, utc)
         self.statuses: dict[JobId, JobStatus] = {}
         self.epoch = Epoch(0)
         self.leader: ProcessId | None = None
@@ -109,6 +96,8 @@
         self._complete_epoch: Epoch | None = None
         # When (event loop's clock) the newest write with an unknown outcome ended, by job.
         self._uncertain: dict[JobId, float] = {}
+        # How many submissions of a job are under way here.
+        self._submitting: Counter[JobId] = Counter()
         self._open_jobs = 0
         # Jobs that had begun when the newest scheduler sent its states.
         self._begun: set[JobId] = set()
@@ -122,8 +111,9 @@
         check_job(job)
         check_limits(job)
         job = replace(job, accepted_s=self._utc())
-        if job.job_id in self.statuses:
-            return Submission.ACCEPTED
+        status = self.statuses.get(job.job_id)
+        if status is not None:
+            return _stored_outcome(status.progress)
         refusal = self.refusal()
         if refusal is Submission.TOO_MANY:
             return await self._refuse(job)
@@ -138,7 +128,14 @@
         text = job_text(job)
         # The scheduler may read the stored job before this entry has the store's answer.
         log.info("job submitted", extra={"job": job.job_id, "queue": job.queue})
-        outcome = self._combine_outcomes(job.job_id, await self._store_job(job, text))
+        self._submitting[job.job_id] += 1
+        try:
+            outcome = await self._store_job(job, text)
+        finally:
+            self._submitting[job.job_id] -= 1
+            if not self._submitting[job.job_id]:
+                del self._submitting[job.job_id]
+        outcome = self._combine_outcomes(job.job_id, outcome)
         log.info("submission answered", extra={"job": job.job_id, "outcome": outcome.value})
         if outcome is Submission.ACCEPTED:
             self._notify_scheduler(JobAccepted(job.job_id, text))
@@ -157,53 +154,80 @@
         except JobServiceUnavailable as exc:
             log.info("job not looked up: %s", exc, extra={"job": job.job_id})
             return Submission.UNKNOWN
-        outcome = Submission.ACCEPTED if stored is not None else Submission.TOO_MANY
+        outcome = Submission.TOO_MANY if stored is None else _stored_outcome(stored.ended)
         outcome = self._combine_outcomes(job.job_id, outcome)
         extra = {"job": job.job_id, "open": self._open_jobs, "outcome": outcome.value}
         log.warning("too many jobs are open", extra=extra)
         return outcome
 
     def _combine_outcomes(self, job: JobId, outcome: Submission) -> Submission:
-        """Combine an outcome with those of earlier submissions of the job at this entry.
+        """Combine an outcome with those of other submissions of the job at this entry.
 
-        An earlier write without an answer may still take effect, so a later refusal
-        does not prove that the job never runs.
+        Another write without an answer may still take effect, so a refusal does not prove
+        that the job never runs.
         """
         if outcome is Submission.UNKNOWN:
             self._uncertain[job] = anyio.current_time()
             if len(self._uncertain) > MAX_UNCERTAIN:
                 del self._uncertain[next(iter(self._uncertain))]
-        elif outcome is Submission.ACCEPTED:
+        elif outcome in (Submission.ACCEPTED, Submission.CANCELLED):
             self._uncertain.pop(job, None)
         elif self._is_uncertain(job):
             return Submission.UNKNOWN
         return outcome
 
     def _is_uncertain(self, job: JobId) -> bool:
-        """Tell whether an earlier write of a job may still take effect."""
+        """Tell whether another write of a job may still take effect."""
+        if self._submitting[job]:
+            return True
         since = self._uncertain.get(job, float("-inf"))
         return anyio.current_time() - since < UNCERTAIN_S
 
     async def _store_job(self, job: Job, text: str) -> Submission:
+        """Store a job unless it is stored already, or was cancelled before."""
         key = self.keys.job(job.job_id)
+        compares = [Compare(key, 0), Compare(self.keys.tombstone(job.job_id), 0)]
         unknown = False
-        started = anyio.current_time()
+        started = boot_s()
         for delay in settle_delays():
             try:
-                await self.store.txn([Compare(key, 0)], [Put(key, text.encode())])
-            except StoreOutcomeUnknown:
+                if (await self.store.txn(compares, [Put(key, text.encode())])).succeeded:
+                    return Submission.ACCEPTED
+                # Another entry may have stored the job.
                 unknown = True
+                outcome = await self._find_outcome(job)
+                if outcome is not None:
+                    return outcome
             except (StoreUnavailable, StoreLimited) as exc:
                 log.info("job not stored yet: %s", exc, extra={"job": job.job_id})
-            else:
-                # A job with this id is stored, by this write or an earlier one.
-                return Submission.ACCEPTED
+            except StoreError as exc:
+                unknown = True
+                log.info("job may be stored: %s", exc, extra={"job": job.job_id})
             retry_s = UNKNOWN_RETRY_S if unknown else REFUSED_RETRY_S
-            if anyio.current_time() + delay - started > retry_s:
+            if boot_s() + delay - started > retry_s:
                 break
             await anyio.sleep(delay)
+            if boot_s() - started > MAX_SUBMISSION_S:
+                break
         return Submission.UNKNOWN if unknown else Submission.NOT_ACCEPTED
 
+    async def _find_outcome(self, job: Job) -> Submission | None:
+        """Return what became of a job that is stored or has a tombstone; None if neither is so.
+
+        One with a tombstone is stored as cancelled, so that its state can be read.
+        """
+        stored = await self._read(job.job_id)
+        if stored is not None:
+            return _stored_outcome(stored.ended)
+        if await self.store.get(self.keys.tombstone(job.job_id)) is None:
+            return None
+        key, ended = self.keys.job(job.job_id), Progress.CANCELLED
+        text = ended_text(job.job_id, job.queue, ended)
+        if not (await self.store.txn([Compare(key, 0)], [Put(key, text.encode())])).succeeded:
+            return None
+        self._add_status(JobStatus(job.job_id, job.queue, ended))
+        return Submission.CANCELLED
+
     async def progress(self, job: JobId) -> Progress | None:
         """Return a job's progress, or None if unknown; raises JobServiceUnavailable."""
         status = self.statuses.get(job)
@@ -218,21 +242,47 @@
         return status.progress if status is not None else Progress.QUEUED
 
     async def cancel(self, job: JobId) -> bool:
-        """Cancel a job; False if there is none. Raises JobServiceUnavailable.
+        """Cancel a job; False if there is none, and none will come into being.
 
-        A job that is not stored may come into being while a submission of it is uncertain.
+        Raises JobServiceUnavailable, or TooManyTombstones if too many jobs were cancelled here
+        that are not stored.
         """
-        stored = await self._read(job)
-        if stored is None:
-            if self._is_uncertain(job):
-                raise JobServiceUnavailable("a submission of the job may still take effect")
-            return False
-        if stored.ended is None:
-            key = self.keys.cancel(job)
+        started = boot_s()
+        for delay in settle_delays():
             try:
-                await self.store.txn([], [Put(key, b"{}")])
+                found = await self._try_cancel(job)
+            except (StoreOutcomeUnknown, StoreLimited) as exc:
+                limited = isinstance(exc, StoreLimited)
+                retry_s = REFUSED_RETRY_S if limited else UNKNOWN_RETRY_S
+                failure = f"the cancelling is not stored: {exc}"
+            except JobServiceUnavailable:
+                raise
             except StoreError as exc:
                 raise JobServiceUnavailable(f"the cancelling is not stored: {exc}") from exc
+            else:
+                if found is not None:
+                    return found
+                retry_s, failure = UNKNOWN_RETRY_S, "the job changes all the time"
+            if boot_s() + delay - started > retry_s:
+                break
+            await anyio.sleep(delay)
+        raise JobServiceUnavailable(failure)
+
+    async def _try_cancel(self, job: JobId) -> bool | None:
+        """Try to cancel a job, as `cancel`; None if it was stored or has ended meanwhile."""
+        item = await self._get(job)
+        if item is None:
+            if not await self.tombstones.write(job):
+                return None
+            log.info("job cancelled before it was stored", extra={"job": job})
+            return False
+        stored = _parse_stored(item)
+        if stored.ended is None:
+            # The record of a job changes only when the job has ended.
+            compares = [Compare(item.key, item.mod_revision)]
+            result = await self.store.txn(compares, [Put(self.keys.cancel(job), b"{}")])
+            if not result.succeeded:
+                return None
             self._notify_scheduler(JobCancelling(job))
         log.info("job cancelled", extra={"job": job, "ended": stored.ended is not None})
         return True
@@ -252,17 +302,17 @@
             return False
         return self.send_local is not None or self._leader_link() is not None
 
-    async def _read(self, job: JobId) -> StoredJob | None:
+    async def _get(self, job: JobId) -> KeyValue | None:
+        """Return the record of a job; raises JobServiceUnavailable."""
         try:
-            item = await self.store.get(self.keys.job(job))
+            return await self.store.get(self.keys.job(job))
         except StoreError as exc:
             raise JobServiceUnavailable(f"the store did not answer: {exc}") from exc
-        if item is None:
-            return None
-        try:
-            return parse_job(item.value)
-        except InputError as exc:
-            raise JobServiceUnavailable(str(exc)) from exc
+
+    async def _read(self, job: JobId) -> StoredJob | None:
+        """Return a stored job; raises JobServiceUnavailable."""
+        item = await self._get(job)
+        return None if item is None else _parse_stored(item)
 
     # Messages.
 
@@ -348,3 +398,16 @@
 
     async def drain(self) -> None:
         """Do nothing; callers are drained by the HTTP server."""
+
+
+def _parse_stored(item: KeyValue) -> StoredJob:
+    """Return a stored job, or raise JobServiceUnavailable if its record is malformed."""
+    try:
+        return parse_job(item.value)
+    except InputError as exc:
+        raise JobServiceUnavailable(str(exc)) from exc
+
+
+def _stored_outcome(ended: Progress | None) -> Submission:
+    """Return the outcome of a submission of a job that is stored already."""
+    return Submission.CANCELLED if ended is Progress.CANCELLED else Submission.ACCEPTED
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -18,6 +18,7 @@
 from apricotpath.hostload import PlacementInput
 from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
 from apricotpath.jobcodec import parse_job
+from apricotpath.jobkeys import JobKeys
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobtable import JobTable
 from apricotpath.learnedstate import LearnedState
@@ -43,7 +44,6 @@
 from apricotpathd.fleetlog import FleetLog
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobends import JobEnds
-from apricotpathd.jobservice import JobKeys
 from apricotpathd.planning import Planning
 from apricotpathd.runends import RunEnds
 from apricotpathd.runstops import RunStops
