--- a/packages/core/src/apricotpath/jobtable.py
+++ b/packages/core/src/apricotpath/jobtable.py
@@ -17,6 +17,7 @@
     Ended,
     JobEnded,
     OccurrencesDone,
+    OperatorState,
     QueueKept,
     RunRecord,
     Saved,
@@ -49,7 +50,8 @@
     the tasks that were on crashed executors. `changed` collects jobs whose progress changed.
     `to_end` maps jobs whose final state is decided, but not in the log yet, to that state.
     `retries` collects tasks that wait again after a failure, to have their attempts counted.
-    `queues` holds the newest rules of queues, `queues_used` the queues of jobs that were added.
+    `queues` holds the newest rules of queues, `queues_used` the queues of jobs that were added, and
+    `operator` what else was last known of the operator's rules.
     """
 
     def __init__(self) -> None:
@@ -64,6 +66,7 @@
         self.retries: deque[TaskKey] = deque()
         self.queues: dict[QueueId, Queue] = {}
         self.queues_used: set[QueueId] = set()
+        self.operator = OperatorState()
         # When (UTC seconds) the next occurrences of scheduled jobs are due; a heap.
         self._due: list[tuple[float, JobId]] = []
 
@@ -318,13 +321,17 @@
     def _(self, record: QueueKept, now: float) -> None:
         self.queues[record.queue.queue] = record.queue
 
+    @apply.register
+    def _(self, record: OperatorState, now: float) -> None:
+        self.operator = record
+
     def summaries(self) -> Iterator[RunRecord]:
         """Yield records that rebuild the tasks and runs of all unfinished jobs."""
         return (record for records in self.summary_slices() for record in records)
 
     def summary_slices(self) -> Iterator[list[RunRecord]]:
         """Yield the records of `summaries` in lists; no record may be applied in between."""
-        return summary_slices(self.rows, self.crashes, self.queues)
+        return summary_slices(self.rows, self.crashes, self.queues, self.operator)
 
     def _open_task(self, key: TaskKey) -> Task | None:
         """Return a task that a record names; None if it is done, or its job unknown or ended."""
@@ -489,12 +496,3 @@
             self.to_end[job] = Progress.FAILED
         elif row.completed:
             self.to_end[job] = Progress.COMPLETED
-
-    def check_retries(self) -> None:
-        """Have the attempts counted again of all waiting tasks that have failed before."""
-        self.retries = deque(key for key, task in self.waiting.items() if task.failed_runs)
-
-    def out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
-        """Return whether a task, or its gang, has used up its queue's attempts."""
-        row = self.rows[key.job]
-        return not row.step(key).long_running and row.tasks[key].failures() >= attempts
--- a/packages/core/src/apricotpath/mirror.py
+++ b/packages/core/src/apricotpath/mirror.py
@@ -81,6 +81,11 @@
         self._progress = progress or ReadProgress()
         self._coalesce_s = coalesce_s
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store whose changes the copy contains; 0 before the first read."""
+        return self._revision
+
     def age_s(self) -> float:
         """Return the maximum age of the copy in seconds; infinite before the first read."""
         return float("inf") if self.read_at is None else boot_s() - self.read_at
@@ -96,7 +101,8 @@
                 if full_read is not None:
                     await self._read_all(full_read)
                     full_read = None
-                elif await self._read_changes():
+                # The first answer after failures is not to wait for a change.
+                elif await self._read_changes(self._wait_s if reachable else 0.0):
                     now = boot_s()
                     quiet_s, changed_at = now - changed_at, now
                     if quiet_s < STORM_INTERVALS * self._coalesce_s:
@@ -151,10 +157,10 @@
         self.loaded.set()
         return changed
 
-    async def _read_changes(self) -> bool:
+    async def _read_changes(self, wait_s: float) -> bool:
         """Wait for changes and apply them; return whether there were any."""
         started = boot_s()
-        changes = await self.store.changes(self.prefix, self._revision, self._wait_s)
+        changes = await self.store.changes(self.prefix, self._revision, wait_s)
         for event in changes.events:
             current = self.items.get(event.key)
             if current is not None and current.mod_revision >= event.mod_revision:
--- a/packages/core/src/apricotpath/queuerules.py
+++ b/packages/core/src/apricotpath/queuerules.py
@@ -17,10 +17,13 @@
 
 
 def queues_in_force(
-    table: JobTable, configured: Mapping[QueueId, Queue]
+    table: JobTable, configured: Mapping[QueueId, Queue], is_older: bool = False
 ) -> Mapping[QueueId, Queue]:
-    """Return the rules of all known queues: those configured, else the last known ones."""
-    return {**table.queues, **configured}
+    """Return the rules of all known queues: those configured, else the last known ones.
+
+    With `is_older`, the last known ones are those of a later configuration, and go first.
+    """
+    return {**configured, **table.queues} if is_older else {**table.queues, **configured}
 
 
 def forget_queues(table: JobTable, configured: Mapping[QueueId, Queue]) -> None:
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -7,7 +7,7 @@
 
 from apricotpath.crashes import Blame, CrashPart
 from apricotpath.errors import InputError
-from apricotpath.ids import HostId, JobId, QueueId, ServiceId
+from apricotpath.ids import DataCentreId, HostId, JobId, QueueId, ServiceId
 from apricotpath.jsonfields import to_int, to_list, to_number, to_str
 from apricotpath.workload import MAX_TASKS_PER_JOB, Progress, Queue, RunResult, TaskKey
 
@@ -122,6 +122,19 @@
     queue: Queue
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorState(RunRecord):
+    """What was known of the operator's rules, but for the queues, which have records of their own.
+
+    `version` is that of the configuration, `out` the data centres out of service at a revision of
+    the store.
+    """
+
+    version: int = 0
+    revision: int = 0
+    out: frozenset[DataCentreId] = frozenset()
+
+
 @singledispatch
 def to_row(record: RunRecord) -> list[Any]:
     """Return the JSON form of a record: a tag and its fields in order."""
@@ -186,6 +199,11 @@
     return ["q", queue.queue, queue.service, *numbers, queue.advised, queue.guards_capacity]
 
 
+@to_row.register
+def _(record: OperatorState) -> list[Any]:
+    return ["x", record.version, record.revision, sorted(record.out)]
+
+
 def from_row(row: Any) -> RunRecord:
     """Parse the JSON form of a record, or raise InputError."""
     tag, *values = to_list(row, "a record", 1)
@@ -301,6 +319,15 @@
     return QueueKept(rules)
 
 
+def _operator_state(values: list[Any]) -> RunRecord:
+    version, revision, out = values
+    return OperatorState(
+        to_int(version, "version", low=0),
+        to_int(revision, "revision", low=0),
+        frozenset(DataCentreId(to_str(row, "out")) for row in to_list(out, "out")),
+    )
+
+
 def _range(first: Any, end: Any) -> tuple[int, int]:
     low = to_int(first, "first", low=0, high=MAX_TASKS_PER_JOB)
     return low, to_int(end, "end", low=low + 1, high=MAX_TASKS_PER_JOB)
@@ -326,4 +353,5 @@
     "d": _tasks_done,
     "o": _occurrences_done,
     "q": _queue_kept,
+    "x": _operator_state,
 }
--- a/packages/core/src/apricotpath/tablesnapshot.py
+++ b/packages/core/src/apricotpath/tablesnapshot.py
@@ -10,6 +10,7 @@
     Assigned,
     Crashed,
     OccurrencesDone,
+    OperatorState,
     QueueKept,
     RunRecord,
     SuspectWaited,
@@ -26,12 +27,14 @@
     rows: Mapping[JobId, JobRow],
     crashes: Mapping[TaskKey, CrashHistory],
     queues: Mapping[QueueId, Queue],
+    operator: OperatorState,
 ) -> Iterator[list[RunRecord]]:
     """Yield lists of records that rebuild the tasks and runs of all unfinished jobs.
 
     Jobs may be added or cancelled between two lists, but no record may be applied.
     """
     yield [QueueKept(queue) for queue in queues.values()]
+    yield [operator]
     for job, row in list(rows.items()):
         yield list(_done_records(job, row))
         tasks = list(row.tasks.values())
--- a/packages/daemon/src/apricotpathd/jobends.py
+++ b/packages/daemon/src/apricotpathd/jobends.py
@@ -1,6 +1,7 @@
 """Ends of jobs: their final states, their attempts, and when they are forgotten."""
 
 import logging
+from collections import deque
 from collections.abc import Mapping
 
 from apricotpath.fleet import FleetSettings
@@ -13,7 +14,7 @@
 from apricotpath.runlog import MAX_EXTRA
 from apricotpath.runrecords import JobEnded
 from apricotpath.store import Delete, Put
-from apricotpath.workload import Job, Queue
+from apricotpath.workload import Job, Queue, TaskKey
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +49,7 @@
         """
         if queues != self._queues:
             self._queues = dict(queues)
-            self._table.check_retries()
+            self._check_retries()
         for _ in range(MAX_RETRIES_CHECKED):
             if not self._table.retries:
                 return True
@@ -57,7 +58,7 @@
             if row is None or row.to_be_stopped or key not in self._table.waiting:
                 continue
             queue = queues.get(row.job.queue)
-            if queue is not None and self._table.out_of_attempts(key, queue.attempts):
+            if queue is not None and self._out_of_attempts(key, queue.attempts):
                 log.info(
                     "job failed",
                     extra={"job": key.job, "task": str(key), "attempts": queue.attempts},
@@ -65,6 +66,16 @@
                 self._table.fail(key.job)
         return not self._table.retries
 
+    def _check_retries(self) -> None:
+        """Have the attempts counted again of all waiting tasks that have failed before."""
+        waiting = self._table.waiting
+        self._table.retries = deque(key for key, task in waiting.items() if task.failed_runs)
+
+    def _out_of_attempts(self, key: TaskKey, attempts: int) -> bool:
+        """Return whether a task, or its gang, has used up its queue's attempts."""
+        row = self._table.rows[key.job]
+        return not row.step(key).long_running and row.tasks[key].failures() >= attempts
+
     def due(self, room: int) -> list[JobEnded]:
         """Return the records of jobs to end now, for which the append has room."""
         ended: list[JobEnded] = []
--- a/packages/daemon/src/apricotpathd/jobentry.py
+++ b/packages/daemon/src/apricotpathd/jobentry.py
@@ -39,8 +39,9 @@
 from apricotpath.term import ElectionSettings, Term
 from apricotpathd.dialler import Dialler
 from apricotpathd.jobservice import JobService
+from apricotpathd.operatorrules import SchedulerRules
 from apricotpathd.process import Process
-from apricotpathd.scheduler import Scheduler, SchedulerRules
+from apricotpathd.scheduler import Scheduler
 from apricotpathd.storeloss import StoreLoss
 from apricotpathd.supportrounds import SupportRounds
 from apricotpathd.tombstones import TombstoneSweeper
--- a/packages/daemon/src/apricotpathd/runstops.py
+++ b/packages/daemon/src/apricotpathd/runstops.py
@@ -50,12 +50,12 @@
         self._table, self._tracker = table, tracker
         self._moved_at = self._consolidated_at = now
 
-    async def send(self, inputs: PlacementInput, slices: Slices) -> None:
-        """Send stop orders that are due for runs that must not continue."""
+    async def send(self, inputs: PlacementInput, slices: Slices, may_move: bool = True) -> None:
+        """Send stop orders that are due for runs that must not continue, or that move."""
         now = inputs.now
         await self._stop(lambda run, host: self._must_stop(run, host, now), now, slices)
         # Moves are chosen afterwards, so that they count the runs stopped above.
-        moved = self._runs_to_move(inputs)
+        moved = self._runs_to_move(inputs) if may_move else []
         if moved:
             await self._stop(lambda run, _host: run in moved, now, slices)
 
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
 
 import anyio
 import anyio.lowlevel
@@ -16,7 +15,7 @@
 from apricotpath.gangturns import GangTurns
 from apricotpath.hostleases import LeaseBasis
 from apricotpath.hostload import PlacementInput
-from apricotpath.ids import DataCentreId, HostId, JobId, QueueId
+from apricotpath.ids import HostId, JobId
 from apricotpath.jobcodec import parse_job
 from apricotpath.jobkeys import JobKeys
 from apricotpath.jobmetrics import JobMetrics
@@ -29,7 +28,7 @@
 from apricotpath.mirror import Mirror, WatchableStore
 from apricotpath.newcheckpoints import new_checkpoints
 from apricotpath.pagedread import ReadProgress
-from apricotpath.queuerules import changed_queues, forget_queues, queues_in_force
+from apricotpath.queuerules import changed_queues, forget_queues
 from apricotpath.runlog import MAX_EXTRA, RECORDS_PER_SLICE, LogPosition, RunLog
 from apricotpath.runmoves import place_copies
 from apricotpath.runplacement import Placement
@@ -38,12 +37,13 @@
 from apricotpath.steps import Steps
 from apricotpath.term import Term
 from apricotpath.upkeeprecords import UpkeepRecords
-from apricotpath.workload import Job, Queue, StepKey
+from apricotpath.workload import Job, StepKey
 from apricotpathd.absencelog import AbsenceLog
 from apricotpathd.crashrecorder import CrashRecorder
 from apricotpathd.fleetlog import FleetLog
 from apricotpathd.hosttracker import HostTracker
 from apricotpathd.jobends import JobEnds
+from apricotpathd.operatorrules import SchedulerRules, TermRules
 from apricotpathd.planning import Planning
 from apricotpathd.runends import RunEnds
 from apricotpathd.runstops import RunStops
@@ -65,14 +65,6 @@
 STATUSES_PER_MESSAGE = 4000
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerRules:
-    """Operator settings in force: the queues, and the data centres that are out of service."""
-
-    queues: dict[QueueId, Queue] = field(default_factory=dict)
-    out: frozenset[DataCentreId] = frozenset()
-
-
 class Scheduler:
     """Schedules all jobs for one term; `serve` runs it.
 
@@ -97,7 +89,8 @@
         self.table = JobTable()
         self.loaded = anyio.Event()
         self.statuses: dict[JobId, JobStatus] = {}
-        self._rules, self._publish, self._utc = rules, publish, utc
+        self.rules = TermRules(rules, self.table)
+        self._publish, self._utc = publish, utc
         self._metrics = metrics
         self._keys = JobKeys(prefix)
         self._store, self._fence_limit_key = store, limit_key(prefix)
@@ -112,7 +105,7 @@
         disturbance = self.host_tracker.traits.disturbance
         self._learned = LearnedState(store, prefix, disturbance, self._started)
         self._start_orders = StartOrders(
-            term.epoch, self.table, self.host_tracker, lambda: rules().out, metrics
+            term.epoch, self.table, self.host_tracker, self.rules, metrics
         )
         self._run_stops = RunStops(self.table, self.host_tracker, self._started)
         self._crashes = CrashRecorder(self.table, self.host_tracker, metrics, self._started)
@@ -289,7 +282,7 @@
 
         They change nothing, and passes may come in between.
         """
-        return try_in_steps(self.table, job, self._placement_input(boot_s()))
+        return try_in_steps(self.table, job, self.placement_input(boot_s()))
 
     # Scheduling loop.
 
@@ -313,14 +306,16 @@
                 await self._begin_snapshot(group, slices)
             if self._fleet_log.is_due(boot_s()):
                 self.planning.log_state()
-                await self._fleet_log.write(self._placement_input(boot_s()), slices)
+                await self._fleet_log.write(self.placement_input(boot_s()), slices)
             if batch.records:
                 await anyio.sleep(max(0.0, self.cfg.log_interval_s - (boot_s() - started)))
 
     async def _begin_snapshot(self, group: TaskGroup, slices: Slices) -> None:
         """Take the records and position of a snapshot before the next append can begin."""
         self._snapshot_running = True
-        forget_queues(self.table, self._rules().queues)
+        configured = self.rules.configured()
+        if configured is not None:
+            forget_queues(self.table, configured)
         records: list[RunRecord] = []
         for part in self.table.summary_slices():
             records += part
@@ -340,7 +335,8 @@
     async def _send_stops(self, now: float, slices: Slices) -> None:
         if now - self._stopped_at >= STOP_INTERVAL_S:
             self._stopped_at = now
-            await self._run_stops.send(self._placement_input(now), slices)
+            may_move = self.rules.may_decide(now)
+            await self._run_stops.send(self.placement_input(now), slices, may_move)
 
     async def _decide(self, slices: Slices) -> Batch:
         """Apply events and choose starts; return the records that must become durable.
@@ -349,9 +345,7 @@
         """
         batch = Batch(self.table)
         now = boot_s()
-        for kept in list(changed_queues(self.table, self._rules().queues)):
-            batch.apply(kept, now)
-            await slices.note()
+        await self._keep_rules(batch, now, slices)
         self.host_tracker.expire_leases(now)
         self.host_tracker.restore_share(now)
         await self._run_ends.process_endings(batch, now, slices)
@@ -361,14 +355,25 @@
         await self._save_progress(batch, now, slices)
         # The placement pass lets no other task run until it is done.
         await slices.end_step()
-        inputs = self._placement_input(boot_s())
-        if self._ends.fail_exhausted(inputs.queues):
-            await self._place(batch, inputs, slices)
-        else:
-            self.wake()
+        inputs = self.placement_input(boot_s())
+        if self.rules.may_decide(inputs.now):
+            if self._ends.fail_exhausted(inputs.queues):
+                await self._place(batch, inputs, slices)
+            else:
+                self.wake()
         self._end_jobs(batch, now)
         return batch
 
+    async def _keep_rules(self, batch: Batch, now: float, slices: Slices) -> None:
+        """Record the operator's rules that are not in the run log, for a time without them."""
+        configured = self.rules.configured()
+        for kept in list(changed_queues(self.table, configured or {})):
+            batch.apply(kept, now)
+            await slices.note()
+        state = self.rules.new_state()
+        if state is not None:
+            batch.apply(state, now)
+
     async def _place(self, batch: Batch, inputs: PlacementInput, slices: Slices) -> None:
         """Choose the runs to start now."""
         if not self.table.open_due(inputs.utc_s, inputs.now):
@@ -413,12 +418,12 @@
         self._copied_at = inputs.now
         return place_copies(self.table, inputs)
 
-    def _placement_input(self, now: float) -> PlacementInput:
-        rules = self._rules()
+    def placement_input(self, now: float) -> PlacementInput:
+        """Return the inputs of a placement pass at a time in boot-clock seconds."""
         return PlacementInput(
             self.host_tracker.hosts,
-            queues_in_force(self.table, rules.queues),
-            rules.out,
+            self.rules.queues(),
+            self.rules.out(),
             now,
             self._utc(),
             self.cfg,
--- a/packages/daemon/src/apricotpathd/startorders.py
+++ b/packages/daemon/src/apricotpathd/startorders.py
@@ -1,14 +1,14 @@
 """Sends the start orders of placements whose assignments are durable."""
 
 import logging
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 
 from apricotpath.absences import AbsenceBasis
 from apricotpath.boottime import boot_s
 from apricotpath.commitments import reserved_size
 from apricotpath.fleet import Host
 from apricotpath.hostload import ORDER_BYTES
-from apricotpath.ids import DataCentreId, Epoch, FenceToken, HostId, TaskId
+from apricotpath.ids import Epoch, FenceToken, HostId, TaskId
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.jobrows import JobRow, Run, Task
 from apricotpath.jobtable import JobTable
@@ -17,6 +17,7 @@
 from apricotpath.slices import OPERATIONS_PER_SLICE, Slices
 from apricotpath.workload import TaskKey
 from apricotpathd.hosttracker import HostTracker
+from apricotpathd.operatorrules import TermRules
 
 log = logging.getLogger(__name__)
 
@@ -25,18 +26,18 @@
 
 
 class StartOrders:
-    """Sends start orders to hosts; `out` returns the data centres that are out of service."""
+    """Sends start orders to hosts, as far as the operator's rules allow them."""
 
     def __init__(
         self,
         epoch: Epoch,
         table: JobTable,
         tracker: HostTracker,
-        out: Callable[[], frozenset[DataCentreId]],
+        rules: TermRules,
         metrics: JobMetrics,
     ) -> None:
         self._epoch, self._table, self._tracker = epoch, table, tracker
-        self._out, self._metrics = out, metrics
+        self._rules, self._metrics = rules, metrics
 
     async def send(self, starts: Iterable[tuple[FenceToken, Placement]], slices: Slices) -> None:
         """Send the starts of a batch, each decided for an attachment of its host.
@@ -57,7 +58,8 @@
     def _send_to(self, host: Host, placements: Iterable[Placement]) -> None:
         """Send start orders, except those that became invalid while they were being written."""
         orders: list[RunOrder] = []
-        out = host.facts is not None and host.facts.data_centre in self._out()
+        out = host.facts is not None and host.facts.data_centre in self._rules.out()
+        out = out or not self._rules.may_decide(boot_s())
         for placement in placements:
             task = self._table.task(placement.task)
             run = task.runs.get(placement.run) if task else None
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -9,7 +9,6 @@
 
 from apricotpath.boottime import boot_s
 from apricotpath.errors import StoreError
-from apricotpath.hostload import PlacementInput
 from apricotpath.ids import MachineId, WaveId
 from apricotpath.jobmetrics import JobMetrics
 from apricotpath.machines import (
@@ -26,7 +25,7 @@
 from apricotpath.upkeepplan import UpkeepInput, UpkeepOrder, UpkeepPlan, match_hosts, plan_upkeep
 from apricotpath.upkeeprecords import NO_RECORD, WaveRecord
 from apricotpath.upkeepstate import MachineView, OrderState, WaveProgress
-from apricotpathd.scheduler import Scheduler, SchedulerRules
+from apricotpathd.scheduler import Scheduler
 
 log = logging.getLogger(__name__)
 
@@ -66,11 +65,10 @@
         waves: Callable[[], Mapping[WaveId, Wave]],
         waves_age_s: Callable[[], float],
         last_led_at: Callable[[], float],
-        rules: Callable[[], SchedulerRules],
         metrics: JobMetrics,
     ) -> None:
         self.service, self.statuses, self.cfg = service, statuses, cfg
-        self.waves, self.rules, self.metrics = waves, rules, metrics
+        self.waves, self.metrics = waves, metrics
         self._waves_age_s, self._last_led_at = waves_age_s, last_led_at
         self.term: UpkeepTerm | None = None
 
@@ -158,7 +156,7 @@
             return
         await self._report_running()
         now = boot_s()
-        paused = not self._keeper.may_order(now)
+        paused = not (self._keeper.may_order(now) and self._scheduler.rules.may_decide(now))
         if paused != self._paused:
             self._paused = paused
             log.info("upkeep paused" if paused else "upkeep goes on", extra={"epoch": self._epoch})
@@ -322,8 +320,7 @@
     def _make_plan(self, group: TaskGroup, now: float) -> None:
         """Make the next plan, apply it, and start sending its orders."""
         hosts = self._scheduler.host_tracker.hosts
-        rules = self._keeper.rules()
-        inputs = PlacementInput(hosts, rules.queues, rules.out, now, 0.0, self._scheduler.cfg)
+        inputs = self._scheduler.placement_input(now)
         matched = match_hosts(self.view, self._scheduler.table, list(hosts.values()))
         for name in self.view.machines:
             if name in matched:
--- a/tests/features/dryrun.feature
+++ b/tests/features/dryrun.feature
@@ -103,6 +103,7 @@
       | state                 | body                 | code | text                                      |
       | follows another entry | a small job          | 1    | this entry does not schedule; ask front-2 |
       | knows no scheduler    | a small job          | 1    | no entry schedules yet                    |
+      | does not know the rules | a small job        | 1    | the operator's rules are not known, so that nothing starts now |
       | is away               | a small job          | 1    | cannot be reached                         |
       | is ready              | a file that is away  | 2    | No such file or directory                 |
       | is ready              | a file of 2 MiB      | 2    | the job is longer than 1048576 bytes      |
--- a/tests/features/steps/dryrunentry_steps.py
+++ b/tests/features/steps/dryrunentry_steps.py
@@ -72,6 +72,8 @@
         self.state = state
         store = MemoryStore(SharedStore())
         self.view = OperatorView(store, lambda: None)
+        # Never outdated.
+        self.view.mirror.read_at = float("inf")
         if state != "has no configuration":
             self.view.configuration = parse_configuration(json.dumps(CONFIGURATION).encode())
         answers = state != "cannot reach the store"
@@ -86,7 +88,8 @@
         self.takes_s, self.steps, self.loses_term = 0.0, 1, False
         scheduler = None
         if state not in ("follows another entry", "knows no scheduler"):
-            scheduler = SimpleNamespace(loaded=anyio.Event(), dry_run=self.dry_run)
+            rules = SimpleNamespace(may_decide=lambda _now: state != "does not know the rules")
+            scheduler = SimpleNamespace(loaded=anyio.Event(), dry_run=self.dry_run, rules=rules)
             scheduler.loaded.set()
         self.jobs: Any = SimpleNamespace(scheduler=scheduler, job_service=self.job_service)
         node, metrics = ProcessId("front-1"), JobMetrics()
--- a/tests/features/steps/hostholds_steps.py
+++ b/tests/features/steps/hostholds_steps.py
@@ -45,7 +45,8 @@
 from apricotpathd.hostagent import HostAgent
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
-from apricotpathd.scheduler import Scheduler, SchedulerRules
+from apricotpathd.operatorrules import SchedulerRules
+from apricotpathd.scheduler import Scheduler
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.jobworld import run_virtual
 from support.memorystore import MemoryStore, SharedStore
--- a/tests/features/steps/removedroutes_steps.py
+++ b/tests/features/steps/removedroutes_steps.py
@@ -138,6 +138,8 @@
 
     def __init__(self) -> None:
         self.view = OperatorView(MemoryStore(SharedStore()), lambda: None)
+        # Never outdated.
+        self.view.mirror.read_at = float("inf")
         self.service: Any = AskedService()
         self.app = IngressApp(ProcessId("front-1"), self.view, self.service, JobMetrics())
         self.configure(1, [ROUTE])
--- a/tests/support/gangworld.py
+++ b/tests/support/gangworld.py
@@ -42,7 +42,8 @@
 from apricotpath.store import Put
 from apricotpath.term import Term
 from apricotpath.workload import Job, Progress, Queue, RunResult, Step
-from apricotpathd.scheduler import Scheduler, SchedulerRules
+from apricotpathd.operatorrules import SchedulerRules
+from apricotpathd.scheduler import Scheduler
 from support.memorystore import MemoryStore, SharedStore
 
 PREFIX, EPOCH_KEY = "t/", "t/ctl/epoch"
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -44,8 +44,8 @@
 from apricotpathd.hostagent import HostAgent
 from apricotpathd.jobentry import JobEntry
 from apricotpathd.jobservice import JobService
+from apricotpathd.operatorrules import SchedulerRules
 from apricotpathd.process import Process
-from apricotpathd.scheduler import SchedulerRules
 from support.executormodel import Behaviour, Crash, ExecutorModel, ModelExecutor
 from support.memorystore import MemoryStore, SharedStore
 
--- a/tests/support/memorystore.py
+++ b/tests/support/memorystore.py
@@ -59,6 +59,8 @@
     reset_after_bytes: int = UNLIMITED
     # Reads of pages get no answer, while all other calls do.
     reads_stall: bool = False
+    # Reads of pages and changes with exactly one of these prefixes get no answer.
+    stalled_prefixes: tuple[str, ...] = ()
     # Each page takes so many seconds more, and comes in one piece a second.
     page_s: int = 0
 
@@ -186,6 +188,7 @@
         return await PagedRead(self, prefix, ReadProgress()).finish()
 
     async def page(self, prefix: str, after: str, on_bytes: OnBytes) -> Page:
+        await self._stall(prefix)
         await self._simulate_call()
         items, revision = sorted(self.shared.items.items()), self.shared.revision
         found = [item for key, item in items if key.startswith(prefix) and key > after]
@@ -195,6 +198,12 @@
         await self._transfer(size, on_bytes)
         return Page(page, revision, len(found) > len(page))
 
+    async def _stall(self, prefix: str) -> None:
+        """Leave a read without an answer if its prefix is stalled."""
+        if prefix in self.faults.stalled_prefixes:
+            await anyio.sleep(1.0)
+            raise StoreUnavailable("no answer")
+
     async def _transfer(self, size: int, on_bytes: OnBytes) -> None:
         """Take the time that an answer of `size` bytes takes on this client's link."""
         faults = self.faults
@@ -215,6 +224,7 @@
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         ends_at = boot_s() + wait_s
+        await self._stall(prefix)
         while True:
             if self.faults.silent_watches:
                 await anyio.sleep(1.0)
--- a/tests/support/upkeepworld.py
+++ b/tests/support/upkeepworld.py
@@ -71,7 +71,6 @@
             lambda: view.waves.waves,
             view.mirror.age_s,
             lambda: node.jobs.election.last_led_at,
-            node.jobs._rules,
             node.jobs._metrics,
         )
         node.jobs.term_tasks.append(keeper.serve)
