--- a/packages/core/src/apricotpath/jobcodec.py
+++ b/packages/core/src/apricotpath/jobcodec.py
@@ -18,7 +18,8 @@
 )
 from apricotpath.jsontext import compact_json
 from apricotpath.model import Size
-from apricotpath.workload import Job, Progress, Schedule, Step, check_job
+from apricotpath.runrecords import parse_queue_row, queue_row
+from apricotpath.workload import Job, Progress, Queue, Schedule, Step, check_job
 
 SIZE_VALUES = 3
 SCHEDULE_VALUES = 3
@@ -26,14 +27,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredJob:
-    """A job read from the store: the job itself or, once ended, its id, queue and final state."""
+    """A job read from the store: the job itself or, once ended, its id, queue and final state.
+
+    `rules` are those of its queue when it was accepted.
+    """
 
     job: Job
     ended: Progress | None = None
+    rules: Queue | None = None
 
 
-def job_text(job: Job) -> str:
-    """Return the stored form of an accepted job."""
+def job_text(job: Job, rules: Queue | None = None) -> str:
+    """Return the stored form of an accepted job, with the rules of its queue if they are given."""
     content: dict[str, Any] = {
         "job": job.job_id,
         "queue": job.queue,
@@ -44,6 +49,8 @@
     if job.schedule is not None:
         schedule = job.schedule
         content["schedule"] = [schedule.times, schedule.first_s, schedule.interval_s]
+    if rules is not None:
+        content["rules"] = queue_row(rules)
     return compact_json(content)
 
 
@@ -67,7 +74,14 @@
         read_number(content, "accepted"),
     )
     check_job(job)
-    return StoredJob(job)
+    return StoredJob(job, rules=_rules(content) if "rules" in content else None)
+
+
+def _rules(content: dict[str, Any]) -> Queue:
+    try:
+        return parse_queue_row(read_list(content, "rules"))
+    except ValueError as exc:
+        raise InputError("rules are not those of a queue", path="rules") from exc
 
 
 def _progress(text: str) -> Progress:
--- a/packages/core/src/apricotpath/runrecords.py
+++ b/packages/core/src/apricotpath/runrecords.py
@@ -194,9 +194,7 @@
 
 @to_row.register
 def _(record: QueueKept) -> list[Any]:
-    queue = record.queue
-    numbers = [queue.priority, queue.attempts, queue.stretch, queue.target_s]
-    return ["q", queue.queue, queue.service, *numbers, queue.advised, queue.guards_capacity]
+    return ["q", *queue_row(record.queue)]
 
 
 @to_row.register
@@ -302,11 +300,18 @@
     return OccurrencesDone(JobId(to_str(job, "job")), *_range(first, end))
 
 
-def _queue_kept(values: list[Any]) -> RunRecord:
+def queue_row(queue: Queue) -> list[Any]:
+    """Return the JSON form of a queue's rules."""
+    numbers = [queue.priority, queue.attempts, queue.stretch, queue.target_s]
+    return [queue.queue, queue.service, *numbers, queue.advised, queue.guards_capacity]
+
+
+def parse_queue_row(values: list[Any]) -> Queue:
+    """Parse the JSON form of a queue's rules; raises ValueError, of which InputError is one."""
     queue, service, priority, attempts, stretch, target_s, advised, guards_capacity = values
     if not isinstance(advised, bool) or not isinstance(guards_capacity, bool):
         raise InputError("advised or guards_capacity is not true or false", path="advised")
-    rules = Queue(
+    return Queue(
         QueueId(to_str(queue, "queue")),
         ServiceId(to_str(service, "service")),
         to_int(priority, "priority"),
@@ -316,7 +321,10 @@
         advised,
         guards_capacity,
     )
-    return QueueKept(rules)
+
+
+def _queue_kept(values: list[Any]) -> RunRecord:
+    return QueueKept(parse_queue_row(values))
 
 
 def _operator_state(values: list[Any]) -> RunRecord:
--- a/packages/daemon/src/apricotpathd/jobservice.py
+++ b/packages/daemon/src/apricotpathd/jobservice.py
@@ -34,7 +34,7 @@
 from apricotpath.model import Role
 from apricotpath.runlog import LATE_WRITE_S
 from apricotpath.store import Compare, KeyValue, Put, Store, settle_delays
-from apricotpath.workload import Job, Progress, check_job, check_limits
+from apricotpath.workload import Job, Progress, Queue, check_job, check_limits
 from apricotpathd.tombstones import MAX_SUBMISSION_S, TombstoneWriter
 
 log = logging.getLogger(__name__)
@@ -106,8 +106,11 @@
 
     # Calls.
 
-    async def submit(self, job: Job) -> Submission:
-        """Accept a job; raises InputError if it is malformed."""
+    async def submit(self, job: Job, rules: Queue | None = None) -> Submission:
+        """Accept a job under the present rules of its queue; raises InputError if it is malformed.
+
+        Without `rules`, the job waits for a scheduler that knows those of its queue.
+        """
         check_job(job)
         check_limits(job)
         job = replace(job, accepted_s=self._utc())
@@ -125,7 +128,7 @@
                 extra={"job": job.job_id, "outcome": outcome.value},
             )
             return outcome
-        text = job_text(job)
+        text = job_text(job, rules)
         # The scheduler may read the stored job before this entry has the store's answer.
         log.info("job submitted", extra={"job": job.job_id, "queue": job.queue})
         self._submitting[job.job_id] += 1
--- a/packages/daemon/src/apricotpathd/scheduler.py
+++ b/packages/daemon/src/apricotpathd/scheduler.py
@@ -266,6 +266,9 @@
             self.table.add_ended(job, stored.ended, now)
         else:
             self.table.add(job, now)
+            if stored.rules is not None and stored.rules.queue == job.queue:
+                # In case no scheduler has seen this queue configured.
+                self.table.queues.setdefault(job.queue, stored.rules)
             if job.job_id in self._ends.cancel_keys:
                 self.table.cancel(job.job_id)
         self.table.changed.add(job.job_id)
--- a/tests/features/removedroutes.feature
+++ b/tests/features/removedroutes.feature
@@ -25,6 +25,18 @@
     When both jobs are done, the route is removed and a snapshot is written
     Then the next removedroutes scheduler knows no rules of the queue
 
+  # A job was accepted while there was no scheduler, so that none had recorded the rules of its queue.
+  Scenario Outline: removedroutes let the first job of a queue run that no scheduler has seen, when <event>
+    Given a removedroutes world of 2 entries without a scheduler
+    When the first job of a queue is accepted, its route is removed, and <event>
+    Then the first removedroutes job is completed
+
+    Examples:
+      | event                                               |
+      | nothing else happens                                |
+      | the scheduler is replaced twice                     |
+      | a snapshot is written and the scheduler is replaced |
+
   Scenario Outline: removedroutes answer 404 to <method>, and do nothing
     Given a removedroutes entry that knows a job
     When the configuration without its route comes into force at the removedroutes entry
--- a/tests/features/steps/removedroutes_steps.py
+++ b/tests/features/steps/removedroutes_steps.py
@@ -14,7 +14,7 @@
 from apricotpath_platform.ingress import IngressApp
 from apricotpath_platform.operatorview import CONFIG_KEY, OperatorView
 from support.gangworld import HOST_SIZE, QUEUE, GangWorld, gang_main, wait_until
-from support.jobworld import run_virtual
+from support.jobworld import JobWorld, run_virtual
 from support.memorystore import MemoryStore, SharedStore
 
 LIMIT_S = 10.0
@@ -115,6 +115,61 @@
     assert context.known == {}, context.known
 
 
+@given("a removedroutes world of 2 entries without a scheduler")
+def no_scheduler(context: Any) -> None:
+    context.states = []
+
+
+async def replace_scheduler(world: JobWorld) -> None:
+    """Kill the scheduler, start its entry again, and wait for the next one."""
+    node = world.leader()
+    assert node is not None
+    await world.kill(node)
+    world.add_entry(node.process.hello.process_id)
+    await world.wait_until_attached()
+
+
+@when("the first job of a queue is accepted, its route is removed, and {event}")
+def accept_unseen(context: Any, event: str) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = JobWorld(group)
+            world.behaviour.seconds = 12.0
+            for name in ("entry0", "entry1"):
+                world.add_entry(name)
+            world.add_agent("host0", HOST_SIZE)
+            await world.wait_until_attached()
+            leader = world.leader()
+            assert leader is not None
+            await world.kill(leader)
+            other = next(name for name, node in world.entries.items() if node is not leader)
+            job = await world.submit(Step(1, Size(1000, 100)), at=other)
+            world.queues = {}
+            await world.wait_until_attached()
+            if event == "the scheduler is replaced twice":
+                world.add_entry(leader.process.hello.process_id)
+                for _ in range(2):
+                    await replace_scheduler(world)
+            elif event != "nothing else happens":
+                world.add_entry(leader.process.hello.process_id)
+                node = world.leader()
+                assert node is not None
+                run_log = node.jobs.scheduler._log
+                await wait_until(lambda: run_log._obsolete_known, LIMIT_S)
+                run_log.entries = 10_000
+                await wait_until(lambda: run_log.entries < 1000, LIMIT_S)
+                await replace_scheduler(world)
+            context.states = [await world.wait_for_end(job, 40)]
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+@then("the first removedroutes job is completed")
+def first_completed(context: Any) -> None:
+    assert context.states == ["completed"], context.states
+
+
 class AskedService:
     """A job service that notes whether it was asked."""
 
@@ -129,7 +184,7 @@
         self.asked += 1
         return True
 
-    async def submit(self, job: Any) -> Any:
+    async def submit(self, job: Any, rules: Any) -> Any:
         raise AssertionError("the job was submitted")
 
 
--- a/tests/support/jobworld.py
+++ b/tests/support/jobworld.py
@@ -416,7 +416,8 @@
         job = self.next_job()
         self._jobs_submitted += 1
         job_service = self.entries[at or next(iter(self.entries))].job_service
-        outcome = await job_service.submit(Job(job, QUEUE, command, steps))
+        rules = self.queues.get(QUEUE)
+        outcome = await job_service.submit(Job(job, QUEUE, command, steps), rules)
         assert outcome.value == "accepted", outcome
         return job
 
