--- a/packages/core/src/apricotpath/upkeeprecords.py
+++ b/packages/core/src/apricotpath/upkeeprecords.py
@@ -4,13 +4,20 @@
 """
 
 import logging
-from collections.abc import Container, Iterator
+from collections.abc import Collection, Container, Iterator
 from dataclasses import dataclass
 from typing import Self
 
 from apricotpath.errors import InputError
 from apricotpath.ids import MachineId, WaveId
-from apricotpath.jsonfields import parse_object, read_int, read_number, read_str
+from apricotpath.jsonfields import (
+    parse_object,
+    read_int,
+    read_list,
+    read_number,
+    read_str,
+    to_str,
+)
 from apricotpath.jsontext import json_bytes
 from apricotpath.machines import Wave
 from apricotpath.store import Compare, Delete, Put, Store
@@ -19,6 +26,8 @@
 
 # Hexadecimal digits of a record, one for each 4 of the 10,000 machines that a wave may name.
 MAX_DIGITS = 2500
+# Machines of a record that have an order without an answer; no further one is ordered.
+MAX_ORDERED = 1000
 # A record is stored again once the wave has been open for so much longer (seconds).
 OPEN_STEP_S = 2.0
 
@@ -28,22 +37,32 @@
     """The machines of a wave that have begun their upkeep, as bits by their places in it.
 
     The places are those in the wave as it was at `revision`. `open_s`: for how long (seconds)
-    schedulers had known the wave at least.
+    schedulers had known the wave at least. `ordered`: machines with an order that may still be
+    carried out, also of earlier revisions of the wave.
     """
 
     revision: int
     bits: int
     open_s: float = 0.0
+    ordered: frozenset[MachineId] = frozenset()
 
     @classmethod
-    def from_wave(cls, wave: Wave, begun: Container[MachineId], open_s: float) -> Self:
-        """Return the record of a wave whose machines have `begun`."""
+    def from_wave(
+        cls,
+        wave: Wave,
+        begun: Container[MachineId],
+        open_s: float,
+        ordered: Collection[MachineId] = (),
+    ) -> Self:
+        """Return the record of a wave whose machines have `begun`, or were `ordered`."""
         binary = "".join("1" if name in begun else "0" for name in reversed(wave.machines))
-        return cls(wave.revision, int(binary or "0", 2), round(open_s, 3))
+        kept = frozenset(sorted(ordered)[:MAX_ORDERED])
+        return cls(wave.revision, int(binary or "0", 2), round(open_s, 3), kept)
 
     def is_outdated_by(self, newer: Self) -> bool:
         """Return whether a newer record tells so much more that it should be stored."""
-        changed = (self.revision, self.bits) != (newer.revision, newer.bits)
+        own, others = (self.revision, self.bits), (newer.revision, newer.bits)
+        changed = own != others or self.ordered != newer.ordered
         return changed or newer.open_s - self.open_s >= OPEN_STEP_S
 
     def machines(self, wave: Wave) -> Iterator[MachineId]:
@@ -64,13 +83,18 @@
             bits = int(digits, 16)
         except ValueError as exc:
             raise InputError("begun is not a hexadecimal number", path="begun") from exc
-        open_s = read_number(body, "openS", 0.0, low=0)
-        return cls(read_int(body, "revision", low=0), max(0, bits), open_s)
+        ordered = read_list(body, "ordered", [])
+        return cls(
+            read_int(body, "revision", low=0),
+            max(0, bits),
+            read_number(body, "openS", 0.0, low=0),
+            frozenset(MachineId(to_str(name, "ordered")) for name in ordered),
+        )
 
     def encode(self) -> bytes:
         """Return the stored form."""
         content = {"revision": self.revision, "begun": f"{self.bits:x}", "openS": self.open_s}
-        return json_bytes(content)
+        return json_bytes(content | ({"ordered": sorted(self.ordered)} if self.ordered else {}))
 
 
 # Stands for the record of a wave that has none.
--- a/packages/core/src/apricotpath/upkeepstate.py
+++ b/packages/core/src/apricotpath/upkeepstate.py
@@ -112,6 +112,10 @@
         lasts = answer is UpkeepAnswer.BUSY or answer in LASTING_REFUSALS
         self.postpone(now, RETRY_MAX_S if lasts and not self.in_doubt else RETRY_SOON_MAX_S)
 
+    def restore_ordered(self) -> None:
+        """Note that an order of an earlier scheduler may still be carried out."""
+        self.down_until = float("inf")
+
     def restore_begun(self, now: float) -> None:
         """Note that an earlier scheduler has recorded that the upkeep has begun."""
         self.begun, self.down_until = True, now
@@ -184,6 +188,10 @@
         """Return the machines that have begun their upkeep for this wave."""
         return {name for name, state in self.orders.items() if state.begun}
 
+    def ordered(self) -> set[MachineId]:
+        """Return the machines with an order that may still be carried out."""
+        return {name for name, state in self.orders.items() if state.in_doubt}
+
     def pending(self, view: MachineView) -> list[MachineId]:
         """Return the machines that exist and have not begun their upkeep for this wave."""
         return [
--- a/packages/daemon/src/apricotpathd/upkeep.py
+++ b/packages/daemon/src/apricotpathd/upkeep.py
@@ -166,7 +166,7 @@
         if now >= self._list_at and not self._listing and not self._returns_soon(now):
             self._listing = True
             group.start_soon(self._list)
-        self._make_plan(group, now)
+        await self._order(group, self._make_plan(now))
         await self._report_completed()
         self._log_state(now)
 
@@ -215,8 +215,10 @@
         now = boot_s()
         progress = WaveProgress(wave, now, self._former.pop(wave.wave, {}))
         self._progress[wave.wave] = progress
-        recorded = self._recorded.get(wave.wave)
-        if recorded is not None and recorded.revision == wave.revision:
+        recorded = self._recorded.get(wave.wave, NO_RECORD)
+        for machine in recorded.ordered:
+            progress.order(machine).restore_ordered()
+        if recorded.revision == wave.revision:
             progress.first_seen_at = now - recorded.open_s
             for machine in recorded.machines(wave):
                 progress.order(machine).restore_begun(now)
@@ -252,7 +254,8 @@
     async def _record_wave(self, progress: WaveProgress, now: float) -> None:
         """Record how far one wave has come, if that is more than is recorded."""
         name = progress.wave.wave
-        newer = WaveRecord.from_wave(progress.wave, progress.begun(), now - progress.first_seen_at)
+        open_s = now - progress.first_seen_at
+        newer = WaveRecord.from_wave(progress.wave, progress.begun(), open_s, progress.ordered())
         if not self._recorded.get(name, NO_RECORD).is_outdated_by(newer):
             return
         if await self._records.write(name, newer, self._leads):
@@ -317,8 +320,8 @@
             self._list_at = max(started + LIST_INTERVAL_S, boot_s())
             self._listing = False
 
-    def _make_plan(self, group: TaskGroup, now: float) -> None:
-        """Make the next plan, apply it, and start sending its orders."""
+    def _make_plan(self, now: float) -> list[UpkeepOrder]:
+        """Make the next plan and apply it; return the orders to be sent now."""
         hosts = self._scheduler.host_tracker.hosts
         inputs = self._scheduler.placement_input(now)
         matched = match_hosts(self.view, self._scheduler.table, list(hosts.values()))
@@ -340,11 +343,22 @@
         self._apply(plan)
         self._note_emptied(now)
         rate = self._keeper.cfg.orders_per_s * ORDER_RATE_SHARE
-        for order in plan.orders[: max(1, int(rate * TICK_S))]:
-            state = self._state(order)
-            was_in_doubt = state.in_doubt
-            state.sending()
-            group.start_soon(self._send, order, self._progress[order.wave], was_in_doubt)
+        return plan.orders[: max(1, int(rate * TICK_S))]
+
+    async def _order(self, group: TaskGroup, orders: list[UpkeepOrder]) -> None:
+        """Start sending orders, once the next scheduler would know of them."""
+        in_doubt = {order: self._state(order).in_doubt for order in orders}
+        for order in orders:
+            self._state(order).sending()
+        if orders:
+            await self._record_waves(boot_s())
+        for order, was_in_doubt in in_doubt.items():
+            progress = self._progress[order.wave]
+            if order.machine in self._recorded.get(order.wave, NO_RECORD).ordered:
+                group.start_soon(self._send, order, progress, was_in_doubt)
+            else:
+                now, answer = boot_s(), UpkeepAnswer.NOT_SENT
+                progress.order(order.machine).answered(answer, was_in_doubt, 0.0, now)
 
     def _apply(self, plan: UpkeepPlan) -> None:
         """Mark the hosts to be emptied and those whose upkeep is still to come."""
--- a/tests/features/doubts.feature
+++ b/tests/features/doubts.feature
@@ -92,6 +92,24 @@
     And the schedulers of the upkeep doubts shut down every 6 seconds
     Then the scheduler of the upkeep doubts has at most 50 seconds left for wave 1 after 14 seconds
 
+  # The next scheduler knew nothing of an order without an answer, and sent another machine.
+  Scenario Outline: doubts about an order of upkeep outlive a scheduler that <event>, late by <late> seconds
+    Given an upkeep world of 3 entries and 4 agents
+    When wave 1 names machines 0, 1, 2 and 3 for 60 seconds, 1 at a time
+    And the first order of the upkeep doubts is carried out <late> seconds late, and its scheduler <event>
+    Then wave 1 is completed within 60 seconds, with 1 upkeep of each machine named
+    And no more than 1 machine was down for wave 1
+
+    Examples:
+      | event                     | late |
+      | shuts down                | 4    |
+      | shuts down                | 5    |
+      | shuts down                | 8    |
+      | ends                      | 6    |
+      | ends                      | 8    |
+      | ends, and the next one    | 12   |
+      | ends, and the wave is written again | 8 |
+
   Scenario Outline: doubts about upkeeps are answered by no record that <fault>
     Given an upkeep world of 1 entries and 3 agents
     When the record of the upkeep doubts of wave 1 is <value>
@@ -102,6 +120,7 @@
       | fault                        | value                       |
       | is malformed                 | {"revision":                |
       | has no number                | {"revision":1,"begun":"x"}  |
+      | has malformed orders         | {"revision":1,"begun":"0","ordered":[1]} |
       | concerns an earlier revision | {"revision":1,"begun":"3"}  |
 
   # A task that is down for longer than a lease, or twice at work, after planned changes in any order.
--- a/tests/features/steps/doubts_steps.py
+++ b/tests/features/steps/doubts_steps.py
@@ -31,15 +31,21 @@
     LeaderNotice,
     Message,
 )
-from apricotpath.workload import HostFacts
+from apricotpath.model import Size
+from apricotpath.workload import HostFacts, Step
 from apricotpathd.attachment import ExecutorState
 from apricotpathd.hostagent import HostAgent
 from apricotpathd.hostevents import ExecutorName
 from apricotpathd.hosttracker import HostTracker
 from support.executormodel import Behaviour, ExecutorModel, ModelExecutor
 from support.jobworld import run_virtual
+from support.machinemodel import Fault
 from support.upkeepworld import UpkeepWorld
 
+CORE = Size(1000, 100)
+# A task that runs until the late order is carried out, or the wave's time is nearly over.
+LONG_S = 15.0
+
 
 class DoubtfulHost(HeldHost):
     """A host with a run of the last term, whose executor answers little or nothing."""
@@ -298,6 +304,39 @@
     upkeep.add(context, act)
 
 
+@when(
+    "the first order of the upkeep doubts is carried out {late_s:d} seconds late,"
+    " and its scheduler {event}"
+)
+def order_late(context: Any, late_s: int, event: str) -> None:
+    upkeep: UpkeepWorld = context.upkeep
+
+    async def act() -> None:
+        world, service = upkeep.world, upkeep.service
+        service.faults.append(Fault("late", 1, late_s=late_s))
+        await upkeep.wait(lambda: bool(service.orders), 20)
+        # It takes the machine of the order, unless that is known to be in doubt.
+        ordered = service.executors[service.orders[0].machine].name
+        world.behaviour.lengths[world.next_job()] = LONG_S
+        await world.submit(Step(1, CORE, LONG_S, label=ordered.replace("host", "r")))
+        for _ in range(2 if "next one" in event else 1):
+            node = world.leader()
+            assert node is not None
+            name = str(node.process.hello.process_id)
+            if event == "shuts down":
+                await world.stop_entry(name, 0.0)
+            else:
+                await world.kill(node)
+            await anyio.sleep(RESTART_DELAY_S)
+            if "written again" in event:
+                body = {"wave": 1, "machines": upkeep.wave[1][::-1], "durationS": 60}
+                upkeep.write("op/wave/1", body | {"maxCount": 1})
+            upkeep._add_entry(name)
+            await world.wait_until_attached()
+
+    upkeep.add(context, act)
+
+
 @then("no machine of the upkeep doubts was ordered again once its upkeep had begun")
 def not_ordered_again(context: Any) -> None:
     upkeep: UpkeepWorld = context.upkeep
--- a/tests/support/upkeepworld.py
+++ b/tests/support/upkeepworld.py
@@ -51,7 +51,7 @@
             for number in range(self.entries):
                 self._add_entry(f"entry{number}")
             for number in range(self.agents):
-                agent = world.add_agent(f"host{number}", HOST)
+                agent = world.add_agent(f"host{number}", HOST, rack=f"r{number}")
                 self.service.executors[f"m-{number}"] = agent.model
             await world.wait_until_attached()
             for action in self.actions:
