Outdated evacuations hold starts also while the configuration is not read

Cause: "not read" hid "outdated". After the wait for a configuration that cannot be read, tasks would start by evacuations of any age.

Change: each of the two waits is looked at by itself, and only what was read can be outdated.

--- a/packages/daemon/src/apricotpathd/operatorrules.py
+++ b/packages/daemon/src/apricotpathd/operatorrules.py
@@ -55,8 +55,10 @@
 
     @property
     def outdated(self) -> bool:
-        """Whether the rules may have changed since they were read."""
-        return self.queues_age_s > MAX_QUEUES_AGE_S or self.out_age_s > MAX_OUT_AGE_S
+        """Whether rules that were read may have changed since then."""
+        return (self.queues_read and self.queues_age_s > MAX_QUEUES_AGE_S) or (
+            self.out_read and self.out_age_s > MAX_OUT_AGE_S
+        )
 
 
 class TermRules:
@@ -100,15 +102,14 @@
     def may_decide(self, now: float) -> bool:
         """Tell whether tasks may be started, moved or given up now (boot-clock seconds)."""
         rules = self._read()
-        if not rules.read:
-            may, state = rules.reading_s > MAX_UNREAD_S, "not read"
-        elif rules.outdated:
-            if self._outdated_since is None:
-                self._outdated_since = now
-            may, state = now - self._outdated_since > MAX_OUTDATED_S, "outdated"
-        else:
+        if not rules.outdated:
             self._outdated_since = None
-            may, state = True, "known"
+        elif self._outdated_since is None:
+            self._outdated_since = now
+        may = rules.read or rules.reading_s > MAX_UNREAD_S
+        if self._outdated_since is not None:
+            may = may and now - self._outdated_since > MAX_OUTDATED_S
+        state = "not read" if not rules.read else "outdated" if rules.outdated else "known"
         self._log(rules, f"{state}; {'tasks start' if may else 'nothing starts'}")
         return may
 
--- a/tests/features/operatorrules.feature
+++ b/tests/features/operatorrules.feature
@@ -53,6 +53,21 @@
     When the scheduler's watch of the operator's keys is cut for 60 seconds
     Then tasks of the operatorrules world start again within 10 seconds
 
+  # A configuration that was never read was taken as a reason to go by outdated evacuations.
+  Scenario Outline: operatorrules wait for each of the copies when <case>
+    Given operatorrules with a configuration <configuration> and evacuations <evacuations>, <reading> seconds after the first read began
+    Then they allow decisions at once: <now>, and 6 seconds later: <later>
+
+    Examples:
+      | case                            | configuration | evacuations   | reading | now | later |
+      | all is read                     | 1 second old  | 1 second old  | 2       | yes | yes   |
+      | the configuration is not read   | not read      | 1 second old  | 2       | no  | no    |
+      | the evacuations are not read    | 1 second old  | not read      | 2       | no  | no    |
+      | neither is read in time         | not read      | not read      | 9       | yes | yes   |
+      | the evacuations are outdated    | 1 second old  | 4 seconds old | 2       | no  | yes   |
+      | the configuration is outdated   | 7 seconds old | 1 second old  | 2       | no  | yes   |
+      | one is not read, one outdated   | not read      | 4 seconds old | 9       | no  | yes   |
+
   # An entry that is cut off from the newest configuration may schedule after one that had read it.
   Scenario Outline: operatorrules of the run log go before those read when <case>
     Given operatorrules in the run log of version 6, revision 60, 3 attempts, and z2 out of service
--- a/tests/features/steps/operatorrules_steps.py
+++ b/tests/features/steps/operatorrules_steps.py
@@ -319,6 +319,34 @@
     later(context, check)
 
 
+# What is read, and how old it is.
+
+
+@given(
+    "operatorrules with a configuration {config} and evacuations {out},"
+    " {reading_s:d} seconds after the first read began"
+)
+def rules_of_age(context: Any, config: str, out: str, reading_s: int) -> None:
+    ages_s = [
+        float("inf") if text == "not read" else float(text.split()[0]) for text in (config, out)
+    ]
+    rules = SchedulerRules(
+        queues_read=config != "not read",
+        out_read=out != "not read",
+        configured=config != "not read",
+        reading_s=reading_s,
+        queues_age_s=ages_s[0],
+        out_age_s=ages_s[1],
+    )
+    context.rules = TermRules(lambda: rules, JobTable())
+
+
+@then("they allow decisions at once: {now}, and 6 seconds later: {later_on}")
+def allow(context: Any, now: str, later_on: str) -> None:
+    found = [context.rules.may_decide(at) for at in (0.0, 6.0)]
+    assert found == [now == "yes", later_on == "yes"], found
+
+
 # What the run log keeps.
 
 
