--- a/packages/daemon/src/apricotpathd/tombstones.py
+++ b/packages/daemon/src/apricotpathd/tombstones.py
@@ -34,8 +34,8 @@
 # No write of a submission that began before a tombstone was written, or reused, takes effect
 # after this time.
 LIFETIME_S = MAX_SUBMISSION_S + LATE_WRITE_S + REUSE_S
-# Tombstones that one entry writes within LIFETIME_S. Each takes about 200 bytes in the store and
-# 150 bytes in the entry's memory.
+# Tombstones that one entry writes within LIFETIME_S. Each takes about 60 bytes in the store and
+# 110 bytes in the entry's memory.
 MAX_TOMBSTONES = 4096
 # Time between two writes of an entry, each with up to TOMBSTONES_PER_WRITE tombstones.
 WRITE_INTERVAL_S = 0.1
