--- a/tests/features/cancels.feature
+++ b/tests/features/cancels.feature
@@ -51,6 +51,15 @@
     And the next scheduler of the cancels world loads none of their records
     And all of their records are gone 900 seconds later, and none was within 660 seconds
 
+  Scenario: cancels are told to clients that submit, show and cancel the job again
+    Given a cancels entry that serves clients
+    Then it answers DELETE with 410, POST with 200 and "cancelled", GET with 200 and "cancelled", and DELETE with 200
+
+  Scenario: cancels that are too many are refused with the limit and a time to come back
+    Given a cancels entry that serves clients
+    When 4096 unknown jobs were cancelled there
+    Then it answers DELETE with 429, "4096 of them were cancelled here within 660 s" and Retry-After
+
   Scenario: cancels of unknown jobs do not wait behind a crowd of others
     Given a cancels world of 1 entries and 0 agents
     When 1000 unknown jobs are cancelled at one entry, 1000 at a time
--- a/tests/features/steps/cancels_steps.py
+++ b/tests/features/steps/cancels_steps.py
@@ -1,5 +1,6 @@
 """Steps for cancels.feature."""
 
+import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -8,14 +9,17 @@
 from behave import given, then, when
 
 from apricotpath.boottime import boot_s
-from apricotpath.ids import JobId
+from apricotpath.ids import JobId, ProcessId
+from apricotpath.jobmetrics import JobMetrics
 from apricotpath.model import Size
 from apricotpath.store import Put
 from apricotpath.workload import Job, Progress, Step
-from apricotpathd.jobservice import JobServiceUnavailable, Submission
+from apricotpath_platform.ingress import IngressApp
+from apricotpath_platform.operatorview import OperatorView, parse_configuration
+from apricotpathd.jobservice import JobService, JobServiceUnavailable, Submission
 from apricotpathd.tombstones import TooManyTombstones
 from support.jobworld import PREFIX, QUEUE, EntryNode, JobWorld, run_virtual
-from support.memorystore import Faults
+from support.memorystore import Faults, MemoryStore, SharedStore
 
 CAPACITY = Size(16_000, 64_000)
 CORE = Size(1000, 100)
@@ -241,6 +245,77 @@
     case.run()
 
 
+class ServingEntry:
+    """The ingress of an entry with its job service, without a listening port."""
+
+    def __init__(self) -> None:
+        store = MemoryStore(SharedStore())
+        view = OperatorView(store, lambda: None)
+        # Never outdated.
+        view.mirror.read_at = float("inf")
+        route = {"name": QUEUE, "service": "bakery", "host": "bread.example", "prefix": "/bread/"}
+        body = {"version": 1, "routes": [route]}
+        view.configuration = parse_configuration(json.dumps(body).encode())
+        self.service = JobService(store, PREFIX)
+        self.app = IngressApp(ProcessId("front-1"), view, self.service, JobMetrics())
+
+    async def call(self, method: str, job: JobId, body: bytes = b"") -> tuple[int, str, bool]:
+        """Make a call; return its status and body, and whether it has a Retry-After."""
+        sent: list[Any] = []
+
+        async def receive() -> Any:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+
+        headers = [(b"host", b"bread.example")]
+        scope = {"type": "http", "method": method, "path": f"/bread/{job}", "headers": headers}
+        await self.app(scope, receive, send)
+        names = {name for name, _ in sent[0]["headers"]}
+        return sent[0]["status"], sent[1]["body"].decode(), b"retry-after" in names
+
+
+@given("a cancels entry that serves clients")
+def serving(context: Any) -> None:
+    context.serving = ServingEntry()
+
+
+@when("{count:d} unknown jobs were cancelled there")
+def were_cancelled(context: Any, count: int) -> None:
+    jobs = [JobId(f"{FIRST_UNKNOWN + number:016x}") for number in range(count)]
+    # Calls are made at time 0.
+    context.serving.service.tombstones._written_at = dict.fromkeys(jobs, -1.0)
+
+
+@then(
+    'it answers DELETE with {first:d}, POST with {posted:d} and "{state}",'
+    ' GET with {shown:d} and "{same}", and DELETE with {last:d}'
+)
+def answers_all(
+    context: Any, first: int, posted: int, state: str, shown: int, same: str, last: int
+) -> None:
+    job = JobId("00000000000000c2")
+    steps = {"steps": [{"count": 1, "cpu": 100, "memMb": 10}]}
+
+    async def main() -> None:
+        entry: ServingEntry = context.serving
+        assert (await entry.call("DELETE", job))[0] == first
+        for method, status in (("POST", posted), ("GET", shown)):
+            found = await entry.call(method, job, json.dumps(steps).encode())
+            assert found == (status, json.dumps({"state": state}), False), found
+        assert (await entry.call("DELETE", job))[0] == last
+
+    run_virtual(main)
+    assert state == same
+
+
+@then('it answers DELETE with {status:d}, "{text}" and Retry-After')
+def refuses(context: Any, status: int, text: str) -> None:
+    found = run_virtual(lambda: context.serving.call("DELETE", JobId("00000000000000c2")))
+    assert found[0] == status and text in found[1] and found[2], found
+
+
 async def cancel_unknown(case: CancelWorld, job: JobId) -> None:
     """Cancel a job that nobody has submitted, and count the answer."""
     began = boot_s()
